--- /dev/null
+++ b/packages/api/src/dogwoodspool_api/const.py
@@ -0,0 +1,29 @@
+"""Paths of the endpoints between the system's processes."""
+
+from typing import Final
+
+# Served by control processes.
+PATH_RENEW: Final = "/v1/renew"
+PATH_WATCH: Final = "/v1/watch"
+PATH_SETTINGS_CHANGE: Final = "/v1/settings/change"
+PATH_SETTINGS_TREE: Final = "/v1/settings/tree"
+PATH_SETTINGS_EFFECTIVE: Final = "/v1/settings/effective"
+PATH_SETTINGS_HISTORY: Final = "/v1/settings/history"
+PATH_PROMOTE: Final = "/v1/groups/promote"
+PATH_STATUS: Final = "/v1/status"
+PATH_VOTERS: Final = "/v1/voters"
+
+# Served by proxies.
+PATH_ANNOUNCE: Final = "/v1/announce"
+PATH_RELEASE: Final = "/v1/release"
+PATH_DRAIN: Final = "/v1/drain"
+PATH_READY: Final = "/ready"
+PATH_LIVE: Final = "/live"
+PATH_METRICS: Final = "/metrics"
+
+QUERY_AFTER: Final = "after"
+QUERY_WAIT_MS: Final = "wait_ms"
+QUERY_CONFIRMED: Final = "confirmed"
+QUERY_PATH: Final = "path"
+
+MAX_NAME_LENGTH: Final = 64
--- /dev/null
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -0,0 +1,320 @@
+"""Validated messages between the system's processes."""
+
+from typing import Annotated, Any, Self
+
+from dogwoodspool_common import (
+    Address,
+    BackendServer,
+    GroupState,
+    Phase,
+    Position,
+    Role,
+    ServerStatus,
+)
+from pydantic import BaseModel, ConfigDict, Field
+
+from .const import MAX_NAME_LENGTH
+
+Name = Annotated[
+    str, Field(min_length=1, max_length=MAX_NAME_LENGTH, pattern=r"^[A-Za-z0-9._-]+$")
+]
+HostPort = Annotated[str, Field(pattern=r"^[0-9A-Za-z.:\[\]-]+:[0-9]{1,5}$")]
+
+
+class Message(BaseModel):
+    """Base of all messages: unknown fields are refused, values do not change."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class PositionMessage(Message):
+    """A position in a database group's log."""
+
+    term: int = Field(ge=0)
+    offset: int = Field(ge=0)
+
+    @classmethod
+    def of(cls, position: Position) -> Self:
+        """Build the message from the inner value."""
+        return cls(term=position.term, offset=position.offset)
+
+    def value(self) -> Position:
+        """Return the inner value."""
+        return Position(self.term, self.offset)
+
+
+class Announcement(Message):
+    """What a backend server tells the entry instances of its failure domain."""
+
+    server: Name
+    group: Name
+    failure_domain: Name
+    address: HostPort
+    role: Role
+    position: PositionMessage
+    slots: int = Field(ge=1)
+    connections: int = Field(ge=1)
+    is_leaving: bool = False
+
+    def backend_server(self) -> BackendServer:
+        """Return the inner value."""
+        return BackendServer(
+            name=self.server,
+            group=self.group,
+            failure_domain=self.failure_domain,
+            address=Address.parse(self.address),
+            slots=self.slots,
+            connections=self.connections,
+            is_leaving=self.is_leaving,
+        )
+
+
+class StatusMessage(Message):
+    """A backend server's status as one observer read it."""
+
+    role: Role
+    position: PositionMessage
+    lag_ms: float | None
+    is_leaving: bool
+
+    @classmethod
+    def of(cls, status: ServerStatus) -> Self:
+        """Build the message from the inner value."""
+        return cls(
+            role=status.role,
+            position=PositionMessage.of(status.position),
+            lag_ms=status.lag_ms,
+            is_leaving=status.is_leaving,
+        )
+
+
+class Observation(Message):
+    """How one proxy sees one backend server.
+
+    Attributes:
+        unreachable_ms: time since the last good answer; 0 while it answers.
+        status: the last status read, None when there was none.
+    """
+
+    server: Name
+    unreachable_ms: float = Field(ge=0)
+    status: StatusMessage | None = None
+
+
+class GroupReport(Message):
+    """What a proxy reports of its right to write to one database group.
+
+    Attributes:
+        held_term: term of the grant that the proxy holds; None for no grant.
+        acked: highest position of a write that it ever acknowledged.
+    """
+
+    group: Name
+    held_term: int | None
+    acked: PositionMessage | None
+
+
+class RenewRequest(Message):
+    """A proxy asks to keep its grants and its shares of connections.
+
+    Attributes:
+        proxy: name of the instance, the same after a restart.
+        incarnation: random identity of the process, new after a restart.
+        address: where the proxy's inside HTTP answers.
+        view_version: version of the committed state in force at the proxy.
+        connection_demand: connections wanted for each backend server.
+        announcements: backend servers that announced themselves lately.
+    """
+
+    proxy: Name
+    incarnation: Name
+    failure_domain: Name
+    address: HostPort
+    view_version: int = Field(ge=0)
+    is_draining: bool = False
+    groups: list[GroupReport] = []
+    observations: list[Observation] = []
+    connection_demand: dict[Name, Annotated[int, Field(ge=0)]] = {}
+    announcements: list[Announcement] = []
+
+
+class Grant(Message):
+    """The right to write to a group's primary for the response's lease time."""
+
+    group: Name
+    term: int
+    primary: Name
+
+
+class RenewResponse(Message):
+    """What the leader gives for ``lease_ms`` from when the request was sent.
+
+    Attributes:
+        withdrawn: groups whose grant the proxy must give up at once.
+        connection_shares: connections that the proxy may open to each backend
+            server, the durable base share included.
+    """
+
+    lease_ms: int = Field(ge=1)
+    grants: list[Grant]
+    withdrawn: list[Name]
+    connection_shares: dict[Name, int]
+    view_version: int
+
+
+class ReleaseRequest(Message):
+    """The leader asks a proxy to give up its grant of a term, at once.
+
+    Attributes:
+        drain_ms: time for writes in flight to end before the answer; no new
+            write starts meanwhile.
+    """
+
+    group: Name
+    term: int
+    drain_ms: int = Field(ge=0)
+
+
+class ReleaseResponse(Message):
+    """The proxy has given up the grant and will acknowledge nothing under it."""
+
+    incarnation: Name
+    acked: PositionMessage | None
+
+
+class GroupMessage(Message):
+    """A database group as control has committed it."""
+
+    name: Name
+    term: int
+    primary: Name | None
+    phase: Phase
+    term_starts: list[PositionMessage]
+
+    @classmethod
+    def of(cls, state: GroupState) -> Self:
+        """Build the message from the inner value."""
+        return cls(
+            name=state.name,
+            term=state.term,
+            primary=state.primary,
+            phase=state.phase,
+            term_starts=[PositionMessage.of(start) for start in state.term_starts],
+        )
+
+    def value(self) -> GroupState:
+        """Return the inner value."""
+        return GroupState(
+            name=self.name,
+            term=self.term,
+            primary=self.primary,
+            phase=self.phase,
+            term_starts=tuple(start.value() for start in self.term_starts),
+        )
+
+
+class ServerMessage(Message):
+    """A backend server as control has committed it."""
+
+    server: Name
+    group: Name
+    failure_domain: Name
+    address: HostPort
+    slots: int
+    connections: int
+    is_leaving: bool
+
+    @classmethod
+    def of(cls, server: BackendServer) -> Self:
+        """Build the message from the inner value."""
+        return cls(
+            server=server.name,
+            group=server.group,
+            failure_domain=server.failure_domain,
+            address=str(server.address),
+            slots=server.slots,
+            connections=server.connections,
+            is_leaving=server.is_leaving,
+        )
+
+    def value(self) -> BackendServer:
+        """Return the inner value."""
+        return BackendServer(
+            name=self.server,
+            group=self.group,
+            failure_domain=self.failure_domain,
+            address=Address.parse(self.address),
+            slots=self.slots,
+            connections=self.connections,
+            is_leaving=self.is_leaving,
+        )
+
+
+class ProxyMessage(Message):
+    """A registered proxy instance."""
+
+    proxy: Name
+    failure_domain: Name
+    address: HostPort
+
+
+class SettingsNode(Message):
+    """One node of the settings tree: its version and what it overrides."""
+
+    path: str
+    version: int
+    overrides: dict[str, Any]
+
+
+class ControlView(Message):
+    """The committed state that proxies follow.
+
+    Attributes:
+        version: index of the last log entry that is part of it; never falls.
+    """
+
+    version: int
+    groups: list[GroupMessage]
+    servers: list[ServerMessage]
+    proxies: list[ProxyMessage]
+    settings: list[SettingsNode]
+
+
+class WatchResponse(Message):
+    """Answer of a long poll: the newer view, or None when time ran out."""
+
+    view: ControlView | None
+    leader: HostPort | None
+
+
+class SettingsChangeRequest(Message):
+    """One change of one node; the same ``change_id`` again is the same change.
+
+    Attributes:
+        expected_version: version of the node that the operator has seen; 0 for
+            a node that does not exist yet.
+        overrides: the node's whole new set of overrides; None deletes the node.
+        author: who asks, for the history.
+    """
+
+    change_id: Name
+    path: str
+    expected_version: int = Field(ge=0)
+    overrides: dict[str, Any] | None
+    author: str = Field(max_length=MAX_NAME_LENGTH)
+
+
+class SettingsChangeResponse(Message):
+    """An accepted change: in force everywhere from ``view_version`` on."""
+
+    path: str
+    version: int
+    view_version: int
+
+
+class PromoteRequest(Message):
+    """An operator's planned change of primary."""
+
+    change_id: Name
+    group: Name
+    candidate: Name | None = None
--- /dev/null
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -0,0 +1,64 @@
+"""What every library and program shares: clock, log, trace, HTTP with JSON."""
+
+from .clock import Clock, ManualClock, SystemClock
+from .errors import (
+    DogwoodspoolError,
+    HttpError,
+    PeerRefusedError,
+    PeerUnreachableError,
+    SettingsError,
+)
+from .http_client import JsonClient
+from .http_server import (
+    JsonRequest,
+    JsonResponse,
+    JsonServer,
+    Route,
+    error_response,
+)
+from .log import log_event, set_up_logging
+from .models import (
+    Address,
+    BackendServer,
+    GroupState,
+    Phase,
+    Position,
+    Role,
+    ServerStatus,
+)
+from .process import read_settings, run_program, stop_event_on_signals
+from .signature import RequestSigner
+from .trace import current_traceparent, set_up_tracing, span
+
+__all__ = [
+    "ServerStatus",
+    "Role",
+    "Phase",
+    "GroupState",
+    "BackendServer",
+    "Address",
+    "Clock",
+    "DogwoodspoolError",
+    "HttpError",
+    "JsonClient",
+    "JsonRequest",
+    "JsonResponse",
+    "JsonServer",
+    "ManualClock",
+    "PeerRefusedError",
+    "PeerUnreachableError",
+    "Position",
+    "RequestSigner",
+    "Route",
+    "SettingsError",
+    "SystemClock",
+    "current_traceparent",
+    "error_response",
+    "log_event",
+    "read_settings",
+    "run_program",
+    "set_up_logging",
+    "set_up_tracing",
+    "span",
+    "stop_event_on_signals",
+]
--- /dev/null
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -0,0 +1,186 @@
+"""JSON over HTTP for the system's other processes, balancers and operators."""
+
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl
+
+from pydantic import ValidationError
+from waitress.server import create_server
+
+from .const import (
+    DEFAULT_HTTP_THREADS,
+    HEADER_SIGNATURE,
+    MAX_HTTP_BODY_BYTES,
+)
+from .errors import DogwoodspoolError
+from .log import log_event
+from .models import Address
+from .signature import RequestSigner
+from .trace import span
+
+STATUS_LINES: Mapping[int, str] = {
+    200: "200 OK",
+    400: "400 Bad Request",
+    401: "401 Unauthorized",
+    403: "403 Forbidden",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    413: "413 Content Too Large",
+    421: "421 Misdirected Request",
+    429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class JsonRequest:
+    """A request that has passed the check of its signature."""
+
+    path: str
+    query: Mapping[str, str]
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class JsonResponse:
+    """An answer; ``text`` replaces the JSON body where a page is plain text."""
+
+    body: Mapping[str, Any] = field(default_factory=dict)
+    status: int = 200
+    text: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One endpoint.
+
+    Attributes:
+        method: ``GET`` or ``POST``.
+        path: exact path.
+        handler: called in a thread of the server's pool.
+        is_open: the endpoint answers without a signature, as a balancer's
+            readiness check needs.
+    """
+
+    method: str
+    path: str
+    handler: Callable[[JsonRequest], JsonResponse]
+    is_open: bool = False
+
+
+def error_response(status: int, code: str, message: str) -> JsonResponse:
+    """Build an error answer that ``JsonClient`` understands."""
+    return JsonResponse({"error": code, "message": message}, status)
+
+
+class JsonServer:
+    """Serve routes with a bounded pool of threads.
+
+    Long polls hold a thread each while they wait, so ``threads`` bounds them.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        signer: RequestSigner,
+        routes: Iterable[Route],
+        threads: int = DEFAULT_HTTP_THREADS,
+    ) -> None:
+        self._signer = signer
+        self._routes = {(route.method, route.path): route for route in routes}
+        listener = socket.create_server((address.host, address.port), backlog=1024)
+        self._address = Address(address.host, int(listener.getsockname()[1]))
+        self._server = create_server(
+            self._application,
+            sockets=[listener],
+            threads=threads,
+            max_request_body_size=MAX_HTTP_BODY_BYTES,
+            clear_untrusted_proxy_headers=True,
+            ident="dogwoodspool",
+        )
+        self._thread = threading.Thread(
+            target=self._server.run, name="http-server", daemon=True
+        )
+
+    @property
+    def address(self) -> Address:
+        """The address in use, with the real port where 0 was asked for."""
+        return self._address
+
+    def set_up(self) -> None:
+        """Begin to answer."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Stop answering and close the listening socket."""
+        # Threads first: one that still answers needs the server's wake-up pipe.
+        self._server.task_dispatcher.shutdown(timeout=1)
+        self._server.close()
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> list[bytes]:
+        response = self._respond(environ)
+        if response.text is not None:
+            content, kind = response.text.encode(), "text/plain; charset=utf-8"
+        else:
+            content = json.dumps(response.body, separators=(",", ":")).encode()
+            kind = "application/json"
+        headers = [("Content-Type", kind), ("Content-Length", str(len(content)))]
+        start_response(STATUS_LINES[response.status], headers)
+        return [content]
+
+    def _respond(self, environ: dict[str, Any]) -> JsonResponse:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        route = self._routes.get((method, path))
+        if route is None:
+            return error_response(404, "no_such_endpoint", f"{method} {path}")
+        body = environ["wsgi.input"].read()
+        query = environ.get("QUERY_STRING", "")
+        target = f"{path}?{query}" if query else path
+        signature = environ.get(_environ_key(HEADER_SIGNATURE), "")
+        if not route.is_open and not self._signer.is_valid(
+            signature, method, target, body
+        ):
+            log_event("request_refused", level="WARNING", path=path, reason="signature")
+            return error_response(401, "bad_signature", "the shared key does not match")
+        try:
+            content = json.loads(body) if body else None
+        except ValueError as error:
+            return error_response(400, "bad_json", str(error))
+        request = JsonRequest(path, dict(parse_qsl(query)), content)
+        return self._handle(route, request, environ.get(_environ_key("traceparent")))
+
+    def _handle(
+        self, route: Route, request: JsonRequest, traceparent: str | None
+    ) -> JsonResponse:
+        try:
+            if traceparent is None:
+                return route.handler(request)
+            with span(f"http {route.path}", traceparent=traceparent):
+                return route.handler(request)
+        except ValidationError as error:
+            return error_response(400, "bad_request", _first_error(error))
+        except DogwoodspoolError as error:
+            return error_response(503, type(error).__name__, str(error))
+        except Exception as error:  # noqa: BLE001
+            # A handler's fault must cost its own request only, not the thread.
+            log_event(
+                "handler_failed", level="ERROR", path=route.path, error=repr(error)
+            )
+            return error_response(500, "internal", type(error).__name__)
+
+
+def _environ_key(header: str) -> str:
+    return "HTTP_" + header.upper().replace("-", "_")
+
+
+def _first_error(error: ValidationError) -> str:
+    first = error.errors(include_url=False, include_input=False)[0]
+    where = ".".join(str(part) for part in first["loc"])
+    return f"{where}: {first['msg']}"
--- /dev/null
+++ b/packages/common/src/dogwoodspool_common/process.py
@@ -0,0 +1,76 @@
+"""Settings and life cycle of one process: flags, environment, signals."""
+
+import os
+import signal
+import sys
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar
+
+from docopt import docopt
+from pydantic import BaseModel, ValidationError
+
+from .const import VERSION
+from .errors import SettingsError
+
+ENV_PREFIX: Final = "DOGWOODSPOOL_"
+EXIT_BAD_SETTINGS: Final = 2
+
+ModelT = TypeVar("ModelT", bound=BaseModel)
+
+
+def read_settings(
+    usage: str,
+    model: type[ModelT],
+    arguments: list[str] | None = None,
+    environment: Mapping[str, str] | None = None,
+) -> ModelT:
+    """Read a process's settings from flags, then from environment variables.
+
+    A flag ``--listen-port`` has the variable ``DOGWOODSPOOL_LISTEN_PORT`` and the
+    model's field ``listen_port``. Flags go first. Flags in ``usage`` have no
+    ``[default: ]``: defaults belong to the model.
+
+    Raises:
+        SettingsError: with one line for each value that does not validate.
+    """
+    flags: Mapping[str, Any] = docopt(usage, argv=arguments, version=VERSION)
+    variables = os.environ if environment is None else environment
+    values: dict[str, Any] = {}
+    for name in model.model_fields:
+        flag = flags.get("--" + name.replace("_", "-"))
+        variable = variables.get(ENV_PREFIX + name.upper())
+        if flag not in (None, False, []):
+            values[name] = flag
+        elif variable is not None:
+            values[name] = variable
+    try:
+        return model.model_validate(values)
+    except ValidationError as error:
+        raise SettingsError(_one_line_each(error)) from error
+
+
+def run_program(main: Callable[[], int]) -> None:
+    """Run a program's main function and turn bad settings into one clear exit."""
+    try:
+        sys.exit(main())
+    except SettingsError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+def stop_event_on_signals() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set."""
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda _number, _frame: stop.set())
+    return stop
+
+
+def _one_line_each(error: ValidationError) -> str:
+    lines = []
+    for detail in error.errors(include_url=False, include_input=False):
+        name = str(detail["loc"][0]) if detail["loc"] else "settings"
+        flag = "--" + name.replace("_", "-")
+        lines.append(f"{flag} ({ENV_PREFIX}{name.upper()}): {detail['msg']}")
+    return "\n".join(lines)
--- /dev/null
+++ b/script/run_tests.py
@@ -0,0 +1,123 @@
+"""Run unit tests and scenarios and close with one line of totals."""
+
+import io
+import json
+import re
+import subprocess
+import sys
+import tempfile
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+KNOWN_RED: Final = ROOT / "KNOWN-RED.txt"
+SCENARIO_TYPES: Final = frozenset({"scenario"})
+
+
+@dataclass(frozen=True)
+class Totals:
+    """Names of the tests that passed and failed."""
+
+    passed: tuple[str, ...]
+    failed: tuple[str, ...]
+
+    def __add__(self, other: "Totals") -> "Totals":
+        return Totals(self.passed + other.passed, self.failed + other.failed)
+
+
+class RecordingResult(unittest.TextTestResult):
+    """Remember the name of each test with its outcome."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)  # type: ignore[arg-type]
+        self.passed_names: list[str] = []
+
+    def addSuccess(self, test: unittest.TestCase) -> None:  # noqa: N802
+        """Record a passed test."""
+        super().addSuccess(test)
+        self.passed_names.append(test.id())
+
+
+def run_unit_tests() -> Totals:
+    """Run the classes under tests/."""
+    suite = unittest.defaultTestLoader.discover(str(ROOT / "tests"), top_level_dir=ROOT)
+    runner = unittest.TextTestRunner(resultclass=RecordingResult, verbosity=1)
+    result = runner.run(suite)
+    assert isinstance(result, RecordingResult)
+    failed = [test.id() for test, _ in result.failures + result.errors]
+    failed += [test.id() for test in result.unexpectedSuccesses]
+    return Totals(tuple(result.passed_names), tuple(failed))
+
+
+def run_scenarios(arguments: list[str]) -> Totals:
+    """Run behave over features/ and read its outcome from its JSON report."""
+    if not any((ROOT / "features").rglob("*.feature")):
+        return Totals((), ())
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / "report.json"
+        command = [
+            *[sys.executable, "-m", "behave", "--no-skipped", "--no-source"],
+            *["--format=progress3", "--outfile=/dev/stdout"],
+            *["--format=json", f"--outfile={report}"],
+            *arguments,
+            "features",
+        ]
+        finished = subprocess.run(command, cwd=ROOT, check=False)
+        if not report.exists() or not report.read_text().strip():
+            return Totals((), (f"behave exited {finished.returncode}",))
+        features = json.loads(report.read_text())
+    totals = _read_report(features)
+    if finished.returncode and not totals.failed:
+        return totals + Totals((), (f"behave exited {finished.returncode}",))
+    return totals
+
+
+def _read_report(features: list[dict[str, object]]) -> Totals:
+    passed: list[str] = []
+    failed: list[str] = []
+    for feature in features:
+        elements = feature.get("elements", [])
+        assert isinstance(elements, list)
+        for element in elements:
+            if element.get("type") not in SCENARIO_TYPES:
+                continue
+            name = f"{feature['name']}: {element['name']}"
+            status = element.get("status", "untested")
+            if status == "passed":
+                passed.append(name)
+            elif status != "skipped":
+                failed.append(name)
+    return Totals(tuple(passed), tuple(failed))
+
+
+def known_red_names() -> set[str]:
+    """Read the names of tests whose failure stands for a known fault."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text().splitlines()
+    return {re.split(r"\s+\|\s+", line)[0] for line in lines if line.strip()}
+
+
+def main() -> int:
+    """Run what the arguments choose."""
+    arguments = sys.argv[1:]
+    totals = Totals((), ())
+    if not arguments:
+        totals += run_unit_tests()
+    totals += run_scenarios(arguments)
+    known = known_red_names()
+    unexpected = [name for name in totals.failed if name not in known]
+    for name in totals.failed:
+        label = "known-red" if name in known else "failed"
+        print(f"{label}: {name}")
+    print(f"{len(totals.passed)} passed, {len(unexpected)} failed")
+    if not totals.passed and not totals.failed:
+        return 1
+    return 1 if unexpected else 0
+
+
+if __name__ == "__main__":
+    sys.stdout = io.TextIOWrapper(sys.stdout.buffer, line_buffering=True)
+    sys.exit(main())
