--- /dev/null
+++ b/packages/backend/src/dogwoodspool_backend/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to backend servers: connections, pools, probes, role changes."""
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicate a log between control processes."""
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/__init__.py
@@ -0,0 +1,1 @@
+"""Run the control group: state, grants, failure detection, promotion."""
--- /dev/null
+++ b/packages/ctl/src/dogwoodspool_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Run the operators' command line."""
--- /dev/null
+++ b/packages/gateway/src/dogwoodspool_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the callers' protocol."""
--- /dev/null
+++ b/packages/limits/src/dogwoodspool_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Bound work: connection shares, admission, retry budgets."""
--- /dev/null
+++ b/packages/load/src/dogwoodspool_load/__init__.py
@@ -0,0 +1,1 @@
+"""Run load and experiments."""
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Run the proxy."""
--- /dev/null
+++ b/packages/requests/src/dogwoodspool_requests/__init__.py
@@ -0,0 +1,1 @@
+"""Run requests at most once."""
--- /dev/null
+++ b/packages/routing/src/dogwoodspool_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the backend server of a statement."""
--- /dev/null
+++ b/packages/sessions/src/dogwoodspool_sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Hold session tokens and decide which position a read needs."""
--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the settings tree: inheritance, validation, changes, declarations."""
--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -0,0 +1,91 @@
+"""Data classes of the settings library."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class WriteAck(StrEnum):
+    """When a write is acknowledged to its caller."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@dataclass(frozen=True, slots=True)
+class Statements:
+    """Statements on backend servers, with ``{name}`` for their arguments."""
+
+    status: str = "SHOW STANDIN STATUS"
+    wait: str = "STANDIN WAIT TERM {term} OFFSET {offset} TIMEOUT {timeout_ms}"
+    promote: str = "STANDIN PROMOTE TERM {term}"
+    follow: str = "STANDIN FOLLOW '{host}:{port}' TERM {term}"
+    fence: str = "STANDIN FENCE TERM {term}"
+
+
+@dataclass(frozen=True, slots=True)
+class EffectiveSettings:
+    """The values in force for one database group in one failure domain.
+
+    Attributes:
+        deadline_ms: time for a statement whose caller states none.
+        max_age_ms: age that reads accept whose caller states none; None lets
+            the session's own position alone decide.
+        idempotent: whether a write whose caller says nothing may run again.
+        write_ack: when a write is acknowledged.
+        write_ack_timeout_ms: wait for a replica before the outcome is unknown.
+        lease_ms: life of grants and leased connection shares.
+        renew_interval_ms: time between a proxy's renewals.
+        clock_drift: largest difference in rate between two clocks, a fraction.
+        failure_detect_ms: unreachable time after which an observer calls a
+            primary failed.
+        release_drain_ms: time for writes in flight at a planned promotion.
+        probe_interval_ms: time between a proxy's probes of a backend server.
+        probe_timeout_ms: wait for a probe's answer.
+        announcement_expiry_ms: silence after which an announcement is dropped.
+        replica_wait_ms: wait for a replica to catch up before the primary is read.
+        base_connections: durable share of each proxy per backend server.
+        reserved_connections: connections per backend server kept for control.
+        max_proxies: proxies that may register.
+        idle_connection_ms: idle time after which a connection is closed.
+        connect_timeout_ms: wait for a new connection.
+        queue_limit: statements that may wait for one backend server.
+        retry_budget_ratio: retries allowed per statement served.
+        retry_budget_min: retries always allowed per second.
+        max_transaction_ms: longest life of a caller's transaction.
+        request_retention_s: life of a request id's row.
+        token_key: key that signs session tokens; secret.
+        users: callers' names and their ``mysql_native_password`` hashes.
+        backend_user: name towards backend servers.
+        backend_password: password towards backend servers; secret.
+        statements: statements on backend servers.
+    """
+
+    deadline_ms: int = 2_000
+    max_age_ms: int | None = None
+    idempotent: bool = False
+    write_ack: WriteAck = WriteAck.REPLICA
+    write_ack_timeout_ms: int = 1_000
+    lease_ms: int = 1_500
+    renew_interval_ms: int = 300
+    clock_drift: float = 0.02
+    failure_detect_ms: int = 600
+    release_drain_ms: int = 300
+    probe_interval_ms: int = 250
+    probe_timeout_ms: int = 300
+    announcement_expiry_ms: int = 5_000
+    replica_wait_ms: int = 20
+    base_connections: int = 1
+    reserved_connections: int = 2
+    max_proxies: int = 9
+    idle_connection_ms: int = 30_000
+    connect_timeout_ms: int = 500
+    queue_limit: int = 64
+    retry_budget_ratio: float = 0.1
+    retry_budget_min: int = 3
+    max_transaction_ms: int = 30_000
+    request_retention_s: int = 86_400
+    token_key: str = field(default="", repr=False)
+    users: dict[str, str] = field(default_factory=dict, repr=False)
+    backend_user: str = "dogwoodspool"
+    backend_password: str = field(default="", repr=False)
+    statements: Statements = field(default_factory=Statements)
--- /dev/null
+++ b/packages/standin/src/dogwoodspool_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Run one backend server of a stand-in database group."""
