--- /dev/null
+++ b/packages/backend/src/dogwoodspool_backend/errors.py
@@ -0,0 +1,60 @@
+"""Errors of statements and connections on backend servers."""
+
+from dogwoodspool_common import DogwoodspoolError
+
+from .const import CONNECTION_LOST_NUMBERS
+
+
+class BackendError(DogwoodspoolError):
+    """Base of the errors of work on backend servers."""
+
+
+class ConnectFailedError(BackendError):
+    """Report that no usable connection was there: nothing was sent."""
+
+
+class ConnectionLimitError(ConnectFailedError):
+    """Report that the server takes no more connections (MySQL's 1040)."""
+
+
+class PoolClosedError(ConnectFailedError):
+    """Report that the pool was unloaded: nothing was sent."""
+
+
+class PoolTimeoutError(BackendError):
+    """Report that no connection came free in time: nothing was sent.
+
+    It says nothing about the server's health.
+    """
+
+
+class StatementFailedError(BackendError):
+    """Report that the database answered with an error.
+
+    Attributes:
+        number: the database's error number.
+        sqlstate: its SQLSTATE, five characters.
+        message: its message.
+    """
+
+    def __init__(self, number: int, sqlstate: str, message: str) -> None:
+        super().__init__(f"({number}, {sqlstate}) {message}")
+        self.number = number
+        self.sqlstate = sqlstate
+        self.message = message
+
+    @property
+    def is_connection_lost(self) -> bool:
+        """Tell whether the server closes the connection after this error."""
+        return self.number in CONNECTION_LOST_NUMBERS
+
+
+class OutcomeUnknownError(BackendError):
+    """Report that a statement was sent and no complete answer came.
+
+    The statement may or may not have run. Its connection is closed.
+    """
+
+
+class UnreadableStatusError(BackendError):
+    """Report an answer to the status statement that is no status."""
--- /dev/null
+++ b/packages/backend/src/dogwoodspool_backend/probe.py
@@ -0,0 +1,59 @@
+"""Ask backend servers for their status."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from dogwoodspool_common import BackendServer, Clock, ServerStatus
+
+from .errors import BackendError
+from .pool import ConnectionPool
+
+
+class Probe(Protocol):
+    """Ask a backend server for its role, position, lag and leaving mark."""
+
+    def status(self, server: BackendServer) -> ServerStatus:
+        """Return the server's status.
+
+        Raises:
+            PoolTimeoutError: no connection was free; says nothing of the server.
+            BackendError: the server gave no status.
+        """
+        ...
+
+
+class Prober:
+    """Ask through the pools that the callers' statements use.
+
+    A dedicated connection per proxy and server would hold 9 of a server's 20
+    connections for probes alone. The price is that a pool without a free
+    connection gives no status: ``PoolTimeoutError``, which is no sign of an
+    unreachable server.
+
+    Args:
+        pool_of: gives a server's pool.
+        timeout: seconds for one probe, the wait for a connection included.
+    """
+
+    def __init__(
+        self,
+        pool_of: Callable[[BackendServer], ConnectionPool],
+        clock: Clock,
+        timeout: float,
+    ) -> None:
+        self._pool_of = pool_of
+        self._clock = clock
+        self._timeout = timeout
+
+    def status(self, server: BackendServer) -> ServerStatus:
+        """Return the server's status; see ``Probe``."""
+        deadline = self._clock.now() + self._timeout
+        pool = self._pool_of(server)
+        connection = pool.acquire(deadline)
+        try:
+            status = connection.status(max(0.0, deadline - self._clock.now()))
+        except BackendError:
+            pool.release(connection, reuse=connection.is_open)
+            raise
+        pool.release(connection, reuse=True)
+        return status
--- /dev/null
+++ b/tests/backend/servers.py
@@ -0,0 +1,167 @@
+"""A small MySQL server and a relay that goes silent, for tests."""
+
+import asyncio
+import socket
+import threading
+from collections.abc import Sequence
+from typing import Any, Self
+
+from dogwoodspool_backend import (
+    ConnectionPool,
+    Credentials,
+    MySqlConnector,
+    PoolSettings,
+)
+from dogwoodspool_common import Address, BackendServer, SystemClock
+from dogwoodspool_settings.models import Statements
+from mysql_mimic import MysqlServer
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.session import BaseSession
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+CLOCK = SystemClock()
+STATUS_COLUMNS = ("server", "role", "term", "offset", "lag_ms", "leaving")
+
+
+class ScriptedSession(BaseSession):
+    """Answer a few statements by their first word."""
+
+    def __init__(self) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+        self.value: str | None = None
+
+    async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
+        word, _, rest = sql.partition(" ")
+        if word == "ECHO":
+            return [(rest,)], ["value"]
+        if word == "SLEEP":
+            await asyncio.sleep(float(rest))
+            return [("slept",)], ["value"]
+        if word == "ROWS":
+            return [(str(number),) for number in range(int(rest))], ["value"]
+        if word == "FAIL":
+            raise MysqlError("the database said no", int(rest))
+        if word == "KEEP":
+            self.value = rest
+        if word == "ROLLBACK":
+            self.value = None
+        if word == "KEPT":
+            return [(self.value,)], ["value"]
+        if word == "SHOW":
+            return [("a1", "replica", "3", "17", None, "0")], list(STATUS_COLUMNS)
+        return None
+
+    async def init(self, connection: Any) -> None:
+        pass
+
+    async def close(self) -> None:
+        pass
+
+    async def reset(self) -> None:
+        pass
+
+    async def use(self, database: str) -> None:
+        pass
+
+
+class ScriptedServer:
+    """Run the scripted sessions on a free port in a thread of their own."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._server: Any = None
+        self._started = 0
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result(5)
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(5)
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return Address("127.0.0.1", self.port)
+
+    async def _start(self) -> None:
+        self._server = MysqlServer(session_factory=ScriptedSession)
+        await self._server.start_server(host="127.0.0.1", port=0)
+        listening: Sequence[Any] = self._server._server.sockets
+        self.port: int = listening[0].getsockname()[1]
+
+
+class Relay:
+    """Pass bytes between clients and a server until told to go silent."""
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self._listening = socket.create_server(("127.0.0.1", 0))
+        self._silent: set[int] = set()
+        self._sockets: list[socket.socket] = []
+        self.accepted = 0
+
+    def __enter__(self) -> Self:
+        threading.Thread(target=self._accept, daemon=True).start()
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self._listening.close()
+        for one in self._sockets:
+            one.close()
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return Address("127.0.0.1", self._listening.getsockname()[1])
+
+    def silence_open_connections(self) -> None:
+        """Swallow all further bytes of the connections that are open now."""
+        self._silent.update(range(self.accepted))
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                client, _address = self._listening.accept()
+            except OSError:
+                return
+            target = (self._target.host, self._target.port)
+            server = socket.create_connection(target)
+            number, self.accepted = self.accepted, self.accepted + 1
+            self._sockets += [client, server]
+            for pair in ((client, server), (server, client)):
+                arguments = (number, *pair)
+                threading.Thread(target=self._pass, args=arguments, daemon=True).start()
+
+    def _pass(self, number: int, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(65536):
+                if number not in self._silent:
+                    sink.sendall(data)
+            if number not in self._silent:
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+
+def server_at(address: Address) -> BackendServer:
+    """Return a backend server that answers at an address."""
+    return BackendServer("a1", "orders", "fd-a", address, slots=3, connections=20)
+
+
+def connector() -> MySqlConnector:
+    """Return a connector with the stand-in's statements."""
+    return MySqlConnector(Credentials("user", ""), "fd-a", Statements(), CLOCK)
+
+
+def pool_at(
+    address: Address, limit: int, settings: PoolSettings | None = None
+) -> ConnectionPool:
+    """Return a pool of connections to an address."""
+    chosen = settings or PoolSettings(check_timeout=0.2)
+    return ConnectionPool(server_at(address), connector(), CLOCK, chosen, limit)
