--- /dev/null
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -0,0 +1,369 @@
+"""One caller's connection: reads requests, hands them on, writes answers."""
+
+import asyncio
+import io
+from collections.abc import Callable, Sequence
+from functools import partial
+from itertools import islice
+from typing import Any, cast
+
+from dogwoodspool_common import Clock, log_event, span
+from mysql_mimic import packets, types
+from mysql_mimic.connection import Connection
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.packets import make_column_definition_41
+from mysql_mimic.prepared import PreparedStatement
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import Capabilities, ServerStatus
+
+from .classify import classify
+from .const import (
+    BUSY_RETRY_AFTER_MS,
+    ER_NET_PACKET_TOO_LARGE,
+    ER_NOT_SUPPORTED,
+    ER_PARSE,
+    ER_SHUTDOWN,
+    ER_TOO_MANY_USER_CONNECTIONS,
+    ER_WRONG_ARGUMENTS,
+    MAX_PREPARED_STATEMENTS,
+    ROWS_PER_BATCH,
+    SHUTDOWN_RETRY_AFTER_MS,
+)
+from .errors import (
+    BadRequestPropertyError,
+    CallerNotAuthenticatedError,
+    PacketTooLargeError,
+)
+from .models import (
+    Answer,
+    CallerSession,
+    DoneAnswer,
+    ErrorAnswer,
+    Outcome,
+    RowsAnswer,
+    SessionFactory,
+    StatementRequest,
+)
+from .prepared import PlaceholderError, interpolate, placeholder_offsets
+from .properties import parse_properties, split_comment
+from .results import Row, binary_columns, binary_row, text_columns
+from .stream import CallerStream
+from .workers import WorkerPool
+
+RowEncoder = Callable[[Row], bytes]
+ERROR_SQLSTATE = slice(4, 9)
+
+
+class CallerConnection(Connection):
+    """Serve one caller.
+
+    Statements run in the worker pool, one at a time for each connection; the
+    event loop only reads and writes packets.
+    """
+
+    def __init__(
+        self,
+        stream: CallerStream,
+        *,
+        sessions: SessionFactory,
+        workers: WorkerPool,
+        clock: Clock,
+        **kwargs: Any,
+    ) -> None:
+        # It has the methods of the library's class, which takes no subclass.
+        super().__init__(cast(MysqlStream, stream), **kwargs)
+        self._caller_stream = stream
+        self._sessions = sessions
+        self._workers = workers
+        self._clock = clock
+        self._caller: CallerSession | None = None
+        self._is_busy = False
+        self._is_draining = False
+        self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being answered and no transaction is open."""
+        return not self._is_busy and not self._in_transaction
+
+    @property
+    def _in_transaction(self) -> bool:
+        return self._caller is not None and self._caller.in_transaction
+
+    def start_draining(self) -> None:
+        """Refuse what comes from now on, but let an open transaction end."""
+        self._is_draining = True
+
+    async def end_idle(self) -> None:
+        """Close a connection that is idle during a shutdown.
+
+        A request may be on its way while the proxy closes, and its caller could
+        not tell whether it ran. The error below has the sequence number of an
+        answer, so whatever the caller sent or sends next is answered with it,
+        and it is true: nothing is read from this connection any more.
+        """
+        self.stream.reset_seq()
+        next(self.stream.seq)
+        await self._write_error(_shutdown_answer())
+        self._caller_stream.close()
+
+    async def authenticate(self, *args: Any, **kwargs: Any) -> None:
+        """Check the caller's name and password.
+
+        The library writes the refusal and goes on to the command phase, where
+        a refused caller could send statements; so the connection ends here.
+        """
+        self.session.username = None
+        await super().authenticate(*args, **kwargs)
+        if self.session.username is None:
+            raise CallerNotAuthenticatedError("the caller was refused")
+
+    async def command_phase(self) -> None:
+        """Open the caller's session, serve its requests, give all back."""
+        self._caller = self._sessions.open(str(self.session.username))
+        try:
+            if self.session.database:
+                await self._use(self.session.database)
+            await super().command_phase()
+        except PacketTooLargeError as error:
+            await self._write_error(
+                ErrorAnswer(Outcome.NOT_RUN, *ER_NET_PACKET_TOO_LARGE, str(error))
+            )
+        finally:
+            # The pool may be full of waiting statements; giving back must not
+            # wait behind them, so it has a thread of its own.
+            await asyncio.get_running_loop().run_in_executor(None, self._caller.close)
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Choose the database group."""
+        answer = await self._use(self.client_charset.decode(data))
+        await self._write_outcome(answer or DoneAnswer())
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back and forget what the connection has set."""
+        await self._reset_caller()
+        await self.stream.write(self.ok())
+
+    async def handle_change_user(self, data: bytes) -> None:
+        """Become another caller."""
+        await self._reset_caller()
+        await super().handle_change_user(data)
+
+    async def handle_query(self, data: bytes) -> None:
+        """Serve one statement of the text protocol."""
+        query = packets.parse_com_query(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+        )
+        answer = await self._run(query.sql, query.query_attrs)
+        if isinstance(answer, RowsAnswer):
+            columns = text_columns(answer.columns)
+            encode = partial(packets.make_text_resultset_row, columns=columns)
+            await self._write_rows(answer, columns, encode)
+        else:
+            await self._write_outcome(answer)
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Remember a statement; it is sent as text when it is executed."""
+        sql = self.client_charset.decode(data)
+        if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
+            await self._write_error(
+                _refusal(ER_NOT_SUPPORTED, "too many prepared statements")
+            )
+            return
+        try:
+            parameters = len(placeholder_offsets(sql))
+        except PlaceholderError as error:
+            await self._write_error(_refusal(ER_PARSE, str(error)))
+            return
+        statement = PreparedStatement(next(self.prepared_stmt_seq), sql, parameters)
+        self.prepared_stmts[statement.stmt_id] = statement
+        for packet in self.com_stmt_prepare_response(statement):
+            await self.stream.write(packet, drain=False)
+        await self.stream.drain()
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Serve one execution of a prepared statement."""
+        statement = self.get_stmt(types.read_uint_4(io.BytesIO(data)))
+        values, attributes = _read_execute(self, statement, data)
+        statement.param_buffers = None
+        sql = interpolate(statement.sql, values)
+        answer = await self._run(sql, attributes)
+        if isinstance(answer, RowsAnswer):
+            columns = binary_columns(answer.columns)
+
+            def encode(row: Row) -> bytes:
+                return packets.make_binary_resultrow(
+                    binary_row(row, answer.columns), columns
+                )
+
+            await self._write_rows(answer, columns, encode)
+        else:
+            await self._write_outcome(answer)
+
+    async def _use(self, database: str) -> ErrorAnswer | None:
+        assert self._caller is not None
+        self.session.database = database
+        return self._caller.use(database)
+
+    async def _reset_caller(self) -> None:
+        assert self._caller is not None
+        await asyncio.get_running_loop().run_in_executor(None, self._caller.reset)
+        self._refresh_status()
+
+    async def _run(self, sql: str, attributes: dict[str, Any]) -> Answer:
+        arrived_at = self._clock.now()
+        if self._is_draining and not self._in_transaction:
+            return _shutdown_answer()
+        sql, pairs = split_comment(sql)
+        try:
+            properties = parse_properties({**pairs, **attributes})
+        except BadRequestPropertyError as error:
+            return _refusal(ER_WRONG_ARGUMENTS, str(error))
+        request = StatementRequest(sql, classify(sql), properties, arrived_at)
+        self._is_busy = True
+        try:
+            answer = await self._workers.run(partial(self._run_traced, request))
+        finally:
+            self._is_busy = False
+        self._refresh_status()
+        return answer if answer is not None else _busy_answer()
+
+    def _run_traced(self, request: StatementRequest) -> Answer:
+        assert self._caller is not None
+        with span(
+            "gateway.statement",
+            traceparent=request.properties.traceparent,
+            kind=request.classified.kind,
+        ) as current:
+            answer = self._caller.run(request)
+            if isinstance(answer, ErrorAnswer):
+                current.set_attribute("outcome", answer.outcome)
+            return answer
+
+    async def _write_rows(
+        self, answer: RowsAnswer, columns: Sequence[ResultColumn], encode: RowEncoder
+    ) -> None:
+        """Send a result set batch by batch.
+
+        Each batch is taken only after the caller has taken the one before, so
+        that a large result needs the memory of one batch.
+        """
+        self._is_busy = True
+        is_complete = False
+        try:
+            self.stream.write_many(self._header_packets(columns))
+            while batch := await self._next_batch(answer):
+                self.stream.write_many([encode(row) for row in batch])
+                await self.stream.drain()
+                if len(batch) < ROWS_PER_BATCH:
+                    break
+            is_complete = True
+        except Exception as error:
+            # The result broke off after its first packets. Another answer may
+            # not follow on this connection: the caller would take it for rows.
+            log_event("result_broken_off", level="WARNING", error=repr(error))
+            raise ConnectionClosed from error
+        finally:
+            await self._workers.run_always(partial(answer.finish, is_complete))
+            self._refresh_status()
+            self._is_busy = False
+        await self.stream.write(self.ok_or_eof())
+
+    async def _next_batch(self, answer: RowsAnswer) -> list[Row]:
+        return await self._workers.run_always(
+            lambda: list(islice(answer.rows, ROWS_PER_BATCH))
+        )
+
+    def _header_packets(self, columns: Sequence[ResultColumn]) -> list[bytes]:
+        header = [packets.make_column_count(self.capabilities, len(columns))]
+        header += [
+            make_column_definition_41(
+                server_charset=self.server_charset,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            for column in columns
+        ]
+        if not self.deprecate_eof():
+            header.append(self.eof())
+        return header
+
+    async def _write_outcome(self, answer: DoneAnswer | ErrorAnswer) -> None:
+        if isinstance(answer, ErrorAnswer):
+            await self._write_error(answer)
+            return
+        await self.stream.write(
+            self.ok(
+                affected_rows=answer.affected_rows,
+                last_insert_id=answer.last_insert_id,
+            )
+        )
+
+    async def _write_error(self, answer: ErrorAnswer) -> None:
+        packet = bytearray(self.error(msg=answer.text(), code=answer.number))
+        # The library knows the SQLSTATE of a few numbers only.
+        if Capabilities.CLIENT_PROTOCOL_41 in self.capabilities:
+            packet[ERROR_SQLSTATE] = answer.sqlstate.encode("ascii")
+        await self.stream.write(bytes(packet))
+
+    def _refresh_status(self) -> None:
+        assert self._caller is not None
+        flags = ServerStatus(0)
+        if self._caller.is_autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self._caller.in_transaction:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.status_flags = flags
+
+
+def _read_execute(
+    connection: CallerConnection, statement: PreparedStatement, data: bytes
+) -> tuple[list[Any], dict[str, Any]]:
+    """Return the parameters and query attributes of an execution."""
+    reader = io.BytesIO(data)
+    types.read_uint_4(reader)
+    is_cursor, has_count = packets._read_cursor_flags(reader)
+    if is_cursor:
+        raise MysqlError("cursors are not supported")
+    types.read_uint_4(reader)  # The iteration count, always 1.
+    count = statement.num_params
+    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in connection.capabilities
+    if with_attributes and (count or has_count):
+        count = types.read_uint_len(reader)
+    if not count:
+        return [], {}
+    read = packets._read_params(
+        connection.capabilities,
+        connection.client_charset,
+        reader,
+        count,
+        statement.param_buffers,
+    )
+    values = [value for _, value in read[: statement.num_params]]
+    return values, {name: value for name, value in read[statement.num_params :] if name}
+
+
+def _refusal(error: tuple[int, str], message: str) -> ErrorAnswer:
+    return ErrorAnswer(Outcome.NOT_RUN, *error, message)
+
+
+def _shutdown_answer() -> ErrorAnswer:
+    return ErrorAnswer(
+        Outcome.NOT_RUN,
+        *ER_SHUTDOWN,
+        "this proxy is shutting down; connect again",
+        SHUTDOWN_RETRY_AFTER_MS,
+    )
+
+
+def _busy_answer() -> ErrorAnswer:
+    return ErrorAnswer(
+        Outcome.NOT_RUN,
+        *ER_TOO_MANY_USER_CONNECTIONS,
+        "this proxy runs as many statements as it may",
+        BUSY_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/packages/gateway/src/dogwoodspool_gateway/listener.py
@@ -0,0 +1,161 @@
+"""The port where callers connect."""
+
+import asyncio
+import ssl
+import threading
+from collections.abc import Coroutine
+from concurrent.futures import Future
+from typing import Final, TypeVar
+
+from dogwoodspool_common import Address, Clock, log_event
+from mysql_mimic.control import LocalControl, TooManyConnections
+
+from .authentication import CallerIdentities
+from .connection import CallerConnection
+from .const import DEFAULT_MAX_CALLERS, DEFAULT_WORKERS
+from .errors import CallerNotAuthenticatedError
+from .models import SessionFactory
+from .session import ProtocolSession
+from .stream import CallerStream
+from .workers import WorkerPool
+
+ResultT = TypeVar("ResultT")
+
+DRAIN_CHECK_SECONDS: Final = 0.02
+START_TIMEOUT_SECONDS: Final = 10.0
+
+
+class CallerListener:
+    """Accept callers and serve each connection in one coroutine.
+
+    The event loop runs in a thread of its own and is not seen outside of this
+    library.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        sessions: SessionFactory,
+        clock: Clock,
+        *,
+        tls: ssl.SSLContext | None = None,
+        workers: int = DEFAULT_WORKERS,
+        max_callers: int = DEFAULT_MAX_CALLERS,
+    ) -> None:
+        self._wanted = address
+        self._sessions = sessions
+        self._clock = clock
+        self._tls = tls
+        self._max_callers = max_callers
+        self._workers = WorkerPool(workers)
+        self._identities = CallerIdentities(sessions)
+        self._ids = LocalControl()
+        self._connections: set[CallerConnection] = set()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name="caller-listener", daemon=True
+        )
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> Address:
+        """The address in use, with the real port where 0 was asked for."""
+        if self._server is None:
+            return self._wanted
+        return Address(self._wanted.host, self._server.sockets[0].getsockname()[1])
+
+    @property
+    def callers(self) -> int:
+        """The number of open caller connections."""
+        return len(self._connections)
+
+    def set_up(self) -> None:
+        """Begin to accept callers."""
+        self._thread.start()
+        self._call(self._start()).result(START_TIMEOUT_SECONDS)
+
+    def drain(self, timeout: float) -> bool:
+        """End serving without cutting a request.
+
+        No connection is accepted any more. Requests and transactions in flight
+        end; later requests are refused as not run; idle connections are closed.
+
+        Args:
+            timeout: seconds after which connections still in use are cut.
+
+        Returns:
+            Whether every connection ended by itself.
+        """
+        return self._call(self._drain(timeout)).result()
+
+    def unload(self) -> None:
+        """Close what is left and stop the loop."""
+        self._call(self._stop()).result(START_TIMEOUT_SECONDS)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._workers.unload()
+
+    def _call(self, work: Coroutine[None, None, ResultT]) -> Future[ResultT]:
+        return asyncio.run_coroutine_threadsafe(work, self._loop)
+
+    async def _start(self) -> None:
+        self._server = await asyncio.start_server(
+            self._serve, self._wanted.host, self._wanted.port, backlog=1024
+        )
+
+    async def _drain(self, timeout: float) -> bool:
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections:
+            connection.start_draining()
+        deadline = self._loop.time() + timeout
+        while self._connections and self._loop.time() < deadline:
+            for connection in list(self._connections):
+                if connection.is_idle:
+                    await connection.end_idle()
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        return not self._connections
+
+    async def _stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.kill()
+        while self._connections:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = CallerConnection(
+            CallerStream(reader, writer),
+            session=ProtocolSession(),
+            control=self._ids,
+            identity_provider=self._identities,
+            ssl=self._tls,
+            sessions=self._sessions,
+            workers=self._workers,
+            clock=self._clock,
+        )
+        try:
+            connection.connection_id = await self._admit(connection)
+        except TooManyConnections:
+            writer.close()
+            return
+        self._connections.add(connection)
+        try:
+            await connection.start()
+        except CallerNotAuthenticatedError:
+            log_event("caller_refused", level="WARNING", reason="authentication")
+        except (ConnectionError, EOFError) as error:
+            log_event("caller_lost", level="DEBUG", error=repr(error))
+        finally:
+            self._connections.discard(connection)
+            await self._ids.remove(connection.connection_id)
+            writer.close()
+
+    async def _admit(self, connection: CallerConnection) -> int:
+        if len(self._connections) >= self._max_callers:
+            log_event("caller_refused", level="WARNING", reason="connections")
+            raise TooManyConnections
+        return await self._ids.add(connection)
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/grants.py
@@ -0,0 +1,169 @@
+"""The grants that this proxy holds, and what it acknowledged under them."""
+
+import threading
+from collections import Counter
+from collections.abc import Iterable
+
+from dogwoodspool_api import Grant, GroupReport, PositionMessage
+from dogwoodspool_common import Clock, Position, log_event
+
+from .models import HeldGrant, WritePermit
+
+
+class GrantBook:
+    """Decide whether a write may start and whether it may be acknowledged.
+
+    Control promotes a new primary only after each proxy has released its grant
+    or the grant has run out. So a write that a replaced primary answers late
+    must not be acknowledged: the grant is checked when the answer is there,
+    under the same lock under which it is released.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._grants: dict[str, HeldGrant] = {}
+        self._released: dict[str, int] = {}
+        self._acked: dict[str, Position] = {}
+        self._writing: Counter[tuple[str, int]] = Counter()
+        self._confirmed_at: dict[str, tuple[int, float]] = {}
+
+    def renew(
+        self,
+        grants: Iterable[Grant],
+        withdrawn: Iterable[str],
+        sent_at: float,
+        lease_seconds: float,
+    ) -> None:
+        """Take over the answer of a renewal.
+
+        Args:
+            grants: what the leader gave.
+            withdrawn: groups whose grant must be given up at once.
+            sent_at: clock time at which the renewal was *sent*: the leader may
+                have answered at any moment since.
+            lease_seconds: life of the grants from then on.
+        """
+        with self._changed:
+            for grant in grants:
+                self._take(grant, sent_at, sent_at + lease_seconds)
+            for group in withdrawn:
+                self._drop(group)
+
+    def current(self, group: str) -> HeldGrant | None:
+        """Return the grant that is valid now."""
+        with self._changed:
+            return self._valid(group)
+
+    def confirmed_at(self, group: str, term: int) -> float | None:
+        """Return when control last confirmed the term as the newest one."""
+        with self._changed:
+            known_term, confirmed_at = self._confirmed_at.get(group, (0, 0.0))
+            return confirmed_at if known_term == term else None
+
+    def begin_write(self, group: str) -> WritePermit | None:
+        """Let a write start under the grant that is valid now, if there is one."""
+        with self._changed:
+            grant = self._valid(group)
+            if grant is None:
+                return None
+            self._writing[group, grant.term] += 1
+            return WritePermit(group, grant.term, grant.primary)
+
+    def is_valid(self, permit: WritePermit) -> bool:
+        """Tell whether the permit's grant is still valid, also while it drains."""
+        with self._changed:
+            grant = self._valid(permit.group, is_ending=True)
+            return grant is not None and grant.term == permit.term
+
+    def acknowledge(self, permit: WritePermit, position: Position) -> bool:
+        """Decide whether a write that the primary answered is acknowledged.
+
+        The position is recorded in the same step, so that a release never
+        misses a write that was acknowledged.
+        """
+        with self._changed:
+            grant = self._valid(permit.group, is_ending=True)
+            if grant is None or grant.term != permit.term:
+                return False
+            acked = self._acked.get(permit.group)
+            if acked is None or position > acked:
+                self._acked[permit.group] = position
+            return True
+
+    def end_write(self, permit: WritePermit) -> None:
+        """Note that a write or transaction is over, whatever its outcome."""
+        with self._changed:
+            self._writing[permit.group, permit.term] -= 1
+            self._changed.notify_all()
+
+    def release(self, group: str, term: int, drain_seconds: float) -> Position | None:
+        """Give up the grants of a group up to a term, for good.
+
+        No write starts from now on. Writes in flight have ``drain_seconds`` to
+        end; what ends later is not acknowledged.
+
+        Returns:
+            The highest position that this proxy acknowledged.
+        """
+        deadline = self._clock.now() + drain_seconds
+        with self._changed:
+            self._released[group] = max(term, self._released.get(group, 0))
+            while self._writing[group, term] > 0:
+                remaining = deadline - self._clock.now()
+                if remaining <= 0:
+                    break
+                self._clock.wait(self._changed, remaining)
+            self._drop(group, up_to_term=term)
+            return self._acked.get(group)
+
+    def reports(self, groups: Iterable[str]) -> list[GroupReport]:
+        """Describe grants and acknowledged positions for the next renewal."""
+        with self._changed:
+            return [self._report(group) for group in groups]
+
+    def _report(self, group: str) -> GroupReport:
+        grant = self._valid(group)
+        acked = self._acked.get(group)
+        return GroupReport(
+            group=group,
+            held_term=grant.term if grant else None,
+            acked=PositionMessage.of(acked) if acked else None,
+        )
+
+    def _take(self, grant: Grant, sent_at: float, expires_at: float) -> None:
+        # An answer that was on its way while the grant was released must not
+        # bring it back.
+        if grant.term <= self._released.get(grant.group, 0):
+            return
+        held = self._grants.get(grant.group)
+        if held is not None and held.term > grant.term:
+            return
+        if held is None or held.term < grant.term:
+            log_event(
+                "grant_taken",
+                group=grant.group,
+                term=grant.term,
+                primary=grant.primary,
+            )
+        elif held.expires_at > expires_at:
+            return
+        self._grants[grant.group] = HeldGrant(
+            grant.group, grant.term, grant.primary, expires_at
+        )
+        self._confirmed_at[grant.group] = (grant.term, sent_at)
+
+    def _drop(self, group: str, up_to_term: int | None = None) -> None:
+        held = self._grants.get(group)
+        if held is None or (up_to_term is not None and held.term > up_to_term):
+            return
+        del self._grants[group]
+        log_event("grant_given_up", group=group, term=held.term)
+
+    def _valid(self, group: str, is_ending: bool = False) -> HeldGrant | None:
+        grant = self._grants.get(group)
+        if grant is None or self._clock.now() >= grant.expires_at:
+            return None
+        if not is_ending and grant.term <= self._released.get(group, 0):
+            return None
+        return grant
