--- a/packages/backend/src/dogwoodspool_backend/wire.py
+++ b/packages/backend/src/dogwoodspool_backend/wire.py
@@ -6,12 +6,13 @@
 
 import socket
 import struct
-from typing import Any, Final, cast
+from typing import TYPE_CHECKING, Any, Final, cast
 
 import pymysql
 from dogwoodspool_common import BackendServer, Clock
 from pymysql.connections import MySQLResult
 from pymysql.constants import COMMAND, SERVER_STATUS
+from pymysql.converters import escape_bool
 from pymysql.protocol import MysqlPacket
 
 from .const import (
@@ -30,7 +31,13 @@
 FIRST_ANSWER_SEQUENCE: Final = 1
 
 
-class Wire(pymysql.Connection[Any]):
+if TYPE_CHECKING:
+    PyMySqlConnection = pymysql.Connection[Any]
+else:
+    PyMySqlConnection = pymysql.Connection  # Generic in its type stubs only.
+
+
+class Wire(PyMySqlConnection):
     """One connection of PyMySQL whose values pass through as raw bytes."""
 
     server_status: int
@@ -57,7 +64,7 @@
             database=server.group,
             charset=CHARSET,
             autocommit=True,
-            conv={},
+            conv={bool: escape_bool},  # For SET AUTOCOMMIT; no decoders.
             use_unicode=False,
             ssl_disabled=True,
             program_name=PROGRAM_NAME,
--- a/tests/backend/servers.py
+++ b/tests/backend/servers.py
@@ -1,9 +1,11 @@
 """A small MySQL server and a relay that goes silent, for tests."""
 
 import asyncio
+import logging
 import socket
 import threading
 from collections.abc import Sequence
+from contextlib import suppress
 from typing import Any, Self
 
 from dogwoodspool_backend import (
@@ -14,8 +16,8 @@
 )
 from dogwoodspool_common import Address, BackendServer, SystemClock
 from dogwoodspool_settings.models import Statements
-from mysql_mimic import MysqlServer
-from mysql_mimic.errors import MysqlError
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.server import MysqlServer
 from mysql_mimic.session import BaseSession
 from mysql_mimic.variables import GlobalVariables, SessionVariables
 
@@ -42,7 +44,7 @@
         if word == "ROWS":
             return [(str(number),) for number in range(int(rest))], ["value"]
         if word == "FAIL":
-            raise MysqlError("the database said no", int(rest))
+            raise MysqlError("the database said no", ErrorCode(int(rest)))
         if word == "KEEP":
             self.value = rest
         if word == "ROLLBACK":
@@ -71,9 +73,10 @@
 
     def __init__(self) -> None:
         self._loop = asyncio.new_event_loop()
+        self._loop.set_exception_handler(lambda _loop, _context: None)
+        logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._server: Any = None
-        self._started = 0
 
     def __enter__(self) -> Self:
         self._thread.start()
@@ -81,14 +84,23 @@
         return self
 
     def __exit__(self, *_error: object) -> None:
+        asyncio.run_coroutine_threadsafe(self._stop(), self._loop).result(5)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5)
+        self._loop.close()
 
     @property
     def address(self) -> Address:
         """Where it listens."""
         return Address("127.0.0.1", self.port)
 
+    async def _stop(self) -> None:
+        self._server.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def _start(self) -> None:
         self._server = MysqlServer(session_factory=ScriptedSession)
         await self._server.start_server(host="127.0.0.1", port=0)
@@ -104,6 +116,7 @@
         self._listening = socket.create_server(("127.0.0.1", 0))
         self._silent: set[int] = set()
         self._sockets: list[socket.socket] = []
+        self._is_refusing = False
         self.accepted = 0
 
     def __enter__(self) -> Self:
@@ -124,12 +137,25 @@
         """Swallow all further bytes of the connections that are open now."""
         self._silent.update(range(self.accepted))
 
+    def cut_open_connections(self) -> None:
+        """Close all connections."""
+        for one in self._sockets:
+            with suppress(OSError):
+                one.shutdown(socket.SHUT_RDWR)
+
+    def refuse(self) -> None:
+        """Close every new connection at once."""
+        self._is_refusing = True
+
     def _accept(self) -> None:
         while True:
             try:
                 client, _address = self._listening.accept()
             except OSError:
                 return
+            if self._is_refusing:
+                client.close()
+                continue
             target = (self._target.host, self._target.port)
             server = socket.create_connection(target)
             number, self.accepted = self.accepted, self.accepted + 1
@@ -163,5 +189,5 @@
     address: Address, limit: int, settings: PoolSettings | None = None
 ) -> ConnectionPool:
     """Return a pool of connections to an address."""
-    chosen = settings or PoolSettings(check_timeout=0.2)
+    chosen = settings or PoolSettings(connect_timeout=5, check_timeout=0.2)
     return ConnectionPool(server_at(address), connector(), CLOCK, chosen, limit)
--- a/tests/backend/test_connection.py
+++ b/tests/backend/test_connection.py
@@ -44,8 +44,8 @@
 
     def test_error_answer_leaves_the_connection_usable(self) -> None:
         with self.assertRaises(StatementFailedError) as raised:
-            self.connection.execute("FAIL 1146", 5)
-        self.assertEqual(raised.exception.number, 1146)
+            self.connection.execute("FAIL 1064", 5)
+        self.assertEqual(raised.exception.number, 1064)
         self.assertEqual(self.value("ECHO 1"), b"1")
 
     def test_closed_connection_sends_nothing(self) -> None:
--- /dev/null
+++ b/tests/backend/test_pool.py
@@ -0,0 +1,197 @@
+"""Tests of the connection pool."""
+
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from dogwoodspool_backend import (
+    BackendConnection,
+    ConnectFailedError,
+    ConnectionPool,
+    OutcomeUnknownError,
+    PoolClosedError,
+    PoolTimeoutError,
+)
+
+from .servers import CLOCK, Relay, ScriptedServer, pool_at
+
+
+def run(pool: ConnectionPool, sql: str, timeout: float = 5) -> bytes | None:
+    """Run one statement on a connection of the pool and return its value."""
+    connection = pool.acquire(CLOCK.now() + 5)
+    try:
+        with connection.execute(sql, timeout) as result:
+            rows = list(result.rows)
+    finally:
+        pool.release(connection, reuse=connection.is_open)
+    return rows[0][0] if rows else None
+
+
+class PoolTestCase(unittest.TestCase):
+    """A scripted server behind a relay."""
+
+    def setUp(self) -> None:
+        self.server = self.enterContext(ScriptedServer())
+        self.relay = self.enterContext(Relay(self.server.address))
+
+    def pool(self, limit: int) -> ConnectionPool:
+        pool = pool_at(self.relay.address, limit)
+        self.addCleanup(pool.unload)
+        return pool
+
+    def acquire_all(self, pool: ConnectionPool) -> list[BackendConnection]:
+        return [pool.acquire(CLOCK.now() + 5) for _ in range(pool.limit)]
+
+
+class LimitTests(PoolTestCase):
+    """A server takes few connections; the pool never opens more than its share."""
+
+    def test_callers_wait_in_order_when_all_are_in_use(self) -> None:
+        pool = self.pool(1)
+        held = pool.acquire(CLOCK.now() + 5)
+        served: list[int] = []
+
+        def caller(number: int) -> None:
+            connection = pool.acquire(CLOCK.now() + 10)
+            served.append(number)
+            pool.release(connection, reuse=True)
+
+        threads = []
+        for number in range(5):
+            thread = threading.Thread(target=caller, args=(number,))
+            thread.start()
+            threads.append(thread)
+            while pool.waiting <= number:
+                time.sleep(0.001)
+        self.assertEqual(pool.demand, 6)
+        pool.release(held, reuse=True)
+        for thread in threads:
+            thread.join(10)
+        self.assertEqual(served, [0, 1, 2, 3, 4])
+        self.assertEqual(pool.open_count, 1)
+
+    def test_wait_ends_at_the_deadline(self) -> None:
+        pool = self.pool(0)
+        with self.assertRaises(PoolTimeoutError):
+            pool.acquire(CLOCK.now() + 0.05)
+        self.assertEqual(pool.waiting, 0)
+
+    def test_open_connections_never_pass_a_changing_limit(self) -> None:
+        pool = self.pool(4)
+        highest = 0
+        limits = (1, 3, 2, 4) * 10
+
+        def caller(number: int) -> None:
+            nonlocal highest
+            for step in range(20):
+                run(pool, f"ECHO {number} {step}")
+
+        with ThreadPoolExecutor(12) as executor:
+            futures = [executor.submit(caller, number) for number in range(12)]
+            while not all(future.done() for future in futures):
+                for limit in limits:
+                    pool.set_limit(limit)
+                    highest = max(highest, pool.open_count)
+                    time.sleep(0.001)
+        for future in futures:
+            future.result()
+        self.assertLessEqual(highest, 4)
+        pool.set_limit(1)
+        self.assertEqual(pool.in_use, 0)
+        self.assertLessEqual(pool.open_count, 1)
+
+    def test_connection_above_a_lowered_limit_closes_on_release(self) -> None:
+        pool = self.pool(3)
+        held = self.acquire_all(pool)
+        pool.set_limit(1)
+        for connection in held:
+            pool.release(connection, reuse=True)
+        self.assertEqual(pool.open_count, 1)
+
+    def test_failed_connect_gives_its_room_back(self) -> None:
+        pool = self.pool(1)
+        self.relay.refuse()
+        for _ in range(3):
+            with self.assertRaises(ConnectFailedError):
+                pool.acquire(CLOCK.now() + 1)
+        self.assertEqual(pool.open_count, 0)
+
+    def test_unloaded_pool_refuses_its_waiters(self) -> None:
+        pool = self.pool(1)
+        held = pool.acquire(CLOCK.now() + 5)
+        with ThreadPoolExecutor(1) as executor:
+            waiter = executor.submit(pool.acquire, CLOCK.now() + 30)
+            while not pool.waiting:
+                time.sleep(0.001)
+            pool.unload()
+            with self.assertRaises(PoolClosedError):
+                waiter.result(10)
+        pool.release(held, reuse=True)
+        self.assertEqual(pool.open_count, 0)
+
+
+class ReuseTests(PoolTestCase):
+    """Nothing of one caller reaches the next on the same connection."""
+
+    def test_session_of_the_last_caller_is_gone(self) -> None:
+        pool = self.pool(1)
+        run(pool, "KEEP secret")
+        self.assertIsNone(run(pool, "KEPT"))
+        self.assertEqual(self.relay.accepted, 1)
+
+    def test_half_read_answer_is_never_the_next_callers(self) -> None:
+        pool = self.pool(1)
+        connection = pool.acquire(CLOCK.now() + 5)
+        next(connection.execute("ROWS 50", 5).rows)
+        pool.release(connection, reuse=True)
+        self.assertEqual(run(pool, "ECHO mine"), b"mine")
+
+    def test_late_answers_reach_nobody(self) -> None:
+        """Read another's late answer.
+
+        Many callers share few connections and some statements run out of time.
+        Their answers come while others wait for theirs.
+        """
+        pool = self.pool(3)
+
+        def caller(number: int) -> None:
+            for step in range(10):
+                text = f"{number} {step}"
+                if (number + step) % 5 == 0:
+                    with self.assertRaises(OutcomeUnknownError):
+                        run(pool, "SLEEP 0.02", timeout=0.01)
+                self.assertEqual(run(pool, f"ECHO {text}"), text.encode())
+
+        with ThreadPoolExecutor(8) as executor:
+            for future in [executor.submit(caller, number) for number in range(8)]:
+                future.result(60)
+
+
+class SilentConnectionTests(PoolTestCase):
+    """Open connections go silent for good while new ones work.
+
+    A caller's statement would wait for its whole deadline on each of them. Cause:
+    something between the two ends has lost track of the connections and drops
+    their packets without a word.
+    """
+
+    def test_one_loss_makes_the_idle_ones_suspects(self) -> None:
+        pool = self.pool(5)
+        for connection in self.acquire_all(pool):
+            pool.release(connection, reuse=True)
+        self.relay.silence_open_connections()
+        with self.assertRaises(OutcomeUnknownError):
+            run(pool, "ECHO lost", timeout=0.1)
+        began = CLOCK.now()
+        self.assertEqual(run(pool, "ECHO works"), b"works")
+        # One check of 0.2 s for the four suspects, not one for each.
+        self.assertLess(CLOCK.now() - began, 0.7)
+        self.assertEqual(pool.open_count, 1)
+        self.assertEqual(self.relay.accepted, 6)
+
+    def test_server_that_closed_an_idle_connection_costs_no_statement(self) -> None:
+        pool = self.pool(1)
+        run(pool, "ECHO 1")
+        self.relay.cut_open_connections()
+        self.assertEqual(run(pool, "ECHO 2"), b"2")
