Add the settings tree with inheritance, validation and remembered answers

Cause: control needs a deterministic tree of versioned nodes, and proxies need the values in force for a group in a failure domain.

Every answer is remembered by change id, rejections too: a delayed copy of a rejected change must not take effect after its operator was told it did not. Ruled out: remembering conflicts only, which lets such a copy in once the parent changed. Versions of deleted nodes stay remembered, so that an old expected version cannot match a node created again. Secrets are shown as ***, and a change may send the mask back to keep them, because operators' tools never hold them.

--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/const.py
@@ -0,0 +1,48 @@
+"""Constants of the settings library."""
+
+from enum import IntEnum
+from typing import Final
+
+ROOT_PATH: Final = "/"
+PATH_SEPARATOR: Final = "/"
+FROM_DEFAULT: Final = "default"
+
+CONF_STATEMENTS: Final = "statements"
+CONF_TOKEN_KEY: Final = "token_key"
+CONF_BACKEND_PASSWORD: Final = "backend_password"
+CONF_USERS: Final = "users"
+CONF_WRITE_ACK: Final = "write_ack"
+
+SECRET_KEYS: Final = frozenset({CONF_TOKEN_KEY, CONF_BACKEND_PASSWORD})
+
+# One renewal covers all groups, and the count of proxies is one for the system.
+ROOT_ONLY_KEYS: Final = frozenset(
+    {"lease_ms", "renew_interval_ms", "clock_drift", "max_proxies"}
+)
+# Sessions roam between failure domains and promotions span them, so that these
+# must be the same for all proxies of a group.
+NOT_PER_FAILURE_DOMAIN_KEYS: Final = frozenset(
+    {
+        CONF_TOKEN_KEY,
+        CONF_WRITE_ACK,
+        CONF_STATEMENTS,
+        "failure_detect_ms",
+        "release_drain_ms",
+        "request_retention_s",
+    }
+)
+
+RETAINED_CHANGE_IDS: Final = 4_096
+RETAINED_HISTORY: Final = 2_000
+MAX_REPORTED_PROBLEMS: Final = 20
+SNAPSHOT_FORMAT: Final = 1
+MIN_TOKEN_KEY_BYTES: Final = 32
+
+
+class Level(IntEnum):
+    """Depth of a node; also the number of names in its path."""
+
+    ROOT = 0
+    SERVICE = 1
+    GROUP = 2
+    FAILURE_DOMAIN = 3
--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/inheritance.py
@@ -0,0 +1,69 @@
+"""Merge the overrides of a node's lineage into effective values."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .const import CONF_STATEMENTS, CONF_WRITE_ACK, FROM_DEFAULT
+from .models import EffectiveSettings, ExplainedValue, Statements, WriteAck
+from .overrides import DEFAULTS, setting_names, statement_names
+from .redaction import redact
+
+
+@dataclass(frozen=True, slots=True)
+class Layer:
+    """The overrides of one node on the way from the root."""
+
+    path: str
+    overrides: Mapping[str, Any]
+
+
+def merge(layers: Iterable[Layer]) -> EffectiveSettings:
+    """Return the values in force below some layers, the root's first.
+
+    Each key is inherited by itself, and so is each statement. ``users`` is
+    replaced as a whole: whoever lists users says who may come in. Unknown keys
+    are left out, so that an older proxy can follow a newer control.
+    """
+    values: dict[str, Any] = {}
+    statements: dict[str, str] = {}
+    for layer in layers:
+        given = dict(layer.overrides)
+        statements.update(_known(given.pop(CONF_STATEMENTS, {}), statement_names()))
+        values.update(_known(given, setting_names()))
+    if CONF_WRITE_ACK in values:
+        values[CONF_WRITE_ACK] = WriteAck(values[CONF_WRITE_ACK])
+    return EffectiveSettings(**values, statements=Statements(**statements))
+
+
+def explain(layers: Iterable[Layer]) -> list[ExplainedValue]:
+    """Return each value in force with the path of the node that gives it."""
+    found = {value.key: value for value in _default_values()}
+    for layer in layers:
+        shown = redact(layer.overrides)
+        for key, value in _flatten(shown).items():
+            if key in found:
+                found[key] = ExplainedValue(key, value, layer.path)
+    return list(found.values())
+
+
+def _default_values() -> list[ExplainedValue]:
+    values: dict[str, Any] = {name: getattr(DEFAULTS, name) for name in setting_names()}
+    values[CONF_STATEMENTS] = {
+        name: getattr(DEFAULTS.statements, name) for name in statement_names()
+    }
+    return [
+        ExplainedValue(key, value, FROM_DEFAULT)
+        for key, value in _flatten(values).items()
+    ]
+
+
+def _flatten(values: Mapping[str, Any]) -> dict[str, Any]:
+    flat = dict(values)
+    statements = flat.pop(CONF_STATEMENTS, {})
+    flat.update({f"{CONF_STATEMENTS}.{name}": sql for name, sql in statements.items()})
+    return flat
+
+
+def _known(values: Mapping[str, Any], names: tuple[str, ...]) -> dict[str, Any]:
+    return {name: value for name, value in values.items() if name in names}
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Any
 
 
 class WriteAck(StrEnum):
@@ -89,3 +90,94 @@
     backend_user: str = "dogwoodspool"
     backend_password: str = field(default="", repr=False)
     statements: Statements = field(default_factory=Statements)
+
+
+class RejectionCode(StrEnum):
+    """Why a change was not accepted."""
+
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    HAS_CHILDREN = "has_children"
+    NO_PARENT = "no_parent"
+    NOT_FOUND = "not_found"
+    CHANGE_ID_REUSED = "change_id_reused"
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChange:
+    """One change of one node.
+
+    Attributes:
+        change_id: the same id again is the same change.
+        path: the node, such as ``/chat-core/chat1``.
+        expected_version: version of the node that the operator has seen; 0 for
+            a node that does not exist.
+        overrides: the node's whole new set of overrides; None deletes the node.
+            A secret may be given as kept, see ``redact``.
+        author: who asks; not part of the change's identity.
+    """
+
+    change_id: str
+    path: str
+    expected_version: int
+    overrides: dict[str, Any] | None = field(repr=False)
+    author: str
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeAccepted:
+    """A change that took effect.
+
+    Attributes:
+        version: the node's version since then; a deletion counts as one too.
+    """
+
+    path: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRejected:
+    """A change that had no effect.
+
+    Attributes:
+        message: names path and reason for each bad value; holds no values.
+        current_version: the node's version, 0 when there is no node.
+    """
+
+    code: RejectionCode
+    message: str
+    current_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ExplainedValue:
+    """One value in force and the node it comes from.
+
+    Attributes:
+        key: name of the setting; ``statements.NAME`` for one statement.
+        value: the value, redacted when it is a secret.
+        from_path: path of the node, ``default`` for the built-in value.
+    """
+
+    key: str
+    value: Any
+    from_path: str
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """An accepted change, its secrets redacted.
+
+    Attributes:
+        index: index of the change in the replicated log.
+        version: version of the node that the change made.
+        overrides: the node's overrides since then, None for a deletion.
+    """
+
+    index: int
+    change_id: str
+    author: str
+    path: str
+    version: int
+    overrides: dict[str, Any] | None
--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/overrides.py
@@ -0,0 +1,164 @@
+"""The validated model of one node's overrides and its bounds."""
+
+from collections.abc import Mapping
+from dataclasses import fields
+from typing import Annotated, Any, Final
+
+from dogwoodspool_api import Name
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from .const import (
+    CONF_TOKEN_KEY,
+    CONF_USERS,
+    MIN_TOKEN_KEY_BYTES,
+    NOT_PER_FAILURE_DOMAIN_KEYS,
+    ROOT_ONLY_KEYS,
+    Level,
+)
+from .models import EffectiveSettings, Statements, WriteAck
+
+DEFAULTS: Final = EffectiveSettings()
+_STATEMENT_DEFAULTS: Final = DEFAULTS.statements
+
+_REASONS: Final = {
+    "extra_forbidden": "there is no such setting",
+    "string_pattern_mismatch": "has the wrong form",
+}
+_FORMS: Final = {
+    CONF_TOKEN_KEY: f"must be hexadecimal of at least {MIN_TOKEN_KEY_BYTES} bytes",
+    CONF_USERS: "must be names with password hashes of 40 hexadecimal digits",
+}
+
+Statement = Annotated[str, Field(min_length=1, max_length=1_000)]
+PasswordHash = Annotated[str, Field(pattern=r"^[0-9A-Fa-f]{40}$")]
+
+
+class StatementOverrides(BaseModel):
+    """Statements that a node overrides; each is inherited by itself."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+    status: Statement = _STATEMENT_DEFAULTS.status
+    wait: Statement = _STATEMENT_DEFAULTS.wait
+    promote: Statement = _STATEMENT_DEFAULTS.promote
+    follow: Statement = _STATEMENT_DEFAULTS.follow
+    fence: Statement = _STATEMENT_DEFAULTS.fence
+
+
+class Overrides(BaseModel):
+    """What one node may override; fields that are not given are inherited.
+
+    Field defaults are the built-in values, so that a given ``null`` is refused
+    wherever it has no meaning. Numbers and flags are strict: a text such as
+    ``"300"`` is refused, because a quoted number in a declaration is a mistake.
+    """
+
+    model_config = ConfigDict(
+        extra="forbid",
+        frozen=True,
+        strict=True,
+        allow_inf_nan=False,
+        hide_input_in_errors=True,  # Values may be secrets.
+    )
+
+    deadline_ms: int = Field(DEFAULTS.deadline_ms, ge=1, le=600_000)
+    max_age_ms: Annotated[int, Field(ge=0, le=86_400_000)] | None = DEFAULTS.max_age_ms
+    idempotent: bool = DEFAULTS.idempotent
+    write_ack: WriteAck = Field(DEFAULTS.write_ack, strict=False)
+    write_ack_timeout_ms: int = Field(DEFAULTS.write_ack_timeout_ms, ge=1, le=60_000)
+    lease_ms: int = Field(DEFAULTS.lease_ms, ge=100, le=60_000)
+    renew_interval_ms: int = Field(DEFAULTS.renew_interval_ms, ge=10, le=30_000)
+    clock_drift: float = Field(DEFAULTS.clock_drift, ge=0, le=0.2)
+    failure_detect_ms: int = Field(DEFAULTS.failure_detect_ms, ge=50, le=60_000)
+    release_drain_ms: int = Field(DEFAULTS.release_drain_ms, ge=0, le=60_000)
+    probe_interval_ms: int = Field(DEFAULTS.probe_interval_ms, ge=10, le=60_000)
+    probe_timeout_ms: int = Field(DEFAULTS.probe_timeout_ms, ge=10, le=60_000)
+    announcement_expiry_ms: int = Field(
+        DEFAULTS.announcement_expiry_ms, ge=100, le=600_000
+    )
+    replica_wait_ms: int = Field(DEFAULTS.replica_wait_ms, ge=0, le=60_000)
+    base_connections: int = Field(DEFAULTS.base_connections, ge=1, le=1_000)
+    reserved_connections: int = Field(DEFAULTS.reserved_connections, ge=1, le=1_000)
+    max_proxies: int = Field(DEFAULTS.max_proxies, ge=1, le=1_000)
+    idle_connection_ms: int = Field(DEFAULTS.idle_connection_ms, ge=100, le=86_400_000)
+    connect_timeout_ms: int = Field(DEFAULTS.connect_timeout_ms, ge=10, le=60_000)
+    queue_limit: int = Field(DEFAULTS.queue_limit, ge=0, le=100_000)
+    retry_budget_ratio: float = Field(DEFAULTS.retry_budget_ratio, ge=0, le=1)
+    retry_budget_min: int = Field(DEFAULTS.retry_budget_min, ge=0, le=10_000)
+    max_transaction_ms: int = Field(DEFAULTS.max_transaction_ms, ge=100, le=86_400_000)
+    request_retention_s: int = Field(DEFAULTS.request_retention_s, ge=60, le=31_536_000)
+    token_key: str = Field(
+        DEFAULTS.token_key,
+        pattern=rf"^(?:[0-9A-Fa-f]{{2}}){{{MIN_TOKEN_KEY_BYTES},128}}$",
+    )
+    users: dict[Name, PasswordHash] = Field(DEFAULTS.users, max_length=1_000)
+    backend_user: str = Field(DEFAULTS.backend_user, min_length=1, max_length=64)
+    backend_password: str = Field(DEFAULTS.backend_password, max_length=256)
+    statements: StatementOverrides = Field(StatementOverrides())
+
+
+def validate_overrides(
+    raw: Mapping[str, Any], level: Level
+) -> tuple[dict[str, Any], list[str]]:
+    """Return the overrides in their stored form, and one line per bad value.
+
+    The lines hold key and reason, never a value.
+    """
+    try:
+        model = Overrides.model_validate(dict(raw))
+    except ValidationError as error:
+        return {}, [_line(detail) for detail in _details(error)]
+    problems = _misplaced(raw, level)
+    return model.model_dump(mode="json", exclude_unset=True), problems
+
+
+def cross_field_problems(values: EffectiveSettings) -> list[str]:
+    """Return one line per pair of effective values that cannot work together."""
+    problems = []
+    if values.renew_interval_ms * 2 >= values.lease_ms:
+        # Else one lost renewal already lets every grant run out.
+        problems.append("renew_interval_ms * 2 must be below lease_ms")
+    if values.release_drain_ms >= values.lease_ms:
+        # Else giving up a grant by answer takes longer than waiting it out.
+        problems.append("release_drain_ms must be below lease_ms")
+    if values.probe_interval_ms + values.probe_timeout_ms > values.failure_detect_ms:
+        # Else a server counts as failed before a probe had time to fail.
+        problems.append(
+            "probe_interval_ms + probe_timeout_ms must be at most failure_detect_ms"
+        )
+    if values.replica_wait_ms >= values.deadline_ms:
+        # Else nothing is left of the deadline for reading from the primary.
+        problems.append("replica_wait_ms must be below deadline_ms")
+    return problems
+
+
+def statement_names() -> tuple[str, ...]:
+    """Return the names of the statements on backend servers."""
+    return tuple(field.name for field in fields(Statements))
+
+
+def setting_names() -> tuple[str, ...]:
+    """Return the names of all settings, in the order of their definition."""
+    return tuple(field.name for field in fields(EffectiveSettings))
+
+
+def _details(error: ValidationError) -> list[Any]:
+    return error.errors(include_url=False, include_input=False, include_context=False)
+
+
+def _line(detail: Any) -> str:
+    key = ".".join(str(part) for part in detail["loc"])
+    reason = _REASONS.get(detail["type"], detail["msg"])
+    if detail["type"] == "string_pattern_mismatch":
+        reason = _FORMS.get(detail["loc"][0], reason)
+    return f"{key}: {reason}"
+
+
+def _misplaced(raw: Mapping[str, Any], level: Level) -> list[str]:
+    problems = []
+    for key in raw:
+        if key in ROOT_ONLY_KEYS and level is not Level.ROOT:
+            problems.append(f"{key}: may only be set at the root")
+        if key in NOT_PER_FAILURE_DOMAIN_KEYS and level is Level.FAILURE_DOMAIN:
+            problems.append(f"{key}: must be the same for all of the group")
+    return problems
--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/snapshot.py
@@ -0,0 +1,108 @@
+"""The validated form in which a settings tree is kept in snapshots."""
+
+from typing import Any, Literal, Self
+
+from dogwoodspool_api import Message, SettingsNode
+from expression import Error, Ok
+from pydantic import ValidationError
+
+from .answers import ChangeAnswer, RememberedAnswer
+from .const import SNAPSHOT_FORMAT
+from .errors import SnapshotError
+from .models import ChangeAccepted, ChangeRejected, HistoryEntry, RejectionCode
+
+
+class StoredHistoryEntry(Message):
+    """One accepted change, secrets included."""
+
+    index: int
+    change_id: str
+    author: str
+    path: str
+    version: int
+    overrides: dict[str, Any] | None
+
+    @classmethod
+    def of(cls, entry: HistoryEntry) -> Self:
+        """Build the stored form of an entry."""
+        return cls(
+            index=entry.index,
+            change_id=entry.change_id,
+            author=entry.author,
+            path=entry.path,
+            version=entry.version,
+            overrides=entry.overrides,
+        )
+
+    def value(self) -> HistoryEntry:
+        """Return the inner value."""
+        return HistoryEntry(
+            self.index,
+            self.change_id,
+            self.author,
+            self.path,
+            self.version,
+            self.overrides,
+        )
+
+
+class StoredAnswer(Message):
+    """One remembered answer; ``code`` is None for an accepted change."""
+
+    change_id: str
+    digest: str
+    path: str = ""
+    version: int
+    code: RejectionCode | None = None
+    message: str = ""
+
+    @classmethod
+    def of(cls, remembered: RememberedAnswer) -> Self:
+        """Build the stored form of an answer."""
+        answer = remembered.answer
+        if answer.is_ok():
+            return cls(
+                change_id=remembered.change_id,
+                digest=remembered.digest,
+                path=answer.ok.path,
+                version=answer.ok.version,
+            )
+        return cls(
+            change_id=remembered.change_id,
+            digest=remembered.digest,
+            version=answer.error.current_version,
+            code=answer.error.code,
+            message=answer.error.message,
+        )
+
+    def value(self) -> RememberedAnswer:
+        """Return the inner value."""
+        answer: ChangeAnswer
+        if self.code is None:
+            answer = Ok(ChangeAccepted(self.path, self.version))
+        else:
+            answer = Error(ChangeRejected(self.code, self.message, self.version))
+        return RememberedAnswer(self.change_id, self.digest, answer)
+
+
+class TreeSnapshot(Message):
+    """The whole state of a settings tree."""
+
+    format: Literal[1] = SNAPSHOT_FORMAT
+    version: int
+    nodes: list[SettingsNode]
+    deleted_versions: dict[str, int]
+    history: list[StoredHistoryEntry]
+    answers: list[StoredAnswer]
+
+    @classmethod
+    def parse(cls, content: dict[str, Any]) -> Self:
+        """Validate a snapshot; raise ``SnapshotError`` when it cannot be used."""
+        try:
+            return cls.model_validate(content)
+        except ValidationError as error:
+            first = error.errors(include_url=False, include_input=False)[0]
+            where = ".".join(str(part) for part in first["loc"])
+            raise SnapshotError(
+                f"settings snapshot: {where}: {first['msg']}"
+            ) from error
--- /dev/null
+++ b/packages/settings/src/dogwoodspool_settings/tree.py
@@ -0,0 +1,216 @@
+"""The settings tree: versioned nodes that inherit from the level above."""
+
+from collections.abc import Iterable
+from typing import Any, Self
+
+from dogwoodspool_api import SettingsNode
+from expression import Error
+
+from .answers import AnswerMemory, ChangeAnswer, RememberedAnswer, content_digest
+from .change_check import ChangeCheck
+from .change_history import ChangeHistory
+from .const import RETAINED_CHANGE_IDS, RETAINED_HISTORY, ROOT_PATH
+from .errors import ReadOnlyTreeError, UnknownNodeError
+from .inheritance import explain, merge
+from .models import (
+    ChangeAccepted,
+    ChangeRejected,
+    EffectiveSettings,
+    ExplainedValue,
+    HistoryEntry,
+    RejectionCode,
+    SettingsChange,
+)
+from .node_store import NodeStore, StoredNode
+from .paths import join_path, level_of, split_path
+from .snapshot import StoredAnswer, StoredHistoryEntry, TreeSnapshot
+
+
+class SettingsTree:
+    """Hold the tree, decide changes and give the values in force.
+
+    Every decision depends only on the changes applied before, so that all voters
+    that apply the same log hold the same tree. One thread applies changes at a
+    time; ``effective`` may be called from any thread meanwhile.
+
+    Example:
+        >>> tree = SettingsTree()
+        >>> change = SettingsChange("c1", "/", 0, {"deadline_ms": 800}, "ana")
+        >>> tree.apply(change, index=1).ok
+        ChangeAccepted(path='/', version=1)
+        >>> tree.effective(None, None).deadline_ms
+        800
+    """
+
+    def __init__(
+        self,
+        retained_change_ids: int = RETAINED_CHANGE_IDS,
+        retained_history: int = RETAINED_HISTORY,
+    ) -> None:
+        self._retained_change_ids = retained_change_ids
+        self._retained_history = retained_history
+        self._nodes = NodeStore()
+        self._answers = AnswerMemory(retained_change_ids)
+        self._history = ChangeHistory(retained_history)
+        self._effective: dict[str, EffectiveSettings] = {}
+        self._version = 0
+        self._is_read_only = False
+
+    @property
+    def version(self) -> int:
+        """Index of the last change that took effect."""
+        return self._version
+
+    def apply(self, change: SettingsChange, index: int) -> ChangeAnswer:
+        """Decide one change and let it take effect when it is accepted.
+
+        Every answer is remembered, rejections too: a delayed copy of a rejected
+        change must not take effect after its operator was told that it did not.
+
+        Args:
+            change: the change as it stands in the replicated log.
+            index: index of its log entry.
+
+        Raises:
+            ReadOnlyTreeError: the tree mirrors another one.
+        """
+        if self._is_read_only:
+            raise ReadOnlyTreeError("this settings tree only follows control")
+        digest = content_digest(change)
+        remembered = self._answers.get(change.change_id)
+        if remembered is not None:
+            return self._answer_again(remembered, digest, change.path)
+        check = ChangeCheck(self._nodes, self._history)
+        answer = check.check(change).map(
+            lambda overrides: self._accept(change, overrides, index)
+        )
+        self._answers.remember(RememberedAnswer(change.change_id, digest, answer))
+        return answer
+
+    def effective(
+        self, group: str | None, failure_domain: str | None
+    ) -> EffectiveSettings:
+        """Return the values in force for a database group in a failure domain.
+
+        An unknown group has the root's values, and a failure domain without a
+        node of its own has the group's.
+        """
+        # A reader that began before a change writes into the cache of that time,
+        # which no later reader sees: `_accept` puts a new one in place last.
+        cache = self._effective
+        path = self._nearest_path(group, failure_domain)
+        values = cache.get(path)
+        if values is None:
+            values = merge(self._nodes.layers_of(path))
+            cache[path] = values
+        return values
+
+    def explain(self, path: str) -> list[ExplainedValue]:
+        """Return each value in force at a node with where it comes from.
+
+        Raises:
+            InvalidPathError: the path cannot be one of a node.
+            UnknownNodeError: there is no such node.
+        """
+        level_of(path)
+        if self._nodes.get(path) is None:
+            raise UnknownNodeError(f"{path}: there is no such node")
+        return explain(self._nodes.layers_of(path))
+
+    def nodes(self) -> list[SettingsNode]:
+        """Return all nodes ordered by path, secrets included."""
+        return [
+            SettingsNode(
+                path=node.path, version=node.version, overrides=dict(node.overrides)
+            )
+            for node in self._nodes.all()
+        ]
+
+    def history(self, limit: int, path: str | None = None) -> list[HistoryEntry]:
+        """Return the latest accepted changes, the newest first, redacted."""
+        return self._history.latest(limit, path)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the whole state as JSON values, secrets included."""
+        return TreeSnapshot(
+            version=self._version,
+            nodes=self.nodes(),
+            deleted_versions=self._nodes.deleted_versions,
+            history=[StoredHistoryEntry.of(entry) for entry in self._history.all()],
+            answers=[StoredAnswer.of(answer) for answer in self._answers.all()],
+        ).model_dump(mode="json")
+
+    def restore(self, snapshot: dict[str, Any]) -> None:
+        """Replace the whole state; raise ``SnapshotError`` and change nothing."""
+        state = TreeSnapshot.parse(snapshot)
+        nodes = _store_of(state.nodes)
+        nodes.remember_deleted(state.deleted_versions)
+        answers = AnswerMemory(self._retained_change_ids)
+        for answer in state.answers:
+            answers.remember(answer.value())
+        entries = (entry.value() for entry in state.history)
+        self._nodes = nodes
+        self._answers = answers
+        self._history = ChangeHistory(self._retained_history, entries)
+        self._version = state.version
+        self._effective = {}
+
+    @classmethod
+    def from_snapshot(cls, snapshot: dict[str, Any]) -> Self:
+        """Build a tree from a snapshot; raise ``SnapshotError`` for a bad one."""
+        tree = cls()
+        tree.restore(snapshot)
+        return tree
+
+    @classmethod
+    def from_nodes(cls, nodes: Iterable[SettingsNode]) -> Self:
+        """Build a read-only tree from the nodes that control has committed."""
+        tree = cls()
+        tree._nodes = _store_of(nodes)
+        tree._is_read_only = True
+        return tree
+
+    def _answer_again(
+        self, remembered: RememberedAnswer, digest: str, path: str
+    ) -> ChangeAnswer:
+        if remembered.digest == digest:
+            return remembered.answer
+        return Error(
+            ChangeRejected(
+                RejectionCode.CHANGE_ID_REUSED,
+                f"{path}: the change id belongs to a change with other content",
+                self._nodes.version_of(path),
+            )
+        )
+
+    def _accept(
+        self, change: SettingsChange, overrides: dict[str, Any] | None, index: int
+    ) -> ChangeAccepted:
+        version = self._nodes.next_version_of(change.path)
+        if overrides is None:
+            self._nodes.remove(change.path, version)
+        else:
+            self._nodes.put(StoredNode(change.path, version, overrides))
+        self._history.append(
+            HistoryEntry(
+                index, change.change_id, change.author, change.path, version, overrides
+            )
+        )
+        self._version = index
+        self._effective = {}
+        return ChangeAccepted(change.path, version)
+
+    def _nearest_path(self, group: str | None, failure_domain: str | None) -> str:
+        path = self._nodes.path_of_group(group) if group is not None else None
+        if path is None:
+            return ROOT_PATH
+        if failure_domain is None:
+            return path
+        own = join_path(*split_path(path), failure_domain)
+        return own if self._nodes.get(own) else path
+
+
+def _store_of(nodes: Iterable[SettingsNode]) -> NodeStore:
+    return NodeStore.of(
+        StoredNode(node.path, node.version, node.overrides) for node in nodes
+    )
