Add the replicated log of the control processes

Control processes need one committed order of changes that survives crashes and lost failure domains, and no outside store may hold it.

--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/membership.py
@@ -0,0 +1,124 @@
+"""Changes of the voters, one at a time."""
+
+import threading
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from dogwoodspool_common import Address, log_event
+
+from .const import UNPINNED
+from .errors import MembershipChangeError, NotLeaderError, OutcomeUnknownError
+from .models import Configuration, Member, Role
+from .state import NodeState
+
+
+class Membership:
+    """Add and remove voters through entries of the log.
+
+    Two configurations that differ by one voter have no two quorums without a
+    common node, so a change needs no joint phase; but the next one must wait
+    until the one before is committed, and the first until the leader has
+    committed an entry of its own term.
+    """
+
+    def __init__(self, state: NodeState) -> None:
+        self._state = state
+        self._busy = threading.Lock()
+
+    def add_voter(self, node_id: str, address: Address, timeout: float) -> None:
+        """Add a node as learner and make it a voter once it has caught up.
+
+        The call may be repeated: it goes on where it stopped.
+
+        Raises:
+            NotLeaderError: this node does not lead; nothing was changed.
+            MembershipChangeError: the change is not allowed, or the learner has
+                not caught up in time and stays a learner.
+            OutcomeUnknownError: the change was appended, its fate is unknown.
+        """
+        with self._one_change(timeout) as deadline:
+            state = self._state
+            member = state.configuration.members.get(node_id)
+            if node_id in state.configuration.retired:
+                raise MembershipChangeError(f"{node_id} was removed; use a new id")
+            if member is not None and member.address != address:
+                raise MembershipChangeError(f"{node_id} is at {member.address}")
+            if member is not None and member.is_voter:
+                return
+            if member is None:
+                learner = Member(address, UNPINNED, is_voter=False)
+                self._change(state.configuration.with_member(node_id, learner))
+                self._wait_committed(deadline)
+            self._wait_caught_up(node_id, deadline)
+            caught_up = state.configuration.members[node_id]
+            voter = Member(address, caught_up.incarnation, is_voter=True)
+            self._change(state.configuration.with_member(node_id, voter))
+            self._wait_committed(deadline)
+            log_event("voter_added", member=node_id, address=address)
+
+    def remove_voter(self, node_id: str, timeout: float) -> None:
+        """Remove a voter or learner; its id is never used again.
+
+        Errors as for ``add_voter``. A leader that removes itself leads until
+        the change is committed.
+        """
+        with self._one_change(timeout) as deadline:
+            configuration = self._state.configuration
+            if node_id not in configuration.members:
+                return
+            remaining = configuration.without(node_id)
+            if not remaining.voters:
+                raise MembershipChangeError("the last voter cannot be removed")
+            self._change(remaining)
+            self._wait_committed(deadline)
+            log_event("voter_removed", member=node_id)
+
+    @contextmanager
+    def _one_change(self, timeout: float) -> Iterator[float]:
+        state = self._state
+        deadline = state.clock.now() + timeout
+        if not self._busy.acquire(blocking=False):
+            raise MembershipChangeError("another change of voters is under way")
+        try:
+            with state.changed:
+                if state.leadership() is None:
+                    raise NotLeaderError(state.leader_address)
+                self._wait_committed(deadline)
+                yield deadline
+        finally:
+            self._busy.release()
+
+    def _change(self, configuration: Configuration) -> None:
+        self._state.append_configuration(configuration)
+
+    def _wait_committed(self, deadline: float) -> None:
+        state = self._state
+        index = state.configurations.current_index
+        if not self._wait(lambda: state.commit_index >= index, deadline):
+            raise OutcomeUnknownError("the change was not committed in time")
+
+    def _wait_caught_up(self, node_id: str, deadline: float) -> None:
+        state = self._state
+
+        def is_caught_up() -> bool:
+            member = state.configuration.members[node_id]
+            match = state.progress_of(node_id).match_index
+            lag = state.commit_index - match
+            return member.incarnation != UNPINNED and lag <= state.settings.max_batch
+
+        if not self._wait(is_caught_up, deadline):
+            raise MembershipChangeError(f"{node_id} is a learner and still behind")
+        # Pinning the learner appended a configuration of its own.
+        self._wait_committed(deadline)
+
+    def _wait(self, is_met: Callable[[], bool], deadline: float) -> bool:
+        state = self._state
+        term = state.term
+        while not is_met():
+            if state.role is not Role.LEADER or state.term != term:
+                raise OutcomeUnknownError("this node lost its leadership")
+            remaining = deadline - state.clock.now()
+            if remaining <= 0 or state.is_closed:
+                return False
+            state.clock.wait(state.changed, remaining)
+        return True
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -0,0 +1,351 @@
+"""One node of the replicated log."""
+
+import random
+import threading
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    JsonRequest,
+    JsonResponse,
+    Route,
+    error_response,
+    log_event,
+)
+
+from .applier import Applier, StateMachine
+from .const import (
+    CODE_NOT_LEADER,
+    CODE_STORAGE_FAILED,
+    PATH_APPEND,
+    PATH_READ,
+    PATH_SNAPSHOT,
+    PATH_VOTE,
+)
+from .diagnostics import ConsensusDiagnostics, build_diagnostics
+from .election import Elections
+from .errors import (
+    IdentityRefusedError,
+    NotLeaderError,
+    StorageError,
+)
+from .membership import Membership
+from .messages import (
+    AppendRequest,
+    PeerResponse,
+    ReadRequest,
+    SnapshotRequest,
+    VoteRequest,
+)
+from .models import ConsensusSettings, Leadership, Role
+from .peers import PeerCaller
+from .proposals import Proposal, Proposals
+from .reads import Reads
+from .replication import Replication
+from .snapshots import SnapshotReceiver, SnapshotSender
+from .state import NodeState
+from .storage import LogStorage
+from .transport import PeerTransport
+
+HTTP_CONFLICT = 409
+HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
+
+
+class ConsensusNode:
+    """Replicate commands to a machine on several nodes.
+
+    Args:
+        node_id: name of this node, never used again once it was removed or has
+            lost its files.
+        address: where the peers reach the routes of this node.
+        initial_voters: the first voters, this node included; used only with
+            ``bootstrap`` and only while the storage is empty.
+        bootstrap: the operator's word that this is the birth of the cluster. It
+            is given once, to each of the first voters. Without it a node with
+            an empty storage waits, without a vote, until ``add_voter`` names it.
+
+    Example:
+        >>> node.set_up()
+        >>> node.propose({"set": "x", "to": 1}, timeout=1.0)
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        address: Address,
+        storage: LogStorage,
+        machine: StateMachine,
+        transport: PeerTransport,
+        clock: Clock,
+        settings: ConsensusSettings,
+        initial_voters: Mapping[str, Address],
+        rng: random.Random,
+        bootstrap: bool = False,
+    ) -> None:
+        self._initial_voters = initial_voters
+        self._bootstrap = bootstrap
+        self._state = NodeState(
+            node_id=node_id,
+            address=address,
+            storage=storage,
+            clock=clock,
+            settings=settings,
+            rng=rng,
+        )
+        state = self._state
+        caller = PeerCaller(state, transport)
+        self._elections = Elections(state, caller)
+        self._receiver = SnapshotReceiver(state)
+        self._replication = Replication(state, caller, SnapshotSender(state, caller))
+        self._proposals = Proposals(state)
+        self._applier = Applier(state, machine, self._proposals)
+        self._reads = Reads(state, caller)
+        self._membership = Membership(state)
+        self._threads: list[threading.Thread] = []
+        self._peer_threads: dict[str, threading.Thread] = {}
+        self._timer = threading.Condition()
+
+    @property
+    def node_id(self) -> str:
+        """Name of this node."""
+        return self._state.node_id
+
+    @property
+    def last_applied(self) -> int:
+        """Index of the last entry applied to the machine."""
+        with self._state.changed:
+            return self._state.last_applied
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Address of the leader that this node follows or is."""
+        with self._state.changed:
+            return self._state.leader_address
+
+    def set_up(self) -> None:
+        """Load the files and begin to take part.
+
+        Raises:
+            StorageCorruptError: the files cannot be trusted.
+        """
+        self.load()
+        self._start("raft-timer", self._timer_loop)
+        self._start("raft-log-writer", self._writer_loop)
+        self._start("raft-applier", self._applier_loop)
+
+    def unload(self) -> None:
+        """Stop all threads and close the files."""
+        state = self._state
+        with state.changed:
+            state.is_closed = True
+            state.become_follower(state.term)
+            state.changed.notify_all()
+        with self._timer:
+            self._timer.notify_all()
+        for thread in [*self._threads, *self._peer_threads.values()]:
+            thread.join()
+        state.storage.close()
+
+    def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
+        """Append a command and return the result of ``StateMachine.apply``.
+
+        Raises:
+            NotLeaderError: the command is surely not in the log.
+            OutcomeUnknownError: it was appended and its fate is unknown.
+            ProposalRefusedError: it is too large or no JSON.
+        """
+        return self._proposals.propose(command, timeout)
+
+    def submit(self, command: dict[str, Any]) -> Proposal:
+        """Queue a command without waiting; errors as for ``propose``."""
+        return self._proposals.submit(command)
+
+    def leadership(self) -> Leadership | None:
+        """Return this node's right to answer as leader at this moment."""
+        with self._state.changed:
+            return self._state.leadership()
+
+    def confirm_read(self, timeout: float) -> int:
+        """Return an applied index that covers all answered before this call.
+
+        Works on every node.
+
+        Raises:
+            NotConfirmedError: no leader confirmed it with a quorum in time.
+        """
+        return self._reads.confirm_read(timeout)
+
+    def wait_applied(self, after: int, timeout: float) -> int:
+        """Wait while nothing behind ``after`` is applied; return what is."""
+        return self._reads.wait_applied(after, timeout)
+
+    def add_voter(self, node_id: str, address: Address, timeout: float) -> None:
+        """Add a node as learner, then as voter; see ``Membership``."""
+        self._membership.add_voter(node_id, address, timeout)
+
+    def remove_voter(self, node_id: str, timeout: float) -> None:
+        """Remove a voter or learner; see ``Membership``."""
+        self._membership.remove_voter(node_id, timeout)
+
+    def diagnostics(self) -> ConsensusDiagnostics:
+        """Return the node's state for an operator."""
+        return build_diagnostics(self._state)
+
+    def routes(self) -> list[Route]:
+        """Return the endpoints for the peers."""
+        paths = (PATH_VOTE, PATH_APPEND, PATH_SNAPSHOT, PATH_READ)
+        return [Route("POST", path, self._respond) for path in paths]
+
+    def load(self) -> None:
+        """Load the files and the machine without starting threads."""
+        with self._state.changed:
+            self._state.load(self._initial_voters, self._bootstrap)
+        self._applier.apply_committed()
+
+    def tick(self) -> None:
+        """Look at the clock once."""
+        self._guard(self._elections.tick)
+
+    def step_peer(self, peer: str) -> None:
+        """Send one message to a peer, when one is due."""
+        self._guard(lambda: self._step_peer(peer))
+
+    def write_pending(self) -> None:
+        """Append and sync one batch of proposals."""
+        self._guard(self._proposals.write_pending)
+
+    def apply_committed(self) -> None:
+        """Apply one batch of committed entries."""
+        self._guard(self._applier.apply_committed)
+
+    def handle(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Answer one request of a peer.
+
+        Raises:
+            IdentityRefusedError: sender or receiver is not who it should be.
+            NotLeaderError: a read point was asked of a node that does not lead.
+            StorageError: the disk of this node counts as lost.
+        """
+        try:
+            return self._dispatch(path, body).model_dump(mode="json")
+        except StorageError as error:
+            self._fail(error)
+            raise
+
+    def _dispatch(self, path: str, body: dict[str, Any]) -> PeerResponse:
+        if path == PATH_VOTE:
+            return self._elections.handle_vote(VoteRequest.model_validate(body))
+        if path == PATH_APPEND:
+            return self._replication.handle_append(AppendRequest.model_validate(body))
+        if path == PATH_SNAPSHOT:
+            return self._receiver.handle_snapshot(SnapshotRequest.model_validate(body))
+        return self._reads.handle_read(ReadRequest.model_validate(body))
+
+    def _respond(self, request: JsonRequest) -> JsonResponse:
+        try:
+            return JsonResponse(self.handle(request.path, request.body))
+        except IdentityRefusedError as error:
+            return error_response(HTTP_CONFLICT, error.code, str(error))
+        except NotLeaderError as error:
+            return error_response(HTTP_MISDIRECTED, CODE_NOT_LEADER, str(error))
+        except StorageError as error:
+            return error_response(HTTP_UNAVAILABLE, CODE_STORAGE_FAILED, str(error))
+
+    def _guard(self, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except StorageError as error:
+            self._fail(error)
+
+    def _fail(self, error: StorageError) -> None:
+        with self._state.changed:
+            if not self._state.is_closed:
+                self._state.fail(error)
+
+    def _step_peer(self, peer: str) -> None:
+        state = self._state
+        with state.changed:
+            wants_vote = self._elections.wants_vote(peer)
+            is_due = self._peer_due(peer) <= state.clock.now()
+        if wants_vote:
+            self._elections.ask(peer)
+        elif is_due:
+            self._replication.send(peer)
+
+    def _peer_due(self, peer: str) -> float:
+        state = self._state
+        if state.role is Role.LEADER:
+            return self._replication.next_send(peer)
+        if self._elections.wants_vote(peer):
+            return state.clock.now()
+        return float("inf")
+
+    def _start(self, name: str, loop: Callable[[], None]) -> None:
+        thread = threading.Thread(target=loop, name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _timer_loop(self) -> None:
+        state = self._state
+        pause = state.settings.heartbeat_interval / 2
+        while not state.is_closed:
+            self.tick()
+            self._start_peer_threads()
+            with self._timer:
+                if not state.is_closed:
+                    state.clock.wait(self._timer, pause)
+
+    def _start_peer_threads(self) -> None:
+        with self._state.changed:
+            peers = set(self._state.configuration.members) - {self.node_id}
+        for peer in peers:
+            thread = self._peer_threads.get(peer)
+            if thread is not None and thread.is_alive():
+                continue
+            thread = threading.Thread(
+                target=self._peer_loop, args=(peer,), name=f"raft-{peer}", daemon=True
+            )
+            self._peer_threads[peer] = thread
+            thread.start()
+
+    def _peer_loop(self, peer: str) -> None:
+        state = self._state
+        while True:
+            with state.changed:
+                if state.is_closed or peer not in state.configuration.members:
+                    return
+                remaining = self._peer_due(peer) - state.clock.now()
+                if remaining > 0:
+                    limit = state.settings.election_timeout_max
+                    state.clock.wait(state.changed, min(remaining, limit))
+                    continue
+            self.step_peer(peer)
+
+    def _writer_loop(self) -> None:
+        self._loop(lambda: self._proposals.has_work, self.write_pending)
+
+    def _applier_loop(self) -> None:
+        try:
+            self._loop(lambda: self._applier.has_work, self.apply_committed)
+        except Exception as error:
+            # A machine that raises has not applied an entry which its peers may
+            # have applied: going on would let the copies differ silently.
+            log_event("apply_failed", level="ERROR", node=self.node_id, error=error)
+            with self._state.changed:
+                self._state.fail(error)
+            raise
+
+    def _loop(self, has_work: Callable[[], bool], step: Callable[[], None]) -> None:
+        state = self._state
+        while True:
+            with state.changed:
+                while not state.is_closed and (state.has_failed or not has_work()):
+                    limit = state.settings.election_timeout_max
+                    state.clock.wait(state.changed, limit)
+                if state.is_closed:
+                    return
+            step()
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/peers.py
@@ -0,0 +1,97 @@
+"""Typed calls to peers."""
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+from dogwoodspool_common import log_event
+from pydantic import ValidationError
+
+from .const import CODE_SOURCE_REFUSED, CODE_TARGET_MISMATCH, UNPINNED
+from .errors import PeerCallError
+from .messages import PeerRequest, PeerResponse
+from .state import NodeState
+from .transport import PeerTransport
+
+ResponseT = TypeVar("ResponseT", bound=PeerResponse)
+
+
+class PeerCaller:
+    """Send requests to members of the configuration and check who answers."""
+
+    def __init__(self, state: NodeState, transport: PeerTransport) -> None:
+        self._state = state
+        self._transport = transport
+        self._reported: set[str] = set()
+
+    def header(self, peer: str, term: int) -> Mapping[str, Any]:
+        """Return the fields that every request carries; the lock is held."""
+        state = self._state
+        member = state.configuration.members.get(peer)
+        return {
+            "source": state.node_id,
+            "source_incarnation": state.identity.incarnation,
+            "target": peer,
+            "target_incarnation": member.incarnation if member else UNPINNED,
+            "term": term,
+        }
+
+    def call(
+        self,
+        peer: str,
+        path: str,
+        request: PeerRequest,
+        response_type: type[ResponseT],
+        timeout: float | None = None,
+    ) -> ResponseT | None:
+        """Return the peer's answer; None when there is none that counts.
+
+        The lock is not held, so that a slow peer holds up nobody else.
+        """
+        state = self._state
+        with state.changed:
+            member = state.configuration.members.get(peer)
+        if member is None:
+            return None
+        seconds = state.settings.rpc_timeout if timeout is None else timeout
+        try:
+            content = self._transport.call(
+                member.address, path, request.model_dump(mode="json"), seconds
+            )
+            response = response_type.model_validate(content)
+        except PeerCallError as error:
+            self._note_refusal(peer, error)
+            return None
+        except ValidationError as error:
+            log_event("bad_peer_answer", level="WARNING", peer=peer, error=error)
+            return None
+        pinned = request.target_incarnation
+        if pinned not in (UNPINNED, response.incarnation):
+            return None
+        return response
+
+    def _note_refusal(self, peer: str, error: PeerCallError) -> None:
+        if error.code == CODE_SOURCE_REFUSED:
+            self._stop_taking_part(peer)
+        elif error.code == CODE_TARGET_MISMATCH and peer not in self._reported:
+            self._reported.add(peer)
+            log_event(
+                "peer_identity_mismatch",
+                level="ERROR",
+                peer=peer,
+                advice="remove this voter and add it under a new id",
+            )
+
+    def _stop_taking_part(self, peer: str) -> None:
+        state = self._state
+        with state.changed:
+            if state.is_refused:
+                return
+            state.is_refused = True
+            log_event(
+                "identity_refused",
+                level="ERROR",
+                node=state.node_id,
+                peer=peer,
+                advice="start with an empty folder under a new id, then add it",
+            )
+            state.become_follower(state.term)
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/replication.py
@@ -0,0 +1,148 @@
+"""Replication: the leader's messages to one peer and the follower's answers."""
+
+from .const import PATH_APPEND
+from .messages import AppendRequest, AppendResponse, EntryMessage
+from .models import Role
+from .peers import PeerCaller
+from .snapshots import SnapshotSender
+from .state import NodeState, PeerProgress
+
+
+class Replication:
+    """Bring the log to peers and take it in from a leader."""
+
+    def __init__(
+        self, state: NodeState, caller: PeerCaller, snapshots: SnapshotSender
+    ) -> None:
+        self._state = state
+        self._caller = caller
+        self._snapshots = snapshots
+
+    def next_send(self, peer: str) -> float:
+        """Return when the leader next has something to send to a peer."""
+        state = self._state
+        progress = state.progress_of(peer)
+        has_entries = progress.next_index <= state.log.last_index
+        if has_entries or progress.sent_at < state.read_round_at:
+            return progress.retry_at
+        return max(
+            progress.retry_at, progress.sent_at + state.settings.heartbeat_interval
+        )
+
+    def send(self, peer: str) -> None:
+        """Send the next entries, a heartbeat or a chunk of a snapshot."""
+        state = self._state
+        with state.changed:
+            if state.role is not Role.LEADER or peer not in state.configuration.members:
+                return
+            progress = state.progress_of(peer)
+            prev_index = progress.next_index - 1
+            prev_term = state.log.term_at(prev_index)
+            if prev_term is not None:
+                request = self._build(peer, prev_index, prev_term)
+                progress.sent_at = sent_at = state.clock.now()
+        if prev_term is None:
+            self._snapshots.send(peer)
+            return
+        response = self._caller.call(peer, PATH_APPEND, request, AppendResponse)
+        with state.changed:
+            if response is None:
+                self._delay(progress)
+            else:
+                self._take_response(peer, progress, request, response, sent_at)
+
+    def handle_append(self, request: AppendRequest) -> AppendResponse:
+        """Take in the leader's entries; answer when they are durable."""
+        state = self._state
+        with state.changed:
+            state.check_request(request)
+            is_success = request.term >= state.term and self._take_in(request)
+            return AppendResponse(
+                term=state.term,
+                incarnation=state.identity.incarnation,
+                is_success=is_success,
+                last_index=self._last_match_hint(request.prev_index),
+            )
+
+    def _last_match_hint(self, prev_index: int) -> int:
+        # Skip the whole term that differs, so that a leader finds the common
+        # entry in as many messages as there are terms and not entries.
+        log = self._state.log
+        if log.term_at(prev_index) is None:
+            return min(log.last_index, prev_index)
+        return max(log.first_index_of_term(prev_index) - 1, self._state.commit_index)
+
+    def _build(self, peer: str, prev_index: int, prev_term: int) -> AppendRequest:
+        state = self._state
+        entries = state.log.entries_from(
+            prev_index + 1, state.settings.max_batch, state.settings.max_batch_bytes
+        )
+        return AppendRequest(
+            **self._caller.header(peer, state.term),
+            leader_address=str(state.address),
+            prev_index=prev_index,
+            prev_term=prev_term,
+            entries=[EntryMessage.of(entry) for entry in entries],
+            commit_index=state.commit_index,
+        )
+
+    def _delay(self, progress: PeerProgress) -> None:
+        settings = self._state.settings
+        progress.retry_at = self._state.clock.now() + settings.heartbeat_interval
+
+    def _take_response(
+        self,
+        peer: str,
+        progress: PeerProgress,
+        request: AppendRequest,
+        response: AppendResponse,
+        sent_at: float,
+    ) -> None:
+        state = self._state
+        if response.term > state.term:
+            state.become_follower(response.term)
+            return
+        # The answer may come after this node lost its place and even led again.
+        if state.role is not Role.LEADER or state.term != request.term:
+            return
+        state.pin({peer: response.incarnation})
+        progress.acked_at = max(progress.acked_at, sent_at)
+        if response.is_success:
+            match = request.prev_index + len(request.entries)
+            progress.match_index = max(progress.match_index, match)
+            progress.next_index = progress.match_index + 1
+            state.advance_commit()
+        else:
+            lower = min(request.prev_index, response.last_index + 1)
+            progress.next_index = max(1, progress.match_index + 1, lower)
+        state.changed.notify_all()
+
+    def _take_in(self, request: AppendRequest) -> bool:
+        state = self._state
+        state.follow(request)
+        entries = request.log_entries()
+        prev_index, prev_term = request.prev_index, request.prev_term
+        # What the snapshot covers is committed, hence equal to what was sent.
+        base = state.log.base
+        if prev_index < base.index:
+            entries = [entry for entry in entries if entry.index > base.index]
+            prev_index, prev_term = base.index, base.term
+        if state.log.term_at(prev_index) != prev_term:
+            return False
+        for offset, entry in enumerate(entries):
+            known_term = state.log.term_at(entry.index)
+            if known_term == entry.term:
+                continue
+            if known_term is not None:
+                state.truncate(entry.index)
+            state.take_entries(entries[offset:])
+            break
+        # Entries of an own lost leadership may be known but not yet durable.
+        if state.log.durable_index < state.log.last_index:
+            state.log.sync()
+        last = request.prev_index + len(request.entries)
+        if min(request.commit_index, last) > state.commit_index:
+            state.commit_index = min(request.commit_index, last)
+            state.changed.notify_all()
+        state.hear_leader()
+        return True
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -0,0 +1,409 @@
+"""What the parts of a node share, guarded by one lock."""
+
+import json
+import random
+import threading
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from dogwoodspool_common import Address, Clock, log_event
+
+from .configurations import ConfigurationAt, ConfigurationHistory
+from .const import CODE_SOURCE_REFUSED, CODE_TARGET_MISMATCH, UNPINNED
+from .errors import IdentityRefusedError, StorageCorruptError, StorageFailedError
+from .log import ReplicatedLog
+from .messages import AppendRequest, PeerRequest, SnapshotRequest
+from .models import (
+    Configuration,
+    ConsensusSettings,
+    Entry,
+    EntryKind,
+    Identity,
+    Leadership,
+    LogBase,
+    Member,
+    Role,
+    Snapshot,
+    StoredState,
+    Vote,
+)
+from .storage import LogStorage
+
+NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class PeerProgress:
+    """What a leader knows of one peer.
+
+    Attributes:
+        acked_at: send time of the newest message that the peer answered in
+            this term.
+        sent_at: send time of the newest message.
+        retry_at: earliest time for the next message after a failed one.
+    """
+
+    next_index: int
+    match_index: int = 0
+    acked_at: float = NEVER
+    sent_at: float = NEVER
+    retry_at: float = NEVER
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+
+
+@dataclass(slots=True)
+class VoteRound:
+    """One round of votes; a pre-vote asks without changing any term."""
+
+    term: int
+    is_pre_vote: bool
+    granted: dict[str, str]
+    asked: set[str] = field(default_factory=set)
+
+
+class NodeState:
+    """Role, term, log and peers of one node.
+
+    Every method and attribute is used with ``changed`` held; it is notified
+    whenever a thread of the node may have something new to do.
+    """
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        address: Address,
+        storage: LogStorage,
+        clock: Clock,
+        settings: ConsensusSettings,
+        rng: random.Random,
+    ) -> None:
+        self.changed = threading.Condition(threading.RLock())
+        self.node_id = node_id
+        self.address = address
+        self.storage = storage
+        self.clock = clock
+        self.settings = settings
+        self.role = Role.FOLLOWER
+        self.vote = Vote()
+        self.leader_id: str | None = None
+        self.leader_address: Address | None = None
+        self.snapshot: Snapshot | None = None
+        self.snapshot_to_restore: Snapshot | None = None
+        self.commit_index = 0
+        self.last_applied = 0
+        self.applied_term = 0
+        self.leader_since = NEVER
+        self.first_own_index = 0
+        self.progress: dict[str, PeerProgress] = {}
+        self.round: VoteRound | None = None
+        self.election_deadline = NEVER
+        self.last_heard = NEVER
+        self.read_round_at = NEVER
+        self.is_refused = False
+        self.has_failed = False
+        self.is_closed = False
+        self.step_down_listeners: list[Callable[[], None]] = []
+        self._rng = rng
+
+    @property
+    def term(self) -> int:
+        """The newest term seen."""
+        return self.vote.term
+
+    @property
+    def configuration(self) -> Configuration:
+        """The newest configuration in the log."""
+        return self.configurations.current
+
+    @property
+    def is_electable(self) -> bool:
+        """Whether this node is a voter under the identity that is pinned."""
+        member = self.configuration.members.get(self.node_id)
+        if self.is_refused or self.has_failed or member is None:
+            return False
+        if member.incarnation == UNPINNED:
+            return member.is_voter and self.identity.initial_voters is not None
+        return member.is_voter and member.incarnation == self.identity.incarnation
+
+    def load(self, initial_voters: Mapping[str, Address], bootstrap: bool) -> None:
+        """Read the storage; make a new identity where there is none.
+
+        An empty folder gives no right to vote by itself: its owner may be a
+        voter whose disk was lost, and its vote or answer could then undo what
+        it had promised before. Only ``bootstrap`` lets it begin as a voter,
+        once in the life of a cluster.
+        """
+        stored = self.storage.load()
+        identity = stored.identity
+        if identity is None:
+            voters = initial_voters if bootstrap else None
+            identity = self.storage.create_identity(self.node_id, voters)
+            log_event(
+                "identity_created",
+                node=self.node_id,
+                incarnation=identity.incarnation,
+                bootstrap=bootstrap,
+            )
+        if identity.node_id != self.node_id:
+            raise StorageCorruptError(
+                f"the folder belongs to {identity.node_id}, not to {self.node_id}"
+            )
+        self.identity = identity
+        self.vote = stored.vote
+        self.snapshot = stored.snapshot
+        self.log = self._load_log(stored)
+        self.configurations = ConfigurationHistory(
+            self._first_configuration(identity, stored.snapshot), self._later_entries()
+        )
+        if stored.snapshot is not None:
+            self.commit_index = stored.snapshot.index
+            self.snapshot_to_restore = stored.snapshot
+        # A node that restarts may have heard from a leader right before it
+        # stopped, so it refuses votes as if it had: else its vote could elect a
+        # leader while the old one's lease still counts its answer.
+        self.hear_leader()
+
+    def hear_leader(self) -> None:
+        """Remember that a leader is alive now and postpone the own election."""
+        self.last_heard = self.clock.now()
+        self.postpone_election()
+
+    def postpone_election(self) -> None:
+        """Draw a new random election timeout from now."""
+        low = self.settings.election_timeout_min
+        high = self.settings.election_timeout_max
+        self.election_deadline = self.clock.now() + self._rng.uniform(low, high)
+
+    def check_request(self, request: PeerRequest) -> None:
+        """Refuse a message between nodes that are not who they should be.
+
+        Raises:
+            IdentityRefusedError: a wiped voter, or another process at its
+                address, sends or receives under an id whose incarnation the
+                configuration pins.
+            StorageFailedError: the disk of this node counts as lost.
+        """
+        if self.has_failed or self.is_closed:
+            raise StorageFailedError("this node takes no part any more")
+        own = self.identity.incarnation
+        if request.target != self.node_id or request.target_incarnation not in (
+            own,
+            UNPINNED,
+        ):
+            raise IdentityRefusedError(
+                f"{request.target} is not the node that was expected here",
+                CODE_TARGET_MISMATCH,
+            )
+        member = self.configuration.members.get(request.source)
+        if member is None or member.incarnation == UNPINNED:
+            return
+        if member.incarnation != request.source_incarnation:
+            raise IdentityRefusedError(
+                f"{request.source} has lost its files; it must join under a new id",
+                CODE_SOURCE_REFUSED,
+            )
+
+    def follow(self, request: AppendRequest | SnapshotRequest) -> None:
+        """Follow the leader that sent a message of a term not older than ours."""
+        if request.term > self.term or self.role is not Role.FOLLOWER:
+            self.become_follower(request.term)
+        self.leader_id = request.source
+        self.leader_address = Address.parse(request.leader_address)
+        self.hear_leader()
+
+    def truncate(self, index: int) -> None:
+        """Drop the entries from ``index`` on, which no quorum can hold.
+
+        Raises:
+            StorageCorruptError: a committed entry would be dropped, which only
+                files that lost something can cause.
+        """
+        if index <= self.commit_index:
+            raise StorageCorruptError(f"committed entry {index} differs from leader's")
+        self.log.truncate(index)
+        self.configurations.truncate(index)
+
+    def take_entries(self, entries: Sequence[Entry]) -> None:
+        """Append a leader's entries and make them durable."""
+        self.log.append(entries)
+        self.configurations.add(entries)
+        self.log.sync()
+        self.changed.notify_all()
+
+    def save_vote(self, term: int, voted_for: str | None) -> None:
+        """Make a term and vote durable, then use them."""
+        vote = Vote(term, voted_for)
+        self.storage.save_vote(vote)
+        self.vote = vote
+
+    def become_follower(self, term: int) -> None:
+        """Follow, in a newer term where there is one."""
+        if term > self.term:
+            self.save_vote(term, None)
+            self.leader_id = self.leader_address = None
+        was_leader = self.role is Role.LEADER
+        self.role = Role.FOLLOWER
+        self.round = None
+        if was_leader:
+            self.leader_id = self.leader_address = None
+            self.postpone_election()
+            log_event("stepped_down", node=self.node_id, term=self.term)
+            for listener in self.step_down_listeners:
+                listener()
+        self.changed.notify_all()
+
+    def become_leader(self, incarnations: Mapping[str, str]) -> None:
+        """Lead the current term and append its first entries.
+
+        Args:
+            incarnations: those of the voters that gave their vote, to be
+                pinned where the configuration has none yet.
+        """
+        self.role = Role.LEADER
+        self.round = None
+        self.leader_id, self.leader_address = self.node_id, self.address
+        self.leader_since = self.clock.now()
+        self.progress = {}
+        self.first_own_index = self.log.last_index + 1
+        log_event("became_leader", node=self.node_id, term=self.term)
+        self.append_own(EntryKind.NOOP, ["{}"])
+        self.pin(incarnations)
+        self.changed.notify_all()
+
+    def append_own(self, kind: EntryKind, data: Sequence[str]) -> tuple[Entry, ...]:
+        """Append entries of the leader's term; the log writer syncs them."""
+        first = self.log.last_index + 1
+        entries = tuple(
+            Entry(index, self.term, kind, text)
+            for index, text in enumerate(data, start=first)
+        )
+        self.log.append(entries)
+        self.configurations.add(entries)
+        self.changed.notify_all()
+        return entries
+
+    def append_configuration(self, configuration: Configuration) -> Entry:
+        """Append a configuration, which is in force at once."""
+        text = json.dumps(configuration.to_json(), separators=(",", ":"))
+        return self.append_own(EntryKind.CONFIGURATION, [text])[0]
+
+    def pin(self, incarnations: Mapping[str, str]) -> None:
+        """Pin the incarnations of members that have none yet."""
+        configuration = self.configuration
+        for name, incarnation in incarnations.items():
+            member = configuration.members.get(name)
+            if member is None or member.incarnation != UNPINNED:
+                continue
+            pinned = Member(member.address, incarnation, member.is_voter)
+            configuration = configuration.with_member(name, pinned)
+        if configuration is not self.configuration:
+            self.append_configuration(configuration)
+
+    def progress_of(self, peer: str) -> PeerProgress:
+        """Return the leader's record of a peer, new where there is none."""
+        if peer not in self.progress:
+            self.progress[peer] = PeerProgress(self.log.last_index + 1)
+        return self.progress[peer]
+
+    def advance_commit(self) -> None:
+        """Commit what a quorum holds durably, if it is of the leader's own term.
+
+        An entry of an older term is never committed by counting: a later leader
+        could still replace it, although a quorum holds it.
+        """
+        index = int(self._quorum_value(self._match_index))
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
+            self.changed.notify_all()
+
+    def quorum_contact(self) -> float:
+        """Return the newest time at which a quorum was still following."""
+        return self._quorum_value(self._acked_at)
+
+    def lease_end(self) -> float:
+        """Return the end of the leader's lease on this node's clock.
+
+        It counts from when the messages were sent that a quorum answered. Each
+        of those voters refuses votes for the minimum election timeout from
+        when it received the message, which is later, so until the lease ends
+        no other node can have been elected. A leader that was cut off or
+        frozen finds its lease over when it looks at the clock.
+        """
+        return self.quorum_contact() + self.settings.lease
+
+    def leadership(self) -> Leadership | None:
+        """Return the right to answer as leader now, if there is one."""
+        if self.role is not Role.LEADER or self.has_failed or self.is_closed:
+            return None
+        valid_until = self.lease_end()
+        if self.clock.now() >= valid_until or self.last_applied < self.first_own_index:
+            return None
+        return Leadership(self.term, self.leader_since, valid_until)
+
+    def fail(self, error: Exception) -> None:
+        """Take the node out of the cluster for good.
+
+        A disk that failed to sync may have lost what this node answered for.
+        Going on would count a voter that remembers nothing, so it neither votes
+        nor answers until an operator replaces it under a new id.
+        """
+        if self.has_failed:
+            return
+        self.has_failed = True
+        log_event("storage_failed", level="ERROR", node=self.node_id, error=error)
+        self.become_follower(self.term)
+
+    def _quorum_value(self, value_of: Callable[[str, Member], float]) -> float:
+        configuration = self.configuration
+        values = sorted(
+            (
+                value_of(name, configuration.members[name])
+                for name in configuration.voters
+            ),
+            reverse=True,
+        )
+        return values[configuration.quorum - 1] if values else NEVER
+
+    def _match_index(self, name: str, member: Member) -> float:
+        if name == self.node_id:
+            return self.log.durable_index
+        progress = self.progress.get(name)
+        if progress is None or member.incarnation == UNPINNED:
+            return 0
+        return progress.match_index
+
+    def _acked_at(self, name: str, member: Member) -> float:
+        if name == self.node_id:
+            return self.clock.now()
+        progress = self.progress.get(name)
+        if progress is None or member.incarnation == UNPINNED:
+            return NEVER
+        return progress.acked_at
+
+    def _load_log(self, stored: StoredState) -> ReplicatedLog:
+        log = ReplicatedLog(self.storage, stored.base, stored.entries)
+        snapshot = stored.snapshot
+        if snapshot is None:
+            if stored.base.index:
+                raise StorageCorruptError("the log begins behind a missing snapshot")
+            return log
+        if stored.base.index > snapshot.index:
+            raise StorageCorruptError("the log begins behind the snapshot")
+        # A crash between saving a snapshot that the leader sent and replacing
+        # the log leaves entries that need not follow the snapshot.
+        if log.term_at(snapshot.index) != snapshot.term:
+            log.install(LogBase(snapshot.index, snapshot.term))
+        return log
+
+    def _first_configuration(
+        self, identity: Identity, snapshot: Snapshot | None
+    ) -> ConfigurationAt:
+        if snapshot is not None:
+            return ConfigurationAt(snapshot.index, snapshot.configuration)
+        return ConfigurationAt(0, Configuration.of(identity.initial_voters or {}))
+
+    def _later_entries(self) -> Iterable[Entry]:
+        known = self.snapshot.index if self.snapshot is not None else 0
+        return (entry for entry in self.log.all_entries() if entry.index > known)
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -0,0 +1,367 @@
+"""Durable files of one node."""
+
+import json
+import os
+import threading
+import uuid
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any, Protocol, TypeVar
+
+from dogwoodspool_common import Address, log_event
+
+from .const import (
+    FILE_IDENTITY,
+    FILE_LOG,
+    FILE_SNAPSHOT,
+    FILE_VOTE,
+    TEMPORARY_SUFFIX,
+)
+from .errors import StorageCorruptError, StorageFailedError
+from .models import (
+    Configuration,
+    Entry,
+    EntryKind,
+    Identity,
+    LogBase,
+    Snapshot,
+    StoredState,
+    Vote,
+)
+from .records import encode_record, scan_records
+
+ValueT = TypeVar("ValueT")
+
+
+class LogStorage(Protocol):
+    """Keep a node's identity, vote, log and snapshot.
+
+    All but ``append`` are durable when they return. Any method that writes may
+    raise ``StorageFailedError``; the node then counts its disk as lost.
+    """
+
+    def load(self) -> StoredState:
+        """Read everything; raise ``StorageCorruptError`` for untrusted content."""
+        ...
+
+    def create_identity(
+        self, node_id: str, initial_voters: Mapping[str, Address] | None
+    ) -> Identity:
+        """Make the folder's identity, once."""
+        ...
+
+    def save_vote(self, vote: Vote) -> None:
+        """Replace term and vote."""
+        ...
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries to the log; durable only after ``sync``."""
+        ...
+
+    def sync(self) -> None:
+        """Make all appended entries durable."""
+        ...
+
+    def truncate(self, index: int) -> None:
+        """Drop the entries from ``index`` on."""
+        ...
+
+    def rewrite(self, base: LogBase, entries: Sequence[Entry]) -> None:
+        """Replace the whole log in one atomic step."""
+        ...
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot in one atomic step, unless it is newer already."""
+        ...
+
+    def close(self) -> None:
+        """Close open files."""
+        ...
+
+
+class FileLogStorage:
+    """Keep a node's state in files of one folder.
+
+    ``identity`` is written last when a folder is made, so its absence means
+    that the folder never took part in anything.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._lock = threading.Lock()
+        self._snapshot_lock = threading.Lock()
+        self._snapshot_index = 0
+        self._log_file: int | None = None
+        self._has_failed = False
+        self._first_index = 1
+        # End of each record: the header first, then one for each entry.
+        self._ends: list[int] = []
+
+    def load(self) -> StoredState:
+        """Read everything and cut a torn tail of the log."""
+        if not (self._folder / FILE_IDENTITY).exists():
+            if any((self._folder / name).exists() for name in (FILE_VOTE, FILE_LOG)):
+                self._refuse_leftovers()
+            return StoredState()
+        identity = _identity_from(self._read_single(FILE_IDENTITY))
+        vote = self._read_single(FILE_VOTE)
+        snapshot: Snapshot | None = None
+        if (self._folder / FILE_SNAPSHOT).exists():
+            snapshot = snapshot_from_json(self._read_single(FILE_SNAPSHOT))
+            self._snapshot_index = snapshot.index
+        base, entries = self._load_log()
+        return StoredState(
+            identity,
+            Vote(int(vote["term"]), vote["voted_for"]),
+            snapshot,
+            base,
+            tuple(entries),
+        )
+
+    def create_identity(
+        self, node_id: str, initial_voters: Mapping[str, Address] | None
+    ) -> Identity:
+        """Make an empty log and vote, then the identity that makes them count."""
+        # The identity must differ after a disk was wiped, so it comes from the
+        # operating system's randomness and not from the node's seeded source.
+        identity = Identity(node_id, uuid.uuid4().hex, initial_voters)
+        self._guard(lambda: self._folder.mkdir(parents=True, exist_ok=True))
+        self.save_vote(Vote())
+        self.rewrite(LogBase(), ())
+        self._write_atomically(FILE_IDENTITY, _identity_to_json(identity))
+        return identity
+
+    def save_vote(self, vote: Vote) -> None:
+        """Replace term and vote."""
+        content = {"term": vote.term, "voted_for": vote.voted_for}
+        self._write_atomically(FILE_VOTE, content)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries to the log file without a sync."""
+        with self._lock:
+            records = [encode_record(_entry_to_json(entry)) for entry in entries]
+            end = self._ends[-1]
+            for record in records:
+                end += len(record)
+                self._ends.append(end)
+            self._guard(lambda: self._write(b"".join(records)))
+
+    def sync(self) -> None:
+        """Sync the log file."""
+        # A copy of the descriptor: a rewrite may close the original meanwhile.
+        # What the rewrite wrote is durable by its own sync.
+        with self._lock:
+            file = os.dup(self._opened_log())
+        try:
+            self._guard(lambda: os.fsync(file))
+        finally:
+            os.close(file)
+
+    def truncate(self, index: int) -> None:
+        """Cut the log file before an entry.
+
+        The cut is synced before anything new is appended: without that a crash
+        could leave new records followed by old ones that look good.
+        """
+        with self._lock:
+            del self._ends[index - self._first_index + 1 :]
+            self._guard(lambda: self._cut(self._ends[-1]))
+
+    def rewrite(self, base: LogBase, entries: Sequence[Entry]) -> None:
+        """Replace the log file."""
+        header = encode_record({"base_index": base.index, "base_term": base.term})
+        records = [header, *(encode_record(_entry_to_json(item)) for item in entries)]
+        with self._lock:
+            self._replace(FILE_LOG, b"".join(records))
+            self._guard(self._reopen_log)
+            self._first_index = base.index + 1
+            self._ends = _ends_of(records)
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot file, unless a newer one came meanwhile.
+
+        The node's own snapshot and one sent by the leader may be saved at the
+        same time; the log is already cut up to the newer one.
+        """
+        with self._snapshot_lock:
+            if snapshot.index < self._snapshot_index:
+                return
+            self._write_atomically(FILE_SNAPSHOT, snapshot_to_json(snapshot))
+            self._snapshot_index = snapshot.index
+
+    def close(self) -> None:
+        """Close the log file."""
+        with self._lock:
+            if self._log_file is not None:
+                os.close(self._log_file)
+                self._log_file = None
+
+    def _load_log(self) -> tuple[LogBase, list[Entry]]:
+        path = self._folder / FILE_LOG
+        if not path.exists():
+            raise StorageCorruptError(f"{path} is missing")
+        try:
+            scanned = scan_records(path.read_bytes())
+            header, *records = scanned.records
+            base = LogBase(int(header["base_index"]), int(header["base_term"]))
+            entries = [_entry_from(record) for record in records]
+        except StorageCorruptError as error:
+            raise StorageCorruptError(f"{path}: {error}") from error
+        except (KeyError, ValueError) as error:
+            raise StorageCorruptError(f"{path}: bad record: {error}") from error
+        for expected, entry in enumerate(entries, start=base.index + 1):
+            if entry.index != expected:
+                raise StorageCorruptError(f"{path}: entry {expected} is missing")
+        self._first_index = base.index + 1
+        self._ends = list(scanned.ends)
+        with self._lock:
+            self._guard(self._reopen_log)
+            if scanned.is_torn:
+                lost = path.stat().st_size - self._ends[-1]
+                log_event("log_tail_cut", level="WARNING", path=path, bytes=lost)
+                self._guard(lambda: self._cut(self._ends[-1]))
+        return base, entries
+
+    def _refuse_leftovers(self) -> None:
+        # A crash while a new folder is made leaves an empty log and vote; any
+        # entry or vote means that the identity file was lost.
+        if (self._folder / FILE_SNAPSHOT).exists():
+            raise StorageCorruptError(f"{self._folder}: the identity file is missing")
+        vote_path, log_path = self._folder / FILE_VOTE, self._folder / FILE_LOG
+        vote = self._read_single(FILE_VOTE) if vote_path.exists() else {"term": 0}
+        has_entries = log_path.exists() and len(self._load_log()[1]) > 0
+        if vote["term"] or has_entries:
+            raise StorageCorruptError(f"{self._folder}: the identity file is missing")
+
+    def _read_single(self, name: str) -> dict[str, Any]:
+        path = self._folder / name
+        if not path.exists():
+            raise StorageCorruptError(f"{path} is missing")
+        scanned = scan_records(path.read_bytes())
+        if len(scanned.records) != 1 or scanned.is_torn:
+            raise StorageCorruptError(f"{path} is damaged")
+        return scanned.records[0]
+
+    def _write_atomically(self, name: str, content: dict[str, Any]) -> None:
+        self._replace(name, encode_record(content))
+
+    def _replace(self, name: str, content: bytes) -> None:
+        self._guard(lambda: replace_file(self._folder / name, content))
+
+    def _write(self, content: bytes) -> None:
+        view = memoryview(content)
+        while view:
+            view = view[os.write(self._opened_log(), view) :]
+
+    def _cut(self, length: int) -> None:
+        file = self._opened_log()
+        os.ftruncate(file, length)
+        os.fsync(file)
+
+    def _reopen_log(self) -> None:
+        if self._log_file is not None:
+            os.close(self._log_file)
+        self._log_file = os.open(self._folder / FILE_LOG, os.O_WRONLY | os.O_APPEND)
+
+    def _opened_log(self) -> int:
+        if self._log_file is None:
+            raise StorageFailedError("the log file is not open")
+        return self._log_file
+
+    def _guard(self, operation: Callable[[], ValueT]) -> ValueT:
+        # After a failed fsync the kernel may drop the dirty pages and report
+        # success for the next one, so no later call may be believed.
+        if self._has_failed:
+            raise StorageFailedError("the disk failed before")
+        try:
+            return operation()
+        except OSError as error:
+            self._has_failed = True
+            raise StorageFailedError(f"{self._folder}: {error}") from error
+
+
+def replace_file(path: Path, content: bytes) -> None:
+    """Write a file so that a crash leaves the old or the new content whole.
+
+    The folder is synced too: until then the new name may be lost in a crash.
+    """
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    with temporary.open("wb") as file:
+        file.write(content)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.replace(path)
+    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
+
+
+def snapshot_to_json(snapshot: Snapshot) -> dict[str, Any]:
+    """Return a snapshot as JSON content."""
+    return {
+        "index": snapshot.index,
+        "term": snapshot.term,
+        "configuration": snapshot.configuration.to_json(),
+        "state": json.loads(snapshot.state),
+    }
+
+
+def snapshot_from_json(content: Mapping[str, Any]) -> Snapshot:
+    """Read what ``snapshot_to_json`` wrote."""
+    return Snapshot(
+        int(content["index"]),
+        int(content["term"]),
+        Configuration.from_json(content["configuration"]),
+        json.dumps(content["state"], separators=(",", ":")),
+    )
+
+
+def _ends_of(records: Sequence[bytes]) -> list[int]:
+    ends: list[int] = []
+    end = 0
+    for record in records:
+        end += len(record)
+        ends.append(end)
+    return ends
+
+
+def _entry_to_json(entry: Entry) -> dict[str, Any]:
+    return {
+        "index": entry.index,
+        "term": entry.term,
+        "kind": entry.kind,
+        "data": entry.data,
+    }
+
+
+def _entry_from(record: Mapping[str, Any]) -> Entry:
+    return Entry(
+        int(record["index"]),
+        int(record["term"]),
+        EntryKind(record["kind"]),
+        str(record["data"]),
+    )
+
+
+def _identity_to_json(identity: Identity) -> dict[str, Any]:
+    voters = identity.initial_voters
+    return {
+        "node_id": identity.node_id,
+        "incarnation": identity.incarnation,
+        "initial_voters": None
+        if voters is None
+        else {name: str(address) for name, address in voters.items()},
+    }
+
+
+def _identity_from(record: Mapping[str, Any]) -> Identity:
+    voters = record["initial_voters"]
+    return Identity(
+        str(record["node_id"]),
+        str(record["incarnation"]),
+        None
+        if voters is None
+        else {name: Address.parse(text) for name, text in voters.items()},
+    )
