--- /dev/null
+++ b/packages/limits/src/dogwoodspool_limits/const.py
@@ -0,0 +1,20 @@
+"""Constants of the limits library."""
+
+from typing import Final
+
+# Latencies go into moving averages with this weight.
+LATENCY_WEIGHT: Final = 0.1
+DEFAULT_SERVICE_TIME: Final = 0.005
+
+# Adaptive concurrency: additive increase, multiplicative decrease per window.
+WINDOW_SAMPLES: Final = 20
+DECREASE_FACTOR: Final = 0.8
+LATENCY_TOLERANCE: Final = 2.0
+BASE_MEMORY: Final = 30.0
+BASE_PROBE_FACTOR: Final = 0.5
+
+# Retries that may be saved up: seconds of the minimum rate, statements of the ratio.
+RETRY_BURST_SECONDS: Final = 2.0
+RETRY_BURST_STATEMENTS: Final = 100
+
+MIN_RETRY_AFTER_MS: Final = 1
