Add the routing library: server table, eligibility, read router

Age bounds also count the time since control's word that the term is current has run out: in a failure domain cut off together with a replaced primary a replica's lag counts from that primary and says nothing of writes elsewhere.

Unreachable time is the sum of bounded steps between outcomes, so that an observer that was frozen does not report its own pause as a server's silence.

--- /dev/null
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -0,0 +1,161 @@
+"""The proxy's table of backend servers."""
+
+import threading
+from collections.abc import Iterable
+
+from dogwoodspool_api import Announcement, Observation, StatusMessage
+from dogwoodspool_common import BackendServer, Clock, ServerStatus
+from dogwoodspool_common.const import MILLISECONDS
+
+from .const import DEFAULT_ANNOUNCEMENT_EXPIRY
+from .models import ServerView
+from .server_record import ServerRecord
+
+
+class ServerTable:
+    """All that one proxy knows of backend servers.
+
+    It is written by those who follow control's view, receive announcements, probe
+    and run statements; every other object only reads it. It takes servers from
+    control's view and from announcements that are not older than the expiry, so
+    that a failure domain that is cut off from control still knows its own.
+    """
+
+    def __init__(
+        self, clock: Clock, announcement_expiry: float = DEFAULT_ANNOUNCEMENT_EXPIRY
+    ) -> None:
+        self._clock = clock
+        self._announcement_expiry = announcement_expiry
+        self._lock = threading.Lock()
+        self._records: dict[str, ServerRecord] = {}
+        self._announcements: dict[str, Announcement] = {}
+
+    def servers(self, group: str | None = None) -> list[ServerView]:
+        """Return the servers of a group, or all, ordered by name."""
+        with self._lock:
+            self._drop_expired()
+            now = self._clock.now()
+            return [
+                self._view(record, now)
+                for _name, record in sorted(self._records.items())
+                if group is None or record.server.group == group
+            ]
+
+    def get(self, name: str) -> ServerView | None:
+        """Return one server, None when it is not known."""
+        with self._lock:
+            self._drop_expired()
+            record = self._records.get(name)
+            return None if record is None else self._view(record, self._clock.now())
+
+    def observations(self) -> list[Observation]:
+        """Return how this proxy sees the servers that it has tried to reach."""
+        with self._lock:
+            self._drop_expired()
+            now = self._clock.now()
+            return [
+                _observation(name, record, now)
+                for name, record in sorted(self._records.items())
+                if record.status is not None or record.is_failing
+            ]
+
+    def announcements(self) -> list[Announcement]:
+        """Return the announcements that have not expired."""
+        with self._lock:
+            self._drop_expired()
+            return [self._announcements[name] for name in sorted(self._announcements)]
+
+    def adopt_committed(self, servers: Iterable[BackendServer]) -> None:
+        """Take over the servers of control's newest view."""
+        with self._lock:
+            committed = {server.name: server for server in servers}
+            for name, server in committed.items():
+                self._record(name).committed = server
+            for name, record in self._records.items():
+                if name not in committed:
+                    record.committed = None
+                record.note_description(self._clock.now())
+            self._drop_expired()
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take in an announcement of a server of the own failure domain."""
+        with self._lock:
+            record = self._record(announcement.server)
+            record.announced = announcement.backend_server()
+            record.announced_at = self._clock.now()
+            record.note_description(self._clock.now())
+            self._announcements[announcement.server] = announcement
+
+    def note_status(self, status: ServerStatus, asked_at: float) -> None:
+        """Take in a status.
+
+        Args:
+            status: what the server said of itself.
+            asked_at: clock seconds before the question was sent: the status may
+                have been read by the server at any moment after it.
+        """
+        with self._lock:
+            record = self._records.get(status.server)
+            if record is None:
+                return
+            record.note_answer(self._clock.now())
+            # Answers of two connections may arrive in the other order.
+            if record.status is None or asked_at >= record.asked_at:
+                record.status, record.asked_at = status, asked_at
+                record.note_description(self._clock.now())
+
+    def note_failure(self, name: str) -> None:
+        """Note that a server could not be reached; a full pool is no failure."""
+        with self._lock:
+            if name in self._records:
+                self._records[name].note_failure(self._clock.now())
+
+    def begin(self, name: str) -> None:
+        """Note that a statement goes to a server."""
+        with self._lock:
+            if name in self._records:
+                self._records[name].in_flight += 1
+
+    def end(self, name: str, latency: float, *, is_answered: bool) -> None:
+        """Note that a statement ended, after ``begin``."""
+        with self._lock:
+            record = self._records.get(name)
+            if record is None:
+                return
+            record.in_flight = max(0, record.in_flight - 1)
+            if is_answered:
+                record.note_answer(self._clock.now())
+                record.note_latency(latency, self._clock.now())
+
+    def _record(self, name: str) -> ServerRecord:
+        if name not in self._records:
+            self._records[name] = ServerRecord(known_at=self._clock.now())
+        return self._records[name]
+
+    def _view(self, record: ServerRecord, now: float) -> ServerView:
+        return ServerView(
+            server=record.server,
+            status=record.status,
+            elapsed_ms=(now - record.asked_at) * MILLISECONDS,
+            leaving_for=(
+                None if record.leaving_since is None else now - record.leaving_since
+            ),
+            is_failing=record.is_failing,
+            latency=record.latency(now),
+            in_flight=record.in_flight,
+        )
+
+    def _drop_expired(self) -> None:
+        oldest = self._clock.now() - self._announcement_expiry
+        for name, record in list(self._records.items()):
+            if record.announced is not None and record.announced_at < oldest:
+                record.announced = None
+                self._announcements.pop(name, None)
+            if record.announced is None and record.committed is None:
+                del self._records[name]
+
+
+def _observation(name: str, record: ServerRecord, now: float) -> Observation:
+    status = None if record.status is None else StatusMessage.of(record.status)
+    unreachable_ms = record.unreachable(now) * MILLISECONDS
+    return Observation(server=name, unreachable_ms=unreachable_ms, status=status)
--- /dev/null
+++ b/tests/limits/test_admission.py
@@ -0,0 +1,145 @@
+"""Tests of admission to one backend server."""
+
+import threading
+import time
+import unittest
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from dogwoodspool_common import ManualClock
+from dogwoodspool_limits import (
+    Admission,
+    AdmissionQueue,
+    Admitter,
+    Priority,
+    Refusal,
+    RefusalReason,
+    StaticSplitAdmission,
+)
+from expression import Result
+
+Outcome = Result[Admission, Refusal]
+
+
+class AdmissionTestCase(unittest.TestCase):
+    """A queue before a server with one slot and an average of 10 ms."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.executor = self.enterContext(ThreadPoolExecutor(8))
+
+    def queue(self, queue_limit: int = 4) -> AdmissionQueue:
+        queue = AdmissionQueue(self.clock, 1, 1, queue_limit)
+        for _ in range(200):
+            queue.admit(1000, Priority.READ).ok.done(0.01, True)
+        return queue
+
+    def wait_in(
+        self,
+        queue: AdmissionQueue,
+        deadline: float,
+        priority: Priority = Priority.READ,
+    ) -> "Future[Outcome]":
+        """Start a caller and return once it stands in the queue."""
+        waiting = queue.waiting
+        future = self.executor.submit(queue.admit, deadline, priority)
+        while queue.waiting == waiting and not future.done():
+            time.sleep(0.001)
+        return future
+
+
+class DeadlineTests(AdmissionTestCase):
+    """What cannot be served in time is refused, and at once where it is known."""
+
+    def test_room_admits_at_once(self) -> None:
+        self.assertTrue(self.queue().admit(0.001, Priority.READ).is_ok())
+
+    def test_wait_past_the_deadline_is_refused_at_once(self) -> None:
+        queue = self.queue()
+        held = queue.admit(1000, Priority.READ).ok
+        first = self.wait_in(queue, 1000)
+        refused = queue.admit(0.015, Priority.READ).error
+        self.assertEqual(refused.reason, RefusalReason.WAIT_TOO_LONG)
+        self.assertEqual(refused.retry_after_ms, 20)
+        held.done(0.01, True)
+        first.result(5).ok.done(0.01, True)
+
+    def test_waiter_is_refused_when_its_deadline_passes(self) -> None:
+        queue = self.queue()
+        held = queue.admit(1000, Priority.READ).ok
+        waiter = self.wait_in(queue, 1.0)
+        self.clock.advance(1.0)
+        reason = waiter.result(5).error.reason
+        self.assertEqual(reason, RefusalReason.DEADLINE_PASSED)
+        self.assertEqual(queue.waiting, 0)
+        held.done(0.01, True)
+        self.assertEqual(queue.in_flight, 0)
+
+    def test_second_done_gives_nothing_back(self) -> None:
+        queue = self.queue()
+        held = queue.admit(1000, Priority.READ).ok
+        held.done(0.01, True)
+        held.done(0.01, True)
+        self.assertEqual(queue.in_flight, 0)
+
+
+class PriorityTests(AdmissionTestCase):
+    """The primary is kept for writes and for reads that need it."""
+
+    def test_write_goes_before_reads_that_came_first(self) -> None:
+        queue = self.queue()
+        held = queue.admit(1000, Priority.READ).ok
+        read = self.wait_in(queue, 1000, Priority.READ)
+        write = self.wait_in(queue, 1000, Priority.WRITE)
+        held.done(0.01, True)
+        write.result(5).ok.done(0.01, True)
+        read.result(5).ok.done(0.01, True)
+
+    def test_full_queue_gives_a_reads_place_to_a_write(self) -> None:
+        queue = self.queue(queue_limit=2)
+        held = queue.admit(1000, Priority.READ).ok
+        kept = self.wait_in(queue, 1000, Priority.READ)
+        displaced = self.wait_in(queue, 1000, Priority.READ)
+        full = queue.admit(1000, Priority.READ).error
+        self.assertEqual(full.reason, RefusalReason.QUEUE_FULL)
+        write = self.executor.submit(queue.admit, 1000.0, Priority.WRITE)
+        reason = displaced.result(5).error.reason
+        self.assertEqual(reason, RefusalReason.DISPLACED)
+        held.done(0.01, True)
+        write.result(5).ok.done(0.01, True)
+        kept.result(5).ok.done(0.01, True)
+
+
+class BoundTests(unittest.TestCase):
+    """Statements in flight never pass the limit."""
+
+    def test_limit_holds_under_many_callers(self) -> None:
+        clock = ManualClock()
+        queues: list[Admitter] = [
+            AdmissionQueue(clock, 3, 3, 1000),
+            StaticSplitAdmission(clock, 6, 2),
+        ]
+        for queue in queues:
+            with self.subTest(queue=type(queue).__name__):
+                self.assertEqual(self.most_in_flight(queue), 3)
+
+    def most_in_flight(self, queue: Admitter) -> int:
+        lock = threading.Lock()
+        running = most = 0
+        barrier = threading.Barrier(3, timeout=10)
+
+        def caller() -> None:
+            nonlocal running, most
+            admission = queue.admit(1000, Priority.READ).ok
+            with lock:
+                running += 1
+                most = max(most, running)
+            barrier.wait()
+            with lock:
+                running -= 1
+            barrier.wait()
+            admission.done(0.001, True)
+
+        with ThreadPoolExecutor(12) as executor:
+            for future in [executor.submit(caller) for _ in range(60)]:
+                future.result(20)
+        return most
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the routing library."""
--- /dev/null
+++ b/tests/routing/test_read_router.py
@@ -0,0 +1,159 @@
+"""Tests of the choice of a server for a read."""
+
+import random
+import unittest
+from typing import Any
+
+from dogwoodspool_common import GroupState, ManualClock, Phase, Position, ServerStatus
+from dogwoodspool_routing import (
+    NoServerReason,
+    ReadChoice,
+    ReadNeed,
+    ReadRouter,
+    RouterSettings,
+)
+
+from .builders import GROUP, announcement, status, table_of
+
+
+class RouterTestCase(unittest.TestCase):
+    """A group with primary a1 and replicas b1 and c1."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+
+    def fill(self, *statuses: ServerStatus) -> None:
+        self.table = table_of(self.clock, *statuses)
+        settings = RouterSettings(replica_wait_ms=20)
+        self.router = ReadRouter(self.table, settings, random.Random(7))
+
+    def choose(
+        self,
+        need: ReadNeed,
+        own: str = "b",
+        group: GroupState = GROUP,
+        **more: Any,
+    ) -> tuple[str, bool]:
+        choice = self.router.choose(group, need, own_failure_domain=own, **more)
+        self.assertTrue(choice.is_ok(), choice)
+        chosen: ReadChoice = choice.ok
+        self.assertEqual(chosen.is_primary, chosen.server.name == "a1")
+        return chosen.server.name, chosen.must_check_status
+
+    def refused(self, need: ReadNeed, **more: Any) -> NoServerReason:
+        choice = self.router.choose(GROUP, need, own_failure_domain="b", **more)
+        self.assertTrue(choice.is_error(), choice)
+        self.assertGreater(choice.error.retry_after_ms, 0)
+        return choice.error.reason
+
+
+class ReplicaTests(RouterTestCase):
+    """Replicas take what their data allows."""
+
+    def test_near_replica_goes_first(self) -> None:
+        self.fill(status("b1", 20), status("c1", 20))
+        self.assertEqual(self.choose(ReadNeed(Position(2, 20))), ("b1", False))
+        self.assertEqual(self.choose(ReadNeed(), own="c"), ("c1", False))
+
+    def test_busy_near_replica_gives_way(self) -> None:
+        self.fill(status("b1", 20), status("c1", 20))
+        for _ in range(3):
+            self.table.begin("b1")
+        self.assertEqual(self.choose(ReadNeed()), ("c1", False))
+
+    def test_slow_replica_is_tried_again_after_a_while(self) -> None:
+        self.fill(status("b1", 20), status("c1", 20))
+        self.table.begin("b1")
+        self.table.end("b1", 0.5, is_answered=True)
+        self.assertEqual(self.choose(ReadNeed()), ("c1", False))
+        self.clock.advance(20)
+        self.assertEqual(self.choose(ReadNeed()), ("b1", False))
+
+    def test_replica_that_satisfies_goes_before_a_nearer_one(self) -> None:
+        self.fill(status("b1", 19), status("c1", 20))
+        self.assertEqual(self.choose(ReadNeed(Position(2, 20))), ("c1", False))
+
+    def test_replica_close_behind_is_asked_first(self) -> None:
+        self.fill(status("b1", 19, lag_ms=5), status("c1", 15, lag_ms=900))
+        self.assertEqual(self.choose(ReadNeed(Position(2, 20))), ("b1", True))
+
+    def test_replicas_far_behind_leave_the_read_to_the_primary(self) -> None:
+        self.fill(status("b1", 19, lag_ms=500), status("c1", 19, lag_ms=500))
+        need = ReadNeed(Position(2, 20))
+        self.assertEqual(self.choose(need), ("a1", False))
+
+    def test_replica_far_behind_is_the_hope_without_a_primary(self) -> None:
+        self.fill(status("b1", 18, lag_ms=500), status("c1", 19, lag_ms=500))
+        self.table.note_failure("a1")
+        self.assertEqual(self.choose(ReadNeed(Position(2, 20))), ("c1", True))
+        need = ReadNeed(Position(2, 20))
+        exclude = {"b1", "c1"}
+        reason = self.refused(need, exclude=exclude)
+        self.assertEqual(reason, NoServerReason.PRIMARY_UNREACHABLE)
+
+    def test_old_status_is_asked_again_for_a_stated_age(self) -> None:
+        self.fill(status("b1", 20, lag_ms=5))
+        need = ReadNeed(max_age_ms=100)
+        self.assertEqual(self.choose(need), ("b1", False))
+        self.clock.advance(0.2)
+        self.assertEqual(self.choose(need), ("b1", True))
+
+
+class PrimaryTests(RouterTestCase):
+    """Reads of sessions whose writes are not known."""
+
+    def test_unknown_session_reads_the_primary(self) -> None:
+        self.fill(status("b1", 20), status("c1", 20))
+        need = ReadNeed(needs_primary=True)
+        self.assertEqual(self.choose(need), ("a1", False))
+
+    def test_promotion_without_a_primary_says_so(self) -> None:
+        self.fill()
+        promoting = GroupState("orders", 3, None, Phase.PROMOTING, ())
+        choice = self.router.choose(
+            promoting, ReadNeed(needs_primary=True), own_failure_domain="b"
+        )
+        self.assertEqual(choice.error.reason, NoServerReason.NO_PRIMARY)
+
+
+class CutOffTests(RouterTestCase):
+    """A failure domain is cut off together with a replaced primary.
+
+    A caller there reads an order that was changed elsewhere long ago, though the
+    replica says that it lags by nothing. Cause: the lag counts from the primary
+    that the replica follows, and that one has been replaced.
+    """
+
+    def test_age_counts_from_the_last_word_of_control(self) -> None:
+        self.fill(status("b1", 20))
+        need = ReadNeed(max_age_ms=500)
+        self.assertEqual(self.choose(need, unconfirmed_ms=400), ("b1", False))
+        reason = self.refused(need, unconfirmed_ms=501)
+        self.assertEqual(reason, NoServerReason.TERM_UNCONFIRMED)
+
+    def test_unknown_session_is_refused(self) -> None:
+        self.fill(status("b1", 20))
+        reason = self.refused(ReadNeed(needs_primary=True), unconfirmed_ms=1)
+        self.assertEqual(reason, NoServerReason.TERM_UNCONFIRMED)
+
+    def test_known_session_goes_on(self) -> None:
+        self.fill(status("b1", 20))
+        need = ReadNeed(Position(2, 20))
+        self.assertEqual(self.choose(need, unconfirmed_ms=10**6), ("b1", False))
+
+
+class LeavingTests(RouterTestCase):
+    """A server that is leaving gets no new work."""
+
+    def test_leaving_replica_gets_none_from_the_first_sign(self) -> None:
+        self.fill(status("b1", 20), status("c1", 20))
+        self.table.announce(announcement("b1", is_leaving=True))
+        self.assertEqual(self.choose(ReadNeed()), ("c1", False))
+
+    def test_leaving_primary_gets_none_after_a_short_while(self) -> None:
+        self.fill(status("a1", 20, is_leaving=True))
+        need = ReadNeed(needs_primary=True)
+        self.assertEqual(self.choose(need), ("a1", False))
+        self.clock.advance(2.0)
+        reason = self.refused(need)
+        self.assertEqual(reason, NoServerReason.PRIMARY_UNREACHABLE)
--- /dev/null
+++ b/tests/routing/test_server_table.py
@@ -0,0 +1,98 @@
+"""Tests of the proxy's table of backend servers."""
+
+import unittest
+
+from dogwoodspool_common import ManualClock, Position
+from dogwoodspool_routing import ServerTable, ServerView
+
+from .builders import announcement, server, status, table_of
+
+
+class TableTestCase(unittest.TestCase):
+    """A table of a1, b1 and c1."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.table = table_of(self.clock)
+
+    def view(self, name: str) -> ServerView:
+        view = self.table.get(name)
+        assert view is not None
+        return view
+
+
+class MembershipTests(TableTestCase):
+    """Servers come from control's view and from announcements."""
+
+    def test_announced_server_is_known_until_it_is_silent(self) -> None:
+        self.table.announce(announcement("b2"))
+        self.assertEqual(len(self.table.servers("orders")), 4)
+        self.clock.advance(5.1)
+        self.assertEqual(len(self.table.servers("orders")), 3)
+        self.assertEqual(self.table.announcements(), [])
+
+    def test_announcement_moves_a_server_before_control_does(self) -> None:
+        self.table.announce(announcement("b1"))
+        self.assertEqual(self.view("b1").server.address.port, 7001)
+
+    def test_server_that_control_dropped_is_gone(self) -> None:
+        self.table.adopt_committed([server("a1")])
+        self.assertIsNone(self.table.get("b1"))
+        self.table.end("b1", 0.1, is_answered=True)
+
+    def test_server_that_stays_after_all_gets_work_again(self) -> None:
+        self.table.note_status(status("b1", 5, is_leaving=True), 0)
+        self.assertFalse(self.view("b1").takes_replica_work)
+        self.table.note_status(status("b1", 5), 0)
+        self.assertTrue(self.view("b1").takes_replica_work)
+
+
+class StatusTests(TableTestCase):
+    """Bounds count from when the status was asked for."""
+
+    def test_elapsed_time_counts_from_the_question(self) -> None:
+        self.clock.advance(1.0)
+        self.table.note_status(status("b1", 5), asked_at=0.75)
+        self.assertEqual(self.view("b1").elapsed_ms, 250)
+
+    def test_late_answer_does_not_replace_a_newer_one(self) -> None:
+        self.table.note_status(status("b1", 9), asked_at=0.5)
+        self.table.note_status(status("b1", 5), asked_at=0.4)
+        known = self.view("b1").status
+        assert known is not None
+        self.assertEqual(known.position, Position(2, 9))
+
+
+class ReachabilityTests(TableTestCase):
+    """Control hears for how long a server has given no answer.
+
+    A primary is demoted though it was never down. Cause: an observer was frozen
+    for a minute, and on waking its attempts have all timed out.
+    """
+
+    def unreachable_ms(self) -> float:
+        (seen,) = self.table.observations()
+        return seen.unreachable_ms
+
+    def test_time_counts_from_the_last_answer(self) -> None:
+        self.table.note_status(status("b1", 5), asked_at=0)
+        self.clock.advance(0.25)
+        self.assertEqual(self.unreachable_ms(), 0)
+        self.table.note_failure("b1")
+        self.clock.advance(0.25)
+        self.table.note_failure("b1")
+        self.clock.advance(0.1)
+        self.assertEqual(self.unreachable_ms(), 600)
+        self.table.note_status(status("b1", 5), asked_at=0.6)
+        self.assertEqual(self.unreachable_ms(), 0)
+
+    def test_frozen_observer_counts_one_bounded_step(self) -> None:
+        self.table.note_status(status("b1", 5), asked_at=0)
+        self.clock.advance(60)
+        self.table.note_failure("b1")
+        self.assertLessEqual(self.unreachable_ms(), 1000)
+
+    def test_frozen_table_of_one_server_reports_no_others(self) -> None:
+        table = ServerTable(self.clock)
+        table.adopt_committed([server("a1")])
+        self.assertEqual(table.observations(), [])
