Add the stand-in for one backend server of a database group

Tests, demo and load need servers with terms, log positions, lagging replicas, slots and a connection cap. mysql-mimic serves the callers; SQLite holds rows and log; replicas pull the log with PyMySQL.

Ruled out: mysql-mimic's own MysqlServer and Session (they answer 0 affected rows and last insert id, know few error numbers, and go on to the command phase after a wrong password), and keeping role and fence in the rows' file (an open transaction of a caller would hold up a fence).

--- /dev/null
+++ b/packages/standin/src/dogwoodspool_standin/connection.py
@@ -0,0 +1,315 @@
+"""One caller's connection in MySQL's protocol, on mysql-mimic's event loop."""
+
+import asyncio
+import struct
+from collections.abc import Callable, Sequence
+from concurrent.futures import Executor
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.connection import Connection
+from mysql_mimic.control import Control
+from mysql_mimic.errors import MysqlError, get_sqlstate
+from mysql_mimic.packets import (
+    make_column_count,
+    make_column_definition_41,
+    parse_com_query,
+)
+from mysql_mimic.results import ResultColumn
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import ColumnType, Commands, ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from .const import (
+    ATTR_FAILURE_DOMAIN,
+    ATTR_PROGRAM_NAME,
+    HANDSHAKE_TIMEOUT,
+    REPLICATION_USER,
+)
+from .errors import (
+    AccessDeniedError,
+    NotPreparedError,
+    StatementError,
+    TooManyConnectionsError,
+    UnknownCommandError,
+)
+from .faults import FaultSwitches
+from .models import Done, Rows
+from .session import CallerSession
+
+T = TypeVar("T")
+
+_ERROR_HEADER = 0xFF
+_SQLSTATE_MARK = b"#"
+
+
+class ConnectionRefusedByFaultError(Exception):
+    """End a connection without an answer, as a broken network would."""
+
+
+class Registry:
+    """Who is connected, against the caps; used on the event loop only."""
+
+    def __init__(self, limit: int, replication_limit: int) -> None:
+        self.peak = 0
+        self.refused = 0
+        self.callers = 0
+        self.replicas = 0
+        self._limit = limit
+        self._replication_limit = replication_limit
+
+    def enter(self, is_replication: bool) -> bool:
+        """Count a connection in; return False where the cap is reached."""
+        if is_replication:
+            is_free = self.replicas < self._replication_limit
+            self.replicas += is_free
+            return is_free
+        if self.callers >= self._limit:
+            self.refused += 1
+            return False
+        self.callers += 1
+        self.peak = max(self.peak, self.callers)
+        return True
+
+    def leave(self, is_replication: bool) -> None:
+        """Count a connection out."""
+        if is_replication:
+            self.replicas -= 1
+        else:
+            self.callers -= 1
+
+
+class MimicSession(BaseSession):
+    """What mysql-mimic wants to know; statements go to ``CallerSession``."""
+
+    def __init__(self) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+
+
+class Users(IdentityProvider):
+    """Names and passwords of the callers and of replicas."""
+
+    def __init__(self, passwords: dict[str, str]) -> None:
+        self._users = {
+            name: User(
+                name=name,
+                auth_plugin=NativePasswordAuthPlugin.name,
+                auth_string=(
+                    NativePasswordAuthPlugin.create_auth_string(password)
+                    if password
+                    else None
+                ),
+            )
+            for name, password in passwords.items()
+        }
+
+    async def get_user(self, username: str) -> User | None:
+        """Return the user of a name."""
+        return self._users.get(username)
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionParts:
+    """What all connections of a listener share."""
+
+    executor: Executor
+    faults: FaultSwitches
+    registry: Registry
+    users: Users
+    control: Control
+    is_refusing: Callable[[], bool]
+
+
+class StandinConnection(Connection):
+    """Answer one caller; blocking work goes to the executor."""
+
+    def __init__(
+        self, stream: MysqlStream, session: CallerSession, parts: ConnectionParts
+    ) -> None:
+        super().__init__(
+            stream=stream,
+            session=MimicSession(),
+            control=parts.control,
+            identity_provider=parts.users,
+        )
+        self._caller = session
+        self._parts = parts
+        self._is_counted = False
+        self._update_flags()
+
+    @property
+    def holds_write_lock(self) -> bool:
+        """Whether an open transaction of the caller has written."""
+        return self._caller.holds_write_lock
+
+    @property
+    def failure_domain(self) -> str:
+        """Where the caller says that it runs; empty for one that does not say."""
+        attributes = self.client_connect_attrs
+        return attributes.get(ATTR_FAILURE_DOMAIN) or attributes.get(
+            ATTR_PROGRAM_NAME, ""
+        )
+
+    async def serve(self) -> None:
+        """Answer until the caller leaves or the network does."""
+        try:
+            await asyncio.wait_for(self.connection_phase(), HANDSHAKE_TIMEOUT)
+            await self.command_phase()
+        except StatementError as error:
+            await self._write_error(error)
+        finally:
+            await self._in_executor(self._caller.close)
+            if self._is_counted:
+                self._parts.registry.leave(self._caller.is_replication)
+
+    async def authenticate(self, username: str, *args: Any, **kwargs: Any) -> None:
+        """Check caps and password.
+
+        mysql-mimic reports a wrong password to the caller and then goes on to
+        answer its commands; the check of ``username`` after it ends that.
+        """
+        if self._is_counted:
+            raise UnknownCommandError("changing the user is not imitated")
+        if self._parts.is_refusing() or self._parts.faults.is_cut(self.failure_domain):
+            raise ConnectionRefusedByFaultError
+        is_replication = username == REPLICATION_USER
+        if not self._parts.registry.enter(is_replication):
+            raise TooManyConnectionsError("Too many connections")
+        self._is_counted = True
+        self._caller.is_replication = is_replication
+        if await self._parts.users.get_user(username) is None:
+            raise AccessDeniedError(f"Access denied for user '{username}'")
+        await super().authenticate(username, *args, **kwargs)
+        if self.session.username is None:
+            raise ConnectionRefusedByFaultError
+        self._caller.database = self.session.database
+        self._caller.connection_id = self.connection_id
+
+    async def command_phase(self) -> None:
+        """Answer one command after the other."""
+        while True:
+            try:
+                data = await self.stream.read()
+            except ConnectionClosed:
+                return
+            if not data or data[0] == Commands.COM_QUIT:
+                return
+            await asyncio.sleep(self._parts.faults.latency)
+            await self._answer(data[0], data[1:])
+            self.stream.reset_seq()
+
+    async def handle_query(self, data: bytes) -> None:
+        """Run one statement and send its outcome or its rows."""
+        query = parse_com_query(self.capabilities, self.client_charset, data)
+        outcome = await self._in_executor(lambda: self._caller.execute(query.sql))
+        self._update_flags()
+        await asyncio.sleep(self._parts.faults.latency)
+        if isinstance(outcome, Done):
+            await self.stream.write(
+                self.ok(
+                    affected_rows=outcome.affected_rows,
+                    last_insert_id=outcome.last_insert_id,
+                )
+            )
+            return
+        await self._write_rows(outcome)
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back and forget what the connection was told."""
+        await self._in_executor(self._caller.reset)
+        self._update_flags()
+        await self.stream.write(self.ok())
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Note the database; this server has one set of tables only."""
+        self._caller.database = self.client_charset.decode(data)
+        await self.stream.write(self.ok())
+
+    async def _answer(self, command: int, rest: bytes) -> None:
+        try:
+            match command:
+                case Commands.COM_QUERY:
+                    await self.handle_query(rest)
+                case Commands.COM_PING:
+                    await self.handle_ping(rest)
+                case Commands.COM_RESET_CONNECTION:
+                    await self.handle_reset_connection(rest)
+                case Commands.COM_INIT_DB:
+                    await self.handle_init_db(rest)
+                case Commands.COM_STMT_PREPARE:
+                    raise NotPreparedError("prepared statements are not imitated")
+                case _:
+                    raise UnknownCommandError(f"unknown command {command:#x}")
+        except StatementError as error:
+            self._update_flags()
+            await self._write_error(error)
+        except MysqlError as error:
+            await self._write_error_packet(
+                int(error.code), get_sqlstate(error.code), error.msg
+            )
+
+    async def _write_rows(self, rows: Rows) -> None:
+        """Send a result chunk by chunk, at the pace of the caller."""
+        columns = [
+            ResultColumn(name, _column_type(rows.first, index))
+            for index, name in enumerate(rows.columns)
+        ]
+        head = [make_column_count(self.capabilities, len(columns))]
+        head += [
+            make_column_definition_41(
+                server_charset=self.server_charset,
+                name=column.name,
+                column_type=column.type,
+                character_set=column.character_set,
+            )
+            for column in columns
+        ]
+        if not self.deprecate_eof():
+            head.append(self.eof())
+        self.stream.write_many(head)
+        chunk, is_last = rows.first, rows.is_whole
+        while chunk:
+            self.stream.write_text_rows(chunk, columns)
+            await self.stream.drain()
+            if is_last:
+                break
+            chunk = await self._in_executor(self._caller.fetch)
+        await self.stream.write(self.ok_or_eof())
+
+    async def _in_executor(self, work: Callable[[], T]) -> T:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._parts.executor, work)
+
+    async def _write_error(self, error: StatementError) -> None:
+        await self._write_error_packet(
+            error.number, error.sqlstate.encode(), str(error)
+        )
+
+    async def _write_error_packet(
+        self, number: int, sqlstate: bytes, message: str
+    ) -> None:
+        """Send an error packet; mysql-mimic's own knows few of the numbers."""
+        packet = struct.pack("<BH", _ERROR_HEADER, number)
+        await self.stream.write(packet + _SQLSTATE_MARK + sqlstate + message.encode())
+
+    def _update_flags(self) -> None:
+        flags = ServerStatus(0)
+        if self._caller.is_autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self._caller.in_transaction:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.status_flags = flags
+
+
+def _column_type(rows: Sequence[Sequence[Any]], index: int) -> ColumnType:
+    """Choose a type that every value of the column's first chunk fits."""
+    kinds = {type(row[index]) for row in rows} - {type(None)}
+    if not kinds or str in kinds:
+        return ColumnType.VAR_STRING
+    if bytes in kinds:
+        return ColumnType.BLOB
+    return ColumnType.DOUBLE if float in kinds else ColumnType.LONGLONG
--- /dev/null
+++ b/packages/standin/src/dogwoodspool_standin/replication.py
@@ -0,0 +1,282 @@
+"""Pull the log of the followed primary and apply it."""
+
+import contextlib
+import sqlite3
+import threading
+from collections import deque
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+import pymysql
+from dogwoodspool_common import Clock, DogwoodspoolError, Position, log_event
+from dogwoodspool_common.const import MILLISECONDS
+
+from . import const
+from .errors import ReplicationError, StatementError
+from .faults import FaultSwitches
+from .member import GroupMember
+from .models import Link, LogBatch, LogEntry
+from .storage import Storage, StorageConnection
+
+_LOG: Final = "STANDIN LOG TERM %d AFTER %d LIMIT %d WAIT %d"
+
+
+class Callers(Protocol):
+    """The callers' side, which must be empty while rows are dropped."""
+
+    def begin_rebuilding(self) -> None:
+        """Drop all connections and refuse new ones."""
+        ...
+
+    def end_rebuilding(self) -> None:
+        """Take callers again."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class PendingBatch:
+    """Pulled entries that are held back to imitate lag.
+
+    Attributes:
+        due: monotonic time from which they may be applied.
+        fresh_at: a time at which the source had no entry after these; None
+            where more were known to follow.
+    """
+
+    due: float
+    entries: tuple[LogEntry, ...]
+    fresh_at: float | None
+
+
+class LogSource:
+    """A connection to the followed primary."""
+
+    def __init__(self, link: Link, shared_key: str, failure_domain: str) -> None:
+        self._connection = pymysql.connect(
+            host=link.address.host,
+            port=link.address.port,
+            user=const.REPLICATION_USER,
+            password=shared_key,
+            program_name=failure_domain,
+            connect_timeout=const.REPLICATION_TIMEOUT,
+            read_timeout=const.REPLICATION_TIMEOUT,
+            write_timeout=const.REPLICATION_TIMEOUT,
+            autocommit=None,
+        )
+
+    def pull(self, last: Position, wait_ms: int) -> LogBatch:
+        """Ask for the entries after the last one known."""
+        statement = _LOG % (last.term, last.offset, const.REPLICATION_BATCH, wait_ms)
+        with self._connection.cursor() as cursor:
+            cursor.execute(statement)
+            rows = cursor.fetchall()
+        if not rows:
+            raise ReplicationError("the source gave no answer")
+        term, last_offset, is_match, waited_ms, failure_domain = rows[0][:5]
+        entries = tuple(
+            LogEntry.from_json(*row[5:]) for row in rows if row[5] is not None
+        )
+        return LogBatch(
+            term, last_offset, bool(is_match), waited_ms, failure_domain, entries
+        )
+
+    def close(self) -> None:
+        """Close; the other side may be silent, and then never answers a word."""
+        with contextlib.suppress(pymysql.MySQLError, OSError):
+            self._connection.close()
+
+
+class Replicator:
+    """Keep this server's log a prefix of its primary's log.
+
+    One thread follows whatever link is in force. A dead link is opened again
+    with backoff; each wait is bounded.
+
+    Args:
+        member: this server.
+        storage: its rows and log.
+        callers: its callers, dropped while rows are.
+        faults: what is broken on purpose.
+        shared_key: password of replicas.
+        failure_domain: where this server runs.
+        clock: the runtime's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: GroupMember,
+        storage: Storage,
+        callers: Callers,
+        faults: FaultSwitches,
+        shared_key: str,
+        failure_domain: str,
+        clock: Clock,
+    ) -> None:
+        self._member = member
+        self._storage = storage
+        self._callers = callers
+        self._faults = faults
+        self._shared_key = shared_key
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._connection: StorageConnection | None = None
+        self._pending: deque[PendingBatch] = deque()
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="replication")
+        self._thread.daemon = True
+
+    def set_up(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Stop following."""
+        self._stopped.set()
+        self._thread.join(const.STOP_TIMEOUT)
+
+    def _run(self) -> None:
+        backoff = const.REPLICATION_FIRST_BACKOFF
+        self._connection = self._storage.connect()
+        while not self._stopped.is_set():
+            link = self._usable_link()
+            if link is None:
+                self._stopped.wait(const.REPLICATION_FIRST_BACKOFF)
+                continue
+            try:
+                self._follow(link)
+                backoff = const.REPLICATION_FIRST_BACKOFF
+            except (
+                pymysql.MySQLError,
+                sqlite3.Error,
+                OSError,
+                DogwoodspoolError,
+            ) as error:
+                log_event(
+                    "replication_failed",
+                    level="WARNING",
+                    source=link.address,
+                    error=str(error),
+                )
+                self._stopped.wait(backoff)
+                backoff = min(backoff * 2, const.REPLICATION_LAST_BACKOFF)
+        self._connection.close()
+
+    def _usable_link(self) -> Link | None:
+        link = self._member.link()
+        if link is None or self._faults.current.stop_replication:
+            return None
+        return None if self._faults.is_address_cut(link.address) else link
+
+    def _follow(self, link: Link) -> None:
+        """Pull and apply until the link is replaced or fails."""
+        self._pending.clear()
+        source = LogSource(link, self._shared_key, self._failure_domain)
+        try:
+            fetched = self._member.last_entry()
+            while not self._stopped.is_set() and self._usable_link() == link:
+                self._faults.pause_while_frozen()
+                fetched = self._pull(link, source, fetched)
+                self._apply_due(link)
+        finally:
+            source.close()
+
+    def _pull(self, link: Link, source: LogSource, fetched: Position) -> Position:
+        """Ask once; return the last entry known of now."""
+        if self._pending_entries() >= const.REPLICATION_MAX_PENDING:
+            self._stopped.wait(const.REPLICATION_FIRST_BACKOFF)
+            return fetched
+        asked = self._clock.now()
+        batch = source.pull(fetched, self._wait_ms(asked))
+        if self._faults.is_cut(batch.failure_domain):
+            raise ReplicationError(f"cut off from {batch.failure_domain}")
+        if batch.source_term < link.term:
+            raise ReplicationError(
+                f"the source has term {batch.source_term}, not {link.term} yet"
+            )
+        if not batch.is_match:
+            return self._handle_divergence(link, batch, fetched)
+        self._member.adopt_lineage(link, batch.source_term)
+        return self._keep(batch, fetched, asked)
+
+    def _keep(self, batch: LogBatch, fetched: Position, asked: float) -> Position:
+        last = fetched
+        if batch.entries:
+            last = Position(batch.entries[-1].term, batch.entries[-1].offset)
+        # The answer was made no earlier than this, by this server's own clock.
+        waited = batch.waited_ms / MILLISECONDS * const.REPLICATION_CLOCK_MARGIN
+        is_all = last.offset == batch.last_offset
+        due = self._clock.now() + self._faults.replication_lag
+        fresh_at = asked + waited if is_all else None
+        self._pending.append(PendingBatch(due, batch.entries, fresh_at))
+        return last
+
+    def _handle_divergence(
+        self, link: Link, batch: LogBatch, fetched: Position
+    ) -> Position:
+        """Drop rows that are none of the primary's history, to replay it all."""
+        self._pending.clear()
+        applied = self._member.last_entry()
+        if applied != fetched:
+            return applied
+        log_event(
+            "log_diverged",
+            level="WARNING",
+            term=applied.term,
+            offset=applied.offset,
+            source_term=batch.source_term,
+        )
+        self._callers.begin_rebuilding()
+        try:
+            self._drop_rows(link)
+        finally:
+            self._callers.end_rebuilding()
+        self._member.adopt_lineage(link, batch.source_term)
+        return Position(0, 0)
+
+    def _drop_rows(self, link: Link) -> None:
+        connection = self._writer()
+        try:
+            connection.begin(is_write=True)
+            connection.drop_rows()
+            self._member.commit_dropped(link, connection)
+        finally:
+            connection.rollback()
+            self._storage.write_lock.release()
+
+    def _apply_due(self, link: Link) -> None:
+        """Apply what was held back long enough."""
+        while self._pending and self._pending[0].due <= self._clock.now():
+            batch = self._pending[0]
+            if batch.entries:
+                self._apply(link, batch.entries)
+            self._pending.popleft()
+            if batch.fresh_at is not None:
+                self._member.note_fresh(link, batch.fresh_at)
+
+    def _apply(self, link: Link, entries: tuple[LogEntry, ...]) -> None:
+        connection = self._writer()
+        try:
+            connection.begin(is_write=True)
+            for entry in entries:
+                for statement in entry.statements:
+                    connection.replay(statement)
+            self._member.commit_replicated(link, connection, entries)
+        finally:
+            connection.rollback()
+            self._storage.write_lock.release()
+
+    def _writer(self) -> StorageConnection:
+        if self._connection is None:
+            raise StatementError("replication has not begun")
+        self._storage.write_lock.acquire(const.REPLICATION_TIMEOUT)
+        return self._connection
+
+    def _wait_ms(self, now: float) -> int:
+        if not self._pending:
+            return const.REPLICATION_POLL_MS
+        until_due = max(0.0, self._pending[0].due - now) * MILLISECONDS
+        return min(const.REPLICATION_POLL_MS, int(until_due))
+
+    def _pending_entries(self) -> int:
+        return sum(len(batch.entries) for batch in self._pending)
--- /dev/null
+++ b/packages/standin/src/dogwoodspool_standin/session.py
@@ -0,0 +1,393 @@
+"""Statements of one caller's connection, one after the other."""
+
+import re
+import sqlite3
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+from dogwoodspool_common import Clock
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from .commands import StandinCommands
+from .const import ROWS_PER_CHUNK
+from .dialect import read_statement, translate
+from .errors import (
+    AccessDeniedError,
+    DeadlockError,
+    StatementError,
+    SyntaxStatementError,
+    UnknownVariableError,
+    statement_error,
+)
+from .faults import FaultSwitches
+from .member import GroupMember
+from .models import Done, LoggedStatement, Outcome, Rows, Statement, StatementKind
+from .slots import Slots
+from .storage import Storage, StorageConnection, column_names
+
+_AUTOCOMMIT: Final = re.compile(
+    r"(?:@@|SESSION\s+|LOCAL\s+)?(?:SESSION\.)?AUTOCOMMIT\s*:?=\s*'?(\w+)",
+    re.IGNORECASE,
+)
+_VARIABLE: Final = re.compile(
+    r"@@(?:(?:session|global|local)\.)?(\w+)(?:\s+AS\s+(\w+))?", re.IGNORECASE
+)
+_SNAPSHOT: Final = re.compile(r"READ\s+ONLY|CONSISTENT\s+SNAPSHOT", re.IGNORECASE)
+_SHOW_TABLES: Final = re.compile(r"SHOW\s+TABLES\b", re.IGNORECASE)
+_SHOW_VARIABLES: Final = re.compile(
+    r"SHOW\s+(?:SESSION\s+|GLOBAL\s+)?VARIABLES(?:\s+LIKE\s+'([^']*)')?", re.IGNORECASE
+)
+_SHOW_WARNINGS: Final = re.compile(r"SHOW\s+(?:WARNINGS|ERRORS)\b", re.IGNORECASE)
+_TABLES: Final = (
+    "SELECT name FROM sqlite_master WHERE type = 'table' "
+    "AND name NOT LIKE 'sqlite~_%' ESCAPE '~' "
+    "AND name NOT LIKE '~_standin~_%' ESCAPE '~'"
+)
+_OFF: Final = frozenset({"0", "off", "false"})
+
+
+@dataclass
+class StatementCounters:
+    """What the server counts over all connections."""
+
+    statements: int = 0
+    writes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SessionParts:
+    """What all connections of a server share."""
+
+    storage: Storage
+    member: GroupMember
+    commands: StandinCommands
+    slots: Slots
+    faults: FaultSwitches
+    counters: StatementCounters
+    clock: Clock
+    lock_wait: float
+
+
+class CallerSession:
+    """Run statements of one connection and keep its transaction.
+
+    A transaction sees what is committed at each of its reads until its first
+    write or locking read; from then on it holds the write lock, so that it needs
+    no retry. ``START TRANSACTION READ ONLY`` and ``WITH CONSISTENT SNAPSHOT``
+    read from one snapshot.
+
+    Its methods are called by one thread at a time.
+    """
+
+    def __init__(self, parts: SessionParts) -> None:
+        self.database: str | None = None
+        self.connection_id = 0
+        self.is_replication = False
+        self._parts = parts
+        self._variables = SessionVariables(GlobalVariables())
+        self._connection: StorageConnection | None = None
+        self._is_autocommit = True
+        self._in_transaction = False
+        self._holds_write_lock = False
+        self._holds_slot = False
+        self._statements: list[LoggedStatement] = []
+        self._cursor: sqlite3.Cursor | None = None
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open, as the status flag says."""
+        return self._in_transaction
+
+    @property
+    def is_autocommit(self) -> bool:
+        """Whether a statement outside a transaction commits by itself."""
+        return self._is_autocommit
+
+    @property
+    def holds_write_lock(self) -> bool:
+        """Whether an open transaction of this connection has written."""
+        return self._holds_write_lock
+
+    def execute(self, text: str) -> Outcome:
+        """Run one statement and return its outcome or the head of its rows.
+
+        Raises:
+            StatementError: with MySQL's number.
+        """
+        self._parts.faults.pause_while_frozen()
+        self.finish()
+        statement = read_statement(text)
+        kind = statement.kind
+        is_command = kind is StatementKind.COMMAND or (
+            kind is StatementKind.SHOW
+            and self._parts.commands.is_command(statement.sql)
+        )
+        if is_command:
+            return self._parts.commands.execute(statement.sql)
+        if self.is_replication and kind is not StatementKind.SET:
+            raise AccessDeniedError("this user may read the log only")
+        return self._execute_sql(statement)
+
+    def fetch(self) -> Sequence[Sequence[Any]]:
+        """Return the next rows of the open result; none when it is whole."""
+        self._parts.faults.pause_while_frozen()
+        if self._cursor is None:
+            return []
+        try:
+            rows = self._cursor.fetchmany(ROWS_PER_CHUNK)
+        except sqlite3.Error as error:
+            self.finish()
+            raise statement_error(error) from error
+        if len(rows) < ROWS_PER_CHUNK:
+            self.finish()
+        return rows
+
+    def finish(self) -> None:
+        """Give up the rest of an open result."""
+        if self._cursor is not None:
+            self._cursor.close()
+            self._cursor = None
+        self._release_slot()
+
+    def reset(self) -> None:
+        """Roll back and forget what the connection was told."""
+        self.finish()
+        self._end_transaction()
+        self._is_autocommit = True
+
+    def close(self) -> None:
+        """Roll back and close the files."""
+        self.finish()
+        self._end_transaction()
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _execute_sql(self, statement: Statement) -> Outcome:
+        self._parts.counters.statements += 1
+        match statement.kind:
+            case StatementKind.SET:
+                return self._set(statement.sql)
+            case StatementKind.VARIABLES:
+                return self._select_variables(statement.sql)
+            case StatementKind.USE:
+                self.database = statement.sql.split()[-1].strip("`")
+                return Done()
+            case StatementKind.BEGIN:
+                return self._begin(statement.sql)
+            case StatementKind.COMMIT:
+                return self._commit()
+            case StatementKind.ROLLBACK:
+                self._end_transaction()
+                return Done()
+            case StatementKind.SHOW:
+                return self._show(statement.sql)
+            case StatementKind.SCHEMA:
+                self._commit()
+                return self._write(statement)
+            case StatementKind.WRITE:
+                return self._write(statement)
+            case StatementKind.SAVEPOINT:
+                return self._savepoint(statement)
+            case _:
+                return self._read(statement)
+
+    def _begin(self, sql: str) -> Done:
+        self._commit()
+        self._in_transaction = True
+        if _SNAPSHOT.search(sql):
+            self._open().begin(is_write=False)
+        return Done()
+
+    def _commit(self) -> Done:
+        if not self._in_transaction:
+            return Done()
+        if self._connection is None or not self._connection.is_in_transaction:
+            self._end_transaction()
+            return Done()
+        self._take_slot()
+        try:
+            self._commit_open(self._connection)
+        finally:
+            self._release_slot()
+            self._end_transaction()
+        return Done()
+
+    def _commit_open(self, connection: StorageConnection) -> None:
+        if self._statements:
+            self._parts.member.commit(connection, tuple(self._statements))
+            self._parts.counters.writes += 1
+        else:
+            connection.commit()
+
+    def _end_transaction(self) -> None:
+        """Roll back what is still open and give the write lock back."""
+        if self._connection is not None:
+            self._connection.rollback()
+        self._in_transaction = False
+        self._statements = []
+        if self._holds_write_lock:
+            self._holds_write_lock = False
+            self._parts.storage.write_lock.release()
+
+    def _read(self, statement: Statement) -> Outcome:
+        if not self._is_autocommit:
+            self._in_transaction = True
+        if statement.is_locking and self._in_transaction:
+            self._become_writer()
+        self._take_slot()
+        try:
+            cursor = self._run(statement)
+            rows = cursor.fetchmany(ROWS_PER_CHUNK)
+        except sqlite3.Error as error:
+            self._release_slot()
+            raise statement_error(error) from error
+        except StatementError:
+            self._release_slot()
+            raise
+        self._cursor = cursor
+        is_whole = len(rows) < ROWS_PER_CHUNK
+        columns = column_names(cursor)
+        if is_whole:
+            self.finish()
+        return Rows(columns, rows, is_whole)
+
+    def _write(self, statement: Statement) -> Done:
+        is_alone = self._is_autocommit and not self._in_transaction
+        is_alone = is_alone or statement.kind is StatementKind.SCHEMA
+        self._in_transaction = self._in_transaction or not is_alone
+        try:
+            self._become_writer()
+            self._take_slot()
+            try:
+                done = self._run_write(statement)
+                if is_alone:
+                    self._commit_open(self._open())
+            finally:
+                self._release_slot()
+        finally:
+            if is_alone:
+                self._end_transaction()
+        return done
+
+    def _savepoint(self, statement: Statement) -> Done:
+        if not self._in_transaction:
+            return Done()
+        self._become_writer()
+        self._run_write(statement)
+        return Done()
+
+    def _become_writer(self) -> None:
+        """Take the write lock before a slot, never the other way round.
+
+        A statement that waited for the lock in a slot would keep the slot from
+        the lock's holder, whose commit needs one; both would wait until a
+        timeout.
+        """
+        member, storage = self._parts.member, self._parts.storage
+        member.check_writable()
+        if self._holds_write_lock:
+            return
+        connection = self._open()
+        if connection.is_in_transaction:
+            # A snapshot of before: SQLite says whether it is too old to write.
+            storage.write_lock.acquire(self._parts.lock_wait)
+            self._holds_write_lock = True
+            return
+        storage.write_lock.acquire(self._parts.lock_wait)
+        self._holds_write_lock = True
+        connection.begin(is_write=True)
+
+    def _run_write(self, statement: Statement) -> Done:
+        connection = self._open()
+        try:
+            cursor = self._run(statement)
+            affected = max(0, cursor.rowcount)
+            table = statement.insert_table
+            insert_id = connection.note_insert(table, cursor) if table else 0
+            cursor.close()
+        except sqlite3.Error as error:
+            failure = statement_error(error)
+            if isinstance(failure, DeadlockError):
+                self._end_transaction()
+            raise failure from error
+        return Done(affected, insert_id)
+
+    def _run(self, statement: Statement) -> sqlite3.Cursor:
+        """Run a statement as it stands or, where SQLite refuses it, translated."""
+        self._parts.clock.sleep(self._parts.faults.service_time)
+        self._parts.faults.pause_while_frozen()
+        connection = self._open()
+        before = connection.last_insert_id
+        sql = statement.sql
+        try:
+            cursor = connection.execute(sql)
+        except sqlite3.OperationalError as error:
+            if not isinstance(statement_error(error), SyntaxStatementError):
+                raise
+            sql = translate(statement.original)
+            cursor = connection.execute(sql)
+        if statement.kind is not StatementKind.READ:
+            self._statements.append(connection.logged(sql, before))
+        return cursor
+
+    def _set(self, sql: str) -> Done:
+        match = _AUTOCOMMIT.search(sql)
+        if match is None:
+            return Done()
+        is_on = match.group(1).lower() not in _OFF
+        if is_on and not self._is_autocommit:
+            self._commit()
+        self._is_autocommit = is_on
+        return Done()
+
+    def _select_variables(self, sql: str) -> Rows:
+        names: list[str] = []
+        values: list[Any] = []
+        for match in _VARIABLE.finditer(sql):
+            name = match.group(1).lower()
+            names.append(match.group(2) or match.group(0))
+            values.append(self._variable(name))
+        return Rows(tuple(names), [tuple(values)], is_whole=True)
+
+    def _variable(self, name: str) -> Any:
+        if name == "autocommit":
+            return int(self._is_autocommit)
+        if name in {"read_only", "super_read_only"}:
+            return int(not self._parts.member.is_primary)
+        value = self._variables.get(name)
+        if value is None:
+            raise UnknownVariableError(f"Unknown system variable '{name}'")
+        return int(value) if isinstance(value, bool) else value
+
+    def _show(self, sql: str) -> Rows:
+        if _SHOW_TABLES.match(sql):
+            rows = self._open().execute(_TABLES).fetchall()
+            return Rows((f"Tables_in_{self.database or ''}",), rows, is_whole=True)
+        if match := _SHOW_VARIABLES.match(sql):
+            name = match.group(1) or ""
+            return Rows(
+                ("Variable_name", "Value"),
+                [(name, self._variable(name))],
+                is_whole=True,
+            )
+        if _SHOW_WARNINGS.match(sql):
+            return Rows(("Level", "Code", "Message"), [], is_whole=True)
+        raise SyntaxStatementError(f"not imitated: '{sql[:60]}'")
+
+    def _open(self) -> StorageConnection:
+        if self._connection is None:
+            self._connection = self._parts.storage.connect()
+        self._connection.database = self.database or ""
+        self._connection.connection_id = self.connection_id
+        return self._connection
+
+    def _take_slot(self) -> None:
+        self._parts.slots.acquire()
+        self._holds_slot = True
+
+    def _release_slot(self) -> None:
+        if self._holds_slot:
+            self._holds_slot = False
+            self._parts.slots.release()
--- /dev/null
+++ b/packages/standin/src/dogwoodspool_standin/state.py
@@ -0,0 +1,54 @@
+"""Role, term and fence of one server, durable across restarts."""
+
+import sqlite3
+from pathlib import Path
+from typing import Final
+
+from dogwoodspool_common import Address, Role
+
+from .const import FILE_STATE
+from .models import DurableState
+
+_CREATE: Final = (
+    "CREATE TABLE IF NOT EXISTS state (id INTEGER PRIMARY KEY CHECK (id = 1), "
+    "role TEXT NOT NULL, term INTEGER NOT NULL, fenced_term INTEGER NOT NULL, "
+    "follow TEXT, follow_term INTEGER NOT NULL)"
+)
+_SAVE: Final = "INSERT OR REPLACE INTO state VALUES (1, ?, ?, ?, ?, ?)"
+_LOAD: Final = "SELECT role, term, fenced_term, follow, follow_term FROM state"
+
+
+class StateStore:
+    """Keep ``DurableState`` in a SQLite file of its own.
+
+    In the file of the rows a fence would wait for an open transaction of some
+    caller that holds SQLite's write lock, perhaps for ever.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._connection = sqlite3.connect(
+            folder / FILE_STATE, isolation_level=None, check_same_thread=False
+        )
+        self._connection.execute("PRAGMA synchronous = FULL")
+        self._connection.execute(_CREATE)
+
+    def load(self) -> DurableState | None:
+        """Return what was saved last, None at the very first start."""
+        row = self._connection.execute(_LOAD).fetchone()
+        if row is None:
+            return None
+        role, term, fenced_term, follow, follow_term = row
+        address = Address.parse(follow) if follow else None
+        return DurableState(Role(role), term, fenced_term, address, follow_term)
+
+    def save(self, state: DurableState) -> None:
+        """Write the state; on return it outlives the process."""
+        follow = str(state.follow) if state.follow else None
+        self._connection.execute(
+            _SAVE,
+            (state.role, state.term, state.fenced_term, follow, state.follow_term),
+        )
+
+    def close(self) -> None:
+        """Close the file."""
+        self._connection.close()
