Prove the replicated log by tests over a network in memory

No thread runs in them: the steps of a node are called one by one.

A proposal behind an applied entry of a newer term is now refused as surely not run, where it stayed unknown: terms only grow along a committed log.

--- a/packages/consensus/src/dogwoodspool_consensus/proposals.py
+++ b/packages/consensus/src/dogwoodspool_consensus/proposals.py
@@ -125,16 +125,20 @@
             state.advance_commit()
 
     def resolve(self, index: int, term: int, result: dict[str, Any]) -> None:
-        """Answer the proposal whose place in the log was decided."""
+        """Answer the proposals whose fate an applied entry decides.
+
+        Terms only grow along a committed log, so a proposal of an older term
+        that is not applied yet can never follow this entry.
+        """
         with self._state.changed:
-            proposal = self._waiting.pop(index, None)
-        if proposal is None:
-            return
-        if proposal.term == term:
-            proposal.complete(result)
-        else:
-            # Another leader's entry is committed in its place for good.
-            proposal.fail(NotLeaderError(self._state.leader_address))
+            leader = self._state.leader_address
+            proposal = self._waiting.get(index)
+            if proposal is not None and proposal.term == term:
+                self._waiting.pop(index).complete(result)
+            for known in [
+                key for key, item in self._waiting.items() if item.term < term
+            ]:
+                self._waiting.pop(known).fail(NotLeaderError(leader))
 
     def resolve_through_snapshot(self, index: int) -> None:
         """Give up the proposals whose entries only a snapshot shows."""
--- /dev/null
+++ b/tests/consensus/fakes.py
@@ -0,0 +1,296 @@
+"""Storage, network and clocks that tests control; no thread runs."""
+
+import random
+import threading
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+from dogwoodspool_common import Address
+from dogwoodspool_consensus import (
+    ConsensusNode,
+    ConsensusSettings,
+    IdentityRefusedError,
+    NotLeaderError,
+    PeerCallError,
+    StorageError,
+    StorageFailedError,
+)
+from dogwoodspool_consensus.models import (
+    Entry,
+    Identity,
+    LogBase,
+    Snapshot,
+    StoredState,
+    Vote,
+)
+
+SETTINGS = ConsensusSettings(snapshot_every=8, log_kept=2, max_batch=4)
+
+
+class SimulatedCrashError(Exception):
+    """The process ended in the middle of a step."""
+
+
+class SteppingClock:
+    """A clock that a test advances; a wait lets the others act meanwhile."""
+
+    def __init__(self, rate: float = 1.0) -> None:
+        self.rate = rate
+        self.on_wait: Callable[[], None] = lambda: None
+        self._now = 100.0
+        self._is_waiting = False
+
+    def now(self) -> float:
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        self._now += seconds * self.rate
+
+    def sleep(self, seconds: float) -> None:
+        self._now += seconds
+
+    def wait(self, condition: threading.Condition, seconds: float) -> bool:
+        if not self._is_waiting:
+            self._is_waiting = True
+            self.on_wait()
+            self._is_waiting = False
+        self._now += min(seconds, 0.05)
+        return False
+
+
+class MemoryLogStorage:
+    """Keep what was synced apart from what a crash may lose."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._wipes = 0
+        self.stored = StoredState()
+        self._unsynced: list[Entry] = []
+        self.on_sync: Callable[[], None] = lambda: None
+        self.has_failing_disk = False
+
+    def load(self) -> StoredState:
+        return self.stored
+
+    def create_identity(
+        self, node_id: str, initial_voters: Mapping[str, Address] | None
+    ) -> Identity:
+        identity = Identity(node_id, f"{self._name}.{self._wipes}", initial_voters)
+        self._change(identity=identity)
+        return identity
+
+    def save_vote(self, vote: Vote) -> None:
+        self._check()
+        self._change(vote=vote)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        self._unsynced.extend(entries)
+
+    def sync(self) -> None:
+        self._check()
+        self.on_sync()
+        self._keep_unsynced(len(self._unsynced))
+
+    def truncate(self, index: int) -> None:
+        self._keep_unsynced(len(self._unsynced))
+        kept = index - self.stored.base.index - 1
+        self._change(entries=self.stored.entries[:kept])
+
+    def rewrite(self, base: LogBase, entries: Sequence[Entry]) -> None:
+        self._unsynced = []
+        self._change(base=base, entries=tuple(entries))
+
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        known = self.stored.snapshot
+        if known is None or known.index <= snapshot.index:
+            self._change(snapshot=snapshot)
+
+    def close(self) -> None:
+        pass
+
+    def crash(self, kept: int = 0) -> None:
+        """Lose unsynced entries but the first ``kept``."""
+        self._keep_unsynced(kept)
+        self._unsynced = []
+
+    def wipe(self) -> None:
+        """Lose everything."""
+        self._wipes += 1
+        self.stored, self._unsynced = StoredState(), []
+
+    def _keep_unsynced(self, count: int) -> None:
+        kept, self._unsynced = self._unsynced[:count], self._unsynced[count:]
+        self._change(entries=self.stored.entries + tuple(kept))
+
+    def _change(self, **values: Any) -> None:
+        known = {name: getattr(self.stored, name) for name in StoredState.__slots__}
+        self.stored = StoredState(**{**known, **values})
+
+    def _check(self) -> None:
+        if self.has_failing_disk:
+            raise StorageFailedError("simulated")
+
+
+class RecordingMachine:
+    """Remember every command with its index; refuse one that comes twice."""
+
+    def __init__(self, on_apply: Callable[[int, str], None]) -> None:
+        self.applied: dict[int, str] = {}
+        self._on_apply = on_apply
+
+    def apply(self, index: int, command: dict[str, Any]) -> dict[str, Any]:
+        assert index > max(self.applied, default=0), "applied out of order"
+        self.applied[index] = command["id"]
+        self._on_apply(index, command["id"])
+        return {"index": index}
+
+    def snapshot(self) -> dict[str, Any]:
+        return {str(index): text for index, text in self.applied.items()}
+
+    def restore(self, snapshot: dict[str, Any]) -> None:
+        self.applied = {int(index): text for index, text in snapshot.items()}
+        for index, text in self.applied.items():
+            self._on_apply(index, text)
+
+
+class Cluster:
+    """Nodes over a network in memory; every step is called by the test."""
+
+    def __init__(self, count: int, rates: Sequence[float] = ()) -> None:
+        self.addresses = {f"n{i}": Address("10.0.0.1", i) for i in range(count)}
+        self.voters = dict(self.addresses)
+        self.nodes: dict[str, ConsensusNode] = {}
+        self.machines: dict[str, RecordingMachine] = {}
+        self.storages: dict[str, MemoryLogStorage] = {}
+        self.clocks: dict[str, SteppingClock] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.frozen: set[str] = set()
+        self.committed: dict[int, str] = {}
+        self.sent: list[tuple[str, str, dict[str, Any]]] = []
+        self.on_answer: Callable[[], None] | None = None
+        self._rates = dict(zip(self.addresses, rates, strict=False))
+        for name in list(self.addresses):
+            self.start(name, bootstrap=True)
+
+    def start(self, name: str, *, bootstrap: bool = False) -> None:
+        """Start a node on what its storage holds."""
+        self.addresses.setdefault(name, Address("10.0.0.1", len(self.addresses)))
+        clock = self.clocks.setdefault(name, SteppingClock(self._rates.get(name, 1.0)))
+        clock.on_wait = self.settle
+        self.machines[name] = RecordingMachine(self._check_applied)
+        self.nodes[name] = ConsensusNode(
+            node_id=name,
+            address=self.addresses[name],
+            storage=self.storages.setdefault(name, MemoryLogStorage(name)),
+            machine=self.machines[name],
+            transport=NodeTransport(self, name),
+            clock=clock,
+            settings=SETTINGS,
+            initial_voters=self.voters,
+            rng=random.Random(name),
+            bootstrap=bootstrap,
+        )
+        self.nodes[name].load()
+
+    def crash(self, name: str, kept: int = 0) -> None:
+        """End a node; what it had not synced is lost but for some entries."""
+        self.nodes.pop(name, None)
+        self.storages[name].on_sync = lambda: None
+        self.storages[name].crash(kept)
+
+    def running(self) -> list[str]:
+        """Return the nodes that act."""
+        return [name for name in sorted(self.nodes) if name not in self.frozen]
+
+    def cut_off(self, name: str) -> None:
+        """Cut a node off from all others."""
+        self.cuts |= {frozenset({name, other}) for other in self.addresses} - {
+            frozenset({name})
+        }
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass everywhere, by each node's own rate."""
+        for clock in self.clocks.values():
+            clock.advance(seconds)
+
+    def step(self, name: str) -> None:
+        """Let one node do everything that is due."""
+        node = self.nodes.get(name)
+        if node is None or name in self.frozen:
+            return
+        try:
+            node.tick()
+            node.write_pending()
+            for peer in sorted(set(self.addresses) - {name}):
+                node.step_peer(peer)
+            node.apply_committed()
+        except SimulatedCrashError:
+            self.crash(name)
+
+    def settle(self, rounds: int = 2) -> None:
+        """Let all nodes act a few times without time passing."""
+        for _ in range(rounds):
+            for name in self.running():
+                self.step(name)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in short steps while all nodes act."""
+        for _ in range(round(seconds / 0.05)):
+            self.advance(0.05)
+            self.settle(1)
+
+    def leader(self) -> str:
+        """Run until a node may answer as leader."""
+        for _ in range(200):
+            self.run(0.05)
+            leaders = self.leaders()
+            if leaders:
+                return leaders[0]
+        raise AssertionError("no leader was elected")
+
+    def leaders(self) -> list[str]:
+        """Return the nodes, frozen ones too, that would answer as leader."""
+        return [name for name in sorted(self.nodes) if self.nodes[name].leadership()]
+
+    def deliver(self, target: str, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Hand a request to a node."""
+        node = self.nodes.get(target)
+        if node is None or target in self.frozen:
+            raise PeerCallError("no answer")
+        try:
+            return node.handle(path, body)
+        except IdentityRefusedError as error:
+            raise PeerCallError(str(error), error.code) from error
+        except (StorageError, NotLeaderError) as error:
+            raise PeerCallError(str(error)) from error
+        except SimulatedCrashError as error:
+            self.crash(target)
+            raise PeerCallError("no answer") from error
+
+    def _check_applied(self, index: int, text: str) -> None:
+        known = self.committed.setdefault(index, text)
+        assert known == text, f"entry {index} was {known} and is {text}"
+
+
+class NodeTransport:
+    """Carry requests between the nodes of a cluster."""
+
+    def __init__(self, cluster: Cluster, source: str) -> None:
+        self._cluster = cluster
+        self._source = source
+
+    def call(
+        self, address: Address, path: str, body: dict[str, Any], timeout: float
+    ) -> dict[str, Any]:
+        cluster = self._cluster
+        names = [name for name, at in cluster.addresses.items() if at == address]
+        if not names or frozenset({self._source, names[0]}) in cluster.cuts:
+            raise PeerCallError("no answer")
+        cluster.sent = [*cluster.sent[-20:], (names[0], path, body)]
+        answer = cluster.deliver(names[0], path, body)
+        meanwhile, cluster.on_answer = cluster.on_answer, None
+        if meanwhile is not None:
+            meanwhile()
+        if frozenset({self._source, names[0]}) in cluster.cuts:
+            raise PeerCallError("the answer was lost")
+        return answer
--- /dev/null
+++ b/tests/consensus/test_lease.py
@@ -0,0 +1,111 @@
+"""Tests of the leader's lease."""
+
+import unittest
+
+from dogwoodspool_consensus import ConsensusSettings, NotConfirmedError, NotLeaderError
+
+from .fakes import SETTINGS, Cluster
+
+
+class LeaseTests(unittest.TestCase):
+    """At any moment at most one node answers as leader."""
+
+    def setUp(self) -> None:
+        # The leader's clock is slow and the followers' are fast, by the drift.
+        self.cluster = Cluster(3, rates=(0.98, 1.02, 1.02))
+        self.cluster.run(1.5)
+        self.old = self.cluster.leader()
+
+    def run_until_another_leads(self) -> None:
+        """Let time pass; fail when two would answer as leader."""
+        for _ in range(200):
+            self.cluster.run(0.05)
+            leaders = self.cluster.leaders()
+            self.assertLessEqual(len(leaders), 1)
+            if leaders and leaders != [self.old]:
+                return
+        self.fail("no other leader was elected")
+
+    def test_frozen_leader_is_not_current_when_it_wakes_up(self) -> None:
+        # Story: the leader's process is stopped for a while and then goes on in
+        # the middle of an answer. Another node was elected meanwhile, so what
+        # it believes is stale, and it has heard nothing of that yet.
+        cluster = self.cluster
+        node = cluster.nodes[self.old]
+        cluster.frozen.add(self.old)
+        self.run_until_another_leads()
+        self.assertIsNone(node.leadership())
+        with self.assertRaises(NotLeaderError):
+            node.submit({"id": "late"})
+
+    def test_cut_off_leader_loses_its_lease_before_another_is_elected(self) -> None:
+        # Story: a network partition isolates the leader; it goes on running and
+        # its callers still reach it.
+        self.cluster.cut_off(self.old)
+        self.run_until_another_leads()
+        with self.assertRaises(NotConfirmedError):
+            self.cluster.nodes[self.old].confirm_read(0.3)
+
+    def test_slow_answers_do_not_lengthen_the_lease(self) -> None:
+        # Story: heartbeats arrive at once but their answers take most of the
+        # election timeout. Counted from the answers, the lease would go on
+        # while the followers already elect another leader.
+        cluster = self.cluster
+        cluster.run(0.3)
+        node = cluster.nodes[self.old]
+        for peer in sorted(set(cluster.nodes) - {self.old}):
+            cluster.clocks[self.old].advance(SETTINGS.heartbeat_interval * 1.1)
+            cluster.on_answer = lambda: cluster.advance(SETTINGS.election_timeout_min)
+            node.step_peer(peer)
+        self.assertIsNone(node.leadership())
+
+    def test_restarted_follower_refuses_votes_as_if_it_had_heard_the_leader(
+        self,
+    ) -> None:
+        # Story: a follower answers a heartbeat, restarts within a fraction of a
+        # second and has forgotten it. The leader is cut off from the others at
+        # that moment; with that follower's vote another would lead too early.
+        cluster = self.cluster
+        other, restarted = sorted(set(cluster.nodes) - {self.old})
+        cluster.cuts.add(frozenset({self.old, other}))
+        cluster.run(0.55)
+        cluster.cut_off(self.old)
+        cluster.crash(restarted)
+        cluster.start(restarted)
+        self.run_until_another_leads()
+
+    def test_no_leadership_before_an_entry_of_the_own_term_is_applied(self) -> None:
+        # Story: an operator's change is acknowledged and the leader dies. The
+        # next leader holds it but does not know yet that it is committed; an
+        # answer from its state would miss the change.
+        cluster = self.cluster
+        proposal = cluster.nodes[self.old].submit({"id": "x"})
+        while not proposal.is_done:
+            cluster.step(self.old)
+        cluster.frozen.add(self.old)
+        seen: set[bool] = set()
+        for _ in range(60):
+            cluster.advance(0.05)
+            for name in cluster.running():
+                cluster.step(name)
+                if cluster.nodes[name].leadership() is not None:
+                    seen.add("x" in cluster.machines[name].applied.values())
+        self.assertEqual(seen, {True})
+
+
+class ConsensusSettingsTests(unittest.TestCase):
+    """Times under which the lease would not be safe are refused."""
+
+    def test_lease_is_shorter_than_the_refusal_of_votes_by_the_drift(self) -> None:
+        settings = ConsensusSettings(clock_drift=0.1, lease_fraction=1.0)
+        slow_leader = settings.lease / (1 - settings.clock_drift)
+        fast_follower = settings.election_timeout_min / (1 + settings.clock_drift)
+        self.assertLessEqual(slow_leader, fast_follower)
+
+    def test_bad_times_are_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            ConsensusSettings(heartbeat_interval=0.7)
+        with self.assertRaises(ValueError):
+            ConsensusSettings(election_timeout_max=0.5)
+        with self.assertRaises(ValueError):
+            ConsensusSettings(clock_drift=1.0)
--- /dev/null
+++ b/tests/consensus/test_node.py
@@ -0,0 +1,250 @@
+"""Tests of nodes over a network in memory."""
+
+import unittest
+
+from dogwoodspool_consensus import (
+    MembershipChangeError,
+    NotLeaderError,
+    ProposalRefusedError,
+    Role,
+)
+
+from .fakes import SETTINGS, Cluster
+
+
+class ClusterCase(unittest.TestCase):
+    """Three voters with a leader."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(3)
+        self.leader = self.cluster.leader()
+        self.followers = sorted(set(self.cluster.nodes) - {self.leader})
+
+    def commit(self, text: str) -> int:
+        proposal = self.cluster.nodes[self.cluster.leader()].submit({"id": text})
+        self.cluster.run(0.1)
+        return int(proposal.result()["index"])
+
+    def assert_same_everywhere(self) -> None:
+        self.cluster.run(3.0)
+        for name, machine in self.cluster.machines.items():
+            if name in self.cluster.nodes:
+                self.assertEqual(machine.applied, self.cluster.committed, name)
+
+
+class ReplicationTests(ClusterCase):
+    """What is acknowledged is on a quorum and stays."""
+
+    def test_proposals_wait_for_one_sync_together(self) -> None:
+        node, syncs = self.cluster.nodes[self.leader], []
+        self.cluster.storages[self.leader].on_sync = lambda: syncs.append(1)
+        proposals = [node.submit({"id": str(i)}) for i in range(SETTINGS.max_batch)]
+        self.cluster.run(0.2)
+        self.assertTrue(all(proposal.is_done for proposal in proposals))
+        self.assertEqual(len(syncs), 1)
+
+    def test_leader_counts_itself_only_after_its_sync(self) -> None:
+        # Story: the leader sends an entry on while its own disk still syncs. One
+        # follower has it, the third node is cut off; the leader loses power.
+        # Had it answered, the cut-off node and the leader could lose the entry.
+        cluster, leader = self.cluster, self.leader
+        cluster.cut_off(self.followers[1])
+        node = cluster.nodes[leader]
+        proposal = node.submit({"id": "x"})
+        seen: list[bool] = []
+
+        def while_syncing() -> None:
+            cluster.advance(SETTINGS.heartbeat_interval)
+            node.step_peer(self.followers[0])
+            node.apply_committed()
+            seen.append(proposal.is_done)
+
+        cluster.storages[leader].on_sync = while_syncing
+        node.write_pending()
+        node.apply_committed()
+        self.assertEqual(seen, [False])
+        self.assertTrue(proposal.is_done)
+
+    def test_follower_answers_only_what_it_has_synced(self) -> None:
+        # Story: leader and one follower acknowledge a change, both lose power at
+        # once, and it is gone on the one that had not synced.
+        self.commit("x")
+        for name in (self.leader, self.followers[0]):
+            self.cluster.crash(name)
+            self.cluster.start(name)
+        self.cluster.crash(self.followers[1])
+        self.cluster.run(3.0)
+        self.assertIn("x", self.cluster.machines[self.leader].applied.values())
+
+    def test_entry_of_an_older_term_is_not_committed_by_counting(self) -> None:
+        # Story (figure 8 of the Raft paper): a leader brings an entry of an old
+        # term to a quorum and dies before its own first entry is there. A node
+        # with a newer last entry may still replace it, so nobody was told.
+        cluster = self.cluster
+        cluster.cuts |= {frozenset({self.leader, peer}) for peer in self.followers}
+        node = cluster.nodes[self.leader]
+        node.submit({"id": "old"})
+        node.write_pending()
+        cluster.crash(self.leader)
+        # Another node is elected and writes an entry that reaches nobody.
+        cluster.cuts.clear()
+        cluster.run(0.7)
+        while cluster.nodes[self.followers[0]].diagnostics().role is not Role.LEADER:
+            cluster.advance(0.05)
+            cluster.step(self.followers[0])
+        cluster.crash(self.followers[0])
+        cluster.start(self.leader)
+        cluster.run(0.7)
+        # The first one leads again and sends the old entry alone.
+        old = cluster.nodes[self.leader]
+        while old.diagnostics().role is not Role.LEADER:
+            cluster.advance(0.05)
+            old.tick()
+            old.step_peer(self.followers[1])
+            cluster.nodes[self.followers[1]].apply_committed()
+        old.step_peer(self.followers[1])
+        old.apply_committed()
+        self.assertNotIn("old", cluster.committed.values())
+
+    def test_cut_off_node_with_other_entries_takes_the_committed_ones(self) -> None:
+        # Story: a leader that was cut off took proposals that no quorum has. It
+        # comes back, its callers learn that they were not run, its log is mended.
+        cluster, old = self.cluster, self.cluster.nodes[self.leader]
+        cluster.cut_off(self.leader)
+        lost = [old.submit({"id": f"lost{i}"}) for i in range(3)]
+        old.write_pending()
+        cluster.run(3.0)
+        self.commit("kept")
+        cluster.cuts.clear()
+        self.assert_same_everywhere()
+        for proposal in lost:
+            with self.assertRaises(NotLeaderError):
+                proposal.result()
+
+    def test_node_that_missed_hundreds_of_entries_gets_a_snapshot(self) -> None:
+        cluster, late = self.cluster, self.followers[0]
+        cluster.crash(late)
+        for number in range(300):
+            self.commit(str(number))
+        cluster.start(late)
+        self.assert_same_everywhere()
+        self.assertGreater(cluster.nodes[late].diagnostics().snapshot_index, 250)
+        self.assertLess(len(cluster.storages[late].stored.entries), 50)
+
+    def test_impossible_commands_are_refused(self) -> None:
+        node = self.cluster.nodes[self.leader]
+        large = "x" * SETTINGS.max_command_bytes
+        for command in ({"id": large}, {"id": object()}):
+            with self.assertRaises(ProposalRefusedError):
+                node.submit(command)
+
+    def test_failed_disk_takes_the_node_out(self) -> None:
+        # Story: fsync fails on the leader. It must neither answer nor vote, and
+        # the others must go on without it.
+        cluster, node = self.cluster, self.cluster.nodes[self.leader]
+        proposal = node.submit({"id": "x"})
+        cluster.storages[self.leader].has_failing_disk = True
+        node.write_pending()
+        self.assertIsNone(node.leadership())
+        self.assertFalse(proposal.is_done)
+        cluster.storages[self.leader].has_failing_disk = False
+        self.commit("y")
+        self.assertTrue(node.diagnostics().has_failed)
+        self.assertNotIn("y", cluster.machines[self.leader].applied.values())
+
+
+class IdentityTests(ClusterCase):
+    """A voter that lost its files does not vote as the one it was."""
+
+    def lose_leader_and_files_of(self, name: str, *, bootstrap: bool) -> None:
+        self.commit("x")
+        self.cluster.crash(self.leader)
+        self.cluster.crash(name)
+        self.cluster.storages[name].wipe()
+        self.cluster.start(name, bootstrap=bootstrap)
+        self.cluster.run(5.0)
+
+    def test_wiped_voter_does_not_vote(self) -> None:
+        # Story: right after one machine got a new disk a second one is lost. Two
+        # nodes run, of which one remembers nothing; if its vote counted, a node
+        # that lacks acknowledged changes could be elected.
+        for bootstrap in (False, True):
+            with self.subTest(bootstrap=bootstrap):
+                self.setUp()
+                self.lose_leader_and_files_of(self.followers[0], bootstrap=bootstrap)
+                self.assertEqual(self.cluster.leaders(), [])
+                # The lost machine comes back: the quorum is whole again.
+                self.cluster.start(self.leader)
+                self.assertIn(self.cluster.leader(), (self.leader, self.followers[1]))
+
+    def test_wiped_voter_counts_for_no_commit(self) -> None:
+        name = self.followers[0]
+        self.commit("x")
+        self.cluster.crash(name)
+        self.cluster.storages[name].wipe()
+        self.cluster.start(name, bootstrap=True)
+        self.cluster.cut_off(self.followers[1])
+        proposal = self.cluster.nodes[self.leader].submit({"id": "y"})
+        self.cluster.run(0.5)
+        self.assertFalse(proposal.is_done)
+        self.assertEqual(self.cluster.machines[name].applied, {})
+
+    def test_two_wiped_voters_do_not_begin_a_new_cluster_beside_the_third(
+        self,
+    ) -> None:
+        # Story: an operator starts two wiped voters with the bootstrap flag. They
+        # are a majority of the first voters; the third knows better and says so.
+        self.commit("x")
+        for name in self.followers:
+            self.cluster.crash(name)
+            self.cluster.storages[name].wipe()
+            self.cluster.start(name, bootstrap=True)
+        self.cluster.run(6.0)
+        self.assertEqual(self.cluster.leaders(), [])
+
+    def test_empty_node_without_bootstrap_waits(self) -> None:
+        cluster = Cluster(3)
+        for name in list(cluster.nodes):
+            cluster.crash(name)
+            cluster.storages[name].wipe()
+            cluster.start(name)
+        cluster.run(5.0)
+        self.assertEqual(cluster.leaders(), [])
+
+
+class MembershipTests(ClusterCase):
+    """Voters are replaced one at a time."""
+
+    def test_wiped_voter_is_replaced_under_a_new_id(self) -> None:
+        cluster, wiped = self.cluster, self.followers[0]
+        for number in range(30):
+            self.commit(str(number))
+        cluster.crash(wiped)
+        cluster.start("n3")
+        node = cluster.nodes[self.leader]
+        node.add_voter("n3", cluster.addresses["n3"], 5.0)
+        node.remove_voter(wiped, 5.0)
+        # Right after the replacement a second machine is lost: nothing is gone.
+        cluster.crash(self.leader)
+        self.commit("after")
+        self.assert_same_everywhere()
+        self.assertEqual(len(cluster.committed), 31)
+
+    def test_learner_that_cannot_be_reached_does_not_become_a_voter(self) -> None:
+        # Story: a voter is added whose process is not there. As a voter it would
+        # raise the quorum and the next lost machine would stop all changes.
+        node = self.cluster.nodes[self.leader]
+        self.cluster.addresses["n3"] = address = list(self.cluster.voters.values())[0]
+        with self.assertRaises(MembershipChangeError):
+            node.add_voter("n3", address, 0.5)
+        members = {item.node_id: item for item in node.diagnostics().members}
+        self.assertFalse(members["n3"].is_voter)
+
+    def test_removed_leader_leads_until_the_change_is_committed(self) -> None:
+        node = self.cluster.nodes[self.leader]
+        node.remove_voter(self.leader, 5.0)
+        self.cluster.run(3.0)
+        self.assertNotEqual(self.cluster.leader(), self.leader)
+        new = self.cluster.nodes[self.cluster.leader()]
+        with self.assertRaisesRegex(MembershipChangeError, "new id"):
+            new.add_voter(self.leader, self.cluster.addresses[self.leader], 1.0)
