Add declarations in files, the plan made from them and the page of settings

Cause: operators keep the tree in files under version control and must see what an apply would change before it changes anything.

Secrets are named by their source (file or env). The plan compares redacted secrets by a keyed fingerprint; a plain hash was ruled out because a weak password is found by guessing. A level's own file must be there, so that a wrong folder does not plan to delete the whole tree. base_connections and reserved_connections may no longer be set at a failure domain: shares of a server add up over all of them.

--- a/packages/settings/src/dogwoodspool_settings/__init__.py
+++ b/packages/settings/src/dogwoodspool_settings/__init__.py
@@ -3,6 +3,7 @@
 from dogwoodspool_api import SettingsNode
 
 from .const import FROM_DEFAULT, RETAINED_CHANGE_IDS, RETAINED_HISTORY, ROOT_PATH
+from .declarations import DeclaredNode, load_declarations
 from .errors import (
     DeclarationError,
     InvalidPathError,
@@ -22,7 +23,9 @@
     Statements,
     WriteAck,
 )
+from .planning import PlannedAction, PlannedChange, plan
 from .redaction import keep_secrets_of_version, redact
+from .secret_sources import SecretSource, SourceKind, with_secrets
 from .tree import SettingsTree
 
 __all__ = [
@@ -33,20 +36,28 @@
     "ChangeAccepted",
     "ChangeRejected",
     "DeclarationError",
+    "DeclaredNode",
     "EffectiveSettings",
     "ExplainedValue",
     "HistoryEntry",
     "InvalidPathError",
+    "PlannedAction",
+    "PlannedChange",
     "ReadOnlyTreeError",
     "RejectionCode",
+    "SecretSource",
     "SettingsChange",
     "SettingsNode",
     "SettingsTree",
     "SettingsTreeError",
     "SnapshotError",
+    "SourceKind",
     "Statements",
     "UnknownNodeError",
     "WriteAck",
     "keep_secrets_of_version",
+    "load_declarations",
+    "plan",
     "redact",
+    "with_secrets",
 ]
--- a/packages/settings/src/dogwoodspool_settings/const.py
+++ b/packages/settings/src/dogwoodspool_settings/const.py
@@ -19,13 +19,16 @@
 ROOT_ONLY_KEYS: Final = frozenset(
     {"lease_ms", "renew_interval_ms", "clock_drift", "max_proxies"}
 )
-# Sessions roam between failure domains and promotions span them, so that these
-# must be the same for all proxies of a group.
+# Sessions roam between failure domains, promotions span them, and the shares of a
+# backend server's connections add up over them, so that these must be the same
+# for all proxies of a group.
 NOT_PER_FAILURE_DOMAIN_KEYS: Final = frozenset(
     {
         CONF_TOKEN_KEY,
         CONF_WRITE_ACK,
         CONF_STATEMENTS,
+        "base_connections",
+        "reserved_connections",
         "failure_detect_ms",
         "release_drain_ms",
         "request_retention_s",
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -29,7 +29,7 @@
 
     Attributes:
         deadline_ms: time for a statement whose caller states none.
-        max_age_ms: age that reads accept whose caller states none; None lets
+        max_age_ms: age that reads accept whose caller states none; null lets
             the session's own position alone decide.
         idempotent: whether a write whose caller says nothing may run again.
         write_ack: when a write is acknowledged.
--- a/packages/settings/src/dogwoodspool_settings/overrides.py
+++ b/packages/settings/src/dogwoodspool_settings/overrides.py
@@ -1,7 +1,7 @@
 """The validated model of one node's overrides and its bounds."""
 
-from collections.abc import Mapping
-from dataclasses import fields
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, fields
 from typing import Annotated, Any, Final
 
 from dogwoodspool_api import Name
@@ -20,13 +20,9 @@
 DEFAULTS: Final = EffectiveSettings()
 _STATEMENT_DEFAULTS: Final = DEFAULTS.statements
 
-_REASONS: Final = {
-    "extra_forbidden": "there is no such setting",
-    "string_pattern_mismatch": "has the wrong form",
-}
-_FORMS: Final = {
-    CONF_TOKEN_KEY: f"must be hexadecimal of at least {MIN_TOKEN_KEY_BYTES} bytes",
-    CONF_USERS: "must be names with password hashes of 40 hexadecimal digits",
+FORMS: Final = {
+    CONF_TOKEN_KEY: f"hexadecimal of at least {MIN_TOKEN_KEY_BYTES} bytes",
+    CONF_USERS: "names with password hashes of 40 hexadecimal digits",
 }
 
 Statement = Annotated[str, Field(min_length=1, max_length=1_000)]
@@ -97,6 +93,47 @@
     statements: StatementOverrides = Field(StatementOverrides())
 
 
+@dataclass(frozen=True, slots=True)
+class CrossFieldRule:
+    """A rule that the effective values of each node must keep.
+
+    Attributes:
+        text: the rule, as a rejection states it.
+        reason: what goes wrong without it.
+    """
+
+    text: str
+    reason: str
+    holds: Callable[[EffectiveSettings], bool]
+
+
+CROSS_FIELD_RULES: Final = (
+    CrossFieldRule(
+        "renew_interval_ms * 2 must be below lease_ms",
+        "one lost renewal would let every grant run out",
+        lambda values: values.renew_interval_ms * 2 < values.lease_ms,
+    ),
+    CrossFieldRule(
+        "release_drain_ms must be below lease_ms",
+        "giving up a grant by answer would take longer than waiting it out",
+        lambda values: values.release_drain_ms < values.lease_ms,
+    ),
+    CrossFieldRule(
+        "probe_interval_ms + probe_timeout_ms must be at most failure_detect_ms",
+        "a server would count as failed before a probe had time to fail",
+        lambda values: (
+            values.probe_interval_ms + values.probe_timeout_ms
+            <= values.failure_detect_ms
+        ),
+    ),
+    CrossFieldRule(
+        "replica_wait_ms must be below deadline_ms",
+        "nothing of the deadline would be left for reading from the primary",
+        lambda values: values.replica_wait_ms < values.deadline_ms,
+    ),
+)
+
+
 def validate_overrides(
     raw: Mapping[str, Any], level: Level
 ) -> tuple[dict[str, Any], list[str]]:
@@ -114,22 +151,7 @@
 
 def cross_field_problems(values: EffectiveSettings) -> list[str]:
     """Return one line per pair of effective values that cannot work together."""
-    problems = []
-    if values.renew_interval_ms * 2 >= values.lease_ms:
-        # Else one lost renewal already lets every grant run out.
-        problems.append("renew_interval_ms * 2 must be below lease_ms")
-    if values.release_drain_ms >= values.lease_ms:
-        # Else giving up a grant by answer takes longer than waiting it out.
-        problems.append("release_drain_ms must be below lease_ms")
-    if values.probe_interval_ms + values.probe_timeout_ms > values.failure_detect_ms:
-        # Else a server counts as failed before a probe had time to fail.
-        problems.append(
-            "probe_interval_ms + probe_timeout_ms must be at most failure_detect_ms"
-        )
-    if values.replica_wait_ms >= values.deadline_ms:
-        # Else nothing is left of the deadline for reading from the primary.
-        problems.append("replica_wait_ms must be below deadline_ms")
-    return problems
+    return [rule.text for rule in CROSS_FIELD_RULES if not rule.holds(values)]
 
 
 def statement_names() -> tuple[str, ...]:
@@ -148,9 +170,12 @@
 
 def _line(detail: Any) -> str:
     key = ".".join(str(part) for part in detail["loc"])
-    reason = _REASONS.get(detail["type"], detail["msg"])
-    if detail["type"] == "string_pattern_mismatch":
-        reason = _FORMS.get(detail["loc"][0], reason)
+    reason = detail["msg"]
+    if detail["type"] == "extra_forbidden":
+        reason = "there is no such setting"
+    elif detail["type"] == "string_pattern_mismatch":
+        # The stock text quotes the pattern, which tells an operator little.
+        reason = f"must be {FORMS[detail['loc'][0]]}"
     return f"{key}: {reason}"
 
 
