--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -0,0 +1,50 @@
+"""Constants of the control library and program."""
+
+from typing import Final
+
+TICK_SECONDS: Final = 0.05
+MAX_SMOOTH_TICKS: Final = 3
+FRESH_RENEW_INTERVALS: Final = 2
+MIN_OBSERVERS: Final = 2
+
+PROPOSE_TIMEOUT: Final = 2.0
+CONFIRM_TIMEOUT: Final = 2.0
+
+RELEASE_TIMEOUT: Final = 0.5
+RELEASE_RETRY_SECONDS: Final = 0.2
+STATUS_TIMEOUT: Final = 1.0
+CHOICE_RETRY_SECONDS: Final = 0.1
+WAITING_LOG_SECONDS: Final = 1.0
+CATCH_UP_SECONDS: Final = 3.0
+CATCH_UP_POLL_SECONDS: Final = 0.01
+PROMOTE_ATTEMPT_SECONDS: Final = 3.0
+PROMOTE_RETRY_SECONDS: Final = 0.1
+PROMOTE_WAIT_SECONDS: Final = 15.0
+MAX_PLANNED_LAG_MS: Final = 2_000.0
+MAX_FAILOVERS_KEPT: Final = 32
+
+FOLLOW_RETRY_SECONDS: Final = 1.0
+
+MAX_REPLACED_INCARNATIONS: Final = 16
+MAX_CHANGE_IDS: Final = 256
+
+SERVER_HOLD_SECONDS: Final = 1.0
+SERVER_SILENCE_SECONDS: Final = 30.0
+
+MAX_WATCH_MS: Final = 20_000
+MAX_WATCHERS: Final = 24
+HTTP_THREADS: Final = 64
+MAX_RENEW_ITEMS: Final = 512
+MAX_RENEWALS_PER_SECOND: Final = 20
+RENEWAL_BURST: Final = 40
+MAX_HISTORY: Final = 500
+DEFAULT_HISTORY: Final = 50
+MAX_PENDING_COMMANDS: Final = 256
+
+CODE_CONFLICT: Final = "conflict"
+CODE_FULL: Final = "too_many_proxies"
+CODE_INVALID: Final = "invalid"
+CODE_NOT_LEADER: Final = "not_leader"
+CODE_OUTCOME_UNKNOWN: Final = "outcome_unknown"
+CODE_NOT_CONFIRMED: Final = "not_confirmed"
+CODE_TOO_MANY: Final = "too_many_requests"
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/detector.py
@@ -0,0 +1,169 @@
+"""Tell which primaries have failed from what all proxies observe."""
+
+import threading
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from dogwoodspool_api import Observation, RenewRequest
+from dogwoodspool_common import Clock, Role
+from dogwoodspool_common.const import MILLISECONDS
+
+from .const import FRESH_RENEW_INTERVALS, MAX_SMOOTH_TICKS, MIN_OBSERVERS, TICK_SECONDS
+from .models import ProxyRecord
+
+
+@dataclass(frozen=True, slots=True)
+class DetectorSettings:
+    """Times of the failure detector, in seconds.
+
+    Attributes:
+        failure_detect: unreachable time after which an observer counts.
+        renew_interval: time between a proxy's renewals.
+    """
+
+    failure_detect: float
+    renew_interval: float
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedRenewal:
+    """The newest observations of one proxy.
+
+    Attributes:
+        received_at: the leader's time; observations carry no other.
+    """
+
+    failure_domain: str
+    received_at: float
+    observations: Mapping[str, Observation]
+
+
+class FailureDetector:
+    """Decide whether a backend server counts as failed.
+
+    A server has failed when, in strictly more than half of the failure domains
+    with registered proxies, most proxies that renewed lately could not reach it
+    for the detection time. At least two proxies must agree: a single observer
+    that is cut off or broken demotes nobody.
+
+    A voter that stood still finds renewals in its sockets that were sent long
+    ago and would take them for news. It shows as a gap between two ticks. The
+    detector then forgets all observations and takes none until such renewals
+    have been replaced by newer ones.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._renewals: dict[str, ObservedRenewal] = {}
+        self._not_primary_since: dict[tuple[str, str], float] = {}
+        self._last_tick: float | None = None
+        self._settled_at = float("inf")
+        self._renew_interval = 0.0
+
+    @property
+    def renewals(self) -> Mapping[str, ObservedRenewal]:
+        """The newest observations of each proxy."""
+        with self._lock:
+            return dict(self._renewals)
+
+    def start_over(self, renew_interval: float) -> None:
+        """Forget everything, as at the beginning of a leadership."""
+        with self._lock:
+            self._last_tick = self._clock.now()
+            self._renew_interval = renew_interval
+            self._forget()
+
+    def tick(self) -> None:
+        """Note that this voter runs; called at least each ``TICK_SECONDS``."""
+        with self._lock:
+            self._check_gap()
+            self._last_tick = self._clock.now()
+
+    def observe(self, request: RenewRequest) -> None:
+        """Take a proxy's observations from its renewal."""
+        with self._lock:
+            self._check_gap()
+            now = self._clock.now()
+            if now < self._settled_at:
+                return
+            observations = {item.server: item for item in request.observations}
+            self._renewals[request.proxy] = ObservedRenewal(
+                request.failure_domain, now, observations
+            )
+            for observation in request.observations:
+                self._note_role(request.proxy, observation, now)
+
+    def is_failed(
+        self,
+        server: str,
+        proxies: Iterable[ProxyRecord],
+        settings: DetectorSettings,
+    ) -> bool:
+        """Tell whether a primary counts as failed.
+
+        Args:
+            server: name of the primary.
+            proxies: all registered proxies.
+            settings: the group's times.
+        """
+        with self._lock:
+            self._check_gap()
+            registered = {record.name: record.failure_domain for record in proxies}
+            verdicts = self._verdicts(server, registered, settings)
+        domains = set(registered.values())
+        failed = [name for name in domains if _is_majority(verdicts.get(name, []))]
+        observers = sum(sum(verdicts[name]) for name in failed)
+        return 2 * len(failed) > len(domains) and observers >= MIN_OBSERVERS
+
+    def _verdicts(
+        self, server: str, registered: Mapping[str, str], settings: DetectorSettings
+    ) -> dict[str, list[bool]]:
+        now = self._clock.now()
+        oldest = now - FRESH_RENEW_INTERVALS * settings.renew_interval
+        verdicts: dict[str, list[bool]] = defaultdict(list)
+        for proxy, failure_domain in registered.items():
+            renewal = self._renewals.get(proxy)
+            if renewal is None or renewal.received_at < oldest:
+                continue
+            observation = renewal.observations.get(server)
+            if observation is None:
+                continue
+            unserved = self._unserved_seconds(proxy, observation, now)
+            verdicts[failure_domain].append(unserved >= settings.failure_detect)
+        return verdicts
+
+    def _unserved_seconds(
+        self, proxy: str, observation: Observation, now: float
+    ) -> float:
+        unreachable = observation.unreachable_ms / MILLISECONDS
+        since = self._not_primary_since.get((proxy, observation.server))
+        return unreachable if since is None else max(unreachable, now - since)
+
+    def _note_role(self, proxy: str, observation: Observation, now: float) -> None:
+        """Note since when a server answers but is no primary, as after a restart."""
+        key = (proxy, observation.server)
+        status = observation.status
+        if status is None or status.role is Role.PRIMARY:
+            self._not_primary_since.pop(key, None)
+        else:
+            self._not_primary_since.setdefault(key, now)
+
+    def _check_gap(self) -> None:
+        now = self._clock.now()
+        if self._last_tick is None:
+            return
+        if now - self._last_tick > MAX_SMOOTH_TICKS * TICK_SECONDS:
+            self._last_tick = now
+            self._forget()
+
+    def _forget(self) -> None:
+        self._renewals.clear()
+        self._not_primary_since.clear()
+        settle = FRESH_RENEW_INTERVALS * self._renew_interval
+        self._settled_at = self._clock.now() + settle
+
+
+def _is_majority(verdicts: list[bool]) -> bool:
+    return 2 * sum(verdicts) > len(verdicts)
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/grants.py
@@ -0,0 +1,240 @@
+"""The leader's memory of the grants that it gave."""
+
+import threading
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from dogwoodspool_api import Grant, RenewRequest
+from dogwoodspool_common import Clock, GroupState, Phase, Position
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_consensus import Leadership
+
+from .errors import LeadershipLostError, StaleIncarnationError
+from .models import AckKnowledge, Holding, Lease, ProxyRecord, Release
+from .settings_state import SettingsState
+
+HolderKey = tuple[str, str]
+
+
+class GrantState(Protocol):
+    """What grants are decided on."""
+
+    @property
+    def proxies(self) -> Mapping[str, ProxyRecord]:
+        """Registered proxies by name."""
+        ...
+
+    @property
+    def groups(self) -> Mapping[str, GroupState]:
+        """Groups by name."""
+        ...
+
+    @property
+    def settings(self) -> SettingsState:
+        """The settings in force."""
+        ...
+
+
+class LeadershipSource(Protocol):
+    """Tell whether this voter may act as leader."""
+
+    def require_leadership(self) -> Leadership:
+        """Return the leadership; raise ``LeadershipLostError`` without one."""
+        ...
+
+
+@dataclass(slots=True)
+class _GroupAcks:
+    """Acknowledged offsets by term, and holders that may have more."""
+
+    offsets: dict[int, int]
+    unreported: set[HolderKey]
+    is_history_known: bool = False
+
+
+class GrantTable:
+    """Give grants and tell when none of a group can be valid any more.
+
+    A proxy counts its lease from when it sent the request. The table counts from
+    when the request was received, which is later, and adds the clocks' largest
+    difference in rate, so an expiry here is never before the proxy's own.
+
+    What the predecessor gave is unknown. It ended before this leadership began,
+    so it has run out ``lease_bound_ms`` after ``Leadership.since``.
+    """
+
+    def __init__(
+        self, clock: Clock, state: GrantState, leadership: LeadershipSource
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._leadership = leadership
+        self._lock = threading.Lock()
+        self._term: int | None = None
+        self._since = 0.0
+        self._bound = 0.0
+        self._holdings: dict[tuple[str, str, str], Holding] = {}
+        self._acks: dict[str, _GroupAcks] = {}
+        self._incarnations: dict[str, str] = {}
+
+    @property
+    def predecessor_expiry(self) -> float:
+        """Time from which no grant or lease of an earlier leader is valid."""
+        leadership = self._leadership.require_leadership()
+        with self._lock:
+            self._follow(leadership)
+            return self._since + self._bound
+
+    def renew(self, request: RenewRequest, received_at: float) -> Lease:
+        """Record what a proxy reports and give it grants for a lease's time.
+
+        Raises:
+            LeadershipLostError: the grants must not be sent.
+            StaleIncarnationError: a newer process of the proxy has renewed.
+        """
+        leadership = self._leadership.require_leadership()
+        with self._lock:
+            self._follow(leadership)
+            self._note_incarnation(request)
+            self._note_acks(request)
+            lease = self._give(request, received_at)
+        # The process may have stood still since the first check, for longer than
+        # its lease. Another leader may act by now; these grants are then unknown
+        # to it and younger than the wait for its predecessor's.
+        if self._leadership.require_leadership().term != leadership.term:
+            raise LeadershipLostError
+        return lease
+
+    def release(self, released: Release) -> None:
+        """Record that a proxy's process has given up its grant of a term."""
+        key = (released.proxy, released.incarnation, released.group)
+        with self._lock:
+            acks = self._acks_of(released.group)
+            _raise_offset(acks, released.acked)
+            holding = self._holdings.get(key)
+            if holding is not None and holding.term > released.term:
+                # A late answer: the proxy holds a newer grant by now.
+                return
+            self._holdings.pop(key, None)
+            acks.unreported.discard(key[:2])
+
+    def holdings(self, group: str) -> list[Holding]:
+        """Return a group's grants that may still be valid."""
+        now = self._clock.now()
+        with self._lock:
+            self._follow(self._leadership.require_leadership())
+            return [
+                holding
+                for holding in self._holdings.values()
+                if holding.group == group and holding.expires_at > now
+            ]
+
+    def knowledge(self, group: str) -> AckKnowledge:
+        """Return what is known of a group's acknowledged writes."""
+        is_replicated = self._state.settings.is_settled(group)
+        with self._lock:
+            acks = self._acks_of(group)
+            return AckKnowledge(
+                positions=tuple(
+                    Position(term, offset) for term, offset in acks.offsets.items()
+                ),
+                is_complete=acks.is_history_known and not acks.unreported,
+                is_replicated=is_replicated,
+            )
+
+    def note_primary(self, group: str, position: Position, asked_at: float) -> None:
+        """Take the primary's position as a bound of what was acknowledged.
+
+        Args:
+            group: the primary's group.
+            position: its answer, at the group's present term.
+            asked_at: when it was asked: each write acknowledged before that is
+                at or below the position.
+        """
+        with self._lock:
+            acks = self._acks_of(group)
+            ended = {
+                key
+                for key in acks.unreported
+                if self._expiry((*key, group)) < asked_at
+            }
+            is_past_predecessor = asked_at > self._since + self._bound
+            if not ended and (acks.is_history_known or not is_past_predecessor):
+                return
+            acks.unreported -= ended
+            acks.is_history_known |= is_past_predecessor
+            _raise_offset(acks, position)
+
+    def _follow(self, leadership: Leadership) -> None:
+        if leadership.term == self._term:
+            return
+        self._term = leadership.term
+        self._since = leadership.since
+        self._bound = self._state.settings.lease_bound_ms / MILLISECONDS
+        self._holdings.clear()
+        self._acks.clear()
+        self._incarnations.clear()
+
+    def _note_incarnation(self, request: RenewRequest) -> None:
+        record = self._state.proxies.get(request.proxy)
+        known = self._incarnations.get(request.proxy)
+        is_replaced = record is not None and request.incarnation in record.replaced
+        # The newer process may not be registered yet while its renewal was seen.
+        is_outrun = (
+            record is not None
+            and known not in (None, request.incarnation)
+            and request.incarnation == record.incarnation
+            and known not in record.replaced
+        )
+        if is_replaced or is_outrun:
+            raise StaleIncarnationError(f"{request.proxy} runs as a newer process")
+        self._incarnations[request.proxy] = request.incarnation
+
+    def _note_acks(self, request: RenewRequest) -> None:
+        for report in request.groups:
+            if report.acked is not None:
+                _raise_offset(self._acks_of(report.group), report.acked.value())
+
+    def _give(self, request: RenewRequest, received_at: float) -> Lease:
+        # One reading of the settings for the recorded and the answered time.
+        root = self._state.settings.root
+        life = root.lease_ms / MILLISECONDS * (1 + root.clock_drift)
+        expires_at = received_at + life
+        record = self._state.proxies.get(request.proxy)
+        if record is None or record.incarnation != request.incarnation:
+            return Lease(root.lease_ms, expires_at, is_registered=False)
+        grants = []
+        # The group's phase is read while the table is locked. A promotion reads
+        # the table after its beginning was applied: it sees every grant that was
+        # decided on the phase before.
+        for group in self._state.groups.values():
+            if group.phase is not Phase.STEADY or group.primary is None:
+                continue
+            self._hold(request, group, expires_at)
+            grants.append(
+                Grant(group=group.name, term=group.term, primary=group.primary)
+            )
+        return Lease(root.lease_ms, expires_at, is_registered=True, grants=tuple(grants))
+
+    def _hold(
+        self, request: RenewRequest, group: GroupState, expires_at: float
+    ) -> None:
+        key = (request.proxy, request.incarnation, group.name)
+        expires_at = max(expires_at, self._expiry(key))
+        self._holdings[key] = Holding(*key, group.term, expires_at)
+        self._acks_of(group.name).unreported.add(key[:2])
+
+    def _expiry(self, key: tuple[str, str, str]) -> float:
+        holding = self._holdings.get(key)
+        return float("-inf") if holding is None else holding.expires_at
+
+    def _acks_of(self, group: str) -> _GroupAcks:
+        return self._acks.setdefault(group, _GroupAcks({}, set()))
+
+
+def _raise_offset(acks: _GroupAcks, position: Position | None) -> None:
+    if position is None:
+        return
+    known = acks.offsets.get(position.term, 0)
+    acks.offsets[position.term] = max(known, position.offset)
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/groups.py
@@ -0,0 +1,182 @@
+"""Database groups and their promotions as the log's entries change them."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+from dogwoodspool_common import BackendServer, GroupState, Phase, Position
+
+from .commands import BeginPromotion, BootstrapGroup, ChoosePrimary, EndPromotion
+from .const import CODE_CONFLICT, CODE_INVALID, MAX_CHANGE_IDS
+from .models import Outcome, Promotion, PromotionReason
+
+
+class GroupTable:
+    """Groups, promotions in progress and remembered operators' changes.
+
+    Every change names the term that its proposer saw. So a command that was
+    decided on older state, by a leader that was replaced meanwhile, changes
+    nothing.
+    """
+
+    def __init__(
+        self,
+        groups: Mapping[str, GroupState],
+        promotions: Mapping[str, Promotion],
+        change_outcomes: Mapping[str, Outcome],
+    ) -> None:
+        self._groups = dict(groups)
+        self._promotions = dict(promotions)
+        self._change_outcomes = dict(change_outcomes)
+
+    @property
+    def groups(self) -> Mapping[str, GroupState]:
+        """All groups by name."""
+        return self._groups
+
+    @property
+    def promotions(self) -> Mapping[str, Promotion]:
+        """Promotions in progress by group."""
+        return self._promotions
+
+    @property
+    def change_outcomes(self) -> Mapping[str, Outcome]:
+        """First outcomes of operators' promotions by change id."""
+        return self._change_outcomes
+
+    def bootstrap(self, index: int, command: BootstrapGroup) -> Outcome:
+        """Record a group that control did not know."""
+        if command.group in self._groups:
+            return _conflict(f"group {command.group} is known")
+        self._groups[command.group] = GroupState(
+            command.group, command.term, command.primary, Phase.STEADY, ()
+        )
+        return Outcome(True, index=index, version=command.term)
+
+    def begin(
+        self,
+        index: int,
+        command: BeginPromotion,
+        servers: Mapping[str, BackendServer],
+    ) -> Outcome:
+        """Begin a promotion, or its next attempt under a newer term.
+
+        Rejections are remembered too: a delayed copy of a rejected request must
+        not take effect after its operator was told that it did not.
+        """
+        remembered = self._change_outcomes.get(command.change_id)
+        if remembered is not None:
+            return remembered
+        outcome = self._begin(index, command, servers)
+        self._remember(command.change_id, outcome)
+        return outcome
+
+    def choose(self, index: int, command: ChoosePrimary) -> Outcome:
+        """Record the new primary and the branch of its term."""
+        promotion = self._promotions.get(command.group)
+        if promotion is None or promotion.term != command.term:
+            return _conflict(f"no promotion of {command.group} to {command.term}")
+        if promotion.chosen is not None:
+            return _conflict(f"{promotion.chosen} is chosen already")
+        group = self._groups[command.group]
+        start = Position(command.term, command.offset)
+        self._promotions[command.group] = replace(promotion, chosen=command.server)
+        self._groups[command.group] = replace(
+            group, primary=command.server, term_starts=(*group.term_starts, start)
+        )
+        return Outcome(True, index=index, version=command.term)
+
+    def end(self, index: int, command: EndPromotion) -> Outcome:
+        """Make the group steady at its new term.
+
+        Between its choice and its promotion the new primary may still have
+        applied entries of the old term. The branch then lies further on; the
+        smaller offset that was in force meanwhile only called more positions
+        lost than are.
+        """
+        promotion = self._promotions.get(command.group)
+        if promotion is None or promotion.term != command.term:
+            return _conflict(f"no promotion of {command.group} to {command.term}")
+        if promotion.chosen is None:
+            return _conflict(f"no primary of {command.group} is chosen")
+        group = self._groups[command.group]
+        *earlier, chosen_start = group.term_starts
+        start = Position(command.term, max(chosen_start.offset, command.offset))
+        del self._promotions[command.group]
+        self._groups[command.group] = replace(
+            group, phase=Phase.STEADY, term_starts=(*earlier, start)
+        )
+        return Outcome(True, index=index, version=command.term)
+
+    def _begin(
+        self,
+        index: int,
+        command: BeginPromotion,
+        servers: Mapping[str, BackendServer],
+    ) -> Outcome:
+        group = self._groups.get(command.group)
+        if group is None:
+            return Outcome(False, CODE_INVALID, f"no group {command.group}")
+        if group.term != command.expected_term:
+            return _conflict(f"group {command.group} is at term {group.term}")
+        if not _is_candidate(command.candidate, group, servers):
+            message = f"{command.candidate} cannot become the primary"
+            return Outcome(False, CODE_INVALID, message)
+        promotion = self._next_promotion(group, command)
+        if promotion is None:
+            return _conflict(f"a promotion of {command.group} is in progress")
+        self._promotions[group.name] = promotion
+        self._groups[group.name] = replace(
+            group, term=promotion.term, primary=None, phase=Phase.PROMOTING
+        )
+        return Outcome(True, index=index, version=promotion.term)
+
+    def _next_promotion(
+        self, group: GroupState, command: BeginPromotion
+    ) -> Promotion | None:
+        current = self._promotions.get(group.name)
+        term = group.term + 1
+        if current is None:
+            if command.is_retry or group.primary is None:
+                return None
+            return Promotion(
+                group=group.name,
+                term=term,
+                old_term=group.term,
+                old_primary=group.primary,
+                reason=command.reason,
+                candidate=command.candidate,
+            )
+        if not command.is_retry or current.chosen is None:
+            return None
+        # The chosen server may have taken its term although its answer was lost.
+        # No grant of that term was ever given; a newer term keeps its entries
+        # apart from those of the server that is chosen next.
+        return replace(
+            current,
+            term=term,
+            reason=PromotionReason.FAILED,
+            candidate=None,
+            chosen=None,
+        )
+
+    def _remember(self, change_id: str, outcome: Outcome) -> None:
+        if not change_id:
+            return
+        self._change_outcomes[change_id] = outcome
+        while len(self._change_outcomes) > MAX_CHANGE_IDS:
+            del self._change_outcomes[next(iter(self._change_outcomes))]
+
+
+def _is_candidate(
+    candidate: str | None, group: GroupState, servers: Mapping[str, BackendServer]
+) -> bool:
+    if candidate is None:
+        return True
+    server = servers.get(candidate)
+    if server is None or server.group != group.name:
+        return False
+    return group.primary != candidate
+
+
+def _conflict(message: str) -> Outcome:
+    return Outcome(False, CODE_CONFLICT, message)
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -0,0 +1,111 @@
+"""The voter's place in the replicated log, as the other modules use it."""
+
+from typing import Any, Protocol
+
+from dogwoodspool_common import Address
+from dogwoodspool_consensus import ConsensusError, Leadership, NotLeaderError
+
+from .commands import Command, decode_outcome, encode_command
+from .const import CONFIRM_TIMEOUT, PROPOSE_TIMEOUT
+from .errors import CommandRejectedError, LeadershipLostError, OutcomeUnknownError
+from .models import Outcome
+
+
+class LogNode(Protocol):
+    """What control uses of ``dogwoodspool_consensus.ConsensusNode``."""
+
+    @property
+    def leader_address(self) -> Address | None:
+        """Address of the leader as far as known."""
+        ...
+
+    def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
+        """Commit and apply a command; return what applying it returned."""
+        ...
+
+    def leadership(self) -> Leadership | None:
+        """Return the leadership when this voter surely leads now."""
+        ...
+
+    def confirm_read(self, timeout: float) -> int:
+        """Return once everything committed before the call is applied here."""
+        ...
+
+
+class ControlNode:
+    """Propose typed commands and tell whether this voter may act as leader."""
+
+    def __init__(self, node: LogNode) -> None:
+        self._node = node
+        self._caught_up_term: int | None = None
+
+    @property
+    def leader(self) -> str:
+        """Address of the leader as far as known, else empty."""
+        address = self._node.leader_address
+        return "" if address is None else str(address)
+
+    def leadership(self) -> Leadership | None:
+        """Return the leadership when it is valid and all earlier state is here."""
+        current = self._node.leadership()
+        if current is None or current.term != self._caught_up_term:
+            return None
+        return current
+
+    def require_leadership(self) -> Leadership:
+        """Return the leadership; raise ``LeadershipLostError`` without one."""
+        current = self.leadership()
+        if current is None:
+            raise LeadershipLostError(self.leader)
+        return current
+
+    def catch_up(self) -> Leadership | None:
+        """Apply what earlier leaders committed, then act as leader.
+
+        A new leader holds every committed entry but may not have applied them
+        all. Grants given on such older state could be of a term that has ended.
+        """
+        current = self._node.leadership()
+        if current is None or current.term == self._caught_up_term:
+            return current
+        try:
+            self._node.confirm_read(CONFIRM_TIMEOUT)
+        except ConsensusError:
+            return None
+        self._caught_up_term = current.term
+        return self.leadership()
+
+    def confirm_read(self) -> None:
+        """Make reads that follow see everything committed before this call.
+
+        Raises:
+            ConsensusError: no quorum confirmed it.
+        """
+        self._node.confirm_read(CONFIRM_TIMEOUT)
+
+    def propose(self, command: Command, timeout: float = PROPOSE_TIMEOUT) -> Outcome:
+        """Commit a command and return its outcome, which may be a rejection.
+
+        Raises:
+            LeadershipLostError: another voter leads; the command has no effect.
+            OutcomeUnknownError: the command may or may not take effect.
+        """
+        try:
+            answer = self._node.propose(encode_command(command), timeout)
+        except NotLeaderError as error:
+            leader = "" if error.leader is None else str(error.leader)
+            raise LeadershipLostError(leader) from error
+        except ConsensusError as error:
+            raise OutcomeUnknownError(str(error)) from error
+        return decode_outcome(answer)
+
+    def commit(self, command: Command) -> Outcome:
+        """Commit a command that must be accepted.
+
+        Raises:
+            CommandRejectedError: it was committed and rejected.
+        """
+        outcome = self.propose(command)
+        if not outcome.is_accepted:
+            raise CommandRejectedError(outcome.code, outcome.message)
+        return outcome
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -0,0 +1,234 @@
+"""The replicated state of the control group."""
+
+import threading
+from dataclasses import dataclass
+from typing import Any, Final
+
+from dogwoodspool_api import ControlView, GroupMessage, ProxyMessage, ServerMessage
+from dogwoodspool_common import BackendServer, Clock, GroupState, log_event
+from pydantic import TypeAdapter
+
+from .commands import (
+    BeginPromotion,
+    BootstrapGroup,
+    ChangeSettings,
+    ChoosePrimary,
+    Command,
+    EndPromotion,
+    ForgetProxy,
+    LowerLeaseBound,
+    RecordServer,
+    RegisterProxy,
+    RemoveServer,
+    SettleWriteAcks,
+    decode_command,
+    encode_outcome,
+)
+from .errors import CommandRejectedError
+from .groups import GroupTable
+from .instances import ProxyTable, ServerTable
+from .models import Outcome, Promotion, ProxyRecord
+from .settings_state import SettingsSnapshot, SettingsState
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSnapshot:
+    """The whole replicated state."""
+
+    version: int
+    groups: dict[str, GroupState]
+    promotions: dict[str, Promotion]
+    change_outcomes: dict[str, Outcome]
+    proxies: dict[str, ProxyRecord]
+    servers: dict[str, BackendServer]
+    settings: SettingsSnapshot
+
+
+_snapshot_adapter: Final = TypeAdapter(ControlSnapshot)
+
+
+class ControlState:
+    """Apply the log's commands, in order, on every voter.
+
+    What a command does depends on nothing but the commands before it. Commands
+    are applied by one thread; any thread may read, and reads return values that
+    no later command changes.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._changed = threading.Condition(threading.RLock())
+        self._version = 0
+        self._groups = GroupTable({}, {}, {})
+        self._proxies = ProxyTable({})
+        self._servers = ServerTable({})
+        self._settings = SettingsState()
+        self._view: ControlView | None = None
+
+    @property
+    def version(self) -> int:
+        """Log index of the last command that changed something."""
+        with self._changed:
+            return self._version
+
+    @property
+    def groups(self) -> dict[str, GroupState]:
+        """All groups by name."""
+        with self._changed:
+            return dict(self._groups.groups)
+
+    @property
+    def promotions(self) -> dict[str, Promotion]:
+        """Promotions in progress by group."""
+        with self._changed:
+            return dict(self._groups.promotions)
+
+    @property
+    def proxies(self) -> dict[str, ProxyRecord]:
+        """Registered proxies by name."""
+        with self._changed:
+            return dict(self._proxies.proxies)
+
+    @property
+    def servers(self) -> dict[str, BackendServer]:
+        """Known backend servers by name."""
+        with self._changed:
+            return dict(self._servers.servers)
+
+    @property
+    def settings(self) -> SettingsState:
+        """The settings in force; only read by others than ``apply``."""
+        return self._settings
+
+    def group(self, name: str) -> GroupState | None:
+        """Return one group."""
+        with self._changed:
+            return self._groups.groups.get(name)
+
+    def promotion(self, group: str) -> Promotion | None:
+        """Return a group's promotion in progress."""
+        with self._changed:
+            return self._groups.promotions.get(group)
+
+    def servers_of(self, group: str) -> list[BackendServer]:
+        """Return a group's backend servers by name."""
+        servers = self.servers
+        return [servers[name] for name in sorted(servers) if servers[name].group == group]
+
+    def view(self) -> ControlView:
+        """Return the state that proxies follow."""
+        with self._changed:
+            if self._view is None:
+                self._view = self._build_view()
+            return self._view
+
+    def wait_newer(self, after: int, timeout: float) -> bool:
+        """Wait until the version is past ``after``; False when time ran out."""
+        deadline = self._clock.now() + timeout
+        with self._changed:
+            while self._version <= after:
+                remaining = deadline - self._clock.now()
+                if remaining <= 0:
+                    return False
+                self._clock.wait(self._changed, remaining)
+            return True
+
+    def apply(self, index: int, command: dict[str, Any]) -> dict[str, Any]:
+        """Apply one committed command and return its outcome."""
+        with self._changed:
+            try:
+                outcome = self._apply(index, decode_command(command))
+            except CommandRejectedError as error:
+                log_event("command_unknown", level="ERROR", index=index)
+                outcome = Outcome(False, error.code, str(error))
+            if outcome.is_accepted and outcome.index == index:
+                self._version = index
+                self._view = None
+                self._changed.notify_all()
+            return encode_outcome(outcome)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the whole state as JSON values."""
+        with self._changed:
+            snapshot = ControlSnapshot(
+                version=self._version,
+                groups=dict(self._groups.groups),
+                promotions=dict(self._groups.promotions),
+                change_outcomes=dict(self._groups.change_outcomes),
+                proxies=dict(self._proxies.proxies),
+                servers=dict(self._servers.servers),
+                settings=self._settings.snapshot(),
+            )
+            fields: dict[str, Any] = _snapshot_adapter.dump_python(
+                snapshot, mode="json"
+            )
+            return fields
+
+    def restore(self, snapshot: dict[str, Any]) -> None:
+        """Replace the whole state by a snapshot's."""
+        held = _snapshot_adapter.validate_python(snapshot)
+        with self._changed:
+            self._groups = GroupTable(
+                held.groups, held.promotions, held.change_outcomes
+            )
+            self._proxies = ProxyTable(held.proxies)
+            self._servers = ServerTable(held.servers)
+            self._settings = SettingsState(held.settings)
+            self._version = held.version
+            self._view = None
+            self._changed.notify_all()
+
+    def _apply(self, index: int, command: Command) -> Outcome:
+        match command:
+            case ChangeSettings():
+                return self._settings.change(index, command, self._groups.groups)
+            case LowerLeaseBound():
+                return self._settings.lower_lease_bound(command)
+            case SettleWriteAcks():
+                return self._settings.settle_write_acks(command)
+            case RegisterProxy():
+                limit = self._settings.root.max_proxies
+                return self._proxies.register(index, command, limit)
+            case ForgetProxy():
+                return self._proxies.forget(index, command)
+            case RecordServer():
+                return self._servers.record(index, command)
+            case RemoveServer():
+                return self._servers.remove(index, command, self._groups.groups)
+            case BootstrapGroup() | BeginPromotion() | ChoosePrimary() | EndPromotion():
+                return self._apply_to_group(index, command)
+
+    def _apply_to_group(
+        self,
+        index: int,
+        command: BootstrapGroup | BeginPromotion | ChoosePrimary | EndPromotion,
+    ) -> Outcome:
+        match command:
+            case BootstrapGroup():
+                outcome = self._groups.bootstrap(index, command)
+                self._settings.note_write_acks(self._groups.groups)
+                return outcome
+            case BeginPromotion():
+                return self._groups.begin(index, command, self._servers.servers)
+            case ChoosePrimary():
+                return self._groups.choose(index, command)
+            case EndPromotion():
+                return self._groups.end(index, command)
+
+    def _build_view(self) -> ControlView:
+        proxies, servers = self.proxies, self.servers
+        groups = self.groups
+        return ControlView(
+            version=self._version,
+            groups=[GroupMessage.of(groups[name]) for name in sorted(groups)],
+            servers=[ServerMessage.of(servers[name]) for name in sorted(servers)],
+            proxies=[
+                ProxyMessage(
+                    proxy=record.name,
+                    failure_domain=record.failure_domain,
+                    address=str(record.address),
+                )
+                for _, record in sorted(proxies.items())
+            ],
+            settings=self._settings.tree.nodes(),
+        )
