--- a/packages/control/src/dogwoodspool_control/candidates.py
+++ b/packages/control/src/dogwoodspool_control/candidates.py
@@ -40,6 +40,8 @@
         acks: what is known of acknowledged writes.
         term_starts: the group's history.
         may_keep_primary: whether the old primary is of use as primary again.
+        must_catch_up: whether to wait for a replica that has all entries of the
+            old primary, those without an acknowledgement included.
     """
 
     promotion: Promotion
@@ -48,16 +50,18 @@
     acks: AckKnowledge
     term_starts: Sequence[Position]
     may_keep_primary: bool
+    must_catch_up: bool = False
 
 
 def choose_candidate(given: ChoiceInput) -> Result[Choice, ChoiceRefusal]:
     """Choose a server that surely has every acknowledged write.
 
-    A replica qualifies in two ways. When every acknowledged position is known,
-    it must cover them all. Otherwise each acknowledged write must be on some
-    replica; then all replicas must have answered, and the one that is furthest
-    has what any of them has. A replica that is unknown to be complete is never
-    chosen: the promotion waits for the old primary, which has everything.
+    A replica qualifies in three ways. It covers the old primary's position, read
+    after all grants had ended. Or every acknowledged position is known, and it
+    covers them all. Or each acknowledged write is on some replica, all replicas
+    have answered, and it is the furthest of them. A replica that may lack an
+    acknowledged write is never chosen: the promotion waits for the old primary,
+    which has everything.
     """
     replicas = [
         server
@@ -66,6 +70,11 @@
     ]
     silent = [server.name for server in replicas if server.name not in given.statuses]
     covering = [server for server in replicas if _covers_known(given, server.name)]
+    caught_up = [server for server in covering if _covers_primary(given, server.name)]
+    if caught_up:
+        return Ok(_choice(given, max(caught_up, key=lambda one: _rank(given, one))))
+    if given.must_catch_up:
+        return _choose_old_primary(given, silent)
     if given.acks.is_complete and covering:
         return Ok(_choice(given, max(covering, key=lambda one: _rank(given, one))))
     if given.acks.is_replicated and replicas and not silent:
@@ -98,6 +107,14 @@
     )
 
 
+def _covers_primary(given: ChoiceInput, name: str) -> bool:
+    primary = given.statuses.get(given.promotion.old_primary)
+    if primary is None or primary.position.term != given.promotion.old_term:
+        return False
+    position = given.statuses[name].position
+    return is_covered(primary.position, position, given.term_starts)
+
+
 def _is_of_history(given: ChoiceInput, position: Position) -> bool:
     """Tell whether a server holds no entries that an earlier promotion dropped."""
     return not is_lost(position, given.promotion.old_term, given.term_starts)
--- a/packages/control/src/dogwoodspool_control/grants.py
+++ b/packages/control/src/dogwoodspool_control/grants.py
@@ -86,6 +86,11 @@
             self._follow(leadership)
             return self._since + self._bound
 
+    @property
+    def longest_lease(self) -> float:
+        """Longest time in seconds that a lease of any leader may run."""
+        return self._state.settings.lease_bound_ms / MILLISECONDS
+
     def renew(self, request: RenewRequest, received_at: float) -> Lease:
         """Record what a proxy reports and give it grants for a lease's time.
 
@@ -171,7 +176,7 @@
             return
         self._term = leadership.term
         self._since = leadership.since
-        self._bound = self._state.settings.lease_bound_ms / MILLISECONDS
+        self._bound = self.longest_lease
         self._holdings.clear()
         self._acks.clear()
         self._incarnations.clear()
--- a/packages/control/src/dogwoodspool_control/release.py
+++ b/packages/control/src/dogwoodspool_control/release.py
@@ -18,6 +18,7 @@
 from .const import RELEASE_RETRY_SECONDS, RELEASE_TIMEOUT
 from .errors import ReleaseFailedError
 from .grants import GrantTable
+from .incarnations import IncarnationAges
 from .models import Promotion, ProxyRecord, Release
 
 
@@ -71,7 +72,8 @@
     A grant has ended when its proxy's process answered that it gave it up, or
     when its lease has run out on the leader's clock with drift added. Grants of
     earlier leaders are not known here: until the last of them has run out, every
-    registered proxy must have answered.
+    registered proxy must have answered, and must not have been restarted lately,
+    as the process before can not be asked.
     """
 
     def __init__(
@@ -80,12 +82,14 @@
         drain_ms: int,
         clock: Clock,
         table: GrantTable,
+        ages: IncarnationAges,
         client: ReleaseClient,
         executor: ThreadPoolExecutor,
     ) -> None:
         self._promotion = promotion
         self._clock = clock
         self._table = table
+        self._ages = ages
         self._client = client
         self._executor = executor
         self._request = ReleaseRequest(
@@ -127,11 +131,16 @@
         predecessor_expiry = self._table.predecessor_expiry
         if now < predecessor_expiry:
             for name, proxy in proxies.items():
-                if (name, proxy.incarnation) not in self._answered:
+                if not self._has_released(proxy):
                     waiting[name] = max(waiting.get(name, 0.0), predecessor_expiry)
         last = max(waiting.values(), default=now)
         return ReleaseProgress(tuple(sorted(waiting)), last - now)
 
+    def _has_released(self, proxy: ProxyRecord) -> bool:
+        if (proxy.name, proxy.incarnation) not in self._answered:
+            return False
+        return self._ages.is_alone(proxy, self._table.longest_lease)
+
     def _call(self, proxy: ProxyRecord) -> None:
         try:
             answer = self._client.release(proxy, self._request)
