--- a/packages/control/src/dogwoodspool_control/candidates.py
+++ b/packages/control/src/dogwoodspool_control/candidates.py
@@ -7,7 +7,7 @@
 from dogwoodspool_sessions import is_covered, is_lost
 from expression import Error, Ok, Result
 
-from .models import AckKnowledge, Promotion
+from .models import AckKnowledge, Promotion, PromotionReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,17 +64,21 @@
     which has everything.
     """
     replicas = [
-        server
-        for server in given.servers
-        if server.name != given.promotion.old_primary
+        server for server in given.servers if server.name != given.promotion.old_primary
     ]
     silent = [server.name for server in replicas if server.name not in given.statuses]
     covering = [server for server in replicas if _covers_known(given, server.name)]
     caught_up = [server for server in covering if _covers_primary(given, server.name)]
+    if given.must_catch_up:
+        return _choose_caught_up(given, caught_up)
     if caught_up:
         return Ok(_choice(given, max(caught_up, key=lambda one: _rank(given, one))))
-    if given.must_catch_up:
-        return _choose_old_primary(given, silent)
+    if given.promotion.reason is PromotionReason.PLANNED:
+        # Undone: its candidate did not catch up, and nothing is wrong with the
+        # primary, which also has the writes without an acknowledgement.
+        undone = _choose_old_primary(given, silent)
+        if undone.is_ok():
+            return undone
     if given.acks.is_complete and covering:
         return Ok(_choice(given, max(covering, key=lambda one: _rank(given, one))))
     if given.acks.is_replicated and replicas and not silent:
@@ -84,6 +88,17 @@
     return _choose_old_primary(given, silent)
 
 
+def _choose_caught_up(
+    given: ChoiceInput, caught_up: Sequence[BackendServer]
+) -> Result[Choice, ChoiceRefusal]:
+    wanted = given.promotion.candidate
+    for server in sorted(caught_up, key=lambda one: _rank(given, one), reverse=True):
+        if wanted in (None, server.name):
+            return Ok(_choice(given, server))
+    waiting_for = () if wanted is None else (wanted,)
+    return Error(ChoiceRefusal("no replica has caught up yet", waiting_for))
+
+
 def _choose_old_primary(
     given: ChoiceInput, silent: Sequence[str]
 ) -> Result[Choice, ChoiceRefusal]:
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/choose_step.py
@@ -0,0 +1,172 @@
+"""First half of a promotion: end the old term's grants and choose a primary."""
+
+from collections.abc import Mapping, Sequence
+
+from dogwoodspool_backend import BackendError
+from dogwoodspool_common import BackendServer, ServerStatus, log_event
+from expression import Result
+
+from .candidates import Choice, ChoiceInput, ChoiceRefusal, choose_candidate
+from .commands import ChoosePrimary
+from .const import (
+    CATCH_UP_SECONDS,
+    CHOICE_GRACE_SECONDS,
+    RELEASE_RETRY_SECONDS,
+    STATUS_POLL_SECONDS,
+)
+from .failovers import FailoverPhase
+from .models import Promotion, PromotionReason
+from .progress import PromotionProgress
+from .promotion_parts import PromotionParts
+from .release import GroupRelease
+from .server_poll import ServerPoll
+
+
+class ChooseStep:
+    """Carry one promotion from its beginning to its committed choice.
+
+    Every step may be repeated by another leader: releasing twice is harmless,
+    and only one choice is committed for a term.
+    """
+
+    def __init__(
+        self, promotion: Promotion, parts: PromotionParts, progress: PromotionProgress
+    ) -> None:
+        self._promotion = promotion
+        self._parts = parts
+        self._progress = progress
+        self._changer = parts.role_changers.of_group(promotion.group)
+        self._release = GroupRelease(
+            promotion,
+            self._drain_ms(),
+            clock=parts.clock,
+            table=parts.table,
+            ages=parts.ages,
+            client=parts.release_client,
+            executor=parts.executor,
+        )
+
+    def run(self) -> None:
+        """Release, choose and commit.
+
+        Raises:
+            LeadershipLostError: the next leader goes on.
+            OutcomeUnknownError: look at the state again.
+            CommandRejectedError: another choice was committed.
+        """
+        group = self._promotion.group
+        self._await_release()
+        self._parts.timeline.mark(group, FailoverPhase.RELEASED)
+        choice = self._await_choice()
+        command = ChoosePrimary(
+            group, self._promotion.term, choice.server, choice.offset
+        )
+        self._parts.node.commit(command)
+        self._parts.timeline.mark(
+            group, FailoverPhase.CHOSEN, server=choice.server, offset=choice.offset
+        )
+
+    def _drain_ms(self) -> int:
+        if self._promotion.reason is not PromotionReason.PLANNED:
+            return 0
+        settings = self._parts.state.settings.effective(self._promotion.group)
+        return settings.release_drain_ms
+
+    def _await_release(self) -> None:
+        while True:
+            self._parts.node.require_leadership()
+            proxies = self._parts.state.proxies
+            self._release.ask(proxies)
+            progress = self._release.progress(proxies)
+            if progress.is_done:
+                return
+            self._progress.note("release", progress.waiting_for, "grants may be valid")
+            self._release.wait_for_answer(min(progress.seconds, RELEASE_RETRY_SECONDS))
+
+    def _await_choice(self) -> Choice:
+        must_catch_up = self._fence_old_primary()
+        began_at = self._parts.clock.now()
+        poll = ServerPoll(self._parts.clock, self._changer, self._parts.executor)
+        while True:
+            self._parts.node.require_leadership()
+            waited = self._parts.clock.now() - began_at
+            must_catch_up = must_catch_up and waited < CATCH_UP_SECONDS
+            servers = self._parts.state.servers_of(self._promotion.group)
+            poll.ask(servers)
+            if poll.is_waiting:
+                poll.wait_for_answer(STATUS_POLL_SECONDS)
+            if self._should_wait(servers, poll, waited):
+                continue
+            decision = self._decide(servers, poll.statuses, must_catch_up)
+            match decision:
+                case Result(tag="ok", ok=choice):
+                    return choice
+                case Result(error=refusal):
+                    self._note_refusal(refusal)
+
+    def _should_wait(
+        self, servers: Sequence[BackendServer], poll: ServerPoll, waited: float
+    ) -> bool:
+        """Give replicas a moment to answer, so that the best one can be chosen."""
+        if not poll.is_waiting or waited >= CHOICE_GRACE_SECONDS:
+            return False
+        old_primary = self._promotion.old_primary
+        answered = poll.statuses
+        return any(
+            server.name not in answered
+            for server in servers
+            if server.name != old_primary
+        )
+
+    def _decide(
+        self,
+        servers: Sequence[BackendServer],
+        statuses: Mapping[str, ServerStatus],
+        must_catch_up: bool,
+    ) -> Result[Choice, ChoiceRefusal]:
+        promotion = self._promotion
+        group = self._parts.state.group(promotion.group)
+        return choose_candidate(
+            ChoiceInput(
+                promotion=promotion,
+                servers=servers,
+                statuses=statuses,
+                acks=self._parts.table.knowledge(promotion.group),
+                term_starts=() if group is None else group.term_starts,
+                may_keep_primary=self._may_keep_primary(),
+                must_catch_up=must_catch_up,
+            )
+        )
+
+    def _may_keep_primary(self) -> bool:
+        # To the proxies it may still be unreachable; promoting it again would
+        # only begin the next failover.
+        promotion = self._promotion
+        return not self._parts.is_failed(promotion.group, promotion.old_primary)
+
+    def _fence_old_primary(self) -> bool:
+        """End writes at the old primary of a planned promotion.
+
+        Returns:
+            Whether its data is final, so that a replica can reach all of it.
+        """
+        promotion = self._promotion
+        if promotion.reason is not PromotionReason.PLANNED:
+            return False
+        servers = self._parts.state.servers
+        old_primary = servers.get(promotion.old_primary)
+        if old_primary is None:
+            return False
+        self._progress.note("fence", (old_primary.name,))
+        try:
+            self._changer.fence(old_primary, promotion.term)
+        except BackendError as error:
+            log_event("fence_failed", server=old_primary.name, reason=error)
+            return False
+        return True
+
+    def _note_refusal(self, refusal: ChoiceRefusal) -> None:
+        self._progress.note("choice", refusal.waiting_for, refusal.reason)
+        # A proxy that could not be reached before may tell what it acknowledged.
+        self._release.ask(self._parts.state.proxies)
+        self._parts.clock.sleep(STATUS_POLL_SECONDS)
--- a/packages/control/src/dogwoodspool_control/detector.py
+++ b/packages/control/src/dogwoodspool_control/detector.py
@@ -57,7 +57,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._renewals: dict[str, ObservedRenewal] = {}
-        self._not_primary_since: dict[tuple[str, str], float] = {}
+        self._demoted_since: dict[tuple[str, str, int], float] = {}
         self._last_tick: float | None = None
         self._settled_at = float("inf")
         self._renew_interval = 0.0
@@ -98,6 +98,7 @@
     def is_failed(
         self,
         server: str,
+        term: int,
         proxies: Iterable[ProxyRecord],
         settings: DetectorSettings,
     ) -> bool:
@@ -105,20 +106,25 @@
 
         Args:
             server: name of the primary.
+            term: its group's term.
             proxies: all registered proxies.
             settings: the group's times.
         """
         with self._lock:
             self._check_gap()
             registered = {record.name: record.failure_domain for record in proxies}
-            verdicts = self._verdicts(server, registered, settings)
+            verdicts = self._verdicts(server, term, registered, settings)
         domains = set(registered.values())
         failed = [name for name in domains if _is_majority(verdicts.get(name, []))]
         observers = sum(sum(verdicts[name]) for name in failed)
         return 2 * len(failed) > len(domains) and observers >= MIN_OBSERVERS
 
     def _verdicts(
-        self, server: str, registered: Mapping[str, str], settings: DetectorSettings
+        self,
+        server: str,
+        term: int,
+        registered: Mapping[str, str],
+        settings: DetectorSettings,
     ) -> dict[str, list[bool]]:
         now = self._clock.now()
         oldest = now - FRESH_RENEW_INTERVALS * settings.renew_interval
@@ -130,25 +136,35 @@
             observation = renewal.observations.get(server)
             if observation is None:
                 continue
-            unserved = self._unserved_seconds(proxy, observation, now)
+            unserved = self._unserved_seconds(proxy, term, observation, now)
             verdicts[failure_domain].append(unserved >= settings.failure_detect)
         return verdicts
 
     def _unserved_seconds(
-        self, proxy: str, observation: Observation, now: float
+        self, proxy: str, term: int, observation: Observation, now: float
     ) -> float:
         unreachable = observation.unreachable_ms / MILLISECONDS
-        since = self._not_primary_since.get((proxy, observation.server))
+        since = self._demoted_since.get((proxy, observation.server, term))
         return unreachable if since is None else max(unreachable, now - since)
 
     def _note_role(self, proxy: str, observation: Observation, now: float) -> None:
-        """Note since when a server answers but is no primary, as after a restart."""
-        key = (proxy, observation.server)
+        """Note since when a server answers as a replica of its own term.
+
+        A primary that restarted may come back as a replica. Before its promotion
+        a replica shows an older term and is not taken for one.
+        """
         status = observation.status
-        if status is None or status.role is Role.PRIMARY:
-            self._not_primary_since.pop(key, None)
-        else:
-            self._not_primary_since.setdefault(key, now)
+        known = [
+            key for key in self._demoted_since if key[:2] == (proxy, observation.server)
+        ]
+        if status is None:
+            return
+        current = (proxy, observation.server, status.position.term)
+        for key in known:
+            if status.role is Role.PRIMARY or key != current:
+                del self._demoted_since[key]
+        if status.role is Role.REPLICA:
+            self._demoted_since.setdefault(current, now)
 
     def _check_gap(self) -> None:
         now = self._clock.now()
@@ -160,7 +176,7 @@
 
     def _forget(self) -> None:
         self._renewals.clear()
-        self._not_primary_since.clear()
+        self._demoted_since.clear()
         settle = FRESH_RENEW_INTERVALS * self._renew_interval
         self._settled_at = self._clock.now() + settle
 
--- a/packages/control/src/dogwoodspool_control/errors.py
+++ b/packages/control/src/dogwoodspool_control/errors.py
@@ -41,3 +41,11 @@
 
 class ReleaseFailedError(ControlError):
     """Report a proxy that did not answer that it gave up a grant."""
+
+
+class TooManyRenewalsError(ControlError):
+    """Report a proxy that renews too often."""
+
+
+class TooManyWaitersError(ControlError):
+    """Report that too many long polls wait already."""
--- a/packages/control/src/dogwoodspool_control/grants.py
+++ b/packages/control/src/dogwoodspool_control/grants.py
@@ -77,6 +77,7 @@
         self._holdings: dict[tuple[str, str, str], Holding] = {}
         self._acks: dict[str, _GroupAcks] = {}
         self._incarnations: dict[str, str] = {}
+        self._versions: dict[HolderKey, int] = {}
 
     @property
     def predecessor_expiry(self) -> float:
@@ -148,6 +149,20 @@
                 is_replicated=is_replicated,
             )
 
+    def is_history_known(self, group: str) -> bool:
+        """Tell whether writes acknowledged under earlier leaders are bounded."""
+        with self._lock:
+            return self._acks_of(group).is_history_known
+
+    def all_follow(self, version: int) -> bool:
+        """Tell whether each registered proxy reported this version or a newer one."""
+        proxies = self._state.proxies
+        with self._lock:
+            return all(
+                self._versions.get((name, record.incarnation), -1) >= version
+                for name, record in proxies.items()
+            )
+
     def note_primary(self, group: str, position: Position, asked_at: float) -> None:
         """Take the primary's position as a bound of what was acknowledged.
 
@@ -160,9 +175,7 @@
         with self._lock:
             acks = self._acks_of(group)
             ended = {
-                key
-                for key in acks.unreported
-                if self._expiry((*key, group)) < asked_at
+                key for key in acks.unreported if self._expiry((*key, group)) < asked_at
             }
             is_past_predecessor = asked_at > self._since + self._bound
             if not ended and (acks.is_history_known or not is_past_predecessor):
@@ -180,6 +193,7 @@
         self._holdings.clear()
         self._acks.clear()
         self._incarnations.clear()
+        self._versions.clear()
 
     def _note_incarnation(self, request: RenewRequest) -> None:
         record = self._state.proxies.get(request.proxy)
@@ -195,6 +209,7 @@
         if is_replaced or is_outrun:
             raise StaleIncarnationError(f"{request.proxy} runs as a newer process")
         self._incarnations[request.proxy] = request.incarnation
+        self._versions[request.proxy, request.incarnation] = request.view_version
 
     def _note_acks(self, request: RenewRequest) -> None:
         for report in request.groups:
@@ -220,7 +235,9 @@
             grants.append(
                 Grant(group=group.name, term=group.term, primary=group.primary)
             )
-        return Lease(root.lease_ms, expires_at, is_registered=True, grants=tuple(grants))
+        return Lease(
+            root.lease_ms, expires_at, is_registered=True, grants=tuple(grants)
+        )
 
     def _hold(
         self, request: RenewRequest, group: GroupState, expires_at: float
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/http_admin.py
@@ -0,0 +1,183 @@
+"""Endpoints for operators and balancers."""
+
+from collections.abc import Mapping
+from dataclasses import asdict
+from typing import Any
+
+from dogwoodspool_api import Name
+from dogwoodspool_api.const import (
+    PATH_LIVE,
+    PATH_METRICS,
+    PATH_READY,
+    PATH_SETTINGS_EFFECTIVE,
+    PATH_SETTINGS_HISTORY,
+    PATH_SETTINGS_TREE,
+    PATH_STATUS,
+    PATH_VOTERS,
+    QUERY_PATH,
+)
+from dogwoodspool_common import (
+    Address,
+    JsonRequest,
+    JsonResponse,
+    Route,
+    error_response,
+)
+from dogwoodspool_consensus import (
+    ConsensusError,
+    ConsensusNode,
+    MembershipChangeError,
+    NotLeaderError,
+)
+from dogwoodspool_settings import InvalidPathError, UnknownNodeError, redact
+from pydantic import BaseModel, ConfigDict
+
+from .commands import ForgetProxy
+from .const import (
+    CODE_CONFLICT,
+    CODE_INVALID,
+    DEFAULT_HISTORY,
+    MAX_HISTORY,
+    PATH_FORGET_PROXY,
+    QUERY_LIMIT,
+    VOTER_CHANGE_TIMEOUT,
+)
+from .errors import CommandRejectedError, LeadershipLostError
+from .http_api import answering
+from .node import ControlNode
+from .state import ControlState
+from .status import StatusReport
+
+
+class VoterChange(BaseModel):
+    """Add a voter at an address, or remove one."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    voter: Name
+    address: str | None = None
+
+
+class ProxyRemoval(BaseModel):
+    """Forget a proxy whose instance is gone for good."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    proxy: Name
+
+
+class AdminApi:
+    """Serve settings, status and changes of the control group itself.
+
+    Args:
+        secret_key: key of the fingerprints that stand for secrets.
+    """
+
+    def __init__(
+        self,
+        consensus: ConsensusNode,
+        node: ControlNode,
+        state: ControlState,
+        status: StatusReport,
+        secret_key: bytes,
+    ) -> None:
+        self._consensus = consensus
+        self._node = node
+        self._state = state
+        self._status = status
+        self._secret_key = secret_key
+
+    def routes(self) -> list[Route]:
+        """Return the endpoints."""
+        return [
+            Route("GET", PATH_SETTINGS_TREE, answering(self._tree)),
+            Route("GET", PATH_SETTINGS_EFFECTIVE, answering(self._effective)),
+            Route("GET", PATH_SETTINGS_HISTORY, answering(self._history)),
+            Route("GET", PATH_STATUS, answering(self._show_status)),
+            Route("GET", PATH_VOTERS, answering(self._voters)),
+            Route("POST", PATH_VOTERS, answering(self._change_voters)),
+            Route("POST", PATH_FORGET_PROXY, answering(self._forget_proxy)),
+            Route("GET", PATH_LIVE, self._live, is_open=True),
+            Route("GET", PATH_READY, self._ready, is_open=True),
+            Route("GET", PATH_METRICS, self._metrics, is_open=True),
+        ]
+
+    def _tree(self, _request: JsonRequest) -> JsonResponse:
+        self._node.confirm_read()
+        nodes = [
+            {
+                "path": node.path,
+                "version": node.version,
+                "overrides": self._redacted(node.overrides),
+            }
+            for node in self._state.settings.tree.nodes()
+        ]
+        return JsonResponse({"nodes": nodes, "view_version": self._state.version})
+
+    def _effective(self, request: JsonRequest) -> JsonResponse:
+        self._node.confirm_read()
+        path = request.query.get(QUERY_PATH, "/")
+        try:
+            values = self._state.settings.tree.explain(path)
+        except (InvalidPathError, UnknownNodeError) as error:
+            raise CommandRejectedError(CODE_INVALID, str(error)) from error
+        return JsonResponse({"path": path, "values": [asdict(one) for one in values]})
+
+    def _history(self, request: JsonRequest) -> JsonResponse:
+        self._node.confirm_read()
+        text = request.query.get(QUERY_LIMIT, str(DEFAULT_HISTORY))
+        if not text.isdecimal():
+            raise CommandRejectedError(CODE_INVALID, f"{QUERY_LIMIT} is no number")
+        limit = min(int(text), MAX_HISTORY)
+        path = request.query.get(QUERY_PATH)
+        entries = self._state.settings.tree.history(limit, path)
+        return JsonResponse({"entries": [asdict(entry) for entry in entries]})
+
+    def _show_status(self, _request: JsonRequest) -> JsonResponse:
+        return JsonResponse(self._status.build())
+
+    def _voters(self, _request: JsonRequest) -> JsonResponse:
+        return JsonResponse({"voters": self._status.voters()})
+
+    def _change_voters(self, request: JsonRequest) -> JsonResponse:
+        change = VoterChange.model_validate(request.body)
+        try:
+            if change.address is None:
+                self._consensus.remove_voter(change.voter, VOTER_CHANGE_TIMEOUT)
+            else:
+                address = _parse_address(change.address)
+                self._consensus.add_voter(change.voter, address, VOTER_CHANGE_TIMEOUT)
+        except NotLeaderError as error:
+            raise LeadershipLostError(self._node.leader) from error
+        except MembershipChangeError as error:
+            raise CommandRejectedError(CODE_CONFLICT, str(error)) from error
+        return JsonResponse({"voters": self._status.voters()})
+
+    def _forget_proxy(self, request: JsonRequest) -> JsonResponse:
+        removal = ProxyRemoval.model_validate(request.body)
+        self._node.commit(ForgetProxy(removal.proxy))
+        return JsonResponse({"proxy": removal.proxy})
+
+    def _live(self, _request: JsonRequest) -> JsonResponse:
+        return JsonResponse({"status": "live"})
+
+    def _ready(self, _request: JsonRequest) -> JsonResponse:
+        """Tell whether this voter can serve: a leader is known and reads confirm."""
+        try:
+            self._node.confirm_read()
+        except ConsensusError as error:
+            return error_response(503, "not_ready", str(error))
+        return JsonResponse({"status": "ready"})
+
+    def _metrics(self, _request: JsonRequest) -> JsonResponse:
+        return JsonResponse(text=self._status.metrics())
+
+    def _redacted(self, overrides: Mapping[str, Any]) -> dict[str, Any]:
+        return redact(overrides, self._secret_key)
+
+
+def _parse_address(text: str) -> Address:
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        raise CommandRejectedError(CODE_INVALID, str(error)) from error
--- a/packages/control/src/dogwoodspool_control/instances.py
+++ b/packages/control/src/dogwoodspool_control/instances.py
@@ -8,6 +8,7 @@
 from .const import CODE_CONFLICT, CODE_FULL, CODE_INVALID, MAX_REPLACED_INCARNATIONS
 from .models import Outcome, ProxyRecord
 
+
 class ProxyTable:
     """Registered proxies by name.
 
@@ -24,9 +25,7 @@
         """All registered proxies by name."""
         return self._proxies
 
-    def register(
-        self, index: int, command: RegisterProxy, max_proxies: int
-    ) -> Outcome:
+    def register(self, index: int, command: RegisterProxy, max_proxies: int) -> Outcome:
         """Add a proxy or take over what its new process says."""
         if command.name not in self._proxies and len(self._proxies) >= max_proxies:
             return Outcome(False, CODE_FULL, f"{max_proxies} proxies are registered")
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -0,0 +1,167 @@
+"""What the control group's leader does on its own."""
+
+import threading
+
+from dogwoodspool_common import Clock, GroupState, Phase, log_event
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_consensus import Leadership
+
+from .command_queue import CommandQueue
+from .commands import BeginPromotion
+from .const import TICK_SECONDS
+from .detector import DetectorSettings, FailureDetector
+from .failovers import FailoverTimeline
+from .incarnations import IncarnationAges
+from .membership import Membership
+from .models import PromotionReason
+from .node import ControlNode
+from .promoter import Promotions
+from .reconciler import Reconciler
+from .sightings import Sightings
+from .state import ControlState
+from .upkeep import AckAudit, LeaseBoundUpkeep
+
+
+class FailureWatch:
+    """Ask the detector about each group's primary."""
+
+    def __init__(self, state: ControlState, detector: FailureDetector) -> None:
+        self._state = state
+        self._detector = detector
+
+    def is_failed(self, group_name: str, server: str) -> bool:
+        """Tell whether the proxies call a server of a group failed."""
+        group = self._state.group(group_name)
+        if group is None:
+            return False
+        settings = self._state.settings.effective(group_name)
+        times = DetectorSettings(
+            settings.failure_detect_ms / MILLISECONDS,
+            settings.renew_interval_ms / MILLISECONDS,
+        )
+        proxies = self._state.proxies.values()
+        return self._detector.is_failed(server, group.term, proxies, times)
+
+    def failed_groups(self) -> list[GroupState]:
+        """Return steady groups whose primary has failed."""
+        return [
+            group
+            for group in self._state.groups.values()
+            if group.phase is Phase.STEADY
+            and group.primary is not None
+            and self.is_failed(group.name, group.primary)
+        ]
+
+
+class LeaderLoop:
+    """Look at everything once per tick, while this voter leads.
+
+    Nothing here waits for a commit or a backend server: commands go to the queue
+    and calls to the executor, so that a gap between two ticks means that the
+    process itself stood still.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        node: ControlNode,
+        state: ControlState,
+        *,
+        ages: IncarnationAges,
+        detector: FailureDetector,
+        watch: FailureWatch,
+        sightings: Sightings,
+        membership: Membership,
+        queue: CommandQueue,
+        promotions: Promotions,
+        reconciler: Reconciler,
+        lease_bound: LeaseBoundUpkeep,
+        ack_audit: AckAudit,
+        timeline: FailoverTimeline,
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._state = state
+        self._ages = ages
+        self._detector = detector
+        self._watch = watch
+        self._sightings = sightings
+        self._membership = membership
+        self._queue = queue
+        self._promotions = promotions
+        self._reconciler = reconciler
+        self._lease_bound = lease_bound
+        self._ack_audit = ack_audit
+        self._timeline = timeline
+        self._leadership_term: int | None = None
+        self._stop = threading.Condition()
+        self._is_closed = False
+        self._thread = threading.Thread(
+            target=self._run, name="leader-loop", daemon=True
+        )
+
+    def set_up(self) -> None:
+        """Begin to tick."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Stop ticking."""
+        with self._stop:
+            self._is_closed = True
+            self._stop.notify_all()
+        self._thread.join()
+
+    def tick(self) -> None:
+        """Look at everything once."""
+        self._ages.observe(self._state.proxies)
+        leadership = self._node.catch_up()
+        if leadership is None:
+            return
+        if leadership.term != self._leadership_term:
+            self._begin(leadership)
+        self._detector.tick()
+        for command in self._membership.due_commands():
+            self._queue.offer(command)
+        for group in self._watch.failed_groups():
+            self._begin_promotion(group)
+        self._promotions.run_missing()
+        self._reconciler.run()
+        self._do_upkeep()
+
+    def _begin(self, leadership: Leadership) -> None:
+        self._leadership_term = leadership.term
+        log_event("leadership_began", term=leadership.term)
+        interval = self._state.settings.root.renew_interval_ms / MILLISECONDS
+        self._detector.start_over(interval)
+        self._sightings.start_over()
+        self._queue.clear()
+
+    def _begin_promotion(self, group: GroupState) -> None:
+        self._timeline.begin(group.name, PromotionReason.FAILED)
+        self._queue.offer(
+            BeginPromotion(group.name, group.term, PromotionReason.FAILED)
+        )
+
+    def _do_upkeep(self) -> None:
+        lower = self._lease_bound.due_command()
+        if lower is not None:
+            self._queue.offer(lower)
+        self._ack_audit.run()
+        for command in self._ack_audit.due_commands():
+            self._queue.offer(command)
+
+    def _run(self) -> None:
+        while True:
+            self._tick_safely()
+            with self._stop:
+                if self._is_closed:
+                    return
+                self._clock.wait(self._stop, TICK_SECONDS)
+
+    def _tick_safely(self) -> None:
+        try:
+            self.tick()
+        except Exception as error:  # noqa: BLE001
+            # A fault in one look must not end failure detection for good; the
+            # next tick looks at everything afresh.
+            log_event("tick_failed", level="ERROR", error=repr(error))
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/planned.py
@@ -0,0 +1,96 @@
+"""Operators' planned changes of a primary."""
+
+from dogwoodspool_api import PromoteRequest
+from dogwoodspool_backend import BackendError
+from dogwoodspool_common import BackendServer, Clock, Phase
+
+from .commands import BeginPromotion
+from .const import CODE_CONFLICT, CODE_INVALID, MAX_PLANNED_LAG_MS
+from .errors import CommandRejectedError
+from .failovers import FailoverTimeline
+from .models import PromotionReason
+from .node import ControlNode
+from .promotion_parts import RoleChangers
+from .state import ControlState
+
+
+class PlannedPromotions:
+    """Begin planned promotions and wait for their end."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        node: ControlNode,
+        state: ControlState,
+        role_changers: RoleChangers,
+        timeline: FailoverTimeline,
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._state = state
+        self._role_changers = role_changers
+        self._timeline = timeline
+
+    def begin(self, request: PromoteRequest) -> int:
+        """Commit the beginning of a promotion and return its term.
+
+        The same change id again gets the first answer.
+
+        Raises:
+            CommandRejectedError: it did not begin.
+            LeadershipLostError: another voter leads.
+            OutcomeUnknownError: it may have begun; ask again with the same id.
+        """
+        remembered = self._state.change_outcome(request.change_id)
+        if remembered is not None:
+            if not remembered.is_accepted:
+                raise CommandRejectedError(remembered.code, remembered.message)
+            return remembered.version
+        self._node.require_leadership()
+        group = self._state.group(request.group)
+        if group is None:
+            raise CommandRejectedError(CODE_INVALID, f"no group {request.group}")
+        if group.phase is Phase.STEADY:
+            self._check_candidate(request)
+        self._timeline.begin(group.name, PromotionReason.PLANNED)
+        command = BeginPromotion(
+            group=group.name,
+            expected_term=group.term,
+            reason=PromotionReason.PLANNED,
+            candidate=request.candidate,
+            change_id=request.change_id,
+        )
+        return self._node.commit(command).version
+
+    def wait_ended(self, group: str, term: int, seconds: float) -> bool:
+        """Wait until a promotion has ended; False when time ran out."""
+        deadline = self._clock.now() + seconds
+        while True:
+            version = self._state.version
+            state = self._state.group(group)
+            is_steady = state is not None and state.phase is Phase.STEADY
+            if is_steady and state is not None and state.term >= term:
+                return True
+            remaining = deadline - self._clock.now()
+            if remaining <= 0:
+                return False
+            self._state.wait_newer(version, remaining)
+
+    def _check_candidate(self, request: PromoteRequest) -> None:
+        """Refuse a candidate that would keep writes waiting while it catches up."""
+        if request.candidate is None:
+            return
+        server = self._state.servers.get(request.candidate)
+        if server is None or server.group != request.group:
+            message = f"{request.candidate} is no server of {request.group}"
+            raise CommandRejectedError(CODE_INVALID, message)
+        lag_ms = self._lag_ms(server)
+        if lag_ms is None or lag_ms > MAX_PLANNED_LAG_MS:
+            message = f"{server.name} does not answer or lags too far behind"
+            raise CommandRejectedError(CODE_CONFLICT, message)
+
+    def _lag_ms(self, server: BackendServer) -> float | None:
+        try:
+            return self._role_changers.of_group(server.group).status(server).lag_ms
+        except BackendError:
+            return None
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/progress.py
@@ -0,0 +1,57 @@
+"""What a promotion in progress is doing, for operators."""
+
+import threading
+from dataclasses import dataclass
+
+from dogwoodspool_common import Clock, log_event
+
+from .const import WAITING_LOG_SECONDS
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressReport:
+    """One promotion as an operator sees it.
+
+    Attributes:
+        step: what is being done.
+        waiting_for: proxies or servers whose answer is missing.
+    """
+
+    group: str
+    step: str
+    waiting_for: tuple[str, ...]
+
+
+class PromotionProgress:
+    """Hold the present step; log what it waits for once per second."""
+
+    def __init__(self, group: str, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._report = ProgressReport(group, "begun", ())
+        self._logged_at = clock.now()
+
+    @property
+    def report(self) -> ProgressReport:
+        """The present step."""
+        with self._lock:
+            return self._report
+
+    def note(
+        self, step: str, waiting_for: tuple[str, ...] = (), reason: str = ""
+    ) -> None:
+        """Record the present step and what it waits for."""
+        now = self._clock.now()
+        with self._lock:
+            self._report = ProgressReport(self._report.group, step, waiting_for)
+            if not waiting_for or now - self._logged_at < WAITING_LOG_SECONDS:
+                return
+            self._logged_at = now
+        log_event(
+            "promotion_waits",
+            level="WARNING",
+            group=self._report.group,
+            step=step,
+            waiting_for=",".join(waiting_for),
+            reason=reason,
+        )
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/reconciler.py
@@ -0,0 +1,67 @@
+"""Lead servers that follow an older term to their group's primary."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Role
+
+from .const import FOLLOW_RETRY_SECONDS
+from .promote_step import follow
+from .promotion_parts import RoleChangers
+from .sightings import Sighting, Sightings
+from .state import ControlState
+
+
+class Reconciler:
+    """Tell servers to follow that show another primary or an older term.
+
+    A primary that was replaced while it was cut off comes back believing in its
+    role. No proxy holds a grant for it any more; told to follow, it drops its
+    entries past the branch and serves reads again. Servers refuse older terms,
+    so a command sent late does no harm.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        state: ControlState,
+        sightings: Sightings,
+        role_changers: RoleChangers,
+        executor: ThreadPoolExecutor,
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._sightings = sightings
+        self._role_changers = role_changers
+        self._executor = executor
+        self._told_at: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Look at all servers once; commands run in the executor."""
+        servers = self._state.servers
+        sightings = self._sightings.all
+        for group in self._state.groups.values():
+            primary = servers.get(group.primary or "")
+            if group.phase is not Phase.STEADY or primary is None:
+                continue
+            for server in servers.values():
+                sighting = sightings.get(server.name)
+                if server.group != group.name or sighting is None:
+                    continue
+                if self._should_follow(server, group, sighting):
+                    self._tell(server, primary, group.term)
+
+    def _should_follow(
+        self, server: BackendServer, group: GroupState, sighting: Sighting
+    ) -> bool:
+        if server.name == group.primary:
+            return False
+        is_behind = sighting.position.term < group.term
+        if not is_behind and sighting.role is not Role.PRIMARY:
+            return False
+        told_at = self._told_at.get(server.name, float("-inf"))
+        return self._clock.now() - told_at >= FOLLOW_RETRY_SECONDS
+
+    def _tell(self, server: BackendServer, primary: BackendServer, term: int) -> None:
+        self._told_at[server.name] = self._clock.now()
+        changer = self._role_changers.of_group(server.group)
+        self._executor.submit(follow, changer, server, primary.address, term)
--- a/packages/control/src/dogwoodspool_control/release.py
+++ b/packages/control/src/dogwoodspool_control/release.py
@@ -80,6 +80,7 @@
         self,
         promotion: Promotion,
         drain_ms: int,
+        *,
         clock: Clock,
         table: GrantTable,
         ages: IncarnationAges,
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/renewals.py
@@ -0,0 +1,170 @@
+"""Answer renewals: the one message by which proxies and the leader talk."""
+
+import threading
+from collections.abc import Mapping
+
+from dogwoodspool_api import RenewRequest, RenewResponse
+from dogwoodspool_common import Address, BackendServer, Clock
+from dogwoodspool_settings import EffectiveSettings
+
+from .command_queue import CommandQueue
+from .commands import RegisterProxy
+from .const import MAX_RENEWALS_PER_SECOND, RENEWAL_BURST
+from .detector import FailureDetector
+from .errors import LeadershipLostError, TooManyRenewalsError
+from .grants import GrantTable
+from .models import Lease, PromotionReason, ProxyRecord
+from .node import ControlNode
+from .shares import ServerLimits, ShareLedger, ShareRequest, divide_connections
+from .sightings import Sightings
+from .state import ControlState
+
+
+class RenewalRate:
+    """Bound how often one proxy renews, by a token bucket for each."""
+
+    def __init__(self, clock: Clock, limit: int) -> None:
+        self._clock = clock
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._buckets: dict[str, tuple[float, float]] = {}
+
+    def check(self, proxy: str) -> None:
+        """Take one token; raise ``TooManyRenewalsError`` when there is none."""
+        now = self._clock.now()
+        with self._lock:
+            if proxy not in self._buckets and len(self._buckets) >= self._limit:
+                self._buckets.clear()
+            tokens, filled_at = self._buckets.get(proxy, (RENEWAL_BURST, now))
+            tokens += (now - filled_at) * MAX_RENEWALS_PER_SECOND
+            tokens = min(tokens, RENEWAL_BURST)
+            self._buckets[proxy] = (max(0.0, tokens - 1), now)
+        if tokens < 1:
+            raise TooManyRenewalsError(f"{proxy} renews too often")
+
+
+class Renewals:
+    """Take in what a proxy reports and give grants and shares."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        node: ControlNode,
+        state: ControlState,
+        *,
+        table: GrantTable,
+        ledger: ShareLedger,
+        detector: FailureDetector,
+        sightings: Sightings,
+        queue: CommandQueue,
+        rate: RenewalRate,
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._state = state
+        self._table = table
+        self._ledger = ledger
+        self._detector = detector
+        self._sightings = sightings
+        self._queue = queue
+        self._rate = rate
+        self._lock = threading.Lock()
+        self._renewed_at: dict[str, tuple[float, int]] = {}
+
+    @property
+    def latest(self) -> Mapping[str, tuple[float, int]]:
+        """Time and reported view version of each proxy's latest renewal."""
+        with self._lock:
+            return dict(self._renewed_at)
+
+    def renew(self, request: RenewRequest) -> RenewResponse:
+        """Answer one renewal.
+
+        Raises:
+            LeadershipLostError: another voter leads.
+            StaleIncarnationError: a newer process of the proxy runs.
+            TooManyRenewalsError: the proxy renews too often.
+        """
+        received_at = self._clock.now()
+        leadership = self._node.require_leadership()
+        self._rate.check(request.proxy)
+        lease = self._table.renew(request, received_at)
+        self._register(request)
+        if lease.is_registered:
+            self._detector.observe(request)
+            self._note_renewal(request, received_at)
+        self._sightings.observe(request)
+        shares = self._share(request, lease) if lease.is_registered else {}
+        if self._node.require_leadership().term != leadership.term:
+            raise LeadershipLostError
+        return RenewResponse(
+            lease_ms=lease.lease_ms,
+            grants=list(lease.grants),
+            withdrawn=self._withdrawn(request),
+            connection_shares=shares,
+            view_version=self._state.version,
+        )
+
+    def _register(self, request: RenewRequest) -> None:
+        record = self._state.proxies.get(request.proxy)
+        address = Address.parse(request.address)
+        wanted = (request.incarnation, request.failure_domain, address)
+        if record is not None and wanted == _registered(record):
+            return
+        self._queue.offer(RegisterProxy(request.proxy, *wanted))
+
+    def _note_renewal(self, request: RenewRequest, received_at: float) -> None:
+        with self._lock:
+            self._renewed_at[request.proxy] = (received_at, request.view_version)
+
+    def _withdrawn(self, request: RenewRequest) -> list[str]:
+        """Name the held grants that end now.
+
+        While a planned promotion drains writes in flight, its release decides
+        when the grant ends.
+        """
+        promotions = self._state.promotions
+        return [
+            report.group
+            for report in request.groups
+            if report.held_term is not None
+            and report.group in promotions
+            and promotions[report.group].reason is PromotionReason.FAILED
+        ]
+
+    def _share(self, request: RenewRequest, lease: Lease) -> dict[str, int]:
+        leadership = self._node.require_leadership()
+        share_request = ShareRequest(
+            request.proxy,
+            request.incarnation,
+            request.connection_demand,
+            lease.expires_at,
+        )
+        return self._ledger.renew(
+            share_request,
+            self._limits(),
+            leadership.term,
+            self._table.predecessor_expiry,
+        )
+
+    def _limits(self) -> dict[str, ServerLimits]:
+        proxies = self._state.proxies
+        return {
+            server.name: self._server_limits(server, proxies)
+            for server in self._state.servers.values()
+        }
+
+    def _server_limits(
+        self, server: BackendServer, proxies: Mapping[str, ProxyRecord]
+    ) -> ServerLimits:
+        settings = self._state.settings
+        by_proxy: dict[str, EffectiveSettings] = {
+            name: settings.effective(server.group, record.failure_domain)
+            for name, record in proxies.items()
+        }
+        group = settings.effective(server.group)
+        return divide_connections(server.connections, group, by_proxy)
+
+
+def _registered(record: ProxyRecord) -> tuple[str, str, Address]:
+    return record.incarnation, record.failure_domain, record.address
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -0,0 +1,142 @@
+"""Wire one voter's parts together."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from dogwoodspool_common import Clock, Route
+from dogwoodspool_consensus import ConsensusNode
+
+from .command_queue import CommandQueue
+from .const import MAX_RATED_PROXIES, WORKER_THREADS
+from .detector import FailureDetector
+from .failovers import FailoverTimeline
+from .grants import GrantTable
+from .http_admin import AdminApi
+from .http_api import ControlApi
+from .incarnations import IncarnationAges
+from .leader import FailureWatch, LeaderLoop
+from .membership import Membership
+from .node import ControlNode
+from .planned import PlannedPromotions
+from .promoter import Promotions
+from .promotion_parts import PromotionParts, RoleChangers
+from .reconciler import Reconciler
+from .release import ReleaseClient
+from .renewals import RenewalRate, Renewals
+from .shares import ShareLedger
+from .sightings import Sightings
+from .state import ControlState
+from .status import StatusReport
+from .upkeep import AckAudit, LeaseBoundUpkeep
+
+
+class ControlRuntime:
+    """Hold the parts of one voter; the program gives it clock and peers.
+
+    Args:
+        consensus: the voter's log, whose machine is ``state``.
+        secret_key: key of the fingerprints that stand for secrets.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        consensus: ConsensusNode,
+        state: ControlState,
+        *,
+        role_changers: RoleChangers,
+        release_client: ReleaseClient,
+        secret_key: bytes,
+    ) -> None:
+        self._executor = ThreadPoolExecutor(WORKER_THREADS, "control-worker")
+        node = ControlNode(consensus)
+        table = GrantTable(clock, state, node)
+        detector = FailureDetector(clock)
+        watch = FailureWatch(state, detector)
+        ages = IncarnationAges(clock)
+        timeline = FailoverTimeline(clock)
+        sightings = Sightings(clock)
+        self._queue = CommandQueue(clock, node)
+        self._promotions = Promotions(
+            PromotionParts(
+                clock=clock,
+                node=node,
+                state=state,
+                table=table,
+                ages=ages,
+                release_client=release_client,
+                role_changers=role_changers,
+                timeline=timeline,
+                executor=self._executor,
+                is_failed=watch.is_failed,
+            )
+        )
+        self._loop = LeaderLoop(
+            clock,
+            node,
+            state,
+            ages=ages,
+            detector=detector,
+            watch=watch,
+            sightings=sightings,
+            membership=Membership(clock, state, sightings),
+            queue=self._queue,
+            promotions=self._promotions,
+            reconciler=Reconciler(
+                clock, state, sightings, role_changers, self._executor
+            ),
+            lease_bound=LeaseBoundUpkeep(clock, state, table),
+            ack_audit=AckAudit(
+                clock,
+                state,
+                table=table,
+                sightings=sightings,
+                role_changers=role_changers,
+                submit=self._executor.submit,
+            ),
+            timeline=timeline,
+        )
+        renewals = Renewals(
+            clock,
+            node,
+            state,
+            table=table,
+            ledger=ShareLedger(clock),
+            detector=detector,
+            sightings=sightings,
+            queue=self._queue,
+            rate=RenewalRate(clock, MAX_RATED_PROXIES),
+        )
+        planned = PlannedPromotions(clock, node, state, role_changers, timeline)
+        status = StatusReport(
+            clock,
+            consensus,
+            node,
+            state,
+            renewals=renewals,
+            promotions=self._promotions,
+            timeline=timeline,
+        )
+        api = ControlApi(node, state, renewals, planned)
+        admin = AdminApi(consensus, node, state, status, secret_key)
+        self._routes = [*consensus.routes(), *api.routes(), *admin.routes()]
+
+    @property
+    def routes(self) -> list[Route]:
+        """All endpoints of the voter."""
+        return self._routes
+
+    def set_up(self) -> None:
+        """Begin to act as soon as this voter leads."""
+        self._queue.set_up()
+        self._loop.set_up()
+
+    def unload(self) -> None:
+        """Stop; promotions in progress are left to the next leader.
+
+        The consensus node is unloaded before, so that running promoters notice
+        that they no longer lead.
+        """
+        self._loop.unload()
+        self._queue.unload()
+        self._promotions.join(timeout=1.0)
+        self._executor.shutdown(wait=False, cancel_futures=True)
--- a/packages/control/src/dogwoodspool_control/server_poll.py
+++ b/packages/control/src/dogwoodspool_control/server_poll.py
@@ -6,7 +6,7 @@
 from dogwoodspool_backend import BackendError, RoleChanger
 from dogwoodspool_common import BackendServer, Clock, ServerStatus
 
-from .const import CHOICE_RETRY_SECONDS
+from .const import STATUS_POLL_SECONDS
 
 
 class ServerPoll:
@@ -38,7 +38,7 @@
         asked = set(self._calls.values())
         for server in servers:
             asked_at = self._asked_at.get(server.name, float("-inf"))
-            if server.name in asked or now - asked_at < CHOICE_RETRY_SECONDS:
+            if server.name in asked or now - asked_at < STATUS_POLL_SECONDS:
                 continue
             self._asked_at[server.name] = now
             call = self._executor.submit(self._changer.status, server)
--- a/packages/control/src/dogwoodspool_control/settings_state.py
+++ b/packages/control/src/dogwoodspool_control/settings_state.py
@@ -93,8 +93,11 @@
 
     def is_settled(self, group: str) -> bool:
         """Tell whether each acknowledged write of the group is on a replica."""
-        is_strict = self.effective(group).write_ack is WriteAck.REPLICA
-        return is_strict and group not in self._unsettled
+        return self.is_strict(group) and group not in self._unsettled
+
+    def is_strict(self, group: str) -> bool:
+        """Tell whether a replica must have a write before it is acknowledged."""
+        return self.effective(group).write_ack is WriteAck.REPLICA
 
     def change(
         self, index: int, command: ChangeSettings, groups: Mapping[str, object]
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -105,6 +105,11 @@
         with self._changed:
             return self._groups.groups.get(name)
 
+    def change_outcome(self, change_id: str) -> Outcome | None:
+        """Return the first outcome of an operator's promotion."""
+        with self._changed:
+            return self._groups.change_outcomes.get(change_id)
+
     def promotion(self, group: str) -> Promotion | None:
         """Return a group's promotion in progress."""
         with self._changed:
@@ -113,7 +118,9 @@
     def servers_of(self, group: str) -> list[BackendServer]:
         """Return a group's backend servers by name."""
         servers = self.servers
-        return [servers[name] for name in sorted(servers) if servers[name].group == group]
+        return [
+            servers[name] for name in sorted(servers) if servers[name].group == group
+        ]
 
     def view(self) -> ControlView:
         """Return the state that proxies follow."""
