--- a/packages/common/src/dogwoodspool_common/errors.py
+++ b/packages/common/src/dogwoodspool_common/errors.py
@@ -22,12 +22,14 @@
     Attributes:
         status: HTTP status of the answer.
         code: short machine-readable reason from the answer's body.
+        detail: the reason in words, or a value that the code promises.
     """
 
-    def __init__(self, status: int, code: str, message: str) -> None:
-        super().__init__(f"peer answered {status} {code}: {message}")
+    def __init__(self, status: int, code: str, detail: str) -> None:
+        super().__init__(f"peer answered {status} {code}: {detail}")
         self.status = status
         self.code = code
+        self.detail = detail
 
 
 class SettingsError(DogwoodspoolError):
--- a/packages/gateway/src/dogwoodspool_gateway/__init__.py
+++ b/packages/gateway/src/dogwoodspool_gateway/__init__.py
@@ -28,8 +28,10 @@
     StatementKind,
     StatementRequest,
 )
+from .variables import system_variable
 
 __all__ = [
+    "system_variable",
     "CR_SERVER_LOST",
     "ER_NOT_SUPPORTED",
     "ER_NO_DATABASE",
--- a/packages/gateway/src/dogwoodspool_gateway/classify.py
+++ b/packages/gateway/src/dogwoodspool_gateway/classify.py
@@ -91,16 +91,13 @@
 
 
 def _classify_words(words: tuple[str, ...], functions: frozenset[str]) -> Classified:
-    first = words[0] if words[0] != "(" else "SELECT"
+    # The tokenizer gives "LOCK TABLES" as one token.
+    first = words[0].split()[0] if words[0] != "(" else "SELECT"
     match first:
         case "BEGIN":
             return Classified(StatementKind.BEGIN)
         case "START":
-            is_read_only = "ONLY" in words
-            kind = (
-                StatementKind.BEGIN_READ_ONLY if is_read_only else StatementKind.BEGIN
-            )
-            return Classified(kind)
+            return _classify_start(words)
         case "COMMIT":
             return Classified(StatementKind.COMMIT)
         case "ROLLBACK" if "TO" not in words:
--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -2,24 +2,26 @@
 
 import asyncio
 import io
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from functools import partial
 from itertools import islice
 from typing import Any, cast
 
-from dogwoodspool_common import Clock, log_event, span
+from dogwoodspool_common import Clock, DogwoodspoolError, log_event, span
 from mysql_mimic import packets, types
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.packets import make_column_definition_41
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultColumn
-from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.stream import MysqlStream
 from mysql_mimic.types import Capabilities, ServerStatus
 
 from .classify import classify
 from .const import (
     BUSY_RETRY_AFTER_MS,
+    CR_SERVER_LOST,
     ER_NET_PACKET_TOO_LARGE,
     ER_NOT_SUPPORTED,
     ER_PARSE,
@@ -80,6 +82,7 @@
         self._caller: CallerSession | None = None
         self._is_busy = False
         self._is_draining = False
+        self._is_ended = False
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
 
     @property
@@ -103,6 +106,9 @@
         answer, so whatever the caller sent or sends next is answered with it,
         and it is true: nothing is read from this connection any more.
         """
+        if self._is_ended:
+            return
+        self._is_ended = True
         self.stream.reset_seq()
         next(self.stream.seq)
         await self._write_error(_shutdown_answer())
@@ -152,6 +158,10 @@
 
     async def handle_query(self, data: bytes) -> None:
         """Serve one statement of the text protocol."""
+        with self._answering():
+            await self._serve_query(data)
+
+    async def _serve_query(self, data: bytes) -> None:
         query = packets.parse_com_query(
             capabilities=self.capabilities,
             client_charset=self.client_charset,
@@ -186,6 +196,10 @@
 
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Serve one execution of a prepared statement."""
+        with self._answering():
+            await self._serve_execute(data)
+
+    async def _serve_execute(self, data: bytes) -> None:
         statement = self.get_stmt(types.read_uint_4(io.BytesIO(data)))
         values, attributes = _read_execute(self, statement, data)
         statement.param_buffers = None
@@ -203,6 +217,15 @@
         else:
             await self._write_outcome(answer)
 
+    @contextmanager
+    def _answering(self) -> Iterator[None]:
+        """Mark the connection as busy until its answer is written."""
+        self._is_busy = True
+        try:
+            yield
+        finally:
+            self._is_busy = False
+
     async def _use(self, database: str) -> ErrorAnswer | None:
         assert self._caller is not None
         self.session.database = database
@@ -223,11 +246,7 @@
         except BadRequestPropertyError as error:
             return _refusal(ER_WRONG_ARGUMENTS, str(error))
         request = StatementRequest(sql, classify(sql), properties, arrived_at)
-        self._is_busy = True
-        try:
-            answer = await self._workers.run(partial(self._run_traced, request))
-        finally:
-            self._is_busy = False
+        answer = await self._workers.run(partial(self._run_traced, request))
         self._refresh_status()
         return answer if answer is not None else _busy_answer()
 
@@ -251,7 +270,6 @@
         Each batch is taken only after the caller has taken the one before, so
         that a large result needs the memory of one batch.
         """
-        self._is_busy = True
         is_complete = False
         try:
             self.stream.write_many(self._header_packets(columns))
@@ -261,15 +279,16 @@
                 if len(batch) < ROWS_PER_BATCH:
                     break
             is_complete = True
-        except Exception as error:
-            # The result broke off after its first packets. Another answer may
-            # not follow on this connection: the caller would take it for rows.
-            log_event("result_broken_off", level="WARNING", error=repr(error))
-            raise ConnectionClosed from error
+        except DogwoodspoolError as error:
+            # The result broke off after its first packets. The protocol lets an
+            # error packet stand in a row's place, so the caller does not take the
+            # rows that came for the whole answer.
+            log_event("result_broken_off", level="WARNING", error=error)
+            await self._write_error(_broken_off_answer())
+            return
         finally:
             await self._workers.run_always(partial(answer.finish, is_complete))
             self._refresh_status()
-            self._is_busy = False
         await self.stream.write(self.ok_or_eof())
 
     async def _next_batch(self, answer: RowsAnswer) -> list[Row]:
@@ -351,6 +370,12 @@
     return ErrorAnswer(Outcome.NOT_RUN, *error, message)
 
 
+def _broken_off_answer() -> ErrorAnswer:
+    return ErrorAnswer(
+        Outcome.UNKNOWN, *CR_SERVER_LOST, "the backend server broke the result off"
+    )
+
+
 def _shutdown_answer() -> ErrorAnswer:
     return ErrorAnswer(
         Outcome.NOT_RUN,
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -0,0 +1,115 @@
+"""Connections to backend servers for one statement or transaction."""
+
+from dogwoodspool_backend import (
+    BackendConnection,
+    ConnectFailedError,
+    PoolTimeoutError,
+    StatementResult,
+)
+from dogwoodspool_common import BackendServer, Clock, span
+from dogwoodspool_gateway import ErrorAnswer
+from dogwoodspool_limits import Admission, Priority
+from expression import Error, Ok, Result
+
+from .answers import refused
+from .backends import Backend, BackendRegistry
+from .const import CONNECT_RETRY_AFTER_MS
+
+
+class HeldConnection:
+    """A connection with its place among the server's admitted statements.
+
+    It must be finished; finishing again does nothing. What the admission learns
+    is the time of one statement on the server, also where a transaction holds the
+    connection for much longer.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        connection: BackendConnection,
+        admission: Admission,
+        clock: Clock,
+    ) -> None:
+        self._backend = backend
+        self._admission = admission
+        self._clock = clock
+        self._busy_seconds = 0.0
+        self._statements = 0
+        self._is_finished = False
+        self.connection = connection
+
+    @property
+    def server(self) -> BackendServer:
+        """The backend server."""
+        return self._backend.server
+
+    def execute(self, sql: str, deadline: float) -> StatementResult:
+        """Run one statement that leaves nothing behind in the session.
+
+        Raises:
+            BackendError: as for ``BackendConnection.execute``.
+        """
+        began_at = self._clock.now()
+        try:
+            with span("backend.statement", server=self.server.name):
+                return self.connection.execute(
+                    sql, deadline - began_at, may_change_session=False
+                )
+        finally:
+            self._busy_seconds += self._clock.now() - began_at
+            self._statements += 1
+
+    def finish(self, is_good: bool) -> None:
+        """Give the connection back.
+
+        Args:
+            is_good: the server answered as it should; else the connection is
+                closed.
+        """
+        if self._is_finished:
+            return
+        self._is_finished = True
+        self._backend.pool.release(self.connection, reuse=is_good)
+        self._admission.done(self._busy_seconds / max(1, self._statements), is_good)
+
+
+class BackendAccess:
+    """Admit a statement to a backend server and take a connection for it."""
+
+    def __init__(self, registry: BackendRegistry, clock: Clock) -> None:
+        self._registry = registry
+        self._clock = clock
+
+    def open(
+        self, server: BackendServer, deadline: float, priority: Priority
+    ) -> Result[HeldConnection, ErrorAnswer]:
+        """Wait for a place and a connection until the clock's deadline.
+
+        A refusal comes at once where the wait would pass the deadline. Nothing
+        has been sent to the server when an error is returned.
+        """
+        backend = self._registry.backend(server)
+        with span("admission.wait", server=server.name, priority=priority.name):
+            admitted = backend.admission.admit(deadline, priority)
+        if admitted.is_error():
+            message = f"{server.name}: {admitted.error.reason}"
+            return Error(refused(message, admitted.error.retry_after_ms))
+        return self._connect(backend, admitted.ok, deadline)
+
+    def _connect(
+        self, backend: Backend, admission: Admission, deadline: float
+    ) -> Result[HeldConnection, ErrorAnswer]:
+        name = backend.server.name
+        try:
+            connection = backend.pool.acquire(deadline)
+        except PoolTimeoutError:
+            admission.done(0.0, False)
+            message = f"no connection to {name} came free"
+            return Error(refused(message, CONNECT_RETRY_AFTER_MS))
+        except ConnectFailedError as error:
+            admission.done(0.0, False)
+            self._registry.report_failure(backend.server, error)
+            message = f"{name} cannot be reached"
+            return Error(refused(message, CONNECT_RETRY_AFTER_MS))
+        return Ok(HeldConnection(backend, connection, admission, self._clock))
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/acks.py
@@ -0,0 +1,199 @@
+"""Wait until a replica has a write, so that a failover cannot lose it."""
+
+import threading
+
+from dogwoodspool_backend import BackendConnection, BackendError, PoolTimeoutError
+from dogwoodspool_common import BackendServer, Clock, Position, log_event
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_sessions import is_covered
+
+from .backends import Backend, BackendRegistry
+from .const import ACK_IDLE_SECONDS, ACK_WAIT_SLICE_SECONDS, RETRY_PAUSE_SECONDS
+from .view import ViewStore
+
+
+class ReplicaAcks:
+    """Confirm writes of every group by its replicas.
+
+    All writes of a group that wait share one connection to one replica, however
+    many they are: connections are scarce, and a replica that has the later
+    position has the earlier ones.
+    """
+
+    def __init__(
+        self, views: ViewStore, registry: BackendRegistry, clock: Clock
+    ) -> None:
+        self._views = views
+        self._registry = registry
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._followers: dict[str, _ReplicaFollower] = {}
+
+    def wait(self, group: str, position: Position, timeout: float) -> bool:
+        """Wait until a replica has a position; False when time ran out."""
+        return self._follower(group).wait(position, timeout)
+
+    def unload(self) -> None:
+        """Stop following replicas."""
+        with self._lock:
+            followers = list(self._followers.values())
+        for follower in followers:
+            follower.unload()
+
+    def _follower(self, group: str) -> "_ReplicaFollower":
+        with self._lock:
+            follower = self._followers.get(group)
+            if follower is None:
+                follower = _ReplicaFollower(
+                    group, self._views, self._registry, self._clock
+                )
+                follower.set_up()
+                self._followers[group] = follower
+            return follower
+
+
+class _ReplicaFollower:
+    """Follow one group's replicas while writes wait, one replica at a time."""
+
+    def __init__(
+        self, group: str, views: ViewStore, registry: BackendRegistry, clock: Clock
+    ) -> None:
+        self._group = group
+        self._views = views
+        self._registry = registry
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._waiting: list[Position] = []
+        self._confirmed: Position | None = None
+        self._is_stopped = False
+        self._turn = 0
+        self._held: tuple[Backend, BackendConnection] | None = None
+        self._thread = threading.Thread(
+            target=self._run, name=f"replica-acks-{group}", daemon=True
+        )
+
+    def set_up(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Stop and give the connection back."""
+        with self._changed:
+            self._is_stopped = True
+            self._changed.notify_all()
+        self._thread.join()
+
+    def wait(self, position: Position, timeout: float) -> bool:
+        """Wait until a replica has a position; False when time ran out."""
+        deadline = self._clock.now() + timeout
+        with self._changed:
+            self._waiting.append(position)
+            self._changed.notify_all()
+            try:
+                while not self._is_confirmed(position):
+                    remaining = deadline - self._clock.now()
+                    if remaining <= 0 or self._is_stopped:
+                        return False
+                    self._clock.wait(self._changed, remaining)
+                return True
+            finally:
+                self._waiting.remove(position)
+
+    def _run(self) -> None:
+        while True:
+            target = self._next_target()
+            if target is None:
+                break
+            try:
+                if not self._follow(target):
+                    self._turn += 1
+                    self._give_back()
+            except BackendError as error:
+                if not isinstance(error, PoolTimeoutError):
+                    log_event(
+                        "replica_ack_failed",
+                        level="DEBUG",
+                        group=self._group,
+                        error=error,
+                    )
+                self._turn += 1
+                self._give_back()
+                self._clock.sleep(RETRY_PAUSE_SECONDS / 2)
+        self._give_back()
+
+    def _next_target(self) -> Position | None:
+        """Return the lowest position that a write waits for; None to stop."""
+        with self._changed:
+            while not self._is_stopped:
+                open_positions = [
+                    position
+                    for position in self._waiting
+                    if not self._is_confirmed(position)
+                ]
+                if open_positions:
+                    return min(open_positions)
+                if not self._clock.wait(self._changed, ACK_IDLE_SECONDS):
+                    self._give_back()
+            return None
+
+    def _follow(self, target: Position) -> bool:
+        """Wait on a replica for a position; tell whether to stay with it."""
+        connection = self._connection()
+        if connection is None:
+            self._clock.sleep(RETRY_PAUSE_SECONDS / 2)
+            return False
+        settings = self._views.settings(self._group)
+        answer_timeout = settings.probe_timeout_ms / MILLISECONDS
+        status = connection.wait_for(
+            target, ACK_WAIT_SLICE_SECONDS, ACK_WAIT_SLICE_SECONDS + answer_timeout
+        )
+        with self._changed:
+            self._confirmed = status.position
+            self._changed.notify_all()
+            return self._is_confirmed(target)
+
+    def _is_confirmed(self, position: Position) -> bool:
+        state = self._views.view.groups.get(self._group)
+        if self._confirmed is None or state is None:
+            return False
+        return is_covered(position, self._confirmed, state.term_starts)
+
+    def _connection(self) -> BackendConnection | None:
+        if self._held is not None:
+            return self._held[1]
+        candidates = self._candidates()
+        if not candidates:
+            return None
+        server = candidates[self._turn % len(candidates)]
+        backend = self._registry.backend(server)
+        deadline = self._clock.now() + ACK_WAIT_SLICE_SECONDS * 2
+        self._held = backend, backend.pool.acquire(deadline)
+        return self._held[1]
+
+    def _candidates(self) -> list[BackendServer]:
+        """Return the group's replicas, those away from the primary first.
+
+        A replica in another failure domain is there when the primary's own is
+        lost as a whole.
+        """
+        view = self._views.view
+        state = view.groups.get(self._group)
+        if state is None or state.primary is None:
+            return []
+        primary = view.servers.get(state.primary)
+        home = primary.failure_domain if primary else ""
+        replicas = [
+            server
+            for server in view.servers.values()
+            if server.group == self._group and server.name != state.primary
+        ]
+        return sorted(
+            replicas, key=lambda server: (server.failure_domain == home, server.name)
+        )
+
+    def _give_back(self) -> None:
+        if self._held is None:
+            return
+        backend, connection = self._held
+        self._held = None
+        backend.pool.release(connection, reuse=connection.is_open)
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -0,0 +1,244 @@
+"""Wire the parts of a proxy together."""
+
+import ssl
+import uuid
+
+from dogwoodspool_api import Observation, RenewRequest
+from dogwoodspool_backend import ConnectionPool, Prober
+from dogwoodspool_common import (
+    Address,
+    BackendServer,
+    Clock,
+    JsonClient,
+    JsonServer,
+    RequestSigner,
+    log_event,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_gateway import CallerListener
+from dogwoodspool_limits import RetryBudget
+from dogwoodspool_routing import ReadRouter, RouterSettings, ServerTable
+
+from .access import BackendAccess
+from .acks import ReplicaAcks
+from .backends import BackendRegistry
+from .control_peers import ControlPeers
+from .counters import Counters
+from .diagnostics import ProxyDiagnostics
+from .endpoints import ProxyEndpoints
+from .grants import GrantBook
+from .models import ProxySettings
+from .probes import ProbeCoordinator
+from .pruning import RequestPruner
+from .reads import ReadPath
+from .renew import RenewCoordinator
+from .sessions import CallerSessions, TransactionReaper
+from .transactions import TransactionPath
+from .view import ProxyView, ViewStore
+from .watch import WatchCoordinator
+from .writes import WritePath
+
+
+class Proxy:
+    """One proxy process."""
+
+    def __init__(self, settings: ProxySettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._incarnation = uuid.uuid4().hex
+        signer = RequestSigner(settings.shared_key.get_secret_value().encode())
+        self._client = JsonClient(signer)
+        self._views = ViewStore(settings.failure_domain, clock)
+        self._grants = GrantBook(clock)
+        self._table = ServerTable(clock)
+        self._registry = BackendRegistry(self._views, self._table, clock)
+        self._counters = Counters()
+        self._build_statement_paths()
+        self._build_coordinators()
+        self._listener = CallerListener(
+            Address.parse(settings.listen),
+            self._sessions,
+            clock,
+            tls=_tls_context(settings),
+            workers=settings.workers,
+            max_callers=settings.max_callers,
+        )
+        self._build_http(signer)
+
+    @property
+    def caller_address(self) -> Address:
+        """Where callers connect."""
+        return self._listener.address
+
+    @property
+    def http_address(self) -> Address:
+        """Where the proxy's HTTP answers."""
+        return self._http.address
+
+    def set_up(self) -> None:
+        """Start every part.
+
+        Callers are accepted at once and refused as not run until the first view
+        has come from control.
+        """
+        self._views.add_listener(self._follow_settings)
+        self._views.add_listener(self._follow_servers)
+        self._registry.set_up()
+        self._probes.set_up()
+        self._http.set_up()
+        self._watch.set_up()
+        self._renew = self._build_renewal()
+        self._renew.set_up()
+        self._reaper.set_up()
+        self._pruner.set_up()
+        self._listener.set_up()
+        log_event(
+            "proxy_started",
+            address=self.caller_address,
+            http_address=self.http_address,
+        )
+
+    def drain(self) -> bool:
+        """Finish what is in flight; tell whether nothing had to be cut."""
+        log_event("drain_started", callers=self._listener.callers)
+        self._diagnostics.start_draining()
+        is_complete = self._listener.drain(self._settings.drain_seconds)
+        log_event("drain_ended", is_complete=is_complete)
+        return is_complete
+
+    def unload(self) -> None:
+        """Give grants and shares back and stop every part."""
+        self._renew.start_draining()
+        self._listener.unload()
+        for group in self._views.view.groups.values():
+            self._grants.release(group.name, group.term, 0)
+        self._renew.unload()
+        self._give_back()
+        self._watch.unload()
+        self._reaper.unload()
+        self._pruner.unload()
+        self._probes.unload()
+        self._acks.unload()
+        self._registry.unload()
+        self._http.unload()
+        self._client.close()
+        log_event("proxy_stopped")
+
+    def request_drain(self) -> None:
+        """Mark the proxy as not ready; the process ends when it is signalled."""
+        self._diagnostics.start_draining()
+
+    def _build_statement_paths(self) -> None:
+        clock = self._clock
+        access = BackendAccess(self._registry, clock)
+        settings = self._views.settings(None)
+        budget = RetryBudget(
+            clock, settings.retry_budget_ratio, settings.retry_budget_min
+        )
+        self._budget = budget
+        self._router = ReadRouter(self._table, RouterSettings(settings.replica_wait_ms))
+        self._acks = ReplicaAcks(self._views, self._registry, clock)
+        reads = ReadPath(
+            self._views,
+            self._grants,
+            access,
+            self._table,
+            self._router,
+            budget,
+            self._counters,
+            clock,
+        )
+        writes = WritePath(self._views, self._grants, access, self._acks, budget, clock)
+        transactions = TransactionPath(self._views, self._grants, reads, writes, clock)
+        self._sessions = CallerSessions(
+            self._views, reads, writes, transactions, self._counters, clock
+        )
+        self._pruner = RequestPruner(self._views, self._grants, writes, clock)
+
+    def _build_coordinators(self) -> None:
+        settings = self._settings
+        self._peers = ControlPeers(settings.control_addresses)
+        self._watch = WatchCoordinator(
+            self._views, self._peers, self._client, self._clock
+        )
+        self._reaper = TransactionReaper(self._sessions, self._clock)
+        timeout = self._views.settings(None).probe_timeout_ms / MILLISECONDS
+        self._probes = ProbeCoordinator(
+            self._views,
+            self._table,
+            Prober(self._pool_of, self._clock, timeout),
+            self._renew_now,
+            self._clock,
+        )
+
+    def _build_renewal(self) -> RenewCoordinator:
+        identity = RenewRequest(
+            proxy=self._settings.name,
+            incarnation=self._incarnation,
+            failure_domain=self._settings.failure_domain,
+            address=str(self.http_address),
+            view_version=0,
+        )
+        return RenewCoordinator(
+            identity,
+            self._views,
+            self._grants,
+            self._registry,
+            self._peers,
+            self._client,
+            self._observe,
+            self._table.announcements,
+            self._clock,
+        )
+
+    def _build_http(self, signer: RequestSigner) -> None:
+        settings = self._settings
+        self._diagnostics = ProxyDiagnostics(
+            settings.name,
+            self._views,
+            self._grants,
+            self._registry,
+            lambda: self._listener.callers,
+            lambda: self._renew.seconds_since_renewal,
+        )
+        endpoints = ProxyEndpoints(
+            self._incarnation,
+            settings.failure_domain,
+            self._grants,
+            self._table,
+            self._counters,
+            self._diagnostics,
+            self._renew_now,
+            self.request_drain,
+        )
+        address = Address.parse(settings.http_listen)
+        self._http = JsonServer(address, signer, endpoints.routes())
+
+    def _pool_of(self, server: BackendServer) -> ConnectionPool:
+        return self._registry.backend(server).pool
+
+    def _renew_now(self) -> None:
+        self._renew.wake()
+
+    def _observe(self) -> list[Observation]:
+        return self._table.observations()
+
+    def _follow_settings(self, _view: ProxyView) -> None:
+        settings = self._views.settings(None)
+        self._budget.change(settings.retry_budget_ratio, settings.retry_budget_min)
+        self._router.change(RouterSettings(settings.replica_wait_ms))
+
+    def _follow_servers(self, view: ProxyView) -> None:
+        self._table.adopt_committed(view.servers.values())
+
+    def _give_back(self) -> None:
+        """Tell control at once that this proxy holds nothing any more."""
+        self._renew.step()
+
+
+def _tls_context(settings: ProxySettings) -> ssl.SSLContext | None:
+    if settings.tls_certificate is None or settings.tls_key is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.tls_certificate, settings.tls_key)
+    return context
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -0,0 +1,164 @@
+"""Pools and admission queues of the backend servers that this proxy uses."""
+
+import threading
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from dogwoodspool_backend import (
+    BackendError,
+    ConnectionPool,
+    Credentials,
+    MySqlConnector,
+    PoolSettings,
+)
+from dogwoodspool_common import BackendServer, Clock, log_event
+from dogwoodspool_limits import AdmissionQueue
+from dogwoodspool_routing import ServerTable
+
+from .view import ProxyView, ViewStore
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """One backend server with what bounds the work on it."""
+
+    server: BackendServer
+    pool: ConnectionPool
+    admission: AdmissionQueue
+
+
+@dataclass(frozen=True, slots=True)
+class BackendUsage:
+    """How much of a backend server this proxy uses."""
+
+    server: str
+    limit: int
+    open: int
+    in_use: int
+    waiting: int
+
+
+class BackendRegistry:
+    """Keep a pool and an admission queue for each backend server.
+
+    A server that comes back under its name with another address gets new ones;
+    a server that control has removed loses them.
+    """
+
+    def __init__(self, views: ViewStore, table: ServerTable, clock: Clock) -> None:
+        self._views = views
+        self._table = table
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._backends: dict[str, Backend] = {}
+        self._shares: dict[str, int] = {}
+        self._shares_until = 0.0
+
+    def set_up(self) -> None:
+        """Follow the view."""
+        self._views.add_listener(self._forget_removed)
+
+    def unload(self) -> None:
+        """Close idle connections."""
+        with self._lock:
+            backends = list(self._backends.values())
+            self._backends.clear()
+        for backend in backends:
+            backend.pool.unload()
+
+    def backend(self, server: BackendServer) -> Backend:
+        """Return what bounds the work on a server."""
+        with self._lock:
+            known = self._backends.get(server.name)
+            if known is not None and known.server.address == server.address:
+                return known
+            backend = self._build(server)
+            self._backends[server.name] = backend
+        if known is not None:
+            known.pool.unload()
+        return backend
+
+    def demand(self) -> dict[str, int]:
+        """Return the connections wanted for each backend server."""
+        with self._lock:
+            backends = list(self._backends.values())
+        return {backend.server.name: backend.pool.demand for backend in backends}
+
+    def usage(self) -> list[BackendUsage]:
+        """Return how much of each backend server is in use."""
+        with self._lock:
+            backends = list(self._backends.values())
+        return [
+            BackendUsage(
+                server=backend.server.name,
+                limit=backend.pool.limit,
+                open=backend.pool.open_count,
+                in_use=backend.pool.in_use,
+                waiting=backend.pool.waiting,
+            )
+            for backend in backends
+        ]
+
+    def grant_shares(self, shares: Mapping[str, int], until: float) -> None:
+        """Put leased shares of connections in force until a clock time."""
+        with self._lock:
+            self._shares = dict(shares)
+            self._shares_until = until
+            backends = list(self._backends.values())
+        self._set_limits(backends)
+
+    def expire_shares(self) -> None:
+        """Fall back to the durable base shares once the leased ones ran out.
+
+        While this proxy is cut off, control leases the same connections to
+        others; only the base share is its own also then.
+        """
+        with self._lock:
+            if not self._shares or self._clock.now() < self._shares_until:
+                return
+            self._shares = {}
+            backends = list(self._backends.values())
+        log_event("shares_expired")
+        self._set_limits(backends)
+
+    def report_failure(self, server: BackendServer, error: BackendError) -> None:
+        """Note that a server did not answer."""
+        log_event("backend_failed", level="DEBUG", server=server.name, error=error)
+        self._table.note_failure(server.name)
+
+    def _build(self, server: BackendServer) -> Backend:
+        settings = self._views.settings(server.group)
+        connector = MySqlConnector(
+            Credentials(settings.backend_user, settings.backend_password),
+            self._views.failure_domain,
+            settings.statements,
+            self._clock,
+        )
+        limit = self._limit(server)
+        pool = ConnectionPool(
+            server, connector, self._clock, PoolSettings.of(settings), limit
+        )
+        admission = AdmissionQueue(
+            self._clock, server.slots, limit, settings.queue_limit
+        )
+        return Backend(server, pool, admission)
+
+    def _set_limits(self, backends: Iterable[Backend]) -> None:
+        for backend in backends:
+            limit = self._limit(backend.server)
+            backend.pool.set_limit(limit)
+            backend.admission.set_max_in_flight(limit)
+
+    def _limit(self, server: BackendServer) -> int:
+        base = self._views.settings(server.group).base_connections
+        return max(base, self._shares.get(server.name, 0))
+
+    def _forget_removed(self, view: ProxyView) -> None:
+        with self._lock:
+            removed = [
+                self._backends.pop(name)
+                for name in list(self._backends)
+                if name not in view.servers
+            ]
+        for backend in removed:
+            backend.pool.unload()
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/caller_session.py
@@ -0,0 +1,228 @@
+"""One caller connection: sends each statement on the way that its kind needs."""
+
+import threading
+from collections.abc import Callable
+
+from dogwoodspool_common import Clock
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_gateway import (
+    ER_NO_DATABASE,
+    ER_NOT_SUPPORTED,
+    ER_UNKNOWN_VARIABLE,
+    VARIABLE_SESSION,
+    Answer,
+    AnswerColumn,
+    DoneAnswer,
+    ErrorAnswer,
+    RowsAnswer,
+    StatementKind,
+    StatementRequest,
+    system_variable,
+)
+from dogwoodspool_sessions import NEW_SESSION, SessionTokenError, TokenCodec
+
+from .answers import failed_with, no_primary, not_run, refused
+from .callers import CallerState
+from .const import (
+    ER_SESSION_REFUSED,
+    NO_PRIMARY_RETRY_AFTER_MS,
+    SERVER_VERSION,
+)
+from .counters import Counters
+from .reads import ReadPath
+from .transactions import TransactionPath
+from .view import ViewStore
+from .writes import WritePath
+
+TEXT_TYPE = 253
+TEXT_CHARSET = 255
+WRITING_KINDS = frozenset({StatementKind.WRITE, StatementKind.DDL})
+
+
+class ProxySession:
+    """Serve one caller connection."""
+
+    def __init__(
+        self,
+        caller: CallerState,
+        views: ViewStore,
+        reads: ReadPath,
+        writes: WritePath,
+        transactions: TransactionPath,
+        counters: Counters,
+        clock: Clock,
+        on_close: "Callable[[ProxySession], None]",
+    ) -> None:
+        self._caller = caller
+        self._views = views
+        self._reads = reads
+        self._writes = writes
+        self._transactions = transactions
+        self._counters = counters
+        self._clock = clock
+        self._on_close = on_close
+        self._lock = threading.Lock()
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction is open."""
+        return self._caller.transaction is not None
+
+    @property
+    def is_autocommit(self) -> bool:
+        """Tell whether each statement commits by itself."""
+        return self._caller.is_autocommit
+
+    def use(self, database: str) -> ErrorAnswer | None:
+        """Choose the database group."""
+        if self._caller.transaction is not None:
+            message = "the database cannot change inside a transaction"
+            return failed_with(ER_NOT_SUPPORTED, message)
+        self._caller.group = database
+        return None
+
+    def run(self, request: StatementRequest) -> Answer:
+        """Run one statement."""
+        with self._lock:
+            answer = self._run(request)
+        outcome = answer.outcome if isinstance(answer, ErrorAnswer) else "ok"
+        elapsed = self._clock.now() - request.arrived_at
+        self._counters.answered(request.classified.kind, outcome, elapsed)
+        return answer
+
+    def reset(self) -> None:
+        """Roll back and forget what the connection has set."""
+        with self._lock:
+            self._transactions.end(self._caller)
+            self._caller.is_autocommit = True
+            self._caller.last_insert_id = 0
+
+    def close(self) -> None:
+        """Roll back and give everything back."""
+        with self._lock:
+            self._transactions.end(self._caller)
+        self._on_close(self)
+
+    def expire_transaction(self) -> None:
+        """Undo a transaction that is open for too long and does nothing."""
+        if not self._lock.acquire(blocking=False):
+            return  # A statement is running; its own deadline bounds it.
+        try:
+            self._transactions.expire(self._caller)
+        finally:
+            self._lock.release()
+
+    def _run(self, request: StatementRequest) -> Answer:
+        refusal = self._adopt_session(request.properties.session)
+        if refusal is not None:
+            return refusal
+        deadline = self._deadline(request)
+        caller = self._caller
+        match request.classified.kind:
+            case StatementKind.IGNORED:
+                return DoneAnswer()
+            case StatementKind.UNSUPPORTED:
+                what = ", ".join(request.classified.names)
+                message = f"not supported through a pooled connection: {what}"
+                return failed_with(ER_NOT_SUPPORTED, message)
+            case StatementKind.LOCAL_SELECT:
+                return self._local_select(request.classified.names)
+            case StatementKind.USE:
+                return self.use(request.classified.names[0]) or DoneAnswer()
+            case StatementKind.AUTOCOMMIT_ON:
+                caller.is_autocommit = True
+                return self._transactions.commit(caller, deadline)
+            case StatementKind.AUTOCOMMIT_OFF:
+                caller.is_autocommit = False
+                return DoneAnswer()
+            case StatementKind.COMMIT:
+                return self._transactions.commit(caller, deadline)
+            case StatementKind.ROLLBACK:
+                return self._transactions.rollback(caller, deadline)
+        if not caller.group:
+            return not_run(ER_NO_DATABASE, "no database group is chosen")
+        return self._run_on_group(request, deadline)
+
+    def _run_on_group(self, request: StatementRequest, deadline: float) -> Answer:
+        caller, kind = self._caller, request.classified.kind
+        if kind is StatementKind.BEGIN or kind is StatementKind.BEGIN_READ_ONLY:
+            is_read_only = kind is StatementKind.BEGIN_READ_ONLY
+            return self._transactions.begin(caller, is_read_only, deadline)
+        if deadline <= self._clock.now():
+            return refused("the deadline has passed", 0)
+        if caller.transaction is not None:
+            return self._transactions.run(caller, request, deadline)
+        is_write = kind in WRITING_KINDS
+        # Without autocommit the first statement begins a transaction. A read that
+        # states an age asks for no isolation and stays outside.
+        if not caller.is_autocommit and (
+            is_write or request.properties.max_age_ms is None
+        ):
+            self._transactions.begin(caller, False, deadline)
+            return self._transactions.run(caller, request, deadline)
+        if is_write:
+            return self._writes.run(caller, request, deadline)
+        return self._reads.run(caller, request, deadline)
+
+    def _deadline(self, request: StatementRequest) -> float:
+        deadline_ms = request.properties.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = self._views.settings(self._caller.group or None).deadline_ms
+        return request.arrived_at + deadline_ms / MILLISECONDS
+
+    def _adopt_session(self, token: str | None) -> ErrorAnswer | None:
+        if token is None:
+            return None
+        if token == NEW_SESSION:
+            self._caller.session.mark_complete()
+            return None
+        codec = self._codec()
+        if codec is None:
+            return self._no_key()
+        try:
+            self._caller.session.adopt(codec.decode(token))
+        except SessionTokenError as error:
+            return not_run(ER_SESSION_REFUSED, str(error))
+        return None
+
+    def _codec(self) -> TokenCodec | None:
+        key = self._views.settings(None).token_key
+        return TokenCodec(bytes.fromhex(key)) if key else None
+
+    def _no_key(self) -> ErrorAnswer:
+        message = "no token_key is set for this system"
+        return no_primary(message, NO_PRIMARY_RETRY_AFTER_MS)
+
+    def _local_select(self, names: tuple[str, ...]) -> Answer:
+        values: list[bytes | str | None] = []
+        for name in names:
+            if name == VARIABLE_SESSION:
+                codec = self._codec()
+                if codec is None:
+                    return self._no_key()
+                values.append(codec.encode(self._caller.session.positions))
+                continue
+            value = self._variable(name)
+            if value is None:
+                message = f"unknown system variable {name}"
+                return failed_with(ER_UNKNOWN_VARIABLE, message)
+            values.append(value)
+        columns = tuple(AnswerColumn(name, TEXT_TYPE, TEXT_CHARSET) for name in names)
+        return RowsAnswer(columns, iter([values]), lambda _complete: None)
+
+    def _variable(self, name: str) -> str | None:
+        caller = self._caller
+        match name:
+            case "database" | "schema":
+                return caller.group
+            case "user" | "current_user":
+                return caller.user
+            case "version" | "version_comment":
+                return SERVER_VERSION
+            case "last_insert_id" | "identity":
+                return str(caller.last_insert_id)
+            case "autocommit":
+                return str(int(caller.is_autocommit))
+            case "connection_id":
+                return "0"
+        return system_variable(name)
--- a/packages/proxy/src/dogwoodspool_proxy/grants.py
+++ b/packages/proxy/src/dogwoodspool_proxy/grants.py
@@ -1,5 +1,6 @@
 """The grants that this proxy holds, and what it acknowledged under them."""
 
+import math
 import threading
 from collections import Counter
 from collections.abc import Iterable
@@ -26,7 +27,7 @@
         self._released: dict[str, int] = {}
         self._acked: dict[str, Position] = {}
         self._writing: Counter[tuple[str, int]] = Counter()
-        self._confirmed_at: dict[str, tuple[int, float]] = {}
+        self._confirmed_until: dict[str, tuple[int, float]] = {}
 
     def renew(
         self,
@@ -46,7 +47,7 @@
         """
         with self._changed:
             for grant in grants:
-                self._take(grant, sent_at, sent_at + lease_seconds)
+                self._take(grant, sent_at + lease_seconds)
             for group in withdrawn:
                 self._drop(group)
 
@@ -55,11 +56,17 @@
         with self._changed:
             return self._valid(group)
 
-    def confirmed_at(self, group: str, term: int) -> float | None:
-        """Return when control last confirmed the term as the newest one."""
+    def unconfirmed_seconds(self, group: str, term: int) -> float:
+        """Return the time since the term was last surely the newest one.
+
+        While the grant is valid no newer primary acknowledges anything, so the
+        answer is 0. It is infinite for a term that was never confirmed here.
+        """
         with self._changed:
-            known_term, confirmed_at = self._confirmed_at.get(group, (0, 0.0))
-            return confirmed_at if known_term == term else None
+            known_term, until = self._confirmed_until.get(group, (0, 0.0))
+            if known_term != term:
+                return math.inf
+            return max(0.0, self._clock.now() - until)
 
     def begin_write(self, group: str) -> WritePermit | None:
         """Let a write start under the grant that is valid now, if there is one."""
@@ -131,7 +138,7 @@
             acked=PositionMessage.of(acked) if acked else None,
         )
 
-    def _take(self, grant: Grant, sent_at: float, expires_at: float) -> None:
+    def _take(self, grant: Grant, expires_at: float) -> None:
         # An answer that was on its way while the grant was released must not
         # bring it back.
         if grant.term <= self._released.get(grant.group, 0):
@@ -151,13 +158,15 @@
         self._grants[grant.group] = HeldGrant(
             grant.group, grant.term, grant.primary, expires_at
         )
-        self._confirmed_at[grant.group] = (grant.term, sent_at)
+        self._confirmed_until[grant.group] = (grant.term, expires_at)
 
     def _drop(self, group: str, up_to_term: int | None = None) -> None:
         held = self._grants.get(group)
         if held is None or (up_to_term is not None and held.term > up_to_term):
             return
         del self._grants[group]
+        until = min(held.expires_at, self._clock.now())
+        self._confirmed_until[group] = (held.term, until)
         log_event("grant_given_up", group=group, term=held.term)
 
     def _valid(self, group: str, is_ending: bool = False) -> HeldGrant | None:
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -0,0 +1,108 @@
+"""Probe the backend servers of the groups that this proxy serves."""
+
+import threading
+from collections.abc import Callable
+
+from dogwoodspool_backend import BackendError, PoolTimeoutError, Probe
+from dogwoodspool_common import BackendServer, Clock
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_routing import ServerTable
+
+from .coordinator import Coordinator
+from .view import ProxyView, ViewStore
+
+
+class ServerProber(Coordinator):
+    """Probe one backend server again and again."""
+
+    def __init__(
+        self,
+        server: BackendServer,
+        views: ViewStore,
+        table: ServerTable,
+        probe: Probe,
+        on_change: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        super().__init__(f"probe-{server.name}", clock)
+        self._server = server
+        self._views = views
+        self._table = table
+        self._probe = probe
+        self._on_change = on_change
+        self._is_reachable = True
+
+    def step(self) -> float:
+        """Probe once."""
+        interval = self._views.settings(self._server.group).probe_interval_ms
+        asked_at = self._clock.now()
+        try:
+            status = self._probe.status(self._server)
+        except PoolTimeoutError:
+            # Every connection is at work; that says nothing about the server.
+            return interval / MILLISECONDS
+        except BackendError:
+            self._table.note_failure(self._server.name)
+            self._note(is_reachable=False)
+            return interval / MILLISECONDS
+        self._table.note_status(status, asked_at)
+        self._note(is_reachable=True)
+        return interval / MILLISECONDS
+
+    def _note(self, is_reachable: bool) -> None:
+        if is_reachable == self._is_reachable:
+            return
+        self._is_reachable = is_reachable
+        self._on_change()
+
+
+class ProbeCoordinator:
+    """Keep one prober for each backend server of the view."""
+
+    def __init__(
+        self,
+        views: ViewStore,
+        table: ServerTable,
+        probe: Probe,
+        on_change: Callable[[], None],
+        clock: Clock,
+    ) -> None:
+        self._views = views
+        self._table = table
+        self._probe = probe
+        self._on_change = on_change
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._probers: dict[str, tuple[BackendServer, ServerProber]] = {}
+
+    def set_up(self) -> None:
+        """Follow the view."""
+        self._views.add_listener(self._follow)
+
+    def unload(self) -> None:
+        """Stop all probers."""
+        with self._lock:
+            probers = [prober for _, prober in self._probers.values()]
+            self._probers.clear()
+        for prober in probers:
+            prober.unload()
+
+    def _follow(self, view: ProxyView) -> None:
+        stopped = []
+        with self._lock:
+            for name, (server, prober) in list(self._probers.items()):
+                if name not in view.servers or view.servers[name] != server:
+                    del self._probers[name]
+                    stopped.append(prober)
+            for name, server in view.servers.items():
+                if name not in self._probers:
+                    self._probers[name] = server, self._start(server)
+        for prober in stopped:
+            prober.unload()
+
+    def _start(self, server: BackendServer) -> ServerProber:
+        prober = ServerProber(
+            server, self._views, self._table, self._probe, self._on_change, self._clock
+        )
+        prober.set_up()
+        return prober
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/pruning.py
@@ -0,0 +1,71 @@
+"""Prune the rows of old request ids."""
+
+import random
+
+from dogwoodspool_backend import BackendError, StatementFailedError
+from dogwoodspool_common import Clock, log_event
+from dogwoodspool_requests import PRUNE
+
+from .const import (
+    PRUNE_FIRST_SECONDS,
+    PRUNE_INTERVAL_SECONDS,
+    PRUNE_TIMEOUT_SECONDS,
+)
+from .coordinator import Coordinator
+from .grants import GrantBook
+from .view import ViewStore
+from .writes import WritePath
+
+
+class RequestPruner(Coordinator):
+    """Delete rows of request ids that are older than their retention.
+
+    A resend after the retention would run again, so callers must not resend for
+    longer than that; ``docs/OPERATING.md`` says so.
+    """
+
+    def __init__(
+        self, views: ViewStore, grants: GrantBook, writes: WritePath, clock: Clock
+    ) -> None:
+        super().__init__("request-pruner", clock)
+        self._views = views
+        self._grants = grants
+        self._writes = writes
+        self._has_begun = False
+        self._random = random.Random()
+
+    def step(self) -> float:
+        """Prune every group that this proxy may write to."""
+        if not self._has_begun:
+            self._has_begun = True
+            return PRUNE_FIRST_SECONDS
+        for group in list(self._views.view.groups):
+            self._prune(group)
+        # Proxies that started together must not prune together.
+        return PRUNE_INTERVAL_SECONDS * (1 + self._random.random())
+
+    def _prune(self, group: str) -> None:
+        permit = self._grants.begin_write(group)
+        if permit is None:
+            return
+        retention_s = self._views.settings(group).request_retention_s
+        deadline = self._clock.now() + PRUNE_TIMEOUT_SECONDS
+        try:
+            opened = self._writes.open(permit, deadline)
+            if opened.is_error():
+                return
+            held = opened.ok
+            try:
+                result = held.connection.execute(
+                    PRUNE.format(retention_s=retention_s), PRUNE_TIMEOUT_SECONDS
+                )
+                log_event("requests_pruned", group=group, rows=result.affected_rows)
+            except StatementFailedError as error:
+                # No request with an id was served yet, so there is no table.
+                log_event("prune_refused", level="DEBUG", group=group, error=error)
+            except BackendError as error:
+                log_event("prune_failed", group=group, error=error)
+            finally:
+                held.finish(held.connection.is_open)
+        finally:
+            self._grants.end_write(permit)
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -0,0 +1,287 @@
+"""Reads: on a replica that has what the session needs, else on the primary."""
+
+from dataclasses import dataclass
+
+from dogwoodspool_backend import (
+    BackendError,
+    ConnectFailedError,
+    OutcomeUnknownError,
+    StatementFailedError,
+    StatementResult,
+)
+from dogwoodspool_common import Clock, GroupState, Role, log_event, span
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_gateway import (
+    Answer,
+    AnswerColumn,
+    ErrorAnswer,
+    RowsAnswer,
+    StatementRequest,
+)
+from dogwoodspool_limits import Priority, RetryBudget
+from dogwoodspool_routing import (
+    ReadChoice,
+    ReadNeed,
+    ReadRouter,
+    ServerTable,
+    satisfies,
+)
+from dogwoodspool_sessions import SessionRefusal
+from expression import Error, Ok, Result
+
+from .access import BackendAccess, HeldConnection
+from .answers import failed, no_primary, not_run, refused, unknown
+from .callers import CallerState
+from .const import (
+    ER_SESSION_REFUSED,
+    MAX_READ_ATTEMPTS,
+    NEWER_SESSION_RETRY_AFTER_MS,
+    NO_PRIMARY_RETRY_AFTER_MS,
+)
+from .counters import Counters
+from .grants import GrantBook
+from .view import ViewStore
+
+
+@dataclass(frozen=True, slots=True)
+class TryAnother:
+    """A server did not serve the read; another may.
+
+    Attributes:
+        server: name of the server that is left out from now on.
+        answer: what the caller gets where no other server is left.
+        is_retry: the server failed, so that going on spends the retry budget.
+    """
+
+    server: str
+    answer: ErrorAnswer
+    is_retry: bool
+
+
+class ReadPath:
+    """Serve plain reads.
+
+    A read changes nothing, so it moves to another server when one fails, as far
+    as the retry budget allows.
+    """
+
+    def __init__(
+        self,
+        views: ViewStore,
+        grants: GrantBook,
+        access: BackendAccess,
+        table: ServerTable,
+        router: ReadRouter,
+        budget: RetryBudget,
+        counters: Counters,
+        clock: Clock,
+    ) -> None:
+        self._views = views
+        self._grants = grants
+        self._access = access
+        self._table = table
+        self._router = router
+        self._budget = budget
+        self._counters = counters
+        self._clock = clock
+
+    def run(
+        self, caller: CallerState, request: StatementRequest, deadline: float
+    ) -> Answer:
+        """Serve one read."""
+        max_age_ms = request.properties.max_age_ms
+        excluded: set[str] = set()
+        answer: Answer = unknown("no server was tried")
+        for _attempt in range(MAX_READ_ATTEMPTS):
+            match self._open_once(caller, max_age_ms, deadline, excluded):
+                case HeldConnection() as held:
+                    attempt = self._execute(held, request.sql, deadline)
+                case ErrorAnswer() as refusal:
+                    return answer if excluded else refusal
+                case TryAnother() as attempt:
+                    pass
+            if not isinstance(attempt, TryAnother):
+                return attempt
+            answer = attempt.answer
+            excluded.add(attempt.server)
+            if attempt.is_retry and not self._budget.try_spend():
+                return answer
+        return answer
+
+    def open(
+        self, caller: CallerState, max_age_ms: int | None, deadline: float
+    ) -> Result[HeldConnection, ErrorAnswer]:
+        """Take a connection to a server that has what the session needs."""
+        excluded: set[str] = set()
+        answer = refused("no server was tried", NO_PRIMARY_RETRY_AFTER_MS)
+        for _attempt in range(MAX_READ_ATTEMPTS):
+            match self._open_once(caller, max_age_ms, deadline, excluded):
+                case HeldConnection() as held:
+                    return Ok(held)
+                case ErrorAnswer() as refusal:
+                    return Error(answer if excluded else refusal)
+                case TryAnother() as attempt:
+                    answer = attempt.answer
+                    excluded.add(attempt.server)
+        return Error(answer)
+
+    def _open_once(
+        self,
+        caller: CallerState,
+        max_age_ms: int | None,
+        deadline: float,
+        excluded: set[str],
+    ) -> HeldConnection | TryAnother | ErrorAnswer:
+        state = self._views.view.groups.get(caller.group)
+        if state is None:
+            message = f"database group {caller.group} is not known yet"
+            return no_primary(message, NO_PRIMARY_RETRY_AFTER_MS)
+        needed = self._need(caller, state, max_age_ms)
+        if needed.is_error():
+            return needed.error
+        need = needed.ok
+        unconfirmed = self._grants.unconfirmed_seconds(state.name, state.term)
+        with span("route.read", group=caller.group):
+            choice = self._router.choose(
+                state,
+                need,
+                exclude=excluded,
+                own_failure_domain=self._views.failure_domain,
+                unconfirmed_ms=unconfirmed * MILLISECONDS,
+            )
+        if choice.is_error():
+            return no_primary(choice.error.reason, choice.error.retry_after_ms)
+        return self._open_chosen(caller, state, need, choice.ok, deadline)
+
+    def _need(
+        self, caller: CallerState, state: GroupState, max_age_ms: int | None
+    ) -> Result[ReadNeed, ErrorAnswer]:
+        if max_age_ms is None:
+            max_age_ms = self._views.settings(caller.group).max_age_ms
+        position = caller.session.read_position(state)
+        if position.is_ok():
+            known = position.ok
+            return Ok(ReadNeed(known.position, not known.is_known, max_age_ms))
+        if position.error is SessionRefusal.LOST:
+            message = (
+                "writes of this session were lost in a change of primary; "
+                "begin a new session"
+            )
+            return Error(not_run(ER_SESSION_REFUSED, message))
+        message = "this proxy does not know the session's newer term yet"
+        return Error(no_primary(message, NEWER_SESSION_RETRY_AFTER_MS))
+
+    def _open_chosen(
+        self,
+        caller: CallerState,
+        state: GroupState,
+        need: ReadNeed,
+        choice: ReadChoice,
+        deadline: float,
+    ) -> HeldConnection | TryAnother | ErrorAnswer:
+        priority = Priority.READ_PRIMARY if choice.is_primary else Priority.READ
+        opened = self._access.open(choice.server, deadline, priority)
+        if opened.is_error():
+            return TryAnother(choice.server.name, opened.error, is_retry=False)
+        held = opened.ok
+        try:
+            is_fresh = self._is_fresh(caller, state, need, choice, held, deadline)
+        except BackendError as error:
+            held.finish(False)
+            self._table.note_failure(choice.server.name)
+            message = f"{choice.server.name} gave no status: {error}"
+            answer = refused(message, NO_PRIMARY_RETRY_AFTER_MS)
+            return TryAnother(choice.server.name, answer, is_retry=True)
+        if is_fresh:
+            self._counters.read_served(caller.group, choice.is_primary)
+            return held
+        held.finish(True)
+        answer = refused(
+            f"{choice.server.name} does not have the session's writes yet",
+            NO_PRIMARY_RETRY_AFTER_MS,
+        )
+        return TryAnother(choice.server.name, answer, is_retry=False)
+
+    def _is_fresh(
+        self,
+        caller: CallerState,
+        state: GroupState,
+        need: ReadNeed,
+        choice: ReadChoice,
+        held: HeldConnection,
+        deadline: float,
+    ) -> bool:
+        if need.needs_primary:
+            return self._establish(caller, state, held, deadline)
+        if not choice.must_check_status:
+            return True
+        asked_at = self._clock.now()
+        status = held.connection.status(deadline - asked_at)
+        self._table.note_status(status, asked_at)
+        elapsed_ms = (self._clock.now() - asked_at) * MILLISECONDS
+        if satisfies(status, need, state, elapsed_ms):
+            return True
+        if need.position is None or choice.is_primary:
+            return False
+        wait = self._views.settings(caller.group).replica_wait_ms / MILLISECONDS
+        asked_at = self._clock.now()
+        status = held.connection.wait_for(need.position, wait, deadline - asked_at)
+        self._table.note_status(status, asked_at)
+        elapsed_ms = (self._clock.now() - asked_at) * MILLISECONDS
+        return satisfies(status, need, state, elapsed_ms)
+
+    def _establish(
+        self,
+        caller: CallerState,
+        state: GroupState,
+        held: HeldConnection,
+        deadline: float,
+    ) -> bool:
+        """Make an unknown session known by the primary's position.
+
+        All its earlier writes were acknowledged before, so the primary's
+        position, asked now and under a valid grant, is past each of them.
+        """
+        status = held.connection.status(deadline - self._clock.now())
+        grant = self._grants.current(state.name)
+        if grant is None or status.role is not Role.PRIMARY:
+            return False
+        if status.position.term != grant.term:
+            return False
+        caller.session.advance(state.name, status.position)
+        return True
+
+    def _execute(
+        self, held: HeldConnection, sql: str, deadline: float
+    ) -> Answer | TryAnother:
+        name = held.server.name
+        try:
+            result = held.execute(sql, deadline)
+        except StatementFailedError as error:
+            held.finish(True)
+            return failed(error)
+        except (OutcomeUnknownError, ConnectFailedError) as error:
+            held.finish(False)
+            log_event("read_moved", level="DEBUG", server=name, error=error)
+            return TryAnother(name, unknown(f"{name} did not answer"), is_retry=True)
+        self._budget.note_served()
+        return rows_answer(held, result)
+
+
+def rows_answer(held: HeldConnection, result: StatementResult) -> RowsAnswer:
+    """Hand a result on while it arrives; the connection is finished at its end."""
+
+    def finish(is_complete: bool) -> None:
+        if not is_complete:
+            result.close()
+        held.finish(result.is_complete)
+
+    return RowsAnswer(answer_columns(result), result.rows, finish)
+
+
+def answer_columns(result: StatementResult) -> tuple[AnswerColumn, ...]:
+    """Describe a result's columns for the caller."""
+    return tuple(
+        AnswerColumn(column.name, column.type_code, column.charset)
+        for column in result.columns
+    )
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/renew.py
@@ -0,0 +1,114 @@
+"""Renew grants and shares, and report what this proxy sees."""
+
+from collections.abc import Callable
+
+from dogwoodspool_api import (
+    Announcement,
+    Observation,
+    RenewRequest,
+    RenewResponse,
+)
+from dogwoodspool_api.const import PATH_RENEW
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    HttpError,
+    JsonClient,
+    PeerRefusedError,
+    log_event,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from pydantic import ValidationError
+
+from .backends import BackendRegistry
+from .const import (
+    NOT_LEADER,
+    RENEW_TIMEOUT_SECONDS,
+    RETRY_PAUSE_SECONDS,
+)
+from .control_peers import ControlPeers
+from .coordinator import Coordinator
+from .grants import GrantBook
+from .view import ViewStore
+
+
+class RenewCoordinator(Coordinator):
+    """Exchange one renewal after another with the control leader."""
+
+    def __init__(
+        self,
+        identity: RenewRequest,
+        views: ViewStore,
+        grants: GrantBook,
+        registry: BackendRegistry,
+        peers: ControlPeers,
+        client: JsonClient,
+        observations: Callable[[], list[Observation]],
+        announcements: Callable[[], list[Announcement]],
+        clock: Clock,
+    ) -> None:
+        super().__init__("control-renew", clock)
+        self._identity = identity
+        self._views = views
+        self._grants = grants
+        self._registry = registry
+        self._peers = peers
+        self._client = client
+        self._observations = observations
+        self._announcements = announcements
+        self._renewed_at: float | None = None
+        self._is_draining = False
+
+    @property
+    def seconds_since_renewal(self) -> float | None:
+        """Seconds since the last good renewal; None before the first."""
+        if self._renewed_at is None:
+            return None
+        return self._clock.now() - self._renewed_at
+
+    def start_draining(self) -> None:
+        """Report from now on that this proxy is shutting down."""
+        self._is_draining = True
+        self.wake()
+
+    def step(self) -> float:
+        """Renew once."""
+        self._registry.expire_shares()
+        address = self._peers.leader_or_next()
+        sent_at = self._clock.now()
+        try:
+            response = self._renew(address)
+        except PeerRefusedError as error:
+            self._peers.note_failure(address)
+            if error.code == NOT_LEADER:
+                self._peers.note_leader(error.detail)
+            return RETRY_PAUSE_SECONDS
+        except (HttpError, ValidationError) as error:
+            log_event("renewal_failed", level="DEBUG", address=address, error=error)
+            self._peers.note_failure(address)
+            return RETRY_PAUSE_SECONDS
+        self._peers.note_leader(str(address))
+        self._adopt(response, sent_at)
+        return self._views.settings(None).renew_interval_ms / MILLISECONDS
+
+    def _renew(self, address: Address) -> RenewResponse:
+        request = self._identity.model_copy(
+            update={
+                "view_version": self._views.view.version,
+                "is_draining": self._is_draining,
+                "groups": self._grants.reports(self._views.view.groups),
+                "observations": self._observations(),
+                "connection_demand": self._registry.demand(),
+                "announcements": self._announcements(),
+            }
+        )
+        answer = self._client.post(
+            address, PATH_RENEW, request.model_dump(mode="json"), RENEW_TIMEOUT_SECONDS
+        )
+        return RenewResponse.model_validate(answer)
+
+    def _adopt(self, response: RenewResponse, sent_at: float) -> None:
+        lease_seconds = response.lease_ms / MILLISECONDS
+        self._grants.renew(response.grants, response.withdrawn, sent_at, lease_seconds)
+        self._registry.grant_shares(response.connection_shares, sent_at + lease_seconds)
+        self._renewed_at = sent_at
--- a/packages/proxy/src/dogwoodspool_proxy/view.py
+++ b/packages/proxy/src/dogwoodspool_proxy/view.py
@@ -45,6 +45,11 @@
         self._view = ProxyView()
         self._listeners: list[ViewListener] = []
 
+    @property
+    def failure_domain(self) -> str:
+        """This instance's failure domain."""
+        return self._failure_domain
+
     @property
     def view(self) -> ProxyView:
         """The newest view."""
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/watch.py
@@ -0,0 +1,63 @@
+"""Follow the committed state of control by long polls."""
+
+from dogwoodspool_api import WatchResponse
+from dogwoodspool_api.const import (
+    PATH_WATCH,
+    QUERY_AFTER,
+    QUERY_CONFIRMED,
+    QUERY_WAIT_MS,
+)
+from dogwoodspool_common import Address, Clock, HttpError, JsonClient, log_event
+from dogwoodspool_common.const import MILLISECONDS
+from pydantic import ValidationError
+
+from .const import DEFAULT_WATCH_WAIT_MS, RETRY_PAUSE_SECONDS, WATCH_TIMEOUT_MARGIN
+from .control_peers import ControlPeers
+from .coordinator import Coordinator
+from .view import ViewStore
+
+
+class WatchCoordinator(Coordinator):
+    """Keep the view store at the newest version.
+
+    The first view after a start must be confirmed by a quorum: a control process
+    that was cut off for long would otherwise give this proxy its old state, with
+    nothing newer to compare it to.
+    """
+
+    def __init__(
+        self,
+        views: ViewStore,
+        peers: ControlPeers,
+        client: JsonClient,
+        clock: Clock,
+    ) -> None:
+        super().__init__("control-watch", clock)
+        self._views = views
+        self._peers = peers
+        self._client = client
+
+    def step(self) -> float:
+        """Wait for one newer view."""
+        address = self._peers.any()
+        try:
+            response = self._poll(address)
+        except (HttpError, ValidationError) as error:
+            log_event("watch_failed", level="DEBUG", address=address, error=error)
+            self._peers.note_failure(address)
+            return RETRY_PAUSE_SECONDS
+        self._peers.note_leader(response.leader)
+        if response.view is not None:
+            self._views.adopt(response.view)
+        return 0.0
+
+    def _poll(self, address: Address) -> WatchResponse:
+        query = {
+            QUERY_AFTER: str(self._views.view.version),
+            QUERY_WAIT_MS: str(DEFAULT_WATCH_WAIT_MS),
+        }
+        if not self._views.is_filled:
+            query[QUERY_CONFIRMED] = "1"
+        timeout = DEFAULT_WATCH_WAIT_MS / MILLISECONDS + WATCH_TIMEOUT_MARGIN
+        answer = self._client.get(address, PATH_WATCH, query, timeout)
+        return WatchResponse.model_validate(answer)
--- /dev/null
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -0,0 +1,380 @@
+"""A whole system as separate processes on loopback."""
+
+import socket
+import tempfile
+import time
+import uuid
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeAlias
+
+import pymysql
+import urllib3
+from dogwoodspool_api import ControlView, WatchResponse
+from dogwoodspool_api.const import (
+    PATH_METRICS,
+    PATH_PROMOTE,
+    PATH_SETTINGS_CHANGE,
+    PATH_SETTINGS_TREE,
+    PATH_STATUS,
+    PATH_WATCH,
+)
+from dogwoodspool_common import (
+    Address,
+    HttpError,
+    JsonClient,
+    PeerRefusedError,
+    RequestSigner,
+)
+from dogwoodspool_gateway import hash_password
+
+from .const import (
+    AUTHOR,
+    BACKEND_PASSWORD,
+    BACKEND_USER,
+    CALLER_PASSWORD,
+    CALLER_USER,
+    HOST,
+    POLL_SECONDS,
+    ROLE_CONTROL,
+    ROLE_PROXY,
+    ROLE_STANDIN,
+    SHARED_KEY,
+    START_SECONDS,
+    TOKEN_KEY,
+)
+from .errors import TestbedError
+from .models import ControlHandle, DeploymentShape, ProxyHandle, StandinHandle
+from .processes import ProcessTable
+
+CallerConnection: TypeAlias = "pymysql.connections.Connection[pymysql.cursors.Cursor]"
+
+
+class Deployment:
+    """Start the processes of a shape, reach them, and end them.
+
+    Example:
+        >>> with Deployment(DeploymentShape()) as deployment:
+        ...     connection = deployment.connect(deployment.proxies[0], "orders")
+    """
+
+    def __init__(self, shape: DeploymentShape) -> None:
+        self.shape = shape
+        self._temporary = tempfile.TemporaryDirectory(prefix="dogwoodspool-")
+        self.folder = Path(self._temporary.name)
+        self.processes = ProcessTable(self.folder)
+        self.client = JsonClient(RequestSigner(SHARED_KEY.encode()))
+        self.controls: list[ControlHandle] = []
+        self.proxies: list[ProxyHandle] = []
+        self.standins: list[StandinHandle] = []
+
+    def __enter__(self) -> "Deployment":
+        try:
+            self.set_up()
+        except BaseException:
+            self.unload()
+            raise
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self.unload()
+
+    def set_up(self) -> None:
+        """Start everything and wait until every group can be written to."""
+        self._start_controls()
+        self.wait_for("a control leader", lambda: self.leader() is not None)
+        self._set_root()
+        self._start_proxies()
+        self._start_standins()
+        self.wait_for("grants at every proxy", self._all_may_write)
+
+    def unload(self) -> None:
+        """End every process and remove the folder."""
+        self.processes.stop_all()
+        self.client.close()
+        self._temporary.cleanup()
+
+    def wait_for(
+        self, what: str, condition: Callable[[], bool], seconds: float = START_SECONDS
+    ) -> float:
+        """Wait until a condition holds; return how long that took."""
+        began_at = time.monotonic()
+        while time.monotonic() - began_at < seconds:
+            if condition():
+                return time.monotonic() - began_at
+            time.sleep(POLL_SECONDS)
+        logs = "\n".join(
+            f"--- {name}\n{self.processes.log_tail(name)}"
+            for _, name, _ in self.processes.pids()
+        )
+        raise TestbedError(f"no {what} within {seconds} s\n{logs}")
+
+    def connect(
+        self, proxy: ProxyHandle, group: str, **options: Any
+    ) -> CallerConnection:
+        """Connect to a proxy as a caller, with autocommit."""
+        merged: dict[str, Any] = {"autocommit": True, "connect_timeout": 5, **options}
+        return pymysql.connect(
+            host=proxy.address.host,
+            port=proxy.address.port,
+            user=CALLER_USER,
+            password=CALLER_PASSWORD,
+            database=group,
+            **merged,
+        )
+
+    def connect_directly(self, standin: StandinHandle) -> CallerConnection:
+        """Connect to a backend server, past the proxies."""
+        return pymysql.connect(
+            host=standin.address.host,
+            port=standin.address.port,
+            user=BACKEND_USER,
+            password=BACKEND_PASSWORD,
+            autocommit=True,
+            connect_timeout=5,
+        )
+
+    def leader(self) -> ControlHandle | None:
+        """Return the control leader, if there is one now."""
+        for control in self.controls:
+            try:
+                answer = self.client.get(control.address, PATH_STATUS, timeout=1.0)
+            except HttpError:
+                continue
+            for candidate in self.controls:
+                if str(candidate.address) == answer.get("leader"):
+                    return candidate
+        return None
+
+    def view(self) -> ControlView:
+        """Return the committed state, confirmed by a quorum."""
+        for control in self.controls:
+            try:
+                answer = self.client.get(
+                    control.address,
+                    PATH_WATCH,
+                    {"after": "0", "wait_ms": "0", "confirmed": "1"},
+                )
+            except HttpError:
+                continue
+            view = WatchResponse.model_validate(answer).view
+            if view is not None:
+                return view
+        raise TestbedError("no control process confirms its state")
+
+    def primary(self, group: str) -> StandinHandle:
+        """Return a group's primary as control has committed it."""
+        for state in self.view().groups:
+            if state.name == group:
+                for standin in self.standins:
+                    if standin.name == state.primary:
+                        return standin
+        raise TestbedError(f"{group} has no primary")
+
+    def term(self, group: str) -> int:
+        """Return a group's term as control has committed it."""
+        return next(g.term for g in self.view().groups if g.name == group)
+
+    def promote(self, group: str, candidate: str | None = None) -> None:
+        """Ask for a planned change of primary."""
+        body = {
+            "change_id": uuid.uuid4().hex,
+            "group": group,
+            "candidate": candidate,
+        }
+        self._post_to_leader(PATH_PROMOTE, body)
+
+    def change_settings(
+        self, path: str, overrides: dict[str, Any], change_id: str | None = None
+    ) -> dict[str, Any]:
+        """Replace one node's overrides; return the control's answer."""
+        body = {
+            "change_id": change_id or uuid.uuid4().hex,
+            "path": path,
+            "expected_version": self.settings_version(path),
+            "overrides": overrides,
+            "author": AUTHOR,
+        }
+        return self._post_to_leader(PATH_SETTINGS_CHANGE, body)
+
+    def settings_version(self, path: str) -> int:
+        """Return a node's version; 0 for one that does not exist."""
+        answer = self._get_from_any(PATH_SETTINGS_TREE)
+        for node in answer["nodes"]:
+            if node["path"] == path:
+                return int(node["version"])
+        return 0
+
+    def proxy_status(self, proxy: ProxyHandle) -> dict[str, Any]:
+        """Return a proxy's own status."""
+        return self.client.get(proxy.http_address, PATH_STATUS)
+
+    def metrics(self, proxy: ProxyHandle) -> str:
+        """Return a proxy's metrics page."""
+        url = f"http://{proxy.http_address}{PATH_METRICS}"
+        return urllib3.request("GET", url, timeout=2.0).data.decode()
+
+    def fault(self, standin: StandinHandle, **switches: Any) -> None:
+        """Set fault switches of a stand-in."""
+        self.client.post(standin.control_address, "/v1/faults", switches)
+
+    def root_settings(self) -> dict[str, Any]:
+        """Return the root overrides with which the deployment began."""
+        return {
+            "token_key": TOKEN_KEY,
+            "users": {CALLER_USER: hash_password(CALLER_PASSWORD)},
+            "backend_user": BACKEND_USER,
+            "backend_password": BACKEND_PASSWORD,
+            "max_proxies": max(self.shape.proxies, 9),
+            **self.shape.root_settings,
+        }
+
+    def start_proxy(self, name: str, failure_domain: str) -> ProxyHandle:
+        """Start one more proxy and wait until it listens."""
+        self._spawn_proxy(name, failure_domain)
+        handle = self._proxy_handle(name, failure_domain)
+        self.proxies.append(handle)
+        return handle
+
+    def _start_controls(self) -> None:
+        domains = self.shape.failure_domains
+        for number, port in enumerate(_free_ports(self.shape.controls)):
+            name = f"control-{number + 1}"
+            domain = domains[number % len(domains)]
+            self.controls.append(ControlHandle(name, domain, Address(HOST, port)))
+        voters = ",".join(f"{c.name}={c.address}" for c in self.controls)
+        for control in self.controls:
+            arguments = [
+                "dogwoodspool-control",
+                *["--node-id", control.name, "--listen", str(control.address)],
+                *["--voters", voters, "--bootstrap"],
+                *["--failure-domain", control.failure_domain],
+                *["--data-folder", str(self.folder / control.name)],
+                *["--shared-key", SHARED_KEY],
+            ]
+            self.processes.start(control.name, ROLE_CONTROL, arguments, True)
+        for control in self.controls:
+            self.processes.ready(control.name)
+
+    def _set_root(self) -> None:
+        self.change_settings("/", self.root_settings(), "testbed-root")
+
+    def _start_proxies(self) -> None:
+        domains = self.shape.failure_domains
+        plan = [
+            (f"proxy-{number + 1}", domains[number % len(domains)])
+            for number in range(self.shape.proxies)
+        ]
+        for name, domain in plan:
+            self._spawn_proxy(name, domain)
+        for name, domain in plan:
+            self.proxies.append(self._proxy_handle(name, domain))
+
+    def _spawn_proxy(self, name: str, failure_domain: str) -> None:
+        arguments = [
+            "dogwoodspool-proxy",
+            *["--name", name, "--failure-domain", failure_domain],
+            *["--listen", f"{HOST}:0", "--http-listen", f"{HOST}:0"],
+            *["--control", ",".join(str(c.address) for c in self.controls)],
+            *["--shared-key", SHARED_KEY],
+            *["--trace-file", str(self.folder / f"{name}.spans")],
+        ]
+        self.processes.start(name, ROLE_PROXY, arguments, True)
+
+    def _proxy_handle(self, name: str, failure_domain: str) -> ProxyHandle:
+        ready = self.processes.ready(name)
+        return ProxyHandle(
+            name,
+            failure_domain,
+            Address.parse(ready["address"]),
+            Address.parse(ready["http_address"]),
+        )
+
+    def _start_standins(self) -> None:
+        for group in self.shape.groups:
+            primary = self._start_standin(group, 0, None)
+            for number in range(1, self.shape.servers_per_group):
+                self._start_standin(group, number, primary)
+
+    def _start_standin(
+        self, group: str, number: int, primary: StandinHandle | None
+    ) -> StandinHandle:
+        shape, domains = self.shape.standin, self.shape.failure_domains
+        name, domain = f"{group}-{number + 1}", domains[number % len(domains)]
+        announce_to = [
+            str(proxy.http_address)
+            for proxy in self.proxies
+            if proxy.failure_domain == domain
+        ]
+        arguments = [
+            "dogwoodspool-standin",
+            *["--name", name, "--group", group, "--failure-domain", domain],
+            *["--listen", f"{HOST}:0", "--control-listen", f"{HOST}:0"],
+            *["--announce-to", ",".join(announce_to)],
+            *["--data-folder", str(self.folder / name), "--shared-key", SHARED_KEY],
+            *["--user", BACKEND_USER, "--password", BACKEND_PASSWORD],
+            *["--slots", str(shape.slots), "--connections", str(shape.connections)],
+            *["--connect-delay-ms", str(shape.connect_delay_ms)],
+            *["--statement-ms", str(shape.statement_ms)],
+            *["--replication-lag-ms", str(shape.replication_lag_ms)],
+            *["--latency-ms", str(shape.latency_ms)],
+        ]
+        if primary is None:
+            arguments += ["--role", "primary"]
+        else:
+            arguments += ["--role", "replica", "--follow", str(primary.address)]
+        self.processes.start(name, ROLE_STANDIN, arguments, True)
+        ready = self.processes.ready(name)
+        handle = StandinHandle(
+            name,
+            group,
+            domain,
+            Address.parse(ready["address"]),
+            Address.parse(ready["control_address"]),
+        )
+        self.standins.append(handle)
+        return handle
+
+    def _all_may_write(self) -> bool:
+        return all(self.may_write(proxy) for proxy in self.proxies)
+
+    def may_write(self, proxy: ProxyHandle) -> bool:
+        """Tell whether a proxy holds a grant for every group."""
+        try:
+            groups = self.proxy_status(proxy)["groups"]
+        except HttpError:
+            return False
+        granted = {group["group"] for group in groups if group["may_write"]}
+        return granted >= set(self.shape.groups)
+
+    def _post_to_leader(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        last_error: Exception | None = None
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            leader = self.leader()
+            if leader is not None:
+                try:
+                    return self.client.post(leader.address, path, body, timeout=5.0)
+                except PeerRefusedError as error:
+                    if error.code != "not_leader":
+                        raise
+                    last_error = error
+            time.sleep(POLL_SECONDS)
+        raise TestbedError(f"no control leader served {path}: {last_error}")
+
+    def _get_from_any(self, path: str) -> dict[str, Any]:
+        last_error: Exception | None = None
+        for control in self.controls:
+            try:
+                return self.client.get(control.address, path)
+            except HttpError as error:
+                last_error = error
+        raise TestbedError(f"no control process served {path}: {last_error}")
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [int(listener.getsockname()[1]) for listener in sockets]
+    for listener in sockets:
+        listener.close()
+    return ports
--- /dev/null
+++ b/packages/testbed/src/dogwoodspool_testbed/models.py
@@ -0,0 +1,71 @@
+"""Data classes of deployments for tests, demo and measurements."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from dogwoodspool_common import Address
+
+
+@dataclass(frozen=True, slots=True)
+class StandinShape:
+    """Sizes of one stand-in backend server; see ``dogwoodspool-standin --help``."""
+
+    slots: int = 3
+    connections: int = 20
+    connect_delay_ms: int = 0
+    statement_ms: float = 0
+    replication_lag_ms: int = 0
+    latency_ms: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentShape:
+    """What a deployment consists of.
+
+    Attributes:
+        failure_domains: names; proxies are spread over them in turn.
+        controls: control processes, spread over the failure domains in turn.
+        proxies: proxy processes.
+        groups: names of the database groups.
+        servers_per_group: backend servers of each group; the first is primary.
+        standin: sizes of each backend server.
+        root_settings: overrides of the settings tree's root.
+    """
+
+    failure_domains: tuple[str, ...] = ("fd-a", "fd-b", "fd-c")
+    controls: int = 3
+    proxies: int = 3
+    groups: tuple[str, ...] = ("orders",)
+    servers_per_group: int = 3
+    standin: StandinShape = StandinShape()
+    root_settings: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlHandle:
+    """A control process of a running deployment."""
+
+    name: str
+    failure_domain: str
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyHandle:
+    """A proxy process of a running deployment."""
+
+    name: str
+    failure_domain: str
+    address: Address
+    http_address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class StandinHandle:
+    """A stand-in backend server of a running deployment."""
+
+    name: str
+    group: str
+    failure_domain: str
+    address: Address
+    control_address: Address
