--- a/packages/control/src/dogwoodspool_control/failovers.py
+++ b/packages/control/src/dogwoodspool_control/failovers.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any
@@ -54,10 +55,10 @@
         self.mark(group, FailoverPhase.DETECTED)
 
     def mark(self, group: str, phase: FailoverPhase, **fields: Any) -> None:
-        """Record that a phase has ended."""
+        """Record that a phase has ended; only its first end counts."""
         with self._lock:
             failover = self._running.get(group)
-            if failover is None:
+            if failover is None or phase in failover.phases_ms:
                 return
             elapsed = (self._clock.now() - failover.began_at) * MILLISECONDS
             failover.phases_ms[phase] = round(elapsed, 1)
@@ -72,10 +73,11 @@
             **fields,
         )
 
-    def drop(self, group: str) -> None:
-        """Forget a promotion that did not begin or that another leader ends."""
+    def keep_only(self, groups: Collection[str]) -> None:
+        """Forget promotions that did not begin or that another leader ends."""
         with self._lock:
-            self._running.pop(group, None)
+            for group in [name for name in self._running if name not in groups]:
+                del self._running[group]
 
     def describe(self) -> list[dict[str, Any]]:
         """Return the latest failovers with the time at which each phase ended."""
--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -116,14 +116,19 @@
         self._ages.observe(self._state.proxies)
         leadership = self._node.catch_up()
         if leadership is None:
+            self._timeline.keep_only(())
             return
         if leadership.term != self._leadership_term:
             self._begin(leadership)
         self._detector.tick()
         for command in self._membership.due_commands():
             self._queue.offer(command)
-        for group in self._watch.failed_groups():
+        failed = self._watch.failed_groups()
+        for group in failed:
             self._begin_promotion(group)
+        self._timeline.keep_only(
+            {*(group.name for group in failed), *self._state.promotions}
+        )
         self._promotions.run_missing()
         self._reconciler.run()
         self._do_upkeep()
--- a/packages/control/src/dogwoodspool_control/progress.py
+++ b/packages/control/src/dogwoodspool_control/progress.py
@@ -43,6 +43,8 @@
         """Record the present step and what it waits for."""
         now = self._clock.now()
         with self._lock:
+            if step != self._report.step:
+                self._logged_at = now
             self._report = ProgressReport(self._report.group, step, waiting_for)
             if not waiting_for or now - self._logged_at < WAITING_LOG_SECONDS:
                 return
--- a/packages/control/src/dogwoodspool_control/promoter.py
+++ b/packages/control/src/dogwoodspool_control/promoter.py
@@ -35,7 +35,6 @@
                     return
         except LeadershipLostError:
             log_event("promotion_left", group=self._group)
-            self._parts.timeline.drop(self._group)
 
     def _step(self) -> bool:
         promotion = self._parts.state.promotion(self._group)
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,5 @@
+"""Tests of the control library."""
+
+from loguru import logger
+
+logger.disable("dogwoodspool_control")
--- /dev/null
+++ b/tests/control/test_detector.py
@@ -0,0 +1,117 @@
+"""Tests of the failure detector."""
+
+import unittest
+
+from dogwoodspool_common import Address, ManualClock, Position, Role, ServerStatus
+from dogwoodspool_control.detector import DetectorSettings, FailureDetector
+from dogwoodspool_control.models import ProxyRecord
+
+from .fakes import observation, renewal
+
+TIMES = DetectorSettings(failure_detect=0.6, renew_interval=0.3)
+PROXIES = {
+    name: ProxyRecord(name, f"{name}-a", f"fd{number % 4}", Address("127.0.0.1", 1))
+    for number, name in enumerate(("p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"))
+}
+TICK = 0.05
+
+
+class FailureDetectorTests(unittest.TestCase):
+    """Eight proxies in four failure domains watch the primary s1."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.detector = FailureDetector(self.clock)
+        self.detector.start_over(TIMES.renew_interval)
+        self.run_smoothly(0.7)
+
+    def run_smoothly(self, seconds: float) -> None:
+        for _ in range(round(seconds / TICK)):
+            self.clock.advance(TICK)
+            self.detector.tick()
+
+    def report(
+        self, names: str, unreachable_ms: float, status: ServerStatus | None = None
+    ) -> None:
+        for name in names.split():
+            seen = [observation("s1", unreachable_ms, status)]
+            domain = PROXIES[name].failure_domain
+            self.detector.observe(renewal(name, domain, observations=seen))
+
+    def is_failed(self, term: int = 1) -> bool:
+        return self.detector.is_failed("s1", term, PROXIES.values(), TIMES)
+
+    def test_three_of_four_domains_are_needed(self) -> None:
+        self.report("p0 p1 p4 p5", 700)
+        self.assertFalse(self.is_failed())
+        self.report("p2 p6", 700)
+        self.assertTrue(self.is_failed())
+
+    def test_a_short_silence_is_no_failure(self) -> None:
+        self.report("p0 p1 p2 p3 p4 p5 p6 p7", 500)
+        self.assertFalse(self.is_failed())
+
+    def test_one_bad_observer_demotes_nobody(self) -> None:
+        """One proxy has lost its way to the primary and reports it dead.
+
+        With one registered proxy it would even be the majority of its domains;
+        writes would stop for a primary that serves its callers well.
+        """
+        self.report("p0", 60_000)
+        alone = [PROXIES["p0"]]
+        self.assertFalse(self.detector.is_failed("s1", 1, alone, TIMES))
+
+    def test_a_domain_with_a_witness_is_not_counted(self) -> None:
+        self.report("p0 p1 p2 p4", 700)
+        self.report("p5 p6", 0)
+        self.assertFalse(self.is_failed())
+
+    def test_an_isolated_minority_demotes_nobody(self) -> None:
+        """Two of four domains with the leader lose contact with the rest.
+
+        The proxies on the primary's side renew no more; their silence must not
+        make the two domains here the majority.
+        """
+        self.report("p0 p1 p2 p3 p4 p5 p6 p7", 0)
+        self.run_smoothly(0.7)
+        self.report("p0 p1 p4 p5", 700)
+        self.assertFalse(self.is_failed())
+
+    def test_old_renewals_do_not_count(self) -> None:
+        self.report("p0 p1 p2 p4 p5 p6", 700)
+        self.run_smoothly(0.65)
+        self.assertFalse(self.is_failed())
+
+    def test_a_leader_that_stood_still_starts_over(self) -> None:
+        """The leader is frozen while the primary is away for a moment.
+
+        When it goes on it reads renewals that were sent meanwhile. The primary
+        serves again, but these old reports would demote it.
+        """
+        self.clock.advance(0.4)
+        self.report("p0 p1 p2 p4 p5 p6", 700)
+        self.assertFalse(self.is_failed())
+        self.run_smoothly(0.3)
+        self.report("p0 p1 p2 p4 p5 p6", 700)
+        self.assertFalse(self.is_failed())
+        self.run_smoothly(0.4)
+        self.report("p0 p1 p2 p4 p5 p6", 700)
+        self.assertTrue(self.is_failed())
+
+    def test_a_primary_that_comes_back_as_a_replica_has_failed(self) -> None:
+        names = "p0 p1 p2 p4 p5 p6"
+        status = ServerStatus("s1", Role.REPLICA, Position(2, 7), 0.0, False)
+        self.report(names, 0, status)
+        self.assertFalse(self.is_failed(term=2))
+        self.run_smoothly(0.65)
+        self.report(names, 0, status)
+        self.assertTrue(self.is_failed(term=2))
+
+    def test_a_replica_promoted_just_now_has_not_failed(self) -> None:
+        """Proxies still know the new primary as a replica of the old term."""
+        names = "p0 p1 p2 p4 p5 p6"
+        status = ServerStatus("s1", Role.REPLICA, Position(1, 7), 0.0, False)
+        self.report(names, 0, status)
+        self.run_smoothly(0.65)
+        self.report(names, 0, status)
+        self.assertFalse(self.is_failed(term=2))
--- /dev/null
+++ b/tests/control/test_membership.py
@@ -0,0 +1,140 @@
+"""Tests of the membership of backend servers."""
+
+import unittest
+from dataclasses import replace
+
+from dogwoodspool_api import Announcement, PositionMessage
+from dogwoodspool_common import (
+    BackendServer,
+    ManualClock,
+    Position,
+    Role,
+    ServerStatus,
+)
+from dogwoodspool_control.commands import BootstrapGroup, RecordServer, RemoveServer
+from dogwoodspool_control.membership import Membership
+from dogwoodspool_control.sightings import Sightings
+
+from .fakes import GROUP, FakeLog, Voter, observation, populate, renewal, server
+
+
+def announcement(announced: BackendServer, role: Role = Role.REPLICA) -> Announcement:
+    """Return what a server announces."""
+    return Announcement(
+        server=announced.name,
+        group=announced.group,
+        failure_domain=announced.failure_domain,
+        address=str(announced.address),
+        role=role,
+        position=PositionMessage(term=4, offset=7),
+        slots=announced.slots,
+        connections=announced.connections,
+        is_leaving=announced.is_leaving,
+    )
+
+
+class MembershipTests(unittest.TestCase):
+    """Which commands follow from what proxies report."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.voter = Voter(self.clock, FakeLog())
+        self.voter.lead(term=1)
+        self.sightings = Sightings(self.clock)
+        self.membership = Membership(self.clock, self.voter.state, self.sightings)
+
+    def announce(self, proxy: str, *announced: BackendServer) -> None:
+        messages = [announcement(one) for one in announced]
+        self.sightings.observe(renewal(proxy, announcements=messages))
+
+    def test_an_unknown_groups_primary_is_taken_over(self) -> None:
+        message = announcement(server("s1"), Role.PRIMARY)
+        self.sightings.observe(renewal("p1", announcements=[message]))
+        self.assertEqual(
+            self.membership.due_commands(),
+            [RecordServer(server("s1")), BootstrapGroup(GROUP, 4, "s1")],
+        )
+
+    def test_a_leaving_server_is_recorded_at_once(self) -> None:
+        populate(self.voter, {"p1": "fd1"})
+        leaving = server("s2", "fd2", is_leaving=True)
+        self.announce("p1", server("s2", "fd2"))
+        self.announce("p1", leaving)
+        self.assertEqual(self.membership.due_commands(), [RecordServer(leaving)])
+
+    def test_old_and_new_announcements_in_turn_do_not_flap(self) -> None:
+        """A server restarts with more slots; one proxy repeats what it had heard.
+
+        The record would change with each renewal, and with it every proxy's view.
+        """
+        populate(self.voter, {"p1": "fd1"})
+        old = server("s2", "fd2")
+        new = replace(old, slots=9)
+        for _ in range(5):
+            self.clock.advance(0.3)
+            self.announce("p2", new)
+            self.announce("p1", old)
+            self.announce("p2", new)
+            self.assertEqual(self.membership.due_commands(), [])
+        self.clock.advance(1.0)
+        self.announce("p2", new)
+        self.assertEqual(self.membership.due_commands(), [RecordServer(new)])
+
+
+class RemovalTests(unittest.TestCase):
+    """When a silent server is removed."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.voter = Voter(self.clock, FakeLog())
+        self.voter.lead(term=1)
+        populate(self.voter, {"p1": "fd1", "p2": "fd2", "p3": "fd3"})
+        self.sightings = Sightings(self.clock)
+        self.membership = Membership(self.clock, self.voter.state, self.sightings)
+
+    def run_for(
+        self, seconds: int, proxies: str, offsets: dict[str, int]
+    ) -> list[object]:
+        due: list[object] = []
+        for _ in range(seconds * 2):
+            self.clock.advance(0.5)
+            for proxy in proxies.split():
+                seen = [
+                    observation(
+                        name,
+                        status=ServerStatus(
+                            name,
+                            Role.PRIMARY if name == "s1" else Role.REPLICA,
+                            Position(1, offset),
+                            0.0,
+                            False,
+                        ),
+                    )
+                    for name, offset in offsets.items()
+                ]
+                domain = f"fd{proxy[1:]}"
+                self.sightings.observe(renewal(proxy, domain, observations=seen))
+            due = list(self.membership.due_commands())
+        return due
+
+    def test_a_replica_of_which_nobody_heard_is_removed(self) -> None:
+        offsets = {"s1": 9, "s3": 9}
+        self.assertEqual(self.run_for(29, "p1 p2 p3", offsets), [])
+        due = self.run_for(3, "p1 p2 p3", offsets)
+        self.assertEqual(due, [RemoveServer("s2")])
+
+    def test_the_only_holder_of_an_acknowledged_write_stays(self) -> None:
+        """s2 alone has a write that was acknowledged; it falls silent.
+
+        Were it removed, a promotion would ask s3 alone and lose the write.
+        """
+        due = self.run_for(40, "p1 p2 p3", {"s1": 9, "s3": 8})
+        self.assertEqual(due, [])
+
+    def test_servers_of_a_cut_off_domain_stay(self) -> None:
+        due = self.run_for(40, "p1 p3", {"s1": 9, "s3": 9})
+        self.assertEqual(due, [])
+
+    def test_the_primary_stays(self) -> None:
+        due = self.run_for(40, "p1 p2 p3", {"s2": 9, "s3": 9})
+        self.assertEqual(due, [])
--- /dev/null
+++ b/tests/control/test_promotion.py
@@ -0,0 +1,283 @@
+"""Tests of promotions from their beginning to their end."""
+
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from dogwoodspool_common import (
+    BackendServer,
+    ManualClock,
+    Phase,
+    Position,
+    Role,
+    ServerStatus,
+)
+from dogwoodspool_control.commands import BeginPromotion, RegisterProxy
+from dogwoodspool_control.errors import CommandRejectedError
+from dogwoodspool_control.models import PromotionReason
+from dogwoodspool_control.promoter import Promoter, Promotions
+
+from .fakes import (
+    GROUP,
+    FakeLog,
+    FakeProxies,
+    FakeServer,
+    FakeServers,
+    Voter,
+    change_root,
+    populate,
+    renewal,
+    run_advancing,
+)
+
+BEGIN = BeginPromotion(GROUP, 1, PromotionReason.FAILED)
+
+
+class PromotionCase(unittest.TestCase):
+    """A group with the primary s1, two proxies and two voters."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.log = FakeLog()
+        self.voter = Voter(self.clock, self.log)
+        self.other = Voter(self.clock, self.log)
+        self.voter.lead(term=1)
+        populate(self.voter, {"p1": "fd1", "p2": "fd2"})
+        self.clock.advance(10.0)
+        self.servers = FakeServers(
+            {
+                "s1": FakeServer(Position(1, 20), Role.PRIMARY, is_silent=True),
+                "s2": FakeServer(Position(1, 18)),
+                "s3": FakeServer(Position(1, 17)),
+            }
+        )
+        self.proxies = FakeProxies()
+        self.executor = ThreadPoolExecutor(8)
+        self.addCleanup(self.executor.shutdown)
+
+    def promote(
+        self, voter: Voter, seconds: float = 5.0, is_failed: bool = True
+    ) -> bool:
+        parts = voter.parts(self.servers, self.proxies, self.executor, is_failed)
+        return run_advancing(self.clock, Promoter(GROUP, parts).run, seconds)
+
+    def renew(self, voter: Voter, *names: str) -> None:
+        for name in names:
+            voter.table.renew(renewal(name), self.clock.now())
+
+    def assert_steady(self, term: int, primary: str) -> None:
+        group = self.voter.state.group(GROUP)
+        assert group is not None
+        found = (group.phase, group.term, group.primary)
+        self.assertEqual(found, (Phase.STEADY, term, primary))
+
+
+class FailoverTests(PromotionCase):
+    """A primary that failed is replaced."""
+
+    def test_the_furthest_replica_takes_the_next_term(self) -> None:
+        self.renew(self.voter, "p1", "p2")
+        self.voter.commit(BEGIN)
+        began_at = self.clock.now()
+        self.assertTrue(self.promote(self.voter))
+        self.assert_steady(2, "s2")
+        self.assertLess(self.clock.now() - began_at, 1.0)
+        group = self.voter.state.group(GROUP)
+        assert group is not None
+        self.assertEqual(group.term_starts, (Position(2, 18),))
+        phases = self.voter.timeline.describe()[-1]["phases_ms"]
+        expected = ["detected", "begun", "released", "chosen", "promoted", "ended"]
+        self.assertEqual(list(phases), expected)
+
+    def test_a_silent_proxys_lease_is_waited_for(self) -> None:
+        """A proxy is cut off from control and still reaches the old primary.
+
+        It acknowledges writes until its grant has run out. Were s2 promoted
+        before, such a write would be acknowledged by a replaced primary.
+        """
+        self.renew(self.voter, "p1", "p2")
+        granted_at = self.clock.now()
+        self.proxies.silent = {"p2"}
+        self.voter.commit(BEGIN)
+        self.assertTrue(self.promote(self.voter))
+        self.assert_steady(2, "s2")
+        self.assertGreaterEqual(self.clock.now() - granted_at, 1.53)
+
+    def test_nobody_is_promoted_while_an_acknowledged_write_may_be_lost(self) -> None:
+        self.proxies.acked = {"p1": Position(1, 19)}
+        self.renew(self.voter, "p1")
+        self.voter.commit(BEGIN)
+        self.assertFalse(self.promote(self.voter, seconds=2.0))
+        self.servers.servers["s3"].position = Position(1, 19)
+        self.assertTrue(self.promote(self.voter))
+        self.assert_steady(2, "s3")
+
+    def test_acks_of_the_primary_alone_wait_for_it(self) -> None:
+        change_root(self.voter, 0, write_ack="primary")
+        self.voter.commit(BEGIN)
+        self.assertFalse(self.promote(self.voter, seconds=2.0))
+        self.servers.servers["s1"].is_silent = False
+        self.assertTrue(self.promote(self.voter, is_failed=False))
+        self.assert_steady(2, "s1")
+
+    def test_a_chosen_server_that_dies_is_followed_by_another_term(self) -> None:
+        """The chosen replica dies before it takes its term.
+
+        It may have taken the term without its answer arriving, so the next
+        server must not take the same one: two lineages would share a term.
+        """
+        self.voter.commit(BEGIN)
+        self.voter.log_node.cut_before = lambda command: (
+            command["kind"] == "end_promotion"
+        )
+        self.assertTrue(self.promote(self.voter))
+        self.servers.servers["s2"].is_silent = True
+        self.voter.log_node.cut_before = lambda _command: False
+        self.voter.lead(term=2)
+        self.assertFalse(self.promote(self.voter, seconds=5.0))
+        self.servers.servers["s1"].is_silent = False
+        self.servers.servers["s1"].position = Position(1, 17)
+        self.assertTrue(self.promote(self.voter))
+        self.assert_steady(3, "s3")
+        taken = [call for call in self.servers.calls if call[0] == "promote"]
+        self.assertEqual(
+            {(name, term) for _, name, term in taken}, {("s2", 2), ("s3", 3)}
+        )
+
+    def test_a_server_that_lost_entries_does_not_take_the_term(self) -> None:
+        self.voter.commit(BEGIN)
+        promote = self.servers.promote
+
+        def forget_and_promote(server: BackendServer, term: int) -> ServerStatus:
+            self.servers.servers["s2"].position = Position(1, 5)
+            return promote(server, term)
+
+        self.servers.promote = forget_and_promote  # type: ignore[method-assign]
+        self.assertFalse(self.promote(self.voter, seconds=2.0))
+        group = self.voter.state.group(GROUP)
+        assert group is not None
+        self.assertIs(group.phase, Phase.PROMOTING)
+
+
+class NextLeaderTests(PromotionCase):
+    """A promotion cut half-way is finished by the next leader."""
+
+    def test_each_step_can_be_taken_over(self) -> None:
+        for number, kind in enumerate(("choose_primary", "end_promotion")):
+            with self.subTest(cut_before=kind):
+                term = self.voter.state.groups[GROUP].term
+                self.voter.lead(term=2 * number + 1)
+                self.other.stop_leading()
+                self.voter.commit(BeginPromotion(GROUP, term, PromotionReason.FAILED))
+                self.voter.log_node.cut_before = lambda command, kind=kind: (
+                    command["kind"] == kind
+                )
+                self.assertTrue(self.promote(self.voter))
+                phase = self.other.state.groups[GROUP].phase
+                self.assertIs(phase, Phase.PROMOTING)
+                self.other.lead(term=2 * number + 2)
+                self.assertTrue(self.promote(self.other))
+                self.assertIs(self.voter.state.groups[GROUP].phase, Phase.STEADY)
+                self.assertEqual(self.voter.state.groups[GROUP].term, term + 1)
+                self.voter.log_node.cut_before = lambda _command: False
+                self.servers.servers["s1"].is_silent = False
+                self.servers.servers["s1"].role = Role.REPLICA
+                self.servers.servers["s1"].position = Position(2, 18)
+                self.servers.servers["s2"].is_silent = True
+
+    def test_a_new_leader_waits_for_grants_it_does_not_know(self) -> None:
+        """The leader grants p2, begins a promotion and dies; p2 is cut off.
+
+        The next leader's table is empty. Only the time since it began to lead
+        tells it that p2 cannot acknowledge any more.
+        """
+        self.renew(self.voter, "p1", "p2")
+        self.voter.commit(BEGIN)
+        self.voter.stop_leading()
+        self.proxies.silent = {"p2"}
+        self.other.lead(term=2)
+        began_at = self.clock.now()
+        self.assertTrue(self.promote(self.other))
+        self.assertGreaterEqual(self.clock.now() - began_at, 1.53)
+
+    def test_a_new_leader_does_not_wait_when_all_have_answered(self) -> None:
+        self.voter.commit(BEGIN)
+        self.voter.stop_leading()
+        self.other.lead(term=2)
+        began_at = self.clock.now()
+        self.assertTrue(self.promote(self.other))
+        self.assertLess(self.clock.now() - began_at, 1.0)
+
+    def test_a_restarted_proxys_answer_does_not_speak_for_its_old_process(
+        self,
+    ) -> None:
+        """p2's process is frozen with a grant; a new one starts and registers.
+
+        Then the leader changes. The new process answers the release, but the
+        frozen one wakes up and acknowledges under its old grant.
+        """
+        self.renew(self.voter, "p2")
+        address = self.voter.state.proxies["p2"].address
+        self.voter.commit(RegisterProxy("p2", "p2-b", "fd2", address))
+        self.other.ages.observe(self.other.state.proxies)
+        self.voter.commit(BEGIN)
+        self.voter.stop_leading()
+        self.other.lead(term=2)
+        began_at = self.clock.now()
+        self.assertTrue(self.promote(self.other))
+        self.assertGreaterEqual(self.clock.now() - began_at, 1.53)
+
+
+class RacingPromotionTests(PromotionCase):
+    """Two promotions of one group at the same time."""
+
+    def test_the_second_to_begin_is_rejected(self) -> None:
+        self.voter.commit(BEGIN)
+        for expected_term in (1, 2):
+            planned = BeginPromotion(
+                GROUP, expected_term, PromotionReason.PLANNED, "s2", change_id="c1"
+            )
+            with self.assertRaises(CommandRejectedError):
+                self.voter.commit(planned)
+        self.assertTrue(self.promote(self.voter))
+        again = BeginPromotion(GROUP, 2, PromotionReason.PLANNED, "s3", change_id="c1")
+        with self.assertRaises(CommandRejectedError):
+            self.voter.commit(again)
+
+    def test_one_group_has_one_promoter(self) -> None:
+        self.voter.commit(BEGIN)
+        parts = self.voter.parts(self.servers, self.proxies, self.executor)
+        promotions = Promotions(parts)
+
+        def run() -> None:
+            promotions.run_missing()
+            promotions.run_missing()
+            promotions.join(timeout=5.0)
+
+        self.assertTrue(run_advancing(self.clock, run, 5.0))
+        promoted = [call for call in self.servers.calls if call[0] == "promote"]
+        self.assertEqual(promoted, [("promote", "s2", 2)])
+
+
+class PlannedPromotionTests(PromotionCase):
+    """An operator moves the primary while everything works."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.servers.servers["s1"].is_silent = False
+        self.renew(self.voter, "p1", "p2")
+        self.voter.commit(
+            BeginPromotion(GROUP, 1, PromotionReason.PLANNED, "s3", change_id="c1")
+        )
+
+    def test_the_old_primary_is_fenced_and_its_last_entry_kept(self) -> None:
+        began_at = self.clock.now()
+        self.assertTrue(self.promote(self.voter, is_failed=False))
+        self.assert_steady(2, "s3")
+        self.assertLess(self.clock.now() - began_at, 1.0)
+        self.assertEqual(self.servers.calls[0], ("fence", "s1", 2))
+        self.assertEqual(self.servers.servers["s3"].position, Position(2, 20))
+
+    def test_a_candidate_that_stays_behind_undoes_it(self) -> None:
+        self.servers.replicates = False
+        self.assertTrue(self.promote(self.voter, is_failed=False, seconds=8.0))
+        self.assert_steady(2, "s1")
--- /dev/null
+++ b/tests/control/test_state.py
@@ -0,0 +1,114 @@
+"""Tests of the replicated state."""
+
+import json
+import unittest
+
+from dogwoodspool_common import Address, ManualClock, Phase
+from dogwoodspool_control.commands import (
+    BeginPromotion,
+    BootstrapGroup,
+    ChangeSettings,
+    ChoosePrimary,
+    Command,
+    EndPromotion,
+    ForgetProxy,
+    LowerLeaseBound,
+    RecordServer,
+    RegisterProxy,
+    RemoveServer,
+    SettleWriteAcks,
+    decode_command,
+    encode_command,
+)
+from dogwoodspool_control.models import PromotionReason
+from dogwoodspool_control.state import ControlState
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .fakes import GROUP, server
+
+NAMES = st.sampled_from(["a", "b", "c"])
+SMALL = st.integers(0, 4)
+ADDRESSES = st.builds(Address, st.just("127.0.0.1"), st.integers(1, 3))
+OVERRIDES = st.sampled_from(
+    [{}, {"lease_ms": 3000}, {"write_ack": "primary"}, {"max_proxies": 2}, {"bad": 1}]
+)
+COMMANDS: st.SearchStrategy[Command] = st.one_of(
+    st.builds(RegisterProxy, NAMES, NAMES, NAMES, ADDRESSES),
+    st.builds(ForgetProxy, NAMES),
+    st.builds(RecordServer, st.builds(server, NAMES, NAMES, is_leaving=st.booleans())),
+    st.builds(RemoveServer, NAMES),
+    st.builds(BootstrapGroup, st.just(GROUP), SMALL, NAMES),
+    st.builds(
+        BeginPromotion,
+        st.just(GROUP),
+        SMALL,
+        st.sampled_from(PromotionReason),
+        st.none() | NAMES,
+        st.booleans(),
+        st.sampled_from(["", "c1", "c2"]),
+    ),
+    st.builds(ChoosePrimary, st.just(GROUP), SMALL, NAMES, SMALL),
+    st.builds(EndPromotion, st.just(GROUP), SMALL, SMALL),
+    st.builds(
+        ChangeSettings, NAMES, st.sampled_from(["/", "/x"]), SMALL, OVERRIDES, NAMES
+    ),
+    st.builds(LowerLeaseBound, SMALL),
+    st.builds(SettleWriteAcks, st.just(GROUP), SMALL),
+)
+
+
+class ControlStateTests(unittest.TestCase):
+    """Voters that apply the same commands hold the same state."""
+
+    @settings(max_examples=150, derandomize=True, deadline=None)
+    @given(commands=st.lists(COMMANDS, max_size=25), cut=st.integers(0, 25))
+    def test_a_restored_voter_goes_on_as_the_others(
+        self, commands: list[Command], cut: int
+    ) -> None:
+        one, other = (ControlState(ManualClock()) for _ in range(2))
+        for index, command in enumerate(commands, start=1):
+            entry = json.loads(json.dumps(encode_command(command)))
+            self.assertEqual(decode_command(entry), command)
+            if index == cut:
+                snapshot = json.loads(json.dumps(other.snapshot()))
+                other = ControlState(ManualClock())
+                other.restore(snapshot)
+            self.assertEqual(one.apply(index, entry), other.apply(index, entry))
+        self.assertEqual(one.snapshot(), other.snapshot())
+        self.assertEqual(one.view(), other.view())
+
+    @settings(max_examples=150, derandomize=True, deadline=None)
+    @given(commands=st.lists(COMMANDS, max_size=25))
+    def test_terms_grow_and_a_steady_group_has_a_primary(
+        self, commands: list[Command]
+    ) -> None:
+        state = ControlState(ManualClock())
+        term, version = 0, 0
+        for index, command in enumerate(commands, start=1):
+            state.apply(index, encode_command(command))
+            self.assertGreaterEqual(state.version, version)
+            version = state.version
+            group = state.group(GROUP)
+            if group is None:
+                continue
+            self.assertGreaterEqual(group.term, term)
+            term = group.term
+            is_promoting = state.promotion(GROUP) is not None
+            self.assertEqual(group.phase is Phase.PROMOTING, is_promoting)
+            if group.phase is Phase.STEADY:
+                self.assertIsNotNone(group.primary)
+
+    def test_a_command_of_a_newer_program_changes_nothing(self) -> None:
+        state = ControlState(ManualClock())
+        self.assertFalse(state.apply(1, {"kind": "unheard_of"})["is_accepted"])
+        self.assertEqual(state.version, 0)
+
+    def test_a_resent_change_gets_the_first_answer(self) -> None:
+        state = ControlState(ManualClock())
+        change = ChangeSettings("c1", "/", 0, {"deadline_ms": 900}, "ana")
+        first = state.apply(1, encode_command(change))
+        rival = ChangeSettings("c2", "/", 0, {"deadline_ms": 700}, "bo")
+        self.assertEqual(state.apply(2, encode_command(rival))["code"], "conflict")
+        self.assertEqual(state.apply(3, encode_command(change)), first)
+        self.assertEqual(state.settings.root.deadline_ms, 900)
