--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -26,7 +26,12 @@
     Role,
     ServerStatus,
 )
-from .process import read_settings, run_program, stop_event_on_signals
+from .process import (
+    read_settings,
+    run_program,
+    stop_event_on_signals,
+    write_ready_file,
+)
 from .signature import RequestSigner
 from .trace import current_traceparent, set_up_tracing, span
 
@@ -61,4 +66,5 @@
     "set_up_tracing",
     "span",
     "stop_event_on_signals",
+    "write_ready_file",
 ]
--- a/packages/common/src/dogwoodspool_common/process.py
+++ b/packages/common/src/dogwoodspool_common/process.py
@@ -1,10 +1,12 @@
 """Settings and life cycle of one process: flags, environment, signals."""
 
+import json
 import os
 import signal
 import sys
 import threading
 from collections.abc import Callable, Mapping
+from pathlib import Path
 from typing import Any, Final, TypeVar
 
 from docopt import docopt
@@ -12,6 +14,7 @@
 
 from .const import VERSION
 from .errors import SettingsError
+from .models import Address
 
 ENV_PREFIX: Final = "DOGWOODSPOOL_"
 EXIT_BAD_SETTINGS: Final = 2
@@ -67,6 +70,22 @@
     return stop
 
 
+def write_ready_file(path: Path | None, addresses: Mapping[str, Address]) -> None:
+    """Tell whoever started this process that it answers, and where.
+
+    The file appears whole, so that a reader never sees half of it.
+
+    Example:
+        >>> write_ready_file(Path("proxy.ready"), {"address": Address("::1", 3306)})
+    """
+    if path is None:
+        return
+    partial = path.with_suffix(".partial")
+    content = {name: str(address) for name, address in addresses.items()}
+    partial.write_text(json.dumps(content), encoding="utf-8")
+    partial.replace(path)
+
+
 def _one_line_each(error: ValidationError) -> str:
     lines = []
     for detail in error.errors(include_url=False, include_input=False):
--- a/packages/control/src/dogwoodspool_control/main.py
+++ b/packages/control/src/dogwoodspool_control/main.py
@@ -15,6 +15,7 @@
     set_up_logging,
     set_up_tracing,
     stop_event_on_signals,
+    write_ready_file,
 )
 from dogwoodspool_consensus import (
     ConsensusNode,
@@ -65,8 +66,7 @@
     runtime.set_up()
     server.set_up()
     log_event("control_started", address=server.address)
-    if options.ready_file is not None:
-        options.ready_file.write_text(f"{server.address}\n", encoding="utf-8")
+    write_ready_file(options.ready_file, {"address": server.address})
     stop.wait()
     log_event("control_stopping")
     # The log first: from then on this voter gives nothing and the others elect a
--- a/packages/proxy/src/dogwoodspool_proxy/main.py
+++ b/packages/proxy/src/dogwoodspool_proxy/main.py
@@ -24,8 +24,6 @@
   --ready-file FILE         Write the addresses in use to this file once started.
 """
 
-import json
-
 from dogwoodspool_common import (
     SystemClock,
     read_settings,
@@ -33,6 +31,7 @@
     set_up_logging,
     set_up_tracing,
     stop_event_on_signals,
+    write_ready_file,
 )
 
 from .app import Proxy
@@ -48,12 +47,8 @@
     stop = stop_event_on_signals()
     proxy = Proxy(settings, SystemClock())
     proxy.set_up()
-    if settings.ready_file is not None:
-        addresses = {
-            "address": str(proxy.caller_address),
-            "http_address": str(proxy.http_address),
-        }
-        settings.ready_file.write_text(json.dumps(addresses))
+    addresses = {"address": proxy.caller_address, "http_address": proxy.http_address}
+    write_ready_file(settings.ready_file, addresses)
     stop.wait()
     is_complete = proxy.drain()
     proxy.unload()
--- a/packages/standin/src/dogwoodspool_standin/main.py
+++ b/packages/standin/src/dogwoodspool_standin/main.py
@@ -32,15 +32,13 @@
   -h --help                    Show this.
 """
 
-import json
-from pathlib import Path
-
 from dogwoodspool_common import (
     SystemClock,
     read_settings,
     run_program,
     set_up_logging,
     stop_event_on_signals,
+    write_ready_file,
 )
 
 from .const import PROGRAM
@@ -55,8 +53,11 @@
     stop = stop_event_on_signals()
     server = StandinServer(settings, SystemClock())
     server.set_up()
-    if settings.ready_file is not None:
-        _write_ready_file(settings.ready_file, server)
+    addresses = {
+        "address": server.address,
+        "control_address": server.control_address,
+    }
+    write_ready_file(settings.ready_file, addresses)
     stop.wait()
     server.unload()
     return 0
@@ -65,14 +66,3 @@
 def run() -> None:
     """Run the program and exit with its status."""
     run_program(main)
-
-
-def _write_ready_file(path: Path, server: StandinServer) -> None:
-    content = {
-        "address": str(server.address),
-        "control_address": str(server.control_address),
-    }
-    # A reader must never see half of it.
-    temporary = path.with_name(path.name + ".tmp")
-    temporary.write_text(json.dumps(content), encoding="utf-8")
-    temporary.replace(path)
