--- a/tests/control/test_promotion.py
+++ b/tests/control/test_promotion.py
@@ -1,7 +1,9 @@
 """Tests of promotions from their beginning to their end."""
 
 import unittest
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from dogwoodspool_common import (
     BackendServer,
@@ -32,6 +34,11 @@
 BEGIN = BeginPromotion(GROUP, 1, PromotionReason.FAILED)
 
 
+def cut_before(kind: str) -> Callable[[dict[str, Any]], bool]:
+    """Return the test for commands of one kind."""
+    return lambda command: command["kind"] == kind
+
+
 class PromotionCase(unittest.TestCase):
     """A group with the primary s1, two proxies and two voters."""
 
@@ -126,9 +133,7 @@
         server must not take the same one: two lineages would share a term.
         """
         self.voter.commit(BEGIN)
-        self.voter.log_node.cut_before = lambda command: (
-            command["kind"] == "end_promotion"
-        )
+        self.voter.log_node.cut_before = cut_before("end_promotion")
         self.assertTrue(self.promote(self.voter))
         self.servers.servers["s2"].is_silent = True
         self.voter.log_node.cut_before = lambda _command: False
@@ -168,9 +173,7 @@
                 self.voter.lead(term=2 * number + 1)
                 self.other.stop_leading()
                 self.voter.commit(BeginPromotion(GROUP, term, PromotionReason.FAILED))
-                self.voter.log_node.cut_before = lambda command, kind=kind: (
-                    command["kind"] == kind
-                )
+                self.voter.log_node.cut_before = cut_before(kind)
                 self.assertTrue(self.promote(self.voter))
                 phase = self.other.state.groups[GROUP].phase
                 self.assertIs(phase, Phase.PROMOTING)
--- a/tests/control/test_shares.py
+++ b/tests/control/test_shares.py
@@ -13,7 +13,12 @@
 from dogwoodspool_settings import EffectiveSettings
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
 SETTINGS = EffectiveSettings()
 CONNECTIONS = 20
@@ -140,9 +145,16 @@
         assert in_use <= LIMIT, f"{in_use} connections of {LIMIT} at {now}"
 
 
-class ShareMachineTests(ShareMachine.TestCase):  # type: ignore[name-defined,misc]
+class ShareMachineTests(unittest.TestCase):
     """The sum of shares never exceeds what the server takes."""
 
-    settings = settings(
-        max_examples=100, stateful_step_count=40, derandomize=True, deadline=None
-    )
+    def test_random_histories(self) -> None:
+        run_state_machine_as_test(
+            ShareMachine,
+            settings=settings(
+                max_examples=100,
+                stateful_step_count=40,
+                derandomize=True,
+                deadline=None,
+            ),
+        )
