Split the stand-in into smaller modules and test its faults

Cause: an entry pulled while replication was being switched off was still applied; INT AUTO_INCREMENT was taken by SQLite as a type's name, so that keys stayed NULL and last_insert_id 0 (seen with mysql-connector); CURRENT_TIMESTAMP gave other values on replicas.

The link is checked again after each pull, schema statements always go through the translation, and CURRENT_TIMESTAMP becomes the logged NOW().

--- a/packages/standin/src/dogwoodspool_standin/connection.py
+++ b/packages/standin/src/dogwoodspool_standin/connection.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
 from mysql_mimic.connection import Connection
 from mysql_mimic.control import Control
 from mysql_mimic.errors import MysqlError, get_sqlstate
@@ -17,10 +16,8 @@
     parse_com_query,
 )
 from mysql_mimic.results import ResultColumn
-from mysql_mimic.session import BaseSession
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import ColumnType, Commands, ServerStatus
-from mysql_mimic.variables import GlobalVariables, SessionVariables
 
 from .const import (
     ATTR_FAILURE_DOMAIN,
@@ -30,13 +27,16 @@
 )
 from .errors import (
     AccessDeniedError,
+    ConnectionCutError,
     NotPreparedError,
     StatementError,
     TooManyConnectionsError,
     UnknownCommandError,
 )
 from .faults import FaultSwitches
+from .identity import MimicSession, Users
 from .models import Done, Rows
+from .registry import Registry
 from .session import CallerSession
 
 T = TypeVar("T")
@@ -45,73 +45,6 @@
 _SQLSTATE_MARK = b"#"
 
 
-class ConnectionRefusedByFaultError(Exception):
-    """End a connection without an answer, as a broken network would."""
-
-
-class Registry:
-    """Who is connected, against the caps; used on the event loop only."""
-
-    def __init__(self, limit: int, replication_limit: int) -> None:
-        self.peak = 0
-        self.refused = 0
-        self.callers = 0
-        self.replicas = 0
-        self._limit = limit
-        self._replication_limit = replication_limit
-
-    def enter(self, is_replication: bool) -> bool:
-        """Count a connection in; return False where the cap is reached."""
-        if is_replication:
-            is_free = self.replicas < self._replication_limit
-            self.replicas += is_free
-            return is_free
-        if self.callers >= self._limit:
-            self.refused += 1
-            return False
-        self.callers += 1
-        self.peak = max(self.peak, self.callers)
-        return True
-
-    def leave(self, is_replication: bool) -> None:
-        """Count a connection out."""
-        if is_replication:
-            self.replicas -= 1
-        else:
-            self.callers -= 1
-
-
-class MimicSession(BaseSession):
-    """What mysql-mimic wants to know; statements go to ``CallerSession``."""
-
-    def __init__(self) -> None:
-        self.variables = SessionVariables(GlobalVariables())
-        self.username: str | None = None
-        self.database: str | None = None
-
-
-class Users(IdentityProvider):
-    """Names and passwords of the callers and of replicas."""
-
-    def __init__(self, passwords: dict[str, str]) -> None:
-        self._users = {
-            name: User(
-                name=name,
-                auth_plugin=NativePasswordAuthPlugin.name,
-                auth_string=(
-                    NativePasswordAuthPlugin.create_auth_string(password)
-                    if password
-                    else None
-                ),
-            )
-            for name, password in passwords.items()
-        }
-
-    async def get_user(self, username: str) -> User | None:
-        """Return the user of a name."""
-        return self._users.get(username)
-
-
 @dataclass(frozen=True, slots=True)
 class ConnectionParts:
     """What all connections of a listener share."""
@@ -170,12 +103,11 @@
         """Check caps and password.
 
         mysql-mimic reports a wrong password to the caller and then goes on to
-        answer its commands; the check of ``username`` after it ends that.
+        answer its commands: the caller would read and write without one. The
+        name is set by a right password only, so its check afterwards ends that.
         """
-        if self._is_counted:
-            raise UnknownCommandError("changing the user is not imitated")
         if self._parts.is_refusing() or self._parts.faults.is_cut(self.failure_domain):
-            raise ConnectionRefusedByFaultError
+            raise ConnectionCutError
         is_replication = username == REPLICATION_USER
         if not self._parts.registry.enter(is_replication):
             raise TooManyConnectionsError("Too many connections")
@@ -185,7 +117,7 @@
             raise AccessDeniedError(f"Access denied for user '{username}'")
         await super().authenticate(username, *args, **kwargs)
         if self.session.username is None:
-            raise ConnectionRefusedByFaultError
+            raise ConnectionCutError
         self._caller.database = self.session.database
         self._caller.connection_id = self.connection_id
 
@@ -206,28 +138,24 @@
         """Run one statement and send its outcome or its rows."""
         query = parse_com_query(self.capabilities, self.client_charset, data)
         outcome = await self._in_executor(lambda: self._caller.execute(query.sql))
-        self._update_flags()
-        await asyncio.sleep(self._parts.faults.latency)
         if isinstance(outcome, Done):
-            await self.stream.write(
-                self.ok(
-                    affected_rows=outcome.affected_rows,
-                    last_insert_id=outcome.last_insert_id,
-                )
-            )
-            return
-        await self._write_rows(outcome)
+            await self._write_done(outcome)
+        else:
+            await self._write_rows(outcome)
 
     async def handle_reset_connection(self, data: bytes) -> None:
         """Roll back and forget what the connection was told."""
         await self._in_executor(self._caller.reset)
-        self._update_flags()
-        await self.stream.write(self.ok())
+        await self._write_done(Done())
 
     async def handle_init_db(self, data: bytes) -> None:
         """Note the database; this server has one set of tables only."""
         self._caller.database = self.client_charset.decode(data)
-        await self.stream.write(self.ok())
+        await self._write_done(Done())
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Say that the server is there."""
+        await self._write_done(Done())
 
     async def _answer(self, command: int, rest: bytes) -> None:
         try:
@@ -245,15 +173,23 @@
                 case _:
                     raise UnknownCommandError(f"unknown command {command:#x}")
         except StatementError as error:
-            self._update_flags()
             await self._write_error(error)
         except MysqlError as error:
             await self._write_error_packet(
                 int(error.code), get_sqlstate(error.code), error.msg
             )
 
+    async def _write_done(self, done: Done) -> None:
+        await self._begin_answer()
+        await self.stream.write(
+            self.ok(
+                affected_rows=done.affected_rows, last_insert_id=done.last_insert_id
+            )
+        )
+
     async def _write_rows(self, rows: Rows) -> None:
         """Send a result chunk by chunk, at the pace of the caller."""
+        await self._begin_answer()
         columns = [
             ResultColumn(name, _column_type(rows.first, index))
             for index, name in enumerate(rows.columns)
@@ -293,9 +229,14 @@
         self, number: int, sqlstate: bytes, message: str
     ) -> None:
         """Send an error packet; mysql-mimic's own knows few of the numbers."""
+        await self._begin_answer()
         packet = struct.pack("<BH", _ERROR_HEADER, number)
         await self.stream.write(packet + _SQLSTATE_MARK + sqlstate + message.encode())
 
+    async def _begin_answer(self) -> None:
+        self._update_flags()
+        await asyncio.sleep(self._parts.faults.latency)
+
     def _update_flags(self) -> None:
         flags = ServerStatus(0)
         if self._caller.is_autocommit:
--- a/packages/standin/src/dogwoodspool_standin/diagnostics.py
+++ b/packages/standin/src/dogwoodspool_standin/diagnostics.py
@@ -4,11 +4,11 @@
 
 from dogwoodspool_common import JsonResponse, Route, ServerStatus
 
-from .connection import Registry
 from .const import PATH_DIAGNOSTICS
+from .counters import StatementCounters
 from .faults import FaultSwitches
 from .member import GroupMember
-from .session import StatementCounters
+from .registry import Registry
 from .slots import Slots
 
 
--- a/packages/standin/src/dogwoodspool_standin/dialect.py
+++ b/packages/standin/src/dogwoodspool_standin/dialect.py
@@ -8,15 +8,22 @@
 from sqlglot import exp
 from sqlglot.errors import ErrorLevel, SqlglotError
 
-from .errors import SyntaxStatementError
+from .errors import NotImitatedError, SyntaxStatementError
 from .models import Statement, StatementKind
 
 _TOKEN: Final = re.compile(
     r"""(?P<string>(?:\b_\w+\s*)?(?:'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"))
       | (?P<name>`[^`]*`)
+      | (?P<clock>\b(?:DEFAULT\s+)?CURRENT_TIMESTAMP\b(?:\s*\(\s*\d*\s*\))?)
       | (?P<comment>--(?=\s|$)[^\n]*|\#[^\n]*|/\*.*?\*/)""",
-    re.VERBOSE | re.DOTALL,
+    re.VERBOSE | re.DOTALL | re.IGNORECASE,
 )
+_SQLITE_TOKEN: Final = re.compile(
+    r"""(?P<string>'[^']*')|(?P<name>"[^"]*")|"""
+    r"""(?P<clock>\b(?:DEFAULT\s+)?CURRENT_TIMESTAMP\b(?:\s*\(\s*\)|))""",
+    re.IGNORECASE,
+)
+_TEMPORARY: Final = re.compile(r"\s*CREATE\s+TEMPORARY\b", re.IGNORECASE)
 _ESCAPE: Final = re.compile(r"\\(.)", re.DOTALL)
 _ESCAPES: Final = {"0": "\0", "b": "\b", "n": "\n", "r": "\r", "t": "\t", "Z": "\x1a"}
 _LOCKING: Final = re.compile(
@@ -72,6 +79,11 @@
     kind = _KINDS.get(first.group(1).upper()) if first else None
     if kind is None:
         raise SyntaxStatementError(f"You have an error in your SQL near '{sql[:40]}'")
+    if _TEMPORARY.match(sql):
+        raise NotImitatedError("temporary tables are not imitated")
+    if kind is StatementKind.SCHEMA:
+        # SQLite would take INT AUTO_INCREMENT as the name of a type.
+        return Statement(kind, translate(text), text)
     bare = _TOKEN.sub("''", sql)
     if kind is StatementKind.ROLLBACK and _ROLLBACK_TO.match(sql):
         kind = StatementKind.SAVEPOINT
@@ -95,7 +107,8 @@
     try:
         parsed = sqlglot.parse_one(text, read="mysql")
         tree = parsed.transform(_without_mysql_parts) or parsed
-        return tree.sql(dialect="sqlite", unsupported_level=ErrorLevel.IGNORE)
+        sql = tree.sql(dialect="sqlite", unsupported_level=ErrorLevel.IGNORE)
+        return _SQLITE_TOKEN.sub(_rewrite_clock, sql)
     except SqlglotError as error:
         raise SyntaxStatementError(str(error)) from error
 
@@ -103,8 +116,8 @@
 def _rewrite_token(match: re.Match[str]) -> str:
     if match.group("comment") is not None:
         return " "
-    if match.group("name") is not None:
-        return match.group()
+    if match.group("name") is not None or match.group("clock") is not None:
+        return _rewrite_clock(match)
     token = match.group("string")
     token = token[min(token.find(mark) % len(token) for mark in "'\"") :]
     quote, inner = token[0], token[1:-1]
@@ -116,6 +129,14 @@
     return "'" + value.replace("'", "''") + "'"
 
 
+def _rewrite_clock(match: re.Match[str]) -> str:
+    """Use the function whose value is logged, so that replicas write the same."""
+    token = match.group("clock")
+    if token is None:
+        return match.group()
+    return "DEFAULT (NOW())" if token.upper().startswith("DEFAULT") else "NOW()"
+
+
 def _without_mysql_parts(node: exp.Expression) -> exp.Expression | None:
     """Drop or rewrite what sqlglot passes through and SQLite does not know."""
     if isinstance(node, exp.IndexColumnConstraint):
@@ -124,6 +145,13 @@
         node.kind, exp.CharacterSetColumnConstraint | exp.CollateColumnConstraint
     ):
         return None
+    if isinstance(node, exp.Table) and node.db:
+        node.set("db", None)  # The server has one set of tables.
+    if (
+        isinstance(node, exp.DataType)
+        and node.this in exp.DataType.UNSIGNED_INTEGER_TYPES
+    ):
+        node.set("this", exp.DataType.Type.BIGINT)
     if isinstance(node, exp.UniqueColumnConstraint) and node.this:
         node.this.set("this", None)
     if isinstance(node, exp.OnConflict) and node.args.get("duplicate"):
--- a/packages/standin/src/dogwoodspool_standin/errors.py
+++ b/packages/standin/src/dogwoodspool_standin/errors.py
@@ -1,7 +1,7 @@
 """Errors of the stand-in, each with its number and SQLSTATE of MySQL."""
 
 import sqlite3
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from dogwoodspool_common import DogwoodspoolError
 
@@ -14,6 +14,10 @@
     """Report that a pull from the followed server brought nothing usable."""
 
 
+class ConnectionCutError(StandinError):
+    """End a connection without an answer, as a broken network would."""
+
+
 class StatementError(StandinError):
     """Report a statement that failed, as a MySQL server would.
 
@@ -61,6 +65,13 @@
     sqlstate = "42000"
 
 
+class NotImitatedError(StatementError):
+    """Refuse a statement that MySQL knows and the stand-in does not."""
+
+    number = 1235
+    sqlstate = "42000"
+
+
 class UnknownVariableError(StatementError):
     """Report a system variable that does not exist."""
 
@@ -203,6 +214,10 @@
 )
 
 
+# Text with two statements is a warning in Python 3.11, which is no ``Error``.
+SQLITE_FAILURES: Final = (sqlite3.Error, sqlite3.Warning)
+
+
 def statement_error(error: sqlite3.Error | sqlite3.Warning) -> StatementError:
     """Turn an error of SQLite into the one that MySQL would report.
 
--- a/packages/standin/src/dogwoodspool_standin/faults.py
+++ b/packages/standin/src/dogwoodspool_standin/faults.py
@@ -22,10 +22,10 @@
             as their failure domain; follow no server that runs in one.
         cut_addresses: announce to none of these and follow none of them.
         stop_replication: pull no log.
-        replication_lag_ms: hold each pulled entry back for this long.
+        lag_ms: hold each pulled entry back for this long.
         statement_ms: service time of a statement.
         latency_ms: one-way delay of each command and each answer.
-        is_leaving: ask for no new work, in the status and in announcements.
+        leaving: ask for no new work, in the status and in announcements.
     """
 
     freeze: bool = False
@@ -33,10 +33,10 @@
     cut_failure_domains: tuple[Name, ...] = ()
     cut_addresses: tuple[HostPort, ...] = ()
     stop_replication: bool = False
-    replication_lag_ms: float = Field(default=0, ge=0)
+    lag_ms: float = Field(default=0, ge=0)
     statement_ms: float = Field(default=0, ge=0)
     latency_ms: float = Field(default=0, ge=0)
-    is_leaving: bool = False
+    leaving: bool = False
 
 
 class FaultsRequest(Message):
@@ -55,10 +55,10 @@
     cut_failure_domains: tuple[Name, ...] | None = None
     cut_addresses: tuple[HostPort, ...] | None = None
     stop_replication: bool | None = None
-    replication_lag_ms: float | None = Field(default=None, ge=0)
+    lag_ms: float | None = Field(default=None, ge=0)
     statement_ms: float | None = Field(default=None, ge=0)
     latency_ms: float | None = Field(default=None, ge=0)
-    is_leaving: bool | None = None
+    leaving: bool | None = None
 
 
 class FaultSwitches:
@@ -87,7 +87,7 @@
     @property
     def replication_lag(self) -> float:
         """Seconds that each pulled entry is held back."""
-        return self._current.replication_lag_ms / MILLISECONDS
+        return self._current.lag_ms / MILLISECONDS
 
     @property
     def service_time(self) -> float:
--- /dev/null
+++ b/packages/standin/src/dogwoodspool_standin/identity.py
@@ -0,0 +1,36 @@
+"""Who may connect, as mysql-mimic wants to know it."""
+
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.session import BaseSession
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+
+class MimicSession(BaseSession):
+    """What mysql-mimic wants to know; statements go to ``CallerSession``."""
+
+    def __init__(self) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+
+
+class Users(IdentityProvider):
+    """Names and passwords of the callers and of replicas."""
+
+    def __init__(self, passwords: dict[str, str]) -> None:
+        self._users = {
+            name: User(
+                name=name,
+                auth_plugin=NativePasswordAuthPlugin.name,
+                auth_string=(
+                    NativePasswordAuthPlugin.create_auth_string(password)
+                    if password
+                    else None
+                ),
+            )
+            for name, password in passwords.items()
+        }
+
+    async def get_user(self, username: str) -> User | None:
+        """Return the user of a name."""
+        return self._users.get(username)
--- a/packages/standin/src/dogwoodspool_standin/listener.py
+++ b/packages/standin/src/dogwoodspool_standin/listener.py
@@ -13,77 +13,14 @@
 from mysql_mimic.control import Control
 from mysql_mimic.stream import MysqlStream
 
-from .connection import (
-    ConnectionParts,
-    ConnectionRefusedByFaultError,
-    Registry,
-    StandinConnection,
-    Users,
-)
+from .connection import ConnectionParts, StandinConnection
 from .const import MAX_REPLICATION_CONNECTIONS, STOP_TIMEOUT
+from .errors import ConnectionCutError
 from .faults import FaultSwitches
+from .identity import Users
+from .registry import Registry
 from .session import CallerSession
-
-_HEADER_BYTES = 4
-_SWALLOW_BYTES = 65_536
-
-
-class CallerReader(asyncio.StreamReader):
-    """Read whole packet headers, or swallow everything once silenced."""
-
-    is_silenced = False
-
-    async def read(self, n: int = -1) -> bytes:
-        """Read a packet's header.
-
-        mysql-mimic takes what one read brings as the whole header. Where the
-        network splits a header, that read is short and the connection would lose
-        its place in the stream; reading exactly that many bytes keeps it.
-        """
-        if n != _HEADER_BYTES:
-            return await super().read(n)
-        try:
-            data = await self.readexactly(n)
-        except asyncio.IncompleteReadError:
-            return b""
-        return await self._swallow() if self.is_silenced else data
-
-    async def readexactly(self, n: int) -> bytes:
-        """Read some bytes of a packet."""
-        data = await super().readexactly(n)
-        return await self._swallow() if self.is_silenced else data
-
-    async def _swallow(self) -> bytes:
-        while await super().read(_SWALLOW_BYTES):
-            pass
-        raise ConnectionRefusedByFaultError
-
-
-class CallerWriter:
-    """Write answers, or drop them once silenced.
-
-    It stands where mysql-mimic expects an ``asyncio.StreamWriter`` and has what
-    it uses of one.
-    """
-
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
-        self.is_silenced = False
-        self._writer = writer
-
-    @property
-    def transport(self) -> asyncio.WriteTransport:
-        """The transport, to be cut off."""
-        return self._writer.transport
-
-    def write(self, data: bytes) -> None:
-        """Send, unless silenced."""
-        if not self.is_silenced:
-            self._writer.write(data)
-
-    async def drain(self) -> None:
-        """Wait until the caller has taken enough."""
-        if not self.is_silenced:
-            await self._writer.drain()
+from .streams import CallerReader, CallerWriter
 
 
 @dataclass(eq=False, slots=True)
@@ -260,7 +197,7 @@
         try:
             await asyncio.sleep(self._connect_delay)
             await connection.serve()
-        except (OSError, EOFError, TimeoutError, ConnectionRefusedByFaultError):
+        except (OSError, EOFError, ConnectionCutError):
             # The caller or the network went away, or took too long to log in.
             writer.transport.abort()
         except Exception as error:  # noqa: BLE001
--- a/packages/standin/src/dogwoodspool_standin/replication.py
+++ b/packages/standin/src/dogwoodspool_standin/replication.py
@@ -38,12 +38,12 @@
     """Pulled entries that are held back to imitate lag.
 
     Attributes:
-        due: monotonic time from which they may be applied.
+        received: monotonic time at which they came.
         fresh_at: a time at which the source had no entry after these; None
             where more were known to follow.
     """
 
-    due: float
+    received: float
     entries: tuple[LogEntry, ...]
     fresh_at: float | None
 
@@ -177,7 +177,8 @@
             while not self._stopped.is_set() and self._usable_link() == link:
                 self._faults.pause_while_frozen()
                 fetched = self._pull(link, source, fetched)
-                self._apply_due(link)
+                if self._usable_link() == link:
+                    self._apply_due(link)
         finally:
             source.close()
 
@@ -187,7 +188,10 @@
             self._stopped.wait(const.REPLICATION_FIRST_BACKOFF)
             return fetched
         asked = self._clock.now()
-        batch = source.pull(fetched, self._wait_ms(asked))
+        batch = source.pull(fetched, self._wait_ms())
+        if self._usable_link() != link:
+            # It was replaced or switched off during the pull.
+            return fetched
         if self._faults.is_cut(batch.failure_domain):
             raise ReplicationError(f"cut off from {batch.failure_domain}")
         if batch.source_term < link.term:
@@ -206,9 +210,8 @@
         # The answer was made no earlier than this, by this server's own clock.
         waited = batch.waited_ms / MILLISECONDS * const.REPLICATION_CLOCK_MARGIN
         is_all = last.offset == batch.last_offset
-        due = self._clock.now() + self._faults.replication_lag
         fresh_at = asked + waited if is_all else None
-        self._pending.append(PendingBatch(due, batch.entries, fresh_at))
+        self._pending.append(PendingBatch(self._clock.now(), batch.entries, fresh_at))
         return last
 
     def _handle_divergence(
@@ -226,12 +229,12 @@
             offset=applied.offset,
             source_term=batch.source_term,
         )
-        self._callers.begin_rebuilding()
         try:
+            self._callers.begin_rebuilding()
             self._drop_rows(link)
+            self._member.adopt_lineage(link, batch.source_term)
         finally:
             self._callers.end_rebuilding()
-        self._member.adopt_lineage(link, batch.source_term)
         return Position(0, 0)
 
     def _drop_rows(self, link: Link) -> None:
@@ -246,7 +249,7 @@
 
     def _apply_due(self, link: Link) -> None:
         """Apply what was held back long enough."""
-        while self._pending and self._pending[0].due <= self._clock.now():
+        while self._pending and self._time_until_due() <= 0:
             batch = self._pending[0]
             if batch.entries:
                 self._apply(link, batch.entries)
@@ -272,11 +275,15 @@
         self._storage.write_lock.acquire(const.REPLICATION_TIMEOUT)
         return self._connection
 
-    def _wait_ms(self, now: float) -> int:
+    def _wait_ms(self) -> int:
         if not self._pending:
             return const.REPLICATION_POLL_MS
-        until_due = max(0.0, self._pending[0].due - now) * MILLISECONDS
+        until_due = max(0.0, self._time_until_due()) * MILLISECONDS
         return min(const.REPLICATION_POLL_MS, int(until_due))
 
+    def _time_until_due(self) -> float:
+        held = self._clock.now() - self._pending[0].received
+        return self._faults.replication_lag - held
+
     def _pending_entries(self) -> int:
         return sum(len(batch.entries) for batch in self._pending)
--- a/packages/standin/src/dogwoodspool_standin/server.py
+++ b/packages/standin/src/dogwoodspool_standin/server.py
@@ -18,13 +18,15 @@
 from .announcer import Announcer
 from .commands import StandinCommands
 from .const import FIRST_TERM, HTTP_THREADS, REPLICATION_USER, SLOT_WAIT_TIMEOUT
+from .counters import StatementCounters
 from .diagnostics import Diagnostics
 from .faults import FaultsMessage, FaultsRequest, FaultSwitches
+from .introspection import Introspection
 from .listener import Listener
 from .member import GroupMember
 from .models import DurableState
 from .replication import Replicator
-from .session import CallerSession, SessionParts, StatementCounters
+from .session import CallerSession, SessionParts
 from .settings import StandinSettings
 from .slots import Slots
 from .state import StateStore
@@ -66,7 +68,7 @@
             storage=self._storage,
             store=StateStore(settings.data_folder),
             clock=clock,
-            is_leaving=lambda: self._faults.current.is_leaving,
+            is_leaving=lambda: self._faults.current.leaving,
         )
         self._listener = Listener(
             address=Address.parse(settings.listen),
@@ -86,6 +88,7 @@
             commands=StandinCommands(
                 self._member, settings.slots, settings.connections, self._listener
             ),
+            introspection=Introspection(self._member),
             slots=self._slots,
             faults=self._faults,
             counters=counters,
@@ -193,7 +196,7 @@
 
 def _initial_faults(settings: StandinSettings) -> FaultsMessage:
     return FaultsMessage(
-        replication_lag_ms=settings.replication_lag_ms,
+        lag_ms=settings.replication_lag_ms,
         statement_ms=settings.statement_ms,
         latency_ms=settings.latency_ms,
     )
--- a/packages/standin/src/dogwoodspool_standin/session.py
+++ b/packages/standin/src/dogwoodspool_standin/session.py
@@ -7,20 +7,22 @@
 from typing import Any, Final
 
 from dogwoodspool_common import Clock
-from mysql_mimic.variables import GlobalVariables, SessionVariables
 
 from .commands import StandinCommands
 from .const import ROWS_PER_CHUNK
+from .counters import StatementCounters
 from .dialect import read_statement, translate
 from .errors import (
+    SQLITE_FAILURES,
     AccessDeniedError,
     DeadlockError,
+    NoSuchTableError,
     StatementError,
     SyntaxStatementError,
-    UnknownVariableError,
     statement_error,
 )
 from .faults import FaultSwitches
+from .introspection import Introspection
 from .member import GroupMember
 from .models import Done, LoggedStatement, Outcome, Rows, Statement, StatementKind
 from .slots import Slots
@@ -30,31 +32,10 @@
     r"(?:@@|SESSION\s+|LOCAL\s+)?(?:SESSION\.)?AUTOCOMMIT\s*:?=\s*'?(\w+)",
     re.IGNORECASE,
 )
-_VARIABLE: Final = re.compile(
-    r"@@(?:(?:session|global|local)\.)?(\w+)(?:\s+AS\s+(\w+))?", re.IGNORECASE
-)
 _SNAPSHOT: Final = re.compile(r"READ\s+ONLY|CONSISTENT\s+SNAPSHOT", re.IGNORECASE)
-_SHOW_TABLES: Final = re.compile(r"SHOW\s+TABLES\b", re.IGNORECASE)
-_SHOW_VARIABLES: Final = re.compile(
-    r"SHOW\s+(?:SESSION\s+|GLOBAL\s+)?VARIABLES(?:\s+LIKE\s+'([^']*)')?", re.IGNORECASE
-)
-_SHOW_WARNINGS: Final = re.compile(r"SHOW\s+(?:WARNINGS|ERRORS)\b", re.IGNORECASE)
-_TABLES: Final = (
-    "SELECT name FROM sqlite_master WHERE type = 'table' "
-    "AND name NOT LIKE 'sqlite~_%' ESCAPE '~' "
-    "AND name NOT LIKE '~_standin~_%' ESCAPE '~'"
-)
 _OFF: Final = frozenset({"0", "off", "false"})
 
 
-@dataclass
-class StatementCounters:
-    """What the server counts over all connections."""
-
-    statements: int = 0
-    writes: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class SessionParts:
     """What all connections of a server share."""
@@ -62,6 +43,7 @@
     storage: Storage
     member: GroupMember
     commands: StandinCommands
+    introspection: Introspection
     slots: Slots
     faults: FaultSwitches
     counters: StatementCounters
@@ -85,7 +67,6 @@
         self.connection_id = 0
         self.is_replication = False
         self._parts = parts
-        self._variables = SessionVariables(GlobalVariables())
         self._connection: StorageConnection | None = None
         self._is_autocommit = True
         self._in_transaction = False
@@ -136,7 +117,7 @@
             return []
         try:
             rows = self._cursor.fetchmany(ROWS_PER_CHUNK)
-        except sqlite3.Error as error:
+        except SQLITE_FAILURES as error:
             self.finish()
             raise statement_error(error) from error
         if len(rows) < ROWS_PER_CHUNK:
@@ -165,12 +146,14 @@
             self._connection = None
 
     def _execute_sql(self, statement: Statement) -> Outcome:
-        self._parts.counters.statements += 1
+        self._parts.counters.count_statement()
         match statement.kind:
             case StatementKind.SET:
                 return self._set(statement.sql)
             case StatementKind.VARIABLES:
-                return self._select_variables(statement.sql)
+                return self._parts.introspection.select(
+                    statement.sql, self._is_autocommit
+                )
             case StatementKind.USE:
                 self.database = statement.sql.split()[-1].strip("`")
                 return Done()
@@ -182,7 +165,7 @@
                 self._end_transaction()
                 return Done()
             case StatementKind.SHOW:
-                return self._show(statement.sql)
+                return self._parts.introspection.show(statement.sql, self._open())
             case StatementKind.SCHEMA:
                 self._commit()
                 return self._write(statement)
@@ -208,6 +191,7 @@
             return Done()
         self._take_slot()
         try:
+            self._serve()
             self._commit_open(self._connection)
         finally:
             self._release_slot()
@@ -217,7 +201,7 @@
     def _commit_open(self, connection: StorageConnection) -> None:
         if self._statements:
             self._parts.member.commit(connection, tuple(self._statements))
-            self._parts.counters.writes += 1
+            self._parts.counters.count_write()
         else:
             connection.commit()
 
@@ -234,13 +218,17 @@
     def _read(self, statement: Statement) -> Outcome:
         if not self._is_autocommit:
             self._in_transaction = True
-        if statement.is_locking and self._in_transaction:
+        if (
+            statement.is_locking
+            and self._in_transaction
+            and self._parts.member.is_primary
+        ):
             self._become_writer()
         self._take_slot()
         try:
             cursor = self._run(statement)
             rows = cursor.fetchmany(ROWS_PER_CHUNK)
-        except sqlite3.Error as error:
+        except SQLITE_FAILURES as error:
             self._release_slot()
             raise statement_error(error) from error
         except StatementError:
@@ -307,7 +295,7 @@
             table = statement.insert_table
             insert_id = connection.note_insert(table, cursor) if table else 0
             cursor.close()
-        except sqlite3.Error as error:
+        except SQLITE_FAILURES as error:
             failure = statement_error(error)
             if isinstance(failure, DeadlockError):
                 self._end_transaction()
@@ -316,15 +304,14 @@
 
     def _run(self, statement: Statement) -> sqlite3.Cursor:
         """Run a statement as it stands or, where SQLite refuses it, translated."""
-        self._parts.clock.sleep(self._parts.faults.service_time)
-        self._parts.faults.pause_while_frozen()
+        self._serve()
         connection = self._open()
         before = connection.last_insert_id
         sql = statement.sql
         try:
             cursor = connection.execute(sql)
-        except sqlite3.OperationalError as error:
-            if not isinstance(statement_error(error), SyntaxStatementError):
+        except SQLITE_FAILURES as error:
+            if not _is_of_another_dialect(error):
                 raise
             sql = translate(statement.original)
             cursor = connection.execute(sql)
@@ -332,6 +319,11 @@
             self._statements.append(connection.logged(sql, before))
         return cursor
 
+    def _serve(self) -> None:
+        """Take the service time of a statement, and none while frozen."""
+        self._parts.clock.sleep(self._parts.faults.service_time)
+        self._parts.faults.pause_while_frozen()
+
     def _set(self, sql: str) -> Done:
         match = _AUTOCOMMIT.search(sql)
         if match is None:
@@ -342,40 +334,6 @@
         self._is_autocommit = is_on
         return Done()
 
-    def _select_variables(self, sql: str) -> Rows:
-        names: list[str] = []
-        values: list[Any] = []
-        for match in _VARIABLE.finditer(sql):
-            name = match.group(1).lower()
-            names.append(match.group(2) or match.group(0))
-            values.append(self._variable(name))
-        return Rows(tuple(names), [tuple(values)], is_whole=True)
-
-    def _variable(self, name: str) -> Any:
-        if name == "autocommit":
-            return int(self._is_autocommit)
-        if name in {"read_only", "super_read_only"}:
-            return int(not self._parts.member.is_primary)
-        value = self._variables.get(name)
-        if value is None:
-            raise UnknownVariableError(f"Unknown system variable '{name}'")
-        return int(value) if isinstance(value, bool) else value
-
-    def _show(self, sql: str) -> Rows:
-        if _SHOW_TABLES.match(sql):
-            rows = self._open().execute(_TABLES).fetchall()
-            return Rows((f"Tables_in_{self.database or ''}",), rows, is_whole=True)
-        if match := _SHOW_VARIABLES.match(sql):
-            name = match.group(1) or ""
-            return Rows(
-                ("Variable_name", "Value"),
-                [(name, self._variable(name))],
-                is_whole=True,
-            )
-        if _SHOW_WARNINGS.match(sql):
-            return Rows(("Level", "Code", "Message"), [], is_whole=True)
-        raise SyntaxStatementError(f"not imitated: '{sql[:60]}'")
-
     def _open(self) -> StorageConnection:
         if self._connection is None:
             self._connection = self._parts.storage.connect()
@@ -391,3 +349,11 @@
         if self._holds_slot:
             self._holds_slot = False
             self._parts.slots.release()
+
+
+def _is_of_another_dialect(error: sqlite3.Error | sqlite3.Warning) -> bool:
+    """Tell whether a translation may help: new syntax or a database's name."""
+    failure = statement_error(error)
+    if isinstance(failure, NoSuchTableError):
+        return "." in str(failure)
+    return isinstance(failure, SyntaxStatementError)
--- a/packages/standin/src/dogwoodspool_standin/storage.py
+++ b/packages/standin/src/dogwoodspool_standin/storage.py
@@ -20,6 +20,10 @@
     '("offset" INTEGER PRIMARY KEY, term INTEGER NOT NULL, statements TEXT NOT NULL)'
 )
 _INSERT_LOG: Final = f"INSERT INTO {LOG_TABLE} VALUES (?, ?, ?)"
+_TABLES: Final = (
+    "SELECT name FROM sqlite_master WHERE type = 'table' "
+    "AND name NOT LIKE 'sqlite~_%' ESCAPE '~' AND name <> ? ORDER BY name"
+)
 _ROW_IDENTITY: Final = (
     "SELECT 1 FROM sqlite_master WHERE type = 'table' "
     "AND name = ? COLLATE NOCASE AND upper(sql) LIKE '%AUTOINCREMENT%'"
@@ -77,6 +81,7 @@
         self._clock = clock
         self._now = 0.0
         self._last_insert_id = 0
+        self._is_replaying = False
         self._connection = sqlite3.connect(
             path,
             timeout=SQLITE_BUSY_TIMEOUT,
@@ -112,7 +117,11 @@
         """Run a logged statement so that it writes what it wrote at first."""
         self._now = statement.now
         self._last_insert_id = statement.last_insert_id
-        self._connection.execute(statement.sql).close()
+        self._is_replaying = True
+        try:
+            self._connection.execute(statement.sql).close()
+        finally:
+            self._is_replaying = False
 
     def note_insert(self, table: str, cursor: sqlite3.Cursor) -> int:
         """Return the first automatic key of an insert, 0 where there is none."""
@@ -173,6 +182,11 @@
         ).fetchone()
         return int(row[0])
 
+    def table_names(self) -> list[str]:
+        """Return the names of the callers' tables."""
+        rows = self._connection.execute(_TABLES, (LOG_TABLE,)).fetchall()
+        return [str(row[0]) for row in rows]
+
     def create_log(self) -> None:
         """Create the log's table where it is missing."""
         self._connection.execute(_CREATE_LOG)
@@ -190,6 +204,7 @@
     def _create_functions(self) -> None:
         create = self._connection.create_function
         create("NOW", -1, lambda *_: _timestamp(self._now))
+        create("UTC_TIMESTAMP", -1, lambda *_: _timestamp(self._now))
         create("UNIX_TIMESTAMP", 0, lambda: int(self._now))
         create("LAST_INSERT_ID", 0, lambda: self._last_insert_id)
         create("CONNECTION_ID", 0, lambda: self.connection_id)
@@ -199,7 +214,8 @@
         create("IF", 3, lambda test, then, other: then if test else other)
 
     def _sleep(self, seconds: float) -> int:
-        self._clock.sleep(float(seconds))
+        if not self._is_replaying:
+            self._clock.sleep(float(seconds))
         return 0
 
 
--- /dev/null
+++ b/tests/standin/test_faults.py
@@ -0,0 +1,169 @@
+"""Fault switches as callers, replicas and entry instances meet them."""
+
+import threading
+import time
+from typing import Any
+
+import pymysql
+from dogwoodspool_common import JsonClient, PeerRefusedError, RequestSigner
+from dogwoodspool_standin import FaultsRequest, StandinServer
+from dogwoodspool_standin.const import PATH_DIAGNOSTICS, PATH_FAULTS
+
+from .support import KEY, Connection, StandinTestCase, fails_with, run, status
+
+LOST_CONNECTION = 2013
+ELSEWHERE = "fd-elsewhere"
+LONG_RESULT = 20_000
+
+
+class FaultsTest(StandinTestCase):
+    """What each switch breaks, and that it can be mended again."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.server = self.start("a", role="primary")
+        self.caller = self.connect(self.server)
+        run(self.caller, "CREATE TABLE lines (body VARCHAR(20))")
+
+    def change(self, **changes: Any) -> None:
+        self.server.faults.apply(FaultsRequest.model_validate(changes))
+
+    def test_silenced_connection_swallows_while_new_ones_work(self) -> None:
+        # Something between the two ends lost track of a connection: what the
+        # caller sends never arrives, and no error ever comes back.
+        caller = self.connect(self.server, read_timeout=1)
+        run(caller, "SELECT 1")
+        self.change(silence_connections=True)
+        with fails_with(self, LOST_CONNECTION):
+            run(caller, "INSERT INTO lines VALUES ('swallowed')")
+        fresh = self.connect(self.server)
+        self.assertEqual(run(fresh, "SELECT * FROM lines"), [])
+        run(fresh, "INSERT INTO lines VALUES ('x')")
+
+    def test_frozen_server_answers_nothing_until_it_goes_on(self) -> None:
+        caller = self.connect(self.server)
+        self.change(freeze=True)
+        answered = threading.Event()
+
+        def ask() -> None:
+            run(caller, "SELECT 1")
+            answered.set()
+
+        thread = threading.Thread(target=ask)
+        thread.start()
+        self.assertFalse(answered.wait(0.2))
+        self.assertTrue(thread.is_alive(), "the connection broke")
+        self.change(freeze=False)
+        thread.join(10)
+        self.assertTrue(answered.is_set())
+
+    def test_refusing_drops_open_connections_too(self) -> None:
+        self.change(refuse_connections=True)
+        with self.assertRaises(pymysql.OperationalError):
+            run(self.caller, "SELECT 1")
+        with self.assertRaises(pymysql.OperationalError):
+            self.connect(self.server)
+        self.change(refuse_connections=False)
+        run(self.connect(self.server), "SELECT 1")
+
+    def test_cut_hits_the_named_failure_domain_only(self) -> None:
+        near = self.connect(self.server, program_name="fd-near")
+        far = self.connect(self.server, program_name=ELSEWHERE)
+        self.change(cut_failure_domains=[ELSEWHERE])
+        with self.assertRaises(pymysql.OperationalError):
+            run(far, "SELECT 1")
+        with self.assertRaises(pymysql.OperationalError):
+            self.connect(self.server, program_name=ELSEWHERE)
+        run(near, "SELECT 1")
+        self.change(cut_failure_domains=[])
+        run(self.connect(self.server, program_name=ELSEWHERE), "SELECT 1")
+
+    def test_cut_of_the_primary_ends_replication(self) -> None:
+        replica = self.start("b", follow=str(self.server.address))
+        reader = self.connect(replica)
+        self.eventually(lambda: status(reader)["offset"] == 1, "the first entry")
+        replica.faults.apply(FaultsRequest(cut_failure_domains=("fd-a",)))
+        run(self.caller, "INSERT INTO lines VALUES ('x')")
+        time.sleep(0.2)
+        self.assertEqual(status(reader)["offset"], 1)
+        replica.faults.apply(FaultsRequest(cut_failure_domains=()))
+        self.eventually(lambda: status(reader)["offset"] == 2, "the second entry")
+
+    def test_switches_over_http(self) -> None:
+        signer = RequestSigner(KEY.encode())
+        client = JsonClient(signer)
+        self.addCleanup(client.close)
+        address = self.server.control_address
+        answer = client.post(address, PATH_FAULTS, {"leaving": True, "lag_ms": 5})
+        self.assertEqual((answer["leaving"], answer["lag_ms"]), (True, 5))
+        self.assertEqual(status(self.caller)["leaving"], 1)
+        page = client.get(address, PATH_DIAGNOSTICS)
+        self.assertEqual(page["status"]["is_leaving"], True)
+        self.assertEqual((page["connections_now"], page["writes"]), (1, 1))
+        with self.assertRaises(PeerRefusedError):
+            client.post(address, PATH_FAULTS, {"unknown": 1})
+        stranger = JsonClient(RequestSigner(b"another key"))
+        self.addCleanup(stranger.close)
+        with self.assertRaises(PeerRefusedError):
+            stranger.post(address, PATH_FAULTS, {"leaving": False})
+
+
+class LimitsTest(StandinTestCase):
+    """Connections and slots are as scarce as the settings say."""
+
+    def test_connection_above_the_cap_is_refused(self) -> None:
+        server = self.start("a", role="primary", connections=2)
+        self.start("b", follow=str(server.address))
+        self.eventually(lambda: shown(server, "replicas_now") == 1, "the replica")
+        first = self.connect(server)
+        self.connect(server)
+        with fails_with(self, 1040):
+            self.connect(server)
+        first.close()
+        self.eventually(lambda: shown(server, "connections_now") == 1, "a place")
+        self.connect(server)
+        self.assertEqual(shown(server, "connections_peak"), 2)
+        self.assertEqual(shown(server, "connections_refused"), 1)
+
+    def test_statements_above_the_slots_wait(self) -> None:
+        # Two callers read long results slowly and so keep both slots; three
+        # statements wait in the server, and the status answers all the same.
+        server = self.start("a", role="primary", slots=2)
+        slow = [self.open_long_result(server) for _ in range(2)]
+        callers = [self.connect(server) for _ in range(3)]
+        threads = [self.run_aside(caller, "SELECT 1") for caller in callers]
+        self.eventually(lambda: shown(server, "slots_waiting") == 3, "three wait")
+        self.assertEqual(status(self.connect(server))["slots"], 2)
+        self.assertEqual(shown(server, "slots_in_use"), 2)
+        for cursor in slow:
+            self.assertEqual(len(cursor.fetchall()), LONG_RESULT)
+        for thread in threads:
+            thread.join()
+        self.eventually(lambda: shown(server, "slots_in_use") == 0, "free slots")
+        self.assertEqual(shown(server, "slots_peak"), 2)
+
+    def test_slot_of_a_broken_result_becomes_free(self) -> None:
+        server = self.start("a", role="primary", slots=1)
+        self.open_long_result(server)
+        server.faults.apply(FaultsRequest(refuse_connections=True))
+        self.eventually(lambda: shown(server, "slots_in_use") == 0, "a free slot")
+
+    def open_long_result(self, server: StandinServer) -> pymysql.cursors.Cursor:
+        """Begin a result that is longer than the buffers of a connection."""
+        caller = self.connect(server, cursorclass=pymysql.cursors.SSCursor)
+        cursor = caller.cursor()
+        cursor.execute(
+            "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n "
+            f"WHERE i < {LONG_RESULT}) SELECT i, printf('%02000d', i) FROM n"
+        )
+        return cursor
+
+    def run_aside(self, caller: Connection, sql: str) -> threading.Thread:
+        thread = threading.Thread(target=run, args=(caller, sql))
+        thread.start()
+        return thread
+
+
+def shown(server: StandinServer, counter: str) -> int:
+    """Read one counter."""
+    return int(server.diagnostics.collect()[counter])
--- /dev/null
+++ b/tests/standin/test_replication.py
@@ -0,0 +1,220 @@
+"""Replicas, changes of the primary and what they drop."""
+
+import time
+
+import pymysql
+from dogwoodspool_standin import FaultsRequest, StandinServer
+
+from .support import (
+    Connection,
+    StandinTestCase,
+    command,
+    fails_with,
+    run,
+    status,
+)
+
+CREATE = (
+    "CREATE TABLE lines (id INT AUTO_INCREMENT PRIMARY KEY, body VARCHAR(20), "
+    "at DATETIME(3) DEFAULT CURRENT_TIMESTAMP) ENGINE=InnoDB"
+)
+ALL = "SELECT * FROM lines ORDER BY id"
+
+
+def add(caller: Connection, body: str) -> None:
+    """Write one row."""
+    run(caller, f"INSERT INTO lines (body) VALUES ('{body}')")
+
+
+def wait(caller: Connection, term: int, offset: int, timeout_ms: int = 5_000) -> bool:
+    """Wait for a position and tell whether it was reached."""
+    sql = f"STANDIN WAIT TERM {term} OFFSET {offset} TIMEOUT {timeout_ms}"
+    row = command(caller, sql)
+    return bool(row["term"] >= term and row["offset"] >= offset)
+
+
+class ReplicationTest(StandinTestCase):
+    """A replica has its primary's rows, some time later."""
+
+    def test_replica_gets_the_same_rows_and_takes_no_write(self) -> None:
+        primary, replica = self.start_pair()
+        writer, reader = self.connect(primary), self.connect(replica)
+        run(writer, CREATE)
+        writer.begin()
+        add(writer, "a")
+        run(writer, "SAVEPOINT s")
+        add(writer, "dropped")
+        run(writer, "ROLLBACK TO SAVEPOINT s")
+        run(writer, "INSERT INTO lines (id, body, at) VALUES (7, 'b', NOW())")
+        writer.commit()
+        self.assertTrue(wait(reader, 1, 2))
+        rows = run(reader, ALL)
+        self.assertEqual([row[:2] for row in rows], [(1, "a"), (7, "b")])
+        self.assertEqual(rows, run(writer, ALL), "times differ")
+        with fails_with(self, 1290):
+            add(reader, "c")
+
+    def test_lag_is_an_upper_bound_of_the_age(self) -> None:
+        primary, replica = self.start_pair(replication_lag_ms=300)
+        writer, reader = self.connect(primary), self.connect(replica)
+        run(writer, CREATE)
+        self.assertTrue(wait(reader, 1, 1))
+        begun = time.monotonic()
+        add(writer, "a")
+        written = time.monotonic()
+        while not run(reader, ALL):
+            age_ms = (time.monotonic() - written) * 1000
+            self.assertGreaterEqual(status(reader)["lag_ms"], min(age_ms, 299))
+        self.assertGreaterEqual(time.monotonic() - begun, 0.3)
+        self.assertEqual(status(writer)["lag_ms"], 0)
+
+    def test_never_caught_up_has_no_lag(self) -> None:
+        reader = self.connect(self.start("b"))
+        self.assertIsNone(status(reader)["lag_ms"])
+        self.assertFalse(wait(reader, 1, 1, timeout_ms=10))
+
+    def test_dead_link_is_opened_again(self) -> None:
+        # A primary is restarted. Its replica sees the link end, tries again with
+        # backoff and has the writes of afterwards too.
+        primary, replica = self.start_pair()
+        reader = self.connect(replica)
+        address = str(primary.address)
+        run(self.connect(primary), CREATE)
+        self.assertTrue(wait(reader, 1, 1))
+        self.stop(primary)
+        again = self.start("a", listen=address)
+        add(self.connect(again), "a")
+        self.assertTrue(wait(reader, 1, 2))
+
+
+class PromotionTest(StandinTestCase):
+    """What a change of the primary keeps and what it drops."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.old, self.new = self.start_pair()
+        self.old_writer = self.connect(self.old)
+        self.new_writer = self.connect(self.new)
+        run(self.old_writer, CREATE)
+        add(self.old_writer, "kept")
+        self.assertTrue(wait(self.new_writer, 1, 2))
+
+    def promote(self) -> None:
+        row = command(self.new_writer, "STANDIN PROMOTE TERM 2")
+        self.assertEqual((row["role"], row["term"]), ("primary", 2))
+
+    def follow(self, server: StandinServer) -> Connection:
+        """Let a server follow the new primary; connect when it has its log."""
+        command(self.connect(server), f"STANDIN FOLLOW '{self.new.address}' TERM 2")
+        self.eventually(
+            lambda: server.diagnostics.collect()["status"]["term"] == 2, "new term"
+        )
+        return self.connect(server)
+
+    def test_diverged_tail_is_dropped(self) -> None:
+        # A primary that was cut off took a write that no replica has; meanwhile
+        # another server became primary. When the old one is told to follow, a
+        # read on it must not find the lost row, nor any connection of before.
+        self.promote()
+        add(self.old_writer, "lost")
+        add(self.new_writer, "new")
+        add(self.new_writer, "newer")
+        reader = self.follow(self.old)
+        self.assertTrue(wait(reader, 2, 4))
+        self.assertEqual(run(reader, ALL), run(self.new_writer, ALL))
+        self.assertEqual([r[1] for r in run(reader, ALL)], ["kept", "new", "newer"])
+        with self.assertRaises(pymysql.OperationalError):
+            run(self.old_writer, ALL)
+
+    def test_common_log_is_kept(self) -> None:
+        # The old primary has nothing that the new one lacks: callers stay.
+        self.promote()
+        add(self.new_writer, "new")
+        reader = self.follow(self.old)
+        self.assertTrue(wait(reader, 2, 3))
+        self.assertEqual([r[1] for r in run(self.old_writer, ALL)], ["kept", "new"])
+
+    def test_longer_log_than_the_primary_has_is_dropped(self) -> None:
+        # The old primary is ahead of the new one, which has not written yet.
+        self.promote()
+        add(self.old_writer, "lost")
+        reader = self.follow(self.old)
+        self.assertTrue(wait(reader, 2, 2))
+        self.eventually(
+            lambda: [r[1] for r in run(reader, ALL)] == ["kept"], "only the kept row"
+        )
+        self.assertEqual(status(reader)["offset"], 2)
+
+    def test_promotion_is_idempotent_and_refuses_older_terms(self) -> None:
+        self.promote()
+        self.promote()
+        with fails_with(self, 1231):
+            command(self.new_writer, "STANDIN PROMOTE TERM 1")
+        with fails_with(self, 1231):
+            command(self.new_writer, f"STANDIN FOLLOW '{self.old.address}' TERM 1")
+        add(self.new_writer, "still primary")
+
+    def test_fence_ends_writes_of_an_open_transaction(self) -> None:
+        # A caller of the old primary is in a transaction while control fences
+        # the term. Were its commit still taken, an acknowledged row would be
+        # missing at the new primary.
+        self.old_writer.begin()
+        add(self.old_writer, "late")
+        fencer = self.connect(self.old)
+        command(fencer, "STANDIN FENCE TERM 2")
+        with fails_with(self, 1290):
+            self.old_writer.commit()
+        with fails_with(self, 1290):
+            add(fencer, "later")
+        self.assertEqual([r[1] for r in run(fencer, ALL)], ["kept"])
+        command(fencer, "STANDIN PROMOTE TERM 2")
+        add(fencer, "in the new term")
+
+    def test_follower_of_a_fenced_transaction_is_not_held_up(self) -> None:
+        # The caller of an open transaction on the old primary never comes back;
+        # its write lock must not keep replication out.
+        self.old_writer.begin()
+        add(self.old_writer, "late")
+        self.promote()
+        add(self.new_writer, "new")
+        reader = self.follow(self.old)
+        self.assertTrue(wait(reader, 2, 3))
+        self.assertEqual([r[1] for r in run(reader, ALL)], ["kept", "new"])
+
+    def test_source_of_an_older_term_is_not_believed(self) -> None:
+        # A third server is told to follow the new primary before that one was
+        # promoted: it must neither drop rows nor take on the term.
+        third = self.start("c", follow=str(self.old.address))
+        reader = self.connect(third)
+        self.assertTrue(wait(reader, 1, 2))
+        command(reader, f"STANDIN FOLLOW '{self.new.address}' TERM 2")
+        self.assertFalse(wait(reader, 2, 2, timeout_ms=100))
+        self.promote()
+        self.assertTrue(wait(reader, 2, 2))
+
+    def test_old_primary_returns_believing_itself_primary(self) -> None:
+        self.promote()
+        add(self.old_writer, "lost")
+        self.stop(self.old)
+        again = self.start("a", role="replica", follow=str(self.new.address))
+        row = status(self.connect(again))
+        self.assertEqual((row["role"], row["term"], row["offset"]), ("primary", 1, 3))
+
+    def test_restarted_replica_follows_on(self) -> None:
+        self.stop(self.new)
+        add(self.old_writer, "meanwhile")
+        again = self.start("b", role="primary")
+        reader = self.connect(again)
+        self.assertTrue(wait(reader, 1, 3))
+        self.assertEqual(status(reader)["role"], "replica")
+
+    def test_stopped_replication_lets_lag_grow(self) -> None:
+        self.new.faults.apply(FaultsRequest(stop_replication=True))
+        add(self.old_writer, "unseen")
+        before = status(self.new_writer)
+        self.assertFalse(wait(self.new_writer, 1, 3, timeout_ms=200))
+        self.assertGreaterEqual(
+            status(self.new_writer)["lag_ms"], before["lag_ms"] + 100
+        )
+        self.new.faults.apply(FaultsRequest(stop_replication=False))
+        self.assertTrue(wait(self.new_writer, 1, 3))
