--- a/tests/consensus/test_fuzz.py
+++ b/tests/consensus/test_fuzz.py
@@ -180,6 +180,7 @@
         assert len(self.cluster.leaders()) <= 1, "two nodes answer as leader"
         for name, node in self.cluster.nodes.items():
             seen = node.diagnostics()
+            assert not seen.has_failed, "a committed entry would be replaced"
             if seen.role is Role.LEADER:
                 known = self.leader_of.setdefault(seen.term, name)
                 assert known == name, f"two leaders in term {seen.term}"
