--- a/packages/backend/src/dogwoodspool_backend/const.py
+++ b/packages/backend/src/dogwoodspool_backend/const.py
@@ -34,7 +34,6 @@
 COM_RESET_CONNECTION: Final = 0x1F
 SQL_ROLLBACK: Final = "ROLLBACK"
 SQL_SET_NAMES: Final = f"SET NAMES {CHARSET}"
-SQL_AUTOCOMMIT: Final = "SET AUTOCOMMIT = 1"
 
 # Rows that closing an unread answer reads to save the connection.
 MAX_DRAINED_ROWS: Final = 256
--- a/packages/backend/src/dogwoodspool_backend/wire.py
+++ b/packages/backend/src/dogwoodspool_backend/wire.py
@@ -20,7 +20,6 @@
     CHARSET,
     COM_RESET_CONNECTION,
     PROGRAM_NAME,
-    SQL_AUTOCOMMIT,
     SQL_ROLLBACK,
     SQL_SET_NAMES,
 )
@@ -112,14 +111,14 @@
         """Give the connection a fresh session in one round trip.
 
         The commands are sent together: a reset is paid for between two callers on
-        a scarce connection. COM_RESET_CONNECTION also undoes SET NAMES and the
-        autocommit mode, so both follow it.
+        a scarce connection. COM_RESET_CONNECTION also undoes SET NAMES, which
+        therefore follows it, and brings back the server's own autocommit mode,
+        which needs a second round trip only where that is off.
         """
         commands = (
             (COMMAND.COM_QUERY, SQL_ROLLBACK),
             (COM_RESET_CONNECTION, ""),
             (COMMAND.COM_QUERY, SQL_SET_NAMES),
-            (COMMAND.COM_QUERY, SQL_AUTOCOMMIT),
         )
         packets = b"".join(_packet(number, text) for number, text in commands)
         inner = cast(Any, self)
@@ -128,6 +127,7 @@
         for _command in commands:
             inner._next_seq_id = FIRST_ANSWER_SEQUENCE
             inner._read_ok_packet()
+        self.autocommit(True)
 
     def quit(self) -> None:
         """Tell the server that the session ends and close the socket.
