--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,36 @@
+@leaving
+Feature: A backend server that is leaving gets no new work
+
+  An operator stops a server for repair. It announces that it leaves, and is stopped
+  a few seconds later; a statement that still reaches it then is lost.
+
+  @guard.leaving-ignored
+  Scenario: No new statement reaches a replica that leaves
+    Given 3 callers that read all the time
+    And the replica "orders-2" serves reads
+    When the replica "orders-2" announces that it leaves
+    And 5 seconds pass
+    Then the replica "orders-2" serves no statement for 2 seconds
+    And all reads went on meanwhile
+
+  @guard.leaving-cuts-transactions
+  Scenario: A transaction on a replica that leaves goes on to its end
+    Given a caller "agent" at proxy 2
+    When "agent" writes the line "inbox"
+    And "agent" begins a read-only transaction
+    And "agent" reads
+    And the server of "agent"'s transaction announces that it leaves
+    And 3 seconds pass
+    And "agent" reads
+    Then "agent" has read the line "inbox"
+    And "agent" commits and is told "ok"
+
+  @own-deployment @guard.leaving-ignored
+  Scenario: No new statement reaches a primary that leaves
+    Given 3 callers that read all the time
+    And a caller "agent" at proxy 1
+    When "agent" writes the line "before"
+    And the primary announces that it leaves
+    And 8 seconds pass
+    Then the former primary serves no statement for 2 seconds
+    And "agent" writes the line "after" as soon as it can
--- /dev/null
+++ b/features/mutations/guards/answers.py
@@ -0,0 +1,78 @@
+"""Guards of whole answers."""
+
+from typing import Any
+
+from .model import Guard
+
+
+def late_answer_kept() -> None:
+    """Use a connection again after a wait for its answer ended."""
+    from dogwoodspool_backend import ConnectionPool
+    from dogwoodspool_backend.connection import BackendConnection
+    from dogwoodspool_backend.wire import Wire
+
+    def release(self: Any, connection: Any, *, reuse: bool) -> None:
+        with self._lock:
+            self._in_use -= 1
+            self._idle.append(connection)
+            self._serve_waiters()
+
+    Wire._force_close = lambda _self: None
+    Wire.abandon = lambda _self: None
+    BackendConnection._lose = lambda _self: None
+    ConnectionPool.release = release
+    ConnectionPool._is_usable = lambda _self, _connection, _deadline: True
+
+
+def broken_result_ended() -> None:
+    """End a result that broke off as if it were whole."""
+    from dogwoodspool_common import DogwoodspoolError
+    from dogwoodspool_gateway.connection import CallerConnection
+
+    original = CallerConnection._next_batch
+
+    async def _next_batch(self: Any, answer: Any) -> Any:
+        try:
+            return await original(self, answer)
+        except DogwoodspoolError:
+            return []
+
+    CallerConnection._next_batch = _next_batch
+
+
+def results_buffered() -> None:
+    """Read a result to its end before its first row goes on."""
+    from dogwoodspool_gateway import RowsAnswer
+    from dogwoodspool_proxy import reads
+
+    original = reads.rows_answer
+
+    def rows_answer(held: Any, result: Any) -> Any:
+        answer = original(held, result)
+        rows = list(answer.rows)
+        return RowsAnswer(answer.columns, iter(rows), answer.finish)
+
+    reads.rows_answer = rows_answer
+
+
+def packets_unbounded() -> None:
+    """Take requests of any size."""
+    from dogwoodspool_gateway.stream import CallerStream
+
+    CallerStream.__init__.__defaults__ = (1 << 32,)
+
+
+def parameters_unescaped() -> None:
+    """Put parameters between quotes as they are."""
+    from dogwoodspool_gateway import prepared
+
+    prepared.escape_item = lambda value, _charset: f"'{value}'"
+
+
+GUARDS = (
+    Guard("late-answer-kept", late_answer_kept),
+    Guard("broken-result-ended", broken_result_ended),
+    Guard("results-buffered", results_buffered),
+    Guard("packets-unbounded", packets_unbounded),
+    Guard("parameters-unescaped", parameters_unescaped),
+)
--- /dev/null
+++ b/features/mutations/guards/leaving.py
@@ -0,0 +1,39 @@
+"""Guards of backend servers that leave."""
+
+from typing import Any
+
+from .model import Guard
+
+
+def leaving_ignored() -> None:
+    """Send work to a server that has announced its leaving."""
+    from dogwoodspool_routing.models import ServerView
+
+    def takes_work(self: Any) -> bool:
+        return not self.is_failing
+
+    ServerView.takes_replica_work = property(takes_work)
+    ServerView.takes_primary_work = property(takes_work)
+
+
+def leaving_cuts_transactions() -> None:
+    """Close a transaction's connection when its server leaves."""
+    from dogwoodspool_proxy.transactions import TransactionPath
+
+    original = TransactionPath._connection
+
+    def _connection(self: Any, caller: Any, transaction: Any, *rest: Any) -> Any:
+        held = transaction.held
+        if held is not None:
+            server = self._views.view.servers.get(held.server.name)
+            if server is None or server.is_leaving:
+                held.connection.close()
+        return original(self, caller, transaction, *rest)
+
+    TransactionPath._connection = _connection
+
+
+GUARDS = (
+    Guard("leaving-ignored", leaving_ignored),
+    Guard("leaving-cuts-transactions", leaving_cuts_transactions),
+)
--- /dev/null
+++ b/features/mutations/guards/refusals.py
@@ -0,0 +1,52 @@
+"""Guards of requests that are refused as not run."""
+
+from typing import Any
+
+from .model import Guard
+
+
+def grant_never_expires() -> None:
+    """Write under a grant that nobody renews."""
+    from dogwoodspool_proxy.grants import GrantBook
+
+    def _valid(self: Any, group: str, is_ending: bool = False) -> Any:
+        return self._grants.get(group)
+
+    GrantBook._valid = _valid
+
+
+def deadline_unchecked() -> None:
+    """Run statements whatever deadline they state."""
+    from dogwoodspool_proxy.caller_session import ProxySession
+
+    ProxySession._deadline = lambda self, _request: self._clock.now() + 2.0
+
+
+def queue_unbounded() -> None:
+    """Let every statement wait."""
+    from dogwoodspool_limits import AdmissionQueue
+
+    original = AdmissionQueue.__init__
+
+    def initialise(
+        self: Any, clock: Any, slots: int, max_in_flight: int, _limit: int
+    ) -> None:
+        original(self, clock, slots, max_in_flight, 1_000_000)
+
+    AdmissionQueue.__init__ = initialise
+    AdmissionQueue.set_queue_limit = lambda _self, _limit: None
+
+
+def silence_told_as_not_run() -> None:
+    """Say of a write without an answer that it did not run."""
+    from dogwoodspool_proxy import writes
+
+    writes.unknown = lambda message: writes.refused(message, 100)
+
+
+GUARDS = (
+    Guard("grant-never-expires", grant_never_expires),
+    Guard("deadline-unchecked", deadline_unchecked),
+    Guard("queue-unbounded", queue_unbounded),
+    Guard("silence-told-as-not-run", silence_told_as_not_run),
+)
--- /dev/null
+++ b/features/mutations/guards/sessions.py
@@ -0,0 +1,77 @@
+"""Guards of read-your-writes."""
+
+from types import SimpleNamespace
+from typing import Any
+
+from .model import Guard
+
+
+def satisfies_always() -> None:
+    """Take every replica for fresh enough."""
+    from dogwoodspool_proxy import reads
+    from dogwoodspool_routing import read_router
+
+    def satisfies(*_arguments: Any) -> bool:
+        return True
+
+    reads.satisfies = satisfies
+    read_router.satisfies = satisfies
+
+
+def unknown_session_is_new() -> None:
+    """Take a connection without a token for one that has written nothing."""
+    from dogwoodspool_sessions import Session
+
+    original = Session.__init__
+
+    def initialise(self: Any) -> None:
+        original(self)
+        self.mark_complete()
+
+    Session.__init__ = initialise
+
+
+def signature_unchecked() -> None:
+    """Accept tokens whatever their signature is."""
+    import hmac
+
+    from dogwoodspool_sessions import token
+
+    token.hmac = SimpleNamespace(new=hmac.new, compare_digest=lambda _a, _b: True)
+
+
+def future_accepted() -> None:
+    """Ignore positions of terms that this proxy does not know."""
+    from dogwoodspool_sessions import Session
+    from dogwoodspool_sessions.models import ReadPosition
+    from expression import Ok
+
+    original = Session.read_position
+
+    def read_position(self: Any, state: Any) -> Any:
+        position = self.positions.get(state.name)
+        if position is not None and position.term > state.term:
+            return Ok(ReadPosition(None, True))
+        return original(self, state)
+
+    Session.read_position = read_position
+
+
+def lost_branch_accepted() -> None:
+    """Compare offsets without a look at the terms' branches."""
+    from dogwoodspool_sessions import history, session
+
+    def is_lost(*_arguments: Any) -> bool:
+        return False
+
+    history.is_lost = is_lost
+    session.is_lost = is_lost
+
+
+GUARDS = (
+    Guard("satisfies-always", satisfies_always),
+    Guard("unknown-session-is-new", unknown_session_is_new),
+    Guard("signature-unchecked", signature_unchecked),
+    Guard("future-accepted", future_accepted),
+    Guard("lost-branch-accepted", lost_branch_accepted),
+)
--- /dev/null
+++ b/features/mutations/guards/transactions.py
@@ -0,0 +1,66 @@
+"""Guards of transactions."""
+
+from typing import Any
+
+from .model import Guard
+
+
+def dirty_connection_reused() -> None:
+    """Give a connection back as it is, also inside a transaction."""
+    from dogwoodspool_backend import ConnectionPool
+    from dogwoodspool_proxy.transactions import TransactionPath
+
+    def end(self: Any, caller: Any) -> None:
+        transaction, caller.transaction = caller.transaction, None
+        if transaction is None:
+            return
+        if transaction.held is not None:
+            transaction.held.finish(True)
+        if transaction.permit is not None:
+            self._grants.end_write(transaction.permit)
+
+    TransactionPath.end = end
+    ConnectionPool._make_clean = lambda _self, connection: connection.is_open
+
+
+def connection_shared() -> None:
+    """Give the connection back between a transaction's statements."""
+    from dogwoodspool_backend import ConnectionPool
+    from dogwoodspool_gateway import DoneAnswer
+    from dogwoodspool_proxy.transactions import TransactionPath
+
+    original = TransactionPath._execute
+
+    def _execute(
+        self: Any, caller: Any, transaction: Any, held: Any, *arguments: Any
+    ) -> Any:
+        answer = original(self, caller, transaction, held, *arguments)
+        if isinstance(answer, DoneAnswer):
+            held.finish(True)
+        return answer
+
+    TransactionPath._execute = _execute
+    ConnectionPool._make_clean = lambda _self, connection: connection.is_open
+
+
+def commit_silence_acknowledged() -> None:
+    """Take a commit without an answer for a commit."""
+    from dogwoodspool_gateway import DoneAnswer
+    from dogwoodspool_proxy import transactions
+
+    transactions.unknown = lambda _message: DoneAnswer()
+
+
+def transactions_never_expire() -> None:
+    """Let a transaction stay open for ever."""
+    from dogwoodspool_proxy.transactions import TransactionPath
+
+    TransactionPath.expire = lambda _self, _caller: None
+
+
+GUARDS = (
+    Guard("dirty-connection-reused", dirty_connection_reused),
+    Guard("connection-shared", connection_shared),
+    Guard("commit-silence-acknowledged", commit_silence_acknowledged),
+    Guard("transactions-never-expire", transactions_never_expire),
+)
--- /dev/null
+++ b/features/mutations/sitecustomize.py
@@ -0,0 +1,25 @@
+"""Switch one guard off in a program that the mutation check starts.
+
+The check sets the variable and puts this folder on the path; Python then loads
+this module at the start of each program. Installed programs never see it.
+"""
+
+import importlib
+import os
+import sys
+from pathlib import Path
+
+_NAME = os.environ.get("FEATURES_MUTATION", "")
+_ARGUMENTS = getattr(sys, "orig_argv", [])
+
+
+def _apply(name: str) -> None:
+    module = importlib.import_module("guards")
+    guard = module.GUARDS[name]
+    if any(Path(argument).name == guard.program for argument in _ARGUMENTS[:3]):
+        guard.switch_off()
+        print(f"mutation={name}", file=sys.stderr, flush=True)
+
+
+if _NAME:
+    _apply(_NAME)
--- /dev/null
+++ b/features/steps/crowds.py
@@ -0,0 +1,106 @@
+"""Steps with many callers at a time."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from support.callers import Caller
+from support.const import AT_ONCE_SECONDS, NOT_RUN, OK, PATIENCE_SECONDS
+from support.steps import Context, caller_of, given, then, when, world_of
+
+MAX_WRITES = 2_000
+
+
+@when('"{name:Text}" writes lines until it is refused')
+def write_until_refused(context: Context, name: str) -> None:
+    world = world_of(context)
+    told = world.notes.setdefault("told", {}).setdefault(name, [])
+
+    def is_refused() -> bool:
+        line = f"line {len(told)}"
+        reply = caller_of(context, name).run(world.insert(line))
+        told.append((line, reply.outcome))
+        return reply.outcome == NOT_RUN
+
+    world.eventually("refusal", is_refused)
+
+
+@given("{count:d} callers at proxy {number:d}")
+def connect_many(context: Context, count: int, number: int) -> None:
+    world = world_of(context)
+    for index in range(count):
+        world.caller(f"caller {index}", world.proxy(number))
+
+
+@when("all callers write a line each within {limit:d} ms")
+def all_write(context: Context, limit: int) -> None:
+    world = world_of(context)
+    for name, caller in world.callers.items():
+        caller.start(world.insert(name), deadline_ms=limit)
+    replies = {
+        name: caller.finish(PATIENCE_SECONDS * 2)
+        for name, caller in world.callers.items()
+    }
+    world.notes["replies"] = replies
+
+
+@then('some are told "{outcome:Text}" at once and when to come back')
+def some_refused(context: Context, outcome: str) -> None:
+    replies = world_of(context).notes["replies"].values()
+    refused = [reply for reply in replies if f"{reply.outcome}:" == outcome]
+    assert refused, [str(reply) for reply in replies]
+    for reply in refused:
+        assert reply.retry_after_ms, reply
+        assert reply.seconds < AT_ONCE_SECONDS, reply
+
+
+@then('each line that was told "ok" of is at every backend server')
+def all_acknowledged(context: Context) -> None:
+    world = world_of(context)
+    lines = world.settled_lines()
+    told = _told(context, OK)
+    assert told and told <= set(lines), (told, lines)
+
+
+@then('no line that was told "not-run:" of is at any backend server')
+def all_refused(context: Context) -> None:
+    lines = world_of(context).settled_lines()
+    told = _told(context, NOT_RUN)
+    assert not told & set(lines), (told, lines)
+
+
+@when(
+    '"{first:Text}" and "{second:Text}" both write the same {count:d} requests at the '
+    "same time"
+)
+def race(context: Context, first: str, second: str, count: int) -> None:
+    world = world_of(context)
+    barrier = threading.Barrier(2)
+    world.notes["race"] = []
+
+    def write(caller: Caller, number: int) -> Any:
+        barrier.wait(PATIENCE_SECONDS)
+        sql = world.insert(f"race {number}")
+        return caller.run(sql, request_id=f"race-{number}")
+
+    with ThreadPoolExecutor(2) as executor:
+        for number in range(count):
+            callers = [caller_of(context, name) for name in (first, second)]
+            futures = [executor.submit(write, one, number) for one in callers]
+            world.notes["race"].append([future.result() for future in futures])
+
+
+@then("each of the {count:d} requests is once at every backend server")
+def race_once(context: Context, count: int) -> None:
+    world = world_of(context)
+    lines = world.settled_lines()
+    expected = sorted(f"race {number}" for number in range(count))
+    replies = [[str(one) for one in pair] for pair in world.notes["race"]]
+    assert lines == expected, (lines, replies)
+    for pair in world.notes["race"]:
+        assert any(reply.is_ok for reply in pair), replies
+
+
+def _told(context: Context, outcome: str) -> set[str]:
+    replies = world_of(context).notes["replies"]
+    return {name for name, reply in replies.items() if reply.outcome == outcome}
--- /dev/null
+++ b/features/steps/leaving.py
@@ -0,0 +1,117 @@
+"""Steps about backend servers that leave."""
+
+import threading
+import time
+
+from dogwoodspool_testbed import StandinHandle
+from support.callers import Caller
+from support.const import POLL_SECONDS
+from support.steps import Context, given, then, when, world_of
+
+
+class Readers:
+    """Callers that read all the time, each at another proxy."""
+
+    def __init__(self, context: Context, count: int) -> None:
+        world = world_of(context)
+        self._sql = world.select()
+        self._stopped = threading.Event()
+        self._callers = [
+            world.caller(f"reader {number}", world.proxy(number % 3 + 1))
+            for number in range(count)
+        ]
+        self._threads = [
+            threading.Thread(target=self._read, args=(caller,), daemon=True)
+            for caller in self._callers
+        ]
+
+    @property
+    def answered(self) -> list[int]:
+        """Count the answers of each reader."""
+        return [sum(r.is_ok for r in caller.replies) for caller in self._callers]
+
+    @property
+    def errors(self) -> list[str]:
+        """Return the replies that were no answer."""
+        replies = [reply for caller in self._callers for reply in caller.replies]
+        return [str(reply) for reply in replies if not reply.is_ok]
+
+    def set_up(self) -> None:
+        """Begin to read."""
+        for thread in self._threads:
+            thread.start()
+
+    def unload(self) -> None:
+        """Stop reading."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _read(self, caller: Caller) -> None:
+        while not self._stopped.is_set():
+            caller.run(self._sql, session="new")
+            time.sleep(POLL_SECONDS)
+
+
+@given("{count:d} callers that read all the time")
+def read_all_the_time(context: Context, count: int) -> None:
+    readers = Readers(context, count)
+    context.add_cleanup(readers.unload)
+    readers.set_up()
+    world_of(context).notes["readers"] = readers
+
+
+@given('the replica "{name:Text}" serves reads')
+def serves_reads(context: Context, name: str) -> None:
+    world = world_of(context)
+    standin = world.standin(name)
+    before = _statements(context, standin)
+    world.eventually("read", lambda: _statements(context, standin) > before)
+
+
+@when('the replica "{name:Text}" announces that it leaves')
+def replica_leaves(context: Context, name: str) -> None:
+    world = world_of(context)
+    world.fault([world.standin(name)], leaving=True)
+
+
+@when("the primary announces that it leaves")
+def primary_leaves(context: Context) -> None:
+    world = world_of(context)
+    primary = world.primary()
+    world.notes["former"] = primary
+    world.fault([primary], leaving=True)
+
+
+@then('the replica "{name:Text}" serves no statement for {seconds:d} seconds')
+def serves_nothing(context: Context, name: str, seconds: int) -> None:
+    _assert_idle(context, world_of(context).standin(name), seconds)
+
+
+@then("the former primary serves no statement for {seconds:d} seconds")
+def former_serves_nothing(context: Context, seconds: int) -> None:
+    _assert_idle(context, world_of(context).notes["former"], seconds)
+
+
+@then("all reads went on meanwhile")
+def reads_went_on(context: Context) -> None:
+    readers: Readers = world_of(context).notes["readers"]
+    before = readers.answered
+    world_of(context).eventually(
+        "answer to each reader",
+        lambda: all(
+            now > then for now, then in zip(readers.answered, before, strict=True)
+        ),
+    )
+    assert not readers.errors, readers.errors[:5]
+
+
+def _assert_idle(context: Context, standin: StandinHandle, seconds: int) -> None:
+    before = _statements(context, standin)
+    time.sleep(seconds)
+    served = _statements(context, standin) - before
+    assert served == 0, f"{standin.name} served {served} statements"
+
+
+def _statements(context: Context, standin: StandinHandle) -> int:
+    return int(world_of(context).diagnostics(standin)["statements"])
--- /dev/null
+++ b/features/support/steps.py
@@ -0,0 +1,30 @@
+"""The decorators of the steps, with the types of their parameters."""
+
+import parse
+from behave import given, register_type, step, then, when
+from behave.runner import Context
+
+from .callers import Caller
+from .world import World
+
+__all__ = ["Context", "caller_of", "given", "step", "then", "when", "world_of"]
+
+
+@parse.with_pattern(r'[^"]*')
+def _text(value: str) -> str:
+    """Read what stands between two quotation marks."""
+    return value
+
+
+register_type(Text=_text)
+
+
+def world_of(context: Context) -> World:
+    """Return the scenario's world."""
+    world: World = context.world
+    return world
+
+
+def caller_of(context: Context, name: str) -> Caller:
+    """Return one of the scenario's callers."""
+    return world_of(context).callers[name]
--- /dev/null
+++ b/features/support/world.py
@@ -0,0 +1,171 @@
+"""One scenario's deployment, callers and table, and what it must put back."""
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import pymysql
+from dogwoodspool_common import HttpError
+from dogwoodspool_testbed import Deployment, ProxyHandle, StandinHandle
+
+from .callers import Caller
+from .const import GROUP, NO_FAULTS, PATIENCE_SECONDS, POLL_SECONDS
+
+PATH_DIAGNOSTICS = "/v1/diagnostics"
+
+
+class World:
+    """What the steps of one scenario work on.
+
+    Attributes:
+        deployment: the running processes.
+        table: a table that only this scenario uses.
+        callers: the scenario's callers by name.
+        notes: values that one step leaves for a later one.
+    """
+
+    def __init__(self, deployment: Deployment, number: int) -> None:
+        self.deployment = deployment
+        self.table = f"lines_{number}"
+        self.callers: dict[str, Caller] = {}
+        self.notes: dict[str, Any] = {}
+        self._has_changed_settings = False
+
+    def set_up(self) -> None:
+        """Create the scenario's table and wait until every server has it."""
+        setter = Caller(self.deployment, self.deployment.proxies[0])
+        try:
+            sql = (
+                f"CREATE TABLE IF NOT EXISTS {self.table} "
+                "(id BIGINT PRIMARY KEY AUTO_INCREMENT, body TEXT)"
+            )
+            self.eventually("a table", lambda: setter.run(sql).is_ok)
+        finally:
+            setter.close()
+        self.wait_replicated()
+
+    def unload(self) -> None:
+        """Close the callers and put faults and settings back."""
+        for caller in self.callers.values():
+            caller.close()
+        for standin in self.running_standins():
+            self.deployment.fault(standin, **NO_FAULTS)
+        if self._has_changed_settings:
+            self.change_settings()
+
+    def caller(self, name: str, proxy: ProxyHandle, **options: Any) -> Caller:
+        """Open a caller's connection."""
+        caller = Caller(self.deployment, proxy, **options)
+        self.callers[name] = caller
+        return caller
+
+    def proxy(self, number: int) -> ProxyHandle:
+        """Return a proxy by its number from 1."""
+        return self.deployment.proxies[number - 1]
+
+    def insert(self, line: str) -> str:
+        """Return the statement that writes a line."""
+        return f"INSERT INTO {self.table} (body) VALUES ('{line}')"
+
+    def select(self) -> str:
+        """Return the statement that reads all lines."""
+        return f"SELECT body FROM {self.table}"
+
+    def eventually(
+        self,
+        what: str,
+        condition: Callable[[], bool],
+        seconds: float = PATIENCE_SECONDS,
+    ) -> None:
+        """Wait until a condition holds; fail the step when it does not."""
+        deadline = time.monotonic() + seconds
+        while not condition():
+            assert time.monotonic() < deadline, f"no {what} within {seconds} s"
+            time.sleep(POLL_SECONDS)
+
+    def primary(self) -> StandinHandle:
+        """Return the group's primary."""
+        return self.deployment.primary(GROUP)
+
+    def primary_name(self) -> str | None:
+        """Return the primary's name, None while the group has none."""
+        states = self.deployment.view().groups
+        return next(state.primary for state in states if state.name == GROUP)
+
+    def replicas(self) -> list[StandinHandle]:
+        """Return the group's other running backend servers."""
+        primary = self.primary()
+        return [one for one in self.running_standins() if one != primary]
+
+    def standin(self, name: str) -> StandinHandle:
+        """Return a backend server by name."""
+        return next(one for one in self.deployment.standins if one.name == name)
+
+    def running_standins(self) -> list[StandinHandle]:
+        """Return the backend servers whose process runs."""
+        processes = self.deployment.processes
+        return [s for s in self.deployment.standins if processes.is_running(s.name)]
+
+    def diagnostics(self, standin: StandinHandle) -> dict[str, Any]:
+        """Return a backend server's own counters."""
+        client = self.deployment.client
+        return client.get(standin.control_address, PATH_DIAGNOSTICS)
+
+    def fault(self, standins: Iterable[StandinHandle], **switches: Any) -> None:
+        """Set fault switches of several backend servers."""
+        for standin in standins:
+            self.deployment.fault(standin, **switches)
+
+    def lines_at(self, standin: StandinHandle) -> list[str]:
+        """Read the lines of one backend server, past the proxies."""
+        connection = self.deployment.connect_directly(standin)
+        with connection, connection.cursor() as cursor:
+            cursor.execute(self.select())
+            return sorted(str(row[0]) for row in cursor.fetchall())
+
+    def positions(self) -> set[tuple[int, int]]:
+        """Return the positions at which the running backend servers are."""
+        found = set()
+        for standin in self.running_standins():
+            status = self.diagnostics(standin)["status"]
+            found.add((status["term"], status["offset"]))
+        return found
+
+    def wait_replicated(self) -> None:
+        """Wait until every running backend server holds the same log."""
+
+        def is_replicated() -> bool:
+            try:
+                return len(self.positions()) == 1 and len(self._lines()) == 1
+            except (HttpError, pymysql.MySQLError):
+                return False
+
+        self.eventually("common position of all backend servers", is_replicated)
+
+    def settled_lines(self) -> list[str]:
+        """Return the lines that every backend server has in the end."""
+        self.fault(self.running_standins(), **{**NO_FAULTS, "leaving": False})
+        self.wait_replicated()
+        return list(self._lines().pop())
+
+    def change_settings(self, **overrides: Any) -> None:
+        """Change the root's settings and wait until they are in force."""
+        deployment = self.deployment
+        self._has_changed_settings = bool(overrides)
+        settings = {**deployment.root_settings(), **overrides}
+        version = deployment.change_settings("/", settings)["view_version"]
+        self.eventually(
+            "settings in force",
+            lambda: all(
+                deployment.proxy_status(proxy)["view_version"] >= version
+                for proxy in self.running_proxies()
+            ),
+        )
+
+    def running_proxies(self) -> list[ProxyHandle]:
+        """Return the proxies whose process runs."""
+        processes = self.deployment.processes
+        return [p for p in self.deployment.proxies if processes.is_running(p.name)]
+
+    def _lines(self) -> set[tuple[str, ...]]:
+        return {tuple(self.lines_at(one)) for one in self.running_standins()}
