Put changed settings in force in pools at work; shorten the planned gap

Pools, admission queues, probes and routers took their settings when they were built, so an accepted change was not in force in them until a restart. They now follow the view.

--- a/packages/backend/src/dogwoodspool_backend/connection.py
+++ b/packages/backend/src/dogwoodspool_backend/connection.py
@@ -118,6 +118,7 @@
         answered_at: when the server last gave a complete answer, clock seconds.
         went_silent: a wait for the server ended without an answer.
         needs_reset: statements ran that may have changed the session.
+        generation: the pool's count of settings under which it was opened.
     """
 
     def __init__(
@@ -131,6 +132,7 @@
         self.answered_at = clock.now()
         self.went_silent = False
         self.needs_reset = False
+        self.generation = 0
 
     @property
     def in_transaction(self) -> bool:
--- a/packages/backend/src/dogwoodspool_backend/pool.py
+++ b/packages/backend/src/dogwoodspool_backend/pool.py
@@ -62,6 +62,7 @@
         self._waiters: deque[_Waiter] = deque()
         self._silent_at = NEVER
         self._peak = Peak(clock, DEMAND_WINDOW)
+        self._generation = 0
         self._is_unloaded = False
 
     @property
@@ -146,6 +147,22 @@
         with self._lock:
             self._serve_waiters()
 
+    def change(self, connector: Connector, settings: PoolSettings) -> None:
+        """Put other settings in force.
+
+        Connections opened under the old ones are closed: idle ones at once, those
+        in use when they come back.
+        """
+        with self._lock:
+            self._connector = connector
+            self._settings = settings
+            self._generation += 1
+            closing = list(self._idle)
+            self._idle.clear()
+            self._in_use += len(closing)
+        for connection in closing:
+            self._close(connection)
+
     def unload(self) -> None:
         """Close idle connections and refuse callers; held ones close on release."""
         with self._lock:
@@ -195,11 +212,14 @@
     def _open(self, deadline: float) -> BackendConnection:
         # The room was counted before, so that no two callers open the last one.
         bounded = min(deadline, self._clock.now() + self._settings.connect_timeout)
+        generation = self._generation
         try:
-            return self._connector.connect(self._server, bounded)
+            connection = self._connector.connect(self._server, bounded)
         except BaseException:
             self._give_back_room()
             raise
+        connection.generation = generation
+        return connection
 
     def _is_usable(self, connection: BackendConnection, deadline: float) -> bool:
         if connection.has_unasked_input():
@@ -229,6 +249,8 @@
     def _make_clean(self, connection: BackendConnection) -> bool:
         if not connection.is_open or connection.has_unread_answer:
             return False
+        if connection.generation != self._generation:
+            return False
         if not connection.needs_reset and not connection.in_transaction:
             return True
         try:
--- a/packages/backend/src/dogwoodspool_backend/probe.py
+++ b/packages/backend/src/dogwoodspool_backend/probe.py
@@ -32,14 +32,15 @@
 
     Args:
         pool_of: gives a server's pool.
-        timeout: seconds for one probe, the wait for a connection included.
+        timeout: gives the seconds for one probe of a server, the wait for a
+            connection included; asked each time, since settings change.
     """
 
     def __init__(
         self,
         pool_of: Callable[[BackendServer], ConnectionPool],
         clock: Clock,
-        timeout: float,
+        timeout: Callable[[BackendServer], float],
     ) -> None:
         self._pool_of = pool_of
         self._clock = clock
@@ -47,7 +48,7 @@
 
     def status(self, server: BackendServer) -> ServerStatus:
         """Return the server's status; see ``Probe``."""
-        deadline = self._clock.now() + self._timeout
+        deadline = self._clock.now() + self._timeout(server)
         pool = self._pool_of(server)
         connection = pool.acquire(deadline)
         try:
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -11,13 +11,14 @@
     Clock,
     JsonClient,
     JsonServer,
+    Phase,
     RequestSigner,
     log_event,
 )
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_gateway import CallerListener
 from dogwoodspool_limits import RetryBudget
-from dogwoodspool_routing import ReadRouter, RouterSettings, ServerTable
+from dogwoodspool_routing import ServerTable
 
 from .access import BackendAccess
 from .acks import ReplicaAcks
@@ -32,6 +33,7 @@
 from .pruning import RequestPruner
 from .reads import ReadPath
 from .renew import RenewCoordinator
+from .routers import GroupRouters
 from .sessions import CallerSessions, TransactionReaper
 from .transactions import TransactionPath
 from .view import ProxyView, ViewStore
@@ -53,6 +55,7 @@
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(self._views, self._table, clock)
         self._counters = Counters()
+        self._terms: dict[str, tuple[int, Phase]] = {}
         self._build_statement_paths()
         self._build_coordinators()
         self._listener = CallerListener(
@@ -92,6 +95,7 @@
         self._reaper.set_up()
         self._pruner.set_up()
         self._listener.set_up()
+        self._views.add_listener(self._renew_for_changed_groups)
         log_event(
             "proxy_started",
             address=self.caller_address,
@@ -136,14 +140,13 @@
             clock, settings.retry_budget_ratio, settings.retry_budget_min
         )
         self._budget = budget
-        self._router = ReadRouter(self._table, RouterSettings(settings.replica_wait_ms))
         self._acks = ReplicaAcks(self._views, self._registry, self._table, clock)
         reads = ReadPath(
             self._views,
             self._grants,
             access,
             self._table,
-            self._router,
+            GroupRouters(self._views, self._table),
             budget,
             self._counters,
             clock,
@@ -162,11 +165,10 @@
             self._views, self._peers, self._client, self._clock
         )
         self._reaper = TransactionReaper(self._sessions, self._clock)
-        timeout = self._views.settings(None).probe_timeout_ms / MILLISECONDS
         self._probes = ProbeCoordinator(
             self._views,
             self._table,
-            Prober(self._pool_of, self._clock, timeout),
+            Prober(self._pool_of, self._clock, self._probe_timeout),
             self._renew_now,
             self._clock,
         )
@@ -217,6 +219,9 @@
     def _pool_of(self, server: BackendServer) -> ConnectionPool:
         return self._registry.backend(server).pool
 
+    def _probe_timeout(self, server: BackendServer) -> float:
+        return self._views.settings(server.group).probe_timeout_ms / MILLISECONDS
+
     def _renew_now(self) -> None:
         self._renew.wake()
 
@@ -226,11 +231,22 @@
     def _follow_settings(self, _view: ProxyView) -> None:
         settings = self._views.settings(None)
         self._budget.change(settings.retry_budget_ratio, settings.retry_budget_min)
-        self._router.change(RouterSettings(settings.replica_wait_ms))
 
     def _follow_servers(self, view: ProxyView) -> None:
         self._table.adopt_committed(view.servers.values())
 
+    def _renew_for_changed_groups(self, view: ProxyView) -> None:
+        """Ask for grants at once when a promotion has ended.
+
+        Without it callers would wait for the next renewal after each failover.
+        """
+        terms = {
+            group.name: (group.term, group.phase) for group in view.groups.values()
+        }
+        if terms != self._terms:
+            self._terms = terms
+            self._renew_now()
+
     def _give_back(self) -> None:
         """Tell control at once that this proxy holds nothing any more."""
         self._renew.step()
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from dogwoodspool_backend import (
     BackendError,
@@ -14,6 +14,7 @@
 from dogwoodspool_common import BackendServer, Clock, log_event
 from dogwoodspool_limits import AdmissionQueue
 from dogwoodspool_routing import ServerTable
+from dogwoodspool_settings import EffectiveSettings
 
 from .view import ProxyView, ViewStore
 
@@ -25,6 +26,7 @@
     server: BackendServer
     pool: ConnectionPool
     admission: AdmissionQueue
+    settings: EffectiveSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +58,7 @@
 
     def set_up(self) -> None:
         """Follow the view."""
-        self._views.add_listener(self._forget_removed)
+        self._views.add_listener(self._follow)
 
     def unload(self) -> None:
         """Close idle connections."""
@@ -128,37 +130,59 @@
 
     def _build(self, server: BackendServer) -> Backend:
         settings = self._views.settings(server.group)
-        connector = MySqlConnector(
-            Credentials(settings.backend_user, settings.backend_password),
-            self._views.failure_domain,
-            settings.statements,
-            self._clock,
-        )
         limit = self._limit(server)
         pool = ConnectionPool(
-            server, connector, self._clock, PoolSettings.of(settings), limit
+            server,
+            self._connector(settings),
+            self._clock,
+            PoolSettings.of(settings),
+            limit,
         )
         admission = AdmissionQueue(
             self._clock, server.slots, limit, settings.queue_limit
         )
-        return Backend(server, pool, admission)
-
-    def _set_limits(self, backends: Iterable[Backend]) -> None:
-        for backend in backends:
-            limit = self._limit(backend.server)
-            backend.pool.set_limit(limit)
-            backend.admission.set_max_in_flight(limit)
+        return Backend(server, pool, admission, settings)
 
-    def _limit(self, server: BackendServer) -> int:
-        base = self._views.settings(server.group).base_connections
-        return max(base, self._shares.get(server.name, 0))
+    def _connector(self, settings: EffectiveSettings) -> MySqlConnector:
+        return MySqlConnector(
+            Credentials(settings.backend_user, settings.backend_password),
+            self._views.failure_domain,
+            settings.statements,
+            self._clock,
+        )
 
-    def _forget_removed(self, view: ProxyView) -> None:
+    def _follow(self, view: ProxyView) -> None:
+        """Forget removed servers and put changed settings in force."""
         with self._lock:
             removed = [
                 self._backends.pop(name)
                 for name in list(self._backends)
                 if name not in view.servers
             ]
+            changed = [
+                self._renewed(name, backend)
+                for name, backend in self._backends.items()
+                if self._views.settings(backend.server.group) != backend.settings
+            ]
         for backend in removed:
             backend.pool.unload()
+        for backend in changed:
+            settings = backend.settings
+            backend.pool.change(self._connector(settings), PoolSettings.of(settings))
+            backend.admission.set_queue_limit(settings.queue_limit)
+        self._set_limits(changed)
+
+    def _renewed(self, name: str, backend: Backend) -> Backend:
+        settings = self._views.settings(backend.server.group)
+        self._backends[name] = replace(backend, settings=settings)
+        return self._backends[name]
+
+    def _set_limits(self, backends: Iterable[Backend]) -> None:
+        for backend in backends:
+            limit = self._limit(backend.server)
+            backend.pool.set_limit(limit)
+            backend.admission.set_max_in_flight(limit)
+
+    def _limit(self, server: BackendServer) -> int:
+        base = self._views.settings(server.group).base_connections
+        return max(base, self._shares.get(server.name, 0))
--- a/packages/proxy/src/dogwoodspool_proxy/probes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -8,6 +8,7 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_routing import ServerTable
 
+from .const import FAILING_PROBE_SECONDS
 from .coordinator import Coordinator
 from .view import ProxyView, ViewStore
 
@@ -34,20 +35,21 @@
 
     def step(self) -> float:
         """Probe once."""
-        interval = self._views.settings(self._server.group).probe_interval_ms
+        settings = self._views.settings(self._server.group)
+        interval = settings.probe_interval_ms / MILLISECONDS
         asked_at = self._clock.now()
         try:
             status = self._probe.status(self._server)
         except PoolTimeoutError:
             # Every connection is at work; that says nothing about the server.
-            return interval / MILLISECONDS
+            return interval
         except BackendError:
             self._table.note_failure(self._server.name)
             self._note(is_reachable=False)
-            return interval / MILLISECONDS
+            return min(interval, FAILING_PROBE_SECONDS)
         self._table.note_status(status, asked_at)
         self._note(is_reachable=True)
-        return interval / MILLISECONDS
+        return interval
 
     def _note(self, is_reachable: bool) -> None:
         if is_reachable == self._is_reachable:
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -22,7 +22,6 @@
 from dogwoodspool_routing import (
     ReadChoice,
     ReadNeed,
-    ReadRouter,
     ServerTable,
     satisfies,
 )
@@ -40,6 +39,7 @@
 )
 from .counters import Counters
 from .grants import GrantBook
+from .routers import GroupRouters
 from .view import ViewStore
 
 
@@ -71,7 +71,7 @@
         grants: GrantBook,
         access: BackendAccess,
         table: ServerTable,
-        router: ReadRouter,
+        routers: GroupRouters,
         budget: RetryBudget,
         counters: Counters,
         clock: Clock,
@@ -80,7 +80,7 @@
         self._grants = grants
         self._access = access
         self._table = table
-        self._router = router
+        self._routers = routers
         self._budget = budget
         self._counters = counters
         self._clock = clock
@@ -142,7 +142,7 @@
         need = needed.ok
         unconfirmed = self._grants.unconfirmed_seconds(state.name, state.term)
         with span("route.read", group=caller.group):
-            choice = self._router.choose(
+            choice = self._routers.router(caller.group).choose(
                 state,
                 need,
                 exclude=excluded,
--- a/packages/proxy/src/dogwoodspool_proxy/renew.py
+++ b/packages/proxy/src/dogwoodspool_proxy/renew.py
@@ -22,6 +22,7 @@
 
 from .backends import BackendRegistry
 from .const import (
+    FAILING_RENEW_SECONDS,
     NOT_LEADER,
     RENEW_TIMEOUT_SECONDS,
     RETRY_PAUSE_SECONDS,
@@ -89,7 +90,18 @@
             return RETRY_PAUSE_SECONDS
         self._peers.note_leader(str(address))
         self._adopt(response, sent_at)
-        return self._views.settings(None).renew_interval_ms / MILLISECONDS
+        return self._interval()
+
+    def _interval(self) -> float:
+        """Return the seconds to the next renewal.
+
+        While a server does not answer, control needs this proxy's word sooner:
+        the time to the next renewal is part of every failover.
+        """
+        interval = self._views.settings(None).renew_interval_ms / MILLISECONDS
+        if any(seen.unreachable_ms > 0 for seen in self._observations()):
+            return min(interval, FAILING_RENEW_SECONDS)
+        return interval
 
     def _renew(self, address: Address) -> RenewResponse:
         request = self._identity.model_copy(
--- a/tests/backend/test_with_standin.py
+++ b/tests/backend/test_with_standin.py
@@ -223,7 +223,7 @@
     def test_probe_goes_through_the_pool(self) -> None:
         server = self.start("a", role="primary")
         pool = self.pool(server, 1)
-        prober = Prober(lambda _server: pool, CLOCK, timeout=5)
+        prober = Prober(lambda _server: pool, CLOCK, lambda _server: 5)
         status = prober.status(self.describe(server))
         self.assertEqual((status.server, status.role), ("a", Role.PRIMARY))
         self.assertEqual((pool.in_use, pool.open_count), (0, 1))
