Wake the leader loop when the state changes or a proxy reports trouble

The timeline of a planned promotion was lost when the state had ended it just before its last phase was marked; running promoters now keep it.

--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -96,12 +96,14 @@
         self._leadership_term: int | None = None
         self._stop = threading.Condition()
         self._is_closed = False
+        self._is_woken = False
         self._thread = threading.Thread(
             target=self._run, name="leader-loop", daemon=True
         )
 
     def set_up(self) -> None:
         """Begin to tick."""
+        self._state.add_listener(self.wake)
         self._thread.start()
 
     def unload(self) -> None:
@@ -111,6 +113,12 @@
             self._stop.notify_all()
         self._thread.join()
 
+    def wake(self) -> None:
+        """Look again without waiting for the next tick, as writes may be waiting."""
+        with self._stop:
+            self._is_woken = True
+            self._stop.notify_all()
+
     def tick(self) -> None:
         """Look at everything once."""
         self._ages.observe(self._state.proxies)
@@ -127,7 +135,11 @@
         for group in failed:
             self._begin_promotion(group)
         self._timeline.keep_only(
-            {*(group.name for group in failed), *self._state.promotions}
+            {
+                *(group.name for group in failed),
+                *self._state.promotions,
+                *self._promotions.groups,
+            }
         )
         self._promotions.run_missing()
         self._reconciler.run()
@@ -159,9 +171,11 @@
         while True:
             self._tick_safely()
             with self._stop:
+                if not self._is_closed and not self._is_woken:
+                    self._clock.wait(self._stop, TICK_SECONDS)
                 if self._is_closed:
                     return
-                self._clock.wait(self._stop, TICK_SECONDS)
+                self._is_woken = False
 
     def _tick_safely(self) -> None:
         try:
--- a/packages/control/src/dogwoodspool_control/promoter.py
+++ b/packages/control/src/dogwoodspool_control/promoter.py
@@ -67,6 +67,16 @@
         with self._lock:
             return [promoter.report for promoter, _ in self._running.values()]
 
+    @property
+    def groups(self) -> list[str]:
+        """Groups whose promoter has not returned."""
+        with self._lock:
+            return [
+                group
+                for group, (_, thread) in self._running.items()
+                if thread.is_alive()
+            ]
+
     def run_missing(self) -> None:
         """Start a promoter for each promotion that has none here."""
         in_progress = self._parts.state.promotions
--- a/packages/control/src/dogwoodspool_control/renewals.py
+++ b/packages/control/src/dogwoodspool_control/renewals.py
@@ -1,7 +1,7 @@
 """Answer renewals: the one message by which proxies and the leader talk."""
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from dogwoodspool_api import RenewRequest, RenewResponse
 from dogwoodspool_common import Address, BackendServer, Clock
@@ -58,6 +58,7 @@
         sightings: Sightings,
         queue: CommandQueue,
         rate: RenewalRate,
+        on_trouble: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._node = node
@@ -68,6 +69,7 @@
         self._sightings = sightings
         self._queue = queue
         self._rate = rate
+        self._on_trouble = on_trouble
         self._lock = threading.Lock()
         self._renewed_at: dict[str, tuple[float, int]] = {}
 
@@ -93,6 +95,8 @@
         if lease.is_registered:
             self._detector.observe(request)
             self._note_renewal(request, received_at)
+            if any(item.unreachable_ms > 0 for item in request.observations):
+                self._on_trouble()
         self._sightings.observe(request)
         shares = self._share(request, lease) if lease.is_registered else {}
         if self._node.require_leadership().term != leadership.term:
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -105,6 +105,7 @@
             sightings=sightings,
             queue=self._queue,
             rate=RenewalRate(clock, MAX_RATED_PROXIES),
+            on_trouble=self._loop.wake,
         )
         planned = PlannedPromotions(clock, node, state, role_changers, timeline)
         status = StatusReport(
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -1,6 +1,7 @@
 """The replicated state of the control group."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -64,6 +65,7 @@
         self._servers = ServerTable({})
         self._settings = SettingsState()
         self._view: ControlView | None = None
+        self._listeners: list[Callable[[], None]] = []
 
     @property
     def version(self) -> int:
@@ -129,6 +131,11 @@
                 self._view = self._build_view()
             return self._view
 
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change; it must not wait for anything."""
+        with self._changed:
+            self._listeners.append(listener)
+
     def wait_newer(self, after: int, timeout: float) -> bool:
         """Wait until the version is past ``after``; False when time ran out."""
         deadline = self._clock.now() + timeout
@@ -150,8 +157,7 @@
                 outcome = Outcome(False, error.code, str(error))
             if outcome.is_accepted and outcome.index == index:
                 self._version = index
-                self._view = None
-                self._changed.notify_all()
+                self._note_change()
             return encode_outcome(outcome)
 
     def snapshot(self) -> dict[str, Any]:
@@ -182,8 +188,13 @@
             self._servers = ServerTable(held.servers)
             self._settings = SettingsState(held.settings)
             self._version = held.version
-            self._view = None
-            self._changed.notify_all()
+            self._note_change()
+
+    def _note_change(self) -> None:
+        self._view = None
+        self._changed.notify_all()
+        for listener in self._listeners:
+            listener()
 
     def _apply(self, index: int, command: Command) -> Outcome:
         match command:
