Test refused logins, silence in flight and durable fences of the stand-in

Cause: mutation trials on a scratch copy left five planted faults unseen: no check after a refused login, a frozen loop, a silenced answer, a source of an older term, and a state that was not saved.

--- a/packages/standin/src/dogwoodspool_standin/member.py
+++ b/packages/standin/src/dogwoodspool_standin/member.py
@@ -250,8 +250,6 @@
             self._check_link(link)
             if term == self._state.term:
                 return
-            # Freshness against another primary says nothing about this one.
-            self._fresh_at = None
             self._save(replace(self._state, term=term))
             self._condition.notify_all()
         log_event("lineage_adopted", term=term, offset=self._offset)
@@ -282,6 +280,7 @@
     def _change(self, state: DurableState) -> None:
         self._save(state)
         self._generation += 1
+        # Freshness against another primary says nothing about this one.
         self._fresh_at = None
         self._condition.notify_all()
 
--- a/packages/standin/src/dogwoodspool_standin/replication.py
+++ b/packages/standin/src/dogwoodspool_standin/replication.py
@@ -177,8 +177,7 @@
             while not self._stopped.is_set() and self._usable_link() == link:
                 self._faults.pause_while_frozen()
                 fetched = self._pull(link, source, fetched)
-                if self._usable_link() == link:
-                    self._apply_due(link)
+                self._apply_due(link)
         finally:
             source.close()
 
--- a/packages/standin/src/dogwoodspool_standin/streams.py
+++ b/packages/standin/src/dogwoodspool_standin/streams.py
@@ -24,10 +24,9 @@
         if n != _HEADER_BYTES:
             return await super().read(n)
         try:
-            data = await self.readexactly(n)
+            return await self.readexactly(n)
         except asyncio.IncompleteReadError:
             return b""
-        return await self._swallow() if self.is_silenced else data
 
     async def readexactly(self, n: int) -> bytes:
         """Read some bytes of a packet."""
--- a/tests/standin/test_faults.py
+++ b/tests/standin/test_faults.py
@@ -2,6 +2,8 @@
 
 import threading
 import time
+from concurrent import futures
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pymysql
@@ -30,10 +32,15 @@
 
     def test_silenced_connection_swallows_while_new_ones_work(self) -> None:
         # Something between the two ends lost track of a connection: what the
-        # caller sends never arrives, and no error ever comes back.
+        # caller sends never arrives, and neither an answer nor an error comes back.
         caller = self.connect(self.server, read_timeout=1)
-        run(caller, "SELECT 1")
-        self.change(silence_connections=True)
+        running = self.connect(self.server, read_timeout=1)
+        with ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(run, running, "SELECT SLEEP(0.5)")
+            self.eventually(lambda: shown(self.server, "slots_in_use") == 1, "runs")
+            self.change(silence_connections=True)
+            with fails_with(self, LOST_CONNECTION):
+                answer.result()
         with fails_with(self, LOST_CONNECTION):
             run(caller, "INSERT INTO lines VALUES ('swallowed')")
         fresh = self.connect(self.server)
@@ -41,21 +48,19 @@
         run(fresh, "INSERT INTO lines VALUES ('x')")
 
     def test_frozen_server_answers_nothing_until_it_goes_on(self) -> None:
-        caller = self.connect(self.server)
+        pinger = self.connect(self.server)
         self.change(freeze=True)
-        answered = threading.Event()
-
-        def ask() -> None:
-            run(caller, "SELECT 1")
-            answered.set()
-
-        thread = threading.Thread(target=ask)
-        thread.start()
-        self.assertFalse(answered.wait(0.2))
-        self.assertTrue(thread.is_alive(), "the connection broke")
-        self.change(freeze=False)
-        thread.join(10)
-        self.assertTrue(answered.is_set())
+        with ThreadPoolExecutor(3) as pool:
+            asked: list[futures.Future[Any]] = [
+                pool.submit(run, self.caller, "SELECT 1"),
+                pool.submit(pinger.ping, reconnect=False),
+                pool.submit(self.connect, self.server),
+            ]
+            done, _ = futures.wait(asked, timeout=0.2)
+            self.assertEqual(done, set())
+            self.change(freeze=False)
+            for future in asked:
+                future.result()
 
     def test_refusing_drops_open_connections_too(self) -> None:
         self.change(refuse_connections=True)
--- a/tests/standin/test_replication.py
+++ b/tests/standin/test_replication.py
@@ -182,15 +182,15 @@
         self.assertEqual([r[1] for r in run(reader, ALL)], ["kept", "new"])
 
     def test_source_of_an_older_term_is_not_believed(self) -> None:
-        # A third server is told to follow the new primary before that one was
-        # promoted: it must neither drop rows nor take on the term.
-        third = self.start("c", follow=str(self.old.address))
-        reader = self.connect(third)
-        self.assertTrue(wait(reader, 1, 2))
-        command(reader, f"STANDIN FOLLOW '{self.new.address}' TERM 2")
-        self.assertFalse(wait(reader, 2, 2, timeout_ms=100))
-        self.promote()
-        self.assertTrue(wait(reader, 2, 2))
+        # A replica is told to follow a server as the primary of term 2 before
+        # that one was promoted. It must not take entries of term 1 for those of
+        # term 2: they may be none of the new term's.
+        reader = self.new_writer
+        command(reader, f"STANDIN FOLLOW '{self.old.address}' TERM 2")
+        add(self.old_writer, "of term 1")
+        self.assertFalse(wait(reader, 1, 3, timeout_ms=200))
+        command(self.old_writer, "STANDIN PROMOTE TERM 2")
+        self.assertTrue(wait(reader, 2, 3))
 
     def test_old_primary_returns_believing_itself_primary(self) -> None:
         self.promote()
@@ -200,6 +200,18 @@
         row = status(self.connect(again))
         self.assertEqual((row["role"], row["term"], row["offset"]), ("primary", 1, 3))
 
+    def test_promotion_and_fence_outlive_a_restart(self) -> None:
+        self.promote()
+        command(self.old_writer, "STANDIN FENCE TERM 2")
+        addresses = str(self.old.address), str(self.new.address)
+        self.stop(self.old)
+        self.stop(self.new)
+        old = self.connect(self.start("a", listen=addresses[0]))
+        new = self.connect(self.start("b", listen=addresses[1]))
+        with fails_with(self, 1290):
+            add(old, "under the old term")
+        add(new, "under the new term")
+
     def test_restarted_replica_follows_on(self) -> None:
         self.stop(self.new)
         add(self.old_writer, "meanwhile")
--- a/tests/standin/test_server.py
+++ b/tests/standin/test_server.py
@@ -1,5 +1,11 @@
 """Callers' statements through a stock client."""
 
+import contextlib
+import socket
+import struct
+from concurrent.futures import ThreadPoolExecutor
+from typing import BinaryIO, cast
+
 from dogwoodspool_api import Announcement
 from dogwoodspool_api.const import PATH_ANNOUNCE
 from dogwoodspool_common import (
@@ -12,7 +18,7 @@
     Route,
 )
 
-from .support import KEY, StandinTestCase, fails_with, flags, run, status
+from .support import KEY, USER, StandinTestCase, fails_with, flags, run, status
 
 CREATE = (
     "CREATE TABLE lines (id BIGINT NOT NULL AUTO_INCREMENT, body VARCHAR(64), "
@@ -20,6 +26,7 @@
     "KEY by_author (author)) ENGINE=InnoDB DEFAULT CHARSET=utf8mb4"
 )
 AUTOCOMMIT, IN_TRANSACTION = 2, 1
+ERROR_PACKET = 0xFF
 
 
 class StatementTest(StandinTestCase):
@@ -89,9 +96,7 @@
         self.assertEqual(run(self.caller, "SELECT * FROM lines"), [])
 
     def test_second_writer_waits_and_gives_up(self) -> None:
-        # Two callers write at once: the second gets MySQL's lock wait timeout,
-        # and the first, which needs a slot for its commit, is not held up by it.
-        server = self.start("c", role="primary", lock_wait_ms=50, slots=1)
+        server = self.start("c", role="primary", lock_wait_ms=50)
         first, second = self.connect(server), self.connect(server)
         run(first, CREATE)
         first.begin()
@@ -102,6 +107,27 @@
         run(second, "INSERT INTO lines (body) VALUES ('y')")
         self.assertEqual(run(second, "SELECT COUNT(*) FROM lines"), [(2,)])
 
+    def test_waiting_writer_keeps_no_slot(self) -> None:
+        # One caller is in a transaction, another waits to write. Did the second
+        # wait in the only slot, the first one's commit would wait for the slot
+        # and the second for the commit, until the second is refused.
+        server = self.start("c", role="primary", lock_wait_ms=2_000, slots=1)
+        first, second = self.connect(server), self.connect(server)
+        run(first, CREATE)
+        first.begin()
+        run(first, "INSERT INTO lines (body) VALUES ('x')")
+        statements = server.diagnostics.collect()["statements"]
+        with ThreadPoolExecutor(1) as pool:
+            sql = "INSERT INTO lines (body) VALUES ('y')"
+            waiting = pool.submit(run, second, sql)
+            self.eventually(
+                lambda: server.diagnostics.collect()["statements"] > statements,
+                "the second writer is there",
+            )
+            first.commit()
+            waiting.result()
+        self.assertEqual(run(first, "SELECT COUNT(*) FROM lines"), [(2,)])
+
     def test_large_result_comes_whole(self) -> None:
         sql = (
             "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n "
@@ -116,6 +142,32 @@
         with fails_with(self, 1045):
             self.connect(self.server, user="nobody")
 
+    def test_statement_after_a_refused_login_gets_no_answer(self) -> None:
+        # A client gives a wrong password, does not mind the refusal and sends a
+        # statement: answered, it would read and write without a password.
+        address = self.server.address
+        with socket.create_connection((address.host, address.port), 10) as sock:
+            stream = cast(BinaryIO, sock.makefile("rwb"))
+            read_packet(stream)
+            # PROTOCOL_41 | SECURE_CONNECTION | PLUGIN_AUTH, size, character set.
+            head = struct.pack("<IIB23x", 0x88200, 1 << 24, 45)
+            body = head + USER.encode() + b"\0\x14" + b"x" * 20
+            body += b"mysql_native_password\0"
+            stream.write(struct.pack("<I", len(body) | 1 << 24) + body)
+            stream.flush()
+            self.assertEqual(read_packet(stream)[0], ERROR_PACKET)
+            query = b"\x03SELECT 1"
+            stream.write(struct.pack("<I", len(query)) + query)
+            with contextlib.suppress(ConnectionError):
+                stream.flush()
+                self.assertEqual(stream.read(), b"")
+
+
+def read_packet(stream: BinaryIO) -> bytes:
+    """Read one packet of MySQL's protocol."""
+    (header,) = struct.unpack("<I", stream.read(4))
+    return stream.read(header & 0xFFFFFF)
+
 
 class AnnouncementTest(StandinTestCase):
     """What entry instances hear."""
