Leave one connection of a pool to probes

A frozen server under load held every connection of a pool with statements that do not end; probes waited in vain and said nothing of the server until the statements' deadlines. With a limit of two or more callers now leave one connection, probes go first, and the demand counts it.

Ruled out: a dedicated connection per proxy and server (9 of 20), and taking a full pool for a failure (a hot row lock would look like a failed primary).

--- a/packages/backend/src/dogwoodspool_backend/__init__.py
+++ b/packages/backend/src/dogwoodspool_backend/__init__.py
@@ -1,6 +1,6 @@
 """Talk to backend servers: connections, pools, probes, role changes."""
 
-from .connection import BackendConnection, StatementResult
+from .connection import BackendConnection
 from .connector import Connector, MySqlConnector
 from .errors import (
     BackendError,
@@ -15,6 +15,7 @@
 from .models import Column, Credentials, PoolSettings, Row
 from .pool import ConnectionPool
 from .probe import Probe, Prober
+from .result import StatementResult
 from .role_change import RoleChanger, SqlRoleChanger
 from .status import parse_status
 
--- a/packages/backend/src/dogwoodspool_backend/pool.py
+++ b/packages/backend/src/dogwoodspool_backend/pool.py
@@ -2,32 +2,17 @@
 
 import threading
 from collections import deque
-from typing import Final
 
-from dogwoodspool_common import BackendServer, Clock, log_event
+from dogwoodspool_common import BackendServer, Clock
 
 from .connection import BackendConnection
 from .connector import Connector
-from .const import DEMAND_WINDOW
-from .errors import BackendError, PoolClosedError, PoolTimeoutError
+from .const import DEMAND_WINDOW, PROBE_RESERVE
+from .errors import PoolClosedError, PoolTimeoutError
+from .health import ConnectionHealth
 from .models import PoolSettings
 from .peak import Peak
-
-NEVER: Final = float("-inf")
-
-
-class _Waiter:
-    """One caller in the queue, woken with a connection or with room for one."""
-
-    def __init__(self, lock: threading.Lock) -> None:
-        self.condition = threading.Condition(lock)
-        self.connection: BackendConnection | None = None
-        self.may_open = False
-
-    @property
-    def is_served(self) -> bool:
-        """Tell whether the wait is over."""
-        return self.may_open or self.connection is not None
+from .waiter import Waiter
 
 
 class ConnectionPool:
@@ -37,6 +22,11 @@
     at any time; idle connections above it are closed at once, those in use when
     they come back. Callers are served in the order in which they came.
 
+    Where the limit is two or more, callers leave one connection to probes, and
+    probes go before callers. Else a server that stands still would hold every
+    connection with a statement that never ends, no probe could ask it, and it would
+    count as healthy until the statements' deadlines.
+
     An idle connection is checked before its use when it has been idle for a while
     or when another connection to the server went silent since its last answer. The
     first check that fails drops every connection that is suspected: one caller
@@ -59,8 +49,8 @@
         self._lock = threading.Lock()
         self._idle: deque[BackendConnection] = deque()
         self._in_use = 0
-        self._waiters: deque[_Waiter] = deque()
-        self._silent_at = NEVER
+        self._waiters: deque[Waiter] = deque()
+        self._health = ConnectionHealth(server, clock, settings)
         self._peak = Peak(clock, DEMAND_WINDOW)
         self._is_unloaded = False
 
@@ -75,6 +65,12 @@
         with self._lock:
             return self._limit
 
+    @property
+    def caller_limit(self) -> int:
+        """Connections that callers may hold at a time; the rest is for probes."""
+        with self._lock:
+            return self._caller_limit()
+
     @property
     def in_use(self) -> int:
         """Connections that callers hold, those being opened included."""
@@ -95,26 +91,35 @@
 
     @property
     def demand(self) -> int:
-        """Connections that would have been used at the peak of the last second."""
+        """Connections that would have been used at the peak of the last second.
+
+        Callers and those who waited count, and what they leave to probes.
+        """
         with self._lock:
-            return self._peak.value()
+            self._peak.note(self._in_use + len(self._waiters))
+            used = self._peak.value()
+            return used + PROBE_RESERVE if used else 0
 
-    def acquire(self, deadline: float) -> BackendConnection:
+    def acquire(self, deadline: float, *, is_probe: bool = False) -> BackendConnection:
         """Return a connection for one caller; it must be released.
 
         Args:
             deadline: clock seconds; connecting and checking end by then, too.
+            is_probe: a short question that may take the connection that callers
+                leave, and goes before them.
 
         Raises:
             PoolTimeoutError: no connection came free in time.
             ConnectFailedError: a new connection was needed and did not come up.
         """
         while True:
-            connection = self._take(deadline)
+            connection = self._take(deadline, is_probe=is_probe)
             if connection is None:
                 return self._open(deadline)
-            if self._is_usable(connection, deadline):
+            if self._health.is_usable(connection, deadline):
                 return connection
+            if connection.went_silent:
+                self._drop_suspected()
             self._close(connection)
 
     def release(self, connection: BackendConnection, *, reuse: bool) -> None:
@@ -123,9 +128,8 @@
         A connection on which a statement may have changed the session is reset
         first, so that nothing of one caller is left for the next.
         """
-        if connection.went_silent:
-            self._suspect()
-        if not reuse or not self._make_clean(connection):
+        self._health.note(connection)
+        if not reuse or not self._health.make_clean(connection):
             self._close(connection)
             return
         with self._lock:
@@ -161,11 +165,17 @@
     def _open_count(self) -> int:
         return len(self._idle) + self._in_use
 
-    def _take(self, deadline: float) -> BackendConnection | None:
+    def _caller_limit(self) -> int:
+        return max(min(1, self._limit), self._limit - PROBE_RESERVE)
+
+    def _take(self, deadline: float, *, is_probe: bool) -> BackendConnection | None:
         """Take an idle connection, or the room for a new one (None)."""
-        waiter = _Waiter(self._lock)
+        waiter = Waiter(self._lock, is_probe=is_probe)
         with self._lock:
-            self._waiters.append(waiter)
+            if is_probe:
+                self._waiters.appendleft(waiter)
+            else:
+                self._waiters.append(waiter)
             self._peak.note(self._in_use + len(self._waiters))
             self._serve_waiters()
             while not waiter.is_served:
@@ -183,6 +193,9 @@
     def _serve_waiters(self) -> None:
         """Give what is free to the first callers of the queue; lock is held."""
         while self._waiters and not self._is_unloaded:
+            is_probe = self._waiters[0].is_probe
+            if not is_probe and self._in_use >= self._caller_limit():
+                return
             if self._idle:
                 self._waiters[0].connection = self._idle.pop()
             elif self._open_count() < self._limit:
@@ -201,51 +214,9 @@
             self._give_back_room()
             raise
 
-    def _is_usable(self, connection: BackendConnection, deadline: float) -> bool:
-        if connection.has_unasked_input():
-            return False
-        now = self._clock.now()
-        idle_for = now - connection.answered_at
-        is_suspected = connection.answered_at <= self._silent_at
-        if not is_suspected and idle_for < self._settings.check_after_idle:
-            return True
-        # A connection can go silent for good while new ones work: something
-        # between the two ends has lost track of it. It shows only by the missing
-        # answer, so the check comes before the caller's statement is sent, and the
-        # statement can still go to another connection.
-        timeout = min(self._settings.check_timeout, max(0.0, deadline - now))
-        try:
-            connection.ping(timeout)
-        except BackendError as error:
-            log_event(
-                "backend_connection_silent", server=self._server.name, error=error
-            )
-            if connection.went_silent:
-                self._suspect()
-                self._drop_suspected()
-            return False
-        return True
-
-    def _make_clean(self, connection: BackendConnection) -> bool:
-        if not connection.is_open or connection.has_unread_answer:
-            return False
-        if not connection.needs_reset and not connection.in_transaction:
-            return True
-        try:
-            connection.reset(self._settings.reset_timeout)
-        except BackendError:
-            if connection.went_silent:
-                self._suspect()
-            return False
-        return True
-
-    def _suspect(self) -> None:
-        with self._lock:
-            self._silent_at = self._clock.now()
-
     def _drop_suspected(self) -> None:
         with self._lock:
-            closing = [c for c in self._idle if c.answered_at <= self._silent_at]
+            closing = [c for c in self._idle if self._health.is_suspected(c)]
             for connection in closing:
                 self._idle.remove(connection)
             self._in_use += len(closing)
--- a/packages/backend/src/dogwoodspool_backend/probe.py
+++ b/packages/backend/src/dogwoodspool_backend/probe.py
@@ -26,9 +26,8 @@
     """Ask through the pools that the callers' statements use.
 
     A dedicated connection per proxy and server would hold 9 of a server's 20
-    connections for probes alone. The price is that a pool without a free
-    connection gives no status: ``PoolTimeoutError``, which is no sign of an
-    unreachable server.
+    connections for probes alone. A pool of one connection that is in use gives no
+    status: ``PoolTimeoutError``, which is no sign of an unreachable server.
 
     Args:
         pool_of: gives a server's pool.
@@ -49,7 +48,7 @@
         """Return the server's status; see ``Probe``."""
         deadline = self._clock.now() + self._timeout
         pool = self._pool_of(server)
-        connection = pool.acquire(deadline)
+        connection = pool.acquire(deadline, is_probe=True)
         try:
             status = connection.status(max(0.0, deadline - self._clock.now()))
         except BackendError:
