Count refused connections as failure sooner than silence

A killed primary was told from a slow one only by 0.6 s of silence, the largest part of the unplanned gap of 1.0 to 1.1 s (detection 0.9 s). A machine that refuses connections says itself that the server does not run, so observers count it after 0.15 s (down_detect_ms), still by a majority of failure domains; a failed statement makes its proxy probe at once. Silence keeps its 0.6 s.

--- a/packages/control/src/dogwoodspool_control/detector.py
+++ b/packages/control/src/dogwoodspool_control/detector.py
@@ -19,10 +19,12 @@
 
     Attributes:
         failure_detect: unreachable time after which an observer counts.
+        down_detect: time of refused connections after which an observer counts.
         renew_interval: time between a proxy's renewals.
     """
 
     failure_detect: float
+    down_detect: float
     renew_interval: float
 
 
@@ -137,7 +139,9 @@
             if observation is None:
                 continue
             unserved = self._unserved_seconds(proxy, term, observation, now)
-            verdicts[failure_domain].append(unserved >= settings.failure_detect)
+            is_down = observation.down_ms / MILLISECONDS >= settings.down_detect
+            is_unserved = unserved >= settings.failure_detect
+            verdicts[failure_domain].append(is_down or is_unserved)
         return verdicts
 
     def _unserved_seconds(
--- a/packages/proxy/src/dogwoodspool_proxy/access.py
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -2,6 +2,7 @@
 
 from dogwoodspool_backend import (
     BackendConnection,
+    BackendError,
     ConnectFailedError,
     PoolTimeoutError,
     StatementResult,
@@ -81,6 +82,10 @@
         self._registry = registry
         self._clock = clock
 
+    def report_failure(self, server: BackendServer, error: BackendError) -> None:
+        """Note that a server did not answer a statement as it should."""
+        self._registry.report_failure(server, error)
+
     def open(
         self, server: BackendServer, deadline: float, priority: Priority
     ) -> Result[HeldConnection, ErrorAnswer]:
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -53,7 +53,9 @@
         self._views = ViewStore(settings.failure_domain, clock)
         self._grants = GrantBook(clock)
         self._table = ServerTable(clock)
-        self._registry = BackendRegistry(self._views, self._table, clock)
+        self._registry = BackendRegistry(
+            self._views, self._table, self._probe_now, clock
+        )
         self._counters = Counters()
         self._terms: dict[str, tuple[int, Phase]] = {}
         self._build_statement_paths()
@@ -219,6 +221,9 @@
     def _pool_of(self, server: BackendServer) -> ConnectionPool:
         return self._registry.backend(server).pool
 
+    def _probe_now(self, server: str) -> None:
+        self._probes.probe_now(server)
+
     def _probe_timeout(self, server: BackendServer) -> float:
         return self._views.settings(server.group).probe_timeout_ms / MILLISECONDS
 
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -188,7 +188,7 @@
             is_fresh = self._is_fresh(caller, state, need, choice, held, deadline)
         except BackendError as error:
             held.finish(False)
-            self._table.note_failure(choice.server.name)
+            self._access.report_failure(choice.server, error)
             message = f"{choice.server.name} gave no status: {error}"
             answer = refused(message, NO_PRIMARY_RETRY_AFTER_MS)
             return TryAnother(choice.server.name, answer, is_retry=True)
@@ -263,6 +263,7 @@
         except (OutcomeUnknownError, ConnectFailedError) as error:
             held.finish(False)
             log_event("read_moved", level="DEBUG", server=name, error=error)
+            self._access.report_failure(held.server, error)
             return TryAnother(name, unknown(f"{name} did not answer"), is_retry=True)
         self._budget.note_served()
         return rows_answer(held, result)
--- a/packages/proxy/src/dogwoodspool_proxy/writes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/writes.py
@@ -192,6 +192,7 @@
             return refused(str(error), CONNECT_RETRY_AFTER_MS)
         except OutcomeUnknownError as error:
             log_event("write_unknown", server=held.server.name, error=error)
+            self._access.report_failure(held.server, error)
             return unknown(f"{held.server.name} did not answer the write")
         finally:
             held.finish(is_good)
--- a/packages/routing/src/dogwoodspool_routing/server_record.py
+++ b/packages/routing/src/dogwoodspool_routing/server_record.py
@@ -36,6 +36,7 @@
     leaving_since: float | None = None
     in_flight: int = 0
     _unreachable: float = 0.0
+    _down: float | None = None
     _outcome_at: float | None = None
     _latency: float = DEFAULT_LATENCY
     _latency_at: float = 0.0
@@ -73,14 +74,32 @@
             return 0.0
         return self._unreachable + self._step(now)
 
+    def down(self, now: float) -> float:
+        """Return seconds for which every attempt was refused; bounded likewise."""
+        if self._down is None:
+            return 0.0
+        return self._down + self._step(now)
+
     def note_answer(self, at: float) -> None:
         """Note that the server gave an answer."""
         self.is_failing = False
+        self._down = None
         self._unreachable = 0.0
         self._outcome_at = at
 
-    def note_failure(self, at: float) -> None:
-        """Note that an attempt to reach the server failed."""
+    def note_failure(self, at: float, *, is_down: bool) -> None:
+        """Note that an attempt to reach the server failed.
+
+        Args:
+            at: clock seconds.
+            is_down: its machine refused the connection.
+        """
+        if not is_down:
+            self._down = None
+        elif self._down is None:
+            self._down = 0.0
+        else:
+            self._down += self._step(at)
         self._unreachable += self._step(at)
         self.is_failing = True
         self._outcome_at = at
--- a/packages/settings/src/dogwoodspool_settings/overrides.py
+++ b/packages/settings/src/dogwoodspool_settings/overrides.py
@@ -66,6 +66,7 @@
     renew_interval_ms: int = Field(DEFAULTS.renew_interval_ms, ge=10, le=30_000)
     clock_drift: float = Field(DEFAULTS.clock_drift, ge=0, le=0.2)
     failure_detect_ms: int = Field(DEFAULTS.failure_detect_ms, ge=50, le=60_000)
+    down_detect_ms: int = Field(DEFAULTS.down_detect_ms, ge=0, le=60_000)
     release_drain_ms: int = Field(DEFAULTS.release_drain_ms, ge=0, le=60_000)
     probe_interval_ms: int = Field(DEFAULTS.probe_interval_ms, ge=10, le=60_000)
     probe_timeout_ms: int = Field(DEFAULTS.probe_timeout_ms, ge=10, le=60_000)
--- a/tests/control/test_detector.py
+++ b/tests/control/test_detector.py
@@ -8,7 +8,7 @@
 
 from .fakes import observation, renewal
 
-TIMES = DetectorSettings(failure_detect=0.6, renew_interval=0.3)
+TIMES = DetectorSettings(failure_detect=0.6, down_detect=0.15, renew_interval=0.3)
 PROXIES = {
     name: ProxyRecord(name, f"{name}-a", f"fd{number % 4}", Address("127.0.0.1", 1))
     for number, name in enumerate(("p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"))
@@ -31,10 +31,15 @@
             self.detector.tick()
 
     def report(
-        self, names: str, unreachable_ms: float, status: ServerStatus | None = None
+        self,
+        names: str,
+        unreachable_ms: float,
+        status: ServerStatus | None = None,
+        down_ms: float = 0,
     ) -> None:
         for name in names.split():
             seen = [observation("s1", unreachable_ms, status)]
+            seen = [one.model_copy(update={"down_ms": down_ms}) for one in seen]
             domain = PROXIES[name].failure_domain
             self.detector.observe(renewal(name, domain, observations=seen))
 
@@ -51,6 +56,14 @@
         self.report("p0 p1 p2 p3 p4 p5 p6 p7", 500)
         self.assertFalse(self.is_failed())
 
+    def test_refused_connections_count_sooner_than_silence(self) -> None:
+        self.report("p0 p1 p2 p3 p4 p5 p6 p7", 200, down_ms=100)
+        self.assertFalse(self.is_failed())
+        self.report("p0 p4", 200, down_ms=200)
+        self.assertFalse(self.is_failed())
+        self.report("p1 p2 p5 p6", 200, down_ms=200)
+        self.assertTrue(self.is_failed())
+
     def test_one_bad_observer_demotes_nobody(self) -> None:
         """One proxy has lost its way to the primary and reports it dead.
 
