Add the operators' command line

Cause: operators change the tree from declarations or by hand, and must not lose or double a change when answers are lost or the leader moves.

A request is sent again with the same body to whichever process leads. apply derives its change ids from node, expected version, content and the versions of the nodes that the answer depends on; ruled out: leaving those out, because a remembered rejection then stands in the way after its cause was removed. PeerRefusedError gives its message as an attribute now, which is the leader's address for not_leader.

--- a/packages/common/src/dogwoodspool_common/errors.py
+++ b/packages/common/src/dogwoodspool_common/errors.py
@@ -22,12 +22,15 @@
     Attributes:
         status: HTTP status of the answer.
         code: short machine-readable reason from the answer's body.
+        message: the reason in words; for ``not_leader`` the leader's address, or
+            nothing when it is not known.
     """
 
     def __init__(self, status: int, code: str, message: str) -> None:
         super().__init__(f"peer answered {status} {code}: {message}")
         self.status = status
         self.code = code
+        self.message = message
 
 
 class SettingsError(DogwoodspoolError):
--- /dev/null
+++ b/packages/ctl/src/dogwoodspool_ctl/const.py
@@ -0,0 +1,34 @@
+"""Constants of the operators' command line."""
+
+from enum import IntEnum
+from typing import Final
+
+DEFAULT_AUTHOR: Final = "operator"
+DEFAULT_TIMEOUT_S: Final = 30.0
+RETRY_DELAY: Final = 0.2
+ROLLOUT_POLL_INTERVAL: Final = 0.2
+
+STATUS_NOT_LEADER: Final = 421
+STATUS_CONFLICT: Final = 409
+FIRST_SERVER_FAULT: Final = 500
+
+CHANGE_ID_LENGTH: Final = 40
+
+# Values of these are taken as they are; a hash of digits alone is no number.
+TEXT_KEYS: Final = frozenset(
+    {"token_key", "backend_user", "backend_password", "write_ack"}
+)
+SECTION_KEYS: Final = frozenset({"users", "statements"})
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the program; docopt itself leaves with 1 for bad usage."""
+
+    DONE = 0
+    BAD_USAGE = 1
+    BAD_SETTINGS = 2
+    CONTROL_UNREACHABLE = 3
+    CONFLICT = 4
+    REJECTED = 5
+    NOT_IN_FORCE = 6
+    DECLINED = 7
--- /dev/null
+++ b/packages/ctl/src/dogwoodspool_ctl/control_client.py
@@ -0,0 +1,121 @@
+"""Calls to the control processes: find the leader, survive lost answers."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    HttpError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+
+from .const import (
+    FIRST_SERVER_FAULT,
+    RETRY_DELAY,
+    STATUS_CONFLICT,
+    STATUS_NOT_LEADER,
+)
+from .errors import ConflictError, ControlUnreachableError, RejectedError
+
+
+class JsonCaller(Protocol):
+    """What is needed of ``JsonClient``."""
+
+    def get(
+        self, address: Address, path: str, query: dict[str, str] | None = None
+    ) -> dict[str, Any]:
+        """Read one resource."""
+        ...
+
+    def post(self, address: Address, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Send one message."""
+        ...
+
+
+class ControlClient:
+    """Send each request to the leader, however long it takes to find it.
+
+    A request whose answer was lost is sent again with the same body, to whichever
+    control process leads then. That is safe because every message is idempotent:
+    a change carries its change id, and the same id gets the first answer.
+    """
+
+    def __init__(
+        self,
+        addresses: list[Address],
+        caller: JsonCaller,
+        clock: Clock,
+        timeout_s: float,
+    ) -> None:
+        self._addresses = addresses
+        self._caller = caller
+        self._clock = clock
+        self._timeout_s = timeout_s
+        self._target = addresses[0]
+
+    def get(self, path: str, query: dict[str, str] | None = None) -> dict[str, Any]:
+        """Read one resource from the leader.
+
+        Raises:
+            ControlUnreachableError: no leader answered in time.
+            ConflictError: the request was refused because of a version.
+            RejectedError: the request was refused.
+        """
+        return self._call(lambda address: self._caller.get(address, path, query))
+
+    def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Send one idempotent message to the leader; errors as for ``get``."""
+        return self._call(lambda address: self._caller.post(address, path, body))
+
+    def _call(self, send: Callable[[Address], dict[str, Any]]) -> dict[str, Any]:
+        deadline = self._clock.now() + self._timeout_s
+        failures: dict[Address, str] = {}
+        tried = 0
+        while True:
+            target = self._target
+            try:
+                return send(target)
+            except (PeerUnreachableError, PeerRefusedError) as error:
+                self._target = self._next_target(target, error)
+                failures[target] = str(error)
+            if self._clock.now() >= deadline:
+                raise ControlUnreachableError(_describe(failures))
+            tried += 1
+            # Two processes that each take the other for the leader would else be
+            # asked without a pause.
+            if tried % len(self._addresses) == 0:
+                self._clock.sleep(RETRY_DELAY)
+
+    def _next_target(self, target: Address, error: HttpError) -> Address:
+        if not isinstance(error, PeerRefusedError):
+            return self._after(target)
+        if error.status == STATUS_NOT_LEADER:
+            return _leader(error.message) or self._after(target)
+        if error.status >= FIRST_SERVER_FAULT:
+            return self._after(target)
+        if error.status == STATUS_CONFLICT:
+            raise ConflictError(error.message, code=error.code) from error
+        raise RejectedError(error.message or error.code, code=error.code) from error
+
+    def _after(self, target: Address) -> Address:
+        if target not in self._addresses:
+            return self._addresses[0]
+        place = self._addresses.index(target) + 1
+        return self._addresses[place % len(self._addresses)]
+
+
+def _leader(text: str) -> Address | None:
+    try:
+        return Address.parse(text)
+    except ValueError:
+        return None
+
+
+def _describe(failures: dict[Address, str]) -> str:
+    reasons = "; ".join(f"{address}: {text}" for address, text in failures.items())
+    return (
+        f"no control leader answered in time ({reasons}); a change that was sent may "
+        "have taken effect, and the same command again tells"
+    )
--- /dev/null
+++ b/packages/ctl/src/dogwoodspool_ctl/rollout.py
@@ -0,0 +1,37 @@
+"""Which version of the committed state is in force at each instance."""
+
+from dogwoodspool_common import Clock
+
+from .const import ROLLOUT_POLL_INTERVAL
+from .control import Control
+from .errors import NotInForceError
+from .models import ProxyStatus
+
+
+def wait_until_in_force(
+    control: Control, clock: Clock, view_version: int, timeout_s: float
+) -> int:
+    """Wait until every registered proxy has a version in force; return their count.
+
+    Raises:
+        NotInForceError: names the instances that are behind when time runs out.
+            The change stays accepted, and they take it over once they can.
+    """
+    deadline = clock.now() + timeout_s
+    while True:
+        proxies = control.status().proxies
+        behind = [proxy for proxy in proxies if proxy.view_version < view_version]
+        if not behind:
+            return len(proxies)
+        if clock.now() >= deadline:
+            raise NotInForceError(
+                f"version {view_version} is accepted but not yet in force at "
+                + ", ".join(_describe(proxy) for proxy in behind),
+                view_version=view_version,
+                behind=[proxy.proxy for proxy in behind],
+            )
+        clock.sleep(ROLLOUT_POLL_INTERVAL)
+
+
+def _describe(proxy: ProxyStatus) -> str:
+    return f"{proxy.proxy} (version {proxy.view_version})"
--- a/packages/settings/src/dogwoodspool_settings/__init__.py
+++ b/packages/settings/src/dogwoodspool_settings/__init__.py
@@ -25,7 +25,12 @@
 )
 from .planning import PlannedAction, PlannedChange, plan
 from .redaction import keep_secrets_of_version, redact
-from .secret_sources import SecretSource, SourceKind, with_secrets
+from .secret_sources import (
+    SecretSource,
+    SourceKind,
+    split_secret_sources,
+    with_secrets,
+)
 from .tree import SettingsTree
 
 __all__ = [
@@ -59,5 +64,6 @@
     "load_declarations",
     "plan",
     "redact",
+    "split_secret_sources",
     "with_secrets",
 ]
--- /dev/null
+++ b/tests/ctl/test_ctl.py
@@ -0,0 +1,262 @@
+"""Tests of the operators' command line against a fake control."""
+
+import io
+import json
+import tempfile
+import unittest
+from contextlib import redirect_stderr
+from pathlib import Path
+from typing import Any
+
+from dogwoodspool_api import const
+from dogwoodspool_ctl import ExitCode, execute
+
+from .fake_control import SHARED_KEY, FakeControl, FakeFollower
+
+TOKEN_KEY = "5e" * 32
+PASSWORD = "open sesame"
+HASH = "A4B6157319038724E3560894F7F932C8886EBFCF"
+FILES = {
+    "root.yaml": "token_key: {env: TOKEN}\nbackend_password: {file: secret/word}\n"
+    "users: {shop: {env: HASH}}\n",
+    "chat/service.yaml": "deadline_ms: 800\n",
+    "chat/g1/group.yaml": "",
+    "chat/g1/a.yaml": "replica_wait_ms: 50\n",
+}
+PATHS = ["/", "/chat", "/chat/g1", "/chat/g1/a"]
+
+
+class CtlCase(unittest.TestCase):
+    """Run commands against a fake leader."""
+
+    def setUp(self) -> None:
+        self.control = FakeControl()
+        self.addCleanup(self.control.server.unload)
+        self.addresses = str(self.control.server.address)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "tree"
+        for name, text in FILES.items():
+            self.write(name, text)
+        (self.folder / ".hidden").write_text("left out")
+        self.secret = self.folder / "../secret"
+        self.secret.mkdir()
+        (self.secret / "word").write_text(f"{PASSWORD}\n")
+        self.write("root.yaml", FILES["root.yaml"].replace("secret/", "../secret/"))
+        self.is_confirmed = False
+
+    def write(self, name: str, text: str) -> None:
+        file = self.folder / name
+        file.parent.mkdir(parents=True, exist_ok=True)
+        file.write_text(text)
+
+    def ctl(self, *arguments: str, timeout_s: float = 5) -> tuple[int, str]:
+        """Run one command and return exit code and all output."""
+        environment = {
+            "DOGWOODSPOOL_CONTROL": self.addresses,
+            "DOGWOODSPOOL_SHARED_KEY": SHARED_KEY,
+            "DOGWOODSPOOL_TIMEOUT_S": str(timeout_s),
+            "DOGWOODSPOOL_AUTHOR": "ana",
+            "TOKEN": TOKEN_KEY,
+            "HASH": HASH,
+        }
+        output = io.StringIO()
+        with redirect_stderr(output):
+            code = execute(
+                list(arguments), environment, output, lambda _: self.is_confirmed
+            )
+        return code, output.getvalue()
+
+    def done(self, *arguments: str) -> str:
+        code, text = self.ctl(*arguments)
+        self.assertEqual(code, ExitCode.DONE, text)
+        return text
+
+    def apply(self) -> str:
+        return self.done("apply", str(self.folder), "--yes")
+
+    def changed_paths(self) -> list[str]:
+        return [entry.path for entry in reversed(self.control.tree.history(100))]
+
+
+class ApplyTests(CtlCase):
+    """Declarations take effect once, however often answers are lost."""
+
+    def test_every_answer_is_lost_once(self) -> None:
+        """An operator sees a conflict, though nobody else changed anything.
+
+        Control commits a change, its answer is lost, and the change is sent again
+        with the version that its own first copy has just replaced.
+        """
+        self.control.loses_first_answers = True
+        self.apply()
+        self.assertEqual(self.changed_paths(), PATHS)
+        self.assertIn("nothing to change", self.apply())
+        self.assertEqual(self.changed_paths(), PATHS)
+
+    def test_interrupted_run_goes_on(self) -> None:
+        """A second run ends in a conflict with the first one's last change.
+
+        The first run gave up while its change was on its way. The second run read
+        the tree before that change was committed, and sent its own after it.
+        """
+        before = self.control.tree.nodes()
+        self.control.lost_answers = 1_000
+        code, text = self.ctl("apply", str(self.folder), "--yes", timeout_s=0.1)
+        self.assertEqual(code, ExitCode.CONTROL_UNREACHABLE, text)
+        self.assertEqual(self.changed_paths(), ["/"])
+        self.control.lost_answers = 0
+        self.control.shown_nodes = before
+        self.apply()
+        self.assertEqual(self.changed_paths(), PATHS)
+
+    def test_invalid_change_is_decided_anew_once_its_parent_is_corrected(self) -> None:
+        """The same declarations stay rejected after the cause was removed.
+
+        Control remembers rejections by change id, and ``apply`` derives its ids.
+        """
+        self.control.apply("/", 0, {"deadline_ms": 40, "replica_wait_ms": 5})
+        self.write("root.yaml", "deadline_ms: 40\nreplica_wait_ms: 5\n")
+        self.write("chat/service.yaml", "")
+        code, text = self.ctl("apply", str(self.folder), "--yes")
+        self.assertEqual(code, ExitCode.REJECTED)
+        self.assertIn("/chat/g1/a: replica_wait_ms must be below", text)
+        self.done("set", "/chat", "deadline_ms=800")
+        self.write("chat/service.yaml", "deadline_ms: 800")
+        self.apply()
+        self.assertEqual(self.changed_paths()[-1], "/chat/g1/a")
+
+    def test_plan_changes_nothing_and_apply_asks(self) -> None:
+        text = self.done("plan", str(self.folder))
+        self.assertIn("+ /chat\n    deadline_ms: (inherited) -> 800", text)
+        code, _ = self.ctl("apply", str(self.folder))
+        self.assertEqual(code, ExitCode.DECLINED)
+        self.assertEqual(self.changed_paths(), [])
+        self.is_confirmed = True
+        self.done("apply", str(self.folder))
+        self.assertEqual(self.changed_paths(), PATHS)
+
+    def test_bad_declaration_or_secret_is_told(self) -> None:
+        (self.secret / "word").unlink()
+        code, text = self.ctl("plan", str(self.folder))
+        self.assertEqual(code, ExitCode.BAD_SETTINGS)
+        self.assertIn("backend_password: file ../secret/word: No such file", text)
+        self.write("chat/service.yaml", "deadline: 5")
+        code, text = self.ctl("plan", str(self.folder))
+        self.assertEqual(code, ExitCode.BAD_SETTINGS)
+        self.assertIn("chat/service.yaml: deadline: there is no such setting", text)
+
+
+class ChangeTests(CtlCase):
+    """Single changes keep what they do not name."""
+
+    def test_conflict_names_the_current_version(self) -> None:
+        self.apply()
+        self.control.before_change = lambda: self.control.apply("/chat", 1, {})
+        code, text = self.ctl("--json", "set", "/chat", "deadline_ms=700")
+        self.assertEqual(code, ExitCode.CONFLICT)
+        answer = json.loads(text)
+        self.assertEqual((answer["path"], answer["expected_version"]), ("/chat", 1))
+        self.assertIn("the node's version is 2", answer["message"])
+        self.assertEqual(self.control.tree.effective("g1", None).deadline_ms, 2_000)
+
+    def test_set_keeps_secrets_and_rollback_restores_them(self) -> None:
+        self.apply()
+        self.done("set", "/", "deadline_ms=900", "users.flow={env: HASH}")
+        values = self.control.tree.effective(None, None)
+        self.assertEqual((values.token_key, values.deadline_ms), (TOKEN_KEY, 900))
+        self.assertEqual(values.users, {"shop": HASH, "flow": HASH})
+        self.done("set", "/", "backend_password=1234", "deadline_ms=", "users.shop=")
+        values = self.control.tree.effective(None, None)
+        self.assertEqual((values.backend_password, values.deadline_ms), ("1234", 2_000))
+        self.assertEqual(values.users, {"flow": HASH})
+        self.done("rollback", "/", "1")
+        values = self.control.tree.effective(None, None)
+        self.assertEqual(values.backend_password, PASSWORD)
+        self.assertEqual(values.users, {"shop": HASH})
+        self.assertIn("nothing to change", self.apply())
+
+    def test_rollback_to_an_unknown_version_is_refused(self) -> None:
+        code, text = self.ctl("rollback", "/", "7")
+        self.assertEqual(code, ExitCode.REJECTED)
+        self.assertIn("version 7 is not in the history", text)
+
+    def test_no_secret_is_written(self) -> None:
+        shown = [self.done("plan", str(self.folder)), self.apply()]
+        self.write("root.yaml", "backend_password: {env: HASH}")
+        shown.append(self.done("plan", str(self.folder)))
+        for command in (["get", "/"], ["get", "/chat", "--explain"], ["history"]):
+            shown += [self.done(*command), self.done("--json", *command)]
+        for secret in (TOKEN_KEY, PASSWORD, HASH, SHARED_KEY):
+            self.assertNotIn(secret, "".join(shown))
+        self.assertRegex(shown[2], r'backend_password: "\*\*\*:\w+" -> "\*\*\*:\w+"')
+
+
+class RolloutTests(CtlCase):
+    """An operator learns whether a change is in force everywhere."""
+
+    def proxy(self, view_version: int) -> dict[str, Any]:
+        return {
+            "proxy": "entry-1",
+            "failure_domain": "a",
+            "address": str(self.control.server.address),
+            "view_version": view_version,
+            "seconds_since_renewal": 0.1,
+        }
+
+    def test_wait_ends_once_all_have_it(self) -> None:
+        self.control.proxies = [self.proxy(4)]
+        text = self.done("apply", str(self.folder), "--yes", "--wait")
+        self.assertIn("in force at all 1 proxies", text)
+
+    def test_wait_names_those_behind(self) -> None:
+        self.control.proxies = [self.proxy(3)]
+        code, text = self.ctl(
+            "apply", str(self.folder), "--yes", "--wait", timeout_s=0.1
+        )
+        self.assertEqual(code, ExitCode.NOT_IN_FORCE)
+        self.assertIn("not yet in force at entry-1 (version 3)", text)
+        (shown,) = json.loads(self.done("--json", "rollout"))["proxies"]
+        self.assertEqual((shown["view_version"], shown["is_current"]), (3, False))
+
+    def test_messages_reach_their_receivers(self) -> None:
+        self.control.proxies = [self.proxy(0)]
+        self.done("drain", "entry-1")
+        self.done("promote", "g1", "--to", "s2")
+        self.done("voters", "add", "v2", "127.0.0.1:7002")
+        self.done("voters", "remove", "v1")
+        posted = self.control.posted
+        self.assertEqual(posted[const.PATH_DRAIN], [{}])
+        (promotion,) = posted[const.PATH_PROMOTE]
+        self.assertEqual((promotion["group"], promotion["candidate"]), ("g1", "s2"))
+        self.assertEqual(
+            posted[const.PATH_VOTERS],
+            [
+                {"action": "add", "id": "v2", "address": "127.0.0.1:7002"},
+                {"action": "remove", "id": "v1"},
+            ],
+        )
+        self.assertIn("id=v1", self.done("voters", "list"))
+        self.assertIn("entry-1", self.done("status"))
+
+
+class LeaderTests(CtlCase):
+    """The leader is found through whichever control process answers."""
+
+    def follower(self, leader: str) -> str:
+        follower = FakeFollower(leader)
+        self.addCleanup(follower.server.unload)
+        return str(follower.server.address)
+
+    def test_followers_lead_to_the_leader(self) -> None:
+        leader = self.addresses
+        self.addresses = self.follower(leader)
+        self.assertIn("/ version 0", self.done("get", "/"))
+        self.addresses = f"{self.follower('')},{leader}"
+        self.assertIn("/ version 0", self.done("get", "/"))
+
+    def test_no_leader_is_told(self) -> None:
+        self.addresses = f"127.0.0.1:1,{self.follower('')}"
+        code, text = self.ctl("get", "/", timeout_s=0.1)
+        self.assertEqual(code, ExitCode.CONTROL_UNREACHABLE)
+        self.assertIn("no control leader answered", text)
--- a/tests/settings/test_tree.py
+++ b/tests/settings/test_tree.py
@@ -161,6 +161,7 @@
     def test_created_again_goes_on_counting(self) -> None:
         self.assertEqual(self.accept("/chat"), 1)
         self.assertTrue(self.send("/chat", None).is_ok())
+        self.tree = SettingsTree.from_snapshot(self.tree.snapshot())
         self.assertEqual(self.accept("/chat"), 3)
 
     def test_delayed_copy_of_an_invalid_change_stays_rejected(self) -> None:
--- a/tests/settings/test_tree_races.py
+++ b/tests/settings/test_tree_races.py
@@ -111,8 +111,17 @@
         operator=st.sampled_from(OPERATORS),
         path=st.sampled_from(PATHS),
         overrides=overrides_or_deletion,
+        looks_first=st.booleans(),
     )
-    def send(self, operator: str, path: str, overrides: dict[str, Any] | None) -> None:
+    def send(
+        self,
+        operator: str,
+        path: str,
+        overrides: dict[str, Any] | None,
+        looks_first: bool,
+    ) -> None:
+        if looks_first:
+            self.look(operator)
         change = SettingsChange(
             f"{operator}-{len(self.sent)}",
             path,
@@ -135,7 +144,7 @@
         loser = OPERATORS[1 - OPERATORS.index(winner)]
         for operator in (winner, loser):
             self.seen[operator][path] = version
-            self.send(operator, path, dict(self.oracle.nodes[path][1]))
+            self.send(operator, path, dict(self.oracle.nodes[path][1]), False)
         assert self.sent[-2][1].is_ok()
         assert self.sent[-1][1].error.code is RejectionCode.CONFLICT
 
