--- a/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
+++ b/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
@@ -12,14 +12,17 @@
 from .models import ProxyStatus, StatusAnswer, VotersRequest
 from .render import Report, table
 
-ACTION_ADD = "add"
-ACTION_REMOVE = "remove"
-
 
 def run_status(context: Context, _arguments: Arguments) -> Report:
     """Show the leader, voters, groups, backend servers and proxies."""
-    status = context.control.status()
-    lines = [f"leader {status.leader}", f"version {status.view_version}", ""]
+    try:
+        status = context.control.status()
+    except ControlUnreachableError:
+        # A part of the system that is cut off from the leader still shows what
+        # its own voters know; without any voter this fails in its turn.
+        status = context.control.status_of_any()
+    leader = status.leader or "unknown"
+    lines = [f"leader {leader}", f"version {status.view_version}", ""]
     lines += ["voters", *_voter_lines(status.voters), ""]
     lines += [*_group_lines(status), "", *_server_lines(status), ""]
     lines += _proxy_lines(status.proxies, status.view_version)
@@ -32,7 +35,7 @@
     proxies = [
         {
             **proxy.model_dump(mode="json"),
-            "is_current": proxy.view_version >= status.view_version,
+            "is_current": proxy.has(status.view_version),
         }
         for proxy in status.proxies
     ]
@@ -66,7 +69,7 @@
     try:
         answer = context.caller.post(Address.parse(proxy.address), const.PATH_DRAIN, {})
     except PeerRefusedError as error:
-        raise RejectedError(f"{name}: {error.message}", code=error.code) from error
+        raise RejectedError(f"{name}: {error.detail}", code=error.code) from error
     except PeerUnreachableError as error:
         raise ControlUnreachableError(
             f"{name} gave no answer and may be draining; the same command again is "
@@ -80,9 +83,9 @@
     if arguments["add"]:
         return _add_voter(context, arguments["ID"], arguments["HOST:PORT"])
     if arguments["remove"]:
-        request = VotersRequest(action=ACTION_REMOVE, id=arguments["ID"])
+        request = VotersRequest(voter=arguments["ID"])
         answer = context.control.change_voters(request)
-        return Report([f"voter {request.id} removed"], answer)
+        return Report([f"voter {request.voter} removed"], answer)
     voters = context.control.voters().voters
     return Report(_voter_lines(voters), {"voters": voters})
 
@@ -92,7 +95,7 @@
         Address.parse(address)
     except ValueError as error:
         raise BadArgumentError(str(error)) from error
-    request = VotersRequest(action=ACTION_ADD, id=identity, address=address)
+    request = VotersRequest(voter=identity, address=address)
     answer = context.control.change_voters(request)
     return Report([f"voter {identity} added"], answer)
 
@@ -132,9 +135,15 @@
             proxy.failure_domain,
             proxy.address,
             proxy.view_version,
-            max(0, view_version - proxy.view_version),
+            _behind(proxy, view_version),
             proxy.seconds_since_renewal,
         )
         for proxy in proxies
     ]
     return table(headers, rows)
+
+
+def _behind(proxy: ProxyStatus, view_version: int) -> int | None:
+    if proxy.view_version is None:
+        return None
+    return max(0, view_version - proxy.view_version)
--- a/packages/ctl/src/dogwoodspool_ctl/const.py
+++ b/packages/ctl/src/dogwoodspool_ctl/const.py
@@ -8,7 +8,15 @@
 RETRY_DELAY: Final = 0.2
 ROLLOUT_POLL_INTERVAL: Final = 0.2
 
+VOTER_CHANGE_TIMEOUT: Final = 15.0
+HISTORY_LIMIT: Final = 500
+QUERY_LIMIT: Final = "limit"
+
 STATUS_NOT_LEADER: Final = 421
+ATTR_IS_LEADER: Final = "is_leader"
+ATTR_LEADER: Final = "leader"
+CODE_NOT_LEADER: Final = "not_leader"
+STATUS_TOO_MANY: Final = 429
 STATUS_CONFLICT: Final = 409
 FIRST_SERVER_FAULT: Final = 500
 
--- a/packages/ctl/src/dogwoodspool_ctl/control.py
+++ b/packages/ctl/src/dogwoodspool_ctl/control.py
@@ -10,6 +10,7 @@
 )
 from pydantic import BaseModel, ValidationError
 
+from .const import HISTORY_LIMIT, QUERY_LIMIT, VOTER_CHANGE_TIMEOUT
 from .control_client import ControlClient
 from .errors import ConflictError, RejectedError
 from .models import (
@@ -42,7 +43,9 @@
 
     def history(self, path: str | None) -> HistoryAnswer:
         """Return the accepted changes of one node, or of all."""
-        query = {const.QUERY_PATH: path} if path else None
+        query = {QUERY_LIMIT: str(HISTORY_LIMIT)}
+        if path:
+            query[const.QUERY_PATH] = path
         answer = self._client.get(const.PATH_SETTINGS_HISTORY, query)
         return _parse(HistoryAnswer, answer)
 
@@ -58,7 +61,12 @@
         return _parse(SettingsChangeResponse, answer)
 
     def status(self) -> StatusAnswer:
-        """Return the state of the system."""
+        """Return the state of the system as the leader knows it."""
+        answer = self._client.get_from_leader(const.PATH_STATUS)
+        return _parse(StatusAnswer, answer)
+
+    def status_of_any(self) -> StatusAnswer:
+        """Return the state as any voter knows it, with or without a leader."""
         return _parse(StatusAnswer, self._client.get(const.PATH_STATUS))
 
     def promote(self, request: PromoteRequest) -> dict[str, Any]:
@@ -72,7 +80,8 @@
     def change_voters(self, request: VotersRequest) -> dict[str, Any]:
         """Add or remove a voter."""
         body = request.model_dump(mode="json", exclude_none=True)
-        return self._client.post(const.PATH_VOTERS, body)
+        # A new voter counts only once it has caught up, and the answer waits for it.
+        return self._client.post(const.PATH_VOTERS, body, VOTER_CHANGE_TIMEOUT)
 
 
 def _parse(model: type[ModelT], answer: dict[str, Any]) -> ModelT:
--- a/packages/ctl/src/dogwoodspool_ctl/control_client.py
+++ b/packages/ctl/src/dogwoodspool_ctl/control_client.py
@@ -10,12 +10,17 @@
     PeerRefusedError,
     PeerUnreachableError,
 )
+from dogwoodspool_common.const import DEFAULT_HTTP_TIMEOUT
 
 from .const import (
+    ATTR_IS_LEADER,
+    ATTR_LEADER,
+    CODE_NOT_LEADER,
     FIRST_SERVER_FAULT,
     RETRY_DELAY,
     STATUS_CONFLICT,
     STATUS_NOT_LEADER,
+    STATUS_TOO_MANY,
 )
 from .errors import ConflictError, ControlUnreachableError, RejectedError
 
@@ -29,7 +34,13 @@
         """Read one resource."""
         ...
 
-    def post(self, address: Address, path: str, body: dict[str, Any]) -> dict[str, Any]:
+    def post(
+        self,
+        address: Address,
+        path: str,
+        body: dict[str, Any],
+        timeout: float = DEFAULT_HTTP_TIMEOUT,
+    ) -> dict[str, Any]:
         """Send one message."""
         ...
 
@@ -65,9 +76,31 @@
         """
         return self._call(lambda address: self._caller.get(address, path, query))
 
-    def post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        """Send one idempotent message to the leader; errors as for ``get``."""
-        return self._call(lambda address: self._caller.post(address, path, body))
+    def get_from_leader(self, path: str) -> dict[str, Any]:
+        """Read a resource that every voter shows but only the leader knows whole."""
+
+        def read(address: Address) -> dict[str, Any]:
+            answer = self._caller.get(address, path)
+            if answer.get(ATTR_IS_LEADER) is False:
+                leader = str(answer.get(ATTR_LEADER) or "")
+                raise PeerRefusedError(STATUS_NOT_LEADER, CODE_NOT_LEADER, leader)
+            return answer
+
+        return self._call(read)
+
+    def post(
+        self, path: str, body: dict[str, Any], timeout: float = DEFAULT_HTTP_TIMEOUT
+    ) -> dict[str, Any]:
+        """Send one idempotent message to the leader.
+
+        Args:
+            path: path of the endpoint.
+            body: the message, the same in each copy.
+            timeout: seconds for one exchange; errors as for ``get``.
+        """
+        return self._call(
+            lambda address: self._caller.post(address, path, body, timeout)
+        )
 
     def _call(self, send: Callable[[Address], dict[str, Any]]) -> dict[str, Any]:
         deadline = self._clock.now() + self._timeout_s
@@ -92,12 +125,12 @@
         if not isinstance(error, PeerRefusedError):
             return self._after(target)
         if error.status == STATUS_NOT_LEADER:
-            return _leader(error.message) or self._after(target)
-        if error.status >= FIRST_SERVER_FAULT:
+            return _leader(error.detail) or self._after(target)
+        if error.status >= FIRST_SERVER_FAULT or error.status == STATUS_TOO_MANY:
             return self._after(target)
         if error.status == STATUS_CONFLICT:
-            raise ConflictError(error.message, code=error.code) from error
-        raise RejectedError(error.message or error.code, code=error.code) from error
+            raise ConflictError(error.detail, code=error.code) from error
+        raise RejectedError(error.detail or error.code, code=error.code) from error
 
     def _after(self, target: Address) -> Address:
         if target not in self._addresses:
--- a/packages/ctl/src/dogwoodspool_ctl/main.py
+++ b/packages/ctl/src/dogwoodspool_ctl/main.py
@@ -45,6 +45,8 @@
 
 Options:
   --control=HOST:PORT,...  Control processes, separated by commas.
+  --shared-key=KEY         Key that all processes of the system share; better given
+                           in the environment, since flags show in process lists.
   --author=NAME            Who asks, for the history.
   --timeout-s=SECONDS      Longest wait for control, and for --wait.
   --json                   Write JSON instead of text.
@@ -56,8 +58,8 @@
 KEY=VALUE takes a YAML value; users.NAME and statements.NAME name one of them, an
 empty VALUE inherits again, and '{file: PATH}' or '{env: NAME}' reads a secret.
 
-Environment: DOGWOODSPOOL_CONTROL, DOGWOODSPOOL_AUTHOR, DOGWOODSPOOL_TIMEOUT_S, and
-DOGWOODSPOOL_SHARED_KEY, which has no flag because flags show in process lists.
+Environment: DOGWOODSPOOL_CONTROL, DOGWOODSPOOL_SHARED_KEY, DOGWOODSPOOL_AUTHOR and
+DOGWOODSPOOL_TIMEOUT_S.
 
 Exit codes: 0 done; 1 bad usage; 2 bad settings, arguments or declarations; 3 control
 (or the proxy to drain) gave no answer; 4 conflict with another change; 5 rejected;
--- a/packages/ctl/src/dogwoodspool_ctl/models.py
+++ b/packages/ctl/src/dogwoodspool_ctl/models.py
@@ -82,14 +82,23 @@
 
 
 class ProxyStatus(Answer):
-    """One proxy instance as the leader knows it."""
+    """One proxy instance as the leader knows it.
+
+    Attributes:
+        view_version: version in force; None before the first renewal that the
+            leader has seen.
+    """
 
     proxy: str
     failure_domain: str
     address: HostPort
-    view_version: int
+    view_version: int | None
     seconds_since_renewal: float | None
 
+    def has(self, view_version: int) -> bool:
+        """Tell whether the instance reported at least this version in force."""
+        return self.view_version is not None and self.view_version >= view_version
+
 
 class ServerRow(Answer):
     """One backend server as control has committed it."""
@@ -102,9 +111,14 @@
 
 
 class StatusAnswer(Answer):
-    """The state of the whole system as the leader knows it."""
+    """The state of the whole system as one voter knows it.
+
+    Attributes:
+        is_leader: whether that voter leads; only the leader knows renewals.
+    """
 
     leader: str | None
+    is_leader: bool
     voters: list[Any]
     groups: list[GroupMessage]
     servers: list[ServerRow]
@@ -119,8 +133,7 @@
 
 
 class VotersRequest(BaseModel):
-    """A change of the voters; ``address`` is needed to add one."""
+    """A change of the voters: one is added at an address, without one removed."""
 
-    action: str
-    id: str
+    voter: str
     address: str | None = None
--- a/packages/ctl/src/dogwoodspool_ctl/rollout.py
+++ b/packages/ctl/src/dogwoodspool_ctl/rollout.py
@@ -20,7 +20,7 @@
     deadline = clock.now() + timeout_s
     while True:
         proxies = control.status().proxies
-        behind = [proxy for proxy in proxies if proxy.view_version < view_version]
+        behind = [proxy for proxy in proxies if not proxy.has(view_version)]
         if not behind:
             return len(proxies)
         if clock.now() >= deadline:
@@ -34,4 +34,6 @@
 
 
 def _describe(proxy: ProxyStatus) -> str:
+    if proxy.view_version is None:
+        return f"{proxy.proxy} (no renewal yet)"
     return f"{proxy.proxy} (version {proxy.view_version})"
--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -119,6 +119,7 @@
         return JsonResponse(
             {
                 "leader": str(self.server.address),
+                "is_leader": True,
                 "voters": [{"id": "v1", "address": "127.0.0.1:7001"}],
                 "groups": [],
                 "servers": [],
@@ -142,4 +143,22 @@
         def refuse(_request: JsonRequest) -> JsonResponse:
             return error_response(421, "not_leader", leader)
 
-        self.server = serve({("GET", const.PATH_SETTINGS_TREE): refuse})
+        def show(_request: JsonRequest) -> JsonResponse:
+            return JsonResponse(
+                {
+                    "leader": leader or None,
+                    "is_leader": False,
+                    "voters": [],
+                    "groups": [],
+                    "servers": [],
+                    "proxies": [],
+                    "view_version": 7,
+                }
+            )
+
+        self.server = serve(
+            {
+                ("GET", const.PATH_SETTINGS_TREE): refuse,
+                ("GET", const.PATH_STATUS): show,
+            }
+        )
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -232,8 +232,8 @@
         self.assertEqual(
             posted[const.PATH_VOTERS],
             [
-                {"action": "add", "id": "v2", "address": "127.0.0.1:7002"},
-                {"action": "remove", "id": "v1"},
+                {"voter": "v2", "address": "127.0.0.1:7002"},
+                {"voter": "v1"},
             ],
         )
         self.assertIn("id=v1", self.done("voters", "list"))
@@ -252,6 +252,7 @@
         leader = self.addresses
         self.addresses = self.follower(leader)
         self.assertIn("/ version 0", self.done("get", "/"))
+        self.assertIn("version 0", self.done("rollout"))
         self.addresses = f"{self.follower('')},{leader}"
         self.assertIn("/ version 0", self.done("get", "/"))
 
@@ -260,3 +261,9 @@
         code, text = self.ctl("get", "/", timeout_s=0.1)
         self.assertEqual(code, ExitCode.CONTROL_UNREACHABLE)
         self.assertIn("no control leader answered", text)
+
+    def test_status_without_a_leader_shows_what_a_voter_knows(self) -> None:
+        self.addresses = self.follower("")
+        code, text = self.ctl("status", timeout_s=0.1)
+        self.assertEqual(code, ExitCode.DONE)
+        self.assertIn("leader unknown\nversion 7", text)
