--- a/packages/standin/src/dogwoodspool_standin/session.py
+++ b/packages/standin/src/dogwoodspool_standin/session.py
@@ -24,9 +24,10 @@
 from .faults import FaultSwitches
 from .introspection import Introspection
 from .member import GroupMember
-from .models import Done, LoggedStatement, Outcome, Rows, Statement, StatementKind
+from .models import Done, Outcome, Rows, Statement, StatementKind
 from .slots import Slots
 from .storage import Storage, StorageConnection, column_names
+from .transaction import Transaction
 
 _AUTOCOMMIT: Final = re.compile(
     r"(?:@@|SESSION\s+|LOCAL\s+)?(?:SESSION\.)?AUTOCOMMIT\s*:?=\s*'?(\w+)",
@@ -52,12 +53,7 @@
 
 
 class CallerSession:
-    """Run statements of one connection and keep its transaction.
-
-    A transaction sees what is committed at each of its reads until its first
-    write or locking read; from then on it holds the write lock, so that it needs
-    no retry. ``START TRANSACTION READ ONLY`` and ``WITH CONSISTENT SNAPSHOT``
-    read from one snapshot.
+    """Run statements of one connection, one after the other.
 
     Its methods are called by one thread at a time.
     """
@@ -67,18 +63,17 @@
         self.connection_id = 0
         self.is_replication = False
         self._parts = parts
-        self._connection: StorageConnection | None = None
+        self._transaction = Transaction(
+            parts.storage, parts.member, parts.counters, parts.lock_wait
+        )
         self._is_autocommit = True
-        self._in_transaction = False
-        self._holds_write_lock = False
         self._holds_slot = False
-        self._statements: list[LoggedStatement] = []
         self._cursor: sqlite3.Cursor | None = None
 
     @property
     def in_transaction(self) -> bool:
         """Whether a transaction is open, as the status flag says."""
-        return self._in_transaction
+        return self._transaction.is_open
 
     @property
     def is_autocommit(self) -> bool:
@@ -88,7 +83,7 @@
     @property
     def holds_write_lock(self) -> bool:
         """Whether an open transaction of this connection has written."""
-        return self._holds_write_lock
+        return self._transaction.holds_write_lock
 
     def execute(self, text: str) -> Outcome:
         """Run one statement and return its outcome or the head of its rows.
@@ -134,16 +129,13 @@
     def reset(self) -> None:
         """Roll back and forget what the connection was told."""
         self.finish()
-        self._end_transaction()
+        self._transaction.rollback()
         self._is_autocommit = True
 
     def close(self) -> None:
         """Roll back and close the files."""
         self.finish()
-        self._end_transaction()
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+        self._transaction.close()
 
     def _execute_sql(self, statement: Statement) -> Outcome:
         self._parts.counters.count_statement()
@@ -158,17 +150,21 @@
                 self.database = statement.sql.split()[-1].strip("`")
                 return Done()
             case StatementKind.BEGIN:
-                return self._begin(statement.sql)
+                self._commit()
+                self._transaction.open(bool(_SNAPSHOT.search(statement.sql)))
+                return Done()
             case StatementKind.COMMIT:
                 return self._commit()
             case StatementKind.ROLLBACK:
-                self._end_transaction()
+                self._transaction.rollback()
                 return Done()
             case StatementKind.SHOW:
-                return self._parts.introspection.show(statement.sql, self._open())
+                return self._parts.introspection.show(
+                    statement.sql, self._open_connection()
+                )
             case StatementKind.SCHEMA:
                 self._commit()
-                return self._write(statement)
+                return self._write_alone(statement)
             case StatementKind.WRITE:
                 return self._write(statement)
             case StatementKind.SAVEPOINT:
@@ -176,119 +172,71 @@
             case _:
                 return self._read(statement)
 
-    def _begin(self, sql: str) -> Done:
-        self._commit()
-        self._in_transaction = True
-        if _SNAPSHOT.search(sql):
-            self._open().begin(is_write=False)
-        return Done()
-
     def _commit(self) -> Done:
-        if not self._in_transaction:
-            return Done()
-        if self._connection is None or not self._connection.is_in_transaction:
-            self._end_transaction()
+        if not self._transaction.has_work:
+            self._transaction.rollback()
             return Done()
         self._take_slot()
         try:
             self._serve()
-            self._commit_open(self._connection)
+            self._transaction.commit()
         finally:
             self._release_slot()
-            self._end_transaction()
         return Done()
 
-    def _commit_open(self, connection: StorageConnection) -> None:
-        if self._statements:
-            self._parts.member.commit(connection, tuple(self._statements))
-            self._parts.counters.count_write()
-        else:
-            connection.commit()
-
-    def _end_transaction(self) -> None:
-        """Roll back what is still open and give the write lock back."""
-        if self._connection is not None:
-            self._connection.rollback()
-        self._in_transaction = False
-        self._statements = []
-        if self._holds_write_lock:
-            self._holds_write_lock = False
-            self._parts.storage.write_lock.release()
-
     def _read(self, statement: Statement) -> Outcome:
         if not self._is_autocommit:
-            self._in_transaction = True
-        if (
-            statement.is_locking
-            and self._in_transaction
-            and self._parts.member.is_primary
-        ):
-            self._become_writer()
+            self._transaction.open()
+        is_locking = statement.is_locking and self._parts.member.is_primary
+        if is_locking and self._transaction.is_open:
+            self._transaction.become_writer()
         self._take_slot()
         try:
-            cursor = self._run(statement)
-            rows = cursor.fetchmany(ROWS_PER_CHUNK)
+            self._cursor = self._run(statement)
+            columns = column_names(self._cursor)
+            rows = self._cursor.fetchmany(ROWS_PER_CHUNK)
         except SQLITE_FAILURES as error:
-            self._release_slot()
+            self.finish()
             raise statement_error(error) from error
         except StatementError:
-            self._release_slot()
+            self.finish()
             raise
-        self._cursor = cursor
         is_whole = len(rows) < ROWS_PER_CHUNK
-        columns = column_names(cursor)
         if is_whole:
             self.finish()
         return Rows(columns, rows, is_whole)
 
     def _write(self, statement: Statement) -> Done:
-        is_alone = self._is_autocommit and not self._in_transaction
-        is_alone = is_alone or statement.kind is StatementKind.SCHEMA
-        self._in_transaction = self._in_transaction or not is_alone
+        if self._is_autocommit and not self._transaction.is_open:
+            return self._write_alone(statement)
+        self._transaction.open()
+        self._transaction.become_writer()
+        self._take_slot()
+        try:
+            return self._run_write(statement)
+        finally:
+            self._release_slot()
+
+    def _write_alone(self, statement: Statement) -> Done:
+        """Write and commit as one."""
+        self._transaction.become_writer()
         try:
-            self._become_writer()
             self._take_slot()
-            try:
-                done = self._run_write(statement)
-                if is_alone:
-                    self._commit_open(self._open())
-            finally:
-                self._release_slot()
+            done = self._run_write(statement)
+            self._transaction.commit()
         finally:
-            if is_alone:
-                self._end_transaction()
+            self._transaction.rollback()
+            self._release_slot()
         return done
 
     def _savepoint(self, statement: Statement) -> Done:
-        if not self._in_transaction:
-            return Done()
-        self._become_writer()
-        self._run_write(statement)
+        if self._transaction.is_open:
+            self._transaction.become_writer()
+            self._run_write(statement)
         return Done()
 
-    def _become_writer(self) -> None:
-        """Take the write lock before a slot, never the other way round.
-
-        A statement that waited for the lock in a slot would keep the slot from
-        the lock's holder, whose commit needs one; both would wait until a
-        timeout.
-        """
-        member, storage = self._parts.member, self._parts.storage
-        member.check_writable()
-        if self._holds_write_lock:
-            return
-        connection = self._open()
-        if connection.is_in_transaction:
-            # A snapshot of before: SQLite says whether it is too old to write.
-            storage.write_lock.acquire(self._parts.lock_wait)
-            self._holds_write_lock = True
-            return
-        storage.write_lock.acquire(self._parts.lock_wait)
-        self._holds_write_lock = True
-        connection.begin(is_write=True)
-
     def _run_write(self, statement: Statement) -> Done:
-        connection = self._open()
+        connection = self._open_connection()
         try:
             cursor = self._run(statement)
             affected = max(0, cursor.rowcount)
@@ -298,15 +246,15 @@
         except SQLITE_FAILURES as error:
             failure = statement_error(error)
             if isinstance(failure, DeadlockError):
-                self._end_transaction()
+                self._transaction.rollback()
             raise failure from error
         return Done(affected, insert_id)
 
     def _run(self, statement: Statement) -> sqlite3.Cursor:
         """Run a statement as it stands or, where SQLite refuses it, translated."""
         self._serve()
-        connection = self._open()
-        before = connection.last_insert_id
+        connection = self._open_connection()
+        last_insert_id = connection.last_insert_id
         sql = statement.sql
         try:
             cursor = connection.execute(sql)
@@ -316,9 +264,15 @@
             sql = translate(statement.original)
             cursor = connection.execute(sql)
         if statement.kind is not StatementKind.READ:
-            self._statements.append(connection.logged(sql, before))
+            self._transaction.record(connection.logged(sql, last_insert_id))
         return cursor
 
+    def _open_connection(self) -> StorageConnection:
+        connection = self._transaction.connection
+        connection.database = self.database or ""
+        connection.connection_id = self.connection_id
+        return connection
+
     def _serve(self) -> None:
         """Take the service time of a statement, and none while frozen."""
         self._parts.clock.sleep(self._parts.faults.service_time)
@@ -334,13 +288,6 @@
         self._is_autocommit = is_on
         return Done()
 
-    def _open(self) -> StorageConnection:
-        if self._connection is None:
-            self._connection = self._parts.storage.connect()
-        self._connection.database = self.database or ""
-        self._connection.connection_id = self.connection_id
-        return self._connection
-
     def _take_slot(self) -> None:
         self._parts.slots.acquire()
         self._holds_slot = True
