Turn a replica at once to a new primary; refuse a data folder in use

Cause: a replica whose old primary went silent waited up to 2 s for a pull, and up to 1 s after a failure, before it turned to the server it was told to follow: a write of the new primary that waits for a second copy waited with it. FOLLOW and PROMOTE now break the pull off. Two processes on one data folder were the same server twice; the state file is locked now. docs/decisions/standin.md says what is imitated.

--- a/packages/standin/src/dogwoodspool_standin/commands.py
+++ b/packages/standin/src/dogwoodspool_standin/commands.py
@@ -35,6 +35,14 @@
         ...
 
 
+class LinkFollower(Protocol):
+    """Who pulls the log over the link in force."""
+
+    def link_changed(self) -> None:
+        """Turn to the link in force now."""
+        ...
+
+
 class StandinCommands:
     """Carry out the stand-in's own statements; they take no slot.
 
@@ -43,6 +51,7 @@
         slots: statements that it runs at a time.
         connections: connections that it takes.
         writers: closed when the server becomes a replica.
+        follower: told when the server is to follow another one, or none.
     """
 
     def __init__(
@@ -51,11 +60,13 @@
         slots: int,
         connections: int,
         writers: WriterConnections,
+        follower: LinkFollower,
     ) -> None:
         self._member = member
         self._slots = slots
         self._connections = connections
         self._writers = writers
+        self._follower = follower
 
     def is_command(self, sql: str) -> bool:
         """Tell whether a ``SHOW`` statement is the stand-in's own."""
@@ -76,7 +87,7 @@
             status = self._member.wait_for(Position(term, offset), timeout)
             return self._status_rows(status)
         if match := _PROMOTE.match(sql):
-            return self._status_rows(self._member.promote(int(match.group(1))))
+            return self._promote(int(match.group(1)))
         if match := _FOLLOW.match(sql):
             return self._follow(match.group(1), int(match.group(2)))
         if match := _FENCE.match(sql):
@@ -85,6 +96,11 @@
             return self._read_log(*_numbers(match.groups()))
         raise SyntaxStatementError(f"no statement of the stand-in: '{sql[:60]}'")
 
+    def _promote(self, term: int) -> Rows:
+        status = self._member.promote(term)
+        self._follower.link_changed()
+        return self._status_rows(status)
+
     def _follow(self, address: str, term: int) -> Rows:
         try:
             target = Address.parse(address)
@@ -94,6 +110,7 @@
         # Their transactions can never commit here, but would keep the write lock
         # from replication until their callers come back, perhaps never.
         self._writers.drop_writers()
+        self._follower.link_changed()
         return self._status_rows(status)
 
     def _read_log(self, term: int, after: int, limit: int, wait_ms: int) -> Rows:
--- a/packages/standin/src/dogwoodspool_standin/errors.py
+++ b/packages/standin/src/dogwoodspool_standin/errors.py
@@ -10,6 +10,10 @@
     """Base of the stand-in's errors."""
 
 
+class StorageError(StandinError):
+    """Report a data folder that cannot be used, such as one that is in use."""
+
+
 class ReplicationError(StandinError):
     """Report that a pull from the followed server brought nothing usable."""
 
--- a/packages/standin/src/dogwoodspool_standin/main.py
+++ b/packages/standin/src/dogwoodspool_standin/main.py
@@ -36,6 +36,7 @@
 from pathlib import Path
 
 from dogwoodspool_common import (
+    SettingsError,
     SystemClock,
     read_settings,
     run_program,
@@ -44,6 +45,7 @@
 )
 
 from .const import PROGRAM
+from .errors import StorageError
 from .server import StandinServer
 from .settings import StandinSettings
 
@@ -53,8 +55,7 @@
     settings = read_settings(__doc__ or "", StandinSettings)
     set_up_logging(PROGRAM, settings.name, settings.log_level)
     stop = stop_event_on_signals()
-    server = StandinServer(settings, SystemClock())
-    server.set_up()
+    server = _start(settings)
     if settings.ready_file is not None:
         _write_ready_file(settings.ready_file, server)
     stop.wait()
@@ -67,6 +68,15 @@
     run_program(main)
 
 
+def _start(settings: StandinSettings) -> StandinServer:
+    try:
+        server = StandinServer(settings, SystemClock())
+        server.set_up()
+    except (OSError, StorageError) as error:
+        raise SettingsError(f"cannot start: {error}") from error
+    return server
+
+
 def _write_ready_file(path: Path, server: StandinServer) -> None:
     content = {
         "address": str(server.address),
--- a/packages/standin/src/dogwoodspool_standin/replication.py
+++ b/packages/standin/src/dogwoodspool_standin/replication.py
@@ -1,6 +1,7 @@
 """Pull the log of the followed primary and apply it."""
 
 import contextlib
+import socket
 import sqlite3
 import threading
 from collections import deque
@@ -52,9 +53,11 @@
     """A connection to the followed primary."""
 
     def __init__(self, link: Link, shared_key: str, failure_domain: str) -> None:
-        self._connection = pymysql.connect(
-            host=link.address.host,
-            port=link.address.port,
+        self._socket = socket.create_connection(
+            (link.address.host, link.address.port), const.REPLICATION_TIMEOUT
+        )
+        self._connection = pymysql.connections.Connection(
+            defer_connect=True,
             user=const.REPLICATION_USER,
             password=shared_key,
             program_name=failure_domain,
@@ -64,6 +67,10 @@
             autocommit=None,
         )
 
+    def open(self) -> None:
+        """Log in."""
+        self._connection.connect(self._socket)
+
     def pull(self, last: Position, wait_ms: int) -> LogBatch:
         """Ask for the entries after the last one known."""
         statement = _LOG % (last.term, last.offset, const.REPLICATION_BATCH, wait_ms)
@@ -80,10 +87,16 @@
             term, last_offset, bool(is_match), waited_ms, failure_domain, entries
         )
 
+    def interrupt(self) -> None:
+        """End a wait of another thread for an answer."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close; the other side may be silent, and then never answers a word."""
         with contextlib.suppress(pymysql.MySQLError, OSError):
             self._connection.close()
+        self._socket.close()
 
 
 class Replicator:
@@ -121,8 +134,11 @@
         self._failure_domain = failure_domain
         self._clock = clock
         self._connection: StorageConnection | None = None
+        self._source: LogSource | None = None
+        self._backoff = const.REPLICATION_FIRST_BACKOFF
         self._pending: deque[PendingBatch] = deque()
         self._stopped = threading.Event()
+        self._woken = threading.Event()
         self._thread = threading.Thread(target=self._run, name="replication")
         self._thread.daemon = True
 
@@ -133,19 +149,31 @@
     def unload(self) -> None:
         """Stop following."""
         self._stopped.set()
+        self.link_changed()
         self._thread.join(const.STOP_TIMEOUT)
 
+    def link_changed(self) -> None:
+        """Turn to the link in force now.
+
+        Without it a pull from a primary that went silent, or the pause after a
+        failure, would first run its time: so much later would a replica have
+        the first write of the new primary, whose caller may wait for just that.
+        """
+        source = self._source
+        if source is not None:
+            source.interrupt()
+        self._woken.set()
+
     def _run(self) -> None:
-        backoff = const.REPLICATION_FIRST_BACKOFF
         self._connection = self._storage.connect()
         while not self._stopped.is_set():
+            self._woken.clear()
             link = self._usable_link()
             if link is None:
-                self._stopped.wait(const.REPLICATION_FIRST_BACKOFF)
+                self._woken.wait(const.REPLICATION_FIRST_BACKOFF)
                 continue
             try:
                 self._follow(link)
-                backoff = const.REPLICATION_FIRST_BACKOFF
             except (
                 pymysql.MySQLError,
                 sqlite3.Error,
@@ -158,8 +186,8 @@
                     source=link.address,
                     error=str(error),
                 )
-                self._stopped.wait(backoff)
-                backoff = min(backoff * 2, const.REPLICATION_LAST_BACKOFF)
+                self._woken.wait(self._backoff)
+                self._backoff = min(self._backoff * 2, const.REPLICATION_LAST_BACKOFF)
         self._connection.close()
 
     def _usable_link(self) -> Link | None:
@@ -172,13 +200,18 @@
         """Pull and apply until the link is replaced or fails."""
         self._pending.clear()
         source = LogSource(link, self._shared_key, self._failure_domain)
+        self._source = source
         try:
+            if self._usable_link() != link:
+                return
+            source.open()
             fetched = self._member.last_entry()
             while not self._stopped.is_set() and self._usable_link() == link:
                 self._faults.pause_while_frozen()
                 fetched = self._pull(link, source, fetched)
                 self._apply_due(link)
         finally:
+            self._source = None
             source.close()
 
     def _pull(self, link: Link, source: LogSource, fetched: Position) -> Position:
@@ -200,6 +233,7 @@
         if not batch.is_match:
             return self._handle_divergence(link, batch, fetched)
         self._member.adopt_lineage(link, batch.source_term)
+        self._backoff = const.REPLICATION_FIRST_BACKOFF
         return self._keep(batch, fetched, asked)
 
     def _keep(self, batch: LogBatch, fetched: Position, asked: float) -> Position:
--- a/packages/standin/src/dogwoodspool_standin/server.py
+++ b/packages/standin/src/dogwoodspool_standin/server.py
@@ -81,12 +81,25 @@
             faults=self._faults,
             new_session=lambda: CallerSession(self._parts),
         )
+        self._replicator = Replicator(
+            member=self._member,
+            storage=self._storage,
+            callers=self._listener,
+            faults=self._faults,
+            shared_key=shared_key,
+            failure_domain=settings.failure_domain,
+            clock=clock,
+        )
         counters = StatementCounters()
         self._parts = SessionParts(
             storage=self._storage,
             member=self._member,
             commands=StandinCommands(
-                self._member, settings.slots, settings.connections, self._listener
+                member=self._member,
+                slots=settings.slots,
+                connections=settings.connections,
+                writers=self._listener,
+                follower=self._replicator,
             ),
             introspection=Introspection(self._member),
             slots=self._slots,
@@ -95,15 +108,6 @@
             clock=clock,
             lock_wait=settings.lock_wait_ms / MILLISECONDS,
         )
-        self._replicator = Replicator(
-            member=self._member,
-            storage=self._storage,
-            callers=self._listener,
-            faults=self._faults,
-            shared_key=shared_key,
-            failure_domain=settings.failure_domain,
-            clock=clock,
-        )
         self._diagnostics = Diagnostics(
             self._member, self._listener.registry, self._slots, counters, self._faults
         )
--- a/packages/standin/src/dogwoodspool_standin/state.py
+++ b/packages/standin/src/dogwoodspool_standin/state.py
@@ -6,7 +6,8 @@
 
 from dogwoodspool_common import Address, Role
 
-from .const import FILE_STATE
+from .const import FILE_STATE, FOLDER_LOCK_TIMEOUT
+from .errors import StorageError
 from .models import DurableState
 
 _CREATE: Final = (
@@ -27,10 +28,22 @@
 
     def __init__(self, folder: Path) -> None:
         self._connection = sqlite3.connect(
-            folder / FILE_STATE, isolation_level=None, check_same_thread=False
+            folder / FILE_STATE,
+            timeout=FOLDER_LOCK_TIMEOUT,
+            isolation_level=None,
+            check_same_thread=False,
         )
-        self._connection.execute("PRAGMA synchronous = FULL")
-        self._connection.execute(_CREATE)
+        # Two processes on one folder would both be the same server: the second
+        # finds the first one's lock, which ends with its process.
+        self._connection.execute("PRAGMA locking_mode = EXCLUSIVE")
+        try:
+            self._connection.execute("PRAGMA synchronous = FULL")
+            self._connection.execute("BEGIN EXCLUSIVE")
+            self._connection.execute(_CREATE)
+            self._connection.execute("COMMIT")
+        except sqlite3.Error as error:
+            self._connection.close()
+            raise StorageError(f"{folder} cannot be used: {error}") from error
 
     def load(self) -> DurableState | None:
         """Return what was saved last, None at the very first start."""
--- a/tests/standin/test_main.py
+++ b/tests/standin/test_main.py
@@ -16,6 +16,7 @@
 )
 from dogwoodspool_standin import FaultsRequest
 from dogwoodspool_standin.const import EXIT_KILLED, PATH_FAULTS
+from dogwoodspool_standin.errors import StorageError
 
 from .support import KEY, PASSWORD, USER, StandinTestCase, connect, run, status
 
@@ -82,6 +83,24 @@
         self.assertIn("--slots (DOGWOODSPOOL_SLOTS)", finished.stderr)
         self.assertIn("--group", finished.stderr)
 
+    def test_data_folder_in_use_is_refused(self) -> None:
+        _, ready = self.launch("--role=primary")
+        with self.assertRaises(StorageError):
+            self.start("a")
+        finished = subprocess.run(
+            [
+                *[str(PROGRAM), "--name=b", "--group=orders", "--failure-domain=fd"],
+                *[f"--data-folder={self.folder / 'b'}", f"--shared-key={KEY}"],
+                f"--listen={ready['address']}",
+            ],
+            env={},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(finished.returncode, 2)
+        self.assertIn("cannot start", finished.stderr)
+
 
 class ConnectorTest(StandinTestCase):
     """The other stock client."""
--- a/tests/standin/test_replication.py
+++ b/tests/standin/test_replication.py
@@ -1,9 +1,10 @@
 """Replicas, changes of the primary and what they drop."""
 
 import time
+from unittest import mock
 
 import pymysql
-from dogwoodspool_standin import FaultsRequest, StandinServer
+from dogwoodspool_standin import FaultsRequest, StandinServer, const
 
 from .support import (
     Connection,
@@ -212,6 +213,20 @@
             add(old, "under the old term")
         add(new, "under the new term")
 
+    def test_silent_old_primary_does_not_hold_up_a_replica(self) -> None:
+        # A replica waits for an answer of its primary, which went silent, when
+        # it is told to follow another one. Did it wait on, the first write of
+        # the new primary would have no second copy until a timeout.
+        with mock.patch.object(const, "REPLICATION_TIMEOUT", 60):
+            reader = self.connect(self.start("c", follow=str(self.old.address)))
+            self.assertTrue(wait(reader, 1, 2))
+            self.old.faults.apply(FaultsRequest(freeze=True))
+            time.sleep(0.1)  # Longer than a pull waits for something new.
+            self.promote()
+            add(self.new_writer, "new")
+            command(reader, f"STANDIN FOLLOW '{self.new.address}' TERM 2")
+            self.assertTrue(wait(reader, 2, 3))
+
     def test_restarted_replica_follows_on(self) -> None:
         self.stop(self.new)
         add(self.old_writer, "meanwhile")
