Leave a cut-off control process; move the primary off a leaving server

A proxy that polls an isolated control process heard nothing new for as long as the process answered. The leader's renewals name the newest version, and a poll that waited in vain for it now turns to another process (polls wait 2 s).

A primary that announced its leaving kept its writes, since no one promoted another server. The leader now begins a planned promotion.

A statement whose deadline passed before it was sent was reported as unknown where the socket timed out at once; it is now refused as not run.

--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -63,3 +63,6 @@
 WORKER_THREADS: Final = 48
 MAX_RATED_PROXIES: Final = 256
 ROLE_STATEMENT_TIMEOUT: Final = 2.0
+
+# Pause before another try to move the primary away from a leaving server.
+DEPARTURE_RETRY_SECONDS: Final = 5.0
--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -9,6 +9,7 @@
 from .command_queue import CommandQueue
 from .commands import BeginPromotion
 from .const import TICK_SECONDS
+from .departures import Departures
 from .detector import DetectorSettings, FailureDetector
 from .failovers import FailoverTimeline
 from .incarnations import IncarnationAges
@@ -73,6 +74,7 @@
         watch: FailureWatch,
         sightings: Sightings,
         membership: Membership,
+        departures: Departures,
         queue: CommandQueue,
         promotions: Promotions,
         reconciler: Reconciler,
@@ -88,6 +90,7 @@
         self._watch = watch
         self._sightings = sightings
         self._membership = membership
+        self._departures = departures
         self._queue = queue
         self._promotions = promotions
         self._reconciler = reconciler
@@ -132,6 +135,9 @@
         self._detector.tick()
         for command in self._membership.due_commands():
             self._queue.offer(command)
+        for promotion in self._departures.due_commands():
+            self._timeline.begin(promotion.group, promotion.reason)
+            self._queue.offer(promotion)
         failed = self._watch.failed_groups()
         for group in failed:
             self._begin_promotion(group)
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -7,6 +7,7 @@
 
 from .command_queue import CommandQueue
 from .const import MAX_RATED_PROXIES, WORKER_THREADS
+from .departures import Departures
 from .detector import FailureDetector
 from .failovers import FailoverTimeline
 from .grants import GrantTable
@@ -79,6 +80,7 @@
             watch=watch,
             sightings=sightings,
             membership=Membership(clock, state, sightings),
+            departures=Departures(clock, state),
             queue=self._queue,
             promotions=self._promotions,
             reconciler=Reconciler(
--- a/packages/proxy/src/dogwoodspool_proxy/access.py
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -15,6 +15,7 @@
 from .answers import refused
 from .backends import Backend, BackendRegistry
 from .const import CONNECT_RETRY_AFTER_MS
+from .errors import NothingSentError
 
 
 class HeldConnection:
@@ -49,9 +50,12 @@
         """Run one statement that leaves nothing behind in the session.
 
         Raises:
+            NothingSentError: the deadline has passed; nothing was sent.
             BackendError: as for ``BackendConnection.execute``.
         """
         began_at = self._clock.now()
+        if began_at >= deadline:
+            raise NothingSentError("the deadline passed before the statement was sent")
         try:
             with span("backend.statement", server=self.server.name):
                 return self.connection.execute(
--- a/packages/proxy/src/dogwoodspool_proxy/const.py
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -5,7 +5,8 @@
 PROGRAM: Final = "dogwoodspool-proxy"
 
 DEFAULT_DRAIN_SECONDS: Final = 30.0
-DEFAULT_WATCH_WAIT_MS: Final = 10_000
+# Short, since a poll to a cut-off process waits in vain for so long.
+DEFAULT_WATCH_WAIT_MS: Final = 2_000
 WATCH_TIMEOUT_MARGIN: Final = 2.0
 RENEW_TIMEOUT_SECONDS: Final = 0.5
 RETRY_PAUSE_SECONDS: Final = 0.1
--- a/packages/proxy/src/dogwoodspool_proxy/control_peers.py
+++ b/packages/proxy/src/dogwoodspool_proxy/control_peers.py
@@ -14,6 +14,12 @@
         self._leader: Address | None = None
         self._turn = 0
 
+    @property
+    def has_leader(self) -> bool:
+        """Tell whether the leader is known."""
+        with self._lock:
+            return self._leader is not None
+
     def leader_or_next(self) -> Address:
         """Return the leader's address, or the next one to ask."""
         with self._lock:
--- a/packages/proxy/src/dogwoodspool_proxy/errors.py
+++ b/packages/proxy/src/dogwoodspool_proxy/errors.py
@@ -7,5 +7,5 @@
     """Base of the proxy's own errors."""
 
 
-class UnknownGroupError(ProxyError):
-    """Report a database group that control does not know."""
+class NothingSentError(ProxyError):
+    """Report a statement whose deadline passed before it was sent."""
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -38,6 +38,7 @@
     NO_PRIMARY_RETRY_AFTER_MS,
 )
 from .counters import Counters
+from .errors import NothingSentError
 from .grants import GrantBook
 from .routers import GroupRouters
 from .view import ViewStore
@@ -260,6 +261,9 @@
         except StatementFailedError as error:
             held.finish(True)
             return failed(error)
+        except NothingSentError as error:
+            held.finish(True)
+            return refused(str(error), 0)
         except (OutcomeUnknownError, ConnectFailedError) as error:
             held.finish(False)
             log_event("read_moved", level="DEBUG", server=name, error=error)
--- a/packages/proxy/src/dogwoodspool_proxy/renew.py
+++ b/packages/proxy/src/dogwoodspool_proxy/renew.py
@@ -123,4 +123,5 @@
         lease_seconds = response.lease_ms / MILLISECONDS
         self._grants.renew(response.grants, response.withdrawn, sent_at, lease_seconds)
         self._registry.grant_shares(response.connection_shares, sent_at + lease_seconds)
+        self._views.note_announced(response.view_version)
         self._renewed_at = sent_at
--- a/packages/proxy/src/dogwoodspool_proxy/transactions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/transactions.py
@@ -20,8 +20,9 @@
 from expression import Error, Ok, Result
 
 from .access import HeldConnection
-from .answers import failed, rolled_back, unknown
+from .answers import failed, refused, rolled_back, unknown
 from .callers import CallerState
+from .errors import NothingSentError
 from .grants import GrantBook
 from .models import WritePermit
 from .reads import ReadPath, answer_columns
@@ -110,7 +111,7 @@
             return DoneAnswer()
         try:
             transaction.held.execute("ROLLBACK", deadline)
-        except BackendError as error:
+        except (BackendError, NothingSentError) as error:
             # The connection is closed below, and with it the transaction ends.
             log_event("rollback_by_close", level="DEBUG", error=error)
             transaction.has_failed = True
@@ -180,7 +181,7 @@
         begin = "START TRANSACTION READ ONLY" if transaction.is_read_only else "BEGIN"
         try:
             held.execute(begin, deadline)
-        except BackendError as error:
+        except (BackendError, NothingSentError) as error:
             transaction.has_failed = True
             return Error(rolled_back(f"the transaction could not begin: {error}"))
         return Ok(held)
@@ -200,6 +201,8 @@
             if not held.connection.in_transaction:
                 transaction.has_failed = True
             return failed(error)
+        except NothingSentError as error:
+            return refused(str(error), 0)
         except (OutcomeUnknownError, ConnectFailedError) as error:
             transaction.has_failed = True
             log_event("transaction_lost", server=held.server.name, error=error)
@@ -226,6 +229,8 @@
             held.execute("COMMIT", deadline)
         except StatementFailedError as error:
             return failed(error)
+        except NothingSentError as error:
+            return rolled_back(f"{error}; the transaction is undone")
         except BackendError as error:
             log_event("commit_unknown", server=held.server.name, error=error)
             transaction.has_failed = True
--- a/packages/proxy/src/dogwoodspool_proxy/view.py
+++ b/packages/proxy/src/dogwoodspool_proxy/view.py
@@ -44,6 +44,7 @@
         self._changed = threading.Condition()
         self._view = ProxyView()
         self._listeners: list[ViewListener] = []
+        self._announced_version = 0
 
     @property
     def failure_domain(self) -> str:
@@ -55,6 +56,11 @@
         """The newest view."""
         return self._view
 
+    @property
+    def announced_version(self) -> int:
+        """The newest version of which the control leader has told."""
+        return self._announced_version
+
     @property
     def is_filled(self) -> bool:
         """Tell whether a view has come from control."""
@@ -64,6 +70,10 @@
         """Return the settings in force for a group in this failure domain."""
         return self._view.tree.effective(group, self._failure_domain)
 
+    def note_announced(self, version: int) -> None:
+        """Note a version of which the control leader has told."""
+        self._announced_version = max(version, self._announced_version)
+
     def add_listener(self, listener: ViewListener) -> None:
         """Call a function with each new view."""
         self._listeners.append(listener)
--- a/packages/proxy/src/dogwoodspool_proxy/watch.py
+++ b/packages/proxy/src/dogwoodspool_proxy/watch.py
@@ -46,9 +46,16 @@
             log_event("watch_failed", level="DEBUG", address=address, error=error)
             self._peers.note_failure(address)
             return RETRY_PAUSE_SECONDS
-        self._peers.note_leader(response.leader)
+        # A cut-off process names a leader of long ago; the renewals know better.
+        if not self._peers.has_leader:
+            self._peers.note_leader(response.leader)
         if response.view is not None:
             self._views.adopt(response.view)
+        elif self._views.view.version < self._views.announced_version:
+            # The leader has a newer version, yet this process waited in vain for
+            # it: it is cut off from the others and does not know.
+            log_event("watch_stale", address=address)
+            self._peers.note_failure(address)
         return 0.0
 
     def _poll(self, address: Address) -> WatchResponse:
--- a/packages/proxy/src/dogwoodspool_proxy/writes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/writes.py
@@ -45,6 +45,7 @@
     NO_PRIMARY_RETRY_AFTER_MS,
     STATUS_TIMEOUT_SECONDS,
 )
+from .errors import NothingSentError
 from .grants import GrantBook
 from .models import WritePermit
 from .reads import answer_columns
@@ -188,7 +189,7 @@
         except RequestIdReusedError as error:
             is_good = True
             return failed_with(ER_WRONG_ARGUMENTS, str(error))
-        except (RequestNotRunError, ConnectFailedError) as error:
+        except (RequestNotRunError, ConnectFailedError, NothingSentError) as error:
             return refused(str(error), CONNECT_RETRY_AFTER_MS)
         except OutcomeUnknownError as error:
             log_event("write_unknown", server=held.server.name, error=error)
