--- a/packages/backend/src/dogwoodspool_backend/pool.py
+++ b/packages/backend/src/dogwoodspool_backend/pool.py
@@ -49,9 +49,11 @@
         self._lock = threading.Lock()
         self._idle: deque[BackendConnection] = deque()
         self._in_use = 0
+        self._probing = 0
         self._waiters: deque[Waiter] = deque()
         self._health = ConnectionHealth(server, clock, settings)
         self._peak = Peak(clock, DEMAND_WINDOW)
+        self._generation = 0
         self._is_unloaded = False
 
     @property
@@ -115,7 +117,7 @@
         while True:
             connection = self._take(deadline, is_probe=is_probe)
             if connection is None:
-                return self._open(deadline)
+                return self._open(deadline, is_probe=is_probe)
             if self._health.is_usable(connection, deadline):
                 return connection
             if connection.went_silent:
@@ -129,11 +131,14 @@
         first, so that nothing of one caller is left for the next.
         """
         self._health.note(connection)
-        if not reuse or not self._health.make_clean(connection):
+        is_current = connection.generation == self._generation
+        if not reuse or not is_current or not self._health.make_clean(connection):
             self._close(connection)
             return
         with self._lock:
             self._in_use -= 1
+            self._probing -= connection.is_probing
+            connection.is_probing = False
             self._idle.append(connection)
             self._serve_waiters()
         self._close_expired()
@@ -146,6 +151,23 @@
         with self._lock:
             self._serve_waiters()
 
+    def change(self, connector: Connector, settings: PoolSettings) -> None:
+        """Put other settings in force.
+
+        Connections opened under the old ones are closed: idle ones at once, those
+        in use when they come back.
+        """
+        with self._lock:
+            self._connector = connector
+            self._settings = settings
+            self._generation += 1
+            closing = list(self._idle)
+            self._idle.clear()
+            self._in_use += len(closing)
+        self._health.change(settings)
+        for connection in closing:
+            self._close(connection)
+
     def unload(self) -> None:
         """Close idle connections and refuse callers; held ones close on release."""
         with self._lock:
@@ -189,26 +211,34 @@
     def _serve_waiters(self) -> None:
         """Give what is free to the first callers of the queue; lock is held."""
         while self._waiters and not self._is_unloaded:
-            is_probe = self._waiters[0].is_probe
-            if not is_probe and self._in_use >= self._caller_limit():
+            waiter = self._waiters[0]
+            callers = self._in_use - self._probing
+            if not waiter.is_probe and callers >= self._caller_limit():
                 return
             if self._idle:
-                self._waiters[0].connection = self._idle.pop()
+                waiter.connection = self._idle.pop()
+                waiter.connection.is_probing = waiter.is_probe
             elif self._open_count() < self._limit:
-                self._waiters[0].may_open = True
+                waiter.may_open = True
             else:
                 return
             self._in_use += 1
-            self._waiters.popleft().condition.notify_all()
+            self._probing += waiter.is_probe
+            self._waiters.popleft()
+            waiter.condition.notify_all()
 
-    def _open(self, deadline: float) -> BackendConnection:
+    def _open(self, deadline: float, *, is_probe: bool) -> BackendConnection:
         # The room was counted before, so that no two callers open the last one.
         bounded = min(deadline, self._clock.now() + self._settings.connect_timeout)
+        generation = self._generation
         try:
-            return self._connector.connect(self._server, bounded)
+            connection = self._connector.connect(self._server, bounded)
         except BaseException:
-            self._give_back_room()
+            self._give_back_room(is_probe=is_probe)
             raise
+        connection.is_probing = is_probe
+        connection.generation = generation
+        return connection
 
     def _drop_suspected(self) -> None:
         with self._lock:
@@ -239,9 +269,10 @@
         try:
             connection.close()
         finally:
-            self._give_back_room()
+            self._give_back_room(is_probe=connection.is_probing)
 
-    def _give_back_room(self) -> None:
+    def _give_back_room(self, *, is_probe: bool) -> None:
         with self._lock:
             self._in_use -= 1
+            self._probing -= is_probe
             self._serve_waiters()
--- a/tests/backend/test_pool.py
+++ b/tests/backend/test_pool.py
@@ -121,6 +121,19 @@
                 pool.acquire(CLOCK.now() + 1)
         self.assertEqual(pool.open_count, 0)
 
+    def test_probe_takes_nothing_from_the_callers_share(self) -> None:
+        pool = self.pool(2)
+        probing = pool.acquire(CLOCK.now() + 5, is_probe=True)
+        self.assertEqual(run(pool, "ECHO 1"), b"1")
+        pool.release(probing, reuse=True)
+        held = pool.acquire(CLOCK.now() + 5)
+        with self.assertRaises(PoolTimeoutError):
+            pool.acquire(CLOCK.now() + 0.05)
+        probing = pool.acquire(CLOCK.now() + 5, is_probe=True)
+        pool.release(probing, reuse=False)
+        pool.release(held, reuse=False)
+        self.assertEqual(run(pool, "ECHO 2"), b"2")
+
     def test_unloaded_pool_refuses_its_waiters(self) -> None:
         pool = self.pool(1)
         held = pool.acquire(CLOCK.now() + 5)
@@ -135,6 +148,21 @@
         self.assertEqual(pool.open_count, 0)
 
 
+class ChangeTests(PoolTestCase):
+    """Settings change at work, such as a new password."""
+
+    def test_connections_of_the_old_settings_are_not_used_again(self) -> None:
+        pool = self.pool(3)
+        held = pool.acquire(CLOCK.now() + 5)
+        run(pool, "ECHO idle")
+        pool.change(connector(), PoolSettings(connect_timeout=5))
+        self.assertEqual(pool.open_count, 1)
+        pool.release(held, reuse=True)
+        self.assertEqual(pool.open_count, 0)
+        run(pool, "ECHO new")
+        self.assertEqual(self.relay.accepted, 3)
+
+
 class DemandTests(PoolTestCase):
     """Control leases connections by demand."""
 
--- a/tests/backend/test_with_standin.py
+++ b/tests/backend/test_with_standin.py
@@ -136,7 +136,7 @@
     def test_pools_within_their_shares_are_never_refused(self) -> None:
         server = self.start("a", role="primary", connections=6)
         pools = [self.pool(server, 3), self.pool(server, 3)]
-        prober = Prober(lambda _server: pools[0], CLOCK, timeout=30)
+        prober = Prober(lambda _server: pools[0], CLOCK, lambda _server: 30)
 
         def caller(number: int) -> None:
             pool = pools[number % 2]
@@ -235,7 +235,7 @@
         """
         server = self.start("a", role="primary")
         pool = self.pool(server, 2)
-        prober = Prober(lambda _server: pool, CLOCK, timeout=0.2)
+        prober = Prober(lambda _server: pool, CLOCK, lambda _server: 0.2)
         hanging = pool.acquire(CLOCK.now() + 5)
         server.faults.apply(FaultsRequest(freeze=True))
         with ThreadPoolExecutor(2) as executor:
@@ -253,7 +253,7 @@
     def test_probe_goes_through_the_pool(self) -> None:
         server = self.start("a", role="primary")
         pool = self.pool(server, 1)
-        prober = Prober(lambda _server: pool, CLOCK, timeout=5)
+        prober = Prober(lambda _server: pool, CLOCK, lambda _server: 5)
         status = prober.status(self.describe(server))
         self.assertEqual((status.server, status.role), ("a", Role.PRIMARY))
         self.assertEqual((pool.in_use, pool.open_count), (0, 1))
