Keep an open transaction from shutting out other statements

Found by a scenario: with one open transaction at a proxy that had just started, every other statement to the primary was refused at its deadline, for as long as the transaction stayed open. Causes: the first limit of statements in flight was cut to the share of that moment (1) and grew only with statements that ended; a transaction counted as in flight between its statements; waiting statements were not part of the demand for connections. Ruled out: the pool, which had been given a second connection.

--- a/packages/backend/src/dogwoodspool_backend/connection.py
+++ b/packages/backend/src/dogwoodspool_backend/connection.py
@@ -38,6 +38,7 @@
         answered_at: when the server last gave a complete answer, clock seconds.
         went_silent: a wait for the server ended without an answer.
         needs_reset: statements ran that may have changed the session.
+        is_probing: the pool gave it to a probe and not to a caller.
         generation: the pool's count of settings under which it was opened.
     """
 
@@ -52,6 +53,7 @@
         self.answered_at = clock.now()
         self.went_silent = False
         self.needs_reset = False
+        self.is_probing = False
         self.generation = 0
 
     @property
--- a/packages/limits/src/dogwoodspool_limits/concurrency.py
+++ b/packages/limits/src/dogwoodspool_limits/concurrency.py
@@ -34,7 +34,9 @@
     def __init__(self, clock: Clock, start: int, ceiling: int) -> None:
         self._base = _LowestLatency(clock, BASE_MEMORY)
         self._ceiling = max(MIN_LIMIT, ceiling)
-        self._limit = float(max(MIN_LIMIT, min(start, self._ceiling)))
+        # Not cut to the present ceiling: shares grow by demand, and the limit
+        # would stay low until it had been reached for a whole window.
+        self._limit = float(max(MIN_LIMIT, start))
         self._latencies: list[float] = []
         self._unanswered = 0
         self._was_reached = False
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -93,7 +93,10 @@
         """Return the connections wanted for each backend server."""
         with self._lock:
             backends = list(self._backends.values())
-        return {backend.server.name: backend.pool.demand for backend in backends}
+        return {
+            backend.server.name: backend.pool.demand + backend.admission.waiting
+            for backend in backends
+        }
 
     def usage(self) -> list[BackendUsage]:
         """Return how much of each backend server is in use."""
