Let the settings tree be read while a change is applied

Cause: control's HTTP threads list nodes and history while the log is applied; a deque or dict that changes under an iteration raises, and the operator's read fails. Both are copied first now, which is one step of the interpreter. No test: the race cannot be forced without a hook in the tree.

--- a/packages/settings/src/dogwoodspool_settings/change_history.py
+++ b/packages/settings/src/dogwoodspool_settings/change_history.py
@@ -24,9 +24,10 @@
 
     def latest(self, limit: int, path: str | None) -> list[HistoryEntry]:
         """Return redacted entries of one path or of all, the newest first."""
-        entries = [
-            entry for entry in reversed(self._entries) if path in (None, entry.path)
-        ]
+        # A copy first: an operator's look at the history would fail when a change is
+        # applied meanwhile. The copy is one step of the interpreter.
+        newest_first = reversed(list(self._entries))
+        entries = [entry for entry in newest_first if path in (None, entry.path)]
         return [_redacted(entry) for entry in entries[:limit]]
 
     def overrides_of(self, path: str, version: int) -> Mapping[str, Any] | None:
--- a/packages/settings/src/dogwoodspool_settings/node_store.py
+++ b/packages/settings/src/dogwoodspool_settings/node_store.py
@@ -42,7 +42,10 @@
 
     def all(self) -> list[StoredNode]:
         """Return all nodes, ordered by path."""
-        return [self._nodes[path] for path in sorted(self._nodes)]
+        # A copy first: a node may be deleted while another thread lists them. The
+        # copy is one step of the interpreter.
+        nodes = list(self._nodes.values())
+        return sorted(nodes, key=lambda node: node.path)
 
     def get(self, path: str) -> StoredNode | None:
         """Return the node at a path."""
--- a/packages/settings/src/dogwoodspool_settings/tree.py
+++ b/packages/settings/src/dogwoodspool_settings/tree.py
@@ -30,8 +30,9 @@
     """Hold the tree, decide changes and give the values in force.
 
     Every decision depends only on the changes applied before, so that all voters
-    that apply the same log hold the same tree. One thread applies changes at a
-    time; ``effective`` may be called from any thread meanwhile.
+    that apply the same log hold the same tree. One thread at a time applies
+    changes and takes or restores snapshots; every other read may be called from
+    any thread meanwhile.
 
     Example:
         >>> tree = SettingsTree()
