--- a/packages/standin/src/dogwoodspool_standin/main.py
+++ b/packages/standin/src/dogwoodspool_standin/main.py
@@ -33,6 +33,7 @@
 """
 
 from dogwoodspool_common import (
+    SettingsError,
     SystemClock,
     read_settings,
     run_program,
@@ -42,6 +43,7 @@
 )
 
 from .const import PROGRAM
+from .errors import StorageError
 from .server import StandinServer
 from .settings import StandinSettings
 
@@ -51,8 +53,7 @@
     settings = read_settings(__doc__ or "", StandinSettings)
     set_up_logging(PROGRAM, settings.name, settings.log_level)
     stop = stop_event_on_signals()
-    server = StandinServer(settings, SystemClock())
-    server.set_up()
+    server = _start(settings)
     addresses = {
         "address": server.address,
         "control_address": server.control_address,
@@ -66,3 +67,12 @@
 def run() -> None:
     """Run the program and exit with its status."""
     run_program(main)
+
+
+def _start(settings: StandinSettings) -> StandinServer:
+    try:
+        server = StandinServer(settings, SystemClock())
+        server.set_up()
+    except (OSError, StorageError) as error:
+        raise SettingsError(f"cannot start: {error}") from error
+    return server
