--- a/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
+++ b/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
@@ -24,7 +24,8 @@
     leader = status.leader or "unknown"
     lines = [f"leader {leader}", f"version {status.view_version}", ""]
     lines += ["voters", *_voter_lines(status.voters), ""]
-    lines += [*_group_lines(status), "", *_server_lines(status), ""]
+    lines += [*_group_lines(status), "", *_promotion_lines(status)]
+    lines += [*_server_lines(status), ""]
     lines += _proxy_lines(status.proxies, status.view_version)
     return Report(lines, status.model_dump(mode="json"))
 
@@ -118,6 +119,17 @@
     return table(headers, rows)
 
 
+def _promotion_lines(status: StatusAnswer) -> list[str]:
+    if not status.promotions:
+        return []
+    headers = ("PROMOTION OF", "TERM", "REASON", "STEP", "WAITING FOR")
+    rows = [
+        (row.group, row.term, row.reason, row.step, ", ".join(row.waiting_for))
+        for row in status.promotions
+    ]
+    return [*table(headers, rows), ""]
+
+
 def _server_lines(status: StatusAnswer) -> list[str]:
     headers = ("SERVER", "GROUP", "FAILURE DOMAIN", "ADDRESS", "LEAVING")
     rows = [
--- a/packages/ctl/src/dogwoodspool_ctl/models.py
+++ b/packages/ctl/src/dogwoodspool_ctl/models.py
@@ -110,6 +110,16 @@
     is_leaving: bool = False
 
 
+class PromotionRow(Answer):
+    """One change of primary that is under way."""
+
+    group: str
+    term: int
+    reason: str
+    step: str
+    waiting_for: list[str]
+
+
 class StatusAnswer(Answer):
     """The state of the whole system as one voter knows it.
 
@@ -123,6 +133,7 @@
     groups: list[GroupMessage]
     servers: list[ServerRow]
     proxies: list[ProxyStatus]
+    promotions: list[PromotionRow] = []
     view_version: int
 
 
--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -124,6 +124,15 @@
                 "groups": [],
                 "servers": [],
                 "proxies": self.proxies,
+                "promotions": [
+                    {
+                        "group": "g1",
+                        "term": 3,
+                        "reason": "planned",
+                        "step": "begun",
+                        "waiting_for": ["entry-2"],
+                    }
+                ],
                 "view_version": self.index,
             }
         )
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -237,7 +237,9 @@
             ],
         )
         self.assertIn("id=v1", self.done("voters", "list"))
-        self.assertIn("entry-1", self.done("status"))
+        status = self.done("status")
+        self.assertIn("entry-1", status)
+        self.assertRegex(status, "g1 +3 +planned +begun +entry-2")
 
 
 class LeaderTests(CtlCase):
