Send a new leader's first entry in its first message

A new leader asked each peer first whether it held the new leader's own entry, which none does, and so lost a round trip of the failover gap.

--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -302,9 +302,13 @@
             self.append_configuration(configuration)
 
     def progress_of(self, peer: str) -> PeerProgress:
-        """Return the leader's record of a peer, new where there is none."""
+        """Return the leader's record of a peer, new where there is none.
+
+        Most peers hold all that came before this leadership, so that the first
+        message brings them the leader's first entry and can commit it.
+        """
         if peer not in self.progress:
-            self.progress[peer] = PeerProgress(self.log.last_index + 1)
+            self.progress[peer] = PeerProgress(self.first_own_index)
         return self.progress[peer]
 
     def advance_commit(self) -> None:
--- a/tests/consensus/test_lease.py
+++ b/tests/consensus/test_lease.py
@@ -86,8 +86,11 @@
     def test_no_leadership_before_an_entry_of_the_own_term_is_applied(self) -> None:
         # Story: an operator's change is acknowledged and the leader dies. The
         # next leader holds it but does not know yet that it is committed; an
-        # answer from its state would miss the change.
+        # answer from its state would miss the change. The third node lacks the
+        # change, so its first answer renews the lease and commits nothing.
         cluster = self.cluster
+        behind = sorted(set(cluster.nodes) - {self.old})[1]
+        cluster.cuts.add(frozenset({self.old, behind}))
         proposal = cluster.nodes[self.old].submit({"id": "x"})
         while not proposal.is_done:
             cluster.step(self.old)
