--- a/packages/consensus/src/dogwoodspool_consensus/diagnostics.py
+++ b/packages/consensus/src/dogwoodspool_consensus/diagnostics.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 
 from .models import Role
-from .state import NEVER, NodeState
+from .progress import NEVER
+from .state import NodeState
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/consensus/src/dogwoodspool_consensus/election.py
+++ b/packages/consensus/src/dogwoodspool_consensus/election.py
@@ -3,10 +3,12 @@
 from dogwoodspool_common import log_event
 
 from .const import PATH_VOTE, UNPINNED
+from .identities import check_request
 from .messages import VoteRequest, VoteResponse
 from .models import Role
 from .peers import PeerCaller
-from .state import NodeState, VoteRound
+from .progress import VoteRound
+from .state import NodeState
 
 
 class Elections:
@@ -61,7 +63,7 @@
         """Answer a candidate."""
         state = self._state
         with state.changed:
-            state.check_request(request)
+            check_request(state, request)
             is_granted = self._decide(request)
             return VoteResponse(
                 term=state.term,
--- a/packages/consensus/src/dogwoodspool_consensus/models.py
+++ b/packages/consensus/src/dogwoodspool_consensus/models.py
@@ -122,6 +122,16 @@
         """Return the configuration with one member added or replaced."""
         return replace(self, members={**self.members, name: member})
 
+    def with_pins(self, incarnations: Mapping[str, str]) -> "Configuration":
+        """Return the configuration with the incarnations that it lacks pinned."""
+        members = {
+            name: replace(node, incarnation=incarnations[name])
+            if node.incarnation == UNPINNED and name in incarnations
+            else node
+            for name, node in self.members.items()
+        }
+        return replace(self, members=members)
+
     def without(self, name: str) -> "Configuration":
         """Return the configuration with one member removed and its id retired."""
         members = {key: node for key, node in self.members.items() if key != name}
--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -1,7 +1,6 @@
 """One node of the replicated log."""
 
 import random
-import threading
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -12,7 +11,6 @@
     JsonResponse,
     Route,
     error_response,
-    log_event,
 )
 
 from .applier import Applier, StateMachine
@@ -47,6 +45,7 @@
 from .snapshots import SnapshotReceiver, SnapshotSender
 from .state import NodeState
 from .storage import LogStorage
+from .threads import NodeSteps, NodeThreads
 from .transport import PeerTransport
 
 HTTP_CONFLICT = 409
@@ -105,9 +104,15 @@
         self._applier = Applier(state, machine, self._proposals)
         self._reads = Reads(state, caller)
         self._membership = Membership(state)
-        self._threads: list[threading.Thread] = []
-        self._peer_threads: dict[str, threading.Thread] = {}
-        self._timer = threading.Condition()
+        self._threads = NodeThreads(
+            state,
+            NodeSteps(
+                self.tick, self.step_peer, self.write_pending, self.apply_committed
+            ),
+            peer_due=self._peer_due,
+            has_proposals=lambda: self._proposals.has_work,
+            has_committed=lambda: self._applier.has_work,
+        )
 
     @property
     def node_id(self) -> str:
@@ -133,9 +138,7 @@
             StorageCorruptError: the files cannot be trusted.
         """
         self.load()
-        self._start("raft-timer", self._timer_loop)
-        self._start("raft-log-writer", self._writer_loop)
-        self._start("raft-applier", self._applier_loop)
+        self._threads.set_up()
 
     def unload(self) -> None:
         """Stop all threads and close the files."""
@@ -143,11 +146,7 @@
         with state.changed:
             state.is_closed = True
             state.become_follower(state.term)
-            state.changed.notify_all()
-        with self._timer:
-            self._timer.notify_all()
-        for thread in [*self._threads, *self._peer_threads.values()]:
-            thread.join()
+        self._threads.unload()
         state.storage.close()
 
     def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
@@ -283,69 +282,3 @@
         if self._elections.wants_vote(peer):
             return state.clock.now()
         return float("inf")
-
-    def _start(self, name: str, loop: Callable[[], None]) -> None:
-        thread = threading.Thread(target=loop, name=name, daemon=True)
-        self._threads.append(thread)
-        thread.start()
-
-    def _timer_loop(self) -> None:
-        state = self._state
-        pause = state.settings.heartbeat_interval / 2
-        while not state.is_closed:
-            self.tick()
-            self._start_peer_threads()
-            with self._timer:
-                if not state.is_closed:
-                    state.clock.wait(self._timer, pause)
-
-    def _start_peer_threads(self) -> None:
-        with self._state.changed:
-            peers = set(self._state.configuration.members) - {self.node_id}
-        for peer in peers:
-            thread = self._peer_threads.get(peer)
-            if thread is not None and thread.is_alive():
-                continue
-            thread = threading.Thread(
-                target=self._peer_loop, args=(peer,), name=f"raft-{peer}", daemon=True
-            )
-            self._peer_threads[peer] = thread
-            thread.start()
-
-    def _peer_loop(self, peer: str) -> None:
-        state = self._state
-        while True:
-            with state.changed:
-                if state.is_closed or peer not in state.configuration.members:
-                    return
-                remaining = self._peer_due(peer) - state.clock.now()
-                if remaining > 0:
-                    limit = state.settings.election_timeout_max
-                    state.clock.wait(state.changed, min(remaining, limit))
-                    continue
-            self.step_peer(peer)
-
-    def _writer_loop(self) -> None:
-        self._loop(lambda: self._proposals.has_work, self.write_pending)
-
-    def _applier_loop(self) -> None:
-        try:
-            self._loop(lambda: self._applier.has_work, self.apply_committed)
-        except Exception as error:
-            # A machine that raises has not applied an entry which its peers may
-            # have applied: going on would let the copies differ silently.
-            log_event("apply_failed", level="ERROR", node=self.node_id, error=error)
-            with self._state.changed:
-                self._state.fail(error)
-            raise
-
-    def _loop(self, has_work: Callable[[], bool], step: Callable[[], None]) -> None:
-        state = self._state
-        while True:
-            with state.changed:
-                while not state.is_closed and (state.has_failed or not has_work()):
-                    limit = state.settings.election_timeout_max
-                    state.clock.wait(state.changed, limit)
-                if state.is_closed:
-                    return
-            step()
--- a/packages/consensus/src/dogwoodspool_consensus/peers.py
+++ b/packages/consensus/src/dogwoodspool_consensus/peers.py
@@ -46,7 +46,7 @@
         """Return the peer's answer; None when there is none that counts.
 
         A peer answers only under the incarnation that the request names, see
-        ``NodeState.check_request``.
+        ``check_request``.
 
         The lock is not held, so that a slow peer holds up nobody else.
         """
--- a/packages/consensus/src/dogwoodspool_consensus/reads.py
+++ b/packages/consensus/src/dogwoodspool_consensus/reads.py
@@ -1,9 +1,11 @@
 """Reads: points in the log from which a read misses nothing."""
 
+import contextlib
 from collections.abc import Callable
 
 from .const import PATH_READ
 from .errors import NotConfirmedError, NotLeaderError
+from .identities import check_request
 from .messages import ReadRequest, ReadResponse
 from .models import Role
 from .peers import PeerCaller
@@ -79,7 +81,7 @@
         """Answer a follower that asks for a read point."""
         state = self._state
         with state.changed:
-            state.check_request(request)
+            check_request(state, request)
         index = self.leader_read_point(state.clock.now() + state.settings.rpc_timeout)
         with state.changed:
             return ReadResponse(
@@ -90,26 +92,28 @@
         state = self._state
         while True:
             with state.changed:
-                if state.has_failed or state.is_closed:
-                    raise NotConfirmedError("this node takes no part any more")
                 is_leader, leader = state.role is Role.LEADER, state.leader_id
-            try:
-                if is_leader:
+            if is_leader:
+                with contextlib.suppress(NotLeaderError):
                     return self.leader_read_point(deadline)
-            except NotLeaderError:
-                leader = None
-            index = self._ask(leader, deadline) if leader is not None else None
-            if index is not None:
-                return index
-            if state.clock.now() >= deadline:
+            elif leader is not None:
+                index = self._ask(leader, deadline)
+                if index is not None:
+                    return index
+            if not self._pause(deadline):
                 raise NotConfirmedError("no leader confirmed the read in time")
-            pause = state.clock.now() + state.settings.heartbeat_interval
-            with state.changed:
-                known = (state.role, state.leader_id)
-                self._wait(
-                    lambda known=known: (state.role, state.leader_id) != known,  # type: ignore[misc]
-                    min(pause, deadline),
-                )
+
+    def _pause(self, deadline: float) -> bool:
+        """Wait for news of a leader; return False when there is no more time."""
+        state = self._state
+        with state.changed:
+            known = (state.role, state.leader_id)
+            until = state.clock.now() + state.settings.heartbeat_interval
+            self._wait(
+                lambda: (state.role, state.leader_id) != known, min(until, deadline)
+            )
+            is_open = not state.has_failed and not state.is_closed
+            return is_open and state.clock.now() < deadline
 
     def _ask(self, leader: str, deadline: float) -> int | None:
         state = self._state
--- a/packages/consensus/src/dogwoodspool_consensus/replication.py
+++ b/packages/consensus/src/dogwoodspool_consensus/replication.py
@@ -1,11 +1,13 @@
 """Replication: the leader's messages to one peer and the follower's answers."""
 
 from .const import PATH_APPEND
+from .identities import check_request
 from .messages import AppendRequest, AppendResponse, EntryMessage
 from .models import Role
 from .peers import PeerCaller
+from .progress import PeerProgress
 from .snapshots import SnapshotSender
-from .state import NodeState, PeerProgress
+from .state import NodeState
 
 
 class Replication:
@@ -48,14 +50,14 @@
         with state.changed:
             if response is None:
                 self._delay(progress)
-            else:
-                self._take_response(peer, progress, request, response, sent_at)
+            elif state.counts_answer(peer, request, response, sent_at):
+                self._take_response(progress, request, response)
 
     def handle_append(self, request: AppendRequest) -> AppendResponse:
         """Take in the leader's entries; answer when they are durable."""
         state = self._state
         with state.changed:
-            state.check_request(request)
+            check_request(state, request)
             is_success = request.term >= state.term and self._take_in(request)
             return AppendResponse(
                 term=state.term,
@@ -91,22 +93,9 @@
         progress.retry_at = self._state.clock.now() + settings.heartbeat_interval
 
     def _take_response(
-        self,
-        peer: str,
-        progress: PeerProgress,
-        request: AppendRequest,
-        response: AppendResponse,
-        sent_at: float,
+        self, progress: PeerProgress, request: AppendRequest, response: AppendResponse
     ) -> None:
         state = self._state
-        if response.term > state.term:
-            state.become_follower(response.term)
-            return
-        # The answer may come after this node lost its place and even led again.
-        if state.role is not Role.LEADER or state.term != request.term:
-            return
-        state.pin({peer: response.incarnation})
-        progress.acked_at = max(progress.acked_at, sent_at)
         if response.is_success:
             match = request.prev_index + len(request.entries)
             progress.match_index = max(progress.match_index, match)
--- a/packages/consensus/src/dogwoodspool_consensus/snapshots.py
+++ b/packages/consensus/src/dogwoodspool_consensus/snapshots.py
@@ -5,13 +5,14 @@
 
 from dogwoodspool_common import log_event
 
+from .codec import snapshot_from_json, snapshot_to_json
 from .configurations import ConfigurationAt
 from .const import PATH_SNAPSHOT
+from .identities import check_request
 from .messages import SnapshotRequest, SnapshotResponse
 from .models import LogBase, Role, Snapshot
 from .peers import PeerCaller
 from .state import NodeState
-from .storage import snapshot_from_json, snapshot_to_json
 
 
 @dataclass(slots=True)
@@ -39,41 +40,46 @@
             snapshot = state.snapshot
             if snapshot is None or state.role is not Role.LEADER:
                 return
+            request = self._build(peer, snapshot)
             progress = state.progress_of(peer)
-            text = self._encode(snapshot)
-            if progress.snapshot_index != snapshot.index:
-                progress.snapshot_index, progress.snapshot_offset = snapshot.index, 0
-            start = progress.snapshot_offset
-            end = start + state.settings.snapshot_chunk_bytes
-            request = SnapshotRequest(
-                **self._caller.header(peer, state.term),
-                leader_address=str(state.address),
-                index=snapshot.index,
-                offset=start,
-                data=text[start:end],
-                is_last=end >= len(text),
-            )
             progress.sent_at = sent_at = state.clock.now()
         response = self._caller.call(peer, PATH_SNAPSHOT, request, SnapshotResponse)
         with state.changed:
             if response is None:
                 interval = state.settings.heartbeat_interval
                 progress.retry_at = state.clock.now() + interval
-                return
-            if response.term > state.term:
-                state.become_follower(response.term)
-                return
-            if state.role is not Role.LEADER or state.term != request.term:
-                return
-            state.pin({peer: response.incarnation})
-            progress.acked_at = max(progress.acked_at, sent_at)
-            progress.snapshot_offset = min(response.next_offset, len(text))
-            if request.is_last and response.next_offset >= len(text):
-                progress.match_index = max(progress.match_index, snapshot.index)
-                progress.next_index = progress.match_index + 1
-                progress.snapshot_index = 0
-                log_event("snapshot_sent", peer=peer, index=snapshot.index)
-            state.changed.notify_all()
+            elif state.counts_answer(peer, request, response, sent_at):
+                self._take_response(peer, request, response)
+
+    def _build(self, peer: str, snapshot: Snapshot) -> SnapshotRequest:
+        state = self._state
+        progress = state.progress_of(peer)
+        text = self._encode(snapshot)
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index, progress.snapshot_offset = snapshot.index, 0
+        start = progress.snapshot_offset
+        end = start + state.settings.snapshot_chunk_bytes
+        return SnapshotRequest(
+            **self._caller.header(peer, state.term),
+            leader_address=str(state.address),
+            index=snapshot.index,
+            offset=start,
+            data=text[start:end],
+            is_last=end >= len(text),
+        )
+
+    def _take_response(
+        self, peer: str, request: SnapshotRequest, response: SnapshotResponse
+    ) -> None:
+        progress = self._state.progress_of(peer)
+        progress.snapshot_offset = response.next_offset
+        is_whole = response.next_offset == request.offset + len(request.data)
+        if request.is_last and is_whole:
+            progress.match_index = max(progress.match_index, request.index)
+            progress.next_index = progress.match_index + 1
+            progress.snapshot_index = 0
+            log_event("snapshot_sent", peer=peer, index=request.index)
+        self._state.changed.notify_all()
 
     def _encode(self, snapshot: Snapshot) -> str:
         index, text = self._encoded
@@ -94,7 +100,7 @@
         """Take in one chunk."""
         state = self._state
         with state.changed:
-            state.check_request(request)
+            check_request(state, request)
             next_offset = 0
             if request.term >= state.term:
                 state.follow(request)
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -3,64 +3,27 @@
 import json
 import random
 import threading
-from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Mapping, Sequence
 
 from dogwoodspool_common import Address, Clock, log_event
 
-from .configurations import ConfigurationAt, ConfigurationHistory
-from .const import CODE_SOURCE_REFUSED, CODE_TARGET_MISMATCH, UNPINNED
-from .errors import IdentityRefusedError, StorageCorruptError, StorageFailedError
-from .log import ReplicatedLog
-from .messages import AppendRequest, PeerRequest, SnapshotRequest
+from .const import UNPINNED
+from .errors import StorageCorruptError
+from .messages import AppendRequest, PeerRequest, PeerResponse, SnapshotRequest
 from .models import (
     Configuration,
     ConsensusSettings,
     Entry,
     EntryKind,
-    Identity,
     Leadership,
-    LogBase,
-    Member,
     Role,
     Snapshot,
-    StoredState,
     Vote,
 )
+from .progress import NEVER, PeerProgress, VoteRound
+from .recovery import recover_configurations, recover_identity, recover_log
 from .storage import LogStorage
 
-NEVER = float("-inf")
-
-
-@dataclass(slots=True)
-class PeerProgress:
-    """What a leader knows of one peer.
-
-    Attributes:
-        acked_at: send time of the newest message that the peer answered in
-            this term.
-        sent_at: send time of the newest message.
-        retry_at: earliest time for the next message after a failed one.
-    """
-
-    next_index: int
-    match_index: int = 0
-    acked_at: float = NEVER
-    sent_at: float = NEVER
-    retry_at: float = NEVER
-    snapshot_index: int = 0
-    snapshot_offset: int = 0
-
-
-@dataclass(slots=True)
-class VoteRound:
-    """One round of votes; a pre-vote asks without changing any term."""
-
-    term: int
-    is_pre_vote: bool
-    granted: dict[str, str]
-    asked: set[str] = field(default_factory=set)
-
 
 class NodeState:
     """Role, term, log and peers of one node.
@@ -128,35 +91,15 @@
         return member.is_voter and member.incarnation == self.identity.incarnation
 
     def load(self, initial_voters: Mapping[str, Address], bootstrap: bool) -> None:
-        """Read the storage; make a new identity where there is none.
-
-        An empty folder gives no right to vote by itself: its owner may be a
-        voter whose disk was lost, and its vote or answer could then undo what
-        it had promised before. Only ``bootstrap`` lets it begin as a voter,
-        once in the life of a cluster.
-        """
+        """Read the storage; make a new identity where there is none."""
         stored = self.storage.load()
-        identity = stored.identity
-        if identity is None:
-            voters = initial_voters if bootstrap else None
-            identity = self.storage.create_identity(self.node_id, voters)
-            log_event(
-                "identity_created",
-                node=self.node_id,
-                incarnation=identity.incarnation,
-                bootstrap=bootstrap,
-            )
-        if identity.node_id != self.node_id:
-            raise StorageCorruptError(
-                f"the folder belongs to {identity.node_id}, not to {self.node_id}"
-            )
+        voters = initial_voters if bootstrap else None
+        identity = recover_identity(self.storage, stored, self.node_id, voters)
         self.identity = identity
         self.vote = stored.vote
         self.snapshot = stored.snapshot
-        self.log = self._load_log(stored)
-        self.configurations = ConfigurationHistory(
-            self._first_configuration(identity, stored.snapshot), self._later_entries()
-        )
+        self.log = recover_log(self.storage, stored)
+        self.configurations = recover_configurations(identity, stored, self.log)
         if stored.snapshot is not None:
             self.commit_index = stored.snapshot.index
             self.snapshot_to_restore = stored.snapshot
@@ -176,35 +119,6 @@
         high = self.settings.election_timeout_max
         self.election_deadline = self.clock.now() + self._rng.uniform(low, high)
 
-    def check_request(self, request: PeerRequest) -> None:
-        """Refuse a message between nodes that are not who they should be.
-
-        Raises:
-            IdentityRefusedError: a wiped voter, or another process at its
-                address, sends or receives under an id whose incarnation the
-                configuration pins.
-            StorageFailedError: the disk of this node counts as lost.
-        """
-        if self.has_failed or self.is_closed:
-            raise StorageFailedError("this node takes no part any more")
-        own = self.identity.incarnation
-        if request.target != self.node_id or request.target_incarnation not in (
-            own,
-            UNPINNED,
-        ):
-            raise IdentityRefusedError(
-                f"{request.target} is not the node that was expected here",
-                CODE_TARGET_MISMATCH,
-            )
-        member = self.configuration.members.get(request.source)
-        if member is None or member.incarnation == UNPINNED:
-            return
-        if member.incarnation != request.source_incarnation:
-            raise IdentityRefusedError(
-                f"{request.source} has lost its files; it must join under a new id",
-                CODE_SOURCE_REFUSED,
-            )
-
     def follow(self, request: AppendRequest | SnapshotRequest) -> None:
         """Follow the leader that sent a message of a term not older than ours."""
         if request.term > self.term or self.role is not Role.FOLLOWER:
@@ -291,15 +205,9 @@
 
     def pin(self, incarnations: Mapping[str, str]) -> None:
         """Pin the incarnations of members that have none yet."""
-        configuration = self.configuration
-        for name, incarnation in incarnations.items():
-            member = configuration.members.get(name)
-            if member is None or member.incarnation != UNPINNED:
-                continue
-            pinned = Member(member.address, incarnation, member.is_voter)
-            configuration = configuration.with_member(name, pinned)
-        if configuration is not self.configuration:
-            self.append_configuration(configuration)
+        pinned = self.configuration.with_pins(incarnations)
+        if pinned != self.configuration:
+            self.append_configuration(pinned)
 
     def progress_of(self, peer: str) -> PeerProgress:
         """Return the leader's record of a peer, new where there is none.
@@ -311,6 +219,24 @@
             self.progress[peer] = PeerProgress(self.first_own_index)
         return self.progress[peer]
 
+    def counts_answer(
+        self, peer: str, request: PeerRequest, response: PeerResponse, sent_at: float
+    ) -> bool:
+        """Note that a peer follows; False for an answer that comes too late.
+
+        An answer may arrive after this node has lost its place, or even after
+        it leads again in another term; it then proves nothing.
+        """
+        if response.term > self.term:
+            self.become_follower(response.term)
+            return False
+        if self.role is not Role.LEADER or self.term != request.term:
+            return False
+        self.pin({peer: response.incarnation})
+        progress = self.progress_of(peer)
+        progress.acked_at = max(progress.acked_at, sent_at)
+        return True
+
     def advance_commit(self) -> None:
         """Commit what a quorum holds durably, if it is of the leader's own term.
 
@@ -356,7 +282,7 @@
         if self.has_failed:
             return
         self.has_failed = True
-        log_event("storage_failed", level="ERROR", node=self.node_id, error=error)
+        log_event("node_failed", level="ERROR", node=self.node_id, error=error)
         self.become_follower(self.term)
 
     def _quorum_value(self, value_of: Callable[[str], float]) -> float:
@@ -375,29 +301,3 @@
             return self.clock.now()
         progress = self.progress.get(name)
         return progress.acked_at if progress is not None else NEVER
-
-    def _load_log(self, stored: StoredState) -> ReplicatedLog:
-        log = ReplicatedLog(self.storage, stored.base, stored.entries)
-        snapshot = stored.snapshot
-        if snapshot is None:
-            if stored.base.index:
-                raise StorageCorruptError("the log begins behind a missing snapshot")
-            return log
-        if stored.base.index > snapshot.index:
-            raise StorageCorruptError("the log begins behind the snapshot")
-        # A crash between saving a snapshot that the leader sent and replacing
-        # the log leaves entries that need not follow the snapshot.
-        if log.term_at(snapshot.index) != snapshot.term:
-            log.install(LogBase(snapshot.index, snapshot.term))
-        return log
-
-    def _first_configuration(
-        self, identity: Identity, snapshot: Snapshot | None
-    ) -> ConfigurationAt:
-        if snapshot is not None:
-            return ConfigurationAt(snapshot.index, snapshot.configuration)
-        return ConfigurationAt(0, Configuration.of(identity.initial_voters or {}))
-
-    def _later_entries(self) -> Iterable[Entry]:
-        known = self.snapshot.index if self.snapshot is not None else 0
-        return (entry for entry in self.log.all_entries() if entry.index > known)
--- a/packages/consensus/src/dogwoodspool_consensus/storage.py
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -1,6 +1,5 @@
 """Durable files of one node."""
 
-import json
 import os
 import threading
 import uuid
@@ -10,24 +9,23 @@
 
 from dogwoodspool_common import Address, log_event
 
+from .codec import (
+    entry_from_json,
+    entry_to_json,
+    identity_from_json,
+    identity_to_json,
+    snapshot_from_json,
+    snapshot_to_json,
+)
 from .const import (
     FILE_IDENTITY,
     FILE_LOG,
     FILE_SNAPSHOT,
     FILE_VOTE,
-    TEMPORARY_SUFFIX,
 )
 from .errors import StorageCorruptError, StorageFailedError
-from .models import (
-    Configuration,
-    Entry,
-    EntryKind,
-    Identity,
-    LogBase,
-    Snapshot,
-    StoredState,
-    Vote,
-)
+from .files import replace_file
+from .models import Entry, Identity, LogBase, Snapshot, StoredState, Vote
 from .records import encode_record, scan_records
 
 ValueT = TypeVar("ValueT")
@@ -103,7 +101,7 @@
             if any((self._folder / name).exists() for name in (FILE_VOTE, FILE_LOG)):
                 self._refuse_leftovers()
             return StoredState()
-        identity = _identity_from(self._read_single(FILE_IDENTITY))
+        identity = identity_from_json(self._read_single(FILE_IDENTITY))
         vote = self._read_single(FILE_VOTE)
         snapshot: Snapshot | None = None
         if (self._folder / FILE_SNAPSHOT).exists():
@@ -128,7 +126,7 @@
         self._guard(lambda: self._folder.mkdir(parents=True, exist_ok=True))
         self.save_vote(Vote())
         self.rewrite(LogBase(), ())
-        self._write_atomically(FILE_IDENTITY, _identity_to_json(identity))
+        self._write_atomically(FILE_IDENTITY, identity_to_json(identity))
         return identity
 
     def save_vote(self, vote: Vote) -> None:
@@ -139,7 +137,7 @@
     def append(self, entries: Sequence[Entry]) -> None:
         """Add entries to the log file without a sync."""
         with self._lock:
-            records = [encode_record(_entry_to_json(entry)) for entry in entries]
+            records = [encode_record(entry_to_json(entry)) for entry in entries]
             end = self._ends[-1]
             for record in records:
                 end += len(record)
@@ -170,7 +168,7 @@
     def rewrite(self, base: LogBase, entries: Sequence[Entry]) -> None:
         """Replace the log file."""
         header = encode_record({"base_index": base.index, "base_term": base.term})
-        records = [header, *(encode_record(_entry_to_json(item)) for item in entries)]
+        records = [header, *(encode_record(entry_to_json(item)) for item in entries)]
         with self._lock:
             self._replace(FILE_LOG, b"".join(records))
             self._guard(self._reopen_log)
@@ -204,7 +202,7 @@
             scanned = scan_records(path.read_bytes())
             header, *records = scanned.records
             base = LogBase(int(header["base_index"]), int(header["base_term"]))
-            entries = [_entry_from(record) for record in records]
+            entries = [entry_from_json(record) for record in records]
         except StorageCorruptError as error:
             raise StorageCorruptError(f"{path}: {error}") from error
         except (KeyError, ValueError) as error:
@@ -280,44 +278,6 @@
             raise StorageFailedError(f"{self._folder}: {error}") from error
 
 
-def replace_file(path: Path, content: bytes) -> None:
-    """Write a file so that a crash leaves the old or the new content whole.
-
-    The folder is synced too: until then the new name may be lost in a crash.
-    """
-    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with temporary.open("wb") as file:
-        file.write(content)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
-
-
-def snapshot_to_json(snapshot: Snapshot) -> dict[str, Any]:
-    """Return a snapshot as JSON content."""
-    return {
-        "index": snapshot.index,
-        "term": snapshot.term,
-        "configuration": snapshot.configuration.to_json(),
-        "state": json.loads(snapshot.state),
-    }
-
-
-def snapshot_from_json(content: Mapping[str, Any]) -> Snapshot:
-    """Read what ``snapshot_to_json`` wrote."""
-    return Snapshot(
-        int(content["index"]),
-        int(content["term"]),
-        Configuration.from_json(content["configuration"]),
-        json.dumps(content["state"], separators=(",", ":")),
-    )
-
-
 def _ends_of(records: Sequence[bytes]) -> list[int]:
     ends: list[int] = []
     end = 0
@@ -325,43 +285,3 @@
         end += len(record)
         ends.append(end)
     return ends
-
-
-def _entry_to_json(entry: Entry) -> dict[str, Any]:
-    return {
-        "index": entry.index,
-        "term": entry.term,
-        "kind": entry.kind,
-        "data": entry.data,
-    }
-
-
-def _entry_from(record: Mapping[str, Any]) -> Entry:
-    return Entry(
-        int(record["index"]),
-        int(record["term"]),
-        EntryKind(record["kind"]),
-        str(record["data"]),
-    )
-
-
-def _identity_to_json(identity: Identity) -> dict[str, Any]:
-    voters = identity.initial_voters
-    return {
-        "node_id": identity.node_id,
-        "incarnation": identity.incarnation,
-        "initial_voters": None
-        if voters is None
-        else {name: str(address) for name, address in voters.items()},
-    }
-
-
-def _identity_from(record: Mapping[str, Any]) -> Identity:
-    voters = record["initial_voters"]
-    return Identity(
-        str(record["node_id"]),
-        str(record["incarnation"]),
-        None
-        if voters is None
-        else {name: Address.parse(text) for name, text in voters.items()},
-    )
--- /dev/null
+++ b/packages/consensus/src/dogwoodspool_consensus/threads.py
@@ -0,0 +1,130 @@
+"""The threads of a node: timer, log writer, applier and one for each peer."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from dogwoodspool_common import log_event
+
+from .state import NodeState
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSteps:
+    """What the threads do again and again; tests call the same steps."""
+
+    tick: Callable[[], None]
+    step_peer: Callable[[str], None]
+    write_pending: Callable[[], None]
+    apply_committed: Callable[[], None]
+
+
+class NodeThreads:
+    """Call each step of a node when there is something for it to do."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        steps: NodeSteps,
+        *,
+        peer_due: Callable[[str], float],
+        has_proposals: Callable[[], bool],
+        has_committed: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._steps = steps
+        self._peer_due = peer_due
+        self._has_proposals = has_proposals
+        self._has_committed = has_committed
+        self._threads: list[threading.Thread] = []
+        self._peer_threads: dict[str, threading.Thread] = {}
+        self._timer = threading.Condition()
+
+    def set_up(self) -> None:
+        """Start the threads."""
+        steps = self._steps
+        loops: dict[str, Callable[[], None]] = {
+            "raft-timer": self._timer_loop,
+            "raft-log-writer": lambda: self._loop(
+                self._has_proposals, steps.write_pending
+            ),
+            "raft-applier": lambda: self._loop(
+                self._has_committed, steps.apply_committed
+            ),
+        }
+        self._threads = [self._start(name, loop) for name, loop in loops.items()]
+
+    def unload(self) -> None:
+        """Wait until all threads have ended; the state is closed already."""
+        with self._state.changed:
+            self._state.changed.notify_all()
+        with self._timer:
+            self._timer.notify_all()
+        # The timer first: it starts the threads of the peers.
+        for thread in self._threads:
+            thread.join()
+        for thread in self._peer_threads.values():
+            thread.join()
+
+    def _start(self, name: str, loop: Callable[[], None]) -> threading.Thread:
+        thread = threading.Thread(
+            target=self._run, args=(name, loop), name=name, daemon=True
+        )
+        thread.start()
+        return thread
+
+    def _run(self, name: str, loop: Callable[[], None]) -> None:
+        try:
+            loop()
+        except Exception as error:
+            # A node without one of its threads would lead without committing, or
+            # let its machine differ from its peers' after an apply that raised.
+            log_event("thread_failed", level="ERROR", thread=name, error=repr(error))
+            with self._state.changed:
+                self._state.fail(error)
+            raise
+
+    def _timer_loop(self) -> None:
+        state = self._state
+        pause = state.settings.heartbeat_interval / 2
+        while not state.is_closed:
+            self._steps.tick()
+            self._start_peer_threads()
+            with self._timer:
+                if not state.is_closed:
+                    state.clock.wait(self._timer, pause)
+
+    def _start_peer_threads(self) -> None:
+        with self._state.changed:
+            peers = set(self._state.configuration.members) - {self._state.node_id}
+        for peer in peers:
+            thread = self._peer_threads.get(peer)
+            if thread is None or not thread.is_alive():
+                self._peer_threads[peer] = self._start(
+                    f"raft-{peer}", partial(self._peer_loop, peer)
+                )
+
+    def _peer_loop(self, peer: str) -> None:
+        state = self._state
+        while True:
+            with state.changed:
+                if state.is_closed or peer not in state.configuration.members:
+                    return
+                remaining = self._peer_due(peer) - state.clock.now()
+                if remaining > 0:
+                    limit = state.settings.election_timeout_max
+                    state.clock.wait(state.changed, min(remaining, limit))
+                    continue
+            self._steps.step_peer(peer)
+
+    def _loop(self, has_work: Callable[[], bool], step: Callable[[], None]) -> None:
+        state = self._state
+        while True:
+            with state.changed:
+                while not state.is_closed and (state.has_failed or not has_work()):
+                    limit = state.settings.election_timeout_max
+                    state.clock.wait(state.changed, limit)
+                if state.is_closed:
+                    return
+            step()
