--- /dev/null
+++ b/packages/load/src/dogwoodspool_load/runner.py
@@ -0,0 +1,175 @@
+"""Run callers and faults against a deployment, and check what they saw."""
+
+import re
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Final
+
+import urllib3
+from dogwoodspool_sessions import TokenCodec
+from dogwoodspool_testbed import Deployment
+from dogwoodspool_testbed.const import TOKEN_KEY
+
+from .caller import Caller, CallerOptions
+from .checker import check_history
+from .const import FILE_HISTORY, MAX_ATTEMPTS, ROAM_PROBABILITY
+from .faults import FaultDone, FaultInjector
+from .final_read import read_final
+from .history import HistoryRecorder, read_history
+from .mixes import KindOfRequest, RequestPlanner
+from .models import GroupFinal, Violation
+from .schedule import ScheduledFault
+from .statistics import RunStatistics
+
+READS_SERVED: Final = re.compile(r'reads_total\{.*served_by="(\w+)"\} (\d+)')
+PROGRESS_SECONDS: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class RunPlan:
+    """What one run does.
+
+    Attributes:
+        rate: requests per second of all callers together; 0 is a closed loop.
+        seed: of every caller's choices.
+    """
+
+    name: str
+    mix: Sequence[KindOfRequest]
+    seconds: float
+    rate: float
+    callers: int
+    faults: tuple[ScheduledFault, ...] = ()
+    max_attempts: int = MAX_ATTEMPTS
+    deadline_ms: int | None = None
+    roam_probability: float = ROAM_PROBABILITY
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class RunOutcome:
+    """What one run showed.
+
+    Attributes:
+        begins_at: monotonic seconds at its begin.
+        reads_by: reads served by replicas and by primaries during the run.
+    """
+
+    plan: RunPlan
+    begins_at: float
+    statistics: RunStatistics
+    faults: list[FaultDone]
+    reads_by: Counter[str]
+    violations: list[Violation] = field(default_factory=list)
+
+
+def run_load(
+    deployment: Deployment,
+    plan: RunPlan,
+    folder: Path,
+    say: Callable[[str], None] = print,
+) -> RunOutcome:
+    """Run callers and faults, then check the recorded history.
+
+    The tables must exist. Names of callers hold the plan's name, so that several
+    runs may follow each other on one deployment.
+    """
+    path = folder / FILE_HISTORY
+    recorder = HistoryRecorder(path)
+    statistics = RunStatistics()
+    stop = threading.Event()
+    done: list[FaultDone] = []
+    before = reads_served(deployment)
+    callers = build_callers(deployment, plan, recorder, statistics)
+    begins_at = time.monotonic()
+    with ThreadPoolExecutor(len(callers) + 1, "caller") as executor:
+        futures = [executor.submit(one.run, begins_at, stop) for one in callers]
+        futures.append(
+            executor.submit(
+                FaultInjector(deployment).run, plan.faults, begins_at, stop, done
+            )
+        )
+        _report_progress(plan, statistics, begins_at, say)
+        stop.set()
+        for future in futures:
+            future.result()
+    recorder.close()
+    reads_by = reads_served(deployment) - before
+    outcome = RunOutcome(plan, begins_at, statistics, done, reads_by)
+    # A deployment may hold rows of earlier runs; only this run's are checked.
+    finals = [_rows_of_run(final, plan.name) for final in read_final(deployment)]
+    outcome.violations = check_history(read_history(path), finals)
+    return outcome
+
+
+def build_callers(
+    deployment: Deployment,
+    plan: RunPlan,
+    recorder: HistoryRecorder,
+    statistics: RunStatistics,
+) -> list[Caller]:
+    """Return the callers of a run, spread over the groups in turn."""
+    groups = deployment.shape.groups
+    names = [f"{plan.name}-{number}" for number in range(plan.callers)]
+    interval = plan.callers / plan.rate if plan.rate else 0.0
+    options = CallerOptions(
+        interval, plan.max_attempts, plan.deadline_ms, plan.roam_probability
+    )
+    codec = TokenCodec(bytes.fromhex(TOKEN_KEY))
+    return [
+        Caller(
+            name,
+            groups[number % len(groups)],
+            deployment,
+            deployment.proxies,
+            RequestPlanner(
+                plan.mix, name, names[number % len(groups) :: len(groups)], plan.seed
+            ),
+            options,
+            recorder,
+            statistics,
+            codec,
+            plan.seed,
+        )
+        for number, name in enumerate(names)
+    ]
+
+
+def reads_served(deployment: Deployment) -> Counter[str]:
+    """Return reads served by replicas and by primaries, over all proxies."""
+    served: Counter[str] = Counter()
+    for proxy in deployment.proxies:
+        try:
+            page = deployment.metrics(proxy)
+        except urllib3.exceptions.HTTPError:
+            continue  # A killed proxy has taken its counts with it.
+        for by, count in READS_SERVED.findall(page):
+            served[by] += int(count)
+    return served
+
+
+def _report_progress(
+    plan: RunPlan,
+    statistics: RunStatistics,
+    begins_at: float,
+    say: Callable[[str], None],
+) -> None:
+    seen = 0
+    while (elapsed := time.monotonic() - begins_at) < plan.seconds:
+        time.sleep(min(PROGRESS_SECONDS, plan.seconds - elapsed))
+        samples = statistics.samples
+        counts = Counter(str(sample.outcome) for sample in samples[seen:])
+        seen = len(samples)
+        shown = " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
+        say(f"{plan.name} {time.monotonic() - begins_at:5.1f} s {shown}")
+
+
+def _rows_of_run(final: GroupFinal, name: str) -> GroupFinal:
+    prefix = f"{name}-"
+    rows = tuple(row for row in final.rows if row.tag.startswith(prefix))
+    return replace(final, rows=rows)
