--- a/packages/load/src/dogwoodspool_load/plot.py
+++ b/packages/load/src/dogwoodspool_load/plot.py
@@ -30,8 +30,7 @@
 ) -> None:
     """Write a PNG with one point for each request.
 
-    Args:
-        begins_at: monotonic seconds that the plot counts from.
+    The plot counts its seconds from ``begins_at``, a monotonic time.
     """
     figure, axes = pyplot.subplots(figsize=FIGURE_INCHES)
     points: dict[str, list[Sample]] = defaultdict(list)
--- /dev/null
+++ b/tests/load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of load and experiments."""
