--- a/packages/load/src/dogwoodspool_load/runner.py
+++ b/packages/load/src/dogwoodspool_load/runner.py
@@ -36,6 +36,7 @@
 
     Attributes:
         rate: requests per second of all callers together; 0 is a closed loop.
+        proxies: callers use only the first so many; None for all.
         seed: of every caller's choices.
     """
 
@@ -48,6 +49,7 @@
     max_attempts: int = MAX_ATTEMPTS
     deadline_ms: int | None = None
     roam_probability: float = ROAM_PROBABILITY
+    proxies: int | None = None
     seed: int = 1
 
 
@@ -126,7 +128,7 @@
             name,
             groups[number % len(groups)],
             deployment,
-            deployment.proxies,
+            deployment.proxies[: plan.proxies],
             RequestPlanner(
                 plan.mix, name, names[number % len(groups) :: len(groups)], plan.seed
             ),
--- /dev/null
+++ b/script/measure.py
@@ -0,0 +1,327 @@
+"""Measure the users' deployments: failover gap, replica reads, latency, overload.
+
+Usage:
+  measure.py [options]
+
+Options:
+  --deployment NAME  Only this one of the deployments.
+  --quick            Few repetitions and short runs.
+  --only PARTS       Only these parts, separated by commas.
+"""
+
+import json
+import os
+import sys
+import tempfile
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any, Final
+
+from docopt import docopt
+from dogwoodspool_load.const import SHARED_MACHINE_NOTE
+from dogwoodspool_load.failover import FailoverMeter, summary_of
+from dogwoodspool_load.final_read import create_tables
+from dogwoodspool_load.mixes import with_weight_of_writes
+from dogwoodspool_load.overhead import added_ms, measure_overhead
+from dogwoodspool_load.results import result_of
+from dogwoodspool_load.runner import RunOutcome, RunPlan, run_load
+from dogwoodspool_load.schedule import FaultAction, parse_schedule
+from dogwoodspool_load.shapes import (
+    DEPLOYMENTS,
+    UserDeployment,
+    adapted,
+    deployment_named,
+)
+from dogwoodspool_testbed import Deployment
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+RESULTS: Final = ROOT / "measurements"
+
+# Overload is bounded by the backend servers' slots, not by this machine's cores:
+# with this service time a group of three servers runs 450 statements a second.
+OVERLOAD_STATEMENT_MS: Final = 20.0
+OVERLOAD_DEADLINE_MS: Final = 400
+OVERLOAD_CALLERS: Final = 240
+OVERLOAD_WRITES: Final = 0.25
+MULTIPLIERS: Final = (1, 2, 3)
+NO_LIMIT: Final = 10_000
+LONG_DEADLINE_MS: Final = 60_000
+STEADY_RATE: Final = 60.0
+STEADY_CALLERS: Final = 24
+SKEWED_PROXIES: Final = 2
+
+
+@dataclass(frozen=True)
+class Sizes:
+    """How long and how often things are measured."""
+
+    kills: int
+    promotions: int
+    statements: int
+    steady_seconds: float
+    faults_seconds: float
+    capacity_seconds: float
+    overload_seconds: float
+
+
+FULL: Final = Sizes(9, 9, 300, 20, 26, 6, 8)
+QUICK: Final = Sizes(2, 2, 60, 6, 26, 3, 4)
+
+
+class Measurement:
+    """Measure one user's deployment part by part."""
+
+    def __init__(self, wanted: UserDeployment, sizes: Sizes, folder: Path) -> None:
+        self._wanted = wanted
+        self._sizes = sizes
+        self._folder = folder
+
+    def parts(self) -> Mapping[str, Callable[[], dict[str, Any]]]:
+        """Return what can be measured, by name."""
+        return {
+            "failover": self.failover,
+            "overhead": self.overhead,
+            "steady": self.steady,
+            "faults": self.faults,
+            "overload": self.overload,
+        }
+
+    def failover(self) -> dict[str, Any]:
+        """Kill primaries, then move primaries, one at a time."""
+        groups = self._wanted.shape.groups
+        results = {}
+        with Deployment(self._wanted.shape) as deployment:
+            create_tables(deployment)
+            meter = FailoverMeter(deployment)
+            for action, count in (
+                (FaultAction.KILL_PRIMARY, self._sizes.kills),
+                (FaultAction.PROMOTE, self._sizes.promotions),
+            ):
+                gaps = []
+                for number in range(count):
+                    gap = meter.measure(groups[number % len(groups)], action)
+                    gaps.append(gap)
+                    say(f"{action} {number + 1}: {gap.gap_ms} ms {gap.phases_ms}")
+                results[str(action)] = summary_of(gaps)
+        return results
+
+    def overhead(self) -> dict[str, Any]:
+        """Time one caller's statements through a proxy and straight to a server."""
+        with Deployment(self._wanted.shape) as deployment:
+            create_tables(deployment)
+            latencies = measure_overhead(deployment, self._sizes.statements)
+        return {"latencies": latencies, "added_p50_ms": added_ms(latencies)}
+
+    def steady(self) -> dict[str, Any]:
+        """Run the user's mix at a light rate without faults."""
+        return result_of(self._run("steady", self._sizes.steady_seconds, ""))
+
+    def faults(self) -> dict[str, Any]:
+        """Run the user's mix through a schedule of faults."""
+        shape = self._wanted.shape
+        first, second, third = shape.groups
+        domain = shape.failure_domains[0]
+        schedule = (
+            f"2 lag {first}-2 400; 3 kill-primary {first}; 6 cut {domain}; "
+            f"10 heal {domain}; 11 silence {third}-2; 12 kill-leader; "
+            f"15 kill-proxy proxy-4; 16 terminate-proxy proxy-5; "
+            f"17 promote {second}; 20 freeze-primary {third}"
+        )
+        return result_of(self._run("faults", self._sizes.faults_seconds, schedule))
+
+    def overload(self) -> dict[str, Any]:
+        """Offer one, two and three times the capacity, with and without admission."""
+        shape = self._wanted.shape
+        share = (shape.standin.connections - 2) // shape.proxies
+        plan = self._overload_plan(0.0)
+        results: dict[str, Any] = {}
+        capacity = 0.0
+        for name, settings, deadline_ms, proxies in (
+            ("dogwoodspool", {}, OVERLOAD_DEADLINE_MS, None),
+            (
+                "no admission",
+                {"queue_limit": NO_LIMIT, "deadline_ms": LONG_DEADLINE_MS},
+                None,
+                None,
+            ),
+            (
+                "primary-only reads",
+                {"write_ack": "primary", "replica_wait_ms": 0},
+                OVERLOAD_DEADLINE_MS,
+                None,
+            ),
+            ("skewed, leased shares", {}, OVERLOAD_DEADLINE_MS, SKEWED_PROXIES),
+            (
+                "skewed, static shares",
+                {"base_connections": share},
+                OVERLOAD_DEADLINE_MS,
+                SKEWED_PROXIES,
+            ),
+        ):
+            wanted = adapted(self._wanted, OVERLOAD_STATEMENT_MS, settings)
+            with Deployment(wanted.shape) as deployment:
+                create_tables(deployment)
+                if name == "primary-only reads":
+                    stop_replication(deployment)
+                if not capacity:
+                    capacity = self._capacity(deployment, plan)
+                    results["capacity"] = round(capacity, 1)
+                results[name] = [
+                    self._offer(
+                        deployment,
+                        replace(plan, deadline_ms=deadline_ms, proxies=proxies),
+                        capacity,
+                        multiplier,
+                    )
+                    for multiplier in MULTIPLIERS
+                ]
+        return results
+
+    def _capacity(self, deployment: Deployment, plan: RunPlan) -> float:
+        callers = sum(
+            deployment.shape.standin.slots for _standin in deployment.standins
+        )
+        closed = replace(
+            plan, name="capacity", callers=callers, seconds=self._sizes.capacity_seconds
+        )
+        outcome = run_load(deployment, closed, self._folder, say)
+        capacity = float(result_of(outcome)["goodput"])
+        say(f"capacity {capacity:.0f} requests/s with {callers} callers")
+        return capacity
+
+    def _offer(
+        self, deployment: Deployment, plan: RunPlan, capacity: float, multiplier: int
+    ) -> dict[str, Any]:
+        offered = replace(plan, name=f"x{multiplier}", rate=capacity * multiplier)
+        outcome = run_load(deployment, offered, self._folder, lambda _line: None)
+        # What the caller can use is what came within its own deadline, also where
+        # the system was told none.
+        outcome.plan = replace(offered, deadline_ms=OVERLOAD_DEADLINE_MS)
+        result = result_of(outcome)
+        say(f"x{multiplier}: goodput {result['goodput']}/s {result['outcomes']}")
+        return {"multiplier": multiplier, **result}
+
+    def _overload_plan(self, rate: float) -> RunPlan:
+        return RunPlan(
+            name="overload",
+            mix=with_weight_of_writes(self._wanted.mix, OVERLOAD_WRITES),
+            seconds=self._sizes.overload_seconds,
+            rate=rate,
+            callers=OVERLOAD_CALLERS,
+            max_attempts=1,
+            deadline_ms=OVERLOAD_DEADLINE_MS,
+            roam_probability=0.0,
+        )
+
+    def _run(self, name: str, seconds: float, schedule: str) -> RunOutcome:
+        plan = RunPlan(
+            name=name,
+            mix=self._wanted.mix,
+            seconds=seconds,
+            rate=STEADY_RATE,
+            callers=STEADY_CALLERS,
+            faults=parse_schedule(schedule),
+        )
+        with Deployment(self._wanted.shape) as deployment:
+            create_tables(deployment)
+            return run_load(deployment, plan, self._folder, say)
+
+
+def stop_replication(deployment: Deployment) -> None:
+    """Stop the replicas' pulls, so that no replica satisfies a session's read."""
+    primaries = {deployment.primary(group).name for group in deployment.shape.groups}
+    for standin in deployment.standins:
+        if standin.name not in primaries:
+            deployment.fault(standin, stop_replication=True)
+
+
+def say(line: str) -> None:
+    """Print a line of progress."""
+    print(f"  {line}", flush=True)
+
+
+def store(name: str, part: str, quick: bool, content: dict[str, Any]) -> None:
+    """Write a part's result with its command and what the machine did besides."""
+    RESULTS.mkdir(exist_ok=True)
+    arguments = f"--deployment {name} --only {part}{' --quick' if quick else ''}"
+    document = {
+        "command": f"script/measure {arguments}",
+        "note": SHARED_MACHINE_NOTE,
+        "load_average": [round(value, 1) for value in os.getloadavg()],
+        "cores": os.cpu_count(),
+        "result": content,
+    }
+    path = RESULTS / f"{name}-{part}.json"
+    path.write_text(json.dumps(document, indent=1) + "\n")
+
+
+def show(name: str, part: str, content: dict[str, Any]) -> None:
+    """Print the figures of one part."""
+    print(f"{name} {part}:")
+    match part:
+        case "failover":
+            for action, one in content.items():
+                print(
+                    f"  {action}: gap median "
+                    f"{one['gap_ms']['median']:.0f} ms, worst "
+                    f"{one['gap_ms']['worst']:.0f} ms; at the slowest proxy median "
+                    f"{one['slowest_proxy_ms']['median']:.0f} ms, worst "
+                    f"{one['slowest_proxy_ms']['worst']:.0f} ms (n={one['count']}); "
+                    f"control's phases {one['phases_ms_median']}"
+                )
+        case "overhead":
+            for way, figures in content["latencies"].items():
+                print(f"  {way}: {figures}")
+            print(f"  added at the median, ms: {content['added_p50_ms']}")
+        case "overload":
+            print(f"  capacity {content['capacity']} requests/s")
+            for variant, runs in content.items():
+                if isinstance(runs, list):
+                    shown = [f"x{run['multiplier']}: {run['goodput']}" for run in runs]
+                    print(f"  {variant}: goodput/s {', '.join(shown)}")
+        case _:
+            print(f"  replica share of reads {content['replica_share']}")
+            for kind, figures in content["kinds"].items():
+                print(f"  {kind}: {figures}")
+    print(f"  violations: {violations_in(content) or 'none'}", flush=True)
+
+
+def violations_in(content: Any) -> dict[str, int]:
+    """Return the violations by rule, over all runs of a part."""
+    found: dict[str, int] = {}
+    if isinstance(content, dict):
+        if "by_rule" in content:
+            return dict(content["by_rule"])
+        children: Sequence[Any] = list(content.values())
+    else:
+        children = content if isinstance(content, list) else []
+    for child in children:
+        for rule, count in violations_in(child).items():
+            found[rule] = found.get(rule, 0) + count
+    return found
+
+
+def main() -> int:
+    """Measure what the arguments choose."""
+    arguments = docopt(__doc__ or "")
+    names = [arguments["--deployment"]] if arguments["--deployment"] else DEPLOYMENTS
+    quick = bool(arguments["--quick"])
+    chosen = arguments["--only"].split(",") if arguments["--only"] else None
+    broken = 0
+    with tempfile.TemporaryDirectory(prefix="dogwoodspool-measure-") as folder:
+        for name in names:
+            sizes = QUICK if quick else FULL
+            measurement = Measurement(deployment_named(name), sizes, Path(folder))
+            for part, measure in measurement.parts().items():
+                if chosen and part not in chosen:
+                    continue
+                content = measure()
+                store(name, part, quick, content)
+                show(name, part, content)
+                broken += bool(violations_in(content))
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
