--- a/packages/load/src/dogwoodspool_load/caller.py
+++ b/packages/load/src/dogwoodspool_load/caller.py
@@ -97,6 +97,10 @@
     def _session(self) -> str:
         return f"{self._name}/{self._sessions}"
 
+    def connect(self) -> None:
+        """Open the first connection, so that the run does not begin with that."""
+        self._connection(self._proxy)
+
     def run(self, begins_at: float, stop: threading.Event) -> None:
         """Send requests until told to stop."""
         interval = self._options.interval
--- a/packages/load/src/dogwoodspool_load/runner.py
+++ b/packages/load/src/dogwoodspool_load/runner.py
@@ -88,8 +88,10 @@
     done: list[FaultDone] = []
     before = reads_served(deployment)
     callers = build_callers(deployment, plan, recorder, statistics)
-    begins_at = time.monotonic()
     with ThreadPoolExecutor(len(callers) + 1, "caller") as executor:
+        for connected in [executor.submit(one.connect) for one in callers]:
+            connected.result()
+        begins_at = time.monotonic()
         futures = [executor.submit(one.run, begins_at, stop) for one in callers]
         futures.append(
             executor.submit(
