--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -59,8 +59,7 @@
         report = Path(folder) / "report.json"
         command = [
             *[sys.executable, "-m", "behave", "--no-skipped", "--no-source"],
-            *["--format=progress3", "--outfile=/dev/stdout"],
-            *["--format=json", f"--outfile={report}"],
+            *["--format=json", f"--outfile={report}", "--format=progress3"],
             *arguments,
             "features",
         ]
