--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -104,11 +104,16 @@
                 record.status, record.asked_at = status, asked_at
                 record.note_description(self._clock.now())
 
-    def note_failure(self, name: str) -> None:
-        """Note that a server could not be reached; a full pool is no failure."""
+    def note_failure(self, name: str, *, is_down: bool = False) -> None:
+        """Note that a server could not be reached; a full pool is no failure.
+
+        Args:
+            name: the server.
+            is_down: its machine refused the connection.
+        """
         with self._lock:
             if name in self._records:
-                self._records[name].note_failure(self._clock.now())
+                self._records[name].note_failure(self._clock.now(), is_down=is_down)
 
     def begin(self, name: str) -> None:
         """Note that a statement goes to a server."""
@@ -158,4 +163,9 @@
 def _observation(name: str, record: ServerRecord, now: float) -> Observation:
     status = None if record.status is None else StatusMessage.of(record.status)
     unreachable_ms = record.unreachable(now) * MILLISECONDS
-    return Observation(server=name, unreachable_ms=unreachable_ms, status=status)
+    return Observation(
+        server=name,
+        unreachable_ms=unreachable_ms,
+        down_ms=record.down(now) * MILLISECONDS,
+        status=status,
+    )
--- a/packages/settings/src/dogwoodspool_settings/const.py
+++ b/packages/settings/src/dogwoodspool_settings/const.py
@@ -30,6 +30,7 @@
         "base_connections",
         "reserved_connections",
         "failure_detect_ms",
+        "down_detect_ms",
         "release_drain_ms",
         "request_retention_s",
     }
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -39,6 +39,8 @@
         clock_drift: largest difference in rate between two clocks, a fraction.
         failure_detect_ms: unreachable time after which an observer calls a
             primary failed.
+        down_detect_ms: time of refused connections after which an observer calls
+            a primary failed.
         release_drain_ms: time for writes in flight at a planned promotion.
         probe_interval_ms: time between a proxy's probes of a backend server.
         probe_timeout_ms: wait for a probe's answer.
@@ -70,6 +72,7 @@
     renew_interval_ms: int = 300
     clock_drift: float = 0.02
     failure_detect_ms: int = 600
+    down_detect_ms: int = 150
     release_drain_ms: int = 300
     probe_interval_ms: int = 250
     probe_timeout_ms: int = 300
