--- a/features/mutations/guards/leaving.py
+++ b/features/mutations/guards/leaving.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from .model import Guard
+from .model import CONTROL, Guard
 
 
 def leaving_ignored() -> None:
@@ -33,7 +33,15 @@
     TransactionPath._connection = _connection
 
 
+def leaving_primary_stays() -> None:
+    """Let a primary that leaves stay the primary."""
+    from dogwoodspool_control.departures import Departures
+
+    Departures.due_commands = lambda _self: iter(())
+
+
 GUARDS = (
     Guard("leaving-ignored", leaving_ignored),
+    Guard("leaving-primary-stays", leaving_primary_stays, CONTROL),
     Guard("leaving-cuts-transactions", leaving_cuts_transactions),
 )
--- a/features/steps/transactions.py
+++ b/features/steps/transactions.py
@@ -1,6 +1,5 @@
 """Steps of transactions."""
 
-from support.const import GROUP
 from support.steps import Context, caller_of, given, step, then, when, world_of
 
 
@@ -50,19 +49,16 @@
     world = world_of(context)
     proxy = caller_of(context, name).proxy
     usage = world.deployment.proxy_status(proxy)["backends"]
-    held = [one["server"] for one in usage if one["in_use"]]
-    replicas = [world.standin(server) for server in held]
-    primary = world.primary()
-    assert [one for one in replicas if one != primary], usage
-    world.fault([one for one in replicas if one != primary], leaving=True)
-    world.eventually(
-        "leaving in force",
-        lambda: any(
-            server.is_leaving
-            for server in world.deployment.view().servers
-            if server.group == GROUP
-        ),
-    )
+    in_use = {one["server"] for one in usage if one["in_use"]}
+    held = {one.name for one in world.replicas()} & in_use
+    assert held, usage
+    world.fault(map(world.standin, held), leaving=True)
+
+    def is_in_force() -> bool:
+        servers = world.deployment.view().servers
+        return held <= {server.server for server in servers if server.is_leaving}
+
+    world.eventually("leaving in force", is_in_force)
 
 
 @then('"{name:Text}" reads from the primary as soon as it can')
