Answer a short result with one change of threads

Each read changed threads three times (statement, first rows, end) and opened spans that nobody recorded.

--- a/packages/common/src/dogwoodspool_common/trace.py
+++ b/packages/common/src/dogwoodspool_common/trace.py
@@ -1,6 +1,7 @@
 """Traces: a span for each hop, written as JSON lines."""
 
 import json
+import threading
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from pathlib import Path
@@ -14,7 +15,7 @@
     SpanExporter,
     SpanExportResult,
 )
-from opentelemetry.trace import Span
+from opentelemetry.trace import INVALID_SPAN, Span
 from opentelemetry.trace.propagation.tracecontext import (
     TraceContextTextMapPropagator,
 )
@@ -24,6 +25,7 @@
 TRACER_NAME: Final = "dogwoodspool"
 NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
 
+_is_set_up = threading.Event()
 _propagator = TraceContextTextMapPropagator()
 
 
@@ -55,6 +57,7 @@
     provider = TracerProvider(resource=resource)
     provider.add_span_processor(BatchSpanProcessor(JsonLinesExporter(path)))
     trace.set_tracer_provider(provider)
+    _is_set_up.set()
 
 
 @contextmanager
@@ -69,6 +72,11 @@
             current span of this thread.
         attributes: facts about the hop; never statements or secrets.
     """
+    if not _is_set_up.is_set():
+        # Without an exporter the library's own no-op span still costs a tenth of
+        # a statement's time.
+        yield INVALID_SPAN
+        return
     context = None
     if traceparent is not None:
         context = _propagator.extract({HEADER_TRACEPARENT: traceparent})
--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from functools import partial
-from itertools import islice
 from typing import Any, cast
 
-from dogwoodspool_common import Clock, DogwoodspoolError, log_event, span
+from dogwoodspool_common import Clock, span
 from mysql_mimic import packets, types
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import MysqlError
@@ -29,7 +28,6 @@
     ER_TOO_MANY_USER_CONNECTIONS,
     ER_WRONG_ARGUMENTS,
     MAX_PREPARED_STATEMENTS,
-    ROWS_PER_BATCH,
     SHUTDOWN_RETRY_AFTER_MS,
 )
 from .errors import (
@@ -37,8 +35,8 @@
     CallerNotAuthenticatedError,
     PacketTooLargeError,
 )
+from .fetched import FetchedRows
 from .models import (
-    Answer,
     CallerSession,
     DoneAnswer,
     ErrorAnswer,
@@ -54,6 +52,7 @@
 from .workers import WorkerPool
 
 RowEncoder = Callable[[Row], bytes]
+Fetched = FetchedRows | DoneAnswer | ErrorAnswer
 ERROR_SQLSTATE = slice(4, 9)
 
 
@@ -168,7 +167,7 @@
             data=data,
         )
         answer = await self._run(query.sql, query.query_attrs)
-        if isinstance(answer, RowsAnswer):
+        if isinstance(answer, FetchedRows):
             columns = text_columns(answer.columns)
             encode = partial(packets.make_text_resultset_row, columns=columns)
             await self._write_rows(answer, columns, encode)
@@ -205,7 +204,7 @@
         statement.param_buffers = None
         sql = interpolate(statement.sql, values)
         answer = await self._run(sql, attributes)
-        if isinstance(answer, RowsAnswer):
+        if isinstance(answer, FetchedRows):
             columns = binary_columns(answer.columns)
 
             def encode(row: Row) -> bytes:
@@ -236,7 +235,7 @@
         await asyncio.get_running_loop().run_in_executor(None, self._caller.reset)
         self._refresh_status()
 
-    async def _run(self, sql: str, attributes: dict[str, Any]) -> Answer:
+    async def _run(self, sql: str, attributes: dict[str, Any]) -> Fetched:
         arrived_at = self._clock.now()
         if self._is_draining and not self._in_transaction:
             return _shutdown_answer()
@@ -250,7 +249,7 @@
         self._refresh_status()
         return answer if answer is not None else _busy_answer()
 
-    def _run_traced(self, request: StatementRequest) -> Answer:
+    def _run_traced(self, request: StatementRequest) -> Fetched:
         assert self._caller is not None
         with span(
             "gateway.statement",
@@ -260,41 +259,33 @@
             answer = self._caller.run(request)
             if isinstance(answer, ErrorAnswer):
                 current.set_attribute("outcome", answer.outcome)
-            return answer
+            return FetchedRows(answer) if isinstance(answer, RowsAnswer) else answer
 
     async def _write_rows(
-        self, answer: RowsAnswer, columns: Sequence[ResultColumn], encode: RowEncoder
+        self, rows: FetchedRows, columns: Sequence[ResultColumn], encode: RowEncoder
     ) -> None:
         """Send a result set batch by batch.
 
         Each batch is taken only after the caller has taken the one before, so
         that a large result needs the memory of one batch.
         """
-        is_complete = False
         try:
             self.stream.write_many(self._header_packets(columns))
-            while batch := await self._next_batch(answer):
-                self.stream.write_many([encode(row) for row in batch])
+            self.stream.write_many([encode(row) for row in rows.batch])
+            while not rows.is_finished:
                 await self.stream.drain()
-                if len(batch) < ROWS_PER_BATCH:
-                    break
-            is_complete = True
-        except DogwoodspoolError as error:
-            # The result broke off after its first packets. The protocol lets an
-            # error packet stand in a row's place, so the caller does not take the
-            # rows that came for the whole answer.
-            log_event("result_broken_off", level="WARNING", error=error)
-            await self._write_error(_broken_off_answer())
-            return
+                await self._workers.run_always(rows.take)
+                self.stream.write_many([encode(row) for row in rows.batch])
         finally:
-            await self._workers.run_always(partial(answer.finish, is_complete))
+            if not rows.is_finished:
+                await self._workers.run_always(rows.abandon)
             self._refresh_status()
-        await self.stream.write(self.ok_or_eof())
-
-    async def _next_batch(self, answer: RowsAnswer) -> list[Row]:
-        return await self._workers.run_always(
-            lambda: list(islice(answer.rows, ROWS_PER_BATCH))
-        )
+        if rows.failure is None:
+            await self.stream.write(self.ok_or_eof())
+            return
+        # The protocol lets an error packet stand in a row's place, so the caller
+        # does not take the rows that came for the whole answer.
+        await self._write_error(_broken_off_answer())
 
     def _header_packets(self, columns: Sequence[ResultColumn]) -> list[bytes]:
         header = [packets.make_column_count(self.capabilities, len(columns))]
--- a/packages/testbed/src/dogwoodspool_testbed/deployment.py
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -277,8 +277,9 @@
             *["--listen", f"{HOST}:0", "--http-listen", f"{HOST}:0"],
             *["--control", ",".join(str(c.address) for c in self.controls)],
             *["--shared-key", SHARED_KEY],
-            *["--trace-file", str(self.folder / f"{name}.spans")],
         ]
+        if self.shape.has_traces:
+            arguments += ["--trace-file", str(self.folder / f"{name}.spans")]
         self.processes.start(name, ROLE_PROXY, arguments, True)
 
     def _proxy_handle(self, name: str, failure_domain: str) -> ProxyHandle:
--- a/packages/testbed/src/dogwoodspool_testbed/models.py
+++ b/packages/testbed/src/dogwoodspool_testbed/models.py
@@ -30,6 +30,7 @@
         servers_per_group: backend servers of each group; the first is primary.
         standin: sizes of each backend server.
         root_settings: overrides of the settings tree's root.
+        has_traces: proxies write a span for each hop to ``NAME.spans``.
     """
 
     failure_domains: tuple[str, ...] = ("fd-a", "fd-b", "fd-c")
@@ -39,6 +40,7 @@
     servers_per_group: int = 3
     standin: StandinShape = StandinShape()
     root_settings: dict[str, Any] = field(default_factory=dict)
+    has_traces: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/script/demo.py
+++ b/script/demo.py
@@ -51,6 +51,7 @@
     return DeploymentShape(
         groups=GROUPS,
         standin=StandinShape(connect_delay_ms=10, replication_lag_ms=20),
+        has_traces=True,
     )
 
 
