--- a/packages/consensus/src/dogwoodspool_consensus/replication.py
+++ b/packages/consensus/src/dogwoodspool_consensus/replication.py
@@ -51,7 +51,7 @@
             if response is None:
                 self._delay(progress)
             elif state.counts_answer(peer, request, response, sent_at):
-                self._take_response(progress, request, response)
+                self._take_response(peer, request, response)
 
     def handle_append(self, request: AppendRequest) -> AppendResponse:
         """Take in the leader's entries; answer when they are durable."""
@@ -93,9 +93,10 @@
         progress.retry_at = self._state.clock.now() + settings.heartbeat_interval
 
     def _take_response(
-        self, progress: PeerProgress, request: AppendRequest, response: AppendResponse
+        self, peer: str, request: AppendRequest, response: AppendResponse
     ) -> None:
         state = self._state
+        progress = state.progress_of(peer)
         if response.is_success:
             match = request.prev_index + len(request.entries)
             progress.match_index = max(progress.match_index, match)
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -165,6 +165,41 @@
             node.apply_committed()
         self.assertEqual(list(cluster.committed.values()), ["first"])
 
+    def test_answer_from_an_earlier_leadership_counts_for_nothing(self) -> None:
+        # Story: a follower takes a leader's entries, its answer is held up, and
+        # both lose them to another leader. The first one leads again when the
+        # answer comes; counted now, it would commit what no quorum holds.
+        cluster = Cluster(5)
+        leader = cluster.leader()
+        node, follower = cluster.nodes[leader], min({"n0", "n1"} - {leader})
+        others = sorted(set(cluster.nodes) - {leader, follower})
+
+        def lose_and_lead_again() -> None:
+            cluster.cut_off(leader)
+            cluster.cut_off(follower)
+            cluster.run(3.0)
+            cluster.cuts.clear()
+            cluster.run(1.0)
+            cluster.frozen.add(cluster.leader())
+            while node.diagnostics().role is not Role.LEADER:
+                cluster.advance(0.05)
+                node.tick()
+                for peer in [follower, *others]:
+                    node.step_peer(peer)
+
+        cluster.cuts |= {frozenset({leader, name}) for name in others}
+        for number in range(SETTINGS.max_batch):
+            node.submit({"id": str(number)})
+        node.write_pending()
+        cluster.advance(SETTINGS.heartbeat_interval)
+        cluster.on_answer = lose_and_lead_again
+        node.step_peer(follower)
+        seen = node.diagnostics()
+        lag = {item.node_id: item.lag for item in seen.members}[follower]
+        held = cluster.nodes[follower].diagnostics().last_index
+        self.assertLessEqual(0 if lag is None else seen.last_index - lag, held)
+        self.assertIs(seen.role, Role.LEADER)
+
     def test_cut_off_node_with_other_entries_takes_the_committed_ones(self) -> None:
         # Story: a leader that was cut off took proposals that no quorum has. It
         # comes back, its callers learn that they were not run, its log is mended.
