--- a/packages/consensus/src/dogwoodspool_consensus/errors.py
+++ b/packages/consensus/src/dogwoodspool_consensus/errors.py
@@ -15,7 +15,7 @@
     """
 
     def __init__(self, leader: Address | None) -> None:
-        super().__init__(f"this node does not lead; the leader is {leader}")
+        super().__init__(f"not appended by this node; the leader is {leader}")
         self.leader = leader
 
 
--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -85,6 +85,8 @@
         rng: random.Random,
         bootstrap: bool = False,
     ) -> None:
+        if bootstrap and node_id not in initial_voters:
+            raise ValueError(f"{node_id} is none of the initial voters")
         self._initial_voters = initial_voters
         self._bootstrap = bootstrap
         self._state = NodeState(
--- a/tests/consensus/fakes.py
+++ b/tests/consensus/fakes.py
@@ -311,6 +311,8 @@
         self, address: Address, path: str, body: dict[str, Any], timeout: float
     ) -> dict[str, Any]:
         cluster = self._cluster
+        # Other threads of the caller answer as leader while this one waits.
+        cluster.on_step()
         names = [name for name, at in cluster.addresses.items() if at == address]
         if not names or frozenset({self._source, names[0]}) in cluster.cuts:
             raise PeerCallError("no answer")
--- a/tests/consensus/test_fuzz.py
+++ b/tests/consensus/test_fuzz.py
@@ -26,7 +26,9 @@
 COUNT = 3
 # Faults mean most where they hit the leader, so nodes are drawn by rank.
 RANKS = st.sampled_from((0, 0, 1, 2))
-SECONDS = st.sampled_from((0.1, 0.4, 2.0))
+SECONDS = st.sampled_from((0.1, 0.4, 2.0, 2.0))
+SHORT = st.sampled_from((0.2, 0.5, 0.8))
+FATES = st.sampled_from(("freeze", "freeze", "deliver", "lose"))
 FAULTS = st.sampled_from(("crash", "cut", "freeze"))
 
 
@@ -60,15 +62,32 @@
         name = self.cluster.node_of_rank(rank)
         if heals:
             self.cluster.heal()
-        if fault == "crash":
-            self.cluster.crash(name)
-        elif fault == "cut":
-            self.cluster.cut_off(name)
-        else:
-            self.cluster.frozen.add(name)
+        self._fail(name, fault)
         self._propose_everywhere()
         self.cluster.run(seconds)
 
+    @rule(peer=RANKS, before=SHORT, fault=FAULTS, after=SHORT, restarts=st.booleans())
+    def fail_half_cut(
+        self, peer: int, before: float, fault: str, after: float, restarts: bool
+    ) -> None:
+        """Let the leader fail when one follower has not heard it for a while.
+
+        That follower is the first to time out, while the other one still knows
+        the leader or has just restarted.
+        """
+        self.cluster.heal()
+        names = [self.cluster.node_of_rank(rank) for rank in range(COUNT)]
+        cut_off = names[1 + peer % 2]
+        self.cluster.cuts.add(frozenset({names[0], cut_off}))
+        self._propose_everywhere()
+        self.cluster.run(before)
+        self._fail(names[0], fault)
+        if restarts:
+            other = names[2 - peer % 2]
+            self.cluster.crash(other)
+            self.cluster.start(other)
+        self.cluster.run(after)
+
     @rule(first=RANKS, second=RANKS)
     def cut(self, first: int, second: int) -> None:
         if first != second:
@@ -126,24 +145,18 @@
         self.cluster.storages[name].wipe()
         self.cluster.start(name, bootstrap=bootstrap)
 
-    @rule(
-        rank=RANKS,
-        seconds=SECONDS,
-        is_answer=st.booleans(),
-        heals=st.booleans(),
-        is_lost=st.booleans(),
-    )
-    def delay(
-        self, rank: int, seconds: float, is_answer: bool, heals: bool, is_lost: bool
-    ) -> None:
-        """Let everything go on while one message is on its way or lost."""
+    @rule(rank=RANKS, seconds=SECONDS, is_answer=st.booleans(), fate=FATES)
+    def delay(self, rank: int, seconds: float, is_answer: bool, fate: str) -> None:
+        """Let the others go on while one message is on its way or lost."""
+        name = self.cluster.node_of_rank(rank)
 
         def meanwhile() -> None:
-            if heals:
-                self.cluster.heal()
             self._propose_everywhere()
+            if fate == "freeze":
+                self.cluster.frozen.add(name)
             self.cluster.run(seconds)
-            if is_lost:
+            self.cluster.frozen.discard(name)
+            if fate == "lose":
                 raise PeerCallError("the message was lost")
 
         if is_answer:
@@ -151,7 +164,7 @@
         else:
             self.cluster.on_request = meanwhile
         self.cluster.advance(0.1)
-        self.cluster.step(self.cluster.node_of_rank(rank))
+        self.cluster.step(name)
         self.cluster.on_answer = self.cluster.on_request = None
 
     @rule(back=st.integers(1, 20))
@@ -211,6 +224,14 @@
         for name in set(self.cluster.nodes) - {self.wiped}:
             assert self.cluster.machines[name].applied == self.cluster.committed
 
+    def _fail(self, name: str, fault: str) -> None:
+        if fault == "crash":
+            self.cluster.crash(name)
+        elif fault == "cut":
+            self.cluster.cut_off(name)
+        else:
+            self.cluster.frozen.add(name)
+
     def _propose_everywhere(self) -> None:
         for name in self.cluster.running():
             text = str(len(self.proposals))
@@ -254,6 +275,6 @@
                 database=None,
                 deadline=None,
                 max_examples=60,
-                stateful_step_count=40,
+                stateful_step_count=30,
             ),
         )
