--- a/packages/backend/src/dogwoodspool_backend/__init__.py
+++ b/packages/backend/src/dogwoodspool_backend/__init__.py
@@ -1,1 +1,47 @@
 """Talk to backend servers: connections, pools, probes, role changes."""
+
+from .connection import BackendConnection
+from .connector import Connector, MySqlConnector
+from .errors import (
+    BackendError,
+    ConnectFailedError,
+    ConnectionLimitError,
+    OutcomeUnknownError,
+    PoolClosedError,
+    PoolTimeoutError,
+    ServerDownError,
+    StatementFailedError,
+    UnreadableStatusError,
+)
+from .models import Column, Credentials, PoolSettings, Row
+from .pool import ConnectionPool
+from .probe import Probe, Prober
+from .result import StatementResult
+from .role_change import RoleChanger, SqlRoleChanger
+from .status import parse_status
+
+__all__ = [
+    "BackendConnection",
+    "BackendError",
+    "Column",
+    "ConnectFailedError",
+    "ConnectionLimitError",
+    "ConnectionPool",
+    "Connector",
+    "Credentials",
+    "MySqlConnector",
+    "OutcomeUnknownError",
+    "PoolClosedError",
+    "PoolSettings",
+    "PoolTimeoutError",
+    "Probe",
+    "Prober",
+    "RoleChanger",
+    "ServerDownError",
+    "Row",
+    "SqlRoleChanger",
+    "StatementFailedError",
+    "StatementResult",
+    "UnreadableStatusError",
+    "parse_status",
+]
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -0,0 +1,162 @@
+"""Connections to backend servers for one statement or transaction."""
+
+from dogwoodspool_backend import (
+    BackendConnection,
+    BackendError,
+    ConnectFailedError,
+    PoolTimeoutError,
+    StatementResult,
+)
+from dogwoodspool_common import BackendServer, Clock, span
+from dogwoodspool_gateway import ErrorAnswer
+from dogwoodspool_limits import Admission, Priority, Refusal
+from expression import Error, Ok, Result
+
+from .answers import refused
+from .backends import Backend, BackendRegistry
+from .const import CONNECT_RETRY_AFTER_MS, MAX_CONNECTION_WAIT_SECONDS
+from .errors import NothingSentError
+
+
+class HeldConnection:
+    """A connection with its place among the server's admitted statements.
+
+    It must be finished; finishing again does nothing. What the admission learns
+    is the time of one statement on the server, also where a transaction holds the
+    connection for much longer.
+    """
+
+    def __init__(
+        self,
+        backend: Backend,
+        connection: BackendConnection,
+        admission: Admission,
+        priority: Priority,
+        clock: Clock,
+    ) -> None:
+        self._backend = backend
+        self._admission: Admission | None = admission
+        self._priority = priority
+        self._clock = clock
+        self._busy_seconds = 0.0
+        self._statements = 0
+        self._is_finished = False
+        self.connection = connection
+
+    @property
+    def server(self) -> BackendServer:
+        """The backend server."""
+        return self._backend.server
+
+    def execute(self, sql: str, deadline: float) -> StatementResult:
+        """Run one statement that leaves nothing behind in the session.
+
+        Raises:
+            NothingSentError: the deadline has passed; nothing was sent.
+            BackendError: as for ``BackendConnection.execute``.
+        """
+        began_at = self._clock.now()
+        if began_at >= deadline:
+            raise NothingSentError("the deadline passed before the statement was sent")
+        try:
+            with span("backend.statement", server=self.server.name):
+                return self.connection.execute(
+                    sql, deadline - began_at, may_change_session=False
+                )
+        finally:
+            self._busy_seconds += self._clock.now() - began_at
+            self._statements += 1
+
+    def pause(self) -> None:
+        """Leave the place among admitted statements until ``resume``.
+
+        A transaction between two statements runs nothing on the server. Counted
+        as in flight, one idle transaction would keep out every other statement.
+        """
+        self._leave(True)
+
+    def resume(self, deadline: float) -> ErrorAnswer | None:
+        """Wait for a place again; nothing was sent when a refusal is returned."""
+        if self._admission is not None:
+            return None
+        admitted = self._backend.admission.admit(deadline, self._priority)
+        if admitted.is_error():
+            return admission_refused(self.server, admitted.error)
+        self._admission = admitted.ok
+        return None
+
+    def finish(self, is_good: bool) -> None:
+        """Give the connection back.
+
+        Args:
+            is_good: the server answered as it should; else the connection is
+                closed.
+        """
+        if self._is_finished:
+            return
+        self._is_finished = True
+        self._backend.pool.release(self.connection, reuse=is_good)
+        self._leave(is_good)
+
+    def _leave(self, is_good: bool) -> None:
+        if self._admission is None:
+            return
+        self._admission.done(self._busy_seconds / max(1, self._statements), is_good)
+        self._admission = None
+        self._busy_seconds, self._statements = 0.0, 0
+
+
+class BackendAccess:
+    """Admit a statement to a backend server and take a connection for it."""
+
+    def __init__(self, registry: BackendRegistry, clock: Clock) -> None:
+        self._registry = registry
+        self._clock = clock
+
+    def report_failure(self, server: BackendServer, error: BackendError) -> None:
+        """Note that a server did not answer a statement as it should."""
+        self._registry.report_failure(server, error)
+
+    def open(
+        self, server: BackendServer, deadline: float, priority: Priority
+    ) -> Result[HeldConnection, ErrorAnswer]:
+        """Wait for a place and a connection until the clock's deadline.
+
+        A refusal comes at once where the wait would pass the deadline. Nothing
+        has been sent to the server when an error is returned.
+        """
+        backend = self._registry.backend(server)
+        with span("admission.wait", server=server.name, priority=priority.name):
+            admitted = backend.admission.admit(deadline, priority)
+        if admitted.is_error():
+            return Error(admission_refused(server, admitted.error))
+        return self._connect(backend, admitted.ok, priority, deadline)
+
+    def _connect(
+        self,
+        backend: Backend,
+        admission: Admission,
+        priority: Priority,
+        deadline: float,
+    ) -> Result[HeldConnection, ErrorAnswer]:
+        name = backend.server.name
+        try:
+            connection = backend.pool.acquire(
+                min(deadline, self._clock.now() + MAX_CONNECTION_WAIT_SECONDS)
+            )
+        except PoolTimeoutError:
+            admission.done(0.0, False)
+            message = f"no connection to {name} came free"
+            return Error(refused(message, CONNECT_RETRY_AFTER_MS))
+        except ConnectFailedError as error:
+            admission.done(0.0, False)
+            self._registry.report_failure(backend.server, error)
+            message = f"{name} cannot be reached"
+            return Error(refused(message, CONNECT_RETRY_AFTER_MS))
+        held = HeldConnection(backend, connection, admission, priority, self._clock)
+        return Ok(held)
+
+
+def admission_refused(server: BackendServer, refusal: Refusal) -> ErrorAnswer:
+    """Answer a statement that a server's admission queue refused."""
+    return refused(f"{server.name}: {refusal.reason}", refusal.retry_after_ms)
--- /dev/null
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -0,0 +1,44 @@
+"""Constants of the proxy program."""
+
+from typing import Final
+
+PROGRAM: Final = "dogwoodspool-proxy"
+
+DEFAULT_DRAIN_SECONDS: Final = 30.0
+# Short, since a poll to a cut-off process waits in vain for so long.
+DEFAULT_WATCH_WAIT_MS: Final = 2_000
+WATCH_TIMEOUT_MARGIN: Final = 2.0
+RENEW_TIMEOUT_SECONDS: Final = 0.5
+RETRY_PAUSE_SECONDS: Final = 0.1
+READY_AFTER_FAILED_RENEWALS_SECONDS: Final = 10.0
+
+NO_PRIMARY_RETRY_AFTER_MS: Final = 250
+NO_GRANT_RETRY_AFTER_MS: Final = 300
+NO_SERVER_RETRY_AFTER_MS: Final = 200
+NEWER_SESSION_RETRY_AFTER_MS: Final = 100
+CONNECT_RETRY_AFTER_MS: Final = 100
+
+MAX_READ_ATTEMPTS: Final = 4
+ACK_WAIT_SLICE_SECONDS: Final = 0.05
+ACK_IDLE_SECONDS: Final = 1.0
+STATUS_TIMEOUT_SECONDS: Final = 1.0
+REAP_INTERVAL_SECONDS: Final = 0.25
+
+ER_READ_ONLY: Final = frozenset({1290, 1836, 1792})
+ER_TRANSACTION_ROLLED_BACK: Final = (1213, "40001")
+ER_SESSION_REFUSED: Final = (1044, "42000")
+
+MAX_WRITE_RESULT_ROWS: Final = 10_000
+SERVER_VERSION: Final = "8.0.36-dogwoodspool"
+NOT_LEADER: Final = "not_leader"
+
+PRUNE_FIRST_SECONDS: Final = 60.0
+PRUNE_INTERVAL_SECONDS: Final = 600.0
+PRUNE_TIMEOUT_SECONDS: Final = 5.0
+
+FAILING_PROBE_SECONDS: Final = 0.1
+FAILING_RENEW_SECONDS: Final = 0.1
+
+# Transactions may hold every connection for long. A share that can grow has grown
+# by then; a caller that waits longer is told to come back instead.
+MAX_CONNECTION_WAIT_SECONDS: Final = 0.7
