Wait for removed proxies, read settings under the lock, bound readiness checks

A proxy that an operator removed is asked by nobody for its grant: a new leader that had all answers at once would have promoted while the removed one might still acknowledge. It now waits the predecessor's lease out when a proxy was removed lately.

--- a/packages/control/src/dogwoodspool_control/command_queue.py
+++ b/packages/control/src/dogwoodspool_control/command_queue.py
@@ -11,7 +11,7 @@
     MAX_PENDING_COMMANDS,
     REJECTED_PAUSE_SECONDS,
 )
-from .errors import LeadershipLostError, OutcomeUnknownError
+from .errors import ControlError
 from .node import ControlNode
 
 
@@ -84,7 +84,7 @@
         kind = type(command).__name__
         try:
             outcome = self._node.propose(command)
-        except (LeadershipLostError, OutcomeUnknownError) as error:
+        except ControlError as error:
             log_event("command_not_committed", command=kind, reason=error)
             return ACCEPTED_PAUSE_SECONDS
         if outcome.is_accepted:
--- a/packages/control/src/dogwoodspool_control/http_admin.py
+++ b/packages/control/src/dogwoodspool_control/http_admin.py
@@ -24,12 +24,11 @@
     error_response,
 )
 from dogwoodspool_consensus import (
-    ConsensusError,
     ConsensusNode,
     MembershipChangeError,
     NotLeaderError,
 )
-from dogwoodspool_settings import InvalidPathError, UnknownNodeError, redact
+from dogwoodspool_settings import SettingsTreeError, redact
 from pydantic import BaseModel, ConfigDict
 
 from .commands import ForgetProxy
@@ -45,6 +44,7 @@
 from .errors import CommandRejectedError, LeadershipLostError
 from .http_api import answering
 from .node import ControlNode
+from .readiness import Readiness
 from .state import ControlState
 from .status import StatusReport
 
@@ -79,6 +79,8 @@
         node: ControlNode,
         state: ControlState,
         status: StatusReport,
+        *,
+        readiness: Readiness,
         secret_key: bytes,
     ) -> None:
         self._consensus = consensus
@@ -86,6 +88,7 @@
         self._state = state
         self._status = status
         self._secret_key = secret_key
+        self._readiness = readiness
 
     def routes(self) -> list[Route]:
         """Return the endpoints."""
@@ -110,7 +113,7 @@
                 "version": node.version,
                 "overrides": self._redacted(node.overrides),
             }
-            for node in self._state.settings.tree.nodes()
+            for node in self._state.settings_nodes()
         ]
         return JsonResponse({"nodes": nodes, "view_version": self._state.version})
 
@@ -118,8 +121,8 @@
         self._node.confirm_read()
         path = request.query.get(QUERY_PATH, "/")
         try:
-            values = self._state.settings.tree.explain(path)
-        except (InvalidPathError, UnknownNodeError) as error:
+            values = self._state.explain_settings(path)
+        except SettingsTreeError as error:
             raise CommandRejectedError(CODE_INVALID, str(error)) from error
         return JsonResponse({"path": path, "values": [asdict(one) for one in values]})
 
@@ -130,7 +133,7 @@
             raise CommandRejectedError(CODE_INVALID, f"{QUERY_LIMIT} is no number")
         limit = min(int(text), MAX_HISTORY)
         path = request.query.get(QUERY_PATH)
-        entries = self._state.settings.tree.history(limit, path)
+        entries = self._state.settings_history(limit, path)
         return JsonResponse({"entries": [asdict(entry) for entry in entries]})
 
     def _show_status(self, _request: JsonRequest) -> JsonResponse:
@@ -162,11 +165,9 @@
         return JsonResponse({"status": "live"})
 
     def _ready(self, _request: JsonRequest) -> JsonResponse:
-        """Tell whether this voter can serve: a leader is known and reads confirm."""
-        try:
-            self._node.confirm_read()
-        except ConsensusError as error:
-            return error_response(503, "not_ready", str(error))
+        """Tell whether this voter can serve: a quorum confirms reads."""
+        if not self._readiness.is_ready():
+            return error_response(503, "not_ready", "no quorum confirms reads")
         return JsonResponse({"status": "ready"})
 
     def _metrics(self, _request: JsonRequest) -> JsonResponse:
--- a/packages/control/src/dogwoodspool_control/incarnations.py
+++ b/packages/control/src/dogwoodspool_control/incarnations.py
@@ -20,16 +20,28 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._first_seen: dict[tuple[str, str], float] = {}
+        self._proxy_gone_at = clock.now()
 
     def observe(self, proxies: Mapping[str, ProxyRecord]) -> None:
         """Note the registered processes; called at each tick on every voter."""
         now = self._clock.now()
         with self._lock:
+            if any(name not in proxies for name, _ in self._first_seen):
+                self._proxy_gone_at = now
             self._first_seen = {
                 key: self._first_seen.get(key, now)
                 for key in ((one.name, one.incarnation) for one in proxies.values())
             }
 
+    def are_complete(self, longest_lease: float) -> bool:
+        """Tell whether no proxy that left the registered ones can hold a grant.
+
+        Nobody asks a proxy that an operator has removed for its grant. A voter
+        that started lately does not know whether one was removed before.
+        """
+        with self._lock:
+            return self._clock.now() - self._proxy_gone_at > longest_lease
+
     def is_alone(self, proxy: ProxyRecord, longest_lease: float) -> bool:
         """Tell whether no earlier process of the proxy can hold a grant."""
         if not proxy.replaced:
--- a/packages/control/src/dogwoodspool_control/node.py
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -3,10 +3,15 @@
 from typing import Any, Protocol
 
 from dogwoodspool_common import Address
-from dogwoodspool_consensus import ConsensusError, Leadership, NotLeaderError
+from dogwoodspool_consensus import (
+    ConsensusError,
+    Leadership,
+    NotLeaderError,
+    ProposalRefusedError,
+)
 
 from .commands import Command, decode_outcome, encode_command
-from .const import CONFIRM_TIMEOUT, PROPOSE_TIMEOUT
+from .const import CODE_INVALID, CONFIRM_TIMEOUT, PROPOSE_TIMEOUT
 from .errors import CommandRejectedError, LeadershipLostError, OutcomeUnknownError
 from .models import Outcome
 
@@ -88,6 +93,7 @@
 
         Raises:
             LeadershipLostError: another voter leads; the command has no effect.
+            CommandRejectedError: it is too large for the log.
             OutcomeUnknownError: the command may or may not take effect.
         """
         try:
@@ -95,6 +101,8 @@
         except NotLeaderError as error:
             leader = "" if error.leader is None else str(error.leader)
             raise LeadershipLostError(leader) from error
+        except ProposalRefusedError as error:
+            raise CommandRejectedError(CODE_INVALID, str(error)) from error
         except ConsensusError as error:
             raise OutcomeUnknownError(str(error)) from error
         return decode_outcome(answer)
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/readiness.py
@@ -0,0 +1,42 @@
+"""Whether this voter can serve, for the balancer."""
+
+import threading
+
+from dogwoodspool_common import Clock
+from dogwoodspool_consensus import ConsensusError
+
+from .const import READINESS_SECONDS
+from .node import ControlNode
+
+
+class Readiness:
+    """Remember for a moment whether a quorum confirmed a read.
+
+    The endpoint is open to everybody, so that however often it is asked, the
+    quorum is asked by one thread at a time and once per ``READINESS_SECONDS``.
+    """
+
+    def __init__(self, clock: Clock, node: ControlNode) -> None:
+        self._clock = clock
+        self._node = node
+        self._lock = threading.Lock()
+        self._checked_at = float("-inf")
+        self._is_ready = False
+
+    def is_ready(self) -> bool:
+        """Tell whether a read was confirmed lately."""
+        is_due = self._clock.now() - self._checked_at >= READINESS_SECONDS
+        if is_due and self._lock.acquire(blocking=False):
+            try:
+                self._is_ready = self._check()
+                self._checked_at = self._clock.now()
+            finally:
+                self._lock.release()
+        return self._is_ready
+
+    def _check(self) -> bool:
+        try:
+            self._node.confirm_read()
+        except ConsensusError:
+            return False
+        return True
--- a/packages/control/src/dogwoodspool_control/release.py
+++ b/packages/control/src/dogwoodspool_control/release.py
@@ -15,7 +15,7 @@
 from dogwoodspool_common.const import MILLISECONDS
 from pydantic import ValidationError
 
-from .const import RELEASE_RETRY_SECONDS, RELEASE_TIMEOUT
+from .const import RELEASE_RETRY_SECONDS, RELEASE_TIMEOUT, REMOVED_PROXIES
 from .errors import ReleaseFailedError
 from .grants import GrantTable
 from .incarnations import IncarnationAges
@@ -131,6 +131,8 @@
         }
         predecessor_expiry = self._table.predecessor_expiry
         if now < predecessor_expiry:
+            if not self._ages.are_complete(self._table.longest_lease):
+                waiting[REMOVED_PROXIES] = predecessor_expiry
             for name, proxy in proxies.items():
                 if not self._has_released(proxy):
                     waiting[name] = max(waiting.get(name, 0.0), predecessor_expiry)
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -20,6 +20,7 @@
 from .planned import PlannedPromotions
 from .promoter import Promotions
 from .promotion_parts import PromotionParts, RoleChangers
+from .readiness import Readiness
 from .reconciler import Reconciler
 from .release import ReleaseClient
 from .renewals import RenewalRate, Renewals
@@ -120,7 +121,14 @@
             timeline=timeline,
         )
         api = ControlApi(node, state, renewals, planned)
-        admin = AdminApi(consensus, node, state, status, secret_key)
+        admin = AdminApi(
+            consensus,
+            node,
+            state,
+            status,
+            readiness=Readiness(clock, node),
+            secret_key=secret_key,
+        )
         self._routes = [*consensus.routes(), *api.routes(), *admin.routes()]
 
     @property
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -7,6 +7,7 @@
 
 from dogwoodspool_api import ControlView, GroupMessage, ProxyMessage, ServerMessage
 from dogwoodspool_common import BackendServer, Clock, GroupState, log_event
+from dogwoodspool_settings import ExplainedValue, HistoryEntry, SettingsNode
 from pydantic import TypeAdapter
 
 from .commands import (
@@ -131,6 +132,25 @@
                 self._view = self._build_view()
             return self._view
 
+    def settings_nodes(self) -> list[SettingsNode]:
+        """Return all nodes of the settings tree, secrets included."""
+        with self._changed:
+            return self._settings.tree.nodes()
+
+    def explain_settings(self, path: str) -> list[ExplainedValue]:
+        """Return each value in force at a node with where it comes from.
+
+        Raises:
+            SettingsTreeError: there is no such node.
+        """
+        with self._changed:
+            return self._settings.tree.explain(path)
+
+    def settings_history(self, limit: int, path: str | None) -> list[HistoryEntry]:
+        """Return the latest accepted changes, the newest first, redacted."""
+        with self._changed:
+            return self._settings.tree.history(limit, path)
+
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after each change; it must not wait for anything."""
         with self._changed:
--- a/packages/control/src/dogwoodspool_control/status.py
+++ b/packages/control/src/dogwoodspool_control/status.py
@@ -77,7 +77,8 @@
 
     def _proxies(self) -> list[dict[str, Any]]:
         now = self._clock.now()
-        latest = self._renewals.latest
+        is_leader = self._node.leadership() is not None
+        latest = self._renewals.latest if is_leader else {}
         proxies = []
         for name, record in sorted(self._state.proxies.items()):
             renewed_at, version = latest.get(name, (None, None))
