--- /dev/null
+++ b/tests/control/test_http.py
@@ -0,0 +1,171 @@
+"""Tests of the endpoints of a control process."""
+
+import threading
+import unittest
+from typing import Any
+
+from dogwoodspool_api.const import (
+    PATH_PROMOTE,
+    PATH_RENEW,
+    PATH_SETTINGS_CHANGE,
+    PATH_WATCH,
+)
+from dogwoodspool_common import JsonRequest, JsonResponse, ManualClock, Position
+from dogwoodspool_consensus import NotConfirmedError, OutcomeUnknownError
+from dogwoodspool_control.command_queue import CommandQueue
+from dogwoodspool_control.const import MAX_WATCHERS
+from dogwoodspool_control.detector import FailureDetector
+from dogwoodspool_control.http_api import ControlApi
+from dogwoodspool_control.planned import PlannedPromotions
+from dogwoodspool_control.renewals import RenewalRate, Renewals
+from dogwoodspool_control.shares import ShareLedger
+from dogwoodspool_control.sightings import Sightings
+
+from .fakes import (
+    GROUP,
+    FakeLog,
+    FakeServer,
+    FakeServers,
+    Voter,
+    populate,
+    renewal,
+)
+
+
+class ControlApiTests(unittest.TestCase):
+    """Answers of the leader and of another voter."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.voter = Voter(self.clock, FakeLog())
+        self.voter.lead(term=1)
+        populate(self.voter, {"p1": "fd1"})
+        node, state = self.voter.node, self.voter.state
+        self.queue = CommandQueue(self.clock, node)
+        servers = FakeServers({"s2": FakeServer(Position(1, 1), is_silent=True)})
+        renewals = Renewals(
+            self.clock,
+            node,
+            state,
+            table=self.voter.table,
+            ledger=ShareLedger(self.clock),
+            detector=FailureDetector(self.clock),
+            sightings=Sightings(self.clock),
+            queue=self.queue,
+            rate=RenewalRate(self.clock, 16),
+            on_trouble=lambda: None,
+        )
+        planned = PlannedPromotions(
+            self.clock, node, state, servers, self.voter.timeline
+        )
+        api = ControlApi(node, state, renewals, planned)
+        self.routes = {route.path: route.handler for route in api.routes()}
+
+    def call(self, path: str, body: Any = None, **query: str) -> JsonResponse:
+        return self.routes[path](JsonRequest(path, query, body))
+
+    def renew(self, proxy: str, **changes: Any) -> JsonResponse:
+        message = renewal(proxy, **changes)
+        return self.call(PATH_RENEW, message.model_dump(mode="json"))
+
+    def change(self, change_id: str, version: int, **overrides: Any) -> JsonResponse:
+        body = {
+            "change_id": change_id,
+            "path": "/",
+            "expected_version": version,
+            "overrides": overrides,
+            "author": "ana",
+        }
+        return self.call(PATH_SETTINGS_CHANGE, body)
+
+    def test_a_renewal_gives_grants_and_base_shares(self) -> None:
+        body = self.renew("p1", connection_demand={"s1": 9}).body
+        self.assertEqual([grant["group"] for grant in body["grants"]], [GROUP])
+        self.assertEqual(body["connection_shares"]["s1"], 1)
+        self.clock.advance(1.53)
+        body = self.renew("p1", connection_demand={"s1": 9}).body
+        self.assertEqual(body["connection_shares"]["s1"], 9)
+
+    def test_a_new_proxy_is_registered_and_then_served(self) -> None:
+        self.assertEqual(self.renew("p2").body["grants"], [])
+        self.queue.commit_next()
+        self.assertEqual(len(self.renew("p2").body["grants"]), 1)
+
+    def test_another_voter_names_the_leader(self) -> None:
+        self.voter.stop_leading()
+        response = self.renew("p1")
+        self.assertEqual((response.status, response.body["error"]), (421, "not_leader"))
+
+    def test_renewals_are_bounded_for_each_proxy(self) -> None:
+        statuses = [self.renew("p1").status for _ in range(60)]
+        self.assertEqual(statuses.count(429), 20)
+        self.assertEqual(self.renew("p3").status, 200)
+        self.clock.advance(1.0)
+        self.assertEqual(self.renew("p1").status, 200)
+
+    def test_a_lost_race_is_a_conflict_and_a_resend_is_not(self) -> None:
+        """Two operators race; the first one's answer is lost and it resends."""
+        first = self.change("c1", 0, deadline_ms=900)
+        self.assertEqual(first.status, 200)
+        self.assertEqual(self.change("c2", 0, deadline_ms=700).status, 409)
+        self.assertEqual(self.change("c1", 0, deadline_ms=900), first)
+        self.assertEqual(self.change("c3", 1, deadline_ms=-1).status, 400)
+
+    def test_an_unknown_outcome_can_be_resent(self) -> None:
+        propose = self.voter.log_node.propose
+
+        def lose_answer(command: dict[str, Any], timeout: float) -> dict[str, Any]:
+            propose(command, timeout)
+            raise OutcomeUnknownError("no answer")
+
+        self.voter.log_node.propose = lose_answer  # type: ignore[method-assign]
+        response = self.change("c1", 0, deadline_ms=900)
+        self.assertEqual(response.status, 503)
+        self.assertEqual(response.body["error"], "outcome_unknown")
+        self.voter.log_node.propose = propose  # type: ignore[method-assign]
+        self.assertEqual(self.change("c1", 0, deadline_ms=900).body["version"], 1)
+        self.assertEqual(self.voter.state.settings.root.deadline_ms, 900)
+
+    def test_a_cut_off_voter_confirms_no_view(self) -> None:
+        """A restarted proxy asks a voter that was cut off for hours.
+
+        Its old state must not become the proxy's first view.
+        """
+
+        def refuse(timeout: float) -> int:
+            raise NotConfirmedError("no quorum")
+
+        self.voter.log_node.confirm_read = refuse  # type: ignore[method-assign]
+        self.assertEqual(self.call(PATH_WATCH, confirmed="1").status, 503)
+        self.assertEqual(self.call(PATH_WATCH).status, 200)
+
+    def test_a_long_poll_returns_with_the_next_change(self) -> None:
+        version = self.voter.state.version
+        answers: list[JsonResponse] = []
+
+        def poll() -> None:
+            query = {"after": str(version), "wait_ms": "20000"}
+            answers.append(self.call(PATH_WATCH, **query))
+
+        pollers = [threading.Thread(target=poll) for _ in range(MAX_WATCHERS + 3)]
+        for poller in pollers:
+            poller.start()
+        # Those beyond the bound are answered at once and without a view.
+        while len(answers) < 3:
+            self.clock.sleep(0)
+        self.assertEqual([answer.body["view"] for answer in answers], [None] * 3)
+        self.change("c1", 0, deadline_ms=900)
+        for poller in pollers:
+            poller.join(10)
+        versions = [answer.body["view"]["version"] for answer in answers[3:]]
+        self.assertEqual(versions, [version + 1] * MAX_WATCHERS)
+
+    def test_a_promotion_is_refused_or_begun_once(self) -> None:
+        body: dict[str, Any] = {"change_id": "c1", "group": GROUP, "candidate": "s2"}
+        self.assertEqual(self.call(PATH_PROMOTE, body).status, 409)
+        body = {"change_id": "c2", "group": GROUP, "candidate": None}
+        first = self.call(PATH_PROMOTE, body)
+        self.assertEqual(first.body["term"], 2)
+        self.assertEqual(self.call(PATH_PROMOTE, body).body["term"], 2)
+        other = {"change_id": "c3", "group": GROUP, "candidate": None}
+        self.assertEqual(self.call(PATH_PROMOTE, other).status, 409)
--- a/tests/control/test_promotion.py
+++ b/tests/control/test_promotion.py
@@ -13,7 +13,7 @@
     Role,
     ServerStatus,
 )
-from dogwoodspool_control.commands import BeginPromotion, RegisterProxy
+from dogwoodspool_control.commands import BeginPromotion, ForgetProxy, RegisterProxy
 from dogwoodspool_control.errors import CommandRejectedError
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.promoter import Promoter, Promotions
@@ -229,6 +229,23 @@
         self.assertTrue(self.promote(self.other))
         self.assertGreaterEqual(self.clock.now() - began_at, 1.53)
 
+    def test_a_removed_proxy_is_waited_for(self) -> None:
+        """An operator removes p2 from control while its process still runs.
+
+        Then the leader changes. All registered proxies answer, but p2 is not
+        asked any more and acknowledges until its grant has run out.
+        """
+        self.other.ages.observe(self.other.state.proxies)
+        self.renew(self.voter, "p2")
+        self.voter.commit(ForgetProxy("p2"))
+        self.other.ages.observe(self.other.state.proxies)
+        self.voter.commit(BEGIN)
+        self.voter.stop_leading()
+        self.other.lead(term=2)
+        began_at = self.clock.now()
+        self.assertTrue(self.promote(self.other))
+        self.assertGreaterEqual(self.clock.now() - began_at, 1.53)
+
 
 class RacingPromotionTests(PromotionCase):
     """Two promotions of one group at the same time."""
--- /dev/null
+++ b/tests/control/test_reconciler.py
@@ -0,0 +1,74 @@
+"""Tests of servers that are led to their group's primary."""
+
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+from dogwoodspool_common import ManualClock, Position, Role, ServerStatus
+from dogwoodspool_control.commands import (
+    BeginPromotion,
+    ChoosePrimary,
+    EndPromotion,
+)
+from dogwoodspool_control.models import PromotionReason
+from dogwoodspool_control.reconciler import Reconciler
+from dogwoodspool_control.sightings import Sightings
+
+from .fakes import (
+    GROUP,
+    FakeLog,
+    FakeServer,
+    FakeServers,
+    Voter,
+    observation,
+    populate,
+    renewal,
+)
+
+
+class ReconcilerTests(unittest.TestCase):
+    """The primary s1 was replaced by s2 at term 2."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.voter = Voter(self.clock, FakeLog())
+        self.voter.lead(term=1)
+        populate(self.voter, {"p1": "fd1"})
+        self.voter.commit(BeginPromotion(GROUP, 1, PromotionReason.FAILED))
+        self.voter.commit(ChoosePrimary(GROUP, 2, "s2", 5))
+        self.servers = FakeServers(
+            {name: FakeServer(Position(1, 5)) for name in ("s1", "s2", "s3")}
+        )
+        self.sightings = Sightings(self.clock)
+
+    def run_once(self) -> list[tuple[str, str, int]]:
+        with ThreadPoolExecutor(2) as executor:
+            Reconciler(
+                self.clock, self.voter.state, self.sightings, self.servers, executor
+            ).run()
+        return sorted(self.servers.calls)
+
+    def see(self, name: str, role: Role, position: Position) -> None:
+        status = ServerStatus(name, role, position, 0.0, False)
+        seen = [observation(name, status=status)]
+        self.sightings.observe(renewal("p1", observations=seen))
+
+    def test_a_returned_primary_and_a_stray_replica_are_told_to_follow(self) -> None:
+        """The old primary was cut off and comes back believing in its role.
+
+        It serves old rows and accepts writes that nobody acknowledges, until it
+        is told that the group went on without it.
+        """
+        self.voter.commit(EndPromotion(GROUP, 2, 5))
+        self.see("s1", Role.PRIMARY, Position(1, 8))
+        self.see("s2", Role.PRIMARY, Position(2, 6))
+        self.see("s3", Role.REPLICA, Position(1, 5))
+        self.assertEqual(self.run_once(), [("follow", "s1", 2), ("follow", "s3", 2)])
+
+    def test_nobody_is_told_anything_while_a_promotion_is_under_way(self) -> None:
+        self.see("s1", Role.PRIMARY, Position(1, 8))
+        self.assertEqual(self.run_once(), [])
+
+    def test_a_replica_of_the_present_term_is_left_alone(self) -> None:
+        self.voter.commit(EndPromotion(GROUP, 2, 5))
+        self.see("s3", Role.REPLICA, Position(2, 5))
+        self.assertEqual(self.run_once(), [])
--- /dev/null
+++ b/tests/control/test_runtime.py
@@ -0,0 +1,174 @@
+"""Tests of one voter with all its parts, its log on a disk."""
+
+import random
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from typing import Any
+
+from dogwoodspool_api import Announcement, Observation, PositionMessage
+from dogwoodspool_api.const import PATH_RENEW, PATH_STATUS
+from dogwoodspool_common import (
+    Address,
+    JsonClient,
+    JsonRequest,
+    Position,
+    RequestSigner,
+    Role,
+    SystemClock,
+)
+from dogwoodspool_consensus import (
+    ConsensusNode,
+    ConsensusSettings,
+    FileLogStorage,
+    HttpPeerTransport,
+)
+from dogwoodspool_control import ControlRuntime, ControlState
+
+from .fakes import (
+    DOMAINS,
+    GROUP,
+    SERVERS,
+    FakeProxies,
+    FakeServer,
+    FakeServers,
+    observation,
+    renewal,
+    server,
+)
+
+PATIENCE_SECONDS = 30.0
+
+
+class RunningVoter:
+    """One voter that is its own quorum, with fake proxies and servers."""
+
+    def __init__(self, folder: Path) -> None:
+        clock = SystemClock()
+        address = Address("127.0.0.1", 1)
+        signer = RequestSigner(b"a shared key of the tests")
+        state = ControlState(clock)
+        self.servers = FakeServers(
+            {name: FakeServer(Position(1, 5)) for name in SERVERS}
+        )
+        self.servers.servers["s1"].role = Role.PRIMARY
+        self.consensus = ConsensusNode(
+            node_id="v1",
+            address=address,
+            storage=FileLogStorage(folder),
+            machine=state,
+            transport=HttpPeerTransport(JsonClient(signer)),
+            clock=clock,
+            settings=ConsensusSettings(),
+            initial_voters={"v1": address},
+            rng=random.Random(1),
+            bootstrap=True,
+        )
+        self.runtime = ControlRuntime(
+            clock,
+            self.consensus,
+            state,
+            role_changers=self.servers,
+            release_client=FakeProxies(),
+            secret_key=b"key",
+        )
+        self._routes = {
+            (route.method, route.path): route.handler for route in self.runtime.routes
+        }
+
+    def set_up(self) -> None:
+        self.consensus.set_up()
+        self.runtime.set_up()
+
+    def unload(self) -> None:
+        self.consensus.unload()
+        self.runtime.unload()
+
+    def renew_all(self) -> list[dict[str, Any]]:
+        """Renew as one proxy of each failure domain, with what it sees."""
+        answers = []
+        for number, domain in enumerate(DOMAINS, start=1):
+            message = renewal(
+                f"p{number}",
+                domain,
+                observations=self._observations(),
+                announcements=self._announcements(),
+            )
+            body = message.model_dump(mode="json")
+            request = JsonRequest(PATH_RENEW, {}, body)
+            answers.append(dict(self._routes["POST", PATH_RENEW](request).body))
+        return answers
+
+    def status(self) -> dict[str, Any]:
+        request = JsonRequest(PATH_STATUS, {}, None)
+        return dict(self._routes["GET", PATH_STATUS](request).body)
+
+    def _observations(self) -> list[Observation]:
+        return [
+            observation(name, 700 if fake.is_silent else 0)
+            for name, fake in self.servers.servers.items()
+        ]
+
+    def _announcements(self) -> list[Announcement]:
+        return [
+            Announcement(
+                server=name,
+                group=GROUP,
+                failure_domain="fd1",
+                address=str(server(name).address),
+                role=fake.role,
+                position=PositionMessage.of(fake.position),
+                slots=3,
+                connections=20,
+            )
+            for name, fake in self.servers.servers.items()
+            if not fake.is_silent
+        ]
+
+
+class ControlRuntimeTests(unittest.TestCase):
+    """From the first renewal to a failover, and over a restart."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def start(self) -> RunningVoter:
+        voter = RunningVoter(self.folder)
+        voter.set_up()
+        return voter
+
+    def renew_until_granted(self, voter: RunningVoter, term: int) -> None:
+        """Renew until all three proxies hold the grant of a term."""
+        deadline = time.monotonic() + PATIENCE_SECONDS
+        while time.monotonic() < deadline:
+            grants = [answer.get("grants") for answer in voter.renew_all()]
+            if all(grant and grant[0]["term"] == term for grant in grants):
+                return
+            time.sleep(0.1)
+        self.fail(f"no grants of term {term}: {voter.status()}")
+
+    def test_a_failed_primary_is_replaced_and_a_restart_forgets_nothing(self) -> None:
+        """A primary dies; every proxy sees it; callers wait for the next one.
+
+        Then the voter itself restarts from its files and must know the new term.
+        """
+        voter = self.start()
+        try:
+            self.renew_until_granted(voter, term=1)
+            voter.servers.servers["s1"].is_silent = True
+            self.renew_until_granted(voter, term=2)
+            status = voter.status()
+        finally:
+            voter.unload()
+        self.assertEqual(status["groups"][0]["term_starts"], [{"term": 2, "offset": 5}])
+        phases = status["failovers"][0]["phases_ms"]
+        self.assertLessEqual(phases["released"], phases["ended"])
+        again = self.start()
+        try:
+            self.renew_until_granted(again, term=2)
+            self.assertEqual(again.status()["groups"], status["groups"])
+        finally:
+            again.unload()
