End waits for a position before rows are dropped

Cause: a caller that waited long for a position on a diverged server kept the replay off for as long as it waited, and a stop as well. Also split off the log's source and leave out sleeps of 0.

--- a/packages/standin/src/dogwoodspool_standin/connection.py
+++ b/packages/standin/src/dogwoodspool_standin/connection.py
@@ -130,7 +130,7 @@
                 return
             if not data or data[0] == Commands.COM_QUIT:
                 return
-            await asyncio.sleep(self._parts.faults.latency)
+            await self._delay()
             await self._answer(data[0], data[1:])
             self.stream.reset_seq()
 
@@ -235,7 +235,12 @@
 
     async def _begin_answer(self) -> None:
         self._update_flags()
-        await asyncio.sleep(self._parts.faults.latency)
+        await self._delay()
+
+    async def _delay(self) -> None:
+        latency = self._parts.faults.latency
+        if latency:  # A sleep of 0 would still cost a turn of the event loop.
+            await asyncio.sleep(latency)
 
     def _update_flags(self) -> None:
         flags = ServerStatus(0)
--- a/packages/standin/src/dogwoodspool_standin/errors.py
+++ b/packages/standin/src/dogwoodspool_standin/errors.py
@@ -240,3 +240,11 @@
         if part in message:
             return kind(message)
     return StatementError(message)
+
+
+def is_of_another_dialect(error: sqlite3.Error | sqlite3.Warning) -> bool:
+    """Tell whether a translation may help: new syntax or a database's name."""
+    failure = statement_error(error)
+    if isinstance(failure, NoSuchTableError):
+        return "." in str(failure)
+    return isinstance(failure, SyntaxStatementError)
--- a/packages/standin/src/dogwoodspool_standin/member.py
+++ b/packages/standin/src/dogwoodspool_standin/member.py
@@ -53,6 +53,7 @@
         self._log_connection.create_log()
         self._offset = self._log_connection.last_offset()
         self._generation = 1
+        self._round_of_waits = 0
         self._fresh_at: float | None = None
         self._state = store.load() or initial
         store.save(self._state)
@@ -122,13 +123,23 @@
         """Wait until the position is reached or the time (seconds) ran out."""
         deadline = self._clock.now() + timeout
         with self._condition:
-            while not self._has(position):
+            round_of_waits = self._round_of_waits
+            while not self._has(position) and round_of_waits == self._round_of_waits:
                 remaining = deadline - self._clock.now()
                 if remaining <= 0:
                     break
                 self._clock.wait(self._condition, remaining)
         return self.status()
 
+    def end_waits(self) -> None:
+        """Let every wait for a position end now, reached or not.
+
+        Else a wait would keep the server from dropping rows, or from stopping.
+        """
+        with self._condition:
+            self._round_of_waits += 1
+            self._condition.notify_all()
+
     def promote(self, term: int) -> ServerStatus:
         """Become the primary of a term; the same order again changes nothing.
 
@@ -174,8 +185,7 @@
     def fence(self, term: int) -> ServerStatus:
         """Refuse writes under terms older than this one, from the answer on.
 
-        The lock waits for a commit in flight; a transaction that is still open
-        cannot commit any more.
+        It waits for a commit in flight; an open transaction cannot commit then.
         """
         with self._condition:
             if term > self._state.fenced_term:
--- a/packages/standin/src/dogwoodspool_standin/replication.py
+++ b/packages/standin/src/dogwoodspool_standin/replication.py
@@ -1,12 +1,10 @@
 """Pull the log of the followed primary and apply it."""
 
-import contextlib
-import socket
 import sqlite3
 import threading
 from collections import deque
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Protocol
 
 import pymysql
 from dogwoodspool_common import Clock, DogwoodspoolError, Position, log_event
@@ -15,12 +13,11 @@
 from . import const
 from .errors import ReplicationError, StatementError
 from .faults import FaultSwitches
+from .log_source import LogSource
 from .member import GroupMember
 from .models import Link, LogBatch, LogEntry
 from .storage import Storage, StorageConnection
 
-_LOG: Final = "STANDIN LOG TERM %d AFTER %d LIMIT %d WAIT %d"
-
 
 class Callers(Protocol):
     """The callers' side, which must be empty while rows are dropped."""
@@ -49,56 +46,6 @@
     fresh_at: float | None
 
 
-class LogSource:
-    """A connection to the followed primary."""
-
-    def __init__(self, link: Link, shared_key: str, failure_domain: str) -> None:
-        self._socket = socket.create_connection(
-            (link.address.host, link.address.port), const.REPLICATION_TIMEOUT
-        )
-        self._connection = pymysql.connections.Connection(
-            defer_connect=True,
-            user=const.REPLICATION_USER,
-            password=shared_key,
-            program_name=failure_domain,
-            connect_timeout=const.REPLICATION_TIMEOUT,
-            read_timeout=const.REPLICATION_TIMEOUT,
-            write_timeout=const.REPLICATION_TIMEOUT,
-            autocommit=None,
-        )
-
-    def open(self) -> None:
-        """Log in."""
-        self._connection.connect(self._socket)
-
-    def pull(self, last: Position, wait_ms: int) -> LogBatch:
-        """Ask for the entries after the last one known."""
-        statement = _LOG % (last.term, last.offset, const.REPLICATION_BATCH, wait_ms)
-        with self._connection.cursor() as cursor:
-            cursor.execute(statement)
-            rows = cursor.fetchall()
-        if not rows:
-            raise ReplicationError("the source gave no answer")
-        term, last_offset, is_match, waited_ms, failure_domain = rows[0][:5]
-        entries = tuple(
-            LogEntry.from_json(*row[5:]) for row in rows if row[5] is not None
-        )
-        return LogBatch(
-            term, last_offset, bool(is_match), waited_ms, failure_domain, entries
-        )
-
-    def interrupt(self) -> None:
-        """End a wait of another thread for an answer."""
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
-
-    def close(self) -> None:
-        """Close; the other side may be silent, and then never answers a word."""
-        with contextlib.suppress(pymysql.MySQLError, OSError):
-            self._connection.close()
-        self._socket.close()
-
-
 class Replicator:
     """Keep this server's log a prefix of its primary's log.
 
@@ -263,6 +210,7 @@
             source_term=batch.source_term,
         )
         try:
+            self._member.end_waits()
             self._callers.begin_rebuilding()
             self._drop_rows(link)
             self._member.adopt_lineage(link, batch.source_term)
--- a/packages/standin/src/dogwoodspool_standin/server.py
+++ b/packages/standin/src/dogwoodspool_standin/server.py
@@ -171,6 +171,7 @@
             announcer.unload()
         self._replicator.unload()
         self._http.unload()
+        self._member.end_waits()
         self._listener.unload()
         self._client.close()
         self._member.close()
--- a/packages/standin/src/dogwoodspool_standin/session.py
+++ b/packages/standin/src/dogwoodspool_standin/session.py
@@ -16,9 +16,8 @@
     SQLITE_FAILURES,
     AccessDeniedError,
     DeadlockError,
-    NoSuchTableError,
     StatementError,
-    SyntaxStatementError,
+    is_of_another_dialect,
     statement_error,
 )
 from .faults import FaultSwitches
@@ -259,7 +258,7 @@
         try:
             cursor = connection.execute(sql)
         except SQLITE_FAILURES as error:
-            if not _is_of_another_dialect(error):
+            if not is_of_another_dialect(error):
                 raise
             sql = translate(statement.original)
             cursor = connection.execute(sql)
@@ -275,7 +274,9 @@
 
     def _serve(self) -> None:
         """Take the service time of a statement, and none while frozen."""
-        self._parts.clock.sleep(self._parts.faults.service_time)
+        service_time = self._parts.faults.service_time
+        if service_time:  # A sleep of 0 would still give up the processor.
+            self._parts.clock.sleep(service_time)
         self._parts.faults.pause_while_frozen()
 
     def _set(self, sql: str) -> Done:
@@ -296,11 +297,3 @@
         if self._holds_slot:
             self._holds_slot = False
             self._parts.slots.release()
-
-
-def _is_of_another_dialect(error: sqlite3.Error | sqlite3.Warning) -> bool:
-    """Tell whether a translation may help: new syntax or a database's name."""
-    failure = statement_error(error)
-    if isinstance(failure, NoSuchTableError):
-        return "." in str(failure)
-    return isinstance(failure, SyntaxStatementError)
--- a/tests/standin/test_replication.py
+++ b/tests/standin/test_replication.py
@@ -1,6 +1,7 @@
 """Replicas, changes of the primary and what they drop."""
 
 import time
+from concurrent.futures import ThreadPoolExecutor
 from unittest import mock
 
 import pymysql
@@ -127,6 +128,19 @@
         with self.assertRaises(pymysql.OperationalError):
             run(self.old_writer, ALL)
 
+    def test_long_wait_does_not_hold_up_the_replay(self) -> None:
+        # A caller waits on the old primary for a position that comes late or
+        # never, while that server has rows to drop. Did it wait for the caller,
+        # it would go on to show rows that were lost.
+        self.promote()
+        add(self.old_writer, "lost")
+        waiter = self.connect(self.old, read_timeout=60)
+        with ThreadPoolExecutor(1) as pool:
+            waiting = pool.submit(wait, waiter, 2, 1_000, timeout_ms=60_000)
+            self.follow(self.old)
+            with self.assertRaises(pymysql.OperationalError):
+                waiting.result()
+
     def test_common_log_is_kept(self) -> None:
         # The old primary has nothing that the new one lacks: callers stay.
         self.promote()
