--- a/packages/backend/src/dogwoodspool_backend/health.py
+++ b/packages/backend/src/dogwoodspool_backend/health.py
@@ -30,6 +30,10 @@
         self._lock = threading.Lock()
         self._silent_at = NEVER
 
+    def change(self, settings: PoolSettings) -> None:
+        """Put other times in force."""
+        self._settings = settings
+
     def is_suspected(self, connection: BackendConnection) -> bool:
         """Tell whether another connection went silent since the last answer."""
         with self._lock:
--- a/packages/backend/src/dogwoodspool_backend/pool.py
+++ b/packages/backend/src/dogwoodspool_backend/pool.py
@@ -49,6 +49,7 @@
         self._lock = threading.Lock()
         self._idle: deque[BackendConnection] = deque()
         self._in_use = 0
+        self._probing = 0
         self._waiters: deque[Waiter] = deque()
         self._health = ConnectionHealth(server, clock, settings)
         self._peak = Peak(clock, DEMAND_WINDOW)
@@ -116,7 +117,7 @@
         while True:
             connection = self._take(deadline, is_probe=is_probe)
             if connection is None:
-                return self._open(deadline)
+                return self._open(deadline, is_probe=is_probe)
             if self._health.is_usable(connection, deadline):
                 return connection
             if connection.went_silent:
@@ -131,17 +132,15 @@
         """
         self._health.note(connection)
         is_current = connection.generation == self._generation
-        if not (reuse and is_current and self._health.make_clean(connection)):
+        if not reuse or not is_current or not self._health.make_clean(connection):
             self._close(connection)
             return
         with self._lock:
-            is_kept = not self._is_unloaded and self._open_count() <= self._limit
-            if is_kept:
-                self._in_use -= 1
-                self._idle.append(connection)
-                self._serve_waiters()
-        if not is_kept:
-            self._close(connection)
+            self._in_use -= 1
+            self._probing -= connection.is_probing
+            connection.is_probing = False
+            self._idle.append(connection)
+            self._serve_waiters()
         self._close_expired()
 
     def set_limit(self, limit: int) -> None:
@@ -166,6 +165,7 @@
             closing = list(self._idle)
             self._idle.clear()
             self._in_use += len(closing)
+        self._health.change(settings)
         for connection in closing:
             self._close(connection)
 
@@ -212,27 +212,32 @@
     def _serve_waiters(self) -> None:
         """Give what is free to the first callers of the queue; lock is held."""
         while self._waiters and not self._is_unloaded:
-            is_probe = self._waiters[0].is_probe
-            if not is_probe and self._in_use >= self._caller_limit():
+            waiter = self._waiters[0]
+            callers = self._in_use - self._probing
+            if not waiter.is_probe and callers >= self._caller_limit():
                 return
             if self._idle:
-                self._waiters[0].connection = self._idle.pop()
+                waiter.connection = self._idle.pop()
+                waiter.connection.is_probing = waiter.is_probe
             elif self._open_count() < self._limit:
-                self._waiters[0].may_open = True
+                waiter.may_open = True
             else:
                 return
             self._in_use += 1
-            self._waiters.popleft().condition.notify_all()
+            self._probing += waiter.is_probe
+            self._waiters.popleft()
+            waiter.condition.notify_all()
 
-    def _open(self, deadline: float) -> BackendConnection:
+    def _open(self, deadline: float, *, is_probe: bool) -> BackendConnection:
         # The room was counted before, so that no two callers open the last one.
         bounded = min(deadline, self._clock.now() + self._settings.connect_timeout)
         generation = self._generation
         try:
             connection = self._connector.connect(self._server, bounded)
         except BaseException:
-            self._give_back_room()
+            self._give_back_room(is_probe=is_probe)
             raise
+        connection.is_probing = is_probe
         connection.generation = generation
         return connection
 
@@ -248,10 +253,11 @@
     def _close_expired(self) -> None:
         """Close idle connections above the limit and those idle for too long."""
         with self._lock:
+            limit = 0 if self._is_unloaded else self._limit
             oldest = self._clock.now() - self._settings.idle_expiry
             closing = []
             while self._idle and (
-                self._open_count() > self._limit or self._idle[0].answered_at < oldest
+                self._open_count() > limit or self._idle[0].answered_at < oldest
             ):
                 closing.append(self._idle.popleft())
                 self._in_use += 1
@@ -264,9 +270,10 @@
         try:
             connection.close()
         finally:
-            self._give_back_room()
+            self._give_back_room(is_probe=connection.is_probing)
 
-    def _give_back_room(self) -> None:
+    def _give_back_room(self, *, is_probe: bool) -> None:
         with self._lock:
             self._in_use -= 1
+            self._probing -= is_probe
             self._serve_waiters()
--- a/tests/backend/test_with_standin.py
+++ b/tests/backend/test_with_standin.py
@@ -173,7 +173,7 @@
     def test_pools_within_their_shares_are_never_refused(self) -> None:
         server = self.start("a", role="primary", connections=6)
         pools = [self.pool(server, 3), self.pool(server, 3)]
-        prober = Prober(lambda _server: pools[0], CLOCK, timeout=lambda _server: 30)
+        prober = Prober(lambda _server: pools[0], CLOCK, lambda _server: 30)
 
         def caller(number: int) -> None:
             pool = pools[number % 2]
@@ -272,7 +272,7 @@
         """
         server = self.start("a", role="primary")
         pool = self.pool(server, 2)
-        prober = Prober(lambda _server: pool, CLOCK, timeout=lambda _server: 0.2)
+        prober = Prober(lambda _server: pool, CLOCK, lambda _server: 0.2)
         hanging = pool.acquire(CLOCK.now() + 5)
         server.faults.apply(FaultsRequest(freeze=True))
         with ThreadPoolExecutor(2) as executor:
