--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -93,11 +93,13 @@
 
     Attributes:
         unreachable_ms: time since the last good answer; 0 while it answers.
+        down_ms: time for which its machine has refused connections; 0 otherwise.
         status: the last status read, None when there was none.
     """
 
     server: Name
     unreachable_ms: float = Field(ge=0)
+    down_ms: float = Field(default=0, ge=0)
     status: StatusMessage | None = None
 
 
--- a/packages/backend/src/dogwoodspool_backend/__init__.py
+++ b/packages/backend/src/dogwoodspool_backend/__init__.py
@@ -9,6 +9,7 @@
     OutcomeUnknownError,
     PoolClosedError,
     PoolTimeoutError,
+    ServerDownError,
     StatementFailedError,
     UnreadableStatusError,
 )
@@ -36,6 +37,7 @@
     "Probe",
     "Prober",
     "RoleChanger",
+    "ServerDownError",
     "Row",
     "SqlRoleChanger",
     "StatementFailedError",
--- a/packages/backend/src/dogwoodspool_backend/connector.py
+++ b/packages/backend/src/dogwoodspool_backend/connector.py
@@ -8,7 +8,7 @@
 
 from .connection import BackendConnection
 from .const import CONNECTION_LIMIT_NUMBERS
-from .errors import ConnectFailedError, ConnectionLimitError
+from .errors import ConnectFailedError, ConnectionLimitError, ServerDownError
 from .models import Credentials
 from .wire import Wire
 
@@ -67,4 +67,12 @@
     text = f"{server.name} at {server.address}: {error}"
     if isinstance(error, pymysql.MySQLError) and number in CONNECTION_LIMIT_NUMBERS:
         return ConnectionLimitError(text)
+    if isinstance(_root_cause(error), ConnectionRefusedError):
+        return ServerDownError(text)
     return ConnectFailedError(text)
+
+
+def _root_cause(error: BaseException) -> BaseException:
+    while error.__cause__ is not None or error.__context__ is not None:
+        error = error.__cause__ or error.__context__ or error
+    return error
--- a/packages/proxy/src/dogwoodspool_proxy/access.py
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -2,6 +2,7 @@
 
 from dogwoodspool_backend import (
     BackendConnection,
+    BackendError,
     ConnectFailedError,
     PoolTimeoutError,
     StatementResult,
@@ -14,6 +15,7 @@
 from .answers import refused
 from .backends import Backend, BackendRegistry
 from .const import CONNECT_RETRY_AFTER_MS
+from .errors import NothingSentError
 
 
 class HeldConnection:
@@ -48,9 +50,12 @@
         """Run one statement that leaves nothing behind in the session.
 
         Raises:
+            NothingSentError: the deadline has passed; nothing was sent.
             BackendError: as for ``BackendConnection.execute``.
         """
         began_at = self._clock.now()
+        if began_at >= deadline:
+            raise NothingSentError("the deadline passed before the statement was sent")
         try:
             with span("backend.statement", server=self.server.name):
                 return self.connection.execute(
@@ -81,6 +86,10 @@
         self._registry = registry
         self._clock = clock
 
+    def report_failure(self, server: BackendServer, error: BackendError) -> None:
+        """Note that a server did not answer a statement as it should."""
+        self._registry.report_failure(server, error)
+
     def open(
         self, server: BackendServer, deadline: float, priority: Priority
     ) -> Result[HeldConnection, ErrorAnswer]:
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -1,15 +1,17 @@
 """Pools and admission queues of the backend servers that this proxy uses."""
 
 import threading
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from dogwoodspool_backend import (
     BackendError,
+    ConnectFailedError,
     ConnectionPool,
     Credentials,
     MySqlConnector,
     PoolSettings,
+    ServerDownError,
 )
 from dogwoodspool_common import BackendServer, Clock, log_event
 from dogwoodspool_limits import AdmissionQueue
@@ -47,7 +49,14 @@
     a server that control has removed loses them.
     """
 
-    def __init__(self, views: ViewStore, table: ServerTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        views: ViewStore,
+        table: ServerTable,
+        probe_now: Callable[[str], None],
+        clock: Clock,
+    ) -> None:
+        self._probe_now = probe_now
         self._views = views
         self._table = table
         self._clock = clock
@@ -124,9 +133,16 @@
         self._set_limits(backends)
 
     def report_failure(self, server: BackendServer, error: BackendError) -> None:
-        """Note that a server did not answer."""
+        """Note that a statement or connection failed, and probe the server at once.
+
+        The next probe decides whether the server is unreachable: one connection
+        may be lost, or one statement slow, on a server that works.
+        """
         log_event("backend_failed", level="DEBUG", server=server.name, error=error)
-        self._table.note_failure(server.name)
+        if isinstance(error, ConnectFailedError):
+            is_down = isinstance(error, ServerDownError)
+            self._table.note_failure(server.name, is_down=is_down)
+        self._probe_now(server.name)
 
     def _build(self, server: BackendServer) -> Backend:
         settings = self._views.settings(server.group)
--- a/packages/proxy/src/dogwoodspool_proxy/probes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable
 
-from dogwoodspool_backend import BackendError, PoolTimeoutError, Probe
+from dogwoodspool_backend import BackendError, PoolTimeoutError, Probe, ServerDownError
 from dogwoodspool_common import BackendServer, Clock
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_routing import ServerTable
@@ -43,8 +43,9 @@
         except PoolTimeoutError:
             # Every connection is at work; that says nothing about the server.
             return interval
-        except BackendError:
-            self._table.note_failure(self._server.name)
+        except BackendError as error:
+            is_down = isinstance(error, ServerDownError)
+            self._table.note_failure(self._server.name, is_down=is_down)
             self._note(is_reachable=False)
             return min(interval, FAILING_PROBE_SECONDS)
         self._table.note_status(status, asked_at)
@@ -81,6 +82,13 @@
         """Follow the view."""
         self._views.add_listener(self._follow)
 
+    def probe_now(self, server: str) -> None:
+        """Probe one server at once."""
+        with self._lock:
+            known = self._probers.get(server)
+        if known is not None:
+            known[1].wake()
+
     def unload(self) -> None:
         """Stop all probers."""
         with self._lock:
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -38,6 +38,7 @@
     NO_PRIMARY_RETRY_AFTER_MS,
 )
 from .counters import Counters
+from .errors import NothingSentError
 from .grants import GrantBook
 from .routers import GroupRouters
 from .view import ViewStore
@@ -188,7 +189,7 @@
             is_fresh = self._is_fresh(caller, state, need, choice, held, deadline)
         except BackendError as error:
             held.finish(False)
-            self._table.note_failure(choice.server.name)
+            self._access.report_failure(choice.server, error)
             message = f"{choice.server.name} gave no status: {error}"
             answer = refused(message, NO_PRIMARY_RETRY_AFTER_MS)
             return TryAnother(choice.server.name, answer, is_retry=True)
@@ -260,9 +261,13 @@
         except StatementFailedError as error:
             held.finish(True)
             return failed(error)
+        except NothingSentError as error:
+            held.finish(True)
+            return refused(str(error), 0)
         except (OutcomeUnknownError, ConnectFailedError) as error:
             held.finish(False)
             log_event("read_moved", level="DEBUG", server=name, error=error)
+            self._access.report_failure(held.server, error)
             return TryAnother(name, unknown(f"{name} did not answer"), is_retry=True)
         self._budget.note_served()
         return rows_answer(held, result)
--- a/tests/backend/test_with_standin.py
+++ b/tests/backend/test_with_standin.py
@@ -1,5 +1,6 @@
 """Tests of the backend library against the stand-in server."""
 
+import socket
 import tracemalloc
 from concurrent.futures import ThreadPoolExecutor
 
@@ -15,10 +16,11 @@
     PoolSettings,
     PoolTimeoutError,
     Prober,
+    ServerDownError,
     SqlRoleChanger,
     StatementFailedError,
 )
-from dogwoodspool_common import BackendServer, Position, Role
+from dogwoodspool_common import Address, BackendServer, Position, Role
 from dogwoodspool_settings.models import Statements
 from dogwoodspool_standin import FaultsRequest, StandinServer
 
@@ -130,13 +132,48 @@
         pool.release(second, reuse=True)
 
 
+class ChangedSettingsTests(BackendTestCase):
+    """An accepted change is in force in a pool that is at work."""
+
+    def test_connections_of_old_settings_are_not_used_again(self) -> None:
+        """A new password is accepted, and a proxy goes on with the old one.
+
+        The pool took its settings when it was built; the change came into force
+        there only with the proxy's restart.
+        """
+        pool = self.pool(self.start("a", role="primary"), 3)
+        idle, used = pool.acquire(CLOCK.now() + 5), pool.acquire(CLOCK.now() + 5)
+        pool.release(idle, reuse=True)
+        credentials = Credentials(USER, "no password of the server")
+        connector = MySqlConnector(credentials, "fd-x", Statements(), CLOCK)
+        pool.change(connector, PoolSettings(connect_timeout=5))
+        pool.release(used, reuse=True)
+        self.assertFalse(idle.is_open or used.is_open)
+        with self.assertRaises(ConnectFailedError):
+            pool.acquire(CLOCK.now() + 5)
+        pool.change(self.connector(), PoolSettings(connect_timeout=5))
+        pool.release(pool.acquire(CLOCK.now() + 5), reuse=True)
+        self.assertEqual(pool.open_count, 1)
+
+
+class RefusedConnectionTests(BackendTestCase):
+    """A machine without the server is told from a silent one."""
+
+    def test_nothing_listens(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            address = Address("127.0.0.1", listener.getsockname()[1])
+        described = BackendServer("a", "orders", "fd-a", address, 3, 20)
+        with self.assertRaises(ServerDownError):
+            self.connector().connect(described, CLOCK.now() + 5)
+
+
 class ConnectionCapTests(BackendTestCase):
     """Connections are scarce."""
 
     def test_pools_within_their_shares_are_never_refused(self) -> None:
         server = self.start("a", role="primary", connections=6)
         pools = [self.pool(server, 3), self.pool(server, 3)]
-        prober = Prober(lambda _server: pools[0], CLOCK, lambda _server: 30)
+        prober = Prober(lambda _server: pools[0], CLOCK, timeout=lambda _server: 30)
 
         def caller(number: int) -> None:
             pool = pools[number % 2]
@@ -235,7 +272,7 @@
         """
         server = self.start("a", role="primary")
         pool = self.pool(server, 2)
-        prober = Prober(lambda _server: pool, CLOCK, lambda _server: 0.2)
+        prober = Prober(lambda _server: pool, CLOCK, timeout=lambda _server: 0.2)
         hanging = pool.acquire(CLOCK.now() + 5)
         server.faults.apply(FaultsRequest(freeze=True))
         with ThreadPoolExecutor(2) as executor:
