Tell a server that answers with an error from an unreachable one

A probe that met a server at its connection cap (1040), or status statements that the server does not know, counted as a failed probe: enough of them would have demoted a primary that works. Errors now say whether they are a sign of life, of an unreachable server or of neither, and the proxy's prober and registry go by it.

--- a/packages/backend/src/dogwoodspool_backend/errors.py
+++ b/packages/backend/src/dogwoodspool_backend/errors.py
@@ -1,21 +1,38 @@
 """Errors of statements and connections on backend servers."""
 
+from typing import ClassVar
+
 from dogwoodspool_common import DogwoodspoolError
 
 from .const import CONNECTION_LOST_NUMBERS
 
 
 class BackendError(DogwoodspoolError):
-    """Base of the errors of work on backend servers."""
+    """Base of the errors of work on backend servers.
+
+    Attributes:
+        suggests_unreachable: the server gave no answer where one was due.
+        is_sign_of_life: the server itself answered, though not as hoped. A server
+            that refuses a connection for want of room, or knows no such statement,
+            must not be taken for a failed one.
+    """
+
+    suggests_unreachable: ClassVar[bool] = False
+    is_sign_of_life: ClassVar[bool] = False
 
 
 class ConnectFailedError(BackendError):
     """Report that no usable connection was there: nothing was sent."""
 
+    suggests_unreachable = True
+
 
 class ConnectionLimitError(ConnectFailedError):
     """Report that the server takes no more connections (MySQL's 1040)."""
 
+    suggests_unreachable = False
+    is_sign_of_life = True
+
 
 class ServerDownError(ConnectFailedError):
     """Report that nothing listens at the server's address.
@@ -28,6 +45,8 @@
 class PoolClosedError(ConnectFailedError):
     """Report that the pool was unloaded: nothing was sent."""
 
+    suggests_unreachable = False
+
 
 class PoolTimeoutError(BackendError):
     """Report that no connection came free in time: nothing was sent.
@@ -45,6 +64,8 @@
         message: its message.
     """
 
+    is_sign_of_life = True
+
     def __init__(self, number: int, sqlstate: str, message: str) -> None:
         super().__init__(f"({number}, {sqlstate}) {message}")
         self.number = number
@@ -63,6 +84,10 @@
     The statement may or may not have run. Its connection is closed.
     """
 
+    suggests_unreachable = True
+
 
 class UnreadableStatusError(BackendError):
     """Report an answer to the status statement that is no status."""
+
+    is_sign_of_life = True
--- a/packages/backend/src/dogwoodspool_backend/probe.py
+++ b/packages/backend/src/dogwoodspool_backend/probe.py
@@ -16,8 +16,9 @@
         """Return the server's status.
 
         Raises:
-            PoolTimeoutError: no connection was free; says nothing of the server.
-            BackendError: the server gave no status.
+            BackendError: there is no status; the error's attributes tell whether
+                that is a sign of life, of an unreachable server, or of neither
+                (``PoolTimeoutError``: no connection was free).
         """
         ...
 
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -139,7 +139,7 @@
         may be lost, or one statement slow, on a server that works.
         """
         log_event("backend_failed", level="DEBUG", server=server.name, error=error)
-        if isinstance(error, ConnectFailedError):
+        if isinstance(error, ConnectFailedError) and error.suggests_unreachable:
             is_down = isinstance(error, ServerDownError)
             self._table.note_failure(server.name, is_down=is_down)
         self._probe_now(server.name)
--- a/packages/proxy/src/dogwoodspool_proxy/probes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable
 
-from dogwoodspool_backend import BackendError, PoolTimeoutError, Probe, ServerDownError
+from dogwoodspool_backend import BackendError, Probe, ServerDownError
 from dogwoodspool_common import BackendServer, Clock
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_routing import ServerTable
@@ -40,10 +40,12 @@
         asked_at = self._clock.now()
         try:
             status = self._probe.status(self._server)
-        except PoolTimeoutError:
-            # Every connection is at work; that says nothing about the server.
-            return interval
         except BackendError as error:
+            if error.is_sign_of_life:
+                # Full, or misled by its settings, but no failed server.
+                self._table.note_reachable(self._server.name)
+            if not error.suggests_unreachable:
+                return interval
             is_down = isinstance(error, ServerDownError)
             self._table.note_failure(self._server.name, is_down=is_down)
             self._note(is_reachable=False)
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -115,6 +115,12 @@
             if name in self._records:
                 self._records[name].note_failure(self._clock.now(), is_down=is_down)
 
+    def note_reachable(self, name: str) -> None:
+        """Note that a server answered, be it with an error."""
+        with self._lock:
+            if name in self._records:
+                self._records[name].note_answer(self._clock.now())
+
     def begin(self, name: str) -> None:
         """Note that a statement goes to a server."""
         with self._lock:
--- a/tests/backend/test_with_standin.py
+++ b/tests/backend/test_with_standin.py
@@ -195,8 +195,11 @@
     def test_server_without_connections_says_so(self) -> None:
         server = self.start("a", connections=1)
         self.connect_backend(server)
-        with self.assertRaises(ConnectionLimitError):
+        with self.assertRaises(ConnectionLimitError) as raised:
             self.connect_backend(server)
+        # A full server must not be taken for a failed primary.
+        self.assertTrue(raised.exception.is_sign_of_life)
+        self.assertFalse(raised.exception.suggests_unreachable)
 
     def test_cut_goes_by_the_failure_domain_of_the_connection(self) -> None:
         server = self.start("a")
--- a/tests/routing/test_server_table.py
+++ b/tests/routing/test_server_table.py
@@ -86,6 +86,13 @@
         self.table.note_status(status("b1", 5), asked_at=0.6)
         self.assertEqual(self.unreachable_ms(), 0)
 
+    def test_answer_with_an_error_is_an_answer(self) -> None:
+        self.table.note_status(status("b1", 5), asked_at=0)
+        self.clock.advance(0.5)
+        self.table.note_failure("b1")
+        self.table.note_reachable("b1")
+        self.assertEqual(self.unreachable_ms(), 0)
+
     def test_frozen_observer_counts_one_bounded_step(self) -> None:
         self.table.note_status(status("b1", 5), asked_at=0)
         self.clock.advance(60)
