--- a/packages/proxy/src/dogwoodspool_proxy/transactions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/transactions.py
@@ -89,7 +89,8 @@
             return rolled_back("the transaction was rolled back; begin it again")
         opened = self._connection(caller, transaction, request, deadline)
         if opened.is_error():
-            self.end(caller)
+            # A refused statement leaves the transaction open, as any failed
+            # statement does: sent again, it must not run outside of it.
             return opened.error
         return self._execute(caller, transaction, opened.ok, request, deadline)
 
@@ -156,14 +157,18 @@
         deadline: float,
     ) -> Result[HeldConnection, ErrorAnswer]:
         if transaction.held is not None:
-            return Ok(transaction.held)
+            refusal = transaction.held.resume(deadline)
+            return Error(refusal) if refusal else Ok(transaction.held)
         if transaction.is_read_only:
             opened = self._reads.open(caller, request.properties.max_age_ms, deadline)
         else:
             opened = self._open_primary(caller, transaction, deadline)
         if opened.is_error():
             return opened
-        return self._begin_on(transaction, opened.ok, deadline)
+        begun = self._begin_on(transaction, opened.ok, deadline)
+        if begun.is_error():
+            self.end(caller)
+        return begun
 
     def _open_primary(
         self, caller: CallerState, transaction: Transaction, deadline: float
@@ -171,8 +176,12 @@
         permit = self._grants.begin_write(caller.group)
         if permit is None:
             return Error(self._writes.no_grant(caller.group))
-        transaction.permit = permit
-        return self._writes.open(permit, deadline)
+        opened = self._writes.open(permit, deadline)
+        if opened.is_error():
+            self._grants.end_write(permit)
+        else:
+            transaction.permit = permit
+        return opened
 
     def _begin_on(
         self, transaction: Transaction, held: HeldConnection, deadline: float
@@ -200,6 +209,7 @@
             # A deadlock, for one, has undone the whole transaction already.
             if not held.connection.in_transaction:
                 transaction.has_failed = True
+            held.pause()
             return failed(error)
         except NothingSentError as error:
             return refused(str(error), 0)
@@ -212,6 +222,7 @@
             return rolled_back("the server was lost; the transaction is undone")
         if result.is_resultset:
             return _rows_in_transaction(transaction, result)
+        held.pause()
         caller.last_insert_id = result.last_insert_id or caller.last_insert_id
         return DoneAnswer(result.affected_rows, result.last_insert_id)
 
@@ -257,10 +268,12 @@
     transaction: Transaction, result: StatementResult
 ) -> RowsAnswer:
     def finish(is_complete: bool) -> None:
-        if is_complete:
+        if transaction.held is None:
             return
-        result.close()
-        if transaction.held is not None and not transaction.held.connection.is_open:
+        if not is_complete:
+            result.close()
+        if not transaction.held.connection.is_open:
             transaction.has_failed = True
+        transaction.held.pause()
 
     return RowsAnswer(answer_columns(result), result.rows, finish)
