Refuse what would start too late to be answered in time

Ruled out as the cause: the tolerance of the adaptive concurrency (2, 3 and 4 gave the same within a few per cent).

--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -9,7 +9,12 @@
 from expression import Error, Ok, Result
 
 from .concurrency import AdaptiveConcurrency
-from .const import DEFAULT_SERVICE_TIME, LATENCY_WEIGHT, MIN_RETRY_AFTER_MS
+from .const import (
+    DEFAULT_SERVICE_TIME,
+    DEVIATIONS,
+    LATENCY_WEIGHT,
+    MIN_RETRY_AFTER_MS,
+)
 from .models import Priority, Refusal, RefusalReason
 
 
@@ -74,6 +79,7 @@
         self._queue_limit = queue_limit
         self._concurrency = AdaptiveConcurrency(clock, slots, max_in_flight)
         self._service_time = DEFAULT_SERVICE_TIME
+        self._deviation = 0.0
         self._in_flight = 0
         self._waiting: list[_Waiter] = []
         self._lock = threading.Lock()
@@ -133,21 +139,22 @@
             if not wait and not self._waiting:
                 self._in_flight += 1
                 return Ok(Admission(self._end))
-            if wait > remaining:
+            patience = self._patience(remaining)
+            if wait > patience:
                 return self._refuse(RefusalReason.WAIT_TOO_LONG)
             if len(self._waiting) >= self._queue_limit and not self._displace(priority):
                 return self._refuse(RefusalReason.QUEUE_FULL)
-            return self._wait_turn(deadline, priority)
+            return self._wait_turn(self._clock.now() + patience, priority)
 
     def _wait_turn(
-        self, deadline: float, priority: Priority
+        self, latest_start: float, priority: Priority
     ) -> Result[Admission, Refusal]:
         waiter = _Waiter(self._lock, priority)
         self._waiting.append(waiter)
         self._waiting.sort(key=lambda one: one.priority)
         self._serve()
         while not waiter.is_admitted and not waiter.is_displaced:
-            remaining = deadline - self._clock.now()
+            remaining = latest_start - self._clock.now()
             if remaining <= 0:
                 self._waiting.remove(waiter)
                 return self._refuse(RefusalReason.DEADLINE_PASSED)
@@ -156,6 +163,16 @@
             return self._refuse(RefusalReason.DISPLACED)
         return Ok(Admission(self._end))
 
+    def _patience(self, remaining: float) -> float:
+        """Return how long a statement may wait and still be answered in time.
+
+        One that starts when its time is all but over would cost the server its
+        work and be answered too late. Half of the time is always for waiting, so
+        that a service time above the deadline does not close the queue.
+        """
+        bound = self._service_time + DEVIATIONS * self._deviation
+        return max(remaining - bound, remaining / 2)
+
     def _estimated_wait(self, priority: Priority) -> float:
         limit = self._concurrency.limit
         ahead = sum(1 for one in self._waiting if one.priority <= priority)
@@ -190,5 +207,6 @@
             if ok:
                 change = latency - self._service_time
                 self._service_time += LATENCY_WEIGHT * change
+                self._deviation += LATENCY_WEIGHT * (abs(change) - self._deviation)
             self._in_flight -= 1
             self._serve()
--- a/packages/limits/src/dogwoodspool_limits/const.py
+++ b/packages/limits/src/dogwoodspool_limits/const.py
@@ -4,6 +4,8 @@
 
 # Latencies go into moving averages with this weight.
 LATENCY_WEIGHT: Final = 0.1
+# Mean deviations above the average within which most statements end.
+DEVIATIONS: Final = 2
 DEFAULT_SERVICE_TIME: Final = 0.005
 
 # Adaptive concurrency: additive increase, multiplicative decrease per window.
--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -63,6 +63,16 @@
         held.done(0.01, True)
         first.result(5).ok.done(0.01, True)
 
+    def test_start_too_late_to_be_answered_in_time_is_refused(self) -> None:
+        queue = self.queue()
+        held = queue.admit(1000, Priority.READ).ok
+        first = self.wait_in(queue, 1000)
+        # Its turn would come after 20 ms and its answer after 30 ms.
+        refused = queue.admit(0.025, Priority.READ).error
+        self.assertEqual(refused.reason, RefusalReason.WAIT_TOO_LONG)
+        held.done(0.01, True)
+        first.result(5).ok.done(0.01, True)
+
     def test_waiter_is_refused_when_its_deadline_passes(self) -> None:
         queue = self.queue()
         held = queue.admit(1000, Priority.READ).ok
