--- a/tests/backend/test_pool_states.py
+++ b/tests/backend/test_pool_states.py
@@ -111,9 +111,7 @@
 
     @precondition(lambda self: self.held)
     @rule(data=st.data(), reuse=st.booleans(), in_transaction=st.booleans())
-    def release(
-        self, data: st.DataObject, reuse: bool, is_in_transaction: bool
-    ) -> None:
+    def release(self, data: st.DataObject, reuse: bool, in_transaction: bool) -> None:
         connection = data.draw(st.sampled_from(list(self.held)))
         cast(Any, connection)._wire.in_transaction = in_transaction
         del self.held[connection]
