--- a/tests/backend/test_pool_states.py
+++ b/tests/backend/test_pool_states.py
@@ -78,7 +78,7 @@
         super().__init__()
         self.clock = ManualClock()
         self.network = FakeNetwork(self.clock)
-        self.limit = 2
+        self.limit = 4
         self.held: dict[BackendConnection, bool] = {}
         server = server_at(Address("127.0.0.1", 1))
         times = PoolSettings(check_after_idle=1, idle_expiry=5)
@@ -90,7 +90,14 @@
         others = len(self.held) if is_probe else callers
         return len(self.held) < self.limit and others < self.limit - reserve
 
-    @rule(is_probe=st.booleans())
+    @rule()
+    def probe(self) -> None:
+        self.acquire(is_probe=True)
+
+    @rule()
+    def call(self) -> None:
+        self.acquire(is_probe=False)
+
     def acquire(self, is_probe: bool) -> None:
         has_room = self.has_room(is_probe)
         try:
@@ -117,7 +124,7 @@
         del self.held[connection]
         self.pool.release(connection, reuse=reuse)
 
-    @rule(limit=st.integers(0, 4))
+    @rule(limit=st.sampled_from([0, 1, 2, 3, 4, 4, 4]))
     def set_limit(self, limit: int) -> None:
         self.limit = limit
         self.pool.set_limit(limit)
@@ -127,9 +134,20 @@
         self.network.is_up = is_up
 
     @rule()
-    def silence(self) -> None:
+    def use_many(self) -> None:
+        """Leave as many idle connections as the callers' share allows."""
+        before = set(self.held)
+        while self.has_room(is_probe=False) and self.network.is_up:
+            self.acquire(is_probe=False)
+        for connection in [one for one in self.held if one not in before]:
+            del self.held[connection]
+            self.pool.release(connection, reuse=True)
+
+    @rule(seconds=st.sampled_from([0.0, 2.0]))
+    def silence(self, seconds: float) -> None:
         for wire in self.network.open_wires():
             wire.is_silent = True
+        self.clock.advance(seconds)
 
     @rule()
     def end_from_outside(self) -> None:
@@ -162,7 +180,7 @@
             derandomize=True,
             database=None,
             deadline=None,
-            max_examples=150,
+            max_examples=300,
             stateful_step_count=40,
         )
         machine("runTest").runTest()
