--- a/packages/load/src/dogwoodspool_load/caller.py
+++ b/packages/load/src/dogwoodspool_load/caller.py
@@ -4,7 +4,6 @@
 import threading
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final
 
 import pymysql
@@ -12,12 +11,12 @@
 from dogwoodspool_sessions import NEW_SESSION, TokenCodec
 from dogwoodspool_testbed import CallerConnection, Deployment, ProxyHandle
 
+from .attempts import NO_ANSWER, Attempted, CallerOptions, classify
 from .const import (
     ANSWER_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
     ER_SESSION_REFUSED,
     RETRY_PAUSE_SECONDS,
-    ROAM_PROBABILITY,
 )
 from .history import HistoryRecorder
 from .mixes import PlannedRequest, RequestPlanner
@@ -26,34 +25,6 @@
 from .statistics import RunStatistics, Sample
 
 SQL_TOKEN: Final = "SELECT @@dogwoodspool_session"
-NO_ANSWER: Final = "no answer: "
-
-
-@dataclass(frozen=True, slots=True)
-class CallerOptions:
-    """How callers behave.
-
-    Attributes:
-        interval: seconds between due requests (open loop); 0 sends the next one
-            at once (closed loop).
-        max_attempts: attempts of one request.
-        deadline_ms: stated to the proxy; None leaves it to the settings.
-        roam_probability: chance that a request goes to another proxy than the
-            last one.
-    """
-
-    interval: float
-    max_attempts: int
-    deadline_ms: int | None = None
-    roam_probability: float = ROAM_PROBABILITY
-
-
-@dataclass(frozen=True, slots=True)
-class _Attempted:
-    outcome: Outcome
-    message: str = ""
-    error_number: int = 0
-    rows: tuple[RowSeen, ...] = ()
 
 
 class Caller:
@@ -116,7 +87,7 @@
     def _perform(self, request: PlannedRequest, due_at: float) -> None:
         if self._random.random() < self._options.roam_probability:
             self._proxy = self._random.choice(self._proxies)
-        attempted = _Attempted(Outcome.NOT_SENT)
+        attempted = Attempted(Outcome.NOT_SENT)
         for attempt in range(1, self._options.max_attempts + 1):
             attempted = self._attempt(request, attempt)
             if not self._should_repeat(request, attempted):
@@ -129,7 +100,7 @@
         )
         self._statistics.record(sample)
 
-    def _should_repeat(self, request: PlannedRequest, attempted: _Attempted) -> bool:
+    def _should_repeat(self, request: PlannedRequest, attempted: Attempted) -> bool:
         match attempted.outcome:
             case Outcome.NOT_RUN | Outcome.NOT_SENT:
                 return True
@@ -138,7 +109,7 @@
                 return request.kind.rows_written <= 1
         return False
 
-    def _attempt(self, request: PlannedRequest, attempt: int) -> _Attempted:
+    def _attempt(self, request: PlannedRequest, attempt: int) -> Attempted:
         kind, proxy = request.kind, self._proxy
         connection = self._connection(proxy)
         self._recorder.record(
@@ -158,7 +129,7 @@
             )
         )
         if connection is None:
-            attempted = _Attempted(Outcome.NOT_SENT, "no connection")
+            attempted = Attempted(Outcome.NOT_SENT, "no connection")
         else:
             attempted = self._send(connection, request)
         answered_at = time.monotonic()
@@ -179,7 +150,7 @@
         self._react(attempted, proxy)
         return attempted
 
-    def _react(self, attempted: _Attempted, proxy: ProxyHandle) -> None:
+    def _react(self, attempted: Attempted, proxy: ProxyHandle) -> None:
         if attempted.outcome is not Outcome.OK:
             # The proxy may have refused before it took the session's token.
             self._told_proxy = ""
@@ -188,9 +159,7 @@
         if attempted.error_number == ER_SESSION_REFUSED:
             self._begin_session()
 
-    def _send(
-        self, connection: CallerConnection, request: PlannedRequest
-    ) -> _Attempted:
+    def _send(self, connection: CallerConnection, request: PlannedRequest) -> Attempted:
         if request.kind.rows_written > 1:
             return self._send_transaction(connection, request)
         kind = request.kind
@@ -209,12 +178,12 @@
         try:
             rows = self._execute(connection, sql, **stated)
         except pymysql.MySQLError as error:
-            return _classify(error)
-        return _Attempted(Outcome.OK, rows=rows)
+            return classify(error)
+        return Attempted(Outcome.OK, rows=rows)
 
     def _send_transaction(
         self, connection: CallerConnection, request: PlannedRequest
-    ) -> _Attempted:
+    ) -> Attempted:
         kind = request.kind
         try:
             self._execute(connection, "BEGIN")
@@ -225,17 +194,17 @@
                 )
             if request.ends_in_rollback:
                 self._execute(connection, "ROLLBACK")
-                return _Attempted(Outcome.ABORTED, "rolled back on purpose")
+                return Attempted(Outcome.ABORTED, "rolled back on purpose")
         except pymysql.MySQLError as error:
-            before = _classify(error)
+            before = classify(error)
             # Without a commit nothing of it may stay, whatever was answered.
             self._close(self._proxy)
-            return _Attempted(Outcome.ABORTED, before.message, before.error_number)
+            return Attempted(Outcome.ABORTED, before.message, before.error_number)
         try:
             self._execute(connection, "COMMIT")
         except pymysql.MySQLError as error:
-            return _classify(error)
-        return _Attempted(Outcome.OK)
+            return classify(error)
+        return Attempted(Outcome.OK)
 
     def _execute(
         self, connection: CallerConnection, sql: str, **stated: str | None
@@ -304,17 +273,3 @@
         connection.close()
     except pymysql.MySQLError:
         return
-
-
-def _classify(error: pymysql.MySQLError) -> _Attempted:
-    """Tell an attempt's outcome from the error that ended it.
-
-    A connection that broke or stayed silent after the statement was sent brought
-    no outcome, so nobody knows whether it ran.
-    """
-    number = int(error.args[0]) if error.args else 0
-    message = str(error.args[-1]) if error.args else repr(error)
-    for outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.FAILED):
-        if message.startswith(f"{outcome}:"):
-            return _Attempted(outcome, message, number)
-    return _Attempted(Outcome.UNKNOWN, f"{NO_ANSWER}{message}", number)
--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -1,93 +1,37 @@
-"""Render docs/CAPACITY.md from the slopes that ``script/measure-slopes`` measured."""
+"""Render docs/CAPACITY.md: each role's costs at the size to design for."""
 
 import json
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, Final
-
-from .slopes import Line, fit_line
-
-# The users' first letter: the size to design for.
-DAEMONS: Final = 4_100
-DATABASES: Final = 5_100
-CONNECTIONS: Final = 33_000_000
-STATEMENTS: Final = 12_000_000
-CHANGES_A_DAY: Final = 3_800
-FAILOVERS_A_DAY: Final = 7
-FAILURE_DOMAINS: Final = 6
-INSTANCES: Final = 7
-BUDGET_CPU_PERCENT: Final = 1.2
-BUDGET_BYTES: Final = 256_000_000
-BUDGET_TRAFFIC: Final = 17_000.0
-BUDGET_FORCE_MS: Final = 13_000.0
-BUDGET_FAILOVER_MS: Final = 9_000.0
-SECONDS_A_DAY: Final = 86_400
-SERVERS_PER_GROUP: Final = 3
-RENEWALS_PER_SECOND: Final = 1 / 0.3
-
-# Limits that today's control sets itself, see its const.py and the settings.
-MAX_WATCHERS: Final = 24
-MAX_SERVERS: Final = 1_024
-MAX_RENEW_ITEMS: Final = 512
-MAX_PROXIES: Final = 1_000
-
-MEGABYTE: Final = 1e6
-KILOBYTE: Final = 1e3
-PERCENT: Final = 100.0
-MILLISECONDS: Final = 1_000.0
-
-
-class Capacity:
-    """Figures at the size of the letter.
-
-    Args:
-        slopes: content of ``measurements/slopes.json``.
-    """
-
-    def __init__(self, slopes: Mapping[str, Any]) -> None:
-        self.slopes = slopes
-        proxy = slopes["proxy"]
-        self.idle_cpu = fit_line(proxy, "servers", "cpu_percent")
-        self.idle_rss = fit_line(proxy, "servers", "rss_bytes")
-        self.renew_traffic = fit_line(proxy, "servers", "bytes_per_second")
-        self.probe_traffic = fit_line(proxy, "servers", "probe_bytes_per_second")
-        self.announced = fit_line(proxy, "servers", "announcement_bytes_per_second")
-        points = slopes["control"]["points"]
-        fewest = min(point["groups"] for point in points)
-        self.by_proxies = [one for one in points if one["groups"] == fewest]
-        shared = self._proxies_of_the_other_points(points, fewest)
-        self.by_groups = [one for one in points if one["proxies"] == shared]
-        self.leader_cpu = fit_line(self.by_proxies, "proxies", "cpu_percent")
-        self.leader_rss = fit_line(self.by_proxies, "proxies", "rss_bytes")
-        self.leader_traffic = fit_line(self.by_proxies, "proxies", "bytes_per_second")
-        self.force = fit_line(self.by_proxies, "proxies", "in_force_ms_worst")
-        self.change_cpu = fit_line(
-            self.by_proxies, "proxies", "leader_cpu_ms_per_change"
-        )
-        self.leader_cpu_by_servers = fit_line(self.by_groups, "servers", "cpu_percent")
-        self.leader_rss_by_servers = fit_line(self.by_groups, "servers", "rss_bytes")
-        self.view_bytes = fit_line(self.by_groups, "servers", "view_bytes")
-        self.log_bytes = max(point["log_bytes_per_change"] for point in points)
-        saturation = slopes["saturation"]
-        self.saturated = max(
-            saturation["points"], key=lambda one: float(one["statements_per_second"])
-        )
-        self.caller_rss = fit_line(saturation["connections"], "callers", "rss_bytes")
-
-    def _proxies_of_the_other_points(
-        self, points: list[dict[str, Any]], fewest: int
-    ) -> int:
-        return next(int(one["proxies"]) for one in points if one["groups"] != fewest)
-
-    @property
-    def traffic(self) -> Line:
-        """Renewals, watch, probes and announcements of a proxy, bytes a second."""
-        lines = (self.renew_traffic, self.probe_traffic, self.announced)
-        return Line(
-            sum(line.base for line in lines),
-            sum(line.slope for line in lines),
-            self.renew_traffic.largest,
-        )
+from typing import Any
+
+from .capacity import (
+    BUDGET_BYTES,
+    BUDGET_CPU_PERCENT,
+    BUDGET_FAILOVER_MS,
+    BUDGET_TRAFFIC,
+    CHANGES_A_DAY,
+    CONNECTIONS,
+    DAEMONS,
+    DATABASES,
+    FAILOVERS_A_DAY,
+    FAILURE_DOMAINS,
+    INSTANCES,
+    KILOBYTE,
+    MAX_PROXIES,
+    MAX_RENEW_ITEMS,
+    MAX_SERVERS,
+    MAX_WATCHERS,
+    MEGABYTE,
+    MILLISECONDS,
+    PERCENT,
+    RENEWALS_PER_SECOND,
+    SECONDS_A_DAY,
+    SERVERS_PER_GROUP,
+    STATEMENTS,
+    Capacity,
+)
+from .slopes import Line
 
 
 def render(slopes: Mapping[str, Any]) -> str:
@@ -125,12 +69,15 @@
 the letter lies far past the largest size measured, the figure is an extrapolation and
 says only which way the design has to go; "not met" is then firm, "met" is not.
 
-The size: {DAEMONS:,} daemons before {DATABASES:,} databases in {FAILURE_DOMAINS} failure
+The size: {DAEMONS:,} daemons before {DATABASES:,} databases in {FAILURE_DOMAINS}
+failure
 domains, {CONNECTIONS:,} client connections, {STATEMENTS:,} statements a second,
 {FAILOVERS_A_DAY} changes of primary a day within 9 s, {CHANGES_A_DAY:,} changes of
-configuration a day in force within 13 s. The budget for control: {BUDGET_CPU_PERCENT}% of
+configuration a day in force within 13 s. The budget for control: {BUDGET_CPU_PERCENT}%
+of
 a core, 256 MB and 17 KB/s per daemon, {INSTANCES} instances. A database is taken as one
-backend server, {SERVERS_PER_GROUP} to a group: {DATABASES // SERVERS_PER_GROUP:,} groups.
+backend server, {SERVERS_PER_GROUP} to a group: {DATABASES // SERVERS_PER_GROUP:,}
+groups.
 """
 
 
@@ -150,6 +97,10 @@
         _row("control traffic in all, KB/s", traffic, BUDGET_TRAFFIC, KILOBYTE, 1),
     ]
     table = "\n".join(rows)
+    header = (
+        f"| cost | at 0 servers | per server | at {cpu.largest:.0f} servers "
+        f"| at all {DATABASES:,} | budget | servers within budget |"
+    )
     return f"""
 ## Proxy (one daemon, without callers)
 
@@ -159,7 +110,7 @@
 one probe each 250 ms per server, announcements of its failure domain. Measured up to
 {cpu.largest:.0f} servers.
 
-| cost | at 0 servers | per server | at {cpu.largest:.0f} servers | at all {DATABASES:,} | budget | servers within budget |
+{header}
 |---|---|---|---|---|---|---|
 {table}
 
@@ -179,7 +130,8 @@
     size = "" if budget is None else f"{int(line.size_at(budget)):,}"
     return (
         f"| {name} | {shown(line.base)} | {line.slope / unit:,.3g} | "
-        f"{shown(line.at(line.largest))} | {shown(line.at(DATABASES))} | {limit} | {size} |"
+        f"{shown(line.at(line.largest))} | {shown(line.at(DATABASES))} | "
+        f"{limit} | {size} |"
     )
 
 
@@ -203,7 +155,8 @@
 - With {shared} proxies each server adds {groups.slope:.2f}% of a core (measured up to
   {groups.largest:.0f} servers): every renewal carries and shares out every server, and
   the shares of a server are worked out over all proxies.
-- Memory: {capacity.leader_rss.base / MEGABYTE:.0f} MB, {capacity.leader_rss.slope / KILOBYTE:.0f}
+- Memory: {capacity.leader_rss.base / MEGABYTE:.0f} MB,
+  {capacity.leader_rss.slope / KILOBYTE:.0f}
   KB per proxy, {capacity.leader_rss_by_servers.slope / KILOBYTE:.0f} KB per server.
 - Traffic: {capacity.leader_traffic.slope / KILOBYTE:.1f} KB/s per proxy at
   {capacity.by_proxies[0]["servers"]} servers.
@@ -214,7 +167,8 @@
 Mechanism that exists: one renewal carries grants, shares, observations and
 announcements together. Designed, not built: batches per failure domain, so that the
 leader takes {batches:.0f} messages a second however many daemons there are; sharding of
-groups over control groups, each below {MAX_SERVERS:,} servers. {DATABASES:,} servers need
+groups over control groups, each below {MAX_SERVERS:,} servers. {DATABASES:,} servers
+need
 {-(-DATABASES // MAX_SERVERS)} such shards; of three voters each that would be
 {-(-DATABASES // MAX_SERVERS) * 3} instances against {INSTANCES}, so that the voters of
 several shards have to share an instance.
@@ -243,7 +197,8 @@
 
 State: none at the server. Messages: one small POST per interval to every entry instance
 of its failure domain: {each:,.0f} bytes/s for each pair of server and proxy, both ways.
-With {DAEMONS // FAILURE_DOMAINS} daemons and {DATABASES // FAILURE_DOMAINS} servers in a
+With {DAEMONS // FAILURE_DOMAINS} daemons and {DATABASES // FAILURE_DOMAINS} servers in
+a
 failure domain a server would send {each * (DAEMONS // FAILURE_DOMAINS) / KILOBYTE:,.0f}
 KB/s and a daemon receive {each * (DATABASES // FAILURE_DOMAINS) / KILOBYTE:,.0f} KB/s.
 **Not met** for all-to-all; designed, not built: a server announces itself to a few
@@ -256,9 +211,12 @@
     return f"""
 ## ctl
 
-State: declarations in files. Messages: one request per changed node; {CHANGES_A_DAY:,} a
-day are one each {interval:.0f} s. Each change costs the leader {capacity.change_cpu.base:.0f}
-ms and {capacity.change_cpu.slope:.2f} ms per proxy that follows, as each gets the whole view.
+State: declarations in files. Messages: one request per changed node; {CHANGES_A_DAY:,}
+a
+day are one each {interval:.0f} s. Each change costs the leader
+{capacity.change_cpu.base:.0f}
+ms and {capacity.change_cpu.slope:.2f} ms per proxy that follows, as each gets the whole
+view.
 The program runs for one command and holds nothing; it was not measured on its own.
 """
 
@@ -274,14 +232,17 @@
 ## Statements and callers of one daemon
 
 One proxy process served at most {reached:,.0f} plain reads a second
-({best["callers"]} callers, {best["cpu_ms_per_statement"]:.2f} ms of processor time each),
+({best["callers"]} callers, {best["cpu_ms_per_statement"]:.2f} ms of processor time
+each),
 against {wanted:,.0f} wanted ({STATEMENTS:,} over {DAEMONS:,}): **{verdict}**.
-That is {wanted / reached:.1f} processes' worth per daemon. Writes cost more and were not
+That is {wanted / reached:.1f} processes' worth per daemon. Writes cost more and were
+not
 driven to saturation. Designed, not built: several proxy processes on one instance's
 port (`SO_REUSEPORT`), each a daemon of its own to control, so that control's batches
 come first.
 
-Callers: {capacity.caller_rss.slope / KILOBYTE:.1f} KB of memory for each idle connection,
+Callers: {capacity.caller_rss.slope / KILOBYTE:.1f} KB of memory for each idle
+connection,
 measured up to {capacity.caller_rss.largest:.0f}; {callers:,.0f} connections a daemon
 would take {memory / MEGABYTE:,.0f} MB, which the letter's 256 MB for control do not
 cover. The default `--max-callers` is 4,096 and would have to be raised.
@@ -297,9 +258,11 @@
 ## 13 s for a change of configuration, 9 s for a change of primary
 
 A change was in force at the slowest of {force.largest:.0f} proxies after at worst
-{force.at(force.largest):.0f} ms on the line ({force.base:.0f} ms and {force.slope:.2f} ms
+{force.at(force.largest):.0f} ms on the line ({force.base:.0f} ms and {force.slope:.2f}
+ms
 per proxy): **met at the sizes measured**. At {DAEMONS:,} the line says
-{force.at(DAEMONS) / MILLISECONDS:.1f} s, but the leader's {cpu_seconds:.1f} s of processor
+{force.at(DAEMONS) / MILLISECONDS:.1f} s, but the leader's {cpu_seconds:.1f} s of
+processor
 time for each change, the {MAX_WATCHERS} waiting long polls and a view of
 {view / MEGABYTE:.1f} MB ({burst / MEGABYTE:,.0f} MB for all daemons, for each of
 {CHANGES_A_DAY:,} changes) stand against it: **not met**. Mechanism that exists: a long
@@ -307,9 +270,12 @@
 those that follow the subtree, through relays in each failure domain.
 
 The failover gap of today's deployments is in `measurements/*-failover.json` (budget
-{BUDGET_FAILOVER_MS / MILLISECONDS:.0f} s). It holds one release to each proxy with a grant:
-with grants for every daemon a release goes to {DAEMONS:,} of them; a daemon that follows
-only its groups, and the batch of its failure domain, keep that to a few. Not measured at
+{BUDGET_FAILOVER_MS / MILLISECONDS:.0f} s). It holds one release to each proxy with a
+grant:
+with grants for every daemon a release goes to {DAEMONS:,} of them; a daemon that
+follows
+only its groups, and the batch of its failure domain, keep that to a few. Not measured
+at
 more than 9 proxies.
 """
 
@@ -324,7 +290,8 @@
     for one in capacity.slopes["proxy"]:
         lines.append(
             f"| idle proxy | {one['groups']} groups, {one['servers']} servers | "
-            f"{_usage(one)} | probes {one['probe_bytes_per_second'] / KILOBYTE:.1f} KB/s |"
+            f"{_usage(one)} | "
+            f"probes {one['probe_bytes_per_second'] / KILOBYTE:.1f} KB/s |"
         )
     for one in capacity.slopes["control"]["points"]:
         lines.append(
--- a/packages/load/src/dogwoodspool_load/failover.py
+++ b/packages/load/src/dogwoodspool_load/failover.py
@@ -1,18 +1,14 @@
 """Measure failover gaps: kill or move a primary while writers keep trying."""
 
 import re
-import statistics
 import threading
 import time
-from collections import defaultdict
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import asdict, dataclass
-from typing import Any, Final
+from typing import Final
 
 import pymysql
 from dogwoodspool_common import Position
-from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_testbed import (
     CallerConnection,
     Deployment,
@@ -22,6 +18,14 @@
 
 from .errors import LoadError
 from .faults import FaultInjector
+from .gaps import (
+    ANY_PROXY,
+    Acknowledged,
+    FailoverGap,
+    first_after,
+    longest_pauses,
+    milliseconds,
+)
 from .models import Table
 from .rows import with_properties, write_statement
 from .schedule import FaultAction, ScheduledFault
@@ -40,43 +44,12 @@
 COLUMN_TERM: Final = 2
 COLUMN_OFFSET: Final = 3
 PHASE_ENDED: Final = "ended"
-ANY_PROXY: Final = "any"
 ROLE_REPLICA: Final = "replica"
 PHASE_LINE: Final = re.compile(
     r"event=failover_phase\b.*?group=(\S+).*?phase=(\w+) elapsed_ms=([\d.]+)"
 )
 
 
-@dataclass(frozen=True, slots=True)
-class FailoverGap:
-    """One change of primary.
-
-    A killed primary acknowledges nothing more, so its gap runs from its end to
-    the first acknowledgement of a write sent after that. A planned change lets the
-    old primary go on until it is released, so its gap is the longest pause between
-    two acknowledgements.
-
-    Attributes:
-        gap_ms: at whichever proxy acknowledged first.
-        slowest_proxy_ms: at the proxy whose own gap was longest.
-        phases_ms: ends of control's phases, from its detection on.
-        primary: the new primary.
-    """
-
-    action: str
-    gap_ms: float
-    slowest_proxy_ms: float
-    phases_ms: dict[str, float]
-    primary: str
-
-
-@dataclass(frozen=True, slots=True)
-class _Acknowledged:
-    proxy: str
-    sent_at: float
-    answered_at: float
-
-
 class FailoverMeter:
     """Strike the primaries of a deployment's groups in turn."""
 
@@ -94,7 +67,7 @@
         old = deployment.primary(group)
         phases_before = self._phases(group)
         stop = threading.Event()
-        acknowledged: list[_Acknowledged] = []
+        acknowledged: list[Acknowledged] = []
         with ThreadPoolExecutor(len(deployment.proxies), "writer") as executor:
             futures = [
                 executor.submit(self._write_on, proxy, group, stop, acknowledged)
@@ -124,13 +97,13 @@
             self._injector.restart(old.name)
         self.wait_until_whole(group)
         if action is FaultAction.PROMOTE:
-            gaps = _pauses(acknowledged, before)
+            gaps = longest_pauses(acknowledged, before)
         else:
-            gaps = _first_after(acknowledged, struck_at)
+            gaps = first_after(acknowledged, struck_at)
         return FailoverGap(
             action=str(action),
-            gap_ms=_milliseconds(gaps[ANY_PROXY]),
-            slowest_proxy_ms=_milliseconds(max(gaps.values())),
+            gap_ms=milliseconds(gaps[ANY_PROXY]),
+            slowest_proxy_ms=milliseconds(max(gaps.values())),
             phases_ms=dict(phases),
             primary=new.name,
         )
@@ -177,7 +150,7 @@
         struck_at: float,
         group: str,
         old: str,
-        acknowledged: Sequence[_Acknowledged],
+        acknowledged: Sequence[Acknowledged],
     ) -> None:
         """Wait until the primary has changed and every proxy writes to the new one."""
         deadline = struck_at + LIMIT_SECONDS
@@ -198,7 +171,7 @@
         proxy: ProxyHandle,
         group: str,
         stop: threading.Event,
-        acknowledged: list[_Acknowledged],
+        acknowledged: list[Acknowledged],
     ) -> None:
         connection: CallerConnection | None = None
         while not stop.wait(WRITE_PAUSE_SECONDS):
@@ -217,7 +190,7 @@
                 if not _has_outcome(error):
                     connection = None
                 continue
-            acknowledged.append(_Acknowledged(proxy.name, sent_at, time.monotonic()))
+            acknowledged.append(Acknowledged(proxy.name, sent_at, time.monotonic()))
         if connection is not None:
             connection.close()
 
@@ -231,74 +204,11 @@
         return phases
 
 
-def summary_of(gaps: Sequence[FailoverGap]) -> dict[str, Any]:
-    """Return median and worst of repeated changes of primary, with each one."""
-    gap = [one.gap_ms for one in gaps]
-    slowest = [one.slowest_proxy_ms for one in gaps]
-    return {
-        "count": len(gaps),
-        "gap_ms": {"median": statistics.median(gap), "worst": max(gap)},
-        "slowest_proxy_ms": {
-            "median": statistics.median(slowest),
-            "worst": max(slowest),
-        },
-        "phases_ms_median": _median_phases(gaps),
-        "each": [asdict(one) for one in gaps],
-    }
-
-
-def _median_phases(gaps: Sequence[FailoverGap]) -> dict[str, float]:
-    names = list(dict.fromkeys(name for gap in gaps for name in gap.phases_ms))
-    return {
-        name: statistics.median(
-            gap.phases_ms[name] for gap in gaps if name in gap.phases_ms
-        )
-        for name in names
-    }
-
-
-def _first_after(
-    acknowledged: Sequence[_Acknowledged], struck_at: float
-) -> dict[str, float]:
-    """Return seconds to the first acknowledgement, per proxy and at any."""
-    first: dict[str, float] = {}
-    for one in acknowledged:
-        if one.sent_at <= struck_at:
-            continue
-        for name in (one.proxy, ANY_PROXY):
-            gap = one.answered_at - struck_at
-            first[name] = min(first.get(name, gap), gap)
-    return first
-
-
-def _pauses(
-    acknowledged: Sequence[_Acknowledged], struck_at: float
-) -> dict[str, float]:
-    """Return the longest pause since the strike in seconds, per proxy and at any."""
-    times = defaultdict(list)
-    for one in acknowledged:
-        for name in (one.proxy, ANY_PROXY):
-            times[name].append(one.answered_at)
-    pauses = {}
-    for name, each in times.items():
-        each.sort()
-        pairs = zip(each, each[1:], strict=False)
-        pauses[name] = max(
-            (later - earlier for earlier, later in pairs if later > struck_at),
-            default=0.0,
-        )
-    return pauses
-
-
 def _has_outcome(error: Exception) -> bool:
     message = str(error.args[-1]) if error.args else ""
     return message.startswith(("not-run:", "unknown:", "failed:"))
 
 
-def _milliseconds(seconds: float) -> float:
-    return round(seconds * MILLISECONDS, 1)
-
-
 def _statement(proxy: ProxyHandle) -> str:
     tag = f"failover.{proxy.name}.{time.monotonic_ns()}"
     sql = write_statement(Table.LINES, ROOM, tag)
--- a/packages/load/src/dogwoodspool_load/runner.py
+++ b/packages/load/src/dogwoodspool_load/runner.py
@@ -15,7 +15,8 @@
 from dogwoodspool_testbed import Deployment
 from dogwoodspool_testbed.const import TOKEN_KEY
 
-from .caller import Caller, CallerOptions
+from .attempts import CallerOptions
+from .caller import Caller
 from .checker import check_history
 from .const import FILE_HISTORY, MAX_ATTEMPTS, ROAM_PROBABILITY
 from .faults import FaultDone, FaultInjector
--- a/script/measure.py
+++ b/script/measure.py
@@ -20,8 +20,9 @@
 
 from docopt import docopt
 from dogwoodspool_load.const import SHARED_MACHINE_NOTE
-from dogwoodspool_load.failover import FailoverMeter, summary_of
+from dogwoodspool_load.failover import FailoverMeter
 from dogwoodspool_load.final_read import create_tables
+from dogwoodspool_load.gaps import summary_of
 from dogwoodspool_load.mixes import with_weight_of_writes
 from dogwoodspool_load.overhead import added_ms, measure_overhead
 from dogwoodspool_load.results import result_of
