--- a/packages/load/src/dogwoodspool_load/const.py
+++ b/packages/load/src/dogwoodspool_load/const.py
@@ -43,3 +43,8 @@
 SHARED_MACHINE_NOTE: Final = (
     "one machine with all processes on loopback, shared with other test runs"
 )
+
+SLOPE_DOMAINS: Final = ("fd-a", "fd-b", "fd-c")
+SLOPE_SERVERS_PER_GROUP: Final = 3
+SLOPE_SETTLE_SECONDS: Final = 4.0
+SLOPE_WINDOW_SECONDS: Final = 8.0
