--- a/packages/load/src/dogwoodspool_load/capacity.py
+++ b/packages/load/src/dogwoodspool_load/capacity.py
@@ -23,11 +23,9 @@
 SERVERS_PER_GROUP: Final = 3
 RENEWALS_PER_SECOND: Final = 1 / 0.3
 
-# Limits that today's control sets itself, see its const.py and the settings.
-MAX_WATCHERS: Final = 24
-MAX_SERVERS: Final = 1_024
-MAX_RENEW_ITEMS: Final = 512
+# The largest value that the settings take for ``max_proxies``.
 MAX_PROXIES: Final = 1_000
+RESTARTS_A_DAY: Final = 1_600
 
 MEGABYTE: Final = 1e6
 KILOBYTE: Final = 1e3
--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -1,9 +1,12 @@
 """Render docs/CAPACITY.md: each role's costs at the size to design for."""
 
 import json
+import textwrap
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
+
+from dogwoodspool_control.const import MAX_RENEW_ITEMS, MAX_SERVERS, MAX_WATCHERS
 
 from .capacity import (
     BUDGET_BYTES,
@@ -19,13 +22,11 @@
     INSTANCES,
     KILOBYTE,
     MAX_PROXIES,
-    MAX_RENEW_ITEMS,
-    MAX_SERVERS,
-    MAX_WATCHERS,
     MEGABYTE,
     MILLISECONDS,
     PERCENT,
     RENEWALS_PER_SECOND,
+    RESTARTS_A_DAY,
     SECONDS_A_DAY,
     SERVERS_PER_GROUP,
     STATEMENTS,
@@ -33,6 +34,8 @@
 )
 from .slopes import Line
 
+PAGE_WIDTH: Final = 88
+
 
 def render(slopes: Mapping[str, Any]) -> str:
     """Return the page."""
@@ -46,9 +49,10 @@
         _operators(capacity),
         _statements(capacity),
         _times(capacity),
+        _unmeasured(),
         _points(capacity),
     )
-    return "\n\n".join(part.strip() for part in parts) + "\n"
+    return "\n\n".join(_wrapped(part.strip()) for part in parts) + "\n"
 
 
 def render_file(path: Path) -> str:
@@ -56,6 +60,29 @@
     return render(json.loads(path.read_text()))
 
 
+def _wrapped(text: str) -> str:
+    """Fill paragraphs and points to the page's width; tables stay as they are."""
+    return "\n\n".join(_filled(block) for block in text.split("\n\n"))
+
+
+def _filled(block: str) -> str:
+    if block.startswith(("|", "#")):
+        return block
+    points = [" ".join(point.split()) for point in f"\n{block}".split("\n- ")]
+    if len(points) == 1:
+        return textwrap.fill(points[0], PAGE_WIDTH, break_on_hyphens=False)
+    return "\n".join(
+        textwrap.fill(
+            f"- {point}",
+            PAGE_WIDTH,
+            subsequent_indent="  ",
+            break_on_hyphens=False,
+        )
+        for point in points
+        if point
+    )
+
+
 def _introduction(slopes: Mapping[str, Any]) -> str:
     load = slopes["load_average"]
     return f"""
@@ -124,7 +151,7 @@
 
 def _row(name: str, line: Line, budget: float | None, unit: float, digits: int) -> str:
     def shown(value: float) -> str:
-        return f"{value / unit:,.{digits}f}"
+        return f"{value / unit:z,.{digits}f}"
 
     limit = "" if budget is None else shown(budget)
     size = "" if budget is None else f"{int(line.size_at(budget)):,}"
@@ -142,6 +169,7 @@
     groups = capacity.leader_cpu_by_servers
     shared = capacity.by_groups[0]["proxies"]
     batches = FAILURE_DOMAINS * RENEWALS_PER_SECOND
+    both = groups.slope / shared * DAEMONS * DATABASES / PERCENT
     return f"""
 ## Control leader
 
@@ -155,6 +183,8 @@
 - With {shared} proxies each server adds {groups.slope:.2f}% of a core (measured up to
   {groups.largest:.0f} servers): every renewal carries and shares out every server, and
   the shares of a server are worked out over all proxies.
+- Both together, at {DAEMONS:,} daemons that each report {DATABASES:,} servers, the
+  second line gives {both:,.0f} cores: no tuning of this exchange gets there.
 - Memory: {capacity.leader_rss.base / MEGABYTE:.0f} MB,
   {capacity.leader_rss.slope / KILOBYTE:.0f}
   KB per proxy, {capacity.leader_rss_by_servers.slope / KILOBYTE:.0f} KB per server.
@@ -280,6 +310,19 @@
 """
 
 
+def _unmeasured() -> str:
+    interval = SECONDS_A_DAY / RESTARTS_A_DAY
+    return f"""
+## Not measured
+
+- {RESTARTS_A_DAY:,} restarts or replacements a day (one each {interval:.0f} s): each
+  registers the instance by one committed entry and makes it fetch the whole view.
+- Two regions with their latency, and regions that lose each other for an hour.
+- The loss of a failure domain at size: the reconnects of its callers to the others.
+- Followers among the voters, ctl, writes at saturation, more than 24 proxies.
+"""
+
+
 def _points(capacity: Capacity) -> str:
     lines = [
         "## Measured points",
