Wait for a steady group rather than for the log line of a promotion's end

Control sometimes never logs the phase ended: its tick forgets a promotion between the commit and the mark. The measurement then waited in vain.

--- a/packages/load/src/dogwoodspool_load/failover.py
+++ b/packages/load/src/dogwoodspool_load/failover.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 import pymysql
-from dogwoodspool_common import Position
+from dogwoodspool_common import Phase, Position
 from dogwoodspool_testbed import (
     CallerConnection,
     Deployment,
@@ -43,7 +43,6 @@
 COLUMN_ROLE: Final = 1
 COLUMN_TERM: Final = 2
 COLUMN_OFFSET: Final = 3
-PHASE_ENDED: Final = "ended"
 ROLE_REPLICA: Final = "replica"
 PHASE_LINE: Final = re.compile(
     r"event=failover_phase\b.*?group=(\S+).*?phase=(\w+) elapsed_ms=([\d.]+)"
@@ -86,10 +85,7 @@
                 future.result()
         deployment.wait_for(
             f"the end of the promotion of {group}",
-            lambda: any(
-                phase == PHASE_ENDED
-                for phase, _ in self._phases(group)[len(phases_before) :]
-            ),
+            lambda: self._is_steady(group),
         )
         phases = self._phases(group)[len(phases_before) :]
         new = deployment.primary(group)
@@ -120,6 +116,13 @@
         except TestbedError:
             return False  # The group is between two primaries.
 
+    def _is_steady(self, group: str) -> bool:
+        try:
+            groups = self._deployment.view().groups
+        except TestbedError:
+            return False
+        return any(one.name == group and one.phase is Phase.STEADY for one in groups)
+
     def _is_whole(self, group: str) -> bool:
         primary = self._deployment.primary(group)
         try:
--- a/packages/load/src/dogwoodspool_load/final_read.py
+++ b/packages/load/src/dogwoodspool_load/final_read.py
@@ -3,6 +3,7 @@
 import time
 
 import pymysql
+from dogwoodspool_common import Phase
 from dogwoodspool_testbed import Deployment, TestbedError
 
 from .const import SETTLE_SECONDS
@@ -11,7 +12,6 @@
 from .rows import CREATE_TABLES, final_row, final_statement
 
 POLL_SECONDS = 0.1
-PHASE_STEADY = "steady"
 
 
 def create_tables(deployment: Deployment) -> None:
@@ -69,7 +69,7 @@
 
 def _read_once(deployment: Deployment, group: str) -> GroupFinal:
     state = next(one for one in deployment.view().groups if one.name == group)
-    if state.phase != PHASE_STEADY:
+    if state.phase is not Phase.STEADY:
         raise LoadError(f"{group} is in phase {state.phase}")
     primary = next(one for one in deployment.standins if one.name == state.primary)
     rows = []
--- a/packages/load/src/dogwoodspool_load/gaps.py
+++ b/packages/load/src/dogwoodspool_load/gaps.py
@@ -23,7 +23,8 @@
     Attributes:
         gap_ms: at whichever proxy acknowledged first.
         slowest_proxy_ms: at the proxy whose own gap was longest.
-        phases_ms: ends of control's phases, from its detection on.
+        phases_ms: ends of control's phases, from its detection on; a phase that
+            control did not log is missing.
         primary: the new primary.
     """
 
