--- a/packages/backend/src/dogwoodspool_backend/errors.py
+++ b/packages/backend/src/dogwoodspool_backend/errors.py
@@ -17,6 +17,14 @@
     """Report that the server takes no more connections (MySQL's 1040)."""
 
 
+class ServerDownError(ConnectFailedError):
+    """Report that nothing listens at the server's address.
+
+    Unlike silence, which a slow network or a busy server makes as well, this is
+    the word of a machine that runs without the server.
+    """
+
+
 class PoolClosedError(ConnectFailedError):
     """Report that the pool was unloaded: nothing was sent."""
 
--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -9,6 +9,7 @@
 from .command_queue import CommandQueue
 from .commands import BeginPromotion
 from .const import TICK_SECONDS
+from .departures import Departures
 from .detector import DetectorSettings, FailureDetector
 from .failovers import FailoverTimeline
 from .incarnations import IncarnationAges
@@ -37,6 +38,7 @@
         settings = self._state.settings.effective(group_name)
         times = DetectorSettings(
             settings.failure_detect_ms / MILLISECONDS,
+            settings.down_detect_ms / MILLISECONDS,
             settings.renew_interval_ms / MILLISECONDS,
         )
         proxies = self._state.proxies.values()
@@ -72,6 +74,7 @@
         watch: FailureWatch,
         sightings: Sightings,
         membership: Membership,
+        departures: Departures,
         queue: CommandQueue,
         promotions: Promotions,
         reconciler: Reconciler,
@@ -87,6 +90,7 @@
         self._watch = watch
         self._sightings = sightings
         self._membership = membership
+        self._departures = departures
         self._queue = queue
         self._promotions = promotions
         self._reconciler = reconciler
@@ -96,12 +100,14 @@
         self._leadership_term: int | None = None
         self._stop = threading.Condition()
         self._is_closed = False
+        self._is_woken = False
         self._thread = threading.Thread(
             target=self._run, name="leader-loop", daemon=True
         )
 
     def set_up(self) -> None:
         """Begin to tick."""
+        self._state.add_listener(self.wake)
         self._thread.start()
 
     def unload(self) -> None:
@@ -111,6 +117,12 @@
             self._stop.notify_all()
         self._thread.join()
 
+    def wake(self) -> None:
+        """Look again without waiting for the next tick, as writes may be waiting."""
+        with self._stop:
+            self._is_woken = True
+            self._stop.notify_all()
+
     def tick(self) -> None:
         """Look at everything once."""
         self._ages.observe(self._state.proxies)
@@ -123,11 +135,18 @@
         self._detector.tick()
         for command in self._membership.due_commands():
             self._queue.offer(command)
+        for promotion in self._departures.due_commands():
+            self._timeline.begin(promotion.group, promotion.reason)
+            self._queue.offer(promotion)
         failed = self._watch.failed_groups()
         for group in failed:
             self._begin_promotion(group)
         self._timeline.keep_only(
-            {*(group.name for group in failed), *self._state.promotions}
+            {
+                *(group.name for group in failed),
+                *self._state.promotions,
+                *self._promotions.groups,
+            }
         )
         self._promotions.run_missing()
         self._reconciler.run()
@@ -159,9 +178,11 @@
         while True:
             self._tick_safely()
             with self._stop:
+                if not self._is_closed and not self._is_woken:
+                    self._clock.wait(self._stop, TICK_SECONDS)
                 if self._is_closed:
                     return
-                self._clock.wait(self._stop, TICK_SECONDS)
+                self._is_woken = False
 
     def _tick_safely(self) -> None:
         try:
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -7,6 +7,7 @@
 
 from .command_queue import CommandQueue
 from .const import MAX_RATED_PROXIES, WORKER_THREADS
+from .departures import Departures
 from .detector import FailureDetector
 from .failovers import FailoverTimeline
 from .grants import GrantTable
@@ -79,6 +80,7 @@
             watch=watch,
             sightings=sightings,
             membership=Membership(clock, state, sightings),
+            departures=Departures(clock, state),
             queue=self._queue,
             promotions=self._promotions,
             reconciler=Reconciler(
@@ -105,6 +107,7 @@
             sightings=sightings,
             queue=self._queue,
             rate=RenewalRate(clock, MAX_RATED_PROXIES),
+            on_trouble=self._loop.wake,
         )
         planned = PlannedPromotions(clock, node, state, role_changers, timeline)
         status = StatusReport(
--- a/packages/proxy/src/dogwoodspool_proxy/probes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -3,11 +3,12 @@
 import threading
 from collections.abc import Callable
 
-from dogwoodspool_backend import BackendError, PoolTimeoutError, Probe
+from dogwoodspool_backend import BackendError, PoolTimeoutError, Probe, ServerDownError
 from dogwoodspool_common import BackendServer, Clock
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_routing import ServerTable
 
+from .const import FAILING_PROBE_SECONDS
 from .coordinator import Coordinator
 from .view import ProxyView, ViewStore
 
@@ -34,20 +35,22 @@
 
     def step(self) -> float:
         """Probe once."""
-        interval = self._views.settings(self._server.group).probe_interval_ms
+        settings = self._views.settings(self._server.group)
+        interval = settings.probe_interval_ms / MILLISECONDS
         asked_at = self._clock.now()
         try:
             status = self._probe.status(self._server)
         except PoolTimeoutError:
             # Every connection is at work; that says nothing about the server.
-            return interval / MILLISECONDS
-        except BackendError:
-            self._table.note_failure(self._server.name)
+            return interval
+        except BackendError as error:
+            is_down = isinstance(error, ServerDownError)
+            self._table.note_failure(self._server.name, is_down=is_down)
             self._note(is_reachable=False)
-            return interval / MILLISECONDS
+            return min(interval, FAILING_PROBE_SECONDS)
         self._table.note_status(status, asked_at)
         self._note(is_reachable=True)
-        return interval / MILLISECONDS
+        return interval
 
     def _note(self, is_reachable: bool) -> None:
         if is_reachable == self._is_reachable:
@@ -79,6 +82,13 @@
         """Follow the view."""
         self._views.add_listener(self._follow)
 
+    def probe_now(self, server: str) -> None:
+        """Probe one server at once."""
+        with self._lock:
+            known = self._probers.get(server)
+        if known is not None:
+            known[1].wake()
+
     def unload(self) -> None:
         """Stop all probers."""
         with self._lock:
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -22,7 +22,6 @@
 from dogwoodspool_routing import (
     ReadChoice,
     ReadNeed,
-    ReadRouter,
     ServerTable,
     satisfies,
 )
@@ -39,7 +38,9 @@
     NO_PRIMARY_RETRY_AFTER_MS,
 )
 from .counters import Counters
+from .errors import NothingSentError
 from .grants import GrantBook
+from .routers import GroupRouters
 from .view import ViewStore
 
 
@@ -71,7 +72,7 @@
         grants: GrantBook,
         access: BackendAccess,
         table: ServerTable,
-        router: ReadRouter,
+        routers: GroupRouters,
         budget: RetryBudget,
         counters: Counters,
         clock: Clock,
@@ -80,7 +81,7 @@
         self._grants = grants
         self._access = access
         self._table = table
-        self._router = router
+        self._routers = routers
         self._budget = budget
         self._counters = counters
         self._clock = clock
@@ -142,7 +143,7 @@
         need = needed.ok
         unconfirmed = self._grants.unconfirmed_seconds(state.name, state.term)
         with span("route.read", group=caller.group):
-            choice = self._router.choose(
+            choice = self._routers.router(caller.group).choose(
                 state,
                 need,
                 exclude=excluded,
@@ -188,7 +189,7 @@
             is_fresh = self._is_fresh(caller, state, need, choice, held, deadline)
         except BackendError as error:
             held.finish(False)
-            self._table.note_failure(choice.server.name)
+            self._access.report_failure(choice.server, error)
             message = f"{choice.server.name} gave no status: {error}"
             answer = refused(message, NO_PRIMARY_RETRY_AFTER_MS)
             return TryAnother(choice.server.name, answer, is_retry=True)
@@ -260,9 +261,13 @@
         except StatementFailedError as error:
             held.finish(True)
             return failed(error)
+        except NothingSentError as error:
+            held.finish(True)
+            return refused(str(error), 0)
         except (OutcomeUnknownError, ConnectFailedError) as error:
             held.finish(False)
             log_event("read_moved", level="DEBUG", server=name, error=error)
+            self._access.report_failure(held.server, error)
             return TryAnother(name, unknown(f"{name} did not answer"), is_retry=True)
         self._budget.note_served()
         return rows_answer(held, result)
