Give a change sent again its first answer whole

Found by a scenario: a resend after another change named a later view_version than the first answer, and counted as a new version of the view although it changed nothing.

--- a/packages/control/src/dogwoodspool_control/settings_state.py
+++ b/packages/control/src/dogwoodspool_control/settings_state.py
@@ -117,7 +117,7 @@
             self._index = index
             self.note_write_acks(groups)
             self._lease_bound_ms = max(self._lease_bound_ms, self._current_bound_ms())
-        return _outcome(answer, self._index)
+        return _outcome(answer)
 
     def lower_lease_bound(self, command: LowerLeaseBound) -> Outcome:
         """Take over the present lease as the bound."""
@@ -153,10 +153,10 @@
         return ceil(root.lease_ms * (1 + root.clock_drift))
 
 
-def _outcome(answer: Result[ChangeAccepted, ChangeRejected], index: int) -> Outcome:
+def _outcome(answer: Result[ChangeAccepted, ChangeRejected]) -> Outcome:
     match answer:
         case Result(tag="ok", ok=accepted):
-            return Outcome(True, index=index, version=accepted.version)
+            return Outcome(True, index=accepted.index, version=accepted.version)
         case Result(error=rejected):
             is_conflict = rejected.code in (
                 RejectionCode.CONFLICT,
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -133,10 +133,12 @@
 
     Attributes:
         version: the node's version since then; a deletion counts as one too.
+        index: log index at which it took effect.
     """
 
     path: str
     version: int
+    index: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/settings/src/dogwoodspool_settings/snapshot.py
+++ b/packages/settings/src/dogwoodspool_settings/snapshot.py
@@ -53,6 +53,7 @@
     digest: str
     path: str = ""
     version: int
+    index: int = 0
     code: RejectionCode | None = None
     message: str = ""
 
@@ -66,6 +67,7 @@
                 digest=remembered.digest,
                 path=answer.ok.path,
                 version=answer.ok.version,
+                index=answer.ok.index,
             )
         return cls(
             change_id=remembered.change_id,
@@ -79,7 +81,7 @@
         """Return the inner value."""
         answer: ChangeAnswer
         if self.code is None:
-            answer = Ok(ChangeAccepted(self.path, self.version))
+            answer = Ok(ChangeAccepted(self.path, self.version, self.index))
         else:
             answer = Error(ChangeRejected(self.code, self.message, self.version))
         return RememberedAnswer(self.change_id, self.digest, answer)
--- a/packages/settings/src/dogwoodspool_settings/tree.py
+++ b/packages/settings/src/dogwoodspool_settings/tree.py
@@ -38,7 +38,7 @@
         >>> tree = SettingsTree()
         >>> change = SettingsChange("c1", "/", 0, {"deadline_ms": 800}, "ana")
         >>> tree.apply(change, index=1).ok
-        ChangeAccepted(path='/', version=1)
+        ChangeAccepted(path='/', version=1, index=1)
         >>> tree.effective(None, None).deadline_ms
         800
     """
@@ -199,7 +199,7 @@
         )
         self._version = index
         self._effective = {}
-        return ChangeAccepted(change.path, version)
+        return ChangeAccepted(change.path, version, index)
 
     def _nearest_path(self, group: str | None, failure_domain: str | None) -> str:
         path = self._nodes.path_of_group(group) if group is not None else None
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -121,6 +121,22 @@
         again = restored.apply(5, encode_command(rejected))
         self.assertFalse(again["is_accepted"])
 
+    def test_a_change_sent_again_gets_its_first_answer(self) -> None:
+        """An operator's answer is lost, other changes follow, the change is resent.
+
+        The answer to the resend named a later version of the view, and the resend
+        counted as a new version although it changed nothing.
+        """
+        first = ChangeSettings("c1", "/", 0, {"deadline_ms": 900}, "ana")
+        other = ChangeSettings("c2", "/", 1, {"deadline_ms": 800}, "ben")
+        state, restored = (ControlState(ManualClock()) for _ in range(2))
+        answer = state.apply(1, encode_command(first))
+        state.apply(2, encode_command(other))
+        restored.restore(state.snapshot())
+        for voter in (state, restored):
+            self.assertEqual(voter.apply(3, encode_command(first)), answer)
+            self.assertEqual(voter.version, 2)
+
     def test_a_server_that_a_promotion_may_need_is_not_removed(self) -> None:
         state = ControlState(ManualClock())
         begin = BeginPromotion(GROUP, 1, PromotionReason.FAILED)
--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -90,7 +90,9 @@
             # The connection broke in the middle of the answer.
             return JsonResponse(text='{"path": "/ch')
         if answer.is_ok():
-            return JsonResponse({**asdict(answer.ok), "view_version": self.index})
+            accepted = asdict(answer.ok)
+            accepted["view_version"] = accepted.pop("index")
+            return JsonResponse(accepted)
         rejected = answer.error
         is_conflict = rejected.code is RejectionCode.CONFLICT
         status = 409 if is_conflict else 400
