Free the connection that follows a replica when it becomes the primary

Found by a measurement: after half of the promotions the first writes waited 0.5 s and were refused, with the new grant at hand. The thread that confirms writes by a replica still held this proxy's only connection to the server that had just become the primary, for a second without waiting writes. Ruled out: the time until the grant (0.12 s after the promotion's end).

--- a/packages/proxy/src/dogwoodspool_proxy/acks.py
+++ b/packages/proxy/src/dogwoodspool_proxy/acks.py
@@ -10,7 +10,7 @@
 
 from .backends import Backend, BackendRegistry
 from .const import ACK_IDLE_SECONDS, ACK_WAIT_SLICE_SECONDS, RETRY_PAUSE_SECONDS
-from .view import ViewStore
+from .view import ProxyView, ViewStore
 
 
 class ReplicaAcks:
@@ -78,6 +78,7 @@
         self._waiting: list[Position] = []
         self._confirmed: Position | None = None
         self._is_stopped = False
+        self._is_view_new = False
         self._turn = 0
         self._held: tuple[Backend, BackendConnection] | None = None
         self._thread = threading.Thread(
@@ -86,6 +87,7 @@
 
     def set_up(self) -> None:
         """Begin to follow."""
+        self._views.add_listener(self._look_again)
         self._thread.start()
 
     def unload(self) -> None:
@@ -137,6 +139,9 @@
         """Return the lowest position that a write waits for; None to stop."""
         with self._changed:
             while not self._is_stopped:
+                if self._is_view_new:
+                    self._is_view_new = False
+                    self._give_back()
                 open_positions = [
                     position
                     for position in self._waiting
@@ -144,7 +149,8 @@
                 ]
                 if open_positions:
                     return min(open_positions)
-                if not self._clock.wait(self._changed, ACK_IDLE_SECONDS):
+                self._clock.wait(self._changed, ACK_IDLE_SECONDS)
+                if not self._waiting:
                     self._give_back()
             return None
 
@@ -206,6 +212,16 @@
             replicas, key=lambda server: (server.failure_domain == home, server.name)
         )
 
+    def _look_again(self, _view: ProxyView) -> None:
+        """Wake the follower, whose replica may have become the primary.
+
+        It holds maybe this proxy's only connection to that server, and the first
+        writes after a promotion would wait for it.
+        """
+        with self._changed:
+            self._is_view_new = True
+            self._changed.notify_all()
+
     def _give_back(self) -> None:
         if self._held is None:
             return
