--- a/packages/api/src/dogwoodspool_api/const.py
+++ b/packages/api/src/dogwoodspool_api/const.py
@@ -12,6 +12,7 @@
 PATH_PROMOTE: Final = "/v1/groups/promote"
 PATH_STATUS: Final = "/v1/status"
 PATH_VOTERS: Final = "/v1/voters"
+PATH_FORGET_PROXY: Final = "/v1/proxies/forget"
 
 # Served by proxies.
 PATH_ANNOUNCE: Final = "/v1/announce"
--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -56,7 +56,6 @@
 CODE_NOT_CONFIRMED: Final = "not_confirmed"
 CODE_TOO_MANY: Final = "too_many_requests"
 
-PATH_FORGET_PROXY: Final = "/v1/proxies/forget"
 QUERY_WAIT: Final = "wait"
 QUERY_LIMIT: Final = "limit"
 VOTER_CHANGE_TIMEOUT: Final = 10.0
--- a/packages/control/src/dogwoodspool_control/http_admin.py
+++ b/packages/control/src/dogwoodspool_control/http_admin.py
@@ -6,6 +6,7 @@
 
 from dogwoodspool_api import Name
 from dogwoodspool_api.const import (
+    PATH_FORGET_PROXY,
     PATH_LIVE,
     PATH_METRICS,
     PATH_READY,
@@ -37,7 +38,6 @@
     CODE_INVALID,
     DEFAULT_HISTORY,
     MAX_HISTORY,
-    PATH_FORGET_PROXY,
     QUERY_LIMIT,
     VOTER_CHANGE_TIMEOUT,
 )
--- a/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
+++ b/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
@@ -1,4 +1,4 @@
-"""The commands ``status``, ``rollout``, ``promote``, ``drain`` and ``voters``."""
+"""The commands ``status``, ``rollout``, ``promote``, ``drain``, ``forget`` and ``voters``."""
 
 from typing import Any
 
@@ -79,6 +79,12 @@
     return Report([f"{name} is draining"], answer)
 
 
+def run_forget(context: Context, arguments: Arguments) -> Report:
+    """Remove a proxy that will not come back, with its share of connections."""
+    answer = context.control.forget_proxy(arguments["PROXY"])
+    return Report([f"{arguments['PROXY']} is forgotten"], answer)
+
+
 def run_voters(context: Context, arguments: Arguments) -> Report:
     """List the voters, add one or remove one."""
     if arguments["add"]:
--- a/packages/ctl/src/dogwoodspool_ctl/control.py
+++ b/packages/ctl/src/dogwoodspool_ctl/control.py
@@ -77,6 +77,10 @@
         """Return the voters."""
         return _parse(VotersAnswer, self._client.get(const.PATH_VOTERS))
 
+    def forget_proxy(self, name: str) -> dict[str, Any]:
+        """Remove a proxy that will not come back."""
+        return self._client.post(const.PATH_FORGET_PROXY, {"proxy": name})
+
     def change_voters(self, request: VotersRequest) -> dict[str, Any]:
         """Add or remove a voter."""
         body = request.model_dump(mode="json", exclude_none=True)
--- a/packages/ctl/src/dogwoodspool_ctl/main.py
+++ b/packages/ctl/src/dogwoodspool_ctl/main.py
@@ -37,6 +37,7 @@
   dogwoodspool-ctl [options] rollout
   dogwoodspool-ctl [options] promote GROUP [--to=SERVER]
   dogwoodspool-ctl [options] drain PROXY
+  dogwoodspool-ctl [options] forget PROXY
   dogwoodspool-ctl [options] voters list
   dogwoodspool-ctl [options] voters add ID HOST:PORT
   dogwoodspool-ctl [options] voters remove ID
@@ -77,6 +78,7 @@
     "rollout": cluster_commands.run_rollout,
     "promote": cluster_commands.run_promote,
     "drain": cluster_commands.run_drain,
+    "forget": cluster_commands.run_forget,
     "voters": cluster_commands.run_voters,
 }
 
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -1,6 +1,7 @@
 """Wire the parts of a proxy together."""
 
 import ssl
+import threading
 import uuid
 
 from dogwoodspool_api import Observation, RenewRequest
@@ -131,8 +132,8 @@
         log_event("proxy_stopped")
 
     def request_drain(self) -> None:
-        """Mark the proxy as not ready; the process ends when it is signalled."""
-        self._diagnostics.start_draining()
+        """Begin to drain; the process stays until it is signalled."""
+        threading.Thread(target=self.drain, name="drain", daemon=True).start()
 
     def _build_statement_paths(self) -> None:
         clock = self._clock
--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -65,6 +65,7 @@
             ("POST", const.PATH_PROMOTE): self._record,
             ("POST", const.PATH_VOTERS): self._record,
             ("POST", const.PATH_DRAIN): self._record,
+            ("POST", const.PATH_FORGET_PROXY): self._record,
         }
         self.server = serve(routes)
 
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -222,11 +222,13 @@
     def test_messages_reach_their_receivers(self) -> None:
         self.control.proxies = [self.proxy(0)]
         self.done("drain", "entry-1")
+        self.done("forget", "entry-1")
         self.done("promote", "g1", "--to", "s2")
         self.done("voters", "add", "v2", "127.0.0.1:7002")
         self.done("voters", "remove", "v1")
         posted = self.control.posted
         self.assertEqual(posted[const.PATH_DRAIN], [{}])
+        self.assertEqual(posted[const.PATH_FORGET_PROXY], [{"proxy": "entry-1"}])
         (promotion,) = posted[const.PATH_PROMOTE]
         self.assertEqual((promotion["group"], promotion["candidate"]), ("g1", "s2"))
         self.assertEqual(
