--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -65,6 +65,7 @@
             ("POST", const.PATH_PROMOTE): self._record,
             ("POST", const.PATH_VOTERS): self._record,
             ("POST", const.PATH_DRAIN): self._record,
+            ("POST", const.PATH_FORGET_PROXY): self._record,
         }
         self.server = serve(routes)
 
@@ -90,7 +91,9 @@
             # The connection broke in the middle of the answer.
             return JsonResponse(text='{"path": "/ch')
         if answer.is_ok():
-            return JsonResponse({**asdict(answer.ok), "view_version": self.index})
+            accepted = asdict(answer.ok)
+            accepted["view_version"] = accepted.pop("index")
+            return JsonResponse(accepted)
         rejected = answer.error
         is_conflict = rejected.code is RejectionCode.CONFLICT
         status = 409 if is_conflict else 400
