Let a mutation of something that has moved fail loudly

Three guards seemed to be of no use after the pool's checks moved to a class of their own: the mutation had set a name that nothing read any more.

--- a/features/mutations/guards/answers.py
+++ b/features/mutations/guards/answers.py
@@ -2,26 +2,27 @@
 
 from typing import Any
 
-from .model import Guard
+from .model import Guard, replace
 
 
 def late_answer_kept() -> None:
     """Use a connection again after a wait for its answer ended."""
     from dogwoodspool_backend import ConnectionPool
     from dogwoodspool_backend.connection import BackendConnection
+    from dogwoodspool_backend.health import ConnectionHealth
     from dogwoodspool_backend.wire import Wire
 
+    original = ConnectionPool.release
+
     def release(self: Any, connection: Any, *, reuse: bool) -> None:
-        with self._lock:
-            self._in_use -= 1
-            self._idle.append(connection)
-            self._serve_waiters()
+        original(self, connection, reuse=True)
 
-    Wire._force_close = lambda _self: None
-    Wire.abandon = lambda _self: None
-    BackendConnection._lose = lambda _self: None
-    ConnectionPool.release = release
-    ConnectionPool._is_usable = lambda _self, _connection, _deadline: True
+    replace(Wire, "_force_close", lambda _self: None)
+    replace(Wire, "abandon", lambda _self: None)
+    replace(BackendConnection, "_lose", lambda _self: None)
+    replace(ConnectionPool, "release", release)
+    replace(ConnectionHealth, "make_clean", lambda _self, _connection: True)
+    replace(ConnectionHealth, "is_usable", lambda _self, _connection, _deadline: True)
 
 
 def broken_result_ended() -> None:
@@ -37,7 +38,7 @@
         except DogwoodspoolError:
             return []
 
-    CallerConnection._next_batch = _next_batch
+    replace(CallerConnection, "_next_batch", _next_batch)
 
 
 def results_buffered() -> None:
@@ -52,7 +53,7 @@
         rows = list(answer.rows)
         return RowsAnswer(answer.columns, iter(rows), answer.finish)
 
-    reads.rows_answer = rows_answer
+    replace(reads, "rows_answer", rows_answer)
 
 
 def packets_unbounded() -> None:
@@ -66,7 +67,7 @@
     """Put parameters between quotes as they are."""
     from dogwoodspool_gateway import prepared
 
-    prepared.escape_item = lambda value, _charset: f"'{value}'"
+    replace(prepared, "escape_item", lambda value, _charset: f"'{value}'")
 
 
 GUARDS = (
--- a/features/mutations/guards/leaving.py
+++ b/features/mutations/guards/leaving.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from .model import CONTROL, Guard
+from .model import CONTROL, Guard, replace
 
 
 def leaving_ignored() -> None:
@@ -12,8 +12,8 @@
     def takes_work(self: Any) -> bool:
         return not self.is_failing
 
-    ServerView.takes_replica_work = property(takes_work)
-    ServerView.takes_primary_work = property(takes_work)
+    replace(ServerView, "takes_replica_work", property(takes_work))
+    replace(ServerView, "takes_primary_work", property(takes_work))
 
 
 def leaving_cuts_transactions() -> None:
@@ -30,14 +30,14 @@
                 held.connection.close()
         return original(self, caller, transaction, *rest)
 
-    TransactionPath._connection = _connection
+    replace(TransactionPath, "_connection", _connection)
 
 
 def leaving_primary_stays() -> None:
     """Let a primary that leaves stay the primary."""
     from dogwoodspool_control.departures import Departures
 
-    Departures.due_commands = lambda _self: iter(())
+    replace(Departures, "due_commands", lambda _self: iter(()))
 
 
 GUARDS = (
--- a/features/mutations/guards/model.py
+++ b/features/mutations/guards/model.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 PROXY: Final = "dogwoodspool-proxy"
 CONTROL: Final = "dogwoodspool-control"
@@ -22,3 +22,15 @@
     name: str
     switch_off: Callable[[], None]
     program: str = PROXY
+
+
+def replace(owner: Any, name: str, value: Any) -> Any:
+    """Replace what a class or module has under a name; return what it was.
+
+    Raises:
+        AttributeError: there is no such name. A mutation of something that has
+            moved would change nothing, and its guard would seem to be of no use.
+    """
+    original = getattr(owner, name)
+    setattr(owner, name, value)
+    return original
--- a/features/mutations/guards/refusals.py
+++ b/features/mutations/guards/refusals.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from .model import Guard
+from .model import Guard, replace
 
 
 def grant_never_expires() -> None:
@@ -12,14 +12,14 @@
     def _valid(self: Any, group: str, is_ending: bool = False) -> Any:
         return self._grants.get(group)
 
-    GrantBook._valid = _valid
+    replace(GrantBook, "_valid", _valid)
 
 
 def deadline_unchecked() -> None:
     """Run statements whatever deadline they state."""
     from dogwoodspool_proxy.caller_session import ProxySession
 
-    ProxySession._deadline = lambda self, _request: self._clock.now() + 2.0
+    replace(ProxySession, "_deadline", lambda self, _request: self._clock.now() + 2.0)
 
 
 def queue_unbounded() -> None:
@@ -33,15 +33,15 @@
     ) -> None:
         original(self, clock, slots, max_in_flight, 1_000_000)
 
-    AdmissionQueue.__init__ = initialise
-    AdmissionQueue.set_queue_limit = lambda _self, _limit: None
+    replace(AdmissionQueue, "__init__", initialise)
+    replace(AdmissionQueue, "set_queue_limit", lambda _self, _limit: None)
 
 
 def silence_told_as_not_run() -> None:
     """Say of a write without an answer that it did not run."""
     from dogwoodspool_proxy import writes
 
-    writes.unknown = lambda message: writes.refused(message, 100)
+    replace(writes, "unknown", lambda message: writes.refused(message, 100))
 
 
 GUARDS = (
--- a/features/mutations/guards/requests.py
+++ b/features/mutations/guards/requests.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from .model import Guard
+from .model import Guard, replace
 
 
 def request_row_skipped() -> None:
@@ -14,14 +14,14 @@
         result = self._execute(sql)
         return RequestOutcome(result.affected_rows, result.last_insert_id, False)
 
-    RequestRunner.run = run
+    replace(RequestRunner, "run", run)
 
 
 def unknown_write_resent() -> None:
     """Send every write again whose outcome is unknown."""
     from dogwoodspool_proxy.writes import WritePath
 
-    WritePath._may_repeat = lambda _self, _caller, _request: True
+    replace(WritePath, "_may_repeat", lambda _self, _caller, _request: True)
 
 
 GUARDS = (
--- a/features/mutations/guards/sessions.py
+++ b/features/mutations/guards/sessions.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from .model import Guard
+from .model import Guard, replace
 
 
 def satisfies_always() -> None:
@@ -14,8 +14,8 @@
     def satisfies(*_arguments: Any) -> bool:
         return True
 
-    reads.satisfies = satisfies
-    read_router.satisfies = satisfies
+    replace(reads, "satisfies", satisfies)
+    replace(read_router, "satisfies", satisfies)
 
 
 def unknown_session_is_new() -> None:
@@ -28,7 +28,7 @@
         original(self)
         self.mark_complete()
 
-    Session.__init__ = initialise
+    replace(Session, "__init__", initialise)
 
 
 def signature_unchecked() -> None:
@@ -37,7 +37,9 @@
 
     from dogwoodspool_sessions import token
 
-    token.hmac = SimpleNamespace(new=hmac.new, compare_digest=lambda _a, _b: True)
+    replace(
+        token, "hmac", SimpleNamespace(new=hmac.new, compare_digest=lambda _a, _b: True)
+    )
 
 
 def future_accepted() -> None:
@@ -54,7 +56,7 @@
             return Ok(ReadPosition(None, True))
         return original(self, state)
 
-    Session.read_position = read_position
+    replace(Session, "read_position", read_position)
 
 
 def lost_branch_accepted() -> None:
@@ -64,8 +66,8 @@
     def is_lost(*_arguments: Any) -> bool:
         return False
 
-    history.is_lost = is_lost
-    session.is_lost = is_lost
+    replace(history, "is_lost", is_lost)
+    replace(session, "is_lost", is_lost)
 
 
 GUARDS = (
--- a/features/mutations/guards/shutdown.py
+++ b/features/mutations/guards/shutdown.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from .model import Guard
+from .model import Guard, replace
 
 
 def drain_skipped() -> None:
@@ -10,7 +10,7 @@
     from dogwoodspool_gateway import CallerListener
 
     original = CallerListener.drain
-    CallerListener.drain = lambda self, _timeout: original(self, 0.0)
+    replace(CallerListener, "drain", lambda self, _timeout: original(self, 0.0))
 
 
 def idle_connection_cut() -> None:
@@ -20,14 +20,14 @@
     async def end_idle(self: Any) -> None:
         self._caller_stream.close()
 
-    CallerConnection.end_idle = end_idle
+    replace(CallerConnection, "end_idle", end_idle)
 
 
 def ready_while_draining() -> None:
     """Tell the balancer that a proxy which stops is ready."""
     from dogwoodspool_proxy.diagnostics import ProxyDiagnostics
 
-    ProxyDiagnostics.start_draining = lambda _self: None
+    replace(ProxyDiagnostics, "start_draining", lambda _self: None)
 
 
 GUARDS = (
--- a/features/mutations/guards/transactions.py
+++ b/features/mutations/guards/transactions.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
-from .model import Guard
+from .model import Guard, replace
 
 
 def dirty_connection_reused() -> None:
     """Give a connection back as it is, also inside a transaction."""
-    from dogwoodspool_backend import ConnectionPool
+    from dogwoodspool_backend.health import ConnectionHealth
     from dogwoodspool_proxy.transactions import TransactionPath
 
     def end(self: Any, caller: Any) -> None:
@@ -19,13 +19,13 @@
         if transaction.permit is not None:
             self._grants.end_write(transaction.permit)
 
-    TransactionPath.end = end
-    ConnectionPool._make_clean = lambda _self, connection: connection.is_open
+    replace(TransactionPath, "end", end)
+    replace(ConnectionHealth, "make_clean", lambda _self, one: one.is_open)
 
 
 def connection_shared() -> None:
     """Give the connection back between a transaction's statements."""
-    from dogwoodspool_backend import ConnectionPool
+    from dogwoodspool_backend.health import ConnectionHealth
     from dogwoodspool_gateway import DoneAnswer
     from dogwoodspool_proxy.transactions import TransactionPath
 
@@ -39,8 +39,8 @@
             held.finish(True)
         return answer
 
-    TransactionPath._execute = _execute
-    ConnectionPool._make_clean = lambda _self, connection: connection.is_open
+    replace(TransactionPath, "_execute", _execute)
+    replace(ConnectionHealth, "make_clean", lambda _self, one: one.is_open)
 
 
 def commit_silence_acknowledged() -> None:
@@ -48,21 +48,21 @@
     from dogwoodspool_gateway import DoneAnswer
     from dogwoodspool_proxy import transactions
 
-    transactions.unknown = lambda _message: DoneAnswer()
+    replace(transactions, "unknown", lambda _message: DoneAnswer())
 
 
 def transactions_never_expire() -> None:
     """Let a transaction stay open for ever."""
     from dogwoodspool_proxy.transactions import TransactionPath
 
-    TransactionPath.expire = lambda _self, _caller: None
+    replace(TransactionPath, "expire", lambda _self, _caller: None)
 
 
 def shares_fixed() -> None:
     """Keep the base share whatever control leases."""
     from dogwoodspool_proxy.backends import BackendRegistry
 
-    BackendRegistry.grant_shares = lambda _self, _shares, _until: None
+    replace(BackendRegistry, "grant_shares", lambda _self, _shares, _until: None)
 
 
 GUARDS = (
--- a/features/mutations/sitecustomize.py
+++ b/features/mutations/sitecustomize.py
@@ -7,8 +7,10 @@
 import importlib
 import os
 import sys
+import traceback
 from pathlib import Path
 
+EXIT_NOT_APPLIED = 70
 _NAME = os.environ.get("FEATURES_MUTATION", "")
 _ARGUMENTS = getattr(sys, "orig_argv", [])
 
@@ -22,4 +24,10 @@
 
 
 if _NAME:
-    _apply(_NAME)
+    try:
+        _apply(_NAME)
+    except Exception:  # noqa: BLE001
+        # Python would go on without the mutation, and its guard would seem to be
+        # of no use.
+        traceback.print_exc()
+        os._exit(EXIT_NOT_APPLIED)
