--- a/features/mutations/guards/answers.py
+++ b/features/mutations/guards/answers.py
@@ -27,18 +27,13 @@
 
 def broken_result_ended() -> None:
     """End a result that broke off as if it were whole."""
-    from dogwoodspool_common import DogwoodspoolError
-    from dogwoodspool_gateway.connection import CallerConnection
+    from dogwoodspool_gateway.fetched import FetchedRows
 
-    original = CallerConnection._next_batch
+    def take(self: Any) -> None:
+        original(self)
+        self.failure = None
 
-    async def _next_batch(self: Any, answer: Any) -> Any:
-        try:
-            return await original(self, answer)
-        except DogwoodspoolError:
-            return []
-
-    replace(CallerConnection, "_next_batch", _next_batch)
+    original = replace(FetchedRows, "take", take)
 
 
 def results_buffered() -> None:
--- a/features/mutations/guards/refusals.py
+++ b/features/mutations/guards/refusals.py
@@ -39,9 +39,9 @@
 
 def silence_told_as_not_run() -> None:
     """Say of a write without an answer that it did not run."""
-    from dogwoodspool_proxy import writes
+    from dogwoodspool_proxy import answers, writes
 
-    replace(writes, "unknown", lambda message: writes.refused(message, 100))
+    replace(writes, "unknown", lambda message: answers.refused(message, 100))
 
 
 GUARDS = (
--- a/features/support/steps.py
+++ b/features/support/steps.py
@@ -10,13 +10,12 @@
 __all__ = ["Context", "caller_of", "given", "step", "then", "when", "world_of"]
 
 
-@parse.with_pattern(r'[^"]*')
 def _text(value: str) -> str:
     """Read what stands between two quotation marks."""
     return value
 
 
-register_type(Text=_text)
+register_type(Text=parse.with_pattern(r'[^"]*')(_text))
 
 
 def world_of(context: Context) -> World:
