--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -71,9 +71,22 @@
 
 @when("every connection to the backend servers is cut")
 def cut(context: Context) -> None:
+    """Drop the open connections while new ones work.
+
+    The proxies stand still meanwhile, so that none of them meets the moment in
+    which new connections are refused.
+    """
     world = world_of(context)
-    world.fault(world.running_standins(), refuse_connections=True)
-    world.fault(world.running_standins(), refuse_connections=False)
+    processes = world.deployment.processes
+    names = [proxy.name for proxy in world.running_proxies()]
+    for name in names:
+        processes.freeze(name)
+    try:
+        world.fault(world.running_standins(), refuse_connections=True)
+        world.fault(world.running_standins(), refuse_connections=False)
+    finally:
+        for name in names:
+            processes.thaw(name)
 
 
 @when("all control processes are frozen")
