Probe replicas a fourth as often; test the callers' port with stock drivers

Only a primary's probes are part of a failover; reads that need a newer status of a replica ask for it themselves.

The test of the callers' port causes what the gateway library gets wrong: a refused password, a result that breaks off, prepared parameters, a shutdown that crosses with a request; and TLS. It found that its own first wait was met by a driver's SET NAMES.

--- a/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
+++ b/packages/ctl/src/dogwoodspool_ctl/cluster_commands.py
@@ -1,4 +1,4 @@
-"""The commands ``status``, ``rollout``, ``promote``, ``drain``, ``forget`` and ``voters``."""
+"""The commands about instances: status, rollout, promote, drain, forget, voters."""
 
 from typing import Any
 
--- a/packages/proxy/src/dogwoodspool_proxy/const.py
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -42,3 +42,4 @@
 # Transactions may hold every connection for long. A share that can grow has grown
 # by then; a caller that waits longer is told to come back instead.
 MAX_CONNECTION_WAIT_SECONDS: Final = 0.7
+REPLICA_PROBE_FACTOR: Final = 4
--- a/packages/proxy/src/dogwoodspool_proxy/probes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -8,7 +8,7 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_routing import ServerTable
 
-from .const import FAILING_PROBE_SECONDS
+from .const import FAILING_PROBE_SECONDS, REPLICA_PROBE_FACTOR
 from .coordinator import Coordinator
 from .view import ProxyView, ViewStore
 
@@ -35,8 +35,7 @@
 
     def step(self) -> float:
         """Probe once."""
-        settings = self._views.settings(self._server.group)
-        interval = settings.probe_interval_ms / MILLISECONDS
+        interval = self._interval()
         asked_at = self._clock.now()
         try:
             status = self._probe.status(self._server)
@@ -54,6 +53,19 @@
         self._note(is_reachable=True)
         return interval
 
+    def _interval(self) -> float:
+        """Return the seconds between probes.
+
+        A failover waits for probes of the primary. A replica that has failed costs
+        a read one retry, and reads that need a newer status ask for it themselves.
+        """
+        settings = self._views.settings(self._server.group)
+        interval = settings.probe_interval_ms / MILLISECONDS
+        state = self._views.view.groups.get(self._server.group)
+        if state is None or state.primary == self._server.name:
+            return interval
+        return interval * REPLICA_PROBE_FACTOR
+
     def _note(self, is_reachable: bool) -> None:
         if is_reachable == self._is_reachable:
             return
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -42,7 +42,8 @@
         down_detect_ms: time of refused connections after which an observer calls
             a primary failed.
         release_drain_ms: time for writes in flight at a planned promotion.
-        probe_interval_ms: time between a proxy's probes of a backend server.
+        probe_interval_ms: time between a proxy's probes of a primary; a replica
+            is probed a fourth as often.
         probe_timeout_ms: wait for a probe's answer.
         announcement_expiry_ms: silence after which an announcement is dropped.
         replica_wait_ms: wait for a replica to catch up before the primary is read.
--- /dev/null
+++ b/tests/gateway/test_listener.py
@@ -0,0 +1,280 @@
+"""Tests of the callers' port with stock drivers."""
+
+import datetime
+import ssl
+import tempfile
+import threading
+import time
+import unittest
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Any
+
+import mysql.connector
+import pymysql
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+from dogwoodspool_common import Address, DogwoodspoolError, SystemClock
+from dogwoodspool_gateway import (
+    Answer,
+    AnswerColumn,
+    CallerListener,
+    DoneAnswer,
+    ErrorAnswer,
+    Outcome,
+    RowsAnswer,
+    StatementRequest,
+    hash_password,
+)
+
+PASSWORD = "secret word"
+COLUMNS = (AnswerColumn("n", 8, 63), AnswerColumn("text", 253, 255))
+
+
+class FakeSession:
+    """Answer what the statement's last word asks for."""
+
+    in_transaction = False
+    is_autocommit = True
+
+    def __init__(self, owner: "FakeSessions") -> None:
+        self._owner = owner
+
+    def use(self, _database: str) -> ErrorAnswer | None:
+        """Take any database."""
+        return None
+
+    def run(self, request: StatementRequest) -> Answer:
+        """Answer rows, an error or the end of a write."""
+        self._owner.requests.append(request)
+        match request.sql.split()[-1]:
+            case "fail":
+                return ErrorAnswer(Outcome.FAILED, 1062, "23000", "duplicate")
+            case "break":
+                return RowsAnswer(COLUMNS, broken_rows(), self._owner.finish)
+            case "wait":
+                self._owner.may_end.wait(10)
+                return DoneAnswer(1, 7)
+            case count if count.isdigit():
+                rows = ((str(n).encode(), b"x" * 100) for n in range(int(count)))
+                return RowsAnswer(COLUMNS, rows, self._owner.finish)
+        return DoneAnswer(3, 7)
+
+    def reset(self) -> None:
+        """Forget nothing."""
+
+    def close(self) -> None:
+        """Count the end."""
+        self._owner.closed += 1
+
+
+class FakeSessions:
+    """Sessions that answer by themselves."""
+
+    def __init__(self) -> None:
+        self.requests: list[StatementRequest] = []
+        self.finished: list[bool] = []
+        self.closed = 0
+        self.may_end = threading.Event()
+
+    def open(self, _user: str) -> FakeSession:
+        """Return a session."""
+        return FakeSession(self)
+
+    def password_hash(self, user: str) -> str | None:
+        """Know one caller."""
+        return hash_password(PASSWORD) if user == "app" else None
+
+    def finish(self, is_complete: bool) -> None:
+        """Record how a result ended."""
+        self.finished.append(is_complete)
+
+
+def broken_rows() -> Iterator[Sequence[bytes | str | None]]:
+    """Give rows and then lose the backend server."""
+    for number in range(1_000):
+        yield (str(number).encode(), b"x")
+    raise DogwoodspoolError("the server is gone")
+
+
+class ListenerTestCase(unittest.TestCase):
+    """A listener with fake sessions."""
+
+    tls: ssl.SSLContext | None = None
+
+    def setUp(self) -> None:
+        self.sessions = FakeSessions()
+        self.listener = CallerListener(
+            Address("127.0.0.1", 0), self.sessions, SystemClock(), tls=self.tls
+        )
+        self.listener.set_up()
+        self.addCleanup(self.listener.unload)
+
+    def connect(
+        self, **options: object
+    ) -> "pymysql.connections.Connection[pymysql.cursors.Cursor]":
+        merged: dict[str, Any] = {
+            "user": "app",
+            "password": PASSWORD,
+            "autocommit": True,
+            **options,
+        }
+        connection = pymysql.connect(
+            host="127.0.0.1",
+            port=self.listener.address.port,
+            **merged,
+        )
+        self.addCleanup(connection._force_close)
+        return connection
+
+
+class AnswerTests(ListenerTestCase):
+    """Answers reach stock drivers whole."""
+
+    def test_a_write_answers_its_rows_and_key(self) -> None:
+        with self.connect().cursor() as cursor:
+            self.assertEqual(cursor.execute("UPDATE t SET a = b"), 3)
+            self.assertEqual(cursor.lastrowid, 7)
+
+    def test_a_failure_carries_number_and_outcome(self) -> None:
+        with (
+            self.connect().cursor() as cursor,
+            self.assertRaisesRegex(pymysql.err.IntegrityError, "1062, 'failed: dup"),
+        ):
+            cursor.execute("INSERT fail")
+
+    def test_results_of_any_length_are_whole(self) -> None:
+        with self.connect().cursor() as cursor:
+            for count in (0, 1, 511, 512, 513, 20_000):
+                with self.subTest(count):
+                    cursor.execute(f"SELECT {count}")
+                    numbers = [row[0] for row in cursor.fetchall()]
+                    self.assertEqual(numbers, list(range(count)))
+        self.assertEqual(set(self.sessions.finished), {True})
+
+    def test_a_result_that_breaks_off_is_an_error(self) -> None:
+        # The backend server dies in the middle of a result. An end marker after
+        # the rows that had come would make the caller take them for all.
+        connection = self.connect()
+        with connection.cursor() as cursor:
+            with self.assertRaisesRegex(pymysql.MySQLError, "unknown: "):
+                cursor.execute("SELECT break")
+            cursor.execute("SELECT 2")
+            self.assertEqual(len(cursor.fetchall()), 2)
+
+    def test_prepared_parameters_stay_values(self) -> None:
+        connection = mysql.connector.connect(
+            host="127.0.0.1",
+            port=self.listener.address.port,
+            user="app",
+            password=PASSWORD,
+            use_pure=True,
+        )
+        cursor = connection.cursor(prepared=True)
+        cursor.execute("INSERT INTO t VALUES (?, '?')", ("it's ? \\",))
+        expected = "INSERT INTO t VALUES ('it\\'s ? \\\\', '?')"
+        self.assertEqual(self.sessions.requests[-1].sql, expected)
+        connection.close()
+
+
+class AuthenticationTests(ListenerTestCase):
+    """Only known callers get in, and a refused one gets no further."""
+
+    def test_refused_callers_learn_nothing(self) -> None:
+        for user, password in (("app", "wrong"), ("app", ""), ("nobody", "")):
+            with (
+                self.subTest(user=user, password=password),
+                self.assertRaisesRegex(pymysql.MySQLError, "1045.*Access denied"),
+            ):
+                self.connect(user=user, password=password)
+        self.assertEqual(self.sessions.requests, [])
+
+
+class DrainTests(ListenerTestCase):
+    """A shutdown ends what is in flight and cuts nothing."""
+
+    def test_a_statement_in_flight_gets_its_answer(self) -> None:
+        busy, idle = self.connect(), self.connect()
+        counts: list[int] = []
+        running = threading.Thread(
+            target=lambda: counts.append(busy.cursor().execute("UPDATE wait"))
+        )
+        running.start()
+        while not any(one.sql.endswith("wait") for one in self.sessions.requests):
+            time.sleep(0.01)
+        drained: list[bool] = []
+        draining = threading.Thread(target=lambda: drained.append(self.drain()))
+        draining.start()
+        # An idle caller's next request crosses with the shutdown. It is answered
+        # as not run, and truly was not.
+        with (
+            idle.cursor() as cursor,
+            self.assertRaisesRegex(pymysql.MySQLError, "1053, 'not-run: "),
+        ):
+            while True:
+                cursor.execute("UPDATE t")
+        run_before = len(self.sessions.requests)
+        self.sessions.may_end.set()
+        running.join(10)
+        draining.join(10)
+        self.assertEqual((counts, drained), ([1], [True]))
+        self.assertEqual(len(self.sessions.requests), run_before)
+
+    def drain(self) -> bool:
+        return self.listener.drain(10)
+
+
+def tls_context(folder: Path) -> tuple[ssl.SSLContext, Path]:
+    """Return a server's context and the certificate that callers trust."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .sign(key, hashes.SHA256())
+    )
+    pem, key_pem = folder / "cert.pem", folder / "key.pem"
+    pem.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    key_pem.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(pem, key_pem)
+    return context, pem
+
+
+class TlsTests(ListenerTestCase):
+    """Callers can encrypt their connection."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.tls, self.certificate = tls_context(Path(folder.name))
+        super().setUp()
+
+    def test_statements_go_encrypted(self) -> None:
+        connection = self.connect(
+            ssl={"ca": str(self.certificate), "check_hostname": False}
+        )
+        self.assertIn("TLS", str(vars(connection)["_sock"].version()))
+        with connection.cursor() as cursor:
+            cursor.execute("SELECT 600")
+            self.assertEqual(len(cursor.fetchall()), 600)
+
+    def test_a_caller_that_trusts_another_certificate_gets_no_further(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            _, other = tls_context(Path(folder))
+            with self.assertRaises(pymysql.MySQLError):
+                self.connect(ssl={"ca": str(other), "check_hostname": False})
