Let the tests of the replicated log fail where they hung

With the check of conflicting entries switched off in a scratch copy three loops of the tests waited for ever for an election. They are bounded now and fail instead; the same guards switched off are still caught.

--- a/tests/consensus/test_lease.py
+++ b/tests/consensus/test_lease.py
@@ -92,8 +92,10 @@
         behind = sorted(set(cluster.nodes) - {self.old})[1]
         cluster.cuts.add(frozenset({self.old, behind}))
         proposal = cluster.nodes[self.old].submit({"id": "x"})
-        while not proposal.is_done:
-            cluster.step(self.old)
+        for _ in range(10):
+            if not proposal.is_done:
+                cluster.step(self.old)
+        self.assertTrue(proposal.is_done)
         cluster.frozen.add(self.old)
         seen: set[bool] = set()
         for _ in range(60):
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -53,6 +53,18 @@
         self.cluster.run(0.1)
         return int(proposal.result()["index"])
 
+    def elect_alone(self, cluster: Cluster, name: str, peers: list[str]) -> None:
+        """Let time pass while only one node acts, until it leads."""
+        node = cluster.nodes[name]
+        for _ in range(100):
+            cluster.advance(0.05)
+            node.tick()
+            for peer in peers:
+                node.step_peer(peer)
+            if node.diagnostics().role is Role.LEADER:
+                return
+        self.fail(f"{name} was not elected")
+
     def assert_same_everywhere(self) -> None:
         self.cluster.run(3.0)
         for name, machine in self.cluster.machines.items():
@@ -149,10 +161,7 @@
         cluster.crash(self.leader)
         cluster.heal()
         node, follower = cluster.nodes[self.leader], self.followers[0]
-        while node.diagnostics().role is not Role.LEADER:
-            cluster.advance(0.05)
-            node.tick()
-            node.step_peer(follower)
+        self.elect_alone(cluster, self.leader, [follower])
         node.write_pending()
         for _ in range(20):
             node.step_peer(follower)
@@ -181,11 +190,7 @@
             cluster.cuts.clear()
             cluster.run(1.0)
             cluster.frozen.add(cluster.leader())
-            while node.diagnostics().role is not Role.LEADER:
-                cluster.advance(0.05)
-                node.tick()
-                for peer in [follower, *others]:
-                    node.step_peer(peer)
+            self.elect_alone(cluster, leader, [follower, *others])
 
         cluster.cuts |= {frozenset({leader, name}) for name in others}
         for number in range(SETTINGS.max_batch):
