--- a/packages/backend/src/dogwoodspool_backend/pool.py
+++ b/packages/backend/src/dogwoodspool_backend/pool.py
@@ -160,7 +160,6 @@
         with self._lock:
             self._connector = connector
             self._settings = settings
-            self._health = ConnectionHealth(self._server, self._clock, settings)
             self._generation += 1
             closing = list(self._idle)
             self._idle.clear()
