--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -107,7 +107,7 @@
         rejected = BeginPromotion(
             GROUP, 1, PromotionReason.PLANNED, None, change_id="c1"
         )
-        commands = [
+        commands: list[Command] = [
             ChangeSettings("s1", "/", 0, {"lease_ms": 6000, "clock_drift": 0.0}, "ana"),
             ChangeSettings("s2", "/", 1, {"lease_ms": 900, "clock_drift": 0.0}, "ana"),
             rejected,
@@ -124,7 +124,7 @@
     def test_a_server_that_a_promotion_may_need_is_not_removed(self) -> None:
         state = ControlState(ManualClock())
         begin = BeginPromotion(GROUP, 1, PromotionReason.FAILED)
-        setting_up = [
+        setting_up: list[Command] = [
             RecordServer(server("a")),
             RecordServer(server("b")),
             BootstrapGroup(GROUP, 1, "a"),
