--- a/features/mutations/guards/__init__.py
+++ b/features/mutations/guards/__init__.py
@@ -4,7 +4,18 @@
 before a guard of it is switched off.
 """
 
-from . import answers, leaving, refusals, requests, sessions, shutdown, transactions
+from . import (
+    answers,
+    leaving,
+    promotions,
+    recovery,
+    refusals,
+    requests,
+    sessions,
+    settings,
+    shutdown,
+    transactions,
+)
 from .model import Guard
 
 GUARDS: dict[str, Guard] = {
@@ -17,6 +28,9 @@
         requests,
         leaving,
         shutdown,
+        settings,
+        promotions,
+        recovery,
     )
     for guard in module.GUARDS
 }
--- /dev/null
+++ b/features/mutations/guards/recovery.py
@@ -0,0 +1,71 @@
+"""Guards of recovery."""
+
+from typing import Any
+
+from .model import CONTROL, Guard
+
+
+def log_not_written() -> None:
+    """Answer for entries that never reach the disk."""
+    from dogwoodspool_consensus.storage import FileLogStorage
+
+    FileLogStorage.append = lambda _self, _entries: None
+    FileLogStorage.sync = lambda _self: None
+    FileLogStorage.truncate = lambda _self, _index: None
+
+
+def quorum_of_one() -> None:
+    """Commit and lead without the other voters."""
+    from dogwoodspool_consensus.models import Configuration
+
+    Configuration.quorum = property(lambda _self: 1)
+
+
+def identities_unchecked() -> None:
+    """Count a voter whatever became of its files."""
+    from dogwoodspool_consensus import election, reads, replication, snapshots
+    from dogwoodspool_consensus.state import NodeState
+
+    def check_request(_state: Any, _request: Any) -> None:
+        return None
+
+    for module in (election, reads, replication, snapshots):
+        module.check_request = check_request
+    election.Elections._may_vote = lambda _self, _request: True
+    NodeState.pin = lambda _self, _incarnations: None
+
+
+def missed_entries_not_sent() -> None:
+    """Send a voter that returns only what comes from now on."""
+    from dogwoodspool_consensus.replication import Replication
+
+    def _take_response(_self: Any, progress: Any, request: Any, response: Any) -> None:
+        if response.is_success:
+            match = request.prev_index + len(request.entries)
+            progress.match_index = max(progress.match_index, match)
+            progress.next_index = progress.match_index + 1
+            _self._state.advance_commit()
+        _self._state.changed.notify_all()
+
+    Replication._take_response = _take_response
+
+
+def transaction_not_begun() -> None:
+    """Let each statement of a transaction commit by itself."""
+    from dogwoodspool_proxy.transactions import TransactionPath
+    from expression import Ok
+
+    def _begin_on(_self: Any, transaction: Any, held: Any, _deadline: float) -> Any:
+        transaction.held = held
+        return Ok(held)
+
+    TransactionPath._begin_on = _begin_on
+
+
+GUARDS = (
+    Guard("log-not-written", log_not_written, CONTROL),
+    Guard("quorum-of-one", quorum_of_one, CONTROL),
+    Guard("identities-unchecked", identities_unchecked, CONTROL),
+    Guard("missed-entries-not-sent", missed_entries_not_sent, CONTROL),
+    Guard("transaction-not-begun", transaction_not_begun),
+)
--- /dev/null
+++ b/features/recovery.feature
@@ -0,0 +1,85 @@
+@recovery
+Feature: What was accepted is there after processes, machines and disks are lost
+
+  Every process may end at any moment. An operator who finds old settings, or a group
+  that forgot its term, after a power cut can trust nothing that was accepted.
+
+  @own-deployment @guard.log-not-written
+  Scenario: All control processes are killed at once and start again
+    A power cut ends all of them in the same moment. What they answered for is on
+    their disks only.
+
+    Given a caller "agent" at proxy 1
+    When an operator lets the user "auditor" in
+    And the primary is changed to "orders-2"
+    And the committed state is noted
+    And all control processes are killed
+    And the killed control processes start again
+    Then settings and groups are as noted
+    And every proxy may write again
+    And "agent" writes the line "after the power cut" as soon as it can
+    And a further change of settings is accepted
+
+  @own-deployment @guard.quorum-of-one
+  Scenario: Two of three control processes are lost and come back
+    The one that is left cannot know whether the others go on without it. What it
+    accepted alone would be undone when they return.
+
+    Given a caller "agent" at proxy 1
+    And a caller "reader" at proxy 2
+    When "agent" writes the line "before"
+    And "reader" goes on with the session of "agent"
+    And two of three control processes are killed
+    Then no change of settings is accepted for 3 seconds
+    And each of 5 reads of "reader" has the line "before"
+    When the killed control processes start again
+    Then every proxy may write again
+    And "agent" writes the line "after" as soon as it can
+    And a further change of settings is accepted
+
+  @own-deployment @guard.identities-unchecked
+  Scenario: A voter that lost its disk does not vote under its old id
+    It has forgotten what it voted for and what it stored. With its vote a leader
+    could be elected that lacks an accepted change. Right after it was replaced
+    under a new id, a second machine is lost.
+
+    When an operator lets the user "auditor" in
+    And a control process that does not lead loses its disk and starts again
+    And the other control process that does not lead is killed
+    Then no change of settings is accepted for 3 seconds
+    When the killed control processes start again
+    And the control process without its disk is replaced by "control-4"
+    And the control leader is killed
+    Then a further change of settings is accepted
+    And every proxy lets the user "auditor" in
+    And every proxy may write again
+
+  @guard.transaction-not-begun
+  Scenario: A proxy dies in the middle of a transaction
+    Its caller never hears of a commit. The row must not be there, and the locks and
+    scarce connections of the dead proxy must be free again.
+
+    Given a proxy that can be ended
+    And a caller "dying" at that proxy
+    And a caller "next" at proxy 1
+    When "dying" begins a transaction
+    And "dying" writes the line "half an order"
+    And that proxy is killed
+    And "next" writes the line "whole order" as soon as it can
+    Then "half an order" is at no backend server
+    And "whole order" is at every backend server
+    And the primary has no connections but those of running processes
+
+  @own-deployment @guard.missed-entries-not-sent
+  Scenario: A control process starts again after hundreds of changes
+    The changes were accepted while it was down. Right after its return the leader
+    is lost, and what is left of the group depends on it.
+
+    When a control process that does not lead is killed
+    And an operator makes 200 changes and then lets the user "auditor" in
+    And the killed control processes start again
+    Then the control process that was killed has all changes
+    When the control leader is killed
+    Then a further change of settings is accepted
+    And every proxy lets the user "auditor" in
+    And every proxy may write again
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -57,7 +57,7 @@
     )
 
 
-@given("statements take {milliseconds:d} ms at every backend server")
+@step("statements take {milliseconds:d} ms at every backend server")
 def slow_statements(context: Context, milliseconds: int) -> None:
     world = world_of(context)
     world.fault(world.running_standins(), statement_ms=milliseconds)
--- /dev/null
+++ b/features/steps/settings.py
@@ -0,0 +1,161 @@
+"""Steps in which operators change settings and proxies follow them."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from support.callers import Caller, Reply
+from support.const import NOT_RUN, UNKNOWN
+from support.control import (
+    ACCEPTED,
+    Change,
+    ChangeReply,
+    ControlGroup,
+    can_log_in,
+    users_with,
+)
+from support.steps import Context, step, then, when, world_of
+
+LOST_ANSWER_SECONDS = 0.001
+
+
+def control_of(context: Context) -> ControlGroup:
+    """Return the control group of the scenario's deployment."""
+    world = world_of(context)
+    if "control" not in world.notes:
+        world.notes["control"] = ControlGroup(world.deployment)
+    group: ControlGroup = world.notes["control"]
+    return group
+
+
+@step('an operator sets "{name:Text}" to {value:d}')
+def set_number(context: Context, name: str, value: int) -> None:
+    world_of(context).change_settings(**{name: value})
+
+
+@step('an operator sets "{name:Text}" to "{value:Text}"')
+def set_text(context: Context, name: str, value: str) -> None:
+    world_of(context).change_settings(**{name: value})
+
+
+@step('an operator lets the user "{user:Text}" in')
+def let_in(context: Context, user: str) -> None:
+    world = world_of(context)
+    world.change_settings(**users_with(user))
+    world.notes["overrides"] = users_with(user)
+
+
+@step('every proxy lets the user "{user:Text}" in')
+def every_proxy_lets_in(context: Context, user: str) -> None:
+    world = world_of(context)
+    proxies = world.running_proxies()
+    world.eventually(
+        f"login of {user} everywhere",
+        lambda: all(can_log_in(proxy, user) for proxy in proxies),
+    )
+
+
+@step('every proxy refuses the user "{user:Text}"')
+def every_proxy_refuses(context: Context, user: str) -> None:
+    world = world_of(context)
+    proxies = world.running_proxies()
+    world.eventually(
+        f"refusal of {user} everywhere",
+        lambda: not any(can_log_in(proxy, user) for proxy in proxies),
+    )
+
+
+@then('a read at every proxy is told "{outcome:Text}"')
+def read_everywhere(context: Context, outcome: str) -> None:
+    sql = world_of(context).select()
+    _everywhere(context, sql, outcome)
+
+
+@then("a read at every proxy ends without an answer")
+def no_read_anywhere(context: Context) -> None:
+    # Where the time went decides whether it is "not-run" or "unknown".
+    sql = world_of(context).select()
+    _everywhere(context, sql, NOT_RUN, UNKNOWN)
+
+
+@then('a write at every proxy is told "{outcome:Text}"')
+def write_everywhere(context: Context, outcome: str) -> None:
+    sql = world_of(context).insert("everywhere")
+    _everywhere(context, sql, outcome)
+
+
+@when("two operators race with changes of the same version and lose their answers")
+def race(context: Context) -> None:
+    world = world_of(context)
+    control = control_of(context)
+    version = int(control.root()["version"])
+    base = world.deployment.root_settings()
+    changes = [
+        Change({**base, "queue_limit": 40 + number}, version, author=f"op-{number}")
+        for number in range(2)
+    ]
+    leader = control.wait_leader()
+    with ThreadPoolExecutor(2) as executor:
+        for change in changes:
+            executor.submit(control.change_at, leader, change, LOST_ANSWER_SECONDS)
+    world.notes["changes"] = changes
+    world.notes["version"] = version
+
+
+@when("both operators send their changes again")
+def race_again(context: Context) -> None:
+    notes = world_of(context).notes
+    control = control_of(context)
+    with ThreadPoolExecutor(2) as executor:
+        replies = list(executor.map(control.resend, notes["changes"]))
+    notes.setdefault("rounds", []).append(replies)
+
+
+@when("a third operator changes the same node after them")
+def third(context: Context) -> None:
+    world = world_of(context)
+    world.change_settings(queue_limit=50)
+    world.notes["third"] = int(control_of(context).root()["version"])
+
+
+@then("one operator is told of the next version and the other of a conflict")
+def one_wins(context: Context) -> None:
+    notes = world_of(context).notes
+    replies: list[ChangeReply] = notes["rounds"][0]
+    outcomes = sorted(reply.outcome for reply in replies)
+    assert outcomes == [ACCEPTED, "conflict"], replies
+    winner = next(reply for reply in replies if reply.outcome == ACCEPTED)
+    assert winner.version == notes["version"] + 1, (winner, notes["version"])
+
+
+@then("both operators were told the same each time")
+def told_the_same(context: Context) -> None:
+    rounds = world_of(context).notes["rounds"]
+    assert all(replies == rounds[0] for replies in rounds), rounds
+
+
+@then("the third operator's change stands")
+def third_stands(context: Context) -> None:
+    root = control_of(context).root()
+    assert root["overrides"]["queue_limit"] == 50, root["version"]
+    assert root["version"] == world_of(context).notes["third"], root["version"]
+
+
+@then("the changes stand in the history {count:d} times in all")
+def in_history(context: Context, count: int) -> None:
+    control = control_of(context)
+    changes: list[Change] = world_of(context).notes["changes"]
+    found = sum(control.accepted_changes(change.change_id) for change in changes)
+    assert found == count, found
+
+
+def _everywhere(context: Context, sql: str, *outcomes: str) -> None:
+    world = world_of(context)
+    replies: dict[str, Reply] = {}
+    for proxy in world.running_proxies():
+        caller = Caller(world.deployment, proxy)
+        try:
+            replies[proxy.name] = caller.run(sql)
+        finally:
+            caller.close()
+    expected = {outcome.rstrip(":") for outcome in outcomes}
+    found = {name: str(reply) for name, reply in replies.items()}
+    assert all(reply.outcome in expected for reply in replies.values()), found
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -1,11 +1,12 @@
 """One scenario's deployment, callers and table, and what it must put back."""
 
+import dataclasses
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import pymysql
-from dogwoodspool_common import HttpError
+from dogwoodspool_common import Address, HttpError
 from dogwoodspool_testbed import Deployment, ProxyHandle, StandinHandle
 
 from .callers import Caller
@@ -101,6 +102,20 @@
         """Return a backend server by name."""
         return next(one for one in self.deployment.standins if one.name == name)
 
+    def restart_standin(self, standin: StandinHandle) -> StandinHandle:
+        """Start a backend server again; it listens at another port."""
+        processes = self.deployment.processes
+        processes.restart(standin.name)
+        ready = processes.ready(standin.name)
+        restarted = dataclasses.replace(
+            standin,
+            address=Address.parse(ready["address"]),
+            control_address=Address.parse(ready["control_address"]),
+        )
+        standins = self.deployment.standins
+        standins[standins.index(standin)] = restarted
+        return restarted
+
     def running_standins(self) -> list[StandinHandle]:
         """Return the backend servers whose process runs."""
         processes = self.deployment.processes
--- a/packages/testbed/src/dogwoodspool_testbed/deployment.py
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -236,6 +236,15 @@
         self.proxies.append(handle)
         return handle
 
+    def start_control(self, name: str, failure_domain: str) -> ControlHandle:
+        """Start one more control process, which waits to be made a voter."""
+        address = Address(HOST, _free_ports(1)[0])
+        control = ControlHandle(name, failure_domain, address)
+        self._spawn_control(control, [])
+        self.processes.ready(name)
+        self.controls.append(control)
+        return control
+
     def _start_controls(self) -> None:
         domains = self.shape.failure_domains
         for number, port in enumerate(_free_ports(self.shape.controls)):
@@ -244,18 +253,21 @@
             self.controls.append(ControlHandle(name, domain, Address(HOST, port)))
         voters = ",".join(f"{c.name}={c.address}" for c in self.controls)
         for control in self.controls:
-            arguments = [
-                "dogwoodspool-control",
-                *["--node-id", control.name, "--listen", str(control.address)],
-                *["--voters", voters, "--bootstrap"],
-                *["--failure-domain", control.failure_domain],
-                *["--data-folder", str(self.folder / control.name)],
-                *["--shared-key", SHARED_KEY],
-            ]
-            self.processes.start(control.name, ROLE_CONTROL, arguments, True)
+            self._spawn_control(control, ["--voters", voters, "--bootstrap"])
         for control in self.controls:
             self.processes.ready(control.name)
 
+    def _spawn_control(self, control: ControlHandle, first_voters: list[str]) -> None:
+        arguments = [
+            "dogwoodspool-control",
+            *["--node-id", control.name, "--listen", str(control.address)],
+            *first_voters,
+            *["--failure-domain", control.failure_domain],
+            *["--data-folder", str(self.folder / control.name)],
+            *["--shared-key", SHARED_KEY],
+        ]
+        self.processes.start(control.name, ROLE_CONTROL, arguments, True)
+
     def _set_root(self) -> None:
         self.change_settings("/", self.root_settings(), "testbed-root")
 
