--- a/features/mutations/guards/__init__.py
+++ b/features/mutations/guards/__init__.py
@@ -7,6 +7,7 @@
 from . import (
     answers,
     leaving,
+    membership,
     promotions,
     recovery,
     refusals,
@@ -31,6 +32,7 @@
         settings,
         promotions,
         recovery,
+        membership,
     )
     for guard in module.GUARDS
 }
--- /dev/null
+++ b/features/mutations/guards/membership.py
@@ -0,0 +1,52 @@
+"""Guards of membership."""
+
+from typing import Any
+
+from .model import CONTROL, Guard
+
+
+def late_announcements_ignored() -> None:
+    """Know only the servers that announce themselves at a group's birth."""
+    from dogwoodspool_control.commands import RecordServer
+    from dogwoodspool_control.membership import Membership
+
+    original = Membership._due_records
+    birth_size = 3
+
+    def _due_records(self: Any, sighting: Any, announced: Any) -> Any:
+        known = self._state.servers_of(announced.group)
+        is_late = len(known) >= birth_size
+        for command in original(self, sighting, announced):
+            if not (is_late and isinstance(command, RecordServer)):
+                yield command
+
+    Membership._due_records = _due_records
+
+
+def new_addresses_ignored() -> None:
+    """Keep what a server announced first."""
+    from dogwoodspool_control.membership import Membership
+
+    Membership._has_ended = lambda _self, _known: False
+
+
+def silent_servers_kept() -> None:
+    """Keep servers for ever."""
+    from dogwoodspool_control.membership import Membership
+
+    Membership._due_removals = lambda _self: []
+
+
+def silent_primary_dropped() -> None:
+    """Drop every server that is silent for long."""
+    from dogwoodspool_control.membership import Membership
+
+    Membership._is_removable = lambda _self, _server, _heard_at: True
+
+
+GUARDS = (
+    Guard("late-announcements-ignored", late_announcements_ignored, CONTROL),
+    Guard("new-addresses-ignored", new_addresses_ignored, CONTROL),
+    Guard("silent-servers-kept", silent_servers_kept, CONTROL),
+    Guard("silent-primary-dropped", silent_primary_dropped, CONTROL),
+)
--- a/features/mutations/guards/promotions.py
+++ b/features/mutations/guards/promotions.py
@@ -27,7 +27,75 @@
     FailureDetector.is_failed = is_failed
 
 
+def returning_primary_kept() -> None:
+    """Leave a primary that returns with an old term as it is."""
+    from dogwoodspool_control.reconciler import Reconciler
+
+    Reconciler.run = lambda _self: None
+
+
+def replica_chosen_blindly() -> None:
+    """Promote the replica that is furthest behind."""
+    from dogwoodspool_control import choose_step
+    from dogwoodspool_control.candidates import Choice, ChoiceRefusal
+    from expression import Error, Ok
+
+    def choose_candidate(given: Any) -> Any:
+        old_primary = given.promotion.old_primary
+        offsets = {
+            name: status.position.offset
+            for name, status in given.statuses.items()
+            if name != old_primary
+        }
+        if not offsets:
+            return Error(ChoiceRefusal("no replica answers", ()))
+        name = min(offsets, key=lambda one: offsets[one])
+        return Ok(Choice(name, offsets[name]))
+
+    choose_step.choose_candidate = choose_candidate
+
+
+def leadership_kept() -> None:
+    """Go on leading once elected, whatever the others do."""
+    from dogwoodspool_control.node import ControlNode
+
+    original = ControlNode.leadership
+    held: dict[int, Any] = {}
+
+    def leadership(self: Any) -> Any:
+        current = original(self)
+        if current is not None:
+            held[id(self)] = current
+        return held.get(id(self))
+
+    ControlNode.leadership = leadership
+
+
+def promotion_left_undone() -> None:
+    """Leave alone what an earlier leader has begun."""
+    from dogwoodspool_control.leader import LeaderLoop
+
+    original = LeaderLoop._begin
+
+    def _begin(self: Any, leadership: Any) -> None:
+        original(self, leadership)
+        begun = set(self._state.promotions)
+        run_missing = type(self._promotions).run_missing
+
+        def run_own() -> None:
+            if not begun & set(self._state.promotions):
+                run_missing(self._promotions)
+
+        self._promotions.run_missing = run_own
+
+    LeaderLoop._begin = _begin
+
+
 GUARDS = (
     Guard("acknowledged-without-grant", acknowledged_without_grant),
     Guard("one-observer-suffices", one_observer_suffices, CONTROL),
+    Guard("returning-primary-kept", returning_primary_kept, CONTROL),
+    Guard("replica-chosen-blindly", replica_chosen_blindly, CONTROL),
+    Guard("leadership-kept", leadership_kept, CONTROL),
+    Guard("promotion-left-undone", promotion_left_undone, CONTROL),
 )
--- a/features/mutations/guards/settings.py
+++ b/features/mutations/guards/settings.py
@@ -46,8 +46,66 @@
     ChangeCheck.check = check
 
 
+def watch_unconfirmed() -> None:
+    """Take the first view from any control process, as it believes it."""
+    from dogwoodspool_proxy.view import ViewStore
+    from dogwoodspool_proxy.watch import WatchCoordinator
+
+    original = WatchCoordinator._poll
+
+    def _poll(self: Any, address: Any) -> Any:
+        is_filled = ViewStore.is_filled
+        ViewStore.is_filled = property(lambda _self: True)
+        try:
+            return original(self, address)
+        finally:
+            ViewStore.is_filled = is_filled
+
+    WatchCoordinator._poll = _poll
+
+
+def views_go_back() -> None:
+    """Put in force whatever a control process holds for current."""
+    import time
+
+    from dogwoodspool_proxy.view import ProxyView, ViewStore
+    from dogwoodspool_proxy.watch import WatchCoordinator
+
+    original = WatchCoordinator._poll
+
+    def _poll(self: Any, address: Any) -> Any:
+        view = self._views._view
+        asked = ViewStore.view
+        time.sleep(0.05)
+        ViewStore.view = property(lambda _self: ProxyView())
+        try:
+            return original(self, address)
+        finally:
+            ViewStore.view = asked
+            self._views._view = view
+
+    def adopt(self: Any, message: Any) -> bool:
+        self._view = ProxyView.of(message)
+        for listener in self._listeners:
+            listener(self._view)
+        return True
+
+    WatchCoordinator._poll = _poll
+    ViewStore.adopt = adopt
+
+
+def frozen_control_kept() -> None:
+    """Go on asking the control process that was asked first."""
+    from dogwoodspool_proxy.control_peers import ControlPeers
+
+    ControlPeers.any = lambda self: self._addresses[0]
+
+
 GUARDS = (
     Guard("settings-not-applied", settings_not_applied),
     Guard("change-ids-forgotten", change_ids_forgotten, CONTROL),
     Guard("expected-version-unchecked", expected_version_unchecked, CONTROL),
+    Guard("watch-unconfirmed", watch_unconfirmed),
+    Guard("views-go-back", views_go_back),
+    Guard("frozen-control-kept", frozen_control_kept),
 )
--- a/features/recovery.feature
+++ b/features/recovery.feature
@@ -83,3 +83,44 @@
     Then a further change of settings is accepted
     And every proxy lets the user "auditor" in
     And every proxy may write again
+
+  @guard.grant-never-expires
+  Scenario: Proxies that are cut off from control serve what they promise
+    All control processes stand still. Reads whose promise a replica keeps go on; a
+    write could go to a primary that was replaced, so it is refused at once.
+
+    Given a caller "agent" at proxy 1
+    And a caller "reader" at proxy 2
+    And a caller "browser" at proxy 3
+    When "agent" writes the line "before"
+    And "reader" goes on with the session of "agent"
+    And the control group stands still
+    Then no proxy may write and each control process stands still
+    And "agent" writes lines until it is refused
+    And "agent" is told "not-run:" at once and when to come back
+    And each of 5 reads of "reader" has the line "before"
+    And a read of "browser" of at most 60000 ms of age is told "ok"
+    And a read of "browser" of at most 10 ms of age is told "not-run:"
+    When the control group goes on
+    Then every proxy may write again
+    And "agent" writes the line "after" as soon as it can
+    And every line that "agent" was told "ok" of is at every backend server
+
+  @own-deployment @guard.promotion-left-undone
+  Scenario: The control leader is killed in the middle of a promotion
+    The primary is dead and a proxy stands still, so the promotion waits for the end
+    of its grant. The next leader finds the promotion begun and must finish it.
+
+    Given a caller "agent" at proxy 1
+    And the primary is to be lost
+    When "agent" writes the line "before"
+    And proxy 3 freezes
+    And the primary is killed
+    And the promotion has begun and the control leader is killed
+    Then another server becomes primary
+    And proxy 1 may write again
+    When proxy 3 goes on
+    And the killed control processes start again
+    Then every proxy may write again
+    And "agent" writes the line "after" as soon as it can
+    And every line that "agent" was told "ok" of is at every backend server
--- a/features/replaced_primary.feature
+++ b/features/replaced_primary.feature
@@ -41,3 +41,52 @@
     And "shopper" writes the line "through another" as soon as it can
     When the link to the primary heals
     Then proxy 2 may write again
+
+  @own-deployment @guard.returning-primary-kept
+  Scenario: A killed primary returns and believes that it is primary
+    It took a write that no replica has and no caller was told of. Back with its old
+    data it must lose that write and follow, and no proxy may write through it.
+
+    Given a caller "agent" at proxy 1
+    And a caller "shopper" at proxy 2
+    And the primary is to be lost
+    When every replica stops to replicate
+    And "agent" starts to write the line "tail"
+    And the line "tail" appears at the primary
+    And the primary is killed
+    And every replica replicates again
+    And another server becomes primary
+    And "shopper" writes the line "after" as soon as it can
+    And the former primary starts again at another port
+    And "shopper" writes 20 more lines
+    Then "agent" is told "unknown:"
+    And the former primary follows the new one with its term
+    And "tail" is at no backend server
+    And every line that "shopper" was told "ok" of is at every backend server
+
+  @guard.replica-chosen-blindly
+  Scenario: Planned changes of primary lose no line and double none
+    An operator moves the primary three times while callers write lines that must
+    not run twice. One replica is always a little behind.
+
+    Given the replica "orders-3" lags by 300 ms
+    And 6 callers that write all the time
+    When 3 planned changes of primary follow one another
+    And the callers stop to write
+    Then each acknowledged line is once at every backend server
+    And no refused line is at any backend server
+
+  @own-deployment @guard.leadership-kept
+  Scenario: A control leader that stood still gives no grant when it goes on
+    Another one was elected and has changed the primary. The old leader believes that
+    it leads, and is all that the proxies reach. Its grant would be one for the old
+    primary.
+
+    When the control leader freezes
+    And another control process leads and changes the primary
+    And the other control processes freeze and the old leader goes on
+    Then the old leader refuses grants for 3 seconds
+    And no proxy may write once its grant has run out
+    And no proxy goes back to the old term
+    When the control group goes on
+    Then every proxy may write again
--- a/features/settings_in_force.feature
+++ b/features/settings_in_force.feature
@@ -45,3 +45,48 @@
     And both operators were told the same each time
     And the changes stand in the history 1 times in all
     And the third operator's change stands
+
+  @own-deployment @guard.watch-unconfirmed @guard.views-go-back
+  Scenario: A control process stands still through hundreds of changes
+    It was frozen, replaced by the others, and knows of nothing when it goes on. For
+    a time it is all that the proxies reach, one of which has just started.
+
+    When the control process that does not lead freezes
+    And the frozen control process is removed from the voters
+    And an operator makes 200 changes and then lets the user "auditor" in
+    Then every proxy lets the user "auditor" in
+    When the other control processes freeze and the removed one goes on
+    And proxy 2 is killed and starts again
+    Then for 4 seconds no proxy has a state from before the changes
+    And the removed control process still believes its old state
+    And the removed control process confirms no read
+    When the control group goes on
+    Then every proxy lets the user "auditor" in
+    And every proxy may write again
+    When an operator lets the user "successor" in
+    Then every proxy lets the user "successor" in
+
+  @guard.frozen-control-kept
+  Scenario: Proxies leave a control process that stands still
+    Its sockets stay open and take every request. A proxy that waits for it gets no
+    change although all others have it.
+
+    Then each change gets into force in every proxy while a control process is frozen
+
+  @own-deployment @guard.change-ids-forgotten
+  Scenario: The control leader is killed in the middle of a change
+    The operator got no answer and sends the change again, with the same id. Whether
+    it had been accepted or not, it must take effect once.
+
+    When an operator's change is accepted and the leader is killed before it answers
+    And the operator sends the change again
+    Then the change was accepted with the next version
+    And the change stands once in the history
+    When the killed control processes start again
+    And an operator's change reaches the leader alone and the leader is killed
+    And the operator sends the change again
+    Then the change was accepted with the next version
+    And the change stands once in the history
+    When the killed control processes start again
+    Then the change stands once in the history
+    And every proxy may write again
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -6,12 +6,12 @@
 
 from support.callers import Caller
 from support.const import AT_ONCE_SECONDS, NOT_RUN, OK, PATIENCE_SECONDS
-from support.steps import Context, caller_of, given, then, when, world_of
+from support.steps import Context, caller_of, given, step, then, when, world_of
 
 MAX_WRITES = 2_000
 
 
-@when('"{name:Text}" writes lines until it is refused')
+@step('"{name:Text}" writes lines until it is refused')
 def write_until_refused(context: Context, name: str) -> None:
     world = world_of(context)
     told = world.notes.setdefault("told", {}).setdefault(name, [])
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -4,7 +4,7 @@
 from support.steps import Context, given, step, when, world_of
 
 
-@given('the replica "{name:Text}" has stopped to replicate')
+@step('the replica "{name:Text}" has stopped to replicate')
 def stop_replication(context: Context, name: str) -> None:
     world = world_of(context)
     world.fault([world.standin(name)], stop_replication=True)
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -6,7 +6,7 @@
 from dogwoodspool_testbed import StandinHandle
 from support.callers import Caller
 from support.const import POLL_SECONDS
-from support.steps import Context, given, then, when, world_of
+from support.steps import Context, given, step, then, when, world_of
 
 
 class Readers:
@@ -61,7 +61,7 @@
     world_of(context).notes["readers"] = readers
 
 
-@given('the replica "{name:Text}" serves reads')
+@step('the replica "{name:Text}" serves reads')
 def serves_reads(context: Context, name: str) -> None:
     world = world_of(context)
     standin = world.standin(name)
--- a/features/steps/promotions.py
+++ b/features/steps/promotions.py
@@ -7,9 +7,9 @@
 from dogwoodspool_api.const import PATH_RENEW
 from dogwoodspool_common import HttpError, PeerRefusedError
 from dogwoodspool_testbed import StandinHandle
-from steps.settings import control_of
 from support.callers import Caller
 from support.const import GROUP, NOT_RUN, OK, PATIENCE_SECONDS, POLL_SECONDS
+from support.control import control_of
 from support.steps import Context, caller_of, given, step, then, when, world_of
 
 NOT_LEADER = "not_leader"
@@ -138,9 +138,13 @@
     world = world_of(context)
     former: StandinHandle = world.notes["former"]
 
+    control = control_of(context)
+
     def has_changed() -> bool:
-        name = world.primary_name()
-        return name is not None and name != former.name
+        view = control.committed()
+        groups = [] if view is None else view.groups
+        primaries = [one.primary for one in groups if one.name == GROUP]
+        return bool(primaries) and primaries[0] not in (None, former.name)
 
     world.eventually("new primary", has_changed, PROMOTIONS_SECONDS)
 
@@ -244,6 +248,25 @@
     world.eventually("grant", lambda: world.deployment.may_write(proxy))
 
 
+@when("the promotion has begun and the control leader is killed")
+def kill_in_promotion(context: Context) -> None:
+    world = world_of(context)
+    control = control_of(context)
+
+    def has_begun() -> bool:
+        leader = control.wait_leader()
+        return bool(control.status(leader)["promotions"])
+
+    world.eventually("promotion", has_begun)
+    control.kill(control.wait_leader())
+
+
+@given('the replica "{name:Text}" lags by {milliseconds:d} ms')
+def lags(context: Context, name: str, milliseconds: int) -> None:
+    world = world_of(context)
+    world.fault([world.standin(name)], lag_ms=milliseconds)
+
+
 @when("the control leader freezes")
 def freeze_leader(context: Context) -> None:
     control = control_of(context)
--- a/features/steps/settings.py
+++ b/features/steps/settings.py
@@ -8,8 +8,8 @@
     ACCEPTED,
     Change,
     ChangeReply,
-    ControlGroup,
     can_log_in,
+    control_of,
     users_with,
 )
 from support.steps import Context, step, then, when, world_of
@@ -17,15 +17,6 @@
 LOST_ANSWER_SECONDS = 0.001
 
 
-def control_of(context: Context) -> ControlGroup:
-    """Return the control group of the scenario's deployment."""
-    world = world_of(context)
-    if "control" not in world.notes:
-        world.notes["control"] = ControlGroup(world.deployment)
-    group: ControlGroup = world.notes["control"]
-    return group
-
-
 @step('an operator sets "{name:Text}" to {value:d}')
 def set_number(context: Context, name: str, value: int) -> None:
     world_of(context).change_settings(**{name: value})
--- a/features/support/const.py
+++ b/features/support/const.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 GROUP: Final = "orders"
+OTHER_GROUP: Final = "chat"
 
 # Generous: a busy machine must not change a verdict.
 PATIENCE_SECONDS: Final = 20.0
--- a/features/support/control.py
+++ b/features/support/control.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 import pymysql
-from dogwoodspool_api import WatchResponse
+from dogwoodspool_api import ControlView, WatchResponse
 from dogwoodspool_api.const import (
     PATH_SETTINGS_CHANGE,
     PATH_SETTINGS_HISTORY,
@@ -21,6 +21,7 @@
 from dogwoodspool_testbed.const import CALLER_PASSWORD, CALLER_USER
 
 from .const import GROUP, PATIENCE_SECONDS, POLL_SECONDS
+from .steps import Context, world_of
 
 ROOT_PATH: Final = "/"
 ACCEPTED: Final = "accepted"
@@ -71,6 +72,7 @@
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
         self._frozen: set[str] = set()
+        self._killed: list[ControlHandle] = []
 
     @property
     def running(self) -> list[ControlHandle]:
@@ -124,6 +126,11 @@
                 self._deployment.processes.thaw(control.name)
                 self._frozen.discard(control.name)
 
+    def give_up(self, control: ControlHandle) -> None:
+        """End a process that is not to start again."""
+        self.kill(control)
+        self._killed.remove(control)
+
     def thaw_all(self) -> None:
         """Let every process go on."""
         self.thaw(*self._deployment.controls)
@@ -133,9 +140,11 @@
         for control in controls:
             self._deployment.processes.kill(control.name)
             self._frozen.discard(control.name)
+            self._killed.append(control)
 
-    def restart(self, *controls: ControlHandle) -> None:
-        """Start processes that have ended."""
+    def restart_killed(self) -> None:
+        """Start the processes that were killed."""
+        controls, self._killed = self._killed, []
         for control in controls:
             self._deployment.processes.restart(control.name)
         for control in controls:
@@ -150,6 +159,15 @@
         query = {"after": "0", "wait_ms": "0", "confirmed": str(int(confirmed))}
         return WatchResponse.model_validate(self._get(control, PATH_WATCH, query))
 
+    def committed(self) -> ControlView | None:
+        """Return the state that a quorum confirms, None while none does."""
+        for control in self.running:
+            try:
+                return self.watch(control, confirmed=True).view
+            except HttpError:
+                continue
+        return None
+
     def root(self) -> dict[str, Any]:
         """Return version and overrides of the root, confirmed by a quorum."""
         answer = self._get(self.wait_leader(), PATH_SETTINGS_TREE)
@@ -241,6 +259,15 @@
         return client.get(control.address, path, query, SHORT_SECONDS * 3)
 
 
+def control_of(context: Context) -> ControlGroup:
+    """Return the control group of the scenario's deployment."""
+    world = world_of(context)
+    if "control" not in world.notes:
+        world.notes["control"] = ControlGroup(world.deployment)
+    group: ControlGroup = world.notes["control"]
+    return group
+
+
 def users_with(name: str) -> dict[str, Any]:
     """Return the setting that also lets a user in, with the callers' password."""
     names = (CALLER_USER, name)
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -117,9 +117,13 @@
         return restarted
 
     def running_standins(self) -> list[StandinHandle]:
-        """Return the backend servers whose process runs."""
+        """Return the group's backend servers whose process runs."""
         processes = self.deployment.processes
-        return [s for s in self.deployment.standins if processes.is_running(s.name)]
+        return [
+            standin
+            for standin in self.deployment.standins
+            if standin.group == GROUP and processes.is_running(standin.name)
+        ]
 
     def diagnostics(self, standin: StandinHandle) -> dict[str, Any]:
         """Return a backend server's own counters."""
--- a/packages/testbed/src/dogwoodspool_testbed/deployment.py
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -6,7 +6,7 @@
 import uuid
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, TypeAlias
+from typing import Any, Final, TypeAlias
 
 import pymysql
 import urllib3
@@ -47,6 +47,8 @@
 from .models import ControlHandle, DeploymentShape, ProxyHandle, StandinHandle
 from .processes import ProcessTable
 
+ANY_PORT: Final = Address(HOST, 0)
+
 CallerConnection: TypeAlias = "pymysql.connections.Connection[pymysql.cursors.Cursor]"
 
 
@@ -236,6 +238,19 @@
         self.proxies.append(handle)
         return handle
 
+    def restart_proxy(self, proxy: ProxyHandle) -> None:
+        """Kill a proxy and start it again at the same addresses."""
+        self.processes.kill(proxy.name)
+        self._spawn_proxy(
+            proxy.name, proxy.failure_domain, proxy.address, proxy.http_address
+        )
+        self.processes.ready(proxy.name)
+
+    def start_replica(self, group: str) -> StandinHandle:
+        """Start one more replica of a group and wait until it listens."""
+        number = sum(standin.group == group for standin in self.standins)
+        return self._start_standin(group, number, self.primary(group))
+
     def start_control(self, name: str, failure_domain: str) -> ControlHandle:
         """Start one more control process, which waits to be made a voter."""
         address = Address(HOST, _free_ports(1)[0])
@@ -282,11 +297,17 @@
         for name, domain in plan:
             self.proxies.append(self._proxy_handle(name, domain))
 
-    def _spawn_proxy(self, name: str, failure_domain: str) -> None:
+    def _spawn_proxy(
+        self,
+        name: str,
+        failure_domain: str,
+        address: Address = ANY_PORT,
+        http_address: Address = ANY_PORT,
+    ) -> None:
         arguments = [
             "dogwoodspool-proxy",
             *["--name", name, "--failure-domain", failure_domain],
-            *["--listen", f"{HOST}:0", "--http-listen", f"{HOST}:0"],
+            *["--listen", str(address), "--http-listen", str(http_address)],
             *["--control", ",".join(str(c.address) for c in self.controls)],
             *["--shared-key", SHARED_KEY],
             *["--trace-file", str(self.folder / f"{name}.spans")],
