--- a/packages/backend/src/dogwoodspool_backend/connection.py
+++ b/packages/backend/src/dogwoodspool_backend/connection.py
@@ -113,6 +113,14 @@
             self._note_answer()
         return self._result
 
+    def allow_more(self, seconds: float) -> None:
+        """Give the rest of the current answer more time.
+
+        A long result takes as long as its caller needs to read it; what is bounded
+        then is the wait for the next part of it.
+        """
+        self._wire.set_deadline(self._clock.now() + seconds)
+
     def read_row(self, raw: MySQLResult) -> Row | None:
         """Read the next row of the current answer, None at its end."""
         row: Row | None = self._guarded(lambda: self._wire.read_row(raw))
--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -7,19 +7,20 @@
 from functools import partial
 from typing import Any, cast
 
-from dogwoodspool_common import Clock, span
+from dogwoodspool_common import Clock, log_event, span
 from mysql_mimic import packets, types
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.packets import make_column_definition_41
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultColumn
-from mysql_mimic.stream import MysqlStream
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import Capabilities, ServerStatus
 
 from .classify import classify
 from .const import (
     BUSY_RETRY_AFTER_MS,
+    CALLER_STALL_SECONDS,
     CR_SERVER_LOST,
     ER_NET_PACKET_TOO_LARGE,
     ER_NOT_SUPPORTED,
@@ -273,7 +274,7 @@
             self.stream.write_many(self._header_packets(columns))
             self.stream.write_many([encode(row) for row in rows.batch])
             while not rows.is_finished:
-                await self.stream.drain()
+                await self._drain_within(CALLER_STALL_SECONDS)
                 await self._workers.run_always(rows.take)
                 self.stream.write_many([encode(row) for row in rows.batch])
         finally:
@@ -287,6 +288,18 @@
         # does not take the rows that came for the whole answer.
         await self._write_error(_broken_off_answer())
 
+    async def _drain_within(self, seconds: float) -> None:
+        """Wait until the caller has taken what was written.
+
+        A caller that stops reading in the middle of a result would hold a scarce
+        connection to a backend server for as long as it likes.
+        """
+        try:
+            await asyncio.wait_for(self.stream.drain(), seconds)
+        except TimeoutError as error:
+            log_event("caller_stalled", level="WARNING")
+            raise ConnectionClosed from error
+
     def _header_packets(self, columns: Sequence[ResultColumn]) -> list[bytes]:
         header = [packets.make_column_count(self.capabilities, len(columns))]
         header += [
--- a/packages/proxy/src/dogwoodspool_proxy/access.py
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -4,12 +4,14 @@
     BackendConnection,
     BackendError,
     ConnectFailedError,
+    OutcomeUnknownError,
     PoolTimeoutError,
     StatementResult,
 )
 from dogwoodspool_common import BackendServer, Clock, span
 from dogwoodspool_gateway import ErrorAnswer
 from dogwoodspool_limits import Admission, Priority, Refusal
+from dogwoodspool_routing import ServerTable
 from expression import Error, Ok, Result
 
 from .answers import refused
@@ -32,9 +34,11 @@
         connection: BackendConnection,
         admission: Admission,
         priority: Priority,
+        table: ServerTable,
         clock: Clock,
     ) -> None:
         self._backend = backend
+        self._table = table
         self._admission: Admission | None = admission
         self._priority = priority
         self._clock = clock
@@ -58,13 +62,21 @@
         began_at = self._clock.now()
         if began_at >= deadline:
             raise NothingSentError("the deadline passed before the statement was sent")
+        name = self.server.name
+        is_answered = True
+        self._table.begin(name)
         try:
-            with span("backend.statement", server=self.server.name):
+            with span("backend.statement", server=name):
                 return self.connection.execute(
                     sql, deadline - began_at, may_change_session=False
                 )
+        except (ConnectFailedError, OutcomeUnknownError):
+            is_answered = False
+            raise
         finally:
-            self._busy_seconds += self._clock.now() - began_at
+            elapsed = self._clock.now() - began_at
+            self._table.end(name, elapsed, is_answered=is_answered)
+            self._busy_seconds += elapsed
             self._statements += 1
 
     def pause(self) -> None:
@@ -109,8 +121,11 @@
 class BackendAccess:
     """Admit a statement to a backend server and take a connection for it."""
 
-    def __init__(self, registry: BackendRegistry, clock: Clock) -> None:
+    def __init__(
+        self, registry: BackendRegistry, table: ServerTable, clock: Clock
+    ) -> None:
         self._registry = registry
+        self._table = table
         self._clock = clock
 
     def report_failure(self, server: BackendServer, error: BackendError) -> None:
@@ -153,7 +168,9 @@
             self._registry.report_failure(backend.server, error)
             message = f"{name} cannot be reached"
             return Error(refused(message, CONNECT_RETRY_AFTER_MS))
-        held = HeldConnection(backend, connection, admission, priority, self._clock)
+        held = HeldConnection(
+            backend, connection, admission, priority, self._table, self._clock
+        )
         return Ok(held)
 
 
--- a/packages/proxy/src/dogwoodspool_proxy/acks.py
+++ b/packages/proxy/src/dogwoodspool_proxy/acks.py
@@ -188,7 +188,7 @@
         server = candidates[self._turn % len(candidates)]
         backend = self._registry.backend(server)
         deadline = self._clock.now() + ACK_WAIT_SLICE_SECONDS * 2
-        self._held = backend, backend.pool.acquire(deadline)
+        self._held = backend, backend.pool.acquire(deadline, is_probe=True)
         return self._held[1]
 
     def _candidates(self) -> list[BackendServer]:
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -137,7 +137,7 @@
 
     def _build_statement_paths(self) -> None:
         clock = self._clock
-        access = BackendAccess(self._registry, clock)
+        access = BackendAccess(self._registry, self._table, clock)
         settings = self._views.settings(None)
         budget = RetryBudget(
             clock, settings.retry_budget_ratio, settings.retry_budget_min
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -158,7 +158,7 @@
             limit,
         )
         admission = AdmissionQueue(
-            self._clock, server.slots, limit, settings.queue_limit
+            self._clock, server.slots, pool.caller_limit, settings.queue_limit
         )
         return Backend(server, pool, admission, settings)
 
@@ -179,17 +179,19 @@
                 if name not in view.servers
             ]
             changed = [
-                self._renewed(name, backend)
+                (backend, self._renewed(name, backend))
                 for name, backend in self._backends.items()
                 if self._views.settings(backend.server.group) != backend.settings
             ]
         for backend in removed:
             backend.pool.unload()
-        for backend in changed:
-            settings = backend.settings
-            backend.pool.change(self._connector(settings), PoolSettings.of(settings))
-            backend.admission.set_queue_limit(settings.queue_limit)
-        self._set_limits(changed)
+        for before, after in changed:
+            settings = after.settings
+            after.admission.set_queue_limit(settings.queue_limit)
+            if _connects_otherwise(before.settings, settings):
+                connector = self._connector(settings)
+                after.pool.change(connector, PoolSettings.of(settings))
+        self._set_limits(after for _, after in changed)
 
     def _renewed(self, name: str, backend: Backend) -> Backend:
         settings = self._views.settings(backend.server.group)
@@ -200,8 +202,20 @@
         for backend in backends:
             limit = self._limit(backend.server)
             backend.pool.set_limit(limit)
-            backend.admission.set_max_in_flight(limit)
+            # A place beyond the connections that callers may hold would only move
+            # the wait into the pool, where nobody estimates it.
+            backend.admission.set_max_in_flight(backend.pool.caller_limit)
 
     def _limit(self, server: BackendServer) -> int:
         base = self._views.settings(server.group).base_connections
         return max(base, self._shares.get(server.name, 0))
+
+
+def _connects_otherwise(before: EffectiveSettings, after: EffectiveSettings) -> bool:
+    """Tell whether open connections are not those that the settings ask for."""
+    return (
+        PoolSettings.of(before) != PoolSettings.of(after)
+        or before.backend_user != after.backend_user
+        or before.backend_password != after.backend_password
+        or before.statements != after.statements
+    )
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -1,15 +1,18 @@
 """Reads: on a replica that has what the session needs, else on the primary."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import islice
 
 from dogwoodspool_backend import (
     BackendError,
     ConnectFailedError,
     OutcomeUnknownError,
+    Row,
     StatementFailedError,
     StatementResult,
 )
-from dogwoodspool_common import Clock, GroupState, Role, log_event, span
+from dogwoodspool_common import Clock, GroupState, Role, ServerStatus, log_event, span
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_gateway import (
     Answer,
@@ -36,6 +39,9 @@
     MAX_READ_ATTEMPTS,
     NEWER_SESSION_RETRY_AFTER_MS,
     NO_PRIMARY_RETRY_AFTER_MS,
+    READ_ATTEMPT_SHARE,
+    RESULT_STALL_ROWS,
+    RESULT_STALL_SECONDS,
 )
 from .counters import Counters
 from .errors import NothingSentError
@@ -93,10 +99,11 @@
         max_age_ms = request.properties.max_age_ms
         excluded: set[str] = set()
         answer: Answer = unknown("no server was tried")
-        for _attempt in range(MAX_READ_ATTEMPTS):
-            match self._open_once(caller, max_age_ms, deadline, excluded):
+        for number in range(MAX_READ_ATTEMPTS):
+            until = self._attempt_deadline(number, deadline)
+            match self._open_once(caller, max_age_ms, until, excluded):
                 case HeldConnection() as held:
-                    attempt = self._execute(held, request.sql, deadline)
+                    attempt = self._execute(held, request.sql, until)
                 case ErrorAnswer() as refusal:
                     return answer if excluded else refusal
                 case TryAnother() as attempt:
@@ -109,6 +116,17 @@
                 return answer
         return answer
 
+    def _attempt_deadline(self, number: int, deadline: float) -> float:
+        """Bound one attempt, so that time is left for another server.
+
+        A connection that went silent shows only by the missing answer. Waiting
+        for it until the caller's deadline would leave none to ask elsewhere.
+        """
+        if number + 1 == MAX_READ_ATTEMPTS:
+            return deadline
+        now = self._clock.now()
+        return now + (deadline - now) * READ_ATTEMPT_SHARE
+
     def open(
         self, caller: CallerState, max_age_ms: int | None, deadline: float
     ) -> Result[HeldConnection, ErrorAnswer]:
@@ -218,18 +236,22 @@
             return True
         asked_at = self._clock.now()
         status = held.connection.status(deadline - asked_at)
-        self._table.note_status(status, asked_at)
-        elapsed_ms = (self._clock.now() - asked_at) * MILLISECONDS
-        if satisfies(status, need, state, elapsed_ms):
+        if self._is_satisfied(status, need, state, asked_at):
             return True
         if need.position is None or choice.is_primary:
             return False
         wait = self._views.settings(caller.group).replica_wait_ms / MILLISECONDS
         asked_at = self._clock.now()
         status = held.connection.wait_for(need.position, wait, deadline - asked_at)
+        return self._is_satisfied(status, need, state, asked_at)
+
+    def _is_satisfied(
+        self, status: ServerStatus, need: ReadNeed, state: GroupState, asked_at: float
+    ) -> bool:
         self._table.note_status(status, asked_at)
-        elapsed_ms = (self._clock.now() - asked_at) * MILLISECONDS
-        return satisfies(status, need, state, elapsed_ms)
+        unconfirmed = self._grants.unconfirmed_seconds(state.name, state.term)
+        elapsed = self._clock.now() - asked_at + unconfirmed
+        return satisfies(status, need, state, elapsed * MILLISECONDS)
 
     def _establish(
         self,
@@ -281,7 +303,19 @@
             result.close()
         held.finish(result.is_complete)
 
-    return RowsAnswer(answer_columns(result), result.rows, finish)
+    return RowsAnswer(answer_columns(result), unhurried_rows(held, result), finish)
+
+
+def unhurried_rows(held: HeldConnection, result: StatementResult) -> Iterator[Row]:
+    """Give a result's rows, bounding the wait for the next ones only.
+
+    The statement's deadline is met with its first rows. A long result then takes
+    as long as its caller takes to read it.
+    """
+    rows = result.rows
+    while part := list(islice(rows, RESULT_STALL_ROWS)):
+        yield from part
+        held.connection.allow_more(RESULT_STALL_SECONDS)
 
 
 def answer_columns(result: StatementResult) -> tuple[AnswerColumn, ...]:
--- a/packages/proxy/src/dogwoodspool_proxy/transactions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/transactions.py
@@ -25,7 +25,7 @@
 from .errors import NothingSentError
 from .grants import GrantBook
 from .models import WritePermit
-from .reads import ReadPath, answer_columns
+from .reads import ReadPath, answer_columns, unhurried_rows
 from .view import ViewStore
 from .writes import WritePath
 
@@ -221,7 +221,7 @@
             # Without a commit the server undoes it when the connection ends.
             return rolled_back("the server was lost; the transaction is undone")
         if result.is_resultset:
-            return _rows_in_transaction(transaction, result)
+            return _rows_in_transaction(transaction, held, result)
         held.pause()
         caller.last_insert_id = result.last_insert_id or caller.last_insert_id
         return DoneAnswer(result.affected_rows, result.last_insert_id)
@@ -265,7 +265,7 @@
 
 
 def _rows_in_transaction(
-    transaction: Transaction, result: StatementResult
+    transaction: Transaction, held: HeldConnection, result: StatementResult
 ) -> RowsAnswer:
     def finish(is_complete: bool) -> None:
         if transaction.held is None:
@@ -276,4 +276,5 @@
             transaction.has_failed = True
         transaction.held.pause()
 
-    return RowsAnswer(answer_columns(result), result.rows, finish)
+    rows = unhurried_rows(held, result)
+    return RowsAnswer(answer_columns(result), rows, finish)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -1,5 +1,6 @@
 """Tests of the callers' port with stock drivers."""
 
+import contextlib
 import datetime
 import ssl
 import tempfile
@@ -99,6 +100,14 @@
     raise DogwoodspoolError("the server is gone")
 
 
+def close_quietly(
+    connection: "pymysql.connections.Connection[pymysql.cursors.Cursor]",
+) -> None:
+    """Close a connection that may be closed already."""
+    with contextlib.suppress(pymysql.MySQLError):
+        connection.close()
+
+
 class ListenerTestCase(unittest.TestCase):
     """A listener with fake sessions."""
 
@@ -115,18 +124,14 @@
     def connect(
         self, **options: object
     ) -> "pymysql.connections.Connection[pymysql.cursors.Cursor]":
-        merged: dict[str, Any] = {
-            "user": "app",
-            "password": PASSWORD,
-            "autocommit": True,
-            **options,
-        }
+        merged: dict[str, Any] = {"user": "app", "password": PASSWORD, **options}
         connection = pymysql.connect(
             host="127.0.0.1",
             port=self.listener.address.port,
+            autocommit=True,
             **merged,
         )
-        self.addCleanup(connection._force_close)
+        self.addCleanup(close_quietly, connection)
         return connection
 
 
