--- a/features/mutations/guards/__init__.py
+++ b/features/mutations/guards/__init__.py
@@ -4,7 +4,19 @@
 before a guard of it is switched off.
 """
 
-from . import answers, leaving, refusals, requests, sessions, shutdown, transactions
+from . import (
+    answers,
+    leaving,
+    membership,
+    promotions,
+    recovery,
+    refusals,
+    requests,
+    sessions,
+    settings,
+    shutdown,
+    transactions,
+)
 from .model import Guard
 
 GUARDS: dict[str, Guard] = {
@@ -17,6 +29,10 @@
         requests,
         leaving,
         shutdown,
+        settings,
+        promotions,
+        recovery,
+        membership,
     )
     for guard in module.GUARDS
 }
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -4,7 +4,7 @@
 from support.steps import Context, given, step, when, world_of
 
 
-@given('the replica "{name:Text}" has stopped to replicate')
+@step('the replica "{name:Text}" has stopped to replicate')
 def stop_replication(context: Context, name: str) -> None:
     world = world_of(context)
     world.fault([world.standin(name)], stop_replication=True)
@@ -57,7 +57,7 @@
     )
 
 
-@given("statements take {milliseconds:d} ms at every backend server")
+@step("statements take {milliseconds:d} ms at every backend server")
 def slow_statements(context: Context, milliseconds: int) -> None:
     world = world_of(context)
     world.fault(world.running_standins(), statement_ms=milliseconds)
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -1,11 +1,12 @@
 """One scenario's deployment, callers and table, and what it must put back."""
 
+import dataclasses
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import pymysql
-from dogwoodspool_common import HttpError
+from dogwoodspool_common import Address, HttpError
 from dogwoodspool_testbed import Deployment, ProxyHandle, StandinHandle
 
 from .callers import Caller
@@ -48,6 +49,7 @@
         """Close the callers and put faults and settings back."""
         for caller in self.callers.values():
             caller.close()
+        self._restore_processes()
         for standin in self.running_standins():
             self.deployment.fault(standin, **NO_FAULTS)
         if self._has_changed_settings:
@@ -101,10 +103,28 @@
         """Return a backend server by name."""
         return next(one for one in self.deployment.standins if one.name == name)
 
+    def restart_standin(self, standin: StandinHandle) -> StandinHandle:
+        """Start a backend server again; it listens at another port."""
+        processes = self.deployment.processes
+        processes.restart(standin.name)
+        ready = processes.ready(standin.name)
+        restarted = dataclasses.replace(
+            standin,
+            address=Address.parse(ready["address"]),
+            control_address=Address.parse(ready["control_address"]),
+        )
+        standins = self.deployment.standins
+        standins[standins.index(standin)] = restarted
+        return restarted
+
     def running_standins(self) -> list[StandinHandle]:
-        """Return the backend servers whose process runs."""
+        """Return the group's backend servers whose process runs."""
         processes = self.deployment.processes
-        return [s for s in self.deployment.standins if processes.is_running(s.name)]
+        return [
+            standin
+            for standin in self.deployment.standins
+            if standin.group == GROUP and processes.is_running(standin.name)
+        ]
 
     def diagnostics(self, standin: StandinHandle) -> dict[str, Any]:
         """Return a backend server's own counters."""
@@ -167,5 +187,19 @@
         processes = self.deployment.processes
         return [p for p in self.deployment.proxies if processes.is_running(p.name)]
 
+    def _restore_processes(self) -> None:
+        """Let all processes run that the scenario has frozen or killed."""
+        processes = self.deployment.processes
+        for _role, name, _pid in processes.pids():
+            if processes.is_running(name):
+                processes.thaw(name)
+        for control in self.deployment.controls:
+            if not processes.is_running(control.name):
+                processes.restart(control.name)
+                processes.ready(control.name)
+        for standin in list(self.deployment.standins):
+            if not processes.is_running(standin.name):
+                self.restart_standin(standin)
+
     def _lines(self) -> set[tuple[str, ...]]:
         return {tuple(self.lines_at(one)) for one in self.running_standins()}
