Start the restarted proxy next to the removed control process

With its list in the common order the proxy spent the whole observed time on frozen processes, so the scenario passed without the confirmation of the first view (seen with the mutation watch-unconfirmed). Now the stale process is the first that it asks.

--- a/features/mutations/guards/recovery.py
+++ b/features/mutations/guards/recovery.py
@@ -48,7 +48,9 @@
         _self._state.changed.notify_all()
 
     def _delay(self: Any, progress: Any) -> None:
-        progress.next_index = self._state.log.last_index + 1
+        # The first voters still have to find each other.
+        if self._state.log.last_index > 50:
+            progress.next_index = self._state.log.last_index + 1
         original(self, progress)
 
     original = Replication._delay
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -153,10 +153,10 @@
     control.thaw(world_of(context).notes["stale"])
 
 
-@when("proxy {number:d} is killed and starts again")
+@when("proxy {number:d} is killed and starts again next to the removed one")
 def restart_proxy(context: Context, number: int) -> None:
     world = world_of(context)
-    world.deployment.restart_proxy(world.proxy(number))
+    world.deployment.restart_proxy(world.proxy(number), world.notes["stale"])
 
 
 @then("for {seconds:d} seconds no proxy has a state from before the changes")
--- a/packages/testbed/src/dogwoodspool_testbed/deployment.py
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -4,7 +4,7 @@
 import tempfile
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, Final, TypeAlias
 
@@ -233,16 +233,26 @@
 
     def start_proxy(self, name: str, failure_domain: str) -> ProxyHandle:
         """Start one more proxy and wait until it listens."""
-        self._spawn_proxy(name, failure_domain)
+        self._spawn_proxy(name, failure_domain, self.controls)
         handle = self._proxy_handle(name, failure_domain)
         self.proxies.append(handle)
         return handle
 
-    def restart_proxy(self, proxy: ProxyHandle) -> None:
-        """Kill a proxy and start it again at the same addresses."""
+    def restart_proxy(self, proxy: ProxyHandle, first: ControlHandle) -> None:
+        """Kill a proxy and start it again at the same addresses.
+
+        Args:
+            proxy: the proxy to start again.
+            first: the control process that stands first in its list.
+        """
         self.processes.kill(proxy.name)
+        others = [control for control in self.controls if control != first]
         self._spawn_proxy(
-            proxy.name, proxy.failure_domain, proxy.address, proxy.http_address
+            proxy.name,
+            proxy.failure_domain,
+            [first, *others],
+            proxy.address,
+            proxy.http_address,
         )
         self.processes.ready(proxy.name)
 
@@ -293,7 +303,7 @@
             for number in range(self.shape.proxies)
         ]
         for name, domain in plan:
-            self._spawn_proxy(name, domain)
+            self._spawn_proxy(name, domain, self.controls)
         for name, domain in plan:
             self.proxies.append(self._proxy_handle(name, domain))
 
@@ -301,6 +311,7 @@
         self,
         name: str,
         failure_domain: str,
+        controls: Sequence[ControlHandle],
         address: Address = ANY_PORT,
         http_address: Address = ANY_PORT,
     ) -> None:
@@ -308,7 +319,7 @@
             "dogwoodspool-proxy",
             *["--name", name, "--failure-domain", failure_domain],
             *["--listen", str(address), "--http-listen", str(http_address)],
-            *["--control", ",".join(str(c.address) for c in self.controls)],
+            *["--control", ",".join(str(c.address) for c in controls)],
             *["--shared-key", SHARED_KEY],
         ]
         if self.shape.has_traces:
