--- a/features/steps/promotions.py
+++ b/features/steps/promotions.py
@@ -1,77 +1,19 @@
 """Steps about primaries that are cut off, replaced and return."""
 
-import threading
 import time
 
-from dogwoodspool_api import RenewRequest
-from dogwoodspool_api.const import PATH_RENEW
-from dogwoodspool_common import HttpError, PeerRefusedError
-from dogwoodspool_testbed import ProxyHandle, StandinHandle
-from support.callers import Caller
+from dogwoodspool_common import HttpError
+from dogwoodspool_testbed import StandinHandle
 from support.const import GROUP, NOT_RUN, OK, PATIENCE_SECONDS, POLL_SECONDS
 from support.control import control_of
 from support.steps import Context, caller_of, given, step, then, when, world_of
+from support.writers import Writers
 
 NOT_LEADER = "not_leader"
 LONG_DEADLINE_MS = 120_000
 PROMOTIONS_SECONDS = 40.0
 
 
-class Writers:
-    """Callers that write numbered lines all the time, each at another proxy."""
-
-    def __init__(self, context: Context, count: int) -> None:
-        world = world_of(context)
-        self._world = world
-        self._stopped = threading.Event()
-        self.told: dict[str, str] = {}
-        self._threads = [
-            threading.Thread(
-                target=self._write,
-                args=(world.caller(f"writer {number}", world.proxy(number % 3 + 1)),),
-                kwargs={"number": number},
-                daemon=True,
-            )
-            for number in range(count)
-        ]
-
-    def set_up(self) -> None:
-        """Begin to write."""
-        for thread in self._threads:
-            thread.start()
-
-    def unload(self) -> None:
-        """Stop writing."""
-        self._stopped.set()
-        for thread in self._threads:
-            thread.join()
-
-    def lines(self, outcome: str) -> set[str]:
-        """Return the lines that were told an outcome of."""
-        return {line for line, told in list(self.told.items()) if told == outcome}
-
-    def _write(self, caller: Caller, number: int) -> None:
-        count = 0
-        while not self._stopped.is_set():
-            line = f"writer {number} line {count}"
-            self.told[line] = caller.run(self._world.insert(line)).outcome
-            count += 1
-            time.sleep(POLL_SECONDS)
-
-
-@given("the control leader runs outside of the primary's failure domain")
-def leader_elsewhere(context: Context) -> None:
-    world = world_of(context)
-    control = control_of(context)
-    home = world.primary().failure_domain
-    leader = control.wait_leader()
-    if leader.failure_domain != home:
-        return
-    control.freeze(leader)
-    control.wait_leader()
-    control.thaw(leader)
-
-
 @given("statements take {milliseconds:d} ms at the primary")
 def slow_primary(context: Context, milliseconds: int) -> None:
     world = world_of(context)
@@ -95,12 +37,6 @@
     world.deployment.processes.freeze(world.proxy(number).name)
 
 
-@when("an operator makes a change that proxy {number:d} cannot follow")
-def change_unseen(context: Context, number: int) -> None:
-    # The proxy's open poll is answered by it, and nothing later reaches the proxy.
-    control_of(context).change_often(1, {"queue_limit": 60 + number})
-
-
 @when("proxy {number:d} goes on")
 def thaw_proxy(context: Context, number: int) -> None:
     world = world_of(context)
@@ -197,7 +133,7 @@
 
 @given("{count:d} callers that write all the time")
 def write_all_the_time(context: Context, count: int) -> None:
-    writers = Writers(context, count)
+    writers = Writers(world_of(context), count)
     world_of(context).notes["writers"] = writers
     writers.set_up()
 
@@ -266,110 +202,12 @@
     world.eventually("grant", lambda: world.deployment.may_write(proxy))
 
 
-@when("the promotion has begun and the control leader is killed")
-def kill_in_promotion(context: Context) -> None:
-    world = world_of(context)
-    control = control_of(context)
-
-    def has_begun() -> bool:
-        leader = control.wait_leader()
-        return bool(control.status(leader)["promotions"])
-
-    world.eventually("promotion", has_begun)
-    control.kill(control.wait_leader())
-
-
 @given('the replica "{name:Text}" lags by {milliseconds:d} ms')
 def lags(context: Context, name: str, milliseconds: int) -> None:
     world = world_of(context)
     world.fault([world.standin(name)], lag_ms=milliseconds)
 
 
-@when("the control leader freezes")
-def freeze_leader(context: Context) -> None:
-    control = control_of(context)
-    leader = control.wait_leader()
-    world_of(context).notes["old leader"] = leader
-    control.freeze(leader)
-
-
-@when("another control process leads and changes the primary")
-def new_leader_promotes(context: Context) -> None:
-    world = world_of(context)
-    control = control_of(context)
-    world.notes["former"] = world.primary()
-    world.notes["term"] = world.deployment.term(GROUP)
-    assert control.wait_leader() != world.notes["old leader"]
-    world.deployment.promote(GROUP)
-    another_primary(context)
-    world.eventually(
-        "new term with grants at every proxy",
-        lambda: all(
-            world.deployment.may_write(proxy)
-            and _term_at(context, proxy) > world.notes["term"]
-            for proxy in world.running_proxies()
-        ),
-    )
-
-
-@when("the other control processes freeze and the old leader goes on")
-def only_old_leader(context: Context) -> None:
-    control = control_of(context)
-    old = world_of(context).notes["old leader"]
-    control.freeze(*control.running)
-    control.thaw(old)
-
-
-@then("the old leader refuses grants for {seconds:d} seconds")
-def refuses_grants(context: Context, seconds: int) -> None:
-    world = world_of(context)
-    old = world.notes["old leader"]
-    request = RenewRequest(
-        proxy="proxy-1",
-        incarnation="asking",
-        failure_domain="fd-a",
-        address="127.0.0.1:1",
-        view_version=0,
-    ).model_dump(mode="json")
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        try:
-            answer = world.deployment.client.post(old.address, PATH_RENEW, request)
-        except PeerRefusedError as error:
-            assert error.code == NOT_LEADER, error
-        else:
-            raise AssertionError(f"the old leader gave {answer}")
-        time.sleep(POLL_SECONDS * 5)
-
-
-@then("no proxy may write once its grant has run out")
-def no_grants(context: Context) -> None:
-    world = world_of(context)
-    world.eventually(
-        "end of all grants",
-        lambda: not any(map(world.deployment.may_write, world.running_proxies())),
-    )
-
-
-@then("no proxy goes back to the old term")
-def no_old_term(context: Context) -> None:
-    world = world_of(context)
-    for proxy in world.running_proxies():
-        term = _term_at(context, proxy)
-        assert term > world.notes["term"], (proxy.name, term)
-
-
-@when("the control group stands still")
-def freeze_control(context: Context) -> None:
-    control = control_of(context)
-    control.freeze(*control.running)
-
-
-@when("the control group goes on")
-def thaw_control(context: Context) -> None:
-    control_of(context).thaw_all()
-
-
 @step("every proxy may write again")
 def all_may_write(context: Context) -> None:
     world = world_of(context)
@@ -380,11 +218,6 @@
     )
 
 
-def _term_at(context: Context, proxy: ProxyHandle) -> int:
-    status = world_of(context).deployment.proxy_status(proxy)
-    return next(int(one["term"]) for one in status["groups"] if one["group"] == GROUP)
-
-
 def _assert_same_primary(context: Context) -> None:
     world = world_of(context)
     found = (world.primary_name(), world.deployment.term(GROUP))
--- /dev/null
+++ b/features/support/writers.py
@@ -0,0 +1,49 @@
+"""Callers that write all the time."""
+
+import threading
+import time
+
+from .callers import Caller
+from .const import POLL_SECONDS
+from .world import World
+
+
+class Writers:
+    """Callers that write numbered lines all the time, each at another proxy."""
+
+    def __init__(self, world: World, count: int) -> None:
+        self._world = world
+        self._stopped = threading.Event()
+        self.told: dict[str, str] = {}
+        self._threads = [
+            threading.Thread(
+                target=self._write,
+                args=(world.caller(f"writer {number}", world.proxy(number % 3 + 1)),),
+                kwargs={"number": number},
+                daemon=True,
+            )
+            for number in range(count)
+        ]
+
+    def set_up(self) -> None:
+        """Begin to write."""
+        for thread in self._threads:
+            thread.start()
+
+    def unload(self) -> None:
+        """Stop writing."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def lines(self, outcome: str) -> set[str]:
+        """Return the lines that were told an outcome of."""
+        return {line for line, told in list(self.told.items()) if told == outcome}
+
+    def _write(self, caller: Caller, number: int) -> None:
+        count = 0
+        while not self._stopped.is_set():
+            line = f"writer {number} line {count}"
+            self.told[line] = caller.run(self._world.insert(line)).outcome
+            count += 1
+            time.sleep(POLL_SECONDS)
