--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -9,9 +9,11 @@
 
 PROPOSE_TIMEOUT: Final = 2.0
 CONFIRM_TIMEOUT: Final = 2.0
+READINESS_SECONDS: Final = 1.0
 
 RELEASE_TIMEOUT: Final = 0.5
 RELEASE_RETRY_SECONDS: Final = 0.2
+REMOVED_PROXIES: Final = "(removed proxies)"
 CHOICE_GRACE_SECONDS: Final = 0.1
 STATUS_POLL_SECONDS: Final = 0.02
 OUTCOME_RETRY_SECONDS: Final = 0.1
@@ -54,7 +56,6 @@
 CODE_NOT_CONFIRMED: Final = "not_confirmed"
 CODE_TOO_MANY: Final = "too_many_requests"
 
-PATH_FORGET_PROXY: Final = "/v1/proxies/forget"
 QUERY_WAIT: Final = "wait"
 QUERY_LIMIT: Final = "limit"
 VOTER_CHANGE_TIMEOUT: Final = 10.0
