--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -4,7 +4,7 @@
 from support.steps import Context, given, step, when, world_of
 
 
-@given('the replica "{name:Text}" has stopped to replicate')
+@step('the replica "{name:Text}" has stopped to replicate')
 def stop_replication(context: Context, name: str) -> None:
     world = world_of(context)
     world.fault([world.standin(name)], stop_replication=True)
@@ -57,7 +57,7 @@
     )
 
 
-@given("statements take {milliseconds:d} ms at every backend server")
+@step("statements take {milliseconds:d} ms at every backend server")
 def slow_statements(context: Context, milliseconds: int) -> None:
     world = world_of(context)
     world.fault(world.running_standins(), statement_ms=milliseconds)
@@ -69,6 +69,13 @@
     world.fault(world.running_standins(), silence_connections=True)
 
 
+@when("every connection to the backend servers is cut")
+def cut(context: Context) -> None:
+    world = world_of(context)
+    world.fault(world.running_standins(), refuse_connections=True)
+    world.fault(world.running_standins(), refuse_connections=False)
+
+
 @when("all control processes are frozen")
 def freeze_control(context: Context) -> None:
     processes = world_of(context).deployment.processes
--- a/features/support/shapes.py
+++ b/features/support/shapes.py
@@ -4,6 +4,8 @@
 
 from dogwoodspool_testbed import DeploymentShape, StandinShape
 
+from .const import GROUP, OTHER_GROUP
+
 # Eleven connections, two of them kept for control, leave one for each of the nine
 # proxies that may register: all callers of a proxy share one connection.
 SCARCE: Final = StandinShape(connections=11)
@@ -11,15 +13,14 @@
 DEFAULT_SHAPE: Final = DeploymentShape()
 
 SHAPES: Final = {
+    "ample-connections": DEFAULT_SHAPE,
     "transactions": DeploymentShape(standin=SCARCE),
     "whole-answers": DeploymentShape(standin=SCARCE),
     "not-run": DeploymentShape(standin=SCARCE, root_settings={"queue_limit": 2}),
+    "membership": DeploymentShape(groups=(GROUP, OTHER_GROUP)),
 }
 
 
-def shape_for(tags: list[str]) -> DeploymentShape:
-    """Return the shape of a feature's deployments."""
-    for tag in tags:
-        if tag in SHAPES:
-            return SHAPES[tag]
-    return DEFAULT_SHAPE
+def shape_for(tags: frozenset[str]) -> DeploymentShape:
+    """Return the shape for the tags of a feature or a scenario."""
+    return next((shape for tag, shape in SHAPES.items() if tag in tags), DEFAULT_SHAPE)
