Let TLS callers in every time; free the replica's connection at once

TLS connections failed in about one of three test runs: the first TLS record of a fast caller was read together with its request for TLS and stayed in the plain reader. Until the handshake has ended the proxy now receives no more than the request's 36 bytes at a time.

Found by a measurement: every planned promotion waited the whole drain time (released after 345 to 390 ms, 81 to 138 before). With no primary chosen the thread that confirms writes by a replica had no candidates, so the writes in flight could not end. It now remembers the primary before.

--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -127,6 +127,7 @@
 
     async def command_phase(self) -> None:
         """Open the caller's session, serve its requests, give all back."""
+        self._caller_stream.end_handshake()
         self._caller = self._sessions.open(str(self.session.username))
         try:
             if self.session.database:
--- a/packages/gateway/src/dogwoodspool_gateway/listener.py
+++ b/packages/gateway/src/dogwoodspool_gateway/listener.py
@@ -12,7 +12,7 @@
 
 from .authentication import CallerIdentities
 from .connection import CallerConnection
-from .const import DEFAULT_MAX_CALLERS, DEFAULT_WORKERS
+from .const import DEFAULT_MAX_CALLERS, DEFAULT_WORKERS, HANDSHAKE_READ_LIMIT
 from .errors import CallerNotAuthenticatedError
 from .models import SessionFactory
 from .session import ProtocolSession
@@ -100,7 +100,11 @@
 
     async def _start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve, self._wanted.host, self._wanted.port, backlog=1024
+            self._serve,
+            self._wanted.host,
+            self._wanted.port,
+            backlog=1024,
+            limit=HANDSHAKE_READ_LIMIT,
         )
 
     async def _drain(self, timeout: float) -> bool:
--- a/packages/gateway/src/dogwoodspool_gateway/stream.py
+++ b/packages/gateway/src/dogwoodspool_gateway/stream.py
@@ -8,7 +8,12 @@
 from mysql_mimic.errors import ErrorCode, MysqlError
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 
-from .const import MAX_PACKET_BYTES
+from .const import (
+    COMMAND_READ_LIMIT,
+    COMMAND_RECEIVE_BYTES,
+    MAX_PACKET_BYTES,
+    TLS_REQUEST_BYTES,
+)
 from .errors import PacketTooLargeError
 
 _HEADER = struct.Struct("<I")
@@ -24,6 +29,12 @@
     malformed one. This reader refuses the first and ends on the second. The
     library's class is compiled and takes no subclass, so its writing half is
     called from here.
+
+    A caller that wants TLS sends its request for it and right behind it the first
+    TLS record. Were both read at once, the record would lie in the plain reader
+    and the handshake would fail, for the faster callers only. So until the
+    handshake has ended no more than the request's size is received at a time, and
+    the reader pauses its transport once it holds that much.
     """
 
     def __init__(
@@ -34,6 +45,14 @@
     ) -> None:
         self._stream = MysqlStream(reader, writer)
         self._max_packet_bytes = max_packet_bytes
+        self._is_closed = False
+        _receive_at_most(writer, TLS_REQUEST_BYTES)
+
+    def end_handshake(self) -> None:
+        """Receive as much at a time as there is."""
+        reader = self._stream.reader
+        reader._limit = COMMAND_READ_LIMIT  # type: ignore[attr-defined]
+        _receive_at_most(self._stream.writer, COMMAND_RECEIVE_BYTES)
 
     @property
     def seq(self) -> Iterator[int]:
@@ -54,6 +73,10 @@
 
     async def start_tls(self, context: SSLContext) -> None:
         """Go on encrypted."""
+        # The encrypted transport is known to the reader only at the end of the
+        # call below. Were the reader to pause before, it would pause the plain one
+        # and go on with the other, and the connection would stand still.
+        self.end_handshake()
         await self._stream.start_tls(context)
 
     def reset_seq(self) -> None:
@@ -61,7 +84,8 @@
         self._stream.reset_seq()
 
     def close(self) -> None:
-        """Close the connection once what was written is sent."""
+        """Close the connection once what was written is sent; read no more."""
+        self._is_closed = True
         self._stream.writer.close()
 
     async def read(self) -> bytes:
@@ -93,6 +117,14 @@
 
     async def _read_exactly(self, length: int) -> bytes:
         try:
-            return await self._stream.reader.readexactly(length)
+            data = await self._stream.reader.readexactly(length)
         except (EOFError, ConnectionError) as error:
             raise ConnectionClosed from error
+        if self._is_closed:
+            raise ConnectionClosed
+        return data
+
+
+def _receive_at_most(writer: StreamWriter, size: int) -> None:
+    # The event loop's socket transport has it as an attribute only.
+    setattr(writer.transport, "max_size", size)  # noqa: B010
--- a/packages/proxy/src/dogwoodspool_proxy/acks.py
+++ b/packages/proxy/src/dogwoodspool_proxy/acks.py
@@ -80,6 +80,7 @@
         self._is_stopped = False
         self._is_view_new = False
         self._turn = 0
+        self._primary = ""
         self._held: tuple[Backend, BackendConnection] | None = None
         self._thread = threading.Thread(
             target=self._run, name=f"replica-acks-{group}", daemon=True
@@ -149,9 +150,9 @@
                 ]
                 if open_positions:
                     return min(open_positions)
+                # At a share of one, a read of the writer waits for this connection.
+                self._give_back()
                 self._clock.wait(self._changed, ACK_IDLE_SECONDS)
-                if not self._waiting:
-                    self._give_back()
             return None
 
     def _follow(self, target: Position) -> bool:
@@ -199,14 +200,17 @@
         """
         view = self._views.view
         state = view.groups.get(self._group)
-        if state is None or state.primary is None:
+        if state is None:
             return []
-        primary = view.servers.get(state.primary)
+        # While a promotion has chosen no primary, writes in flight at the one
+        # before still end; the release waits for them.
+        self._primary = state.primary or self._primary
+        primary = view.servers.get(self._primary)
         home = primary.failure_domain if primary else ""
         replicas = [
             server
             for server in view.servers.values()
-            if server.group == self._group and server.name != state.primary
+            if server.group == self._group and server.name != self._primary
         ]
         return sorted(
             replicas, key=lambda server: (server.failure_domain == home, server.name)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import datetime
+import socket
 import ssl
+import struct
 import tempfile
 import threading
 import time
@@ -29,6 +31,7 @@
     StatementRequest,
     hash_password,
 )
+from pymysql.constants import CLIENT
 
 PASSWORD = "secret word"
 COLUMNS = (AnswerColumn("n", 8, 63), AnswerColumn("text", 253, 255))
@@ -56,6 +59,7 @@
             case "break":
                 return RowsAnswer(COLUMNS, broken_rows(), self._owner.finish)
             case "wait":
+                self._owner.is_waiting.set()
                 self._owner.may_end.wait(10)
                 return DoneAnswer(1, 7)
             case count if count.isdigit():
@@ -78,6 +82,7 @@
         self.requests: list[StatementRequest] = []
         self.finished: list[bool] = []
         self.closed = 0
+        self.is_waiting = threading.Event()
         self.may_end = threading.Event()
 
     def open(self, _user: str) -> FakeSession:
@@ -207,8 +212,7 @@
             target=lambda: counts.append(busy.cursor().execute("UPDATE wait"))
         )
         running.start()
-        while not any(one.sql.endswith("wait") for one in self.sessions.requests):
-            time.sleep(0.01)
+        self.assertTrue(self.sessions.is_waiting.wait(10))
         drained: list[bool] = []
         draining = threading.Thread(target=lambda: drained.append(self.drain()))
         draining.start()
@@ -218,8 +222,9 @@
             idle.cursor() as cursor,
             self.assertRaisesRegex(pymysql.MySQLError, "1053, 'not-run: "),
         ):
-            while True:
+            for _attempt in range(1_000):
                 cursor.execute("UPDATE t")
+                time.sleep(0.01)
         run_before = len(self.sessions.requests)
         self.sessions.may_end.set()
         running.join(10)
@@ -269,6 +274,26 @@
         self.tls, self.certificate = tls_context(Path(folder.name))
         super().setUp()
 
+    def test_a_record_right_behind_the_request_is_not_lost(self) -> None:
+        # Some callers could connect with TLS only now and then: the first record
+        # of the fast ones was read together with their request for TLS.
+        with socket.create_connection(("127.0.0.1", self.listener.address.port)) as raw:
+            raw.recv(4096)
+            incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+            context = ssl.create_default_context(cafile=str(self.certificate))
+            context.check_hostname = False
+            tls = context.wrap_bio(incoming, outgoing)
+            with self.assertRaises(ssl.SSLWantReadError):
+                tls.do_handshake()
+            capabilities = CLIENT.SSL | CLIENT.PROTOCOL_41 | CLIENT.SECURE_CONNECTION
+            request = struct.pack("<iIB23s", capabilities, 2**24, 45, b"")
+            header = len(request).to_bytes(3, "little") + b"\1"
+            raw.sendall(header + request + outgoing.read())
+            raw.settimeout(5)
+            incoming.write(raw.recv(65536))
+            tls.do_handshake()
+        self.assertEqual(tls.version(), "TLSv1.3")
+
     def test_statements_go_encrypted(self) -> None:
         connection = self.connect(
             ssl={"ca": str(self.certificate), "check_hostname": False}
