Hold connections by the same base share as control counts

Named by the author of control's part: the proxy went by base_connections alone, control caps it at an equal part of what the server takes, so that on a small server the proxies together held more than its limit. Both now use one function, and a proxy that control has not registered holds none.

--- a/packages/control/src/dogwoodspool_control/__init__.py
+++ b/packages/control/src/dogwoodspool_control/__init__.py
@@ -5,7 +5,7 @@
 from .errors import ControlError, LeadershipLostError
 from .grants import GrantTable
 from .runtime import ControlRuntime
-from .shares import ShareLedger, base_share, fair_shares
+from .shares import ShareLedger, fair_shares
 from .state import ControlState
 
 __all__ = [
@@ -20,7 +20,6 @@
     "GrantTable",
     "LeadershipLostError",
     "ShareLedger",
-    "base_share",
     "choose_candidate",
     "fair_shares",
 ]
--- a/packages/control/src/dogwoodspool_control/shares.py
+++ b/packages/control/src/dogwoodspool_control/shares.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from dogwoodspool_common import Clock
+from dogwoodspool_limits import base_share
 from dogwoodspool_settings import EffectiveSettings
 
 
@@ -49,19 +50,6 @@
     expires_at: float
 
 
-def base_share(connections: int, settings: EffectiveSettings) -> int:
-    """Return what each proxy may always hold of a server's connections.
-
-    The proxy computes the same while it is cut off.
-
-    Example:
-        >>> base_share(20, EffectiveSettings())
-        1
-    """
-    limit = max(0, connections - settings.reserved_connections)
-    return min(settings.base_connections, limit // max(1, settings.max_proxies))
-
-
 def divide_connections(
     connections: int,
     group: EffectiveSettings,
--- a/packages/limits/src/dogwoodspool_limits/__init__.py
+++ b/packages/limits/src/dogwoodspool_limits/__init__.py
@@ -1,6 +1,7 @@
 """Bound work: admission, adaptive concurrency, retry budgets."""
 
 from .admission import Admission, AdmissionQueue, Admitter
+from .base_share import base_share
 from .concurrency import AdaptiveConcurrency
 from .models import Priority, Refusal, RefusalReason
 from .retry_budget import RetryBudget
@@ -16,4 +17,5 @@
     "RefusalReason",
     "RetryBudget",
     "StaticSplitAdmission",
+    "base_share",
 ]
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -55,7 +55,7 @@
         self._grants = GrantBook(clock)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, self._table, self._probe_now, clock
+            settings.name, self._views, self._table, self._probe_now, clock
         )
         self._counters = Counters()
         self._terms: dict[str, tuple[int, Phase]] = {}
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -14,7 +14,7 @@
     ServerDownError,
 )
 from dogwoodspool_common import BackendServer, Clock, log_event
-from dogwoodspool_limits import AdmissionQueue
+from dogwoodspool_limits import AdmissionQueue, base_share
 from dogwoodspool_routing import ServerTable
 from dogwoodspool_settings import EffectiveSettings
 
@@ -51,11 +51,13 @@
 
     def __init__(
         self,
+        proxy: str,
         views: ViewStore,
         table: ServerTable,
         probe_now: Callable[[str], None],
         clock: Clock,
     ) -> None:
+        self._proxy = proxy
         self._probe_now = probe_now
         self._views = views
         self._table = table
@@ -191,7 +193,7 @@
             if _connects_otherwise(before.settings, settings):
                 connector = self._connector(settings)
                 after.pool.change(connector, PoolSettings.of(settings))
-        self._set_limits(after for _, after in changed)
+        self._set_limits(list(self._backends.values()))
 
     def _renewed(self, name: str, backend: Backend) -> Backend:
         settings = self._views.settings(backend.server.group)
@@ -207,7 +209,10 @@
             backend.admission.set_max_in_flight(backend.pool.caller_limit)
 
     def _limit(self, server: BackendServer) -> int:
-        base = self._views.settings(server.group).base_connections
+        if self._proxy not in self._views.view.proxies:
+            # Control may have no room for this proxy; its base share is another's.
+            return 0
+        base = base_share(server.connections, self._views.settings(server.group))
         return max(base, self._shares.get(server.name, 0))
 
 
--- a/packages/proxy/src/dogwoodspool_proxy/view.py
+++ b/packages/proxy/src/dogwoodspool_proxy/view.py
@@ -18,6 +18,7 @@
     version: int = 0
     groups: Mapping[str, GroupState] = field(default_factory=dict)
     servers: Mapping[str, BackendServer] = field(default_factory=dict)
+    proxies: frozenset[str] = frozenset()
     tree: SettingsTree = field(default_factory=SettingsTree)
 
     @classmethod
@@ -27,6 +28,7 @@
             version=message.version,
             groups={group.name: group.value() for group in message.groups},
             servers={server.server: server.value() for server in message.servers},
+            proxies=frozenset(proxy.proxy for proxy in message.proxies),
             tree=SettingsTree.from_nodes(message.settings),
         )
 
--- a/tests/control/test_shares.py
+++ b/tests/control/test_shares.py
@@ -6,10 +6,10 @@
 from dogwoodspool_control.shares import (
     ShareLedger,
     ShareRequest,
-    base_share,
     divide_connections,
     fair_shares,
 )
+from dogwoodspool_limits import base_share
 from dogwoodspool_settings import EffectiveSettings
 from hypothesis import settings
 from hypothesis import strategies as st
