End leased shares before their lease does

Their expiry is looked for before each renewal, and a renewal may hang for its timeout of 0.5 s; connections above the base share were kept for so long beyond the lease.

--- a/packages/proxy/src/dogwoodspool_proxy/const.py
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -47,3 +47,4 @@
 # by then; a caller that waits longer is told to come back instead.
 MAX_CONNECTION_WAIT_SECONDS: Final = 0.7
 REPLICA_PROBE_FACTOR: Final = 4
+SHARE_EXPIRY_MARGIN_SECONDS: Final = RENEW_TIMEOUT_SECONDS + RETRY_PAUSE_SECONDS
--- a/packages/proxy/src/dogwoodspool_proxy/renew.py
+++ b/packages/proxy/src/dogwoodspool_proxy/renew.py
@@ -26,6 +26,7 @@
     NOT_LEADER,
     RENEW_TIMEOUT_SECONDS,
     RETRY_PAUSE_SECONDS,
+    SHARE_EXPIRY_MARGIN_SECONDS,
 )
 from .control_peers import ControlPeers
 from .coordinator import Coordinator
@@ -122,6 +123,9 @@
     def _adopt(self, response: RenewResponse, sent_at: float) -> None:
         lease_seconds = response.lease_ms / MILLISECONDS
         self._grants.renew(response.grants, response.withdrawn, sent_at, lease_seconds)
-        self._registry.grant_shares(response.connection_shares, sent_at + lease_seconds)
+        # Expiry is looked for before each renewal, and one may hang until its timeout.
+        margin = min(SHARE_EXPIRY_MARGIN_SECONDS, lease_seconds / 2)
+        until = sent_at + lease_seconds - margin
+        self._registry.grant_shares(response.connection_shares, until)
         self._views.note_announced(response.view_version)
         self._renewed_at = sent_at
