--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -43,15 +43,13 @@
         return Position(self.term, self.offset)
 
 
-class Announcement(Message):
-    """What a backend server tells the entry instances of its failure domain."""
+class DescribedServer(Message):
+    """What a backend server is, in every message that describes one."""
 
     server: Name
     group: Name
     failure_domain: Name
     address: HostPort
-    role: Role
-    position: PositionMessage
     slots: int = Field(ge=1)
     connections: int = Field(ge=1)
     is_leaving: bool = False
@@ -69,6 +67,13 @@
         )
 
 
+class Announcement(DescribedServer):
+    """What a backend server tells the entry instances of its failure domain."""
+
+    role: Role
+    position: PositionMessage
+
+
 class StatusMessage(Message):
     """A backend server's status as one observer read it."""
 
@@ -215,17 +220,9 @@
         )
 
 
-class ServerMessage(Message):
+class ServerMessage(DescribedServer):
     """A backend server as control has committed it."""
 
-    server: Name
-    group: Name
-    failure_domain: Name
-    address: HostPort
-    slots: int
-    connections: int
-    is_leaving: bool
-
     @classmethod
     def of(cls, server: BackendServer) -> Self:
         """Build the message from the inner value."""
@@ -239,18 +236,6 @@
             is_leaving=server.is_leaving,
         )
 
-    def value(self) -> BackendServer:
-        """Return the inner value."""
-        return BackendServer(
-            name=self.server,
-            group=self.group,
-            failure_domain=self.failure_domain,
-            address=Address.parse(self.address),
-            slots=self.slots,
-            connections=self.connections,
-            is_leaving=self.is_leaving,
-        )
-
 
 class ProxyMessage(Message):
     """A registered proxy instance."""
--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -10,7 +10,6 @@
 from dogwoodspool_common import Clock, log_event, span
 from mysql_mimic import packets, types
 from mysql_mimic.connection import Connection
-from mysql_mimic.errors import MysqlError
 from mysql_mimic.packets import make_column_definition_41
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultColumn
@@ -19,17 +18,12 @@
 
 from .classify import classify
 from .const import (
-    BUSY_RETRY_AFTER_MS,
     CALLER_STALL_SECONDS,
-    CR_SERVER_LOST,
     ER_NET_PACKET_TOO_LARGE,
     ER_NOT_SUPPORTED,
     ER_PARSE,
-    ER_SHUTDOWN,
-    ER_TOO_MANY_USER_CONNECTIONS,
     ER_WRONG_ARGUMENTS,
     MAX_PREPARED_STATEMENTS,
-    SHUTDOWN_RETRY_AFTER_MS,
 )
 from .errors import (
     BadRequestPropertyError,
@@ -46,8 +40,14 @@
     SessionFactory,
     StatementRequest,
 )
-from .prepared import PlaceholderError, interpolate, placeholder_offsets
+from .prepared import (
+    PlaceholderError,
+    interpolate,
+    placeholder_offsets,
+    read_execution,
+)
 from .properties import parse_properties, split_comment
+from .refusals import broken_off_answer, busy_answer, refusal, shutdown_answer
 from .results import Row, binary_columns, binary_row, text_columns
 from .stream import CallerStream
 from .workers import WorkerPool
@@ -111,7 +111,7 @@
         self._is_ended = True
         self.stream.reset_seq()
         next(self.stream.seq)
-        await self._write_error(_shutdown_answer())
+        await self._write_error(shutdown_answer())
         self._caller_stream.close()
 
     async def authenticate(self, *args: Any, **kwargs: Any) -> None:
@@ -181,13 +181,13 @@
         sql = self.client_charset.decode(data)
         if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
             await self._write_error(
-                _refusal(ER_NOT_SUPPORTED, "too many prepared statements")
+                refusal(ER_NOT_SUPPORTED, "too many prepared statements")
             )
             return
         try:
             parameters = len(placeholder_offsets(sql))
         except PlaceholderError as error:
-            await self._write_error(_refusal(ER_PARSE, str(error)))
+            await self._write_error(refusal(ER_PARSE, str(error)))
             return
         statement = PreparedStatement(next(self.prepared_stmt_seq), sql, parameters)
         self.prepared_stmts[statement.stmt_id] = statement
@@ -202,7 +202,9 @@
 
     async def _serve_execute(self, data: bytes) -> None:
         statement = self.get_stmt(types.read_uint_4(io.BytesIO(data)))
-        values, attributes = _read_execute(self, statement, data)
+        values, attributes = read_execution(
+            statement, data, self.capabilities, self.client_charset
+        )
         statement.param_buffers = None
         sql = interpolate(statement.sql, values)
         answer = await self._run(sql, attributes)
@@ -240,16 +242,16 @@
     async def _run(self, sql: str, attributes: dict[str, Any]) -> Fetched:
         arrived_at = self._clock.now()
         if self._is_draining and not self._in_transaction:
-            return _shutdown_answer()
+            return shutdown_answer()
         sql, pairs = split_comment(sql)
         try:
             properties = parse_properties({**pairs, **attributes})
         except BadRequestPropertyError as error:
-            return _refusal(ER_WRONG_ARGUMENTS, str(error))
+            return refusal(ER_WRONG_ARGUMENTS, str(error))
         request = StatementRequest(sql, classify(sql), properties, arrived_at)
         answer = await self._workers.run(partial(self._run_traced, request))
         self._refresh_status()
-        return answer if answer is not None else _busy_answer()
+        return answer if answer is not None else busy_answer()
 
     def _run_traced(self, request: StatementRequest) -> Fetched:
         assert self._caller is not None
@@ -287,7 +289,7 @@
             return
         # The protocol lets an error packet stand in a row's place, so the caller
         # does not take the rows that came for the whole answer.
-        await self._write_error(_broken_off_answer())
+        await self._write_error(broken_off_answer())
 
     async def _drain_within(self, seconds: float) -> None:
         """Wait until the caller has taken what was written.
@@ -342,58 +344,3 @@
         if self._caller.in_transaction:
             flags |= ServerStatus.SERVER_STATUS_IN_TRANS
         self.status_flags = flags
-
-
-def _read_execute(
-    connection: CallerConnection, statement: PreparedStatement, data: bytes
-) -> tuple[list[Any], dict[str, Any]]:
-    """Return the parameters and query attributes of an execution."""
-    reader = io.BytesIO(data)
-    types.read_uint_4(reader)
-    is_cursor, has_count = packets._read_cursor_flags(reader)
-    if is_cursor:
-        raise MysqlError("cursors are not supported")
-    types.read_uint_4(reader)  # The iteration count, always 1.
-    count = statement.num_params
-    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in connection.capabilities
-    if with_attributes and (count or has_count):
-        count = types.read_uint_len(reader)
-    if not count:
-        return [], {}
-    read = packets._read_params(
-        connection.capabilities,
-        connection.client_charset,
-        reader,
-        count,
-        statement.param_buffers,
-    )
-    values = [value for _, value in read[: statement.num_params]]
-    return values, {name: value for name, value in read[statement.num_params :] if name}
-
-
-def _refusal(error: tuple[int, str], message: str) -> ErrorAnswer:
-    return ErrorAnswer(Outcome.NOT_RUN, *error, message)
-
-
-def _broken_off_answer() -> ErrorAnswer:
-    return ErrorAnswer(
-        Outcome.UNKNOWN, *CR_SERVER_LOST, "the backend server broke the result off"
-    )
-
-
-def _shutdown_answer() -> ErrorAnswer:
-    return ErrorAnswer(
-        Outcome.NOT_RUN,
-        *ER_SHUTDOWN,
-        "this proxy is shutting down; connect again",
-        SHUTDOWN_RETRY_AFTER_MS,
-    )
-
-
-def _busy_answer() -> ErrorAnswer:
-    return ErrorAnswer(
-        Outcome.NOT_RUN,
-        *ER_TOO_MANY_USER_CONNECTIONS,
-        "this proxy runs as many statements as it may",
-        BUSY_RETRY_AFTER_MS,
-    )
--- a/packages/gateway/src/dogwoodspool_gateway/prepared.py
+++ b/packages/gateway/src/dogwoodspool_gateway/prepared.py
@@ -5,9 +5,15 @@
 escaped, and placeholders are found by the tokenizer, not inside strings.
 """
 
+import io
 from collections.abc import Sequence
 from typing import Any
 
+from mysql_mimic import packets, types
+from mysql_mimic.charset import CharacterSet
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.prepared import PreparedStatement
+from mysql_mimic.types import Capabilities
 from pymysql.converters import escape_item
 from sqlglot import tokenize
 from sqlglot.errors import SqlglotError
@@ -52,3 +58,37 @@
         begin = offset + 1
     pieces.append(sql[begin:])
     return "".join(pieces)
+
+
+def read_execution(
+    statement: PreparedStatement,
+    data: bytes,
+    capabilities: Capabilities,
+    charset: CharacterSet,
+) -> tuple[list[Any], dict[str, Any]]:
+    """Return the parameters and query attributes of an execution.
+
+    Raises:
+        MysqlError: the packet asks for a cursor or cannot be read.
+    """
+    reader = io.BytesIO(data)
+    types.read_uint_4(reader)
+    is_cursor, has_count = packets._read_cursor_flags(reader)
+    if is_cursor:
+        raise MysqlError("cursors are not supported")
+    types.read_uint_4(reader)  # The iteration count, always 1.
+    count = statement.num_params
+    with_attributes = Capabilities.CLIENT_QUERY_ATTRIBUTES in capabilities
+    if with_attributes and (count or has_count):
+        count = types.read_uint_len(reader)
+    if not count:
+        return [], {}
+    read = packets._read_params(
+        capabilities,
+        charset,
+        reader,
+        count,
+        statement.param_buffers,
+    )
+    values = [value for _, value in read[: statement.num_params]]
+    return values, {name: value for name, value in read[statement.num_params :] if name}
--- a/packages/proxy/src/dogwoodspool_proxy/view.py
+++ b/packages/proxy/src/dogwoodspool_proxy/view.py
@@ -27,7 +27,9 @@
         return cls(
             version=message.version,
             groups={group.name: group.value() for group in message.groups},
-            servers={server.server: server.value() for server in message.servers},
+            servers={
+                server.server: server.backend_server() for server in message.servers
+            },
             proxies=frozenset(proxy.proxy for proxy in message.proxies),
             tree=SettingsTree.from_nodes(message.settings),
         )
--- a/packages/testbed/src/dogwoodspool_testbed/deployment.py
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -3,33 +3,17 @@
 import socket
 import tempfile
 import time
-import uuid
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, Final, TypeAlias
 
 import pymysql
-import urllib3
-from dogwoodspool_api import ControlView, WatchResponse
-from dogwoodspool_api.const import (
-    PATH_METRICS,
-    PATH_PROMOTE,
-    PATH_SETTINGS_CHANGE,
-    PATH_SETTINGS_TREE,
-    PATH_STATUS,
-    PATH_WATCH,
-)
 from dogwoodspool_common import (
     Address,
-    HttpError,
-    JsonClient,
-    PeerRefusedError,
-    RequestSigner,
 )
 from dogwoodspool_gateway import hash_password
 
 from .const import (
-    AUTHOR,
     BACKEND_PASSWORD,
     BACKEND_USER,
     CALLER_PASSWORD,
@@ -46,13 +30,14 @@
 from .errors import TestbedError
 from .models import ControlHandle, DeploymentShape, ProxyHandle, StandinHandle
 from .processes import ProcessTable
+from .running_system import RunningSystem
 
 ANY_PORT: Final = Address(HOST, 0)
 
 CallerConnection: TypeAlias = "pymysql.connections.Connection[pymysql.cursors.Cursor]"
 
 
-class Deployment:
+class Deployment(RunningSystem):
     """Start the processes of a shape, reach them, and end them.
 
     Example:
@@ -61,14 +46,10 @@
     """
 
     def __init__(self, shape: DeploymentShape) -> None:
-        self.shape = shape
+        super().__init__(shape)
         self._temporary = tempfile.TemporaryDirectory(prefix="dogwoodspool-")
         self.folder = Path(self._temporary.name)
         self.processes = ProcessTable(self.folder)
-        self.client = JsonClient(RequestSigner(SHARED_KEY.encode()))
-        self.controls: list[ControlHandle] = []
-        self.proxies: list[ProxyHandle] = []
-        self.standins: list[StandinHandle] = []
 
     def __enter__(self) -> "Deployment":
         try:
@@ -136,90 +117,6 @@
             connect_timeout=5,
         )
 
-    def leader(self) -> ControlHandle | None:
-        """Return the control leader, if there is one now."""
-        for control in self.controls:
-            try:
-                answer = self.client.get(control.address, PATH_STATUS, timeout=1.0)
-            except HttpError:
-                continue
-            for candidate in self.controls:
-                if str(candidate.address) == answer.get("leader"):
-                    return candidate
-        return None
-
-    def view(self) -> ControlView:
-        """Return the committed state, confirmed by a quorum."""
-        for control in self.controls:
-            try:
-                answer = self.client.get(
-                    control.address,
-                    PATH_WATCH,
-                    {"after": "0", "wait_ms": "0", "confirmed": "1"},
-                )
-            except HttpError:
-                continue
-            view = WatchResponse.model_validate(answer).view
-            if view is not None:
-                return view
-        raise TestbedError("no control process confirms its state")
-
-    def primary(self, group: str) -> StandinHandle:
-        """Return a group's primary as control has committed it."""
-        for state in self.view().groups:
-            if state.name == group:
-                for standin in self.standins:
-                    if standin.name == state.primary:
-                        return standin
-        raise TestbedError(f"{group} has no primary")
-
-    def term(self, group: str) -> int:
-        """Return a group's term as control has committed it."""
-        return next(g.term for g in self.view().groups if g.name == group)
-
-    def promote(self, group: str, candidate: str | None = None) -> None:
-        """Ask for a planned change of primary."""
-        body = {
-            "change_id": uuid.uuid4().hex,
-            "group": group,
-            "candidate": candidate,
-        }
-        self._post_to_leader(PATH_PROMOTE, body)
-
-    def change_settings(
-        self, path: str, overrides: dict[str, Any], change_id: str | None = None
-    ) -> dict[str, Any]:
-        """Replace one node's overrides; return the control's answer."""
-        body = {
-            "change_id": change_id or uuid.uuid4().hex,
-            "path": path,
-            "expected_version": self.settings_version(path),
-            "overrides": overrides,
-            "author": AUTHOR,
-        }
-        return self._post_to_leader(PATH_SETTINGS_CHANGE, body)
-
-    def settings_version(self, path: str) -> int:
-        """Return a node's version; 0 for one that does not exist."""
-        answer = self._get_from_any(PATH_SETTINGS_TREE)
-        for node in answer["nodes"]:
-            if node["path"] == path:
-                return int(node["version"])
-        return 0
-
-    def proxy_status(self, proxy: ProxyHandle) -> dict[str, Any]:
-        """Return a proxy's own status."""
-        return self.client.get(proxy.http_address, PATH_STATUS)
-
-    def metrics(self, proxy: ProxyHandle) -> str:
-        """Return a proxy's metrics page."""
-        url = f"http://{proxy.http_address}{PATH_METRICS}"
-        return urllib3.request("GET", url, timeout=2.0).data.decode()
-
-    def fault(self, standin: StandinHandle, **switches: Any) -> None:
-        """Set fault switches of a stand-in."""
-        self.client.post(standin.control_address, "/v1/faults", switches)
-
     def root_settings(self) -> dict[str, Any]:
         """Return the root overrides with which the deployment began."""
         return {
@@ -383,39 +280,6 @@
     def _all_may_write(self) -> bool:
         return all(self.may_write(proxy) for proxy in self.proxies)
 
-    def may_write(self, proxy: ProxyHandle) -> bool:
-        """Tell whether a proxy holds a grant for every group."""
-        try:
-            groups = self.proxy_status(proxy)["groups"]
-        except HttpError:
-            return False
-        granted = {group["group"] for group in groups if group["may_write"]}
-        return granted >= set(self.shape.groups)
-
-    def _post_to_leader(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        last_error: Exception | None = None
-        deadline = time.monotonic() + START_SECONDS
-        while time.monotonic() < deadline:
-            leader = self.leader()
-            if leader is not None:
-                try:
-                    return self.client.post(leader.address, path, body, timeout=5.0)
-                except PeerRefusedError as error:
-                    if error.code != "not_leader":
-                        raise
-                    last_error = error
-            time.sleep(POLL_SECONDS)
-        raise TestbedError(f"no control leader served {path}: {last_error}")
-
-    def _get_from_any(self, path: str) -> dict[str, Any]:
-        last_error: Exception | None = None
-        for control in self.controls:
-            try:
-                return self.client.get(control.address, path)
-            except HttpError as error:
-                last_error = error
-        raise TestbedError(f"no control process served {path}: {last_error}")
-
 
 def _free_ports(count: int) -> list[int]:
     sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
