--- a/features/steps/sessions.py
+++ b/features/steps/sessions.py
@@ -46,6 +46,15 @@
     caller_of(context, name).session = token
 
 
+@then('each of {count:d} reads of "{name:Text}" has the line "{line:Text}"')
+def each_read_has(context: Context, count: int, name: str, line: str) -> None:
+    caller = caller_of(context, name)
+    for _number in range(count):
+        reply = caller.run(world_of(context).select())
+        assert reply.is_ok, reply
+        assert (line,) in reply.rows, reply
+
+
 @then(
     'each read of "{name:Text}" has the lines "{first:Text}" and "{second:Text}" for '
     "{seconds:d} seconds"
