Give a read's first attempt three quarters of its time

Half, and half of what was left to each further attempt, failed every read that needs more than half of its deadline, and ran it again up to three times. By reasoning, not by a measurement.

--- a/packages/proxy/src/dogwoodspool_proxy/const.py
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -19,8 +19,8 @@
 CONNECT_RETRY_AFTER_MS: Final = 100
 
 MAX_READ_ATTEMPTS: Final = 4
-# Part of a read's remaining time that an attempt gets while others may follow.
-READ_ATTEMPT_SHARE: Final = 0.5
+# Part of a read's time that its first attempt gets.
+READ_ATTEMPT_SHARE: Final = 0.75
 RESULT_STALL_SECONDS: Final = 10.0
 RESULT_STALL_ROWS: Final = 256
 ACK_WAIT_SLICE_SECONDS: Final = 0.05
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -117,12 +117,13 @@
         return answer
 
     def _attempt_deadline(self, number: int, deadline: float) -> float:
-        """Bound one attempt, so that time is left for another server.
+        """Bound the first attempt, so that time is left for another server.
 
         A connection that went silent shows only by the missing answer. Waiting
-        for it until the caller's deadline would leave none to ask elsewhere.
+        for it until the caller's deadline would leave none to ask elsewhere. The
+        price is a read that needs more than this share of its deadline.
         """
-        if number + 1 == MAX_READ_ATTEMPTS:
+        if number > 0:
             return deadline
         now = self._clock.now()
         return now + (deadline - now) * READ_ATTEMPT_SHARE
