--- a/packages/gateway/src/dogwoodspool_gateway/const.py
+++ b/packages/gateway/src/dogwoodspool_gateway/const.py
@@ -31,7 +31,6 @@
 SHUTDOWN_RETRY_AFTER_MS: Final = 0
 
 # MySQL's error numbers with their SQLSTATE.
-ER_ACCESS_DENIED: Final = (1045, "28000")
 ER_NO_DATABASE: Final = (1046, "3D000")
 ER_SHUTDOWN: Final = (1053, "08S01")
 ER_PARSE: Final = (1064, "42000")
--- a/packages/proxy/src/dogwoodspool_proxy/const.py
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -4,17 +4,14 @@
 
 PROGRAM: Final = "dogwoodspool-proxy"
 
-DEFAULT_DRAIN_SECONDS: Final = 30.0
 # Short, since a poll to a cut-off process waits in vain for so long.
 DEFAULT_WATCH_WAIT_MS: Final = 2_000
 WATCH_TIMEOUT_MARGIN: Final = 2.0
 RENEW_TIMEOUT_SECONDS: Final = 0.5
 RETRY_PAUSE_SECONDS: Final = 0.1
-READY_AFTER_FAILED_RENEWALS_SECONDS: Final = 10.0
 
 NO_PRIMARY_RETRY_AFTER_MS: Final = 250
 NO_GRANT_RETRY_AFTER_MS: Final = 300
-NO_SERVER_RETRY_AFTER_MS: Final = 200
 NEWER_SESSION_RETRY_AFTER_MS: Final = 100
 CONNECT_RETRY_AFTER_MS: Final = 100
 
