--- a/features/mutations/guards/settings.py
+++ b/features/mutations/guards/settings.py
@@ -9,13 +9,13 @@
     """Follow the version of a newer view and keep the settings of the first."""
     import dataclasses
 
-    from dogwoodspool_proxy.view import ProxyView
+    from dogwoodspool_following.view import ProxyView
 
     original = ProxyView.of
     first: dict[str, Any] = {}
 
-    def of(message: Any) -> Any:
-        view = original(message)
+    def of(message: Any, base: Any = None) -> Any:
+        view = original(message, base)
         if "users" not in str(message.settings):
             return view
         tree = first.setdefault("tree", view.tree)
@@ -48,8 +48,8 @@
 
 def watch_unconfirmed() -> None:
     """Take the first view from any control process, as it believes it."""
-    from dogwoodspool_proxy.view import ViewStore
-    from dogwoodspool_proxy.watch import WatchCoordinator
+    from dogwoodspool_following.view import ViewStore
+    from dogwoodspool_following.watch import WatchCoordinator
 
     original = WatchCoordinator._poll
 
@@ -68,8 +68,8 @@
     """Put in force whatever a control process holds for current."""
     import time
 
-    from dogwoodspool_proxy.view import ProxyView, ViewStore
-    from dogwoodspool_proxy.watch import WatchCoordinator
+    from dogwoodspool_following.view import ProxyView, ViewStore
+    from dogwoodspool_following.watch import WatchCoordinator
 
     original = WatchCoordinator._poll
 
@@ -96,7 +96,7 @@
 
 def frozen_control_kept() -> None:
     """Go on asking the control process that was asked first."""
-    from dogwoodspool_proxy.control_peers import ControlPeers
+    from dogwoodspool_following.control_peers import ControlPeers
 
     ControlPeers.any = lambda self: self._addresses[0]
 
--- a/packages/api/src/dogwoodspool_api/const.py
+++ b/packages/api/src/dogwoodspool_api/const.py
@@ -13,6 +13,8 @@
 PATH_STATUS: Final = "/v1/status"
 PATH_VOTERS: Final = "/v1/voters"
 PATH_FORGET_PROXY: Final = "/v1/proxies/forget"
+PATH_REPORTS: Final = "/v1/servers/reports"
+PATH_JOIN: Final = "/v1/voters/join"
 
 # Served by proxies.
 PATH_ANNOUNCE: Final = "/v1/announce"
--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -5,6 +5,8 @@
 from dogwoodspool_common import (
     Address,
     BackendServer,
+    Consistency,
+    Endpoint,
     GroupState,
     Phase,
     Position,
@@ -53,6 +55,8 @@
     slots: int = Field(ge=1)
     connections: int = Field(ge=1)
     is_leaving: bool = False
+    incarnation: int = Field(default=0, ge=0)
+    is_gone: bool = False
 
     def backend_server(self) -> BackendServer:
         """Return the inner value."""
@@ -64,6 +68,8 @@
             slots=self.slots,
             connections=self.connections,
             is_leaving=self.is_leaving,
+            incarnation=self.incarnation,
+            is_gone=self.is_gone,
         )
 
 
@@ -234,6 +240,8 @@
             slots=server.slots,
             connections=server.connections,
             is_leaving=server.is_leaving,
+            incarnation=server.incarnation,
+            is_gone=server.is_gone,
         )
 
 
@@ -253,11 +261,63 @@
     overrides: dict[str, Any]
 
 
+class EndpointMessage(Message):
+    """A database name that callers connect to, and what it promises."""
+
+    name: Name
+    database: str
+    group: Name
+    consistency: Consistency
+    deadline_ms: int = Field(ge=1)
+    target_latency_ms: int = Field(ge=1)
+    priority: int = Field(ge=0)
+    max_age_ms: int | None = Field(default=None, ge=0)
+
+    @classmethod
+    def of(cls, endpoint: Endpoint) -> Self:
+        """Build the message from the inner value."""
+        return cls(
+            name=endpoint.name,
+            database=endpoint.database,
+            group=endpoint.group,
+            consistency=endpoint.consistency,
+            deadline_ms=endpoint.deadline_ms,
+            target_latency_ms=endpoint.target_latency_ms,
+            priority=endpoint.priority,
+            max_age_ms=endpoint.max_age_ms,
+        )
+
+    def value(self) -> Endpoint:
+        """Return the inner value."""
+        return Endpoint(
+            name=self.name,
+            database=self.database,
+            group=self.group,
+            consistency=self.consistency,
+            deadline_ms=self.deadline_ms,
+            target_latency_ms=self.target_latency_ms,
+            priority=self.priority,
+            max_age_ms=self.max_age_ms,
+        )
+
+
+class RemovedItems(Message):
+    """What a view that holds only differences no longer has, by name or path."""
+
+    groups: list[str] = []
+    servers: list[str] = []
+    proxies: list[str] = []
+    settings: list[str] = []
+    endpoints: list[str] = []
+
+
 class ControlView(Message):
     """The committed state that proxies follow.
 
     Attributes:
         version: index of the last log entry that is part of it; never falls.
+        base_version: 0 for the whole state; else only what differs from that
+            version is here, and what it no longer has is in ``removed``.
     """
 
     version: int
@@ -265,13 +325,61 @@
     servers: list[ServerMessage]
     proxies: list[ProxyMessage]
     settings: list[SettingsNode]
+    endpoints: list[EndpointMessage] = []
+    base_version: int = 0
+    removed: RemovedItems = RemovedItems()
+
+
+class MemberMessage(Message):
+    """A member of the control group."""
+
+    address: HostPort
+    failure_domain: str
 
 
 class WatchResponse(Message):
-    """Answer of a long poll: the newer view, or None when time ran out."""
+    """Answer of a long poll: the newer view, or None when time ran out.
+
+    Attributes:
+        members: the control processes.
+        is_current: whether the process that answers hears from the leader.
+    """
 
     view: ControlView | None
     leader: HostPort | None
+    members: list[MemberMessage] = []
+    is_current: bool = True
+
+
+class ServerReport(Message):
+    """What a proxy tells control of a backend server that gives it trouble.
+
+    Attributes:
+        failing_ms: time since its last good answer.
+        refusing_ms: time for which its machine has refused connections.
+        stalled_ms: time for which it answers reads but no write; 0 otherwise.
+    """
+
+    server: Name
+    failing_ms: float = Field(ge=0)
+    refusing_ms: float = Field(default=0, ge=0)
+    stalled_ms: float = Field(default=0, ge=0)
+
+
+class ServerReports(Message):
+    """One proxy's reports; servers that are not named give it no trouble."""
+
+    proxy: Name
+    failure_domain: Name
+    reports: list[ServerReport]
+
+
+class JoinRequest(Message):
+    """A control process asks to become a member of the control group."""
+
+    node: Name
+    address: HostPort
+    failure_domain: Name
 
 
 class SettingsChangeRequest(Message):
--- a/packages/backend/src/dogwoodspool_backend/__init__.py
+++ b/packages/backend/src/dogwoodspool_backend/__init__.py
@@ -1,7 +1,7 @@
 """Talk to backend servers: connections, pools, probes, role changes."""
 
 from .connection import BackendConnection
-from .connector import Connector, MySqlConnector
+from .connector import MySqlConnector
 from .errors import (
     BackendError,
     ConnectFailedError,
@@ -14,7 +14,8 @@
     UnreadableStatusError,
 )
 from .models import Column, Credentials, PoolSettings, Row
-from .pool import ConnectionPool
+from .pool import ConnectionPool, MySqlPool
+from .pooled import Connector, PooledConnection
 from .probe import Probe, Prober
 from .result import StatementResult
 from .role_change import RoleChanger, SqlRoleChanger
@@ -30,10 +31,12 @@
     "Connector",
     "Credentials",
     "MySqlConnector",
+    "MySqlPool",
     "OutcomeUnknownError",
     "PoolClosedError",
     "PoolSettings",
     "PoolTimeoutError",
+    "PooledConnection",
     "Probe",
     "Prober",
     "RoleChanger",
--- a/packages/backend/src/dogwoodspool_backend/connector.py
+++ b/packages/backend/src/dogwoodspool_backend/connector.py
@@ -1,6 +1,4 @@
-"""Open connections to backend servers."""
-
-from typing import Protocol
+"""Open connections to backend servers with MySQL's protocol."""
 
 import pymysql
 from dogwoodspool_common import BackendServer, Clock
@@ -13,19 +11,6 @@
 from .wire import Wire
 
 
-class Connector(Protocol):
-    """Open one connection to a backend server."""
-
-    def connect(self, server: BackendServer, deadline: float) -> BackendConnection:
-        """Return a connection that is logged in, before the clock's deadline.
-
-        Raises:
-            ConnectionLimitError: the server takes no more connections.
-            ConnectFailedError: for every other reason.
-        """
-        ...
-
-
 class MySqlConnector:
     """Open connections with MySQL's protocol.
 
--- a/packages/backend/src/dogwoodspool_backend/health.py
+++ b/packages/backend/src/dogwoodspool_backend/health.py
@@ -5,9 +5,9 @@
 
 from dogwoodspool_common import BackendServer, Clock, log_event
 
-from .connection import BackendConnection
 from .errors import BackendError
 from .models import PoolSettings
+from .pooled import PooledConnection
 
 NEVER: Final = float("-inf")
 
@@ -34,19 +34,19 @@
         """Put other times in force."""
         self._settings = settings
 
-    def is_suspected(self, connection: BackendConnection) -> bool:
+    def is_suspected(self, connection: PooledConnection) -> bool:
         """Tell whether another connection went silent since the last answer."""
         with self._lock:
             return connection.answered_at <= self._silent_at
 
-    def note(self, connection: BackendConnection) -> None:
+    def note(self, connection: PooledConnection) -> None:
         """Take in whether a connection went silent."""
         if not connection.went_silent:
             return
         with self._lock:
             self._silent_at = self._clock.now()
 
-    def is_usable(self, connection: BackendConnection, deadline: float) -> bool:
+    def is_usable(self, connection: PooledConnection, deadline: float) -> bool:
         """Check an idle connection before its use, asking the server if need be.
 
         The check comes before the caller's statement is sent, so the statement
@@ -69,7 +69,7 @@
             return False
         return True
 
-    def make_clean(self, connection: BackendConnection) -> bool:
+    def make_clean(self, connection: PooledConnection) -> bool:
         """Leave nothing of one caller for the next; False when that failed."""
         if not connection.is_open or connection.has_unread_answer:
             return False
--- a/packages/backend/src/dogwoodspool_backend/pool.py
+++ b/packages/backend/src/dogwoodspool_backend/pool.py
@@ -2,20 +2,22 @@
 
 import threading
 from collections import deque
+from collections.abc import Callable
+from typing import Generic
 
 from dogwoodspool_common import BackendServer, Clock
 
 from .connection import BackendConnection
-from .connector import Connector
 from .const import DEMAND_WINDOW, PROBE_RESERVE
 from .errors import PoolClosedError, PoolTimeoutError
 from .health import ConnectionHealth
 from .models import PoolSettings
 from .peak import Peak
+from .pooled import ConnectionT, Connector
 from .waiter import Waiter
 
 
-class ConnectionPool:
+class ConnectionPool(Generic[ConnectionT]):
     """Connections to one backend server, never more open than its limit.
 
     The limit is this process's share of the server's connections and may change
@@ -36,7 +38,7 @@
     def __init__(
         self,
         server: BackendServer,
-        connector: Connector,
+        connector: Connector[ConnectionT],
         clock: Clock,
         settings: PoolSettings,
         limit: int,
@@ -47,10 +49,10 @@
         self._settings = settings
         self._limit = limit
         self._lock = threading.Lock()
-        self._idle: deque[BackendConnection] = deque()
+        self._idle: deque[ConnectionT] = deque()
         self._in_use = 0
         self._probing = 0
-        self._waiters: deque[Waiter] = deque()
+        self._waiters: deque[Waiter[ConnectionT]] = deque()
         self._health = ConnectionHealth(server, clock, settings)
         self._peak = Peak(clock, DEMAND_WINDOW)
         self._generation = 0
@@ -102,20 +104,28 @@
             used = self._peak.value()
             return used + PROBE_RESERVE if used else 0
 
-    def acquire(self, deadline: float, *, is_probe: bool = False) -> BackendConnection:
+    def acquire(
+        self,
+        deadline: float,
+        *,
+        is_probe: bool = False,
+        rank: Callable[[ConnectionT], int] | None = None,
+    ) -> ConnectionT:
         """Return a connection for one caller; it must be released.
 
         Args:
             deadline: clock seconds; connecting and checking end by then, too.
             is_probe: a short question that may take the connection that callers
                 leave, and goes before them.
+            rank: of several idle connections the one with the lowest rank is
+                taken, of equal ones the one used last.
 
         Raises:
             PoolTimeoutError: no connection came free in time.
             ConnectFailedError: a new connection was needed and did not come up.
         """
         while True:
-            connection = self._take(deadline, is_probe=is_probe)
+            connection = self._take(deadline, is_probe=is_probe, rank=rank)
             if connection is None:
                 return self._open(deadline, is_probe=is_probe)
             if self._health.is_usable(connection, deadline):
@@ -124,7 +134,7 @@
                 self._drop_suspected()
             self._close(connection)
 
-    def release(self, connection: BackendConnection, *, reuse: bool) -> None:
+    def release(self, connection: ConnectionT, *, reuse: bool) -> None:
         """Take a connection back; without ``reuse`` it is closed.
 
         A connection on which a statement may have changed the session is reset
@@ -151,7 +161,7 @@
         with self._lock:
             self._serve_waiters()
 
-    def change(self, connector: Connector, settings: PoolSettings) -> None:
+    def change(self, connector: Connector[ConnectionT], settings: PoolSettings) -> None:
         """Put other settings in force.
 
         Connections opened under the old ones are closed: idle ones at once, those
@@ -186,9 +196,16 @@
     def _caller_limit(self) -> int:
         return max(min(1, self._limit), self._limit - PROBE_RESERVE)
 
-    def _take(self, deadline: float, *, is_probe: bool) -> BackendConnection | None:
+    def _take(
+        self,
+        deadline: float,
+        *,
+        is_probe: bool,
+        rank: Callable[[ConnectionT], int] | None,
+    ) -> ConnectionT | None:
         """Take an idle connection, or the room for a new one (None)."""
-        waiter = Waiter(self._lock, is_probe=is_probe)
+        waiter = Waiter[ConnectionT](self._lock, is_probe=is_probe)
+        waiter.rank = rank
         with self._lock:
             if is_probe:
                 self._waiters.appendleft(waiter)
@@ -216,7 +233,7 @@
             if not waiter.is_probe and callers >= self._caller_limit():
                 return
             if self._idle:
-                waiter.connection = self._idle.pop()
+                waiter.connection = self._pop_idle(waiter.rank)
                 waiter.connection.is_probing = waiter.is_probe
             elif self._open_count() < self._limit:
                 waiter.may_open = True
@@ -227,7 +244,14 @@
             self._waiters.popleft()
             waiter.condition.notify_all()
 
-    def _open(self, deadline: float, *, is_probe: bool) -> BackendConnection:
+    def _pop_idle(self, rank: Callable[[ConnectionT], int] | None) -> ConnectionT:
+        if rank is None:
+            return self._idle.pop()
+        best = min(reversed(self._idle), key=rank)
+        self._idle.remove(best)
+        return best
+
+    def _open(self, deadline: float, *, is_probe: bool) -> ConnectionT:
         # The room was counted before, so that no two callers open the last one.
         bounded = min(deadline, self._clock.now() + self._settings.connect_timeout)
         generation = self._generation
@@ -263,7 +287,7 @@
         for connection in closing:
             self._close(connection)
 
-    def _close(self, connection: BackendConnection) -> None:
+    def _close(self, connection: ConnectionT) -> None:
         # The room is given back only after the close, so that the server never
         # sees one connection more than the limit.
         try:
@@ -276,3 +300,6 @@
             self._in_use -= 1
             self._probing -= is_probe
             self._serve_waiters()
+
+
+MySqlPool = ConnectionPool[BackendConnection]
--- a/packages/backend/src/dogwoodspool_backend/waiter.py
+++ b/packages/backend/src/dogwoodspool_backend/waiter.py
@@ -1,11 +1,13 @@
 """Callers that wait for a connection."""
 
 import threading
+from collections.abc import Callable
+from typing import Generic
 
-from .connection import BackendConnection
+from .pooled import ConnectionT
 
 
-class Waiter:
+class Waiter(Generic[ConnectionT]):
     """One caller in a pool's queue, woken with a connection or with room for one.
 
     Args:
@@ -16,8 +18,9 @@
     def __init__(self, lock: threading.Lock, *, is_probe: bool) -> None:
         self.is_probe = is_probe
         self.condition = threading.Condition(lock)
-        self.connection: BackendConnection | None = None
+        self.connection: ConnectionT | None = None
         self.may_open = False
+        self.rank: Callable[[ConnectionT], int] | None = None
 
     @property
     def is_served(self) -> bool:
--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -16,10 +16,12 @@
     Route,
     error_response,
 )
-from .log import log_event, set_up_logging
+from .log import log_event, log_rate_limited, set_up_logging, shut_down_logging
 from .models import (
     Address,
     BackendServer,
+    Consistency,
+    Endpoint,
     GroupState,
     Phase,
     Position,
@@ -43,7 +45,9 @@
     "BackendServer",
     "Address",
     "Clock",
+    "Consistency",
     "DogwoodspoolError",
+    "Endpoint",
     "HttpError",
     "JsonClient",
     "JsonRequest",
@@ -60,10 +64,12 @@
     "current_traceparent",
     "error_response",
     "log_event",
+    "log_rate_limited",
     "read_settings",
     "run_program",
     "set_up_logging",
     "set_up_tracing",
+    "shut_down_logging",
     "span",
     "stop_event_on_signals",
     "write_ready_file",
--- a/packages/common/src/dogwoodspool_common/clock.py
+++ b/packages/common/src/dogwoodspool_common/clock.py
@@ -26,11 +26,16 @@
 
 
 class SystemClock:
-    """The process's monotonic clock."""
+    """The machine's clock since boot.
+
+    Leases and the age of data are counted on it. ``time.monotonic`` stands still
+    while a machine is suspended: a lease that ran out meanwhile would look valid
+    when the machine wakes up. ``CLOCK_BOOTTIME`` counts that time too.
+    """
 
     def now(self) -> float:
-        """Return monotonic seconds."""
-        return time.monotonic()
+        """Return monotonic seconds, those of a suspended machine included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def sleep(self, seconds: float) -> None:
         """Block the calling thread for some seconds."""
--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -13,3 +13,12 @@
 
 MILLISECONDS: Final = 1000.0
 FIRST_ERROR_STATUS: Final = 400
+
+# Lines that wait for a reader of the output; about 1 MB at 250 bytes a line.
+LOG_QUEUE_LINES: Final = 4_096
+# Longest wait at the end of a process for its last lines to be read.
+LOG_FLUSH_SECONDS: Final = 0.5
+# Lines of one kind of event: enough to find each cause in, and at 0.1 ms a line
+# below a hundredth of a core for each kind.
+LOG_LINES_PER_SECOND: Final = 20.0
+LOG_BURST_LINES: Final = 200.0
--- a/packages/proxy/src/dogwoodspool_proxy/counters.py
+++ b/packages/common/src/dogwoodspool_common/counters.py
@@ -1,4 +1,4 @@
-"""Counts and latencies of this proxy, for its metrics page."""
+"""Counts and latencies of a proxy, for its metrics page."""
 
 import threading
 from collections import Counter
--- a/packages/common/src/dogwoodspool_common/http_client.py
+++ b/packages/common/src/dogwoodspool_common/http_client.py
@@ -22,14 +22,15 @@
     """Call JSON endpoints of other processes.
 
     Calls are never repeated here: whether a call may be repeated is known only
-    to the caller.
+    to the caller. Without a signer requests carry no signature, as fits a network
+    that itself keeps strangers out.
 
     Example:
         >>> client = JsonClient(RequestSigner(b"shared key"))
         >>> client.post(Address("127.0.0.1", 7001), "/v1/renew", {"proxy": "p1"})
     """
 
-    def __init__(self, signer: RequestSigner, max_connections: int = 16) -> None:
+    def __init__(self, signer: RequestSigner | None, max_connections: int = 16) -> None:
         self._signer = signer
         self._pool = urllib3.PoolManager(
             num_pools=64, maxsize=max_connections, retries=False
@@ -75,10 +76,9 @@
     def _call(
         self, method: str, address: Address, target: str, body: bytes, timeout: float
     ) -> dict[str, Any]:
-        headers = {
-            "Content-Type": "application/json",
-            HEADER_SIGNATURE: self._signer.sign(method, target, body),
-        }
+        headers = {"Content-Type": "application/json"}
+        if self._signer is not None:
+            headers[HEADER_SIGNATURE] = self._signer.sign(method, target, body)
         traceparent = current_traceparent()
         if traceparent:
             headers[HEADER_TRACEPARENT] = traceparent
--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -22,28 +23,19 @@
 from .signature import RequestSigner
 from .trace import span
 
-STATUS_LINES: Mapping[int, str] = {
-    200: "200 OK",
-    400: "400 Bad Request",
-    401: "401 Unauthorized",
-    403: "403 Forbidden",
-    404: "404 Not Found",
-    409: "409 Conflict",
-    413: "413 Content Too Large",
-    421: "421 Misdirected Request",
-    429: "429 Too Many Requests",
-    500: "500 Internal Server Error",
-    503: "503 Service Unavailable",
-}
-
 
 @dataclass(frozen=True, slots=True)
 class JsonRequest:
-    """A request that has passed the check of its signature."""
+    """A request that has passed the check of its signature.
+
+    Attributes:
+        parameters: parts of the path that the route's template names.
+    """
 
     path: str
     query: Mapping[str, str]
     body: Any
+    parameters: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +45,7 @@
     body: Mapping[str, Any] = field(default_factory=dict)
     status: int = 200
     text: str | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,8 +53,9 @@
     """One endpoint.
 
     Attributes:
-        method: ``GET`` or ``POST``.
-        path: exact path.
+        method: HTTP method.
+        path: exact path, or a template whose last part is a name in braces, such
+            as ``/servers/{name}``.
         handler: called in a thread of the server's pool.
         is_open: the endpoint answers without a signature, as a balancer's
             readiness check needs.
@@ -82,17 +76,29 @@
     """Serve routes with a bounded pool of threads.
 
     Long polls hold a thread each while they wait, so ``threads`` bounds them.
+
+    Args:
+        address: where to listen; port 0 takes any free one.
+        signer: checks signatures; None where the network itself keeps strangers
+            out, and then every endpoint is open.
+        routes: the endpoints.
+        threads: requests that are answered at a time.
     """
 
     def __init__(
         self,
         address: Address,
-        signer: RequestSigner,
+        signer: RequestSigner | None,
         routes: Iterable[Route],
         threads: int = DEFAULT_HTTP_THREADS,
     ) -> None:
         self._signer = signer
         self._routes = {(route.method, route.path): route for route in routes}
+        self._templates = [
+            (*route.path.rstrip("}").rsplit("{", 1), route)
+            for route in self._routes.values()
+            if route.path.endswith("}")
+        ]
         listener = socket.create_server((address.host, address.port), backlog=1024)
         self._address = Address(address.host, int(listener.getsockname()[1]))
         self._server = create_server(
@@ -132,30 +138,46 @@
             content = json.dumps(response.body, separators=(",", ":")).encode()
             kind = "application/json"
         headers = [("Content-Type", kind), ("Content-Length", str(len(content)))]
-        start_response(STATUS_LINES[response.status], headers)
+        headers += response.headers.items()
+        start_response(_status_line(response.status), headers)
         return [content]
 
     def _respond(self, environ: dict[str, Any]) -> JsonResponse:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
-        route = self._routes.get((method, path))
+        route, parameters = self._find(method, path)
         if route is None:
             return error_response(404, "no_such_endpoint", f"{method} {path}")
         body = environ["wsgi.input"].read()
         query = environ.get("QUERY_STRING", "")
         target = f"{path}?{query}" if query else path
         signature = environ.get(_environ_key(HEADER_SIGNATURE), "")
-        if not route.is_open and not self._signer.is_valid(
-            signature, method, target, body
-        ):
+        is_checked = self._signer is not None and not route.is_open
+        if is_checked and not self._is_signed(signature, method, target, body):
             log_event("request_refused", level="WARNING", path=path, reason="signature")
             return error_response(401, "bad_signature", "the shared key does not match")
         try:
             content = json.loads(body) if body else None
         except ValueError as error:
             return error_response(400, "bad_json", str(error))
-        request = JsonRequest(path, dict(parse_qsl(query)), content)
+        request = JsonRequest(path, dict(parse_qsl(query)), content, parameters)
         return self._handle(route, request, environ.get(_environ_key("traceparent")))
 
+    def _find(self, method: str, path: str) -> tuple[Route | None, dict[str, str]]:
+        route = self._routes.get((method, path))
+        if route is not None:
+            return route, {}
+        for prefix, name, candidate in self._templates:
+            value = path.removeprefix(prefix)
+            is_match = path.startswith(prefix) and value and "/" not in value
+            if candidate.method == method and is_match:
+                return candidate, {name: value}
+        return None, {}
+
+    def _is_signed(self, signature: str, method: str, target: str, body: bytes) -> bool:
+        return self._signer is not None and self._signer.is_valid(
+            signature, method, target, body
+        )
+
     def _handle(
         self, route: Route, request: JsonRequest, traceparent: str | None
     ) -> JsonResponse:
@@ -176,6 +198,10 @@
             return error_response(500, "internal", type(error).__name__)
 
 
+def _status_line(status: int) -> str:
+    return f"{status} {HTTPStatus(status).phrase}"
+
+
 def _environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
 
--- a/packages/common/src/dogwoodspool_common/log.py
+++ b/packages/common/src/dogwoodspool_common/log.py
@@ -1,30 +1,126 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import atexit
+import queue
 import sys
 import threading
-from typing import Any, Final
+import time
+from typing import Any, Final, TextIO
 
 from loguru import logger
 
+from .const import (
+    LOG_BURST_LINES,
+    LOG_FLUSH_SECONDS,
+    LOG_LINES_PER_SECOND,
+    LOG_QUEUE_LINES,
+)
+
 LOG_FORMAT: Final = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 SECRET_KEYS: Final = frozenset({"password", "key", "secret", "token"})
 REDACTED: Final = "***"
 
+
+class QueuedWriter:
+    """Write lines from a thread of its own, so that nobody waits for the output.
+
+    A reader of standard output that stands still would otherwise hold up every
+    request that logs. When the queue is full a line is dropped and counted, and
+    the next line that gets through is preceded by the count.
+    """
+
+    def __init__(self, output: TextIO, capacity: int = LOG_QUEUE_LINES) -> None:
+        self._output = output
+        self._lines: queue.Queue[str | None] = queue.Queue(capacity)
+        self._dropped = 0
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+
+    @property
+    def dropped(self) -> int:
+        """Lines dropped since the last count was written."""
+        return self._dropped
+
+    def set_up(self) -> None:
+        """Begin to write."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Write what is queued, as far as the reader lets it through."""
+        try:
+            self._lines.put(None, timeout=LOG_FLUSH_SECONDS)
+        except queue.Full:
+            return
+        self._thread.join(LOG_FLUSH_SECONDS)
+
+    def write(self, line: str) -> None:
+        """Queue one line; never waits."""
+        try:
+            self._lines.put_nowait(line)
+        except queue.Full:
+            self._dropped += 1
+
+    def _run(self) -> None:
+        while (line := self._lines.get()) is not None:
+            if self._dropped:
+                count, self._dropped = self._dropped, 0
+                self._output.write(f"level=WARNING event=log_lines_dropped n={count}\n")
+            self._output.write(line)
+            if self._lines.empty():
+                self._output.flush()
+
+
+class LineBudget:
+    """Bound how many lines one kind of event may write.
+
+    Under load thousands of requests may be refused for one reason. The lines that
+    get through tell how many were left out before them.
+    """
+
+    def __init__(
+        self,
+        per_second: float = LOG_LINES_PER_SECOND,
+        burst: float = LOG_BURST_LINES,
+    ) -> None:
+        self._per_second = per_second
+        self._burst = burst
+        self._lock = threading.Lock()
+        self._tokens: dict[str, tuple[float, float]] = {}
+        self._suppressed: dict[str, int] = {}
+
+    def take(self, event: str, now: float) -> int | None:
+        """Return how many lines were left out before; None to leave this out."""
+        with self._lock:
+            tokens, filled_at = self._tokens.get(event, (self._burst, now))
+            tokens = min(self._burst, tokens + (now - filled_at) * self._per_second)
+            if tokens < 1:
+                self._tokens[event] = tokens, now
+                self._suppressed[event] = self._suppressed.get(event, 0) + 1
+                return None
+            self._tokens[event] = tokens - 1, now
+            return self._suppressed.pop(event, 0)
+
+
 _setup_lock = threading.Lock()
+_budget = LineBudget()
+_writer: QueuedWriter | None = None
 
 
 def set_up_logging(program: str, instance: str, level: str = "INFO") -> None:
-    """Send events of this process to standard error.
+    """Send events of this process to standard output, without ever waiting for it.
 
     Args:
         program: name of the program, the same in every line.
         instance: name of this process's instance.
         level: lowest level that is written.
     """
+    global _writer  # noqa: PLW0603
     with _setup_lock:
+        shut_down_logging()
+        _writer = QueuedWriter(sys.stdout)
+        _writer.set_up()
         logger.remove()
         logger.add(
-            sys.stderr,
+            _writer.write,
             format=f"{LOG_FORMAT} program={program} instance={instance}",
             level=level,
             backtrace=False,
@@ -32,6 +128,17 @@
         )
 
 
+def shut_down_logging() -> None:
+    """Write out what is queued."""
+    global _writer  # noqa: PLW0603
+    if _writer is not None:
+        _writer.unload()
+        _writer = None
+
+
+atexit.register(shut_down_logging)
+
+
 def log_event(event: str, level: str = "INFO", **fields: Any) -> None:
     """Write one event with its fields.
 
@@ -44,6 +151,20 @@
     logger.opt(depth=1).log(level, "{}", f"event={event} {pairs}".rstrip())
 
 
+def log_rate_limited(event: str, level: str = "INFO", **fields: Any) -> None:
+    """Write one event that requests cause, at a bounded rate for each event.
+
+    Example:
+        >>> log_rate_limited("request_refused", request="5c0e", reason="queue_full")
+    """
+    left_out = _budget.take(event, time.monotonic())
+    if left_out is None:
+        return
+    if left_out:
+        fields["left_out"] = left_out
+    log_event(event, level, **fields)
+
+
 def _render(key: str, value: Any) -> str:
     if key in SECRET_KEYS:
         return REDACTED
--- a/packages/common/src/dogwoodspool_common/models.py
+++ b/packages/common/src/dogwoodspool_common/models.py
@@ -73,6 +73,11 @@
         slots: statements that it runs at a time; more wait inside it.
         connections: connections that it takes; one more is refused.
         is_leaving: it asks for no new work.
+        incarnation: grows with each start of the server's process, so that a late
+            word of an earlier process is told from one of the present; 0 where
+            the server says nothing of it.
+        is_gone: its process has ended. It stays recorded until another server is
+            known to hold every write that was acknowledged with its help.
     """
 
     name: str
@@ -82,6 +87,47 @@
     slots: int
     connections: int
     is_leaving: bool = False
+    incarnation: int = 0
+    is_gone: bool = False
+
+
+class Consistency(StrEnum):
+    """Which commits a read must reflect.
+
+    Attributes:
+        PRIMARY: every commit that was acknowledged before it.
+        BOUNDED_STALENESS: every commit older than a stated age.
+        READ_YOUR_WRITES: as before, and every commit of its own session.
+    """
+
+    PRIMARY = "primary"
+    BOUNDED_STALENESS = "bounded_staleness"
+    READ_YOUR_WRITES = "read_your_writes"
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A database name that callers connect to, and what they are promised there.
+
+    Attributes:
+        name: unique within the system.
+        database: what callers name when they connect.
+        group: the database group that serves it.
+        consistency: which commits its reads reflect.
+        deadline_ms: time for one statement.
+        target_latency_ms: time in which a request should be answered.
+        priority: who goes first when requests wait; 0 is the highest.
+        max_age_ms: greatest age of data that reads may see, where it is bounded.
+    """
+
+    name: str
+    database: str
+    group: str
+    consistency: Consistency
+    deadline_ms: int
+    target_latency_ms: int
+    priority: int
+    max_age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/consensus/src/dogwoodspool_consensus/diagnostics.py
+++ b/packages/consensus/src/dogwoodspool_consensus/diagnostics.py
@@ -20,6 +20,7 @@
     address: str
     incarnation: str
     is_voter: bool
+    failure_domain: str
     lag: int | None
     silent_s: float | None
 
@@ -79,6 +80,7 @@
         address=str(member.address),
         incarnation=member.incarnation,
         is_voter=member.is_voter,
+        failure_domain=member.failure_domain,
         lag=lag,
         silent_s=silent,
     )
--- a/packages/consensus/src/dogwoodspool_consensus/membership.py
+++ b/packages/consensus/src/dogwoodspool_consensus/membership.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 from dogwoodspool_common import Address, log_event
 
@@ -37,25 +38,48 @@
             OutcomeUnknownError: the change was appended, its fate is unknown.
         """
         with self._one_change(timeout) as deadline:
-            state = self._state
-            member = state.configuration.members.get(node_id)
-            if node_id in state.configuration.retired:
-                raise MembershipChangeError(f"{node_id} was removed; use a new id")
-            if member is not None and member.address != address:
-                raise MembershipChangeError(f"{node_id} is at {member.address}")
+            member = self._known(node_id, address)
             if member is not None and member.is_voter:
                 return
             if member is None:
-                learner = Member(address, UNPINNED, is_voter=False)
-                self._change(state.configuration.with_member(node_id, learner))
-                self._wait_committed(deadline)
+                self._append_learner(node_id, address, deadline)
             self._wait_caught_up(node_id, deadline)
-            caught_up = state.configuration.members[node_id]
-            voter = Member(address, caught_up.incarnation, is_voter=True)
-            self._change(state.configuration.with_member(node_id, voter))
-            self._wait_committed(deadline)
+            self._set_voter(node_id, deadline, is_voter=True)
             log_event("voter_added", member=node_id, address=address)
 
+    def add_learner(
+        self, node_id: str, address: Address, failure_domain: str, timeout: float
+    ) -> None:
+        """Add a node that follows the log without a vote, or say where one runs.
+
+        Errors as for ``add_voter``.
+        """
+        with self._one_change(timeout) as deadline:
+            member = self._known(node_id, address)
+            if member is None:
+                self._append_learner(node_id, address, deadline, failure_domain)
+                log_event("learner_added", member=node_id, address=address)
+            elif member.failure_domain != failure_domain:
+                described = replace(member, failure_domain=failure_domain)
+                self._change(self._state.configuration.with_member(node_id, described))
+                self._wait_committed(deadline)
+
+    def demote_voter(self, node_id: str, timeout: float) -> None:
+        """Take a voter's vote; it goes on to follow the log as a learner.
+
+        It keeps its identity and files, so that it may become a voter again once
+        it is back. Errors as for ``add_voter``.
+        """
+        with self._one_change(timeout) as deadline:
+            configuration = self._state.configuration
+            member = configuration.members.get(node_id)
+            if member is None or not member.is_voter:
+                return
+            if configuration.voters == {node_id}:
+                raise MembershipChangeError("the last voter cannot be demoted")
+            self._set_voter(node_id, deadline, is_voter=False)
+            log_event("voter_demoted", member=node_id)
+
     def remove_voter(self, node_id: str, timeout: float) -> None:
         """Remove a voter or learner; its id is never used again.
 
@@ -88,6 +112,29 @@
         finally:
             self._busy.release()
 
+    def _known(self, node_id: str, address: Address) -> Member | None:
+        """Return a member under its id; raise where the id belongs to another."""
+        configuration = self._state.configuration
+        if node_id in configuration.retired:
+            raise MembershipChangeError(f"{node_id} was removed; use a new id")
+        member = configuration.members.get(node_id)
+        if member is not None and member.address != address:
+            raise MembershipChangeError(f"{node_id} is at {member.address}")
+        return member
+
+    def _append_learner(
+        self, node_id: str, address: Address, deadline: float, failure_domain: str = ""
+    ) -> None:
+        learner = Member(address, UNPINNED, False, failure_domain)
+        self._change(self._state.configuration.with_member(node_id, learner))
+        self._wait_committed(deadline)
+
+    def _set_voter(self, node_id: str, deadline: float, *, is_voter: bool) -> None:
+        configuration = self._state.configuration
+        member = replace(configuration.members[node_id], is_voter=is_voter)
+        self._change(configuration.with_member(node_id, member))
+        self._wait_committed(deadline)
+
     def _change(self, configuration: Configuration) -> None:
         self._state.append_configuration(configuration)
 
--- a/packages/consensus/src/dogwoodspool_consensus/models.py
+++ b/packages/consensus/src/dogwoodspool_consensus/models.py
@@ -60,11 +60,13 @@
         incarnation: the durable identity that the configuration pins; empty
             until the first answer of the node.
         is_voter: False for a learner, which counts for no quorum.
+        failure_domain: where it runs; empty until it has said so.
     """
 
     address: Address
     incarnation: str = UNPINNED
     is_voter: bool = True
+    failure_domain: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,7 @@
                 Address.parse(node["address"]),
                 str(node["incarnation"]),
                 bool(node["is_voter"]),
+                str(node.get("failure_domain", "")),
             )
             for name, node in content["members"].items()
         }
@@ -113,6 +116,7 @@
                 "address": str(node.address),
                 "incarnation": node.incarnation,
                 "is_voter": node.is_voter,
+                "failure_domain": node.failure_domain,
             }
             for name, node in sorted(self.members.items())
         }
--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -127,6 +127,17 @@
         with self._state.changed:
             return self._state.last_applied
 
+    @property
+    def is_following(self) -> bool:
+        """Whether this node leads, or heard from a leader within its timeout."""
+        state = self._state
+        with state.changed:
+            if state.role is Role.LEADER:
+                return state.leadership() is not None
+            elapsed = state.clock.now() - state.last_heard
+            is_recent = elapsed < state.settings.election_timeout_max
+            return state.leader_id is not None and is_recent
+
     @property
     def leader_address(self) -> Address | None:
         """Address of the leader that this node follows or is."""
@@ -188,6 +199,16 @@
         """Add a node as learner, then as voter; see ``Membership``."""
         self._membership.add_voter(node_id, address, timeout)
 
+    def add_learner(
+        self, node_id: str, address: Address, failure_domain: str, timeout: float
+    ) -> None:
+        """Add a node that follows without a vote; see ``Membership``."""
+        self._membership.add_learner(node_id, address, failure_domain, timeout)
+
+    def demote_voter(self, node_id: str, timeout: float) -> None:
+        """Take a voter's vote; see ``Membership``."""
+        self._membership.demote_voter(node_id, timeout)
+
     def remove_voter(self, node_id: str, timeout: float) -> None:
         """Remove a voter or learner; see ``Membership``."""
         self._membership.remove_voter(node_id, timeout)
--- a/packages/consensus/src/dogwoodspool_consensus/storage.py
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -95,6 +95,16 @@
         # End of each record: the header first, then one for each entry.
         self._ends: list[int] = []
 
+    def stored_node_id(self) -> str | None:
+        """Return the id under which the folder was made; None for an empty one.
+
+        Raises:
+            StorageCorruptError: the identity file cannot be read.
+        """
+        if not (self._folder / FILE_IDENTITY).exists():
+            return None
+        return identity_from_json(self._read_single(FILE_IDENTITY)).node_id
+
     def load(self) -> StoredState:
         """Read everything and cut a torn tail of the log."""
         if not (self._folder / FILE_IDENTITY).exists():
--- a/packages/control/src/dogwoodspool_control/commands.py
+++ b/packages/control/src/dogwoodspool_control/commands.py
@@ -123,6 +123,46 @@
     settings_index: int
 
 
+@dataclass(frozen=True, slots=True)
+class ApplyDocument:
+    """Put a complete description of settings and endpoints in force.
+
+    Attributes:
+        revision: the outside's own number; only a higher one takes effect.
+        content: the description as ``documents.pack`` made it.
+        author: who sent it, for the history.
+    """
+
+    revision: int
+    content: str
+    author: str
+
+
+@dataclass(frozen=True, slots=True)
+class IssueToken:
+    """Issue a fencing token for a call that replaces a group's primary.
+
+    The token is the index of this entry: it grows with every call, whoever
+    makes it, and no two holders can have the same one.
+    """
+
+    group: str
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class AdoptPrimary:
+    """Record a primary that took its place without being told by this leader.
+
+    Attributes:
+        expected_term: as for ``BeginPromotion``.
+    """
+
+    group: str
+    expected_term: int
+    server: str
+
+
 Command = (
     RegisterProxy
     | ForgetProxy
@@ -135,6 +175,9 @@
     | ChangeSettings
     | LowerLeaseBound
     | SettleWriteAcks
+    | ApplyDocument
+    | IssueToken
+    | AdoptPrimary
 )
 
 KIND: Final = "kind"
@@ -151,6 +194,9 @@
     "change_settings": TypeAdapter(ChangeSettings),
     "lower_lease_bound": TypeAdapter(LowerLeaseBound),
     "settle_write_acks": TypeAdapter(SettleWriteAcks),
+    "apply_document": TypeAdapter(ApplyDocument),
+    "issue_token": TypeAdapter(IssueToken),
+    "adopt_primary": TypeAdapter(AdoptPrimary),
 }
 _kinds: Final[dict[type, str]] = {
     RegisterProxy: "register_proxy",
@@ -164,6 +210,9 @@
     ChangeSettings: "change_settings",
     LowerLeaseBound: "lower_lease_bound",
     SettleWriteAcks: "settle_write_acks",
+    ApplyDocument: "apply_document",
+    IssueToken: "issue_token",
+    AdoptPrimary: "adopt_primary",
 }
 _outcome_adapter: Final = TypeAdapter(Outcome)
 
--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -34,6 +34,12 @@
 SERVER_SILENCE_SECONDS: Final = 30.0
 SILENCE_MARK_SECONDS: Final = 2.0
 MAX_SERVERS: Final = 1_024
+# Ended backend servers that are remembered: days of replacements in a small system.
+MAX_ENDED_SERVERS: Final = 1_024
+
+# Changes of the state that a proxy may lag behind and still get differences only:
+# minutes at a few changes a second.
+MAX_VIEW_CHANGES: Final = 1_024
 
 MAX_WATCH_MS: Final = 20_000
 MAX_WATCHERS: Final = 24
--- a/packages/control/src/dogwoodspool_control/groups.py
+++ b/packages/control/src/dogwoodspool_control/groups.py
@@ -5,7 +5,13 @@
 
 from dogwoodspool_common import BackendServer, GroupState, Phase, Position
 
-from .commands import BeginPromotion, BootstrapGroup, ChoosePrimary, EndPromotion
+from .commands import (
+    AdoptPrimary,
+    BeginPromotion,
+    BootstrapGroup,
+    ChoosePrimary,
+    EndPromotion,
+)
 from .const import CODE_CONFLICT, CODE_INVALID, MAX_CHANGE_IDS
 from .models import Outcome, Promotion, PromotionReason
 
@@ -107,6 +113,18 @@
         )
         return Outcome(True, index=index, version=command.term)
 
+    def adopt(self, index: int, command: AdoptPrimary) -> Outcome:
+        """Record a primary that serves already; a promotion in progress is over."""
+        group = self._groups.get(command.group)
+        if group is None or group.term != command.expected_term:
+            return _conflict(f"group {command.group} is at another term")
+        self._promotions.pop(command.group, None)
+        term = group.term + 1
+        self._groups[command.group] = replace(
+            group, term=term, primary=command.server, phase=Phase.STEADY
+        )
+        return Outcome(True, index=index, version=term)
+
     def _begin(
         self,
         index: int,
--- a/packages/control/src/dogwoodspool_control/http_api.py
+++ b/packages/control/src/dogwoodspool_control/http_api.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 
 from dogwoodspool_api import (
+    MemberMessage,
     PromoteRequest,
     RenewRequest,
     SettingsChangeRequest,
@@ -34,7 +35,6 @@
     CODE_TOO_MANY,
     MAX_RENEW_ITEMS,
     MAX_WATCH_MS,
-    MAX_WATCHERS,
     PROMOTE_WAIT_SECONDS,
     QUERY_WAIT,
 )
@@ -72,6 +72,55 @@
             self._slots.release()
 
 
+class WatchApi:
+    """Serve proxies that follow the committed state.
+
+    Args:
+        members: the control processes that proxies are told of; none where the
+            operator gives proxies their addresses.
+    """
+
+    def __init__(
+        self,
+        node: ControlNode,
+        state: ControlState,
+        wait_slots: WaitSlots,
+        members: Callable[[], list[MemberMessage]] = list,
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._wait_slots = wait_slots
+        self._members = members
+
+    def routes(self) -> list[Route]:
+        """Return the endpoints."""
+        return [Route("GET", PATH_WATCH, answering(self._watch))]
+
+    def _watch(self, request: JsonRequest) -> JsonResponse:
+        after = _number(request, QUERY_AFTER, 0)
+        wait_ms = min(_number(request, QUERY_WAIT_MS, 0), MAX_WATCH_MS)
+        if request.query.get(QUERY_CONFIRMED) == "1":
+            self._node.confirm_read()
+        is_newer = self._state.version > after
+        if not is_newer and wait_ms > 0:
+            is_newer = self._wait_newer(after, wait_ms / MILLISECONDS)
+        response = WatchResponse(
+            view=self._state.view_since(after) if is_newer else None,
+            leader=self._node.leader or None,
+            members=self._members(),
+            is_current=self._node.is_following,
+        )
+        return JsonResponse(response.model_dump(mode="json"))
+
+    def _wait_newer(self, after: int, seconds: float) -> bool:
+        try:
+            with self._wait_slots.taken():
+                return self._state.wait_newer(after, seconds)
+        except TooManyWaitersError:
+            # Answered at once: the proxy asks again after its own pause.
+            return False
+
+
 class ControlApi:
     """Serve proxies and changes of the state."""
 
@@ -81,18 +130,18 @@
         state: ControlState,
         renewals: Renewals,
         planned: PlannedPromotions,
+        wait_slots: WaitSlots,
     ) -> None:
         self._node = node
         self._state = state
         self._renewals = renewals
         self._planned = planned
-        self._wait_slots = WaitSlots(MAX_WATCHERS)
+        self._wait_slots = wait_slots
 
     def routes(self) -> list[Route]:
         """Return the endpoints."""
         return [
             Route("POST", PATH_RENEW, answering(self._renew)),
-            Route("GET", PATH_WATCH, answering(self._watch)),
             Route("POST", PATH_SETTINGS_CHANGE, answering(self._change_settings)),
             Route("POST", PATH_PROMOTE, answering(self._promote)),
         ]
@@ -109,28 +158,6 @@
             raise CommandRejectedError(CODE_INVALID, "the renewal has too many items")
         return JsonResponse(self._renewals.renew(message).model_dump(mode="json"))
 
-    def _watch(self, request: JsonRequest) -> JsonResponse:
-        after = _number(request, QUERY_AFTER, 0)
-        wait_ms = min(_number(request, QUERY_WAIT_MS, 0), MAX_WATCH_MS)
-        if request.query.get(QUERY_CONFIRMED) == "1":
-            self._node.confirm_read()
-        is_newer = self._state.version > after
-        if not is_newer and wait_ms > 0:
-            is_newer = self._wait_newer(after, wait_ms / MILLISECONDS)
-        response = WatchResponse(
-            view=self._state.view() if is_newer else None,
-            leader=self._node.leader or None,
-        )
-        return JsonResponse(response.model_dump(mode="json"))
-
-    def _wait_newer(self, after: int, seconds: float) -> bool:
-        try:
-            with self._wait_slots.taken():
-                return self._state.wait_newer(after, seconds)
-        except TooManyWaitersError:
-            # Answered at once: the proxy asks again after its own pause.
-            return False
-
     def _change_settings(self, request: JsonRequest) -> JsonResponse:
         message = SettingsChangeRequest.model_validate(request.body)
         command = ChangeSettings(
--- a/packages/control/src/dogwoodspool_control/instances.py
+++ b/packages/control/src/dogwoodspool_control/instances.py
@@ -5,7 +5,13 @@
 from dogwoodspool_common import BackendServer, GroupState
 
 from .commands import ForgetProxy, RecordServer, RegisterProxy, RemoveServer
-from .const import CODE_CONFLICT, CODE_FULL, CODE_INVALID, MAX_REPLACED_INCARNATIONS
+from .const import (
+    CODE_CONFLICT,
+    CODE_FULL,
+    CODE_INVALID,
+    MAX_ENDED_SERVERS,
+    MAX_REPLACED_INCARNATIONS,
+)
 from .models import Outcome, ProxyRecord
 
 
@@ -50,10 +56,24 @@
 
 
 class ServerTable:
-    """Backend servers by name, as they last announced themselves."""
+    """Backend servers by name, as they last announced themselves.
 
-    def __init__(self, servers: Mapping[str, BackendServer]) -> None:
+    Processes that have ended are remembered for a while: a word of theirs that was
+    held up by a partition would else record them again.
+    """
+
+    def __init__(
+        self,
+        servers: Mapping[str, BackendServer],
+        ended: Mapping[str, int] | None = None,
+    ) -> None:
         self._servers = dict(servers)
+        self._ended = dict(ended or {})
+
+    @property
+    def ended(self) -> Mapping[str, int]:
+        """The newest incarnation that has ended, by server."""
+        return self._ended
 
     @property
     def servers(self) -> Mapping[str, BackendServer]:
@@ -65,6 +85,10 @@
         known = self._servers.get(command.server.name)
         if known == command.server:
             return Outcome(True, index=0)
+        ended = self._ended.get(command.server.name, -1)
+        if 0 < command.server.incarnation <= ended:
+            message = f"this process of {command.server.name} has ended"
+            return Outcome(False, CODE_CONFLICT, message)
         if known is not None and known.group != command.server.group:
             message = f"{known.name} belongs to {known.group}"
             return Outcome(False, CODE_CONFLICT, message)
@@ -84,8 +108,15 @@
             # acknowledged writes; a promotion must go on asking it.
             return Outcome(False, CODE_CONFLICT, f"{known.group} needs {known.name}")
         del self._servers[command.name]
+        self._remember(known)
         return Outcome(True, index=index)
 
+    def _remember(self, server: BackendServer) -> None:
+        self._ended.pop(server.name, None)
+        self._ended[server.name] = server.incarnation
+        while len(self._ended) > MAX_ENDED_SERVERS:
+            del self._ended[next(iter(self._ended))]
+
 
 def _replaced(known: ProxyRecord, incarnation: str) -> tuple[str, ...]:
     if known.incarnation == incarnation:
--- a/packages/control/src/dogwoodspool_control/node.py
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -24,6 +24,11 @@
         """Address of the leader as far as known."""
         ...
 
+    @property
+    def is_following(self) -> bool:
+        """Whether this voter leads or hears from a leader."""
+        ...
+
     def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
         """Commit and apply a command; return what applying it returned."""
         ...
@@ -50,6 +55,11 @@
         address = self._node.leader_address
         return "" if address is None else str(address)
 
+    @property
+    def is_following(self) -> bool:
+        """Whether this voter leads or hears from a leader."""
+        return self._node.is_following
+
     def leadership(self) -> Leadership | None:
         """Return the leadership when it is valid and all earlier state is here."""
         current = self._node.leadership()
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -6,13 +6,13 @@
 from dogwoodspool_consensus import ConsensusNode
 
 from .command_queue import CommandQueue
-from .const import MAX_RATED_PROXIES, WORKER_THREADS
+from .const import MAX_RATED_PROXIES, MAX_WATCHERS, WORKER_THREADS
 from .departures import Departures
 from .detector import FailureDetector
 from .failovers import FailoverTimeline
 from .grants import GrantTable
 from .http_admin import AdminApi
-from .http_api import ControlApi
+from .http_api import ControlApi, WaitSlots, WatchApi
 from .incarnations import IncarnationAges
 from .leader import FailureWatch, LeaderLoop
 from .membership import Membership
@@ -120,7 +120,9 @@
             promotions=self._promotions,
             timeline=timeline,
         )
-        api = ControlApi(node, state, renewals, planned)
+        wait_slots = WaitSlots(MAX_WATCHERS)
+        watch = WatchApi(node, state, wait_slots)
+        api = ControlApi(node, state, renewals, planned, wait_slots)
         admin = AdminApi(
             consensus,
             node,
@@ -129,7 +131,12 @@
             readiness=Readiness(clock, node),
             secret_key=secret_key,
         )
-        self._routes = [*consensus.routes(), *api.routes(), *admin.routes()]
+        self._routes = [
+            *consensus.routes(),
+            *watch.routes(),
+            *api.routes(),
+            *admin.routes(),
+        ]
 
     @property
     def routes(self) -> list[Route]:
--- a/packages/control/src/dogwoodspool_control/settings_state.py
+++ b/packages/control/src/dogwoodspool_control/settings_state.py
@@ -97,7 +97,7 @@
 
     def is_strict(self, group: str) -> bool:
         """Tell whether a replica must have a write before it is acknowledged."""
-        return self.effective(group).write_ack is WriteAck.REPLICA
+        return self.effective(group).write_ack is not WriteAck.PRIMARY
 
     def change(
         self, index: int, command: ChangeSettings, groups: Mapping[str, object]
@@ -119,6 +119,12 @@
             self._lease_bound_ms = max(self._lease_bound_ms, self._current_bound_ms())
         return _outcome(answer)
 
+    def note_document(self, index: int, groups: Mapping[str, object]) -> None:
+        """Note that a document changed the tree."""
+        self._index = index
+        self.note_write_acks(groups)
+        self._lease_bound_ms = max(self._lease_bound_ms, self._current_bound_ms())
+
     def lower_lease_bound(self, command: LowerLeaseBound) -> Outcome:
         """Take over the present lease as the bound."""
         if command.settings_index != self._index:
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -2,15 +2,17 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, Final
 
-from dogwoodspool_api import ControlView, GroupMessage, ProxyMessage, ServerMessage
+from dogwoodspool_api import ControlView
 from dogwoodspool_common import BackendServer, Clock, GroupState, log_event
 from dogwoodspool_settings import ExplainedValue, HistoryEntry, SettingsNode
 from pydantic import TypeAdapter
 
 from .commands import (
+    AdoptPrimary,
+    ApplyDocument,
     BeginPromotion,
     BootstrapGroup,
     ChangeSettings,
@@ -18,6 +20,7 @@
     Command,
     EndPromotion,
     ForgetProxy,
+    IssueToken,
     LowerLeaseBound,
     RecordServer,
     RegisterProxy,
@@ -26,11 +29,14 @@
     decode_command,
     encode_outcome,
 )
+from .const import CODE_INVALID
+from .documents import DocumentSnapshot, DocumentState
 from .errors import CommandRejectedError
 from .groups import GroupTable
 from .instances import ProxyTable, ServerTable
 from .models import Outcome, Promotion, ProxyRecord
 from .settings_state import SettingsSnapshot, SettingsState
+from .view_log import ViewItems, ViewLog
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +50,8 @@
     proxies: dict[str, ProxyRecord]
     servers: dict[str, BackendServer]
     settings: SettingsSnapshot
+    document: DocumentSnapshot = field(default_factory=DocumentSnapshot)
+    ended_servers: dict[str, int] = field(default_factory=dict)
 
 
 _snapshot_adapter: Final = TypeAdapter(ControlSnapshot)
@@ -65,7 +73,9 @@
         self._proxies = ProxyTable({})
         self._servers = ServerTable({})
         self._settings = SettingsState()
-        self._view: ControlView | None = None
+        self._document = DocumentState()
+        self._views = ViewLog()
+        self._views.start_over(0, self._view_items())
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -103,6 +113,23 @@
         """The settings in force; only read by others than ``apply``."""
         return self._settings
 
+    @property
+    def document(self) -> DocumentSnapshot:
+        """The newest document that came from outside."""
+        with self._changed:
+            return self._document.snapshot()
+
+    @property
+    def ended_servers(self) -> dict[str, int]:
+        """The newest incarnation that has ended, by backend server."""
+        with self._changed:
+            return dict(self._servers.ended)
+
+    def describes_group(self, name: str) -> bool:
+        """Tell whether the settings tree has a node of a database group."""
+        with self._changed:
+            return self._settings.tree.has_group(name)
+
     def group(self, name: str) -> GroupState | None:
         """Return one group."""
         with self._changed:
@@ -128,9 +155,12 @@
     def view(self) -> ControlView:
         """Return the state that proxies follow."""
         with self._changed:
-            if self._view is None:
-                self._view = self._build_view()
-            return self._view
+            return self._views.view(self._version)
+
+    def view_since(self, version: int) -> ControlView:
+        """Return what proxies that follow from a version have to change."""
+        with self._changed:
+            return self._views.view_since(version, self._version)
 
     def settings_nodes(self) -> list[SettingsNode]:
         """Return all nodes of the settings tree, secrets included."""
@@ -177,6 +207,7 @@
                 outcome = Outcome(False, error.code, str(error))
             if outcome.is_accepted and outcome.index == index:
                 self._version = index
+                self._views.note(index, self._view_items())
                 self._note_change()
             return encode_outcome(outcome)
 
@@ -191,6 +222,8 @@
                 proxies=dict(self._proxies.proxies),
                 servers=dict(self._servers.servers),
                 settings=self._settings.snapshot(),
+                document=self._document.snapshot(),
+                ended_servers=dict(self._servers.ended),
             )
             fields: dict[str, Any] = _snapshot_adapter.dump_python(
                 snapshot, mode="json"
@@ -205,13 +238,14 @@
                 held.groups, held.promotions, held.change_outcomes
             )
             self._proxies = ProxyTable(held.proxies)
-            self._servers = ServerTable(held.servers)
+            self._servers = ServerTable(held.servers, held.ended_servers)
             self._settings = SettingsState(held.settings)
+            self._document = DocumentState.restore(held.document)
             self._version = held.version
+            self._views.start_over(held.version, self._view_items())
             self._note_change()
 
     def _note_change(self) -> None:
-        self._view = None
         self._changed.notify_all()
         for listener in self._listeners:
             listener()
@@ -233,13 +267,41 @@
                 return self._servers.record(index, command)
             case RemoveServer():
                 return self._servers.remove(index, command, self._groups.groups)
-            case BootstrapGroup() | BeginPromotion() | ChoosePrimary() | EndPromotion():
+            case ApplyDocument():
+                return self._apply_document(index, command)
+            case IssueToken():
+                return self._issue_token(index, command)
+            case _:
                 return self._apply_to_group(index, command)
 
+    def _apply_document(self, index: int, command: ApplyDocument) -> Outcome:
+        applied = self._document.replace(
+            command.revision,
+            command.content,
+            command.author,
+            self._settings.tree,
+            index,
+        )
+        if applied.is_error():
+            return Outcome(False, CODE_INVALID, applied.error.message)
+        if not applied.ok:
+            return Outcome(True, version=self._document.revision)
+        self._settings.note_document(index, self._groups.groups)
+        return Outcome(True, index=index, version=command.revision)
+
+    def _issue_token(self, index: int, command: IssueToken) -> Outcome:
+        if command.group not in self._groups.groups:
+            return Outcome(False, CODE_INVALID, f"no group {command.group}")
+        return Outcome(True, version=index)
+
     def _apply_to_group(
         self,
         index: int,
-        command: BootstrapGroup | BeginPromotion | ChoosePrimary | EndPromotion,
+        command: BootstrapGroup
+        | BeginPromotion
+        | ChoosePrimary
+        | EndPromotion
+        | AdoptPrimary,
     ) -> Outcome:
         match command:
             case BootstrapGroup():
@@ -252,21 +314,14 @@
                 return self._groups.choose(index, command)
             case EndPromotion():
                 return self._groups.end(index, command)
-
-    def _build_view(self) -> ControlView:
-        proxies, servers = self.proxies, self.servers
-        groups = self.groups
-        return ControlView(
-            version=self._version,
-            groups=[GroupMessage.of(groups[name]) for name in sorted(groups)],
-            servers=[ServerMessage.of(servers[name]) for name in sorted(servers)],
-            proxies=[
-                ProxyMessage(
-                    proxy=record.name,
-                    failure_domain=record.failure_domain,
-                    address=str(record.address),
-                )
-                for _, record in sorted(proxies.items())
-            ],
-            settings=self._settings.tree.nodes(),
+            case AdoptPrimary():
+                return self._groups.adopt(index, command)
+
+    def _view_items(self) -> ViewItems:
+        return ViewItems(
+            groups=self.groups,
+            servers=self.servers,
+            proxies=self.proxies,
+            settings={node.path: node for node in self._settings.tree.nodes()},
+            endpoints={one.name: one for one in self._document.endpoints},
         )
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/view_log.py
@@ -0,0 +1,139 @@
+"""Views of the committed state, whole or as differences from an earlier one."""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from dogwoodspool_api import (
+    ControlView,
+    EndpointMessage,
+    GroupMessage,
+    ProxyMessage,
+    RemovedItems,
+    ServerMessage,
+    SettingsNode,
+)
+from dogwoodspool_common import BackendServer, Endpoint, GroupState
+
+from .const import MAX_VIEW_CHANGES
+from .models import ProxyRecord
+
+ItemKey = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class ViewItems:
+    """All that proxies follow, by kind and then by name or path."""
+
+    groups: Mapping[str, GroupState] = field(default_factory=dict)
+    servers: Mapping[str, BackendServer] = field(default_factory=dict)
+    proxies: Mapping[str, ProxyRecord] = field(default_factory=dict)
+    settings: Mapping[str, SettingsNode] = field(default_factory=dict)
+    endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
+
+    def by_kind(self) -> dict[str, Mapping[str, Any]]:
+        """Return the items of each kind."""
+        return {
+            "groups": self.groups,
+            "servers": self.servers,
+            "proxies": self.proxies,
+            "settings": self.settings,
+            "endpoints": self.endpoints,
+        }
+
+
+class ViewLog:
+    """Answer what has changed since a version.
+
+    Proxies follow the state for days, and each change is small beside the whole:
+    with 350 endpoints a whole view has 60 KB and the change of one 0.3 KB. Who
+    is further behind than the log remembers gets the whole view.
+    """
+
+    def __init__(self) -> None:
+        self._items = ViewItems()
+        self._changes: deque[tuple[int, frozenset[ItemKey]]] = deque()
+        self._first_base = 0
+        self._whole: ControlView | None = None
+
+    def start_over(self, version: int, items: ViewItems) -> None:
+        """Begin at a version without knowing what came before it."""
+        self._changes.clear()
+        self._first_base = version
+        self._items = items
+        self._whole = None
+
+    def note(self, version: int, items: ViewItems) -> None:
+        """Take in the state after a change."""
+        changed = frozenset(_differences(self._items, items))
+        self._changes.append((version, changed))
+        if len(self._changes) > MAX_VIEW_CHANGES:
+            self._first_base = self._changes.popleft()[0]
+        self._items = items
+        self._whole = None
+
+    def view(self, version: int) -> ControlView:
+        """Return the whole view."""
+        if self._whole is None:
+            keys = {
+                (kind, name)
+                for kind, items in self._items.by_kind().items()
+                for name in items
+            }
+            self._whole = self._build(version, keys, 0)
+        return self._whole
+
+    def view_since(self, base: int, version: int) -> ControlView:
+        """Return what differs from the view of version ``base``."""
+        if base <= 0 or base < self._first_base:
+            return self.view(version)
+        keys: set[ItemKey] = set()
+        for changed_at, changed in reversed(self._changes):
+            if changed_at <= base:
+                break
+            keys |= changed
+        return self._build(version, keys, base)
+
+    def _build(self, version: int, keys: set[ItemKey], base: int) -> ControlView:
+        items = self._items.by_kind()
+        present: dict[str, list[Any]] = {kind: [] for kind in items}
+        removed: dict[str, list[str]] = {kind: [] for kind in items}
+        for kind, name in sorted(keys):
+            item = items[kind].get(name)
+            if item is None:
+                removed[kind].append(name)
+            else:
+                present[kind].append(item)
+        return ControlView(
+            version=version,
+            base_version=base,
+            groups=[GroupMessage.of(group) for group in present["groups"]],
+            servers=[ServerMessage.of(server) for server in present["servers"]],
+            proxies=[_proxy_message(record) for record in present["proxies"]],
+            settings=present["settings"],
+            endpoints=[EndpointMessage.of(one) for one in present["endpoints"]],
+            removed=RemovedItems(**removed),
+        )
+
+
+def _differences(before: ViewItems, after: ViewItems) -> set[ItemKey]:
+    keys: set[ItemKey] = set()
+    old, new = before.by_kind(), after.by_kind()
+    for kind, items in new.items():
+        known = old[kind]
+        keys |= {(kind, name) for name in known if name not in items}
+        keys |= {
+            (kind, name)
+            for name, item in items.items()
+            if name not in known or (known[name] is not item and known[name] != item)
+        }
+    return keys
+
+
+def _proxy_message(record: ProxyRecord) -> ProxyMessage:
+    return ProxyMessage(
+        proxy=record.name,
+        failure_domain=record.failure_domain,
+        address=str(record.address),
+    )
--- /dev/null
+++ b/packages/failover/src/dogwoodspool_failover/__init__.py
@@ -0,0 +1,31 @@
+"""Change primaries of groups that replicate synchronously and fence themselves."""
+
+from .errors import (
+    FailoverError,
+    PromotionRefusedError,
+    PromotionUnknownError,
+    ServerBusyError,
+    ServerCallError,
+    ServerRefusingError,
+)
+from .joining import JoinCoordinator
+from .models import Heartbeat, ServerState
+from .runtime import FailoverRuntime
+from .servers import GroupServers, PromotionService
+from .service import ControlService
+
+__all__ = [
+    "ControlService",
+    "FailoverError",
+    "FailoverRuntime",
+    "GroupServers",
+    "Heartbeat",
+    "JoinCoordinator",
+    "PromotionRefusedError",
+    "PromotionService",
+    "PromotionUnknownError",
+    "ServerBusyError",
+    "ServerCallError",
+    "ServerRefusingError",
+    "ServerState",
+]
--- /dev/null
+++ b/packages/failover/src/dogwoodspool_failover/errors.py
@@ -0,0 +1,30 @@
+"""Errors of the failover library."""
+
+from dogwoodspool_common import DogwoodspoolError
+
+
+class FailoverError(DogwoodspoolError):
+    """Base of the failover library's own errors."""
+
+
+class ServerCallError(FailoverError):
+    """Report a question or order to a backend server without a usable answer.
+
+    An order may have been carried out all the same.
+    """
+
+
+class ServerRefusingError(ServerCallError):
+    """Report a machine that refuses connections: no process listens there."""
+
+
+class ServerBusyError(ServerCallError):
+    """Report a server that works and has no room for the question."""
+
+
+class PromotionRefusedError(FailoverError):
+    """Report a promotion that the platform refused: it will not be carried out."""
+
+
+class PromotionUnknownError(FailoverError):
+    """Report a promotion that may be carried out, now or seconds later."""
--- /dev/null
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -0,0 +1,132 @@
+"""Turn backend servers' heartbeats into commands."""
+
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from dogwoodspool_common import BackendServer, Clock, Role
+from dogwoodspool_control.commands import BootstrapGroup, Command, RecordServer
+from dogwoodspool_control.state import ControlState
+
+from .models import Heartbeat
+
+FIRST_TERM = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """The newest heartbeat of a server, by the leader's time of receipt."""
+
+    incarnation: int
+    sequence: int
+    role: Role | None
+    at: float
+
+
+class HeartbeatBook:
+    """Remember heartbeats and say what they change in the committed state.
+
+    A heartbeat may arrive late, from behind a partition: after newer ones of its
+    process, after its process has ended, or after another server has taken its
+    address. Such a one changes nothing. It shows by its sequence, by its
+    incarnation, or by a server of a later start at the same address.
+    """
+
+    def __init__(self, clock: Clock, state: ControlState) -> None:
+        self._clock = clock
+        self._state = state
+        self._lock = threading.Lock()
+        self._heard: dict[str, Heard] = {}
+        self._started_at = clock.now()
+
+    def start_over(self) -> None:
+        """Forget everything, as at the beginning of a leadership."""
+        with self._lock:
+            self._heard.clear()
+            self._started_at = self._clock.now()
+
+    def silence(self, server: str) -> float:
+        """Return the seconds since a server was last heard."""
+        with self._lock:
+            heard = self._heard.get(server)
+            since = self._started_at if heard is None else heard.at
+        return self._clock.now() - since
+
+    def role(self, server: BackendServer) -> Role | None:
+        """Return the role that this very process of a server last stated."""
+        with self._lock:
+            heard = self._heard.get(server.name)
+        if heard is None or heard.incarnation != server.incarnation:
+            return None
+        return heard.role
+
+    def take(self, beat: Heartbeat) -> list[Command]:
+        """Take in a heartbeat; return the commands that it makes due.
+
+        The heartbeat may be acknowledged once they are committed.
+        """
+        if self._is_late(beat):
+            return []
+        server = beat.server
+        with self._lock:
+            self._heard[server.name] = Heard(
+                server.incarnation, beat.sequence, beat.role, self._clock.now()
+            )
+        return list(self._due(beat))
+
+    def end(self, name: str, incarnation: int | None = None) -> list[Command]:
+        """Take in that a server's process ends; return the commands due.
+
+        Args:
+            name: the server.
+            incarnation: the process that ends; None for the recorded one.
+        """
+        known = self._state.servers.get(name)
+        if known is None or known.is_gone:
+            return []
+        if incarnation is not None and incarnation != known.incarnation:
+            return []
+        return [RecordServer(replace(known, is_leaving=True, is_gone=True))]
+
+    def _is_late(self, beat: Heartbeat) -> bool:
+        server = beat.server
+        if server.incarnation <= self._state.ended_servers.get(server.name, -1):
+            return True
+        known = self._state.servers.get(server.name)
+        if known is not None:
+            if server.incarnation < known.incarnation:
+                return True
+            if known.is_gone and server.incarnation == known.incarnation:
+                return True
+        if any(one.incarnation > server.incarnation for one in self._others(server)):
+            return True
+        with self._lock:
+            heard = self._heard.get(server.name)
+        return (
+            heard is not None
+            and heard.incarnation == server.incarnation
+            and beat.sequence <= heard.sequence
+        )
+
+    def _due(self, beat: Heartbeat) -> Iterator[Command]:
+        server = beat.server
+        for other in self._others(server):
+            if not other.is_gone:
+                yield RecordServer(replace(other, is_leaving=True, is_gone=True))
+        known = self._state.servers.get(server.name)
+        if known is not None and known.incarnation == server.incarnation:
+            # A process that leaves does not come back to stay.
+            is_leaving = known.is_leaving or server.is_leaving
+            server = replace(server, is_leaving=is_leaving)
+        if known != server:
+            yield RecordServer(server)
+        is_new_group = self._state.group(server.group) is None
+        if is_new_group and beat.role is Role.PRIMARY:
+            yield BootstrapGroup(server.group, FIRST_TERM, server.name)
+
+    def _others(self, server: BackendServer) -> list[BackendServer]:
+        return [
+            other
+            for other in self._state.servers.values()
+            if other.address == server.address and other.name != server.name
+        ]
--- /dev/null
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -0,0 +1,118 @@
+"""Wire one voter's parts together for groups that replicate synchronously."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from dogwoodspool_common import Clock, Route
+from dogwoodspool_consensus import ConsensusNode
+from dogwoodspool_control.command_queue import CommandQueue
+from dogwoodspool_control.failovers import FailoverTimeline
+from dogwoodspool_control.http_api import WaitSlots, WatchApi
+from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.state import ControlState
+
+from .api import FailoverApi, members_of
+from .changes import PrimaryChanges
+from .const import MAX_WATCHERS, WORKER_THREADS
+from .departures import Departures
+from .detection import PrimaryJudge, PrimaryProbes
+from .diagnostics import FailoverDiagnostics
+from .heartbeats import HeartbeatBook
+from .joining import JoinApi
+from .loop import FailoverLoop
+from .parts import ChangeParts
+from .reports import ReportBook
+from .servers import GroupServers, PromotionService
+from .service import ControlService
+from .voters import VoterUpkeep
+
+
+class FailoverRuntime:
+    """Hold the parts of one voter; the program gives it clock, log and platform.
+
+    Args:
+        servers: asks backend servers and gives them orders.
+        service: asks the platform for promotions.
+        wanted_voters: see ``voters.due_change``.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        consensus: ConsensusNode,
+        state: ControlState,
+        *,
+        servers: GroupServers,
+        service: PromotionService,
+        wanted_voters: int,
+    ) -> None:
+        self._executor = ThreadPoolExecutor(WORKER_THREADS, "failover-worker")
+        node = ControlNode(consensus)
+        heartbeats = HeartbeatBook(clock, state)
+        reports = ReportBook(clock)
+        probes = PrimaryProbes(clock, servers, self._executor)
+        timeline = FailoverTimeline(clock)
+        parts = ChangeParts(
+            clock=clock,
+            node=node,
+            state=state,
+            heartbeats=heartbeats,
+            servers=servers,
+            service=service,
+            holder=consensus.node_id,
+            timeline=timeline,
+            executor=self._executor,
+        )
+        self._changes = PrimaryChanges(parts)
+        self._queue = CommandQueue(clock, node)
+        self._loop = FailoverLoop(
+            clock,
+            node,
+            state,
+            heartbeats=heartbeats,
+            reports=reports,
+            probes=probes,
+            judge=PrimaryJudge(clock, reports, heartbeats, probes),
+            departures=Departures(clock, state, parts),
+            changes=self._changes,
+            queue=self._queue,
+            timeline=timeline,
+        )
+        self._voters = VoterUpkeep(consensus, wanted_voters, clock)
+        diagnostics = FailoverDiagnostics(
+            consensus, node, state, self._changes, timeline
+        )
+        watch = WatchApi(
+            node, state, WaitSlots(MAX_WATCHERS), lambda: members_of(consensus)
+        )
+        api = FailoverApi(node, reports, diagnostics, self._loop.wake)
+        self._service = ControlService(node, state, heartbeats, self._loop.wake)
+        self._routes = [
+            *consensus.routes(),
+            *watch.routes(),
+            *api.routes(),
+            *JoinApi(consensus, node).routes(),
+        ]
+
+    @property
+    def routes(self) -> list[Route]:
+        """All endpoints of the voter for the system's other processes."""
+        return self._routes
+
+    @property
+    def service(self) -> ControlService:
+        """What outside callers may ask of this voter."""
+        return self._service
+
+    def set_up(self) -> None:
+        """Begin to act as soon as this voter leads."""
+        self._queue.set_up()
+        self._loop.set_up()
+        self._voters.set_up()
+
+    def unload(self) -> None:
+        """Stop; changes in progress are left to the next leader."""
+        self._voters.unload()
+        self._loop.unload()
+        self._queue.unload()
+        self._changes.join(timeout=0.2)
+        self._executor.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/packages/failover/src/dogwoodspool_failover/voters.py
@@ -0,0 +1,167 @@
+"""Keep enough voters alive: give votes to learners, and take them from the silent."""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dogwoodspool_common import Address, Clock, log_event
+from dogwoodspool_consensus import (
+    ConsensusDiagnostics,
+    ConsensusError,
+    ConsensusNode,
+    PeerDiagnostics,
+)
+from dogwoodspool_following import Coordinator
+
+from .const import (
+    FORGOTTEN_LEARNER_SECONDS,
+    LIVE_LEARNER_SECONDS,
+    MAX_LEARNER_LAG,
+    MEMBER_CHANGE_TIMEOUT,
+    MEMBER_LOOK_SECONDS,
+    SILENT_VOTER_SECONDS,
+)
+
+
+class MemberAction(StrEnum):
+    """One change of the control group's members."""
+
+    GIVE_VOTE = "give_vote"
+    TAKE_VOTE = "take_vote"
+    REMOVE = "remove"
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChange:
+    """A change that is due, with its reason for the log."""
+
+    action: MemberAction
+    member: PeerDiagnostics
+    reason: str
+
+
+def due_change(
+    own_id: str,
+    members: Sequence[PeerDiagnostics],
+    wanted_voters: int,
+    leading_for: float,
+) -> MemberChange | None:
+    """Return the next change of the members; one at a time.
+
+    A voter that is silent keeps its identity and its files and only loses its
+    vote, and only where a learner that is up to date can take it: two of three
+    voters would be left without a spare otherwise.
+
+    Args:
+        own_id: the leader, which decides.
+        members: the members as the leader sees them.
+        wanted_voters: voters with which the control group survives what it must.
+        leading_for: seconds for which the leader leads; silence counts from then.
+    """
+    others = [one for one in members if one.node_id != own_id]
+    silence = {
+        one.node_id: leading_for if one.silent_s is None else one.silent_s
+        for one in others
+    }
+    replaced = _replaced_member(own_id, members, silence)
+    if replaced is not None:
+        is_voter = replaced.is_voter
+        action = MemberAction.TAKE_VOTE if is_voter else MemberAction.REMOVE
+        return MemberChange(action, replaced, "its address has a newer member")
+    voters = [one for one in members if one.is_voter]
+    learners = [one for one in others if not one.is_voter]
+    ready = [one for one in learners if _is_ready(one)]
+    if len(voters) < wanted_voters and ready:
+        used = Counter(one.failure_domain for one in voters)
+        best = min(ready, key=lambda one: (used[one.failure_domain], one.node_id))
+        return MemberChange(MemberAction.GIVE_VOTE, best, "voters are missing")
+    silent = [
+        one
+        for one in voters
+        if one.node_id != own_id and silence[one.node_id] >= SILENT_VOTER_SECONDS
+    ]
+    if silent and ready:
+        worst = max(silent, key=lambda one: silence[one.node_id])
+        return MemberChange(MemberAction.TAKE_VOTE, worst, "silent, a learner is ready")
+    for one in learners:
+        if silence[one.node_id] >= FORGOTTEN_LEARNER_SECONDS:
+            return MemberChange(MemberAction.REMOVE, one, "silent for long")
+    return None
+
+
+def _is_ready(learner: PeerDiagnostics) -> bool:
+    is_live = learner.silent_s is not None and learner.silent_s < LIVE_LEARNER_SECONDS
+    return is_live and learner.lag is not None and learner.lag <= MAX_LEARNER_LAG
+
+
+def _replaced_member(
+    own_id: str, members: Sequence[PeerDiagnostics], silence: dict[str, float]
+) -> PeerDiagnostics | None:
+    """Return a member whose address another one answers at.
+
+    Its disk was lost: at its address now runs a process with another identity.
+    """
+    for one in members:
+        if one.node_id == own_id:
+            continue
+        successors = [
+            other
+            for other in members
+            if other.address == one.address and other.node_id != one.node_id
+        ]
+        if any(
+            silence.get(other.node_id, 0.0) < silence[one.node_id]
+            for other in successors
+        ):
+            return one
+    return None
+
+
+class VoterUpkeep(Coordinator):
+    """Carry out changes of the members while this node leads."""
+
+    def __init__(self, node: ConsensusNode, wanted_voters: int, clock: Clock) -> None:
+        super().__init__("voter-upkeep", clock)
+        self._node = node
+        self._wanted_voters = wanted_voters
+
+    def step(self) -> float:
+        """Look once."""
+        leadership = self._node.leadership()
+        if leadership is None:
+            return MEMBER_LOOK_SECONDS
+        diagnostics = self._node.diagnostics()
+        change = due_change(
+            diagnostics.node_id,
+            diagnostics.members,
+            self._wanted_voters,
+            self._clock.now() - leadership.since,
+        )
+        if change is not None:
+            self._carry_out(change, diagnostics)
+        return MEMBER_LOOK_SECONDS
+
+    def _carry_out(
+        self, change: MemberChange, diagnostics: ConsensusDiagnostics
+    ) -> None:
+        member = change.member
+        log_event(
+            "member_change",
+            action=change.action,
+            member=member.node_id,
+            address=member.address,
+            reason=change.reason,
+            voters=sum(one.is_voter for one in diagnostics.members),
+        )
+        try:
+            match change.action:
+                case MemberAction.GIVE_VOTE:
+                    address = Address.parse(member.address)
+                    self._node.add_voter(member.node_id, address, MEMBER_CHANGE_TIMEOUT)
+                case MemberAction.TAKE_VOTE:
+                    self._node.demote_voter(member.node_id, MEMBER_CHANGE_TIMEOUT)
+                case MemberAction.REMOVE:
+                    self._node.remove_voter(member.node_id, MEMBER_CHANGE_TIMEOUT)
+        except ConsensusError as error:
+            log_event("member_change_failed", member=member.node_id, reason=error)
--- /dev/null
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -0,0 +1,103 @@
+"""The control processes as a proxy finds them."""
+
+import threading
+from collections.abc import Iterable
+
+from dogwoodspool_api import MemberMessage
+from dogwoodspool_common import Address, log_event
+
+from .const import POLLS_BEFORE_RETURN
+
+
+class ControlPeers:
+    """Remember which control process leads, and take turns without one.
+
+    Args:
+        addresses: those known at the start, in the order of preference.
+        failure_domain: where this process runs; control processes there go first,
+            since what they send stays inside it.
+    """
+
+    def __init__(
+        self, addresses: tuple[Address, ...], failure_domain: str = ""
+    ) -> None:
+        self._addresses = addresses
+        self._failure_domain = failure_domain
+        self._lock = threading.Lock()
+        self._leader: Address | None = None
+        self._turn = 0
+        self._successes = 0
+
+    @property
+    def addresses(self) -> tuple[Address, ...]:
+        """All that are known, in the order of preference."""
+        with self._lock:
+            return self._addresses
+
+    @property
+    def has_leader(self) -> bool:
+        """Tell whether the leader is known."""
+        with self._lock:
+            return self._leader is not None
+
+    def leader_or_next(self) -> Address:
+        """Return the leader's address, or the next one to ask."""
+        with self._lock:
+            return self._leader or self._addresses[self._turn]
+
+    def any(self) -> Address:
+        """Return an address for requests that every control process serves."""
+        with self._lock:
+            return self._addresses[self._turn]
+
+    def adopt(self, members: Iterable[MemberMessage]) -> None:
+        """Take over the members of the control group.
+
+        Processes are replaced at other addresses over time: without this, a proxy
+        that runs for months would know none of those that are left.
+        """
+        ordered = sorted(
+            members,
+            key=lambda one: (one.failure_domain != self._failure_domain, one.address),
+        )
+        addresses = tuple(Address.parse(one.address) for one in ordered)
+        with self._lock:
+            if addresses == self._addresses:
+                return
+            log_event("control_members", addresses=",".join(map(str, addresses)))
+            self._addresses = addresses
+            self._turn = 0
+            self._successes = 0
+
+    def note_leader(self, text: str | None) -> None:
+        """Take over what a control process said of the leader."""
+        if not text:
+            return
+        try:
+            leader = Address.parse(text)
+        except ValueError:
+            log_event("control_leader_unreadable", level="WARNING", text=text)
+            return
+        with self._lock:
+            if leader != self._leader:
+                log_event("control_leader", address=leader)
+            self._leader = leader
+
+    def note_failure(self, address: Address) -> None:
+        """Turn to the next process after one did not serve."""
+        with self._lock:
+            self._successes = 0
+            if self._leader == address:
+                self._leader = None
+            if self._addresses[self._turn] == address or self._leader is None:
+                self._turn = (self._turn + 1) % len(self._addresses)
+
+    def note_success(self, address: Address) -> None:
+        """Return to the preferred process after some polls of another one."""
+        with self._lock:
+            if self._addresses[self._turn] != address or self._turn == 0:
+                return
+            self._successes += 1
+            if self._successes >= POLLS_BEFORE_RETURN:
+                self._successes = 0
+                self._turn = 0
--- /dev/null
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -0,0 +1,182 @@
+"""The committed state of control as this proxy follows it."""
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from dogwoodspool_api import ControlView
+from dogwoodspool_common import (
+    BackendServer,
+    Clock,
+    Endpoint,
+    GroupState,
+    log_event,
+)
+from dogwoodspool_settings import EffectiveSettings, SettingsTree
+
+ItemT = TypeVar("ItemT")
+
+ViewListener = Callable[["ProxyView"], None]
+
+
+@dataclass(frozen=True)
+class ProxyView:
+    """One version of the committed state in inner terms."""
+
+    version: int = 0
+    groups: Mapping[str, GroupState] = field(default_factory=dict)
+    servers: Mapping[str, BackendServer] = field(default_factory=dict)
+    proxies: frozenset[str] = frozenset()
+    tree: SettingsTree = field(default_factory=SettingsTree)
+    endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
+    databases: Mapping[str, Endpoint] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, message: ControlView, base: "ProxyView | None" = None) -> "ProxyView":
+        """Build the inner value of a message.
+
+        Args:
+            message: the whole state, or what differs from ``base``.
+            base: the view of the version that the message names as its base.
+        """
+        before = base if base is not None and message.base_version else cls()
+        removed = message.removed
+        endpoints = _merged(
+            before.endpoints,
+            {one.name: one.value() for one in message.endpoints},
+            removed.endpoints,
+        )
+        return cls(
+            version=message.version,
+            groups=_merged(
+                before.groups,
+                {group.name: group.value() for group in message.groups},
+                removed.groups,
+            ),
+            servers=_merged(
+                before.servers,
+                {one.server: one.backend_server() for one in message.servers},
+                removed.servers,
+            ),
+            proxies=(before.proxies - set(removed.proxies))
+            | {proxy.proxy for proxy in message.proxies},
+            tree=_merged_tree(before.tree, message),
+            endpoints=endpoints,
+            databases={one.database: one for one in endpoints.values()},
+        )
+
+    def servers_of(self, group: str) -> list[BackendServer]:
+        """Return a group's backend servers, ordered by name."""
+        return [
+            self.servers[name]
+            for name in sorted(self.servers)
+            if self.servers[name].group == group
+        ]
+
+
+def _merged(
+    before: Mapping[str, ItemT], changed: Mapping[str, ItemT], removed: Iterable[str]
+) -> dict[str, ItemT]:
+    merged = {**before, **changed}
+    for name in removed:
+        merged.pop(name, None)
+    return merged
+
+
+def _merged_tree(before: SettingsTree, message: ControlView) -> SettingsTree:
+    if message.base_version and not message.settings and not message.removed.settings:
+        return before
+    nodes = {} if not message.base_version else {n.path: n for n in before.nodes()}
+    changed = {node.path: node for node in message.settings}
+    return SettingsTree.from_nodes(
+        _merged(nodes, changed, message.removed.settings).values()
+    )
+
+
+class ViewStore:
+    """Hold the newest view; versions never go back.
+
+    A control process that was cut off for long may answer with an older state
+    and believe it current; such an answer changes nothing here.
+    """
+
+    def __init__(self, failure_domain: str, clock: Clock) -> None:
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._view = ProxyView()
+        self._listeners: list[ViewListener] = []
+        self._announced_version = 0
+
+    @property
+    def failure_domain(self) -> str:
+        """This instance's failure domain."""
+        return self._failure_domain
+
+    @property
+    def view(self) -> ProxyView:
+        """The newest view."""
+        return self._view
+
+    @property
+    def announced_version(self) -> int:
+        """The newest version of which the control leader has told."""
+        return self._announced_version
+
+    @property
+    def is_filled(self) -> bool:
+        """Tell whether a view has come from control."""
+        return self._view.version > 0
+
+    def settings(self, group: str | None) -> EffectiveSettings:
+        """Return the settings in force for a group in this failure domain."""
+        return self._view.tree.effective(group, self._failure_domain)
+
+    def note_announced(self, version: int) -> None:
+        """Note a version of which the control leader has told."""
+        self._announced_version = max(version, self._announced_version)
+
+    def add_listener(self, listener: ViewListener) -> None:
+        """Call a function with each new view."""
+        self._listeners.append(listener)
+
+    def adopt(self, message: ControlView) -> bool:
+        """Put a view in force if it is newer; tell whether it was.
+
+        Differences from another version than the one in force are left: merged
+        into it they would keep what the state no longer has.
+        """
+        with self._changed:
+            if message.version <= self._view.version:
+                return False
+            if message.base_version not in (0, self._view.version):
+                return False
+            self._view = ProxyView.of(message, self._view)
+            self._changed.notify_all()
+        log_event("view_in_force", level="DEBUG", version=message.version)
+        for listener in self._listeners:
+            listener(self._view)
+        return True
+
+    def wait_newer(self, version: int, seconds: float) -> bool:
+        """Wait for a view that is newer than a version."""
+        deadline = self._clock.now() + seconds
+        with self._changed:
+            while self._view.version <= version:
+                remaining = deadline - self._clock.now()
+                if remaining <= 0:
+                    return False
+                self._clock.wait(self._changed, remaining)
+            return True
+
+    def wait_filled(self, seconds: float) -> bool:
+        """Wait for the first view."""
+        deadline = self._clock.now() + seconds
+        with self._changed:
+            while not self.is_filled:
+                remaining = deadline - self._clock.now()
+                if remaining <= 0:
+                    return False
+                self._clock.wait(self._changed, remaining)
+            return True
--- a/packages/proxy/src/dogwoodspool_proxy/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -22,7 +22,11 @@
 
     The first view after a start must be confirmed by a quorum: a control process
     that was cut off for long would otherwise give this proxy its old state, with
-    nothing newer to compare it to.
+    nothing newer to compare it to. Later ones come from any process that still
+    hears from the leader; one that does not is left for another.
+
+    Args:
+        wait_ms: how long a control process holds a poll without news.
     """
 
     def __init__(
@@ -31,8 +35,10 @@
         peers: ControlPeers,
         client: JsonClient,
         clock: Clock,
+        wait_ms: int = DEFAULT_WATCH_WAIT_MS,
     ) -> None:
         super().__init__("control-watch", clock)
+        self._wait_ms = wait_ms
         self._views = views
         self._peers = peers
         self._client = client
@@ -49,9 +55,18 @@
         # A cut-off process names a leader of long ago; the renewals know better.
         if not self._peers.has_leader:
             self._peers.note_leader(response.leader)
+        if response.members:
+            self._peers.adopt(response.members)
         if response.view is not None:
             self._views.adopt(response.view)
-        elif self._views.view.version < self._views.announced_version:
+        if not response.is_current:
+            log_event("watch_not_current", address=address)
+            self._peers.note_failure(address)
+            return RETRY_PAUSE_SECONDS
+        self._peers.note_success(address)
+        if response.view is not None:
+            return 0.0
+        if self._views.view.version < self._views.announced_version:
             # The leader has a newer version, yet this process waited in vain for
             # it: it is cut off from the others and does not know.
             log_event("watch_stale", address=address)
@@ -61,10 +76,10 @@
     def _poll(self, address: Address) -> WatchResponse:
         query = {
             QUERY_AFTER: str(self._views.view.version),
-            QUERY_WAIT_MS: str(DEFAULT_WATCH_WAIT_MS),
+            QUERY_WAIT_MS: str(self._wait_ms),
         }
         if not self._views.is_filled:
             query[QUERY_CONFIRMED] = "1"
-        timeout = DEFAULT_WATCH_WAIT_MS / MILLISECONDS + WATCH_TIMEOUT_MARGIN
+        timeout = self._wait_ms / MILLISECONDS + WATCH_TIMEOUT_MARGIN
         answer = self._client.get(address, PATH_WATCH, query, timeout)
         return WatchResponse.model_validate(answer)
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -41,7 +41,7 @@
 class Admitter(Protocol):
     """Decide whether and when a statement may go to one backend server."""
 
-    def admit(self, deadline: float, priority: Priority) -> Result[Admission, Refusal]:
+    def admit(self, deadline: float, priority: int) -> Result[Admission, Refusal]:
         """Wait for the right to run a statement; refuse what cannot be in time."""
         ...
 
@@ -49,7 +49,7 @@
 class _Waiter:
     """One statement in the queue."""
 
-    def __init__(self, lock: threading.Lock, priority: Priority) -> None:
+    def __init__(self, lock: threading.Lock, priority: int) -> None:
         self.condition = threading.Condition(lock)
         self.priority = priority
         self.is_admitted = False
@@ -108,7 +108,7 @@
         with self._lock:
             return self._service_time
 
-    def estimated_wait(self, priority: Priority) -> float:
+    def estimated_wait(self, priority: int) -> float:
         """Return the seconds that a new statement would wait, 0 when it would not."""
         with self._lock:
             return self._estimated_wait(priority)
@@ -124,12 +124,12 @@
         with self._lock:
             self._queue_limit = queue_limit
 
-    def admit(self, deadline: float, priority: Priority) -> Result[Admission, Refusal]:
+    def admit(self, deadline: float, priority: int) -> Result[Admission, Refusal]:
         """Wait for the right to run a statement.
 
         Args:
             deadline: clock seconds at which the statement is of no more use.
-            priority: its priority.
+            priority: its priority; a lower number goes first.
         """
         with self._lock:
             remaining = deadline - self._clock.now()
@@ -147,7 +147,7 @@
             return self._wait_turn(self._clock.now() + patience, priority)
 
     def _wait_turn(
-        self, latest_start: float, priority: Priority
+        self, latest_start: float, priority: int
     ) -> Result[Admission, Refusal]:
         waiter = _Waiter(self._lock, priority)
         self._waiting.append(waiter)
@@ -173,7 +173,7 @@
         bound = self._service_time + DEVIATIONS * self._deviation
         return max(remaining - bound, remaining / 2)
 
-    def _estimated_wait(self, priority: Priority) -> float:
+    def _estimated_wait(self, priority: int) -> float:
         limit = self._concurrency.limit
         ahead = sum(1 for one in self._waiting if one.priority <= priority)
         if self._in_flight < limit and not ahead:
@@ -181,7 +181,7 @@
         # Each turn of the limit's statements takes one service time.
         return (ahead + 1) * self._service_time / limit
 
-    def _displace(self, priority: Priority) -> bool:
+    def _displace(self, priority: int) -> bool:
         if not self._waiting or self._waiting[-1].priority <= priority:
             return False
         displaced = self._waiting.pop()
--- a/packages/limits/src/dogwoodspool_limits/static_split.py
+++ b/packages/limits/src/dogwoodspool_limits/static_split.py
@@ -8,7 +8,7 @@
 
 from .admission import Admission
 from .const import MIN_RETRY_AFTER_MS
-from .models import Priority, Refusal, RefusalReason
+from .models import Refusal, RefusalReason
 
 
 class StaticSplitAdmission:
@@ -31,7 +31,7 @@
         """Statements that may be in flight."""
         return self._limit
 
-    def admit(self, deadline: float, priority: Priority) -> Result[Admission, Refusal]:
+    def admit(self, deadline: float, priority: int) -> Result[Admission, Refusal]:
         """Wait for the right to run a statement until its deadline."""
         del priority
         turn = threading.Condition(self._lock)
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -0,0 +1,291 @@
+"""A place on a backend server and a connection to it, for one request."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from dogwoodspool_backend import (
+    BackendError,
+    ConnectFailedError,
+    ConnectionLimitError,
+    OutcomeUnknownError,
+    PoolTimeoutError,
+    ServerDownError,
+)
+from dogwoodspool_common import (
+    BackendServer,
+    Clock,
+    Position,
+    log_rate_limited,
+    span,
+)
+from dogwoodspool_limits import Admission
+from dogwoodspool_routing import ServerTable
+
+from .connection import ServerConnection
+from .const import BUSY_RETRY_MS
+from .errors import NotServedError
+from .freshness import FreshnessBook
+from .models import (
+    ErrorCode,
+    Prepared,
+    Reply,
+    Statement,
+    StatementError,
+    StatementKind,
+    TransactionState,
+)
+from .registry import Backend, BackendRegistry
+from .session_state import carry_over, carry_over_cost, on_server
+from .stalls import StallBook
+
+
+class HeldConnection:
+    """A connection that one request or transaction holds; it must be finished."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        connection: ServerConnection,
+        admission: Admission,
+        access: "ServerAccess",
+    ) -> None:
+        self._backend = backend
+        self._connection = connection
+        self._admission: Admission | None = admission
+        self._access = access
+        self._is_finished = False
+        self._elapsed = 0.0
+
+    @property
+    def server(self) -> BackendServer:
+        """The backend server."""
+        return self._backend.server
+
+    def run(
+        self,
+        values: Mapping[str, str],
+        statement: Statement,
+        prepared: Prepared | None,
+        deadline: float,
+    ) -> Reply:
+        """Run one statement in a session's state.
+
+        Raises:
+            ConnectFailedError: nothing was sent.
+            OutcomeUnknownError: no complete answer came.
+        """
+        before = carry_over(values, self._connection.session, prepared)
+        sent = on_server(statement, prepared)
+        *carried, reply = self._exchange([*before, sent], deadline)
+        self._leave_place()
+        for own, answer in zip(before, carried, strict=True):
+            if answer.error is not None:
+                log_rate_limited(
+                    "session_state_refused",
+                    level="WARNING",
+                    server=self.server.name,
+                    kind=own.kind,
+                    code=answer.error.code,
+                )
+        return reply
+
+    def run_then(
+        self,
+        values: Mapping[str, str],
+        statement: Statement,
+        prepared: Prepared | None,
+        last: Statement,
+        deadline: float,
+    ) -> Reply:
+        """Run one statement and send one of the pooler's own right behind it."""
+        before = carry_over(values, self._connection.session, prepared)
+        sent = on_server(statement, prepared)
+        *_, reply, _ = self._exchange([*before, sent, last], deadline)
+        self._leave_place()
+        return reply
+
+    def order(self, statement: Statement, deadline: float) -> Reply:
+        """Run one of the pooler's own statements; errors as for ``run``."""
+        return self._exchange([statement], deadline)[0]
+
+    def finish(self, *, is_good: bool) -> None:
+        """Give connection and place back; finishing again does nothing."""
+        if self._is_finished:
+            return
+        self._is_finished = True
+        is_reusable = is_good and self._connection.is_open
+        self._backend.pool.release(self._connection, reuse=is_reusable)
+        if self._admission is not None:
+            self._admission.done(self._elapsed, is_good)
+            self._admission = None
+
+    def _exchange(
+        self, statements: Sequence[Statement], deadline: float
+    ) -> list[Reply]:
+        began_at = self._access.now()
+        replies = self._access.exchange(
+            self.server, self._connection, statements, deadline
+        )
+        self._elapsed += self._access.now() - began_at
+        return replies
+
+    def _leave_place(self) -> None:
+        """Tell the admission how long the statement took, and leave.
+
+        A transaction between two statements runs nothing on the server, so it
+        keeps no place.
+        """
+        if self._admission is not None:
+            self._admission.done(self._elapsed, True)
+            self._admission = None
+
+
+class ServerAccess:
+    """Give requests places and connections, and learn from how they end."""
+
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        table: ServerTable,
+        stalls: StallBook,
+        freshness: FreshnessBook,
+        suspect: Callable[[str], None],
+        clock: Clock,
+    ) -> None:
+        self._suspect = suspect
+        self._registry = registry
+        self._table = table
+        self._stalls = stalls
+        self._freshness = freshness
+        self._clock = clock
+
+    def open(
+        self,
+        server: BackendServer,
+        values: Mapping[str, str],
+        *,
+        start_by: float,
+        priority: int,
+    ) -> HeldConnection:
+        """Wait for a place and a connection, at most until ``start_by``.
+
+        Raises:
+            NotServedError: there is none; nothing was sent.
+            ConnectFailedError: the server cannot be reached; nothing was sent.
+        """
+        backend = self._registry.backend(server)
+        backend.adjust()
+        with span("admission.wait", server=server.name):
+            admitted = backend.admission.admit(start_by, priority)
+        if admitted.is_error():
+            refusal = admitted.error
+            message = f"{server.name}: {refusal.reason}"
+            raise NotServedError(
+                StatementError(ErrorCode.BUSY, message, refusal.retry_after_ms)
+            )
+        try:
+            connection = self._connect(backend, values, start_by)
+        except (NotServedError, ConnectFailedError):
+            admitted.ok.done(0.0, False)
+            raise
+        return HeldConnection(backend, connection, admitted.ok, self)
+
+    def now(self) -> float:
+        """Return the clock's time."""
+        return self._clock.now()
+
+    def exchange(
+        self,
+        server: BackendServer,
+        connection: ServerConnection,
+        statements: Sequence[Statement],
+        deadline: float,
+    ) -> list[Reply]:
+        """Send statements and take in what the answers tell of the server."""
+        name = server.name
+        began_at = self._clock.now()
+        write = self._stalls.begin(name) if _may_write(statements) else None
+        is_answered = False
+        self._table.begin(name)
+        try:
+            with span("server.statement", server=name):
+                replies = connection.exchange(statements, deadline)
+            is_answered = True
+        except BackendError as error:
+            self.report_failure(server, error)
+            raise
+        finally:
+            elapsed = self._clock.now() - began_at
+            self._table.end(name, elapsed, is_answered=is_answered)
+            if write is not None:
+                self._stalls.end(name, write, is_answered=is_answered)
+        return replies
+
+    def note_fresh(
+        self, server: BackendServer, position: Position | None, asked_at: float
+    ) -> None:
+        """Take in how far a primary was that surely held its place."""
+        self._freshness.note(server.group, position, asked_at)
+
+    def report_failure(self, server: BackendServer, error: BackendError) -> None:
+        """Note that a server did not answer as it should.
+
+        A connection that did not come up counts against the server. One that was
+        lost, or a statement without an answer, only has the server asked at once:
+        connections are lost and statements slow on servers that work.
+        """
+        log_rate_limited("server_failed", server=server.name, reason=error)
+        if not error.suggests_unreachable:
+            return
+        if isinstance(error, ConnectFailedError):
+            is_down = isinstance(error, ServerDownError)
+            self._table.note_failure(server.name, is_down=is_down)
+        self._suspect(server.name)
+
+    def _connect(
+        self, backend: Backend, values: Mapping[str, str], start_by: float
+    ) -> ServerConnection:
+        def rank(connection: ServerConnection) -> int:
+            return carry_over_cost(values, connection.session)
+
+        while True:
+            try:
+                return backend.pool.acquire(start_by, rank=rank)
+            except PoolTimeoutError as error:
+                raise NotServedError(_no_connection(backend)) from error
+            except ConnectionLimitError as error:
+                # Others hold the rest at present; one of ours may come free.
+                backend.ceiling.note_refused(backend.pool.open_count)
+                backend.adjust()
+                log_rate_limited(
+                    "connections_exhausted",
+                    server=backend.server.name,
+                    ceiling=backend.pool.limit,
+                )
+                if backend.pool.open_count == 0 or self._clock.now() >= start_by:
+                    raise NotServedError(_no_connection(backend)) from error
+            except ConnectFailedError as error:
+                self.report_failure(backend.server, error)
+                raise
+
+
+def roll_back(held: HeldConnection, deadline: float) -> None:
+    """End a transaction on a held connection and give the connection back."""
+    is_good = False
+    try:
+        reply = held.order(Statement(StatementKind.ROLLBACK), deadline)
+        is_good = reply.state is TransactionState.IDLE
+    except (ConnectFailedError, OutcomeUnknownError) as error:
+        # The connection is closed below, which ends the transaction as well.
+        log_rate_limited("rollback_by_close", server=held.server.name, reason=error)
+    finally:
+        held.finish(is_good=is_good)
+
+
+def _may_write(statements: Sequence[Statement]) -> bool:
+    writing = (StatementKind.WRITE, StatementKind.COMMIT)
+    return any(statement.kind in writing for statement in statements)
+
+
+def _no_connection(backend: Backend) -> StatementError:
+    message = f"no connection to {backend.server.name} came free"
+    return StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/connection.py
@@ -0,0 +1,31 @@
+"""What the pooler needs of a connection to a backend server."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from dogwoodspool_backend import PooledConnection
+from dogwoodspool_common import BackendServer
+
+from .models import Reply, Statement
+from .session_state import ConnectionState
+
+
+class ServerConnection(PooledConnection, Protocol):
+    """A connection that carries statements and keeps session state.
+
+    Attributes:
+        server: the backend server.
+        session: values and prepared statements that the connection holds.
+    """
+
+    server: BackendServer
+    session: ConnectionState
+
+    def exchange(self, statements: Sequence[Statement], deadline: float) -> list[Reply]:
+        """Send statements together and return the answer to each.
+
+        Raises:
+            ConnectFailedError: the connection is closed; nothing was sent.
+            OutcomeUnknownError: some answer is missing; the connection is closed.
+        """
+        ...
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -0,0 +1,61 @@
+"""Constants of the pooler library."""
+
+from typing import Final
+
+# Part of a request's target in which it may wait for a place on a server. One that
+# would wait longer is told at once to come back, and finds another proxy's share.
+WAIT_SHARE: Final = 0.25
+# Part of a read's time that its first attempt gets: a connection that went silent
+# shows only by the missing answer, and time must be left for another server.
+READ_ATTEMPT_SHARE: Final = 0.4
+MAX_READ_ATTEMPTS: Final = 4
+MAX_WRITE_ATTEMPTS: Final = 4
+# Pause before a statement that a full server refused is sent to it again: about one
+# statement's time.
+BUSY_RETRY_SECONDS: Final = 0.02
+# Wait for the answer to an order that costs the server nothing, such as a begin.
+SESSION_ORDER_TIMEOUT: Final = 0.5
+
+# Least distance of two marks of freshness, and how long they are kept: above the
+# greatest age that an endpoint states.
+MARK_SPACING_SECONDS: Final = 0.05
+MARK_LIFE_SECONDS: Final = 10.0
+
+# A read prefers its own failure domain until the others are expected to answer so
+# much sooner; above a round trip between failure domains (1 to 3 ms).
+OTHER_DOMAIN_PENALTY: Final = 0.006
+# The primary's slots are wanted by writes: a replica may take so much longer.
+PRIMARY_PENALTY: Final = 0.008
+
+# Connections to one server that this process keeps in use at most, as a part of
+# what the server takes. Proxies are many and unevenly used, so the parts add up to
+# more than there is; the server's refusal lowers the part for a while.
+CONNECTION_SHARE: Final = 0.5
+MIN_CONNECTIONS: Final = 2
+DEFAULT_CONNECTIONS: Final = 16
+CEILING_STEP_SECONDS: Final = 1.0
+IDLE_EXPIRY_SECONDS: Final = 20.0
+CONNECT_TIMEOUT: Final = 0.5
+CHECK_TIMEOUT: Final = 0.25
+# Idle time after which a connection is asked for a sign of life before its use: it
+# may have gone silent meanwhile, and a write that it swallows is in doubt.
+CHECK_AFTER_IDLE: Final = 2.0
+RESET_TIMEOUT: Final = 0.3
+QUEUE_LIMIT: Final = 64
+
+# A write without an answer for so long, while reads have theirs, is reported.
+STALL_REPORT_SECONDS: Final = 0.4
+REPORT_SECONDS: Final = 0.2
+REPORT_CHECK_SECONDS: Final = 0.2
+REPORT_TIMEOUT: Final = 0.6
+# Pause between attempts to reach a server that failed.
+RECOVERY_PROBE_SECONDS: Final = 0.25
+
+NO_PRIMARY_RETRY_MS: Final = 300
+BUSY_RETRY_MS: Final = 50
+WATCH_WAIT_MS: Final = 1_000
+
+REAP_INTERVAL_SECONDS: Final = 0.25
+OWN_REQUEST: Final = "-"
+NO_PROOF: Final = "-"
+PREPARED_NAME_BYTES: Final = 6
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/errors.py
@@ -0,0 +1,25 @@
+"""Errors of the pooler library."""
+
+from dogwoodspool_common import DogwoodspoolError
+
+from .models import StatementError
+
+
+class PoolerError(DogwoodspoolError):
+    """Base of the pooler's own errors."""
+
+
+class NotServedError(PoolerError):
+    """Report a statement that was not given to any server that ran it.
+
+    Attributes:
+        error: what the caller is told.
+    """
+
+    def __init__(self, error: StatementError) -> None:
+        super().__init__(error.message)
+        self.error = error
+
+
+class NoDatabaseError(PoolerError):
+    """Report a database name that no endpoint has."""
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -0,0 +1,138 @@
+"""Reach the server that leads a group, also while the lead moves."""
+
+from collections.abc import Callable
+
+from dogwoodspool_backend import ConnectFailedError, OutcomeUnknownError
+from dogwoodspool_common import BackendServer, Clock, log_rate_limited
+from dogwoodspool_following import ViewStore
+from dogwoodspool_routing import ServerTable
+
+from .access import HeldConnection, ServerAccess
+from .const import MAX_WRITE_ATTEMPTS, NO_PRIMARY_RETRY_MS
+from .errors import NotServedError
+from .models import ErrorCode, Reply, StatementError
+from .placement import PrimaryMemory
+from .requests import Request
+
+# Runs a request on a held connection of a server that may lead.
+Attempt = Callable[[HeldConnection], Reply]
+
+
+class PrimaryPath:
+    """Try the servers that may lead, until one does.
+
+    A server that has lost its place refuses before it runs anything, so that the
+    next may be tried. Where none is left, the view of control is waited for as
+    long as the request may wait.
+    """
+
+    def __init__(
+        self,
+        views: ViewStore,
+        table: ServerTable,
+        access: ServerAccess,
+        clock: Clock,
+    ) -> None:
+        self._views = views
+        self._table = table
+        self._access = access
+        self._clock = clock
+        self._memory = PrimaryMemory()
+        views.add_listener(lambda view: self._memory.note(view.groups.values()))
+
+    def current(self, group: str) -> str | None:
+        """Return the name of the server that probably leads."""
+        candidates = self._candidates(group)
+        return candidates[0].name if candidates else None
+
+    def run(self, request: Request, attempt: Attempt) -> tuple[HeldConnection, Reply]:
+        """Run a request on the primary.
+
+        Returns:
+            The connection, which the caller finishes, and the answer, which is no
+            refusal for want of the lead.
+
+        Raises:
+            NotServedError: nothing of it ran.
+            OutcomeUnknownError: it may have run; the connection is finished.
+        """
+        refused: set[str] = set()
+        for number in range(MAX_WRITE_ATTEMPTS):
+            version = self._views.view.version
+            server = self._next(request.endpoint.group, refused)
+            if server is not None:
+                result = self._try(request, server, attempt)
+                if result is not None:
+                    return result
+                refused.add(server.name)
+            elif not self._await_news(request, version):
+                break
+            else:
+                refused.clear()
+            if number and self._clock.now() >= request.deadline:
+                break
+        raise NotServedError(self._no_primary(request.endpoint.group))
+
+    def _try(
+        self, request: Request, server: BackendServer, attempt: Attempt
+    ) -> tuple[HeldConnection, Reply] | None:
+        try:
+            held = self._access.open(
+                server,
+                request.values,
+                start_by=max(request.start_by, self._clock.now()),
+                priority=request.endpoint.priority,
+            )
+        except ConnectFailedError:
+            return None
+        try:
+            reply = attempt(held)
+        except ConnectFailedError:
+            # The pooled connection had ended; nothing was sent on it.
+            held.finish(is_good=False)
+            return self._try_again(request, server, attempt)
+        except OutcomeUnknownError:
+            held.finish(is_good=False)
+            raise
+        if reply.error is not None and reply.error.code is ErrorCode.READ_ONLY:
+            log_rate_limited(
+                "server_does_not_lead",
+                request=request.statement.request_id,
+                server=server.name,
+                view=self._views.view.version,
+            )
+            held.finish(is_good=True)
+            return None
+        return held, reply
+
+    def _try_again(
+        self, request: Request, server: BackendServer, attempt: Attempt
+    ) -> tuple[HeldConnection, Reply] | None:
+        if self._clock.now() >= request.deadline:
+            return None
+        return self._try(request, server, attempt)
+
+    def _next(self, group: str, refused: set[str]) -> BackendServer | None:
+        for server in self._candidates(group):
+            if server.name not in refused:
+                return server
+        return None
+
+    def _candidates(self, group: str) -> list[BackendServer]:
+        view = self._views.view
+        servers = view.servers_of(group)
+        found = self._memory.candidates(view.groups.get(group), servers)
+        return [one for one in found if not self._is_failing(one.name)]
+
+    def _is_failing(self, name: str) -> bool:
+        known = self._table.get(name)
+        return known is not None and known.is_failing
+
+    def _await_news(self, request: Request, version: int) -> bool:
+        remaining = request.start_by - self._clock.now()
+        return remaining > 0 and self._views.wait_newer(version, remaining)
+
+    def _no_primary(self, group: str) -> StatementError:
+        return StatementError(
+            ErrorCode.BUSY, f"no primary of {group} is reachable", NO_PRIMARY_RETRY_MS
+        )
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -0,0 +1,195 @@
+"""Reads outside of transactions: on a server that has what they must reflect."""
+
+from dataclasses import replace
+
+from dogwoodspool_backend import ConnectFailedError, OutcomeUnknownError
+from dogwoodspool_common import (
+    BackendServer,
+    Clock,
+    Consistency,
+    Position,
+    log_rate_limited,
+)
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ViewStore
+from dogwoodspool_routing import ServerTable
+
+from .access import HeldConnection, ServerAccess
+from .const import (
+    BUSY_RETRY_MS,
+    MAX_READ_ATTEMPTS,
+    READ_ATTEMPT_SHARE,
+    SESSION_ORDER_TIMEOUT,
+)
+from .errors import NotServedError
+from .freshness import FreshnessBook
+from .models import (
+    ErrorCode,
+    Reply,
+    Statement,
+    StatementError,
+    StatementKind,
+    TransactionState,
+)
+from .placement import rank_for_read
+from .primaries import PrimaryPath
+from .requests import Request
+
+
+class ReadPath:
+    """Serve plain reads.
+
+    A read changes nothing, so it moves to another server when one does not answer
+    in time.
+    """
+
+    def __init__(
+        self,
+        views: ViewStore,
+        table: ServerTable,
+        access: ServerAccess,
+        primaries: PrimaryPath,
+        freshness: FreshnessBook,
+        counters: Counters,
+        clock: Clock,
+    ) -> None:
+        self._counters = counters
+        self._views = views
+        self._table = table
+        self._access = access
+        self._primaries = primaries
+        self._freshness = freshness
+        self._clock = clock
+
+    def floor(self, request: Request) -> Position | None:
+        """Return the position that a server must have; None for the primary alone."""
+        endpoint = request.endpoint
+        if endpoint.consistency is Consistency.PRIMARY or request.max_age is None:
+            return None
+        floor = self._freshness.floor(endpoint.group, request.max_age)
+        if floor is None:
+            return None
+        is_own = endpoint.consistency is Consistency.READ_YOUR_WRITES
+        if is_own and request.session_position is not None:
+            return max(floor, request.session_position)
+        return floor
+
+    def run(self, request: Request) -> Reply:
+        """Serve one read.
+
+        Raises:
+            NotServedError: no server took it.
+        """
+        floor = self.floor(request)
+        if floor is None:
+            return self._read_primary(request)
+        excluded: set[str] = set()
+        failed: Reply | None = None
+        for number in range(MAX_READ_ATTEMPTS):
+            server = self.choose(request, excluded)
+            if server is None:
+                break
+            reply = self._try(request, server, floor, number)
+            if reply is not None and reply.error is None:
+                group = request.endpoint.group
+                is_primary = server.name == self._primaries.current(group)
+                self._counters.read_served(group, is_primary)
+                return reply
+            excluded.add(server.name)
+            failed = reply or failed
+            if self._clock.now() >= request.deadline:
+                break
+        if failed is not None and failed.error and not failed.error.code.is_not_run:
+            return failed
+        return self._read_primary(request)
+
+    def choose(self, request: Request, excluded: set[str]) -> BackendServer | None:
+        """Return the best server for a read, None where none is left."""
+        group = request.endpoint.group
+        ranked = rank_for_read(
+            self._table.servers(group),
+            primary=self._primaries.current(group),
+            failure_domain=self._views.failure_domain,
+            excluded=excluded,
+        )
+        return ranked[0].server if ranked else None
+
+    def _try(
+        self, request: Request, server: BackendServer, floor: Position, number: int
+    ) -> Reply | None:
+        """Try one server; None where it gave no answer."""
+        now = self._clock.now()
+        until = request.deadline
+        if number == 0:
+            until = now + (request.deadline - now) * READ_ATTEMPT_SHARE
+        try:
+            held = self._access.open(
+                server,
+                request.values,
+                start_by=max(request.start_by, now),
+                priority=request.endpoint.priority,
+            )
+        except (NotServedError, ConnectFailedError) as error:
+            self._note_moved(request, server, error)
+            return None
+        is_good = False
+        try:
+            statement = replace(request.statement, wait_for=floor)
+            reply = held.run(request.values, statement, request.prepared, until)
+            is_good = True
+        except (ConnectFailedError, OutcomeUnknownError) as error:
+            self._note_moved(request, server, error)
+            return None
+        finally:
+            held.finish(is_good=is_good)
+        if reply.error is not None:
+            self._note_moved(request, server, reply.error.code)
+        return reply
+
+    def _read_primary(self, request: Request) -> Reply:
+        """Read at the primary, inside a transaction that only it can begin.
+
+        A server that has lost its place goes on answering plain reads, with data
+        that lacks what was acknowledged since. It refuses a transaction, and each
+        statement of one that it began before.
+        """
+        held: HeldConnection | None = None
+        try:
+            held, reply = self._primaries.run(
+                request, lambda one: self._read_fenced(one, request)
+            )
+        except OutcomeUnknownError as error:
+            message = f"the primary did not answer: {error}"
+            raise NotServedError(
+                StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
+            ) from error
+        held.finish(is_good=reply.state is not TransactionState.FAILED)
+        if reply.error is None:
+            self._counters.read_served(request.endpoint.group, by_primary=True)
+        return reply
+
+    def _read_fenced(self, held: HeldConnection, request: Request) -> Reply:
+        now = self._clock.now()
+        order_by = min(request.deadline, now + SESSION_ORDER_TIMEOUT)
+        begun = held.order(Statement(StatementKind.BEGIN), order_by)
+        if begun.error is not None:
+            return begun
+        self._access.note_fresh(held.server, begun.position, now)
+        return held.run_then(
+            request.values,
+            request.statement,
+            request.prepared,
+            Statement(StatementKind.ROLLBACK),
+            request.deadline,
+        )
+
+    def _note_moved(
+        self, request: Request, server: BackendServer, reason: object
+    ) -> None:
+        log_rate_limited(
+            "read_moved",
+            request=request.statement.request_id,
+            database=request.endpoint.database,
+            server=server.name,
+            reason=reason,
+        )
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -0,0 +1,129 @@
+"""Pools and admission queues of the backend servers that this process uses."""
+
+import threading
+from dataclasses import dataclass
+
+from dogwoodspool_backend import ConnectionPool, Connector, PoolSettings
+from dogwoodspool_common import BackendServer, Clock
+from dogwoodspool_following import ProxyView, ViewStore
+from dogwoodspool_limits import AdmissionQueue
+
+from .ceiling import ConnectionCeiling
+from .connection import ServerConnection
+from .const import (
+    CHECK_AFTER_IDLE,
+    CHECK_TIMEOUT,
+    CONNECT_TIMEOUT,
+    CONNECTION_SHARE,
+    DEFAULT_CONNECTIONS,
+    IDLE_EXPIRY_SECONDS,
+    QUEUE_LIMIT,
+    RESET_TIMEOUT,
+)
+
+POOL_SETTINGS = PoolSettings(
+    connect_timeout=CONNECT_TIMEOUT,
+    check_timeout=CHECK_TIMEOUT,
+    check_after_idle=CHECK_AFTER_IDLE,
+    reset_timeout=RESET_TIMEOUT,
+    idle_expiry=IDLE_EXPIRY_SECONDS,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """One backend server with what bounds the work on it."""
+
+    server: BackendServer
+    pool: ConnectionPool[ServerConnection]
+    admission: AdmissionQueue
+    ceiling: ConnectionCeiling
+
+    def adjust(self) -> None:
+        """Put the present ceiling in force."""
+        limit = self.ceiling.value()
+        if limit != self.pool.limit:
+            self.pool.set_limit(limit)
+            self.admission.set_max_in_flight(limit)
+
+
+class BackendRegistry:
+    """Keep a pool and an admission queue for each backend server.
+
+    A server that starts again is another process: connections to the one before
+    are dropped.
+    """
+
+    def __init__(
+        self,
+        views: ViewStore,
+        connector: Connector[ServerConnection],
+        clock: Clock,
+    ) -> None:
+        self._views = views
+        self._connector = connector
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._backends: dict[str, Backend] = {}
+
+    def set_up(self) -> None:
+        """Follow the view."""
+        self._views.add_listener(self._follow)
+
+    def unload(self) -> None:
+        """Close idle connections."""
+        with self._lock:
+            backends = list(self._backends.values())
+            self._backends.clear()
+        for backend in backends:
+            backend.pool.unload()
+
+    def backend(self, server: BackendServer) -> Backend:
+        """Return what bounds the work on a server."""
+        with self._lock:
+            known = self._backends.get(server.name)
+            if known is not None and _is_same_process(known.server, server):
+                return known
+            backend = self._build(server)
+            self._backends[server.name] = backend
+        if known is not None:
+            known.pool.unload()
+        return backend
+
+    def all(self) -> list[Backend]:
+        """Return all that are in use."""
+        with self._lock:
+            return list(self._backends.values())
+
+    def _build(self, server: BackendServer) -> Backend:
+        highest = self._highest(server)
+        pool = ConnectionPool(
+            server, self._connector, self._clock, POOL_SETTINGS, highest
+        )
+        admission = AdmissionQueue(self._clock, server.slots, highest, QUEUE_LIMIT)
+        ceiling = ConnectionCeiling(self._clock, highest)
+        return Backend(server, pool, admission, ceiling)
+
+    def _highest(self, server: BackendServer) -> int:
+        settings = self._views.settings(server.group)
+        connections = settings.server_connections or server.connections
+        return int((connections or DEFAULT_CONNECTIONS) * CONNECTION_SHARE)
+
+    def _follow(self, view: ProxyView) -> None:
+        with self._lock:
+            dropped = [
+                self._backends.pop(name)
+                for name, backend in list(self._backends.items())
+                if name not in view.servers
+                or not _is_same_process(backend.server, view.servers[name])
+            ]
+            kept = list(self._backends.values())
+        for backend in dropped:
+            backend.pool.unload()
+        for backend in kept:
+            backend.ceiling.set_highest(self._highest(backend.server))
+            backend.adjust()
+
+
+def _is_same_process(one: BackendServer, other: BackendServer) -> bool:
+    return (one.address, one.incarnation) == (other.address, other.incarnation)
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/reporting.py
@@ -0,0 +1,92 @@
+"""Tell control of servers that give trouble."""
+
+from dogwoodspool_api import ServerReport, ServerReports
+from dogwoodspool_api.const import PATH_REPORTS
+from dogwoodspool_common import (
+    Clock,
+    HttpError,
+    JsonClient,
+    PeerRefusedError,
+    log_event,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ControlPeers, Coordinator
+from dogwoodspool_routing import ServerTable
+
+from .const import REPORT_CHECK_SECONDS, REPORT_SECONDS, REPORT_TIMEOUT
+from .stalls import StallBook
+
+NOT_LEADER = "not_leader"
+
+
+class ReportCoordinator(Coordinator):
+    """Report while there is trouble, and once more when it is over.
+
+    Without trouble nothing is sent: at thousands of proxies steady reports would
+    be most of what the leader has to do.
+    """
+
+    def __init__(
+        self,
+        proxy: str,
+        failure_domain: str,
+        table: ServerTable,
+        stalls: StallBook,
+        peers: ControlPeers,
+        client: JsonClient,
+        clock: Clock,
+    ) -> None:
+        super().__init__("control-report", clock)
+        self._proxy = proxy
+        self._failure_domain = failure_domain
+        self._table = table
+        self._stalls = stalls
+        self._peers = peers
+        self._client = client
+        self._has_reported = False
+
+    def step(self) -> float:
+        """Report once where there is something to report."""
+        reports = self._reports()
+        if not reports and not self._has_reported:
+            return REPORT_CHECK_SECONDS
+        self._has_reported = bool(reports)
+        message = ServerReports(
+            proxy=self._proxy, failure_domain=self._failure_domain, reports=reports
+        )
+        self._send(message)
+        return REPORT_SECONDS
+
+    def _reports(self) -> list[ServerReport]:
+        stalled = self._stalls.stalled_seconds()
+        failing = {
+            seen.server: seen
+            for seen in self._table.observations()
+            if seen.unreachable_ms > 0
+        }
+        reports = []
+        for name in sorted({*stalled, *failing}):
+            seen = failing.get(name)
+            reports.append(
+                ServerReport(
+                    server=name,
+                    failing_ms=seen.unreachable_ms if seen else 0.0,
+                    refusing_ms=seen.down_ms if seen else 0.0,
+                    stalled_ms=stalled.get(name, 0.0) * MILLISECONDS,
+                )
+            )
+        return reports
+
+    def _send(self, message: ServerReports) -> None:
+        address = self._peers.leader_or_next()
+        try:
+            self._client.post(
+                address, PATH_REPORTS, message.model_dump(mode="json"), REPORT_TIMEOUT
+            )
+        except PeerRefusedError as error:
+            self._peers.note_failure(address)
+            if error.code == NOT_LEADER:
+                self._peers.note_leader(error.detail)
+        except HttpError as error:
+            log_event("report_failed", address=address, reason=error)
+            self._peers.note_failure(address)
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -0,0 +1,48 @@
+"""One caller's request on its way through the pooler."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from dogwoodspool_common import Endpoint, Position
+from dogwoodspool_common.const import MILLISECONDS
+
+from .const import WAIT_SHARE
+from .models import Prepared, Statement
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A statement with all that decides where and how it runs.
+
+    Attributes:
+        endpoint: what its database promises.
+        statement: what the caller sent.
+        values: the session's values.
+        prepared: what it executes, where it executes a prepared statement.
+        session_position: the session's last commit; None before the first.
+        arrived_at: clock seconds.
+    """
+
+    endpoint: Endpoint
+    statement: Statement
+    values: Mapping[str, str]
+    prepared: Prepared | None
+    session_position: Position | None
+    arrived_at: float
+
+    @property
+    def deadline(self) -> float:
+        """Clock time from which an answer is of no use."""
+        return self.arrived_at + self.endpoint.deadline_ms / MILLISECONDS
+
+    @property
+    def start_by(self) -> float:
+        """Clock time until which it may wait for a place on a server."""
+        target = min(self.endpoint.target_latency_ms, self.endpoint.deadline_ms)
+        return self.arrived_at + target * WAIT_SHARE / MILLISECONDS
+
+    @property
+    def max_age(self) -> float | None:
+        """Greatest age of the data in seconds, where it is bounded."""
+        age_ms = self.endpoint.max_age_ms
+        return None if age_ms is None else age_ms / MILLISECONDS
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -0,0 +1,150 @@
+"""Wire the parts of a pooling proxy together."""
+
+from dogwoodspool_backend import Connector
+from dogwoodspool_common import Address, Clock, JsonClient, log_event
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import (
+    ControlPeers,
+    ProxyView,
+    ViewStore,
+    WatchCoordinator,
+)
+from dogwoodspool_routing import ServerTable
+
+from .access import ServerAccess
+from .connection import ServerConnection
+from .const import WATCH_WAIT_MS
+from .freshness import FreshnessBook
+from .primaries import PrimaryPath
+from .reads import ReadPath
+from .recovery import RecoveryProber
+from .registry import BackendRegistry
+from .reporting import ReportCoordinator
+from .session import PooledSession
+from .sessions import PooledSessions
+from .stalls import StallBook
+from .transactions import TransactionPath
+from .writes import WritePath
+
+
+class PoolerRuntime:
+    """Hold the parts of one proxy; the program gives it clock and connector.
+
+    Args:
+        name: name of this instance.
+        failure_domain: where it runs.
+        control: control processes that are known at the start.
+        connector: opens connections to backend servers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        control: tuple[Address, ...],
+        connector: Connector[ServerConnection],
+        client: JsonClient,
+        clock: Clock,
+    ) -> None:
+        self._views = ViewStore(failure_domain, clock)
+        self._peers = ControlPeers(control, failure_domain)
+        self._table = ServerTable(clock)
+        self._registry = BackendRegistry(self._views, connector, clock)
+        self._counters = Counters()
+        self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
+        stalls, freshness = StallBook(clock), FreshnessBook(clock)
+        access = ServerAccess(
+            self._registry,
+            self._table,
+            stalls,
+            freshness,
+            self._recovery.suspect,
+            clock,
+        )
+        primaries = PrimaryPath(self._views, self._table, access, clock)
+        reads = ReadPath(
+            self._views,
+            self._table,
+            access,
+            primaries,
+            freshness,
+            self._counters,
+            clock,
+        )
+        self._sessions = PooledSessions(
+            self._views,
+            reads,
+            WritePath(primaries, access, clock),
+            TransactionPath(self._views, reads, primaries, access, clock),
+            self._counters,
+            clock,
+        )
+        self._watch = WatchCoordinator(
+            self._views, self._peers, client, clock, WATCH_WAIT_MS
+        )
+        self._reports = ReportCoordinator(
+            name, failure_domain, self._table, stalls, self._peers, client, clock
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a confirmed state with a document has come from control."""
+        return bool(self._views.view.databases)
+
+    @property
+    def view_version(self) -> int:
+        """Version of the committed state in force here."""
+        return self._views.view.version
+
+    @property
+    def open_sessions(self) -> int:
+        """Caller sessions that are open."""
+        return self._sessions.count
+
+    def open_session(self, database: str) -> PooledSession:
+        """Return a session; raise ``NoDatabaseError`` for an unknown database."""
+        return self._sessions.open(database)
+
+    def set_up(self) -> None:
+        """Begin to follow control and to serve."""
+        self._views.add_listener(self._follow)
+        self._registry.set_up()
+        self._watch.set_up()
+        self._recovery.set_up()
+        self._reports.set_up()
+        self._sessions.set_up()
+
+    def unload(self) -> None:
+        """Stop; sessions that are open have ended before."""
+        self._sessions.unload()
+        self._reports.unload()
+        self._recovery.unload()
+        self._registry.unload()
+
+    def metrics(self) -> str:
+        """Return the metrics page."""
+        lines = [
+            f"dogwoodspool_view_version {self.view_version}",
+            f"dogwoodspool_sessions_open {self.open_sessions}",
+        ]
+        for backend in self._registry.all():
+            label = f'{{server="{backend.server.name}"}}'
+            pool = backend.pool
+            lines.append(f"dogwoodspool_connections_open{label} {pool.open_count}")
+            lines.append(f"dogwoodspool_connections_limit{label} {pool.limit}")
+            lines.append(f"dogwoodspool_connections_in_use{label} {pool.in_use}")
+            waiting = backend.admission.waiting
+            lines.append(f"dogwoodspool_statements_waiting{label} {waiting}")
+        return self._counters.page() + "\n".join(lines) + "\n"
+
+    def _follow(self, view: ProxyView) -> None:
+        self._table.adopt_committed(view.servers.values())
+        log_event(
+            "view_in_force",
+            version=view.version,
+            databases=len(view.databases),
+            groups=",".join(
+                f"{one.name}:{one.term}:{one.primary}:{one.phase}"
+                for one in view.groups.values()
+            ),
+        )
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -0,0 +1,253 @@
+"""One caller's session: its values, prepared statements and open transaction."""
+
+import threading
+from collections.abc import Callable
+
+from dogwoodspool_common import (
+    Clock,
+    Consistency,
+    Endpoint,
+    Position,
+    log_rate_limited,
+)
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ViewStore
+
+from .errors import NotServedError
+from .models import (
+    Access,
+    Answer,
+    ErrorCode,
+    Prepared,
+    Reply,
+    Statement,
+    StatementError,
+    StatementKind,
+    TransactionState,
+)
+from .reads import ReadPath
+from .requests import Request
+from .session_state import SessionState
+from .transactions import Transaction, TransactionPath
+from .writes import WritePath
+
+RUNNING_KINDS = (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE)
+BEGINNING_KINDS = (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY)
+
+
+class PooledSession:
+    """Serve one caller connection.
+
+    What a session sets and prepares is kept here and answered at once; servers
+    learn of it when a statement needs it.
+    """
+
+    def __init__(
+        self,
+        database: str,
+        views: ViewStore,
+        reads: ReadPath,
+        writes: WritePath,
+        transactions: TransactionPath,
+        counters: Counters,
+        clock: Clock,
+        on_close: "Callable[[PooledSession], None]",
+    ) -> None:
+        self._database = database
+        self._views = views
+        self._reads = reads
+        self._writes = writes
+        self._transactions = transactions
+        self._counters = counters
+        self._clock = clock
+        self._on_close = on_close
+        self._lock = threading.Lock()
+        self._state = SessionState()
+        self._position: Position | None = None
+        self._transaction: Transaction | None = None
+
+    @property
+    def state(self) -> TransactionState:
+        """Where the session stands."""
+        if self._transaction is None:
+            return TransactionState.IDLE
+        if self._transaction.has_failed:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    def run(self, statement: Statement) -> Answer:
+        """Run one statement; every failure is part of the answer."""
+        arrived_at = self._clock.now()
+        with self._lock:
+            answer = self._run(statement, arrived_at)
+        outcome = "ok" if answer.error is None else answer.error.code
+        elapsed = self._clock.now() - arrived_at
+        self._counters.answered(statement.kind, outcome, elapsed)
+        if answer.error is not None:
+            log_rate_limited(
+                "request_not_served",
+                request=statement.request_id,
+                database=self._database,
+                kind=statement.kind,
+                code=answer.error.code,
+                reason=answer.error.message,
+                retry_after_ms=answer.error.retry_after_ms,
+                elapsed_ms=round(elapsed * 1000, 1),
+                view=self._views.view.version,
+                state=answer.state,
+            )
+        return answer
+
+    def close(self) -> None:
+        """Undo an open transaction and forget the session."""
+        with self._lock:
+            if self._transaction is not None:
+                self._transactions.abort(self._transaction)
+                self._transaction = None
+        self._on_close(self)
+
+    def expire_transaction(self) -> None:
+        """Undo a transaction whose caller has done nothing for too long."""
+        if not self._lock.acquire(blocking=False):
+            return  # A statement runs; its own deadline bounds it.
+        try:
+            transaction = self._transaction
+            if transaction is None or transaction.held is None:
+                return
+            if self._transactions.is_expired(transaction):
+                log_rate_limited("transaction_expired", database=self._database)
+                self._transactions.abort(transaction)
+        finally:
+            self._lock.release()
+
+    def _run(self, statement: Statement, arrived_at: float) -> Answer:
+        kind = statement.kind
+        if kind is StatementKind.ROLLBACK:
+            return self._roll_back()
+        if kind is StatementKind.COMMIT:
+            return self._commit(statement, arrived_at)
+        if self.state is TransactionState.FAILED:
+            message = "the transaction has failed; end it first"
+            return self._refuse(ErrorCode.MALFORMED, message)
+        if kind in BEGINNING_KINDS:
+            return self._begin(statement, arrived_at)
+        if kind in RUNNING_KINDS:
+            return self._run_on_group(statement, arrived_at)
+        return self._change_state(statement)
+
+    def _change_state(self, statement: Statement) -> Answer:
+        match statement.kind:
+            case StatementKind.SET:
+                self._state.values[statement.name] = statement.argument
+            case StatementKind.PREPARE:
+                access = statement.access or Access.READ
+                prepared = Prepared(access, statement.argument)
+                self._state.prepared[statement.name] = prepared
+            case StatementKind.DEALLOCATE:
+                if self._state.prepared.pop(statement.name, None) is None:
+                    return self._unknown_statement(statement)
+            case _:
+                message = "not a statement of callers"
+                return self._refuse(ErrorCode.MALFORMED, message)
+        return Answer(self.state)
+
+    def _begin(self, statement: Statement, arrived_at: float) -> Answer:
+        if self._transaction is not None:
+            return self._refuse(ErrorCode.MALFORMED, "a transaction is open already")
+        endpoint = self._endpoint()
+        if endpoint is None:
+            return self._no_database()
+        is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
+        self._transaction = Transaction(endpoint, arrived_at, is_read_only=is_read_only)
+        return Answer(TransactionState.OPEN)
+
+    def _roll_back(self) -> Answer:
+        if self._transaction is not None:
+            self._transactions.abort(self._transaction)
+            self._transaction = None
+        return Answer(TransactionState.IDLE)
+
+    def _commit(self, statement: Statement, arrived_at: float) -> Answer:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(ErrorCode.MALFORMED, "no transaction is open")
+        request = self._request(transaction.endpoint, statement, None, arrived_at)
+        reply = self._transactions.commit(transaction, request)
+        self._transaction = None
+        if reply.error is None:
+            self._advance(transaction.endpoint, reply.position)
+        return self._answer(reply)
+
+    def _run_on_group(self, statement: Statement, arrived_at: float) -> Answer:
+        prepared = None
+        if statement.kind is StatementKind.EXECUTE:
+            prepared = self._state.prepared.get(statement.name)
+            if prepared is None:
+                return self._unknown_statement(statement)
+        if self._transaction is not None:
+            endpoint = self._transaction.endpoint
+            request = self._request(endpoint, statement, prepared, arrived_at)
+            return self._answer(self._transactions.run(self._transaction, request))
+        current = self._endpoint()
+        if current is None:
+            return self._no_database()
+        request = self._request(current, statement, prepared, arrived_at)
+        try:
+            return self._answer(self._run_alone(request))
+        except NotServedError as error:
+            return Answer(TransactionState.IDLE, error=error.error)
+
+    def _run_alone(self, request: Request) -> Reply:
+        if not _writes(request):
+            return self._reads.run(request)
+        reply = self._writes.run(request)
+        if reply.error is None:
+            self._advance(request.endpoint, reply.position)
+        return reply
+
+    def _request(
+        self,
+        endpoint: Endpoint,
+        statement: Statement,
+        prepared: Prepared | None,
+        arrived_at: float,
+    ) -> Request:
+        return Request(
+            endpoint=endpoint,
+            statement=statement,
+            values=self._state.values,
+            prepared=prepared,
+            session_position=self._position,
+            arrived_at=arrived_at,
+        )
+
+    def _endpoint(self) -> Endpoint | None:
+        return self._views.view.databases.get(self._database)
+
+    def _advance(self, endpoint: Endpoint, position: Position | None) -> None:
+        if position is None or endpoint.consistency is Consistency.PRIMARY:
+            return
+        if self._position is None or position > self._position:
+            self._position = position
+
+    def _answer(self, reply: Reply) -> Answer:
+        return Answer(self.state, reply.rows, reply.proof, reply.error)
+
+    def _refuse(self, code: ErrorCode, message: str) -> Answer:
+        return Answer(self.state, error=StatementError(code, message))
+
+    def _unknown_statement(self, statement: Statement) -> Answer:
+        if self._transaction is not None:
+            self._transactions.abort(self._transaction)
+        message = f"no statement {statement.name} is prepared"
+        return self._refuse(ErrorCode.UNKNOWN_STATEMENT, message)
+
+    def _no_database(self) -> Answer:
+        message = f"there is no database {self._database}"
+        return self._refuse(ErrorCode.NO_DATABASE, message)
+
+
+def _writes(request: Request) -> bool:
+    if request.prepared is not None:
+        return request.prepared.access is Access.WRITE
+    return request.statement.kind is StatementKind.WRITE
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/stalls.py
@@ -0,0 +1,61 @@
+"""Notice servers that answer reads and leave writes without an answer."""
+
+import itertools
+import threading
+from dataclasses import dataclass, field
+
+from dogwoodspool_common import Clock
+
+from .const import STALL_REPORT_SECONDS
+
+
+@dataclass(slots=True)
+class _Writes:
+    outstanding: dict[int, float] = field(default_factory=dict)
+    unanswered_since: float | None = None
+
+
+class StallBook:
+    """Measure for how long a server has left writes without an answer.
+
+    A primary that is cut off from its replicas gets no acknowledgement from them
+    and answers no write, while reads look healthy.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._ids = itertools.count()
+        self._servers: dict[str, _Writes] = {}
+
+    def begin(self, server: str) -> int:
+        """Note that a write was sent; return its number for ``end``."""
+        number = next(self._ids)
+        with self._lock:
+            writes = self._servers.setdefault(server, _Writes())
+            writes.outstanding[number] = self._clock.now()
+        return number
+
+    def end(self, server: str, number: int, *, is_answered: bool) -> None:
+        """Note that a write was answered, or given up."""
+        with self._lock:
+            writes = self._servers[server]
+            sent_at = writes.outstanding.pop(number)
+            if is_answered:
+                writes.unanswered_since = None
+            elif writes.unanswered_since is None:
+                writes.unanswered_since = sent_at
+
+    def stalled_seconds(self) -> dict[str, float]:
+        """Return for how long each server's writes have had no answer."""
+        now = self._clock.now()
+        stalled = {}
+        with self._lock:
+            for name, writes in self._servers.items():
+                times = list(writes.outstanding.values())
+                if writes.unanswered_since is not None:
+                    times.append(writes.unanswered_since)
+                elapsed = now - min(times, default=now)
+                if elapsed >= STALL_REPORT_SECONDS:
+                    stalled[name] = elapsed
+        return stalled
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -0,0 +1,276 @@
+"""Transactions: one connection from the first statement to the end."""
+
+from dogwoodspool_backend import BackendError, ConnectFailedError, OutcomeUnknownError
+from dogwoodspool_common import (
+    BackendServer,
+    Clock,
+    Consistency,
+    Endpoint,
+    log_rate_limited,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ViewStore
+
+from .access import HeldConnection, ServerAccess, roll_back
+from .const import (
+    BUSY_RETRY_SECONDS,
+    MAX_READ_ATTEMPTS,
+    NO_PRIMARY_RETRY_MS,
+    SESSION_ORDER_TIMEOUT,
+)
+from .errors import NotServedError
+from .models import (
+    ErrorCode,
+    Reply,
+    Statement,
+    StatementError,
+    StatementKind,
+    TransactionState,
+)
+from .primaries import PrimaryPath
+from .reads import ReadPath
+from .requests import Request
+from .writes import in_doubt
+
+
+class Transaction:
+    """One open transaction of a caller.
+
+    The connection is taken with the first statement: callers pause between their
+    statements, and connections are scarce.
+
+    Attributes:
+        endpoint: what its database promised when it began.
+        is_read_only: the caller said so when it began.
+        idle_since: clock time of its last statement's end.
+        held: the connection; None before the first statement and after a failure.
+        has_failed: it is undone, and only its end is missing.
+    """
+
+    def __init__(
+        self, endpoint: Endpoint, began_at: float, *, is_read_only: bool
+    ) -> None:
+        self.endpoint = endpoint
+        self.is_read_only = is_read_only
+        self.idle_since = began_at
+        self.held: HeldConnection | None = None
+        self.has_failed = False
+
+    @property
+    def needs_primary(self) -> bool:
+        """Tell whether only the primary can serve it."""
+        is_primary_only = self.endpoint.consistency is Consistency.PRIMARY
+        return not self.is_read_only or is_primary_only
+
+
+class TransactionPath:
+    """Serve the statements of transactions."""
+
+    def __init__(
+        self,
+        views: ViewStore,
+        reads: ReadPath,
+        primaries: PrimaryPath,
+        access: ServerAccess,
+        clock: Clock,
+    ) -> None:
+        self._views = views
+        self._reads = reads
+        self._primaries = primaries
+        self._access = access
+        self._clock = clock
+
+    def run(self, transaction: Transaction, request: Request) -> Reply:
+        """Run a read or write of a transaction.
+
+        After any error the transaction is undone.
+        """
+        try:
+            held = transaction.held or self._begin(transaction, request)
+            reply = self._run_held(transaction, held, request)
+        except NotServedError as error:
+            self.abort(transaction)
+            return _refused(error.error)
+        except BackendError as error:
+            return self._lost(transaction, request, error)
+        finally:
+            transaction.idle_since = self._clock.now()
+        if reply.error is not None:
+            self.abort(transaction)
+        return reply
+
+    def commit(self, transaction: Transaction, request: Request) -> Reply:
+        """Commit; whatever comes of it, the transaction is over."""
+        if transaction.has_failed:
+            return _refused(_undone("the transaction was rolled back"))
+        try:
+            held = transaction.held or self._begin(transaction, request)
+        except NotServedError as error:
+            return _refused(error.error)
+        except BackendError as error:
+            return self._lost(transaction, request, error)
+        try:
+            reply = self._commit_held(transaction, held, request)
+        except ConnectFailedError as error:
+            # The connection had ended before: nothing was sent, all is undone.
+            return self._lost(transaction, request, error)
+        except OutcomeUnknownError as error:
+            held.finish(is_good=False)
+            transaction.held = None
+            log_rate_limited(
+                "commit_in_doubt",
+                request=request.statement.request_id,
+                server=held.server.name,
+                reason=error,
+            )
+            return in_doubt("the commit was sent and no answer came")
+        if reply.state is TransactionState.IDLE:
+            held.finish(is_good=True)
+            transaction.held = None
+        else:
+            self.abort(transaction)
+        if reply.error is not None and reply.error.code.is_not_run:
+            return _refused(_undone(f"the commit was refused: {reply.error.message}"))
+        return reply
+
+    def abort(self, transaction: Transaction) -> None:
+        """Undo a transaction and give its connection back."""
+        transaction.has_failed = True
+        held, transaction.held = transaction.held, None
+        if held is not None:
+            roll_back(held, self._clock.now() + SESSION_ORDER_TIMEOUT)
+
+    def is_expired(self, transaction: Transaction) -> bool:
+        """Tell whether a transaction has done nothing for too long."""
+        settings = self._views.settings(transaction.endpoint.group)
+        limit = settings.max_transaction_idle_ms / MILLISECONDS
+        return self._clock.now() - transaction.idle_since >= limit
+
+    def _run_held(
+        self, transaction: Transaction, held: HeldConnection, request: Request
+    ) -> Reply:
+        while True:
+            asked_at = self._clock.now()
+            reply = held.run(
+                request.values, request.statement, request.prepared, request.deadline
+            )
+            if reply.error is None:
+                if transaction.needs_primary:
+                    self._access.note_fresh(held.server, reply.position, asked_at)
+                return reply
+            is_busy = reply.error.code is ErrorCode.BUSY
+            still_open = reply.state is TransactionState.OPEN
+            pause_ends = self._clock.now() + BUSY_RETRY_SECONDS
+            if not is_busy or not still_open or pause_ends >= request.deadline:
+                return reply
+            self._clock.sleep(BUSY_RETRY_SECONDS)
+
+    def _commit_held(
+        self, transaction: Transaction, held: HeldConnection, request: Request
+    ) -> Reply:
+        asked_at = self._clock.now()
+        reply = self._run_held(transaction, held, request)
+        if reply.error is None and transaction.needs_primary:
+            self._access.note_fresh(held.server, reply.position, asked_at)
+        return reply
+
+    def _begin(self, transaction: Transaction, request: Request) -> HeldConnection:
+        if transaction.needs_primary:
+            held = self._begin_on_primary(request)
+        else:
+            held = self._begin_on_replica(request)
+        transaction.held = held
+        return held
+
+    def _begin_on_primary(self, request: Request) -> HeldConnection:
+        try:
+            held, reply = self._primaries.run(
+                request, lambda one: self._order_begin(one, request)
+            )
+        except OutcomeUnknownError as error:
+            message = f"the primary did not begin the transaction: {error}"
+            raise NotServedError(
+                StatementError(ErrorCode.BUSY, message, NO_PRIMARY_RETRY_MS)
+            ) from error
+        if reply.error is not None:
+            held.finish(is_good=True)
+            raise NotServedError(reply.error)
+        return held
+
+    def _order_begin(self, held: HeldConnection, request: Request) -> Reply:
+        now = self._clock.now()
+        order_by = min(request.deadline, now + SESSION_ORDER_TIMEOUT)
+        reply = held.order(Statement(StatementKind.BEGIN), order_by)
+        if reply.error is None:
+            self._access.note_fresh(held.server, reply.position, now)
+        return reply
+
+    def _begin_on_replica(self, request: Request) -> HeldConnection:
+        floor = self._reads.floor(request)
+        if floor is None:
+            return self._begin_on_primary(request)
+        begin = Statement(StatementKind.BEGIN_READ_ONLY, wait_for=floor)
+        excluded: set[str] = set()
+        for _attempt in range(MAX_READ_ATTEMPTS):
+            server = self._reads.choose(request, excluded)
+            if server is None:
+                break
+            excluded.add(server.name)
+            held = self._try_begin(request, begin, server)
+            if held is not None:
+                return held
+        return self._begin_on_primary(request)
+
+    def _try_begin(
+        self, request: Request, begin: Statement, server: BackendServer
+    ) -> HeldConnection | None:
+        now = self._clock.now()
+        try:
+            held = self._access.open(
+                server,
+                request.values,
+                start_by=max(request.start_by, now),
+                priority=request.endpoint.priority,
+            )
+        except (NotServedError, ConnectFailedError) as error:
+            log_rate_limited("read_moved", server=server.name, reason=error)
+            return None
+        try:
+            reply = held.order(
+                begin, min(request.deadline, now + SESSION_ORDER_TIMEOUT)
+            )
+        except BackendError as error:
+            held.finish(is_good=False)
+            log_rate_limited("read_moved", server=server.name, reason=error)
+            return None
+        if reply.error is None:
+            return held
+        held.finish(is_good=True)
+        return None
+
+    def _lost(
+        self, transaction: Transaction, request: Request, error: BackendError
+    ) -> Reply:
+        """Answer after the connection was lost without a commit on its way.
+
+        A server undoes a transaction whose connection ends, so nothing is kept.
+        """
+        held, transaction.held = transaction.held, None
+        transaction.has_failed = True
+        if held is not None:
+            held.finish(is_good=False)
+        log_rate_limited(
+            "transaction_lost",
+            request=request.statement.request_id,
+            database=request.endpoint.database,
+            reason=error,
+        )
+        return _refused(_undone("the server was lost; the transaction is undone"))
+
+
+def _undone(message: str) -> StatementError:
+    return StatementError(ErrorCode.ABORTED, message)
+
+
+def _refused(error: StatementError) -> Reply:
+    return Reply((), "", error, TransactionState.FAILED, None)
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -0,0 +1,66 @@
+"""Writes outside of transactions."""
+
+from dogwoodspool_backend import OutcomeUnknownError
+from dogwoodspool_common import Clock, log_rate_limited
+
+from .access import HeldConnection, ServerAccess
+from .const import BUSY_RETRY_SECONDS
+from .models import ErrorCode, Reply, StatementError, TransactionState
+from .primaries import PrimaryPath
+from .requests import Request
+
+
+class WritePath:
+    """Serve writes that commit by themselves.
+
+    A write is sent again only after the server said that it has not run it.
+    """
+
+    def __init__(
+        self, primaries: PrimaryPath, access: ServerAccess, clock: Clock
+    ) -> None:
+        self._primaries = primaries
+        self._access = access
+        self._clock = clock
+
+    def run(self, request: Request) -> Reply:
+        """Serve one write.
+
+        Raises:
+            NotServedError: it did not run.
+        """
+        try:
+            held, reply = self._primaries.run(
+                request, lambda one: self._attempt(one, request)
+            )
+        except OutcomeUnknownError as error:
+            log_rate_limited(
+                "write_in_doubt",
+                request=request.statement.request_id,
+                database=request.endpoint.database,
+                reason=error,
+            )
+            message = "the write was sent and no answer came"
+            return in_doubt(message)
+        held.finish(is_good=reply.state is TransactionState.IDLE)
+        return reply
+
+    def _attempt(self, held: HeldConnection, request: Request) -> Reply:
+        while True:
+            asked_at = self._clock.now()
+            reply = held.run(
+                request.values, request.statement, request.prepared, request.deadline
+            )
+            if reply.error is None:
+                self._access.note_fresh(held.server, reply.position, asked_at)
+                return reply
+            is_busy = reply.error.code is ErrorCode.BUSY
+            if not is_busy or self._clock.now() >= request.start_by:
+                return reply
+            self._clock.sleep(BUSY_RETRY_SECONDS)
+
+
+def in_doubt(message: str) -> Reply:
+    """Return the answer to a request that may have run."""
+    error = StatementError(ErrorCode.IN_DOUBT, message)
+    return Reply((), "", error, TransactionState.IDLE, None)
--- a/packages/proxy/src/dogwoodspool_proxy/acks.py
+++ b/packages/proxy/src/dogwoodspool_proxy/acks.py
@@ -5,12 +5,12 @@
 from dogwoodspool_backend import BackendConnection, BackendError, PoolTimeoutError
 from dogwoodspool_common import BackendServer, Clock, Position, log_event
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ProxyView, ViewStore
 from dogwoodspool_routing import ServerTable
 from dogwoodspool_sessions import is_covered
 
 from .backends import Backend, BackendRegistry
 from .const import ACK_IDLE_SECONDS, ACK_WAIT_SLICE_SECONDS, RETRY_PAUSE_SECONDS
-from .view import ProxyView, ViewStore
 
 
 class ReplicaAcks:
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -5,7 +5,7 @@
 import uuid
 
 from dogwoodspool_api import Observation, RenewRequest
-from dogwoodspool_backend import ConnectionPool, Prober
+from dogwoodspool_backend import MySqlPool, Prober
 from dogwoodspool_common import (
     Address,
     BackendServer,
@@ -17,6 +17,8 @@
     log_event,
 )
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ControlPeers, ProxyView, ViewStore, WatchCoordinator
 from dogwoodspool_gateway import CallerListener
 from dogwoodspool_limits import RetryBudget
 from dogwoodspool_routing import ServerTable
@@ -24,8 +26,6 @@
 from .access import BackendAccess
 from .acks import ReplicaAcks
 from .backends import BackendRegistry
-from .control_peers import ControlPeers
-from .counters import Counters
 from .diagnostics import ProxyDiagnostics
 from .endpoints import ProxyEndpoints
 from .grants import GrantBook
@@ -37,8 +37,6 @@
 from .routers import GroupRouters
 from .sessions import CallerSessions, TransactionReaper
 from .transactions import TransactionPath
-from .view import ProxyView, ViewStore
-from .watch import WatchCoordinator
 from .writes import WritePath
 
 
@@ -219,7 +217,7 @@
         address = Address.parse(settings.http_listen)
         self._http = JsonServer(address, signer, endpoints.routes())
 
-    def _pool_of(self, server: BackendServer) -> ConnectionPool:
+    def _pool_of(self, server: BackendServer) -> MySqlPool:
         return self._registry.backend(server).pool
 
     def _probe_now(self, server: str) -> None:
--- a/packages/proxy/src/dogwoodspool_proxy/backends.py
+++ b/packages/proxy/src/dogwoodspool_proxy/backends.py
@@ -7,26 +7,25 @@
 from dogwoodspool_backend import (
     BackendError,
     ConnectFailedError,
-    ConnectionPool,
     Credentials,
     MySqlConnector,
+    MySqlPool,
     PoolSettings,
     ServerDownError,
 )
 from dogwoodspool_common import BackendServer, Clock, log_event
+from dogwoodspool_following import ProxyView, ViewStore
 from dogwoodspool_limits import AdmissionQueue, base_share
 from dogwoodspool_routing import ServerTable
 from dogwoodspool_settings import EffectiveSettings
 
-from .view import ProxyView, ViewStore
-
 
 @dataclass(frozen=True, slots=True)
 class Backend:
     """One backend server with what bounds the work on it."""
 
     server: BackendServer
-    pool: ConnectionPool
+    pool: MySqlPool
     admission: AdmissionQueue
     settings: EffectiveSettings
 
@@ -152,7 +151,7 @@
     def _build(self, server: BackendServer) -> Backend:
         settings = self._views.settings(server.group)
         limit = self._limit(server)
-        pool = ConnectionPool(
+        pool = MySqlPool(
             server,
             self._connector(settings),
             self._clock,
--- a/packages/proxy/src/dogwoodspool_proxy/caller_session.py
+++ b/packages/proxy/src/dogwoodspool_proxy/caller_session.py
@@ -5,6 +5,8 @@
 
 from dogwoodspool_common import Clock
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ViewStore
 from dogwoodspool_gateway import (
     ER_NO_DATABASE,
     ER_NOT_SUPPORTED,
@@ -28,10 +30,8 @@
     NO_PRIMARY_RETRY_AFTER_MS,
     SERVER_VERSION,
 )
-from .counters import Counters
 from .reads import ReadPath
 from .transactions import TransactionPath
-from .view import ViewStore
 from .writes import WritePath
 
 TEXT_TYPE = 253
--- a/packages/proxy/src/dogwoodspool_proxy/const.py
+++ b/packages/proxy/src/dogwoodspool_proxy/const.py
@@ -4,9 +4,6 @@
 
 PROGRAM: Final = "dogwoodspool-proxy"
 
-# Short, since a poll to a cut-off process waits in vain for so long.
-DEFAULT_WATCH_WAIT_MS: Final = 2_000
-WATCH_TIMEOUT_MARGIN: Final = 2.0
 RENEW_TIMEOUT_SECONDS: Final = 0.5
 RETRY_PAUSE_SECONDS: Final = 0.1
 
--- a/packages/proxy/src/dogwoodspool_proxy/diagnostics.py
+++ b/packages/proxy/src/dogwoodspool_proxy/diagnostics.py
@@ -4,9 +4,10 @@
 from dataclasses import asdict
 from typing import Any
 
+from dogwoodspool_following import ViewStore
+
 from .backends import BackendRegistry
 from .grants import GrantBook
-from .view import ViewStore
 
 
 class ProxyDiagnostics:
--- a/packages/proxy/src/dogwoodspool_proxy/endpoints.py
+++ b/packages/proxy/src/dogwoodspool_proxy/endpoints.py
@@ -21,9 +21,9 @@
     log_event,
 )
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.counters import Counters
 from dogwoodspool_routing import ServerTable
 
-from .counters import Counters
 from .diagnostics import ProxyDiagnostics
 from .grants import GrantBook
 
--- a/packages/proxy/src/dogwoodspool_proxy/probes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/probes.py
@@ -6,11 +6,10 @@
 from dogwoodspool_backend import BackendError, Probe, ServerDownError
 from dogwoodspool_common import BackendServer, Clock
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import Coordinator, ProxyView, ViewStore
 from dogwoodspool_routing import ServerTable
 
 from .const import FAILING_PROBE_SECONDS, REPLICA_PROBE_FACTOR
-from .coordinator import Coordinator
-from .view import ProxyView, ViewStore
 
 
 class ServerProber(Coordinator):
--- a/packages/proxy/src/dogwoodspool_proxy/pruning.py
+++ b/packages/proxy/src/dogwoodspool_proxy/pruning.py
@@ -4,6 +4,7 @@
 
 from dogwoodspool_backend import BackendError, StatementFailedError
 from dogwoodspool_common import Clock, log_event
+from dogwoodspool_following import Coordinator, ViewStore
 from dogwoodspool_requests import PRUNE
 
 from .const import (
@@ -11,9 +12,7 @@
     PRUNE_INTERVAL_SECONDS,
     PRUNE_TIMEOUT_SECONDS,
 )
-from .coordinator import Coordinator
 from .grants import GrantBook
-from .view import ViewStore
 from .writes import WritePath
 
 
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -14,6 +14,8 @@
 )
 from dogwoodspool_common import Clock, GroupState, Role, ServerStatus, log_event, span
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ViewStore
 from dogwoodspool_gateway import (
     Answer,
     AnswerColumn,
@@ -43,11 +45,9 @@
     RESULT_STALL_ROWS,
     RESULT_STALL_SECONDS,
 )
-from .counters import Counters
 from .errors import NothingSentError
 from .grants import GrantBook
 from .routers import GroupRouters
-from .view import ViewStore
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/proxy/src/dogwoodspool_proxy/renew.py
+++ b/packages/proxy/src/dogwoodspool_proxy/renew.py
@@ -18,6 +18,7 @@
     log_event,
 )
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ControlPeers, Coordinator, ViewStore
 from pydantic import ValidationError
 
 from .backends import BackendRegistry
@@ -28,10 +29,7 @@
     RETRY_PAUSE_SECONDS,
     SHARE_EXPIRY_MARGIN_SECONDS,
 )
-from .control_peers import ControlPeers
-from .coordinator import Coordinator
 from .grants import GrantBook
-from .view import ViewStore
 
 
 class RenewCoordinator(Coordinator):
--- a/packages/proxy/src/dogwoodspool_proxy/routers.py
+++ b/packages/proxy/src/dogwoodspool_proxy/routers.py
@@ -2,10 +2,9 @@
 
 import threading
 
+from dogwoodspool_following import ViewStore
 from dogwoodspool_routing import ReadRouter, RouterSettings, ServerTable
 
-from .view import ViewStore
-
 
 class GroupRouters:
     """Give each group's router with its settings in force."""
--- a/packages/proxy/src/dogwoodspool_proxy/sessions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/sessions.py
@@ -3,16 +3,15 @@
 import threading
 
 from dogwoodspool_common import Clock
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import Coordinator, ViewStore
 from dogwoodspool_gateway import CallerSession
 
 from .caller_session import ProxySession
 from .callers import CallerState
 from .const import REAP_INTERVAL_SECONDS
-from .coordinator import Coordinator
-from .counters import Counters
 from .reads import ReadPath
 from .transactions import TransactionPath
-from .view import ViewStore
 from .writes import WritePath
 
 
--- a/packages/proxy/src/dogwoodspool_proxy/transactions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/transactions.py
@@ -9,6 +9,7 @@
 )
 from dogwoodspool_common import Clock, log_event
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ViewStore
 from dogwoodspool_gateway import (
     Answer,
     DoneAnswer,
@@ -26,7 +27,6 @@
 from .grants import GrantBook
 from .models import WritePermit
 from .reads import ReadPath, answer_columns, unhurried_rows
-from .view import ViewStore
 from .writes import WritePath
 
 
--- a/packages/proxy/src/dogwoodspool_proxy/writes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/writes.py
@@ -12,6 +12,7 @@
 )
 from dogwoodspool_common import Clock, Position, Role, log_event, span
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ViewStore
 from dogwoodspool_gateway import (
     ER_WRONG_ARGUMENTS,
     Answer,
@@ -49,7 +50,6 @@
 from .grants import GrantBook
 from .models import WritePermit
 from .reads import answer_columns
-from .view import ViewStore
 
 Rows = Sequence[tuple[bytes | None, ...]]
 
--- a/packages/settings/src/dogwoodspool_settings/const.py
+++ b/packages/settings/src/dogwoodspool_settings/const.py
@@ -27,6 +27,7 @@
         CONF_TOKEN_KEY,
         CONF_WRITE_ACK,
         CONF_STATEMENTS,
+        "server_connections",
         "base_connections",
         "reserved_connections",
         "failure_detect_ms",
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -6,10 +6,18 @@
 
 
 class WriteAck(StrEnum):
-    """When a write is acknowledged to its caller."""
+    """When a write is acknowledged to its caller.
+
+    Attributes:
+        PRIMARY: the primary has answered it.
+        REPLICA: a replica has it, which the proxy waits for.
+        GROUP: the group itself answers only once a replica has it, and its
+            servers refuse work from the moment in which another is promoted.
+    """
 
     PRIMARY = "primary"
     REPLICA = "replica"
+    GROUP = "group"
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +64,9 @@
         retry_budget_ratio: retries allowed per statement served.
         retry_budget_min: retries always allowed per second.
         max_transaction_ms: longest life of a caller's transaction.
+        max_transaction_idle_ms: longest time between two statements of one.
+        server_connections: connections that each server takes; null goes by what
+            the servers announce.
         request_retention_s: life of a request id's row.
         token_key: key that signs session tokens; secret.
         users: callers' names and their ``mysql_native_password`` hashes.
@@ -88,6 +99,8 @@
     retry_budget_ratio: float = 0.1
     retry_budget_min: int = 3
     max_transaction_ms: int = 30_000
+    max_transaction_idle_ms: int = 10_000
+    server_connections: int | None = None
     request_retention_s: int = 86_400
     token_key: str = field(default="", repr=False)
     users: dict[str, str] = field(default_factory=dict, repr=False)
--- a/packages/settings/src/dogwoodspool_settings/node_store.py
+++ b/packages/settings/src/dogwoodspool_settings/node_store.py
@@ -96,6 +96,12 @@
         """Take over the last versions of nodes that no longer exist."""
         self._deleted_versions.update(versions)
 
+    def copy(self) -> "NodeStore":
+        """Return a store of its own with the same nodes."""
+        store = NodeStore.of(self._nodes.values())
+        store.remember_deleted(self._deleted_versions)
+        return store
+
     @classmethod
     def of(cls, nodes: Iterable[StoredNode]) -> "NodeStore":
         """Build a store of given nodes."""
--- a/packages/settings/src/dogwoodspool_settings/overrides.py
+++ b/packages/settings/src/dogwoodspool_settings/overrides.py
@@ -83,6 +83,12 @@
     retry_budget_ratio: float = Field(DEFAULTS.retry_budget_ratio, ge=0, le=1)
     retry_budget_min: int = Field(DEFAULTS.retry_budget_min, ge=0, le=10_000)
     max_transaction_ms: int = Field(DEFAULTS.max_transaction_ms, ge=100, le=86_400_000)
+    max_transaction_idle_ms: int = Field(
+        DEFAULTS.max_transaction_idle_ms, ge=100, le=86_400_000
+    )
+    server_connections: Annotated[int, Field(ge=1, le=100_000)] | None = (
+        DEFAULTS.server_connections
+    )
     request_retention_s: int = Field(DEFAULTS.request_retention_s, ge=60, le=31_536_000)
     token_key: str = Field(
         DEFAULTS.token_key,
--- a/packages/settings/src/dogwoodspool_settings/tree.py
+++ b/packages/settings/src/dogwoodspool_settings/tree.py
@@ -4,7 +4,7 @@
 from typing import Any, Self
 
 from dogwoodspool_api import SettingsNode
-from expression import Error
+from expression import Error, Ok, Result
 
 from .answers import AnswerMemory, ChangeAnswer, RememberedAnswer, content_digest
 from .change_check import ChangeCheck
@@ -88,6 +88,35 @@
         self._answers.remember(RememberedAnswer(change.change_id, digest, answer))
         return answer
 
+    def apply_together(
+        self, changes: Iterable[SettingsChange], index: int
+    ) -> Result[int, ChangeRejected]:
+        """Let several changes take effect in one step, or none of them.
+
+        A reader sees all of them or none. Answers are not remembered: whoever
+        sends such a set again knows it by a revision of its own.
+
+        Returns:
+            The number of changes that took effect.
+        """
+        if self._is_read_only:
+            raise ReadOnlyTreeError("this settings tree only follows control")
+        draft = SettingsTree(self._retained_change_ids, self._retained_history)
+        draft._nodes = self._nodes.copy()
+        draft._history = ChangeHistory(self._retained_history, self._history.all())
+        count = 0
+        for change in changes:
+            checked = ChangeCheck(draft._nodes, draft._history).check(change)
+            if checked.is_error():
+                return Error(checked.error)
+            draft._accept(change, checked.ok, index)
+            count += 1
+        if count:
+            self._nodes, self._history = draft._nodes, draft._history
+            self._version = index
+            self._effective = {}
+        return Ok(count)
+
     def effective(
         self, group: str | None, failure_domain: str | None
     ) -> EffectiveSettings:
@@ -106,6 +135,10 @@
             cache[path] = values
         return values
 
+    def has_group(self, group: str) -> bool:
+        """Tell whether a database group has a node."""
+        return self._nodes.path_of_group(group) is not None
+
     def explain(self, path: str) -> list[ExplainedValue]:
         """Return each value in force at a node with where it comes from.
 
--- a/tests/backend/servers.py
+++ b/tests/backend/servers.py
@@ -10,9 +10,9 @@
 from typing import Any, Self
 
 from dogwoodspool_backend import (
-    ConnectionPool,
     Credentials,
     MySqlConnector,
+    MySqlPool,
     PoolSettings,
 )
 from dogwoodspool_common import Address, BackendServer, SystemClock
@@ -203,7 +203,7 @@
 
 def pool_at(
     address: Address, limit: int, settings: PoolSettings | None = None
-) -> ConnectionPool:
+) -> MySqlPool:
     """Return a pool of connections to an address."""
     chosen = settings or PoolSettings(connect_timeout=5, check_timeout=0.2)
-    return ConnectionPool(server_at(address), connector(), CLOCK, chosen, limit)
+    return MySqlPool(server_at(address), connector(), CLOCK, chosen, limit)
--- a/tests/backend/test_pool.py
+++ b/tests/backend/test_pool.py
@@ -9,8 +9,8 @@
 from dogwoodspool_backend import (
     BackendConnection,
     ConnectFailedError,
-    ConnectionPool,
     Connector,
+    MySqlPool,
     OutcomeUnknownError,
     PoolClosedError,
     PoolSettings,
@@ -21,7 +21,7 @@
 from .servers import CLOCK, Relay, ScriptedServer, connector, pool_at, server_at
 
 
-def run(pool: ConnectionPool, sql: str, timeout: float = 5) -> bytes | None:
+def run(pool: MySqlPool, sql: str, timeout: float = 5) -> bytes | None:
     """Run one statement on a connection of the pool and return its value."""
     connection = pool.acquire(CLOCK.now() + 5)
     try:
@@ -39,12 +39,12 @@
         self.server = self.enterContext(ScriptedServer())
         self.relay = self.enterContext(Relay(self.server.address))
 
-    def pool(self, limit: int) -> ConnectionPool:
+    def pool(self, limit: int) -> MySqlPool:
         pool = pool_at(self.relay.address, limit)
         self.addCleanup(pool.unload)
         return pool
 
-    def acquire_all(self, pool: ConnectionPool) -> list[BackendConnection]:
+    def acquire_all(self, pool: MySqlPool) -> list[BackendConnection]:
         return [pool.acquire(CLOCK.now() + 5) for _ in range(pool.caller_limit)]
 
 
@@ -158,7 +158,7 @@
             server, CLOCK.now() + 5
         )
         server = server_at(self.server.address)
-        pool = ConnectionPool(server, connecting, clock, PoolSettings(), 3)
+        pool = MySqlPool(server, connecting, clock, PoolSettings(), 3)
         held = [pool.acquire(1), pool.acquire(1)]
         clock.advance(10)
         self.assertEqual(pool.demand, 3)
--- a/tests/backend/test_pool_states.py
+++ b/tests/backend/test_pool_states.py
@@ -7,7 +7,7 @@
 from dogwoodspool_backend import (
     BackendConnection,
     ConnectFailedError,
-    ConnectionPool,
+    MySqlPool,
     PoolSettings,
     PoolTimeoutError,
 )
@@ -82,7 +82,7 @@
         self.held: dict[BackendConnection, bool] = {}
         server = server_at(Address("127.0.0.1", 1))
         times = PoolSettings(check_after_idle=1, idle_expiry=5)
-        self.pool = ConnectionPool(server, self.network, self.clock, times, self.limit)
+        self.pool = MySqlPool(server, self.network, self.clock, times, self.limit)
 
     def has_room(self, is_probe: bool) -> bool:
         callers = sum(not probing for probing in self.held.values())
--- a/tests/backend/test_with_standin.py
+++ b/tests/backend/test_with_standin.py
@@ -9,9 +9,9 @@
     BackendError,
     ConnectFailedError,
     ConnectionLimitError,
-    ConnectionPool,
     Credentials,
     MySqlConnector,
+    MySqlPool,
     OutcomeUnknownError,
     PoolSettings,
     PoolTimeoutError,
@@ -51,11 +51,11 @@
         self.addCleanup(connection.close)
         return connection
 
-    def pool(self, server: StandinServer, limit: int) -> ConnectionPool:
+    def pool(self, server: StandinServer, limit: int) -> MySqlPool:
         settings = PoolSettings(connect_timeout=5, check_timeout=0.2, reset_timeout=5)
         connector = self.connector()
         described = self.describe(server)
-        pool = ConnectionPool(described, connector, CLOCK, settings, limit)
+        pool = MySqlPool(described, connector, CLOCK, settings, limit)
         self.addCleanup(pool.unload)
         return pool
 
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -71,6 +71,7 @@
         self.current: Leadership | None = None
         self.cut_before: Callable[[dict[str, Any]], bool] = lambda _command: False
         self.leader_address = None
+        self.is_following = True
         log.states.append(state)
 
     def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
--- a/tests/control/test_http.py
+++ b/tests/control/test_http.py
@@ -16,7 +16,7 @@
 from dogwoodspool_control.command_queue import CommandQueue
 from dogwoodspool_control.const import MAX_WATCHERS
 from dogwoodspool_control.detector import FailureDetector
-from dogwoodspool_control.http_api import ControlApi
+from dogwoodspool_control.http_api import ControlApi, WaitSlots, WatchApi
 from dogwoodspool_control.planned import PlannedPromotions
 from dogwoodspool_control.renewals import RenewalRate, Renewals
 from dogwoodspool_control.shares import ShareLedger
@@ -59,8 +59,10 @@
         planned = PlannedPromotions(
             self.clock, node, state, servers, self.voter.timeline
         )
-        api = ControlApi(node, state, renewals, planned)
-        self.routes = {route.path: route.handler for route in api.routes()}
+        slots = WaitSlots(MAX_WATCHERS)
+        api = ControlApi(node, state, renewals, planned, slots)
+        routes = [*api.routes(), *WatchApi(node, state, slots).routes()]
+        self.routes = {route.path: route.handler for route in routes}
 
     def call(self, path: str, body: Any = None, **query: str) -> JsonResponse:
         return self.routes[path](JsonRequest(path, query, body))
--- a/tests/proxy/test_backends.py
+++ b/tests/proxy/test_backends.py
@@ -4,8 +4,8 @@
 
 from dogwoodspool_api import ControlView, ProxyMessage, ServerMessage, SettingsNode
 from dogwoodspool_common import Address, BackendServer, ManualClock
+from dogwoodspool_following import ViewStore
 from dogwoodspool_proxy.backends import BackendRegistry
-from dogwoodspool_proxy.view import ViewStore
 from dogwoodspool_routing import ServerTable
 
 LEASE = 1.5
--- a/tests/proxy/test_watch.py
+++ b/tests/proxy/test_watch.py
@@ -5,9 +5,7 @@
 
 from dogwoodspool_api import ControlView, WatchResponse
 from dogwoodspool_common import Address, JsonClient, ManualClock
-from dogwoodspool_proxy.control_peers import ControlPeers
-from dogwoodspool_proxy.view import ViewStore
-from dogwoodspool_proxy.watch import WatchCoordinator
+from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 
 FIRST, SECOND = Address("127.0.0.1", 1), Address("127.0.0.1", 2)
 
