--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -28,6 +28,7 @@
     Role,
     ServerStatus,
 )
+from .problems import first_problem
 from .process import (
     read_settings,
     run_program,
@@ -63,6 +64,7 @@
     "SystemClock",
     "current_traceparent",
     "error_response",
+    "first_problem",
     "log_event",
     "log_rate_limited",
     "read_settings",
--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -20,6 +20,7 @@
 from .errors import DogwoodspoolError
 from .log import log_event
 from .models import Address
+from .problems import first_problem
 from .signature import RequestSigner
 from .trace import span
 
@@ -187,7 +188,7 @@
             with span(f"http {route.path}", traceparent=traceparent):
                 return route.handler(request)
         except ValidationError as error:
-            return error_response(400, "bad_request", _first_error(error))
+            return error_response(400, "bad_request", first_problem(error))
         except DogwoodspoolError as error:
             return error_response(503, type(error).__name__, str(error))
         except Exception as error:  # noqa: BLE001
@@ -204,9 +205,3 @@
 
 def _environ_key(header: str) -> str:
     return "HTTP_" + header.upper().replace("-", "_")
-
-
-def _first_error(error: ValidationError) -> str:
-    first = error.errors(include_url=False, include_input=False)[0]
-    where = ".".join(str(part) for part in first["loc"])
-    return f"{where}: {first['msg']}"
