--- a/packages/failover/src/dogwoodspool_failover/const.py
+++ b/packages/failover/src/dogwoodspool_failover/const.py
@@ -24,6 +24,10 @@
 # the usual ones.
 HEARTBEAT_SILENCE: Final = 3.6
 
+# A server that was heard within this time holds its address against another id; two
+# of the usual heartbeats.
+ADDRESS_HOLD_SECONDS: Final = 2.4
+
 # The leader's own questions to a server that is in doubt.
 PROBE_TIMEOUT: Final = 0.3
 PROBE_PAUSE: Final = 0.1
--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -8,6 +8,7 @@
 from dogwoodspool_control.commands import BootstrapGroup, Command, RecordServer
 from dogwoodspool_control.state import ControlState
 
+from .const import ADDRESS_HOLD_SECONDS
 from .models import Heartbeat
 
 FIRST_TERM = 1
@@ -37,12 +38,14 @@
         self._state = state
         self._lock = threading.Lock()
         self._heard: dict[str, Heard] = {}
+        self._dropped_to: dict[str, int] = {}
         self._started_at = clock.now()
 
     def start_over(self) -> None:
         """Forget everything, as at the beginning of a leadership."""
         with self._lock:
             self._heard.clear()
+            self._dropped_to.clear()
             self._started_at = self._clock.now()
 
     def silence(self, server: str) -> float:
@@ -98,15 +101,35 @@
                 return True
             if known.is_gone and server.incarnation == known.incarnation:
                 return True
-        if any(one.incarnation > server.incarnation for one in self._others(server)):
+        if any(self._outlives(one, server) for one in self._others(server)):
             return True
+        return self._is_out_of_order(beat)
+
+    def _outlives(self, holder: BackendServer, claimant: BackendServer) -> bool:
+        """Tell whether the recorded holder of an address is the later process."""
+        if holder.is_gone or holder.incarnation < claimant.incarnation:
+            return False
+        if holder.incarnation > claimant.incarnation:
+            return True
+        return self.silence(holder.name) < ADDRESS_HOLD_SECONDS
+
+    def _is_out_of_order(self, beat: Heartbeat) -> bool:
+        """Tell whether a newer heartbeat of the same process has come before.
+
+        A server that does not state its start may have restarted: its sequence
+        begins anew. Two heartbeats in order after the drop are taken for that.
+        """
+        name = beat.server.name
         with self._lock:
-            heard = self._heard.get(server.name)
-        return (
-            heard is not None
-            and heard.incarnation == server.incarnation
-            and beat.sequence <= heard.sequence
-        )
+            heard = self._heard.get(name)
+            if heard is None or heard.incarnation != beat.server.incarnation:
+                return False
+            if beat.sequence > heard.sequence:
+                return False
+            dropped_to = self._dropped_to.get(name)
+            self._dropped_to[name] = beat.sequence
+            is_restart = dropped_to is not None and beat.sequence == dropped_to + 1
+            return beat.server.incarnation > 0 or not is_restart
 
     def _due(self, beat: Heartbeat) -> Iterator[Command]:
         server = beat.server
