--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -7,7 +7,14 @@
     QUERY_CONFIRMED,
     QUERY_WAIT_MS,
 )
-from dogwoodspool_common import Address, Clock, HttpError, JsonClient, log_event
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    HttpError,
+    JsonClient,
+    log_event,
+    log_rate_limited,
+)
 from dogwoodspool_common.const import MILLISECONDS
 from pydantic import ValidationError
 
@@ -49,7 +56,7 @@
         try:
             response = self._poll(address)
         except (HttpError, ValidationError) as error:
-            log_event("watch_failed", level="DEBUG", address=address, error=error)
+            log_rate_limited("watch_failed", address=address, reason=error)
             self._peers.note_failure(address)
             return RETRY_PAUSE_SECONDS
         # A cut-off process names a leader of long ago; the renewals know better.
