--- a/packages/backend/src/dogwoodspool_backend/probe.py
+++ b/packages/backend/src/dogwoodspool_backend/probe.py
@@ -6,7 +6,7 @@
 from dogwoodspool_common import BackendServer, Clock, ServerStatus
 
 from .errors import BackendError
-from .pool import ConnectionPool
+from .pool import MySqlPool
 
 
 class Probe(Protocol):
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        pool_of: Callable[[BackendServer], ConnectionPool],
+        pool_of: Callable[[BackendServer], MySqlPool],
         clock: Clock,
         timeout: Callable[[BackendServer], float],
     ) -> None:
--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -96,9 +96,7 @@
         self._signer = signer
         self._routes = {(route.method, route.path): route for route in routes}
         self._templates = [
-            (*route.path.rstrip("}").rsplit("{", 1), route)
-            for route in self._routes.values()
-            if route.path.endswith("}")
+            route for route in self._routes.values() if route.path.endswith("}")
         ]
         listener = socket.create_server((address.host, address.port), backlog=1024)
         self._address = Address(address.host, int(listener.getsockname()[1]))
@@ -167,7 +165,8 @@
         route = self._routes.get((method, path))
         if route is not None:
             return route, {}
-        for prefix, name, candidate in self._templates:
+        for candidate in self._templates:
+            prefix, _, name = candidate.path.rstrip("}").rpartition("{")
             value = path.removeprefix(prefix)
             is_match = path.startswith(prefix) and value and "/" not in value
             if candidate.method == method and is_match:
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -121,7 +121,7 @@
             timeline=timeline,
         )
         wait_slots = WaitSlots(MAX_WATCHERS)
-        watch = WatchApi(node, state, wait_slots)
+        watch_api = WatchApi(node, state, wait_slots)
         api = ControlApi(node, state, renewals, planned, wait_slots)
         admin = AdminApi(
             consensus,
@@ -133,7 +133,7 @@
         )
         self._routes = [
             *consensus.routes(),
-            *watch.routes(),
+            *watch_api.routes(),
             *api.routes(),
             *admin.routes(),
         ]
