--- /dev/null
+++ b/tests/pooler/fakes.py
@@ -0,0 +1,383 @@
+"""Backend servers in memory, and a pooler wired to them without threads."""
+
+import threading
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from dogwoodspool_api import (
+    ControlView,
+    EndpointMessage,
+    GroupMessage,
+    ServerMessage,
+)
+from dogwoodspool_backend import (
+    ConnectFailedError,
+    OutcomeUnknownError,
+    ServerDownError,
+)
+from dogwoodspool_common import (
+    Address,
+    BackendServer,
+    Consistency,
+    Endpoint,
+    GroupState,
+    ManualClock,
+    Phase,
+    Position,
+    Role,
+)
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ProxyView, ViewStore
+from dogwoodspool_pooler import (
+    Access,
+    Answer,
+    ConnectionState,
+    ErrorCode,
+    PooledSession,
+    Reply,
+    Statement,
+    StatementError,
+    StatementKind,
+    TransactionState,
+)
+from dogwoodspool_pooler.access import ServerAccess
+from dogwoodspool_pooler.freshness import FreshnessBook
+from dogwoodspool_pooler.primaries import PrimaryPath
+from dogwoodspool_pooler.reads import ReadPath
+from dogwoodspool_pooler.registry import BackendRegistry
+from dogwoodspool_pooler.sessions import PooledSessions
+from dogwoodspool_pooler.stalls import StallBook
+from dogwoodspool_pooler.transactions import TransactionPath
+from dogwoodspool_pooler.writes import WritePath
+from dogwoodspool_routing import ServerTable
+
+GROUP = "chat"
+OWN_DOMAIN = "fd1"
+
+
+@dataclass
+class Run:
+    """A statement that a server ran, with the session state that it ran in."""
+
+    request_id: str
+    kind: StatementKind
+    text: str
+    values: dict[str, str]
+    shape: str | None
+    in_transaction: bool
+    connection: int
+
+
+@dataclass
+class FakeServer:
+    """One backend server.
+
+    Attributes:
+        refusals: codes with which it refuses the next statements.
+        silent_for: kinds of statements that it never answers.
+        has_lost_lead: another server was promoted and it does not say so itself.
+    """
+
+    name: str
+    role: Role
+    position: Position = Position(3, 100)
+    failure_domain: str = OWN_DOMAIN
+    is_down: bool = False
+    has_lost_lead: bool = False
+    refusals: list[ErrorCode] = field(default_factory=list)
+    silent_for: set[StatementKind] = field(default_factory=set)
+    runs: list[Run] = field(default_factory=list)
+    opened: int = 0
+
+    def described(self) -> BackendServer:
+        return BackendServer(
+            name=self.name,
+            group=GROUP,
+            failure_domain=self.failure_domain,
+            address=Address("10.0.0.1", 1000 + sum(self.name.encode())),
+            slots=3,
+            connections=20,
+        )
+
+
+class FakeConnection:
+    """A connection to a fake server, as the pooler sees one."""
+
+    def __init__(self, fake: FakeServer, server: BackendServer) -> None:
+        self._fake = fake
+        self._is_open = True
+        self._state = TransactionState.IDLE
+        self._is_plain = False
+        self._prepared: dict[str, tuple[Access | None, str]] = {}
+        self._values: dict[str, str] = {}
+        fake.opened += 1
+        self.number = fake.opened
+        self.server = server
+        self.session = ConnectionState()
+        self.answered_at = 0.0
+        self.is_probing = False
+        self.generation = 0
+
+    @property
+    def went_silent(self) -> bool:
+        return False
+
+    @property
+    def is_open(self) -> bool:
+        return self._is_open
+
+    @property
+    def in_transaction(self) -> bool:
+        return self._state is not TransactionState.IDLE
+
+    @property
+    def needs_reset(self) -> bool:
+        return False
+
+    @property
+    def has_unread_answer(self) -> bool:
+        return False
+
+    def has_unasked_input(self) -> bool:
+        return not self._is_open
+
+    def ping(self, timeout: float) -> None:
+        if self._fake.is_down:
+            self._is_open = False
+            raise OutcomeUnknownError("down")
+
+    def reset(self, timeout: float) -> None:
+        self._state = TransactionState.IDLE
+
+    def close(self) -> None:
+        self._is_open = False
+
+    def exchange(self, statements: Sequence[Statement], deadline: float) -> list[Reply]:
+        if self._fake.is_down:
+            self._is_open = False
+            raise OutcomeUnknownError("down")
+        return [self._carry_out(statement) for statement in statements]
+
+    def _carry_out(self, statement: Statement) -> Reply:
+        fake = self._fake
+        if statement.kind in fake.silent_for:
+            self._is_open = False
+            raise OutcomeUnknownError("silent")
+        error = self._refusal(statement)
+        if error is None:
+            self._apply(statement)
+            self.session.note(statement)
+        position = fake.position
+        proof = "" if error else f"{fake.name}:{statement.request_id}"
+        rows = () if error else ("row",)
+        failure = StatementError(error, "refused") if error else None
+        return Reply(rows, proof, failure, self._state, position)
+
+    def _refusal(self, statement: Statement) -> ErrorCode | None:
+        fake = self._fake
+        if statement.wait_for is not None and statement.wait_for > fake.position:
+            return ErrorCode.BEHIND
+        leads = fake.role is Role.PRIMARY and not fake.has_lost_lead
+        is_write = statement.kind is StatementKind.WRITE
+        needs_lead = statement.kind is StatementKind.BEGIN or is_write
+        if not leads and (needs_lead or self._is_plain):
+            if statement.kind is not StatementKind.ROLLBACK:
+                return ErrorCode.READ_ONLY
+        is_work = statement.kind in (
+            StatementKind.READ,
+            StatementKind.WRITE,
+            StatementKind.EXECUTE,
+            StatementKind.COMMIT,
+        )
+        if is_work and fake.refusals:
+            return fake.refusals.pop(0)
+        is_known = statement.name in self._prepared
+        if statement.kind is StatementKind.EXECUTE and not is_known:
+            return ErrorCode.UNKNOWN_STATEMENT
+        return None
+
+    def _apply(self, statement: Statement) -> None:
+        fake = self._fake
+        shape = None
+        match statement.kind:
+            case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
+                self._state = TransactionState.OPEN
+                self._is_plain = statement.kind is StatementKind.BEGIN
+                return
+            case StatementKind.ROLLBACK:
+                self._state, self._is_plain = TransactionState.IDLE, False
+                return
+            case StatementKind.SET:
+                self._values[statement.name] = statement.argument
+                return
+            case StatementKind.PREPARE:
+                known = (statement.access, statement.argument)
+                self._prepared[statement.name] = known
+                return
+            case StatementKind.RESET:
+                self._values.clear()
+                self._prepared.clear()
+                return
+            case StatementKind.EXECUTE:
+                shape = self._prepared[statement.name][1]
+        fake.runs.append(
+            Run(
+                statement.request_id,
+                statement.kind,
+                statement.text,
+                dict(self._values),
+                shape,
+                self.in_transaction,
+                self.number,
+            )
+        )
+        if statement.kind is StatementKind.COMMIT:
+            self._state, self._is_plain = TransactionState.IDLE, False
+        if statement.kind in (StatementKind.WRITE, StatementKind.COMMIT):
+            offset = fake.position.offset + 1
+            fake.position = Position(fake.position.term, offset)
+
+
+class ImpatientClock(ManualClock):
+    """A clock on which every wait runs out at once, as nobody else does anything."""
+
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+
+    def wait(self, condition: threading.Condition, seconds: float) -> bool:
+        self.advance(max(0.0, seconds))
+        return False
+
+
+class FakeNetwork:
+    """Open connections to fake servers by name."""
+
+    def __init__(self, servers: Sequence[FakeServer]) -> None:
+        self.servers = {server.name: server for server in servers}
+
+    def connect(self, server: BackendServer, deadline: float) -> FakeConnection:
+        fake = self.servers.get(server.name)
+        if fake is None:
+            raise ConnectFailedError("no such server")
+        if fake.is_down:
+            raise ServerDownError(f"{server.name} is down")
+        return FakeConnection(fake, server)
+
+
+def endpoint(
+    consistency: Consistency = Consistency.PRIMARY, *, max_age_ms: int | None = None
+) -> Endpoint:
+    """Return the endpoint of the database ``db``."""
+    return Endpoint("r1", "db", GROUP, consistency, 1_000, 400, 1, max_age_ms)
+
+
+class Pooler:
+    """The pooler's parts over fake servers, on a clock that tests move."""
+
+    def __init__(
+        self, servers: Sequence[FakeServer], promised: Endpoint | None = None
+    ) -> None:
+        self.clock = ImpatientClock()
+        self.network = FakeNetwork(servers)
+        self.views = ViewStore(OWN_DOMAIN, self.clock)
+        self.table = ServerTable(self.clock)
+        self.suspected: list[str] = []
+        self.stalls, self.freshness = StallBook(self.clock), FreshnessBook(self.clock)
+        registry = BackendRegistry(self.views, self.network, self.clock)
+        registry.set_up()
+        access = ServerAccess(
+            registry,
+            self.table,
+            self.stalls,
+            self.freshness,
+            self.suspected.append,
+            self.clock,
+        )
+        self.views.add_listener(self._follow)
+        primaries = PrimaryPath(self.views, self.table, access, self.clock)
+        self.counters = Counters()
+        self.reads = ReadPath(
+            self.views,
+            self.table,
+            access,
+            primaries,
+            self.freshness,
+            self.counters,
+            self.clock,
+        )
+        self.sessions = PooledSessions(
+            self.views,
+            self.reads,
+            WritePath(primaries, access, self.clock),
+            TransactionPath(self.views, self.reads, primaries, access, self.clock),
+            self.counters,
+            self.clock,
+        )
+        self.promised = promised or endpoint()
+        self.version = 0
+        self.show(primary=servers[0].name)
+
+    def show(
+        self,
+        *,
+        primary: str | None,
+        phase: Phase = Phase.STEADY,
+        endpoints: Sequence[Endpoint] | None = None,
+    ) -> None:
+        """Put a new view in force."""
+        self.version += 1
+        shown = [self.promised] if endpoints is None else endpoints
+        group = GroupState(GROUP, self.version, primary, phase, ())
+        servers = [fake.described() for fake in self.network.servers.values()]
+        self.views.adopt(
+            ControlView(
+                version=self.version,
+                groups=[GroupMessage.of(group)],
+                servers=[ServerMessage.of(server) for server in servers],
+                proxies=[],
+                settings=[],
+                endpoints=[EndpointMessage.of(one) for one in shown],
+            )
+        )
+
+    def session(self) -> PooledSession:
+        """Open a session at ``db``."""
+        return self.sessions.open("db")
+
+    def _follow(self, view: ProxyView) -> None:
+        self.table.adopt_committed(view.servers.values())
+
+
+_VERBS = {
+    "READ": StatementKind.READ,
+    "WRITE": StatementKind.WRITE,
+    "COMMIT": StatementKind.COMMIT,
+    "ROLLBACK": StatementKind.ROLLBACK,
+    "BEGIN": StatementKind.BEGIN,
+    "BEGIN READ": StatementKind.BEGIN_READ_ONLY,
+}
+
+
+def say(session: PooledSession, text: str, request_id: str = "r") -> Answer:
+    """Run a read, a write or the begin or end of a transaction."""
+    kind = _VERBS.get(text) or _VERBS[text.split(" ")[0]]
+    return session.run(Statement(kind, request_id, text))
+
+
+def set_value(session: PooledSession, name: str, value: str) -> Answer:
+    """Set a session value."""
+    return session.run(Statement(StatementKind.SET, "r", "", name, value))
+
+
+def prepare(session: PooledSession, name: str, access: Access, shape: str) -> Answer:
+    """Prepare a statement."""
+    statement = Statement(StatementKind.PREPARE, "r", "", name, shape, access)
+    return session.run(statement)
+
+
+def execute(
+    session: PooledSession, name: str, argument: str = "k", request_id: str = "r"
+) -> Answer:
+    """Execute a prepared statement."""
+    statement = Statement(StatementKind.EXECUTE, request_id, "", name, argument)
+    return session.run(statement)
--- /dev/null
+++ b/tests/pooler/test_writes.py
@@ -0,0 +1,178 @@
+"""Tests of writes: where they run, and what is said of those without an answer."""
+
+import unittest
+
+from dogwoodspool_common import Phase, Role
+from dogwoodspool_pooler import ErrorCode, StatementKind, TransactionState
+
+from .fakes import FakeServer, Pooler, endpoint, say
+
+
+def group() -> list[FakeServer]:
+    """Return a primary and a replica."""
+    return [FakeServer("s1", Role.PRIMARY), FakeServer("s2", Role.REPLICA)]
+
+
+def writes(pooler: Pooler) -> list[str]:
+    """Return the servers that ran writes."""
+    return [
+        name
+        for name, server in pooler.network.servers.items()
+        for run in server.runs
+        if run.kind is StatementKind.WRITE
+    ]
+
+
+class WriteTests(unittest.TestCase):
+    """A write runs at most once, and its answer is true."""
+
+    def test_it_reaches_the_primary_as_it_is(self) -> None:
+        pooler = Pooler(group())
+        answer = say(pooler.session(), "WRITE k some data", "id-1")
+        self.assertEqual(answer.proof, "s1:id-1")
+        run = pooler.network.servers["s1"].runs[0]
+        self.assertEqual((run.request_id, run.text), ("id-1", "WRITE k some data"))
+
+    def test_a_write_without_an_answer_is_in_doubt_and_not_sent_again(self) -> None:
+        # An agent's line shows twice. The first answer was lost on its way, and
+        # the line was sent again although it had been stored.
+        pooler = Pooler(group())
+        pooler.network.servers["s1"].silent_for = {StatementKind.WRITE}
+        answer = say(pooler.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.IN_DOUBT)
+        self.assertEqual(pooler.network.servers["s1"].opened, 1)
+
+    def test_a_refused_write_goes_to_the_server_that_leads_now(self) -> None:
+        servers = group()
+        pooler = Pooler(servers)
+        say(pooler.session(), "WRITE k v")
+        servers[0].has_lost_lead = True
+        servers[1].role = Role.PRIMARY
+        pooler.show(primary="s2")
+        self.assertEqual(say(pooler.session(), "WRITE k v").proof, "s2:r")
+
+    def test_the_old_primary_serves_until_the_lead_has_moved(self) -> None:
+        # Writes stand still for a second at each planned change of primary, since
+        # proxies stop using the old primary when the change begins.
+        servers = group()
+        pooler = Pooler(servers)
+        pooler.show(primary=None, phase=Phase.PROMOTING)
+        self.assertEqual(say(pooler.session(), "WRITE k v").proof, "s1:r")
+        pooler.show(primary="s2", phase=Phase.PROMOTING)
+        self.assertEqual(say(pooler.session(), "WRITE k v").proof, "s1:r")
+        servers[0].has_lost_lead = True
+        servers[1].role = Role.PRIMARY
+        self.assertEqual(say(pooler.session(), "WRITE k v").proof, "s2:r")
+
+    def test_without_a_primary_a_write_is_refused_as_not_run(self) -> None:
+        pooler = Pooler(group())
+        pooler.network.servers["s1"].is_down = True
+        answer = say(pooler.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertGreater(answer.error.retry_after_ms, 0)
+        self.assertEqual(writes(pooler), [])
+
+    def test_a_failure_is_passed_on(self) -> None:
+        pooler = Pooler(group())
+        pooler.network.servers["s1"].refusals = [ErrorCode.FAILED]
+        answer = say(pooler.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.FAILED)
+
+    def test_a_write_without_an_answer_shows_as_a_stall(self) -> None:
+        # The primary lost its replicas: it answers reads and leaves every write
+        # without an answer until its callers give up, for as long as that lasts.
+        pooler = Pooler(group())
+        pooler.network.servers["s1"].silent_for = {StatementKind.WRITE}
+        say(pooler.session(), "WRITE k v")
+        pooler.clock.advance(0.5)
+        self.assertIn("s1", pooler.stalls.stalled_seconds())
+        pooler.network.servers["s1"].silent_for = set()
+        say(pooler.session(), "WRITE k v")
+        self.assertEqual(pooler.stalls.stalled_seconds(), {})
+
+
+class TransactionTests(unittest.TestCase):
+    """A transaction stays on one connection and ends whole or not at all."""
+
+    def test_all_statements_share_one_connection(self) -> None:
+        pooler = Pooler(group())
+        first, second = pooler.session(), pooler.session()
+        for session in (first, second):
+            say(session, "BEGIN")
+        for text in ("READ a", "WRITE b v"):
+            say(first, text, "first")
+            say(second, text, "second")
+        runs = pooler.network.servers["s1"].runs
+        by_caller = {
+            caller: {run.connection for run in runs if run.request_id == caller}
+            for caller in ("first", "second")
+        }
+        self.assertEqual([len(one) for one in by_caller.values()], [1, 1])
+        self.assertNotEqual(by_caller["first"], by_caller["second"])
+
+    def test_a_lost_connection_undoes_it_and_says_so(self) -> None:
+        pooler = Pooler(group())
+        session = pooler.session()
+        say(session, "BEGIN")
+        say(session, "WRITE k v")
+        pooler.network.servers["s1"].is_down = True
+        answer = say(session, "READ k")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.ABORTED)
+        self.assertIs(answer.state, TransactionState.FAILED)
+        refused = say(session, "READ k")
+        assert refused.error is not None
+        self.assertIs(refused.error.code, ErrorCode.MALFORMED)
+        self.assertIs(say(session, "ROLLBACK").state, TransactionState.IDLE)
+
+    def test_a_commit_without_an_answer_is_in_doubt(self) -> None:
+        pooler = Pooler(group())
+        session = pooler.session()
+        say(session, "BEGIN")
+        say(session, "WRITE k v")
+        pooler.network.servers["s1"].silent_for = {StatementKind.COMMIT}
+        answer = say(session, "COMMIT")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.IN_DOUBT)
+        self.assertIs(answer.state, TransactionState.IDLE)
+
+    def test_a_commit_at_a_replaced_primary_is_undone(self) -> None:
+        pooler = Pooler(group())
+        session = pooler.session()
+        say(session, "BEGIN")
+        say(session, "WRITE k v")
+        pooler.network.servers["s1"].has_lost_lead = True
+        answer = say(session, "COMMIT")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.ABORTED)
+
+    def test_an_idle_transaction_is_undone(self) -> None:
+        pooler = Pooler(group())
+        session = pooler.session()
+        say(session, "BEGIN")
+        say(session, "WRITE k v")
+        pooler.clock.advance(11)
+        pooler.sessions.step()
+        self.assertIs(session.state, TransactionState.FAILED)
+
+    def test_a_route_that_goes_keeps_its_open_transactions(self) -> None:
+        pooler = Pooler(group())
+        session = pooler.session()
+        say(session, "BEGIN")
+        say(session, "WRITE k v")
+        pooler.show(primary="s1", endpoints=[])
+        self.assertIsNone(say(session, "COMMIT").error)
+        answer = say(session, "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.NO_DATABASE)
+
+    def test_a_read_only_one_at_a_primary_endpoint_is_fenced(self) -> None:
+        pooler = Pooler(group(), endpoint())
+        session = pooler.session()
+        say(session, "BEGIN READ")
+        say(session, "READ k")
+        pooler.network.servers["s1"].has_lost_lead = True
+        self.assertIsNotNone(say(session, "READ k").error)
