--- a/packages/common/src/dogwoodspool_common/trace.py
+++ b/packages/common/src/dogwoodspool_common/trace.py
@@ -12,12 +12,27 @@
 SpanAttribute = str | int | float | bool
 
 
+class Span(Protocol):
+    """One hop that is being recorded."""
+
+    def set_attribute(self, key: str, value: SpanAttribute) -> None:
+        """Add a fact about the hop."""
+        ...
+
+
+class SilentSpan:
+    """A hop that nobody records."""
+
+    def set_attribute(self, key: str, value: SpanAttribute) -> None:
+        """Forget the fact."""
+
+
 class SpanRecorder(Protocol):
     """Record spans of this process."""
 
     def span(
         self, name: str, traceparent: str | None, attributes: dict[str, SpanAttribute]
-    ) -> AbstractContextManager[object]:
+    ) -> AbstractContextManager[Span]:
         """Record one hop as the current span of this thread."""
         ...
 
@@ -27,6 +42,7 @@
 
 
 _recorder: SpanRecorder | None = None
+_silent = SilentSpan()
 
 
 def set_up_tracing(program: str, instance: str, path: Path | None) -> None:
@@ -42,7 +58,7 @@
 @contextmanager
 def span(
     name: str, traceparent: str | None = None, **attributes: SpanAttribute
-) -> Iterator[None]:
+) -> Iterator[Span]:
     """Record one hop as the current span.
 
     Args:
@@ -52,10 +68,10 @@
         attributes: facts about the hop; never statements or secrets.
     """
     if _recorder is None:
-        yield
+        yield _silent
         return
-    with _recorder.span(name, traceparent, attributes):
-        yield
+    with _recorder.span(name, traceparent, attributes) as current:
+        yield current
 
 
 def current_traceparent() -> str | None:
--- a/packages/common/src/dogwoodspool_common/trace_file.py
+++ b/packages/common/src/dogwoodspool_common/trace_file.py
@@ -18,7 +18,7 @@
 )
 
 from .const import HEADER_TRACEPARENT
-from .trace import SpanAttribute
+from .trace import Span, SpanAttribute
 
 TRACER_NAME: Final = "dogwoodspool"
 NANOSECONDS_PER_MILLISECOND: Final = 1_000_000
@@ -57,7 +57,7 @@
 
     def span(
         self, name: str, traceparent: str | None, attributes: dict[str, SpanAttribute]
-    ) -> AbstractContextManager[object]:
+    ) -> AbstractContextManager[Span]:
         """Record one hop as the current span of this thread."""
         context = None
         if traceparent is not None:
