--- a/packages/consensus/src/dogwoodspool_consensus/election.py
+++ b/packages/consensus/src/dogwoodspool_consensus/election.py
@@ -94,7 +94,13 @@
         state.role = Role.CANDIDATE
         granted = {state.node_id: state.identity.incarnation}
         state.round = VoteRound(term, is_pre_vote, granted)
-        state.postpone_election()
+        log_event(
+            "election_began", node=state.node_id, term=term, is_pre_vote=is_pre_vote
+        )
+        if is_pre_vote:
+            state.retry_pre_vote()
+        else:
+            state.postpone_election()
         state.changed.notify_all()
         self._count(state.round)
 
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -141,6 +141,17 @@
         high = self.settings.election_timeout_max
         self.election_deadline = self.clock.now() + self._rng.uniform(low, high)
 
+    def retry_pre_vote(self) -> None:
+        """Ask again soon when a pre-vote comes to nothing.
+
+        Voters refuse while they may still hear a leader, and do not say for how
+        long. A pre-vote changes no term, so asking often disturbs nobody; after a
+        power loss a whole election timeout would pass between two rounds.
+        """
+        interval = self.settings.heartbeat_interval
+        pause = self._rng.uniform(interval / 2, interval)
+        self.election_deadline = self.clock.now() + pause
+
     def follow(self, request: AppendRequest | SnapshotRequest) -> None:
         """Follow the leader that sent a message of a term not older than ours."""
         if request.term > self.term or self.role is not Role.FOLLOWER:
--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -166,7 +166,7 @@
         while True:
             self._parts.node.require_leadership()
             members = self._members()
-            states = self._freeze.try_all(members)
+            states = self._freeze.try_all(members, promotion.old_primary)
             if self._adopt_leading(promotion, states):
                 return None
             chosen = choose_primary(
@@ -244,16 +244,16 @@
                 )
             except PromotionRefusedError as error:
                 log_event(
-                    "promotion_refused", server=server.name, token=token, reason=error
+                    "promotion_refused", server=server.name, fence=token, reason=error
                 )
                 return self._leads(server)
             except PromotionUnknownError as error:
                 log_event(
-                    "promotion_unknown", server=server.name, token=token, reason=error
+                    "promotion_unknown", server=server.name, fence=token, reason=error
                 )
                 clock.sleep(PROMOTION_RETRY_SECONDS)
                 continue
-            log_event("promotion_ordered", server=server.name, token=token)
+            log_event("promotion_ordered", server=server.name, fence=token)
             return self._await_lead(server, deadline)
         return False
 
--- a/packages/failover/src/dogwoodspool_failover/const.py
+++ b/packages/failover/src/dogwoodspool_failover/const.py
@@ -37,6 +37,9 @@
 FREEZE_RETRY_SECONDS: Final = 0.15
 # Time for every replica to answer before the furthest of those that did is taken.
 FREEZE_GRACE_SECONDS: Final = 0.25
+# Time more for the failed primary once all replicas have answered: one connection and
+# one answer. It is part of every failover.
+DOUBT_GRACE_SECONDS: Final = 0.05
 # A planned change gives up its zero gap when a replica cannot be paused for so long.
 HANDOVER_FREEZE_SECONDS: Final = 2.0
 # The platform's call: it answers when it has taken the order, or not at all.
--- a/packages/failover/src/dogwoodspool_failover/detection.py
+++ b/packages/failover/src/dogwoodspool_failover/detection.py
@@ -163,6 +163,11 @@
             return None
         if record.failing_since is None:
             return _judge_reports(reporters)
+        if _agree(
+            reporters, lambda one: one.calls_unreachable, minimum=MIN_REPORTING_DOMAINS
+        ):
+            # Proxies in several failure domains have waited long enough already.
+            return Verdict.FAILED
         needed = REFUSING_SECONDS if record.is_refusing else SILENT_SECONDS
         has_failed = self._clock.now() - record.failing_since >= needed
         is_confirmed = is_silent or any(one.calls_unreachable for one in reporters)
--- a/packages/failover/src/dogwoodspool_failover/freeze.py
+++ b/packages/failover/src/dogwoodspool_failover/freeze.py
@@ -30,7 +30,9 @@
             if one.name in self._frozen and self._frozen[one.name][0] == one.incarnation
         }
 
-    def try_all(self, members: Sequence[BackendServer]) -> dict[str, ServerState]:
+    def try_all(
+        self, members: Sequence[BackendServer], old_primary: str
+    ) -> dict[str, ServerState]:
         """Freeze every member that answers; return the states before it.
 
         Members that are frozen are asked again, too: one may have restarted under
@@ -41,6 +43,7 @@
             running,
             lambda server: self._parts.servers.status(server, SERVER_CALL_TIMEOUT),
             SERVER_CALL_TIMEOUT + FREEZE_GRACE_SECONDS,
+            old_primary,
         )
         self._term = max(self._term, newest_term(states.values()) + 1)
         asked = [one for one in running if one.name in states]
@@ -48,6 +51,7 @@
             asked,
             lambda server: self._freeze(server, states),
             SERVER_CALL_TIMEOUT + FREEZE_GRACE_SECONDS,
+            old_primary,
         )
         for server in asked:
             self._note(server, answers.get(server.name))
--- a/packages/failover/src/dogwoodspool_failover/parts.py
+++ b/packages/failover/src/dogwoodspool_failover/parts.py
@@ -9,6 +9,7 @@
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.state import ControlState
 
+from .const import DOUBT_GRACE_SECONDS
 from .errors import ServerCallError
 from .heartbeats import HeartbeatBook
 from .models import ServerState
@@ -37,13 +38,29 @@
     executor: Executor
 
     def ask_all(
-        self, servers: Iterable[BackendServer], call: ServerCall, timeout: float
+        self,
+        servers: Iterable[BackendServer],
+        call: ServerCall,
+        timeout: float,
+        in_doubt: str = "",
     ) -> dict[str, ServerState]:
-        """Make one call to each server at the same time; return the answers."""
+        """Make one call to each server at the same time; return the answers.
+
+        Args:
+            servers: whom to ask.
+            call: the question or order.
+            timeout: seconds after which answers that are missing are left out.
+            in_doubt: a server that probably does not answer. It is waited for only
+                until the others have answered, and for a moment more.
+        """
         calls: dict[Future[ServerState], str] = {
             self.executor.submit(call, server): server.name for server in servers
         }
-        ended, _ = wait(calls, timeout=timeout)
+        awaited = [future for future, name in calls.items() if name != in_doubt]
+        wait(awaited, timeout=timeout)
+        grace = DOUBT_GRACE_SECONDS if in_doubt else 0.0
+        wait(calls, timeout=grace)
+        ended = [future for future in calls if future.done()]
         answers = {}
         for future in ended:
             try:
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -1,4 +1,4 @@
-"""Tests of how soon there is a leader after restarts, and of what that must not break."""
+"""Tests of how soon there is a leader after restarts, and what that must not break."""
 
 import unittest
 
--- /dev/null
+++ b/tests/failover/fakes.py
@@ -0,0 +1,272 @@
+"""A database group in memory, and one voter that leads, without threads."""
+
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import Executor, Future
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from dogwoodspool_common import (
+    Address,
+    BackendServer,
+    ManualClock,
+    Position,
+    Role,
+)
+from dogwoodspool_consensus import Leadership, NotLeaderError
+from dogwoodspool_control.commands import BeginPromotion, BootstrapGroup, Command
+from dogwoodspool_control.commands import RecordServer as Record
+from dogwoodspool_control.failovers import FailoverTimeline
+from dogwoodspool_control.models import PromotionReason
+from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.state import ControlState
+from dogwoodspool_failover import (
+    Heartbeat,
+    PromotionRefusedError,
+    PromotionUnknownError,
+    ServerCallError,
+    ServerRefusingError,
+    ServerState,
+)
+from dogwoodspool_failover.change import PrimaryChange
+from dogwoodspool_failover.heartbeats import HeartbeatBook
+from dogwoodspool_failover.parts import ChangeParts
+
+GROUP = "chat"
+SERVERS = ("s1", "s2", "s3")
+
+
+class ImpatientClock(ManualClock):
+    """A clock on which every wait runs out at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.on_sleep: Callable[[], None] = lambda: None
+
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+        self.on_sleep()
+
+    def wait(self, condition: threading.Condition, seconds: float) -> bool:
+        self.advance(max(0.0, seconds))
+        return False
+
+
+class DirectExecutor(Executor):
+    """Run each call at once, in the thread that submits it."""
+
+    def submit(self, fn: Any, /, *args: Any, **kwargs: Any) -> Future[Any]:
+        future: Future[Any] = Future()
+        try:
+            future.set_result(fn(*args, **kwargs))
+        except Exception as error:  # noqa: BLE001
+            future.set_exception(error)
+        return future
+
+
+@dataclass
+class FakeServer:
+    """One server of a group that replicates synchronously."""
+
+    name: str
+    role: Role = Role.REPLICA
+    term: int = 1
+    received: Position = Position(1, 100)
+    paused_term: int = 0
+    is_silent: bool = False
+    is_refusing: bool = False
+    incarnation: int = 1
+
+    def described(self, **changes: Any) -> BackendServer:
+        server = BackendServer(
+            name=self.name,
+            group=GROUP,
+            failure_domain=f"fd{self.name[-1]}",
+            address=Address("10.0.0.1", 1000 + int(self.name[-1])),
+            slots=3,
+            connections=20,
+            incarnation=self.incarnation,
+        )
+        return replace(server, **changes)
+
+
+@dataclass
+class FakeGroup:
+    """The servers behind ``GroupServers``, and the platform behind the promotions.
+
+    Attributes:
+        orders: what was asked of servers and of the platform, in order.
+        answers: how the platform answers the next calls; True for an order taken.
+        late: calls without an answer, which may still be carried out.
+    """
+
+    servers: dict[str, FakeServer]
+    orders: list[tuple[str, str]] = field(default_factory=list)
+    answers: list[bool | Exception] = field(default_factory=list)
+    late: list[tuple[str, int]] = field(default_factory=list)
+    tokens: list[int] = field(default_factory=list)
+
+    def status(self, server: BackendServer, timeout: float) -> ServerState:
+        return self._state(self._reach(server))
+
+    def pause(self, server: BackendServer, term: int, timeout: float) -> ServerState:
+        fake = self._reach(server)
+        self.orders.append(("pause", server.name))
+        if fake.role is Role.REPLICA and term > fake.term:
+            fake.paused_term = term
+        return self._state(fake)
+
+    def resume(self, server: BackendServer, timeout: float) -> ServerState:
+        fake = self._reach(server)
+        self.orders.append(("resume", server.name))
+        fake.paused_term = 0
+        return self._state(fake)
+
+    def step_down(
+        self, server: BackendServer, term: int, timeout: float
+    ) -> ServerState:
+        fake = self._reach(server)
+        self.orders.append(("step_down", server.name))
+        if term > fake.term:
+            fake.role = Role.REPLICA
+        return self._state(fake)
+
+    def promote(
+        self, server: BackendServer, holder: str, token: int, timeout: float
+    ) -> None:
+        self.orders.append(("promote", server.name))
+        answer = self.answers.pop(0) if self.answers else True
+        if isinstance(answer, PromotionUnknownError):
+            self.late.append((server.name, token))
+            raise answer
+        if isinstance(answer, Exception):
+            raise answer
+        self.carry_out(server.name, token)
+
+    def carry_out(self, name: str, token: int) -> None:
+        """Let the platform move the lead, unless a newer call was seen."""
+        if token < max(self.tokens, default=0):
+            return
+        self.tokens.append(token)
+        term = max(one.term for one in self.servers.values()) + 1
+        for one in self.servers.values():
+            one.role = Role.PRIMARY if one.name == name else Role.REPLICA
+        leader = self.servers[name]
+        leader.term, leader.paused_term = term, 0
+        leader.received = Position(term, leader.received.offset)
+
+    def _reach(self, server: BackendServer) -> FakeServer:
+        fake = self.servers[server.name]
+        if fake.is_refusing:
+            raise ServerRefusingError(server.name)
+        if fake.is_silent:
+            raise ServerCallError(server.name)
+        return fake
+
+    def _state(self, fake: FakeServer) -> ServerState:
+        return ServerState(
+            fake.role, fake.term, fake.received, fake.paused_term, lag_ms=0.0
+        )
+
+
+class FakeNode:
+    """The log of one voter, which commits at once."""
+
+    def __init__(self, state: ControlState, clock: ManualClock) -> None:
+        self._state = state
+        self._clock = clock
+        self.index = 0
+        self.leads = True
+        self.leader_address = None
+        self.is_following = True
+
+    def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
+        if not self.leads:
+            raise NotLeaderError(None)
+        self.index += 1
+        return self._state.apply(self.index, command)
+
+    def leadership(self) -> Leadership | None:
+        if not self.leads:
+            return None
+        return Leadership(1, 0.0, self._clock.now() + 1)
+
+    def confirm_read(self, timeout: float) -> int:
+        return self.index
+
+
+class Voter:
+    """One voter that leads, over a group of three servers."""
+
+    def __init__(self, servers: Iterable[FakeServer] = ()) -> None:
+        fakes = list(servers) or [
+            FakeServer("s1", Role.PRIMARY),
+            FakeServer("s2"),
+            FakeServer("s3"),
+        ]
+        self.clock = ImpatientClock()
+        self.state = ControlState(self.clock)
+        self.log = FakeNode(self.state, self.clock)
+        self.node = ControlNode(self.log)
+        self.node.catch_up()
+        self.group = FakeGroup({fake.name: fake for fake in fakes})
+        self.heartbeats = HeartbeatBook(self.clock, self.state)
+        self.timeline = FailoverTimeline(self.clock)
+        for fake in fakes:
+            self.commit(Record(fake.described()))
+        primary = next(one.name for one in fakes if one.role is Role.PRIMARY)
+        self.commit(BootstrapGroup(GROUP, 1, primary))
+        self.parts = ChangeParts(
+            clock=self.clock,
+            node=self.node,
+            state=self.state,
+            heartbeats=self.heartbeats,
+            servers=self.group,
+            service=self.group,
+            holder="core-1",
+            timeline=self.timeline,
+            executor=DirectExecutor(),
+        )
+
+    @property
+    def primary(self) -> str | None:
+        """The committed primary."""
+        group = self.state.group(GROUP)
+        return None if group is None else group.primary
+
+    def commit(self, command: Command) -> None:
+        """Commit one command that must be accepted."""
+        self.node.commit(command)
+
+    def begin(self, reason: PromotionReason = PromotionReason.FAILED) -> None:
+        """Begin a change of primary."""
+        group = self.state.group(GROUP)
+        assert group is not None
+        self.commit(BeginPromotion(GROUP, group.term, reason))
+
+    def change(self, max_pauses: int = 40) -> None:
+        """Work on the change until it ends, or stops leading after some pauses."""
+        pauses = 0
+
+        def count() -> None:
+            nonlocal pauses
+            pauses += 1
+            if pauses >= max_pauses:
+                self.log.leads = False
+
+        self.clock.on_sleep = count
+        PrimaryChange(GROUP, self.parts).run()
+        self.log.leads = True
+
+    def beat(self, fake: FakeServer, sequence: int, **changes: Any) -> list[Command]:
+        """Take one heartbeat and commit what it makes due."""
+        role = changes.pop("role", fake.role)
+        beat = Heartbeat(fake.described(**changes), sequence, role)
+        commands = self.heartbeats.take(beat)
+        for command in commands:
+            self.node.propose(command)
+        return commands
+
+
+REFUSED = PromotionRefusedError("409")
+UNKNOWN = PromotionUnknownError("no answer")
--- /dev/null
+++ b/tests/failover/test_choice.py
@@ -0,0 +1,127 @@
+"""Tests of the choice of a new primary."""
+
+import unittest
+from dataclasses import replace
+
+from dogwoodspool_common import BackendServer, Position, Role
+from dogwoodspool_failover.choice import (
+    FailoverInput,
+    HandoverInput,
+    choose_primary,
+    choose_successor,
+    is_handover_safe,
+)
+from dogwoodspool_failover.models import ServerState
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .fakes import FakeServer
+
+
+def state(offset: int, term: int = 1, paused: int = 2) -> ServerState:
+    """Return the answer of a paused replica."""
+    return ServerState(Role.REPLICA, term, Position(term, offset), paused, 0.0)
+
+
+def members(*names: str) -> list[BackendServer]:
+    """Return servers by name."""
+    return [FakeServer(name).described() for name in names]
+
+
+class ChoosePrimaryTests(unittest.TestCase):
+    """The chosen server has every acknowledged write, or none is chosen."""
+
+    def test_the_furthest_replica_is_chosen(self) -> None:
+        given_ = FailoverInput(
+            members("s1", "s2", "s3"), {"s2": state(7), "s3": state(9)}, ("s1",)
+        )
+        self.assertEqual(choose_primary(given_).ok.server, "s3")
+
+    def test_with_a_silent_replica_the_old_primary_is_needed(self) -> None:
+        # The only replica that has a line is silent, and the primary is dead. The
+        # other replica would be promoted without the line, which was acknowledged.
+        given_ = FailoverInput(members("s1", "s2", "s3"), {"s2": state(7)}, ("s1",))
+        refusal = choose_primary(given_).error
+        self.assertEqual(set(refusal.waiting_for), {"s1", "s3"})
+
+    def test_a_replica_that_covers_the_stopped_primary_is_chosen(self) -> None:
+        frozen = {"s1": state(9), "s2": state(9)}
+        given_ = FailoverInput(
+            members("s1", "s2", "s3"), frozen, ("s1",), unwanted=("s1",)
+        )
+        self.assertEqual(choose_primary(given_).ok.server, "s2")
+
+    def test_else_the_stopped_primary_itself_goes_on(self) -> None:
+        frozen = {"s1": state(9), "s2": state(8)}
+        given_ = FailoverInput(
+            members("s1", "s2", "s3"), frozen, ("s1",), unwanted=("s1",)
+        )
+        self.assertEqual(choose_primary(given_).ok.server, "s1")
+
+    def test_what_only_the_primary_has_was_not_acknowledged(self) -> None:
+        frozen = {"s1": state(12), "s2": state(8), "s3": state(9)}
+        given_ = FailoverInput(
+            members("s1", "s2", "s3"), frozen, ("s1",), unwanted=("s1",)
+        )
+        self.assertEqual(choose_primary(given_).ok.server, "s3")
+
+    def test_a_server_that_ended_still_counts_until_it_is_covered(self) -> None:
+        ended = [*members("s1", "s2", "s3")]
+        ended[2] = replace(ended[2], is_gone=True)
+        given_ = FailoverInput(ended, {"s2": state(7)}, ("s1",))
+        self.assertTrue(choose_primary(given_).is_error())
+
+    def test_a_server_that_stays_goes_before_one_that_leaves(self) -> None:
+        servers = members("s1", "s2", "s3")
+        servers[1] = replace(servers[1], is_leaving=True)
+        given_ = FailoverInput(servers, {"s2": state(9), "s3": state(9)}, ("s1",))
+        self.assertEqual(choose_primary(given_).ok.server, "s3")
+
+    @given(
+        writes=st.lists(st.tuples(st.integers(1, 3), st.booleans()), max_size=12),
+        frozen=st.sets(st.integers(0, 3), max_size=4),
+    )
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    def test_no_acknowledged_write_is_ever_lost(
+        self, writes: list[tuple[int, bool]], frozen: set[int]
+    ) -> None:
+        """Compare with a model: each write reaches some replicas before its answer."""
+        received = [0, 0, 0, 0]
+        acknowledged = 0
+        for replica, is_acknowledged in writes:
+            received[0] += 1
+            if is_acknowledged:
+                received[replica] = received[0]
+                acknowledged = received[0]
+        names = ["s1", "s2", "s3", "s4"]
+        answers = {names[i]: state(received[i]) for i in frozen}
+        chosen = choose_primary(
+            FailoverInput(members(*names), answers, ("s1",), unwanted=("s1",))
+        )
+        if chosen.is_ok():
+            self.assertGreaterEqual(chosen.ok.received.offset, acknowledged)
+
+
+class HandoverTests(unittest.TestCase):
+    """A working primary hands over without a pause for writes."""
+
+    def test_the_furthest_replica_that_stays_is_the_successor(self) -> None:
+        servers = members("s1", "s2", "s3")
+        servers[2] = replace(servers[2], is_leaving=True)
+        given_ = HandoverInput("s1", servers, {"s2": state(7), "s3": state(9)})
+        self.assertEqual(choose_successor(given_).ok.server, "s2")
+
+    def test_it_waits_while_another_replica_may_still_receive(self) -> None:
+        # The old primary acknowledges a line with the help of a replica that is
+        # not paused, and then the lead moves to the one without the line.
+        given_ = HandoverInput(
+            "s1", members("s1", "s2", "s3"), {"s2": state(9), "s3": state(9)}
+        )
+        self.assertFalse(is_handover_safe(given_, "s2", {}))
+        self.assertTrue(is_handover_safe(given_, "s2", {"s3": state(9)}))
+
+    def test_it_waits_until_the_successor_has_what_the_paused_have(self) -> None:
+        given_ = HandoverInput(
+            "s1", members("s1", "s2", "s3"), {"s2": state(8), "s3": state(9)}
+        )
+        self.assertFalse(is_handover_safe(given_, "s2", {"s3": state(9)}))
--- /dev/null
+++ b/tests/failover/test_voters.py
@@ -0,0 +1,61 @@
+"""Tests of which member of the control group has a vote."""
+
+import unittest
+from dataclasses import replace
+
+from dogwoodspool_consensus import PeerDiagnostics
+from dogwoodspool_failover.voters import MemberAction, due_change
+
+
+def member(name: str, *, is_voter: bool = True, silent: float = 0.1) -> PeerDiagnostics:
+    """Return a member as the leader sees it."""
+    address = f"10.0.0.{name[1:]}:1"
+    return PeerDiagnostics(name, address, "x", is_voter, f"fd{name[1:]}", 0, silent)
+
+
+class DueChangeTests(unittest.TestCase):
+    """The control group keeps as many live voters as it can."""
+
+    def setUp(self) -> None:
+        self.members = [member("n1"), member("n2"), member("n3")]
+        self.spare = member("n4", is_voter=False)
+
+    def due(self, *members: PeerDiagnostics) -> tuple[MemberAction, str] | None:
+        change = due_change("n1", members, 3, leading_for=100.0)
+        return None if change is None else (change.action, change.member.node_id)
+
+    def test_nothing_is_due_while_all_answer(self) -> None:
+        self.assertIsNone(self.due(*self.members, self.spare))
+
+    def test_a_silent_voter_loses_its_vote_to_a_learner(self) -> None:
+        # A voter's instance is lost for good. When a second one is lost a few
+        # seconds later, the group must still have a majority.
+        silent = member("n3", silent=3.0)
+        voters = [*self.members[:2], silent]
+        due = self.due(*voters, self.spare)
+        self.assertEqual(due, (MemberAction.TAKE_VOTE, "n3"))
+        demoted = [*self.members[:2], replace(silent, is_voter=False)]
+        due = self.due(*demoted, self.spare)
+        self.assertEqual(due, (MemberAction.GIVE_VOTE, "n4"))
+
+    def test_without_a_learner_the_silent_voter_keeps_it(self) -> None:
+        self.assertIsNone(self.due(*self.members[:2], member("n3", silent=60.0)))
+
+    def test_a_learner_that_is_silent_or_behind_takes_no_vote(self) -> None:
+        voters = self.members[:2]
+        self.assertIsNone(self.due(*voters, replace(self.spare, silent_s=5.0)))
+        self.assertIsNone(self.due(*voters, replace(self.spare, lag=5_000)))
+
+    def test_a_member_whose_disk_was_lost_is_removed(self) -> None:
+        # Its instance runs again at the same address under another identity.
+        lost = member("n3", silent=1.0)
+        back = replace(member("n9", is_voter=False), address=lost.address)
+        due = self.due(*self.members[:2], lost, back)
+        self.assertEqual(due, (MemberAction.TAKE_VOTE, "n3"))
+        due = self.due(*self.members[:2], replace(lost, is_voter=False), back)
+        self.assertEqual(due, (MemberAction.REMOVE, "n3"))
+
+    def test_votes_are_spread_over_failure_domains(self) -> None:
+        near = replace(member("n5", is_voter=False), failure_domain="fd1")
+        due = self.due(*self.members[:2], near, self.spare)
+        self.assertEqual(due, (MemberAction.GIVE_VOTE, "n4"))
