--- a/packages/proxy/src/dogwoodspool_proxy/pruning.py
+++ b/packages/proxy/src/dogwoodspool_proxy/pruning.py
@@ -20,7 +20,7 @@
     """Delete rows of request ids that are older than their retention.
 
     A resend after the retention would run again, so callers must not resend for
-    longer than that; ``docs/OPERATING.md`` says so.
+    longer than that; ``docs/OPERATIONS.md`` says so.
     """
 
     def __init__(
--- a/tests/failover/test_change.py
+++ b/tests/failover/test_change.py
@@ -165,23 +165,24 @@
     def due(self) -> list[str]:
         return [type(one).__name__ for one in self.departures.due_commands()]
 
-    def mark(self, name: str, **changes: bool) -> None:
+    def mark(self, name: str, *, is_gone: bool = False) -> None:
         described = self.voter.state.servers[name]
-        self.voter.commit(RecordServer(replace(described, **changes)))
+        leaving = replace(described, is_leaving=True, is_gone=is_gone)
+        self.voter.commit(RecordServer(leaving))
 
     def test_a_leaving_primary_hands_over(self) -> None:
-        self.mark("s1", is_leaving=True)
+        self.mark("s1")
         self.assertEqual(self.due(), ["BeginPromotion"])
 
     def test_without_a_successor_it_stays(self) -> None:
         for name in ("s1", "s2", "s3"):
-            self.mark(name, is_leaving=True)
+            self.mark(name)
         self.assertEqual(self.due(), [])
 
     def test_an_ended_replica_is_kept_until_another_has_its_writes(self) -> None:
         # A line was acknowledged with the help of a replica that then left. The
         # primary dies next, and the replica that is left never had the line.
-        self.mark("s3", is_leaving=True, is_gone=True)
+        self.mark("s3", is_gone=True)
         self.voter.group.servers["s1"].received = Position(1, 120)
         self.assertEqual(self.due(), [])
         self.voter.clock.advance(1)
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,177 @@
+"""Tests of what comes from the platform: settings file, configuration, heartbeats."""
+
+import unittest
+from typing import Any
+
+from dogwoodspool_common import Consistency, Role
+from dogwoodspool_control.documents import pack, unpack
+from dogwoodspool_platform.boot import BootSettings
+from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
+from dogwoodspool_platform.heartbeat_message import (
+    InvalidHeartbeatError,
+    decode_heartbeat,
+)
+from dogwoodspool_settings import SettingsTree
+from expression import Result
+
+
+def route(**changes: Any) -> dict[str, Any]:
+    """Return a route."""
+    return {
+        "name": "r1",
+        "host": "db1",
+        "pathPrefix": "/",
+        "kind": "read_your_writes",
+        "timeoutMs": 800,
+        "targetLatencyMs": 250,
+        "priority": 2,
+        "service": "s1",
+        "maxAttempts": 2,
+        "maxStalenessMs": 2500,
+        **changes,
+    }
+
+
+def config(**changes: Any) -> dict[str, Any]:
+    """Return a configuration."""
+    return {
+        "version": 7,
+        "routes": [route()],
+        "services": [{"name": "s1", "maxConns": 46, "syncReplicas": 1}],
+        "limits": {"txIdleMs": 3000},
+        **changes,
+    }
+
+
+def heartbeat(**changes: Any) -> dict[str, Any]:
+    """Return a heartbeat's body."""
+    return {
+        "service": "s1",
+        "addr": "10.0.0.9:8080",
+        "zone": "a",
+        "version": "v1",
+        "slots": 3,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "dbRole": "replica",
+        "seq": 4,
+        "born": 1_790_000_000_000,
+        **changes,
+    }
+
+
+class ConfigTests(unittest.TestCase):
+    """A configuration comes into force whole, or is refused."""
+
+    def test_a_route_is_an_endpoint(self) -> None:
+        version, document = decode_config(config())
+        (endpoint,) = document.endpoints
+        self.assertEqual(version, 7)
+        self.assertIs(endpoint.consistency, Consistency.READ_YOUR_WRITES)
+        self.assertEqual((endpoint.deadline_ms, endpoint.max_age_ms), (800, 2500))
+
+    def test_the_tree_takes_its_nodes(self) -> None:
+        _, document = decode_config(config())
+        nodes = document.nodes
+        self.assertEqual(nodes["/"], {"max_transaction_idle_ms": 3000})
+        self.assertEqual(
+            nodes["/s1/s1"], {"write_ack": "group", "server_connections": 46}
+        )
+
+    def test_it_comes_back_as_it_was_sent(self) -> None:
+        sent = config(extra={"kept": [1, 2]})
+        _, document = decode_config(sent)
+        self.assertIn('"extra":{"kept":[1,2]}', unpack(pack(document)).source)
+
+    def test_what_is_invalid_is_refused(self) -> None:
+        cases: dict[str, Any] = {
+            "unknown service": config(routes=[route(service="s9")]),
+            "same place": config(routes=[route(), route(name="r2")]),
+            "no timeout": config(routes=[route(timeoutMs=0)]),
+            "cut short": {"version": 7, "routes": []},
+            "no number": config(version="7"),
+            "unknown kind": config(routes=[route(kind="dirty")]),
+            "a list": [],
+            "nothing": None,
+        }
+        for name, bad in cases.items():
+            with self.assertRaises(InvalidConfigError, msg=name):
+                decode_config(bad)
+
+
+class DocumentTests(unittest.TestCase):
+    """A document is one change of the tree, and an older one changes nothing."""
+
+    def test_a_node_that_is_no_longer_described_goes(self) -> None:
+        from dogwoodspool_control.documents import DocumentState  # noqa: PLC0415
+
+        tree, state = SettingsTree(), DocumentState()
+        both = config(services=[{"name": "s1"}, {"name": "s2"}])
+        for index, (version, sent) in enumerate([(7, both), (9, config())], 1):
+            _, document = decode_config({**sent, "version": version})
+            state.replace(version, pack(document), "operator", tree, index)
+        self.assertTrue(tree.has_group("s1"))
+        self.assertFalse(tree.has_group("s2"))
+
+    def test_another_content_under_the_same_revision_is_not_obeyed(self) -> None:
+        from dogwoodspool_control.documents import DocumentState  # noqa: PLC0415
+
+        tree, state = SettingsTree(), DocumentState()
+        _, first = decode_config(config())
+        _, second = decode_config(config(routes=[]))
+        state.replace(7, pack(first), "operator", tree, 1)
+        answer: Result[bool, Any] = state.replace(7, pack(second), "operator", tree, 2)
+        self.assertFalse(answer.ok)
+        self.assertEqual(len(state.endpoints), 1)
+
+
+class HeartbeatTests(unittest.TestCase):
+    """A heartbeat names a server, or is refused."""
+
+    def test_it_describes_a_server(self) -> None:
+        beat = decode_heartbeat("i-1", heartbeat())
+        self.assertEqual(beat.server.name, "i-1")
+        self.assertEqual(beat.server.incarnation, 1_790_000_000_000)
+        self.assertIs(beat.role, Role.REPLICA)
+
+    def test_what_cannot_be_used_is_refused(self) -> None:
+        cases: dict[str, Any] = {
+            "missing": {key: 1 for key in ("seq",)},
+            "another type": heartbeat(seq="4"),
+            "a truth value": heartbeat(seq=True),
+            "a fraction": heartbeat(born=1.5),
+            "unknown state": heartbeat(state="sleeping"),
+            "no address": heartbeat(addr="somewhere"),
+            "a list": [],
+            "nothing": None,
+        }
+        for name, bad in cases.items():
+            with self.assertRaises(InvalidHeartbeatError, msg=name):
+                decode_heartbeat("i-1", bad)
+
+    def test_a_bad_name_is_refused(self) -> None:
+        with self.assertRaises(InvalidHeartbeatError):
+            decode_heartbeat("i 1", heartbeat())
+
+
+class BootSettingsTests(unittest.TestCase):
+    """The settings file names what a process needs, and more."""
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        boot = BootSettings.model_validate(
+            {
+                "node": "core-a-1",
+                "ip": "10.1.0.11",
+                "zone": "a",
+                "internalPorts": [7440, 7455],
+                "seeds": ["10.1.0.11:8782", "10.2.0.8:8782"],
+                "bootstrap": True,
+                "listen": {"control": "10.1.0.11:8782"},
+                "novelty": 1,
+            }
+        )
+        self.assertEqual(str(boot.internal_address), "10.1.0.11:7440")
+        self.assertEqual(
+            [str(seed) for seed in boot.seed_addresses],
+            ["10.1.0.11:7440", "10.2.0.8:7440"],
+        )
