--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -82,12 +82,19 @@
 
         Args:
             name: the server.
-            incarnation: the process that ends; None for the recorded one.
+            incarnation: the process that ends; None where it does not say. It then
+                is the recorded one if that one leaves: a server says so before it
+                ends, and a late word must not end a process that came after.
         """
         known = self._state.servers.get(name)
         if known is None or known.is_gone:
             return []
-        if incarnation is not None and incarnation != known.incarnation:
+        is_meant = (
+            known.is_leaving
+            if incarnation is None
+            else (incarnation == known.incarnation)
+        )
+        if not is_meant:
             return []
         return [RecordServer(replace(known, is_leaving=True, is_gone=True))]
 
--- a/packages/failover/src/dogwoodspool_failover/service.py
+++ b/packages/failover/src/dogwoodspool_failover/service.py
@@ -50,10 +50,10 @@
         self._commit(self._heartbeats.take(beat))
         self._wake()
 
-    def end_server(self, name: str) -> None:
-        """Take in that a server's process ends."""
+    def end_server(self, name: str, incarnation: int | None) -> None:
+        """Take in that a server's process ends; see ``HeartbeatBook.end``."""
         self._node.require_leadership()
-        self._commit(self._heartbeats.end(name))
+        self._commit(self._heartbeats.end(name, incarnation))
         self._wake()
 
     def apply_document(self, revision: int, document: Document, author: str) -> None:
--- a/packages/pooler/src/dogwoodspool_pooler/placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/placement.py
@@ -37,11 +37,21 @@
             penalty += OTHER_DOMAIN_PENALTY
         if one.name == primary:
             penalty += PRIMARY_PENALTY
-        return one.estimated_time + penalty, one.name
+        return expected_time(one) + penalty, one.name
 
     return sorted(usable, key=cost)
 
 
+def expected_time(server: ServerView) -> float:
+    """Return the seconds that one more statement would take on a server.
+
+    A statement waits only once the server's slots are taken. What other processes
+    have running there shows in the average latency.
+    """
+    waiting = max(0, server.in_flight + 1 - server.server.slots)
+    return server.latency * (1 + waiting / server.server.slots)
+
+
 class PrimaryMemory:
     """Remember which server took a group's writes before the present change.
 
--- a/tests/failover/test_heartbeats.py
+++ b/tests/failover/test_heartbeats.py
@@ -49,12 +49,22 @@
         self.assertEqual(self.recorded("s9"), (5, False, False))
 
     def test_a_removed_server_is_not_recorded_again(self) -> None:
-        for command in self.voter.heartbeats.end("s3"):
+        for command in self.voter.heartbeats.end("s3", 1):
             self.voter.commit(command)
         self.voter.commit(RemoveServer("s3"))
         self.assertEqual(self.voter.beat(self.s3, 50), [])
         self.assertNotIn("s3", self.voter.state.servers)
 
+    def test_a_late_goodbye_does_not_end_the_process_after_it(self) -> None:
+        # A server ends and starts again under its id. The goodbye of the first
+        # process was held up and arrives while the second one serves.
+        self.assertEqual(self.voter.heartbeats.end("s3"), [])
+        self.s3.incarnation = 2
+        self.voter.beat(self.s3, 1)
+        self.assertEqual(self.voter.heartbeats.end("s3", 1), [])
+        self.voter.beat(self.s3, 2, is_leaving=True)
+        self.assertEqual(len(self.voter.heartbeats.end("s3")), 1)
+
     def test_a_server_that_does_not_state_its_start_may_count_anew(self) -> None:
         unstated = FakeServer("s8", incarnation=0)
         self.voter.beat(unstated, 40)
--- /dev/null
+++ b/tests/pooler/test_placement.py
@@ -0,0 +1,72 @@
+"""Tests of the choice of a server for a read, and of shares of connections."""
+
+import unittest
+
+from dogwoodspool_common import Address, BackendServer, ManualClock
+from dogwoodspool_pooler.ceiling import ConnectionCeiling
+from dogwoodspool_pooler.placement import expected_time, rank_for_read
+from dogwoodspool_routing import ServerView
+
+
+def server(
+    name: str, domain: str, *, latency: float = 0.02, in_flight: int = 0
+) -> ServerView:
+    """Return a server of three slots."""
+    described = BackendServer(name, "chat", domain, Address("10.0.0.1", 1), 3, 20)
+    return ServerView(described, None, 0.0, None, False, latency, in_flight)
+
+
+class RankTests(unittest.TestCase):
+    """Reads stay near until the queue there costs more than the way."""
+
+    def rank(self, *servers: ServerView) -> list[str]:
+        ranked = rank_for_read(servers, primary="s1", failure_domain="fd1", excluded=())
+        return [one.name for one in ranked]
+
+    def test_the_own_failure_domain_goes_first(self) -> None:
+        ranked = self.rank(
+            server("s2", "fd2"), server("s3", "fd1", latency=0.03, in_flight=2)
+        )
+        self.assertEqual(ranked[0], "s3")
+
+    def test_a_free_slot_makes_nobody_wait(self) -> None:
+        idle, used = server("a", "fd1"), server("b", "fd1", in_flight=2)
+        self.assertEqual(expected_time(idle), expected_time(used))
+
+    def test_a_burst_of_one_domain_spreads_over_the_others(self) -> None:
+        # Everybody in one failure domain comes at once. Its own replica has a
+        # queue of seconds while replicas elsewhere idle. The load is replayed:
+        # forty reads arrive together, each is placed by what went before.
+        load = {"s2": 0, "s3": 0, "s4": 0}
+        domains = {"s2": "fd1", "s3": "fd2", "s4": "fd3"}
+        for _ in range(40):
+            views = [
+                server(name, domains[name], in_flight=count)
+                for name, count in load.items()
+            ]
+            load[self.rank(*views)[0]] += 1
+        self.assertLess(max(load.values()), 20)
+        self.assertGreater(min(load.values()), 8)
+
+    def test_a_replica_elsewhere_goes_before_a_primary_elsewhere(self) -> None:
+        ranked = self.rank(server("s1", "fd2"), server("s2", "fd3"))
+        self.assertEqual(ranked[0], "s2")
+
+
+class CeilingTests(unittest.TestCase):
+    """A refusal lowers the share of connections for a while."""
+
+    def test_it_rises_again_by_one_a_second(self) -> None:
+        clock = ManualClock()
+        ceiling = ConnectionCeiling(clock, 6)
+        ceiling.note_refused(2)
+        self.assertEqual(ceiling.value(), 2)
+        clock.advance(2.5)
+        self.assertEqual(ceiling.value(), 4)
+        clock.advance(10)
+        self.assertEqual(ceiling.value(), 6)
+
+    def test_one_connection_is_always_tried(self) -> None:
+        ceiling = ConnectionCeiling(ManualClock(), 6)
+        ceiling.note_refused(0)
+        self.assertEqual(ceiling.value(), 1)
