--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -34,13 +34,13 @@
 # Connections to one server that this process keeps in use at most, as a part of
 # what the server takes. Proxies are many and unevenly used, so the parts add up to
 # more than there is; the server's refusal lowers the part for a while.
-CONNECTION_SHARE: Final = 0.3
+CONNECTION_SHARE: Final = 0.2
 MIN_CONNECTIONS: Final = 2
 DEFAULT_CONNECTIONS: Final = 16
 CEILING_STEP_SECONDS: Final = 1.0
 # Short, since after a power loss of many proxies the servers go on to count their
 # connections for some seconds, and what is held then is missing when they are back.
-IDLE_EXPIRY_SECONDS: Final = 2.0
+IDLE_EXPIRY_SECONDS: Final = 1.0
 CONNECT_TIMEOUT: Final = 0.5
 CHECK_TIMEOUT: Final = 0.25
 # Idle time after which a connection is asked for a sign of life before its use: it
