--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -31,6 +31,9 @@
 # The primary's slots are wanted by writes: a replica may take so much longer.
 PRIMARY_PENALTY: Final = 0.008
 
+# A planned change of primary ends within 2 s; a server that leaves stays for 7 s.
+LEAVING_GRACE_SECONDS: Final = 4.5
+
 # Connections to one server that this process keeps in use at most, as a part of
 # what the server takes. Proxies are many and unevenly used, so the parts add up to
 # more than there is; the server's refusal lowers the part for a while.
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -8,7 +8,11 @@
 from dogwoodspool_routing import ServerTable
 
 from .access import HeldConnection, ServerAccess
-from .const import MAX_WRITE_ATTEMPTS, NO_PRIMARY_RETRY_MS
+from .const import (
+    LEAVING_GRACE_SECONDS,
+    MAX_WRITE_ATTEMPTS,
+    NO_PRIMARY_RETRY_MS,
+)
 from .errors import NotServedError
 from .models import ErrorCode, Reply, StatementError
 from .placement import PrimaryMemory
@@ -122,11 +126,21 @@
         view = self._views.view
         servers = view.servers_of(group)
         found = self._memory.candidates(view.groups.get(group), servers)
-        return [one for one in found if not self._is_failing(one.name)]
+        return [one for one in found if self._takes_work(one.name)]
 
-    def _is_failing(self, name: str) -> bool:
+    def _takes_work(self, name: str) -> bool:
+        """Tell whether a server may get new work.
+
+        A leaving primary goes on for a while, since its lead is moved meanwhile
+        and nobody else can take its writes. Then it gets none, also where the
+        lead could not be moved.
+        """
         known = self._table.get(name)
-        return known is not None and known.is_failing
+        if known is None:
+            return True
+        leaving_for = known.leaving_for
+        is_leaving = leaving_for is not None and leaving_for >= LEAVING_GRACE_SECONDS
+        return not known.is_failing and not is_leaving
 
     def _await_news(self, request: Request, version: int) -> bool:
         remaining = request.start_by - self._clock.now()
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -81,8 +81,7 @@
         Raises:
             NotServedError: no server took it.
         """
-        floor = self.floor(request)
-        if floor is None:
+        if self.floor(request) is None:
             return self._read_primary(request)
         excluded: set[str] = set()
         failed: Reply | None = None
@@ -90,7 +89,7 @@
             server = self.choose(request, excluded)
             if server is None:
                 break
-            reply = self._try(request, server, floor, number)
+            reply = self._try(request, server, number)
             if reply is not None and reply.error is None:
                 group = request.endpoint.group
                 is_primary = server.name == self._primaries.current(group)
@@ -116,7 +115,7 @@
         return ranked[0].server if ranked else None
 
     def _try(
-        self, request: Request, server: BackendServer, floor: Position, number: int
+        self, request: Request, server: BackendServer, number: int
     ) -> Reply | None:
         """Try one server; None where it gave no answer."""
         now = self._clock.now()
@@ -133,6 +132,12 @@
         except (NotServedError, ConnectFailedError) as error:
             self._note_moved(request, server, error)
             return None
+        # Only now: a process may stand still between its decisions, and a position
+        # of before would be older than the read may see.
+        floor = self.floor(request)
+        if floor is None:
+            held.finish(is_good=True)
+            return None
         is_good = False
         try:
             statement = replace(request.statement, wait_for=floor)
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -1,8 +1,8 @@
 """Backend servers in memory, and a pooler wired to them without threads."""
 
 import threading
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field, replace
 
 from dogwoodspool_api import (
     ControlView,
@@ -323,12 +323,16 @@
         primary: str | None,
         phase: Phase = Phase.STEADY,
         endpoints: Sequence[Endpoint] | None = None,
+        leaving: Collection[str] = (),
     ) -> None:
         """Put a new view in force."""
         self.version += 1
         shown = [self.promised] if endpoints is None else endpoints
         group = GroupState(GROUP, self.version, primary, phase, ())
-        servers = [fake.described() for fake in self.network.servers.values()]
+        servers = [
+            replace(fake.described(), is_leaving=fake.name in leaving)
+            for fake in self.network.servers.values()
+        ]
         self.views.adopt(
             ControlView(
                 version=self.version,
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -65,6 +65,19 @@
         servers[1].role = Role.PRIMARY
         self.assertEqual(say(pooler.session(), "WRITE k v").proof, "s2:r")
 
+    def test_a_leaving_primary_without_a_successor_gets_no_work_in_the_end(
+        self,
+    ) -> None:
+        # A server says that it leaves, and no other can lead. Proxies go on to use
+        # it until it ends, and cut the requests that it still runs then.
+        pooler = Pooler(group())
+        pooler.show(primary="s1", leaving={"s1"})
+        self.assertIsNone(say(pooler.session(), "WRITE k v").error)
+        pooler.clock.advance(5)
+        answer = say(pooler.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+
     def test_without_a_primary_a_write_is_refused_as_not_run(self) -> None:
         pooler = Pooler(group())
         pooler.network.servers["s1"].is_down = True
