--- a/tests/following/test_watch.py
+++ b/tests/following/test_watch.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import Any, cast
 
-from dogwoodspool_api import ControlView, WatchResponse
+from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
 from dogwoodspool_common import Address, JsonClient, ManualClock
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self.versions = {FIRST: 5, SECOND: 5}
         self.asked: list[tuple[Address, bool]] = []
+        self.behind: set[Address] = set()
 
     def get(
         self, address: Address, _path: str, query: dict[str, str], _timeout: float
@@ -29,7 +30,9 @@
         self.asked.append((address, query.get("confirmed") == "1"))
         version = self.versions[address]
         newer = view(version) if version > int(query["after"]) else None
-        return WatchResponse(view=newer, leader=None).model_dump(mode="json")
+        is_current = address not in self.behind
+        answer = WatchResponse(view=newer, leader=None, is_current=is_current)
+        return answer.model_dump(mode="json")
 
 
 class WatchCoordinatorTests(unittest.TestCase):
@@ -67,3 +70,36 @@
         self.watch.step()
         self.assertFalse(self.views.adopt(view(4)))
         self.assertEqual(self.views.view.version, 5)
+
+    def test_a_process_that_hears_no_leader_is_left(self) -> None:
+        # The control process next to this proxy is cut off from the others, and
+        # says so. Changes that are accepted elsewhere would not arrive here.
+        self.watch.step()
+        self.control.behind.add(FIRST)
+        self.watch.step()
+        self.watch.step()
+        self.assertEqual(self.control.asked[-1][0], SECOND)
+
+    def test_the_preferred_process_is_tried_again(self) -> None:
+        self.watch.step()
+        self.control.behind.add(FIRST)
+        self.watch.step()
+        self.control.behind.clear()
+        for _ in range(6):
+            self.watch.step()
+        self.assertEqual(self.control.asked[-1][0], FIRST)
+
+
+class ControlPeersTests(unittest.TestCase):
+    """Control processes are found also after all known ones were replaced."""
+
+    def test_members_replace_what_was_known_at_the_start(self) -> None:
+        peers = ControlPeers((FIRST,), "fd2")
+        members = [
+            MemberMessage(address="10.0.0.7:1", failure_domain="fd1"),
+            MemberMessage(address="10.0.0.8:1", failure_domain="fd2"),
+        ]
+        peers.adopt(members)
+        self.assertEqual(str(peers.any()), "10.0.0.8:1")
+        peers.note_failure(peers.any())
+        self.assertEqual(str(peers.any()), "10.0.0.7:1")
