--- a/packages/consensus/src/dogwoodspool_consensus/election.py
+++ b/packages/consensus/src/dogwoodspool_consensus/election.py
@@ -100,7 +100,7 @@
         if is_pre_vote:
             state.retry_pre_vote()
         else:
-            state.postpone_election()
+            state.retry_election()
         state.changed.notify_all()
         self._count(state.round)
 
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -113,9 +113,19 @@
         if self._started_at is not None:
             loading = self.clock.now() - self._started_at
             self.last_heard -= loading
-            self.election_deadline -= loading
+            self._spread_first_election(self.election_deadline - loading)
         self._recover_leader()
 
+    def _spread_first_election(self, deadline: float) -> None:
+        """Put the first election after a start at its time, but not at others' time.
+
+        Loading takes longer than most election timeouts. Voters that start together
+        would all find theirs past, ask in the same millisecond, and vote each for
+        itself: a split vote, which costs another timeout.
+        """
+        spread = self._rng.uniform(0, self.settings.heartbeat_interval)
+        self.election_deadline = max(deadline, self.clock.now() + spread)
+
     def _recover_leader(self) -> None:
         """Find who led the newest term, as far as the log tells.
 
@@ -152,6 +162,12 @@
         pause = self._rng.uniform(interval / 2, interval)
         self.election_deadline = self.clock.now() + pause
 
+    def retry_election(self) -> None:
+        """Ask again after a split vote, sooner than for a leader that fell silent."""
+        shortest = self.settings.election_timeout_min
+        pause = self._rng.uniform(shortest / 2, shortest)
+        self.election_deadline = self.clock.now() + pause
+
     def follow(self, request: AppendRequest | SnapshotRequest) -> None:
         """Follow the leader that sent a message of a term not older than ours."""
         if request.term > self.term or self.role is not Role.FOLLOWER:
--- a/tests/consensus/fakes.py
+++ b/tests/consensus/fakes.py
@@ -181,8 +181,10 @@
         for name in list(self.addresses):
             self.start(name, bootstrap=True)
 
-    def start(self, name: str, *, bootstrap: bool = False) -> None:
-        """Start a node on what its storage holds."""
+    def start(
+        self, name: str, *, bootstrap: bool = False, loading: float | None = None
+    ) -> None:
+        """Start a node on what its storage holds, after a time of loading."""
         self.addresses.setdefault(name, Address("10.0.0.1", len(self.addresses)))
         clock = self.clocks.setdefault(name, SteppingClock(self._rates.get(name, 1.0)))
         clock.on_wait = self.settle
@@ -198,6 +200,7 @@
             initial_voters=self.voters,
             rng=random.Random(name),
             bootstrap=bootstrap,
+            started_at=None if loading is None else clock.now() - loading,
         )
         self.nodes[name].load()
 
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -30,6 +30,25 @@
         self.cluster.run(0.1)
         self.assertEqual(self.cluster.leaders(), [self.old])
 
+    def test_voters_that_start_together_do_not_split_their_votes(self) -> None:
+        # The leader's disk is lost and the others lose power. Both load for longer
+        # than an election timeout, find theirs past and ask in the same moment,
+        # each having voted for itself; a second timeout passes without a leader.
+        cluster = self.cluster
+        others = sorted(set(cluster.nodes) - {self.old})
+        for name in sorted(cluster.nodes):
+            cluster.crash(name)
+        for name in others:
+            cluster.start(name, loading=SETTINGS.election_timeout_max)
+        deadlines = [cluster.nodes[name]._state.election_deadline for name in others]
+        now = [cluster.clocks[name].now() for name in others]
+        waits = [deadline - at for deadline, at in zip(deadlines, now, strict=True)]
+        self.assertGreaterEqual(min(waits), 0)
+        self.assertGreater(abs(waits[0] - waits[1]), 0.001)
+        self.assertLessEqual(max(waits), SETTINGS.heartbeat_interval)
+        cluster.run(SETTINGS.heartbeat_interval * 3)
+        self.assertEqual(len(cluster.leaders()), 1)
+
     def test_another_candidate_still_has_to_wait(self) -> None:
         # The leader alone keeps its power and is cut off: its lease still runs,
         # so the restarted others must not elect one of them within it.
