--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -62,7 +62,11 @@
 # Servers that are tried at the same time: a cut failure domain has some of each group.
 RECOVERY_THREADS: Final = 4
 
-NO_PRIMARY_RETRY_MS: Final = 300
+# From a failure to the first write at the new primary: detection and the platform's
+# own second.
+NO_PRIMARY_RETRY_MS: Final = 1_000
+# While a change of primary is under way.
+CHANGING_RETRY_MS: Final = 300
 BUSY_RETRY_MS: Final = 50
 WATCH_WAIT_MS: Final = 1_000
 
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from dogwoodspool_common import BackendServer, Clock, log_rate_limited
+from dogwoodspool_common import BackendServer, Clock, Phase, log_rate_limited
 from dogwoodspool_connections import ConnectFailedError, OutcomeUnknownError
 from dogwoodspool_following import ViewStore
 from dogwoodspool_routing import ServerTable
 
 from .access import HeldConnection, ServerAccess
 from .const import (
+    CHANGING_RETRY_MS,
     LEAVING_GRACE_SECONDS,
     MAX_WRITE_ATTEMPTS,
     NO_PRIMARY_RETRY_MS,
@@ -143,10 +144,23 @@
         return not known.is_failing and not is_leaving
 
     def _await_news(self, request: Request, version: int) -> bool:
+        """Wait for the end of a change of primary that is under way.
+
+        Before a change has begun it takes longer than a request may wait, so the
+        caller is told at once to come back.
+        """
+        if not self._is_changing(request.endpoint.group):
+            return False
         remaining = request.start_by - self._clock.now()
         return remaining > 0 and self._views.wait_newer(version, remaining)
 
+    def _is_changing(self, group: str) -> bool:
+        state = self._views.view.groups.get(group)
+        return state is not None and state.phase is Phase.PROMOTING
+
     def _no_primary(self, group: str) -> StatementError:
+        is_changing = self._is_changing(group)
+        retry_after_ms = CHANGING_RETRY_MS if is_changing else NO_PRIMARY_RETRY_MS
         return StatementError(
-            ErrorCode.BUSY, f"no primary of {group} is reachable", NO_PRIMARY_RETRY_MS
+            ErrorCode.BUSY, f"no primary of {group} is reachable", retry_after_ms
         )
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -17,9 +17,9 @@
 
 from .access import HeldConnection, ServerAccess, roll_back
 from .const import (
+    BUSY_RETRY_MS,
     BUSY_RETRY_SECONDS,
     MAX_READ_ATTEMPTS,
-    NO_PRIMARY_RETRY_MS,
     SESSION_ORDER_TIMEOUT,
 )
 from .errors import NotServedError
@@ -194,7 +194,7 @@
         except OutcomeUnknownError as error:
             message = f"the primary did not begin the transaction: {error}"
             raise NotServedError(
-                StatementError(ErrorCode.BUSY, message, NO_PRIMARY_RETRY_MS)
+                StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
             ) from error
         if reply.error is not None:
             held.finish(is_good=True)
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -87,6 +87,16 @@
         self.assertGreater(answer.error.retry_after_ms, 0)
         self.assertEqual(writes(pooler), [])
 
+    def test_a_refusal_that_is_known_comes_at_once(self) -> None:
+        # The primary is dead and nobody has begun to replace it. Callers that are
+        # kept waiting lose the time in which they could come back.
+        pooler = Pooler(group())
+        pooler.network.servers["s1"].is_down = True
+        say(pooler.session(), "WRITE k v")
+        began_at = pooler.clock.now()
+        say(pooler.session(), "WRITE k v")
+        self.assertEqual(pooler.clock.now(), began_at)
+
     def test_a_failure_is_passed_on(self) -> None:
         pooler = Pooler(group())
         pooler.network.servers["s1"].refusals = [ErrorCode.FAILED]
