--- a/packages/consensus/src/dogwoodspool_consensus/const.py
+++ b/packages/consensus/src/dogwoodspool_consensus/const.py
@@ -16,6 +16,9 @@
 FILE_VOTE: Final = "vote"
 FILE_LOG: Final = "log"
 FILE_SNAPSHOT: Final = "snapshot"
+FILE_PROBE: Final = "probe"
+# A few blocks: enough that a full disk refuses them.
+PROBE_BYTES: Final = 64 * 1024
 TEMPORARY_SUFFIX: Final = ".tmp"
 
 LEADER: Final = "leader"
--- a/packages/consensus/src/dogwoodspool_consensus/storage.py
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -20,8 +20,10 @@
 from .const import (
     FILE_IDENTITY,
     FILE_LOG,
+    FILE_PROBE,
     FILE_SNAPSHOT,
     FILE_VOTE,
+    PROBE_BYTES,
 )
 from .errors import StorageCorruptError, StorageFailedError
 from .files import replace_file
@@ -105,6 +107,21 @@
             return None
         return identity_from_json(self._read_single(FILE_IDENTITY)).node_id
 
+    def takes_writes(self) -> bool:
+        """Tell whether the disk takes and keeps a write at this time.
+
+        Asked after a failure: a disk that was full or refused writes for a while
+        may serve a new process again, which reads what it really holds.
+        """
+        path = self._folder / FILE_PROBE
+        try:
+            replace_file(path, bytes(PROBE_BYTES))
+            path.unlink()
+        except OSError as error:
+            log_event("disk_refuses_writes", path=path, reason=error)
+            return False
+        return True
+
     def load(self) -> StoredState:
         """Read everything and cut a torn tail of the log."""
         if not (self._folder / FILE_IDENTITY).exists():
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -141,6 +141,24 @@
             self.reopen()
 
 
+class FullDiskTests(StorageCase):
+    """After a failure the disk is asked before a new process is tried."""
+
+    def test_a_disk_that_refuses_is_told_from_one_that_takes_writes(self) -> None:
+        # A disk is full for some seconds. The process that failed on it ends and
+        # starts again three times in a row, to fail on each first write.
+        full = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch.object(os, "fsync", side_effect=full):
+            self.assertFalse(self.storage.takes_writes())
+        self.assertTrue(self.storage.takes_writes())
+
+    def test_asking_leaves_nothing_behind(self) -> None:
+        before = sorted(path.name for path in self.folder.iterdir())
+        self.storage.takes_writes()
+        after = sorted(path.name for path in self.folder.iterdir())
+        self.assertEqual(before, after)
+
+
 class SyncTests(StorageCase):
     """Nothing counts as durable before file and folder are synced."""
 
