--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -1,7 +1,5 @@
 """What the control group's leader does on its own."""
 
-import threading
-
 from dogwoodspool_common import Clock, GroupState, Phase, log_event
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_consensus import Leadership
@@ -20,6 +18,7 @@
 from .reconciler import Reconciler
 from .sightings import Sightings
 from .state import ControlState
+from .ticking import LeaderTicker
 from .upkeep import AckAudit, LeaseBoundUpkeep
 
 
@@ -55,12 +54,10 @@
         ]
 
 
-class LeaderLoop:
+class LeaderLoop(LeaderTicker):
     """Look at everything once per tick, while this voter leads.
 
-    Nothing here waits for a commit or a backend server: commands go to the queue
-    and calls to the executor, so that a gap between two ticks means that the
-    process itself stood still.
+    Commands go to the queue and calls to the executor; see ``LeaderTicker``.
     """
 
     def __init__(
@@ -82,9 +79,8 @@
         ack_audit: AckAudit,
         timeline: FailoverTimeline,
     ) -> None:
-        self._clock = clock
+        super().__init__("leader-loop", clock, state, TICK_SECONDS)
         self._node = node
-        self._state = state
         self._ages = ages
         self._detector = detector
         self._watch = watch
@@ -98,30 +94,6 @@
         self._ack_audit = ack_audit
         self._timeline = timeline
         self._leadership_term: int | None = None
-        self._stop = threading.Condition()
-        self._is_closed = False
-        self._is_woken = False
-        self._thread = threading.Thread(
-            target=self._run, name="leader-loop", daemon=True
-        )
-
-    def set_up(self) -> None:
-        """Begin to tick."""
-        self._state.add_listener(self.wake)
-        self._thread.start()
-
-    def unload(self) -> None:
-        """Stop ticking."""
-        with self._stop:
-            self._is_closed = True
-            self._stop.notify_all()
-        self._thread.join()
-
-    def wake(self) -> None:
-        """Look again without waiting for the next tick, as writes may be waiting."""
-        with self._stop:
-            self._is_woken = True
-            self._stop.notify_all()
 
     def tick(self) -> None:
         """Look at everything once."""
@@ -173,21 +145,3 @@
         self._ack_audit.run()
         for command in self._ack_audit.due_commands():
             self._queue.offer(command)
-
-    def _run(self) -> None:
-        while True:
-            self._tick_safely()
-            with self._stop:
-                if not self._is_closed and not self._is_woken:
-                    self._clock.wait(self._stop, TICK_SECONDS)
-                if self._is_closed:
-                    return
-                self._is_woken = False
-
-    def _tick_safely(self) -> None:
-        try:
-            self.tick()
-        except Exception as error:  # noqa: BLE001
-            # A fault in one look must not end failure detection for good; the
-            # next tick looks at everything afresh.
-            log_event("tick_failed", level="ERROR", error=repr(error))
--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -8,14 +8,9 @@
     EndPromotion,
     IssueToken,
 )
-from dogwoodspool_control.errors import (
-    CommandRejectedError,
-    LeadershipLostError,
-    OutcomeUnknownError,
-)
-from dogwoodspool_control.failovers import FailoverPhase, take_over
+from dogwoodspool_control.failovers import FailoverPhase
 from dogwoodspool_control.models import Promotion, PromotionReason
-from dogwoodspool_control.progress import ProgressReport, PromotionProgress
+from dogwoodspool_control.promotion_worker import PromotionWorker
 
 from .choice import (
     FailoverInput,
@@ -27,7 +22,6 @@
 from .const import (
     FREEZE_RETRY_SECONDS,
     HANDOVER_FREEZE_SECONDS,
-    OUTCOME_RETRY_SECONDS,
     PROMOTION_CALL_TIMEOUT,
     PROMOTION_RETRY_SECONDS,
     SERVER_CALL_TIMEOUT,
@@ -40,49 +34,20 @@
 from .parts import ChangeParts
 
 
-class PrimaryChange:
-    """Work on one group's change of primary until it has ended.
-
-    Each step begins with what is committed, so that the next leader goes on where
-    this one stopped.
-    """
+class PrimaryChange(PromotionWorker):
+    """Work on one group's change of primary: freeze and choose, then promote."""
 
     def __init__(self, group: str, parts: ChangeParts) -> None:
-        self._group = group
+        super().__init__(group, parts.clock, parts.node, parts.state, parts.timeline)
         self._parts = parts
         self._freeze = GroupFreeze(parts)
-        self._progress = PromotionProgress(group, parts.clock)
-
-    @property
-    def report(self) -> ProgressReport:
-        """The present step."""
-        return self._progress.report
-
-    def run(self) -> None:
-        """Read the committed step and do what follows it, again and again."""
-        try:
-            term = self._parts.node.require_leadership().term
-            while self._step():
-                if self._parts.node.require_leadership().term != term:
-                    return
-        except LeadershipLostError:
-            log_event("promotion_left", group=self._group)
 
-    def _step(self) -> bool:
-        promotion = self._parts.state.promotion(self._group)
-        if promotion is None:
-            return False
-        take_over(self._parts.timeline, promotion)
-        try:
-            if promotion.chosen is None:
-                self._choose(promotion)
-            else:
-                self._promote(promotion)
-        except OutcomeUnknownError:
-            self._parts.clock.sleep(OUTCOME_RETRY_SECONDS)
-        except CommandRejectedError as error:
-            log_event("promotion_changed", group=self._group, reason=error)
-        return True
+    def carry_on(self, promotion: Promotion) -> None:
+        """Do what follows the committed step; see ``PromotionWorker``."""
+        if promotion.chosen is None:
+            self._choose(promotion)
+        else:
+            self._promote(promotion)
 
     def _choose(self, promotion: Promotion) -> None:
         choice = None
--- a/packages/failover/src/dogwoodspool_failover/changes.py
+++ b/packages/failover/src/dogwoodspool_failover/changes.py
@@ -1,9 +1,7 @@
 """Run the changes of primary that are in progress, one thread for each group."""
 
-import threading
-
 from dogwoodspool_common import Phase, log_event
-from dogwoodspool_control.progress import ProgressReport
+from dogwoodspool_control.promotion_worker import PromotionRunner
 
 from .change import PrimaryChange
 from .const import RESUME_ATTEMPTS, RESUME_RETRY_SECONDS, SERVER_CALL_TIMEOUT
@@ -11,40 +9,16 @@
 from .parts import ChangeParts
 
 
-class PrimaryChanges:
+class PrimaryChanges(PromotionRunner):
     """Carry on each promotion of the committed state while this voter leads."""
 
     def __init__(self, parts: ChangeParts) -> None:
+        super().__init__(
+            parts.state,
+            lambda group: PrimaryChange(group, parts),
+            self.resume_replicas,
+        )
         self._parts = parts
-        self._lock = threading.Lock()
-        self._running: dict[str, tuple[PrimaryChange, threading.Thread]] = {}
-
-    @property
-    def reports(self) -> list[ProgressReport]:
-        """The present steps of the changes that run here."""
-        with self._lock:
-            return [change.report for change, _ in self._running.values()]
-
-    @property
-    def groups(self) -> list[str]:
-        """Groups whose change runs here."""
-        with self._lock:
-            return [
-                group
-                for group, (_, thread) in self._running.items()
-                if thread.is_alive()
-            ]
-
-    def run_missing(self) -> None:
-        """Start what is in progress in the state and does not run here."""
-        in_progress = self._parts.state.promotions
-        with self._lock:
-            for group, (_, thread) in list(self._running.items()):
-                if not thread.is_alive():
-                    del self._running[group]
-            for group in in_progress:
-                if group not in self._running:
-                    self._start(group)
 
     def resume_replicas(self, group: str) -> None:
         """Let the replicas of a steady group receive again.
@@ -60,25 +34,6 @@
                     self._resume, group, state.term, server.name
                 )
 
-    def join(self, timeout: float) -> None:
-        """Wait for changes to notice that this voter leads no more."""
-        with self._lock:
-            threads = [thread for _, thread in self._running.values()]
-        for thread in threads:
-            thread.join(timeout)
-
-    def _start(self, group: str) -> None:
-        change = PrimaryChange(group, self._parts)
-        thread = threading.Thread(
-            target=self._run, args=(group, change), name=f"change-{group}", daemon=True
-        )
-        self._running[group] = (change, thread)
-        thread.start()
-
-    def _run(self, group: str, change: PrimaryChange) -> None:
-        change.run()
-        self.resume_replicas(group)
-
     def _resume(self, group: str, term: int, name: str) -> None:
         """Resume one replica, again and again while its group stays as it is."""
         parts = self._parts
--- a/packages/failover/src/dogwoodspool_failover/const.py
+++ b/packages/failover/src/dogwoodspool_failover/const.py
@@ -48,7 +48,6 @@
 # Time from the order until the server leads, at most; some 0.3 s to 1 s is usual.
 TAKE_OVER_SECONDS: Final = 4.0
 TAKE_OVER_POLL_SECONDS: Final = 0.25
-OUTCOME_RETRY_SECONDS: Final = 0.1
 
 RESUME_ATTEMPTS: Final = 20
 RESUME_RETRY_SECONDS: Final = 0.5
--- a/packages/failover/src/dogwoodspool_failover/loop.py
+++ b/packages/failover/src/dogwoodspool_failover/loop.py
@@ -1,7 +1,5 @@
 """What the leader of the control group does on its own."""
 
-import threading
-
 from dogwoodspool_common import Clock, GroupState, Phase, log_event
 from dogwoodspool_consensus import Leadership
 from dogwoodspool_control.command_queue import CommandQueue
@@ -10,6 +8,7 @@
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.state import ControlState
+from dogwoodspool_control.ticking import LeaderTicker
 
 from .changes import PrimaryChanges
 from .const import TICK_SECONDS
@@ -19,11 +18,10 @@
 from .reports import ReportBook
 
 
-class FailoverLoop:
+class FailoverLoop(LeaderTicker):
     """Look at every group once per tick while this voter leads.
 
-    Nothing here waits for a commit or a server: commands go to the queue and calls
-    to the executor.
+    Commands go to the queue and calls to the executor; see ``LeaderTicker``.
     """
 
     def __init__(
@@ -41,9 +39,8 @@
         queue: CommandQueue,
         timeline: FailoverTimeline,
     ) -> None:
-        self._clock = clock
+        super().__init__("failover-loop", clock, state, TICK_SECONDS)
         self._node = node
-        self._state = state
         self._heartbeats = heartbeats
         self._reports = reports
         self._probes = probes
@@ -53,30 +50,6 @@
         self._queue = queue
         self._timeline = timeline
         self._leadership_term: int | None = None
-        self._changed = threading.Condition()
-        self._is_woken = False
-        self._is_closed = False
-        self._thread = threading.Thread(
-            target=self._run, name="failover-loop", daemon=True
-        )
-
-    def set_up(self) -> None:
-        """Begin to look."""
-        self._state.add_listener(self.wake)
-        self._thread.start()
-
-    def unload(self) -> None:
-        """Stop looking."""
-        with self._changed:
-            self._is_closed = True
-            self._changed.notify_all()
-        self._thread.join()
-
-    def wake(self) -> None:
-        """Look again without waiting for the next tick."""
-        with self._changed:
-            self._is_woken = True
-            self._changed.notify_all()
 
     def tick(self) -> None:
         """Look at everything once."""
@@ -133,21 +106,3 @@
         self._timeline.begin(group.name, reason)
         self._queue.offer(BeginPromotion(group.name, group.term, reason))
         return True
-
-    def _run(self) -> None:
-        while True:
-            self._tick_safely()
-            with self._changed:
-                if not self._is_closed and not self._is_woken:
-                    self._clock.wait(self._changed, TICK_SECONDS)
-                if self._is_closed:
-                    return
-                self._is_woken = False
-
-    def _tick_safely(self) -> None:
-        try:
-            self.tick()
-        except Exception as error:  # noqa: BLE001
-            # A fault in one look must not end failure detection for good; the
-            # next tick looks at everything afresh.
-            log_event("tick_failed", level="ERROR", error=repr(error))
