--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -25,8 +25,8 @@
 MARK_LIFE_SECONDS: Final = 10.0
 
 # A read prefers its own failure domain until the others are expected to answer so
-# much sooner. Bytes between failure domains are dear, and statements' times vary by
-# themselves: about a mean statement (24 ms), small beside a target (250 ms or more).
+# much sooner. Operators pay for bytes between failure domains, and statements' times
+# vary by themselves: about a mean statement (24 ms), small beside a target of 250 ms.
 OTHER_DOMAIN_PENALTY: Final = 0.025
 # The primary's slots are wanted by writes: a replica may take so much longer.
 PRIMARY_PENALTY: Final = 0.008
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -119,6 +119,7 @@
         self._sessions.unload()
         self._reports.unload()
         self._recovery.unload()
+        self._watch.unload()
         self._registry.unload()
 
     def metrics(self) -> str:
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -81,13 +81,16 @@
                 dataDir=str(self.folder / host),
                 listen={"control": f"{host}:{self.control}"},
             )
-            Core(boot).set_up()
+            core = Core(boot)
+            core.set_up()
+            self.addCleanup(core.unload)
         listen = {
             "front": f"{EDGE_HOST}:{self.front}",
             "ready": f"{EDGE_HOST}:{self.ready}",
         }
         self.edge = Edge(self.boot(EDGE_HOST, listen=listen))
         self.edge.set_up()
+        self.addCleanup(self.edge.unload)
         self.put_until_taken(self.configuration(7))
         threading.Thread(target=self.beat_on, daemon=True).start()
         ready = f"http://{EDGE_HOST}:{self.ready}/dogwoodspool/readiness"
