--- a/packages/consensus/src/dogwoodspool_consensus/reads.py
+++ b/packages/consensus/src/dogwoodspool_consensus/reads.py
@@ -26,6 +26,9 @@
             NotConfirmedError: no leader confirmed it with a quorum in time.
         """
         state = self._state
+        if not state.configuration.members:
+            # An empty disk: nobody names this node, so no leader will call it soon.
+            raise NotConfirmedError("this node is no member so far")
         deadline = state.clock.now() + timeout
         index = self._read_point(deadline)
         if not self._wait(lambda: state.last_applied >= index, deadline):
--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -9,6 +9,9 @@
 
 PROPOSE_TIMEOUT: Final = 2.0
 CONFIRM_TIMEOUT: Final = 2.0
+# A proxy that starts has no service to give until it has a view: it is told soon to
+# ask another control process, as this one may be cut off or have lost its disk.
+WATCH_CONFIRM_TIMEOUT: Final = 0.4
 READINESS_SECONDS: Final = 1.0
 
 RELEASE_TIMEOUT: Final = 0.5
--- a/packages/control/src/dogwoodspool_control/node.py
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -90,13 +90,16 @@
         self._caught_up_term = current.term
         return self.leadership()
 
-    def confirm_read(self) -> None:
+    def confirm_read(self, timeout: float = CONFIRM_TIMEOUT) -> None:
         """Make reads that follow see everything committed before this call.
 
+        Args:
+            timeout: seconds in which a quorum must confirm it.
+
         Raises:
             ConsensusError: no quorum confirmed it.
         """
-        self._node.confirm_read(CONFIRM_TIMEOUT)
+        self._node.confirm_read(timeout)
 
     def propose(self, command: Command, timeout: float = PROPOSE_TIMEOUT) -> Outcome:
         """Commit a command and return its outcome, which may be a rejection.
--- a/packages/control/src/dogwoodspool_control/watch_api.py
+++ b/packages/control/src/dogwoodspool_control/watch_api.py
@@ -12,7 +12,7 @@
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import MAX_WATCH_MS
+from .const import MAX_WATCH_MS, WATCH_CONFIRM_TIMEOUT
 from .errors import TooManyWaitersError
 from .http_support import WaitSlots, answering, number_in_query
 from .node import ControlNode
@@ -47,7 +47,7 @@
         after = number_in_query(request, QUERY_AFTER, 0)
         wait_ms = min(number_in_query(request, QUERY_WAIT_MS, 0), MAX_WATCH_MS)
         if request.query.get(QUERY_CONFIRMED) == "1":
-            self._node.confirm_read()
+            self._node.confirm_read(WATCH_CONFIRM_TIMEOUT)
         is_newer = self._state.version > after
         if not is_newer and wait_ms > 0:
             is_newer = self._wait_newer(after, wait_ms / MILLISECONDS)
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from dogwoodspool_consensus import Role
+from dogwoodspool_consensus import NotConfirmedError, Role
 
 from .fakes import SETTINGS, Cluster
 
@@ -80,6 +80,24 @@
         self.assertIs(cluster.nodes[self.old].diagnostics().role, Role.FOLLOWER)
 
 
+class EmptyDiskTests(unittest.TestCase):
+    """A node that lost its disk answers at once that it knows nothing."""
+
+    def test_a_read_there_is_not_confirmed_without_a_wait(self) -> None:
+        # Everything lost power and one disk its content. All proxies ask that node
+        # first, as it is the first address they know, and wait for two seconds
+        # for a leader which that node hears only when it has joined.
+        cluster = Cluster(3)
+        cluster.run(1.5)
+        cluster.crash("n0")
+        cluster.storages["n0"].wipe()
+        cluster.start("n0")
+        began_at = cluster.clocks["n0"].now()
+        with self.assertRaises(NotConfirmedError):
+            cluster.nodes["n0"].confirm_read(2.0)
+        self.assertEqual(cluster.clocks["n0"].now(), began_at)
+
+
 class CommitNewsTests(unittest.TestCase):
     """Followers learn of a commit at once, not with the next heartbeat."""
 
