--- a/packages/consensus/src/dogwoodspool_consensus/const.py
+++ b/packages/consensus/src/dogwoodspool_consensus/const.py
@@ -21,6 +21,8 @@
 PROBE_BYTES: Final = 64 * 1024
 TEMPORARY_SUFFIX: Final = ".tmp"
 
+SHORTEST_TICK_SECONDS: Final = 0.001
+
 LEADER: Final = "leader"
 """Key of the leader's name in the first entry of its term."""
 
--- a/packages/consensus/src/dogwoodspool_consensus/threads.py
+++ b/packages/consensus/src/dogwoodspool_consensus/threads.py
@@ -7,6 +7,8 @@
 
 from dogwoodspool_common import log_event
 
+from .const import SHORTEST_TICK_SECONDS
+from .models import Role
 from .state import NodeState
 
 
@@ -87,14 +89,29 @@
 
     def _timer_loop(self) -> None:
         state = self._state
-        pause = state.settings.heartbeat_interval / 2
         while not state.is_closed:
             self._steps.tick()
             self._start_peer_threads()
+            pause = self.pause_before_tick()
             with self._timer:
                 if not state.is_closed:
                     state.clock.wait(self._timer, pause)
 
+    def pause_before_tick(self) -> float:
+        """Return the seconds until the timer looks again.
+
+        An election begins at its own random time and not at the next of some fixed
+        ticks: nodes that started together tick together, so that two of three
+        elections would begin in the same millisecond and split the votes.
+        """
+        state = self._state
+        longest = state.settings.heartbeat_interval / 2
+        with state.changed:
+            if state.role is Role.LEADER or not state.is_electable:
+                return longest
+            remaining = state.election_deadline - state.clock.now()
+        return min(longest, max(SHORTEST_TICK_SECONDS, remaining))
+
     def _start_peer_threads(self) -> None:
         with self._state.changed:
             peers = set(self._state.configuration.members) - {self._state.node_id}
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -156,3 +156,21 @@
             one.node_id: one.failure_domain for one in self.node.diagnostics().members
         }
         self.assertEqual(domains["n9"], "fd9")
+
+
+class TimerTests(unittest.TestCase):
+    """Elections begin at random times, whenever the nodes started."""
+
+    def test_the_timer_wakes_for_the_election_and_not_for_a_tick(self) -> None:
+        # Two voters start in the same millisecond and tick together. Their random
+        # times fall between the same two ticks, so that both begin at the second
+        # one, vote each for itself, and find no leader three times in a row.
+        cluster = Cluster(3)
+        node = cluster.nodes["n0"]
+        state = node._state
+        state.election_deadline = cluster.clocks["n0"].now() + 0.013
+        pause = node._threads.pause_before_tick()
+        self.assertAlmostEqual(pause, 0.013)
+        state.election_deadline = cluster.clocks["n0"].now() + 60
+        pause = node._threads.pause_before_tick()
+        self.assertEqual(pause, SETTINGS.heartbeat_interval / 2)
