--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -89,12 +89,9 @@
         known = self._state.servers.get(name)
         if known is None or known.is_gone:
             return []
-        is_meant = (
-            known.is_leaving
-            if incarnation is None
-            else (incarnation == known.incarnation)
-        )
-        if not is_meant:
+        if incarnation is None and not known.is_leaving:
+            return []
+        if incarnation not in (None, known.incarnation):
             return []
         return [RecordServer(replace(known, is_leaving=True, is_gone=True))]
 
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -66,18 +66,28 @@
         statement: Statement,
         prepared: Prepared | None,
         deadline: float,
+        *,
+        then: Statement | None = None,
     ) -> Reply:
         """Run one statement in a session's state.
 
+        Args:
+            values: the session's values.
+            statement: what the caller sent.
+            prepared: what it executes, where it executes a prepared statement.
+            deadline: clock time until which the whole answer must be there.
+            then: a statement of the pooler's own that is sent right behind it.
+
         Raises:
             ConnectFailedError: nothing was sent.
             OutcomeUnknownError: no complete answer came.
         """
         before = carry_over(values, self._connection.session, prepared)
+        after = [] if then is None else [then]
         sent = on_server(statement, prepared)
-        *carried, reply = self._exchange([*before, sent], deadline)
+        replies = self._exchange([*before, sent, *after], deadline)
         self._leave_place()
-        for own, answer in zip(before, carried, strict=True):
+        for own, answer in zip(before, replies, strict=False):
             if answer.error is not None:
                 log_rate_limited(
                     "session_state_refused",
@@ -86,22 +96,7 @@
                     kind=own.kind,
                     code=answer.error.code,
                 )
-        return reply
-
-    def run_then(
-        self,
-        values: Mapping[str, str],
-        statement: Statement,
-        prepared: Prepared | None,
-        last: Statement,
-        deadline: float,
-    ) -> Reply:
-        """Run one statement and send one of the pooler's own right behind it."""
-        before = carry_over(values, self._connection.session, prepared)
-        sent = on_server(statement, prepared)
-        *_, reply, _ = self._exchange([*before, sent, last], deadline)
-        self._leave_place()
-        return reply
+        return replies[len(before)]
 
     def order(self, statement: Statement, deadline: float) -> Reply:
         """Run one of the pooler's own statements; errors as for ``run``."""
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -181,12 +181,12 @@
         if begun.error is not None:
             return begun
         self._access.note_fresh(held.server, begun.position, now)
-        return held.run_then(
+        return held.run(
             request.values,
             request.statement,
             request.prepared,
-            Statement(StatementKind.ROLLBACK),
             now + (request.deadline - now) * PRIMARY_READ_SHARE,
+            then=Statement(StatementKind.ROLLBACK),
         )
 
     def _note_moved(
