Ask for a confirmed view again while control elects

Cause: the scenario 'A control leader that stood still gives no grant when it goes on' reads the confirmed state right after the leader freezes. The watch endpoint gives up on a confirmation after 0.4 s since proxies that start are told sooner to ask elsewhere; before, the test tool leaned on its 2 s, which covered an election.

Ruled out: a lost grant or a leader that never comes - the log shows the election done after the step had given up.

Change: the test tool's view() asks all control processes again, for 10 s. The scenario's own checks are as they were.

--- a/packages/testbed/src/dogwoodspool_testbed/const.py
+++ b/packages/testbed/src/dogwoodspool_testbed/const.py
@@ -18,3 +18,6 @@
 POLL_SECONDS: Final = 0.02
 START_SECONDS: Final = 20.0
 STOP_SECONDS: Final = 5.0
+# Longer than the control processes of a test take to notice a frozen leader and to
+# elect another, also on a busy machine.
+ELECTION_SECONDS: Final = 10.0
--- a/packages/testbed/src/dogwoodspool_testbed/running_system.py
+++ b/packages/testbed/src/dogwoodspool_testbed/running_system.py
@@ -21,7 +21,13 @@
     RequestSigner,
 )
 
-from .const import AUTHOR, POLL_SECONDS, SHARED_KEY, START_SECONDS
+from .const import (
+    AUTHOR,
+    ELECTION_SECONDS,
+    POLL_SECONDS,
+    SHARED_KEY,
+    START_SECONDS,
+)
 from .errors import TestbedError
 from .models import ControlHandle, DeploymentShape, ProxyHandle, StandinHandle
 
@@ -56,20 +62,23 @@
         return None
 
     def view(self) -> ControlView:
-        """Return the committed state, confirmed by a quorum."""
-        for control in self.controls:
-            try:
-                answer = self.client.get(
-                    control.address,
-                    PATH_WATCH,
-                    {"after": "0", "wait_ms": "0", "confirmed": "1"},
-                )
-            except HttpError:
-                continue
-            view = WatchResponse.model_validate(answer).view
-            if view is not None:
-                return view
-        raise TestbedError("no control process confirms its state")
+        """Return the committed state, confirmed by a quorum.
+
+        A control process gives up on a confirmation sooner than an election lasts,
+        so all are asked again for ``ELECTION_SECONDS``.
+
+        Raises:
+            TestbedError: none confirmed it in this time.
+        """
+        deadline = time.monotonic() + ELECTION_SECONDS
+        while True:
+            for control in self.controls:
+                view = self._confirmed_view(control)
+                if view is not None:
+                    return view
+            if time.monotonic() >= deadline:
+                raise TestbedError("no control process confirms its state")
+            time.sleep(POLL_SECONDS)
 
     def primary(self, group: str) -> StandinHandle:
         """Return a group's primary as control has committed it."""
@@ -159,3 +168,15 @@
             except HttpError as error:
                 last_error = error
         raise TestbedError(f"no control process served {path}: {last_error}")
+
+    def _confirmed_view(self, control: ControlHandle) -> ControlView | None:
+        try:
+            answer = self.client.get(
+                control.address,
+                PATH_WATCH,
+                {"after": "0", "wait_ms": "0", "confirmed": "1"},
+            )
+        except HttpError:
+            # It is down, frozen or without a leader: another may confirm.
+            return None
+        return WatchResponse.model_validate(answer).view
