Count a process's start on the clock that its leases use

Cause: the start came from /proc/self/stat, whose ticks may belong to another clock than CLOCK_BOOTTIME as the process sees it.

Where they were far behind, a voter counted its guard after a restart as over, and could have voted against a leader that it had just heard.

Ruled out, by a log of each vote in a scratch copy: a refused or unpinned identity, a lost entry of the configuration, a shorter log at the candidate. The refusing voter had the same last entry and answered hears=True 18 s after its start.

Change: the start is when the first of the system's modules loads, on the clock of SystemClock; and a start in the future counts as now.

--- a/packages/common/src/dogwoodspool_common/process.py
+++ b/packages/common/src/dogwoodspool_common/process.py
@@ -12,14 +12,17 @@
 from docopt import docopt
 from pydantic import BaseModel, ValidationError
 
+from .clock import SystemClock
 from .const import VERSION
 from .errors import SettingsError
 from .models import Address
 
 ENV_PREFIX: Final = "DOGWOODSPOOL_"
 EXIT_BAD_SETTINGS: Final = 2
-# Place of the start time in /proc/self/stat, counted behind the program's name.
-START_TIME_FIELD: Final = 19
+# The kernel's own record of the start may count on another clock, in a time namespace
+# for example: a start in the future would keep a voter from elections for good, one in
+# the distant past would let it vote against a leader that it has just heard.
+_LOADED_AT: Final = SystemClock().now()
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
 
@@ -65,13 +68,11 @@
 
 
 def process_started_at() -> float:
-    """Return when this process began, on the clock of ``SystemClock``.
+    """Return a time on the clock of ``SystemClock`` before which nothing was heard.
 
-    It comes from the kernel, so that the time for loading the program counts too.
+    It is when the first of the system's modules loaded.
     """
-    fields = Path("/proc/self/stat").read_text(encoding="ascii").rpartition(")")[2]
-    ticks = int(fields.split()[START_TIME_FIELD])
-    return ticks / os.sysconf("SC_CLK_TCK")
+    return _LOADED_AT
 
 
 def stop_event_on_signals() -> threading.Event:
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -111,7 +111,7 @@
         # nothing after the start of this process.
         self.hear_leader()
         if self._started_at is not None:
-            loading = self.clock.now() - self._started_at
+            loading = max(0.0, self.clock.now() - self._started_at)
             self.last_heard -= loading
             self._spread_first_election(self.election_deadline - loading)
         self._recover_leader()
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -49,6 +49,19 @@
         cluster.run(SETTINGS.heartbeat_interval * 3)
         self.assertEqual(len(cluster.leaders()), 1)
 
+    def test_a_start_in_the_future_keeps_nobody_from_elections(self) -> None:
+        # A record of the start counted on another clock lies an hour ahead. The
+        # voters took a leader for heard until then: they refused each other's votes
+        # and began no election, and after a power loss nothing was served any more.
+        cluster = self.cluster
+        others = sorted(set(cluster.nodes) - {self.old})
+        for name in sorted(cluster.nodes):
+            cluster.crash(name)
+        for name in others:
+            cluster.start(name, loading=-3600.0)
+        cluster.run(SETTINGS.election_timeout_max * 4)
+        self.assertEqual(len(cluster.leaders()), 1)
+
     def test_another_candidate_still_has_to_wait(self) -> None:
         # The leader alone keeps its power and is cut off: its lease still runs,
         # so the restarted others must not elect one of them within it.
