Let the demo retry the write behind a planned change of primary

Cause: the demo's loop ended as soon as control had committed the new term, and its last write was not tried again. A proxy that still waits for its next grant refuses that write with a time to come back, as it should.

Change: the loop goes on until a write that began after the move is acknowledged, under the same time limit; every try has its own row, and all acknowledged rows must be there at the end.

--- a/script/demo.py
+++ b/script/demo.py
@@ -160,19 +160,26 @@
             deployment.promote(group)
             longest = 0.0
             last = time.monotonic()
-            number = 0
+            tried = 0
+            acknowledged: set[object] = set()
             deadline = last + FAILOVER_SECONDS
-            while deployment.term(group) == term or number == 0:
+            has_moved = False
+            while not has_moved:
+                # Only a write that began after the move shows that they go on: while
+                # proxies wait for their next grant they refuse with a time to retry.
+                is_after = deployment.term(group) != term
+                tried += 1
                 try:
-                    query(connection, f"INSERT INTO seen VALUES ({number})")
-                    number += 1
+                    query(connection, f"INSERT INTO seen VALUES ({tried})")
+                    acknowledged.add(tried)
+                    has_moved = is_after
                     longest = max(longest, time.monotonic() - last)
                     last = time.monotonic()
                 except pymysql.MySQLError:
                     time.sleep(RETRY_SECONDS)
                 assert time.monotonic() < deadline, "the promotion did not end"
-            query(connection, f"INSERT INTO seen VALUES ({number})")
-            longest = max(longest, time.monotonic() - last)
+            found = {row[0] for row in query(connection, "SELECT id FROM seen")}
+            assert acknowledged <= found, f"lost {acknowledged - found}"
         new = deployment.primary(group)
         assert new.name != old.name, "the primary has not changed"
         return f"{old.name} to {new.name}, longest pause between writes {longest:.3f} s"
