Have one copy of what both kinds of proxy and of leader do

Found and mended: - Both leader loops caught up, compared terms and began a leadership by themselves; LeaderTicker does it now, and loops say what begins and what a look is. - Both proxies kept a set of open sessions and a thread that ends idle transactions; OpenSessions does, and the MySQL proxy's reaper class is gone. - The pooler began transactions on the primary twice, turned a lost answer of a repeatable request into a refusal twice, and took a place for a request three times with the same arguments: begin_on_primary, run_repeatable, open(request). - A commit noted the primary's freshness twice for one answer. - A new leader that cannot catch up said so in no line (not_caught_up).

No behaviour changes but for that line. Left: the two kinds of departures share a shape but no rule; write retries of the pooler inside and outside of a transaction stop for different reasons.

--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -1,8 +1,7 @@
 """What the control group's leader does on its own."""
 
-from dogwoodspool_common import Clock, GroupState, Phase, log_event
+from dogwoodspool_common import Clock, GroupState, Phase
 from dogwoodspool_common.const import MILLISECONDS
-from dogwoodspool_consensus import Leadership
 
 from .command_queue import CommandQueue
 from .commands import BeginPromotion
@@ -79,8 +78,7 @@
         ack_audit: AckAudit,
         timeline: FailoverTimeline,
     ) -> None:
-        super().__init__("leader-loop", clock, state, TICK_SECONDS)
-        self._node = node
+        super().__init__("leader-loop", clock, node, state, timeline, TICK_SECONDS)
         self._ages = ages
         self._detector = detector
         self._watch = watch
@@ -92,18 +90,21 @@
         self._reconciler = reconciler
         self._lease_bound = lease_bound
         self._ack_audit = ack_audit
-        self._timeline = timeline
-        self._leadership_term: int | None = None
 
     def tick(self) -> None:
-        """Look at everything once."""
+        """Look at everything once; ages count also while another voter leads."""
         self._ages.observe(self._state.proxies)
-        leadership = self._node.catch_up()
-        if leadership is None:
-            self._timeline.keep_only(())
-            return
-        if leadership.term != self._leadership_term:
-            self._begin(leadership)
+        super().tick()
+
+    def begin_leadership(self) -> None:
+        """Count every proxy and server as just heard, and drop old commands."""
+        interval = self._state.settings.root.renew_interval_ms / MILLISECONDS
+        self._detector.start_over(interval)
+        self._sightings.start_over()
+        self._queue.clear()
+
+    def look(self) -> None:
+        """Queue the commands that are due and go on with promotions."""
         self._detector.tick()
         for command in self._membership.due_commands():
             self._queue.offer(command)
@@ -124,14 +125,6 @@
         self._reconciler.run()
         self._do_upkeep()
 
-    def _begin(self, leadership: Leadership) -> None:
-        self._leadership_term = leadership.term
-        log_event("leadership_began", term=leadership.term)
-        interval = self._state.settings.root.renew_interval_ms / MILLISECONDS
-        self._detector.start_over(interval)
-        self._sightings.start_over()
-        self._queue.clear()
-
     def _begin_promotion(self, group: GroupState) -> None:
         self._timeline.begin(group.name, PromotionReason.FAILED)
         self._queue.offer(
--- a/packages/control/src/dogwoodspool_control/node.py
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Protocol
 
-from dogwoodspool_common import Address
+from dogwoodspool_common import Address, log_rate_limited
 from dogwoodspool_consensus import (
     ConsensusError,
     Leadership,
@@ -85,7 +85,8 @@
             return current
         try:
             self._node.confirm_read(CONFIRM_TIMEOUT)
-        except ConsensusError:
+        except ConsensusError as error:
+            log_rate_limited("not_caught_up", term=current.term, reason=error)
             return None
         self._caught_up_term = current.term
         return self.leadership()
--- a/packages/control/src/dogwoodspool_control/ticking.py
+++ b/packages/control/src/dogwoodspool_control/ticking.py
@@ -5,6 +5,8 @@
 
 from dogwoodspool_common import Clock, log_event
 
+from .failovers import FailoverTimeline
+from .node import ControlNode
 from .state import ControlState
 
 
@@ -16,14 +18,23 @@
     """
 
     def __init__(
-        self, name: str, clock: Clock, state: ControlState, tick_seconds: float
+        self,
+        name: str,
+        clock: Clock,
+        node: ControlNode,
+        state: ControlState,
+        timeline: FailoverTimeline,
+        tick_seconds: float,
     ) -> None:
+        self._node = node
+        self._timeline = timeline
         self._clock = clock
         self._state = state
         self._tick_seconds = tick_seconds
         self._changed = threading.Condition()
         self._is_woken = False
         self._is_closed = False
+        self._leadership_term: int | None = None
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
     def set_up(self) -> None:
@@ -44,9 +55,26 @@
             self._is_woken = True
             self._changed.notify_all()
 
-    @abstractmethod
     def tick(self) -> None:
-        """Look at everything once."""
+        """Look at everything once, where this voter leads and has caught up."""
+        leadership = self._node.catch_up()
+        if leadership is None:
+            # The leader measures changes of primary.
+            self._timeline.keep_only(())
+            return
+        if leadership.term != self._leadership_term:
+            self._leadership_term = leadership.term
+            log_event("leadership_began", term=leadership.term)
+            self.begin_leadership()
+        self.look()
+
+    @abstractmethod
+    def begin_leadership(self) -> None:
+        """Forget what was gathered before: others have led and acted since."""
+
+    @abstractmethod
+    def look(self) -> None:
+        """Look at everything once as the leader."""
 
     def _run(self) -> None:
         while True:
--- a/packages/failover/src/dogwoodspool_failover/loop.py
+++ b/packages/failover/src/dogwoodspool_failover/loop.py
@@ -1,7 +1,6 @@
 """What the leader of the control group does on its own."""
 
 from dogwoodspool_common import Clock, GroupState, Phase, log_event
-from dogwoodspool_consensus import Leadership
 from dogwoodspool_control.command_queue import CommandQueue
 from dogwoodspool_control.commands import BeginPromotion
 from dogwoodspool_control.failovers import FailoverTimeline
@@ -39,8 +38,7 @@
         queue: CommandQueue,
         timeline: FailoverTimeline,
     ) -> None:
-        super().__init__("failover-loop", clock, state, TICK_SECONDS)
-        self._node = node
+        super().__init__("failover-loop", clock, node, state, timeline, TICK_SECONDS)
         self._heartbeats = heartbeats
         self._reports = reports
         self._probes = probes
@@ -48,17 +46,19 @@
         self._departures = departures
         self._changes = changes
         self._queue = queue
-        self._timeline = timeline
-        self._leadership_term: int | None = None
 
-    def tick(self) -> None:
-        """Look at everything once."""
-        leadership = self._node.catch_up()
-        if leadership is None:
-            self._timeline.keep_only(())
-            return
-        if leadership.term != self._leadership_term:
-            self._begin(leadership)
+    def begin_leadership(self) -> None:
+        """Count every server as just heard, and resume what a leader left paused."""
+        self._heartbeats.start_over()
+        self._reports.start_over()
+        self._probes.start_over()
+        self._departures.start_over()
+        self._queue.clear()
+        for name in self._state.groups:
+            self._changes.resume_replicas(name)
+
+    def look(self) -> None:
+        """Queue the commands that are due and go on with changes of primary."""
         for command in self._departures.due_commands():
             if isinstance(command, BeginPromotion):
                 self._timeline.begin(command.group, command.reason)
@@ -73,17 +73,6 @@
             {*in_trouble, *self._state.promotions, *self._changes.groups}
         )
 
-    def _begin(self, leadership: Leadership) -> None:
-        self._leadership_term = leadership.term
-        log_event("leadership_began", term=leadership.term)
-        self._heartbeats.start_over()
-        self._reports.start_over()
-        self._probes.start_over()
-        self._departures.start_over()
-        self._queue.clear()
-        for name in self._state.groups:
-            self._changes.resume_replicas(name)
-
     def _is_in_trouble(self, group: GroupState) -> bool:
         """Begin a change of primary where the present one is in trouble."""
         if group.phase is not Phase.STEADY or group.primary is None:
--- /dev/null
+++ b/packages/following/src/dogwoodspool_following/open_sessions.py
@@ -0,0 +1,56 @@
+"""The sessions of the callers that are connected to this process."""
+
+import threading
+from typing import Generic, Protocol, TypeVar
+
+from dogwoodspool_common import Clock
+
+from .const import REAP_INTERVAL_SECONDS
+from .coordinator import Coordinator
+
+
+class ExpiringSession(Protocol):
+    """A session whose transaction may idle for too long."""
+
+    def expire_transaction(self) -> None:
+        """Undo a transaction whose caller has done nothing for too long."""
+        ...
+
+
+SessionT = TypeVar("SessionT", bound=ExpiringSession)
+
+
+class OpenSessions(Coordinator, Generic[SessionT]):
+    """Keep track of open sessions, and end transactions that idle too long.
+
+    A caller that goes away without a sign keeps its transaction, and with it a
+    connection to the primary and maybe locks that others wait for.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__("transaction-reaper", clock)
+        self._lock = threading.Lock()
+        self._open: set[SessionT] = set()
+
+    @property
+    def count(self) -> int:
+        """Sessions that are open."""
+        with self._lock:
+            return len(self._open)
+
+    def step(self) -> float:
+        """Look for idle transactions once."""
+        with self._lock:
+            sessions = list(self._open)
+        for session in sessions:
+            session.expire_transaction()
+        return REAP_INTERVAL_SECONDS
+
+    def _keep(self, session: SessionT) -> SessionT:
+        with self._lock:
+            self._open.add(session)
+        return session
+
+    def _forget(self, session: SessionT) -> None:
+        with self._lock:
+            self._open.discard(session)
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -21,7 +21,7 @@
 from dogwoodspool_routing import ServerTable
 
 from .connection import ServerConnection
-from .const import BUSY_RETRY_MS
+from .const import BUSY_RETRY_MS, SESSION_ORDER_TIMEOUT
 from .errors import NotServedError
 from .freshness import FreshnessBook
 from .models import (
@@ -34,6 +34,7 @@
     TransactionState,
 )
 from .registry import Backend, BackendRegistry
+from .requests import Request
 from .session_state import carry_over, carry_over_cost, on_server
 from .stalls import StallBook
 
@@ -156,12 +157,11 @@
     def open(
         self,
         server: BackendServer,
-        values: Mapping[str, str],
-        *,
-        start_by: float,
-        priority: int,
+        request: Request,
     ) -> HeldConnection:
-        """Wait for a place and a connection, at most until ``start_by``.
+        """Wait for a place and a connection, as long as the request may wait.
+
+        A place and a connection that are free are taken also when that time is over.
 
         Raises:
             NotServedError: there is none; nothing was sent.
@@ -169,8 +169,9 @@
         """
         backend = self._registry.backend(server)
         backend.adjust()
+        start_by = max(request.start_by, self._clock.now())
         with span("admission.wait", server=server.name):
-            admitted = backend.admission.admit(start_by, priority)
+            admitted = backend.admission.admit(start_by, request.endpoint.priority)
         if admitted.is_error():
             refusal = admitted.error
             message = f"{server.name}: {refusal.reason}"
@@ -178,12 +179,24 @@
                 StatementError(ErrorCode.BUSY, message, refusal.retry_after_ms)
             )
         try:
-            connection = self._connect(backend, values, start_by)
+            connection = self._connect(backend, request.values, start_by)
         except (NotServedError, ConnectFailedError):
             admitted.ok.done(0.0, False)
             raise
         return HeldConnection(backend, connection, admitted.ok, self)
 
+    def begin_on_primary(self, held: HeldConnection, request: Request) -> Reply:
+        """Begin a transaction, which only a server that leads does; errors as for run.
+
+        The answer shows how far the primary surely was when it was asked.
+        """
+        asked_at = self._clock.now()
+        order_by = min(request.deadline, asked_at + SESSION_ORDER_TIMEOUT)
+        reply = held.order(Statement(StatementKind.BEGIN), order_by)
+        if reply.error is None:
+            self.note_fresh(held.server, reply.position, asked_at)
+        return reply
+
     def now(self) -> float:
         """Return the clock's time."""
         return self._clock.now()
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -9,6 +9,7 @@
 
 from .access import HeldConnection, ServerAccess
 from .const import (
+    BUSY_RETRY_MS,
     CHANGING_RETRY_MS,
     LEAVING_GRACE_SECONDS,
     MAX_WRITE_ATTEMPTS,
@@ -78,16 +79,27 @@
                 break
         raise NotServedError(self._no_primary(request.endpoint.group))
 
+    def run_repeatable(
+        self, request: Request, attempt: Attempt
+    ) -> tuple[HeldConnection, Reply]:
+        """Run on the primary what may run again, such as a read; see ``run``.
+
+        Raises:
+            NotServedError: it did not run, or its answer was lost.
+        """
+        try:
+            return self.run(request, attempt)
+        except OutcomeUnknownError as error:
+            message = f"the primary did not answer: {error}"
+            raise NotServedError(
+                StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
+            ) from error
+
     def _try(
         self, request: Request, server: BackendServer, attempt: Attempt
     ) -> tuple[HeldConnection, Reply] | None:
         try:
-            held = self._access.open(
-                server,
-                request.values,
-                start_by=max(request.start_by, self._clock.now()),
-                priority=request.endpoint.priority,
-            )
+            held = self._access.open(server, request)
         except ConnectFailedError:
             return None
         try:
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -16,19 +16,15 @@
 
 from .access import HeldConnection, ServerAccess
 from .const import (
-    BUSY_RETRY_MS,
     MAX_READ_ATTEMPTS,
     PRIMARY_READ_SHARE,
     READ_ATTEMPT_SHARE,
-    SESSION_ORDER_TIMEOUT,
 )
 from .errors import NotServedError
 from .freshness import FreshnessBook
 from .models import (
-    ErrorCode,
     Reply,
     Statement,
-    StatementError,
     StatementKind,
     TransactionState,
 )
@@ -123,12 +119,7 @@
         if number == 0:
             until = now + (request.deadline - now) * READ_ATTEMPT_SHARE
         try:
-            held = self._access.open(
-                server,
-                request.values,
-                start_by=max(request.start_by, now),
-                priority=request.endpoint.priority,
-            )
+            held = self._access.open(server, request)
         except (NotServedError, ConnectFailedError) as error:
             self._note_moved(request, server, error)
             return None
@@ -159,16 +150,9 @@
         that lacks what was acknowledged since. It refuses a transaction, and each
         statement of one that it began before.
         """
-        held: HeldConnection | None = None
-        try:
-            held, reply = self._primaries.run(
-                request, lambda one: self._read_fenced(one, request)
-            )
-        except OutcomeUnknownError as error:
-            message = f"the primary did not answer: {error}"
-            raise NotServedError(
-                StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
-            ) from error
+        held, reply = self._primaries.run_repeatable(
+            request, lambda one: self._read_fenced(one, request)
+        )
         held.finish(is_good=reply.state is not TransactionState.FAILED)
         if reply.error is None:
             self._counters.read_served(request.endpoint.group, by_primary=True)
@@ -176,11 +160,9 @@
 
     def _read_fenced(self, held: HeldConnection, request: Request) -> Reply:
         now = self._clock.now()
-        order_by = min(request.deadline, now + SESSION_ORDER_TIMEOUT)
-        begun = held.order(Statement(StatementKind.BEGIN), order_by)
+        begun = self._access.begin_on_primary(held, request)
         if begun.error is not None:
             return begun
-        self._access.note_fresh(held.server, begun.position, now)
         return held.run(
             request.values,
             request.statement,
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -17,7 +17,6 @@
 
 from .access import HeldConnection, ServerAccess, roll_back
 from .const import (
-    BUSY_RETRY_MS,
     BUSY_RETRY_SECONDS,
     MAX_READ_ATTEMPTS,
     SESSION_ORDER_TIMEOUT,
@@ -114,7 +113,7 @@
         except BackendError as error:
             return self._lost(transaction, request, error)
         try:
-            reply = self._commit_held(transaction, held, request)
+            reply = self._run_held(transaction, held, request)
         except ConnectFailedError as error:
             # The connection had ended before: nothing was sent, all is undone.
             return self._lost(transaction, request, error)
@@ -169,15 +168,6 @@
                 return reply
             self._clock.sleep(BUSY_RETRY_SECONDS)
 
-    def _commit_held(
-        self, transaction: Transaction, held: HeldConnection, request: Request
-    ) -> Reply:
-        asked_at = self._clock.now()
-        reply = self._run_held(transaction, held, request)
-        if reply.error is None and transaction.needs_primary:
-            self._access.note_fresh(held.server, reply.position, asked_at)
-        return reply
-
     def _begin(self, transaction: Transaction, request: Request) -> HeldConnection:
         if transaction.needs_primary:
             held = self._begin_on_primary(request)
@@ -187,28 +177,14 @@
         return held
 
     def _begin_on_primary(self, request: Request) -> HeldConnection:
-        try:
-            held, reply = self._primaries.run(
-                request, lambda one: self._order_begin(one, request)
-            )
-        except OutcomeUnknownError as error:
-            message = f"the primary did not begin the transaction: {error}"
-            raise NotServedError(
-                StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
-            ) from error
+        held, reply = self._primaries.run_repeatable(
+            request, lambda one: self._access.begin_on_primary(one, request)
+        )
         if reply.error is not None:
             held.finish(is_good=True)
             raise NotServedError(reply.error)
         return held
 
-    def _order_begin(self, held: HeldConnection, request: Request) -> Reply:
-        now = self._clock.now()
-        order_by = min(request.deadline, now + SESSION_ORDER_TIMEOUT)
-        reply = held.order(Statement(StatementKind.BEGIN), order_by)
-        if reply.error is None:
-            self._access.note_fresh(held.server, reply.position, now)
-        return reply
-
     def _begin_on_replica(self, request: Request) -> HeldConnection:
         floor = self._reads.floor(request)
         if floor is None:
@@ -230,12 +206,7 @@
     ) -> HeldConnection | None:
         now = self._clock.now()
         try:
-            held = self._access.open(
-                server,
-                request.values,
-                start_by=max(request.start_by, now),
-                priority=request.endpoint.priority,
-            )
+            held = self._access.open(server, request)
         except (NotServedError, ConnectFailedError) as error:
             log_rate_limited("read_moved", server=server.name, reason=error)
             return None
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -35,7 +35,7 @@
 from .reads import ReadPath
 from .renew import RenewCoordinator
 from .routers import GroupRouters
-from .sessions import CallerSessions, TransactionReaper
+from .sessions import CallerSessions
 from .transactions import TransactionPath
 from .writes import WritePath
 
@@ -93,7 +93,7 @@
         self._watch.set_up()
         self._renew = self._build_renewal()
         self._renew.set_up()
-        self._reaper.set_up()
+        self._sessions.set_up()
         self._pruner.set_up()
         self._listener.set_up()
         self._views.add_listener(self._renew_for_changed_groups)
@@ -120,7 +120,7 @@
         self._renew.unload()
         self._give_back()
         self._watch.unload()
-        self._reaper.unload()
+        self._sessions.unload()
         self._pruner.unload()
         self._probes.unload()
         self._acks.unload()
@@ -165,7 +165,6 @@
         self._watch = WatchCoordinator(
             self._views, self._peers, self._client, self._clock
         )
-        self._reaper = TransactionReaper(self._sessions, self._clock)
         self._probes = ProbeCoordinator(
             self._views,
             self._table,
