Judge the demo's moves and reads by what they are about

Cause: a new term marks the beginning of a change of primary, so a write behind it may still be the old primary's, under a grant that was not given back; the step then asked for a primary while there was none. And the first read after a write went to the primary where a replica took longer than the 20 ms for which a proxy waits, as designed.

Change: the loop ends with a write that began when control named another primary. The read step reads until a replica has served one, within the demo's time limit; every read must show the write.

--- a/script/demo.py
+++ b/script/demo.py
@@ -13,6 +13,7 @@
     CallerConnection,
     Deployment,
     DeploymentShape,
+    StandinHandle,
     StandinShape,
     TestbedError,
 )
@@ -102,14 +103,17 @@
         """Read the own write through another proxy, from a replica."""
         deployment = self.deployment
         proxy = deployment.proxies[1]
-        with deployment.connect(proxy, GROUP) as connection:
-            rows = query(
-                connection, f"/*session='{self.token}'*/ SELECT body FROM lines"
-            )
-        assert rows == (("hello",),), f"read {rows}"
-        metrics = deployment.metrics(proxy)
         by_replica = f'reads_total{{group="{GROUP}",served_by="replica"}} 1'
-        assert by_replica in metrics, "the read was not served by a replica"
+        deadline = time.monotonic() + FAILOVER_SECONDS
+        with deployment.connect(proxy, GROUP) as connection:
+            # A replica that takes longer than usual to have the write is passed over
+            # for the primary, which a busy machine may show for the first reads.
+            while by_replica not in deployment.metrics(proxy):
+                assert time.monotonic() < deadline, "no replica served the read"
+                rows = query(
+                    connection, f"/*session='{self.token}'*/ SELECT body FROM lines"
+                )
+                assert rows == (("hello",),), f"read {rows}"
         return f"{proxy.name} in {proxy.failure_domain} read it from a replica"
 
     def change_settings(self) -> str:
@@ -156,7 +160,6 @@
         old = deployment.primary(group)
         with deployment.connect(deployment.proxies[0], group) as connection:
             query(connection, "CREATE TABLE seen (id INT PRIMARY KEY)")
-            term = deployment.term(group)
             deployment.promote(group)
             longest = 0.0
             last = time.monotonic()
@@ -167,7 +170,7 @@
             while not has_moved:
                 # Only a write that began after the move shows that they go on: while
                 # proxies wait for their next grant they refuse with a time to retry.
-                is_after = deployment.term(group) != term
+                is_after = self._leads_another(group, old)
                 tried += 1
                 try:
                     query(connection, f"INSERT INTO seen VALUES ({tried})")
@@ -181,9 +184,14 @@
             found = {row[0] for row in query(connection, "SELECT id FROM seen")}
             assert acknowledged <= found, f"lost {acknowledged - found}"
         new = deployment.primary(group)
-        assert new.name != old.name, "the primary has not changed"
         return f"{old.name} to {new.name}, longest pause between writes {longest:.3f} s"
 
+    def _leads_another(self, group: str, old: StandinHandle) -> bool:
+        try:
+            return self.deployment.primary(group).name != old.name
+        except TestbedError:
+            return False  # The group is between two primaries.
+
 
 def stay(deployment: Deployment) -> None:
     """Print what can be reached and wait for an interrupt."""
