Let callers wait a moment for a starting proxy's first view

A caller has three attempts within a second, went from one starting proxy to the next, and had given up when the views came.

Ruled out: listening only once the view is there, since a refused connection costs the caller an attempt all the same.

Change: opening a session waits for the first view until 0.6 s after the process's start; later callers are refused at once as before.

--- a/packages/common/src/dogwoodspool_common/clock.py
+++ b/packages/common/src/dogwoodspool_common/clock.py
@@ -61,6 +61,12 @@
         self._ticked = threading.Condition()
         self._waiting: list[threading.Condition] = []
 
+    @property
+    def waiters(self) -> int:
+        """Threads that wait for this clock in ``wait``."""
+        with self._ticked:
+            return len(self._waiting)
+
     def now(self) -> float:
         """Return the paused time in seconds."""
         with self._ticked:
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -69,6 +69,10 @@
 CHANGING_RETRY_MS: Final = 300
 BUSY_RETRY_MS: Final = 50
 WATCH_WAIT_MS: Final = 1_000
+# From a process's start until it refuses callers for want of a first view. When all
+# processes start together the view comes 0.2 to 0.5 s later (emulated loss of power),
+# and callers wait a second in all.
+FIRST_VIEW_WAIT_SECONDS: Final = 0.6
 
 OWN_REQUEST: Final = "-"
 NO_PROOF: Final = "-"
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -4,6 +4,7 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import OpenSessions, ViewStore
 
+from .const import FIRST_VIEW_WAIT_SECONDS
 from .errors import NoDatabaseError, NotReadyError
 from .reads import ReadPath
 from .session import PooledSession
@@ -29,15 +30,20 @@
         self._writes = writes
         self._transactions = transactions
         self._counters = counters
+        self._waits_until = clock.now() + FIRST_VIEW_WAIT_SECONDS
 
     def open(self, database: str) -> PooledSession:
         """Return a session at a database.
 
+        After a start it waits a little for the first view. When all processes start
+        together after a loss of power, callers who are refused at once spend their
+        attempts on one proxy after the other before any of them can serve.
+
         Raises:
             NotReadyError: what there is is not known yet.
             NoDatabaseError: there is no such database.
         """
-        if not self._views.is_filled:
+        if not self._views.wait_filled(self._waits_until - self._clock.now()):
             raise NotReadyError("this proxy has just started")
         if database not in self._views.view.databases:
             raise NoDatabaseError(f"there is no database {database}")
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -13,6 +13,7 @@
 from dogwoodspool_common import (
     Address,
     BackendServer,
+    Clock,
     Consistency,
     Endpoint,
     GroupState,
@@ -294,29 +295,36 @@
             self.clock,
         )
         self.views.add_listener(self._follow)
-        primaries = PrimaryPath(self.views, self.table, access, self.clock)
+        self.access = access
+        self.primaries = PrimaryPath(self.views, self.table, access, self.clock)
         self.counters = Counters()
         self.reads = ReadPath(
             self.views,
             self.table,
             access,
-            primaries,
+            self.primaries,
             self.freshness,
             self.counters,
             self.clock,
         )
-        self.sessions = PooledSessions(
-            self.views,
-            self.reads,
-            WritePath(primaries, access, self.clock),
-            TransactionPath(self.views, self.reads, primaries, access, self.clock),
-            self.counters,
-            self.clock,
-        )
+        self.sessions = self.sessions_over(self.views, self.clock)
         self.promised = promised or endpoint()
         self.version = 0
         self.show(primary=servers[0].name)
 
+    def sessions_over(self, views: ViewStore, clock: Clock) -> PooledSessions:
+        """Return sessions that begin once a view store is filled."""
+        return PooledSessions(
+            views,
+            self.reads,
+            WritePath(self.primaries, self.access, self.clock),
+            TransactionPath(
+                self.views, self.reads, self.primaries, self.access, self.clock
+            ),
+            self.counters,
+            clock,
+        )
+
     def show(
         self,
         *,
