Share a server's connections evenly while proxies start together

The first proxies to be back took all others, up to four each; those that came 50 ms later were refused 525 connections in 1.6 s, 343 of them in two failure domains that have one and two proxies. A caller's attempts ended within 0.2 s, as such a refusal was answered at once with 50 ms until the next try. Besides, a request whose turn at the pool came late opened its connection with no time left, and the server counted as failed.

Change: a process may hold one connection to a server when it starts to serve and one more every 0.2 s; a request that has no other server waits for one as long as it may wait at all, and is told to come back after 150 ms; connecting may take until the request's deadline. Three tests failed first.

--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -107,13 +107,17 @@
         self,
         deadline: float,
         *,
+        open_by: float | None = None,
         is_probe: bool = False,
         rank: Callable[[ConnectionT], int] | None = None,
     ) -> ConnectionT:
         """Return a connection for one caller; it must be released.
 
         Args:
-            deadline: clock seconds; connecting and checking end by then, too.
+            deadline: clock seconds until which the caller waits for its turn.
+            open_by: clock seconds at which connecting and checking end; without it
+                the deadline. A caller whose turn comes late needs some time for
+                them, and one that had none would take the server for unreachable.
             is_probe: a short question that may take the connection that callers
                 leave, and goes before them.
             rank: of several idle connections the one with the lowest rank is
@@ -123,11 +127,12 @@
             PoolTimeoutError: no connection came free in time.
             ConnectFailedError: a new connection was needed and did not come up.
         """
+        usable_by = deadline if open_by is None else max(deadline, open_by)
         while True:
             connection = self._take(deadline, is_probe=is_probe, rank=rank)
             if connection is None:
-                return self._open(deadline, is_probe=is_probe)
-            if self._health.is_usable(connection, deadline):
+                return self._open(usable_by, is_probe=is_probe)
+            if self._health.is_usable(connection, usable_by):
                 return connection
             if connection.went_silent:
                 self._drop_suspected()
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -21,7 +21,11 @@
 from dogwoodspool_routing import ServerTable
 
 from .connection import ServerConnection
-from .const import BUSY_RETRY_MS, SESSION_ORDER_TIMEOUT
+from .const import (
+    CONNECTION_RETRY_SECONDS,
+    NO_CONNECTION_RETRY_MS,
+    SESSION_ORDER_TIMEOUT,
+)
 from .errors import NotServedError
 from .freshness import FreshnessBook
 from .models import (
@@ -158,11 +162,19 @@
         self,
         server: BackendServer,
         request: Request,
+        *,
+        has_alternatives: bool = False,
     ) -> HeldConnection:
         """Wait for a place and a connection, as long as the request may wait.
 
         A place and a connection that are free are taken also when that time is over.
 
+        Args:
+            server: where it shall run.
+            request: what shall run.
+            has_alternatives: another server may serve the request as well, so that
+                it is not worth waiting until this one takes one connection more.
+
         Raises:
             NotServedError: there is none; nothing was sent.
             ConnectFailedError: the server cannot be reached; nothing was sent.
@@ -179,7 +191,9 @@
                 StatementError(ErrorCode.BUSY, message, refusal.retry_after_ms)
             )
         try:
-            connection = self._connect(backend, request.values, start_by)
+            connection = self._connect(
+                backend, request, start_by, has_alternatives=has_alternatives
+            )
         except (NotServedError, ConnectFailedError):
             admitted.ok.done(0.0, False)
             raise
@@ -250,14 +264,21 @@
         self._suspect(server.name)
 
     def _connect(
-        self, backend: Backend, values: Mapping[str, str], start_by: float
+        self,
+        backend: Backend,
+        request: Request,
+        start_by: float,
+        *,
+        has_alternatives: bool,
     ) -> ServerConnection:
         def rank(connection: ServerConnection) -> int:
-            return carry_over_cost(values, connection.session)
+            return carry_over_cost(request.values, connection.session)
 
         while True:
             try:
-                return backend.pool.acquire(start_by, rank=rank)
+                return backend.pool.acquire(
+                    start_by, open_by=request.deadline, rank=rank
+                )
             except PoolTimeoutError as error:
                 raise NotServedError(_no_connection(backend)) from error
             except ConnectionLimitError as error:
@@ -269,8 +290,12 @@
                     server=backend.server.name,
                     ceiling=backend.pool.limit,
                 )
-                if backend.pool.open_count == 0 or self._clock.now() >= start_by:
+                remaining = start_by - self._clock.now()
+                has_none = backend.pool.open_count == 0
+                if remaining <= 0 or (has_none and has_alternatives):
                     raise NotServedError(_no_connection(backend)) from error
+                if has_none:
+                    self._clock.sleep(min(remaining, CONNECTION_RETRY_SECONDS))
             except ConnectFailedError as error:
                 self.report_failure(backend.server, error)
                 raise
@@ -296,4 +321,4 @@
 
 def _no_connection(backend: Backend) -> StatementError:
     message = f"no connection to {backend.server.name} came free"
-    return StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
+    return StatementError(ErrorCode.BUSY, message, NO_CONNECTION_RETRY_MS)
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -41,6 +41,14 @@
 MIN_CONNECTIONS: Final = 2
 DEFAULT_CONNECTIONS: Final = 16
 CEILING_STEP_SECONDS: Final = 1.0
+# Connections to one server that a process may hold at first, and the time until it may
+# hold one more: proxies that start together are ready within 0.12 s (emulated loss of
+# power), so that each of them has one before any has two.
+FIRST_CONNECTIONS: Final = 1
+START_STEP_SECONDS: Final = 0.2
+# Pause before another connection is asked for where the server has too many and this
+# process has none: about two statements' time.
+CONNECTION_RETRY_SECONDS: Final = 0.05
 # Short, since after a power loss of many proxies the servers go on to count their
 # connections for some seconds, and what is held then is missing when they are back.
 IDLE_EXPIRY_SECONDS: Final = 1.0
@@ -68,6 +76,9 @@
 # While a change of primary is under way.
 CHANGING_RETRY_MS: Final = 300
 BUSY_RETRY_MS: Final = 50
+# Connections of processes that ended are counted for a second and more, and a caller
+# has three attempts within a second.
+NO_CONNECTION_RETRY_MS: Final = 150
 WATCH_WAIT_MS: Final = 1_000
 # From a process's start until it refuses callers for want of a first view. When all
 # processes start together the view comes 0.2 to 0.5 s later (emulated loss of power),
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -119,7 +119,7 @@
         if number == 0:
             until = now + (request.deadline - now) * READ_ATTEMPT_SHARE
         try:
-            held = self._access.open(server, request)
+            held = self._access.open(server, request, has_alternatives=True)
         except (NotServedError, ConnectFailedError) as error:
             self._note_moved(request, server, error)
             return None
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._backends: dict[str, Backend] = {}
+        self._serving_since: float | None = None
 
     def set_up(self) -> None:
         """Follow the view."""
@@ -97,11 +98,15 @@
 
     def _build(self, server: BackendServer) -> Backend:
         highest = self._highest(server)
+        started_at = self._serving_since
+        if started_at is None:
+            started_at = self._clock.now()
+        ceiling = ConnectionCeiling(self._clock, highest, started_at)
+        first = ceiling.value()
         pool = ConnectionPool(
-            server, self._connector, self._clock, POOL_SETTINGS, highest
+            server, self._connector, self._clock, POOL_SETTINGS, first
         )
-        admission = AdmissionQueue(self._clock, server.slots, highest, QUEUE_LIMIT)
-        ceiling = ConnectionCeiling(self._clock, highest)
+        admission = AdmissionQueue(self._clock, server.slots, first, QUEUE_LIMIT)
         return Backend(server, pool, admission, ceiling)
 
     def _highest(self, server: BackendServer) -> int:
@@ -111,6 +116,8 @@
 
     def _follow(self, view: ProxyView) -> None:
         with self._lock:
+            if self._serving_since is None:
+                self._serving_since = self._clock.now()
             dropped = [
                 self._backends.pop(name)
                 for name, backend in list(self._backends.items())
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -25,6 +25,7 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import (
     ConnectFailedError,
+    ConnectionLimitError,
     OutcomeUnknownError,
     ServerDownError,
 )
@@ -76,6 +77,7 @@
     Attributes:
         refusals: codes with which it refuses the next statements.
         silent_for: kinds of statements that it never answers.
+        full_for: new connections that it refuses, having too many.
         has_lost_lead: another server was promoted and it does not say so itself.
     """
 
@@ -87,6 +89,7 @@
     has_lost_lead: bool = False
     refusals: list[ErrorCode] = field(default_factory=list)
     silent_for: set[StatementKind] = field(default_factory=set)
+    full_for: int = 0
     runs: list[Run] = field(default_factory=list)
     opened: int = 0
 
@@ -239,6 +242,11 @@
             fake.position = Position(fake.position.term, offset)
 
 
+CONNECT_SECONDS = 0.012
+# Tests meet a process that has been up for a while.
+UP_FOR_SECONDS = 10.0
+
+
 class ImpatientClock(ManualClock):
     """A clock on which every wait runs out at once, as nobody else does anything."""
 
@@ -251,17 +259,23 @@
 
 
 class FakeNetwork:
-    """Open connections to fake servers by name."""
+    """Open connections to fake servers by name, which takes some milliseconds."""
 
-    def __init__(self, servers: Sequence[FakeServer]) -> None:
+    def __init__(self, servers: Sequence[FakeServer], clock: ManualClock) -> None:
         self.servers = {server.name: server for server in servers}
+        self._clock = clock
 
     def connect(self, server: BackendServer, deadline: float) -> FakeConnection:
         fake = self.servers.get(server.name)
+        if deadline - self._clock.now() < CONNECT_SECONDS:
+            raise ConnectFailedError("timed out")
         if fake is None:
             raise ConnectFailedError("no such server")
         if fake.is_down:
             raise ServerDownError(f"{server.name} is down")
+        if fake.full_for:
+            fake.full_for -= 1
+            raise ConnectionLimitError(f"{server.name} has too many connections")
         return FakeConnection(fake, server)
 
 
@@ -279,7 +293,7 @@
         self, servers: Sequence[FakeServer], promised: Endpoint | None = None
     ) -> None:
         self.clock = ImpatientClock()
-        self.network = FakeNetwork(servers)
+        self.network = FakeNetwork(servers, self.clock)
         self.views = ViewStore(OWN_DOMAIN, self.clock)
         self.table = ServerTable(self.clock)
         self.suspected: list[str] = []
@@ -311,6 +325,7 @@
         self.promised = promised or endpoint()
         self.version = 0
         self.show(primary=servers[0].name)
+        self.clock.advance(UP_FOR_SECONDS)
 
     def sessions_over(self, views: ViewStore, clock: Clock) -> PooledSessions:
         """Return sessions that begin once a view store is filled."""
--- a/tests/pooler/test_placement.py
+++ b/tests/pooler/test_placement.py
@@ -54,11 +54,24 @@
 
 
 class CeilingTests(unittest.TestCase):
-    """A refusal lowers the share of connections for a while."""
+    """The share of connections is small at first, and after each refusal."""
 
-    def test_it_rises_again_by_one_a_second(self) -> None:
+    def test_it_starts_small(self) -> None:
+        # After a loss of power servers still count the connections of the processes
+        # that ended. The first proxies to be back took all others, and those that
+        # came 50 ms later had none until the old ones were forgotten, 1.5 s on.
         clock = ManualClock()
-        ceiling = ConnectionCeiling(clock, 6)
+        ceiling = ConnectionCeiling(clock, 6, 0.0)
+        self.assertEqual(ceiling.value(), 1)
+        clock.advance(0.5)
+        self.assertEqual(ceiling.value(), 3)
+        clock.advance(1.0)
+        self.assertEqual(ceiling.value(), 6)
+
+    def test_it_rises_again_by_one_a_second(self) -> None:
+        clock = ManualClock(10.0)
+        ceiling = ConnectionCeiling(clock, 6, 0.0)
+        self.assertEqual(ceiling.value(), 6)
         ceiling.note_refused(2)
         self.assertEqual(ceiling.value(), 2)
         clock.advance(2.5)
@@ -67,6 +80,6 @@
         self.assertEqual(ceiling.value(), 6)
 
     def test_one_connection_is_always_tried(self) -> None:
-        ceiling = ConnectionCeiling(ManualClock(), 6)
+        ceiling = ConnectionCeiling(ManualClock(10.0), 6, 0.0)
         ceiling.note_refused(0)
         self.assertEqual(ceiling.value(), 1)
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -43,6 +43,27 @@
         self.assertIs(answer.error.code, ErrorCode.IN_DOUBT)
         self.assertEqual(pooler.network.servers["s1"].opened, 1)
 
+    def test_a_write_waits_while_its_server_has_too_many_connections(self) -> None:
+        # After a loss of power all callers of one domain are refused for a second
+        # and a half. Servers go on to count the connections of the processes that
+        # ended; their proxy had none of its own yet, was refused one, and gave up
+        # although another came free some milliseconds later.
+        servers = group()
+        pooler = Pooler(servers)
+        servers[0].full_for = 2
+        self.assertEqual(say(pooler.session(), "WRITE k v").proof, "s1:r")
+        self.assertEqual(pooler.suspected, [])
+
+    def test_a_write_is_refused_when_no_connection_comes_free_in_time(self) -> None:
+        servers = group()
+        pooler = Pooler(servers)
+        servers[0].full_for = 1_000
+        began_at = pooler.clock.now()
+        answer = say(pooler.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertLessEqual(pooler.clock.now() - began_at, 0.11)
+
     def test_a_refused_write_goes_to_the_server_that_leads_now(self) -> None:
         servers = group()
         pooler = Pooler(servers)
