--- a/packages/consensus/src/dogwoodspool_consensus/election.py
+++ b/packages/consensus/src/dogwoodspool_consensus/election.py
@@ -1,11 +1,11 @@
 """Elections: time-outs, pre-votes and votes."""
 
-from dogwoodspool_common import log_event
+from dogwoodspool_common import log_event, log_rate_limited
 
 from .const import PATH_VOTE, UNPINNED
 from .identities import check_request
 from .messages import VoteRequest, VoteResponse
-from .models import Role
+from .models import Role, VoteRefusal
 from .peers import PeerCaller
 from .progress import VoteRound
 from .state import NodeState
@@ -64,11 +64,13 @@
         state = self._state
         with state.changed:
             check_request(state, request)
-            is_granted = self._decide(request)
+            refusal = self._decide(request)
+            if refusal is not None:
+                self._log_refusal(request, refusal)
             return VoteResponse(
                 term=state.term,
                 incarnation=state.identity.incarnation,
-                is_granted=is_granted,
+                is_granted=refusal is None,
             )
 
     def _check_quorum(self, now: float) -> None:
@@ -114,25 +116,46 @@
         else:
             state.become_leader(current.granted)
 
-    def _decide(self, request: VoteRequest) -> bool:
+    def _decide(self, request: VoteRequest) -> VoteRefusal | None:
+        """Give the vote, or tell why not."""
         state = self._state
-        if not self._may_vote(request) or self._hears_leader(request.source):
-            return False
+        if not self._may_vote(request):
+            return VoteRefusal.NOT_PINNED
+        if self._hears_leader(request.source):
+            return VoteRefusal.HEARS_LEADER
         is_current = (request.last_term, request.last_index) >= (
             state.log.last_term,
             state.log.last_index,
         )
         if request.is_pre_vote:
-            return is_current and request.term > state.term
+            if request.term <= state.term:
+                return VoteRefusal.OLD_TERM
+            return None if is_current else VoteRefusal.LOG_BEHIND
         if request.term > state.term:
             state.become_follower(request.term)
-        if request.term < state.term or not is_current:
-            return False
+        if request.term < state.term:
+            return VoteRefusal.OLD_TERM
+        if not is_current:
+            return VoteRefusal.LOG_BEHIND
         if state.vote.voted_for not in (None, request.source_incarnation):
-            return False
+            return VoteRefusal.VOTED_FOR_ANOTHER
         state.save_vote(request.term, request.source_incarnation)
         state.postpone_election()
-        return True
+        return None
+
+    def _log_refusal(self, request: VoteRequest, refusal: VoteRefusal) -> None:
+        state = self._state
+        log_rate_limited(
+            "vote_refused",
+            node=state.node_id,
+            candidate=request.source,
+            reason=refusal,
+            is_pre_vote=request.is_pre_vote,
+            term=state.term,
+            candidate_term=request.term,
+            last=f"{state.log.last_term}.{state.log.last_index}",
+            candidate_last=f"{request.last_term}.{request.last_index}",
+        )
 
     def _may_vote(self, request: VoteRequest) -> bool:
         # A voter that lost its files has forgotten its votes and entries. It
--- a/packages/consensus/src/dogwoodspool_consensus/models.py
+++ b/packages/consensus/src/dogwoodspool_consensus/models.py
@@ -34,6 +34,25 @@
     LEADER = "leader"
 
 
+class VoteRefusal(StrEnum):
+    """Why a candidate does not get a vote.
+
+    Attributes:
+        NOT_PINNED: the voter or the candidate lost the files that it is known by.
+        HEARS_LEADER: the voter heard a leader within the shortest election timeout,
+            or may have heard one just before it started.
+        OLD_TERM: the voter knows a newer term.
+        LOG_BEHIND: the candidate lacks entries that the voter has.
+        VOTED_FOR_ANOTHER: the voter's vote of this term is given.
+    """
+
+    NOT_PINNED = "not_pinned"
+    HEARS_LEADER = "hears_leader"
+    OLD_TERM = "old_term"
+    LOG_BEHIND = "log_behind"
+    VOTED_FOR_ANOTHER = "voted_for_another"
+
+
 class EntryKind(StrEnum):
     """What a log entry holds."""
 
