Report past a lost control leader, and sooner after a silent process

Change: turns pass over a lost leader as long as others are to be asked; 0.3 s in place of 0.4 s for an answer, 0.05 s in place of 0.2 s of pause after it was missing. Ruled out: telling all processes at once, which at 4,100 proxies would be seven times as many reports just when there is no leader.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -103,7 +103,14 @@
             elif self._others_to_ask:
                 self._others_to_ask -= 1
             if self._addresses[self._turn] == address or self._leader is None:
-                self._turn = (self._turn + 1) % len(self._addresses)
+                self._take_next_turn()
+
+    def _take_next_turn(self) -> None:
+        """Turn to the next process, past a lost leader while others are to be asked."""
+        count = len(self._addresses)
+        self._turn = (self._turn + 1) % count
+        if self._others_to_ask and self._addresses[self._turn] == self._lost_leader:
+            self._turn = (self._turn + 1) % count
 
     def note_success(self, address: Address) -> None:
         """Return to the preferred process after some polls of another one."""
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -64,7 +64,10 @@
 STALL_REPORT_SECONDS: Final = 0.4
 REPORT_SECONDS: Final = 0.2
 REPORT_CHECK_SECONDS: Final = 0.2
-REPORT_TIMEOUT: Final = 0.4
+# A control process answers within milliseconds; a lost packet is sent again after
+# 0.2 s.
+REPORT_TIMEOUT: Final = 0.3
+REPORT_RETRY_SECONDS: Final = 0.05
 # Control processes that are given one report, the one believed to lead included: enough
 # to follow a refusal that names the leader.
 REPORT_ATTEMPTS: Final = 2
--- a/packages/pooler/src/dogwoodspool_pooler/reporting.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reporting.py
@@ -16,6 +16,7 @@
 from .const import (
     REPORT_ATTEMPTS,
     REPORT_CHECK_SECONDS,
+    REPORT_RETRY_SECONDS,
     REPORT_SECONDS,
     REPORT_TIMEOUT,
 )
@@ -59,8 +60,7 @@
         message = ServerReports(
             proxy=self._proxy, failure_domain=self._failure_domain, reports=reports
         )
-        self._send(message)
-        return REPORT_SECONDS
+        return REPORT_SECONDS if self._send(message) else REPORT_RETRY_SECONDS
 
     def _reports(self) -> list[ServerReport]:
         stalled = self._stalls.stalled_seconds()
@@ -82,8 +82,13 @@
             )
         return reports
 
-    def _send(self, message: ServerReports) -> None:
-        """Give a report to the leader; ask one process more where one is not it."""
+    def _send(self, message: ServerReports) -> bool:
+        """Give a report to the leader; ask one process more where one is not it.
+
+        Returns:
+            False where a process was waited for in vain, so that another may be asked
+            without a pause.
+        """
         for _attempt in range(REPORT_ATTEMPTS):
             address = self._peers.leader_or_next()
             try:
@@ -100,6 +105,7 @@
             except HttpError as error:
                 log_event("report_failed", address=address, reason=error)
                 self._peers.note_failure(address)
-                return
+                return False
             else:
-                return
+                return True
+        return True
--- a/tests/pooler/test_reporting.py
+++ b/tests/pooler/test_reporting.py
@@ -23,6 +23,7 @@
     """Three control processes, of which the one that led is cut off.
 
     Attributes:
+        frozen: another one that does not answer.
         leader: who leads now; the others name whom they knew last.
         reachable_again: whether the one that was cut off answers.
         taken: reports that a leader took in, with their times.
@@ -32,12 +33,14 @@
         self._clock = clock
         self.leader: Address | None = None
         self.reachable_again = False
+        self.frozen: Address | None = None
         self.taken: list[float] = []
 
     def post(
         self, address: Address, _path: str, body: dict[str, Any], timeout: float
     ) -> dict[str, Any]:
-        if address == CUT_OFF and not self.reachable_again:
+        is_cut_off = address == CUT_OFF and not self.reachable_again
+        if is_cut_off or address == self.frozen:
             self._clock.advance(timeout)
             raise HttpError("timed out")
         if address != self.leader:
@@ -87,6 +90,16 @@
                 self.run_until(elected_at + 5)
                 self.assertLess(self.control.taken[0] - elected_at, 0.75)
 
+    def test_a_frozen_process_beside_the_lost_leader_costs_one_wait_more(self) -> None:
+        for elected_at in (1.7, 1.9, 2.1, 2.3, 2.5, 2.7, 2.9):
+            with self.subTest(elected_at=elected_at):
+                self.setUp()
+                self.control.frozen = SECOND
+                self.run_until(elected_at)
+                self.control.leader = THIRD
+                self.run_until(elected_at + 5)
+                self.assertLess(self.control.taken[0] - elected_at, 0.95)
+
     def test_the_old_leader_is_asked_again_after_the_others(self) -> None:
         # Only this proxy could not reach the leader, for a moment, and the others
         # are right: it still leads.
