Elect at once where the leader's process has surely ended

The others took it for alive and refused each other's votes for 0.65 s after their start; the first view came 0.7 to 0.8 s after the proxies listened.

Ruled out: a shorter wait for all (the old leader's lease may rest on an answer given before the restart); going by refused connections (its process may be about to start from its files).

Change: after a start a voter asks the leader that its log names, each half heartbeat, until it hears any leader. Where another identity answers at that address, the process that held the lease has ended, and the voter's earlier answers count for nobody: it votes and stands at once.

--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -29,6 +29,7 @@
     NotLeaderError,
     StorageError,
 )
+from .leader_probe import LeaderProbe
 from .membership import Membership
 from .messages import (
     AppendRequest,
@@ -104,6 +105,7 @@
         state = self._state
         caller = PeerCaller(state, transport)
         self._elections = Elections(state, caller)
+        self._leader_probe = LeaderProbe(state, caller)
         self._receiver = SnapshotReceiver(state)
         self._replication = Replication(state, caller, SnapshotSender(state, caller))
         self._proposals = Proposals(state)
@@ -297,10 +299,13 @@
         with state.changed:
             wants_vote = self._elections.wants_vote(peer)
             is_due = self._peer_due(peer) <= state.clock.now()
+            is_leader = state.role is Role.LEADER
         if wants_vote:
             self._elections.ask(peer)
-        elif is_due:
+        elif is_due and is_leader:
             self._replication.send(peer)
+        elif is_due:
+            self._leader_probe.send(peer)
 
     def _peer_due(self, peer: str) -> float:
         state = self._state
@@ -308,4 +313,4 @@
             return self._replication.next_send(peer)
         if self._elections.wants_vote(peer):
             return state.clock.now()
-        return float("inf")
+        return self._leader_probe.due(peer)
--- a/packages/consensus/src/dogwoodspool_consensus/peers.py
+++ b/packages/consensus/src/dogwoodspool_consensus/peers.py
@@ -71,14 +71,21 @@
     def _note_refusal(self, peer: str, error: PeerCallError) -> None:
         if error.code == CODE_SOURCE_REFUSED:
             self._stop_taking_part(peer)
-        elif error.code == CODE_TARGET_MISMATCH and peer not in self._reported:
-            self._reported.add(peer)
-            log_event(
-                "peer_identity_mismatch",
-                level="ERROR",
-                peer=peer,
-                advice="remove this voter and add it under a new id",
-            )
+        elif error.code == CODE_TARGET_MISMATCH:
+            self._report_mismatch(peer)
+            with self._state.changed:
+                self._state.note_ended(peer)
+
+    def _report_mismatch(self, peer: str) -> None:
+        if peer in self._reported:
+            return
+        self._reported.add(peer)
+        log_event(
+            "peer_identity_mismatch",
+            level="ERROR",
+            peer=peer,
+            advice="remove this voter and add it under a new id",
+        )
 
     def _stop_taking_part(self, peer: str) -> None:
         state = self._state
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -140,6 +140,22 @@
             self.leader_id = None
             self.election_deadline = self.clock.now()
 
+    def note_ended(self, peer: str) -> None:
+        """Take in that another process answers at a member's address.
+
+        Where that member is the leader that the log names and this node has heard
+        none since it started, no lease is left that its votes could disturb: what it
+        acknowledged before its start was for that process, which has ended.
+        """
+        is_unheard = self.leader_id == peer and self.leader_address is None
+        if self.role is not Role.FOLLOWER or not is_unheard:
+            return
+        log_event("leader_ended", node=self.node_id, leader=peer, term=self.term)
+        self.leader_id = None
+        self.last_heard = NEVER
+        self._spread_first_election(self.clock.now())
+        self.changed.notify_all()
+
     def hear_leader(self) -> None:
         """Remember that a leader is alive now and postpone the own election."""
         self.last_heard = self.clock.now()
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dogwoodspool_consensus import NotConfirmedError, Role
+from dogwoodspool_consensus.models import Vote
 
 from .fakes import SETTINGS, Cluster
 
@@ -187,3 +188,60 @@
         state.election_deadline = cluster.clocks["n0"].now() + 60
         pause = node._threads.pause_before_tick()
         self.assertEqual(pause, SETTINGS.heartbeat_interval / 2)
+
+
+class LostLeaderTests(unittest.TestCase):
+    """The power goes everywhere, and with it the disk of the control leader.
+
+    Callers are refused for 0.65 s more than after a loss of power alone: the others
+    remember who led, and refuse each other their votes until its lease must have run
+    out, although another process answers at its address.
+    """
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(3)
+        self.cluster.run(1.5)
+        self.old = self.cluster.leader()
+        self.others = sorted(set(self.cluster.nodes) - {self.old})
+
+    def restart_all(self) -> None:
+        for name in sorted(self.cluster.nodes):
+            self.cluster.crash(name)
+        for name in sorted(self.cluster.addresses):
+            self.cluster.start(name)
+
+    def test_the_others_elect_at_once(self) -> None:
+        self.cluster.crash(self.old)
+        self.cluster.storages[self.old].wipe()
+        self.restart_all()
+        self.cluster.run(SETTINGS.election_timeout_min * 0.9)
+        (leader,) = self.cluster.leaders()
+        self.assertIn(leader, self.others)
+
+    def test_the_others_wait_while_its_address_is_silent(self) -> None:
+        self.cluster.crash(self.old)
+        for name in self.others:
+            self.cluster.crash(name)
+            self.cluster.start(name)
+        self.cluster.run(SETTINGS.election_timeout_min * 0.9)
+        self.assertEqual(self.cluster.leaders(), [])
+
+    def test_a_voter_that_has_heard_a_leader_since_does_not_give_it_up(self) -> None:
+        # An answer from the wrong process at the leader's old address must not end a
+        # lease that the leader holds at another one.
+        voter = self.cluster.nodes[self.others[0]]
+        voter._state.note_ended(self.old)
+        self.assertTrue(voter.is_following)
+        self.assertEqual(voter._state.leader_id, self.old)
+
+    def test_a_voter_that_knows_a_newer_term_than_its_log_waits(self) -> None:
+        # It may have acknowledged a leader of that term whose name it never stored.
+        self.cluster.crash(self.old)
+        self.cluster.storages[self.old].wipe()
+        for name in self.others:
+            self.cluster.crash(name)
+            term = self.cluster.storages[name].load().vote.term
+            self.cluster.storages[name].save_vote(Vote(term + 1, None))
+        self.restart_all()
+        self.cluster.run(SETTINGS.election_timeout_min * 0.9)
+        self.assertEqual(self.cluster.leaders(), [])
