Refuse a read point that a new leader cannot give, and leave the first try to others

A voter that grants a pre-vote leaves the candidate one heartbeat for its election, once until a leader is heard; a candidate that cannot win keeps nobody from it longer. Ruled out: a wider spread (saves as much as it costs).

--- a/packages/consensus/src/dogwoodspool_consensus/election.py
+++ b/packages/consensus/src/dogwoodspool_consensus/election.py
@@ -130,7 +130,10 @@
         if request.is_pre_vote:
             if request.term <= state.term:
                 return VoteRefusal.OLD_TERM
-            return None if is_current else VoteRefusal.LOG_BEHIND
+            if not is_current:
+                return VoteRefusal.LOG_BEHIND
+            state.yield_election()
+            return None
         if request.term > state.term:
             state.become_follower(request.term)
         if request.term < state.term:
--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -15,6 +15,7 @@
 
 from .applier import Applier, StateMachine
 from .const import (
+    CODE_NOT_CONFIRMED,
     CODE_NOT_LEADER,
     CODE_STORAGE_FAILED,
     PATH_APPEND,
@@ -26,6 +27,7 @@
 from .election import Elections
 from .errors import (
     IdentityRefusedError,
+    NotConfirmedError,
     NotLeaderError,
     StorageError,
 )
@@ -256,6 +258,7 @@
         Raises:
             IdentityRefusedError: sender or receiver is not who it should be.
             NotLeaderError: a read point was asked of a node that does not lead.
+            NotConfirmedError: it leads, but cannot give a read point at this time.
             StorageError: the disk of this node counts as lost.
         """
         try:
@@ -280,6 +283,8 @@
             return error_response(HTTP_CONFLICT, error.code, str(error))
         except NotLeaderError as error:
             return error_response(HTTP_MISDIRECTED, CODE_NOT_LEADER, str(error))
+        except NotConfirmedError as error:
+            return error_response(HTTP_UNAVAILABLE, CODE_NOT_CONFIRMED, str(error))
         except StorageError as error:
             return error_response(HTTP_UNAVAILABLE, CODE_STORAGE_FAILED, str(error))
 
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -65,6 +65,7 @@
         self.election_deadline = NEVER
         self.last_heard = NEVER
         self.read_round_at = NEVER
+        self.has_yielded = False
         self.is_refused = False
         self.has_failed = False
         self.is_closed = False
@@ -159,8 +160,22 @@
     def hear_leader(self) -> None:
         """Remember that a leader is alive now and postpone the own election."""
         self.last_heard = self.clock.now()
+        self.has_yielded = False
         self.postpone_election()
 
+    def yield_election(self) -> None:
+        """Leave the first try to a candidate that asked before this node did.
+
+        Voters that learn together that nobody leads would stand within milliseconds
+        of each other and split their votes, which costs half a timeout. Only once
+        until a leader is heard: a candidate that cannot win keeps nobody from it.
+        """
+        if self.has_yielded:
+            return
+        self.has_yielded = True
+        pause = self.settings.heartbeat_interval
+        self.election_deadline = max(self.election_deadline, self.clock.now() + pause)
+
     def postpone_election(self) -> None:
         """Draw a new random election timeout from now."""
         low = self.settings.election_timeout_min
--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -62,7 +62,6 @@
 CODE_INVALID: Final = "invalid"
 CODE_NOT_LEADER: Final = "not_leader"
 CODE_OUTCOME_UNKNOWN: Final = "outcome_unknown"
-CODE_NOT_CONFIRMED: Final = "not_confirmed"
 CODE_TOO_MANY: Final = "too_many_requests"
 
 QUERY_WAIT: Final = "wait"
--- a/tests/consensus/fakes.py
+++ b/tests/consensus/fakes.py
@@ -10,6 +10,7 @@
     ConsensusNode,
     ConsensusSettings,
     IdentityRefusedError,
+    NotConfirmedError,
     NotLeaderError,
     PeerCallError,
     Role,
@@ -292,7 +293,7 @@
             return node.handle(path, body)
         except IdentityRefusedError as error:
             raise PeerCallError(str(error), error.code) from error
-        except (StorageError, NotLeaderError) as error:
+        except (StorageError, NotLeaderError, NotConfirmedError) as error:
             raise PeerCallError(str(error)) from error
         except SimulatedCrashError as error:
             self.crash(target)
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -2,10 +2,14 @@
 
 import unittest
 
+from dogwoodspool_common import JsonRequest
 from dogwoodspool_consensus import NotConfirmedError, Role
+from dogwoodspool_consensus.const import PATH_READ, PATH_VOTE
+from dogwoodspool_consensus.messages import VoteRequest
 from dogwoodspool_consensus.models import Vote
 
 from .fakes import SETTINGS, Cluster
+from .test_node import header
 
 
 class RestartTests(unittest.TestCase):
@@ -94,6 +98,73 @@
         self.assertIs(cluster.nodes[self.old].diagnostics().role, Role.FOLLOWER)
 
 
+class TwoPowerLossesTests(unittest.TestCase):
+    """The power goes a second time before the new leader has committed anything.
+
+    The voters that start last ask it for a read point. It cannot give one yet, and
+    the answer was an internal error (found by fuzzing with seed 777).
+    """
+
+    def lose_power_everywhere(self, cluster: Cluster) -> None:
+        for name in list(cluster.nodes):
+            cluster.crash(name)
+        cluster.heal()
+
+    def test_all_elect_once_more(self) -> None:
+        cluster = Cluster(3)
+        cluster.leader()
+        cluster.heal()
+        cluster.run(0.1)
+        self.lose_power_everywhere(cluster)
+        self.lose_power_everywhere(cluster)
+        cluster.run(3.0)
+        self.assertEqual(len(cluster.leaders()), 1)
+
+    def test_a_leader_without_a_commit_answers_that_it_has_none(self) -> None:
+        cluster = Cluster(3)
+        node = cluster.nodes[cluster.leader()]
+        node._state.first_own_index = node._state.log.last_index + 1_000
+        source, target = (name for name in cluster.nodes if name in ("n0", "n1"))
+        leader = node.node_id
+        other = source if source != leader else target
+        body = header(cluster, other, leader, node.diagnostics().term)
+        (read,) = [route for route in node.routes() if route.path == PATH_READ]
+        answer = read.handler(JsonRequest(PATH_READ, {}, body))
+        self.assertEqual((answer.status, answer.body["error"]), (503, "not_confirmed"))
+
+
+class FirstTryTests(unittest.TestCase):
+    """Voters that stand in the same milliseconds split their votes.
+
+    After a loss of power that took the leader's disk two voters learned of it together
+    and asked 1 ms apart, each having voted for itself: half a second more without a
+    leader.
+    """
+
+    def test_a_voter_leaves_the_first_try_to_who_asked_first(self) -> None:
+        cluster = Cluster(3)
+        old = cluster.leader()
+        candidate, voter = sorted(set(cluster.nodes) - {old})
+        cluster.crash(old)
+        cluster.advance(SETTINGS.election_timeout_min * 1.1)
+        state = cluster.nodes[voter]._state
+        term = state.term
+        request = VoteRequest(
+            **header(cluster, candidate, voter, term + 1),
+            last_index=100,
+            last_term=term,
+            is_pre_vote=True,
+        )
+        now = cluster.clocks[voter].now()
+        state.election_deadline = now + 0.001
+        for _ in range(2):
+            answer = cluster.nodes[voter].handle(PATH_VOTE, request.model_dump())
+            self.assertTrue(answer["is_granted"])
+            self.assertEqual(state.election_deadline, now + SETTINGS.heartbeat_interval)
+            # Only once: a candidate that asks forever must not keep others from it.
+            cluster.advance(SETTINGS.heartbeat_interval / 2)
+
+
 class EmptyDiskTests(unittest.TestCase):
     """A node that lost its disk answers at once that it knows nothing."""
 
