Wake the election timer when its deadline moves forward

Their timers slept in the same pause of half a heartbeat, which the earlier deadlines did not end, and found both past. The test failed first (the timer slept on).

--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -70,6 +70,7 @@
         self.has_failed = False
         self.is_closed = False
         self.step_down_listeners: list[Callable[[], None]] = []
+        self.earlier_election_listeners: list[Callable[[], None]] = []
         self._rng = rng
         self._started_at = started_at
 
@@ -156,6 +157,8 @@
         self.last_heard = NEVER
         self._spread_first_election(self.clock.now())
         self.changed.notify_all()
+        for listener in self.earlier_election_listeners:
+            listener()
 
     def hear_leader(self) -> None:
         """Remember that a leader is alive now and postpone the own election."""
--- a/packages/consensus/src/dogwoodspool_consensus/threads.py
+++ b/packages/consensus/src/dogwoodspool_consensus/threads.py
@@ -42,6 +42,7 @@
         self._threads: list[threading.Thread] = []
         self._peer_threads: dict[str, threading.Thread] = {}
         self._timer = threading.Condition()
+        state.earlier_election_listeners.append(self._wake_timer)
 
     def set_up(self) -> None:
         """Start the threads."""
@@ -61,8 +62,7 @@
         """Wait until all threads have ended; the state is closed already."""
         with self._state.changed:
             self._state.changed.notify_all()
-        with self._timer:
-            self._timer.notify_all()
+        self._wake_timer()
         # The timer first: it starts the threads of the peers.
         for thread in self._threads:
             thread.join()
@@ -97,6 +97,15 @@
                 if not state.is_closed:
                     state.clock.wait(self._timer, pause)
 
+    def _wake_timer(self) -> None:
+        """Let the timer look at a new election deadline.
+
+        Voters whose deadline moves forward would otherwise find it past at the end of
+        the pause that they are in, which is the same for all that started together.
+        """
+        with self._timer:
+            self._timer.notify_all()
+
     def pause_before_tick(self) -> float:
         """Return the seconds until the timer looks again.
 
--- a/tests/consensus/test_restart.py
+++ b/tests/consensus/test_restart.py
@@ -1,12 +1,15 @@
 """Tests of how soon there is a leader after restarts, and what that must not break."""
 
+import threading
+import time
 import unittest
 
-from dogwoodspool_common import JsonRequest
+from dogwoodspool_common import JsonRequest, ManualClock
 from dogwoodspool_consensus import NotConfirmedError, Role
 from dogwoodspool_consensus.const import PATH_READ, PATH_VOTE
 from dogwoodspool_consensus.messages import VoteRequest
 from dogwoodspool_consensus.models import Vote
+from dogwoodspool_consensus.threads import NodeSteps, NodeThreads
 
 from .fakes import SETTINGS, Cluster
 from .test_node import header
@@ -165,6 +168,48 @@
             cluster.advance(SETTINGS.heartbeat_interval / 2)
 
 
+class EarlierElectionTests(unittest.TestCase):
+    """An election that moves forward begins at its own time, not at the next tick.
+
+    Two voters started together and learned together that the leader had ended. Both
+    timers slept for the same 0.1 s, found their deadlines past, and the votes split.
+    """
+
+    def test_the_timer_looks_again_at_once(self) -> None:
+        cluster = Cluster(3)
+        old = cluster.leader()
+        voter = next(name for name in cluster.nodes if name != old)
+        cluster.crash(voter)
+        cluster.start(voter)
+        state = cluster.nodes[voter]._state
+        clock = state.clock = ManualClock()
+        ticked = threading.Semaphore(0)
+        steps = NodeSteps(
+            tick=ticked.release,
+            step_peer=lambda _peer: None,
+            write_pending=lambda: None,
+            apply_committed=lambda: None,
+        )
+        threads = NodeThreads(
+            state,
+            steps,
+            peer_due=lambda _peer: float("inf"),
+            has_proposals=lambda: False,
+            has_committed=lambda: False,
+        )
+        threads.set_up()
+        self.assertTrue(ticked.acquire(timeout=10))
+        # The timer, the log writer, the applier and a thread for each of two peers.
+        while clock.waiters < 5:
+            time.sleep(0.001)
+        with state.changed:
+            state.note_ended(old)
+        self.assertTrue(ticked.acquire(timeout=10))
+        with state.changed:
+            state.is_closed = True
+        threads.unload()
+
+
 class EmptyDiskTests(unittest.TestCase):
     """A node that lost its disk answers at once that it knows nothing."""
 
