--- a/packages/failover/src/dogwoodspool_failover/const.py
+++ b/packages/failover/src/dogwoodspool_failover/const.py
@@ -2,6 +2,9 @@
 
 from typing import Final
 
+# Term of a group's first primary.
+FIRST_TERM: Final = 1
+
 # Time between two looks of the leader at all groups: small beside the time in which
 # a failure is detected, and 20 looks a second cost it some 2% of a core.
 TICK_SECONDS: Final = 0.05
--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -8,11 +8,9 @@
 from dogwoodspool_control.commands import BootstrapGroup, Command, RecordServer
 from dogwoodspool_control.state import ControlState
 
-from .const import ADDRESS_HOLD_SECONDS
+from .const import ADDRESS_HOLD_SECONDS, FIRST_TERM
 from .models import Heartbeat
 
-FIRST_TERM = 1
-
 
 @dataclass(frozen=True, slots=True)
 class Heard:
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -67,6 +67,7 @@
 # A control process answers within milliseconds; a lost packet is sent again after
 # 0.2 s.
 REPORT_TIMEOUT: Final = 0.3
+# Pause after an answer that did not come: its wait was a pause already.
 REPORT_RETRY_SECONDS: Final = 0.05
 # Control processes that are given one report, the one believed to lead included: enough
 # to follow a refusal that names the leader.
