Let the time of a wait pass for all clocks of the consensus tests

The fake clock moved for the waiting node alone: after two seconds the clocks stood at 101.32, 101.55 and 101.78 s, 0.46 s apart where a drift of 2 % is allowed for, so that a follower's election timeout passed within the leader's lease.

Change: a wait moves every clock by its own rate.

--- a/tests/consensus/fakes.py
+++ b/tests/consensus/fakes.py
@@ -40,11 +40,16 @@
 
 
 class SteppingClock:
-    """A clock that a test advances; a wait lets the others act meanwhile."""
+    """A clock that a test advances; a wait lets the others act meanwhile.
+
+    The time of a wait passes for all clocks, each at its own rate. If it passed for the
+    one alone, some waits would set it off by more than any drift that leases allow for.
+    """
 
     def __init__(self, rate: float = 1.0) -> None:
         self.rate = rate
         self.on_wait: Callable[[], None] = lambda: None
+        self.pass_time: Callable[[float], None] = self.advance
         self._now = 100.0
         self._is_waiting = False
 
@@ -62,7 +67,7 @@
             self._is_waiting = True
             self.on_wait()
             self._is_waiting = False
-        self._now += min(seconds, 0.05)
+        self.pass_time(min(seconds, 0.05) / self.rate)
         return False
 
 
@@ -189,6 +194,7 @@
         self.addresses.setdefault(name, Address("10.0.0.1", len(self.addresses)))
         clock = self.clocks.setdefault(name, SteppingClock(self._rates.get(name, 1.0)))
         clock.on_wait = self.settle
+        clock.pass_time = self.advance
         self.machines[name] = RecordingMachine(self._check_applied)
         self.nodes[name] = ConsensusNode(
             node_id=name,
