Do not take a member that has just joined for the one it replaces

A voter lost its disk at 31.0 s, joined again at 32.89 s, and 14 ms later the leader removed the new identity ('its address has a newer member'). It was refused for good ('was removed; use a new id').

Cause: silence of a member without an answer counted from the begin of the leadership, so that a learner that had yet to answer looked older than the voter lost 1.4 s before. The leader looks each 0.25 s, an answer takes up to a heartbeat (0.2 s).

Change: silence without an answer counts from when the leader began to follow the member, and only a member that has answered replaces another. NEVER has one home.

--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -28,3 +28,6 @@
 # below a hundredth of a core for each kind.
 LOG_LINES_PER_SECOND: Final = 20.0
 LOG_BURST_LINES: Final = 200.0
+
+# Clock time before all others, for what has not happened yet.
+NEVER: Final = float("-inf")
--- a/packages/connections/src/dogwoodspool_connections/health.py
+++ b/packages/connections/src/dogwoodspool_connections/health.py
@@ -1,16 +1,14 @@
 """Decide whether an idle connection to a server can be used again."""
 
 import threading
-from typing import Final
 
 from dogwoodspool_common import BackendServer, Clock, log_event
+from dogwoodspool_common.const import NEVER
 
 from .errors import BackendError
 from .models import PoolSettings
 from .pooled import PooledConnection
 
-NEVER: Final = float("-inf")
-
 
 class ConnectionHealth:
     """Suspect a server's connections after one of them went silent.
--- a/packages/consensus/src/dogwoodspool_consensus/diagnostics.py
+++ b/packages/consensus/src/dogwoodspool_consensus/diagnostics.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass
 
+from dogwoodspool_common.const import NEVER
+
 from .models import Role
-from .progress import NEVER
 from .state import NodeState
 
 
@@ -14,6 +15,7 @@
     Attributes:
         lag: entries that the member lacks; None where this node does not lead.
         silent_s: time since the last answered message, where there was one.
+        followed_s: time since this leader began to send it messages.
     """
 
     node_id: str
@@ -23,6 +25,7 @@
     failure_domain: str
     lag: int | None
     silent_s: float | None
+    followed_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,8 +73,10 @@
     member = state.configuration.members[name]
     lag: int | None = None
     silent: float | None = None
+    followed = 0.0
     progress = state.progress.get(name)
     if state.role is Role.LEADER and progress is not None:
+        followed = state.clock.now() - progress.followed_since
         lag = state.log.last_index - progress.match_index
         if progress.acked_at != NEVER:
             silent = state.clock.now() - progress.acked_at
@@ -83,4 +88,5 @@
         failure_domain=member.failure_domain,
         lag=lag,
         silent_s=silent,
+        followed_s=followed,
     )
--- a/packages/consensus/src/dogwoodspool_consensus/leader_probe.py
+++ b/packages/consensus/src/dogwoodspool_consensus/leader_probe.py
@@ -1,10 +1,11 @@
 """Ask, after a start, whether the process that led before still runs."""
 
+from dogwoodspool_common.const import NEVER
+
 from .const import PATH_READ
 from .messages import ReadRequest, ReadResponse
 from .models import Role
 from .peers import PeerCaller
-from .progress import NEVER
 from .state import NodeState
 
 NOT_DUE = float("inf")
--- a/packages/consensus/src/dogwoodspool_consensus/progress.py
+++ b/packages/consensus/src/dogwoodspool_consensus/progress.py
@@ -1,9 +1,8 @@
 """What a node knows of its peers while it leads or asks for votes."""
 
 from dataclasses import dataclass, field
-from typing import Final
 
-NEVER: Final = float("-inf")
+from dogwoodspool_common.const import NEVER
 
 
 @dataclass(slots=True)
@@ -11,6 +10,7 @@
     """What a leader knows of one peer.
 
     Attributes:
+        followed_since: when this leader began to send it messages.
         acked_at: send time of the newest message that the peer answered in
             this term.
         sent_at: send time of the newest message.
@@ -19,6 +19,7 @@
     """
 
     next_index: int
+    followed_since: float
     match_index: int = 0
     acked_at: float = NEVER
     sent_at: float = NEVER
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from dogwoodspool_common import Address, Clock, log_event
+from dogwoodspool_common.const import NEVER
 
 from .const import LEADER, UNPINNED
 from .errors import StorageCorruptError
@@ -20,7 +21,7 @@
     Snapshot,
     Vote,
 )
-from .progress import NEVER, PeerProgress, VoteRound
+from .progress import PeerProgress, VoteRound
 from .recovery import recover_configurations, recover_identity, recover_log
 from .storage import LogStorage
 
@@ -301,7 +302,7 @@
         message brings them the leader's first entry and can commit it.
         """
         if peer not in self.progress:
-            self.progress[peer] = PeerProgress(self.first_own_index)
+            self.progress[peer] = PeerProgress(self.first_own_index, self.clock.now())
         return self.progress[peer]
 
     def counts_answer(
--- a/packages/failover/src/dogwoodspool_failover/voters.py
+++ b/packages/failover/src/dogwoodspool_failover/voters.py
@@ -45,7 +45,6 @@
     own_id: str,
     members: Sequence[PeerDiagnostics],
     wanted_voters: int,
-    leading_for: float,
 ) -> MemberChange | None:
     """Return the next change of the members; one at a time.
 
@@ -57,11 +56,10 @@
         own_id: the leader, which decides.
         members: the members as the leader sees them.
         wanted_voters: voters with which the control group survives what it must.
-        leading_for: seconds for which the leader leads; silence counts from then.
     """
     others = [one for one in members if one.node_id != own_id]
     silence = {
-        one.node_id: leading_for if one.silent_s is None else one.silent_s
+        one.node_id: one.followed_s if one.silent_s is None else one.silent_s
         for one in others
     }
     replaced = _replaced_member(own_id, members, silence)
@@ -100,7 +98,10 @@
 ) -> PeerDiagnostics | None:
     """Return a member whose address another one answers at.
 
-    Its disk was lost: at its address now runs a process with another identity.
+    Its disk was lost: at its address now runs a process with another identity, and only
+    one that has answered since can be that process. A learner that had just joined, and
+    had yet to answer, was taken for the older one of the two and removed for good; the
+    next voter that was lost took the majority with it.
     """
     for one in members:
         if one.node_id == own_id:
@@ -111,7 +112,7 @@
             if other.address == one.address and other.node_id != one.node_id
         ]
         if any(
-            silence.get(other.node_id, 0.0) < silence[one.node_id]
+            other.silent_s is not None and other.silent_s < silence[one.node_id]
             for other in successors
         ):
             return one
@@ -136,7 +137,6 @@
             diagnostics.node_id,
             diagnostics.members,
             self._wanted_voters,
-            self._clock.now() - leadership.since,
         )
         if change is not None:
             self._carry_out(change, diagnostics)
--- a/tests/failover/test_voters.py
+++ b/tests/failover/test_voters.py
@@ -21,7 +21,7 @@
         self.spare = member("n4", is_voter=False)
 
     def due(self, *members: PeerDiagnostics) -> tuple[MemberAction, str] | None:
-        change = due_change("n1", members, 3, leading_for=100.0)
+        change = due_change("n1", members, 3)
         return None if change is None else (change.action, change.member.node_id)
 
     def test_nothing_is_due_while_all_answer(self) -> None:
@@ -55,6 +55,30 @@
         due = self.due(*self.members[:2], replace(lost, is_voter=False), back)
         self.assertEqual(due, (MemberAction.REMOVE, "n3"))
 
+    def test_who_has_just_joined_is_not_taken_for_the_one_it_replaces(self) -> None:
+        # A control process lost its disk and was back within a second and a half. The
+        # leader looked between its joining and its first answer, found it silent for
+        # all its leadership and the lost identity for a second only, and removed the
+        # wrong one for good. When a failure domain was cut off four seconds later, two
+        # of three voters were gone, and no primary was replaced until the cut healed.
+        lost = member("n3", silent=1.4)
+        joined = replace(
+            member("n9", is_voter=False),
+            address=lost.address,
+            silent_s=None,
+            followed_s=0.01,
+        )
+        self.assertIsNone(self.due(*self.members[:2], lost, joined))
+        answered = replace(joined, silent_s=0.0, followed_s=0.1)
+        due = self.due(*self.members[:2], lost, answered)
+        self.assertEqual(due, (MemberAction.TAKE_VOTE, "n3"))
+
+    def test_an_identity_that_never_answered_a_new_leader_is_replaced(self) -> None:
+        lost = replace(member("n3"), silent_s=None, followed_s=1.0)
+        back = replace(member("n9", is_voter=False), address=lost.address)
+        due = self.due(*self.members[:2], lost, back)
+        self.assertEqual(due, (MemberAction.TAKE_VOTE, "n3"))
+
     def test_votes_are_spread_over_failure_domains(self) -> None:
         near = replace(member("n5", is_voter=False), failure_domain="fd1")
         due = self.due(*self.members[:2], near, self.spare)
