Leave the balancer's rotation when cut off, and move callers

Change: Rotation, a state machine apart from input and output. A proxy leaves where fewer than a majority of the control processes answer anything, a group that callers use has no primary in reach, and no server of another failure domain answers for 0.3 s. The balancer hears of the doubt at once, since it needs two refusals in a row. Once it has them, idle connections are closed over about a second. Back after 0.5 s of polls that a current control process answers. A suspected server has control asked as well. The same for the MySQL side's /ready.

Ruled out: control silent alone (an election, a dead core); a share of all servers (a proxy knows those that it has tried, so it never held); leadership answers alone (during the election after a cut the others have no leader either).

--- a/packages/following/src/dogwoodspool_following/__init__.py
+++ b/packages/following/src/dogwoodspool_following/__init__.py
@@ -3,14 +3,21 @@
 from .control_peers import ControlPeers
 from .coordinator import Coordinator
 from .open_sessions import OpenSessions
+from .rotation import Reach, Rotation, RotationPhase
+from .rotation_watch import Callers, RotationCoordinator
 from .view import ProxyView, ViewListener, ViewStore
 from .watch import WatchCoordinator
 
 __all__ = [
+    "Callers",
     "ControlPeers",
     "Coordinator",
     "OpenSessions",
     "ProxyView",
+    "Reach",
+    "Rotation",
+    "RotationCoordinator",
+    "RotationPhase",
     "ViewListener",
     "ViewStore",
     "WatchCoordinator",
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -34,6 +34,10 @@
         self._leader: Address | None = None
         # Asked since a leader last answered, and whether they gave an answer.
         self._tried: dict[Address, bool] = {}
+        # Gave no answer since one that leads, or hears the leader, last answered.
+        self._silent: set[Address] = set()
+        self._has_missed_answer = False
+        self._is_in_touch = True
         self._turn = 0
         self._successes = 0
 
@@ -49,6 +53,29 @@
         with self._lock:
             return self._leader is not None
 
+    @property
+    def is_majority_silent(self) -> bool:
+        """Whether too few processes answer to make decisions among themselves.
+
+        During an election a majority still answers, if only that none of them leads.
+        Without one, the group's decisions are taken where this process reaches
+        nobody, or nowhere.
+        """
+        with self._lock:
+            return self._lacks_majority()
+
+    @property
+    def has_missed_answer(self) -> bool:
+        """Whether the last process that was asked gave no answer."""
+        with self._lock:
+            return self._has_missed_answer
+
+    @property
+    def is_in_touch(self) -> bool:
+        """Whether a current process has answered since a majority fell silent."""
+        with self._lock:
+            return self._is_in_touch
+
     def leader_or_next(self) -> Address:
         """Return the leader's address, or the next one to ask."""
         with self._lock:
@@ -75,6 +102,7 @@
                 return
             log_event("control_members", addresses=",".join(map(str, addresses)))
             self._addresses = addresses
+            self._silent &= set(addresses)
             self._turn = 0
             self._successes = 0
 
@@ -95,22 +123,38 @@
         """Take in that a process answered as the leader."""
         with self._lock:
             self._tried.clear()
+            self._silent.clear()
+            self._has_missed_answer = False
             self._follow(address)
 
     def note_refusal(self, address: Address, error: PeerRefusedError) -> None:
         """Turn to the next process after one refused, which may name the leader."""
         self._note_tried(address, has_answered=True)
+        self._note_heard(address)
         if error.code == CODE_NOT_LEADER:
             self.note_leader(error.detail)
 
     def note_failure(self, address: Address) -> None:
-        """Turn to the next process after one gave no answer of use."""
+        """Turn to the next process after one gave no answer."""
+        self._note_tried(address, has_answered=False)
+        with self._lock:
+            self._silent.add(address)
+            self._has_missed_answer = True
+            if self._lacks_majority():
+                self._is_in_touch = False
+
+    def note_behind(self, address: Address) -> None:
+        """Turn to the next process after one answered that does not hear the leader."""
         self._note_tried(address, has_answered=False)
+        self._note_heard(address)
 
     def note_success(self, address: Address) -> None:
         """Return to the preferred process after some polls of another one."""
         with self._lock:
             self._tried.pop(address, None)
+            self._silent.clear()
+            self._has_missed_answer = False
+            self._is_in_touch = True
             if self._addresses[self._turn] != address or self._turn == 0:
                 return
             self._successes += 1
@@ -134,6 +178,15 @@
             if self._addresses[self._turn] == address or self._leader is None:
                 self._take_next_turn()
 
+    def _note_heard(self, address: Address) -> None:
+        with self._lock:
+            self._silent.discard(address)
+            self._has_missed_answer = False
+
+    def _lacks_majority(self) -> bool:
+        count = len(self._addresses)
+        return count - len(self._silent) <= count // 2
+
     def _take_next_turn(self) -> None:
         """Turn to the next process that was not asked in vain."""
         count = len(self._addresses)
--- /dev/null
+++ b/packages/following/src/dogwoodspool_following/rotation_watch.py
@@ -0,0 +1,63 @@
+"""Look at what this process reaches, and move callers once it leaves the rotation."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from dogwoodspool_common import Clock, log_event
+
+from .const import LOOK_SECONDS, MOVE_SECONDS, MOVE_SHARE
+from .coordinator import Coordinator
+from .rotation import Reach, Rotation
+
+
+class Callers(Protocol):
+    """The callers that are connected."""
+
+    def close_idle(self, share: float) -> int:
+        """Close idle connections, at most a share of all; return how many."""
+        ...
+
+
+class RotationCoordinator(Coordinator):
+    """Keep the rotation up to date, and let callers reconnect elsewhere.
+
+    Only connections without a request and without a transaction are closed. A caller
+    that keeps its connection stays with this process for as long as the cut lasts.
+    """
+
+    def __init__(
+        self,
+        rotation: Rotation,
+        reach: Callable[[], Reach],
+        clock: Clock,
+    ) -> None:
+        super().__init__("rotation", clock)
+        self._rotation = rotation
+        self._reach = reach
+        self._callers: Callers | None = None
+        self._out_since: float | None = None
+        self._moved = 0
+
+    def follow(self, callers: Callers) -> None:
+        """Move these callers; called before ``set_up``."""
+        self._callers = callers
+
+    def step(self) -> float:
+        """Look once, and move some callers where they are served elsewhere."""
+        self._rotation.look(self._reach())
+        if not self._rotation.is_out:
+            self._out_since = None
+        elif self._out_since is None:
+            self._out_since = self._clock.now()
+            self._moved = 0
+        elif self._clock.now() - self._out_since < MOVE_SECONDS:
+            self._move()
+        return LOOK_SECONDS
+
+    def _move(self) -> None:
+        if self._callers is None:
+            return
+        closed = self._callers.close_idle(MOVE_SHARE)
+        if closed and not self._moved:
+            log_event("moving_callers", closed=closed)
+        self._moved += closed
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -73,7 +73,7 @@
             self._views.adopt(response.view)
         if not response.is_current:
             log_event("watch_not_current", address=address)
-            self._peers.note_failure(address)
+            self._peers.note_behind(address)
             return RETRY_PAUSE_SECONDS
         self._peers.note_success(address)
         if response.view is not None:
@@ -82,7 +82,7 @@
             # The leader has a newer version, yet this process waited in vain for
             # it: it is cut off from the others and does not know.
             log_event("watch_stale", address=address)
-            self._peers.note_failure(address)
+            self._peers.note_behind(address)
         return 0.0
 
     def _poll(self, address: Address) -> WatchResponse:
--- a/packages/gateway/src/dogwoodspool_gateway/listener.py
+++ b/packages/gateway/src/dogwoodspool_gateway/listener.py
@@ -1,6 +1,7 @@
 """The port where callers connect."""
 
 import asyncio
+import math
 import ssl
 import threading
 from collections.abc import Coroutine
@@ -88,6 +89,10 @@
         """
         return self._call(self._drain(timeout)).result()
 
+    def close_idle(self, share: float) -> int:
+        """Close idle connections, at most a share of all; return how many."""
+        return self._call(self._close_idle(share)).result()
+
     def unload(self) -> None:
         """Close what is left and stop the loop."""
         self._call(self._stop()).result(START_TIMEOUT_SECONDS)
@@ -120,6 +125,13 @@
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         return not self._connections
 
+    async def _close_idle(self, share: float) -> int:
+        wanted = math.ceil(len(self._connections) * share)
+        idle = [one for one in self._connections if one.is_idle][:wanted]
+        for connection in idle:
+            await connection.end_idle()
+        return len(idle)
+
     async def _stop(self) -> None:
         if self._server is not None:
             self._server.close()
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -44,6 +44,8 @@
         self._access = access
         self._clock = clock
         self._memory = PrimaryMemory()
+        # Group, and the server that refused to lead it under that version of the view.
+        self._refusals: dict[str, tuple[str, int]] = {}
         views.add_listener(lambda view: self._memory.note(view.groups.values()))
 
     def current(self, group: str) -> str | None:
@@ -51,6 +53,16 @@
         candidates = self._candidates(group)
         return candidates[0].name if candidates else None
 
+    def lost_groups(self) -> int:
+        """Return how many of the groups that callers use have no primary in reach.
+
+        A server that says that it does not lead counts as lost until a newer view
+        comes: another was promoted, and this process does not know of it.
+        """
+        view = self._views.view
+        groups = {one.group for one in view.databases.values()}
+        return sum(self._is_lost(group, view.version) for group in groups)
+
     def run(self, request: Request, attempt: Attempt) -> tuple[HeldConnection, Reply]:
         """Run a request on the primary.
 
@@ -118,10 +130,16 @@
                 server=server.name,
                 view=self._views.view.version,
             )
+            refused = (server.name, self._views.view.version)
+            self._refusals[request.endpoint.group] = refused
             held.finish(is_good=True)
             return None
         return held, reply
 
+    def _is_lost(self, group: str, version: int) -> bool:
+        current = self.current(group)
+        return current is None or self._refusals.get(group) == (current, version)
+
     def _try_again(
         self, request: Request, server: BackendServer, attempt: Attempt
     ) -> tuple[HeldConnection, Reply] | None:
--- a/packages/pooler/src/dogwoodspool_pooler/reporting.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reporting.py
@@ -7,9 +7,9 @@
     HttpError,
     JsonClient,
     PeerRefusedError,
-    log_event,
+    log_rate_limited,
 )
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.const import MILLISECONDS, NEVER
 from dogwoodspool_following import ControlPeers, Coordinator
 from dogwoodspool_routing import ServerTable
 
@@ -28,6 +28,9 @@
 
     Without trouble nothing is sent: at thousands of proxies steady reports would
     be most of what the leader has to do.
+
+    A server that may be in trouble has the leader asked as well: where neither answers,
+    this process is cut off itself, and has that to find out.
     """
 
     def __init__(
@@ -48,17 +51,35 @@
         self._peers = peers
         self._client = client
         self._has_reported = False
+        self._must_ask = False
+        self._answered_at = NEVER
+
+    def ask_control(self) -> None:
+        """Have the control leader asked soon, with or without anything to report.
+
+        One question at a time, and not sooner than reports follow each other: a server
+        that is slow for all its callers raises a doubt with each of them.
+        """
+        if self._must_ask:
+            return
+        self._must_ask = True
+        if self._clock.now() - self._answered_at >= REPORT_SECONDS:
+            self.wake()
 
     def step(self) -> float:
         """Report once where there is something to report."""
         reports = self._reports()
-        if not reports and not self._has_reported:
+        if not reports and not self._has_reported and not self._must_ask:
             return REPORT_CHECK_SECONDS
         self._has_reported = bool(reports)
         message = ServerReports(
             proxy=self._proxy, failure_domain=self._failure_domain, reports=reports
         )
-        return REPORT_SECONDS if self._send(message) else REPORT_RETRY_SECONDS
+        if not self._send(message):
+            return REPORT_RETRY_SECONDS
+        self._must_ask = False
+        self._answered_at = self._clock.now()
+        return REPORT_SECONDS
 
     def _reports(self) -> list[ServerReport]:
         stalled = self._stalls.stalled_seconds()
@@ -99,7 +120,7 @@
             except PeerRefusedError as error:
                 self._peers.note_refusal(address, error)
             except HttpError as error:
-                log_event("report_failed", address=address, reason=error)
+                log_rate_limited("report_failed", address=address, reason=error)
                 self._peers.note_failure(address)
                 return False
             else:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -4,8 +4,12 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import Connector
 from dogwoodspool_following import (
+    Callers,
     ControlPeers,
     ProxyView,
+    Reach,
+    Rotation,
+    RotationCoordinator,
     ViewStore,
     WatchCoordinator,
 )
@@ -58,10 +62,11 @@
             self._table,
             stalls,
             freshness,
-            self._recovery.suspect,
+            self._suspect,
             clock,
         )
         primaries = PrimaryPath(self._views, self._table, access, clock)
+        self._primaries = primaries
         reads = ReadPath(
             self._views,
             self._table,
@@ -85,11 +90,8 @@
         self._reports = ReportCoordinator(
             name, failure_domain, self._table, stalls, self._peers, client, clock
         )
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether a confirmed state with a document has come from control."""
-        return bool(self._views.view.databases)
+        self._rotation = Rotation(clock)
+        self._rotation_watch = RotationCoordinator(self._rotation, self._reach, clock)
 
     @property
     def view_version(self) -> int:
@@ -105,6 +107,18 @@
         """Return a session; errors as for ``PooledSessions.open``."""
         return self._sessions.open(database)
 
+    def answer_balancer(self) -> str | None:
+        """Return why the balancer should send no callers; None when it may."""
+        # Asked whatever else stands against callers: the rotation counts refusals.
+        takes_callers = self._rotation.answer_balancer()
+        if not self._views.view.databases:
+            return "no configuration"
+        return None if takes_callers else "cut off"
+
+    def move_callers(self, callers: Callers) -> None:
+        """Close idle connections of these callers when they are served elsewhere."""
+        self._rotation_watch.follow(callers)
+
     def set_up(self) -> None:
         """Begin to follow control and to serve."""
         self._views.add_listener(self._follow)
@@ -112,11 +126,13 @@
         self._watch.set_up()
         self._recovery.set_up()
         self._reports.set_up()
+        self._rotation_watch.set_up()
         self._sessions.set_up()
 
     def unload(self) -> None:
         """Stop; sessions that are open have ended before."""
         self._sessions.unload()
+        self._rotation_watch.unload()
         self._reports.unload()
         self._recovery.unload()
         self._watch.unload()
@@ -138,6 +154,22 @@
             lines.append(f"dogwoodspool_statements_waiting{label} {waiting}")
         return self._counters.page() + "\n".join(lines) + "\n"
 
+    def _suspect(self, server: str) -> None:
+        """Ask both the server and control whether they can still be reached."""
+        self._recovery.suspect(server)
+        self._reports.ask_control()
+
+    def _reach(self) -> Reach:
+        return Reach(
+            is_control_silent=self._peers.is_majority_silent,
+            has_missed_answer=self._peers.has_missed_answer,
+            is_in_touch=self._peers.is_in_touch,
+            lost_groups=self._primaries.lost_groups(),
+            outside_answered_at=self._table.answered_outside(
+                self._views.failure_domain
+            ),
+        )
+
     def _follow(self, view: ProxyView) -> None:
         self._table.adopt_committed(view.servers.values())
         log_event(
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -18,7 +18,15 @@
 )
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_common.counters import Counters
-from dogwoodspool_following import ControlPeers, ProxyView, ViewStore, WatchCoordinator
+from dogwoodspool_following import (
+    ControlPeers,
+    ProxyView,
+    Reach,
+    Rotation,
+    RotationCoordinator,
+    ViewStore,
+    WatchCoordinator,
+)
 from dogwoodspool_gateway import CallerListener
 from dogwoodspool_limits import RetryBudget
 from dogwoodspool_routing import ServerTable
@@ -67,6 +75,7 @@
             workers=settings.workers,
             max_callers=settings.max_callers,
         )
+        self._rotation_watch.follow(self._listener)
         self._build_http(signer)
 
     @property
@@ -96,6 +105,7 @@
         self._sessions.set_up()
         self._pruner.set_up()
         self._listener.set_up()
+        self._rotation_watch.set_up()
         self._views.add_listener(self._renew_for_changed_groups)
         log_event(
             "proxy_started",
@@ -114,6 +124,7 @@
     def unload(self) -> None:
         """Give grants and shares back and stop every part."""
         self._renew.start_draining()
+        self._rotation_watch.unload()
         self._listener.unload()
         for group in self._views.view.groups.values():
             self._grants.release(group.name, group.term, 0)
@@ -172,6 +183,10 @@
             self._renew_now,
             self._clock,
         )
+        self._rotation = Rotation(self._clock)
+        self._rotation_watch = RotationCoordinator(
+            self._rotation, self._reach, self._clock
+        )
 
     def _build_renewal(self) -> RenewCoordinator:
         identity = RenewRequest(
@@ -202,6 +217,7 @@
             self._registry,
             lambda: self._listener.callers,
             lambda: self._renew.seconds_since_renewal,
+            self._rotation,
         )
         endpoints = ProxyEndpoints(
             self._incarnation,
@@ -228,6 +244,22 @@
     def _renew_now(self) -> None:
         self._renew.wake()
 
+    def _reach(self) -> Reach:
+        return Reach(
+            is_control_silent=self._peers.is_majority_silent,
+            has_missed_answer=self._peers.has_missed_answer,
+            is_in_touch=self._peers.is_in_touch,
+            lost_groups=self._lost_groups(),
+            outside_answered_at=self._table.answered_outside(
+                self._views.failure_domain
+            ),
+        )
+
+    def _lost_groups(self) -> int:
+        """Return how many groups cannot be written from here."""
+        groups = self._views.view.groups
+        return sum(self._grants.current(group) is None for group in groups)
+
     def _observe(self) -> list[Observation]:
         return self._table.observations()
 
--- a/packages/proxy/src/dogwoodspool_proxy/diagnostics.py
+++ b/packages/proxy/src/dogwoodspool_proxy/diagnostics.py
@@ -4,7 +4,7 @@
 from dataclasses import asdict
 from typing import Any
 
-from dogwoodspool_following import ViewStore
+from dogwoodspool_following import Rotation, ViewStore
 
 from .backends import BackendRegistry
 from .grants import GrantBook
@@ -21,6 +21,7 @@
         registry: BackendRegistry,
         callers: Callable[[], int],
         seconds_since_renewal: Callable[[], float | None],
+        rotation: Rotation,
     ) -> None:
         self._name = name
         self._views = views
@@ -28,6 +29,7 @@
         self._registry = registry
         self._callers = callers
         self._seconds_since_renewal = seconds_since_renewal
+        self._rotation = rotation
         self._is_draining = False
 
     def start_draining(self) -> None:
@@ -37,11 +39,13 @@
     def not_ready_reason(self) -> str | None:
         """Return why the balancer should send no callers; None when it may.
 
-        A proxy that is cut off from control stays ready: it still serves reads
-        within their promises, and the others may be cut off as well.
+        Asked by the balancer alone: the rotation counts how often it was refused.
         """
+        takes_callers = self._rotation.answer_balancer()
         if self._is_draining:
             return "draining"
+        if not takes_callers:
+            return "cut off"
         if not self._views.is_filled:
             return "no settings from control yet"
         return None
@@ -53,6 +57,7 @@
             "proxy": self._name,
             "view_version": view.version,
             "is_draining": self._is_draining,
+            "rotation": self._rotation.phase,
             "callers": self._callers(),
             "seconds_since_renewal": self._seconds_since_renewal(),
             "groups": [
--- a/packages/routing/src/dogwoodspool_routing/server_record.py
+++ b/packages/routing/src/dogwoodspool_routing/server_record.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from dogwoodspool_common import BackendServer, ServerStatus
+from dogwoodspool_common.const import NEVER
 
 from .const import (
     DEFAULT_LATENCY,
@@ -24,6 +25,7 @@
         asked_at: when the last status was asked for.
         is_failing: the last attempt to reach the server failed.
         leaving_since: when its leaving was first known, None if it stays.
+        answered_at: when it last gave an answer.
     """
 
     known_at: float
@@ -35,6 +37,7 @@
     is_failing: bool = False
     leaving_since: float | None = None
     in_flight: int = 0
+    answered_at: float = NEVER
     _unreachable: float = 0.0
     _down: float | None = None
     _outcome_at: float | None = None
@@ -86,6 +89,7 @@
         self._down = None
         self._unreachable = 0.0
         self._outcome_at = at
+        self.answered_at = at
 
     def note_failure(self, at: float, *, is_down: bool) -> None:
         """Note that an attempt to reach the server failed.
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -5,7 +5,7 @@
 
 from dogwoodspool_api import Announcement, Observation, StatusMessage
 from dogwoodspool_common import BackendServer, Clock, ServerStatus
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.const import MILLISECONDS, NEVER
 
 from .const import DEFAULT_ANNOUNCEMENT_EXPIRY
 from .models import ServerView
@@ -48,6 +48,18 @@
             record = self._records.get(name)
             return None if record is None else self._view(record, self._clock.now())
 
+    def answered_outside(self, failure_domain: str) -> float:
+        """Return when a server outside of a failure domain last gave an answer."""
+        with self._lock:
+            return max(
+                (
+                    record.answered_at
+                    for record in self._records.values()
+                    if record.server.failure_domain != failure_domain
+                ),
+                default=NEVER,
+            )
+
     def observations(self) -> list[Observation]:
         """Return how this proxy sees the servers that it has tried to reach."""
         with self._lock:
--- a/tests/following/test_control_peers.py
+++ b/tests/following/test_control_peers.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from dogwoodspool_api import MemberMessage
 from dogwoodspool_common import Address, PeerRefusedError
 from dogwoodspool_common.const import CODE_NOT_LEADER
 from dogwoodspool_following import ControlPeers
@@ -46,3 +47,64 @@
         self.assertEqual(self.peers.leader_or_next(), FIRST)
         self.peers.note_refusal(SECOND, refusal(FIRST))
         self.assertEqual(self.peers.leader_or_next(), FIRST)
+
+
+class ContactTests(unittest.TestCase):
+    """Whether enough control processes answer to make decisions without this one.
+
+    A proxy in a cut-off failure domain reaches one of three. During an election all
+    answer and none leads, which must not look like a cut.
+    """
+
+    def setUp(self) -> None:
+        self.peers = ControlPeers((FIRST, SECOND, THIRD))
+        self.peers.note_led(FIRST)
+
+    def test_two_silent_ones_of_three_are_a_majority(self) -> None:
+        self.peers.note_failure(FIRST)
+        self.assertFalse(self.peers.is_majority_silent)
+        self.peers.note_failure(SECOND)
+        self.assertTrue(self.peers.is_majority_silent)
+        self.assertFalse(self.peers.is_in_touch)
+
+    def test_the_one_that_is_cut_off_as_well_does_not_help(self) -> None:
+        self.peers.note_failure(FIRST)
+        self.peers.note_failure(SECOND)
+        self.peers.note_behind(THIRD)
+        self.peers.note_refusal(THIRD, refusal(FIRST))
+        self.assertTrue(self.peers.is_majority_silent)
+
+    def test_an_election_is_no_cut(self) -> None:
+        self.peers.note_failure(FIRST)
+        self.assertTrue(self.peers.has_missed_answer)
+        for _ in range(10):
+            self.peers.note_refusal(SECOND, refusal(FIRST))
+            self.peers.note_refusal(THIRD, refusal(FIRST))
+        self.assertFalse(self.peers.is_majority_silent)
+        self.assertFalse(self.peers.has_missed_answer)
+
+    def test_a_leader_that_answers_ends_the_silence(self) -> None:
+        self.peers.note_failure(FIRST)
+        self.peers.note_failure(SECOND)
+        self.peers.note_led(THIRD)
+        self.assertFalse(self.peers.is_majority_silent)
+
+    def test_only_a_poll_of_a_current_process_brings_back_in_touch(self) -> None:
+        # The leader answers a report while the poll for the view still hangs on a
+        # connection of before the cut.
+        self.peers.note_failure(FIRST)
+        self.peers.note_failure(SECOND)
+        self.peers.note_led(FIRST)
+        self.assertFalse(self.peers.is_in_touch)
+        self.peers.note_success(FIRST)
+        self.assertTrue(self.peers.is_in_touch)
+
+    def test_members_that_are_gone_are_not_counted(self) -> None:
+        self.peers.note_failure(FIRST)
+        self.peers.note_failure(SECOND)
+        kept = [
+            MemberMessage(address=str(one), failure_domain="fd1")
+            for one in (THIRD, Address("127.0.0.1", 4), Address("127.0.0.1", 5))
+        ]
+        self.peers.adopt(kept)
+        self.assertFalse(self.peers.is_majority_silent)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -236,6 +236,36 @@
         return self.listener.drain(10)
 
 
+class MovingTests(ListenerTestCase):
+    """Callers of a process that cannot serve them reconnect elsewhere."""
+
+    def test_some_idle_callers_are_closed_and_the_rest_is_served(self) -> None:
+        callers = [self.connect() for _ in range(4)]
+        self.assertEqual(self.listener.close_idle(0.25), 1)
+        served = 0
+        for caller in callers:
+            try:
+                caller.cursor().execute("UPDATE t")
+            except pymysql.MySQLError as error:
+                self.assertRegex(str(error), "not-run: ")
+            else:
+                served += 1
+        self.assertEqual(served, 3)
+
+    def test_a_statement_in_flight_gets_its_answer(self) -> None:
+        busy = self.connect()
+        counts: list[int] = []
+        running = threading.Thread(
+            target=lambda: counts.append(busy.cursor().execute("UPDATE wait"))
+        )
+        running.start()
+        self.assertTrue(self.sessions.is_waiting.wait(10))
+        self.assertEqual(self.listener.close_idle(1.0), 0)
+        self.sessions.may_end.set()
+        running.join(10)
+        self.assertEqual(counts, [1])
+
+
 def tls_context(folder: Path) -> tuple[ssl.SSLContext, Path]:
     """Return a server's context and the certificate that callers trust."""
     key = ec.generate_private_key(ec.SECP256R1())
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -146,7 +146,8 @@
         self.check_transaction(client)
         self.check_refusals()
         self.check_configuration()
-        self.check_failover(client)
+        self.check_moving()
+        self.check_failover(self.client())
 
     def check_transaction(self, client: TextClient) -> None:
         self.assertEqual(client.ask("t1", "BEGIN"), ["COMPLETE -", "READY T -"])
@@ -178,6 +179,15 @@
             lambda: self.client("db9").greeting == "READY I -", "the new route is there"
         )
 
+    def check_moving(self) -> None:
+        """Callers are moved between their requests only, never in a transaction."""
+        idle, busy = self.client(), self.client()
+        busy.ask("m1", "BEGIN")
+        while self.edge.callers.close_idle(1.0):
+            pass
+        self.assertEqual(idle.read(), "")
+        self.assertEqual(busy.ask("m2", "ROLLBACK"), ["COMPLETE -", "READY I -"])
+
     def check_failover(self, client: TextClient) -> None:
         """Kill the primary: writes go on elsewhere, and none is lost or doubled."""
         self.beating.discard("i-1")
--- a/tests/pooler/test_reporting.py
+++ b/tests/pooler/test_reporting.py
@@ -108,3 +108,53 @@
         self.control.leader = CUT_OFF
         self.run_until(5.0)
         self.assertLess(self.control.taken[0], 2.3)
+
+
+class DoubtTests(unittest.TestCase):
+    """A statement got no answer: is the server in trouble, or this proxy cut off?
+
+    A proxy with few callers in a cut-off failure domain found out after 2.3 s. It asked
+    control only once a server had failed for sure, for which two waits had to pass.
+    """
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.control = FakeControl(self.clock)
+        self.control.leader = SECOND
+        self.peers = ControlPeers((SECOND, THIRD, CUT_OFF))
+        self.peers.note_led(SECOND)
+        self.reports = ReportCoordinator(
+            "p1",
+            "fd1",
+            ServerTable(self.clock),
+            StallBook(self.clock),
+            self.peers,
+            cast(JsonClient, self.control),
+            self.clock,
+        )
+
+    def test_without_doubt_nothing_is_sent(self) -> None:
+        for _ in range(20):
+            self.clock.advance(self.reports.step())
+        self.assertEqual(self.control.taken, [])
+
+    def test_control_is_asked_with_nothing_to_report(self) -> None:
+        self.reports.ask_control()
+        self.reports.step()
+        self.assertEqual(len(self.control.taken), 1)
+        self.reports.step()
+        self.assertEqual(len(self.control.taken), 1)
+
+    def test_it_is_asked_until_it_answers(self) -> None:
+        self.control.frozen = SECOND
+        self.control.leader = None
+        self.peers.note_failure(THIRD)
+        self.reports.ask_control()
+        for _ in range(6):
+            self.clock.advance(self.reports.step())
+        self.assertTrue(self.peers.is_majority_silent)
+        self.control.frozen, self.control.leader = None, THIRD
+        for _ in range(6):
+            self.clock.advance(self.reports.step())
+        self.assertGreaterEqual(len(self.control.taken), 1)
+        self.assertFalse(self.peers.is_majority_silent)
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -220,3 +220,40 @@
         say(session, "READ k")
         pooler.network.servers["s1"].has_lost_lead = True
         self.assertIsNotNone(say(session, "READ k").error)
+
+
+class LostGroupTests(unittest.TestCase):
+    """Groups whose callers this process cannot serve at a primary.
+
+    Together with silent control they show that the process is cut off.
+    """
+
+    def setUp(self) -> None:
+        self.pooler = Pooler(group())
+
+    def test_a_primary_that_answers_is_not_lost(self) -> None:
+        say(self.pooler.session(), "WRITE k v")
+        self.assertEqual(self.pooler.primaries.lost_groups(), 0)
+
+    def test_a_primary_that_cannot_be_reached_is_lost_until_it_answers(self) -> None:
+        server = self.pooler.network.servers["s1"]
+        server.is_down = True
+        say(self.pooler.session(), "WRITE k v")
+        self.assertEqual(self.pooler.primaries.lost_groups(), 1)
+        self.pooler.table.note_reachable("s1")
+        self.assertEqual(self.pooler.primaries.lost_groups(), 0)
+
+    def test_a_primary_that_was_replaced_elsewhere_is_lost(self) -> None:
+        # It is inside the cut-off failure domain and answers, so that the proxies there
+        # went on to take callers and refused all their writes.
+        self.pooler.network.servers["s1"].has_lost_lead = True
+        say(self.pooler.session(), "WRITE k v")
+        self.assertEqual(self.pooler.primaries.lost_groups(), 1)
+        self.pooler.show(primary="s2")
+        self.assertEqual(self.pooler.primaries.lost_groups(), 0)
+
+    def test_groups_that_no_caller_can_name_do_not_count(self) -> None:
+        self.pooler.network.servers["s1"].is_down = True
+        say(self.pooler.session(), "WRITE k v")
+        self.pooler.show(primary="s1", endpoints=[])
+        self.assertEqual(self.pooler.primaries.lost_groups(), 0)
