Probe a server again that failed while it was being probed

Cause: a statement noted a failure while the server was being probed for another one. The probe found it well and forgot it, the statement's mark came after. A server that counts as failing gets no statements, and only statements or a probe clear the mark.

What set it off: a request whose time was over when it got its connection counted as a failure of its server. It has an error of its own now, which says nothing of the server.

Ruled out: the server (other proxies wrote to it), the view (51, the newest).

--- a/packages/connections/src/dogwoodspool_connections/errors.py
+++ b/packages/connections/src/dogwoodspool_connections/errors.py
@@ -40,6 +40,15 @@
     """
 
 
+class DeadlinePassedError(ConnectFailedError):
+    """Report that a request's time was over before anything was sent.
+
+    It says nothing about the server's health.
+    """
+
+    suggests_unreachable = False
+
+
 class PoolClosedError(ConnectFailedError):
     """Report that the pool was unloaded: nothing was sent."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/recovery.py
+++ b/packages/pooler/src/dogwoodspool_pooler/recovery.py
@@ -30,24 +30,30 @@
         self._registry = registry
         self._table = table
         self._lock = threading.Lock()
-        self._suspected: set[str] = set()
+        # How often each was suspected since it was last found well.
+        self._suspected: dict[str, int] = {}
         self._executor = ThreadPoolExecutor(RECOVERY_THREADS, "recovery-probe")
 
     def suspect(self, server: str) -> None:
-        """Try a server at once."""
+        """Try a server at once, or once more where it is being tried.
+
+        A failure that comes in while a probe finds the server well may be noted after
+        the probe's end: without another probe it would stand for good, since a server
+        that counts as failing gets no statements that could show it works.
+        """
         with self._lock:
-            if server in self._suspected:
-                return
-            self._suspected.add(server)
-        self.wake()
+            is_new = server not in self._suspected
+            self._suspected[server] = self._suspected.get(server, 0) + 1
+        if is_new:
+            self.wake()
 
     def step(self) -> float:
         """Try every server in trouble once."""
         with self._lock:
-            suspected = set(self._suspected)
+            suspected = dict(self._suspected)
         servers = self._views.view.servers
-        unknown = suspected - servers.keys()
-        known = [servers[name] for name in sorted(suspected & servers.keys())]
+        unknown = suspected.keys() - servers.keys()
+        known = [servers[name] for name in sorted(suspected.keys() & servers.keys())]
         reached = self._executor.map(self._try, known)
         ended = {
             server.name
@@ -55,7 +61,9 @@
             if is_reached
         }
         with self._lock:
-            self._suspected -= unknown | ended
+            for name in unknown | ended:
+                if self._suspected[name] == suspected[name]:
+                    del self._suspected[name]
         return RECOVERY_PROBE_SECONDS
 
     def _try(self, server: BackendServer) -> bool:
