--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -84,7 +84,9 @@
         outcome = "ok" if answer.error is None else answer.error.code
         elapsed = self._clock.now() - arrived_at
         self._counters.answered(statement.kind, outcome, elapsed)
-        if answer.error is not None:
+        if answer.error is None:
+            self._log_late(statement, elapsed)
+        else:
             log_rate_limited(
                 "request_not_served",
                 request=statement.request_id,
@@ -121,6 +123,21 @@
         finally:
             self._lock.release()
 
+    def _log_late(self, statement: Statement, elapsed: float) -> None:
+        endpoint = self._endpoint()
+        elapsed_ms = elapsed * MILLISECONDS
+        if endpoint is None or elapsed_ms <= endpoint.target_latency_ms:
+            return
+        log_rate_limited(
+            "request_late",
+            request=statement.request_id,
+            database=self._database,
+            kind=statement.kind,
+            elapsed_ms=round(elapsed_ms, 1),
+            target_ms=endpoint.target_latency_ms,
+            view=self._views.view.version,
+        )
+
     def _run(self, statement: Statement, arrived_at: float) -> Answer:
         kind = statement.kind
         if kind is StatementKind.ROLLBACK:
