--- a/tests/ctl/test_explain.py
+++ b/tests/ctl/test_explain.py
@@ -20,10 +20,12 @@
     return f"time={time} level=INFO event={event} {pairs} instance={instance}\n"
 
 
-def refused(second: float, server: str, **fields: object) -> str:
+def refused(second: float, server: str, instance: str = "p1", **fields: object) -> str:
     """Return the line of a refused request."""
     reason = f'"{server}: deadline_passed"'
-    return line(second, "request_not_served", code="busy", reason=reason, **fields)
+    return line(
+        second, "request_not_served", instance, code="busy", reason=reason, **fields
+    )
 
 
 class LogLineTests(unittest.TestCase):
