Give the control library rooms: settings, grants, promotion, membership, http

Files moved by script; names that repeated their room's are shorter (promotion/parts, promotion/worker, settings/state, http/admin, api, support, watch). Tests mirror it. No code changed.

--- a/features/mutations/guards/leaving.py
+++ b/features/mutations/guards/leaving.py
@@ -35,7 +35,7 @@
 
 def leaving_primary_stays() -> None:
     """Let a primary that leaves stay the primary."""
-    from dogwoodspool_control.departures import Departures
+    from dogwoodspool_control.membership.departures import Departures
 
     replace(Departures, "due_commands", lambda _self: iter(()))
 
--- a/features/mutations/guards/membership.py
+++ b/features/mutations/guards/membership.py
@@ -8,7 +8,7 @@
 def late_announcements_ignored() -> None:
     """Know only the servers that announce themselves at a group's birth."""
     from dogwoodspool_control.commands import RecordServer
-    from dogwoodspool_control.membership import Membership
+    from dogwoodspool_control.membership.membership import Membership
 
     original = Membership._due_records
     birth_size = 3
@@ -25,14 +25,14 @@
 
 def new_addresses_ignored() -> None:
     """Keep what a server announced first."""
-    from dogwoodspool_control.membership import Membership
+    from dogwoodspool_control.membership.membership import Membership
 
     Membership._has_ended = lambda _self, _known: False
 
 
 def silent_servers_kept() -> None:
     """Keep servers for ever."""
-    from dogwoodspool_control.membership import Membership
+    from dogwoodspool_control.membership.membership import Membership
 
     Membership._due_removals = lambda _self: []
 
@@ -42,8 +42,8 @@
 
     Both the decision and the command that it commits refuse a primary.
     """
-    from dogwoodspool_control.instances import ServerTable
-    from dogwoodspool_control.membership import Membership
+    from dogwoodspool_control.membership.instances import ServerTable
+    from dogwoodspool_control.membership.membership import Membership
 
     original = ServerTable.remove
 
--- a/features/mutations/guards/promotions.py
+++ b/features/mutations/guards/promotions.py
@@ -14,7 +14,7 @@
 
 def one_observer_suffices() -> None:
     """Call a primary failed as soon as one proxy does not reach it."""
-    from dogwoodspool_control.detector import FailureDetector
+    from dogwoodspool_control.promotion.detector import FailureDetector
 
     def is_failed(
         self: Any, server: str, term: int, proxies: Any, settings: Any
@@ -29,15 +29,15 @@
 
 def returning_primary_kept() -> None:
     """Leave a primary that returns with an old term as it is."""
-    from dogwoodspool_control.reconciler import Reconciler
+    from dogwoodspool_control.promotion.reconciler import Reconciler
 
     Reconciler.run = lambda _self: None
 
 
 def replica_chosen_blindly() -> None:
     """Promote the replica that is furthest behind."""
-    from dogwoodspool_control import choose_step
-    from dogwoodspool_control.candidates import Choice, ChoiceRefusal
+    from dogwoodspool_control.promotion import choose_step
+    from dogwoodspool_control.promotion.candidates import Choice, ChoiceRefusal
     from expression import Error, Ok
 
     def choose_candidate(given: Any) -> Any:
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/grants/__init__.py
@@ -0,0 +1,1 @@
+"""Rights to write, and shares of connections."""
--- a/packages/control/src/dogwoodspool_control/grants.py
+++ b/packages/control/src/dogwoodspool_control/grants/grants.py
@@ -10,9 +10,9 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_consensus import Leadership
 
-from .errors import LeadershipLostError, StaleIncarnationError
-from .models import AckKnowledge, Holding, Lease, ProxyRecord, Release
-from .settings_state import SettingsState
+from ..errors import LeadershipLostError, StaleIncarnationError
+from ..models import AckKnowledge, Holding, Lease, ProxyRecord, Release
+from ..settings.state import SettingsState
 
 HolderKey = tuple[str, str]
 
--- a/packages/control/src/dogwoodspool_control/release.py
+++ b/packages/control/src/dogwoodspool_control/grants/release.py
@@ -15,11 +15,11 @@
 from dogwoodspool_common.const import MILLISECONDS
 from pydantic import ValidationError
 
-from .const import RELEASE_RETRY_SECONDS, RELEASE_TIMEOUT, REMOVED_PROXIES
-from .errors import ReleaseFailedError
+from ..const import RELEASE_RETRY_SECONDS, RELEASE_TIMEOUT, REMOVED_PROXIES
+from ..errors import ReleaseFailedError
+from ..membership.incarnations import IncarnationAges
+from ..models import Promotion, ProxyRecord, Release
 from .grants import GrantTable
-from .incarnations import IncarnationAges
-from .models import Promotion, ProxyRecord, Release
 
 
 class ReleaseClient(Protocol):
--- a/packages/control/src/dogwoodspool_control/renewals.py
+++ b/packages/control/src/dogwoodspool_control/grants/renewals.py
@@ -7,17 +7,17 @@
 from dogwoodspool_common import Address, BackendServer, Clock
 from dogwoodspool_settings import EffectiveSettings
 
-from .command_queue import CommandQueue
-from .commands import RegisterProxy
-from .const import MAX_RENEWALS_PER_SECOND, RENEWAL_BURST
-from .detector import FailureDetector
-from .errors import LeadershipLostError, TooManyRenewalsError
+from ..command_queue import CommandQueue
+from ..commands import RegisterProxy
+from ..const import MAX_RENEWALS_PER_SECOND, RENEWAL_BURST
+from ..errors import LeadershipLostError, TooManyRenewalsError
+from ..models import Lease, PromotionReason, ProxyRecord
+from ..node import ControlNode
+from ..promotion.detector import FailureDetector
+from ..promotion.sightings import Sightings
+from ..state import ControlState
 from .grants import GrantTable
-from .models import Lease, PromotionReason, ProxyRecord
-from .node import ControlNode
 from .shares import ServerLimits, ShareLedger, ShareRequest, divide_connections
-from .sightings import Sightings
-from .state import ControlState
 
 
 class RenewalRate:
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/http/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoints of a control process."""
--- a/packages/control/src/dogwoodspool_control/http_admin.py
+++ b/packages/control/src/dogwoodspool_control/http/admin.py
@@ -32,8 +32,8 @@
 from dogwoodspool_settings import SettingsTreeError, redact
 from pydantic import BaseModel, ConfigDict
 
-from .commands import ForgetProxy
-from .const import (
+from ..commands import ForgetProxy
+from ..const import (
     CODE_CONFLICT,
     CODE_INVALID,
     DEFAULT_HISTORY,
@@ -41,12 +41,12 @@
     QUERY_LIMIT,
     VOTER_CHANGE_TIMEOUT,
 )
-from .errors import CommandRejectedError, LeadershipLostError
-from .http_support import answering
-from .node import ControlNode
-from .readiness import Readiness
-from .state import ControlState
-from .status import StatusReport
+from ..errors import CommandRejectedError, LeadershipLostError
+from ..node import ControlNode
+from ..readiness import Readiness
+from ..state import ControlState
+from ..status import StatusReport
+from .support import answering
 
 
 class VoterChange(BaseModel):
--- a/packages/control/src/dogwoodspool_control/http_api.py
+++ b/packages/control/src/dogwoodspool_control/http/api.py
@@ -9,14 +9,14 @@
 from dogwoodspool_api.const import PATH_PROMOTE, PATH_RENEW, PATH_SETTINGS_CHANGE
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 
-from .commands import ChangeSettings
-from .const import CODE_INVALID, MAX_RENEW_ITEMS, PROMOTE_WAIT_SECONDS, QUERY_WAIT
-from .errors import CommandRejectedError
-from .http_support import WaitSlots, answering
-from .node import ControlNode
-from .planned import PlannedPromotions
-from .renewals import Renewals
-from .state import ControlState
+from ..commands import ChangeSettings
+from ..const import CODE_INVALID, MAX_RENEW_ITEMS, PROMOTE_WAIT_SECONDS, QUERY_WAIT
+from ..errors import CommandRejectedError
+from ..grants.renewals import Renewals
+from ..node import ControlNode
+from ..promotion.planned import PlannedPromotions
+from ..state import ControlState
+from .support import WaitSlots, answering
 
 
 class ControlApi:
--- a/packages/control/src/dogwoodspool_control/http_support.py
+++ b/packages/control/src/dogwoodspool_control/http/support.py
@@ -9,13 +9,13 @@
 from dogwoodspool_consensus import ConsensusError
 from dogwoodspool_consensus.const import CODE_NOT_CONFIRMED
 
-from .const import (
+from ..const import (
     CODE_CONFLICT,
     CODE_INVALID,
     CODE_OUTCOME_UNKNOWN,
     CODE_TOO_MANY,
 )
-from .errors import (
+from ..errors import (
     CommandRejectedError,
     ControlError,
     LeadershipLostError,
--- a/packages/control/src/dogwoodspool_control/watch_api.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -12,11 +12,11 @@
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import MAX_WATCH_MS, WATCH_CONFIRM_TIMEOUT
-from .errors import TooManyWaitersError
-from .http_support import WaitSlots, answering, number_in_query
-from .node import ControlNode
-from .state import ControlState
+from ..const import MAX_WATCH_MS, WATCH_CONFIRM_TIMEOUT
+from ..errors import TooManyWaitersError
+from ..node import ControlNode
+from ..state import ControlState
+from .support import WaitSlots, answering, number_in_query
 
 
 class WatchApi:
--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -6,19 +6,19 @@
 from .command_queue import CommandQueue
 from .commands import BeginPromotion
 from .const import TICK_SECONDS
-from .departures import Departures
-from .detector import DetectorSettings, FailureDetector
-from .failovers import FailoverTimeline
-from .incarnations import IncarnationAges
-from .membership import Membership
+from .membership.departures import Departures
+from .membership.incarnations import IncarnationAges
+from .membership.membership import Membership
+from .membership.upkeep import AckAudit, LeaseBoundUpkeep
 from .models import PromotionReason
 from .node import ControlNode
-from .promoter import Promotions
-from .reconciler import Reconciler
-from .sightings import Sightings
+from .promotion.detector import DetectorSettings, FailureDetector
+from .promotion.failovers import FailoverTimeline
+from .promotion.promoter import Promotions
+from .promotion.reconciler import Reconciler
+from .promotion.sightings import Sightings
 from .state import ControlState
 from .ticking import LeaderTicker
-from .upkeep import AckAudit, LeaseBoundUpkeep
 
 
 class FailureWatch:
--- a/packages/control/src/dogwoodspool_control/main.py
+++ b/packages/control/src/dogwoodspool_control/main.py
@@ -26,9 +26,9 @@
 )
 
 from .const import HTTP_THREADS, PROGRAM_NAME
+from .grants.release import HttpReleaseClient
 from .options import USAGE, ControlOptions
-from .release import HttpReleaseClient
-from .role_changers import SqlRoleChangers
+from .promotion.role_changers import SqlRoleChangers
 from .runtime import ControlRuntime
 from .state import ControlState
 
--- /dev/null
+++ b/packages/control/src/dogwoodspool_control/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The proxies and backend servers that control knows."""
--- a/packages/control/src/dogwoodspool_control/departures.py
+++ b/packages/control/src/dogwoodspool_control/membership/departures.py
@@ -4,10 +4,10 @@
 
 from dogwoodspool_common import Clock, GroupState, Phase, log_event
 
-from .commands import BeginPromotion
-from .const import DEPARTURE_RETRY_SECONDS
-from .models import PromotionReason
-from .state import ControlState
+from ..commands import BeginPromotion
+from ..const import DEPARTURE_RETRY_SECONDS
+from ..models import PromotionReason
+from ..state import ControlState
 
 
 class Departures:
--- a/packages/control/src/dogwoodspool_control/incarnations.py
+++ b/packages/control/src/dogwoodspool_control/membership/incarnations.py
@@ -5,7 +5,7 @@
 
 from dogwoodspool_common import Clock
 
-from .models import ProxyRecord
+from ..models import ProxyRecord
 
 
 class IncarnationAges:
--- a/packages/control/src/dogwoodspool_control/instances.py
+++ b/packages/control/src/dogwoodspool_control/membership/instances.py
@@ -4,15 +4,15 @@
 
 from dogwoodspool_common import BackendServer, GroupState
 
-from .commands import ForgetProxy, RecordServer, RegisterProxy, RemoveServer
-from .const import (
+from ..commands import ForgetProxy, RecordServer, RegisterProxy, RemoveServer
+from ..const import (
     CODE_CONFLICT,
     CODE_FULL,
     CODE_INVALID,
     MAX_ENDED_SERVERS,
     MAX_REPLACED_INCARNATIONS,
 )
-from .models import Outcome, ProxyRecord
+from ..models import Outcome, ProxyRecord
 
 
 class ProxyTable:
--- a/packages/control/src/dogwoodspool_control/membership.py
+++ b/packages/control/src/dogwoodspool_control/membership/membership.py
@@ -6,15 +6,15 @@
 from dogwoodspool_common import BackendServer, Clock, Phase, Position, Role
 from dogwoodspool_sessions import is_covered
 
-from .commands import BootstrapGroup, Command, RecordServer, RemoveServer
-from .const import (
+from ..commands import BootstrapGroup, Command, RecordServer, RemoveServer
+from ..const import (
     FRESH_RENEW_INTERVALS,
     SERVER_HOLD_SECONDS,
     SERVER_SILENCE_SECONDS,
     SILENCE_MARK_SECONDS,
 )
-from .sightings import Sighting, Sightings
-from .state import ControlState
+from ..promotion.sightings import Sighting, Sightings
+from ..state import ControlState
 
 
 class Membership:
--- a/packages/control/src/dogwoodspool_control/upkeep.py
+++ b/packages/control/src/dogwoodspool_control/membership/upkeep.py
@@ -7,12 +7,12 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_sessions import is_covered
 
-from .commands import Command, LowerLeaseBound, SettleWriteAcks
-from .const import AUDIT_SECONDS, FRESH_RENEW_INTERVALS
-from .grants import GrantTable
-from .promotion_parts import RoleChangers
-from .sightings import Sightings
-from .state import ControlState
+from ..commands import Command, LowerLeaseBound, SettleWriteAcks
+from ..const import AUDIT_SECONDS, FRESH_RENEW_INTERVALS
+from ..grants.grants import GrantTable
+from ..promotion.parts import RoleChangers
+from ..promotion.sightings import Sightings
+from ..state import ControlState
 
 
 class LeaseBoundUpkeep:
--- a/packages/control/src/dogwoodspool_control/candidates.py
+++ b/packages/control/src/dogwoodspool_control/promotion/candidates.py
@@ -7,7 +7,7 @@
 from dogwoodspool_sessions import is_covered, is_lost
 from expression import Error, Ok, Result
 
-from .models import AckKnowledge, Promotion, PromotionReason
+from ..models import AckKnowledge, Promotion, PromotionReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/control/src/dogwoodspool_control/choose_step.py
+++ b/packages/control/src/dogwoodspool_control/promotion/choose_step.py
@@ -6,19 +6,19 @@
 from dogwoodspool_common import BackendServer, ServerStatus, log_event
 from expression import Result
 
-from .candidates import Choice, ChoiceInput, ChoiceRefusal, choose_candidate
-from .commands import ChoosePrimary
-from .const import (
+from ..commands import ChoosePrimary
+from ..const import (
     CATCH_UP_SECONDS,
     CHOICE_GRACE_SECONDS,
     RELEASE_RETRY_SECONDS,
     STATUS_POLL_SECONDS,
 )
+from ..grants.release import GroupRelease
+from ..models import Promotion, PromotionReason
+from ..progress import PromotionProgress
+from .candidates import Choice, ChoiceInput, ChoiceRefusal, choose_candidate
 from .failovers import FailoverPhase
-from .models import Promotion, PromotionReason
-from .progress import PromotionProgress
-from .promotion_parts import PromotionParts
-from .release import GroupRelease
+from .parts import PromotionParts
 from .server_poll import ServerPoll
 
 
--- a/packages/control/src/dogwoodspool_control/detector.py
+++ b/packages/control/src/dogwoodspool_control/promotion/detector.py
@@ -9,8 +9,8 @@
 from dogwoodspool_common import Clock, Role
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import FRESH_RENEW_INTERVALS, MAX_SMOOTH_TICKS, MIN_OBSERVERS, TICK_SECONDS
-from .models import ProxyRecord
+from ..const import FRESH_RENEW_INTERVALS, MAX_SMOOTH_TICKS, MIN_OBSERVERS, TICK_SECONDS
+from ..models import ProxyRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/control/src/dogwoodspool_control/failovers.py
+++ b/packages/control/src/dogwoodspool_control/promotion/failovers.py
@@ -10,8 +10,8 @@
 from dogwoodspool_common import Clock, log_event
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import MAX_FAILOVERS_KEPT
-from .models import Promotion
+from ..const import MAX_FAILOVERS_KEPT
+from ..models import Promotion
 
 
 class FailoverPhase(StrEnum):
--- a/packages/control/src/dogwoodspool_control/groups.py
+++ b/packages/control/src/dogwoodspool_control/promotion/groups.py
@@ -5,15 +5,15 @@
 
 from dogwoodspool_common import BackendServer, GroupState, Phase, Position
 
-from .commands import (
+from ..commands import (
     AdoptPrimary,
     BeginPromotion,
     BootstrapGroup,
     ChoosePrimary,
     EndPromotion,
 )
-from .const import CODE_CONFLICT, CODE_INVALID, MAX_CHANGE_IDS
-from .models import Outcome, Promotion, PromotionReason
+from ..const import CODE_CONFLICT, CODE_INVALID, MAX_CHANGE_IDS
+from ..models import Outcome, Promotion, PromotionReason
 
 
 class GroupTable:
--- a/packages/control/src/dogwoodspool_control/promotion_parts.py
+++ b/packages/control/src/dogwoodspool_control/promotion/parts.py
@@ -8,12 +8,12 @@
 from dogwoodspool_backend import RoleChanger
 from dogwoodspool_common import Clock
 
+from ..grants.grants import GrantTable
+from ..grants.release import ReleaseClient
+from ..membership.incarnations import IncarnationAges
+from ..node import ControlNode
+from ..state import ControlState
 from .failovers import FailoverTimeline
-from .grants import GrantTable
-from .incarnations import IncarnationAges
-from .node import ControlNode
-from .release import ReleaseClient
-from .state import ControlState
 
 
 class RoleChangers(Protocol):
--- a/packages/control/src/dogwoodspool_control/planned.py
+++ b/packages/control/src/dogwoodspool_control/promotion/planned.py
@@ -4,14 +4,14 @@
 from dogwoodspool_backend import BackendError
 from dogwoodspool_common import BackendServer, Clock, Phase
 
-from .commands import BeginPromotion
-from .const import CODE_CONFLICT, CODE_INVALID, MAX_PLANNED_LAG_MS
-from .errors import CommandRejectedError
+from ..commands import BeginPromotion
+from ..const import CODE_CONFLICT, CODE_INVALID, MAX_PLANNED_LAG_MS
+from ..errors import CommandRejectedError
+from ..models import PromotionReason
+from ..node import ControlNode
+from ..state import ControlState
 from .failovers import FailoverTimeline
-from .models import PromotionReason
-from .node import ControlNode
-from .promotion_parts import RoleChangers
-from .state import ControlState
+from .parts import RoleChangers
 
 
 class PlannedPromotions:
--- a/packages/control/src/dogwoodspool_control/promote_step.py
+++ b/packages/control/src/dogwoodspool_control/promotion/promote_step.py
@@ -3,12 +3,12 @@
 from dogwoodspool_backend import BackendError, RoleChanger
 from dogwoodspool_common import Address, BackendServer, Role, ServerStatus, log_event
 
-from .commands import BeginPromotion, EndPromotion
-from .const import PROMOTE_ATTEMPT_SECONDS, PROMOTE_RETRY_SECONDS
+from ..commands import BeginPromotion, EndPromotion
+from ..const import PROMOTE_ATTEMPT_SECONDS, PROMOTE_RETRY_SECONDS
+from ..models import Promotion, PromotionReason
+from ..progress import PromotionProgress
 from .failovers import FailoverPhase
-from .models import Promotion, PromotionReason
-from .progress import PromotionProgress
-from .promotion_parts import PromotionParts
+from .parts import PromotionParts
 
 
 class PromoteStep:
--- a/packages/control/src/dogwoodspool_control/promoter.py
+++ b/packages/control/src/dogwoodspool_control/promotion/promoter.py
@@ -1,10 +1,10 @@
 """Carry promotions of groups whose primaries control itself appoints."""
 
+from ..models import Promotion
 from .choose_step import ChooseStep
-from .models import Promotion
+from .parts import PromotionParts
 from .promote_step import PromoteStep
-from .promotion_parts import PromotionParts
-from .promotion_worker import PromotionRunner, PromotionWorker
+from .worker import PromotionRunner, PromotionWorker
 
 
 class Promoter(PromotionWorker):
--- a/packages/control/src/dogwoodspool_control/reconciler.py
+++ b/packages/control/src/dogwoodspool_control/promotion/reconciler.py
@@ -4,11 +4,11 @@
 
 from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Role
 
-from .const import FOLLOW_RETRY_SECONDS
+from ..const import FOLLOW_RETRY_SECONDS
+from ..state import ControlState
+from .parts import RoleChangers
 from .promote_step import follow
-from .promotion_parts import RoleChangers
 from .sightings import Sighting, Sightings
-from .state import ControlState
 
 
 class Reconciler:
--- a/packages/control/src/dogwoodspool_control/role_changers.py
+++ b/packages/control/src/dogwoodspool_control/promotion/role_changers.py
@@ -4,8 +4,8 @@
 from dogwoodspool_common import Clock
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import ROLE_STATEMENT_TIMEOUT
-from .state import ControlState
+from ..const import ROLE_STATEMENT_TIMEOUT
+from ..state import ControlState
 
 
 class SqlRoleChangers:
--- a/packages/control/src/dogwoodspool_control/server_poll.py
+++ b/packages/control/src/dogwoodspool_control/promotion/server_poll.py
@@ -6,7 +6,7 @@
 from dogwoodspool_backend import BackendError, RoleChanger
 from dogwoodspool_common import BackendServer, Clock, ServerStatus
 
-from .const import STATUS_POLL_SECONDS
+from ..const import STATUS_POLL_SECONDS
 
 
 class ServerPoll:
--- a/packages/control/src/dogwoodspool_control/sightings.py
+++ b/packages/control/src/dogwoodspool_control/promotion/sightings.py
@@ -6,7 +6,7 @@
 from dogwoodspool_api import Announcement, Observation, RenewRequest
 from dogwoodspool_common import BackendServer, Clock, Position, Role
 
-from .const import MAX_SERVERS
+from ..const import MAX_SERVERS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/control/src/dogwoodspool_control/promotion_worker.py
+++ b/packages/control/src/dogwoodspool_control/promotion/worker.py
@@ -6,13 +6,13 @@
 
 from dogwoodspool_common import Clock, log_event
 
-from .const import OUTCOME_RETRY_SECONDS
-from .errors import CommandRejectedError, LeadershipLostError, OutcomeUnknownError
+from ..const import OUTCOME_RETRY_SECONDS
+from ..errors import CommandRejectedError, LeadershipLostError, OutcomeUnknownError
+from ..models import Promotion
+from ..node import ControlNode
+from ..progress import ProgressReport, PromotionProgress
+from ..state import ControlState
 from .failovers import FailoverTimeline, take_over
-from .models import Promotion
-from .node import ControlNode
-from .progress import ProgressReport, PromotionProgress
-from .state import ControlState
 
 
 class PromotionWorker(ABC):
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -7,30 +7,30 @@
 
 from .command_queue import CommandQueue
 from .const import MAX_RATED_PROXIES, MAX_WATCHERS, WORKER_THREADS
-from .departures import Departures
-from .detector import FailureDetector
-from .failovers import FailoverTimeline
-from .grants import GrantTable
-from .http_admin import AdminApi
-from .http_api import ControlApi
-from .http_support import WaitSlots
-from .incarnations import IncarnationAges
+from .grants.grants import GrantTable
+from .grants.release import ReleaseClient
+from .grants.renewals import RenewalRate, Renewals
+from .grants.shares import ShareLedger
+from .http.admin import AdminApi
+from .http.api import ControlApi
+from .http.support import WaitSlots
+from .http.watch import WatchApi
 from .leader import FailureWatch, LeaderLoop
-from .membership import Membership
+from .membership.departures import Departures
+from .membership.incarnations import IncarnationAges
+from .membership.membership import Membership
+from .membership.upkeep import AckAudit, LeaseBoundUpkeep
 from .node import ControlNode
-from .planned import PlannedPromotions
-from .promoter import Promotions
-from .promotion_parts import PromotionParts, RoleChangers
+from .promotion.detector import FailureDetector
+from .promotion.failovers import FailoverTimeline
+from .promotion.parts import PromotionParts, RoleChangers
+from .promotion.planned import PlannedPromotions
+from .promotion.promoter import Promotions
+from .promotion.reconciler import Reconciler
+from .promotion.sightings import Sightings
 from .readiness import Readiness
-from .reconciler import Reconciler
-from .release import ReleaseClient
-from .renewals import RenewalRate, Renewals
-from .shares import ShareLedger
-from .sightings import Sightings
 from .state import ControlState
 from .status import StatusReport
-from .upkeep import AckAudit, LeaseBoundUpkeep
-from .watch_api import WatchApi
 
 
 class ControlRuntime:
--- a/packages/control/src/dogwoodspool_control/documents.py
+++ b/packages/control/src/dogwoodspool_control/settings/documents.py
@@ -16,7 +16,7 @@
 from expression import Error, Ok, Result
 from pydantic import TypeAdapter, ValidationError
 
-from .errors import CommandRejectedError
+from ..errors import CommandRejectedError
 
 CODE_BAD_DOCUMENT: Final = "bad_document"
 
--- a/packages/control/src/dogwoodspool_control/settings_state.py
+++ b/packages/control/src/dogwoodspool_control/settings/state.py
@@ -16,9 +16,9 @@
 )
 from expression import Result
 
-from .commands import ChangeSettings, LowerLeaseBound, SettleWriteAcks
-from .const import CODE_CONFLICT, CODE_INVALID
-from .models import Outcome
+from ..commands import ChangeSettings, LowerLeaseBound, SettleWriteAcks
+from ..const import CODE_CONFLICT, CODE_INVALID
+from ..models import Outcome
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/control/src/dogwoodspool_control/view_log.py
+++ b/packages/control/src/dogwoodspool_control/settings/view_log.py
@@ -16,8 +16,8 @@
 )
 from dogwoodspool_common import BackendServer, Endpoint, GroupState
 
-from .const import MAX_VIEW_CHANGES
-from .models import ProxyRecord
+from ..const import MAX_VIEW_CHANGES
+from ..models import ProxyRecord
 
 ItemKey = tuple[str, str]
 
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -30,13 +30,13 @@
     encode_outcome,
 )
 from .const import CODE_INVALID
-from .documents import DocumentSnapshot, DocumentState
 from .errors import CommandRejectedError
-from .groups import GroupTable
-from .instances import ProxyTable, ServerTable
+from .membership.instances import ProxyTable, ServerTable
 from .models import Outcome, Promotion, ProxyRecord
-from .settings_state import SettingsSnapshot, SettingsState
-from .view_log import ViewItems, ViewLog
+from .promotion.groups import GroupTable
+from .settings.documents import DocumentSnapshot, DocumentState
+from .settings.state import SettingsSnapshot, SettingsState
+from .settings.view_log import ViewItems, ViewLog
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/control/src/dogwoodspool_control/status.py
+++ b/packages/control/src/dogwoodspool_control/status.py
@@ -6,10 +6,10 @@
 from dogwoodspool_common import Clock
 from dogwoodspool_consensus import ConsensusNode
 
-from .failovers import FailoverTimeline
+from .grants.renewals import Renewals
 from .node import ControlNode
-from .promoter import Promotions
-from .renewals import Renewals
+from .promotion.failovers import FailoverTimeline
+from .promotion.promoter import Promotions
 from .state import ControlState
 
 
--- a/packages/control/src/dogwoodspool_control/ticking.py
+++ b/packages/control/src/dogwoodspool_control/ticking.py
@@ -5,8 +5,8 @@
 
 from dogwoodspool_common import Clock, log_event
 
-from .failovers import FailoverTimeline
 from .node import ControlNode
+from .promotion.failovers import FailoverTimeline
 from .state import ControlState
 
 
--- a/packages/failover/src/dogwoodspool_failover/api.py
+++ b/packages/failover/src/dogwoodspool_failover/api.py
@@ -11,7 +11,7 @@
 )
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 from dogwoodspool_consensus import ConsensusNode
-from dogwoodspool_control.http_support import answering
+from dogwoodspool_control.http.support import answering
 from dogwoodspool_control.node import ControlNode
 
 from .diagnostics import FailoverDiagnostics
--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -8,9 +8,9 @@
     EndPromotion,
     IssueToken,
 )
-from dogwoodspool_control.failovers import FailoverPhase
 from dogwoodspool_control.models import Promotion, PromotionReason
-from dogwoodspool_control.promotion_worker import PromotionWorker
+from dogwoodspool_control.promotion.failovers import FailoverPhase
+from dogwoodspool_control.promotion.worker import PromotionWorker
 
 from .choice import (
     FailoverInput,
--- a/packages/failover/src/dogwoodspool_failover/changes.py
+++ b/packages/failover/src/dogwoodspool_failover/changes.py
@@ -1,7 +1,7 @@
 """Run the changes of primary that are in progress, one thread for each group."""
 
 from dogwoodspool_common import Phase, log_event
-from dogwoodspool_control.promotion_worker import PromotionRunner
+from dogwoodspool_control.promotion.worker import PromotionRunner
 
 from .change import PrimaryChange
 from .const import RESUME_ATTEMPTS, RESUME_RETRY_SECONDS, SERVER_CALL_TIMEOUT
--- a/packages/failover/src/dogwoodspool_failover/diagnostics.py
+++ b/packages/failover/src/dogwoodspool_failover/diagnostics.py
@@ -4,8 +4,8 @@
 from typing import Any
 
 from dogwoodspool_consensus import ConsensusNode
-from dogwoodspool_control.failovers import FailoverTimeline
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
 
 from .changes import PrimaryChanges
--- a/packages/failover/src/dogwoodspool_failover/joining.py
+++ b/packages/failover/src/dogwoodspool_failover/joining.py
@@ -16,7 +16,7 @@
 from dogwoodspool_consensus import ConsensusNode, MembershipChangeError, NotLeaderError
 from dogwoodspool_control.const import CODE_CONFLICT
 from dogwoodspool_control.errors import CommandRejectedError, LeadershipLostError
-from dogwoodspool_control.http_support import answering
+from dogwoodspool_control.http.support import answering
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_following import ControlPeers, Coordinator
 
--- a/packages/failover/src/dogwoodspool_failover/loop.py
+++ b/packages/failover/src/dogwoodspool_failover/loop.py
@@ -3,9 +3,9 @@
 from dogwoodspool_common import Clock, GroupState, Phase, log_event
 from dogwoodspool_control.command_queue import CommandQueue
 from dogwoodspool_control.commands import BeginPromotion
-from dogwoodspool_control.failovers import FailoverTimeline
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
 from dogwoodspool_control.ticking import LeaderTicker
 
--- a/packages/failover/src/dogwoodspool_failover/parts.py
+++ b/packages/failover/src/dogwoodspool_failover/parts.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 
 from dogwoodspool_common import BackendServer, Clock, log_event
-from dogwoodspool_control.failovers import FailoverTimeline
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
 
 from .const import DOUBT_GRACE_SECONDS
--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -5,11 +5,11 @@
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
 from dogwoodspool_control.command_queue import CommandQueue
-from dogwoodspool_control.failovers import FailoverTimeline
-from dogwoodspool_control.http_support import WaitSlots
+from dogwoodspool_control.http.support import WaitSlots
+from dogwoodspool_control.http.watch import WatchApi
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
-from dogwoodspool_control.watch_api import WatchApi
 
 from .api import FailoverApi, members_of
 from .changes import PrimaryChanges
--- a/packages/failover/src/dogwoodspool_failover/service.py
+++ b/packages/failover/src/dogwoodspool_failover/service.py
@@ -4,8 +4,8 @@
 
 from dogwoodspool_common import log_event
 from dogwoodspool_control.commands import ApplyDocument, Command
-from dogwoodspool_control.documents import Document, pack, unpack
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.settings.documents import Document, pack, unpack
 from dogwoodspool_control.state import ControlState
 
 from .heartbeats import HeartbeatBook
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -34,12 +34,12 @@
     RegisterProxy,
 )
 from dogwoodspool_control.errors import ReleaseFailedError
-from dogwoodspool_control.failovers import FailoverTimeline
-from dogwoodspool_control.grants import GrantTable
-from dogwoodspool_control.incarnations import IncarnationAges
+from dogwoodspool_control.grants.grants import GrantTable
+from dogwoodspool_control.membership.incarnations import IncarnationAges
 from dogwoodspool_control.models import Outcome, ProxyRecord
 from dogwoodspool_control.node import ControlNode
-from dogwoodspool_control.promotion_parts import PromotionParts
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
+from dogwoodspool_control.promotion.parts import PromotionParts
 from dogwoodspool_control.state import ControlState
 
 GROUP = "chat"
--- a/tests/control/test_grants.py
+++ b/tests/control/grants/test_grants.py
@@ -8,7 +8,7 @@
 from dogwoodspool_control.errors import LeadershipLostError, StaleIncarnationError
 from dogwoodspool_control.models import PromotionReason, Release
 
-from .fakes import FAR, GROUP, FakeLog, Voter, change_root, populate, renewal
+from ..fakes import FAR, GROUP, FakeLog, Voter, change_root, populate, renewal
 
 
 class GrantTableTests(unittest.TestCase):
--- a/tests/control/test_shares.py
+++ b/tests/control/grants/test_shares.py
@@ -3,7 +3,7 @@
 import unittest
 
 from dogwoodspool_common import ManualClock
-from dogwoodspool_control.shares import (
+from dogwoodspool_control.grants.shares import (
     ShareLedger,
     ShareRequest,
     divide_connections,
--- /dev/null
+++ b/tests/control/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control library's http."""
--- a/tests/control/test_http.py
+++ b/tests/control/http/test_http.py
@@ -15,16 +15,16 @@
 from dogwoodspool_consensus import NotConfirmedError, OutcomeUnknownError
 from dogwoodspool_control.command_queue import CommandQueue
 from dogwoodspool_control.const import MAX_WATCHERS
-from dogwoodspool_control.detector import FailureDetector
-from dogwoodspool_control.http_api import ControlApi
-from dogwoodspool_control.http_support import WaitSlots
-from dogwoodspool_control.planned import PlannedPromotions
-from dogwoodspool_control.renewals import RenewalRate, Renewals
-from dogwoodspool_control.shares import ShareLedger
-from dogwoodspool_control.sightings import Sightings
-from dogwoodspool_control.watch_api import WatchApi
-
-from .fakes import (
+from dogwoodspool_control.grants.renewals import RenewalRate, Renewals
+from dogwoodspool_control.grants.shares import ShareLedger
+from dogwoodspool_control.http.api import ControlApi
+from dogwoodspool_control.http.support import WaitSlots
+from dogwoodspool_control.http.watch import WatchApi
+from dogwoodspool_control.promotion.detector import FailureDetector
+from dogwoodspool_control.promotion.planned import PlannedPromotions
+from dogwoodspool_control.promotion.sightings import Sightings
+
+from ..fakes import (
     GROUP,
     FakeLog,
     FakeServer,
--- a/tests/control/test_departures.py
+++ b/tests/control/membership/test_departures.py
@@ -5,10 +5,10 @@
 from dogwoodspool_common import ManualClock
 from dogwoodspool_control.commands import BeginPromotion, RecordServer
 from dogwoodspool_control.const import DEPARTURE_RETRY_SECONDS
-from dogwoodspool_control.departures import Departures
+from dogwoodspool_control.membership.departures import Departures
 from dogwoodspool_control.models import PromotionReason
 
-from .fakes import GROUP, FakeLog, Voter, populate, server
+from ..fakes import GROUP, FakeLog, Voter, populate, server
 
 
 class DeparturesTests(unittest.TestCase):
--- a/tests/control/test_membership.py
+++ b/tests/control/membership/test_membership.py
@@ -12,10 +12,10 @@
     ServerStatus,
 )
 from dogwoodspool_control.commands import BootstrapGroup, RecordServer, RemoveServer
-from dogwoodspool_control.membership import Membership
-from dogwoodspool_control.sightings import Sightings
+from dogwoodspool_control.membership.membership import Membership
+from dogwoodspool_control.promotion.sightings import Sightings
 
-from .fakes import GROUP, FakeLog, Voter, observation, populate, renewal, server
+from ..fakes import GROUP, FakeLog, Voter, observation, populate, renewal, server
 
 
 def announcement(announced: BackendServer, role: Role = Role.REPLICA) -> Announcement:
--- a/tests/control/test_candidates.py
+++ b/tests/control/promotion/test_candidates.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 
 from dogwoodspool_common import BackendServer, Position, Role, ServerStatus
-from dogwoodspool_control.candidates import ChoiceInput, choose_candidate
 from dogwoodspool_control.models import AckKnowledge, Promotion, PromotionReason
+from dogwoodspool_control.promotion.candidates import ChoiceInput, choose_candidate
 from expression import Result
 
-from .fakes import GROUP, server
+from ..fakes import GROUP, server
 
 FAILED = Promotion(GROUP, 3, 2, "s1", PromotionReason.FAILED)
 PLANNED = Promotion(GROUP, 3, 2, "s1", PromotionReason.PLANNED, candidate="s2")
--- a/tests/control/test_detector.py
+++ b/tests/control/promotion/test_detector.py
@@ -3,10 +3,10 @@
 import unittest
 
 from dogwoodspool_common import Address, ManualClock, Position, Role, ServerStatus
-from dogwoodspool_control.detector import DetectorSettings, FailureDetector
 from dogwoodspool_control.models import ProxyRecord
+from dogwoodspool_control.promotion.detector import DetectorSettings, FailureDetector
 
-from .fakes import observation, renewal
+from ..fakes import observation, renewal
 
 TIMES = DetectorSettings(failure_detect=0.6, down_detect=0.15, renew_interval=0.3)
 PROXIES = {
--- a/tests/control/test_promotion.py
+++ b/tests/control/promotion/test_promotion.py
@@ -17,9 +17,9 @@
 from dogwoodspool_control.commands import BeginPromotion, ForgetProxy, RegisterProxy
 from dogwoodspool_control.errors import CommandRejectedError
 from dogwoodspool_control.models import PromotionReason
-from dogwoodspool_control.promoter import Promoter, Promotions
+from dogwoodspool_control.promotion.promoter import Promoter, Promotions
 
-from .fakes import (
+from ..fakes import (
     GROUP,
     FakeLog,
     FakeProxies,
--- a/tests/control/test_reconciler.py
+++ b/tests/control/promotion/test_reconciler.py
@@ -10,10 +10,10 @@
     EndPromotion,
 )
 from dogwoodspool_control.models import PromotionReason
-from dogwoodspool_control.reconciler import Reconciler
-from dogwoodspool_control.sightings import Sightings
+from dogwoodspool_control.promotion.reconciler import Reconciler
+from dogwoodspool_control.promotion.sightings import Sightings
 
-from .fakes import (
+from ..fakes import (
     GROUP,
     FakeLog,
     FakeServer,
--- a/tests/control/test_views.py
+++ b/tests/control/settings/test_views.py
@@ -18,8 +18,8 @@
     RemoveServer,
     encode_command,
 )
-from dogwoodspool_control.documents import Document, pack
 from dogwoodspool_control.models import Outcome
+from dogwoodspool_control.settings.documents import Document, pack
 from dogwoodspool_control.state import ControlState
 from dogwoodspool_following import ProxyView, ViewStore
 from hypothesis import given, settings
--- a/tests/control/test_ticking.py
+++ b/tests/control/test_ticking.py
@@ -5,8 +5,8 @@
 
 from dogwoodspool_common import ManualClock
 from dogwoodspool_consensus import Leadership
-from dogwoodspool_control.failovers import FailoverTimeline
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
 from dogwoodspool_control.ticking import LeaderTicker
 
--- a/tests/failover/fakes.py
+++ b/tests/failover/fakes.py
@@ -16,9 +16,9 @@
 from dogwoodspool_consensus import Leadership, NotLeaderError
 from dogwoodspool_control.commands import BeginPromotion, BootstrapGroup, Command
 from dogwoodspool_control.commands import RecordServer as Record
-from dogwoodspool_control.failovers import FailoverTimeline
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.node import ControlNode
+from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
 from dogwoodspool_failover import (
     Heartbeat,
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from dogwoodspool_common import Consistency, Role
-from dogwoodspool_control.documents import pack, unpack
+from dogwoodspool_control.settings.documents import pack, unpack
 from dogwoodspool_platform.boot import BootSettings
 from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
 from dogwoodspool_platform.heartbeat_message import (
@@ -103,7 +103,7 @@
     """A document is one change of the tree, and an older one changes nothing."""
 
     def test_a_node_that_is_no_longer_described_goes(self) -> None:
-        from dogwoodspool_control.documents import DocumentState  # noqa: PLC0415
+        from dogwoodspool_control.settings.documents import DocumentState  # noqa: PLC0415
 
         tree, state = SettingsTree(), DocumentState()
         both = config(services=[{"name": "s1"}, {"name": "s2"}])
@@ -114,7 +114,7 @@
         self.assertFalse(tree.has_group("s2"))
 
     def test_another_content_under_the_same_revision_is_not_obeyed(self) -> None:
-        from dogwoodspool_control.documents import DocumentState  # noqa: PLC0415
+        from dogwoodspool_control.settings.documents import DocumentState  # noqa: PLC0415
 
         tree, state = SettingsTree(), DocumentState()
         _, first = decode_config(config())
