Let proxies with few callers find out that they are cut off

Cause: one proxy of a cut failure domain that stays in rotation keeps the callers of all (a balancer with fewer than half of a domain's proxies uses all of them). It had few callers, and a first doubt, withdrawn when the control process beside it answered, held up the second one for 1.2 s.

Change: a poll that fails or is behind has control asked (once a second at most, since an election makes all proxies ask); with a majority of control silent the primaries of the groups in use are probed, eight at most; a withdrawn doubt holds up only weak ones.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -37,6 +37,7 @@
         # Gave no answer since one that leads, or hears the leader, last answered.
         self._silent: set[Address] = set()
         self._has_missed_answer = False
+        self._is_behind = False
         self._is_in_touch = True
         self._turn = 0
         self._successes = 0
@@ -70,6 +71,12 @@
         with self._lock:
             return self._has_missed_answer
 
+    @property
+    def is_in_question(self) -> bool:
+        """Whether the last process that was asked gave no answer, or an old one."""
+        with self._lock:
+            return self._has_missed_answer or self._is_behind
+
     @property
     def is_in_touch(self) -> bool:
         """Whether a current process has answered since a majority fell silent."""
@@ -123,8 +130,7 @@
         """Take in that a process answered as the leader."""
         with self._lock:
             self._tried.clear()
-            self._silent.clear()
-            self._has_missed_answer = False
+            self._note_current()
             self._follow(address)
 
     def note_refusal(self, address: Address, error: PeerRefusedError) -> None:
@@ -147,13 +153,14 @@
         """Turn to the next process after one answered that does not hear the leader."""
         self._note_tried(address, has_answered=False)
         self._note_heard(address)
+        with self._lock:
+            self._is_behind = True
 
     def note_success(self, address: Address) -> None:
         """Return to the preferred process after some polls of another one."""
         with self._lock:
             self._tried.pop(address, None)
-            self._silent.clear()
-            self._has_missed_answer = False
+            self._note_current()
             self._is_in_touch = True
             if self._addresses[self._turn] != address or self._turn == 0:
                 return
@@ -178,6 +185,11 @@
             if self._addresses[self._turn] == address or self._leader is None:
                 self._take_next_turn()
 
+    def _note_current(self) -> None:
+        self._silent.clear()
+        self._has_missed_answer = False
+        self._is_behind = False
+
     def _note_heard(self, address: Address) -> None:
         with self._lock:
             self._silent.discard(address)
--- a/packages/following/src/dogwoodspool_following/rotation.py
+++ b/packages/following/src/dogwoodspool_following/rotation.py
@@ -90,6 +90,7 @@
         self._in_touch_since: float | None = None
         self._refusals = 0
         self._doubt_not_before = NEVER
+        self._weak_doubt_not_before = NEVER
 
     @property
     def phase(self) -> RotationPhase:
@@ -127,17 +128,23 @@
                 self._return(reach, now)
 
     def _doubt(self, reach: Reach, now: float) -> None:
-        if reach.is_doubtful and now >= self._doubt_not_before:
+        if not reach.is_doubtful or now < self._doubt_not_before:
+            return
+        # Too few control processes have answered by now, be there a pause or not.
+        if reach.is_cut_off or now >= self._weak_doubt_not_before:
             self._enter(RotationPhase.IN_DOUBT, reach, now)
 
     def _confirm(self, reach: Reach, now: float) -> None:
         # One answer from another failure domain, and the control processes are dead or
         # the link is lossy: callers can be served.
         has_heard = reach.outside_answered_at >= self._phase_since
-        if not reach.is_doubtful or has_heard:
-            # Doubts that come and go may not add up to refusals in a row.
+        # Doubts that come and go may not add up to refusals in a row.
+        if has_heard:
             self._doubt_not_before = now + DOUBT_PAUSE_SECONDS
             self._enter(RotationPhase.SERVING, reach, now)
+        elif not reach.is_doubtful:
+            self._weak_doubt_not_before = now + DOUBT_PAUSE_SECONDS
+            self._enter(RotationPhase.SERVING, reach, now)
         elif reach.is_cut_off and now - self._phase_since >= LEAVE_AFTER_SECONDS:
             self._in_touch_since = None
             self._enter(RotationPhase.LEFT, reach, now)
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -79,6 +79,12 @@
 # Control processes that are given one report, the one believed to lead included: enough
 # to follow a refusal that names the leader.
 REPORT_ATTEMPTS: Final = 2
+# Time between two questions to control that only the failure of a poll calls for: about
+# as long as an election, in which each of thousands of proxies asks once.
+IN_QUESTION_SECONDS: Final = 1.0
+# Primaries that a process asks when a majority of control is silent: one that cannot be
+# reached shows enough, and a large deployment has thousands.
+MAX_PRIMARIES_ASKED: Final = 8
 # Pause between attempts to reach a server that failed.
 RECOVERY_PROBE_SECONDS: Final = 0.25
 # Servers that are tried at the same time: a cut failure domain has some of each group.
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -63,6 +63,13 @@
         groups = {one.group for one in view.databases.values()}
         return sum(self._is_lost(group, view.version) for group in groups)
 
+    def names(self, most: int) -> list[str]:
+        """Return the servers that probably lead the groups that callers use."""
+        view = self._views.view
+        groups = sorted({one.group for one in view.databases.values()})
+        found = (self.current(group) for group in groups[:most])
+        return [name for name in found if name is not None]
+
     def run(self, request: Request, attempt: Attempt) -> tuple[HeldConnection, Reply]:
         """Run a request on the primary.
 
--- a/packages/pooler/src/dogwoodspool_pooler/reporting.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reporting.py
@@ -14,6 +14,7 @@
 from dogwoodspool_routing import ServerTable
 
 from .const import (
+    IN_QUESTION_SECONDS,
     REPORT_ATTEMPTS,
     REPORT_CHECK_SECONDS,
     REPORT_RETRY_SECONDS,
@@ -53,6 +54,7 @@
         self._has_reported = False
         self._must_ask = False
         self._answered_at = NEVER
+        self._in_question_at = NEVER
 
     def ask_control(self) -> None:
         """Have the control leader asked soon, with or without anything to report.
@@ -66,6 +68,16 @@
         if self._clock.now() - self._answered_at >= REPORT_SECONDS:
             self.wake()
 
+    def ask_control_now_and_then(self) -> None:
+        """Have the control leader asked, at most once in a while.
+
+        During an election all proxies are told that it is under way.
+        """
+        now = self._clock.now()
+        if now - self._in_question_at >= IN_QUESTION_SECONDS:
+            self._in_question_at = now
+            self.ask_control()
+
     def step(self) -> float:
         """Report once where there is something to report."""
         reports = self._reports()
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -17,7 +17,7 @@
 
 from .access import ServerAccess
 from .connection import ServerConnection
-from .const import WATCH_WAIT_MS
+from .const import MAX_PRIMARIES_ASKED, WATCH_WAIT_MS
 from .expiry import ConnectionExpiry
 from .freshness import FreshnessBook
 from .primaries import PrimaryPath
@@ -93,7 +93,7 @@
             name, failure_domain, self._table, stalls, self._peers, client, clock
         )
         self._rotation = Rotation(clock)
-        self._rotation_watch = RotationCoordinator(self._rotation, self._reach, clock)
+        self._rotation_watch = RotationCoordinator(self._rotation, self._look, clock)
 
     @property
     def view_version(self) -> int:
@@ -163,7 +163,18 @@
         self._recovery.suspect(server)
         self._reports.ask_control()
 
-    def _reach(self) -> Reach:
+    def _look(self) -> Reach:
+        """Return what this process reaches; ask where too little is known of it.
+
+        A proxy with few callers would notice a cut only by their next requests, and one
+        such proxy keeps the callers of its whole failure domain: with fewer than half
+        of them in rotation, a balancer uses all.
+        """
+        if self._peers.is_in_question:
+            self._reports.ask_control_now_and_then()
+        if self._peers.is_majority_silent:
+            for server in self._primaries.names(MAX_PRIMARIES_ASKED):
+                self._recovery.suspect(server)
         return Reach(
             is_control_silent=self._peers.is_majority_silent,
             has_missed_answer=self._peers.has_missed_answer,
--- a/tests/following/test_control_peers.py
+++ b/tests/following/test_control_peers.py
@@ -99,6 +99,14 @@
         self.peers.note_success(FIRST)
         self.assertTrue(self.peers.is_in_touch)
 
+    def test_an_answer_that_is_behind_puts_control_in_question(self) -> None:
+        self.assertFalse(self.peers.is_in_question)
+        self.peers.note_behind(THIRD)
+        self.assertTrue(self.peers.is_in_question)
+        self.assertFalse(self.peers.has_missed_answer)
+        self.peers.note_success(SECOND)
+        self.assertFalse(self.peers.is_in_question)
+
     def test_members_that_are_gone_are_not_counted(self) -> None:
         self.peers.note_failure(FIRST)
         self.peers.note_failure(SECOND)
--- a/tests/following/test_rotation.py
+++ b/tests/following/test_rotation.py
@@ -58,6 +58,18 @@
         self.rotation.look(CUT_OFF)
         self.assertFalse(self.rotation.answer_balancer())
 
+    def test_a_first_doubt_that_passed_holds_up_no_second_one(self) -> None:
+        # The control process next to the proxy answered between two that did not, and
+        # the doubt was withdrawn. The proxy then waited for a second before it doubted
+        # again, and kept the callers of its whole failure domain for as long.
+        one_missed = replace(WELL, has_missed_answer=True, lost_groups=1)
+        self.rotation.look(one_missed)
+        self.clock.advance(LOOK_SECONDS)
+        self.rotation.look(replace(WELL, lost_groups=1))
+        self.clock.advance(LOOK_SECONDS)
+        self.look_for(LEAVE_AFTER_SECONDS, CUT_OFF)
+        self.assertIs(self.rotation.phase, RotationPhase.LEFT)
+
     def test_callers_are_moved_only_once_the_balancer_sends_them_elsewhere(
         self,
     ) -> None:
--- a/tests/pooler/test_reporting.py
+++ b/tests/pooler/test_reporting.py
@@ -145,6 +145,13 @@
         self.reports.step()
         self.assertEqual(len(self.control.taken), 1)
 
+    def test_an_election_does_not_make_all_proxies_ask_all_the_time(self) -> None:
+        for _ in range(30):
+            self.reports.ask_control_now_and_then()
+            self.reports.step()
+            self.clock.advance(0.1)
+        self.assertLessEqual(len(self.control.taken), 4)
+
     def test_it_is_asked_until_it_answers(self) -> None:
         self.control.frozen = SECOND
         self.control.leader = None
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -252,6 +252,10 @@
         self.pooler.show(primary="s2")
         self.assertEqual(self.pooler.primaries.lost_groups(), 0)
 
+    def test_the_primaries_to_ask_are_those_of_callers(self) -> None:
+        self.assertEqual(self.pooler.primaries.names(8), ["s1"])
+        self.assertEqual(self.pooler.primaries.names(0), [])
+
     def test_groups_that_no_caller_can_name_do_not_count(self) -> None:
         self.pooler.network.servers["s1"].is_down = True
         say(self.pooler.session(), "WRITE k v")
