Look among servers only while control is in question

At 5,100 groups a look at all of them, ten times a second, would take more than a proxy may spend on control (each group's servers are searched among all). Usually a look now asks three flags; in question it goes by the servers that fail.

--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -200,6 +200,8 @@
         The end of a caller's use does so as well; a pool that is not used for a while
         would keep what its last burst of callers has left.
         """
+        if not self._idle:
+            return  # Looked at without the lock: most pools of many have none.
         with self._lock:
             closing: list[ConnectionT] = []
             while self._idle and self._is_expired(self._idle[0], len(closing)):
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -73,9 +73,10 @@
 
     @property
     def is_in_question(self) -> bool:
-        """Whether the last process that was asked gave no answer, or an old one."""
+        """Whether a process gave no answer, or an old one, since a current one did."""
         with self._lock:
-            return self._has_missed_answer or self._is_behind
+            is_unheard = self._has_missed_answer or bool(self._silent)
+            return is_unheard or self._is_behind
 
     @property
     def is_in_touch(self) -> bool:
--- a/packages/following/src/dogwoodspool_following/rotation.py
+++ b/packages/following/src/dogwoodspool_following/rotation.py
@@ -4,6 +4,7 @@
 import threading
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Self
 
 from dogwoodspool_common import Clock, log_event
 from dogwoodspool_common.const import MILLISECONDS, NEVER
@@ -49,6 +50,17 @@
     lost_groups: int
     outside_answered_at: float
 
+    @classmethod
+    def in_touch(cls, is_in_touch: bool) -> Self:
+        """Return what is reached while nothing puts control in question."""
+        return cls(
+            is_control_silent=False,
+            has_missed_answer=False,
+            is_in_touch=is_in_touch,
+            lost_groups=0,
+            outside_answered_at=NEVER,
+        )
+
     @property
     def is_doubtful(self) -> bool:
         """Whether this process may be cut off."""
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -60,8 +60,9 @@
         comes: another was promoted, and this process does not know of it.
         """
         view = self._views.view
-        groups = {one.group for one in view.databases.values()}
-        return sum(self._is_lost(group, view.version) for group in groups)
+        in_doubt = self._table.failing_groups() | set(self._refusals)
+        used = {one.group for one in view.databases.values()}
+        return sum(self._is_lost(group, view.version) for group in in_doubt & used)
 
     def names(self, most: int) -> list[str]:
         """Return the servers that probably lead the groups that callers use."""
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -170,8 +170,10 @@
         such proxy keeps the callers of its whole failure domain: with fewer than half
         of them in rotation, a balancer uses all.
         """
-        if self._peers.is_in_question:
-            self._reports.ask_control_now_and_then()
+        if not self._peers.is_in_question:
+            # The usual case, ten times a second: nothing is looked for among servers.
+            return Reach.in_touch(self._peers.is_in_touch)
+        self._reports.ask_control_now_and_then()
         if self._peers.is_majority_silent:
             for server in self._primaries.names(MAX_PRIMARIES_ASKED):
                 self._recovery.suspect(server)
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -245,6 +245,8 @@
         self._renew.wake()
 
     def _reach(self) -> Reach:
+        if not self._peers.is_in_question:
+            return Reach.in_touch(self._peers.is_in_touch)
         return Reach(
             is_control_silent=self._peers.is_majority_silent,
             has_missed_answer=self._peers.has_missed_answer,
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -60,6 +60,15 @@
                 default=NEVER,
             )
 
+    def failing_groups(self) -> set[str]:
+        """Return the groups that have a server which could not be reached."""
+        with self._lock:
+            return {
+                record.server.group
+                for record in self._records.values()
+                if record.is_failing
+            }
+
     def observations(self) -> list[Observation]:
         """Return how this proxy sees the servers that it has tried to reach."""
         with self._lock:
--- a/tests/connections/test_expiry.py
+++ b/tests/connections/test_expiry.py
@@ -8,6 +8,11 @@
 
 from dogwoodspool_common import Address, BackendServer, ManualClock
 from dogwoodspool_connections import ConnectionPool, PoolSettings, PoolTimeoutError
+from dogwoodspool_pooler.const import (
+    EXPIRY_LOOK_SECONDS,
+    IDLE_EXPIRY_SECONDS,
+    SURPLUS_EXPIRY_SECONDS,
+)
 
 SERVER = BackendServer(
     name="s1",
@@ -128,13 +133,17 @@
         network = FakeNetwork(clock)
         pools = [pool_of(network, self.settings) for _ in range(self.proxies)]
         events: list[Event] = []
+        looked_at = 0.0
         for number in range(self.proxies):
             self._arrive(events, 0.0, number, rng)
         while events:
             at, _, number, held = heapq.heappop(events)
+            while looked_at + EXPIRY_LOOK_SECONDS < at:
+                looked_at += EXPIRY_LOOK_SECONDS
+                clock.advance(max(0.0, looked_at - clock.now()))
+                for pool in pools:
+                    pool.close_expired()
             clock.advance(max(0.0, at - clock.now()))
-            for pool in pools:
-                pool.close_expired()
             if held is not None:
                 held.answered_at = clock.now()
                 pools[number].release(held, reuse=True)
@@ -178,8 +187,10 @@
     """
 
     def test_most_connections_are_left_for_the_processes_that_return(self) -> None:
-        without = PoolSettings(idle_expiry=1.0)
-        taken = PoolSettings(idle_expiry=1.0, surplus_expiry=0.12)
+        without = PoolSettings(idle_expiry=IDLE_EXPIRY_SECONDS)
+        taken = PoolSettings(
+            idle_expiry=IDLE_EXPIRY_SECONDS, surplus_expiry=SURPLUS_EXPIRY_SECONDS
+        )
         for seed in range(3):
             with self.subTest(seed=seed):
                 kept = list(Load(without, seed).samples())
