Give the tests of refused votes a whole budget of log lines

Lines of one event are limited for the whole process, 200 at once and 20 a second by the machine's clock; the state-machine tests before had used them up. With the budget used up on purpose 4 of the class fail before and none after. Not the product: the limit is meant. The check is as strict as before.

--- a/tests/consensus/test_vote_refusals.py
+++ b/tests/consensus/test_vote_refusals.py
@@ -3,7 +3,9 @@
 import unittest
 from collections.abc import Iterator
 from contextlib import contextmanager
+from unittest import mock
 
+from dogwoodspool_common.log import LineBudget
 from dogwoodspool_consensus.const import PATH_VOTE
 from dogwoodspool_consensus.messages import VoteRequest
 from loguru import logger
@@ -14,11 +16,16 @@
 
 @contextmanager
 def logged() -> Iterator[list[str]]:
-    """Collect the lines that are logged."""
+    """Collect the lines that are logged.
+
+    Each time with a whole budget of lines: tests that ran before in this process may
+    have used up that of an event, and it fills again by the machine's clock.
+    """
     lines: list[str] = []
     sink = logger.add(lambda line: lines.append(str(line)), format="{message}")
     try:
-        yield lines
+        with mock.patch("dogwoodspool_common.log._budget", LineBudget()):
+            yield lines
     finally:
         logger.remove(sink)
 
