Look at the surroundings in one place for both kinds of proxy

Both proxies wrote the look at control and servers again, with the shortcut for the usual case; the rotation's coordinator has it now, and asks what is the proxy's own of Surroundings (pooler: groups in use; MySQL: grants). What ControlPeers knows of control's answers is read at one moment (ControlContact) in place of four locks. One method asks control in place of two.

--- a/packages/following/src/dogwoodspool_following/__init__.py
+++ b/packages/following/src/dogwoodspool_following/__init__.py
@@ -1,15 +1,16 @@
 """Follow the committed state of control from another process."""
 
-from .control_peers import ControlPeers
+from .control_peers import ControlContact, ControlPeers
 from .coordinator import Coordinator
 from .open_sessions import OpenSessions
 from .rotation import Reach, Rotation, RotationPhase
-from .rotation_watch import Callers, RotationCoordinator
+from .rotation_watch import Callers, RotationCoordinator, Surroundings
 from .view import ProxyView, ViewListener, ViewStore
 from .watch import WatchCoordinator
 
 __all__ = [
     "Callers",
+    "ControlContact",
     "ControlPeers",
     "Coordinator",
     "OpenSessions",
@@ -18,6 +19,7 @@
     "Rotation",
     "RotationCoordinator",
     "RotationPhase",
+    "Surroundings",
     "ViewListener",
     "ViewStore",
     "WatchCoordinator",
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from dogwoodspool_api import MemberMessage
 from dogwoodspool_common import Address, PeerRefusedError, log_event
@@ -10,6 +11,27 @@
 from .const import POLLS_BEFORE_RETURN
 
 
+@dataclass(frozen=True, slots=True)
+class ControlContact:
+    """How far control answers.
+
+    Attributes:
+        is_majority_silent: too few processes answer to make decisions among themselves.
+            During an election a majority still answers, if only that none of them
+            leads. Without one, the group's decisions are taken where this process
+            reaches nobody, or nowhere.
+        has_missed_answer: the process that was asked last gave no answer.
+        is_in_question: a process gave no answer, or an old one, since a current one
+            last answered.
+        is_in_touch: a current process has answered a poll since a majority fell silent.
+    """
+
+    is_majority_silent: bool
+    has_missed_answer: bool
+    is_in_question: bool
+    is_in_touch: bool
+
+
 class ControlPeers:
     """Remember which control process leads, and take turns without one.
 
@@ -54,35 +76,15 @@
         with self._lock:
             return self._leader is not None
 
-    @property
-    def is_majority_silent(self) -> bool:
-        """Whether too few processes answer to make decisions among themselves.
-
-        During an election a majority still answers, if only that none of them leads.
-        Without one, the group's decisions are taken where this process reaches
-        nobody, or nowhere.
-        """
-        with self._lock:
-            return self._lacks_majority()
-
-    @property
-    def has_missed_answer(self) -> bool:
-        """Whether the last process that was asked gave no answer."""
-        with self._lock:
-            return self._has_missed_answer
-
-    @property
-    def is_in_question(self) -> bool:
-        """Whether a process gave no answer, or an old one, since a current one did."""
-        with self._lock:
-            is_unheard = self._has_missed_answer or bool(self._silent)
-            return is_unheard or self._is_behind
-
-    @property
-    def is_in_touch(self) -> bool:
-        """Whether a current process has answered since a majority fell silent."""
+    def contact(self) -> ControlContact:
+        """Return how far control answers, all of it at one moment."""
         with self._lock:
-            return self._is_in_touch
+            return ControlContact(
+                is_majority_silent=self._lacks_majority(),
+                has_missed_answer=self._has_missed_answer,
+                is_in_question=bool(self._silent) or self._is_behind,
+                is_in_touch=self._is_in_touch,
+            )
 
     def leader_or_next(self) -> Address:
         """Return the leader's address, or the next one to ask."""
--- a/packages/following/src/dogwoodspool_following/rotation.py
+++ b/packages/following/src/dogwoodspool_following/rotation.py
@@ -4,7 +4,6 @@
 import threading
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Self
 
 from dogwoodspool_common import Clock, log_event
 from dogwoodspool_common.const import MILLISECONDS, NEVER
@@ -15,6 +14,7 @@
     LEAVE_AFTER_SECONDS,
     RETURN_AFTER_SECONDS,
 )
+from .control_peers import ControlContact
 
 
 class RotationPhase(StrEnum):
@@ -36,35 +36,22 @@
     """What a process reaches of the rest of the system, as one look shows it.
 
     Attributes:
-        is_control_silent: too few control processes answer to make decisions.
-        has_missed_answer: the control process that was asked last gave no answer.
-        is_in_touch: a control process that hears the leader has answered since.
-        lost_groups: database groups of which no primary can be reached.
+        control: how far control answers.
+        lost_groups: database groups of which no primary can be reached; only looked
+            for while control is in question.
         outside_answered_at: clock seconds of the last answer of a backend server in
-            another failure domain.
+            another failure domain; likewise.
     """
 
-    is_control_silent: bool
-    has_missed_answer: bool
-    is_in_touch: bool
-    lost_groups: int
-    outside_answered_at: float
-
-    @classmethod
-    def in_touch(cls, is_in_touch: bool) -> Self:
-        """Return what is reached while nothing puts control in question."""
-        return cls(
-            is_control_silent=False,
-            has_missed_answer=False,
-            is_in_touch=is_in_touch,
-            lost_groups=0,
-            outside_answered_at=NEVER,
-        )
+    control: ControlContact
+    lost_groups: int = 0
+    outside_answered_at: float = NEVER
 
     @property
     def is_doubtful(self) -> bool:
         """Whether this process may be cut off."""
-        is_unheard = self.is_control_silent or self.has_missed_answer
+        control = self.control
+        is_unheard = control.is_majority_silent or control.has_missed_answer
         return is_unheard and self.lost_groups > 0
 
     @property
@@ -76,7 +63,7 @@
         replaced within seconds, and is lost for all proxies. Both together mean that
         the side with the majority goes on without this process.
         """
-        return self.is_control_silent and self.lost_groups > 0
+        return self.control.is_majority_silent and self.lost_groups > 0
 
 
 class Rotation:
@@ -164,7 +151,7 @@
             self._enter(RotationPhase.LEFT, reach, now)
 
     def _return(self, reach: Reach, now: float) -> None:
-        if reach.is_control_silent or not reach.is_in_touch:
+        if reach.control.is_majority_silent or not reach.control.is_in_touch:
             self._in_touch_since = None
         elif self._in_touch_since is None:
             self._in_touch_since = now
@@ -179,8 +166,8 @@
             phase=phase,
             before=self._phase,
             after_ms=_milliseconds(now - self._phase_since),
-            control_silent=reach.is_control_silent,
-            in_touch=reach.is_in_touch,
+            control_silent=reach.control.is_majority_silent,
+            in_touch=reach.control.is_in_touch,
             lost_groups=reach.lost_groups,
             outside_silent_ms=_milliseconds(now - reach.outside_answered_at),
             refused_balancer=self._refusals,
--- a/packages/following/src/dogwoodspool_following/rotation_watch.py
+++ b/packages/following/src/dogwoodspool_following/rotation_watch.py
@@ -1,11 +1,11 @@
 """Look at what this process reaches, and move callers once it leaves the rotation."""
 
-from collections.abc import Callable
 from typing import Protocol
 
 from dogwoodspool_common import Clock, log_event
 
 from .const import LOOK_SECONDS, MOVE_SECONDS, MOVE_SHARE
+from .control_peers import ControlContact, ControlPeers
 from .coordinator import Coordinator
 from .rotation import Reach, Rotation
 
@@ -18,6 +18,22 @@
         ...
 
 
+class Surroundings(Protocol):
+    """What else a process reaches; looked at while control is in question."""
+
+    def look_closer(self, control: ControlContact) -> None:
+        """Ask for what the requests of few callers would show too late."""
+        ...
+
+    def lost_groups(self) -> int:
+        """Return how many groups in use have no primary in reach."""
+        ...
+
+    def answered_outside(self) -> float:
+        """Return when a server of another failure domain last answered."""
+        ...
+
+
 class RotationCoordinator(Coordinator):
     """Keep the rotation up to date, and let callers reconnect elsewhere.
 
@@ -29,12 +45,14 @@
     def __init__(
         self,
         rotation: Rotation,
-        reach: Callable[[], Reach],
+        peers: ControlPeers,
+        surroundings: Surroundings,
         clock: Clock,
     ) -> None:
         super().__init__("rotation", clock)
         self._rotation = rotation
-        self._reach = reach
+        self._peers = peers
+        self._surroundings = surroundings
         self._callers: Callers | None = None
         self._out_since: float | None = None
         self._moved = 0
@@ -55,6 +73,18 @@
             self._move()
         return LOOK_SECONDS
 
+    def _reach(self) -> Reach:
+        control = self._peers.contact()
+        if not control.is_in_question:
+            # The usual case, ten times a second: nothing is looked for among servers.
+            return Reach(control)
+        self._surroundings.look_closer(control)
+        return Reach(
+            control,
+            self._surroundings.lost_groups(),
+            self._surroundings.answered_outside(),
+        )
+
     def _move(self) -> None:
         if self._callers is None:
             return
--- a/packages/pooler/src/dogwoodspool_pooler/reporting.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reporting.py
@@ -14,7 +14,6 @@
 from dogwoodspool_routing import ServerTable
 
 from .const import (
-    IN_QUESTION_SECONDS,
     REPORT_ATTEMPTS,
     REPORT_CHECK_SECONDS,
     REPORT_RETRY_SECONDS,
@@ -54,30 +53,25 @@
         self._has_reported = False
         self._must_ask = False
         self._answered_at = NEVER
-        self._in_question_at = NEVER
+        self._asked_at = NEVER
 
-    def ask_control(self) -> None:
+    def ask_control(self, *, at_most_every: float = 0.0) -> None:
         """Have the control leader asked soon, with or without anything to report.
 
         One question at a time, and not sooner than reports follow each other: a server
         that is slow for all its callers raises a doubt with each of them.
+
+        Args:
+            at_most_every: seconds from one question to the next.
         """
-        if self._must_ask:
+        now = self._clock.now()
+        if self._must_ask or now - self._asked_at < at_most_every:
             return
+        self._asked_at = now
         self._must_ask = True
-        if self._clock.now() - self._answered_at >= REPORT_SECONDS:
+        if now - self._answered_at >= REPORT_SECONDS:
             self.wake()
 
-    def ask_control_now_and_then(self) -> None:
-        """Have the control leader asked, at most once in a while.
-
-        During an election all proxies are told that it is under way.
-        """
-        now = self._clock.now()
-        if now - self._in_question_at >= IN_QUESTION_SECONDS:
-            self._in_question_at = now
-            self.ask_control()
-
     def step(self) -> float:
         """Report once where there is something to report."""
         reports = self._reports()
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -7,7 +7,6 @@
     Callers,
     ControlPeers,
     ProxyView,
-    Reach,
     Rotation,
     RotationCoordinator,
     ViewStore,
@@ -17,7 +16,7 @@
 
 from .access import ServerAccess
 from .connection import ServerConnection
-from .const import MAX_PRIMARIES_ASKED, WATCH_WAIT_MS
+from .const import WATCH_WAIT_MS
 from .expiry import ConnectionExpiry
 from .freshness import FreshnessBook
 from .primaries import PrimaryPath
@@ -28,6 +27,7 @@
 from .session import PooledSession
 from .sessions import PooledSessions
 from .stalls import StallBook
+from .surroundings import GroupSurroundings
 from .transactions import TransactionPath
 from .writes import WritePath
 
@@ -68,7 +68,6 @@
             clock,
         )
         primaries = PrimaryPath(self._views, self._table, access, clock)
-        self._primaries = primaries
         reads = ReadPath(
             self._views,
             self._table,
@@ -93,7 +92,12 @@
             name, failure_domain, self._table, stalls, self._peers, client, clock
         )
         self._rotation = Rotation(clock)
-        self._rotation_watch = RotationCoordinator(self._rotation, self._look, clock)
+        surroundings = GroupSurroundings(
+            failure_domain, primaries, self._table, self._recovery, self._reports
+        )
+        self._rotation_watch = RotationCoordinator(
+            self._rotation, self._peers, surroundings, clock
+        )
 
     @property
     def view_version(self) -> int:
@@ -163,30 +167,6 @@
         self._recovery.suspect(server)
         self._reports.ask_control()
 
-    def _look(self) -> Reach:
-        """Return what this process reaches; ask where too little is known of it.
-
-        A proxy with few callers would notice a cut only by their next requests, and one
-        such proxy keeps the callers of its whole failure domain: with fewer than half
-        of them in rotation, a balancer uses all.
-        """
-        if not self._peers.is_in_question:
-            # The usual case, ten times a second: nothing is looked for among servers.
-            return Reach.in_touch(self._peers.is_in_touch)
-        self._reports.ask_control_now_and_then()
-        if self._peers.is_majority_silent:
-            for server in self._primaries.names(MAX_PRIMARIES_ASKED):
-                self._recovery.suspect(server)
-        return Reach(
-            is_control_silent=self._peers.is_majority_silent,
-            has_missed_answer=self._peers.has_missed_answer,
-            is_in_touch=self._peers.is_in_touch,
-            lost_groups=self._primaries.lost_groups(),
-            outside_answered_at=self._table.answered_outside(
-                self._views.failure_domain
-            ),
-        )
-
     def _follow(self, view: ProxyView) -> None:
         self._table.adopt_committed(view.servers.values())
         log_event(
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -21,7 +21,6 @@
 from dogwoodspool_following import (
     ControlPeers,
     ProxyView,
-    Reach,
     Rotation,
     RotationCoordinator,
     ViewStore,
@@ -44,6 +43,7 @@
 from .renew import RenewCoordinator
 from .routers import GroupRouters
 from .sessions import CallerSessions
+from .surroundings import ProxySurroundings
 from .transactions import TransactionPath
 from .writes import WritePath
 
@@ -185,7 +185,10 @@
         )
         self._rotation = Rotation(self._clock)
         self._rotation_watch = RotationCoordinator(
-            self._rotation, self._reach, self._clock
+            self._rotation,
+            self._peers,
+            ProxySurroundings(self._views, self._grants, self._table),
+            self._clock,
         )
 
     def _build_renewal(self) -> RenewCoordinator:
@@ -244,24 +247,6 @@
     def _renew_now(self) -> None:
         self._renew.wake()
 
-    def _reach(self) -> Reach:
-        if not self._peers.is_in_question:
-            return Reach.in_touch(self._peers.is_in_touch)
-        return Reach(
-            is_control_silent=self._peers.is_majority_silent,
-            has_missed_answer=self._peers.has_missed_answer,
-            is_in_touch=self._peers.is_in_touch,
-            lost_groups=self._lost_groups(),
-            outside_answered_at=self._table.answered_outside(
-                self._views.failure_domain
-            ),
-        )
-
-    def _lost_groups(self) -> int:
-        """Return how many groups cannot be written from here."""
-        groups = self._views.view.groups
-        return sum(self._grants.current(group) is None for group in groups)
-
     def _observe(self) -> list[Observation]:
         return self._table.observations()
 
--- a/tests/following/test_control_peers.py
+++ b/tests/following/test_control_peers.py
@@ -62,32 +62,32 @@
 
     def test_two_silent_ones_of_three_are_a_majority(self) -> None:
         self.peers.note_failure(FIRST)
-        self.assertFalse(self.peers.is_majority_silent)
+        self.assertFalse(self.peers.contact().is_majority_silent)
         self.peers.note_failure(SECOND)
-        self.assertTrue(self.peers.is_majority_silent)
-        self.assertFalse(self.peers.is_in_touch)
+        self.assertTrue(self.peers.contact().is_majority_silent)
+        self.assertFalse(self.peers.contact().is_in_touch)
 
     def test_the_one_that_is_cut_off_as_well_does_not_help(self) -> None:
         self.peers.note_failure(FIRST)
         self.peers.note_failure(SECOND)
         self.peers.note_behind(THIRD)
         self.peers.note_refusal(THIRD, refusal(FIRST))
-        self.assertTrue(self.peers.is_majority_silent)
+        self.assertTrue(self.peers.contact().is_majority_silent)
 
     def test_an_election_is_no_cut(self) -> None:
         self.peers.note_failure(FIRST)
-        self.assertTrue(self.peers.has_missed_answer)
+        self.assertTrue(self.peers.contact().has_missed_answer)
         for _ in range(10):
             self.peers.note_refusal(SECOND, refusal(FIRST))
             self.peers.note_refusal(THIRD, refusal(FIRST))
-        self.assertFalse(self.peers.is_majority_silent)
-        self.assertFalse(self.peers.has_missed_answer)
+        self.assertFalse(self.peers.contact().is_majority_silent)
+        self.assertFalse(self.peers.contact().has_missed_answer)
 
     def test_a_leader_that_answers_ends_the_silence(self) -> None:
         self.peers.note_failure(FIRST)
         self.peers.note_failure(SECOND)
         self.peers.note_led(THIRD)
-        self.assertFalse(self.peers.is_majority_silent)
+        self.assertFalse(self.peers.contact().is_majority_silent)
 
     def test_only_a_poll_of_a_current_process_brings_back_in_touch(self) -> None:
         # The leader answers a report while the poll for the view still hangs on a
@@ -95,17 +95,17 @@
         self.peers.note_failure(FIRST)
         self.peers.note_failure(SECOND)
         self.peers.note_led(FIRST)
-        self.assertFalse(self.peers.is_in_touch)
+        self.assertFalse(self.peers.contact().is_in_touch)
         self.peers.note_success(FIRST)
-        self.assertTrue(self.peers.is_in_touch)
+        self.assertTrue(self.peers.contact().is_in_touch)
 
     def test_an_answer_that_is_behind_puts_control_in_question(self) -> None:
-        self.assertFalse(self.peers.is_in_question)
+        self.assertFalse(self.peers.contact().is_in_question)
         self.peers.note_behind(THIRD)
-        self.assertTrue(self.peers.is_in_question)
-        self.assertFalse(self.peers.has_missed_answer)
+        self.assertTrue(self.peers.contact().is_in_question)
+        self.assertFalse(self.peers.contact().has_missed_answer)
         self.peers.note_success(SECOND)
-        self.assertFalse(self.peers.is_in_question)
+        self.assertFalse(self.peers.contact().is_in_question)
 
     def test_members_that_are_gone_are_not_counted(self) -> None:
         self.peers.note_failure(FIRST)
@@ -115,4 +115,4 @@
             for one in (THIRD, Address("127.0.0.1", 4), Address("127.0.0.1", 5))
         ]
         self.peers.adopt(kept)
-        self.assertFalse(self.peers.is_majority_silent)
+        self.assertFalse(self.peers.contact().is_majority_silent)
--- a/tests/following/test_rotation.py
+++ b/tests/following/test_rotation.py
@@ -5,7 +5,12 @@
 
 from dogwoodspool_common import ManualClock
 from dogwoodspool_common.const import NEVER
-from dogwoodspool_following import Reach, Rotation, RotationPhase
+from dogwoodspool_following import (
+    ControlContact,
+    Reach,
+    Rotation,
+    RotationPhase,
+)
 from dogwoodspool_following.const import (
     LEAVE_AFTER_SECONDS,
     LOOK_SECONDS,
@@ -13,19 +18,24 @@
 )
 
 WELL = Reach(
-    is_control_silent=False,
-    has_missed_answer=False,
-    is_in_touch=True,
-    lost_groups=0,
-    outside_answered_at=NEVER,
+    ControlContact(
+        is_majority_silent=False,
+        has_missed_answer=False,
+        is_in_question=False,
+        is_in_touch=True,
+    )
 )
 CUT_OFF = Reach(
-    is_control_silent=True,
-    has_missed_answer=True,
-    is_in_touch=False,
+    ControlContact(
+        is_majority_silent=True,
+        has_missed_answer=True,
+        is_in_question=True,
+        is_in_touch=False,
+    ),
     lost_groups=1,
-    outside_answered_at=NEVER,
 )
+# One control process gave no answer, and a group has lost its primary.
+MISSED = Reach(replace(WELL.control, has_missed_answer=True), lost_groups=1)
 
 
 class RotationTestCase(unittest.TestCase):
@@ -62,8 +72,7 @@
         # The control process next to the proxy answered between two that did not, and
         # the doubt was withdrawn. The proxy then waited for a second before it doubted
         # again, and kept the callers of its whole failure domain for as long.
-        one_missed = replace(WELL, has_missed_answer=True, lost_groups=1)
-        self.rotation.look(one_missed)
+        self.rotation.look(MISSED)
         self.clock.advance(LOOK_SECONDS)
         self.rotation.look(replace(WELL, lost_groups=1))
         self.clock.advance(LOOK_SECONDS)
@@ -107,7 +116,7 @@
         # For the others control has no leader for a second, but a majority answers.
         lost = replace(WELL, lost_groups=2)
         for _ in range(10):
-            self.rotation.look(replace(lost, has_missed_answer=True))
+            self.rotation.look(replace(MISSED, lost_groups=2))
             self.clock.advance(LOOK_SECONDS)
             self.rotation.look(lost)
             self.clock.advance(LOOK_SECONDS)
@@ -166,7 +175,8 @@
     def test_it_waits_for_its_view(self) -> None:
         # A leader answers a report while the poll for the view still hangs: the old
         # view names primaries that were replaced during the cut.
-        self.look_for(10.0, replace(WELL, is_in_touch=False))
+        out_of_touch = replace(WELL.control, is_in_touch=False)
+        self.look_for(10.0, Reach(out_of_touch))
         self.assertIs(self.rotation.phase, RotationPhase.LEFT)
 
     def test_a_cut_that_comes_and_goes_moves_callers_once(self) -> None:
--- a/tests/following/test_rotation_load.py
+++ b/tests/following/test_rotation_load.py
@@ -5,9 +5,12 @@
 from dataclasses import dataclass, field
 
 from dogwoodspool_common import ManualClock
-from dogwoodspool_following import Reach, Rotation, RotationCoordinator
+from dogwoodspool_following import Rotation, RotationCoordinator
 from dogwoodspool_following.const import LOOK_SECONDS
 
+from .test_rotation import CUT_OFF, WELL
+from .test_rotation_watch import FakeReach, coordinator
+
 PROXIES = 4
 ONE_OFF_PER_SECOND = 120
 SESSIONS_PER_PROXY = 10
@@ -30,27 +33,24 @@
     misses: int = 0
     closed: int = 0
     rotation: Rotation = field(init=False)
+    fake: FakeReach = field(init=False)
     watch: RotationCoordinator = field(init=False)
 
     def __post_init__(self) -> None:
         self.rotation = Rotation(self.clock)
-        self.watch = RotationCoordinator(self.rotation, self.reach, self.clock)
+        self.fake = FakeReach()
+        self.watch = coordinator(self.rotation, self.fake, self.clock)
         self.watch.follow(self)
 
     @property
     def is_in_rotation(self) -> bool:
         return self.misses < MISSES
 
-    def reach(self) -> Reach:
+    def look(self) -> None:
         now = self.clock.now()
         is_cut = CUT_AT + self.detects_after <= now < CUT_UNTIL
-        return Reach(
-            is_control_silent=is_cut,
-            has_missed_answer=is_cut,
-            is_in_touch=not is_cut,
-            lost_groups=2 if is_cut else 0,
-            outside_answered_at=CUT_AT if is_cut else now,
-        )
+        self.fake.reach = CUT_OFF if is_cut else WELL
+        self.watch.step()
 
     def close_idle(self, share: float) -> int:
         closed = min(self.sessions, max(1, round(self.sessions * share)))
@@ -79,7 +79,7 @@
         for tick in range(round(END / LOOK_SECONDS)):
             for proxy in proxies:
                 if self.leaves:
-                    proxy.watch.step()
+                    proxy.look()
                 self._ask(proxy, tick)
             self._reconnect(proxies, rng)
             self._send(proxies, clock.now(), rng)
--- a/tests/following/test_rotation_watch.py
+++ b/tests/following/test_rotation_watch.py
@@ -1,10 +1,16 @@
 """Tests of moving callers away from a process that left the rotation."""
 
 import unittest
-from dataclasses import replace
+from typing import cast
 
 from dogwoodspool_common import ManualClock
-from dogwoodspool_following import Reach, Rotation, RotationCoordinator
+from dogwoodspool_following import (
+    ControlContact,
+    ControlPeers,
+    Reach,
+    Rotation,
+    RotationCoordinator,
+)
 from dogwoodspool_following.const import (
     LEAVE_AFTER_SECONDS,
     LOOK_SECONDS,
@@ -15,6 +21,33 @@
 from .test_rotation import CUT_OFF, WELL
 
 
+class FakeReach:
+    """Control and the servers, as a test says that a look finds them."""
+
+    def __init__(self, reach: Reach = WELL) -> None:
+        self.reach = reach
+        self.looked_closer = 0
+
+    def contact(self) -> ControlContact:
+        return self.reach.control
+
+    def look_closer(self, control: ControlContact) -> None:
+        self.looked_closer += 1
+
+    def lost_groups(self) -> int:
+        return self.reach.lost_groups
+
+    def answered_outside(self) -> float:
+        return self.reach.outside_answered_at
+
+
+def coordinator(
+    rotation: Rotation, fake: FakeReach, clock: ManualClock
+) -> RotationCoordinator:
+    """Return a coordinator that finds what the fake says."""
+    return RotationCoordinator(rotation, cast(ControlPeers, fake), fake, clock)
+
+
 class FakeCallers:
     """Callers whose idle connections can be closed."""
 
@@ -35,9 +68,9 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.rotation = Rotation(self.clock)
-        self.reach: Reach = WELL
+        self.fake = FakeReach()
         self.callers = FakeCallers(100)
-        self.watch = RotationCoordinator(self.rotation, lambda: self.reach, self.clock)
+        self.watch = coordinator(self.rotation, self.fake, self.clock)
         self.watch.follow(self.callers)
 
     def step_for(self, seconds: float) -> None:
@@ -45,7 +78,7 @@
             self.clock.advance(self.watch.step())
 
     def leave(self) -> None:
-        self.reach = CUT_OFF
+        self.fake.reach = CUT_OFF
         self.step_for(LEAVE_AFTER_SECONDS)
         self.rotation.answer_balancer()
         self.rotation.answer_balancer()
@@ -54,8 +87,17 @@
         self.step_for(10.0)
         self.assertEqual(self.callers.closed, [])
 
+    def test_servers_are_looked_at_only_while_control_is_in_question(self) -> None:
+        # With thousands of groups a look at all of them, ten times a second, costs more
+        # than a proxy may spend.
+        self.step_for(10.0)
+        self.assertEqual(self.fake.looked_closer, 0)
+        self.fake.reach = CUT_OFF
+        self.step_for(1.0)
+        self.assertGreater(self.fake.looked_closer, 5)
+
     def test_nobody_is_moved_before_the_balancer_knows(self) -> None:
-        self.reach = CUT_OFF
+        self.fake.reach = CUT_OFF
         self.step_for(10.0)
         self.assertEqual(self.callers.closed, [])
 
@@ -78,7 +120,7 @@
     def test_a_second_cut_moves_callers_again(self) -> None:
         self.leave()
         self.step_for(MOVE_SECONDS)
-        self.reach = replace(WELL)
+        self.fake.reach = WELL
         self.step_for(10.0)
         self.rotation.answer_balancer()
         self.callers.idle, self.callers.closed = 50, []
--- a/tests/pooler/test_reporting.py
+++ b/tests/pooler/test_reporting.py
@@ -12,6 +12,7 @@
     PeerRefusedError,
 )
 from dogwoodspool_following import ControlPeers
+from dogwoodspool_pooler.const import IN_QUESTION_SECONDS
 from dogwoodspool_pooler.reporting import ReportCoordinator
 from dogwoodspool_pooler.stalls import StallBook
 from dogwoodspool_routing import ServerTable
@@ -147,7 +148,7 @@
 
     def test_an_election_does_not_make_all_proxies_ask_all_the_time(self) -> None:
         for _ in range(30):
-            self.reports.ask_control_now_and_then()
+            self.reports.ask_control(at_most_every=IN_QUESTION_SECONDS)
             self.reports.step()
             self.clock.advance(0.1)
         self.assertLessEqual(len(self.control.taken), 4)
@@ -159,9 +160,9 @@
         self.reports.ask_control()
         for _ in range(6):
             self.clock.advance(self.reports.step())
-        self.assertTrue(self.peers.is_majority_silent)
+        self.assertTrue(self.peers.contact().is_majority_silent)
         self.control.frozen, self.control.leader = None, THIRD
         for _ in range(6):
             self.clock.advance(self.reports.step())
         self.assertGreaterEqual(len(self.control.taken), 1)
-        self.assertFalse(self.peers.is_majority_silent)
+        self.assertFalse(self.peers.contact().is_majority_silent)
