Let only a connection that does not come up count against its server

A statement on a pooled connection that had ended counted as a failure of its server, so that all its requests went elsewhere until it was probed; a passed deadline had been taken out of that by an error of its own. The mark belongs to connecting alone, as the comment said.

--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -233,7 +233,7 @@
                 replies = connection.exchange(statements, deadline)
             is_answered = True
         except BackendError as error:
-            self.report_failure(server, error)
+            self.note_trouble(server, error)
             raise
         finally:
             elapsed = self._clock.now() - began_at
@@ -248,20 +248,22 @@
         """Take in how far a primary was that surely held its place."""
         self._freshness.note(server.group, position, asked_at)
 
-    def report_failure(self, server: BackendServer, error: BackendError) -> None:
-        """Note that a server did not answer as it should.
+    def note_unreachable(self, server: BackendServer, error: BackendError) -> None:
+        """Note that no connection came up, which counts against the server."""
+        if error.suggests_unreachable:
+            is_down = isinstance(error, ServerDownError)
+            self._table.note_failure(server.name, is_down=is_down)
+        self.note_trouble(server, error)
+
+    def note_trouble(self, server: BackendServer, error: BackendError) -> None:
+        """Note that a statement got no answer, or its connection had ended.
 
-        A connection that did not come up counts against the server. One that was
-        lost, or a statement without an answer, only has the server asked at once:
-        connections are lost and statements slow on servers that work.
+        Only the server is asked at once: connections are lost and statements slow on
+        servers that work.
         """
         log_rate_limited("server_failed", server=server.name, reason=error)
-        if not error.suggests_unreachable:
-            return
-        if isinstance(error, ConnectFailedError):
-            is_down = isinstance(error, ServerDownError)
-            self._table.note_failure(server.name, is_down=is_down)
-        self._suspect(server.name)
+        if error.suggests_unreachable:
+            self._suspect(server.name)
 
     def _connect(
         self,
@@ -297,7 +299,7 @@
                 if has_none:
                     self._clock.sleep(min(remaining, CONNECTION_RETRY_SECONDS))
             except ConnectFailedError as error:
-                self.report_failure(backend.server, error)
+                self.note_unreachable(backend.server, error)
                 raise
 
 
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -157,6 +157,8 @@
         self._is_open = False
 
     def exchange(self, statements: Sequence[Statement], deadline: float) -> list[Reply]:
+        if not self._is_open:
+            raise ConnectFailedError("the connection is closed")
         if self._fake.is_down:
             self._is_open = False
             raise OutcomeUnknownError("down")
--- a/tests/pooler/test_recovery.py
+++ b/tests/pooler/test_recovery.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 
 from dogwoodspool_common import BackendServer, Role
-from dogwoodspool_connections import DeadlinePassedError, ServerDownError
+from dogwoodspool_connections import (
+    ConnectFailedError,
+    DeadlinePassedError,
+    ServerDownError,
+)
+from dogwoodspool_pooler import Statement, StatementKind
 from dogwoodspool_pooler.recovery import RecoveryProber
 from dogwoodspool_pooler.registry import BackendRegistry
 
@@ -78,19 +83,39 @@
         self.assertFalse(DeadlinePassedError("too late").suggests_unreachable)
         servers = [FakeServer("s1", Role.PRIMARY), FakeServer("s2", Role.REPLICA)]
         pooler = Pooler(servers)
-        pooler.access.report_failure(
+        pooler.access.note_unreachable(
             servers[0].described(), DeadlinePassedError("too late")
         )
         known = pooler.table.get("s1")
         assert known is not None
         self.assertFalse(known.is_failing)
         self.assertEqual(pooler.suspected, [])
-        pooler.access.report_failure(servers[0].described(), ServerDownError("down"))
+        pooler.access.note_unreachable(servers[0].described(), ServerDownError("down"))
+        self.assertEqual(pooler.suspected, ["s1"])
+
+    def test_a_connection_that_had_ended_only_has_the_server_asked(self) -> None:
+        # A transaction's connection was cut between two of its statements. The second
+        # one took the server for unreachable, and all requests went elsewhere or were
+        # refused until it had been probed.
+        pooler = Pooler([FakeServer("s1", Role.PRIMARY)])
+        server = pooler.network.servers["s1"].described()
+        connection = pooler.network.connect(server, pooler.clock.now() + 1.0)
+        connection.close()
+        with self.assertRaises(ConnectFailedError):
+            pooler.access.exchange(
+                server,
+                connection,
+                [Statement(StatementKind.READ)],
+                pooler.clock.now() + 1.0,
+            )
+        known = pooler.table.get("s1")
+        assert known is not None
+        self.assertFalse(known.is_failing)
         self.assertEqual(pooler.suspected, ["s1"])
 
     def test_the_next_request_is_served(self) -> None:
         pooler = Pooler([FakeServer("s1", Role.PRIMARY)])
-        pooler.access.report_failure(
+        pooler.access.note_unreachable(
             pooler.network.servers["s1"].described(), DeadlinePassedError("too late")
         )
         self.assertIsNone(say(pooler.session(), "WRITE k v").error)
