--- a/features/mutations/guards/promotions.py
+++ b/features/mutations/guards/promotions.py
@@ -36,8 +36,9 @@
 
 def replica_chosen_blindly() -> None:
     """Promote the replica that is furthest behind."""
+    from dogwoodspool_control.models import ChoiceRefusal
     from dogwoodspool_control.promotion import choose_step
-    from dogwoodspool_control.promotion.candidates import Choice, ChoiceRefusal
+    from dogwoodspool_control.promotion.candidates import Choice
     from expression import Error, Ok
 
     def choose_candidate(given: Any) -> Any:
--- a/packages/control/src/dogwoodspool_control/grants/grants.py
+++ b/packages/control/src/dogwoodspool_control/grants/grants.py
@@ -7,7 +7,7 @@
 
 from dogwoodspool_api import Grant, RenewRequest
 from dogwoodspool_common import Clock, GroupState, Phase, Position
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.const import MILLISECONDS, NEVER
 from dogwoodspool_consensus import Leadership
 
 from ..errors import LeadershipLostError, StaleIncarnationError
@@ -249,7 +249,7 @@
 
     def _expiry(self, key: tuple[str, str, str]) -> float:
         holding = self._holdings.get(key)
-        return float("-inf") if holding is None else holding.expires_at
+        return NEVER if holding is None else holding.expires_at
 
     def _acks_of(self, group: str) -> _GroupAcks:
         return self._acks.setdefault(group, _GroupAcks({}, set()))
--- a/packages/control/src/dogwoodspool_control/membership/upkeep.py
+++ b/packages/control/src/dogwoodspool_control/membership/upkeep.py
@@ -4,7 +4,7 @@
 
 from dogwoodspool_backend import BackendError
 from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Role
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.const import MILLISECONDS, NEVER
 from dogwoodspool_sessions import is_covered
 
 from ..commands import Command, LowerLeaseBound, SettleWriteAcks
@@ -76,7 +76,7 @@
             group = self._state.group(name)
             if group is None or group.phase is not Phase.STEADY:
                 continue
-            if now - self._asked_at.get(name, float("-inf")) < AUDIT_SECONDS:
+            if now - self._asked_at.get(name, NEVER) < AUDIT_SECONDS:
                 continue
             server = self._state.servers.get(group.primary or "")
             if server is not None:
--- a/packages/control/src/dogwoodspool_control/models.py
+++ b/packages/control/src/dogwoodspool_control/models.py
@@ -124,3 +124,15 @@
     positions: tuple[Position, ...]
     is_complete: bool
     is_replicated: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceRefusal:
+    """Why no server can be promoted now.
+
+    Attributes:
+        waiting_for: servers whose answer may resolve it.
+    """
+
+    reason: str
+    waiting_for: tuple[str, ...]
--- a/packages/control/src/dogwoodspool_control/promotion/candidates.py
+++ b/packages/control/src/dogwoodspool_control/promotion/candidates.py
@@ -7,7 +7,7 @@
 from dogwoodspool_sessions import is_covered, is_lost
 from expression import Error, Ok, Result
 
-from ..models import AckKnowledge, Promotion, PromotionReason
+from ..models import AckKnowledge, ChoiceRefusal, Promotion, PromotionReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,18 +18,6 @@
     offset: int
 
 
-@dataclass(frozen=True, slots=True)
-class ChoiceRefusal:
-    """Why no server can be promoted now.
-
-    Attributes:
-        waiting_for: servers whose answer may resolve it.
-    """
-
-    reason: str
-    waiting_for: tuple[str, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class ChoiceInput:
     """What the choice is decided on.
--- a/packages/control/src/dogwoodspool_control/promotion/choose_step.py
+++ b/packages/control/src/dogwoodspool_control/promotion/choose_step.py
@@ -14,9 +14,9 @@
     STATUS_POLL_SECONDS,
 )
 from ..grants.release import GroupRelease
-from ..models import Promotion, PromotionReason
+from ..models import ChoiceRefusal, Promotion, PromotionReason
 from ..progress import PromotionProgress
-from .candidates import Choice, ChoiceInput, ChoiceRefusal, choose_candidate
+from .candidates import Choice, ChoiceInput, choose_candidate
 from .failovers import FailoverPhase
 from .parts import PromotionParts
 from .server_poll import ServerPoll
--- a/packages/control/src/dogwoodspool_control/promotion/reconciler.py
+++ b/packages/control/src/dogwoodspool_control/promotion/reconciler.py
@@ -3,6 +3,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Role
+from dogwoodspool_common.const import NEVER
 
 from ..const import FOLLOW_RETRY_SECONDS
 from ..state import ControlState
@@ -58,7 +59,7 @@
         is_behind = sighting.position.term < group.term
         if not is_behind and sighting.role is not Role.PRIMARY:
             return False
-        told_at = self._told_at.get(server.name, float("-inf"))
+        told_at = self._told_at.get(server.name, NEVER)
         return self._clock.now() - told_at >= FOLLOW_RETRY_SECONDS
 
     def _tell(self, server: BackendServer, primary: BackendServer, term: int) -> None:
--- a/packages/control/src/dogwoodspool_control/promotion/server_poll.py
+++ b/packages/control/src/dogwoodspool_control/promotion/server_poll.py
@@ -5,6 +5,7 @@
 
 from dogwoodspool_backend import BackendError, RoleChanger
 from dogwoodspool_common import BackendServer, Clock, ServerStatus
+from dogwoodspool_common.const import NEVER
 
 from ..const import STATUS_POLL_SECONDS
 
@@ -37,7 +38,7 @@
         now = self._clock.now()
         asked = set(self._calls.values())
         for server in servers:
-            asked_at = self._asked_at.get(server.name, float("-inf"))
+            asked_at = self._asked_at.get(server.name, NEVER)
             if server.name in asked or now - asked_at < STATUS_POLL_SECONDS:
                 continue
             self._asked_at[server.name] = now
--- a/packages/control/src/dogwoodspool_control/promotion/sightings.py
+++ b/packages/control/src/dogwoodspool_control/promotion/sightings.py
@@ -5,6 +5,7 @@
 
 from dogwoodspool_api import Announcement, Observation, RenewRequest
 from dogwoodspool_common import BackendServer, Clock, Position, Role
+from dogwoodspool_common.const import NEVER
 
 from ..const import MAX_SERVERS
 
@@ -71,12 +72,12 @@
     def announced_at(self, server: BackendServer) -> float:
         """Return when exactly these properties were last announced."""
         with self._lock:
-            return self._announced_at.get((server.name, server), float("-inf"))
+            return self._announced_at.get((server.name, server), NEVER)
 
     def renewed_at(self, failure_domain: str) -> float:
         """Return when a proxy of a failure domain last renewed."""
         with self._lock:
-            return self._renewed_at.get(failure_domain, float("-inf"))
+            return self._renewed_at.get(failure_domain, NEVER)
 
     def _note_announcement(self, announcement: Announcement, now: float) -> None:
         known = self._sightings.get(announcement.server)
--- a/packages/control/src/dogwoodspool_control/readiness.py
+++ b/packages/control/src/dogwoodspool_control/readiness.py
@@ -3,6 +3,7 @@
 import threading
 
 from dogwoodspool_common import Clock
+from dogwoodspool_common.const import NEVER
 from dogwoodspool_consensus import ConsensusError
 
 from .const import READINESS_SECONDS
@@ -20,7 +21,7 @@
         self._clock = clock
         self._node = node
         self._lock = threading.Lock()
-        self._checked_at = float("-inf")
+        self._checked_at = NEVER
         self._is_ready = False
 
     def is_ready(self) -> bool:
--- a/packages/failover/src/dogwoodspool_failover/choice.py
+++ b/packages/failover/src/dogwoodspool_failover/choice.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_control.models import ChoiceRefusal
 from expression import Error, Ok, Result
 
 from .models import Choice, ServerState
@@ -19,18 +20,6 @@
 COPIES: Final = 1
 
 
-@dataclass(frozen=True, slots=True)
-class ChoiceRefusal:
-    """Why no server can be chosen now.
-
-    Attributes:
-        waiting_for: servers whose answer may resolve it.
-    """
-
-    reason: str
-    waiting_for: tuple[str, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class FailoverInput:
     """What the choice is decided on when a primary has failed.
--- a/packages/failover/src/dogwoodspool_failover/departures.py
+++ b/packages/failover/src/dogwoodspool_failover/departures.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, log_event
+from dogwoodspool_common.const import NEVER
 from dogwoodspool_control.commands import BeginPromotion, Command, RemoveServer
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.state import ControlState
@@ -107,7 +108,7 @@
     def _is_time(self, key: str, pause: float) -> bool:
         now = self._clock.now()
         with self._lock:
-            if now - self._tried_at.get(key, float("-inf")) < pause:
+            if now - self._tried_at.get(key, NEVER) < pause:
                 return False
             self._tried_at[key] = now
             return True
