Log requests that wait for a thread, failed polls' time, and which view brings a configuration

Callers saw late configurations and a service that did not come back; logs could not tell whether votes and appends waited behind polls, whether a poll had hung or was refused, or in which view of a proxy an acknowledged configuration is in force.

--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -1,6 +1,7 @@
 """JSON over HTTP for the system's other processes, balancers and operators."""
 
 import json
+import logging
 import socket
 import threading
 from collections.abc import Callable, Iterable, Mapping
@@ -18,7 +19,7 @@
     MAX_HTTP_BODY_BYTES,
 )
 from .errors import DogwoodspoolError
-from .log import log_event
+from .log import log_event, log_rate_limited
 from .models import Address
 from .problems import first_problem
 from .signature import RequestSigner
@@ -108,6 +109,9 @@
             clear_untrusted_proxy_headers=True,
             ident="dogwoodspool",
         )
+        self._server.task_dispatcher.queue_logger = _queue_logger(
+            self._address, threads
+        )
         self._thread = threading.Thread(
             target=self._server.run, name="http-server", daemon=True
         )
@@ -198,6 +202,31 @@
             return error_response(500, "internal", type(error).__name__)
 
 
+class _WaitingRequests(logging.Handler):
+    """Log how many requests wait because every thread of a server is taken."""
+
+    def __init__(self, address: Address, threads: int) -> None:
+        super().__init__()
+        self._address = address
+        self._threads = threads
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Turn the library's warning, whose argument is the depth of its queue."""
+        log_rate_limited(
+            "http_requests_waiting",
+            server=self._address,
+            threads=self._threads,
+            waiting=record.args[0] if isinstance(record.args, tuple) else None,
+        )
+
+
+def _queue_logger(address: Address, threads: int) -> logging.Logger:
+    """Return a logger for one server; it passes nothing on to other handlers."""
+    logger = logging.Logger(f"http-queue-{address}")
+    logger.addHandler(_WaitingRequests(address, threads))
+    return logger
+
+
 def _status_line(status: int) -> str:
     return f"{status} {HTTPStatus(status).phrase}"
 
--- a/packages/failover/src/dogwoodspool_failover/service.py
+++ b/packages/failover/src/dogwoodspool_failover/service.py
@@ -56,14 +56,18 @@
         self._commit(self._heartbeats.end(name, incarnation))
         self._wake()
 
-    def apply_document(self, revision: int, document: Document, author: str) -> None:
+    def apply_document(self, revision: int, document: Document, author: str) -> int:
         """Put a document in force; one that is not newer changes nothing.
 
+        Returns:
+            Version of the view from which on it, or a newer one, is in force.
+
         Raises:
             CommandRejectedError: it was refused and is not in force.
         """
         self._node.require_leadership()
         self._node.commit(ApplyDocument(revision, pack(document), author))
+        return self._state.version
 
     def source(self) -> str | None:
         """Return the text of the newest document; None before the first.
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -54,14 +54,15 @@
     def step(self) -> float:
         """Wait for one newer view."""
         address = self._peers.any()
+        asked_at = self._clock.now()
         try:
             response = self._poll(address)
         except PeerRefusedError as error:
-            log_rate_limited("watch_failed", address=address, reason=error)
+            self._log_failure(address, asked_at, error)
             self._peers.note_refusal(address, error)
             return RETRY_PAUSE_SECONDS
         except (HttpError, ValidationError) as error:
-            log_rate_limited("watch_failed", address=address, reason=error)
+            self._log_failure(address, asked_at, error)
             self._peers.note_failure(address)
             return RETRY_PAUSE_SECONDS
         # A cut-off process names a leader of long ago; the renewals know better.
@@ -85,6 +86,16 @@
             self._peers.note_behind(address)
         return 0.0
 
+    def _log_failure(self, address: Address, asked_at: float, error: Exception) -> None:
+        elapsed = self._clock.now() - asked_at
+        log_rate_limited(
+            "watch_failed",
+            address=address,
+            view=self._views.view.version,
+            elapsed_ms=round(elapsed * MILLISECONDS),
+            reason=error,
+        )
+
     def _poll(self, address: Address) -> WatchResponse:
         query = {
             QUERY_AFTER: str(self._views.view.version),
