Let each proxy ask the control processes in an order of its own

All processes know the same addresses at their start and asked the first of them; the proxies of a failure domain whose control process was lost all turned to the same next one, 48 of 76 where two of five were lost.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -1,5 +1,6 @@
 """The control processes as a proxy finds them."""
 
+import hashlib
 import threading
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -42,15 +43,23 @@
     lead who was asked in vain, until each process has been asked.
 
     Args:
-        addresses: those known at the start, in the order of preference.
+        addresses: those known at the start.
         failure_domain: where this process runs; control processes there go first,
             since what they send stays inside it.
+        name: name of this process. The others have the same addresses: each asks them
+            in an order of its own, so that they do not all ask the same first one, nor
+            all turn to the same next one when a control process is lost. Without a name
+            the given order is kept.
     """
 
     def __init__(
-        self, addresses: tuple[Address, ...], failure_domain: str = ""
+        self,
+        addresses: tuple[Address, ...],
+        failure_domain: str = "",
+        name: str = "",
     ) -> None:
-        self._addresses = addresses
+        self._name = name
+        self._addresses = tuple(sorted(addresses, key=self._turn_of))
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._leader: Address | None = None
@@ -104,7 +113,11 @@
         """
         ordered = sorted(
             members,
-            key=lambda one: (one.failure_domain != self._failure_domain, one.address),
+            key=lambda one: (
+                one.failure_domain != self._failure_domain,
+                self._turn_of(Address.parse(one.address)),
+                one.address,
+            ),
         )
         addresses = tuple(Address.parse(one.address) for one in ordered)
         with self._lock:
@@ -172,6 +185,12 @@
                 self._successes = 0
                 self._turn = 0
 
+    def _turn_of(self, address: Address) -> bytes:
+        """Return what orders the addresses, differently for each name."""
+        if not self._name:
+            return b""
+        return hashlib.sha256(f"{self._name} {address}".encode()).digest()
+
     def _follow(self, leader: Address) -> None:
         if leader != self._leader:
             log_event("control_leader", address=leader)
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -52,7 +52,7 @@
         clock: Clock,
     ) -> None:
         self._views = ViewStore(failure_domain, clock)
-        self._peers = ControlPeers(control, failure_domain)
+        self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(self._views, connector, clock)
         self._expiry = ConnectionExpiry(self._registry, clock)
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -172,7 +172,7 @@
 
     def _build_coordinators(self) -> None:
         settings = self._settings
-        self._peers = ControlPeers(settings.control_addresses)
+        self._peers = ControlPeers(settings.control_addresses, name=settings.name)
         self._watch = WatchCoordinator(
             self._views, self._peers, self._client, self._clock
         )
