--- /dev/null
+++ b/tests/common/test_http_connections.py
@@ -0,0 +1,74 @@
+"""Tests of an HTTP server with more connections than its library's default.
+
+A change that was confirmed did not reach some proxies at all, and a control process
+that was needed for a quorum got no votes: it accepted no connection any more. The HTTP
+library stops at 100 open connections, each proxy keeps one to every control process
+that it has asked, and those of proxies that lost their power stay open for two minutes.
+With 194 proxies and three of five control processes, 97 proxies had no view 23 s after
+the others, and the leader wrote:
+
+    total open connections reached the connection limit, no longer accepting ...
+"""
+
+import resource
+import socket
+import unittest
+from pathlib import Path
+
+from dogwoodspool_common import Address, JsonRequest, JsonResponse, JsonServer, Route
+
+CALLERS = 1_200
+PATIENCE_SECONDS = 10.0
+# Columns of the kernel's table of connections, and the mark of a keep-alive timer.
+LOCAL_COLUMN, TIMER_COLUMN = 1, 5
+KEEPALIVE_TIMER = "02:"
+
+
+def answer(_request: JsonRequest) -> JsonResponse:
+    return JsonResponse({"status": "live"})
+
+
+class ConnectionTests(unittest.TestCase):
+    """Idle connections keep nobody out, and do not outlast their callers' machines."""
+
+    def setUp(self) -> None:
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wanted = min(hard, 4 * CALLERS)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
+        route = Route("GET", "/live", answer)
+        server = JsonServer(Address("127.0.0.1", 0), None, [route], threads=2)
+        server.set_up()
+        self.addCleanup(server.unload)
+        self.address = server.address
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection(
+            (self.address.host, self.address.port), PATIENCE_SECONDS
+        )
+        self.addCleanup(sock.close)
+        return sock
+
+    def ask(self, sock: socket.socket) -> bytes:
+        sock.sendall(b"GET /live HTTP/1.1\r\nHost: one\r\n\r\n")
+        return sock.recv(4096).split(b"\r\n")[0]
+
+    def test_connections_that_idle_keep_nobody_out(self) -> None:
+        """Guard against a limit of connections that suits a few proxies only."""
+        for _ in range(CALLERS):
+            self.assertEqual(self.ask(self.connect()), b"HTTP/1.1 200 OK")
+
+    def test_the_kernel_looks_after_connections_that_idle(self) -> None:
+        """Guard against connections that outlast the power of their callers."""
+        sock = self.connect()
+        self.ask(sock)
+        self.assertEqual(self.timers(), [KEEPALIVE_TIMER])
+
+    def timers(self) -> list[str]:
+        """Return the timers of the server's established connections."""
+        port = f":{self.address.port:04X}"
+        rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()]
+        return [
+            row[TIMER_COLUMN][:3]
+            for row in rows[1:]
+            if row[LOCAL_COLUMN].endswith(port) and row[3] == "01"
+        ]
