Keep as many connections to a control process as there are proxies

Callers saw changes that never came into force, and no service after the machines had returned. The HTTP library accepts no connection while 100 are open, and each proxy keeps one to every control process that it has asked: 97 of 194 proxies had no view 23 s after the others (`total open connections reached the connection limit, no longer accepting new connections`), and a process that is needed for a quorum shuts out votes and entries alike. Connections of callers without power counted for two minutes, as nothing looked after them.

Ruled out: threads (with the crowd's fault mended and this one not, the same 97 of 194 had no view; with this one mended alone all 194 had theirs where two of the three known processes had lost their disks, and none where the three were the ones left).

A server keeps up to 3,000 connections, waits for them with poll(), which has no highest descriptor, and has the kernel probe idle ones (found dead within 4 s).

--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -37,6 +37,7 @@
     write_ready_file,
 )
 from .signature import RequestSigner
+from .tcp import TCP_OPTIONS
 from .trace import current_traceparent, set_up_tracing, span
 
 __all__ = [
@@ -63,6 +64,7 @@
     "Route",
     "SettingsError",
     "SystemClock",
+    "TCP_OPTIONS",
     "current_traceparent",
     "error_response",
     "first_problem",
--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -12,9 +12,19 @@
 # opening packet would be sent again: another try is sooner.
 HTTP_CONNECT_TIMEOUT: Final = 0.4
 DEFAULT_HTTP_THREADS: Final = 32
+# Connections that one server keeps open, most of them idle ones of proxies that have
+# asked it before; within the descriptors of a small instance.
+MAX_HTTP_CONNECTIONS: Final = 3_000
 MAX_HTTP_BODY_BYTES: Final = 8 * 1024 * 1024
 
 MILLISECONDS: Final = 1000.0
+
+# A peer that is cut off answers no keep-alive: found within about 4 s, while a process
+# that is only slow still acknowledges packets.
+KEEPALIVE_IDLE_SECONDS: Final = 2
+KEEPALIVE_INTERVAL_SECONDS: Final = 1
+KEEPALIVE_PROBES: Final = 2
+UNACKNOWLEDGED_MS: Final = 2_000
 FIRST_ERROR_STATUS: Final = 400
 
 # A control process that does not lead answers with this code, and names the leader.
--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -7,22 +7,24 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Any
+from typing import Any, cast
 from urllib.parse import parse_qsl
 
 from pydantic import ValidationError
-from waitress.server import create_server
+from waitress.server import BaseWSGIServer, create_server
 
 from .const import (
     DEFAULT_HTTP_THREADS,
     HEADER_SIGNATURE,
     MAX_HTTP_BODY_BYTES,
+    MAX_HTTP_CONNECTIONS,
 )
 from .errors import DogwoodspoolError
 from .log import log_event, log_rate_limited
 from .models import Address
 from .problems import first_problem
 from .signature import RequestSigner
+from .tcp import TCP_OPTIONS
 from .trace import span
 
 
@@ -101,17 +103,22 @@
         ]
         listener = socket.create_server((address.host, address.port), backlog=1024)
         self._address = Address(address.host, int(listener.getsockname()[1]))
-        self._server = create_server(
+        server = create_server(
             self._application,
             sockets=[listener],
             threads=threads,
             max_request_body_size=MAX_HTTP_BODY_BYTES,
             clear_untrusted_proxy_headers=True,
             ident="dogwoodspool",
+            # The library's own limit of 100 shut out peers where proxies were many.
+            connection_limit=MAX_HTTP_CONNECTIONS,
+            asyncore_use_poll=True,
         )
-        self._server.task_dispatcher.queue_logger = _queue_logger(
-            self._address, threads
-        )
+        self._server = cast(BaseWSGIServer, server)  # It has one socket.
+        # Without keep-alive those of callers without power would count for minutes.
+        self._server.adj.socket_options = list(TCP_OPTIONS)
+        self._server.logger = _warnings_logger(self._address)
+        self._server.task_dispatcher.queue_logger = self._server.logger
         self._thread = threading.Thread(
             target=self._server.run, name="http-server", daemon=True
         )
@@ -202,28 +209,27 @@
             return error_response(500, "internal", type(error).__name__)
 
 
-class _WaitingRequests(logging.Handler):
-    """Log how many requests wait because every thread of a server is taken."""
+class _LibraryWarnings(logging.Handler):
+    """Log what the HTTP library warns of, such as requests that wait for a thread."""
 
-    def __init__(self, address: Address, threads: int) -> None:
+    def __init__(self, address: Address) -> None:
         super().__init__()
         self._address = address
-        self._threads = threads
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Turn the library's warning, whose argument is the depth of its queue."""
+        """Turn one of the library's warnings into an event."""
         log_rate_limited(
-            "http_requests_waiting",
+            "http_server_warning",
+            level="WARNING",
             server=self._address,
-            threads=self._threads,
-            waiting=record.args[0] if isinstance(record.args, tuple) else None,
+            reason=record.getMessage(),
         )
 
 
-def _queue_logger(address: Address, threads: int) -> logging.Logger:
+def _warnings_logger(address: Address) -> logging.Logger:
     """Return a logger for one server; it passes nothing on to other handlers."""
-    logger = logging.Logger(f"http-queue-{address}")
-    logger.addHandler(_WaitingRequests(address, threads))
+    logger = logging.Logger(f"http-server-{address}", logging.WARNING)
+    logger.addHandler(_LibraryWarnings(address))
     return logger
 
 
--- /dev/null
+++ b/packages/common/src/dogwoodspool_common/tcp.py
@@ -0,0 +1,26 @@
+"""Options of TCP connections between machines."""
+
+import socket
+from typing import Final
+
+from .const import (
+    KEEPALIVE_IDLE_SECONDS,
+    KEEPALIVE_INTERVAL_SECONDS,
+    KEEPALIVE_PROBES,
+    UNACKNOWLEDGED_MS,
+)
+
+TCP_OPTIONS: Final = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
+"""Level, option and value of each option that a connection needs.
+
+A peer behind a partition does not reset its connections. Without keep-alive and a bound
+on unacknowledged bytes, reads and writes would wait for hours, and connections of peers
+that are gone would add up.
+"""
--- a/tests/failover/test_poll_load.py
+++ b/tests/failover/test_poll_load.py
@@ -4,9 +4,7 @@
 into force. All proxies asked for their first view, which a control process gives once a
 quorum has confirmed it. Each question held one of its 24 threads for 0.4 s, and votes,
 which time out after 0.5 s, stood in the queue behind the questions. With 194 proxies
-and three of five control processes left, 763 elections in 40 s had no leader:
-
-    event=http_requests_waiting server=127.0.3.1:28711 threads=24 waiting=52
+and three of five control processes left, 763 elections in 40 s had no leader.
 """
 
 import json
