Give a poll of control up soon after the time that it may be held

Callers of a proxy were served by an old configuration for longer than a change may take to be in force.

--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -4,8 +4,12 @@
 
 # Short, since a poll to a cut-off process waits in vain for so long.
 DEFAULT_WATCH_WAIT_MS: Final = 2_000
-# Time beyond the wait in which a control process must answer a poll.
-WATCH_TIMEOUT_MARGIN: Final = 2.0
+# Time beyond the wait in which a control process must answer a poll: above a lost
+# packet's second transmission. Two silent processes in a row must not hide a change for
+# longer than the few seconds in which it has to be in force.
+WATCH_TIMEOUT_MARGIN: Final = 0.5
+# The same for the first view, which waits for a quorum besides and is whole.
+FIRST_VIEW_TIMEOUT_MARGIN: Final = 1.5
 RETRY_PAUSE_SECONDS: Final = 0.1
 # How far an idle transaction may outlast its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -19,7 +19,12 @@
 from dogwoodspool_common.const import MILLISECONDS
 from pydantic import ValidationError
 
-from .const import DEFAULT_WATCH_WAIT_MS, RETRY_PAUSE_SECONDS, WATCH_TIMEOUT_MARGIN
+from .const import (
+    DEFAULT_WATCH_WAIT_MS,
+    FIRST_VIEW_TIMEOUT_MARGIN,
+    RETRY_PAUSE_SECONDS,
+    WATCH_TIMEOUT_MARGIN,
+)
 from .control_peers import ControlPeers
 from .coordinator import Coordinator
 from .view import ViewStore
@@ -103,8 +108,10 @@
             QUERY_AFTER: str(self._views.view.version),
             QUERY_WAIT_MS: str(self._wait_ms),
         }
+        margin = WATCH_TIMEOUT_MARGIN
         if not self._views.is_filled:
             query[QUERY_CONFIRMED] = "1"
-        timeout = self._wait_ms / MILLISECONDS + WATCH_TIMEOUT_MARGIN
+            margin = FIRST_VIEW_TIMEOUT_MARGIN
+        timeout = self._wait_ms / MILLISECONDS + margin
         answer = self._client.get(address, PATH_WATCH, query, timeout)
         return WatchResponse.model_validate(answer)
--- a/tests/following/test_watch_loss.py
+++ b/tests/following/test_watch_loss.py
@@ -2,9 +2,9 @@
 
 A proxy served by an old configuration for longer than a change may take to be in force.
 It polled a control process that had stopped answering, without a reset, gave that poll
-up 2 s after the second for which it may be held, and met the next process that was lost.
-In a day with one lost failure domain a view came into force 0.1 s after this line, while
-the other proxies had it a second and more before:
+up 2 s after the second for which it may be held, and met the next process that was
+lost. In a day with one lost failure domain a view came into force 0.1 s after this
+line, while the other proxies had it a second and more before:
 
     event=watch_failed reason="... Read timed out"
 """
