--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -101,6 +101,7 @@
         self._templates = [
             route for route in self._routes.values() if route.path.endswith("}")
         ]
+        _follow_library_warnings()
         listener = socket.create_server((address.host, address.port), backlog=1024)
         self._address = Address(address.host, int(listener.getsockname()[1]))
         server = create_server(
@@ -117,8 +118,6 @@
         self._server = cast(BaseWSGIServer, server)  # It has one socket.
         # Without keep-alive those of callers without power would count for minutes.
         self._server.adj.socket_options = list(TCP_OPTIONS)
-        self._server.logger = _warnings_logger(self._address)
-        self._server.task_dispatcher.queue_logger = self._server.logger
         self._thread = threading.Thread(
             target=self._server.run, name="http-server", daemon=True
         )
@@ -212,25 +211,22 @@
 class _LibraryWarnings(logging.Handler):
     """Log what the HTTP library warns of, such as requests that wait for a thread."""
 
-    def __init__(self, address: Address) -> None:
-        super().__init__()
-        self._address = address
-
     def emit(self, record: logging.LogRecord) -> None:
-        """Turn one of the library's warnings into an event."""
+        """Turn one of the library's warnings into an event of one line."""
+        error = record.exc_info[1] if record.exc_info else None
         log_rate_limited(
             "http_server_warning",
             level="WARNING",
-            server=self._address,
             reason=record.getMessage(),
+            error=repr(error) if error is not None else None,
         )
 
 
-def _warnings_logger(address: Address) -> logging.Logger:
-    """Return a logger for one server; it passes nothing on to other handlers."""
-    logger = logging.Logger(f"http-server-{address}", logging.WARNING)
-    logger.addHandler(_LibraryWarnings(address))
-    return logger
+def _follow_library_warnings() -> None:
+    logger = logging.getLogger("waitress")
+    if not any(isinstance(one, _LibraryWarnings) for one in logger.handlers):
+        logger.addHandler(_LibraryWarnings(logging.WARNING))
+        logger.propagate = False
 
 
 def _status_line(status: int) -> str:
--- a/tests/common/test_http_connections.py
+++ b/tests/common/test_http_connections.py
@@ -10,10 +10,12 @@
     total open connections reached the connection limit, no longer accepting ...
 """
 
+import logging
 import resource
 import socket
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from dogwoodspool_common import Address, JsonRequest, JsonResponse, JsonServer, Route
 
@@ -63,6 +65,20 @@
         self.ask(sock)
         self.assertEqual(self.timers(), [KEEPALIVE_TIMER])
 
+    def test_what_the_library_warns_of_is_an_event(self) -> None:
+        """Guard against lines of another form, a traceback for each lost peer."""
+        with patch("dogwoodspool_common.http_server.log_rate_limited") as log:
+            try:
+                raise TimeoutError("timed out")
+            except TimeoutError:
+                logging.getLogger("waitress").exception("Socket error")
+        log.assert_called_once_with(
+            "http_server_warning",
+            level="WARNING",
+            reason="Socket error",
+            error="TimeoutError('timed out')",
+        )
+
     def timers(self) -> list[str]:
         """Return the timers of the server's established connections."""
         port = f":{self.address.port:04X}"
