Replay the loss of power with real control processes and 194 proxies

Guards against both faults at once, from outside: five control processes are killed, two come back without their disks, and 194 proxies poll them.

--- /dev/null
+++ b/tests/platform/test_power_loss.py
@@ -0,0 +1,150 @@
+"""Tests of the return of the whole system after a loss of power, with many proxies.
+
+All instances lost their power and came back, two control processes without their disks,
+and nothing was served any more: no proxy had a view, and the configuration could not be
+read. Every proxy polled the control processes at once. Those polls held all threads of
+the three that were needed for a majority, so that no vote was answered in time, and
+each of these accepted a hundred connections and no other. With 194 proxies, 763
+elections began in 40 s without a leader; with the threads mended alone 97 proxies never
+got a view:
+
+    reason="total open connections reached the connection limit, ..."
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import unittest
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+from dogwoodspool_api.const import PATH_STATUS
+from dogwoodspool_common import Address, HttpError, JsonClient, SystemClock
+from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
+
+from .standin import call
+from .test_messages import config
+from .test_system import eventually, free_ports
+
+ROOT: Final = Path(__file__).resolve().parents[2]
+HOSTS: Final = tuple(f"127.0.4.{number}" for number in range(1, 6))
+SEEDS: Final = HOSTS[:3]
+LOST_DISKS: Final = HOSTS[3:]
+PROXIES: Final = 194
+WAIT_MS: Final = 1_000
+BOOT: Final = """
+node = "{host}"
+ip = "{host}"
+zone = "{host}"
+internalPorts = [{inner}, {inner}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+dataDir = "{data}"
+[listen]
+control = "{host}:{control}"
+[cloud]
+addr = "127.0.0.1:9"
+[faultTolerance]
+machines = 2
+"""
+
+
+class PowerLossTests(unittest.TestCase):
+    """Five control processes, two of which come back without their disks."""
+
+    def setUp(self) -> None:
+        self.enterContext(folder := tempfile.TemporaryDirectory())
+        self.folder = Path(folder.name)
+        self.inner, self.control = free_ports(2)
+        self.client = JsonClient(None)
+        self.addCleanup(self.client.close)
+        self.processes: list[subprocess.Popen[bytes]] = []
+        self.addCleanup(self.kill_all)
+
+    def start(self, host: str, *, bootstrap: bool) -> None:
+        data = self.folder / host
+        data.mkdir(exist_ok=True)
+        boot = self.folder / f"{host}.toml"
+        text = BOOT.format(
+            host=host,
+            inner=self.inner,
+            control=self.control,
+            seeds=", ".join(f'"{one}:{self.control}"' for one in SEEDS),
+            bootstrap=str(bootstrap).lower(),
+            data=data,
+        )
+        boot.write_text(text)
+        process = subprocess.Popen(
+            [sys.executable, "platform/launch.py", "core"],
+            cwd=ROOT,
+            env={**os.environ, "DOGWOODSPOOL_BOOT": str(boot)},
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        self.processes.append(process)
+
+    def kill_all(self) -> None:
+        for process in self.processes:
+            process.kill()
+        for process in self.processes:
+            process.wait()
+        self.processes.clear()
+
+    def voters(self) -> int:
+        try:
+            status = self.client.get(Address(HOSTS[0], self.inner), PATH_STATUS)
+        except HttpError:
+            return 0
+        members: list[dict[str, Any]] = status["voters"]
+        return sum(bool(one["is_voter"]) for one in members)
+
+    def put(self, version: int) -> None:
+        def is_acknowledged() -> bool:
+            urls = (f"http://{one}:{self.control}/dogwoodspool/config" for one in HOSTS)
+            return any(
+                call("PUT", url, config(version=version))[0] == 200 for url in urls
+            )
+
+        eventually(is_acknowledged, f"configuration {version} is acknowledged")
+
+    def follow(self, number: int) -> ViewStore:
+        """Start what a proxy follows control with."""
+        clock = SystemClock()
+        domain = HOSTS[number % len(HOSTS)]
+        views = ViewStore(domain, clock)
+        known = tuple(Address(one, self.inner) for one in SEEDS)
+        peers = ControlPeers(known, domain, f"edge-{number}")
+        client = JsonClient(None)
+        watch = WatchCoordinator(views, peers, client, clock, WAIT_MS)
+        watch.set_up()
+        self.addCleanup(client.close)
+        self.addCleanup(watch.unload)
+        return views
+
+    def all_have(self, proxies: list[ViewStore], test: Callable[[int], bool]) -> bool:
+        return all(test(views.view.version) for views in proxies)
+
+    def test_all_proxies_have_a_view_again_and_the_next_change(self) -> None:
+        """Guard against a crowd of proxies that keeps control from its return."""
+        for host in HOSTS:
+            self.start(host, bootstrap=host in SEEDS)
+        eventually(lambda: self.voters() == len(HOSTS), "all five vote")
+        self.put(7)
+        self.kill_all()
+        for host in LOST_DISKS:
+            shutil.rmtree(self.folder / host)
+        for host in HOSTS:
+            self.start(host, bootstrap=False)
+        proxies = [self.follow(number) for number in range(PROXIES)]
+        # Before the proxies end, so that none waits for the end of its poll.
+        self.addCleanup(self.kill_all)
+        has_view = partial(self.all_have, proxies, lambda version: version > 0)
+        eventually(has_view, "every proxy has a view")
+        newest = max(views.view.version for views in proxies)
+        self.put(8)
+        has_change = partial(self.all_have, proxies, lambda version: version > newest)
+        eventually(has_change, "the next change is in force everywhere")
