--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -18,6 +18,7 @@
 MAX_HTTP_BODY_BYTES: Final = 8 * 1024 * 1024
 
 MILLISECONDS: Final = 1000.0
+FIRST_ERROR_STATUS: Final = 400
 
 # A peer that is cut off answers no keep-alive: found within about 4 s, while a process
 # that is only slow still acknowledges packets.
@@ -25,7 +26,6 @@
 KEEPALIVE_INTERVAL_SECONDS: Final = 1
 KEEPALIVE_PROBES: Final = 2
 UNACKNOWLEDGED_MS: Final = 2_000
-FIRST_ERROR_STATUS: Final = 400
 
 # A control process that does not lead answers with this code, and names the leader.
 CODE_NOT_LEADER: Final = "not_leader"
