Let proxies of a failure domain know each other through control

Requests of 72 or 194 proxies come to one server less often from each than once a second, so that a pool of each proxy's own is either cold or one connection too many. To hand requests to a few proxies that keep pools, a proxy must know its neighbours; a process is told of none.

Each proxy gives a sign of life to one control process of its failure domain, once a second, in larger domains less often (100 a second in all), and gets the names and addresses of the others, only where they have changed. Nothing is replicated: a control process that starts knows all proxies again after a second, and proxies keep whom they knew meanwhile. Owners of a group follow from its name by rendezvous hashing; those that know of other neighbours for a moment come to other owners, which costs connections and no rule.

--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -1,6 +1,7 @@
 """Wire one voter's parts together for groups that replicate synchronously."""
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
@@ -10,6 +11,7 @@
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
+from dogwoodspool_sharing import PresenceApi, ProxyRoster
 
 from .api import FailoverApi, members_of
 from .changes import PrimaryChanges
@@ -82,14 +84,15 @@
         diagnostics = FailoverDiagnostics(
             consensus, node, state, self._changes, timeline
         )
-        watch = WatchApi(
-            node, state, WaitSlots(MAX_WATCHERS), clock, lambda: members_of(consensus)
-        )
+        members = partial(members_of, consensus)
+        watch = WatchApi(node, state, WaitSlots(MAX_WATCHERS), clock, members)
+        presence = PresenceApi(ProxyRoster(clock), members)
         api = FailoverApi(node, reports, diagnostics, self._loop.wake)
         self._service = ControlService(node, state, heartbeats, self._loop.wake)
         self._routes = [
             *consensus.routes(),
             *watch.routes(),
+            *presence.routes(),
             *api.routes(),
             *JoinApi(consensus, node).routes(),
         ]
--- /dev/null
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -0,0 +1,33 @@
+"""Constants of the sharing library."""
+
+from typing import Final
+
+# Path of the endpoint at which proxies tell a control process that they run.
+PATH_PRESENCE: Final = "/v1/proxies/present"
+
+# Connections to one server that each proxy must be able to hold, on an even share, for
+# pools of its own: one in use and one that comes after it.
+MIN_EVEN_SHARE: Final = 2
+# Owners of a group in each failure domain: one may be lost at any time.
+MIN_OWNERS: Final = 2
+# Even share of a server's connections that makes a useful pool: with fewer, requests of
+# an owner wait for each other while other owners' connections idle.
+CONNECTIONS_PER_OWNER: Final = 6
+
+# Time between two signs of life of a proxy, and how many of them a failure domain sends
+# to a control process in a second at most: beyond that they come less often.
+PRESENCE_SECONDS: Final = 1.0
+PRESENCES_PER_SECOND: Final = 100.0
+# Signs of life in a row that may be lost before a proxy counts as gone.
+MISSED_PRESENCES: Final = 3
+PRESENCE_TIMEOUT: Final = 0.4
+PRESENCE_RETRY_SECONDS: Final = 0.2
+
+# How long a proxy goes on to count a neighbour that control no longer names: a control
+# process that has just started, or been turned to, names only those it heard so far.
+NEIGHBOUR_LIFE_SECONDS: Final = 3.0
+# Time for which an owner that gave no answer is passed over.
+OWNER_RETRY_SECONDS: Final = 1.0
+
+WEIGHT_BYTES: Final = 8
+DIGEST_BYTES: Final = 8
--- /dev/null
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -0,0 +1,71 @@
+"""Which proxies own a group's pools; no input or output here.
+
+The load pattern that it answers: proxies are many, and a request to one server comes to
+one proxy seldom. Pools of their own would either hold more connections than the server
+takes, or open one for nearly every request. So the proxies of a failure domain hand
+their requests to a few of them, whose pools are in steady use.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+
+from .const import (
+    CONNECTIONS_PER_OWNER,
+    MIN_EVEN_SHARE,
+    MIN_OWNERS,
+    WEIGHT_BYTES,
+)
+from .models import Neighbour
+
+
+def is_scarce(connections: int, proxies: int) -> bool:
+    """Tell whether a server takes too few connections for a pool in each proxy.
+
+    Example:
+        >>> is_scarce(23, 9), is_scarce(35, 72)
+        (False, True)
+    """
+    return connections < MIN_EVEN_SHARE * proxies
+
+
+def owner_count(connections: int, failure_domains: int) -> int:
+    """Return how many owners each failure domain has for one group.
+
+    It follows from the connections alone: what all owners together may be asked is
+    bounded by the group's servers, however many proxies there are.
+
+    Example:
+        >>> owner_count(35, 3), owner_count(117, 6)
+        (2, 3)
+    """
+    in_domain = connections // max(1, failure_domains)
+    return max(MIN_OWNERS, in_domain // CONNECTIONS_PER_OWNER)
+
+
+def choose_owners(
+    group: str, neighbours: Iterable[Neighbour], count: int
+) -> list[Neighbour]:
+    """Return a group's owners by rendezvous hashing, so that few change with a proxy.
+
+    Every proxy comes to the same owners without asking; those that know of other
+    neighbours for a moment come to some others, which costs connections only.
+    """
+    return sorted(neighbours, key=lambda one: _weight(group, one.name))[:count]
+
+
+def order_for(
+    proxy: str, group: str, owners: Sequence[Neighbour]
+) -> Sequence[Neighbour]:
+    """Return the owners in the order in which a proxy turns to them.
+
+    Each proxy begins at another one, and so the owners share the load.
+    """
+    if not owners:
+        return owners
+    first = int.from_bytes(_weight(group, proxy)) % len(owners)
+    return [*owners[first:], *owners[:first]]
+
+
+def _weight(group: str, proxy: str) -> bytes:
+    content = f"{group} {proxy}".encode()
+    return hashlib.blake2b(content, digest_size=WEIGHT_BYTES).digest()
--- /dev/null
+++ b/packages/sharing/src/dogwoodspool_sharing/presence.py
@@ -0,0 +1,87 @@
+"""Tell control that this proxy runs, and learn of its neighbours."""
+
+from dogwoodspool_common import (
+    Clock,
+    HttpError,
+    JsonClient,
+    PeerRefusedError,
+    log_rate_limited,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ControlPeers, Coordinator
+from pydantic import ValidationError
+
+from .const import PATH_PRESENCE, PRESENCE_RETRY_SECONDS, PRESENCE_TIMEOUT
+from .directory import ProxyDirectory
+from .models import Neighbour, Presence, PresenceResponse
+
+
+class PresenceCoordinator(Coordinator):
+    """Keep the directory at what control knows.
+
+    Args:
+        peers: the control processes in the order of the failure domain and not of this
+            process, so that one of them hears of all its proxies.
+    """
+
+    def __init__(
+        self,
+        own: Neighbour,
+        failure_domain: str,
+        directory: ProxyDirectory,
+        peers: ControlPeers,
+        client: JsonClient,
+        clock: Clock,
+    ) -> None:
+        super().__init__("presence", clock)
+        self._own = own
+        self._failure_domain = failure_domain
+        self._directory = directory
+        self._peers = peers
+        self._client = client
+        self._is_leaving = False
+        self._digest = ""
+        self._named: list[Neighbour] = []
+
+    def leave(self) -> None:
+        """Have control tell the others that this process takes no more requests."""
+        self._is_leaving = True
+        self.wake()
+
+    def step(self) -> float:
+        """Give one sign of life."""
+        address = self._peers.any()
+        message = Presence(
+            proxy=self._own.name,
+            failure_domain=self._failure_domain,
+            address=self._own.address,
+            is_leaving=self._is_leaving,
+            known=self._digest,
+        )
+        content = message.model_dump(mode="json")
+        try:
+            answer = self._client.post(
+                address, PATH_PRESENCE, content, PRESENCE_TIMEOUT
+            )
+            response = PresenceResponse.model_validate(answer)
+        except PeerRefusedError as error:
+            log_rate_limited("presence_refused", address=address, reason=error)
+            self._peers.note_refusal(address, error)
+            return PRESENCE_RETRY_SECONDS
+        except (HttpError, ValidationError) as error:
+            log_rate_limited("presence_failed", address=address, reason=error)
+            self._peers.note_failure(address)
+            return PRESENCE_RETRY_SECONDS
+        self._peers.note_success(address)
+        self._take(response)
+        return response.next_ms / MILLISECONDS
+
+    def _take(self, response: PresenceResponse) -> None:
+        self._digest = response.digest
+        if response.proxies is not None:
+            self._named = [
+                Neighbour(one.proxy, one.address) for one in response.proxies
+            ]
+        if response.members:
+            self._peers.adopt(response.members)
+        self._directory.adopt(self._named)
--- /dev/null
+++ b/packages/sharing/src/dogwoodspool_sharing/presence_api.py
@@ -0,0 +1,55 @@
+"""The endpoint of control processes at which proxies say that they run."""
+
+import hashlib
+from collections.abc import Callable, Iterable
+
+from dogwoodspool_api import MemberMessage
+from dogwoodspool_common import JsonRequest, JsonResponse, Route
+from dogwoodspool_common.const import MILLISECONDS
+
+from .const import DIGEST_BYTES, PATH_PRESENCE
+from .models import Neighbour, NeighbourMessage, Presence, PresenceResponse
+from .roster import ProxyRoster, interval
+
+
+class PresenceApi:
+    """Answer signs of life with the neighbours of the proxy that gives one.
+
+    Args:
+        members: the control processes.
+    """
+
+    def __init__(
+        self, roster: ProxyRoster, members: Callable[[], list[MemberMessage]]
+    ) -> None:
+        self._roster = roster
+        self._members = members
+
+    def routes(self) -> list[Route]:
+        """Return the endpoints."""
+        return [Route("POST", PATH_PRESENCE, self._note)]
+
+    def _note(self, request: JsonRequest) -> JsonResponse:
+        presence = Presence.model_validate(request.body)
+        neighbours = self._roster.note(presence)
+        members = sorted(self._members(), key=lambda one: one.address)
+        digest = _digest(neighbours, members)
+        response = PresenceResponse(
+            digest=digest, next_ms=round(interval(len(neighbours)) * MILLISECONDS)
+        )
+        if presence.known != digest:
+            proxies = [
+                NeighbourMessage(proxy=one.name, address=one.address)
+                for one in neighbours
+            ]
+            response = response.model_copy(
+                update={"proxies": proxies, "members": members}
+            )
+        return JsonResponse(response.model_dump(mode="json", exclude_none=True))
+
+
+def _digest(neighbours: Iterable[Neighbour], members: Iterable[MemberMessage]) -> str:
+    lines = [f"{one.name} {one.address}" for one in neighbours]
+    lines += [f"{one.address} {one.failure_domain}" for one in members]
+    content = "\n".join(lines).encode()
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).hexdigest()
