Hand requests to the proxies that own a group's pools

Callers of many proxies were refused without any fault: with 72 proxies and 35 connections to a server each proxy opened one for nearly every request, a third of a slot's time, and nine of ten were refused.

Where a server takes fewer connections than two for each proxy, a proxy hands a statement to one of its group's owners in its failure domain, which runs it on its own pools and queue: an admission, a pool and a freshness book for each owner in place of one for each proxy. Routing, retries, session state and transactions stay with the proxy. A transaction keeps its connection at the owner under a lease, which ends by itself where the proxy is lost.

Kept on the way, each by a test: an owner that cannot be reached has run nothing, and the next one or the proxy's own pool serves; one that took a write and says nothing leaves it in doubt, and nobody runs it again; its silence does not count against the server; what the owner finds of a server does; session values come along; a draining owner takes only what belongs to its open transactions. Reads of data of some age are placed by the owner's knowledge of positions: a proxy that asks once in two seconds has none of its own, and read at the primary.

--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -4,6 +4,7 @@
 from .errors import (
     DogwoodspoolError,
     HttpError,
+    PeerNotConnectedError,
     PeerRefusedError,
     PeerUnreachableError,
     SettingsError,
@@ -57,6 +58,7 @@
     "JsonResponse",
     "JsonServer",
     "ManualClock",
+    "PeerNotConnectedError",
     "PeerRefusedError",
     "PeerUnreachableError",
     "Position",
--- a/packages/common/src/dogwoodspool_common/errors.py
+++ b/packages/common/src/dogwoodspool_common/errors.py
@@ -16,6 +16,10 @@
     """
 
 
+class PeerNotConnectedError(PeerUnreachableError):
+    """Report that no connection to the peer came up: nothing was sent."""
+
+
 class PeerRefusedError(HttpError):
     """Report that the peer answered with an error status.
 
--- a/packages/common/src/dogwoodspool_common/http_client.py
+++ b/packages/common/src/dogwoodspool_common/http_client.py
@@ -8,12 +8,14 @@
 
 from .const import (
     DEFAULT_HTTP_TIMEOUT,
+    DEFAULT_PEER_CONNECTIONS,
+    DEFAULT_PEERS,
     FIRST_ERROR_STATUS,
     HEADER_SIGNATURE,
     HEADER_TRACEPARENT,
     HTTP_CONNECT_TIMEOUT,
 )
-from .errors import PeerRefusedError, PeerUnreachableError
+from .errors import PeerNotConnectedError, PeerRefusedError, PeerUnreachableError
 from .models import Address
 from .signature import RequestSigner
 from .trace import current_traceparent
@@ -31,10 +33,17 @@
         >>> client.post(Address("127.0.0.1", 7001), "/v1/renew", {"proxy": "p1"})
     """
 
-    def __init__(self, signer: RequestSigner | None, max_connections: int = 16) -> None:
+    def __init__(
+        self,
+        signer: RequestSigner | None,
+        max_connections: int = DEFAULT_PEER_CONNECTIONS,
+        max_peers: int = DEFAULT_PEERS,
+        connect_timeout: float = HTTP_CONNECT_TIMEOUT,
+    ) -> None:
         self._signer = signer
+        self._connect_timeout = connect_timeout
         self._pool = urllib3.PoolManager(
-            num_pools=64, maxsize=max_connections, retries=False
+            num_pools=max_peers, maxsize=max_connections, retries=False
         )
 
     def get(
@@ -90,10 +99,15 @@
                 body=body or None,
                 headers=headers,
                 timeout=urllib3.Timeout(
-                    connect=min(timeout, HTTP_CONNECT_TIMEOUT), total=timeout
+                    connect=min(timeout, self._connect_timeout), total=timeout
                 ),
             )
             answer = json.loads(response.data or b"{}")
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise PeerNotConnectedError(f"{address}{target}: {error}") from error
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise PeerUnreachableError(f"{address}{target}: {error}") from error
         if response.status >= FIRST_ERROR_STATUS:
--- a/packages/connections/src/dogwoodspool_connections/__init__.py
+++ b/packages/connections/src/dogwoodspool_connections/__init__.py
@@ -9,6 +9,7 @@
     PoolClosedError,
     PoolTimeoutError,
     ServerDownError,
+    ServerNotReachedError,
 )
 from .models import PoolSettings
 from .pool import ConnectionPool
@@ -27,4 +28,5 @@
     "PoolTimeoutError",
     "PooledConnection",
     "ServerDownError",
+    "ServerNotReachedError",
 ]
--- a/packages/connections/src/dogwoodspool_connections/errors.py
+++ b/packages/connections/src/dogwoodspool_connections/errors.py
@@ -32,7 +32,11 @@
     is_sign_of_life = True
 
 
-class ServerDownError(ConnectFailedError):
+class ServerNotReachedError(ConnectFailedError):
+    """Report that no new connection to the server came up."""
+
+
+class ServerDownError(ServerNotReachedError):
     """Report that nothing listens at the server's address.
 
     Unlike silence, which a slow network or a busy server makes as well, this is
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -1,7 +1,9 @@
 """A place on a backend server and a connection to it, for one request."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import replace
+from typing import Protocol
 
 from dogwoodspool_common import (
     BackendServer,
@@ -14,7 +16,6 @@
     BackendError,
     ConnectFailedError,
     ConnectionLimitError,
-    OutcomeUnknownError,
     PoolTimeoutError,
     ServerDownError,
 )
@@ -27,8 +28,9 @@
     NO_CONNECTION_RETRY_MS,
     SESSION_ORDER_TIMEOUT,
 )
-from .errors import NotServedError
+from .errors import NotFreshError, NotServedError
 from .freshness import FreshnessBook
+from .held import HeldConnection, ReadBound
 from .models import (
     ErrorCode,
     Prepared,
@@ -36,16 +38,15 @@
     Statement,
     StatementError,
     StatementKind,
-    TransactionState,
 )
 from .registry import Backend, BackendRegistry
-from .requests import Request
+from .requests import PlaceRequest, Request
 from .session_state import carry_over, carry_over_cost, on_server
 from .stalls import StallBook
 
 
-class HeldConnection:
-    """A connection that one request or transaction holds; it must be finished."""
+class PooledHold:
+    """A connection of this process's own pools; see ``HeldConnection``."""
 
     def __init__(
         self,
@@ -66,6 +67,11 @@
         """The backend server."""
         return self._backend.server
 
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction is open on it."""
+        return self._connection.in_transaction
+
     def run(
         self,
         values: Mapping[str, str],
@@ -74,23 +80,12 @@
         deadline: float,
         *,
         then: Statement | None = None,
+        bound: ReadBound | None = None,
     ) -> Reply:
-        """Run one statement in a session's state.
-
-        Args:
-            values: the session's values.
-            statement: what the caller sent.
-            prepared: what it executes, where it executes a prepared statement.
-            deadline: clock time until which the whole answer must be there.
-            then: a statement of the pooler's own that is sent right behind it.
-
-        Raises:
-            ConnectFailedError: nothing was sent.
-            OutcomeUnknownError: no complete answer came.
-        """
+        """Run one statement in a session's state."""
         before = carry_over(values, self._connection.session, prepared)
         after = [] if then is None else [then]
-        sent = on_server(statement, prepared)
+        sent = on_server(self._bounded(statement, bound), prepared)
         replies = self._exchange([*before, sent, *after], deadline)
         self._leave_place()
         for own, answer in zip(before, replies, strict=False):
@@ -104,9 +99,16 @@
                 )
         return self._with_return_time(replies[len(before)])
 
-    def order(self, statement: Statement, deadline: float) -> Reply:
-        """Run one of the pooler's own statements; errors as for ``run``."""
-        return self._with_return_time(self._exchange([statement], deadline)[0])
+    def order(
+        self,
+        statement: Statement,
+        deadline: float,
+        *,
+        bound: ReadBound | None = None,
+    ) -> Reply:
+        """Run one of the pooler's own statements."""
+        sent = self._bounded(statement, bound)
+        return self._with_return_time(self._exchange([sent], deadline)[0])
 
     def finish(self, *, is_good: bool) -> None:
         """Give connection and place back; finishing again does nothing."""
@@ -119,6 +121,14 @@
             self._admission.done(self._elapsed, is_good)
             self._admission = None
 
+    def _bounded(self, statement: Statement, bound: ReadBound | None) -> Statement:
+        if bound is None:
+            return statement
+        # Only now: a process may stand still between its decisions, and a position
+        # of before would be older than the read may see.
+        floor = self._access.floor(self.server.group, bound)
+        return replace(statement, wait_for=floor)
+
     def _exchange(
         self, statements: Sequence[Statement], deadline: float
     ) -> list[Reply]:
@@ -148,6 +158,18 @@
             self._admission = None
 
 
+class SharedPools(Protocol):
+    """Hand requests to other processes, which have connections to the servers."""
+
+    def shares(self, group: str) -> bool:
+        """Tell whether requests to a group are handed on."""
+        ...
+
+    def open(self, server: BackendServer, request: Request) -> HeldConnection | None:
+        """Return what stands for a connection; None where it is not handed on."""
+        ...
+
+
 class ServerAccess:
     """Give requests places and connections, and learn from how they end."""
 
@@ -160,6 +182,7 @@
         suspect: Callable[[str], None],
         clock: Clock,
     ) -> None:
+        self._shared: SharedPools | None = None
         self._suspect = suspect
         self._registry = registry
         self._table = table
@@ -167,6 +190,10 @@
         self._freshness = freshness
         self._clock = clock
 
+    def set_shared_pools(self, shared: SharedPools) -> None:
+        """Hand requests on where another process shall run them."""
+        self._shared = shared
+
     def open(
         self,
         server: BackendServer,
@@ -174,9 +201,7 @@
         *,
         has_alternatives: bool = False,
     ) -> HeldConnection:
-        """Wait for a place and a connection, as long as the request may wait.
-
-        A place and a connection that are free are taken also when that time is over.
+        """Return a connection of this process, or what stands for another's.
 
         Args:
             server: where it shall run.
@@ -188,11 +213,22 @@
             NotServedError: there is none; nothing was sent.
             ConnectFailedError: the server cannot be reached; nothing was sent.
         """
+        shared = None if self._shared is None else self._shared.open(server, request)
+        if shared is not None:
+            return shared
+        return self.open_here(server, request.place(has_alternatives=has_alternatives))
+
+    def open_here(self, server: BackendServer, place: PlaceRequest) -> PooledHold:
+        """Wait for a place and a connection of this process, as long as may be.
+
+        A place and a connection that are free are taken also when that time is over.
+        Errors as for ``open``.
+        """
         backend = self._registry.backend(server)
         backend.adjust()
-        start_by = max(request.start_by, self._clock.now())
+        start_by = max(place.start_by, self._clock.now())
         with span("admission.wait", server=server.name):
-            admitted = backend.admission.admit(start_by, request.endpoint.priority)
+            admitted = backend.admission.admit(start_by, place.priority)
         if admitted.is_error():
             refusal = admitted.error
             message = f"{server.name}: {refusal.reason}"
@@ -200,13 +236,24 @@
                 StatementError(ErrorCode.BUSY, message, refusal.retry_after_ms)
             )
         try:
-            connection = self._connect(
-                backend, request, start_by, has_alternatives=has_alternatives
-            )
+            connection = self._connect(backend, place, start_by)
         except (NotServedError, ConnectFailedError):
             admitted.ok.done(0.0, False)
             raise
-        return HeldConnection(backend, connection, admitted.ok, self)
+        return PooledHold(backend, connection, admitted.ok, self)
+
+    def may_be_fresh(self, group: str, bound: ReadBound) -> bool:
+        """Tell whether a position that meets a bound may be known where it runs."""
+        if self._shared is not None and self._shared.shares(group):
+            return True
+        return self._freshness.floor(group, bound.max_age) is not None
+
+    def floor(self, group: str, bound: ReadBound) -> Position:
+        """Return the position that a server must have; raise ``NotFreshError``."""
+        floor = self._freshness.floor(group, bound.max_age)
+        if floor is None:
+            raise NotFreshError(f"no position of {group} is known that is young enough")
+        return floor if bound.at_least is None else max(floor, bound.at_least)
 
     def begin_on_primary(self, held: HeldConnection, request: Request) -> Reply:
         """Begin a transaction, which only a server that leads does; errors as for run.
@@ -233,24 +280,33 @@
     ) -> list[Reply]:
         """Send statements and take in what the answers tell of the server."""
         name = server.name
-        began_at = self._clock.now()
         write = self._stalls.begin(name) if _may_write(statements) else None
         is_answered = False
-        self._table.begin(name)
         try:
-            with span("server.statement", server=name):
+            with self.observed(server), span("server.statement", server=name):
                 replies = connection.exchange(statements, deadline)
             is_answered = True
         except BackendError as error:
             self.note_trouble(server, error)
             raise
         finally:
-            elapsed = self._clock.now() - began_at
-            self._table.end(name, elapsed, is_answered=is_answered)
             if write is not None:
                 self._stalls.end(name, write, is_answered=is_answered)
         return replies
 
+    @contextmanager
+    def observed(self, server: BackendServer) -> Iterator[None]:
+        """Count a statement as in flight; what ends without error was answered."""
+        began_at = self._clock.now()
+        is_answered = False
+        self._table.begin(server.name)
+        try:
+            yield
+            is_answered = True
+        finally:
+            elapsed = self._clock.now() - began_at
+            self._table.end(server.name, elapsed, is_answered=is_answered)
+
     def note_fresh(
         self, server: BackendServer, position: Position | None, asked_at: float
     ) -> None:
@@ -275,21 +331,14 @@
             self._suspect(server.name)
 
     def _connect(
-        self,
-        backend: Backend,
-        request: Request,
-        start_by: float,
-        *,
-        has_alternatives: bool,
+        self, backend: Backend, place: PlaceRequest, start_by: float
     ) -> ServerConnection:
         def rank(connection: ServerConnection) -> int:
-            return carry_over_cost(request.values, connection.session)
+            return carry_over_cost(place.values, connection.session)
 
         while True:
             try:
-                return backend.pool.acquire(
-                    start_by, open_by=request.deadline, rank=rank
-                )
+                return backend.pool.acquire(start_by, open_by=place.deadline, rank=rank)
             except PoolTimeoutError as error:
                 raise NotServedError(_no_connection(backend)) from error
             except ConnectionLimitError as error:
@@ -303,7 +352,7 @@
                 )
                 remaining = start_by - self._clock.now()
                 has_none = backend.pool.open_count == 0
-                if remaining <= 0 or (has_none and has_alternatives):
+                if remaining <= 0 or (has_none and place.has_alternatives):
                     raise NotServedError(_no_connection(backend)) from error
                 if has_none:
                     self._clock.sleep(min(remaining, CONNECTION_RETRY_SECONDS))
@@ -312,19 +361,6 @@
                 raise
 
 
-def roll_back(held: HeldConnection, deadline: float) -> None:
-    """End a transaction on a held connection and give the connection back."""
-    is_good = False
-    try:
-        reply = held.order(Statement(StatementKind.ROLLBACK), deadline)
-        is_good = reply.state is TransactionState.IDLE
-    except (ConnectFailedError, OutcomeUnknownError) as error:
-        # The connection is closed below, which ends the transaction as well.
-        log_rate_limited("rollback_by_close", server=held.server.name, reason=error)
-    finally:
-        held.finish(is_good=is_good)
-
-
 def _may_write(statements: Sequence[Statement]) -> bool:
     writing = (StatementKind.WRITE, StatementKind.COMMIT)
     return any(statement.kind in writing for statement in statements)
--- a/packages/pooler/src/dogwoodspool_pooler/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/errors.py
@@ -27,3 +27,7 @@
 
 class NoDatabaseError(PoolerError):
     """Report a database name that no endpoint has."""
+
+
+class NotFreshError(PoolerError):
+    """Report that no position is known that covers what a read must reflect."""
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -3,11 +3,15 @@
 from collections.abc import Callable
 
 from dogwoodspool_common import BackendServer, Clock, Phase, log_rate_limited
-from dogwoodspool_connections import ConnectFailedError, OutcomeUnknownError
+from dogwoodspool_connections import (
+    ConnectFailedError,
+    OutcomeUnknownError,
+    ServerNotReachedError,
+)
 from dogwoodspool_following import ViewStore
 from dogwoodspool_routing import ServerTable
 
-from .access import HeldConnection, ServerAccess
+from .access import ServerAccess
 from .const import (
     BUSY_RETRY_MS,
     CHANGING_RETRY_MS,
@@ -16,6 +20,7 @@
     NO_PRIMARY_RETRY_MS,
 )
 from .errors import NotServedError
+from .held import HeldConnection
 from .models import ErrorCode, Reply, StatementError
 from .placement import PrimaryMemory
 from .requests import Request
@@ -124,6 +129,12 @@
             return None
         try:
             reply = attempt(held)
+        except NotServedError:
+            held.finish(is_good=True)
+            raise
+        except ServerNotReachedError:
+            held.finish(is_good=False)
+            return None
         except ConnectFailedError:
             # The pooled connection had ended; nothing was sent on it.
             held.finish(is_good=False)
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -1,12 +1,9 @@
 """Reads outside of transactions: on a server that has what they must reflect."""
 
-from dataclasses import replace
-
 from dogwoodspool_common import (
     BackendServer,
     Clock,
     Consistency,
-    Position,
     log_rate_limited,
 )
 from dogwoodspool_common.counters import Counters
@@ -14,14 +11,14 @@
 from dogwoodspool_following import ViewStore
 from dogwoodspool_routing import ServerTable
 
-from .access import HeldConnection, ServerAccess
+from .access import ServerAccess
 from .const import (
     MAX_READ_ATTEMPTS,
     PRIMARY_READ_SHARE,
     READ_ATTEMPT_SHARE,
 )
-from .errors import NotServedError
-from .freshness import FreshnessBook
+from .errors import NotFreshError, NotServedError
+from .held import HeldConnection, ReadBound
 from .models import (
     Reply,
     Statement,
@@ -46,7 +43,6 @@
         table: ServerTable,
         access: ServerAccess,
         primaries: PrimaryPath,
-        freshness: FreshnessBook,
         counters: Counters,
         clock: Clock,
     ) -> None:
@@ -55,21 +51,19 @@
         self._table = table
         self._access = access
         self._primaries = primaries
-        self._freshness = freshness
         self._clock = clock
 
-    def floor(self, request: Request) -> Position | None:
-        """Return the position that a server must have; None for the primary alone."""
+    def bound(self, request: Request) -> ReadBound | None:
+        """Return what a server must reflect; None for the primary alone."""
         endpoint = request.endpoint
         if endpoint.consistency is Consistency.PRIMARY or request.max_age is None:
             return None
-        floor = self._freshness.floor(endpoint.group, request.max_age)
-        if floor is None:
-            return None
         is_own = endpoint.consistency is Consistency.READ_YOUR_WRITES
-        if is_own and request.session_position is not None:
-            return max(floor, request.session_position)
-        return floor
+        at_least = request.session_position if is_own else None
+        bound = ReadBound(request.max_age, at_least)
+        if not self._access.may_be_fresh(endpoint.group, bound):
+            return None
+        return bound
 
     def run(self, request: Request) -> Reply:
         """Serve one read.
@@ -77,7 +71,8 @@
         Raises:
             NotServedError: no server took it.
         """
-        if self.floor(request) is None:
+        bound = self.bound(request)
+        if bound is None:
             return self._read_primary(request)
         excluded: set[str] = set()
         failed: Reply | None = None
@@ -85,7 +80,10 @@
             server = self.choose(request, excluded)
             if server is None:
                 break
-            reply = self._try(request, server, number)
+            try:
+                reply = self._try(request, server, number, bound)
+            except NotFreshError:
+                break
             if reply is not None and reply.error is None:
                 group = request.endpoint.group
                 is_primary = server.name == self._primaries.current(group)
@@ -111,9 +109,13 @@
         return ranked[0].server if ranked else None
 
     def _try(
-        self, request: Request, server: BackendServer, number: int
+        self, request: Request, server: BackendServer, number: int, bound: ReadBound
     ) -> Reply | None:
-        """Try one server; None where it gave no answer."""
+        """Try one server; None where it gave no answer.
+
+        Raises:
+            NotFreshError: no position is known that meets the bound.
+        """
         now = self._clock.now()
         until = request.deadline
         if number == 0:
@@ -123,18 +125,20 @@
         except (NotServedError, ConnectFailedError) as error:
             log_read_moved(request, server, error)
             return None
-        # Only now: a process may stand still between its decisions, and a position
-        # of before would be older than the read may see.
-        floor = self.floor(request)
-        if floor is None:
-            held.finish(is_good=True)
-            return None
         is_good = False
         try:
-            statement = replace(request.statement, wait_for=floor)
-            reply = held.run(request.values, statement, request.prepared, until)
+            reply = held.run(
+                request.values,
+                request.statement,
+                request.prepared,
+                until,
+                bound=bound,
+            )
+            is_good = True
+        except NotFreshError:
             is_good = True
-        except (ConnectFailedError, OutcomeUnknownError) as error:
+            raise
+        except (NotServedError, ConnectFailedError, OutcomeUnknownError) as error:
             log_read_moved(request, server, error)
             return None
         finally:
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -10,6 +10,25 @@
 from .models import Prepared, Statement
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceRequest:
+    """What decides how a request waits for a place on a server.
+
+    Attributes:
+        priority: who goes first; a lower number does.
+        values: the session's values, which a connection may hold already.
+        start_by: clock time until which it may wait.
+        deadline: clock time from which an answer is of no use.
+        has_alternatives: another server may serve it as well.
+    """
+
+    priority: int
+    values: Mapping[str, str]
+    start_by: float
+    deadline: float
+    has_alternatives: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A statement with all that decides where and how it runs.
@@ -46,3 +65,13 @@
         """Greatest age of the data in seconds, where it is bounded."""
         age_ms = self.endpoint.max_age_ms
         return None if age_ms is None else age_ms / MILLISECONDS
+
+    def place(self, *, has_alternatives: bool = False) -> PlaceRequest:
+        """Return what decides how it waits."""
+        return PlaceRequest(
+            priority=self.endpoint.priority,
+            values=self.values,
+            start_by=self.start_by,
+            deadline=self.deadline,
+            has_alternatives=has_alternatives,
+        )
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -1,6 +1,6 @@
 """Wire the parts of a pooling proxy together."""
 
-from dogwoodspool_common import Address, Clock, JsonClient, log_event
+from dogwoodspool_common import Address, Clock, JsonClient, Route, log_event
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import Connector
 from dogwoodspool_following import (
@@ -13,6 +13,7 @@
     WatchCoordinator,
 )
 from dogwoodspool_routing import ServerTable
+from dogwoodspool_sharing import Neighbour
 
 from .access import ServerAccess
 from .connection import ServerConnection
@@ -26,6 +27,7 @@
 from .reporting import ReportCoordinator
 from .session import PooledSession
 from .sessions import PooledSessions
+from .shared.runtime import SharedPoolsRuntime
 from .stalls import StallBook
 from .surroundings import GroupSurroundings
 from .transactions import TransactionPath
@@ -38,6 +40,8 @@
     Args:
         name: name of this instance.
         failure_domain: where it runs.
+        failure_domains: how many there are.
+        address: where its routes are served for the system's other processes.
         control: control processes that are known at the start.
         connector: opens connections to backend servers.
     """
@@ -46,6 +50,8 @@
         self,
         name: str,
         failure_domain: str,
+        failure_domains: int,
+        address: Address,
         control: tuple[Address, ...],
         connector: Connector[ServerConnection],
         client: JsonClient,
@@ -67,16 +73,20 @@
             self._suspect,
             clock,
         )
-        primaries = PrimaryPath(self._views, self._table, access, clock)
-        reads = ReadPath(
+        self._shared = SharedPoolsRuntime(
+            Neighbour(name, str(address)),
+            failure_domain,
+            failure_domains,
+            ControlPeers(control, failure_domain, failure_domain),
             self._views,
-            self._table,
             access,
-            primaries,
-            freshness,
-            self._counters,
+            client,
             clock,
         )
+        primaries = PrimaryPath(self._views, self._table, access, clock)
+        reads = ReadPath(
+            self._views, self._table, access, primaries, self._counters, clock
+        )
         self._sessions = PooledSessions(
             self._views,
             reads,
@@ -109,6 +119,11 @@
         """Caller sessions that are open."""
         return self._sessions.count
 
+    @property
+    def routes(self) -> list[Route]:
+        """The endpoints for the system's other processes."""
+        return self._shared.routes
+
     def open_session(self, database: str) -> PooledSession:
         """Return a session; errors as for ``PooledSessions.open``."""
         return self._sessions.open(database)
@@ -125,12 +140,22 @@
         """Close idle connections of these callers when they are served elsewhere."""
         self._rotation_watch.follow(callers)
 
+    def leave(self) -> None:
+        """Take no more requests of other proxies."""
+        self._shared.leave()
+
+    @property
+    def lent_connections(self) -> int:
+        """Connections that transactions of other proxies hold."""
+        return self._shared.leases
+
     def set_up(self) -> None:
         """Begin to follow control and to serve."""
         self._views.add_listener(self._follow)
         self._registry.set_up()
         self._expiry.set_up()
         self._watch.set_up()
+        self._shared.set_up()
         self._recovery.set_up()
         self._reports.set_up()
         self._rotation_watch.set_up()
@@ -142,6 +167,7 @@
         self._rotation_watch.unload()
         self._reports.unload()
         self._recovery.unload()
+        self._shared.unload()
         self._watch.unload()
         self._expiry.unload()
         self._registry.unload()
@@ -151,6 +177,8 @@
         lines = [
             f"dogwoodspool_view_version {self.view_version}",
             f"dogwoodspool_sessions_open {self.open_sessions}",
+            f"dogwoodspool_neighbours {self._shared.neighbours}",
+            f"dogwoodspool_connections_lent {self._shared.leases}",
         ]
         for backend in self._registry.all():
             label = f'{{server="{backend.server.name}"}}'
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -0,0 +1,30 @@
+"""Constants of requests that one proxy runs for another."""
+
+from typing import Final
+
+# Paths of the endpoints at which an owner of pools takes requests of its neighbours.
+PATH_STATEMENT: Final = "/v1/pools/statement"
+PATH_RELEASE: Final = "/v1/pools/release"
+
+# Threads for neighbours' requests, each of which waits for a place or an answer: above
+# what an owner may have in flight on the servers of several groups.
+OWNER_THREADS: Final = 32
+# The neighbours are in one's own failure domain, tenths of a millisecond away.
+OWNER_CONNECT_TIMEOUT: Final = 0.15
+# Part of a request's time that is left for the way to the owner and back.
+HOP_SECONDS: Final = 0.03
+RELEASE_TIMEOUT: Final = 0.2
+# Neighbours to which connections are kept open: the owners of all groups in use.
+MAX_OWNERS_CONNECTED: Final = 512
+# Connections to one owner that are kept open.
+CONNECTIONS_TO_OWNER: Final = 8
+
+# A transaction whose proxy was lost ends so long after the proxy should have ended it.
+LEASE_MARGIN_SECONDS: Final = 1.0
+LEASE_LOOK_SECONDS: Final = 0.25
+
+# Attempts on an idle pooled connection, which may have ended unnoticed.
+OWNER_ATTEMPTS: Final = 2
+
+CODE_NOT_OWNER: Final = "not_owner"
+CODE_UNKNOWN_LEASE: Final = "unknown_lease"
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
@@ -0,0 +1,27 @@
+"""Errors of requests that one proxy runs for another."""
+
+from dogwoodspool_connections import ConnectFailedError, OutcomeUnknownError
+
+from ..errors import PoolerError
+
+
+class OwnerUnavailableError(PoolerError):
+    """Report that an owner did not take a request: nothing was sent to a server."""
+
+
+class OwnerSilentError(OutcomeUnknownError):
+    """Report that an owner took a request and gave no answer.
+
+    It says nothing about the server's health.
+    """
+
+    suggests_unreachable = False
+
+
+class LeaseLostError(ConnectFailedError):
+    """Report that an owner no longer holds a transaction's connection.
+
+    The server has undone the transaction, or does so when the owner's connection ends.
+    """
+
+    suggests_unreachable = False
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -15,13 +15,14 @@
 )
 from dogwoodspool_following import ViewStore
 
-from .access import HeldConnection, ServerAccess, roll_back
+from .access import ServerAccess
 from .const import (
     BUSY_RETRY_SECONDS,
     MAX_READ_ATTEMPTS,
     SESSION_ORDER_TIMEOUT,
 )
-from .errors import NotServedError
+from .errors import NotFreshError, NotServedError
+from .held import HeldConnection, ReadBound, roll_back
 from .models import (
     ErrorCode,
     Reply,
@@ -186,24 +187,27 @@
         return held
 
     def _begin_on_replica(self, request: Request) -> HeldConnection:
-        floor = self._reads.floor(request)
-        if floor is None:
+        bound = self._reads.bound(request)
+        if bound is None:
             return self._begin_on_primary(request)
-        begin = Statement(StatementKind.BEGIN_READ_ONLY, wait_for=floor)
         excluded: set[str] = set()
         for _attempt in range(MAX_READ_ATTEMPTS):
             server = self._reads.choose(request, excluded)
             if server is None:
                 break
             excluded.add(server.name)
-            held = self._try_begin(request, begin, server)
+            try:
+                held = self._try_begin(request, server, bound)
+            except NotFreshError:
+                break
             if held is not None:
                 return held
         return self._begin_on_primary(request)
 
     def _try_begin(
-        self, request: Request, begin: Statement, server: BackendServer
+        self, request: Request, server: BackendServer, bound: ReadBound
     ) -> HeldConnection | None:
+        """Begin on one server; None where it does not, ``NotFreshError`` where none."""
         now = self._clock.now()
         try:
             held = self._access.open(server, request, has_alternatives=True)
@@ -212,9 +216,14 @@
             return None
         try:
             reply = held.order(
-                begin, min(request.deadline, now + SESSION_ORDER_TIMEOUT)
+                Statement(StatementKind.BEGIN_READ_ONLY),
+                min(request.deadline, now + SESSION_ORDER_TIMEOUT),
+                bound=bound,
             )
-        except BackendError as error:
+        except NotFreshError:
+            held.finish(is_good=True)
+            raise
+        except (NotServedError, BackendError) as error:
             held.finish(is_good=False)
             log_read_moved(request, server, error)
             return None
--- a/packages/pooler/src/dogwoodspool_pooler/writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -3,8 +3,9 @@
 from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_connections import OutcomeUnknownError
 
-from .access import HeldConnection, ServerAccess
+from .access import ServerAccess
 from .const import BUSY_RETRY_SECONDS
+from .held import HeldConnection
 from .models import ErrorCode, Reply, StatementError, TransactionState
 from .primaries import PrimaryPath
 from .requests import Request
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -107,8 +107,11 @@
 class FakeConnection:
     """A connection to a fake server, as the pooler sees one."""
 
-    def __init__(self, fake: FakeServer, server: BackendServer) -> None:
+    def __init__(
+        self, fake: FakeServer, server: BackendServer, clock: ManualClock
+    ) -> None:
         self._fake = fake
+        self._clock = clock
         self._is_open = True
         self._state = TransactionState.IDLE
         self._is_plain = False
@@ -118,7 +121,7 @@
         self.number = fake.opened
         self.server = server
         self.session = ConnectionState()
-        self.answered_at = 0.0
+        self.answered_at = clock.now()
         self.is_probing = False
         self.generation = 0
 
@@ -162,7 +165,9 @@
         if self._fake.is_down:
             self._is_open = False
             raise OutcomeUnknownError("down")
-        return [self._carry_out(statement) for statement in statements]
+        replies = [self._carry_out(statement) for statement in statements]
+        self.answered_at = self._clock.now()
+        return replies
 
     def _carry_out(self, statement: Statement) -> Reply:
         fake = self._fake
@@ -278,7 +283,7 @@
         if fake.full_for:
             fake.full_for -= 1
             raise ConnectionLimitError(f"{server.name} has too many connections")
-        return FakeConnection(fake, server)
+        return FakeConnection(fake, server, self._clock)
 
 
 def endpoint(
@@ -300,10 +305,10 @@
         self.table = ServerTable(self.clock)
         self.suspected: list[str] = []
         self.stalls, self.freshness = StallBook(self.clock), FreshnessBook(self.clock)
-        registry = BackendRegistry(self.views, self.network, self.clock)
-        registry.set_up()
+        self.registry = BackendRegistry(self.views, self.network, self.clock)
+        self.registry.set_up()
         access = ServerAccess(
-            registry,
+            self.registry,
             self.table,
             self.stalls,
             self.freshness,
@@ -319,7 +324,6 @@
             self.table,
             access,
             self.primaries,
-            self.freshness,
             self.counters,
             self.clock,
         )
