Take no position from a commit that wrote nothing

A server that has lost its place refuses every statement of a transaction it began before, but not the commit of one that wrote nothing. Its position, of the term before, counted as covering all that was acknowledged until that commit, and a replica that had it passed as fresh.

A commit counts only where a write of its transaction was answered: that one the server refuses once it leads no more.

--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -7,7 +7,7 @@
 from dogwoodspool_common.const import MILLISECONDS
 
 from .const import WAIT_SHARE
-from .models import Prepared, Statement
+from .models import Access, Prepared, Statement, StatementKind
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +66,13 @@
         age_ms = self.endpoint.max_age_ms
         return None if age_ms is None else age_ms / MILLISECONDS
 
+    @property
+    def writes(self) -> bool:
+        """Whether the statement changes data."""
+        if self.prepared is not None:
+            return self.prepared.access is Access.WRITE
+        return self.statement.kind is StatementKind.WRITE
+
     def place(self, *, has_alternatives: bool = False) -> PlaceRequest:
         """Return what decides how it waits."""
         return PlaceRequest(
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -216,7 +216,7 @@
             return Answer(TransactionState.IDLE, error=error.error)
 
     def _run_alone(self, request: Request) -> Reply:
-        if not _writes(request):
+        if not request.writes:
             return self._reads.run(request)
         reply = self._writes.run(request)
         if reply.error is None:
@@ -263,9 +263,3 @@
     def _no_database(self) -> Answer:
         message = f"there is no database {self._database}"
         return self._refuse(ErrorCode.NO_DATABASE, message)
-
-
-def _writes(request: Request) -> bool:
-    if request.prepared is not None:
-        return request.prepared.access is Access.WRITE
-    return request.statement.kind is StatementKind.WRITE
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -49,6 +49,7 @@
         idle_since: clock time of its last statement's end.
         held: the connection; None before the first statement and after a failure.
         has_failed: it is undone, and only its end is missing.
+        has_written: a write of it was answered without an error.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.idle_since = began_at
         self.held: HeldConnection | None = None
         self.has_failed = False
+        self.has_written = False
 
     @property
     def needs_primary(self) -> bool:
@@ -159,7 +161,11 @@
                 request.values, request.statement, request.prepared, request.deadline
             )
             if reply.error is None:
-                if transaction.needs_primary:
+                transaction.has_written |= request.writes
+                # A server that has lost its place still commits what wrote nothing.
+                is_commit = request.statement.kind is StatementKind.COMMIT
+                shows_lead = transaction.has_written or not is_commit
+                if transaction.needs_primary and shows_lead:
                     self._access.note_fresh(held.server, reply.position, asked_at)
                 return reply
             is_busy = reply.error.code is ErrorCode.BUSY
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -115,6 +115,7 @@
         self._is_open = True
         self._state = TransactionState.IDLE
         self._is_plain = False
+        self._wrote = False
         self._prepared: dict[str, tuple[Access | None, str]] = {}
         self._values: dict[str, str] = {}
         fake.opened += 1
@@ -192,6 +193,7 @@
         is_write = statement.kind is StatementKind.WRITE
         needs_lead = statement.kind is StatementKind.BEGIN or is_write
         is_end = statement.kind is StatementKind.ROLLBACK
+        is_end = is_end or (statement.kind is StatementKind.COMMIT and not self._wrote)
         if not leads and not is_end and (needs_lead or self._is_plain):
             return ErrorCode.READ_ONLY
         is_work = statement.kind in (
@@ -214,6 +216,7 @@
             case StatementKind.BEGIN | StatementKind.BEGIN_READ_ONLY:
                 self._state = TransactionState.OPEN
                 self._is_plain = statement.kind is StatementKind.BEGIN
+                self._wrote = False
                 return
             case StatementKind.ROLLBACK:
                 self._state, self._is_plain = TransactionState.IDLE, False
@@ -242,6 +245,7 @@
                 self.number,
             )
         )
+        self._wrote = self._wrote or statement.kind is StatementKind.WRITE
         if statement.kind is StatementKind.COMMIT:
             self._state, self._is_plain = TransactionState.IDLE, False
         if statement.kind in (StatementKind.WRITE, StatementKind.COMMIT):
--- a/tests/pooler/test_reads.py
+++ b/tests/pooler/test_reads.py
@@ -85,6 +85,18 @@
         say(session, "READ k")
         self.assertEqual(readers(pooler).count("s1"), 2)
 
+    def test_a_commit_that_wrote_nothing_shows_no_position(self) -> None:
+        """Guard against a replaced primary whose position passes for a new one."""
+        pooler = Pooler(group(), BOUNDED)
+        session = pooler.session()
+        say(session, "BEGIN")
+        say(session, "READ k")
+        pooler.clock.advance(1.4)
+        pooler.network.servers["s1"].has_lost_lead = True
+        self.assertIsNone(say(session, "COMMIT").error)
+        pooler.clock.advance(1.4)
+        self.assertIsNone(pooler.freshness.floor("chat", 1.5))
+
     def test_a_replica_that_is_behind_is_passed_over(self) -> None:
         pooler = Pooler(group(), BOUNDED)
         session = pooler.session()
