Have the owner of a group's pools serve whole statements

A read handed on as statements of a connection needed three hops at the primary (begin, read, rollback), and the proxy that handed it on chose the replica, knowing less of the servers than the owner does: it sees two requests a second.

Single statements now go to the owner whole, with the endpoint, the session's values and its last position; the owner reads, retries and writes as for its own callers, on its own pools alone, so that nothing is handed on twice. Transactions go on to hold a connection under a lease. Where an owner reaches no primary the next one, and then the proxy itself tries: a primary can be cut off from some proxies only. Who may lead which group moved out of the path of writes (KnownPrimaries), and the placing of reads out of theirs (ReadPlacement), as both kinds of access share them.

--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import replace
-from typing import Protocol
 
 from dogwoodspool_common import (
     BackendServer,
@@ -158,20 +157,11 @@
             self._admission = None
 
 
-class SharedPools(Protocol):
-    """Hand requests to other processes, which have connections to the servers."""
-
-    def shares(self, group: str) -> bool:
-        """Tell whether requests to a group are handed on."""
-        ...
-
-    def open(self, server: BackendServer, request: Request) -> HeldConnection | None:
-        """Return what stands for a connection; None where it is not handed on."""
-        ...
-
-
 class ServerAccess:
-    """Give requests places and connections, and learn from how they end."""
+    """Give requests places and connections of this process; see ``ConnectionAccess``.
+
+    It learns from how the requests end.
+    """
 
     def __init__(
         self,
@@ -182,7 +172,6 @@
         suspect: Callable[[str], None],
         clock: Clock,
     ) -> None:
-        self._shared: SharedPools | None = None
         self._suspect = suspect
         self._registry = registry
         self._table = table
@@ -190,36 +179,18 @@
         self._freshness = freshness
         self._clock = clock
 
-    def set_shared_pools(self, shared: SharedPools) -> None:
-        """Hand requests on where another process shall run them."""
-        self._shared = shared
-
     def open(
         self,
         server: BackendServer,
         request: Request,
         *,
         has_alternatives: bool = False,
-    ) -> HeldConnection:
-        """Return a connection of this process, or what stands for another's.
-
-        Args:
-            server: where it shall run.
-            request: what shall run.
-            has_alternatives: another server may serve the request as well, so that
-                it is not worth waiting until this one takes one connection more.
-
-        Raises:
-            NotServedError: there is none; nothing was sent.
-            ConnectFailedError: the server cannot be reached; nothing was sent.
-        """
-        shared = None if self._shared is None else self._shared.open(server, request)
-        if shared is not None:
-            return shared
+    ) -> PooledHold:
+        """Wait for a place and a connection; see ``ConnectionAccess``."""
         return self.open_here(server, request.place(has_alternatives=has_alternatives))
 
     def open_here(self, server: BackendServer, place: PlaceRequest) -> PooledHold:
-        """Wait for a place and a connection of this process, as long as may be.
+        """Wait for a place and a connection, as long as the request may wait.
 
         A place and a connection that are free are taken also when that time is over.
         Errors as for ``open``.
@@ -243,9 +214,7 @@
         return PooledHold(backend, connection, admitted.ok, self)
 
     def may_be_fresh(self, group: str, bound: ReadBound) -> bool:
-        """Tell whether a position that meets a bound may be known where it runs."""
-        if self._shared is not None and self._shared.shares(group):
-            return True
+        """Tell whether a position is known that meets a bound."""
         return self._freshness.floor(group, bound.max_age) is not None
 
     def floor(self, group: str, bound: ReadBound) -> Position:
--- a/packages/pooler/src/dogwoodspool_pooler/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/errors.py
@@ -21,6 +21,10 @@
         self.error = error
 
 
+class NoPrimaryError(NotServedError):
+    """Report that this process reaches no server that leads the group."""
+
+
 class NotReadyError(PoolerError):
     """Report that nothing has come from control so far: any database may exist."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/held.py
+++ b/packages/pooler/src/dogwoodspool_pooler/held.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from dogwoodspool_common import BackendServer, Position, log_rate_limited
 from dogwoodspool_connections import ConnectFailedError, OutcomeUnknownError
 
 from .models import Prepared, Reply, Statement, StatementKind, TransactionState
+from .requests import Request
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,9 +43,6 @@
         statement: Statement,
         prepared: Prepared | None,
         deadline: float,
-        *,
-        then: Statement | None = None,
-        bound: ReadBound | None = None,
     ) -> Reply:
         """Run one statement in a session's state.
 
@@ -53,12 +51,9 @@
             statement: what the caller sent.
             prepared: what it executes, where it executes a prepared statement.
             deadline: clock time until which the whole answer must be there.
-            then: a statement of the pooler's own that is sent right behind it.
-            bound: what the server must reflect, where it may be any.
 
         Raises:
             NotServedError: it waited for a place in vain; nothing was sent.
-            NotFreshError: no position is known that meets the bound; nothing was sent.
             ServerNotReachedError: no connection came up; nothing was sent.
             ConnectFailedError: the connection had ended; nothing was sent.
             OutcomeUnknownError: no complete answer came.
@@ -72,7 +67,17 @@
         *,
         bound: ReadBound | None = None,
     ) -> Reply:
-        """Run one of the pooler's own statements; errors as for ``run``."""
+        """Run one of the pooler's own statements.
+
+        Args:
+            statement: what shall run.
+            deadline: clock time until which the whole answer must be there.
+            bound: what the server must reflect, where it may be any.
+
+        Raises:
+            NotFreshError: no position is known that meets the bound; nothing was sent.
+            BackendError: as for ``run``.
+        """
         ...
 
     def finish(self, *, is_good: bool) -> None:
@@ -80,6 +85,49 @@
         ...
 
 
+HeldT = TypeVar("HeldT", bound=HeldConnection)
+HeldT_co = TypeVar("HeldT_co", bound=HeldConnection, covariant=True)
+
+
+class ConnectionAccess(Protocol[HeldT_co]):
+    """Give requests connections to backend servers."""
+
+    def open(
+        self,
+        server: BackendServer,
+        request: Request,
+        *,
+        has_alternatives: bool = False,
+    ) -> HeldT_co:
+        """Return a connection, or what stands for one of another process.
+
+        Args:
+            server: where it shall run.
+            request: what shall run.
+            has_alternatives: another server may serve the request as well, so that
+                it is not worth waiting until this one takes one connection more.
+
+        Raises:
+            NotServedError: there is none; nothing was sent.
+            ConnectFailedError: the server cannot be reached; nothing was sent.
+        """
+        ...
+
+    def begin_on_primary(self, held: HeldConnection, request: Request) -> Reply:
+        """Begin a transaction, which only a server that leads does."""
+        ...
+
+    def may_be_fresh(self, group: str, bound: ReadBound) -> bool:
+        """Tell whether a position that meets a bound may be known where it runs."""
+        ...
+
+    def note_fresh(
+        self, server: BackendServer, position: Position | None, asked_at: float
+    ) -> None:
+        """Take in how far a primary was that surely held its place."""
+        ...
+
+
 def roll_back(held: HeldConnection, deadline: float) -> None:
     """End a transaction on a held connection and give the connection back."""
     is_good = False
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -1,6 +1,7 @@
 """Reach the server that leads a group, also while the lead moves."""
 
 from collections.abc import Callable
+from typing import Generic
 
 from dogwoodspool_common import BackendServer, Clock, Phase, log_rate_limited
 from dogwoodspool_connections import (
@@ -9,27 +10,21 @@
     ServerNotReachedError,
 )
 from dogwoodspool_following import ViewStore
-from dogwoodspool_routing import ServerTable
 
-from .access import ServerAccess
 from .const import (
     BUSY_RETRY_MS,
     CHANGING_RETRY_MS,
-    LEAVING_GRACE_SECONDS,
     MAX_WRITE_ATTEMPTS,
     NO_PRIMARY_RETRY_MS,
 )
-from .errors import NotServedError
-from .held import HeldConnection
+from .errors import NoPrimaryError, NotServedError
+from .held import ConnectionAccess, HeldT
+from .known_primaries import KnownPrimaries
 from .models import ErrorCode, Reply, StatementError
-from .placement import PrimaryMemory
 from .requests import Request
 
-# Runs a request on a held connection of a server that may lead.
-Attempt = Callable[[HeldConnection], Reply]
 
-
-class PrimaryPath:
+class PrimaryPath(Generic[HeldT]):
     """Try the servers that may lead, until one does.
 
     A server that has lost its place refuses before it runs anything, so that the
@@ -40,50 +35,30 @@
     def __init__(
         self,
         views: ViewStore,
-        table: ServerTable,
-        access: ServerAccess,
+        known: KnownPrimaries,
+        access: ConnectionAccess[HeldT],
         clock: Clock,
     ) -> None:
         self._views = views
-        self._table = table
+        self._known = known
         self._access = access
         self._clock = clock
-        self._memory = PrimaryMemory()
-        # Group, and the server that refused to lead it under that version of the view.
-        self._refusals: dict[str, tuple[str, int]] = {}
-        views.add_listener(lambda view: self._memory.note(view.groups.values()))
-
-    def current(self, group: str) -> str | None:
-        """Return the name of the server that probably leads."""
-        candidates = self._candidates(group)
-        return candidates[0].name if candidates else None
-
-    def lost_groups(self) -> int:
-        """Return how many of the groups that callers use have no primary in reach.
 
-        A server that says that it does not lead counts as lost until a newer view
-        comes: another was promoted, and this process does not know of it.
-        """
-        view = self._views.view
-        in_doubt = self._table.failing_groups() | set(self._refusals)
-        used = {one.group for one in view.databases.values()}
-        return sum(self._is_lost(group, view.version) for group in in_doubt & used)
-
-    def names(self, most: int) -> list[str]:
-        """Return the servers that probably lead the groups that callers use."""
-        view = self._views.view
-        groups = sorted({one.group for one in view.databases.values()})
-        found = (self.current(group) for group in groups[:most])
-        return [name for name in found if name is not None]
-
-    def run(self, request: Request, attempt: Attempt) -> tuple[HeldConnection, Reply]:
+    def run(
+        self, request: Request, attempt: Callable[[HeldT], Reply]
+    ) -> tuple[HeldT, Reply]:
         """Run a request on the primary.
 
+        Args:
+            request: what shall run.
+            attempt: runs it on a connection of a server that may lead.
+
         Returns:
             The connection, which the caller finishes, and the answer, which is no
             refusal for want of the lead.
 
         Raises:
+            NoPrimaryError: no server that leads is in reach; nothing of it ran.
             NotServedError: nothing of it ran.
             OutcomeUnknownError: it may have run; the connection is finished.
         """
@@ -102,11 +77,11 @@
                 refused.clear()
             if number and self._clock.now() >= request.deadline:
                 break
-        raise NotServedError(self._no_primary(request.endpoint.group))
+        raise NoPrimaryError(self._no_primary(request.endpoint.group))
 
     def run_repeatable(
-        self, request: Request, attempt: Attempt
-    ) -> tuple[HeldConnection, Reply]:
+        self, request: Request, attempt: Callable[[HeldT], Reply]
+    ) -> tuple[HeldT, Reply]:
         """Run on the primary what may run again, such as a read; see ``run``.
 
         Raises:
@@ -121,8 +96,8 @@
             ) from error
 
     def _try(
-        self, request: Request, server: BackendServer, attempt: Attempt
-    ) -> tuple[HeldConnection, Reply] | None:
+        self, request: Request, server: BackendServer, attempt: Callable[[HeldT], Reply]
+    ) -> tuple[HeldT, Reply] | None:
         try:
             held = self._access.open(server, request)
         except ConnectFailedError:
@@ -149,49 +124,24 @@
                 server=server.name,
                 view=self._views.view.version,
             )
-            refused = (server.name, self._views.view.version)
-            self._refusals[request.endpoint.group] = refused
+            self._known.note_refusal(request.endpoint.group, server.name)
             held.finish(is_good=True)
             return None
         return held, reply
 
-    def _is_lost(self, group: str, version: int) -> bool:
-        current = self.current(group)
-        return current is None or self._refusals.get(group) == (current, version)
-
     def _try_again(
-        self, request: Request, server: BackendServer, attempt: Attempt
-    ) -> tuple[HeldConnection, Reply] | None:
+        self, request: Request, server: BackendServer, attempt: Callable[[HeldT], Reply]
+    ) -> tuple[HeldT, Reply] | None:
         if self._clock.now() >= request.deadline:
             return None
         return self._try(request, server, attempt)
 
     def _next(self, group: str, refused: set[str]) -> BackendServer | None:
-        for server in self._candidates(group):
+        for server in self._known.candidates(group):
             if server.name not in refused:
                 return server
         return None
 
-    def _candidates(self, group: str) -> list[BackendServer]:
-        view = self._views.view
-        servers = view.servers_of(group)
-        found = self._memory.candidates(view.groups.get(group), servers)
-        return [one for one in found if self._takes_work(one.name)]
-
-    def _takes_work(self, name: str) -> bool:
-        """Tell whether a server may get new work.
-
-        A leaving primary goes on for a while, since its lead is moved meanwhile
-        and nobody else can take its writes. Then it gets none, also where the
-        lead could not be moved.
-        """
-        known = self._table.get(name)
-        if known is None:
-            return True
-        leaving_for = known.leaving_for
-        is_leaving = leaving_for is not None and leaving_for >= LEAVING_GRACE_SECONDS
-        return not known.is_failing and not is_leaving
-
     def _await_news(self, request: Request, version: int) -> bool:
         """Wait for the end of a change of primary that is under way.
 
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -3,30 +3,26 @@
 from dogwoodspool_common import (
     BackendServer,
     Clock,
-    Consistency,
-    log_rate_limited,
 )
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import ConnectFailedError, OutcomeUnknownError
-from dogwoodspool_following import ViewStore
-from dogwoodspool_routing import ServerTable
 
-from .access import ServerAccess
+from .access import PooledHold, ServerAccess
 from .const import (
     MAX_READ_ATTEMPTS,
     PRIMARY_READ_SHARE,
     READ_ATTEMPT_SHARE,
 )
 from .errors import NotFreshError, NotServedError
-from .held import HeldConnection, ReadBound
+from .held import ReadBound
 from .models import (
     Reply,
     Statement,
     StatementKind,
     TransactionState,
 )
-from .placement import rank_for_read
 from .primaries import PrimaryPath
+from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
 
 
@@ -39,45 +35,31 @@
 
     def __init__(
         self,
-        views: ViewStore,
-        table: ServerTable,
         access: ServerAccess,
-        primaries: PrimaryPath,
+        placement: ReadPlacement,
+        primaries: PrimaryPath[PooledHold],
         counters: Counters,
         clock: Clock,
     ) -> None:
         self._counters = counters
-        self._views = views
-        self._table = table
         self._access = access
+        self._placement = placement
         self._primaries = primaries
         self._clock = clock
 
-    def bound(self, request: Request) -> ReadBound | None:
-        """Return what a server must reflect; None for the primary alone."""
-        endpoint = request.endpoint
-        if endpoint.consistency is Consistency.PRIMARY or request.max_age is None:
-            return None
-        is_own = endpoint.consistency is Consistency.READ_YOUR_WRITES
-        at_least = request.session_position if is_own else None
-        bound = ReadBound(request.max_age, at_least)
-        if not self._access.may_be_fresh(endpoint.group, bound):
-            return None
-        return bound
-
     def run(self, request: Request) -> Reply:
         """Serve one read.
 
         Raises:
             NotServedError: no server took it.
         """
-        bound = self.bound(request)
+        bound = self._placement.bound(request)
         if bound is None:
             return self._read_primary(request)
         excluded: set[str] = set()
         failed: Reply | None = None
         for number in range(MAX_READ_ATTEMPTS):
-            server = self.choose(request, excluded)
+            server = self._placement.choose(request, excluded)
             if server is None:
                 break
             try:
@@ -86,7 +68,7 @@
                 break
             if reply is not None and reply.error is None:
                 group = request.endpoint.group
-                is_primary = server.name == self._primaries.current(group)
+                is_primary = self._placement.is_primary(server)
                 self._counters.read_served(group, is_primary)
                 return reply
             excluded.add(server.name)
@@ -97,17 +79,6 @@
             return failed
         return self._read_primary(request)
 
-    def choose(self, request: Request, excluded: set[str]) -> BackendServer | None:
-        """Return the best server for a read, None where none is left."""
-        group = request.endpoint.group
-        ranked = rank_for_read(
-            self._table.servers(group),
-            primary=self._primaries.current(group),
-            failure_domain=self._views.failure_domain,
-            excluded=excluded,
-        )
-        return ranked[0].server if ranked else None
-
     def _try(
         self, request: Request, server: BackendServer, number: int, bound: ReadBound
     ) -> Reply | None:
@@ -162,7 +133,7 @@
             self._counters.read_served(request.endpoint.group, by_primary=True)
         return reply
 
-    def _read_fenced(self, held: HeldConnection, request: Request) -> Reply:
+    def _read_fenced(self, held: PooledHold, request: Request) -> Reply:
         now = self._clock.now()
         begun = self._access.begin_on_primary(held, request)
         if begun.error is not None:
@@ -174,14 +145,3 @@
             now + (request.deadline - now) * PRIMARY_READ_SHARE,
             then=Statement(StatementKind.ROLLBACK),
         )
-
-
-def log_read_moved(request: Request, server: BackendServer, reason: object) -> None:
-    """Log that a read, or the begin of a reading transaction, tries another server."""
-    log_rate_limited(
-        "read_moved",
-        request=request.statement.request_id,
-        database=request.endpoint.database,
-        server=server.name,
-        reason=reason,
-    )
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -20,7 +20,10 @@
 from .const import WATCH_WAIT_MS
 from .expiry import ConnectionExpiry
 from .freshness import FreshnessBook
+from .held import ConnectionAccess, HeldConnection
+from .known_primaries import KnownPrimaries
 from .primaries import PrimaryPath
+from .read_placement import ReadPlacement
 from .reads import ReadPath
 from .recovery import RecoveryProber
 from .registry import BackendRegistry
@@ -29,6 +32,7 @@
 from .sessions import PooledSessions
 from .shared.runtime import SharedPoolsRuntime
 from .stalls import StallBook
+from .statements import OwnStatements
 from .surroundings import GroupSurroundings
 from .transactions import TransactionPath
 from .writes import WritePath
@@ -73,6 +77,11 @@
             self._suspect,
             clock,
         )
+        known = KnownPrimaries(self._views, self._table)
+        primaries = PrimaryPath(self._views, known, access, clock)
+        placement = ReadPlacement(self._views, self._table, known, access)
+        reads = ReadPath(access, placement, primaries, self._counters, clock)
+        statements = OwnStatements(reads, WritePath(primaries, access, clock))
         self._shared = SharedPoolsRuntime(
             Neighbour(name, str(address)),
             failure_domain,
@@ -80,18 +89,14 @@
             ControlPeers(control, failure_domain, failure_domain),
             self._views,
             access,
+            statements,
             client,
             clock,
         )
-        primaries = PrimaryPath(self._views, self._table, access, clock)
-        reads = ReadPath(
-            self._views, self._table, access, primaries, self._counters, clock
-        )
         self._sessions = PooledSessions(
             self._views,
-            reads,
-            WritePath(primaries, access, clock),
-            TransactionPath(self._views, reads, primaries, access, clock),
+            self._shared.statements,
+            self._transactions(self._shared.access, known, clock),
             self._counters,
             clock,
         )
@@ -103,7 +108,7 @@
         )
         self._rotation = Rotation(clock)
         surroundings = GroupSurroundings(
-            failure_domain, primaries, self._table, self._recovery, self._reports
+            failure_domain, known, self._table, self._recovery, self._reports
         )
         self._rotation_watch = RotationCoordinator(
             self._rotation, self._peers, surroundings, clock
@@ -190,6 +195,16 @@
             lines.append(f"dogwoodspool_statements_waiting{label} {waiting}")
         return self._counters.page() + "\n".join(lines) + "\n"
 
+    def _transactions(
+        self,
+        access: ConnectionAccess[HeldConnection],
+        known: KnownPrimaries,
+        clock: Clock,
+    ) -> TransactionPath:
+        primaries = PrimaryPath(self._views, known, access, clock)
+        placement = ReadPlacement(self._views, self._table, known, access)
+        return TransactionPath(self._views, placement, primaries, access, clock)
+
     def _suspect(self, server: str) -> None:
         """Ask both the server and control whether they can still be reached."""
         self._recovery.suspect(server)
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -26,11 +26,10 @@
     StatementKind,
     TransactionState,
 )
-from .reads import ReadPath
 from .requests import Request
 from .session_state import SessionState
+from .statements import Statements
 from .transactions import Transaction, TransactionPath
-from .writes import WritePath
 
 RUNNING_KINDS = (StatementKind.READ, StatementKind.WRITE, StatementKind.EXECUTE)
 BEGINNING_KINDS = (StatementKind.BEGIN, StatementKind.BEGIN_READ_ONLY)
@@ -47,8 +46,7 @@
         self,
         database: str,
         views: ViewStore,
-        reads: ReadPath,
-        writes: WritePath,
+        statements: Statements,
         transactions: TransactionPath,
         counters: Counters,
         clock: Clock,
@@ -56,8 +54,7 @@
     ) -> None:
         self._database = database
         self._views = views
-        self._reads = reads
-        self._writes = writes
+        self._statements = statements
         self._transactions = transactions
         self._counters = counters
         self._clock = clock
@@ -216,10 +213,8 @@
             return Answer(TransactionState.IDLE, error=error.error)
 
     def _run_alone(self, request: Request) -> Reply:
-        if not request.writes:
-            return self._reads.run(request)
-        reply = self._writes.run(request)
-        if reply.error is None:
+        reply = self._statements.run(request)
+        if request.writes and reply.error is None:
             self._advance(request.endpoint, reply.position)
         return reply
 
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -6,10 +6,9 @@
 
 from .const import FIRST_VIEW_DUE_SECONDS, FIRST_VIEW_WAIT_SECONDS
 from .errors import NoDatabaseError, NotReadyError
-from .reads import ReadPath
 from .session import PooledSession
+from .statements import Statements
 from .transactions import TransactionPath
-from .writes import WritePath
 
 
 class PooledSessions(OpenSessions[PooledSession]):
@@ -18,16 +17,14 @@
     def __init__(
         self,
         views: ViewStore,
-        reads: ReadPath,
-        writes: WritePath,
+        statements: Statements,
         transactions: TransactionPath,
         counters: Counters,
         clock: Clock,
     ) -> None:
         super().__init__(clock)
         self._views = views
-        self._reads = reads
-        self._writes = writes
+        self._statements = statements
         self._transactions = transactions
         self._counters = counters
         self._first_view_due = clock.now() + FIRST_VIEW_DUE_SECONDS
@@ -51,8 +48,7 @@
         session = PooledSession(
             database,
             self._views,
-            self._reads,
-            self._writes,
+            self._statements,
             self._transactions,
             self._counters,
             self._clock,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -4,6 +4,7 @@
 
 # Paths of the endpoints at which an owner of pools takes requests of its neighbours.
 PATH_STATEMENT: Final = "/v1/pools/statement"
+PATH_TRANSACTION: Final = "/v1/pools/transaction"
 PATH_RELEASE: Final = "/v1/pools/release"
 
 # Threads for neighbours' requests, each of which waits for a place or an answer: above
@@ -13,6 +14,9 @@
 OWNER_CONNECT_TIMEOUT: Final = 0.15
 # Part of a request's time that is left for the way to the owner and back.
 HOP_SECONDS: Final = 0.03
+# Part of a read's remaining time that an owner gets: time must be left to read without
+# it where it was lost.
+OWNER_READ_SHARE: Final = 0.5
 RELEASE_TIMEOUT: Final = 0.2
 # Neighbours to which connections are kept open: the owners of all groups in use.
 MAX_OWNERS_CONNECTED: Final = 512
--- a/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
@@ -18,6 +18,10 @@
     suggests_unreachable = False
 
 
+class UnknownLeaseError(PoolerError):
+    """Report that an owner does not hold a lease: it ended, or the process did."""
+
+
 class LeaseLostError(ConnectFailedError):
     """Report that an owner no longer holds a transaction's connection.
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/leases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/leases.py
@@ -8,7 +8,7 @@
 from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_following import Coordinator
 
-from ..held import HeldConnection
+from ..access import PooledHold
 from .const import LEASE_LOOK_SECONDS, LEASE_MARGIN_SECONDS
 
 LEASE_BYTES = 8
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class _Lease:
-    held: HeldConnection
+    held: PooledHold
     idle_since: float
 
 
@@ -43,14 +43,14 @@
         with self._lock:
             return len(self._leases)
 
-    def put(self, held: HeldConnection, lease: str | None = None) -> str:
+    def put(self, held: PooledHold, lease: str | None = None) -> str:
         """Keep a connection; return the name under which it is taken again."""
         name = lease or secrets.token_hex(LEASE_BYTES)
         with self._lock:
             self._leases[name] = _Lease(held, self._clock.now())
         return name
 
-    def take(self, lease: str) -> HeldConnection | None:
+    def take(self, lease: str) -> PooledHold | None:
         """Take a connection out; None where it is not kept any more."""
         with self._lock:
             found = self._leases.pop(lease, None)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
@@ -3,7 +3,13 @@
 from enum import StrEnum
 from typing import Self
 
-from dogwoodspool_api import HostPort, Message, Name, PositionMessage
+from dogwoodspool_api import (
+    EndpointMessage,
+    HostPort,
+    Message,
+    Name,
+    PositionMessage,
+)
 from dogwoodspool_common import BackendServer, Position
 from pydantic import Field
 
@@ -18,6 +24,7 @@
     StatementKind,
     TransactionState,
 )
+from ..requests import Request
 
 
 class StatementMessage(Message):
@@ -105,14 +112,55 @@
 
 
 class StatementRequest(Message):
-    """One statement that an owner shall run on one of its connections.
+    """One statement that an owner shall serve as if its own caller had sent it.
+
+    Attributes:
+        endpoint: what the caller's database promises.
+        values: the session's values.
+        session_position: the session's last commit; None before the first.
+        elapsed: seconds since the caller sent it.
+    """
+
+    endpoint: EndpointMessage
+    statement: StatementMessage
+    values: dict[str, str] = {}
+    prepared: PreparedMessage | None = None
+    session_position: PositionMessage | None = None
+    elapsed: float = Field(ge=0)
+
+    @classmethod
+    def of(cls, request: Request, now: float) -> Self:
+        """Build the message from the inner value."""
+        return cls(
+            endpoint=EndpointMessage.of(request.endpoint),
+            statement=StatementMessage.of(request.statement),
+            values=dict(request.values),
+            prepared=prepared_message(request.prepared),
+            session_position=_position_message(request.session_position),
+            elapsed=max(0.0, now - request.arrived_at),
+        )
+
+    def value(self, now: float) -> Request:
+        """Return the inner value."""
+        position = self.session_position
+        return Request(
+            endpoint=self.endpoint.value(),
+            statement=self.statement.value(),
+            values=self.values,
+            prepared=None if self.prepared is None else self.prepared.value(),
+            session_position=None if position is None else position.value(),
+            arrived_at=now - self.elapsed,
+        )
+
+
+class TransactionRequest(Message):
+    """One statement of a transaction, for a connection that the owner keeps for it.
 
     Attributes:
         is_order: it is one of the pooler's own and carries no session state.
         values: the session's values.
-        then: a statement of the pooler's own that is sent right behind it.
         bound: what the server must reflect, where it may be any.
-        lease: the connection that its transaction holds at the owner, if any.
+        lease: the connection that the transaction holds; None before its first answer.
         priority: who goes first; a lower number does.
         wait: seconds for which it may wait for a place.
         answer: seconds for which the server's answer may take.
@@ -123,7 +171,6 @@
     is_order: bool = False
     values: dict[str, str] = {}
     prepared: PreparedMessage | None = None
-    then: StatementMessage | None = None
     bound: BoundMessage | None = None
     lease: str | None = None
     priority: int
@@ -131,14 +178,33 @@
     answer: float = Field(gt=0)
 
 
+class RefusalMessage(Message):
+    """Why a statement has no result; see ``StatementError``."""
+
+    code: ErrorCode
+    message: str
+    retry_after_ms: int = 0
+
+    @classmethod
+    def of(cls, error: StatementError) -> Self:
+        """Build the message from the inner value."""
+        return cls(
+            code=error.code,
+            message=error.message,
+            retry_after_ms=error.retry_after_ms,
+        )
+
+    def value(self) -> StatementError:
+        """Return the inner value."""
+        return StatementError(self.code, self.message, self.retry_after_ms)
+
+
 class ReplyMessage(Message):
     """A server's answer; see ``Reply``."""
 
     rows: list[str]
     proof: str
-    error_code: ErrorCode | None = None
-    error_message: str = ""
-    retry_after_ms: int = 0
+    error: RefusalMessage | None = None
     state: TransactionState
     position: PositionMessage | None = None
 
@@ -149,20 +215,14 @@
         return cls(
             rows=list(reply.rows),
             proof=reply.proof,
-            error_code=error.code if error else None,
-            error_message=error.message if error else "",
-            retry_after_ms=error.retry_after_ms if error else 0,
+            error=None if error is None else RefusalMessage.of(error),
             state=reply.state,
             position=_position_message(reply.position),
         )
 
     def value(self) -> Reply:
         """Return the inner value."""
-        error = None
-        if self.error_code is not None:
-            error = StatementError(
-                self.error_code, self.error_message, self.retry_after_ms
-            )
+        error = None if self.error is None else self.error.value()
         position = None if self.position is None else self.position.value()
         return Reply(tuple(self.rows), self.proof, error, self.state, position)
 
@@ -188,9 +248,22 @@
 
 
 class StatementResponse(Message):
-    """What became of a statement: a reply, or why there is none.
+    """What became of a statement: a reply, or why it did not run.
 
     Attributes:
+        has_no_primary: the owner reaches no server that leads; the asker may.
+    """
+
+    reply: ReplyMessage | None = None
+    refusal: RefusalMessage | None = None
+    has_no_primary: bool = False
+
+
+class TransactionResponse(Message):
+    """What became of a transaction's statement: a reply, or why there is none.
+
+    Attributes:
+        refusal: what the caller is told, of a failure of that kind.
         lease: the connection that its transaction holds; None without a transaction.
     """
 
@@ -198,8 +271,7 @@
     lease: str | None = None
     failure: Failure | None = None
     message: str = ""
-    error_code: ErrorCode | None = None
-    retry_after_ms: int = 0
+    refusal: RefusalMessage | None = None
 
 
 class ReleaseLease(Message):
@@ -209,5 +281,10 @@
     is_good: bool
 
 
+def prepared_message(prepared: Prepared | None) -> PreparedMessage | None:
+    """Return the message for what a statement executes, if anything."""
+    return None if prepared is None else PreparedMessage.of(prepared)
+
+
 def _position_message(position: Position | None) -> PositionMessage | None:
     return None if position is None else PositionMessage.of(position)
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
@@ -0,0 +1,80 @@
+"""Ask the owners of pools."""
+
+from typing import TypeVar
+
+from dogwoodspool_api import Message
+from dogwoodspool_common import (
+    JsonClient,
+    PeerNotConnectedError,
+    PeerRefusedError,
+    PeerUnreachableError,
+    log_rate_limited,
+    span,
+)
+from dogwoodspool_sharing import Neighbour, ProxyDirectory
+from pydantic import ValidationError
+
+from .const import CODE_NOT_OWNER, CODE_UNKNOWN_LEASE, PATH_RELEASE, RELEASE_TIMEOUT
+from .errors import OwnerSilentError, OwnerUnavailableError, UnknownLeaseError
+from .messages import ReleaseLease
+
+ResponseT = TypeVar("ResponseT", bound=Message)
+
+
+class OwnerClient:
+    """Send a request to one owner, and tell what its failure means."""
+
+    def __init__(self, directory: ProxyDirectory, client: JsonClient) -> None:
+        self._directory = directory
+        self._client = client
+
+    def ask(
+        self,
+        owner: Neighbour,
+        path: str,
+        request: Message,
+        response_type: type[ResponseT],
+        timeout: float,
+    ) -> ResponseT:
+        """Send a request and return the answer.
+
+        Raises:
+            OwnerUnavailableError: it was not taken; nothing ran.
+            UnknownLeaseError: the owner does not hold its lease; nothing ran.
+            OwnerSilentError: it may have run.
+        """
+        content = request.model_dump(mode="json", exclude_defaults=True)
+        try:
+            with span("owner.request", owner=owner.name):
+                answer = self._client.post(owner.endpoint, path, content, timeout)
+            return response_type.model_validate(answer)
+        except PeerNotConnectedError as error:
+            raise self._unavailable(owner, error) from error
+        except PeerRefusedError as error:
+            if error.code == CODE_NOT_OWNER:
+                raise self._unavailable(owner, error) from error
+            if error.code == CODE_UNKNOWN_LEASE:
+                raise UnknownLeaseError(f"{owner.name}: {error}") from error
+            raise self._silent(owner, error) from error
+        except (PeerUnreachableError, ValidationError) as error:
+            raise self._silent(owner, error) from error
+
+    def release(self, owner: Neighbour, lease: str, *, is_good: bool) -> None:
+        """Give a lease back."""
+        message = ReleaseLease(lease=lease, is_good=is_good)
+        content = message.model_dump(mode="json")
+        try:
+            self._client.post(owner.endpoint, PATH_RELEASE, content, RELEASE_TIMEOUT)
+        except (PeerUnreachableError, PeerRefusedError) as error:
+            # The owner ends the lease by itself a little later.
+            log_rate_limited("release_failed", owner=owner.name, reason=error)
+
+    def _unavailable(self, owner: Neighbour, error: Exception) -> OwnerUnavailableError:
+        self._directory.note_failed(owner.name)
+        log_rate_limited("owner_passed_over", owner=owner.name, reason=error)
+        return OwnerUnavailableError(f"{owner.name}: {error}")
+
+    def _silent(self, owner: Neighbour, error: Exception) -> OwnerSilentError:
+        self._directory.note_failed(owner.name)
+        log_rate_limited("owner_silent", owner=owner.name, reason=error)
+        return OwnerSilentError(f"{owner.name}: {error}")
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -6,10 +6,15 @@
 from dogwoodspool_sharing import Neighbour, PresenceCoordinator, ProxyDirectory
 
 from ..access import ServerAccess
+from ..statements import Statements
+from .access import SharingAccess
 from .const import CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
+from .group_owners import GroupOwners
 from .leases import LeaseBook, LeaseExpiry
-from .owner_api import OwnerApi
-from .remote import OwnedPools
+from .owner_client import OwnerClient
+from .statement_api import StatementApi
+from .statements import SharedStatements
+from .transaction_api import TransactionApi
 
 
 class SharedPoolsRuntime:
@@ -19,6 +24,7 @@
         own: this process.
         peers: control processes in the order of the failure domain.
         access: the own pools.
+        statements: serves single statements on the own pools.
         client: calls control.
     """
 
@@ -30,27 +36,41 @@
         peers: ControlPeers,
         views: ViewStore,
         access: ServerAccess,
+        statements: Statements,
         client: JsonClient,
         clock: Clock,
     ) -> None:
         self._views = views
-        self._access = access
         self._directory = ProxyDirectory(own, failure_domains, clock)
         self._presence = PresenceCoordinator(
             own, failure_domain, self._directory, peers, client, clock
         )
         self._leases = LeaseBook(self._idle_limit, clock)
         self._expiry = LeaseExpiry(self._leases, clock)
-        self._owner = OwnerApi(views, access, self._leases, clock)
+        self._statement_api = StatementApi(views, statements, clock)
+        self._transaction_api = TransactionApi(views, access, self._leases, clock)
         self._client = JsonClient(
             None, CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
         )
-        self._pools = OwnedPools(self._directory, views, access, self._client)
+        owners = GroupOwners(self._directory, views)
+        owner_client = OwnerClient(self._directory, self._client)
+        self._statements = SharedStatements(statements, owners, owner_client, clock)
+        self._access = SharingAccess(access, owners, owner_client)
+
+    @property
+    def statements(self) -> SharedStatements:
+        """Serve single statements, here or at an owner."""
+        return self._statements
+
+    @property
+    def access(self) -> SharingAccess:
+        """Give transactions connections, here or at an owner."""
+        return self._access
 
     @property
     def routes(self) -> list[Route]:
         """The endpoints for other proxies."""
-        return self._owner.routes()
+        return [*self._statement_api.routes(), *self._transaction_api.routes()]
 
     @property
     def neighbours(self) -> int:
@@ -64,13 +84,13 @@
 
     def set_up(self) -> None:
         """Begin to lend and to borrow."""
-        self._access.set_shared_pools(self._pools)
         self._expiry.set_up()
         self._presence.set_up()
 
     def leave(self) -> None:
         """Take no more requests, and have control tell the others."""
-        self._owner.leave()
+        self._statement_api.leave()
+        self._transaction_api.leave()
         self._presence.leave()
 
     def unload(self) -> None:
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -0,0 +1,68 @@
+"""Serve single statements of neighbours on the pools of this proxy."""
+
+from dataclasses import replace
+
+from dogwoodspool_common import (
+    Clock,
+    JsonRequest,
+    JsonResponse,
+    Route,
+    error_response,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_following import ViewStore
+
+from ..errors import NoPrimaryError, NotServedError
+from ..requests import Request
+from ..statements import Statements
+from .const import CODE_NOT_OWNER, HOP_SECONDS, PATH_STATEMENT
+from .messages import (
+    RefusalMessage,
+    ReplyMessage,
+    StatementRequest,
+    StatementResponse,
+)
+
+
+class StatementApi:
+    """Take single statements of other proxies, as if one's own callers sent them."""
+
+    def __init__(self, views: ViewStore, statements: Statements, clock: Clock) -> None:
+        self._views = views
+        self._statements = statements
+        self._clock = clock
+        self._is_leaving = False
+
+    def routes(self) -> list[Route]:
+        """Return the endpoints."""
+        return [Route("POST", PATH_STATEMENT, self._run)]
+
+    def leave(self) -> None:
+        """Take no more requests."""
+        self._is_leaving = True
+
+    def _run(self, request: JsonRequest) -> JsonResponse:
+        message = StatementRequest.model_validate(request.body)
+        wanted = _with_time_to_answer(message.value(self._clock.now()))
+        group = wanted.endpoint.group
+        if self._is_leaving or group not in self._views.view.groups:
+            return error_response(421, CODE_NOT_OWNER, group)
+        try:
+            reply = self._statements.run(wanted)
+        except NotServedError as error:
+            refused = StatementResponse(
+                refusal=RefusalMessage.of(error.error),
+                has_no_primary=isinstance(error, NoPrimaryError),
+            )
+            return _answer(refused)
+        return _answer(StatementResponse(reply=ReplyMessage.of(reply)))
+
+
+def _with_time_to_answer(request: Request) -> Request:
+    """Bring the deadline forward by the time that the answer takes to the asker."""
+    deadline_ms = max(1, request.endpoint.deadline_ms - int(HOP_SECONDS * MILLISECONDS))
+    return replace(request, endpoint=replace(request.endpoint, deadline_ms=deadline_ms))
+
+
+def _answer(response: StatementResponse) -> JsonResponse:
+    return JsonResponse(response.model_dump(mode="json", exclude_none=True))
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -1,4 +1,4 @@
-"""Run statements of neighbours on the connections of this proxy."""
+"""Run transactions of neighbours on the connections of this proxy."""
 
 from dogwoodspool_common import (
     BackendServer,
@@ -16,9 +16,8 @@
 )
 from dogwoodspool_following import ViewStore
 
-from ..access import ServerAccess
+from ..access import PooledHold, ServerAccess
 from ..errors import NotFreshError, NotServedError
-from ..held import HeldConnection
 from ..models import Access, Reply, StatementKind
 from ..requests import PlaceRequest
 from .const import (
@@ -26,24 +25,21 @@
     CODE_UNKNOWN_LEASE,
     OWNER_ATTEMPTS,
     PATH_RELEASE,
-    PATH_STATEMENT,
+    PATH_TRANSACTION,
 )
 from .leases import LeaseBook
 from .messages import (
     Failure,
+    RefusalMessage,
     ReleaseLease,
     ReplyMessage,
-    StatementRequest,
-    StatementResponse,
+    TransactionRequest,
+    TransactionResponse,
 )
 
 
-class OwnerApi:
-    """Take statements of other proxies, which wait for a place like one's own callers.
-
-    A statement that leaves a transaction open keeps its connection under a lease; every
-    other one gives it back at once.
-    """
+class TransactionApi:
+    """Keep a connection under a lease for each open transaction of other proxies."""
 
     def __init__(
         self, views: ViewStore, access: ServerAccess, leases: LeaseBook, clock: Clock
@@ -57,21 +53,21 @@
     def routes(self) -> list[Route]:
         """Return the endpoints."""
         return [
-            Route("POST", PATH_STATEMENT, self._run),
+            Route("POST", PATH_TRANSACTION, self._run),
             Route("POST", PATH_RELEASE, self._release),
         ]
 
     def leave(self) -> None:
-        """Take no more requests, but those of transactions that are open here."""
+        """Take no more transactions than those that are open here."""
         self._is_leaving = True
 
     def _run(self, request: JsonRequest) -> JsonResponse:
-        message = StatementRequest.model_validate(request.body)
+        message = TransactionRequest.model_validate(request.body)
         if message.lease is not None:
             held = self._leases.take(message.lease)
             if held is None:
                 return error_response(410, CODE_UNKNOWN_LEASE, message.lease)
-            return _answer(self._continue(held, message, message.lease))
+            return _answer(self._run_on(held, message))
         server = self._server(message)
         if self._is_leaving or server is None:
             return error_response(421, CODE_NOT_OWNER, message.server.server)
@@ -84,7 +80,7 @@
             held.finish(is_good=message.is_good)
         return JsonResponse()
 
-    def _server(self, message: StatementRequest) -> BackendServer | None:
+    def _server(self, message: TransactionRequest) -> BackendServer | None:
         """Return the server that is meant, where this process knows the very same."""
         meant = message.server
         known = self._views.view.servers.get(meant.server)
@@ -94,8 +90,8 @@
         return known if is_same and known.incarnation == meant.incarnation else None
 
     def _begin(
-        self, server: BackendServer, message: StatementRequest
-    ) -> StatementResponse:
+        self, server: BackendServer, message: TransactionRequest
+    ) -> TransactionResponse:
         now = self._clock.now()
         place = PlaceRequest(
             priority=message.priority,
@@ -105,19 +101,20 @@
         )
         for _attempt in range(OWNER_ATTEMPTS):
             try:
-                held: HeldConnection = self._access.open_here(server, place)
+                held = self._access.open_here(server, place)
             except NotServedError as error:
-                return _refused(error)
+                refusal = RefusalMessage.of(error.error)
+                return TransactionResponse(failure=Failure.REFUSED, refusal=refusal)
             except ConnectFailedError as error:
                 return _not_reached(error)
-            response = self._continue(held, message, None)
+            response = self._run_on(held, message)
             if response.failure is not Failure.ENDED:
-                return response
+                break
         return response
 
-    def _continue(
-        self, held: HeldConnection, message: StatementRequest, lease: str | None
-    ) -> StatementResponse:
+    def _run_on(
+        self, held: PooledHold, message: TransactionRequest
+    ) -> TransactionResponse:
         """Run a statement on a connection, and keep or give back the connection."""
         is_good = False
         try:
@@ -125,9 +122,9 @@
             is_good = True
         except NotFreshError as error:
             is_good = True
-            return StatementResponse(failure=Failure.NOT_FRESH, message=str(error))
+            return TransactionResponse(failure=Failure.NOT_FRESH, message=str(error))
         except ConnectFailedError as error:
-            return StatementResponse(failure=Failure.ENDED, message=str(error))
+            return TransactionResponse(failure=Failure.ENDED, message=str(error))
         except OutcomeUnknownError as error:
             log_rate_limited(
                 "neighbour_unanswered",
@@ -135,60 +132,42 @@
                 server=held.server.name,
                 reason=error,
             )
-            return StatementResponse(failure=Failure.UNANSWERED, message=str(error))
+            return TransactionResponse(failure=Failure.UNANSWERED, message=str(error))
         finally:
             is_kept = is_good and held.in_transaction
             if not is_kept:
                 held.finish(is_good=is_good)
-        kept = self._leases.put(held, lease) if is_kept else None
-        return StatementResponse(reply=ReplyMessage.of(reply), lease=kept)
+        lease = self._leases.put(held, message.lease) if is_kept else None
+        return TransactionResponse(reply=ReplyMessage.of(reply), lease=lease)
 
-    def _perform(self, held: HeldConnection, message: StatementRequest) -> Reply:
-        deadline = self._clock.now() + message.answer
-        statement = message.statement.value()
-        bound = None if message.bound is None else message.bound.value()
+    def _perform(self, held: PooledHold, message: TransactionRequest) -> Reply:
         asked_at = self._clock.now()
+        deadline = asked_at + message.answer
+        statement = message.statement.value()
         if message.is_order:
+            bound = None if message.bound is None else message.bound.value()
             reply = held.order(statement, deadline, bound=bound)
         else:
-            reply = held.run(
-                message.values,
-                statement,
-                None if message.prepared is None else message.prepared.value(),
-                deadline,
-                then=None if message.then is None else message.then.value(),
-                bound=bound,
-            )
+            prepared = None if message.prepared is None else message.prepared.value()
+            reply = held.run(message.values, statement, prepared, deadline)
         if reply.error is None and _needs_lead(message):
             self._access.note_fresh(held.server, reply.position, asked_at)
         return reply
 
 
-def _needs_lead(message: StatementRequest) -> bool:
+def _needs_lead(message: TransactionRequest) -> bool:
     """Tell whether only a server that leads answers a statement without an error."""
     is_write = message.prepared is not None and message.prepared.access is Access.WRITE
     kind = message.statement.kind
     return is_write or kind in (StatementKind.BEGIN, StatementKind.WRITE)
 
 
-def _refused(error: NotServedError) -> StatementResponse:
-    return StatementResponse(
-        failure=Failure.REFUSED,
-        message=error.error.message,
-        error_code=error.error.code,
-        retry_after_ms=error.error.retry_after_ms,
-    )
-
-
-def _not_reached(error: ConnectFailedError) -> StatementResponse:
+def _not_reached(error: ConnectFailedError) -> TransactionResponse:
+    failure = Failure.NOT_REACHED
     if isinstance(error, ServerDownError):
         failure = Failure.DOWN
-    elif error.suggests_unreachable:
-        failure = Failure.NOT_REACHED
-    else:
-        failure = Failure.REFUSED
-    return StatementResponse(failure=failure, message=str(error))
+    return TransactionResponse(failure=failure, message=str(error))
 
 
-def _answer(response: StatementResponse) -> JsonResponse:
+def _answer(response: TransactionResponse) -> JsonResponse:
     return JsonResponse(response.model_dump(mode="json", exclude_none=True))
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/statements.py
@@ -0,0 +1,32 @@
+"""Serve statements outside of transactions."""
+
+from typing import Protocol
+
+from .models import Reply
+from .reads import ReadPath
+from .requests import Request
+from .writes import WritePath
+
+
+class Statements(Protocol):
+    """Serve single statements, wherever the connections are."""
+
+    def run(self, request: Request) -> Reply:
+        """Serve one statement.
+
+        Raises:
+            NotServedError: it did not run.
+        """
+        ...
+
+
+class OwnStatements:
+    """Serve single statements on the pools of this process."""
+
+    def __init__(self, reads: ReadPath, writes: WritePath) -> None:
+        self._reads = reads
+        self._writes = writes
+
+    def run(self, request: Request) -> Reply:
+        """Serve one statement; see ``Statements``."""
+        return self._writes.run(request) if request.writes else self._reads.run(request)
--- a/packages/pooler/src/dogwoodspool_pooler/surroundings.py
+++ b/packages/pooler/src/dogwoodspool_pooler/surroundings.py
@@ -4,7 +4,7 @@
 from dogwoodspool_routing import ServerTable
 
 from .const import IN_QUESTION_SECONDS, MAX_PRIMARIES_ASKED
-from .primaries import PrimaryPath
+from .known_primaries import KnownPrimaries
 from .recovery import RecoveryProber
 from .reporting import ReportCoordinator
 
@@ -15,7 +15,7 @@
     def __init__(
         self,
         failure_domain: str,
-        primaries: PrimaryPath,
+        primaries: KnownPrimaries,
         table: ServerTable,
         recovery: RecoveryProber,
         reports: ReportCoordinator,
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -15,14 +15,13 @@
 )
 from dogwoodspool_following import ViewStore
 
-from .access import ServerAccess
 from .const import (
     BUSY_RETRY_SECONDS,
     MAX_READ_ATTEMPTS,
     SESSION_ORDER_TIMEOUT,
 )
 from .errors import NotFreshError, NotServedError
-from .held import HeldConnection, ReadBound, roll_back
+from .held import ConnectionAccess, HeldConnection, ReadBound, roll_back
 from .models import (
     ErrorCode,
     Reply,
@@ -32,7 +31,7 @@
     TransactionState,
 )
 from .primaries import PrimaryPath
-from .reads import ReadPath, log_read_moved
+from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
 from .writes import in_doubt
 
@@ -75,13 +74,13 @@
     def __init__(
         self,
         views: ViewStore,
-        reads: ReadPath,
-        primaries: PrimaryPath,
-        access: ServerAccess,
+        placement: ReadPlacement,
+        primaries: PrimaryPath[HeldConnection],
+        access: ConnectionAccess[HeldConnection],
         clock: Clock,
     ) -> None:
         self._views = views
-        self._reads = reads
+        self._placement = placement
         self._primaries = primaries
         self._access = access
         self._clock = clock
@@ -193,12 +192,12 @@
         return held
 
     def _begin_on_replica(self, request: Request) -> HeldConnection:
-        bound = self._reads.bound(request)
+        bound = self._placement.bound(request)
         if bound is None:
             return self._begin_on_primary(request)
         excluded: set[str] = set()
         for _attempt in range(MAX_READ_ATTEMPTS):
-            server = self._reads.choose(request, excluded)
+            server = self._placement.choose(request, excluded)
             if server is None:
                 break
             excluded.add(server.name)
--- a/packages/pooler/src/dogwoodspool_pooler/writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -3,9 +3,8 @@
 from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_connections import OutcomeUnknownError
 
-from .access import ServerAccess
+from .access import PooledHold, ServerAccess
 from .const import BUSY_RETRY_SECONDS
-from .held import HeldConnection
 from .models import ErrorCode, Reply, StatementError, TransactionState
 from .primaries import PrimaryPath
 from .requests import Request
@@ -18,7 +17,7 @@
     """
 
     def __init__(
-        self, primaries: PrimaryPath, access: ServerAccess, clock: Clock
+        self, primaries: PrimaryPath[PooledHold], access: ServerAccess, clock: Clock
     ) -> None:
         self._primaries = primaries
         self._access = access
@@ -46,7 +45,7 @@
         held.finish(is_good=reply.state is TransactionState.IDLE)
         return reply
 
-    def _attempt(self, held: HeldConnection, request: Request) -> Reply:
+    def _attempt(self, held: PooledHold, request: Request) -> Reply:
         while True:
             asked_at = self._clock.now()
             reply = held.run(
