Bound how many groups a proxy owns

With 24 proxies in a failure domain and eight parts to own, rendezvous hashing alone gives some proxies three: by arithmetic 250 KB/s, all of a link of 2 Mbit/s. Groups are now assigned in order, each to its first neighbours that own fewer than an even part.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -38,9 +38,8 @@
 
     What a process says of itself is known; what others say of the leader is hearsay.
     When a leader is cut off, they go on naming it until they have elected. A proxy
-    that believed them would wait for it each time, and reach the new leader 1.1 s late
-    in the median, in place of 0.3 s (40 simulated turns). So nobody is believed to
-    lead who was asked in vain, until each process has been asked.
+    that believed them would wait for it each time. So nobody is believed to lead who
+    was asked in vain, until each process has been asked.
 
     Args:
         addresses: those known at the start.
--- a/packages/limits/src/dogwoodspool_limits/return_schedule.py
+++ b/packages/limits/src/dogwoodspool_limits/return_schedule.py
@@ -10,9 +10,6 @@
     within a few milliseconds. Told the same time, all of them would come back
     together, and all but a few would be refused again until they give up. Each turn
     lies behind the one before by the time that the server needs for one statement.
-    After half a second at three times the capacity, with callers that return twice,
-    88 % of the requests are answered within a second instead of 85 % with one time for
-    all (replayed load, mean of 5 seeds).
 
     Turns lie within a horizon: under an overload that lasts, the queue of returns would
     grow without end, and nobody waits for the places at its end.
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -50,10 +50,7 @@
     than it can run, for seconds, and none of them sees the others. A statement that
     would wait past its deadline is refused at once, while its caller can still go
     elsewhere or come back; one that waited in vain would have cost the server's time
-    or the caller's for nothing. At three times the capacity (3 slots at 24 ms, 8
-    proxies, callers that return twice) 134 statements a second are answered within a
-    second; 18 are where everything goes to the server, as nearly all answers come too
-    late (replayed load, mean of 5 seeds).
+    or the caller's for nothing.
 
     Statements in flight are bounded by adaptive concurrency. Among waiting statements
     the priority decides and then the order of arrival; a full queue gives the place
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -25,8 +25,7 @@
 MARK_LIFE_SECONDS: Final = 10.0
 
 # A read prefers its own failure domain until the others are expected to answer so
-# much sooner. Operators pay for bytes between failure domains, and statements' times
-# vary by themselves: about a mean statement (24 ms), small beside a target of 250 ms.
+# much sooner: about one statement's time, as bytes between failure domains cost.
 OTHER_DOMAIN_PENALTY: Final = 0.025
 # The primary's slots are wanted by writes: a replica may take so much longer.
 PRIMARY_PENALTY: Final = 0.008
@@ -42,8 +41,7 @@
 DEFAULT_CONNECTIONS: Final = 16
 CEILING_STEP_SECONDS: Final = 1.0
 # Connections to one server that a process may hold at first, and the time until it may
-# hold one more: proxies that start together are ready within 0.12 s (emulated loss of
-# power), so that each of them has one before any has two.
+# hold one more: of proxies that start together each has one before any has two.
 FIRST_CONNECTIONS: Final = 1
 START_STEP_SECONDS: Final = 0.2
 # Pause before another connection is asked for where the server has too many and this
@@ -52,13 +50,11 @@
 # After a power loss of many proxies the servers go on to count their connections for
 # some seconds, and what was held then is missing when they are back. One connection
 # stays for callers that come now and then; those beyond it go after a few statements'
-# times. With 12 proxies and 23 connections the worth served on a day with such a loss
-# rises from 0.876 to 0.900 (emulated, mean of 3 seeds), for half as many connections
-# more that are opened.
+# times.
 IDLE_EXPIRY_SECONDS: Final = 1.0
 SURPLUS_EXPIRY_SECONDS: Final = 0.12
 # Time between two looks for such connections in pools that nobody uses: short, so that
-# bursts leave little behind; with a thousand pools a look takes some 0.1 ms.
+# bursts leave little behind.
 EXPIRY_LOOK_SECONDS: Final = 0.15
 CONNECT_TIMEOUT: Final = 0.5
 CHECK_TIMEOUT: Final = 0.25
@@ -102,9 +98,8 @@
 NO_CONNECTION_RETRY_MS: Final = 150
 WATCH_WAIT_MS: Final = 1_000
 # Time for which a caller waits for the first view, and time from a process's start in
-# which callers do so. When all processes start together the view comes 0.2 to 0.7 s
-# later (emulated loss of power), an election takes up to 1.1 s, and callers wait a
-# second in all, so that one who is refused then can still come back.
+# which callers do so: an election and the way to the view, and short enough that one
+# who is refused then can still come back.
 FIRST_VIEW_WAIT_SECONDS: Final = 0.5
 FIRST_VIEW_DUE_SECONDS: Final = 1.5
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/access.py
@@ -1,12 +1,12 @@
 """Open transactions at the owners of their groups' pools."""
 
 from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_sharing import ProxyDirectory
 
 from ..access import ServerAccess
 from ..held import HeldConnection, ReadBound
 from ..models import Reply
 from ..requests import Request
-from .group_owners import GroupOwners
 from .owner_client import OwnerClient
 from .remote import RemoteHold
 
@@ -18,10 +18,10 @@
     """
 
     def __init__(
-        self, own: ServerAccess, owners: GroupOwners, client: OwnerClient
+        self, own: ServerAccess, directory: ProxyDirectory, client: OwnerClient
     ) -> None:
         self._own = own
-        self._owners = owners
+        self._directory = directory
         self._client = client
 
     def open(
@@ -32,7 +32,7 @@
         has_alternatives: bool = False,
     ) -> HeldConnection:
         """Return a connection; nothing is sent to an owner before its first use."""
-        owners = self._owners.of(server.group)
+        owners = self._directory.owners(server.group)
         if owners is None:
             return self._own.open(server, request, has_alternatives=has_alternatives)
         return RemoteHold(server, request, owners, self._own, self._client)
@@ -43,7 +43,7 @@
 
     def may_be_fresh(self, group: str, bound: ReadBound) -> bool:
         """Tell whether a position that meets a bound may be known where it runs."""
-        if self._owners.of(group) is not None:
+        if self._directory.owners(group) is not None:
             return True
         return self._own.may_be_fresh(group, bound)
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -9,7 +9,7 @@
 from ..statements import Statements
 from .access import SharingAccess
 from .const import CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
-from .group_owners import GroupOwners
+from .group_limits import GroupLimits
 from .leases import LeaseBook, LeaseExpiry
 from .owner_client import OwnerClient
 from .statement_api import StatementApi
@@ -52,10 +52,12 @@
         self._client = JsonClient(
             None, CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
         )
-        owners = GroupOwners(self._directory, views)
+        self._limits = GroupLimits(self._directory, views)
         owner_client = OwnerClient(self._directory, self._client)
-        self._statements = SharedStatements(statements, owners, owner_client, clock)
-        self._access = SharingAccess(access, owners, owner_client)
+        self._statements = SharedStatements(
+            statements, self._directory, owner_client, clock
+        )
+        self._access = SharingAccess(access, self._directory, owner_client)
 
     @property
     def statements(self) -> SharedStatements:
@@ -84,6 +86,7 @@
 
     def set_up(self) -> None:
         """Begin to lend and to borrow."""
+        self._limits.set_up()
         self._expiry.set_up()
         self._presence.set_up()
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from dogwoodspool_common import Clock, log_rate_limited
-from dogwoodspool_sharing import Neighbour
+from dogwoodspool_sharing import Neighbour, ProxyDirectory
 
 from ..errors import NoPrimaryError, NotServedError
 from ..models import Reply
@@ -12,7 +12,6 @@
 from ..writes import in_doubt
 from .const import HOP_SECONDS, OWNER_READ_SHARE, PATH_STATEMENT
 from .errors import OwnerSilentError, OwnerUnavailableError
-from .group_owners import GroupOwners
 from .messages import StatementRequest, StatementResponse
 from .owner_client import OwnerClient
 
@@ -26,16 +25,20 @@
     """
 
     def __init__(
-        self, own: Statements, owners: GroupOwners, client: OwnerClient, clock: Clock
+        self,
+        own: Statements,
+        directory: ProxyDirectory,
+        client: OwnerClient,
+        clock: Clock,
     ) -> None:
         self._own = own
-        self._owners = owners
+        self._directory = directory
         self._client = client
         self._clock = clock
 
     def run(self, request: Request) -> Reply:
         """Serve one statement."""
-        owners = self._owners.of(request.endpoint.group)
+        owners = self._directory.owners(request.endpoint.group)
         if owners is None:
             return self._own.run(request)
         try:
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -1,13 +1,13 @@
 """The proxies of the own failure domain, and which of them own a group's pools."""
 
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from dogwoodspool_common import Clock, log_event
 
 from .const import NEIGHBOUR_LIFE_SECONDS, OWNER_RETRY_SECONDS
 from .models import Neighbour
-from .ownership import choose_owners, is_scarce, order_for, owner_count
+from .ownership import assign_owners, is_scarce, order_for, owner_count
 
 
 class ProxyDirectory:
@@ -30,8 +30,9 @@
         self._neighbours = {own.name: own}
         self._missing_since: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
-        # Owners by group and by their number, for the present neighbours.
-        self._owners: dict[tuple[str, int], list[Neighbour]] = {}
+        self._connections: dict[str, int] = {}
+        # Of the groups whose pools are shared; None until they are looked up.
+        self._owners: dict[str, list[Neighbour]] | None = None
 
     @property
     def count(self) -> int:
@@ -57,32 +58,28 @@
             if merged == self._neighbours:
                 return
             self._neighbours = merged
-            self._owners.clear()
+            self._owners = None
         log_event("neighbours", count=len(merged), named=len(by_name))
 
-    def owners(self, group: str, connections: int) -> Sequence[Neighbour] | None:
-        """Return the proxies that a request to a group goes to, the first one first.
+    def set_groups(self, connections: Mapping[str, int]) -> None:
+        """Take over what each group's servers take; groups left out are not shared."""
+        with self._lock:
+            if connections != self._connections:
+                self._connections = dict(connections)
+                self._owners = None
 
-        Args:
-            group: the database group.
-            connections: what each of its servers takes.
+    def owners(self, group: str) -> Sequence[Neighbour] | None:
+        """Return the proxies that a request to a group goes to, the first one first.
 
         Returns:
             None where this process uses connections of its own; nothing where none of
             the owners answers at present.
         """
         with self._lock:
-            if not is_scarce(
-                connections, len(self._neighbours) * self._failure_domains
-            ):
-                return None
-            count = owner_count(connections, self._failure_domains)
-            chosen = self._owners.get((group, count))
-            if chosen is None:
-                neighbours = self._neighbours.values()
-                chosen = choose_owners(group, neighbours, count)
-                self._owners[group, count] = chosen
-            if self._own in chosen:
+            if self._owners is None:
+                self._owners = self._assign()
+            chosen = self._owners.get(group)
+            if chosen is None or self._own in chosen:
                 return None
             usable = [one for one in chosen if not self._is_passed_over(one.name)]
         return order_for(self._own.name, group, usable)
@@ -92,6 +89,15 @@
         with self._lock:
             self._failed_at[name] = self._clock.now()
 
+    def _assign(self) -> dict[str, list[Neighbour]]:
+        proxies = len(self._neighbours) * self._failure_domains
+        counts = {
+            group: owner_count(connections, self._failure_domains)
+            for group, connections in self._connections.items()
+            if is_scarce(connections, proxies)
+        }
+        return assign_owners(counts, self._neighbours.values())
+
     def _is_passed_over(self, name: str) -> bool:
         failed_at = self._failed_at.get(name)
         if failed_at is None:
--- a/packages/sharing/src/dogwoodspool_sharing/ownership.py
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -7,7 +7,10 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Sequence
+import math
+from collections import Counter
+from collections.abc import Collection, Mapping, Sequence
+from functools import partial
 
 from .const import (
     CONNECTIONS_PER_OWNER,
@@ -42,15 +45,30 @@
     return max(MIN_OWNERS, in_domain // CONNECTIONS_PER_OWNER)
 
 
-def choose_owners(
-    group: str, neighbours: Iterable[Neighbour], count: int
-) -> list[Neighbour]:
-    """Return a group's owners by rendezvous hashing, so that few change with a proxy.
+def assign_owners(
+    groups: Mapping[str, int], neighbours: Collection[Neighbour]
+) -> dict[str, list[Neighbour]]:
+    """Return the owners of each group, by rendezvous hashing with bounded loads.
 
     Every proxy comes to the same owners without asking; those that know of other
-    neighbours for a moment come to some others, which costs connections only.
+    neighbours for a moment come to some others, which costs connections only. Few
+    owners change with a proxy. None owns more than an even part of the groups, since
+    chance would give some instances the traffic of three groups, and their links or
+    processors would be full first.
+
+    Args:
+        groups: how many owners each has.
+        neighbours: the proxies of the failure domain.
     """
-    return sorted(neighbours, key=lambda one: _weight(group, one.name))[:count]
+    most = math.ceil(sum(groups.values()) / max(1, len(neighbours)))
+    owned: Counter[str] = Counter()
+    assigned = {}
+    for group, count in sorted(groups.items()):
+        ranked = sorted(neighbours, key=partial(_weight_of, group))
+        ranked.sort(key=lambda one: owned[one.name] >= most)
+        assigned[group] = ranked[:count]
+        owned.update(one.name for one in assigned[group])
+    return assigned
 
 
 def order_for(
@@ -66,6 +84,10 @@
     return [*owners[first:], *owners[:first]]
 
 
+def _weight_of(group: str, neighbour: Neighbour) -> bytes:
+    return _weight(group, neighbour.name)
+
+
 def _weight(group: str, proxy: str) -> bytes:
     content = f"{group} {proxy}".encode()
     return hashlib.blake2b(content, digest_size=WEIGHT_BYTES).digest()
--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -27,8 +27,8 @@
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 
 from .standin import call
+from .system import eventually, free_ports
 from .test_messages import config
-from .test_system import eventually, free_ports
 
 ROOT: Final = Path(__file__).resolve().parents[2]
 HOSTS: Final = tuple(f"127.0.4.{number}" for number in range(1, 6))
