--- /dev/null
+++ b/packages/emulator/src/dogwoodspool_emulator/outcomes.py
@@ -0,0 +1,76 @@
+"""What became of the requests of an emulation."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .const import WINDOW_SECONDS
+
+
+@dataclass(slots=True)
+class SlotTimes:
+    """What servers did, in seconds of slots and in numbers.
+
+    Attributes:
+        connects: connections that were asked for.
+        refused_connects: those of them that were refused.
+        arrivals: statements that came to a server.
+        refusals: those of them that found its queue full.
+        behind: those of them that a replica refused as behind.
+        connecting: seconds of slots that new connections took.
+        working: seconds of slots that statements took.
+    """
+
+    connects: int = 0
+    refused_connects: int = 0
+    arrivals: int = 0
+    refusals: int = 0
+    behind: int = 0
+    connecting: float = 0.0
+    working: float = 0.0
+
+    @property
+    def work_share(self) -> float:
+        """Part of the used slot time that was work."""
+        used = self.connecting + self.working
+        return self.working / used if used else 1.0
+
+
+@dataclass
+class Outcomes:
+    """How requests ended, in all and over time."""
+
+    requests: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    reasons: Counter[str] = field(default_factory=Counter)
+    servers: SlotTimes = field(default_factory=SlotTimes)
+    windows: dict[int, Counter[str]] = field(default_factory=dict)
+
+    @property
+    def served_share(self) -> float:
+        """Part of the requests that were answered in time."""
+        return self.in_time / max(1, self.requests)
+
+    @property
+    def worst_window(self) -> float:
+        """The lowest part answered in time of any window that was played whole."""
+        shares = [
+            counts["in_time"] / counts["requests"]
+            for counts in self.windows.values()
+            if counts["requests"]
+        ]
+        return min(shares, default=1.0)
+
+    @property
+    def connects_per_100(self) -> float:
+        """Connections opened for 100 requests."""
+        opened = self.servers.connects - self.servers.refused_connects
+        return 100 * opened / max(1, self.requests)
+
+    def note(self, began_at: float, outcome: str) -> None:
+        """Count one request that ended."""
+        self.requests += 1
+        setattr(self, outcome, getattr(self, outcome) + 1)
+        window = self.windows.setdefault(int(began_at / WINDOW_SECONDS), Counter())
+        window.update(("requests", outcome))
--- /dev/null
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -0,0 +1,341 @@
+"""Proxies that decide with the product's own objects, without threads or sockets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_connections import (
+    ConnectionLimitError,
+    ConnectionPool,
+    PoolSettings,
+    PoolTimeoutError,
+)
+from dogwoodspool_limits import StatementQueue, Ticket, TicketState
+from dogwoodspool_pooler.ceiling import ConnectionCeiling
+from dogwoodspool_pooler.const import (
+    CONNECTION_RETRY_SECONDS,
+    CONNECTION_SHARE,
+    MAX_READ_ATTEMPTS,
+    NO_CONNECTION_RETRY_MS,
+    QUEUE_LIMIT,
+    WAIT_SHARE,
+)
+from dogwoodspool_pooler.freshness import FreshnessBook
+from dogwoodspool_pooler.placement import rank_for_read
+from dogwoodspool_pooler.registry import POOL_SETTINGS
+from dogwoodspool_routing import ServerTable
+from dogwoodspool_sharing import Neighbour, ProxyDirectory
+from expression import Error, Ok, Result
+
+from .const import UP_FOR_SECONDS
+from .models import Requests
+from .servers import Answer, Connection, Server
+from .timeline import Timeline
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A statement that did not run.
+
+    Attributes:
+        retry_after: seconds until its caller shall come back.
+    """
+
+    reason: str
+    retry_after: float
+
+
+# How a statement ends.
+Ended = Callable[[Result[None, Refused]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt of a caller's request.
+
+    Attributes:
+        work: seconds of a slot.
+    """
+
+    kind: Requests
+    group: str
+    writes: bool
+    work: float
+    arrived_at: float
+
+    @property
+    def start_by(self) -> float:
+        """When it may wait no longer for a place."""
+        target = min(self.kind.target_ms, self.kind.deadline_ms) / 1000
+        return self.arrived_at + target * WAIT_SHARE
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """One server with what bounds a proxy's work on it."""
+
+    server: Server
+    pool: ConnectionPool[Connection]
+    queue: StatementQueue
+    ceiling: ConnectionCeiling
+
+    def adjust(self) -> None:
+        """Put the present ceiling in force."""
+        limit = self.ceiling.value()
+        if limit != self.pool.limit:
+            self.pool.set_limit(limit)
+            self.queue.set_max_in_flight(limit)
+
+
+class _Connector:
+    def __init__(self, server: Server) -> None:
+        self._server = server
+
+    def connect(self, server: BackendServer, deadline: float) -> Connection:
+        return self._server.connect()
+
+
+class Proxy:
+    """One proxy: its own knowledge, pools and queues.
+
+    Args:
+        distance: seconds of one way to a server of another failure domain.
+    """
+
+    def __init__(
+        self,
+        neighbour: Neighbour,
+        failure_domain: str,
+        failure_domains: int,
+        servers: list[Server],
+        timeline: Timeline,
+        *,
+        distance: float,
+        pool_settings: PoolSettings = POOL_SETTINGS,
+    ) -> None:
+        self.neighbour = neighbour
+        self.failure_domain = failure_domain
+        self.directory = ProxyDirectory(neighbour, failure_domains, timeline.clock)
+        self._timeline = timeline
+        self._distance = distance
+        self._pool_settings = pool_settings
+        self._servers = {one.described.name: one for one in servers}
+        self._primaries = {
+            one.described.group: one for one in servers if one.is_primary
+        }
+        self._table = ServerTable(timeline.clock)
+        self._table.adopt_committed(one.described for one in servers)
+        self._freshness = FreshnessBook(timeline.clock)
+        self._backends: dict[str, Backend] = {}
+
+    def serve(self, attempt: Attempt, ended: Ended) -> None:
+        """Serve one attempt on the pools of this proxy."""
+        floor = self._floor(attempt)
+        if floor is None:
+            self._serve_on_primary(attempt, ended)
+        else:
+            self._serve_read(attempt, floor, set(), ended)
+
+    def close_expired(self) -> None:
+        """Close connections that have idled for too long."""
+        for backend in self._backends.values():
+            backend.pool.close_expired()
+
+    def _floor(self, attempt: Attempt) -> Position | None:
+        age_ms = attempt.kind.max_age_ms
+        if attempt.writes or age_ms is None:
+            return None
+        return self._freshness.floor(attempt.group, age_ms / 1000)
+
+    def _serve_on_primary(self, attempt: Attempt, ended: Ended) -> None:
+        primary = self._primaries[attempt.group]
+        asked_at = self._timeline.now()
+
+        def take(result: Result[Answer, Refused]) -> None:
+            if result.is_error():
+                ended(Error(result.error))
+            elif result.ok is Answer.OK:
+                if attempt.writes:
+                    primary.commit()
+                self._freshness.note(attempt.group, primary.position, asked_at)
+                ended(Ok(None))
+            else:
+                ended(Error(self._full(primary)))
+
+        self._run(primary, attempt, None, take, has_alternatives=False)
+
+    def _serve_read(
+        self, attempt: Attempt, floor: Position, excluded: set[str], ended: Ended
+    ) -> None:
+        ranked = rank_for_read(
+            self._table.servers(attempt.group),
+            primary=self._primaries[attempt.group].described.name,
+            failure_domain=self.failure_domain,
+            excluded=excluded,
+        )
+        if not ranked or len(excluded) >= MAX_READ_ATTEMPTS:
+            self._serve_on_primary(attempt, ended)
+            return
+        server = self._servers[ranked[0].name]
+
+        def take(result: Result[Answer, Refused]) -> None:
+            if result.is_ok() and result.ok is Answer.OK:
+                ended(Ok(None))
+                return
+            excluded.add(server.described.name)
+            self._serve_read(attempt, floor, excluded, ended)
+
+        self._run(server, attempt, floor, take, has_alternatives=True)
+
+    def _run(
+        self,
+        server: Server,
+        attempt: Attempt,
+        floor: Position | None,
+        ended: Callable[[Result[Answer, Refused]], None],
+        *,
+        has_alternatives: bool,
+    ) -> None:
+        """Wait for a place and a connection, and run a statement."""
+        backend = self._backend(server)
+        backend.adjust()
+        start_by = max(attempt.start_by, self._timeline.now())
+
+        def admitted() -> None:
+            self._connect(
+                backend,
+                attempt,
+                floor,
+                start_by,
+                ended,
+                has_alternatives=has_alternatives,
+            )
+
+        def changed() -> None:
+            if ticket.state is TicketState.ADMITTED:
+                self._timeline.after(0.0, admitted)
+            elif ticket.state is TicketState.DISPLACED:
+                self._give_up(backend, ticket, ended)
+
+        arrived = backend.queue.arrive(start_by, attempt.kind.priority, changed)
+        if arrived.is_error():
+            refusal = arrived.error
+            retry_after = refusal.retry_after_ms / 1000
+            ended(Error(Refused(f"admission {refusal.reason}", retry_after)))
+            return
+        ticket = arrived.ok
+        if ticket.state is TicketState.ADMITTED:
+            admitted()
+            return
+
+        def time_out() -> None:
+            if ticket.state is TicketState.WAITING:
+                self._give_up(backend, ticket, ended)
+
+        self._timeline.after(ticket.latest_start - self._timeline.now(), time_out)
+
+    def _give_up(
+        self,
+        backend: Backend,
+        ticket: Ticket,
+        ended: Callable[[Result[Answer, Refused]], None],
+    ) -> None:
+        refusal = backend.queue.give_up(ticket)
+        retry_after = refusal.retry_after_ms / 1000
+        ended(Error(Refused(f"admission {refusal.reason}", retry_after)))
+
+    def _connect(
+        self,
+        backend: Backend,
+        attempt: Attempt,
+        floor: Position | None,
+        start_by: float,
+        ended: Callable[[Result[Answer, Refused]], None],
+        *,
+        has_alternatives: bool,
+    ) -> None:
+        refused = Refused("no connection", NO_CONNECTION_RETRY_MS / 1000)
+        try:
+            connection = backend.pool.acquire(self._timeline.now())
+        except PoolTimeoutError:
+            backend.queue.end(0.0, is_answered=False)
+            ended(Error(refused))
+            return
+        except ConnectionLimitError:
+            backend.ceiling.note_refused(backend.pool.open_count)
+            backend.adjust()
+            remaining = start_by - self._timeline.now()
+            if remaining <= 0 or has_alternatives:
+                backend.queue.end(0.0, is_answered=False)
+                ended(Error(refused))
+                return
+            pause = min(remaining, CONNECTION_RETRY_SECONDS)
+            self._timeline.after(
+                pause,
+                lambda: self._connect(
+                    backend,
+                    attempt,
+                    floor,
+                    start_by,
+                    ended,
+                    has_alternatives=has_alternatives,
+                ),
+            )
+            return
+        self._send(backend, connection, attempt, floor, ended)
+
+    def _send(
+        self,
+        backend: Backend,
+        connection: Connection,
+        attempt: Attempt,
+        floor: Position | None,
+        ended: Callable[[Result[Answer, Refused]], None],
+    ) -> None:
+        name = backend.server.described.name
+        began_at = self._timeline.now()
+        self._table.begin(name)
+
+        def done(answer: Answer) -> None:
+            elapsed = self._timeline.now() - began_at
+            self._table.end(name, elapsed, is_answered=True)
+            backend.pool.release(connection, reuse=True)
+            backend.queue.end(elapsed, is_answered=True)
+            ended(Ok(answer))
+
+        described = backend.server.described
+        is_near = described.failure_domain == self.failure_domain
+        way = 0.0 if is_near else self._distance
+
+        def arrive() -> None:
+            backend.server.run(
+                connection,
+                attempt.work,
+                floor,
+                lambda answer: self._timeline.after(way, lambda: done(answer)),
+            )
+
+        self._timeline.after(way, arrive)
+
+    def _full(self, server: Server) -> Refused:
+        backend = self._backends[server.described.name]
+        return Refused("server busy", backend.queue.return_after_ms() / 1000)
+
+    def _backend(self, server: Server) -> Backend:
+        name = server.described.name
+        found = self._backends.get(name)
+        if found is None:
+            found = self._build(server)
+            self._backends[name] = found
+        return found
+
+    def _build(self, server: Server) -> Backend:
+        described, clock = server.described, self._timeline.clock
+        highest = int(described.connections * CONNECTION_SHARE)
+        ceiling = ConnectionCeiling(clock, highest, -UP_FOR_SECONDS)
+        first = ceiling.value()
+        pool = ConnectionPool(
+            described, _Connector(server), clock, self._pool_settings, first
+        )
+        queue = StatementQueue(clock, described.slots, first, QUEUE_LIMIT)
+        return Backend(server, pool, queue, ceiling)
