Ask replicas that are behind less often

Where replicas lag for seconds each read asked one or two of them, was refused, and went to the primary. A server that lacked a position is not asked for it, or a later one, for 50 ms, doubling up to 0.8 s while it goes on lacking it.

Two tests read from a replica at the very moment at which it has caught up; they now let 50 ms pass first, since a refused server is asked again only then.

--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -11,6 +11,7 @@
     PoolTimeoutError,
 )
 from dogwoodspool_limits import StatementQueue, Ticket, TicketState
+from dogwoodspool_pooler.behind import BehindBook
 from dogwoodspool_pooler.ceiling import ConnectionCeiling
 from dogwoodspool_pooler.const import (
     CONNECTION_RETRY_SECONDS,
@@ -126,6 +127,7 @@
         self._table = ServerTable(timeline.clock)
         self._table.adopt_committed(one.described for one in servers)
         self._freshness = FreshnessBook(timeline.clock)
+        self._behind = BehindBook(timeline.clock)
         self._backends: dict[str, Backend] = {}
 
     def serve(self, attempt: Attempt, ended: Ended) -> None:
@@ -134,7 +136,8 @@
         if floor is None:
             self._serve_on_primary(attempt, ended)
         else:
-            self._serve_read(attempt, floor, set(), ended)
+            behind = self._behind.behind(floor)
+            self._serve_read(attempt, floor, behind, ended)
 
     def close_expired(self) -> None:
         """Close connections that have idled for too long."""
@@ -165,7 +168,12 @@
         self._run(primary, attempt, None, take, has_alternatives=False)
 
     def _serve_read(
-        self, attempt: Attempt, floor: Position, excluded: set[str], ended: Ended
+        self,
+        attempt: Attempt,
+        floor: Position,
+        excluded: set[str],
+        ended: Ended,
+        number: int = 0,
     ) -> None:
         ranked = rank_for_read(
             self._table.servers(attempt.group),
@@ -173,7 +181,7 @@
             failure_domain=self.failure_domain,
             excluded=excluded,
         )
-        if not ranked or len(excluded) >= MAX_READ_ATTEMPTS:
+        if not ranked or number >= MAX_READ_ATTEMPTS:
             self._serve_on_primary(attempt, ended)
             return
         server = self._servers[ranked[0].name]
@@ -183,7 +191,7 @@
                 ended(Ok(None))
                 return
             excluded.add(server.described.name)
-            self._serve_read(attempt, floor, excluded, ended)
+            self._serve_read(attempt, floor, excluded, ended, number + 1)
 
         self._run(server, attempt, floor, take, has_alternatives=True)
 
@@ -299,6 +307,10 @@
         def done(answer: Answer) -> None:
             elapsed = self._timeline.now() - began_at
             self._table.end(name, elapsed, is_answered=True)
+            if answer is Answer.BEHIND and floor is not None:
+                self._behind.note_behind(name, floor)
+            elif floor is not None:
+                self._behind.note_answer(name)
             backend.pool.release(connection, reuse=True)
             backend.queue.end(elapsed, is_answered=True)
             ended(Ok(answer))
@@ -308,12 +320,10 @@
         way = 0.0 if is_near else self._distance
 
         def arrive() -> None:
-            backend.server.run(
-                connection,
-                attempt.work,
-                floor,
-                lambda answer: self._timeline.after(way, lambda: done(answer)),
-            )
+            backend.server.run(connection, attempt.work, floor, answered)
+
+        def answered(answer: Answer) -> None:
+            self._timeline.after(way, lambda: done(answer))
 
         self._timeline.after(way, arrive)
 
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -21,6 +21,7 @@
 from dogwoodspool_limits import Admission
 from dogwoodspool_routing import ServerTable
 
+from .behind import BehindBook
 from .connection import ServerConnection
 from .const import (
     CONNECTION_RETRY_SECONDS,
@@ -169,6 +170,7 @@
         table: ServerTable,
         stalls: StallBook,
         freshness: FreshnessBook,
+        behind: BehindBook,
         suspect: Callable[[str], None],
         clock: Clock,
     ) -> None:
@@ -177,6 +179,7 @@
         self._table = table
         self._stalls = stalls
         self._freshness = freshness
+        self._behind = behind
         self._clock = clock
 
     def open(
@@ -217,6 +220,10 @@
         """Tell whether a position is known that meets a bound."""
         return self._freshness.floor(group, bound.max_age) is not None
 
+    def behind(self, floor: Position) -> set[str]:
+        """Return the servers that need not be asked for a position now."""
+        return self._behind.behind(floor)
+
     def floor(self, group: str, bound: ReadBound) -> Position:
         """Return the position that a server must have; raise ``NotFreshError``."""
         floor = self._freshness.floor(group, bound.max_age)
@@ -261,8 +268,17 @@
         finally:
             if write is not None:
                 self._stalls.end(name, write, is_answered=is_answered)
+        for statement, reply in zip(statements, replies, strict=True):
+            if statement.wait_for is not None:
+                self._note_floor(name, statement.wait_for, reply)
         return replies
 
+    def _note_floor(self, server: str, floor: Position, reply: Reply) -> None:
+        if reply.error is None:
+            self._behind.note_answer(server)
+        elif reply.error.code is ErrorCode.BEHIND:
+            self._behind.note_behind(server, floor)
+
     @contextmanager
     def observed(self, server: BackendServer) -> Iterator[None]:
         """Count a statement as in flight; what ends without error was answered."""
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -24,6 +24,11 @@
 MARK_SPACING_SECONDS: Final = 0.05
 MARK_LIFE_SECONDS: Final = 10.0
 
+# Pause before a server that lacked a position is asked for one again: about the usual
+# lag, and longer each time up to a part of the age that reads commonly accept.
+BEHIND_LOOK_SECONDS: Final = 0.05
+MAX_BEHIND_LOOK_SECONDS: Final = 0.8
+
 # A read prefers its own failure domain until the others are expected to answer so
 # much sooner: about one statement's time, as bytes between failure domains cost.
 OTHER_DOMAIN_PENALTY: Final = 0.025
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -56,7 +56,7 @@
         bound = self._placement.bound(request)
         if bound is None:
             return self._read_primary(request)
-        excluded: set[str] = set()
+        excluded = self._behind(request, bound)
         failed: Reply | None = None
         for number in range(MAX_READ_ATTEMPTS):
             server = self._placement.choose(request, excluded)
@@ -79,6 +79,13 @@
             return failed
         return self._read_primary(request)
 
+    def _behind(self, request: Request, bound: ReadBound) -> set[str]:
+        try:
+            floor = self._access.floor(request.endpoint.group, bound)
+        except NotFreshError:
+            return set()
+        return self._access.behind(floor)
+
     def _try(
         self, request: Request, server: BackendServer, number: int, bound: ReadBound
     ) -> Reply | None:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -16,6 +16,7 @@
 from dogwoodspool_sharing import Neighbour
 
 from .access import ServerAccess
+from .behind import BehindBook
 from .connection import ServerConnection
 from .const import WATCH_WAIT_MS
 from .expiry import ConnectionExpiry
@@ -74,6 +75,7 @@
             self._table,
             stalls,
             freshness,
+            BehindBook(clock),
             self._suspect,
             clock,
         )
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -42,6 +42,7 @@
     TransactionState,
 )
 from dogwoodspool_pooler.access import ServerAccess
+from dogwoodspool_pooler.behind import BehindBook
 from dogwoodspool_pooler.freshness import FreshnessBook
 from dogwoodspool_pooler.held import ConnectionAccess, HeldConnection
 from dogwoodspool_pooler.known_primaries import KnownPrimaries
@@ -96,6 +97,7 @@
     full_for: int = 0
     runs: list[Run] = field(default_factory=list)
     opened: int = 0
+    refused_as_behind: int = 0
 
     def described(self) -> BackendServer:
         return BackendServer(
@@ -192,6 +194,7 @@
     def _refusal(self, statement: Statement) -> ErrorCode | None:
         fake = self._fake
         if statement.wait_for is not None and statement.wait_for > fake.position:
+            fake.refused_as_behind += 1
             return ErrorCode.BEHIND
         leads = fake.role is Role.PRIMARY and not fake.has_lost_lead
         is_write = statement.kind is StatementKind.WRITE
@@ -320,6 +323,7 @@
             self.table,
             self.stalls,
             self.freshness,
+            BehindBook(self.clock),
             self.suspected.append,
             self.clock,
         )
--- a/tests/pooler/shared/test_remote.py
+++ b/tests/pooler/shared/test_remote.py
@@ -4,6 +4,7 @@
 
 from dogwoodspool_common import Consistency, Position, Role
 from dogwoodspool_pooler import Access, ErrorCode, StatementKind, TransactionState
+from dogwoodspool_pooler.const import BEHIND_LOOK_SECONDS
 
 from ..fakes import FakeServer, endpoint, execute, prepare, say, set_value
 from .neighbours import IDLE_LIMIT, Borrower
@@ -71,6 +72,7 @@
         replica, primary = proxy.network.servers["s2"], proxy.network.servers["s1"]
         self.assertEqual(replica.runs, [])
         replica.position = primary.position
+        proxy.owner("o1").pooler.clock.advance(BEHIND_LOOK_SECONDS)
         self.assertIsNone(say(session, "READ k").error)
         self.assertEqual(len(replica.runs), 1)
 
--- a/tests/pooler/test_reads.py
+++ b/tests/pooler/test_reads.py
@@ -4,6 +4,7 @@
 
 from dogwoodspool_common import Consistency, Position, Role
 from dogwoodspool_pooler import ErrorCode, StatementKind
+from dogwoodspool_pooler.const import BEHIND_LOOK_SECONDS, MAX_BEHIND_LOOK_SECONDS
 
 from .fakes import FakeServer, Pooler, endpoint, say
 
@@ -85,6 +86,24 @@
         say(session, "READ k")
         self.assertEqual(readers(pooler).count("s1"), 2)
 
+    def test_replicas_that_are_behind_are_not_asked_by_every_read(self) -> None:
+        """Guard against reads that all ask lagging replicas before the primary."""
+        pooler = Pooler(group(), BOUNDED)
+        session = pooler.session()
+        say(session, "WRITE k v")
+        pooler.network.servers["s1"].position = Position(3, 500)
+        for name in ("s2", "s3"):
+            pooler.network.servers[name].position = Position(3, 1)
+        for _ in range(20):
+            self.assertIsNone(say(session, "READ k").error)
+            pooler.clock.advance(0.01)
+        asked = pooler.network.servers["s2"].refused_as_behind
+        self.assertLessEqual(asked, 3)
+        pooler.clock.advance(MAX_BEHIND_LOOK_SECONDS)
+        pooler.network.servers["s2"].position = Position(3, 500)
+        say(session, "READ k")
+        self.assertIn("s2", readers(pooler))
+
     def test_a_commit_that_wrote_nothing_shows_no_position(self) -> None:
         """Guard against a replaced primary whose position passes for a new one."""
         pooler = Pooler(group(), BOUNDED)
@@ -141,6 +160,7 @@
         say(session, "WRITE k v")
         self.assertEqual(say(session, "READ k").proof, "s1:r")
         pooler.network.servers["s2"].position = Position(3, 101)
+        pooler.clock.advance(BEHIND_LOOK_SECONDS)
         self.assertEqual(say(session, "READ k").proof, "s2:r")
 
     def test_a_commit_counts_like_a_write(self) -> None:
