Let refused connections leave a server's concurrency alone

A statement that found no connection counted as one that the server had not answered, and lowered the number of statements that may be in flight by a fifth, down to one, though the server had free slots. Where nine of ten connections are refused (72 proxies, 35 connections) each proxy soon sent one statement at a time.

What is admitted and not sent is withdrawn; a server that cannot be reached still counts as one that gave no answer.

--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -266,7 +266,7 @@
         try:
             connection = backend.pool.acquire(self._timeline.now())
         except PoolTimeoutError:
-            backend.queue.end(0.0, is_answered=False)
+            backend.queue.withdraw()
             ended(Error(refused))
             return
         except ConnectionLimitError:
@@ -274,7 +274,7 @@
             backend.adjust()
             remaining = start_by - self._timeline.now()
             if remaining <= 0 or has_alternatives:
-                backend.queue.end(0.0, is_answered=False)
+                backend.queue.withdraw()
                 ended(Error(refused))
                 return
             pause = min(remaining, CONNECTION_RETRY_SECONDS)
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -11,10 +11,13 @@
 
 
 class Admission:
-    """The right to run one statement; given back with ``done``, once."""
+    """The right to run one statement; given back once, whatever came of it."""
 
-    def __init__(self, end: Callable[[float, bool], None]) -> None:
+    def __init__(
+        self, end: Callable[[float, bool], None], withdraw: Callable[[], None]
+    ) -> None:
         self._end = end
+        self._withdraw = withdraw
         self._is_done = False
 
     def done(self, latency_s: float, ok: bool) -> None:
@@ -24,10 +27,15 @@
             latency_s: seconds that the statement took on the server.
             ok: whether a complete answer came, be it an error of the database.
         """
-        if self._is_done:
-            return
-        self._is_done = True
-        self._end(latency_s, ok)
+        if not self._is_done:
+            self._is_done = True
+            self._end(latency_s, ok)
+
+    def withdraw(self) -> None:
+        """Give the right back of a statement that was not sent."""
+        if not self._is_done:
+            self._is_done = True
+            self._withdraw()
 
 
 class AdmissionQueue:
@@ -112,8 +120,12 @@
                 self._clock.wait(changed, remaining)
             if ticket.state is TicketState.DISPLACED:
                 return Error(self._queue.give_up(ticket))
-            return Ok(Admission(self._end))
+            return Ok(Admission(self._end, self._withdraw))
 
     def _end(self, latency: float, ok: bool) -> None:
         with self._lock:
             self._queue.end(latency, is_answered=ok)
+
+    def _withdraw(self) -> None:
+        with self._lock:
+            self._queue.withdraw()
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -170,6 +170,14 @@
         self._in_flight -= 1
         self._serve()
 
+    def withdraw(self) -> None:
+        """Take in that an admitted statement was not sent.
+
+        It says nothing of how many statements the server runs well at a time.
+        """
+        self._in_flight -= 1
+        self._serve()
+
     def return_after_ms(self) -> int:
         """Return when a caller shall come back whom the server itself refused.
 
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -211,7 +211,10 @@
             )
         try:
             connection = self._connect(backend, place, start_by)
-        except (NotServedError, ConnectFailedError):
+        except NotServedError:
+            admitted.ok.withdraw()
+            raise
+        except ConnectFailedError:
             admitted.ok.done(0.0, False)
             raise
         return PooledHold(backend, connection, admitted.ok, self)
--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -90,6 +90,19 @@
         self.assertEqual(queue.in_flight, 0)
 
 
+class WithdrawalTests(unittest.TestCase):
+    """A statement that was not sent leaves no trace but its place."""
+
+    def test_full_connections_do_not_lower_the_limit(self) -> None:
+        """Guard against servers with free slots that get one statement at a time."""
+        queue = AdmissionQueue(ManualClock(), 4, 8, 64)
+        for _ in range(100):
+            admission = queue.admit(1000, Priority.READ).ok
+            admission.withdraw()
+            admission.done(0.0, False)
+        self.assertEqual((queue.limit, queue.in_flight), (4, 0))
+
+
 class PriorityTests(AdmissionTestCase):
     """The primary is kept for writes and for reads that need it."""
 
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -64,6 +64,18 @@
         self.assertIs(answer.error.code, ErrorCode.BUSY)
         self.assertLessEqual(pooler.clock.now() - began_at, 0.11)
 
+    def test_connections_that_are_refused_leave_the_concurrency_alone(self) -> None:
+        """Guard against a limit that falls though the server has free slots."""
+        servers = group()
+        pooler = Pooler(servers)
+        servers[0].full_for = 1_000
+        for _ in range(10):
+            say(pooler.session(), "WRITE k v")
+        pooler.clock.advance(10.0)
+        (backend,) = pooler.registry.all()
+        backend.adjust()
+        self.assertEqual(backend.admission.limit, backend.server.slots)
+
     def test_a_full_server_s_refusal_says_when_to_come_back(self) -> None:
         """Guard against callers that return at once, together, to a full server."""
         servers = group()
