--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -18,6 +18,9 @@
 # to a control process in a second at most: beyond that they come less often.
 PRESENCE_SECONDS: Final = 1.0
 PRESENCES_PER_SECOND: Final = 100.0
+# The next one after an answer that named other neighbours: when all processes start
+# together, the first ones to ask are told of few others.
+PRESENCE_SETTLING_SECONDS: Final = 0.25
 # Signs of life in a row that may be lost before a proxy counts as gone.
 MISSED_PRESENCES: Final = 3
 PRESENCE_TIMEOUT: Final = 0.4
--- a/packages/sharing/src/dogwoodspool_sharing/presence_api.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence_api.py
@@ -7,7 +7,12 @@
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import DIGEST_BYTES, PATH_PRESENCE
+from .const import (
+    DIGEST_BYTES,
+    PATH_PRESENCE,
+    PRESENCE_SECONDS,
+    PRESENCE_SETTLING_SECONDS,
+)
 from .models import Neighbour, NeighbourMessage, Presence, PresenceResponse
 from .roster import ProxyRoster, interval
 
@@ -34,10 +39,12 @@
         neighbours = self._roster.note(presence)
         members = sorted(self._members(), key=lambda one: one.address)
         digest = _digest(neighbours, members)
-        response = PresenceResponse(
-            digest=digest, next_ms=round(interval(len(neighbours)) * MILLISECONDS)
-        )
-        if presence.known != digest:
+        pause = interval(len(neighbours))
+        is_news = presence.known != digest
+        if is_news:
+            pause *= PRESENCE_SETTLING_SECONDS / PRESENCE_SECONDS
+        response = PresenceResponse(digest=digest, next_ms=round(pause * MILLISECONDS))
+        if is_news:
             proxies = [
                 NeighbourMessage(proxy=one.name, address=one.address)
                 for one in neighbours
--- a/tests/sharing/test_presence.py
+++ b/tests/sharing/test_presence.py
@@ -89,6 +89,16 @@
         self.assertNotIn("proxies", self.control.answers[1])
         self.assertEqual(seen.count, 1)
 
+    def test_proxies_that_start_together_soon_know_each_other(self) -> None:
+        """Guard against a second in which each proxy opens connections of its own."""
+        proxies = [self.proxy(f"p{number}") for number in range(24)]
+        pauses = [each.step() for each, _ in proxies]
+        self.assertLess(max(pauses), PRESENCE_SECONDS / 2)
+        for _round in range(2):
+            pauses = [each.step() for each, _ in proxies]
+        self.assertEqual({seen.count for _, seen in proxies}, {24})
+        self.assertEqual([each.step() for each, _ in proxies], [PRESENCE_SECONDS] * 24)
+
     def test_a_proxy_that_leaves_is_named_no_more(self) -> None:
         (one, _), (two, _) = self.proxy("p1"), self.proxy("p2")
         one.step()
