Have owners answer before their askers give up

A read's owner got half of its time, and one that had not answered counted as lost for a second, also where a slow server was the reason: the asker then read by itself, on connections of its own. The owner now has three quarters, knows it, and answers in it.

--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -1,7 +1,7 @@
 """One caller's request on its way through the pooler."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from dogwoodspool_common import Endpoint, Position
 from dogwoodspool_common.const import MILLISECONDS
@@ -73,6 +73,11 @@
             return self.prepared.access is Access.WRITE
         return self.statement.kind is StatementKind.WRITE
 
+    def due_by(self, deadline: float) -> "Request":
+        """Return the same request with another deadline, clock seconds."""
+        deadline_ms = max(1, int((deadline - self.arrived_at) * MILLISECONDS))
+        return replace(self, endpoint=replace(self.endpoint, deadline_ms=deadline_ms))
+
     def place(self, *, has_alternatives: bool = False) -> PlaceRequest:
         """Return what decides how it waits."""
         return PlaceRequest(
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -16,7 +16,7 @@
 HOP_SECONDS: Final = 0.03
 # Part of a read's remaining time that an owner gets: time must be left to read without
 # it where it was lost.
-OWNER_READ_SHARE: Final = 0.5
+OWNER_READ_SHARE: Final = 0.75
 RELEASE_TIMEOUT: Final = 0.2
 # Neighbours to which connections are kept open: the owners of all groups in use.
 MAX_OWNERS_CONNECTED: Final = 512
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -1,7 +1,5 @@
 """Serve single statements of neighbours on the pools of this proxy."""
 
-from dataclasses import replace
-
 from dogwoodspool_common import (
     Clock,
     JsonRequest,
@@ -9,13 +7,11 @@
     Route,
     error_response,
 )
-from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_following import ViewStore
 
 from ..errors import NoPrimaryError, NotServedError
-from ..requests import Request
 from ..statements import Statements
-from .const import CODE_NOT_OWNER, HOP_SECONDS, PATH_STATEMENT
+from .const import CODE_NOT_OWNER, PATH_STATEMENT
 from .messages import (
     RefusalMessage,
     ReplyMessage,
@@ -43,7 +39,7 @@
 
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = StatementRequest.model_validate(request.body)
-        wanted = _with_time_to_answer(message.value(self._clock.now()))
+        wanted = message.value(self._clock.now())
         group = wanted.endpoint.group
         if self._is_leaving or group not in self._views.view.groups:
             return error_response(421, CODE_NOT_OWNER, group)
@@ -58,11 +54,5 @@
         return _answer(StatementResponse(reply=ReplyMessage.of(reply)))
 
 
-def _with_time_to_answer(request: Request) -> Request:
-    """Bring the deadline forward by the time that the answer takes to the asker."""
-    deadline_ms = max(1, request.endpoint.deadline_ms - int(HOP_SECONDS * MILLISECONDS))
-    return replace(request, endpoint=replace(request.endpoint, deadline_ms=deadline_ms))
-
-
 def _answer(response: StatementResponse) -> JsonResponse:
     return JsonResponse(response.model_dump(mode="json", exclude_none=True))
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -74,14 +74,17 @@
         return None
 
     def _ask(self, owner: Neighbour, request: Request, remaining: float) -> Reply:
-        message = StatementRequest.of(request, self._clock.now())
-        share = 1.0 if request.writes else OWNER_READ_SHARE
+        seconds = remaining if request.writes else remaining * OWNER_READ_SHARE
+        now = self._clock.now()
+        # An owner answers in time, be it that it does not serve: else its server's
+        # slowness would count as its own silence.
+        bounded = request.due_by(now + seconds)
         response = self._client.ask(
             owner,
             PATH_STATEMENT,
-            message,
+            StatementRequest.of(bounded, now),
             StatementResponse,
-            remaining * share + HOP_SECONDS,
+            seconds + HOP_SECONDS,
         )
         if response.reply is not None:
             return response.reply.value()
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -61,6 +61,8 @@
     def __init__(self) -> None:
         super().__init__(None)
         self.owners: dict[str, Owner] = {}
+        self.bodies: list[dict[str, Any]] = []
+        self.timeouts: list[float] = []
 
     def add(self, name: str, pooler: Pooler) -> Owner:
         """Let a pooler take requests of others."""
@@ -81,6 +83,8 @@
         if owner is None or owner.is_down:
             raise PeerNotConnectedError(f"{address}: refused")
         owner.asked.append(path)
+        self.bodies.append(body)
+        self.timeouts.append(timeout)
         handlers = {route.path: route.handler for route in owner.routes()}
         response = handlers[path](JsonRequest(path, {}, body))
         if owner.loses_answers:
--- a/tests/pooler/shared/test_remote.py
+++ b/tests/pooler/shared/test_remote.py
@@ -5,6 +5,8 @@
 from dogwoodspool_common import Consistency, Position, Role
 from dogwoodspool_pooler import Access, ErrorCode, StatementKind, TransactionState
 from dogwoodspool_pooler.const import BEHIND_LOOK_SECONDS
+from dogwoodspool_pooler.shared.const import HOP_SECONDS
+from dogwoodspool_pooler.shared.messages import StatementRequest
 
 from ..fakes import FakeServer, endpoint, execute, prepare, say, set_value
 from .neighbours import IDLE_LIMIT, Borrower
@@ -93,6 +95,16 @@
                 idle.close()
         self.assertIsNone(say(proxy.session(), "WRITE k v").error)
 
+    def test_an_owner_answers_before_its_asker_gives_up(self) -> None:
+        """Guard against a slow server that counts as an owner's silence."""
+        proxy = bounded()
+        for writes, text in ((False, "READ k"), (True, "WRITE k v")):
+            say(proxy.session(), text)
+            message = StatementRequest.model_validate(proxy.neighbours.bodies[-1])
+            given = message.endpoint.deadline_ms / 1_000 + HOP_SECONDS
+            self.assertLessEqual(given, proxy.neighbours.timeouts[-1] + 0.001)
+            self.assertEqual(given < 0.8, not writes)
+
 
 class RemoteTransactionTests(unittest.TestCase):
     """A transaction keeps one connection at one owner until its end."""
