--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -11,6 +11,7 @@
 from urllib.parse import parse_qsl
 
 from pydantic import ValidationError
+from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, create_server
 
 from .const import (
@@ -116,6 +117,7 @@
             asyncore_use_poll=True,
         )
         self._server = cast(BaseWSGIServer, server)  # It has one socket.
+        self._server.channel_class = _Channel
         # Without keep-alive those of callers without power would count for minutes.
         self._server.adj.socket_options = list(TCP_OPTIONS)
         self._thread = threading.Thread(
@@ -208,6 +210,16 @@
             return error_response(500, "internal", type(error).__name__)
 
 
+class _Channel(HTTPChannel):
+    """One connection, whose warnings name the peer."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # The library logs by it only, and an adapter has all methods for that.
+        named: Any = logging.LoggerAdapter(self.logger, {"peer": self.addr})
+        self.logger = named
+
+
 class _LibraryWarnings(logging.Handler):
     """Log what the HTTP library warns of, such as requests that wait for a thread."""
 
@@ -219,9 +231,16 @@
             level="WARNING",
             reason=record.getMessage(),
             error=repr(error) if error is not None else None,
+            peer=_peer_of(record),
         )
 
 
+def _peer_of(record: logging.LogRecord) -> Address | None:
+    """Return whose connection a warning is about, where it is about one."""
+    peer = getattr(record, "peer", None)
+    return None if peer is None else Address(str(peer[0]), int(peer[1]))
+
+
 def _follow_library_warnings() -> None:
     logger = logging.getLogger("waitress")
     if not any(isinstance(one, _LibraryWarnings) for one in logger.handlers):
--- a/tests/common/test_http_connections.py
+++ b/tests/common/test_http_connections.py
@@ -41,7 +41,7 @@
         server = JsonServer(Address("127.0.0.1", 0), None, [route], threads=2)
         server.set_up()
         self.addCleanup(server.unload)
-        self.address = server.address
+        self.server, self.address = server, server.address
 
     def connect(self) -> socket.socket:
         sock = socket.create_connection(
@@ -77,8 +77,19 @@
             level="WARNING",
             reason="Socket error",
             error="TimeoutError('timed out')",
+            peer=None,
         )
 
+    def test_what_the_library_warns_of_a_connection_names_its_peer(self) -> None:
+        """Guard against hundreds of lines that do not say who was lost."""
+        sock = self.connect()
+        self.ask(sock)
+        host, port = sock.getsockname()
+        (channel,) = self.server._server.active_channels.values()
+        with patch("dogwoodspool_common.http_server.log_rate_limited") as log:
+            channel.logger.warning("Socket error")
+        self.assertEqual(log.call_args.kwargs["peer"], Address(host, port))
+
     def timers(self) -> list[str]:
         """Return the timers of the server's established connections."""
         port = f":{self.address.port:04X}"
