--- a/tests/common/test_http_connections.py
+++ b/tests/common/test_http_connections.py
@@ -15,6 +15,7 @@
 import socket
 import unittest
 from pathlib import Path
+from typing import Any
 from unittest.mock import patch
 
 from dogwoodspool_common import Address, JsonRequest, JsonResponse, JsonServer, Route
@@ -85,7 +86,8 @@
         sock = self.connect()
         self.ask(sock)
         host, port = sock.getsockname()
-        (channel,) = self.server._server.active_channels.values()
+        channels: Any = self.server._server.active_channels
+        (channel,) = channels.values()
         with patch("dogwoodspool_common.http_server.log_rate_limited") as log:
             channel.logger.warning("Socket error")
         self.assertEqual(log.call_args.kwargs["peer"], Address(host, port))
