Leave threads of an owner to open transactions

A request that waits for a connection holds a thread of its owner, and so does the commit that would free one. New requests take 36 of 48 threads; further ones go to the next owner at once, which is not passed over for it.

--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -9,7 +9,9 @@
 
 # Threads for neighbours' requests, each of which waits for a place or an answer: above
 # what an owner may have in flight on the servers of several groups.
-OWNER_THREADS: Final = 32
+OWNER_THREADS: Final = 48
+# Those of them that new requests may take; the others are for open transactions.
+NEW_REQUESTS: Final = OWNER_THREADS - 12
 # The neighbours are in one's own failure domain, tenths of a millisecond away.
 OWNER_CONNECT_TIMEOUT: Final = 0.15
 # Part of a request's time that is left for the way to the owner and back.
@@ -31,4 +33,5 @@
 OWNER_ATTEMPTS: Final = 2
 
 CODE_NOT_OWNER: Final = "not_owner"
+CODE_OWNER_FULL: Final = "owner_full"
 CODE_UNKNOWN_LEASE: Final = "unknown_lease"
--- a/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
@@ -18,6 +18,10 @@
     suggests_unreachable = False
 
 
+class OwnerFullError(OwnerUnavailableError):
+    """Report that an owner has as many requests as it works on at a time."""
+
+
 class UnknownLeaseError(PoolerError):
     """Report that an owner does not hold a lease: it ended, or the process did."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
@@ -14,8 +14,19 @@
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 from pydantic import ValidationError
 
-from .const import CODE_NOT_OWNER, CODE_UNKNOWN_LEASE, PATH_RELEASE, RELEASE_TIMEOUT
-from .errors import OwnerSilentError, OwnerUnavailableError, UnknownLeaseError
+from .const import (
+    CODE_NOT_OWNER,
+    CODE_OWNER_FULL,
+    CODE_UNKNOWN_LEASE,
+    PATH_RELEASE,
+    RELEASE_TIMEOUT,
+)
+from .errors import (
+    OwnerFullError,
+    OwnerSilentError,
+    OwnerUnavailableError,
+    UnknownLeaseError,
+)
 from .messages import ReleaseLease
 
 ResponseT = TypeVar("ResponseT", bound=Message)
@@ -53,6 +64,8 @@
         except PeerRefusedError as error:
             if error.code == CODE_NOT_OWNER:
                 raise self._unavailable(owner, error) from error
+            if error.code == CODE_OWNER_FULL:
+                raise OwnerFullError(f"{owner.name}: {error}") from error
             if error.code == CODE_UNKNOWN_LEASE:
                 raise UnknownLeaseError(f"{owner.name}: {error}") from error
             raise self._silent(owner, error) from error
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -8,10 +8,16 @@
 from ..access import ServerAccess
 from ..statements import Statements
 from .access import SharingAccess
-from .const import CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
+from .const import (
+    CONNECTIONS_TO_OWNER,
+    MAX_OWNERS_CONNECTED,
+    NEW_REQUESTS,
+    OWNER_CONNECT_TIMEOUT,
+)
 from .group_limits import GroupLimits
 from .leases import LeaseBook, LeaseExpiry
 from .owner_client import OwnerClient
+from .slots import WorkSlots
 from .statement_api import StatementApi
 from .statements import SharedStatements
 from .transaction_api import TransactionApi
@@ -47,8 +53,11 @@
         )
         self._leases = LeaseBook(self._idle_limit, clock)
         self._expiry = LeaseExpiry(self._leases, clock)
-        self._statement_api = StatementApi(views, statements, clock)
-        self._transaction_api = TransactionApi(views, access, self._leases, clock)
+        slots = WorkSlots(NEW_REQUESTS)
+        self._statement_api = StatementApi(views, statements, slots, clock)
+        self._transaction_api = TransactionApi(
+            views, access, self._leases, slots, clock
+        )
         self._client = JsonClient(
             None, CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
         )
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -11,20 +11,25 @@
 
 from ..errors import NoPrimaryError, NotServedError
 from ..statements import Statements
-from .const import CODE_NOT_OWNER, PATH_STATEMENT
+from .const import CODE_NOT_OWNER, CODE_OWNER_FULL, PATH_STATEMENT
+from .errors import OwnerFullError
 from .messages import (
     RefusalMessage,
     ReplyMessage,
     StatementRequest,
     StatementResponse,
 )
+from .slots import WorkSlots
 
 
 class StatementApi:
     """Take single statements of other proxies, as if one's own callers sent them."""
 
-    def __init__(self, views: ViewStore, statements: Statements, clock: Clock) -> None:
+    def __init__(
+        self, views: ViewStore, statements: Statements, slots: WorkSlots, clock: Clock
+    ) -> None:
         self._views = views
+        self._slots = slots
         self._statements = statements
         self._clock = clock
         self._is_leaving = False
@@ -44,7 +49,10 @@
         if self._is_leaving or group not in self._views.view.groups:
             return error_response(421, CODE_NOT_OWNER, group)
         try:
-            reply = self._statements.run(wanted)
+            with self._slots.taken():
+                reply = self._statements.run(wanted)
+        except OwnerFullError as error:
+            return error_response(503, CODE_OWNER_FULL, str(error))
         except NotServedError as error:
             refused = StatementResponse(
                 refusal=RefusalMessage.of(error.error),
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -22,11 +22,13 @@
 from ..requests import PlaceRequest
 from .const import (
     CODE_NOT_OWNER,
+    CODE_OWNER_FULL,
     CODE_UNKNOWN_LEASE,
     OWNER_ATTEMPTS,
     PATH_RELEASE,
     PATH_TRANSACTION,
 )
+from .errors import OwnerFullError
 from .leases import LeaseBook
 from .messages import (
     Failure,
@@ -36,15 +38,22 @@
     TransactionRequest,
     TransactionResponse,
 )
+from .slots import WorkSlots
 
 
 class TransactionApi:
     """Keep a connection under a lease for each open transaction of other proxies."""
 
     def __init__(
-        self, views: ViewStore, access: ServerAccess, leases: LeaseBook, clock: Clock
+        self,
+        views: ViewStore,
+        access: ServerAccess,
+        leases: LeaseBook,
+        slots: WorkSlots,
+        clock: Clock,
     ) -> None:
         self._views = views
+        self._slots = slots
         self._access = access
         self._leases = leases
         self._clock = clock
@@ -71,7 +80,11 @@
         server = self._server(message)
         if self._is_leaving or server is None:
             return error_response(421, CODE_NOT_OWNER, message.server.server)
-        return _answer(self._begin(server, message))
+        try:
+            with self._slots.taken():
+                return _answer(self._begin(server, message))
+        except OwnerFullError as error:
+            return error_response(503, CODE_OWNER_FULL, str(error))
 
     def _release(self, request: JsonRequest) -> JsonResponse:
         message = ReleaseLease.model_validate(request.body)
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -17,6 +17,7 @@
 from dogwoodspool_pooler.shared.access import SharingAccess
 from dogwoodspool_pooler.shared.leases import LeaseBook
 from dogwoodspool_pooler.shared.owner_client import OwnerClient
+from dogwoodspool_pooler.shared.slots import WorkSlots
 from dogwoodspool_pooler.shared.statement_api import StatementApi
 from dogwoodspool_pooler.shared.statements import SharedStatements
 from dogwoodspool_pooler.shared.transaction_api import TransactionApi
@@ -26,6 +27,7 @@
 
 IDLE_LIMIT = 3.0
 DOMAINS = 3
+SLOTS = 2
 
 
 @dataclass
@@ -39,6 +41,7 @@
 
     pooler: Pooler
     leases: LeaseBook
+    slots: WorkSlots
     statements: StatementApi
     transactions: TransactionApi
     is_down: bool = False
@@ -67,11 +70,13 @@
     def add(self, name: str, pooler: Pooler) -> Owner:
         """Let a pooler take requests of others."""
         leases = LeaseBook(lambda _group: IDLE_LIMIT, pooler.clock)
+        slots = WorkSlots(SLOTS)
         owner = Owner(
             pooler,
             leases,
-            StatementApi(pooler.views, pooler.own, pooler.clock),
-            TransactionApi(pooler.views, pooler.access, leases, pooler.clock),
+            slots,
+            StatementApi(pooler.views, pooler.own, slots, pooler.clock),
+            TransactionApi(pooler.views, pooler.access, leases, slots, pooler.clock),
         )
         self.owners[name] = owner
         return owner
--- a/tests/pooler/shared/test_remote.py
+++ b/tests/pooler/shared/test_remote.py
@@ -158,6 +158,22 @@
         self.assertEqual(len(proxy.network.servers["s2"].runs), 2)
 
 
+class FullOwnerTests(unittest.TestCase):
+    """An owner that works on many requests leaves some to others."""
+
+    def test_another_owner_serves_and_commits_still_get_through(self) -> None:
+        """Guard against commits that wait behind those who wait for connections."""
+        proxy = Borrower(group())
+        session = proxy.session()
+        say(session, "BEGIN")
+        say(session, "WRITE k v")
+        with proxy.owner("o1").slots.taken(), proxy.owner("o1").slots.taken():
+            self.assertIsNone(say(proxy.session(), "WRITE k v").error)
+            self.assertEqual(len(proxy.owner("o2").asked), 1)
+            self.assertIsNone(say(session, "COMMIT").error)
+        self.assertEqual(proxy.directory.failed, [])
+
+
 class LostOwnerTests(unittest.TestCase):
     """An owner may be lost at any moment; what is said of a request stays true."""
 
