Give up connections of groups that are handed on

Proxies that start together know no neighbours for some tenths of a second, and open connections of their own: 72 to a server that takes 35. Idle, they would keep the owners from theirs for a second more; they are closed as soon as the owners are known.

--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -175,12 +175,8 @@
             self._connector = connector
             self._settings = settings
             self._generation += 1
-            closing = list(self._idle)
-            self._idle.clear()
-            self._in_use += len(closing)
         self._health.change(settings)
-        for connection in closing:
-            self._close(connection)
+        self.close_idle()
 
     def unload(self) -> None:
         """Close idle connections and refuse callers; held ones close on release."""
@@ -194,6 +190,17 @@
         for connection in closing:
             connection.close()
 
+    def close_idle(self) -> None:
+        """Close all idle connections; callers may go on to open others."""
+        if not self._idle:
+            return  # Looked at without the lock: most pools of many have none.
+        with self._lock:
+            closing = list(self._idle)
+            self._idle.clear()
+            self._in_use += len(closing)
+        for connection in closing:
+            self._close(connection)
+
     def close_expired(self) -> None:
         """Close idle connections above the limit and those idle for too long.
 
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -66,7 +66,6 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(self._views, connector, clock)
-        self._expiry = ConnectionExpiry(self._registry, clock)
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
         stalls, freshness = StallBook(clock), FreshnessBook(clock)
@@ -95,6 +94,9 @@
             client,
             clock,
         )
+        self._expiry = ConnectionExpiry(
+            self._registry, self._shared.is_handed_on, clock
+        )
         self._sessions = PooledSessions(
             self._views,
             self._shared.statements,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -93,6 +93,10 @@
         """Connections that transactions of other proxies hold."""
         return self._leases.count
 
+    def is_handed_on(self, group: str) -> bool:
+        """Tell whether requests to a group go to owners at present."""
+        return bool(self._directory.owners(group))
+
     def set_up(self) -> None:
         """Begin to lend and to borrow."""
         self._limits.set_up()
