--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -1,12 +1,14 @@
 """Render docs/CAPACITY.md: each role's costs at the size to design for."""
 
 import json
+import math
 import textwrap
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
 
 from dogwoodspool_control.const import MAX_RENEW_ITEMS, MAX_SERVERS, MAX_WATCHERS
+from dogwoodspool_sharing.roster import interval
 
 from .capacity import (
     BUDGET_BYTES,
@@ -36,6 +38,10 @@
 
 PAGE_WIDTH: Final = 88
 
+# A sign of life and its answer with their headers, and one neighbour in an answer.
+PRESENCE_BYTES: Final = 700
+NEIGHBOUR_BYTES: Final = 60
+
 
 def render(slopes: Mapping[str, Any]) -> str:
     """Return the page."""
@@ -49,6 +55,7 @@
         _operators(capacity),
         _statements(capacity),
         _times(capacity),
+        _sharing(),
         _unmeasured(),
         _points(capacity),
     )
@@ -310,6 +317,30 @@
 """
 
 
+def _sharing() -> str:
+    neighbours = math.ceil(DAEMONS / FAILURE_DOMAINS)
+    pause = interval(neighbours)
+    names = neighbours * NEIGHBOUR_BYTES
+    changes = RESTARTS_A_DAY / FAILURE_DOMAINS
+    names_rate = names * changes / SECONDS_A_DAY
+    presence_rate = PRESENCE_BYTES / pause
+    return f"""
+## Sharing pools, by arithmetic
+
+A daemon gives a sign of life every {pause:.1f} s ({neighbours} daemons in a failure
+domain) and is told the names of its neighbours where they have changed:
+{presence_rate / KILOBYTE:.2f} KB/s and, with {changes:.0f} starts a day in its failure
+domain, {names / KILOBYTE:.0f} KB for each of them, {names_rate / KILOBYTE:.2f} KB/s:
+**met**. A control process takes {neighbours / pause:.0f} of them a second for each
+failure domain that turns to it, whatever its size.
+
+Connections opened for 100 requests do not grow with the daemons (`script/emulate`,
+[shared pools](decisions/shared-pools.md)). Each daemon assigns owners to all groups
+anew with each change of its neighbours, {neighbours * DATABASES // SERVERS_PER_GROUP:,} hashes: **not met**
+before daemons follow only the groups that they use.
+"""
+
+
 def _unmeasured() -> str:
     interval = SECONDS_A_DAY / RESTARTS_A_DAY
     return f"""
