--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -321,6 +321,7 @@
     neighbours = math.ceil(DAEMONS / FAILURE_DOMAINS)
     pause = interval(neighbours)
     names = neighbours * NEIGHBOUR_BYTES
+    hashes = neighbours * DATABASES // SERVERS_PER_GROUP
     changes = RESTARTS_A_DAY / FAILURE_DOMAINS
     names_rate = names * changes / SECONDS_A_DAY
     presence_rate = PRESENCE_BYTES / pause
@@ -336,8 +337,8 @@
 
 Connections opened for 100 requests do not grow with the daemons (`script/emulate`,
 [shared pools](decisions/shared-pools.md)). Each daemon assigns owners to all groups
-anew with each change of its neighbours, {neighbours * DATABASES // SERVERS_PER_GROUP:,} hashes: **not met**
-before daemons follow only the groups that they use.
+anew with each change of its neighbours, {hashes:,} hashes: **not met** before
+daemons follow only the groups that they use.
 """
 
 
