--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from dogwoodspool_common import BackendServer, Position
 from dogwoodspool_connections import (
@@ -10,7 +11,7 @@
     PoolSettings,
     PoolTimeoutError,
 )
-from dogwoodspool_limits import StatementQueue, Ticket, TicketState
+from dogwoodspool_limits import Refusal, StatementQueue, Ticket, TicketState
 from dogwoodspool_pooler.behind import BehindBook
 from dogwoodspool_pooler.ceiling import ConnectionCeiling
 from dogwoodspool_pooler.const import (
@@ -88,6 +89,24 @@
             self.queue.set_max_in_flight(limit)
 
 
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """A statement on its way to one server.
+
+    Attributes:
+        floor: position that the server must have; None for any.
+        start_by: when it may wait no longer for a place.
+        has_alternatives: another server may serve it as well.
+    """
+
+    backend: Backend
+    attempt: Attempt
+    floor: Position | None
+    start_by: float
+    has_alternatives: bool
+    ended: Callable[[Result[Answer, Refused]], None]
+
+
 class _Connector:
     def __init__(self, server: Server) -> None:
         self._server = server
@@ -208,124 +227,80 @@
         backend = self._backend(server)
         backend.adjust()
         start_by = max(attempt.start_by, self._timeline.now())
-
-        def admitted() -> None:
-            self._connect(
-                backend,
-                attempt,
-                floor,
-                start_by,
-                ended,
-                has_alternatives=has_alternatives,
-            )
+        run = _Run(backend, attempt, floor, start_by, has_alternatives, ended)
 
         def changed() -> None:
             if ticket.state is TicketState.ADMITTED:
-                self._timeline.after(0.0, admitted)
+                self._timeline.after(0.0, partial(self._connect, run))
             elif ticket.state is TicketState.DISPLACED:
-                self._give_up(backend, ticket, ended)
+                self._give_up(run, ticket)
 
         arrived = backend.queue.arrive(start_by, attempt.kind.priority, changed)
         if arrived.is_error():
-            refusal = arrived.error
-            retry_after = refusal.retry_after_ms / 1000
-            ended(Error(Refused(f"admission {refusal.reason}", retry_after)))
+            ended(Error(_refused(arrived.error)))
             return
         ticket = arrived.ok
         if ticket.state is TicketState.ADMITTED:
-            admitted()
+            self._connect(run)
             return
 
         def time_out() -> None:
             if ticket.state is TicketState.WAITING:
-                self._give_up(backend, ticket, ended)
+                self._give_up(run, ticket)
 
         self._timeline.after(ticket.latest_start - self._timeline.now(), time_out)
 
-    def _give_up(
-        self,
-        backend: Backend,
-        ticket: Ticket,
-        ended: Callable[[Result[Answer, Refused]], None],
-    ) -> None:
-        refusal = backend.queue.give_up(ticket)
-        retry_after = refusal.retry_after_ms / 1000
-        ended(Error(Refused(f"admission {refusal.reason}", retry_after)))
+    def _give_up(self, run: _Run, ticket: Ticket) -> None:
+        run.ended(Error(_refused(run.backend.queue.give_up(ticket))))
 
-    def _connect(
-        self,
-        backend: Backend,
-        attempt: Attempt,
-        floor: Position | None,
-        start_by: float,
-        ended: Callable[[Result[Answer, Refused]], None],
-        *,
-        has_alternatives: bool,
-    ) -> None:
+    def _connect(self, run: _Run) -> None:
+        backend = run.backend
         refused = Refused("no connection", NO_CONNECTION_RETRY_MS / 1000)
         try:
             connection = backend.pool.acquire(self._timeline.now())
         except PoolTimeoutError:
             backend.queue.withdraw()
-            ended(Error(refused))
-            return
+            run.ended(Error(refused))
         except ConnectionLimitError:
             backend.ceiling.note_refused(backend.pool.open_count)
             backend.adjust()
-            remaining = start_by - self._timeline.now()
-            if remaining <= 0 or has_alternatives:
+            remaining = run.start_by - self._timeline.now()
+            if remaining <= 0 or run.has_alternatives:
                 backend.queue.withdraw()
-                ended(Error(refused))
+                run.ended(Error(refused))
                 return
             pause = min(remaining, CONNECTION_RETRY_SECONDS)
-            self._timeline.after(
-                pause,
-                lambda: self._connect(
-                    backend,
-                    attempt,
-                    floor,
-                    start_by,
-                    ended,
-                    has_alternatives=has_alternatives,
-                ),
-            )
-            return
-        self._send(backend, connection, attempt, floor, ended)
+            self._timeline.after(pause, partial(self._connect, run))
+        else:
+            self._send(run, connection)
 
-    def _send(
-        self,
-        backend: Backend,
-        connection: Connection,
-        attempt: Attempt,
-        floor: Position | None,
-        ended: Callable[[Result[Answer, Refused]], None],
-    ) -> None:
-        name = backend.server.described.name
+    def _send(self, run: _Run, connection: Connection) -> None:
+        server = run.backend.server
+        name = server.described.name
         began_at = self._timeline.now()
         self._table.begin(name)
 
         def done(answer: Answer) -> None:
             elapsed = self._timeline.now() - began_at
             self._table.end(name, elapsed, is_answered=True)
-            if answer is Answer.BEHIND and floor is not None:
-                self._behind.note_behind(name, floor)
-            elif floor is not None:
+            if answer is Answer.BEHIND and run.floor is not None:
+                self._behind.note_behind(name, run.floor)
+            elif run.floor is not None:
                 self._behind.note_answer(name)
-            backend.pool.release(connection, reuse=True)
-            backend.queue.end(elapsed, is_answered=True)
-            ended(Ok(answer))
+            run.backend.pool.release(connection, reuse=True)
+            run.backend.queue.end(elapsed, is_answered=True)
+            run.ended(Ok(answer))
 
-        described = backend.server.described
-        is_near = described.failure_domain == self.failure_domain
+        is_near = server.described.failure_domain == self.failure_domain
         way = 0.0 if is_near else self._distance
 
-        def arrive() -> None:
-            backend.server.run(connection, attempt.work, floor, answered)
-
         def answered(answer: Answer) -> None:
-            self._timeline.after(way, lambda: done(answer))
+            self._timeline.after(way, partial(done, answer))
 
-        self._timeline.after(way, arrive)
+        self._timeline.after(
+            way,
+            partial(server.run, connection, run.attempt.work, run.floor, answered),
+        )
 
     def _full(self, server: Server) -> Refused:
         backend = self._backends[server.described.name]
@@ -349,3 +324,8 @@
         )
         queue = StatementQueue(clock, described.slots, first, QUEUE_LIMIT)
         return Backend(server, pool, queue, ceiling)
+
+
+def _refused(refusal: Refusal) -> Refused:
+    retry_after = refusal.retry_after_ms / 1000
+    return Refused(f"admission {refusal.reason}", retry_after)
