Share pools also where each proxy could keep two connections

Four connections for each proxy are asked for now, and two proxies of a failure domain for each owner, so that 8 to 12 proxies keep their own pools.

--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -6,8 +6,11 @@
 PATH_PRESENCE: Final = "/v1/proxies/present"
 
 # Connections to one server that each proxy must be able to hold, on an even share, for
-# pools of its own: one in use and one that comes after it.
-MIN_EVEN_SHARE: Final = 2
+# pools of its own: with fewer its requests come too seldom to find an open one.
+MIN_EVEN_SHARE: Final = 4
+# Proxies of a failure domain for each owner: with fewer, most requests would cost a hop
+# and find a pool hardly better used.
+MIN_PROXIES_PER_OWNER: Final = 2
 # Owners of a group in each failure domain: one may be lost at any time.
 MIN_OWNERS: Final = 2
 # Even share of a server's connections that makes a useful pool: with fewer, requests of
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -7,7 +7,7 @@
 
 from .const import NEIGHBOUR_LIFE_SECONDS, OWNER_RETRY_SECONDS
 from .models import Neighbour
-from .ownership import assign_owners, is_scarce, order_for, owner_count
+from .ownership import assign_owners, is_shared, order_for, owner_count
 
 
 class ProxyDirectory:
@@ -90,11 +90,11 @@
             self._failed_at[name] = self._clock.now()
 
     def _assign(self) -> dict[str, list[Neighbour]]:
-        proxies = len(self._neighbours) * self._failure_domains
+        neighbours = len(self._neighbours)
         counts = {
             group: owner_count(connections, self._failure_domains)
             for group, connections in self._connections.items()
-            if is_scarce(connections, proxies)
+            if is_shared(connections, neighbours, self._failure_domains)
         }
         return assign_owners(counts, self._neighbours.values())
 
--- a/packages/sharing/src/dogwoodspool_sharing/ownership.py
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -16,19 +16,27 @@
     CONNECTIONS_PER_OWNER,
     MIN_EVEN_SHARE,
     MIN_OWNERS,
+    MIN_PROXIES_PER_OWNER,
     WEIGHT_BYTES,
 )
 from .models import Neighbour
 
 
-def is_scarce(connections: int, proxies: int) -> bool:
-    """Tell whether a server takes too few connections for a pool in each proxy.
+def is_shared(connections: int, neighbours: int, failure_domains: int) -> bool:
+    """Tell whether the proxies of a failure domain share a group's pools.
+
+    Args:
+        connections: what each server of the group takes.
+        neighbours: proxies of the failure domain; the others are taken to have as many.
+        failure_domains: how many there are.
 
     Example:
-        >>> is_scarce(23, 9), is_scarce(35, 72)
+        >>> is_shared(23, 3, 3), is_shared(35, 24, 3)
         (False, True)
     """
-    return connections < MIN_EVEN_SHARE * proxies
+    owners = owner_count(connections, failure_domains)
+    is_scarce = connections < MIN_EVEN_SHARE * neighbours * failure_domains
+    return is_scarce and neighbours >= MIN_PROXIES_PER_OWNER * owners
 
 
 def owner_count(connections: int, failure_domains: int) -> int:
