Notice an owner's lost machine before its answer is due

A machine without power answers nothing, and each proxy found it out by a read that waited 0.6 s, beyond its target. The kernel tells after 0.25 s that what was sent was not acknowledged, whatever the time that a server may take; reads then go elsewhere in time.

--- a/packages/common/src/dogwoodspool_common/http_client.py
+++ b/packages/common/src/dogwoodspool_common/http_client.py
@@ -1,10 +1,12 @@
 """JSON over HTTP towards the system's other processes."""
 
 import json
+import socket
 from typing import Any
 from urllib.parse import urlencode
 
 import urllib3
+from urllib3.connection import HTTPConnection
 
 from .const import (
     DEFAULT_HTTP_TIMEOUT,
@@ -14,6 +16,7 @@
     HEADER_SIGNATURE,
     HEADER_TRACEPARENT,
     HTTP_CONNECT_TIMEOUT,
+    UNACKNOWLEDGED_MS,
 )
 from .errors import PeerNotConnectedError, PeerRefusedError, PeerUnreachableError
 from .models import Address
@@ -39,11 +42,18 @@
         max_connections: int = DEFAULT_PEER_CONNECTIONS,
         max_peers: int = DEFAULT_PEERS,
         connect_timeout: float = HTTP_CONNECT_TIMEOUT,
+        unacknowledged_ms: int = UNACKNOWLEDGED_MS,
     ) -> None:
         self._signer = signer
         self._connect_timeout = connect_timeout
         self._pool = urllib3.PoolManager(
-            num_pools=max_peers, maxsize=max_connections, retries=False
+            num_pools=max_peers,
+            maxsize=max_connections,
+            retries=False,
+            socket_options=[
+                *HTTPConnection.default_socket_options,
+                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms),
+            ],
         )
 
     def get(
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -14,6 +14,9 @@
 NEW_REQUESTS: Final = OWNER_THREADS - 12
 # The neighbours are in one's own failure domain, tenths of a millisecond away.
 OWNER_CONNECT_TIMEOUT: Final = 0.15
+# Time in which an owner's machine acknowledges a request, also while the owner waits
+# for a server: above one lost packet's second transmission (0.2 s).
+OWNER_UNACKNOWLEDGED_MS: Final = 250
 # Part of a request's time that is left for the way to the owner and back.
 HOP_SECONDS: Final = 0.03
 # Part of a read's remaining time that an owner gets: time must be left to read without
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -13,6 +13,7 @@
     MAX_OWNERS_CONNECTED,
     NEW_REQUESTS,
     OWNER_CONNECT_TIMEOUT,
+    OWNER_UNACKNOWLEDGED_MS,
 )
 from .group_limits import GroupLimits
 from .leases import LeaseBook, LeaseExpiry
@@ -59,7 +60,11 @@
             views, access, self._leases, slots, clock
         )
         self._client = JsonClient(
-            None, CONNECTIONS_TO_OWNER, MAX_OWNERS_CONNECTED, OWNER_CONNECT_TIMEOUT
+            None,
+            CONNECTIONS_TO_OWNER,
+            MAX_OWNERS_CONNECTED,
+            OWNER_CONNECT_TIMEOUT,
+            OWNER_UNACKNOWLEDGED_MS,
         )
         self._limits = GroupLimits(self._directory, views)
         owner_client = OwnerClient(self._directory, self._client)
