Hand requests on by lines of JSON on connections that stay

The endpoints are the same objects; the house style's HTTP stays for everything that is not once a request.

An answer that comes late ends with its connection, so that no other call reads it.

--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -10,13 +10,8 @@
     SettingsError,
 )
 from .http_client import JsonClient
-from .http_server import (
-    JsonRequest,
-    JsonResponse,
-    JsonServer,
-    Route,
-    error_response,
-)
+from .http_server import JsonServer
+from .json_lines import JsonLineClient, JsonLineServer
 from .log import log_event, log_rate_limited, set_up_logging, shut_down_logging
 from .models import (
     Address,
@@ -37,6 +32,7 @@
     stop_event_on_signals,
     write_ready_file,
 )
+from .routes import JsonRequest, JsonResponse, Route, error_response
 from .signature import RequestSigner
 from .tcp import TCP_OPTIONS
 from .trace import current_traceparent, set_up_tracing, span
@@ -54,6 +50,8 @@
     "Endpoint",
     "HttpError",
     "JsonClient",
+    "JsonLineClient",
+    "JsonLineServer",
     "JsonRequest",
     "JsonResponse",
     "JsonServer",
--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -20,6 +20,13 @@
 MAX_HTTP_CONNECTIONS: Final = 3_000
 MAX_HTTP_BODY_BYTES: Final = 8 * 1024 * 1024
 
+# Messages of one line: what is read at a time, the longest one, and the connections of
+# peers that are served, each by a thread.
+LINE_READ_BYTES: Final = 64 * 1024
+MAX_LINE_BYTES: Final = 4 * 1024 * 1024
+MAX_LINE_CONNECTIONS: Final = 1_000
+LINE_BACKLOG: Final = 512
+
 MILLISECONDS: Final = 1000.0
 FIRST_ERROR_STATUS: Final = 400
 
--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -4,77 +4,26 @@
 import logging
 import socket
 import threading
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, cast
 from urllib.parse import parse_qsl
 
-from pydantic import ValidationError
 from waitress.channel import HTTPChannel
 from waitress.server import BaseWSGIServer, create_server
 
 from .const import (
     DEFAULT_HTTP_THREADS,
     HEADER_SIGNATURE,
+    HEADER_TRACEPARENT,
     MAX_HTTP_BODY_BYTES,
     MAX_HTTP_CONNECTIONS,
 )
-from .errors import DogwoodspoolError
 from .log import log_event, log_rate_limited
 from .models import Address
-from .problems import first_problem
+from .routes import JsonRequest, JsonResponse, Route, answer, error_response
 from .signature import RequestSigner
 from .tcp import TCP_OPTIONS
-from .trace import span
-
-
-@dataclass(frozen=True, slots=True)
-class JsonRequest:
-    """A request that has passed the check of its signature.
-
-    Attributes:
-        parameters: parts of the path that the route's template names.
-    """
-
-    path: str
-    query: Mapping[str, str]
-    body: Any
-    parameters: Mapping[str, str] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class JsonResponse:
-    """An answer; ``text`` replaces the JSON body where a page is plain text."""
-
-    body: Mapping[str, Any] = field(default_factory=dict)
-    status: int = 200
-    text: str | None = None
-    headers: Mapping[str, str] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Route:
-    """One endpoint.
-
-    Attributes:
-        method: HTTP method.
-        path: exact path, or a template whose last part is a name in braces, such
-            as ``/servers/{name}``.
-        handler: called in a thread of the server's pool.
-        is_open: the endpoint answers without a signature, as a balancer's
-            readiness check needs.
-    """
-
-    method: str
-    path: str
-    handler: Callable[[JsonRequest], JsonResponse]
-    is_open: bool = False
-
-
-def error_response(status: int, code: str, message: str) -> JsonResponse:
-    """Build an error answer that ``JsonClient`` understands."""
-    return JsonResponse({"error": code, "message": message}, status)
 
 
 class JsonServer:
@@ -171,7 +120,7 @@
         except ValueError as error:
             return error_response(400, "bad_json", str(error))
         request = JsonRequest(path, dict(parse_qsl(query)), content, parameters)
-        return self._handle(route, request, environ.get(_environ_key("traceparent")))
+        return answer(route, request, environ.get(_environ_key(HEADER_TRACEPARENT)))
 
     def _find(self, method: str, path: str) -> tuple[Route | None, dict[str, str]]:
         route = self._routes.get((method, path))
@@ -190,25 +139,6 @@
             signature, method, target, body
         )
 
-    def _handle(
-        self, route: Route, request: JsonRequest, traceparent: str | None
-    ) -> JsonResponse:
-        try:
-            if traceparent is None:
-                return route.handler(request)
-            with span(f"http {route.path}", traceparent=traceparent):
-                return route.handler(request)
-        except ValidationError as error:
-            return error_response(400, "bad_request", first_problem(error))
-        except DogwoodspoolError as error:
-            return error_response(503, type(error).__name__, str(error))
-        except Exception as error:  # noqa: BLE001
-            # A handler's fault must cost its own request only, not the thread.
-            log_event(
-                "handler_failed", level="ERROR", path=route.path, error=repr(error)
-            )
-            return error_response(500, "internal", type(error).__name__)
-
 
 class _Channel(HTTPChannel):
     """One connection, whose warnings name the peer."""
--- /dev/null
+++ b/packages/common/src/dogwoodspool_common/json_lines.py
@@ -0,0 +1,312 @@
+"""JSON over persistent TCP connections, a line for each message.
+
+For calls that are many and short, between neighbours: a call of ``JsonClient`` costs
+several times the processor time, most of it for HTTP's own headers.
+"""
+
+import json
+import select
+import socket
+import threading
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from .const import (
+    FIRST_ERROR_STATUS,
+    HTTP_CONNECT_TIMEOUT,
+    LINE_BACKLOG,
+    LINE_READ_BYTES,
+    MAX_LINE_BYTES,
+    MAX_LINE_CONNECTIONS,
+    MILLISECONDS,
+    UNACKNOWLEDGED_MS,
+)
+from .errors import PeerNotConnectedError, PeerRefusedError, PeerUnreachableError
+from .log import log_event, log_rate_limited
+from .models import Address
+from .routes import JsonRequest, JsonResponse, Route, answer, error_response
+from .tcp import TCP_OPTIONS
+from .trace import current_traceparent
+
+LINE_END = b"\n"
+
+
+class JsonLineServer:
+    """Serve routes to peers that keep connections open, one thread for each of them.
+
+    Args:
+        address: where to listen; port 0 takes any free one.
+        routes: the endpoints; only their paths count.
+    """
+
+    def __init__(self, address: Address, routes: Iterable[Route]) -> None:
+        self._routes = {route.path: route for route in routes}
+        self._listener = socket.create_server(
+            (address.host, address.port), backlog=LINE_BACKLOG
+        )
+        self._address = Address(address.host, int(self._listener.getsockname()[1]))
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._is_closed = False
+        self._thread = threading.Thread(target=self._run, name="lines", daemon=True)
+
+    @property
+    def address(self) -> Address:
+        """The address in use, with the real port where 0 was asked for."""
+        return self._address
+
+    def set_up(self) -> None:
+        """Begin to accept."""
+        self._thread.start()
+
+    def unload(self) -> None:
+        """Stop accepting, and close what is open."""
+        self._is_closed = True
+        _end(self._listener)  # Wakes the thread that accepts.
+        self._listener.close()
+        with self._lock:
+            connections = list(self._open)
+        for connection in connections:
+            _end(connection)
+
+    def _run(self) -> None:
+        while not self._is_closed:
+            try:
+                connection, peer = self._listener.accept()
+            except OSError as error:
+                if not self._is_closed:
+                    log_event("accept_failed", level="WARNING", reason=error)
+                    time.sleep(HTTP_CONNECT_TIMEOUT)
+                continue
+            with self._lock:
+                is_full = len(self._open) >= MAX_LINE_CONNECTIONS
+                if not is_full:
+                    self._open.add(connection)
+            if is_full:
+                log_rate_limited("peer_refused", peer=peer, reason="too many")
+                connection.close()
+                continue
+            threading.Thread(
+                target=self._serve, args=(connection,), name="line", daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        try:
+            _prepare(connection, UNACKNOWLEDGED_MS)
+            buffer = bytearray()
+            while (line := _read_line(connection, buffer)) is not None:
+                connection.sendall(_encoded(self._answer(line)))
+        except (OSError, ValueError) as error:
+            log_rate_limited("peer_lost", level="DEBUG", reason=error)
+        finally:
+            with self._lock:
+                self._open.discard(connection)
+            connection.close()
+
+    def _answer(self, line: bytes) -> dict[str, Any]:
+        response = self._respond(json.loads(line))
+        return {"status": response.status, "body": response.body}
+
+    def _respond(self, message: Any) -> JsonResponse:
+        if not isinstance(message, dict):
+            return error_response(400, "bad_request", "a message is an object")
+        path = str(message.get("path", ""))
+        route = self._routes.get(path)
+        if route is None:
+            return error_response(404, "no_such_endpoint", path)
+        request = JsonRequest(path, {}, message.get("body"))
+        return answer(route, request, message.get("traceparent"))
+
+
+class JsonLineClient:
+    """Call endpoints of ``JsonLineServer``; calls are never repeated here.
+
+    Args:
+        max_connections: idle connections to one peer that are kept.
+        connect_timeout: seconds for a new connection.
+        unacknowledged_ms: milliseconds in which a peer's machine acknowledges what was
+            sent, however long its answer takes; without it the machine is gone.
+
+    Example:
+        >>> JsonLineClient().post(Address("10.1.0.8", 7441), "/v1/x", {"a": 1}, 0.5)
+        {'b': 2}
+    """
+
+    def __init__(
+        self,
+        max_connections: int = 8,
+        connect_timeout: float = HTTP_CONNECT_TIMEOUT,
+        unacknowledged_ms: int = UNACKNOWLEDGED_MS,
+    ) -> None:
+        self._max_connections = max_connections
+        self._connect_timeout = connect_timeout
+        self._unacknowledged_ms = unacknowledged_ms
+        self._lock = threading.Lock()
+        self._idle: dict[Address, list[_Connection]] = {}
+
+    def post(
+        self, address: Address, path: str, body: dict[str, Any], timeout: float
+    ) -> dict[str, Any]:
+        """Send one message and return the answer.
+
+        Args:
+            address: the peer.
+            path: path of the endpoint.
+            body: the message.
+            timeout: seconds for the whole exchange.
+
+        Raises:
+            PeerNotConnectedError: no connection came up; nothing was sent.
+            PeerUnreachableError: no complete answer came in time.
+            PeerRefusedError: the answer has an error status.
+        """
+        until = time.monotonic() + timeout
+        message: dict[str, Any] = {"path": path, "body": body}
+        traceparent = current_traceparent()
+        if traceparent:
+            message["traceparent"] = traceparent
+        connection = self._take(address) or self._connect(address, timeout)
+        try:
+            connection.send(_encoded(message), until)
+            response = json.loads(connection.read_line(until))
+            status, content = int(response["status"]), dict(response["body"])
+        except (OSError, EOFError, ValueError, KeyError, TypeError) as error:
+            connection.close()
+            raise PeerUnreachableError(f"{address}{path}: {error!r}") from error
+        self._keep(address, connection)
+        if status >= FIRST_ERROR_STATUS:
+            raise PeerRefusedError(
+                status,
+                str(content.get("error", "unknown")),
+                str(content.get("message", "")),
+            )
+        return content
+
+    def close(self) -> None:
+        """Close idle connections."""
+        with self._lock:
+            connections = [one for idle in self._idle.values() for one in idle]
+            self._idle.clear()
+        for connection in connections:
+            connection.close()
+
+    def _connect(self, address: Address, timeout: float) -> "_Connection":
+        seconds = min(timeout, self._connect_timeout)
+        try:
+            connected = socket.create_connection((address.host, address.port), seconds)
+        except OSError as error:
+            raise PeerNotConnectedError(f"{address}: {error}") from error
+        _prepare(connected, self._unacknowledged_ms)
+        return _Connection(connected)
+
+    def _take(self, address: Address) -> "_Connection | None":
+        """Take the idle connection that was used last, unless the peer closed it."""
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                connection = idle.pop() if idle else None
+            if connection is None or not connection.has_input():
+                return connection
+            connection.close()
+
+    def _keep(self, address: Address, connection: "_Connection") -> None:
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < self._max_connections:
+                idle.append(connection)
+                return
+        connection.close()
+
+
+class _Connection:
+    """A client's connection, which waits by itself.
+
+    A socket with a time-out of its own takes two more system calls for each step.
+    """
+
+    def __init__(self, connected: socket.socket) -> None:
+        connected.setblocking(False)
+        self._socket = connected
+        self._poller = select.poll()
+        self._buffer = bytearray()
+
+    def send(self, content: bytes, until: float) -> None:
+        """Send all; raise ``TimeoutError`` at ``time.monotonic()`` seconds."""
+        left = memoryview(content)
+        while left:
+            try:
+                left = left[self._socket.send(left) :]
+            except BlockingIOError:
+                self._wait(select.POLLOUT, until)
+
+    def read_line(self, until: float) -> bytes:
+        """Return the next line; raise ``EOFError`` at the end, and like ``send``."""
+        while (line := _take_line(self._buffer)) is None:
+            self._wait(select.POLLIN, until)
+            received = self._socket.recv(LINE_READ_BYTES)
+            if not received:
+                raise EOFError("the peer closed the connection")
+            self._buffer += received
+        return line
+
+    def has_input(self) -> bool:
+        """Tell whether it has ended, or holds what nobody asked for."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return bool(self._buffer)
+        except OSError as error:
+            log_rate_limited("peer_lost", level="DEBUG", reason=error)
+        return True
+
+    def close(self) -> None:
+        """Close at once."""
+        self._socket.close()
+
+    def _wait(self, event: int, until: float) -> None:
+        remaining = until - time.monotonic()
+        self._poller.register(self._socket, event)
+        if remaining <= 0 or not self._poller.poll(remaining * MILLISECONDS):
+            raise TimeoutError("no answer in time")
+
+
+def _prepare(connection: socket.socket, unacknowledged_ms: int) -> None:
+    for level, option, value in TCP_OPTIONS:
+        connection.setsockopt(level, option, value)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms
+    )
+
+
+def _encoded(message: dict[str, Any]) -> bytes:
+    return json.dumps(message, separators=(",", ":")).encode() + LINE_END
+
+
+def _read_line(connection: socket.socket, buffer: bytearray) -> bytes | None:
+    """Return the next line, None at the end; what follows it stays in the buffer."""
+    while (line := _take_line(buffer)) is None:
+        received = connection.recv(LINE_READ_BYTES)
+        if not received:
+            return None
+        buffer += received
+    return line
+
+
+def _take_line(buffer: bytearray) -> bytes | None:
+    """Take the first line out of a buffer; None where its end is not there yet."""
+    end = buffer.find(LINE_END)
+    if end < 0:
+        if len(buffer) > MAX_LINE_BYTES:
+            raise ValueError("a line is too long")
+        return None
+    line = bytes(buffer[:end])
+    del buffer[: end + 1]
+    return line
+
+
+def _end(connection: socket.socket) -> None:
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError as error:
+        log_rate_limited("peer_lost", level="DEBUG", reason=error)
--- /dev/null
+++ b/packages/common/src/dogwoodspool_common/routes.py
@@ -0,0 +1,77 @@
+"""Endpoints with JSON bodies, whatever carries them."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from pydantic import ValidationError
+
+from .errors import DogwoodspoolError
+from .log import log_event
+from .problems import first_problem
+from .trace import span
+
+
+@dataclass(frozen=True, slots=True)
+class JsonRequest:
+    """A request that has passed the check of its signature.
+
+    Attributes:
+        parameters: parts of the path that the route's template names.
+    """
+
+    path: str
+    query: Mapping[str, str]
+    body: Any
+    parameters: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class JsonResponse:
+    """An answer; ``text`` replaces the JSON body where a page is plain text."""
+
+    body: Mapping[str, Any] = field(default_factory=dict)
+    status: int = 200
+    text: str | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One endpoint.
+
+    Attributes:
+        method: HTTP method.
+        path: exact path, or a template whose last part is a name in braces, such
+            as ``/servers/{name}``.
+        handler: called in a thread of the server's pool.
+        is_open: the endpoint answers without a signature, as a balancer's
+            readiness check needs.
+    """
+
+    method: str
+    path: str
+    handler: Callable[[JsonRequest], JsonResponse]
+    is_open: bool = False
+
+
+def error_response(status: int, code: str, message: str) -> JsonResponse:
+    """Build an error answer that ``JsonClient`` understands."""
+    return JsonResponse({"error": code, "message": message}, status)
+
+
+def answer(route: Route, request: JsonRequest, traceparent: str | None) -> JsonResponse:
+    """Have an endpoint answer a request; its errors are answers too."""
+    try:
+        if traceparent is None:
+            return route.handler(request)
+        with span(f"http {route.path}", traceparent=traceparent):
+            return route.handler(request)
+    except ValidationError as error:
+        return error_response(400, "bad_request", first_problem(error))
+    except DogwoodspoolError as error:
+        return error_response(503, type(error).__name__, str(error))
+    except Exception as error:  # noqa: BLE001
+        # A handler's fault must cost its own request only, not the thread.
+        log_event("handler_failed", level="ERROR", path=route.path, error=repr(error))
+        return error_response(500, "internal", type(error).__name__)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -7,11 +7,9 @@
 PATH_TRANSACTION: Final = "/v1/pools/transaction"
 PATH_RELEASE: Final = "/v1/pools/release"
 
-# Threads for neighbours' requests, each of which waits for a place or an answer: above
-# what an owner may have in flight on the servers of several groups.
-OWNER_THREADS: Final = 48
-# Those of them that new requests may take; the others are for open transactions.
-NEW_REQUESTS: Final = OWNER_THREADS - 12
+# Requests of neighbours, beside those of open transactions, that an owner works on at a
+# time: above what it may have in flight on the servers of a few groups.
+NEW_REQUESTS: Final = 48
 # The neighbours are in one's own failure domain, tenths of a millisecond away.
 OWNER_CONNECT_TIMEOUT: Final = 0.15
 # Time in which an owner's machine acknowledges a request, also while the owner waits
@@ -23,8 +21,6 @@
 # it where it was lost.
 OWNER_READ_SHARE: Final = 0.75
 RELEASE_TIMEOUT: Final = 0.2
-# Neighbours to which connections are kept open: the owners of all groups in use.
-MAX_OWNERS_CONNECTED: Final = 512
 # Connections to one owner that are kept open.
 CONNECTIONS_TO_OWNER: Final = 8
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
@@ -1,10 +1,10 @@
 """Ask the owners of pools."""
 
-from typing import TypeVar
+from typing import Any, Protocol, TypeVar
 
 from dogwoodspool_api import Message
 from dogwoodspool_common import (
-    JsonClient,
+    Address,
     PeerNotConnectedError,
     PeerRefusedError,
     PeerUnreachableError,
@@ -32,10 +32,20 @@
 ResponseT = TypeVar("ResponseT", bound=Message)
 
 
+class MessageClient(Protocol):
+    """Send one message to a peer and return its answer; see ``JsonLineClient``."""
+
+    def post(
+        self, address: Address, path: str, body: dict[str, Any], timeout: float
+    ) -> dict[str, Any]:
+        """Send a message once."""
+        ...
+
+
 class OwnerClient:
     """Send a request to one owner, and tell what its failure means."""
 
-    def __init__(self, directory: ProxyDirectory, client: JsonClient) -> None:
+    def __init__(self, directory: ProxyDirectory, client: MessageClient) -> None:
         self._directory = directory
         self._client = client
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -1,6 +1,6 @@
 """Wire together what shares pools among the proxies of a failure domain."""
 
-from dogwoodspool_common import Clock, JsonClient, Route
+from dogwoodspool_common import Clock, JsonClient, JsonLineClient, Route
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_following import ControlPeers, ViewStore
 from dogwoodspool_sharing import Neighbour, PresenceCoordinator, ProxyDirectory
@@ -10,7 +10,6 @@
 from .access import SharingAccess
 from .const import (
     CONNECTIONS_TO_OWNER,
-    MAX_OWNERS_CONNECTED,
     NEW_REQUESTS,
     OWNER_CONNECT_TIMEOUT,
     OWNER_UNACKNOWLEDGED_MS,
@@ -59,12 +58,8 @@
         self._transaction_api = TransactionApi(
             views, access, self._leases, slots, clock
         )
-        self._client = JsonClient(
-            None,
-            CONNECTIONS_TO_OWNER,
-            MAX_OWNERS_CONNECTED,
-            OWNER_CONNECT_TIMEOUT,
-            OWNER_UNACKNOWLEDGED_MS,
+        self._client = JsonLineClient(
+            CONNECTIONS_TO_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
         )
         self._limits = GroupLimits(self._directory, views)
         owner_client = OwnerClient(self._directory, self._client)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/slots.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/slots.py
@@ -8,10 +8,10 @@
 
 
 class WorkSlots:
-    """Leave threads to the ends of transactions.
+    """Leave room to the ends of transactions.
 
-    A request that waits for a connection holds a thread. With all of them waiting, no
-    commit would get through that gives a connection back.
+    Requests that wait for a connection must not hold up the commit that gives one back,
+    and one more than an owner can place is better placed at the next.
     """
 
     def __init__(self, count: int) -> None:
@@ -21,7 +21,7 @@
     def taken(self) -> Iterator[None]:
         """Hold a slot; raise ``OwnerFullError`` when there is none."""
         if not self._slots.acquire(blocking=False):
-            raise OwnerFullError("all threads for new requests are taken")
+            raise OwnerFullError("it works on as many new requests as it can")
         try:
             yield
         finally:
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -68,7 +68,8 @@
         self.addCleanup(self.cloud.close)
         for server in self.servers:
             self.addCleanup(server.close)
-        self.inner, self.control, self.front, self.ready = free_ports(4)
+        ports = free_ports(5)
+        self.inner, self.pools, self.control, self.front, self.ready = ports
         self.sequence = self.attempts = 0
         self.beating = {server.name for server in self.servers}
         self.stop = threading.Event()
@@ -80,7 +81,7 @@
             "node": f"node-{host.rpartition('.')[2]}",
             "ip": host,
             "zone": f"zone-{host[-1]}",
-            "internalPorts": [self.inner, self.inner],
+            "internalPorts": [self.inner, self.pools],
             "seeds": [f"{one}:{self.control}" for one in HOSTS],
             "bootstrap": True,
             "cloud": {"addr": self.cloud.address},
