Drop a silent neighbour's idle connections together

Connections can go silent for good while new ones work. Each that idled would have cost a request a quarter of a second, and a write its certainty; after the first the others are closed, and the next request opens one or finds that nobody is there.

--- a/packages/common/src/dogwoodspool_common/json_lines.py
+++ b/packages/common/src/dogwoodspool_common/json_lines.py
@@ -173,6 +173,8 @@
             status, content = int(response["status"]), dict(response["body"])
         except (OSError, EOFError, ValueError, KeyError, TypeError) as error:
             connection.close()
+            # What silenced this one has likely silenced those that idle.
+            self._forget(address)
             raise PeerUnreachableError(f"{address}{path}: {error!r}") from error
         self._keep(address, connection)
         if status >= FIRST_ERROR_STATUS:
@@ -186,9 +188,14 @@
     def close(self) -> None:
         """Close idle connections."""
         with self._lock:
-            connections = [one for idle in self._idle.values() for one in idle]
-            self._idle.clear()
-        for connection in connections:
+            addresses = list(self._idle)
+        for address in addresses:
+            self._forget(address)
+
+    def _forget(self, address: Address) -> None:
+        with self._lock:
+            idle = self._idle.pop(address, [])
+        for connection in idle:
             connection.close()
 
     def _connect(self, address: Address, timeout: float) -> "_Connection":
--- a/tests/common/test_json_lines.py
+++ b/tests/common/test_json_lines.py
@@ -4,6 +4,9 @@
 import threading
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+from unittest.mock import patch
 
 from dogwoodspool_common import (
     Address,
@@ -19,6 +22,7 @@
 from dogwoodspool_common.const import MAX_LINE_BYTES
 
 SECOND = 1.0
+connect = socket.create_connection
 
 
 class JsonLineTests(unittest.TestCase):
@@ -36,9 +40,17 @@
         self.server.set_up()
         self.addCleanup(self.server.unload)
         self.addCleanup(self.release.set)
+        self.accepted = 0
+        self.enterContext(
+            patch("socket.create_connection", side_effect=self.connect_counted)
+        )
         self.client = JsonLineClient(connect_timeout=0.2, unacknowledged_ms=250)
         self.addCleanup(self.client.close)
 
+    def connect_counted(self, *arguments: Any) -> socket.socket:
+        self.accepted += 1
+        return connect(*arguments)
+
     def double(self, request: JsonRequest) -> JsonResponse:
         self.peers.add(threading.get_ident())
         return JsonResponse({"value": request.body["value"] * 2})
@@ -79,6 +91,22 @@
         time.sleep(0.05)
         self.assertEqual(self.post("/double", {"value": 3}), {"value": 6})
 
+    def test_one_silent_connection_drops_the_idle_ones(self) -> None:
+        """Guard against calls that each find another silent connection."""
+        with ThreadPoolExecutor(4) as executor:
+            calls = [executor.submit(self.post, "/wait", {}) for _ in range(3)]
+            time.sleep(0.2)
+            self.release.set()
+            for call in calls:
+                call.result()
+        before = self.accepted
+        self.release.clear()
+        with self.assertRaises(PeerUnreachableError):
+            self.client.post(self.server.address, "/wait", {}, 0.05)
+        self.assertEqual(self.accepted, before)
+        self.post("/double", {"value": 1})
+        self.assertEqual(self.accepted, before + 1)
+
     def test_a_peer_that_is_not_there_was_sent_nothing(self) -> None:
         self.server.unload()
         with self.assertRaises(PeerNotConnectedError):
