--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -38,7 +38,7 @@
 
 PAGE_WIDTH: Final = 88
 
-# A sign of life and its answer with their headers, and one neighbour in an answer.
+# A heartbeat and its answer with their headers, and one neighbour in an answer.
 PRESENCE_BYTES: Final = 700
 NEIGHBOUR_BYTES: Final = 60
 
@@ -328,7 +328,7 @@
     return f"""
 ## Sharing pools, by arithmetic
 
-A daemon gives a sign of life every {pause:.1f} s ({neighbours} daemons in a failure
+A daemon sends a heartbeat every {pause:.1f} s ({neighbours} daemons in a failure
 domain) and is told the names of its neighbours where they have changed:
 {presence_rate / KILOBYTE:.2f} KB/s and, with {changes:.0f} starts a day in its failure
 domain, {names / KILOBYTE:.0f} KB for each of them, {names_rate / KILOBYTE:.2f} KB/s:
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -17,14 +17,14 @@
 # an owner wait for each other while other owners' connections idle.
 CONNECTIONS_PER_OWNER: Final = 6
 
-# Time between two signs of life of a proxy, and how many of them a failure domain sends
+# Time between two heartbeats of a proxy, and how many of them a failure domain sends
 # to a control process in a second at most: beyond that they come less often.
 PRESENCE_SECONDS: Final = 1.0
 PRESENCES_PER_SECOND: Final = 100.0
 # The next one after an answer that named other neighbours: when all processes start
 # together, the first ones to ask are told of few others.
 PRESENCE_SETTLING_SECONDS: Final = 0.25
-# Signs of life in a row that may be lost before a proxy counts as gone.
+# Heartbeats in a row that may be lost before a proxy counts as gone.
 MISSED_PRESENCES: Final = 3
 PRESENCE_TIMEOUT: Final = 0.4
 PRESENCE_RETRY_SECONDS: Final = 0.2
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -52,7 +52,7 @@
 
     Attributes:
         digest: of both lists; they are left out where the asker holds them already.
-        next_ms: when the next sign of life is due.
+        next_ms: when the next heartbeat is due.
     """
 
     digest: str
--- a/packages/sharing/src/dogwoodspool_sharing/presence.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence.py
@@ -49,7 +49,7 @@
         self.wake()
 
     def step(self) -> float:
-        """Give one sign of life."""
+        """Send one heartbeat."""
         address = self._peers.any()
         message = Presence(
             proxy=self._own.name,
--- a/packages/sharing/src/dogwoodspool_sharing/presence_api.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence_api.py
@@ -18,7 +18,7 @@
 
 
 class PresenceApi:
-    """Answer signs of life with the neighbours of the proxy that gives one.
+    """Answer heartbeats with the neighbours of the proxy that sends one.
 
     Args:
         members: the control processes.
--- a/packages/sharing/src/dogwoodspool_sharing/roster.py
+++ b/packages/sharing/src/dogwoodspool_sharing/roster.py
@@ -29,7 +29,7 @@
         self._entries: dict[str, _Entry] = {}
 
     def note(self, presence: Presence) -> list[Neighbour]:
-        """Take in a sign of life; return the proxies of the same failure domain."""
+        """Take in a heartbeat; return the proxies of the same failure domain."""
         now = self._clock.now()
         neighbour = Neighbour(presence.proxy, presence.address)
         with self._lock:
@@ -56,7 +56,7 @@
 
 
 def interval(proxies: int) -> float:
-    """Return the seconds between two signs of life in a failure domain of some size.
+    """Return the seconds between two heartbeats in a failure domain of some size.
 
     Example:
         >>> interval(24), interval(683)
--- a/tests/sharing/test_presence.py
+++ b/tests/sharing/test_presence.py
@@ -1,4 +1,4 @@
-"""Tests of signs of life: from a proxy to a control process and back."""
+"""Tests of heartbeats: from a proxy to a control process and back."""
 
 import unittest
 from typing import Any
