--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -154,7 +154,7 @@
         self._shared.leave()
 
     @property
-    def lent_connections(self) -> int:
+    def leased_connections(self) -> int:
         """Connections that transactions of other proxies hold."""
         return self._shared.leases
 
@@ -187,7 +187,7 @@
             f"dogwoodspool_view_version {self.view_version}",
             f"dogwoodspool_sessions_open {self.open_sessions}",
             f"dogwoodspool_neighbours {self._shared.neighbours}",
-            f"dogwoodspool_connections_lent {self._shared.leases}",
+            f"dogwoodspool_connections_leased {self._shared.leases}",
         ]
         for backend in self._registry.all():
             label = f'{{server="{backend.server.name}"}}'
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote.py
@@ -55,7 +55,7 @@
         self._owners = owners
         self._access = access
         self._client = client
-        self._lender: Neighbour | None = None
+        self._owner: Neighbour | None = None
         self._lease: str | None = None
         self._own: HeldConnection | None = None
 
@@ -110,8 +110,8 @@
         if self._own is not None:
             self._own.finish(is_good=is_good)
         lease, self._lease = self._lease, None
-        if lease is not None and self._lender is not None:
-            self._client.release(self._lender, lease, is_good=is_good)
+        if lease is not None and self._owner is not None:
+            self._client.release(self._owner, lease, is_good=is_good)
 
     def _message(self, statement: Statement, deadline: float) -> TransactionRequest:
         now = self._access.now()
@@ -130,8 +130,8 @@
     def _perform(self, message: TransactionRequest, on_own: Perform) -> Reply:
         if self._own is not None:
             return on_own(self._own)
-        if self._lender is not None and self._lease is not None:
-            return self._continue(self._lender, message)
+        if self._owner is not None and self._lease is not None:
+            return self._continue(self._owner, message)
         for owner in self._owners:
             try:
                 return self._ask(owner, message, message.wait + message.answer)
@@ -149,7 +149,7 @@
     def _ask(
         self, owner: Neighbour, message: TransactionRequest, seconds: float
     ) -> Reply:
-        self._lender, self._lease = owner, None
+        self._owner, self._lease = owner, None
         with self._access.observed(self._server):
             response = self._client.ask(
                 owner,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -24,7 +24,7 @@
 
 
 class SharedPoolsRuntime:
-    """Hold the parts by which one proxy borrows connections and lends its own.
+    """Hold the parts by which one proxy uses the pools of others and lets them use its own.
 
     Args:
         own: this process.
@@ -98,7 +98,7 @@
         return bool(self._directory.owners(group))
 
     def set_up(self) -> None:
-        """Begin to lend and to borrow."""
+        """Begin to share."""
         self._limits.set_up()
         self._expiry.set_up()
         self._presence.set_up()
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -116,7 +116,7 @@
         self.failed.append(name)
 
 
-class Borrower(Pooler):
+class SharingProxy(Pooler):
     """A pooler whose requests run at the owners ``o1`` and ``o2``."""
 
     def __init__(
--- a/tests/pooler/shared/test_remote.py
+++ b/tests/pooler/shared/test_remote.py
@@ -10,7 +10,7 @@
 from dogwoodspool_pooler.shared.messages import StatementRequest
 
 from ..fakes import FakeServer, endpoint, execute, prepare, say, set_value
-from .neighbours import IDLE_LIMIT, Borrower
+from .neighbours import IDLE_LIMIT, SharingProxy
 
 
 def group() -> list[FakeServer]:
@@ -21,17 +21,17 @@
     ]
 
 
-def bounded() -> Borrower:
+def bounded() -> SharingProxy:
     """Return a proxy whose database accepts data of some age."""
     promised = endpoint(Consistency.BOUNDED_STALENESS, max_age_ms=1_500)
-    return Borrower(group(), promised)
+    return SharingProxy(group(), promised)
 
 
 class RemoteStatementTests(unittest.TestCase):
     """A caller sees no difference from connections of its own proxy."""
 
     def test_a_write_runs_at_the_first_owner(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         answer = say(proxy.session(), "WRITE k some data", "id-1")
         self.assertEqual(answer.proof, "s1:id-1")
         self.assertEqual(proxy.network.servers["s1"].runs[0].text, "WRITE k some data")
@@ -39,13 +39,13 @@
         self.assertEqual(proxy.owner("o2").asked, [])
 
     def test_owners_use_one_connection_for_statements_that_follow(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         for _ in range(20):
             say(proxy.session(), "WRITE k v")
         self.assertEqual(proxy.network.servers["s1"].opened, 1)
 
     def test_session_values_and_prepared_statements_come_along(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         set_value(session, "tz", "utc")
         prepare(session, "mine", Access.WRITE, "q1")
@@ -68,7 +68,7 @@
 
     def test_a_session_s_own_write_bounds_its_reads_at_the_owner(self) -> None:
         promised = endpoint(Consistency.READ_YOUR_WRITES, max_age_ms=2_500)
-        proxy = Borrower(group(), promised)
+        proxy = SharingProxy(group(), promised)
         session = proxy.session()
         say(session, "WRITE k v")
         self.assertIsNone(say(session, "READ k").error)
@@ -80,7 +80,7 @@
         self.assertEqual(len(replica.runs), 1)
 
     def test_a_full_server_s_refusal_reaches_the_caller_with_its_time(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.network.servers["s1"].refusals = [ErrorCode.BUSY] * 1_000
         answer = say(proxy.session(), "WRITE k v")
         assert answer.error is not None
@@ -88,7 +88,7 @@
         self.assertGreater(answer.error.retry_after_ms, 0)
 
     def test_an_idle_connection_that_had_ended_costs_no_request(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         say(proxy.session(), "WRITE k v")
         backend = proxy.owner("o1").pooler
         for known in backend.registry.all():
@@ -111,7 +111,7 @@
     """A transaction keeps one connection at one owner until its end."""
 
     def test_its_statements_run_on_one_connection(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         for text in ("BEGIN", "READ k", "WRITE k v", "COMMIT"):
             self.assertIsNone(say(session, text).error, text)
@@ -121,7 +121,7 @@
         self.assertEqual(proxy.owner("o2").asked, [])
 
     def test_two_transactions_never_share_a_connection(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         one, other = proxy.session(), proxy.session()
         for session in (one, other):
             say(session, "BEGIN")
@@ -131,7 +131,7 @@
         self.assertEqual(proxy.owner("o1").leases.count, 2)
 
     def test_a_rollback_gives_the_connection_back(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         say(session, "WRITE k v")
@@ -141,7 +141,7 @@
         self.assertEqual(proxy.network.servers["s1"].opened, 1)
 
     def test_a_caller_that_leaves_in_a_transaction_leaves_no_lease(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         say(session, "WRITE k v")
@@ -164,7 +164,7 @@
 
     def test_another_owner_serves_and_commits_still_get_through(self) -> None:
         """Guard against commits that wait behind those who wait for connections."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         say(session, "WRITE k v")
@@ -179,14 +179,14 @@
     """An owner may be lost at any moment; what is said of a request stays true."""
 
     def test_another_owner_serves_where_one_cannot_be_reached(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.owner("o1").is_down = True
         self.assertIsNone(say(proxy.session(), "WRITE k v").error)
         self.assertEqual(proxy.directory.failed, ["o1"])
         self.assertEqual(len(proxy.owner("o2").asked), 1)
 
     def test_a_proxy_without_owners_in_reach_serves_by_itself(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.owner("o1").is_down = proxy.owner("o2").is_down = True
         session = proxy.session()
         for text in ("BEGIN", "WRITE k v", "COMMIT"):
@@ -194,7 +194,7 @@
         self.assertEqual(len(proxy.network.servers["s1"].runs), 2)
 
     def test_an_owner_that_leaves_hands_new_requests_on(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         say(session, "WRITE k v")
@@ -205,7 +205,7 @@
 
     def test_a_write_without_an_owner_s_answer_is_in_doubt_and_runs_once(self) -> None:
         """Guard against a write that a second owner runs again."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.owner("o1").loses_answers = True
         answer = say(proxy.session(), "WRITE k v")
         assert answer.error is not None
@@ -215,7 +215,7 @@
 
     def test_an_owner_s_silence_does_not_count_against_the_server(self) -> None:
         """Guard against a change of primary because a proxy was lost."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.owner("o1").loses_answers = True
         say(proxy.session(), "WRITE k v")
         self.assertEqual(proxy.suspected, [])
@@ -230,7 +230,7 @@
         self.assertIsNone(say(proxy.session(), "READ k").error)
 
     def test_a_transaction_whose_owner_was_lost_is_undone(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         for ending in ("WRITE k v", "COMMIT"):
             session = proxy.session()
             say(session, "BEGIN")
@@ -246,7 +246,7 @@
         self.assertNotIn(StatementKind.COMMIT, kinds)
 
     def test_a_commit_without_an_answer_is_in_doubt(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         say(session, "WRITE k v")
@@ -257,7 +257,7 @@
 
     def test_the_lease_of_a_lost_proxy_ends_and_undoes_its_transaction(self) -> None:
         """Guard against locks that the transactions of a lost proxy keep."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         say(session, "WRITE k v")
@@ -278,7 +278,7 @@
 
     def test_a_primary_that_one_owner_cannot_reach_is_reached_by_another(self) -> None:
         """Guard against a primary cut off from some proxies that refuses callers."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         cut_off = proxy.owner("o1").pooler
         cut_off.network.servers = {}
         self.assertIsNone(say(proxy.session(), "WRITE k v").error)
@@ -287,7 +287,7 @@
 
     def test_a_primary_that_nobody_reaches_counts_as_failing_here(self) -> None:
         """Guard against a proxy that does not find out that it is cut off."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.network.servers["s1"].is_down = True
         answer = say(proxy.session(), "WRITE k v")
         assert answer.error is not None
@@ -296,7 +296,7 @@
         self.assertEqual(proxy.known.lost_groups(), 1)
 
     def test_a_write_that_a_server_leaves_unanswered_is_in_doubt(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         proxy.network.servers["s1"].silent_for = {StatementKind.WRITE}
         answer = say(proxy.session(), "WRITE k v")
         assert answer.error is not None
@@ -305,7 +305,7 @@
         self.assertEqual(proxy.owner("o2").asked, [])
 
     def test_a_transaction_s_server_that_is_down_counts_as_failing(self) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         session = proxy.session()
         say(session, "BEGIN")
         proxy.network.servers["s1"].is_down = True
@@ -317,7 +317,7 @@
     def test_an_owner_that_knows_another_process_of_a_server_is_passed_over(
         self,
     ) -> None:
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         behind = proxy.owner("o1").pooler
         behind.network.servers = {}
         behind.show(primary=None)
@@ -329,7 +329,7 @@
 
     def test_an_owner_that_does_not_know_a_group_yet_is_asked_again(self) -> None:
         """Guard against a second without owners after each start of a service."""
-        proxy = Borrower(group())
+        proxy = SharingProxy(group())
         owner = proxy.owner("o1").pooler
         known = owner.views.view
         owner.views._view = replace(known, version=known.version, groups={})
