--- a/packages/pooler/src/dogwoodspool_pooler/shared/__init__.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/__init__.py
@@ -1,1 +1,1 @@
-"""Run requests on the pools of other proxies, and lend the own ones to them."""
+"""Run requests on the pools of other proxies, and theirs on the own ones."""
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -24,7 +24,7 @@
 
 
 class SharedPoolsRuntime:
-    """Hold the parts by which one proxy uses the pools of others and lets them use its own.
+    """Hold the parts by which a proxy uses its neighbours' pools, and they its own.
 
     Args:
         own: this process.
