--- a/packages/pooler/src/dogwoodspool_pooler/behind.py
+++ b/packages/pooler/src/dogwoodspool_pooler/behind.py
@@ -34,7 +34,7 @@
         with self._lock:
             known = self._refusals.get(server)
             pause = BEHIND_LOOK_SECONDS
-            if known is not None:
+            if known is not None and now - known.ask_at < MAX_BEHIND_LOOK_SECONDS:
                 # Refusals of reads that were sent together count once.
                 is_new = now >= known.ask_at
                 pause = known.pause * 2 if is_new else known.pause
