Take back what the HTTP client no longer needs

Its number of peers, time to connect and time without acknowledgement were made settable for requests that are handed on; those travel as lines of JSON now, and nothing else used them. The tests of a lost peer moved to the client that meets one, as strict, and one reads the option from the connection itself.

--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -12,9 +12,6 @@
 # opening packet would be sent again: another try is sooner.
 HTTP_CONNECT_TIMEOUT: Final = 0.4
 DEFAULT_HTTP_THREADS: Final = 32
-# Connections that one client keeps open: to one peer, and the peers themselves.
-DEFAULT_PEER_CONNECTIONS: Final = 16
-DEFAULT_PEERS: Final = 64
 # Connections that one server keeps open, most of them idle ones of proxies that have
 # asked it before; within the descriptors of a small instance.
 MAX_HTTP_CONNECTIONS: Final = 3_000
--- a/packages/common/src/dogwoodspool_common/http_client.py
+++ b/packages/common/src/dogwoodspool_common/http_client.py
@@ -1,24 +1,19 @@
 """JSON over HTTP towards the system's other processes."""
 
 import json
-import socket
 from typing import Any
 from urllib.parse import urlencode
 
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from .const import (
     DEFAULT_HTTP_TIMEOUT,
-    DEFAULT_PEER_CONNECTIONS,
-    DEFAULT_PEERS,
     FIRST_ERROR_STATUS,
     HEADER_SIGNATURE,
     HEADER_TRACEPARENT,
     HTTP_CONNECT_TIMEOUT,
-    UNACKNOWLEDGED_MS,
 )
-from .errors import PeerNotConnectedError, PeerRefusedError, PeerUnreachableError
+from .errors import PeerRefusedError, PeerUnreachableError
 from .models import Address
 from .signature import RequestSigner
 from .trace import current_traceparent
@@ -36,24 +31,10 @@
         >>> client.post(Address("127.0.0.1", 7001), "/v1/renew", {"proxy": "p1"})
     """
 
-    def __init__(
-        self,
-        signer: RequestSigner | None,
-        max_connections: int = DEFAULT_PEER_CONNECTIONS,
-        max_peers: int = DEFAULT_PEERS,
-        connect_timeout: float = HTTP_CONNECT_TIMEOUT,
-        unacknowledged_ms: int = UNACKNOWLEDGED_MS,
-    ) -> None:
+    def __init__(self, signer: RequestSigner | None, max_connections: int = 16) -> None:
         self._signer = signer
-        self._connect_timeout = connect_timeout
         self._pool = urllib3.PoolManager(
-            num_pools=max_peers,
-            maxsize=max_connections,
-            retries=False,
-            socket_options=[
-                *HTTPConnection.default_socket_options,
-                (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms),
-            ],
+            num_pools=64, maxsize=max_connections, retries=False
         )
 
     def get(
@@ -109,15 +90,10 @@
                 body=body or None,
                 headers=headers,
                 timeout=urllib3.Timeout(
-                    connect=min(timeout, self._connect_timeout), total=timeout
+                    connect=min(timeout, HTTP_CONNECT_TIMEOUT), total=timeout
                 ),
             )
             answer = json.loads(response.data or b"{}")
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            raise PeerNotConnectedError(f"{address}{target}: {error}") from error
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise PeerUnreachableError(f"{address}{target}: {error}") from error
         if response.status >= FIRST_ERROR_STATUS:
--- a/packages/common/src/dogwoodspool_common/json_lines.py
+++ b/packages/common/src/dogwoodspool_common/json_lines.py
@@ -93,7 +93,7 @@
 
     def _serve(self, connection: socket.socket) -> None:
         try:
-            _prepare(connection, UNACKNOWLEDGED_MS)
+            _prepare(connection)
             buffer = bytearray()
             while (line := _read_line(connection, buffer)) is not None:
                 connection.sendall(_encoded(self._answer(line)))
@@ -204,7 +204,10 @@
             connected = socket.create_connection((address.host, address.port), seconds)
         except OSError as error:
             raise PeerNotConnectedError(f"{address}: {error}") from error
-        _prepare(connected, self._unacknowledged_ms)
+        _prepare(connected)
+        connected.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._unacknowledged_ms
+        )
         return _Connection(connected)
 
     def _take(self, address: Address) -> "_Connection | None":
@@ -278,12 +281,9 @@
             raise TimeoutError("no answer in time")
 
 
-def _prepare(connection: socket.socket, unacknowledged_ms: int) -> None:
+def _prepare(connection: socket.socket) -> None:
     for level, option, value in TCP_OPTIONS:
         connection.setsockopt(level, option, value)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms
-    )
 
 
 def _encoded(message: dict[str, Any]) -> bytes:
--- a/tests/common/test_http.py
+++ b/tests/common/test_http.py
@@ -1,10 +1,7 @@
 """Tests of HTTP with JSON between processes."""
 
-import socket
-import threading
 import unittest
 from http.client import HTTPConnection
-from unittest.mock import patch
 
 from dogwoodspool_common import (
     Address,
@@ -12,7 +9,6 @@
     JsonRequest,
     JsonResponse,
     JsonServer,
-    PeerNotConnectedError,
     PeerRefusedError,
     PeerUnreachableError,
     RequestSigner,
@@ -69,48 +65,3 @@
         # be sent a second later, and a proxy that waits for it has no state.
         with self.assertRaises(PeerUnreachableError):
             self.client(None).get(Address("127.0.0.1", 9), "/x", timeout=1.0)
-
-
-class UnreachablePeerTests(unittest.TestCase):
-    """A client tells peers that cannot be reached from those that do not answer."""
-
-    def client(self) -> JsonClient:
-        client = JsonClient(None, connect_timeout=0.2, unacknowledged_ms=250)
-        self.addCleanup(client.close)
-        return client
-
-    def test_a_peer_that_refuses_connections_was_sent_nothing(self) -> None:
-        listener = socket.create_server(("127.0.0.1", 0))
-        address = Address(*listener.getsockname())
-        listener.close()
-        with self.assertRaises(PeerNotConnectedError):
-            self.client().post(address, "/x", {})
-
-    def test_a_peer_that_closes_may_have_been_sent_something(self) -> None:
-        listener = socket.create_server(("127.0.0.1", 0))
-        self.addCleanup(listener.close)
-
-        def close_first() -> None:
-            accepted, _peer = listener.accept()
-            accepted.recv(1)
-            accepted.close()
-
-        threading.Thread(target=close_first, daemon=True).start()
-        with self.assertRaises(PeerUnreachableError) as caught:
-            self.client().post(Address(*listener.getsockname()), "/x", {})
-        self.assertNotIsInstance(caught.exception, PeerNotConnectedError)
-
-    def test_a_machine_that_is_gone_is_noticed_before_the_answer_is_due(self) -> None:
-        """Guard against requests that wait for a machine without power."""
-        server = JsonServer(
-            Address("127.0.0.1", 0),
-            None,
-            [Route("GET", "/x", lambda _request: JsonResponse())],
-            threads=1,
-        )
-        server.set_up()
-        self.addCleanup(server.unload)
-        with patch("socket.socket.setsockopt", autospec=True) as set_option:
-            self.client().get(server.address, "/x")
-        options = [call.args[-3:] for call in set_option.call_args_list]
-        self.assertIn((socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 250), options)
--- a/tests/common/test_json_lines.py
+++ b/tests/common/test_json_lines.py
@@ -112,6 +112,34 @@
         with self.assertRaises(PeerNotConnectedError):
             self.post("/double", {"value": 1})
 
+    def test_a_peer_that_closes_may_have_been_sent_something(self) -> None:
+        """Guard against a write that is sent again as if it had not run."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+
+        def close_first() -> None:
+            accepted, _peer = listener.accept()
+            accepted.recv(1)
+            accepted.close()
+
+        threading.Thread(target=close_first, daemon=True).start()
+        with self.assertRaises(PeerUnreachableError) as caught:
+            self.client.post(Address(*listener.getsockname()), "/x", {}, SECOND)
+        self.assertNotIsInstance(caught.exception, PeerNotConnectedError)
+
+    def test_a_machine_that_is_gone_is_noticed_before_the_answer_is_due(self) -> None:
+        """Guard against requests that wait for a machine without power."""
+        opened: list[socket.socket] = []
+
+        def remember(*arguments: Any) -> socket.socket:
+            opened.append(connect(*arguments))
+            return opened[-1]
+
+        with patch("socket.create_connection", side_effect=remember):
+            self.post("/double", {"value": 1})
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual(opened[0].getsockopt(*option), 250)
+
     def test_a_connection_that_the_peer_closed_while_idle_is_not_used(self) -> None:
         """Guard against writes in doubt after each restart of a neighbour."""
         self.post("/double", {"value": 1})
