Read once more: one gate for owners' requests, one answer to writes in doubt

Whether an owner leaves stood in two endpoints beside the slots that both ask: the slots know it now, and one function words their refusals. The log line and the answer of a write in doubt stood in both ways that a write can take, what a server's connections are in two places. The emulator uses the project's constant for milliseconds.

--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from dogwoodspool_common import Address, BackendServer
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_pooler.registry import POOL_SETTINGS
 from dogwoodspool_sharing import Neighbour
 from expression import Result
@@ -61,8 +62,8 @@
             self._timeline.run(second + 1.0)
             if progress is not None:
                 progress((second + 1) / self._scenario.seconds)
-        patience = max(one.patience_ms for one in self._scenario.requests) / 1000
-        self._timeline.run(self._scenario.seconds + patience)
+        patience_ms = max(one.patience_ms for one in self._scenario.requests)
+        self._timeline.run(self._scenario.seconds + patience_ms / MILLISECONDS)
         return self._outcomes
 
     def _build(self, group: str) -> list[Server]:
@@ -105,7 +106,7 @@
             self._scenario.failure_domains,
             self._servers,
             self._timeline,
-            distance=self._scenario.distance_ms / 1000,
+            distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
         )
 
@@ -140,7 +141,7 @@
         self._timeline.after(self._random.expovariate(self._rate), self._next_request)
 
     def _work(self, kind: Requests) -> float:
-        mean = math.log(kind.work_ms / 1000) - kind.spread**2 / 2
+        mean = math.log(kind.work_ms / MILLISECONDS) - kind.spread**2 / 2
         return self._random.lognormvariate(mean, kind.spread)
 
     def _try(self, attempt: Attempt, began_at: float, number: int) -> None:
@@ -155,7 +156,7 @@
         if not usable:
             own.serve(present, ended)
             return
-        hop = self._scenario.hop_ms / 1000
+        hop = self._scenario.hop_ms / MILLISECONDS
         holder = self._by_name[usable[0].name]
 
         def come_back(result: Result[None, Refused]) -> None:
@@ -172,12 +173,12 @@
     ) -> None:
         elapsed = self._timeline.now() - began_at
         if result.is_ok():
-            is_in_time = elapsed <= attempt.kind.target_ms / 1000
+            is_in_time = elapsed <= attempt.kind.target_ms / MILLISECONDS
             self._outcomes.note(began_at, "in_time" if is_in_time else "late")
             return
         refused = result.error
         returns_at = elapsed + refused.retry_after
-        can_return = returns_at < attempt.kind.patience_ms / 1000
+        can_return = returns_at < attempt.kind.patience_ms / MILLISECONDS
         if number >= attempt.kind.retries or not can_return:
             self._outcomes.reasons[refused.reason] += 1
             self._outcomes.note(began_at, "refused")
@@ -215,4 +216,4 @@
     def _scale_lag(self, factor: float) -> None:
         for server in self._servers:
             if not server.is_primary:
-                server.lag = self._scenario.servers.lag_ms / 1000 * factor
+                server.lag = self._scenario.servers.lag_ms / MILLISECONDS * factor
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_connections import (
     ConnectionLimitError,
     ConnectionPool,
@@ -68,7 +69,7 @@
     @property
     def start_by(self) -> float:
         """When it may wait no longer for a place."""
-        target = min(self.kind.target_ms, self.kind.deadline_ms) / 1000
+        target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
         return self.arrived_at + target * WAIT_SHARE
 
 
@@ -167,7 +168,7 @@
         age_ms = attempt.kind.max_age_ms
         if attempt.writes or age_ms is None:
             return None
-        return self._freshness.floor(attempt.group, age_ms / 1000)
+        return self._freshness.floor(attempt.group, age_ms / MILLISECONDS)
 
     def _serve_on_primary(self, attempt: Attempt, ended: Ended) -> None:
         primary = self._primaries[attempt.group]
@@ -255,7 +256,7 @@
 
     def _connect(self, run: _Run) -> None:
         backend = run.backend
-        refused = Refused("no connection", NO_CONNECTION_RETRY_MS / 1000)
+        refused = Refused("no connection", NO_CONNECTION_RETRY_MS / MILLISECONDS)
         try:
             connection = backend.pool.acquire(self._timeline.now())
         except PoolTimeoutError:
@@ -304,7 +305,7 @@
 
     def _full(self, server: Server) -> Refused:
         backend = self._backends[server.described.name]
-        return Refused("server busy", backend.queue.return_after_ms() / 1000)
+        return Refused("server busy", backend.queue.return_after_ms() / MILLISECONDS)
 
     def _backend(self, server: Server) -> Backend:
         name = server.described.name
@@ -327,5 +328,5 @@
 
 
 def _refused(refusal: Refusal) -> Refused:
-    retry_after = refusal.retry_after_ms / 1000
+    retry_after = refusal.retry_after_ms / MILLISECONDS
     return Refused(f"admission {refusal.reason}", retry_after)
--- a/packages/emulator/src/dogwoodspool_emulator/servers.py
+++ b/packages/emulator/src/dogwoodspool_emulator/servers.py
@@ -7,6 +7,7 @@
 from enum import Enum, auto
 
 from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_connections import ConnectionLimitError, OutcomeUnknownError
 
 from .const import REFUSAL_SECONDS
@@ -109,7 +110,7 @@
         self.described = described
         self.is_primary = is_primary
         self.is_up = True
-        self.lag = 0.0 if is_primary else settings.lag_ms / 1000
+        self.lag = 0.0 if is_primary else settings.lag_ms / MILLISECONDS
         self.connections = 0
         self._settings = settings
         self._log = log
@@ -156,7 +157,7 @@
         connecting = 0.0
         if not job.connection.has_begun:
             job.connection.has_begun = True
-            connecting = self._settings.connect_ms / 1000
+            connecting = self._settings.connect_ms / MILLISECONDS
         is_behind = job.floor is not None and self.position < job.floor
         work = 0.0 if is_behind else job.work
         self._times.connecting += connecting
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -133,6 +133,11 @@
         """Return the settings in force for a group in this failure domain."""
         return self._view.tree.effective(group, self._failure_domain)
 
+    def connections_of(self, server: BackendServer) -> int:
+        """Return the connections that a server takes; 0 where nothing says so."""
+        settings = self.settings(server.group)
+        return settings.server_connections or server.connections
+
     def note_announced(self, version: int) -> None:
         """Note a version of which the control leader has told."""
         self._announced_version = max(version, self._announced_version)
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -112,8 +112,7 @@
         return Backend(server, pool, admission, ceiling)
 
     def _highest(self, server: BackendServer) -> int:
-        settings = self._views.settings(server.group)
-        connections = settings.server_connections or server.connections
+        connections = self._views.connections_of(server)
         return int((connections or DEFAULT_CONNECTIONS) * CONNECTION_SHARE)
 
     def _follow(self, view: ProxyView) -> None:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
@@ -18,6 +18,10 @@
     suggests_unreachable = False
 
 
+class OwnerLeavingError(OwnerUnavailableError):
+    """Report that an owner's process ends soon."""
+
+
 class OwnerFullError(OwnerUnavailableError):
     """Report that an owner has as many requests as it works on at a time."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/group_limits.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/group_limits.py
@@ -18,8 +18,7 @@
     def _follow(self, view: ProxyView) -> None:
         taken: dict[str, int] = {}
         for server in view.servers.values():
-            settings = self._views.settings(server.group)
-            connections = settings.server_connections or server.connections
+            connections = self._views.connections_of(server)
             if connections:
                 least = taken.get(server.group, connections)
                 taken[server.group] = min(least, connections)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -53,10 +53,10 @@
         )
         self._leases = LeaseBook(self._idle_limit, clock)
         self._expiry = LeaseExpiry(self._leases, clock)
-        slots = WorkSlots(NEW_REQUESTS)
-        self._statement_api = StatementApi(views, statements, slots, clock)
+        self._slots = WorkSlots(NEW_REQUESTS)
+        self._statement_api = StatementApi(views, statements, self._slots, clock)
         self._transaction_api = TransactionApi(
-            views, access, self._leases, slots, clock
+            views, access, self._leases, self._slots, clock
         )
         self._client = JsonLineClient(
             CONNECTIONS_TO_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
@@ -105,8 +105,7 @@
 
     def leave(self) -> None:
         """Take no more requests, and have control tell the others."""
-        self._statement_api.leave()
-        self._transaction_api.leave()
+        self._slots.leave()
         self._presence.leave()
 
     def unload(self) -> None:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -12,7 +12,7 @@
 from ..errors import NoPrimaryError, NotServedError
 from ..statements import Statements
 from .const import PATH_STATEMENT
-from .errors import OwnerFullError
+from .errors import OwnerUnavailableError
 from .messages import (
     OwnerRefusal,
     RefusalMessage,
@@ -20,7 +20,7 @@
     StatementRequest,
     StatementResponse,
 )
-from .slots import WorkSlots
+from .slots import WorkSlots, refusal_of
 
 
 class StatementApi:
@@ -33,29 +33,22 @@
         self._slots = slots
         self._statements = statements
         self._clock = clock
-        self._is_leaving = False
 
     def routes(self) -> list[Route]:
         """Return the endpoints."""
         return [Route("POST", PATH_STATEMENT, self._run)]
 
-    def leave(self) -> None:
-        """Take no more requests."""
-        self._is_leaving = True
-
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = StatementRequest.model_validate(request.body)
         wanted = message.value(self._clock.now())
         group = wanted.endpoint.group
-        if self._is_leaving:
-            return error_response(421, OwnerRefusal.LEAVING, group)
         if group not in self._views.view.groups:
             return error_response(421, OwnerRefusal.NOT_KNOWN, group)
         try:
             with self._slots.taken():
                 reply = self._statements.run(wanted)
-        except OwnerFullError as error:
-            return error_response(503, OwnerRefusal.FULL, str(error))
+        except OwnerUnavailableError as error:
+            return refusal_of(error)
         except NotServedError as error:
             refused = StatementResponse(
                 refusal=RefusalMessage.of(error.error),
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -9,7 +9,7 @@
 from ..models import Reply
 from ..requests import Request
 from ..statements import Statements
-from ..writes import in_doubt
+from ..writes import write_in_doubt
 from .const import HOP_SECONDS, OWNER_READ_SHARE, PATH_STATEMENT
 from .errors import OwnerSilentError, OwnerUnavailableError
 from .messages import StatementRequest, StatementResponse
@@ -45,13 +45,7 @@
             reply = self._ask_in_turn(request, owners)
         except OwnerSilentError as error:
             if request.writes:
-                log_rate_limited(
-                    "write_in_doubt",
-                    request=request.statement.request_id,
-                    database=request.endpoint.database,
-                    reason=error,
-                )
-                return in_doubt("the write was handed on and no answer came")
+                return write_in_doubt(request, error)
             reply = None
         return self._own.run(request) if reply is None else reply
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -21,7 +21,7 @@
 from ..models import Access, Reply, StatementKind
 from ..requests import PlaceRequest
 from .const import OWNER_ATTEMPTS, PATH_RELEASE, PATH_TRANSACTION
-from .errors import OwnerFullError
+from .errors import OwnerUnavailableError
 from .leases import LeaseBook
 from .messages import (
     Failure,
@@ -32,7 +32,7 @@
     TransactionRequest,
     TransactionResponse,
 )
-from .slots import WorkSlots
+from .slots import WorkSlots, refusal_of
 
 
 class TransactionApi:
@@ -51,7 +51,6 @@
         self._access = access
         self._leases = leases
         self._clock = clock
-        self._is_leaving = False
 
     def routes(self) -> list[Route]:
         """Return the endpoints."""
@@ -60,10 +59,6 @@
             Route("POST", PATH_RELEASE, self._release),
         ]
 
-    def leave(self) -> None:
-        """Take no more transactions than those that are open here."""
-        self._is_leaving = True
-
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = TransactionRequest.model_validate(request.body)
         if message.lease is not None:
@@ -71,16 +66,14 @@
             if held is None:
                 return error_response(410, OwnerRefusal.UNKNOWN_LEASE, message.lease)
             return _answer(self._run_on(held, message))
-        if self._is_leaving:
-            return error_response(421, OwnerRefusal.LEAVING, message.server.server)
         server = self._server(message)
         if server is None:
             return error_response(421, OwnerRefusal.NOT_KNOWN, message.server.server)
         try:
             with self._slots.taken():
                 return _answer(self._begin(server, message))
-        except OwnerFullError as error:
-            return error_response(503, OwnerRefusal.FULL, str(error))
+        except OwnerUnavailableError as error:
+            return refusal_of(error)
 
     def _release(self, request: JsonRequest) -> JsonResponse:
         message = ReleaseLease.model_validate(request.body)
--- a/packages/pooler/src/dogwoodspool_pooler/writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -34,14 +34,7 @@
                 request, lambda one: self._attempt(one, request)
             )
         except OutcomeUnknownError as error:
-            log_rate_limited(
-                "write_in_doubt",
-                request=request.statement.request_id,
-                database=request.endpoint.database,
-                reason=error,
-            )
-            message = "the write was sent and no answer came"
-            return in_doubt(message)
+            return write_in_doubt(request, error)
         held.finish(is_good=reply.state is TransactionState.IDLE)
         return reply
 
@@ -60,6 +53,17 @@
             self._clock.sleep(BUSY_RETRY_SECONDS)
 
 
+def write_in_doubt(request: Request, error: OutcomeUnknownError) -> Reply:
+    """Log, and return the answer to, a write that was sent and not answered."""
+    log_rate_limited(
+        "write_in_doubt",
+        request=request.statement.request_id,
+        database=request.endpoint.database,
+        reason=error,
+    )
+    return in_doubt("the write was sent and no answer came")
+
+
 def in_doubt(message: str) -> Reply:
     """Return the answer to a request that may have run."""
     error = StatementError(ErrorCode.IN_DOUBT, message)
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -50,8 +50,7 @@
 
     def leave(self) -> None:
         """Take only what belongs to open transactions."""
-        self.statements.leave()
-        self.transactions.leave()
+        self.slots.leave()
 
     def routes(self) -> list[Route]:
         """Return the endpoints."""
