--- a/packages/api/src/dogwoodspool_api/__init__.py
+++ b/packages/api/src/dogwoodspool_api/__init__.py
@@ -2,9 +2,11 @@
 
 from . import const
 from .models import (
+    AccountMessage,
     Announcement,
     ControlView,
     EndpointMessage,
+    ExtendedMessage,
     Grant,
     GroupMessage,
     GroupReport,
@@ -33,6 +35,8 @@
 )
 
 __all__ = [
+    "AccountMessage",
+    "ExtendedMessage",
     "Announcement",
     "ControlView",
     "EndpointMessage",
--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -1,19 +1,27 @@
 """Validated messages exchanged between the system's processes."""
 
-from typing import Annotated, Any, Self
+from typing import Annotated, Any, ClassVar, Self
 
 from dogwoodspool_common import (
     Address,
     BackendServer,
+    ClientAccount,
     Consistency,
     Endpoint,
     GroupState,
     Phase,
     Position,
+    RateLimit,
     Role,
     ServerStatus,
 )
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    SerializerFunctionWrapHandler,
+    model_serializer,
+)
 
 from .const import MAX_NAME_LENGTH
 
@@ -29,6 +37,25 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
+class ExtendedMessage(Message):
+    """A message with fields that earlier builds reject as unknown.
+
+    Those fields are left out while they have their default value, so that processes of
+    different builds work together as long as nobody uses what is new.
+    """
+
+    _optional_fields: ClassVar[frozenset[str]] = frozenset()
+
+    @model_serializer(mode="wrap")
+    def _omit_defaults(self, handler: SerializerFunctionWrapHandler) -> dict[str, Any]:
+        content: dict[str, Any] = handler(self)
+        for name in self._optional_fields:
+            default = type(self).model_fields[name].default
+            if getattr(self, name) == default:
+                content.pop(name, None)
+        return content
+
+
 class PositionMessage(Message):
     """A position in a database group's log."""
 
@@ -265,9 +292,11 @@
     overrides: dict[str, Any]
 
 
-class EndpointMessage(Message):
+class EndpointMessage(ExtendedMessage):
     """A database name that callers connect to, with its service guarantees."""
 
+    _optional_fields = frozenset({"is_public"})
+
     name: Name
     database: str
     group: Name
@@ -276,6 +305,7 @@
     target_latency_ms: int = Field(ge=1)
     priority: int = Field(ge=0)
     max_age_ms: int | None = Field(default=None, ge=0)
+    is_public: bool = False
 
     @classmethod
     def of(cls, endpoint: Endpoint) -> Self:
@@ -289,6 +319,7 @@
             target_latency_ms=endpoint.target_latency_ms,
             priority=endpoint.priority,
             max_age_ms=endpoint.max_age_ms,
+            is_public=endpoint.is_public,
         )
 
     def value(self) -> Endpoint:
@@ -302,34 +333,77 @@
             target_latency_ms=self.target_latency_ms,
             priority=self.priority,
             max_age_ms=self.max_age_ms,
+            is_public=self.is_public,
+        )
+
+
+class AccountMessage(Message):
+    """A client account; see ``ClientAccount``.
+
+    Attributes:
+        rate_per_s: operations per second; None for no limit.
+        burst: operations that may exceed the rate at one time.
+    """
+
+    name: Name
+    key_digests: list[str]
+    priority: int = Field(default=0, ge=0)
+    rate_per_s: float | None = Field(default=None, ge=0)
+    burst: float = Field(default=0, ge=0)
+
+    @classmethod
+    def of(cls, account: ClientAccount) -> Self:
+        """Build the message from a client account."""
+        limit = account.rate_limit
+        return cls(
+            name=account.name,
+            key_digests=list(account.key_digests),
+            priority=account.priority,
+            rate_per_s=None if limit is None else limit.per_second,
+            burst=0 if limit is None else limit.burst,
         )
 
+    def value(self) -> ClientAccount:
+        """Return the client account that the message describes."""
+        limit = None
+        if self.rate_per_s is not None:
+            limit = RateLimit(self.rate_per_s, self.burst)
+        return ClientAccount(self.name, tuple(self.key_digests), self.priority, limit)
+
 
-class RemovedItems(Message):
+class RemovedItems(ExtendedMessage):
     """Items that a delta view removes, by name or path."""
 
+    _optional_fields = frozenset({"accounts"})
+
     groups: list[str] = []
     servers: list[str] = []
     proxies: list[str] = []
     settings: list[str] = []
     endpoints: list[str] = []
+    accounts: list[str] = []
 
 
-class ControlView(Message):
+class ControlView(ExtendedMessage):
     """The committed state that is distributed to the proxies.
 
     Attributes:
+        requires_account: whether callers need a key of a client account.
         version: index of the last log entry included; never decreases.
         base_version: 0 for the whole state; otherwise the view contains only the
             differences from that version, and ``removed`` names what no longer exists.
     """
 
+    _optional_fields = frozenset({"accounts", "requires_account"})
+
     version: int
     groups: list[GroupMessage]
     servers: list[ServerMessage]
     proxies: list[ProxyMessage]
     settings: list[SettingsNode]
     endpoints: list[EndpointMessage] = []
+    accounts: list[AccountMessage] = []
+    requires_account: bool = False
     base_version: int = 0
     removed: RemovedItems = RemovedItems()
 
--- a/packages/backend/src/dogwoodspool_backend/connection.py
+++ b/packages/backend/src/dogwoodspool_backend/connection.py
@@ -40,6 +40,7 @@
         needs_reset: statements ran that may have changed the session.
         is_probing: the pool gave the connection to a probe and not to a caller.
         generation: the pool's count of settings changes when it was opened.
+        account: client account in whose name it was opened; empty for none.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         self.needs_reset = False
         self.is_probing = False
         self.generation = 0
+        self.account = ""
 
     @property
     def in_transaction(self) -> bool:
--- a/packages/backend/src/dogwoodspool_backend/connector.py
+++ b/packages/backend/src/dogwoodspool_backend/connector.py
@@ -36,7 +36,9 @@
         self._statements = statements
         self._clock = clock
 
-    def connect(self, server: BackendServer, deadline: float) -> BackendConnection:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> BackendConnection:
         """Return an authenticated connection; see ``Connector``."""
         try:
             wire = Wire(
--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -12,15 +12,18 @@
 from .http_client import JsonClient
 from .http_server import JsonServer
 from .json_lines import JsonLineClient, JsonLineServer
+from .keys import key_digest
 from .log import log_event, log_rate_limited, set_up_logging, shut_down_logging
 from .models import (
     Address,
     BackendServer,
+    ClientAccount,
     Consistency,
     Endpoint,
     GroupState,
     Phase,
     Position,
+    RateLimit,
     Role,
     ServerStatus,
 )
@@ -44,6 +47,8 @@
     "GroupState",
     "BackendServer",
     "Address",
+    "ClientAccount",
+    "RateLimit",
     "Clock",
     "Consistency",
     "DogwoodspoolError",
@@ -68,6 +73,7 @@
     "current_traceparent",
     "error_response",
     "first_problem",
+    "key_digest",
     "log_event",
     "log_rate_limited",
     "process_started_at",
--- a/packages/common/src/dogwoodspool_common/models.py
+++ b/packages/common/src/dogwoodspool_common/models.py
@@ -118,6 +118,7 @@
         target_latency_ms: target for the latency of a request.
         priority: precedence of queued requests; 0 is the highest.
         max_age_ms: maximum age of data that reads may see; None for no limit.
+        is_public: whether callers need no key of a client account.
     """
 
     name: str
@@ -128,6 +129,38 @@
     target_latency_ms: int
     priority: int
     max_age_ms: int | None = None
+    is_public: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Limit on the operations of a client account, enforced as a token bucket.
+
+    Attributes:
+        per_second: operations per second in the long run.
+        burst: operations that may exceed the rate at one time.
+    """
+
+    per_second: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A customer whose callers are identified by keys.
+
+    Attributes:
+        name: unique within the system; backend servers see it.
+        key_digests: digests of the keys, see ``key_digest``; the keys themselves are
+            never distributed.
+        priority: precedence among accounts; 0 is the highest.
+        rate_limit: limit on its operations at all proxies together; None for none.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int = 0
+    rate_limit: RateLimit | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -23,6 +23,10 @@
     time; idle connections above it are closed at once, those in use on release. Callers
     are served in order of arrival.
 
+    A connection is opened for one client account and never serves another. At the limit
+    a caller whose account has no idle connection replaces the connection that has been
+    idle the longest, so that no account can keep others waiting with idle connections.
+
     If the limit is two or more, one connection is reserved for probes, and probes are
     served before callers. Otherwise a server that hangs would occupy every connection
     with a statement that never ends. No probe could reach the server, and it would
@@ -108,6 +112,7 @@
         deadline: float,
         *,
         open_by: float | None = None,
+        account: str = "",
         is_probe: bool = False,
         rank: Callable[[ConnectionT], int] | None = None,
     ) -> ConnectionT:
@@ -119,8 +124,9 @@
                 the deadline. A caller that waited until shortly before the deadline
                 still needs time to connect; without it, the server would wrongly be
                 considered unreachable.
+            account: client account that the connection must belong to.
             is_probe: whether this is a probe, which may use the reserved connection and
-                is served before callers.
+                those of any account, and is served before callers.
             rank: of several idle connections the one with the lowest rank is taken; of
                 equal ones the one used last.
 
@@ -130,9 +136,12 @@
         """
         usable_by = deadline if open_by is None else max(deadline, open_by)
         while True:
-            connection = self._take(deadline, is_probe=is_probe, rank=rank)
+            waiter = Waiter[ConnectionT](self._lock, account, is_probe=is_probe)
+            waiter.rank = rank
+            self._wait_for_turn(waiter, deadline)
+            connection = waiter.connection
             if connection is None:
-                return self._open(usable_by, is_probe=is_probe)
+                return self._open(waiter, usable_by)
             if self._health.is_usable(connection, usable_by):
                 return connection
             if connection.went_silent:
@@ -226,18 +235,10 @@
     def _caller_limit(self) -> int:
         return max(min(1, self._limit), self._limit - PROBE_RESERVE)
 
-    def _take(
-        self,
-        deadline: float,
-        *,
-        is_probe: bool,
-        rank: Callable[[ConnectionT], int] | None,
-    ) -> ConnectionT | None:
-        """Take an idle connection; return None if the caller may open a new one."""
-        waiter = Waiter[ConnectionT](self._lock, is_probe=is_probe)
-        waiter.rank = rank
+    def _wait_for_turn(self, waiter: Waiter[ConnectionT], deadline: float) -> None:
+        """Wait until the waiter has a connection or may open one."""
         with self._lock:
-            if is_probe:
+            if waiter.is_probe:
                 self._waiters.appendleft(waiter)
             else:
                 self._waiters.append(waiter)
@@ -250,7 +251,7 @@
                     break
                 self._clock.wait(waiter.condition, remaining)
             if waiter.is_served:
-                return waiter.connection
+                return
             if self._is_unloaded:
                 raise PoolClosedError(
                     f"connection pool of {self._server.name} is closed"
@@ -266,11 +267,14 @@
             callers = self._in_use - self._probing
             if not waiter.is_probe and callers >= self._caller_limit():
                 return
-            if self._idle:
-                waiter.connection = self._pop_idle(waiter.rank)
+            waiter.connection = self._pop_idle(waiter)
+            if waiter.connection is not None:
                 waiter.connection.is_probing = waiter.is_probe
             elif self._open_count() < self._limit:
                 waiter.may_open = True
+            elif self._idle:
+                waiter.evicted = self._idle.popleft()
+                waiter.may_open = True
             else:
                 return
             self._in_use += 1
@@ -278,24 +282,34 @@
             self._waiters.popleft()
             waiter.condition.notify_all()
 
-    def _pop_idle(self, rank: Callable[[ConnectionT], int] | None) -> ConnectionT:
-        if rank is None:
-            return self._idle.pop()
-        best = min(reversed(self._idle), key=rank)
+    def _pop_idle(self, waiter: Waiter[ConnectionT]) -> ConnectionT | None:
+        """Remove and return the best idle connection for a waiter, if there is one."""
+        usable = [
+            connection
+            for connection in reversed(self._idle)
+            if waiter.is_probe or connection.account == waiter.account
+        ]
+        if not usable:
+            return None
+        best = usable[0] if waiter.rank is None else min(usable, key=waiter.rank)
         self._idle.remove(best)
         return best
 
-    def _open(self, deadline: float, *, is_probe: bool) -> ConnectionT:
+    def _open(self, waiter: Waiter[ConnectionT], deadline: float) -> ConnectionT:
         # The connection was counted in advance, so that no two callers open the last
         # one.
         bounded = min(deadline, self._clock.now() + self._settings.connect_timeout)
         generation = self._generation
         try:
-            connection = self._connector.connect(self._server, bounded)
+            if waiter.evicted is not None:
+                # Closed first, so that the server never counts both.
+                waiter.evicted.close()
+            connection = self._connector.connect(self._server, bounded, waiter.account)
         except BaseException:
-            self._release_capacity(is_probe=is_probe)
+            self._release_capacity(is_probe=waiter.is_probe)
             raise
-        connection.is_probing = is_probe
+        connection.account = waiter.account
+        connection.is_probing = waiter.is_probe
         connection.generation = generation
         return connection
 
--- a/packages/connections/src/dogwoodspool_connections/pooled.py
+++ b/packages/connections/src/dogwoodspool_connections/pooled.py
@@ -12,11 +12,13 @@
         answered_at: clock seconds of the server's last complete answer.
         is_probing: whether it is in use by a probe and not by a caller.
         generation: number of the pool's settings with which it was opened.
+        account: client account in whose name it was opened; empty for none.
     """
 
     answered_at: float
     is_probing: bool
     generation: int
+    account: str
 
     @property
     def went_silent(self) -> bool:
@@ -67,9 +69,16 @@
 class Connector(Protocol[OpenedT_co]):
     """Open one connection to a backend server."""
 
-    def connect(self, server: BackendServer, deadline: float) -> OpenedT_co:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> OpenedT_co:
         """Return an authenticated connection before the deadline in clock seconds.
 
+        Args:
+            server: the server to connect to.
+            deadline: clock seconds by which the connection must be authenticated.
+            account: client account to open it for; empty to open it for this process.
+
         Raises:
             ConnectionLimitError: the server accepts no more connections.
             ConnectFailedError: the connection failed for any other reason.
--- a/packages/connections/src/dogwoodspool_connections/waiter.py
+++ b/packages/connections/src/dogwoodspool_connections/waiter.py
@@ -14,14 +14,18 @@
 
     Args:
         lock: the pool's lock.
+        account: client account that it needs a connection of; empty for none.
         is_probe: whether it may use the connection reserved for probes.
     """
 
-    def __init__(self, lock: threading.Lock, *, is_probe: bool) -> None:
+    def __init__(self, lock: threading.Lock, account: str, *, is_probe: bool) -> None:
+        self.account = account
         self.is_probe = is_probe
         self.condition = threading.Condition(lock)
         self.connection: ConnectionT | None = None
         self.may_open = False
+        # Idle connection of another account to close before opening one.
+        self.evicted: ConnectionT | None = None
         self.rank: Callable[[ConnectionT], int] | None = None
 
     @property
--- a/packages/control/src/dogwoodspool_control/settings/documents.py
+++ b/packages/control/src/dogwoodspool_control/settings/documents.py
@@ -1,4 +1,4 @@
-"""Settings and endpoints that an external system submits as one complete document.
+"""Settings, endpoints and accounts that an external system submits as one document.
 
 The external system sends the complete configuration under a revision number of its
 own. It is applied atomically to the settings tree and to the endpoints, or rejected
@@ -12,7 +12,7 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any, Final
 
-from dogwoodspool_common import Endpoint
+from dogwoodspool_common import ClientAccount, Endpoint
 from dogwoodspool_settings import ChangeRejected, SettingsChange, SettingsTree
 from expression import Error, Ok, Result
 from pydantic import TypeAdapter, ValidationError
@@ -30,11 +30,13 @@
         nodes: overrides of each settings node in the document, by path.
         endpoints: all endpoints.
         source: the text that was submitted, returned on request.
+        accounts: all client accounts; None if callers need no account.
     """
 
     nodes: Mapping[str, dict[str, Any]]
     endpoints: tuple[Endpoint, ...]
     source: str = ""
+    accounts: tuple[ClientAccount, ...] | None = None
 
 
 _document_adapter: Final = TypeAdapter(Document)
@@ -91,6 +93,16 @@
         """All endpoints."""
         return self.document.endpoints
 
+    @property
+    def accounts(self) -> tuple[ClientAccount, ...]:
+        """All client accounts."""
+        return self.document.accounts or ()
+
+    @property
+    def requires_account(self) -> bool:
+        """Whether callers need a key of a client account."""
+        return self.document.accounts is not None
+
     def replace(
         self, revision: int, content: str, author: str, tree: SettingsTree, index: int
     ) -> Result[bool, ChangeRejected]:
--- a/packages/control/src/dogwoodspool_control/settings/view_log.py
+++ b/packages/control/src/dogwoodspool_control/settings/view_log.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from dogwoodspool_api import (
+    AccountMessage,
     ControlView,
     EndpointMessage,
     GroupMessage,
@@ -14,7 +15,7 @@
     ServerMessage,
     SettingsNode,
 )
-from dogwoodspool_common import BackendServer, Endpoint, GroupState
+from dogwoodspool_common import BackendServer, ClientAccount, Endpoint, GroupState
 
 from ..const import MAX_VIEW_CHANGES
 from ..models import ProxyRecord
@@ -24,13 +25,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewItems:
-    """The items that proxies follow, by kind and then by name or path."""
+    """The items that proxies follow, by kind and then by name or path.
+
+    Attributes:
+        requires_account: whether callers need a key of a client account.
+    """
 
     groups: Mapping[str, GroupState] = field(default_factory=dict)
     servers: Mapping[str, BackendServer] = field(default_factory=dict)
     proxies: Mapping[str, ProxyRecord] = field(default_factory=dict)
     settings: Mapping[str, SettingsNode] = field(default_factory=dict)
     endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
+    accounts: Mapping[str, ClientAccount] = field(default_factory=dict)
+    requires_account: bool = False
 
     def by_kind(self) -> dict[str, Mapping[str, Any]]:
         """Return the items of each kind."""
@@ -40,6 +47,7 @@
             "proxies": self.proxies,
             "settings": self.settings,
             "endpoints": self.endpoints,
+            "accounts": self.accounts,
         }
 
 
@@ -116,6 +124,8 @@
             endpoints=[
                 EndpointMessage.of(endpoint) for endpoint in present["endpoints"]
             ],
+            accounts=[AccountMessage.of(account) for account in present["accounts"]],
+            requires_account=self._items.requires_account,
             removed=RemovedItems(**removed),
         )
 
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -326,4 +326,6 @@
             endpoints={
                 endpoint.name: endpoint for endpoint in self._document.endpoints
             },
+            accounts={account.name: account for account in self._document.accounts},
+            requires_account=self._document.requires_account,
         )
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -147,7 +147,9 @@
     def __init__(self, server: Server) -> None:
         self._server = server
 
-    def connect(self, server: BackendServer, deadline: float) -> Connection:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> Connection:
         return self._server.connect()
 
 
--- a/packages/emulator/src/dogwoodspool_emulator/servers.py
+++ b/packages/emulator/src/dogwoodspool_emulator/servers.py
@@ -41,6 +41,7 @@
     answered_at: float
     is_probing: bool = False
     generation: int = 0
+    account: str = ""
     is_open: bool = True
     has_begun: bool = False
     went_silent: bool = False
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -8,6 +8,7 @@
 from dogwoodspool_api import ControlView
 from dogwoodspool_common import (
     BackendServer,
+    ClientAccount,
     Clock,
     Endpoint,
     GroupState,
@@ -22,7 +23,13 @@
 
 @dataclass(frozen=True)
 class ProxyView:
-    """One version of the committed state as domain objects."""
+    """One version of the committed state as domain objects.
+
+    Attributes:
+        accounts: client accounts by name.
+        accounts_by_key: client accounts by the digest of each of their keys.
+        requires_account: whether callers need a key of a client account.
+    """
 
     version: int = 0
     groups: Mapping[str, GroupState] = field(default_factory=dict)
@@ -31,6 +38,9 @@
     tree: SettingsTree = field(default_factory=SettingsTree)
     endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
     databases: Mapping[str, Endpoint] = field(default_factory=dict)
+    accounts: Mapping[str, ClientAccount] = field(default_factory=dict)
+    accounts_by_key: Mapping[str, ClientAccount] = field(default_factory=dict)
+    requires_account: bool = False
 
     @classmethod
     def of(cls, message: ControlView, base: "ProxyView | None" = None) -> "ProxyView":
@@ -47,6 +57,11 @@
             {one.name: one.value() for one in message.endpoints},
             removed.endpoints,
         )
+        accounts = _merged(
+            before.accounts,
+            {one.name: one.value() for one in message.accounts},
+            removed.accounts,
+        )
         return cls(
             version=message.version,
             groups=_merged(
@@ -64,6 +79,11 @@
             tree=_merged_tree(before.tree, message),
             endpoints=endpoints,
             databases={one.database: one for one in endpoints.values()},
+            accounts=accounts,
+            accounts_by_key={
+                digest: one for one in accounts.values() for digest in one.key_digests
+            },
+            requires_account=message.requires_account,
         )
 
     def servers_of(self, group: str) -> list[BackendServer]:
--- a/packages/pooler/src/dogwoodspool_pooler/__init__.py
+++ b/packages/pooler/src/dogwoodspool_pooler/__init__.py
@@ -6,7 +6,13 @@
 """
 
 from .connection import ServerConnection
-from .errors import NoDatabaseError, NotReadyError, NotServedError, PoolerError
+from .errors import (
+    NoDatabaseError,
+    NotReadyError,
+    NotServedError,
+    PoolerError,
+    UnknownKeyError,
+)
 from .models import (
     Access,
     Answer,
@@ -36,4 +42,5 @@
     "StatementError",
     "StatementKind",
     "TransactionState",
+    "UnknownKeyError",
 ]
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -241,7 +241,10 @@
         while True:
             try:
                 return backend.pool.acquire(
-                    start_by, open_by=admission_request.deadline, rank=rank
+                    start_by,
+                    open_by=admission_request.deadline,
+                    account=admission_request.account,
+                    rank=rank,
                 )
             except PoolTimeoutError as error:
                 raise NotServedError(_no_connection(backend)) from error
--- a/packages/pooler/src/dogwoodspool_pooler/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/errors.py
@@ -21,6 +21,10 @@
         self.error = error
 
 
+class UnknownKeyError(NotServedError):
+    """Report a key that no client account holds, or holds no longer."""
+
+
 class NoPrimaryError(NotServedError):
     """Report that this process cannot reach the group's primary."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/models.py
+++ b/packages/pooler/src/dogwoodspool_pooler/models.py
@@ -79,6 +79,7 @@
     NO_DATABASE = "no_database"
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
+    UNKNOWN_KEY = "unknown_key"
 
     @property
     def is_not_run(self) -> bool:
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -7,6 +7,7 @@
 from dogwoodspool_common.const import MILLISECONDS
 
 from .const import WAIT_SHARE
+from .identity import ANONYMOUS, Caller
 from .models import Access, Prepared, Statement, StatementKind
 
 
@@ -20,6 +21,7 @@
         start_by: clock time until which it may wait.
         deadline: clock time after which an answer is useless.
         has_alternatives: whether another server can serve it as well.
+        account: client account that it runs for; empty for none.
     """
 
     priority: int
@@ -27,6 +29,7 @@
     start_by: float
     deadline: float
     has_alternatives: bool = False
+    account: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +43,7 @@
         prepared: the prepared statement that it executes, if any.
         session_position: position of the session's last commit; None before the first.
         arrived_at: clock seconds at which it arrived.
+        caller: on whose behalf it runs.
     """
 
     endpoint: Endpoint
@@ -48,6 +52,7 @@
     prepared: Prepared | None
     session_position: Position | None
     arrived_at: float
+    caller: Caller = ANONYMOUS
 
     @property
     def deadline(self) -> float:
@@ -86,4 +91,5 @@
             start_by=self.start_by,
             deadline=self.deadline,
             has_alternatives=has_alternatives,
+            account=self.caller.account,
         )
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -1,5 +1,7 @@
 """Wire the parts of a pooling proxy together."""
 
+from collections.abc import Callable
+
 from dogwoodspool_common import Address, Clock, JsonClient, Route, log_event
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import Connector
@@ -135,9 +137,13 @@
         """The endpoints for the system's other processes."""
         return self._shared.routes
 
-    def open_session(self, database: str) -> PooledSession:
+    def open_session(self, database: str, key_digest: str) -> PooledSession:
         """Return a session; errors as for ``PooledSessions.open``."""
-        return self._sessions.open(database)
+        return self._sessions.open(database, key_digest)
+
+    def add_view_listener(self, listener: Callable[[], None]) -> None:
+        """Register a function to call after each new view is in force."""
+        self._views.add_listener(lambda _view: listener())
 
     def answer_balancer(self) -> str | None:
         """Return why the balancer should send no callers; None if it may send them."""
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -14,7 +14,8 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import ViewStore
 
-from .errors import NotServedError
+from .errors import NotServedError, UnknownKeyError
+from .identity import Caller, identify
 from .models import (
     Access,
     Answer,
@@ -45,6 +46,7 @@
     def __init__(
         self,
         database: str,
+        key_digest: str,
         views: ViewStore,
         statements: Statements,
         transactions: TransactionPath,
@@ -53,6 +55,7 @@
         on_close: "Callable[[PooledSession], None]",
     ) -> None:
         self._database = database
+        self._key_digest = key_digest
         self._views = views
         self._statements = statements
         self._transactions = transactions
@@ -73,6 +76,18 @@
             return TransactionState.FAILED
         return TransactionState.OPEN
 
+    @property
+    def is_revoked(self) -> bool:
+        """Return whether no client account holds the caller's key any longer."""
+        endpoint = self._endpoint()
+        if endpoint is None:
+            return False
+        try:
+            self._identify(endpoint)
+        except UnknownKeyError:
+            return True
+        return False
+
     def run(self, statement: Statement) -> Answer:
         """Run one statement; every failure is reported in the answer."""
         arrived_at = self._clock.now()
@@ -120,6 +135,16 @@
         finally:
             self._lock.release()
 
+    def abandon_transaction(self) -> None:
+        """Roll back an open transaction, unless a statement is running."""
+        if not self._lock.acquire(blocking=False):
+            return
+        try:
+            if self._transaction is not None and self._transaction.held is not None:
+                self._transactions.abort(self._transaction)
+        finally:
+            self._lock.release()
+
     def _log_late(self, statement: Statement, elapsed: float) -> None:
         endpoint = self._endpoint()
         elapsed_ms = elapsed * MILLISECONDS
@@ -139,6 +164,9 @@
         kind = statement.kind
         if kind is StatementKind.ROLLBACK:
             return self._roll_back()
+        refusal = self._check_key()
+        if refusal is not None:
+            return refusal
         if kind is StatementKind.COMMIT:
             return self._commit(statement, arrived_at)
         if self.state is TransactionState.FAILED:
@@ -150,6 +178,30 @@
             return self._run_on_group(statement, arrived_at)
         return self._change_state(statement)
 
+    def _identify(self, endpoint: Endpoint) -> Caller:
+        return identify(self._views.view, endpoint, self._key_digest)
+
+    def _check_key(self) -> Answer | None:
+        """Refuse a caller whose key was revoked or moved during its transaction."""
+        transaction = self._transaction
+        endpoint = transaction.endpoint if transaction else self._endpoint()
+        if endpoint is None:
+            return None
+        try:
+            caller = self._identify(endpoint)
+        except UnknownKeyError as error:
+            self._abort_open_transaction()
+            return Answer(self.state, error=error.error)
+        if transaction is not None and caller.account != transaction.caller.account:
+            self._abort_open_transaction()
+            message = "the key moved to another client account; begin again"
+            return self._refuse(ErrorCode.ABORTED, message)
+        return None
+
+    def _abort_open_transaction(self) -> None:
+        if self._transaction is not None:
+            self._transactions.abort(self._transaction)
+
     def _change_state(self, statement: Statement) -> Answer:
         match statement.kind:
             case StatementKind.SET:
@@ -173,7 +225,9 @@
         if endpoint is None:
             return self._no_database()
         is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
-        self._transaction = Transaction(endpoint, arrived_at, is_read_only=is_read_only)
+        self._transaction = Transaction(
+            endpoint, self._identify(endpoint), arrived_at, is_read_only=is_read_only
+        )
         return Answer(TransactionState.OPEN)
 
     def _roll_back(self) -> Answer:
@@ -186,7 +240,9 @@
         transaction = self._transaction
         if transaction is None:
             return self._refuse(ErrorCode.MALFORMED, "no transaction is open")
-        request = self._request(transaction.endpoint, statement, None, arrived_at)
+        request = self._request(
+            transaction.endpoint, transaction.caller, statement, None, arrived_at
+        )
         reply = self._transactions.commit(transaction, request)
         self._transaction = None
         if reply.error is None:
@@ -200,14 +256,21 @@
             if prepared is None:
                 return self._unknown_statement(statement)
         if self._transaction is not None:
-            endpoint = self._transaction.endpoint
-            request = self._request(endpoint, statement, prepared, arrived_at)
+            transaction = self._transaction
+            request = self._request(
+                transaction.endpoint,
+                transaction.caller,
+                statement,
+                prepared,
+                arrived_at,
+            )
             return self._answer(self._transactions.run(self._transaction, request))
         current = self._endpoint()
         if current is None:
             return self._no_database()
-        request = self._request(current, statement, prepared, arrived_at)
         try:
+            caller = self._identify(current)
+            request = self._request(current, caller, statement, prepared, arrived_at)
             return self._answer(self._run_single(request))
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
@@ -221,6 +284,7 @@
     def _request(
         self,
         endpoint: Endpoint,
+        caller: Caller,
         statement: Statement,
         prepared: Prepared | None,
         arrived_at: float,
@@ -232,6 +296,7 @@
             prepared=prepared,
             session_position=self._position,
             arrived_at=arrived_at,
+            caller=caller,
         )
 
     def _endpoint(self) -> Endpoint | None:
@@ -250,8 +315,7 @@
         return Answer(self.state, error=StatementError(code, message))
 
     def _unknown_statement(self, statement: Statement) -> Answer:
-        if self._transaction is not None:
-            self._transactions.abort(self._transaction)
+        self._abort_open_transaction()
         message = f"no statement is prepared under the name {statement.name}"
         return self._refuse(ErrorCode.UNKNOWN_STATEMENT, message)
 
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -6,6 +6,7 @@
 
 from .const import FIRST_VIEW_DUE_SECONDS, FIRST_VIEW_WAIT_SECONDS
 from .errors import NoDatabaseError, NotReadyError
+from .identity import identify
 from .session import PooledSession
 from .statements import Statements
 from .transactions import TransactionPath
@@ -29,8 +30,8 @@
         self._counters = counters
         self._first_view_due = clock.now() + FIRST_VIEW_DUE_SECONDS
 
-    def open(self, database: str) -> PooledSession:
-        """Return a new session at a database.
+    def open(self, database: str, key_digest: str = "") -> PooledSession:
+        """Return a new session at a database for the caller with a key.
 
         Shortly after its start the process lets callers wait for the first view. When
         all proxies start together after a power loss, callers that are refused at once
@@ -39,14 +40,19 @@
         Raises:
             NotReadyError: no view has arrived, so the databases are not known yet.
             NoDatabaseError: there is no such database.
+            UnknownKeyError: the database needs a key, and no account holds this one.
         """
         remaining = self._first_view_due - self._clock.now()
         if not self._views.wait_filled(min(remaining, FIRST_VIEW_WAIT_SECONDS)):
             raise NotReadyError("this proxy has no configuration from control yet")
-        if database not in self._views.view.databases:
+        view = self._views.view
+        endpoint = view.databases.get(database)
+        if endpoint is None:
             raise NoDatabaseError(f"there is no database {database}")
+        identify(view, endpoint, key_digest)
         session = PooledSession(
             database,
+            key_digest,
             self._views,
             self._statements,
             self._transactions,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
@@ -26,6 +26,10 @@
     """Report that an owner already serves its maximum number of new requests."""
 
 
+class OwnerBehindError(OwnerUnavailableError):
+    """Report that an owner's view is older than that of the proxy that asks it."""
+
+
 class UnknownLeaseError(PoolerError):
     """Report that an owner does not hold a lease: it expired or the owner restarted."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
@@ -14,6 +14,7 @@
 from pydantic import Field
 
 from ..held import ReadBound
+from ..identity import ANONYMOUS, Caller
 from ..models import (
     Access,
     ErrorCode,
@@ -110,6 +111,29 @@
         return ReadBound(self.max_age, at_least)
 
 
+class CallerMessage(Message):
+    """On whose behalf a statement runs; see ``Caller``."""
+
+    account: Name
+    key_digest: str
+    view_version: int = Field(ge=0)
+
+    @classmethod
+    def of(cls, caller: Caller) -> Self | None:
+        """Build the message from the domain object; None for an anonymous caller."""
+        if not caller.account:
+            return None
+        return cls(
+            account=caller.account,
+            key_digest=caller.key_digest,
+            view_version=caller.view_version,
+        )
+
+    def value(self) -> Caller:
+        """Return the domain object."""
+        return Caller(self.account, self.key_digest, self.view_version)
+
+
 class ServerIdentity(Message):
     """One process of a backend server, as opposed to those after a restart."""
 
@@ -135,6 +159,7 @@
         values: the session's values.
         session_position: position of the session's last commit; None before the first.
         elapsed: seconds since the statement arrived at the sender.
+        caller: on whose behalf it runs; None for an anonymous caller.
     """
 
     endpoint: EndpointMessage
@@ -143,6 +168,7 @@
     prepared: PreparedMessage | None = None
     session_position: PositionMessage | None = None
     elapsed: float = Field(ge=0)
+    caller: CallerMessage | None = None
 
     @classmethod
     def of(cls, request: Request, now: float) -> Self:
@@ -154,6 +180,7 @@
             prepared=prepared_message(request.prepared),
             session_position=_position_message(request.session_position),
             elapsed=max(0.0, now - request.arrived_at),
+            caller=CallerMessage.of(request.caller),
         )
 
     def value(self, now: float) -> Request:
@@ -166,6 +193,7 @@
             prepared=None if self.prepared is None else self.prepared.value(),
             session_position=None if position is None else position.value(),
             arrived_at=now - self.elapsed,
+            caller=caller_of(self.caller),
         )
 
 
@@ -181,6 +209,7 @@
         priority: priority of the request; lower numbers are admitted first.
         wait: seconds for which it may wait for admission.
         answer: seconds that the server may take to reply.
+        caller: on whose behalf it runs; None for an anonymous caller.
     """
 
     server: ServerIdentity
@@ -193,6 +222,7 @@
     priority: int
     wait: float = Field(ge=0)
     answer: float = Field(gt=0)
+    caller: CallerMessage | None = None
 
 
 class RefusalMessage(Message):
@@ -299,6 +329,11 @@
     is_good: bool
 
 
+def caller_of(message: CallerMessage | None) -> Caller:
+    """Return the caller that a message names, if any."""
+    return ANONYMOUS if message is None else message.value()
+
+
 def prepared_message(prepared: Prepared | None) -> PreparedMessage | None:
     """Return the message for the prepared statement to execute, if any."""
     return None if prepared is None else PreparedMessage.of(prepared)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -21,6 +21,7 @@
 from .errors import LeaseLostError, OwnerUnavailableError, UnknownLeaseError
 from .messages import (
     BoundMessage,
+    CallerMessage,
     Failure,
     ServerIdentity,
     StatementMessage,
@@ -125,6 +126,7 @@
             priority=self._request.endpoint.priority,
             wait=max(0.0, self._request.start_by - now),
             answer=answer,
+            caller=CallerMessage.of(self._request.caller),
         )
 
     def _perform(self, message: TransactionRequest, run_locally: LocalRun) -> Reply:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/slots.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/slots.py
@@ -6,7 +6,12 @@
 
 from dogwoodspool_common import JsonResponse, error_response
 
-from .errors import OwnerFullError, OwnerLeavingError, OwnerUnavailableError
+from .errors import (
+    OwnerBehindError,
+    OwnerFullError,
+    OwnerLeavingError,
+    OwnerUnavailableError,
+)
 from .messages import OwnerRefusal
 
 
@@ -44,7 +49,9 @@
 
 
 def refusal_response(error: OwnerUnavailableError) -> JsonResponse:
-    """Return the response to a request that got no slot."""
+    """Return the response to a request that the owner did not accept."""
+    if isinstance(error, OwnerBehindError):
+        return error_response(421, OwnerRefusal.NOT_KNOWN, str(error))
     if isinstance(error, OwnerLeavingError):
         return error_response(421, OwnerRefusal.LEAVING, str(error))
     return error_response(503, OwnerRefusal.FULL, str(error))
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -11,6 +11,7 @@
 
 from ..errors import NoPrimaryError, NotServedError
 from ..statements import Statements
+from .caller_check import check_caller
 from .const import PATH_STATEMENT
 from .errors import OwnerUnavailableError
 from .messages import (
@@ -45,6 +46,7 @@
         if group not in self._views.view.groups:
             return error_response(421, OwnerRefusal.NOT_KNOWN, group)
         try:
+            check_caller(self._views.view, wanted.caller)
             with self._slots.acquire_slot():
                 reply = self._statements.run(wanted)
         except OwnerUnavailableError as error:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -17,12 +17,13 @@
 from dogwoodspool_following import ViewStore
 
 from ..access import ServerAccess
-from ..errors import NotFreshError, NotServedError
+from ..errors import NotFreshError, NotServedError, UnknownKeyError
 from ..local_connection import LocalHeldConnection
 from ..models import Access, Reply, StatementKind
 from ..requests import AdmissionRequest
+from .caller_check import check_caller
 from .const import OWNER_ATTEMPTS, PATH_RELEASE, PATH_TRANSACTION
-from .errors import OwnerUnavailableError
+from .errors import OwnerBehindError, OwnerUnavailableError
 from .leases import LeaseTracker
 from .messages import (
     Failure,
@@ -32,6 +33,7 @@
     ReplyMessage,
     TransactionRequest,
     TransactionResponse,
+    caller_of,
 )
 from .slots import WorkSlots, refusal_response
 
@@ -62,6 +64,14 @@
 
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = TransactionRequest.model_validate(request.body)
+        try:
+            check_caller(self._views.view, caller_of(message.caller))
+        except OwnerBehindError as error:
+            # An open transaction goes on: its begin was checked here.
+            if message.lease is None:
+                return refusal_response(error)
+        except UnknownKeyError as error:
+            return self._refuse(message, error)
         if message.lease is not None:
             held = self._leases.take(message.lease)
             if held is None:
@@ -76,6 +86,18 @@
         except OwnerUnavailableError as error:
             return refusal_response(error)
 
+    def _refuse(
+        self, message: TransactionRequest, error: NotServedError
+    ) -> JsonResponse:
+        """Refuse a statement and roll back the transaction that it belongs to."""
+        held = None if message.lease is None else self._leases.take(message.lease)
+        if held is not None:
+            held.finish(is_good=False)
+        refusal = RefusalMessage.of(error.error)
+        return _json_response(
+            TransactionResponse(failure=Failure.REFUSED, refusal=refusal)
+        )
+
     def _release(self, request: JsonRequest) -> JsonResponse:
         message = ReleaseLease.model_validate(request.body)
         held = self._leases.take(message.lease)
@@ -101,6 +123,7 @@
             values=message.values,
             start_by=now + message.wait,
             deadline=now + message.wait + message.answer,
+            account=caller_of(message.caller).account,
         )
         for _attempt in range(OWNER_ATTEMPTS):
             try:
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -22,6 +22,7 @@
 )
 from .errors import NotFreshError, NotServedError
 from .held import ConnectionAccess, HeldConnection, ReadBound, roll_back
+from .identity import Caller
 from .models import (
     ErrorCode,
     Reply,
@@ -44,6 +45,7 @@
 
     Attributes:
         endpoint: the endpoint of its database as of its begin.
+        caller: on whose behalf it runs, as of its begin.
         is_read_only: whether the caller began it as read-only.
         idle_since: clock time at which its last statement ended.
         held: the connection; None before the first statement and after a failure.
@@ -52,9 +54,15 @@
     """
 
     def __init__(
-        self, endpoint: Endpoint, began_at: float, *, is_read_only: bool
+        self,
+        endpoint: Endpoint,
+        caller: Caller,
+        began_at: float,
+        *,
+        is_read_only: bool,
     ) -> None:
         self.endpoint = endpoint
+        self.caller = caller
         self.is_read_only = is_read_only
         self.idle_since = began_at
         self.held: HeldConnection | None = None
@@ -94,7 +102,7 @@
             held = transaction.held or self._begin(transaction, request)
             reply = self._run_held(transaction, held, request)
         except NotServedError as error:
-            self.abort(transaction)
+            _release_ended(transaction)
             return _error_reply(error.error)
         except BackendError as error:
             return self._connection_lost(transaction, request, error)
@@ -116,6 +124,9 @@
             return self._connection_lost(transaction, request, error)
         try:
             reply = self._run_held(transaction, held, request)
+        except NotServedError as error:
+            _release_ended(transaction)
+            return _error_reply(error.error)
         except ConnectFailedError as error:
             # The connection had ended before, so the commit was not sent and the
             # server rolls the transaction back.
@@ -255,10 +266,7 @@
         A server rolls back a transaction whose connection ends, so that none of its
         writes take effect.
         """
-        held, transaction.held = transaction.held, None
-        transaction.has_failed = True
-        if held is not None:
-            held.finish(is_good=False)
+        _release_ended(transaction)
         log_rate_limited(
             "transaction_lost",
             request=request.statement.request_id,
@@ -272,6 +280,14 @@
         )
 
 
+def _release_ended(transaction: Transaction) -> None:
+    """Release the connection of a transaction that has ended where it ran."""
+    transaction.has_failed = True
+    held, transaction.held = transaction.held, None
+    if held is not None:
+        held.finish(is_good=False)
+
+
 def _aborted(message: str) -> StatementError:
     return StatementError(ErrorCode.ABORTED, message)
 
--- a/tests/backend/test_pool_states.py
+++ b/tests/backend/test_pool_states.py
@@ -60,7 +60,9 @@
         self.is_up = True
         self.wires: list[FakeWire] = []
 
-    def connect(self, server: BackendServer, deadline: float) -> BackendConnection:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> BackendConnection:
         if not self.is_up:
             raise ConnectFailedError("the server is down")
         self.wires.append(FakeWire())
--- /dev/null
+++ b/tests/connections/test_accounts.py
@@ -0,0 +1,170 @@
+"""Tests of pooled connections that belong to client accounts."""
+
+import unittest
+from typing import Any, cast
+
+from dogwoodspool_common import Address, BackendServer, ManualClock
+from dogwoodspool_connections import ConnectionPool, PoolSettings, PoolTimeoutError
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+SERVER = BackendServer("s1", "g1", "fd1", Address("127.0.0.1", 1), 3, 42)
+LIMIT = 4
+ACCOUNTS = ("a", "b", "c", "d", "e", "f")
+
+
+class OwnedConnection:
+    """A connection that remembers the account it was opened for."""
+
+    server = SERVER
+    in_transaction = needs_reset = has_unread_answer = went_silent = False
+    is_probing = False
+    generation = 0
+    account = ""
+
+    def __init__(self, network: "AccountNetwork", opened_for: str) -> None:
+        self._network = network
+        self.opened_for = opened_for
+        self.answered_at = network.clock.now()
+        self.is_open = True
+
+    def has_unexpected_input(self) -> bool:
+        return not self.is_open
+
+    def ping(self, timeout: float) -> None:
+        self.answered_at = self._network.clock.now()
+
+    def reset(self, timeout: float) -> None:
+        self.ping(timeout)
+
+    def close(self) -> None:
+        if self.is_open:
+            self.is_open = False
+            self._network.closed.append(self.opened_for)
+
+
+class AccountNetwork:
+    """Record which connections are open at each moment."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.all: list[OwnedConnection] = []
+        self.closed: list[str] = []
+        self.most_open = 0
+
+    @property
+    def open_accounts(self) -> list[str]:
+        return [one.opened_for for one in self.all if one.is_open]
+
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> OwnedConnection:
+        connection = OwnedConnection(self, account)
+        self.all.append(connection)
+        self.most_open = max(self.most_open, len(self.open_accounts))
+        return connection
+
+
+Pool = ConnectionPool[OwnedConnection]
+
+
+class AccountPoolTests(unittest.TestCase):
+    """A connection serves only the account that it was opened for."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.network = AccountNetwork(self.clock)
+        times = PoolSettings(idle_expiry=60)
+        self.pool = Pool(SERVER, self.network, self.clock, times, LIMIT)
+
+    def use(self, account: str) -> OwnedConnection:
+        """Run one statement for an account and return the connection it used."""
+        connection = self.pool.acquire(self.clock.now(), account=account)
+        self.clock.advance(0.01)
+        connection.answered_at = self.clock.now()
+        self.pool.release(connection, reuse=True)
+        return connection
+
+    def test_connection_is_reused_for_its_own_account_only(self) -> None:
+        first = self.use("a")
+        self.assertIsNot(self.use("b"), first)
+        self.assertIs(self.use("a"), first)
+
+    def test_longest_idle_connection_gives_way_at_the_limit(self) -> None:
+        for account in ("a", "b", "c", "d", "a"):
+            self.use(account)
+        self.use("e")
+        self.assertEqual(self.network.closed, ["b"])
+        self.assertEqual(self.network.most_open, LIMIT)
+
+    def test_idle_connections_never_block_another_account(self) -> None:
+        for account in ACCOUNTS * 3:
+            self.use(account)
+        self.assertEqual(self.network.most_open, LIMIT)
+
+    def test_connections_in_use_do_not_give_way(self) -> None:
+        held = [self.pool.acquire(0.0, account="a") for _ in range(LIMIT - 1)]
+        with self.assertRaises(PoolTimeoutError):
+            self.pool.acquire(0.0, account="b")
+        self.pool.release(held[0], reuse=True)
+        self.assertEqual(self.pool.acquire(0.0, account="b").opened_for, "b")
+
+    def test_probe_uses_a_connection_of_any_account(self) -> None:
+        first = self.use("a")
+        probing = self.pool.acquire(self.clock.now(), is_probe=True)
+        self.assertIs(probing, first)
+
+
+class AccountPoolMachine(RuleBasedStateMachine):
+    """Accounts come and go while the limit changes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.network = AccountNetwork(self.clock)
+        times = PoolSettings(idle_expiry=5)
+        self.limit = LIMIT
+        self.pool = Pool(SERVER, self.network, self.clock, times, LIMIT)
+        self.held: list[OwnedConnection] = []
+
+    @rule(account=st.sampled_from(ACCOUNTS))
+    def acquire(self, account: str) -> None:
+        try:
+            connection = self.pool.acquire(self.clock.now(), account=account)
+        except PoolTimeoutError:
+            assert len(self.held) >= min(self.limit, max(1, self.limit - 1))
+            return
+        assert connection.opened_for == account
+        assert connection not in self.held
+        self.held.append(connection)
+        # Connections above a limit that was lowered stay open while they are in use.
+        assert len(self.network.open_accounts) <= max(self.limit, len(self.held))
+
+    @rule(reuse=st.booleans(), seconds=st.sampled_from((0.0, 0.5, 6.0)))
+    def release(self, reuse: bool, seconds: float) -> None:
+        self.clock.advance(seconds)
+        if self.held:
+            connection = self.held.pop(0)
+            connection.answered_at = self.clock.now()
+            self.pool.release(connection, reuse=reuse)
+
+    @rule(limit=st.integers(min_value=1, max_value=6))
+    def change_limit(self, limit: int) -> None:
+        self.limit = limit
+        self.pool.set_limit(limit)
+
+    @invariant()
+    def counts_every_open_connection(self) -> None:
+        assert self.pool.open_count == len(self.network.open_accounts)
+
+
+class AccountPoolStateTests(unittest.TestCase):
+    """No sequence of requests and limits mixes accounts or exceeds the limit."""
+
+    def test_random_sequences(self) -> None:
+        machine = cast(Any, AccountPoolMachine).TestCase
+        machine.settings = settings(
+            max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+        )
+        machine("runTest").runTest()
--- a/tests/connections/test_expiry.py
+++ b/tests/connections/test_expiry.py
@@ -32,6 +32,7 @@
     in_transaction = needs_reset = has_unread_answer = went_silent = False
     is_probing = False
     generation = 0
+    account = ""
 
     def __init__(self, network: "FakeNetwork") -> None:
         self._network = network
@@ -57,7 +58,9 @@
         self.clock = clock
         self.open = self.opened = 0
 
-    def connect(self, _server: BackendServer, _deadline: float) -> FakeConnection:
+    def connect(
+        self, _server: BackendServer, _deadline: float, account: str = ""
+    ) -> FakeConnection:
         self.open += 1
         self.opened += 1
         return FakeConnection(self)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -35,6 +35,8 @@
         self.is_primary = is_primary
         self.paused_term = 0
         self.executed: list[tuple[str, str]] = []
+        # Account that each request ran for, by request id.
+        self.accounts: dict[str, str] = {}
         self._open: set[socket.socket] = set()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = int(self._listener.getsockname()[1])
@@ -81,6 +83,7 @@
         self._server = server
         self._state = "I"
         self._pending: list[tuple[str, str, str]] = []
+        self._account = ""
 
     def answer(self, line: str) -> str:
         word, _, rest = line.partition(" ")
@@ -94,7 +97,7 @@
         return f"{body}\r\nREADY {self._state} {self._position()}\r\n"
 
     def _start(self, rest: str) -> str:
-        service, _caller, name = rest.split(" ")
+        service, self._account, name = rest.split(" ")
         if (service, name) != (self._server.service, self._server.name):
             return f"ERROR MISROUTED {self._server.name}\r\n"
         return f"READY I {self._position()}\r\n"
@@ -104,6 +107,8 @@
 
     def _run(self, request_id: str, text: str) -> str:
         server, log = self._server, self._server.log
+        if request_id != "-":
+            server.accounts[request_id] = self._account
         verb, _, rest = text.partition(" ")
         if verb == "WAITLSN":
             verb, _, rest = rest.partition(" ")[2].partition(" ")
@@ -217,11 +222,11 @@
 class TextClient:
     """One caller's connection."""
 
-    def __init__(self, address: str, database: str) -> None:
+    def __init__(self, address: str, database: str, key: str = "caller") -> None:
         host, _, port = address.partition(":")
         self._socket = socket.create_connection((host, int(port)), timeout=5.0)
         self._stream = self._socket.makefile("rwb")
-        self.send(f"STARTUP {database} caller")
+        self.send(f"STARTUP {database} {key}")
         self.greeting = self.read()
 
     def send(self, line: str) -> None:
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -148,8 +148,11 @@
                 )
                 call("PUT", self.url(f"instances/{server.name}"), body)
 
-    def client(self, database: str = "db1", host: str | None = None) -> TextClient:
-        client = TextClient(f"{host or self.EDGE_HOSTS[0]}:{self.front}", database)
+    def client(
+        self, database: str = "db1", host: str | None = None, key: str = "caller"
+    ) -> TextClient:
+        address = f"{host or self.EDGE_HOSTS[0]}:{self.front}"
+        client = TextClient(address, database, key)
         self.addCleanup(client.close)
         return client
 
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -1,9 +1,13 @@
 """Tests of the platform's messages: settings file, configuration, heartbeats."""
 
+import base64
+import json
 import unittest
+import zlib
+from dataclasses import asdict
 from typing import Any
 
-from dogwoodspool_common import Consistency, Role
+from dogwoodspool_common import Consistency, RateLimit, Role, key_digest
 from dogwoodspool_control.settings.documents import pack, unpack
 from dogwoodspool_platform.boot import BootSettings
 from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
@@ -60,6 +64,69 @@
     }
 
 
+def tenant(**changes: Any) -> dict[str, Any]:
+    """Return a valid tenant."""
+    return {
+        "name": "t1",
+        "apiKeys": ["key-1"],
+        "priority": 1,
+        "ratePerS": 83,
+        "burst": 90,
+        **changes,
+    }
+
+
+class TenantTests(unittest.TestCase):
+    """Tenants become client accounts, without their keys."""
+
+    def test_tenant_is_decoded_to_an_account(self) -> None:
+        _, document = decode_config(config(tenants=[tenant()]))
+        assert document.accounts is not None
+        (account,) = document.accounts
+        self.assertEqual(account.key_digests, (key_digest("key-1"),))
+        self.assertEqual(account.rate_limit, RateLimit(83, 90))
+        self.assertEqual(unpack(pack(document)).accounts, document.accounts)
+
+    def test_rate_without_burst_allows_one_second_at_once(self) -> None:
+        sent = tenant()
+        del sent["burst"]
+        _, document = decode_config(config(tenants=[sent]))
+        assert document.accounts is not None
+        self.assertEqual(document.accounts[0].rate_limit, RateLimit(83, 83))
+
+    def test_configuration_without_tenants_needs_no_account(self) -> None:
+        self.assertIsNone(decode_config(config())[1].accounts)
+        self.assertEqual(decode_config(config(tenants=[]))[1].accounts, ())
+
+    def test_tenants_are_required_where_their_rules_are_in_force(self) -> None:
+        with self.assertRaises(InvalidConfigError):
+            decode_config(config(), needs_tenants=True)
+        decode_config(config(tenants=[]), needs_tenants=True)
+
+    def test_document_of_an_earlier_build_is_read(self) -> None:
+        _, document = decode_config(config())
+        stored = asdict(document)
+        del stored["accounts"]
+        for endpoint in stored["endpoints"]:
+            del endpoint["is_public"]
+        text = zlib.compress(json.dumps(stored).encode())
+        self.assertEqual(unpack(base64.b85encode(text).decode()), document)
+
+    def test_invalid_tenants_are_rejected_without_naming_a_key(self) -> None:
+        cases = {
+            "shared key": [tenant(), tenant(name="t2")],
+            "duplicate name": [tenant(), tenant(apiKeys=["key-2"])],
+            "empty key": [tenant(apiKeys=[""])],
+            "negative rate": [tenant(ratePerS=-1)],
+            "infinite rate": [tenant(ratePerS=float("inf"))],
+            "name that is not a word": [tenant(name="a b")],
+        }
+        for name, tenants in cases.items():
+            with self.assertRaises(InvalidConfigError, msg=name) as raised:
+                decode_config(config(tenants=tenants))
+            self.assertNotIn("key-1", str(raised.exception))
+
+
 class ConfigTests(unittest.TestCase):
     """A configuration is decoded completely or rejected."""
 
--- a/tests/platform/test_text_protocol.py
+++ b/tests/platform/test_text_protocol.py
@@ -78,7 +78,8 @@
                 continue
 
     def test_startup_returns_the_database(self) -> None:
-        self.assertEqual(decode_startup("STARTUP lepu270 u3f1"), "lepu270")
+        message = decode_startup("STARTUP lepu270 u3f1")
+        self.assertEqual((message.database, message.key), ("lepu270", "u3f1"))
         with self.assertRaises(BadWordsError):
             decode_startup("HELLO lepu270")
 
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from dogwoodspool_api import (
+    AccountMessage,
     ControlView,
     EndpointMessage,
     GroupMessage,
@@ -13,6 +14,7 @@
 from dogwoodspool_common import (
     Address,
     BackendServer,
+    ClientAccount,
     Clock,
     Consistency,
     Endpoint,
@@ -21,6 +23,7 @@
     Phase,
     Position,
     Role,
+    key_digest,
 )
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import (
@@ -73,6 +76,7 @@
     shape: str | None
     in_transaction: bool
     connection: int
+    account: str
 
 
 @dataclass
@@ -132,6 +136,7 @@
         self.answered_at = clock.now()
         self.is_probing = False
         self.generation = 0
+        self.account = ""
 
     @property
     def went_silent(self) -> bool:
@@ -253,6 +258,7 @@
                 shape,
                 self.in_transaction,
                 self.number,
+                self.account,
             )
         )
         self._has_written = self._has_written or statement.kind is StatementKind.WRITE
@@ -285,8 +291,11 @@
     def __init__(self, servers: Sequence[FakeServer], clock: ManualClock) -> None:
         self.servers = {server.name: server for server in servers}
         self._clock = clock
+        self.opened_for: list[str] = []
 
-    def connect(self, server: BackendServer, deadline: float) -> FakeConnection:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> FakeConnection:
         fake = self.servers.get(server.name)
         if deadline - self._clock.now() < CONNECT_SECONDS:
             raise ConnectFailedError("timed out")
@@ -297,7 +306,9 @@
         if fake.connections_to_refuse:
             fake.connections_to_refuse -= 1
             raise ConnectionLimitError(f"{server.name} has too many connections")
-        return FakeConnection(fake, server, self._clock)
+        connection = FakeConnection(fake, server, self._clock)
+        self.opened_for.append(account)
+        return connection
 
 
 def endpoint(
@@ -390,8 +401,9 @@
         phase: Phase = Phase.STEADY,
         endpoints: Sequence[Endpoint] | None = None,
         leaving: Collection[str] = (),
+        accounts: Sequence[ClientAccount] | None = None,
     ) -> None:
-        """Apply a new view."""
+        """Apply a new view; without ``accounts`` callers need none."""
         self.version += 1
         view_endpoints = [self.served_endpoint] if endpoints is None else endpoints
         group = GroupState(GROUP, self.version, primary, phase, ())
@@ -407,12 +419,14 @@
                 proxies=[],
                 settings=[],
                 endpoints=[EndpointMessage.of(one) for one in view_endpoints],
+                accounts=[AccountMessage.of(one) for one in accounts or ()],
+                requires_account=accounts is not None,
             )
         )
 
-    def session(self) -> PooledSession:
+    def session(self, key: str = "") -> PooledSession:
         """Open a session at ``db``."""
-        return self.sessions.open("db")
+        return self.sessions.open("db", key_digest(key))
 
     def _apply_view(self, view: ProxyView) -> None:
         self.table.adopt_committed(view.servers.values())
--- a/tests/pooler/shared/test_connection_load.py
+++ b/tests/pooler/shared/test_connection_load.py
@@ -49,7 +49,9 @@
     fake: FakeServer = field(default_factory=lambda: FakeServer("s1", Role.PRIMARY))
     connections: list[FakeConnection] = field(default_factory=list)
 
-    def connect(self, server: BackendServer, deadline: float) -> FakeConnection:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> FakeConnection:
         self.connections = [one for one in self.connections if one.is_open]
         if len(self.connections) >= self.limit:
             raise ConnectionLimitError("too many connections")
--- /dev/null
+++ b/tests/pooler/test_accounts.py
@@ -0,0 +1,173 @@
+"""Tests of the client accounts that callers belong to."""
+
+import unittest
+from dataclasses import replace
+
+from dogwoodspool_common import ClientAccount, Consistency, Role, key_digest
+from dogwoodspool_pooler import ErrorCode, TransactionState, UnknownKeyError
+
+from .fakes import FakeServer, Pooler, endpoint, run_text
+from .shared.neighbours import SharingProxy
+
+
+def account(name: str, *keys: str) -> ClientAccount:
+    """Return an account that holds some keys."""
+    return ClientAccount(name, tuple(key_digest(key) for key in keys))
+
+
+SHOP = account("shop", "key-1")
+BAKERY = account("bakery", "key-2")
+
+
+class AccountFixture(unittest.TestCase):
+    """A pooler whose callers need an account."""
+
+    def setUp(self) -> None:
+        self.server = FakeServer("s1", Role.PRIMARY)
+        self.pooler = Pooler([self.server])
+        self.apply_accounts(SHOP, BAKERY)
+
+    def apply_accounts(self, *accounts: ClientAccount) -> None:
+        self.pooler.apply_view(primary="s1", accounts=accounts)
+
+    def ran_for(self) -> list[str]:
+        """Return the accounts that the server ran statements for."""
+        return [run.account for run in self.server.runs]
+
+
+class IdentityTests(AccountFixture):
+    """A caller is identified by its key."""
+
+    def test_statements_run_in_the_name_of_the_account(self) -> None:
+        run_text(self.pooler.session("key-1"), "WRITE k v")
+        run_text(self.pooler.session("key-2"), "WRITE k v")
+        self.assertEqual(self.ran_for(), ["shop", "bakery"])
+        self.assertEqual(self.pooler.network.opened_for, ["shop", "bakery"])
+
+    def test_unknown_key_is_refused_before_anything_is_opened(self) -> None:
+        for key in ("", "key-3", "shop"):
+            with self.assertRaises(UnknownKeyError):
+                self.pooler.session(key)
+        self.assertEqual(self.pooler.sessions.count, 0)
+        self.assertEqual(self.server.opened, 0)
+
+    def test_public_endpoint_needs_no_key(self) -> None:
+        public = replace(endpoint(), is_public=True)
+        self.pooler.apply_view(primary="s1", endpoints=[public], accounts=[SHOP])
+        run_text(self.pooler.session("anything"), "WRITE k v")
+        self.assertEqual(self.ran_for(), [""])
+
+    def test_without_accounts_no_key_is_needed(self) -> None:
+        self.pooler.apply_view(primary="s1")
+        run_text(self.pooler.session("anything"), "WRITE k v")
+        self.assertEqual(self.ran_for(), [""])
+
+    def test_nobody_is_served_when_there_is_no_account(self) -> None:
+        self.apply_accounts()
+        with self.assertRaises(UnknownKeyError):
+            self.pooler.session("key-1")
+
+
+class RevocationTests(AccountFixture):
+    """A key that is taken away ends what it opened."""
+
+    def test_idle_session_is_revoked(self) -> None:
+        session = self.pooler.session("key-1")
+        self.assertFalse(session.is_revoked)
+        self.apply_accounts(account("shop"), BAKERY)
+        self.assertTrue(session.is_revoked)
+        answer = run_text(session, "READ k")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertEqual(self.server.runs, [])
+
+    def test_open_transaction_is_rolled_back(self) -> None:
+        session = self.pooler.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.apply_accounts(BAKERY)
+        session.abandon_transaction()
+        answer = run_text(session, "COMMIT")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertNotIn("COMMIT", [run.text for run in self.server.runs])
+
+    def test_commit_is_refused_though_the_transaction_was_not_abandoned(self) -> None:
+        session = self.pooler.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.apply_accounts(BAKERY)
+        answer = run_text(session, "COMMIT")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertIs(answer.state, TransactionState.FAILED)
+
+    def test_key_that_comes_back_works_again(self) -> None:
+        session = self.pooler.session("key-1")
+        self.apply_accounts(BAKERY)
+        self.assertIsNotNone(run_text(session, "WRITE k v").error)
+        self.apply_accounts(SHOP, BAKERY)
+        self.assertIsNone(run_text(session, "WRITE k v").error)
+        self.assertEqual(self.ran_for(), ["shop"])
+
+    def test_moved_key_runs_in_the_name_of_its_new_account(self) -> None:
+        session = self.pooler.session("key-1")
+        run_text(session, "WRITE k v")
+        self.apply_accounts(account("shop"), account("bakery", "key-1", "key-2"))
+        run_text(session, "WRITE k v")
+        self.assertEqual(self.ran_for(), ["shop", "bakery"])
+
+    def test_transaction_of_a_moved_key_is_rolled_back(self) -> None:
+        session = self.pooler.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.apply_accounts(account("bakery", "key-1"))
+        answer = run_text(session, "WRITE k2 v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.ABORTED)
+        self.assertEqual(self.ran_for(), ["shop"])
+
+
+class ForwardedCallerTests(unittest.TestCase):
+    """An owner checks the callers of its neighbours against its own view."""
+
+    def setUp(self) -> None:
+        self.server = FakeServer("s1", Role.PRIMARY)
+        self.proxy = SharingProxy([self.server], endpoint(Consistency.PRIMARY))
+        self.owners = [self.proxy.owner(name).pooler for name in ("o1", "o2")]
+        for pooler in (self.proxy, *self.owners):
+            pooler.apply_view(primary="s1", accounts=[SHOP])
+
+    def test_statement_runs_at_the_owner_in_the_name_of_the_account(self) -> None:
+        run_text(self.proxy.session("key-1"), "WRITE k v")
+        self.assertEqual([run.account for run in self.server.runs], ["shop"])
+        self.assertEqual(self.owners[0].network.opened_for, ["shop"])
+
+    def test_revoked_key_is_refused_though_the_sender_does_not_know(self) -> None:
+        """Guard against a proxy that is cut off from control and forwards on."""
+        session = self.proxy.session("key-1")
+        for owner in self.owners:
+            owner.apply_view(primary="s1", accounts=[BAKERY])
+        answer = run_text(session, "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertEqual(self.server.runs, [])
+
+    def test_transaction_at_the_owner_ends_when_its_key_is_revoked(self) -> None:
+        session = self.proxy.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        for owner in self.owners:
+            owner.apply_view(primary="s1", accounts=[BAKERY])
+        answer = run_text(session, "COMMIT")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertNotIn("COMMIT", [run.text for run in self.server.runs])
+        self.assertEqual(self.proxy.owner("o1").leases.count, 0)
+
+    def test_owner_that_does_not_know_a_new_key_yet_is_passed_over(self) -> None:
+        self.proxy.apply_view(primary="s1", accounts=[SHOP, BAKERY])
+        self.owners[1].apply_view(primary="s1", accounts=[SHOP, BAKERY])
+        answer = run_text(self.proxy.session("key-2"), "WRITE k v")
+        self.assertIsNone(answer.error)
+        self.assertEqual(self.owners[1].network.opened_for, ["bakery"])
--- a/tests/pooler/test_recovery.py
+++ b/tests/pooler/test_recovery.py
@@ -138,9 +138,11 @@
         self._lock = threading.Lock()
         self._is_first = True
 
-    def connect(self, server: BackendServer, deadline: float) -> FakeConnection:
+    def connect(
+        self, server: BackendServer, deadline: float, account: str = ""
+    ) -> FakeConnection:
         with self._lock:
             is_first, self._is_first = self._is_first, False
         if is_first:
             self._during_connect()
-        return self._network.connect(server, deadline)
+        return self._network.connect(server, deadline, account)
