Limit the operations of client accounts over all proxies together

An account's limit is divided into a base part for each failure domain and a reserve that control's leader gives out on demand. In each failure domain a few proxies count the operations of an account for all of its proxies; one that runs short draws from the leader before callers wait. What is given out in any window, what was in hand before and what restarted owners start with stay within the tolerance whatever is cut off, killed or replaced; nothing has to expire first, so that a lost owner or leader costs only what it had in hand. A token is taken before the first statement of an operation and returned when the operation did not run.

--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/__init__.py
@@ -0,0 +1,24 @@
+"""Rate limits of client accounts, enforced by all proxies together."""
+
+from .allocation import Allocation, LimitTolerance, allocate
+from .domain_allowance import DomainAllowance
+from .errors import RateLimitedError
+from .limiter import AccountLimiter, NoLimits, OperationLimiter
+from .limits_runtime import LimitsRuntime
+from .reserve import LimitReserve, ReserveApi
+from .token_bucket import TokenBucket
+
+__all__ = [
+    "AccountLimiter",
+    "Allocation",
+    "DomainAllowance",
+    "LimitReserve",
+    "LimitTolerance",
+    "LimitsRuntime",
+    "NoLimits",
+    "OperationLimiter",
+    "RateLimitedError",
+    "ReserveApi",
+    "TokenBucket",
+    "allocate",
+]
--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -0,0 +1,87 @@
+"""Divide an account's rate limit between control's leader and failure domains."""
+
+from dataclasses import dataclass
+
+from dogwoodspool_common import RateLimit
+
+from .const import (
+    BASE_SHARE,
+    BASE_TOLERANCE_SHARE,
+    DEFAULT_OVERSHOOT,
+    DEFAULT_SLACK,
+    DEFAULT_WINDOW_SECONDS,
+    HAND_SECONDS,
+    HOLD_SECONDS,
+    START_TOLERANCE_SHARE,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class LimitTolerance:
+    """How far the operations of an account may exceed its limit.
+
+    Attributes:
+        window: length in seconds of the windows in which operations are counted.
+        overshoot: tolerated fraction of the operations that the limit allows.
+        slack: tolerated operations in each window.
+    """
+
+    window: float = DEFAULT_WINDOW_SECONDS
+    overshoot: float = DEFAULT_OVERSHOOT
+    slack: float = DEFAULT_SLACK
+
+    def bound(self, limit: RateLimit) -> float:
+        """Return the most operations that any window may have."""
+        allowed = limit.per_second * self.window + limit.burst
+        return allowed * (1 + self.overshoot) + self.slack
+
+
+@dataclass(frozen=True, slots=True)
+class Allocation:
+    """The parts of one account's rate limit.
+
+    Attributes:
+        reserve: part that control's leader gives out on demand.
+        base: part of each failure domain.
+        start: tokens with which a limit owner starts.
+    """
+
+    reserve: RateLimit
+    base: RateLimit
+    start: float
+
+
+def allocate(limit: RateLimit, tolerance: LimitTolerance, domains: int) -> Allocation:
+    """Divide a rate limit.
+
+    In any window all failure domains together use at most their base parts, what the
+    leader gives out, what was in hand before and what restarted limit owners start
+    with. The parts are chosen so that the sum stays within the tolerance whichever
+    processes are cut off, restarted or replaced; where the tolerance is small compared
+    with the rate, the leader's part is reduced for that.
+
+    Args:
+        limit: the account's limit.
+        tolerance: how far operations may exceed it.
+        domains: number of failure domains.
+
+    Example:
+        >>> parts = allocate(RateLimit(83, 83), LimitTolerance(), domains=4)
+        >>> round(parts.reserve.per_second), round(parts.base.per_second, 1)
+        (62, 5.9)
+    """
+    allowed = limit.per_second * tolerance.window + limit.burst
+    bound = tolerance.bound(limit)
+    margin = bound - allowed
+    span = tolerance.window + HOLD_SECONDS + HAND_SECONDS
+    starts = margin * START_TOLERANCE_SHARE
+    base_rate = BASE_SHARE * limit.per_second + margin * BASE_TOLERANCE_SHARE / span
+    base_burst = BASE_SHARE * limit.burst
+    reserve_burst = limit.burst - base_burst
+    within_bound = (bound - starts - base_burst - reserve_burst) / span - base_rate
+    reserve_rate = min((1 - BASE_SHARE) * limit.per_second, within_bound)
+    return Allocation(
+        RateLimit(max(0.0, reserve_rate), reserve_burst),
+        RateLimit(base_rate / domains, base_burst / domains),
+        starts / domains,
+    )
--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -0,0 +1,61 @@
+"""Constants of the accounts library, times in seconds."""
+
+from typing import Final
+
+# Paths of the endpoints of control's leader and of the limit owners.
+PATH_DRAW: Final = "/v1/accounts/draw"
+PATH_ACQUIRE: Final = "/v1/accounts/acquire"
+
+DEFAULT_WINDOW_SECONDS: Final = 5.0
+DEFAULT_OVERSHOOT: Final = 0.1
+DEFAULT_SLACK: Final = 20.0
+
+# Part of a limit that failure domains may use without asking control's leader, in equal
+# shares: enough to go on during an election, and little enough that one failure domain
+# can get most of the limit when all callers are there.
+BASE_SHARE: Final = 0.25
+# Parts of the tolerance: operations beyond the limit in every failure domain, and
+# tokens with which a limit owner starts that does not know what its predecessor used.
+BASE_TOLERANCE_SHARE: Final = 0.25
+START_TOLERANCE_SHARE: Final = 0.4
+
+# Time for which a proxy keeps tokens in hand for an account that it serves often.
+HAND_SECONDS: Final = 0.1
+# Demand, in seconds, for which a limit owner keeps tokens in hand, and below which it
+# draws more. What is in hand can add to the operations of a later window.
+HOLD_SECONDS: Final = 0.5
+LOW_SECONDS: Final = 0.25
+# Tokens kept in hand in addition, for accounts with little demand.
+HOLD_TOKENS: Final = 2.0
+LOW_TOKENS: Final = 1.0
+# Seconds over which demand is averaged, and demand in operations per second that counts
+# as none.
+DEMAND_SECONDS: Final = 1.0
+NO_DEMAND: Final = 0.05
+
+# Pauses between two draws of a limit owner, with and without callers that wait.
+DRAW_SPACING_SECONDS: Final = 0.02
+DRAW_CHECK_SECONDS: Final = 0.1
+DRAW_TIMEOUT: Final = 0.15
+DRAW_RETRY_SECONDS: Final = 0.05
+# Pause after a draw that did not get all tokens of an account.
+EXHAUSTED_PAUSE_SECONDS: Final = 0.2
+# Time for which a request may wait for tokens that are being drawn: a few round trips
+# between failure domains.
+TOKEN_WAIT_SECONDS: Final = 0.06
+
+# Proxies of a failure domain for each limit owner in use, and the minimum number of
+# owners in use: the loss of one should move only a part of the accounts.
+PROXIES_PER_OWNER: Final = 32
+MIN_LIMIT_OWNERS: Final = 2
+# Time limit for a limit owner's answer, including its wait for tokens.
+ACQUIRE_TIMEOUT: Final = 0.2
+# Time that a request may spend on asking limit owners, those that do not answer
+# included.
+ACQUIRE_SECONDS: Final = 0.35
+# Time for which the first requests of a process wait until it knows its neighbours.
+NEIGHBOURS_WAIT_SECONDS: Final = 0.3
+
+# Least retry time in a refusal, in milliseconds.
+MIN_RETRY_MS: Final = 10
+MAX_RETRY_MS: Final = 5_000
--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -0,0 +1,159 @@
+"""Tokens that a limit owner has for the proxies of its failure domain."""
+
+import threading
+from collections.abc import Callable, Mapping
+
+from dogwoodspool_common import Clock, RateLimit
+
+from .allocation import Allocation, LimitTolerance, allocate
+from .const import (
+    EXHAUSTED_PAUSE_SECONDS,
+    HOLD_SECONDS,
+    HOLD_TOKENS,
+    LOW_SECONDS,
+    LOW_TOKENS,
+    NO_DEMAND,
+)
+from .demand import Demand
+from .token_bucket import TokenBucket
+
+
+class _AccountTokens:
+    """Tokens and demand of one account."""
+
+    def __init__(self, limit: RateLimit, parts: Allocation, now: float) -> None:
+        self.limit = limit
+        self.demand = Demand(now)
+        self.bucket = TokenBucket(parts.base, now, parts.start)
+        self.draw_after = now
+
+    def most(self, now: float) -> float:
+        """Return the tokens to keep in hand."""
+        return self.demand.per_second(now) * HOLD_SECONDS + HOLD_TOKENS
+
+    def least(self, now: float) -> float:
+        """Return the tokens below which more are drawn."""
+        return self.demand.per_second(now) * LOW_SECONDS + LOW_TOKENS
+
+
+class DomainAllowance:
+    """Count the operations of accounts in one failure domain.
+
+    Each account has a base part of its limit here, and tokens drawn from control's
+    leader in addition, as many as its demand needs for a fraction of a second. An
+    owner that has just started has few tokens, because it does not know how many its
+    predecessor used.
+
+    Args:
+        limit_of: returns an account's limit, None if it has none.
+        domains: number of failure domains.
+    """
+
+    def __init__(
+        self,
+        limit_of: Callable[[str], RateLimit | None],
+        tolerance: LimitTolerance,
+        domains: int,
+        clock: Clock,
+    ) -> None:
+        self._limit_of = limit_of
+        self._tolerance = tolerance
+        self._domains = domains
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._accounts: dict[str, _AccountTokens] = {}
+        self._draws = 0
+
+    def take(self, account: str, count: int = 1) -> int:
+        """Take tokens of an account, as many as there are; return how many."""
+        now = self._clock.now()
+        with self._changed:
+            tokens = self._tokens(account, now)
+            if tokens is None:
+                return count
+            tokens.demand.record(now, count)
+            return tokens.bucket.take_up_to(now, count)
+
+    def take_after_draw(self, account: str, count: int, seconds: float) -> int:
+        """Take tokens after the next draw has ended; return how many.
+
+        Returns 0 at once if the leader has just run out of the account's tokens.
+        """
+        began_at = self._clock.now()
+        deadline = began_at + seconds
+        with self._changed:
+            known = self._accounts.get(account)
+            if known is not None and known.draw_after > began_at:
+                return 0
+            draws = self._draws
+            while self._draws == draws:
+                remaining = deadline - self._clock.now()
+                if remaining <= 0:
+                    return 0
+                self._clock.wait(self._changed, remaining)
+            now = self._clock.now()
+            tokens = self._tokens(account, now)
+            return count if tokens is None else tokens.bucket.take_up_to(now, count)
+
+    def give_back(self, account: str, count: int) -> None:
+        """Return tokens of operations that did not run."""
+        now = self._clock.now()
+        with self._changed:
+            tokens = self._accounts.get(account)
+            if tokens is not None:
+                tokens.bucket.add(now, count, tokens.most(now))
+
+    def wanted(self) -> dict[str, int]:
+        """Return the tokens to draw for each account that runs short of them."""
+        now = self._clock.now()
+        wanted = {}
+        with self._changed:
+            for account, tokens in self._accounts.items():
+                if tokens.draw_after > now:
+                    continue
+                if tokens.demand.per_second(now) < NO_DEMAND:
+                    continue
+                most = tokens.most(now)
+                tokens.bucket.trim(now, most)
+                level = tokens.bucket.level(now)
+                if level < tokens.least(now):
+                    wanted[account] = round(most - level)
+        return wanted
+
+    def record_draw(self, wanted: Mapping[str, int], given: Mapping[str, int]) -> None:
+        """Add drawn tokens and wake the requests that wait for them."""
+        now = self._clock.now()
+        with self._changed:
+            for account, count in wanted.items():
+                tokens = self._accounts.get(account)
+                if tokens is None:
+                    continue
+                received = min(count, given.get(account, 0))
+                level = tokens.bucket.level(now)
+                tokens.bucket.add(now, received, level + received)
+                if received < count:
+                    tokens.draw_after = now + EXHAUSTED_PAUSE_SECONDS
+            self._draws += 1
+            self._changed.notify_all()
+
+    def retry_seconds(self, account: str) -> float:
+        """Return the seconds until the base part has a token for an account."""
+        now = self._clock.now()
+        with self._changed:
+            tokens = self._tokens(account, now)
+            return 0.0 if tokens is None else tokens.bucket.seconds_until(now)
+
+    def _tokens(self, account: str, now: float) -> _AccountTokens | None:
+        limit = self._limit_of(account)
+        if limit is None:
+            self._accounts.pop(account, None)
+            return None
+        known = self._accounts.get(account)
+        if known is None:
+            parts = allocate(limit, self._tolerance, self._domains)
+            known = self._accounts[account] = _AccountTokens(limit, parts, now)
+        elif known.limit != limit:
+            known.limit = limit
+            parts = allocate(limit, self._tolerance, self._domains)
+            known.bucket.set_limit(parts.base, now)
+        return known
--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
@@ -0,0 +1,43 @@
+"""Serve the proxies of a failure domain with the tokens of accounts."""
+
+from dogwoodspool_common import JsonRequest, JsonResponse, Route
+from dogwoodspool_common.const import MILLISECONDS
+
+from .const import MAX_RETRY_MS, MIN_RETRY_MS, PATH_ACQUIRE, TOKEN_WAIT_SECONDS
+from .domain_allowance import DomainAllowance
+from .messages import AcquireRequest, AcquireResponse
+from .refill import RefillCoordinator
+
+
+class LimitOwner:
+    """Grant tokens of this process's allowance, to itself and to its neighbours."""
+
+    def __init__(self, allowance: DomainAllowance, refill: RefillCoordinator) -> None:
+        self._allowance = allowance
+        self._refill = refill
+
+    def routes(self) -> list[Route]:
+        """Return the routes that it serves."""
+        return [Route("POST", PATH_ACQUIRE, self._acquire)]
+
+    def acquire(self, request: AcquireRequest) -> AcquireResponse:
+        """Grant tokens; wait for a draw from control if there are none in hand."""
+        for account, count in request.unused.items():
+            self._allowance.give_back(account, count)
+        account = request.account
+        granted = self._allowance.take(account, request.count)
+        if granted:
+            return AcquireResponse(granted=granted)
+        self._refill.wake()
+        granted = self._allowance.take_after_draw(account, 1, TOKEN_WAIT_SECONDS)
+        if granted:
+            return AcquireResponse(granted=granted)
+        seconds = min(self._allowance.retry_seconds(account), MAX_RETRY_MS)
+        retry_after_ms = min(MAX_RETRY_MS, round(seconds * MILLISECONDS))
+        return AcquireResponse(
+            granted=0, retry_after_ms=max(MIN_RETRY_MS, retry_after_ms)
+        )
+
+    def _acquire(self, request: JsonRequest) -> JsonResponse:
+        response = self.acquire(AcquireRequest.model_validate(request.body))
+        return JsonResponse(response.model_dump(mode="json"))
--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/limiter.py
@@ -0,0 +1,188 @@
+"""Ask for a token before each operation of an account that has a rate limit."""
+
+import threading
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    HttpError,
+    RateLimit,
+    log_rate_limited,
+    span,
+)
+from dogwoodspool_sharing import Neighbour, ProxyDirectory
+from pydantic import ValidationError
+
+from .const import (
+    ACQUIRE_SECONDS,
+    ACQUIRE_TIMEOUT,
+    HAND_SECONDS,
+    NEIGHBOURS_WAIT_SECONDS,
+    PATH_ACQUIRE,
+)
+from .demand import Demand
+from .errors import RateLimitedError
+from .limit_owner import LimitOwner
+from .messages import AcquireRequest, AcquireResponse
+from .owners import LimitOwners
+
+
+class OperationLimiter(Protocol):
+    """Interface that admits the operations of accounts."""
+
+    def acquire(self, account: str) -> None:
+        """Take a token for one operation.
+
+        Raises:
+            RateLimitedError: there is none; the operation must not run.
+        """
+        ...
+
+    def give_back(self, account: str) -> None:
+        """Return the token of an operation that did not run."""
+        ...
+
+
+class MessageClient(Protocol):
+    """Interface that sends a message to another proxy and returns the answer."""
+
+    def post(
+        self, address: Address, path: str, body: dict[str, Any], timeout: float
+    ) -> dict[str, Any]:
+        """Send a message once, without retries."""
+        ...
+
+
+class NoLimits:
+    """Admit every operation; implements ``OperationLimiter``."""
+
+    def acquire(self, account: str) -> None:
+        """Admit the operation."""
+
+    def give_back(self, account: str) -> None:
+        """Do nothing."""
+
+
+@dataclass(slots=True)
+class _Hand:
+    """Tokens of one account that this proxy was granted and has not used."""
+
+    demand: Demand
+    tokens: int = 0
+    valid_until: float = 0.0
+
+
+class AccountLimiter:
+    """Take tokens from the limit owners of this failure domain.
+
+    Implements ``OperationLimiter``. An owner that does not answer is passed over; the
+    last one asked is this process itself, which then has only what an owner starts
+    with.
+
+    Args:
+        own: this process.
+        limit_of: returns an account's limit, None if it has none.
+        owner: grants the tokens that this process itself owns.
+    """
+
+    def __init__(
+        self,
+        own: Neighbour,
+        limit_of: Callable[[str], RateLimit | None],
+        directory: ProxyDirectory,
+        owner: LimitOwner,
+        client: MessageClient,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._limit_of = limit_of
+        self._directory = directory
+        self._owner = owner
+        self._owners = LimitOwners(directory)
+        self._client = client
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._hands: dict[str, _Hand] = {}
+        self._unused: Counter[str] = Counter()
+
+    def acquire(self, account: str) -> None:
+        """Take a token for one operation; see ``OperationLimiter``."""
+        limit = self._limit_of(account)
+        if limit is None or self._take_from_hand(account):
+            return
+        self._directory.wait_known(NEIGHBOURS_WAIT_SECONDS)
+        response = self._ask_owners(account)
+        if response.granted == 0:
+            raise RateLimitedError(
+                f"client account {account} exceeds its limit of "
+                f"{limit.per_second:g} operations per second",
+                response.retry_after_ms,
+            )
+        self._put_in_hand(account, response.granted - 1)
+
+    def give_back(self, account: str) -> None:
+        """Return a token; it goes to an owner with the next request."""
+        if self._limit_of(account) is not None:
+            with self._lock:
+                self._unused[account] += 1
+
+    def _ask_owners(self, account: str) -> AcquireResponse:
+        give_up_at = self._clock.now() + ACQUIRE_SECONDS
+        request = AcquireRequest(
+            account=account,
+            count=self._wanted(account),
+            unused=self._take_unused(account),
+        )
+        for owner in self._owners.order(account):
+            if owner.name == self._own.name or self._clock.now() >= give_up_at:
+                break
+            try:
+                return self._ask(owner, request)
+            except (HttpError, ValidationError) as error:
+                log_rate_limited("limit_owner_failed", owner=owner.name, reason=error)
+                self._directory.record_owner_failure(owner.name)
+        return self._owner.acquire(request)
+
+    def _ask(self, owner: Neighbour, request: AcquireRequest) -> AcquireResponse:
+        content = request.model_dump(mode="json", exclude_defaults=True)
+        with span("limit.acquire", owner=owner.name):
+            answer = self._client.post(
+                owner.endpoint, PATH_ACQUIRE, content, ACQUIRE_TIMEOUT
+            )
+        return AcquireResponse.model_validate(answer)
+
+    def _take_unused(self, account: str) -> dict[str, int]:
+        with self._lock:
+            count = self._unused.pop(account, 0)
+        return {account: count} if count else {}
+
+    def _take_from_hand(self, account: str) -> bool:
+        now = self._clock.now()
+        with self._lock:
+            hand = self._hands.get(account)
+            if hand is None:
+                hand = self._hands[account] = _Hand(Demand(now))
+            hand.demand.record(now)
+            if hand.tokens == 0 or now >= hand.valid_until:
+                hand.tokens = 0
+                return False
+            hand.tokens -= 1
+            return True
+
+    def _put_in_hand(self, account: str, count: int) -> None:
+        if count <= 0:
+            return
+        with self._lock:
+            hand = self._hands[account]
+            hand.tokens += count
+            hand.valid_until = self._clock.now() + HAND_SECONDS
+
+    def _wanted(self, account: str) -> int:
+        now = self._clock.now()
+        with self._lock:
+            demand = self._hands[account].demand.per_second(now)
+        return 1 + int(demand * HAND_SECONDS)
--- /dev/null
+++ b/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
@@ -0,0 +1,71 @@
+"""Wire the parts together that limit the operations of accounts at a proxy."""
+
+from collections.abc import Callable
+
+from dogwoodspool_common import Clock, JsonClient, JsonLineClient, RateLimit, Route
+from dogwoodspool_following import ControlPeers
+from dogwoodspool_sharing import Neighbour, ProxyDirectory
+
+from .allocation import LimitTolerance
+from .const import ACQUIRE_TIMEOUT
+from .domain_allowance import DomainAllowance
+from .limit_owner import LimitOwner
+from .limiter import AccountLimiter
+from .refill import RefillCoordinator
+
+CONNECTIONS_TO_OWNER = 2
+OWNER_UNACKNOWLEDGED_MS = 250
+
+
+class LimitsRuntime:
+    """Create, start and stop the parts of a proxy that limit operations.
+
+    Args:
+        own: this process.
+        limit_of: returns an account's limit, None if it has none.
+        directory: the neighbours of this process.
+        tolerance: how far operations may exceed a limit.
+        domains: number of failure domains.
+        peers: the control processes.
+        client: calls control.
+    """
+
+    def __init__(
+        self,
+        own: Neighbour,
+        limit_of: Callable[[str], RateLimit | None],
+        directory: ProxyDirectory,
+        tolerance: LimitTolerance,
+        domains: int,
+        peers: ControlPeers,
+        client: JsonClient,
+        clock: Clock,
+    ) -> None:
+        allowance = DomainAllowance(limit_of, tolerance, domains, clock)
+        self._refill = RefillCoordinator(allowance, peers, client, clock)
+        self._owner = LimitOwner(allowance, self._refill)
+        self._client = JsonLineClient(
+            CONNECTIONS_TO_OWNER, ACQUIRE_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
+        )
+        self._limiter = AccountLimiter(
+            own, limit_of, directory, self._owner, self._client, clock
+        )
+
+    @property
+    def limiter(self) -> AccountLimiter:
+        """The limiter for the operations of this proxy's callers."""
+        return self._limiter
+
+    @property
+    def routes(self) -> list[Route]:
+        """The endpoints for other proxies."""
+        return self._owner.routes()
+
+    def set_up(self) -> None:
+        """Start to draw tokens."""
+        self._refill.set_up()
+
+    def unload(self) -> None:
+        """Stop all parts."""
+        self._refill.unload()
+        self._client.close()
--- a/packages/common/src/dogwoodspool_common/counters.py
+++ b/packages/common/src/dogwoodspool_common/counters.py
@@ -26,6 +26,10 @@
         served_by = "primary" if by_primary else "replica"
         self.add(f'reads_total{{group="{group}",served_by="{served_by}"}}')
 
+    def rate_limited(self, account: str) -> None:
+        """Count an operation that exceeded the rate limit of its account."""
+        self.add(f'rate_limited_total{{account="{account}"}}')
+
     def add(self, name: str) -> None:
         """Count one event."""
         with self._lock:
--- a/packages/control/src/dogwoodspool_control/settings/documents.py
+++ b/packages/control/src/dogwoodspool_control/settings/documents.py
@@ -87,6 +87,10 @@
     revision: int = 0
     content: str = ""
     document: Document = field(default_factory=lambda: Document({}, ()))
+    accounts_by_name: dict[str, ClientAccount] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._index_accounts()
 
     @property
     def endpoints(self) -> tuple[Endpoint, ...]:
@@ -98,6 +102,10 @@
         """All client accounts."""
         return self.document.accounts or ()
 
+    def account(self, name: str) -> ClientAccount | None:
+        """Return one client account."""
+        return self.accounts_by_name.get(name)
+
     @property
     def requires_account(self) -> bool:
         """Whether callers need a key of a client account."""
@@ -119,8 +127,12 @@
         if applied.is_error():
             return Error(applied.error)
         self.revision, self.content, self.document = revision, content, document
+        self._index_accounts()
         return Ok(True)
 
+    def _index_accounts(self) -> None:
+        self.accounts_by_name = {account.name: account for account in self.accounts}
+
     def snapshot(self) -> DocumentSnapshot:
         """Return the snapshot of this state."""
         return DocumentSnapshot(self.revision, self.content)
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from dogwoodspool_api import ControlView
-from dogwoodspool_common import BackendServer, Clock, GroupState, log_event
+from dogwoodspool_common import BackendServer, Clock, GroupState, RateLimit, log_event
 from dogwoodspool_settings import ExplainedValue, HistoryEntry, SettingsNode
 from pydantic import TypeAdapter
 
@@ -152,6 +152,12 @@
             servers[name] for name in sorted(servers) if servers[name].group == group
         ]
 
+    def rate_limit(self, account: str) -> RateLimit | None:
+        """Return the rate limit of a client account; None if it has none."""
+        with self._changed:
+            known = self._document.account(account)
+            return None if known is None else known.rate_limit
+
     def view(self) -> ControlView:
         """Return the complete view of the state that proxies follow."""
         with self._changed:
--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -1,12 +1,14 @@
 """Assemble the components of one voter for synchronously replicated groups."""
 
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from functools import partial
 
+from dogwoodspool_accounts import LimitReserve, LimitTolerance, ReserveApi
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
 from dogwoodspool_control.command_queue import CommandQueue
-from dogwoodspool_control.http.support import WaitSlots
+from dogwoodspool_control.http.support import WaitSlots, with_error_responses
 from dogwoodspool_control.http.watch import WatchApi
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.promotion.failovers import FailoverTimeline
@@ -36,6 +38,8 @@
         servers: queries and commands backend servers.
         service: requests promotions from the platform.
         wanted_voters: see ``voters.due_change``.
+        tolerance: how far operations of client accounts may exceed their limits.
+        failure_domains: number of failure domains.
     """
 
     def __init__(
@@ -47,6 +51,8 @@
         servers: GroupServers,
         service: PromotionService,
         wanted_voters: int,
+        tolerance: LimitTolerance | None = None,
+        failure_domains: int = 1,
     ) -> None:
         self._executor = ThreadPoolExecutor(WORKER_THREADS, "failover-worker")
         node = ControlNode(consensus)
@@ -88,12 +94,17 @@
         watch = WatchApi(node, state, WaitSlots(MAX_WATCHERS), clock, members)
         presence = PresenceApi(ProxyRoster(clock), members)
         api = FailoverApi(node, reports, diagnostics, self._loop.wake)
+        reserve = LimitReserve(
+            state.rate_limit, tolerance or LimitTolerance(), failure_domains, clock
+        )
+        reserve_api = ReserveApi(reserve, lambda: node.require_leadership().since)
         self._service = ControlService(node, state, heartbeats, self._loop.wake)
         self._routes = [
             *consensus.routes(),
             *watch.routes(),
             *presence.routes(),
             *api.routes(),
+            *(_with_error_responses(route) for route in reserve_api.routes()),
             *JoinApi(consensus, node).routes(),
         ]
 
@@ -120,3 +131,7 @@
         self._queue.unload()
         self._changes.join(timeout=0.2)
         self._executor.shutdown(wait=False, cancel_futures=True)
+
+
+def _with_error_responses(route: Route) -> Route:
+    return replace(route, handler=with_error_responses(route.handler))
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -2,7 +2,15 @@
 
 from collections.abc import Callable
 
-from dogwoodspool_common import Address, Clock, JsonClient, Route, log_event
+from dogwoodspool_accounts import LimitsRuntime, LimitTolerance
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    JsonClient,
+    RateLimit,
+    Route,
+    log_event,
+)
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import Connector
 from dogwoodspool_following import (
@@ -53,6 +61,7 @@
         connector: opens connections to backend servers.
         client: calls control.
         clock: source of time for all parts.
+        tolerance: how far operations of client accounts may exceed their limits.
     """
 
     def __init__(
@@ -65,6 +74,7 @@
         connector: Connector[ServerConnection],
         client: JsonClient,
         clock: Clock,
+        tolerance: LimitTolerance | None = None,
     ) -> None:
         self._views = ViewStore(failure_domain, clock)
         self._peers = ControlPeers(control, failure_domain, name)
@@ -98,6 +108,16 @@
             client,
             clock,
         )
+        self._limits = LimitsRuntime(
+            Neighbour(name, str(address)),
+            self._rate_limit,
+            self._shared.directory,
+            tolerance or LimitTolerance(),
+            failure_domains,
+            self._peers,
+            client,
+            clock,
+        )
         self._expiry = ConnectionExpiry(
             self._registry, self._shared.is_forwarded, clock
         )
@@ -105,6 +125,7 @@
             self._views,
             self._shared.statements,
             self._transaction_path(self._shared.access, known, clock),
+            self._limits.limiter,
             self._counters,
             clock,
         )
@@ -135,7 +156,7 @@
     @property
     def routes(self) -> list[Route]:
         """The endpoints for the system's other processes."""
-        return self._shared.routes
+        return [*self._shared.routes, *self._limits.routes]
 
     def open_session(self, database: str, key_digest: str) -> PooledSession:
         """Return a session; errors as for ``PooledSessions.open``."""
@@ -173,6 +194,7 @@
         self._expiry.set_up()
         self._watch.set_up()
         self._shared.set_up()
+        self._limits.set_up()
         self._recovery.set_up()
         self._reports.set_up()
         self._rotation_watch.set_up()
@@ -184,6 +206,7 @@
         self._rotation_watch.unload()
         self._reports.unload()
         self._recovery.unload()
+        self._limits.unload()
         self._shared.unload()
         self._watch.unload()
         self._expiry.unload()
@@ -217,6 +240,10 @@
         placement = ReadPlacement(self._views, self._table, known, access)
         return TransactionPath(self._views, placement, primaries, access, clock)
 
+    def _rate_limit(self, account: str) -> RateLimit | None:
+        known = self._views.view.accounts.get(account)
+        return None if known is None else known.rate_limit
+
     def _suspect(self, server: str) -> None:
         """Probe the server and have control called, as either may be unreachable."""
         self._recovery.suspect(server)
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -1,5 +1,6 @@
 """The caller sessions of this process."""
 
+from dogwoodspool_accounts import OperationLimiter
 from dogwoodspool_common import Clock
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import OpenSessions, ViewStore
@@ -20,6 +21,7 @@
         views: ViewStore,
         statements: Statements,
         transactions: TransactionPath,
+        limiter: OperationLimiter,
         counters: Counters,
         clock: Clock,
     ) -> None:
@@ -27,6 +29,7 @@
         self._views = views
         self._statements = statements
         self._transactions = transactions
+        self._limiter = limiter
         self._counters = counters
         self._first_view_due = clock.now() + FIRST_VIEW_DUE_SECONDS
 
@@ -56,6 +59,7 @@
             self._views,
             self._statements,
             self._transactions,
+            self._limiter,
             self._counters,
             self._clock,
             self._remove_session,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -87,6 +87,11 @@
         """The endpoints for other proxies."""
         return [*self._statement_api.routes(), *self._transaction_api.routes()]
 
+    @property
+    def directory(self) -> ProxyDirectory:
+        """The neighbours of this process."""
+        return self._directory
+
     @property
     def neighbours(self) -> int:
         """Number of proxies of the failure domain, including this one."""
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -50,6 +50,7 @@
         idle_since: clock time at which its last statement ended.
         held: the connection; None before the first statement and after a failure.
         has_failed: whether it was rolled back and only awaits its commit or rollback.
+        is_counted: whether it was counted against the limit of its account.
         has_written: whether one of its writes was answered without an error.
     """
 
@@ -67,6 +68,7 @@
         self.idle_since = began_at
         self.held: HeldConnection | None = None
         self.has_failed = False
+        self.is_counted = False
         self.has_written = False
 
     @property
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -28,7 +28,10 @@
         self._failure_domains = failure_domains
         self._clock = clock
         self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
+        self._is_known = False
         self._neighbours = {own.name: own}
+        self._sorted: tuple[Neighbour, ...] = (own,)
         self._missing_since: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
         self._limits: dict[str, ServerLimits] = {}
@@ -41,6 +44,27 @@
         with self._lock:
             return len(self._neighbours)
 
+    @property
+    def neighbours(self) -> tuple[Neighbour, ...]:
+        """The proxies of the failure domain, including this one, by name."""
+        return self._sorted
+
+    def wait_known(self, seconds: float) -> bool:
+        """Wait until control has reported the neighbours; return False on timeout."""
+        deadline = self._clock.now() + seconds
+        with self._changed:
+            while not self._is_known:
+                remaining = deadline - self._clock.now()
+                if remaining <= 0:
+                    return False
+                self._clock.wait(self._changed, remaining)
+            return True
+
+    def has_failed(self, name: str) -> bool:
+        """Return whether a proxy did not answer within the retry time."""
+        with self._lock:
+            return self._failed_lately(name)
+
     def adopt(self, reported: Iterable[Neighbour]) -> None:
         """Update the neighbours to the proxies that control reports."""
         now = self._clock.now()
@@ -56,9 +80,13 @@
                 for name, since in self._missing_since.items()
                 if name in merged and name not in by_name
             }
+            if not self._is_known:
+                self._is_known = True
+                self._changed.notify_all()
             if merged == self._neighbours:
                 return
             self._neighbours = merged
+            self._sorted = tuple(sorted(merged.values()))
             self._owners = None
         log_event("neighbours", count=len(merged), named=len(by_name))
 
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field, replace
 
+from dogwoodspool_accounts import NoLimits, OperationLimiter
 from dogwoodspool_api import (
     AccountMessage,
     ControlView,
@@ -350,6 +351,7 @@
         self.primaries = PrimaryPath(self.views, known, access, self.clock)
         self.known = known
         self.counters = Counters()
+        self.limiter: OperationLimiter = NoLimits()
         placement = ReadPlacement(self.views, self.table, known, access)
         self.reads = ReadPath(
             access, placement, self.primaries, self.counters, self.clock
@@ -390,6 +392,7 @@
             views,
             statements or self.local_statements,
             transactions,
+            self.limiter,
             self.counters,
             clock,
         )
