--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -16,15 +16,15 @@
 BASE_SHARE: Final = 0.25
 # Parts of the tolerance: operations beyond the limit in every failure domain, and
 # tokens with which a limit owner starts that does not know what its predecessor used.
-BASE_TOLERANCE_SHARE: Final = 0.25
-START_TOLERANCE_SHARE: Final = 0.4
+BASE_TOLERANCE_SHARE: Final = 0.3
+START_TOLERANCE_SHARE: Final = 0.25
 
 # Time for which a proxy keeps tokens in hand for an account that it serves often.
-HAND_SECONDS: Final = 0.1
+HAND_SECONDS: Final = 0.05
 # Demand, in seconds, for which a limit owner keeps tokens in hand, and below which it
 # draws more. What is in hand can add to the operations of a later window.
-HOLD_SECONDS: Final = 0.5
-LOW_SECONDS: Final = 0.25
+HOLD_SECONDS: Final = 0.3
+LOW_SECONDS: Final = 0.15
 # Tokens kept in hand in addition, for accounts with little demand.
 HOLD_TOKENS: Final = 2.0
 LOW_TOKENS: Final = 1.0
@@ -39,7 +39,7 @@
 DRAW_TIMEOUT: Final = 0.15
 DRAW_RETRY_SECONDS: Final = 0.05
 # Pause after a draw that did not get all tokens of an account.
-EXHAUSTED_PAUSE_SECONDS: Final = 0.2
+EXHAUSTED_PAUSE_SECONDS: Final = 0.1
 # Time for which a request may wait for tokens that are being drawn: a few round trips
 # between failure domains.
 TOKEN_WAIT_SECONDS: Final = 0.06
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -64,14 +64,21 @@
         self._accounts: dict[str, _AccountTokens] = {}
         self._draws = 0
 
-    def take(self, account: str, count: int = 1) -> int:
-        """Take tokens of an account, as many as there are; return how many."""
+    def take(self, account: str, count: int = 1, *, is_new: bool = True) -> int:
+        """Take tokens of an account, as many as there are; return how many.
+
+        Args:
+            account: name of the account.
+            count: tokens wanted.
+            is_new: whether the demand has not been counted yet.
+        """
         now = self._clock.now()
         with self._changed:
             tokens = self._tokens(account, now)
             if tokens is None:
                 return count
-            tokens.demand.record(now, count)
+            if is_new:
+                tokens.demand.record(now, count)
             return tokens.bucket.take_up_to(now, count)
 
     def take_after_draw(self, account: str, count: int, seconds: float) -> int:
@@ -91,9 +98,7 @@
                 if remaining <= 0:
                     return 0
                 self._clock.wait(self._changed, remaining)
-            now = self._clock.now()
-            tokens = self._tokens(account, now)
-            return count if tokens is None else tokens.bucket.take_up_to(now, count)
+        return self.take(account, count, is_new=False)
 
     def give_back(self, account: str, count: int) -> None:
         """Return tokens of operations that did not run."""
--- /dev/null
+++ b/tests/accounts/test_limiter.py
@@ -0,0 +1,218 @@
+"""Tests of the tokens that proxies take from the limit owners."""
+
+import unittest
+from dataclasses import dataclass, field
+from typing import Any
+
+from dogwoodspool_accounts import (
+    AccountLimiter,
+    DomainAllowance,
+    LimitReserve,
+    LimitTolerance,
+    RateLimitedError,
+)
+from dogwoodspool_accounts.limit_owner import LimitOwner
+from dogwoodspool_accounts.owners import limit_owners
+from dogwoodspool_accounts.refill import RefillCoordinator
+from dogwoodspool_common import (
+    Address,
+    JsonClient,
+    JsonRequest,
+    ManualClock,
+    PeerRefusedError,
+    PeerUnreachableError,
+    RateLimit,
+)
+from dogwoodspool_common.const import CODE_NOT_LEADER
+from dogwoodspool_following import ControlPeers
+from dogwoodspool_sharing import Neighbour, ProxyDirectory
+
+LIMIT = RateLimit(per_second=20, burst=20)
+DOMAINS = 4
+NAMES = [f"p{number}" for number in range(6)]
+LEADER, FOLLOWER = Address("c1", 1), Address("c2", 1)
+
+
+class ElapsingClock(ManualClock):
+    """A clock that advances through every wait, as there is no other thread."""
+
+    def wait(self, condition: Any, seconds: float) -> bool:
+        self.advance(max(0.0, seconds))
+        return False
+
+
+class FakeControl(JsonClient):
+    """A leader that gives out tokens, and a follower that names it."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(None)
+        self.reserve = LimitReserve(lambda _: LIMIT, LimitTolerance(), DOMAINS, clock)
+        self.is_silent = False
+        self.asked: list[Address] = []
+
+    def post(
+        self, address: Address, path: str, body: Any, timeout: float = 1.0
+    ) -> dict[str, Any]:
+        self.asked.append(address)
+        if self.is_silent:
+            raise PeerUnreachableError("no answer")
+        if address != LEADER:
+            raise PeerRefusedError(421, CODE_NOT_LEADER, str(LEADER))
+        return {"given": self.reserve.draw(body["wanted"], 0.0)}
+
+
+@dataclass
+class Proxies:
+    """Proxies of one failure domain that call each other in memory."""
+
+    clock: ManualClock = field(default_factory=ElapsingClock)
+    limits: dict[str, RateLimit] = field(default_factory=lambda: {"shop": LIMIT})
+    down: set[str] = field(default_factory=set)
+    asked: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.control = FakeControl(self.clock)
+        self.clock.advance(10)
+        neighbours = [Neighbour(name, f"{name}:1") for name in NAMES]
+        self.owners: dict[str, LimitOwner] = {}
+        self.refills: dict[str, RefillCoordinator] = {}
+        self.limiters: dict[str, AccountLimiter] = {}
+        for own in neighbours:
+            directory = ProxyDirectory(own, DOMAINS, self.clock)
+            directory.adopt(neighbours)
+            allowance = DomainAllowance(
+                self.limits.get, LimitTolerance(), DOMAINS, self.clock
+            )
+            peers = ControlPeers((FOLLOWER, LEADER))
+            refill = RefillCoordinator(allowance, peers, self.control, self.clock)
+            owner = LimitOwner(allowance, refill)
+            self.refills[own.name], self.owners[own.name] = refill, owner
+            self.limiters[own.name] = AccountLimiter(
+                own, self.limits.get, directory, owner, self, self.clock
+            )
+
+    def post(
+        self, address: Address, path: str, body: dict[str, Any], timeout: float
+    ) -> dict[str, Any]:
+        self.asked.append(address.host)
+        if address.host in self.down:
+            raise PeerUnreachableError(f"{address} is down")
+        (route,) = self.owners[address.host].routes()
+        return dict(route.handler(JsonRequest(path, {}, body)).body)
+
+    def admitted(self, count: int, name: str = "p0") -> int:
+        """Begin some operations at once; return how many may run."""
+        admitted = 0
+        for _ in range(count):
+            try:
+                self.limiters[name].acquire("shop")
+            except RateLimitedError:
+                continue
+            admitted += 1
+        return admitted
+
+    @property
+    def owner(self) -> str:
+        """The proxy that counts the operations of the account."""
+        neighbours = [Neighbour(name, f"{name}:1") for name in NAMES]
+        return limit_owners("shop", neighbours)[0].name
+
+
+class AccountLimiterTests(unittest.TestCase):
+    """A proxy takes a token for each operation."""
+
+    def setUp(self) -> None:
+        self.proxies = Proxies()
+        self.other = next(name for name in NAMES if name != self.proxies.owner)
+
+    def test_all_proxies_ask_the_same_owner(self) -> None:
+        for name in NAMES:
+            self.proxies.admitted(1, name)
+        self.assertEqual(set(self.proxies.asked), {self.proxies.owner})
+
+    def test_account_without_a_limit_is_not_counted(self) -> None:
+        self.proxies.limiters["p0"].acquire("other")
+        self.assertEqual(self.proxies.asked, [])
+
+    def test_refusal_names_the_limit_and_a_retry_time(self) -> None:
+        self.proxies.control.is_silent = True
+        self.proxies.admitted(50, self.other)
+        with self.assertRaises(RateLimitedError) as raised:
+            self.proxies.limiters[self.other].acquire("shop")
+        self.assertIn("shop exceeds its limit of 20", str(raised.exception))
+        self.assertGreater(raised.exception.retry_after_ms, 0)
+
+    def test_retry_time_holds(self) -> None:
+        self.proxies.control.is_silent = True
+        self.proxies.admitted(50, self.other)
+        with self.assertRaises(RateLimitedError) as raised:
+            self.proxies.limiters[self.other].acquire("shop")
+        self.proxies.clock.advance(raised.exception.retry_after_ms / 1000 + 0.001)
+        self.proxies.limiters[self.other].acquire("shop")
+
+    def test_lost_owner_is_passed_over_and_then_skipped(self) -> None:
+        self.proxies.down.add(self.proxies.owner)
+        self.assertEqual(self.proxies.admitted(2, self.other), 2)
+        self.assertEqual(self.proxies.asked.count(self.proxies.owner), 1)
+
+    def test_proxy_that_reaches_no_owner_has_only_its_own_tokens(self) -> None:
+        self.proxies.down.update(NAMES)
+        admitted = self.proxies.admitted(100, self.other)
+        self.assertGreater(admitted, 0)
+        self.assertLess(admitted, LIMIT.per_second)
+
+    def test_token_of_an_operation_that_did_not_run_is_returned(self) -> None:
+        self.proxies.control.is_silent = True
+        used = self.proxies.admitted(100, self.other)
+        for _ in range(used):
+            self.proxies.limiters[self.other].give_back("shop")
+        self.assertGreaterEqual(self.proxies.admitted(1, self.other), 1)
+
+    def test_owner_draws_more_than_its_base_part(self) -> None:
+        total = 0
+        for _ in range(40):
+            total += self.proxies.admitted(1, self.other)
+            self.proxies.refills[self.proxies.owner].step()
+            self.proxies.clock.advance(0.06)
+        self.assertEqual(total, 40)
+        self.assertEqual(self.proxies.control.asked[:2], [FOLLOWER, LEADER])
+
+    def test_nothing_is_drawn_for_accounts_that_are_not_used(self) -> None:
+        self.proxies.admitted(3, self.other)
+        self.proxies.clock.advance(20)
+        self.proxies.refills[self.proxies.owner].step()
+        self.assertEqual(self.proxies.control.asked, [])
+
+    def test_removed_limit_no_longer_applies(self) -> None:
+        self.proxies.control.is_silent = True
+        self.proxies.admitted(100, self.other)
+        del self.proxies.limits["shop"]
+        self.proxies.limiters[self.other].acquire("shop")
+
+
+class LimitReserveTests(unittest.TestCase):
+    """The leader gives out its part of a limit and no more."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.clock.advance(100)
+        self.reserve = LimitReserve(
+            lambda name: LIMIT if name == "shop" else None,
+            LimitTolerance(),
+            DOMAINS,
+            self.clock,
+        )
+
+    def test_leader_starts_with_an_empty_reserve(self) -> None:
+        self.assertEqual(self.reserve.draw({"shop": 50}, self.clock.now()), {})
+
+    def test_reserve_fills_from_the_moment_of_election(self) -> None:
+        given = self.reserve.draw({"shop": 50}, self.clock.now() - 60)
+        self.assertEqual(given, {"shop": 15})
+
+    def test_new_leadership_forgets_what_was_in_the_reserve(self) -> None:
+        self.reserve.draw({"shop": 1}, 0.0)
+        self.assertEqual(self.reserve.draw({"shop": 50}, self.clock.now()), {})
+
+    def test_account_without_a_limit_gets_nothing(self) -> None:
+        self.assertEqual(self.reserve.draw({"other": 5}, 0.0), {})
--- a/tests/backend/test_pool.py
+++ b/tests/backend/test_pool.py
@@ -157,8 +157,8 @@
     def test_demand_is_the_recent_peak(self) -> None:
         clock = ManualClock()
         connecting = mock.Mock(spec=Connector)
-        connecting.connect.side_effect = lambda server, _deadline: connector().connect(
-            server, CLOCK.now() + 5
+        connecting.connect.side_effect = lambda server, _deadline, _account: (
+            connector().connect(server, CLOCK.now() + 5)
         )
         server = server_at(self.server.address)
         pool = MySqlPool(server, connecting, clock, PoolSettings(), 3)
