Choose the owner of a pool by client account

With accounts, a connection serves no other, and two owners in a failure domain each opened connections for all accounts. Owners are ordered by rendezvous hashing on group and account, so that an account's connections are in one pool.

--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -8,6 +8,7 @@
 
 from dogwoodspool_common import Address, BackendServer
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_pooler.const import CONNECTION_SHARE
 from dogwoodspool_pooler.registry import POOL_SETTINGS
 from dogwoodspool_sharing import Neighbour, ServerLimits
 from expression import Result
@@ -39,6 +40,11 @@
         self._timeline = Timeline()
         self._outcomes = Outcomes()
         self._groups = [f"g{number}" for number in range(scenario.groups)]
+        self._accounts = [f"a{number}" for number in range(scenario.accounts)]
+        self._account_weights = [
+            (number + 1) ** -scenario.account_skew
+            for number in range(scenario.accounts)
+        ]
         self._servers = [
             one for group in self._groups for one in self._build_servers(group)
         ]
@@ -113,6 +119,8 @@
             self._timeline,
             distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
+            connection_share=self._variant.connection_share or CONNECTION_SHARE,
+            prefers_warm=self._variant.prefers_warm,
         )
 
     def _register_neighbours(self) -> None:
@@ -143,10 +151,17 @@
             work=self._sample_work(kind) / statements,
             statements=statements,
             arrived_at=self._timeline.now(),
+            account=self._choose_account(),
         )
         self._send_attempt(attempt, self._timeline.now(), 0)
         self._timeline.after(self._random.expovariate(self._rate), self._next_request)
 
+    def _choose_account(self) -> str:
+        if not self._accounts:
+            return ""
+        (account,) = self._random.choices(self._accounts, self._account_weights)
+        return account
+
     def _sample_work(self, kind: Requests) -> float:
         mean = math.log(kind.work_ms / MILLISECONDS) - kind.spread**2 / 2
         return self._random.lognormvariate(mean, kind.spread)
@@ -158,7 +173,8 @@
             entry = self._random.choice(self._proxies)
         current = replace(attempt, arrived_at=self._timeline.now())
         on_end = partial(self._handle_result, current, began_at, number)
-        owners = entry.directory.owners(attempt.group)
+        account = attempt.account if self._variant.owners_by_account else ""
+        owners = entry.directory.owners(attempt.group, account)
         usable = [one for one in owners or () if one.name not in self._lost_proxies]
         if not usable:
             entry.serve(current, on_end)
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -107,12 +107,21 @@
         idle_expiry: seconds after which the last idle connection of a pool is closed;
             None for the default.
         surplus_expiry: the same for surplus connections.
+        connection_share: greatest part of a server's connections that one process may
+            hold; None for the default.
+        owners_by_account: whether the owner of a pool is chosen by client account
+            rather than by the proxy that forwards.
+        prefers_warm: whether reads prefer servers with an idle connection of their
+            account.
     """
 
     name: str
     is_shared: bool = True
     idle_expiry: float | None = Field(default=None, gt=0)
     surplus_expiry: float | None = Field(default=None, gt=0)
+    connection_share: float | None = Field(default=None, gt=0, le=1)
+    owners_by_account: bool = True
+    prefers_warm: bool = True
 
 
 class Scenario(Section):
@@ -125,6 +134,8 @@
         per_second: requests per second to all groups together.
         hop_ms: one-way latency between two proxies of a failure domain.
         distance_ms: one-way latency between two failure domains.
+        accounts: number of client accounts, which share no connections; 0 for none.
+        account_skew: exponent of the Zipf distribution of requests over accounts.
     """
 
     seconds: float = Field(default=20.0, gt=0)
@@ -135,6 +146,8 @@
     per_second: float = Field(gt=0)
     hop_ms: float = Field(default=0.3, ge=0)
     distance_ms: float = Field(default=1.0, ge=0)
+    accounts: int = Field(default=0, ge=0)
+    account_skew: float = Field(default=1.0, ge=0)
     servers: Servers = Servers()
     requests: list[Requests] = Field(min_length=1)
     troubles: list[Disturbance] = []
--- a/packages/emulator/src/dogwoodspool_emulator/outcomes.py
+++ b/packages/emulator/src/dogwoodspool_emulator/outcomes.py
@@ -18,6 +18,7 @@
         behind: statements that a replica refused because its data was behind.
         connecting: slot seconds that new connections took.
         working: slot seconds that statements took.
+        most_connections: most connections that a server had at a time.
     """
 
     connects: int = 0
@@ -27,6 +28,7 @@
     behind: int = 0
     connecting: float = 0.0
     working: float = 0.0
+    most_connections: int = 0
 
     @property
     def work_share(self) -> float:
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -75,6 +75,7 @@
     Attributes:
         work: slot seconds that each statement takes.
         statements: number of statements; more than one for a transaction.
+        account: client account that it belongs to; empty for none.
     """
 
     kind: Requests
@@ -83,6 +84,7 @@
     work: float
     arrived_at: float
     statements: int = 1
+    account: str = ""
 
     @property
     def is_transaction(self) -> bool:
@@ -158,6 +160,9 @@
 
     Args:
         distance: one-way latency in seconds to a server of another failure domain.
+        connection_share: greatest part of a server's connections that it may hold.
+        prefers_warm: whether reads prefer servers with an idle connection of their
+            account.
     """
 
     def __init__(
@@ -170,6 +175,8 @@
         *,
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
+        connection_share: float = CONNECTION_SHARE,
+        prefers_warm: bool = True,
     ) -> None:
         self.neighbour = neighbour
         self.failure_domain = failure_domain
@@ -177,6 +184,8 @@
         self._timeline = timeline
         self._distance = distance
         self._pool_settings = pool_settings
+        self._connection_share = connection_share
+        self._prefers_warm = prefers_warm
         self._servers = {one.server_info.name: one for one in servers}
         self._primaries = {
             one.server_info.group: one for one in servers if one.is_primary
@@ -237,6 +246,7 @@
             primary=self._primaries[attempt.group].server_info.name,
             failure_domain=self.failure_domain,
             excluded=excluded,
+            warm=self._warm_servers(attempt),
         )
         if not ranked or number >= MAX_READ_ATTEMPTS:
             self._serve_on_primary(attempt, on_end)
@@ -254,6 +264,15 @@
             server, attempt, min_position, on_result, has_alternatives=True
         )
 
+    def _warm_servers(self, attempt: Attempt) -> set[str] | None:
+        if not self._prefers_warm or not attempt.account:
+            return None
+        return {
+            name
+            for name, backend in self._backends.items()
+            if backend.pool.has_idle(attempt.account)
+        }
+
     def _run_attempt(
         self,
         server: Server,
@@ -305,7 +324,9 @@
         backend = execution.backend
         refused = Refused("no connection", NO_CONNECTION_RETRY_MS / MILLISECONDS)
         try:
-            connection = backend.pool.acquire(self._timeline.now())
+            connection = backend.pool.acquire(
+                self._timeline.now(), account=execution.attempt.account
+            )
         except PoolTimeoutError:
             backend.queue.end(ticket, 0.0, AdmissionOutcome.NO_WORK)
             execution.on_end(Error(refused))
@@ -409,7 +430,7 @@
 
     def _build_backend(self, server: Server) -> Backend:
         server_info, clock = server.server_info, self._timeline.clock
-        highest = int(server_info.connections * CONNECTION_SHARE)
+        highest = int(server_info.connections * self._connection_share)
         ceiling = ConnectionCeiling(clock, highest, -PROXY_UPTIME_SECONDS)
         first = ceiling.value()
         pool = ConnectionPool(
--- a/packages/emulator/src/dogwoodspool_emulator/report.py
+++ b/packages/emulator/src/dogwoodspool_emulator/report.py
@@ -21,6 +21,7 @@
     "refused connects/100",
     "work share",
     "refused by servers",
+    "most connections",
 )
 
 
@@ -51,6 +52,7 @@
                 / max(1, one.servers.arrivals)
                 for one in outcomes
             ),
+            "most_connections": max(one.servers.most_connections for one in outcomes),
         }
 
 
@@ -99,6 +101,7 @@
                 f"{figures['refused_connects_per_100']:.1f}",
                 f"{figures['work_share']:.3f}",
                 f"{figures['refused_by_servers']:.3f}",
+                f"{figures['most_connections']:.0f}",
             ]
         )
     widths = [
--- a/packages/emulator/src/dogwoodspool_emulator/servers.py
+++ b/packages/emulator/src/dogwoodspool_emulator/servers.py
@@ -140,6 +140,9 @@
                 f"{self._settings.connections} connections"
             )
         self.connections += 1
+        self._stats.most_connections = max(
+            self._stats.most_connections, self.connections
+        )
         return Connection(self, self._timeline.now())
 
     def run(
--- a/packages/pooler/src/dogwoodspool_pooler/shared/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/access.py
@@ -32,7 +32,7 @@
         has_alternatives: bool = False,
     ) -> HeldConnection:
         """Return a connection; nothing is sent to an owner before its first use."""
-        owners = self._directory.owners(server.group)
+        owners = self._directory.owners(server.group, request.caller.account)
         if owners is None:
             return self._local.open(server, request, has_alternatives=has_alternatives)
         return RemoteHeldConnection(server, request, owners, self._local, self._client)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -39,7 +39,7 @@
 
     def run(self, request: Request) -> Reply:
         """Serve one statement."""
-        owners = self._directory.owners(request.endpoint.group)
+        owners = self._directory.owners(request.endpoint.group, request.caller.account)
         if owners is None:
             return self._local.run(request)
         try:
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -7,7 +7,13 @@
 
 from .const import NEIGHBOUR_RETENTION_SECONDS, OWNER_RETRY_SECONDS
 from .models import Neighbour, Owners, ServerLimits
-from .ownership import assign_owners, is_shared, owner_count, owner_order
+from .ownership import (
+    account_order,
+    assign_owners,
+    is_shared,
+    owner_count,
+    owner_order,
+)
 
 
 class ProxyDirectory:
@@ -97,9 +103,14 @@
                 self._limits = dict(limits)
                 self._owners = None
 
-    def owners(self, group: str) -> Sequence[Neighbour] | None:
+    def owners(self, group: str, account: str = "") -> Sequence[Neighbour] | None:
         """Return the proxies to try for a request to a group, in this order.
 
+        Args:
+            group: the group.
+            account: client account whose connections the request needs; empty if it
+                can use any connection.
+
         Returns:
             None if this process uses its own connections; an empty sequence if none of
             the owners answers at present.
@@ -108,9 +119,18 @@
             if self._owners is None:
                 self._owners = self._assign()
             chosen = self._owners.get(group)
-            if chosen is None or self._own in chosen.in_use:
+            if chosen is None:
+                return None
+            if account:
+                ordered = account_order(account, group, chosen)
+                if self._own in ordered:
+                    ordered = ordered[: ordered.index(self._own)]
+                    if not ordered:
+                        return None
+            elif self._own in chosen.in_use:
                 return None
-            ordered = owner_order(self._own.name, group, chosen)
+            else:
+                ordered = owner_order(self._own.name, group, chosen)
             return [owner for owner in ordered if not self._failed_lately(owner.name)]
 
     def record_owner_failure(self, name: str) -> None:
--- a/packages/sharing/src/dogwoodspool_sharing/ownership.py
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -102,6 +102,17 @@
     return ordered[: names.index(proxy)] if proxy in names else ordered
 
 
+def account_order(account: str, group: str, owners: Owners) -> Sequence[Neighbour]:
+    """Return the owners in the order in which requests of a client account try them.
+
+    All proxies use the same order, so that the connections of an account, which serve
+    no other, are in one pool.
+    """
+    key = f"{group} {account}"
+    in_use = sorted(owners.in_use, key=lambda owner: _weight(key, owner.name))
+    return [*in_use, *owners.in_reserve]
+
+
 def _weight_of(group: str, neighbour: Neighbour) -> bytes:
     return _weight(group, neighbour.name)
 
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -108,7 +108,7 @@
         self.names = list(names)
         self.failed: list[str] = []
 
-    def owners(self, group: str) -> Sequence[Neighbour] | None:
+    def owners(self, group: str, account: str = "") -> Sequence[Neighbour] | None:
         left = [one for one in self.names if one not in self.failed]
         return [Neighbour(one, f"{one}:1") for one in left]
 
