Let base parts of small limits hold whole tokens

The base part of a failure domain could hold 0.3 tokens, so it never reached one, and each operation depended on the leader's reserve. Full base parts now also hold what an owner starts with. In the replay of an account with a limit of 1 or 5, in one domain or in all, nothing is refused below the limit (before: not played).

--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -74,10 +74,12 @@
     bound = tolerance.bound(limit)
     margin = bound - allowed
     span = tolerance.window + HOLD_SECONDS + HAND_SECONDS
+    # Counted twice below: full base buckets hold them in addition to their part of the
+    # burst, and owners that are replaced meanwhile start with them again.
     starts = margin * START_TOLERANCE_SHARE
     base_rate = BASE_SHARE * limit.per_second + margin * BASE_TOLERANCE_SHARE / span
-    base_burst = BASE_SHARE * limit.burst
-    reserve_burst = limit.burst - base_burst
+    base_burst = BASE_SHARE * limit.burst + starts
+    reserve_burst = (1 - BASE_SHARE) * limit.burst
     within_bound = (bound - starts - base_burst - reserve_burst) / span - base_rate
     reserve_rate = min((1 - BASE_SHARE) * limit.per_second, within_bound)
     return Allocation(
--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -17,7 +17,7 @@
 # Parts of the tolerance: operations beyond the limit in every failure domain, and
 # tokens with which a limit owner starts that does not know what its predecessor used.
 BASE_TOLERANCE_SHARE: Final = 0.3
-START_TOLERANCE_SHARE: Final = 0.25
+START_TOLERANCE_SHARE: Final = 0.2
 
 # Time for which a proxy keeps tokens in hand for an account that it serves often.
 HAND_SECONDS: Final = 0.05
--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -114,7 +114,7 @@
         return Proxy(
             Neighbour(name, f"{name}:1"),
             domain,
-            self._scenario.failure_domains,
+            1 if self._variant.has_common_owners else self._scenario.failure_domains,
             self._servers,
             self._timeline,
             distance=self._scenario.distance_ms / MILLISECONDS,
@@ -131,7 +131,8 @@
             proxy.directory.adopt(
                 one.neighbour
                 for one in self._proxies
-                if one.failure_domain == proxy.failure_domain
+                if self._variant.has_common_owners
+                or one.failure_domain == proxy.failure_domain
             )
             if self._variant.is_shared:
                 proxy.directory.set_groups(dict.fromkeys(self._groups, limits))
@@ -181,6 +182,8 @@
             return
         hop = self._scenario.hop_ms / MILLISECONDS
         owner = self._proxies_by_name[usable[0].name]
+        if owner.failure_domain != entry.failure_domain:
+            hop = self._scenario.distance_ms / MILLISECONDS
 
         def return_result(result: Result[None, Refused]) -> None:
             self._timeline.after(hop, partial(on_end, result))
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -113,6 +113,7 @@
             rather than by the proxy that forwards.
         prefers_warm: whether reads prefer servers with an idle connection of their
             account.
+        has_common_owners: whether all failure domains use the same owners.
     """
 
     name: str
@@ -122,6 +123,7 @@
     connection_share: float | None = Field(default=None, gt=0, le=1)
     owners_by_account: bool = True
     prefers_warm: bool = True
+    has_common_owners: bool = False
 
 
 class Scenario(Section):
--- a/tests/accounts/test_limit_replay.py
+++ b/tests/accounts/test_limit_replay.py
@@ -22,6 +22,9 @@
 CALM = (
     "below its limit, evenly",
     "below its limit, from one domain",
+    "small account, from one domain",
+    "small account, evenly",
+    "smallest account, evenly",
 )
 MAX_CALM_SHORTFALL = 0.005
 KINDS = ("cut", "heal", "restart", "leader down", "leader up")
