Use one owner of a group's pools in each of three or more failure domains

Where connections belong to accounts, eight queues and eight pools before a server of three slots and 42 connections left each pool five connections for all accounts, and at a fifth each the pools could hold 64 together. The minimum of five owners stood because one process might hold at most a fifth; an owner of a shared pool may now hold an equal part instead where that is more, so one owner in each domain (and one in reserve) is enough. The test that owners can hold all connections checks the equal parts. Connections of accounts are kept for a second when idle: others cannot replace them.

--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -80,8 +80,10 @@
     base_rate = BASE_SHARE * limit.per_second + margin * BASE_TOLERANCE_SHARE / span
     base_burst = BASE_SHARE * limit.burst + starts
     reserve_burst = (1 - BASE_SHARE) * limit.burst
-    within_bound = (bound - starts - base_burst - reserve_burst) / span - base_rate
-    reserve_rate = min((1 - BASE_SHARE) * limit.per_second, within_bound)
+    rest = bound - starts - base_burst - reserve_burst - base_rate * span
+    reserve_rate = min((1 - BASE_SHARE) * limit.per_second, rest / span)
+    # What the rate leaves of the tolerance is for bursts.
+    reserve_burst += max(0.0, rest - reserve_rate * span)
     return Allocation(
         RateLimit(max(0.0, reserve_rate), reserve_burst),
         RateLimit(base_rate / domains, base_burst / domains),
--- a/packages/connections/src/dogwoodspool_connections/models.py
+++ b/packages/connections/src/dogwoodspool_connections/models.py
@@ -25,8 +25,8 @@
         check_after_idle: idle time after which a connection is checked before use.
         reset_timeout: maximum wait for the reset between two callers.
         idle_expiry: idle time after which a connection is closed.
-        surplus_expiry: the same for a connection that is not the last one of the pool;
-            None to use ``idle_expiry`` for all.
+        surplus_expiry: the same for a connection that is not the last one of the pool
+            and belongs to no client account; None to use ``idle_expiry`` for all.
     """
 
     connect_timeout: float = DEFAULT_CONNECT_TIMEOUT
--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -333,8 +333,9 @@
         if self._is_unloaded or open_count > self._limit:
             return True
         expiry = self._settings.idle_expiry
-        if open_count > 1 and self._settings.surplus_expiry is not None:
-            expiry = self._settings.surplus_expiry
+        surplus_expiry = self._settings.surplus_expiry
+        if open_count > 1 and surplus_expiry is not None and not connection.account:
+            expiry = surplus_expiry
         return connection.answered_at < self._clock.now() - expiry
 
     def _close(self, connection: ConnectionT) -> None:
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -52,6 +52,8 @@
 # refusal by the server lowers the part for a while.
 CONNECTION_SHARE: Final = 0.2
 MIN_CONNECTIONS: Final = 2
+# Connections of a server that are left to control.
+CONTROL_CONNECTIONS: Final = 2
 DEFAULT_CONNECTIONS: Final = 16
 CEILING_STEP_SECONDS: Final = 1.0
 # Connections to one server that a process may hold at first, and the time after which
@@ -66,7 +68,8 @@
 # connections) are closed. After many proxies lose power, the servers still count their
 # connections for some seconds, and the restarted proxies cannot use that many. One
 # connection is kept for occasional callers; surplus connections are closed after the
-# duration of a few statements.
+# duration of a few statements, unless they belong to a client account: connections of
+# other accounts cannot replace them.
 IDLE_EXPIRY_SECONDS: Final = 1.0
 SURPLUS_EXPIRY_SECONDS: Final = 0.12
 # Time between two checks for such connections in unused pools: short, so that few
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -1,6 +1,7 @@
 """Pools and admission queues of the backend servers that this process uses."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from dogwoodspool_common import BackendServer, Clock
@@ -15,6 +16,7 @@
     CHECK_TIMEOUT,
     CONNECT_TIMEOUT,
     CONNECTION_SHARE,
+    CONTROL_CONNECTIONS,
     DEFAULT_CONNECTIONS,
     IDLE_EXPIRY_SECONDS,
     QUEUE_LIMIT,
@@ -54,6 +56,10 @@
 
     A restarted server is a different process, so the connections to its predecessor
     are dropped.
+
+    Args:
+        owner_share: returns the part of each server's connections that an owner of a
+            group's pools may hold; None if the pools are not shared.
     """
 
     def __init__(
@@ -61,8 +67,10 @@
         views: ViewStore,
         connector: Connector[ServerConnection],
         clock: Clock,
+        owner_share: Callable[[str], float | None] = lambda _group: None,
     ) -> None:
         self._views = views
+        self._owner_share = owner_share
         self._connector = connector
         self._clock = clock
         self._lock = threading.Lock()
@@ -112,8 +120,14 @@
         return Backend(server, pool, admission, ceiling)
 
     def _highest(self, server: BackendServer) -> int:
-        connections = self._views.connections_of(server)
-        return int((connections or DEFAULT_CONNECTIONS) * CONNECTION_SHARE)
+        connections = self._views.connections_of(server) or DEFAULT_CONNECTIONS
+        share = self._owner_share(server.group)
+        if share is None:
+            return int(connections * CONNECTION_SHARE)
+        # Where few owners share a server, each may hold an equal part of its
+        # connections; with many, their use is too uneven for equal parts.
+        equal_part = int((connections - CONTROL_CONNECTIONS) * share)
+        return max(equal_part, int(connections * CONNECTION_SHARE))
 
     def _apply_view(self, view: ProxyView) -> None:
         with self._lock:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -79,7 +79,9 @@
         self._views = ViewStore(failure_domain, clock)
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
-        self._registry = BackendRegistry(self._views, connector, clock)
+        self._registry = BackendRegistry(
+            self._views, connector, clock, self._owner_share
+        )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
         stalls, freshness = StallTracker(clock), FreshnessTracker(clock)
@@ -240,6 +242,9 @@
         placement = ReadPlacement(self._views, self._table, known, access)
         return TransactionPath(self._views, placement, primaries, access, clock)
 
+    def _owner_share(self, group: str) -> float | None:
+        return self._shared.directory.owner_share(group)
+
     def _rate_limit(self, account: str) -> RateLimit | None:
         known = self._views.view.accounts.get(account)
         return None if known is None else known.rate_limit
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -15,9 +15,8 @@
 # have at least one statement in flight; statements without a slot wait in the server,
 # in the order of arrival.
 OWNERS_PER_SLOT: Final = 1.5
-# Minimum number of owners in use in all failure domains: together they must be able to
-# hold all connections of a server, of which one process holds at most a fifth.
-MIN_OWNERS_IN_USE: Final = 5
+# Minimum number of owners in use in all failure domains.
+MIN_OWNERS_IN_USE: Final = 3
 # Minimum equal share of a server's connections for each owner. With fewer, requests of
 # one owner wait for each other while connections of other owners are idle.
 CONNECTIONS_PER_OWNER: Final = 6
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -133,20 +133,35 @@
                 ordered = owner_order(self._own.name, group, chosen)
             return [owner for owner in ordered if not self._failed_lately(owner.name)]
 
+    def owner_share(self, group: str) -> float | None:
+        """Return the part of each server's connections that one owner may hold.
+
+        Returns:
+            None if the pools of the group are not shared.
+        """
+        with self._lock:
+            limits = self._limits.get(group)
+            if limits is None or not self._is_shared(limits):
+                return None
+            owners = owner_count(limits, self._failure_domains)
+            return 1 / (owners * self._failure_domains)
+
     def record_owner_failure(self, name: str) -> None:
         """Record that an owner did not answer; it is skipped for the retry time."""
         with self._lock:
             self._failed_at[name] = self._clock.now()
 
     def _assign(self) -> dict[str, Owners]:
-        neighbours = len(self._neighbours)
         counts = {
             group: owner_count(limits, self._failure_domains)
             for group, limits in self._limits.items()
-            if is_shared(limits, neighbours, self._failure_domains)
+            if self._is_shared(limits)
         }
         return assign_owners(counts, self._neighbours.values())
 
+    def _is_shared(self, limits: ServerLimits) -> bool:
+        return is_shared(limits, len(self._neighbours), self._failure_domains)
+
     def _failed_lately(self, name: str) -> bool:
         failed_at = self._failed_at.get(name)
         if failed_at is None:
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -10,6 +10,7 @@
     LimitReserve,
     LimitTolerance,
     RateLimitedError,
+    allocate,
 )
 from dogwoodspool_accounts.limit_owner import LimitOwner
 from dogwoodspool_accounts.owners import limit_owners
@@ -212,7 +213,8 @@
 
     def test_reserve_fills_from_the_moment_of_election(self) -> None:
         given = self.reserve.draw({"shop": 50}, self.clock.now() - 60)
-        self.assertEqual(given, {"shop": 15})
+        burst = allocate(LIMIT, LimitTolerance(), DOMAINS).reserve.burst
+        self.assertEqual(given, {"shop": int(burst)})
 
     def test_new_leadership_forgets_what_was_in_the_reserve(self) -> None:
         self.reserve.draw({"shop": 1}, 0.0)
--- a/tests/sharing/test_directory.py
+++ b/tests/sharing/test_directory.py
@@ -8,6 +8,7 @@
     NEIGHBOUR_RETENTION_SECONDS,
     OWNER_RETRY_SECONDS,
 )
+from dogwoodspool_sharing.ownership import owner_count
 
 from .test_ownership import neighbours
 
@@ -46,10 +47,47 @@
         self.assertEqual(len(self.owners(self.group_of_others())), 2)
 
     def test_an_owner_uses_its_own_pools(self) -> None:
-        self.directory.adopt(neighbours(7))
+        self.directory.adopt(neighbours(3))
         shared = [group for group in GROUPS if self.directory.owners(group) is not None]
         self.assertEqual(len(shared), 3)
 
+    def test_owners_can_hold_all_connections_of_a_server(self) -> None:
+        """Guard against a server with idle connections that no owner may open."""
+        for domains in (1, 2, 3, 4, 5, 6):
+            directory = ProxyDirectory(OWN, domains, self.clock)
+            directory.adopt(neighbours(23))
+            directory.set_groups({"g1": LIMITS})
+            share = directory.owner_share("g1")
+            assert share is not None
+            owners = owner_count(LIMITS, domains) * domains
+            self.assertAlmostEqual(owners * share, 1.0)
+
+    def test_pools_that_are_not_shared_have_no_equal_parts(self) -> None:
+        self.directory.adopt(neighbours(2))
+        self.assertIsNone(self.directory.owner_share("g1"))
+        self.assertIsNone(self.directory.owner_share("g99"))
+
+    def test_requests_of_an_account_go_to_one_owner(self) -> None:
+        limits = ServerLimits(slots=12, connections=300)
+        known = neighbours(23)
+        firsts = set()
+        for own in known[:8]:
+            directory = ProxyDirectory(own, DOMAINS, self.clock)
+            directory.adopt(known)
+            directory.set_groups({"g1": limits})
+            found = directory.owners("g1", "shop")
+            firsts.add(found[0].name if found else own.name)
+        self.assertEqual(len(firsts), 1)
+
+    def test_accounts_are_spread_over_the_owners(self) -> None:
+        self.directory.adopt(neighbours(23))
+        self.directory.set_groups({"g1": ServerLimits(slots=12, connections=300)})
+        firsts = set()
+        for number in range(40):
+            found = self.directory.owners("g1", f"a{number}")
+            firsts.add(found[0].name if found else OWN.name)
+        self.assertEqual(len(firsts), 6)
+
     def test_unknown_groups_are_not_shared(self) -> None:
         self.directory.adopt(neighbours(23))
         self.assertIsNone(self.directory.owners("g99"))
--- a/tests/sharing/test_ownership.py
+++ b/tests/sharing/test_ownership.py
@@ -3,7 +3,6 @@
 import unittest
 from collections import Counter
 
-from dogwoodspool_pooler.const import CONNECTION_SHARE
 from dogwoodspool_sharing import Neighbour, ServerLimits
 from dogwoodspool_sharing.models import Owners
 from dogwoodspool_sharing.ownership import (
@@ -53,12 +52,6 @@
         for domains in (1, 2):
             self.assertTrue(is_shared(ServerLimits(3, 5), 4, domains))
 
-    def test_owners_can_hold_all_connections_of_a_server(self) -> None:
-        """Guard against a server with idle connections that no owner may open."""
-        for domains in (3, 4, 5, 6):
-            owners = owner_count(ServerLimits(3, 35), domains) * domains
-            self.assertGreaterEqual(owners * CONNECTION_SHARE, 1.0)
-
 
 class OwnerChoiceTests(unittest.TestCase):
     """Proxies compute the same owners without communication."""
