Limit client accounts on the own interface

Callers of the MySQL interface had no account: a customer's limit could not be declared there, and its callers shared connections with all others. Accounts are declared at the root of the settings tree with their users, a rate and a burst; each statement or transaction takes a token as on the platform, from limit owners among the proxies of the failure domain, and a refusal begins with not-run: and names a retry time. A connection to a server is opened for one account, which the server sees as a connection attribute.

--- a/features/mutations/guards/__init__.py
+++ b/features/mutations/guards/__init__.py
@@ -7,6 +7,7 @@
 from . import (
     answers,
     leaving,
+    limits,
     membership,
     promotions,
     recovery,
@@ -30,6 +31,7 @@
         leaving,
         shutdown,
         settings,
+        limits,
         promotions,
         recovery,
         membership,
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -46,14 +46,14 @@
 
     Args:
         limit_of: returns an account's limit, None if it has none.
-        domains: number of failure domains.
+        domains: returns the number of failure domains.
     """
 
     def __init__(
         self,
         limit_of: Callable[[str], RateLimit | None],
         tolerance: LimitTolerance,
-        domains: int,
+        domains: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._limit_of = limit_of
@@ -155,10 +155,10 @@
             return None
         known = self._accounts.get(account)
         if known is None:
-            parts = allocate(limit, self._tolerance, self._domains)
+            parts = allocate(limit, self._tolerance, self._domains())
             known = self._accounts[account] = _AccountTokens(limit, parts, now)
         elif known.limit != limit:
             known.limit = limit
-            parts = allocate(limit, self._tolerance, self._domains)
+            parts = allocate(limit, self._tolerance, self._domains())
             known.bucket.set_limit(parts.base, now)
         return known
--- a/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
@@ -2,20 +2,16 @@
 
 from collections.abc import Callable
 
-from dogwoodspool_common import Clock, JsonClient, JsonLineClient, RateLimit, Route
+from dogwoodspool_common import Clock, JsonClient, RateLimit, Route
 from dogwoodspool_following import ControlPeers
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 
 from .allocation import LimitTolerance
-from .const import ACQUIRE_TIMEOUT
 from .domain_allowance import DomainAllowance
 from .limit_owner import LimitOwner
-from .limiter import AccountLimiter
+from .limiter import AccountLimiter, MessageClient
 from .refill import RefillCoordinator
 
-CONNECTIONS_TO_OWNER = 2
-OWNER_UNACKNOWLEDGED_MS = 250
-
 
 class LimitsRuntime:
     """Create, start and stop the parts of a proxy that limit operations.
@@ -25,9 +21,10 @@
         limit_of: returns an account's limit, None if it has none.
         directory: the neighbours of this process.
         tolerance: how far operations may exceed a limit.
-        domains: number of failure domains.
+        domains: returns the number of failure domains.
         peers: the control processes.
         client: calls control.
+        neighbours: calls other proxies of the failure domain.
     """
 
     def __init__(
@@ -36,19 +33,17 @@
         limit_of: Callable[[str], RateLimit | None],
         directory: ProxyDirectory,
         tolerance: LimitTolerance,
-        domains: int,
+        domains: Callable[[], int],
         peers: ControlPeers,
         client: JsonClient,
+        neighbours: MessageClient,
         clock: Clock,
     ) -> None:
         allowance = DomainAllowance(limit_of, tolerance, domains, clock)
         self._refill = RefillCoordinator(allowance, peers, client, clock)
         self._owner = LimitOwner(allowance, self._refill)
-        self._client = JsonLineClient(
-            CONNECTIONS_TO_OWNER, ACQUIRE_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
-        )
         self._limiter = AccountLimiter(
-            own, limit_of, directory, self._owner, self._client, clock
+            own, limit_of, directory, self._owner, neighbours, clock
         )
 
     @property
@@ -68,4 +63,3 @@
     def unload(self) -> None:
         """Stop all parts."""
         self._refill.unload()
-        self._client.close()
--- a/packages/accounts/src/dogwoodspool_accounts/reserve.py
+++ b/packages/accounts/src/dogwoodspool_accounts/reserve.py
@@ -32,14 +32,14 @@
 
     Args:
         limit_of: returns an account's limit, None if it has none.
-        domains: number of failure domains.
+        domains: returns the number of failure domains.
     """
 
     def __init__(
         self,
         limit_of: Callable[[str], RateLimit | None],
         tolerance: LimitTolerance,
-        domains: int,
+        domains: Callable[[], int],
         clock: Clock,
     ) -> None:
         self._limit_of = limit_of
@@ -79,7 +79,7 @@
         if limit is None:
             self._buckets.pop(account, None)
             return None
-        part = allocate(limit, self._tolerance, self._domains).reserve
+        part = allocate(limit, self._tolerance, self._domains()).reserve
         bucket = self._buckets.get(account)
         if bucket is None:
             bucket = self._buckets[account] = TokenBucket(part, leads_since)
--- a/packages/backend/src/dogwoodspool_backend/connector.py
+++ b/packages/backend/src/dogwoodspool_backend/connector.py
@@ -42,7 +42,12 @@
         """Return an authenticated connection; see ``Connector``."""
         try:
             wire = Wire(
-                server, self._credentials, self._failure_domain, self._clock, deadline
+                server,
+                self._credentials,
+                self._failure_domain,
+                self._clock,
+                deadline,
+                account,
             )
         except (OSError, pymysql.MySQLError) as error:
             raise _connect_error(server, error) from error
--- a/packages/backend/src/dogwoodspool_backend/const.py
+++ b/packages/backend/src/dogwoodspool_backend/const.py
@@ -6,6 +6,7 @@
 CHARSET: Final = "utf8mb4"
 
 ATTR_FAILURE_DOMAIN: Final = "failure_domain"
+ATTR_ACCOUNT: Final = "client_account"
 
 BINARY_CHARSET_ID: Final = 63
 READ_BUFFER_BYTES: Final = 64 * 1024
--- a/packages/backend/src/dogwoodspool_backend/wire.py
+++ b/packages/backend/src/dogwoodspool_backend/wire.py
@@ -16,6 +16,7 @@
 from pymysql.protocol import MysqlPacket
 
 from .const import (
+    ATTR_ACCOUNT,
     ATTR_FAILURE_DOMAIN,
     CHARSET,
     COM_RESET_CONNECTION,
@@ -48,9 +49,12 @@
         failure_domain: str,
         clock: Clock,
         deadline: float,
+        account: str = "",
     ) -> None:
         """Connect and log in before the deadline.
 
+        The server is told the client account as a connection attribute.
+
         Raises:
             OSError: the TCP connection could not be established.
             pymysql.MySQLError: the server refused the connection.
@@ -71,6 +75,8 @@
         )
         attributes: dict[str, str] = cast(Any, self)._connect_attrs
         attributes[ATTR_FAILURE_DOMAIN] = failure_domain
+        if account:
+            attributes[ATTR_ACCOUNT] = account
         remaining = max(deadline - clock.now(), 0.001)
         address = (server.address.host, server.address.port)
         connected = socket.create_connection(address, remaining)
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -2,6 +2,7 @@
 
 from concurrent.futures import ThreadPoolExecutor
 
+from dogwoodspool_accounts import LimitReserve, LimitTolerance
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
 
@@ -13,6 +14,7 @@
 from .grants.shares import ShareLedger
 from .http.admin import AdminApi
 from .http.api import ControlApi
+from .http.limits import reserve_routes
 from .http.support import WaitSlots
 from .http.watch import WatchApi
 from .leader import FailureWatch, LeaderLoop
@@ -135,8 +137,12 @@
             readiness=Readiness(clock, node),
             secret_key=secret_key,
         )
+        reserve = LimitReserve(
+            state.rate_limit, LimitTolerance(), state.proxy_domains, clock
+        )
         self._routes = [
             *consensus.routes(),
+            *reserve_routes(reserve, node),
             *watch_api.routes(),
             *api.routes(),
             *admin.routes(),
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -153,10 +153,22 @@
         ]
 
     def rate_limit(self, account: str) -> RateLimit | None:
-        """Return the rate limit of a client account; None if it has none."""
+        """Return the rate limit of a client account; None if it has none.
+
+        Accounts come from the document of an external system or from the settings.
+        """
         with self._changed:
             known = self._document.account(account)
-            return None if known is None else known.rate_limit
+            if known is not None:
+                return known.rate_limit
+            declared = self._settings.root.accounts.get(account)
+            return None if declared is None else declared.rate_limit
+
+    def proxy_domains(self) -> int:
+        """Return the number of failure domains that have registered proxies."""
+        with self._changed:
+            proxies = self._proxies.proxies.values()
+            return max(1, len({one.failure_domain for one in proxies}))
 
     def view(self) -> ControlView:
         """Return the complete view of the state that proxies follow."""
--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -1,14 +1,14 @@
 """Assemble the components of one voter for synchronously replicated groups."""
 
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import replace
 from functools import partial
 
-from dogwoodspool_accounts import LimitReserve, LimitTolerance, ReserveApi
+from dogwoodspool_accounts import LimitReserve, LimitTolerance
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
 from dogwoodspool_control.command_queue import CommandQueue
-from dogwoodspool_control.http.support import WaitSlots, with_error_responses
+from dogwoodspool_control.http.limits import reserve_routes
+from dogwoodspool_control.http.support import WaitSlots
 from dogwoodspool_control.http.watch import WatchApi
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.promotion.failovers import FailoverTimeline
@@ -95,16 +95,18 @@
         presence = PresenceApi(ProxyRoster(clock), members)
         api = FailoverApi(node, reports, diagnostics, self._loop.wake)
         reserve = LimitReserve(
-            state.rate_limit, tolerance or LimitTolerance(), failure_domains, clock
+            state.rate_limit,
+            tolerance or LimitTolerance(),
+            lambda: failure_domains,
+            clock,
         )
-        reserve_api = ReserveApi(reserve, lambda: node.require_leadership().since)
         self._service = ControlService(node, state, heartbeats, self._loop.wake)
         self._routes = [
             *consensus.routes(),
             *watch.routes(),
             *presence.routes(),
             *api.routes(),
-            *(_with_error_responses(route) for route in reserve_api.routes()),
+            *reserve_routes(reserve, node),
             *JoinApi(consensus, node).routes(),
         ]
 
@@ -131,7 +133,3 @@
         self._queue.unload()
         self._changes.join(timeout=0.2)
         self._executor.shutdown(wait=False, cancel_futures=True)
-
-
-def _with_error_responses(route: Route) -> Route:
-    return replace(route, handler=with_error_responses(route.handler))
--- a/packages/following/src/dogwoodspool_following/__init__.py
+++ b/packages/following/src/dogwoodspool_following/__init__.py
@@ -5,7 +5,7 @@
 from .open_sessions import OpenSessions
 from .rotation import Reachability, Rotation, RotationPhase
 from .rotation_coordinator import Callers, ReachabilitySource, RotationCoordinator
-from .view import ProxyView, ViewListener, ViewStore
+from .view import ProxyLocation, ProxyView, ViewListener, ViewStore
 from .watch import WatchCoordinator
 
 __all__ = [
@@ -14,6 +14,7 @@
     "ControlPeers",
     "Coordinator",
     "OpenSessions",
+    "ProxyLocation",
     "ProxyView",
     "Reachability",
     "ReachabilitySource",
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -21,6 +21,18 @@
 ViewListener = Callable[["ProxyView"], None]
 
 
+@dataclass(frozen=True, slots=True)
+class ProxyLocation:
+    """Where a registered proxy runs.
+
+    Attributes:
+        address: address of its internal HTTP server, as ``HOST:PORT``.
+    """
+
+    failure_domain: str
+    address: str
+
+
 @dataclass(frozen=True)
 class ProxyView:
     """One version of the committed state as domain objects.
@@ -34,7 +46,7 @@
     version: int = 0
     groups: Mapping[str, GroupState] = field(default_factory=dict)
     servers: Mapping[str, BackendServer] = field(default_factory=dict)
-    proxies: frozenset[str] = frozenset()
+    proxies: Mapping[str, ProxyLocation] = field(default_factory=dict)
     tree: SettingsTree = field(default_factory=SettingsTree)
     endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
     databases: Mapping[str, Endpoint] = field(default_factory=dict)
@@ -74,8 +86,14 @@
                 {one.server: one.backend_server() for one in message.servers},
                 removed.servers,
             ),
-            proxies=(before.proxies - set(removed.proxies))
-            | {proxy.proxy for proxy in message.proxies},
+            proxies=_merged(
+                before.proxies,
+                {
+                    one.proxy: ProxyLocation(one.failure_domain, one.address)
+                    for one in message.proxies
+                },
+                removed.proxies,
+            ),
             tree=_merged_tree(before.tree, message),
             endpoints=endpoints,
             databases={one.database: one for one in endpoints.values()},
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -126,6 +126,9 @@
 FIRST_VIEW_WAIT_SECONDS: Final = 0.5
 FIRST_VIEW_DUE_SECONDS: Final = 1.5
 
+# Number of connections to one limit owner that are kept open.
+CONNECTIONS_TO_LIMIT_OWNER: Final = 2
+
 OWN_REQUEST: Final = "-"
 NO_PROOF: Final = "-"
 PREPARED_NAME_BYTES: Final = 6
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -7,6 +7,7 @@
     Address,
     Clock,
     JsonClient,
+    JsonLineClient,
     RateLimit,
     Route,
     log_event,
@@ -27,7 +28,7 @@
 
 from .access import ServerAccess
 from .connection import ServerConnection
-from .const import WATCH_WAIT_MS
+from .const import CONNECTIONS_TO_LIMIT_OWNER, WATCH_WAIT_MS
 from .expiry import ConnectionExpiry
 from .freshness import FreshnessTracker
 from .group_reachability import GroupReachability
@@ -42,6 +43,7 @@
 from .reporting import ReportCoordinator
 from .session import PooledSession
 from .sessions import PooledSessions
+from .shared.const import OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
 from .shared.runtime import SharedPoolsRuntime
 from .stalls import StallTracker
 from .statements import LocalStatements
@@ -110,14 +112,18 @@
             client,
             clock,
         )
+        self._limits_client = JsonLineClient(
+            CONNECTIONS_TO_LIMIT_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
+        )
         self._limits = LimitsRuntime(
             Neighbour(name, str(address)),
             self._rate_limit,
             self._shared.directory,
             tolerance or LimitTolerance(),
-            failure_domains,
+            lambda: failure_domains,
             self._peers,
             client,
+            self._limits_client,
             clock,
         )
         self._expiry = ConnectionExpiry(
@@ -209,6 +215,7 @@
         self._reports.unload()
         self._recovery.unload()
         self._limits.unload()
+        self._limits_client.close()
         self._shared.unload()
         self._watch.unload()
         self._expiry.unload()
--- a/packages/proxy/src/dogwoodspool_proxy/access.py
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -137,10 +137,16 @@
         self._registry.report_failure(server, error)
 
     def open(
-        self, server: BackendServer, deadline: float, priority: Priority
+        self,
+        server: BackendServer,
+        deadline: float,
+        priority: Priority,
+        account: str = "",
     ) -> Result[HeldConnection, ErrorAnswer]:
         """Wait for admission and a connection until the deadline (clock time).
 
+        The connection belongs to the client account, or to none if that is empty.
+
         The statement is refused at once if the estimated wait exceeds the deadline.
         Nothing has been sent to the server when an error is returned.
         """
@@ -149,7 +155,7 @@
             admitted = backend.admission.admit(deadline, priority)
         if admitted.is_error():
             return Error(admission_refused(server, admitted.error))
-        return self._connect(backend, admitted.ok, priority, deadline)
+        return self._connect(backend, admitted.ok, priority, deadline, account)
 
     def _connect(
         self,
@@ -157,11 +163,13 @@
         admission: Admission,
         priority: Priority,
         deadline: float,
+        account: str,
     ) -> Result[HeldConnection, ErrorAnswer]:
         name = backend.server.name
         try:
             connection = backend.pool.acquire(
-                min(deadline, self._clock.now() + MAX_CONNECTION_WAIT_SECONDS)
+                min(deadline, self._clock.now() + MAX_CONNECTION_WAIT_SECONDS),
+                account=account,
             )
         except PoolTimeoutError:
             admission.done(0.0, AdmissionOutcome.NO_WORK)
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -31,6 +31,7 @@
 from dogwoodspool_routing import ServerTable
 
 from .access import BackendAccess
+from .accounts import AccountLimits, CallerAccounts
 from .acks import ReplicaAcks
 from .backends import BackendRegistry
 from .diagnostics import ProxyDiagnostics
@@ -58,6 +59,17 @@
         signer = RequestSigner(settings.shared_key.get_secret_value().encode())
         self._client = JsonClient(signer)
         self._views = ViewStore(settings.failure_domain, clock)
+        self._accounts = CallerAccounts(self._views)
+        self._peers = ControlPeers(settings.control_addresses, name=settings.name)
+        self._limits = AccountLimits(
+            settings.name,
+            settings.http_listen,
+            self._views,
+            self._accounts,
+            self._peers,
+            self._client,
+            clock,
+        )
         self._grants = GrantTracker(clock)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
@@ -96,6 +108,7 @@
         """
         self._views.add_listener(self._apply_settings)
         self._views.add_listener(self._apply_servers)
+        self._limits.set_up()
         self._registry.set_up()
         self._probes.set_up()
         self._http.set_up()
@@ -131,6 +144,7 @@
         self._renew.unload()
         self._report_release()
         self._watch.unload()
+        self._limits.unload()
         self._sessions.unload()
         self._pruner.unload()
         self._probes.unload()
@@ -166,13 +180,18 @@
         writes = WritePath(self._views, self._grants, access, self._acks, budget, clock)
         transactions = TransactionPath(self._views, self._grants, reads, writes, clock)
         self._sessions = CallerSessions(
-            self._views, reads, writes, transactions, self._counters, clock
+            self._views,
+            reads,
+            writes,
+            transactions,
+            self._accounts,
+            self._limits.limiter,
+            self._counters,
+            clock,
         )
         self._pruner = RequestPruner(self._views, self._grants, writes, clock)
 
     def _build_coordinators(self) -> None:
-        settings = self._settings
-        self._peers = ControlPeers(settings.control_addresses, name=settings.name)
         self._watch = WatchCoordinator(
             self._views, self._peers, self._client, self._clock
         )
@@ -233,7 +252,8 @@
             self.request_drain,
         )
         address = Address.parse(settings.http_listen)
-        self._http = JsonServer(address, signer, endpoints.routes())
+        routes = [*endpoints.routes(), *self._limits.routes()]
+        self._http = JsonServer(address, signer, routes)
 
     def _pool_of(self, server: BackendServer) -> MySqlPool:
         return self._registry.backend(server).pool
--- a/packages/proxy/src/dogwoodspool_proxy/caller_session.py
+++ b/packages/proxy/src/dogwoodspool_proxy/caller_session.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 
+from dogwoodspool_accounts import OperationLimiter, RateLimitedError
 from dogwoodspool_common import Clock
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_common.counters import Counters
@@ -16,6 +17,7 @@
     AnswerColumn,
     DoneAnswer,
     ErrorAnswer,
+    Outcome,
     RowsAnswer,
     StatementKind,
     StatementRequest,
@@ -23,6 +25,7 @@
 )
 from dogwoodspool_sessions import NEW_SESSION, SessionTokenError, TokenCodec
 
+from .accounts import CallerAccounts
 from .answers import failed_with, no_primary, not_run, refused
 from .callers import CallerState
 from .const import (
@@ -49,6 +52,8 @@
         reads: ReadPath,
         writes: WritePath,
         transactions: TransactionPath,
+        accounts: CallerAccounts,
+        limiter: OperationLimiter,
         counters: Counters,
         clock: Clock,
         on_close: "Callable[[ProxySession], None]",
@@ -58,6 +63,8 @@
         self._reads = reads
         self._writes = writes
         self._transactions = transactions
+        self._accounts = accounts
+        self._limiter = limiter
         self._counters = counters
         self._clock = clock
         self._on_close = on_close
@@ -151,7 +158,7 @@
         if deadline <= self._clock.now():
             return refused("the deadline has passed", 0)
         if caller.transaction is not None:
-            return self._transactions.run(caller, request, deadline)
+            return self._run_in_transaction(request, deadline)
         is_write = kind in WRITING_KINDS
         # Without autocommit the first statement begins a transaction. A read that
         # states a maximum age asks for no isolation and runs outside of one.
@@ -159,10 +166,50 @@
             is_write or request.properties.max_age_ms is None
         ):
             self._transactions.begin(caller, False, deadline)
-            return self._transactions.run(caller, request, deadline)
-        if is_write:
-            return self._writes.run(caller, request, deadline)
-        return self._reads.run(caller, request, deadline)
+            return self._run_in_transaction(request, deadline)
+        refusal = self._count_operation()
+        if refusal is not None:
+            return refusal
+        path = self._writes if is_write else self._reads
+        answer = path.run(caller, request, deadline)
+        self._give_back_if_not_run(answer)
+        return answer
+
+    def _run_in_transaction(self, request: StatementRequest, deadline: float) -> Answer:
+        caller = self._caller
+        transaction = caller.transaction
+        assert transaction is not None
+        is_first = not transaction.is_counted
+        if is_first:
+            refusal = self._count_operation()
+            if refusal is not None:
+                return refusal
+            transaction.is_counted = True
+        answer = self._transactions.run(caller, request, deadline)
+        if is_first and transaction.held is None:
+            transaction.is_counted = not self._give_back_if_not_run(answer)
+        return answer
+
+    def _count_operation(self) -> ErrorAnswer | None:
+        """Count an operation of the caller's account; return why it must not run."""
+        caller = self._caller
+        caller.account = self._accounts.account_of(caller.user)
+        if not caller.account:
+            return None
+        try:
+            self._limiter.acquire(caller.account)
+        except RateLimitedError as error:
+            self._counters.rate_limited(caller.account)
+            return refused(str(error), error.retry_after_ms)
+        return None
+
+    def _give_back_if_not_run(self, answer: Answer) -> bool:
+        is_not_run = (
+            isinstance(answer, ErrorAnswer) and answer.outcome is Outcome.NOT_RUN
+        )
+        if is_not_run and self._caller.account:
+            self._limiter.give_back(self._caller.account)
+        return is_not_run
 
     def _deadline(self, request: StatementRequest) -> float:
         deadline_ms = request.properties.deadline_ms
--- a/packages/proxy/src/dogwoodspool_proxy/callers.py
+++ b/packages/proxy/src/dogwoodspool_proxy/callers.py
@@ -20,6 +20,7 @@
         permit: the right to write; None in a read-only transaction.
         held: the connection; None before the first statement.
         has_failed: whether it was rolled back and only waits to be ended.
+        is_counted: whether it was counted against its account's rate limit.
     """
 
     def __init__(self, is_read_only: bool, began_at: float) -> None:
@@ -28,6 +29,7 @@
         self.permit: WritePermit | None = None
         self.held: HeldConnection | None = None
         self.has_failed = False
+        self.is_counted = False
 
 
 @dataclass(slots=True)
@@ -41,6 +43,7 @@
         is_autocommit: whether each statement commits by itself.
         last_insert_id: generated key of the caller's last write.
         transaction: the open transaction; None when there is none.
+        account: client account of the running request; empty for none.
     """
 
     user: str
@@ -49,3 +52,4 @@
     is_autocommit: bool = True
     last_insert_id: int = 0
     transaction: Transaction | None = None
+    account: str = ""
--- a/packages/proxy/src/dogwoodspool_proxy/reads.py
+++ b/packages/proxy/src/dogwoodspool_proxy/reads.py
@@ -202,7 +202,7 @@
         deadline: float,
     ) -> HeldConnection | TryNextServer | ErrorAnswer:
         priority = Priority.READ_PRIMARY if choice.is_primary else Priority.READ
-        opened = self._access.open(choice.server, deadline, priority)
+        opened = self._access.open(choice.server, deadline, priority, caller.account)
         if opened.is_error():
             return TryNextServer(choice.server.name, opened.error, is_retry=False)
         held = opened.ok
--- a/packages/proxy/src/dogwoodspool_proxy/sessions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/sessions.py
@@ -1,10 +1,12 @@
 """Sessions of the callers that are connected to this proxy."""
 
+from dogwoodspool_accounts import OperationLimiter
 from dogwoodspool_common import Clock
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import OpenSessions, ViewStore
 from dogwoodspool_gateway import CallerSession
 
+from .accounts import CallerAccounts
 from .caller_session import ProxySession
 from .callers import CallerState
 from .reads import ReadPath
@@ -21,6 +23,8 @@
         reads: ReadPath,
         writes: WritePath,
         transactions: TransactionPath,
+        accounts: CallerAccounts,
+        limiter: OperationLimiter,
         counters: Counters,
         clock: Clock,
     ) -> None:
@@ -29,6 +33,8 @@
         self._reads = reads
         self._writes = writes
         self._transactions = transactions
+        self._accounts = accounts
+        self._limiter = limiter
         self._counters = counters
 
     def open(self, user: str) -> CallerSession:
@@ -39,6 +45,8 @@
             self._reads,
             self._writes,
             self._transactions,
+            self._accounts,
+            self._limiter,
             self._counters,
             self._clock,
             self._remove_session,
--- a/packages/proxy/src/dogwoodspool_proxy/transactions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/transactions.py
@@ -154,7 +154,7 @@
         permit = self._grants.begin_write(caller.group)
         if permit is None:
             return Error(self._writes.no_grant(caller.group))
-        opened = self._writes.open(permit, deadline)
+        opened = self._writes.open(permit, deadline, caller.account)
         if opened.is_error():
             self._grants.end_write(permit)
         else:
--- a/packages/proxy/src/dogwoodspool_proxy/writes.py
+++ b/packages/proxy/src/dogwoodspool_proxy/writes.py
@@ -112,14 +112,14 @@
         return answer
 
     def open(
-        self, permit: WritePermit, deadline: float
+        self, permit: WritePermit, deadline: float, account: str = ""
     ) -> Result[HeldConnection, ErrorAnswer]:
-        """Open a connection to the permit's primary."""
+        """Open a connection of a client account to the permit's primary."""
         server = self._views.view.servers.get(permit.primary)
         if server is None:
             message = f"primary {permit.primary} is not in the view yet"
             return Error(no_primary(message, NO_PRIMARY_RETRY_AFTER_MS))
-        opened = self._access.open(server, deadline, Priority.WRITE)
+        opened = self._access.open(server, deadline, Priority.WRITE, account)
         if opened.is_error() or self._grants.is_valid(permit):
             return opened
         opened.ok.finish(True)
@@ -163,7 +163,7 @@
         if permit is None:
             return self.no_grant(caller.group)
         try:
-            opened = self.open(permit, deadline)
+            opened = self.open(permit, deadline, caller.account)
             if opened.is_error():
                 return opened.error
             return self._write(caller, request, permit, opened.ok, deadline)
--- a/packages/settings/src/dogwoodspool_settings/const.py
+++ b/packages/settings/src/dogwoodspool_settings/const.py
@@ -11,14 +11,16 @@
 CONF_TOKEN_KEY: Final = "token_key"
 CONF_BACKEND_PASSWORD: Final = "backend_password"
 CONF_USERS: Final = "users"
+CONF_ACCOUNTS: Final = "accounts"
 CONF_WRITE_ACK: Final = "write_ack"
 
 SECRET_KEYS: Final = frozenset({CONF_TOKEN_KEY, CONF_BACKEND_PASSWORD})
 
 # A proxy renews its grants of all groups in one request, and the number of proxies is
-# limited for the system as a whole, so these cannot differ per group.
+# limited for the system as a whole, so these cannot differ per group. Limits of client
+# accounts count the operations on all groups.
 ROOT_ONLY_KEYS: Final = frozenset(
-    {"lease_ms", "renew_interval_ms", "clock_drift", "max_proxies"}
+    {"lease_ms", "renew_interval_ms", "clock_drift", "max_proxies", CONF_ACCOUNTS}
 )
 # Sessions move between failure domains, promotions involve all of them, and the shares
 # of a backend server's connections are summed over them, so all proxies of a group
--- a/packages/settings/src/dogwoodspool_settings/inheritance.py
+++ b/packages/settings/src/dogwoodspool_settings/inheritance.py
@@ -4,8 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .const import CONF_STATEMENTS, CONF_WRITE_ACK, FROM_DEFAULT
-from .models import EffectiveSettings, ExplainedValue, Statements, WriteAck
+from .const import CONF_ACCOUNTS, CONF_STATEMENTS, CONF_WRITE_ACK, FROM_DEFAULT
+from .models import (
+    AccountSettings,
+    EffectiveSettings,
+    ExplainedValue,
+    Statements,
+    WriteAck,
+)
 from .overrides import DEFAULTS, setting_names, statement_names
 from .redaction import redact
 
@@ -35,9 +41,22 @@
         values.update(_select_known(given, setting_names()))
     if CONF_WRITE_ACK in values:
         values[CONF_WRITE_ACK] = WriteAck(values[CONF_WRITE_ACK])
+    if CONF_ACCOUNTS in values:
+        values[CONF_ACCOUNTS] = _accounts(values[CONF_ACCOUNTS])
     return EffectiveSettings(**values, statements=Statements(**statements))
 
 
+def _accounts(raw: Mapping[str, Mapping[str, Any]]) -> dict[str, AccountSettings]:
+    return {
+        name: AccountSettings(
+            tuple(account.get("users", ())),
+            account.get("rate_per_second"),
+            account.get("burst"),
+        )
+        for name, account in raw.items()
+    }
+
+
 def explain(layers: Iterable[Layer]) -> list[ExplainedValue]:
     """Return each effective value with the path of the node that sets it."""
     found = {value.key: value for value in _default_values()}
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import Any
 
+from dogwoodspool_common import RateLimit
+
 
 class WriteAck(StrEnum):
     """When a write is acknowledged to its caller.
@@ -32,6 +34,31 @@
     fence: str = "STANDIN FENCE TERM {term}"
 
 
+@dataclass(frozen=True, slots=True)
+class AccountSettings:
+    """A client account of the own interface.
+
+    Attributes:
+        users: callers' names that belong to it.
+        rate_per_second: operations per second that its callers may run at all proxies
+            together; None for no limit.
+        burst: operations that may exceed the rate at one time; None for those of one
+            second.
+    """
+
+    users: tuple[str, ...] = ()
+    rate_per_second: float | None = None
+    burst: float | None = None
+
+    @property
+    def rate_limit(self) -> RateLimit | None:
+        """The rate limit, if there is one."""
+        if self.rate_per_second is None:
+            return None
+        burst = self.rate_per_second if self.burst is None else self.burst
+        return RateLimit(self.rate_per_second, burst)
+
+
 @dataclass(frozen=True, slots=True)
 class EffectiveSettings:
     """Effective settings of one database group in one failure domain.
@@ -76,6 +103,7 @@
         request_retention_s: time for which a request id's row is kept.
         token_key: key that signs session tokens; secret.
         users: callers' names and their ``mysql_native_password`` hashes.
+        accounts: client accounts by name, with their users and rate limits.
         backend_user: user name on backend servers.
         backend_password: password on backend servers; secret.
         statements: statements sent to backend servers.
@@ -110,6 +138,7 @@
     request_retention_s: int = 86_400
     token_key: str = field(default="", repr=False)
     users: dict[str, str] = field(default_factory=dict, repr=False)
+    accounts: dict[str, AccountSettings] = field(default_factory=dict)
     backend_user: str = "dogwoodspool"
     backend_password: str = field(default="", repr=False)
     statements: Statements = field(default_factory=Statements)
--- a/packages/settings/src/dogwoodspool_settings/overrides.py
+++ b/packages/settings/src/dogwoodspool_settings/overrides.py
@@ -8,6 +8,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from .const import (
+    CONF_ACCOUNTS,
     CONF_TOKEN_KEY,
     CONF_USERS,
     MIN_TOKEN_KEY_BYTES,
@@ -22,6 +23,9 @@
 
 VALUE_FORMATS: Final = {
     CONF_TOKEN_KEY: f"hexadecimal of at least {MIN_TOKEN_KEY_BYTES} bytes",
+    CONF_ACCOUNTS: (
+        "names with `users`, `rate_per_second` above 0 and `burst` of at least 1"
+    ),
     CONF_USERS: "names with password hashes of 40 hexadecimal digits",
 }
 
@@ -41,6 +45,18 @@
     fence: Statement = _STATEMENT_DEFAULTS.fence
 
 
+class AccountOverrides(BaseModel):
+    """One client account; see ``AccountSettings``."""
+
+    model_config = ConfigDict(
+        extra="forbid", frozen=True, strict=True, allow_inf_nan=False
+    )
+
+    users: list[Name] = Field([], max_length=1_000)
+    rate_per_second: Annotated[float, Field(gt=0, le=1_000_000)] | None = None
+    burst: Annotated[float, Field(ge=1, le=10_000_000)] | None = None
+
+
 class Overrides(BaseModel):
     """What one node may override; fields that are not set are inherited.
 
@@ -95,6 +111,7 @@
         pattern=rf"^(?:[0-9A-Fa-f]{{2}}){{{MIN_TOKEN_KEY_BYTES},128}}$",
     )
     users: dict[Name, PasswordHash] = Field(DEFAULTS.users, max_length=1_000)
+    accounts: dict[Name, AccountOverrides] = Field({}, max_length=10_000)
     backend_user: str = Field(DEFAULTS.backend_user, min_length=1, max_length=64)
     backend_password: str = Field(DEFAULTS.backend_password, max_length=256)
     statements: StatementOverrides = Field(StatementOverrides())
@@ -152,7 +169,7 @@
         model = Overrides.model_validate(dict(raw))
     except ValidationError as error:
         return {}, [_problem_line(detail) for detail in _error_details(error)]
-    problems = _level_problems(raw, level)
+    problems = _level_problems(raw, level) + _account_problems(model)
     return model.model_dump(mode="json", exclude_unset=True), problems
 
 
@@ -186,6 +203,19 @@
     return f"{key}: {reason}"
 
 
+def _account_problems(model: Overrides) -> list[str]:
+    holders: dict[str, str] = {}
+    problems = []
+    for name, account in model.accounts.items():
+        for user in account.users:
+            holder = holders.setdefault(user, name)
+            if holder != name:
+                problems.append(
+                    f"{CONF_ACCOUNTS}.{name}: user {user} already belongs to {holder}"
+                )
+    return problems
+
+
 def _level_problems(raw: Mapping[str, Any], level: Level) -> list[str]:
     problems = []
     for key in raw:
--- a/script/prove.py
+++ b/script/prove.py
@@ -31,6 +31,7 @@
     "leaving",
     "graceful-shutdown",
     "settings-in-force",
+    "rate-limits",
 )
 
 PASSED: Final = "passed"
--- a/tests/accounts/limit_replay.py
+++ b/tests/accounts/limit_replay.py
@@ -201,14 +201,17 @@
         self._clock = clock
         self._allowances = [self._allowance() for _ in range(DOMAINS)]
         self._reserve = LimitReserve(
-            lambda _account: limit(), LimitTolerance(), DOMAINS, clock
+            lambda _account: limit(), LimitTolerance(), lambda: DOMAINS, clock
         )
         self._leads_since = clock.now()
         self._drawing: list[tuple[float, DomainAllowance, dict[str, int]]] = []
 
     def _allowance(self) -> DomainAllowance:
         return DomainAllowance(
-            lambda _account: self._limit(), LimitTolerance(), DOMAINS, self._clock
+            lambda _account: self._limit(),
+            LimitTolerance(),
+            lambda: DOMAINS,
+            self._clock,
         )
 
     def admit(self, domain: int, *, is_new: bool) -> bool:
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -47,7 +47,9 @@
 
     def __init__(self, clock: ManualClock) -> None:
         super().__init__(None)
-        self.reserve = LimitReserve(lambda _: LIMIT, LimitTolerance(), DOMAINS, clock)
+        self.reserve = LimitReserve(
+            lambda _: LIMIT, LimitTolerance(), lambda: DOMAINS, clock
+        )
         self.is_silent = False
         self.asked: list[Address] = []
 
@@ -82,7 +84,7 @@
             directory = ProxyDirectory(own, DOMAINS, self.clock)
             directory.adopt(neighbours)
             allowance = DomainAllowance(
-                self.limits.get, LimitTolerance(), DOMAINS, self.clock
+                self.limits.get, LimitTolerance(), lambda: DOMAINS, self.clock
             )
             peers = ControlPeers((FOLLOWER, LEADER))
             refill = RefillCoordinator(allowance, peers, self.control, self.clock)
@@ -204,7 +206,7 @@
         self.reserve = LimitReserve(
             lambda name: LIMIT if name == "shop" else None,
             LimitTolerance(),
-            DOMAINS,
+            lambda: DOMAINS,
             self.clock,
         )
 
