--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -32,6 +32,8 @@
 # as none.
 DEMAND_SECONDS: Final = 1.0
 NO_DEMAND: Final = 0.05
+# Demand below which an account is forgotten: after some ten seconds without operations.
+FORGOTTEN_DEMAND: Final = 0.0001
 
 # Pauses between two draws of a limit owner, with and without callers that wait.
 DRAW_SPACING_SECONDS: Final = 0.02
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -8,6 +8,7 @@
 from .allocation import Allocation, LimitTolerance, allocate
 from .const import (
     EXHAUSTED_PAUSE_SECONDS,
+    FORGOTTEN_DEMAND,
     HOLD_SECONDS,
     HOLD_TOKENS,
     LOW_SECONDS,
@@ -113,6 +114,7 @@
         now = self._clock.now()
         wanted = {}
         with self._changed:
+            self._drop_idle(now)
             for account, tokens in self._accounts.items():
                 if tokens.draw_after > now:
                     continue
@@ -148,6 +150,16 @@
             tokens = self._tokens(account, now)
             return 0.0 if tokens is None else tokens.bucket.seconds_until(now)
 
+    def _drop_idle(self, now: float) -> None:
+        """Forget accounts that have not been used for so long that they are full."""
+        idle = [
+            account
+            for account, tokens in self._accounts.items()
+            if tokens.demand.per_second(now) < FORGOTTEN_DEMAND
+        ]
+        for account in idle:
+            del self._accounts[account]
+
     def _tokens(self, account: str, now: float) -> _AccountTokens | None:
         limit = self._limit_of(account)
         if limit is None:
--- a/packages/accounts/src/dogwoodspool_accounts/limiter.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limiter.py
@@ -20,6 +20,7 @@
 from .const import (
     ACQUIRE_SECONDS,
     ACQUIRE_TIMEOUT,
+    FORGOTTEN_DEMAND,
     HAND_SECONDS,
     NEIGHBOURS_WAIT_SECONDS,
     PATH_ACQUIRE,
@@ -165,6 +166,7 @@
         with self._lock:
             hand = self._hands.get(account)
             if hand is None:
+                self._drop_idle(now)
                 hand = self._hands[account] = _Hand(Demand(now))
             hand.demand.record(now)
             if hand.tokens == 0 or now >= hand.valid_until:
@@ -173,16 +175,28 @@
             hand.tokens -= 1
             return True
 
+    def _drop_idle(self, now: float) -> None:
+        """Forget accounts without recent operations, which may have been removed."""
+        idle = [
+            account
+            for account, hand in self._hands.items()
+            if hand.demand.per_second(now) < FORGOTTEN_DEMAND
+        ]
+        for account in idle:
+            del self._hands[account]
+            self._unused.pop(account, None)
+
     def _put_in_hand(self, account: str, count: int) -> None:
         if count <= 0:
             return
         with self._lock:
-            hand = self._hands[account]
+            hand = self._hands.setdefault(account, _Hand(Demand(self._clock.now())))
             hand.tokens += count
             hand.valid_until = self._clock.now() + HAND_SECONDS
 
     def _wanted(self, account: str) -> int:
         now = self._clock.now()
         with self._lock:
-            demand = self._hands[account].demand.per_second(now)
+            hand = self._hands.get(account)
+            demand = 0.0 if hand is None else hand.demand.per_second(now)
         return 1 + int(demand * HAND_SECONDS)
--- a/packages/accounts/src/dogwoodspool_accounts/reserve.py
+++ b/packages/accounts/src/dogwoodspool_accounts/reserve.py
@@ -82,10 +82,16 @@
         part = allocate(limit, self._tolerance, self._domains()).reserve
         bucket = self._buckets.get(account)
         if bucket is None:
+            self._drop_unknown()
             bucket = self._buckets[account] = TokenBucket(part, leads_since)
         bucket.set_limit(part, now)
         return bucket
 
+    def _drop_unknown(self) -> None:
+        for account in list(self._buckets):
+            if self._limit_of(account) is None:
+                del self._buckets[account]
+
 
 class ReserveApi:
     """Serve limit owners that draw tokens.
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -197,6 +197,31 @@
         self.proxies.limiters[self.other].acquire("shop")
 
 
+class ForgottenAccountTests(unittest.TestCase):
+    """Accounts that are no longer used leave nothing behind."""
+
+    def test_unused_accounts_are_forgotten(self) -> None:
+        proxies = Proxies()
+        other = next(name for name in NAMES if name != proxies.owner)
+        proxies.admitted(3, other)
+        proxies.clock.advance(30)
+        proxies.limits["bakery"] = LIMIT
+        proxies.limiters[other].acquire("bakery")
+        proxies.refills[proxies.owner].step()
+        limiter = proxies.limiters[other]
+        self.assertEqual(set(limiter._hands), {"bakery"})
+
+    def test_reserve_forgets_removed_accounts(self) -> None:
+        clock, limits = ManualClock(), {"a": LIMIT}
+        clock.advance(10)
+        reserve = LimitReserve(limits.get, LimitTolerance(), lambda: DOMAINS, clock)
+        reserve.draw({"a": 1}, 0.0)
+        limits.clear()
+        limits["b"] = LIMIT
+        reserve.draw({"b": 1}, 0.0)
+        self.assertEqual(set(reserve._buckets), {"b"})
+
+
 class LimitReserveTests(unittest.TestCase):
     """The leader gives out its part of a limit and no more."""
 
