--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -5,6 +5,7 @@
 # Paths of the endpoints of control's leader and of the limit owners.
 PATH_DRAW: Final = "/v1/accounts/draw"
 PATH_ACQUIRE: Final = "/v1/accounts/acquire"
+PATH_RETURN: Final = "/v1/accounts/return"
 
 DEFAULT_WINDOW_SECONDS: Final = 5.0
 DEFAULT_OVERSHOOT: Final = 0.1
@@ -46,6 +47,12 @@
 # between failure domains.
 TOKEN_WAIT_SECONDS: Final = 0.06
 
+# Pause before unused tokens are returned, so that those of one burst of refusals go
+# together, and the time limit for it.
+RETURN_PAUSE_SECONDS: Final = 0.03
+RETURN_TIMEOUT: Final = 0.1
+IDLE_SECONDS: Final = 60.0
+
 # Proxies of a failure domain for each limit owner in use, and the minimum number of
 # owners in use: the loss of one should move only a part of the accounts.
 PROXIES_PER_OWNER: Final = 32
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -107,7 +107,8 @@
         with self._changed:
             tokens = self._accounts.get(account)
             if tokens is not None:
-                tokens.bucket.add(now, count, tokens.most(now))
+                level = tokens.bucket.level(now)
+                tokens.bucket.add(now, count, level + count)
 
     def wanted(self) -> dict[str, int]:
         """Return the tokens to draw for each account that runs short of them."""
--- a/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
@@ -1,11 +1,19 @@
 """Serve the proxies of a failure domain with the tokens of accounts."""
 
+from collections.abc import Mapping
+
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 from dogwoodspool_common.const import MILLISECONDS
 
-from .const import MAX_RETRY_MS, MIN_RETRY_MS, PATH_ACQUIRE, TOKEN_WAIT_SECONDS
+from .const import (
+    MAX_RETRY_MS,
+    MIN_RETRY_MS,
+    PATH_ACQUIRE,
+    PATH_RETURN,
+    TOKEN_WAIT_SECONDS,
+)
 from .domain_allowance import DomainAllowance
-from .messages import AcquireRequest, AcquireResponse
+from .messages import AcquireRequest, AcquireResponse, ReturnRequest
 from .refill import RefillCoordinator
 
 
@@ -18,12 +26,13 @@
 
     def routes(self) -> list[Route]:
         """Return the routes that it serves."""
-        return [Route("POST", PATH_ACQUIRE, self._acquire)]
+        return [
+            Route("POST", PATH_ACQUIRE, self._acquire),
+            Route("POST", PATH_RETURN, self._return),
+        ]
 
     def acquire(self, request: AcquireRequest) -> AcquireResponse:
         """Grant tokens; wait for a draw from control if there are none in hand."""
-        for account, count in request.unused.items():
-            self._allowance.give_back(account, count)
         account = request.account
         granted = self._allowance.take(account, request.count)
         if granted:
@@ -38,6 +47,15 @@
             granted=0, retry_after_ms=max(MIN_RETRY_MS, retry_after_ms)
         )
 
+    def give_back(self, unused: Mapping[str, int]) -> None:
+        """Take back tokens of operations that did not run, by account."""
+        for account, count in unused.items():
+            self._allowance.give_back(account, count)
+
+    def _return(self, request: JsonRequest) -> JsonResponse:
+        self.give_back(ReturnRequest.model_validate(request.body).unused)
+        return JsonResponse()
+
     def _acquire(self, request: JsonRequest) -> JsonResponse:
         response = self.acquire(AcquireRequest.model_validate(request.body))
         return JsonResponse(response.model_dump(mode="json"))
--- a/packages/accounts/src/dogwoodspool_accounts/limiter.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limiter.py
@@ -1,13 +1,11 @@
 """Ask for a token before each operation of an account that has a rate limit."""
 
 import threading
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 
 from dogwoodspool_common import (
-    Address,
     Clock,
     HttpError,
     RateLimit,
@@ -28,8 +26,10 @@
 from .demand import Demand
 from .errors import RateLimitedError
 from .limit_owner import LimitOwner
+from .message_client import MessageClient
 from .messages import AcquireRequest, AcquireResponse
 from .owners import LimitOwners
+from .returns import ReturnCoordinator
 
 
 class OperationLimiter(Protocol):
@@ -48,16 +48,6 @@
         ...
 
 
-class MessageClient(Protocol):
-    """Interface that sends a message to another proxy and returns the answer."""
-
-    def post(
-        self, address: Address, path: str, body: dict[str, Any], timeout: float
-    ) -> dict[str, Any]:
-        """Send a message once, without retries."""
-        ...
-
-
 class NoLimits:
     """Admit every operation; implements ``OperationLimiter``."""
 
@@ -88,6 +78,7 @@
         own: this process.
         limit_of: returns an account's limit, None if it has none.
         owner: grants the tokens that this process itself owns.
+        returns: returns the tokens of operations that did not run.
     """
 
     def __init__(
@@ -96,6 +87,7 @@
         limit_of: Callable[[str], RateLimit | None],
         directory: ProxyDirectory,
         owner: LimitOwner,
+        returns: ReturnCoordinator,
         client: MessageClient,
         clock: Clock,
     ) -> None:
@@ -103,12 +95,12 @@
         self._limit_of = limit_of
         self._directory = directory
         self._owner = owner
+        self._returns = returns
         self._owners = LimitOwners(directory)
         self._client = client
         self._clock = clock
         self._lock = threading.Lock()
         self._hands: dict[str, _Hand] = {}
-        self._unused: Counter[str] = Counter()
 
     def acquire(self, account: str) -> None:
         """Take a token for one operation; see ``OperationLimiter``."""
@@ -126,18 +118,13 @@
         self._put_in_hand(account, response.granted - 1)
 
     def give_back(self, account: str) -> None:
-        """Return a token; it goes to an owner with the next request."""
+        """Return the token of an operation that did not run."""
         if self._limit_of(account) is not None:
-            with self._lock:
-                self._unused[account] += 1
+            self._returns.add(account)
 
     def _ask_owners(self, account: str) -> AcquireResponse:
         give_up_at = self._clock.now() + ACQUIRE_SECONDS
-        request = AcquireRequest(
-            account=account,
-            count=self._wanted(account),
-            unused=self._take_unused(account),
-        )
+        request = AcquireRequest(account=account, count=self._wanted(account))
         for owner in self._owners.order(account):
             if owner.name == self._own.name or self._clock.now() >= give_up_at:
                 break
@@ -156,11 +143,6 @@
             )
         return AcquireResponse.model_validate(answer)
 
-    def _take_unused(self, account: str) -> dict[str, int]:
-        with self._lock:
-            count = self._unused.pop(account, 0)
-        return {account: count} if count else {}
-
     def _take_from_hand(self, account: str) -> bool:
         now = self._clock.now()
         with self._lock:
@@ -184,7 +166,6 @@
         ]
         for account in idle:
             del self._hands[account]
-            self._unused.pop(account, None)
 
     def _put_in_hand(self, account: str, count: int) -> None:
         if count <= 0:
--- a/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
@@ -9,8 +9,10 @@
 from .allocation import LimitTolerance
 from .domain_allowance import DomainAllowance
 from .limit_owner import LimitOwner
-from .limiter import AccountLimiter, MessageClient
+from .limiter import AccountLimiter
+from .message_client import MessageClient
 from .refill import RefillCoordinator
+from .returns import ReturnCoordinator
 
 
 class LimitsRuntime:
@@ -42,8 +44,11 @@
         allowance = DomainAllowance(limit_of, tolerance, domains, clock)
         self._refill = RefillCoordinator(allowance, peers, client, clock)
         self._owner = LimitOwner(allowance, self._refill)
+        self._returns = ReturnCoordinator(
+            own, directory, self._owner, neighbours, clock
+        )
         self._limiter = AccountLimiter(
-            own, limit_of, directory, self._owner, neighbours, clock
+            own, limit_of, directory, self._owner, self._returns, neighbours, clock
         )
 
     @property
@@ -57,9 +62,11 @@
         return self._owner.routes()
 
     def set_up(self) -> None:
-        """Start to draw tokens."""
+        """Start to draw and return tokens."""
         self._refill.set_up()
+        self._returns.set_up()
 
     def unload(self) -> None:
         """Stop all parts."""
+        self._returns.unload()
         self._refill.unload()
--- a/packages/accounts/src/dogwoodspool_accounts/messages.py
+++ b/packages/accounts/src/dogwoodspool_accounts/messages.py
@@ -11,12 +11,16 @@
 
     Attributes:
         count: tokens wanted; fewer may be granted.
-        unused: tokens of operations that did not run, by account.
     """
 
     account: Name
     count: int = Field(default=1, ge=1)
-    unused: dict[Name, Annotated[int, Field(ge=1)]] = {}
+
+
+class ReturnRequest(Message):
+    """Tokens of operations that did not run, by account."""
+
+    unused: dict[Name, Annotated[int, Field(ge=1)]]
 
 
 class AcquireResponse(Message):
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -15,6 +15,7 @@
 from dogwoodspool_accounts.limit_owner import LimitOwner
 from dogwoodspool_accounts.owners import limit_owners
 from dogwoodspool_accounts.refill import RefillCoordinator
+from dogwoodspool_accounts.returns import ReturnCoordinator
 from dogwoodspool_common import (
     Address,
     JsonClient,
@@ -37,6 +38,9 @@
 class ElapsingClock(ManualClock):
     """A clock that advances through every wait, as there is no other thread."""
 
+    def sleep(self, seconds: float) -> None:
+        self.advance(seconds)
+
     def wait(self, condition: Any, seconds: float) -> bool:
         self.advance(max(0.0, seconds))
         return False
@@ -80,6 +84,7 @@
         self.owners: dict[str, LimitOwner] = {}
         self.refills: dict[str, RefillCoordinator] = {}
         self.limiters: dict[str, AccountLimiter] = {}
+        self.returns: dict[str, ReturnCoordinator] = {}
         for own in neighbours:
             directory = ProxyDirectory(own, DOMAINS, self.clock)
             directory.adopt(neighbours)
@@ -90,8 +95,10 @@
             refill = RefillCoordinator(allowance, peers, self.control, self.clock)
             owner = LimitOwner(allowance, refill)
             self.refills[own.name], self.owners[own.name] = refill, owner
+            returns = ReturnCoordinator(own, directory, owner, self, self.clock)
+            self.returns[own.name] = returns
             self.limiters[own.name] = AccountLimiter(
-                own, self.limits.get, directory, owner, self, self.clock
+                own, self.limits.get, directory, owner, returns, self, self.clock
             )
 
     def post(
@@ -100,8 +107,8 @@
         self.asked.append(address.host)
         if address.host in self.down:
             raise PeerUnreachableError(f"{address} is down")
-        (route,) = self.owners[address.host].routes()
-        return dict(route.handler(JsonRequest(path, {}, body)).body)
+        handlers = {one.path: one.handler for one in self.owners[address.host].routes()}
+        return dict(handlers[path](JsonRequest(path, {}, body)).body)
 
     def admitted(self, count: int, name: str = "p0") -> int:
         """Begin some operations at once; return how many may run."""
@@ -171,7 +178,9 @@
         used = self.proxies.admitted(100, self.other)
         for _ in range(used):
             self.proxies.limiters[self.other].give_back("shop")
-        self.assertGreaterEqual(self.proxies.admitted(1, self.other), 1)
+        self.proxies.returns[self.other].step()
+        third = next(n for n in NAMES if n not in (self.other, self.proxies.owner))
+        self.assertGreaterEqual(self.proxies.admitted(100, third), used)
 
     def test_owner_draws_more_than_its_base_part(self) -> None:
         total = 0
