Let a request that waits for a token take one of the base part

Refusals named a retry time of 10 ms, the least there is: while control's leader could not be reached a request waited 60 ms for a draw and was then refused, though a token of the failure domain's base part had accrued meanwhile. It now takes whichever comes first.

--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -46,6 +46,7 @@
 # Time for which a request may wait for tokens that are being drawn: a few round trips
 # between failure domains.
 TOKEN_WAIT_SECONDS: Final = 0.06
+MIN_WAIT_SECONDS: Final = 0.001
 
 # Pause before unused tokens are returned, so that those of one burst of refusals go
 # together, and the time limit for it.
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -13,6 +13,7 @@
     HOLD_TOKENS,
     LOW_SECONDS,
     LOW_TOKENS,
+    MIN_WAIT_SECONDS,
     NO_DEMAND,
 )
 from .demand import Demand
@@ -63,43 +64,38 @@
         self._clock = clock
         self._changed = threading.Condition()
         self._accounts: dict[str, _AccountTokens] = {}
-        self._draws = 0
 
-    def take(self, account: str, count: int = 1, *, is_new: bool = True) -> int:
-        """Take tokens of an account, as many as there are; return how many.
-
-        Args:
-            account: name of the account.
-            count: tokens wanted.
-            is_new: whether the demand has not been counted yet.
-        """
+    def take(self, account: str, count: int = 1) -> int:
+        """Take tokens of an account, as many as there are; return how many."""
         now = self._clock.now()
         with self._changed:
             tokens = self._tokens(account, now)
             if tokens is None:
                 return count
-            if is_new:
-                tokens.demand.record(now, count)
+            tokens.demand.record(now, count)
             return tokens.bucket.take_up_to(now, count)
 
-    def take_after_draw(self, account: str, count: int, seconds: float) -> int:
-        """Take tokens after the next draw has ended; return how many.
+    def take_later(self, account: str, seconds: float) -> int:
+        """Wait for one token of an account; return 0 if none comes in time.
 
-        Returns 0 at once if the leader has just run out of the account's tokens.
+        Tokens come with a draw or accrue in the base part. If the leader has just run
+        out of the account's tokens, only the latter are waited for.
         """
-        began_at = self._clock.now()
-        deadline = began_at + seconds
-        with self._changed:
-            known = self._accounts.get(account)
-            if known is not None and known.draw_after > began_at:
-                return 0
-            draws = self._draws
-            while self._draws == draws:
-                remaining = deadline - self._clock.now()
-                if remaining <= 0:
+        deadline = self._clock.now() + seconds
+        while True:
+            now = self._clock.now()
+            with self._changed:
+                tokens = self._tokens(account, now)
+                if tokens is None or tokens.bucket.take(now):
+                    return 1
+                accrued_at = now + tokens.bucket.seconds_until(now)
+                if tokens.draw_after > now and accrued_at > deadline:
+                    return 0
+                if now >= deadline:
                     return 0
-                self._clock.wait(self._changed, remaining)
-        return self.take(account, count, is_new=False)
+                # A remainder too small for the clock to advance by is rounded up.
+                wait = max(MIN_WAIT_SECONDS, min(deadline, accrued_at) - now)
+                self._clock.wait(self._changed, wait)
 
     def give_back(self, account: str, count: int) -> None:
         """Return tokens of operations that did not run."""
@@ -141,7 +137,6 @@
                 tokens.bucket.add(now, received, level + received)
                 if received < count:
                     tokens.draw_after = now + EXHAUSTED_PAUSE_SECONDS
-            self._draws += 1
             self._changed.notify_all()
 
     def retry_seconds(self, account: str) -> float:
--- a/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
@@ -32,13 +32,13 @@
         ]
 
     def acquire(self, request: AcquireRequest) -> AcquireResponse:
-        """Grant tokens; wait for a draw from control if there are none in hand."""
+        """Grant tokens; wait for one if there is none in hand."""
         account = request.account
         granted = self._allowance.take(account, request.count)
         if granted:
             return AcquireResponse(granted=granted)
         self._refill.wake()
-        granted = self._allowance.take_after_draw(account, 1, TOKEN_WAIT_SECONDS)
+        granted = self._allowance.take_later(account, TOKEN_WAIT_SECONDS)
         if granted:
             return AcquireResponse(granted=granted)
         seconds = min(self._allowance.retry_seconds(account), MAX_RETRY_MS)
--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -107,11 +107,6 @@
             used = self._peak.value()
             return used + PROBE_RESERVE if used else 0
 
-    def has_idle(self, account: str) -> bool:
-        """Return whether there is an idle connection of an account."""
-        with self._lock:
-            return any(one.account == account for one in self._idle)
-
     def acquire(
         self,
         deadline: float,
--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -120,7 +120,6 @@
             distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
-            prefers_warm=self._variant.prefers_warm,
         )
 
     def _register_neighbours(self) -> None:
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -111,8 +111,6 @@
             hold; None for the default.
         owners_by_account: whether the owner of a pool is chosen by client account
             rather than by the proxy that forwards.
-        prefers_warm: whether reads prefer servers with an idle connection of their
-            account.
         has_common_owners: whether all failure domains use the same owners.
     """
 
@@ -122,7 +120,6 @@
     surplus_expiry: float | None = Field(default=None, gt=0)
     connection_share: float | None = Field(default=None, gt=0, le=1)
     owners_by_account: bool = True
-    prefers_warm: bool = True
     has_common_owners: bool = False
 
 
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -161,8 +161,6 @@
     Args:
         distance: one-way latency in seconds to a server of another failure domain.
         connection_share: greatest part of a server's connections that it may hold.
-        prefers_warm: whether reads prefer servers with an idle connection of their
-            account.
     """
 
     def __init__(
@@ -176,7 +174,6 @@
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
         connection_share: float = CONNECTION_SHARE,
-        prefers_warm: bool = True,
     ) -> None:
         self.neighbour = neighbour
         self.failure_domain = failure_domain
@@ -185,7 +182,6 @@
         self._distance = distance
         self._pool_settings = pool_settings
         self._connection_share = connection_share
-        self._prefers_warm = prefers_warm
         self._servers = {one.server_info.name: one for one in servers}
         self._primaries = {
             one.server_info.group: one for one in servers if one.is_primary
@@ -246,7 +242,6 @@
             primary=self._primaries[attempt.group].server_info.name,
             failure_domain=self.failure_domain,
             excluded=excluded,
-            warm=self._warm_servers(attempt),
         )
         if not ranked or number >= MAX_READ_ATTEMPTS:
             self._serve_on_primary(attempt, on_end)
@@ -264,15 +259,6 @@
             server, attempt, min_position, on_result, has_alternatives=True
         )
 
-    def _warm_servers(self, attempt: Attempt) -> set[str] | None:
-        if not self._prefers_warm or not attempt.account:
-            return None
-        return {
-            name
-            for name, backend in self._backends.items()
-            if backend.pool.has_idle(attempt.account)
-        }
-
     def _run_attempt(
         self,
         server: Server,
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -39,9 +39,6 @@
 # A replica is preferred to the primary until it is expected to take this many seconds
 # longer, because only the primary's slots can run writes.
 PRIMARY_PENALTY: Final = 0.008
-# A server with an idle connection for the request is preferred until another one is
-# expected to answer this many seconds sooner: about the time to open a connection.
-CONNECT_PENALTY: Final = 0.012
 
 # Time for which a leaving primary still gets new work: a switchover ends within 2 s,
 # and a server that leaves stays up for 7 s.
--- a/packages/pooler/src/dogwoodspool_pooler/placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/placement.py
@@ -5,7 +5,7 @@
 from dogwoodspool_common import BackendServer, GroupState, Phase
 from dogwoodspool_routing import ServerView
 
-from .const import CONNECT_PENALTY, OTHER_DOMAIN_PENALTY, PRIMARY_PENALTY
+from .const import OTHER_DOMAIN_PENALTY, PRIMARY_PENALTY
 
 
 def rank_for_read(
@@ -14,18 +14,9 @@
     primary: str | None,
     failure_domain: str,
     excluded: Collection[str],
-    warm: Collection[str] | None = None,
 ) -> list[ServerView]:
     """Return the servers that may run a read, best first.
 
-    Args:
-        servers: all servers of the group.
-        primary: name of its primary.
-        failure_domain: failure domain of this process.
-        excluded: names of servers that must not run it.
-        warm: names of servers to which there is an idle connection that can run it;
-            None if that does not matter.
-
     The penalties assume this load: reads far outnumber writes, every failure domain
     but one has a server of its own, and only the primary's slots can run writes. So a
     read stays in its failure domain and off the primary until the queueing time there
@@ -51,8 +42,6 @@
             penalty += OTHER_DOMAIN_PENALTY
         if one.name == primary:
             penalty += PRIMARY_PENALTY
-        if warm is not None and one.name not in warm:
-            penalty += CONNECT_PENALTY
         return expected_time(one) + penalty, one.name
 
     return sorted(usable, key=cost)
--- a/tests/accounts/limit_replay.py
+++ b/tests/accounts/limit_replay.py
@@ -215,7 +215,9 @@
         )
 
     def admit(self, domain: int, *, is_new: bool) -> bool:
-        return self._allowances[domain].take(ACCOUNT, is_new=is_new) == 1
+        allowance = self._allowances[domain]
+        taken = allowance.take(ACCOUNT) if is_new else allowance.take_later(ACCOUNT, 0)
+        return taken == 1
 
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         now = self._clock.now()
