Give failure domains more of a limit for themselves

They now have 0.35 in equal parts and the leader gives out up to 0.74; what exceeds the limit is within the tolerance, which mostly went unused.

--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -5,6 +5,7 @@
 from dogwoodspool_common import RateLimit
 
 from .const import (
+    BASE_BURST_SHARE,
     BASE_SHARE,
     BASE_TOLERANCE_SHARE,
     DEFAULT_OVERSHOOT,
@@ -12,6 +13,8 @@
     DEFAULT_WINDOW_SECONDS,
     HAND_SECONDS,
     HOLD_SECONDS,
+    RESERVE_BURST_SHARE,
+    RESERVE_SHARE,
     START_TOLERANCE_SHARE,
 )
 
@@ -68,7 +71,7 @@
     Example:
         >>> parts = allocate(RateLimit(83, 83), LimitTolerance(), domains=4)
         >>> round(parts.reserve.per_second), round(parts.base.per_second, 1)
-        (62, 5.9)
+        (56, 8.2)
     """
     allowed = limit.per_second * tolerance.window + limit.burst
     bound = tolerance.bound(limit)
@@ -78,10 +81,10 @@
     # burst, and owners that are replaced meanwhile start with them again.
     starts = margin * START_TOLERANCE_SHARE
     base_rate = BASE_SHARE * limit.per_second + margin * BASE_TOLERANCE_SHARE / span
-    base_burst = BASE_SHARE * limit.burst + starts
-    reserve_burst = (1 - BASE_SHARE) * limit.burst
+    base_burst = BASE_BURST_SHARE * limit.burst + starts
+    reserve_burst = RESERVE_BURST_SHARE * limit.burst
     rest = bound - starts - base_burst - reserve_burst - base_rate * span
-    reserve_rate = min((1 - BASE_SHARE) * limit.per_second, rest / span)
+    reserve_rate = min(RESERVE_SHARE * limit.per_second, rest / span)
     # What the rate leaves of the tolerance is for bursts.
     reserve_burst += max(0.0, rest - reserve_rate * span)
     return Allocation(
--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -11,10 +11,14 @@
 DEFAULT_OVERSHOOT: Final = 0.1
 DEFAULT_SLACK: Final = 20.0
 
-# Part of a limit that failure domains may use without asking control's leader, in equal
-# shares: enough to go on during an election, and little enough that one failure domain
-# can get most of the limit when all callers are there.
-BASE_SHARE: Final = 0.25
+# Parts of a limit that failure domains may use without asking control's leader, in
+# equal shares, and that the leader gives out at the most: enough to go on while the
+# leader cannot be reached, and enough for callers who are all in one failure domain.
+# Together they use the usual tolerance; with less, the leader's part is smaller.
+BASE_SHARE: Final = 0.35
+RESERVE_SHARE: Final = 0.74
+BASE_BURST_SHARE: Final = 0.2
+RESERVE_BURST_SHARE: Final = 0.6
 # Parts of the tolerance: operations beyond the limit in every failure domain, and
 # tokens with which a limit owner starts that does not know what its predecessor used.
 BASE_TOLERANCE_SHARE: Final = 0.3
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -184,6 +184,8 @@
 
     def test_owner_draws_more_than_its_base_part(self) -> None:
         total = 0
+        self.proxies.admitted(1, self.other)
+        self.proxies.clock.advance(0.5)
         for _ in range(40):
             total += self.proxies.admitted(1, self.other)
             # The first draw is refused by a follower, which names the leader.
