Refuse a begin whose key is revoked while it is checked

A view that arrived between the check of the key and the begin would have raised out of the session and ended the caller's connection without an answer.

--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -227,9 +227,13 @@
         endpoint = self._endpoint()
         if endpoint is None:
             return self._no_database()
+        try:
+            caller = self._identify(endpoint)
+        except UnknownKeyError as error:
+            return Answer(TransactionState.IDLE, error=error.error)
         is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
         self._transaction = Transaction(
-            endpoint, self._identify(endpoint), arrived_at, is_read_only=is_read_only
+            endpoint, caller, arrived_at, is_read_only=is_read_only
         )
         return Answer(TransactionState.OPEN)
 
