Wait longer for control's leader before a draw counts as failed

Draws share their record of control processes with the rotation, and 0.15 s is less than the retransmission of one lost packet takes: a slow leader could have counted as silent.

--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -43,7 +43,8 @@
 # Pauses between two draws of a limit owner, with and without callers that wait.
 DRAW_SPACING_SECONDS: Final = 0.02
 DRAW_CHECK_SECONDS: Final = 0.1
-DRAW_TIMEOUT: Final = 0.15
+# Longer than the retransmission of one lost packet takes (0.2 s).
+DRAW_TIMEOUT: Final = 0.3
 DRAW_RETRY_SECONDS: Final = 0.05
 # Pause after a draw that did not get all tokens of an account.
 EXHAUSTED_PAUSE_SECONDS: Final = 0.1
