--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -295,7 +295,7 @@
 class EndpointMessage(ExtendedMessage):
     """A database name that callers connect to, with its service guarantees."""
 
-    _optional_fields = frozenset({"is_public"})
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"is_public"})
 
     name: Name
     database: str
@@ -374,7 +374,7 @@
 class RemovedItems(ExtendedMessage):
     """Items that a delta view removes, by name or path."""
 
-    _optional_fields = frozenset({"accounts"})
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"accounts"})
 
     groups: list[str] = []
     servers: list[str] = []
@@ -394,7 +394,9 @@
             differences from that version, and ``removed`` names what no longer exists.
     """
 
-    _optional_fields = frozenset({"accounts", "requires_account"})
+    _optional_fields: ClassVar[frozenset[str]] = frozenset(
+        {"accounts", "requires_account"}
+    )
 
     version: int
     groups: list[GroupMessage]
--- /dev/null
+++ b/tests/api/test_messages.py
@@ -0,0 +1,57 @@
+"""Tests of messages that processes of earlier builds read."""
+
+import unittest
+
+from dogwoodspool_api import (
+    AccountMessage,
+    ControlView,
+    EndpointMessage,
+    RemovedItems,
+)
+from dogwoodspool_common import ClientAccount, Consistency, Endpoint, RateLimit
+
+ENDPOINT = Endpoint("r1", "db", "g1", Consistency.PRIMARY, 800, 250, 1)
+NEW_FIELDS = {"accounts", "requires_account", "is_public"}
+
+
+def view(**changes: object) -> ControlView:
+    """Return a view with some fields."""
+    empty: dict[str, object] = {
+        "groups": [],
+        "servers": [],
+        "proxies": [],
+        "settings": [],
+        "endpoints": [EndpointMessage.of(ENDPOINT)],
+    }
+    return ControlView.model_validate({"version": 1, **empty, **changes})
+
+
+class ExtendedMessageTests(unittest.TestCase):
+    """Guard against proxies of an earlier build that reject every view."""
+
+    def test_unused_new_fields_are_left_out(self) -> None:
+        content = view().model_dump(mode="json")
+        self.assertEqual(NEW_FIELDS & content.keys(), set())
+        self.assertEqual(NEW_FIELDS & content["removed"].keys(), set())
+        self.assertEqual(NEW_FIELDS & content["endpoints"][0].keys(), set())
+
+    def test_used_new_fields_are_sent(self) -> None:
+        account = AccountMessage.of(ClientAccount("a", ("x",), 1, RateLimit(2.5, 4)))
+        sent = view(
+            accounts=[account],
+            requires_account=True,
+            removed=RemovedItems(accounts=["b"]),
+        )
+        received = ControlView.model_validate(sent.model_dump(mode="json"))
+        self.assertEqual(received, sent)
+        self.assertEqual(received.accounts[0].value().rate_limit, RateLimit(2.5, 4))
+
+    def test_no_accounts_at_all_is_not_the_same_as_none_needed(self) -> None:
+        sent = view(accounts=[], requires_account=True)
+        received = ControlView.model_validate(sent.model_dump(mode="json"))
+        self.assertTrue(received.requires_account)
+
+    def test_views_and_endpoints_of_an_earlier_build_are_read(self) -> None:
+        received = ControlView.model_validate(view().model_dump(mode="json"))
+        self.assertFalse(received.requires_account)
+        self.assertFalse(received.endpoints[0].value().is_public)
