Show client accounts and their use with ctl

Operators could not see what an account uses of its limit nor at which proxies. A proxy's status lists operations and refusals by account, and dogwoodspool-ctl accounts sums them beside the declared users and limits; a proxy that does not answer is named.

--- a/packages/accounts/src/dogwoodspool_accounts/__init__.py
+++ b/packages/accounts/src/dogwoodspool_accounts/__init__.py
@@ -7,9 +7,11 @@
 from .limits_runtime import LimitsRuntime
 from .reserve import LimitReserve, ReserveApi
 from .token_bucket import TokenBucket
+from .usage import AccountUsage, UsageCounter
 
 __all__ = [
     "AccountLimiter",
+    "AccountUsage",
     "Allocation",
     "DomainAllowance",
     "LimitReserve",
@@ -20,5 +22,6 @@
     "RateLimitedError",
     "ReserveApi",
     "TokenBucket",
+    "UsageCounter",
     "allocate",
 ]
--- a/packages/ctl/src/dogwoodspool_ctl/main.py
+++ b/packages/ctl/src/dogwoodspool_ctl/main.py
@@ -16,7 +16,7 @@
 )
 from dogwoodspool_settings import SettingsTreeError
 
-from . import apply_commands, cluster_commands, settings_commands
+from . import account_commands, apply_commands, cluster_commands, settings_commands
 from .const import ExitCode
 from .context import Command, Context
 from .control import Control
@@ -35,6 +35,7 @@
   dogwoodspool-ctl [options] rollback PATH VERSION [--wait]
   dogwoodspool-ctl [options] status
   dogwoodspool-ctl [options] rollout
+  dogwoodspool-ctl [options] accounts
   dogwoodspool-ctl [options] promote GROUP [--to=SERVER]
   dogwoodspool-ctl [options] drain PROXY
   dogwoodspool-ctl [options] forget PROXY
@@ -72,6 +73,7 @@
     "apply": apply_commands.run_apply,
     "get": settings_commands.run_get,
     "set": settings_commands.run_set,
+    "accounts": account_commands.run_accounts,
     "history": settings_commands.run_history,
     "rollback": settings_commands.run_rollback,
     "status": cluster_commands.run_status,
--- a/packages/proxy/src/dogwoodspool_proxy/accounts.py
+++ b/packages/proxy/src/dogwoodspool_proxy/accounts.py
@@ -2,16 +2,21 @@
 
 import threading
 
-from dogwoodspool_accounts import LimitsRuntime, LimitTolerance
+from dogwoodspool_accounts import LimitsRuntime, LimitTolerance, UsageCounter
 from dogwoodspool_common import Clock, JsonClient, RateLimit, Route
 from dogwoodspool_following import ControlPeers, ProxyView, ViewStore
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 
 
 class CallerAccounts:
-    """Look up accounts in the settings in force."""
+    """Look up accounts in the settings in force.
+
+    Attributes:
+        usage: operations of the accounts at this proxy.
+    """
 
     def __init__(self, views: ViewStore) -> None:
+        self.usage = UsageCounter()
         self._views = views
         self._lock = threading.Lock()
         self._view: ProxyView | None = None
--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -240,6 +240,7 @@
             lambda: self._listener.callers,
             lambda: self._renew.seconds_since_renewal,
             self._rotation,
+            self._accounts.usage,
         )
         endpoints = ProxyEndpoints(
             self._incarnation,
--- a/packages/proxy/src/dogwoodspool_proxy/caller_session.py
+++ b/packages/proxy/src/dogwoodspool_proxy/caller_session.py
@@ -199,8 +199,10 @@
         try:
             self._limiter.acquire(caller.account)
         except RateLimitedError as error:
+            self._accounts.usage.record(caller.account, is_admitted=False)
             self._counters.rate_limited(caller.account)
             return refused(str(error), error.retry_after_ms)
+        self._accounts.usage.record(caller.account, is_admitted=True)
         return None
 
     def _give_back_if_not_run(self, answer: Answer) -> bool:
--- a/packages/proxy/src/dogwoodspool_proxy/diagnostics.py
+++ b/packages/proxy/src/dogwoodspool_proxy/diagnostics.py
@@ -4,6 +4,7 @@
 from dataclasses import asdict
 from typing import Any
 
+from dogwoodspool_accounts import UsageCounter
 from dogwoodspool_following import Rotation, ViewStore
 
 from .backends import BackendRegistry
@@ -22,6 +23,7 @@
         callers: Callable[[], int],
         seconds_since_renewal: Callable[[], float | None],
         rotation: Rotation,
+        usage: UsageCounter,
     ) -> None:
         self._name = name
         self._views = views
@@ -30,6 +32,7 @@
         self._callers = callers
         self._seconds_since_renewal = seconds_since_renewal
         self._rotation = rotation
+        self._usage = usage
         self._is_draining = False
 
     def start_draining(self) -> None:
@@ -71,6 +74,7 @@
                 }
                 for state in view.groups.values()
             ],
+            "accounts": [asdict(usage) for usage in self._usage.usage()],
             "backends": [asdict(usage) for usage in self._registry.usage()],
         }
 
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -9,9 +9,10 @@
 from typing import Any
 
 from dogwoodspool_api import const
+from dogwoodspool_common import JsonResponse
 from dogwoodspool_ctl import ExitCode, execute
 
-from .fake_control import SHARED_KEY, FakeControl, FakeFollower
+from .fake_control import SHARED_KEY, FakeControl, FakeFollower, start_server
 
 TOKEN_KEY = "5e" * 32
 PASSWORD = "open sesame"
@@ -193,6 +194,52 @@
         self.assertRegex(shown[2], r'backend_password: "\*\*\*:\w+" -> "\*\*\*:\w+"')
 
 
+class AccountsTests(CtlTestCase):
+    """Operators see what each client account uses of its limit."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        shop = {"users": ["shop"], "rate_per_second": 5}
+        (root,) = self.control.tree.nodes()
+        self.control.apply("/", root.version, {"accounts": {"shop": shop}})
+
+    def proxy(self, name: str, address: str) -> dict[str, Any]:
+        return {
+            "proxy": name,
+            "failure_domain": "a",
+            "address": address,
+            "view_version": 4,
+            "seconds_since_renewal": 0.1,
+        }
+
+    def serve(self, operations: int) -> str:
+        """Start a proxy that reports operations; return its address."""
+        usage = {"account": "shop", "operations": operations, "rate_limited": 2}
+        routes = {
+            ("GET", const.PATH_STATUS): lambda _: JsonResponse({"accounts": [usage]})
+        }
+        server = start_server(routes)
+        self.addCleanup(server.unload)
+        return str(server.address)
+
+    def test_operations_are_summed_over_proxies(self) -> None:
+        self.control.proxies = [
+            self.proxy("entry-1", self.serve(30)),
+            self.proxy("entry-2", self.serve(12)),
+        ]
+        (shown,) = json.loads(self.run_ok("--json", "accounts"))["accounts"]
+        self.assertEqual((shown["account"], shown["rate_per_second"]), ("shop", 5))
+        self.assertEqual(shown["proxies"]["entry-2"]["operations"], 12)
+        text = self.run_ok("accounts")
+        self.assertRegex(text, r"shop +shop +5.* +42 +4 +entry-1:30,entry-2:12")
+
+    def test_proxy_without_an_answer_is_named(self) -> None:
+        self.control.proxies = [self.proxy("entry-3", "127.0.0.1:1")]
+        text = self.run_ok("accounts")
+        self.assertIn("no answer from entry-3", text)
+        self.assertRegex(text, r"shop +shop +5.* +0 +0")
+
+
 class RolloutTests(CtlTestCase):
     """Operators see whether a change is in force at every proxy."""
 
