--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -7,6 +7,12 @@
 from pathlib import Path
 from typing import Any, Final
 
+from dogwoodspool_accounts.const import (
+    HAND_SECONDS,
+    HOLD_SECONDS,
+    MIN_LIMIT_OWNERS,
+    PROXIES_PER_OWNER,
+)
 from dogwoodspool_control.const import MAX_RENEW_ITEMS, MAX_SERVERS, MAX_WATCHERS
 from dogwoodspool_sharing.roster import presence_interval
 
@@ -57,6 +63,7 @@
         _statements(capacity),
         _times(capacity),
         _sharing(),
+        _limits(),
         _unmeasured(),
         _points(capacity),
     )
@@ -352,6 +359,25 @@
 """
 
 
+def _limits() -> str:
+    neighbours = math.ceil(DAEMONS / FAILURE_DOMAINS)
+    owners = max(MIN_LIMIT_OWNERS, math.ceil(neighbours / PROXIES_PER_OWNER))
+    draws = owners * FAILURE_DOMAINS / HOLD_SECONDS
+    requests = 1 / HAND_SECONDS
+    return f"""
+## Rate limits, by arithmetic
+
+In each failure domain {owners} of {neighbours} daemons count the operations of client
+accounts. One that runs short draws for {HOLD_SECONDS} s of demand, for all its accounts
+at once: at most {draws:.0f} draws a second at the leader if every owner runs short all
+the time: **not met**, as a control process answers some hundred requests a second.
+Accounts whose base part suffices cause none. A daemon asks an owner at most {requests:.0f}
+times a second for each account that its callers use, and once for each operation where
+there are fewer: **met** for some tens of accounts at a daemon, **not met** for
+hundreds. Nothing here grows with the operations themselves beyond that.
+"""
+
+
 def _unmeasured() -> str:
     interval = SECONDS_PER_DAY / RESTARTS_PER_DAY
     return f"""
