Count reads whose answers were lost against the limit

A read at the primary that got no answer is refused as busy, and its token was returned though a server may have run it: in a failure of a primary an account could have run more than its limit allows. Such refusals are told apart, also in the answers of owners.

--- a/packages/pooler/src/dogwoodspool_pooler/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/errors.py
@@ -29,6 +29,10 @@
     """Report that this process cannot reach the group's primary."""
 
 
+class AnswerLostError(NotServedError):
+    """Report a read that a server may have run and did not answer."""
+
+
 class NotReadyError(PoolerError):
     """Report that no view has arrived from control yet: any database may exist."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -17,7 +17,7 @@
     NO_PRIMARY_RETRY_MS,
     PROMOTION_RETRY_MS,
 )
-from .errors import NoPrimaryError, NotServedError
+from .errors import AnswerLostError, NoPrimaryError, NotServedError
 from .held import ConnectionAccess, HeldT
 from .known_primaries import KnownPrimaries
 from .models import ErrorCode, Reply, StatementError
@@ -85,13 +85,14 @@
         """Run an idempotent request, such as a read, on the primary; see ``run``.
 
         Raises:
-            NotServedError: it did not run, or its answer was lost.
+            NotServedError: it did not run.
+            AnswerLostError: its answer was lost.
         """
         try:
             return self.run(request, attempt)
         except OutcomeUnknownError as error:
             message = f"the primary did not answer: {error}"
-            raise NotServedError(
+            raise AnswerLostError(
                 StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
             ) from error
 
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -15,7 +15,7 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import ViewStore
 
-from .errors import NotServedError, UnknownKeyError
+from .errors import AnswerLostError, NotServedError, UnknownKeyError
 from .identity import Caller, identify
 from .models import (
     Access,
@@ -327,6 +327,8 @@
         self._count_operation(request.caller)
         try:
             reply = self._statements.run(request)
+        except AnswerLostError:
+            raise  # It may have run, so it counts against the account's limit.
         except NotServedError:
             self._limiter.give_back(request.caller.account)
             raise
--- a/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
@@ -1,10 +1,11 @@
 """Messages between a proxy and the owner of a group's pools."""
 
 from enum import StrEnum
-from typing import Self
+from typing import ClassVar, Self
 
 from dogwoodspool_api import (
     EndpointMessage,
+    ExtendedMessage,
     HostPort,
     Message,
     Name,
@@ -294,17 +295,21 @@
     UNANSWERED = "unanswered"
 
 
-class StatementResponse(Message):
+class StatementResponse(ExtendedMessage):
     """Outcome of a statement: a reply, or why it did not run.
 
     Attributes:
+        is_answer_lost: whether a server may have run it, a read, without an answer.
         has_no_primary: whether it did not run because the owner cannot reach the
             primary; the sender may be able to.
     """
 
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"is_answer_lost"})
+
     reply: ReplyMessage | None = None
     refusal: RefusalMessage | None = None
     has_no_primary: bool = False
+    is_answer_lost: bool = False
 
 
 class TransactionResponse(Message):
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -9,7 +9,7 @@
 )
 from dogwoodspool_following import ViewStore
 
-from ..errors import NoPrimaryError, NotServedError
+from ..errors import AnswerLostError, NoPrimaryError, NotServedError
 from ..statements import Statements
 from .caller_check import check_caller
 from .const import PATH_STATEMENT
@@ -55,6 +55,7 @@
             refused = StatementResponse(
                 refusal=RefusalMessage.of(error.error),
                 has_no_primary=isinstance(error, NoPrimaryError),
+                is_answer_lost=isinstance(error, AnswerLostError),
             )
             return _json_response(refused)
         return _json_response(StatementResponse(reply=ReplyMessage.of(reply)))
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -5,8 +5,8 @@
 from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 
-from ..errors import NoPrimaryError, NotServedError
-from ..models import Reply
+from ..errors import AnswerLostError, NoPrimaryError, NotServedError
+from ..models import Reply, StatementError
 from ..requests import Request
 from ..statements import Statements
 from ..writes import write_in_doubt
@@ -88,5 +88,12 @@
             raise OwnerSilentError(
                 f"{owner.name}: the answer has neither a reply nor a refusal"
             )
-        refused = NoPrimaryError if response.has_no_primary else NotServedError
-        raise refused(response.refusal.value())
+        raise _error_of(response, response.refusal.value())
+
+
+def _error_of(response: StatementResponse, refusal: StatementError) -> NotServedError:
+    if response.is_answer_lost:
+        return AnswerLostError(refusal)
+    if response.has_no_primary:
+        return NoPrimaryError(refusal)
+    return NotServedError(refusal)
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -4,7 +4,12 @@
 from dataclasses import replace
 
 from dogwoodspool_common import ClientAccount, Consistency, Role, key_digest
-from dogwoodspool_pooler import ErrorCode, TransactionState, UnknownKeyError
+from dogwoodspool_pooler import (
+    ErrorCode,
+    StatementKind,
+    TransactionState,
+    UnknownKeyError,
+)
 
 from .fakes import FakeServer, Pooler, endpoint, run_text
 from .shared.neighbours import SharingProxy
@@ -128,6 +133,60 @@
         self.assertEqual(self.ran_for(), ["shop"])
 
 
+class RecordingLimiter:
+    """Admit every operation, and record those that are given back."""
+
+    def __init__(self) -> None:
+        self.acquired: list[str] = []
+        self.given_back: list[str] = []
+
+    def acquire(self, account: str) -> None:
+        self.acquired.append(account)
+
+    def give_back(self, account: str) -> None:
+        self.given_back.append(account)
+
+
+class CountedOperationTests(unittest.TestCase):
+    """What counts against an account's rate limit."""
+
+    def setUp(self) -> None:
+        self.server = FakeServer("s1", Role.PRIMARY)
+        self.limiter = RecordingLimiter()
+        self.proxy = SharingProxy([self.server], endpoint(Consistency.PRIMARY))
+        for pooler in (self.proxy, *self.owners()):
+            pooler.apply_view(primary="s1", accounts=[SHOP])
+        self.proxy.sessions._limiter = self.limiter
+
+    def owners(self) -> list[Pooler]:
+        return [self.proxy.owner(name).pooler for name in ("o1", "o2")]
+
+    def test_statement_and_transaction_count_once_each(self) -> None:
+        session = self.proxy.session("key-1")
+        run_text(session, "READ k")
+        for text in ("BEGIN", "READ k", "WRITE k v", "COMMIT"):
+            run_text(session, text)
+        self.assertEqual(self.limiter.acquired, ["shop", "shop"])
+        self.assertEqual(self.limiter.given_back, [])
+
+    def test_statement_that_the_server_refused_is_given_back(self) -> None:
+        self.server.refusals += [ErrorCode.BUSY] * 50
+        run_text(self.proxy.session("key-1"), "READ k")
+        self.assertEqual(self.limiter.given_back, ["shop"])
+
+    def test_read_whose_answer_was_lost_counts(self) -> None:
+        """Guard against a limit that is exceeded by reads without answers."""
+        self.server.unanswered_kinds.add(StatementKind.READ)
+        answer = run_text(self.proxy.session("key-1"), "READ k")
+        self.assertIsNotNone(answer.error)
+        self.assertEqual(self.limiter.given_back, [])
+
+    def test_statement_without_a_primary_is_given_back(self) -> None:
+        self.server.is_down = True
+        run_text(self.proxy.session("key-1"), "WRITE k v")
+        self.assertEqual(self.limiter.given_back, ["shop"])
+
+
 class ForwardedCallerTests(unittest.TestCase):
     """An owner checks the callers of its neighbours against its own view."""
 
