Count operations in a module of their own

The pooler's session had grown by the counting of operations; it calls OperationCounter now, with the same rules for single statements, transactions and commits.

--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -3,7 +3,6 @@
 import threading
 from collections.abc import Callable
 
-from dogwoodspool_accounts import OperationLimiter, RateLimitedError
 from dogwoodspool_common import (
     Clock,
     Consistency,
@@ -15,7 +14,7 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import ViewStore
 
-from .errors import AnswerLostError, NotServedError, UnknownKeyError
+from .errors import NotServedError, UnknownKeyError
 from .identity import Caller, identify
 from .models import (
     Access,
@@ -28,6 +27,7 @@
     StatementKind,
     TransactionState,
 )
+from .operations import OperationCounter
 from .requests import Request
 from .session_state import SessionState
 from .statements import Statements
@@ -51,7 +51,7 @@
         views: ViewStore,
         statements: Statements,
         transactions: TransactionPath,
-        limiter: OperationLimiter,
+        operations: OperationCounter,
         counters: Counters,
         clock: Clock,
         on_close: "Callable[[PooledSession], None]",
@@ -61,7 +61,7 @@
         self._views = views
         self._statements = statements
         self._transactions = transactions
-        self._limiter = limiter
+        self._operations = operations
         self._counters = counters
         self._clock = clock
         self._on_close = on_close
@@ -250,12 +250,13 @@
         request = self._request(
             transaction.endpoint, transaction.caller, statement, None, arrived_at
         )
-        refusal = self._count_transaction(transaction)
-        if refusal is not None:
-            self._transaction = None
-            return Answer(TransactionState.IDLE, error=refusal)
-        reply = self._transactions.commit(transaction, request)
         self._transaction = None
+        try:
+            reply = self._operations.run_in_transaction(
+                transaction, request, self._transactions.commit
+            )
+        except NotServedError as error:
+            return Answer(TransactionState.IDLE, error=error.error)
         if reply.error is None:
             self._advance_position(transaction.endpoint, reply.position)
         return self._answer(reply)
@@ -275,10 +276,14 @@
                 prepared,
                 arrived_at,
             )
-            refusal = self._count_transaction(transaction)
-            if refusal is not None:
-                return Answer(self.state, error=refusal)
-            return self._answer(self._run_in_transaction(transaction, request))
+            try:
+                reply = self._operations.run_in_transaction(
+                    transaction, request, self._transactions.run
+                )
+            except NotServedError as error:
+                transaction.has_failed = True
+                return Answer(self.state, error=error.error)
+            return self._answer(reply)
         current = self._endpoint()
         if current is None:
             return self._no_database()
@@ -289,51 +294,8 @@
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
 
-    def _run_in_transaction(self, transaction: Transaction, request: Request) -> Reply:
-        is_first = transaction.held is None
-        reply = self._transactions.run(transaction, request)
-        if is_first and reply.error is not None and reply.error.code.is_not_run:
-            self._limiter.give_back(transaction.caller.account)
-        return reply
-
-    def _count_transaction(self, transaction: Transaction) -> StatementError | None:
-        """Count a transaction against its account's limit at its first statement.
-
-        Returns:
-            Why the transaction must not run; None if it may.
-        """
-        if transaction.is_counted or transaction.has_failed:
-            return None
-        try:
-            self._count_operation(transaction.caller)
-        except NotServedError as error:
-            transaction.has_failed = True
-            return error.error
-        transaction.is_counted = True
-        return None
-
-    def _count_operation(self, caller: Caller) -> None:
-        if not caller.account:
-            return
-        try:
-            self._limiter.acquire(caller.account)
-        except RateLimitedError as error:
-            self._counters.rate_limited(caller.account)
-            raise NotServedError(
-                StatementError(ErrorCode.BUSY, str(error), error.retry_after_ms)
-            ) from error
-
     def _run_single(self, request: Request) -> Reply:
-        self._count_operation(request.caller)
-        try:
-            reply = self._statements.run(request)
-        except AnswerLostError:
-            raise  # It may have run, so it counts against the account's limit.
-        except NotServedError:
-            self._limiter.give_back(request.caller.account)
-            raise
-        if reply.error is not None and reply.error.code.is_not_run:
-            self._limiter.give_back(request.caller.account)
+        reply = self._operations.run_single(request, self._statements.run)
         if request.writes and reply.error is None:
             self._advance_position(request.endpoint, reply.position)
         return reply
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -8,6 +8,7 @@
 from .const import FIRST_VIEW_DUE_SECONDS, FIRST_VIEW_WAIT_SECONDS
 from .errors import NoDatabaseError, NotReadyError
 from .identity import identify
+from .operations import OperationCounter
 from .session import PooledSession
 from .statements import Statements
 from .transactions import TransactionPath
@@ -29,7 +30,7 @@
         self._views = views
         self._statements = statements
         self._transactions = transactions
-        self._limiter = limiter
+        self._operations = OperationCounter(limiter, counters)
         self._counters = counters
         self._first_view_due = clock.now() + FIRST_VIEW_DUE_SECONDS
 
@@ -59,7 +60,7 @@
             self._views,
             self._statements,
             self._transactions,
-            self._limiter,
+            self._operations,
             self._counters,
             self._clock,
             self._remove_session,
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -10,6 +10,7 @@
     TransactionState,
     UnknownKeyError,
 )
+from dogwoodspool_pooler.operations import OperationCounter
 
 from .fakes import FakeServer, Pooler, endpoint, run_text
 from .shared.neighbours import SharingProxy
@@ -156,7 +157,8 @@
         self.proxy = SharingProxy([self.server], endpoint(Consistency.PRIMARY))
         for pooler in (self.proxy, *self.owners()):
             pooler.apply_view(primary="s1", accounts=[SHOP])
-        self.proxy.sessions._limiter = self.limiter
+        counters = self.proxy.counters
+        self.proxy.sessions._operations = OperationCounter(self.limiter, counters)
 
     def owners(self) -> list[Pooler]:
         return [self.proxy.owner(name).pooler for name in ("o1", "o2")]
