Divide limits in one place

The domain's allowance and the leader's reserve each took the limits, the tolerance and the number of failure domains, and divided for themselves; an Allocator does it for both.

--- a/packages/accounts/src/dogwoodspool_accounts/__init__.py
+++ b/packages/accounts/src/dogwoodspool_accounts/__init__.py
@@ -1,6 +1,6 @@
 """Rate limits of client accounts, enforced by all proxies together."""
 
-from .allocation import Allocation, LimitTolerance, allocate
+from .allocation import Allocation, Allocator, LimitTolerance, allocate
 from .domain_allowance import DomainAllowance
 from .errors import RateLimitedError
 from .limiter import AccountLimiter, NoLimits, OperationLimiter
@@ -13,6 +13,7 @@
     "AccountLimiter",
     "AccountUsage",
     "Allocation",
+    "Allocator",
     "DomainAllowance",
     "LimitReserve",
     "LimitTolerance",
--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -1,5 +1,6 @@
 """Divide an account's rate limit between control's leader and failure domains."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from dogwoodspool_common import RateLimit
@@ -92,3 +93,30 @@
         RateLimit(base_rate / domains, base_burst / domains),
         starts / domains,
     )
+
+
+class Allocator:
+    """Divide the limits of accounts that are in force.
+
+    Args:
+        limit_of: returns an account's limit, None if it has none.
+        tolerance: how far operations may exceed a limit.
+        domains: returns the number of failure domains.
+    """
+
+    def __init__(
+        self,
+        limit_of: Callable[[str], RateLimit | None],
+        tolerance: LimitTolerance,
+        domains: Callable[[], int],
+    ) -> None:
+        self._limit_of = limit_of
+        self._tolerance = tolerance
+        self._domains = domains
+
+    def parts_of(self, account: str) -> Allocation | None:
+        """Return the parts of an account's limit; None if it has no limit."""
+        limit = self._limit_of(account)
+        if limit is None:
+            return None
+        return allocate(limit, self._tolerance, self._domains())
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -1,11 +1,11 @@
 """Tokens that a limit owner has for the proxies of its failure domain."""
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
-from dogwoodspool_common import Clock, RateLimit
+from dogwoodspool_common import Clock
 
-from .allocation import Allocation, LimitTolerance, allocate
+from .allocation import Allocation, Allocator
 from .const import (
     EXHAUSTED_PAUSE_SECONDS,
     FORGOTTEN_DEMAND,
@@ -23,8 +23,7 @@
 class _AccountTokens:
     """Tokens and demand of one account."""
 
-    def __init__(self, limit: RateLimit, parts: Allocation, now: float) -> None:
-        self.limit = limit
+    def __init__(self, parts: Allocation, now: float) -> None:
         self.demand = Demand(now)
         self.bucket = TokenBucket(parts.base, now, parts.start)
         self.draw_after = now
@@ -45,22 +44,10 @@
     leader in addition, as many as its demand needs for a fraction of a second. An
     owner that has just started has few tokens, because it does not know how many its
     predecessor used.
-
-    Args:
-        limit_of: returns an account's limit, None if it has none.
-        domains: returns the number of failure domains.
     """
 
-    def __init__(
-        self,
-        limit_of: Callable[[str], RateLimit | None],
-        tolerance: LimitTolerance,
-        domains: Callable[[], int],
-        clock: Clock,
-    ) -> None:
-        self._limit_of = limit_of
-        self._tolerance = tolerance
-        self._domains = domains
+    def __init__(self, allocator: Allocator, clock: Clock) -> None:
+        self._allocator = allocator
         self._clock = clock
         self._changed = threading.Condition()
         self._accounts: dict[str, _AccountTokens] = {}
@@ -157,16 +144,12 @@
             del self._accounts[account]
 
     def _tokens(self, account: str, now: float) -> _AccountTokens | None:
-        limit = self._limit_of(account)
-        if limit is None:
+        parts = self._allocator.parts_of(account)
+        if parts is None:
             self._accounts.pop(account, None)
             return None
         known = self._accounts.get(account)
         if known is None:
-            parts = allocate(limit, self._tolerance, self._domains())
-            known = self._accounts[account] = _AccountTokens(limit, parts, now)
-        elif known.limit != limit:
-            known.limit = limit
-            parts = allocate(limit, self._tolerance, self._domains())
-            known.bucket.set_limit(parts.base, now)
+            known = self._accounts[account] = _AccountTokens(parts, now)
+        known.bucket.set_limit(parts.base, now)
         return known
--- a/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
@@ -6,7 +6,7 @@
 from dogwoodspool_following import ControlPeers
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 
-from .allocation import LimitTolerance
+from .allocation import Allocator, LimitTolerance
 from .domain_allowance import DomainAllowance
 from .limit_owner import LimitOwner
 from .limiter import AccountLimiter
@@ -41,7 +41,8 @@
         neighbours: MessageClient,
         clock: Clock,
     ) -> None:
-        allowance = DomainAllowance(limit_of, tolerance, domains, clock)
+        allocator = Allocator(limit_of, tolerance, domains)
+        allowance = DomainAllowance(allocator, clock)
         self._refill = RefillCoordinator(allowance, peers, client, clock)
         self._owner = LimitOwner(allowance, self._refill)
         self._returns = ReturnCoordinator(
--- a/packages/accounts/src/dogwoodspool_accounts/reserve.py
+++ b/packages/accounts/src/dogwoodspool_accounts/reserve.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable, Mapping
 
 from dogwoodspool_api import Message, Name
-from dogwoodspool_common import Clock, JsonRequest, JsonResponse, RateLimit, Route
+from dogwoodspool_common import Clock, JsonRequest, JsonResponse, Route
 from pydantic import Field
 
-from .allocation import LimitTolerance, allocate
+from .allocation import Allocator
 from .const import PATH_DRAW
 from .token_bucket import TokenBucket
 
@@ -29,22 +29,10 @@
 
     A new leader does not know what its predecessor gave out, so its reserves start
     empty and fill at their rates. The predecessor's leadership has ended by then.
-
-    Args:
-        limit_of: returns an account's limit, None if it has none.
-        domains: returns the number of failure domains.
     """
 
-    def __init__(
-        self,
-        limit_of: Callable[[str], RateLimit | None],
-        tolerance: LimitTolerance,
-        domains: Callable[[], int],
-        clock: Clock,
-    ) -> None:
-        self._limit_of = limit_of
-        self._tolerance = tolerance
-        self._domains = domains
+    def __init__(self, allocator: Allocator, clock: Clock) -> None:
+        self._allocator = allocator
         self._clock = clock
         self._lock = threading.Lock()
         self._leads_since: float | None = None
@@ -75,21 +63,20 @@
     def _bucket(
         self, account: str, leads_since: float, now: float
     ) -> TokenBucket | None:
-        limit = self._limit_of(account)
-        if limit is None:
+        parts = self._allocator.parts_of(account)
+        if parts is None:
             self._buckets.pop(account, None)
             return None
-        part = allocate(limit, self._tolerance, self._domains()).reserve
         bucket = self._buckets.get(account)
         if bucket is None:
             self._drop_unknown()
-            bucket = self._buckets[account] = TokenBucket(part, leads_since)
-        bucket.set_limit(part, now)
+            bucket = self._buckets[account] = TokenBucket(parts.reserve, leads_since)
+        bucket.set_limit(parts.reserve, now)
         return bucket
 
     def _drop_unknown(self) -> None:
         for account in list(self._buckets):
-            if self._limit_of(account) is None:
+            if self._allocator.parts_of(account) is None:
                 del self._buckets[account]
 
 
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -2,7 +2,7 @@
 
 from concurrent.futures import ThreadPoolExecutor
 
-from dogwoodspool_accounts import LimitReserve, LimitTolerance
+from dogwoodspool_accounts import Allocator, LimitReserve, LimitTolerance
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
 
@@ -137,9 +137,8 @@
             readiness=Readiness(clock, node),
             secret_key=secret_key,
         )
-        reserve = LimitReserve(
-            state.rate_limit, LimitTolerance(), state.proxy_domains, clock
-        )
+        allocator = Allocator(state.rate_limit, LimitTolerance(), state.proxy_domains)
+        reserve = LimitReserve(allocator, clock)
         self._routes = [
             *consensus.routes(),
             *reserve_routes(reserve, node),
--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -3,7 +3,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 
-from dogwoodspool_accounts import LimitReserve, LimitTolerance
+from dogwoodspool_accounts import Allocator, LimitReserve, LimitTolerance
 from dogwoodspool_common import Clock, Route
 from dogwoodspool_consensus import ConsensusNode
 from dogwoodspool_control.command_queue import CommandQueue
@@ -94,12 +94,10 @@
         watch = WatchApi(node, state, WaitSlots(MAX_WATCHERS), clock, members)
         presence = PresenceApi(ProxyRoster(clock), members)
         api = FailoverApi(node, reports, diagnostics, self._loop.wake)
-        reserve = LimitReserve(
-            state.rate_limit,
-            tolerance or LimitTolerance(),
-            lambda: failure_domains,
-            clock,
+        allocator = Allocator(
+            state.rate_limit, tolerance or LimitTolerance(), lambda: failure_domains
         )
+        reserve = LimitReserve(allocator, clock)
         self._service = ControlService(node, state, heartbeats, self._loop.wake)
         self._routes = [
             *consensus.routes(),
--- a/tests/accounts/limit_replay.py
+++ b/tests/accounts/limit_replay.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from dogwoodspool_accounts import (
+    Allocator,
     DomainAllowance,
     LimitReserve,
     LimitTolerance,
@@ -200,18 +201,16 @@
         self._limit = limit
         self._clock = clock
         self._allowances = [self._allowance() for _ in range(DOMAINS)]
-        self._reserve = LimitReserve(
-            lambda _account: limit(), LimitTolerance(), lambda: DOMAINS, clock
-        )
+        self._reserve = LimitReserve(self._allocator(), clock)
         self._leads_since = clock.now()
         self._drawing: list[tuple[float, DomainAllowance, dict[str, int]]] = []
 
     def _allowance(self) -> DomainAllowance:
-        return DomainAllowance(
-            lambda _account: self._limit(),
-            LimitTolerance(),
-            lambda: DOMAINS,
-            self._clock,
+        return DomainAllowance(self._allocator(), self._clock)
+
+    def _allocator(self) -> Allocator:
+        return Allocator(
+            lambda _account: self._limit(), LimitTolerance(), lambda: DOMAINS
         )
 
     def admit(self, domain: int, *, is_new: bool) -> bool:
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -1,11 +1,13 @@
 """Tests of the tokens that proxies take from the limit owners."""
 
 import unittest
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from dogwoodspool_accounts import (
     AccountLimiter,
+    Allocator,
     DomainAllowance,
     LimitReserve,
     LimitTolerance,
@@ -35,6 +37,11 @@
 LEADER, FOLLOWER = Address("c1", 1), Address("c2", 1)
 
 
+def allocator(limit_of: Callable[[str], RateLimit | None]) -> Allocator:
+    """Return an allocator for the tests' failure domains."""
+    return Allocator(limit_of, LimitTolerance(), lambda: DOMAINS)
+
+
 class ElapsingClock(ManualClock):
     """A clock that advances through every wait, as there is no other thread."""
 
@@ -51,9 +58,7 @@
 
     def __init__(self, clock: ManualClock) -> None:
         super().__init__(None)
-        self.reserve = LimitReserve(
-            lambda _: LIMIT, LimitTolerance(), lambda: DOMAINS, clock
-        )
+        self.reserve = LimitReserve(allocator(lambda _: LIMIT), clock)
         self.is_silent = False
         self.asked: list[Address] = []
 
@@ -88,9 +93,7 @@
         for own in neighbours:
             directory = ProxyDirectory(own, DOMAINS, self.clock)
             directory.adopt(neighbours)
-            allowance = DomainAllowance(
-                self.limits.get, LimitTolerance(), lambda: DOMAINS, self.clock
-            )
+            allowance = DomainAllowance(allocator(self.limits.get), self.clock)
             peers = ControlPeers((FOLLOWER, LEADER))
             refill = RefillCoordinator(allowance, peers, self.control, self.clock)
             owner = LimitOwner(allowance, refill)
@@ -225,7 +228,7 @@
     def test_reserve_forgets_removed_accounts(self) -> None:
         clock, limits = ManualClock(), {"a": LIMIT}
         clock.advance(10)
-        reserve = LimitReserve(limits.get, LimitTolerance(), lambda: DOMAINS, clock)
+        reserve = LimitReserve(allocator(limits.get), clock)
         reserve.draw({"a": 1}, 0.0)
         limits.clear()
         limits["b"] = LIMIT
@@ -239,12 +242,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.clock.advance(100)
-        self.reserve = LimitReserve(
-            lambda name: LIMIT if name == "shop" else None,
-            LimitTolerance(),
-            lambda: DOMAINS,
-            self.clock,
-        )
+        self.reserve = LimitReserve(allocator({"shop": LIMIT}.get), self.clock)
 
     def test_leader_starts_with_an_empty_reserve(self) -> None:
         self.assertEqual(self.reserve.draw({"shop": 50}, self.clock.now()), {})
