--- a/packages/failover/src/dogwoodspool_failover/const.py
+++ b/packages/failover/src/dogwoodspool_failover/const.py
@@ -62,8 +62,6 @@
 # Pause before another try to move the primary away from a leaving server.
 DEPARTURE_RETRY_SECONDS: Final = 2.0
 PRESERVED_CHECK_SECONDS: Final = 0.5
-# A server whose machine refuses connections for this long has ended.
-ENDED_SECONDS: Final = 6.0
 
 WORKER_THREADS: Final = 12
 # Long polls that wait at one control process, each in its own thread: its share of 200
--- a/packages/gateway/src/dogwoodspool_gateway/errors.py
+++ b/packages/gateway/src/dogwoodspool_gateway/errors.py
@@ -17,7 +17,3 @@
 
 class CallerNotAuthenticatedError(GatewayError):
     """Report a caller whose authentication failed."""
-
-
-class CallerLimitError(GatewayError):
-    """Report that the proxy has reached its limit of caller connections."""
--- a/packages/proxy/src/dogwoodspool_proxy/routers.py
+++ b/packages/proxy/src/dogwoodspool_proxy/routers.py
@@ -21,8 +21,14 @@
         with self._lock:
             settings, router = self._routers.get(group, (None, None))
             if router is None:
+                self._drop_removed_groups()
                 router = ReadRouter(self._table, current)
             elif settings != current:
                 router.update_settings(current)
             self._routers[group] = current, router
             return router
+
+    def _drop_removed_groups(self) -> None:
+        present = self._views.view.groups
+        for group in [name for name in self._routers if name not in present]:
+            del self._routers[group]
