Move the replays of rate limits to the emulator

A tool that compares ways, as the emulator's scenarios are. A proxy keeps one idle connection to a limit owner: with 684 proxies in a failure domain two each would have been more than a process accepts.

--- a/tests/accounts/limit_replay.py
+++ b/packages/emulator/src/dogwoodspool_emulator/limit_replay.py
@@ -116,6 +116,7 @@
         return RateLimit(limit.per_second / DOMAINS, limit.burst / DOMAINS)
 
     def admit(self, domain: int, *, is_new: bool) -> bool:
+        """Return whether an operation may run."""
         bucket = self._buckets[domain]
         bucket.set_limit(self._part(), self._clock.now())
         return bucket.take(self._clock.now())
@@ -124,6 +125,7 @@
         """Do nothing: the parts are fixed."""
 
     def restart(self, domain: int) -> None:
+        """Lose what a failure domain knows."""
         self._buckets[domain] = TokenBucket(self._part(), self._clock.now())
 
     def lose_leader(self) -> None:
@@ -150,6 +152,7 @@
         self._grants_from = now
 
     def admit(self, domain: int, *, is_new: bool) -> bool:
+        """Return whether an operation may run."""
         now = self._clock.now()
         self._asked[domain] += is_new
         share, valid_until = self._held[domain]
@@ -160,6 +163,7 @@
         return self._buckets[domain].take(now)
 
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
+        """Advance by one step."""
         now = self._clock.now()
         for domain in range(DOMAINS):
             if now < self._renew_at[domain]:
@@ -185,10 +189,12 @@
             self._held[domain] = (share, now + self.LEASE_SECONDS)
 
     def restart(self, domain: int) -> None:
+        """Lose what a failure domain knows."""
         self._buckets[domain] = TokenBucket(RateLimit(0, 0), self._clock.now())
         self._held[domain] = (0.0, 0.0)
 
     def lose_leader(self) -> None:
+        """Replace the leader, which loses what it knows."""
         self._leases = [(0.0, 0.0)] * DOMAINS
         # The leases of the lost leader must have expired.
         self._grants_from = self._clock.now() + self.LEASE_SECONDS
@@ -214,11 +220,13 @@
         )
 
     def admit(self, domain: int, *, is_new: bool) -> bool:
+        """Return whether an operation may run."""
         allowance = self._allowances[domain]
         taken = allowance.take(ACCOUNT) if is_new else allowance.take_later(ACCOUNT, 0)
         return taken == 1
 
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
+        """Advance by one step."""
         now = self._clock.now()
         arrived = [one for one in self._drawing if one[0] <= now]
         self._drawing = [one for one in self._drawing if one[0] > now]
@@ -237,9 +245,11 @@
                 self._drawing.append((at, allowance, wanted))
 
     def restart(self, domain: int) -> None:
+        """Lose what a failure domain knows."""
         self._allowances[domain] = self._allowance()
 
     def lose_leader(self) -> None:
+        """Replace the leader, which loses what it knows."""
         self._leads_since = self._clock.now()
         self._drawing.clear()
 
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -124,7 +124,7 @@
 FIRST_VIEW_DUE_SECONDS: Final = 1.5
 
 # Number of connections to one limit owner that are kept open.
-CONNECTIONS_TO_LIMIT_OWNER: Final = 2
+CONNECTIONS_TO_LIMIT_OWNER: Final = 1
 
 OWN_REQUEST: Final = "-"
 NO_PROOF: Final = "-"
--- a/tests/accounts/test_limit_replay.py
+++ b/tests/accounts/test_limit_replay.py
@@ -5,8 +5,7 @@
 
 from dogwoodspool_accounts import LimitTolerance
 from dogwoodspool_common import RateLimit
-
-from .limit_replay import (
+from dogwoodspool_emulator.limit_replay import (
     DOMAINS,
     REPLAYS,
     Event,
