Answer the statement of a transaction whose key was just revoked

The proxy's own rollback of it was refused by the owner, which knew of the revocation as well; the error left the session, and the caller's connection ended without an answer. The same error in the thread that applies views would have kept later listeners from a view. An owner always rolls back for a neighbour, and a rollback that is refused closes the connection instead. Ruled out: the answer of the statement before, which was sent; shutdown of the caller's input, which leaves what was received to be answered.

--- a/packages/pooler/src/dogwoodspool_pooler/held.py
+++ b/packages/pooler/src/dogwoodspool_pooler/held.py
@@ -7,6 +7,7 @@
 from dogwoodspool_common import BackendServer, Position, log_rate_limited
 from dogwoodspool_connections import ConnectFailedError, OutcomeUnknownError
 
+from .errors import NotServedError
 from .models import Prepared, Reply, Statement, StatementKind, TransactionState
 from .requests import Request
 
@@ -135,7 +136,7 @@
     try:
         reply = held.run_internal(Statement(StatementKind.ROLLBACK), deadline)
         is_good = reply.state is TransactionState.IDLE
-    except (ConnectFailedError, OutcomeUnknownError) as error:
+    except (NotServedError, ConnectFailedError, OutcomeUnknownError) as error:
         # The connection is closed below, which makes the server roll back as well.
         log_rate_limited("rollback_by_close", server=held.server.name, reason=error)
     finally:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -65,7 +65,8 @@
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = TransactionRequest.model_validate(request.body)
         try:
-            check_caller(self._views.view, caller_of(message.caller))
+            if message.statement.kind is not StatementKind.ROLLBACK:
+                check_caller(self._views.view, caller_of(message.caller))
         except OwnerBehindError as error:
             # An open transaction goes on: its begin was checked here.
             if message.lease is None:
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -226,6 +226,35 @@
         self.assertNotIn("COMMIT", [run.text for run in self.server.runs])
         self.assertEqual(self.proxy.owner("o1").leases.count, 0)
 
+    def revoke_everywhere(self) -> None:
+        for pooler in (*self.owners, self.proxy):
+            pooler.apply_view(primary="s1", accounts=[BAKERY])
+
+    def test_statement_of_a_revoked_transaction_is_answered(self) -> None:
+        """Guard against a connection that ends without an answer.
+
+        The owner knows of the revocation as well, and must still roll back for its
+        neighbour.
+        """
+        session = self.proxy.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.revoke_everywhere()
+        answer = run_text(session, "WRITE k2 v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertEqual([run.text for run in self.server.runs], ["WRITE k v"])
+        self.assertEqual(self.proxy.owner("o1").leases.count, 0)
+
+    def test_transaction_is_abandoned_once_its_key_is_revoked(self) -> None:
+        session = self.proxy.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.revoke_everywhere()
+        session.abandon_transaction()
+        self.assertEqual(self.proxy.owner("o1").leases.count, 0)
+        self.assertIs(session.state, TransactionState.FAILED)
+
     def test_owner_that_does_not_know_a_new_key_yet_is_passed_over(self) -> None:
         self.proxy.apply_view(primary="s1", accounts=[SHOP, BAKERY])
         self.owners[1].apply_view(primary="s1", accounts=[SHOP, BAKERY])
