--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -12,8 +12,8 @@
     DEFAULT_OVERSHOOT,
     DEFAULT_SLACK,
     DEFAULT_WINDOW_SECONDS,
-    HAND_SECONDS,
     HOLD_SECONDS,
+    LOCAL_HOLD_SECONDS,
     RESERVE_BURST_SHARE,
     RESERVE_SHARE,
     START_TOLERANCE_SHARE,
@@ -59,7 +59,7 @@
     """Divide a rate limit.
 
     In any window all failure domains together use at most their base parts, what the
-    leader gives out, what was in hand before and what restarted limit owners start
+    leader gives out, unused tokens from before and what restarted limit owners start
     with. The parts are chosen so that the sum stays within the tolerance whichever
     processes are cut off, restarted or replaced; where the tolerance is small compared
     with the rate, the leader's part is reduced for that.
@@ -77,7 +77,7 @@
     allowed = limit.per_second * tolerance.window + limit.burst
     bound = tolerance.bound(limit)
     margin = bound - allowed
-    span = tolerance.window + HOLD_SECONDS + HAND_SECONDS
+    span = tolerance.window + HOLD_SECONDS + LOCAL_HOLD_SECONDS
     # Counted twice below: full base buckets hold them in addition to their part of the
     # burst, and owners that are replaced meanwhile start with them again.
     starts = margin * START_TOLERANCE_SHARE
--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -24,13 +24,13 @@
 BASE_TOLERANCE_SHARE: Final = 0.3
 START_TOLERANCE_SHARE: Final = 0.2
 
-# Time for which a proxy keeps tokens in hand for an account that it serves often.
-HAND_SECONDS: Final = 0.05
-# Demand, in seconds, for which a limit owner keeps tokens in hand, and below which it
-# draws more. What is in hand can add to the operations of a later window.
+# Time for which a proxy keeps unused tokens of an account that it serves often.
+LOCAL_HOLD_SECONDS: Final = 0.05
+# Demand, in seconds, for which a limit owner keeps unused tokens, and below which it
+# draws more. Unused tokens can add to the operations of a later window.
 HOLD_SECONDS: Final = 0.3
 LOW_SECONDS: Final = 0.15
-# Tokens kept in hand in addition, for accounts with little demand.
+# Tokens kept in addition, for accounts with little demand.
 HOLD_TOKENS: Final = 2.0
 LOW_TOKENS: Final = 1.0
 # Seconds over which demand is averaged, and demand in operations per second that counts
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -29,7 +29,7 @@
         self.draw_after = now
 
     def most(self, now: float) -> float:
-        """Return the tokens to keep in hand."""
+        """Return the tokens to keep in local."""
         return self.demand.per_second(now) * HOLD_SECONDS + HOLD_TOKENS
 
     def least(self, now: float) -> float:
--- a/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
@@ -32,7 +32,7 @@
         ]
 
     def acquire(self, request: AcquireRequest) -> AcquireResponse:
-        """Grant tokens; wait for one if there is none in hand."""
+        """Grant tokens; wait for one if there is none in local."""
         account = request.account
         granted = self._allowance.take(account, request.count)
         if granted:
--- a/packages/accounts/src/dogwoodspool_accounts/limiter.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limiter.py
@@ -19,7 +19,7 @@
     ACQUIRE_SECONDS,
     ACQUIRE_TIMEOUT,
     FORGOTTEN_DEMAND,
-    HAND_SECONDS,
+    LOCAL_HOLD_SECONDS,
     NEIGHBOURS_WAIT_SECONDS,
     PATH_ACQUIRE,
 )
@@ -59,7 +59,7 @@
 
 
 @dataclass(slots=True)
-class _Hand:
+class _LocalTokens:
     """Tokens of one account that this proxy was granted and has not used."""
 
     demand: Demand
@@ -100,12 +100,12 @@
         self._client = client
         self._clock = clock
         self._lock = threading.Lock()
-        self._hands: dict[str, _Hand] = {}
+        self._local: dict[str, _LocalTokens] = {}
 
     def acquire(self, account: str) -> None:
         """Take a token for one operation; see ``OperationLimiter``."""
         limit = self._limit_of(account)
-        if limit is None or self._take_from_hand(account):
+        if limit is None or self._take_local(account):
             return
         self._directory.wait_known(NEIGHBOURS_WAIT_SECONDS)
         response = self._ask_owners(account)
@@ -115,7 +115,7 @@
                 f"{limit.per_second:g} operations per second",
                 response.retry_after_ms,
             )
-        self._put_in_hand(account, response.granted - 1)
+        self._keep_local(account, response.granted - 1)
 
     def give_back(self, account: str) -> None:
         """Return the token of an operation that did not run."""
@@ -143,41 +143,43 @@
             )
         return AcquireResponse.model_validate(answer)
 
-    def _take_from_hand(self, account: str) -> bool:
+    def _take_local(self, account: str) -> bool:
         now = self._clock.now()
         with self._lock:
-            hand = self._hands.get(account)
-            if hand is None:
+            local = self._local.get(account)
+            if local is None:
                 self._drop_idle(now)
-                hand = self._hands[account] = _Hand(Demand(now))
-            hand.demand.record(now)
-            if hand.tokens == 0 or now >= hand.valid_until:
-                hand.tokens = 0
+                local = self._local[account] = _LocalTokens(Demand(now))
+            local.demand.record(now)
+            if local.tokens == 0 or now >= local.valid_until:
+                local.tokens = 0
                 return False
-            hand.tokens -= 1
+            local.tokens -= 1
             return True
 
     def _drop_idle(self, now: float) -> None:
         """Forget accounts without recent operations, which may have been removed."""
         idle = [
             account
-            for account, hand in self._hands.items()
-            if hand.demand.per_second(now) < FORGOTTEN_DEMAND
+            for account, local in self._local.items()
+            if local.demand.per_second(now) < FORGOTTEN_DEMAND
         ]
         for account in idle:
-            del self._hands[account]
+            del self._local[account]
 
-    def _put_in_hand(self, account: str, count: int) -> None:
+    def _keep_local(self, account: str, count: int) -> None:
         if count <= 0:
             return
         with self._lock:
-            hand = self._hands.setdefault(account, _Hand(Demand(self._clock.now())))
-            hand.tokens += count
-            hand.valid_until = self._clock.now() + HAND_SECONDS
+            local = self._local.setdefault(
+                account, _LocalTokens(Demand(self._clock.now()))
+            )
+            local.tokens += count
+            local.valid_until = self._clock.now() + LOCAL_HOLD_SECONDS
 
     def _wanted(self, account: str) -> int:
         now = self._clock.now()
         with self._lock:
-            hand = self._hands.get(account)
-            demand = 0.0 if hand is None else hand.demand.per_second(now)
-        return 1 + int(demand * HAND_SECONDS)
+            local = self._local.get(account)
+            demand = 0.0 if local is None else local.demand.per_second(now)
+        return 1 + int(demand * LOCAL_HOLD_SECONDS)
--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -8,8 +8,8 @@
 from typing import Any, Final
 
 from dogwoodspool_accounts.const import (
-    HAND_SECONDS,
     HOLD_SECONDS,
+    LOCAL_HOLD_SECONDS,
     MIN_LIMIT_OWNERS,
     PROXIES_PER_OWNER,
 )
@@ -363,7 +363,7 @@
     neighbours = math.ceil(DAEMONS / FAILURE_DOMAINS)
     owners = max(MIN_LIMIT_OWNERS, math.ceil(neighbours / PROXIES_PER_OWNER))
     draws = owners * FAILURE_DOMAINS / HOLD_SECONDS
-    requests = 1 / HAND_SECONDS
+    requests = 1 / LOCAL_HOLD_SECONDS
     return f"""
 ## Rate limits, by arithmetic
 
--- a/tests/accounts/test_allocation.py
+++ b/tests/accounts/test_allocation.py
@@ -3,7 +3,7 @@
 import unittest
 
 from dogwoodspool_accounts import LimitTolerance, allocate
-from dogwoodspool_accounts.const import HAND_SECONDS, HOLD_SECONDS
+from dogwoodspool_accounts.const import HOLD_SECONDS, LOCAL_HOLD_SECONDS
 from dogwoodspool_common import RateLimit
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -30,7 +30,7 @@
         self, limit: RateLimit, tolerance: LimitTolerance, domains: int
     ) -> None:
         parts = allocate(limit, tolerance, domains)
-        seconds = tolerance.window + HOLD_SECONDS + HAND_SECONDS
+        seconds = tolerance.window + HOLD_SECONDS + LOCAL_HOLD_SECONDS
         base = parts.base.per_second * seconds + parts.base.burst + parts.start
         reserve = parts.reserve.per_second * seconds + parts.reserve.burst
         bound = tolerance.bound(limit)
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -223,7 +223,7 @@
         proxies.limiters[other].acquire("bakery")
         proxies.refills[proxies.owner].step()
         limiter = proxies.limiters[other]
-        self.assertEqual(set(limiter._hands), {"bakery"})
+        self.assertEqual(set(limiter._local), {"bakery"})
 
     def test_reserve_forgets_removed_accounts(self) -> None:
         clock, limits = ManualClock(), {"a": LIMIT}
