Accounts: separate the reserve from its endpoint, and check draws

The module of the leader's reserve held a decision, an HTTP endpoint and two messages; they are three modules now, and all messages about tokens are in one. The retry time was bounded once in seconds and once in milliseconds, with the same constant; it is bounded in seconds.

--- a/packages/accounts/src/dogwoodspool_accounts/__init__.py
+++ b/packages/accounts/src/dogwoodspool_accounts/__init__.py
@@ -5,7 +5,8 @@
 from .errors import RateLimitedError
 from .limiter import AccountLimiter, NoLimits, OperationLimiter
 from .limits_runtime import LimitsRuntime
-from .reserve import LimitReserve, ReserveApi
+from .reserve import LimitReserve
+from .reserve_api import ReserveApi
 from .token_bucket import TokenBucket
 from .usage import AccountUsage, UsageCounter
 
--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -45,7 +45,12 @@
 DRAW_CHECK_SECONDS: Final = 0.1
 # Longer than the retransmission of one lost packet takes (0.2 s).
 DRAW_TIMEOUT: Final = 0.3
+# Control processes to ask in turn, as one that does not lead names the leader, and the
+# pause after all failed.
+DRAW_ATTEMPTS: Final = 2
 DRAW_RETRY_SECONDS: Final = 0.05
+# Accounts in one draw; those left out follow in the next one.
+MAX_ACCOUNTS_PER_DRAW: Final = 10_000
 # Pause after a draw that did not get all tokens of an account.
 EXHAUSTED_PAUSE_SECONDS: Final = 0.1
 # Time for which a request may wait for tokens that are being drawn: a few round trips
@@ -57,7 +62,8 @@
 # together, and the time limit for it.
 RETURN_PAUSE_SECONDS: Final = 0.03
 RETURN_TIMEOUT: Final = 0.1
-IDLE_SECONDS: Final = 60.0
+# Time between two checks for unused tokens, beside those for which it is woken.
+RETURN_IDLE_SECONDS: Final = 60.0
 
 # Proxies of a failure domain for each limit owner in use, and the minimum number of
 # owners in use: the loss of one should move only a part of the accounts.
@@ -71,6 +77,6 @@
 # Time for which the first requests of a process wait until it knows its neighbours.
 NEIGHBOURS_WAIT_SECONDS: Final = 0.3
 
-# Least retry time in a refusal, in milliseconds.
-MIN_RETRY_MS: Final = 10
-MAX_RETRY_MS: Final = 5_000
+# Bounds of the retry time in a refusal.
+MIN_RETRY_SECONDS: Final = 0.01
+MAX_RETRY_SECONDS: Final = 5.0
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -29,7 +29,7 @@
         self.draw_after = now
 
     def most(self, now: float) -> float:
-        """Return the tokens to keep in local."""
+        """Return the most unused tokens to keep."""
         return self.demand.per_second(now) * HOLD_SECONDS + HOLD_TOKENS
 
     def least(self, now: float) -> float:
@@ -119,7 +119,7 @@
                 tokens = self._accounts.get(account)
                 if tokens is None:
                     continue
-                received = min(count, given.get(account, 0))
+                received = given.get(account, 0)
                 level = tokens.bucket.level(now)
                 tokens.bucket.add(now, received, level + received)
                 if received < count:
@@ -134,7 +134,7 @@
             return 0.0 if tokens is None else tokens.bucket.seconds_until(now)
 
     def _drop_idle(self, now: float) -> None:
-        """Forget accounts that have not been used for so long that they are full."""
+        """Forget accounts that are no longer used; those used again start anew."""
         idle = [
             account
             for account, tokens in self._accounts.items()
--- a/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limit_owner.py
@@ -6,8 +6,8 @@
 from dogwoodspool_common.const import MILLISECONDS
 
 from .const import (
-    MAX_RETRY_MS,
-    MIN_RETRY_MS,
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
     PATH_ACQUIRE,
     PATH_RETURN,
     TOKEN_WAIT_SECONDS,
@@ -32,7 +32,7 @@
         ]
 
     def acquire(self, request: AcquireRequest) -> AcquireResponse:
-        """Grant tokens; wait for one if there is none in local."""
+        """Grant tokens; wait for one if there is none."""
         account = request.account
         granted = self._allowance.take(account, request.count)
         if granted:
@@ -41,11 +41,9 @@
         granted = self._allowance.take_later(account, TOKEN_WAIT_SECONDS)
         if granted:
             return AcquireResponse(granted=granted)
-        seconds = min(self._allowance.retry_seconds(account), MAX_RETRY_MS)
-        retry_after_ms = min(MAX_RETRY_MS, round(seconds * MILLISECONDS))
-        return AcquireResponse(
-            granted=0, retry_after_ms=max(MIN_RETRY_MS, retry_after_ms)
-        )
+        wait = self._allowance.retry_seconds(account)
+        wait = max(MIN_RETRY_SECONDS, min(wait, MAX_RETRY_SECONDS))
+        return AcquireResponse(granted=0, retry_after_ms=round(wait * MILLISECONDS))
 
     def give_back(self, unused: Mapping[str, int]) -> None:
         """Take back tokens of operations that did not run, by account."""
--- a/packages/accounts/src/dogwoodspool_accounts/messages.py
+++ b/packages/accounts/src/dogwoodspool_accounts/messages.py
@@ -1,10 +1,14 @@
-"""Messages between proxies and the limit owners of their failure domain."""
+"""Messages of proxies, limit owners and control's leader about tokens."""
 
 from typing import Annotated
 
 from dogwoodspool_api import Message, Name
 from pydantic import Field
 
+from .const import MAX_ACCOUNTS_PER_DRAW
+
+TokenCount = Annotated[int, Field(ge=1)]
+
 
 class AcquireRequest(Message):
     """Request for tokens of one account.
@@ -14,13 +18,13 @@
     """
 
     account: Name
-    count: int = Field(default=1, ge=1)
+    count: TokenCount = 1
 
 
 class ReturnRequest(Message):
     """Tokens of operations that did not run, by account."""
 
-    unused: dict[Name, Annotated[int, Field(ge=1)]]
+    unused: dict[Name, TokenCount]
 
 
 class AcquireResponse(Message):
@@ -32,3 +36,15 @@
 
     granted: int = Field(ge=0)
     retry_after_ms: int = Field(default=0, ge=0)
+
+
+class DrawRequest(Message):
+    """Tokens that a limit owner wants from the leader, by account."""
+
+    wanted: dict[Name, TokenCount] = Field(max_length=MAX_ACCOUNTS_PER_DRAW)
+
+
+class DrawResponse(Message):
+    """Tokens that the leader gives, by account; accounts without any are left out."""
+
+    given: dict[Name, TokenCount]
--- a/packages/accounts/src/dogwoodspool_accounts/refill.py
+++ b/packages/accounts/src/dogwoodspool_accounts/refill.py
@@ -18,7 +18,7 @@
     PATH_DRAW,
 )
 from .domain_allowance import DomainAllowance
-from .reserve import DrawRequest, DrawResponse
+from .messages import DrawRequest, DrawResponse
 
 
 class RefillCoordinator(Coordinator):
--- a/packages/accounts/src/dogwoodspool_accounts/reserve.py
+++ b/packages/accounts/src/dogwoodspool_accounts/reserve.py
@@ -1,29 +1,14 @@
 """The part of each account's limit that control's leader gives out on demand."""
 
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
-from dogwoodspool_api import Message, Name
-from dogwoodspool_common import Clock, JsonRequest, JsonResponse, Route
-from pydantic import Field
+from dogwoodspool_common import Clock
 
 from .allocation import Allocator
-from .const import PATH_DRAW
 from .token_bucket import TokenBucket
 
 
-class DrawRequest(Message):
-    """Tokens that a limit owner wants, by account."""
-
-    wanted: dict[Name, int] = Field(max_length=100_000)
-
-
-class DrawResponse(Message):
-    """Tokens that the leader gives, by account; accounts without any are left out."""
-
-    given: dict[str, int]
-
-
 class LimitReserve:
     """Give out tokens of accounts; kept in memory by the leader.
 
@@ -78,25 +63,3 @@
         for account in list(self._buckets):
             if self._allocator.parts_of(account) is None:
                 del self._buckets[account]
-
-
-class ReserveApi:
-    """Serve limit owners that draw tokens.
-
-    Args:
-        leads_since: returns the clock seconds since which this process leads; raises
-            the error of a process that does not lead.
-    """
-
-    def __init__(self, reserve: LimitReserve, leads_since: Callable[[], float]) -> None:
-        self._reserve = reserve
-        self._leads_since = leads_since
-
-    def routes(self) -> list[Route]:
-        """Return the routes that it serves."""
-        return [Route("POST", PATH_DRAW, self._draw)]
-
-    def _draw(self, request: JsonRequest) -> JsonResponse:
-        message = DrawRequest.model_validate(request.body)
-        given = self._reserve.draw(message.wanted, self._leads_since())
-        return JsonResponse(DrawResponse(given=given).model_dump(mode="json"))
--- a/packages/accounts/src/dogwoodspool_accounts/returns.py
+++ b/packages/accounts/src/dogwoodspool_accounts/returns.py
@@ -7,7 +7,12 @@
 from dogwoodspool_following import Coordinator
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 
-from .const import IDLE_SECONDS, PATH_RETURN, RETURN_PAUSE_SECONDS, RETURN_TIMEOUT
+from .const import (
+    PATH_RETURN,
+    RETURN_IDLE_SECONDS,
+    RETURN_PAUSE_SECONDS,
+    RETURN_TIMEOUT,
+)
 from .limit_owner import LimitOwner
 from .message_client import MessageClient
 from .messages import ReturnRequest
@@ -54,7 +59,7 @@
     def step(self) -> float:
         """Return all tokens, with one message to each owner."""
         if not self._unused:
-            return IDLE_SECONDS
+            return RETURN_IDLE_SECONDS
         self._clock.sleep(RETURN_PAUSE_SECONDS)
         with self._lock:
             unused, self._unused = self._unused, Counter()
