Accounts: wake the requests that wait when tokens are returned

What callers saw: a refusal for the rate limit although a token came back while the request waited for one (60 ms at the most). Cause: a returned token was added to the bucket without waking the requests that wait; a draw does wake them.

--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -85,13 +85,14 @@
                 self._clock.wait(self._changed, wait)
 
     def give_back(self, account: str, count: int) -> None:
-        """Return tokens of operations that did not run."""
+        """Return tokens of operations that did not run; wake who waits for them."""
         now = self._clock.now()
         with self._changed:
             tokens = self._accounts.get(account)
             if tokens is not None:
                 level = tokens.bucket.level(now)
                 tokens.bucket.add(now, count, level + count)
+                self._changed.notify_all()
 
     def wanted(self) -> dict[str, int]:
         """Return the tokens to draw for each account that runs short of them."""
