--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -92,24 +92,26 @@
         """
         backend = self._registry.backend(server)
         backend.adjust()
-        start_by = max(admission_request.start_by, self._clock.now())
         with span("admission.wait", server=server.name):
-            admitted = backend.admission.admit(start_by, admission_request.priority)
+            admitted = backend.admit(admission_request, self._clock.now())
         if admitted.is_error():
             refusal = admitted.error
             message = f"{server.name} did not admit the statement: {refusal.reason}"
             raise NotServedError(
                 StatementError(ErrorCode.BUSY, message, refusal.retry_after_ms)
             )
+        wait_until = backend.wait_until(admission_request, self._clock.now())
         try:
-            connection = self._connect(backend, admission_request, start_by)
+            connection = self._connect(backend, admission_request, wait_until)
         except NotServedError:
             admitted.ok.done(0.0, AdmissionOutcome.NO_WORK)
             raise
         except ConnectFailedError:
             admitted.ok.done(0.0, AdmissionOutcome.UNANSWERED)
             raise
-        return LocalHeldConnection(backend, connection, admitted.ok, self)
+        return LocalHeldConnection(
+            backend, connection, admitted.ok, admission_request.work, self
+        )
 
     def can_satisfy(self, group: str, bound: ReadBound) -> bool:
         """Return whether a position is known that satisfies a bound."""
@@ -233,7 +235,7 @@
             self._suspect(server.name)
 
     def _connect(
-        self, backend: Backend, admission_request: AdmissionRequest, start_by: float
+        self, backend: Backend, admission_request: AdmissionRequest, wait_until: float
     ) -> ServerConnection:
         def rank(connection: ServerConnection) -> int:
             return sync_cost(admission_request.values, connection.session)
@@ -241,7 +243,7 @@
         while True:
             try:
                 return backend.pool.acquire(
-                    start_by,
+                    wait_until,
                     open_by=admission_request.deadline,
                     account=admission_request.account,
                     rank=rank,
@@ -258,7 +260,7 @@
                     server=backend.server.name,
                     ceiling=backend.pool.limit,
                 )
-                remaining = start_by - self._clock.now()
+                remaining = wait_until - self._clock.now()
                 has_none = backend.pool.open_count == 0
                 if remaining <= 0 or (has_none and admission_request.has_alternatives):
                     raise NotServedError(_no_connection(backend)) from error
--- a/packages/pooler/src/dogwoodspool_pooler/local_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/local_connection.py
@@ -5,13 +5,13 @@
 from typing import Protocol
 
 from dogwoodspool_common import BackendServer, Position, log_rate_limited
-from dogwoodspool_limits import Admission, AdmissionOutcome
+from dogwoodspool_limits import Admission, AdmissionOutcome, Work
 
 from .connection import ServerConnection
 from .held import ReadBound
 from .models import ErrorCode, Prepared, Reply, Statement
 from .registry import Backend
-from .server_work import outcome_of
+from .server_work import WORKING_KINDS, outcome_of
 from .session_state import sync_statements, with_server_name
 
 
@@ -49,11 +49,13 @@
         backend: Backend,
         connection: ServerConnection,
         admission: Admission,
+        work: Work | None,
         access: StatementSender,
     ) -> None:
         self._backend = backend
         self._connection = connection
         self._admission: Admission | None = admission
+        self._work = work
         self._access = access
         self._is_finished = False
         self._elapsed = 0.0
@@ -83,6 +85,7 @@
         before = sync_statements(values, self._connection.session, prepared)
         after = [] if then is None else [then]
         sent = with_server_name(self._with_wait_for(statement, bound), prepared)
+        self._count_continuation(statement)
         replies = self._exchange([*before, sent, *after], deadline)
         reply = replies[len(before)]
         self._outcome = outcome_of(statement, reply)
@@ -121,6 +124,17 @@
             self._outcome = AdmissionOutcome.UNANSWERED
         self._release_slot()
 
+    def _count_continuation(self, statement: Statement) -> None:
+        """Count a further statement of the transaction as in flight.
+
+        New work would otherwise be admitted to the slots that it uses.
+        """
+        if self._admission is not None or self._work is None:
+            return
+        if statement.kind in WORKING_KINDS and self._backend.is_shared():
+            self._elapsed = 0.0
+            self._admission = self._backend.admission.admit_continuation(self._work)
+
     def _with_wait_for(
         self, statement: Statement, bound: ReadBound | None
     ) -> Statement:
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -2,12 +2,20 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from dogwoodspool_common import BackendServer, Clock
 from dogwoodspool_connections import ConnectionPool, Connector, PoolSettings
 from dogwoodspool_following import ProxyView, ViewStore
-from dogwoodspool_limits import AdmissionQueue
+from dogwoodspool_limits import (
+    Admission,
+    AdmissionQueue,
+    ArrivalOrder,
+    PriorityOrder,
+    QueueOrder,
+    Refusal,
+)
+from expression import Result
 
 from .ceiling import ConnectionCeiling
 from .connection import ServerConnection
@@ -23,6 +31,7 @@
     RESET_TIMEOUT,
     SURPLUS_EXPIRY_SECONDS,
 )
+from .requests import AdmissionRequest
 
 POOL_SETTINGS = PoolSettings(
     connect_timeout=CONNECT_TIMEOUT,
@@ -42,9 +51,33 @@
     pool: ConnectionPool[ServerConnection]
     admission: AdmissionQueue
     ceiling: ConnectionCeiling
+    is_shared: Callable[[], bool]
+    own_order: QueueOrder = field(default_factory=ArrivalOrder)
+    shared_order: QueueOrder = field(default_factory=PriorityOrder)
+
+    def admit(self, request: AdmissionRequest, now: float) -> Result[Admission, Refusal]:
+        """Wait for admission, as an owner of pools where the pools are shared."""
+        work = request.work
+        if work is None or not self.is_shared():
+            start_by = max(request.start_by, now)
+            return self.admission.admit(start_by, request.priority)
+        return self.admission.admit_work(work)
+
+    def wait_until(self, request: AdmissionRequest, now: float) -> float:
+        """Return the clock time until which an admitted request waits for a connection.
+
+        Connections that idle transactions hold are not counted in flight, so that an
+        admitted request may find none.
+        """
+        if request.target is None or not self.is_shared():
+            return max(request.start_by, now)
+        return request.target if now < request.target else request.deadline
 
     def adjust(self) -> None:
-        """Apply the current ceiling to the pool and the admission queue."""
+        """Apply the current ceiling and the order of waiting requests."""
+        self.admission.set_order(
+            self.shared_order if self.is_shared() else self.own_order
+        )
         limit = self.ceiling.value()
         if limit != self.pool.limit:
             self.pool.set_limit(limit)
@@ -117,7 +150,13 @@
             server, self._connector, self._clock, POOL_SETTINGS, first
         )
         admission = AdmissionQueue(self._clock, server.slots, first, QUEUE_LIMIT)
-        return Backend(server, pool, admission, ceiling)
+        return Backend(
+            server,
+            pool,
+            admission,
+            ceiling,
+            lambda: self._owner_share(server.group) is not None,
+        )
 
     def _highest(self, server: BackendServer) -> int:
         connections = self._views.connections_of(server) or DEFAULT_CONNECTIONS
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -5,6 +5,7 @@
 
 from dogwoodspool_common import Endpoint, Position
 from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_limits import Work
 
 from .const import WAIT_SHARE
 from .identity import ANONYMOUS, Caller
@@ -18,8 +19,11 @@
     Attributes:
         priority: priority of the request; lower numbers are admitted first.
         values: the session's values; a connection that has them is preferred.
-        start_by: clock time until which it may wait.
+        start_by: clock time until which it may wait in a pool of this process alone.
+        target: clock time until which an answer is in time; None if a process of an
+            earlier build sent the request.
         deadline: clock time after which an answer is useless.
+        kind: statements of one kind take similar times.
         has_alternatives: whether another server can serve it as well.
         account: client account that it runs for; empty for none.
     """
@@ -28,9 +32,24 @@
     values: Mapping[str, str]
     start_by: float
     deadline: float
+    target: float | None = None
+    kind: str = ""
     has_alternatives: bool = False
     account: str = ""
 
+    @property
+    def work(self) -> Work | None:
+        """What an owner of pools orders the request by; None if it is not known."""
+        if self.target is None:
+            return None
+        return Work(
+            priority=self.priority,
+            target=self.target,
+            deadline=self.deadline,
+            kind=self.kind,
+            account=self.account,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -59,11 +78,16 @@
         """Clock time after which an answer is useless."""
         return self.arrived_at + self.endpoint.deadline_ms / MILLISECONDS
 
+    @property
+    def target(self) -> float:
+        """Clock time until which an answer is in time."""
+        target = min(self.endpoint.target_latency_ms, self.endpoint.deadline_ms)
+        return self.arrived_at + target / MILLISECONDS
+
     @property
     def start_by(self) -> float:
         """Clock time until which it may wait for admission to a server."""
-        target = min(self.endpoint.target_latency_ms, self.endpoint.deadline_ms)
-        return self.arrived_at + target * WAIT_SHARE / MILLISECONDS
+        return self.arrived_at + (self.target - self.arrived_at) * WAIT_SHARE
 
     @property
     def max_age(self) -> float | None:
@@ -90,6 +114,8 @@
             values=self.values,
             start_by=self.start_by,
             deadline=self.deadline,
+            target=self.target,
+            kind=self.endpoint.database,
             has_alternatives=has_alternatives,
             account=self.caller.account,
         )
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -2,14 +2,16 @@
 
 from typing import Final
 
+from ..const import QUEUE_LIMIT
+
 # Paths of the endpoints at which an owner of pools accepts its neighbours' requests.
 PATH_STATEMENT: Final = "/v1/pools/statement"
 PATH_TRANSACTION: Final = "/v1/pools/transaction"
 PATH_RELEASE: Final = "/v1/pools/release"
 
 # Requests of neighbours, not counting those of open transactions, that an owner serves
-# at a time: more than it may have in flight on the servers of a few groups.
-NEW_REQUESTS: Final = 48
+# at a time, those that wait for admission included: the queues of a few servers.
+NEW_REQUESTS: Final = 3 * QUEUE_LIMIT
 # Neighbours are in the same failure domain, with a latency of tenths of a millisecond.
 OWNER_CONNECT_TIMEOUT: Final = 0.15
 # Time within which an owner's machine must acknowledge a request, also while the owner
--- a/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
@@ -211,6 +211,9 @@
         wait: seconds for which it may wait for admission.
         answer: seconds that the server may take to reply.
         caller: on whose behalf it runs; None for an anonymous caller.
+        target: seconds until which an answer is in time, negative when they have
+            passed; None in messages of earlier builds.
+        kind: statements of one kind take similar times.
     """
 
     server: ServerIdentity
@@ -224,6 +227,8 @@
     wait: float = Field(ge=0)
     answer: float = Field(gt=0)
     caller: CallerMessage | None = None
+    target: float | None = None
+    kind: str = ""
 
 
 class RefusalMessage(Message):
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -127,6 +127,8 @@
             wait=max(0.0, self._request.start_by - now),
             answer=answer,
             caller=CallerMessage.of(self._request.caller),
+            target=self._request.target - now,
+            kind=self._request.endpoint.database,
         )
 
     def _perform(self, message: TransactionRequest, run_locally: LocalRun) -> Reply:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -124,6 +124,8 @@
             values=message.values,
             start_by=now + message.wait,
             deadline=now + message.wait + message.answer,
+            target=None if message.target is None else now + message.target,
+            kind=message.kind,
             account=caller_of(message.caller).account,
         )
         for _attempt in range(OWNER_ATTEMPTS):
