Announcements: forget a replaced server's history, refuse unreadable ones

A server that starts again under its name kept the failures and latencies of its earlier process in the proxies' tables, so reads avoided it until a probe succeeded. A table now starts a new record when a view brings another incarnation.

A deeply nested JSON body ended in a 500 response, on which a sender tries the next process; it gets 400.

--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -120,7 +120,7 @@
             )
         try:
             content = json.loads(body) if body else None
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return error_response(400, "bad_json", str(error))
         request = JsonRequest(path, dict(parse_qsl(query)), content, parameters)
         return answer(route, request, environ.get(_environ_key(HEADER_TRACEPARENT)))
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -91,6 +91,7 @@
         with self._lock:
             committed = {server.name: server for server in servers}
             for name, server in committed.items():
+                self._drop_replaced(name, server)
                 self._record(name).committed = server
             for name, record in self._records.items():
                 if name not in committed:
@@ -172,6 +173,22 @@
             self._records[name] = ServerRecord(known_at=self._clock.now())
         return self._records[name]
 
+    def _drop_replaced(self, name: str, server: BackendServer) -> None:
+        """Forget what is known of a server's earlier process.
+
+        Failures, latencies and positions of a process that ended say nothing about the
+        one that started under the same name.
+        """
+        known = self._records.get(name)
+        if known is None or known.committed is None:
+            return
+        if known.committed.incarnation != server.incarnation:
+            self._records[name] = ServerRecord(
+                known_at=self._clock.now(),
+                announced=known.announced,
+                announced_at=known.announced_at,
+            )
+
     def _view(self, record: ServerRecord, now: float) -> ServerView:
         return ServerView(
             server=record.server,
--- a/tests/common/test_http.py
+++ b/tests/common/test_http.py
@@ -51,6 +51,16 @@
         self.assertEqual(answer.status, 307)
         self.assertEqual(answer.getheader("Location"), "http://10.0.0.1/x")
 
+    def test_body_that_cannot_be_parsed_is_a_bad_request(self) -> None:
+        # Guards against a 500 response, which tells the sender to send it elsewhere.
+        route = Route("PUT", "/x", lambda _request: JsonResponse())
+        address = self.serve(None, route)
+        for body in (b"{", b"\xff\xfe", b"[" * 100_000):
+            connection = HTTPConnection(address.host, address.port, timeout=5)
+            self.addCleanup(connection.close)
+            connection.request("PUT", "/x", body)
+            self.assertEqual(connection.getresponse().status, 400, body[:8])
+
     def test_unsigned_request_to_a_signed_endpoint_is_rejected(self) -> None:
         route = Route("GET", "/x", lambda _request: JsonResponse({"a": 1}))
         address = self.serve(RequestSigner(b"key"), route)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -14,6 +14,7 @@
 from dogwoodspool_platform.heartbeat_message import (
     InvalidHeartbeatError,
     decode_heartbeat,
+    decode_incarnation,
 )
 from dogwoodspool_settings import SettingsTree
 from expression import Result
@@ -216,6 +217,15 @@
             with self.assertRaises(InvalidHeartbeatError, msg=name):
                 decode_heartbeat("i-1", bad)
 
+    def test_start_time_of_a_deregistration_is_a_whole_number_or_absent(self) -> None:
+        # Guards against ending a process that the message does not identify.
+        self.assertIsNone(decode_incarnation(None))
+        self.assertIsNone(decode_incarnation({}))
+        self.assertEqual(decode_incarnation({"born": 7}), 7)
+        for born in ("7", 1.5, True, 0):
+            with self.assertRaises(InvalidHeartbeatError, msg=born):
+                decode_incarnation({"born": born})
+
     def test_invalid_server_name_is_rejected(self) -> None:
         with self.assertRaises(InvalidHeartbeatError):
             decode_heartbeat("i 1", heartbeat())
--- a/tests/routing/test_server_table.py
+++ b/tests/routing/test_server_table.py
@@ -1,6 +1,7 @@
 """Tests of the proxy's table of backend servers."""
 
 import unittest
+from dataclasses import replace
 
 from dogwoodspool_common import ManualClock, Position
 from dogwoodspool_routing import ServerTable, ServerView
@@ -40,6 +41,16 @@
         self.assertIsNone(self.table.get("b1"))
         self.table.end("b1", 0.1, is_answered=True)
 
+    def test_failures_of_an_earlier_process_do_not_count_for_the_next(self) -> None:
+        # Guards against keeping reads from a restarted server until a probe succeeds.
+        self.table.adopt_committed([server("b1")])
+        self.table.record_failure("b1")
+        self.table.end("b1", 9.0, is_answered=True)
+        self.table.record_failure("b1")
+        self.table.adopt_committed([replace(server("b1"), incarnation=2)])
+        self.assertFalse(self.view("b1").is_failing)
+        self.assertLess(self.view("b1").latency, 0.1)
+
     def test_server_that_is_no_longer_leaving_gets_work_again(self) -> None:
         self.table.record_status(status("b1", 5, is_leaving=True), 0)
         self.assertFalse(self.view("b1").takes_replica_work)
