Pooler: place reads by the primary's load, and wait for replicas

Where pools are shared, reads that enter in the primary's failure domain went to the primary however loaded it was, and a read after a write went there whenever the replicas were a few milliseconds behind.

The cost of a server is now a Protocol. Owners of shared pools value the room of the primary by the delay that one more read causes there, from the average of statements in flight against their part of the slots, the admission limit and the waits in the queue. It is never below the standing 8 ms, which proxies with pools of their own keep. Servers whose costs differ by less than 6 ms are chosen at random.

The lag of a replica is estimated from positions in replies and the times at which the primary had them. A read whose replica will reach its position within a part of its target waits for that, without an admission or a connection, and tries the replica.

A commit without writes no longer raises the position that its session requires of later reads.

--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -39,6 +39,7 @@
     StatementKind,
 )
 from .registry import Backend, BackendRegistry
+from .replica_lag import ReplicaLag
 from .requests import AdmissionRequest, Request
 from .server_work import ServerWork
 from .session_state import sync_cost
@@ -61,7 +62,9 @@
         lag: LagTracker,
         suspect: Callable[[str], None],
         clock: Clock,
+        replica_lag: ReplicaLag | None = None,
     ) -> None:
+        self._replica_lag = replica_lag or ReplicaLag(clock)
         self._suspect = suspect
         self._registry = registry
         self._table = table
@@ -181,6 +184,7 @@
         for statement, reply in zip(statements, replies, strict=True):
             if statement.wait_for is not None:
                 self._record_lag(name, statement.wait_for, reply)
+                self._replica_lag.record_replica(server, reply.position)
         return replies
 
     def _record_lag(self, server: str, min_position: Position, reply: Reply) -> None:
@@ -214,6 +218,7 @@
     ) -> None:
         """Record a log position of a server that was certainly the primary then."""
         self._freshness.record(server.group, position, asked_at)
+        self._replica_lag.record_primary(server.group, position, asked_at)
 
     def record_unreachable(self, server: BackendServer, error: BackendError) -> None:
         """Record a failed connection attempt, which counts against the server."""
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -39,6 +39,35 @@
 # A replica is preferred to the primary until it is expected to take this many seconds
 # longer, because only the primary's slots can run writes.
 PRIMARY_PENALTY: Final = 0.008
+# Bounds of the value of the primary's room: near full utilisation the estimate would
+# grow without limit.
+MAX_PRIMARY_UTILISATION: Final = 0.95
+MAX_PRIMARY_VALUE: Final = 0.25
+# Servers whose costs differ by less than this many seconds may be chosen at random, so
+# that processes that observe the same do not all move their reads together.
+NEARLY_EQUAL_COST: Final = 0.006
+
+# Part of a read's target latency, from its arrival, that it may spend waiting for a
+# replica to reach its position. The rest is left for admission and the read itself.
+CATCH_UP_SHARE: Final = 0.4
+# Cost of a second of such a wait: it delays one read and takes no room on a server.
+CATCH_UP_COST: Final = 0.25
+# Reads of one process that may wait for replicas at a time: a part of the requests of
+# neighbours that an owner serves at a time.
+MAX_CATCH_UP_WAITS: Final = 24
+# Shortest wait for a replica.
+MIN_CATCH_UP_SECONDS: Final = 0.002
+# Least time between two recorded positions of a primary, and how long they are kept: a
+# lag beyond that is beyond any wait.
+POSITION_SPACING_SECONDS: Final = 0.005
+POSITION_RETENTION_SECONDS: Final = 3.0
+# Weight of a new lag in the moving average, deviations above it within which most lags
+# are, and seconds after which an estimate without a new lag is no longer used.
+LAG_WEIGHT: Final = 0.2
+LAG_DEVIATIONS: Final = 1.0
+LAG_EXPIRY_SECONDS: Final = 10.0
+# Greatest uncertainty in seconds of the first observed lag of a server.
+MAX_LAG_UNCERTAINTY: Final = 0.1
 
 # Time for which a leaving primary still gets new work: a switchover ends within 2 s,
 # and a server that leaves stays up for 7 s.
--- a/packages/pooler/src/dogwoodspool_pooler/lag.py
+++ b/packages/pooler/src/dogwoodspool_pooler/lag.py
@@ -50,10 +50,14 @@
 
     def lagging(self, min_position: Position) -> set[str]:
         """Return the servers that are not to be tried for a position at present."""
+        return set(self.pauses(min_position))
+
+    def pauses(self, min_position: Position) -> dict[str, float]:
+        """Return the seconds until each of these servers is tried again."""
         now = self._clock.now()
         with self._lock:
             return {
-                server
+                server: refusal.retry_at - now
                 for server, refusal in self._refusals.items()
                 if refusal.min_position <= min_position and now < refusal.retry_at
             }
--- a/packages/pooler/src/dogwoodspool_pooler/placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/placement.py
@@ -5,7 +5,9 @@
 from dogwoodspool_common import BackendServer, GroupState, Phase
 from dogwoodspool_routing import ServerView
 
-from .const import OTHER_DOMAIN_PENALTY, PRIMARY_PENALTY
+from .read_cost import ReadCost, StandingCost, expected_time
+
+__all__ = ["PrimaryHistory", "expected_time", "rank_for_read", "usable_for_read"]
 
 
 def rank_for_read(
@@ -14,20 +16,39 @@
     primary: str | None,
     failure_domain: str,
     excluded: Collection[str],
+    cost: ReadCost | None = None,
 ) -> list[ServerView]:
     """Return the servers that may run a read, best first.
 
-    The penalties assume this load: reads far outnumber writes, every failure domain
-    but one has a server of its own, and only the primary's slots can run writes. So a
-    read stays in its failure domain and off the primary until the queueing time there
-    exceeds the penalty for going elsewhere.
+    The constant penalties, which apply without another ``cost``, assume this load:
+    reads far outnumber writes, every failure domain but one has a server of its own,
+    and only the primary's slots can run writes. So a read stays in its failure domain
+    and off the primary until the queueing time there exceeds the penalty for going
+    elsewhere.
 
     With 1.4 times a server's capacity arriving in one failure domain and 0.2 times in
     two others, all reads end within 0.25 s, against 24 % if every read stays in its
     domain. At 0.4 times the capacity in every domain 87 % of the reads stay in their
     domain, against 33 % with round-robin placement.
     """
-    usable = [
+    compared = cost or StandingCost()
+
+    def key(one: ServerView) -> tuple[float, str]:
+        seconds = compared.cost(
+            one,
+            is_primary=one.name == primary,
+            is_own_domain=one.server.failure_domain == failure_domain,
+        )
+        return seconds, one.name
+
+    return sorted(usable_for_read(servers, excluded), key=key)
+
+
+def usable_for_read(
+    servers: Iterable[ServerView], excluded: Collection[str]
+) -> list[ServerView]:
+    """Return the servers that may be given a read."""
+    return [
         one
         for one in servers
         if one.name not in excluded
@@ -36,26 +57,6 @@
         and not one.server.is_gone
     ]
 
-    def cost(one: ServerView) -> tuple[float, str]:
-        penalty = 0.0
-        if one.server.failure_domain != failure_domain:
-            penalty += OTHER_DOMAIN_PENALTY
-        if one.name == primary:
-            penalty += PRIMARY_PENALTY
-        return expected_time(one) + penalty, one.name
-
-    return sorted(usable, key=cost)
-
-
-def expected_time(server: ServerView) -> float:
-    """Return the expected duration in seconds of one more statement on a server.
-
-    A statement queues only once all slots of the server are in use. The statements of
-    other processes are accounted for by the average latency.
-    """
-    waiting = max(0, server.in_flight + 1 - server.server.slots)
-    return server.latency * (1 + waiting / server.server.slots)
-
 
 class PrimaryHistory:
     """Remember each group's primary from before a switchover or failover in progress.
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/read_cost.py
@@ -0,0 +1,152 @@
+"""Cost of the servers that may serve a read, in seconds."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from dogwoodspool_routing import ServerView
+
+from .const import (
+    MAX_PRIMARY_UTILISATION,
+    MAX_PRIMARY_VALUE,
+    NEARLY_EQUAL_COST,
+    OTHER_DOMAIN_PENALTY,
+    PRIMARY_PENALTY,
+)
+
+
+class ReadCost(Protocol):
+    """Interface to the cost by which the servers for a read are compared."""
+
+    @property
+    def tolerance(self) -> float:
+        """Difference in seconds below which two costs may count as equal."""
+        ...
+
+    def cost(
+        self, server: ServerView, *, is_primary: bool, is_own_domain: bool
+    ) -> float:
+        """Return the cost in seconds of one more read on a server."""
+        ...
+
+
+class StandingCost:
+    """Constant penalties, for proxies with pools of their own.
+
+    Implements ``ReadCost``. Such a proxy has a small and unknown part of the load of a
+    primary, so its own statements show little of that load.
+    """
+
+    @property
+    def tolerance(self) -> float:
+        """Difference in seconds below which two costs may count as equal."""
+        return 0.0
+
+    def cost(
+        self, server: ServerView, *, is_primary: bool, is_own_domain: bool
+    ) -> float:
+        """Return the expected time with the constant penalties."""
+        penalty = 0.0 if is_own_domain else OTHER_DOMAIN_PENALTY
+        if is_primary:
+            penalty += PRIMARY_PENALTY
+        return expected_time(server) + penalty
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionState:
+    """State of this process's admission queue for a server.
+
+    Attributes:
+        limit: statements that may be in flight. The limit falls when the latency of
+            the server rises above its lowest recent latency or when the server refuses
+            statements because of its load.
+        waiting: statements in the queue.
+        estimated_wait: seconds that a new statement would wait.
+    """
+
+    limit: int
+    waiting: int
+    estimated_wait: float
+
+
+# Returns the state of the admission queue for a server; None if there is none yet.
+AdmissionLookup = Callable[[str], AdmissionState | None]
+
+
+class LoadCost:
+    """Value the room of the primary by its load, for owners of shared pools.
+
+    Implements ``ReadCost``. A read at the primary delays the writes and the reads that
+    only the primary can serve. The expected sum of these delays is the value of the
+    room that the read takes, see ``room_value``.
+
+    Args:
+        share: returns the part of the load of a group's servers that this process has,
+            by its equal part of their connections; None if the pools are not shared.
+        admission: looks up the admission queue of a server.
+    """
+
+    def __init__(
+        self, share: Callable[[str], float | None], admission: AdmissionLookup
+    ) -> None:
+        self._share = share
+        self._admission = admission
+
+    @property
+    def tolerance(self) -> float:
+        """Difference in seconds below which two costs may count as equal."""
+        return NEARLY_EQUAL_COST
+
+    def cost(
+        self, server: ServerView, *, is_primary: bool, is_own_domain: bool
+    ) -> float:
+        """Return the expected time, also in the queue, with the value of the room."""
+        admission = self._admission(server.name)
+        cost = expected_time(server)
+        if admission is not None:
+            cost += admission.estimated_wait
+        if not is_own_domain:
+            cost += OTHER_DOMAIN_PENALTY
+        if is_primary:
+            cost += self.primary_value(server, admission)
+        return cost
+
+    def primary_value(
+        self, primary: ServerView, admission: AdmissionState | None
+    ) -> float:
+        """Return the value in seconds of the room that one read takes."""
+        share = self._share(primary.server.group)
+        if share is None:
+            return PRIMARY_PENALTY
+        slots = primary.server.slots
+        room = slots * share
+        demand = primary.load
+        if admission is not None:
+            room = min(room, admission.limit)
+            demand += admission.waiting
+        return room_value(demand / room, primary.latency, slots)
+
+
+def room_value(utilisation: float, latency: float, slots: int) -> float:
+    """Return the seconds by which one more statement delays all others on a server.
+
+    With the mean wait ``latency / slots * u / (1 - u)`` at the utilisation ``u``, this
+    is the change of the wait of all statements together.
+
+    Example:
+        >>> room_value(0.2, 0.02, 4), round(room_value(0.8, 0.02, 4), 3)
+        (0.008, 0.1)
+    """
+    used = min(utilisation, MAX_PRIMARY_UTILISATION)
+    delay = latency / slots * used / (1 - used) ** 2
+    return min(max(delay, PRIMARY_PENALTY), MAX_PRIMARY_VALUE)
+
+
+def expected_time(server: ServerView) -> float:
+    """Return the expected duration in seconds of one more statement on a server.
+
+    A statement queues only once all slots of the server are in use. The statements of
+    other processes are accounted for by the average latency.
+    """
+    waiting = max(0, server.in_flight + 1 - server.server.slots)
+    return server.latency * (1 + waiting / server.server.slots)
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -17,12 +17,14 @@
 from .held import ReadBound
 from .local_connection import LocalHeldConnection
 from .models import (
+    ErrorCode,
     Reply,
     Statement,
     StatementKind,
     TransactionState,
 )
 from .primaries import PrimaryPath
+from .read_choice import ReadChoice
 from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
 
@@ -57,18 +59,26 @@
         bound = self._placement.bound(request)
         if bound is None:
             return self._read_primary(request)
-        excluded = self._lagging(request, bound)
+        group = request.endpoint.group
+        excluded: set[str] = set()
+        if not self._placement.is_by_load(group):
+            excluded = self._lagging(request, bound)
+        may_wait = True
         failed: Reply | None = None
         for number in range(MAX_READ_ATTEMPTS):
-            server = self._placement.choose(request, excluded)
-            if server is None:
+            choice = self._placement.choose(request, bound, excluded, may_wait=may_wait)
+            if choice is None:
                 break
+            server = choice.server
+            if choice.wait:
+                may_wait = False
+                request = self._placement.wait(request, choice)
             try:
                 reply = self._try(request, server, number, bound)
             except NotFreshError:
                 break
+            self._record_wait(choice, reply)
             if reply is not None and reply.error is None:
-                group = request.endpoint.group
                 is_primary = self._placement.is_primary(server)
                 self._counters.read_served(group, is_primary)
                 return reply
@@ -80,6 +90,12 @@
             return failed
         return self._read_primary(request)
 
+    def _record_wait(self, choice: ReadChoice, reply: Reply | None) -> None:
+        if not choice.wait or reply is None:
+            return
+        is_behind = reply.error is not None and reply.error.code is ErrorCode.BEHIND
+        self._placement.record_wait(choice, was_enough=not is_behind)
+
     def _lagging(self, request: Request, bound: ReadBound) -> set[str]:
         try:
             min_position = self._access.min_position(request.endpoint.group, bound)
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -7,7 +7,7 @@
 from dogwoodspool_common import BackendServer, Clock
 from dogwoodspool_connections import ConnectionPool, Connector, PoolSettings
 from dogwoodspool_following import ProxyView, ViewStore
-from dogwoodspool_limits import AdmissionQueue
+from dogwoodspool_limits import AdmissionQueue, Priority
 
 from .ceiling import ConnectionCeiling
 from .connection import ServerConnection
@@ -23,6 +23,7 @@
     RESET_TIMEOUT,
     SURPLUS_EXPIRY_SECONDS,
 )
+from .read_cost import AdmissionState
 
 POOL_SETTINGS = PoolSettings(
     connect_timeout=CONNECT_TIMEOUT,
@@ -101,6 +102,17 @@
             known.pool.unload()
         return backend
 
+    def admission_state(self, server: str) -> AdmissionState | None:
+        """Return the state of a server's admission queue; None if there is none yet."""
+        with self._lock:
+            known = self._backends.get(server)
+        if known is None:
+            return None
+        queue = known.admission
+        return AdmissionState(
+            queue.limit, queue.waiting, queue.estimated_wait(Priority.READ)
+        )
+
     def all(self) -> list[Backend]:
         """Return all backends in use."""
         with self._lock:
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -44,6 +44,7 @@
         session_position: position of the session's last commit; None before the first.
         arrived_at: clock seconds at which it arrived.
         caller: on whose behalf it runs.
+        waited: seconds that it waited for a replica to reach its position.
     """
 
     endpoint: Endpoint
@@ -53,6 +54,7 @@
     session_position: Position | None
     arrived_at: float
     caller: Caller = ANONYMOUS
+    waited: float = 0.0
 
     @property
     def deadline(self) -> float:
@@ -63,7 +65,7 @@
     def start_by(self) -> float:
         """Clock time until which it may wait for admission to a server."""
         target = min(self.endpoint.target_latency_ms, self.endpoint.deadline_ms)
-        return self.arrived_at + target * WAIT_SHARE / MILLISECONDS
+        return self.arrived_at + self.waited + target * WAIT_SHARE / MILLISECONDS
 
     @property
     def max_age(self) -> float | None:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -36,10 +36,13 @@
 from .known_primaries import KnownPrimaries
 from .lag import LagTracker
 from .primaries import PrimaryPath
-from .read_placement import ReadPlacement
+from .read_choice import ReadChooser
+from .read_cost import LoadCost
+from .read_placement import ReadPlacement, SharedReads
 from .reads import ReadPath
 from .recovery import RecoveryProber
 from .registry import BackendRegistry
+from .replica_lag import ReplicaLag
 from .reporting import ReportCoordinator
 from .session import PooledSession
 from .sessions import PooledSessions
@@ -87,18 +90,25 @@
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
         stalls, freshness = StallTracker(clock), FreshnessTracker(clock)
+        refusals, replica_lag = LagTracker(clock), ReplicaLag(clock)
         access = ServerAccess(
             self._registry,
             self._table,
             stalls,
             freshness,
-            LagTracker(clock),
+            refusals,
             self._suspect,
             clock,
+            replica_lag,
         )
+        costs = LoadCost(self._owner_share, self._registry.admission_state)
+        chooser = ReadChooser(costs, refusals, replica_lag, clock)
+        self._shared_reads = SharedReads(chooser, freshness, self._owner_share, clock)
         known = KnownPrimaries(self._views, self._table)
         primaries = PrimaryPath(self._views, known, access, clock)
-        placement = ReadPlacement(self._views, self._table, known, access)
+        placement = ReadPlacement(
+            self._views, self._table, known, access, self._shared_reads
+        )
         reads = ReadPath(access, placement, primaries, self._counters, clock)
         statements = LocalStatements(reads, WritePath(primaries, access, clock))
         self._shared = SharedPoolsRuntime(
@@ -246,7 +256,9 @@
         clock: Clock,
     ) -> TransactionPath:
         primaries = PrimaryPath(self._views, known, access, clock)
-        placement = ReadPlacement(self._views, self._table, known, access)
+        placement = ReadPlacement(
+            self._views, self._table, known, access, self._shared_reads
+        )
         return TransactionPath(self._views, placement, primaries, access, clock)
 
     def _owner_share(self, group: str) -> float | None:
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -257,7 +257,7 @@
             )
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
-        if reply.error is None:
+        if reply.error is None and transaction.has_written:
             self._advance_position(transaction.endpoint, reply.position)
         return self._answer(reply)
 
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -1,7 +1,6 @@
 """Transactions, each on one connection from its first statement to its end."""
 
 from dogwoodspool_common import (
-    BackendServer,
     Clock,
     Consistency,
     Endpoint,
@@ -32,6 +31,7 @@
     TransactionState,
 )
 from .primaries import PrimaryPath
+from .read_choice import ReadChoice
 from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
 from .writes import in_doubt
@@ -213,13 +213,17 @@
         if bound is None:
             return self._begin_on_primary(request)
         excluded: set[str] = set()
+        may_wait = True
         for _attempt in range(MAX_READ_ATTEMPTS):
-            server = self._placement.choose(request, excluded)
-            if server is None:
+            choice = self._placement.choose(request, bound, excluded, may_wait=may_wait)
+            if choice is None:
                 break
-            excluded.add(server.name)
+            excluded.add(choice.server.name)
+            if choice.wait:
+                may_wait = False
+                request = self._placement.wait(request, choice)
             try:
-                held = self._try_begin(request, server, bound)
+                held = self._try_begin(request, choice, bound)
             except NotFreshError:
                 break
             if held is not None:
@@ -227,7 +231,7 @@
         return self._begin_on_primary(request)
 
     def _try_begin(
-        self, request: Request, server: BackendServer, bound: ReadBound
+        self, request: Request, choice: ReadChoice, bound: ReadBound
     ) -> HeldConnection | None:
         """Begin on one server; return None if it does not serve the transaction.
 
@@ -235,7 +239,7 @@
             NotFreshError: no position is known that satisfies the bound, so that no
                 replica can serve it.
         """
-        now = self._clock.now()
+        now, server = self._clock.now(), choice.server
         try:
             held = self._access.open(server, request, has_alternatives=True)
         except (NotServedError, ConnectFailedError) as error:
@@ -254,6 +258,8 @@
             held.finish(is_good=False)
             log_read_moved(request, server, error)
             return None
+        is_behind = reply.error is not None and reply.error.code is ErrorCode.BEHIND
+        self._placement.record_wait(choice, was_enough=not is_behind)
         if reply.error is None:
             return held
         held.finish(is_good=True)
--- a/packages/routing/src/dogwoodspool_routing/const.py
+++ b/packages/routing/src/dogwoodspool_routing/const.py
@@ -7,6 +7,9 @@
 LATENCY_WEIGHT: Final = 0.2
 LATENCY_HALF_LIFE: Final = 1.0
 DEFAULT_LATENCY: Final = 0.005
+# Time constant in seconds of the moving average of statements in flight: many times
+# a statement's duration, and a small part of the periods in which demand changes.
+LOAD_SECONDS: Final = 1.5
 
 # Seconds by which a server of another failure domain must be faster to be chosen.
 REMOTE_DOMAIN_PENALTY: Final = 0.001
--- a/packages/routing/src/dogwoodspool_routing/models.py
+++ b/packages/routing/src/dogwoodspool_routing/models.py
@@ -22,6 +22,7 @@
         is_failing: whether the last attempt to reach it failed.
         latency: moving average of a statement's seconds.
         in_flight: number of this process's statements on it.
+        load: moving average of ``in_flight`` over time.
     """
 
     server: BackendServer
@@ -31,6 +32,7 @@
     is_failing: bool
     latency: float
     in_flight: int
+    load: float = 0.0
 
     @property
     def name(self) -> str:
--- a/packages/routing/src/dogwoodspool_routing/server_record.py
+++ b/packages/routing/src/dogwoodspool_routing/server_record.py
@@ -1,5 +1,6 @@
 """The record of one backend server in the proxy's table."""
 
+import math
 from dataclasses import dataclass
 
 from dogwoodspool_common import BackendServer, ServerStatus
@@ -9,6 +10,7 @@
     DEFAULT_LATENCY,
     LATENCY_HALF_LIFE,
     LATENCY_WEIGHT,
+    LOAD_SECONDS,
     MAX_UNREACHABLE_STEP,
 )
 
@@ -37,13 +39,15 @@
     asked_at: float = 0.0
     is_failing: bool = False
     leaving_since: float | None = None
-    in_flight: int = 0
     answered_at: float = NEVER
     _unreachable: float = 0.0
     _down: float | None = None
     _outcome_at: float | None = None
     _latency: float = DEFAULT_LATENCY
     _latency_at: float = 0.0
+    _in_flight: int = 0
+    _load: float = 0.0
+    _load_at: float = 0.0
 
     @property
     def server(self) -> BackendServer:
@@ -57,6 +61,11 @@
             raise LookupError("server record is neither committed nor announced")
         return newest
 
+    @property
+    def in_flight(self) -> int:
+        """Number of this process's statements on the server."""
+        return self._in_flight
+
     @property
     def is_leaving(self) -> bool:
         """Return whether any source reports that the server is leaving."""
@@ -132,6 +141,18 @@
         weight = 0.5 ** (age / LATENCY_HALF_LIFE)
         return float(DEFAULT_LATENCY + (self._latency - DEFAULT_LATENCY) * weight)
 
+    def set_in_flight(self, count: int, now: float) -> None:
+        """Set the number of statements in flight from now on."""
+        self._load = self.load(now)
+        self._load_at = now
+        self._in_flight = max(0, count)
+
+    def load(self, now: float) -> float:
+        """Return the moving average of the number of statements in flight."""
+        age = max(0.0, now - self._load_at)
+        weight = math.exp(-age / LOAD_SECONDS)
+        return self._in_flight + (self._load - self._in_flight) * weight
+
     def _step(self, now: float) -> float:
         since = self.known_at if self._outcome_at is None else self._outcome_at
         return min(max(0.0, now - since), MAX_UNREACHABLE_STEP)
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -146,7 +146,8 @@
         """Record that a statement is sent to a server."""
         with self._lock:
             if name in self._records:
-                self._records[name].in_flight += 1
+                record = self._records[name]
+                record.set_in_flight(record.in_flight + 1, self._clock.now())
 
     def end(self, name: str, latency: float | None, *, is_answered: bool) -> None:
         """Record that a statement ended, after ``begin``.
@@ -161,7 +162,7 @@
             record = self._records.get(name)
             if record is None:
                 return
-            record.in_flight = max(0, record.in_flight - 1)
+            record.set_in_flight(record.in_flight - 1, self._clock.now())
             if is_answered:
                 record.record_answer(self._clock.now())
                 if latency is not None:
@@ -183,6 +184,7 @@
             is_failing=record.is_failing,
             latency=record.latency(now),
             in_flight=record.in_flight,
+            load=record.load(now),
         )
 
     def _drop_expired(self) -> None:
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -51,9 +51,12 @@
 from dogwoodspool_pooler.known_primaries import KnownPrimaries
 from dogwoodspool_pooler.lag import LagTracker
 from dogwoodspool_pooler.primaries import PrimaryPath
-from dogwoodspool_pooler.read_placement import ReadPlacement
+from dogwoodspool_pooler.read_choice import ReadChooser
+from dogwoodspool_pooler.read_cost import LoadCost
+from dogwoodspool_pooler.read_placement import ReadPlacement, SharedReads
 from dogwoodspool_pooler.reads import ReadPath
 from dogwoodspool_pooler.registry import BackendRegistry
+from dogwoodspool_pooler.replica_lag import ReplicaLag
 from dogwoodspool_pooler.session import PooledSession
 from dogwoodspool_pooler.sessions import PooledSessions
 from dogwoodspool_pooler.stalls import StallTracker
@@ -320,10 +323,18 @@
 
 
 class Pooler:
-    """The parts of a pooler over fake servers, on a clock that tests advance."""
+    """The parts of a pooler over fake servers, on a clock that tests advance.
+
+    Args:
+        share: part of the group's load that it has as an owner; None for a proxy with
+            pools of its own.
+    """
 
     def __init__(
-        self, servers: Sequence[FakeServer], served_endpoint: Endpoint | None = None
+        self,
+        servers: Sequence[FakeServer],
+        served_endpoint: Endpoint | None = None,
+        share: float | None = None,
     ) -> None:
         self.clock = AutoAdvanceClock()
         self.network = FakeNetwork(servers, self.clock)
@@ -336,14 +347,21 @@
         )
         self.registry = BackendRegistry(self.views, self.network, self.clock)
         self.registry.set_up()
+        refusals, replica_lag = LagTracker(self.clock), ReplicaLag(self.clock)
         access = ServerAccess(
             self.registry,
             self.table,
             self.stalls,
             self.freshness,
-            LagTracker(self.clock),
+            refusals,
             self.suspected.append,
             self.clock,
+            replica_lag,
+        )
+        costs = LoadCost(lambda _group: share, self.registry.admission_state)
+        chooser = ReadChooser(costs, refusals, replica_lag, self.clock)
+        self.shared_reads = SharedReads(
+            chooser, self.freshness, lambda _group: share, self.clock
         )
         self.views.add_listener(self._apply_view)
         self.access = access
@@ -352,7 +370,9 @@
         self.known = known
         self.counters = Counters()
         self.limiter: OperationLimiter = NoLimits()
-        placement = ReadPlacement(self.views, self.table, known, access)
+        placement = ReadPlacement(
+            self.views, self.table, known, access, self.shared_reads
+        )
         self.reads = ReadPath(
             access, placement, self.primaries, self.counters, self.clock
         )
@@ -383,7 +403,7 @@
         held = access or self.access
         transactions = TransactionPath(
             self.views,
-            ReadPlacement(self.views, self.table, self.known, held),
+            ReadPlacement(self.views, self.table, self.known, held, self.shared_reads),
             PrimaryPath(self.views, self.known, held, self.clock),
             held,
             self.clock,
--- a/tests/pooler/test_reads.py
+++ b/tests/pooler/test_reads.py
@@ -175,6 +175,29 @@
         pooler.network.servers["s3"].position = Position(3, position.offset - 1)
         self.assertEqual(run_text(session, "READ k").proof, "s1:r")
 
+    def test_a_commit_without_writes_requires_no_position(self) -> None:
+        # Guards against a session that only reads and is sent to the primary, because
+        # the position of its commit was required of its next reads.
+        pooler = Pooler(group(), READ_YOUR_WRITES)
+        run_text(pooler.session(), "READ k")
+        session = pooler.session()
+        pooler.network.servers["s1"].position = Position(3, 500)
+        for begin in ("BEGIN", "BEGIN READ"):
+            for text in (begin, "READ k", "COMMIT"):
+                self.assertIsNone(run_text(session, text).error)
+        self.assertEqual(run_text(session, "READ k").proof, "s2:r")
+
+    def test_the_lowest_position_within_the_age_is_required(self) -> None:
+        """Guard against reads that require a newer position than their age bound."""
+        pooler = Pooler(group(), BOUNDED)
+        session = pooler.session()
+        run_text(session, "WRITE k v")
+        for _ in range(20):
+            pooler.clock.advance(0.06)
+            run_text(session, "WRITE k v")
+        pooler.network.servers["s2"].position = Position(3, 101)
+        self.assertEqual(run_text(session, "READ k").proof, "s2:r")
+
     def test_another_session_need_not_see_it(self) -> None:
         pooler = Pooler(group(), READ_YOUR_WRITES)
         run_text(pooler.session(), "READ k")
