--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -11,6 +11,7 @@
     Admission,
     AdmissionQueue,
     ArrivalOrder,
+    Priority,
     PriorityOrder,
     QueueOrder,
     Refusal,
@@ -31,6 +32,7 @@
     RESET_TIMEOUT,
     SURPLUS_EXPIRY_SECONDS,
 )
+from .read_cost import AdmissionState
 from .requests import AdmissionRequest
 
 POOL_SETTINGS = PoolSettings(
@@ -134,6 +136,17 @@
             known.pool.unload()
         return backend
 
+    def admission_state(self, server: str) -> AdmissionState | None:
+        """Return the state of a server's admission queue; None if there is none yet."""
+        with self._lock:
+            known = self._backends.get(server)
+        if known is None:
+            return None
+        queue = known.admission
+        return AdmissionState(
+            queue.limit, queue.waiting, queue.estimated_wait(Priority.READ)
+        )
+
     def all(self) -> list[Backend]:
         """Return all backends in use."""
         with self._lock:
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -63,6 +63,7 @@
         session_position: position of the session's last commit; None before the first.
         arrived_at: clock seconds at which it arrived.
         caller: on whose behalf it runs.
+        waited: seconds that it waited for a replica to reach its position.
     """
 
     endpoint: Endpoint
@@ -72,6 +73,7 @@
     session_position: Position | None
     arrived_at: float
     caller: Caller = ANONYMOUS
+    waited: float = 0.0
 
     @property
     def deadline(self) -> float:
@@ -87,7 +89,8 @@
     @property
     def start_by(self) -> float:
         """Clock time until which it may wait for admission to a server."""
-        return self.arrived_at + (self.target - self.arrived_at) * WAIT_SHARE
+        wait = (self.target - self.arrived_at) * WAIT_SHARE
+        return self.arrived_at + self.waited + wait
 
     @property
     def max_age(self) -> float | None:
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -91,6 +91,7 @@
         with self._lock:
             committed = {server.name: server for server in servers}
             for name, server in committed.items():
+                self._drop_replaced(name, server)
                 self._record(name).committed = server
             for name, record in self._records.items():
                 if name not in committed:
@@ -146,7 +147,8 @@
         """Record that a statement is sent to a server."""
         with self._lock:
             if name in self._records:
-                self._records[name].in_flight += 1
+                record = self._records[name]
+                record.set_in_flight(record.in_flight + 1, self._clock.now())
 
     def end(self, name: str, latency: float | None, *, is_answered: bool) -> None:
         """Record that a statement ended, after ``begin``.
@@ -161,7 +163,7 @@
             record = self._records.get(name)
             if record is None:
                 return
-            record.in_flight = max(0, record.in_flight - 1)
+            record.set_in_flight(record.in_flight - 1, self._clock.now())
             if is_answered:
                 record.record_answer(self._clock.now())
                 if latency is not None:
@@ -172,6 +174,22 @@
             self._records[name] = ServerRecord(known_at=self._clock.now())
         return self._records[name]
 
+    def _drop_replaced(self, name: str, server: BackendServer) -> None:
+        """Forget what is known of a server's earlier process.
+
+        Failures, latencies and positions of a process that ended say nothing about the
+        one that started under the same name.
+        """
+        known = self._records.get(name)
+        if known is None or known.committed is None:
+            return
+        if known.committed.incarnation != server.incarnation:
+            self._records[name] = ServerRecord(
+                known_at=self._clock.now(),
+                announced=known.announced,
+                announced_at=known.announced_at,
+            )
+
     def _view(self, record: ServerRecord, now: float) -> ServerView:
         return ServerView(
             server=record.server,
@@ -183,6 +201,7 @@
             is_failing=record.is_failing,
             latency=record.latency(now),
             in_flight=record.in_flight,
+            load=record.load(now),
         )
 
     def _drop_expired(self) -> None:
