Sharing: serve requests for a primary at the owners in its failure domain

The owners of every failure domain sent requests to a group's primary, so that its slots were filled from six or eight admission queues. A proxy now sends a write, a statement of a PRIMARY endpoint and the begin of a transaction that needs the primary to the owners in the primary's failure domain. The owners in its own failure domain forward the reads that turn out to need the primary. A read is marked when it is forwarded and never forwarded again; a write that an owner receives is always served on its own pools.

RemoteOwners keeps which proxies own the used groups there; a coordinator polls one proxy of that failure domain, and asks control only while it knows none. Owners learn the positions that their reads need from the owners of the primary, since they no longer send it statements of their own.

FORWARDS_TO_PRIMARY_OWNERS turns it off.

--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -13,7 +13,7 @@
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.promotion.failovers import FailoverTimeline
 from dogwoodspool_control.state import ControlState
-from dogwoodspool_sharing import PresenceApi, ProxyRoster
+from dogwoodspool_sharing import ContactsApi, PresenceApi, ProxyRoster
 
 from .api import FailoverApi, members_of
 from .changes import PrimaryChanges
@@ -92,7 +92,8 @@
         )
         members = partial(members_of, consensus)
         watch = WatchApi(node, state, WaitSlots(MAX_WATCHERS), clock, members)
-        presence = PresenceApi(ProxyRoster(clock), members)
+        roster = ProxyRoster(clock)
+        presence = PresenceApi(roster, members)
         api = FailoverApi(node, reports, diagnostics, self._loop.wake)
         allocator = Allocator(
             state.rate_limit, tolerance or LimitTolerance(), lambda: failure_domains
@@ -103,6 +104,7 @@
             *consensus.routes(),
             *watch.routes(),
             *presence.routes(),
+            *ContactsApi(roster).routes(),
             *api.routes(),
             *reserve_routes(reserve, node),
             *JoinApi(consensus, node).routes(),
--- a/packages/pooler/src/dogwoodspool_pooler/freshness.py
+++ b/packages/pooler/src/dogwoodspool_pooler/freshness.py
@@ -22,6 +22,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._marks: dict[str, deque[tuple[float, Position]]] = {}
+        self._wanted_at: dict[str, float] = {}
 
     def record(self, group: str, position: Position | None, asked_at: float) -> None:
         """Record the position in a reply of a server that was certainly the primary.
@@ -42,6 +43,27 @@
             while marks[0][0] < oldest:
                 marks.popleft()
 
+    def newest(self, group: str) -> tuple[float, Position] | None:
+        """Return the newest mark of a group: clock time and position."""
+        with self._lock:
+            marks = self._marks.get(group)
+            return marks[-1] if marks else None
+
+    def outdated(self, wanted_since: float, newest_before: float) -> list[str]:
+        """Return the groups that reads use and whose newest mark is old.
+
+        Args:
+            wanted_since: clock time since which a read has needed a position.
+            newest_before: clock time before which a mark is old.
+        """
+        with self._lock:
+            return [
+                group
+                for group, wanted_at in sorted(self._wanted_at.items())
+                if wanted_at >= wanted_since
+                and not self._has_mark(group, newest_before)
+            ]
+
     def min_position(self, group: str, max_age: float) -> Position | None:
         """Return the lowest known position that includes all commits older than an age.
 
@@ -52,9 +74,15 @@
             group: the database group.
             max_age: greatest age of the data in seconds.
         """
-        oldest = self._clock.now() - max_age
+        now = self._clock.now()
+        oldest = now - max_age
         with self._lock:
+            self._wanted_at[group] = now
             for asked_at, position in self._marks.get(group, ()):
                 if asked_at >= oldest:
                     return position
         return None
+
+    def _has_mark(self, group: str, since: float) -> bool:
+        marks = self._marks.get(group)
+        return marks is not None and marks[-1][0] >= since
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -1,5 +1,7 @@
 """Reads outside of transactions, on servers that satisfy their consistency."""
 
+from collections.abc import Callable
+
 from dogwoodspool_common import (
     BackendServer,
     Clock,
@@ -32,6 +34,10 @@
 
     A read changes nothing, so it is retried on another server when one does not
     answer in time.
+
+    Args:
+        forward: serves a read at the primary through another process; returns None if
+            it did not run and is to be served here.
     """
 
     def __init__(
@@ -41,12 +47,14 @@
         primaries: PrimaryPath[LocalHeldConnection],
         counters: Counters,
         clock: Clock,
+        forward: Callable[[Request], Reply | None] = lambda _request: None,
     ) -> None:
         self._counters = counters
         self._access = access
         self._placement = placement
         self._primaries = primaries
         self._clock = clock
+        self._forward = forward
 
     def run(self, request: Request) -> Reply:
         """Serve one read.
@@ -54,9 +62,9 @@
         Raises:
             NotServedError: no server ran it.
         """
-        bound = self._placement.bound(request)
+        bound = None if request.at_primary else self._placement.bound(request)
         if bound is None:
-            return self._read_primary(request)
+            return self._read_at_primary(request)
         excluded = self._lagging(request, bound)
         failed: Reply | None = None
         for number in range(MAX_READ_ATTEMPTS):
@@ -64,7 +72,7 @@
             if server is None:
                 break
             try:
-                reply = self._try(request, server, number, bound)
+                reply = self._forward_or_try(request, server, number, bound)
             except NotFreshError:
                 break
             if reply is not None and reply.error is None:
@@ -78,7 +86,22 @@
                 break
         if failed is not None and failed.error and not failed.error.code.is_not_run:
             return failed
-        return self._read_primary(request)
+        return self._read_at_primary(request)
+
+    def _forward_or_try(
+        self, request: Request, server: BackendServer, number: int, bound: ReadBound
+    ) -> Reply | None:
+        """Try one server as ``_try``, a primary elsewhere through the owners there."""
+        if self._placement.is_primary(server):
+            bounded = request.with_deadline(self._attempt_ends(request, number))
+            try:
+                reply = self._forward(bounded)
+            except NotServedError as error:
+                log_read_moved(request, server, error)
+                return None
+            if reply is not None:
+                return reply
+        return self._try(request, server, number, bound)
 
     def _lagging(self, request: Request, bound: ReadBound) -> set[str]:
         try:
@@ -95,10 +118,7 @@
         Raises:
             NotFreshError: no position is known that satisfies the bound.
         """
-        now = self._clock.now()
-        until = request.deadline
-        if number == 0:
-            until = now + (request.deadline - now) * READ_ATTEMPT_SHARE
+        until = self._attempt_ends(request, number)
         try:
             held = self._access.open(server, request, has_alternatives=True)
         except (NotServedError, ConnectFailedError) as error:
@@ -126,6 +146,18 @@
             log_read_moved(request, server, reply.error.code)
         return reply
 
+    def _attempt_ends(self, request: Request, number: int) -> float:
+        """Return the clock time until which an attempt may take."""
+        if number:
+            return request.deadline
+        now = self._clock.now()
+        return now + (request.deadline - now) * READ_ATTEMPT_SHARE
+
+    def _read_at_primary(self, request: Request) -> Reply:
+        """Read at the primary, through the owners near it if it is elsewhere."""
+        reply = self._forward(request)
+        return self._read_primary(request) if reply is None else reply
+
     def _read_primary(self, request: Request) -> Reply:
         """Read at the primary, inside a transaction that only the primary can begin.
 
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from dogwoodspool_common import Endpoint, Position
+from dogwoodspool_common import Consistency, Endpoint, Position
 from dogwoodspool_common.const import MILLISECONDS
 
 from .const import WAIT_SHARE
@@ -44,6 +44,8 @@
         session_position: position of the session's last commit; None before the first.
         arrived_at: clock seconds at which it arrived.
         caller: on whose behalf it runs.
+        at_primary: whether another proxy forwarded it to be served at the primary, on
+            the pools of this process alone.
     """
 
     endpoint: Endpoint
@@ -53,6 +55,7 @@
     session_position: Position | None
     arrived_at: float
     caller: Caller = ANONYMOUS
+    at_primary: bool = False
 
     @property
     def deadline(self) -> float:
@@ -78,6 +81,19 @@
             return self.prepared.access is Access.WRITE
         return self.statement.kind is StatementKind.WRITE
 
+    @property
+    def needs_primary(self) -> bool:
+        """Whether only the primary can serve it, whatever the replicas have."""
+        is_primary_only = self.endpoint.consistency is Consistency.PRIMARY
+        return self.writes or is_primary_only or self.max_age is None
+
+    def for_primary(self) -> "Request":
+        """Return the request as it is forwarded to the owners near the primary.
+
+        Writes are not marked, since an owner never forwards them.
+        """
+        return self if self.writes else replace(self, at_primary=True)
+
     def with_deadline(self, deadline: float) -> "Request":
         """Return the request with another deadline, given in clock seconds."""
         deadline_ms = max(1, int((deadline - self.arrived_at) * MILLISECONDS))
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -35,12 +35,14 @@
 from .held import ConnectionAccess, HeldConnection
 from .known_primaries import KnownPrimaries
 from .lag import LagTracker
+from .models import Reply
 from .primaries import PrimaryPath
 from .read_placement import ReadPlacement
 from .reads import ReadPath
 from .recovery import RecoveryProber
 from .registry import BackendRegistry
 from .reporting import ReportCoordinator
+from .requests import Request
 from .session import PooledSession
 from .sessions import PooledSessions
 from .shared.const import OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
@@ -99,7 +101,14 @@
         known = KnownPrimaries(self._views, self._table)
         primaries = PrimaryPath(self._views, known, access, clock)
         placement = ReadPlacement(self._views, self._table, known, access)
-        reads = ReadPath(access, placement, primaries, self._counters, clock)
+        reads = ReadPath(
+            access,
+            placement,
+            primaries,
+            self._counters,
+            clock,
+            self._forward_to_primary,
+        )
         statements = LocalStatements(reads, WritePath(primaries, access, clock))
         self._shared = SharedPoolsRuntime(
             Neighbour(name, str(address)),
@@ -109,6 +118,7 @@
             self._views,
             access,
             statements,
+            freshness,
             client,
             clock,
         )
@@ -252,6 +262,9 @@
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
 
+    def _forward_to_primary(self, request: Request) -> Reply | None:
+        return self._shared.forward_to_primary(request)
+
     def _rate_limit(self, account: str) -> RateLimit | None:
         known = self._views.view.accounts.get(account)
         return None if known is None else known.rate_limit
--- a/packages/pooler/src/dogwoodspool_pooler/shared/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/access.py
@@ -1,7 +1,9 @@
 """Provide transactions with connections at the owners of their groups' pools."""
 
+from collections.abc import Sequence
+
 from dogwoodspool_common import BackendServer, Position
-from dogwoodspool_sharing import ProxyDirectory
+from dogwoodspool_sharing import Neighbour, ProxyDirectory, RemoteOwners
 
 from ..access import ServerAccess
 from ..held import HeldConnection, ReadBound
@@ -15,14 +17,25 @@
     """Provide connections of this process or of an owner.
 
     Implements ``ConnectionAccess``.
+
+    Args:
+        local: provides connections of this process.
+        directory: the owners in this failure domain.
+        client: calls owners.
+        remote: the owners in the failure domains of primaries, if they are used.
     """
 
     def __init__(
-        self, local: ServerAccess, directory: ProxyDirectory, client: OwnerClient
+        self,
+        local: ServerAccess,
+        directory: ProxyDirectory,
+        client: OwnerClient,
+        remote: RemoteOwners | None = None,
     ) -> None:
         self._local = local
         self._directory = directory
         self._client = client
+        self._remote = remote
 
     def open(
         self,
@@ -33,9 +46,12 @@
     ) -> HeldConnection:
         """Return a connection; nothing is sent to an owner before its first use."""
         owners = self._directory.owners(server.group, request.caller.account)
-        if owners is None:
+        primary_owners = self._primary_owners(server, request)
+        if owners is None and not primary_owners:
             return self._local.open(server, request, has_alternatives=has_alternatives)
-        return RemoteHeldConnection(server, request, owners, self._local, self._client)
+        return RemoteHeldConnection(
+            server, request, owners or (), self._local, self._client, primary_owners
+        )
 
     def begin_on_primary(self, held: HeldConnection, request: Request) -> Reply:
         """Begin a read-write transaction, which only the acting primary accepts."""
@@ -52,3 +68,12 @@
     ) -> None:
         """Record a log position of a server that was certainly the primary then."""
         self._local.record_freshness(server, position, asked_at)
+
+    def _primary_owners(
+        self, server: BackendServer, request: Request
+    ) -> Sequence[Neighbour]:
+        if self._remote is None or not self._remote.is_primary(
+            server.group, server.name
+        ):
+            return ()
+        return self._remote.owners(server.group, request.caller.account)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -6,6 +6,8 @@
 PATH_STATEMENT: Final = "/v1/pools/statement"
 PATH_TRANSACTION: Final = "/v1/pools/transaction"
 PATH_RELEASE: Final = "/v1/pools/release"
+# Path of the endpoint at which an owner names the positions of its groups' primaries.
+PATH_POSITIONS: Final = "/v1/pools/positions"
 
 # Requests of neighbours, not counting those of open transactions, that an owner serves
 # at a time: more than it may have in flight on the servers of a few groups.
@@ -24,6 +26,13 @@
 # Number of connections to one owner that are kept open.
 CONNECTIONS_TO_OWNER: Final = 8
 
+# Time between two requests of an owner for the position of a primary elsewhere: several
+# in the data age that reads commonly accept. The time since a group's last read after
+# which it asks no longer.
+POSITION_SECONDS: Final = 0.25
+POSITION_USE_SECONDS: Final = 2.0
+POSITION_TIMEOUT: Final = 0.2
+
 # Time by which an owner waits longer than the transaction's own proxy before it ends an
 # idle transaction, which happens only if that proxy was lost.
 LEASE_MARGIN_SECONDS: Final = 1.0
--- a/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
@@ -152,7 +152,7 @@
         )
 
 
-class StatementRequest(Message):
+class StatementRequest(ExtendedMessage):
     """One statement that an owner serves as if one of its own callers had sent it.
 
     Attributes:
@@ -161,8 +161,11 @@
         session_position: position of the session's last commit; None before the first.
         elapsed: seconds since the statement arrived at the sender.
         caller: on whose behalf it runs; None for an anonymous caller.
+        at_primary: whether the owner serves it at the primary and never forwards it.
     """
 
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"at_primary"})
+
     endpoint: EndpointMessage
     statement: StatementMessage
     values: dict[str, str] = {}
@@ -170,6 +173,7 @@
     session_position: PositionMessage | None = None
     elapsed: float = Field(ge=0)
     caller: CallerMessage | None = None
+    at_primary: bool = False
 
     @classmethod
     def of(cls, request: Request, now: float) -> Self:
@@ -182,6 +186,7 @@
             session_position=_position_message(request.session_position),
             elapsed=max(0.0, now - request.arrived_at),
             caller=CallerMessage.of(request.caller),
+            at_primary=request.at_primary,
         )
 
     def value(self, now: float) -> Request:
@@ -195,6 +200,7 @@
             session_position=None if position is None else position.value(),
             arrived_at=now - self.elapsed,
             caller=caller_of(self.caller),
+            at_primary=self.at_primary,
         )
 
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
@@ -1,17 +1,22 @@
 """Client for the owners of pools."""
 
-from typing import Any, Protocol, TypeVar
+import errno
+from typing import TypeVar
 
 from dogwoodspool_api import Message
 from dogwoodspool_common import (
-    Address,
     PeerNotConnectedError,
     PeerRefusedError,
     PeerUnreachableError,
     log_rate_limited,
     span,
 )
-from dogwoodspool_sharing import Neighbour, ProxyDirectory
+from dogwoodspool_sharing import (
+    MessageClient,
+    Neighbour,
+    ProxyDirectory,
+    RemoteOwners,
+)
 from pydantic import ValidationError
 
 from .const import PATH_RELEASE, RELEASE_TIMEOUT
@@ -23,25 +28,30 @@
 )
 from .messages import OwnerRefusal, ReleaseLease
 
-ResponseT = TypeVar("ResponseT", bound=Message)
-
+# Errors of a connection whose other end did not respond, as opposed to a refusal.
+UNREACHABLE_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
-class MessageClient(Protocol):
-    """Interface that sends a message and returns the answer; see ``JsonLineClient``."""
-
-    def post(
-        self, address: Address, path: str, body: dict[str, Any], timeout: float
-    ) -> dict[str, Any]:
-        """Send a message once, without retries."""
-        ...
+ResponseT = TypeVar("ResponseT", bound=Message)
 
 
 class OwnerClient:
-    """Send requests to single owners and map their failures to errors."""
+    """Send requests to single owners and map their failures to errors.
+
+    Args:
+        directory: the neighbours of this process.
+        client: calls other proxies.
+        remote: owners in other failure domains, if they are used.
+    """
 
-    def __init__(self, directory: ProxyDirectory, client: MessageClient) -> None:
+    def __init__(
+        self,
+        directory: ProxyDirectory,
+        client: MessageClient,
+        remote: RemoteOwners | None = None,
+    ) -> None:
         self._directory = directory
         self._client = client
+        self._remote = remote
 
     def ask(
         self,
@@ -59,15 +69,20 @@
             OwnerSilentError: the owner did not answer it; it may have run.
         """
         content = request.model_dump(mode="json", exclude_defaults=True)
+        asked_at = 0.0 if self._remote is None else self._remote.now()
         try:
             with span("owner.request", owner=owner.name):
                 answer = self._client.post(owner.endpoint, path, content, timeout)
+            self._record_answer(owner)
             return response_type.model_validate(answer)
         except PeerNotConnectedError as error:
+            self._record_remote_failure(owner, error, asked_at)
             raise self._unavailable(owner, error) from error
         except PeerRefusedError as error:
+            self._record_answer(owner)
             raise self._refusal(owner, error) from error
         except (PeerUnreachableError, ValidationError) as error:
+            self._record_remote_failure(owner, error, asked_at)
             raise self._silent(owner, error) from error
 
     def release(self, owner: Neighbour, lease: str, *, is_good: bool) -> None:
@@ -80,6 +95,18 @@
             # The owner expires the lease on its own a little later.
             log_rate_limited("release_failed", owner=owner.name, reason=error)
 
+    def _record_answer(self, owner: Neighbour) -> None:
+        if self._remote is not None:
+            self._remote.record_answer(owner.name)
+
+    def _record_remote_failure(
+        self, owner: Neighbour, error: Exception, asked_at: float
+    ) -> None:
+        if self._remote is not None:
+            self._remote.record_owner_failure(
+                owner.name, asked_at, is_unreachable=_is_unreachable(error)
+            )
+
     def _refusal(self, owner: Neighbour, error: PeerRefusedError) -> Exception:
         text = f"{owner.name}: {error}"
         match error.code:
@@ -105,3 +132,17 @@
         self._directory.record_owner_failure(owner.name)
         log_rate_limited("owner_silent", owner=owner.name, reason=error)
         return OwnerSilentError(f"{owner.name}: {error}")
+
+
+def _is_unreachable(error: Exception) -> bool:
+    """Return whether the owner's machine did not respond.
+
+    A machine that refuses a connection or resets it is reachable, and so is one whose
+    process takes too long to answer.
+    """
+    cause = error.__cause__
+    if not isinstance(cause, OSError):
+        return False
+    if isinstance(error, PeerNotConnectedError) and isinstance(cause, TimeoutError):
+        return True
+    return cause.errno in UNREACHABLE_ERRORS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -41,6 +41,10 @@
     An owner that cannot be reached has not run anything, so the next one is tried, and
     after the last one a local connection is used. Once an owner has begun the
     transaction, all of its statements run there.
+
+    Args:
+        primary_owners: owners in the failure domain of the server, which are tried
+            first. If one cannot reach the server, the others are tried as well.
     """
 
     def __init__(
@@ -50,10 +54,12 @@
         owners: Sequence[Neighbour],
         access: ServerAccess,
         client: OwnerClient,
+        primary_owners: Sequence[Neighbour] = (),
     ) -> None:
         self._server = server
         self._request = request
         self._owners = owners
+        self._primary_owners = primary_owners
         self._access = access
         self._client = client
         self._owner: Neighbour | None = None
@@ -134,6 +140,11 @@
             return run_locally(self._local)
         if self._owner is not None and self._lease is not None:
             return self._continue(self._owner, message)
+        for owner in self._primary_owners:
+            try:
+                return self._ask(owner, message, message.wait + message.answer)
+            except (OwnerUnavailableError, ServerNotReachedError):
+                continue
         for owner in self._owners:
             try:
                 return self._ask(owner, message, message.wait + message.answer)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -3,9 +3,19 @@
 from dogwoodspool_common import Clock, JsonClient, JsonLineClient, Route
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_following import ControlPeers, ViewStore
-from dogwoodspool_sharing import Neighbour, PresenceCoordinator, ProxyDirectory
+from dogwoodspool_sharing import (
+    Neighbour,
+    OwnersApi,
+    PresenceCoordinator,
+    ProxyDirectory,
+    RemoteOwners,
+    RemoteOwnersCoordinator,
+)
 
 from ..access import ServerAccess
+from ..freshness import FreshnessTracker
+from ..models import Reply
+from ..requests import Request
 from ..statements import Statements
 from .access import SharingAccess
 from .const import (
@@ -17,6 +27,10 @@
 from .group_limits import GroupLimits
 from .leases import LeaseExpiry, LeaseTracker
 from .owner_client import OwnerClient
+from .owner_statements import OwnerStatements
+from .positions import PositionCoordinator, PositionsApi
+from .primary_forwarder import PrimaryForwarder
+from .primary_locations import PrimaryLocations
 from .slots import WorkSlots
 from .statement_api import StatementApi
 from .statements import SharedStatements
@@ -34,6 +48,7 @@
         views: the views from control.
         access: access to the local pools.
         statements: serves single statements on the local pools.
+        freshness: positions of primaries known to this process.
         client: calls control.
         clock: source of time for all parts.
     """
@@ -47,6 +62,7 @@
         views: ViewStore,
         access: ServerAccess,
         statements: Statements,
+        freshness: FreshnessTracker,
         client: JsonClient,
         clock: Clock,
     ) -> None:
@@ -66,11 +82,30 @@
             CONNECTIONS_TO_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
         )
         self._limits = GroupLimits(self._directory, views)
-        owner_client = OwnerClient(self._directory, self._client)
+        self._owners_api = OwnersApi(own.name, self._directory)
+        self._positions_api = PositionsApi(freshness, clock)
+        self._remote = RemoteOwners(own.name, failure_domain, self._directory, clock)
+        self._primaries = PrimaryLocations(self._remote, views)
+        self._remote_coordinator = RemoteOwnersCoordinator(
+            self._remote, self._directory, peers, client, self._client, clock
+        )
+        self._remote.set_listener(self._remote_coordinator.wake)
+        self._positions = PositionCoordinator(
+            freshness, self._remote, self._client, clock
+        )
+        owner_client = OwnerClient(self._directory, self._client, self._remote)
+        self._forwarder = PrimaryForwarder(
+            self._remote,
+            OwnerStatements(owner_client, clock),
+            freshness.record,
+            clock,
+        )
         self._statements = SharedStatements(
-            statements, self._directory, owner_client, clock
+            statements, self._directory, owner_client, clock, self._forwarder
+        )
+        self._access = SharingAccess(
+            access, self._directory, owner_client, self._remote
         )
-        self._access = SharingAccess(access, self._directory, owner_client)
 
     @property
     def statements(self) -> SharedStatements:
@@ -85,7 +120,12 @@
     @property
     def routes(self) -> list[Route]:
         """The endpoints for other proxies."""
-        return [*self._statement_api.routes(), *self._transaction_api.routes()]
+        return [
+            *self._statement_api.routes(),
+            *self._transaction_api.routes(),
+            *self._owners_api.routes(),
+            *self._positions_api.routes(),
+        ]
 
     @property
     def directory(self) -> ProxyDirectory:
@@ -106,11 +146,18 @@
         """Return whether requests to a group are forwarded to owners at present."""
         return bool(self._directory.owners(group))
 
+    def forward_to_primary(self, request: Request) -> Reply | None:
+        """Serve a read at a primary elsewhere; see ``PrimaryForwarder.forward``."""
+        return self._forwarder.forward(request)
+
     def set_up(self) -> None:
         """Start to share pools."""
         self._limits.set_up()
+        self._primaries.set_up()
         self._expiry.set_up()
         self._presence.set_up()
+        self._remote_coordinator.set_up()
+        self._positions.set_up()
 
     def leave(self) -> None:
         """Stop accepting requests, and have control announce it to the neighbours."""
@@ -119,6 +166,8 @@
 
     def unload(self) -> None:
         """Stop all parts."""
+        self._positions.unload()
+        self._remote_coordinator.unload()
         self._presence.unload()
         self._expiry.unload()
         self._client.close()
--- a/packages/sharing/src/dogwoodspool_sharing/__init__.py
+++ b/packages/sharing/src/dogwoodspool_sharing/__init__.py
@@ -1,16 +1,28 @@
 """Choose the proxies that own a group's pools and track which proxies run."""
 
+from .contacts_api import ContactsApi
 from .directory import ProxyDirectory
-from .models import Neighbour, ServerLimits
+from .message_client import MessageClient
+from .models import Neighbour, Owners, PrimaryLocation, ServerLimits
+from .owners_api import OwnersApi
 from .presence import PresenceCoordinator
 from .presence_api import PresenceApi
+from .remote_coordinator import RemoteOwnersCoordinator
+from .remote_owners import RemoteOwners
 from .roster import ProxyRoster
 
 __all__ = [
+    "ContactsApi",
+    "MessageClient",
     "Neighbour",
+    "Owners",
+    "OwnersApi",
     "PresenceApi",
     "PresenceCoordinator",
+    "PrimaryLocation",
     "ProxyDirectory",
     "ProxyRoster",
+    "RemoteOwners",
+    "RemoteOwnersCoordinator",
     "ServerLimits",
 ]
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -4,6 +4,18 @@
 
 # Path of the endpoint to which proxies send heartbeats at a control process.
 PATH_PRESENCE: Final = "/v1/proxies/present"
+# Path of the endpoint at which a control process names proxies of a failure domain.
+PATH_CONTACTS: Final = "/v1/proxies/contacts"
+# Path of the endpoint at which a proxy names the owners of groups in its own failure
+# domain.
+PATH_OWNERS: Final = "/v1/pools/owners"
+
+# Whether requests for a primary are served by the owners in its failure domain. If not,
+# each failure domain's owners send them to the server themselves.
+FORWARDS_TO_PRIMARY_OWNERS: Final = True
+# Greatest number of proxies in all failure domains for which that is done: each proxy
+# keeps connections to the owners of each primary, which accept a limited number.
+MAX_FORWARDING_PROXIES: Final = 250
 
 # Minimum number of a failure domain's proxies per owner. With fewer, most requests
 # would take an additional hop although the shared pool would hardly be used better.
@@ -41,5 +53,16 @@
 # Seconds for which an owner that did not answer is skipped.
 OWNER_RETRY_SECONDS: Final = 1.0
 
+# Time after its last use for which a proxy follows the owners of a group in another
+# failure domain, and the most groups of one failure domain that it follows.
+REMOTE_OWNERS_USE_SECONDS: Final = 10.0
+MAX_FOLLOWED_GROUPS: Final = 64
+# Proxies of another failure domain that a proxy may ask for the owners there.
+MAX_CONTACTS: Final = 8
+# Pause between two polls while a failure domain's owners are not known or its proxies
+# do not answer.
+OWNERS_RETRY_SECONDS: Final = 0.25
+OWNERS_TIMEOUT: Final = 0.4
+
 WEIGHT_BYTES: Final = 8
 DIGEST_BYTES: Final = 8
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -5,7 +5,12 @@
 
 from dogwoodspool_common import Clock, log_event
 
-from .const import NEIGHBOUR_RETENTION_SECONDS, OWNER_RETRY_SECONDS
+from .const import (
+    FORWARDS_TO_PRIMARY_OWNERS,
+    MAX_FORWARDING_PROXIES,
+    NEIGHBOUR_RETENTION_SECONDS,
+    OWNER_RETRY_SECONDS,
+)
 from .models import Neighbour, Owners, ServerLimits
 from .ownership import (
     account_order,
@@ -133,6 +138,22 @@
                 ordered = owner_order(self._own.name, group, chosen)
             return [owner for owner in ordered if not self._failed_lately(owner.name)]
 
+    def assigned(self, group: str) -> Owners | None:
+        """Return the owners of a group; None if its pools are not shared."""
+        with self._lock:
+            if self._owners is None:
+                self._owners = self._assign()
+            return self._owners.get(group)
+
+    def forwards_to_primary_owners(self, group: str) -> bool:
+        """Return whether a primary elsewhere is used through the owners there."""
+        with self._lock:
+            proxies = len(self._neighbours) * self._failure_domains
+            if not FORWARDS_TO_PRIMARY_OWNERS or proxies > MAX_FORWARDING_PROXIES:
+                return False
+            limits = self._limits.get(group)
+            return limits is not None and self._is_shared(limits)
+
     def owner_share(self, group: str) -> float | None:
         """Return the part of each server's connections that one owner may hold.
 
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -1,11 +1,14 @@
 """Data classes and messages of the sharing library."""
 
 from dataclasses import dataclass
+from typing import Self
 
 from dogwoodspool_api import HostPort, MemberMessage, Message, Name
 from dogwoodspool_common import Address
 from pydantic import Field
 
+from .const import MAX_FOLLOWED_GROUPS
+
 
 @dataclass(frozen=True, order=True, slots=True)
 class Neighbour:
@@ -51,6 +54,18 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class PrimaryLocation:
+    """Where the primary of a group runs.
+
+    Attributes:
+        server: name of the server that is the primary.
+    """
+
+    server: str
+    failure_domain: str
+
+
 class Presence(Message):
     """Heartbeat of a proxy to a control process.
 
@@ -67,11 +82,20 @@
 
 
 class NeighbourMessage(Message):
-    """A proxy of the sender's failure domain."""
+    """A proxy, as one process names it to another."""
 
     proxy: Name
     address: HostPort
 
+    @classmethod
+    def of(cls, neighbour: Neighbour) -> Self:
+        """Build the message from the domain object."""
+        return cls(proxy=neighbour.name, address=neighbour.address)
+
+    def value(self) -> Neighbour:
+        """Return the domain object."""
+        return Neighbour(self.proxy, self.address)
+
 
 class PresenceResponse(Message):
     """The proxies of the sender's failure domain and the control processes.
@@ -85,3 +109,63 @@
     next_ms: int = Field(ge=0)
     proxies: list[NeighbourMessage] | None = None
     members: list[MemberMessage] | None = None
+
+
+class ContactsRequest(Message):
+    """Ask a control process for proxies of a failure domain."""
+
+    failure_domain: Name
+
+
+class ContactsResponse(Message):
+    """Some proxies of a failure domain, chosen at random."""
+
+    proxies: list[NeighbourMessage]
+
+
+class OwnersRequest(Message):
+    """Ask a proxy for the owners of groups in its failure domain.
+
+    Attributes:
+        known: digest of the last response that the sender received; empty for none.
+    """
+
+    groups: list[Name] = Field(max_length=MAX_FOLLOWED_GROUPS)
+    known: str = ""
+
+
+class GroupOwnersMessage(Message):
+    """The owners of one group in the responder's failure domain; see ``Owners``."""
+
+    group: Name
+    in_use: list[NeighbourMessage]
+    in_reserve: list[NeighbourMessage]
+
+    @classmethod
+    def of(cls, group: str, owners: Owners) -> Self:
+        """Build the message from the domain object."""
+        return cls(
+            group=group,
+            in_use=[NeighbourMessage.of(one) for one in owners.in_use],
+            in_reserve=[NeighbourMessage.of(one) for one in owners.in_reserve],
+        )
+
+    def value(self) -> Owners:
+        """Return the domain object."""
+        return Owners(
+            tuple(one.value() for one in self.in_use),
+            tuple(one.value() for one in self.in_reserve),
+        )
+
+
+class OwnersResponse(Message):
+    """The owners of groups whose pools the responder's failure domain shares.
+
+    Attributes:
+        digest: digest of both lists; they are omitted if the sender has them already.
+        contacts: proxies of the failure domain that may be asked as well.
+    """
+
+    digest: str
+    owners: list[GroupOwnersMessage] | None = None
+    contacts: list[NeighbourMessage] | None = None
--- a/packages/sharing/src/dogwoodspool_sharing/ownership.py
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -113,6 +113,11 @@
     return [*in_use, *owners.in_reserve]
 
 
+def contact_order(proxy: str, neighbours: Collection[Neighbour]) -> list[Neighbour]:
+    """Return the neighbours in the order in which a proxy names them to others."""
+    return sorted(neighbours, key=partial(_weight_of, proxy))
+
+
 def _weight_of(group: str, neighbour: Neighbour) -> bytes:
     return _weight(group, neighbour.name)
 
--- a/packages/sharing/src/dogwoodspool_sharing/presence_api.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence_api.py
@@ -45,10 +45,7 @@
             pause *= PRESENCE_SETTLING_SECONDS / PRESENCE_SECONDS
         response = PresenceResponse(digest=digest, next_ms=round(pause * MILLISECONDS))
         if has_changed:
-            proxies = [
-                NeighbourMessage(proxy=neighbour.name, address=neighbour.address)
-                for neighbour in neighbours
-            ]
+            proxies = [NeighbourMessage.of(neighbour) for neighbour in neighbours]
             response = response.model_copy(
                 update={"proxies": proxies, "members": members}
             )
--- /dev/null
+++ b/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
@@ -0,0 +1,338 @@
+"""The owners of groups in the failure domains of their primaries."""
+
+import threading
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from dogwoodspool_common import Clock, log_event
+
+from .const import (
+    MAX_CONTACTS,
+    MAX_FOLLOWED_GROUPS,
+    OWNER_RETRY_SECONDS,
+    REMOTE_OWNERS_USE_SECONDS,
+)
+from .directory import ProxyDirectory
+from .models import Neighbour, Owners, PrimaryLocation
+from .ownership import account_order, owner_order
+
+
+@dataclass(slots=True)
+class _Group:
+    """A group in use whose primary is in another failure domain.
+
+    Attributes:
+        owners: its owners there; None until a proxy there has named them.
+        confirmed_at: clock time at which a proxy there last named them.
+    """
+
+    failure_domain: str
+    used_at: float
+    owners: Owners | None = None
+    confirmed_at: float | None = None
+
+
+@dataclass(slots=True)
+class _Domain:
+    """Another failure domain that contains primaries of groups in use.
+
+    Attributes:
+        contacts: proxies there that may be asked, the next one first.
+        silent: contacts in a row that did not answer.
+        digest: digest of the last response; empty if it must be sent again.
+        answered_at: clock time of the last answer of any proxy there.
+        failed_at: clock time at which it was found unreachable; None if it is not.
+    """
+
+    contacts: list[Neighbour] = field(default_factory=list)
+    silent: int = 0
+    digest: str = ""
+    answered_at: float | None = None
+    failed_at: float | None = None
+
+
+class RemoteOwners:
+    """Track the owners that serve requests for primaries in other failure domains.
+
+    Only groups that this proxy uses are tracked, so that the state does not grow with
+    the number of groups or proxies of the system. Nothing is sent from here.
+
+    Args:
+        own: name of this process.
+        failure_domain: failure domain that it runs in.
+        directory: decides whether a group's requests are forwarded at all.
+    """
+
+    def __init__(
+        self, own: str, failure_domain: str, directory: ProxyDirectory, clock: Clock
+    ) -> None:
+        self._own = own
+        self._failure_domain = failure_domain
+        self._directory = directory
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._primaries: dict[str, PrimaryLocation] = {}
+        self._groups: dict[str, _Group] = {}
+        self._domains: dict[str, _Domain] = {}
+        self._domain_of: dict[str, str] = {}
+        self._failed_at: dict[str, float] = {}
+        self._on_change: Callable[[], None] = lambda: None
+
+    def now(self) -> float:
+        """Return the clock's time."""
+        return self._clock.now()
+
+    def set_listener(self, on_change: Callable[[], None]) -> None:
+        """Set a function to call when the owners of another group are needed."""
+        self._on_change = on_change
+
+    def set_primaries(self, primaries: Mapping[str, PrimaryLocation]) -> None:
+        """Set where the primaries of all groups are."""
+        with self._lock:
+            self._primaries = {
+                group: primary
+                for group, primary in primaries.items()
+                if primary.failure_domain != self._failure_domain
+            }
+            moved = [
+                (group, known.used_at)
+                for group, known in self._groups.items()
+                if not self._is_in(group, known.failure_domain)
+            ]
+            for group, used_at in moved:
+                self._forget(group)
+                if group in self._primaries:
+                    self._add(group, used_at)
+        if moved:
+            self._on_change()
+
+    def is_primary(self, group: str, server: str) -> bool:
+        """Return whether a server is a group's primary, in another failure domain."""
+        primary = self._primaries.get(group)
+        return primary is not None and primary.server == server
+
+    def owners(self, group: str, account: str = "") -> Sequence[Neighbour]:
+        """Return the proxies to try for a request to the primary, in this order.
+
+        Args:
+            group: the group.
+            account: client account whose connections the request needs; empty if it
+                can use any connection.
+
+        Returns:
+            An empty sequence if the request is to be routed as if the primary were in
+            this failure domain.
+        """
+        if not self._directory.forwards_to_primary_owners(group):
+            return ()
+        with self._lock:
+            if group not in self._primaries:
+                return ()
+            known, is_new = self._record_use(group)
+            ordered = self._order(group, known, account)
+        if is_new:
+            self._on_change()
+        return ordered
+
+    def wanted(self) -> dict[str, list[str]]:
+        """Return the groups to follow by failure domain; forget unused groups."""
+        oldest = self._clock.now() - REMOTE_OWNERS_USE_SECONDS
+        with self._lock:
+            for group, known in list(self._groups.items()):
+                if known.used_at < oldest:
+                    self._forget(group)
+            wanted: dict[str, list[str]] = {}
+            for group, known in sorted(self._groups.items()):
+                followed = wanted.setdefault(known.failure_domain, [])
+                if len(followed) < MAX_FOLLOWED_GROUPS:
+                    followed.append(group)
+        return wanted
+
+    def confirmed_at(self, group: str) -> float | None:
+        """Return when a group's owners were last confirmed; None if not known."""
+        with self._lock:
+            known = self._groups.get(group)
+            return None if known is None else known.confirmed_at
+
+    def digest(self, failure_domain: str) -> str:
+        """Return the digest of the last response from a failure domain."""
+        with self._lock:
+            return self._domain(failure_domain).digest
+
+    def contact(self, failure_domain: str) -> Neighbour | None:
+        """Return the proxy of a failure domain to ask next; None if none is known."""
+        with self._lock:
+            contacts = self._domain(failure_domain).contacts
+            return contacts[0] if contacts else None
+
+    def needs_contacts(self, failure_domain: str) -> bool:
+        """Return whether no known proxy of a failure domain answers."""
+        with self._lock:
+            domain = self._domain(failure_domain)
+            return domain.silent >= len(domain.contacts)
+
+    def has_failed_domain(self) -> bool:
+        """Return whether a failure domain counts as unreachable."""
+        with self._lock:
+            return any(self._has_failed(name) for name in self._domains)
+
+    def set_contacts(self, failure_domain: str, contacts: Sequence[Neighbour]) -> None:
+        """Replace the proxies to ask by those that control names, if there are any."""
+        with self._lock:
+            domain = self._domain(failure_domain)
+            if contacts:
+                domain.contacts = list(contacts)[:MAX_CONTACTS]
+                domain.silent = 0
+
+    def adopt(
+        self,
+        failure_domain: str,
+        responder: Neighbour,
+        digest: str,
+        owners: Mapping[str, Owners] | None,
+        contacts: Sequence[Neighbour] | None,
+    ) -> None:
+        """Record the response of a contact.
+
+        Args:
+            failure_domain: the contact's failure domain.
+            responder: the contact.
+            digest: digest of the response.
+            owners: the owners of the groups that are shared there; None if unchanged.
+            contacts: other proxies there; None if unchanged.
+        """
+        now = self._clock.now()
+        with self._lock:
+            domain = self._domain(failure_domain)
+            domain.digest, domain.silent = digest, 0
+            self._record_answer(failure_domain)
+            if contacts is not None:
+                others = [one for one in contacts if one != responder]
+                domain.contacts = [responder, *others][:MAX_CONTACTS]
+            for group, known in self._groups.items():
+                if known.failure_domain != failure_domain:
+                    continue
+                if owners is not None:
+                    known.owners = owners.get(group)
+                elif known.confirmed_at is None:
+                    # Added since the request was sent.
+                    domain.digest = ""
+                    continue
+                known.confirmed_at = now
+            self._index_owners()
+
+    def record_answer(self, owner: str) -> None:
+        """Record that an owner answered, with whatever result."""
+        with self._lock:
+            failure_domain = self._domain_of.get(owner)
+            if failure_domain is not None:
+                self._record_answer(failure_domain)
+
+    def record_owner_failure(
+        self, owner: str, asked_at: float, *, is_unreachable: bool
+    ) -> None:
+        """Record that an owner did not answer; it is skipped for the retry time.
+
+        If its machine cannot be reached either, and no proxy of its failure domain has
+        answered since, that failure domain is likely cut off, and all its owners are
+        skipped. Otherwise each request would wait for each owner in turn.
+
+        Args:
+            owner: name of the owner; other proxies are ignored.
+            asked_at: clock time at which it was asked.
+            is_unreachable: whether its machine did not answer.
+        """
+        with self._lock:
+            failure_domain = self._domain_of.get(owner)
+            if failure_domain is None:
+                return
+            self._failed_at[owner] = self._clock.now()
+            if is_unreachable:
+                self._record_unreachable(failure_domain, asked_at)
+
+    def record_contact_failure(
+        self, failure_domain: str, contact: Neighbour, asked_at: float
+    ) -> None:
+        """Record that a contact did not answer, so that another one is asked next.
+
+        This alone never marks the failure domain, but keeps it marked.
+        """
+        with self._lock:
+            domain = self._domain(failure_domain)
+            domain.silent += 1
+            if contact in domain.contacts:
+                domain.contacts.remove(contact)
+                domain.contacts.append(contact)
+            if domain.failed_at is not None:
+                self._record_unreachable(failure_domain, asked_at)
+
+    def _record_use(self, group: str) -> tuple[_Group, bool]:
+        now = self._clock.now()
+        known = self._groups.get(group)
+        if known is not None:
+            known.used_at = now
+            return known, False
+        return self._add(group, now), True
+
+    def _add(self, group: str, used_at: float) -> _Group:
+        failure_domain = self._primaries[group].failure_domain
+        known = self._groups[group] = _Group(failure_domain, used_at)
+        # The last response may have lacked this group.
+        self._domain(failure_domain).digest = ""
+        return known
+
+    def _order(self, group: str, known: _Group, account: str) -> Sequence[Neighbour]:
+        if known.owners is None or self._has_failed(known.failure_domain):
+            return ()
+        if account:
+            ordered = account_order(account, group, known.owners)
+        else:
+            ordered = owner_order(self._own, group, known.owners)
+        return [owner for owner in ordered if not self._owner_has_failed(owner.name)]
+
+    def _is_in(self, group: str, failure_domain: str) -> bool:
+        primary = self._primaries.get(group)
+        return primary is not None and primary.failure_domain == failure_domain
+
+    def _forget(self, group: str) -> None:
+        known = self._groups.pop(group)
+        self._domain(known.failure_domain).digest = ""
+        self._index_owners()
+
+    def _index_owners(self) -> None:
+        self._domain_of = {
+            owner.name: known.failure_domain
+            for known in self._groups.values()
+            if known.owners is not None
+            for owner in (*known.owners.in_use, *known.owners.in_reserve)
+        }
+        self._failed_at = {
+            name: at for name, at in self._failed_at.items() if name in self._domain_of
+        }
+
+    def _domain(self, name: str) -> _Domain:
+        return self._domains.setdefault(name, _Domain())
+
+    def _record_answer(self, failure_domain: str) -> None:
+        domain = self._domain(failure_domain)
+        domain.answered_at = self._clock.now()
+        domain.failed_at = None
+
+    def _record_unreachable(self, failure_domain: str, asked_at: float) -> None:
+        domain = self._domain(failure_domain)
+        if domain.answered_at is not None and domain.answered_at >= asked_at:
+            return
+        if domain.failed_at is None:
+            log_event("failure_domain_skipped", failure_domain=failure_domain)
+        domain.failed_at = self._clock.now()
+
+    def _has_failed(self, failure_domain: str) -> bool:
+        return self._is_recent(self._domain(failure_domain).failed_at)
+
+    def _owner_has_failed(self, owner: str) -> bool:
+        return self._is_recent(self._failed_at.get(owner))
+
+    def _is_recent(self, failed_at: float | None) -> bool:
+        if failed_at is None:
+            return False
+        return self._clock.now() - failed_at < OWNER_RETRY_SECONDS
--- a/packages/sharing/src/dogwoodspool_sharing/roster.py
+++ b/packages/sharing/src/dogwoodspool_sharing/roster.py
@@ -1,11 +1,17 @@
 """The proxies that send heartbeats to a control process."""
 
+import random
 import threading
 from dataclasses import dataclass
 
 from dogwoodspool_common import Clock
 
-from .const import MAX_MISSED_HEARTBEATS, PRESENCE_SECONDS, PRESENCES_PER_SECOND
+from .const import (
+    MAX_CONTACTS,
+    MAX_MISSED_HEARTBEATS,
+    PRESENCE_SECONDS,
+    PRESENCES_PER_SECOND,
+)
 from .models import Neighbour, Presence
 
 
@@ -47,6 +53,15 @@
                     del self._entries[entry.neighbour.name]
         return sorted(entry.neighbour for entry in present)
 
+    def sample(self, failure_domain: str) -> list[Neighbour]:
+        """Return some proxies of a failure domain, chosen at random."""
+        now = self._clock.now()
+        with self._lock:
+            entries = self._entries_in(failure_domain)
+        oldest = now - MAX_MISSED_HEARTBEATS * presence_interval(len(entries))
+        present = [one.neighbour for one in entries if one.last_heartbeat >= oldest]
+        return random.sample(present, min(MAX_CONTACTS, len(present)))
+
     def _entries_in(self, failure_domain: str) -> list[_Entry]:
         return [
             entry
