--- a/packages/pooler/src/dogwoodspool_pooler/shared/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/access.py
@@ -49,8 +49,9 @@
         primary_owners = self._primary_owners(server, request)
         if owners is None and not primary_owners:
             return self._local.open(server, request, has_alternatives=has_alternatives)
+        usable = () if self._remote is None else self._remote.usable(primary_owners)
         return RemoteHeldConnection(
-            server, request, owners or (), self._local, self._client, primary_owners
+            server, request, owners or (), self._local, self._client, usable
         )
 
     def begin_on_primary(self, held: HeldConnection, request: Request) -> Reply:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_statements.py
@@ -1,6 +1,6 @@
 """Ask owners to serve single statements."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 
 from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_sharing import Neighbour
@@ -26,7 +26,7 @@
         self._client = client
         self._clock = clock
 
-    def run(self, request: Request, owners: Sequence[Neighbour]) -> Reply | None:
+    def run(self, request: Request, owners: Iterable[Neighbour]) -> Reply | None:
         """Return the reply; None if no owner served the statement and none ran it.
 
         Raises:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/primary_forwarder.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/primary_forwarder.py
@@ -53,7 +53,8 @@
         """
         asked_at = self._clock.now()
         try:
-            reply = self._owners.run(request.for_primary(), owners)
+            usable = self._remote.usable(owners)
+            reply = self._owners.run(request.for_primary(), usable)
         except OwnerSilentError as error:
             if request.writes:
                 return write_in_doubt(request, error)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -1,6 +1,6 @@
 """Connection at an owner that is held for a transaction of this process."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from dogwoodspool_common import BackendServer
 from dogwoodspool_connections import (
@@ -54,7 +54,7 @@
         owners: Sequence[Neighbour],
         access: ServerAccess,
         client: OwnerClient,
-        primary_owners: Sequence[Neighbour] = (),
+        primary_owners: Iterable[Neighbour] = (),
     ) -> None:
         self._server = server
         self._request = request
--- a/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
+++ b/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
@@ -1,7 +1,7 @@
 """The owners of groups in the failure domains of their primaries."""
 
 import threading
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from dogwoodspool_common import Clock, log_event
@@ -134,6 +134,20 @@
             self._on_change()
         return ordered
 
+    def usable(self, owners: Iterable[Neighbour]) -> Iterator[Neighbour]:
+        """Yield those owners that have not failed by the time they are to be tried.
+
+        The failed attempt with one owner may show that none of them can be reached.
+        """
+        for owner in owners:
+            with self._lock:
+                failure_domain = self._domain_of.get(owner.name, "")
+                is_skipped = self._owner_has_failed(owner.name) or (
+                    failure_domain != "" and self._has_failed(failure_domain)
+                )
+            if not is_skipped:
+                yield owner
+
     def wanted(self) -> dict[str, list[str]]:
         """Return the groups to follow by failure domain; forget unused groups."""
         oldest = self._clock.now() - REMOTE_OWNERS_USE_SECONDS
