--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -35,6 +35,7 @@
 from .held import ConnectionAccess, HeldConnection
 from .known_primaries import KnownPrimaries
 from .lag import LagTracker
+from .models import Reply
 from .primaries import PrimaryPath
 from .read_choice import ReadChooser
 from .read_cost import LoadCost
@@ -44,6 +45,7 @@
 from .registry import BackendRegistry
 from .replica_lag import ReplicaLag
 from .reporting import ReportCoordinator
+from .requests import Request
 from .session import PooledSession
 from .sessions import PooledSessions
 from .shared.const import OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
@@ -109,7 +111,14 @@
         placement = ReadPlacement(
             self._views, self._table, known, access, self._shared_reads
         )
-        reads = ReadPath(access, placement, primaries, self._counters, clock)
+        reads = ReadPath(
+            access,
+            placement,
+            primaries,
+            self._counters,
+            clock,
+            self._forward_to_primary,
+        )
         statements = LocalStatements(reads, WritePath(primaries, access, clock))
         self._shared = SharedPoolsRuntime(
             Neighbour(name, str(address)),
@@ -119,6 +128,7 @@
             self._views,
             access,
             statements,
+            freshness,
             client,
             clock,
         )
@@ -264,6 +274,9 @@
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
 
+    def _forward_to_primary(self, request: Request) -> Reply | None:
+        return self._shared.forward_to_primary(request)
+
     def _rate_limit(self, account: str) -> RateLimit | None:
         known = self._views.view.accounts.get(account)
         return None if known is None else known.rate_limit
