--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -51,10 +51,12 @@
     Attributes:
         EDGE_HOSTS: hosts that run one proxy each.
         MAX_CONNECTIONS: configured maximum of connections to a server.
+        SERVER_ZONE: zone of all servers.
     """
 
     EDGE_HOSTS: ClassVar[tuple[str, ...]] = ("127.0.0.21",)
     MAX_CONNECTIONS: ClassVar[int] = 46
+    SERVER_ZONE: ClassVar[str] = "a"
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -142,6 +144,7 @@
                     continue
                 body = heartbeat(
                     addr=f"127.0.0.1:{server.port}",
+                    zone=self.SERVER_ZONE,
                     seq=self.sequence,
                     born=1,
                     dbRole="primary" if server.is_primary else "replica",
