Pooler: divide the connections to a primary between the owners near it and others

Owners near a primary serve it for all failure domains, and had the same share of its connections as those that no longer use any. A few connections are set aside for the other processes, which need them while they cannot reach these owners; the rest is divided among the owners near the primary.

--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -60,6 +60,8 @@
     Args:
         owner_share: returns the part of each server's connections that an owner of a
             group's pools may hold; None if the pools are not shared.
+        primary_limit: returns how many connections to a server this process may hold if
+            the owners near it serve it for all proxies; None if the share applies.
     """
 
     def __init__(
@@ -68,9 +70,11 @@
         connector: Connector[ServerConnection],
         clock: Clock,
         owner_share: Callable[[str], float | None] = lambda _group: None,
+        primary_limit: Callable[[BackendServer], int | None] = lambda _server: None,
     ) -> None:
         self._views = views
         self._owner_share = owner_share
+        self._primary_limit = primary_limit
         self._connector = connector
         self._clock = clock
         self._lock = threading.Lock()
@@ -120,6 +124,9 @@
         return Backend(server, pool, admission, ceiling)
 
     def _highest(self, server: BackendServer) -> int:
+        limit = self._primary_limit(server)
+        if limit is not None:
+            return limit
         connections = self._views.connections_of(server) or DEFAULT_CONNECTIONS
         share = self._owner_share(server.group)
         if share is None:
@@ -139,10 +146,13 @@
                 if name not in view.servers
                 or not _is_same_process(backend.server, view.servers[name])
             ]
-            kept = list(self._backends.values())
         for backend in dropped:
             backend.pool.unload()
-        for backend in kept:
+        self.adjust()
+
+    def adjust(self) -> None:
+        """Apply the current shares to all pools."""
+        for backend in self.all():
             backend.ceiling.set_highest(self._highest(backend.server))
             backend.adjust()
 
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -5,6 +5,7 @@
 from dogwoodspool_accounts import LimitsRuntime, LimitTolerance
 from dogwoodspool_common import (
     Address,
+    BackendServer,
     Clock,
     JsonClient,
     JsonLineClient,
@@ -84,7 +85,7 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, connector, clock, self._owner_share
+            self._views, connector, clock, self._owner_share, self._primary_limit
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
@@ -119,6 +120,7 @@
             access,
             statements,
             freshness,
+            self._registry.adjust,
             client,
             clock,
         )
@@ -262,6 +264,9 @@
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
 
+    def _primary_limit(self, server: BackendServer) -> int | None:
+        return self._shared.primary_limit(server)
+
     def _forward_to_primary(self, request: Request) -> Reply | None:
         return self._shared.forward_to_primary(request)
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -1,6 +1,14 @@
 """Wire the parts together that share pools among the proxies of a failure domain."""
 
-from dogwoodspool_common import Clock, JsonClient, JsonLineClient, Route
+from collections.abc import Callable
+
+from dogwoodspool_common import (
+    BackendServer,
+    Clock,
+    JsonClient,
+    JsonLineClient,
+    Route,
+)
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_following import ControlPeers, ViewStore
 from dogwoodspool_sharing import (
@@ -29,6 +37,7 @@
 from .owner_client import OwnerClient
 from .owner_statements import OwnerStatements
 from .positions import PositionCoordinator, PositionsApi
+from .primary_connections import PrimaryConnections
 from .primary_forwarder import PrimaryForwarder
 from .primary_locations import PrimaryLocations
 from .slots import WorkSlots
@@ -49,6 +58,7 @@
         access: access to the local pools.
         statements: serves single statements on the local pools.
         freshness: positions of primaries known to this process.
+        on_limits: called when ``primary_limit`` may have changed without a new view.
         client: calls control.
         clock: source of time for all parts.
     """
@@ -63,6 +73,7 @@
         access: ServerAccess,
         statements: Statements,
         freshness: FreshnessTracker,
+        on_limits: Callable[[], None],
         client: JsonClient,
         clock: Clock,
     ) -> None:
@@ -89,7 +100,10 @@
         self._remote_coordinator = RemoteOwnersCoordinator(
             self._remote, self._directory, peers, client, self._client, clock
         )
-        self._remote.set_listener(self._remote_coordinator.wake)
+        self._remote.set_listener(self._remote_coordinator.wake, on_limits)
+        self._primary_connections = PrimaryConnections(
+            views, self._directory, self._remote
+        )
         self._positions = PositionCoordinator(
             freshness, self._remote, self._client, clock
         )
@@ -150,6 +164,10 @@
         """Serve a read at a primary elsewhere; see ``PrimaryForwarder.forward``."""
         return self._forwarder.forward(request)
 
+    def primary_limit(self, server: BackendServer) -> int | None:
+        """Return how many connections to a primary this process may hold."""
+        return self._primary_connections.limit(server)
+
     def set_up(self) -> None:
         """Start to share pools."""
         self._limits.set_up()
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -33,6 +33,10 @@
 # one owner wait for each other while connections of other owners are idle.
 CONNECTIONS_PER_OWNER: Final = 6
 
+# Greatest number of connections to a primary that are set aside for each owner in
+# another failure domain.
+CONNECTIONS_ELSEWHERE: Final = 2
+
 # Seconds between two heartbeats of a proxy, and the maximum number of heartbeats per
 # second from one failure domain to a control process. Larger failure domains send them
 # less often.
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -18,6 +18,7 @@
     is_shared,
     owner_count,
     owner_order,
+    primary_parts,
 )
 
 
@@ -154,6 +155,28 @@
             limits = self._limits.get(group)
             return limits is not None and self._is_shared(limits)
 
+    def primary_part(
+        self, group: str, connections: int, *, is_near: bool
+    ) -> int | None:
+        """Return how many connections to a group's primary this process may hold.
+
+        Args:
+            group: the group.
+            connections: connections that the primary accepts from proxies.
+            is_near: whether the primary is in this failure domain.
+
+        Returns:
+            None if the usual shares apply.
+        """
+        if not self.forwards_to_primary_owners(group):
+            return None
+        assigned = self.assigned(group)
+        if assigned is None or (is_near and self._own not in assigned.in_use):
+            return None
+        owners = max(1, len(assigned.in_use))
+        parts = primary_parts(connections, owners, self._failure_domains)
+        return parts.near if is_near else parts.elsewhere
+
     def owner_share(self, group: str) -> float | None:
         """Return the part of each server's connections that one owner may hold.
 
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -54,6 +54,19 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class PrimaryParts:
+    """Greatest numbers of connections to a primary, from one process each.
+
+    Attributes:
+        near: for an owner in the primary's failure domain.
+        elsewhere: for any other process.
+    """
+
+    near: int
+    elsewhere: int
+
+
 @dataclass(frozen=True, slots=True)
 class PrimaryLocation:
     """Where the primary of a group runs.
--- a/packages/sharing/src/dogwoodspool_sharing/ownership.py
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -14,6 +14,7 @@
 from functools import partial
 
 from .const import (
+    CONNECTIONS_ELSEWHERE,
     CONNECTIONS_PER_OWNER,
     MIN_OWNERS,
     MIN_OWNERS_IN_USE,
@@ -21,7 +22,7 @@
     OWNERS_PER_SLOT,
     WEIGHT_BYTES,
 )
-from .models import Neighbour, Owners, ServerLimits
+from .models import Neighbour, Owners, PrimaryParts, ServerLimits
 
 
 def is_shared(limits: ServerLimits, neighbours: int, failure_domains: int) -> bool:
@@ -61,6 +62,29 @@
     return max(minimum, min(by_slots, by_connections))
 
 
+def primary_parts(connections: int, owners: int, failure_domains: int) -> PrimaryParts:
+    """Return how the connections to a primary are divided among the owners.
+
+    Some are set aside for the owners of the other failure domains, which need them only
+    while they cannot reach the owners near the primary. The parts of all owners add up
+    to no more than the server accepts.
+
+    Args:
+        connections: connections that the server accepts from proxies.
+        owners: owners in use in each failure domain.
+        failure_domains: number of failure domains.
+
+    Example:
+        >>> primary_parts(51, 2, 3), primary_parts(10, 2, 3)
+        (PrimaryParts(near=21, elsewhere=2), PrimaryParts(near=3, elsewhere=1))
+    """
+    others = owners * (failure_domains - 1)
+    elsewhere = 0
+    if others:
+        elsewhere = min(CONNECTIONS_ELSEWHERE, connections // 2 // others)
+    return PrimaryParts((connections - others * elsewhere) // owners, elsewhere)
+
+
 def assign_owners(
     groups: Mapping[str, int], neighbours: Collection[Neighbour]
 ) -> dict[str, Owners]:
--- a/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
+++ b/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
@@ -2,12 +2,11 @@
 
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from dogwoodspool_common import Clock, log_event
 
 from .const import (
-    MAX_CONTACTS,
     MAX_FOLLOWED_GROUPS,
     OWNER_RETRY_SECONDS,
     REMOTE_OWNERS_USE_SECONDS,
@@ -15,6 +14,7 @@
 from .directory import ProxyDirectory
 from .models import Neighbour, Owners, PrimaryLocation
 from .ownership import account_order, owner_order
+from .remote_domain import RemoteDomain
 
 
 @dataclass(slots=True)
@@ -32,25 +32,6 @@
     confirmed_at: float | None = None
 
 
-@dataclass(slots=True)
-class _Domain:
-    """Another failure domain that contains primaries of groups in use.
-
-    Attributes:
-        contacts: proxies there that may be asked, the next one first.
-        silent: contacts in a row that did not answer.
-        digest: digest of the last response; empty if it must be sent again.
-        answered_at: clock time of the last answer of any proxy there.
-        failed_at: clock time at which it was found unreachable; None if it is not.
-    """
-
-    contacts: list[Neighbour] = field(default_factory=list)
-    silent: int = 0
-    digest: str = ""
-    answered_at: float | None = None
-    failed_at: float | None = None
-
-
 class RemoteOwners:
     """Track the owners that serve requests for primaries in other failure domains.
 
@@ -73,27 +54,35 @@
         self._lock = threading.Lock()
         self._primaries: dict[str, PrimaryLocation] = {}
         self._groups: dict[str, _Group] = {}
-        self._domains: dict[str, _Domain] = {}
+        self._domains: dict[str, RemoteDomain] = {}
         self._domain_of: dict[str, str] = {}
         self._failed_at: dict[str, float] = {}
         self._on_change: Callable[[], None] = lambda: None
+        self._on_primaries: Callable[[], None] = lambda: None
 
     def now(self) -> float:
         """Return the clock's time."""
         return self._clock.now()
 
-    def set_listener(self, on_change: Callable[[], None]) -> None:
-        """Set a function to call when the owners of another group are needed."""
+    def set_listener(
+        self,
+        on_change: Callable[[], None],
+        on_primaries: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Set functions to call.
+
+        Args:
+            on_change: called when the owners of another group are needed.
+            on_primaries: called when a primary has moved, or its owners have changed.
+        """
         self._on_change = on_change
+        self._on_primaries = on_primaries
 
     def set_primaries(self, primaries: Mapping[str, PrimaryLocation]) -> None:
         """Set where the primaries of all groups are."""
         with self._lock:
-            self._primaries = {
-                group: primary
-                for group, primary in primaries.items()
-                if primary.failure_domain != self._failure_domain
-            }
+            has_changed = primaries != self._primaries
+            self._primaries = dict(primaries)
             moved = [
                 (group, known.used_at)
                 for group, known in self._groups.items()
@@ -101,16 +90,26 @@
             ]
             for group, used_at in moved:
                 self._forget(group)
-                if group in self._primaries:
+                if self._remote_primary(group) is not None:
                     self._add(group, used_at)
         if moved:
             self._on_change()
+        if has_changed:
+            self._on_primaries()
 
     def is_primary(self, group: str, server: str) -> bool:
-        """Return whether a server is a group's primary, in another failure domain."""
+        """Return whether a server is the primary of its group."""
         primary = self._primaries.get(group)
         return primary is not None and primary.server == server
 
+    def is_elsewhere(self, group: str) -> bool:
+        """Return whether a group's primary is used through known owners elsewhere."""
+        if not self._directory.forwards_to_primary_owners(group):
+            return False
+        with self._lock:
+            known = self._groups.get(group)
+            return known is not None and known.owners is not None
+
     def owners(self, group: str, account: str = "") -> Sequence[Neighbour]:
         """Return the proxies to try for a request to the primary, in this order.
 
@@ -126,7 +125,7 @@
         if not self._directory.forwards_to_primary_owners(group):
             return ()
         with self._lock:
-            if group not in self._primaries:
+            if self._remote_primary(group) is None:
                 return ()
             known, is_new = self._record_use(group)
             ordered = self._order(group, known, account)
@@ -182,8 +181,7 @@
     def needs_contacts(self, failure_domain: str) -> bool:
         """Return whether no known proxy of a failure domain answers."""
         with self._lock:
-            domain = self._domain(failure_domain)
-            return domain.silent >= len(domain.contacts)
+            return self._domain(failure_domain).needs_contacts
 
     def has_failed_domain(self) -> bool:
         """Return whether a failure domain counts as unreachable."""
@@ -193,10 +191,8 @@
     def set_contacts(self, failure_domain: str, contacts: Sequence[Neighbour]) -> None:
         """Replace the proxies to ask by those that control names, if there are any."""
         with self._lock:
-            domain = self._domain(failure_domain)
             if contacts:
-                domain.contacts = list(contacts)[:MAX_CONTACTS]
-                domain.silent = 0
+                self._domain(failure_domain).set_contacts(contacts)
 
     def adopt(
         self,
@@ -217,12 +213,13 @@
         """
         now = self._clock.now()
         with self._lock:
+            before = self._domain_of
             domain = self._domain(failure_domain)
             domain.digest, domain.silent = digest, 0
-            self._record_answer(failure_domain)
+            domain.record_answer(now)
             if contacts is not None:
                 others = [one for one in contacts if one != responder]
-                domain.contacts = [responder, *others][:MAX_CONTACTS]
+                domain.set_contacts([responder, *others])
             for group, known in self._groups.items():
                 if known.failure_domain != failure_domain:
                     continue
@@ -234,13 +231,16 @@
                     continue
                 known.confirmed_at = now
             self._index_owners()
+            has_changed = self._domain_of != before
+        if has_changed:
+            self._on_primaries()
 
     def record_answer(self, owner: str) -> None:
         """Record that an owner answered, with whatever result."""
         with self._lock:
             failure_domain = self._domain_of.get(owner)
             if failure_domain is not None:
-                self._record_answer(failure_domain)
+                self._domain(failure_domain).record_answer(self._clock.now())
 
     def record_owner_failure(
         self, owner: str, asked_at: float, *, is_unreachable: bool
@@ -273,10 +273,7 @@
         """
         with self._lock:
             domain = self._domain(failure_domain)
-            domain.silent += 1
-            if contact in domain.contacts:
-                domain.contacts.remove(contact)
-                domain.contacts.append(contact)
+            domain.record_contact_failure(contact)
             if domain.failed_at is not None:
                 self._record_unreachable(failure_domain, asked_at)
 
@@ -304,6 +301,12 @@
             ordered = owner_order(self._own, group, known.owners)
         return [owner for owner in ordered if not self._owner_has_failed(owner.name)]
 
+    def _remote_primary(self, group: str) -> PrimaryLocation | None:
+        primary = self._primaries.get(group)
+        if primary is None or primary.failure_domain == self._failure_domain:
+            return None
+        return primary
+
     def _is_in(self, group: str, failure_domain: str) -> bool:
         primary = self._primaries.get(group)
         return primary is not None and primary.failure_domain == failure_domain
@@ -324,29 +327,21 @@
             name: at for name, at in self._failed_at.items() if name in self._domain_of
         }
 
-    def _domain(self, name: str) -> _Domain:
-        return self._domains.setdefault(name, _Domain())
-
-    def _record_answer(self, failure_domain: str) -> None:
-        domain = self._domain(failure_domain)
-        domain.answered_at = self._clock.now()
-        domain.failed_at = None
+    def _domain(self, name: str) -> RemoteDomain:
+        return self._domains.setdefault(name, RemoteDomain())
 
     def _record_unreachable(self, failure_domain: str, asked_at: float) -> None:
         domain = self._domain(failure_domain)
-        if domain.answered_at is not None and domain.answered_at >= asked_at:
-            return
-        if domain.failed_at is None:
+        was_marked = domain.failed_at is not None
+        is_marked = domain.record_unreachable(asked_at, self._clock.now())
+        if is_marked and not was_marked:
             log_event("failure_domain_skipped", failure_domain=failure_domain)
-        domain.failed_at = self._clock.now()
 
     def _has_failed(self, failure_domain: str) -> bool:
-        return self._is_recent(self._domain(failure_domain).failed_at)
+        return self._domain(failure_domain).has_failed(self._clock.now())
 
     def _owner_has_failed(self, owner: str) -> bool:
-        return self._is_recent(self._failed_at.get(owner))
-
-    def _is_recent(self, failed_at: float | None) -> bool:
+        failed_at = self._failed_at.get(owner)
         if failed_at is None:
             return False
         return self._clock.now() - failed_at < OWNER_RETRY_SECONDS
