--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -5,6 +5,7 @@
 from dogwoodspool_accounts import LimitsRuntime, LimitTolerance
 from dogwoodspool_common import (
     Address,
+    BackendServer,
     Clock,
     JsonClient,
     JsonLineClient,
@@ -35,6 +36,7 @@
 from .held import ConnectionAccess, HeldConnection
 from .known_primaries import KnownPrimaries
 from .lag import LagTracker
+from .models import Reply
 from .primaries import PrimaryPath
 from .read_choice import ReadChooser
 from .read_cost import LoadCost
@@ -44,6 +46,7 @@
 from .registry import BackendRegistry
 from .replica_lag import ReplicaLag
 from .reporting import ReportCoordinator
+from .requests import Request
 from .session import PooledSession
 from .sessions import PooledSessions
 from .shared.const import OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
@@ -85,7 +88,7 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, connector, clock, self._owner_share
+            self._views, connector, clock, self._owner_share, self._primary_limit
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
@@ -109,7 +112,14 @@
         placement = ReadPlacement(
             self._views, self._table, known, access, self._shared_reads
         )
-        reads = ReadPath(access, placement, primaries, self._counters, clock)
+        reads = ReadPath(
+            access,
+            placement,
+            primaries,
+            self._counters,
+            clock,
+            self._forward_to_primary,
+        )
         statements = LocalStatements(reads, WritePath(primaries, access, clock))
         self._shared = SharedPoolsRuntime(
             Neighbour(name, str(address)),
@@ -119,6 +129,8 @@
             self._views,
             access,
             statements,
+            freshness,
+            self._registry.adjust,
             client,
             clock,
         )
@@ -264,6 +276,12 @@
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
 
+    def _primary_limit(self, server: BackendServer) -> int | None:
+        return self._shared.primary_limit(server)
+
+    def _forward_to_primary(self, request: Request) -> Reply | None:
+        return self._shared.forward_to_primary(request)
+
     def _rate_limit(self, account: str) -> RateLimit | None:
         known = self._views.view.accounts.get(account)
         return None if known is None else known.rate_limit
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -5,7 +5,12 @@
 
 from dogwoodspool_common import Clock, log_event
 
-from .const import NEIGHBOUR_RETENTION_SECONDS, OWNER_RETRY_SECONDS
+from .const import (
+    FORWARDS_TO_PRIMARY_OWNERS,
+    MAX_FORWARDING_PROXIES,
+    NEIGHBOUR_RETENTION_SECONDS,
+    OWNER_RETRY_SECONDS,
+)
 from .models import Neighbour, Owners, ServerLimits
 from .ownership import (
     account_order,
@@ -13,6 +18,7 @@
     is_shared,
     owner_count,
     owner_order,
+    primary_parts,
 )
 
 
@@ -133,6 +139,44 @@
                 ordered = owner_order(self._own.name, group, chosen)
             return [owner for owner in ordered if not self._failed_lately(owner.name)]
 
+    def assigned(self, group: str) -> Owners | None:
+        """Return the owners of a group; None if its pools are not shared."""
+        with self._lock:
+            if self._owners is None:
+                self._owners = self._assign()
+            return self._owners.get(group)
+
+    def forwards_to_primary_owners(self, group: str) -> bool:
+        """Return whether a primary elsewhere is used through the owners there."""
+        with self._lock:
+            proxies = len(self._neighbours) * self._failure_domains
+            if not FORWARDS_TO_PRIMARY_OWNERS or proxies > MAX_FORWARDING_PROXIES:
+                return False
+            limits = self._limits.get(group)
+            return limits is not None and self._is_shared(limits)
+
+    def primary_part(
+        self, group: str, connections: int, *, is_near: bool
+    ) -> int | None:
+        """Return how many connections to a group's primary this process may hold.
+
+        Args:
+            group: the group.
+            connections: connections that the primary accepts from proxies.
+            is_near: whether the primary is in this failure domain.
+
+        Returns:
+            None if the usual shares apply.
+        """
+        if not self.forwards_to_primary_owners(group):
+            return None
+        assigned = self.assigned(group)
+        if assigned is None or (is_near and self._own not in assigned.in_use):
+            return None
+        owners = max(1, len(assigned.in_use))
+        parts = primary_parts(connections, owners, self._failure_domains)
+        return parts.near if is_near else parts.elsewhere
+
     def owner_share(self, group: str) -> float | None:
         """Return the part of each server's connections that one owner may hold.
 
