Limits: add queue disciplines that look at targets

An admission queue could order its waiting statements only by priority and arrival, and refused what would wait too long for its caller. AdmissionQueue now takes a QueueOrder: ArrivalOrder (the default, as before), TargetOrder and PriorityOrder. The latter two demote work that cannot meet its target behind all that can, and refuse it as soon as it cannot be served before its deadline.

Work of one statement is described by Work (admit_work); statements of open transactions are counted by admit_continuation, never wait, and leave less of the limit to new work. Expected service times are learned per kind. Refusals carry the estimate that led to them, and are counted by reason. The guard queue-unbounded passes further arguments of the queue on, and replaces the same limit as before.

tests.limits passes.

--- a/features/mutations/guards/refusals.py
+++ b/features/mutations/guards/refusals.py
@@ -29,9 +29,14 @@
     original = AdmissionQueue.__init__
 
     def initialise(
-        self: Any, clock: Any, slots: int, max_in_flight: int, _limit: int
+        self: Any,
+        clock: Any,
+        slots: int,
+        max_in_flight: int,
+        _limit: int,
+        **options: Any,
     ) -> None:
-        original(self, clock, slots, max_in_flight, 1_000_000)
+        original(self, clock, slots, max_in_flight, 1_000_000, **options)
 
     replace(AdmissionQueue, "__init__", initialise)
     replace(AdmissionQueue, "set_queue_limit", lambda _self, _limit: None)
--- a/packages/limits/src/dogwoodspool_limits/__init__.py
+++ b/packages/limits/src/dogwoodspool_limits/__init__.py
@@ -3,23 +3,36 @@
 from .admission import Admission, AdmissionQueue
 from .base_share import base_share
 from .concurrency import AdaptiveConcurrency
+from .demoting_order import PriorityOrder, TargetOrder
 from .models import AdmissionOutcome, Priority, Refusal, RefusalReason
+from .order import ArrivalOrder, QueueOrder
+from .queue_load import QueueLoad
 from .retry_budget import RetryBudget
 from .retry_schedule import RetrySchedule
-from .statement_queue import StatementQueue, Ticket, TicketState
+from .service_times import ServiceTimes
+from .statement_queue import StatementQueue
+from .ticket import Ticket, TicketState
+from .work import Work
 
 __all__ = [
     "AdaptiveConcurrency",
     "Admission",
     "AdmissionQueue",
     "AdmissionOutcome",
+    "ArrivalOrder",
     "Priority",
+    "PriorityOrder",
+    "QueueLoad",
+    "QueueOrder",
     "Refusal",
     "RefusalReason",
     "RetryBudget",
     "RetrySchedule",
+    "ServiceTimes",
     "StatementQueue",
+    "TargetOrder",
     "Ticket",
     "TicketState",
+    "Work",
     "base_share",
 ]
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -7,8 +7,11 @@
 from dogwoodspool_common import Clock
 from expression import Error, Ok, Result
 
-from .models import AdmissionOutcome, Refusal
-from .statement_queue import StatementQueue, Ticket, TicketState
+from .models import AdmissionOutcome, Refusal, RefusalReason
+from .order import QueueOrder
+from .statement_queue import StatementQueue
+from .ticket import Ticket, TicketState
+from .work import Work
 
 
 class Admission:
@@ -39,13 +42,23 @@
         slots: statements that the server runs at a time.
         max_in_flight: this process's share of connections.
         queue_limit: statements that may wait.
+        order: the queue discipline; priority and then arrival by default.
+        name: the server's name in log lines; without one nothing is logged.
     """
 
     def __init__(
-        self, clock: Clock, slots: int, max_in_flight: int, queue_limit: int
+        self,
+        clock: Clock,
+        slots: int,
+        max_in_flight: int,
+        queue_limit: int,
+        order: QueueOrder | None = None,
+        name: str = "",
     ) -> None:
         self._clock = clock
-        self._queue = StatementQueue(clock, slots, max_in_flight, queue_limit)
+        self._queue = StatementQueue(
+            clock, slots, max_in_flight, queue_limit, order=order, name=name
+        )
         self._lock = threading.Lock()
 
     @property
@@ -72,6 +85,18 @@
         with self._lock:
             return self._queue.service_time
 
+    @property
+    def demoted(self) -> int:
+        """Statements that the present order has demoted."""
+        with self._lock:
+            return self._queue.demoted
+
+    @property
+    def refused(self) -> dict[RefusalReason, int]:
+        """Refused statements by reason."""
+        with self._lock:
+            return self._queue.refused
+
     def estimated_wait(self, priority: int) -> float:
         """Return the seconds that a new statement would wait, 0 if none."""
         with self._lock:
@@ -92,6 +117,14 @@
         with self._lock:
             self._queue.set_queue_limit(queue_limit)
 
+    def set_order(self, order: QueueOrder) -> None:
+        """Replace the queue discipline and keep the waiting statements.
+
+        An order belongs to one queue. Setting the present one does nothing.
+        """
+        with self._lock:
+            self._queue.set_order(order)
+
     def admit(self, deadline: float, priority: int) -> Result[Admission, Refusal]:
         """Wait for the right to run a statement.
 
@@ -99,11 +132,13 @@
             deadline: clock seconds after which the answer is no longer needed.
             priority: its priority; a lower number goes first.
         """
+        return self.admit_work(Work(priority, deadline, deadline))
+
+    def admit_work(self, work: Work) -> Result[Admission, Refusal]:
+        """Wait for the right to run a statement."""
         changed = threading.Condition(self._lock)
         with self._lock:
-            requested = self._queue.request_admission(
-                deadline, priority, changed.notify_all
-            )
+            requested = self._queue.request_work(work, changed.notify_all)
             if requested.is_error():
                 return Error(requested.error)
             ticket = requested.ok
@@ -116,6 +151,12 @@
                 return Error(self._queue.refuse_ticket(ticket))
             return Ok(Admission(partial(self._end, ticket)))
 
+    def admit_continuation(self, work: Work) -> Admission:
+        """Admit a statement of an open transaction; it never waits."""
+        with self._lock:
+            ticket = self._queue.begin_continuation(work)
+        return Admission(partial(self._end, ticket))
+
     def _end(self, ticket: Ticket, latency: float, outcome: AdmissionOutcome) -> None:
         with self._lock:
             self._queue.end(ticket, latency, outcome)
--- a/packages/limits/src/dogwoodspool_limits/const.py
+++ b/packages/limits/src/dogwoodspool_limits/const.py
@@ -32,3 +32,12 @@
 # Seconds within which refused callers retry: a quarter of the second for which callers
 # wait in all, so that two retries leave time for the answer.
 RETRY_HORIZON: Final = 0.25
+
+# Kinds of statements whose service times are learned; others use the mean of all.
+MAX_KINDS: Final = 256
+# Seconds over which the capacity that timely work leaves over is averaged.
+LEFTOVER_SPAN: Final = 2.0
+# Lowest part of the capacity that demoted work is expected to get.
+MIN_LEFTOVER: Final = 0.05
+# Weight of a new count in the moving average of continuations in flight.
+CONTINUATION_WEIGHT: Final = 0.05
--- /dev/null
+++ b/packages/limits/src/dogwoodspool_limits/demoting_order.py
@@ -0,0 +1,189 @@
+"""Queue disciplines that serve what can be in time before what cannot."""
+
+from bisect import insort
+
+from dogwoodspool_common import log_rate_limited
+
+from .leftover import Leftover
+from .queue_load import QueueLoad
+from .ticket import Ticket
+
+Key = tuple[float, ...]
+Entry = tuple[Key, int, Ticket]
+
+
+class TargetOrder:
+    """Nearest target first, with demotion.
+
+    A statement that cannot meet its target goes behind all that can. It stays while
+    the capacity that the others leave over is expected to serve it before its
+    deadline.
+    """
+
+    def __init__(self) -> None:
+        self._timely: list[Entry] = []
+        self._late: list[Entry] = []
+        self._added = 0
+        self._demoted = 0
+        self._leftover = Leftover()
+
+    def __len__(self) -> int:
+        """Return the number of waiting statements."""
+        return len(self._timely) + len(self._late)
+
+    @property
+    def demoted(self) -> int:
+        """Statements that were demoted since the start."""
+        return self._demoted
+
+    def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return how long a statement may wait and still be answered.
+
+        At least half of the remaining time may be spent waiting, so that a service
+        time above the deadline does not refuse every statement.
+        """
+        remaining = ticket.work.deadline - load.now()
+        return max(remaining - ticket.expected, remaining / 2)
+
+    def estimated_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds that a new statement would wait without room."""
+        wait = self._timely_wait(ticket, load)
+        if load.now() + wait + ticket.expected <= ticket.work.target:
+            return wait
+        return self._late_wait(ticket, load)
+
+    def retry_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds until the queue is expected to have room."""
+        return self._timely_wait(ticket, load)
+
+    def add(self, ticket: Ticket, load: QueueLoad) -> None:
+        """Add a waiting statement and demote those that it makes late."""
+        self._added += 1
+        insort(self._timely, (self._key(ticket), self._added, ticket))
+        self._demote_late(load)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a waiting statement."""
+        entries = self._late if ticket.is_demoted else self._timely
+        for index, entry in enumerate(entries):
+            if entry[2] is ticket:
+                del entries[index]
+                return
+
+    def take(self, max_priority: float, load: QueueLoad) -> Ticket | None:
+        """Remove and return the next statement of at most a priority's number."""
+        ticket = self._take_timely(max_priority, load)
+        if ticket is not None:
+            self._leftover.record(load.now(), ticket.expected, load.capacity)
+            return ticket
+        return self._take_first(self._late, max_priority)
+
+    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+        """Remove and return statements that cannot be served any longer."""
+        if not self._late:
+            return []
+        now = load.now()
+        capacity = load.capacity
+        late_capacity = capacity * self._leftover.share(now)
+        start = now + (self._timely_work() + load.service_times.mean) / capacity
+        kept: list[Entry] = []
+        hopeless: list[Ticket] = []
+        for entry in self._late:
+            ticket = entry[2]
+            if start > ticket.latest_start:
+                ticket.estimated_wait = start - now
+                hopeless.append(ticket)
+            else:
+                start += ticket.expected / late_capacity
+                kept.append(entry)
+        self._late = kept
+        return hopeless
+
+    def displace(self, ticket: Ticket) -> Ticket | None:
+        """Remove and return the last statement if a new one goes before it."""
+        if self._late:
+            return self._late.pop()[2]
+        if not self._timely or self._timely[-1][0] <= self._key(ticket):
+            return None
+        return self._timely.pop()[2]
+
+    def drain(self) -> list[Ticket]:
+        """Remove and return all waiting statements, the first one first."""
+        drained = [entry[2] for entry in self._timely + self._late]
+        self._timely, self._late = [], []
+        for ticket in drained:
+            ticket.is_demoted = False
+        return drained
+
+    def _key(self, ticket: Ticket) -> Key:
+        return (ticket.work.target,)
+
+    def _timely_work(self) -> float:
+        return sum(entry[2].expected for entry in self._timely)
+
+    def _timely_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        key = self._key(ticket)
+        ahead = sum(entry[2].expected for entry in self._timely if entry[0] <= key)
+        return (ahead + load.service_times.mean) / load.capacity
+
+    def _late_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        latest_start = load.now() + self.max_wait(ticket, load)
+        ahead = sum(
+            entry[2].expected
+            for entry in self._late
+            if entry[2].latest_start <= latest_start
+        )
+        share = self._leftover.share(load.now())
+        timely = self._timely_work() + load.service_times.mean
+        return (timely + ahead / share) / load.capacity
+
+    def _demote_late(self, load: QueueLoad) -> None:
+        capacity = load.capacity
+        start = load.now() + load.service_times.mean / capacity
+        kept: list[Entry] = []
+        for entry in self._timely:
+            ticket = entry[2]
+            if start + ticket.expected > ticket.work.target:
+                self._demote(entry, load)
+            else:
+                start += ticket.expected / capacity
+                kept.append(entry)
+        self._timely = kept
+
+    def _demote(self, entry: Entry, load: QueueLoad) -> None:
+        _, number, ticket = entry
+        self._demoted += 1
+        ticket.is_demoted = True
+        insort(self._late, ((ticket.latest_start,), number, ticket))
+        if load.name:
+            log_rate_limited(
+                "admission_demoted",
+                server=load.name,
+                kind=ticket.work.kind,
+                priority=ticket.priority,
+                waiting=len(self),
+            )
+
+    def _take_timely(self, max_priority: float, load: QueueLoad) -> Ticket | None:
+        now = load.now()
+        while (ticket := self._take_first(self._timely, max_priority)) is not None:
+            if now + ticket.expected <= ticket.work.target:
+                return ticket
+            self._added += 1
+            self._demote((self._key(ticket), self._added, ticket), load)
+        return None
+
+    @staticmethod
+    def _take_first(entries: list[Entry], max_priority: float) -> Ticket | None:
+        for index, entry in enumerate(entries):
+            if entry[2].priority <= max_priority:
+                del entries[index]
+                return entry[2]
+        return None
+
+
+class PriorityOrder(TargetOrder):
+    """Priority, then nearest target, with demotion."""
+
+    def _key(self, ticket: Ticket) -> Key:
+        return (ticket.priority, ticket.work.target)
--- a/packages/limits/src/dogwoodspool_limits/models.py
+++ b/packages/limits/src/dogwoodspool_limits/models.py
@@ -45,7 +45,9 @@
     Attributes:
         retry_after_ms: milliseconds after which the caller should retry.
         reason: why it was not admitted.
+        estimated_wait_ms: milliseconds that it was expected to wait.
     """
 
     retry_after_ms: int
     reason: RefusalReason
+    estimated_wait_ms: int = 0
--- /dev/null
+++ b/packages/limits/src/dogwoodspool_limits/order.py
@@ -0,0 +1,125 @@
+"""Decide which waiting statement runs next."""
+
+from typing import Protocol
+
+from .queue_load import QueueLoad
+from .ticket import Ticket
+
+
+class QueueOrder(Protocol):
+    """A queue discipline; it keeps the waiting statements of one queue.
+
+    An instance belongs to one queue.
+    """
+
+    def __len__(self) -> int:
+        """Return the number of waiting statements."""
+        ...
+
+    @property
+    def demoted(self) -> int:
+        """Statements that were demoted since the start."""
+        ...
+
+    def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds that a statement may wait."""
+        ...
+
+    def estimated_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds that a new statement would wait without room."""
+        ...
+
+    def retry_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds until the queue is expected to have room."""
+        ...
+
+    def add(self, ticket: Ticket, load: QueueLoad) -> None:
+        """Add a waiting statement."""
+        ...
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a waiting statement."""
+        ...
+
+    def take(self, max_priority: float, load: QueueLoad) -> Ticket | None:
+        """Remove and return the next statement of at most a priority's number."""
+        ...
+
+    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+        """Remove and return statements that cannot be served any longer."""
+        ...
+
+    def displace(self, ticket: Ticket) -> Ticket | None:
+        """Remove and return the last statement if a new one goes before it."""
+        ...
+
+    def drain(self) -> list[Ticket]:
+        """Remove and return all waiting statements, the first one first."""
+        ...
+
+
+class ArrivalOrder:
+    """Order by priority, then by arrival; the caller bounds the time in the queue."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Ticket] = []
+
+    def __len__(self) -> int:
+        """Return the number of waiting statements."""
+        return len(self._waiting)
+
+    @property
+    def demoted(self) -> int:
+        """Statements that were demoted since the start; this order demotes none."""
+        return 0
+
+    def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return how long a statement may wait and still be answered in time.
+
+        A statement that starts shortly before its deadline would use the server and
+        still be answered too late. At least half of the remaining time may be spent
+        waiting, so that a service time above the deadline does not refuse every
+        statement.
+        """
+        remaining = ticket.work.deadline - load.now()
+        return max(remaining - load.service_times.usual_bound, remaining / 2)
+
+    def estimated_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds that a new statement would wait without room."""
+        ahead = sum(1 for other in self._waiting if other.priority <= ticket.priority)
+        # Statements run in batches of the limit, each in about one service time.
+        return (ahead + 1) * load.service_times.mean / load.capacity
+
+    def retry_wait(self, ticket: Ticket, load: QueueLoad) -> float:
+        """Return the seconds until the queue is expected to have room."""
+        return self.estimated_wait(ticket, load)
+
+    def add(self, ticket: Ticket, load: QueueLoad) -> None:
+        """Add a waiting statement."""
+        self._waiting.append(ticket)
+        self._waiting.sort(key=lambda waiting: waiting.priority)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a waiting statement."""
+        self._waiting.remove(ticket)
+
+    def take(self, max_priority: float, load: QueueLoad) -> Ticket | None:
+        """Remove and return the next statement of at most a priority's number."""
+        if not self._waiting or self._waiting[0].priority > max_priority:
+            return None
+        return self._waiting.pop(0)
+
+    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+        """Return no statement: each is refused when its own time has passed."""
+        return []
+
+    def displace(self, ticket: Ticket) -> Ticket | None:
+        """Remove and return the last statement if a new one goes before it."""
+        if not self._waiting or self._waiting[-1].priority <= ticket.priority:
+            return None
+        return self._waiting.pop()
+
+    def drain(self) -> list[Ticket]:
+        """Remove and return all waiting statements, the first one first."""
+        drained, self._waiting = self._waiting, []
+        return drained
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -2,47 +2,21 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum, auto
+from math import inf
 
-from dogwoodspool_common import Clock
+from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_common.const import MILLISECONDS
 from expression import Error, Ok, Result
 
 from .concurrency import AdaptiveConcurrency
-from .const import (
-    DEFAULT_SERVICE_TIME,
-    LATENCY_WEIGHT,
-    MIN_RETRY_AFTER_MS,
-    SERVICE_TIME_DEVIATIONS,
-    URGENT_EXTRA_ADMISSIONS,
-)
+from .const import MIN_RETRY_AFTER_MS
+from .in_flight import InFlight
 from .models import AdmissionOutcome, Priority, Refusal, RefusalReason
+from .order import ArrivalOrder, QueueOrder
+from .queue_load import QueueLoad
 from .retry_schedule import RetrySchedule
-
-
-class TicketState(Enum):
-    """State of a statement in the queue."""
-
-    WAITING = auto()
-    ADMITTED = auto()
-    DISPLACED = auto()
-
-
-@dataclass(eq=False, slots=True)
-class Ticket:
-    """A statement that runs or waits.
-
-    Attributes:
-        priority: a lower number goes first.
-        latest_start: clock seconds after which it can no longer end in time.
-        notify: called when its state has changed.
-    """
-
-    priority: int
-    latest_start: float
-    notify: Callable[[], None] = field(repr=False)
-    state: TicketState = TicketState.WAITING
+from .ticket import Ticket, TicketState
+from .work import Work
 
 
 class StatementQueue:
@@ -54,18 +28,21 @@
     use another server or retry; letting it wait would waste the caller's time, and
     running it too late the server's.
 
-    Statements in flight are bounded by adaptive concurrency. Waiting statements are
-    ordered by priority and then by arrival. When the queue is full, a new statement
-    displaces the last waiting statement of the lowest priority if its own priority
-    is higher. A few admissions above the limit are reserved for statements that are
-    more urgent than those in flight. The retry times of refused callers are spread
-    at the rate at which the server runs statements.
+    Statements in flight are bounded by adaptive concurrency. Statements of open
+    transactions always run, and new ones get what they leave of the limit. Waiting
+    statements are ordered by the queue's order. When the queue is full, a new
+    statement displaces the last one if it goes before it. A few admissions above the
+    limit are reserved for statements that are more urgent than those in flight. The
+    retry times of refused callers are spread at the rate at which the server runs
+    statements.
 
     Args:
         slots: statements that the server runs at a time.
         max_in_flight: this process's share of connections.
         queue_limit: statements that may wait.
         retry_schedule: assigns retry times to refused callers.
+        order: the queue discipline; priority and then arrival by default.
+        name: the server's name in log lines; without one nothing is logged.
     """
 
     def __init__(
@@ -75,15 +52,18 @@
         max_in_flight: int,
         queue_limit: int,
         retry_schedule: RetrySchedule | None = None,
+        order: QueueOrder | None = None,
+        name: str = "",
     ) -> None:
         self._clock = clock
         self._queue_limit = queue_limit
         self._concurrency = AdaptiveConcurrency(clock, slots, max_in_flight)
         self._retry_schedule = retry_schedule or RetrySchedule()
-        self._service_time = DEFAULT_SERVICE_TIME
-        self._deviation = 0.0
-        self._in_flight_by_priority: Counter[int] = Counter()
-        self._waiting: list[Ticket] = []
+        self._order: QueueOrder = ArrivalOrder() if order is None else order
+        self._name = name
+        self._in_flight = InFlight(self._concurrency)
+        self._load = QueueLoad(clock, self._concurrency.limit, name)
+        self._refused: Counter[RefusalReason] = Counter()
 
     @property
     def limit(self) -> int:
@@ -93,17 +73,27 @@
     @property
     def in_flight(self) -> int:
         """Statements that are admitted and have not ended."""
-        return self._in_flight_by_priority.total()
+        return self._in_flight.total
 
     @property
     def waiting(self) -> int:
         """Statements in the queue."""
-        return len(self._waiting)
+        return len(self._order)
 
     @property
     def service_time(self) -> float:
         """Moving average of the seconds that a statement takes on the server."""
-        return self._service_time
+        return self._load.service_times.mean
+
+    @property
+    def demoted(self) -> int:
+        """Statements that the present order has demoted."""
+        return self._order.demoted
+
+    @property
+    def refused(self) -> dict[RefusalReason, int]:
+        """Refused statements by reason."""
+        return dict(self._refused)
 
     def set_max_in_flight(self, share: int) -> None:
         """Set this process's share of connections."""
@@ -114,13 +104,25 @@
         """Set how many statements may wait."""
         self._queue_limit = queue_limit
 
+    def set_order(self, order: QueueOrder) -> None:
+        """Replace the queue discipline and keep the waiting statements."""
+        if order is self._order:
+            return
+        waiting, self._order = self._order.drain(), order
+        self._update_load()
+        for ticket in waiting:
+            max_wait = order.max_wait(ticket, self._load)
+            ticket.latest_start = self._clock.now() + max_wait
+            order.add(ticket, self._load)
+            ticket.notify()
+        self._admit_waiting()
+
     def estimated_wait(self, priority: int) -> float:
         """Return the seconds that a new statement would wait, 0 if none."""
-        ahead = sum(1 for ticket in self._waiting if ticket.priority <= priority)
-        if not ahead and self._has_room(priority):
+        if self._in_flight.has_room(priority):
             return 0.0
-        # Statements run in batches of the limit, each in about one service time.
-        return (ahead + 1) * self._service_time / self._concurrency.limit
+        self._update_load()
+        return self._order.estimated_wait(self._any_ticket(priority), self._load)
 
     def request_admission(
         self, deadline: float, priority: int, notify: Callable[[], None]
@@ -132,31 +134,51 @@
             priority: its priority; a lower number goes first.
             notify: called when the state of a waiting statement changes.
         """
+        return self.request_work(Work(priority, deadline, deadline), notify)
+
+    def request_work(
+        self, work: Work, notify: Callable[[], None]
+    ) -> Result[Ticket, Refusal]:
+        """Admit a statement, queue it or refuse it.
+
+        Args:
+            work: the statement.
+            notify: called when the state of a waiting statement changes.
+        """
+        self._update_load()
         now = self._clock.now()
-        remaining = deadline - now
-        if remaining <= 0:
-            return Error(self._refuse(RefusalReason.DEADLINE_PASSED))
-        wait = self.estimated_wait(priority)
-        max_wait = self._max_wait(remaining)
-        ticket = Ticket(priority, now + max_wait, notify)
-        if not wait:
+        ticket = Ticket(work.priority, now, notify, work)
+        ticket.expected = self._load.service_times.expected(work.kind)
+        if work.deadline <= now:
+            return Error(self._refuse(ticket, RefusalReason.DEADLINE_PASSED))
+        max_wait = self._order.max_wait(ticket, self._load)
+        ticket.latest_start = now + max_wait
+        if self._in_flight.has_room(work.priority):
             self._admit(ticket)
             return Ok(ticket)
-        if wait > max_wait:
-            return Error(self._refuse(RefusalReason.WAIT_TOO_LONG))
-        if len(self._waiting) >= self._queue_limit and not self._displace(priority):
-            return Error(self._refuse(RefusalReason.QUEUE_FULL))
-        self._waiting.append(ticket)
-        self._waiting.sort(key=lambda waiting: waiting.priority)
+        ticket.estimated_wait = self._order.estimated_wait(ticket, self._load)
+        if ticket.estimated_wait > max_wait:
+            return Error(self._refuse(ticket, RefusalReason.WAIT_TOO_LONG))
+        if len(self._order) >= self._queue_limit and not self._displace(ticket):
+            return Error(self._refuse(ticket, RefusalReason.QUEUE_FULL))
+        self._order.add(ticket, self._load)
         self._admit_waiting()
         return Ok(ticket)
 
+    def begin_continuation(self, work: Work) -> Ticket:
+        """Admit a statement of an open transaction, which never waits."""
+        ticket = Ticket(work.priority, work.deadline, _ignore, work)
+        ticket.is_continuation = True
+        ticket.expected = self._load.service_times.expected(work.kind)
+        self._admit(ticket)
+        return ticket
+
     def refuse_ticket(self, ticket: Ticket) -> Refusal:
         """Refuse a statement that waited too long or was displaced."""
         if ticket.state is TicketState.DISPLACED:
-            return self._refuse(RefusalReason.DISPLACED)
-        self._waiting.remove(ticket)
-        return self._refuse(RefusalReason.DEADLINE_PASSED)
+            return self._refuse(ticket, ticket.reason)
+        self._order.remove(ticket)
+        return self._refuse(ticket, RefusalReason.DEADLINE_PASSED)
 
     def end(self, ticket: Ticket, latency: float, outcome: AdmissionOutcome) -> None:
         """Record the end of an admitted statement and admit the next ones.
@@ -171,12 +193,12 @@
         match outcome:
             case AdmissionOutcome.ANSWERED:
                 self._concurrency.record_answer(latency, self.in_flight)
-                self._record_service_time(latency)
+                self._load.service_times.record(ticket.work.kind, latency)
             case AdmissionOutcome.OVERLOADED:
                 self._concurrency.record_overload()
             case AdmissionOutcome.UNANSWERED:
                 self._concurrency.record_unanswered()
-        self._in_flight_by_priority[ticket.priority] -= 1
+        self._in_flight.end(ticket)
         self._admit_waiting()
 
     def next_retry_after_ms(self) -> int:
@@ -185,66 +207,72 @@
         The server's own queue was full. It takes about as long to empty as the
         statements that the server answers take at present.
         """
-        wait = max(self.estimated_wait(Priority.READ), self._service_time)
+        wait = max(self.estimated_wait(Priority.READ), self.service_time)
         return self._schedule_retry_ms(wait)
 
-    def _record_service_time(self, latency: float) -> None:
-        change = latency - self._service_time
-        self._service_time += LATENCY_WEIGHT * change
-        self._deviation += LATENCY_WEIGHT * (abs(change) - self._deviation)
-
-    def _max_wait(self, remaining: float) -> float:
-        """Return how long a statement may wait and still be answered in time.
+    def _update_load(self) -> None:
+        self._load.capacity = self._in_flight.capacity
 
-        A statement that starts shortly before its deadline would use the server and
-        still be answered too late. At least half of the remaining time may be spent
-        waiting, so that a service time above the deadline does not refuse every
-        statement.
-        """
-        bound = self._service_time + SERVICE_TIME_DEVIATIONS * self._deviation
-        return max(remaining - bound, remaining / 2)
-
-    def _has_room(self, priority: int) -> bool:
-        """Return whether one more statement of a priority may be in flight.
-
-        Where many processes share a server's slots, the limit may be 1. Without an
-        admission above the limit, an urgent statement would then wait for one of a
-        lower priority.
-        """
-        limit, in_flight = self._concurrency.limit, self.in_flight
-        if in_flight < limit:
-            return True
-        extended_limit = min(limit + URGENT_EXTRA_ADMISSIONS, self._concurrency.ceiling)
-        urgent = sum(
-            count
-            for other, count in self._in_flight_by_priority.items()
-            if other <= priority
-        )
-        return in_flight < extended_limit and urgent < limit
+    def _any_ticket(self, priority: int) -> Ticket:
+        return Ticket(priority, inf, _ignore, Work(priority, inf, inf))
 
     def _admit(self, ticket: Ticket) -> None:
-        self._in_flight_by_priority[ticket.priority] += 1
+        self._in_flight.begin(ticket)
         ticket.state = TicketState.ADMITTED
 
     def _admit_waiting(self) -> None:
-        while self._waiting and self._has_room(self._waiting[0].priority):
-            ticket = self._waiting.pop(0)
-            self._admit(ticket)
-            ticket.notify()
-
-    def _displace(self, priority: int) -> bool:
-        if not self._waiting or self._waiting[-1].priority <= priority:
+        if not len(self._order):
+            return
+        self._update_load()
+        for ticket in self._order.take_hopeless(self._load):
+            self._remove(ticket, RefusalReason.WAIT_TOO_LONG)
+        while (highest := self._in_flight.highest_admissible) is not None:
+            next_ticket = self._order.take(highest, self._load)
+            if next_ticket is None:
+                return
+            self._admit(next_ticket)
+            next_ticket.notify()
+
+    def _displace(self, ticket: Ticket) -> bool:
+        displaced = self._order.displace(ticket)
+        if displaced is None:
             return False
-        displaced = self._waiting.pop()
-        displaced.state = TicketState.DISPLACED
-        displaced.notify()
+        self._remove(displaced, RefusalReason.DISPLACED)
         return True
 
-    def _refuse(self, reason: RefusalReason) -> Refusal:
+    def _remove(self, ticket: Ticket, reason: RefusalReason) -> None:
+        ticket.state = TicketState.DISPLACED
+        ticket.reason = reason
+        ticket.notify()
+
+    def _refuse(self, ticket: Ticket, reason: RefusalReason) -> Refusal:
+        self._refused[reason] += 1
+        estimated_wait_ms = round(ticket.estimated_wait * MILLISECONDS)
+        if self._name:
+            self._log_refused(ticket, reason, estimated_wait_ms)
         wait = self.estimated_wait(Priority.READ)
-        return Refusal(self._schedule_retry_ms(wait), reason)
+        return Refusal(self._schedule_retry_ms(wait), reason, estimated_wait_ms)
+
+    def _log_refused(
+        self, ticket: Ticket, reason: RefusalReason, estimated_wait_ms: int
+    ) -> None:
+        log_rate_limited(
+            "admission_refused",
+            server=self._name,
+            kind=ticket.work.kind,
+            priority=ticket.priority,
+            reason=reason,
+            estimated_wait_ms=estimated_wait_ms,
+            waiting=self.waiting,
+            in_flight=self.in_flight,
+            limit=self.limit,
+        )
 
     def _schedule_retry_ms(self, wait: float) -> int:
-        spacing = self._service_time / self._concurrency.limit
+        spacing = self.service_time / self._concurrency.limit
         delay = self._retry_schedule.schedule_retry(self._clock.now(), wait, spacing)
         return max(MIN_RETRY_AFTER_MS, round(delay * MILLISECONDS))
+
+
+def _ignore() -> None:
+    """Ignore a change of state."""
--- /dev/null
+++ b/packages/limits/src/dogwoodspool_limits/work.py
@@ -0,0 +1,24 @@
+"""The work that a statement asks of a backend server."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A statement that asks for admission.
+
+    Attributes:
+        priority: a lower number goes first.
+        target: clock seconds by which its answer is in time.
+        deadline: clock seconds after which its answer is useless.
+        kind: statements of one kind (an endpoint) take similar times.
+        account: client account; empty for none.
+        account_priority: a lower number goes first, among the same ``priority``.
+    """
+
+    priority: int
+    target: float
+    deadline: float
+    kind: str = ""
+    account: str = ""
+    account_priority: int = 0
