Limits: let owners near a primary keep its slots in use

An owner lowers its limit of statements in flight when they take twice as long as the shortest, also if only the mix of statements has changed. Six or eight owners with a limit of 1 still filled a primary's slots; the one or two that now serve it do not.

The emulator plays owners near the primary (has_primary_owners).

--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -10,13 +10,14 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_pooler.const import CONNECTION_SHARE
 from dogwoodspool_pooler.registry import POOL_SETTINGS
+from dogwoodspool_pooler.shared.const import POSITION_SECONDS
 from dogwoodspool_sharing import Neighbour, ServerLimits
 from expression import Result
 
 from .const import POOL_CHECK_SECONDS
 from .models import Disturbance, DisturbanceKind, Requests, Scenario, Variant
 from .outcomes import Outcomes
-from .proxies import Attempt, Proxy, Refused
+from .proxies import Attempt, EndCallback, Proxy, Refused
 from .servers import GroupLog, Server
 from .timeline import Timeline
 
@@ -53,6 +54,8 @@
         self._lost_proxies: set[str] = set()
         self._rate = scenario.per_second
         self._register_neighbours()
+        if variant.has_primary_owners:
+            self._register_primary_owners()
 
     def run(self, progress: Progress | None = None) -> Outcomes:
         """Simulate the whole scenario and return the outcomes of its requests.
@@ -63,6 +66,8 @@
         """
         self._timeline.after(0.0, self._next_request)
         self._timeline.after(POOL_CHECK_SECONDS, self._close_expired)
+        if self._variant.has_primary_owners:
+            self._timeline.after(POSITION_SECONDS, self._exchange_positions)
         for disturbance in self._scenario.troubles:
             self._timeline.after(
                 disturbance.at, partial(self._begin_disturbance, disturbance)
@@ -120,6 +125,7 @@
             distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
+            forward=partial(self._forward_to_primary, name),
         )
 
     def _register_neighbours(self) -> None:
@@ -136,6 +142,23 @@
             if self._variant.is_shared:
                 proxy.directory.set_groups(dict.fromkeys(self._groups, limits))
 
+    def _register_primary_owners(self) -> None:
+        """Tell all proxies the owners of each group near its primary."""
+        primaries = {
+            one.server_info.group: one.server_info.failure_domain
+            for one in self._servers
+            if one.is_primary
+        }
+        owners = {}
+        for proxy in self._proxies:
+            for group, failure_domain in primaries.items():
+                if proxy.failure_domain == failure_domain:
+                    assigned = proxy.directory.assigned(group)
+                    if assigned is not None:
+                        owners[group] = assigned
+        for proxy in self._proxies:
+            proxy.adopt_owners(owners)
+
     def _next_request(self) -> None:
         if self._timeline.now() >= self._scenario.seconds:
             return
@@ -174,6 +197,10 @@
         current = replace(attempt, arrived_at=self._timeline.now())
         on_end = partial(self._handle_result, current, began_at, number)
         account = attempt.account if self._variant.owners_by_account else ""
+        if current.needs_primary and self._forward_to_primary(
+            entry.neighbour.name, current, on_end
+        ):
+            return
         owners = entry.directory.owners(attempt.group, account)
         usable = [one for one in owners or () if one.name not in self._lost_proxies]
         if not usable:
@@ -189,6 +216,37 @@
 
         self._timeline.after(hop, partial(owner.serve, current, return_result))
 
+    def _forward_to_primary(
+        self, sender: str, attempt: Attempt, on_end: EndCallback
+    ) -> bool:
+        """Send an attempt to an owner near its primary; return whether there is one."""
+        account = attempt.account if self._variant.owners_by_account else ""
+        remote = self._proxies_by_name[sender].remote
+        hop = self._scenario.distance_ms / MILLISECONDS
+
+        def return_result(result: Result[None, Refused]) -> None:
+            self._timeline.after(hop, partial(on_end, result))
+
+        for owner in remote.owners(attempt.group, account):
+            if owner.name in self._lost_proxies:
+                continue
+            forwarded = replace(attempt, at_primary=True, hop=hop)
+
+            serve = self._proxies_by_name[owner.name].serve
+            self._timeline.after(hop, partial(serve, forwarded, return_result))
+            return True
+        return False
+
+    def _exchange_positions(self) -> None:
+        """Have owners learn the positions of primaries elsewhere."""
+        for proxy in self._proxies:
+            for group in proxy.outdated_groups():
+                for owner in proxy.remote.owners(group)[:1]:
+                    newest = self._proxies_by_name[owner.name].newest_position(group)
+                    if newest is not None:
+                        proxy.record_position(group, newest[1], newest[0])
+        self._timeline.after(POSITION_SECONDS, self._exchange_positions)
+
     def _handle_result(
         self,
         attempt: Attempt,
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -112,6 +112,8 @@
         owners_by_account: whether the owner of a pool is chosen by client account
             rather than by the proxy that forwards.
         has_common_owners: whether all failure domains use the same owners.
+        has_primary_owners: whether the owners in a primary's failure domain serve what
+            needs the primary for all failure domains.
     """
 
     name: str
@@ -121,6 +123,7 @@
     connection_share: float | None = Field(default=None, gt=0, le=1)
     owners_by_account: bool = True
     has_common_owners: bool = False
+    has_primary_owners: bool = False
 
 
 class Scenario(Section):
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -1,6 +1,6 @@
 """Emulated proxies that run the production classes without threads or sockets."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Final
@@ -25,6 +25,7 @@
     BUSY_RETRY_SECONDS,
     CONNECTION_RETRY_SECONDS,
     CONNECTION_SHARE,
+    CONTROL_CONNECTIONS,
     MAX_READ_ATTEMPTS,
     NO_CONNECTION_RETRY_MS,
     QUEUE_LIMIT,
@@ -34,8 +35,17 @@
 from dogwoodspool_pooler.lag import LagTracker
 from dogwoodspool_pooler.placement import rank_for_read
 from dogwoodspool_pooler.registry import POOL_SETTINGS
+from dogwoodspool_pooler.shared.const import POSITION_SECONDS, POSITION_USE_SECONDS
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import Neighbour, ProxyDirectory
+from dogwoodspool_sharing import (
+    Neighbour,
+    Owners,
+    PrimaryLocation,
+    PrimaryShare,
+    ProxyDirectory,
+    RemoteOwners,
+    ServerLimits,
+)
 from expression import Error, Ok, Result
 
 from .const import PROXY_UPTIME_SECONDS
@@ -66,6 +76,8 @@
 
 # Called with the result of an attempt.
 EndCallback = Callable[[Result[None, Refused]], None]
+# Forwards an attempt to the owners near its primary; returns False if there are none.
+Forward = Callable[["Attempt", EndCallback], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +88,9 @@
         work: slot seconds that each statement takes.
         statements: number of statements; more than one for a transaction.
         account: client account that it belongs to; empty for none.
+        at_primary: whether another proxy forwarded it to be served at the primary.
+        hop: one-way latency in seconds between the proxy that holds its connection and
+            the one that sends its statements.
     """
 
     kind: Requests
@@ -85,6 +100,14 @@
     arrived_at: float
     statements: int = 1
     account: str = ""
+    at_primary: bool = False
+    hop: float = 0.0
+
+    @property
+    def needs_primary(self) -> bool:
+        """Return whether only the primary can serve it, whatever the replicas have."""
+        is_primary_only = self.kind.max_age_ms is None
+        return self.writes or self.is_transaction or is_primary_only
 
     @property
     def is_transaction(self) -> bool:
@@ -161,6 +184,7 @@
     Args:
         distance: one-way latency in seconds to a server of another failure domain.
         connection_share: greatest part of a server's connections that it may hold.
+        forward: forwards reads that no replica serves.
     """
 
     def __init__(
@@ -174,10 +198,15 @@
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
         connection_share: float = CONNECTION_SHARE,
+        forward: Forward = lambda _attempt, _on_end: False,
     ) -> None:
         self.neighbour = neighbour
         self.failure_domain = failure_domain
         self.directory = ProxyDirectory(neighbour, failure_domains, timeline.clock)
+        self.remote = RemoteOwners(
+            neighbour.name, failure_domain, self.directory, timeline.clock
+        )
+        self._forward = forward
         self._timeline = timeline
         self._distance = distance
         self._pool_settings = pool_settings
@@ -201,6 +230,36 @@
             behind = self._lag_tracker.lagging(min_position)
             self._serve_read(attempt, min_position, behind, on_end)
 
+    def adopt_owners(self, owners: Mapping[str, Owners]) -> None:
+        """Record the owners in the failure domains of the primaries."""
+        primaries = {
+            group: PrimaryLocation(one.server_info.name, one.server_info.failure_domain)
+            for group, one in self._primaries.items()
+        }
+        self.remote.set_primaries(primaries)
+        for group, primary in primaries.items():
+            self.remote.owners(group)
+            if primary.failure_domain != self.failure_domain and group in owners:
+                responder = owners[group].in_use[0]
+                domain = primary.failure_domain
+                self.remote.adopt(domain, responder, "", owners, None)
+
+    def newest_position(self, group: str) -> tuple[float, Position] | None:
+        """Return the newest position that it knows of a primary, and its time."""
+        return self._freshness.newest(group)
+
+    def outdated_groups(self) -> list[str]:
+        """Return the groups whose primary's position is needed and not known."""
+        now = self._timeline.now()
+        return self._freshness.outdated(
+            wanted_since=now - POSITION_USE_SECONDS,
+            newest_before=now - POSITION_SECONDS,
+        )
+
+    def record_position(self, group: str, position: Position, asked_at: float) -> None:
+        """Record a position that a primary had reached."""
+        self._freshness.record(group, position, asked_at)
+
     def close_expired(self) -> None:
         """Close connections whose idle time has expired."""
         for backend in self._backends.values():
@@ -208,7 +267,7 @@
 
     def _min_position(self, attempt: Attempt) -> Position | None:
         age_ms = attempt.kind.max_age_ms
-        if attempt.writes or attempt.is_transaction or age_ms is None:
+        if attempt.needs_primary or attempt.at_primary or age_ms is None:
             return None
         return self._freshness.min_position(attempt.group, age_ms / MILLISECONDS)
 
@@ -216,6 +275,15 @@
         primary = self._primaries[attempt.group]
         asked_at = self._timeline.now()
 
+        def on_forwarded(result: Result[None, Refused]) -> None:
+            if result.is_ok():
+                self._freshness.record(attempt.group, primary.position, asked_at)
+            on_end(result)
+
+        is_read = not attempt.needs_primary and not attempt.at_primary
+        if is_read and self._forward(attempt, on_forwarded):
+            return
+
         def on_result(result: Result[Answer, Refused]) -> None:
             if result.is_error():
                 on_end(Error(result.error))
@@ -247,6 +315,19 @@
             self._serve_on_primary(attempt, on_end)
             return
         server = self._servers[ranked[0].name]
+        asked_at = self._timeline.now()
+
+        def on_forwarded(result: Result[None, Refused]) -> None:
+            if result.is_ok():
+                position = server.position
+                self._freshness.record(attempt.group, position, asked_at)
+                on_end(result)
+                return
+            excluded.add(server.server_info.name)
+            self._serve_read(attempt, min_position, excluded, on_end, number + 1)
+
+        if server.is_primary and self._forward(attempt, on_forwarded):
+            return
 
         def on_result(result: Result[Answer, Refused]) -> None:
             if result.is_ok() and result.ok is Answer.OK:
@@ -392,7 +473,8 @@
         """Send the next statement, resend this one, or end the execution."""
         retry_at = self._timeline.now() + BUSY_RETRY_SECONDS
         if answer is Answer.OK and remaining:
-            self._send(execution, connection, remaining - 1)
+            following = partial(self._send, execution, connection, remaining - 1)
+            self._timeline.after(2 * execution.attempt.hop, following)
         elif answer is Answer.BUSY and retry_at < execution.attempt.resend_until:
             retry = partial(self._send, execution, connection, remaining)
             self._timeline.after(BUSY_RETRY_SECONDS, retry)
@@ -416,15 +498,33 @@
 
     def _build_backend(self, server: Server) -> Backend:
         server_info, clock = server.server_info, self._timeline.clock
+        primary = self._primary_share(server)
         highest = int(server_info.connections * self._connection_share)
+        if primary is not None:
+            highest = primary.connections
         ceiling = ConnectionCeiling(clock, highest, -PROXY_UPTIME_SECONDS)
         first = ceiling.value()
         pool = ConnectionPool(
             server_info, _Connector(server), clock, self._pool_settings, first
         )
         queue = StatementQueue(clock, server_info.slots, first, QUEUE_LIMIT)
+        if primary is not None:
+            queue.set_min_in_flight(primary.min_in_flight)
         return Backend(server, pool, queue, ceiling)
 
+    def _primary_share(self, server: Server) -> PrimaryShare | None:
+        """Return its share of a primary that few owners serve for all proxies."""
+        server_info = server.server_info
+        is_near = server_info.failure_domain == self.failure_domain
+        group = server_info.group
+        if not self.remote.is_primary(group, server_info.name):
+            return None
+        if not is_near and not self.remote.is_elsewhere(group):
+            return None
+        connections = server_info.connections - CONTROL_CONNECTIONS
+        limits = ServerLimits(server_info.slots, connections)
+        return self.directory.primary_share(group, limits, is_near=is_near)
+
 
 def _to_refused(refusal: Refusal) -> Refused:
     retry_after = refusal.retry_after_ms / MILLISECONDS
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -87,6 +87,11 @@
         with self._lock:
             self._queue.set_max_in_flight(share)
 
+    def set_min_in_flight(self, count: int) -> None:
+        """Set how many statements may be in flight whatever their latency."""
+        with self._lock:
+            self._queue.set_min_in_flight(count)
+
     def set_queue_limit(self, queue_limit: int) -> None:
         """Set how many statements may wait."""
         with self._lock:
--- a/packages/limits/src/dogwoodspool_limits/concurrency.py
+++ b/packages/limits/src/dogwoodspool_limits/concurrency.py
@@ -41,6 +41,7 @@
         # Not clamped to the present ceiling: shares grow with demand, and a clamped
         # limit would stay low until it had been reached for a whole window.
         self._limit = float(max(MIN_LIMIT, start))
+        self._floor = MIN_LIMIT
         self._latencies: list[float] = []
         self._unanswered = 0
         self._was_reached = False
@@ -49,7 +50,7 @@
     @property
     def limit(self) -> int:
         """Statements that may be in flight."""
-        return max(MIN_LIMIT, min(int(self._limit), self._ceiling))
+        return max(MIN_LIMIT, min(max(int(self._limit), self._floor), self._ceiling))
 
     @property
     def ceiling(self) -> int:
@@ -60,6 +61,15 @@
         """Set the upper bound of the limit."""
         self._ceiling = max(MIN_LIMIT, ceiling)
 
+    def set_floor(self, floor: int) -> None:
+        """Set the lower bound of the limit, which the ceiling still bounds.
+
+        Where a known number of processes shares a server, each may keep its part of the
+        slots in use. A limit below that leaves slots idle, and work that takes longer
+        than before looks like waiting inside the server.
+        """
+        self._floor = max(MIN_LIMIT, floor)
+
     def record_answer(self, latency: float, in_flight: int) -> None:
         """Record a statement that the server ran.
 
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -110,6 +110,11 @@
         self._concurrency.set_ceiling(share)
         self._admit_waiting()
 
+    def set_min_in_flight(self, count: int) -> None:
+        """Set how many statements may be in flight whatever their latency."""
+        self._concurrency.set_floor(count)
+        self._admit_waiting()
+
     def set_queue_limit(self, queue_limit: int) -> None:
         """Set how many statements may wait."""
         self._queue_limit = queue_limit
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -8,6 +8,7 @@
 from dogwoodspool_connections import ConnectionPool, Connector, PoolSettings
 from dogwoodspool_following import ProxyView, ViewStore
 from dogwoodspool_limits import AdmissionQueue
+from dogwoodspool_sharing import PrimaryShare
 
 from .ceiling import ConnectionCeiling
 from .connection import ServerConnection
@@ -60,8 +61,8 @@
     Args:
         owner_share: returns the part of each server's connections that an owner of a
             group's pools may hold; None if the pools are not shared.
-        primary_limit: returns how many connections to a server this process may hold if
-            the owners near it serve it for all proxies; None if the share applies.
+        primary_share: returns what this process may use of a server that few owners
+            serve for all proxies; None if the usual share applies.
     """
 
     def __init__(
@@ -70,11 +71,13 @@
         connector: Connector[ServerConnection],
         clock: Clock,
         owner_share: Callable[[str], float | None] = lambda _group: None,
-        primary_limit: Callable[[BackendServer], int | None] = lambda _server: None,
+        primary_share: Callable[[BackendServer], PrimaryShare | None] = (
+            lambda _server: None
+        ),
     ) -> None:
         self._views = views
         self._owner_share = owner_share
-        self._primary_limit = primary_limit
+        self._primary_share = primary_share
         self._connector = connector
         self._clock = clock
         self._lock = threading.Lock()
@@ -121,12 +124,13 @@
             server, self._connector, self._clock, POOL_SETTINGS, first
         )
         admission = AdmissionQueue(self._clock, server.slots, first, QUEUE_LIMIT)
+        admission.set_min_in_flight(self._min_in_flight(server))
         return Backend(server, pool, admission, ceiling)
 
     def _highest(self, server: BackendServer) -> int:
-        limit = self._primary_limit(server)
-        if limit is not None:
-            return limit
+        primary = self._primary_share(server)
+        if primary is not None:
+            return primary.connections
         connections = self._views.connections_of(server) or DEFAULT_CONNECTIONS
         share = self._owner_share(server.group)
         if share is None:
@@ -136,6 +140,10 @@
         equal_part = int((connections - CONTROL_CONNECTIONS) * share)
         return max(equal_part, int(connections * CONNECTION_SHARE))
 
+    def _min_in_flight(self, server: BackendServer) -> int:
+        primary = self._primary_share(server)
+        return 1 if primary is None else primary.min_in_flight
+
     def _apply_view(self, view: ProxyView) -> None:
         with self._lock:
             if self._serving_since is None:
@@ -154,6 +162,7 @@
         """Apply the current shares to all pools."""
         for backend in self.all():
             backend.ceiling.set_highest(self._highest(backend.server))
+            backend.admission.set_min_in_flight(self._min_in_flight(backend.server))
             backend.adjust()
 
 
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -25,7 +25,7 @@
     WatchCoordinator,
 )
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import Neighbour
+from dogwoodspool_sharing import Neighbour, PrimaryShare
 
 from .access import ServerAccess
 from .connection import ServerConnection
@@ -85,7 +85,7 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, connector, clock, self._owner_share, self._primary_limit
+            self._views, connector, clock, self._owner_share, self._primary_share
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
@@ -264,8 +264,8 @@
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
 
-    def _primary_limit(self, server: BackendServer) -> int | None:
-        return self._shared.primary_limit(server)
+    def _primary_share(self, server: BackendServer) -> PrimaryShare | None:
+        return self._shared.primary_share(server)
 
     def _forward_to_primary(self, request: Request) -> Reply | None:
         return self._shared.forward_to_primary(request)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/primary_connections.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/primary_shares.py
@@ -1,14 +1,19 @@
-"""How many connections to a primary this process may hold."""
+"""What this process may use of a primary that few owners serve for all proxies."""
 
 from dogwoodspool_common import BackendServer
 from dogwoodspool_following import ViewStore
-from dogwoodspool_sharing import ProxyDirectory, RemoteOwners
+from dogwoodspool_sharing import (
+    PrimaryShare,
+    ProxyDirectory,
+    RemoteOwners,
+    ServerLimits,
+)
 
 from ..const import CONTROL_CONNECTIONS
 
 
-class PrimaryConnections:
-    """Divide the connections to primaries that few owners use for all proxies."""
+class PrimaryShares:
+    """Divide primaries between the owners near them and all other processes."""
 
     def __init__(
         self, views: ViewStore, directory: ProxyDirectory, remote: RemoteOwners
@@ -17,8 +22,8 @@
         self._directory = directory
         self._remote = remote
 
-    def limit(self, server: BackendServer) -> int | None:
-        """Return the greatest number of connections; None if the usual share applies.
+    def share(self, server: BackendServer) -> PrimaryShare | None:
+        """Return this process's share of a server; None if the usual share applies.
 
         Without known owners near a primary elsewhere, this process sends requests to
         the primary itself and needs its usual share.
@@ -30,5 +35,5 @@
         is_near = server.failure_domain == self._views.failure_domain
         if not is_near and not self._remote.is_elsewhere(group):
             return None
-        available = connections - CONTROL_CONNECTIONS
-        return self._directory.primary_part(group, available, is_near=is_near)
+        limits = ServerLimits(server.slots, connections - CONTROL_CONNECTIONS)
+        return self._directory.primary_share(group, limits, is_near=is_near)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -15,6 +15,7 @@
     Neighbour,
     OwnersApi,
     PresenceCoordinator,
+    PrimaryShare,
     ProxyDirectory,
     RemoteOwners,
     RemoteOwnersCoordinator,
@@ -37,9 +38,9 @@
 from .owner_client import OwnerClient
 from .owner_statements import OwnerStatements
 from .positions import PositionCoordinator, PositionsApi
-from .primary_connections import PrimaryConnections
 from .primary_forwarder import PrimaryForwarder
 from .primary_locations import PrimaryLocations
+from .primary_shares import PrimaryShares
 from .slots import WorkSlots
 from .statement_api import StatementApi
 from .statements import SharedStatements
@@ -58,7 +59,7 @@
         access: access to the local pools.
         statements: serves single statements on the local pools.
         freshness: positions of primaries known to this process.
-        on_limits: called when ``primary_limit`` may have changed without a new view.
+        on_shares: called when ``primary_share`` may have changed without a new view.
         client: calls control.
         clock: source of time for all parts.
     """
@@ -73,7 +74,7 @@
         access: ServerAccess,
         statements: Statements,
         freshness: FreshnessTracker,
-        on_limits: Callable[[], None],
+        on_shares: Callable[[], None],
         client: JsonClient,
         clock: Clock,
     ) -> None:
@@ -100,10 +101,8 @@
         self._remote_coordinator = RemoteOwnersCoordinator(
             self._remote, self._directory, peers, client, self._client, clock
         )
-        self._remote.set_listener(self._remote_coordinator.wake, on_limits)
-        self._primary_connections = PrimaryConnections(
-            views, self._directory, self._remote
-        )
+        self._remote.set_listener(self._remote_coordinator.wake, on_shares)
+        self._primary_shares = PrimaryShares(views, self._directory, self._remote)
         self._positions = PositionCoordinator(
             freshness, self._remote, self._client, clock
         )
@@ -164,9 +163,9 @@
         """Serve a read at a primary elsewhere; see ``PrimaryForwarder.forward``."""
         return self._forwarder.forward(request)
 
-    def primary_limit(self, server: BackendServer) -> int | None:
-        """Return how many connections to a primary this process may hold."""
-        return self._primary_connections.limit(server)
+    def primary_share(self, server: BackendServer) -> PrimaryShare | None:
+        """Return what this process may use of a primary; see ``PrimaryShares``."""
+        return self._primary_shares.share(server)
 
     def set_up(self) -> None:
         """Start to share pools."""
--- a/packages/sharing/src/dogwoodspool_sharing/__init__.py
+++ b/packages/sharing/src/dogwoodspool_sharing/__init__.py
@@ -3,7 +3,13 @@
 from .contacts_api import ContactsApi
 from .directory import ProxyDirectory
 from .message_client import MessageClient
-from .models import Neighbour, Owners, PrimaryLocation, ServerLimits
+from .models import (
+    Neighbour,
+    Owners,
+    PrimaryLocation,
+    PrimaryShare,
+    ServerLimits,
+)
 from .owners_api import OwnersApi
 from .presence import PresenceCoordinator
 from .presence_api import PresenceApi
@@ -20,6 +26,7 @@
     "PresenceApi",
     "PresenceCoordinator",
     "PrimaryLocation",
+    "PrimaryShare",
     "ProxyDirectory",
     "ProxyRoster",
     "RemoteOwners",
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -1,5 +1,6 @@
 """The proxies of this failure domain, and which of them own a group's pools."""
 
+import math
 import threading
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -11,7 +12,7 @@
     NEIGHBOUR_RETENTION_SECONDS,
     OWNER_RETRY_SECONDS,
 )
-from .models import Neighbour, Owners, ServerLimits
+from .models import Neighbour, Owners, PrimaryShare, ServerLimits
 from .ownership import (
     account_order,
     assign_owners,
@@ -155,14 +156,14 @@
             limits = self._limits.get(group)
             return limits is not None and self._is_shared(limits)
 
-    def primary_part(
-        self, group: str, connections: int, *, is_near: bool
-    ) -> int | None:
-        """Return how many connections to a group's primary this process may hold.
+    def primary_share(
+        self, group: str, limits: ServerLimits, *, is_near: bool
+    ) -> PrimaryShare | None:
+        """Return what this process may use of a group's primary.
 
         Args:
             group: the group.
-            connections: connections that the primary accepts from proxies.
+            limits: slots of the primary, and connections that it accepts from proxies.
             is_near: whether the primary is in this failure domain.
 
         Returns:
@@ -174,8 +175,10 @@
         if assigned is None or (is_near and self._own not in assigned.in_use):
             return None
         owners = max(1, len(assigned.in_use))
-        parts = primary_parts(connections, owners, self._failure_domains)
-        return parts.near if is_near else parts.elsewhere
+        parts = primary_parts(limits.connections, owners, self._failure_domains)
+        if not is_near:
+            return PrimaryShare(parts.elsewhere)
+        return PrimaryShare(parts.near, math.ceil(limits.slots / owners))
 
     def owner_share(self, group: str) -> float | None:
         """Return the part of each server's connections that one owner may hold.
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -67,6 +67,19 @@
     elsewhere: int
 
 
+@dataclass(frozen=True, slots=True)
+class PrimaryShare:
+    """What one process may use of a primary that few owners serve for all proxies.
+
+    Attributes:
+        connections: greatest number of connections.
+        min_in_flight: statements that it may have in flight however long they take.
+    """
+
+    connections: int
+    min_in_flight: int = 1
+
+
 @dataclass(frozen=True, slots=True)
 class PrimaryLocation:
     """Where the primary of a group runs.
--- a/tests/pooler/shared/test_primary_connections.py
+++ b/tests/pooler/shared/test_primary_shares.py
@@ -1,12 +1,13 @@
-"""Tests of the connections to a primary that one process may hold."""
+"""Tests of what one process may use of a primary."""
 
 import unittest
 
 from dogwoodspool_common import ManualClock, Role
 from dogwoodspool_following import ViewStore
+from dogwoodspool_limits import AdmissionOutcome
 from dogwoodspool_pooler.registry import BackendRegistry
-from dogwoodspool_pooler.shared.primary_connections import PrimaryConnections
 from dogwoodspool_pooler.shared.primary_locations import PrimaryLocations
+from dogwoodspool_pooler.shared.primary_shares import PrimaryShares
 from dogwoodspool_sharing import (
     Neighbour,
     Owners,
@@ -21,7 +22,7 @@
 ELSEWHERE = "fd9"
 
 
-class PrimaryConnectionsTests(unittest.TestCase):
+class PrimarySharesTests(unittest.TestCase):
     """Most connections to a primary are for the owners near it."""
 
     def setUp(self) -> None:
@@ -40,13 +41,13 @@
         self.directory = self.directory_of(own.in_use[0], clock)
         self.remote = RemoteOwners("own", OWN_DOMAIN, self.directory, clock)
         PrimaryLocations(self.remote, self.views).set_up()
-        limits = PrimaryConnections(self.views, self.directory, self.remote)
+        shares = PrimaryShares(self.views, self.directory, self.remote)
         self.registry = BackendRegistry(
             self.views,
             self.pooler.network,
             self.pooler.clock,
             self.directory.owner_share,
-            limits.limit,
+            shares.share,
         )
         self.registry.set_up()
         self.remote.set_listener(lambda: None, self.registry.adjust)
@@ -88,3 +89,21 @@
         self.assertEqual(self.limit("s2"), 14)
         self.pooler.apply_view(primary="s1")
         self.assertEqual(self.limit("s2"), 6)
+
+    def test_an_owner_near_the_primary_keeps_its_part_of_the_slots_in_use(self) -> None:
+        """Guard against idle slots while requests wait for the primary.
+
+        Work that takes longer than before looks like waiting inside the server, and
+        only the owners near the primary send it any.
+        """
+        self.pooler.apply_view(primary="s2")
+        backend = self.registry.backend(self.views.view.servers["s2"])
+        later = self.pooler.clock.now() + 60
+        for latency in (0.01, *[0.1] * 20):
+            for _ in range(20):
+                admitted = backend.admission.admit(later, 2)
+                admitted.ok.done(latency, AdmissionOutcome.ANSWERED)
+        # This process is the only owner, so that all three slots are its part.
+        for _ in range(3):
+            self.assertTrue(backend.admission.admit(later, 2).is_ok())
+        self.assertEqual(backend.admission.waiting, 0)
