Pooler: admit all statements of shared pools by target and kind

Only the first statement of a transaction passed admission. The later ones waited in the server's own queue, in order of arrival, and were bounded by nobody, so that a transaction's statements took four times their work at a full primary.

An owner of shared pools now counts each of them for as long as it runs, and gives new work what they leave. Proxies with pools of their own are unchanged. The emulator plays the same rules (Variant.order).

--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -125,6 +125,7 @@
             distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
+            order=self._variant.order,
             forward=partial(self._forward_to_primary, name),
         )
 
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -31,6 +31,14 @@
     lag_ms: float = Field(default=20.0, ge=0)
 
 
+class OrderName(StrEnum):
+    """Order in which the requests of shared pools wait for admission."""
+
+    ARRIVAL = "arrival"
+    TARGET = "target"
+    PRIORITY = "priority"
+
+
 class Requests(Section):
     """One kind of request.
 
@@ -114,6 +122,7 @@
         has_common_owners: whether all failure domains use the same owners.
         has_primary_owners: whether the owners in a primary's failure domain serve what
             needs the primary for all failure domains.
+        order: order in which the requests of shared pools wait for admission.
     """
 
     name: str
@@ -124,6 +133,7 @@
     owners_by_account: bool = True
     has_common_owners: bool = False
     has_primary_owners: bool = False
+    order: OrderName = OrderName.PRIORITY
 
 
 class Scenario(Section):
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -15,10 +15,15 @@
 )
 from dogwoodspool_limits import (
     AdmissionOutcome,
+    ArrivalOrder,
+    PriorityOrder,
+    QueueOrder,
     Refusal,
     StatementQueue,
+    TargetOrder,
     Ticket,
     TicketState,
+    Work,
 )
 from dogwoodspool_pooler.ceiling import ConnectionCeiling
 from dogwoodspool_pooler.const import (
@@ -29,6 +34,7 @@
     MAX_READ_ATTEMPTS,
     NO_CONNECTION_RETRY_MS,
     QUEUE_LIMIT,
+    SHARED_QUEUE_LIMIT,
     WAIT_SHARE,
 )
 from dogwoodspool_pooler.freshness import FreshnessTracker
@@ -49,7 +55,7 @@
 from expression import Error, Ok, Result
 
 from .const import PROXY_UPTIME_SECONDS
-from .models import Requests
+from .models import OrderName, Requests
 from .servers import Answer, Connection, Server
 from .timeline import Timeline
 
@@ -61,6 +67,14 @@
 }
 
 
+# Queue disciplines of owners of shared pools.
+ORDERS: Final[dict[OrderName, Callable[[], QueueOrder]]] = {
+    OrderName.ARRIVAL: ArrivalOrder,
+    OrderName.TARGET: TargetOrder,
+    OrderName.PRIORITY: PriorityOrder,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
     """A refused statement or request.
@@ -119,6 +133,23 @@
         """Time after which the caller no longer uses an answer."""
         return self.arrived_at + self.kind.deadline_ms / MILLISECONDS
 
+    @property
+    def target(self) -> float:
+        """Time until which an answer is in time."""
+        target = min(self.kind.target_ms, self.kind.deadline_ms)
+        return self.arrived_at + target / MILLISECONDS
+
+    @property
+    def work_request(self) -> Work:
+        """What an owner of pools orders the attempt by."""
+        return Work(
+            priority=self.kind.priority,
+            target=self.target,
+            deadline=self.deadline,
+            kind=self.kind.name,
+            account=self.account,
+        )
+
     @property
     def resend_until(self) -> float:
         """Time until which a statement is resent after a full server refused it."""
@@ -198,6 +229,7 @@
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
         connection_share: float = CONNECTION_SHARE,
+        order: OrderName = OrderName.PRIORITY,
         forward: Forward = lambda _attempt, _on_end: False,
     ) -> None:
         self.neighbour = neighbour
@@ -211,6 +243,7 @@
         self._distance = distance
         self._pool_settings = pool_settings
         self._connection_share = connection_share
+        self._order = order
         self._servers = {one.server_info.name: one for one in servers}
         self._primaries = {
             one.server_info.group: one for one in servers if one.is_primary
@@ -363,9 +396,13 @@
             elif ticket.state is TicketState.DISPLACED:
                 self._refuse_waiting(execution, ticket)
 
-        admission = backend.queue.request_admission(
-            start_by, attempt.kind.priority, on_ticket_changed
-        )
+        queue = backend.queue
+        if self._is_shared(attempt.group):
+            admission = queue.request_work(attempt.work_request, on_ticket_changed)
+        else:
+            admission = queue.request_admission(
+                start_by, attempt.kind.priority, on_ticket_changed
+            )
         if admission.is_error():
             on_end(Error(_to_refused(admission.error)))
             return
@@ -427,6 +464,9 @@
         """
         server = execution.backend.server
         name = server.server_info.name
+        if ticket is None and self._is_shared(execution.attempt.group):
+            queue = execution.backend.queue
+            ticket = queue.begin_continuation(execution.attempt.work_request)
         began_at = self._timeline.now()
         self._table.begin(name)
 
@@ -488,6 +528,9 @@
             "server busy", backend.queue.next_retry_after_ms() / MILLISECONDS
         )
 
+    def _is_shared(self, group: str) -> bool:
+        return self.directory.owner_share(group) is not None
+
     def _get_backend(self, server: Server) -> Backend:
         name = server.server_info.name
         found = self._backends.get(name)
@@ -508,6 +551,9 @@
             server_info, _Connector(server), clock, self._pool_settings, first
         )
         queue = StatementQueue(clock, server_info.slots, first, QUEUE_LIMIT)
+        if self._is_shared(server_info.group):
+            queue.set_queue_limit(SHARED_QUEUE_LIMIT)
+            queue.set_order(ORDERS[self._order]())
         if primary is not None:
             queue.set_min_in_flight(primary.min_in_flight)
         return Backend(server, pool, queue, ceiling)
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -152,7 +152,7 @@
         """
         self._update_load()
         now = self._clock.now()
-        ticket = Ticket(work.priority, now, notify, work)
+        ticket = Ticket(work.priority, now, _ignore, work)
         ticket.expected = self._load.service_times.expected(work.kind)
         if work.deadline <= now:
             return Error(self._refuse(ticket, RefusalReason.DEADLINE_PASSED))
@@ -168,6 +168,9 @@
             return Error(self._refuse(ticket, RefusalReason.QUEUE_FULL))
         self._order.add(ticket, self._load)
         self._admit_waiting()
+        if ticket.state is TicketState.DISPLACED:
+            return Error(self._refuse(ticket, ticket.reason))
+        ticket.notify = notify
         return Ok(ticket)
 
     def begin_continuation(self, work: Work) -> Ticket:
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -108,6 +108,9 @@
 CHECK_AFTER_IDLE: Final = 1.0
 RESET_TIMEOUT: Final = 0.3
 QUEUE_LIMIT: Final = 64
+# Requests that wait for one server at an owner of pools: those of a whole failure
+# domain, or of all of them, may wait until their targets.
+SHARED_QUEUE_LIMIT: Final = 192
 
 # A server is reported as stalled once a write has been unanswered for this long, even
 # if it still answers reads.
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -11,12 +11,13 @@
     Admission,
     AdmissionQueue,
     ArrivalOrder,
+    Priority,
     PriorityOrder,
     QueueOrder,
     Refusal,
 )
-from expression import Result
 from dogwoodspool_sharing import PrimaryShare
+from expression import Result
 
 from .ceiling import ConnectionCeiling
 from .connection import ServerConnection
@@ -30,6 +31,7 @@
     IDLE_EXPIRY_SECONDS,
     QUEUE_LIMIT,
     RESET_TIMEOUT,
+    SHARED_QUEUE_LIMIT,
     SURPLUS_EXPIRY_SECONDS,
 )
 from .read_cost import AdmissionState
@@ -57,7 +59,9 @@
     own_order: QueueOrder = field(default_factory=ArrivalOrder)
     shared_order: QueueOrder = field(default_factory=PriorityOrder)
 
-    def admit(self, request: AdmissionRequest, now: float) -> Result[Admission, Refusal]:
+    def admit(
+        self, request: AdmissionRequest, now: float
+    ) -> Result[Admission, Refusal]:
         """Wait for admission, as an owner of pools where the pools are shared."""
         work = request.work
         if work is None or not self.is_shared():
@@ -76,10 +80,13 @@
         return request.target if now < request.target else request.deadline
 
     def adjust(self) -> None:
-        """Apply the current ceiling and the order of waiting requests."""
-        self.admission.set_order(
-            self.shared_order if self.is_shared() else self.own_order
-        )
+        """Apply the current ceiling, and the queue discipline of owners of pools."""
+        if self.is_shared():
+            self.admission.set_order(self.shared_order)
+            self.admission.set_queue_limit(SHARED_QUEUE_LIMIT)
+        else:
+            self.admission.set_order(self.own_order)
+            self.admission.set_queue_limit(QUEUE_LIMIT)
         limit = self.ceiling.value()
         if limit != self.pool.limit:
             self.pool.set_limit(limit)
@@ -168,7 +175,9 @@
         pool = ConnectionPool(
             server, self._connector, self._clock, POOL_SETTINGS, first
         )
-        admission = AdmissionQueue(self._clock, server.slots, first, QUEUE_LIMIT)
+        admission = AdmissionQueue(
+            self._clock, server.slots, first, QUEUE_LIMIT, name=server.name
+        )
         admission.set_min_in_flight(self._min_in_flight(server))
         return Backend(
             server,
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -257,8 +257,13 @@
             lines.append(f"dogwoodspool_connections_open{label} {pool.open_count}")
             lines.append(f"dogwoodspool_connections_limit{label} {pool.limit}")
             lines.append(f"dogwoodspool_connections_in_use{label} {pool.in_use}")
-            waiting = backend.admission.waiting
+            admission = backend.admission
+            waiting, demoted = admission.waiting, admission.demoted
             lines.append(f"dogwoodspool_statements_waiting{label} {waiting}")
+            lines.append(f"dogwoodspool_statements_demoted{label} {demoted}")
+            for reason, count in sorted(admission.refused.items()):
+                labels = f'{{server="{backend.server.name}",reason="{reason}"}}'
+                lines.append(f"dogwoodspool_statements_refused{labels} {count}")
         return self._counters.page() + "\n".join(lines) + "\n"
 
     def _transaction_path(
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from ..const import QUEUE_LIMIT
+from ..const import SHARED_QUEUE_LIMIT
 
 # Paths of the endpoints at which an owner of pools accepts its neighbours' requests.
 PATH_STATEMENT: Final = "/v1/pools/statement"
@@ -13,7 +13,7 @@
 
 # Requests of neighbours, not counting those of open transactions, that an owner serves
 # at a time, those that wait for admission included: the queues of a few servers.
-NEW_REQUESTS: Final = 3 * QUEUE_LIMIT
+NEW_REQUESTS: Final = 2 * SHARED_QUEUE_LIMIT
 # Neighbours are in the same failure domain, with a latency of tenths of a millisecond.
 OWNER_CONNECT_TIMEOUT: Final = 0.15
 # Time within which an owner's machine must acknowledge a request, also while the owner
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -345,7 +345,9 @@
             StallTracker(self.clock),
             FreshnessTracker(self.clock),
         )
-        self.registry = BackendRegistry(self.views, self.network, self.clock)
+        self.registry = BackendRegistry(
+            self.views, self.network, self.clock, lambda _group: share
+        )
         self.registry.set_up()
         refusals, replica_lag = LagTracker(self.clock), ReplicaLag(self.clock)
         access = ServerAccess(
