--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -9,9 +9,10 @@
 # Path of the endpoint at which an owner names the positions of its groups' primaries.
 PATH_POSITIONS: Final = "/v1/pools/positions"
 
-# Requests of neighbours, not counting those of open transactions, that an owner serves
-# at a time: more than it may have in flight on the servers of a few groups.
-NEW_REQUESTS: Final = 48
+# Requests of other proxies, not counting those of open transactions, that an owner
+# serves at a time: more than may wait for one server and be in flight on it. Requests
+# beyond it go to other owners, which would form a second queue for that server.
+NEW_REQUESTS: Final = 96
 # Neighbours are in the same failure domain, with a latency of tenths of a millisecond.
 OWNER_CONNECT_TIMEOUT: Final = 0.15
 # Time within which an owner's machine must acknowledge a request, also while the owner
