--- a/tests/pooler/shared/test_primary_owners.py
+++ b/tests/pooler/shared/test_primary_owners.py
@@ -1,7 +1,9 @@
 """Tests of requests that the owners near a primary serve for all failure domains."""
 
 import unittest
+from collections import Counter
 from collections.abc import Sequence
+from random import Random
 from typing import Any
 
 from dogwoodspool_common import (
@@ -12,7 +14,7 @@
     Position,
     Role,
 )
-from dogwoodspool_pooler import ErrorCode
+from dogwoodspool_pooler import Answer, ErrorCode, StatementKind
 from dogwoodspool_pooler.read_placement import ReadPlacement
 from dogwoodspool_pooler.reads import ReadPath
 from dogwoodspool_pooler.shared.access import SharingAccess
@@ -29,7 +31,7 @@
 from dogwoodspool_sharing import Neighbour, Owners, RemoteOwners
 
 from ..fakes import GROUP, OWN_DOMAIN, FakeServer, Pooler, endpoint, run_text
-from .neighbours import FakeNeighbours, FixedDirectory, Owner
+from .neighbours import IDLE_LIMIT, FakeNeighbours, FixedDirectory, Owner
 
 PRIMARY_DOMAIN = "fd9"
 REMOTE = Owners(
@@ -356,3 +358,65 @@
         self.assertIsNone(run_text(session, "COMMIT").error)
         statements = self.near[self.second].requested_paths
         self.assertEqual(statements, [PATH_STATEMENT])
+
+
+class RandomFailureTests(PrimaryOwnersTestCase):
+    """Whatever fails, a request runs at most once and its answer is true."""
+
+    def fail_randomly(self, random: Random) -> None:
+        """Put each owner into a random state."""
+        servers = {"s1": self.primary, "s2": self.replica}
+        for owner in (*self.near.values(), self.domain_owner):
+            owner.is_down = random.random() < 0.2
+            owner.loses_answers = random.random() < 0.2
+            owner.slots._is_leaving = random.random() < 0.2
+            can_reach = random.random() < 0.7
+            owner.pooler.network.servers = servers if can_reach else {}
+            # As ``RecoveryProber`` and ``LeaseExpiry`` do.
+            owner.pooler.table.record_reachable("s1")
+            owner.pooler.clock.advance(IDLE_LIMIT + 2)
+            owner.leases.end_expired()
+        everybody = sorted(self.near)
+        self.network.cut_off = set(everybody if random.random() < 0.1 else ())
+        can_reach = random.random() < 0.7
+        self.proxy.network.servers = servers if can_reach else {}
+        self.proxy.table.record_reachable("s1")
+
+    def commits(self) -> int:
+        """Return how many commits the primary ran."""
+        return sum(run.kind is StatementKind.COMMIT for run in self.primary.runs)
+
+    def run_one(self, number: int) -> Answer:
+        """Run a write or, every third time, a transaction with one write."""
+        session = self.proxy.session()
+        if number % 3:
+            return run_text(session, f"WRITE {number}")
+        run_text(session, "BEGIN")
+        answer = run_text(session, f"WRITE {number}")
+        if answer.error is not None:
+            run_text(session, "ROLLBACK")
+            return answer
+        return run_text(session, "COMMIT")
+
+    def test_no_write_runs_twice_and_refused_ones_do_not_run(self) -> None:
+        """Guard against a second attempt after one that may have run."""
+        random = Random(11)
+        outcomes: Counter[str] = Counter()
+        for number in range(600):
+            self.fail_randomly(random)
+            commits = self.commits()
+            answer = self.run_one(number)
+            runs = sum(run.text == f"WRITE {number}" for run in self.primary.runs)
+            code = None if answer.error is None else answer.error.code
+            outcomes[str(code)] += 1
+            self.assertLessEqual(runs, 1)
+            if code is None:
+                self.assertEqual(runs, 1)
+            elif code.is_not_run:
+                self.assertEqual(runs, 0)
+            elif code is ErrorCode.ABORTED:
+                self.assertEqual(self.commits(), commits)
+            self.proxy.clock.advance(random.random())
+        self.assertGreater(outcomes["None"], 400)
+        self.assertGreater(outcomes["in_doubt"], 20)
+        self.assertGreater(outcomes["busy"], 5)
