--- a/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
+++ b/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
@@ -2,34 +2,14 @@
 
 import threading
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
 
 from dogwoodspool_common import Clock, log_event
 
-from .const import (
-    MAX_FOLLOWED_GROUPS,
-    OWNER_RETRY_SECONDS,
-    REMOTE_OWNERS_USE_SECONDS,
-)
+from .const import MAX_FOLLOWED_GROUPS, REMOTE_OWNERS_USE_SECONDS
 from .directory import ProxyDirectory
 from .models import Neighbour, Owners, PrimaryLocation
-from .ownership import account_order, owner_order
 from .remote_domain import RemoteDomain
-
-
-@dataclass(slots=True)
-class _Group:
-    """A group in use whose primary is in another failure domain.
-
-    Attributes:
-        owners: its owners there; None until a proxy there has named them.
-        confirmed_at: clock time at which a proxy there last named them.
-    """
-
-    failure_domain: str
-    used_at: float
-    owners: Owners | None = None
-    confirmed_at: float | None = None
+from .remote_group import OwnerIndex, RemoteGroup
 
 
 class RemoteOwners:
@@ -53,10 +33,9 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._primaries: dict[str, PrimaryLocation] = {}
-        self._groups: dict[str, _Group] = {}
+        self._groups: dict[str, RemoteGroup] = {}
         self._domains: dict[str, RemoteDomain] = {}
-        self._domain_of: dict[str, str] = {}
-        self._failed_at: dict[str, float] = {}
+        self._index = OwnerIndex()
         self._on_change: Callable[[], None] = lambda: None
         self._on_primaries: Callable[[], None] = lambda: None
 
@@ -128,7 +107,11 @@
             if self._remote_primary(group) is None:
                 return ()
             known, is_new = self._record_use(group)
-            ordered = self._order(group, known, account)
+            ordered = [
+                owner
+                for owner in known.order(self._own, account)
+                if self._is_usable(owner.name)
+            ]
         if is_new:
             self._on_change()
         return ordered
@@ -140,11 +123,8 @@
         """
         for owner in owners:
             with self._lock:
-                failure_domain = self._domain_of.get(owner.name, "")
-                is_skipped = self._owner_has_failed(owner.name) or (
-                    failure_domain != "" and self._has_failed(failure_domain)
-                )
-            if not is_skipped:
+                is_usable = self._is_usable(owner.name)
+            if is_usable:
                 yield owner
 
     def wanted(self) -> dict[str, list[str]]:
@@ -213,7 +193,6 @@
         """
         now = self._clock.now()
         with self._lock:
-            before = self._domain_of
             domain = self._domain(failure_domain)
             domain.digest, domain.silent = digest, 0
             domain.record_answer(now)
@@ -230,15 +209,14 @@
                     domain.digest = ""
                     continue
                 known.confirmed_at = now
-            self._index_owners()
-            has_changed = self._domain_of != before
+            has_changed = self._index.update(self._groups.values())
         if has_changed:
             self._on_primaries()
 
     def record_answer(self, owner: str) -> None:
         """Record that an owner answered, with whatever result."""
         with self._lock:
-            failure_domain = self._domain_of.get(owner)
+            failure_domain = self._index.failure_domain(owner)
             if failure_domain is not None:
                 self._domain(failure_domain).record_answer(self._clock.now())
 
@@ -257,10 +235,10 @@
             is_unreachable: whether its machine did not answer.
         """
         with self._lock:
-            failure_domain = self._domain_of.get(owner)
+            failure_domain = self._index.failure_domain(owner)
             if failure_domain is None:
                 return
-            self._failed_at[owner] = self._clock.now()
+            self._index.record_failure(owner, self._clock.now())
             if is_unreachable:
                 self._record_unreachable(failure_domain, asked_at)
 
@@ -277,7 +255,7 @@
             if domain.failed_at is not None:
                 self._record_unreachable(failure_domain, asked_at)
 
-    def _record_use(self, group: str) -> tuple[_Group, bool]:
+    def _record_use(self, group: str) -> tuple[RemoteGroup, bool]:
         now = self._clock.now()
         known = self._groups.get(group)
         if known is not None:
@@ -285,22 +263,13 @@
             return known, False
         return self._add(group, now), True
 
-    def _add(self, group: str, used_at: float) -> _Group:
+    def _add(self, group: str, used_at: float) -> RemoteGroup:
         failure_domain = self._primaries[group].failure_domain
-        known = self._groups[group] = _Group(failure_domain, used_at)
+        known = self._groups[group] = RemoteGroup(group, failure_domain, used_at)
         # The last response may have lacked this group.
         self._domain(failure_domain).digest = ""
         return known
 
-    def _order(self, group: str, known: _Group, account: str) -> Sequence[Neighbour]:
-        if known.owners is None or self._has_failed(known.failure_domain):
-            return ()
-        if account:
-            ordered = account_order(account, group, known.owners)
-        else:
-            ordered = owner_order(self._own, group, known.owners)
-        return [owner for owner in ordered if not self._owner_has_failed(owner.name)]
-
     def _remote_primary(self, group: str) -> PrimaryLocation | None:
         primary = self._primaries.get(group)
         if primary is None or primary.failure_domain == self._failure_domain:
@@ -314,18 +283,7 @@
     def _forget(self, group: str) -> None:
         known = self._groups.pop(group)
         self._domain(known.failure_domain).digest = ""
-        self._index_owners()
-
-    def _index_owners(self) -> None:
-        self._domain_of = {
-            owner.name: known.failure_domain
-            for known in self._groups.values()
-            if known.owners is not None
-            for owner in (*known.owners.in_use, *known.owners.in_reserve)
-        }
-        self._failed_at = {
-            name: at for name, at in self._failed_at.items() if name in self._domain_of
-        }
+        self._index.update(self._groups.values())
 
     def _domain(self, name: str) -> RemoteDomain:
         return self._domains.setdefault(name, RemoteDomain())
@@ -340,8 +298,8 @@
     def _has_failed(self, failure_domain: str) -> bool:
         return self._domain(failure_domain).has_failed(self._clock.now())
 
-    def _owner_has_failed(self, owner: str) -> bool:
-        failed_at = self._failed_at.get(owner)
-        if failed_at is None:
+    def _is_usable(self, owner: str) -> bool:
+        failure_domain = self._index.failure_domain(owner)
+        if failure_domain is not None and self._has_failed(failure_domain):
             return False
-        return self._clock.now() - failed_at < OWNER_RETRY_SECONDS
+        return not self._index.has_failed(owner, self._clock.now())
