Divide a server's connections among owners, reserves and other proxies

Each process now has a part that follows from its role. Owners in use share what is left after one connection for each owner in reserve and a few that all other proxies take in turn, at random times. Parts are checked every 0.15 s; a process that loses a role closes surplus connections then, and a new owner begins low. Where parts fit, each accepted connection raises the ceiling at once. A pool counts a closed connection for 20 ms, as the server may do.

--- a/packages/connections/src/dogwoodspool_connections/__init__.py
+++ b/packages/connections/src/dogwoodspool_connections/__init__.py
@@ -11,6 +11,7 @@
     ServerDownError,
     ServerNotReachedError,
 )
+from .eviction import EvictionOrder, LeastUsed, LongestIdle
 from .models import PoolSettings
 from .pool import ConnectionPool
 from .pooled import Connector, PooledConnection
@@ -22,6 +23,9 @@
     "ConnectionPool",
     "Connector",
     "DeadlinePassedError",
+    "EvictionOrder",
+    "LeastUsed",
+    "LongestIdle",
     "OutcomeUnknownError",
     "PoolClosedError",
     "PoolSettings",
--- a/packages/connections/src/dogwoodspool_connections/const.py
+++ b/packages/connections/src/dogwoodspool_connections/const.py
@@ -11,3 +11,15 @@
 PROBE_RESERVE: Final = 1
 
 DEMAND_WINDOW: Final = 1.0
+
+# Time after a close for which the server may still count the connection: the close has
+# to arrive, and the server has to handle it.
+CLOSE_SECONDS: Final = 0.02
+
+# Time constant of the rate at which an account uses connections.
+USE_RATE_SECONDS: Final = 5.0
+# Exponent by which the value of an idle connection falls with the number of idle ones
+# that its account would use before it.
+IDLE_RANK_EXPONENT: Final = 3
+# Accounts whose rates are kept; of more, those with the lowest rates are dropped.
+MAX_USE_RATES: Final = 1_000
--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -7,8 +7,13 @@
 
 from dogwoodspool_common import BackendServer, Clock
 
-from .const import DEMAND_WINDOW, PROBE_RESERVE
+from .const import (
+    CLOSE_SECONDS,
+    DEMAND_WINDOW,
+    PROBE_RESERVE,
+)
 from .errors import PoolClosedError, PoolTimeoutError
+from .eviction import EvictionOrder, LongestIdle
 from .health import ConnectionHealth
 from .models import PoolSettings
 from .peak import Peak
@@ -24,8 +29,12 @@
     are served in order of arrival.
 
     A connection is opened for one client account and never serves another. At the limit
-    a caller whose account has no idle connection replaces the connection that has been
-    idle the longest, so that no account can keep others waiting with idle connections.
+    a caller whose account has no idle connection replaces an idle one, by default the
+    one that has been idle the longest, so that no account can keep others waiting with
+    idle connections.
+
+    The server counts a closed connection until the close has arrived. Where it matters,
+    the pool counts it as well, and a caller waits if the server might count too many.
 
     If the limit is two or more, one connection is reserved for probes, and probes are
     served before callers. Otherwise a server that hangs would occupy every connection
@@ -51,10 +60,14 @@
         self._clock = clock
         self._settings = settings
         self._limit = limit
+        self._eviction: EvictionOrder = LongestIdle()
         self._lock = threading.Lock()
         self._idle: deque[ConnectionT] = deque()
         self._in_use = 0
         self._probing = 0
+        self._close_room = 0
+        # Clock seconds until which the server may count the closed connections.
+        self._closing: deque[float] = deque()
         self._waiters: deque[Waiter[ConnectionT]] = deque()
         self._health = ConnectionHealth(server, clock, settings)
         self._peak = Peak(clock, DEMAND_WINDOW)
@@ -90,6 +103,12 @@
         with self._lock:
             return self._open_count()
 
+    @property
+    def closing(self) -> int:
+        """Closed connections that the server may still count."""
+        with self._lock:
+            return self._closing_count()
+
     @property
     def waiting(self) -> int:
         """Callers that wait for a connection."""
@@ -167,14 +186,26 @@
             self._serve_waiters()
         self.close_expired()
 
-    def set_limit(self, limit: int) -> None:
-        """Set the maximum number of open connections."""
+    def set_limit(self, limit: int, *, close_room: int = 0) -> None:
+        """Set the maximum number of open connections.
+
+        Args:
+            limit: the maximum number.
+            close_room: closed connections that the server may count beside these; 0 if
+                it does not matter.
+        """
         with self._lock:
             self._limit = max(0, limit)
+            self._close_room = close_room
         self.close_expired()
         with self._lock:
             self._serve_waiters()
 
+    def set_eviction(self, eviction: EvictionOrder) -> None:
+        """Choose in another way which connection gives way to one of an account."""
+        with self._lock:
+            self._eviction = eviction
+
     def update_settings(
         self, connector: Connector[ConnectionT], settings: PoolSettings
     ) -> None:
@@ -242,6 +273,7 @@
                 self._waiters.appendleft(waiter)
             else:
                 self._waiters.append(waiter)
+            self._eviction.record_use(waiter.account)
             self._peak.record(self._in_use + len(self._waiters))
             self._serve_waiters()
             while not waiter.is_served:
@@ -249,7 +281,8 @@
                 if self._is_unloaded or remaining <= 0:
                     self._waiters.remove(waiter)
                     break
-                self._clock.wait(waiter.condition, remaining)
+                self._clock.wait(waiter.condition, self._until_closed(remaining))
+                self._serve_waiters()
             if waiter.is_served:
                 return
             if self._is_unloaded:
@@ -270,18 +303,43 @@
             waiter.connection = self._pop_idle(waiter)
             if waiter.connection is not None:
                 waiter.connection.is_probing = waiter.is_probe
-            elif self._open_count() < self._limit:
-                waiter.may_open = True
-            elif self._idle:
-                waiter.evicted = self._idle.popleft()
-                waiter.may_open = True
-            else:
+            elif not self._make_room(waiter):
                 return
             self._in_use += 1
             self._probing += waiter.is_probe
             self._waiters.popleft()
             waiter.condition.notify_all()
 
+    def _make_room(self, waiter: Waiter[ConnectionT]) -> bool:
+        """Return whether a waiter may open a connection, maybe in place of another."""
+        counted = self._open_count() + self._closing_count()
+        if self._close_room and counted >= self._limit + self._close_room:
+            return False
+        if self._open_count() < self._limit:
+            waiter.may_open = True
+        elif self._idle:
+            waiter.evicted = self._eviction.choose(self._idle)
+            self._idle.remove(waiter.evicted)
+            self._record_close()
+            waiter.may_open = True
+        return waiter.may_open
+
+    def _record_close(self) -> None:
+        if self._close_room:
+            self._closing.append(self._clock.now() + CLOSE_SECONDS)
+
+    def _closing_count(self) -> int:
+        now = self._clock.now()
+        while self._closing and self._closing[0] <= now:
+            self._closing.popleft()
+        return len(self._closing)
+
+    def _until_closed(self, seconds: float) -> float:
+        """Return the time until the next close has arrived, if that is sooner."""
+        if not self._closing_count():
+            return seconds
+        return min(seconds, self._closing[0] - self._clock.now())
+
     def _pop_idle(self, waiter: Waiter[ConnectionT]) -> ConnectionT | None:
         """Remove and return the best idle connection for a waiter, if there is one."""
         usable = [
@@ -339,6 +397,8 @@
         try:
             connection.close()
         finally:
+            with self._lock:
+                self._record_close()
             self._release_capacity(is_probe=connection.is_probing)
 
     def _release_capacity(self, *, is_probe: bool) -> None:
--- a/packages/emulator/src/dogwoodspool_emulator/const.py
+++ b/packages/emulator/src/dogwoodspool_emulator/const.py
@@ -7,6 +7,8 @@
 PROXY_UPTIME_SECONDS: Final = 10.0
 # Time between two checks for idle connections in all pools.
 POOL_CHECK_SECONDS: Final = 0.15
+# Time between two checks of a request that waits until the server has handled a close.
+CLOSE_CHECK_SECONDS: Final = 0.01
 # Length of one time window of the results.
 WINDOW_SECONDS: Final = 1.0
 # Time that a server takes to refuse a statement: without a slot if its queue is full,
--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -36,6 +36,7 @@
     ) -> None:
         self._scenario = scenario
         self._variant = variant
+        self._seed = seed
         self._random = random.Random(seed)
         self._timeline = Timeline()
         self._outcomes = Outcomes()
@@ -120,6 +121,9 @@
             distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
+            has_parts=self._variant.has_parts,
+            has_rated_accounts=self._variant.has_rated_accounts,
+            rng=random.Random(f"{self._seed} {name}"),
         )
 
     def _register_neighbours(self) -> None:
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -20,6 +20,7 @@
         queue: number of statements that may wait in a server; others are refused.
         connections: number of connections that a server accepts.
         connect_ms: slot time that a new connection takes.
+        close_ms: time after a close for which a server counts a connection.
         lag_ms: replication lag of the replicas.
     """
 
@@ -28,6 +29,7 @@
     queue: int = Field(default=24, ge=0)
     connections: int = Field(default=35, ge=1)
     connect_ms: float = Field(default=12.0, ge=0)
+    close_ms: float = Field(default=0.0, ge=0)
     lag_ms: float = Field(default=20.0, ge=0)
 
 
@@ -112,6 +114,11 @@
         owners_by_account: whether the owner of a pool is chosen by client account
             rather than by the proxy that forwards.
         has_common_owners: whether all failure domains use the same owners.
+        has_parts: whether each process may hold a part of a server's connections, so
+            that all parts fit the server; otherwise each may hold
+            ``connection_share``.
+        has_rated_accounts: whether the connection gives way whose account is expected
+            to need it last, rather than the one that has been idle the longest.
     """
 
     name: str
@@ -121,6 +128,8 @@
     connection_share: float | None = Field(default=None, gt=0, le=1)
     owners_by_account: bool = True
     has_common_owners: bool = False
+    has_parts: bool = True
+    has_rated_accounts: bool = True
 
 
 class Scenario(Section):
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -1,5 +1,6 @@
 """Emulated proxies that run the production classes without threads or sockets."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -10,6 +11,7 @@
 from dogwoodspool_connections import (
     ConnectionLimitError,
     ConnectionPool,
+    LeastUsed,
     PoolSettings,
     PoolTimeoutError,
 )
@@ -25,6 +27,7 @@
     BUSY_RETRY_SECONDS,
     CONNECTION_RETRY_SECONDS,
     CONNECTION_SHARE,
+    CONTROL_CONNECTIONS,
     MAX_READ_ATTEMPTS,
     NO_CONNECTION_RETRY_MS,
     QUEUE_LIMIT,
@@ -34,11 +37,13 @@
 from dogwoodspool_pooler.lag import LagTracker
 from dogwoodspool_pooler.placement import rank_for_read
 from dogwoodspool_pooler.registry import POOL_SETTINGS
+from dogwoodspool_pooler.turns import ConnectionTurns
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import Neighbour, ProxyDirectory
+from dogwoodspool_sharing import ConnectionPart, Neighbour, ProxyDirectory
+from dogwoodspool_sharing.const import CLOSE_ROOM
 from expression import Error, Ok, Result
 
-from .const import PROXY_UPTIME_SECONDS
+from .const import CLOSE_CHECK_SECONDS, PROXY_UPTIME_SECONDS
 from .models import Requests
 from .servers import Answer, Connection, Server
 from .timeline import Timeline
@@ -118,12 +123,14 @@
     pool: ConnectionPool[Connection]
     queue: StatementQueue
     ceiling: ConnectionCeiling
+    turns: ConnectionTurns
 
     def apply_ceiling(self) -> None:
         """Apply the current ceiling to the pool and the queue."""
         limit = self.ceiling.value()
         if limit != self.pool.limit:
-            self.pool.set_limit(limit)
+            close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+            self.pool.set_limit(limit, close_room=close_room)
             self.queue.set_max_in_flight(limit)
 
 
@@ -146,13 +153,20 @@
 
 
 class _Connector:
-    def __init__(self, server: Server) -> None:
+    def __init__(
+        self, server: Server, ceiling: ConnectionCeiling, turns: ConnectionTurns
+    ) -> None:
         self._server = server
+        self._ceiling = ceiling
+        self._turns = turns
 
     def connect(
         self, server: BackendServer, deadline: float, account: str = ""
     ) -> Connection:
-        return self._server.connect()
+        connection = self._server.connect()
+        self._ceiling.record_connection_opened()
+        self._turns.record_connection_opened()
+        return connection
 
 
 class Proxy:
@@ -161,6 +175,10 @@
     Args:
         distance: one-way latency in seconds to a server of another failure domain.
         connection_share: greatest part of a server's connections that it may hold.
+        has_parts: whether it holds a part that depends on its role instead.
+        has_rated_accounts: whether the connection gives way whose account is expected
+            to need it last, rather than the one that has been idle the longest.
+        rng: random numbers for its turns at servers.
     """
 
     def __init__(
@@ -174,6 +192,9 @@
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
         connection_share: float = CONNECTION_SHARE,
+        has_parts: bool = True,
+        has_rated_accounts: bool = True,
+        rng: random.Random | None = None,
     ) -> None:
         self.neighbour = neighbour
         self.failure_domain = failure_domain
@@ -182,6 +203,9 @@
         self._distance = distance
         self._pool_settings = pool_settings
         self._connection_share = connection_share
+        self._has_parts = has_parts
+        self._has_rated_accounts = has_rated_accounts
+        self._rng = rng or random.Random(0)
         self._servers = {one.server_info.name: one for one in servers}
         self._primaries = {
             one.server_info.group: one for one in servers if one.is_primary
@@ -204,7 +228,11 @@
     def close_expired(self) -> None:
         """Close connections whose idle time has expired."""
         for backend in self._backends.values():
-            backend.pool.close_expired()
+            self._apply_part(backend)
+            if backend.turns.wait() > 0:
+                backend.pool.close_idle()
+            else:
+                backend.pool.close_expired()
 
     def _min_position(self, attempt: Attempt) -> Position | None:
         age_ms = attempt.kind.max_age_ms
@@ -309,15 +337,29 @@
     def _connect(self, execution: _Execution, ticket: Ticket) -> None:
         backend = execution.backend
         refused = Refused("no connection", NO_CONNECTION_RETRY_MS / MILLISECONDS)
+        wait = backend.turns.wait()
+        if self._timeline.now() + wait > execution.start_by:
+            backend.queue.end(ticket, 0.0, AdmissionOutcome.NO_WORK)
+            execution.on_end(Error(refused))
+            return
+        if wait > 0:
+            self._timeline.after(wait, partial(self._connect, execution, ticket))
+            return
         try:
             connection = backend.pool.acquire(
                 self._timeline.now(), account=execution.attempt.account
             )
         except PoolTimeoutError:
+            retry_at = self._timeline.now() + CLOSE_CHECK_SECONDS
+            if backend.pool.closing and retry_at < execution.start_by:
+                retry = partial(self._connect, execution, ticket)
+                self._timeline.after(CLOSE_CHECK_SECONDS, retry)
+                return
             backend.queue.end(ticket, 0.0, AdmissionOutcome.NO_WORK)
             execution.on_end(Error(refused))
         except ConnectionLimitError:
             backend.ceiling.record_connection_refused(backend.pool.open_count)
+            backend.turns.record_connection_refused()
             backend.apply_ceiling()
             remaining = execution.start_by - self._timeline.now()
             if remaining <= 0 or execution.has_alternatives:
@@ -327,6 +369,7 @@
             pause = min(remaining, CONNECTION_RETRY_SECONDS)
             self._timeline.after(pause, partial(self._connect, execution, ticket))
         else:
+            backend.apply_ceiling()
             self._send(execution, connection, execution.attempt.statements - 1, ticket)
 
     def _send(
@@ -397,7 +440,9 @@
             retry = partial(self._send, execution, connection, remaining)
             self._timeline.after(BUSY_RETRY_SECONDS, retry)
         else:
-            execution.backend.pool.release(connection, reuse=True)
+            turns = execution.backend.turns
+            turns.record_use()
+            execution.backend.pool.release(connection, reuse=turns.wait() <= 0)
             execution.on_end(Ok(answer))
 
     def _server_busy(self, server: Server) -> Refused:
@@ -416,14 +461,45 @@
 
     def _build_backend(self, server: Server) -> Backend:
         server_info, clock = server.server_info, self._timeline.clock
-        highest = int(server_info.connections * self._connection_share)
-        ceiling = ConnectionCeiling(clock, highest, -PROXY_UPTIME_SECONDS)
+        part = self._part(server_info)
+        ceiling = ConnectionCeiling(
+            clock,
+            int(server_info.connections * self._connection_share)
+            if part is None
+            else part.connections,
+            -PROXY_UPTIME_SECONDS,
+            is_part=part is not None,
+        )
+        turn_share = 1.0 if part is None else part.turn_share
+        turns = ConnectionTurns(clock, turn_share, self._rng)
         first = ceiling.value()
         pool = ConnectionPool(
-            server_info, _Connector(server), clock, self._pool_settings, first
+            server_info,
+            _Connector(server, ceiling, turns),
+            clock,
+            self._pool_settings,
+            0,
         )
+        if self._has_rated_accounts:
+            pool.set_eviction(LeastUsed(clock))
         queue = StatementQueue(clock, server_info.slots, first, QUEUE_LIMIT)
-        return Backend(server, pool, queue, ceiling)
+        backend = Backend(server, pool, queue, ceiling, turns)
+        backend.apply_ceiling()
+        return backend
+
+    def _apply_part(self, backend: Backend) -> None:
+        """Apply the part that follows from the present role of this proxy."""
+        part = self._part(backend.server.server_info)
+        if part is not None:
+            backend.ceiling.set_highest(part.connections, is_part=True)
+            backend.turns.set_share(part.turn_share)
+            backend.apply_ceiling()
+
+    def _part(self, server_info: BackendServer) -> ConnectionPart | None:
+        if not self._has_parts:
+            return None
+        available = max(1, server_info.connections - CONTROL_CONNECTIONS)
+        return self.directory.connection_part(server_info.group, available)
 
 
 def _to_refused(refusal: Refusal) -> Refused:
--- a/packages/emulator/src/dogwoodspool_emulator/servers.py
+++ b/packages/emulator/src/dogwoodspool_emulator/servers.py
@@ -66,7 +66,7 @@
         """Close the connection at once."""
         if self.is_open:
             self.is_open = False
-            self.server.connections -= 1
+            self.server.end_connection()
 
 
 @dataclass(slots=True)
@@ -145,6 +145,14 @@
         )
         return Connection(self, self._timeline.now())
 
+    def end_connection(self) -> None:
+        """Stop counting a connection once its close has been handled."""
+        if not self._settings.close_ms:
+            self.connections -= 1
+            return
+        seconds = self._settings.close_ms / MILLISECONDS
+        self._timeline.after(seconds, self._uncount_connection)
+
     def run(
         self,
         connection: Connection,
@@ -168,6 +176,9 @@
         """Record a commit of the group."""
         self._log.append(self._timeline.now())
 
+    def _uncount_connection(self) -> None:
+        self.connections -= 1
+
     def _start(self, job: _Job) -> None:
         self._running += 1
         connecting = 0.0
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -24,6 +24,7 @@
 from .const import (
     CONNECTION_RETRY_SECONDS,
     INTERNAL_STATEMENT_TIMEOUT,
+    NO_ACCOUNT,
     NO_CONNECTION_RETRY_MS,
 )
 from .errors import NotFreshError, NotServedError
@@ -239,13 +240,17 @@
             return sync_cost(admission_request.values, connection.session)
 
         while True:
+            self._wait_for_turn(backend, start_by)
             try:
-                return backend.pool.acquire(
+                connection = backend.pool.acquire(
                     start_by,
                     open_by=admission_request.deadline,
                     account=admission_request.account,
                     rank=rank,
                 )
+                # An accepted connection may have raised the ceiling.
+                backend.adjust()
+                return connection
             except PoolTimeoutError as error:
                 raise NotServedError(_no_connection(backend)) from error
             except ConnectionLimitError as error:
@@ -256,7 +261,9 @@
                 log_rate_limited(
                     "connections_exhausted",
                     server=backend.server.name,
+                    account=admission_request.account or NO_ACCOUNT,
                     ceiling=backend.pool.limit,
+                    part=backend.ceiling.highest,
                 )
                 remaining = start_by - self._clock.now()
                 has_none = backend.pool.open_count == 0
@@ -268,6 +275,15 @@
                 self.record_unreachable(backend.server, error)
                 raise
 
+    def _wait_for_turn(self, backend: Backend, start_by: float) -> None:
+        """Wait until this process may use a connection, or refuse the request."""
+        wait = backend.turns.wait()
+        if wait <= 0:
+            return
+        if self._clock.now() + wait > start_by:
+            raise NotServedError(_no_connection(backend))
+        self._clock.sleep(wait)
+
 
 def _may_write(statements: Sequence[Statement]) -> bool:
     writing = (StatementKind.WRITE, StatementKind.COMMIT)
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -58,6 +58,16 @@
 # gets two.
 FIRST_CONNECTIONS: Final = 1
 START_STEP_SECONDS: Final = 0.2
+# Connections by which the ceiling rises with each connection that the server accepts,
+# where the parts of all processes fit the server: two, so that it doubles.
+CONNECTIONS_PER_SUCCESS: Final = 2
+# Time after a change of role in which the ceiling rises only with time: neighbours
+# learn of it with a heartbeat, one a second.
+PART_SETTLING_SECONDS: Final = 1.0
+# Length of the turn of a proxy that serves its own callers while no owner answers:
+# about one short transaction.
+TURN_SECONDS: Final = 0.1
+MAX_REFUSED_TURN_FACTOR: Final = 16.0
 # Pause before another connection attempt if the server is at its connection limit and
 # this process has no connection: about the duration of two statements.
 CONNECTION_RETRY_SECONDS: Final = 0.05
@@ -128,4 +138,5 @@
 
 OWN_REQUEST: Final = "-"
 NO_PROOF: Final = "-"
+NO_ACCOUNT: Final = "-"
 PREPARED_NAME_BYTES: Final = 6
--- a/packages/pooler/src/dogwoodspool_pooler/expiry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/expiry.py
@@ -29,9 +29,10 @@
 
     def step(self) -> float:
         """Check every pool once."""
+        self._registry.refresh()
         for backend in self._registry.all():
             if self._is_forwarded(backend.server.group):
                 backend.pool.close_idle()
             else:
-                backend.pool.close_expired()
+                backend.expire_connections()
         return EXPIRY_CHECK_SECONDS
--- a/packages/pooler/src/dogwoodspool_pooler/local_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/local_connection.py
@@ -116,6 +116,8 @@
             return
         self._is_finished = True
         is_reusable = is_good and self._connection.is_open
+        self._backend.turns.record_use()
+        is_reusable = is_reusable and self._backend.turns.wait() <= 0
         self._backend.pool.release(self._connection, reuse=is_reusable)
         if not is_good:
             self._outcome = AdmissionOutcome.UNANSWERED
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -5,9 +5,17 @@
 from dataclasses import dataclass
 
 from dogwoodspool_common import BackendServer, Clock
-from dogwoodspool_connections import ConnectionPool, Connector, PoolSettings
+from dogwoodspool_connections import (
+    ConnectionPool,
+    Connector,
+    LeastUsed,
+    LongestIdle,
+    PoolSettings,
+)
 from dogwoodspool_following import ProxyView, ViewStore
 from dogwoodspool_limits import AdmissionQueue
+from dogwoodspool_sharing import ConnectionPart
+from dogwoodspool_sharing.const import CLOSE_ROOM
 
 from .ceiling import ConnectionCeiling
 from .connection import ServerConnection
@@ -23,6 +31,10 @@
     RESET_TIMEOUT,
     SURPLUS_EXPIRY_SECONDS,
 )
+from .recording import RecordingConnector
+from .turns import ConnectionTurns
+
+PartLookup = Callable[[str, int], ConnectionPart | None]
 
 POOL_SETTINGS = PoolSettings(
     connect_timeout=CONNECT_TIMEOUT,
@@ -42,14 +54,30 @@
     pool: ConnectionPool[ServerConnection]
     admission: AdmissionQueue
     ceiling: ConnectionCeiling
+    turns: ConnectionTurns
+    connector: RecordingConnector
 
     def adjust(self) -> None:
         """Apply the current ceiling to the pool and the admission queue."""
         limit = self.ceiling.value()
         if limit != self.pool.limit:
-            self.pool.set_limit(limit)
+            close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+            self.pool.set_limit(limit, close_room=close_room)
             self.admission.set_max_in_flight(limit)
 
+    def set_part(self, part: ConnectionPart) -> None:
+        """Change the connections that this process may hold."""
+        self.ceiling.set_highest(part.connections, is_part=True)
+        self.turns.set_share(part.turn_share)
+        self.adjust()
+
+    def expire_connections(self) -> None:
+        """Close connections that have been idle for too long or are out of turn."""
+        if self.turns.wait() > 0:
+            self.pool.close_idle()
+        else:
+            self.pool.close_expired()
+
 
 class BackendRegistry:
     """Keep a pool and an admission queue for each backend server.
@@ -58,8 +86,9 @@
     are dropped.
 
     Args:
-        owner_share: returns the part of each server's connections that an owner of a
-            group's pools may hold; None if the pools are not shared.
+        part_of: returns the connections to a server of a group that this process may
+            hold, given those that the server accepts from all proxies; None if the
+            group's pools are not shared.
     """
 
     def __init__(
@@ -67,10 +96,10 @@
         views: ViewStore,
         connector: Connector[ServerConnection],
         clock: Clock,
-        owner_share: Callable[[str], float | None] = lambda _group: None,
+        part_of: PartLookup = lambda _group, _available: None,
     ) -> None:
         self._views = views
-        self._owner_share = owner_share
+        self._part_of = part_of
         self._connector = connector
         self._clock = clock
         self._lock = threading.Lock()
@@ -106,28 +135,54 @@
         with self._lock:
             return list(self._backends.values())
 
+    def refresh(self) -> None:
+        """Apply the present part of this process to every pool.
+
+        A process that is an owner no longer closes its surplus connections at once.
+        """
+        for backend in self.all():
+            part = self._part(backend.server)
+            if part is not None:
+                if not backend.ceiling.is_part:
+                    backend.pool.set_eviction(LeastUsed(self._clock))
+                backend.set_part(part)
+            elif backend.ceiling.is_part:
+                backend.ceiling.set_highest(self._highest(backend.server))
+                backend.turns.set_share(1.0)
+                backend.pool.set_eviction(LongestIdle())
+                backend.adjust()
+
     def _build(self, server: BackendServer) -> Backend:
-        highest = self._highest(server)
+        part = self._part(server)
         started_at = self._serving_since
         if started_at is None:
             started_at = self._clock.now()
-        ceiling = ConnectionCeiling(self._clock, highest, started_at)
-        first = ceiling.value()
-        pool = ConnectionPool(
-            server, self._connector, self._clock, POOL_SETTINGS, first
+        ceiling = ConnectionCeiling(
+            self._clock,
+            self._highest(server) if part is None else part.connections,
+            started_at,
+            is_part=part is not None,
         )
+        turns = ConnectionTurns(self._clock, 1.0 if part is None else part.turn_share)
+        connector = RecordingConnector(self._connector, ceiling, turns)
+        first = ceiling.value()
+        pool = ConnectionPool(server, connector, self._clock, POOL_SETTINGS, 0)
+        if part is not None:
+            pool.set_eviction(LeastUsed(self._clock))
         admission = AdmissionQueue(self._clock, server.slots, first, QUEUE_LIMIT)
-        return Backend(server, pool, admission, ceiling)
+        backend = Backend(server, pool, admission, ceiling, turns, connector)
+        backend.adjust()
+        return backend
+
+    def _part(self, server: BackendServer) -> ConnectionPart | None:
+        connections = self._connections_of(server)
+        return self._part_of(server.group, max(1, connections - CONTROL_CONNECTIONS))
 
     def _highest(self, server: BackendServer) -> int:
-        connections = self._views.connections_of(server) or DEFAULT_CONNECTIONS
-        share = self._owner_share(server.group)
-        if share is None:
-            return int(connections * CONNECTION_SHARE)
-        # Where few owners share a server, each may hold an equal part of its
-        # connections; with many, their use is too uneven for equal parts.
-        equal_part = int((connections - CONTROL_CONNECTIONS) * share)
-        return max(equal_part, int(connections * CONNECTION_SHARE))
+        return int(self._connections_of(server) * CONNECTION_SHARE)
+
+    def _connections_of(self, server: BackendServer) -> int:
+        return self._views.connections_of(server) or DEFAULT_CONNECTIONS
 
     def _apply_view(self, view: ProxyView) -> None:
         with self._lock:
@@ -143,8 +198,10 @@
         for backend in dropped:
             backend.pool.unload()
         for backend in kept:
-            backend.ceiling.set_highest(self._highest(backend.server))
-            backend.adjust()
+            if not backend.ceiling.is_part:
+                backend.ceiling.set_highest(self._highest(backend.server))
+                backend.adjust()
+        self.refresh()
 
 
 def _is_same_process(one: BackendServer, other: BackendServer) -> bool:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -24,7 +24,7 @@
     WatchCoordinator,
 )
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import Neighbour
+from dogwoodspool_sharing import ConnectionPart, Neighbour
 
 from .access import ServerAccess
 from .connection import ServerConnection
@@ -82,7 +82,7 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, connector, clock, self._owner_share
+            self._views, connector, clock, self._connection_part
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
@@ -235,6 +235,8 @@
             lines.append(f"dogwoodspool_connections_open{label} {pool.open_count}")
             lines.append(f"dogwoodspool_connections_limit{label} {pool.limit}")
             lines.append(f"dogwoodspool_connections_in_use{label} {pool.in_use}")
+            refused = backend.connector.refused
+            lines.append(f"dogwoodspool_connections_refused{label} {refused}")
             waiting = backend.admission.waiting
             lines.append(f"dogwoodspool_statements_waiting{label} {waiting}")
         return self._counters.page() + "\n".join(lines) + "\n"
@@ -249,8 +251,8 @@
         placement = ReadPlacement(self._views, self._table, known, access)
         return TransactionPath(self._views, placement, primaries, access, clock)
 
-    def _owner_share(self, group: str) -> float | None:
-        return self._shared.directory.owner_share(group)
+    def _connection_part(self, group: str, available: int) -> ConnectionPart | None:
+        return self._shared.directory.connection_part(group, available)
 
     def _rate_limit(self, account: str) -> RateLimit | None:
         known = self._views.view.accounts.get(account)
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -15,11 +15,28 @@
 # have at least one statement in flight; statements without a slot wait in the server,
 # in the order of arrival.
 OWNERS_PER_SLOT: Final = 1.5
+# With at least this many failure domains, one owner in use in each of them is enough
+# for servers with few slots: more would keep more statements in flight than the server
+# runs, and leave each with fewer connections for client accounts.
+MIN_DOMAINS_OF_SINGLE_OWNERS: Final = 3
+MAX_SLOTS_OF_SINGLE_OWNERS: Final = 6
 # Minimum number of owners in use in all failure domains.
 MIN_OWNERS_IN_USE: Final = 3
 # Minimum equal share of a server's connections for each owner. With fewer, requests of
 # one owner wait for each other while connections of other owners are idle.
 CONNECTIONS_PER_OWNER: Final = 6
+# Fraction of a server's connections that is set aside for proxies that serve their own
+# callers while no owner answers, and its bounds.
+SHARE_OUTSIDE: Final = 1 / 12
+MIN_CONNECTIONS_OUTSIDE: Final = 1
+MAX_CONNECTIONS_OUTSIDE: Final = 6
+# Fraction of these that is in use on average when all such proxies have requests. They
+# take turns at random, so that at times more of them use one.
+USED_OUTSIDE: Final = 0.5
+# Connections of one process that are closed and that the server may still count.
+CLOSE_ROOM: Final = 1
+# Connections of an owner in reserve while an owner in use answers.
+CONNECTIONS_PER_RESERVE_OWNER: Final = 1
 
 # Seconds between two heartbeats of a proxy, and the maximum number of heartbeats per
 # second from one failure domain to a control process. Larger failure domains send them
@@ -40,6 +57,9 @@
 NEIGHBOUR_RETENTION_SECONDS: Final = 3.0
 # Seconds for which an owner that did not answer is skipped.
 OWNER_RETRY_SECONDS: Final = 1.0
+# Seconds for which an owner in reserve counts as in use after its last failed request
+# to the owners in use. It tries them again after the retry time.
+TAKEOVER_SECONDS: Final = 2.0
 
 WEIGHT_BYTES: Final = 8
 DIGEST_BYTES: Final = 8
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -4,8 +4,14 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from dogwoodspool_common import Clock, log_event
+from dogwoodspool_common.const import NEVER
 
-from .const import NEIGHBOUR_RETENTION_SECONDS, OWNER_RETRY_SECONDS
+from .const import (
+    MIN_OWNERS,
+    NEIGHBOUR_RETENTION_SECONDS,
+    OWNER_RETRY_SECONDS,
+    TAKEOVER_SECONDS,
+)
 from .models import Neighbour, Owners, ServerLimits
 from .ownership import (
     account_order,
@@ -14,6 +20,7 @@
     owner_count,
     owner_order,
 )
+from .parts import ConnectionPart, ConnectionParts, PoolRole, outside_part
 
 
 class ProxyDirectory:
@@ -92,6 +99,9 @@
             if merged == self._neighbours:
                 return
             self._neighbours = merged
+            self._failed_at = {
+                name: at for name, at in self._failed_at.items() if name in merged
+            }
             self._sorted = tuple(sorted(merged.values()))
             self._owners = None
         log_event("neighbours", count=len(merged), named=len(by_name))
@@ -116,9 +126,7 @@
             the owners answers at present.
         """
         with self._lock:
-            if self._owners is None:
-                self._owners = self._assign()
-            chosen = self._owners.get(group)
+            chosen = self._chosen(group)
             if chosen is None:
                 return None
             if account:
@@ -133,8 +141,12 @@
                 ordered = owner_order(self._own.name, group, chosen)
             return [owner for owner in ordered if not self._failed_lately(owner.name)]
 
-    def owner_share(self, group: str) -> float | None:
-        """Return the part of each server's connections that one owner may hold.
+    def connection_part(self, group: str, available: int) -> ConnectionPart | None:
+        """Return the connections to each server that this process may hold.
+
+        Args:
+            group: the group of the server.
+            available: connections that the server accepts from all proxies together.
 
         Returns:
             None if the pools of the group are not shared.
@@ -143,14 +155,54 @@
             limits = self._limits.get(group)
             if limits is None or not self._is_shared(limits):
                 return None
-            owners = owner_count(limits, self._failure_domains)
-            return 1 / (owners * self._failure_domains)
+            domains = self._failure_domains
+            in_use = owner_count(limits, domains)
+            in_reserve = max(0, MIN_OWNERS - in_use)
+            parts = ConnectionParts.divide(
+                available, in_use * domains, in_reserve * domains
+            )
+            role = self._role(group)
+            if role is PoolRole.OWNER:
+                return ConnectionPart(role, parts.owner)
+            if role is PoolRole.RESERVE:
+                return ConnectionPart(role, parts.reserve)
+            outside = max(1, len(self._neighbours) - in_use - in_reserve)
+            if not self._are_owners_lost(group):
+                return outside_part(parts.outside, outside * domains)
+            # The owners of this failure domain hold no connections any more.
+            lost = parts.owner * in_use + parts.reserve * in_reserve
+            return outside_part(lost + parts.outside / domains, outside)
 
     def record_owner_failure(self, name: str) -> None:
         """Record that an owner did not answer; it is skipped for the retry time."""
         with self._lock:
             self._failed_at[name] = self._clock.now()
 
+    def _chosen(self, group: str) -> Owners | None:
+        if self._owners is None:
+            self._owners = self._assign()
+        return self._owners.get(group)
+
+    def _role(self, group: str) -> PoolRole:
+        chosen = self._chosen(group)
+        if chosen is None or self._own in chosen.in_use:
+            return PoolRole.OWNER
+        if self._own not in chosen.in_reserve:
+            return PoolRole.OUTSIDE
+        # Neighbours have turned to this process by now, before control reports that
+        # the owners in use have gone.
+        is_acting = self._have_failed(chosen.in_use)
+        return PoolRole.OWNER if is_acting else PoolRole.RESERVE
+
+    def _are_owners_lost(self, group: str) -> bool:
+        chosen = self._chosen(group)
+        if chosen is None:
+            return False
+        return self._have_failed((*chosen.in_use, *chosen.in_reserve))
+
+    def _have_failed(self, owners: Iterable[Neighbour]) -> bool:
+        return all(self._failed_within(one.name, TAKEOVER_SECONDS) for one in owners)
+
     def _assign(self) -> dict[str, Owners]:
         counts = {
             group: owner_count(limits, self._failure_domains)
@@ -163,10 +215,8 @@
         return is_shared(limits, len(self._neighbours), self._failure_domains)
 
     def _failed_lately(self, name: str) -> bool:
-        failed_at = self._failed_at.get(name)
-        if failed_at is None:
-            return False
-        if self._clock.now() - failed_at < OWNER_RETRY_SECONDS:
-            return True
-        del self._failed_at[name]
-        return False
+        return self._failed_within(name, OWNER_RETRY_SECONDS)
+
+    def _failed_within(self, name: str, seconds: float) -> bool:
+        failed_at = self._failed_at.get(name, NEVER)
+        return self._clock.now() - failed_at < seconds
--- a/tests/connections/test_accounts.py
+++ b/tests/connections/test_accounts.py
@@ -1,10 +1,18 @@
 """Tests of pooled connections that belong to client accounts."""
 
+import contextlib
+import random
 import unittest
 from typing import Any, cast
 
 from dogwoodspool_common import Address, BackendServer, ManualClock
-from dogwoodspool_connections import ConnectionPool, PoolSettings, PoolTimeoutError
+from dogwoodspool_connections import (
+    ConnectionPool,
+    LeastUsed,
+    PoolSettings,
+    PoolTimeoutError,
+)
+from dogwoodspool_connections.const import CLOSE_SECONDS, MAX_USE_RATES
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -116,6 +124,99 @@
         self.assertIs(probing, first)
 
 
+class CloseRoomTests(unittest.TestCase):
+    """Guard against refusals while a server still counts closed connections.
+
+    A connection gives way to one of another account. The server counted both until the
+    close arrived, and refused the new one.
+    """
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.network = AccountNetwork(self.clock)
+        times = PoolSettings(idle_expiry=60)
+        self.pool = Pool(SERVER, self.network, self.clock, times, 0)
+        self.pool.set_limit(LIMIT, close_room=1)
+
+    def use(self, account: str) -> None:
+        connection = self.pool.acquire(self.clock.now(), account=account)
+        self.pool.release(connection, reuse=True)
+
+    def test_the_server_never_counts_more_than_the_limit(self) -> None:
+        rng = random.Random(1)
+        closed = [0.0]
+        for _ in range(2_000):
+            count = len(self.network.closed)
+            with contextlib.suppress(PoolTimeoutError):
+                self.use(rng.choice(ACCOUNTS))
+            new = len(self.network.closed) - count
+            closed += [self.clock.now()] * new
+            late = sum(at + CLOSE_SECONDS > self.clock.now() for at in closed)
+            self.assertLessEqual(len(self.network.open_accounts) + late, LIMIT + 1)
+            self.clock.advance(rng.choice((0.0, 0.004, 0.02)))
+        self.assertGreater(len(self.network.closed), 200)
+
+    def test_a_caller_waits_while_no_room_is_left(self) -> None:
+        for account in ACCOUNTS[: LIMIT + 1]:
+            self.use(account)
+        with self.assertRaises(PoolTimeoutError):
+            self.use("g")
+        self.clock.advance(CLOSE_SECONDS)
+        self.use("g")
+
+
+class LeastUsedTests(unittest.TestCase):
+    """The connection that its account is expected to need last gives way."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.network = AccountNetwork(self.clock)
+        times = PoolSettings(idle_expiry=60)
+        self.pool = Pool(SERVER, self.network, self.clock, times, LIMIT)
+        self.pool.set_eviction(LeastUsed(self.clock))
+
+    def use(self, account: str, count: int = 1) -> None:
+        held = [
+            self.pool.acquire(self.clock.now(), account=account) for _ in range(count)
+        ]
+        self.clock.advance(0.01)
+        for connection in held:
+            self.pool.release(connection, reuse=True)
+
+    def test_busy_accounts_keep_a_connection(self) -> None:
+        """Guard against connections that are opened anew for most requests."""
+        for _ in range(20):
+            for account in ("a", "b", "a", "c"):
+                self.use(account)
+        self.use("d")
+        self.network.closed.clear()
+        for account in ("e", "f", "e", "f"):
+            self.use(account)
+        self.assertNotIn("a", self.network.closed)
+
+    def test_a_large_account_keeps_no_more_than_it_uses(self) -> None:
+        """Guard against small accounts that lose theirs to an account's idle ones."""
+        self.use("a", LIMIT - 1)
+        for _ in range(20):
+            for account in ("a", "a", "a", "b", "c", "d"):
+                self.use(account)
+        self.assertCountEqual(self.network.open_accounts, ["a", "b", "c", "d"])
+
+    def test_every_account_is_served(self) -> None:
+        for _ in range(100):
+            self.use("a")
+        for account in ACCOUNTS:
+            self.use(account)
+        self.assertEqual(self.pool.open_count, LIMIT)
+
+    def test_few_rates_are_kept(self) -> None:
+        """Guard against memory that grows with the number of accounts."""
+        order = LeastUsed(self.clock)
+        for number in range(5 * MAX_USE_RATES):
+            order.record_use(f"a{number}")
+        self.assertLessEqual(order.count, MAX_USE_RATES)
+
+
 class AccountPoolMachine(RuleBasedStateMachine):
     """Accounts come and go while the limit changes."""
 
--- a/tests/pooler/test_placement.py
+++ b/tests/pooler/test_placement.py
@@ -87,3 +87,44 @@
         ceiling = ConnectionCeiling(ManualClock(10.0), 6, 0.0)
         ceiling.record_connection_refused(0)
         self.assertEqual(ceiling.value(), 1)
+
+
+class PartCeilingTests(unittest.TestCase):
+    """A part that fits the server grows as fast as the server accepts connections."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(10.0)
+        self.ceiling = ConnectionCeiling(self.clock, 12, 10.0, is_part=True)
+
+    def test_accepted_connections_raise_it_at_once(self) -> None:
+        """Guard against callers that wait for seconds after a power loss."""
+        self.assertEqual(self.ceiling.value(), 1)
+        for _ in range(6):
+            self.clock.advance(0.012)
+            self.ceiling.record_connection_opened()
+        self.assertEqual(self.ceiling.value(), 12)
+
+    def test_a_refusal_lowers_it(self) -> None:
+        self.clock.advance(10)
+        self.assertEqual(self.ceiling.value(), 12)
+        self.ceiling.record_connection_refused(3)
+        self.assertEqual(self.ceiling.value(), 3)
+        self.ceiling.record_connection_opened()
+        self.assertGreater(self.ceiling.value(), 3)
+
+    def test_a_new_role_begins_low_and_rises_only_with_time(self) -> None:
+        """Guard against two owners that hold the same connections at a change."""
+        self.ceiling.set_highest(1, is_part=True)
+        self.ceiling.set_highest(12, is_part=True)
+        self.ceiling.record_connection_opened()
+        self.assertEqual(self.ceiling.value(), 1)
+        self.clock.advance(0.5)
+        self.assertEqual(self.ceiling.value(), 3)
+        self.clock.advance(0.5)
+        self.ceiling.record_connection_opened()
+        self.assertGreater(self.ceiling.value(), 5)
+
+    def test_a_lost_role_lowers_it_at_once(self) -> None:
+        self.clock.advance(10)
+        self.ceiling.set_highest(1, is_part=True)
+        self.assertEqual(self.ceiling.value(), 1)
--- a/tests/sharing/test_directory.py
+++ b/tests/sharing/test_directory.py
@@ -3,12 +3,20 @@
 import unittest
 
 from dogwoodspool_common import ManualClock
-from dogwoodspool_sharing import Neighbour, ProxyDirectory, ServerLimits
+from dogwoodspool_sharing import (
+    ConnectionPart,
+    Neighbour,
+    PoolRole,
+    ProxyDirectory,
+    ServerLimits,
+)
 from dogwoodspool_sharing.const import (
+    CLOSE_ROOM,
+    MAX_CONNECTIONS_OUTSIDE,
     NEIGHBOUR_RETENTION_SECONDS,
     OWNER_RETRY_SECONDS,
+    TAKEOVER_SECONDS,
 )
-from dogwoodspool_sharing.ownership import owner_count
 
 from .test_ownership import neighbours
 
@@ -51,21 +59,70 @@
         shared = [group for group in GROUPS if self.directory.owners(group) is not None]
         self.assertEqual(len(shared), 3)
 
-    def test_owners_can_hold_all_connections_of_a_server(self) -> None:
-        """Guard against a server with idle connections that no owner may open."""
-        for domains in (1, 2, 3, 4, 5, 6):
-            directory = ProxyDirectory(OWN, domains, self.clock)
-            directory.adopt(neighbours(23))
-            directory.set_groups({"g1": LIMITS})
-            share = directory.owner_share("g1")
-            assert share is not None
-            owners = owner_count(LIMITS, domains) * domains
-            self.assertAlmostEqual(owners * share, 1.0)
-
-    def test_pools_that_are_not_shared_have_no_equal_parts(self) -> None:
+    def parts(self, domains: int, limits: ServerLimits) -> dict[str, ConnectionPart]:
+        """Return the part of each proxy of one of several equal failure domains."""
+        available = limits.connections - 2
+        found = {}
+        for own in neighbours(24):
+            directory = ProxyDirectory(own, domains, self.clock)
+            directory.adopt(neighbours(24))
+            directory.set_groups({"g1": limits})
+            part = directory.connection_part("g1", available)
+            assert part is not None
+            found[own.name] = part
+        return found
+
+    def test_all_parts_fit_a_server_and_use_all_its_connections(self) -> None:
+        """Guard against servers that refuse connections or have some left over.
+
+        Owners in reserve and proxies that serve their own callers were not counted.
+        """
+        for slots, connections in ((3, 35), (3, 166), (4, 56), (5, 70), (6, 53)):
+            for domains in (1, 2, 3, 4, 5, 6):
+                with self.subTest(slots=slots, domains=domains):
+                    limits = ServerLimits(slots, connections)
+                    parts = self.parts(domains, limits).values()
+                    held = sum(one.connections * one.turn_share for one in parts)
+                    owners = [one for one in parts if one.role is PoolRole.OWNER]
+                    self.assertLessEqual(held * domains, connections - 2)
+                    # Half of those that are taken in turns, the room for closes, and
+                    # what an equal division leaves over, stay free.
+                    left = connections - 2 - held * domains
+                    room = (CLOSE_ROOM + 1) * len(owners) * domains
+                    self.assertLess(left, MAX_CONNECTIONS_OUTSIDE / 2 + room)
+
+    def test_a_reserve_owner_takes_over_the_part_of_a_lost_owner(self) -> None:
+        parts = self.parts(DOMAINS, LIMITS)
+        by_role = {part.role: name for name, part in parts.items()}
+        own = Neighbour(by_role[PoolRole.RESERVE], "10.0.0.1:7440")
+        directory = ProxyDirectory(own, DOMAINS, self.clock)
+        directory.adopt(neighbours(24))
+        directory.set_groups({"g1": LIMITS})
+        self.assertEqual(directory.connection_part("g1", 33), parts[own.name])
+        directory.record_owner_failure(by_role[PoolRole.OWNER])
+        in_use = parts[by_role[PoolRole.OWNER]]
+        self.assertEqual(directory.connection_part("g1", 33), in_use)
+        self.clock.advance(TAKEOVER_SECONDS)
+        self.assertEqual(directory.connection_part("g1", 33), parts[own.name])
+
+    def test_other_proxies_take_turns_whatever_their_number(self) -> None:
+        """Guard against thousands of proxies that all connect to one server."""
+        for proxies in (24, 80, 194, 4_100):
+            directory = ProxyDirectory(OWN, DOMAINS, self.clock)
+            directory.adopt(neighbours(proxies // DOMAINS))
+            directory.set_groups(dict.fromkeys(GROUPS, LIMITS))
+            part = next(
+                part
+                for part in (directory.connection_part(one, 33) for one in GROUPS)
+                if part is not None and part.role is PoolRole.OUTSIDE
+            )
+            self.assertEqual(part.connections, 1)
+            self.assertLess(part.turn_share * proxies, MAX_CONNECTIONS_OUTSIDE)
+
+    def test_pools_that_are_not_shared_have_no_parts(self) -> None:
         self.directory.adopt(neighbours(2))
-        self.assertIsNone(self.directory.owner_share("g1"))
-        self.assertIsNone(self.directory.owner_share("g99"))
+        self.assertIsNone(self.directory.connection_part("g1", 33))
+        self.assertIsNone(self.directory.connection_part("g99", 33))
 
     def test_requests_of_an_account_go_to_one_owner(self) -> None:
         limits = ServerLimits(slots=12, connections=300)
