--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -37,6 +37,7 @@
     ) -> None:
         self._scenario = scenario
         self._variant = variant
+        self._seed = seed
         self._random = random.Random(seed)
         self._timeline = Timeline()
         self._outcomes = Outcomes()
@@ -127,6 +128,9 @@
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
             order=self._variant.order,
             forward=partial(self._forward_to_primary, name),
+            has_parts=self._variant.has_parts,
+            has_rated_accounts=self._variant.has_rated_accounts,
+            rng=random.Random(f"{self._seed} {name}"),
         )
 
     def _register_neighbours(self) -> None:
--- a/packages/pooler/src/dogwoodspool_pooler/local_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/local_connection.py
@@ -119,6 +119,8 @@
             return
         self._is_finished = True
         is_reusable = is_good and self._connection.is_open
+        self._backend.turns.record_use()
+        is_reusable = is_reusable and self._backend.turns.wait() <= 0
         self._backend.pool.release(self._connection, reuse=is_reusable)
         if not is_good:
             self._outcome = AdmissionOutcome.UNANSWERED
@@ -131,7 +133,7 @@
         """
         if self._admission is not None or self._work is None:
             return
-        if statement.kind in WORKING_KINDS and self._backend.is_shared():
+        if statement.kind in WORKING_KINDS and self._backend.is_shared:
             self._elapsed = 0.0
             self._admission = self._backend.admission.admit_continuation(self._work)
 
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -2,10 +2,16 @@
 
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from dogwoodspool_common import BackendServer, Clock
-from dogwoodspool_connections import ConnectionPool, Connector, PoolSettings
+from dogwoodspool_connections import (
+    ConnectionPool,
+    Connector,
+    LeastUsed,
+    LongestIdle,
+    PoolSettings,
+)
 from dogwoodspool_following import ProxyView, ViewStore
 from dogwoodspool_limits import (
     Admission,
@@ -16,7 +22,8 @@
     QueueOrder,
     Refusal,
 )
-from dogwoodspool_sharing import PrimaryShare
+from dogwoodspool_sharing import ConnectionPart, PoolRole, PrimaryShare
+from dogwoodspool_sharing.const import CLOSE_ROOM
 from expression import Result
 
 from .ceiling import ConnectionCeiling
@@ -35,7 +42,11 @@
     SURPLUS_EXPIRY_SECONDS,
 )
 from .read_cost import AdmissionState
+from .recording import RecordingConnector
 from .requests import AdmissionRequest
+from .turns import ConnectionTurns
+
+PartLookup = Callable[[str, int], ConnectionPart | None]
 
 POOL_SETTINGS = PoolSettings(
     connect_timeout=CONNECT_TIMEOUT,
@@ -55,16 +66,22 @@
     pool: ConnectionPool[ServerConnection]
     admission: AdmissionQueue
     ceiling: ConnectionCeiling
-    is_shared: Callable[[], bool]
+    turns: ConnectionTurns
+    connector: RecordingConnector
     own_order: QueueOrder = field(default_factory=ArrivalOrder)
     shared_order: QueueOrder = field(default_factory=PriorityOrder)
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether the pools of the server's group are shared among proxies."""
+        return self.ceiling.is_part
+
     def admit(
         self, request: AdmissionRequest, now: float
     ) -> Result[Admission, Refusal]:
         """Wait for admission, as an owner of pools where the pools are shared."""
         work = request.work
-        if work is None or not self.is_shared():
+        if work is None or not self.is_shared:
             start_by = max(request.start_by, now)
             return self.admission.admit(start_by, request.priority)
         return self.admission.admit_work(work)
@@ -75,13 +92,13 @@
         Connections that idle transactions hold are not counted in flight, so that an
         admitted request may find none.
         """
-        if request.target is None or not self.is_shared():
+        if request.target is None or not self.is_shared:
             return max(request.start_by, now)
         return request.target if now < request.target else request.deadline
 
     def adjust(self) -> None:
         """Apply the current ceiling, and the queue discipline of owners of pools."""
-        if self.is_shared():
+        if self.is_shared:
             self.admission.set_order(self.shared_order)
             self.admission.set_queue_limit(SHARED_QUEUE_LIMIT)
         else:
@@ -89,9 +106,23 @@
             self.admission.set_queue_limit(QUEUE_LIMIT)
         limit = self.ceiling.value()
         if limit != self.pool.limit:
-            self.pool.set_limit(limit)
+            close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+            self.pool.set_limit(limit, close_room=close_room)
             self.admission.set_max_in_flight(limit)
 
+    def set_part(self, part: ConnectionPart) -> None:
+        """Change the connections that this process may hold."""
+        self.ceiling.set_highest(part.connections, is_part=True)
+        self.turns.set_share(part.turn_share)
+        self.adjust()
+
+    def expire_connections(self) -> None:
+        """Close connections that have been idle for too long or are out of turn."""
+        if self.turns.wait() > 0:
+            self.pool.close_idle()
+        else:
+            self.pool.close_expired()
+
 
 class BackendRegistry:
     """Keep a pool and an admission queue for each backend server.
@@ -100,10 +131,11 @@
     are dropped.
 
     Args:
-        owner_share: returns the part of each server's connections that an owner of a
-            group's pools may hold; None if the pools are not shared.
+        part_of: returns the connections to a server of a group that this process may
+            hold, given those that the server accepts from all proxies; None if the
+            group's pools are not shared.
         primary_share: returns what this process may use of a server that few owners
-            serve for all proxies; None if the usual share applies.
+            serve for all proxies; None if the usual part applies.
     """
 
     def __init__(
@@ -111,13 +143,13 @@
         views: ViewStore,
         connector: Connector[ServerConnection],
         clock: Clock,
-        owner_share: Callable[[str], float | None] = lambda _group: None,
+        part_of: PartLookup = lambda _group, _available: None,
         primary_share: Callable[[BackendServer], PrimaryShare | None] = (
             lambda _server: None
         ),
     ) -> None:
         self._views = views
-        self._owner_share = owner_share
+        self._part_of = part_of
         self._primary_share = primary_share
         self._connector = connector
         self._clock = clock
@@ -165,40 +197,64 @@
         with self._lock:
             return list(self._backends.values())
 
+    def refresh(self) -> None:
+        """Apply the present part of this process to every pool.
+
+        A process that is an owner no longer closes its surplus connections at once.
+        """
+        for backend in self.all():
+            server = backend.server
+            backend.admission.set_min_in_flight(self._min_in_flight(server))
+            part = self._part(server)
+            if part is not None:
+                if not backend.is_shared:
+                    backend.pool.set_eviction(LeastUsed(self._clock))
+                backend.set_part(part)
+                continue
+            if backend.is_shared:
+                backend.turns.set_share(1.0)
+                backend.pool.set_eviction(LongestIdle())
+            backend.ceiling.set_highest(self._highest(server))
+            backend.adjust()
+
     def _build(self, server: BackendServer) -> Backend:
-        highest = self._highest(server)
+        part = self._part(server)
         started_at = self._serving_since
         if started_at is None:
             started_at = self._clock.now()
-        ceiling = ConnectionCeiling(self._clock, highest, started_at)
-        first = ceiling.value()
-        pool = ConnectionPool(
-            server, self._connector, self._clock, POOL_SETTINGS, first
+        ceiling = ConnectionCeiling(
+            self._clock,
+            self._highest(server) if part is None else part.connections,
+            started_at,
+            is_part=part is not None,
         )
+        turns = ConnectionTurns(self._clock, 1.0 if part is None else part.turn_share)
+        connector = RecordingConnector(self._connector, ceiling, turns)
+        first = ceiling.value()
+        pool = ConnectionPool(server, connector, self._clock, POOL_SETTINGS, 0)
+        if part is not None:
+            pool.set_eviction(LeastUsed(self._clock))
         admission = AdmissionQueue(
             self._clock, server.slots, first, QUEUE_LIMIT, name=server.name
         )
         admission.set_min_in_flight(self._min_in_flight(server))
-        return Backend(
-            server,
-            pool,
-            admission,
-            ceiling,
-            lambda: self._owner_share(server.group) is not None,
-        )
+        backend = Backend(server, pool, admission, ceiling, turns, connector)
+        backend.adjust()
+        return backend
 
-    def _highest(self, server: BackendServer) -> int:
+    def _part(self, server: BackendServer) -> ConnectionPart | None:
+        available = max(1, self._connections_of(server) - CONTROL_CONNECTIONS)
+        part = self._part_of(server.group, available)
         primary = self._primary_share(server)
-        if primary is not None:
-            return primary.connections
-        connections = self._views.connections_of(server) or DEFAULT_CONNECTIONS
-        share = self._owner_share(server.group)
-        if share is None:
-            return int(connections * CONNECTION_SHARE)
-        # Where few owners share a server, each may hold an equal part of its
-        # connections; with many, their use is too uneven for equal parts.
-        equal_part = int((connections - CONTROL_CONNECTIONS) * share)
-        return max(equal_part, int(connections * CONNECTION_SHARE))
+        if part is None or primary is None or part.role is not PoolRole.OWNER:
+            return part
+        return replace(part, connections=primary.connections)
+
+    def _highest(self, server: BackendServer) -> int:
+        return int(self._connections_of(server) * CONNECTION_SHARE)
+
+    def _connections_of(self, server: BackendServer) -> int:
+        return self._views.connections_of(server) or DEFAULT_CONNECTIONS
 
     def _min_in_flight(self, server: BackendServer) -> int:
         primary = self._primary_share(server)
@@ -216,14 +272,7 @@
             ]
         for backend in dropped:
             backend.pool.unload()
-        self.adjust()
-
-    def adjust(self) -> None:
-        """Apply the current shares to all pools."""
-        for backend in self.all():
-            backend.ceiling.set_highest(self._highest(backend.server))
-            backend.admission.set_min_in_flight(self._min_in_flight(backend.server))
-            backend.adjust()
+        self.refresh()
 
 
 def _is_same_process(one: BackendServer, other: BackendServer) -> bool:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -25,7 +25,7 @@
     WatchCoordinator,
 )
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import Neighbour, PrimaryShare
+from dogwoodspool_sharing import ConnectionPart, Neighbour, PrimaryShare
 
 from .access import ServerAccess
 from .connection import ServerConnection
@@ -88,7 +88,7 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, connector, clock, self._owner_share, self._primary_share
+            self._views, connector, clock, self._connection_part, self._primary_share
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
@@ -130,7 +130,7 @@
             access,
             statements,
             freshness,
-            self._registry.adjust,
+            self._registry.refresh,
             client,
             clock,
         )
@@ -257,6 +257,8 @@
             lines.append(f"dogwoodspool_connections_open{label} {pool.open_count}")
             lines.append(f"dogwoodspool_connections_limit{label} {pool.limit}")
             lines.append(f"dogwoodspool_connections_in_use{label} {pool.in_use}")
+            refused = backend.connector.refused
+            lines.append(f"dogwoodspool_connections_refused{label} {refused}")
             admission = backend.admission
             waiting, demoted = admission.waiting, admission.demoted
             lines.append(f"dogwoodspool_statements_waiting{label} {waiting}")
@@ -281,6 +283,9 @@
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
 
+    def _connection_part(self, group: str, available: int) -> ConnectionPart | None:
+        return self._shared.directory.connection_part(group, available)
+
     def _primary_share(self, server: BackendServer) -> PrimaryShare | None:
         return self._shared.primary_share(server)
 
--- a/packages/sharing/src/dogwoodspool_sharing/__init__.py
+++ b/packages/sharing/src/dogwoodspool_sharing/__init__.py
@@ -11,6 +11,7 @@
     ServerLimits,
 )
 from .owners_api import OwnersApi
+from .parts import ConnectionPart, ConnectionParts, PoolRole
 from .presence import PresenceCoordinator
 from .presence_api import PresenceApi
 from .remote_coordinator import RemoteOwnersCoordinator
@@ -18,11 +19,14 @@
 from .roster import ProxyRoster
 
 __all__ = [
+    "ConnectionPart",
+    "ConnectionParts",
     "ContactsApi",
     "MessageClient",
     "Neighbour",
     "Owners",
     "OwnersApi",
+    "PoolRole",
     "PresenceApi",
     "PresenceCoordinator",
     "PrimaryLocation",
