Pooler: pass over an owner that cannot read a message

A proxy whose message has fields that an owner of an earlier build does not know got a bad request, took the owner for silent and told its caller that a write was in doubt. Nothing ran, so the next owner is asked.

--- a/packages/common/src/dogwoodspool_common/json_lines.py
+++ b/packages/common/src/dogwoodspool_common/json_lines.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from .const import (
+    CODE_BAD_REQUEST,
     FIRST_ERROR_STATUS,
     HTTP_CONNECT_TIMEOUT,
     LINE_BACKLOG,
@@ -112,7 +113,9 @@
 
     def _respond(self, message: Any) -> JsonResponse:
         if not isinstance(message, dict):
-            return error_response(400, "bad_request", "message must be a JSON object")
+            return error_response(
+                400, CODE_BAD_REQUEST, "message must be a JSON object"
+            )
         path = str(message.get("path", ""))
         route = self._routes.get(path)
         if route is None:
--- a/packages/common/src/dogwoodspool_common/routes.py
+++ b/packages/common/src/dogwoodspool_common/routes.py
@@ -6,6 +6,7 @@
 
 from pydantic import ValidationError
 
+from .const import CODE_BAD_REQUEST
 from .errors import DogwoodspoolError
 from .log import log_event
 from .problems import first_problem
@@ -68,7 +69,7 @@
         with span(f"http {route.path}", traceparent=traceparent):
             return route.handler(request)
     except ValidationError as error:
-        return error_response(400, "bad_request", first_problem(error))
+        return error_response(400, CODE_BAD_REQUEST, first_problem(error))
     except DogwoodspoolError as error:
         return error_response(503, type(error).__name__, str(error))
     except Exception as error:  # noqa: BLE001
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
@@ -8,6 +8,7 @@
     PeerNotConnectedError,
     PeerRefusedError,
     PeerUnreachableError,
+    const,
     log_rate_limited,
     span,
 )
@@ -118,6 +119,9 @@
                 return OwnerUnavailableError(text)
             case OwnerRefusal.FULL:
                 return OwnerFullError(text)
+            case const.CODE_BAD_REQUEST:
+                # An owner of an earlier build does not know all fields.
+                return OwnerUnavailableError(text)
             case OwnerRefusal.UNKNOWN_LEASE:
                 return UnknownLeaseError(text)
             case _:
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -14,6 +14,7 @@
     PeerUnreachableError,
     Route,
 )
+from dogwoodspool_common.const import CODE_BAD_REQUEST
 from dogwoodspool_pooler.shared.access import SharingAccess
 from dogwoodspool_pooler.shared.leases import LeaseTracker
 from dogwoodspool_pooler.shared.owner_client import OwnerClient
@@ -37,6 +38,7 @@
     Attributes:
         is_down: whether connections to its address are refused.
         loses_answers: whether it serves requests but its answers get lost.
+        rejects_messages: whether it cannot read any message.
         requested_paths: paths of the requests that it got.
     """
 
@@ -47,6 +49,7 @@
     transactions: TransactionApi
     is_down: bool = False
     loses_answers: bool = False
+    rejects_messages: bool = False
     requested_paths: list[str] = field(default_factory=list)
 
     def leave(self) -> None:
@@ -87,6 +90,8 @@
         owner = self.owners.get(address.host)
         if owner is None or owner.is_down:
             raise PeerNotConnectedError(f"{address}: refused")
+        if owner.rejects_messages:
+            raise PeerRefusedError(400, CODE_BAD_REQUEST, "extra fields")
         owner.requested_paths.append(path)
         self.bodies.append(body)
         self.timeouts.append(timeout)
--- a/tests/pooler/shared/test_remote.py
+++ b/tests/pooler/shared/test_remote.py
@@ -198,6 +198,18 @@
             self.assertIsNone(run_text(session, text).error, text)
         self.assertEqual(len(proxy.network.servers["s1"].runs), 2)
 
+    def test_an_owner_of_an_earlier_build_is_passed_over(self) -> None:
+        """Guard against writes in doubt while a deployment is upgraded.
+
+        An earlier build rejects messages with fields that it does not know.
+        """
+        proxy = SharingProxy(group())
+        proxy.owner("o1").rejects_messages = True
+        session = proxy.session()
+        for text in ("WRITE k v", "BEGIN", "WRITE k v", "COMMIT"):
+            self.assertIsNone(run_text(session, text).error, text)
+        self.assertEqual(len(proxy.owner("o2").requested_paths), 4)
+
     def test_an_owner_that_leaves_refuses_new_requests(self) -> None:
         proxy = SharingProxy(group())
         session = proxy.session()
