Pooler: give each owner that begins a transaction only the time that is left

Each owner got the time that was left before the first one was asked. With three owners near a primary in addition to those of the own failure domain, a begin could take longer than the request's deadline.

--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -33,6 +33,8 @@
 
 # Runs a statement on a local connection once no owner could be reached.
 LocalRun = Callable[[HeldConnection], Reply]
+# Builds a message with the time that is left when it is sent.
+MessageBuilder = Callable[[], TransactionRequest]
 
 
 class RemoteHeldConnection:
@@ -86,11 +88,10 @@
         deadline: float,
     ) -> Reply:
         """Run one statement with a session's values and prepared statement."""
-        message = self._message(statement, deadline).model_copy(
-            update={"values": dict(values), "prepared": prepared_message(prepared)}
-        )
+        content = {"values": dict(values), "prepared": prepared_message(prepared)}
         return self._perform(
-            message, lambda local: local.run(values, statement, prepared, deadline)
+            lambda: self._message(statement, deadline).model_copy(update=content),
+            lambda local: local.run(values, statement, prepared, deadline),
         )
 
     def run_internal(
@@ -101,15 +102,14 @@
         bound: ReadBound | None = None,
     ) -> Reply:
         """Run a statement that the pooler itself issues, such as a begin."""
-        message = self._message(statement, deadline).model_copy(
-            update={
-                "is_order": True,
-                "values": dict(self._request.values),
-                "bound": None if bound is None else BoundMessage.of(bound),
-            }
-        )
+        content = {
+            "is_order": True,
+            "values": dict(self._request.values),
+            "bound": None if bound is None else BoundMessage.of(bound),
+        }
         return self._perform(
-            message, lambda local: local.run_internal(statement, deadline, bound=bound)
+            lambda: self._message(statement, deadline).model_copy(update=content),
+            lambda local: local.run_internal(statement, deadline, bound=bound),
         )
 
     def finish(self, *, is_good: bool) -> None:
@@ -135,19 +135,19 @@
             caller=CallerMessage.of(self._request.caller),
         )
 
-    def _perform(self, message: TransactionRequest, run_locally: LocalRun) -> Reply:
+    def _perform(self, build: MessageBuilder, run_locally: LocalRun) -> Reply:
         if self._local is not None:
             return run_locally(self._local)
         if self._owner is not None and self._lease is not None:
-            return self._continue(self._owner, message)
+            return self._continue(self._owner, build())
         for owner in self._primary_owners:
             try:
-                return self._ask(owner, message, message.wait + message.answer)
+                return self._begin(owner, build())
             except (OwnerUnavailableError, ServerNotReachedError):
                 continue
         for owner in self._owners:
             try:
-                return self._ask(owner, message, message.wait + message.answer)
+                return self._begin(owner, build())
             except OwnerUnavailableError:
                 continue
         self._local = self._access.open_local(
@@ -155,6 +155,9 @@
         )
         return run_locally(self._local)
 
+    def _begin(self, owner: Neighbour, message: TransactionRequest) -> Reply:
+        return self._ask(owner, message, message.wait + message.answer)
+
     def _continue(self, owner: Neighbour, message: TransactionRequest) -> Reply:
         try:
             return self._ask(owner, message, message.answer)
--- a/tests/pooler/shared/test_primary_owners.py
+++ b/tests/pooler/shared/test_primary_owners.py
@@ -10,6 +10,7 @@
     Address,
     Consistency,
     Endpoint,
+    ManualClock,
     PeerNotConnectedError,
     Position,
     Role,
@@ -34,6 +35,7 @@
 from .neighbours import IDLE_LIMIT, FakeNeighbours, FixedDirectory, Owner
 
 PRIMARY_DOMAIN = "fd9"
+SLOW_SECONDS = 0.28
 REMOTE = Owners(
     (Neighbour("r1", "r1:1"), Neighbour("r2", "r2:1")), (Neighbour("r3", "r3:1"),)
 )
@@ -46,11 +48,15 @@
         super().__init__()
         self.cut_off: set[str] = set()
         self.asked: list[str] = []
+        # Clock on which a request takes up to ``SLOW_SECONDS``; None for no time.
+        self.slow_clock: ManualClock | None = None
 
     def post(
         self, address: Address, path: str, body: dict[str, Any], timeout: float = 1.0
     ) -> dict[str, Any]:
         self.asked.append(address.host)
+        if self.slow_clock is not None:
+            self.slow_clock.advance(min(SLOW_SECONDS, timeout))
         if address.host in self.cut_off:
             error = PeerNotConnectedError(f"{address}: timed out")
             raise error from TimeoutError("timed out")
@@ -337,6 +343,21 @@
             self.assertIsNone(run_text(session, text).error, text)
         self.assertEqual(set(self.network.asked[3:]), {"o1"})
 
+    def test_owners_that_fail_slowly_do_not_exceed_the_deadline(self) -> None:
+        """Guard against a caller that waits for each owner's time limit in turn."""
+        for text in ("BEGIN", "WRITE k v"):
+            with self.subTest(text):
+                self.prepare()
+                self.network.slow_clock = self.proxy.clock
+                for owner in (*self.near.values(), self.domain_owner):
+                    owner.is_down = True
+                began_at = self.proxy.clock.now()
+                session = self.proxy.session()
+                run_text(session, text)
+                if text == "BEGIN":
+                    run_text(session, "WRITE k v")
+                self.assertLessEqual(self.proxy.clock.now() - began_at, 1.0)
+
     def test_a_commit_without_an_answer_is_in_doubt(self) -> None:
         """Guard against a commit that is sent to a second owner."""
         session = self.proxy.session()
