--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, order=True, slots=True)
 class Neighbour:
-    """A proxy of the same failure domain.
+    """A proxy that another one sends requests to, mostly of its own failure domain.
 
     Attributes:
         name: unique within the system.
