Pooler: owners keep read-only transactions off a loaded primary

The proxy that a caller is connected to chooses the server of a read-only transaction and sees hardly any of the primary's load, so transactions that entered in the primary's failure domain filled it. The owner now refuses to begin one there while its own rule places reads on a replica; the proxy then tries the next server, as for any refusal, and in the end the primary.

The value of the primary's room follows the ratio of used to free room, up to 0.1 s. The emulator replays placements, own writes, read-only transactions, oscillating demand and varying lag.

--- a/packages/emulator/src/dogwoodspool_emulator/const.py
+++ b/packages/emulator/src/dogwoodspool_emulator/const.py
@@ -13,5 +13,7 @@
 # in a slot but without work if its data is behind the required position. It is also the
 # minimum time that a statement takes in a slot.
 REFUSAL_SECONDS: Final = 0.0005
+# Time after which a replica draws another lag.
+LAG_STEP_SECONDS: Final = 0.1
 # Width and height of plots, in inches.
 PLOT_SIZE: Final = (9.0, 6.0)
--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -17,6 +17,7 @@
 from .models import Disturbance, DisturbanceKind, Requests, Scenario, Variant
 from .outcomes import Outcomes
 from .proxies import Attempt, Proxy, Refused
+from .read_rules import ReadRules
 from .servers import GroupLog, Server
 from .timeline import Timeline
 
@@ -36,6 +37,7 @@
     ) -> None:
         self._scenario = scenario
         self._variant = variant
+        self._seed = seed
         self._random = random.Random(seed)
         self._timeline = Timeline()
         self._outcomes = Outcomes()
@@ -99,6 +101,7 @@
                     self._timeline,
                     self._outcomes.servers,
                     is_primary=number == 0,
+                    random_source=random.Random(f"{self._seed} {server_info.name}"),
                 )
             )
         return servers
@@ -120,6 +123,12 @@
             distance=self._scenario.distance_ms / MILLISECONDS,
             pool_settings=settings,
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
+            rules=ReadRules(
+                self._variant.placement,
+                self._variant.primary_penalty_ms,
+                random.Random(f"{self._seed} {name}"),
+            ),
+            stats=self._outcomes.servers,
         )
 
     def _register_neighbours(self) -> None:
@@ -142,8 +151,10 @@
         kinds = self._scenario.requests
         (kind,) = self._random.choices(kinds, [one.share for one in kinds])
         statements = 1
+        is_read_only = False
         if self._random.random() < kind.transactions:
             statements = kind.statements
+            is_read_only = self._random.random() < kind.read_only
         attempt = Attempt(
             kind=kind,
             group=self._random.choice(self._groups),
@@ -152,6 +163,8 @@
             statements=statements,
             arrived_at=self._timeline.now(),
             account=self._choose_account(),
+            is_read_only=is_read_only,
+            own_write_at=self._choose_own_write(kind),
         )
         self._send_attempt(attempt, self._timeline.now(), 0)
         self._timeline.after(self._random.expovariate(self._rate), self._next_request)
@@ -162,15 +175,34 @@
         (account,) = self._random.choices(self._accounts, self._account_weights)
         return account
 
+    def _choose_own_write(self, kind: Requests) -> float | None:
+        if self._random.random() >= kind.own_writes:
+            return None
+        think = self._random.expovariate(MILLISECONDS / kind.think_ms)
+        return self._timeline.now() - think
+
+    def _choose_entry(self) -> Proxy:
+        """Choose the proxy that a caller is connected to."""
+        if not self._scenario.swing:
+            return self._random.choice(self._proxies)
+        domains = self._scenario.failure_domains
+        angle = 2 * math.pi * self._timeline.now() / self._scenario.swing_seconds
+        weights = [
+            1 + self._scenario.swing * math.sin(angle + 2 * math.pi * number / domains)
+            for number in range(domains)
+        ]
+        (domain,) = self._random.choices(range(domains), weights)
+        return self._random.choice(self._proxies[domain::domains])
+
     def _sample_work(self, kind: Requests) -> float:
         mean = math.log(kind.work_ms / MILLISECONDS) - kind.spread**2 / 2
         return self._random.lognormvariate(mean, kind.spread)
 
     def _send_attempt(self, attempt: Attempt, began_at: float, number: int) -> None:
         """Send one attempt to a proxy, which may forward it to an owner."""
-        entry = self._random.choice(self._proxies)
+        entry = self._choose_entry()
         while entry.neighbour.name in self._lost_proxies:
-            entry = self._random.choice(self._proxies)
+            entry = self._choose_entry()
         current = replace(attempt, arrived_at=self._timeline.now())
         on_end = partial(self._handle_result, current, began_at, number)
         account = attempt.account if self._variant.owners_by_account else ""
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -20,7 +20,9 @@
         queue: number of statements that may wait in a server; others are refused.
         connections: number of connections that a server accepts.
         connect_ms: slot time that a new connection takes.
-        lag_ms: replication lag of the replicas.
+        lag_ms: mean replication lag of the replicas.
+        lag_spread: standard deviation of the logarithm of the lag, which each replica
+            draws anew every tenth of a second.
     """
 
     replicas: int = Field(default=2, ge=0)
@@ -29,6 +31,7 @@
     connections: int = Field(default=35, ge=1)
     connect_ms: float = Field(default=12.0, ge=0)
     lag_ms: float = Field(default=20.0, ge=0)
+    lag_spread: float = Field(default=0.0, ge=0)
 
 
 class Requests(Section):
@@ -46,7 +49,10 @@
         writes: fraction of the requests that write.
         max_age_ms: data age that reads accept; None to read at the primary only.
         transactions: fraction of the requests that are transactions, which run on
-            the primary.
+            the primary unless they are read-only.
+        read_only: fraction of the transactions that are read-only.
+        own_writes: fraction of the reads that must reflect a write of their session.
+        think_ms: mean time between that write and the read.
         statements: number of statements of a transaction; ``work_ms`` is the time
             of all of them together.
     """
@@ -64,6 +70,9 @@
     max_age_ms: int | None = None
     transactions: float = Field(default=0.0, ge=0, le=1)
     statements: int = Field(default=4, ge=1)
+    read_only: float = Field(default=0.0, ge=0, le=1)
+    own_writes: float = Field(default=0.0, ge=0, le=1)
+    think_ms: float = Field(default=50.0, gt=0)
 
 
 class DisturbanceKind(StrEnum):
@@ -99,6 +108,20 @@
     share: float = Field(default=0.5, gt=0, le=1)
 
 
+class Placement(StrEnum):
+    """Rules by which servers for reads are chosen.
+
+    Attributes:
+        STANDING: by constant penalties.
+        LOAD: by the load of the primary, where pools are shared.
+        LOAD_AND_WAITS: the same, and reads wait for replicas.
+    """
+
+    STANDING = "standing"
+    LOAD = "load"
+    LOAD_AND_WAITS = "load_and_waits"
+
+
 class Variant(Section):
     """One of the policies that are compared.
 
@@ -112,6 +135,9 @@
         owners_by_account: whether the owner of a pool is chosen by client account
             rather than by the proxy that forwards.
         has_common_owners: whether all failure domains use the same owners.
+        placement: how servers for reads are chosen.
+        primary_penalty_ms: penalty of the primary under the standing placement; None
+            for the default.
     """
 
     name: str
@@ -121,6 +147,8 @@
     connection_share: float | None = Field(default=None, gt=0, le=1)
     owners_by_account: bool = True
     has_common_owners: bool = False
+    placement: Placement = Placement.LOAD_AND_WAITS
+    primary_penalty_ms: float | None = Field(default=None, ge=0)
 
 
 class Scenario(Section):
@@ -135,6 +163,9 @@
         distance_ms: one-way latency between two failure domains.
         accounts: number of client accounts, which share no connections; 0 for none.
         account_skew: exponent of the Zipf distribution of requests over accounts.
+        swing: part of the mean by which the demand of each failure domain oscillates;
+            the phases of the failure domains are spread evenly.
+        swing_seconds: period of the oscillation.
     """
 
     seconds: float = Field(default=20.0, gt=0)
@@ -147,6 +178,8 @@
     distance_ms: float = Field(default=1.0, ge=0)
     accounts: int = Field(default=0, ge=0)
     account_skew: float = Field(default=1.0, ge=0)
+    swing: float = Field(default=0.0, ge=0, lt=1)
+    swing_seconds: float = Field(default=15.0, gt=0)
     servers: Servers = Servers()
     requests: list[Requests] = Field(min_length=1)
     troubles: list[Disturbance] = []
--- a/packages/emulator/src/dogwoodspool_emulator/outcomes.py
+++ b/packages/emulator/src/dogwoodspool_emulator/outcomes.py
@@ -19,6 +19,11 @@
         connecting: slot seconds that new connections took.
         working: slot seconds that statements took.
         most_connections: most connections that a server had at a time.
+        waits: waits of reads for replicas.
+        failed_waits: waits after which the replica still lacked the position.
+        crossings: statements sent to a server of another failure domain.
+        by_server: statements that each server ran.
+        primaries: names of the primaries.
     """
 
     connects: int = 0
@@ -29,6 +34,22 @@
     connecting: float = 0.0
     working: float = 0.0
     most_connections: int = 0
+    waits: int = 0
+    failed_waits: int = 0
+    crossings: int = 0
+    by_server: Counter[str] = field(default_factory=Counter)
+    primaries: set[str] = field(default_factory=set)
+
+    @property
+    def primary_share(self) -> float:
+        """Fraction of all statements that ran on primaries."""
+        on_primaries = sum(self.by_server[name] for name in self.primaries)
+        return on_primaries / max(1, self.by_server.total())
+
+    @property
+    def crossing_share(self) -> float:
+        """Fraction of all statements that ran in another failure domain."""
+        return self.crossings / max(1, self.by_server.total())
 
     @property
     def work_share(self) -> float:
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -1,7 +1,7 @@
 """Emulated proxies that run the production classes without threads or sockets."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
@@ -15,6 +15,7 @@
 )
 from dogwoodspool_limits import (
     AdmissionOutcome,
+    Priority,
     Refusal,
     StatementQueue,
     Ticket,
@@ -23,6 +24,7 @@
 from dogwoodspool_pooler.ceiling import ConnectionCeiling
 from dogwoodspool_pooler.const import (
     BUSY_RETRY_SECONDS,
+    CATCH_UP_SHARE,
     CONNECTION_RETRY_SECONDS,
     CONNECTION_SHARE,
     MAX_READ_ATTEMPTS,
@@ -33,13 +35,18 @@
 from dogwoodspool_pooler.freshness import FreshnessTracker
 from dogwoodspool_pooler.lag import LagTracker
 from dogwoodspool_pooler.placement import rank_for_read
+from dogwoodspool_pooler.read_choice import ReadChoice, ReadChooser, ReadConditions
+from dogwoodspool_pooler.read_cost import AdmissionState, LoadCost
 from dogwoodspool_pooler.registry import POOL_SETTINGS
+from dogwoodspool_pooler.replica_lag import ReplicaLag
 from dogwoodspool_routing import ServerTable
 from dogwoodspool_sharing import Neighbour, ProxyDirectory
 from expression import Error, Ok, Result
 
 from .const import PROXY_UPTIME_SECONDS
-from .models import Requests
+from .models import Placement, Requests
+from .outcomes import ServerStats
+from .read_rules import ReadRules
 from .servers import Answer, Connection, Server
 from .timeline import Timeline
 
@@ -76,6 +83,9 @@
         work: slot seconds that each statement takes.
         statements: number of statements; more than one for a transaction.
         account: client account that it belongs to; empty for none.
+        is_read_only: whether it is a read-only transaction.
+        own_write_at: time of a write that it must reflect; None for none.
+        waited: seconds that it waited for a replica.
     """
 
     kind: Requests
@@ -85,6 +95,9 @@
     arrived_at: float
     statements: int = 1
     account: str = ""
+    is_read_only: bool = False
+    own_write_at: float | None = None
+    waited: float = 0.0
 
     @property
     def is_transaction(self) -> bool:
@@ -107,7 +120,13 @@
     def start_by(self) -> float:
         """Time until which it may wait for admission."""
         target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
-        return self.arrived_at + target * WAIT_SHARE
+        return self.arrived_at + self.waited + target * WAIT_SHARE
+
+    @property
+    def max_wait(self) -> float:
+        """Seconds from its arrival for which it may wait for a replica."""
+        target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
+        return target * CATCH_UP_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,7 +193,11 @@
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
         connection_share: float = CONNECTION_SHARE,
+        rules: ReadRules | None = None,
+        stats: ServerStats | None = None,
     ) -> None:
+        self._rules = rules or ReadRules()
+        self._stats = stats or ServerStats()
         self.neighbour = neighbour
         self.failure_domain = failure_domain
         self.directory = ProxyDirectory(neighbour, failure_domains, timeline.clock)
@@ -190,6 +213,14 @@
         self._table.adopt_committed(one.server_info for one in servers)
         self._freshness = FreshnessTracker(timeline.clock)
         self._lag_tracker = LagTracker(timeline.clock)
+        self._replica_lag = ReplicaLag(timeline.clock)
+        self._chooser = ReadChooser(
+            LoadCost(self.directory.owner_share, self._admission_state),
+            self._lag_tracker,
+            self._replica_lag,
+            timeline.clock,
+            self._rules.random_source,
+        )
         self._backends: dict[str, Backend] = {}
 
     def serve(self, attempt: Attempt, on_end: EndCallback) -> None:
@@ -198,7 +229,9 @@
         if min_position is None:
             self._serve_on_primary(attempt, on_end)
         else:
-            behind = self._lag_tracker.lagging(min_position)
+            behind: set[str] = set()
+            if not self._is_by_load(attempt.group):
+                behind = self._lag_tracker.lagging(min_position)
             self._serve_read(attempt, min_position, behind, on_end)
 
     def close_expired(self) -> None:
@@ -208,9 +241,49 @@
 
     def _min_position(self, attempt: Attempt) -> Position | None:
         age_ms = attempt.kind.max_age_ms
-        if attempt.writes or attempt.is_transaction or age_ms is None:
+        needs_primary = attempt.is_transaction and not attempt.is_read_only
+        if attempt.writes or needs_primary or age_ms is None:
+            return None
+        recent = self._freshness.min_position(attempt.group, age_ms / MILLISECONDS)
+        if recent is None or attempt.own_write_at is None:
+            return recent
+        own = self._primaries[attempt.group].position_at(attempt.own_write_at)
+        return max(recent, own)
+
+    def _is_by_load(self, group: str) -> bool:
+        is_standing = self._rules.placement is Placement.STANDING
+        return not is_standing and self.directory.owner_share(group) is not None
+
+    def _admission_state(self, server: str) -> AdmissionState | None:
+        backend = self._backends.get(server)
+        if backend is None:
             return None
-        return self._freshness.min_position(attempt.group, age_ms / MILLISECONDS)
+        queue = backend.queue
+        wait = queue.estimated_wait(Priority.READ)
+        return AdmissionState(queue.limit, queue.waiting, wait)
+
+    def _choose(
+        self, attempt: Attempt, min_position: Position, excluded: set[str]
+    ) -> ReadChoice | None:
+        """Choose a server for a read by the rule of this proxy."""
+        servers = self._table.servers(attempt.group)
+        primary = self._primaries[attempt.group].server_info.name
+        if not self._is_by_load(attempt.group):
+            ranked = rank_for_read(
+                servers,
+                primary=primary,
+                failure_domain=self.failure_domain,
+                excluded=excluded,
+                cost=self._rules.standing_cost,
+            )
+            return ReadChoice(ranked[0].server) if ranked else None
+        remaining = attempt.arrived_at + attempt.max_wait - self._timeline.now()
+        if attempt.waited or self._rules.placement is Placement.LOAD:
+            remaining = 0.0
+        conditions = ReadConditions(
+            primary, self.failure_domain, excluded, min_position, max(0.0, remaining)
+        )
+        return self._chooser.choose(servers, conditions)
 
     def _serve_on_primary(self, attempt: Attempt, on_end: EndCallback) -> None:
         primary = self._primaries[attempt.group]
@@ -222,7 +295,9 @@
             elif result.ok is Answer.OK:
                 if attempt.writes:
                     primary.commit()
-                self._freshness.record(attempt.group, primary.position, asked_at)
+                position = primary.position
+                self._freshness.record(attempt.group, position, asked_at)
+                self._replica_lag.record_primary(attempt.group, position, asked_at)
                 on_end(Ok(None))
             else:
                 on_end(Error(self._server_busy(primary)))
@@ -237,26 +312,43 @@
         on_end: EndCallback,
         number: int = 0,
     ) -> None:
-        ranked = rank_for_read(
-            self._table.servers(attempt.group),
-            primary=self._primaries[attempt.group].server_info.name,
-            failure_domain=self.failure_domain,
-            excluded=excluded,
-        )
-        if not ranked or number >= MAX_READ_ATTEMPTS:
+        choice = self._choose(attempt, min_position, excluded)
+        if choice is None or number >= MAX_READ_ATTEMPTS:
             self._serve_on_primary(attempt, on_end)
-            return
-        server = self._servers[ranked[0].name]
+        elif choice.wait:
+            self._stats.waits += 1
+            after = replace(attempt, waited=choice.wait)
+            run = partial(
+                self._run_read, after, min_position, choice, excluded, on_end, number
+            )
+            self._timeline.after(choice.wait, run)
+        else:
+            self._run_read(attempt, min_position, choice, excluded, on_end, number)
+
+    def _run_read(
+        self,
+        attempt: Attempt,
+        min_position: Position,
+        choice: ReadChoice,
+        excluded: set[str],
+        on_end: EndCallback,
+        number: int,
+    ) -> None:
+        name = choice.server.name
 
         def on_result(result: Result[Answer, Refused]) -> None:
+            if choice.wait and result.is_ok():
+                was_enough = result.ok is not Answer.BEHIND
+                self._stats.failed_waits += not was_enough
+                self._chooser.record_wait(name, min_position, was_enough=was_enough)
             if result.is_ok() and result.ok is Answer.OK:
                 on_end(Ok(None))
                 return
-            excluded.add(server.server_info.name)
+            excluded.add(name)
             self._serve_read(attempt, min_position, excluded, on_end, number + 1)
 
         self._run_attempt(
-            server, attempt, min_position, on_result, has_alternatives=True
+            self._servers[name], attempt, min_position, on_result, has_alternatives=True
         )
 
     def _run_attempt(
@@ -360,6 +452,7 @@
 
         is_same_domain = server.server_info.failure_domain == self.failure_domain
         latency = 0.0 if is_same_domain else self._distance
+        self._stats.crossings += not is_same_domain
 
         def return_answer(answer: Answer) -> None:
             self._timeline.after(latency, partial(on_answer, answer))
@@ -381,6 +474,9 @@
             self._lag_tracker.record_lagging(name, execution.min_position)
         elif execution.min_position is not None:
             self._lag_tracker.record_caught_up(name)
+        if execution.min_position is not None:
+            server = execution.backend.server
+            self._replica_lag.record_replica(server.server_info, server.position)
 
     def _continue(
         self,
--- a/packages/emulator/src/dogwoodspool_emulator/report.py
+++ b/packages/emulator/src/dogwoodspool_emulator/report.py
@@ -22,6 +22,10 @@
     "work share",
     "refused by servers",
     "most connections",
+    "at primaries",
+    "crossing",
+    "waits/100",
+    "failed waits/100",
 )
 
 
@@ -53,6 +57,15 @@
                 for one in outcomes
             ),
             "most_connections": max(one.servers.most_connections for one in outcomes),
+            "primary_share": mean(one.servers.primary_share for one in outcomes),
+            "crossing_share": mean(one.servers.crossing_share for one in outcomes),
+            "waits_per_100": mean(
+                100 * one.servers.waits / max(1, one.requests) for one in outcomes
+            ),
+            "failed_waits_per_100": mean(
+                100 * one.servers.failed_waits / max(1, one.requests)
+                for one in outcomes
+            ),
         }
 
 
@@ -102,6 +115,10 @@
                 f"{figures['work_share']:.3f}",
                 f"{figures['refused_by_servers']:.3f}",
                 f"{figures['most_connections']:.0f}",
+                f"{figures['primary_share']:.3f}",
+                f"{figures['crossing_share']:.3f}",
+                f"{figures['waits_per_100']:.1f}",
+                f"{figures['failed_waits_per_100']:.1f}",
             ]
         )
     widths = [
--- a/packages/emulator/src/dogwoodspool_emulator/servers.py
+++ b/packages/emulator/src/dogwoodspool_emulator/servers.py
@@ -1,5 +1,7 @@
 """Emulated backend servers with slots, connections and replication lag."""
 
+import math
+import random
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable
@@ -10,7 +12,7 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_connections import ConnectionLimitError, OutcomeUnknownError
 
-from .const import REFUSAL_SECONDS
+from .const import LAG_STEP_SECONDS, REFUSAL_SECONDS
 from .models import Servers
 from .outcomes import ServerStats
 from .timeline import Timeline
@@ -112,6 +114,7 @@
         stats: ServerStats,
         *,
         is_primary: bool,
+        random_source: random.Random | None = None,
     ) -> None:
         self.server_info = server_info
         self.is_primary = is_primary
@@ -122,13 +125,26 @@
         self._log = log
         self._timeline = timeline
         self._stats = stats
+        self._random = random_source or random.Random(server_info.name)
+        self._drawn_until = 0.0
+        self._drawn_lag = self.lag
+        self._reached = Position(1, 0)
+        if is_primary:
+            stats.primaries.add(server_info.name)
         self._running = 0
         self._waiting: deque[_Job] = deque()
 
     @property
     def position(self) -> Position:
         """Position of its data."""
-        return self._log.position(self._timeline.now() - self.lag)
+        now = self._timeline.now()
+        reached = self._log.position(now - self._current_lag(now))
+        self._reached = max(self._reached, reached)
+        return self._reached
+
+    def position_at(self, at: float) -> Position:
+        """Return the position of the group's log at a time."""
+        return self._log.position(at)
 
     def connect(self) -> Connection:
         """Open a connection; its first statement takes the time to connect as well."""
@@ -164,6 +180,16 @@
             self._stats.refusals += 1
             self._timeline.after(REFUSAL_SECONDS, lambda: on_answer(Answer.BUSY))
 
+    def _current_lag(self, now: float) -> float:
+        spread = self._settings.lag_spread
+        if not spread or not self.lag or math.isinf(self.lag):
+            return self.lag
+        if now >= self._drawn_until:
+            self._drawn_until = now + LAG_STEP_SECONDS
+            factor = self._random.lognormvariate(-(spread**2) / 2, spread)
+            self._drawn_lag = self.lag * factor
+        return self._drawn_lag
+
     def commit(self) -> None:
         """Record a commit of the group."""
         self._log.append(self._timeline.now())
@@ -181,6 +207,8 @@
         answer = Answer.BEHIND if is_behind else Answer.OK
         if is_behind:
             self._stats.behind += 1
+        else:
+            self._stats.by_server[self.server_info.name] += 1
         seconds = connecting + max(work, REFUSAL_SECONDS)
         self._timeline.after(seconds, lambda: self._end(job, answer))
 
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -39,10 +39,13 @@
 # A replica is preferred to the primary until it is expected to take this many seconds
 # longer, because only the primary's slots can run writes.
 PRIMARY_PENALTY: Final = 0.008
-# Bounds of the value of the primary's room: near full utilisation the estimate would
-# grow without limit.
+# Utilisation of the primary from which a read rather crosses to a replica in another
+# failure domain than uses the room of the primary in its own.
+CROSSING_UTILISATION: Final = 1 / 8
+# Bounds of the value of the primary's room: near full utilisation it would grow without
+# limit, and reads would queue at full replicas for longer than at the primary.
 MAX_PRIMARY_UTILISATION: Final = 0.95
-MAX_PRIMARY_VALUE: Final = 0.25
+MAX_PRIMARY_VALUE: Final = 0.1
 # Servers whose costs differ by less than this many seconds may be chosen at random, so
 # that processes that observe the same do not all move their reads together.
 NEARLY_EQUAL_COST: Final = 0.006
@@ -51,7 +54,7 @@
 # replica to reach its position. The rest is left for admission and the read itself.
 CATCH_UP_SHARE: Final = 0.4
 # Cost of a second of such a wait: it delays one read and takes no room on a server.
-CATCH_UP_COST: Final = 0.25
+CATCH_UP_COST: Final = 0.1
 # Reads of one process that may wait for replicas at a time: a part of the requests of
 # neighbours that an owner serves at a time.
 MAX_CATCH_UP_WAITS: Final = 24
--- a/packages/pooler/src/dogwoodspool_pooler/read_cost.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_cost.py
@@ -7,6 +7,7 @@
 from dogwoodspool_routing import ServerView
 
 from .const import (
+    CROSSING_UTILISATION,
     MAX_PRIMARY_UTILISATION,
     MAX_PRIMARY_VALUE,
     NEARLY_EQUAL_COST,
@@ -77,8 +78,7 @@
     """Value the room of the primary by its load, for owners of shared pools.
 
     Implements ``ReadCost``. A read at the primary delays the writes and the reads that
-    only the primary can serve. The expected sum of these delays is the value of the
-    room that the read takes, see ``room_value``.
+    only the primary can serve, the more the fuller the primary is; see ``room_value``.
 
     Args:
         share: returns the part of the load of a group's servers that this process has,
@@ -118,28 +118,28 @@
         share = self._share(primary.server.group)
         if share is None:
             return PRIMARY_PENALTY
-        slots = primary.server.slots
-        room = slots * share
+        room = primary.server.slots * share
         demand = primary.load
         if admission is not None:
             room = min(room, admission.limit)
             demand += admission.waiting
-        return room_value(demand / room, primary.latency, slots)
+        return room_value(demand / room)
 
 
-def room_value(utilisation: float, latency: float, slots: int) -> float:
-    """Return the seconds by which one more statement delays all others on a server.
+def room_value(utilisation: float) -> float:
+    """Return the value in seconds of the room of one read at a primary.
 
-    With the mean wait ``latency / slots * u / (1 - u)`` at the utilisation ``u``, this
-    is the change of the wait of all statements together.
+    It grows with the ratio of used to free room, and equals the penalty for crossing to
+    another failure domain at ``CROSSING_UTILISATION``.
 
     Example:
-        >>> room_value(0.2, 0.02, 4), round(room_value(0.8, 0.02, 4), 3)
-        (0.008, 0.1)
+        >>> room_value(0.0), room_value(0.125), room_value(2.0)
+        (0.008, 0.025, 0.1)
     """
     used = min(utilisation, MAX_PRIMARY_UTILISATION)
-    delay = latency / slots * used / (1 - used) ** 2
-    return min(max(delay, PRIMARY_PENALTY), MAX_PRIMARY_VALUE)
+    at_crossing = CROSSING_UTILISATION / (1 - CROSSING_UTILISATION)
+    value = OTHER_DOMAIN_PENALTY * used / (1 - used) / at_crossing
+    return min(max(value, PRIMARY_PENALTY), MAX_PRIMARY_VALUE)
 
 
 def expected_time(server: ServerView) -> float:
--- a/packages/pooler/src/dogwoodspool_pooler/read_placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_placement.py
@@ -121,6 +121,24 @@
         """Return whether reads of a group are placed by the load of its primary."""
         return self._shared_by(group) is not None
 
+    def keeps_room(self, server: BackendServer, bound: ReadBound) -> bool:
+        """Return whether a primary's room is kept from reads that replicas can serve.
+
+        The proxy that a caller is connected to chooses the server of a read-only
+        transaction and sees little of the primary's load, so the owner checks it.
+        """
+        shared = self._shared_by(server.group)
+        if shared is None or not self.is_primary(server):
+            return False
+        min_position = _min_position(shared, server.group, bound)
+        if min_position is None:
+            return False
+        conditions = ReadConditions(
+            server.name, self._views.failure_domain, (), min_position, 0.0
+        )
+        choice = shared.chooser.choose(self._table.servers(server.group), conditions)
+        return choice is not None and choice.server.name != server.name
+
     def wait(self, request: Request, choice: ReadChoice) -> Request:
         """Wait until a replica is expected to have the position of a read.
 
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -121,6 +121,7 @@
             statements,
             client,
             clock,
+            placement.keeps_room,
         )
         self._limits_client = JsonLineClient(
             CONNECTIONS_TO_LIMIT_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -20,7 +20,7 @@
 from .slots import WorkSlots
 from .statement_api import StatementApi
 from .statements import SharedStatements
-from .transaction_api import TransactionApi
+from .transaction_api import KeepsRoom, TransactionApi
 
 
 class SharedPoolsRuntime:
@@ -36,6 +36,8 @@
         statements: serves single statements on the local pools.
         client: calls control.
         clock: source of time for all parts.
+        keeps_room: returns whether a primary's room is kept from read-only
+            transactions.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         statements: Statements,
         client: JsonClient,
         clock: Clock,
+        keeps_room: KeepsRoom,
     ) -> None:
         self._views = views
         self._directory = ProxyDirectory(own, failure_domains, clock)
@@ -60,7 +63,7 @@
         self._slots = WorkSlots(NEW_REQUESTS)
         self._statement_api = StatementApi(views, statements, self._slots, clock)
         self._transaction_api = TransactionApi(
-            views, access, self._leases, self._slots, clock
+            views, access, self._leases, self._slots, clock, keeps_room
         )
         self._client = JsonLineClient(
             CONNECTIONS_TO_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -1,5 +1,7 @@
 """Run transactions of neighbours on the connections of this proxy."""
 
+from collections.abc import Callable
+
 from dogwoodspool_common import (
     BackendServer,
     Clock,
@@ -17,9 +19,11 @@
 from dogwoodspool_following import ViewStore
 
 from ..access import ServerAccess
+from ..const import BUSY_RETRY_MS
 from ..errors import NotFreshError, NotServedError, UnknownKeyError
+from ..held import ReadBound
 from ..local_connection import LocalHeldConnection
-from ..models import Access, Reply, StatementKind
+from ..models import Access, ErrorCode, Reply, StatementError, StatementKind
 from ..requests import AdmissionRequest
 from .caller_check import check_caller
 from .const import OWNER_ATTEMPTS, PATH_RELEASE, PATH_TRANSACTION
@@ -37,6 +41,9 @@
 )
 from .slots import WorkSlots, refusal_response
 
+# Returns whether a server's room is kept from read-only transactions with a bound.
+KeepsRoom = Callable[[BackendServer, ReadBound], bool]
+
 
 class TransactionApi:
     """Serve transactions of other proxies on connections that are leased to them."""
@@ -48,7 +55,9 @@
         leases: LeaseTracker,
         slots: WorkSlots,
         clock: Clock,
+        keeps_room: KeepsRoom = lambda _server, _bound: False,
     ) -> None:
+        self._keeps_room = keeps_room
         self._views = views
         self._slots = slots
         self._access = access
@@ -81,6 +90,9 @@
         server = self._server(message)
         if server is None:
             return error_response(421, OwnerRefusal.NOT_KNOWN, message.server.server)
+        bound = None if message.bound is None else message.bound.value()
+        if bound is not None and self._keeps_room(server, bound):
+            return _json_response(_room_kept(server))
         try:
             with self._slots.acquire_slot():
                 return _json_response(self._begin(server, message))
@@ -189,6 +201,13 @@
     return is_write or kind in (StatementKind.BEGIN, StatementKind.WRITE)
 
 
+def _room_kept(server: BackendServer) -> TransactionResponse:
+    message = f"{server.name} is the primary and loaded; a replica can serve the read"
+    error = StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
+    refusal = RefusalMessage.of(error)
+    return TransactionResponse(failure=Failure.REFUSED, refusal=refusal)
+
+
 def _not_reached(error: ConnectFailedError) -> TransactionResponse:
     failure = Failure.NOT_REACHED
     if isinstance(error, ServerDownError):
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -373,6 +373,7 @@
         placement = ReadPlacement(
             self.views, self.table, known, access, self.shared_reads
         )
+        self.placement = placement
         self.reads = ReadPath(
             access, placement, self.primaries, self.counters, self.clock
         )
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -76,7 +76,14 @@
             leases,
             slots,
             StatementApi(pooler.views, pooler.local_statements, slots, pooler.clock),
-            TransactionApi(pooler.views, pooler.access, leases, slots, pooler.clock),
+            TransactionApi(
+                pooler.views,
+                pooler.access,
+                leases,
+                slots,
+                pooler.clock,
+                pooler.placement.keeps_room,
+            ),
         )
         self.owners[name] = owner
         return owner
@@ -117,15 +124,22 @@
 
 
 class SharingProxy(Pooler):
-    """A pooler whose requests run at the owners ``o1`` and ``o2``."""
+    """A pooler whose requests run at the owners ``o1`` and ``o2``.
+
+    Args:
+        share: part of the group's load that each owner has; see ``Pooler``.
+    """
 
     def __init__(
-        self, servers: Sequence[FakeServer], served_endpoint: Endpoint | None = None
+        self,
+        servers: Sequence[FakeServer],
+        served_endpoint: Endpoint | None = None,
+        share: float | None = None,
     ) -> None:
-        super().__init__(servers, served_endpoint)
+        super().__init__(servers, served_endpoint, share)
         self.neighbours = FakeNeighbours()
         for name in ("o1", "o2"):
-            self.neighbours.add(name, Pooler(servers, served_endpoint))
+            self.neighbours.add(name, Pooler(servers, served_endpoint, share))
         self.directory = FixedDirectory(["o1", "o2"], self)
         client = OwnerClient(self.directory, self.neighbours)
         self.sessions = self.sessions_with(
