--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -151,7 +151,8 @@
         """Return whether a primary elsewhere is used through the owners there."""
         with self._lock:
             proxies = len(self._neighbours) * self._failure_domains
-            if not FORWARDS_TO_PRIMARY_OWNERS or proxies > MAX_FORWARDING_PROXIES:
+            is_on = FORWARDS_TO_PRIMARY_OWNERS and self._failure_domains > 1
+            if not is_on or proxies > MAX_FORWARDING_PROXIES:
                 return False
             limits = self._limits.get(group)
             return limits is not None and self._is_shared(limits)
--- a/tests/sharing/test_remote_owners.py
+++ b/tests/sharing/test_remote_owners.py
@@ -100,6 +100,13 @@
         self.directory.set_groups({"g1": LIMITS})
         self.assertEqual(self.names(), [])
 
+    def test_a_single_failure_domain_keeps_the_usual_shares(self) -> None:
+        directory = ProxyDirectory(OWN, 1, self.clock)
+        directory.set_groups({"g1": LIMITS})
+        directory.adopt(neighbours(40))
+        self.assertIsNone(directory.primary_share("g1", LIMITS, is_near=True))
+        self.assertFalse(directory.forwards_to_primary_owners("g1"))
+
     def test_a_group_that_is_not_shared_there_has_no_owners(self) -> None:
         self.follow()
         self.adopt({})
