--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -241,7 +241,8 @@
 
     def _forwards(self) -> bool:
         proxies = len(self._neighbours) * self._failure_domains
-        return FORWARDS_TO_PRIMARY_OWNERS and proxies <= MAX_FORWARDING_PROXIES
+        is_on = FORWARDS_TO_PRIMARY_OWNERS and self._failure_domains > 1
+        return is_on and proxies <= MAX_FORWARDING_PROXIES
 
     def _chosen(self, group: str) -> Owners | None:
         if self._owners is None:
