Accounts: exchange the tokens of operations that waited

A token was taken when a statement arrived, and the statement counted when a server saw it. The parts of a limit added up to all of its tolerance, so that any wait for admission exceeded it: one account had 1,976 operations in 5 s where 1,974 were allowed.

Before the first statement of an operation is sent, a token older than 0.1 s is now exchanged at the limit owner: it is given back and another one is taken, or the operation is refused as not run. A returned token is worth only the room that there was in the bucket since it was taken, so that returned tokens never lift the level above the capacity and tokens of one window are not used in another. Drawn tokens add to the capacity of an owner for a limited time. The parts of a limit leave room for the age of tokens, for drawn tokens in hand and for two owners in each failure domain that start anew.

--- a/packages/accounts/src/dogwoodspool_accounts/__init__.py
+++ b/packages/accounts/src/dogwoodspool_accounts/__init__.py
@@ -1,6 +1,7 @@
 """Rate limits of client accounts, enforced by all proxies together."""
 
 from .allocation import Allocation, Allocator, LimitTolerance, allocate
+from .const import TOKEN_AGE_MARGIN, TOKEN_AGE_SECONDS
 from .domain_allowance import DomainAllowance
 from .errors import RateLimitedError
 from .limiter import AccountLimiter, NoLimits, OperationLimiter
@@ -11,6 +12,8 @@
 from .usage import AccountUsage, UsageCounter
 
 __all__ = [
+    "TOKEN_AGE_MARGIN",
+    "TOKEN_AGE_SECONDS",
     "AccountLimiter",
     "AccountUsage",
     "Allocation",
--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -2,23 +2,34 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from dogwoodspool_common import RateLimit
 
 from .const import (
     BASE_BURST_SHARE,
+    BASE_BURST_SLACK_SHARE,
     BASE_SHARE,
-    BASE_TOLERANCE_SHARE,
+    BASE_SLACK_SHARE,
     DEFAULT_OVERSHOOT,
     DEFAULT_SLACK,
     DEFAULT_WINDOW_SECONDS,
-    HOLD_SECONDS,
+    DRAWN_TOLERANCE_SHARE,
+    EXTRA_DRAWN_SECONDS,
     LOCAL_HOLD_SECONDS,
+    MIN_DRAWN_SECONDS,
     RESERVE_BURST_SHARE,
     RESERVE_SHARE,
+    SEND_SECONDS,
+    START_SLACK_SHARE,
     START_TOLERANCE_SHARE,
+    STARTS_PER_WINDOW,
+    TOKEN_AGE_SECONDS,
 )
 
+# Longest time from the taking of a token until its operation reaches a server.
+USE_SECONDS: Final = TOKEN_AGE_SECONDS + LOCAL_HOLD_SECONDS + SEND_SECONDS
+
 
 @dataclass(frozen=True, slots=True)
 class LimitTolerance:
@@ -34,10 +45,13 @@
     overshoot: float = DEFAULT_OVERSHOOT
     slack: float = DEFAULT_SLACK
 
+    def allowed(self, limit: RateLimit) -> float:
+        """Return the operations that a limit allows in a window."""
+        return limit.per_second * self.window + limit.burst
+
     def bound(self, limit: RateLimit) -> float:
         """Return the most operations that any window may have."""
-        allowed = limit.per_second * self.window + limit.burst
-        return allowed * (1 + self.overshoot) + self.slack
+        return self.allowed(limit) * (1 + self.overshoot) + self.slack
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,21 +62,25 @@
         reserve: part that control's leader gives out on demand.
         base: part of each failure domain.
         start: tokens with which a limit owner starts.
+        drawn_seconds: time for which tokens that a limit owner drew from the leader
+            add to its capacity.
     """
 
     reserve: RateLimit
     base: RateLimit
     start: float
+    drawn_seconds: float
 
 
 def allocate(limit: RateLimit, tolerance: LimitTolerance, domains: int) -> Allocation:
     """Divide a rate limit.
 
-    In any window all failure domains together use at most their base parts, what the
-    leader gives out, unused tokens from before and what restarted limit owners start
-    with. The parts are chosen so that the sum stays within the tolerance whichever
-    processes are cut off, restarted or replaced; where the tolerance is small compared
-    with the rate, the leader's part is reduced for that.
+    The operations of a window use tokens that were taken in it or shortly before. All
+    failure domains together take at most the capacities of their base parts, what
+    accrues there, what the leader gives out in the window and ``drawn_seconds`` before
+    it, and what restarted limit owners start with. The sum stays within the tolerance
+    whichever processes are cut off, restarted or replaced; where the tolerance is small
+    compared with the rate, the leader's part is reduced for that.
 
     Args:
         limit: the account's limit.
@@ -72,26 +90,32 @@
     Example:
         >>> parts = allocate(RateLimit(83, 83), LimitTolerance(), domains=4)
         >>> round(parts.reserve.per_second), round(parts.base.per_second, 1)
-        (56, 8.2)
+        (58, 6.7)
     """
-    allowed = limit.per_second * tolerance.window + limit.burst
     bound = tolerance.bound(limit)
-    margin = bound - allowed
-    span = tolerance.window + HOLD_SECONDS + LOCAL_HOLD_SECONDS
-    # Counted twice below: full base buckets hold them in addition to their part of the
-    # burst, and owners that are replaced meanwhile start with them again.
-    starts = margin * START_TOLERANCE_SHARE
-    base_rate = BASE_SHARE * limit.per_second + margin * BASE_TOLERANCE_SHARE / span
-    base_burst = BASE_BURST_SHARE * limit.burst + starts
+    overshoot = bound - tolerance.slack - tolerance.allowed(limit)
+    span = tolerance.window + USE_SECONDS
+    starts = START_TOLERANCE_SHARE * overshoot + START_SLACK_SHARE * tolerance.slack
+    base_rate = BASE_SHARE * limit.per_second
+    base_rate += BASE_SLACK_SHARE * tolerance.slack / span
+    burst_slack = BASE_BURST_SLACK_SHARE * tolerance.slack
+    base_burst = max(starts, BASE_BURST_SHARE * limit.burst + burst_slack)
+    rest = bound - STARTS_PER_WINDOW * starts - base_burst - base_rate * span
     reserve_burst = RESERVE_BURST_SHARE * limit.burst
-    rest = bound - starts - base_burst - reserve_burst - base_rate * span
-    reserve_rate = min(RESERVE_SHARE * limit.per_second, rest / span)
-    # What the rate leaves of the tolerance is for bursts.
-    reserve_burst += max(0.0, rest - reserve_rate * span)
+    reserve_rate = (rest - reserve_burst) / (span + MIN_DRAWN_SECONDS)
+    reserve_rate = max(0.0, min(RESERVE_SHARE * limit.per_second, reserve_rate))
+    # What the rates leave of the tolerance is for bursts and for operations that wait.
+    rest = max(0.0, rest - reserve_rate * (span + MIN_DRAWN_SECONDS))
+    drawn_extra = DRAWN_TOLERANCE_SHARE * max(0.0, rest - reserve_burst)
+    drawn_extra = min(drawn_extra, EXTRA_DRAWN_SECONDS * reserve_rate)
+    drawn_seconds = MIN_DRAWN_SECONDS
+    if reserve_rate > 0:
+        drawn_seconds += drawn_extra / reserve_rate
     return Allocation(
-        RateLimit(max(0.0, reserve_rate), reserve_burst),
+        RateLimit(reserve_rate, rest - drawn_extra),
         RateLimit(base_rate / domains, base_burst / domains),
         starts / domains,
+        drawn_seconds,
     )
 
 
--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -6,6 +6,7 @@
 PATH_DRAW: Final = "/v1/accounts/draw"
 PATH_ACQUIRE: Final = "/v1/accounts/acquire"
 PATH_RETURN: Final = "/v1/accounts/return"
+PATH_EXCHANGE: Final = "/v1/accounts/exchange"
 
 DEFAULT_WINDOW_SECONDS: Final = 5.0
 DEFAULT_OVERSHOOT: Final = 0.1
@@ -14,20 +15,54 @@
 # Parts of a limit that failure domains may use without asking control's leader, in
 # equal shares, and that the leader gives out at the most: enough to go on while the
 # leader cannot be reached, and enough for callers who are all in one failure domain.
-# Together they use the usual tolerance; with less, the leader's part is smaller.
-BASE_SHARE: Final = 0.35
-RESERVE_SHARE: Final = 0.74
+# Where the tolerance is too small for both, the leader's part is smaller.
+BASE_SHARE: Final = 0.32
+RESERVE_SHARE: Final = 0.7
+# Capacities of the base parts and least capacity of the leader's part.
 BASE_BURST_SHARE: Final = 0.2
-RESERVE_BURST_SHARE: Final = 0.6
-# Parts of the tolerance: operations beyond the limit in every failure domain, and
-# tokens with which a limit owner starts that does not know what its predecessor used.
-BASE_TOLERANCE_SHARE: Final = 0.3
-START_TOLERANCE_SHARE: Final = 0.2
+RESERVE_BURST_SHARE: Final = 0.1
+# Parts of the tolerated operations in each window (slack), for small limits: rate and
+# capacity of the base parts, and tokens with which a limit owner starts that does not
+# know what its predecessor used, which also have a part of the tolerated fraction.
+BASE_SLACK_SHARE: Final = 0.1
+BASE_BURST_SLACK_SHARE: Final = 0.4
+START_SLACK_SHARE: Final = 0.2
+START_TOLERANCE_SHARE: Final = 0.06
+# Limit owners of one failure domain that may start anew in one window.
+STARTS_PER_WINDOW: Final = 2
+
+# Age of a token, counted from the arrival of its statement, above which it is exchanged
+# before the statement is sent.
+TOKEN_AGE_SECONDS: Final = 0.1
+# Time from the check of a token's age until its statement reaches the server.
+SEND_SECONDS: Final = 0.05
+# Time by which a token may be older than the time since its statement arrived: its time
+# in the hands of a proxy before, and the way of the message that says so.
+TOKEN_AGE_MARGIN: Final = 0.1
+# Longest time after which a token can be exchanged for another one, and the resolution
+# with which the takes of this time are remembered.
+HISTORY_SECONDS: Final = 3.5
+HISTORY_SLOT_SECONDS: Final = 0.05
+# Age above which a token of an operation that did not run is not returned.
+RETURN_AGE_SECONDS: Final = 1.0
+# Time for which tokens that were drawn from the leader add to the capacity of a limit
+# owner: the shortest, the most that is added to it, and the part of what the rates
+# leave of the tolerance that may be used for it. The rest is the leader's capacity for
+# bursts; operations that wait need the owners' capacity.
+MIN_DRAWN_SECONDS: Final = 0.25
+EXTRA_DRAWN_SECONDS: Final = 0.75
+DRAWN_TOLERANCE_SHARE: Final = 0.4
+
+# Time for which an exchange waits for tokens that are being drawn, and the time limit
+# for one owner's answer to it. The statement holds a slot of its server meanwhile.
+EXCHANGE_WAIT_SECONDS: Final = 0.03
+EXCHANGE_TIMEOUT: Final = 0.1
+EXCHANGE_ATTEMPTS: Final = 2
 
 # Time for which a proxy keeps unused tokens of an account that it serves often.
 LOCAL_HOLD_SECONDS: Final = 0.05
 # Demand, in seconds, for which a limit owner keeps unused tokens, and below which it
-# draws more. Unused tokens can add to the operations of a later window.
+# draws more.
 HOLD_SECONDS: Final = 0.3
 LOW_SECONDS: Final = 0.15
 # Tokens kept in addition, for accounts with little demand.
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -1,7 +1,7 @@
 """Tokens that a limit owner has for the proxies of its failure domain."""
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from dogwoodspool_common import Clock
 
@@ -17,7 +17,7 @@
     NO_DEMAND,
 )
 from .demand import Demand
-from .token_bucket import TokenBucket
+from .owner_bucket import OwnerBucket
 
 
 class _AccountTokens:
@@ -25,7 +25,8 @@
 
     def __init__(self, parts: Allocation, now: float) -> None:
         self.demand = Demand(now)
-        self.bucket = TokenBucket(parts.base, now, parts.start)
+        self.bucket = OwnerBucket(parts.base, now, parts.start)
+        self.drawn_seconds = parts.drawn_seconds
         self.draw_after = now
 
     def most(self, now: float) -> float:
@@ -68,30 +69,58 @@
         Tokens come with a draw or accrue in the base part. If the leader has just run
         out of the account's tokens, only the latter are waited for.
         """
+        return int(self._wait_for(account, seconds, lambda one, now: one.take(now)))
+
+    def exchange(self, account: str, age: float, seconds: float = 0.0) -> bool:
+        """Return a token of some age and take another one; return whether there is one.
+
+        Without another one the old token is not returned either.
+
+        Args:
+            account: name of the account.
+            age: seconds since the token was taken, at the most.
+            seconds: time to wait for another token, as in ``take_later``.
+        """
+        taken_after = self._clock.now() - age
+        return self._wait_for(
+            account, seconds, lambda one, now: one.exchange(now, taken_after)
+        )
+
+    def _wait_for(
+        self,
+        account: str,
+        seconds: float,
+        attempt: Callable[[OwnerBucket, float], bool],
+    ) -> bool:
+        """Repeat an attempt until it succeeds or no token can come in time."""
         deadline = self._clock.now() + seconds
         while True:
             now = self._clock.now()
             with self._changed:
                 tokens = self._tokens(account, now)
-                if tokens is None or tokens.bucket.take(now):
-                    return 1
+                if tokens is None or attempt(tokens.bucket, now):
+                    return True
                 accrued_at = now + tokens.bucket.seconds_until(now)
                 if tokens.draw_after > now and accrued_at > deadline:
-                    return 0
+                    return False
                 if now >= deadline:
-                    return 0
+                    return False
                 # A remainder too small for the clock to advance by is rounded up.
                 wait = max(MIN_WAIT_SECONDS, min(deadline, accrued_at) - now)
                 self._clock.wait(self._changed, wait)
 
-    def give_back(self, account: str, count: int) -> None:
-        """Return tokens of operations that did not run; wake who waits for them."""
+    def give_back(self, account: str, count: int, age: float = 0.0) -> None:
+        """Return tokens of operations that did not run; wake who waits for them.
+
+        Args:
+            account: name of the account.
+            count: number of tokens.
+            age: seconds since the oldest of them was taken, at the most.
+        """
         now = self._clock.now()
         with self._changed:
             tokens = self._accounts.get(account)
-            if tokens is not None:
-                level = tokens.bucket.level(now)
-                tokens.bucket.add(now, count, level + count)
+            if tokens is not None and tokens.bucket.give_back(now, count, now - age):
                 self._changed.notify_all()
 
     def wanted(self) -> dict[str, int]:
@@ -108,12 +137,24 @@
                 most = tokens.most(now)
                 tokens.bucket.trim(now, most)
                 level = tokens.bucket.level(now)
-                if level < tokens.least(now):
-                    wanted[account] = round(most - level)
+                count = round(most - level)
+                if level < tokens.least(now) and count > 0:
+                    wanted[account] = count
         return wanted
 
-    def record_draw(self, wanted: Mapping[str, int], given: Mapping[str, int]) -> None:
-        """Add drawn tokens and wake the requests that wait for them."""
+    def record_draw(
+        self,
+        wanted: Mapping[str, int],
+        given: Mapping[str, int],
+        asked_at: float | None = None,
+    ) -> None:
+        """Add drawn tokens and wake the requests that wait for them.
+
+        Args:
+            wanted: tokens that the leader was asked for, by account.
+            given: tokens that it gave.
+            asked_at: clock seconds before it was asked; by default the present.
+        """
         now = self._clock.now()
         with self._changed:
             for account, count in wanted.items():
@@ -121,8 +162,9 @@
                 if tokens is None:
                     continue
                 received = given.get(account, 0)
-                level = tokens.bucket.level(now)
-                tokens.bucket.add(now, received, level + received)
+                drawn_at = now if asked_at is None else asked_at
+                expires_at = drawn_at + tokens.drawn_seconds
+                tokens.bucket.add_drawn(now, received, expires_at)
                 if received < count:
                     tokens.draw_after = now + EXHAUSTED_PAUSE_SECONDS
             self._changed.notify_all()
@@ -153,4 +195,5 @@
         if known is None:
             known = self._accounts[account] = _AccountTokens(parts, now)
         known.bucket.set_limit(parts.base, now)
+        known.drawn_seconds = parts.drawn_seconds
         return known
--- a/packages/accounts/src/dogwoodspool_accounts/limiter.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limiter.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from dogwoodspool_api import Message
 from dogwoodspool_common import (
     Clock,
     HttpError,
+    PeerRefusedError,
     RateLimit,
     log_rate_limited,
     span,
@@ -18,16 +20,20 @@
 from .const import (
     ACQUIRE_SECONDS,
     ACQUIRE_TIMEOUT,
+    EXCHANGE_ATTEMPTS,
+    EXCHANGE_TIMEOUT,
     FORGOTTEN_DEMAND,
     LOCAL_HOLD_SECONDS,
     NEIGHBOURS_WAIT_SECONDS,
     PATH_ACQUIRE,
+    PATH_EXCHANGE,
+    RETURN_AGE_SECONDS,
 )
 from .demand import Demand
 from .errors import RateLimitedError
 from .limit_owner import LimitOwner
 from .message_client import MessageClient
-from .messages import AcquireRequest, AcquireResponse
+from .messages import AcquireRequest, AcquireResponse, ExchangeRequest
 from .owners import LimitOwners
 from .returns import ReturnCoordinator
 
@@ -43,8 +49,21 @@
         """
         ...
 
-    def give_back(self, account: str) -> None:
-        """Return the token of an operation that did not run."""
+    def exchange(self, account: str, age: float) -> None:
+        """Exchange a token that has become old before its operation reached a server.
+
+        Args:
+            account: name of the account.
+            age: seconds since the operation arrived.
+
+        Raises:
+            RateLimitedError: there is no other token; the operation must not run. The
+                old one is still to be given back.
+        """
+        ...
+
+    def give_back(self, account: str, age: float) -> None:
+        """Return the token of an operation that did not run, after some seconds."""
         ...
 
 
@@ -54,7 +73,10 @@
     def acquire(self, account: str) -> None:
         """Admit the operation."""
 
-    def give_back(self, account: str) -> None:
+    def exchange(self, account: str, age: float) -> None:
+        """Let the operation run."""
+
+    def give_back(self, account: str, age: float) -> None:
         """Do nothing."""
 
 
@@ -110,18 +132,50 @@
         self._directory.wait_known(NEIGHBOURS_WAIT_SECONDS)
         response = self._ask_owners(account)
         if response.granted == 0:
-            raise RateLimitedError(
-                f"client account {account} exceeds its limit of "
-                f"{limit.per_second:g} operations per second",
-                response.retry_after_ms,
-            )
+            raise _exceeded(account, limit, response)
         self._keep_local(account, response.granted - 1)
 
-    def give_back(self, account: str) -> None:
-        """Return the token of an operation that did not run."""
-        if self._limit_of(account) is not None:
+    def exchange(self, account: str, age: float) -> None:
+        """Exchange a token; see ``OperationLimiter``."""
+        limit = self._limit_of(account)
+        if limit is None:
+            return
+        response = self._exchange(ExchangeRequest(account=account, age=age))
+        if response.granted == 0:
+            raise _exceeded(account, limit, response)
+
+    def give_back(self, account: str, age: float) -> None:
+        """Return the token of an operation that did not run; an old one is lost."""
+        if age <= RETURN_AGE_SECONDS and self._limit_of(account) is not None:
             self._returns.add(account)
 
+    def _exchange(self, request: ExchangeRequest) -> AcquireResponse:
+        """Ask the owners for an exchange, each for a short time only.
+
+        One that does not answer in this time may still be in order, so it is not passed
+        over from now on.
+        """
+        for owner in self._owners.order(request.account)[:EXCHANGE_ATTEMPTS]:
+            if owner.name == self._own.name:
+                break
+            try:
+                return self._exchange_at(owner, request)
+            except (HttpError, ValidationError) as error:
+                log_rate_limited(
+                    "limit_exchange_failed", owner=owner.name, reason=error
+                )
+        return self._owner.exchange(request)
+
+    def _exchange_at(
+        self, owner: Neighbour, request: ExchangeRequest
+    ) -> AcquireResponse:
+        try:
+            return self._ask(owner, PATH_EXCHANGE, request, EXCHANGE_TIMEOUT)
+        except PeerRefusedError:
+            # An earlier build takes no tokens back, but gives another one.
+            another = AcquireRequest(account=request.account)
+            return self._ask(owner, PATH_ACQUIRE, another, EXCHANGE_TIMEOUT)
+
     def _ask_owners(self, account: str) -> AcquireResponse:
         give_up_at = self._clock.now() + ACQUIRE_SECONDS
         request = AcquireRequest(account=account, count=self._wanted(account))
@@ -129,18 +183,18 @@
             if owner.name == self._own.name or self._clock.now() >= give_up_at:
                 break
             try:
-                return self._ask(owner, request)
+                return self._ask(owner, PATH_ACQUIRE, request, ACQUIRE_TIMEOUT)
             except (HttpError, ValidationError) as error:
                 log_rate_limited("limit_owner_failed", owner=owner.name, reason=error)
                 self._directory.record_owner_failure(owner.name)
         return self._owner.acquire(request)
 
-    def _ask(self, owner: Neighbour, request: AcquireRequest) -> AcquireResponse:
+    def _ask(
+        self, owner: Neighbour, path: str, request: Message, timeout: float
+    ) -> AcquireResponse:
         content = request.model_dump(mode="json", exclude_defaults=True)
         with span("limit.acquire", owner=owner.name):
-            answer = self._client.post(
-                owner.endpoint, PATH_ACQUIRE, content, ACQUIRE_TIMEOUT
-            )
+            answer = self._client.post(owner.endpoint, path, content, timeout)
         return AcquireResponse.model_validate(answer)
 
     def _take_local(self, account: str) -> bool:
@@ -183,3 +237,13 @@
             local = self._local.get(account)
             demand = 0.0 if local is None else local.demand.per_second(now)
         return 1 + int(demand * LOCAL_HOLD_SECONDS)
+
+
+def _exceeded(
+    account: str, limit: RateLimit, response: AcquireResponse
+) -> RateLimitedError:
+    return RateLimitedError(
+        f"client account {account} exceeds its limit of "
+        f"{limit.per_second:g} operations per second",
+        response.retry_after_ms,
+    )
--- a/packages/accounts/src/dogwoodspool_accounts/messages.py
+++ b/packages/accounts/src/dogwoodspool_accounts/messages.py
@@ -21,8 +21,22 @@
     count: TokenCount = 1
 
 
+class ExchangeRequest(Message):
+    """Exchange of one token of an account for another one.
+
+    Attributes:
+        age: seconds since the token was taken, at the most.
+    """
+
+    account: Name
+    age: float = Field(ge=0)
+
+
 class ReturnRequest(Message):
-    """Tokens of operations that did not run, by account."""
+    """Tokens of operations that did not run, by account.
+
+    None of them is older than ``RETURN_AGE_SECONDS``.
+    """
 
     unused: dict[Name, TokenCount]
 
--- a/packages/accounts/src/dogwoodspool_accounts/refill.py
+++ b/packages/accounts/src/dogwoodspool_accounts/refill.py
@@ -66,6 +66,7 @@
         """Ask one control process for tokens; return whether it answered as leader."""
         address = self._peers.leader_or_next()
         content = DrawRequest(wanted=wanted).model_dump(mode="json")
+        asked_at = self._clock.now()
         try:
             answer = self._client.post(address, PATH_DRAW, content, DRAW_TIMEOUT)
             given = DrawResponse.model_validate(answer).given
@@ -78,5 +79,5 @@
             self._peers.record_failure(address)
             return False
         self._peers.record_leader_answer(address)
-        self._allowance.record_draw(wanted, given)
+        self._allowance.record_draw(wanted, given, asked_at)
         return True
--- a/packages/emulator/src/dogwoodspool_emulator/limit_replay.py
+++ b/packages/emulator/src/dogwoodspool_emulator/limit_replay.py
@@ -11,6 +11,8 @@
 from typing import Protocol
 
 from dogwoodspool_accounts import (
+    TOKEN_AGE_MARGIN,
+    TOKEN_AGE_SECONDS,
     Allocator,
     DomainAllowance,
     LimitReserve,
@@ -22,9 +24,15 @@
 ACCOUNT = "shop"
 STEP_SECONDS = 0.01
 DRAW_STEPS = 2
-# Time for which an operation waits for tokens before it is refused.
+# Time for which an operation waits for tokens before it is refused, when it arrives and
+# when its token is exchanged.
 WAIT_STEPS = 6
+EXCHANGE_WAIT_STEPS = 3
 DOMAINS = 4
+# Delays between the token of an operation and its statement, and the period in which
+# they come and go: operations that waited then reach servers beside those that do not.
+DELAYS = (0.1, 0.4, 0.8)
+DELAY_PERIOD_SECONDS = 4.0
 
 
 @dataclass(frozen=True)
@@ -43,6 +51,8 @@
 
     Attributes:
         rates: operations per second in each failure domain.
+        delay: seconds between token and statement in the second half of each
+            ``DELAY_PERIOD_SECONDS``.
     """
 
     name: str
@@ -53,11 +63,22 @@
     burst_at: float = 8.0
     burst_for: float = 3.0
     seconds: float = 30.0
+    delay: float = 0.0
+
+    def delay_at(self, at: float) -> float:
+        """Return the delay of an operation that gets its token at a time."""
+        is_delayed = at % DELAY_PERIOD_SECONDS >= DELAY_PERIOD_SECONDS / 2
+        return self.delay if is_delayed else 0.0
 
 
 @dataclass
 class Outcome:
-    """What callers got and what a server saw."""
+    """What callers got and what servers saw.
+
+    Attributes:
+        admitted: clock seconds at which operations reached a server.
+        owed: operations that a single bucket for all callers admits.
+    """
 
     admitted: list[float] = field(default_factory=list)
     owed: int = 0
@@ -84,6 +105,10 @@
         """Return whether an operation may run, one that arrives or one that waits."""
         ...
 
+    def exchange(self, domain: int, age: float) -> bool:
+        """Return whether an admitted operation may still run after some seconds."""
+        ...
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Advance by one step."""
         ...
@@ -121,6 +146,10 @@
         bucket.set_limit(self._part(), self._clock.now())
         return bucket.take(self._clock.now())
 
+    def exchange(self, domain: int, age: float) -> bool:
+        """Let every admitted operation run."""
+        return True
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Do nothing: the parts are fixed."""
 
@@ -162,6 +191,10 @@
         self._buckets[domain].set_limit(part, now)
         return self._buckets[domain].take(now)
 
+    def exchange(self, domain: int, age: float) -> bool:
+        """Let every admitted operation run."""
+        return True
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Advance by one step."""
         now = self._clock.now()
@@ -225,6 +258,12 @@
         taken = allowance.take(ACCOUNT) if is_new else allowance.take_later(ACCOUNT, 0)
         return taken == 1
 
+    def exchange(self, domain: int, age: float) -> bool:
+        """Exchange the token of an operation if it is old."""
+        if age <= TOKEN_AGE_SECONDS:
+            return True
+        return self._allowances[domain].exchange(ACCOUNT, age + TOKEN_AGE_MARGIN)
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Advance by one step."""
         now = self._clock.now()
@@ -273,6 +312,7 @@
         self._cut: dict[int, bool] = {}
         self._is_leader_up = True
         self._waiting: list[tuple[int, int]] = []
+        self._delayed: list[tuple[float, float, int]] = []
         self._ideal = TokenBucket(self._limit, 0.0, self._limit.burst)
         self._warm_up()
 
@@ -300,7 +340,8 @@
             self._random.shuffle(arrivals)
             for domain in arrivals:
                 self._arrive(domain, outcome)
-            self._admit_waiting(outcome)
+            self._admit_waiting(replay.delay_at(now))
+            self._send_due(outcome)
             self._advance()
         return outcome
 
@@ -311,14 +352,25 @@
         outcome.owed += is_owed
         self._waiting.append((WAIT_STEPS, domain))
 
-    def _admit_waiting(self, outcome: Outcome) -> None:
+    def _admit_waiting(self, delay: float) -> None:
+        now = self._clock.now()
         waiting, self._waiting = self._waiting, []
         for steps, domain in waiting:
             if self._way.admit(domain, is_new=steps == WAIT_STEPS):
-                outcome.admitted.append(self._clock.now())
+                self._delayed.append((now + delay, now, domain))
             elif steps:
                 self._waiting.append((steps - 1, domain))
 
+    def _send_due(self, outcome: Outcome) -> None:
+        now = self._clock.now()
+        due = [one for one in self._delayed if one[0] <= now]
+        self._delayed = [one for one in self._delayed if one[0] > now]
+        for due_at, taken_at, domain in due:
+            if self._way.exchange(domain, now - taken_at):
+                outcome.admitted.append(now)
+            elif now < due_at + EXCHANGE_WAIT_STEPS * STEP_SECONDS:
+                self._delayed.append((due_at, taken_at, domain))
+
     def _advance(self) -> None:
         self._clock.advance(STEP_SECONDS)
         self._way.step(self._is_leader_up, self._cut)
@@ -359,11 +411,24 @@
     spread: Sequence[float] = EVEN,
     *events: Event,
     burst: float = 1.0,
+    delay: float = 0.0,
 ) -> Replay:
     """Return a replay of an account that uses a part of its limit."""
     rates = [per_second * use * part for part in spread]
     limit = RateLimit(per_second, per_second)
-    return Replay(name, limit, rates, events, burst)
+    return Replay(name, limit, rates, events, burst, delay=delay)
+
+
+def delayed(delay: float) -> list[Replay]:
+    """Return replays with delays between token and statement."""
+    suffix = f", {delay} s of delay"
+    return [
+        load("below its limit" + suffix, 40, 0.625, EVEN, delay=delay),
+        load("below its limit in one domain" + suffix, 40, 0.625, ONE, delay=delay),
+        load("small account" + suffix, 5, 0.625, EVEN, delay=delay),
+        load("twice its limit" + suffix, 40, 2.0, EVEN, delay=delay),
+        load("large, twice its limit" + suffix, 170, 2.0, EVEN, delay=delay),
+    ]
 
 
 def restarts(*at: float) -> list[Event]:
@@ -427,6 +492,7 @@
         *(170, 2.0, EVEN),
         *restarts(10.0, 10.5, 11.0, 11.5),
     ),
+    *(replay for delay in DELAYS for replay in delayed(delay)),
 )
 
 
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -24,6 +24,7 @@
 from .const import (
     CONNECTION_RETRY_SECONDS,
     INTERNAL_STATEMENT_TIMEOUT,
+    MAX_TOKEN_AGE,
     NO_CONNECTION_RETRY_MS,
 )
 from .errors import NotFreshError, NotServedError
@@ -43,6 +44,7 @@
 from .server_work import ServerWork
 from .session_state import sync_cost
 from .stalls import StallTracker
+from .token_age import TokenAge
 
 
 class ServerAccess:
@@ -61,7 +63,9 @@
         lag: LagTracker,
         suspect: Callable[[str], None],
         clock: Clock,
+        token_age: TokenAge | None = None,
     ) -> None:
+        self._token_age = token_age
         self._suspect = suspect
         self._registry = registry
         self._table = table
@@ -109,7 +113,20 @@
         except ConnectFailedError:
             admitted.ok.done(0.0, AdmissionOutcome.UNANSWERED)
             raise
-        return LocalHeldConnection(backend, connection, admitted.ok, self)
+        held = LocalHeldConnection(backend, connection, admitted.ok, self)
+        try:
+            self.check_token(admission_request)
+        except NotServedError:
+            held.finish(is_good=True)
+            raise
+        return held
+
+    def check_token(
+        self, admission_request: AdmissionRequest, max_age: float = MAX_TOKEN_AGE
+    ) -> None:
+        """Exchange the token of an operation that waited; see ``TokenAge.check``."""
+        if self._token_age is not None:
+            self._token_age.check(admission_request, max_age)
 
     def can_satisfy(self, group: str, bound: ReadBound) -> bool:
         """Return whether a position is known that satisfies a bound."""
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -2,10 +2,15 @@
 
 from typing import Final
 
+from dogwoodspool_accounts import TOKEN_AGE_SECONDS
+
 # Part of a request's target latency that it may spend waiting for admission to a
 # server. One that would wait longer is refused at once with a retry time, so that its
 # caller can use the share of another proxy.
 WAIT_SHARE: Final = 0.25
+# Seconds between the arrival of an operation and its first statement above which its
+# token is exchanged for another one.
+MAX_TOKEN_AGE: Final = TOKEN_AGE_SECONDS
 # Part of a read's remaining time that its first attempt gets: a broken connection is
 # detected only by the missing answer, and time must be left to try another server.
 READ_ATTEMPT_SHARE: Final = 0.4
--- a/packages/pooler/src/dogwoodspool_pooler/operations.py
+++ b/packages/pooler/src/dogwoodspool_pooler/operations.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from dogwoodspool_accounts import OperationLimiter, RateLimitedError
+from dogwoodspool_common import Clock
 from dogwoodspool_common.counters import Counters
 
 from .errors import AnswerLostError, NotServedError
@@ -19,9 +20,12 @@
     is counted at its first statement that needs a server.
     """
 
-    def __init__(self, limiter: OperationLimiter, counters: Counters) -> None:
+    def __init__(
+        self, limiter: OperationLimiter, counters: Counters, clock: Clock
+    ) -> None:
         self._limiter = limiter
         self._counters = counters
+        self._clock = clock
 
     def run_single(self, request: Request, run: Callable[[Request], Reply]) -> Reply:
         """Run a statement outside of a transaction.
@@ -35,9 +39,9 @@
         except AnswerLostError:
             raise  # It may have run.
         except NotServedError:
-            self._limiter.give_back(request.caller.account)
+            self._give_back(request)
             raise
-        self._give_back_if_not_run(request.caller, reply)
+        self._give_back_if_not_run(request, reply)
         return reply
 
     def run_in_transaction(
@@ -56,7 +60,7 @@
         self._take(transaction.caller)
         transaction.is_counted = True
         reply = run(transaction, request)
-        self._give_back_if_not_run(transaction.caller, reply)
+        self._give_back_if_not_run(request, reply)
         return reply
 
     def _take(self, caller: Caller) -> None:
@@ -70,6 +74,10 @@
                 StatementError(ErrorCode.BUSY, str(error), error.retry_after_ms)
             ) from error
 
-    def _give_back_if_not_run(self, caller: Caller, reply: Reply) -> None:
+    def _give_back_if_not_run(self, request: Request, reply: Reply) -> None:
         if reply.error is not None and reply.error.code.is_not_run:
-            self._limiter.give_back(caller.account)
+            self._give_back(request)
+
+    def _give_back(self, request: Request) -> None:
+        age = self._clock.now() - request.arrived_at
+        self._limiter.give_back(request.caller.account, age)
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -22,6 +22,8 @@
         deadline: clock time after which an answer is useless.
         has_alternatives: whether another server can serve it as well.
         account: client account that it runs for; empty for none.
+        arrived_at: clock seconds at which its operation arrived, since when it has a
+            token; None if that is not known.
     """
 
     priority: int
@@ -30,6 +32,7 @@
     deadline: float
     has_alternatives: bool = False
     account: str = ""
+    arrived_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,4 +95,5 @@
             deadline=self.deadline,
             has_alternatives=has_alternatives,
             account=self.caller.account,
+            arrived_at=self.arrived_at,
         )
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -47,6 +47,7 @@
 from .shared.runtime import SharedPoolsRuntime
 from .stalls import StallTracker
 from .statements import LocalStatements
+from .token_age import TokenAge
 from .transactions import TransactionPath
 from .writes import WritePath
 
@@ -95,6 +96,7 @@
             LagTracker(clock),
             self._suspect,
             clock,
+            TokenAge(self._exchange, self._counters, clock),
         )
         known = KnownPrimaries(self._views, self._table)
         primaries = PrimaryPath(self._views, known, access, clock)
@@ -256,6 +258,9 @@
         known = self._views.view.accounts.get(account)
         return None if known is None else known.rate_limit
 
+    def _exchange(self, account: str, age: float) -> None:
+        self._limits.limiter.exchange(account, age)
+
     def _suspect(self, server: str) -> None:
         """Probe the server and have control called, as either may be unreachable."""
         self._recovery.suspect(server)
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -30,7 +30,7 @@
         self._views = views
         self._statements = statements
         self._transactions = transactions
-        self._operations = OperationCounter(limiter, counters)
+        self._operations = OperationCounter(limiter, counters, clock)
         self._counters = counters
         self._first_view_due = clock.now() + FIRST_VIEW_DUE_SECONDS
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from ..const import MAX_TOKEN_AGE
+
 # Paths of the endpoints at which an owner of pools accepts its neighbours' requests.
 PATH_STATEMENT: Final = "/v1/pools/statement"
 PATH_TRANSACTION: Final = "/v1/pools/transaction"
@@ -20,6 +22,8 @@
 # Part of a read's remaining time that an owner gets: if the owner is lost, time must be
 # left to read without it.
 OWNER_READ_SHARE: Final = 0.75
+# Age of a token up to which its transaction is forwarded; an owner assumes this age.
+FORWARDED_TOKEN_AGE: Final = MAX_TOKEN_AGE / 2
 RELEASE_TIMEOUT: Final = 0.2
 # Number of connections to one owner that are kept open.
 CONNECTIONS_TO_OWNER: Final = 8
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -17,7 +17,7 @@
 from ..held import HeldConnection, ReadBound
 from ..models import ErrorCode, Prepared, Reply, Statement, StatementError
 from ..requests import Request
-from .const import HOP_SECONDS, PATH_TRANSACTION
+from .const import FORWARDED_TOKEN_AGE, HOP_SECONDS, PATH_TRANSACTION
 from .errors import LeaseLostError, OwnerUnavailableError, UnknownLeaseError
 from .messages import (
     BoundMessage,
@@ -135,6 +135,9 @@
         if self._owner is not None and self._lease is not None:
             return self._continue(self._owner, message)
         for owner in self._owners:
+            self._access.check_token(
+                self._request.admission_request(), FORWARDED_TOKEN_AGE
+            )
             try:
                 return self._ask(owner, message, message.wait + message.answer)
             except OwnerUnavailableError:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -22,7 +22,13 @@
 from ..models import Access, Reply, StatementKind
 from ..requests import AdmissionRequest
 from .caller_check import check_caller
-from .const import OWNER_ATTEMPTS, PATH_RELEASE, PATH_TRANSACTION
+from .const import (
+    FORWARDED_TOKEN_AGE,
+    HOP_SECONDS,
+    OWNER_ATTEMPTS,
+    PATH_RELEASE,
+    PATH_TRANSACTION,
+)
 from .errors import OwnerBehindError, OwnerUnavailableError
 from .leases import LeaseTracker
 from .messages import (
@@ -125,6 +131,7 @@
             start_by=now + message.wait,
             deadline=now + message.wait + message.answer,
             account=caller_of(message.caller).account,
+            arrived_at=now - FORWARDED_TOKEN_AGE - HOP_SECONDS,
         )
         for _attempt in range(OWNER_ATTEMPTS):
             try:
--- a/packages/pooler/src/dogwoodspool_pooler/writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -55,6 +55,7 @@
             if not is_busy or self._clock.now() >= request.start_by:
                 return reply
             self._clock.sleep(BUSY_RETRY_SECONDS)
+            self._access.check_token(request.admission_request())
 
 
 def write_in_doubt(request: Request, error: OutcomeUnknownError) -> Reply:
--- a/packages/proxy/src/dogwoodspool_proxy/caller_session.py
+++ b/packages/proxy/src/dogwoodspool_proxy/caller_session.py
@@ -69,6 +69,7 @@
         self._clock = clock
         self._on_close = on_close
         self._lock = threading.Lock()
+        self._counted_at = 0.0
 
     @property
     def in_transaction(self) -> bool:
@@ -196,6 +197,7 @@
         caller.account = self._accounts.account_of(caller.user)
         if not caller.account:
             return None
+        self._counted_at = self._clock.now()
         try:
             self._limiter.acquire(caller.account)
         except RateLimitedError as error:
@@ -210,7 +212,8 @@
             isinstance(answer, ErrorAnswer) and answer.outcome is Outcome.NOT_RUN
         )
         if is_not_run and self._caller.account:
-            self._limiter.give_back(self._caller.account)
+            age = self._clock.now() - self._counted_at
+            self._limiter.give_back(self._caller.account, age)
         return is_not_run
 
     def _deadline(self, request: StatementRequest) -> float:
--- a/tests/accounts/test_allocation.py
+++ b/tests/accounts/test_allocation.py
@@ -3,7 +3,8 @@
 import unittest
 
 from dogwoodspool_accounts import LimitTolerance, allocate
-from dogwoodspool_accounts.const import HOLD_SECONDS, LOCAL_HOLD_SECONDS
+from dogwoodspool_accounts.allocation import USE_SECONDS
+from dogwoodspool_accounts.const import STARTS_PER_WINDOW
 from dogwoodspool_common import RateLimit
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -30,9 +31,11 @@
         self, limit: RateLimit, tolerance: LimitTolerance, domains: int
     ) -> None:
         parts = allocate(limit, tolerance, domains)
-        seconds = tolerance.window + HOLD_SECONDS + LOCAL_HOLD_SECONDS
-        base = parts.base.per_second * seconds + parts.base.burst + parts.start
-        reserve = parts.reserve.per_second * seconds + parts.reserve.burst
+        seconds = tolerance.window + USE_SECONDS
+        base = parts.base.per_second * seconds + parts.base.burst
+        base += STARTS_PER_WINDOW * parts.start
+        drawn_in = seconds + parts.drawn_seconds
+        reserve = parts.reserve.per_second * drawn_in + parts.reserve.burst
         bound = tolerance.bound(limit)
         # A reserve that is reduced to nothing leaves the base part, which by itself
         # fits into the limit.
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -244,7 +244,7 @@
         self.proxies.control.is_silent = True
         used = self.proxies.admitted(100, self.other)
         for _ in range(used):
-            self.proxies.limiters[self.other].give_back("shop")
+            self.proxies.limiters[self.other].give_back("shop", 0.0)
         self.proxies.returns[self.other].step()
         third = next(n for n in NAMES if n not in (self.other, self.proxies.owner))
         self.assertGreaterEqual(self.proxies.admitted(100, third), used)
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from dogwoodspool_accounts import RateLimitedError
 from dogwoodspool_common import ClientAccount, Consistency, Role, key_digest
 from dogwoodspool_pooler import (
     ErrorCode,
@@ -140,11 +141,18 @@
     def __init__(self) -> None:
         self.acquired: list[str] = []
         self.given_back: list[str] = []
+        self.exchanged: list[float] = []
+        self.has_none = False
 
     def acquire(self, account: str) -> None:
         self.acquired.append(account)
 
-    def give_back(self, account: str) -> None:
+    def exchange(self, account: str, age: float) -> None:
+        self.exchanged.append(round(age, 3))
+        if self.has_none:
+            raise RateLimitedError("no token", 70)
+
+    def give_back(self, account: str, age: float) -> None:
         self.given_back.append(account)
 
 
@@ -157,8 +165,10 @@
         self.proxy = SharingProxy([self.server], endpoint(Consistency.PRIMARY))
         for pooler in (self.proxy, *self.owners()):
             pooler.apply_view(primary="s1", accounts=[SHOP])
-        counters = self.proxy.counters
-        self.proxy.sessions._operations = OperationCounter(self.limiter, counters)
+        counters, clock = self.proxy.counters, self.proxy.clock
+        self.proxy.sessions._operations = OperationCounter(
+            self.limiter, counters, clock
+        )
 
     def owners(self) -> list[Pooler]:
         return [self.proxy.owner(name).pooler for name in ("o1", "o2")]
--- a/tests/proxy/test_accounts.py
+++ b/tests/proxy/test_accounts.py
@@ -44,7 +44,10 @@
         self.left -= 1
         self.acquired.append(account)
 
-    def give_back(self, account: str) -> None:
+    def exchange(self, account: str, age: float) -> None:
+        raise AssertionError("the proxy exchanges no tokens")
+
+    def give_back(self, account: str, age: float) -> None:
         self.given_back.append(account)
 
 
