--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -26,6 +26,8 @@
         kind: statements of one kind take similar times.
         has_alternatives: whether another server can serve it as well.
         account: client account that it runs for; empty for none.
+        arrived_at: clock seconds at which its operation arrived, since when it has a
+            token; None if that is not known.
     """
 
     priority: int
@@ -36,6 +38,7 @@
     kind: str = ""
     has_alternatives: bool = False
     account: str = ""
+    arrived_at: float | None = None
 
     @property
     def work(self) -> Work | None:
@@ -137,4 +140,5 @@
             kind=self.endpoint.database,
             has_alternatives=has_alternatives,
             account=self.caller.account,
+            arrived_at=self.arrived_at,
         )
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -53,6 +53,7 @@
 from .shared.runtime import SharedPoolsRuntime
 from .stalls import StallTracker
 from .statements import LocalStatements
+from .token_age import TokenAge
 from .transactions import TransactionPath
 from .writes import WritePath
 
@@ -103,6 +104,7 @@
             self._suspect,
             clock,
             replica_lag,
+            TokenAge(self._exchange, self._counters, clock),
         )
         costs = LoadCost(self._owner_share, self._registry.admission_state)
         chooser = ReadChooser(costs, refusals, replica_lag, clock)
@@ -297,6 +299,9 @@
         known = self._views.view.accounts.get(account)
         return None if known is None else known.rate_limit
 
+    def _exchange(self, account: str, age: float) -> None:
+        self._limits.limiter.exchange(account, age)
+
     def _suspect(self, server: str) -> None:
         """Probe the server and have control called, as either may be unreachable."""
         self._recovery.suspect(server)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -17,7 +17,7 @@
 from ..held import HeldConnection, ReadBound
 from ..models import ErrorCode, Prepared, Reply, Statement, StatementError
 from ..requests import Request
-from .const import HOP_SECONDS, PATH_TRANSACTION
+from .const import FORWARDED_TOKEN_AGE, HOP_SECONDS, PATH_TRANSACTION
 from .errors import LeaseLostError, OwnerUnavailableError, UnknownLeaseError
 from .messages import (
     BoundMessage,
@@ -148,6 +148,9 @@
             except (OwnerUnavailableError, ServerNotReachedError):
                 continue
         for owner in self._owners:
+            self._access.check_token(
+                self._request.admission_request(), FORWARDED_TOKEN_AGE
+            )
             try:
                 return self._begin(owner, build())
             except OwnerUnavailableError:
