Pooler: let the value of the primary's room grow with the root of its load

With 80 processes that each have a small part of the load, single statements made the primary look full, and the replicas were given 94 % of their capacity while the primary had half of its room left. A process now compares its statements with at least half a slot, and the value grows steeply at low utilisation and slowly at high utilisation, where replicas are loaded too.

The load in the server table is averaged over time.

--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -41,7 +41,12 @@
 PRIMARY_PENALTY: Final = 0.008
 # Utilisation of the primary from which a read rather crosses to a replica in another
 # failure domain than uses the room of the primary in its own.
-CROSSING_UTILISATION: Final = 1 / 8
+CROSSING_UTILISATION: Final = 1 / 12
+# Least room, in slots, against which a process compares its statements at the primary.
+# A process with a smaller part of the slots would see each of its statements as a full
+# primary; compared with more room it sees less load, and costs approach the standing
+# ones.
+MIN_ROOM: Final = 0.5
 # Bounds of the value of the primary's room: near full utilisation it would grow without
 # limit, and reads would queue at full replicas for longer than at the primary.
 MAX_PRIMARY_UTILISATION: Final = 0.95
--- a/packages/pooler/src/dogwoodspool_pooler/read_cost.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_cost.py
@@ -1,5 +1,6 @@
 """Cost of the servers that may serve a read, in seconds."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -10,6 +11,7 @@
     CROSSING_UTILISATION,
     MAX_PRIMARY_UTILISATION,
     MAX_PRIMARY_VALUE,
+    MIN_ROOM,
     NEARLY_EQUAL_COST,
     OTHER_DOMAIN_PENALTY,
     PRIMARY_PENALTY,
@@ -118,7 +120,7 @@
         share = self._share(primary.server.group)
         if share is None:
             return PRIMARY_PENALTY
-        room = primary.server.slots * share
+        room = max(primary.server.slots * share, MIN_ROOM)
         demand = primary.load
         if admission is not None:
             room = min(room, admission.limit)
@@ -129,16 +131,18 @@
 def room_value(utilisation: float) -> float:
     """Return the value in seconds of the room of one read at a primary.
 
-    It grows with the ratio of used to free room, and equals the penalty for crossing to
-    another failure domain at ``CROSSING_UTILISATION``.
+    It grows with the square root of the ratio of used to free room: steeply at low
+    utilisation, so that reads leave a primary that replicas can relieve, and slowly at
+    high utilisation, where the replicas are loaded as well. It equals the penalty for
+    crossing to another failure domain at ``CROSSING_UTILISATION``.
 
     Example:
-        >>> room_value(0.0), room_value(0.125), room_value(2.0)
-        (0.008, 0.025, 0.1)
+        >>> room_value(0.0), round(room_value(0.5), 3), room_value(2.0)
+        (0.008, 0.083, 0.1)
     """
     used = min(utilisation, MAX_PRIMARY_UTILISATION)
     at_crossing = CROSSING_UTILISATION / (1 - CROSSING_UTILISATION)
-    value = OTHER_DOMAIN_PENALTY * used / (1 - used) / at_crossing
+    value = OTHER_DOMAIN_PENALTY * math.sqrt(used / (1 - used) / at_crossing)
     return min(max(value, PRIMARY_PENALTY), MAX_PRIMARY_VALUE)
 
 
--- a/packages/pooler/src/dogwoodspool_pooler/read_placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_placement.py
@@ -19,6 +19,7 @@
 from .freshness import FreshnessTracker
 from .held import ConnectionAccess, HeldConnection, ReadBound
 from .known_primaries import KnownPrimaries
+from .models import ErrorCode, Reply
 from .placement import rank_for_read
 from .read_choice import ReadChoice, ReadChooser, ReadConditions
 from .requests import Request
@@ -160,13 +161,15 @@
         _log_read_waited(request, choice, waited)
         return replace(request, waited=request.waited + waited)
 
-    def record_wait(self, choice: ReadChoice, *, was_enough: bool) -> None:
+    def record_wait(self, choice: ReadChoice, reply: Reply) -> None:
         """Record whether a replica had the position of a read that had waited."""
         shared = self._shared_by(choice.server.group)
-        if shared is not None and choice.wait and choice.min_position is not None:
-            shared.chooser.record_wait(
-                choice.server.name, choice.min_position, was_enough=was_enough
-            )
+        if shared is None or not choice.wait or choice.min_position is None:
+            return
+        is_behind = reply.error is not None and reply.error.code is ErrorCode.BEHIND
+        shared.chooser.record_wait(
+            choice.server.name, choice.min_position, was_enough=not is_behind
+        )
 
     def is_primary(self, server: BackendServer) -> bool:
         """Return whether a server is probably the primary of its group."""
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -17,14 +17,12 @@
 from .held import ReadBound
 from .local_connection import LocalHeldConnection
 from .models import (
-    ErrorCode,
     Reply,
     Statement,
     StatementKind,
     TransactionState,
 )
 from .primaries import PrimaryPath
-from .read_choice import ReadChoice
 from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
 
@@ -77,7 +75,8 @@
                 reply = self._try(request, server, number, bound)
             except NotFreshError:
                 break
-            self._record_wait(choice, reply)
+            if reply is not None:
+                self._placement.record_wait(choice, reply)
             if reply is not None and reply.error is None:
                 is_primary = self._placement.is_primary(server)
                 self._counters.read_served(group, is_primary)
@@ -90,12 +89,6 @@
             return failed
         return self._read_primary(request)
 
-    def _record_wait(self, choice: ReadChoice, reply: Reply | None) -> None:
-        if not choice.wait or reply is None:
-            return
-        is_behind = reply.error is not None and reply.error.code is ErrorCode.BEHIND
-        self._placement.record_wait(choice, was_enough=not is_behind)
-
     def _lagging(self, request: Request, bound: ReadBound) -> set[str]:
         try:
             min_position = self._access.min_position(request.endpoint.group, bound)
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -1,11 +1,6 @@
 """Transactions, each on one connection from its first statement to its end."""
 
-from dogwoodspool_common import (
-    Clock,
-    Consistency,
-    Endpoint,
-    log_rate_limited,
-)
+from dogwoodspool_common import Clock, Consistency, Endpoint, log_rate_limited
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_connections import (
     BackendError,
@@ -239,7 +234,7 @@
             NotFreshError: no position is known that satisfies the bound, so that no
                 replica can serve it.
         """
-        now, server = self._clock.now(), choice.server
+        server, asked_at = choice.server, self._clock.now()
         try:
             held = self._access.open(server, request, has_alternatives=True)
         except (NotServedError, ConnectFailedError) as error:
@@ -248,7 +243,7 @@
         try:
             reply = held.run_internal(
                 Statement(StatementKind.BEGIN_READ_ONLY),
-                min(request.deadline, now + INTERNAL_STATEMENT_TIMEOUT),
+                min(request.deadline, asked_at + INTERNAL_STATEMENT_TIMEOUT),
                 bound=bound,
             )
         except NotFreshError:
@@ -258,8 +253,7 @@
             held.finish(is_good=False)
             log_read_moved(request, server, error)
             return None
-        is_behind = reply.error is not None and reply.error.code is ErrorCode.BEHIND
-        self._placement.record_wait(choice, was_enough=not is_behind)
+        self._placement.record_wait(choice, reply)
         if reply.error is None:
             return held
         held.finish(is_good=True)
@@ -281,11 +275,10 @@
             database=request.endpoint.database,
             reason=error,
         )
-        return _error_reply(
-            _aborted(
-                "the connection to the server was lost; the transaction is rolled back"
-            )
+        message = (
+            "the connection to the server was lost; the transaction is rolled back"
         )
+        return _error_reply(_aborted(message))
 
 
 def _release_ended(transaction: Transaction) -> None:
--- a/tests/routing/test_server_table.py
+++ b/tests/routing/test_server_table.py
@@ -63,6 +63,36 @@
         self.assertEqual(known.position, Position(2, 9))
 
 
+class LoadTests(TableTestCase):
+    """The load is the number of statements in flight, averaged over seconds."""
+
+    def load(self) -> float:
+        view = self.table.get("b1")
+        assert view is not None
+        return view.load
+
+    def test_it_follows_the_statements_in_flight(self) -> None:
+        for _ in range(2):
+            self.table.begin("b1")
+        self.assertEqual(self.load(), 0.0)
+        self.clock.advance(10.0)
+        self.assertAlmostEqual(self.load(), 2.0, delta=0.01)
+        for _ in range(2):
+            self.table.end("b1", 10.0, is_answered=True)
+        self.assertAlmostEqual(self.load(), 2.0, delta=0.01)
+        self.clock.advance(10.0)
+        self.assertAlmostEqual(self.load(), 0.0, delta=0.01)
+
+    def test_it_averages_short_statements(self) -> None:
+        """Guard against a load that depends on the moment at which it is read."""
+        for _ in range(1_000):
+            self.table.begin("b1")
+            self.clock.advance(0.006)
+            self.table.end("b1", 0.006, is_answered=True)
+            self.clock.advance(0.004)
+        self.assertAlmostEqual(self.load(), 0.6, delta=0.02)
+
+
 class ReachabilityTests(TableTestCase):
     """Observations report for how long a server has not answered.
 
