Gateway: refuse a statement for which no thread can be started as not run

The scenario of two proxies that share a limit failed once beside other load: a proxy answered a read with "can't start new thread", without saying whether it ran. The executor queues a statement before it starts a thread for it, so the statement could still run in another thread after its caller was told of the failure. Now it is cancelled, and its caller is told that it did not run, with a retry delay; if it runs already, its answer is awaited.

--- a/packages/gateway/src/dogwoodspool_gateway/workers.py
+++ b/packages/gateway/src/dogwoodspool_gateway/workers.py
@@ -2,12 +2,18 @@
 
 import asyncio
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from typing import TypeVar
 
+from dogwoodspool_common import log_rate_limited
+
 ResultT = TypeVar("ResultT")
 
 
+class NoThreadError(RuntimeError):
+    """Report work that did not run because no thread could be started for it."""
+
+
 class WorkerPool:
     """Run blocking work of caller connections in a limited number of threads.
 
@@ -26,20 +32,51 @@
         return self._running
 
     async def run(self, work: Callable[[], ResultT]) -> ResultT | None:
-        """Run work in a thread; return None at once if all threads are in use."""
+        """Run work in a thread; return None at once if there is none for it."""
         if self._running >= self._limit:
             return None
-        return await self.run_admitted(work)
+        try:
+            return await self.run_admitted(work)
+        except NoThreadError as error:
+            log_rate_limited("worker_not_started", level="WARNING", reason=error)
+            return None
 
     async def run_admitted(self, work: Callable[[], ResultT]) -> ResultT:
-        """Run work of an admitted statement, such as fetching more rows."""
+        """Run work of an admitted statement, such as fetching more rows.
+
+        Raises:
+            NoThreadError: it did not run and will not.
+        """
         self._running += 1
         try:
-            loop = asyncio.get_running_loop()
-            return await loop.run_in_executor(self._statements, work)
+            return await asyncio.wrap_future(self._submit(work))
         finally:
             self._running -= 1
 
+    def _submit(self, work: Callable[[], ResultT]) -> Future[ResultT]:
+        """Give work to a thread.
+
+        The executor queues work before it starts a thread for it. If the system allows
+        no further thread, the work would still run later in another one, although its
+        caller was told of a failure; so it is cancelled unless it already runs.
+        """
+        result: Future[ResultT] = Future()
+        try:
+            self._statements.submit(_run, work, result)
+        except RuntimeError as error:
+            if result.cancel():
+                raise NoThreadError(str(error)) from error
+        return result
+
     def unload(self) -> None:
         """Wait for running work and stop the threads."""
         self._statements.shutdown(wait=True)
+
+
+def _run(work: Callable[[], ResultT], result: Future[ResultT]) -> None:
+    if not result.set_running_or_notify_cancel():
+        return
+    try:
+        result.set_result(work())
+    except BaseException as error:  # noqa: BLE001 - raised where it is awaited
+        result.set_exception(error)
