--- a/packages/accounts/src/dogwoodspool_accounts/__init__.py
+++ b/packages/accounts/src/dogwoodspool_accounts/__init__.py
@@ -1,7 +1,7 @@
 """Rate limits of client accounts, enforced by all proxies together."""
 
 from .allocation import Allocation, Allocator, LimitTolerance, allocate
-from .const import TOKEN_AGE_MARGIN, TOKEN_AGE_SECONDS
+from .const import RETURN_AGE_SECONDS, TOKEN_AGE_MARGIN, TOKEN_AGE_SECONDS
 from .domain_allowance import DomainAllowance
 from .errors import RateLimitedError
 from .limiter import AccountLimiter, NoLimits, OperationLimiter
@@ -12,6 +12,7 @@
 from .usage import AccountUsage, UsageCounter
 
 __all__ = [
+    "RETURN_AGE_SECONDS",
     "TOKEN_AGE_MARGIN",
     "TOKEN_AGE_SECONDS",
     "AccountLimiter",
--- a/packages/accounts/src/dogwoodspool_accounts/owner_bucket.py
+++ b/packages/accounts/src/dogwoodspool_accounts/owner_bucket.py
@@ -50,6 +50,12 @@
             self._drawn.append((expires_at, count))
             self.add(now, count, self._level + count)
 
+    def set_limit(self, limit: RateLimit, now: float) -> None:
+        """Change rate and capacity; drawn tokens above the new capacity are dropped."""
+        if limit != self._limit:
+            self._drawn.clear()
+        super().set_limit(limit, now)
+
     def give_back(self, now: float, count: float, since: float) -> float:
         """Return tokens that were taken after a time; return what they were worth."""
         self._fill(now)
--- a/packages/emulator/src/dogwoodspool_emulator/limit_replay.py
+++ b/packages/emulator/src/dogwoodspool_emulator/limit_replay.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from dogwoodspool_accounts import (
+    RETURN_AGE_SECONDS,
     TOKEN_AGE_MARGIN,
     TOKEN_AGE_SECONDS,
     Allocator,
@@ -109,6 +110,10 @@
         """Return whether an admitted operation may still run after some seconds."""
         ...
 
+    def give_back(self, domain: int, age: float) -> None:
+        """Return the token of an operation that did not run."""
+        ...
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Advance by one step."""
         ...
@@ -150,6 +155,9 @@
         """Let every admitted operation run."""
         return True
 
+    def give_back(self, domain: int, age: float) -> None:
+        """Do nothing: every admitted operation runs."""
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Do nothing: the parts are fixed."""
 
@@ -195,6 +203,9 @@
         """Let every admitted operation run."""
         return True
 
+    def give_back(self, domain: int, age: float) -> None:
+        """Do nothing: every admitted operation runs."""
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Advance by one step."""
         now = self._clock.now()
@@ -264,6 +275,12 @@
             return True
         return self._allowances[domain].exchange(ACCOUNT, age + TOKEN_AGE_MARGIN)
 
+    def give_back(self, domain: int, age: float) -> None:
+        """Return the token of an operation that did not run, unless it is too old."""
+        if age <= RETURN_AGE_SECONDS:
+            oldest = RETURN_AGE_SECONDS + TOKEN_AGE_MARGIN
+            self._allowances[domain].give_back(ACCOUNT, 1, oldest)
+
     def step(self, is_leader_up: bool, cut: Mapping[int, bool]) -> None:
         """Advance by one step."""
         now = self._clock.now()
@@ -370,6 +387,8 @@
                 outcome.admitted.append(now)
             elif now < due_at + EXCHANGE_WAIT_STEPS * STEP_SECONDS:
                 self._delayed.append((due_at, taken_at, domain))
+            else:
+                self._way.give_back(domain, now - taken_at)
 
     def _advance(self) -> None:
         self._clock.advance(STEP_SECONDS)
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -2,16 +2,25 @@
 
 import unittest
 from dataclasses import replace
+from typing import Any
 
 from dogwoodspool_accounts import RateLimitedError
-from dogwoodspool_common import ClientAccount, Consistency, Role, key_digest
+from dogwoodspool_common import (
+    BackendServer,
+    ClientAccount,
+    Consistency,
+    Role,
+    key_digest,
+)
 from dogwoodspool_pooler import (
+    Answer,
     ErrorCode,
     StatementKind,
     TransactionState,
     UnknownKeyError,
 )
 from dogwoodspool_pooler.operations import OperationCounter
+from dogwoodspool_pooler.token_age import TokenAge
 
 from .fakes import FakeServer, Pooler, endpoint, run_text
 from .shared.neighbours import SharingProxy
@@ -156,8 +165,8 @@
         self.given_back.append(account)
 
 
-class CountedOperationTests(unittest.TestCase):
-    """What counts against an account's rate limit."""
+class CountedOperationFixture(unittest.TestCase):
+    """A proxy that counts operations, whose statements run at owners."""
 
     def setUp(self) -> None:
         self.server = FakeServer("s1", Role.PRIMARY)
@@ -173,6 +182,10 @@
     def owners(self) -> list[Pooler]:
         return [self.proxy.owner(name).pooler for name in ("o1", "o2")]
 
+
+class CountedOperationTests(CountedOperationFixture):
+    """What counts against an account's rate limit."""
+
     def test_statement_and_transaction_count_once_each(self) -> None:
         session = self.proxy.session("key-1")
         run_text(session, "READ k")
@@ -199,6 +212,78 @@
         self.assertEqual(self.limiter.given_back, ["shop"])
 
 
+class TokenAgeTests(CountedOperationFixture):
+    """A token that has become old is exchanged before its operation is sent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.poolers = (self.proxy, *self.owners())
+        for pooler in self.poolers:
+            pooler.access._token_age = TokenAge(
+                self.limiter.exchange, pooler.counters, pooler.clock
+            )
+
+    def wait_for_admission(self, seconds: float) -> None:
+        """Let every connection take some time from now on."""
+        for pooler in self.poolers:
+            network, clock = pooler.network, pooler.clock
+            connect = network.connect
+
+            def slow(
+                server: BackendServer,
+                deadline: float,
+                account: str = "",
+                connect: Any = connect,
+                clock: Any = clock,
+            ) -> Any:
+                clock.advance(seconds)
+                return connect(server, deadline, account)
+
+            network.connect = slow  # type: ignore[method-assign]
+
+    def test_young_token_is_not_exchanged(self) -> None:
+        self.wait_for_admission(0.02)
+        session = self.proxy.session("key-1")
+        for text in ("READ k", "BEGIN", "WRITE k v", "COMMIT"):
+            self.assertIsNone(run_text(session, text).error)
+        self.assertEqual(self.limiter.exchanged, [])
+
+    def test_old_token_is_exchanged_where_the_statement_is_sent(self) -> None:
+        """Guard against operations that count in a later window than their tokens."""
+        self.wait_for_admission(0.3)
+        self.assertIsNone(run_text(self.proxy.session("key-1"), "READ k").error)
+        self.assertEqual(self.limiter.exchanged, [0.3])
+
+    def test_transaction_exchanges_its_token_once(self) -> None:
+        self.wait_for_admission(0.2)
+        session = self.proxy.session("key-1")
+        for text in ("BEGIN", "WRITE k v", "WRITE k2 v", "COMMIT"):
+            self.assertIsNone(run_text(session, text).error)
+        self.assertEqual(len(self.limiter.exchanged), 1)
+
+    def test_statement_without_another_token_does_not_run(self) -> None:
+        self.limiter.has_none = True
+        self.wait_for_admission(0.3)
+        self.check_not_run(run_text(self.proxy.session("key-1"), "WRITE k v"))
+
+    def test_transaction_without_another_token_does_not_run(self) -> None:
+        self.limiter.has_none = True
+        self.wait_for_admission(0.3)
+        session = self.proxy.session("key-1")
+        run_text(session, "BEGIN")
+        self.check_not_run(run_text(session, "WRITE k v"))
+
+    def check_not_run(self, answer: Answer) -> None:
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertEqual(answer.error.retry_after_ms, 70)
+        self.assertEqual(self.server.runs, [])
+        self.assertEqual(self.limiter.given_back, ["shop"])
+        for pooler in self.poolers:
+            for backend in pooler.registry.all():
+                self.assertEqual(backend.pool.in_use, 0)
+
+
 class ForwardedCallerTests(unittest.TestCase):
     """An owner checks the callers of its neighbours against its own view."""
 
