Accounts: an owner in reserve has no base part at first

A proxy that loses one answer of an account's first owner asks the next one for a second, while the other proxies go on with the first. Both then used the base part of the failure domain. The owner in reserve now has its few start tokens and what it draws from control's leader; after 5 s it takes the base part over.

--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -31,6 +31,10 @@
 # Limit owners of one failure domain that may start anew in one window.
 STARTS_PER_WINDOW: Final = 2
 
+# Time for which an owner in reserve that is asked has no base part. The first owner may
+# still serve other proxies, as single ones pass it over after a lost packet.
+RESERVE_OWNER_SECONDS: Final = 5.0
+
 # Age of a token, counted from the arrival of its statement, above which it is exchanged
 # before the statement is sent.
 TOKEN_AGE_SECONDS: Final = 0.1
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -3,7 +3,7 @@
 import threading
 from collections.abc import Callable, Mapping
 
-from dogwoodspool_common import Clock
+from dogwoodspool_common import Clock, RateLimit
 
 from .allocation import Allocation, Allocator
 from .const import (
@@ -15,6 +15,7 @@
     LOW_TOKENS,
     MIN_WAIT_SECONDS,
     NO_DEMAND,
+    RESERVE_OWNER_SECONDS,
 )
 from .demand import Demand
 from .owner_bucket import OwnerBucket
@@ -28,6 +29,7 @@
         self.bucket = OwnerBucket(parts.base, now, parts.start)
         self.drawn_seconds = parts.drawn_seconds
         self.draw_after = now
+        self.asked_at = self.asked_since = now
 
     def most(self, now: float) -> float:
         """Return the most unused tokens to keep."""
@@ -44,10 +46,20 @@
     Each account has a base part of its limit here, and tokens drawn from control's
     leader in addition, as many as its demand needs for a fraction of a second. An
     owner that has just started has few tokens, because it does not know how many its
-    predecessor used.
+    predecessor used. An owner in reserve has only these and what it draws at first,
+    because the base part is the first owner's.
+
+    Args:
+        is_first: returns whether this process is the first owner of an account.
     """
 
-    def __init__(self, allocator: Allocator, clock: Clock) -> None:
+    def __init__(
+        self,
+        allocator: Allocator,
+        clock: Clock,
+        is_first: Callable[[str], bool] = lambda _account: True,
+    ) -> None:
+        self._is_first = is_first
         self._allocator = allocator
         self._clock = clock
         self._changed = threading.Condition()
@@ -194,6 +206,13 @@
         known = self._accounts.get(account)
         if known is None:
             known = self._accounts[account] = _AccountTokens(parts, now)
-        known.bucket.set_limit(parts.base, now)
+        if now - known.asked_at >= RESERVE_OWNER_SECONDS:
+            known.asked_since = now
+        known.asked_at = now
+        base = parts.base
+        is_new = now - known.asked_since < RESERVE_OWNER_SECONDS
+        if is_new and not self._is_first(account):
+            base = RateLimit(0.0, parts.base.burst)
+        known.bucket.set_limit(base, now)
         known.drawn_seconds = parts.drawn_seconds
         return known
--- a/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limits_runtime.py
@@ -11,6 +11,7 @@
 from .limit_owner import LimitOwner
 from .limiter import AccountLimiter
 from .message_client import MessageClient
+from .owners import LimitOwners
 from .refill import RefillCoordinator
 from .returns import ReturnCoordinator
 
@@ -42,7 +43,10 @@
         clock: Clock,
     ) -> None:
         allocator = Allocator(limit_of, tolerance, domains)
-        allowance = DomainAllowance(allocator, clock)
+        owners = LimitOwners(directory)
+        allowance = DomainAllowance(
+            allocator, clock, lambda account: owners.is_first(account, own.name)
+        )
         self._refill = RefillCoordinator(allowance, peers, client, clock)
         self._owner = LimitOwner(allowance, self._refill)
         self._returns = ReturnCoordinator(
--- a/packages/accounts/src/dogwoodspool_accounts/owner_bucket.py
+++ b/packages/accounts/src/dogwoodspool_accounts/owner_bucket.py
@@ -52,7 +52,7 @@
 
     def set_limit(self, limit: RateLimit, now: float) -> None:
         """Change rate and capacity; drawn tokens above the new capacity are dropped."""
-        if limit != self._limit:
+        if limit.burst < self._limit.burst:
             self._drawn.clear()
         super().set_limit(limit, now)
 
--- a/packages/accounts/src/dogwoodspool_accounts/owners.py
+++ b/packages/accounts/src/dogwoodspool_accounts/owners.py
@@ -41,6 +41,15 @@
 
     def order(self, account: str) -> list[Neighbour]:
         """Return the owners to try; those that did not answer lately are left out."""
+        order = self._order(account)
+        return [one for one in order if not self._directory.has_failed(one.name)]
+
+    def is_first(self, account: str, name: str) -> bool:
+        """Return whether a proxy is the first to ask, or none is known."""
+        order = self._order(account)
+        return not order or order[0].name == name
+
+    def _order(self, account: str) -> list[Neighbour]:
         neighbours = self._directory.neighbours
         if neighbours is not self._neighbours:
             self._neighbours, self._orders = neighbours, {}
@@ -48,7 +57,7 @@
         order = orders.get(account)
         if order is None:
             order = orders[account] = limit_owners(account, neighbours)
-        return [one for one in order if not self._directory.has_failed(one.name)]
+        return order
 
 
 def _weight(account: str, proxy: str) -> bytes:
--- a/tests/accounts/test_domain_allowance.py
+++ b/tests/accounts/test_domain_allowance.py
@@ -5,8 +5,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from unittest.mock import patch
 
-from dogwoodspool_accounts import Allocator, DomainAllowance, LimitTolerance
-from dogwoodspool_accounts.const import EXHAUSTED_PAUSE_SECONDS
+from dogwoodspool_accounts import Allocator, DomainAllowance, LimitTolerance, allocate
+from dogwoodspool_accounts.const import (
+    EXHAUSTED_PAUSE_SECONDS,
+    RESERVE_OWNER_SECONDS,
+)
 from dogwoodspool_common import ManualClock, RateLimit
 
 LIMIT = RateLimit(per_second=20, burst=20)
@@ -66,3 +69,16 @@
         self.allowance.record_draw(self.allowance.wanted(), {})
         with patch.object(self.clock, "wait", side_effect=AssertionError("it waits")):
             self.assertEqual(self.allowance.take_later("shop", 0.01), 0)
+
+    def test_owner_in_reserve_has_no_base_part_at_first(self) -> None:
+        """Guard against a base part that two owners use at the same time."""
+        allocator = Allocator(lambda _: LIMIT, LimitTolerance(), lambda: 4)
+        reserve = DomainAllowance(allocator, self.clock, lambda _account: False)
+        taken = 0
+        for _second in range(int(RESERVE_OWNER_SECONDS)):
+            taken += reserve.take("shop", 20)
+            self.clock.advance(1.0)
+        self.assertEqual(taken, int(allocate(LIMIT, LimitTolerance(), 4).start))
+        reserve.take("shop", 20)
+        self.clock.advance(1.0)
+        self.assertGreater(reserve.take("shop", 20), 0)
--- a/tests/accounts/test_limiter.py
+++ b/tests/accounts/test_limiter.py
@@ -17,6 +17,8 @@
     ACQUIRE_SECONDS,
     ACQUIRE_TIMEOUT,
     LOCAL_HOLD_SECONDS,
+    PATH_ACQUIRE,
+    PATH_EXCHANGE,
 )
 from dogwoodspool_accounts.limit_owner import LimitOwner
 from dogwoodspool_accounts.owners import limit_owners
@@ -249,6 +251,42 @@
         third = next(n for n in NAMES if n not in (self.other, self.proxies.owner))
         self.assertGreaterEqual(self.proxies.admitted(100, third), used)
 
+    def test_old_token_is_exchanged_at_the_owner_that_gave_it(self) -> None:
+        self.proxies.control.is_silent = True
+        for _ in range(2):
+            self.proxies.admitted(1, self.other)
+            self.proxies.clock.advance(0.6)
+        self.proxies.limiters[self.other].exchange("shop", 0.6)
+        self.assertEqual(self.proxies.asked, [self.proxies.owner] * 3)
+
+    def test_exchange_does_not_use_a_token_twice(self) -> None:
+        """Guard against tokens that are exchanged though others used them up."""
+        self.proxies.control.is_silent = True
+        limiter = self.proxies.limiters[self.other]
+        self.proxies.admitted(1, self.other)
+        self.proxies.clock.advance(3.0)
+        self.proxies.admitted(100, self.other)
+        with self.assertRaises(RateLimitedError):
+            for _ in range(5):
+                limiter.exchange("shop", 3.0)
+
+    def test_earlier_build_gives_another_token(self) -> None:
+        """Guard against operations that are refused while builds are mixed."""
+        asked = []
+        post = self.proxies.post
+
+        def earlier(
+            address: Address, path: str, body: dict[str, Any], timeout: float
+        ) -> dict[str, Any]:
+            asked.append(path)
+            if path == PATH_EXCHANGE:
+                raise PeerRefusedError(404, "not_found", path)
+            return post(address, path, body, timeout)
+
+        self.proxies.post = earlier  # type: ignore[method-assign]
+        self.proxies.limiters[self.other].exchange("shop", 0.3)
+        self.assertEqual(asked, [PATH_EXCHANGE, PATH_ACQUIRE])
+
     def test_owner_draws_more_than_its_base_part(self) -> None:
         total = 0
         self.proxies.admitted(1, self.other)
