Sharing: use the owners near a primary only where a deployment asks for it

One process near a primary served a group's work of all failure domains. It is now a flag of the edge program and off by default. Ruled out: fewer or more owners, since their number divides the queue that was to be one.

--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -129,6 +129,7 @@
             pool_settings=settings,
             connection_share=self._variant.connection_share or CONNECTION_SHARE,
             order=self._variant.order,
+            uses_primary_owners=self._variant.has_primary_owners,
             forward=partial(self._forward_to_primary, name),
             has_parts=self._variant.has_parts,
             has_rated_accounts=self._variant.has_rated_accounts,
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -274,12 +274,18 @@
         rng: random.Random | None = None,
         rules: ReadRules | None = None,
         stats: ServerStats | None = None,
+        uses_primary_owners: bool = False,
     ) -> None:
         self._rules = rules or ReadRules()
         self._stats = stats or ServerStats()
         self.neighbour = neighbour
         self.failure_domain = failure_domain
-        self.directory = ProxyDirectory(neighbour, failure_domains, timeline.clock)
+        self.directory = ProxyDirectory(
+            neighbour,
+            failure_domains,
+            timeline.clock,
+            uses_primary_owners=uses_primary_owners,
+        )
         self.remote = RemoteOwners(
             neighbour.name, failure_domain, self.directory, timeline.clock
         )
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -71,6 +71,7 @@
         client: calls control.
         clock: source of time for all parts.
         tolerance: how far operations of client accounts may exceed their limits.
+        uses_primary_owners: see ``ProxyDirectory``.
     """
 
     def __init__(
@@ -84,6 +85,8 @@
         client: JsonClient,
         clock: Clock,
         tolerance: LimitTolerance | None = None,
+        *,
+        uses_primary_owners: bool = False,
     ) -> None:
         self._views = ViewStore(failure_domain, clock)
         self._peers = ControlPeers(control, failure_domain, name)
@@ -136,6 +139,7 @@
             client,
             clock,
             placement.keeps_room,
+            uses_primary_owners=uses_primary_owners,
         )
         self._limits_client = JsonLineClient(
             CONNECTIONS_TO_LIMIT_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -64,6 +64,7 @@
         clock: source of time for all parts.
         keeps_room: returns whether a primary's room is kept from read-only
             transactions.
+        uses_primary_owners: see ``ProxyDirectory``.
     """
 
     def __init__(
@@ -80,9 +81,13 @@
         client: JsonClient,
         clock: Clock,
         keeps_room: KeepsRoom,
+        *,
+        uses_primary_owners: bool = False,
     ) -> None:
         self._views = views
-        self._directory = ProxyDirectory(own, failure_domains, clock)
+        self._directory = ProxyDirectory(
+            own, failure_domains, clock, uses_primary_owners=uses_primary_owners
+        )
         self._presence = PresenceCoordinator(
             own, failure_domain, self._directory, peers, client, clock
         )
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -10,11 +10,8 @@
 # domain.
 PATH_OWNERS: Final = "/v1/pools/owners"
 
-# Whether requests for a primary are served by the owners in its failure domain. If not,
-# each failure domain's owners send them to the server themselves.
-FORWARDS_TO_PRIMARY_OWNERS: Final = True
-# Greatest number of proxies in all failure domains for which that is done: each proxy
-# keeps connections to the owners of each primary, which accept a limited number.
+# Greatest number of proxies in all failure domains that use the owners near a primary:
+# each proxy keeps connections to these owners, which accept a limited number.
 MAX_FORWARDING_PROXIES: Final = 250
 
 # Minimum number of a failure domain's proxies per owner. With fewer, most requests
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -8,7 +8,6 @@
 from dogwoodspool_common.const import NEVER
 
 from .const import (
-    FORWARDS_TO_PRIMARY_OWNERS,
     MAX_FORWARDING_PROXIES,
     MIN_OWNERS,
     NEIGHBOUR_RETENTION_SECONDS,
@@ -38,11 +37,21 @@
         own: this process.
         failure_domains: number of failure domains; all are assumed to have the same
             number of proxies.
+        uses_primary_owners: whether the owners in a primary's failure domain serve its
+            work for all failure domains.
     """
 
-    def __init__(self, own: Neighbour, failure_domains: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        own: Neighbour,
+        failure_domains: int,
+        clock: Clock,
+        *,
+        uses_primary_owners: bool = False,
+    ) -> None:
         self._own = own
         self._failure_domains = failure_domains
+        self._uses_primary_owners = uses_primary_owners
         self._clock = clock
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
@@ -241,7 +250,7 @@
 
     def _forwards(self) -> bool:
         proxies = len(self._neighbours) * self._failure_domains
-        is_on = FORWARDS_TO_PRIMARY_OWNERS and self._failure_domains > 1
+        is_on = self._uses_primary_owners and self._failure_domains > 1
         return is_on and proxies <= MAX_FORWARDING_PROXIES
 
     def _chosen(self, group: str) -> Owners | None:
--- a/tests/platform/test_primary_owners.py
+++ b/tests/platform/test_primary_owners.py
@@ -32,7 +32,10 @@
     def start_edge(self, host: str) -> Edge:
         listen = {"front": f"{host}:{self.front}", "ready": f"{host}:{self.ready}"}
         zone = "zone-1" if host in NEAR else "zone-2"
-        edge = Edge(self.boot(host, zone=zone, zones=ZONES, listen=listen))
+        edge = Edge(
+            self.boot(host, zone=zone, zones=ZONES, listen=listen),
+            uses_primary_owners=True,
+        )
         edge.set_up()
         self.addCleanup(edge.unload)
         return edge
--- a/tests/pooler/shared/test_primary_shares.py
+++ b/tests/pooler/shared/test_primary_shares.py
@@ -55,7 +55,7 @@
         self.pooler.clock.advance(10)
 
     def directory_of(self, own: Neighbour, clock: ManualClock) -> ProxyDirectory:
-        directory = ProxyDirectory(own, 3, clock)
+        directory = ProxyDirectory(own, 3, clock, uses_primary_owners=True)
         directory.adopt(self.proxies)
         directory.set_groups({GROUP: ServerLimits(3, CONNECTIONS)})
         return directory
--- a/tests/sharing/test_remote_coordinator.py
+++ b/tests/sharing/test_remote_coordinator.py
@@ -84,7 +84,7 @@
         )
 
     def directory(self, own: Neighbour, proxies: list[Neighbour]) -> ProxyDirectory:
-        directory = ProxyDirectory(own, 3, self.clock)
+        directory = ProxyDirectory(own, 3, self.clock, uses_primary_owners=True)
         directory.adopt(proxies)
         directory.set_groups(GROUPS)
         return directory
--- a/tests/sharing/test_remote_owners.py
+++ b/tests/sharing/test_remote_owners.py
@@ -33,7 +33,7 @@
 
     def setUp(self) -> None:
         self.clock = ManualClock()
-        self.directory = ProxyDirectory(OWN, 3, self.clock)
+        self.directory = ProxyDirectory(OWN, 3, self.clock, uses_primary_owners=True)
         self.directory.set_groups({"g1": LIMITS, "g2": LIMITS})
         self.directory.adopt(neighbours(23))
         self.remote = RemoteOwners("own", "fd1", self.directory, self.clock)
@@ -88,9 +88,7 @@
         """Guard against new behaviour in deployments that are served well."""
         self.follow()
         self.assertNotEqual(self.names(), [])
-        with mock.patch(
-            "dogwoodspool_sharing.directory.FORWARDS_TO_PRIMARY_OWNERS", new=False
-        ):
+        with mock.patch.object(self.directory, "_uses_primary_owners", new=False):
             self.assertEqual(self.names(), [])
         self.directory.adopt(neighbours(MAX_FORWARDING_PROXIES // 3 + 1))
         self.assertEqual(self.names(), [])
@@ -101,7 +99,7 @@
         self.assertEqual(self.names(), [])
 
     def test_a_single_failure_domain_keeps_the_usual_shares(self) -> None:
-        directory = ProxyDirectory(OWN, 1, self.clock)
+        directory = ProxyDirectory(OWN, 1, self.clock, uses_primary_owners=True)
         directory.set_groups({"g1": LIMITS})
         directory.adopt(neighbours(40))
         self.assertIsNone(directory.primary_share("g1", LIMITS, is_near=True))
