Limits: bound, fairness and retries of the new queue disciplines

Under the disciplines that look at targets the limit no longer follows the latency: it fell when a window held long kinds or when other processes filled the server, and left slots idle while work waited. It is bounded by the server's slots (set_slots takes a part of them) and falls only when the server refuses or does not answer.

PriorityOrder puts short work before long work of a similar target, guarantees each kind a small minimum, and shares each priority among accounts by deficit round-robin; start-time fair queueing is the alternative. Retry times come from the queue's backlog and the capacity left over, within half of the caller's time. Work that expired while its process was stopped is refused instead of run.

--- a/packages/limits/src/dogwoodspool_limits/__init__.py
+++ b/packages/limits/src/dogwoodspool_limits/__init__.py
@@ -4,6 +4,7 @@
 from .base_share import base_share
 from .concurrency import AdaptiveConcurrency
 from .demoting_order import PriorityOrder, TargetOrder
+from .fair_share import FairShare, RoundRobinShare, StartTimeShare
 from .models import AdmissionOutcome, Priority, Refusal, RefusalReason
 from .order import ArrivalOrder, QueueOrder
 from .queue_load import QueueLoad
@@ -20,6 +21,7 @@
     "AdmissionQueue",
     "AdmissionOutcome",
     "ArrivalOrder",
+    "FairShare",
     "Priority",
     "PriorityOrder",
     "QueueLoad",
@@ -28,7 +30,9 @@
     "RefusalReason",
     "RetryBudget",
     "RetrySchedule",
+    "RoundRobinShare",
     "ServiceTimes",
+    "StartTimeShare",
     "StatementQueue",
     "TargetOrder",
     "Ticket",
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -112,6 +112,14 @@
         with self._lock:
             self._queue.set_max_in_flight(share)
 
+    def set_slots(self, slots: int) -> None:
+        """Set how many slots of the server bound the statements in flight.
+
+        It has an effect only under an order that does not follow the latency.
+        """
+        with self._lock:
+            self._queue.set_slots(slots)
+
     def set_queue_limit(self, queue_limit: int) -> None:
         """Set how many statements may wait."""
         with self._lock:
--- a/packages/limits/src/dogwoodspool_limits/concurrency.py
+++ b/packages/limits/src/dogwoodspool_limits/concurrency.py
@@ -29,6 +29,12 @@
     by a fifth; otherwise it grows by one if it was reached. When the server refuses
     statements because of its load, the limit is halved at once.
 
+    A queue that decides by estimates which statements run does not follow the
+    latency: where other processes fill the server, the limit would fall until the
+    most urgent statements waited, and where statements of long kinds follow those of
+    short ones, it would leave slots idle. It is bounded by the slots instead, and
+    falls only when statements are refused or get no answer.
+
     Args:
         start: initial limit, the server's slots.
         ceiling: upper bound of the limit, the pool's share of connections.
@@ -41,6 +47,8 @@
         # Not clamped to the present ceiling: shares grow with demand, and a clamped
         # limit would stay low until it had been reached for a whole window.
         self._limit = float(max(MIN_LIMIT, start))
+        self._slots = max(MIN_LIMIT, start)
+        self._follows_latency = True
         self._latencies: list[float] = []
         self._unanswered = 0
         self._was_reached = False
@@ -49,17 +57,40 @@
     @property
     def limit(self) -> int:
         """Statements that may be in flight."""
-        return max(MIN_LIMIT, min(int(self._limit), self._ceiling))
+        return max(MIN_LIMIT, min(int(self._limit), self._highest))
 
     @property
     def ceiling(self) -> int:
         """Upper bound of the limit."""
         return self._ceiling
 
+    @property
+    def _highest(self) -> int:
+        if self._follows_latency:
+            return self._ceiling
+        return min(self._ceiling, self._slots)
+
     def set_ceiling(self, ceiling: int) -> None:
         """Set the upper bound of the limit."""
         self._ceiling = max(MIN_LIMIT, ceiling)
 
+    def set_slots(self, slots: int) -> None:
+        """Set the slots that bound a limit which does not follow the latency."""
+        if slots == self._slots:
+            return
+        self._slots = max(MIN_LIMIT, slots)
+        if not self._follows_latency:
+            self._limit = float(self._slots)
+
+    def set_follows_latency(self, follows_latency: bool) -> None:
+        """Set whether the limit follows the latency or only the slots.
+
+        A limit that was set by the latency is replaced by the slots.
+        """
+        if self._follows_latency and not follows_latency:
+            self._limit = float(self._slots)
+        self._follows_latency = follows_latency
+
     def record_answer(self, latency: float, in_flight: int) -> None:
         """Record a statement that the server ran.
 
@@ -108,18 +139,22 @@
 
     def _adjust_to_latency(self, latency: float) -> None:
         span_ended = self._base.record(latency)
-        if span_ended and self._was_reached:
+        if span_ended and self._was_reached and self._follows_latency:
             # Under a lasting overload the lowest latency of the last half minute
             # includes the overload itself. Lowering the limit for a short time shows
             # the latency without it.
             self._scale(BASE_PROBE_FACTOR)
-        elif latency > LATENCY_TOLERANCE * self._base.value:
+        elif self._is_slow(latency):
             self._scale(DECREASE_FACTOR)
         elif self._was_reached:
-            self._limit = min(self._limit, float(self._ceiling)) + 1
+            self._limit = min(self._limit, float(self._highest)) + 1
+
+    def _is_slow(self, latency: float) -> bool:
+        is_far_above = latency > LATENCY_TOLERANCE * self._base.value
+        return self._follows_latency and is_far_above
 
     def _scale(self, factor: float) -> None:
-        effective_limit = min(self._limit, float(self._ceiling))
+        effective_limit = min(self._limit, float(self._highest))
         self._limit = max(float(MIN_LIMIT), effective_limit * factor)
 
 
--- a/packages/limits/src/dogwoodspool_limits/const.py
+++ b/packages/limits/src/dogwoodspool_limits/const.py
@@ -41,3 +41,13 @@
 MIN_LEFTOVER: Final = 0.05
 # Weight of a new count in the moving average of continuations in flight.
 CONTINUATION_WEIGHT: Final = 0.05
+
+# Seconds of work that each account gets in one round of fair queueing.
+FAIR_ROUND_SECONDS: Final = 0.2
+# Part of each kind's waiting work that is to run in time, whatever its place.
+MIN_KIND_SHARE: Final = 0.05
+# Weight of a new statement in the part of its kind that runs in time.
+MINIMUM_WEIGHT: Final = 0.02
+# Seconds by which a target counts as later for each second of expected work, so that
+# short work goes before long work of a similar target.
+WORK_TARGET_FACTOR: Final = 4.0
--- a/packages/limits/src/dogwoodspool_limits/demoting_order.py
+++ b/packages/limits/src/dogwoodspool_limits/demoting_order.py
@@ -4,7 +4,11 @@
 
 from dogwoodspool_common import log_rate_limited
 
+from .const import WORK_TARGET_FACTOR
+from .fair_share import FairShare, RoundRobinShare
+from .kind_minimum import KindMinimum
 from .leftover import Leftover
+from .order import RetryEstimate
 from .queue_load import QueueLoad
 from .ticket import Ticket
 
@@ -17,25 +21,46 @@
 
     A statement that cannot meet its target goes behind all that can. It stays while
     the capacity that the others leave over is expected to serve it before its
-    deadline.
+    deadline. Within one account priority, client accounts share the capacity fairly.
+
+    Args:
+        fair_share: how accounts share the capacity.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, fair_share: FairShare | None = None) -> None:
+        self._fair_share: FairShare = fair_share or RoundRobinShare()
+        self._minimum = KindMinimum()
         self._timely: list[Entry] = []
         self._late: list[Entry] = []
         self._added = 0
         self._demoted = 0
         self._leftover = Leftover()
+        self._expired: list[Ticket] = []
 
     def __len__(self) -> int:
         """Return the number of waiting statements."""
         return len(self._timely) + len(self._late)
 
+    @property
+    def follows_latency(self) -> bool:
+        """Whether the limit of statements in flight follows the latency."""
+        return False
+
     @property
     def demoted(self) -> int:
         """Statements that were demoted since the start."""
         return self._demoted
 
+    def place(self, ticket: Ticket) -> None:
+        """Determine the place of a new statement."""
+        work = ticket.work
+        if not self._timely:
+            self._fair_share.reset()
+        number = self._fair_share.assign_round(work.account, ticket.expected)
+        is_starved = self._minimum.is_starved(work.kind)
+        self._minimum.record_asked(work.kind)
+        ticket.key = (0 if is_starved else 1, *self._key(ticket, number))
+
     def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
         """Return how long a statement may wait and still be answered.
 
@@ -47,19 +72,30 @@
 
     def estimated_wait(self, ticket: Ticket, load: QueueLoad) -> float:
         """Return the seconds that a new statement would wait without room."""
-        wait = self._timely_wait(ticket, load)
-        if load.now() + wait + ticket.expected <= ticket.work.target:
-            return wait
+        if self._is_timely(ticket, load):
+            return self._timely_wait(ticket, load)
         return self._late_wait(ticket, load)
 
-    def retry_wait(self, ticket: Ticket, load: QueueLoad) -> float:
-        """Return the seconds until the queue is expected to have room."""
-        return self._timely_wait(ticket, load)
+    def estimate_retry(self, ticket: Ticket, load: QueueLoad) -> RetryEstimate:
+        """Return when the caller of a refused statement should retry.
+
+        The present queue is expected to have run by then. Room for retries arises at
+        the rate that timely work leaves over. Half of the time until the deadline is
+        kept for the wait after the retry.
+        """
+        late = sum(entry[2].expected for entry in self._late)
+        remaining = ticket.work.deadline - load.now() - ticket.expected
+        share = self._leftover.share(load.now())
+        return RetryEstimate(
+            wait=(self._timely_work() + late) / load.capacity,
+            spacing=load.service_times.mean / load.capacity / share,
+            horizon=max(0.0, remaining / 2),
+        )
 
     def add(self, ticket: Ticket, load: QueueLoad) -> None:
         """Add a waiting statement and demote those that it makes late."""
         self._added += 1
-        insort(self._timely, (self._key(ticket), self._added, ticket))
+        insort(self._timely, (ticket.key, self._added, ticket))
         self._demote_late(load)
 
     def remove(self, ticket: Ticket) -> None:
@@ -75,19 +111,21 @@
         ticket = self._take_timely(max_priority, load)
         if ticket is not None:
             self._leftover.record(load.now(), ticket.expected, load.capacity)
+            self._minimum.record_served(ticket.work.kind)
+            self._fair_share.begin_round(int(ticket.key[-2]))
             return ticket
-        return self._take_first(self._late, max_priority)
+        return self._take_late(max_priority, load)
 
     def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
         """Remove and return statements that cannot be served any longer."""
+        hopeless, self._expired = self._expired, []
         if not self._late:
-            return []
+            return hopeless
         now = load.now()
         capacity = load.capacity
         late_capacity = capacity * self._leftover.share(now)
         start = now + (self._timely_work() + load.service_times.mean) / capacity
         kept: list[Entry] = []
-        hopeless: list[Ticket] = []
         for entry in self._late:
             ticket = entry[2]
             if start > ticket.latest_start:
@@ -99,11 +137,13 @@
         self._late = kept
         return hopeless
 
-    def displace(self, ticket: Ticket) -> Ticket | None:
+    def displace(self, ticket: Ticket, load: QueueLoad) -> Ticket | None:
         """Remove and return the last statement if a new one goes before it."""
+        if not self._is_timely(ticket, load):
+            return None
         if self._late:
             return self._late.pop()[2]
-        if not self._timely or self._timely[-1][0] <= self._key(ticket):
+        if not self._timely or self._timely[-1][0] <= ticket.key:
             return None
         return self._timely.pop()[2]
 
@@ -115,14 +155,19 @@
             ticket.is_demoted = False
         return drained
 
-    def _key(self, ticket: Ticket) -> Key:
-        return (ticket.work.target,)
+    def _key(self, ticket: Ticket, number: int) -> Key:
+        work = ticket.work
+        return (work.account_priority, number, work.target)
+
+    def _is_timely(self, ticket: Ticket, load: QueueLoad) -> bool:
+        end = load.now() + self._timely_wait(ticket, load) + ticket.expected
+        return end <= ticket.work.target
 
     def _timely_work(self) -> float:
         return sum(entry[2].expected for entry in self._timely)
 
     def _timely_wait(self, ticket: Ticket, load: QueueLoad) -> float:
-        key = self._key(ticket)
+        key = ticket.key
         ahead = sum(entry[2].expected for entry in self._timely if entry[0] <= key)
         return (ahead + load.service_times.mean) / load.capacity
 
@@ -170,7 +215,15 @@
             if now + ticket.expected <= ticket.work.target:
                 return ticket
             self._added += 1
-            self._demote((self._key(ticket), self._added, ticket), load)
+            self._demote((ticket.key, self._added, ticket), load)
+        return None
+
+    def _take_late(self, max_priority: float, load: QueueLoad) -> Ticket | None:
+        now = load.now()
+        while (ticket := self._take_first(self._late, max_priority)) is not None:
+            if now <= ticket.latest_start:
+                return ticket
+            self._expired.append(ticket)
         return None
 
     @staticmethod
@@ -183,7 +236,13 @@
 
 
 class PriorityOrder(TargetOrder):
-    """Priority, then nearest target, with demotion."""
+    """Priority, then nearest target, with demotion.
+
+    Among targets that are close to each other shorter work goes first, since more
+    statements are then in time.
+    """
 
-    def _key(self, ticket: Ticket) -> Key:
-        return (ticket.priority, ticket.work.target)
+    def _key(self, ticket: Ticket, number: int) -> Key:
+        work = ticket.work
+        target = work.target + WORK_TARGET_FACTOR * ticket.expected
+        return (work.priority, work.account_priority, number, target)
--- a/packages/limits/src/dogwoodspool_limits/order.py
+++ b/packages/limits/src/dogwoodspool_limits/order.py
@@ -1,11 +1,28 @@
 """Decide which waiting statement runs next."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
+from .models import Priority
 from .queue_load import QueueLoad
 from .ticket import Ticket
 
 
+@dataclass(frozen=True, slots=True)
+class RetryEstimate:
+    """When the callers of refused statements should retry.
+
+    Attributes:
+        wait: seconds until the queue is expected to have room.
+        spacing: seconds from the retry of one caller to that of the next.
+        horizon: seconds within which the retry is useful; None for the usual ones.
+    """
+
+    wait: float
+    spacing: float
+    horizon: float | None = None
+
+
 class QueueOrder(Protocol):
     """A queue discipline; it keeps the waiting statements of one queue.
 
@@ -16,11 +33,20 @@
         """Return the number of waiting statements."""
         ...
 
+    @property
+    def follows_latency(self) -> bool:
+        """Whether the limit of statements in flight follows the latency."""
+        ...
+
     @property
     def demoted(self) -> int:
         """Statements that were demoted since the start."""
         ...
 
+    def place(self, ticket: Ticket) -> None:
+        """Prepare a new statement for the estimate of its wait."""
+        ...
+
     def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
         """Return the seconds that a statement may wait."""
         ...
@@ -29,8 +55,8 @@
         """Return the seconds that a new statement would wait without room."""
         ...
 
-    def retry_wait(self, ticket: Ticket, load: QueueLoad) -> float:
-        """Return the seconds until the queue is expected to have room."""
+    def estimate_retry(self, ticket: Ticket, load: QueueLoad) -> RetryEstimate:
+        """Return when the caller of a refused statement should retry."""
         ...
 
     def add(self, ticket: Ticket, load: QueueLoad) -> None:
@@ -49,7 +75,7 @@
         """Remove and return statements that cannot be served any longer."""
         ...
 
-    def displace(self, ticket: Ticket) -> Ticket | None:
+    def displace(self, ticket: Ticket, load: QueueLoad) -> Ticket | None:
         """Remove and return the last statement if a new one goes before it."""
         ...
 
@@ -68,11 +94,19 @@
         """Return the number of waiting statements."""
         return len(self._waiting)
 
+    @property
+    def follows_latency(self) -> bool:
+        """Whether the limit of statements in flight follows the latency."""
+        return True
+
     @property
     def demoted(self) -> int:
         """Statements that were demoted since the start; this order demotes none."""
         return 0
 
+    def place(self, ticket: Ticket) -> None:
+        """Prepare a new statement; its place needs no preparation here."""
+
     def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
         """Return how long a statement may wait and still be answered in time.
 
@@ -90,9 +124,11 @@
         # Statements run in batches of the limit, each in about one service time.
         return (ahead + 1) * load.service_times.mean / load.capacity
 
-    def retry_wait(self, ticket: Ticket, load: QueueLoad) -> float:
-        """Return the seconds until the queue is expected to have room."""
-        return self.estimated_wait(ticket, load)
+    def estimate_retry(self, ticket: Ticket, load: QueueLoad) -> RetryEstimate:
+        """Return when the caller of a refused statement should retry."""
+        ahead = sum(1 for other in self._waiting if other.priority <= Priority.READ)
+        spacing = load.service_times.mean / load.capacity
+        return RetryEstimate((ahead + 1) * spacing, spacing)
 
     def add(self, ticket: Ticket, load: QueueLoad) -> None:
         """Add a waiting statement."""
@@ -113,7 +149,7 @@
         """Return no statement: each is refused when its own time has passed."""
         return []
 
-    def displace(self, ticket: Ticket) -> Ticket | None:
+    def displace(self, ticket: Ticket, load: QueueLoad) -> Ticket | None:
         """Remove and return the last statement if a new one goes before it."""
         if not self._waiting or self._waiting[-1].priority <= ticket.priority:
             return None
--- a/packages/limits/src/dogwoodspool_limits/retry_schedule.py
+++ b/packages/limits/src/dogwoodspool_limits/retry_schedule.py
@@ -23,14 +23,20 @@
         self._horizon = horizon
         self._latest = 0.0
 
-    def schedule_retry(self, now: float, wait: float, spacing: float) -> float:
+    def schedule_retry(
+        self, now: float, wait: float, spacing: float, horizon: float | None = None
+    ) -> float:
         """Return the seconds after which the next refused caller should retry.
 
         Args:
             now: clock seconds.
             wait: seconds until the present queue is expected to be empty.
             spacing: seconds that the server takes for one statement.
+            horizon: seconds within which this retry is useful to its caller, whatever
+                the wait; None for the horizon of the schedule.
         """
         retry_at = max(now + wait, self._latest + spacing)
-        self._latest = min(retry_at, now + max(wait, self._horizon))
+        if horizon is None:
+            horizon = max(wait, self._horizon)
+        self._latest = min(retry_at, now + horizon)
         return self._latest - now
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from math import inf
 
 from dogwoodspool_common import Clock, log_rate_limited
@@ -12,7 +13,7 @@
 from .const import MIN_RETRY_AFTER_MS
 from .in_flight import InFlight
 from .models import AdmissionOutcome, Priority, Refusal, RefusalReason
-from .order import ArrivalOrder, QueueOrder
+from .order import ArrivalOrder, QueueOrder, RetryEstimate
 from .queue_load import QueueLoad
 from .retry_schedule import RetrySchedule
 from .ticket import Ticket, TicketState
@@ -28,13 +29,11 @@
     use another server or retry; letting it wait would waste the caller's time, and
     running it too late the server's.
 
-    Statements in flight are bounded by adaptive concurrency. Statements of open
-    transactions always run, and new ones get what they leave of the limit. Waiting
-    statements are ordered by the queue's order. When the queue is full, a new
-    statement displaces the last one if it goes before it. A few admissions above the
-    limit are reserved for statements that are more urgent than those in flight. The
-    retry times of refused callers are spread at the rate at which the server runs
-    statements.
+    Statements in flight are bounded. Those of open transactions always run, and new
+    ones get what they leave of the limit. The order decides which waiting statement
+    is next. When the queue is full, a new statement displaces the last one if it goes
+    before it. A few admissions above the limit are reserved for statements that are
+    more urgent than those in flight. Retries of refused callers are spread.
 
     Args:
         slots: statements that the server runs at a time.
@@ -61,6 +60,7 @@
         self._retry_schedule = retry_schedule or RetrySchedule()
         self._order: QueueOrder = ArrivalOrder() if order is None else order
         self._name = name
+        self._concurrency.set_follows_latency(self._order.follows_latency)
         self._in_flight = InFlight(self._concurrency)
         self._load = QueueLoad(clock, self._concurrency.limit, name)
         self._refused: Counter[RefusalReason] = Counter()
@@ -100,6 +100,16 @@
         self._concurrency.set_ceiling(share)
         self._admit_waiting()
 
+    def set_slots(self, slots: int) -> None:
+        """Set how many slots of the server bound the statements in flight.
+
+        It has an effect only under an order that does not follow the latency. Where
+        a few processes share a server, a part of the slots for each keeps statements
+        in their ordered queues instead of the server's.
+        """
+        self._concurrency.set_slots(slots)
+        self._admit_waiting()
+
     def set_queue_limit(self, queue_limit: int) -> None:
         """Set how many statements may wait."""
         self._queue_limit = queue_limit
@@ -109,10 +119,12 @@
         if order is self._order:
             return
         waiting, self._order = self._order.drain(), order
+        self._concurrency.set_follows_latency(order.follows_latency)
         self._update_load()
         for ticket in waiting:
             max_wait = order.max_wait(ticket, self._load)
             ticket.latest_start = self._clock.now() + max_wait
+            order.place(ticket)
             order.add(ticket, self._load)
             ticket.notify()
         self._admit_waiting()
@@ -156,6 +168,7 @@
         if self._in_flight.has_room(work.priority):
             self._admit(ticket)
             return Ok(ticket)
+        self._order.place(ticket)
         ticket.estimated_wait = self._order.estimated_wait(ticket, self._load)
         if ticket.estimated_wait > max_wait:
             return Error(self._refuse(ticket, RefusalReason.WAIT_TOO_LONG))
@@ -208,33 +221,38 @@
         statements that the server answers take at present.
         """
         wait = max(self.estimated_wait(Priority.READ), self.service_time)
-        return self._schedule_retry_ms(wait)
+        spacing = self.service_time / self._concurrency.limit
+        return self._schedule_retry_ms(RetryEstimate(wait, spacing))
 
     def _update_load(self) -> None:
         self._load.capacity = self._in_flight.capacity
 
     def _any_ticket(self, priority: int) -> Ticket:
-        return Ticket(priority, inf, _ignore, Work(priority, inf, inf))
+        return Ticket(priority, inf, _ignore, Work(priority, inf, inf), key=(inf,))
 
     def _admit(self, ticket: Ticket) -> None:
         self._in_flight.begin(ticket)
         ticket.state = TicketState.ADMITTED
 
     def _admit_waiting(self) -> None:
-        if not len(self._order):
+        if not self.waiting:
             return
         self._update_load()
-        for ticket in self._order.take_hopeless(self._load):
-            self._remove(ticket, RefusalReason.WAIT_TOO_LONG)
+        self._refuse_hopeless()
         while (highest := self._in_flight.highest_admissible) is not None:
             next_ticket = self._order.take(highest, self._load)
             if next_ticket is None:
-                return
+                break
             self._admit(next_ticket)
             next_ticket.notify()
+        self._refuse_hopeless()
+
+    def _refuse_hopeless(self) -> None:
+        for ticket in self._order.take_hopeless(self._load):
+            self._remove(ticket, RefusalReason.WAIT_TOO_LONG)
 
     def _displace(self, ticket: Ticket) -> bool:
-        displaced = self._order.displace(ticket)
+        displaced = self._order.displace(ticket, self._load)
         if displaced is None:
             return False
         self._remove(displaced, RefusalReason.DISPLACED)
@@ -250,8 +268,11 @@
         estimated_wait_ms = round(ticket.estimated_wait * MILLISECONDS)
         if self._name:
             self._log_refused(ticket, reason, estimated_wait_ms)
-        wait = self.estimated_wait(Priority.READ)
-        return Refusal(self._schedule_retry_ms(wait), reason, estimated_wait_ms)
+        self._update_load()
+        estimate = self._order.estimate_retry(ticket, self._load)
+        if self._in_flight.has_room(Priority.READ):
+            estimate = replace(estimate, wait=0.0)
+        return Refusal(self._schedule_retry_ms(estimate), reason, estimated_wait_ms)
 
     def _log_refused(
         self, ticket: Ticket, reason: RefusalReason, estimated_wait_ms: int
@@ -268,9 +289,10 @@
             limit=self.limit,
         )
 
-    def _schedule_retry_ms(self, wait: float) -> int:
-        spacing = self.service_time / self._concurrency.limit
-        delay = self._retry_schedule.schedule_retry(self._clock.now(), wait, spacing)
+    def _schedule_retry_ms(self, estimate: RetryEstimate) -> int:
+        delay = self._retry_schedule.schedule_retry(
+            self._clock.now(), estimate.wait, estimate.spacing, estimate.horizon
+        )
         return max(MIN_RETRY_AFTER_MS, round(delay * MILLISECONDS))
 
 
--- a/packages/limits/src/dogwoodspool_limits/ticket.py
+++ b/packages/limits/src/dogwoodspool_limits/ticket.py
@@ -35,6 +35,7 @@
         expected: seconds that it is expected to take on the server.
         is_continuation: whether it continues an open transaction.
         is_demoted: whether it is expected to miss its target.
+        key: place in the queue's order; a lower one goes first.
         reason: why the queue removed it.
         estimated_wait: seconds that it was expected to wait when it was removed.
     """
@@ -47,5 +48,6 @@
     expected: float = 0.0
     is_continuation: bool = False
     is_demoted: bool = False
+    key: tuple[float, ...] = ()
     reason: RefusalReason = RefusalReason.DISPLACED
     estimated_wait: float = 0.0
--- a/tests/limits/test_orders.py
+++ b/tests/limits/test_orders.py
@@ -136,6 +136,44 @@
         self.assertTrue(is_met())
 
 
+class FrozenTests(OrderTestCase):
+    """A process that was stopped refuses what is past its deadline."""
+
+    def test_expired_work_is_refused_before_new_work_runs(self) -> None:
+        """Guard against a server that first runs work whose callers have left."""
+        for order in (TargetOrder(), PriorityOrder()):
+            self.clock = ManualClock()
+            queue = self.queue(order)
+            running = self.request(queue, work(0.2))
+            expired = [self.request(queue, work(0.2)) for _ in range(3)]
+            self.clock.advance(60.0)
+            new = self.request(queue, work(61.0))
+            self.end(queue, running)
+            self.assertIs(new.state, TicketState.ADMITTED)
+            states = {ticket.state for ticket in expired}
+            self.assertEqual(states, {TicketState.DISPLACED})
+
+
+class LimitTests(OrderTestCase):
+    """Under the disciplines that look at targets the slots bound what runs."""
+
+    def test_slow_statements_do_not_lower_the_limit(self) -> None:
+        """Guard against idle slots while work of a long kind is waiting."""
+        queue = StatementQueue(self.clock, 4, 8, 8, order=PriorityOrder())
+        for latency in [0.01] * 40 + [0.1] * 400:
+            ticket = self.request(queue, work(1_000.0))
+            queue.end(ticket, latency, AdmissionOutcome.ANSWERED)
+        self.assertEqual(queue.limit, 4)
+        queue.set_slots(2)
+        self.assertEqual(queue.limit, 2)
+
+    def test_refusals_of_the_server_lower_the_limit(self) -> None:
+        queue = StatementQueue(self.clock, 4, 8, 8, order=PriorityOrder())
+        ticket = self.request(queue, work(1_000.0))
+        queue.end(ticket, 0.01, AdmissionOutcome.OVERLOADED)
+        self.assertEqual(queue.limit, 2)
+
+
 class ContinuationTests(OrderTestCase):
     """Statements of open transactions always run; new work gets the rest."""
 
