--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -1,5 +1,6 @@
 """Emulated proxies that run the production classes without threads or sockets."""
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
@@ -39,6 +40,7 @@
     NO_CONNECTION_RETRY_MS,
     QUEUE_LIMIT,
     SHARED_QUEUE_LIMIT,
+    SLOT_OVERSUBSCRIPTION,
     WAIT_SHARE,
 )
 from dogwoodspool_pooler.freshness import FreshnessTracker
@@ -715,9 +717,7 @@
         if self._is_shared(server_info.group):
             queue.set_queue_limit(SHARED_QUEUE_LIMIT)
             queue.set_order(ORDERS[self._order]())
-        primary = self._primary_share(server)
-        if primary is not None:
-            queue.set_min_in_flight(primary.min_in_flight)
+            queue.set_slots(self._slots(server))
         backend = Backend(server, pool, queue, ceiling, turns)
         backend.apply_ceiling()
         return backend
@@ -741,6 +741,18 @@
             return part
         return replace(part, connections=primary.connections)
 
+    def _slots(self, server: Server) -> int:
+        """Return the statements that it may have in flight; see ``BackendRegistry``."""
+        primary = self._primary_share(server)
+        if primary is not None:
+            return primary.slots
+        info = server.server_info
+        share = self.directory.owner_share(info.group)
+        is_near = info.failure_domain == self.failure_domain
+        if share is None or (is_near and not server.is_primary):
+            return info.slots
+        return min(info.slots, math.ceil(SLOT_OVERSUBSCRIPTION * info.slots * share))
+
     def _primary_share(self, server: Server) -> PrimaryShare | None:
         """Return its share of a primary that few owners serve for all proxies."""
         server_info = server.server_info
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -134,6 +134,10 @@
 # Requests that wait for one server at an owner of pools: those of a whole failure
 # domain, or of all of them, may wait until their targets.
 SHARED_QUEUE_LIMIT: Final = 192
+# Statements that all owners together may have in flight for each slot of a primary:
+# their demand is uneven, and a statement from another failure domain counts during its
+# way as well.
+SLOT_OVERSUBSCRIPTION: Final = 1.5
 
 # A server is reported as stalled once a write has been unanswered for this long, even
 # if it still answers reads.
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -1,5 +1,6 @@
 """Pools and admission queues of the backend servers that this process uses."""
 
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -39,6 +40,7 @@
     QUEUE_LIMIT,
     RESET_TIMEOUT,
     SHARED_QUEUE_LIMIT,
+    SLOT_OVERSUBSCRIPTION,
     SURPLUS_EXPIRY_SECONDS,
 )
 from .read_cost import AdmissionState
@@ -134,6 +136,8 @@
         part_of: returns the connections to a server of a group that this process may
             hold, given those that the server accepts from all proxies; None if the
             group's pools are not shared.
+        load_share: returns the part of the work of a group's primary that an owner
+            serves; None if the pools of the group are not shared.
         primary_share: returns what this process may use of a server that few owners
             serve for all proxies; None if the usual part applies.
     """
@@ -144,12 +148,14 @@
         connector: Connector[ServerConnection],
         clock: Clock,
         part_of: PartLookup = lambda _group, _available: None,
+        load_share: Callable[[str], float | None] = lambda _group: None,
         primary_share: Callable[[BackendServer], PrimaryShare | None] = (
             lambda _server: None
         ),
     ) -> None:
         self._views = views
         self._part_of = part_of
+        self._load_share = load_share
         self._primary_share = primary_share
         self._connector = connector
         self._clock = clock
@@ -204,7 +210,7 @@
         """
         for backend in self.all():
             server = backend.server
-            backend.admission.set_min_in_flight(self._min_in_flight(server))
+            backend.admission.set_slots(self._slots(server))
             part = self._part(server)
             if part is not None:
                 if not backend.is_shared:
@@ -237,7 +243,7 @@
         admission = AdmissionQueue(
             self._clock, server.slots, first, QUEUE_LIMIT, name=server.name
         )
-        admission.set_min_in_flight(self._min_in_flight(server))
+        admission.set_slots(self._slots(server))
         backend = Backend(server, pool, admission, ceiling, turns, connector)
         backend.adjust()
         return backend
@@ -256,9 +262,23 @@
     def _connections_of(self, server: BackendServer) -> int:
         return self._views.connections_of(server) or DEFAULT_CONNECTIONS
 
-    def _min_in_flight(self, server: BackendServer) -> int:
+    def _slots(self, server: BackendServer) -> int:
+        """Return the statements that this process may have in flight on a server.
+
+        A replica serves mostly the reads of its own failure domain, whose owner may
+        use all of its slots. All owners send statements to the primary.
+        """
         primary = self._primary_share(server)
-        return 1 if primary is None else primary.min_in_flight
+        if primary is not None:
+            return primary.slots
+        share = self._load_share(server.group)
+        group = self._views.view.groups.get(server.group)
+        is_primary = group is not None and group.primary == server.name
+        is_near = server.failure_domain == self._views.failure_domain
+        if share is None or (is_near and not is_primary):
+            return server.slots
+        part = math.ceil(SLOT_OVERSUBSCRIPTION * server.slots * share)
+        return min(server.slots, part)
 
     def _apply_view(self, view: ProxyView) -> None:
         with self._lock:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -92,7 +92,12 @@
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
-            self._views, connector, clock, self._connection_part, self._primary_share
+            self._views,
+            connector,
+            clock,
+            self._connection_part,
+            self._owner_share,
+            self._primary_share,
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -73,11 +73,11 @@
 
     Attributes:
         connections: greatest number of connections.
-        min_in_flight: statements that it may have in flight however long they take.
+        slots: slots of the server that it may keep in use.
     """
 
     connections: int
-    min_in_flight: int = 1
+    slots: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/pooler/shared/test_primary_shares.py
+++ b/tests/pooler/shared/test_primary_shares.py
@@ -47,6 +47,7 @@
             self.pooler.network,
             self.pooler.clock,
             self.directory.connection_part,
+            self.directory.owner_share,
             shares.share,
         )
         self.registry.set_up()
