--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -147,7 +147,7 @@
     connection_share: float | None = Field(default=None, gt=0, le=1)
     owners_by_account: bool = True
     has_common_owners: bool = False
-    placement: Placement = Placement.LOAD_AND_WAITS
+    placement: Placement = Placement.STANDING
     primary_penalty_ms: float | None = Field(default=None, ge=0)
 
 
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -116,6 +116,12 @@
             return self.deadline
         return self.start_by if self.writes else self.arrived_at
 
+    @property
+    def target_at(self) -> float:
+        """Time after which an answer is late."""
+        target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
+        return self.arrived_at + target
+
     @property
     def start_by(self) -> float:
         """Time until which it may wait for admission."""
@@ -281,7 +287,12 @@
         if attempt.waited or self._rules.placement is Placement.LOAD:
             remaining = 0.0
         conditions = ReadConditions(
-            primary, self.failure_domain, excluded, min_position, max(0.0, remaining)
+            primary,
+            self.failure_domain,
+            excluded,
+            min_position,
+            max(0.0, remaining),
+            attempt.target_at - self._timeline.now(),
         )
         return self._chooser.choose(servers, conditions)
 
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -50,7 +50,7 @@
 # Bounds of the value of the primary's room: near full utilisation it would grow without
 # limit, and reads would queue at full replicas for longer than at the primary.
 MAX_PRIMARY_UTILISATION: Final = 0.95
-MAX_PRIMARY_VALUE: Final = 0.1
+MAX_PRIMARY_VALUE: Final = 0.07
 # Servers whose costs differ by less than this many seconds may be chosen at random, so
 # that processes that observe the same do not all move their reads together.
 NEARLY_EQUAL_COST: Final = 0.006
@@ -58,6 +58,9 @@
 # Part of a read's target latency, from its arrival, that it may spend waiting for a
 # replica to reach its position. The rest is left for admission and the read itself.
 CATCH_UP_SHARE: Final = 0.4
+# Multiple of the expected time at the replica that must be left after such a wait:
+# statements take up to a few times their average.
+CATCH_UP_RUN_FACTOR: Final = 3.0
 # Cost of a second of such a wait: it delays one read and takes no room on a server.
 CATCH_UP_COST: Final = 0.1
 # Reads of one process that may wait for replicas at a time: a part of the requests of
--- a/packages/pooler/src/dogwoodspool_pooler/read_choice.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_choice.py
@@ -1,5 +1,6 @@
 """Choose a server for a read by its cost and by when it has the read's position."""
 
+import math
 import random
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
@@ -9,10 +10,10 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_routing import ServerView
 
-from .const import CATCH_UP_COST, MIN_CATCH_UP_SECONDS
+from .const import CATCH_UP_COST, CATCH_UP_RUN_FACTOR, MIN_CATCH_UP_SECONDS
 from .lag import LagTracker
 from .placement import usable_for_read
-from .read_cost import ReadCost
+from .read_cost import ReadCost, expected_time
 from .replica_lag import ReplicaLag
 
 
@@ -57,6 +58,7 @@
         excluded: servers that the read must not use.
         min_position: position that a server must have; None if it is not known here.
         max_wait: seconds that the read may wait for a replica.
+        time_left: seconds until the read misses its target.
     """
 
     primary: str | None
@@ -64,6 +66,7 @@
     excluded: Collection[str]
     min_position: Position | None
     max_wait: float
+    time_left: float = math.inf
 
 
 class _Candidate(NamedTuple):
@@ -156,7 +159,7 @@
                 continue
             pause = pauses.get(one.name, 0.0)
             wait = self._wait(one, position, pause)
-            is_bounded = wait is not None and wait <= conditions.max_wait
+            is_bounded = wait is not None and wait <= _max_wait(one, conditions)
             if wait and is_bounded and one.name not in failed_waits:
                 found.append((one, wait))
             elif not pause:
@@ -171,3 +174,9 @@
             return None
         wait = max(seconds, pause)
         return 0.0 if not pause and wait < MIN_CATCH_UP_SECONDS else wait
+
+
+def _max_wait(one: ServerView, conditions: ReadConditions) -> float:
+    """Return the seconds for which a read may wait for a replica, with time to run."""
+    time_to_run = CATCH_UP_RUN_FACTOR * expected_time(one)
+    return min(conditions.max_wait, conditions.time_left - time_to_run)
--- a/packages/pooler/src/dogwoodspool_pooler/read_cost.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_cost.py
@@ -137,8 +137,8 @@
     crossing to another failure domain at ``CROSSING_UTILISATION``.
 
     Example:
-        >>> room_value(0.0), round(room_value(0.5), 3), room_value(2.0)
-        (0.008, 0.083, 0.1)
+        >>> room_value(0.0), round(room_value(0.2), 3), room_value(2.0)
+        (0.008, 0.041, 0.07)
     """
     used = min(utilisation, MAX_PRIMARY_UTILISATION)
     at_crossing = CROSSING_UTILISATION / (1 - CROSSING_UTILISATION)
