--- a/packages/limits/src/dogwoodspool_limits/in_flight.py
+++ b/packages/limits/src/dogwoodspool_limits/in_flight.py
@@ -1,6 +1,5 @@
 """Count the statements in flight and bound the new ones."""
 
-from collections import Counter
 from math import inf
 
 from .concurrency import AdaptiveConcurrency
@@ -19,7 +18,7 @@
 
     def __init__(self, concurrency: AdaptiveConcurrency) -> None:
         self._concurrency = concurrency
-        self._by_priority: Counter[int] = Counter()
+        self._by_priority: dict[int, int] = {}
         self._total = 0
         self._continuations = 0
         self._mean_continuations = 0.0
@@ -58,12 +57,15 @@
 
     def has_room(self, priority: int) -> bool:
         """Return whether one more new statement of a priority may be in flight."""
+        if self._total < self._concurrency.limit:
+            return True
         highest = self.highest_admissible
         return highest is not None and priority <= highest
 
     def begin(self, ticket: Ticket) -> None:
         """Count a statement that was admitted."""
-        self._by_priority[ticket.priority] += 1
+        counts = self._by_priority
+        counts[ticket.priority] = counts.get(ticket.priority, 0) + 1
         self._total += 1
         if ticket.is_continuation:
             self._continuations += 1
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -157,17 +157,17 @@
             work: the statement.
             notify: called when the state of a waiting statement changes.
         """
-        self._update_load()
         now = self._clock.now()
-        ticket = Ticket(work.priority, now, notify, work)
-        ticket.expected = self._load.service_times.expected(work.kind)
+        ticket = Ticket(work.priority, work.deadline, notify, work)
         if work.deadline <= now:
             return Error(self._refuse(ticket, RefusalReason.DEADLINE_PASSED))
-        max_wait = self._order.max_wait(ticket, self._load)
-        ticket.latest_start = now + max_wait
         if self._in_flight.has_room(work.priority):
             self._admit(ticket)
             return Ok(ticket)
+        self._update_load()
+        ticket.expected = self._load.service_times.expected(work.kind)
+        max_wait = self._order.max_wait(ticket, self._load)
+        ticket.latest_start = now + max_wait
         self._order.place(ticket)
         ticket.estimated_wait = self._order.estimated_wait(ticket, self._load)
         if ticket.estimated_wait > max_wait:
@@ -182,7 +182,6 @@
         """Admit a statement of an open transaction, which never waits."""
         ticket = Ticket(work.priority, work.deadline, _ignore, work)
         ticket.is_continuation = True
-        ticket.expected = self._load.service_times.expected(work.kind)
         self._admit(ticket)
         return ticket
 
