Replay losses of processes and count connections over all of them

The emulator stops processes (power loss, freeze), keeps counting their connections at the servers and has the neighbours learn of the loss.

An owner in reserve takes over the part of the owners in use when they do not answer it, or when neighbours ask it often: in large failure domains it has too few requests of its own to notice. While all owners of a failure domain are lost, its other proxies take turns for the owners' connections as well.

--- a/packages/emulator/src/dogwoodspool_emulator/const.py
+++ b/packages/emulator/src/dogwoodspool_emulator/const.py
@@ -5,6 +5,14 @@
 # Uptime of the proxies when an emulation begins: long enough that the lower
 # connection ceiling after a start is over.
 PROXY_UPTIME_SECONDS: Final = 10.0
+# Time for which a server counts the connections of a process that lost power.
+DEAD_CONNECTION_SECONDS: Final = 3.0
+# Time after which a proxy notices that an owner does not answer.
+LOST_OWNER_SECONDS: Final = 0.15
+# Time after which control no longer reports a proxy that sends no heartbeats, and the
+# time until a proxy that has started knows its neighbours.
+LOST_PROXY_SECONDS: Final = 3.0
+FIRST_PRESENCE_SECONDS: Final = 0.1
 # Time between two checks for idle connections in all pools.
 POOL_CHECK_SECONDS: Final = 0.15
 # Time between two checks of a request that waits until the server has handled a close.
--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -11,15 +11,17 @@
 from dogwoodspool_pooler.const import CONNECTION_SHARE
 from dogwoodspool_pooler.registry import POOL_SETTINGS
 from dogwoodspool_sharing import Neighbour, ServerLimits
-from expression import Result
+from expression import Error, Result
 
-from .const import POOL_CHECK_SECONDS
+from .const import LOST_OWNER_SECONDS, POOL_CHECK_SECONDS, PROXY_UPTIME_SECONDS
+from .losses import ProcessLosses
 from .models import Disturbance, DisturbanceKind, Requests, Scenario, Variant
 from .outcomes import Outcomes
-from .proxies import Attempt, Proxy, Refused
+from .proxies import Attempt, EndCallback, Proxy, Refused
 from .servers import GroupLog, Server
 from .timeline import Timeline
 
+PROCESS_LOSSES = frozenset((DisturbanceKind.POWER_LOSS, DisturbanceKind.FREEZE))
 Progress = Callable[[float], None]
 
 
@@ -54,6 +56,15 @@
         self._lost_proxies: set[str] = set()
         self._rate = scenario.per_second
         self._register_neighbours()
+        self._losses = ProcessLosses(
+            self._proxies_by_name,
+            lambda name: self._build_proxy(int(name[1:]), self._timeline.now()),
+            self._set_groups,
+            self._timeline,
+            seed,
+        )
+        kinds = {one.kind for one in scenario.troubles}
+        self._has_losses = bool(kinds & PROCESS_LOSSES)
 
     def run(self, progress: Progress | None = None) -> Outcomes:
         """Simulate the whole scenario and return the outcomes of its requests.
@@ -64,6 +75,8 @@
         """
         self._timeline.after(0.0, self._next_request)
         self._timeline.after(POOL_CHECK_SECONDS, self._close_expired)
+        if self._has_losses:
+            self._losses.set_up()
         for disturbance in self._scenario.troubles:
             self._timeline.after(
                 disturbance.at, partial(self._begin_disturbance, disturbance)
@@ -104,7 +117,9 @@
             )
         return servers
 
-    def _build_proxy(self, number: int) -> Proxy:
+    def _build_proxy(
+        self, number: int, started_at: float = -PROXY_UPTIME_SECONDS
+    ) -> Proxy:
         domain = f"fd{number % self._scenario.failure_domains}"
         name = f"p{number}"
         settings = POOL_SETTINGS
@@ -124,12 +139,11 @@
             has_parts=self._variant.has_parts,
             has_rated_accounts=self._variant.has_rated_accounts,
             rng=random.Random(f"{self._seed} {name}"),
+            started_at=started_at,
         )
 
     def _register_neighbours(self) -> None:
         """Register the proxies of each failure domain as neighbours of each other."""
-        servers = self._scenario.servers
-        limits = ServerLimits(servers.slots, servers.connections)
         for proxy in self._proxies:
             proxy.directory.adopt(
                 one.neighbour
@@ -137,8 +151,13 @@
                 if self._variant.has_common_owners
                 or one.failure_domain == proxy.failure_domain
             )
-            if self._variant.is_shared:
-                proxy.directory.set_groups(dict.fromkeys(self._groups, limits))
+            self._set_groups(proxy)
+
+    def _set_groups(self, proxy: Proxy) -> None:
+        servers = self._scenario.servers
+        limits = ServerLimits(servers.slots, servers.connections)
+        if self._variant.is_shared:
+            proxy.directory.set_groups(dict.fromkeys(self._groups, limits))
 
     def _next_request(self) -> None:
         if self._timeline.now() >= self._scenario.seconds:
@@ -172,26 +191,67 @@
 
     def _send_attempt(self, attempt: Attempt, began_at: float, number: int) -> None:
         """Send one attempt to a proxy, which may forward it to an owner."""
-        entry = self._random.choice(self._proxies)
-        while entry.neighbour.name in self._lost_proxies:
-            entry = self._random.choice(self._proxies)
+        entry = self._choose_entry()
         current = replace(attempt, arrived_at=self._timeline.now())
-        on_end = partial(self._handle_result, current, began_at, number)
+        on_end: EndCallback = partial(self._handle_result, current, began_at, number)
+        if self._has_losses:
+            on_end = self._bound_by_deadline(current, on_end)
+        self._forward(entry, current, on_end)
+
+    def _choose_entry(self) -> Proxy:
+        while True:
+            entry = self._random.choice(self._proxies)
+            entry = self._proxies_by_name[entry.neighbour.name]
+            if entry.is_up and entry.neighbour.name not in self._lost_proxies:
+                return entry
+
+    def _bound_by_deadline(self, attempt: Attempt, on_end: EndCallback) -> EndCallback:
+        """Return a callback that is called once, at the deadline at the latest."""
+        has_ended = False
+
+        def end_once(result: Result[None, Refused]) -> None:
+            nonlocal has_ended
+            if not has_ended:
+                has_ended = True
+                on_end(result)
+
+        remaining = attempt.deadline - self._timeline.now()
+        lost: Result[None, Refused] = Error(Refused("no answer", 0.0))
+        self._timeline.after(remaining, partial(end_once, lost))
+        return end_once
+
+    def _forward(self, entry: Proxy, attempt: Attempt, on_end: EndCallback) -> None:
+        """Send an attempt from the proxy that a caller uses to the first owner."""
         account = attempt.account if self._variant.owners_by_account else ""
         owners = entry.directory.owners(attempt.group, account)
         usable = [one for one in owners or () if one.name not in self._lost_proxies]
+        if not entry.is_up or attempt.deadline <= self._timeline.now():
+            return
         if not usable:
-            entry.serve(current, on_end)
+            entry.serve(attempt, on_end)
             return
         hop = self._scenario.hop_ms / MILLISECONDS
         owner = self._proxies_by_name[usable[0].name]
+        if not owner.is_up:
+            self._timeline.after(
+                LOST_OWNER_SECONDS,
+                partial(self._forward_to_next, entry, owner, attempt, on_end),
+            )
+            return
         if owner.failure_domain != entry.failure_domain:
             hop = self._scenario.distance_ms / MILLISECONDS
 
         def return_result(result: Result[None, Refused]) -> None:
             self._timeline.after(hop, partial(on_end, result))
 
-        self._timeline.after(hop, partial(owner.serve, current, return_result))
+        owner.directory.record_neighbour_request(attempt.group)
+        self._timeline.after(hop, partial(owner.serve, attempt, return_result))
+
+    def _forward_to_next(
+        self, entry: Proxy, owner: Proxy, attempt: Attempt, on_end: EndCallback
+    ) -> None:
+        entry.directory.record_owner_failure(owner.neighbour.name)
+        self._forward(entry, attempt, on_end)
 
     def _handle_result(
         self,
@@ -218,7 +278,7 @@
         self._timeline.after(refused.retry_after, retry)
 
     def _close_expired(self) -> None:
-        for proxy in self._proxies:
+        for proxy in self._proxies_by_name.values():
             proxy.close_expired()
         self._timeline.after(POOL_CHECK_SECONDS, self._close_expired)
 
@@ -234,6 +294,8 @@
                 count = int(len(self._proxies) * disturbance.share)
                 lost = self._random.sample(self._proxies, count)
                 self._lost_proxies = {one.neighbour.name for one in lost}
+            case DisturbanceKind.POWER_LOSS | DisturbanceKind.FREEZE:
+                self._losses.begin(disturbance, self._groups)
 
     def _end_disturbance(self, disturbance: Disturbance) -> None:
         match disturbance.kind:
@@ -243,6 +305,8 @@
                 self._scale_lag(1.0)
             case DisturbanceKind.LOST_PROXIES:
                 self._lost_proxies = set()
+            case DisturbanceKind.POWER_LOSS | DisturbanceKind.FREEZE:
+                self._losses.end(disturbance)
 
     def _scale_lag(self, factor: float) -> None:
         for server in self._servers:
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -76,12 +76,31 @@
         LAG: the lag of the replicas is multiplied by ``factor``.
         NO_REPLICAS: no replica has the position that a read requires.
         LOST_PROXIES: a fraction of the proxies is down; their callers use others.
+        POWER_LOSS: processes lose power and start again at the end. Servers count
+            their connections for some seconds.
+        FREEZE: processes no longer answer; their connections stay open.
     """
 
     BURST = "burst"
     LAG = "lag"
     NO_REPLICAS = "no_replicas"
     LOST_PROXIES = "lost_proxies"
+    POWER_LOSS = "power_loss"
+    FREEZE = "freeze"
+
+
+class LossTarget(StrEnum):
+    """Processes that a power loss or a freeze affects.
+
+    Attributes:
+        PROXIES: a fraction of all proxies.
+        OWNERS: the owners in use of all groups.
+        ALL_OWNERS: those in use and in reserve.
+    """
+
+    PROXIES = "proxies"
+    OWNERS = "owners"
+    ALL_OWNERS = "all_owners"
 
 
 class Disturbance(Section):
@@ -91,7 +110,10 @@
         at: start, in seconds of the scenario.
         lasts: duration in seconds.
         factor: factor of ``BURST`` and ``LAG``.
-        share: fraction of the proxies that ``LOST_PROXIES`` takes down.
+        share: fraction of the proxies that ``LOST_PROXIES`` takes down, and of the
+            target of ``POWER_LOSS`` and ``FREEZE``.
+        target: processes that ``POWER_LOSS`` and ``FREEZE`` affect.
+        domains: failure domains in which they do so; None for all.
     """
 
     kind: DisturbanceKind
@@ -99,6 +121,8 @@
     lasts: float = Field(gt=0)
     factor: float = Field(default=1.0, gt=0)
     share: float = Field(default=0.5, gt=0, le=1)
+    target: LossTarget = LossTarget.PROXIES
+    domains: int | None = Field(default=None, ge=1)
 
 
 class Variant(Section):
--- a/packages/emulator/src/dogwoodspool_emulator/outcomes.py
+++ b/packages/emulator/src/dogwoodspool_emulator/outcomes.py
@@ -13,6 +13,8 @@
     Attributes:
         connects: connection attempts.
         refused_connects: connection attempts that were refused.
+        refused_by_living: those of them that were not due to connections of processes
+            that had ended.
         arrivals: statements that reached a server.
         refusals: statements refused because the server's queue was full.
         behind: statements that a replica refused because its data was behind.
@@ -23,6 +25,7 @@
 
     connects: int = 0
     refused_connects: int = 0
+    refused_by_living: int = 0
     arrivals: int = 0
     refusals: int = 0
     behind: int = 0
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -39,7 +39,12 @@
 from dogwoodspool_pooler.registry import POOL_SETTINGS
 from dogwoodspool_pooler.turns import ConnectionTurns
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import ConnectionPart, Neighbour, ProxyDirectory
+from dogwoodspool_sharing import (
+    ConnectionPart,
+    Neighbour,
+    PoolRole,
+    ProxyDirectory,
+)
 from dogwoodspool_sharing.const import CLOSE_ROOM
 from expression import Error, Ok, Result
 
@@ -152,18 +157,43 @@
     on_end: Callable[[Result[Answer, Refused]], None]
 
 
+class _ProxyTimeline:
+    """Run the events of one proxy while it is up."""
+
+    def __init__(self, timeline: Timeline) -> None:
+        self._timeline = timeline
+        self.clock = timeline.clock
+        self.is_up = True
+
+    def now(self) -> float:
+        return self._timeline.now()
+
+    def after(self, seconds: float, event: Callable[[], None]) -> None:
+        self._timeline.after(seconds, partial(self._run, event))
+
+    def _run(self, event: Callable[[], None]) -> None:
+        if self.is_up:
+            event()
+
+
 class _Connector:
     def __init__(
-        self, server: Server, ceiling: ConnectionCeiling, turns: ConnectionTurns
+        self,
+        server: Server,
+        ceiling: ConnectionCeiling,
+        turns: ConnectionTurns,
+        opened: list[Connection],
     ) -> None:
         self._server = server
         self._ceiling = ceiling
         self._turns = turns
+        self._opened = opened
 
     def connect(
         self, server: BackendServer, deadline: float, account: str = ""
     ) -> Connection:
         connection = self._server.connect()
+        self._opened.append(connection)
         self._ceiling.record_connection_opened()
         self._turns.record_connection_opened()
         return connection
@@ -179,6 +209,7 @@
         has_rated_accounts: whether the connection gives way whose account is expected
             to need it last, rather than the one that has been idle the longest.
         rng: random numbers for its turns at servers.
+        started_at: clock seconds at which it started.
     """
 
     def __init__(
@@ -195,11 +226,14 @@
         has_parts: bool = True,
         has_rated_accounts: bool = True,
         rng: random.Random | None = None,
+        started_at: float = -PROXY_UPTIME_SECONDS,
     ) -> None:
         self.neighbour = neighbour
         self.failure_domain = failure_domain
         self.directory = ProxyDirectory(neighbour, failure_domains, timeline.clock)
-        self._timeline = timeline
+        self._timeline = _ProxyTimeline(timeline)
+        self._started_at = started_at
+        self._opened: list[Connection] = []
         self._distance = distance
         self._pool_settings = pool_settings
         self._connection_share = connection_share
@@ -216,6 +250,30 @@
         self._lag_tracker = LagTracker(timeline.clock)
         self._backends: dict[str, Backend] = {}
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether it runs."""
+        return self._timeline.is_up
+
+    def role(self, group: str) -> PoolRole | None:
+        """Return the role of this proxy for a group's pools."""
+        part = self.directory.connection_part(group, 1)
+        return None if part is None else part.role
+
+    def stop(self) -> None:
+        """Stop at once, without closing connections."""
+        self._timeline.is_up = False
+
+    def mark_connections(self) -> None:
+        """Record that the servers count connections of a process that has ended."""
+        for connection in self._opened:
+            connection.mark_dead()
+
+    def drop_connections(self) -> None:
+        """Have the servers drop the connections of this proxy, which has stopped."""
+        for connection in self._opened:
+            connection.close()
+
     def serve(self, attempt: Attempt, on_end: EndCallback) -> None:
         """Serve one attempt on the pools of this proxy."""
         min_position = self._min_position(attempt)
@@ -227,6 +285,8 @@
 
     def close_expired(self) -> None:
         """Close connections whose idle time has expired."""
+        if not self.is_up:
+            return
         for backend in self._backends.values():
             self._apply_part(backend)
             if backend.turns.wait() > 0:
@@ -467,7 +527,7 @@
             int(server_info.connections * self._connection_share)
             if part is None
             else part.connections,
-            -PROXY_UPTIME_SECONDS,
+            self._started_at,
             is_part=part is not None,
         )
         turn_share = 1.0 if part is None else part.turn_share
@@ -475,7 +535,7 @@
         first = ceiling.value()
         pool = ConnectionPool(
             server_info,
-            _Connector(server, ceiling, turns),
+            _Connector(server, ceiling, turns, self._opened),
             clock,
             self._pool_settings,
             0,
@@ -491,7 +551,8 @@
         """Apply the part that follows from the present role of this proxy."""
         part = self._part(backend.server.server_info)
         if part is not None:
-            backend.ceiling.set_highest(part.connections, is_part=True)
+            settles = not backend.turns.is_always
+            backend.ceiling.set_highest(part.connections, is_part=True, settles=settles)
             backend.turns.set_share(part.turn_share)
             backend.apply_ceiling()
 
--- a/packages/emulator/src/dogwoodspool_emulator/servers.py
+++ b/packages/emulator/src/dogwoodspool_emulator/servers.py
@@ -35,6 +35,7 @@
     Attributes:
         has_begun: whether its first statement, which takes the time to connect as
             well, was started.
+        is_dead: whether the process that opened it has ended unnoticed.
     """
 
     server: "Server"
@@ -43,6 +44,7 @@
     generation: int = 0
     account: str = ""
     is_open: bool = True
+    is_dead: bool = False
     has_begun: bool = False
     went_silent: bool = False
     in_transaction: bool = False
@@ -66,8 +68,15 @@
         """Close the connection at once."""
         if self.is_open:
             self.is_open = False
+            self.server.dead_connections -= self.is_dead
             self.server.end_connection()
 
+    def mark_dead(self) -> None:
+        """Record that the process that opened it has ended."""
+        if self.is_open and not self.is_dead:
+            self.is_dead = True
+            self.server.dead_connections += 1
+
 
 @dataclass(slots=True)
 class _Job:
@@ -101,6 +110,7 @@
         is_up: whether it answers.
         lag: replication lag in seconds; 0 for the primary.
         connections: number of open connections.
+        dead_connections: those of processes that have ended unnoticed.
     """
 
     def __init__(
@@ -117,7 +127,7 @@
         self.is_primary = is_primary
         self.is_up = True
         self.lag = 0.0 if is_primary else settings.lag_ms / MILLISECONDS
-        self.connections = 0
+        self.connections = self.dead_connections = 0
         self._settings = settings
         self._log = log
         self._timeline = timeline
@@ -135,6 +145,8 @@
         self._stats.connects += 1
         if self.connections >= self._settings.connections:
             self._stats.refused_connects += 1
+            living = self.connections - self.dead_connections
+            self._stats.refused_by_living += living >= self._settings.connections
             raise ConnectionLimitError(
                 f"{self.server_info.name} has reached its limit of "
                 f"{self._settings.connections} connections"
--- a/packages/pooler/src/dogwoodspool_pooler/ceiling.py
+++ b/packages/pooler/src/dogwoodspool_pooler/ceiling.py
@@ -26,9 +26,9 @@
 
     If the full share is a part, and the parts of all processes together fit the server,
     each connection that the server accepts raises the ceiling at once. The server may
-    still count connections of processes that have ended. A part that grows with a
-    change of role belonged to another process, which may learn of the change later, so
-    that the ceiling rises only with time at first.
+    still count connections of processes that have ended. Where a part that is added
+    may still be used by another process, which learns of the change later, the ceiling
+    rises only with time at first.
 
     Args:
         highest: number of connections in the full share.
@@ -86,13 +86,21 @@
         self._ceiling = max(1, min(self._highest, open_count))
         self._changed_at = self._clock.now()
 
-    def set_highest(self, highest: int, *, is_part: bool = False) -> None:
-        """Change the number of connections in the full share."""
+    def set_highest(
+        self, highest: int, *, is_part: bool = False, settles: bool = False
+    ) -> None:
+        """Change the number of connections in the full share.
+
+        Args:
+            highest: the number.
+            is_part: whether the shares of all processes fit the server.
+            settles: whether another process may still use what is added.
+        """
         highest = _least(highest, is_part=is_part)
         if highest == self._highest and is_part == self._is_part:
             return
         now = self._clock.now()
-        is_raised = is_part and highest > self._highest
+        is_raised = settles and highest > self._highest
         first = min(self.value(), highest) if is_part else highest
         self._highest, self._is_part = highest, is_part
         self._ceiling = max(FIRST_CONNECTIONS, first)
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -65,8 +65,8 @@
 # learn of it with a heartbeat, one a second.
 PART_SETTLING_SECONDS: Final = 1.0
 # Length of the turn of a proxy that serves its own callers while no owner answers:
-# about one short transaction.
-TURN_SECONDS: Final = 0.1
+# about one statement.
+TURN_SECONDS: Final = 0.05
 MAX_REFUSED_TURN_FACTOR: Final = 16.0
 # Pause before another connection attempt if the server is at its connection limit and
 # this process has no connection: about the duration of two statements.
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -67,7 +67,10 @@
 
     def set_part(self, part: ConnectionPart) -> None:
         """Change the connections that this process may hold."""
-        self.ceiling.set_highest(part.connections, is_part=True)
+        # An owner in reserve takes over from one that does not answer. Any other
+        # process becomes an owner while its predecessor may still run.
+        settles = not self.turns.is_always
+        self.ceiling.set_highest(part.connections, is_part=True, settles=settles)
         self.turns.set_share(part.turn_share)
         self.adjust()
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -19,7 +19,7 @@
 from .owner_client import OwnerClient
 from .slots import WorkSlots
 from .statement_api import StatementApi
-from .statements import SharedStatements
+from .statements import NeighbourStatements, SharedStatements
 from .transaction_api import TransactionApi
 
 
@@ -58,7 +58,12 @@
         self._leases = LeaseTracker(self._idle_limit, clock)
         self._expiry = LeaseExpiry(self._leases, clock)
         self._slots = WorkSlots(NEW_REQUESTS)
-        self._statement_api = StatementApi(views, statements, self._slots, clock)
+        self._statement_api = StatementApi(
+            views,
+            NeighbourStatements(statements, self._directory),
+            self._slots,
+            clock,
+        )
         self._transaction_api = TransactionApi(
             views, access, self._leases, self._slots, clock
         )
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -91,6 +91,22 @@
         raise _error_of(response, response.refusal.value())
 
 
+class NeighbourStatements:
+    """Serve single statements of neighbours on the local pools.
+
+    Implements ``Statements``.
+    """
+
+    def __init__(self, local: Statements, directory: ProxyDirectory) -> None:
+        self._local = local
+        self._directory = directory
+
+    def run(self, request: Request) -> Reply:
+        """Serve one statement."""
+        self._directory.record_neighbour_request(request.endpoint.group)
+        return self._local.run(request)
+
+
 def _error_of(response: StatementResponse, refusal: StatementError) -> NotServedError:
     if response.is_answer_lost:
         return AnswerLostError(refusal)
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -33,6 +33,9 @@
 # Fraction of these that is in use on average when all such proxies have requests. They
 # take turns at random, so that at times more of them use one.
 USED_OUTSIDE: Final = 0.5
+# The same while the owners of a failure domain are lost: the others there may use the
+# owners' connections, and not all of them have a request in each turn.
+USED_OF_LOST_OWNERS: Final = 0.75
 # Connections of one process that are closed and that the server may still count.
 CLOSE_ROOM: Final = 1
 # Connections of an owner in reserve while an owner in use answers.
@@ -60,6 +63,10 @@
 # Seconds for which an owner in reserve counts as in use after its last failed request
 # to the owners in use. It tries them again after the retry time.
 TAKEOVER_SECONDS: Final = 2.0
+# Requests of neighbours within this time that show the same: in large failure domains
+# an owner in reserve has few requests of its own. A few may come because the owners in
+# use are full.
+TAKEOVER_REQUESTS: Final = 5
 
 WEIGHT_BYTES: Final = 8
 DIGEST_BYTES: Final = 8
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -1,6 +1,7 @@
 """The proxies of this failure domain, and which of them own a group's pools."""
 
 import threading
+from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 
 from dogwoodspool_common import Clock, log_event
@@ -10,7 +11,9 @@
     MIN_OWNERS,
     NEIGHBOUR_RETENTION_SECONDS,
     OWNER_RETRY_SECONDS,
+    TAKEOVER_REQUESTS,
     TAKEOVER_SECONDS,
+    USED_OF_LOST_OWNERS,
 )
 from .models import Neighbour, Owners, ServerLimits
 from .ownership import (
@@ -47,6 +50,7 @@
         self._sorted: tuple[Neighbour, ...] = (own,)
         self._missing_since: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
+        self._asked_at: dict[str, deque[float]] = {}
         self._limits: dict[str, ServerLimits] = {}
         # Owners of the groups whose pools are shared; None until they are needed.
         self._owners: dict[str, Owners] | None = None
@@ -171,13 +175,25 @@
                 return outside_part(parts.outside, outside * domains)
             # The owners of this failure domain hold no connections any more.
             lost = parts.owner * in_use + parts.reserve * in_reserve
-            return outside_part(lost + parts.outside / domains, outside)
+            return outside_part(
+                lost + parts.outside / domains, outside, USED_OF_LOST_OWNERS
+            )
 
     def record_owner_failure(self, name: str) -> None:
         """Record that an owner did not answer; it is skipped for the retry time."""
         with self._lock:
             self._failed_at[name] = self._clock.now()
 
+    def record_neighbour_request(self, group: str) -> None:
+        """Record that this process serves a request of a neighbour."""
+        with self._lock:
+            chosen = self._chosen(group)
+            if chosen is not None and self._own in chosen.in_reserve:
+                asked = self._asked_at.setdefault(
+                    group, deque(maxlen=TAKEOVER_REQUESTS)
+                )
+                asked.append(self._clock.now())
+
     def _chosen(self, group: str) -> Owners | None:
         if self._owners is None:
             self._owners = self._assign()
@@ -191,9 +207,15 @@
             return PoolRole.OUTSIDE
         # Neighbours have turned to this process by now, before control reports that
         # the owners in use have gone.
-        is_acting = self._have_failed(chosen.in_use)
+        is_acting = self._have_failed(chosen.in_use) or self._is_often_asked(group)
         return PoolRole.OWNER if is_acting else PoolRole.RESERVE
 
+    def _is_often_asked(self, group: str) -> bool:
+        asked = self._asked_at.get(group)
+        if asked is None or len(asked) < TAKEOVER_REQUESTS:
+            return False
+        return self._clock.now() - asked[0] < TAKEOVER_SECONDS
+
     def _are_owners_lost(self, group: str) -> bool:
         chosen = self._chosen(group)
         if chosen is None:
--- a/packages/sharing/src/dogwoodspool_sharing/parts.py
+++ b/packages/sharing/src/dogwoodspool_sharing/parts.py
@@ -85,12 +85,15 @@
         return cls(max(1, remaining // max(1, in_use)), reserve, outside)
 
 
-def outside_part(connections: float, proxies: int) -> ConnectionPart:
+def outside_part(
+    connections: float, proxies: int, used: float = USED_OUTSIDE
+) -> ConnectionPart:
     """Return the part of a proxy that is no owner.
 
     Args:
         connections: connections that all such proxies may hold together.
         proxies: number of such proxies.
+        used: fraction of the connections for which proxies have a turn on average.
 
     Example:
         >>> outside_part(4, proxies=80).turn_share
@@ -98,4 +101,4 @@
     """
     if proxies <= connections:
         return ConnectionPart(PoolRole.OUTSIDE, 1)
-    return ConnectionPart(PoolRole.OUTSIDE, 1, connections * USED_OUTSIDE / proxies)
+    return ConnectionPart(PoolRole.OUTSIDE, 1, connections * used / proxies)
--- a/tests/pooler/test_placement.py
+++ b/tests/pooler/test_placement.py
@@ -115,7 +115,7 @@
     def test_a_new_role_begins_low_and_rises_only_with_time(self) -> None:
         """Guard against two owners that hold the same connections at a change."""
         self.ceiling.set_highest(1, is_part=True)
-        self.ceiling.set_highest(12, is_part=True)
+        self.ceiling.set_highest(12, is_part=True, settles=True)
         self.ceiling.record_connection_opened()
         self.assertEqual(self.ceiling.value(), 1)
         self.clock.advance(0.5)
--- a/tests/sharing/test_directory.py
+++ b/tests/sharing/test_directory.py
@@ -15,6 +15,7 @@
     MAX_CONNECTIONS_OUTSIDE,
     NEIGHBOUR_RETENTION_SECONDS,
     OWNER_RETRY_SECONDS,
+    TAKEOVER_REQUESTS,
     TAKEOVER_SECONDS,
 )
 
@@ -105,6 +106,20 @@
         self.clock.advance(TAKEOVER_SECONDS)
         self.assertEqual(directory.connection_part("g1", 33), parts[own.name])
 
+    def test_a_reserve_owner_that_is_often_asked_takes_over(self) -> None:
+        """Guard against one connection for all requests of a large failure domain."""
+        parts = self.parts(DOMAINS, LIMITS)
+        by_role = {part.role: name for name, part in parts.items()}
+        own = Neighbour(by_role[PoolRole.RESERVE], "10.0.0.1:7440")
+        directory = ProxyDirectory(own, DOMAINS, self.clock)
+        directory.adopt(neighbours(24))
+        directory.set_groups({"g1": LIMITS})
+        for _ in range(TAKEOVER_REQUESTS):
+            self.assertEqual(directory.connection_part("g1", 33), parts[own.name])
+            directory.record_neighbour_request("g1")
+        in_use = parts[by_role[PoolRole.OWNER]]
+        self.assertEqual(directory.connection_part("g1", 33), in_use)
+
     def test_other_proxies_take_turns_whatever_their_number(self) -> None:
         """Guard against thousands of proxies that all connect to one server."""
         for proxies in (24, 80, 194, 4_100):
