Hand the part of a leaving owner on, and close probes out of turn

A process that drains kept its part, while its successor opened connections. It now counts as an owner in reserve, forwards its own callers' new requests and closes idle connections. A read that can use another server does not wait for a turn.

--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -7,11 +7,8 @@
 
 from dogwoodspool_common import BackendServer, Clock
 
-from .const import (
-    CLOSE_SECONDS,
-    DEMAND_WINDOW,
-    PROBE_RESERVE,
-)
+from .closes import RecentCloses
+from .const import DEMAND_WINDOW, PROBE_RESERVE
 from .errors import PoolClosedError, PoolTimeoutError
 from .eviction import EvictionOrder, LongestIdle
 from .health import ConnectionHealth
@@ -66,8 +63,7 @@
         self._in_use = 0
         self._probing = 0
         self._close_room = 0
-        # Clock seconds until which the server may count the closed connections.
-        self._closing: deque[float] = deque()
+        self._closes = RecentCloses(clock)
         self._waiters: deque[Waiter[ConnectionT]] = deque()
         self._health = ConnectionHealth(server, clock, settings)
         self._peak = Peak(clock, DEMAND_WINDOW)
@@ -107,7 +103,7 @@
     def closing(self) -> int:
         """Closed connections that the server may still count."""
         with self._lock:
-            return self._closing_count()
+            return self._closes.count
 
     @property
     def waiting(self) -> int:
@@ -281,7 +277,7 @@
                 if self._is_unloaded or remaining <= 0:
                     self._waiters.remove(waiter)
                     break
-                self._clock.wait(waiter.condition, self._until_closed(remaining))
+                self._clock.wait(waiter.condition, self._closes.until_next(remaining))
                 self._serve_waiters()
             if waiter.is_served:
                 return
@@ -312,7 +308,7 @@
 
     def _make_room(self, waiter: Waiter[ConnectionT]) -> bool:
         """Return whether a waiter may open a connection, maybe in place of another."""
-        counted = self._open_count() + self._closing_count()
+        counted = self._open_count() + self._closes.count
         if self._close_room and counted >= self._limit + self._close_room:
             return False
         if self._open_count() < self._limit:
@@ -326,19 +322,7 @@
 
     def _record_close(self) -> None:
         if self._close_room:
-            self._closing.append(self._clock.now() + CLOSE_SECONDS)
-
-    def _closing_count(self) -> int:
-        now = self._clock.now()
-        while self._closing and self._closing[0] <= now:
-            self._closing.popleft()
-        return len(self._closing)
-
-    def _until_closed(self, seconds: float) -> float:
-        """Return the time until the next close has arrived, if that is sooner."""
-        if not self._closing_count():
-            return seconds
-        return min(seconds, self._closing[0] - self._clock.now())
+            self._closes.record()
 
     def _pop_idle(self, waiter: Waiter[ConnectionT]) -> ConnectionT | None:
         """Remove and return the best idle connection for a waiter, if there is one."""
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -398,7 +398,8 @@
         backend = execution.backend
         refused = Refused("no connection", NO_CONNECTION_RETRY_MS / MILLISECONDS)
         wait = backend.turns.wait()
-        if self._timeline.now() + wait > execution.start_by:
+        is_late = self._timeline.now() + wait > execution.start_by
+        if wait > 0 and (is_late or execution.has_alternatives):
             backend.queue.end(ticket, 0.0, AdmissionOutcome.NO_WORK)
             execution.on_end(Error(refused))
             return
--- a/packages/pooler/src/dogwoodspool_pooler/recovery.py
+++ b/packages/pooler/src/dogwoodspool_pooler/recovery.py
@@ -67,7 +67,8 @@
         return RECOVERY_PROBE_SECONDS
 
     def _probe(self, server: BackendServer) -> bool:
-        pool = self._registry.backend(server).pool
+        backend = self._registry.backend(server)
+        pool = backend.pool
         deadline = self._clock.now() + RECOVERY_PROBE_SECONDS
         try:
             connection = pool.acquire(deadline, is_probe=True)
@@ -81,7 +82,7 @@
             self._table.record_failure(server.name, is_down=is_down)
             log_event("server_unreachable", server=server.name, reason=error)
             return False
-        pool.release(connection, reuse=True)
+        pool.release(connection, reuse=backend.turns.wait() <= 0)
         self._table.record_reachable(server.name)
         log_event("server_reachable", server=server.name)
         return True
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -120,6 +120,7 @@
     def leave(self) -> None:
         """Stop accepting requests, and have control announce it to the neighbours."""
         self._slots.leave()
+        self._directory.leave()
         self._presence.leave()
 
     def unload(self) -> None:
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -45,7 +45,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
-        self._is_known = False
+        self._is_known = self._is_leaving = False
         self._neighbours = {own.name: own}
         self._sorted: tuple[Neighbour, ...] = (own,)
         self._missing_since: dict[str, float] = {}
@@ -131,7 +131,9 @@
         """
         with self._lock:
             chosen = self._chosen(group)
-            if chosen is None:
+            if chosen is not None and self._is_leaving:
+                chosen = chosen.without(self._own)
+            if chosen is None or not chosen.in_use + chosen.in_reserve:
                 return None
             if account:
                 ordered = account_order(account, group, chosen)
@@ -145,6 +147,15 @@
                 ordered = owner_order(self._own.name, group, chosen)
             return [owner for owner in ordered if not self._failed_lately(owner.name)]
 
+    def leave(self) -> None:
+        """Have this process own no pools, as it ends soon.
+
+        Requests of its own callers go to the other owners, and its connections are left
+        to its successor.
+        """
+        with self._lock:
+            self._is_leaving = True
+
     def connection_part(self, group: str, available: int) -> ConnectionPart | None:
         """Return the connections to each server that this process may hold.
 
@@ -201,6 +212,8 @@
 
     def _role(self, group: str) -> PoolRole:
         chosen = self._chosen(group)
+        if self._is_leaving:
+            return PoolRole.RESERVE
         if chosen is None or self._own in chosen.in_use:
             return PoolRole.OWNER
         if self._own not in chosen.in_reserve:
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -1,6 +1,7 @@
 """Data classes and messages of the sharing library."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Self
 
 from dogwoodspool_api import HostPort, MemberMessage, Message, Name
 from dogwoodspool_common import Address
@@ -37,6 +38,14 @@
     in_use: tuple[Neighbour, ...]
     in_reserve: tuple[Neighbour, ...]
 
+    def without(self, excluded: Neighbour) -> Self:
+        """Return the other owners."""
+        return replace(
+            self,
+            in_use=tuple(one for one in self.in_use if one != excluded),
+            in_reserve=tuple(one for one in self.in_reserve if one != excluded),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
--- a/tests/sharing/test_directory.py
+++ b/tests/sharing/test_directory.py
@@ -120,6 +120,22 @@
         in_use = parts[by_role[PoolRole.OWNER]]
         self.assertEqual(directory.connection_part("g1", 33), in_use)
 
+    def test_a_leaving_owner_hands_its_part_and_its_requests_on(self) -> None:
+        """Guard against two owners with the same connections while one drains."""
+        parts = self.parts(DOMAINS, LIMITS)
+        by_role = {part.role: name for name, part in parts.items()}
+        known = {one.name: one for one in neighbours(24)}
+        directory = ProxyDirectory(known[by_role[PoolRole.OWNER]], DOMAINS, self.clock)
+        directory.adopt(known.values())
+        directory.set_groups({"g1": LIMITS})
+        self.assertIsNone(directory.owners("g1"))
+        directory.leave()
+        reserve = by_role[PoolRole.RESERVE]
+        for account in ("", "shop"):
+            owners = directory.owners("g1", account)
+            self.assertEqual([one.name for one in owners or ()], [reserve])
+        self.assertEqual(directory.connection_part("g1", 33), parts[reserve])
+
     def test_other_proxies_take_turns_whatever_their_number(self) -> None:
         """Guard against thousands of proxies that all connect to one server."""
         for proxies in (24, 80, 194, 4_100):
