--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -99,6 +99,12 @@
         with self._lock:
             return self._open_count()
 
+    @property
+    def close_room(self) -> int:
+        """Closed connections that the server may count beside the limit."""
+        with self._lock:
+            return self._close_room
+
     @property
     def closing(self) -> int:
         """Closed connections that the server may still count."""
--- a/packages/emulator/src/dogwoodspool_emulator/const.py
+++ b/packages/emulator/src/dogwoodspool_emulator/const.py
@@ -13,6 +13,9 @@
 # time until a proxy that has started knows its neighbours.
 LOST_PROXY_SECONDS: Final = 3.0
 FIRST_PRESENCE_SECONDS: Final = 0.1
+# Reports of neighbours per second to all proxies together; with many proxies each of
+# them gets one less often than once a second.
+PRESENCES_PER_SECOND: Final = 100.0
 # Time between two checks for idle connections in all pools.
 POOL_CHECK_SECONDS: Final = 0.15
 # Time between two checks of a request that waits until the server has handled a close.
--- a/packages/emulator/src/dogwoodspool_emulator/losses.py
+++ b/packages/emulator/src/dogwoodspool_emulator/losses.py
@@ -5,17 +5,18 @@
 from collections.abc import Callable
 from functools import partial
 
+from dogwoodspool_sharing import PoolRole
+
 from .const import (
     DEAD_CONNECTION_SECONDS,
     FIRST_PRESENCE_SECONDS,
     LOST_PROXY_SECONDS,
+    PRESENCES_PER_SECOND,
 )
 from .models import Disturbance, DisturbanceKind, LossTarget
 from .proxies import Proxy
 from .timeline import Timeline
 
-PROXIES_PER_PRESENCE_SECOND = 100
-
 
 class ProcessLosses:
     """Stop proxies, start them again, and have their neighbours learn of it.
@@ -78,13 +79,13 @@
         if disturbance.target is LossTarget.PROXIES:
             names = [one.neighbour.name for one in proxies]
         else:
-            kinds = {"owner"}
+            roles = {PoolRole.OWNER}
             if disturbance.target is LossTarget.ALL_OWNERS:
-                kinds.add("reserve")
+                roles.add(PoolRole.RESERVE)
             names = [
                 one.neighbour.name
                 for one in proxies
-                if any(one.role(group) in kinds for group in groups)
+                if any(one.role(group) in roles for group in groups)
             ]
         count = math.ceil(len(names) * disturbance.share)
         return self._random.sample(sorted(names), count)
@@ -110,4 +111,4 @@
         )
 
     def _interval(self) -> float:
-        return max(1.0, len(self._proxies) / PROXIES_PER_PRESENCE_SECOND)
+        return max(1.0, len(self._proxies) / PRESENCES_PER_SECOND)
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -398,8 +398,7 @@
         backend = execution.backend
         refused = Refused("no connection", NO_CONNECTION_RETRY_MS / MILLISECONDS)
         wait = backend.turns.wait()
-        is_late = self._timeline.now() + wait > execution.start_by
-        if wait > 0 and (is_late or execution.has_alternatives):
+        if wait > 0 and self._timeline.now() + wait > execution.start_by:
             backend.queue.end(ticket, 0.0, AdmissionOutcome.NO_WORK)
             execution.on_end(Error(refused))
             return
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -240,7 +240,7 @@
             return sync_cost(admission_request.values, connection.session)
 
         while True:
-            self._wait_for_turn(backend, admission_request, start_by)
+            self._wait_for_turn(backend, start_by)
             try:
                 connection = backend.pool.acquire(
                     start_by,
@@ -275,15 +275,12 @@
                 self.record_unreachable(backend.server, error)
                 raise
 
-    def _wait_for_turn(
-        self, backend: Backend, admission_request: AdmissionRequest, start_by: float
-    ) -> None:
+    def _wait_for_turn(self, backend: Backend, start_by: float) -> None:
         """Wait until this process may use a connection, or refuse the request."""
         wait = backend.turns.wait()
         if wait <= 0:
             return
-        is_late = self._clock.now() + wait > start_by
-        if is_late or admission_request.has_alternatives:
+        if self._clock.now() + wait > start_by:
             raise NotServedError(_no_connection(backend))
         self._clock.sleep(wait)
 
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -60,8 +60,8 @@
     def adjust(self) -> None:
         """Apply the current ceiling to the pool and the admission queue."""
         limit = self.ceiling.value()
-        if limit != self.pool.limit:
-            close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+        close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+        if limit != self.pool.limit or close_room != self.pool.close_room:
             self.pool.set_limit(limit, close_room=close_room)
             self.admission.set_max_in_flight(limit)
 
@@ -141,7 +141,7 @@
     def refresh(self) -> None:
         """Apply the present part of this process to every pool.
 
-        A process that is an owner no longer closes its surplus connections at once.
+        A process that has lost a role closes its surplus connections at once.
         """
         for backend in self.all():
             part = self._part(backend.server)
