--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -107,14 +107,17 @@
             self.admission.set_order(self.own_order)
             self.admission.set_queue_limit(QUEUE_LIMIT)
         limit = self.ceiling.value()
-        if limit != self.pool.limit:
-            close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+        close_room = CLOSE_ROOM if self.ceiling.is_part else 0
+        if limit != self.pool.limit or close_room != self.pool.close_room:
             self.pool.set_limit(limit, close_room=close_room)
             self.admission.set_max_in_flight(limit)
 
     def set_part(self, part: ConnectionPart) -> None:
         """Change the connections that this process may hold."""
-        self.ceiling.set_highest(part.connections, is_part=True)
+        # An owner in reserve takes over from one that does not answer. Any other
+        # process becomes an owner while its predecessor may still run.
+        settles = not self.turns.is_always
+        self.ceiling.set_highest(part.connections, is_part=True, settles=settles)
         self.turns.set_share(part.turn_share)
         self.adjust()
 
@@ -206,7 +209,7 @@
     def refresh(self) -> None:
         """Apply the present part of this process to every pool.
 
-        A process that is an owner no longer closes its surplus connections at once.
+        A process that has lost a role closes its surplus connections at once.
         """
         for backend in self.all():
             server = backend.server
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -43,7 +43,7 @@
 from .primary_shares import PrimaryShares
 from .slots import WorkSlots
 from .statement_api import StatementApi
-from .statements import SharedStatements
+from .statements import NeighbourStatements, SharedStatements
 from .transaction_api import KeepsRoom, TransactionApi
 
 
@@ -94,7 +94,12 @@
         self._leases = LeaseTracker(self._idle_limit, clock)
         self._expiry = LeaseExpiry(self._leases, clock)
         self._slots = WorkSlots(NEW_REQUESTS)
-        self._statement_api = StatementApi(views, statements, self._slots, clock)
+        self._statement_api = StatementApi(
+            views,
+            NeighbourStatements(statements, self._directory),
+            self._slots,
+            clock,
+        )
         self._transaction_api = TransactionApi(
             views, access, self._leases, self._slots, clock, keeps_room
         )
@@ -187,6 +192,7 @@
     def leave(self) -> None:
         """Stop accepting requests, and have control announce it to the neighbours."""
         self._slots.leave()
+        self._directory.leave()
         self._presence.leave()
 
     def unload(self) -> None:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statements.py
@@ -60,3 +60,19 @@
                 return write_in_doubt(request, error)
             reply = None
         return self._local.run(request) if reply is None else reply
+
+
+class NeighbourStatements:
+    """Serve single statements of neighbours on the local pools.
+
+    Implements ``Statements``.
+    """
+
+    def __init__(self, local: Statements, directory: ProxyDirectory) -> None:
+        self._local = local
+        self._directory = directory
+
+    def run(self, request: Request) -> Reply:
+        """Serve one statement."""
+        self._directory.record_neighbour_request(request.endpoint.group)
+        return self._local.run(request)
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+from collections import deque
 from collections.abc import Iterable, Mapping, Sequence
 
 from dogwoodspool_common import Clock, log_event
@@ -12,7 +13,9 @@
     MIN_OWNERS,
     NEIGHBOUR_RETENTION_SECONDS,
     OWNER_RETRY_SECONDS,
+    TAKEOVER_REQUESTS,
     TAKEOVER_SECONDS,
+    USED_OF_LOST_OWNERS,
 )
 from .models import Neighbour, Owners, PrimaryShare, ServerLimits
 from .ownership import (
@@ -55,11 +58,12 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
-        self._is_known = False
+        self._is_known = self._is_leaving = False
         self._neighbours = {own.name: own}
         self._sorted: tuple[Neighbour, ...] = (own,)
         self._missing_since: dict[str, float] = {}
         self._failed_at: dict[str, float] = {}
+        self._asked_at: dict[str, deque[float]] = {}
         self._limits: dict[str, ServerLimits] = {}
         # Owners of the groups whose pools are shared; None until they are needed.
         self._owners: dict[str, Owners] | None = None
@@ -140,7 +144,9 @@
         """
         with self._lock:
             chosen = self._chosen(group)
-            if chosen is None:
+            if chosen is not None and self._is_leaving:
+                chosen = chosen.without(self._own)
+            if chosen is None or not chosen.in_use + chosen.in_reserve:
                 return None
             if account:
                 ordered = account_order(account, group, chosen)
@@ -211,6 +217,15 @@
                 return 1 / owners
             return 1 / (owners * self._failure_domains)
 
+    def leave(self) -> None:
+        """Have this process own no pools, as it ends soon.
+
+        Requests of its own callers go to the other owners, and its connections are left
+        to its successor.
+        """
+        with self._lock:
+            self._is_leaving = True
+
     def connection_part(self, group: str, available: int) -> ConnectionPart | None:
         """Return the connections to each server that this process may hold.
 
@@ -241,7 +256,9 @@
                 return outside_part(parts.outside, outside * domains)
             # The owners of this failure domain hold no connections any more.
             lost = parts.owner * in_use + parts.reserve * in_reserve
-            return outside_part(lost + parts.outside / domains, outside)
+            return outside_part(
+                lost + parts.outside / domains, outside, USED_OF_LOST_OWNERS
+            )
 
     def record_owner_failure(self, name: str) -> None:
         """Record that an owner did not answer; it is skipped for the retry time."""
@@ -253,6 +270,16 @@
         is_on = self._uses_primary_owners and self._failure_domains > 1
         return is_on and proxies <= MAX_FORWARDING_PROXIES
 
+    def record_neighbour_request(self, group: str) -> None:
+        """Record that this process serves a request of a neighbour."""
+        with self._lock:
+            chosen = self._chosen(group)
+            if chosen is not None and self._own in chosen.in_reserve:
+                asked = self._asked_at.setdefault(
+                    group, deque(maxlen=TAKEOVER_REQUESTS)
+                )
+                asked.append(self._clock.now())
+
     def _chosen(self, group: str) -> Owners | None:
         if self._owners is None:
             self._owners = self._assign()
@@ -260,15 +287,23 @@
 
     def _role(self, group: str) -> PoolRole:
         chosen = self._chosen(group)
+        if self._is_leaving:
+            return PoolRole.RESERVE
         if chosen is None or self._own in chosen.in_use:
             return PoolRole.OWNER
         if self._own not in chosen.in_reserve:
             return PoolRole.OUTSIDE
         # Neighbours have turned to this process by now, before control reports that
         # the owners in use have gone.
-        is_acting = self._have_failed(chosen.in_use)
+        is_acting = self._have_failed(chosen.in_use) or self._is_often_asked(group)
         return PoolRole.OWNER if is_acting else PoolRole.RESERVE
 
+    def _is_often_asked(self, group: str) -> bool:
+        asked = self._asked_at.get(group)
+        if asked is None or len(asked) < TAKEOVER_REQUESTS:
+            return False
+        return self._clock.now() - asked[0] < TAKEOVER_SECONDS
+
     def _are_owners_lost(self, group: str) -> bool:
         chosen = self._chosen(group)
         if chosen is None:
