Limits: charge accounts only for work that waits or runs

Work that was refused at once still counted against its account's share, so an account with refused requests fell behind further with each of them. Fair queueing now charges work when it enters the queue and returns it when it leaves unserved.

--- a/packages/limits/src/dogwoodspool_limits/demoting_order.py
+++ b/packages/limits/src/dogwoodspool_limits/demoting_order.py
@@ -56,7 +56,7 @@
         work = ticket.work
         if not self._timely:
             self._fair_share.reset()
-        number = self._fair_share.assign_round(work.account, ticket.expected)
+        number = self._fair_share.next_round(work.account)
         is_starved = self._minimum.is_starved(work.kind)
         self._minimum.record_asked(work.kind)
         ticket.key = (0 if is_starved else 1, *self._key(ticket, number))
@@ -95,6 +95,7 @@
     def add(self, ticket: Ticket, load: QueueLoad) -> None:
         """Add a waiting statement and demote those that it makes late."""
         self._added += 1
+        self._fair_share.charge(ticket.work.account, ticket.expected)
         insort(self._timely, (ticket.key, self._added, ticket))
         self._demote_late(load)
 
@@ -104,6 +105,7 @@
         for index, entry in enumerate(entries):
             if entry[2] is ticket:
                 del entries[index]
+                self._return_work(ticket)
                 return
 
     def take(self, max_priority: float, load: QueueLoad) -> Ticket | None:
@@ -131,6 +133,7 @@
             if start > ticket.latest_start:
                 ticket.estimated_wait = start - now
                 hopeless.append(ticket)
+                self._return_work(ticket)
             else:
                 start += ticket.expected / late_capacity
                 kept.append(entry)
@@ -142,10 +145,13 @@
         if not self._is_timely(ticket, load):
             return None
         if self._late:
-            return self._late.pop()[2]
-        if not self._timely or self._timely[-1][0] <= ticket.key:
+            displaced = self._late.pop()[2]
+        elif not self._timely or self._timely[-1][0] <= ticket.key:
             return None
-        return self._timely.pop()[2]
+        else:
+            displaced = self._timely.pop()[2]
+        self._return_work(displaced)
+        return displaced
 
     def drain(self) -> list[Ticket]:
         """Remove and return all waiting statements, the first one first."""
@@ -159,6 +165,9 @@
         work = ticket.work
         return (work.account_priority, number, work.target)
 
+    def _return_work(self, ticket: Ticket) -> None:
+        self._fair_share.charge(ticket.work.account, -ticket.expected)
+
     def _is_timely(self, ticket: Ticket, load: QueueLoad) -> bool:
         end = load.now() + self._timely_wait(ticket, load) + ticket.expected
         return end <= ticket.work.target
--- a/packages/limits/src/dogwoodspool_limits/fair_share.py
+++ b/packages/limits/src/dogwoodspool_limits/fair_share.py
@@ -13,12 +13,12 @@
     belongs to the present round.
     """
 
-    def assign_round(self, account: str, expected: float) -> int:
-        """Return the round of new work that is expected to take some seconds."""
+    def next_round(self, account: str) -> int:
+        """Return the round to which an account's next work belongs."""
         ...
 
-    def return_work(self, account: str, expected: float) -> None:
-        """Take back work that was assigned and then did not wait or run."""
+    def charge(self, account: str, seconds: float) -> None:
+        """Charge work to an account, or return it if the seconds are negative."""
         ...
 
     def begin_round(self, number: int) -> None:
@@ -41,18 +41,14 @@
         self._now = 0.0
         self._ends: dict[str, float] = {}
 
-    def assign_round(self, account: str, expected: float) -> int:
-        """Return the round of new work that is expected to take some seconds."""
-        start = self._now
-        if account:
-            start = max(start, self._ends.get(account, 0.0))
-            self._ends[account] = start + expected
-        return int(start / FAIR_ROUND_SECONDS)
+    def next_round(self, account: str) -> int:
+        """Return the round to which an account's next work belongs."""
+        return int(self._start(account) / FAIR_ROUND_SECONDS)
 
-    def return_work(self, account: str, expected: float) -> None:
-        """Take back work that was assigned and then did not wait or run."""
-        if account in self._ends:
-            self._ends[account] -= expected
+    def charge(self, account: str, seconds: float) -> None:
+        """Charge work to an account, or return it if the seconds are negative."""
+        if account:
+            self._ends[account] = self._start(account) + seconds
 
     def begin_round(self, number: int) -> None:
         """Record that work of a round runs."""
@@ -63,6 +59,9 @@
         self._now = 0.0
         self._ends.clear()
 
+    def _start(self, account: str) -> float:
+        return max(self._now, self._ends.get(account, 0.0))
+
 
 class RoundRobinShare:
     """Deficit round-robin.
@@ -75,23 +74,15 @@
         self._round = 0
         self._accounts: dict[str, tuple[int, float]] = {}
 
-    def assign_round(self, account: str, expected: float) -> int:
-        """Return the round of new work that is expected to take some seconds."""
-        if not account:
-            return self._round
-        number, credit = self._accounts.get(account, (self._round, FAIR_ROUND_SECONDS))
-        if number < self._round:
-            number, credit = self._round, FAIR_ROUND_SECONDS
-        while credit <= 0:
-            number, credit = number + 1, credit + FAIR_ROUND_SECONDS
-        self._accounts[account] = (number, credit - expected)
-        return number
+    def next_round(self, account: str) -> int:
+        """Return the round to which an account's next work belongs."""
+        return self._state(account)[0]
 
-    def return_work(self, account: str, expected: float) -> None:
-        """Take back work that was assigned and then did not wait or run."""
-        if account in self._accounts:
-            number, credit = self._accounts[account]
-            self._accounts[account] = (number, credit + expected)
+    def charge(self, account: str, seconds: float) -> None:
+        """Charge work to an account, or return it if the seconds are negative."""
+        if account:
+            number, credit = self._state(account)
+            self._accounts[account] = (number, credit - seconds)
 
     def begin_round(self, number: int) -> None:
         """Record that work of a round runs."""
@@ -101,3 +92,11 @@
         """Forget all accounts, since nothing waits."""
         self._round = 0
         self._accounts.clear()
+
+    def _state(self, account: str) -> tuple[int, float]:
+        number, credit = self._accounts.get(account, (self._round, FAIR_ROUND_SECONDS))
+        if number < self._round:
+            number, credit = self._round, FAIR_ROUND_SECONDS
+        while credit <= 0:
+            number, credit = number + 1, credit + FAIR_ROUND_SECONDS
+        return number, credit
