Limits: lost answers take no room where the slots bound what is in flight

A statement whose answer was lost kept its place until its time limit, ten times as long as statements take, and each one lowered the limit by a fifth. A statement now counts for twice as long as most take, and only refusals for load lower a limit that the slots bound.

--- a/packages/limits/src/dogwoodspool_limits/concurrency.py
+++ b/packages/limits/src/dogwoodspool_limits/concurrency.py
@@ -108,7 +108,7 @@
         Statements lost within one window have one cause, so they lower the limit
         only once.
         """
-        if not self._unanswered:
+        if not self._unanswered and self._follows_latency:
             self._scale(DECREASE_FACTOR)
         self._unanswered += 1
         self._evaluate_full_window()
--- a/packages/limits/src/dogwoodspool_limits/const.py
+++ b/packages/limits/src/dogwoodspool_limits/const.py
@@ -7,6 +7,9 @@
 # Mean deviations above the average service time within which most statements end.
 SERVICE_TIME_DEVIATIONS: Final = 2
 DEFAULT_SERVICE_TIME: Final = 0.005
+# A statement that is unanswered for this many times as long as most statements take
+# no longer counts as in flight where the slots bound what is.
+OVERDUE_FACTOR: Final = 2
 
 # Adaptive concurrency: additive increase, multiplicative decrease per window.
 WINDOW_SAMPLES: Final = 20
--- a/packages/limits/src/dogwoodspool_limits/in_flight.py
+++ b/packages/limits/src/dogwoodspool_limits/in_flight.py
@@ -1,5 +1,6 @@
 """Count the statements in flight and bound the new ones."""
 
+from collections import deque
 from math import inf
 
 from .concurrency import AdaptiveConcurrency
@@ -14,6 +15,10 @@
     limit. One new statement may always be in flight beside them, within the
     process's share of connections: otherwise long transactions could keep new work
     out for good.
+
+    A statement counts until its answer, and no longer than statements usually take: if
+    answers are lost, the server's slots are free long before the time limits of the
+    statements end.
     """
 
     def __init__(self, concurrency: AdaptiveConcurrency) -> None:
@@ -22,6 +27,7 @@
         self._total = 0
         self._continuations = 0
         self._mean_continuations = 0.0
+        self._overdue: deque[tuple[float, Ticket]] = deque()
 
     @property
     def total(self) -> int:
@@ -62,16 +68,35 @@
         highest = self.highest_admissible
         return highest is not None and priority <= highest
 
-    def begin(self, ticket: Ticket) -> None:
-        """Count a statement that was admitted."""
+    def begin(self, ticket: Ticket, overdue_at: float) -> None:
+        """Count a statement that was admitted.
+
+        Args:
+            ticket: the statement.
+            overdue_at: clock time after which it no longer counts.
+        """
+        ticket.is_counted = True
+        self._overdue.append((overdue_at, ticket))
         counts = self._by_priority
         counts[ticket.priority] = counts.get(ticket.priority, 0) + 1
         self._total += 1
         if ticket.is_continuation:
             self._continuations += 1
 
+    def drop_overdue(self, now: float) -> None:
+        """Stop counting the statements that have been unanswered for too long."""
+        while self._overdue:
+            overdue_at, ticket = self._overdue[0]
+            if ticket.is_counted and overdue_at > now:
+                return
+            self._overdue.popleft()
+            self.end(ticket)
+
     def end(self, ticket: Ticket) -> None:
-        """Count the end of a statement."""
+        """Count the end of a statement; a second call has no effect."""
+        if not ticket.is_counted:
+            return
+        ticket.is_counted = False
         change = self._continuations - self._mean_continuations
         self._mean_continuations += CONTINUATION_WEIGHT * change
         self._by_priority[ticket.priority] -= 1
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from .concurrency import AdaptiveConcurrency
-from .const import MIN_RETRY_AFTER_MS
+from .const import MIN_RETRY_AFTER_MS, OVERDUE_FACTOR
 from .in_flight import InFlight
 from .models import AdmissionOutcome, Priority, Refusal, RefusalReason
 from .order import ArrivalOrder, QueueOrder, RetryEstimate
@@ -161,6 +161,8 @@
         ticket = Ticket(work.priority, work.deadline, _ignore, work)
         if work.deadline <= now:
             return Error(self._refuse(ticket, RefusalReason.DEADLINE_PASSED))
+        self._in_flight.drop_overdue(now)
+        self._admit_waiting()
         if self._in_flight.has_room(work.priority):
             self._admit(ticket)
             return Ok(ticket)
@@ -227,13 +229,18 @@
         return self._schedule_retry_ms(RetryEstimate(wait, spacing))
 
     def _update_load(self) -> None:
+        self._in_flight.drop_overdue(self._clock.now())
         self._load.capacity = self._in_flight.capacity
 
     def _any_ticket(self, priority: int) -> Ticket:
         return Ticket(priority, inf, _ignore, Work(priority, inf, inf), key=(inf,))
 
     def _admit(self, ticket: Ticket) -> None:
-        self._in_flight.begin(ticket)
+        usual = self._load.service_times.usual_bound
+        overdue_at = self._clock.now() + OVERDUE_FACTOR * usual
+        if self._order.follows_latency:
+            overdue_at = inf
+        self._in_flight.begin(ticket, overdue_at)
         ticket.state = TicketState.ADMITTED
 
     def _admit_waiting(self) -> None:
--- a/packages/limits/src/dogwoodspool_limits/ticket.py
+++ b/packages/limits/src/dogwoodspool_limits/ticket.py
@@ -35,6 +35,7 @@
         expected: seconds that it is expected to take on the server.
         is_continuation: whether it continues an open transaction.
         is_demoted: whether it is expected to miss its target.
+        is_counted: whether it counts as in flight.
         key: place in the queue's order; a lower one goes first.
         reason: why the queue removed it.
         estimated_wait: seconds that it was expected to wait when it was removed.
@@ -48,6 +49,7 @@
     expected: float = 0.0
     is_continuation: bool = False
     is_demoted: bool = False
+    is_counted: bool = False
     key: tuple[float, ...] = ()
     reason: RefusalReason = RefusalReason.DISPLACED
     estimated_wait: float = 0.0
