--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -140,7 +140,7 @@
 # Statements that all owners together may have in flight for each slot of a primary:
 # their demand is uneven, and a statement from another failure domain counts during its
 # way as well.
-SLOT_OVERSUBSCRIPTION: Final = 1.5
+SLOT_OVERSUBSCRIPTION: Final = 2.0
 
 # A server is reported as stalled once a write has been unanswered for this long, even
 # if it still answers reads.
