--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import Self
 
+from dogwoodspool_pooler.queue_orders import QueueOrderName
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 
@@ -36,14 +37,6 @@
     lag_spread: float = Field(default=0.0, ge=0)
 
 
-class OrderName(StrEnum):
-    """Order in which the requests of shared pools wait for admission."""
-
-    ARRIVAL = "arrival"
-    TARGET = "target"
-    PRIORITY = "priority"
-
-
 class Requests(Section):
     """One kind of request.
 
@@ -190,7 +183,7 @@
     owners_by_account: bool = True
     has_common_owners: bool = False
     has_primary_owners: bool = False
-    order: OrderName = OrderName.PRIORITY
+    order: QueueOrderName = QueueOrderName.ARRIVAL
     has_parts: bool = True
     has_rated_accounts: bool = True
     placement: Placement = Placement.STANDING
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -18,13 +18,9 @@
 )
 from dogwoodspool_limits import (
     AdmissionOutcome,
-    ArrivalOrder,
     Priority,
-    PriorityOrder,
-    QueueOrder,
     Refusal,
     StatementQueue,
-    TargetOrder,
     Ticket,
     TicketState,
     Work,
@@ -46,6 +42,7 @@
 from dogwoodspool_pooler.freshness import FreshnessTracker
 from dogwoodspool_pooler.lag import LagTracker
 from dogwoodspool_pooler.placement import rank_for_read
+from dogwoodspool_pooler.queue_orders import ORDERS, QueueOrderName
 from dogwoodspool_pooler.read_choice import ReadChoice, ReadChooser, ReadConditions
 from dogwoodspool_pooler.read_cost import AdmissionState, LoadCost
 from dogwoodspool_pooler.registry import POOL_SETTINGS
@@ -68,7 +65,7 @@
 from expression import Error, Ok, Result
 
 from .const import CLOSE_CHECK_SECONDS, PROXY_UPTIME_SECONDS
-from .models import OrderName, Placement, Requests
+from .models import Placement, Requests
 from .outcomes import ServerStats
 from .read_rules import ReadRules
 from .servers import Answer, Connection, Server
@@ -82,14 +79,6 @@
 }
 
 
-# Queue disciplines of owners of shared pools.
-ORDERS: Final[dict[OrderName, Callable[[], QueueOrder]]] = {
-    OrderName.ARRIVAL: ArrivalOrder,
-    OrderName.TARGET: TargetOrder,
-    OrderName.PRIORITY: PriorityOrder,
-}
-
-
 @dataclass(frozen=True, slots=True)
 class Refused:
     """A refused statement or request.
@@ -301,7 +290,7 @@
         distance: float,
         pool_settings: PoolSettings = POOL_SETTINGS,
         connection_share: float = CONNECTION_SHARE,
-        order: OrderName = OrderName.PRIORITY,
+        order: QueueOrderName = QueueOrderName.ARRIVAL,
         forward: Forward = lambda _attempt, _on_end: False,
         has_parts: bool = True,
         has_rated_accounts: bool = True,
@@ -593,7 +582,7 @@
                 self._refuse_waiting(execution, ticket)
 
         queue = backend.queue
-        if self._is_shared(attempt.group):
+        if self._is_ordered_by_target(attempt.group):
             admission = queue.request_work(attempt.work_request, on_ticket_changed)
         else:
             admission = queue.request_admission(
@@ -675,7 +664,7 @@
         """
         server = execution.backend.server
         name = server.server_info.name
-        if ticket is None and self._is_shared(execution.attempt.group):
+        if ticket is None and self._is_ordered_by_target(execution.attempt.group):
             queue = execution.backend.queue
             ticket = queue.begin_continuation(execution.attempt.work_request)
         began_at = self._timeline.now()
@@ -745,6 +734,9 @@
             "server busy", backend.queue.next_retry_after_ms() / MILLISECONDS
         )
 
+    def _is_ordered_by_target(self, group: str) -> bool:
+        return self._order is not QueueOrderName.ARRIVAL and self._is_shared(group)
+
     def _is_shared(self, group: str) -> bool:
         return self.directory.owner_share(group) is not None
 
@@ -780,9 +772,10 @@
         if self._has_rated_accounts:
             pool.set_eviction(LeastUsed(clock))
         queue = StatementQueue(clock, server_info.slots, first, QUEUE_LIMIT)
-        if self._is_shared(server_info.group):
+        order = ORDERS[self._order]()
+        if order is not None and self._is_shared(server_info.group):
             queue.set_queue_limit(SHARED_QUEUE_LIMIT)
-            queue.set_order(ORDERS[self._order]())
+            queue.set_order(order)
             queue.set_slots(self._slots(server))
         backend = Backend(server, pool, queue, ceiling, turns)
         backend.apply_ceiling()
--- a/packages/pooler/src/dogwoodspool_pooler/local_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/local_connection.py
@@ -133,7 +133,7 @@
         """
         if self._admission is not None or self._work is None:
             return
-        if statement.kind in WORKING_KINDS and self._backend.is_shared:
+        if statement.kind in WORKING_KINDS and self._backend.is_ordered_by_target:
             self._elapsed = 0.0
             self._admission = self._backend.admission.admit_continuation(self._work)
 
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -19,7 +19,6 @@
     AdmissionQueue,
     ArrivalOrder,
     Priority,
-    PriorityOrder,
     QueueOrder,
     Refusal,
 )
@@ -71,19 +70,24 @@
     turns: ConnectionTurns
     connector: RecordingConnector
     own_order: QueueOrder = field(default_factory=ArrivalOrder)
-    shared_order: QueueOrder = field(default_factory=PriorityOrder)
+    shared_order: QueueOrder | None = None
 
     @property
     def is_shared(self) -> bool:
         """Whether the pools of the server's group are shared among proxies."""
         return self.ceiling.is_part
 
+    @property
+    def is_ordered_by_target(self) -> bool:
+        """Whether requests wait until their targets, and all statements are counted."""
+        return self.is_shared and self.shared_order is not None
+
     def admit(
         self, request: AdmissionRequest, now: float
     ) -> Result[Admission, Refusal]:
-        """Wait for admission, as an owner of pools where the pools are shared."""
+        """Wait for admission in the order of the queue."""
         work = request.work
-        if work is None or not self.is_shared:
+        if work is None or not self.is_ordered_by_target:
             start_by = max(request.start_by, now)
             return self.admission.admit(start_by, request.priority)
         return self.admission.admit_work(work)
@@ -94,13 +98,13 @@
         Connections that idle transactions hold are not counted in flight, so that an
         admitted request may find none.
         """
-        if request.target is None or not self.is_shared:
+        if request.target is None or not self.is_ordered_by_target:
             return max(request.start_by, now)
         return request.target if now < request.target else request.deadline
 
     def adjust(self) -> None:
         """Apply the current ceiling, and the queue discipline of owners of pools."""
-        if self.is_shared:
+        if self.is_shared and self.shared_order is not None:
             self.admission.set_order(self.shared_order)
             self.admission.set_queue_limit(SHARED_QUEUE_LIMIT)
         else:
@@ -143,6 +147,8 @@
             serves; None if the pools of the group are not shared.
         primary_share: returns what this process may use of a server that few owners
             serve for all proxies; None if the usual part applies.
+        build_order: returns the order in which requests wait at an owner of shared
+            pools; None for the order of pools of its own.
     """
 
     def __init__(
@@ -155,11 +161,13 @@
         primary_share: Callable[[BackendServer], PrimaryShare | None] = (
             lambda _server: None
         ),
+        build_order: Callable[[], QueueOrder | None] = lambda: None,
     ) -> None:
         self._views = views
         self._part_of = part_of
         self._load_share = load_share
         self._primary_share = primary_share
+        self._build_order = build_order
         self._connector = connector
         self._clock = clock
         self._lock = threading.Lock()
@@ -247,7 +255,15 @@
             self._clock, server.slots, first, QUEUE_LIMIT, name=server.name
         )
         admission.set_slots(self._slots(server))
-        backend = Backend(server, pool, admission, ceiling, turns, connector)
+        backend = Backend(
+            server,
+            pool,
+            admission,
+            ceiling,
+            turns,
+            connector,
+            shared_order=self._build_order(),
+        )
         backend.adjust()
         return backend
 
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -38,6 +38,7 @@
 from .lag import LagTracker
 from .models import Reply
 from .primaries import PrimaryPath
+from .queue_orders import ORDERS, QueueOrderName
 from .read_choice import ReadChooser
 from .read_cost import LoadCost
 from .read_placement import ReadPlacement, SharedReads
@@ -72,6 +73,7 @@
         clock: source of time for all parts.
         tolerance: how far operations of client accounts may exceed their limits.
         uses_primary_owners: see ``ProxyDirectory``.
+        queue_order: order in which requests wait at an owner of shared pools.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         tolerance: LimitTolerance | None = None,
         *,
         uses_primary_owners: bool = False,
+        queue_order: QueueOrderName = QueueOrderName.ARRIVAL,
     ) -> None:
         self._views = ViewStore(failure_domain, clock)
         self._peers = ControlPeers(control, failure_domain, name)
@@ -98,6 +101,7 @@
             self._connection_part,
             self._owner_share,
             self._primary_share,
+            ORDERS[queue_order],
         )
         self._counters = Counters()
         self._recovery = RecoveryProber(self._views, self._registry, self._table, clock)
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -24,11 +24,6 @@
 # have at least one statement in flight; statements without a slot wait in the server,
 # in the order of arrival.
 OWNERS_PER_SLOT: Final = 1.5
-# With at least this many failure domains, one owner in use in each of them is enough
-# for servers with few slots: more would keep more statements in flight than the server
-# runs, and leave each with fewer connections for client accounts.
-MIN_DOMAINS_OF_SINGLE_OWNERS: Final = 3
-MAX_SLOTS_OF_SINGLE_OWNERS: Final = 6
 # Minimum number of owners in use in all failure domains.
 MIN_OWNERS_IN_USE: Final = 3
 # Minimum equal share of a server's connections for each owner. With fewer, requests of
--- a/packages/sharing/src/dogwoodspool_sharing/ownership.py
+++ b/packages/sharing/src/dogwoodspool_sharing/ownership.py
@@ -16,8 +16,6 @@
 from .const import (
     CONNECTIONS_ELSEWHERE,
     CONNECTIONS_PER_OWNER,
-    MAX_SLOTS_OF_SINGLE_OWNERS,
-    MIN_DOMAINS_OF_SINGLE_OWNERS,
     MIN_OWNERS,
     MIN_OWNERS_IN_USE,
     MIN_PROXIES_PER_OWNER,
@@ -52,16 +50,13 @@
     however many proxies there are.
 
     Example:
-        >>> owner_count(ServerLimits(slots=6, connections=53), 3)
+        >>> owner_count(ServerLimits(slots=3, connections=166), 5)
         1
         >>> owner_count(ServerLimits(slots=64, connections=2_000), 6)
         16
     """
     domains = max(1, failure_domains)
     by_slots = math.ceil(OWNERS_PER_SLOT * limits.slots / domains)
-    has_few_slots = limits.slots <= MAX_SLOTS_OF_SINGLE_OWNERS
-    if has_few_slots and domains >= MIN_DOMAINS_OF_SINGLE_OWNERS:
-        by_slots = 1
     by_connections = limits.connections // domains // CONNECTIONS_PER_OWNER
     minimum = min(MIN_OWNERS, math.ceil(MIN_OWNERS_IN_USE / domains))
     return max(minimum, min(by_slots, by_connections))
--- a/tests/emulator/test_primary_owners.py
+++ b/tests/emulator/test_primary_owners.py
@@ -4,10 +4,11 @@
 
 from dogwoodspool_emulator import Outcomes
 from dogwoodspool_emulator.models import Variant
+from dogwoodspool_pooler.queue_orders import QueueOrderName
 
 from .test_emulation import SHARED, make_scenario, run_emulation
 
-NEAR = Variant(name="near", has_primary_owners=True)
+NEAR = Variant(name="near", has_primary_owners=True, order=QueueOrderName.PRIORITY)
 
 
 def run_lagging(variant: Variant, **changes: object) -> Outcomes:
--- a/tests/platform/test_primary_owners.py
+++ b/tests/platform/test_primary_owners.py
@@ -7,6 +7,7 @@
 from typing import ClassVar
 
 from dogwoodspool_platform.edge import Edge
+from dogwoodspool_platform.edge_options import EdgeOptions
 
 from .system import SystemFixture, eventually
 
@@ -34,7 +35,7 @@
         zone = "zone-1" if host in NEAR else "zone-2"
         edge = Edge(
             self.boot(host, zone=zone, zones=ZONES, listen=listen),
-            uses_primary_owners=True,
+            EdgeOptions(uses_primary_owners=True),
         )
         edge.set_up()
         self.addCleanup(edge.unload)
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -1,7 +1,7 @@
 """In-memory backend servers and a pooler wired to them without threads."""
 
 import threading
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field, replace
 
 from dogwoodspool_accounts import NoLimits, OperationLimiter
@@ -34,6 +34,7 @@
     ServerDownError,
 )
 from dogwoodspool_following import ProxyView, ViewStore
+from dogwoodspool_limits import QueueOrder
 from dogwoodspool_pooler import (
     Access,
     Answer,
@@ -331,6 +332,8 @@
     Args:
         share: part of the group's load that it has as an owner; None for a proxy with
             pools of its own.
+        build_order: returns the queue discipline of an owner; None for the standing
+            one.
     """
 
     def __init__(
@@ -338,6 +341,7 @@
         servers: Sequence[FakeServer],
         served_endpoint: Endpoint | None = None,
         share: float | None = None,
+        build_order: Callable[[], QueueOrder | None] = lambda: None,
     ) -> None:
         self.clock = AutoAdvanceClock()
         self.network = FakeNetwork(servers, self.clock)
@@ -350,7 +354,11 @@
         )
         part = None if share is None else ConnectionPart(PoolRole.OWNER, SHARED_PART)
         self.registry = BackendRegistry(
-            self.views, self.network, self.clock, lambda _group, _available: part
+            self.views,
+            self.network,
+            self.clock,
+            lambda _group, _available: part,
+            build_order=build_order,
         )
         self.registry.set_up()
         refusals, replica_lag = LagTracker(self.clock), ReplicaLag(self.clock)
--- a/tests/pooler/shared/test_primary_shares.py
+++ b/tests/pooler/shared/test_primary_shares.py
@@ -4,7 +4,7 @@
 
 from dogwoodspool_common import ManualClock, Role
 from dogwoodspool_following import ViewStore
-from dogwoodspool_limits import AdmissionOutcome
+from dogwoodspool_limits import AdmissionOutcome, PriorityOrder
 from dogwoodspool_pooler.registry import BackendRegistry
 from dogwoodspool_pooler.shared.primary_locations import PrimaryLocations
 from dogwoodspool_pooler.shared.primary_shares import PrimaryShares
@@ -49,6 +49,7 @@
             self.directory.connection_part,
             self.directory.owner_share,
             shares.share,
+            PriorityOrder,
         )
         self.registry.set_up()
         self.remote.set_listener(lambda: None, self.registry.refresh)
--- a/tests/pooler/test_shared_admission.py
+++ b/tests/pooler/test_shared_admission.py
@@ -3,8 +3,7 @@
 import unittest
 
 from dogwoodspool_common import Role
-from dogwoodspool_limits import ArrivalOrder, PriorityOrder
-from dogwoodspool_pooler.const import QUEUE_LIMIT, SHARED_QUEUE_LIMIT
+from dogwoodspool_limits import PriorityOrder
 from dogwoodspool_pooler.models import Statement, StatementKind
 from dogwoodspool_pooler.registry import Backend
 from dogwoodspool_pooler.requests import AdmissionRequest
@@ -20,7 +19,7 @@
         self.in_flight: list[int] = []
 
     def pooler(self, share: float | None) -> Pooler:
-        pooler = Pooler([self.primary], share=share)
+        pooler = Pooler([self.primary], share=share, build_order=PriorityOrder)
         run_text(pooler.session(), "READ k")
         return pooler
 
@@ -56,9 +55,13 @@
 
     def test_the_discipline_follows_the_sharing_of_pools(self) -> None:
         shared, own = self.backend(self.pooler(0.5)), self.backend(self.pooler(None))
-        self.assertIsInstance(shared.shared_order, PriorityOrder)
-        self.assertIsInstance(own.own_order, ArrivalOrder)
-        self.assertGreater(SHARED_QUEUE_LIMIT, QUEUE_LIMIT)
+        self.assertTrue(shared.is_ordered_by_target)
+        self.assertFalse(own.is_ordered_by_target)
+
+    def test_without_a_discipline_nothing_changes_for_an_owner(self) -> None:
+        """Guard against new behaviour in deployments that did not ask for it."""
+        backend = self.backend(Pooler([self.primary], share=0.5))
+        self.assertFalse(backend.is_ordered_by_target)
 
     def test_an_admitted_request_waits_for_a_connection_until_its_target(self) -> None:
         """Guard against holding a slot for a connection that comes too late."""
