--- a/packages/connections/src/dogwoodspool_connections/closes.py
+++ b/packages/connections/src/dogwoodspool_connections/closes.py
@@ -30,7 +30,7 @@
         self._counted_until.append(self._clock.now() + CLOSE_SECONDS)
 
     def until_next(self, seconds: float) -> float:
-        """Return the time until the next close has arrived, if that is sooner."""
+        """Return the lower of some seconds and those until the next close arrived."""
         if not self.count:
             return seconds
         return min(seconds, self._counted_until[0] - self._clock.now())
--- a/packages/connections/src/dogwoodspool_connections/const.py
+++ b/packages/connections/src/dogwoodspool_connections/const.py
@@ -16,10 +16,10 @@
 # to arrive, and the server has to handle it.
 CLOSE_SECONDS: Final = 0.02
 
-# Time constant of the rate at which an account uses connections.
+# Time constant of the moving average of an account's rate of use, in seconds.
 USE_RATE_SECONDS: Final = 5.0
-# Exponent by which the value of an idle connection falls with the number of idle ones
-# that its account would use before it.
+# Exponent of the rank of an idle connection among those of its account, by which the
+# account's rate of use is divided.
 IDLE_RANK_EXPONENT: Final = 3
 # Accounts whose rates are kept; of more, those with the lowest rates are dropped.
 MAX_USE_RATES: Final = 1_000
--- a/packages/connections/src/dogwoodspool_connections/eviction.py
+++ b/packages/connections/src/dogwoodspool_connections/eviction.py
@@ -1,4 +1,4 @@
-"""Which idle connection gives way to one of another client account."""
+"""Choose the idle connection that is closed for one of another client account."""
 
 import math
 from collections import Counter
@@ -12,7 +12,7 @@
 
 
 class EvictionOrder(Protocol):
-    """Interface of the ways to choose a connection that gives way."""
+    """Interface of the rules by which an idle connection is chosen for eviction."""
 
     def record_use(self, account: str) -> None:
         """Record that an account needed a connection."""
@@ -24,23 +24,24 @@
 
 
 class LongestIdle:
-    """The connection that has been idle the longest gives way."""
+    """Evict the connection that has been idle the longest."""
 
     def record_use(self, account: str) -> None:
         """Record nothing."""
 
     def choose(self, idle: Iterable[ConnectionT]) -> ConnectionT:
-        """Choose the first connection."""
+        """Return the connection that has been idle the longest."""
         return next(iter(idle))
 
 
 class LeastUsed:
-    """The connection that its account is expected to need last gives way.
+    """Evict the connection that is expected to be needed last.
 
-    An account takes the connection that it used last. Of several idle ones the one that
-    has been idle the longest is needed only if all others are in use, so that it counts
-    for a part of the account's rate of use: no account keeps more connections than it
-    uses, however large it is.
+    An account takes the connection that it used last, so it needs the one that has been
+    idle the longest only while all its others are in use. The rate of use of an idle
+    connection is therefore the account's rate, divided by a power of the connection's
+    rank among the account's idle ones. Otherwise a large account would keep more
+    connections than it uses.
     """
 
     def __init__(self, clock: Clock) -> None:
--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -30,8 +30,9 @@
     one that has been idle the longest, so that no account can keep others waiting with
     idle connections.
 
-    The server counts a closed connection until the close has arrived. Where it matters,
-    the pool counts it as well, and a caller waits if the server might count too many.
+    The server counts a closed connection until the close has arrived. If ``close_room``
+    is set, the pool counts it as well, and a caller waits while the server might count
+    more than the limit and that room.
 
     If the limit is two or more, one connection is reserved for probes, and probes are
     served before callers. Otherwise a server that hangs would occupy every connection
@@ -101,7 +102,7 @@
 
     @property
     def close_room(self) -> int:
-        """Closed connections that the server may count beside the limit."""
+        """Closed connections that the server may count in addition to the limit."""
         with self._lock:
             return self._close_room
 
@@ -193,8 +194,8 @@
 
         Args:
             limit: the maximum number.
-            close_room: closed connections that the server may count beside these; 0 if
-                it does not matter.
+            close_room: closed connections that the server may still count in addition;
+                0 if closed connections are not counted.
         """
         with self._lock:
             self._limit = max(0, limit)
@@ -204,7 +205,7 @@
             self._serve_waiters()
 
     def set_eviction(self, eviction: EvictionOrder) -> None:
-        """Choose in another way which connection gives way to one of an account."""
+        """Replace the rule by which idle connections are closed for other accounts."""
         with self._lock:
             self._eviction = eviction
 
@@ -313,7 +314,7 @@
             waiter.condition.notify_all()
 
     def _make_room(self, waiter: Waiter[ConnectionT]) -> bool:
-        """Return whether a waiter may open a connection, maybe in place of another."""
+        """Return whether a waiter may open a connection; an idle one may be evicted."""
         counted = self._open_count() + self._closes.count
         if self._close_room and counted >= self._limit + self._close_room:
             return False
--- a/packages/emulator/src/dogwoodspool_emulator/const.py
+++ b/packages/emulator/src/dogwoodspool_emulator/const.py
@@ -9,10 +9,12 @@
 DEAD_CONNECTION_SECONDS: Final = 3.0
 # Time after which a proxy notices that an owner does not answer.
 LOST_OWNER_SECONDS: Final = 0.15
-# Time after which control no longer reports a proxy that sends no heartbeats, and the
-# time until a proxy that has started knows its neighbours.
+# Time after which control no longer reports a proxy that sends no heartbeats.
 LOST_PROXY_SECONDS: Final = 3.0
+# Least time until a proxy that has started knows its neighbours, and the greatest time
+# that is added at random.
 FIRST_PRESENCE_SECONDS: Final = 0.1
+FIRST_PRESENCE_SPREAD_SECONDS: Final = 0.25
 # Reports of neighbours per second to all proxies together; with many proxies each of
 # them gets one less often than once a second.
 PRESENCES_PER_SECOND: Final = 100.0
--- a/packages/emulator/src/dogwoodspool_emulator/losses.py
+++ b/packages/emulator/src/dogwoodspool_emulator/losses.py
@@ -1,4 +1,4 @@
-"""Processes that are lost during an emulation, and their return."""
+"""Stop processes during an emulation and start them again."""
 
 import math
 import random
@@ -10,6 +10,7 @@
 from .const import (
     DEAD_CONNECTION_SECONDS,
     FIRST_PRESENCE_SECONDS,
+    FIRST_PRESENCE_SPREAD_SECONDS,
     LOST_PROXY_SECONDS,
     PRESENCES_PER_SECOND,
 )
@@ -67,7 +68,9 @@
         for name in list(self._lost_at):
             del self._lost_at[name]
             self._proxies[name] = self._build(name)
-            delay = FIRST_PRESENCE_SECONDS + self._random.uniform(0, 0.25)
+            delay = FIRST_PRESENCE_SECONDS + self._random.uniform(
+                0, FIRST_PRESENCE_SPREAD_SECONDS
+            )
             self._timeline.after(delay, partial(self._introduce, name))
 
     def _targets(self, disturbance: Disturbance, groups: list[str]) -> list[str]:
--- a/packages/emulator/src/dogwoodspool_emulator/models.py
+++ b/packages/emulator/src/dogwoodspool_emulator/models.py
@@ -162,14 +162,14 @@
         owners_by_account: whether the owner of a pool is chosen by client account
             rather than by the proxy that forwards.
         has_common_owners: whether all failure domains use the same owners.
-        has_primary_owners: whether the owners in a primary's failure domain serve what
-            needs the primary for all failure domains.
+        has_primary_owners: whether the owners in a primary's failure domain serve the
+            requests of all failure domains that need the primary.
         order: order in which the requests of shared pools wait for admission.
         has_parts: whether each process may hold a part of a server's connections, so
             that all parts fit the server; otherwise each may hold
             ``connection_share``.
-        has_rated_accounts: whether the connection gives way whose account is expected
-            to need it last, rather than the one that has been idle the longest.
+        has_rated_accounts: whether the idle connection is evicted that is expected to
+            be needed last, rather than the one that has been idle the longest.
         placement: how servers for reads are chosen.
         primary_penalty_ms: penalty of the primary under the standing placement; None
             for the default.
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -167,12 +167,6 @@
             return self.deadline
         return self.start_by if self.writes else self.arrived_at
 
-    @property
-    def target_at(self) -> float:
-        """Time after which an answer is late."""
-        target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
-        return self.arrived_at + target
-
     @property
     def start_by(self) -> float:
         """Time until which it may wait for admission."""
@@ -273,8 +267,7 @@
         connection_share: greatest part of a server's connections that it may hold.
         forward: forwards reads that no replica serves.
         has_parts: whether it holds a part that depends on its role instead.
-        has_rated_accounts: whether the connection gives way whose account is expected
-            to need it last, rather than the one that has been idle the longest.
+        has_rated_accounts: see ``Variant``.
         rng: random numbers for its turns at servers.
         started_at: clock seconds at which it started.
     """
@@ -385,6 +378,7 @@
         }
         self.remote.set_primaries(primaries)
         for group, primary in primaries.items():
+            # Only the owners of groups in use are recorded.
             self.remote.owners(group)
             if primary.failure_domain != self.failure_domain and group in owners:
                 responder = owners[group].in_use[0]
@@ -464,7 +458,7 @@
             excluded,
             min_position,
             max(0.0, remaining),
-            attempt.target_at - self._timeline.now(),
+            attempt.target - self._timeline.now(),
         )
         return self._chooser.choose(servers, conditions)
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/owner_client.py
@@ -1,7 +1,7 @@
 """Client for the owners of pools."""
 
 import errno
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from dogwoodspool_api import Message
 from dogwoodspool_common import (
@@ -30,7 +30,7 @@
 from .messages import OwnerRefusal, ReleaseLease
 
 # Errors of a connection whose other end did not respond, as opposed to a refusal.
-UNREACHABLE_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+UNREACHABLE_ERRORS: Final = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
 
 ResponseT = TypeVar("ResponseT", bound=Message)
 
@@ -120,7 +120,7 @@
             case OwnerRefusal.FULL:
                 return OwnerFullError(text)
             case const.CODE_BAD_REQUEST:
-                # An owner of an earlier build does not know all fields.
+                # An owner of an earlier build rejects fields that it does not know.
                 return OwnerUnavailableError(text)
             case OwnerRefusal.UNKNOWN_LEASE:
                 return UnknownLeaseError(text)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/positions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/positions.py
@@ -31,7 +31,7 @@
 
 
 class PositionsApi:
-    """Name the newest known positions of primaries."""
+    """Return the newest known positions of primaries to other owners."""
 
     def __init__(self, freshness: FreshnessTracker, clock: Clock) -> None:
         self._freshness = freshness
@@ -75,7 +75,7 @@
         self._client = client
 
     def step(self) -> float:
-        """Ask once for the positions that are old."""
+        """Ask once for the positions that are older than the poll interval."""
         now = self._clock.now()
         groups = self._freshness.outdated(
             wanted_since=now - POSITION_USE_SECONDS,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/primary_shares.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/primary_shares.py
@@ -1,4 +1,4 @@
-"""What this process may use of a primary that few owners serve for all proxies."""
+"""The connections and slots of a primary that this process may use."""
 
 from dogwoodspool_common import BackendServer
 from dogwoodspool_following import ViewStore
@@ -13,7 +13,10 @@
 
 
 class PrimaryShares:
-    """Divide primaries between the owners near them and all other processes."""
+    """Divide the connections of primaries among the owners of all failure domains.
+
+    It applies where the owners near a primary serve it for all proxies.
+    """
 
     def __init__(
         self, views: ViewStore, directory: ProxyDirectory, remote: RemoteOwners
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -62,8 +62,8 @@
         on_shares: called when ``primary_share`` may have changed without a new view.
         client: calls control.
         clock: source of time for all parts.
-        keeps_room: returns whether a primary's room is kept from read-only
-            transactions.
+        keeps_room: returns whether a loaded primary refuses a read-only transaction
+            that a replica can serve.
         uses_primary_owners: see ``ProxyDirectory``.
     """
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -47,7 +47,8 @@
 )
 from .slots import WorkSlots, refusal_response
 
-# Returns whether a server's room is kept from read-only transactions with a bound.
+# Returns whether a server is to refuse read-only transactions with a bound, because it
+# is a loaded primary whose capacity only other requests need.
 KeepsRoom = Callable[[BackendServer, ReadBound], bool]
 
 
@@ -98,7 +99,7 @@
             return error_response(421, OwnerRefusal.NOT_KNOWN, message.server.server)
         bound = None if message.bound is None else message.bound.value()
         if bound is not None and self._keeps_room(server, bound):
-            return _json_response(_room_kept(server))
+            return _json_response(_refused_at_primary(server))
         try:
             with self._slots.acquire_slot():
                 return _json_response(self._begin(server, message))
@@ -210,7 +211,7 @@
     return is_write or kind in (StatementKind.BEGIN, StatementKind.WRITE)
 
 
-def _room_kept(server: BackendServer) -> TransactionResponse:
+def _refused_at_primary(server: BackendServer) -> TransactionResponse:
     message = f"{server.name} is the primary and loaded; a replica can serve the read"
     error = StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
     refusal = RefusalMessage.of(error)
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -10,8 +10,8 @@
 # domain.
 PATH_OWNERS: Final = "/v1/pools/owners"
 
-# Greatest number of proxies in all failure domains that use the owners near a primary:
-# each proxy keeps connections to these owners, which accept a limited number.
+# Greatest number of proxies in all failure domains with which owners near a primary are
+# used: each proxy keeps connections to these owners, which accept a limited number.
 MAX_FORWARDING_PROXIES: Final = 250
 
 # Minimum number of a failure domain's proxies per owner. With fewer, most requests
@@ -34,11 +34,12 @@
 SHARE_OUTSIDE: Final = 1 / 12
 MIN_CONNECTIONS_OUTSIDE: Final = 1
 MAX_CONNECTIONS_OUTSIDE: Final = 6
-# Fraction of these that is in use on average when all such proxies have requests. They
-# take turns at random, so that at times more of them use one.
+# Fraction of these connections for which proxies have a turn on average. The turns are
+# taken at random, so that at times more proxies than the average have one.
 USED_OUTSIDE: Final = 0.5
-# The same while the owners of a failure domain are lost: the others there may use the
-# owners' connections, and not all of them have a request in each turn.
+# The same fraction while the owners of a failure domain are lost. The other proxies
+# there use the owners' connections; it is higher since not every proxy has a request in
+# each of its turns.
 USED_OF_LOST_OWNERS: Final = 0.75
 # Connections of one process that are closed and that the server may still count.
 CLOSE_ROOM: Final = 1
@@ -71,9 +72,9 @@
 # Seconds for which an owner in reserve counts as in use after its last failed request
 # to the owners in use. It tries them again after the retry time.
 TAKEOVER_SECONDS: Final = 2.0
-# Requests of neighbours within this time that show the same: in large failure domains
-# an owner in reserve has few requests of its own. A few may come because the owners in
-# use are full.
+# Requests of neighbours within the takeover time after which an owner in reserve counts
+# as in use as well: in large failure domains it has few requests of its own that could
+# fail. Fewer may come only because the owners in use are full.
 TAKEOVER_REQUESTS: Final = 5
 
 # Time after its last use for which a proxy follows the owners of a group in another
@@ -85,6 +86,7 @@
 # Pause between two polls while a failure domain's owners are not known or its proxies
 # do not answer.
 OWNERS_RETRY_SECONDS: Final = 0.25
+# Seconds for which a proxy waits for the answer to one poll.
 OWNERS_TIMEOUT: Final = 0.4
 
 WEIGHT_BYTES: Final = 8
--- a/packages/sharing/src/dogwoodspool_sharing/contacts_api.py
+++ b/packages/sharing/src/dogwoodspool_sharing/contacts_api.py
@@ -1,4 +1,4 @@
-"""The endpoint of control processes that names proxies of a failure domain."""
+"""The endpoint of control processes that returns proxies of a failure domain."""
 
 from dogwoodspool_common import JsonRequest, JsonResponse, Route
 
@@ -8,7 +8,7 @@
 
 
 class ContactsApi:
-    """Name proxies of a failure domain to proxies of other failure domains."""
+    """Return some proxies of a failure domain to proxies of other failure domains."""
 
     def __init__(self, roster: ProxyRoster) -> None:
         self._roster = roster
--- a/packages/sharing/src/dogwoodspool_sharing/directory.py
+++ b/packages/sharing/src/dogwoodspool_sharing/directory.py
@@ -166,7 +166,10 @@
             return self._chosen(group)
 
     def forwards_to_primary_owners(self, group: str) -> bool:
-        """Return whether a primary elsewhere is used through the owners there."""
+        """Return whether a primary elsewhere is used through the owners there.
+
+        Whether the primary is elsewhere is not checked.
+        """
         with self._lock:
             if not self._forwards():
                 return False
@@ -176,7 +179,7 @@
     def primary_share(
         self, group: str, limits: ServerLimits, *, is_near: bool
     ) -> PrimaryShare | None:
-        """Return what this process may use of a group's primary.
+        """Return the connections and slots of a primary that this process may use.
 
         Args:
             group: the group.
@@ -184,7 +187,7 @@
             is_near: whether the primary is in this failure domain.
 
         Returns:
-            None if the usual shares apply.
+            None if the part that follows from the role of this process applies.
         """
         if not self.forwards_to_primary_owners(group):
             return None
@@ -203,7 +206,7 @@
         return PrimaryShare(parts.near, math.ceil(limits.slots / owners))
 
     def owner_share(self, group: str) -> float | None:
-        """Return the part of the primary's work that one owner serves.
+        """Return the fraction of the work of a group's primary that one owner serves.
 
         Returns:
             None if the pools of the group are not shared.
@@ -265,11 +268,6 @@
         with self._lock:
             self._failed_at[name] = self._clock.now()
 
-    def _forwards(self) -> bool:
-        proxies = len(self._neighbours) * self._failure_domains
-        is_on = self._uses_primary_owners and self._failure_domains > 1
-        return is_on and proxies <= MAX_FORWARDING_PROXIES
-
     def record_neighbour_request(self, group: str) -> None:
         """Record that this process serves a request of a neighbour."""
         with self._lock:
@@ -280,6 +278,11 @@
                 )
                 asked.append(self._clock.now())
 
+    def _forwards(self) -> bool:
+        proxies = len(self._neighbours) * self._failure_domains
+        is_on = self._uses_primary_owners and self._failure_domains > 1
+        return is_on and proxies <= MAX_FORWARDING_PROXIES
+
     def _chosen(self, group: str) -> Owners | None:
         if self._owners is None:
             self._owners = self._assign()
@@ -293,8 +296,8 @@
             return PoolRole.OWNER
         if self._own not in chosen.in_reserve:
             return PoolRole.OUTSIDE
-        # Neighbours have turned to this process by now, before control reports that
-        # the owners in use have gone.
+        # Neighbours send their requests here once the owners in use do not answer. That
+        # is before control reports that those have ended.
         is_acting = self._have_failed(chosen.in_use) or self._is_often_asked(group)
         return PoolRole.OWNER if is_acting else PoolRole.RESERVE
 
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -12,7 +12,9 @@
 
 @dataclass(frozen=True, order=True, slots=True)
 class Neighbour:
-    """A proxy that another one sends requests to, mostly of its own failure domain.
+    """A proxy that another one sends requests to.
+
+    It is in the same failure domain, or an owner or contact in another one.
 
     Attributes:
         name: unique within the system.
@@ -77,7 +79,9 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimaryShare:
-    """What one process may use of a primary that few owners serve for all proxies.
+    """Connections and slots of a primary that one process may use.
+
+    It applies where the owners near the primary serve it for all proxies.
 
     Attributes:
         connections: greatest number of connections.
--- a/packages/sharing/src/dogwoodspool_sharing/remote_coordinator.py
+++ b/packages/sharing/src/dogwoodspool_sharing/remote_coordinator.py
@@ -77,8 +77,8 @@
     def _retry_pause(self, failure_domain: str, longest: float) -> float:
         """Return a short pause until each control process has been asked once."""
         calls = self._control_calls[failure_domain]
-        is_new = calls <= len(self._peers.addresses)
-        return OWNERS_RETRY_SECONDS if is_new else longest
+        has_untried = calls <= len(self._peers.addresses)
+        return OWNERS_RETRY_SECONDS if has_untried else longest
 
     def _poll(self, failure_domain: str, groups: list[str]) -> bool:
         contact = self._remote.contact(failure_domain)
--- a/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
+++ b/packages/sharing/src/dogwoodspool_sharing/remote_owners.py
@@ -16,7 +16,8 @@
     """Track the owners that serve requests for primaries in other failure domains.
 
     Only groups that this proxy uses are tracked, so that the state does not grow with
-    the number of groups or proxies of the system. Nothing is sent from here.
+    the number of groups or proxies of the system. ``RemoteOwnersCoordinator`` asks for
+    the owners; this class does no I/O.
 
     Args:
         own: name of this process.
