Mend faults that a reading of the change found

- Pooler: an owner whose reply failed validation after the statement ran answered with a bad request, which the sender takes as not run.
It is an internal error now, so the sender takes the write for in doubt.
- Pooler: owners of earlier builds reject messages with a target; it is sent only where owners order requests by it.
Tokens are checked before each owner that is asked.

--- a/packages/connections/src/dogwoodspool_connections/pool.py
+++ b/packages/connections/src/dogwoodspool_connections/pool.py
@@ -307,6 +307,8 @@
             if waiter.connection is not None:
                 waiter.connection.is_probing = waiter.is_probe
             elif not self._make_room(waiter):
+                # It may have begun to wait before the closes that leave no room.
+                waiter.condition.notify_all()
                 return
             self._in_use += 1
             self._probing += waiter.is_probe
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -149,6 +149,7 @@
             clock,
             placement.keeps_room,
             uses_primary_owners=uses_primary_owners,
+            sends_target=queue_order is not QueueOrderName.ARRIVAL,
         )
         self._limits_client = JsonLineClient(
             CONNECTIONS_TO_LIMIT_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/access.py
@@ -23,6 +23,7 @@
         directory: the owners in this failure domain.
         client: calls owners.
         remote: the owners in the failure domains of primaries, if they are used.
+        sends_target: whether owners order requests by their targets.
     """
 
     def __init__(
@@ -31,11 +32,14 @@
         directory: ProxyDirectory,
         client: OwnerClient,
         remote: RemoteOwners | None = None,
+        *,
+        sends_target: bool = False,
     ) -> None:
         self._local = local
         self._directory = directory
         self._client = client
         self._remote = remote
+        self._sends_target = sends_target
 
     def open(
         self,
@@ -51,7 +55,13 @@
             return self._local.open(server, request, has_alternatives=has_alternatives)
         usable = () if self._remote is None else self._remote.usable(primary_owners)
         return RemoteHeldConnection(
-            server, request, owners or (), self._local, self._client, usable
+            server,
+            request,
+            owners or (),
+            self._local,
+            self._client,
+            usable,
+            sends_target=self._sends_target,
         )
 
     def begin_on_primary(self, held: HeldConnection, request: Request) -> Reply:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/errors.py
@@ -22,6 +22,10 @@
     """Report that an owner refused a request because its process is shutting down."""
 
 
+class OwnerFailedError(PoolerError):
+    """Report that an owner failed on a request that it may have run."""
+
+
 class OwnerFullError(OwnerUnavailableError):
     """Report that an owner already serves its maximum number of new requests."""
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -47,6 +47,8 @@
     Args:
         primary_owners: owners in the failure domain of the server, which are tried
             first. If one cannot reach the server, the others are tried as well.
+        sends_target: whether owners order requests by their targets. Owners of earlier
+            builds reject messages that name one.
     """
 
     def __init__(
@@ -57,11 +59,14 @@
         access: ServerAccess,
         client: OwnerClient,
         primary_owners: Iterable[Neighbour] = (),
+        *,
+        sends_target: bool = False,
     ) -> None:
         self._server = server
         self._request = request
         self._owners = owners
         self._primary_owners = primary_owners
+        self._sends_target = sends_target
         self._access = access
         self._client = client
         self._owner: Neighbour | None = None
@@ -133,8 +138,8 @@
             wait=max(0.0, self._request.start_by - now),
             answer=answer,
             caller=CallerMessage.of(self._request.caller),
-            target=self._request.target - now,
-            kind=self._request.endpoint.database,
+            target=self._request.target - now if self._sends_target else None,
+            kind=self._request.endpoint.database if self._sends_target else "",
         )
 
     def _perform(self, build: MessageBuilder, run_locally: LocalRun) -> Reply:
@@ -143,14 +148,13 @@
         if self._owner is not None and self._lease is not None:
             return self._continue(self._owner, build())
         for owner in self._primary_owners:
+            self._check_token()
             try:
                 return self._begin(owner, build())
             except (OwnerUnavailableError, ServerNotReachedError):
                 continue
         for owner in self._owners:
-            self._access.check_token(
-                self._request.admission_request(), FORWARDED_TOKEN_AGE
-            )
+            self._check_token()
             try:
                 return self._begin(owner, build())
             except OwnerUnavailableError:
@@ -160,6 +164,9 @@
         )
         return run_locally(self._local)
 
+    def _check_token(self) -> None:
+        self._access.check_token(self._request.admission_request(), FORWARDED_TOKEN_AGE)
+
     def _begin(self, owner: Neighbour, message: TransactionRequest) -> Reply:
         return self._ask(owner, message, message.wait + message.answer)
 
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -65,6 +65,7 @@
         keeps_room: returns whether a loaded primary refuses a read-only transaction
             that a replica can serve.
         uses_primary_owners: see ``ProxyDirectory``.
+        sends_target: see ``SharingAccess``.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         keeps_room: KeepsRoom,
         *,
         uses_primary_owners: bool = False,
+        sends_target: bool = False,
     ) -> None:
         self._views = views
         self._directory = ProxyDirectory(
@@ -130,7 +132,11 @@
             statements, self._directory, owner_client, clock, self._forwarder
         )
         self._access = SharingAccess(
-            access, self._directory, owner_client, self._remote
+            access,
+            self._directory,
+            owner_client,
+            self._remote,
+            sends_target=sends_target,
         )
 
     @property
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -14,6 +14,7 @@
 from .caller_check import check_caller
 from .const import PATH_STATEMENT
 from .errors import OwnerUnavailableError
+from .handling import internal_errors
 from .messages import (
     OwnerRefusal,
     RefusalMessage,
@@ -41,6 +42,10 @@
 
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = StatementRequest.model_validate(request.body)
+        with internal_errors():
+            return self._serve(message)
+
+    def _serve(self, message: StatementRequest) -> JsonResponse:
         wanted = message.value(self._clock.now())
         group = wanted.endpoint.group
         if group not in self._views.view.groups:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -34,6 +34,7 @@
     PATH_TRANSACTION,
 )
 from .errors import OwnerBehindError, OwnerUnavailableError
+from .handling import internal_errors
 from .leases import LeaseTracker
 from .messages import (
     Failure,
@@ -80,6 +81,10 @@
 
     def _run(self, request: JsonRequest) -> JsonResponse:
         message = TransactionRequest.model_validate(request.body)
+        with internal_errors():
+            return self._serve(message)
+
+    def _serve(self, message: TransactionRequest) -> JsonResponse:
         try:
             if message.statement.kind is not StatementKind.ROLLBACK:
                 check_caller(self._views.view, caller_of(message.caller))
--- a/tests/connections/test_accounts.py
+++ b/tests/connections/test_accounts.py
@@ -3,9 +3,10 @@
 import contextlib
 import random
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any, cast
 
-from dogwoodspool_common import Address, BackendServer, ManualClock
+from dogwoodspool_common import Address, BackendServer, ManualClock, SystemClock
 from dogwoodspool_connections import (
     ConnectionPool,
     LeastUsed,
@@ -269,3 +270,27 @@
             max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
         )
         machine("runTest").runTest()
+
+
+class CloseRoomWaitTests(unittest.TestCase):
+    """Closed connections that a server may still count delay callers only briefly."""
+
+    def test_a_caller_that_waited_before_the_closes_is_served_after_them(self) -> None:
+        """Guard against callers that sleep until their deadline beside a free slot."""
+        clock = SystemClock()
+        network = AccountNetwork(cast(ManualClock, clock))
+        pool = Pool(SERVER, network, clock, PoolSettings(idle_expiry=60), 1)
+        pool.set_limit(1, close_room=1)
+        held = pool.acquire(clock.now() + 1)
+        with ThreadPoolExecutor(1) as executor:
+            began_at = clock.now()
+            waiting = executor.submit(pool.acquire, began_at + 5)
+            while not pool.waiting:
+                clock.sleep(0.001)
+            # Two evictions for other callers, and the end of the held connection.
+            with pool._lock:
+                pool._record_close()
+                pool._record_close()
+            pool.release(held, reuse=False)
+            waiting.result()
+        self.assertLess(clock.now() - began_at, 2)
--- a/tests/platform/test_edge_options.py
+++ b/tests/platform/test_edge_options.py
@@ -30,6 +30,11 @@
         options = read_edge_options(given, environment)
         self.assertIs(options.queue_order, QueueOrderName.PRIORITY)
 
+    def test_other_values_of_the_variable_are_rejected(self) -> None:
+        """Guard against a setting that is ignored without a word."""
+        with self.assertRaisesRegex(SettingsError, "'1'.*true or false"):
+            read_edge_options(NONE_GIVEN, {"DOGWOODSPOOL_PRIMARY_OWNERS": "1"})
+
     def test_unknown_order_is_named_with_the_known_ones(self) -> None:
         given = {**NONE_GIVEN, "--queue-order": "newest"}
         with self.assertRaisesRegex(SettingsError, "'newest'.*arrival, target"):
