Limits, accounts, pooler: correct and clarify comments

Several doc comments spoke of rules that later parts removed: a limit that is bounded by the slots no longer falls when answers are lost, statements in flight no longer count without end under every order, and the order of arrival does not depend on its caller. Others were hard to parse, or named constants without unit or reason.

ReadPlacement uses Request.target instead of a second copy of the same rule. The unused DEFAULT_REPLICA_WAIT_MS is removed. No behaviour changes.

--- a/packages/accounts/src/dogwoodspool_accounts/allocation.py
+++ b/packages/accounts/src/dogwoodspool_accounts/allocation.py
@@ -29,7 +29,8 @@
     TOKEN_AGE_SECONDS,
 )
 
-# Longest time from the taking of a token until its operation reaches a server.
+# Greatest time in seconds from the taking of a token until its operation reaches a
+# server.
 USE_SECONDS: Final = TOKEN_AGE_SECONDS + LOCAL_HOLD_SECONDS + SEND_SECONDS
 
 
@@ -81,8 +82,8 @@
     failure domains together take at most the capacities of their base parts, what
     accrues there, what the leader gives out in the window and ``drawn_seconds`` before
     it, and what restarted limit owners start with. The sum stays within the tolerance
-    whichever processes are cut off, restarted or replaced; where the tolerance is small
-    compared with the rate, the leader's part is reduced for that.
+    whichever processes are cut off, restarted or replaced. Where the tolerance is small
+    compared with the rate, the leader's part is reduced so that it does.
 
     Args:
         limit: the account's limit.
@@ -106,7 +107,8 @@
     reserve_burst = RESERVE_BURST_SHARE * limit.burst
     reserve_rate = (rest - reserve_burst) / (span + MIN_DRAWN_SECONDS)
     reserve_rate = max(0.0, min(RESERVE_SHARE * limit.per_second, reserve_rate))
-    # What the rates leave of the tolerance is for bursts and for operations that wait.
+    # The tolerance that the rates do not use is for bursts, as capacity of the leader,
+    # and for operations that wait, as time for which drawn tokens count.
     rest = max(0.0, rest - reserve_rate * (span + MIN_DRAWN_SECONDS))
     spare = max(0.0, rest - reserve_burst)
     spread = RANDOM_BURST * math.sqrt(limit.per_second)
--- a/packages/accounts/src/dogwoodspool_accounts/const.py
+++ b/packages/accounts/src/dogwoodspool_accounts/const.py
@@ -31,8 +31,9 @@
 # Limit owners of one failure domain that may start anew in one window.
 STARTS_PER_WINDOW: Final = 2
 
-# Time for which an owner in reserve that is asked has no base part. The first owner may
-# still serve other proxies, as single ones pass it over after a lost packet.
+# Time for which an owner in reserve has no base part after it is first asked. The first
+# owner may still serve other proxies, because a proxy skips an owner for a time after a
+# single lost packet.
 RESERVE_OWNER_SECONDS: Final = 5.0
 
 # Age of a token, counted from the arrival of its statement, above which it is exchanged
@@ -40,24 +41,26 @@
 TOKEN_AGE_SECONDS: Final = 0.1
 # Time from the check of a token's age until its statement reaches the server.
 SEND_SECONDS: Final = 0.05
-# Time by which a token may be older than the time since its statement arrived: its time
-# in the hands of a proxy before, and the way of the message that says so.
+# Time by which a token may be older than the time since its statement arrived: the
+# proxy may have kept it unused for LOCAL_HOLD_SECONDS, and its message to the owner
+# takes time.
 TOKEN_AGE_MARGIN: Final = 0.1
-# Longest time after which a token can be exchanged for another one, and the resolution
-# with which the takes of this time are remembered.
+# Greatest age at which a token can be exchanged or returned, and the resolution with
+# which the takes of this time are remembered.
 HISTORY_SECONDS: Final = 3.5
 HISTORY_SLOT_SECONDS: Final = 0.05
 # Age above which a token of an operation that did not run is not returned.
 RETURN_AGE_SECONDS: Final = 1.0
 # Time for which tokens that were drawn from the leader add to the capacity of a limit
-# owner: the shortest, the most that is added to it, and the part of what the rates
-# leave of the tolerance that may be used for it. The rest is the leader's capacity for
-# bursts; operations that wait need the owners' capacity.
+# owner: the minimum, the maximum that is added to it, and the fraction of the tolerance
+# not used by the rates that may be spent on it. The rest is the leader's capacity for
+# bursts. Operations that wait before they run need the owners' capacity.
 MIN_DRAWN_SECONDS: Final = 0.25
 EXTRA_DRAWN_SECONDS: Final = 1.0
 DRAWN_TOLERANCE_SHARE: Final = 0.4
-# Capacity of the leader for random bursts, in units of the square root of the rate; of
-# large limits all beyond it may be used for the time of drawn tokens.
+# Capacity of the leader that covers random bursts, in units of the square root of the
+# rate. Where the tolerance leaves more than this, all of the excess may extend the time
+# for which drawn tokens count.
 RANDOM_BURST: Final = 3.0
 
 # Time for which an exchange waits for tokens that are being drawn, and the time limit
--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -46,8 +46,8 @@
     Each account has a base part of its limit here, and tokens drawn from control's
     leader in addition, as many as its demand needs for a fraction of a second. An
     owner that has just started has few tokens, because it does not know how many its
-    predecessor used. An owner in reserve has only these and what it draws at first,
-    because the base part is the first owner's.
+    predecessor used. At first an owner in reserve has only these and what it draws,
+    because the first owner may still give out the base part.
 
     Args:
         is_first: returns whether this process is the first owner of an account.
--- a/packages/accounts/src/dogwoodspool_accounts/limiter.py
+++ b/packages/accounts/src/dogwoodspool_accounts/limiter.py
@@ -74,7 +74,7 @@
         """Admit the operation."""
 
     def exchange(self, account: str, age: float) -> None:
-        """Let the operation run."""
+        """Do nothing."""
 
     def give_back(self, account: str, age: float) -> None:
         """Do nothing."""
@@ -152,8 +152,8 @@
     def _exchange(self, request: ExchangeRequest) -> AcquireResponse:
         """Ask the owners for an exchange, each for a short time only.
 
-        One that does not answer in this time may still be in order, so it is not passed
-        over from now on.
+        An owner that does not answer in this time may only be slow, so it is not
+        recorded as failed.
         """
         for owner in self._owners.order(request.account)[:EXCHANGE_ATTEMPTS]:
             if owner.name == self._own.name:
@@ -172,7 +172,8 @@
         try:
             return self._ask(owner, PATH_EXCHANGE, request, EXCHANGE_TIMEOUT)
         except PeerRefusedError:
-            # An earlier build takes no tokens back, but gives another one.
+            # An owner of an earlier build does not know exchanges. The old token is
+            # lost.
             another = AcquireRequest(account=request.account)
             return self._ask(owner, PATH_ACQUIRE, another, EXCHANGE_TIMEOUT)
 
--- a/packages/accounts/src/dogwoodspool_accounts/owner_bucket.py
+++ b/packages/accounts/src/dogwoodspool_accounts/owner_bucket.py
@@ -57,16 +57,22 @@
         super().set_limit(limit, now)
 
     def give_back(self, now: float, count: float, since: float) -> float:
-        """Return tokens that were taken after a time; return what they were worth."""
+        """Put back tokens that were taken after a time; return how many were added.
+
+        These may be fewer than ``count``; see ``TakeHistory``.
+        """
         self._fill(now)
         worth = self._history.take_back(since, count)
         self._level += worth
         return worth
 
     def exchange(self, now: float, since: float) -> bool:
-        """Return a token that was taken after a time and take another one.
+        """Put back a token that was taken after a time and take another one.
+
+        If there is none to take, the old one is not put back either.
 
-        If there is none to take, nothing is returned either.
+        Returns:
+            Whether another token was taken.
         """
         self._fill(now)
         if self._level + self._history.worth(since, 1) < 1:
@@ -77,7 +83,7 @@
 
     @property
     def _room(self) -> float:
-        """How far the level is below its most."""
+        """How far the level is below its maximum."""
         drawn = sum(count for _expires_at, count in self._drawn)
         return self._limit.burst + drawn - self._level
 
--- a/packages/accounts/src/dogwoodspool_accounts/take_history.py
+++ b/packages/accounts/src/dogwoodspool_accounts/take_history.py
@@ -13,8 +13,9 @@
     """What happened in one slot of time.
 
     Attributes:
-        room: least room.
-        room_after_take: least room after the first take.
+        room: least room in the slot.
+        room_after_take: least room after the first take in the slot; infinite if there
+            was none.
         taken: tokens that were taken and not returned.
     """
 
@@ -24,12 +25,13 @@
 
 
 class TakeHistory:
-    """Remember how far the level of a bucket was below its most, and what was taken.
+    """Remember how far the level of a bucket was below its maximum, and what was taken.
 
-    A token that is returned counts as if it had never been taken. Without its take the
-    level would have been higher since then, but never above its most; so the token is
-    worth the least room that there was since it was taken. When that was is known only
-    roughly. The earliest take that it may have been gives the lowest worth.
+    That difference is the room. A token that is returned counts as if it had never been
+    taken. Without its take the level would have been higher since then, but never above
+    its maximum; so the token is worth at most the least room since it was taken. The
+    time of its take is known only roughly, so the earliest possible one is assumed,
+    which gives the lowest worth.
 
     Args:
         now: clock seconds at which the bucket was created.
@@ -59,7 +61,7 @@
         slot.room_after_take = min(slot.room_after_take, room)
 
     def worth(self, since: float, count: float) -> float:
-        """Return what some tokens are worth that were taken after a time."""
+        """Return how many of ``count`` tokens taken after a time may be put back."""
         slots = self._since(since)
         if not slots:
             return 0.0
--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -36,7 +36,7 @@
 
 # Error code of a control process that is not the leader; the detail names the leader.
 CODE_NOT_LEADER: Final = "not_leader"
-# Error code of a message that the receiver cannot read, of which it has run nothing.
+# Error code of a message that the receiver cannot read; it has run nothing.
 CODE_BAD_REQUEST: Final = "bad_request"
 
 # Log lines queued while the output blocks; about 1 MB at 250 bytes a line.
--- a/packages/gateway/src/dogwoodspool_gateway/workers.py
+++ b/packages/gateway/src/dogwoodspool_gateway/workers.py
@@ -32,7 +32,7 @@
         return self._running
 
     async def run(self, work: Callable[[], ResultT]) -> ResultT | None:
-        """Run work in a thread; return None at once if there is none for it."""
+        """Run work in a thread; return None at once if no thread can take it."""
         if self._running >= self._limit:
             return None
         try:
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -69,7 +69,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Statements that are admitted and have not ended."""
+        """Statements that are admitted, and neither ended nor overdue."""
         with self._lock:
             return self._queue.in_flight
 
--- a/packages/limits/src/dogwoodspool_limits/concurrency.py
+++ b/packages/limits/src/dogwoodspool_limits/concurrency.py
@@ -33,7 +33,7 @@
     latency: where other processes fill the server, the limit would fall until the
     most urgent statements waited, and where statements of long kinds follow those of
     short ones, it would leave slots idle. It is bounded by the slots instead, and
-    falls only when statements are refused or get no answer.
+    falls only when the server refuses statements because of its load.
 
     Args:
         start: initial limit, the server's slots.
@@ -106,7 +106,7 @@
         """Record a statement that got no complete answer.
 
         Statements lost within one window have one cause, so they lower the limit
-        only once.
+        only once. A limit that does not follow the latency is not lowered.
         """
         if not self._unanswered and self._follows_latency:
             self._scale(DECREASE_FACTOR)
--- a/packages/limits/src/dogwoodspool_limits/const.py
+++ b/packages/limits/src/dogwoodspool_limits/const.py
@@ -6,9 +6,10 @@
 LATENCY_WEIGHT: Final = 0.1
 # Mean deviations above the average service time within which most statements end.
 SERVICE_TIME_DEVIATIONS: Final = 2
+# Assumed service time in seconds before the first answer.
 DEFAULT_SERVICE_TIME: Final = 0.005
-# A statement that is unanswered for this many times as long as most statements take
-# no longer counts as in flight where the slots bound what is.
+# Multiple of the time within which most statements end. A statement that is unanswered
+# for longer no longer counts as in flight, if the order does not follow the latency.
 OVERDUE_FACTOR: Final = 2
 
 # Adaptive concurrency: additive increase, multiplicative decrease per window.
@@ -19,7 +20,8 @@
 # once per step. A step is about the time in which the server's full queue empties.
 OVERLOAD_FACTOR: Final = 0.5
 OVERLOAD_STEP_SECONDS: Final = 0.1
-# Seconds after which the lowest latency is determined anew.
+# Seconds after which the lowest latency is determined anew, and the factor by which the
+# limit is lowered then to see the latency without an overload.
 BASE_LATENCY_SPAN: Final = 30.0
 BASE_PROBE_FACTOR: Final = 0.5
 
@@ -38,18 +40,19 @@
 
 # Kinds of statements whose service times are learned; others use the mean of all.
 MAX_KINDS: Final = 256
-# Seconds over which the capacity that timely work leaves over is averaged.
+# Seconds over which the capacity that timely statements leave over is averaged.
 LEFTOVER_SPAN: Final = 2.0
-# Lowest part of the capacity that demoted work is expected to get.
+# Lowest fraction of the capacity that demoted statements are expected to get.
 MIN_LEFTOVER: Final = 0.05
 # Weight of a new count in the moving average of continuations in flight.
 CONTINUATION_WEIGHT: Final = 0.05
 
 # Seconds of work that each account gets in one round of fair queueing.
 FAIR_ROUND_SECONDS: Final = 0.2
-# Part of each kind's waiting work that is to run in time, whatever its place.
+# Fraction of each kind's waiting statements that is to run in time. A kind below it
+# goes first.
 MIN_KIND_SHARE: Final = 0.05
-# Weight of a new statement in the part of its kind that runs in time.
+# Weight of a new statement in the moving average of that fraction.
 MINIMUM_WEIGHT: Final = 0.02
 # Seconds by which a target counts as later for each second of expected work, so that
 # short work goes before long work of a similar target.
--- a/packages/limits/src/dogwoodspool_limits/demoting_order.py
+++ b/packages/limits/src/dogwoodspool_limits/demoting_order.py
@@ -79,9 +79,9 @@
     def estimate_retry(self, ticket: Ticket, load: QueueLoad) -> RetryEstimate:
         """Return when the caller of a refused statement should retry.
 
-        The present queue is expected to have run by then. Room for retries arises at
-        the rate that timely work leaves over. Half of the time until the deadline is
-        kept for the wait after the retry.
+        By then all statements that wait now are expected to have started. After that,
+        room for retries arises at the rate that timely work leaves over. Half of the
+        time until the deadline is kept for the wait after the retry.
         """
         late = sum(entry[2].expected for entry in self._late)
         remaining = ticket.work.deadline - load.now() - ticket.expected
@@ -93,7 +93,7 @@
         )
 
     def add(self, ticket: Ticket, load: QueueLoad) -> None:
-        """Add a waiting statement and demote those that it makes late."""
+        """Add a waiting statement and demote all that can no longer be in time."""
         self._added += 1
         self._fair_share.charge(ticket.work.account, ticket.expected)
         insort(self._timely, (ticket.key, self._added, ticket))
--- a/packages/limits/src/dogwoodspool_limits/fair_share.py
+++ b/packages/limits/src/dogwoodspool_limits/fair_share.py
@@ -26,7 +26,7 @@
         ...
 
     def reset(self) -> None:
-        """Forget all accounts, since nothing waits."""
+        """Forget all accounts, since no statement waits that can be in time."""
         ...
 
 
@@ -55,7 +55,7 @@
         self._now = max(self._now, number * FAIR_ROUND_SECONDS)
 
     def reset(self) -> None:
-        """Forget all accounts, since nothing waits."""
+        """Forget all accounts; see ``FairShare``."""
         self._now = 0.0
         self._ends.clear()
 
@@ -66,8 +66,8 @@
 class RoundRobinShare:
     """Deficit round-robin.
 
-    An account receives a quantum of work for each round and carries what it does not
-    use, or uses too much, into the next one.
+    An account receives a quantum of work for each round. What it uses beyond the
+    quantum is deducted from that of the next round.
     """
 
     def __init__(self) -> None:
@@ -89,7 +89,7 @@
         self._round = max(self._round, number)
 
     def reset(self) -> None:
-        """Forget all accounts, since nothing waits."""
+        """Forget all accounts; see ``FairShare``."""
         self._round = 0
         self._accounts.clear()
 
--- a/packages/limits/src/dogwoodspool_limits/in_flight.py
+++ b/packages/limits/src/dogwoodspool_limits/in_flight.py
@@ -16,9 +16,9 @@
     process's share of connections: otherwise long transactions could keep new work
     out for good.
 
-    A statement counts until its answer, and no longer than statements usually take: if
-    answers are lost, the server's slots are free long before the time limits of the
-    statements end.
+    A statement counts until its answer, but no longer than a time that the queue sets
+    when it begins: if answers are lost, the server's slots are free long before the
+    time limits of the statements end.
     """
 
     def __init__(self, concurrency: AdaptiveConcurrency) -> None:
@@ -36,12 +36,12 @@
 
     @property
     def capacity(self) -> float:
-        """Statements of new work that may be in flight, on average."""
+        """Statements outside of open transactions that may be in flight, on average."""
         return max(1.0, self._concurrency.limit - self._mean_continuations)
 
     @property
     def highest_admissible(self) -> float | None:
-        """Highest number of a priority of which one more may run; None for none.
+        """Priority number up to which one more new statement may run; None for none.
 
         Where many processes share a server's slots, the limit may be 1. Without an
         admission above the limit, an urgent statement would then wait for one of a
@@ -73,7 +73,7 @@
 
         Args:
             ticket: the statement.
-            overdue_at: clock time after which it no longer counts.
+            overdue_at: clock seconds after which it no longer counts.
         """
         ticket.is_counted = True
         self._overdue.append((overdue_at, ticket))
--- a/packages/limits/src/dogwoodspool_limits/kind_minimum.py
+++ b/packages/limits/src/dogwoodspool_limits/kind_minimum.py
@@ -4,11 +4,11 @@
 
 
 class KindMinimum:
-    """Track which part of each kind's work ran in time.
+    """Track which fraction of each kind's waiting statements ran in time.
 
-    A kind whose part is below the minimum goes before all others until it is
-    reached. Otherwise an overload by more urgent or shorter work would keep the last
-    kind from running at all.
+    A kind whose fraction is below the minimum goes before all others until it reaches
+    the minimum. Otherwise an overload by more urgent or shorter work would keep the
+    kind that goes last from running at all.
     """
 
     def __init__(self) -> None:
@@ -19,7 +19,7 @@
         return self._shares.get(kind, 1.0) < MIN_KIND_SHARE
 
     def record_asked(self, kind: str) -> None:
-        """Record work that asked to wait."""
+        """Record a statement that found no room and is to wait."""
         share = self._shares.get(kind)
         if share is not None:
             self._shares[kind] = share * (1 - MINIMUM_WEIGHT)
@@ -27,6 +27,6 @@
             self._shares[kind] = 1.0
 
     def record_served(self, kind: str) -> None:
-        """Record that work which had asked runs in time."""
+        """Record that a statement which had to wait runs in time."""
         if kind in self._shares:
             self._shares[kind] += MINIMUM_WEIGHT
--- a/packages/limits/src/dogwoodspool_limits/leftover.py
+++ b/packages/limits/src/dogwoodspool_limits/leftover.py
@@ -13,7 +13,13 @@
         self._recorded_at = 0.0
 
     def record(self, now: float, expected: float, capacity: float) -> None:
-        """Record a timely statement that takes some seconds of a capacity."""
+        """Record a timely statement that begins to run.
+
+        Args:
+            now: clock seconds.
+            expected: seconds that it is expected to take.
+            capacity: statements that may run at a time.
+        """
         self._used = self._decayed(now) + expected / capacity / LEFTOVER_SPAN
         self._recorded_at = now
 
--- a/packages/limits/src/dogwoodspool_limits/order.py
+++ b/packages/limits/src/dogwoodspool_limits/order.py
@@ -15,7 +15,8 @@
     Attributes:
         wait: seconds until the queue is expected to have room.
         spacing: seconds from the retry of one caller to that of the next.
-        horizon: seconds within which the retry is useful; None for the usual ones.
+        horizon: seconds within which the retry is useful; None for the horizon of the
+            retry schedule.
     """
 
     wait: float
@@ -85,7 +86,11 @@
 
 
 class ArrivalOrder:
-    """Order by priority, then by arrival; the caller bounds the time in the queue."""
+    """Order by priority, then by arrival.
+
+    A statement leaves the queue only when it is admitted or displaced, or when its own
+    time to wait has passed.
+    """
 
     def __init__(self) -> None:
         self._waiting: list[Ticket] = []
--- a/packages/limits/src/dogwoodspool_limits/queue_load.py
+++ b/packages/limits/src/dogwoodspool_limits/queue_load.py
@@ -10,7 +10,8 @@
 
     Attributes:
         service_times: expected service times.
-        capacity: statements of new work that may run at a time, on average.
+        capacity: statements outside of open transactions that may run at a time, on
+            average.
         name: the server's name in log lines; without one nothing is logged.
     """
 
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -72,7 +72,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Statements that are admitted and have not ended."""
+        """Statements that are admitted, and neither ended nor overdue."""
         return self._in_flight.total
 
     @property
@@ -236,9 +236,10 @@
         return Ticket(priority, inf, _ignore, Work(priority, inf, inf), key=(inf,))
 
     def _admit(self, ticket: Ticket) -> None:
-        usual = self._load.service_times.usual_bound
-        overdue_at = self._clock.now() + OVERDUE_FACTOR * usual
+        usual_bound = self._load.service_times.usual_bound
+        overdue_at = self._clock.now() + OVERDUE_FACTOR * usual_bound
         if self._order.follows_latency:
+            # Lost answers lower the limit instead.
             overdue_at = inf
         self._in_flight.begin(ticket, overdue_at)
         ticket.state = TicketState.ADMITTED
--- a/packages/limits/src/dogwoodspool_limits/work.py
+++ b/packages/limits/src/dogwoodspool_limits/work.py
@@ -11,7 +11,7 @@
         priority: a lower number goes first.
         target: clock seconds by which its answer is in time.
         deadline: clock seconds after which its answer is useless.
-        kind: statements of one kind (an endpoint) take similar times.
+        kind: what the service time is learned for, such as an endpoint; empty for none.
         account: client account; empty for none.
         account_priority: a lower number goes first, among the same ``priority``.
     """
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -299,12 +299,16 @@
                 self.record_unreachable(backend.server, error)
                 raise
 
-    def _wait_for_turn(self, backend: Backend, start_by: float) -> None:
-        """Wait until this process may use a connection, or refuse the request."""
+    def _wait_for_turn(self, backend: Backend, wait_until: float) -> None:
+        """Wait until this process may use a connection.
+
+        Raises:
+            NotServedError: its turn begins too late.
+        """
         wait = backend.turns.wait()
         if wait <= 0:
             return
-        if self._clock.now() + wait > start_by:
+        if self._clock.now() + wait > wait_until:
             raise NotServedError(_no_connection(backend))
         self._clock.sleep(wait)
 
--- a/packages/pooler/src/dogwoodspool_pooler/ceiling.py
+++ b/packages/pooler/src/dogwoodspool_pooler/ceiling.py
@@ -94,7 +94,8 @@
         Args:
             highest: the number.
             is_part: whether the shares of all processes fit the server.
-            settles: whether another process may still use what is added.
+            settles: whether another process may still use the added connections, so
+                that the ceiling rises only with time at first.
         """
         highest = _least(highest, is_part=is_part)
         if highest == self._highest and is_part == self._is_part:
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -44,16 +44,15 @@
 # A replica is preferred to the primary until it is expected to take this many seconds
 # longer, because only the primary's slots can run writes.
 PRIMARY_PENALTY: Final = 0.008
-# Utilisation of the primary from which a read rather crosses to a replica in another
-# failure domain than uses the room of the primary in its own.
+# Utilisation of the primary above which a read is sent to a replica in another failure
+# domain rather than to the primary in its own.
 CROSSING_UTILISATION: Final = 1 / 12
 # Least room, in slots, against which a process compares its statements at the primary.
-# A process with a smaller part of the slots would see each of its statements as a full
-# primary; compared with more room it sees less load, and costs approach the standing
-# ones.
+# With a smaller room, each of its own statements would look like a full primary.
 MIN_ROOM: Final = 0.5
-# Bounds of the value of the primary's room: near full utilisation it would grow without
-# limit, and reads would queue at full replicas for longer than at the primary.
+# Greatest utilisation that is assumed for the primary, and greatest value in seconds of
+# its room: near full utilisation the value would grow without limit, and reads would
+# queue at full replicas for longer than at the primary.
 MAX_PRIMARY_UTILISATION: Final = 0.95
 MAX_PRIMARY_VALUE: Final = 0.07
 # Servers whose costs differ by less than this many seconds may be chosen at random, so
@@ -66,15 +65,15 @@
 # Multiple of the expected time at the replica that must be left after such a wait:
 # statements take up to a few times their average.
 CATCH_UP_RUN_FACTOR: Final = 3.0
-# Cost of a second of such a wait: it delays one read and takes no room on a server.
+# Cost in seconds of a second of such a wait, which delays one read but uses no server.
 CATCH_UP_COST: Final = 0.1
-# Reads of one process that may wait for replicas at a time: a part of the requests of
-# neighbours that an owner serves at a time.
+# Reads of one process that may wait for replicas at a time. Each occupies a thread, and
+# at an owner one of its slots for requests of neighbours.
 MAX_CATCH_UP_WAITS: Final = 24
-# Shortest wait for a replica.
+# Shortest wait in seconds for a replica; for less the read is sent at once.
 MIN_CATCH_UP_SECONDS: Final = 0.002
-# Least time between two recorded positions of a primary, and how long they are kept: a
-# lag beyond that is beyond any wait.
+# Least time in seconds between two recorded positions of a primary, and the time for
+# which they are kept: no read waits for a replica that lags by more.
 POSITION_SPACING_SECONDS: Final = 0.005
 POSITION_RETENTION_SECONDS: Final = 3.0
 # Weight of a new lag in the moving average, deviations above it within which most lags
@@ -112,6 +111,7 @@
 # Length of the turn of a proxy that serves its own callers while no owner answers:
 # about one statement.
 TURN_SECONDS: Final = 0.05
+# Greatest factor by which refusals by the server extend the time between two turns.
 MAX_REFUSED_TURN_FACTOR: Final = 16.0
 # Pause before another connection attempt if the server is at its connection limit and
 # this process has no connection: about the duration of two statements.
@@ -134,12 +134,12 @@
 CHECK_AFTER_IDLE: Final = 1.0
 RESET_TIMEOUT: Final = 0.3
 QUEUE_LIMIT: Final = 64
-# Requests that wait for one server at an owner of pools: those of a whole failure
-# domain, or of all of them, may wait until their targets.
+# Requests that may wait for one server at an owner of pools that orders them by target:
+# they come from its whole failure domain, or from all, and wait until their targets.
 SHARED_QUEUE_LIMIT: Final = 192
-# Statements that all owners together may have in flight for each slot of a primary:
-# their demand is uneven, and a statement from another failure domain counts during its
-# way as well.
+# Statements that all owners together may have in flight for each slot of a primary. It
+# is above 1 because their demand is uneven, and because a statement from another
+# failure domain also counts during its network round trip.
 SLOT_OVERSUBSCRIPTION: Final = 2.0
 
 # A server is reported as stalled once a write has been unanswered for this long, even
--- a/packages/pooler/src/dogwoodspool_pooler/placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/placement.py
@@ -20,7 +20,7 @@
 ) -> list[ServerView]:
     """Return the servers that may run a read, best first.
 
-    The constant penalties, which apply without another ``cost``, assume this load:
+    The constant penalties of ``StandingCost``, the default ``cost``, assume this load:
     reads far outnumber writes, every failure domain but one has a server of its own,
     and only the primary's slots can run writes. So a read stays in its failure domain
     and off the primary until the queueing time there exceeds the penalty for going
--- a/packages/pooler/src/dogwoodspool_pooler/queue_orders.py
+++ b/packages/pooler/src/dogwoodspool_pooler/queue_orders.py
@@ -11,10 +11,11 @@
     """Name of an order in settings.
 
     Attributes:
-        ARRIVAL: by priority and then by arrival, for a part of the target; only the
-            first statement of a transaction is counted.
-        TARGET: nearest target first.
-        PRIORITY: by priority and then by target, until the target has passed.
+        ARRIVAL: by priority and then by arrival. A request may wait for a fraction of
+            its target latency, and only the first statement of a transaction counts
+            as in flight.
+        TARGET: nearest target first; see ``TargetOrder``.
+        PRIORITY: by priority and then by nearest target; see ``PriorityOrder``.
     """
 
     ARRIVAL = "arrival"
--- a/packages/pooler/src/dogwoodspool_pooler/read_cost.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_cost.py
@@ -60,9 +60,7 @@
     """State of this process's admission queue for a server.
 
     Attributes:
-        limit: statements that may be in flight. The limit falls when the latency of
-            the server rises above its lowest recent latency or when the server refuses
-            statements because of its load.
+        limit: statements that may be in flight; see ``AdaptiveConcurrency``.
         waiting: statements in the queue.
         estimated_wait: seconds that a new statement would wait.
     """
--- a/packages/pooler/src/dogwoodspool_pooler/read_placement.py
+++ b/packages/pooler/src/dogwoodspool_pooler/read_placement.py
@@ -112,7 +112,7 @@
             excluded,
             _min_position(shared, group, bound),
             self._max_wait(request, shared.clock.now()) if may_wait else 0.0,
-            _target_at(request) - shared.clock.now(),
+            request.target - shared.clock.now(),
         )
         choice = shared.chooser.choose(servers, conditions)
         if choice is not None:
@@ -120,7 +120,7 @@
         return choice
 
     def is_by_load(self, group: str) -> bool:
-        """Return whether reads of a group are placed by the load of its primary."""
+        """Return whether ``choose`` considers the load and lag of a group's servers."""
         return self._shared_by(group) is not None
 
     def keeps_room(self, server: BackendServer, bound: ReadBound) -> bool:
@@ -186,21 +186,14 @@
         if self._waiting >= MAX_CATCH_UP_WAITS:
             return 0.0
         arrived_at = request.arrived_at
-        target = _target_at(request) - arrived_at
-        return max(0.0, arrived_at + target * CATCH_UP_SHARE - now)
+        target_latency = request.target - arrived_at
+        return max(0.0, arrived_at + target_latency * CATCH_UP_SHARE - now)
 
     def _count_waiting(self, change: int) -> None:
         with self._lock:
             self._waiting += change
 
 
-def _target_at(request: Request) -> float:
-    """Return the clock time after which a read misses its target."""
-    endpoint = request.endpoint
-    target_ms = min(endpoint.target_latency_ms, endpoint.deadline_ms)
-    return request.arrived_at + target_ms / MILLISECONDS
-
-
 def _min_position(shared: SharedReads, group: str, bound: ReadBound) -> Position | None:
     recent = shared.freshness.min_position(group, bound.max_age)
     if recent is None or bound.at_least is None:
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -118,8 +118,9 @@
 
     def set_part(self, part: ConnectionPart) -> None:
         """Change the connections that this process may hold."""
-        # An owner in reserve takes over from one that does not answer. Any other
-        # process becomes an owner while its predecessor may still run.
+        # An owner in reserve needs no turns, and takes over from one that does not
+        # answer. A process with turns becomes an owner while its predecessor may still
+        # use the connections.
         settles = not self.turns.is_always
         self.ceiling.set_highest(part.connections, is_part=True, settles=settles)
         self.turns.set_share(part.turn_share)
@@ -147,8 +148,8 @@
             serves; None if the pools of the group are not shared.
         primary_share: returns what this process may use of a server that few owners
             serve for all proxies; None if the usual part applies.
-        build_order: returns the order in which requests wait at an owner of shared
-            pools; None for the order of pools of its own.
+        build_order: returns a new order in which requests wait at an owner of shared
+            pools; None for the same order as in pools that are not shared.
     """
 
     def __init__(
--- a/packages/pooler/src/dogwoodspool_pooler/token_age.py
+++ b/packages/pooler/src/dogwoodspool_pooler/token_age.py
@@ -1,4 +1,4 @@
-"""Exchange the tokens of operations that waited before they reach a server."""
+"""Exchange the tokens of operations that have waited, before a server sees them."""
 
 from collections.abc import Callable
 
@@ -15,9 +15,9 @@
 class TokenAge:
     """Bound the time between the token of an operation and its first statement.
 
-    A token counts in the window in which it was taken, the operation in the one in
-    which a server sees it. Tokens that are used at any later time would add to the
-    operations of another window.
+    A token counts in the window in which it was taken, but its operation in the window
+    in which a server sees it. Without a bound, operations with old tokens could exceed
+    the limit of a later window.
 
     Args:
         exchange: exchanges a token of an account; see ``OperationLimiter.exchange``.
--- a/packages/pooler/src/dogwoodspool_pooler/turns.py
+++ b/packages/pooler/src/dogwoodspool_pooler/turns.py
@@ -48,7 +48,10 @@
             self._schedule_first()
 
     def wait(self) -> float:
-        """Return the seconds until this process may open a connection; 0 for now."""
+        """Return the seconds until this process may open a connection; 0 if it may.
+
+        If the last turn has ended, the next one is determined.
+        """
         if self.is_always:
             return 0.0
         now = self._clock.now()
--- a/packages/routing/src/dogwoodspool_routing/const.py
+++ b/packages/routing/src/dogwoodspool_routing/const.py
@@ -7,8 +7,8 @@
 LATENCY_WEIGHT: Final = 0.2
 LATENCY_HALF_LIFE: Final = 1.0
 DEFAULT_LATENCY: Final = 0.005
-# Time constant in seconds of the moving average of statements in flight: many times
-# a statement's duration, and a small part of the periods in which demand changes.
+# Time constant in seconds of the moving average of statements in flight: much longer
+# than a statement, and much shorter than the periods in which demand changes.
 LOAD_SECONDS: Final = 1.5
 
 # Seconds by which a server of another failure domain must be faster to be chosen.
@@ -22,7 +22,6 @@
 MAX_UNREACHABLE_STEP: Final = 1.0
 
 DEFAULT_ANNOUNCEMENT_EXPIRY: Final = 5.0
-DEFAULT_REPLICA_WAIT_MS: Final = 20.0
 
 # Retry delays of callers: until a promotion has ended, and until the next probes.
 RETRY_AFTER_PROMOTION_MS: Final = 500
