--- a/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
+++ b/packages/accounts/src/dogwoodspool_accounts/domain_allowance.py
@@ -31,11 +31,11 @@
         self.draw_after = now
         self.asked_at = self.asked_since = now
 
-    def most(self, now: float) -> float:
+    def max_unused(self, now: float) -> float:
         """Return the most unused tokens to keep."""
         return self.demand.per_second(now) * HOLD_SECONDS + HOLD_TOKENS
 
-    def least(self, now: float) -> float:
+    def min_unused(self, now: float) -> float:
         """Return the tokens below which more are drawn."""
         return self.demand.per_second(now) * LOW_SECONDS + LOW_TOKENS
 
@@ -146,11 +146,11 @@
                     continue
                 if tokens.demand.per_second(now) < NO_DEMAND:
                     continue
-                most = tokens.most(now)
-                tokens.bucket.trim(now, most)
+                max_unused = tokens.max_unused(now)
+                tokens.bucket.trim(now, max_unused)
                 level = tokens.bucket.level(now)
-                count = round(most - level)
-                if level < tokens.least(now) and count > 0:
+                count = round(max_unused - level)
+                if level < tokens.min_unused(now) and count > 0:
                     wanted[account] = count
         return wanted
 
--- a/packages/limits/src/dogwoodspool_limits/demoting_order.py
+++ b/packages/limits/src/dogwoodspool_limits/demoting_order.py
@@ -58,7 +58,7 @@
             self._fair_share.reset()
         number = self._fair_share.next_round(work.account)
         is_starved = self._minimum.is_starved(work.kind)
-        self._minimum.record_asked(work.kind)
+        self._minimum.record_waiting(work.kind)
         ticket.key = (0 if is_starved else 1, *self._key(ticket, number))
 
     def max_wait(self, ticket: Ticket, load: QueueLoad) -> float:
@@ -118,11 +118,11 @@
             return ticket
         return self._take_late(max_priority, load)
 
-    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+    def take_unservable(self, load: QueueLoad) -> list[Ticket]:
         """Remove and return statements that cannot be served any longer."""
-        hopeless, self._expired = self._expired, []
+        unservable, self._expired = self._expired, []
         if not self._late:
-            return hopeless
+            return unservable
         now = load.now()
         capacity = load.capacity
         late_capacity = capacity * self._leftover.share(now)
@@ -132,13 +132,13 @@
             ticket = entry[2]
             if start > ticket.latest_start:
                 ticket.estimated_wait = start - now
-                hopeless.append(ticket)
+                unservable.append(ticket)
                 self._return_work(ticket)
             else:
                 start += ticket.expected / late_capacity
                 kept.append(entry)
         self._late = kept
-        return hopeless
+        return unservable
 
     def displace(self, ticket: Ticket, load: QueueLoad) -> Ticket | None:
         """Remove and return the last statement if a new one goes before it."""
--- a/packages/limits/src/dogwoodspool_limits/kind_minimum.py
+++ b/packages/limits/src/dogwoodspool_limits/kind_minimum.py
@@ -18,7 +18,7 @@
         """Return whether a kind gets less than the minimum."""
         return self._shares.get(kind, 1.0) < MIN_KIND_SHARE
 
-    def record_asked(self, kind: str) -> None:
+    def record_waiting(self, kind: str) -> None:
         """Record a statement that found no room and is to wait."""
         share = self._shares.get(kind)
         if share is not None:
--- a/packages/limits/src/dogwoodspool_limits/order.py
+++ b/packages/limits/src/dogwoodspool_limits/order.py
@@ -72,7 +72,7 @@
         """Remove and return the next statement of at most a priority's number."""
         ...
 
-    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+    def take_unservable(self, load: QueueLoad) -> list[Ticket]:
         """Remove and return statements that cannot be served any longer."""
         ...
 
@@ -150,7 +150,7 @@
             return None
         return self._waiting.pop(0)
 
-    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+    def take_unservable(self, load: QueueLoad) -> list[Ticket]:
         """Return no statement: each is refused when its own time has passed."""
         return []
 
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -248,17 +248,17 @@
         if not self.waiting:
             return
         self._update_load()
-        self._refuse_hopeless()
+        self._refuse_unservable()
         while (highest := self._in_flight.highest_admissible) is not None:
             next_ticket = self._order.take(highest, self._load)
             if next_ticket is None:
                 break
             self._admit(next_ticket)
             next_ticket.notify()
-        self._refuse_hopeless()
+        self._refuse_unservable()
 
-    def _refuse_hopeless(self) -> None:
-        for ticket in self._order.take_hopeless(self._load):
+    def _refuse_unservable(self) -> None:
+        for ticket in self._order.take_unservable(self._load):
             self._remove(ticket, RefusalReason.WAIT_TOO_LONG)
 
     def _displace(self, ticket: Ticket) -> bool:
--- a/packages/pooler/src/dogwoodspool_pooler/ceiling.py
+++ b/packages/pooler/src/dogwoodspool_pooler/ceiling.py
@@ -46,7 +46,7 @@
     ) -> None:
         self._clock = clock
         self._is_part = is_part
-        self._highest = _least(highest, is_part=is_part)
+        self._highest = _with_minimum(highest, is_part=is_part)
         self._ceiling = min(FIRST_CONNECTIONS, highest) if is_part else self._highest
         self._started_at = started_at
         self._changed_at = started_at if is_part else clock.now()
@@ -97,7 +97,7 @@
             settles: whether another process may still use the added connections, so
                 that the ceiling rises only with time at first.
         """
-        highest = _least(highest, is_part=is_part)
+        highest = _with_minimum(highest, is_part=is_part)
         if highest == self._highest and is_part == self._is_part:
             return
         now = self._clock.now()
@@ -111,5 +111,5 @@
             self._settled_at = now + PART_SETTLING_SECONDS
 
 
-def _least(highest: int, *, is_part: bool) -> int:
+def _with_minimum(highest: int, *, is_part: bool) -> int:
     return max(1 if is_part else MIN_CONNECTIONS, highest)
