--- a/packages/limits/src/dogwoodspool_limits/order.py
+++ b/packages/limits/src/dogwoodspool_limits/order.py
@@ -15,7 +15,8 @@
     Attributes:
         wait: seconds until the queue is expected to have room.
         spacing: seconds from the retry of one caller to that of the next.
-        horizon: seconds within which the retry is useful; None for the usual ones.
+        horizon: seconds within which the retry is useful; None for the horizon of the
+            retry schedule.
     """
 
     wait: float
@@ -71,7 +72,7 @@
         """Remove and return the next statement of at most a priority's number."""
         ...
 
-    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+    def take_unservable(self, load: QueueLoad) -> list[Ticket]:
         """Remove and return statements that cannot be served any longer."""
         ...
 
@@ -85,7 +86,11 @@
 
 
 class ArrivalOrder:
-    """Order by priority, then by arrival; the caller bounds the time in the queue."""
+    """Order by priority, then by arrival.
+
+    A statement leaves the queue only when it is admitted or displaced, or when its own
+    time to wait has passed.
+    """
 
     def __init__(self) -> None:
         self._waiting: list[Ticket] = []
@@ -145,7 +150,7 @@
             return None
         return self._waiting.pop(0)
 
-    def take_hopeless(self, load: QueueLoad) -> list[Ticket]:
+    def take_unservable(self, load: QueueLoad) -> list[Ticket]:
         """Return no statement: each is refused when its own time has passed."""
         return []
 
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -72,7 +72,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Statements that are admitted and have not ended."""
+        """Statements that are admitted, and neither ended nor overdue."""
         return self._in_flight.total
 
     @property
@@ -236,9 +236,10 @@
         return Ticket(priority, inf, _ignore, Work(priority, inf, inf), key=(inf,))
 
     def _admit(self, ticket: Ticket) -> None:
-        usual = self._load.service_times.usual_bound
-        overdue_at = self._clock.now() + OVERDUE_FACTOR * usual
+        usual_bound = self._load.service_times.usual_bound
+        overdue_at = self._clock.now() + OVERDUE_FACTOR * usual_bound
         if self._order.follows_latency:
+            # Lost answers lower the limit instead.
             overdue_at = inf
         self._in_flight.begin(ticket, overdue_at)
         ticket.state = TicketState.ADMITTED
@@ -247,17 +248,17 @@
         if not self.waiting:
             return
         self._update_load()
-        self._refuse_hopeless()
+        self._refuse_unservable()
         while (highest := self._in_flight.highest_admissible) is not None:
             next_ticket = self._order.take(highest, self._load)
             if next_ticket is None:
                 break
             self._admit(next_ticket)
             next_ticket.notify()
-        self._refuse_hopeless()
+        self._refuse_unservable()
 
-    def _refuse_hopeless(self) -> None:
-        for ticket in self._order.take_hopeless(self._load):
+    def _refuse_unservable(self) -> None:
+        for ticket in self._order.take_unservable(self._load):
             self._remove(ticket, RefusalReason.WAIT_TOO_LONG)
 
     def _displace(self, ticket: Ticket) -> bool:
