Mend further faults that a reading of the change found

- A read whose answer one server lost and that the primary then refused was refused as not run, and its token was returned.
It is reported as an answer that was lost.
- Any error while a token was exchanged, beside a refusal, kept connection and admission.
- The turns of proxies without a role are changed by several threads under a lock.
- A result set was not closed if no thread could be started for it.
- A deeply nested message on a connection between proxies ended its thread unlogged.

--- a/packages/common/src/dogwoodspool_common/json_lines.py
+++ b/packages/common/src/dogwoodspool_common/json_lines.py
@@ -100,7 +100,7 @@
             buffer = bytearray()
             while (line := _read_line(connection, buffer)) is not None:
                 connection.sendall(_encode(self._answer(line)))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             log_rate_limited("peer_lost", level="DEBUG", reason=error)
         finally:
             with self._lock:
--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -289,7 +289,7 @@
                 self.stream.write_many([encode(row) for row in rows.batch])
         finally:
             if not rows.is_finished:
-                await self._workers.run_admitted(rows.abandon)
+                await self._workers.run_cleanup(rows.abandon)
             self._refresh_status()
         if rows.failure is None:
             await self.stream.write(self.ok_or_eof())
--- a/packages/gateway/src/dogwoodspool_gateway/workers.py
+++ b/packages/gateway/src/dogwoodspool_gateway/workers.py
@@ -53,6 +53,17 @@
         finally:
             self._running -= 1
 
+    async def run_cleanup(self, work: Callable[[], None]) -> None:
+        """Run work that must not be left out, such as releasing a connection.
+
+        It is short, so that it runs in the event loop if no thread can take it.
+        """
+        try:
+            await self.run_admitted(work)
+        except NoThreadError as error:
+            log_rate_limited("worker_not_started", level="WARNING", reason=error)
+            work()
+
     def _submit(self, work: Callable[[], ResultT]) -> Future[ResultT]:
         """Give work to a thread.
 
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -122,7 +122,7 @@
         )
         try:
             self.check_token(admission_request)
-        except NotServedError:
+        except BaseException:
             held.finish(is_good=True)
             raise
         return held
--- a/packages/pooler/src/dogwoodspool_pooler/reads.py
+++ b/packages/pooler/src/dogwoodspool_pooler/reads.py
@@ -1,6 +1,7 @@
 """Reads outside of transactions, on servers that satisfy their consistency."""
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from dogwoodspool_common import (
     BackendServer,
@@ -15,7 +16,7 @@
     PRIMARY_READ_SHARE,
     READ_ATTEMPT_SHARE,
 )
-from .errors import NotFreshError, NotServedError
+from .errors import AnswerLostError, NotFreshError, NotServedError
 from .held import ReadBound
 from .local_connection import LocalHeldConnection
 from .models import (
@@ -29,6 +30,19 @@
 from .requests import Request
 
 
+@dataclass(slots=True)
+class _Attempts:
+    """What the attempts of one read have shown so far.
+
+    Attributes:
+        excluded: servers that are not to be tried.
+        is_answer_lost: whether a server may have run it without an answer.
+    """
+
+    excluded: set[str] = field(default_factory=set)
+    is_answer_lost: bool = False
+
+
 class ReadPath:
     """Serve reads outside of transactions.
 
@@ -61,18 +75,21 @@
 
         Raises:
             NotServedError: no server ran it.
+            AnswerLostError: a server may have run it.
         """
         bound = None if request.at_primary else self._placement.bound(request)
         if bound is None:
             return self._read_at_primary(request)
         group = request.endpoint.group
-        excluded: set[str] = set()
+        attempts = _Attempts()
         if not self._placement.is_by_load(group):
-            excluded = self._lagging(request, bound)
+            attempts.excluded = self._lagging(request, bound)
         may_wait = True
         failed: Reply | None = None
         for number in range(MAX_READ_ATTEMPTS):
-            choice = self._placement.choose(request, bound, excluded, may_wait=may_wait)
+            choice = self._placement.choose(
+                request, bound, attempts.excluded, may_wait=may_wait
+            )
             if choice is None:
                 break
             server = choice.server
@@ -80,7 +97,7 @@
                 may_wait = False
                 request = self._placement.wait(request, choice)
             try:
-                reply = self._forward_or_try(request, server, number, bound)
+                reply = self._forward_or_try(request, server, number, bound, attempts)
             except NotFreshError:
                 break
             if reply is not None:
@@ -89,16 +106,38 @@
                 is_primary = self._placement.is_primary(server)
                 self._counters.read_served(group, is_primary)
                 return reply
-            excluded.add(server.name)
+            attempts.excluded.add(server.name)
             failed = reply or failed
             if self._clock.now() >= request.deadline:
                 break
         if failed is not None and failed.error and not failed.error.code.is_not_run:
             return failed
-        return self._read_at_primary(request)
+        return self._read_last(request, attempts)
+
+    def _read_last(self, request: Request, attempts: _Attempts) -> Reply:
+        """Read at the primary after all other servers were tried.
+
+        A refusal there must not say that the read did not run if another server may
+        have run it.
+        """
+        try:
+            reply = self._read_at_primary(request)
+        except NotServedError as error:
+            if attempts.is_answer_lost:
+                raise AnswerLostError(error.error) from error
+            raise
+        is_refused = reply.error is not None and reply.error.code.is_not_run
+        if reply.error is not None and is_refused and attempts.is_answer_lost:
+            raise AnswerLostError(reply.error)
+        return reply
 
     def _forward_or_try(
-        self, request: Request, server: BackendServer, number: int, bound: ReadBound
+        self,
+        request: Request,
+        server: BackendServer,
+        number: int,
+        bound: ReadBound,
+        attempts: _Attempts,
     ) -> Reply | None:
         """Try one server as ``_try``, a primary elsewhere through the owners there."""
         if self._placement.is_primary(server):
@@ -106,11 +145,12 @@
             try:
                 reply = self._forward(bounded)
             except NotServedError as error:
+                attempts.is_answer_lost |= isinstance(error, AnswerLostError)
                 log_read_moved(request, server, error)
                 return None
             if reply is not None:
                 return reply
-        return self._try(request, server, number, bound)
+        return self._try(request, server, number, bound, attempts)
 
     def _lagging(self, request: Request, bound: ReadBound) -> set[str]:
         try:
@@ -120,7 +160,12 @@
         return self._access.lagging(min_position)
 
     def _try(
-        self, request: Request, server: BackendServer, number: int, bound: ReadBound
+        self,
+        request: Request,
+        server: BackendServer,
+        number: int,
+        bound: ReadBound,
+        attempts: _Attempts,
     ) -> Reply | None:
         """Try one server; return None if it gave no answer.
 
@@ -147,6 +192,7 @@
             is_good = True
             raise
         except (NotServedError, ConnectFailedError, OutcomeUnknownError) as error:
+            attempts.is_answer_lost |= isinstance(error, OutcomeUnknownError)
             log_read_moved(request, server, error)
             return None
         finally:
--- a/packages/pooler/src/dogwoodspool_pooler/turns.py
+++ b/packages/pooler/src/dogwoodspool_pooler/turns.py
@@ -1,6 +1,7 @@
 """Turns of processes that may hold a connection only for a part of the time."""
 
 import random
+import threading
 
 from dogwoodspool_common import Clock
 from dogwoodspool_common.const import NEVER
@@ -25,6 +26,7 @@
         self, clock: Clock, share: float, rng: random.Random | None = None
     ) -> None:
         self._clock = clock
+        self._lock = threading.Lock()
         self._share = share
         self._rng = rng or random.Random()
         self._factor = 1.0
@@ -41,25 +43,27 @@
 
     def set_share(self, share: float) -> None:
         """Change the fraction of the time."""
-        if share == self._share:
-            return
-        self._share = share
-        if not self.is_always:
-            self._schedule_first()
+        with self._lock:
+            if share == self._share:
+                return
+            self._share = share
+            if not self.is_always:
+                self._schedule_first()
 
     def wait(self) -> float:
         """Return the seconds until this process may open a connection; 0 if it may.
 
         If the last turn has ended, the next one is determined.
         """
-        if self.is_always:
-            return 0.0
-        now = self._clock.now()
-        while self._ends_at <= now:
-            pause = self._rng.expovariate(1 / self._mean_pause())
-            self._begins_at = max(self._ends_at, self._used_at) + pause
-            self._ends_at = self._begins_at + TURN_SECONDS
-        return max(0.0, self._begins_at - now)
+        with self._lock:
+            if self.is_always:
+                return 0.0
+            now = self._clock.now()
+            while self._ends_at <= now:
+                pause = self._rng.expovariate(1 / self._mean_pause())
+                self._begins_at = max(self._ends_at, self._used_at) + pause
+                self._ends_at = self._begins_at + TURN_SECONDS
+            return max(0.0, self._begins_at - now)
 
     def record_use(self) -> None:
         """Record that a connection was in use until now."""
@@ -71,8 +75,9 @@
 
     def record_connection_refused(self) -> None:
         """Record that the server refused a connection, which ends the turn."""
-        self._factor = min(MAX_REFUSED_TURN_FACTOR, 2 * self._factor)
-        self._ends_at = min(self._ends_at, self._clock.now())
+        with self._lock:
+            self._factor = min(MAX_REFUSED_TURN_FACTOR, 2 * self._factor)
+            self._ends_at = min(self._ends_at, self._clock.now())
 
     def _mean_pause(self) -> float:
         return TURN_SECONDS * (1 / self._share - 1) * self._factor
--- a/tests/gateway/test_workers.py
+++ b/tests/gateway/test_workers.py
@@ -49,6 +49,12 @@
         self.assertEqual(await self.pool.run(lambda: "third"), "third")
         self.assertEqual(self.ran, [])
 
+    async def test_cleanup_runs_without_a_thread(self) -> None:
+        """Guard against a result set that keeps its connection for good."""
+        self.refuse_threads()
+        await self.pool.run_cleanup(lambda: self.ran.append("closed"))
+        self.assertEqual(self.ran, ["closed"])
+
     async def test_error_of_a_statement_is_raised(self) -> None:
         with self.assertRaises(ZeroDivisionError):
             await self.pool.run(lambda: 1 // 0)
--- a/tests/pooler/test_reads.py
+++ b/tests/pooler/test_reads.py
@@ -3,8 +3,10 @@
 import unittest
 
 from dogwoodspool_common import Consistency, Position, Role
-from dogwoodspool_pooler import ErrorCode, StatementKind
+from dogwoodspool_pooler import ErrorCode, Statement, StatementKind
 from dogwoodspool_pooler.const import LAG_RECHECK_SECONDS, MAX_LAG_RECHECK_SECONDS
+from dogwoodspool_pooler.errors import AnswerLostError
+from dogwoodspool_pooler.requests import Request
 
 from .fakes import FakeServer, Pooler, endpoint, run_text
 
@@ -140,6 +142,20 @@
         pooler.network.servers["s2"].refusals = [ErrorCode.FAILED]
         self.assertEqual(run_text(session, "READ k").proof, "s3:r")
 
+    def test_a_read_that_may_have_run_is_not_refused_as_not_run(self) -> None:
+        """Guard against tokens of reads whose answers were lost."""
+        pooler = Pooler(group(), BOUNDED)
+        run_text(pooler.session(), "READ k")
+        servers = pooler.network.servers
+        servers["s2"].unanswered_kinds = {StatementKind.READ}
+        for name in ("s1", "s3"):
+            servers[name].is_down = True
+        statement = Statement(StatementKind.READ, "r", "READ k")
+        now = pooler.clock.now()
+        request = Request(BOUNDED, statement, {}, None, None, now)
+        with self.assertRaises(AnswerLostError):
+            pooler.reads.run(request)
+
     def test_reads_continue_without_a_primary(self) -> None:
         pooler = Pooler(group(), BOUNDED)
         session = pooler.session()
