--- a/packages/load/src/dogwoodspool_load/capacity_page.py
+++ b/packages/load/src/dogwoodspool_load/capacity_page.py
@@ -40,17 +40,20 @@
     STATEMENTS_PER_SECOND,
     Capacity,
 )
+from .capacity_hard_load import hard_load
 from .slopes import Line
 
 PAGE_WIDTH: Final = 88
 
+# Measured days under hard load, beside the file of slopes.
+HARD_LOAD_FILE: Final = "hard-load.json"
 # Size of a heartbeat together with its answer, headers included, and of one
 # neighbour in an answer.
 HEARTBEAT_BYTES: Final = 700
 NEIGHBOUR_BYTES: Final = 60
 
 
-def render(slopes: Mapping[str, Any]) -> str:
+def render(slopes: Mapping[str, Any], hard_load_days: Path) -> str:
     """Return the page."""
     capacity = Capacity(slopes)
     parts = (
@@ -64,6 +67,7 @@
         _times(capacity),
         _sharing(),
         _limits(),
+        hard_load(hard_load_days),
         _unmeasured(),
         _points(capacity),
     )
@@ -71,8 +75,8 @@
 
 
 def render_file(path: Path) -> str:
-    """Return the page for a file of measured slopes."""
-    return render(json.loads(path.read_text()))
+    """Return the page for a file of measured slopes and the days beside it."""
+    return render(json.loads(path.read_text()), path.parent / HARD_LOAD_FILE)
 
 
 def _wrap_blocks(text: str) -> str:
