Routing: try a replica again that was slow once while another serves all reads

Cause: without new samples the average latency of a server decayed to a fixed 5 ms. The replica that served the reads meanwhile took about 1 ms, 2 ms with the penalty for another failure domain, so the idle one never was the better of the two.

Evidence (trial, three proxies, three callers): the replica was stopped for 0.1 s once. Before it served 170 reads in 2 s; afterwards none in the 22 s watched, and 265 a 2 s at the other one; the same for 0.3 s. Ruled out for it: lost connections (no caller saw an error).

Change: the average decays to half of the lowest average in the group if that is below 5 ms. An idle server then seems faster than those that serve, so a read tries it.

The new test fails without the change ('b1' not found in {'c1'}); tests/routing and tests/pooler pass.

--- a/packages/routing/src/dogwoodspool_routing/const.py
+++ b/packages/routing/src/dogwoodspool_routing/const.py
@@ -3,10 +3,14 @@
 from typing import Final
 
 # Weight of a new latency in the moving averages. Without new latencies the average
-# decays to the default with this half-life, in seconds.
+# decays with this half-life, in seconds.
 LATENCY_WEIGHT: Final = 0.2
 LATENCY_HALF_LIFE: Final = 1.0
+# It decays to this latency in seconds, or to this part of the lowest average among the
+# group's servers if that is less: a server is tried again only if it seems faster than
+# those that serve the reads meanwhile.
 DEFAULT_LATENCY: Final = 0.005
+UNTRIED_LATENCY_SHARE: Final = 0.5
 # Time constant in seconds of the moving average of statements in flight: much longer
 # than a statement, and much shorter than the periods in which demand changes.
 LOAD_SECONDS: Final = 1.5
--- a/packages/routing/src/dogwoodspool_routing/server_record.py
+++ b/packages/routing/src/dogwoodspool_routing/server_record.py
@@ -7,7 +7,6 @@
 from dogwoodspool_common.const import NEVER
 
 from .const import (
-    DEFAULT_LATENCY,
     LATENCY_HALF_LIFE,
     LATENCY_WEIGHT,
     LOAD_SECONDS,
@@ -43,7 +42,7 @@
     _unreachable: float = 0.0
     _down: float | None = None
     _outcome_at: float | None = None
-    _latency: float = DEFAULT_LATENCY
+    _latency: float | None = None
     _latency_at: float = 0.0
     _in_flight: int = 0
     _load: float = 0.0
@@ -125,21 +124,35 @@
         self.is_failing = True
         self._outcome_at = at
 
-    def record_latency(self, latency: float, now: float) -> None:
-        """Add a statement's latency to the moving average."""
-        average = self.latency(now)
+    def record_latency(self, latency: float, untried: float, now: float) -> float:
+        """Add a statement's latency to the moving average and return it.
+
+        Args:
+            latency: seconds that the statement took.
+            untried: see ``latency``.
+            now: clock seconds.
+        """
+        average = self.latency(untried, now)
         self._latency = average + LATENCY_WEIGHT * (latency - average)
         self._latency_at = now
+        return self._latency
 
-    def latency(self, now: float) -> float:
+    def latency(self, untried: float, now: float) -> float:
         """Return the moving average of latencies in seconds.
 
-        Without new samples it decays to the default. Otherwise a server that was slow
-        once would get no statement that could show that it is fast again.
+        Without new samples it decays to the latency of an untried server. Otherwise a
+        server that was slow once would get no statement that could show that it is fast
+        again.
+
+        Args:
+            untried: latency that is assumed of a server without samples.
+            now: clock seconds.
         """
+        if self._latency is None:
+            return untried
         age = max(0.0, now - self._latency_at)
         weight = 0.5 ** (age / LATENCY_HALF_LIFE)
-        return float(DEFAULT_LATENCY + (self._latency - DEFAULT_LATENCY) * weight)
+        return float(untried + (self._latency - untried) * weight)
 
     def set_in_flight(self, count: int, now: float) -> None:
         """Set the number of statements in flight from now on."""
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -8,6 +8,7 @@
 from dogwoodspool_common.const import MILLISECONDS, NEVER
 
 from .const import DEFAULT_ANNOUNCEMENT_EXPIRY
+from .group_latencies import GroupLatencies
 from .models import ServerView
 from .server_record import ServerRecord
 
@@ -28,6 +29,7 @@
         self._announcement_expiry = announcement_expiry
         self._lock = threading.Lock()
         self._records: dict[str, ServerRecord] = {}
+        self._latencies = GroupLatencies()
         self._announcements: dict[str, Announcement] = {}
 
     def servers(self, group: str | None = None) -> list[ServerView]:
@@ -166,8 +168,11 @@
             record.set_in_flight(record.in_flight - 1, self._clock.now())
             if is_answered:
                 record.record_answer(self._clock.now())
-                if latency is not None:
-                    record.record_latency(latency, self._clock.now())
+            if is_answered and latency is not None:
+                group = record.server.group
+                untried = self._latencies.untried(group)
+                average = record.record_latency(latency, untried, self._clock.now())
+                self._latencies.record(group, name, average)
 
     def _record(self, name: str) -> ServerRecord:
         if name not in self._records:
@@ -184,6 +189,7 @@
         if known is None or known.committed is None:
             return
         if known.committed.incarnation != server.incarnation:
+            self._latencies.forget(name)
             self._records[name] = ServerRecord(
                 known_at=self._clock.now(),
                 announced=known.announced,
@@ -191,6 +197,7 @@
             )
 
     def _view(self, record: ServerRecord, now: float) -> ServerView:
+        untried = self._latencies.untried(record.server.group)
         return ServerView(
             server=record.server,
             status=record.status,
@@ -199,7 +206,7 @@
                 None if record.leaving_since is None else now - record.leaving_since
             ),
             is_failing=record.is_failing,
-            latency=record.latency(now),
+            latency=record.latency(untried, now),
             in_flight=record.in_flight,
             load=record.load(now),
         )
@@ -211,6 +218,7 @@
                 record.announced = None
                 self._announcements.pop(name, None)
             if record.announced is None and record.committed is None:
+                self._latencies.forget(name)
                 del self._records[name]
 
 
--- a/tests/routing/test_read_router.py
+++ b/tests/routing/test_read_router.py
@@ -15,6 +15,9 @@
 
 from .builders import GROUP, announcement, status, table_of
 
+READ_SECONDS = 0.001
+READ_SPACING_SECONDS = 0.02
+
 
 class RouterTestCase(unittest.TestCase):
     """A group with primary a1 and replicas b1 and c1."""
@@ -69,6 +72,26 @@
         self.clock.advance(20)
         self.assertEqual(self.choose(ReadNeed()), ("b1", False))
 
+    def test_replica_is_tried_again_while_a_faster_one_serves_all_reads(self) -> None:
+        """Guard against one slow answer that costs a replica all later reads."""
+        self.fill(status("b1", 20), status("c1", 20))
+        for own, slow in (("a", "b1"), ("a", "c1"), ("b", "b1")):
+            self.table.begin(slow)
+            self.table.end(slow, 0.1, is_answered=True)
+            self.assertIn(slow, self.served_within(20.0, own=own))
+
+    def served_within(self, seconds: float, own: str) -> set[str]:
+        """Return the servers of reads that take a millisecond each."""
+        served = set()
+        for _ in range(int(seconds / READ_SPACING_SECONDS)):
+            name, _must_check = self.choose(ReadNeed(), own=own)
+            self.table.begin(name)
+            self.clock.advance(READ_SECONDS)
+            self.table.end(name, READ_SECONDS, is_answered=True)
+            self.clock.advance(READ_SPACING_SECONDS - READ_SECONDS)
+            served.add(name)
+        return served
+
     def test_replica_that_satisfies_is_preferred_to_a_local_one(self) -> None:
         self.fill(status("b1", 19), status("c1", 20))
         self.assertEqual(self.choose(ReadNeed(Position(2, 20))), ("c1", False))
