Pooler: take a free slot also after a request's time to wait has passed

What callers saw: beside load writes were refused as BUSY ("deadline_passed; retry after 5 ms to 12 ms") while an owner of shared pools drained, though nothing ran at the other owner and nothing waited there.

Cause: a request may wait for a quarter of its target, and takes a free slot also after that; so the docstring, but the end of the wait was handed to the queue as its deadline, and a queue refuses what has passed its deadline before it looks for room. A request that came late, over another owner, after a wait for a view or for a replica, was always refused.

Evidence (trial: the test of shared pools beside 8 busy processes and up to 4 busy threads in its own process): 15 of 20 refusals as deadline_passed had waiting=0 in_flight=0 limit=1. The drain is not what brings them about: 60 of 240 writes were refused with it and 54 without it; it only adds a hop. A request to an idle server whose time to wait was over was refused every time.

Change: a request states its deadline and the end of its wait apart (Work.wait_until). Without room it is refused at once as before. A proxy that is out of turn told its callers to come back in 150 ms, which late requests now get as well; it is the length of a turn now.

Measured: the tests of a late request fail without the change. At 4 busy threads 53 of 240 writes are still refused, all but 3 because the wait is too long for one connection.

--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -34,6 +34,7 @@
     CONTROL_CONNECTIONS,
     MAX_READ_ATTEMPTS,
     NO_CONNECTION_RETRY_MS,
+    NO_TURN_RETRY_MS,
     QUEUE_LIMIT,
     SHARED_QUEUE_LIMIT,
     SLOT_OVERSUBSCRIPTION,
@@ -580,7 +581,10 @@
             admission = queue.request_work(attempt.work_request, on_ticket_changed)
         else:
             admission = queue.request_admission(
-                start_by, attempt.kind.priority, on_ticket_changed
+                attempt.deadline,
+                attempt.kind.priority,
+                on_ticket_changed,
+                wait_until=attempt.start_by,
             )
         if admission.is_error():
             on_end(Error(_to_refused(admission.error)))
@@ -609,7 +613,8 @@
         wait = backend.turns.wait()
         if wait > 0 and self._timeline.now() + wait > execution.start_by:
             backend.queue.end(ticket, 0.0, AdmissionOutcome.NO_WORK)
-            execution.on_end(Error(refused))
+            no_turn = Refused("no turn", NO_TURN_RETRY_MS / MILLISECONDS)
+            execution.on_end(Error(no_turn))
             return
         if wait > 0:
             self._timeline.after(wait, partial(self._connect, execution, ticket))
--- a/packages/limits/src/dogwoodspool_limits/admission.py
+++ b/packages/limits/src/dogwoodspool_limits/admission.py
@@ -133,14 +133,18 @@
         with self._lock:
             self._queue.set_order(order)
 
-    def admit(self, deadline: float, priority: int) -> Result[Admission, Refusal]:
+    def admit(
+        self, deadline: float, priority: int, *, wait_until: float | None = None
+    ) -> Result[Admission, Refusal]:
         """Wait for the right to run a statement.
 
         Args:
             deadline: clock seconds after which the answer is no longer needed.
             priority: its priority; a lower number goes first.
+            wait_until: clock seconds until which it may wait; None for the deadline.
         """
-        return self.admit_work(Work(priority, deadline, deadline))
+        work = Work(priority, deadline, deadline, wait_until=wait_until)
+        return self.admit_work(work)
 
     def admit_work(self, work: Work) -> Result[Admission, Refusal]:
         """Wait for the right to run a statement."""
--- a/packages/limits/src/dogwoodspool_limits/order.py
+++ b/packages/limits/src/dogwoodspool_limits/order.py
@@ -120,7 +120,7 @@
         waiting, so that a service time above the deadline does not refuse every
         statement.
         """
-        remaining = ticket.work.deadline - load.now()
+        remaining = ticket.work.wait_end - load.now()
         return max(remaining - load.service_times.usual_bound, remaining / 2)
 
     def estimated_wait(self, ticket: Ticket, load: QueueLoad) -> float:
--- a/packages/limits/src/dogwoodspool_limits/statement_queue.py
+++ b/packages/limits/src/dogwoodspool_limits/statement_queue.py
@@ -137,7 +137,12 @@
         return self._order.estimated_wait(self._any_ticket(priority), self._load)
 
     def request_admission(
-        self, deadline: float, priority: int, notify: Callable[[], None]
+        self,
+        deadline: float,
+        priority: int,
+        notify: Callable[[], None],
+        *,
+        wait_until: float | None = None,
     ) -> Result[Ticket, Refusal]:
         """Admit a statement, queue it or refuse it.
 
@@ -145,8 +150,10 @@
             deadline: clock seconds after which the answer is no longer needed.
             priority: its priority; a lower number goes first.
             notify: called when the state of a waiting statement changes.
+            wait_until: clock seconds until which it may wait; None for the deadline.
         """
-        return self.request_work(Work(priority, deadline, deadline), notify)
+        work = Work(priority, deadline, deadline, wait_until=wait_until)
+        return self.request_work(work, notify)
 
     def request_work(
         self, work: Work, notify: Callable[[], None]
--- a/packages/limits/src/dogwoodspool_limits/work.py
+++ b/packages/limits/src/dogwoodspool_limits/work.py
@@ -14,6 +14,8 @@
         kind: what the service time is learned for, such as an endpoint; empty for none.
         account: client account; empty for none.
         account_priority: a lower number goes first, among the same ``priority``.
+        wait_until: clock seconds until which it may wait; None for its deadline. It
+            may start at once also after that.
     """
 
     priority: int
@@ -22,3 +24,9 @@
     kind: str = ""
     account: str = ""
     account_priority: int = 0
+    wait_until: float | None = None
+
+    @property
+    def wait_end(self) -> float:
+        """Clock seconds until which it may wait."""
+        return self.deadline if self.wait_until is None else self.wait_until
--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -27,6 +27,7 @@
     MAX_TOKEN_AGE,
     NO_ACCOUNT,
     NO_CONNECTION_RETRY_MS,
+    NO_TURN_RETRY_MS,
 )
 from .errors import NotFreshError, NotServedError
 from .freshness import FreshnessTracker
@@ -101,7 +102,7 @@
         backend = self._registry.backend(server)
         backend.adjust()
         with span("admission.wait", server=server.name):
-            admitted = backend.admit(admission_request, self._clock.now())
+            admitted = backend.admit(admission_request)
         if admitted.is_error():
             refusal = admitted.error
             message = f"{server.name} did not admit the statement: {refusal.reason}"
@@ -309,7 +310,7 @@
         if wait <= 0:
             return
         if self._clock.now() + wait > wait_until:
-            raise NotServedError(_no_connection(backend))
+            raise NotServedError(_no_connection(backend, NO_TURN_RETRY_MS))
         self._clock.sleep(wait)
 
 
@@ -322,6 +323,8 @@
     return "-" if position is None else f"{position.term}.{position.offset}"
 
 
-def _no_connection(backend: Backend) -> StatementError:
+def _no_connection(
+    backend: Backend, retry_after_ms: int = NO_CONNECTION_RETRY_MS
+) -> StatementError:
     message = f"no connection to {backend.server.name} became free in time"
-    return StatementError(ErrorCode.BUSY, message, NO_CONNECTION_RETRY_MS)
+    return StatementError(ErrorCode.BUSY, message, retry_after_ms)
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -178,6 +178,9 @@
 # The server counts the connections of processes that ended for more than a second, and
 # a caller makes three attempts within a second.
 NO_CONNECTION_RETRY_MS: Final = 150
+# Retry time of a caller of a proxy without a turn: the length of a turn. Another proxy
+# has one by then.
+NO_TURN_RETRY_MS: Final = 50
 WATCH_WAIT_MS: Final = 1_000
 # Time for which a caller waits for the first view, and time after a process's start in
 # which callers do so: long enough for an election and the first view to arrive, and
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -82,14 +82,13 @@
         """Whether requests wait until their targets, and all statements are counted."""
         return self.is_shared and self.shared_order is not None
 
-    def admit(
-        self, request: AdmissionRequest, now: float
-    ) -> Result[Admission, Refusal]:
+    def admit(self, request: AdmissionRequest) -> Result[Admission, Refusal]:
         """Wait for admission in the order of the queue."""
         work = request.work
         if work is None or not self.is_ordered_by_target:
-            start_by = max(request.start_by, now)
-            return self.admission.admit(start_by, request.priority)
+            return self.admission.admit(
+                request.deadline, request.priority, wait_until=request.start_by
+            )
         return self.admission.admit_work(work)
 
     def wait_until(self, request: AdmissionRequest, now: float) -> float:
--- a/tests/limits/test_admission.py
+++ b/tests/limits/test_admission.py
@@ -86,6 +86,20 @@
         held.done(0.01, AdmissionOutcome.ANSWERED)
         self.assertEqual(queue.in_flight, 0)
 
+    def test_room_is_taken_after_the_time_to_wait_has_passed(self) -> None:
+        """Guard against a late statement that is refused although nothing runs."""
+        queue = self.queue()
+        self.clock.advance(1.0)
+        admitted = queue.admit(2.0, Priority.READ, wait_until=0.5)
+        self.assertTrue(admitted.is_ok(), admitted)
+
+    def test_statement_that_may_not_wait_is_refused_at_once_without_room(self) -> None:
+        queue = self.queue()
+        queue.admit(1000, Priority.READ)
+        self.clock.advance(1.0)
+        refused = queue.admit(2.0, Priority.READ, wait_until=0.5).error
+        self.assertEqual(refused.reason, RefusalReason.WAIT_TOO_LONG)
+
     def test_second_done_has_no_effect(self) -> None:
         queue = self.queue()
         held = queue.admit(1000, Priority.READ).ok
--- a/tests/pooler/test_overload.py
+++ b/tests/pooler/test_overload.py
@@ -77,6 +77,13 @@
         self.refuse(ErrorCode.BEHIND)
         self.assertEqual(self.backend().admission.limit, before)
 
+    def test_late_request_takes_a_free_slot(self) -> None:
+        """Guard against refusing a request that came late to an idle server."""
+        late = AdmissionRequest(
+            1, {}, self.pooler.clock.now() - 0.01, self.pooler.clock.now() + 1.0
+        )
+        self.pooler.access.open_local(self.primary.as_backend_server(), late)
+
     def latency(self) -> float:
         """Return the primary's average statement latency in the server table."""
         view = self.pooler.table.get("s1")
