Pooler: admit no more statements than callers may hold connections

What callers saw: "no connection to i-1 became free in time; retry after 150 ms" beside load.

Cause: a pool with two connections or more keeps one for probes, but its queue admitted as many statements as the pool has connections. The one beyond them waited in the pool, where no estimate refuses it early, and was sent away for a fixed 150 ms at the end of its wait. The proxy of the MySQL interface already passes the pool's caller_limit.

Measured: the new test fails without the change ("no connection to s1 became free in time" in place of "did not admit").

--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -197,7 +197,7 @@
         if limit != self.pool.limit:
             close_room = CLOSE_ROOM if self.ceiling.is_part else 0
             self.pool.set_limit(limit, close_room=close_room)
-            self.queue.set_max_in_flight(limit)
+            self.queue.set_max_in_flight(self.pool.caller_limit)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/pooler/test_parts.py
+++ b/tests/pooler/test_parts.py
@@ -4,9 +4,11 @@
 
 from dogwoodspool_common import Role
 from dogwoodspool_connections import ConnectionLimitError
+from dogwoodspool_pooler.errors import NotServedError
 from dogwoodspool_pooler.expiry import ConnectionExpiry
 from dogwoodspool_pooler.models import ErrorCode
 from dogwoodspool_pooler.registry import Backend, BackendRegistry
+from dogwoodspool_pooler.requests import AdmissionRequest
 from dogwoodspool_sharing import ConnectionPart, PoolRole
 
 from .fakes import FakeServer, Pooler, run_text
@@ -61,6 +63,17 @@
         self.assertEqual(backend.pool.close_room, 0)
         self.assertEqual(backend.pool.limit, 4)
 
+    def test_no_more_statements_are_admitted_than_find_a_connection(self) -> None:
+        """Guard against an admitted statement that waits where nothing estimates it."""
+        self.part = ConnectionPart(PoolRole.OWNER, 2)
+        backend, clock = self.backend(), self.pooler.clock
+        clock.advance(1.0)
+        request = AdmissionRequest(1, {}, clock.now(), clock.now() + 1.0)
+        self.pooler.access.open_local(backend.server, request)
+        with self.assertRaisesRegex(NotServedError, "did not admit"):
+            self.pooler.access.open_local(backend.server, request)
+        self.assertEqual(backend.pool.limit, 2)
+
     def test_refused_connections_are_counted(self) -> None:
         self.server.connections_to_refuse = 2
         backend = self.backend()
