Testbed: keep the ports of processes reserved until these have ended

What was seen: with two whole runs side by side one ended early, "control-1 did not start ... [Errno 98] Address already in use".

Cause: a port was chosen by binding port 0 and closing the socket again; until its process had been loaded, any other process that asked for a port could get it.

Change: PortReservations chooses ports below the kernel's range and listens on each at an address that no process uses, so that neither the kernel nor another run chooses it again. Proxies get reserved ports too, since they may be started again at their addresses.

--- a/packages/testbed/src/dogwoodspool_testbed/__init__.py
+++ b/packages/testbed/src/dogwoodspool_testbed/__init__.py
@@ -9,12 +9,14 @@
     StandinHandle,
     StandinShape,
 )
+from .ports import PortReservations
 
 __all__ = [
     "CallerConnection",
     "ControlHandle",
     "Deployment",
     "DeploymentShape",
+    "PortReservations",
     "ProxyHandle",
     "StandinHandle",
     "StandinShape",
--- a/packages/testbed/src/dogwoodspool_testbed/deployment.py
+++ b/packages/testbed/src/dogwoodspool_testbed/deployment.py
@@ -1,11 +1,10 @@
 """A complete deployment as separate processes on loopback."""
 
-import socket
 import tempfile
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any, Final, TypeAlias
+from typing import Any, TypeAlias
 
 import pymysql
 from dogwoodspool_common import (
@@ -30,10 +29,9 @@
 from .deployment_client import DeploymentClient
 from .errors import TestbedError
 from .models import ControlHandle, DeploymentShape, ProxyHandle, StandinHandle
+from .ports import PortReservations
 from .processes import ProcessTable
 
-ANY_PORT: Final = Address(HOST, 0)
-
 CallerConnection: TypeAlias = "pymysql.connections.Connection[pymysql.cursors.Cursor]"
 
 
@@ -50,6 +48,7 @@
         self._temporary = tempfile.TemporaryDirectory(prefix="dogwoodspool-")
         self.folder = Path(self._temporary.name)
         self.processes = ProcessTable(self.folder)
+        self._ports = PortReservations()
 
     def __enter__(self) -> "Deployment":
         try:
@@ -74,6 +73,7 @@
     def unload(self) -> None:
         """Stop all processes and remove the folder."""
         self.processes.stop_all()
+        self._ports.release()
         self.client.close()
         self._temporary.cleanup()
 
@@ -167,7 +167,7 @@
 
     def start_control(self, name: str, failure_domain: str) -> ControlHandle:
         """Start an additional control process, which waits to become a voter."""
-        address = Address(HOST, _free_ports(1)[0])
+        address = self._reserve_address()
         control = ControlHandle(name, failure_domain, address)
         self._spawn_control(control, [])
         self.processes.ready(name)
@@ -176,10 +176,11 @@
 
     def _start_controls(self) -> None:
         domains = self.shape.failure_domains
-        for number, port in enumerate(_free_ports(self.shape.controls)):
+        for number in range(self.shape.controls):
             name = f"control-{number + 1}"
             domain = domains[number % len(domains)]
-            self.controls.append(ControlHandle(name, domain, Address(HOST, port)))
+            address = self._reserve_address()
+            self.controls.append(ControlHandle(name, domain, address))
         voters = ",".join(f"{c.name}={c.address}" for c in self.controls)
         for control in self.controls:
             self._spawn_control(control, ["--voters", voters, "--bootstrap"])
@@ -216,9 +217,11 @@
         name: str,
         failure_domain: str,
         controls: Sequence[ControlHandle],
-        address: Address = ANY_PORT,
-        http_address: Address = ANY_PORT,
+        address: Address | None = None,
+        http_address: Address | None = None,
     ) -> None:
+        address = address or self._reserve_address()
+        http_address = http_address or self._reserve_address()
         arguments = [
             "dogwoodspool-proxy",
             *["--name", name, "--failure-domain", failure_domain],
@@ -287,10 +290,6 @@
     def _all_may_write(self) -> bool:
         return all(self.may_write(proxy) for proxy in self.proxies)
 
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [int(listener.getsockname()[1]) for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
+    def _reserve_address(self) -> Address:
+        (port,) = self._ports.reserve(1)
+        return Address(HOST, port)
--- a/script/measure_consensus.py
+++ b/script/measure_consensus.py
@@ -12,7 +12,6 @@
 
 import os
 import random
-import socket
 import statistics
 import subprocess
 import sys
@@ -44,6 +43,7 @@
     FileLogStorage,
     HttpPeerTransport,
 )
+from dogwoodspool_testbed import PortReservations
 from hdrh.histogram import HdrHistogram
 
 KEY: Final = b"measurement"
@@ -150,7 +150,8 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._ports = [_free_port() for _ in range(3)]
+        self._reservations = PortReservations()
+        self._ports = self._reservations.reserve(3)
         self._client = JsonClient(RequestSigner(KEY))
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
@@ -165,6 +166,7 @@
             process.terminate()
         for process in self._processes.values():
             process.wait()
+        self._reservations.release()
 
     def load(self, threads: int, seconds: float) -> dict[str, Any]:
         """Have the leader propose entries from a number of threads."""
@@ -252,11 +254,5 @@
         measurement.unload()
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/platform/system.py
+++ b/tests/platform/system.py
@@ -12,6 +12,7 @@
 from dogwoodspool_platform.boot import BootSettings
 from dogwoodspool_platform.core import Core
 from dogwoodspool_platform.edge import Edge
+from dogwoodspool_testbed import PortReservations
 
 from .standin import Cloud, GroupLog, TextClient, TextServer, call
 from .test_messages import config, heartbeat, route
@@ -20,17 +21,6 @@
 TIMEOUT_SECONDS = 30.0
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that are currently free."""
-    import socket  # noqa: PLC0415
-
-    sockets = [socket.create_server(("0.0.0.0", 0)) for _ in range(count)]
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def eventually(check: Callable[[], bool], what: str) -> None:
     """Wait until a condition holds; fail after ``TIMEOUT_SECONDS``."""
     deadline = time.monotonic() + TIMEOUT_SECONDS
@@ -70,7 +60,9 @@
         self.addCleanup(self.cloud.close)
         for server in self.servers:
             self.addCleanup(server.close)
-        ports = free_ports(5)
+        reservations = PortReservations()
+        self.addCleanup(reservations.release)
+        ports = reservations.reserve(5)
         self.internal, self.pools, self.control, self.front, self.ready = ports
         self.sequence = self.attempts = 0
         self.reporting = {server.name for server in self.servers}
