Test of a power loss: keep the logs of its processes when a wait times out

The output of the five processes went nowhere, so that a process that could not bind its port, one that was still loading and a group without a leader looked the same when the wait for "all five are voters" timed out. A failed wait now names the exit statuses and the folder, and shows the end of each log. The checks and their bounds are unchanged.

--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -24,9 +24,10 @@
 from dogwoodspool_api.const import PATH_STATUS
 from dogwoodspool_common import Address, HttpError, JsonClient, SystemClock
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
+from dogwoodspool_testbed import PortReservations
 
 from .standin import call
-from .system import eventually, free_ports
+from .system import eventually
 from .test_messages import config
 
 ROOT: Final = Path(__file__).resolve().parents[2]
@@ -35,6 +36,7 @@
 LOST_DISKS: Final = HOSTS[3:]
 PROXIES: Final = 194
 WAIT_MS: Final = 1_000
+SHOWN_LOG_LINES: Final = 40
 BOOT: Final = """
 node = "{host}"
 ip = "{host}"
@@ -56,9 +58,12 @@
     """Five control processes, two of which restart with empty disks."""
 
     def setUp(self) -> None:
-        self.enterContext(folder := tempfile.TemporaryDirectory())
-        self.folder = Path(folder.name)
-        self.internal, self.control = free_ports(2)
+        self.folder = Path(tempfile.mkdtemp(prefix="dogwoodspool-"))
+        self.keeps_folder = False
+        self.addCleanup(self.remove_folder)
+        reservations = PortReservations()
+        self.addCleanup(reservations.release)
+        self.internal, self.control = reservations.reserve(2)
         self.client = JsonClient(None)
         self.addCleanup(self.client.close)
         self.processes: list[subprocess.Popen[bytes]] = []
@@ -77,15 +82,39 @@
             data=data,
         )
         boot.write_text(text)
-        process = subprocess.Popen(
-            [sys.executable, "platform/launch.py", "core"],
-            cwd=ROOT,
-            env={**os.environ, "DOGWOODSPOOL_BOOT": str(boot)},
-            stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL,
-        )
+        with self.log_of(host).open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "platform/launch.py", "core"],
+                cwd=ROOT,
+                env={**os.environ, "DOGWOODSPOOL_BOOT": str(boot)},
+                stdout=log,
+                stderr=log,
+            )
         self.processes.append(process)
 
+    def log_of(self, host: str) -> Path:
+        return self.folder / f"{host}.log"
+
+    def remove_folder(self) -> None:
+        if not self.keeps_folder:
+            shutil.rmtree(self.folder)
+
+    def eventually(self, check: Callable[[], bool], what: str) -> None:
+        """Wait as ``eventually``; on failure keep the logs and show their ends."""
+        try:
+            eventually(check, what)
+        except AssertionError as error:
+            self.keeps_folder = True
+            raise AssertionError(f"{error}\n{self.describe_processes()}") from error
+
+    def describe_processes(self) -> str:
+        exits = [process.poll() for process in self.processes]
+        parts = [f"exit statuses: {exits}, folder: {self.folder}"]
+        for host in HOSTS:
+            lines = self.log_of(host).read_text(errors="replace").splitlines()
+            parts += [f"--- {host}", *lines[-SHOWN_LOG_LINES:]]
+        return "\n".join(parts)
+
     def kill_all(self) -> None:
         for process in self.processes:
             process.kill()
@@ -108,7 +137,7 @@
                 call("PUT", url, config(version=version))[0] == 200 for url in urls
             )
 
-        eventually(is_acknowledged, f"configuration {version} is acknowledged")
+        self.eventually(is_acknowledged, f"configuration {version} is acknowledged")
 
     def follow(self, number: int) -> ViewStore:
         """Start the components with which a proxy follows control."""
@@ -133,7 +162,7 @@
         """Guard against polling proxies that prevent the recovery of control."""
         for host in HOSTS:
             self.start(host, bootstrap=host in SEEDS)
-        eventually(lambda: self.voters() == len(HOSTS), "all five are voters")
+        self.eventually(lambda: self.voters() == len(HOSTS), "all five are voters")
         self.put(7)
         self.kill_all()
         for host in LOST_DISKS:
@@ -144,10 +173,10 @@
         # Registered last, to run before the proxies stop: none waits for its poll.
         self.addCleanup(self.kill_all)
         has_view = partial(self.all_versions, proxies, lambda version: version > 0)
-        eventually(has_view, "every proxy has a view")
+        self.eventually(has_view, "every proxy has a view")
         newest = max(views.view.version for views in proxies)
         self.put(8)
         has_change = partial(
             self.all_versions, proxies, lambda version: version > newest
         )
-        eventually(has_change, "every proxy has the next change")
+        self.eventually(has_change, "every proxy has the next change")
