--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -178,8 +178,7 @@
 # The server counts the connections of processes that ended for more than a second, and
 # a caller makes three attempts within a second.
 NO_CONNECTION_RETRY_MS: Final = 150
-# Retry time of a caller of a proxy without a turn: the length of a turn. Another proxy
-# has one by then.
+# Retry time of a caller of a proxy without a turn: the length of a turn.
 NO_TURN_RETRY_MS: Final = 50
 WATCH_WAIT_MS: Final = 1_000
 # Time for which a caller waits for the first view, and time after a process's start in
--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -113,7 +113,8 @@
         close_room = CLOSE_ROOM if self.ceiling.is_part else 0
         if limit != self.pool.limit or close_room != self.pool.close_room:
             self.pool.set_limit(limit, close_room=close_room)
-            # The wait of a statement beyond them would not be estimated.
+            # A statement beyond these would wait in the pool, which does not estimate
+            # how long.
             self.admission.set_max_in_flight(self.pool.caller_limit)
 
     def set_part(self, part: ConnectionPart) -> None:
--- a/packages/routing/src/dogwoodspool_routing/const.py
+++ b/packages/routing/src/dogwoodspool_routing/const.py
@@ -6,9 +6,8 @@
 # decays with this half-life, in seconds.
 LATENCY_WEIGHT: Final = 0.2
 LATENCY_HALF_LIFE: Final = 1.0
-# It decays to this latency in seconds, or to this part of the lowest average among the
-# group's servers if that is less: a server is tried again only if it seems faster than
-# those that serve the reads meanwhile.
+# It decays to this latency in seconds, or to this share of the lowest average among the
+# group's servers if that is less.
 DEFAULT_LATENCY: Final = 0.005
 UNTRIED_LATENCY_SHARE: Final = 0.5
 # Time constant in seconds of the moving average of statements in flight: much longer
