Routing: test that a restarted server's latency is forgotten; two docstrings

The guard had no test: without it a server that was fast before it restarted made the others of its group seem faster than they are. The test fails with the guard taken out (0.001 != 0.0025). The docstrings say when reserved ports lie in the kernel's range, and which order wait_until belongs to.

--- a/packages/limits/src/dogwoodspool_limits/work.py
+++ b/packages/limits/src/dogwoodspool_limits/work.py
@@ -14,8 +14,8 @@
         kind: what the service time is learned for, such as an endpoint; empty for none.
         account: client account; empty for none.
         account_priority: a lower number goes first, among the same ``priority``.
-        wait_until: clock seconds until which it may wait; None for its deadline. It
-            may start at once also after that.
+        wait_until: clock seconds until which it may wait under the order of arrival;
+            None for its deadline. It may start at once also after that.
     """
 
     priority: int
--- a/packages/testbed/src/dogwoodspool_testbed/ports.py
+++ b/packages/testbed/src/dogwoodspool_testbed/ports.py
@@ -25,7 +25,8 @@
     process uses, which keeps other runs on this machine from choosing it.
 
     Args:
-        candidates: the ports to choose from; by default all below the kernel's range.
+        candidates: the ports to choose from; by default those below the kernel's
+            range, or any where it begins too low.
 
     Example:
         >>> reservations = PortReservations()
--- a/tests/routing/test_server_table.py
+++ b/tests/routing/test_server_table.py
@@ -51,6 +51,16 @@
         self.assertFalse(self.view("b1").is_failing)
         self.assertLess(self.view("b1").latency, 0.1)
 
+    def test_latency_of_an_earlier_process_says_nothing_of_the_others(self) -> None:
+        """Guard against servers that seem fast since one was, before it restarted."""
+        self.table.adopt_committed([server("a1"), server("b1")])
+        before = self.view("a1").latency
+        self.table.end("b1", 0.0, is_answered=True)
+        self.assertLess(self.view("a1").latency, before)
+        restarted = replace(server("b1"), incarnation=2)
+        self.table.adopt_committed([server("a1"), restarted])
+        self.assertEqual(self.view("a1").latency, before)
+
     def test_server_that_is_no_longer_leaving_gets_work_again(self) -> None:
         self.table.record_status(status("b1", 5, is_leaving=True), 0)
         self.assertFalse(self.view("b1").takes_replica_work)
