Review: servers that crash and come back leave a database without a primary

Cause: a server that crashed is back under a new id, so its old id stays a member that nothing can fence; two of them are one too many for the choice of a primary, and they can't be removed while a change is in progress. A primary that came back is stepped down by the fence and then recorded as the primary, which begins the next change.

--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -79,6 +79,7 @@
             self.servers[server.name] = server
             if is_primary:
                 self.primary = server.name
+            server.term = self.term
             self.replicate()
 
     def replicate(self) -> None:
@@ -189,6 +190,7 @@
         self.log: list[Entry] = []
         self.term = group.term
         self.paused_term = 0
+        self.is_deaf = False
         self.is_running = True
         self._applied_at: list[float] = []
         self._open: set[socket.socket] = set()
@@ -204,7 +206,7 @@
     @property
     def receives(self) -> bool:
         """Whether it receives the primary's commits."""
-        return self.is_running and not self.paused_term
+        return self.is_running and not self.paused_term and not self.is_deaf
 
     def take(self, log: list[Entry], lag: float, term: int) -> None:
         """Receive the primary's log; drop what the primary does not have."""
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -285,6 +285,7 @@
         self._deployment = deployment
         self.server = server
         self._sequence = 0
+        self._born = int(time.time() * 1000)
         self._wake = threading.Event()
         self._is_draining = False
         self._is_cut_off = False
@@ -307,6 +308,22 @@
         self._deployment.record.write(f"{self.server.name} is lost for good")
         self.server.end()
 
+    def crash(self, down_seconds: float, new_name: str) -> "Backend":
+        """Crash, and come back with the log at the same address, under a new id."""
+        old = self.server
+        self._deployment.record.write(f"{old.name} crashes")
+        old.end()
+        time.sleep(down_seconds)
+        group = old.group
+        server = Server(new_name, group, old.address, old.zone)
+        with group.changed:
+            server.append(old.log)
+            del group.servers[old.name]
+            group.add(server, is_primary=group.primary == old.name)
+        role = "primary" if server.is_primary else "replica"
+        self._deployment.record.write(f"{new_name} is back in its place as {role}")
+        return Backend(self._deployment, server)
+
     def cut_off(self, *, is_cut: bool) -> None:
         """Cut it off from the core machines, or end the cut."""
         state = "is cut off from the core" if is_cut else "reaches the core again"
@@ -345,6 +362,7 @@
             "warmupLeftMs": 0,
             "dbRole": role,
             "seq": self._sequence,
+            "born": self._born,
         }
         is_draining = self._is_draining
         path = f"/dogwoodspool/instances/{self.server.name}"
