--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -15,6 +15,7 @@
     Session,
     config,
     route,
+    run_scenario,
     wait_until,
 )
 from record import Record
@@ -65,24 +66,7 @@
                 session = None
 
 
-def main() -> int:
-    """Run the scenario; return the exit status."""
-    record = Record(Path(__file__).with_name("record.txt"))
-    try:
-        deployment = Deployment(record)
-    except NotRunnableError as error:
-        record.write(f"not run: {error}")
-        return 2
-    try:
-        return run(deployment, record)
-    except NotRunnableError as error:
-        record.write(f"not run: {error}")
-        return 2
-    finally:
-        deployment.stop()
-
-
-def run(deployment: Deployment, record: Record) -> int:
+def run(deployment: Deployment, record: Record) -> bool:
     """Cut the primary off from the core, and replace a replica meanwhile."""
     group = Group("ledger", record)
     names = ("i-1c07", "i-5b20", "i-9e44")
@@ -116,7 +100,7 @@
     return judge(group, record, writers.acknowledged)
 
 
-def judge(group: Group, record: Record, acknowledged: dict[str, float]) -> int:
+def judge(group: Group, record: Record, acknowledged: dict[str, float]) -> bool:
     """Look for acknowledged writes that a promoted server lacked."""
     if not acknowledged:
         raise NotRunnableError("no write was acknowledged")
@@ -134,10 +118,10 @@
         )
     if not lost:
         record.write("every acknowledged write was in the log of the promoted server")
-        return 0
+        return False
     record.write(f"LOST: {len(lost)} acknowledged writes")
-    return 1
+    return True
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_scenario(Path(__file__).parent, run))
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -4,12 +4,18 @@
 
 import os
 import sys
-import threading
 import time
 from pathlib import Path
 
 from database import Group
-from deployment import Deployment, NotRunnableError, Session, config, route
+from deployment import (
+    Deployment,
+    NotRunnableError,
+    Session,
+    config,
+    route,
+    run_scenario,
+)
 from record import Record
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -21,25 +27,8 @@
 GRACE_SECONDS = 6.0
 
 
-def main() -> int:
-    """Run the scenario; return the exit status."""
-    record = Record(Path(__file__).with_name("record.txt"))
-    try:
-        deployment = Deployment(record)
-    except NotRunnableError as error:
-        record.write(f"not run: {error}")
-        return 2
-    try:
-        return run(deployment, record)
-    except NotRunnableError as error:
-        record.write(f"not run: {error}")
-        return 2
-    finally:
-        deployment.stop()
-
-
-def run(deployment: Deployment, record: Record) -> int:
-    """Stop a proxy while a statement runs; return 1 if its answer is cut off."""
+def run(deployment: Deployment, record: Record) -> bool:
+    """Stop a proxy while a statement runs; return whether its answer was cut off."""
     group = Group("ledger", record)
     for number, zone in enumerate(("zone-a", "zone-b", "zone-c"), start=1):
         deployment.add_server(f"i-{number}", group, zone)
@@ -76,15 +65,14 @@
         )
     if answer[-1].startswith("READY"):
         record.write("the answer is complete")
-        return 0
+        return False
     if not ran or ran[0].at - stopped_at >= GRACE_SECONDS * 5 / 6:
         raise NotRunnableError("the server was at work in the last sixth of the grace")
     if ended_at - sent_at >= TIMEOUT_MS / 1000:
         raise NotRunnableError("the route's timeout was reached")
     record.write("LOST: the connection ended without a complete answer")
-    return 1
+    return True
 
 
 if __name__ == "__main__":
-    threading.excepthook = lambda _arguments: None
-    sys.exit(main())
+    sys.exit(run_scenario(Path(__file__).parent, run))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -32,7 +33,10 @@
 CALL_SECONDS = 1.0
 DRAIN_SECONDS = 7.0
 GRACE_SECONDS = 6.0
-RESTART_SECONDS = 0.3
+# A program that fails ends with 1, so that a broken rule has another status.
+STATUS_HELD = 0
+STATUS_NOT_RUN = 2
+STATUS_BROKEN = 3
 # Below the range from which the kernel gives ports to connections.
 PORTS = range(17_000, 32_000)
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
@@ -481,6 +485,33 @@
         return self._stream.readline().decode().rstrip("\r\n")
 
 
+def run_scenario(folder: Path, run: Callable[[Deployment, Record], bool]) -> int:
+    """Run a scenario with a new deployment, and end everything that it started.
+
+    Args:
+        folder: folder of the case, where the record is written.
+        run: runs the scenario; returns whether the rule was broken.
+
+    Returns:
+        The exit status for ``run.sh``, which differs from that of a failed program.
+    """
+    record = Record(folder / "record.txt")
+    signal.signal(signal.SIGTERM, _exit_on_signal)
+    signal.signal(signal.SIGINT, _exit_on_signal)
+    try:
+        deployment = Deployment(record)
+    except NotRunnableError as error:
+        record.write(f"not run: {error}")
+        return STATUS_NOT_RUN
+    try:
+        return STATUS_BROKEN if run(deployment, record) else STATUS_HELD
+    except NotRunnableError as error:
+        record.write(f"not run: {error}")
+    finally:
+        deployment.stop()
+    return STATUS_NOT_RUN
+
+
 def call(
     method: str, url: str, body: Any = None, redirects: int = 2
 ) -> tuple[int, Any]:
@@ -556,6 +587,10 @@
     }
 
 
+def _exit_on_signal(_number: int, _frame: object) -> None:
+    sys.exit(STATUS_NOT_RUN)
+
+
 def _commands() -> dict[str, list[str]]:
     """Return the command of each role, as the deploy file says."""
     if not (ROOT / "target" / "deps").is_dir():
