--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Run the scenario: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# What was sent, answered and run is written to record.txt in this folder.
 set -uo pipefail
 cd "$(dirname "$0")"
 PYTHONPATH=../standins python3 scenario.py &
--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -124,4 +124,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_scenario(Path(__file__).parent, run))
+    sys.exit(run_scenario(Path(__file__).with_name("record.txt"), run))
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -75,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_scenario(Path(__file__).parent, run))
+    sys.exit(run_scenario(Path(__file__).with_name("record.txt"), run))
--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -124,6 +124,8 @@
     def promote(self, name: str) -> None:
         """Make a server the primary of the next term, with what it has received."""
         with self.changed:
+            if name not in self.servers or not self.servers[name].is_running:
+                return
             self.term += 1
             self.primary = name
             held = {entry.request for entry in self.servers[name].log}
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -181,11 +181,19 @@
             time.sleep(0.2)
         raise NotRunnableError("the configuration was not acknowledged")
 
-    def call_control(self, method: str, path: str, body: Any = None) -> int:
-        """Call the first core machine that answers; return the status."""
+    def call_control(
+        self, method: str, path: str, build: Callable[[], Any] = lambda: None
+    ) -> int:
+        """Call the first core machine that answers; return the status.
+
+        Args:
+            method: HTTP method.
+            path: path of the call.
+            build: returns the body of each call.
+        """
         for core in random.sample(self.cores, len(self.cores)):
             url = f"http://{core.host}:{self.control}{path}"
-            status = call(method, url, body)[0]
+            status = call(method, url, build())[0]
             if 200 <= status < 300:
                 return status
         return 0
@@ -353,10 +361,11 @@
                 return
             self._wake.wait(0.02)
 
-    def _beat(self, role: str) -> None:
+    def _message(self, role: str) -> dict[str, Any]:
+        """Return the next heartbeat; its sequence increases with each call."""
         self._sequence += 1
         host, port = self.server.address
-        body = {
+        return {
             "service": self.server.group.name,
             "addr": f"{host}:{port}",
             "zone": self.server.zone,
@@ -368,10 +377,12 @@
             "seq": self._sequence,
             "born": self._born,
         }
+
+    def _beat(self, role: str) -> None:
         is_draining = self._is_draining
         path = f"/dogwoodspool/instances/{self.server.name}"
-        is_acknowledged = self._deployment.call_control("PUT", path, body) > 0
-        if is_acknowledged and is_draining and self._acknowledged_at is None:
+        status = self._deployment.call_control("PUT", path, lambda: self._message(role))
+        if status and is_draining and self._acknowledged_at is None:
             self._acknowledged_at = time.monotonic()
             self._deployment.record.write(f"{self.server.name} may leave: acknowledged")
 
@@ -485,17 +496,17 @@
         return self._stream.readline().decode().rstrip("\r\n")
 
 
-def run_scenario(folder: Path, run: Callable[[Deployment, Record], bool]) -> int:
+def run_scenario(path: Path, run: Callable[[Deployment, Record], bool]) -> int:
     """Run a scenario with a new deployment, and end everything that it started.
 
     Args:
-        folder: folder of the case, where the record is written.
+        path: the record to write, ``record.txt`` in the folder of the case.
         run: runs the scenario; returns whether the rule was broken.
 
     Returns:
         The exit status for ``run.sh``, which differs from that of a failed program.
     """
-    record = Record(folder / "record.txt")
+    record = Record(path)
     signal.signal(signal.SIGTERM, _exit_on_signal)
     signal.signal(signal.SIGINT, _exit_on_signal)
     try:
@@ -607,7 +618,7 @@
             break
         with socket.socket() as probe:
             try:
-                probe.bind(("0.0.0.0", port))
+                probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
         ports.append(port)
