Consensus: log what a starting node read, and the log index of a document

Until now no line said which entries, term and vote a restarted voter had read, up to which index it counted them as durable, and at which log index a document that was acknowledged lies. Without both it cannot be told whether a lost configuration was on too few disks or was read back and lost later.

--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -121,6 +121,21 @@
             self.last_leader_contact -= loading
             self._schedule_first_election(self.election_deadline - loading)
         self._recover_leader()
+        self._log_loaded()
+
+    def _log_loaded(self) -> None:
+        log_event(
+            "state_loaded",
+            node=self.node_id,
+            incarnation=self.identity.incarnation,
+            term=self.term,
+            voted_for=self.vote.voted_for,
+            snapshot=self.commit_index,
+            base=self.log.base.index,
+            last=f"{self.log.last_term}.{self.log.last_index}",
+            durable=self.log.durable_index,
+            voters=",".join(sorted(self.configuration.voters)),
+        )
 
     def _schedule_first_election(self, deadline: float) -> None:
         """Schedule the first election after a start, with random jitter if overdue.
--- a/packages/failover/src/dogwoodspool_failover/service.py
+++ b/packages/failover/src/dogwoodspool_failover/service.py
@@ -66,8 +66,16 @@
             CommandRejectedError: it was rejected and is not in force.
         """
         self._node.require_leadership()
-        self._node.commit(ApplyDocument(revision, pack(document), author))
-        return self._state.version
+        outcome = self._node.commit(ApplyDocument(revision, pack(document), author))
+        view = self._state.version
+        log_event(
+            "document_committed",
+            revision=revision,
+            in_force=outcome.version,
+            index=outcome.index,
+            view=view,
+        )
+        return view
 
     def source(self) -> str | None:
         """Return the text of the newest document; None before the first.
