Consensus: tests of process kills and power losses on simulated disks (failing)

The fakes lost unsynced entries in every crash, so that a process kill, which keeps them, could not be told from a power loss.

Both tests fail on this code: a voter that restarts after a kill counts what it reads back as durable, and what it then acknowledges is gone after a power loss.

--- a/tests/consensus/fakes.py
+++ b/tests/consensus/fakes.py
@@ -25,6 +25,7 @@
     StoredState,
     Vote,
 )
+from dogwoodspool_consensus.storage import LogStorage
 
 SETTINGS = ConsensusSettings(
     snapshot_every=8,
@@ -199,7 +200,7 @@
         self.nodes[name] = ConsensusNode(
             node_id=name,
             address=self.addresses[name],
-            storage=self.storages.setdefault(name, MemoryLogStorage(name)),
+            storage=self.open_storage(name),
             machine=self.machines[name],
             transport=NodeTransport(self, name),
             clock=clock,
@@ -211,6 +212,10 @@
         )
         self.nodes[name].load()
 
+    def open_storage(self, name: str) -> LogStorage:
+        """Return the storage that a starting node reads."""
+        return self.storages.setdefault(name, MemoryLogStorage(name))
+
     def crash(self, name: str, kept: int = 0) -> None:
         """Stop a node, losing its unsynced entries except the first ``kept``."""
         self.nodes.pop(name, None)
--- /dev/null
+++ b/tests/consensus/test_durability.py
@@ -0,0 +1,94 @@
+"""Tests of what survives process kills, power losses and a lost disk together."""
+
+import unittest
+
+from dogwoodspool_consensus.proposals import Proposal
+
+from .disks import DiskCluster, SimulatedDisks
+from .fakes import SETTINGS, SimulatedCrashError
+
+
+class DurabilityCase(unittest.TestCase):
+    """Base class with three voters on simulated disks."""
+
+    def setUp(self) -> None:
+        self.disks = SimulatedDisks(self, seed=1)
+        self.cluster = DiskCluster(self.disks)
+        self.cluster.run(1.5)
+        self.leader = self.cluster.leader()
+        self.cluster.run(0.5)
+        self.first, self.second = sorted(set(self.cluster.nodes) - {self.leader})
+
+    def kill_at(self, *calls: tuple[str, str]) -> None:
+        """Kill the process that makes the last of these calls right after the others.
+
+        Only calls on paths of that process count.
+        """
+        node = calls[-1][1].partition("/")[0]
+        seen: list[tuple[str, str]] = []
+
+        def kill(kind: str, path: str) -> None:
+            if path.partition("/")[0] != node:
+                return
+            seen.append((kind, path))
+            if tuple(seen[-len(calls) :]) == calls:
+                self.disks.before_call = lambda _kind, _path: None
+                raise SimulatedCrashError
+
+        self.disks.before_call = kill
+
+    def submit(self, text: str) -> Proposal:
+        leader = self.cluster.leader()
+        return self.cluster.nodes[leader].submit({"id": text})
+
+    def assert_kept(self, text: str) -> None:
+        """Check that the group elects a leader that has applied a command."""
+        leader = self.cluster.leader()
+        self.assertIn(text, self.cluster.machines[leader].applied.values())
+
+
+class KilledBeforeSyncTests(DurabilityCase):
+    """A process is killed between a write and its sync, and power is lost later."""
+
+    def test_read_back_entry_counts_only_once_durable(self) -> None:
+        # A follower is killed after it wrote an entry. Restarted, it reads the entry
+        # from the page cache and acknowledges it to the leader. Then the leader's disk
+        # is lost and all others lose power: the acknowledged change is on no disk.
+        cluster = self.cluster
+        cluster.crash(self.second)
+        proposal = self.submit("kept")
+        cluster.nodes[self.leader].write_pending()
+        self.kill_at(("fsync", f"{self.first}/log"))
+        cluster.nodes[self.leader].step_peer(self.first)
+        self.assertNotIn(self.first, cluster.nodes)
+        cluster.start(self.first)
+        cluster.run(0.3)
+        self.assertTrue(proposal.is_done)
+        proposal.result()
+        cluster.lose_disk(self.leader)
+        cluster.lose_power(self.first, self.second, fates=("lost",))
+        cluster.start(self.first)
+        cluster.start(self.second)
+        self.assert_kept("kept")
+
+    def test_renamed_log_counts_only_once_its_name_is_durable(self) -> None:
+        # A process is killed after the compacted log took its name and before the
+        # folder was synced. What it appends to that file afterwards is synced, but a
+        # power loss brings the old file back.
+        cluster = self.cluster
+        self.kill_at(("rename", f"{self.first}/log"), ("fsync", f"{self.first}/"))
+        for count in range(SETTINGS.snapshot_every):
+            self.submit(f"before {count}")
+        cluster.run(0.5)
+        self.assertNotIn(self.first, cluster.nodes)
+        cluster.start(self.first)
+        cluster.crash(self.second)
+        cluster.run(0.3)
+        proposal = self.submit("kept")
+        cluster.run(0.3)
+        proposal.result()
+        cluster.lose_disk(self.leader)
+        cluster.lose_power(self.first, self.second, fates=("lost",))
+        cluster.start(self.first)
+        cluster.start(self.second)
+        self.assert_kept("kept")
