Consensus: what a node reads back from its log is synced before it counts

Callers: an acknowledged configuration is gone. A follower is killed after it wrote an entry and before its sync. It starts again, reads the entry back from the page cache, counts it as durable and acknowledges it when the leader sends it again: nothing is appended, so nothing is synced. The leader commits and answers. If then the leader's disk is lost and all other machines lose power, the entry is on no disk: two disks were promised, one had it.

The log is now synced once when it is loaded, before the node can answer anyone; one sync a start, of a file that is usually clean. A torn tail was already synced with its truncation. test_read_back_entry_counts_only_once_durable failed before: the new leader lacked the acknowledged change.

--- a/packages/consensus/src/dogwoodspool_consensus/storage.py
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -41,10 +41,11 @@
     """
 
     def load(self) -> StoredState:
-        """Load everything.
+        """Load everything; what is returned is durable.
 
         Raises:
             StorageCorruptError: the content is corrupt or inconsistent.
+            StorageFailedError: the disk refuses writes.
         """
         ...
 
@@ -249,6 +250,10 @@
                 lost = path.stat().st_size - self._record_ends[-1]
                 log_event("log_tail_cut", level="WARNING", path=path, bytes=lost)
                 self._guard(lambda: self._truncate_log_file(self._record_ends[-1]))
+            else:
+                # Entries that a killed process wrote are read back although they were
+                # never synced. The node acknowledges everything that it has read.
+                self._guard(lambda: os.fsync(self._log_descriptor()))
         return base, entries
 
     def _reject_lost_identity(self) -> None:
