Consensus: names of files that a node reads back are synced before it counts

Callers: an acknowledged configuration is gone. A voter is killed after its compacted log took its name and before the folder was synced. It starts again, appends to that file and syncs the file alone. A power loss undoes the rename: the old file is back, without all that was acknowledged since.

The folder is synced once when it is loaded, before anything is read. test_renamed_log_counts_only_once_its_name_is_durable failed before: the new leader lacked the acknowledged change.

--- a/packages/consensus/src/dogwoodspool_consensus/files.py
+++ b/packages/consensus/src/dogwoodspool_consensus/files.py
@@ -17,7 +17,12 @@
         file.flush()
         os.fsync(file.fileno())
     temporary.replace(path)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_DIRECTORY)
+    sync_folder(path.parent)
+
+
+def sync_folder(path: Path) -> None:
+    """Make the names of a folder's files durable."""
+    folder = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
         os.fsync(folder)
     finally:
--- a/packages/consensus/src/dogwoodspool_consensus/storage.py
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -26,7 +26,7 @@
     PROBE_BYTES,
 )
 from .errors import StorageCorruptError, StorageFailedError
-from .files import replace_file
+from .files import replace_file, sync_folder
 from .models import Entry, Identity, LogBase, Snapshot, StoredState, Vote
 from .records import encode_record, scan_records
 
@@ -133,6 +133,9 @@
             if any((self._folder / name).exists() for name in (FILE_VOTE, FILE_LOG)):
                 self._reject_lost_identity()
             return StoredState()
+        # A killed process may have renamed a file without syncing the folder. Later
+        # syncs of the file itself would not keep its name through a power loss.
+        self._guard(lambda: sync_folder(self._folder))
         identity = identity_from_json(self._read_single(FILE_IDENTITY))
         vote = self._read_single(FILE_VOTE)
         snapshot: Snapshot | None = None
