--- a/packages/pooler/src/dogwoodspool_pooler/access.py
+++ b/packages/pooler/src/dogwoodspool_pooler/access.py
@@ -20,6 +20,7 @@
 from dogwoodspool_limits import AdmissionOutcome
 from dogwoodspool_routing import ServerTable
 
+from .backend import Backend
 from .connection import ServerConnection
 from .const import (
     CONNECTION_RETRY_SECONDS,
@@ -41,7 +42,7 @@
     StatementError,
     StatementKind,
 )
-from .registry import Backend, BackendRegistry
+from .registry import BackendRegistry
 from .replica_lag import ReplicaLag
 from .requests import AdmissionRequest, Request
 from .server_work import ServerWork
--- a/packages/pooler/src/dogwoodspool_pooler/local_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/local_connection.py
@@ -7,10 +7,10 @@
 from dogwoodspool_common import BackendServer, Position, log_rate_limited
 from dogwoodspool_limits import Admission, AdmissionOutcome, Work
 
+from .backend import Backend
 from .connection import ServerConnection
 from .held import ReadBound
 from .models import ErrorCode, Prepared, Reply, Statement
-from .registry import Backend
 from .server_work import WORKING_KINDS, outcome_of
 from .session_state import sync_statements, with_server_name
 
--- a/tests/pooler/test_overload.py
+++ b/tests/pooler/test_overload.py
@@ -4,7 +4,7 @@
 
 from dogwoodspool_common import Role
 from dogwoodspool_pooler import ErrorCode, Statement, StatementKind
-from dogwoodspool_pooler.registry import Backend
+from dogwoodspool_pooler.backend import Backend
 from dogwoodspool_pooler.requests import AdmissionRequest
 
 from .fakes import FakeServer, Pooler, run_text
--- a/tests/pooler/test_parts.py
+++ b/tests/pooler/test_parts.py
@@ -4,10 +4,11 @@
 
 from dogwoodspool_common import Role
 from dogwoodspool_connections import ConnectionLimitError
+from dogwoodspool_pooler.backend import Backend
 from dogwoodspool_pooler.errors import NotServedError
 from dogwoodspool_pooler.expiry import ConnectionExpiry
 from dogwoodspool_pooler.models import ErrorCode
-from dogwoodspool_pooler.registry import Backend, BackendRegistry
+from dogwoodspool_pooler.registry import BackendRegistry
 from dogwoodspool_pooler.requests import AdmissionRequest
 from dogwoodspool_sharing import ConnectionPart, PoolRole
 
--- a/tests/pooler/test_shared_admission.py
+++ b/tests/pooler/test_shared_admission.py
@@ -4,8 +4,8 @@
 
 from dogwoodspool_common import Role
 from dogwoodspool_limits import PriorityOrder
+from dogwoodspool_pooler.backend import Backend
 from dogwoodspool_pooler.models import Statement, StatementKind
-from dogwoodspool_pooler.registry import Backend
 from dogwoodspool_pooler.requests import AdmissionRequest
 
 from .fakes import FakeServer, Pooler, run_text
