Failover: a repeated announcement of leaving is acknowledged only once committed

Callers: a backend server that announced that it leaves keeps getting new work. The leader noted the call's sequence number before it proposed the change. If the proposal was refused (its lease ended between the two) the call was redirected, and if it came back to the same leader it counted as a late one and was acknowledged with nothing committed.

A call with the newest sequence number is now evaluated again; with nothing left to change it still causes no command. test_repeated_call_is_committed_if_the_first_was_not failed before: the server was not recorded as leaving.

--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -134,7 +134,8 @@
             latest = self._latest.get(name)
             if latest is None or latest.incarnation != heartbeat.server.incarnation:
                 return False
-            if heartbeat.sequence > latest.sequence:
+            # The same call may come again, as its changes may not have been committed.
+            if heartbeat.sequence >= latest.sequence:
                 return False
             lower_sequence = self._lower_sequences.get(name)
             self._lower_sequences[name] = heartbeat.sequence
--- a/tests/failover/test_heartbeats.py
+++ b/tests/failover/test_heartbeats.py
@@ -4,6 +4,7 @@
 
 from dogwoodspool_common import Role
 from dogwoodspool_control.commands import RemoveServer
+from dogwoodspool_failover.models import Heartbeat
 
 from .fakes import FakeServer, Voter
 
@@ -23,6 +24,18 @@
         self.voter.heartbeat(self.s3, 1, is_leaving=True)
         self.assertEqual(self.recorded(), (1, True, False))
 
+    def test_repeated_call_is_committed_if_the_first_was_not(self) -> None:
+        # A leader records the announcement of leaving, but its proposal is refused in
+        # the moment in which its lease ends. The redirected call returns to the same
+        # leader: acknowledged as a late one, the announcement would be lost.
+        heartbeat = Heartbeat(self.s3.described(is_leaving=True), 5, self.s3.role)
+        refused = self.voter.heartbeats.record(heartbeat)
+        self.assertEqual(len(refused), 1)
+        for command in self.voter.heartbeats.record(heartbeat):
+            self.voter.node.propose(command)
+        self.assertEqual(self.recorded(), (1, True, False))
+        self.assertEqual(self.voter.heartbeats.record(heartbeat), [])
+
     def test_delayed_heartbeat_does_not_undo_leaving(self) -> None:
         # A network partition delayed a heartbeat with the status "ready". It arrives
         # after the one that announced that the server is leaving.
