Pooler: log what a drain finished, refused and cut off

Whether a stopping proxy cut requests off, and whether callers arrived during its drain, could not be told from its log. Requests are now counted from when they are read until their answer was handed to the connection. A drain ends with one line of counts, and one warning for each request without an answer with its id, database, age and the time since the stop.

--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/accepted_work.py
@@ -0,0 +1,116 @@
+"""Track the requests of callers that this process accepted and must answer."""
+
+import threading
+from collections import Counter
+from dataclasses import dataclass
+from enum import StrEnum
+
+from dogwoodspool_common import Clock, log_event
+from dogwoodspool_common.const import MILLISECONDS
+
+from .models import Statement
+
+
+class Outcome(StrEnum):
+    """How a request ended.
+
+    Attributes:
+        FINISHED: its answer was handed to the caller's connection.
+        REFUSED: it was answered that it did not run, because the process shuts down.
+        IN_DOUBT: it was answered, before a server did, that it may have run.
+        CALLER_LOST: the caller's connection failed first.
+    """
+
+    FINISHED = "finished"
+    REFUSED = "refused"
+    IN_DOUBT = "in_doubt"
+    CALLER_LOST = "caller_lost"
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class AcceptedRequest:
+    """One request that has been read and not been answered.
+
+    Attributes:
+        statement: the caller's statement.
+        database: database that it is for.
+        accepted_at: clock seconds at which it was read.
+    """
+
+    statement: Statement
+    database: str
+    accepted_at: float
+
+
+class AcceptedWork:
+    """Count requests from when they are read until their answer was handed over."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._requests: set[AcceptedRequest] = set()
+        self._draining_since: float | None = None
+        self._arrived = 0
+        self._ended: Counter[Outcome] = Counter()
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests without an answer."""
+        with self._lock:
+            return len(self._requests)
+
+    def start_drain(self) -> None:
+        """Count arrivals and outcomes from now on, for ``log_drain``."""
+        with self._lock:
+            self._draining_since = self._clock.now()
+
+    def record_arrival(self) -> None:
+        """Record that a caller has connected."""
+        with self._lock:
+            if self._draining_since is not None:
+                self._arrived += 1
+
+    def accept(self, statement: Statement, database: str) -> AcceptedRequest:
+        """Record a request that was read."""
+        request = AcceptedRequest(statement, database, self._clock.now())
+        with self._lock:
+            self._requests.add(request)
+        return request
+
+    def end(self, request: AcceptedRequest, outcome: Outcome) -> None:
+        """Record how a request ended."""
+        with self._lock:
+            self._requests.discard(request)
+            if self._draining_since is not None:
+                self._ended[outcome] += 1
+
+    def log_drain(self) -> None:
+        """Log what the drain did, and each request that ends without an answer."""
+        now = self._clock.now()
+        with self._lock:
+            cut, ended = list(self._requests), dict(self._ended)
+            since = now if self._draining_since is None else self._draining_since
+        for request in cut:
+            log_event(
+                "request_cut_off",
+                level="WARNING",
+                request=request.statement.request_id,
+                kind=request.statement.kind,
+                database=request.database,
+                in_progress_ms=_milliseconds(now - request.accepted_at),
+                since_stop_ms=_milliseconds(now - since),
+            )
+        log_event(
+            "drain_finished",
+            callers_arrived=self._arrived,
+            finished=ended.get(Outcome.FINISHED, 0),
+            refused=ended.get(Outcome.REFUSED, 0),
+            in_doubt=ended.get(Outcome.IN_DOUBT, 0),
+            caller_lost=ended.get(Outcome.CALLER_LOST, 0),
+            cut_off=len(cut),
+            elapsed_ms=_milliseconds(now - since),
+        )
+
+
+def _milliseconds(seconds: float) -> float:
+    return round(seconds * MILLISECONDS, 1)
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -27,6 +27,7 @@
 from dogwoodspool_routing import ServerTable
 from dogwoodspool_sharing import ConnectionPart, Neighbour, PrimaryShare
 
+from .accepted_work import AcceptedWork
 from .access import ServerAccess
 from .connection import ServerConnection
 from .const import CONNECTIONS_TO_LIMIT_OWNER, WATCH_WAIT_MS
@@ -91,6 +92,7 @@
         uses_primary_owners: bool = False,
         queue_order: QueueOrderName = QueueOrderName.ARRIVAL,
     ) -> None:
+        self._accepted_work = AcceptedWork(clock)
         self._views = ViewStore(failure_domain, clock)
         self._peers = ControlPeers(control, failure_domain, name)
         self._table = ServerTable(clock)
@@ -200,6 +202,11 @@
         """Number of open caller sessions."""
         return self._sessions.count
 
+    @property
+    def accepted_work(self) -> AcceptedWork:
+        """The requests of callers that are in progress."""
+        return self._accepted_work
+
     @property
     def routes(self) -> list[Route]:
         """The endpoints for the system's other processes."""
