Stop signals are acted on whichever thread receives them

What callers saw: a process that was sent SIGTERM could go on serving until SIGKILL ended everything in progress.

Cause: handlers in Python run in the main thread only. The kernel gives a signal to another thread if one is already pending for the main thread, and a main thread in Event.wait() without a timeout is not woken then. And a handler that sets the event or logs does so inside whatever the main thread is doing: where that holds the event's lock, both wait for ever.

--- a/packages/common/src/dogwoodspool_common/process.py
+++ b/packages/common/src/dogwoodspool_common/process.py
@@ -4,7 +4,6 @@
 import os
 import signal
 import sys
-import threading
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, Final, TypeVar
@@ -16,6 +15,7 @@
 from .const import VERSION
 from .errors import SettingsError
 from .models import Address
+from .signals import SignalWatcher, StopEvent
 
 ENV_PREFIX: Final = "DOGWOODSPOOL_"
 EXIT_BAD_SETTINGS: Final = 2
@@ -78,11 +78,17 @@
     return _LOADED_AT
 
 
-def stop_event_on_signals() -> threading.Event:
-    """Return an event that SIGTERM and SIGINT set."""
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stop.set())
+def stop_event_on_signals(
+    actions: Mapping[signal.Signals, Callable[[], None]] | None = None,
+) -> StopEvent:
+    """Return an event that SIGTERM and SIGINT set; call it in the main thread.
+
+    Args:
+        actions: what to do on further signals, in the thread of ``SignalWatcher``.
+    """
+    stop = StopEvent()
+    stops = dict.fromkeys((signal.SIGTERM, signal.SIGINT), stop.set)
+    SignalWatcher({**stops, **(actions or {})}).set_up()
     return stop
 
 
