A change of the settings file does not end a process that is loading

What callers saw: a process that got SIGHUP while it was starting ended and had to be started again, and served nothing meanwhile.

Cause: the default action of SIGHUP, until main() sets its own.

The test sends it as the program's first module is loaded; it failed before (status -1).

--- a/tests/platform/test_launch.py
+++ b/tests/platform/test_launch.py
@@ -18,6 +18,20 @@
 import dogwoodspool_platform.{role}
 print(json.dumps([list(sys.modules), before, sys.path]))
 """
+# Receives SIGHUP when the program's first module is about to be loaded.
+SIGNALLED_WHILE_LOADING: Final = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "dogwoodspool_platform":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+sys.meta_path.insert(0, Finder())
+runpy.run_path({launch!r}, run_name="probe")
+assert "dogwoodspool_platform.main" in sys.modules
+"""
 # Parsers that only the command line and the MySQL gateway need.
 UNNEEDED_MODULES: Final = {"yaml", "sqlglot", "mysql_mimic", "pymysql"}
 
@@ -45,3 +59,11 @@
         _, before, after = self.probe("edge")
         self.assertEqual(after[: len(before)], before)
         self.assertIn(str(ROOT / "packages" / "pooler" / "src"), after[len(before) :])
+
+    def test_change_of_the_settings_file_does_not_end_a_process_that_is_loading(
+        self,
+    ) -> None:
+        # The platform sends SIGHUP at any time; by default it ends the process.
+        program = SIGNALLED_WHILE_LOADING.format(launch=str(LAUNCH))
+        done = subprocess.run([sys.executable, "-c", program], check=False)
+        self.assertEqual(done.returncode, 0)
