A voter that stops ends the proposals that it has appended

What callers saw: a change sent to a voter that was stopping got no answer; the connection ended with the process.

Cause: unload refused the queued proposals, but those already appended waited for a commit that this node can no longer learn of, up to the 2 s of the call; the process ends before.

Now unload ends them with an unknown outcome, which is what is true; queued ones are refused as not run, as before. The test failed before: the proposal was still waiting after unload.

--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -170,6 +170,7 @@
         with state.changed:
             state.is_closed = True
             state.become_follower(state.term)
+            self._proposals.end()
         self._threads.unload()
         state.storage.close()
 
--- a/packages/consensus/src/dogwoodspool_consensus/proposals.py
+++ b/packages/consensus/src/dogwoodspool_consensus/proposals.py
@@ -160,6 +160,16 @@
                 )
                 self._waiting.pop(known).fail(error)
 
+    def end(self) -> None:
+        """Fail the proposals that were appended: this node learns no outcome any more.
+
+        Otherwise their callers would wait until the process is gone.
+        """
+        with self._state.changed:
+            while self._waiting:
+                _, proposal = self._waiting.popitem()
+                proposal.fail(OutcomeUnknownError("this node stopped before a commit"))
+
     def _encode(self, command: dict[str, Any]) -> str:
         try:
             data = json.dumps(command, separators=(",", ":"))
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -269,6 +269,18 @@
         with self.assertRaises(NotLeaderError):
             proposal.result()
 
+    def test_unload_ends_proposals_that_were_appended(self) -> None:
+        # Their callers waited for an outcome until the process was gone.
+        node = self.cluster.nodes[self.leader]
+        self.cluster.cut_off(self.leader)
+        proposal = node.submit({"id": "x"})
+        node.write_pending()
+        self.assertFalse(proposal.is_done)
+        node.unload()
+        self.assertTrue(proposal.is_done)
+        with self.assertRaises(OutcomeUnknownError):
+            proposal.result()
+
     def test_failed_disk_excludes_the_node(self) -> None:
         # fsync fails on the leader. It must neither respond nor vote, and the others
         # must continue without it.
