A core process that stops answers the calls in progress

What callers saw: a configuration or heartbeat that a core process had accepted ended without an answer when the process got SIGTERM.

Cause: the process ended as soon as consensus had stopped, whatever its HTTP server was still answering.

Those cut off are logged.

--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -16,6 +16,8 @@
 # called it before; fits the file descriptor limit of a small instance.
 MAX_HTTP_CONNECTIONS: Final = 3_000
 MAX_HTTP_BODY_BYTES: Final = 8 * 1024 * 1024
+# Interval of the checks whether a server's last requests have been answered.
+FINISH_POLL_SECONDS: Final = 0.01
 
 # JSON lines protocol: bytes per read, maximum line length, and maximum number of peer
 # connections, each served by a thread.
--- a/packages/common/src/dogwoodspool_common/http_server.py
+++ b/packages/common/src/dogwoodspool_common/http_server.py
@@ -4,16 +4,19 @@
 import logging
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, cast
 from urllib.parse import parse_qsl
 
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
 from waitress.server import BaseWSGIServer, create_server
 
 from .const import (
     DEFAULT_HTTP_THREADS,
+    FINISH_POLL_SECONDS,
     HEADER_SIGNATURE,
     HEADER_TRACEPARENT,
     MAX_HTTP_BODY_BYTES,
@@ -83,6 +86,34 @@
         """Start serving requests."""
         self._thread.start()
 
+    def finish_requests(self, timeout: float) -> bool:
+        """Wait until the requests in progress have been answered.
+
+        Later requests are served meanwhile, but are not waited for.
+
+        Args:
+            timeout: time limit in seconds.
+
+        Returns:
+            Whether all of them were answered within the time limit.
+        """
+        # The library's type stubs give a single channel here.
+        channels = cast(dict[int, HTTPChannel], self._server.active_channels)
+        in_progress = [
+            (channel, request)
+            for channel in list(channels.values())
+            for request in list(channel.requests)
+        ]
+        deadline = time.monotonic() + timeout
+        while any(_is_in_progress(*one) for one in in_progress):
+            if time.monotonic() >= deadline:
+                log_event(
+                    "http_requests_cut_off", level="WARNING", address=self._address
+                )
+                return False
+            time.sleep(FINISH_POLL_SECONDS)
+        return True
+
     def unload(self) -> None:
         """Stop serving requests and close the listening socket."""
         # Threads first: one that is still answering needs the server's wake-up pipe.
@@ -143,6 +174,13 @@
         )
 
 
+def _is_in_progress(channel: HTTPChannel, request: HTTPRequestParser) -> bool:
+    if not channel.connected:
+        return False
+    is_being_handled = any(one is request for one in list(channel.requests))
+    return is_being_handled or channel.total_outbufs_len > 0
+
+
 class _Channel(HTTPChannel):
     """One connection; its log warnings name the peer."""
 
--- a/tests/common/test_http.py
+++ b/tests/common/test_http.py
@@ -1,5 +1,6 @@
 """Tests of JSON over HTTP between processes."""
 
+import threading
 import unittest
 from http.client import HTTPConnection
 
@@ -75,3 +76,39 @@
         # only after 1 s, and a proxy that waits for that has no state meanwhile.
         with self.assertRaises(PeerUnreachableError):
             self.client(None).get(Address("127.0.0.1", 9), "/x", timeout=1.0)
+
+
+class FinishRequestsTests(unittest.TestCase):
+    """A process that stops answers the requests in progress first."""
+
+    def setUp(self) -> None:
+        self.entered, self.release = threading.Event(), threading.Event()
+        self.addCleanup(self.release.set)
+        route = Route("GET", "/x", self.answer)
+        self.server = JsonServer(Address("127.0.0.1", 0), None, [route], threads=2)
+        self.server.set_up()
+        self.addCleanup(self.server.unload)
+        address = self.server.address
+        self.connection = HTTPConnection(address.host, address.port, timeout=30)
+        self.addCleanup(self.connection.close)
+
+    def answer(self, _request: JsonRequest) -> JsonResponse:
+        self.entered.set()
+        self.release.wait(30)
+        return JsonResponse({"a": 1})
+
+    def test_nothing_in_progress(self) -> None:
+        self.assertTrue(self.server.finish_requests(0.0))
+
+    def test_answer_is_sent_before_it_returns(self) -> None:
+        self.connection.request("GET", "/x")
+        self.assertTrue(self.entered.wait(30))
+        threading.Timer(0.1, self.release.set).start()
+        self.assertTrue(self.server.finish_requests(30.0))
+        self.assertTrue(self.release.is_set())
+        self.assertEqual(self.connection.getresponse().read(), b'{"a":1}')
+
+    def test_request_that_is_not_answered_in_time_is_reported(self) -> None:
+        self.connection.request("GET", "/x")
+        self.assertTrue(self.entered.wait(30))
+        self.assertFalse(self.server.finish_requests(0.0))
