Platform: a connection that is closed delivers its last answer

A connection that the proxy closed with unread input was reset, and a reset can overtake an answer on its way: the caller saw ECONNRESET instead of the end of the connection.

--- /dev/null
+++ b/tests/platform/test_closing.py
@@ -0,0 +1,13 @@
+"""Tests of the end of a caller's connection."""
+
+from .system import SystemFixture
+
+
+class ClosingTests(SystemFixture):
+    """A connection ends without a reset."""
+
+    def test_unread_input_does_not_reset_a_connection(self) -> None:
+        """Guard against a reset that overtakes the last answer."""
+        client = self.client()
+        client.send("TERMINATE\r\n" + "x" * 300_000)
+        self.assertEqual(client.read(), "")
