Edge: a proxy that stops answers every request that it accepted

Callers saw their connection end without an answer, though a server had run the statement. The drain ended at three quarters of the grace time whatever was in progress, and the listener accepted callers until then, so that callers that arrived kept the drain from ever being empty: real processes, eight callers a proxy, statements of 4 to 120 ms, three proxies stopped in turn: 23 (a new connection each) and 19 (kept connections) statements that a server had run were cut off, each in the last 0.15 s before the end, with 8 requests in progress at the end of each drain.

Until the balancer has left, all is served as usual. Then idle connections are closed, and a caller that arrives has its first request served. From half of the grace time on no new work begins: statements are refused as busy with a retry time, open transactions are rolled back and refused as aborted, new sessions as busy. What is in progress goes on to its answer, up to 0.9 of the grace time, and is then answered as in doubt (aborted inside a transaction); a later answer is dropped. The listener is closed once no work is in progress, after accepting what has arrived, and the process ends when the last connection has ended.

Requests are counted under one lock with the refusal, so that one either began before or is refused; a connection counts from its acceptance to its end, so that the process cannot end between them.

The tests follow a paused clock and gates in the stand-in server.

--- a/packages/pooler/src/dogwoodspool_pooler/accepted_work.py
+++ b/packages/pooler/src/dogwoodspool_pooler/accepted_work.py
@@ -35,11 +35,13 @@
         statement: the caller's statement.
         database: database that it is for.
         accepted_at: clock seconds at which it was read.
+        is_refused: whether it came too late to begin before the process ends.
     """
 
     statement: Statement
     database: str
     accepted_at: float
+    is_refused: bool = False
 
 
 class AcceptedWork:
@@ -50,7 +52,9 @@
         self._lock = threading.Lock()
         self._requests: set[AcceptedRequest] = set()
         self._draining_since: float | None = None
+        self._is_refusing = False
         self._arrived = 0
+        self._turned_away = 0
         self._ended: Counter[Outcome] = Counter()
 
     @property
@@ -59,11 +63,31 @@
         with self._lock:
             return len(self._requests)
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the process is shutting down."""
+        return self._draining_since is not None
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether no new work begins any more."""
+        return self._is_refusing
+
     def start_drain(self) -> None:
         """Count arrivals and outcomes from now on, for ``log_drain``."""
         with self._lock:
             self._draining_since = self._clock.now()
 
+    def refuse_new(self) -> None:
+        """Mark all requests that are accepted from now on as refused."""
+        with self._lock:
+            self._is_refusing = True
+
+    def record_turned_away(self) -> None:
+        """Record that a caller was refused a session because of the drain."""
+        with self._lock:
+            self._turned_away += 1
+
     def record_arrival(self) -> None:
         """Record that a caller has connected."""
         with self._lock:
@@ -72,15 +96,18 @@
 
     def accept(self, statement: Statement, database: str) -> AcceptedRequest:
         """Record a request that was read."""
-        request = AcceptedRequest(statement, database, self._clock.now())
+        now = self._clock.now()
         with self._lock:
+            request = AcceptedRequest(statement, database, now, self._is_refusing)
             self._requests.add(request)
         return request
 
     def end(self, request: AcceptedRequest, outcome: Outcome) -> None:
-        """Record how a request ended."""
+        """Record how a request ended; only its first outcome counts."""
         with self._lock:
-            self._requests.discard(request)
+            if request not in self._requests:
+                return
+            self._requests.remove(request)
             if self._draining_since is not None:
                 self._ended[outcome] += 1
 
@@ -103,6 +130,7 @@
         log_event(
             "drain_finished",
             callers_arrived=self._arrived,
+            callers_refused=self._turned_away,
             finished=ended.get(Outcome.FINISHED, 0),
             refused=ended.get(Outcome.REFUSED, 0),
             in_doubt=ended.get(Outcome.IN_DOUBT, 0),
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -187,6 +187,16 @@
 FIRST_VIEW_WAIT_SECONDS: Final = 0.5
 FIRST_VIEW_DUE_SECONDS: Final = 1.5
 
+# Shares of the grace time after which a process that shuts down begins no new work,
+# gives requests in progress their final answer, and ends. The rest is left for the
+# answers to arrive before the process is killed.
+NEW_WORK_GRACE_SHARE: Final = 0.5
+INTERRUPT_GRACE_SHARE: Final = 0.9
+EXIT_GRACE_SHARE: Final = 0.95
+DRAIN_POLL_SECONDS: Final = 0.02
+# Time that a caller which connected last has to send its first request.
+ARRIVAL_SECONDS: Final = 0.3
+
 # Number of connections to one limit owner that are kept open.
 CONNECTIONS_TO_LIMIT_OWNER: Final = 1
 
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -14,6 +14,7 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import ViewStore
 
+from .const import BUSY_RETRY_MS
 from .errors import NotServedError, UnknownKeyError
 from .identity import Caller, identify
 from .models import (
@@ -91,11 +92,20 @@
             return True
         return False
 
-    def run(self, statement: Statement) -> Answer:
-        """Run one statement; every failure is reported in the answer."""
+    def run(self, statement: Statement, *, is_refused: bool = False) -> Answer:
+        """Run one statement; every failure is reported in the answer.
+
+        Args:
+            statement: the caller's statement.
+            is_refused: whether to refuse it and to roll back its transaction, because
+                the process is shutting down.
+        """
         arrived_at = self._clock.now()
         with self._lock:
-            answer = self._run(statement, arrived_at)
+            if is_refused:
+                answer = self._refuse_at_shutdown(statement)
+            else:
+                answer = self._run(statement, arrived_at)
         outcome = "ok" if answer.error is None else answer.error.code
         elapsed = self._clock.now() - arrived_at
         self._counters.answered(statement.kind, outcome, elapsed)
@@ -116,6 +126,19 @@
             )
         return answer
 
+    def interrupt(self, statement: Statement) -> Answer:
+        """Return the answer to a statement in progress when the process must end.
+
+        A server rolls back a transaction whose connection ends before its commit.
+        """
+        if statement.kind is not StatementKind.COMMIT and self._transaction is not None:
+            message = "this proxy shuts down; the transaction is rolled back"
+            error = StatementError(ErrorCode.ABORTED, message)
+            return Answer(TransactionState.FAILED, error=error)
+        message = "this proxy shuts down before the server answered"
+        error = StatementError(ErrorCode.IN_DOUBT, message)
+        return Answer(TransactionState.IDLE, error=error)
+
     def close(self) -> None:
         """Roll back an open transaction and unregister the session."""
         with self._lock:
@@ -181,6 +204,20 @@
             return self._run_on_group(statement, arrived_at)
         return self._change_state(statement)
 
+    def _refuse_at_shutdown(self, statement: Statement) -> Answer:
+        """Refuse a statement; only the end of a transaction needs no server."""
+        if statement.kind is StatementKind.ROLLBACK:
+            return self._roll_back()
+        if self._transaction is None:
+            message = "this proxy shuts down; another one can serve the statement"
+            error = StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
+            return Answer(TransactionState.IDLE, error=error)
+        self._abort_open_transaction()
+        if statement.kind is StatementKind.COMMIT:
+            self._transaction = None
+        message = "this proxy shuts down; the transaction is rolled back"
+        return self._refuse(ErrorCode.ABORTED, message)
+
     def _identify(self, endpoint: Endpoint) -> Caller:
         return identify(self._views.view, endpoint, self._key_digest)
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -23,6 +23,14 @@
     lock: threading.RLock = field(default_factory=threading.RLock)
 
 
+class Gate:
+    """Hold one request at a server until a test lets it run."""
+
+    def __init__(self) -> None:
+        self.arrived = threading.Event()
+        self.opened = threading.Event()
+
+
 class TextServer:
     """One backend server that speaks the platform's text protocol."""
 
@@ -37,12 +45,21 @@
         self.executed: list[tuple[str, str]] = []
         # Account that each request ran for, by request id.
         self.accounts: dict[str, str] = {}
+        # Requests that wait at a gate before they run, by request id.
+        self.gates: dict[str, Gate] = {}
         self._open: set[socket.socket] = set()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = int(self._listener.getsockname()[1])
         self._thread = threading.Thread(target=self._accept, daemon=True)
         self._thread.start()
 
+    def pass_gate(self, request_id: str) -> None:
+        """Wait until the gate of a request is opened; most requests have none."""
+        gate = self.gates.get(request_id)
+        if gate is not None:
+            gate.arrived.set()
+            gate.opened.wait()
+
     def close(self) -> None:
         """Close all sockets, as when the process is killed."""
         try:
@@ -92,6 +109,7 @@
         if word != "QUERY":
             return ""
         request_id, _, text = rest.partition(" ")
+        self._server.pass_gate(request_id)
         with self._server.log.lock:
             body = self._run(request_id, text)
         return f"{body}\r\nREADY {self._state} {self._position()}\r\n"
