Sharing: an owner of shared pools that stops answers its neighbours

The process of an owner ended without looking at the statements that it ran for other proxies at that moment: their callers got "in doubt" for a write that had run, though nothing but a planned stop had happened. A drain now also waits for these requests, counted from when they are read until the response was handed to the socket. From half of the grace time on it rolls back the transactions that other proxies hold leases for, so that their commits are answered as aborted and not as in doubt.

--- a/packages/common/src/dogwoodspool_common/json_lines.py
+++ b/packages/common/src/dogwoodspool_common/json_lines.py
@@ -9,6 +9,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterable
 from typing import Any
 
@@ -49,6 +50,7 @@
         self._address = Address(address.host, int(self._listener.getsockname()[1]))
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
+        self._answering: Counter[str] = Counter()
         self._is_closed = False
         self._thread = threading.Thread(target=self._run, name="lines", daemon=True)
 
@@ -57,6 +59,11 @@
         """The bound address, with the actual port if 0 was requested."""
         return self._address
 
+    def in_progress(self, paths: Iterable[str]) -> int:
+        """Return how many messages to some endpoints were read and not answered."""
+        with self._lock:
+            return sum(self._answering[path] for path in paths)
+
     def set_up(self) -> None:
         """Start accepting."""
         self._thread.start()
@@ -99,7 +106,7 @@
             _set_socket_options(connection)
             buffer = bytearray()
             while (line := _read_line(connection, buffer)) is not None:
-                connection.sendall(_encode(self._answer(line)))
+                self._answer(connection, json.loads(line))
         except (OSError, ValueError, RecursionError) as error:
             log_rate_limited("peer_lost", level="DEBUG", reason=error)
         finally:
@@ -107,9 +114,19 @@
                 self._open.discard(connection)
             connection.close()
 
-    def _answer(self, line: bytes) -> dict[str, Any]:
-        response = self._respond(json.loads(line))
-        return {"status": response.status, "body": response.body}
+    def _answer(self, connection: socket.socket, message: Any) -> None:
+        path = str(message.get("path", "")) if isinstance(message, dict) else ""
+        with self._lock:
+            self._answering[path] += 1
+        try:
+            response = self._respond(message)
+            content = {"status": response.status, "body": response.body}
+            connection.sendall(_encode(content))
+        finally:
+            with self._lock:
+                self._answering[path] -= 1
+                if not self._answering[path]:
+                    del self._answering[path]
 
     def _respond(self, message: Any) -> JsonResponse:
         if not isinstance(message, dict):
--- a/packages/pooler/src/dogwoodspool_pooler/accepted_work.py
+++ b/packages/pooler/src/dogwoodspool_pooler/accepted_work.py
@@ -111,8 +111,12 @@
             if self._draining_since is not None:
                 self._ended[outcome] += 1
 
-    def log_drain(self) -> None:
-        """Log what the drain did, and each request that ends without an answer."""
+    def log_drain(self, neighbour_requests: int = 0) -> None:
+        """Log what the drain did, and each request that ends without an answer.
+
+        Args:
+            neighbour_requests: requests of other proxies that end without an answer.
+        """
         now = self._clock.now()
         with self._lock:
             cut, ended = list(self._requests), dict(self._ended)
@@ -136,6 +140,7 @@
             in_doubt=ended.get(Outcome.IN_DOUBT, 0),
             caller_lost=ended.get(Outcome.CALLER_LOST, 0),
             cut_off=len(cut),
+            neighbour_requests_cut_off=neighbour_requests,
             elapsed_ms=_milliseconds(now - since),
         )
 
--- a/packages/pooler/src/dogwoodspool_pooler/drain.py
+++ b/packages/pooler/src/dogwoodspool_pooler/drain.py
@@ -49,11 +49,20 @@
 class NeighbourWork(Protocol):
     """What a process that ends does for other proxies."""
 
+    @property
+    def in_progress(self) -> int:
+        """Number of their requests that have not been answered."""
+        ...
+
     @property
     def leases(self) -> int:
         """Number of connections that their open transactions hold."""
         ...
 
+    def end_leases(self) -> None:
+        """Roll back their transactions, each once no statement of it is running."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class DrainSchedule:
@@ -122,7 +131,7 @@
     @property
     def _has_work(self) -> bool:
         """Whether a request is in progress, or a transaction that may go on."""
-        if self._work.in_progress:
+        if self._neighbours.in_progress or self._work.in_progress:
             return True
         if self._is_refusing:
             return False
@@ -147,7 +156,7 @@
         while self._has_callers and self._clock.now() < self._schedule.exit_at:
             self._wait()
         self._has_ended.set()
-        self._work.log_drain()
+        self._work.log_drain(neighbour_requests=self._neighbours.in_progress)
 
     def _end_work(self) -> None:
         """Close idle connections until no work is in progress."""
@@ -171,6 +180,7 @@
         if not self._work.is_refusing:
             self._work.refuse_new()
             self._roll_back.start()
+        self._neighbours.end_leases()
 
     def _roll_back_all(self) -> None:
         while not self._has_ended.is_set():
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -202,6 +202,10 @@
         """Number of open caller sessions."""
         return self._sessions.count
 
+    def end_leases(self) -> None:
+        """Roll back transactions of other proxies that no statement runs in."""
+        self._shared.end_leases()
+
     @property
     def accepted_work(self) -> AcceptedWork:
         """The requests of callers that are in progress."""
--- a/packages/pooler/src/dogwoodspool_pooler/shared/leases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/leases.py
@@ -56,6 +56,13 @@
             found = self._leases.pop(lease, None)
         return None if found is None else found.held
 
+    def end_all(self) -> None:
+        """Roll back all transactions, each on a connection that is not in use."""
+        with self._lock:
+            ended, self._leases = self._leases, {}
+        for one in ended.values():
+            one.held.finish(is_good=False)
+
     def end_expired(self) -> None:
         """End the transactions that have been idle for too long."""
         now = self._clock.now()
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -174,6 +174,10 @@
         """Number of connections that transactions of other proxies hold."""
         return self._leases.count
 
+    def end_leases(self) -> None:
+        """Roll back transactions of other proxies that no statement runs in."""
+        self._leases.end_all()
+
     def is_forwarded(self, group: str) -> bool:
         """Return whether requests to a group are forwarded to owners at present."""
         return bool(self._directory.owners(group))
--- a/tests/common/test_json_lines.py
+++ b/tests/common/test_json_lines.py
@@ -65,6 +65,19 @@
     def post(self, path: str, body: dict[str, object]) -> dict[str, object]:
         return self.client.post(self.server.address, path, body, TIMEOUT_SECONDS)
 
+    def test_messages_are_in_progress_until_they_are_answered(self) -> None:
+        address = self.server.address
+        with ThreadPoolExecutor(1) as executor:
+            waiting = executor.submit(self.client.post, address, "/wait", {}, 10.0)
+            while not self.server.in_progress(("/wait",)):
+                self.assertFalse(waiting.done())
+            self.assertEqual(self.server.in_progress(("/double", "/fail")), 0)
+            self.release.set()
+            waiting.result()
+        until = time.monotonic() + 30.0
+        while self.server.in_progress(("/wait",)):
+            self.assertLess(time.monotonic(), until)
+
     def test_calls_reuse_one_connection(self) -> None:
         for value in range(20):
             self.assertEqual(
--- a/tests/platform/test_shared_pools.py
+++ b/tests/platform/test_shared_pools.py
@@ -17,7 +17,7 @@
 )
 
 
-class SharedPoolsTests(SystemFixture):
+class SharedPoolsFixture(SystemFixture):
     """More proxies than the servers' connection limit allows to connect."""
 
     EDGE_HOSTS: ClassVar[tuple[str, ...]] = (
@@ -40,6 +40,10 @@
         """Return the proxies that have open connections."""
         return [edge for edge in self.edges if OPEN_CONNECTIONS.search(edge.metrics())]
 
+
+class SharedPoolsTests(SharedPoolsFixture):
+    """Proxies forward requests to a few owners."""
+
     def test_proxies_forward_statements_to_the_owners(self) -> None:
         for host in self.EDGE_HOSTS:
             client = self.client(host=host)
--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -9,6 +9,7 @@
 
 from .standin import Gate, TextClient
 from .system import TIMEOUT_SECONDS, SystemFixture, eventually
+from .test_shared_pools import SharedPoolsFixture
 
 # Seconds after the stop, with the usual grace time of 6 s.
 IDLE_CLOSED = 2.5
@@ -260,3 +261,65 @@
         self.assertIn("ERROR INDOUBT", self.read_answer(client)[0])
         stop.advance_to(EXIT)
         stop.join()
+
+
+class SharedPoolsShutdownTests(ShutdownFixture, SharedPoolsFixture):
+    """The owners of shared pools shut down while another proxy uses them."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        clients = [self.serving_client(host) for host in self.EDGE_HOSTS]
+        eventually(
+            lambda: len(self.connected_proxies()) <= 2,
+            "other proxies close their connections",
+        )
+        self.owners = self.connected_proxies()
+        self.forwarding = next(
+            client
+            for client, edge in zip(clients, self.edges, strict=True)
+            if edge not in self.owners
+        )
+
+    def stop_owners(self, elapsed: float) -> list[Stop]:
+        """Stop all owners, and let time pass until some seconds after it."""
+        stops = [Stop(edge, self.clock) for edge in self.owners]
+        self.clock.advance(elapsed)
+        for stop in stops:
+            stop.await_passes()
+        return stops
+
+    def finish(self, gate: Gate, stops: list[Stop]) -> list[str]:
+        """Let a held request run, and return its answer once the owners ended."""
+        self.assertTrue(any(stop.is_running for stop in stops))
+        gate.opened.set()
+        answer = self.read_answer(self.forwarding)
+        for stop in stops:
+            stop.join()
+        return answer
+
+    def test_a_statement_of_another_proxy_is_answered(self) -> None:
+        """Guard against an owner that ends while it serves another proxy."""
+        gate = self.send_held(self.forwarding, "held", "WRITE a 1")
+        answer = self.finish(gate, self.stop_owners(LATE))
+        self.assertEqual(answer, ["COMPLETE proof.held", "READY I -"])
+
+    def test_a_commit_of_another_proxy_is_answered(self) -> None:
+        """Guard against an owner that ends while it commits for another proxy."""
+        self.forwarding.ask("t1", "BEGIN")
+        self.forwarding.ask("t2", "WRITE a 1")
+        gate = self.send_held(self.forwarding, "t3", "COMMIT")
+        answer = self.finish(gate, self.stop_owners(LATE))
+        self.assertEqual(answer, ["COMPLETE proof.t3", "READY I -"])
+        self.assertIn("t2", self.log.ids)
+
+    def test_a_transaction_of_another_proxy_is_rolled_back_late(self) -> None:
+        """Guard against a commit that is in doubt because its owner has ended."""
+        self.forwarding.ask("t1", "BEGIN")
+        self.forwarding.ask("t2", "WRITE a 1")
+        stops = self.stop_owners(NEW_WORK_REFUSED)
+        for stop in stops:
+            stop.join()
+        answer = self.forwarding.ask("t3", "COMMIT")
+        self.assertIn("ERROR ABORTED", answer[0])
+        self.assertEqual(answer[1], "READY I -")
+        self.assertNotIn("t2", self.log.ids)
--- a/tests/pooler/test_drain.py
+++ b/tests/pooler/test_drain.py
@@ -2,6 +2,7 @@
 
 import threading
 import unittest
+from typing import ClassVar
 
 from dogwoodspool_common import ManualClock, Role
 from dogwoodspool_pooler import (
@@ -70,8 +71,14 @@
 class FakeNeighbours:
     """Other proxies with a number of open transactions."""
 
+    in_progress: ClassVar[int] = 0
+
     def __init__(self, leases: int) -> None:
         self.leases = leases
+        self.ended = threading.Event()
+
+    def end_leases(self) -> None:
+        self.ended.set()
 
 
 class DrainTests(unittest.TestCase):
@@ -81,12 +88,13 @@
         self.clock = ManualClock()
         self.work = AcceptedWork(self.clock)
 
-    def drain(self, callers: FakeCallers, leases: int = 0) -> None:
+    def drain(self, callers: FakeCallers, leases: int = 0) -> FakeNeighbours:
         """Run a drain whose first step has ended."""
         neighbours = FakeNeighbours(leases)
         schedule = DrainSchedule.plan(0.0, GRACE, LEAVE_ROTATION)
         self.clock.advance(LEAVE_ROTATION)
         Drain(callers, neighbours, self.work, schedule, self.clock).run()
+        return neighbours
 
     def test_a_drain_without_callers_ends_at_once(self) -> None:
         callers = FakeCallers(0, self.clock)
@@ -104,7 +112,8 @@
 
     def test_transactions_of_neighbours_have_half_of_the_grace_time(self) -> None:
         callers = FakeCallers(0, self.clock)
-        self.drain(callers, leases=1)
+        neighbours = self.drain(callers, leases=1)
+        self.assertTrue(neighbours.ended.wait(TIMEOUT_SECONDS))
         self.assertGreaterEqual(self.clock.now(), 0.5 * GRACE)
         self.assertLess(self.clock.now(), 0.6 * GRACE)
 
