Consensus: the folders that a new node creates are durable

Callers: an acknowledged configuration may be gone after a power loss of a new control group whose data folder did not exist: the folder's own name was never synced, so that the node's files go with it. A folder that exists already, as on the platform, isn't concerned.

The parents of folders that were created are synced before anything is written into them. test_new_folders_are_durable_before_the_identity failed before: no parent was synced. A kill between the creation and that sync is not covered.

--- a/packages/consensus/src/dogwoodspool_consensus/files.py
+++ b/packages/consensus/src/dogwoodspool_consensus/files.py
@@ -27,3 +27,11 @@
         os.fsync(folder)
     finally:
         os.close(folder)
+
+
+def create_folder(path: Path) -> None:
+    """Create a folder and its missing parents, and make their names durable."""
+    missing = [one for one in (path, *path.parents) if not one.exists()]
+    path.mkdir(parents=True, exist_ok=True)
+    for folder in missing:
+        sync_folder(folder.parent)
--- a/packages/consensus/src/dogwoodspool_consensus/storage.py
+++ b/packages/consensus/src/dogwoodspool_consensus/storage.py
@@ -26,7 +26,7 @@
     PROBE_BYTES,
 )
 from .errors import StorageCorruptError, StorageFailedError
-from .files import replace_file, sync_folder
+from .files import create_folder, replace_file, sync_folder
 from .models import Entry, Identity, LogBase, Snapshot, StoredState, Vote
 from .records import encode_record, scan_records
 
@@ -162,7 +162,7 @@
         # The incarnation must differ after a disk was wiped, so it comes from the
         # operating system's random source and not from the node's seeded one.
         identity = Identity(node_id, uuid.uuid4().hex, initial_voters)
-        self._guard(lambda: self._folder.mkdir(parents=True, exist_ok=True))
+        self._guard(lambda: create_folder(self._folder))
         self.save_vote(Vote())
         self.rewrite(LogBase(), ())
         self._write_atomically(FILE_IDENTITY, identity_to_json(identity))
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -180,6 +180,23 @@
             self.storage.save_vote(Vote(2, "b"))
         self.assertEqual(order, ["vote.tmp", "rename", "raft"])
 
+    def test_new_folders_are_durable_before_the_identity(self) -> None:
+        # The folders of a new node are created with it. Without a sync of the folder
+        # that holds them, a power loss takes the node's files with their folder.
+        order: list[str] = []
+        real_fsync = os.fsync
+
+        def fsync(file: int) -> None:
+            order.append(Path(os.readlink(f"/proc/self/fd/{file}")).name)
+            real_fsync(file)
+
+        storage = FileLogStorage(self.folder / "outer" / "inner")
+        self.addCleanup(storage.close)
+        with mock.patch("os.fsync", fsync):
+            storage.create_identity("b", VOTERS)
+        self.assertEqual(order[:2], ["outer", "raft"])
+        self.assertLess(order.index("raft"), order.index("identity.tmp"))
+
     def test_crash_while_replacing_keeps_the_old_content(self) -> None:
         self.storage.save_vote(Vote(1, "b"))
         with (
