Failover: confirm a choice with servers that join before the promotion

What callers saw: writes that were acknowledged while a primary was replaced were not on the promoted server. A replica that was started, or restarted and so ended its pause, between the choice and the promotion was not paused, and a primary that control could not reach acknowledged writes with it.

Cause: the choice rests on the servers of the group, read once. Neither the failover nor the planned change looked at them again.

Change: a choice keeps the servers and incarnations that it rests on. Servers that are not among them are fenced as soon as they are recorded, by the leader's loop, until the promotion has ended; before each request the choice is confirmed with them, and made anew if another server is ahead. In a planned change the request waits until the successor has reached them. A group that has not changed needs no further call. After a leader change all servers count as joined. A pause from the loop never raises the term, so that one that arrives after the promotion has no effect.

--- a/packages/control/src/dogwoodspool_control/promotion/worker.py
+++ b/packages/control/src/dogwoodspool_control/promotion/worker.py
@@ -62,6 +62,12 @@
             CommandRejectedError: another step was committed.
         """
 
+    def servers_changed(self) -> None:  # noqa: B027
+        """React to servers that join the group or restart; must not block.
+
+        It is called by the leader's loop, at each tick.
+        """
+
     def _step(self) -> bool:
         promotion = self._state.promotion(self._group)
         if promotion is None:
@@ -123,6 +129,15 @@
                 if group not in self._running:
                     self._start(group)
 
+    def notify_servers(self) -> None:
+        """Let each worker react to servers that have joined; does not block."""
+        with self._lock:
+            workers = [
+                worker for worker, thread in self._running.values() if thread.is_alive()
+            ]
+        for worker in workers:
+            worker.servers_changed()
+
     def join(self, timeout: float) -> None:
         """Wait at most ``timeout`` seconds for each worker to return.
 
--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -1,6 +1,9 @@
 """Carry out one change of primary, from its committed start to its end."""
 
-from dogwoodspool_common import BackendServer, Role, log_event
+from collections.abc import Iterable
+from dataclasses import replace
+
+from dogwoodspool_common import BackendServer, Position, Role, log_event
 from dogwoodspool_control.commands import (
     AdoptPrimary,
     BeginPromotion,
@@ -12,6 +15,7 @@
 from dogwoodspool_control.promotion.failovers import FailoverPhase
 from dogwoodspool_control.promotion.worker import PromotionWorker
 
+from .basis import ChoiceBasis, Confirmation
 from .choice import (
     FailoverInput,
     SwitchoverInput,
@@ -47,6 +51,13 @@
         )
         self._dependencies = dependencies
         self._fencing = GroupFencing(dependencies)
+        self._basis: ChoiceBasis | None = None
+
+    def servers_changed(self) -> None:
+        """Fence servers that have joined since the choice; see ``PromotionWorker``."""
+        basis = self._basis
+        if basis is not None:
+            basis.fence_joined()
 
     def advance(self, promotion: Promotion) -> None:
         """Carry out the step after the committed one; see ``PromotionWorker``."""
@@ -59,10 +70,16 @@
         choice = None
         if promotion.reason is PromotionReason.PLANNED:
             choice = self._await_switchover(promotion)
+        is_switchover = choice is not None
         if choice is None:
             choice = self._await_failover(promotion)
         if choice is None:
             return
+        chosen = replace(promotion, chosen=choice.server)
+        self._basis = self._basis_of(
+            chosen, choice.members, is_switchover=is_switchover
+        )
+        self._log_basis(promotion, choice)
         command = ChoosePrimary(
             self._group, promotion.term, choice.server, choice.received.offset
         )
@@ -74,6 +91,40 @@
             offset=choice.received.offset,
         )
 
+    def _basis_of(
+        self,
+        promotion: Promotion,
+        members: Iterable[BackendServer],
+        *,
+        is_switchover: bool,
+    ) -> ChoiceBasis:
+        return ChoiceBasis(
+            promotion,
+            promotion.chosen or "",
+            self._dependencies,
+            self._fencing,
+            members=members,
+            is_switchover=is_switchover,
+            writers=lambda: self._writers(promotion),
+        )
+
+    def _log_basis(self, promotion: Promotion, choice: Choice) -> None:
+        fenced = self._fencing.fenced(choice.members)
+        log_event(
+            "choice_basis",
+            group=self._group,
+            term=promotion.term,
+            reason=promotion.reason,
+            old_primary=promotion.old_primary,
+            chosen=choice.server,
+            received=_text(choice.received),
+            servers=",".join(
+                f"{one.name}:{one.incarnation}:"
+                + (_text(fenced[one.name].received) if one.name in fenced else "-")
+                for one in choice.members
+            ),
+        )
+
     def _members(self) -> list[BackendServer]:
         return self._dependencies.state.servers_of(self._group)
 
@@ -132,7 +183,8 @@
             waiting = tuple(one.name for one in others if one.name not in paused)
             self._progress.record_step("handover", waiting, "replicas are not paused")
             return None
-        return Choice(successor, successor_states[successor].received)
+        received = successor_states[successor].received
+        return Choice(successor, received, tuple(members))
 
     def _await_failover(self, promotion: Promotion) -> Choice | None:
         """Fence the group and choose; None if another server is primary already."""
@@ -151,7 +203,7 @@
                 )
             )
             if chosen.is_ok():
-                return chosen.ok
+                return replace(chosen.ok, members=tuple(members))
             refusal = chosen.error
             self._progress.record_step("freeze", refusal.waiting_for, refusal.reason)
             if self._dependencies.state.promotion(self._group) != promotion:
@@ -197,13 +249,22 @@
 
     def _promote(self, promotion: Promotion) -> None:
         server = self._dependencies.state.servers.get(promotion.chosen or "")
+        basis = self._basis
+        if basis is None or not basis.is_of(promotion):
+            # An earlier leader committed the choice.
+            is_switchover = promotion.reason is PromotionReason.PLANNED
+            basis = self._basis_of(promotion, (), is_switchover=is_switchover)
+            self._basis = basis
         if (
             server is None
             or server.is_gone
-            or not self._request_promotion(promotion, server)
+            or not self._request_promotion(promotion, server, basis)
         ):
+            self._basis = None
             self._restart(promotion)
             return
+        self._basis = None
+        self._dependencies.executor.submit(self._log_positions, promotion, server)
         self._dependencies.timeline.mark(
             self._group, FailoverPhase.PROMOTED, term=promotion.term
         )
@@ -214,13 +275,53 @@
             self._group, FailoverPhase.ENDED, term=promotion.term
         )
 
-    def _request_promotion(self, promotion: Promotion, server: BackendServer) -> bool:
+    def _log_positions(self, promotion: Promotion, server: BackendServer) -> None:
+        """Log the positions of both primaries; the choice relied on the first one."""
+        group = self._dependencies.state.group(self._group)
+        starts = () if group is None else group.term_starts
+        old_primary = self._dependencies.state.servers.get(promotion.old_primary)
+        for one in (server, old_primary):
+            if one is None or one.is_gone:
+                continue
+            try:
+                state = self._dependencies.servers.status(one, SERVER_CALL_TIMEOUT)
+            except ServerCallError as error:
+                log_event("server_call_failed", server=one.name, reason=error)
+                continue
+            log_event(
+                "position_after_change",
+                group=self._group,
+                term=promotion.term,
+                server=one.name,
+                is_chosen=one is server,
+                role=state.role,
+                received=_text(state.received),
+                chosen_at=starts[-1].offset if starts else None,
+            )
+
+    def _request_promotion(
+        self, promotion: Promotion, server: BackendServer, basis: ChoiceBasis
+    ) -> bool:
         """Request the promotion and wait until the server is the primary."""
         clock = self._dependencies.clock
         deadline = clock.now() + PROMOTION_COMPLETION_SECONDS
         while clock.now() < deadline:
             self._dependencies.node.require_leadership()
+            if basis.has_joined:
+                # An earlier request may have been carried out. The servers that
+                # joined then follow the new primary.
+                if self._is_primary(server):
+                    return True
+                confirmation = basis.confirm()
+                if confirmation is Confirmation.BROKEN:
+                    return False
+                if confirmation is Confirmation.OPEN:
+                    self._progress.record_step("confirm", (server.name,))
+                    clock.sleep(FENCE_RETRY_SECONDS)
+                    continue
             token = self._issue_token()
+            if basis.has_joined:
+                continue
             self._progress.record_step("promote", (server.name,))
             try:
                 self._dependencies.service.promote(
@@ -278,3 +379,7 @@
             is_retry=True,
         )
         self._dependencies.node.commit(command)
+
+
+def _text(position: Position) -> str:
+    return f"{position.term}.{position.offset}"
--- a/packages/failover/src/dogwoodspool_failover/choice.py
+++ b/packages/failover/src/dogwoodspool_failover/choice.py
@@ -41,22 +41,41 @@
 
 def choose_primary(given: FailoverInput) -> Result[Choice, ChoiceRefusal]:
     """Choose a fenced server that is certain to have every acknowledged write."""
-    missing = [one.name for one in given.members if one.name not in given.fenced]
-    if len(missing) > REQUIRED_REPLICA_ACKS or not given.fenced:
+    missing = _missing(given)
+    if _are_too_few_fenced(given):
         return Error(ChoiceRefusal("too few servers are fenced", tuple(missing)))
-    required = _required_position(given, missing)
-    candidates = [
+    candidates = _qualified(given)
+    if not candidates:
+        reason = "no running server has every acknowledged write"
+        return Error(ChoiceRefusal(reason, tuple(missing)))
+    best = min(candidates, key=lambda one: _rank(given, one))
+    return Ok(Choice(best.name, given.fenced[best.name].received))
+
+
+def is_qualified(given: FailoverInput, server: str) -> bool:
+    """Tell whether a server is certain to have every acknowledged write."""
+    if _are_too_few_fenced(given):
+        return False
+    return any(one.name == server for one in _qualified(given))
+
+
+def _missing(given: FailoverInput) -> list[str]:
+    return [one.name for one in given.members if one.name not in given.fenced]
+
+
+def _are_too_few_fenced(given: FailoverInput) -> bool:
+    return len(_missing(given)) > REQUIRED_REPLICA_ACKS or not given.fenced
+
+
+def _qualified(given: FailoverInput) -> list[BackendServer]:
+    required = _required_position(given, _missing(given))
+    return [
         server
         for server in given.members
         if server.name in given.fenced
         and not server.is_gone
         and given.fenced[server.name].received >= required
     ]
-    if not candidates:
-        reason = "no running server has every acknowledged write"
-        return Error(ChoiceRefusal(reason, tuple(missing)))
-    best = min(candidates, key=lambda one: _rank(given, one))
-    return Ok(Choice(best.name, given.fenced[best.name].received))
 
 
 def _required_position(given: FailoverInput, missing: Sequence[str]) -> Position:
--- a/packages/failover/src/dogwoodspool_failover/fencing.py
+++ b/packages/failover/src/dogwoodspool_failover/fencing.py
@@ -1,5 +1,6 @@
 """Fence a group's servers, so that their data no longer changes."""
 
+import threading
 from collections.abc import Mapping, Sequence
 
 from dogwoodspool_common import BackendServer, Role, log_event
@@ -19,15 +20,18 @@
 
     def __init__(self, dependencies: ChangeDependencies) -> None:
         self._dependencies = dependencies
+        self._lock = threading.Lock()
         self._fenced: dict[str, tuple[int, ServerState]] = {}
         self._term = 0
 
     def fenced(self, members: Sequence[BackendServer]) -> dict[str, ServerState]:
         """Return the answers of the members that are fenced now."""
+        with self._lock:
+            fenced = dict(self._fenced)
         return {
-            one.name: self._fenced[one.name][1]
+            one.name: fenced[one.name][1]
             for one in members
-            if one.name in self._fenced and self._fenced[one.name][0] == one.incarnation
+            if one.name in fenced and fenced[one.name][0] == one.incarnation
         }
 
     def fence_all(
@@ -64,12 +68,41 @@
         answers = self._dependencies.call_all(
             servers, self._pause, SERVER_CALL_TIMEOUT + FENCE_GRACE_SECONDS
         )
+        for server in servers:
+            self._record(server, answers.get(server.name))
         return {name: one for name, one in answers.items() if one.paused_term}
 
     def advance_term(self, states: Mapping[str, ServerState]) -> None:
         """Raise the fencing term above every term in the servers' states."""
         self._term = max(self._term, newest_term(states.values()) + 1)
 
+    def fence_joined(
+        self, server: BackendServer, *, may_step_down: bool, may_raise_term: bool
+    ) -> ServerState:
+        """Fence one server that has joined since the others were fenced.
+
+        Args:
+            server: the server.
+            may_step_down: whether it is demoted if it is a primary.
+            may_raise_term: whether the fencing term may become higher than that of the
+                other servers. A call that may still be in progress when the promotion
+                takes effect must not raise it: the call then has no effect, as the new
+                primary's term is not below the fencing term.
+        """
+        calls = self._dependencies.servers
+        state = calls.status(server, SERVER_CALL_TIMEOUT)
+        if may_raise_term:
+            self.advance_term({server.name: state})
+        if not self._term:
+            return state
+        if state.role is Role.PRIMARY:
+            if not may_step_down:
+                return state
+            calls.step_down(server, self._term, SERVER_CALL_TIMEOUT)
+        answer = self._pause(server)
+        self._record(server, answer)
+        return answer
+
     def _fence(
         self, server: BackendServer, states: Mapping[str, ServerState]
     ) -> ServerState:
@@ -84,13 +117,17 @@
 
     def _record(self, server: BackendServer, answer: ServerState | None) -> None:
         if answer is None or answer.role is Role.PRIMARY or not answer.paused_term:
-            self._fenced.pop(server.name, None)
+            with self._lock:
+                self._fenced.pop(server.name, None)
             return
-        if server.name not in self._fenced:
+        with self._lock:
+            earlier = self._fenced.get(server.name)
+            self._fenced[server.name] = server.incarnation, answer
+        if earlier is None or earlier[0] != server.incarnation:
             log_event(
                 "server_frozen",
                 server=server.name,
+                incarnation=server.incarnation,
                 term=self._term,
                 received=f"{answer.received.term}.{answer.received.offset}",
             )
-        self._fenced[server.name] = server.incarnation, answer
--- a/packages/failover/src/dogwoodspool_failover/loop.py
+++ b/packages/failover/src/dogwoodspool_failover/loop.py
@@ -72,6 +72,7 @@
             if self._begin_change_if_failing(group)
         ]
         self._changes.run_missing()
+        self._changes.notify_servers()
         self._timeline.keep_only(
             {*failing, *self._state.promotions, *self._changes.groups}
         )
--- a/packages/failover/src/dogwoodspool_failover/models.py
+++ b/packages/failover/src/dogwoodspool_failover/models.py
@@ -40,7 +40,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """The server that becomes the primary, and the end of its log."""
+    """The server that becomes the primary, and the end of its log.
+
+    Attributes:
+        members: the servers of the group that were considered.
+    """
 
     server: str
     received: Position
+    members: tuple[BackendServer, ...] = ()
--- a/tests/failover/fakes.py
+++ b/tests/failover/fakes.py
@@ -98,6 +98,9 @@
         orders: commands to servers and to the platform, in sequence.
         answers: the platform's answers to the next calls; True for an accepted one.
         late: calls that got no answer and may still be carried out.
+        on_promote: called when a promotion is requested.
+        acknowledged: position of the newest write that was acknowledged.
+        promoted_at: position of the first server that was promoted, at that time.
     """
 
     servers: dict[str, FakeServer]
@@ -105,6 +108,9 @@
     answers: list[bool | Exception] = field(default_factory=list)
     late: list[tuple[str, int]] = field(default_factory=list)
     tokens: list[int] = field(default_factory=list)
+    on_promote: Callable[[], None] = lambda: None
+    acknowledged: Position = Position(1, 100)
+    promoted_at: Position | None = None
 
     def status(self, server: BackendServer, timeout: float) -> ServerState:
         return self._state(self._reach(server))
@@ -135,6 +141,7 @@
         self, server: BackendServer, holder: str, token: int, timeout: float
     ) -> None:
         self.orders.append(("promote", server.name))
+        self.on_promote()
         answer = self.answers.pop(0) if self.answers else True
         if isinstance(answer, PromotionUnknownError):
             self.late.append((server.name, token))
@@ -143,12 +150,27 @@
             raise answer
         self.complete_promotion(server.name, token)
 
+    def acknowledge(self, name: str) -> None:
+        """Let the primary of the old term commit a write on itself and one replica.
+
+        A paused replica receives nothing, and the write is then not acknowledged.
+        """
+        primary = next(one for one in self.servers.values() if one.role is Role.PRIMARY)
+        replica = self.servers[name]
+        term, offset = primary.received.term, primary.received.offset
+        primary.received = Position(term, offset + 1)
+        if not replica.paused_term:
+            replica.received = primary.received
+            self.acknowledged = primary.received
+
     def complete_promotion(self, name: str, token: int) -> None:
         """Move the primary role as the platform does, unless the token is outdated."""
         if token < max(self.tokens, default=0):
             return
         self.tokens.append(token)
         term = max(one.term for one in self.servers.values()) + 1
+        if self.promoted_at is None:
+            self.promoted_at = self.servers[name].received
         for one in self.servers.values():
             one.role = Role.PRIMARY if one.name == name else Role.REPLICA
         primary = self.servers[name]
@@ -204,6 +226,7 @@
             FakeServer("s2"),
             FakeServer("s3"),
         ]
+        self.worker: PrimaryChange | None = None
         self.clock = AutoAdvancingClock()
         self.state = ControlState(self.clock)
         self.log = FakeNode(self.state, self.clock)
@@ -255,9 +278,30 @@
                 self.log.is_leader = False
 
         self.clock.on_sleep = count
-        PrimaryChange(GROUP, self.dependencies).run()
+        self.worker = PrimaryChange(GROUP, self.dependencies)
+        self.worker.run()
         self.log.is_leader = True
 
+    def join(self, fake: FakeServer) -> None:
+        """Record a server that has started, or that has started again."""
+        self.group.servers[fake.name] = fake
+        self.commit(Record(fake.described()))
+        if self.worker is not None:
+            self.worker.servers_changed()
+
+    def after_choice(self, action: Callable[[], None]) -> None:
+        """Run an action once, right after a choice has been committed."""
+        has_run = False
+
+        def run() -> None:
+            nonlocal has_run
+            promotion = self.state.promotion(GROUP)
+            if not has_run and promotion is not None and promotion.chosen is not None:
+                has_run = True
+                action()
+
+        self.state.add_listener(run)
+
     def heartbeat(
         self, fake: FakeServer, sequence: int, **changes: Any
     ) -> list[Command]:
--- /dev/null
+++ b/tests/failover/test_joined.py
@@ -0,0 +1,173 @@
+"""Tests of servers that join a group, or restart, during a change of its primary."""
+
+import unittest
+from functools import partial
+
+from dogwoodspool_common import Phase, Position, Role
+from dogwoodspool_control.models import PromotionReason
+
+from .fakes import GROUP, UNKNOWN, FakeServer, Voter
+
+
+class JoinedServerTests(unittest.TestCase):
+    """The promoted server has every write that joined servers helped acknowledge."""
+
+    def setUp(self) -> None:
+        self.voter = Voter()
+        self.group = self.voter.group
+        self.servers = self.group.servers
+
+    def start_replica(self, writes: int = 1) -> None:
+        """Start a replica, with which the old primary acknowledges writes."""
+        replica = FakeServer("s4")
+        self.servers["s4"] = replica
+        for _ in range(writes):
+            self.group.acknowledge("s4")
+        self.voter.join(replica)
+        self.group.acknowledge("s4")
+
+    def restart_replica(self, name: str) -> None:
+        """Restart a paused replica, which ends its pause."""
+        replica = self.servers[name]
+        replica.paused_term, replica.incarnation = 0, 2
+        self.group.acknowledge(name)
+        self.voter.join(replica)
+        self.group.acknowledge(name)
+
+    def cut_off_primary(self) -> None:
+        """Cut the primary off from control, but not from its replicas."""
+        self.servers["s1"].is_silent = True
+
+    def assert_nothing_lost(self) -> None:
+        promoted_at = self.group.promoted_at
+        assert promoted_at is not None
+        self.assertGreater(self.group.acknowledged, Position(1, 100))
+        self.assertGreaterEqual(promoted_at, self.group.acknowledged)
+        state = self.voter.state.group(GROUP)
+        assert state is not None
+        self.assertIs(state.phase, Phase.STEADY)
+
+    def test_replica_that_starts_after_the_choice(self) -> None:
+        """Guard against lost writes when a release starts a replica in a failover."""
+        self.cut_off_primary()
+        self.voter.after_choice(self.start_replica)
+        self.voter.begin()
+        self.voter.change()
+        self.assert_nothing_lost()
+
+    def test_replica_that_restarts_after_the_choice(self) -> None:
+        """Guard against lost writes when a restart ends a replica's pause."""
+        for name in ("s2", "s3"):
+            with self.subTest(name):
+                self.setUp()
+                self.cut_off_primary()
+                self.voter.after_choice(partial(self.restart_replica, name))
+                self.voter.begin()
+                self.voter.change()
+                self.assert_nothing_lost()
+
+    def test_replica_that_starts_after_the_choice_of_a_successor(self) -> None:
+        """Guard against lost writes when a replica starts in a planned change."""
+
+        def receive() -> None:
+            # The successor receives as well, a little later.
+            self.servers["s2"].received = self.servers["s1"].received
+            self.voter.clock.on_sleep = lambda: None
+
+        def start() -> None:
+            self.start_replica()
+            self.voter.clock.on_sleep = receive
+
+        self.voter.after_choice(start)
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assert_nothing_lost()
+        self.assertNotIn(("step_down", "s1"), self.group.orders)
+
+    def test_replica_that_restarts_after_the_choice_of_a_successor(self) -> None:
+        """Guard against lost writes when a pause ends in a planned change."""
+
+        def receive() -> None:
+            self.servers["s2"].received = self.servers["s1"].received
+            self.voter.clock.on_sleep = lambda: None
+
+        def restart() -> None:
+            self.restart_replica("s3")
+            self.voter.clock.on_sleep = receive
+
+        self.voter.after_choice(restart)
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assert_nothing_lost()
+        self.assertNotIn(("step_down", "s1"), self.group.orders)
+
+    def test_replica_that_starts_before_a_request_is_repeated(self) -> None:
+        """Guard against lost writes when the first request is not carried out."""
+        self.cut_off_primary()
+        self.group.answers = [UNKNOWN, True]
+        calls: list[bool] = []
+
+        def start_once() -> None:
+            if not calls:
+                self.start_replica()
+            calls.append(True)
+
+        self.group.on_promote = start_once
+        self.voter.begin()
+        self.voter.change()
+        self.assert_nothing_lost()
+
+    def test_request_that_was_carried_out_is_not_repeated(self) -> None:
+        """Guard against a new choice after an unanswered request took effect."""
+        self.cut_off_primary()
+        self.group.answers = [UNKNOWN]
+
+        def carry_out() -> None:
+            name, token = self.group.late[0]
+            self.group.complete_promotion(name, token)
+            replica = FakeServer("s4", term=2, received=Position(2, 100))
+            self.voter.join(replica)
+            self.voter.clock.on_sleep = lambda: None
+
+        self.group.on_promote = lambda: setattr(self.voter.clock, "on_sleep", carry_out)
+        self.voter.begin()
+        self.voter.change()
+        self.assertEqual(self.voter.primary, "s2")
+        self.assertEqual(len([o for o, _ in self.group.orders if o == "promote"]), 1)
+        self.assertIs(self.servers["s2"].role, Role.PRIMARY)
+
+    def test_replica_that_starts_after_the_request_is_paused(self) -> None:
+        """Guard against writes acknowledged while the platform promotes a server."""
+        self.cut_off_primary()
+
+        def start() -> None:
+            self.group.acknowledged = Position(1, 100)
+            self.start_replica(writes=0)
+
+        self.group.on_promote = start
+        self.voter.begin()
+        self.voter.change()
+        self.assertIn(("pause", "s4"), self.group.orders)
+        self.assertEqual(self.group.acknowledged, Position(1, 100))
+
+    def test_server_that_does_not_answer_is_fenced_before_the_request(self) -> None:
+        """Guard against a promotion while two servers can acknowledge writes."""
+        self.cut_off_primary()
+        silent = FakeServer("s4", is_silent=True)
+        self.voter.after_choice(lambda: self.voter.join(silent))
+        self.voter.begin()
+        self.voter.change(max_pauses=3)
+        self.assertNotIn("promote", [order for order, _ in self.group.orders])
+        self.servers["s4"].is_silent = False
+        self.voter.change()
+        self.assertIs(self.servers[self.voter.primary or ""].role, Role.PRIMARY)
+
+    def test_unchanged_group_needs_no_further_calls(self) -> None:
+        """Guard against failovers that take longer than their choice needs."""
+        self.cut_off_primary()
+        counts: list[int] = []
+        self.voter.after_choice(lambda: counts.append(len(self.group.orders)))
+        self.group.on_promote = lambda: counts.append(len(self.group.orders))
+        self.voter.begin()
+        self.voter.change()
+        self.assertEqual(counts[0] + 1, counts[1])
