Pooler: pass on no success of a server that a failover has given up

What callers saw: writes that succeeded during a failover were missing on the promoted server. A primary that only control cannot reach acknowledges a write as soon as one replica has it, also a replica that has just started and that control does not know yet. Control can fence it once it is known; what was acknowledged until then is missing on the server that is being promoted.

Change: the state of a group names the servers that failovers have moved it away from, until one of them is chosen again. A proxy whose view names the server answers a write or commit that it acknowledges as in doubt, checked when the answer has arrived. Before that it sends it neither writes nor new read-write transactions nor the commits of such as have written, which are refused as not run. Reads, and commits without writes, go on. In a planned change the old primary serves on.

Mixed builds: earlier builds reject views with unknown fields. The field is sent only to proxies that ask for it in the query of their poll, which earlier builds of control ignore; without the field a proxy serves as before. Log entries have not changed.

Left: a proxy that has not received the view, and a planned change that turned into a failover after its begin (its reason is committed as planned), rely on the fencing alone.

--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -226,14 +226,21 @@
     acked: PositionMessage | None
 
 
-class GroupMessage(Message):
-    """A database group as committed by the control group."""
+class GroupMessage(ExtendedMessage):
+    """A database group as committed by the control group.
+
+    Attributes:
+        given_up: sent only to processes that ask for it; see ``GroupState``.
+    """
+
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"given_up"})
 
     name: Name
     term: int
     primary: Name | None
     phase: Phase
     term_starts: list[PositionMessage]
+    given_up: tuple[Name, ...] = ()
 
     @classmethod
     def of(cls, state: GroupState) -> Self:
@@ -244,6 +251,7 @@
             primary=state.primary,
             phase=state.phase,
             term_starts=[PositionMessage.of(start) for start in state.term_starts],
+            given_up=state.given_up,
         )
 
     def value(self) -> GroupState:
@@ -254,6 +262,7 @@
             primary=self.primary,
             phase=self.phase,
             term_starts=tuple(start.value() for start in self.term_starts),
+            given_up=self.given_up,
         )
 
 
@@ -409,6 +418,11 @@
     base_version: int = 0
     removed: RemovedItems = RemovedItems()
 
+    def without_given_up(self) -> Self:
+        """Return the view for a process of an earlier build."""
+        groups = [one.model_copy(update={"given_up": ()}) for one in self.groups]
+        return self.model_copy(update={"groups": groups})
+
 
 class MemberMessage(Message):
     """A member of the control group."""
--- a/packages/common/src/dogwoodspool_common/models.py
+++ b/packages/common/src/dogwoodspool_common/models.py
@@ -195,6 +195,8 @@
         term_starts: for each term after the first, the position at which it
             branched from the previous one: entries after ``offset`` belong to the
             new term, and entries of an older term after it are lost.
+        given_up: servers that failovers have moved the group away from. What such a
+            server acknowledges may be lost, even before the new primary takes over.
     """
 
     name: str
@@ -202,3 +204,4 @@
     primary: str | None
     phase: Phase
     term_starts: tuple[Position, ...]
+    given_up: tuple[str, ...] = ()
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -7,6 +7,7 @@
     PATH_WATCH,
     QUERY_AFTER,
     QUERY_CONFIRMED,
+    QUERY_GIVEN_UP,
     QUERY_WAIT_MS,
 )
 from dogwoodspool_common import Clock, JsonRequest, JsonResponse, Route
@@ -66,8 +67,11 @@
                     )
             except TooManyWaitersError:
                 retry_after = self._retries.next_delay()
+        view = self._state.view_since(after) if is_newer else None
+        if view is not None and request.query.get(QUERY_GIVEN_UP) != "1":
+            view = view.without_given_up()
         response = WatchResponse(
-            view=self._state.view_since(after) if is_newer else None,
+            view=view,
             leader=self._node.leader or None,
             members=self._members(),
             is_current=self._node.is_following,
--- a/packages/control/src/dogwoodspool_control/promotion/groups.py
+++ b/packages/control/src/dogwoodspool_control/promotion/groups.py
@@ -86,7 +86,10 @@
         start = Position(command.term, command.offset)
         self._promotions[command.group] = replace(promotion, chosen=command.server)
         self._groups[command.group] = replace(
-            group, primary=command.server, term_starts=(*group.term_starts, start)
+            group,
+            primary=command.server,
+            term_starts=(*group.term_starts, start),
+            given_up=_without(group.given_up, command.server),
         )
         return Outcome(True, index=index, version=command.term)
 
@@ -120,7 +123,11 @@
         self._promotions.pop(command.group, None)
         term = group.term + 1
         self._groups[command.group] = replace(
-            group, term=term, primary=command.server, phase=Phase.STEADY
+            group,
+            term=term,
+            primary=command.server,
+            phase=Phase.STEADY,
+            given_up=_without(group.given_up, command.server),
         )
         return Outcome(True, index=index, version=term)
 
@@ -143,7 +150,11 @@
             return _conflict(f"a promotion of {command.group} is in progress")
         self._promotions[group.name] = promotion
         self._groups[group.name] = replace(
-            group, term=promotion.term, primary=None, phase=Phase.PROMOTING
+            group,
+            term=promotion.term,
+            primary=None,
+            phase=Phase.PROMOTING,
+            given_up=_given_up(group, promotion, servers),
         )
         return Outcome(True, index=index, version=promotion.term)
 
@@ -195,5 +206,22 @@
     return group.primary != candidate
 
 
+def _given_up(
+    group: GroupState, promotion: Promotion, servers: Mapping[str, BackendServer]
+) -> tuple[str, ...]:
+    """Return the servers given up so far that are still recorded.
+
+    The old primary of a planned change serves until the new one takes over.
+    """
+    names = [*group.given_up]
+    if promotion.reason is PromotionReason.FAILED:
+        names += [promotion.old_primary, group.primary or ""]
+    return tuple(name for name in dict.fromkeys(names) if name in servers)
+
+
+def _without(names: tuple[str, ...], name: str) -> tuple[str, ...]:
+    return tuple(one for one in names if one != name)
+
+
 def _conflict(message: str) -> Outcome:
     return Outcome(False, CODE_CONFLICT, message)
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -5,6 +5,7 @@
     PATH_WATCH,
     QUERY_AFTER,
     QUERY_CONFIRMED,
+    QUERY_GIVEN_UP,
     QUERY_WAIT_MS,
 )
 from dogwoodspool_common import (
@@ -108,6 +109,7 @@
         query = {
             QUERY_AFTER: str(self._views.view.version),
             QUERY_WAIT_MS: str(self._wait_ms),
+            QUERY_GIVEN_UP: "1",
         }
         margin = WATCH_TIMEOUT_MARGIN
         if not self._views.is_filled:
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -44,14 +44,28 @@
         self._access = access
         self._clock = clock
 
+    def is_given_up(self, server: BackendServer) -> bool:
+        """Return whether a server's acknowledgement may not last.
+
+        To be called once an answer has arrived, as the server may have been given up
+        since it was asked.
+        """
+        return self._known.is_given_up(server.group, server.name)
+
     def run(
-        self, request: Request, attempt: Callable[[HeldT], Reply]
+        self,
+        request: Request,
+        attempt: Callable[[HeldT], Reply],
+        *,
+        may_write: bool = False,
     ) -> tuple[HeldT, Reply]:
         """Run a request on the primary.
 
         Args:
             request: the request to run.
             attempt: runs it on a connection to a server that may be the primary.
+            may_write: whether it writes or begins a transaction that may, for which
+                servers that control has given up are not used.
 
         Returns:
             The connection, which the caller of this method must finish, and the reply,
@@ -65,7 +79,9 @@
         refused: set[str] = set()
         for number in range(MAX_WRITE_ATTEMPTS):
             version = self._views.view.version
-            server = self._next_candidate(request.endpoint.group, refused)
+            server = self._next_candidate(
+                request.endpoint.group, refused, may_write=may_write
+            )
             if server is not None:
                 result = self._try(request, server, attempt)
                 if result is not None:
@@ -80,7 +96,11 @@
         raise NoPrimaryError(self._no_primary(request.endpoint.group))
 
     def run_idempotent(
-        self, request: Request, attempt: Callable[[HeldT], Reply]
+        self,
+        request: Request,
+        attempt: Callable[[HeldT], Reply],
+        *,
+        may_write: bool = False,
     ) -> tuple[HeldT, Reply]:
         """Run an idempotent request, such as a read, on the primary; see ``run``.
 
@@ -89,7 +109,7 @@
             AnswerLostError: its answer was lost.
         """
         try:
-            return self.run(request, attempt)
+            return self.run(request, attempt, may_write=may_write)
         except OutcomeUnknownError as error:
             message = f"the primary did not answer: {error}"
             raise AnswerLostError(
@@ -137,8 +157,12 @@
             return None
         return self._try(request, server, attempt)
 
-    def _next_candidate(self, group: str, refused: set[str]) -> BackendServer | None:
+    def _next_candidate(
+        self, group: str, refused: set[str], *, may_write: bool
+    ) -> BackendServer | None:
         for server in self._known.candidates(group):
+            if may_write and self.is_given_up(server):
+                continue
             if server.name not in refused:
                 return server
         return None
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -29,7 +29,7 @@
 from .read_choice import ReadChoice
 from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
-from .writes import in_doubt
+from .writes import given_up_in_doubt, in_doubt
 
 
 class Transaction:
@@ -119,6 +119,9 @@
             return _error_reply(error.error)
         except BackendError as error:
             return self._connection_lost(transaction, request, error)
+        if transaction.has_written and self._primaries.is_given_up(held.server):
+            self.abort(transaction)
+            return _error_reply(_aborted("its server is being replaced"))
         try:
             reply = self._run_held(transaction, held, request)
         except NotServedError as error:
@@ -143,6 +146,9 @@
             transaction.held = None
         else:
             self.abort(transaction)
+        is_acknowledged = reply.error is None and transaction.has_written
+        if is_acknowledged and self._primaries.is_given_up(held.server):
+            return given_up_in_doubt(request, held.server)
         if reply.error is not None and reply.error.code.is_not_run:
             return _error_reply(
                 _aborted(f"the server refused the commit: {reply.error.message}")
@@ -188,15 +194,20 @@
 
     def _begin(self, transaction: Transaction, request: Request) -> HeldConnection:
         if transaction.needs_primary:
-            held = self._begin_on_primary(request)
+            may_write = not transaction.is_read_only
+            held = self._begin_on_primary(request, may_write=may_write)
         else:
             held = self._begin_on_replica(request)
         transaction.held = held
         return held
 
-    def _begin_on_primary(self, request: Request) -> HeldConnection:
+    def _begin_on_primary(
+        self, request: Request, *, may_write: bool = False
+    ) -> HeldConnection:
         held, reply = self._primaries.run_idempotent(
-            request, lambda one: self._access.begin_on_primary(one, request)
+            request,
+            lambda one: self._access.begin_on_primary(one, request),
+            may_write=may_write,
         )
         if reply.error is not None:
             held.finish(is_good=True)
--- a/packages/pooler/src/dogwoodspool_pooler/writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -1,6 +1,6 @@
 """Writes outside of transactions."""
 
-from dogwoodspool_common import Clock, log_rate_limited
+from dogwoodspool_common import BackendServer, Clock, log_rate_limited
 from dogwoodspool_connections import OutcomeUnknownError
 
 from .access import ServerAccess
@@ -35,11 +35,13 @@
         """
         try:
             held, reply = self._primaries.run(
-                request, lambda one: self._attempt(one, request)
+                request, lambda one: self._attempt(one, request), may_write=True
             )
         except OutcomeUnknownError as error:
             return write_in_doubt(request, error)
         held.finish(is_good=reply.state is TransactionState.IDLE)
+        if reply.error is None and self._primaries.is_given_up(held.server):
+            return given_up_in_doubt(request, held.server)
         return reply
 
     def _attempt(self, held: LocalHeldConnection, request: Request) -> Reply:
@@ -69,6 +71,18 @@
     return in_doubt("the write was sent to the server and got no complete answer")
 
 
+def given_up_in_doubt(request: Request, server: BackendServer) -> Reply:
+    """Log an acknowledgement that may not last, and return the reply instead of it."""
+    log_rate_limited(
+        "acknowledged_by_given_up_server",
+        request=request.statement.request_id,
+        database=request.endpoint.database,
+        server=server.name,
+        incarnation=server.incarnation,
+    )
+    return in_doubt("the server that acknowledged it is being replaced")
+
+
 def in_doubt(message: str) -> Reply:
     """Return the reply to a request that may have run."""
     error = StatementError(ErrorCode.IN_DOUBT, message)
--- a/tests/api/test_messages.py
+++ b/tests/api/test_messages.py
@@ -6,9 +6,17 @@
     AccountMessage,
     ControlView,
     EndpointMessage,
+    GroupMessage,
     RemovedItems,
 )
-from dogwoodspool_common import ClientAccount, Consistency, Endpoint, RateLimit
+from dogwoodspool_common import (
+    ClientAccount,
+    Consistency,
+    Endpoint,
+    GroupState,
+    Phase,
+    RateLimit,
+)
 
 ENDPOINT = Endpoint("r1", "db", "g1", Consistency.PRIMARY, 800, 250, 1)
 NEW_FIELDS = {"accounts", "requires_account", "is_public"}
@@ -26,6 +34,22 @@
     return ControlView.model_validate({"version": 1, **empty, **changes})
 
 
+class GivenUpTests(unittest.TestCase):
+    """Guard against proxies of an earlier build that reject views in a failover."""
+
+    def setUp(self) -> None:
+        state = GroupState("g1", 2, None, Phase.PROMOTING, (), ("s1",))
+        self.view = view(groups=[GroupMessage.of(state)])
+
+    def test_it_is_left_out_for_an_earlier_build(self) -> None:
+        content = self.view.without_given_up().model_dump(mode="json")
+        self.assertNotIn("given_up", content["groups"][0])
+
+    def test_it_reaches_a_process_that_knows_it(self) -> None:
+        received = ControlView.model_validate(self.view.model_dump(mode="json"))
+        self.assertEqual(received.groups[0].value().given_up, ("s1",))
+
+
 class ExtendedMessageTests(unittest.TestCase):
     """Guard against proxies of an earlier build that reject every view."""
 
--- a/tests/control/http/test_http.py
+++ b/tests/control/http/test_http.py
@@ -14,12 +14,14 @@
 from dogwoodspool_common import JsonRequest, JsonResponse, ManualClock, Position
 from dogwoodspool_consensus import NotConfirmedError, OutcomeUnknownError
 from dogwoodspool_control.command_queue import CommandQueue
+from dogwoodspool_control.commands import BeginPromotion
 from dogwoodspool_control.const import MAX_WATCHERS
 from dogwoodspool_control.grants.renewals import RenewalRate, Renewals
 from dogwoodspool_control.grants.shares import ShareLedger
 from dogwoodspool_control.http.api import ControlApi
 from dogwoodspool_control.http.support import WaitSlots
 from dogwoodspool_control.http.watch import WatchApi
+from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.promotion.detector import FailureDetector
 from dogwoodspool_control.promotion.planned import PlannedPromotions
 from dogwoodspool_control.promotion.server_observations import ServerObservations
@@ -96,6 +98,14 @@
         self.queue.commit_next()
         self.assertEqual(len(self.renew("p2").body["grants"]), 1)
 
+    def test_servers_given_up_are_sent_only_on_request(self) -> None:
+        """Guard against proxies of an earlier build that reject the view."""
+        self.voter.node.commit(BeginPromotion(GROUP, 1, PromotionReason.FAILED))
+        (asked,) = self.call(PATH_WATCH, given_up="1").body["view"]["groups"]
+        (not_asked,) = self.call(PATH_WATCH).body["view"]["groups"]
+        self.assertEqual(asked["given_up"], ["s1"])
+        self.assertNotIn("given_up", not_asked)
+
     def test_follower_responds_with_the_leader(self) -> None:
         self.voter.stop_leading()
         response = self.renew("p1")
--- a/tests/failover/test_joined.py
+++ b/tests/failover/test_joined.py
@@ -6,7 +6,7 @@
 from dogwoodspool_common import Phase, Position, Role
 from dogwoodspool_control.models import PromotionReason
 
-from .fakes import GROUP, UNKNOWN, FakeServer, Voter
+from .fakes import GROUP, REFUSED, UNKNOWN, FakeServer, Voter
 
 
 class JoinedServerTests(unittest.TestCase):
@@ -171,3 +171,34 @@
         self.voter.begin()
         self.voter.change()
         self.assertEqual(counts[0] + 1, counts[1])
+
+
+class GivenUpServerTests(unittest.TestCase):
+    """The state names the servers whose acknowledgements may not last."""
+
+    def setUp(self) -> None:
+        self.voter = Voter()
+
+    def given_up(self) -> tuple[str, ...]:
+        state = self.voter.state.group(GROUP)
+        assert state is not None
+        return state.given_up
+
+    def test_old_primary_of_a_failover_is_given_up(self) -> None:
+        self.voter.group.servers["s1"].is_silent = True
+        self.voter.begin()
+        self.assertEqual(self.given_up(), ("s1",))
+        self.voter.change()
+        self.assertEqual(self.given_up(), ("s1",))
+
+    def test_old_primary_of_a_planned_change_is_not_given_up(self) -> None:
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assertEqual((self.voter.primary, self.given_up()), ("s2", ()))
+
+    def test_chosen_server_is_not_given_up(self) -> None:
+        self.voter.group.answers = [REFUSED, True]
+        self.voter.begin()
+        self.voter.change()
+        self.assertNotIn(self.voter.primary, self.given_up())
+        self.assertIn("s1", self.given_up())
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -97,6 +97,7 @@
         connections_to_refuse: number of new connections that it still refuses.
         is_replaced: whether another server was promoted in its place; it then still
             answers reads outside of read-write transactions.
+        on_answer: called with the kind of a statement before its answer arrives.
     """
 
     name: str
@@ -110,6 +111,7 @@
     connections_to_refuse: int = 0
     runs: list[ExecutedStatement] = field(default_factory=list)
     opened: int = 0
+    on_answer: Callable[[StatementKind], None] = lambda _kind: None
     refused_as_behind: int = 0
 
     def as_backend_server(self) -> BackendServer:
@@ -187,6 +189,7 @@
             self._is_open = False
             raise OutcomeUnknownError("down")
         replies = [self._run(statement) for statement in statements]
+        self._fake.on_answer(statements[-1].kind)
         self.answered_at = self._clock.now()
         return replies
 
@@ -440,11 +443,12 @@
         endpoints: Sequence[Endpoint] | None = None,
         leaving: Collection[str] = (),
         accounts: Sequence[ClientAccount] | None = None,
+        given_up: tuple[str, ...] = (),
     ) -> None:
         """Apply a new view; without ``accounts`` callers need none."""
         self.version += 1
         view_endpoints = [self.served_endpoint] if endpoints is None else endpoints
-        group = GroupState(GROUP, self.version, primary, phase, ())
+        group = GroupState(GROUP, self.version, primary, phase, (), given_up)
         servers = [
             replace(fake.as_backend_server(), is_leaving=fake.name in leaving)
             for fake in self.network.servers.values()
