Edge: a statement accepted in time is not rolled back before it runs

At half of the grace time a drain rolls back open transactions in which no statement runs. A statement that had been read and accepted just before, but did not run yet, found its transaction rolled back: a commit that was entitled to run was refused as aborted, and another statement as malformed.

--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -6,6 +6,8 @@
 
 from dogwoodspool_common import ManualClock
 from dogwoodspool_platform.edge import Edge
+from dogwoodspool_pooler import Answer, Statement
+from dogwoodspool_pooler.session import PooledSession
 
 from .standin import Gate, TextClient
 from .system import TIMEOUT_SECONDS, SystemFixture, eventually
@@ -218,6 +220,37 @@
         self.assertNotIn("n1", self.log.ids)
         self.assertFalse({"o2", "w2", "w3"} & set(self.log.ids))
 
+    def test_a_commit_that_was_accepted_in_time_runs(self) -> None:
+        """Guard against a rollback between a statement's acceptance and its run."""
+        client = self.serving_client()
+        client.ask("t1", "BEGIN")
+        client.ask("t2", "WRITE t 1")
+        gate, rolled_back = Gate(), threading.Semaphore(0)
+        callers, run = self.edges[0].callers, PooledSession.run
+        abandon = callers.abandon_transactions
+
+        def wait_and_run(
+            session: PooledSession, statement: Statement, *, is_refused: bool
+        ) -> Answer:
+            gate.arrived.set()
+            gate.opened.wait(TIMEOUT_SECONDS)
+            return run(session, statement, is_refused=is_refused)
+
+        def abandon_and_count() -> None:
+            abandon()
+            rolled_back.release()
+
+        patch.object(callers, "abandon_transactions", abandon_and_count).start()
+        patch.object(PooledSession, "run", wait_and_run).start()
+        stop = Stop(self.edges[0], self.clock)
+        client.send("QUERY t3 COMMIT")
+        self.assertTrue(gate.arrived.wait(TIMEOUT_SECONDS))
+        stop.reach(NEW_WORK_REFUSED)
+        self.assertTrue(rolled_back.acquire(timeout=TIMEOUT_SECONDS))
+        gate.opened.set()
+        self.assertEqual(self.read_answer(client), ["COMPLETE proof.t3", "READY I -"])
+        stop.join()
+
     def test_a_transaction_may_end_until_half_of_the_grace_time(self) -> None:
         client = self.serving_client()
         client.ask("t1", "BEGIN")
