Tests: given-up servers behind shared pools, and notified changes of primary

A write that an owner runs, and a commit at an owner, are in doubt once the owner's or the caller's proxy knows that the server was given up. The leader's loop reaches the changes that are in progress.

--- a/tests/failover/test_joined.py
+++ b/tests/failover/test_joined.py
@@ -1,10 +1,12 @@
 """Tests of servers that join a group, or restart, during a change of its primary."""
 
+import threading
 import unittest
 from functools import partial
 
 from dogwoodspool_common import Phase, Position, Role
-from dogwoodspool_control.models import PromotionReason
+from dogwoodspool_control.models import Promotion, PromotionReason
+from dogwoodspool_control.promotion.worker import PromotionRunner, PromotionWorker
 
 from .fakes import GROUP, REFUSED, UNKNOWN, FakeServer, Voter
 
@@ -202,3 +204,40 @@
         self.voter.change()
         self.assertNotIn(self.voter.primary, self.given_up())
         self.assertIn("s1", self.given_up())
+
+
+class _WaitingWorker(PromotionWorker):
+    """A worker that is in progress until it is released."""
+
+    def __init__(self, group: str, voter: Voter) -> None:
+        super().__init__(group, voter.clock, voter.node, voter.state, voter.timeline)
+        self.released = threading.Event()
+        self.notified = 0
+
+    def run(self) -> None:
+        self.released.wait()
+
+    def advance(self, promotion: Promotion) -> None:
+        raise NotImplementedError
+
+    def servers_changed(self) -> None:
+        self.notified += 1
+
+
+class NotificationTests(unittest.TestCase):
+    """The leader's loop tells the changes in progress of servers that join."""
+
+    def test_worker_in_progress_is_notified(self) -> None:
+        """Guard against a change that waits for the platform and fences nobody."""
+        voter = Voter()
+        worker = _WaitingWorker(GROUP, voter)
+        runner = PromotionRunner(voter.state, lambda _group: worker)
+        runner.notify_servers()
+        voter.begin()
+        runner.run_missing()
+        runner.notify_servers()
+        self.assertEqual(worker.notified, 1)
+        worker.released.set()
+        runner.join(30.0)
+        runner.notify_servers()
+        self.assertEqual(worker.notified, 1)
--- a/tests/pooler/test_given_up.py
+++ b/tests/pooler/test_given_up.py
@@ -6,6 +6,7 @@
 from dogwoodspool_pooler import ErrorCode, StatementKind, TransactionState
 
 from .fakes import FakeServer, Pooler, run_text
+from .shared.neighbours import SharingProxy
 
 
 class GivenUpServerTests(unittest.TestCase):
@@ -96,3 +97,39 @@
         self.pooler.apply_view(primary=None, phase=Phase.PROMOTING)
         answer = run_text(self.pooler.session(), "WRITE k v")
         self.assertEqual(answer.proof, "s1:r")
+
+
+class SharedPoolsTests(unittest.TestCase):
+    """Owners of shared pools pass on no such success either."""
+
+    def setUp(self) -> None:
+        self.server = FakeServer("s1", Role.PRIMARY)
+        self.proxy = SharingProxy([self.server, FakeServer("s2", Role.REPLICA)])
+
+    def give_up_before_the_answer_to(
+        self, kind: StatementKind, informed: Pooler
+    ) -> None:
+        def on_answer(answered: StatementKind) -> None:
+            if answered is kind:
+                informed.apply_view(
+                    primary=None, phase=Phase.PROMOTING, given_up=("s1",)
+                )
+
+        self.server.on_answer = on_answer
+
+    def test_write_that_an_owner_runs_is_in_doubt(self) -> None:
+        self.give_up_before_the_answer_to(
+            StatementKind.WRITE, self.proxy.owner("o1").pooler
+        )
+        answer = run_text(self.proxy.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.IN_DOUBT)
+
+    def test_commit_at_an_owner_is_in_doubt(self) -> None:
+        self.give_up_before_the_answer_to(StatementKind.COMMIT, self.proxy)
+        session = self.proxy.session()
+        for text in ("BEGIN", "WRITE k v"):
+            self.assertIsNone(run_text(session, text).error)
+        answer = run_text(session, "COMMIT")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.IN_DOUBT)
