Failover: a planned change that goes on as a failover gives the old primary up

What callers saw: a write acknowledged during a planned change of primary could be missing on the promoted server, if the old primary was lost to control meanwhile.

Cause: the reason of a change is committed at its start. A planned change whose primary control no longer reaches goes on as a failover after some seconds, but its reason stayed planned, so that no view named the old primary as given up and proxies passed on what it acknowledged. A leader elected between choice and promotion took the change for a planned one, too.

Change: the step from planned change to failover is a command of the log.

The test failed before: ('s2', ()) in place of ('s2', ('s1',)).

--- a/packages/control/src/dogwoodspool_control/commands.py
+++ b/packages/control/src/dogwoodspool_control/commands.py
@@ -165,6 +165,18 @@
     server: str
 
 
+@dataclass(frozen=True, slots=True)
+class AbandonSwitchover:
+    """Continue a planned change of primary as a failover.
+
+    Attributes:
+        expected_term: term of the change; the command is rejected at another one.
+    """
+
+    group: str
+    expected_term: int
+
+
 Command = (
     RegisterProxy
     | ForgetProxy
@@ -180,6 +192,7 @@
     | ApplyDocument
     | IssueToken
     | AdoptPrimary
+    | AbandonSwitchover
 )
 
 KIND: Final = "kind"
@@ -199,6 +212,7 @@
     "apply_document": TypeAdapter(ApplyDocument),
     "issue_token": TypeAdapter(IssueToken),
     "adopt_primary": TypeAdapter(AdoptPrimary),
+    "abandon_switchover": TypeAdapter(AbandonSwitchover),
 }
 _kinds: Final[dict[type, str]] = {
     RegisterProxy: "register_proxy",
@@ -215,6 +229,7 @@
     ApplyDocument: "apply_document",
     IssueToken: "issue_token",
     AdoptPrimary: "adopt_primary",
+    AbandonSwitchover: "abandon_switchover",
 }
 _outcome_adapter: Final = TypeAdapter(Outcome)
 
--- a/packages/control/src/dogwoodspool_control/promotion/groups.py
+++ b/packages/control/src/dogwoodspool_control/promotion/groups.py
@@ -6,6 +6,7 @@
 from dogwoodspool_common import BackendServer, GroupState, Phase, Position
 
 from ..commands import (
+    AbandonSwitchover,
     AdoptPrimary,
     BeginPromotion,
     BootstrapGroup,
@@ -131,6 +132,26 @@
         )
         return Outcome(True, index=index, version=term)
 
+    def abandon_switchover(
+        self,
+        index: int,
+        command: AbandonSwitchover,
+        servers: Mapping[str, BackendServer],
+    ) -> Outcome:
+        """Continue a planned change as a failover, which gives the old primary up."""
+        current = self._promotions.get(command.group)
+        if current is None or current.term != command.expected_term:
+            return _conflict(f"group {command.group} is at another term")
+        if current.chosen is not None:
+            return _conflict(f"{current.chosen} is already chosen")
+        promotion = replace(current, reason=PromotionReason.FAILED)
+        group = self._groups[command.group]
+        self._promotions[command.group] = promotion
+        self._groups[command.group] = replace(
+            group, given_up=_given_up(group, promotion, servers)
+        )
+        return Outcome(True, index=index, version=promotion.term)
+
     def _begin(
         self,
         index: int,
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -11,6 +11,7 @@
 from pydantic import TypeAdapter
 
 from .commands import (
+    AbandonSwitchover,
     AdoptPrimary,
     ApplyDocument,
     BeginPromotion,
@@ -319,7 +320,8 @@
         | BeginPromotion
         | ChoosePrimary
         | EndPromotion
-        | AdoptPrimary,
+        | AdoptPrimary
+        | AbandonSwitchover,
     ) -> Outcome:
         match command:
             case BootstrapGroup():
@@ -334,6 +336,10 @@
                 return self._groups.end(index, command)
             case AdoptPrimary():
                 return self._groups.adopt(index, command)
+            case AbandonSwitchover():
+                return self._groups.abandon_switchover(
+                    index, command, self._servers.servers
+                )
 
     def _view_items(self) -> ViewItems:
         return ViewItems(
--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -5,6 +5,7 @@
 
 from dogwoodspool_common import BackendServer, Position, Role, log_event
 from dogwoodspool_control.commands import (
+    AbandonSwitchover,
     AdoptPrimary,
     BeginPromotion,
     ChoosePrimary,
@@ -67,11 +68,10 @@
             self._promote(promotion)
 
     def _choose(self, promotion: Promotion) -> None:
-        choice = None
-        if promotion.reason is PromotionReason.PLANNED:
+        is_switchover = promotion.reason is PromotionReason.PLANNED
+        if is_switchover:
             choice = self._await_switchover(promotion)
-        is_switchover = choice is not None
-        if choice is None:
+        else:
             choice = self._await_failover(promotion)
         if choice is None:
             return
@@ -131,6 +131,9 @@
     def _await_switchover(self, promotion: Promotion) -> Choice | None:
         """Choose while the old primary keeps serving; None if no switchover works.
 
+        The change then goes on as a failover. That is committed first, as proxies must
+        not pass on what the old primary acknowledges from now on.
+
         No write has to wait: the old primary serves until the platform has moved
         the primary role, and its acknowledged writes are on the successor by then.
         """
@@ -143,6 +146,7 @@
                 return choice
             clock.sleep(FENCE_RETRY_SECONDS)
         log_event("handover_not_possible", group=self._group, term=promotion.term)
+        self._dependencies.node.commit(AbandonSwitchover(self._group, promotion.term))
         return None
 
     def _try_switchover(self, promotion: Promotion) -> Choice | None:
--- a/tests/failover/test_joined.py
+++ b/tests/failover/test_joined.py
@@ -198,6 +198,13 @@
         self.voter.change()
         self.assertEqual((self.voter.primary, self.given_up()), ("s2", ()))
 
+    def test_old_primary_of_a_planned_change_that_fails_is_given_up(self) -> None:
+        """Guard against success for writes that a failover leaves behind."""
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.group.servers["s1"].is_silent = True
+        self.voter.change()
+        self.assertEqual((self.voter.primary, self.given_up()), ("s2", ("s1",)))
+
     def test_chosen_server_is_not_given_up(self) -> None:
         self.voter.group.answers = [REFUSED, True]
         self.voter.begin()
