Failover: a successor that restarts after its choice is not promoted

Callers: writes that were acknowledged during a planned change may be missing on the new primary. While the other replicas are paused, the old primary acknowledges with the chosen server alone. If that server restarts without its log before the promotion request, the promotion takes effect with what it has then.

Cause: the basis of a choice exempted the chosen server of a planned change by name, so that its new incarnation did not count as joined.

Now a new incarnation of the chosen server breaks the choice, and the change goes on as a failover, which compares all servers. A server that the choice did not know, after a change of leader, is exempt as before: that a successor restarts and the leader changes in the same planned change is not covered.

test_successor_that_restarts_after_its_choice failed before: the server was promoted at 1.0 with 1.101 acknowledged. Tests of failover: 75 pass.

--- a/packages/failover/src/dogwoodspool_failover/basis.py
+++ b/packages/failover/src/dogwoodspool_failover/basis.py
@@ -107,6 +107,9 @@
         joined = self._joined(members)
         if not joined:
             return Confirmation.HOLDS
+        if self._is_switchover and any(one.name == self._chosen for one in joined):
+            # It has restarted, and may lack what was acknowledged with it alone.
+            return Confirmation.BROKEN
         answers = self._fence(members, joined)
         result = self._check(members, answers)
         for server in joined:
@@ -121,17 +124,20 @@
         return self._dependencies.state.servers_of(self._promotion.group)
 
     def _joined(self, members: Iterable[BackendServer]) -> list[BackendServer]:
-        exempt: tuple[str, ...] = ()
-        if self._is_switchover:
-            exempt = (self._promotion.old_primary, self._chosen)
         with self._lock:
-            return [
-                one
-                for one in members
-                if not one.is_gone
-                and one.name not in exempt
-                and (one.name, one.incarnation) not in self._known
-            ]
+            known = set(self._known)
+        exempt = set()
+        if self._is_switchover:
+            exempt = {self._promotion.old_primary}
+            if all(name != self._chosen for name, _ in known):
+                exempt.add(self._chosen)
+        return [
+            one
+            for one in members
+            if not one.is_gone
+            and one.name not in exempt
+            and (one.name, one.incarnation) not in known
+        ]
 
     def _fence(
         self, members: list[BackendServer], joined: list[BackendServer]
--- a/tests/failover/test_joined.py
+++ b/tests/failover/test_joined.py
@@ -103,6 +103,20 @@
         self.assert_nothing_lost()
         self.assertNotIn(("step_down", "s1"), self.group.orders)
 
+    def test_successor_that_restarts_after_its_choice(self) -> None:
+        """Guard against the promotion of a successor that lost its log."""
+
+        def lose_log() -> None:
+            self.group.acknowledge("s2")
+            successor = self.servers["s2"]
+            successor.received, successor.incarnation = Position(1, 0), 2
+            self.voter.join(successor)
+
+        self.voter.after_choice(lose_log)
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assert_nothing_lost()
+
     def test_replica_that_starts_before_a_request_is_repeated(self) -> None:
         """Guard against lost writes when the first request is not carried out."""
         self.cut_off_primary()
