Soak: real processes under signals, stops and changes, judged by the users' rules

Users lost something accepted, or an answer, on real processes, and no test of the repository stops real processes under load. The soak starts three core and three edge processes from the sources, with stand-ins for callers, database servers with logs of their own, the provider and the operator. Disturbances come from one seeded source. Bounds are those of RULES.md; a bound in time is not judged, and said so, where a process under judgement or the soak had no processor for 0.1 s. Lost or doubled writes are always judged.

--- /dev/null
+++ b/tests/platform/soak/__main__.py
@@ -0,0 +1,66 @@
+"""Run the soak by hand.
+
+Usage:
+  soak [--seeds=RANGE] [--proxies=N] [--folder=PATH] [--only=PARTS]
+
+Options:
+  --seeds=RANGE   Seeds to run, such as 4 or 1-50 [default: 1].
+  --proxies=N     Number of proxies [default: 3].
+  --folder=PATH   Where logs are kept [default: out/soak].
+  --only=PARTS    Disturbances, separated by commas: stops, core-stops, kills,
+                  hangups, configs, primaries. All if not given.
+"""
+
+import shutil
+import sys
+from pathlib import Path
+from typing import Final
+
+from docopt import docopt
+
+from .disturbances import Plan
+from .history import Finding
+from .run import run_seed
+
+PARTS: Final = {
+    "stops": "stops_edges",
+    "core-stops": "stops_cores",
+    "kills": "kills_cores",
+    "hangups": "hangs_up",
+    "configs": "changes_config",
+    "primaries": "changes_primary",
+}
+SHOWN_FINDINGS: Final = 3
+
+
+def main() -> int:
+    """Run the seeds one after the other; return 1 if there was a finding."""
+    arguments = docopt(__doc__ or "")
+    first, _, last = str(arguments["--seeds"]).partition("-")
+    plan = Plan()
+    if arguments["--only"]:
+        wanted = str(arguments["--only"]).split(",")
+        plan = Plan(**{field: name in wanted for name, field in PARTS.items()})
+    found = 0
+    for seed in range(int(first), int(last or first) + 1):
+        folder = Path(arguments["--folder"]) / f"seed-{seed}"
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        outcome = run_seed(seed, folder.resolve(), plan, int(arguments["--proxies"]))
+        print(outcome, flush=True)
+        for finding in first_of_each_kind(outcome.findings):
+            print(f"  seed={seed} {finding}", flush=True)
+        found += len(outcome.judged)
+    return 1 if found else 0
+
+
+def first_of_each_kind(findings: list[Finding]) -> list[Finding]:
+    """Return some findings of each kind."""
+    shown: dict[str, list[Finding]] = {}
+    for one in findings:
+        shown.setdefault(one.kind, []).append(one)
+    return [one for kind in shown.values() for one in kind[:SHOWN_FINDINGS]]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/platform/soak/checker.py
@@ -0,0 +1,144 @@
+"""Judge a run by the users' rules."""
+
+from .const import (
+    EXCUSED_GRACE_SHARE,
+    EXCUSED_SENT_SECONDS,
+    GRACE_SECONDS,
+    LOSS_SLACK_SECONDS,
+    PROMISES,
+    ROUTE_TIMEOUT_SECONDS,
+)
+from .database import Group
+from .history import History, Life, Request
+from .processor import ProcessorWatch
+
+
+class Checker:
+    """Find broken rules in what was seen."""
+
+    def __init__(
+        self, history: History, group: Group, processor: ProcessorWatch
+    ) -> None:
+        self._history = history
+        self._group = group
+        self._processor = processor
+
+    def check(self) -> None:
+        """Check everything; findings are kept in the history."""
+        for request in self._history.requests.values():
+            self._check_answer(request)
+        for life in self._history.lives:
+            self._check_end(life)
+        self._check_log()
+
+    def _check_answer(self, request: Request) -> None:
+        """A request gets its whole answer or is closed early without having run."""
+        if request.is_answered or request.ended_at is None:
+            return
+        if request.life.killed_at is not None or self._is_excused(request):
+            return
+        waited = request.ended_at - request.sent_at
+        if not request.runs and waited <= LOSS_SLACK_SECONDS:
+            return
+        is_slow = self._processor.was_slow(
+            request.sent_at, request.ended_at, request.life.role
+        )
+        kind = "unanswered" if request.gave_up else "cut off"
+        self._history.find(kind, self._describe(request), is_judged=not is_slow)
+
+    def _is_excused(self, request: Request) -> bool:
+        if request.ended_at is None or request.gave_up:
+            return False
+        if request.ended_at - request.sent_at >= ROUTE_TIMEOUT_SECONDS:
+            return True
+        if any(run.is_broken_off for run in request.runs):
+            return True
+        stopped_at = request.life.terminated_at
+        if stopped_at is None or request.sent_at > stopped_at + EXCUSED_SENT_SECONDS:
+            return False
+        last_part = stopped_at + GRACE_SECONDS * EXCUSED_GRACE_SHARE
+        return any(
+            run.ended_at is None or run.ended_at >= last_part for run in request.runs
+        )
+
+    def _describe(self, request: Request) -> str:
+        assert request.ended_at is not None
+        parts = [
+            f"request={request.id} text={request.text!r} process={request.life.name}",
+            f"open_s={request.ended_at - request.sent_at:.3f}",
+            f"messages={len(request.answer)}",
+        ]
+        stopped_at = request.life.terminated_at
+        if stopped_at is not None:
+            parts += [
+                f"sent_after_sigterm_s={request.sent_at - stopped_at:.3f}",
+                f"ended_after_sigterm_s={request.ended_at - stopped_at:.3f}",
+            ]
+        hangups = [at for at in request.life.hangups if at <= request.ended_at]
+        if hangups:
+            parts.append(f"ended_after_sighup_s={request.ended_at - hangups[-1]:.3f}")
+        for run in request.runs:
+            received = run.received_at - request.sent_at
+            parts.append(f"{run.server}_received_s={received:.3f}")
+            if run.ended_at is not None:
+                parts.append(f"answered_s={run.ended_at - request.sent_at:.3f}")
+        return " ".join(parts)
+
+    def _check_end(self, life: Life) -> None:
+        """A process ends only when told to, and then within the grace time."""
+        if life.overdue_at is not None and life.terminated_at is not None:
+            is_slow = self._processor.was_slow(
+                life.terminated_at, life.overdue_at, life.role
+            )
+            self._history.find(
+                "overdue",
+                f"{life.name} ran {GRACE_SECONDS} s after SIGTERM",
+                is_judged=not is_slow,
+            )
+        if life.ended_at is None or life.terminated_at or life.killed_at:
+            return
+        age = life.ended_at - life.started_at
+        near = [life.ended_at - at for at in life.hangups if at <= life.ended_at]
+        self._history.find(
+            "ended by itself",
+            f"{life.name} status={life.status} age_s={age:.3f} hangups={len(near)}"
+            + (f" last_hangup_s_before={near[-1]:.3f}" if near else ""),
+        )
+
+    def _check_log(self) -> None:
+        """Acknowledged writes are in the primary's log, and no write is there twice."""
+        primary = self._group.primary
+        if primary is None:
+            self._history.find("no primary", "the group has none at the end")
+            return
+        counts: dict[str, int] = {}
+        for commit in primary.log:
+            for one in commit.requests:
+                counts[one] = counts.get(one, 0) + 1
+        for name, count in counts.items():
+            if count > 1:
+                self._history.find("twice", f"{name} is in the log {count} times")
+        for request, writes in self._commits():
+            missing = [one for one in writes if one not in counts]
+            if request.is_success and missing:
+                self._history.find(
+                    "lost write", f"{missing} acknowledged by {request.id}"
+                )
+            if request.error in PROMISES and len(missing) < len(writes):
+                self._history.find(
+                    "refused write kept", f"{request.id} {request.answer}: {writes}"
+                )
+
+    def _commits(self) -> list[tuple[Request, list[str]]]:
+        """Return each request that commits, with the ids of its writes."""
+        commits: list[tuple[Request, list[str]]] = []
+        pending: dict[str, list[str]] = {}
+        for request in self._history.requests.values():
+            if not request.transaction:
+                if request.is_write:
+                    commits.append((request, [request.id]))
+            elif request.is_write:
+                pending.setdefault(request.transaction, []).append(request.id)
+            elif request.text == "COMMIT" and request.transaction in pending:
+                commits.append((request, pending[request.transaction]))
+        return commits
--- /dev/null
+++ b/tests/platform/soak/disturbances.py
@@ -0,0 +1,189 @@
+"""Disturbances of a run, all drawn from one seeded random source."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any, Final
+
+from .deployment import Deployment, Machine
+from .history import Life
+from .operator import Operator
+from .surroundings import Fleet
+
+Work = Coroutine[Any, Any, None]
+
+NANOSECONDS: Final = 1e9
+# A process that had this much processor time has begun to run its program; a signal
+# that comes before that meets the interpreter, whose default is to end.
+PROGRAM_PROCESSOR_SECONDS: Final = 0.1
+SERIES_GAPS: Final = (0.001, 0.05)
+POLL_SECONDS: Final = 0.01
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Which disturbances a run has."""
+
+    seconds: float = 12.0
+    stops_edges: bool = True
+    stops_cores: bool = True
+    kills_cores: bool = True
+    hangs_up: bool = True
+    changes_config: bool = True
+    changes_primary: bool = True
+
+
+class Disturbances:
+    """Start disturbances at times drawn in advance, and wait for their ends."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        operator: Operator,
+        fleet: Fleet,
+        plan: Plan,
+        seed: int,
+    ) -> None:
+        self._deployment = deployment
+        self._operator = operator
+        self._fleet = fleet
+        self._plan = plan
+        self._random = random.Random(seed)
+        self._scheduled: list[tuple[float, Callable[[], Work]]] = []
+
+    def schedule(self, at: float, work: Callable[[], Work]) -> None:
+        """Add a disturbance, so many seconds after the start."""
+        self._scheduled.append((at, work))
+
+    async def run(self) -> None:
+        """Run all disturbances; return when each of them has ended."""
+        async with asyncio.TaskGroup() as tasks:
+            for at, work in self._scheduled:
+                tasks.create_task(self._run_at(at, work))
+
+    async def _run_at(self, at: float, work: Callable[[], Work]) -> None:
+        await asyncio.sleep(at)
+        await work()
+
+    def draw(self) -> None:
+        """Draw the disturbances of the plan."""
+        if self._plan.stops_edges:
+            self._draw_edge_stops()
+        if self._plan.stops_cores or self._plan.kills_cores:
+            self._draw_core_ends()
+        if self._plan.hangs_up:
+            self._draw_hangups()
+        if self._plan.changes_config:
+            self._draw_changes()
+        if self._plan.changes_primary:
+            self._draw_servers()
+
+    def _draw_edge_stops(self) -> None:
+        """Stop the proxies: in turn, with overlaps, or all at once."""
+        edges = self._deployment.edges
+        gap = self._random.choice((0.0, 0.3, 1.5, 4.0))
+        at = self._random.uniform(0.0, 2.0)
+        while at < self._plan.seconds - 1.0:
+            for edge in self._random.sample(edges, len(edges)):
+                self.schedule(at, self._stop_of(edge))
+                at += gap
+            at += self._random.uniform(6.5, 8.0)
+
+    def _draw_core_ends(self) -> None:
+        """Stop or kill control processes, one after the other."""
+        at = self._random.uniform(0.0, 4.0)
+        while at < self._plan.seconds - 1.0:
+            core = self._random.choice(self._deployment.cores)
+            kills = self._plan.kills_cores and self._random.random() < 0.5
+            if kills or not self._plan.stops_cores:
+                self.schedule(at, partial(self._kill, core))
+            else:
+                self.schedule(at, self._stop_of(core))
+            at += self._random.uniform(4.0, 8.0)
+
+    def _draw_hangups(self) -> None:
+        """Send series of SIGHUP at any time."""
+        for _ in range(self._random.randint(3, 6)):
+            machine = self._random.choice(self._deployment.machines)
+            at = self._random.uniform(0.0, self._plan.seconds)
+            count = self._random.randint(1, 30)
+            self.schedule(at, partial(self._hang_up, machine, count))
+
+    def _draw_changes(self) -> None:
+        """Change the configuration: alone, overlapping, and some sent twice."""
+        for _ in range(self._random.randint(2, 5)):
+            at = self._random.uniform(0.0, self._plan.seconds)
+            for _ in range(self._random.choice((1, 1, 2, 4))):
+                is_twice = self._random.random() < 0.3
+                change = partial(self._operator.change, is_sent_twice=is_twice)
+                self.schedule(at, change)
+                at += self._random.uniform(0.0, 0.2)
+
+    def _draw_servers(self) -> None:
+        """Replace the primary or a replica, or cut the primary off from control."""
+        at = self._random.uniform(0.0, 3.0)
+        while at < self._plan.seconds - 2.0:
+            seconds = self._random.uniform(3.0, 6.0)
+            work = self._random.choice(
+                (
+                    partial(self._fleet.replace, is_primary=True),
+                    partial(self._fleet.replace, is_primary=False),
+                    partial(self._fleet.silence_primary, seconds),
+                )
+            )
+            self.schedule(at, work)
+            at += self._random.uniform(4.0, 9.0)
+
+    def _stop_of(self, machine: Machine) -> Callable[[], Work]:
+        """Return the stop of a process, some with SIGHUP during drain and start."""
+        drain_hangups = self._random.choice((0, 0, 30))
+        start_hangups = self._random.choice((0, 20))
+        if not self._plan.hangs_up:
+            drain_hangups = start_hangups = 0
+
+        async def stop() -> None:
+            life = machine.life
+            if life is None or not life.is_running:
+                return
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._deployment.stop(life))
+                tasks.create_task(self._hang_up_life(life, drain_hangups))
+            if start_hangups:
+                await self._hang_up_at_start(machine, life, start_hangups)
+
+        return stop
+
+    async def _kill(self, machine: Machine) -> None:
+        if machine.life is not None:
+            self._deployment.kill(machine.life)
+
+    async def _hang_up(self, machine: Machine, count: int) -> None:
+        life = machine.life
+        if life is not None and await self._has_program(life):
+            await self._hang_up_life(life, count)
+
+    async def _hang_up_life(self, life: Life, count: int) -> None:
+        for _ in range(count):
+            self._deployment.hang_up(life)
+            await asyncio.sleep(self._random.uniform(*SERIES_GAPS))
+
+    async def _hang_up_at_start(
+        self, machine: Machine, before: Life, count: int
+    ) -> None:
+        """Send a series to the next process of a machine while it starts."""
+        while machine.life is before:
+            await asyncio.sleep(POLL_SECONDS)
+        await self._hang_up(machine, count)
+
+    async def _has_program(self, life: Life) -> bool:
+        """Wait until a process has begun to run its program."""
+        while life.is_running:
+            path = Path(f"/proc/{life.pid}/schedstat")
+            used = int(path.read_text().split()[0]) / NANOSECONDS
+            if used >= PROGRAM_PROCESSOR_SECONDS:
+                return True
+            await asyncio.sleep(POLL_SECONDS)
+        return False
