Failover: an ended replica is removed before a leaving primary is replaced

Cause: a change of primary waits for every recorded server, and no server can be removed during a change. The switchover from a leaving primary was queued before the removals that were due. Each change waited in vain for the replica that had ended and kept the leaving primary; the next one began 13 ms later, again before the removal.

Removals are queued first now. The test failed before: BeginPromotion, RemoveServer in place of RemoveServer, BeginPromotion.

--- a/packages/failover/src/dogwoodspool_failover/departures.py
+++ b/packages/failover/src/dogwoodspool_failover/departures.py
@@ -43,8 +43,10 @@
             if group.phase is not Phase.STEADY or group.primary is None:
                 continue
             servers = self._state.servers_of(group.name)
-            yield from self._due_switchover(group, servers)
+            # A change of primary waits for every recorded server, and none can be
+            # removed while it waits.
             yield from self._due_removals(group, servers)
+            yield from self._due_switchover(group, servers)
         known = self._state.groups
         for server in self._state.servers.values():
             if server.is_gone and server.group not in known:
--- a/tests/failover/test_change.py
+++ b/tests/failover/test_change.py
@@ -193,6 +193,15 @@
         self.due()
         self.assertEqual(self.due(), ["RemoveServer"])
 
+    def test_ended_replica_is_removed_before_a_leaving_primary_is_replaced(
+        self,
+    ) -> None:
+        """Guard against a change of primary that waits for a server that has ended."""
+        self.mark_leaving("s3", is_gone=True)
+        self.due()
+        self.mark_leaving("s1")
+        self.assertEqual(self.due(), ["RemoveServer", "BeginPromotion"])
+
 
 class FakeServerTests(unittest.TestCase):
     """The fake follows the platform's rule for late promotion calls."""
