Failover: a server that a late request has promoted is not demoted

Callers: no primary after a change that had ended; their writes are refused until the loss is detected and the group's primary is changed again.

Cause: a promotion request without an answer may be carried out after its attempt was given up. The next attempt fenced all servers, which demotes the new primary, and only then recorded it as the primary, from its answer before the fencing.

Now a new primary is recorded before anything is fenced.

test_adopted_primary_is_not_demoted failed before: the recorded primary was a replica.

--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -195,9 +195,11 @@
         while True:
             self._dependencies.node.require_leadership()
             members = self._members()
-            states = self._fencing.fence_all(members, promotion.old_primary)
+            states = self._fencing.ask_all(members, promotion.old_primary)
+            # Before the fencing, which would demote it.
             if self._adopt_new_primary(promotion, states):
                 return None
+            self._fencing.fence_all(members, states, promotion.old_primary)
             chosen = choose_primary(
                 FailoverInput(
                     members=members,
--- a/packages/failover/src/dogwoodspool_failover/fencing.py
+++ b/packages/failover/src/dogwoodspool_failover/fencing.py
@@ -34,25 +34,37 @@
             if one.name in fenced and fenced[one.name][0] == one.incarnation
         }
 
-    def fence_all(
+    def ask_all(
         self, members: Sequence[BackendServer], old_primary: str
     ) -> dict[str, ServerState]:
-        """Fence every member that answers; return the states from before.
-
-        Members that are already fenced are called again: one may have restarted under
-        the same incarnation without having sent a heartbeat yet.
-        """
-        running = [one for one in members if not one.is_gone]
-        states = self._dependencies.call_all(
-            running,
+        """Return the states of the members that answer."""
+        return self._dependencies.call_all(
+            [one for one in members if not one.is_gone],
             lambda server: self._dependencies.servers.status(
                 server, SERVER_CALL_TIMEOUT
             ),
             SERVER_CALL_TIMEOUT + FENCE_GRACE_SECONDS,
             old_primary,
         )
-        self._term = max(self._term, newest_term(states.values()) + 1)
-        reachable = [one for one in running if one.name in states]
+
+    def fence_all(
+        self,
+        members: Sequence[BackendServer],
+        states: Mapping[str, ServerState],
+        old_primary: str,
+    ) -> None:
+        """Fence every member that has answered.
+
+        Members that are already fenced are called again: one may have restarted under
+        the same incarnation without having sent a heartbeat yet.
+
+        Args:
+            members: the servers of the group.
+            states: their answers, by name.
+            old_primary: name of the old primary.
+        """
+        self.advance_term(states)
+        reachable = [one for one in members if one.name in states]
         answers = self._dependencies.call_all(
             reachable,
             lambda server: self._fence(server, states),
@@ -61,7 +73,6 @@
         )
         for server in reachable:
             self._record(server, answers.get(server.name))
-        return states
 
     def pause(self, servers: Sequence[BackendServer]) -> dict[str, ServerState]:
         """Pause replicas; return the states of those that are paused."""
--- a/tests/failover/test_change.py
+++ b/tests/failover/test_change.py
@@ -111,6 +111,14 @@
         self.assertEqual(self.voter.primary, "s3")
         self.assertNotIn(("promote", "s2"), self.voter.group.orders)
 
+    def test_adopted_primary_is_not_demoted(self) -> None:
+        """Guard against a group without a primary after a late promotion."""
+        self.voter.begin()
+        self.voter.group.complete_promotion("s3", 1)
+        self.voter.change()
+        self.assertEqual(self.voter.primary, "s3")
+        self.assertIs(self.servers["s3"].role, Role.PRIMARY)
+
     def test_next_leader_resumes_the_change(self) -> None:
         self.servers["s1"].is_silent = True
         self.voter.group.answers = [UNKNOWN] * 50
