--- a/tests/platform/test_closing.py
+++ b/tests/platform/test_closing.py
@@ -1,6 +1,8 @@
 """Tests of the end of a caller's connection."""
 
-from .system import SystemFixture
+from unittest.mock import patch
+
+from .system import TIMEOUT_SECONDS, SystemFixture
 
 
 class ClosingTests(SystemFixture):
@@ -8,6 +10,8 @@
 
     def test_unread_input_does_not_reset_a_connection(self) -> None:
         """Guard against a reset that overtakes the last answer."""
+        patch("dogwoodspool_platform.sockets.CLOSE_SECONDS", TIMEOUT_SECONDS).start()
+        self.addCleanup(patch.stopall)
         client = self.client()
         client.send("TERMINATE\r\n" + "x" * 300_000)
         self.assertEqual(client.read(), "")
