--- a/tests/common/test_http.py
+++ b/tests/common/test_http.py
@@ -112,3 +112,5 @@
         self.connection.request("GET", "/x")
         self.assertTrue(self.entered.wait(30))
         self.assertFalse(self.server.finish_requests(0.0))
+        self.release.set()
+        self.assertEqual(self.connection.getresponse().status, 200)
