--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -202,10 +202,6 @@
         """Number of open caller sessions."""
         return self._sessions.count
 
-    def end_leases(self) -> None:
-        """Roll back transactions of other proxies that no statement runs in."""
-        self._shared.end_leases()
-
     @property
     def accepted_work(self) -> AcceptedWork:
         """The requests of callers that are in progress."""
@@ -245,6 +241,10 @@
         """Number of connections that transactions of other proxies hold."""
         return self._shared.leases
 
+    def end_leases(self) -> None:
+        """Roll back transactions of other proxies that no statement runs in."""
+        self._shared.end_leases()
+
     def set_up(self) -> None:
         """Start to follow control's views and to serve."""
         self._views.add_listener(self._apply_view)
