--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -12,6 +12,7 @@
 """
 
 import shutil
+import signal
 import sys
 from pathlib import Path
 from typing import Final
@@ -36,6 +37,8 @@
 def main() -> int:
     """Run the seeds one after the other; return 1 if there was a finding."""
     arguments = docopt(__doc__ or "")
+    # Ends the run like an interruption, with all processes that it started.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(1))
     first, _, last = str(arguments["--seeds"]).partition("-")
     plan = Plan()
     if arguments["--only"]:
