--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -15,6 +15,7 @@
 )
 from .history import History, Request, ServerRun
 
+POLL_SECONDS = 0.01
 COMMANDS = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
 
 
@@ -163,6 +164,12 @@
             writer.close()
         self.group.notify()
 
+    async def close(self) -> None:
+        """End, and wait until all connections have ended."""
+        self.end()
+        while self._writers:
+            await asyncio.sleep(POLL_SECONDS)
+
     def append(self, commit: Commit, apply_seconds: float = 0.0) -> None:
         """Append a commit, which reads see once it is applied."""
         self.log.append(commit)
--- a/tests/platform/soak/disturbances.py
+++ b/tests/platform/soak/disturbances.py
@@ -21,6 +21,8 @@
 PROGRAM_PROCESSOR_SECONDS: Final = 0.1
 SERIES_GAPS: Final = (0.001, 0.05)
 POLL_SECONDS: Final = 0.01
+# Number of proxies to which the gaps between their stops apply.
+USUAL_EDGES: Final = 3
 
 
 @dataclass(frozen=True)
@@ -84,7 +86,7 @@
     def _draw_edge_stops(self) -> None:
         """Stop the proxies: in turn, with overlaps, or all at once."""
         edges = self._deployment.edges
-        gap = self._random.choice((0.0, 0.3, 1.5, 4.0))
+        gap = self._random.choice((0.0, 0.3, 1.5, 4.0)) * USUAL_EDGES / len(edges)
         at = self._random.uniform(0.0, 2.0)
         while at < self._plan.seconds - 1.0:
             for edge in self._random.sample(edges, len(edges)):
