--- a/tests/platform/test_shutdown.py
+++ b/tests/platform/test_shutdown.py
@@ -169,6 +169,20 @@
         self.assertEqual(self.read_answer(client), ["COMPLETE proof.new", "READY I -"])
         self.assertEqual(client.read(), "")
 
+    def test_requests_sent_before_the_answer_to_the_last_one_are_answered(self) -> None:
+        """Guard against a connection that ends with requests that have arrived."""
+        client = self.serving_client()
+        stop = Stop(self.edges[0], self.clock)
+        gate = self.send_held(client, "p1", "WRITE a 1\r\nQUERY p2 WRITE b 2")
+        stop.reach(IDLE_CLOSED)
+        gate.opened.set()
+        stop.join()
+        answers = [self.read_answer(client), self.read_answer(client)]
+        self.assertEqual(
+            [one[0] for one in answers], ["COMPLETE proof.p1", "COMPLETE proof.p2"]
+        )
+        self.assertEqual(client.read(), "")
+
     def test_a_caller_that_arrives_as_the_listener_closes_is_served(self) -> None:
         """Guard against callers that nobody looks at once the drain has ended."""
         self.serving_client()
