Gateway: a drain lets a handshake in progress end before it tells the caller

Callers that were in their handshake when a drain began counted as idle: the refusal was written into the handshake with the sequence number of a response to a command. The driver saw 'Packet sequence number wrong - got 1 expected 2' instead of the refusal, and with TLS plain bytes would come within the TLS handshake.

A connection counts as idle only after its handshake; then it is closed with the refusal as any idle one. A caller that sends no login is closed without a packet after 5 s, since it has sent no request.

Tests: the handshake test failed before with the driver's error above; the test of a caller without login passed before and guards the bound.

--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -86,10 +86,18 @@
         self._is_ended = False
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
 
+    @property
+    def is_connecting(self) -> bool:
+        """Return whether the handshake, which takes no other packet, is going on."""
+        return self._caller is None
+
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being answered and no transaction is open."""
-        return not self._is_busy and not self._in_transaction
+        """Return whether a request could be sent and none is in progress.
+
+        An open transaction counts as one in progress.
+        """
+        return not (self.is_connecting or self._is_busy or self._in_transaction)
 
     @property
     def _in_transaction(self) -> bool:
@@ -116,6 +124,17 @@
         await self._write_error(shutdown_answer())
         self._caller_stream.close()
 
+    def abandon_handshake(self) -> None:
+        """Close the connection of a caller that has not logged in.
+
+        It has sent no request, so that there is nothing to answer.
+        """
+        if self._is_ended:
+            return
+        self._is_ended = True
+        log_event("handshake_abandoned", connection=self.connection_id)
+        self._caller_stream.close()
+
     async def authenticate(self, *args: Any, **kwargs: Any) -> None:
         """Check the caller's name and password.
 
--- a/packages/gateway/src/dogwoodspool_gateway/listener.py
+++ b/packages/gateway/src/dogwoodspool_gateway/listener.py
@@ -23,6 +23,8 @@
 ResultT = TypeVar("ResultT")
 
 DRAIN_CHECK_SECONDS: Final = 0.02
+# For callers that are in their handshake when a drain begins.
+HANDSHAKE_DRAIN_SECONDS: Final = 5.0
 START_TIMEOUT_SECONDS: Final = 10.0
 
 
@@ -82,7 +84,8 @@
 
         New connections are not accepted. Requests and transactions in flight are
         completed, later requests are refused as not run, and idle connections are
-        closed.
+        closed. A handshake in progress is completed within a short time, so that the
+        caller can be told.
 
         Args:
             timeout: time limit in seconds; connections that are still open then
@@ -121,14 +124,21 @@
             self._server.close()
         for connection in self._connections:
             connection.start_draining()
-        deadline = self._loop.time() + timeout
+        now = self._loop.time()
+        deadline, connect_until = now + timeout, now + HANDSHAKE_DRAIN_SECONDS
         while self._connections and self._loop.time() < deadline:
-            for connection in list(self._connections):
-                if connection.is_idle:
-                    await connection.end_idle()
+            await self._end_idle(is_abandoning=self._loop.time() >= connect_until)
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         return not self._connections
 
+    async def _end_idle(self, *, is_abandoning: bool) -> None:
+        """Close idle connections, and those in their handshake if it takes too long."""
+        for connection in list(self._connections):
+            if connection.is_idle:
+                await connection.end_idle()
+            elif connection.is_connecting and is_abandoning:
+                connection.abandon_handshake()
+
     async def _close_idle(self, share: float) -> int:
         max_closed = math.ceil(len(self._connections) * share)
         idle = [one for one in self._connections if one.is_idle][:max_closed]
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -1,5 +1,6 @@
 """Tests of the callers' listener with standard drivers."""
 
+import asyncio
 import contextlib
 import datetime
 import socket
@@ -12,6 +13,7 @@
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 import mysql.connector
 import pymysql
@@ -34,6 +36,7 @@
 from pymysql.constants import CLIENT
 
 PASSWORD = "secret word"
+WAIT_SECONDS = 30
 COLUMNS = (AnswerColumn("n", 8, 63), AnswerColumn("text", 253, 255))
 
 
@@ -237,6 +240,80 @@
         return self.listener.drain(10)
 
 
+class LateCallerTests(ListenerTestCase):
+    """Guard against callers that connect as a drain begins and are never told of it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.address = ("127.0.0.1", self.listener.address.port)
+        self.drained: list[tuple[bool, int]] = []
+
+    def test_caller_in_its_handshake_is_told_not_run(self) -> None:
+        arrived = self.arrive()
+        self.assertTrue(arrived.recv(1, socket.MSG_PEEK), "no greeting")
+        draining = self.start_drain()
+        self.await_closed_listener()
+        self.assert_refused(arrived)
+        draining.join(WAIT_SECONDS)
+        self.assertEqual(self.drained, [(True, 0)])
+
+    def test_caller_that_sends_no_login_does_not_hold_up_the_drain(self) -> None:
+        arrived = self.arrive()
+        self.assertTrue(arrived.recv(1, socket.MSG_PEEK), "no greeting")
+        draining = self.start_drain(timeout=3_600)
+        draining.join(WAIT_SECONDS)
+        self.assertEqual(self.drained, [(True, 0)])
+
+    def arrive(self) -> socket.socket:
+        """Connect without the handshake of the protocol."""
+        arrived = socket.create_connection(self.address, WAIT_SECONDS)
+        self.addCleanup(arrived.close)
+        return arrived
+
+    def start_drain(self, timeout: float = WAIT_SECONDS) -> threading.Thread:
+        """Start a drain in a thread; return once the event loop knows of it."""
+        loop: asyncio.AbstractEventLoop = vars(self.listener)["_loop"]
+        is_requested = threading.Event()
+        schedule = loop.call_soon_threadsafe
+
+        def schedule_and_tell(*args: Any, **options: Any) -> asyncio.Handle:
+            handle = schedule(*args, **options)
+            is_requested.set()
+            return handle
+
+        def drain() -> None:
+            is_complete = self.listener.drain(timeout)
+            self.drained.append((is_complete, self.listener.callers))
+
+        draining = threading.Thread(target=drain, daemon=True)
+        with mock.patch.object(loop, "call_soon_threadsafe", schedule_and_tell):
+            draining.start()
+            self.assertTrue(is_requested.wait(WAIT_SECONDS))
+        return draining
+
+    def await_closed_listener(self) -> None:
+        """Wait until the drain has begun, so that no further caller is accepted."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                self.arrive().close()
+            except ConnectionError:
+                return
+            time.sleep(0.01)
+        self.fail("the listener still accepts callers")
+
+    def assert_refused(self, arrived: socket.socket) -> None:
+        """Log in on a connection and expect the first request to be refused."""
+        connection = pymysql.connect(
+            user="app", password=PASSWORD, defer_connect=True, read_timeout=WAIT_SECONDS
+        )
+        self.addCleanup(close_quietly, connection)
+        with self.assertRaisesRegex(pymysql.MySQLError, "1053, 'not-run: "):
+            connection.connect(arrived)
+            connection.cursor().execute("UPDATE t")
+        self.assertEqual(self.sessions.requests, [])
+
+
 class CloseIdleTests(ListenerTestCase):
     """Closing of idle connections, so that callers reconnect to another proxy."""
 
