Gateway: connections count in a drain from the moment they are accepted

A caller whose connection was accepted as a drain or the end of the listener began never got a greeting: it waited until its own timeout, and the drain reported that it was complete. A server of asyncio that is closed drops the connections that it has accepted and not yet opened, and does not close them. One that was opened in that moment joined after the drain had marked the others, and was never marked.

The listener stops accepting first, lets the accepted connections be opened, and only then closes its sockets. A connection is counted, and marked if a drain has begun, in the call that opens it. The end of the listener takes the same way.

Tests drive the order with a paused event loop. Before, both failed: the caller's read timed out after 30 s, and the drain had ended (in the drain's test; also with 0 turns in place of ACCEPT_TURNS). The tests of handshakes set the bound of 5 s themselves, so that no duration decides them.

--- a/packages/gateway/src/dogwoodspool_gateway/listener.py
+++ b/packages/gateway/src/dogwoodspool_gateway/listener.py
@@ -25,6 +25,8 @@
 DRAIN_CHECK_SECONDS: Final = 0.02
 # For callers that are in their handshake when a drain begins.
 HANDSHAKE_DRAIN_SECONDS: Final = 5.0
+# Turns of the event loop from accepting a connection to serving it.
+ACCEPT_TURNS: Final = 3
 START_TIMEOUT_SECONDS: Final = 10.0
 
 
@@ -59,6 +61,7 @@
             target=self._loop.run_forever, name="caller-listener", daemon=True
         )
         self._server: asyncio.Server | None = None
+        self._is_draining = False
 
     @property
     def address(self) -> Address:
@@ -112,7 +115,7 @@
 
     async def _start(self) -> None:
         self._server = await asyncio.start_server(
-            self._serve,
+            self._accept,
             self._bind_address.host,
             self._bind_address.port,
             backlog=1024,
@@ -120,10 +123,11 @@
         )
 
     async def _drain(self, timeout: float) -> bool:
-        if self._server is not None:
-            self._server.close()
+        self._is_draining = True
         for connection in self._connections:
             connection.start_draining()
+        await self._stop_accepting()
+        log_event("drain_listener_closed", callers=len(self._connections))
         now = self._loop.time()
         deadline, connect_until = now + timeout, now + HANDSHAKE_DRAIN_SECONDS
         while self._connections and self._loop.time() < deadline:
@@ -131,6 +135,20 @@
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         return not self._connections
 
+    async def _stop_accepting(self) -> None:
+        """Close the listening sockets once each accepted connection is served.
+
+        A server that is closed drops the connections that it has accepted and not yet
+        opened, without closing them.
+        """
+        if self._server is None:
+            return
+        for listening in self._server.sockets:
+            self._loop.remove_reader(listening.fileno())
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self._server.close()
+
     async def _end_idle(self, *, is_abandoning: bool) -> None:
         """Close idle connections, and those in their handshake if it takes too long."""
         for connection in list(self._connections):
@@ -147,16 +165,20 @@
         return len(idle)
 
     async def _stop(self) -> None:
-        if self._server is not None:
-            self._server.close()
+        await self._stop_accepting()
         for connection in list(self._connections):
             connection.kill()
         while self._connections:
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
-    async def _serve(
+    def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    ) -> Coroutine[None, None, None] | None:
+        """Count a connection from its first moment; return what serves it."""
+        if len(self._connections) >= self._max_callers:
+            log_event("caller_refused", level="WARNING", reason="connections")
+            writer.close()
+            return None
         connection = CallerConnection(
             CallerStream(reader, writer),
             session=ProtocolSession(),
@@ -167,14 +189,19 @@
             workers=self._workers,
             clock=self._clock,
         )
-        try:
-            connection.connection_id = await self._admit(connection)
-        except TooManyConnections:
-            writer.close()
-            return
+        if self._is_draining:
+            connection.start_draining()
         self._connections.add(connection)
+        return self._serve(connection, writer)
+
+    async def _serve(
+        self, connection: CallerConnection, writer: asyncio.StreamWriter
+    ) -> None:
         try:
+            connection.connection_id = await self._ids.add(connection)
             await connection.start()
+        except TooManyConnections:
+            log_event("caller_refused", level="WARNING", reason="connection ids")
         except CallerNotAuthenticatedError:
             log_event("caller_refused", level="WARNING", reason="authentication")
         except (ConnectionError, EOFError) as error:
@@ -183,9 +210,3 @@
             self._connections.discard(connection)
             await self._ids.remove(connection.connection_id)
             writer.close()
-
-    async def _admit(self, connection: CallerConnection) -> int:
-        if len(self._connections) >= self._max_callers:
-            log_event("caller_refused", level="WARNING", reason="connections")
-            raise TooManyConnections
-        return await self._ids.add(connection)
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+import select
 import socket
 import ssl
 import struct
@@ -37,6 +38,7 @@
 
 PASSWORD = "secret word"
 WAIT_SECONDS = 30
+HANDSHAKE_LIMIT = "dogwoodspool_gateway.listener.HANDSHAKE_DRAIN_SECONDS"
 COLUMNS = (AnswerColumn("n", 8, 63), AnswerColumn("text", 253, 255))
 
 
@@ -248,6 +250,7 @@
         self.address = ("127.0.0.1", self.listener.address.port)
         self.drained: list[tuple[bool, int]] = []
 
+    @mock.patch(HANDSHAKE_LIMIT, WAIT_SECONDS)
     def test_caller_in_its_handshake_is_told_not_run(self) -> None:
         arrived = self.arrive()
         self.assertTrue(arrived.recv(1, socket.MSG_PEEK), "no greeting")
@@ -257,6 +260,33 @@
         draining.join(WAIT_SECONDS)
         self.assertEqual(self.drained, [(True, 0)])
 
+    @mock.patch(HANDSHAKE_LIMIT, WAIT_SECONDS)
+    def test_caller_accepted_as_the_drain_begins_is_counted(self) -> None:
+        # The event loop accepts the connection between the request of the drain and
+        # its begin, so that nothing of it has run yet when the drain counts.
+        with self.paused_loop():
+            arrived = self.arrive()
+            self.await_arrival()
+            draining = self.start_drain()
+        self.assert_refused(arrived)
+        draining.join(WAIT_SECONDS)
+        self.assertEqual(self.drained, [(True, 0)])
+
+    def test_caller_accepted_as_the_listener_stops_is_closed(self) -> None:
+        with socket.create_connection(self.address, WAIT_SECONDS) as before:
+            self.assertTrue(before.recv(1, socket.MSG_PEEK), "no greeting")
+            with self.paused_loop():
+                arrived = socket.create_connection(self.address, WAIT_SECONDS)
+                self.await_arrival()
+                stopping = threading.Thread(target=self.doCleanups, daemon=True)
+                self.await_scheduled(stopping)
+            with arrived:
+                while arrived.recv(4096):
+                    pass
+            stopping.join(WAIT_SECONDS)
+        self.assertFalse(stopping.is_alive())
+
+    @mock.patch(HANDSHAKE_LIMIT, 0.0)
     def test_caller_that_sends_no_login_does_not_hold_up_the_drain(self) -> None:
         arrived = self.arrive()
         self.assertTrue(arrived.recv(1, socket.MSG_PEEK), "no greeting")
@@ -270,26 +300,54 @@
         self.addCleanup(arrived.close)
         return arrived
 
+    def await_arrival(self) -> None:
+        """Wait until a connection can be accepted."""
+        server: asyncio.Server = vars(self.listener)["_server"]
+        ready, _, _ = select.select(server.sockets, [], [], WAIT_SECONDS)
+        self.assertTrue(ready, "no connection has arrived")
+
     def start_drain(self, timeout: float = WAIT_SECONDS) -> threading.Thread:
         """Start a drain in a thread; return once the event loop knows of it."""
+
+        def drain() -> None:
+            is_complete = self.listener.drain(timeout)
+            self.drained.append((is_complete, self.listener.callers))
+
+        draining = threading.Thread(target=drain, daemon=True)
+        self.await_scheduled(draining)
+        return draining
+
+    def await_scheduled(self, thread: threading.Thread) -> None:
+        """Start a thread; return once it has given the event loop something to do."""
         loop: asyncio.AbstractEventLoop = vars(self.listener)["_loop"]
-        is_requested = threading.Event()
+        is_scheduled = threading.Event()
         schedule = loop.call_soon_threadsafe
 
         def schedule_and_tell(*args: Any, **options: Any) -> asyncio.Handle:
             handle = schedule(*args, **options)
-            is_requested.set()
+            is_scheduled.set()
             return handle
 
-        def drain() -> None:
-            is_complete = self.listener.drain(timeout)
-            self.drained.append((is_complete, self.listener.callers))
-
-        draining = threading.Thread(target=drain, daemon=True)
         with mock.patch.object(loop, "call_soon_threadsafe", schedule_and_tell):
-            draining.start()
-            self.assertTrue(is_requested.wait(WAIT_SECONDS))
-        return draining
+            thread.start()
+            self.assertTrue(is_scheduled.wait(WAIT_SECONDS))
+
+    @contextlib.contextmanager
+    def paused_loop(self) -> Iterator[None]:
+        """Keep the event loop from running anything."""
+        loop: asyncio.AbstractEventLoop = vars(self.listener)["_loop"]
+        is_paused, may_go_on = threading.Event(), threading.Event()
+
+        def pause() -> None:
+            is_paused.set()
+            may_go_on.wait(WAIT_SECONDS)
+
+        loop.call_soon_threadsafe(pause)
+        self.assertTrue(is_paused.wait(WAIT_SECONDS))
+        try:
+            yield
+        finally:
+            may_go_on.set()
 
     def await_closed_listener(self) -> None:
         """Wait until the drain has begun, so that no further caller is accepted."""
