Gateway: a statement that still runs when the proxy ends is answered as in doubt

At the limit of a drain the proxy ended the connections of statements that still ran. Their callers saw 'Lost connection' or 'Session was killed' (a packet with the wrong sequence number), without an outcome; the callers of idle connections and of open transactions saw the same, although nothing of theirs was in doubt.

Before the connections are ended, each gets one last packet: 'unknown:' 2013 if a statement runs, also in place of a row of a result that is being sent; 'not-run:' 1053 if none does; none if its whole answer has been written. The connection is closed in the same step, so that a later answer is dropped. It happens at the end of the process and not at the limit itself: after a drain asked for by HTTP the process serves on.

--- a/packages/gateway/src/dogwoodspool_gateway/connection.py
+++ b/packages/gateway/src/dogwoodspool_gateway/connection.py
@@ -47,7 +47,13 @@
     read_execution,
 )
 from .properties import parse_properties, split_comment
-from .refusals import busy_answer, interrupted_result_answer, refusal, shutdown_answer
+from .refusals import (
+    busy_answer,
+    interrupted_result_answer,
+    interrupted_statement_answer,
+    refusal,
+    shutdown_answer,
+)
 from .results import Row, binary_columns, binary_row, text_columns
 from .stream import CallerStream
 from .workers import WorkerPool
@@ -82,6 +88,7 @@
         self._clock = clock
         self._caller: CallerSession | None = None
         self._is_busy = False
+        self._is_answered = False
         self._is_draining = False
         self._is_ended = False
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
@@ -124,6 +131,26 @@
         await self._write_error(shutdown_answer())
         self._caller_stream.close()
 
+    def interrupt(self) -> None:
+        """Close the connection; a statement that still runs is answered as in doubt.
+
+        Its later answer is dropped. The answer may take the place of a row in a result
+        that is being sent.
+        """
+        if self._is_ended or self.is_connecting:
+            return
+        self._is_ended = True
+        if self._is_answered:
+            self._caller_stream.close()
+        elif self._is_busy:
+            log_event("request_cut_off", level="WARNING", connection=self.connection_id)
+            answer = interrupted_statement_answer()
+            self._caller_stream.close_with(self._error_packet(answer))
+        else:
+            self.stream.reset_seq()
+            next(self.stream.seq)
+            self._caller_stream.close_with(self._error_packet(shutdown_answer()))
+
     def abandon_handshake(self) -> None:
         """Close the connection of a caller that has not logged in.
 
@@ -254,6 +281,7 @@
             yield
         finally:
             self._is_busy = False
+            self._is_answered = False
 
     async def _use(self, database: str) -> ErrorAnswer | None:
         assert self._caller is not None
@@ -311,6 +339,7 @@
                 await self._workers.run_cleanup(rows.abandon)
             self._refresh_status()
         if rows.failure is None:
+            self._is_answered = True
             await self.stream.write(self.ok_or_eof())
             return
         # The protocol allows an error packet in place of a row, so the caller does
@@ -348,6 +377,7 @@
         if isinstance(answer, ErrorAnswer):
             await self._write_error(answer)
             return
+        self._is_answered = self._is_busy
         await self.stream.write(
             self.ok(
                 affected_rows=answer.affected_rows,
@@ -356,11 +386,15 @@
         )
 
     async def _write_error(self, answer: ErrorAnswer) -> None:
+        self._is_answered = self._is_busy
+        await self.stream.write(self._error_packet(answer))
+
+    def _error_packet(self, answer: ErrorAnswer) -> bytes:
         packet = bytearray(self.error(msg=answer.text(), code=answer.number))
         # The library maps only a few error numbers to their SQLSTATE.
         if Capabilities.CLIENT_PROTOCOL_41 in self.capabilities:
             packet[ERROR_SQLSTATE] = answer.sqlstate.encode("ascii")
-        await self.stream.write(bytes(packet))
+        return bytes(packet)
 
     def _refresh_status(self) -> None:
         assert self._caller is not None
--- a/packages/gateway/src/dogwoodspool_gateway/listener.py
+++ b/packages/gateway/src/dogwoodspool_gateway/listener.py
@@ -104,7 +104,10 @@
         return self._call(self._close_idle(share)).result()
 
     def unload(self) -> None:
-        """Close the remaining connections and stop the event loop."""
+        """Close the remaining connections and stop the event loop.
+
+        Statements that still run are answered as in doubt.
+        """
         self._call(self._stop()).result(START_TIMEOUT_SECONDS)
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
@@ -167,6 +170,7 @@
     async def _stop(self) -> None:
         await self._stop_accepting()
         for connection in list(self._connections):
+            connection.interrupt()
             connection.kill()
         while self._connections:
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
--- a/packages/gateway/src/dogwoodspool_gateway/refusals.py
+++ b/packages/gateway/src/dogwoodspool_gateway/refusals.py
@@ -32,6 +32,15 @@
     )
 
 
+def interrupted_statement_answer() -> ErrorAnswer:
+    """Return the answer to a statement that still runs when the proxy ends."""
+    return ErrorAnswer(
+        Outcome.UNKNOWN,
+        *CR_SERVER_LOST,
+        "this proxy shut down before the statement ended",
+    )
+
+
 def busy_answer() -> ErrorAnswer:
     """Return the answer to a request for which no worker is free."""
     return ErrorAnswer(
--- a/packages/gateway/src/dogwoodspool_gateway/stream.py
+++ b/packages/gateway/src/dogwoodspool_gateway/stream.py
@@ -83,6 +83,17 @@
         """Reset the sequence number for a new command."""
         self._stream.reset_seq()
 
+    def close_with(self, data: bytes) -> None:
+        """Send a packet after the buffered data and close, without waiting.
+
+        What is written later is dropped.
+        """
+        self._stream.write_many([data])
+        # The library's method to send the buffer waits for the caller to receive it.
+        self._stream.writer.write(self._stream._buffer)
+        self._stream._buffer = bytearray()
+        self.close()
+
     def close(self) -> None:
         """Close the connection after sending the buffered data; stop reading."""
         self._is_closed = True
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -13,7 +13,7 @@
 import unittest
 from collections.abc import Iterator, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, BinaryIO
 from unittest import mock
 
 import mysql.connector
@@ -63,6 +63,9 @@
                 return ErrorAnswer(Outcome.FAILED, 1062, "23000", "duplicate")
             case "break":
                 return RowsAnswer(COLUMNS, interrupted_rows(), self._owner.finish)
+            case "hold":
+                rows = held_rows(self._owner)
+                return RowsAnswer(COLUMNS, rows, self._owner.finish)
             case "wait":
                 self._owner.is_waiting.set()
                 self._owner.may_end.wait(10)
@@ -110,6 +113,15 @@
     raise DogwoodspoolError("connection to the server lost")
 
 
+def held_rows(owner: FakeSessions) -> Iterator[Sequence[bytes | str | None]]:
+    """Yield rows and wait between two batches."""
+    for number in range(1_000):
+        if number == 600:
+            owner.is_waiting.set()
+            owner.may_end.wait(10)
+        yield (str(number).encode(), b"x")
+
+
 def close_quietly(
     connection: "pymysql.connections.Connection[pymysql.cursors.Cursor]",
 ) -> None:
@@ -129,7 +141,14 @@
             Address("127.0.0.1", 0), self.sessions, SystemClock(), tls=self.tls
         )
         self.listener.set_up()
-        self.addCleanup(self.listener.unload)
+        self.unloading = threading.Thread(target=self.listener.unload, daemon=True)
+        self.addCleanup(self.unload)
+
+    def unload(self) -> None:
+        if self.unloading.ident is None:
+            self.unloading.start()
+        self.unloading.join(WAIT_SECONDS)
+        self.assertFalse(self.unloading.is_alive())
 
     def connect(
         self, **options: object
@@ -278,13 +297,11 @@
             with self.paused_loop():
                 arrived = socket.create_connection(self.address, WAIT_SECONDS)
                 self.await_arrival()
-                stopping = threading.Thread(target=self.doCleanups, daemon=True)
-                self.await_scheduled(stopping)
+                self.await_scheduled(self.unloading)
             with arrived:
                 while arrived.recv(4096):
                     pass
-            stopping.join(WAIT_SECONDS)
-        self.assertFalse(stopping.is_alive())
+            self.unload()
 
     @mock.patch(HANDSHAKE_LIMIT, 0.0)
     def test_caller_that_sends_no_login_does_not_hold_up_the_drain(self) -> None:
@@ -372,6 +389,84 @@
         self.assertEqual(self.sessions.requests, [])
 
 
+class DrainLimitTests(ListenerTestCase):
+    """Guard against requests that end without an answer at the limit of a drain."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.addCleanup(self.sessions.may_end.set)
+
+    def test_statement_that_still_runs_is_answered_as_in_doubt(self) -> None:
+        caller = self.connect(read_timeout=WAIT_SECONDS)
+        errors: list[Exception] = []
+
+        def run() -> None:
+            try:
+                caller.cursor().execute("UPDATE wait")
+            except pymysql.MySQLError as error:
+                errors.append(error)
+
+        running = threading.Thread(target=run, daemon=True)
+        running.start()
+        self.assertTrue(self.sessions.is_waiting.wait(WAIT_SECONDS))
+        self.assertFalse(self.listener.drain(0))
+        self.unloading.start()
+        running.join(WAIT_SECONDS)
+        self.assertEqual(len(errors), 1)
+        self.assertRegex(str(errors[0]), "2013, 'unknown: .*shut down")
+
+    def test_later_answer_is_dropped(self) -> None:
+        caller = self.connect(read_timeout=WAIT_SECONDS)
+        received = self.send_raw(caller, "UPDATE wait")
+        self.assertTrue(self.sessions.is_waiting.wait(WAIT_SECONDS))
+        self.assertFalse(self.listener.drain(0))
+        self.unloading.start()
+        data = received.read(1)
+        self.sessions.may_end.set()
+        data += received.read()
+        length = int.from_bytes(data[:3], "little")
+        self.assertIn(b"unknown: ", data)
+        self.assertEqual(len(data), 4 + length, "more than one packet")
+
+    def test_result_that_is_being_sent_ends_as_in_doubt(self) -> None:
+        caller = self.connect(read_timeout=WAIT_SECONDS)
+        received = self.send_raw(caller, "SELECT hold")
+        self.assertTrue(self.sessions.is_waiting.wait(WAIT_SECONDS))
+        self.assertFalse(self.listener.drain(0))
+        self.unloading.start()
+        packets: list[bytes] = []
+        while header := received.read(4):
+            self.assertEqual(header[3], (len(packets) + 1) % 256, "sequence number")
+            packets.append(received.read(int.from_bytes(header[:3], "little")))
+        self.assertGreater(len(packets), 500)
+        self.assertIn(b"unknown: ", packets[-1])
+
+    def test_idle_caller_is_told_not_run(self) -> None:
+        caller = self.connect(read_timeout=WAIT_SECONDS)
+        with caller.cursor() as cursor:
+            cursor.execute("UPDATE t")
+        self.assertFalse(self.listener.drain(0))
+        self.unload()
+        with (
+            caller.cursor() as cursor,
+            self.assertRaisesRegex(pymysql.MySQLError, "1053, 'not-run: "),
+        ):
+            cursor.execute("UPDATE t")
+
+    def send_raw(
+        self,
+        caller: "pymysql.connections.Connection[pymysql.cursors.Cursor]",
+        sql: str,
+    ) -> BinaryIO:
+        """Send a statement; return what the caller receives from then on."""
+        connected: socket.socket = vars(caller)["_sock"]
+        packet = b"\3" + sql.encode()
+        connected.sendall(len(packet).to_bytes(4, "little") + packet)
+        received = connected.makefile("rb")
+        self.addCleanup(received.close)
+        return received
+
+
 class CloseIdleTests(ListenerTestCase):
     """Closing of idle connections, so that callers reconnect to another proxy."""
 
