--- a/tests/common/test_signals.py
+++ b/tests/common/test_signals.py
@@ -60,12 +60,11 @@
     def test_signal_that_another_thread_receives_while_the_main_thread_waits(
         self,
     ) -> None:
-        # The system delivers a signal to another thread if one is pending for the main
-        # thread; the process then served until it was killed.
+        """Guard against a process that serves on until it is killed."""
         self.assert_stops(SENT_TO_ANOTHER_THREAD)
 
     def test_signals_while_the_main_thread_holds_the_lock_of_the_event(self) -> None:
-        # A handler inside the main thread waited for ever for that thread's own lock.
+        """Guard against a handler that waits for its own thread's lock."""
         self.assert_stops(SENT_WHILE_THE_EVENT_IS_LOCKED)
 
     def test_action_that_fails_does_not_hide_a_later_stop(self) -> None:
--- a/tests/consensus/test_durability.py
+++ b/tests/consensus/test_durability.py
@@ -58,9 +58,7 @@
     """A process is killed between a write and its sync, and power is lost later."""
 
     def test_read_back_entry_counts_only_once_durable(self) -> None:
-        # A follower is killed after it wrote an entry. Restarted, it reads the entry
-        # from the page cache and acknowledges it to the leader. Then the leader's disk
-        # is lost and all others lose power: the acknowledged change is on no disk.
+        """Guard against entries acknowledged from the page cache alone."""
         cluster = self.cluster
         cluster.crash(self.second)
         proposal = self.submit("kept")
@@ -79,9 +77,7 @@
         self.assert_kept("kept")
 
     def test_renamed_log_counts_only_once_its_name_is_durable(self) -> None:
-        # A process is killed after the compacted log took its name and before the
-        # folder was synced. What it appends to that file afterwards is synced, but a
-        # power loss brings the old file back.
+        """Guard against a power loss that brings the former log file back."""
         cluster = self.cluster
         self.kill_at(("rename", f"{self.first}/log"), ("fsync", f"{self.first}/"))
         for count in range(SETTINGS.snapshot_every):
@@ -105,10 +101,7 @@
     """Power is lost with several appends that no sync has covered."""
 
     def test_every_subset_of_unsynced_writes_leaves_a_usable_log(self) -> None:
-        # A new leader appends its no-op, the pinned incarnations and a change while a
-        # sync is in progress. Of these writes a power loss keeps the last but not the
-        # first. The voter refuses its log as damaged, although all that it has
-        # acknowledged is there, and together with one lost disk the majority is gone.
+        """Guard against a voter that refuses its log after a power loss."""
         for seed in range(60):
             with (
                 self.subTest(seed=seed),
--- a/tests/consensus/test_node.py
+++ b/tests/consensus/test_node.py
@@ -270,7 +270,7 @@
             proposal.result()
 
     def test_unload_ends_proposals_that_were_appended(self) -> None:
-        # Their callers waited for an outcome until the process was gone.
+        """Guard against callers that wait until the process is gone."""
         node = self.cluster.nodes[self.leader]
         self.cluster.cut_off(self.leader)
         proposal = node.submit({"id": "x"})
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -181,8 +181,7 @@
         self.assertEqual(order, ["vote.tmp", "rename", "raft"])
 
     def test_new_folders_are_durable_before_the_identity(self) -> None:
-        # The folders of a new node are created with it. Without a sync of the folder
-        # that holds them, a power loss takes the node's files with their folder.
+        """Guard against a power loss that takes a new node's folder."""
         order: list[str] = []
         real_fsync = os.fsync
 
--- a/tests/failover/test_heartbeats.py
+++ b/tests/failover/test_heartbeats.py
@@ -25,9 +25,7 @@
         self.assertEqual(self.recorded(), (1, True, False))
 
     def test_repeated_call_is_committed_if_the_first_was_not(self) -> None:
-        # A leader records the announcement of leaving, but its proposal is refused in
-        # the moment in which its lease ends. The redirected call returns to the same
-        # leader: acknowledged as a late one, the announcement would be lost.
+        """Guard against an announcement of leaving that is acknowledged and lost."""
         heartbeat = Heartbeat(self.s3.described(is_leaving=True), 5, self.s3.role)
         refused = self.voter.heartbeats.record(heartbeat)
         self.assertEqual(len(refused), 1)
--- a/tests/failover/test_lost_disks.py
+++ b/tests/failover/test_lost_disks.py
@@ -11,10 +11,7 @@
     """A voter is silent, and the vote goes to another machine."""
 
     def test_any_moment_of_the_replacement_survives_a_lost_disk(self) -> None:
-        # A voter is cut off with its disk intact. While its vote moves to the spare
-        # machine, all machines lose power and the leader's disk is lost. Of two voters
-        # that are left for a moment one is then gone for good, and the acknowledged
-        # configuration with it.
+        """Guard against a moment with two voters, one of which is lost."""
         for step in range(12):
             history = CoreHistory(seed=step)
             with self.subTest(step=step), contextlib.closing(history.disks):
@@ -38,10 +35,9 @@
                 getattr(history, name)()
 
     def test_nothing_acknowledged_is_lost(self) -> None:
-        # Guards against a group of two voters during a replacement (the last seeds).
+        """Guard against a group of two voters during a replacement (last seeds)."""
         self.play((*range(15), 37, 267), "play")
 
     def test_nothing_read_back_after_a_kill_is_lost(self) -> None:
-        # Guards against entries that count as durable because they were read back from
-        # the page cache (the last seeds).
+        """Guard against entries acknowledged from the page cache (last seeds)."""
         self.play((*range(15), 333, 375, 415, 672, 827), "play_kills")
--- a/tests/platform/test_core.py
+++ b/tests/platform/test_core.py
@@ -63,8 +63,7 @@
         self.order.append("stopped")
 
     def test_call_in_progress_is_answered_before_the_process_ends(self) -> None:
-        # The process ended at once, and callers could not tell what became of their
-        # requests.
+        """Guard against calls whose connections end without an answer."""
         caller = threading.Thread(target=self.call, daemon=True)
         caller.start()
         self.assertTrue(self.entered.wait(TIMEOUT_SECONDS))
--- a/tests/platform/test_launch.py
+++ b/tests/platform/test_launch.py
@@ -63,7 +63,7 @@
     def test_change_of_the_settings_file_does_not_end_a_process_that_is_loading(
         self,
     ) -> None:
-        # The platform sends SIGHUP at any time; by default it ends the process.
+        """Guard against the default action of SIGHUP, which ends the process."""
         program = SIGNALLED_WHILE_LOADING.format(launch=str(LAUNCH))
         done = subprocess.run([sys.executable, "-c", program], check=False)
         self.assertEqual(done.returncode, 0)
