--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -8,7 +8,8 @@
   --proxies=N     Number of proxies [default: 3].
   --folder=PATH   Where logs are kept [default: out/soak].
   --only=PARTS    Disturbances, separated by commas: stops, core-stops, kills,
-                  hangups, configs, primaries. All if not given.
+                  hangups, configs, primaries, starts (stops of processes that
+                  start). All if not given.
 """
 
 import shutil
@@ -30,6 +31,7 @@
     "hangups": "hangs_up",
     "configs": "changes_config",
     "primaries": "changes_primary",
+    "starts": "stops_starts",
 }
 SHOWN_FINDINGS: Final = 3
 
@@ -40,7 +42,7 @@
     # Ends the run like an interruption, with all processes that it started.
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(1))
     first, _, last = str(arguments["--seeds"]).partition("-")
-    plan = Plan()
+    plan = Plan(stops_starts=True)
     if arguments["--only"]:
         wanted = str(arguments["--only"]).split(",")
         plan = Plan(**{field: name in wanted for name, field in PARTS.items()})
--- a/tests/platform/soak/disturbances.py
+++ b/tests/platform/soak/disturbances.py
@@ -21,6 +21,8 @@
 PROGRAM_PROCESSOR_SECONDS: Final = 0.1
 SERIES_GAPS: Final = (0.001, 0.05)
 POLL_SECONDS: Final = 0.01
+# About the time that a process takes until it serves.
+START_SECONDS: Final = 1.5
 # Number of proxies to which the gaps between their stops apply.
 USUAL_EDGES: Final = 3
 
@@ -36,6 +38,7 @@
     hangs_up: bool = True
     changes_config: bool = True
     changes_primary: bool = True
+    stops_starts: bool = False
 
 
 class Disturbances:
@@ -82,6 +85,8 @@
             self._draw_changes()
         if self._plan.changes_primary:
             self._draw_servers()
+        if self._plan.stops_starts:
+            self._draw_start_stops()
 
     def _draw_edge_stops(self) -> None:
         """Stop the proxies: in turn, with overlaps, or all at once."""
@@ -139,6 +144,13 @@
             self.schedule(at, work)
             at += self._random.uniform(4.0, 9.0)
 
+    def _draw_start_stops(self) -> None:
+        """Stop processes again while they start."""
+        for machine in self._random.sample(self._deployment.machines, 2):
+            at = self._random.uniform(0.0, self._plan.seconds - 4.0)
+            delays = [self._random.uniform(0.0, START_SECONDS) for _ in range(3)]
+            self.schedule(at, partial(self._stop_starts, machine, delays))
+
     def _stop_of(self, machine: Machine) -> Callable[[], Work]:
         """Return the stop of a process, some with SIGHUP during drain and start."""
         drain_hangups = self._random.choice((0, 0, 30))
@@ -158,6 +170,17 @@
 
         return stop
 
+    async def _stop_starts(self, machine: Machine, delays: list[float]) -> None:
+        """Stop a process, and each one after it so long after its start."""
+        for delay in (0.0, *delays):
+            life = machine.life
+            if life is None or life.is_stopping:
+                return
+            await asyncio.sleep(delay)
+            await self._deployment.stop(life)
+            while machine.life is life:
+                await asyncio.sleep(POLL_SECONDS)
+
     async def _kill(self, machine: Machine) -> None:
         if machine.life is not None:
             self._deployment.kill(machine.life)
