Soak: a replica that is behind at a promotion has a position of the old term

The stand-in gave every server the new term at a promotion, so that the position of a replica without the newest commits counted as later than theirs, and it served reads that must see them. The new test failed before.

--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -44,6 +44,8 @@
         self.servers: dict[str, Server] = {}
         self.primary: Server | None = None
         self.term = 1
+        # Number of commits with which each term began.
+        self.starts = {1: 0}
         self._changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -87,6 +89,8 @@
             return
         self.term += 1
         self.primary = server
+        self.starts[self.term] = len(server.log)
+        server.log_term = self.term
         for one in self.servers.values():
             one.paused_term, one.term = 0, self.term
             one.roll_back_to(server.log)
@@ -120,6 +124,8 @@
         self.port = 0
         self.log: list[Commit] = []
         self.term = group.term
+        # Newest term of the commits that it has received.
+        self.log_term = 1
         self.paused_term = 0
         self.is_running = True
         self.ignores_control = False
@@ -202,6 +208,7 @@
             primary = self.group.primary
             is_behind = primary is not None and (
                 len(primary.log) != len(self.log)
+                or self.log_term != self.group.term
                 or (self.log and primary.log[-1] is not self.log[-1])
             )
             if primary is None or not (self.receives and is_behind):
@@ -211,6 +218,7 @@
             await asyncio.sleep(self.group.random.uniform(*REPLICATION_SECONDS))
             if self.receives and self.group.term == term and primary.is_running:
                 self._take(sent)
+                self.log_term = term
                 self.group.notify()
 
     def _count_applied(self) -> int:
@@ -220,8 +228,15 @@
             self._applied += 1
         return self._applied
 
+    def _position_of(self, number: int) -> tuple[int, int]:
+        """Return the term in which a number of its log was reached, and the number."""
+        term = self.log_term
+        while number < self.group.starts[term]:
+            term -= 1
+        return term, number
+
     def _position(self) -> str:
-        return f"{self.term}.{self._count_applied()}"
+        return "{}.{}".format(*self._position_of(self._count_applied()))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -282,7 +297,8 @@
         if verb == "WAITLSN":
             position, _, text = rest.partition(" ")
             term, _, number = position.partition(".")
-            if (self.term, self._count_applied()) < (int(term), int(number)):
+            wanted = int(term), int(number)
+            if self._position_of(self._count_applied()) < wanted:
                 return f"ERROR LAGGING {self._position()}"
             verb, _, rest = text.partition(" ")
         if request is not None and text != request.text:
@@ -366,6 +382,6 @@
             self.group.primary = None
             self.group.notify()
         role = "primary" if self.is_primary else "replica"
-        received = f"{self.term}.{len(self.log)}"
+        received = "{}.{}".format(*self._position_of(len(self.log)))
         fields = [role, self.term, received, self.paused_term, 0, 0, len(self._writers)]
         return "DATAROW " + " ".join(map(str, fields)) + "\r\nCOMPLETE -"
--- a/tests/platform/test_soak_database.py
+++ b/tests/platform/test_soak_database.py
@@ -44,9 +44,10 @@
     ) -> str:
         reader, writer = connection
         writer.write(f"QUERY {query}\r\n".encode())
-        answer = (await reader.readline()).decode().rstrip()
-        await reader.readline()
-        return answer
+        messages = [(await reader.readline()).decode().rstrip()]
+        while messages[-1] and not messages[-1].startswith("READY"):
+            messages.append((await reader.readline()).decode().rstrip())
+        return messages[0]
 
     async def test_statement_in_another_transaction_is_found(self) -> None:
         connection = await self.connect(self.primary)
@@ -87,3 +88,18 @@
         self.assertEqual(await asked, "")
         self.assertEqual((self.primary.log, self.replica.log), ([], []))
         self.assertTrue(self.replica.is_primary)
+
+    async def test_position_of_a_replica_that_is_behind_is_of_the_term_before(
+        self,
+    ) -> None:
+        third = await self.start("i-3")
+        behind = await self.connect(third)
+        await self.ask(behind, "- PAUSE 2")
+        self.know("a", "WRITE k v")
+        connection = await self.connect(self.primary)
+        await self.ask(connection, "a WRITE k v")
+        self.group.promote("i-2")
+        # Promotion ends the pause; until it receives, its log is of the old term.
+        self.assertEqual(
+            await self.ask(behind, "- WAITLSN 1.1 READ k"), "ERROR LAGGING 1.0"
+        )
