--- a/tests/platform/soak/database.py
+++ b/tests/platform/soak/database.py
@@ -90,7 +90,7 @@
         self.term += 1
         self.primary = server
         self.starts[self.term] = len(server.log)
-        server.log_term = self.term
+        server.begin_term(self.term)
         for one in self.servers.values():
             one.paused_term, one.term = 0, self.term
             one.roll_back_to(server.log)
@@ -181,6 +181,11 @@
         self.log.append(commit)
         self._applied_at.append(time.monotonic() + apply_seconds)
 
+    def begin_term(self, term: int) -> None:
+        """Lead a term, with all that was received applied."""
+        self.log_term = term
+        self._applied_at = [time.monotonic()] * len(self.log)
+
     def has_received(self, commit: Commit, number: int) -> bool:
         """Return whether its log has this commit under this number."""
         return len(self.log) >= number and self.log[number - 1] is commit
--- a/tests/platform/test_soak_database.py
+++ b/tests/platform/test_soak_database.py
@@ -103,3 +103,14 @@
         self.assertEqual(
             await self.ask(behind, "- WAITLSN 1.1 READ k"), "ERROR LAGGING 1.0"
         )
+
+    async def test_promoted_server_has_applied_what_it_received(self) -> None:
+        self.know("a", "WRITE k v")
+        connection = await self.connect(self.replica)
+        await self.ask(await self.connect(self.primary), "a WRITE k v")
+        self.group.promote("i-2")
+        self.know("b", "READ k")
+        self.history.requests["b"].must_see = "a"
+        answer = await self.ask(connection, "b WAITLSN 2.1 READ k")
+        self.assertTrue(answer.startswith("DATAROW"), answer)
+        self.assertEqual(self.history.unseen, [])
