Pooler: a success of a write rests on a recorded replica

Cause: a primary acknowledges a write once any other server has it. The choice of a new primary counts the servers that control has recorded. A server that starts behind the cut lets the old primary acknowledge writes that no recorded server has, and the proxy behind the same cut passes the success on before the failover begins, so that no view of the failover can stop it.

Change: one module, `final_writes`, says which servers make a success final: any recorded replica, and during a planned change the chosen successor alone; nothing that a primary acknowledges which a failover has given up. Writes, commits and owners of shared pools ask it. If no such replica can be reached, a write is refused before it is sent, and a transaction with writes is rolled back.

Why it holds: a server in a proxy's view is a member for control. If it has a write before it is fenced, the position at which it is fenced includes it, and the choice requires all members but one to be fenced. If it is fenced without the write it never has it. A view of the choice comes before any view of a server that has joined since. None of this rests on a clock or on contact to control. A replica of a newer term may have branched off before the write and does not count.

The way that asks nobody while control answers, and replicas otherwise, leaves a window: for as long as a cut has not been noticed.

The in-memory servers of the tests now replicate; a group of a single server is configured not to.

--- a/packages/pooler/src/dogwoodspool_pooler/connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/connection.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from dogwoodspool_common import BackendServer
+from dogwoodspool_common import BackendServer, Position
 from dogwoodspool_connections import PooledConnection
 
 from .models import Reply, Statement
@@ -29,3 +29,11 @@
             OutcomeUnknownError: a reply is missing; the connection is closed.
         """
         ...
+
+    def received_position(self, deadline: float) -> Position | None:
+        """Return up to which position the server has received its group's log.
+
+        It may not have applied all of that yet. None if the server is too busy to
+        tell. Raises the same errors as ``exchange``.
+        """
+        ...
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/final_writes.py
@@ -0,0 +1,147 @@
+"""Decide whether a write that a primary has acknowledged may be called successful.
+
+A primary that replicates synchronously acknowledges a write once any other server has
+it, also one that control has never heard of. A change of primary considers the
+servers that control has recorded, so that only a write which one of those has is sure
+to be kept.
+"""
+
+from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Position
+from dogwoodspool_following import ProxyView, ViewStore
+from dogwoodspool_settings import WriteAck
+
+from .const import (
+    APPLIED_RETRY_SECONDS,
+    APPLIED_WAIT_SECONDS,
+    FINAL_RETRY_SECONDS,
+    REPLICA_ANSWER_SECONDS,
+)
+from .held import HeldConnection
+from .replica_positions import ReplicaPositions
+
+
+def deciding_servers(view: ProxyView, primary: BackendServer) -> list[BackendServer]:
+    """Return the servers any of which makes a write of a primary final.
+
+    During a planned change that is the chosen successor alone: the others no longer
+    receive, and one that has started since is not considered in the choice. What a
+    server acknowledges that a failover has moved the group away from is never final.
+    """
+    group = view.groups.get(primary.group)
+    if group is None or primary.name in group.given_up:
+        return []
+    successor = _successor(group)
+    return [
+        one
+        for one in view.servers_of(primary.group)
+        if one.name != primary.name
+        and not one.is_gone
+        and (successor in (None, primary.name) or one.name == successor)
+    ]
+
+
+def _successor(group: GroupState) -> str | None:
+    return group.primary if group.phase is Phase.PROMOTING else None
+
+
+class FinalWrites:
+    """Ask recorded replicas whether they have what a primary acknowledged.
+
+    The answer rests on no clock and on no contact to control: whatever this process
+    has not learned yet, a recorded replica that has a write is fenced with it before
+    another server is chosen.
+
+    Whether a replica has applied a write costs it nothing to tell, so that is asked
+    first, if it can be expected soon. What it has received and not yet applied only a
+    status query shows, which takes one of its slots.
+    """
+
+    def __init__(
+        self, views: ViewStore, replicas: ReplicaPositions, clock: Clock
+    ) -> None:
+        self._views = views
+        self._replicas = replicas
+        self._clock = clock
+
+    def can_be_final(self, held: HeldConnection) -> bool:
+        """Return whether a write that is sent on a connection now can become final."""
+        if not self._is_checked_here(held):
+            return not self._is_given_up(held.server)
+        servers = deciding_servers(self._views.view, held.server)
+        return bool(self._replicas.reachable(servers))
+
+    def is_final(
+        self, held: HeldConnection, position: Position | None, deadline: float
+    ) -> bool:
+        """Return whether an acknowledged write is sure to be kept.
+
+        Args:
+            held: the connection that the write or its commit was answered on.
+            position: position of the primary's log in that answer.
+            deadline: clock seconds until which to wait for a replica.
+        """
+        if not self._is_checked_here(held):
+            return not self._is_given_up(held.server)
+        if position is None:
+            return False
+        while not self._has_copy(held.server, position, deadline):
+            can_wait = self._clock.now() + FINAL_RETRY_SECONDS < deadline
+            if not can_wait or not self.can_be_final(held):
+                return False
+            self._clock.sleep(FINAL_RETRY_SECONDS)
+        return not self._is_given_up(held.server)
+
+    def _has_copy(
+        self, primary: BackendServer, position: Position, deadline: float
+    ) -> bool:
+        """Return whether a server that is asked once or more has a position."""
+        servers = self._replicas.reachable(deciding_servers(self._views.view, primary))
+        if self._is_applied_soon(servers, position, deadline):
+            return True
+        return any(
+            _is_copy(self._replicas.received(one, self._answer_by(deadline)), position)
+            for one in servers
+        )
+
+    def _is_applied_soon(
+        self, servers: list[BackendServer], position: Position, deadline: float
+    ) -> bool:
+        """Wait for a server to apply a position, if that is expected soon."""
+        apply_by = min(deadline, self._clock.now() + APPLIED_WAIT_SECONDS)
+        pause = 0.0
+        while True:
+            expected = self._replicas.first_to_apply(servers, position)
+            if expected is None:
+                return False
+            wait = max(expected.seconds, pause)
+            if self._clock.now() + wait > apply_by:
+                return False
+            if wait:
+                self._clock.sleep(wait)
+            applied = self._replicas.applied(
+                expected.server, position, self._answer_by(deadline)
+            )
+            if _is_copy(applied, position):
+                return True
+            if applied is None or applied.term > position.term:
+                return False
+            pause = APPLIED_RETRY_SECONDS
+
+    def _answer_by(self, deadline: float) -> float:
+        return min(deadline, self._clock.now() + REPLICA_ANSWER_SECONDS)
+
+    def _is_given_up(self, server: BackendServer) -> bool:
+        group = self._views.view.groups.get(server.group)
+        return group is not None and server.name in group.given_up
+
+    def _is_checked_here(self, held: HeldConnection) -> bool:
+        settings = self._views.settings(held.server.group)
+        return settings.write_ack is not WriteAck.PRIMARY and not held.is_remote
+
+
+def _is_copy(known: Position | None, position: Position) -> bool:
+    """Return whether a server with a known position has another one of a primary.
+
+    The log of a newer term may have branched off before.
+    """
+    return known is not None and known.term == position.term and known >= position
--- a/packages/pooler/src/dogwoodspool_pooler/held.py
+++ b/packages/pooler/src/dogwoodspool_pooler/held.py
@@ -38,6 +38,14 @@
         """Return whether a transaction is open on it."""
         ...
 
+    @property
+    def is_remote(self) -> bool:
+        """Return whether another process runs its statements.
+
+        That process reports no commit as successful that is not final.
+        """
+        ...
+
     def run(
         self,
         values: Mapping[str, str],
--- a/packages/pooler/src/dogwoodspool_pooler/local_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/local_connection.py
@@ -10,7 +10,7 @@
 from .backend import Backend
 from .connection import ServerConnection
 from .held import ReadBound
-from .models import ErrorCode, Prepared, Reply, Statement
+from .models import ErrorCode, Prepared, Reply, Statement, writes
 from .server_work import WORKING_KINDS, outcome_of
 from .session_state import sync_statements, with_server_name
 
@@ -60,6 +60,7 @@
         self._is_finished = False
         self._elapsed = 0.0
         self._outcome = AdmissionOutcome.NO_WORK
+        self._has_written = False
 
     @property
     def server(self) -> BackendServer:
@@ -71,6 +72,16 @@
         """Return whether a transaction is open on it."""
         return self._connection.in_transaction
 
+    @property
+    def is_remote(self) -> bool:
+        """Always false: this process runs the statements."""
+        return False
+
+    @property
+    def has_written(self) -> bool:
+        """Whether a write on it was answered without an error."""
+        return self._has_written
+
     def run(
         self,
         values: Mapping[str, str],
@@ -89,6 +100,7 @@
         replies = self._exchange([*before, sent, *after], deadline)
         reply = replies[len(before)]
         self._outcome = outcome_of(statement, reply)
+        self._has_written |= reply.error is None and writes(statement, prepared)
         self._release_slot()
         for one, answer in zip(before, replies, strict=False):
             if answer.error is not None:
--- a/packages/pooler/src/dogwoodspool_pooler/models.py
+++ b/packages/pooler/src/dogwoodspool_pooler/models.py
@@ -152,3 +152,10 @@
 
     access: Access
     shape: str
+
+
+def writes(statement: Statement, prepared: Prepared | None) -> bool:
+    """Return whether a statement changes data, given what it executes, if anything."""
+    if prepared is not None:
+        return prepared.access is Access.WRITE
+    return statement.kind is StatementKind.WRITE
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -44,14 +44,6 @@
         self._access = access
         self._clock = clock
 
-    def is_given_up(self, server: BackendServer) -> bool:
-        """Return whether a server's acknowledgement may not last.
-
-        To be called once an answer has arrived, as the server may have been given up
-        since it was asked.
-        """
-        return self._known.is_given_up(server.group, server.name)
-
     def run(
         self,
         request: Request,
@@ -161,7 +153,7 @@
         self, group: str, refused: set[str], *, may_write: bool
     ) -> BackendServer | None:
         for server in self._known.candidates(group):
-            if may_write and self.is_given_up(server):
+            if may_write and self._known.is_given_up(group, server.name):
                 continue
             if server.name not in refused:
                 return server
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/replica_positions.py
@@ -0,0 +1,128 @@
+"""Ask replicas how far they have received and applied their group's log."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_connections import BackendError, PoolTimeoutError
+from dogwoodspool_routing import ServerTable
+
+from .access import ServerAccess
+from .connection import ServerConnection
+from .models import Statement, StatementKind
+from .registry import BackendRegistry
+from .replica_lag import ReplicaLag
+
+ResultT = TypeVar("ResultT")
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedApply:
+    """A server that is expected to apply a position within some seconds."""
+
+    server: BackendServer
+    seconds: float
+
+
+class ReplicaPositions:
+    """Query the positions of replicas on the pools of this process.
+
+    A query takes a server next to no time, so it neither waits for admission nor for a
+    connection that callers may use.
+
+    Args:
+        failure_domain: failure domain of this process.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        registry: BackendRegistry,
+        table: ServerTable,
+        access: ServerAccess,
+        replica_lag: ReplicaLag,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._registry = registry
+        self._table = table
+        self._access = access
+        self._replica_lag = replica_lag
+
+    def reachable(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
+        """Return the servers that did not fail last, those of this domain first."""
+        return sorted(
+            (one for one in servers if self._is_reachable(one)),
+            key=lambda one: (
+                one.is_leaving,
+                one.failure_domain != self._failure_domain,
+                one.name,
+            ),
+        )
+
+    def first_to_apply(
+        self, servers: Iterable[BackendServer], position: Position
+    ) -> ExpectedApply | None:
+        """Return the server that should be the first to apply a position.
+
+        None if the lag of none of them is known. Of several that should have applied it
+        already, the first one is returned.
+        """
+        found = None
+        for server in servers:
+            seconds = self._replica_lag.seconds_until(server, position)
+            if seconds is None:
+                continue
+            if found is None or seconds < found.seconds:
+                found = ExpectedApply(server, seconds)
+        return found
+
+    def applied(
+        self, server: BackendServer, position: Position, deadline: float
+    ) -> Position | None:
+        """Return what a server has applied, if it answers whether it has a position."""
+
+        def ask(connection: ServerConnection) -> Position | None:
+            begin = Statement(StatementKind.BEGIN_READ_ONLY, wait_for=position)
+            end = Statement(StatementKind.ROLLBACK)
+            return connection.exchange([begin, end], deadline)[0].position
+
+        applied = self._query(server, ask, deadline)
+        self._replica_lag.record_replica(server, applied)
+        return applied
+
+    def received(self, server: BackendServer, deadline: float) -> Position | None:
+        """Return what a server has received; None without an answer."""
+        return self._query(
+            server, lambda one: one.received_position(deadline), deadline
+        )
+
+    def _is_reachable(self, server: BackendServer) -> bool:
+        known = self._table.get(server.name)
+        return known is None or not known.is_failing
+
+    def _query(
+        self,
+        server: BackendServer,
+        ask: Callable[[ServerConnection], ResultT],
+        deadline: float,
+    ) -> ResultT | None:
+        backend = self._registry.backend(server)
+        try:
+            connection = backend.pool.acquire(deadline, is_probe=True)
+        except PoolTimeoutError:
+            return None
+        except BackendError as error:
+            self._access.record_no_answer(server, error)
+            return None
+        is_answered = False
+        try:
+            result = ask(connection)
+            is_answered = True
+        except BackendError as error:
+            self._access.record_no_answer(server, error)
+            return None
+        finally:
+            is_reusable = is_answered and backend.turns.wait() <= 0
+            backend.pool.release(connection, reuse=is_reusable)
+        return result
--- a/packages/pooler/src/dogwoodspool_pooler/requests.py
+++ b/packages/pooler/src/dogwoodspool_pooler/requests.py
@@ -9,7 +9,7 @@
 
 from .const import WAIT_SHARE
 from .identity import ANONYMOUS, Caller
-from .models import Access, Prepared, Statement, StatementKind
+from .models import Prepared, Statement, writes
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,9 +107,7 @@
     @property
     def writes(self) -> bool:
         """Whether the statement changes data."""
-        if self.prepared is not None:
-            return self.prepared.access is Access.WRITE
-        return self.statement.kind is StatementKind.WRITE
+        return writes(self.statement, self.prepared)
 
     @property
     def needs_primary(self) -> bool:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -32,6 +32,7 @@
 from .connection import ServerConnection
 from .const import CONNECTIONS_TO_LIMIT_OWNER, WATCH_WAIT_MS
 from .expiry import ConnectionExpiry
+from .final_writes import FinalWrites
 from .freshness import FreshnessTracker
 from .group_reachability import GroupReachability
 from .held import ConnectionAccess, HeldConnection
@@ -47,6 +48,7 @@
 from .recovery import RecoveryProber
 from .registry import BackendRegistry
 from .replica_lag import ReplicaLag
+from .replica_positions import ReplicaPositions
 from .reporting import ReportCoordinator
 from .requests import Request
 from .session import PooledSession
@@ -125,6 +127,13 @@
         self._shared_reads = SharedReads(chooser, freshness, self._owner_share, clock)
         known = KnownPrimaries(self._views, self._table)
         primaries = PrimaryPath(self._views, known, access, clock)
+        self._final_writes = FinalWrites(
+            self._views,
+            ReplicaPositions(
+                failure_domain, self._registry, self._table, access, replica_lag
+            ),
+            clock,
+        )
         placement = ReadPlacement(
             self._views, self._table, known, access, self._shared_reads
         )
@@ -136,7 +145,8 @@
             clock,
             self._forward_to_primary,
         )
-        statements = LocalStatements(reads, WritePath(primaries, access, clock))
+        writes = WritePath(primaries, access, self._final_writes, clock)
+        statements = LocalStatements(reads, writes)
         self._shared = SharedPoolsRuntime(
             Neighbour(name, str(address)),
             failure_domain,
@@ -147,6 +157,7 @@
             statements,
             freshness,
             self._registry.refresh,
+            self._final_writes,
             client,
             clock,
             placement.keeps_room,
@@ -306,7 +317,9 @@
         placement = ReadPlacement(
             self._views, self._table, known, access, self._shared_reads
         )
-        return TransactionPath(self._views, placement, primaries, access, clock)
+        return TransactionPath(
+            self._views, placement, primaries, access, self._final_writes, clock
+        )
 
     def _owner_share(self, group: str) -> float | None:
         return self._shared.directory.owner_share(group)
--- a/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/remote_connection.py
@@ -85,6 +85,11 @@
             return self._local.in_transaction
         return self._lease is not None
 
+    @property
+    def is_remote(self) -> bool:
+        """Return whether an owner has run its statements."""
+        return self._local is None
+
     def run(
         self,
         values: Mapping[str, str],
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -22,6 +22,7 @@
 )
 
 from ..access import ServerAccess
+from ..final_writes import FinalWrites
 from ..freshness import FreshnessTracker
 from ..models import Reply
 from ..requests import Request
@@ -60,6 +61,7 @@
         statements: serves single statements on the local pools.
         freshness: positions of primaries known to this process.
         on_shares: called when ``primary_share`` may have changed without a new view.
+        final_writes: decides which commits of neighbours are final.
         client: calls control.
         clock: source of time for all parts.
         keeps_room: returns whether a loaded primary refuses a read-only transaction
@@ -79,6 +81,7 @@
         statements: Statements,
         freshness: FreshnessTracker,
         on_shares: Callable[[], None],
+        final_writes: FinalWrites,
         client: JsonClient,
         clock: Clock,
         keeps_room: KeepsRoom,
@@ -103,7 +106,7 @@
             clock,
         )
         self._transaction_api = TransactionApi(
-            views, access, self._leases, self._slots, clock, keeps_room
+            views, access, self._leases, self._slots, final_writes, clock, keeps_room
         )
         self._client = JsonLineClient(
             CONNECTIONS_TO_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -21,10 +21,12 @@
 from ..access import ServerAccess
 from ..const import BUSY_RETRY_MS
 from ..errors import NotFreshError, NotServedError, UnknownKeyError
+from ..final_writes import FinalWrites
 from ..held import ReadBound
 from ..local_connection import LocalHeldConnection
 from ..models import Access, ErrorCode, Reply, StatementError, StatementKind
 from ..requests import AdmissionRequest
+from ..writes import not_final_in_doubt
 from .caller_check import check_caller
 from .const import (
     FORWARDED_TOKEN_AGE,
@@ -62,9 +64,11 @@
         access: ServerAccess,
         leases: LeaseTracker,
         slots: WorkSlots,
+        final_writes: FinalWrites,
         clock: Clock,
         keeps_room: KeepsRoom = lambda _server, _bound: False,
     ) -> None:
+        self._final_writes = final_writes
         self._keeps_room = keeps_room
         self._views = views
         self._slots = slots
@@ -171,6 +175,7 @@
     ) -> TransactionResponse:
         """Run a statement on a connection, then keep or release the connection."""
         is_good = False
+        deadline = self._clock.now() + message.answer
         try:
             reply = self._perform(held, message)
             is_good = True
@@ -192,6 +197,7 @@
             if not is_kept:
                 held.finish(is_good=is_good)
         lease = self._leases.put(held, message.lease) if is_kept else None
+        reply = self._final(held, message, reply, deadline)
         return TransactionResponse(reply=ReplyMessage.of(reply), lease=lease)
 
     def _perform(self, held: LocalHeldConnection, message: TransactionRequest) -> Reply:
@@ -208,6 +214,21 @@
             self._access.record_freshness(held.server, reply.position, asked_at)
         return reply
 
+    def _final(
+        self,
+        held: LocalHeldConnection,
+        message: TransactionRequest,
+        reply: Reply,
+        deadline: float,
+    ) -> Reply:
+        """Return the reply, or one in doubt to a commit that is not final."""
+        is_commit = message.statement.kind is StatementKind.COMMIT
+        if reply.error is not None or not is_commit or not held.has_written:
+            return reply
+        if self._final_writes.is_final(held, reply.position, deadline):
+            return reply
+        return not_final_in_doubt(message.statement.request_id, held.server)
+
 
 def _needs_primary(message: TransactionRequest) -> bool:
     """Return whether only the acting primary runs a statement without an error."""
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -15,6 +15,7 @@
     MAX_READ_ATTEMPTS,
 )
 from .errors import NotFreshError, NotServedError
+from .final_writes import FinalWrites
 from .held import ConnectionAccess, HeldConnection, ReadBound, roll_back
 from .identity import Caller
 from .models import (
@@ -29,7 +30,7 @@
 from .read_choice import ReadChoice
 from .read_placement import ReadPlacement, log_read_moved
 from .requests import Request
-from .writes import given_up_in_doubt, in_doubt
+from .writes import in_doubt, not_final_in_doubt
 
 
 class Transaction:
@@ -82,8 +83,10 @@
         placement: ReadPlacement,
         primaries: PrimaryPath[HeldConnection],
         access: ConnectionAccess[HeldConnection],
+        final_writes: FinalWrites,
         clock: Clock,
     ) -> None:
+        self._final_writes = final_writes
         self._views = views
         self._placement = placement
         self._primaries = primaries
@@ -119,9 +122,10 @@
             return _error_reply(error.error)
         except BackendError as error:
             return self._connection_lost(transaction, request, error)
-        if transaction.has_written and self._primaries.is_given_up(held.server):
+        if transaction.has_written and not self._final_writes.can_be_final(held):
             self.abort(transaction)
-            return _error_reply(_aborted("its server is being replaced"))
+            message = "no replica that could receive it can be reached"
+            return _error_reply(_aborted(message))
         try:
             reply = self._run_held(transaction, held, request)
         except NotServedError as error:
@@ -146,9 +150,10 @@
             transaction.held = None
         else:
             self.abort(transaction)
-        is_acknowledged = reply.error is None and transaction.has_written
-        if is_acknowledged and self._primaries.is_given_up(held.server):
-            return given_up_in_doubt(request, held.server)
+        if reply.error is None and transaction.has_written:
+            if self._final_writes.is_final(held, reply.position, request.deadline):
+                return reply
+            return not_final_in_doubt(request.statement.request_id, held.server)
         if reply.error is not None and reply.error.code.is_not_run:
             return _error_reply(
                 _aborted(f"the server refused the commit: {reply.error.message}")
--- a/packages/pooler/src/dogwoodspool_pooler/writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/writes.py
@@ -4,7 +4,9 @@
 from dogwoodspool_connections import OutcomeUnknownError
 
 from .access import ServerAccess
-from .const import BUSY_RETRY_SECONDS
+from .const import BUSY_RETRY_SECONDS, NO_PRIMARY_RETRY_MS
+from .errors import NotServedError
+from .final_writes import FinalWrites
 from .local_connection import LocalHeldConnection
 from .models import ErrorCode, Reply, StatementError, TransactionState
 from .primaries import PrimaryPath
@@ -21,10 +23,12 @@
         self,
         primaries: PrimaryPath[LocalHeldConnection],
         access: ServerAccess,
+        final_writes: FinalWrites,
         clock: Clock,
     ) -> None:
         self._primaries = primaries
         self._access = access
+        self._final_writes = final_writes
         self._clock = clock
 
     def run(self, request: Request) -> Reply:
@@ -40,11 +44,15 @@
         except OutcomeUnknownError as error:
             return write_in_doubt(request, error)
         held.finish(is_good=reply.state is TransactionState.IDLE)
-        if reply.error is None and self._primaries.is_given_up(held.server):
-            return given_up_in_doubt(request, held.server)
-        return reply
+        if reply.error is not None:
+            return reply
+        if self._final_writes.is_final(held, reply.position, request.deadline):
+            return reply
+        return not_final_in_doubt(request.statement.request_id, held.server)
 
     def _attempt(self, held: LocalHeldConnection, request: Request) -> Reply:
+        if not self._final_writes.can_be_final(held):
+            raise NotServedError(no_replica(held.server))
         while True:
             asked_at = self._clock.now()
             reply = held.run(
@@ -71,16 +79,21 @@
     return in_doubt("the write was sent to the server and got no complete answer")
 
 
-def given_up_in_doubt(request: Request, server: BackendServer) -> Reply:
+def not_final_in_doubt(request_id: str, server: BackendServer) -> Reply:
     """Log an acknowledgement that may not last, and return the reply instead of it."""
     log_rate_limited(
-        "acknowledged_by_given_up_server",
-        request=request.statement.request_id,
-        database=request.endpoint.database,
+        "acknowledged_write_not_final",
+        request=request_id,
         server=server.name,
         incarnation=server.incarnation,
     )
-    return in_doubt("the server that acknowledged it is being replaced")
+    return in_doubt("no recorded replica is known to have it")
+
+
+def no_replica(server: BackendServer) -> StatementError:
+    """Return the refusal of a write that could not become final."""
+    message = f"no replica of {server.name} that could receive it can be reached"
+    return StatementError(ErrorCode.BUSY, message, NO_PRIMARY_RETRY_MS)
 
 
 def in_doubt(message: str) -> Reply:
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -47,6 +47,7 @@
     TransactionState,
 )
 from dogwoodspool_pooler.access import ServerAccess
+from dogwoodspool_pooler.final_writes import FinalWrites
 from dogwoodspool_pooler.freshness import FreshnessTracker
 from dogwoodspool_pooler.held import ConnectionAccess, HeldConnection
 from dogwoodspool_pooler.known_primaries import KnownPrimaries
@@ -58,6 +59,7 @@
 from dogwoodspool_pooler.reads import ReadPath
 from dogwoodspool_pooler.registry import BackendRegistry
 from dogwoodspool_pooler.replica_lag import ReplicaLag
+from dogwoodspool_pooler.replica_positions import ReplicaPositions
 from dogwoodspool_pooler.session import PooledSession
 from dogwoodspool_pooler.sessions import PooledSessions
 from dogwoodspool_pooler.stalls import StallTracker
@@ -65,6 +67,7 @@
 from dogwoodspool_pooler.transactions import TransactionPath
 from dogwoodspool_pooler.writes import WritePath
 from dogwoodspool_routing import ServerTable
+from dogwoodspool_settings import SettingsNode, WriteAck
 from dogwoodspool_sharing import ConnectionPart, PoolRole
 
 GROUP = "chat"
@@ -98,6 +101,10 @@
         is_replaced: whether another server was promoted in its place; it then still
             answers reads outside of read-write transactions.
         on_answer: called with the kind of a statement before its answer arrives.
+        received: position that it has received as a replica and not applied.
+        is_deaf: whether it receives nothing.
+        followers: the other servers of its group, which receive its commits.
+        queries: number of times that its received position was asked for.
     """
 
     name: str
@@ -113,6 +120,17 @@
     opened: int = 0
     on_answer: Callable[[StatementKind], None] = lambda _kind: None
     refused_as_behind: int = 0
+    received: Position = Position(0, 0)
+    is_deaf: bool = False
+    followers: "list[FakeServer]" = field(default_factory=list, repr=False)
+    queries: int = 0
+
+    def commit(self) -> None:
+        """Append a commit to its log, which the other servers receive."""
+        self.position = Position(self.position.term, self.position.offset + 1)
+        for one in self.followers:
+            if not one.is_deaf and not one.is_down:
+                one.received = self.position
 
     def as_backend_server(self) -> BackendServer:
         return BackendServer(
@@ -171,6 +189,13 @@
     def has_unexpected_input(self) -> bool:
         return not self._is_open
 
+    def received_position(self, deadline: float) -> Position | None:
+        if self._fake.is_down:
+            self._is_open = False
+            raise OutcomeUnknownError("down")
+        self._fake.queries += 1
+        return max(self._fake.received, self._fake.position)
+
     def ping(self, timeout: float) -> None:
         if self._fake.is_down:
             self._is_open = False
@@ -276,8 +301,7 @@
         if statement.kind is StatementKind.COMMIT:
             self._state, self._is_read_write = TransactionState.IDLE, False
         if statement.kind in (StatementKind.WRITE, StatementKind.COMMIT):
-            offset = fake.position.offset + 1
-            fake.position = Position(fake.position.term, offset)
+            fake.commit()
 
 
 CONNECT_SECONDS = 0.012
@@ -301,6 +325,8 @@
 
     def __init__(self, servers: Sequence[FakeServer], clock: ManualClock) -> None:
         self.servers = {server.name: server for server in servers}
+        for server in servers:
+            server.followers = [one for one in servers if one is not server]
         self._clock = clock
         self.opened_for: list[str] = []
 
@@ -365,6 +391,7 @@
         )
         self.registry.set_up()
         refusals, replica_lag = LagTracker(self.clock), ReplicaLag(self.clock)
+        self.replica_lag = replica_lag
         access = ServerAccess(
             self.registry,
             self.table,
@@ -385,6 +412,13 @@
         known = KnownPrimaries(self.views, self.table)
         self.primaries = PrimaryPath(self.views, known, access, self.clock)
         self.known = known
+        self.final_writes = FinalWrites(
+            self.views,
+            ReplicaPositions(
+                OWN_DOMAIN, self.registry, self.table, access, replica_lag
+            ),
+            self.clock,
+        )
         self.counters = Counters()
         self.limiter: OperationLimiter = NoLimits()
         placement = ReadPlacement(
@@ -395,7 +429,7 @@
             access, placement, self.primaries, self.counters, self.clock
         )
         self.local_statements = LocalStatements(
-            self.reads, WritePath(self.primaries, access, self.clock)
+            self.reads, WritePath(self.primaries, access, self.final_writes, self.clock)
         )
         self.sessions = self.sessions_with(self.views, self.clock)
         self.served_endpoint = served_endpoint or endpoint()
@@ -424,6 +458,7 @@
             ReadPlacement(self.views, self.table, self.known, held, self.shared_reads),
             PrimaryPath(self.views, self.known, held, self.clock),
             held,
+            self.final_writes,
             self.clock,
         )
         return PooledSessions(
@@ -459,13 +494,19 @@
                 groups=[GroupMessage.of(group)],
                 servers=[ServerMessage.of(server) for server in servers],
                 proxies=[],
-                settings=[],
+                settings=[self._root_settings()],
                 endpoints=[EndpointMessage.of(one) for one in view_endpoints],
                 accounts=[AccountMessage.of(one) for one in accounts or ()],
                 requires_account=accounts is not None,
             )
         )
 
+    def _root_settings(self) -> SettingsNode:
+        """Return settings by which a group of a single server does not replicate."""
+        is_replicated = len(self.network.servers) > 1
+        write_ack = WriteAck.GROUP if is_replicated else WriteAck.PRIMARY
+        return SettingsNode(path="/", version=1, overrides={"write_ack": write_ack})
+
     def session(self, key: str = "") -> PooledSession:
         """Open a session at ``db``."""
         return self.sessions.open("db", key_digest(key))
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -84,6 +84,7 @@
                 pooler.access,
                 leases,
                 slots,
+                pooler.final_writes,
                 pooler.clock,
                 pooler.placement.keeps_room,
             ),
--- a/tests/pooler/shared/test_primary_owners.py
+++ b/tests/pooler/shared/test_primary_owners.py
@@ -112,7 +112,7 @@
             self.clock,
             forwarder.forward,
         )
-        writes = WritePath(self.primaries, self.access, self.clock)
+        writes = WritePath(self.primaries, self.access, self.final_writes, self.clock)
         self.local_statements = LocalStatements(reads, writes)
         self.sessions = self.sessions_with(
             self.views,
--- a/tests/pooler/test_catch_up.py
+++ b/tests/pooler/test_catch_up.py
@@ -114,6 +114,7 @@
     def test_with_pools_of_its_own_a_proxy_never_waits(self) -> None:
         self.start(0.03, share=None)
         self.write()
+        self.sleep.reset_mock()
         self.assertEqual(self.read(), "s1")
         self.sleep.assert_not_called()
         self.assertGreater(self.servers[0].position, Position(3, 100))
