Failover: no order of events loses a write that was reported as successful

The listed test of a replica that starts while a planned promotion is carried out asked that the promoted server has what the old primary acknowledged. That no longer decides what a caller is told: the primary acknowledges with a server that nobody has recorded, and the proxy, which asks the chosen successor, calls the write in doubt. The test stands in test_final_writes with the same order of events; it asserts that the write is missing at the successor, so that the order is the dangerous one, and that no success is.

--- a/packages/pooler/src/dogwoodspool_pooler/final_writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/final_writes.py
@@ -6,6 +6,9 @@
 to be kept.
 """
 
+from collections.abc import Iterable
+from typing import Protocol
+
 from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Position
 from dogwoodspool_following import ProxyView, ViewStore
 from dogwoodspool_settings import WriteAck
@@ -17,7 +20,31 @@
     REPLICA_ANSWER_SECONDS,
 )
 from .held import HeldConnection
-from .replica_positions import ReplicaPositions
+from .replica_positions import ExpectedApply
+
+
+class PositionQueries(Protocol):
+    """Interface to the positions of replicas; see ``ReplicaPositions``."""
+
+    def reachable(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
+        """Return the servers that can be asked, the preferred one first."""
+        ...
+
+    def first_to_apply(
+        self, servers: Iterable[BackendServer], position: Position
+    ) -> ExpectedApply | None:
+        """Return the server that should be the first to apply a position."""
+        ...
+
+    def applied(
+        self, server: BackendServer, position: Position, deadline: float
+    ) -> Position | None:
+        """Return what a server has applied; None without an answer."""
+        ...
+
+    def received(self, server: BackendServer, deadline: float) -> Position | None:
+        """Return what a server has received; None without an answer."""
+        ...
 
 
 def deciding_servers(view: ProxyView, primary: BackendServer) -> list[BackendServer]:
@@ -57,7 +84,7 @@
     """
 
     def __init__(
-        self, views: ViewStore, replicas: ReplicaPositions, clock: Clock
+        self, views: ViewStore, replicas: PositionQueries, clock: Clock
     ) -> None:
         self._views = views
         self._replicas = replicas
--- /dev/null
+++ b/tests/failover/test_final_writes.py
@@ -0,0 +1,332 @@
+"""Tests that a promoted server has every write whose caller was told of a success."""
+
+import random
+import unittest
+from collections.abc import Callable, Collection, Iterable
+from unittest import mock
+
+from dogwoodspool_common import BackendServer, Position, Role
+from dogwoodspool_control.models import PromotionReason
+from dogwoodspool_failover import ServerState
+from dogwoodspool_following import ViewStore
+from dogwoodspool_pooler.final_writes import FinalWrites
+from dogwoodspool_pooler.held import HeldConnection
+from dogwoodspool_pooler.replica_positions import ExpectedApply
+from dogwoodspool_settings import SettingsNode
+
+from .fakes import FakeGroup, FakeServer, Voter
+
+HISTORIES = 400
+# Most events at one call of a change of primary, and most events and servers in all.
+MAX_EVENTS_AT_ONCE = 4
+MAX_EVENTS = 40
+MAX_SERVERS = 7
+
+
+class GroupPositions:
+    """Positions of a fake group's servers; implements ``PositionQueries``.
+
+    Attributes:
+        out_of_reach: servers that the proxy does not reach.
+    """
+
+    def __init__(self, group: FakeGroup) -> None:
+        self._group = group
+        self.out_of_reach: Collection[str] = ()
+
+    def reachable(self, servers: Iterable[BackendServer]) -> list[BackendServer]:
+        return [one for one in servers if one.name not in self.out_of_reach]
+
+    def first_to_apply(
+        self, servers: Iterable[BackendServer], position: Position
+    ) -> ExpectedApply | None:
+        return None
+
+    def applied(
+        self, server: BackendServer, position: Position, deadline: float
+    ) -> Position | None:
+        return None
+
+    def received(self, server: BackendServer, deadline: float) -> Position | None:
+        return self._group.servers[server.name].received
+
+
+class Proxy:
+    """A proxy that follows control only when a test says so.
+
+    Attributes:
+        successes: positions of the writes that it reported as successful.
+    """
+
+    def __init__(self, voter: Voter) -> None:
+        self._voter = voter
+        self._views = ViewStore("fd1", voter.clock)
+        self.positions = GroupPositions(voter.group)
+        self._final_writes = FinalWrites(self._views, self.positions, voter.clock)
+        self.successes: list[Position] = []
+        self.follow()
+
+    def follow(self) -> None:
+        """Adopt the committed view."""
+        root = SettingsNode(path="/", version=1, overrides={"write_ack": "group"})
+        view = self._voter.state.view()
+        self._views.adopt(view.model_copy(update={"settings": [root]}))
+
+    def write(self, receivers: Iterable[str]) -> None:
+        """Have the primary of the first term commit a write, if it still leads."""
+        group = self._voter.group
+        primary = group.servers["s1"]
+        if primary.role is not Role.PRIMARY:
+            return
+        before = group.acknowledged
+        position = Position(1, primary.received.offset + 1)
+        primary.received = position
+        for name in receivers:
+            server = group.servers[name]
+            if server.role is Role.REPLICA and not server.paused_term:
+                server.received = group.acknowledged = position
+        if group.acknowledged == before:
+            return
+        held = mock.Mock(spec=HeldConnection, server=primary.described())
+        held.is_remote = False
+        # A deadline that has come: replicas are asked once.
+        if self._final_writes.is_final(held, position, self._voter.clock.now()):
+            self.successes.append(position)
+
+
+class FinalWriteTestCase(unittest.TestCase):
+    """A group whose primary acknowledges writes with any one server."""
+
+    def setUp(self) -> None:
+        self.voter = Voter()
+        self.group = self.voter.group
+        self.servers = self.group.servers
+        self.proxy = Proxy(self.voter)
+
+    def start_server(self, name: str = "s4") -> FakeServer:
+        """Start a replica, which receives the primary's log, and record nothing."""
+        server = FakeServer(name, received=self.servers["s1"].received)
+        self.servers[name] = server
+        return server
+
+    def cut_off_primary(self) -> None:
+        """Cut the primary off from control, but not from other servers."""
+        self.servers["s1"].is_silent = True
+
+    def assert_nothing_lost(self) -> None:
+        assert self.group.promoted_at is not None
+        lost = [one for one in self.proxy.successes if one > self.group.promoted_at]
+        self.assertEqual(lost, [])
+
+    def assert_acknowledged_write_is_missing(self) -> None:
+        """Check that the order of events is the dangerous one."""
+        assert self.group.promoted_at is not None
+        self.assertGreater(self.group.acknowledged, self.group.promoted_at)
+
+
+class UnknownServerTests(FinalWriteTestCase):
+    """Writes that only a server has which control does not know."""
+
+    def test_server_that_starts_behind_the_cut_of_the_primary(self) -> None:
+        """Guard against writes lost because control never hears of their only copy."""
+        self.proxy.write(["s2"])
+        self.start_server()
+        self.proxy.write(["s4"])
+        self.cut_off_primary()
+        self.voter.begin()
+        self.proxy.write(["s4"])
+        self.voter.change()
+        self.assert_acknowledged_write_is_missing()
+        self.assert_nothing_lost()
+        self.assertEqual(self.proxy.successes, [Position(1, 101)])
+
+    def test_replica_that_starts_while_a_planned_promotion_is_carried_out(self) -> None:
+        """Guard against writes acknowledged with a replica that is not recorded yet."""
+
+        def start() -> None:
+            server = self.start_server()
+            self.proxy.follow()
+            self.proxy.write(["s4"])
+            self.voter.join(server)
+            server.paused_term = 0
+            self.proxy.follow()
+            self.proxy.write(["s4"])
+
+        self.group.on_promote = start
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assert_acknowledged_write_is_missing()
+        self.assert_nothing_lost()
+
+    def test_successor_that_receives_while_a_planned_promotion_is_carried_out(
+        self,
+    ) -> None:
+        """Guard against a planned change in which no write succeeds."""
+
+        def write() -> None:
+            self.proxy.follow()
+            self.proxy.write(["s2"])
+
+        self.group.on_promote = write
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assertEqual(self.proxy.successes, [Position(1, 101)])
+        self.assert_nothing_lost()
+
+    def test_proxy_that_learns_of_a_failover_late(self) -> None:
+        """Guard against writes lost while a proxy has not received the new view."""
+
+        def start() -> None:
+            server = self.start_server()
+            self.proxy.write(["s4"])
+            self.voter.commit_record(server)
+            self.proxy.write(["s4"])
+
+        self.cut_off_primary()
+        self.group.on_promote = start
+        self.voter.begin()
+        self.voter.change()
+        self.assert_acknowledged_write_is_missing()
+        self.assert_nothing_lost()
+
+    def test_server_that_is_recorded_while_a_successor_is_chosen(self) -> None:
+        """Guard against a success that rests on a server the choice has not seen."""
+
+        def start() -> None:
+            server = self.start_server()
+            self.voter.join(server)
+            self.proxy.follow()
+            self.proxy.write(["s4"])
+            self.servers["s2"].received = self.servers["s1"].received
+
+        self.group.on_first_pause = start
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assertEqual(self.proxy.successes, [Position(1, 101)])
+        self.assert_nothing_lost()
+
+
+class EventfulGroup(FakeGroup):
+    """A group in which something may happen at each call of control."""
+
+    def __init__(
+        self, servers: dict[str, FakeServer], happen: Callable[[], None]
+    ) -> None:
+        super().__init__(servers)
+        self._happen = happen
+
+    def status(self, server: BackendServer, timeout: float) -> ServerState:
+        self._happen()
+        return super().status(server, timeout)
+
+    def pause(self, server: BackendServer, term: int, timeout: float) -> ServerState:
+        self._happen()
+        try:
+            return super().pause(server, term, timeout)
+        finally:
+            self._happen()
+
+
+class HistoryTests(unittest.TestCase):
+    """Random orders of starts, records, cuts, writes and late views."""
+
+    def test_no_reported_success_is_lost(self) -> None:
+        """Guard against any order of events that loses a write."""
+        promotions = successes = missing = 0
+        for seed in range(HISTORIES):
+            history = History(seed)
+            history.run()
+            with self.subTest(seed):
+                self.assertEqual(history.lost(), [])
+            promotions += history.group.promoted_at is not None
+            successes += sum(len(one.successes) for one in history.proxies)
+            missing += history.is_acknowledged_write_missing()
+        # The histories must contain what the test is about.
+        self.assertGreater(promotions, HISTORIES // 4)
+        self.assertGreater(successes, HISTORIES)
+        self.assertGreater(missing, HISTORIES // 20)
+
+
+class History:
+    """One random history of a change of primary.
+
+    Attributes:
+        proxies: two proxies, which follow control at different times.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self.voter = Voter()
+        self.group = EventfulGroup(self.voter.group.servers, self.happen)
+        self.voter.use_group(self.group)
+        self.proxies = [Proxy(self.voter), Proxy(self.voter)]
+        self._unrecorded: list[FakeServer] = []
+        self._is_busy = False
+        self._events = 0
+
+    def run(self) -> None:
+        """Run a change of primary with events before, during and after its calls."""
+        self.happen()
+        self.group.on_promote = self.happen
+        reason = self._random.choice(list(PromotionReason))
+        if reason is PromotionReason.FAILED or self._random.random() < 0.3:
+            self.group.servers["s1"].is_silent = True
+        self.voter.begin(reason)
+        self.happen()
+        self.voter.change(on_pause=self.happen)
+
+    def lost(self) -> list[Position]:
+        """Return the successes that the first promoted server lacks."""
+        promoted_at = self.group.promoted_at
+        if promoted_at is None:
+            return []
+        return [
+            position
+            for proxy in self.proxies
+            for position in proxy.successes
+            if position > promoted_at
+        ]
+
+    def is_acknowledged_write_missing(self) -> bool:
+        """Return whether the promoted server lacks an acknowledged write."""
+        promoted_at = self.group.promoted_at
+        return promoted_at is not None and self.group.acknowledged > promoted_at
+
+    def happen(self) -> None:
+        """Let some events happen."""
+        if self._is_busy or self.group.promoted_at is not None:
+            return
+        self._is_busy = True
+        events = [self._start, self._record, self._write, self._follow, self._reach]
+        count = self._random.randrange(MAX_EVENTS_AT_ONCE + 1)
+        for _ in range(min(count, MAX_EVENTS - self._events)):
+            self._random.choice(events)()
+            self._events += 1
+        self._is_busy = False
+
+    def _start(self) -> None:
+        if len(self.group.servers) == MAX_SERVERS:
+            return
+        name = f"s{len(self.group.servers) + 1}"
+        received = self.group.servers["s1"].received
+        server = FakeServer(name, received=received)
+        self.group.servers[name] = server
+        self._unrecorded.append(server)
+
+    def _record(self) -> None:
+        if self._unrecorded:
+            self.voter.join(self._unrecorded.pop(0))
+
+    def _write(self) -> None:
+        names = [name for name in self.group.servers if name != "s1"]
+        count = self._random.randint(1, 2)
+        self._random.choice(self.proxies).write(self._random.sample(names, count))
+
+    def _follow(self) -> None:
+        self._random.choice(self.proxies).follow()
+
+    def _reach(self) -> None:
+        """Cut a replica off from control, or end its cut."""
+        name = self._random.choice([one for one in self.group.servers if one != "s1"])
+        server = self.group.servers[name]
+        server.is_silent = not server.is_silent and self._random.random() < 0.3
