Failover: an inherited switchover promotes only a successor that caught up

Callers would have lost a write that had succeeded: a planned change has chosen its successor, the old primary acknowledges a write with it alone, the successor restarts without its log, and the control leader changes meanwhile. The new leader knew nothing of the process that was chosen, compared the successor with the paused replicas alone, and promoted it without the write.

The test drives that order of events; before the change the promoted server was at 1.100 and the acknowledged write at 1.101.

A leader that takes over a choice now asks the old primary as well, and requests the promotion once the successor has received what the old primary had. If the old primary does not answer, the change begins anew as a failover, without the wait; the second test guards this. A change whose leader stays is as it was.

--- a/packages/failover/src/dogwoodspool_failover/basis.py
+++ b/packages/failover/src/dogwoodspool_failover/basis.py
@@ -72,6 +72,11 @@
         self._writers = writers
         self._lock = threading.Lock()
         self._known = {(one.name, one.incarnation) for one in members}
+        self._is_inherited = not self._known
+        # Servers that are asked during a switchover and not fenced.
+        self._serving = {chosen}
+        if self._is_inherited:
+            self._serving.add(promotion.old_primary)
         self._in_flight: set[tuple[str, int]] = set()
 
     @property
@@ -145,7 +150,7 @@
         fenced = self._fencing.fenced(members)
         called = [one for one in joined if one.name not in fenced]
         if self._is_switchover:
-            called += [one for one in members if one.name == self._chosen]
+            called += [one for one in members if one.name in self._serving]
         return self._dependencies.call_all(
             called,
             self._fence_or_ask,
@@ -154,7 +159,7 @@
         )
 
     def _fence_or_ask(self, server: BackendServer) -> ServerState:
-        if self._is_switchover and server.name == self._chosen:
+        if self._is_switchover and server.name in self._serving:
             return self._dependencies.servers.status(server, SERVER_CALL_TIMEOUT)
         return self._fencing.fence_joined(
             server, may_step_down=self._may_step_down(server), may_raise_term=True
@@ -170,6 +175,10 @@
         if self._is_switchover:
             if self._chosen not in answers:
                 return Confirmation.OPEN
+            if self._is_inherited and self._promotion.old_primary not in answers:
+                return Confirmation.BROKEN
+            if self._is_inherited and not self._has_caught_up(answers):
+                return Confirmation.OPEN
             states = {self._chosen: answers[self._chosen]}
             given = SwitchoverInput(self._promotion.old_primary, members, states)
             is_safe = is_switchover_safe(given, self._chosen, fenced)
@@ -185,6 +194,15 @@
         is_other = choose_primary(failover).is_ok()
         return Confirmation.BROKEN if is_other else Confirmation.OPEN
 
+    def _has_caught_up(self, answers: dict[str, ServerState]) -> bool:
+        """Return whether the chosen server has what the old primary had.
+
+        It may have restarted without its log while the leader changed, and be the only
+        one with which the old primary acknowledged a write.
+        """
+        old_primary = answers[self._promotion.old_primary]
+        return answers[self._chosen].received >= old_primary.received
+
     def _fence_in_background(self, server: BackendServer) -> None:
         try:
             answer = self._fencing.fence_joined(
--- a/tests/failover/test_joined.py
+++ b/tests/failover/test_joined.py
@@ -117,6 +117,41 @@
         self.voter.change()
         self.assert_nothing_lost()
 
+    def test_successor_that_restarts_while_the_leader_changes(self) -> None:
+        """Guard against a new leader that promotes a successor which lost its log."""
+
+        def lose_log_and_leadership() -> None:
+            self.group.acknowledge("s2")
+            successor = self.servers["s2"]
+            successor.received, successor.incarnation = Position(1, 100), 2
+            self.voter.join(successor)
+            self.voter.log.is_leader = False
+
+        def receive() -> None:
+            self.servers["s2"].received = self.servers["s1"].received
+
+        self.voter.after_choice(lose_log_and_leadership)
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.assertIsNone(self.group.promoted_at)
+        self.voter.change(on_pause=receive)
+        self.assert_nothing_lost()
+        self.assertNotIn(("step_down", "s1"), self.group.orders)
+
+    def test_primary_that_ends_while_the_leader_changes(self) -> None:
+        """Guard against a planned change that waits for a primary which has ended."""
+
+        def fail() -> None:
+            self.group.acknowledge("s2")
+            self.servers["s1"].is_silent = True
+            self.voter.log.is_leader = False
+
+        self.voter.after_choice(fail)
+        self.voter.begin(PromotionReason.PLANNED)
+        self.voter.change()
+        self.voter.change()
+        self.assert_nothing_lost()
+
     def test_replica_that_starts_before_a_request_is_repeated(self) -> None:
         """Guard against lost writes when the first request is not carried out."""
         self.cut_off_primary()
