Pooler: one place tells which servers a failover has given up

KnownPrimaries and FinalWrites each looked it up in the view. The function stands beside the rule of what makes a success final; the pauses between two rounds of questions grow, so that a write that waits for its replicas does not fill them with questions.

--- a/packages/pooler/src/dogwoodspool_pooler/final_writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/final_writes.py
@@ -17,6 +17,7 @@
     APPLIED_RETRY_SECONDS,
     APPLIED_WAIT_SECONDS,
     FINAL_RETRY_SECONDS,
+    MAX_FINAL_RETRY_SECONDS,
     REPLICA_ANSWER_SECONDS,
 )
 from .held import HeldConnection
@@ -47,6 +48,15 @@
         ...
 
 
+def is_given_up(view: ProxyView, server: BackendServer) -> bool:
+    """Return whether control has moved a group away from a failed server.
+
+    The new primary may lack what that server acknowledges.
+    """
+    group = view.groups.get(server.group)
+    return group is not None and server.name in group.given_up
+
+
 def deciding_servers(view: ProxyView, primary: BackendServer) -> list[BackendServer]:
     """Return the servers any of which makes a write of a primary final.
 
@@ -55,7 +65,7 @@
     server acknowledges that a failover has moved the group away from is never final.
     """
     group = view.groups.get(primary.group)
-    if group is None or primary.name in group.given_up:
+    if group is None or is_given_up(view, primary):
         return []
     successor = _successor(group)
     return [
@@ -93,7 +103,7 @@
     def can_be_final(self, held: HeldConnection) -> bool:
         """Return whether a write that is sent on a connection now can become final."""
         if not self._is_checked_here(held):
-            return not self._is_given_up(held.server)
+            return not is_given_up(self._views.view, held.server)
         servers = deciding_servers(self._views.view, held.server)
         return bool(self._replicas.reachable(servers))
 
@@ -108,15 +118,17 @@
             deadline: clock seconds until which to wait for a replica.
         """
         if not self._is_checked_here(held):
-            return not self._is_given_up(held.server)
+            return not is_given_up(self._views.view, held.server)
         if position is None:
             return False
+        pause = FINAL_RETRY_SECONDS
         while not self._has_copy(held.server, position, deadline):
-            can_wait = self._clock.now() + FINAL_RETRY_SECONDS < deadline
+            can_wait = self._clock.now() + pause < deadline
             if not can_wait or not self.can_be_final(held):
                 return False
-            self._clock.sleep(FINAL_RETRY_SECONDS)
-        return not self._is_given_up(held.server)
+            self._clock.sleep(pause)
+            pause = min(2 * pause, MAX_FINAL_RETRY_SECONDS)
+        return not is_given_up(self._views.view, held.server)
 
     def _has_copy(
         self, primary: BackendServer, position: Position, deadline: float
@@ -157,10 +169,6 @@
     def _answer_by(self, deadline: float) -> float:
         return min(deadline, self._clock.now() + REPLICA_ANSWER_SECONDS)
 
-    def _is_given_up(self, server: BackendServer) -> bool:
-        group = self._views.view.groups.get(server.group)
-        return group is not None and server.name in group.given_up
-
     def _is_checked_here(self, held: HeldConnection) -> bool:
         settings = self._views.settings(held.server.group)
         return settings.write_ack is not WriteAck.PRIMARY and not held.is_remote
--- a/packages/pooler/src/dogwoodspool_pooler/known_primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/known_primaries.py
@@ -36,14 +36,6 @@
         """Record that a server answered that it is not the primary."""
         self._refusals[group] = (server, self._views.view.version)
 
-    def is_given_up(self, group: str, server: str) -> bool:
-        """Return whether control has moved a group away from a failed server.
-
-        The new primary may lack what that server acknowledges.
-        """
-        state = self._views.view.groups.get(group)
-        return state is not None and server in state.given_up
-
     def lost_groups(self) -> int:
         """Return the number of groups used by callers that have no reachable primary.
 
--- a/packages/pooler/src/dogwoodspool_pooler/primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/primaries.py
@@ -18,6 +18,7 @@
     PROMOTION_RETRY_MS,
 )
 from .errors import AnswerLostError, NoPrimaryError, NotServedError
+from .final_writes import is_given_up
 from .held import ConnectionAccess, HeldT
 from .known_primaries import KnownPrimaries
 from .models import ErrorCode, Reply, StatementError
@@ -153,7 +154,7 @@
         self, group: str, refused: set[str], *, may_write: bool
     ) -> BackendServer | None:
         for server in self._known.candidates(group):
-            if may_write and self._known.is_given_up(group, server.name):
+            if may_write and is_given_up(self._views.view, server):
                 continue
             if server.name not in refused:
                 return server
--- a/packages/settings/src/dogwoodspool_settings/models.py
+++ b/packages/settings/src/dogwoodspool_settings/models.py
@@ -13,9 +13,9 @@
     Attributes:
         PRIMARY: once the primary has answered it.
         REPLICA: once a replica has it, which the proxy waits for.
-        GROUP: once the primary has answered it; the database group itself answers
-            only when a replica has the write, and its servers refuse work from the
-            moment another server is promoted.
+        GROUP: once the primary has answered it and a recorded replica is known to
+            have it; the database group itself answers only when any replica has the
+            write, and its servers refuse work from the moment another is promoted.
     """
 
     PRIMARY = "primary"
