--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -166,13 +166,15 @@
 # Pause between attempts to connect to a server that failed, and their time limit.
 RECOVERY_PROBE_SECONDS: Final = 0.25
 # Time for which one replica may take to tell its position before another one is asked:
-# longer than a statement that it may have to wait for. Pause after all were asked.
+# longer than a statement that it may have to wait for.
 REPLICA_ANSWER_SECONDS: Final = 0.15
 # Time for which an acknowledged write waits to be applied by a replica before replicas
 # are asked what they have received, and the pause between two such questions.
 APPLIED_WAIT_SECONDS: Final = 0.05
 APPLIED_RETRY_SECONDS: Final = 0.008
+# First and longest pause after all replicas were asked in vain.
 FINAL_RETRY_SECONDS: Final = 0.01
+MAX_FINAL_RETRY_SECONDS: Final = 0.08
 # Servers that are probed at the same time: a failure domain that is cut off contains
 # servers of every group.
 RECOVERY_THREADS: Final = 4
