--- a/tests/failover/test_final_writes.py
+++ b/tests/failover/test_final_writes.py
@@ -206,6 +206,24 @@
         self.assert_nothing_lost()
 
 
+class EmptyServerTests(FinalWriteTestCase):
+    """Writes whose recorded copy is gone because its server has lost its log."""
+
+    def test_replica_that_starts_again_with_nothing(self) -> None:
+        """Guard against a choice that takes an empty server for a copy."""
+        self.proxy.write(["s2"])
+        self.assertEqual(self.proxy.successes, [Position(1, 101)])
+        server = self.servers["s2"]
+        server.received, server.incarnation = Position(1, 0), 2
+        self.voter.join(server)
+        self.cut_off_primary()
+        self.voter.begin()
+        self.voter.change(max_pauses=5)
+        self.servers["s1"].is_silent = False
+        self.voter.change()
+        self.assert_nothing_lost()
+
+
 class EventfulGroup(FakeGroup):
     """A group in which something may happen at each call of control."""
 
