Pooler: a leaving replica is asked only for its status

A leaving server gets no new work after a few seconds. The question whether a replica has applied a write opens and ends an empty read-only transaction, and went to a leaving server if that was expected to apply the write first. The test fails without the change.

--- a/packages/pooler/src/dogwoodspool_pooler/replica_positions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/replica_positions.py
@@ -66,10 +66,13 @@
         """Return the server that should be the first to apply a position.
 
         None if the lag of none of them is known. Of several that should have applied it
-        already, the first one is returned.
+        already, the first one is returned. A leaving server is never returned, as it
+        gets no new transactions, not even an empty one.
         """
         found = None
         for server in servers:
+            if server.is_leaving:
+                continue
             seconds = self._replica_lag.seconds_until(server, position)
             if seconds is None:
                 continue
--- a/tests/pooler/test_final_writes.py
+++ b/tests/pooler/test_final_writes.py
@@ -223,6 +223,13 @@
         self.assertEqual(self.queries(), 0)
         self.assertGreaterEqual(self.pooler.clock.now() - began_at, 0.012)
 
+    def test_leaving_replica_is_only_asked_for_its_status(self) -> None:
+        """Guard against transactions that a leaving server still gets."""
+        self.apply_after(0.012)
+        self.pooler.apply_view(primary="s1", leaving={"s2", "s3"})
+        self.assertIsNone(run_text(self.pooler.session(), "WRITE k v").error)
+        self.assertEqual(self.queries(), 1)
+
     def test_long_lag_is_not_waited_for(self) -> None:
         """Guard against writes that are late because a replica applies late."""
         self.apply_after(0.4)
