Pooler: a write that its primary's successor left behind is in doubt at once

Found by reading the change: once a deciding server follows a newer primary, no other one will receive a write of the old term, yet the caller waited until its deadline for a copy that could not come, as after a planned change that took effect between the acknowledgement and the question. The round of questions now tells this apart from a replica that is merely behind. The extended test failed before: the wait lasted until the deadline.

--- a/packages/pooler/src/dogwoodspool_pooler/final_writes.py
+++ b/packages/pooler/src/dogwoodspool_pooler/final_writes.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import Protocol
 
 from dogwoodspool_common import BackendServer, Clock, GroupState, Phase, Position
@@ -24,6 +25,21 @@
 from .replica_positions import ExpectedApply
 
 
+class Copy(StrEnum):
+    """What a round of questions shows of a write.
+
+    Attributes:
+        FOUND: a server has it.
+        MISSING: no server that answered has it yet.
+        BRANCHED: no server has it in its term, and one follows a newer primary, so
+            that no other will receive it.
+    """
+
+    FOUND = "found"
+    MISSING = "missing"
+    BRANCHED = "branched"
+
+
 class PositionQueries(Protocol):
     """Interface to the positions of replicas; see ``ReplicaPositions``."""
 
@@ -122,25 +138,32 @@
         if position is None:
             return False
         pause = FINAL_RETRY_SECONDS
-        while not self._has_copy(held.server, position, deadline):
+        while True:
+            copy = self._find_copy(held.server, position, deadline)
+            if copy is Copy.FOUND:
+                break
             can_wait = self._clock.now() + pause < deadline
-            if not can_wait or not self.can_be_final(held):
+            if copy is Copy.BRANCHED or not can_wait or not self.can_be_final(held):
                 return False
             self._clock.sleep(pause)
             pause = min(2 * pause, MAX_FINAL_RETRY_SECONDS)
         return not is_given_up(self._views.view, held.server)
 
-    def _has_copy(
+    def _find_copy(
         self, primary: BackendServer, position: Position, deadline: float
-    ) -> bool:
-        """Return whether a server that is asked once or more has a position."""
+    ) -> Copy:
+        """Ask each server, some more than once, whether it has a position."""
         servers = self._replicas.reachable(deciding_servers(self._views.view, primary))
         if self._is_applied_soon(servers, position, deadline):
-            return True
-        return any(
-            _is_copy(self._replicas.received(one, self._answer_by(deadline)), position)
-            for one in servers
-        )
+            return Copy.FOUND
+        result = Copy.MISSING
+        for server in servers:
+            received = self._replicas.received(server, self._answer_by(deadline))
+            if _is_copy(received, position):
+                return Copy.FOUND
+            if received is not None and received.term > position.term:
+                result = Copy.BRANCHED
+        return result
 
     def _is_applied_soon(
         self, servers: list[BackendServer], position: Position, deadline: float
--- a/tests/pooler/test_final_writes.py
+++ b/tests/pooler/test_final_writes.py
@@ -93,11 +93,17 @@
         self.assertLessEqual(elapsed, DEADLINE_SECONDS)
 
     def test_replica_of_a_newer_term_does_not_count(self) -> None:
-        """Guard against a position behind a branch that left the write out."""
+        """Guard against a position behind a branch that left the write out.
+
+        The caller does not wait for an answer that cannot come.
+        """
         self.cut_off_replicas()
         for one in self.replicas:
             one.position = Position(4, 5_000)
+        began_at = self.pooler.clock.now()
         self.assert_in_doubt(run_text(self.pooler.session(), "WRITE k v"))
+        elapsed = self.pooler.clock.now() - began_at
+        self.assertLess(elapsed, REPLICA_ANSWER_SECONDS)
 
     def test_group_that_does_not_replicate_asks_nobody(self) -> None:
         pooler = Pooler([self.primary])
