--- a/packages/control/src/dogwoodspool_control/ticking.py
+++ b/packages/control/src/dogwoodspool_control/ticking.py
@@ -64,7 +64,12 @@
             return
         if leadership.term != self._leadership_term:
             self._leadership_term = leadership.term
-            log_event("leadership_began", term=leadership.term)
+            log_event(
+                "leadership_began",
+                term=leadership.term,
+                view=self._state.version,
+                document=self._state.document.revision,
+            )
             self.begin_leadership()
         self.run_as_leader()
 
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -7,6 +7,7 @@
 
 from dogwoodspool_api import ControlView
 from dogwoodspool_common import (
+    Address,
     BackendServer,
     ClientAccount,
     Clock,
@@ -14,6 +15,7 @@
     GroupState,
     log_event,
 )
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_settings import EffectiveSettings, SettingsTree
 
 ItemT = TypeVar("ItemT")
@@ -146,6 +148,8 @@
         self._view = ProxyView()
         self._listeners: list[ViewListener] = []
         self._announced_version = 0
+        self._confirmed_at: float | None = None
+        self._confirmed_by: Address | None = None
 
     @property
     def failure_domain(self) -> str:
@@ -162,6 +166,21 @@
         """The newest version that the control leader has announced."""
         return self._announced_version
 
+    @property
+    def age_ms(self) -> int | None:
+        """Milliseconds since the view was last confirmed; None before the first time.
+
+        A control process in contact with the leader confirms it with each answer.
+        """
+        if self._confirmed_at is None:
+            return None
+        return round((self._clock.now() - self._confirmed_at) * MILLISECONDS)
+
+    @property
+    def confirmed_by(self) -> Address | None:
+        """The control process that last confirmed the view; None before the first."""
+        return self._confirmed_by
+
     @property
     def is_filled(self) -> bool:
         """Return whether a view has been received from control."""
@@ -180,6 +199,11 @@
         """Record a version that the control leader has announced."""
         self._announced_version = max(version, self._announced_version)
 
+    def record_confirmed(self, address: Address) -> None:
+        """Record that a control process in contact with the leader answered a poll."""
+        self._confirmed_at = self._clock.now()
+        self._confirmed_by = address
+
     def add_listener(self, listener: ViewListener) -> None:
         """Register a function that is called with each new view."""
         self._listeners.append(listener)
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -78,12 +78,13 @@
         if response.members:
             self._peers.adopt(response.members)
         if response.view is not None:
-            self._views.adopt(response.view)
+            self._adopt(response, address, asked_at)
         if not response.is_current:
             log_event("watch_not_current", address=address)
             self._peers.record_behind(address)
             return RETRY_PAUSE_SECONDS
         self._peers.record_success(address)
+        self._views.record_confirmed(address)
         if response.view is not None:
             return 0.0
         if response.retry_after_ms:
@@ -95,6 +96,22 @@
             self._peers.record_behind(address)
         return 0.0
 
+    def _adopt(
+        self, response: WatchResponse, address: Address, asked_at: float
+    ) -> None:
+        is_first = not self._views.is_filled
+        if response.view is None or not self._views.adopt(response.view):
+            return
+        if is_first:
+            elapsed = self._clock.now() - asked_at
+            log_event(
+                "first_view",
+                address=address,
+                version=response.view.version,
+                leader=response.leader,
+                elapsed_ms=round(elapsed * MILLISECONDS),
+            )
+
     def _log_failure(self, address: Address, asked_at: float, error: Exception) -> None:
         elapsed = self._clock.now() - asked_at
         log_rate_limited(
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -208,6 +208,16 @@
         """Version of the committed state that this process applies."""
         return self._views.view.version
 
+    @property
+    def view_age_ms(self) -> int | None:
+        """Milliseconds since the view was last confirmed; see ``ViewStore``."""
+        return self._views.age_ms
+
+    @property
+    def view_confirmed_by(self) -> Address | None:
+        """The control process that last confirmed the view; None before the first."""
+        return self._views.confirmed_by
+
     @property
     def open_sessions(self) -> int:
         """Number of open caller sessions."""
--- a/tests/following/test_watch.py
+++ b/tests/following/test_watch.py
@@ -45,7 +45,7 @@
     """New versions are taken from any current process, and never decrease."""
 
     def setUp(self) -> None:
-        clock = ManualClock()
+        self.clock = clock = ManualClock()
         self.control = FakeControl()
         self.views = ViewStore("fd-a", clock)
         self.watch = WatchCoordinator(
@@ -60,6 +60,15 @@
         self.watch.step()
         self.assertEqual(self.control.asked, [(FIRST, True), (FIRST, False)])
 
+    def test_age_counts_from_the_last_answer_of_a_current_process(self) -> None:
+        self.assertIsNone(self.views.age_ms)
+        self.watch.step()
+        self.control.behind = {FIRST, SECOND}
+        self.clock.advance(0.25)
+        self.watch.step()
+        self.assertEqual(self.views.age_ms, 250)
+        self.assertEqual(self.views.confirmed_by, FIRST)
+
     def test_cut_off_control_process_is_abandoned(self) -> None:
         # A partition isolates one control instance, which does not notice. A proxy that
         # still reaches it would poll it without getting newer views while changes are
