Following: members are adopted only from control processes in contact with the leader

Callers of a proxy got answers of an older configuration for as long as a voter was cut off from the others but not from the proxy (emulated on the paused clock: for ever where the others had been replaced, and 3.2 to 5.2 s between two polls of live processes beside one to three lost members).

Cause: a proxy adopted the list of members of any answer, before it looked whether the process that gave it was current. A cut-off voter names the members of before. The proxy then knew none of the present ones, or the two lists replaced each other and each time the search began again at the first address.

Change: a process without contact to the leader announces no members, neither in polls nor in answers to a proxy's heartbeats, and a proxy adopts those of current answers only.

The two tests of OutdatedMemberListTests and the one of AnnouncedMembersTests failed before.

--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -435,7 +435,8 @@
     """Answer to a long poll: the newer view, or None when the wait timed out.
 
     Attributes:
-        members: the control processes.
+        members: the control processes; empty if the answering process is not in
+            contact with the leader, as it may know only former ones.
         is_current: whether the answering process is in contact with the leader.
         retry_after_ms: delay before the next poll if all slots for waiting polls were
             taken; 0 otherwise.
--- a/packages/failover/src/dogwoodspool_failover/api.py
+++ b/packages/failover/src/dogwoodspool_failover/api.py
@@ -60,7 +60,13 @@
 
 
 def members_of(consensus: ConsensusNode) -> list[MemberMessage]:
-    """Return the members of the control group in the form sent to proxies."""
+    """Return the members of the control group in the form sent to proxies.
+
+    A process without contact to the leader returns none: those that it knows may have
+    been replaced, and a proxy that adopted them would lose the present ones.
+    """
+    if not consensus.is_following:
+        return []
     return [
         MemberMessage(address=one.address, failure_domain=one.failure_domain)
         for one in consensus.diagnostics().members
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -75,14 +75,14 @@
         # A cut-off process may name an outdated leader; renewals find the current one.
         if not self._peers.has_leader:
             self._peers.record_leader_hint(response.leader)
-        if response.members:
-            self._peers.adopt(response.members)
         if response.view is not None:
             self._adopt(response, address, asked_at)
         if not response.is_current:
             log_event("watch_not_current", address=address)
             self._peers.record_behind(address)
             return RETRY_PAUSE_SECONDS
+        if response.members:
+            self._peers.adopt(response.members)
         self._peers.record_success(address)
         self._views.record_confirmed(address)
         if response.view is not None:
