Following: a proxy finds a live control process past any number of lost ones

Callers were refused as only an older configuration allows, though a newer one had been acknowledged more than 3 s before.

Cause: members that were lost and replaced stay listed for two minutes. After the loss of the process that it polled, a proxy asked them one after another, each with a poll that waits: a connect timeout and a pause for each, or a whole poll timeout where a connection to it was still open or something accepted connections. Each answer of the leader to a report forgot which of them were lost.

Change: members are announced with whether they vote, and a proxy asks voters before members without a vote, and processes that gave no answer last. After a poll without a result it asks each other process once, at once and without a wait, before it polls with a wait again; one such round between two polls, so that an election is not disturbed by the polls of all proxies. The emulated processes hold a poll for the time that it names; they had held each for a second.

--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -425,10 +425,16 @@
 
 
 class MemberMessage(Message):
-    """A member of the control group."""
+    """A member of the control group.
+
+    Attributes:
+        is_voter: False for a member that only replicates the state, such as one that
+            was lost and has been replaced.
+    """
 
     address: HostPort
     failure_domain: str
+    is_voter: bool = True
 
 
 class WatchResponse(Message):
--- a/packages/failover/src/dogwoodspool_failover/api.py
+++ b/packages/failover/src/dogwoodspool_failover/api.py
@@ -68,6 +68,10 @@
     if not consensus.is_following:
         return []
     return [
-        MemberMessage(address=one.address, failure_domain=one.failure_domain)
+        MemberMessage(
+            address=one.address,
+            failure_domain=one.failure_domain,
+            is_voter=one.is_voter,
+        )
         for one in consensus.diagnostics().members
     ]
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -8,7 +8,10 @@
 # allows for one retransmission of a lost packet. Two silent processes in a row must not
 # delay a change beyond the few seconds in which it has to be in force.
 WATCH_TIMEOUT_MARGIN: Final = 0.5
-# The same for the first view, which also waits for a quorum and contains the whole
+# Timeout in seconds of a poll that does not wait, while a proxy searches for a current
+# control process: short, as several in a row may be lost.
+SEARCH_TIMEOUT: Final = 0.4
+# The margin for the first view, which also waits for a quorum and contains the whole
 # state.
 FIRST_VIEW_TIMEOUT_MARGIN: Final = 1.5
 RETRY_PAUSE_SECONDS: Final = 0.1
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -43,6 +43,10 @@
     the old leader every time. So a hint to a process that gave no answer is ignored
     until every process has been asked.
 
+    Members that were lost stay listed for some time, without a vote once they have been
+    replaced. They are asked last: each costs a timeout, and with several of them a
+    change would arrive too late.
+
     Args:
         addresses: the control processes known at the start.
         failure_domain: the failure domain of this process. Control processes in it are
@@ -69,6 +73,8 @@
         # Processes without an answer since a process that leads, or is in contact with
         # the leader, last answered.
         self._silent: set[Address] = set()
+        # Processes that gave no answer when they were asked last.
+        self._lost: set[Address] = set()
         self._has_missed_answer = False
         self._is_behind = False
         self._has_control_contact = True
@@ -113,10 +119,15 @@
         Control processes are replaced at other addresses over time: without this, a
         proxy that runs for months would know none of the remaining ones.
         """
+        listed = list(members)
+        has_own_voter = any(
+            one.is_voter and one.failure_domain == self._failure_domain
+            for one in listed
+        )
         ordered = sorted(
-            members,
+            listed,
             key=lambda one: (
-                one.failure_domain != self._failure_domain,
+                self._tier(one, has_own_voter=has_own_voter),
                 self._rank(Address.parse(one.address)),
                 one.address,
             ),
@@ -128,7 +139,8 @@
             log_event("control_members", addresses=",".join(map(str, addresses)))
             self._addresses = addresses
             self._silent &= set(addresses)
-            self._index = 0
+            self._lost &= set(addresses)
+            self._index = self._first_reachable()
             self._successes = 0
 
     def record_leader_hint(self, text: str | None) -> None:
@@ -148,6 +160,7 @@
         """Record that a process answered as the leader."""
         with self._lock:
             self._tried.clear()
+            self._lost.discard(address)
             self._record_current()
             self._set_leader(address)
 
@@ -163,6 +176,7 @@
         self._record_attempt(address, has_answered=False)
         with self._lock:
             self._silent.add(address)
+            self._lost.add(address)
             self._has_missed_answer = True
             if self._lacks_majority():
                 self._has_control_contact = False
@@ -178,6 +192,7 @@
         """Record a successful poll; after some, return to the preferred process."""
         with self._lock:
             self._tried.pop(address, None)
+            self._lost.discard(address)
             self._record_current()
             self._has_control_contact = True
             if self._addresses[self._index] != address or self._index == 0:
@@ -217,6 +232,7 @@
     def _record_answered(self, address: Address) -> None:
         with self._lock:
             self._silent.discard(address)
+            self._lost.discard(address)
             self._has_missed_answer = False
 
     def _lacks_majority(self) -> bool:
@@ -224,10 +240,35 @@
         return count - len(self._silent) <= count // 2
 
     def _select_next(self) -> None:
-        """Select the next process, preferring those that did not fail to answer."""
+        """Select the next process, preferring those that did not fail to answer.
+
+        Of these, the ones that failed before a leader last answered come last.
+        """
         count = len(self._addresses)
         indexes = [(self._index + step) % count for step in range(1, count + 1)]
         candidates = [
             index for index in indexes if self._tried.get(self._addresses[index], True)
         ]
-        self._index = (candidates or indexes)[0]
+        reachable = [
+            index for index in candidates if self._addresses[index] not in self._lost
+        ]
+        self._index = (reachable or candidates or indexes)[0]
+
+    def _first_reachable(self) -> int:
+        """Return the index of the first process that has not been lost."""
+        for index, address in enumerate(self._addresses):
+            if address not in self._lost:
+                return index
+        return 0
+
+    def _tier(self, member: MemberMessage, *, has_own_voter: bool) -> int:
+        """Return how early a member is asked.
+
+        Members of the own failure domain come first, as what they send stays inside
+        it, but one without a vote only where the domain has no voter: it may have been
+        replaced.
+        """
+        is_own = member.failure_domain == self._failure_domain
+        if is_own and (member.is_voter or not has_own_voter):
+            return 0
+        return 1 if member.is_voter else 2
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -24,6 +24,7 @@
     DEFAULT_WATCH_WAIT_MS,
     FIRST_VIEW_TIMEOUT_MARGIN,
     RETRY_PAUSE_SECONDS,
+    SEARCH_TIMEOUT,
     WATCH_TIMEOUT_MARGIN,
 )
 from .control_peers import ControlPeers
@@ -57,6 +58,8 @@
         self._views = views
         self._peers = peers
         self._client = client
+        # Processes that are still to be asked, without a wait, for one that is current.
+        self._search_left = 0
 
     def step(self) -> float:
         """Poll once for a newer view."""
@@ -67,11 +70,11 @@
         except PeerRefusedError as error:
             self._log_failure(address, asked_at, error)
             self._peers.record_refusal(address, error)
-            return RETRY_PAUSE_SECONDS
+            return self._continue_search()
         except (HttpError, ValidationError) as error:
             self._log_failure(address, asked_at, error)
             self._peers.record_failure(address)
-            return RETRY_PAUSE_SECONDS
+            return self._continue_search()
         # A cut-off process may name an outdated leader; renewals find the current one.
         if not self._peers.has_leader:
             self._peers.record_leader_hint(response.leader)
@@ -80,7 +83,8 @@
         if not response.is_current:
             log_event("watch_not_current", address=address)
             self._peers.record_behind(address)
-            return RETRY_PAUSE_SECONDS
+            return self._continue_search()
+        self._search_left = 0
         if response.members:
             self._peers.adopt(response.members)
         self._peers.record_success(address)
@@ -96,6 +100,19 @@
             self._peers.record_behind(address)
         return 0.0
 
+    def _continue_search(self) -> float:
+        """Return the pause before the next process is asked.
+
+        After a poll without a result the others are asked at once, without a wait:
+        several of them may be lost as well. There is one such round between two polls
+        that wait, so that an election is not disturbed by the polls of all proxies.
+        """
+        if self._search_left:
+            self._search_left -= 1
+        elif self._views.is_filled:
+            self._search_left = len(self._peers.addresses) - 1
+        return 0.0 if self._search_left else RETRY_PAUSE_SECONDS
+
     def _adopt(
         self, response: WatchResponse, address: Address, asked_at: float
     ) -> None:
@@ -123,15 +140,16 @@
         )
 
     def _poll(self, address: Address) -> WatchResponse:
+        wait_ms = 0 if self._search_left else self._wait_ms
         query = {
             QUERY_AFTER: str(self._views.view.version),
-            QUERY_WAIT_MS: str(self._wait_ms),
+            QUERY_WAIT_MS: str(wait_ms),
             QUERY_GIVEN_UP: "1",
         }
-        margin = WATCH_TIMEOUT_MARGIN
+        margin = SEARCH_TIMEOUT if self._search_left else WATCH_TIMEOUT_MARGIN
         if not self._views.is_filled:
             query[QUERY_CONFIRMED] = "1"
             margin = FIRST_VIEW_TIMEOUT_MARGIN
-        timeout = self._wait_ms / MILLISECONDS + margin
+        timeout = wait_ms / MILLISECONDS + margin
         answer = self._client.get(address, PATH_WATCH, query, timeout)
         return WatchResponse.model_validate(answer)
--- a/tests/following/control_processes.py
+++ b/tests/following/control_processes.py
@@ -121,7 +121,7 @@
             waits = 0.0 if kind is Kind.EMPTY else CONFIRM_TIMEOUT
             self.clock.advance(ROUND_TRIP + waits)
             raise PeerRefusedError(503, "not_confirmed", "no quorum")
-        ends = now + WAIT_MS / 1_000
+        ends = now + int(query["wait_ms"]) / 1_000
         if kind is Kind.FULL and after >= self._version(kind, now):
             ends = now
         if kind in (Kind.LIVE, Kind.FULL) and self._version(kind, now) <= after:
--- a/tests/following/test_control_peers.py
+++ b/tests/following/test_control_peers.py
@@ -7,7 +7,14 @@
 from dogwoodspool_common.const import CODE_NOT_LEADER
 from dogwoodspool_following import ControlPeers
 
-FIRST, SECOND, THIRD = (Address("127.0.0.1", port) for port in (1, 2, 3))
+FIRST, SECOND, THIRD, FOURTH = (Address("127.0.0.1", port) for port in range(1, 5))
+
+
+def member(
+    address: Address, domain: str = "fd1", *, is_voter: bool = True
+) -> MemberMessage:
+    """Return a member of the control group."""
+    return MemberMessage(address=str(address), failure_domain=domain, is_voter=is_voter)
 
 
 def refusal(leader: Address) -> PeerRefusedError:
@@ -116,3 +123,48 @@
         ]
         self.peers.adopt(kept)
         self.assertFalse(self.peers.contact().is_majority_silent)
+
+
+class ReplacedMemberTests(unittest.TestCase):
+    """Members that were lost and replaced are asked after the others."""
+
+    def setUp(self) -> None:
+        self.peers = ControlPeers((FIRST, SECOND, THIRD), "fd1", "edge-1")
+
+    def order(self) -> list[Address]:
+        """Return the addresses in the order in which they are asked."""
+        asked = []
+        for _ in self.peers.addresses:
+            asked.append(self.peers.any())
+            self.peers.record_failure(asked[-1])
+        return asked
+
+    def test_voters_are_asked_before_replaced_members_of_the_own_domain(self) -> None:
+        self.peers.adopt(
+            [
+                member(FIRST, is_voter=False),
+                member(SECOND, "fd2"),
+                member(THIRD),
+                member(FOURTH, "fd2", is_voter=False),
+            ]
+        )
+        order = self.order()
+        self.assertEqual(order[:2], [THIRD, SECOND])
+        self.assertEqual(set(order[2:]), {FIRST, FOURTH})
+
+    def test_learner_of_the_own_domain_is_asked_first_without_a_voter_there(
+        self,
+    ) -> None:
+        self.peers.adopt(
+            [member(FIRST, is_voter=False), member(SECOND, "fd2"), member(THIRD, "fd2")]
+        )
+        self.assertEqual(self.peers.any(), FIRST)
+
+    def test_lost_process_stays_last_after_the_leader_has_answered(self) -> None:
+        """Guard against asking all lost processes again after each leader's answer."""
+        self.peers.adopt([member(FIRST), member(SECOND, "fd2"), member(THIRD, "fd2")])
+        lost = SECOND
+        self.peers.record_failure(lost)
+        self.peers.record_leader_answer(FIRST)
+        self.peers.record_failure(FIRST)
+        self.assertNotIn(self.peers.any(), {FIRST, lost})
--- a/tests/following/test_watch.py
+++ b/tests/following/test_watch.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         self.versions = {FIRST: 5, SECOND: 5}
         self.asked: list[tuple[Address, bool]] = []
+        self.waits: list[int] = []
         self.behind: set[Address] = set()
         self.full: set[Address] = set()
 
@@ -29,6 +30,7 @@
     ) -> dict[str, Any]:
         """Answer a poll at once, as if its wait had ended."""
         self.asked.append((address, query.get("confirmed") == "1"))
+        self.waits.append(int(query["wait_ms"]))
         version = self.versions[address]
         newer = view(version) if version > int(query["after"]) else None
         is_current = address not in self.behind
@@ -95,6 +97,16 @@
         self.watch.step()
         self.assertEqual(self.control.asked[-1][0], SECOND)
 
+    def test_one_round_of_polls_without_a_wait_follows_one_without_a_result(
+        self,
+    ) -> None:
+        """Guard against late changes, and against a crowd of polls in an election."""
+        self.watch.step()
+        self.control.behind = {FIRST, SECOND}
+        pauses = [self.watch.step() for _ in range(4)]
+        self.assertEqual(self.control.waits[1:], [2_000, 0, 2_000, 0])
+        self.assertEqual([pause > 0 for pause in pauses], [False, True, False, True])
+
     def test_poll_that_could_not_wait_is_repeated_after_the_stated_time(self) -> None:
         """Guard against polls without a pause at a process that cannot hold them."""
         self.control.full.add(FIRST)
