Following: only voters count towards a silent majority of control

Where half of the listed members had been lost and replaced, a proxy counted the majority of control as silent although all voters answered, and with a lost primary it could leave the balancer's rotation. Found by reading; test_lost_learners_do_not_count failed before.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -65,6 +65,7 @@
     ) -> None:
         self._name = name
         self._addresses = tuple(sorted(addresses, key=self._rank))
+        self._voters = frozenset(addresses)
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._leader: Address | None = None
@@ -134,6 +135,9 @@
         )
         addresses = tuple(Address.parse(one.address) for one in ordered)
         with self._lock:
+            self._voters = frozenset(
+                Address.parse(one.address) for one in listed if one.is_voter
+            )
             if addresses == self._addresses:
                 return
             log_event("control_members", addresses=",".join(map(str, addresses)))
@@ -236,8 +240,8 @@
             self._has_missed_answer = False
 
     def _lacks_majority(self) -> bool:
-        count = len(self._addresses)
-        return count - len(self._silent) <= count // 2
+        count = len(self._voters)
+        return count - len(self._silent & self._voters) <= count // 2
 
     def _select_next(self) -> None:
         """Select the next process, preferring those that did not fail to answer.
--- a/tests/following/test_control_peers.py
+++ b/tests/following/test_control_peers.py
@@ -124,6 +124,19 @@
         self.peers.adopt(kept)
         self.assertFalse(self.peers.contact().is_majority_silent)
 
+    def test_lost_learners_do_not_count(self) -> None:
+        """Guard against leaving the rotation because replaced members are silent."""
+        lost = [Address("127.0.0.1", port) for port in (4, 5, 6)]
+        self.peers.adopt(
+            [
+                *(member(one) for one in (FIRST, SECOND, THIRD)),
+                *(member(one, is_voter=False) for one in lost),
+            ]
+        )
+        for one in lost:
+            self.peers.record_failure(one)
+        self.assertFalse(self.peers.contact().is_majority_silent)
+
 
 class ReplacedMemberTests(unittest.TestCase):
     """Members that were lost and replaced are asked after the others."""
