Following: the control processes of the settings are asked when all members are lost

A proxy that was cut off while all members were replaced one after another never asked the processes of its settings again, and stayed behind for ever. After a round of all members without an answer it asks those as well, until members are announced again.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -48,7 +48,8 @@
     change would arrive too late.
 
     Args:
-        addresses: the control processes known at the start.
+        addresses: the control processes known at the start. They are asked again when
+            none of the members that were announced since gives an answer.
         failure_domain: the failure domain of this process. Control processes in it are
             preferred, since what they send stays inside it.
         name: name of this process. All processes know the same addresses; each asks
@@ -64,7 +65,8 @@
         name: str = "",
     ) -> None:
         self._name = name
-        self._addresses = tuple(sorted(addresses, key=self._rank))
+        self._initial = tuple(sorted(addresses, key=self._rank))
+        self._addresses = self._initial
         self._voters = frozenset(addresses)
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
@@ -224,7 +226,7 @@
                 self._leader = None
             self._tried[address] = has_answered
             if self._tried.keys() >= set(self._addresses):
-                self._tried.clear()
+                self._end_round()
             if self._addresses[self._index] == address or self._leader is None:
                 self._select_next()
 
@@ -239,6 +241,18 @@
             self._lost.discard(address)
             self._has_missed_answer = False
 
+    def _end_round(self) -> None:
+        """Begin anew once every process was asked.
+
+        Without any answer the initial processes are asked as well: all members can be
+        replaced while this process is cut off from them.
+        """
+        has_answer = any(self._tried.values())
+        self._tried.clear()
+        if not has_answer:
+            known = set(self._addresses)
+            self._addresses += tuple(one for one in self._initial if one not in known)
+
     def _lacks_majority(self) -> bool:
         count = len(self._voters)
         return count - len(self._silent & self._voters) <= count // 2
