Common: the HTTP client notices that the peers of its idle connections are lost

A poll, report or heartbeat of a proxy waited for its whole timeout, 1.5 s in place of 0.4 s for a poll, on a connection that had been kept open to a control process that had lost its power long before. One client serves all of them, so that connections to members that are not polled any more stay in its pool.

Servers and backend connections had keep-alive and a limit for unacknowledged data; the HTTP client had not.

test_connections_to_lost_peers_are_noticed failed before.

--- a/packages/common/src/dogwoodspool_common/http_client.py
+++ b/packages/common/src/dogwoodspool_common/http_client.py
@@ -16,6 +16,7 @@
 from .errors import PeerRefusedError, PeerUnreachableError
 from .models import Address
 from .signature import RequestSigner
+from .tcp import TCP_OPTIONS
 from .trace import current_traceparent
 
 
@@ -33,8 +34,13 @@
 
     def __init__(self, signer: RequestSigner | None, max_connections: int = 16) -> None:
         self._signer = signer
+        # Idle connections to a peer that was lost are closed by the keep-alive: a
+        # request on one of them would wait for its whole timeout.
         self._pool = urllib3.PoolManager(
-            num_pools=64, maxsize=max_connections, retries=False
+            num_pools=64,
+            maxsize=max_connections,
+            retries=False,
+            socket_options=list(TCP_OPTIONS),
         )
 
     def get(
--- a/tests/common/test_http.py
+++ b/tests/common/test_http.py
@@ -3,8 +3,10 @@
 import threading
 import unittest
 from http.client import HTTPConnection
+from unittest.mock import patch
 
 from dogwoodspool_common import (
+    TCP_OPTIONS,
     Address,
     JsonClient,
     JsonRequest,
@@ -78,6 +80,23 @@
             self.client(None).get(Address("127.0.0.1", 9), "/x", timeout=1.0)
 
 
+class ClientConnectionTests(unittest.TestCase):
+    """Connections of the client to its peers."""
+
+    def test_connections_to_lost_peers_are_noticed(self) -> None:
+        """Guard against requests that wait on idle connections to a lost peer."""
+        client = JsonClient(None)
+        self.addCleanup(client.close)
+        target = "urllib3.util.connection.create_connection"
+        with (
+            patch(target, side_effect=OSError("no route")) as opened,
+            self.assertRaises(PeerUnreachableError),
+        ):
+            client.get(Address("127.0.0.1", 9), "/v1/status")
+        options = opened.call_args.kwargs["socket_options"]
+        self.assertLessEqual(set(TCP_OPTIONS), set(options))
+
+
 class FinishRequestsTests(unittest.TestCase):
     """A process that stops answers the requests in progress first."""
 
