--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -7,8 +7,18 @@
 from dataclasses import asdict
 from typing import Any
 
-from dogwoodspool_common import Consistency, RateLimit, Role, key_digest
+from dogwoodspool_api import ControlView
+from dogwoodspool_common import (
+    Consistency,
+    RateLimit,
+    Role,
+    SystemClock,
+    key_digest,
+)
+from dogwoodspool_control.commands import ApplyDocument, encode_command
 from dogwoodspool_control.settings.documents import pack, unpack
+from dogwoodspool_control.state import ControlState
+from dogwoodspool_following.view import ProxyView, ViewStore
 from dogwoodspool_platform.boot import BootSettings
 from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
 from dogwoodspool_platform.heartbeat_message import (
@@ -193,6 +203,75 @@
         self.assertEqual(len(state.endpoints), 1)
 
 
+class InForceTests(unittest.TestCase):
+    """What a document that was applied describes is in force at proxies, all of it."""
+
+    def setUp(self) -> None:
+        self.state = ControlState(SystemClock())
+        self.following = ViewStore("a", SystemClock())
+        self.index = 0
+
+    def apply(self, **changes: Any) -> None:
+        """Apply a configuration; fail if it is refused."""
+        self.index += 1
+        version, document = decode_config(config(version=self.index, **changes))
+        command = encode_command(ApplyDocument(version, pack(document), "operator"))
+        outcome = self.state.apply(self.index, command)
+        self.assertTrue(outcome["is_accepted"], outcome)
+
+    def view(self) -> ProxyView:
+        """Return the view of a proxy, the same by differences and as a whole."""
+        since = self.following.view.version
+        for store in (self.following, fresh := ViewStore("a", SystemClock())):
+            sent = self.state.view_since(since if store is self.following else 0)
+            store.adopt(ControlView.model_validate_json(sent.model_dump_json()))
+        self.assertEqual(self.following.view.databases, fresh.view.databases)
+        return self.following.view
+
+    def timeouts(self) -> dict[str, int]:
+        """Return the time limit of each database in force at a proxy."""
+        databases = self.view().databases
+        return {name: databases[name].deadline_ms for name in databases}
+
+    def test_routes_of_one_name_all_exist(self) -> None:
+        # Guards against a database that callers cannot reach, because another route
+        # has the same name.
+        shared = [route(host=f"db{number}") for number in range(300)]
+        self.apply(routes=shared)
+        self.assertEqual(set(self.view().databases), {one["host"] for one in shared})
+
+    def test_routes_of_one_name_come_change_and_go(self) -> None:
+        # Guards against differences that remove, or keep, the wrong database.
+        sent: tuple[dict[str, int], ...] = (
+            {"db1": 800},
+            {"db1": 800, "db2": 900},
+            {"db2": 900, "db1": 803},
+            {"db2": 903},
+            {"db3": 700, "db2": 903, "db1": 600},
+            {"db1": 600, "db3": 703},
+            {},
+            {"db2": 500},
+        )
+        for wanted in sent:
+            self.apply(
+                routes=[
+                    route(host=host, timeoutMs=timeout)
+                    for host, timeout in wanted.items()
+                ]
+            )
+            self.assertEqual(self.timeouts(), wanted)
+
+    def test_long_shared_name_and_a_name_with_its_digest(self) -> None:
+        # Guards against two endpoints of one name after the names were made unique.
+        long = "r" * 64
+        routes = [route(name=long), route(name=long, host="db2")]
+        _, document = decode_config(config(routes=routes))
+        routes.append(route(name=document.endpoints[1].name, host="db3"))
+        for sent in (routes, routes[::-1]):
+            self.apply(routes=sent)
+            self.assertEqual(set(self.view().databases), {"db1", "db2", "db3"})
+
+
 class HeartbeatTests(unittest.TestCase):
     """A heartbeat is decoded to a server or rejected."""
 
