--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -271,6 +271,15 @@
             self.apply(routes=sent)
             self.assertEqual(set(self.view().databases), {"db1", "db2", "db3"})
 
+    def test_name_of_a_route_may_be_any_text(self) -> None:
+        # Guards against refusing a configuration for a name that nothing refers to.
+        names = ("a b", "a/b", "é", "", "r" * 65, "r" * 5_000, "r1\n", "r1")
+        routes = [
+            route(name=name, host=f"db{number}") for number, name in enumerate(names)
+        ]
+        self.apply(routes=routes)
+        self.assertEqual(set(self.view().databases), {one["host"] for one in routes})
+
 
 class HeartbeatTests(unittest.TestCase):
     """A heartbeat is decoded to a server or rejected."""
