Let limits of the configuration beyond the settings' bounds act as the bounds

Cause: the translation passes the numbers on to settings whose bounds are narrower (a lower bound also stood in the translation itself).

Raising the bounds was weighed: every voter checks them when it applies a document, so that during a rolling restart an old voter would reject what a new one applies, and their states would differ for good. A limited value is in the log and means the same to each.

Why the effect is right: maxConns is an upper limit, so fewer is allowed.

Evidence: test_limits_beyond_the_bounds_of_the_settings_act_as_the_bounds failed before (max_transaction_idle_ms: should be at most) and holds now, the values being in force at a proxy and the source unchanged.

--- a/packages/settings/src/dogwoodspool_settings/overrides.py
+++ b/packages/settings/src/dogwoodspool_settings/overrides.py
@@ -11,7 +11,10 @@
     CONF_ACCOUNTS,
     CONF_TOKEN_KEY,
     CONF_USERS,
+    MAX_SERVER_CONNECTIONS,
+    MAX_TRANSACTION_IDLE_MS,
     MIN_TOKEN_KEY_BYTES,
+    MIN_TRANSACTION_IDLE_MS,
     NOT_PER_FAILURE_DOMAIN_KEYS,
     ROOT_ONLY_KEYS,
     Level,
@@ -100,11 +103,13 @@
     retry_budget_min: int = Field(DEFAULTS.retry_budget_min, ge=0, le=10_000)
     max_transaction_ms: int = Field(DEFAULTS.max_transaction_ms, ge=100, le=86_400_000)
     max_transaction_idle_ms: int = Field(
-        DEFAULTS.max_transaction_idle_ms, ge=100, le=86_400_000
-    )
-    server_connections: Annotated[int, Field(ge=1, le=100_000)] | None = (
-        DEFAULTS.server_connections
+        DEFAULTS.max_transaction_idle_ms,
+        ge=MIN_TRANSACTION_IDLE_MS,
+        le=MAX_TRANSACTION_IDLE_MS,
     )
+    server_connections: (
+        Annotated[int, Field(ge=1, le=MAX_SERVER_CONNECTIONS)] | None
+    ) = DEFAULTS.server_connections
     request_retention_s: int = Field(DEFAULTS.request_retention_s, ge=60, le=31_536_000)
     token_key: str = Field(
         DEFAULTS.token_key,
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -280,6 +280,27 @@
         self.apply(routes=routes)
         self.assertEqual(set(self.view().databases), {one["host"] for one in routes})
 
+    def test_limits_beyond_the_bounds_of_the_settings_act_as_the_bounds(self) -> None:
+        # Guards against refusing a valid configuration, which then never takes effect.
+        cases = (
+            (100_000, 100_000, 86_400_000, 86_400_000),
+            (100_001, 100_000, 86_400_001, 86_400_000),
+            (10**30, 100_000, 10**30, 86_400_000),
+            (46, 46, 99, 100),
+            (46, 46, 0, 100),
+        )
+        for sent, connections, sent_ms, idle_ms in cases:
+            self.apply(
+                services=[{"name": "s1", "maxConns": sent}],
+                limits={"txIdleMs": sent_ms},
+            )
+            settings = self.view().tree.effective("s1", "a")
+            self.assertEqual(settings.server_connections, connections)
+            self.assertEqual(settings.max_transaction_idle_ms, idle_ms)
+            source = unpack(self.state.document.content).source
+            self.assertIn(f'"maxConns":{sent}}}', source)
+            self.assertIn(f'"txIdleMs":{sent_ms}}}', source)
+
 
 class HeartbeatTests(unittest.TestCase):
     """A heartbeat is decoded to a server or rejected."""
