--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -2,12 +2,14 @@
 
 import base64
 import json
+import socket
 import unittest
 import zlib
 from dataclasses import asdict
 from typing import Any
 
 from dogwoodspool_api import ControlView
+from dogwoodspool_backend.deadline_socket import DeadlineSocket
 from dogwoodspool_common import (
     Consistency,
     RateLimit,
@@ -15,6 +17,7 @@
     SystemClock,
     key_digest,
 )
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_control.commands import ApplyDocument, encode_command
 from dogwoodspool_control.settings.documents import pack, unpack
 from dogwoodspool_control.state import ControlState
@@ -301,6 +304,23 @@
             self.assertIn(f'"maxConns":{sent}}}', source)
             self.assertIn(f'"txIdleMs":{sent_ms}}}', source)
 
+    def test_statements_of_a_route_with_very_long_times_are_sent(self) -> None:
+        # Guards against a database whose every statement fails, since its deadline is
+        # no time that a socket can wait until.
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        clock = SystemClock()
+        for sent_ms in (10**13, 10**30, 10**400, 86_400_001):
+            names = ("timeoutMs", "targetLatencyMs", "maxStalenessMs")
+            self.apply(routes=[route(**dict.fromkeys(names, sent_ms))])
+            endpoint = self.view().databases["db1"]
+            deadline = clock.now() + endpoint.deadline_ms / MILLISECONDS
+            DeadlineSocket(ours, clock, deadline).sendall(b"statement")
+            self.assertEqual(endpoint.deadline_ms, 86_400_000)
+            self.assertEqual(endpoint.target_latency_ms, 86_400_000)
+            self.assertEqual(endpoint.max_age_ms, 86_400_000)
+
 
 class HeartbeatTests(unittest.TestCase):
     """A heartbeat is decoded to a server or rejected."""
