--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -321,6 +321,12 @@
             self.assertEqual(endpoint.target_latency_ms, 86_400_000)
             self.assertEqual(endpoint.max_age_ms, 86_400_000)
 
+    def test_target_of_no_time_is_none(self) -> None:
+        # Guards against refusing a valid configuration, which then never takes effect.
+        self.apply(routes=[route(targetLatencyMs=0)])
+        endpoint = self.view().databases["db1"]
+        self.assertEqual(endpoint.target_latency_ms, endpoint.deadline_ms)
+
 
 class HeartbeatTests(unittest.TestCase):
     """A heartbeat is decoded to a server or rejected."""
