--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -2,13 +2,26 @@
 
 import base64
 import json
+import socket
 import unittest
 import zlib
 from dataclasses import asdict
 from typing import Any
 
-from dogwoodspool_common import Consistency, RateLimit, Role, key_digest
+from dogwoodspool_api import ControlView
+from dogwoodspool_backend.deadline_socket import DeadlineSocket
+from dogwoodspool_common import (
+    Consistency,
+    RateLimit,
+    Role,
+    SystemClock,
+    key_digest,
+)
+from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_control.commands import ApplyDocument, encode_command
 from dogwoodspool_control.settings.documents import pack, unpack
+from dogwoodspool_control.state import ControlState
+from dogwoodspool_following.view import ProxyView, ViewStore
 from dogwoodspool_platform.boot import BootSettings
 from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
 from dogwoodspool_platform.heartbeat_message import (
@@ -193,6 +206,128 @@
         self.assertEqual(len(state.endpoints), 1)
 
 
+class InForceTests(unittest.TestCase):
+    """What a document that was applied describes is in force at proxies, all of it."""
+
+    def setUp(self) -> None:
+        self.state = ControlState(SystemClock())
+        self.following = ViewStore("a", SystemClock())
+        self.index = 0
+
+    def apply(self, **changes: Any) -> None:
+        """Apply a configuration; fail if it is refused."""
+        self.index += 1
+        version, document = decode_config(config(version=self.index, **changes))
+        command = encode_command(ApplyDocument(version, pack(document), "operator"))
+        outcome = self.state.apply(self.index, command)
+        self.assertTrue(outcome["is_accepted"], outcome)
+
+    def view(self) -> ProxyView:
+        """Return the view of a proxy, the same by differences and as a whole."""
+        since = self.following.view.version
+        for store in (self.following, fresh := ViewStore("a", SystemClock())):
+            sent = self.state.view_since(since if store is self.following else 0)
+            store.adopt(ControlView.model_validate_json(sent.model_dump_json()))
+        self.assertEqual(self.following.view.databases, fresh.view.databases)
+        return self.following.view
+
+    def timeouts(self) -> dict[str, int]:
+        """Return the time limit of each database in force at a proxy."""
+        databases = self.view().databases
+        return {name: databases[name].deadline_ms for name in databases}
+
+    def test_routes_of_one_name_all_exist(self) -> None:
+        # Guards against a database that callers cannot reach, because another route
+        # has the same name.
+        shared = [route(host=f"db{number}") for number in range(300)]
+        self.apply(routes=shared)
+        self.assertEqual(set(self.view().databases), {one["host"] for one in shared})
+
+    def test_routes_of_one_name_come_change_and_go(self) -> None:
+        # Guards against differences that remove, or keep, the wrong database.
+        sent: tuple[dict[str, int], ...] = (
+            {"db1": 800},
+            {"db1": 800, "db2": 900},
+            {"db2": 900, "db1": 803},
+            {"db2": 903},
+            {"db3": 700, "db2": 903, "db1": 600},
+            {"db1": 600, "db3": 703},
+            {},
+            {"db2": 500},
+        )
+        for wanted in sent:
+            self.apply(
+                routes=[
+                    route(host=host, timeoutMs=timeout)
+                    for host, timeout in wanted.items()
+                ]
+            )
+            self.assertEqual(self.timeouts(), wanted)
+
+    def test_long_shared_name_and_a_name_with_its_digest(self) -> None:
+        # Guards against two endpoints of one name after the names were made unique.
+        long = "r" * 64
+        routes = [route(name=long), route(name=long, host="db2")]
+        _, document = decode_config(config(routes=routes))
+        routes.append(route(name=document.endpoints[1].name, host="db3"))
+        for sent in (routes, routes[::-1]):
+            self.apply(routes=sent)
+            self.assertEqual(set(self.view().databases), {"db1", "db2", "db3"})
+
+    def test_name_of_a_route_may_be_any_text(self) -> None:
+        # Guards against refusing a configuration for a name that nothing refers to.
+        names = ("a b", "a/b", "é", "", "r" * 65, "r" * 5_000, "r1\n", "r1")
+        routes = [
+            route(name=name, host=f"db{number}") for number, name in enumerate(names)
+        ]
+        self.apply(routes=routes)
+        self.assertEqual(set(self.view().databases), {one["host"] for one in routes})
+
+    def test_limits_beyond_the_bounds_of_the_settings_act_as_the_bounds(self) -> None:
+        # Guards against refusing a valid configuration, which then never takes effect.
+        cases = (
+            (100_000, 100_000, 86_400_000, 86_400_000),
+            (100_001, 100_000, 86_400_001, 86_400_000),
+            (10**30, 100_000, 10**30, 86_400_000),
+            (46, 46, 99, 100),
+            (46, 46, 0, 100),
+        )
+        for sent, connections, sent_ms, idle_ms in cases:
+            self.apply(
+                services=[{"name": "s1", "maxConns": sent}],
+                limits={"txIdleMs": sent_ms},
+            )
+            settings = self.view().tree.effective("s1", "a")
+            self.assertEqual(settings.server_connections, connections)
+            self.assertEqual(settings.max_transaction_idle_ms, idle_ms)
+            source = unpack(self.state.document.content).source
+            self.assertIn(f'"maxConns":{sent}}}', source)
+            self.assertIn(f'"txIdleMs":{sent_ms}}}', source)
+
+    def test_statements_of_a_route_with_very_long_times_are_sent(self) -> None:
+        # Guards against a database whose every statement fails, since its deadline is
+        # no time that a socket can wait until.
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        clock = SystemClock()
+        for sent_ms in (10**13, 10**30, 10**400, 86_400_001):
+            names = ("timeoutMs", "targetLatencyMs", "maxStalenessMs")
+            self.apply(routes=[route(**dict.fromkeys(names, sent_ms))])
+            endpoint = self.view().databases["db1"]
+            deadline = clock.now() + endpoint.deadline_ms / MILLISECONDS
+            DeadlineSocket(ours, clock, deadline).sendall(b"statement")
+            self.assertEqual(endpoint.deadline_ms, 86_400_000)
+            self.assertEqual(endpoint.target_latency_ms, 86_400_000)
+            self.assertEqual(endpoint.max_age_ms, 86_400_000)
+
+    def test_target_of_no_time_is_none(self) -> None:
+        # Guards against refusing a valid configuration, which then never takes effect.
+        self.apply(routes=[route(targetLatencyMs=0)])
+        endpoint = self.view().databases["db1"]
+        self.assertEqual(endpoint.target_latency_ms, endpoint.deadline_ms)
+
+
 class HeartbeatTests(unittest.TestCase):
     """A heartbeat is decoded to a server or rejected."""
 
