Api: votes of members go only to proxies that ask for them

A proxy of an earlier build rejects an answer with a field that it does not know. Beside a control process that is updated first it would have lost all views as soon as one member had no vote. Polls name what their proxy understands, as they do for servers that were given up; a heartbeat of a proxy is answered without votes.

test_votes_of_members_are_sent_only_on_request failed before.

--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -424,7 +424,7 @@
         return self.model_copy(update={"groups": groups})
 
 
-class MemberMessage(Message):
+class MemberMessage(ExtendedMessage):
     """A member of the control group.
 
     Attributes:
@@ -432,10 +432,16 @@
             was lost and has been replaced.
     """
 
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"is_voter"})
+
     address: HostPort
     failure_domain: str
     is_voter: bool = True
 
+    def without_vote(self) -> Self:
+        """Return the form that earlier builds know, which has no votes."""
+        return self.model_copy(update={"is_voter": True})
+
 
 class WatchResponse(Message):
     """Answer to a long poll: the newer view, or None when the wait timed out.
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -8,6 +8,7 @@
     QUERY_AFTER,
     QUERY_CONFIRMED,
     QUERY_GIVEN_UP,
+    QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
 from dogwoodspool_common import Clock, JsonRequest, JsonResponse, Route
@@ -70,10 +71,13 @@
         view = self._state.view_since(after) if is_newer else None
         if view is not None and request.query.get(QUERY_GIVEN_UP) != "1":
             view = view.without_given_up()
+        members = self._members()
+        if request.query.get(QUERY_VOTERS) != "1":
+            members = [one.without_vote() for one in members]
         response = WatchResponse(
             view=view,
             leader=self._node.leader or None,
-            members=self._members(),
+            members=members,
             is_current=self._node.is_following,
             retry_after_ms=round(retry_after * MILLISECONDS),
         )
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -6,6 +6,7 @@
     QUERY_AFTER,
     QUERY_CONFIRMED,
     QUERY_GIVEN_UP,
+    QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
 from dogwoodspool_common import (
@@ -145,6 +146,7 @@
             QUERY_AFTER: str(self._views.view.version),
             QUERY_WAIT_MS: str(wait_ms),
             QUERY_GIVEN_UP: "1",
+            QUERY_VOTERS: "1",
         }
         margin = SEARCH_TIMEOUT if self._search_left else WATCH_TIMEOUT_MARGIN
         if not self._views.is_filled:
--- a/packages/sharing/src/dogwoodspool_sharing/presence_api.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence_api.py
@@ -37,7 +37,11 @@
     def _record(self, request: JsonRequest) -> JsonResponse:
         presence = Presence.model_validate(request.body)
         neighbours = self._roster.record(presence)
-        members = sorted(self._members(), key=lambda member: member.address)
+        # A heartbeat does not say whether the proxy's build knows votes.
+        members = sorted(
+            (member.without_vote() for member in self._members()),
+            key=lambda member: member.address,
+        )
         digest = _digest(neighbours, members)
         pause = presence_interval(len(neighbours))
         has_changed = presence.known != digest
--- a/tests/control/http/test_http.py
+++ b/tests/control/http/test_http.py
@@ -5,6 +5,7 @@
 import unittest
 from typing import Any
 
+from dogwoodspool_api import MemberMessage
 from dogwoodspool_api.const import (
     PATH_PROMOTE,
     PATH_RENEW,
@@ -65,7 +66,12 @@
         )
         slots = WaitSlots(MAX_WATCHERS)
         api = ControlApi(node, state, renewals, planned, slots)
-        routes = [*api.routes(), *WatchApi(node, state, slots, self.clock).routes()]
+        members = [
+            MemberMessage(address="10.0.0.1:1", failure_domain="fd1", is_voter=is_voter)
+            for is_voter in (True, False)
+        ]
+        watch = WatchApi(node, state, slots, self.clock, lambda: members)
+        routes = [*api.routes(), *watch.routes()]
         self.routes = {route.path: route.handler for route in routes}
 
     def call(self, path: str, body: Any = None, **query: str) -> JsonResponse:
@@ -98,6 +104,13 @@
         self.queue.commit_next()
         self.assertEqual(len(self.renew("p2").body["grants"]), 1)
 
+    def test_votes_of_members_are_sent_only_on_request(self) -> None:
+        """Guard against proxies of earlier builds that reject the answer."""
+        asked = self.call(PATH_WATCH, voters="1").body["members"]
+        self.assertEqual([one.get("is_voter") for one in asked], [None, False])
+        for one in self.call(PATH_WATCH).body["members"]:
+            self.assertNotIn("is_voter", one)
+
     def test_servers_given_up_are_sent_only_on_request(self) -> None:
         """Guard against proxies of an earlier build that reject the view."""
         self.voter.node.commit(BeginPromotion(GROUP, 1, PromotionReason.FAILED))
