Consensus: a node is up to date only while its leader cannot have a successor

Cause: a node made the claim for the maximum election timeout after any append message, also one of a leader cut off from its quorum, or one whose entries it refused. It made it after a mere start too, since the time of loading counts as leader contact to protect leases, and as a new member that had a part of the log and named only members that were gone.

Change: an append message states for how many seconds the voters that answered the leader still refuse their votes to others; 0 until the leader has committed an entry of its own term, as before that it does not know all acknowledged changes. A follower claims to be up to date for that time, if it accepted the entries, has applied what the message calls committed, and is a member of its newest configuration. The time runs from the quorum's contact and not from the message: after the maximum election timeout from a message another leader may have acknowledged changes. The contact that protects votes and leases is unchanged.

Builds: messages reject unknown fields. A peer that rejects a message as bad is sent messages without the field until it gives no answer once, as when it is restarted by a newer build; this costs one heartbeat interval. The messages of an earlier leader count for the minimum election timeout from their receipt.

Why it holds: no other node is elected until the voters of a quorum have ended their refusals, and a leader with an own committed entry has all earlier ones. So a node that makes the claim has applied all changes acknowledged more than the minimum election timeout before, plus the time that the message took.

The times that the emulated processes of DeposedLeaderTests claim are now derived in ClaimDurationTests on stepped nodes: 0.55 s of the leader, as before, and 0.65 s of the learner in place of 2.15 s. Idle and busy groups of stepped nodes, whose messages take no time, make the claim without a lapse. Each of six parts of the rule, changed on its own, fails a test.

--- a/packages/consensus/src/dogwoodspool_consensus/const.py
+++ b/packages/consensus/src/dogwoodspool_consensus/const.py
@@ -29,6 +29,9 @@
 UNPINNED: Final = ""
 """Incarnation of a member whose incarnation is not pinned by the configuration yet."""
 
+CONFIRMED_DIGITS: Final = 3
+"""Decimal digits of the seconds in a confirmation, which every heartbeat carries."""
+
 ENTRY_OVERHEAD_BYTES: Final = 96
 """Bytes that an entry's index, term and kind take in a message."""
 
--- a/packages/consensus/src/dogwoodspool_consensus/messages.py
+++ b/packages/consensus/src/dogwoodspool_consensus/messages.py
@@ -1,13 +1,14 @@
 """Validated messages between the nodes of a replicated log."""
 
-from typing import Annotated, Self
+from typing import Annotated, ClassVar, Self
 
-from dogwoodspool_api import HostPort, Message, Name
+from dogwoodspool_api import ExtendedMessage, HostPort, Message, Name
 from pydantic import Field
 
 from .models import Entry, EntryKind
 
 Index = Annotated[int, Field(ge=0)]
+Seconds = Annotated[float, Field(ge=0)]
 
 
 class PeerRequest(Message):
@@ -62,14 +63,22 @@
         return cls(term=entry.term, kind=entry.kind, data=entry.data)
 
 
-class AppendRequest(PeerRequest):
-    """Entries from the leader; a request without entries is a heartbeat."""
+class AppendRequest(PeerRequest, ExtendedMessage):
+    """Entries from the leader; a request without entries is a heartbeat.
+
+    Attributes:
+        confirmed_s: seconds from the sending for which no other node can be elected; 0
+            if the leader does not know, None if it does not say.
+    """
+
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"confirmed_s"})
 
     leader_address: HostPort
     prev_index: Index
     prev_term: Index
     entries: list[EntryMessage]
     commit_index: Index
+    confirmed_s: Seconds | None = None
 
     def log_entries(self) -> list[Entry]:
         """Return the entries with their indexes."""
--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -15,6 +15,7 @@
 from dogwoodspool_common.const import CODE_NOT_LEADER
 
 from .applier import Applier, StateMachine
+from .confirmations import Confirmations
 from .const import (
     CODE_NOT_CONFIRMED,
     CODE_STORAGE_FAILED,
@@ -109,7 +110,10 @@
         self._elections = Elections(state, caller)
         self._leader_probe = LeaderProbe(state, caller)
         self._receiver = SnapshotReceiver(state)
-        self._replication = Replication(state, caller, SnapshotSender(state, caller))
+        self._confirmations = Confirmations(state)
+        self._replication = Replication(
+            state, caller, SnapshotSender(state, caller), self._confirmations
+        )
         self._proposals = Proposals(state)
         self._applier = Applier(state, machine, self._proposals)
         self._reads = Reads(state, caller)
@@ -137,17 +141,13 @@
 
     @property
     def is_following(self) -> bool:
-        """Whether this node leads with a lease or has recently heard from a leader.
+        """Whether this node leads with a lease or is up to date with a leader.
 
-        Recently is within the maximum election timeout.
+        The leader cannot have had a successor when this node received its message; see
+        ``Confirmations``.
         """
-        state = self._state
-        with state.changed:
-            if state.role is Role.LEADER:
-                return state.leadership() is not None
-            elapsed = state.clock.now() - state.last_leader_contact
-            is_recent = elapsed < state.settings.election_timeout_max
-            return state.leader_id is not None and is_recent
+        with self._state.changed:
+            return self._confirmations.is_up_to_date
 
     @property
     def leader_address(self) -> Address | None:
--- a/packages/consensus/src/dogwoodspool_consensus/peers.py
+++ b/packages/consensus/src/dogwoodspool_consensus/peers.py
@@ -4,6 +4,7 @@
 from typing import Any, TypeVar
 
 from dogwoodspool_common import log_event
+from dogwoodspool_common.const import CODE_BAD_REQUEST
 from pydantic import ValidationError
 
 from .const import CODE_SOURCE_REFUSED, CODE_TARGET_MISMATCH, UNPINNED
@@ -22,6 +23,11 @@
         self._state = state
         self._transport = transport
         self._mismatched_peers: set[str] = set()
+        self._earlier_builds: set[str] = set()
+
+    def is_earlier_build(self, peer: str) -> bool:
+        """Return whether a peer rejects fields that its build does not know."""
+        return peer in self._earlier_builds
 
     def header(self, peer: str, term: int) -> Mapping[str, Any]:
         """Return the fields common to all requests.
@@ -73,13 +79,24 @@
             return None
 
     def _handle_refusal(self, peer: str, error: PeerCallError) -> None:
-        if error.code == CODE_SOURCE_REFUSED:
+        if error.code is None:
+            # It may come back as a newer build.
+            self._earlier_builds.discard(peer)
+        elif error.code == CODE_BAD_REQUEST:
+            self._mark_earlier_build(peer, error)
+        elif error.code == CODE_SOURCE_REFUSED:
             self._mark_refused(peer)
         elif error.code == CODE_TARGET_MISMATCH:
             self._log_mismatch(peer)
             with self._state.changed:
                 self._state.record_process_ended(peer)
 
+    def _mark_earlier_build(self, peer: str, error: PeerCallError) -> None:
+        if peer in self._earlier_builds:
+            return
+        self._earlier_builds.add(peer)
+        log_event("peer_earlier_build", peer=peer, reason=error)
+
     def _log_mismatch(self, peer: str) -> None:
         if peer in self._mismatched_peers:
             return
--- a/packages/consensus/src/dogwoodspool_consensus/replication.py
+++ b/packages/consensus/src/dogwoodspool_consensus/replication.py
@@ -1,6 +1,7 @@
 """Replication: the leader's messages to a peer and the follower's responses."""
 
-from .const import LEARNER_HEARTBEAT_FACTOR, PATH_APPEND
+from .confirmations import Confirmations
+from .const import CONFIRMED_DIGITS, LEARNER_HEARTBEAT_FACTOR, PATH_APPEND
 from .identities import check_request
 from .messages import AppendRequest, AppendResponse, EntryMessage
 from .models import Role
@@ -14,11 +15,16 @@
     """Send log entries to peers, and append those received from a leader."""
 
     def __init__(
-        self, state: NodeState, caller: PeerCaller, snapshots: SnapshotSender
+        self,
+        state: NodeState,
+        caller: PeerCaller,
+        snapshots: SnapshotSender,
+        confirmations: Confirmations,
     ) -> None:
         self._state = state
         self._caller = caller
         self._snapshots = snapshots
+        self._confirmations = confirmations
 
     def next_send(self, peer: str) -> float:
         """Return the clock time of the leader's next message to a peer."""
@@ -61,9 +67,12 @@
     def handle_append(self, request: AppendRequest) -> AppendResponse:
         """Append the leader's entries and respond once they are durable."""
         state = self._state
+        received_at = state.clock.now()
         with state.changed:
             check_request(state, request)
             is_success = request.term >= state.term and self._append_entries(request)
+            if is_success:
+                self._confirmations.record(request, received_at)
             return AppendResponse(
                 term=state.term,
                 incarnation=state.identity.incarnation,
@@ -81,6 +90,9 @@
 
     def _build(self, peer: str, prev_index: int, prev_term: int) -> AppendRequest:
         state = self._state
+        remaining = None
+        if not self._caller.is_earlier_build(peer):
+            remaining = round(self._confirmations.remaining(), CONFIRMED_DIGITS)
         entries = state.log.entries_from(
             prev_index + 1, state.settings.max_batch, state.settings.max_batch_bytes
         )
@@ -91,6 +103,7 @@
             prev_term=prev_term,
             entries=[EntryMessage.of(entry) for entry in entries],
             commit_index=state.commit_index,
+            confirmed_s=remaining,
         )
 
     def _delay(self, progress: PeerProgress) -> None:
--- a/packages/control/src/dogwoodspool_control/node.py
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -26,7 +26,7 @@
 
     @property
     def is_following(self) -> bool:
-        """Whether this voter leads or hears from a leader."""
+        """Whether this process leads or is up to date with the leader."""
         ...
 
     def propose(self, command: dict[str, Any], timeout: float) -> dict[str, Any]:
@@ -57,7 +57,7 @@
 
     @property
     def is_following(self) -> bool:
-        """Whether this voter leads or hears from a leader."""
+        """Whether this process leads or is up to date with the leader."""
         return self._node.is_following
 
     def leadership(self) -> Leadership | None:
--- a/tests/following/test_watch_replaced_members.py
+++ b/tests/following/test_watch_replaced_members.py
@@ -19,7 +19,7 @@
 # voters, until which each of the two claims to be in contact with the leader, and until
 # another leader acknowledges changes.
 LEADER_CLAIMS: Final = 0.55
-LEARNER_CLAIMS: Final = 2.15
+LEARNER_CLAIMS: Final = 0.65
 NEXT_LEADER: Final = 0.75
 
 
