Consensus: the claim of a learner does not lapse between two heartbeats

With the rare heartbeats of the platform's control processes (0.2 s, to learners 0.6 s) a learner of an idle group counted as out of date again and again (180 times in 10 s of stepped time): a confirmation holds for 0.65 s from the last contact with the quorum, so that less than 0.6 s is left when it arrives. Proxies would have left it each time.

A confirmation holds at least until the next message to a learner is overdue, four heartbeat intervals. A learner beside a deposed leader then claims to be up to date until 1.4 s after the cut in place of 2.15 s (ClaimDurationTests, with these heartbeats), and a change arrives within the bound of DeposedLeaderTests.

RareHeartbeatTests failed before.

--- a/packages/consensus/src/dogwoodspool_consensus/confirmations.py
+++ b/packages/consensus/src/dogwoodspool_consensus/confirmations.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .const import LEARNER_HEARTBEAT_FACTOR
 from .messages import AppendRequest
 from .models import Role
 from .state import NodeState
@@ -84,17 +85,30 @@
         The caller holds the lock.
         """
         state = self._state
-        longest = state.settings.election_timeout_min
-        remaining = longest if request.confirmed_s is None else request.confirmed_s
-        newest = Confirmation(
-            request.term, request.commit_index, received_at + min(remaining, longest)
-        )
+        valid_until = received_at + self._claimed_seconds(request.confirmed_s)
+        newest = Confirmation(request.term, request.commit_index, valid_until)
         known = [*self._valid(state.clock.now()), newest]
         pending = [one for one in known if not self._is_applied(one)]
         applied = [one for one in known if self._is_applied(one)]
         # While entries are being applied, the message before them still counts.
         self._received = pending + sorted(applied, key=_valid_until)[-1:]
 
+    def _claimed_seconds(self, remaining: float | None) -> float:
+        """Return the seconds for which a message justifies the claim.
+
+        A learner hears from its leader in longer intervals than a voter; its claim
+        must not lapse before the next message is overdue.
+        """
+        settings = self._state.settings
+        longest = settings.election_timeout_min
+        if remaining is None:
+            return longest
+        if remaining == 0.0:
+            return 0.0
+        interval = settings.heartbeat_interval
+        shortest = (LEARNER_HEARTBEAT_FACTOR + 1) * interval
+        return max(shortest, min(remaining, longest))
+
     def _valid(self, now: float) -> list[Confirmation]:
         term = self._state.term
         return [
