--- /dev/null
+++ b/tests/following/test_watch_other_system.py
@@ -0,0 +1,52 @@
+"""Tests of a proxy at whose seed address a control process of another system runs."""
+
+import unittest
+from typing import Any, cast
+
+from dogwoodspool_api import MemberMessage, WatchResponse
+from dogwoodspool_common import Address, JsonClient, ManualClock, PeerUnreachableError
+from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
+
+from .control_processes import view
+
+SEED, MEMBER = Address("10.0.0.1", 1), Address("10.0.0.1", 2)
+
+
+class OtherSystem:
+    """A younger system at the seed's address; the proxy's own control is back later."""
+
+    is_own_back = False
+
+    def get(
+        self, address: Address, _path: str, query: dict[str, str], *_rest: Any
+    ) -> dict[str, Any]:
+        """Answer as the process at an address."""
+        if address == MEMBER and not self.is_own_back:
+            raise PeerUnreachableError("no answer")
+        version = 60 if address == MEMBER else 12
+        return WatchResponse(
+            view=view(version) if version > int(query["after"]) else None,
+            leader=str(address),
+            members=[MemberMessage(address=str(address), failure_domain="")],
+            is_current=True,
+        ).model_dump(mode="json")
+
+
+class OtherSystemTests(unittest.TestCase):
+    """Seeds that are asked after an unanswered round may belong to another system."""
+
+    def test_process_with_an_older_state_does_not_replace_the_members(self) -> None:
+        """Guard against a proxy that stays with a system older than its view."""
+        clock = ManualClock(100.0)
+        control = OtherSystem()
+        views = ViewStore("", clock)
+        peers = ControlPeers((SEED,))
+        peers.adopt([MemberMessage(address=str(MEMBER), failure_domain="")])
+        views.adopt(view(46))
+        watch = WatchCoordinator(views, peers, cast(JsonClient, control), clock, 1_000)
+        for _ in range(10):
+            clock.advance(watch.step())
+        control.is_own_back = True
+        for _ in range(100):
+            clock.advance(watch.step())
+        self.assertEqual(views.view.version, 60)
