--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -308,6 +308,16 @@
         self.addresses = f"{self.follower('')},{leader}"
         self.assertIn("/ version 0", self.run_ok("get", "/"))
 
+    def test_follower_that_names_a_lost_leader_does_not_hide_the_others(self) -> None:
+        """Guard against asking nobody but a cut-off process and the leader it names.
+
+        That leader was lost, and its address is not in the list of the command.
+        """
+        lost = "127.0.0.1:1"
+        self.addresses = f"{self.follower(lost)},{self.addresses}"
+        code, text = self.run_ctl("get", "/", timeout_s=1.0)
+        self.assertEqual(code, ExitCode.DONE, text)
+
     def test_missing_leader_is_reported(self) -> None:
         self.addresses = f"127.0.0.1:1,{self.follower('')}"
         code, text = self.run_ctl("get", "/", timeout_s=0.1)
