Tests of votes in polls and heartbeats and of adopted lists; known red: heartbeats that stay

Nothing failed when a proxy stopped asking for votes, when heartbeats were answered with votes, or when members of outdated answers were adopted by the proxy.

--- a/tests/following/test_watch.py
+++ b/tests/following/test_watch.py
@@ -4,6 +4,7 @@
 from typing import Any, cast
 
 from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
+from dogwoodspool_api.const import QUERY_VOTERS
 from dogwoodspool_common import Address, JsonClient, ManualClock
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 
@@ -22,6 +23,7 @@
         self.versions = {FIRST: 5, SECOND: 5}
         self.asked: list[tuple[Address, bool]] = []
         self.waits: list[int] = []
+        self.queries: list[dict[str, str]] = []
         self.behind: set[Address] = set()
         self.full: set[Address] = set()
 
@@ -31,6 +33,7 @@
         """Answer a poll at once, as if its wait had ended."""
         self.asked.append((address, query.get("confirmed") == "1"))
         self.waits.append(int(query["wait_ms"]))
+        self.queries.append(query)
         version = self.versions[address]
         newer = view(version) if version > int(query["after"]) else None
         is_current = address not in self.behind
@@ -97,6 +100,11 @@
         self.watch.step()
         self.assertEqual(self.control.asked[-1][0], SECOND)
 
+    def test_polls_ask_for_the_votes_of_members(self) -> None:
+        """Guard against asking lost members first because no vote is announced."""
+        self.watch.step()
+        self.assertEqual(self.control.queries[-1].get(QUERY_VOTERS), "1")
+
     def test_one_round_of_polls_without_a_wait_follows_one_without_a_result(
         self,
     ) -> None:
--- a/tests/following/test_watch_replaced_members.py
+++ b/tests/following/test_watch_replaced_members.py
@@ -10,6 +10,8 @@
 import unittest
 from typing import Final
 
+from dogwoodspool_common import Address
+
 from .control_processes import FollowingProxy, Kind
 
 # Seconds within which a change has to be in force at a proxy that reaches control.
@@ -44,6 +46,21 @@
             proxy.seconds_until(2, GIVE_UP_SECONDS, reports=True), GIVE_UP_SECONDS
         )
 
+    def test_list_of_a_cut_off_voter_is_not_adopted(self) -> None:
+        """Guard against the list itself, whatever a later search makes of it.
+
+        The other tests of this class pass with the list adopted: the initial addresses
+        are those of all processes, and they are asked after an unanswered round.
+        """
+        proxy = FollowingProxy([Kind.NOT_CURRENT, Kind.LIVE, Kind.LIVE])
+        known = proxy.peers.addresses
+        cut_off = proxy.addresses[0]
+        former = Address("10.0.0.1", 99)
+        proxy.control.processes[cut_off].members = [cut_off, former]
+        proxy.step()
+        self.assertEqual(proxy.control.polls[-1][0], cut_off)
+        self.assertEqual(proxy.peers.addresses, known)
+
     def test_list_of_a_cut_off_voter_restarts_the_search(self) -> None:
         """Guard against polls of all lost members before each poll of a live one."""
         for lost in range(4):
--- a/tests/sharing/test_presence.py
+++ b/tests/sharing/test_presence.py
@@ -133,3 +133,48 @@
     def test_heartbeats_are_less_frequent_in_a_large_failure_domain(self) -> None:
         self.assertEqual(presence_interval(9), PRESENCE_SECONDS)
         self.assertGreater(presence_interval(683), 6 * PRESENCE_SECONDS)
+
+    def test_heartbeats_are_answered_without_votes(self) -> None:
+        """Guard against answers that a proxy of an earlier build rejects."""
+        learner = MemberMessage(
+            address=str(CONTROL[1]), failure_domain="fd1", is_voter=False
+        )
+        api = PresenceApi(ProxyRoster(self.clock), lambda: [learner])
+        self.control.apis[CONTROL[0]] = self.control.apis[CONTROL[1]] = api
+        coordinator, _ = self.proxy("p1")
+        coordinator.step()
+        (member,) = self.control.answers[-1]["members"]
+        self.assertNotIn("is_voter", member)
+
+    def test_heartbeats_leave_a_process_without_contact_to_the_leader(self) -> None:
+        """Guard against proxies of one failure domain that never meet again.
+
+        The process of their failure domain is cut off from the others and was
+        replaced. It announces no members, so a proxy that sends heartbeats to it learns
+        of no other; one that starts later sends them to the present member.
+        """
+        present, cut_off = CONTROL
+        now = [MemberMessage(address=str(present), failure_domain="fd1")]
+        old, directory = self.proxy("p1")
+        old.step()
+        self.assertEqual(old_address(old), cut_off)
+        roster = ProxyRoster(self.clock)
+        self.control.apis[cut_off] = PresenceApi(ProxyRoster(self.clock), list)
+        self.control.apis[present] = PresenceApi(roster, lambda: now)
+        own = Neighbour("p2", "p2:7440")
+        started = PresenceCoordinator(
+            own,
+            "fd1",
+            ProxyDirectory(own, 3, self.clock),
+            ControlPeers((present,), "fd1", "fd1"),
+            self.control,
+            self.clock,
+        )
+        for _ in range(200):
+            self.clock.advance(min(old.step(), started.step()))
+        self.assertEqual(directory.count, 2)
+
+
+def old_address(coordinator: PresenceCoordinator) -> Address:
+    """Return the control process to which the next heartbeat goes."""
+    return coordinator._peers.any()  # noqa: SLF001
