Following: a search ends, comes at most once a second, and trusts no older system

- A control process that gave no answer once was never asked again while the others refused: those that had answered came before it, and the round never ended.
Processes not asked in this round come first now, of them those that gave no answer last time at the end, then those that answered.
A poll without a slot begins no search, and one begins at most once a second.
- A process of the settings could belong to another, younger system, whose members replaced the own ones for good.
Members of a process that is no member are adopted only together with a newer view.

--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -11,6 +11,8 @@
 # Timeout in seconds of a poll that does not wait, while a proxy searches for a current
 # control process: short, as several in a row may be lost.
 SEARCH_TIMEOUT: Final = 0.4
+# Least time from the beginning of one search to that of the next.
+SEARCH_INTERVAL_SECONDS: Final = 1.0
 # The margin for the first view, which also waits for a quorum and contains the whole
 # state.
 FIRST_VIEW_TIMEOUT_MARGIN: Final = 1.5
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -68,6 +68,7 @@
         self._initial = tuple(sorted(addresses, key=self._rank))
         self._addresses = self._initial
         self._voters = frozenset(addresses)
+        self._announced: frozenset[Address] = frozenset()
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._leader: Address | None = None
@@ -116,6 +117,14 @@
         with self._lock:
             return self._addresses[self._index]
 
+    def is_member(self, address: Address) -> bool:
+        """Return whether a process is among the members that were announced last.
+
+        Before the first announcement every known process may be one.
+        """
+        with self._lock:
+            return not self._announced or address in self._announced
+
     def adopt(self, members: Iterable[MemberMessage]) -> None:
         """Replace the known addresses by those of the control group's members.
 
@@ -137,6 +146,7 @@
         )
         addresses = tuple(Address.parse(one.address) for one in ordered)
         with self._lock:
+            self._announced = frozenset(addresses)
             self._voters = frozenset(
                 Address.parse(one.address) for one in listed if one.is_voter
             )
@@ -244,8 +254,8 @@
     def _end_round(self) -> None:
         """Begin anew once every process was asked.
 
-        Without any answer the initial processes are asked as well: all members can be
-        replaced while this process is cut off from them.
+        If none was up to date or refused, the initial processes are asked as well: all
+        members can be replaced while this process is cut off from them.
         """
         has_answer = any(self._tried.values())
         self._tried.clear()
@@ -258,19 +268,21 @@
         return count - len(self._silent & self._voters) <= count // 2
 
     def _select_next(self) -> None:
-        """Select the next process, preferring those that did not fail to answer.
+        """Select the next process of this round.
 
-        Of these, the ones that failed before a leader last answered come last.
+        Those that were not asked yet come first, of them those that gave no answer
+        last time at the end, and then those that did answer: else one that gave no
+        answer once would never be asked again while the others refuse.
         """
         count = len(self._addresses)
         indexes = [(self._index + step) % count for step in range(1, count + 1)]
-        candidates = [
-            index for index in indexes if self._tried.get(self._addresses[index], True)
-        ]
-        reachable = [
-            index for index in candidates if self._addresses[index] not in self._lost
-        ]
-        self._index = (reachable or candidates or indexes)[0]
+        self._index = min(indexes, key=self._precedence)
+
+    def _precedence(self, index: int) -> int:
+        address = self._addresses[index]
+        if address not in self._tried:
+            return 1 if address in self._lost else 0
+        return 2 if self._tried[address] else 3
 
     def _first_reachable(self) -> int:
         """Return the index of the first process that has not been lost."""
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -18,13 +18,14 @@
     log_event,
     log_rate_limited,
 )
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.const import MILLISECONDS, NEVER
 from pydantic import ValidationError
 
 from .const import (
     DEFAULT_WATCH_WAIT_MS,
     FIRST_VIEW_TIMEOUT_MARGIN,
     RETRY_PAUSE_SECONDS,
+    SEARCH_INTERVAL_SECONDS,
     SEARCH_TIMEOUT,
     WATCH_TIMEOUT_MARGIN,
 )
@@ -61,6 +62,7 @@
         self._client = client
         # Processes that are still to be asked, without a wait, for one that is current.
         self._search_left = 0
+        self._next_search_at = NEVER
 
     def step(self) -> float:
         """Poll once for a newer view."""
@@ -79,17 +81,22 @@
         # A cut-off process may name an outdated leader; renewals find the current one.
         if not self._peers.has_leader:
             self._peers.record_leader_hint(response.leader)
-        if response.view is not None:
-            self._adopt(response, address, asked_at)
+        has_newer = self._adopt(response, address, asked_at)
         if not response.is_current:
             log_event("watch_not_current", address=address)
             self._peers.record_behind(address)
+            # A poll that found no slot was answered at once, as the next ones would be.
+            if response.retry_after_ms:
+                return self._end_search()
             return self._continue_search()
         self._search_left = 0
-        if response.members:
-            self._peers.adopt(response.members)
+        # A process of the settings that is no member may belong to another system. With
+        # an older state, it must not replace the members.
+        if has_newer or self._peers.is_member(address):
+            self._views.record_confirmed(address)
+            if response.members:
+                self._peers.adopt(response.members)
         self._peers.record_success(address)
-        self._views.record_confirmed(address)
         if response.view is not None:
             return 0.0
         if response.retry_after_ms:
@@ -105,21 +112,28 @@
         """Return the pause before the next process is asked.
 
         After a poll without a result the others are asked at once, without a wait:
-        several of them may be lost as well. There is one such round between two polls
-        that wait, so that an election is not disturbed by the polls of all proxies.
+        several of them may be lost as well. Such a round comes at most once in an
+        interval, so that an election is not disturbed by the polls of all proxies.
         """
+        now = self._clock.now()
         if self._search_left:
             self._search_left -= 1
-        elif self._views.is_filled:
+        elif self._views.is_filled and now >= self._next_search_at:
             self._search_left = len(self._peers.addresses) - 1
+            self._next_search_at = now + SEARCH_INTERVAL_SECONDS
         return 0.0 if self._search_left else RETRY_PAUSE_SECONDS
 
+    def _end_search(self) -> float:
+        self._search_left = 0
+        return RETRY_PAUSE_SECONDS
+
     def _adopt(
         self, response: WatchResponse, address: Address, asked_at: float
-    ) -> None:
+    ) -> bool:
+        """Put the view of a response in force; return whether it is newer."""
         is_first = not self._views.is_filled
         if response.view is None or not self._views.adopt(response.view):
-            return
+            return False
         if is_first:
             elapsed = self._clock.now() - asked_at
             log_event(
@@ -129,6 +143,7 @@
                 leader=response.leader,
                 elapsed_ms=round(elapsed * MILLISECONDS),
             )
+        return True
 
     def _log_failure(self, address: Address, asked_at: float, error: Exception) -> None:
         elapsed = self._clock.now() - asked_at
