--- a/tests/consensus/test_replaced_voters.py
+++ b/tests/consensus/test_replaced_voters.py
@@ -56,7 +56,7 @@
     def _replace(self, machine: Machine) -> None:
         world = self.world
         self._wait_whole("before a replacement")
-        world.chaos = self.rng.choice((0.0, 0.0, 0.02, 0.1))
+        world.network.chaos = self.rng.choice((0.0, 0.0, 0.02, 0.1))
         world.log(f"{machine.name} is gone")
         world.lose_power(machine)
         machine.is_gone = True
@@ -64,7 +64,7 @@
         fresh = world.add_machine(machine.domain)
         world.start(fresh)
         world.run(self.rng.choice((0.2, 1.0, 3.0, 5.0)))
-        world.chaos = 0.0
+        world.network.chaos = 0.0
 
     def _disturb(self, count: int) -> None:
         world = self.world
@@ -74,7 +74,7 @@
             leader = world.leader()
             if leader is not None and self.rng.random() < 0.4:
                 machine = leader
-            world.chaos = self.rng.choice((0.0, 0.0, 0.05, 0.2))
+            world.network.chaos = self.rng.choice((0.0, 0.0, 0.05, 0.2))
             kind = self.rng.choice(FAULTS)
             seconds = self.rng.choice((0.1, 0.5, 1.0, 2.0, 4.0))
             if kind == "disk":
@@ -93,7 +93,7 @@
             else:
                 self._cut(machine, is_one_way=kind == "one way")
             world.run(seconds)
-            world.chaos = 0.0
+            world.network.chaos = 0.0
             self._repair()
             world.run(self.rng.choice((0.1, 0.5, 2.0)))
             if self.rng.random() < 0.3:
@@ -105,12 +105,14 @@
         if self.rng.random() < 0.4:
             others = [self.rng.choice(others)]
         for other in others:
-            world.cuts.add((machine.name, other.name))
+            world.network.cuts.add((machine.name, other.name))
             if not is_one_way:
-                world.cuts.add((other.name, machine.name))
+                world.network.cuts.add((other.name, machine.name))
         if is_one_way and self.rng.random() < 0.5:
-            world.cuts = {(target, source) for source, target in world.cuts}
-        world.log(f"cut {sorted(world.cuts)}")
+            world.network.cuts = {
+                (target, source) for source, target in world.network.cuts
+            }
+        world.log(f"cut {sorted(world.network.cuts)}")
 
     def _cut_proxy(self) -> None:
         """Cut a proxy off from all machines, or from all but one."""
@@ -119,13 +121,13 @@
         names = sorted(world.machines)
         if self.rng.random() < 0.5:
             names.remove(self.rng.choice(names))
-        world.cuts |= {(proxy.name, name) for name in names}
+        world.network.cuts |= {(proxy.name, name) for name in names}
         world.log(f"cut {proxy.name} from {names}")
 
     def _repair(self) -> None:
         world = self.world
-        if world.cuts:
-            world.cuts.clear()
+        if world.network.cuts:
+            world.network.cuts.clear()
             world.log("links healed")
         for machine in world.machines.values():
             if machine.is_gone:
@@ -161,10 +163,10 @@
 
     def _wait_whole(self, when: str) -> None:
         """Wait until one disk may be lost."""
-        chaos, self.world.chaos = self.world.chaos, 0.0
+        chaos, self.world.network.chaos = self.world.network.chaos, 0.0
         for _ in range(400):
             if self.world.is_whole():
-                self.world.chaos = chaos
+                self.world.network.chaos = chaos
                 return
             self.world.run(0.05)
         raise AssertionError(f"no three live voters {when}")
@@ -178,14 +180,16 @@
         leader = world.leader()
         assert leader is not None and leader.process is not None, f"{when}: no leader"
         if pause is not None:
-            acked = world.acked
+            acked = world.operator.acked
             for _ in range(3):
-                world.order()
+                world.operator.order()
                 world.run(0.3)
-            assert world.acked >= acked
+            assert world.operator.acked >= acked
         newest = leader.process.state.version
         revision = leader.process.state.document.revision
-        assert revision >= world.acked, f"{when}: {revision}, not {world.acked}"
+        assert revision >= world.operator.acked, (
+            f"{when}: {revision}, not {world.operator.acked}"
+        )
         self._wait_views(newest, when)
         for machine in world.live():
             process = machine.process
