Let simulated polls end when real ones would

Five differences between the simulated polls of a proxy and those of JsonClient made the measured times to a view wrong, most of them too long, some too short:

- a poll in progress ended at once when a machine came back after a loss of power; no packet of the proxy tells it so, and it waits for its timeout;
- an idle connection to a machine without power counted as a new one; it stays open until the keep-alive fails;

Not simulated: the reset of an idle connection by a machine that lost power and is back, round-trip times, and the keep-alive of an idle connection behind a cut link.

--- a/tests/consensus/replaced_voters/machines.py
+++ b/tests/consensus/replaced_voters/machines.py
@@ -48,3 +48,4 @@
     is_frozen: bool = False
     is_gone: bool = False
     disks: int = 0
+    power_losses: int = 0
--- a/tests/consensus/replaced_voters/proxies.py
+++ b/tests/consensus/replaced_voters/proxies.py
@@ -9,6 +9,7 @@
 from dogwoodspool_following.view import ProxyView
 
 from .clock import WorldClock
+from .connections import Connections
 from .polls import Poll
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
         self._wake = threading.Semaphore(0)
         self._parked = threading.Semaphore(0)
         self._is_stopped = False
+        self._is_running = False
         self._error: BaseException | None = None
         self.start()
 
@@ -51,6 +53,7 @@
         self.peers = ControlPeers(addresses, self.domain, self.name)
         self._until = 0.0
         self._request: Poll | None = None
+        self._connections = Connections()
         self._next_report = 0.0
         client = cast(JsonClient, self)
         coordinator = WatchCoordinator(
@@ -75,13 +78,22 @@
         self.start()
 
     def run(self) -> None:
-        """Run the thread as far as it gets at this time."""
-        self._report()
-        while self._is_due():
-            self._wake.release()
-            self._parked.acquire()
-            if self._error is not None:
-                raise self._error
+        """Run the thread as far as it gets at this time.
+
+        A wait in one of its own polls runs everything else, but not the proxy itself.
+        """
+        if self._is_running:
+            return
+        self._is_running = True
+        try:
+            self._report()
+            while self._is_due():
+                self._wake.release()
+                self._parked.acquire()
+                if self._error is not None:
+                    raise self._error
+        finally:
+            self._is_running = False
 
     def get(
         self, address: Address, path: str, query: dict[str, str], timeout: float
@@ -91,10 +103,19 @@
         world = self.world
         target = next(one for one in world.machines.values() if one.address == address)
         self._request = Poll(
-            target, target.process, query, world.now, timeout, world.operator.acked
+            machine=target,
+            process=target.process,
+            power_losses=target.power_losses,
+            is_connected=self._connections.is_open(target, world.now),
+            clock=self.clock,
+            query=query,
+            sent=world.now,
+            timeout=timeout,
+            acked=world.operator.acked,
         )
         self._park()
         request, self._request = self._request, None
+        self._connections.record(request, world.now)
         if request.error is not None:
             raise request.error
         assert request.answer is not None
@@ -105,7 +126,7 @@
             return self.world.now >= self._until
         network, poll = self.world.network, self._request
         is_cut = network.is_cut(self.name, poll.machine.name)
-        return poll.advance(self.world.now, is_cut=is_cut)
+        return poll.advance(is_cut=is_cut)
 
     def _report(self) -> None:
         world = self.world
--- a/tests/consensus/replaced_voters/world.py
+++ b/tests/consensus/replaced_voters/world.py
@@ -123,6 +123,7 @@
         self.log(f"power lost {machine.node_id}, {kept} of {unsynced} unsynced kept")
         machine.process = None
         machine.is_powered = machine.is_frozen = False
+        machine.power_losses += 1
         machine.storage.crash(kept)
 
     def lose_disk(self, machine: Machine) -> None:
@@ -189,9 +190,8 @@
             for machine in list(self.machines.values()):
                 self._stepper.step(machine)
             self.operator.settle()
-            if self.depth == 1:
-                for proxy in self.proxies:
-                    proxy.run()
+            for proxy in self.proxies:
+                proxy.run()
         finally:
             self.depth -= 1
 
