--- /dev/null
+++ b/tests/platform/replaced_control/__init__.py
@@ -0,0 +1,1 @@
+"""Days on which all first control processes are replaced, with real processes."""
--- /dev/null
+++ b/tests/platform/replaced_control/machines.py
@@ -0,0 +1,176 @@
+"""Machines at loopback addresses, with one real process each."""
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from dogwoodspool_testbed import PortReservations
+
+from .const import ROOT, ZONES
+from .record import Record
+from .silence import FullBacklog, SilentHost
+
+
+@dataclass
+class Machine:
+    """One machine with its process.
+
+    Attributes:
+        lives: number of processes that have been started on it.
+        is_gone: whether it has lost its power for good.
+    """
+
+    role: str
+    host: str
+    zone: str
+    process: subprocess.Popen[bytes] | None = None
+    lives: int = 0
+    is_gone: bool = False
+
+
+class Machines:
+    """All machines of a day.
+
+    Args:
+        folder: logs, settings and data of the processes.
+        net: first three parts of the loopback addresses.
+        edges: number of proxies.
+        edge_zones: failure domains of the proxies, in turn.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        net: str,
+        edges: int,
+        edge_zones: Sequence[str],
+        record: Record,
+    ) -> None:
+        self._folder = folder
+        self._net = net
+        self._record = record
+        self._reservations = PortReservations()
+        ports = self._reservations.reserve(5)
+        self.internal, self._pools, self.control, self.front, self._ready = ports
+        self.cores = [Machine("core", f"{net}.{10 + n}", ZONES[n]) for n in range(3)]
+        self.edges = [
+            Machine("edge", f"{net}.{50 + n}", edge_zones[n % len(edge_zones)])
+            for n in range(edges)
+        ]
+        self._silent: list[SilentHost | FullBacklog] = []
+
+    @property
+    def alive(self) -> list[Machine]:
+        """Control machines that have not lost their power for good."""
+        return [core for core in self.cores if not core.is_gone]
+
+    def add_core(self, zone: str) -> Machine:
+        """Add and start an empty control machine at the next address."""
+        host = f"{self._net}.{10 + len(self.cores)}"
+        new = Machine("core", host, zone)
+        self.cores.append(new)
+        self.start(new, bootstrap=False)
+        return new
+
+    def start(self, machine: Machine, *, bootstrap: bool) -> None:
+        """Start a machine's process."""
+        log = self._folder / f"{machine.host}.log"
+        boot = self._folder / f"{machine.host}.toml"
+        boot.write_text(self._settings(machine, bootstrap=bootstrap))
+        with log.open("ab") as output:
+            machine.process = subprocess.Popen(
+                [sys.executable, "platform/launch.py", machine.role],
+                cwd=ROOT,
+                env={**os.environ, "DOGWOODSPOOL_BOOT": str(boot)},
+                stdout=output,
+                stderr=output,
+            )
+        machine.lives += 1
+        now = time.monotonic()
+        if machine.role == "core":
+            self._record.core_events.append(now)
+        else:
+            self._record.edge_starts.setdefault(machine.host, []).append(now)
+        self._record.note(f"{machine.host} starts")
+
+    def lose(self, core: Machine, way: str) -> None:
+        """Take a control machine's power for good."""
+        core.is_gone = True
+        ports = [self.internal, self.control]
+        self._record.core_events.append(time.monotonic())
+        if way in ("frozen", "dark") and core.process is not None:
+            core.process.send_signal(signal.SIGSTOP)
+            if way == "dark":
+                self._silent.append(FullBacklog(core.host, ports))
+        else:
+            self.kill(core)
+        if way in ("accepts", "unanswered"):
+            self._silent.append(SilentHost(core.host, ports, accepts=way == "accepts"))
+
+    def kill_all(self) -> list[Machine]:
+        """Take the power of all machines that have some, and return them."""
+        machines = [*self.alive, *self.edges]
+        for machine in machines:
+            if machine.process is not None:
+                machine.process.kill()
+        self._record.core_events.append(time.monotonic())
+        for machine in machines:
+            self.kill(machine)
+        return machines
+
+    def kill(self, machine: Machine) -> None:
+        """End a machine's process without notice."""
+        if machine.process is not None:
+            machine.process.kill()
+            machine.process.wait()
+            machine.process = None
+
+    def empty_disk(self, core: Machine) -> None:
+        """Remove all data of a control machine."""
+        shutil.rmtree(self._data(core))
+
+    def close(self) -> None:
+        """End all processes, and free the addresses."""
+        for machine in (*self.cores, *self.edges):
+            self.kill(machine)
+        for one in self._silent:
+            one.close()
+        self._reservations.release()
+
+    def _settings(self, machine: Machine, *, bootstrap: bool) -> str:
+        seeds = [f"{core.host}:{self.control}" for core in self.alive]
+        lines = [
+            f"node = {json.dumps(machine.host)}",
+            f"ip = {json.dumps(machine.host)}",
+            f"zone = {json.dumps(machine.zone)}",
+            f"internalPorts = [{self.internal}, {self._pools}]",
+            f"seeds = {json.dumps(seeds)}",
+            f"bootstrap = {json.dumps(bootstrap)}",
+        ]
+        listen = [
+            f'front = "{machine.host}:{self.front}"',
+            f'ready = "{machine.host}:{self._ready}"',
+        ]
+        if machine.role == "core":
+            data = self._data(machine)
+            data.mkdir(exist_ok=True)
+            lines.append(f"dataDir = {json.dumps(str(data))}")
+            listen = [f'control = "{machine.host}:{self.control}"']
+        lines += [
+            "[zones]",
+            *(f'{zone} = "region"' for zone in sorted({*ZONES, machine.zone})),
+        ]
+        lines += ["[listen]", *listen]
+        lines += ["[faultTolerance]", "machines = 1"]
+        lines += ["[cloud]", 'addr = "127.0.0.1:9"']
+        return "\n".join(lines) + "\n"
+
+    def _data(self, machine: Machine) -> Path:
+        return self._folder / f"{machine.host}.data"
--- /dev/null
+++ b/tests/platform/replaced_control/record.py
@@ -0,0 +1,177 @@
+"""What the operator and the callers of a day saw, and what is wrong with it."""
+
+import bisect
+import threading
+import time
+from dataclasses import dataclass, field
+
+from .const import CONFIG_APPLY_SECONDS, ROLLBACK_SLACK_SECONDS, STABLE_SECONDS
+
+# Answers that tell whether the proxy knows the database.
+TELLING = ("READY", "NODB")
+
+
+@dataclass
+class Version:
+    """One configuration that the operator sent.
+
+    Attributes:
+        databases: databases that it has.
+        acknowledged_at: when it was acknowledged first; None before.
+        by: host of the process that acknowledged it.
+    """
+
+    number: int
+    databases: frozenset[str]
+    sent_at: float
+    acknowledged_at: float | None = None
+    by: str = ""
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Answer of a proxy to a caller that connects to a database.
+
+    Attributes:
+        life: number of the proxy's process, of all that ran there.
+        word: ``READY`` or the error code.
+    """
+
+    edge: str
+    life: int
+    database: str
+    word: str
+    sent_at: float
+    answered_at: float
+
+
+@dataclass(frozen=True)
+class Finding:
+    """An answer that only an older version than allowed explains.
+
+    Attributes:
+        age: seconds since the last start of the proxy or event of a control process.
+    """
+
+    kind: str
+    host: str
+    at: float
+    age: float
+    what: str
+
+    @property
+    def counts(self) -> bool:
+        """Whether the rules excuse it by no event shortly before."""
+        return self.kind != "late" or self.age > STABLE_SECONDS
+
+
+@dataclass
+class Record:
+    """What the operator and the callers saw."""
+
+    versions: list[Version] = field(default_factory=list)
+    answers: list[Answer] = field(default_factory=list)
+    findings: list[Finding] = field(default_factory=list)
+    # Starts and ends of control processes.
+    core_events: list[float] = field(default_factory=list)
+    edge_starts: dict[str, list[float]] = field(default_factory=dict)
+    notes: list[str] = field(default_factory=list)
+    started_at: float = field(default_factory=time.monotonic)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def note(self, text: str) -> None:
+        """Write down what happened, with its time."""
+        elapsed = time.monotonic() - self.started_at
+        clock = time.strftime("%H:%M:%S", time.gmtime())
+        millis = int(time.time() * 1000) % 1000
+        with self.lock:
+            self.notes.append(f"{elapsed:8.3f} {clock}.{millis:03d} {text}")
+
+    def age(self, host: str, at: float) -> float:
+        """Return the seconds since the last event that concerns a host."""
+        events = [*self.core_events, *self.edge_starts.get(host, [])]
+        return min((at - one for one in events if one <= at), default=1e9)
+
+    def required(self, sent_at: float) -> int:
+        """Return the number of versions up to the one that must be in force."""
+        due = [
+            index
+            for index, one in enumerate(self.versions)
+            if one.acknowledged_at is not None
+            and one.acknowledged_at + CONFIG_APPLY_SECONDS < sent_at
+        ]
+        return due[-1] if due else -1
+
+    def check(self) -> None:
+        """Judge all answers of proxies."""
+        self.answers.sort(key=lambda one: one.answered_at)
+        for edge, life in sorted({(one.edge, one.life) for one in self.answers}):
+            answers = [
+                one for one in self.answers if (one.edge, one.life) == (edge, life)
+            ]
+            self._check_life(answers)
+
+    def _check_life(self, answers: list[Answer]) -> None:
+        shown_at: list[float] = []
+        shown: list[int] = []
+        for one in answers:
+            if one.word not in TELLING:
+                continue
+            fitting = self._fitting(one)
+            required = self.required(one.sent_at)
+            if required >= 0 and not any(index >= required for index in fitting):
+                self._judge("late", one, required)
+            position = bisect.bisect_left(
+                shown_at, one.sent_at - ROLLBACK_SLACK_SECONDS
+            )
+            floor = shown[position - 1] if position else -1
+            if not any(index >= floor for index in fitting):
+                self._judge("regression", one, floor)
+            newest = shown[-1] if shown else -1
+            implied = min((index for index in fitting if index >= newest), default=-1)
+            if implied > newest:
+                shown_at.append(one.answered_at)
+                shown.append(implied)
+
+    def find(self, kind: str, host: str, what: str) -> None:
+        """Add a finding of now."""
+        now = time.monotonic()
+        at = now - self.started_at
+        self.findings.append(Finding(kind, host, at, self.age(host, now), what))
+
+    def lateness(self, one: Answer) -> float:
+        """Return for how long a version has been acknowledged that an answer lacks."""
+        if one.word not in TELLING:
+            return 0.0
+        newest = max(self._fitting(one), default=-1)
+        acknowledged = [
+            version.acknowledged_at
+            for version in self.versions[newest + 1 :]
+            if version.acknowledged_at is not None
+        ]
+        return one.sent_at - min(acknowledged, default=one.sent_at)
+
+    def _fitting(self, one: Answer) -> list[int]:
+        """Return the versions that explain an answer."""
+        return [
+            index
+            for index, version in enumerate(self.versions)
+            if version.sent_at < one.answered_at
+            and (one.database in version.databases) == (one.word == "READY")
+        ]
+
+    def _judge(self, kind: str, one: Answer, index: int) -> None:
+        version = self.versions[index]
+        acknowledged = version.acknowledged_at
+        since = "" if acknowledged is None else f"{one.sent_at - acknowledged:.3f}"
+        self.findings.append(
+            Finding(
+                kind,
+                one.edge,
+                one.sent_at - self.started_at,
+                self.age(one.edge, one.sent_at),
+                f"{one.edge} life {one.life} answers {one.word} to {one.database}; "
+                f"version {version.number} was acknowledged by {version.by} "
+                f"{since} s before",
+            )
+        )
