--- a/tests/platform/replaced_control/callers.py
+++ b/tests/platform/replaced_control/callers.py
@@ -40,9 +40,13 @@
                 answer = Answer(edge.host, life, database, word, sent_at, now)
                 self._record.answers.append(answer)
 
-    def wait_until_current(self, edge: Machine, version: Version) -> None:
-        """Wait until a proxy answers by a version for each database there ever was."""
+    def wait_until_current(self, edges: list[Machine], version: Version) -> None:
+        """Wait until proxies answer by a version for each database there ever was."""
         until = time.monotonic() + EVENTUALLY_SECONDS
+        for edge in edges:
+            self._wait(edge, version, until)
+
+    def _wait(self, edge: Machine, version: Version, until: float) -> None:
         while differing := self._differing(edge, version):
             if time.monotonic() > until:
                 what = f"{differing} by version {version.number}"
--- a/tests/platform/replaced_control/run.py
+++ b/tests/platform/replaced_control/run.py
@@ -138,8 +138,7 @@
         self._operator.read_at_all()
         with self._operator.sends:
             newest = self.record.versions[-1]
-            for edge in self._machines.edges:
-                self._callers.wait_until_current(edge, newest)
+            self._callers.wait_until_current(self._machines.edges, newest)
 
     def _wait_voters(self, what: str) -> None:
         wanted = {core.host for core in self._machines.alive}
