Ctl: a cut-off process and the lost leader that it names do not hide the others

An operator whose list begins with a control process that is cut off got control_unreachable, though others of the list ran: the process names a leader outside the list that was lost, and after that one the list began anew. After a leader outside the list the process behind the one that named it is asked.

--- a/packages/ctl/src/dogwoodspool_ctl/control_client.py
+++ b/packages/ctl/src/dogwoodspool_ctl/control_client.py
@@ -64,6 +64,8 @@
         self._clock = clock
         self._timeout_s = timeout_s
         self._target = addresses[0]
+        # The process of the list that was asked last; others are leaders that it named.
+        self._listed = addresses[0]
 
     def get(self, path: str, query: dict[str, str] | None = None) -> dict[str, Any]:
         """Read one resource from the leader.
@@ -124,7 +126,8 @@
         if not isinstance(error, PeerRefusedError):
             return self._address_after(target)
         if error.status == STATUS_NOT_LEADER:
-            return _parse_leader(error.detail) or self._address_after(target)
+            following = self._address_after(target)
+            return _parse_leader(error.detail) or following
         if (
             error.status >= FIRST_SERVER_ERROR
             or error.status == STATUS_TOO_MANY_REQUESTS
@@ -135,9 +138,15 @@
         raise RejectedError(error.detail or error.code, code=error.code) from error
 
     def _address_after(self, target: Address) -> Address:
-        if target not in self._addresses:
-            return self._addresses[0]
-        index = self._addresses.index(target) + 1
+        """Return the next process of the list.
+
+        A leader outside the list is followed by the process after the one that named
+        it. If the list began anew, a cut-off process and the lost leader that it names
+        would be asked in turn, and nobody else.
+        """
+        if target in self._addresses:
+            self._listed = target
+        index = self._addresses.index(self._listed) + 1
         return self._addresses[index % len(self._addresses)]
 
 
