Gateway: a test waits until the worker that answered is idle

Trace: the executor counts a worker as idle when it looks for its next work, which is some moments after its answer has arrived. A statement in between wants a new thread, which the test forbids, and is refused as not run: allowed, and true.

The test runs the last statement again until a thread takes it, for 10 s at most. What it guards against, a refused statement that runs later, is asserted as before, after it.

--- a/tests/gateway/test_workers.py
+++ b/tests/gateway/test_workers.py
@@ -46,9 +46,19 @@
         self.assertIsNone(await self.pool.run(lambda: self.ran.append("second")))
         goes_on.set()
         self.assertTrue(await first)
-        self.assertEqual(await self.pool.run(lambda: "third"), "third")
+        # The worker counts as idle some moments after its answer.
+        answer = await asyncio.wait_for(self.run_until_taken("third"), 10)
+        self.assertEqual(answer, "third")
         self.assertEqual(self.ran, [])
 
+    async def run_until_taken(self, text: str) -> str | None:
+        """Run work again until a thread takes it; return its result."""
+        answer = None
+        while answer is None:
+            await asyncio.sleep(0.001)
+            answer = await self.pool.run(lambda: text)
+        return answer
+
     async def test_cleanup_runs_without_a_thread(self) -> None:
         """Guard against a result set that keeps its connection for good."""
         self.refuse_threads()
