--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -450,7 +450,7 @@
         members: the control processes; empty if the answering process is not in
             contact with the leader, as it may know only former ones.
         is_current: whether the answering process leads, or is up to date with a leader
-            that has no successor yet.
+            that had no successor when it said so.
         retry_after_ms: delay before the next poll if all slots for waiting polls were
             taken; 0 otherwise.
     """
