--- a/packages/consensus/src/dogwoodspool_consensus/confirmations.py
+++ b/packages/consensus/src/dogwoodspool_consensus/confirmations.py
@@ -14,8 +14,8 @@
 
     Attributes:
         commit_index: last entry that was committed when the leader sent it.
-        valid_until: ``clock.now()`` until which it justifies the claim. Another node may
-            lead some heartbeats earlier.
+        valid_until: ``clock.now()`` until which it justifies the claim. Another node
+            may lead some heartbeats earlier.
     """
 
     term: int
