--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -401,10 +401,12 @@
         version: index of the last log entry included; never decreases.
         base_version: 0 for the whole state; otherwise the view contains only the
             differences from that version, and ``removed`` names what no longer exists.
+        revision: revision of the document that the endpoints come from; 0 before the
+            first document.
     """
 
     _optional_fields: ClassVar[frozenset[str]] = frozenset(
-        {"accounts", "requires_account"}
+        {"accounts", "requires_account", "revision"}
     )
 
     version: int
@@ -417,6 +419,11 @@
     requires_account: bool = False
     base_version: int = 0
     removed: RemovedItems = RemovedItems()
+    revision: int = 0
+
+    def without_revision(self) -> Self:
+        """Return the view for a process of an earlier build."""
+        return self.model_copy(update={"revision": 0})
 
     def without_given_up(self) -> Self:
         """Return the view for a process of an earlier build."""
--- a/packages/consensus/src/dogwoodspool_consensus/node.py
+++ b/packages/consensus/src/dogwoodspool_consensus/node.py
@@ -196,6 +196,11 @@
         with self._state.changed:
             return self._state.leadership()
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        """Return the voters that hold an entry durably; meaningful on the leader."""
+        with self._state.changed:
+            return self._state.holders(index)
+
     def confirm_read(self, timeout: float) -> int:
         """Return an applied index that covers all proposals answered before this call.
 
--- a/packages/consensus/src/dogwoodspool_consensus/state.py
+++ b/packages/consensus/src/dogwoodspool_consensus/state.py
@@ -364,6 +364,11 @@
             self.commit_index = index
             self.changed.notify_all()
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        """Return the voters that hold an entry durably, as far as this leader knows."""
+        voters = sorted(self.configuration.voters)
+        return tuple(name for name in voters if self._match_index(name) >= index)
+
     def quorum_contact(self) -> float:
         """Return the latest time at which a quorum was known to follow this leader."""
         return self._quorum_value(self._acked_at)
--- a/packages/control/src/dogwoodspool_control/node.py
+++ b/packages/control/src/dogwoodspool_control/node.py
@@ -37,6 +37,10 @@
         """Return the leadership if this voter is certain to be the leader now."""
         ...
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        """Return the voters that hold an entry durably; meaningful on the leader."""
+        ...
+
     def confirm_read(self, timeout: float) -> int:
         """Wait until every entry committed before the call is applied here."""
         ...
@@ -103,6 +107,10 @@
         """
         self._node.confirm_read(timeout)
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        """Return the voters that hold an entry durably; meaningful on the leader."""
+        return self._node.holders(index)
+
     def propose(self, command: Command, timeout: float = PROPOSE_TIMEOUT) -> Outcome:
         """Commit a command and return its outcome, which may be a rejection.
 
--- a/packages/control/src/dogwoodspool_control/settings/view_log.py
+++ b/packages/control/src/dogwoodspool_control/settings/view_log.py
@@ -29,6 +29,7 @@
 
     Attributes:
         requires_account: whether callers need a key of a client account.
+        revision: revision of the document in force; 0 before the first one.
     """
 
     groups: Mapping[str, GroupState] = field(default_factory=dict)
@@ -38,6 +39,7 @@
     endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
     accounts: Mapping[str, ClientAccount] = field(default_factory=dict)
     requires_account: bool = False
+    revision: int = 0
 
     def by_kind(self) -> dict[str, Mapping[str, Any]]:
         """Return the items of each kind."""
@@ -127,6 +129,7 @@
             accounts=[AccountMessage.of(account) for account in present["accounts"]],
             requires_account=self._items.requires_account,
             removed=RemovedItems(**removed),
+            revision=self._items.revision,
         )
 
 
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -352,4 +352,5 @@
             },
             accounts={account.name: account for account in self._document.accounts},
             requires_account=self._document.requires_account,
+            revision=self._document.revision,
         )
--- a/packages/failover/src/dogwoodspool_failover/service.py
+++ b/packages/failover/src/dogwoodspool_failover/service.py
@@ -65,7 +65,7 @@
         Raises:
             CommandRejectedError: it was rejected and is not in force.
         """
-        self._node.require_leadership()
+        leadership = self._node.require_leadership()
         outcome = self._node.commit(ApplyDocument(revision, pack(document), author))
         view = self._state.version
         log_event(
@@ -74,6 +74,8 @@
             in_force=outcome.version,
             index=outcome.index,
             view=view,
+            term=leadership.term,
+            voters=",".join(self._node.holders(outcome.index or view)),
         )
         return view
 
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -86,6 +86,9 @@
     def leadership(self) -> Leadership | None:
         return self.current
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        return ()
+
     def confirm_read(self, timeout: float) -> int:
         return self._log.index
 
--- a/tests/failover/fakes.py
+++ b/tests/failover/fakes.py
@@ -217,6 +217,9 @@
             return None
         return Leadership(1, 0.0, self._clock.now() + 1)
 
+    def holders(self, index: int) -> tuple[str, ...]:
+        return ("own",) if index <= self.index else ()
+
     def confirm_read(self, timeout: float) -> int:
         return self.index
 
