A proxy denies a database or key only after control has confirmed its view

A proxy that cannot reach control, or has no configuration yet, answered the same.

Cause of the class: a refusal is a statement about what does not exist, and it rested on whatever view was in force, by whatever process had sent it, at whatever age. The view is good enough to serve what it contains; what it lacks may have been added since.

Change: before a database or a key is denied, at a start of a session or on an open one, the proxy has the view confirmed by a read that a quorum confirms, independent of the watch: at another process after 0.1 s, shared by concurrent callers, good for a second. A newer view is put in force by it, and the caller is served. Without a confirmation within 0.5 s the caller is told that the request has not run and when to come back. The same confirmation runs beside a watch that has confirmed nothing for 1.5 s; a listener of the view that waits or fails no longer keeps the proxy, or the other listeners, from newer views.

Each such refusal has a line with request, database, view, revision, sender, age and who confirmed it.

--- a/packages/following/src/dogwoodspool_following/__init__.py
+++ b/packages/following/src/dogwoodspool_following/__init__.py
@@ -1,11 +1,13 @@
 """Tracking of the committed state of control from other processes."""
 
+from .confirmation import ViewConfirmation
 from .control_peers import ControlContact, ControlPeers
 from .coordinator import Coordinator
 from .open_sessions import OpenSessions
 from .rotation import Reachability, Rotation, RotationPhase
 from .rotation_coordinator import Callers, ReachabilitySource, RotationCoordinator
 from .view import ProxyLocation, ProxyView, ViewListener, ViewStore
+from .view_check import ViewCheck
 from .watch import WatchCoordinator
 
 __all__ = [
@@ -21,6 +23,8 @@
     "Rotation",
     "RotationCoordinator",
     "RotationPhase",
+    "ViewCheck",
+    "ViewConfirmation",
     "ViewListener",
     "ViewStore",
     "WatchCoordinator",
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -17,6 +17,20 @@
 # state.
 FIRST_VIEW_TIMEOUT_MARGIN: Final = 1.5
 RETRY_PAUSE_SECONDS: Final = 0.1
+# Time limit for a confirmation of the view, for which a caller waits.
+CONFIRMATION_TIMEOUT: Final = 0.5
+# Time after which the other control processes are asked as well.
+HEDGE_SECONDS: Final = 0.1
+# Time for which a confirmation holds: a part of the few seconds in which a change has
+# to be in force.
+CONFIRMED_FOR_SECONDS: Final = 1.0
+# Least time from a failed confirmation to the next attempt.
+CONFIRMATION_RETRY_SECONDS: Final = 0.2
+CONFIRMATION_THREADS: Final = 8
+# Age from which a view is confirmed beside the watch. A poll that waits confirms it
+# about once a second.
+VIEW_OUTDATED_SECONDS: Final = 1.5
+VIEW_CHECK_SECONDS: Final = 0.25
 # Maximum time by which an idle transaction exceeds its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
 # Successful polls of another control process before the preferred one is tried again.
--- /dev/null
+++ b/packages/following/src/dogwoodspool_following/poll.py
@@ -0,0 +1,49 @@
+"""One poll of a control process for a newer view."""
+
+from dogwoodspool_api import WatchResponse
+from dogwoodspool_api.const import (
+    PATH_WATCH,
+    QUERY_AFTER,
+    QUERY_CONFIRMED,
+    QUERY_GIVEN_UP,
+    QUERY_REVISION,
+    QUERY_VOTERS,
+    QUERY_WAIT_MS,
+)
+from dogwoodspool_common import Address, JsonClient
+
+
+def poll(
+    client: JsonClient,
+    address: Address,
+    version: int,
+    wait_ms: int,
+    timeout: float,
+    *,
+    must_confirm: bool,
+) -> WatchResponse:
+    """Ask a control process for what is newer than a version.
+
+    Args:
+        client: makes the call.
+        address: the control process.
+        version: version of the view in force.
+        wait_ms: time in milliseconds for which the poll may be held.
+        timeout: seconds for the whole exchange.
+        must_confirm: whether a quorum has to confirm that the answer is up to date.
+
+    Raises:
+        HttpError: no complete answer was received in time, or it was a refusal.
+        ValidationError: the answer is no message of this kind.
+    """
+    query = {
+        QUERY_AFTER: str(version),
+        QUERY_WAIT_MS: str(wait_ms),
+        QUERY_GIVEN_UP: "1",
+        QUERY_VOTERS: "1",
+        QUERY_REVISION: "1",
+    }
+    if must_confirm:
+        query[QUERY_CONFIRMED] = "1"
+    answer = client.get(address, PATH_WATCH, query, timeout)
+    return WatchResponse.model_validate(answer)
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -43,9 +43,14 @@
         accounts: client accounts by name.
         accounts_by_key: client accounts by the digest of each of their keys.
         requires_account: whether callers need a key of a client account.
+        revision: revision of the document that the endpoints come from; 0 if it is not
+            known, or before the first one.
+        sender: the control process that sent this version.
     """
 
     version: int = 0
+    revision: int = 0
+    sender: Address | None = None
     groups: Mapping[str, GroupState] = field(default_factory=dict)
     servers: Mapping[str, BackendServer] = field(default_factory=dict)
     proxies: Mapping[str, ProxyLocation] = field(default_factory=dict)
@@ -57,12 +62,18 @@
     requires_account: bool = False
 
     @classmethod
-    def of(cls, message: ControlView, base: "ProxyView | None" = None) -> "ProxyView":
+    def of(
+        cls,
+        message: ControlView,
+        base: "ProxyView | None" = None,
+        sender: Address | None = None,
+    ) -> "ProxyView":
         """Build the view from a message.
 
         Args:
             message: the whole state, or the differences from ``base``.
             base: the view of the version that the message names as its base.
+            sender: the control process that sent the message.
         """
         before = base if base is not None and message.base_version else cls()
         removed = message.removed
@@ -78,6 +89,8 @@
         )
         return cls(
             version=message.version,
+            revision=message.revision,
+            sender=sender,
             groups=_merged(
                 before.groups,
                 {group.name: group.value() for group in message.groups},
@@ -145,6 +158,8 @@
         self._failure_domain = failure_domain
         self._clock = clock
         self._changed = threading.Condition()
+        self._is_notifying = False
+        self._must_notify = False
         self._view = ProxyView()
         self._listeners: list[ViewListener] = []
         self._announced_version = 0
@@ -208,7 +223,7 @@
         """Register a function that is called with each new view."""
         self._listeners.append(listener)
 
-    def adopt(self, message: ControlView) -> bool:
+    def adopt(self, message: ControlView, sender: Address | None = None) -> bool:
         """Put a view in force if it is newer; return whether it was.
 
         Differences from a version other than the one in force are ignored: a merge
@@ -219,13 +234,43 @@
                 return False
             if message.base_version not in (0, self._view.version):
                 return False
-            self._view = ProxyView.of(message, self._view)
+            self._view = ProxyView.of(message, self._view, sender)
             self._changed.notify_all()
         log_event("view_in_force", level="DEBUG", version=message.version)
-        for listener in self._listeners:
-            listener(self._view)
+        self._notify()
         return True
 
+    def _notify(self) -> None:
+        """Call the listeners with the newest view, in one thread at a time.
+
+        A listener that waits keeps no other thread, and one that fails no other
+        listener, from newer views.
+        """
+        with self._changed:
+            self._must_notify = True
+            if self._is_notifying:
+                return
+            self._is_notifying = True
+        while self._has_notification():
+            for listener in self._listeners:
+                self._call(listener)
+
+    def _has_notification(self) -> bool:
+        with self._changed:
+            self._is_notifying, self._must_notify = self._must_notify, False
+            return self._is_notifying
+
+    def _call(self, listener: ViewListener) -> None:
+        try:
+            listener(self._view)
+        except Exception as error:
+            log_event(
+                "view_listener_failed",
+                level="ERROR",
+                version=self._view.version,
+                error=repr(error),
+            )
+
     def wait_newer(self, version: int, seconds: float) -> bool:
         """Wait for a view newer than a version; return False on timeout."""
         deadline = self._clock.now() + seconds
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -1,14 +1,6 @@
 """Long polling of the committed state of control."""
 
 from dogwoodspool_api import WatchResponse
-from dogwoodspool_api.const import (
-    PATH_WATCH,
-    QUERY_AFTER,
-    QUERY_CONFIRMED,
-    QUERY_GIVEN_UP,
-    QUERY_VOTERS,
-    QUERY_WAIT_MS,
-)
 from dogwoodspool_common import (
     Address,
     Clock,
@@ -31,6 +23,7 @@
 )
 from .control_peers import ControlPeers
 from .coordinator import Coordinator
+from .poll import poll
 from .view import ViewStore
 
 
@@ -132,7 +125,7 @@
     ) -> bool:
         """Put the view of a response in force; return whether it is newer."""
         is_first = not self._views.is_filled
-        if response.view is None or not self._views.adopt(response.view):
+        if response.view is None or not self._views.adopt(response.view, address):
             return False
         if is_first:
             elapsed = self._clock.now() - asked_at
@@ -157,16 +150,15 @@
 
     def _poll(self, address: Address) -> WatchResponse:
         wait_ms = 0 if self._search_left else self._wait_ms
-        query = {
-            QUERY_AFTER: str(self._views.view.version),
-            QUERY_WAIT_MS: str(wait_ms),
-            QUERY_GIVEN_UP: "1",
-            QUERY_VOTERS: "1",
-        }
         margin = SEARCH_TIMEOUT if self._search_left else WATCH_TIMEOUT_MARGIN
-        if not self._views.is_filled:
-            query[QUERY_CONFIRMED] = "1"
+        is_first = not self._views.is_filled
+        if is_first:
             margin = FIRST_VIEW_TIMEOUT_MARGIN
-        timeout = wait_ms / MILLISECONDS + margin
-        answer = self._client.get(address, PATH_WATCH, query, timeout)
-        return WatchResponse.model_validate(answer)
+        return poll(
+            self._client,
+            address,
+            self._views.view.version,
+            wait_ms,
+            wait_ms / MILLISECONDS + margin,
+            must_confirm=is_first,
+        )
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -185,6 +185,8 @@
 # Retry time while a promotion is in progress.
 PROMOTION_RETRY_MS: Final = 300
 BUSY_RETRY_MS: Final = 50
+# A process that has just started receives the state from control within about 1 s.
+NOT_READY_RETRY_MS: Final = 300
 # The server counts the connections of processes that ended for more than a second, and
 # a caller makes three attempts within a second.
 NO_CONNECTION_RETRY_MS: Final = 150
--- /dev/null
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -0,0 +1,107 @@
+"""What the database and the key that a caller names stand for."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from dogwoodspool_common import Endpoint, log_rate_limited
+from dogwoodspool_following import ProxyView, ViewStore
+
+from .errors import NoDatabaseError, NotReadyError, UnknownKeyError
+from .identity import Caller, identify
+
+
+class NewestView(Protocol):
+    """Confirms that the view in force is the newest one."""
+
+    def confirm(self) -> bool:
+        """Return whether it is; a newer view is put in force."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class KnownCaller:
+    """A caller and the endpoint that it uses."""
+
+    endpoint: Endpoint
+    caller: Caller
+
+
+class Databases:
+    """Find endpoints and client accounts in the view in force.
+
+    What the view contains is served at once. What it lacks is denied only after control
+    has confirmed that the view is the newest one: a proxy that is behind without having
+    noticed would deny databases that were acknowledged, and its callers would not try
+    another proxy.
+    """
+
+    def __init__(self, views: ViewStore, newest: NewestView) -> None:
+        self._views = views
+        self._newest = newest
+
+    def endpoint(self, database: str) -> Endpoint | None:
+        """Return the endpoint of a database; None if the view in force lacks it."""
+        return self._views.view.databases.get(database)
+
+    def resolve(
+        self, database: str, key_digest: str, request_id: str = ""
+    ) -> KnownCaller:
+        """Return the endpoint of a database and the caller that a key identifies.
+
+        Args:
+            database: the name that the caller connected to.
+            key_digest: digest of the key that it presented.
+            request_id: its request, for the log; empty for a new session.
+
+        Raises:
+            NoDatabaseError: the newest configuration has no such database.
+            UnknownKeyError: the database needs a key, and no account of the newest
+                configuration holds this one.
+            NotReadyError: either may be the case, but control did not confirm it.
+        """
+        try:
+            return _find(self._views.view, database, key_digest)
+        except (NoDatabaseError, UnknownKeyError):
+            is_newest = self._newest.confirm()
+        view = self._views.view
+        try:
+            return _find(view, database, key_digest)
+        except (NoDatabaseError, UnknownKeyError) as error:
+            is_denied = is_newest and _has_configuration(view)
+            self._log(error, view, database, request_id, is_denied=is_denied)
+            if is_denied:
+                raise
+            raise NotReadyError(f"not confirmed by control yet: {error}") from error
+
+    def _log(
+        self,
+        error: Exception,
+        view: ProxyView,
+        database: str,
+        request_id: str,
+        *,
+        is_denied: bool,
+    ) -> None:
+        log_rate_limited(
+            "no_database" if isinstance(error, NoDatabaseError) else "unknown_key",
+            request=request_id,
+            database=database,
+            reason=error,
+            is_denied=is_denied,
+            view=view.version,
+            revision=view.revision,
+            sender=view.sender,
+            view_age_ms=self._views.age_ms,
+            confirmed_by=self._views.confirmed_by,
+        )
+
+
+def _find(view: ProxyView, database: str, key_digest: str) -> KnownCaller:
+    endpoint = view.databases.get(database)
+    if endpoint is None:
+        raise NoDatabaseError(f"there is no database {database}")
+    return KnownCaller(endpoint, identify(view, endpoint, key_digest))
+
+
+def _has_configuration(view: ProxyView) -> bool:
+    return bool(view.databases) or view.revision > 0
--- a/packages/pooler/src/dogwoodspool_pooler/errors.py
+++ b/packages/pooler/src/dogwoodspool_pooler/errors.py
@@ -34,7 +34,7 @@
 
 
 class NotReadyError(PoolerError):
-    """Report that no view has arrived from control yet: any database may exist."""
+    """Report that what the view lacks may exist: it may not be the newest one."""
 
 
 class NoDatabaseError(PoolerError):
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -21,6 +21,8 @@
     ProxyView,
     Rotation,
     RotationCoordinator,
+    ViewCheck,
+    ViewConfirmation,
     ViewStore,
     WatchCoordinator,
 )
@@ -181,8 +183,10 @@
         self._expiry = ConnectionExpiry(
             self._registry, self._shared.is_forwarded, clock
         )
+        self._confirmation = ViewConfirmation(self._views, self._peers, client, clock)
         self._sessions = PooledSessions(
             self._views,
+            self._confirmation,
             self._shared.statements,
             self._transaction_path(self._shared.access, known, clock),
             self._limits.limiter,
@@ -192,6 +196,7 @@
         self._watch = WatchCoordinator(
             self._views, self._peers, client, clock, WATCH_WAIT_MS
         )
+        self._view_check = ViewCheck(self._views, self._confirmation, clock)
         self._reports = ReportCoordinator(
             name, failure_domain, self._table, stalls, self._peers, client, clock
         )
@@ -208,16 +213,6 @@
         """Version of the committed state that this process applies."""
         return self._views.view.version
 
-    @property
-    def view_age_ms(self) -> int | None:
-        """Milliseconds since the view was last confirmed; see ``ViewStore``."""
-        return self._views.age_ms
-
-    @property
-    def view_confirmed_by(self) -> Address | None:
-        """The control process that last confirmed the view; None before the first."""
-        return self._views.confirmed_by
-
     @property
     def open_sessions(self) -> int:
         """Number of open caller sessions."""
@@ -272,6 +267,7 @@
         self._registry.set_up()
         self._expiry.set_up()
         self._watch.set_up()
+        self._view_check.set_up()
         self._shared.set_up()
         self._limits.set_up()
         self._recovery.set_up()
@@ -288,7 +284,9 @@
         self._limits.unload()
         self._limits_client.close()
         self._shared.unload()
+        self._view_check.unload()
         self._watch.unload()
+        self._confirmation.unload()
         self._expiry.unload()
         self._registry.unload()
 
@@ -360,6 +358,8 @@
         log_event(
             "view_in_force",
             version=view.version,
+            revision=view.revision,
+            sender=view.sender,
             databases=len(view.databases),
             groups=",".join(
                 f"{one.name}:{one.term}:{one.primary}:{one.phase}"
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -13,9 +13,16 @@
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import ViewStore
-
-from .const import BUSY_RETRY_MS
-from .errors import NotServedError, UnknownKeyError
+from expression import Error, Ok, Result
+
+from .const import BUSY_RETRY_MS, NOT_READY_RETRY_MS
+from .databases import Databases, KnownCaller
+from .errors import (
+    NoDatabaseError,
+    NotReadyError,
+    NotServedError,
+    UnknownKeyError,
+)
 from .identity import Caller, identify
 from .models import (
     Access,
@@ -50,6 +57,7 @@
         database: str,
         key_digest: str,
         views: ViewStore,
+        databases: Databases,
         statements: Statements,
         transactions: TransactionPath,
         operations: OperationCounter,
@@ -60,6 +68,7 @@
         self._database = database
         self._key_digest = key_digest
         self._views = views
+        self._databases = databases
         self._statements = statements
         self._transactions = transactions
         self._operations = operations
@@ -190,7 +199,7 @@
         kind = statement.kind
         if kind is StatementKind.ROLLBACK:
             return self._roll_back()
-        refusal = self._check_key()
+        refusal = self._check_key(statement)
         if refusal is not None:
             return refusal
         if kind is StatementKind.COMMIT:
@@ -221,18 +230,36 @@
     def _identify(self, endpoint: Endpoint) -> Caller:
         return identify(self._views.view, endpoint, self._key_digest)
 
-    def _check_key(self) -> Answer | None:
+    def _resolve(self, statement: Statement) -> Result[KnownCaller, StatementError]:
+        """Return the session's endpoint and caller, or why there are none."""
+        request_id = statement.request_id
+        try:
+            known = self._databases.resolve(
+                self._database, self._key_digest, request_id
+            )
+        except NoDatabaseError as error:
+            return Error(StatementError(ErrorCode.NO_DATABASE, str(error)))
+        except UnknownKeyError as error:
+            return Error(error.error)
+        except NotReadyError as error:
+            busy = StatementError(ErrorCode.BUSY, str(error), NOT_READY_RETRY_MS)
+            return Error(busy)
+        return Ok(known)
+
+    def _check_key(self, statement: Statement) -> Answer | None:
         """Refuse a caller whose key was revoked or moved during its transaction."""
         transaction = self._transaction
-        endpoint = transaction.endpoint if transaction else self._endpoint()
-        if endpoint is None:
-            return None
+        if transaction is None:
+            if self._endpoint() is None:
+                return None
+            known = self._resolve(statement)
+            return None if known.is_ok() else Answer(self.state, error=known.error)
         try:
-            caller = self._identify(endpoint)
+            caller = self._identify(transaction.endpoint)
         except UnknownKeyError as error:
             self._abort_open_transaction()
             return Answer(self.state, error=error.error)
-        if transaction is not None and caller.account != transaction.caller.account:
+        if caller.account != transaction.caller.account:
             self._abort_open_transaction()
             message = "the key moved to another client account; begin again"
             return self._refuse(ErrorCode.ABORTED, message)
@@ -261,16 +288,13 @@
     def _begin(self, statement: Statement, arrived_at: float) -> Answer:
         if self._transaction is not None:
             return self._refuse(ErrorCode.MALFORMED, "a transaction is already open")
-        endpoint = self._endpoint()
-        if endpoint is None:
-            return self._no_database()
-        try:
-            caller = self._identify(endpoint)
-        except UnknownKeyError as error:
-            return Answer(TransactionState.IDLE, error=error.error)
+        resolved = self._resolve(statement)
+        if resolved.is_error():
+            return Answer(TransactionState.IDLE, error=resolved.error)
+        known = resolved.ok
         is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
         self._transaction = Transaction(
-            endpoint, caller, arrived_at, is_read_only=is_read_only
+            known.endpoint, known.caller, arrived_at, is_read_only=is_read_only
         )
         return Answer(TransactionState.OPEN)
 
@@ -321,12 +345,14 @@
                 transaction.has_failed = True
                 return Answer(self.state, error=error.error)
             return self._answer(reply)
-        current = self._endpoint()
-        if current is None:
-            return self._no_database()
+        resolved = self._resolve(statement)
+        if resolved.is_error():
+            return Answer(TransactionState.IDLE, error=resolved.error)
+        known = resolved.ok
+        request = self._request(
+            known.endpoint, known.caller, statement, prepared, arrived_at
+        )
         try:
-            caller = self._identify(current)
-            request = self._request(current, caller, statement, prepared, arrived_at)
             return self._answer(self._run_single(request))
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
@@ -356,7 +382,7 @@
         )
 
     def _endpoint(self) -> Endpoint | None:
-        return self._views.view.databases.get(self._database)
+        return self._databases.endpoint(self._database)
 
     def _advance_position(self, endpoint: Endpoint, position: Position | None) -> None:
         if position is None or endpoint.consistency is Consistency.PRIMARY:
@@ -374,7 +400,3 @@
         self._abort_open_transaction()
         message = f"no statement is prepared under the name {statement.name}"
         return self._refuse(ErrorCode.UNKNOWN_STATEMENT, message)
-
-    def _no_database(self) -> Answer:
-        message = f"there is no database {self._database}"
-        return self._refuse(ErrorCode.NO_DATABASE, message)
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -6,8 +6,8 @@
 from dogwoodspool_following import OpenSessions, ViewStore
 
 from .const import FIRST_VIEW_DUE_SECONDS, FIRST_VIEW_WAIT_SECONDS
-from .errors import NoDatabaseError, NotReadyError
-from .identity import identify
+from .databases import Databases, NewestView
+from .errors import NotReadyError
 from .operations import OperationCounter
 from .session import PooledSession
 from .statements import Statements
@@ -20,6 +20,7 @@
     def __init__(
         self,
         views: ViewStore,
+        newest: NewestView,
         statements: Statements,
         transactions: TransactionPath,
         limiter: OperationLimiter,
@@ -28,6 +29,7 @@
     ) -> None:
         super().__init__(clock)
         self._views = views
+        self._databases = Databases(views, newest)
         self._statements = statements
         self._transactions = transactions
         self._operations = OperationCounter(limiter, counters, clock)
@@ -42,22 +44,20 @@
         would use up their attempts on one proxy after another before any can serve.
 
         Raises:
-            NotReadyError: no view has arrived, so the databases are not known yet.
+            NotReadyError: no view has arrived, or control has not confirmed that the
+                newest one lacks the database or the key.
             NoDatabaseError: there is no such database.
             UnknownKeyError: the database needs a key, and no account holds this one.
         """
         remaining = self._first_view_due - self._clock.now()
         if not self._views.wait_filled(min(remaining, FIRST_VIEW_WAIT_SECONDS)):
             raise NotReadyError("this proxy has no configuration from control yet")
-        view = self._views.view
-        endpoint = view.databases.get(database)
-        if endpoint is None:
-            raise NoDatabaseError(f"there is no database {database}")
-        identify(view, endpoint, key_digest)
+        self._databases.resolve(database, key_digest)
         session = PooledSession(
             database,
             key_digest,
             self._views,
+            self._databases,
             self._statements,
             self._transactions,
             self._operations,
--- /dev/null
+++ b/tests/following/test_confirmation.py
@@ -0,0 +1,256 @@
+"""Tests of the confirmation that a view is the newest one."""
+
+import threading
+import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any, Final, cast
+
+from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
+from dogwoodspool_common import (
+    Address,
+    JsonClient,
+    ManualClock,
+    PeerRefusedError,
+    PeerUnreachableError,
+    SystemClock,
+)
+from dogwoodspool_following import ControlPeers, ViewCheck, ViewConfirmation, ViewStore
+from dogwoodspool_following.const import (
+    CONFIRMATION_RETRY_SECONDS,
+    CONFIRMED_FOR_SECONDS,
+    VIEW_OUTDATED_SECONDS,
+)
+
+ADDRESSES: Final = tuple(Address(f"127.0.0.{number}", 1) for number in (1, 2, 3))
+LONG_SECONDS: Final = 5.0
+
+
+def view_of(version: int, base: int = 0) -> ControlView:
+    """Return an empty view."""
+    return ControlView(
+        version=version,
+        groups=[],
+        servers=[],
+        proxies=[],
+        settings=[],
+        base_version=base,
+    )
+
+
+class ShiftedClock(SystemClock):
+    """The clock of the runtime, which tests can also advance."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._offset = 0.0
+
+    def now(self) -> float:
+        return super().now() + self._offset
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass at once."""
+        self._offset += seconds
+
+
+class Control:
+    """Client of control processes, each with an answer of its own."""
+
+    def __init__(self) -> None:
+        self.answers: dict[Address, Callable[[], WatchResponse]] = {}
+        self.asked: list[Address] = []
+        self.queries: list[dict[str, str]] = []
+
+    def get(
+        self, address: Address, _path: str, query: dict[str, str], _timeout: float
+    ) -> dict[str, Any]:
+        """Return a process's answer."""
+        self.asked.append(address)
+        self.queries.append(query)
+        answer = self.answers.get(address, confirmed)
+        return answer().model_dump(mode="json")
+
+
+def confirmed() -> WatchResponse:
+    """Confirm that there is nothing newer."""
+    return WatchResponse(view=None, leader=None)
+
+
+def no_slot() -> WatchResponse:
+    """Answer without a confirmation, as all slots are taken."""
+    return WatchResponse(view=None, leader=None, retry_after_ms=500)
+
+
+def unreachable() -> WatchResponse:
+    """Give no answer."""
+    raise PeerUnreachableError("timed out")
+
+
+def without_quorum() -> WatchResponse:
+    """Refuse, as no quorum answered."""
+    raise PeerRefusedError(503, "not_confirmed", "no leader")
+
+
+class ConfirmationFixture(unittest.TestCase):
+    """A view store, and a confirmation over three control processes."""
+
+    def setUp(self) -> None:
+        self.clock = ShiftedClock()
+        self.control = Control()
+        self.views = ViewStore("zone-a", self.clock)
+        self.views.adopt(view_of(1))
+        self.peers = ControlPeers(ADDRESSES)
+        self.confirmation = ViewConfirmation(
+            self.views, self.peers, cast(JsonClient, self.control), self.clock
+        )
+        self.addCleanup(self.confirmation.unload)
+
+    def answer(self, *answers: Callable[[], WatchResponse]) -> None:
+        """Set the answers of the processes, in order."""
+        self.control.answers = dict(zip(ADDRESSES, answers, strict=True))
+
+
+class ViewConfirmationTests(ConfirmationFixture):
+    """A view is confirmed by a read that a quorum confirms."""
+
+    def test_one_process_is_enough(self) -> None:
+        self.assertTrue(self.confirmation.confirm())
+        self.assertEqual([ADDRESSES[0]], self.control.asked)
+        self.assertEqual("1", self.control.queries[0]["confirmed"])
+
+    def test_newer_view_is_in_force_afterwards(self) -> None:
+        self.control.answers[ADDRESSES[0]] = lambda: WatchResponse(
+            view=view_of(2), leader=None
+        )
+        self.assertTrue(self.confirmation.confirm())
+        self.assertEqual(2, self.views.view.version)
+
+    def test_others_are_asked_while_the_first_is_silent(self) -> None:
+        """Guard against a lost process that keeps a proxy from a confirmation."""
+        release = threading.Event()
+        self.addCleanup(release.set)
+
+        def silent() -> WatchResponse:
+            release.wait(LONG_SECONDS)
+            return unreachable()
+
+        self.answer(silent, without_quorum, confirmed)
+        self.assertTrue(self.confirmation.confirm())
+
+    def test_refusals_are_no_confirmation(self) -> None:
+        """Guard against a process without a quorum that counts as up to date."""
+        self.answer(without_quorum, unreachable, no_slot)
+        self.assertFalse(self.confirmation.confirm())
+
+    def test_differences_from_another_view_are_no_confirmation(self) -> None:
+        """Guard against a confirmed version that is not the one in force."""
+        foreign = lambda: WatchResponse(view=view_of(9, base=5), leader=None)  # noqa: E731
+        self.answer(foreign, foreign, foreign)
+        self.assertFalse(self.confirmation.confirm())
+
+    def test_process_of_another_system_confirms_nothing(self) -> None:
+        """Guard against a former address at which another system runs now."""
+        members = [MemberMessage(address="127.0.0.9:1", failure_domain="zone-a")]
+        self.peers.adopt(members)
+        stranger = Address("127.0.0.9", 1)
+        self.control.answers[stranger] = unreachable
+        self.assertFalse(self.confirmation.confirm())
+
+    def test_confirmation_holds_for_a_while(self) -> None:
+        """Guard against a request to control for each caller with an unknown name."""
+        self.assertTrue(self.confirmation.confirm())
+        self.answer(unreachable, unreachable, unreachable)
+        self.assertTrue(self.confirmation.confirm())
+        self.clock.advance(CONFIRMED_FOR_SECONDS)
+        self.assertFalse(self.confirmation.confirm())
+
+    def test_failure_is_not_repeated_at_once(self) -> None:
+        """Guard against callers that each wait for control in vain."""
+        self.answer(unreachable, unreachable, unreachable)
+        self.assertFalse(self.confirmation.confirm())
+        asked = len(self.control.asked)
+        self.assertFalse(self.confirmation.confirm())
+        self.assertEqual(asked, len(self.control.asked))
+        self.clock.advance(CONFIRMATION_RETRY_SECONDS)
+        self.answer(confirmed, confirmed, confirmed)
+        self.assertTrue(self.confirmation.confirm())
+
+    def test_concurrent_callers_share_one(self) -> None:
+        """Guard against a crowd of callers that becomes a crowd at control."""
+        release = threading.Event()
+        arrived = threading.Event()
+
+        def late() -> WatchResponse:
+            arrived.set()
+            release.wait(LONG_SECONDS)
+            return confirmed()
+
+        self.answer(late, unreachable, unreachable)
+        with ThreadPoolExecutor(4) as executor:
+            callers = [executor.submit(self.confirmation.confirm) for _ in range(4)]
+            arrived.wait(LONG_SECONDS)
+            release.set()
+            self.assertEqual([True] * 4, [one.result() for one in callers])
+        self.assertEqual(1, self.control.asked.count(ADDRESSES[0]))
+
+
+class ViewCheckTests(ConfirmationFixture):
+    """A proxy gets newer views although its watch is held up."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.check = ViewCheck(self.views, self.confirmation, self.clock)
+        self.views.record_confirmed(ADDRESSES[0])
+
+    def test_view_that_is_confirmed_needs_no_check(self) -> None:
+        self.check.step()
+        self.assertEqual([], self.control.asked)
+
+    def test_newer_view_arrives_while_the_watch_is_held_up(self) -> None:
+        """Guard against a proxy that stays behind a control that it can reach."""
+        self.control.answers[ADDRESSES[0]] = lambda: WatchResponse(
+            view=view_of(2), leader=None
+        )
+        self.clock.advance(VIEW_OUTDATED_SECONDS + 0.1)
+        self.check.step()
+        self.assertEqual(2, self.views.view.version)
+
+
+class ListenerTests(unittest.TestCase):
+    """What depends on the view is told of each new one."""
+
+    def setUp(self) -> None:
+        self.views = ViewStore("zone-a", ManualClock())
+        self.seen: list[int] = []
+
+    def test_listener_that_waits_keeps_nobody_from_newer_views(self) -> None:
+        """Guard against a proxy that serves by an old view while a listener waits."""
+        entered, release = threading.Event(), threading.Event()
+        waited: list[bool] = []
+
+        def wait(_view: object) -> None:
+            entered.set()
+            waited.append(release.wait(LONG_SECONDS))
+
+        self.views.add_listener(wait)
+        self.views.add_listener(lambda view: self.seen.append(view.version))
+        first = threading.Thread(target=self.views.adopt, args=(view_of(1),))
+        first.start()
+        entered.wait(LONG_SECONDS)
+        self.assertTrue(self.views.adopt(view_of(2)))
+        self.assertEqual(2, self.views.view.version)
+        release.set()
+        first.join(LONG_SECONDS)
+        self.assertEqual([True, True], waited)
+        self.assertEqual(2, self.seen[-1])
+
+    def test_listener_that_fails_keeps_no_other_from_a_view(self) -> None:
+        """Guard against parts of a proxy that never learn of a view."""
+
+        def fail(_view: object) -> None:
+            raise ValueError("broken")
+
+        self.views.add_listener(fail)
+        self.views.add_listener(lambda view: self.seen.append(view.version))
+        self.assertTrue(self.views.adopt(view_of(1)))
+        self.assertEqual([1], self.seen)
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -355,6 +355,13 @@
     return Endpoint("r1", "db", GROUP, consistency, 1_000, 400, 1, max_age_ms)
 
 
+class ConfirmedView:
+    """A view that control always confirms as the newest one."""
+
+    def confirm(self) -> bool:
+        return True
+
+
 class Pooler:
     """The parts of a pooler over fake servers, on a clock that tests advance.
 
@@ -463,6 +470,7 @@
         )
         return PooledSessions(
             views,
+            ConfirmedView(),
             statements or self.local_statements,
             transactions,
             self.limiter,
@@ -498,6 +506,7 @@
                 endpoints=[EndpointMessage.of(one) for one in view_endpoints],
                 accounts=[AccountMessage.of(one) for one in accounts or ()],
                 requires_account=accounts is not None,
+                revision=self.version,
             )
         )
 
