A failed step of the watch or of heartbeats moves on to another control process

An error that was not foreseen (an error status whose body is JSON but no object raised AttributeError in the HTTP client) ended the step without a record of the failure, so that the proxy asked the same address for good and stayed on its view. Any program at the address of a former control process can answer so.

An answer that is no object counts as no answer now, and whatever a step meets, the next one asks another process. The watch starts after everything that depends on views listens: a first view that came between left the shared pools without limits until the next one.

--- a/packages/common/src/dogwoodspool_common/http_client.py
+++ b/packages/common/src/dogwoodspool_common/http_client.py
@@ -102,14 +102,14 @@
             answer = json.loads(response.data or b"{}")
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             raise PeerUnreachableError(f"{address}{target}: {error}") from error
+        if not isinstance(answer, dict):
+            raise PeerUnreachableError(
+                f"{address}{target}: answer is not a JSON object"
+            )
         if response.status >= FIRST_ERROR_STATUS:
             raise PeerRefusedError(
                 response.status,
                 str(answer.get("error", "unknown")),
                 str(answer.get("message", "")),
             )
-        if not isinstance(answer, dict):
-            raise PeerUnreachableError(
-                f"{address}{target}: answer is not a JSON object"
-            )
         return answer
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -60,6 +60,14 @@
     def step(self) -> float:
         """Poll once for a newer view."""
         address = self._peers.any()
+        try:
+            return self._step(address)
+        except Exception:
+            # The same process would be asked for good.
+            self._peers.record_failure(address)
+            raise
+
+    def _step(self, address: Address) -> float:
         asked_at = self._clock.now()
         try:
             response = self._poll(address)
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -266,14 +266,15 @@
         self._views.add_listener(self._apply_view)
         self._registry.set_up()
         self._expiry.set_up()
-        self._watch.set_up()
-        self._view_check.set_up()
         self._shared.set_up()
         self._limits.set_up()
         self._recovery.set_up()
         self._reports.set_up()
         self._rotation_watch.set_up()
         self._sessions.set_up()
+        # Last: a view must not come before those that depend on it listen.
+        self._watch.set_up()
+        self._view_check.set_up()
 
     def unload(self) -> None:
         """Stop all parts; open sessions must have ended before."""
--- a/packages/sharing/src/dogwoodspool_sharing/presence.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence.py
@@ -1,6 +1,7 @@
 """Send heartbeats of this proxy to control and receive its neighbours."""
 
 from dogwoodspool_common import (
+    Address,
     Clock,
     HttpError,
     JsonClient,
@@ -51,6 +52,14 @@
     def step(self) -> float:
         """Send one heartbeat."""
         address = self._peers.any()
+        try:
+            return self._step(address)
+        except Exception:
+            # The same process would be asked for good.
+            self._peers.record_failure(address)
+            raise
+
+    def _step(self, address: Address) -> float:
         message = Presence(
             proxy=self._own.name,
             failure_domain=self._failure_domain,
