Views carry a digest of all endpoints; differences that give others are not put in force

A proxy that merges differences compares the digest of which databases there are now; where it differs it says view_differs and takes the whole state with the next poll, so that what it denies rests on the content that control has.

Earlier builds are sent neither revision nor digest.

--- a/packages/api/src/dogwoodspool_api/const.py
+++ b/packages/api/src/dogwoodspool_api/const.py
@@ -29,7 +29,7 @@
 QUERY_CONFIRMED: Final = "confirmed"
 QUERY_GIVEN_UP: Final = "given_up"
 QUERY_VOTERS: Final = "voters"
-QUERY_REVISION: Final = "revision"
+QUERY_DOCUMENT: Final = "document"
 QUERY_PATH: Final = "path"
 
 MAX_NAME_LENGTH: Final = 64
--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -403,10 +403,12 @@
             differences from that version, and ``removed`` names what no longer exists.
         revision: revision of the document that the endpoints come from; 0 before the
             first document.
+        digest: digest of all endpoints at this version, also where the view contains
+            only differences; see ``endpoints_digest``.
     """
 
     _optional_fields: ClassVar[frozenset[str]] = frozenset(
-        {"accounts", "requires_account", "revision"}
+        {"accounts", "requires_account", "revision", "digest"}
     )
 
     version: int
@@ -420,10 +422,11 @@
     base_version: int = 0
     removed: RemovedItems = RemovedItems()
     revision: int = 0
+    digest: str = ""
 
-    def without_revision(self) -> Self:
+    def without_document(self) -> Self:
         """Return the view for a process of an earlier build."""
-        return self.model_copy(update={"revision": 0})
+        return self.model_copy(update={"revision": 0, "digest": ""})
 
     def without_given_up(self) -> Self:
         """Return the view for a process of an earlier build."""
--- a/packages/common/src/dogwoodspool_common/__init__.py
+++ b/packages/common/src/dogwoodspool_common/__init__.py
@@ -1,6 +1,7 @@
 """Shared code of all libraries and programs: clock, log, traces, JSON over HTTP."""
 
 from .clock import Clock, ManualClock, SystemClock
+from .digests import endpoints_digest
 from .errors import (
     DogwoodspoolError,
     HttpError,
@@ -57,6 +58,7 @@
     "JsonClient",
     "JsonLineClient",
     "JsonLineServer",
+    "endpoints_digest",
     "JsonRequest",
     "JsonResponse",
     "JsonServer",
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -7,8 +7,8 @@
     PATH_WATCH,
     QUERY_AFTER,
     QUERY_CONFIRMED,
+    QUERY_DOCUMENT,
     QUERY_GIVEN_UP,
-    QUERY_REVISION,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -72,8 +72,8 @@
         view = self._state.view_since(after) if is_newer else None
         if view is not None and request.query.get(QUERY_GIVEN_UP) != "1":
             view = view.without_given_up()
-        if view is not None and request.query.get(QUERY_REVISION) != "1":
-            view = view.without_revision()
+        if view is not None and request.query.get(QUERY_DOCUMENT) != "1":
+            view = view.without_document()
         members = self._members()
         if request.query.get(QUERY_VOTERS) != "1":
             members = [one.without_vote() for one in members]
--- a/packages/control/src/dogwoodspool_control/settings/view_log.py
+++ b/packages/control/src/dogwoodspool_control/settings/view_log.py
@@ -15,7 +15,13 @@
     ServerMessage,
     SettingsNode,
 )
-from dogwoodspool_common import BackendServer, ClientAccount, Endpoint, GroupState
+from dogwoodspool_common import (
+    BackendServer,
+    ClientAccount,
+    Endpoint,
+    GroupState,
+    endpoints_digest,
+)
 
 from ..const import MAX_VIEW_CHANGES
 from ..models import ProxyRecord
@@ -67,13 +73,14 @@
         self._changes: deque[tuple[int, frozenset[ItemKey]]] = deque()
         self._oldest_base = 0
         self._complete_view: ControlView | None = None
+        self._endpoints_digest: str | None = None
 
     def reset(self, version: int, items: ViewItems) -> None:
         """Start at a version and discard the changes before it."""
         self._changes.clear()
         self._oldest_base = version
         self._items = items
-        self._complete_view = None
+        self._complete_view = self._endpoints_digest = None
 
     def record(self, version: int, items: ViewItems) -> None:
         """Record the state after a change."""
@@ -82,7 +89,7 @@
         if len(self._changes) > MAX_VIEW_CHANGES:
             self._oldest_base = self._changes.popleft()[0]
         self._items = items
-        self._complete_view = None
+        self._complete_view = self._endpoints_digest = None
 
     def view(self, version: int) -> ControlView:
         """Return the complete view."""
@@ -106,6 +113,11 @@
             keys |= changed
         return self._build(version, keys, base)
 
+    def _digest(self) -> str:
+        if self._endpoints_digest is None:
+            self._endpoints_digest = endpoints_digest(self._items.endpoints.values())
+        return self._endpoints_digest
+
     def _build(self, version: int, keys: set[ItemKey], base: int) -> ControlView:
         items = self._items.by_kind()
         present: dict[str, list[Any]] = {kind: [] for kind in items}
@@ -130,6 +142,7 @@
             requires_account=self._items.requires_account,
             removed=RemovedItems(**removed),
             revision=self._items.revision,
+            digest=self._digest(),
         )
 
 
--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -124,7 +124,7 @@
 
     def _ask(self, address: Address, began_at: float) -> None:
         """Ask one control process for a confirmed read of what is newer."""
-        version = self._views.view.version
+        version = self._views.base_version
         try:
             response = poll(
                 self._client,
--- a/packages/following/src/dogwoodspool_following/poll.py
+++ b/packages/following/src/dogwoodspool_following/poll.py
@@ -5,8 +5,8 @@
     PATH_WATCH,
     QUERY_AFTER,
     QUERY_CONFIRMED,
+    QUERY_DOCUMENT,
     QUERY_GIVEN_UP,
-    QUERY_REVISION,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -41,7 +41,7 @@
         QUERY_WAIT_MS: str(wait_ms),
         QUERY_GIVEN_UP: "1",
         QUERY_VOTERS: "1",
-        QUERY_REVISION: "1",
+        QUERY_DOCUMENT: "1",
     }
     if must_confirm:
         query[QUERY_CONFIRMED] = "1"
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -13,6 +13,7 @@
     Clock,
     Endpoint,
     GroupState,
+    endpoints_digest,
     log_event,
 )
 from dogwoodspool_common.const import MILLISECONDS
@@ -147,6 +148,26 @@
     )
 
 
+def _has_endpoints_of(view: ProxyView, message: ControlView) -> bool:
+    """Return whether a view has the endpoints that control has at its version."""
+    if not message.digest:
+        return True
+    digest = endpoints_digest(view.endpoints.values())
+    if digest == message.digest:
+        return True
+    log_event(
+        "view_differs",
+        level="ERROR",
+        version=message.version,
+        base=message.base_version,
+        sender=view.sender,
+        endpoints=len(view.endpoints),
+        digest=digest,
+        expected=message.digest,
+    )
+    return False
+
+
 class ViewStore:
     """Hold the newest view; its version never decreases.
 
@@ -160,6 +181,7 @@
         self._changed = threading.Condition()
         self._is_notifying = False
         self._must_notify = False
+        self._needs_whole = False
         self._view = ProxyView()
         self._listeners: list[ViewListener] = []
         self._announced_version = 0
@@ -176,6 +198,11 @@
         """The newest view."""
         return self._view
 
+    @property
+    def base_version(self) -> int:
+        """The version from which differences can be merged; 0 for none."""
+        return 0 if self._needs_whole else self._view.version
+
     @property
     def announced_version(self) -> int:
         """The newest version that the control leader has announced."""
@@ -227,14 +254,20 @@
         """Put a view in force if it is newer; return whether it was.
 
         Differences from a version other than the one in force are ignored: a merge
-        would keep entries that the state no longer contains.
+        would keep entries that the state no longer contains. So are differences whose
+        merge gives other endpoints than control has; the whole state is wanted then.
         """
         with self._changed:
             if message.version <= self._view.version:
                 return False
             if message.base_version not in (0, self._view.version):
                 return False
-            self._view = ProxyView.of(message, self._view, sender)
+            view = ProxyView.of(message, self._view, sender)
+            if not _has_endpoints_of(view, message) and message.base_version:
+                self._needs_whole = True
+                return False
+            self._view = view
+            self._needs_whole = False
             self._changed.notify_all()
         log_event("view_in_force", level="DEBUG", version=message.version)
         self._notify()
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -165,7 +165,7 @@
         return poll(
             self._client,
             address,
-            self._views.view.version,
+            self._views.base_version,
             wait_ms,
             wait_ms / MILLISECONDS + margin,
             must_confirm=is_first,
--- a/tests/following/test_confirmation.py
+++ b/tests/following/test_confirmation.py
@@ -6,14 +6,22 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Final, cast
 
-from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
+from dogwoodspool_api import (
+    ControlView,
+    EndpointMessage,
+    MemberMessage,
+    WatchResponse,
+)
 from dogwoodspool_common import (
     Address,
+    Consistency,
+    Endpoint,
     JsonClient,
     ManualClock,
     PeerRefusedError,
     PeerUnreachableError,
     SystemClock,
+    endpoints_digest,
 )
 from dogwoodspool_following import ControlPeers, ViewCheck, ViewConfirmation, ViewStore
 from dogwoodspool_following.const import (
@@ -254,3 +262,44 @@
         self.views.add_listener(lambda view: self.seen.append(view.version))
         self.assertTrue(self.views.adopt(view_of(1)))
         self.assertEqual([1], self.seen)
+
+
+class DifferingViewTests(unittest.TestCase):
+    """Differences are merged into another view than the one that they are from."""
+
+    def setUp(self) -> None:
+        self.views = ViewStore("zone-a", ManualClock())
+        self.views.adopt(self.view(1, "a"))
+
+    def view(
+        self, version: int, *databases: str, digest: str = "", base: int = 0
+    ) -> ControlView:
+        """Return a view with an endpoint for each database."""
+        endpoints = [
+            Endpoint(one, one, "orders", Consistency.PRIMARY, 1_000, 400, 1)
+            for one in databases
+        ]
+        return view_of(version, base).model_copy(
+            update={
+                "endpoints": [EndpointMessage.of(one) for one in endpoints],
+                "digest": digest or endpoints_digest(endpoints),
+            }
+        )
+
+    def test_other_endpoints_than_control_has_are_not_in_force(self) -> None:
+        """Guard against a view of the newest number that lacks a database."""
+        differing = self.view(3, "c", digest=self.view(3, "a", "b", "c").digest, base=1)
+        self.assertFalse(self.views.adopt(differing))
+        self.assertEqual(0, self.views.base_version)
+
+    def test_whole_state_follows(self) -> None:
+        """Guard against a proxy that stays on its view for good."""
+        whole = self.view(3, "a", "b", "c")
+        self.views.adopt(self.view(3, "c", digest=whole.digest, base=1))
+        self.assertTrue(self.views.adopt(whole))
+        self.assertEqual(3, self.views.base_version)
+        self.assertEqual({"a", "b", "c"}, set(self.views.view.databases))
+
+    def test_right_differences_are_merged(self) -> None:
+        digest = self.view(2, "a", "b").digest
+        self.assertTrue(self.views.adopt(self.view(2, "b", digest=digest, base=1)))
