Confirmations have slots of their own, back off, and come every two seconds anyway

Reads that do not wait have four slots of their own and leave the schedule of the polls alone; without a slot a newer view is still sent. - They came only while the watch had been told nothing for 1.5 s, so that a process that wrongly claims to be up to date kept a proxy on its view. They come every 2 s whatever the watch was told, and ever more seldom while none succeeds; what they find is logged with the process that had told the watch otherwise. - Callers of a proxy that is cut off waited 0.5 s of every 0.7 s: the wait after a failure doubles up to 2 s. An unforeseen error had no line, and a confirmation after the end raised. - A watch whose answer could not be merged polled without a pause. - The line of a refusal has the level and the name by which the users select lines, and tells who confirmed the view and when.

--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -55,6 +55,10 @@
 # Shortest delay, so that a few such polls are not repeated as soon as answered.
 MIN_POLL_RETRY_SECONDS: Final = 0.1
 MAX_WATCHERS: Final = 24
+# Confirmed reads that do not wait for a change, at a time.
+MAX_CONFIRMED_READS: Final = 4
+# Time after which a proxy may repeat such a read that found no free slot.
+CONFIRMED_READ_RETRY_SECONDS: Final = 1.0
 HTTP_THREADS: Final = 64
 MAX_RENEW_ITEMS: Final = 512
 MAX_RENEWALS_PER_SECOND: Final = 20
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -15,7 +15,12 @@
 from dogwoodspool_common import Clock, JsonRequest, JsonResponse, Route
 from dogwoodspool_common.const import MILLISECONDS
 
-from ..const import MAX_WATCH_MS, WATCH_CONFIRM_TIMEOUT
+from ..const import (
+    CONFIRMED_READ_RETRY_SECONDS,
+    MAX_CONFIRMED_READS,
+    MAX_WATCH_MS,
+    WATCH_CONFIRM_TIMEOUT,
+)
 from ..errors import TooManyWaitersError
 from ..node import ControlNode
 from ..state import ControlState
@@ -30,6 +35,8 @@
     the votes and log entries that form one. If they held all threads, the control
     group could not elect a leader. Each of them therefore holds a slot, and a poll
     that finds no free slot is answered at once with the time after which to retry.
+    Confirmed reads that wait for no change have slots of their own: they end soon, and
+    polls that wait may hold all others all the time.
 
     Args:
         wait_slots: slots for waiting polls; fewer than the server has threads.
@@ -48,6 +55,7 @@
         self._node = node
         self._state = state
         self._wait_slots = wait_slots
+        self._read_slots = WaitSlots(MAX_CONFIRMED_READS)
         self._members = members
         self._retries = PollRetrySchedule(clock)
 
@@ -61,7 +69,9 @@
         must_confirm = request.query.get(QUERY_CONFIRMED) == "1"
         is_newer = not must_confirm and self._state.version > after
         retry_after = 0.0
-        if not is_newer and (must_confirm or wait_ms > 0):
+        if must_confirm and wait_ms == 0:
+            is_newer, retry_after = self._read_newer(after)
+        elif not is_newer and (must_confirm or wait_ms > 0):
             try:
                 with self._wait_slots.taken():
                     is_newer = self._wait_newer(
@@ -86,6 +96,22 @@
         )
         return JsonResponse(response.model_dump(mode="json"))
 
+    def _read_newer(self, after: int) -> tuple[bool, float]:
+        """Confirm a read; return whether there is a newer view, and when to retry.
+
+        Without a free slot a newer view is returned unconfirmed, except as the first
+        one.
+        """
+        retry_after = 0.0
+        try:
+            with self._read_slots.taken():
+                self._node.confirm_read(WATCH_CONFIRM_TIMEOUT)
+        except TooManyWaitersError:
+            retry_after = CONFIRMED_READ_RETRY_SECONDS
+            if after == 0:
+                return False, retry_after
+        return self._state.version > after, retry_after
+
     def _wait_newer(self, after: int, seconds: float, *, must_confirm: bool) -> bool:
         if must_confirm:
             self._node.confirm_read(WATCH_CONFIRM_TIMEOUT)
--- a/packages/ctl/src/dogwoodspool_ctl/explain.py
+++ b/packages/ctl/src/dogwoodspool_ctl/explain.py
@@ -14,7 +14,8 @@
     "request_not_served": "code",
     "request_late": "kind",
     "caller_refused": None,
-    "no_database": None,
+    "database_refused": None,
+    "key_refused": None,
 }
 # Events that report a change of the system's state; they get rows of their own.
 STATE_EVENTS: Final = frozenset(
--- a/packages/failover/src/dogwoodspool_failover/service.py
+++ b/packages/failover/src/dogwoodspool_failover/service.py
@@ -68,8 +68,10 @@
         leadership = self._node.require_leadership()
         outcome = self._node.commit(ApplyDocument(revision, pack(document), author))
         view = self._state.version
+        is_in_force = outcome.version == revision
         log_event(
             "document_committed",
+            level="INFO" if is_in_force else "WARNING",
             revision=revision,
             in_force=outcome.version,
             index=outcome.index,
--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -3,10 +3,17 @@
 import threading
 from collections.abc import Iterable
 from concurrent.futures import Future, ThreadPoolExecutor
-
-from dogwoodspool_api import WatchResponse
-from dogwoodspool_common import Address, Clock, HttpError, JsonClient, log_rate_limited
-from dogwoodspool_common.const import NEVER
+from dataclasses import dataclass
+
+from dogwoodspool_common import (
+    Address,
+    Clock,
+    HttpError,
+    JsonClient,
+    log_event,
+    log_rate_limited,
+)
+from dogwoodspool_common.const import MILLISECONDS, NEVER
 from pydantic import ValidationError
 
 from .const import (
@@ -15,12 +22,26 @@
     CONFIRMATION_TIMEOUT,
     CONFIRMED_FOR_SECONDS,
     HEDGE_SECONDS,
+    MAX_CONFIRMATION_RETRY_SECONDS,
 )
 from .control_peers import ControlPeers
 from .poll import poll
 from .view import ViewStore
 
 
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """A read that a quorum confirmed.
+
+    Attributes:
+        began_at: clock time; everything that was acknowledged before is in force here.
+        address: the control process that answered.
+    """
+
+    began_at: float
+    address: Address
+
+
 class ViewConfirmation:
     """Confirm that the view in force is the newest one, on request.
 
@@ -30,7 +51,9 @@
     confirms, at another process if the first one does not answer soon.
 
     Concurrent requests share a confirmation, and it holds for a short time, so that
-    callers with unknown names cost control one request a second for each proxy.
+    callers with unknown names cost control one request a second for each proxy. After
+    failures the next attempt waits ever longer, so that neither the callers of a proxy
+    that is cut off nor an election are held up.
     """
 
     def __init__(
@@ -43,8 +66,23 @@
         self._executor = ThreadPoolExecutor(CONFIRMATION_THREADS, "view-confirmation")
         self._changed = threading.Condition()
         self._is_running = False
-        self._confirmed_at = NEVER
+        self._is_closed = False
+        self._last: Confirmation | None = None
         self._retry_at = NEVER
+        self._retry_seconds = CONFIRMATION_RETRY_SECONDS
+
+    @property
+    def confirmed_by(self) -> Address | None:
+        """The control process that confirmed the view last; None before the first."""
+        return None if self._last is None else self._last.address
+
+    @property
+    def age_ms(self) -> int | None:
+        """Milliseconds since the last confirmation; None before the first."""
+        last = self._last
+        if last is None:
+            return None
+        return round((self._clock.now() - last.began_at) * MILLISECONDS)
 
     def confirm(self) -> bool:
         """Return whether the view is the newest one; a newer one is put in force.
@@ -57,7 +95,7 @@
                 return True
             if self._is_running:
                 return self._wait_for_other()
-            if self._clock.now() < self._retry_at:
+            if self._is_closed or self._clock.now() < self._retry_at:
                 return False
             self._is_running = True
         try:
@@ -65,16 +103,28 @@
         finally:
             with self._changed:
                 self._is_running = False
-                if not self._is_recent():
-                    self._retry_at = self._clock.now() + CONFIRMATION_RETRY_SECONDS
+                self._schedule_retry()
                 self._changed.notify_all()
 
     def unload(self) -> None:
-        """Stop after the requests in progress."""
+        """Stop after the requests in progress; later calls of ``confirm`` fail."""
+        with self._changed:
+            self._is_closed = True
         self._executor.shutdown()
 
+    def _schedule_retry(self) -> None:
+        if self._is_recent():
+            self._retry_seconds = CONFIRMATION_RETRY_SECONDS
+            return
+        self._retry_at = self._clock.now() + self._retry_seconds
+        longer = 2 * self._retry_seconds
+        self._retry_seconds = min(longer, MAX_CONFIRMATION_RETRY_SECONDS)
+
     def _is_recent(self) -> bool:
-        return self._clock.now() < self._confirmed_at + CONFIRMED_FOR_SECONDS
+        return self._is_since(self._clock.now() - CONFIRMED_FOR_SECONDS)
+
+    def _is_since(self, since: float) -> bool:
+        return self._last is not None and self._last.began_at >= since
 
     def _wait_for_other(self) -> bool:
         deadline = self._clock.now() + CONFIRMATION_TIMEOUT
@@ -88,12 +138,14 @@
     def _run(self) -> bool:
         began_at = self._clock.now()
         deadline = began_at + CONFIRMATION_TIMEOUT
-        first = self._peers.any()
-        asked = self._ask_all([first], began_at)
+        preferred = self._peers.any()
+        # A process that is no member may belong to another system.
+        members = [one for one in self._peers.addresses if self._peers.is_member(one)]
+        members.sort(key=lambda one: one != preferred)
+        asked = self._ask_all(members[:1], began_at)
         if self._wait(asked, began_at, min(deadline, began_at + HEDGE_SECONDS)):
             return True
-        others = [one for one in self._peers.addresses if one != first]
-        asked += self._ask_all(others, began_at)
+        asked += self._ask_all(members[1:], began_at)
         return self._wait(asked, began_at, deadline)
 
     def _ask_all(
@@ -111,7 +163,7 @@
     ) -> bool:
         """Wait for a confirmation; return False once none can come in time."""
         with self._changed:
-            while self._confirmed_at < began_at:
+            while not self._is_since(began_at):
                 remaining = deadline - self._clock.now()
                 if remaining <= 0 or all(one.done() for one in asked):
                     return False
@@ -126,36 +178,53 @@
         """Ask one control process for a confirmed read of what is newer."""
         version = self._views.base_version
         try:
-            response = poll(
-                self._client,
-                address,
-                version,
-                0,
-                CONFIRMATION_TIMEOUT,
-                must_confirm=True,
-            )
+            is_confirmed = self._read(address, version)
         except (HttpError, ValidationError) as error:
             log_rate_limited(
                 "view_not_confirmed", address=address, view=version, reason=error
             )
             return
-        if not self._holds(response, address):
-            log_rate_limited(
+        except Exception as error:
+            # Nobody reads the result of this call.
+            log_event(
                 "view_not_confirmed",
+                level="ERROR",
                 address=address,
-                view=self._views.view.version,
-                reason="no free slot, another system, or not the base of the view",
+                view=version,
+                reason=repr(error),
             )
             return
+        if not is_confirmed:
+            return
         with self._changed:
-            self._confirmed_at = max(began_at, self._confirmed_at)
+            if not self._is_since(began_at):
+                self._last = Confirmation(began_at, address)
             self._changed.notify_all()
 
-    def _holds(self, response: WatchResponse, address: Address) -> bool:
-        """Put a newer view in force; return whether all that was read is in force."""
+    def _read(self, address: Address, version: int) -> bool:
+        """Make a confirmed read; return whether all that was read is in force."""
+        response = poll(
+            self._client, address, version, 0, CONFIRMATION_TIMEOUT, must_confirm=True
+        )
+        if response.view is not None:
+            self._views.adopt(response.view, address)
         if response.retry_after_ms:
+            log_rate_limited(
+                "view_not_confirmed",
+                address=address,
+                view=version,
+                reason="no free slot",
+            )
             return False
         if response.view is None:
-            return self._peers.is_member(address)
-        self._views.adopt(response.view, address)
-        return self._views.view.version >= response.view.version
+            return True
+        in_force = self._views.view.version
+        if in_force < response.view.version:
+            log_rate_limited(
+                "view_not_confirmed",
+                address=address,
+                view=in_force,
+                reason=f"no base for version {response.view.version}",
+            )
+            return False
+        return True
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -24,13 +24,14 @@
 # Time for which a confirmation holds: a part of the few seconds in which a change has
 # to be in force.
 CONFIRMED_FOR_SECONDS: Final = 1.0
-# Least time from a failed confirmation to the next attempt.
+# Time from a failed confirmation to the next attempt; it doubles with each failure.
 CONFIRMATION_RETRY_SECONDS: Final = 0.2
+MAX_CONFIRMATION_RETRY_SECONDS: Final = 2.0
 CONFIRMATION_THREADS: Final = 8
-# Age from which a view is confirmed beside the watch. A poll that waits confirms it
-# about once a second.
-VIEW_OUTDATED_SECONDS: Final = 1.5
-VIEW_CHECK_SECONDS: Final = 0.25
+# Interval between confirmations beside the watch: with the timeout of one it is less
+# than the few seconds in which a change has to be in force.
+VIEW_CHECK_SECONDS: Final = 2.0
+MAX_VIEW_CHECK_SECONDS: Final = 30.0
 # Maximum time by which an idle transaction exceeds its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
 # Successful polls of another control process before the preferred one is tried again.
--- a/packages/following/src/dogwoodspool_following/view_check.py
+++ b/packages/following/src/dogwoodspool_following/view_check.py
@@ -1,20 +1,22 @@
-"""A second way to newer views, for when the watch is held up."""
+"""A second way to newer views, beside the watch."""
 
-from dogwoodspool_common import Clock, log_rate_limited
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common import Clock, log_event
 
 from .confirmation import ViewConfirmation
-from .const import VIEW_CHECK_SECONDS, VIEW_OUTDATED_SECONDS
+from .const import MAX_VIEW_CHECK_SECONDS, VIEW_CHECK_SECONDS
 from .coordinator import Coordinator
 from .view import ViewStore
 
 
 class ViewCheck(Coordinator):
-    """Ask for newer views while the watch has confirmed none for too long.
+    """Confirm the view every few seconds, whatever the watch has been told.
 
-    The watch asks one control process at a time, and calls what depends on a view in
-    its own thread: a request or a call that takes long would leave this process with
-    an old view although control can be reached.
+    The watch believes a control process that claims to be up to date, and it may be
+    held up by a request or by what depends on a view. Either would leave this process
+    with an old view although control can be reached.
+
+    While no process confirms the view, checks become rarer: with many proxies they
+    would take the place of polls.
     """
 
     def __init__(
@@ -23,18 +25,27 @@
         super().__init__("view-check", clock)
         self._views = views
         self._confirmation = confirmation
+        self._interval = VIEW_CHECK_SECONDS
 
     def step(self) -> float:
-        """Confirm the view if the watch has not done so for too long."""
-        age_ms = self._views.age_ms
-        if age_ms is not None and age_ms > VIEW_OUTDATED_SECONDS * MILLISECONDS:
-            is_newest = self._confirmation.confirm()
-            log_rate_limited(
-                "view_outdated",
-                level="WARNING",
-                age_ms=age_ms,
-                confirmed_by=self._views.confirmed_by,
-                view=self._views.view.version,
-                is_newest=is_newest,
+        """Confirm the view once."""
+        if not self._views.is_filled:
+            return VIEW_CHECK_SECONDS
+        before, age_ms = self._views.view.version, self._views.age_ms
+        confirmed_by = self._views.confirmed_by
+        is_newest = self._confirmation.confirm()
+        if not is_newest:
+            self._interval = min(2 * self._interval, MAX_VIEW_CHECK_SECONDS)
+            return self._interval
+        self._interval = VIEW_CHECK_SECONDS
+        view = self._views.view
+        if view.version > before and view.sender == self._confirmation.confirmed_by:
+            log_event(
+                "newer_view_found",
+                version=view.version,
+                before=before,
+                sender=view.sender,
+                watch_age_ms=age_ms,
+                watch_confirmed_by=confirmed_by,
             )
-        return VIEW_CHECK_SECONDS
+        return self._interval
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -64,7 +64,7 @@
             return self._step(address)
         except Exception:
             # The same process would be asked for good.
-            self._peers.record_failure(address)
+            self._peers.record_behind(address)
             raise
 
     def _step(self, address: Address) -> float:
@@ -99,7 +99,7 @@
                 self._peers.adopt(response.members)
         self._peers.record_success(address)
         if response.view is not None:
-            return 0.0
+            return 0.0 if has_newer else RETRY_PAUSE_SECONDS
         if response.retry_after_ms:
             return response.retry_after_ms / MILLISECONDS
         if self._views.view.version < self._views.announced_version:
--- a/packages/pooler/src/dogwoodspool_pooler/databases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -3,16 +3,26 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from dogwoodspool_common import Endpoint, log_rate_limited
+from dogwoodspool_common import Address, Endpoint, log_rate_limited
 from dogwoodspool_following import ProxyView, ViewStore
 
 from .errors import NoDatabaseError, NotReadyError, UnknownKeyError
 from .identity import Caller, identify
 
 
-class NewestView(Protocol):
+class Confirmer(Protocol):
     """Confirms that the view in force is the newest one."""
 
+    @property
+    def confirmed_by(self) -> Address | None:
+        """The control process that confirmed the view last."""
+        ...
+
+    @property
+    def age_ms(self) -> int | None:
+        """Milliseconds since the last confirmation."""
+        ...
+
     def confirm(self) -> bool:
         """Return whether it is; a newer view is put in force."""
         ...
@@ -35,9 +45,9 @@
     another proxy.
     """
 
-    def __init__(self, views: ViewStore, newest: NewestView) -> None:
+    def __init__(self, views: ViewStore, confirmer: Confirmer) -> None:
         self._views = views
-        self._newest = newest
+        self._confirmer = confirmer
 
     def endpoint(self, database: str) -> Endpoint | None:
         """Return the endpoint of a database; None if the view in force lacks it."""
@@ -62,7 +72,7 @@
         try:
             return _find(self._views.view, database, key_digest)
         except (NoDatabaseError, UnknownKeyError):
-            is_newest = self._newest.confirm()
+            is_newest = self._confirmer.confirm()
         view = self._views.view
         try:
             return _find(view, database, key_digest)
@@ -83,7 +93,8 @@
         is_denied: bool,
     ) -> None:
         log_rate_limited(
-            "no_database" if isinstance(error, NoDatabaseError) else "unknown_key",
+            "database_refused" if isinstance(error, NoDatabaseError) else "key_refused",
+            level="WARNING",
             request=request_id,
             database=database,
             reason=error,
@@ -92,7 +103,9 @@
             revision=view.revision,
             sender=view.sender,
             view_age_ms=self._views.age_ms,
-            confirmed_by=self._views.confirmed_by,
+            view_from=self._views.confirmed_by,
+            confirmed_ago_ms=self._confirmer.age_ms,
+            confirmed_by=self._confirmer.confirmed_by,
         )
 
 
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -6,7 +6,7 @@
 from dogwoodspool_following import OpenSessions, ViewStore
 
 from .const import FIRST_VIEW_DUE_SECONDS, FIRST_VIEW_WAIT_SECONDS
-from .databases import Databases, NewestView
+from .databases import Confirmer, Databases
 from .errors import NotReadyError
 from .operations import OperationCounter
 from .session import PooledSession
@@ -20,7 +20,7 @@
     def __init__(
         self,
         views: ViewStore,
-        newest: NewestView,
+        confirmer: Confirmer,
         statements: Statements,
         transactions: TransactionPath,
         limiter: OperationLimiter,
@@ -29,7 +29,7 @@
     ) -> None:
         super().__init__(clock)
         self._views = views
-        self._databases = Databases(views, newest)
+        self._databases = Databases(views, confirmer)
         self._statements = statements
         self._transactions = transactions
         self._operations = OperationCounter(limiter, counters, clock)
--- a/packages/sharing/src/dogwoodspool_sharing/presence.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence.py
@@ -56,7 +56,7 @@
             return self._step(address)
         except Exception:
             # The same process would be asked for good.
-            self._peers.record_failure(address)
+            self._peers.record_behind(address)
             raise
 
     def _step(self, address: Address) -> float:
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -358,6 +358,9 @@
 class ConfirmedView:
     """A view that control always confirms as the newest one."""
 
+    confirmed_by = None
+    age_ms = 0
+
     def confirm(self) -> bool:
         return True
 
