--- a/tests/platform/served_views/control_group.py
+++ b/tests/platform/served_views/control_group.py
@@ -23,7 +23,7 @@
 )
 from dogwoodspool_common.const import FIRST_ERROR_STATUS
 from dogwoodspool_consensus import Leadership
-from dogwoodspool_control.commands import ApplyDocument, Command, encode_command
+from dogwoodspool_control.commands import Command, encode_command
 from dogwoodspool_control.http.support import WaitSlots
 from dogwoodspool_control.http.watch import WatchApi
 from dogwoodspool_control.node import ControlNode
@@ -56,9 +56,8 @@
         entry = json.loads(json.dumps(encode_command(command)))
         with self._lock:
             allowed = self._allowed[-1]
-            is_document = isinstance(command, ApplyDocument) and body is not None
-            if is_document and command.revision > self._revision:
-                self._revision = command.revision
+            if body is not None and body["version"] > self._revision:
+                self._revision = body["version"]
                 allowed = served_hosts(body)
             self._allowed.append(allowed)
             self._entries.append((time.monotonic(), entry))
