--- a/tests/platform/served_views/test_lost_control.py
+++ b/tests/platform/served_views/test_lost_control.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Final, cast
@@ -48,6 +49,7 @@
 ROUND_TRIP: Final = 0.002
 OLD_LEADER_SECONDS: Final = 0.4
 CHANGE_SECONDS: Final = 0.33
+SUSPECT_SECONDS: Final = 0.02
 
 
 class Loss(StrEnum):
@@ -92,6 +94,7 @@
         self._leader: Member | None = None
         self._leader_lost_at = 0.0
         self.events: list[tuple[float, str]] = []
+        self.calls: Counter[str] = Counter()
         self.log = CommittedLog()
         self.announcements = Announcements()
         self.initial = tuple(Address(host, PORT) for host in FIRST_HOSTS)
@@ -116,6 +119,7 @@
         self, address: Address, path: str, query: dict[str, str], timeout: float
     ) -> dict[str, Any]:
         """Answer a poll of a proxy; as ``JsonClient.get``."""
+        self.calls[path] += 1
         member = self._reach(address, timeout)
         return member.process.answer(path, query)
 
@@ -123,6 +127,7 @@
         self, address: Address, path: str, body: dict[str, Any], timeout: float = 1.0
     ) -> dict[str, Any]:
         """Answer a report or heartbeat of a proxy; as ``JsonClient.post``."""
+        self.calls[path] += 1
         member = self._reach(address, timeout)
         leader = self._leader
         if path == PATH_REPORTS:
@@ -269,6 +274,10 @@
     def unload(self) -> None:
         self._runtime.unload()
 
+    def suspect(self, server: str) -> None:
+        """Have the proxy probe a server and call the control leader."""
+        self._runtime._suspect(server)
+
     def _check(self, view: ProxyView) -> None:
         served = {host: one.group for host, one in view.databases.items()}
         if served != self._control.log.allowed_at(view.version):
@@ -296,10 +305,13 @@
             proxy.set_up()
         operator = threading.Thread(target=self._operate, daemon=True)
         operator.start()
+        users = threading.Thread(target=self._suspect_servers, daemon=True)
+        users.start()
         self.control.replace_all(self._over)
         self._over.wait(2 * CALM_SECONDS)
         self._over.set()
         operator.join()
+        users.join()
         for proxy in self.proxies:
             proxy.unload()
             self.problems += [f"{proxy.name}: view {one}" for one in proxy.differing]
@@ -334,6 +346,14 @@
         for waiter in waiting:
             waiter.join()
 
+    def _suspect_servers(self) -> None:
+        """Have callers' requests fail, so that proxies call the leader as well."""
+        rng = random.Random(self._seed)
+        while not self._over.wait(SUSPECT_SECONDS):
+            servers = sorted(self.proxies[0].views.view.servers)
+            if servers:
+                rng.choice(self.proxies).suspect(rng.choice(servers))
+
     def _record_server(self, rng: random.Random) -> None:
         service = rng.choice(SERVICES)
         server = BackendServer(
@@ -380,6 +400,7 @@
                     seed=seed,
                     acknowledged=day.acknowledged,
                     slowest_s=round(day.slowest, 2),
+                    calls=dict(day.control.calls),
                     late=day.late,
                     events=[text for _, text in day.control.events],
                 )
--- a/tests/platform/served_views/test_view_listeners.py
+++ b/tests/platform/served_views/test_view_listeners.py
@@ -233,3 +233,42 @@
             runtime.set_up()
         self.addCleanup(runtime.unload)
         self.assertIn(GROUP, runtime._shared.directory._limits)
+
+
+class OtherProgramTests(unittest.TestCase):
+    """Another program answers at the address of a lost control process."""
+
+    def test_an_answer_that_is_no_object_does_not_hold_the_proxy(self) -> None:
+        """Guard against a proxy that asks the same address for good."""
+        other = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(other.close)
+        threading.Thread(target=self._answer, args=(other,), daemon=True).start()
+        lost = Address("127.0.0.1", other.getsockname()[1])
+        client, current = JsonClient(None), Views([view(1)])
+
+        def get(address: Address, *arguments: Any) -> dict[str, Any]:
+            if address == lost:
+                return client.get(address, *arguments)
+            return current.get(address, *arguments)
+
+        views = ViewStore("a", SystemClock())
+        watch = WatchCoordinator(
+            views,
+            ControlPeers((lost, CONTROL)),
+            cast(JsonClient, mock.Mock(get=get)),
+            SystemClock(),
+        )
+        watch.set_up()
+        self.addCleanup(watch.unload)
+        self.assertTrue(views.wait_newer(0, TIMEOUT_SECONDS))
+
+    def _answer(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            with connection:
+                connection.recv(65_536)
+                head = b"HTTP/1.1 404 Not Found\r\nConnection: close\r\n"
+                connection.sendall(head + b"Content-Length: 3\r\n\r\n404")
