Served views: planted faults of differences are found without digests, and replaced with them

The two planted faults that the check of served views must find (differences that leave removed routes out, a restored process that keeps its changes from before) are no faults of a proxy any longer: it sees by the digest that the merge gives other routes and reads the whole state. Both are planted with the digests switched off now, where they are found as before, and a third test asserts that with digests no proxy ever serves the wrong routes.

--- a/tests/platform/served_views/test_followers.py
+++ b/tests/platform/served_views/test_followers.py
@@ -5,6 +5,7 @@
 import threading
 import time
 import unittest
+from contextlib import AbstractContextManager
 from typing import Any, Final, cast
 from unittest import mock
 
@@ -231,24 +232,45 @@
 
     def test_a_difference_that_omits_removed_routes_is_found(self) -> None:
         """Guard against a check that could not fail."""
-        build = ViewLog.view_since
-
-        def without_removed(log: ViewLog, base: int, version: int) -> ControlView:
-            view = build(log, base, version)
-            removed = view.removed.model_copy(update={"endpoints": []})
-            return view.model_copy(update={"removed": removed})
-
-        with mock.patch.object(ViewLog, "view_since", without_removed):
+        with planted_omission(), without_digests():
             self.assertNotEqual(Day(FIRST_SEED).play(), [])
 
     def test_a_restored_process_that_keeps_its_old_changes_is_found(self) -> None:
         """Guard against a check that could not fail."""
-        reset = ViewLog.reset
+        with planted_old_changes(), without_digests():
+            self.assertNotEqual(Day(FIRST_SEED).play(), [])
 
-        def keep_changes(log: ViewLog, version: int, items: ViewItems) -> None:
-            changes, oldest = log._changes.copy(), log._oldest_base
-            reset(log, version, items)
-            log._changes, log._oldest_base = changes, oldest
+    def test_wrong_differences_are_replaced_by_the_whole_state(self) -> None:
+        """Guard against differences in force that give other routes than control has."""
+        for planted in (planted_omission, planted_old_changes):
+            with self.subTest(planted=planted.__name__), planted():
+                self.assertEqual(Day(FIRST_SEED).play(), [])
 
-        with mock.patch.object(ViewLog, "reset", keep_changes):
-            self.assertNotEqual(Day(FIRST_SEED).play(), [])
+
+def planted_omission() -> AbstractContextManager[object]:
+    """Have control processes leave removed routes out of differences."""
+    build = ViewLog.view_since
+
+    def without_removed(log: ViewLog, base: int, version: int) -> ControlView:
+        view = build(log, base, version)
+        removed = view.removed.model_copy(update={"endpoints": []})
+        return view.model_copy(update={"removed": removed})
+
+    return mock.patch.object(ViewLog, "view_since", without_removed)
+
+
+def planted_old_changes() -> AbstractContextManager[object]:
+    """Have restored control processes keep the changes from before."""
+    reset = ViewLog.reset
+
+    def keep_changes(log: ViewLog, version: int, items: ViewItems) -> None:
+        changes, oldest = log._changes.copy(), log._oldest_base
+        reset(log, version, items)
+        log._changes, log._oldest_base = changes, oldest
+
+    return mock.patch.object(ViewLog, "reset", keep_changes)
+
+
+def without_digests() -> AbstractContextManager[object]:
+    """Have control processes send no digests of the routes."""
+    return mock.patch.object(ViewLog, "_digest", lambda _log: "")
