Tests: first views of proxies that start with control; a view without a document

test_database_is_not_denied_before_the_first_document fails: ViewStore.is_filled asks for a version above 0, so a proxy whose first view has no document yet answers NODB for every database.

--- a/tests/consensus/fakes.py
+++ b/tests/consensus/fakes.py
@@ -196,7 +196,7 @@
         clock = self.clocks.setdefault(name, SteppingClock(self._rates.get(name, 1.0)))
         clock.on_wait = self.settle
         clock.pass_time = self.advance
-        self.machines[name] = RecordingMachine(self._check_applied)
+        self.machines[name] = self.build_machine()
         self.nodes[name] = ConsensusNode(
             node_id=name,
             address=self.addresses[name],
@@ -212,6 +212,10 @@
         )
         self.nodes[name].load()
 
+    def build_machine(self) -> RecordingMachine:
+        """Return the state machine of a starting node."""
+        return RecordingMachine(self._check_applied)
+
     def open_storage(self, name: str) -> LogStorage:
         """Return the storage that a starting node reads."""
         return self.storages.setdefault(name, MemoryLogStorage(name))
--- a/tests/failover/core_histories.py
+++ b/tests/failover/core_histories.py
@@ -41,10 +41,12 @@
     At most one disk is lost at a time; processes, power and links of any machines.
     """
 
+    cluster_type: type[DiskCluster] = DiskCluster
+
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.disks = SimulatedDisks(seed)
-        self.cluster = DiskCluster(self.disks, VOTERS)
+        self.cluster = self.cluster_type(self.disks, VOTERS)
         self.events: list[str] = []
         self.acknowledged: set[str] = set()
         self.machines = [f"n{index}" for index in range(MACHINES)]
--- a/tests/pooler/test_sessions.py
+++ b/tests/pooler/test_sessions.py
@@ -23,6 +23,12 @@
 )
 
 
+# Control's state after backend servers have registered and before the first document.
+VIEW_WITHOUT_DOCUMENT = ControlView(
+    version=4, groups=[], servers=[], proxies=[], settings=[]
+)
+
+
 class FirstViewTests(unittest.TestCase):
     """A proxy accepts callers some hundred milliseconds before its first view.
 
@@ -71,3 +77,10 @@
         self.clock.advance(FIRST_VIEW_DUE_SECONDS)
         with self.assertRaises(NotReadyError):
             self.sessions.open("db")
+
+    def test_database_is_not_denied_before_the_first_document(self) -> None:
+        """Guard against NODB where it is not known yet which databases exist."""
+        self.views.adopt(VIEW_WITHOUT_DOCUMENT)
+        self.clock.advance(FIRST_VIEW_DUE_SECONDS)
+        with self.assertRaises(NotReadyError):
+            self.sessions.open("db")
