--- a/tests/failover/following_histories.py
+++ b/tests/failover/following_histories.py
@@ -143,7 +143,7 @@
             ]
             newest = max(revisions, default=0)
             assert newest >= known, (
-                f"{self.name}: first view from {name} has {newest}, acknowledged {known}"
+                f"{self.name}: first view of {name} has {newest}, not {known}"
             )
         return dict(response.body)
 
--- a/tests/failover/test_first_views.py
+++ b/tests/failover/test_first_views.py
@@ -32,3 +32,39 @@
     def test_first_view_after_all_voters_were_replaced(self) -> None:
         """Guard against a first view from before the loss of the last leader's disk."""
         self.play(range(5), "play_replaced")
+
+
+class UncommittedTailTests(unittest.TestCase):
+    """A leader that is cut off appends documents, and its process starts again."""
+
+    def test_no_proxy_is_ahead_of_the_group(self) -> None:
+        """Guard against a proxy that ignores newer views until the group catches up."""
+        for seed in range(6):
+            history = FollowingHistory(seed)
+            with self.subTest(seed=seed), contextlib.closing(history.disks):
+                self.check_proxies(history)
+
+    def check_proxies(self, history: FollowingHistory) -> None:
+        history.run(2.0)
+        history.propose()
+        history.run(0.5)
+        cluster = history.cluster
+        leader = cluster.leader()
+        cluster.cut_off(leader)
+        known = history.newest_acknowledged
+        for _ in range(3):
+            history.propose()
+            history.run(0.05)
+        self.assertEqual(history.newest_acknowledged, known)
+        cluster.crash(leader)
+        cluster.start(leader)
+        history.run(1.0)
+        for proxy in history.proxies:
+            self.assertLessEqual(proxy.revision, known)
+        history.heal()
+        history.run(1.5)
+        history.propose()
+        history.run(BOUND)
+        self.assertGreater(history.newest_acknowledged, known)
+        for proxy in history.proxies:
+            self.assertEqual(proxy.revision, history.newest_acknowledged)
