Tests: polls that control processes answer after more than 0.4 s

test_change_beside_lost_members fails: a search allows 0.4 s for an answer. Where each process needs a little longer, the search fails at each voter, and the one poll with a wait between two searches may fall on the same lost member each time: polls and addresses have the same period. The proxy stays behind for as long as that lasts, and for ever once all members that it knows were replaced.

--- a/tests/following/control_processes.py
+++ b/tests/following/control_processes.py
@@ -78,6 +78,7 @@
         changed_at: time at which version 2 replaces version 1.
         members: the members in the answers of processes that are up to date.
         polls: address, start and end of each poll.
+        answer_seconds: additional time that each answer takes.
     """
 
     clock: ManualClock
@@ -85,6 +86,7 @@
     members: list[Address]
     changed_at: float = float("inf")
     polls: list[tuple[Address, float, float]] = field(default_factory=list)
+    answer_seconds: float = 0.0
 
     def kind_at(self, address: Address, now: float) -> Kind:
         """Return how a process answers at a time."""
@@ -133,7 +135,10 @@
             self._fail(timeout)
         if process.until <= ends and process.later is Kind.REFUSED:
             self._fail(process.until - now + ROUND_TRIP)
-        self.clock.advance(ends - now + ROUND_TRIP)
+        taken = ends - now + ROUND_TRIP + self.answer_seconds
+        if taken > timeout:
+            self._fail(timeout)
+        self.clock.advance(taken)
         kind = self.kind_at(address, ends)
         version = self._version(kind, ends)
         is_full = kind is Kind.FULL and version <= after
--- a/tests/following/replacement_days.py
+++ b/tests/following/replacement_days.py
@@ -3,7 +3,8 @@
 The proxies of one day poll emulated control processes with given addresses; polls and
 calls of the leader share the contacts, as they do in a process, and take the time that
 they would take. Run by hand:
-``python -m tests.following.replacement_days FIRST LAST``.
+``python -m tests.following.replacement_days FIRST LAST [ANSWER [LATE]]``, where each
+poll takes ANSWER seconds more, and a share of LATE answers comes too late.
 """
 
 import heapq
@@ -29,6 +30,8 @@
 ROUND_TRIP: Final = 0.003
 CONNECTION_LOSS_SECONDS: Final = 4.0
 STABLE_SECONDS: Final = 4.0
+# Longer than any poll may take.
+TOO_LATE_SECONDS: Final = 2.0
 REMOVAL_SECONDS: Final = 120.0
 CHANGE_SECONDS: Final = 0.33
 REPORT_TIMEOUT: Final = 0.5
@@ -127,6 +130,8 @@
     events: list[float] = field(default_factory=list)
     acknowledged: list[float] = field(default_factory=list)
     end: float = 60.0
+    answer: float = 0.0
+    late: float = 0.0
 
     def has_leader(self, now: float) -> bool:
         return not any(start <= now < end for start, end in self.gaps)
@@ -321,7 +326,13 @@
                 raise PeerUnreachableError("reset")
             clock.sleep(timeout)
             raise PeerUnreachableError("no answer")
-        clock.sleep(ends - started + ROUND_TRIP)
+        is_late = self._rng.random() < day.late
+        taken = ends - started + ROUND_TRIP
+        taken += TOO_LATE_SECONDS if is_late else day.answer
+        if taken > timeout:
+            clock.sleep(timeout)
+            raise PeerUnreachableError("timed out")
+        clock.sleep(taken)
         now = clock.now()
         is_current = now >= process.joins and not any(
             start + 0.8 <= now < end for start, end in day.gaps
@@ -342,10 +353,19 @@
     return ControlView(version=version, groups=[], servers=[], proxies=[], settings=[])
 
 
-def play(seed: int) -> list[tuple[float, float, int, str]]:
-    """Play one day; return how late each change was at each proxy."""
+def play(
+    seed: int, answer: float = 0.0, late: float = 0.0
+) -> list[tuple[float, float, int, str]]:
+    """Play one day; return how late each change was at each proxy.
+
+    Args:
+        seed: seed of the day.
+        answer: seconds that each answer takes more.
+        late: share of the answers that come too late.
+    """
     rng = random.Random(seed)
     day, clock = day_of(rng), Baton()
+    day.answer, day.late = answer, late
     proxies = [
         Proxy(day, clock, f"edge-southeast-{zone}-{n}", f"southeast-{zone}", rng)
         for zone, count in PROXIES
@@ -359,7 +379,8 @@
     """Play the days with the seeds of a range."""
     logger.remove()
     seeds = range(int(sys.argv[1]), int(sys.argv[2]))
-    late = [(*one, seed) for seed in seeds for one in latest(play(seed))]
+    slow = [float(one) for one in sys.argv[3:5]]
+    late = [(*one, seed) for seed in seeds for one in latest(play(seed, *slow))]
     print(
         "latest after the acknowledgement:", *sorted(late, reverse=True)[:5], sep="\n  "
     )
