Slow control processes count as live for the view check; its members are adopted

The view check gives each process 1.5 s, asks all members at once where the first one is not quick, and adopts the members that a confirmed read names; a caller still waits 0.5 s. It comes every 1.5 s.

--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -17,6 +17,7 @@
 from pydantic import ValidationError
 
 from .const import (
+    CONFIRMATION_READ_TIMEOUT,
     CONFIRMATION_RETRY_SECONDS,
     CONFIRMATION_THREADS,
     CONFIRMATION_TIMEOUT,
@@ -84,22 +85,24 @@
             return None
         return round((self._clock.now() - last.began_at) * MILLISECONDS)
 
-    def confirm(self) -> bool:
+    def confirm(self, timeout: float = CONFIRMATION_TIMEOUT) -> bool:
         """Return whether the view is the newest one; a newer one is put in force.
 
-        It waits for at most ``CONFIRMATION_TIMEOUT`` seconds. Right after a failure it
-        returns False at once.
+        Right after a failure it returns False at once.
+
+        Args:
+            timeout: seconds to wait. An answer that comes later counts for later calls.
         """
         with self._changed:
             if self._is_recent():
                 return True
             if self._is_running:
-                return self._wait_for_other()
+                return self._wait_for_other(timeout)
             if self._is_closed or self._clock.now() < self._retry_at:
                 return False
             self._is_running = True
         try:
-            return self._run()
+            return self._run(timeout)
         finally:
             with self._changed:
                 self._is_running = False
@@ -126,8 +129,8 @@
     def _is_since(self, since: float) -> bool:
         return self._last is not None and self._last.began_at >= since
 
-    def _wait_for_other(self) -> bool:
-        deadline = self._clock.now() + CONFIRMATION_TIMEOUT
+    def _wait_for_other(self, timeout: float) -> bool:
+        deadline = self._clock.now() + timeout
         while self._is_running and not self._is_recent():
             remaining = deadline - self._clock.now()
             if remaining <= 0:
@@ -135,9 +138,9 @@
             self._clock.wait(self._changed, remaining)
         return self._is_recent()
 
-    def _run(self) -> bool:
+    def _run(self, timeout: float) -> bool:
         began_at = self._clock.now()
-        deadline = began_at + CONFIRMATION_TIMEOUT
+        deadline = began_at + timeout
         preferred = self._peers.any()
         # A process that is no member may belong to another system.
         members = [one for one in self._peers.addresses if self._peers.is_member(one)]
@@ -204,7 +207,12 @@
     def _read(self, address: Address, version: int) -> bool:
         """Make a confirmed read; return whether all that was read is in force."""
         response = poll(
-            self._client, address, version, 0, CONFIRMATION_TIMEOUT, must_confirm=True
+            self._client,
+            address,
+            version,
+            0,
+            CONFIRMATION_READ_TIMEOUT,
+            must_confirm=True,
         )
         if response.view is not None:
             self._views.adopt(response.view, address)
@@ -216,6 +224,9 @@
                 reason="no free slot",
             )
             return False
+        if response.members:
+            # The watch may know only members that have been lost since.
+            self._peers.adopt(response.members)
         if response.view is None:
             return True
         in_force = self._views.view.version
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -27,10 +27,13 @@
 # Time from a failed confirmation to the next attempt; it doubles with each failure.
 CONFIRMATION_RETRY_SECONDS: Final = 0.2
 MAX_CONFIRMATION_RETRY_SECONDS: Final = 2.0
-CONFIRMATION_THREADS: Final = 8
-# Interval between confirmations beside the watch: with the timeout of one it is less
-# than the few seconds in which a change has to be in force.
-VIEW_CHECK_SECONDS: Final = 2.0
+CONFIRMATION_THREADS: Final = 16
+# Time limit for one control process, for which no caller waits: as long as that of a
+# poll, so that a control group that answers slowly still gives newer views.
+CONFIRMATION_READ_TIMEOUT: Final = 1.5
+# Interval between confirmations beside the watch: with the time that one takes it is
+# less than the few seconds in which a change has to be in force.
+VIEW_CHECK_SECONDS: Final = 1.5
 MAX_VIEW_CHECK_SECONDS: Final = 30.0
 # Maximum time by which an idle transaction exceeds its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
--- a/packages/following/src/dogwoodspool_following/view_check.py
+++ b/packages/following/src/dogwoodspool_following/view_check.py
@@ -3,7 +3,11 @@
 from dogwoodspool_common import Clock, log_event
 
 from .confirmation import ViewConfirmation
-from .const import MAX_VIEW_CHECK_SECONDS, VIEW_CHECK_SECONDS
+from .const import (
+    CONFIRMATION_READ_TIMEOUT,
+    MAX_VIEW_CHECK_SECONDS,
+    VIEW_CHECK_SECONDS,
+)
 from .coordinator import Coordinator
 from .view import ViewStore
 
@@ -33,7 +37,7 @@
             return VIEW_CHECK_SECONDS
         before, age_ms = self._views.view.version, self._views.age_ms
         confirmed_by = self._views.confirmed_by
-        is_newest = self._confirmation.confirm()
+        is_newest = self._confirmation.confirm(CONFIRMATION_READ_TIMEOUT)
         if not is_newest:
             self._interval = min(2 * self._interval, MAX_VIEW_CHECK_SECONDS)
             return self._interval
--- a/tests/following/test_confirmation.py
+++ b/tests/following/test_confirmation.py
@@ -1,6 +1,7 @@
 """Tests of the confirmation that a view is the newest one."""
 
 import threading
+import time
 import unittest
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -25,6 +26,7 @@
 from dogwoodspool_following import ControlPeers, ViewCheck, ViewConfirmation, ViewStore
 from dogwoodspool_following.const import (
     CONFIRMATION_RETRY_SECONDS,
+    CONFIRMATION_TIMEOUT,
     CONFIRMED_FOR_SECONDS,
     MAX_CONFIRMATION_RETRY_SECONDS,
     MAX_VIEW_CHECK_SECONDS,
@@ -235,6 +237,22 @@
         self.check.step()
         self.assertEqual(2, self.views.view.version)
 
+    def test_slow_answers_of_live_processes_count(self) -> None:
+        """Guard against a proxy that takes each slow control process for a lost one."""
+        live = ADDRESSES[1:]
+        members = [
+            MemberMessage(address=str(one), failure_domain="zone-a") for one in live
+        ]
+
+        def slow() -> WatchResponse:
+            time.sleep(CONFIRMATION_TIMEOUT + 0.1)
+            return WatchResponse(view=view_of(2), leader=None, members=members)
+
+        self.answer(unreachable, slow, slow)
+        self.check.step()
+        self.assertEqual(2, self.views.view.version)
+        self.assertEqual(set(live), set(self.peers.addresses))
+
     def test_checks_become_rarer_while_none_succeeds(self) -> None:
         """Guard against many proxies whose checks take the place of polls."""
         self.answer(no_slot, no_slot, no_slot)
