--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -101,12 +101,14 @@
             if self._is_closed or self._clock.now() < self._retry_at:
                 return False
             self._is_running = True
+        is_confirmed = False
         try:
-            return self._run(timeout)
+            is_confirmed = self._run(timeout)
+            return is_confirmed
         finally:
             with self._changed:
                 self._is_running = False
-                self._schedule_retry()
+                self._schedule_retry(is_confirmed=is_confirmed)
                 self._changed.notify_all()
 
     def unload(self) -> None:
@@ -115,8 +117,8 @@
             self._is_closed = True
         self._executor.shutdown()
 
-    def _schedule_retry(self) -> None:
-        if self._is_recent():
+    def _schedule_retry(self, *, is_confirmed: bool) -> None:
+        if is_confirmed:
             self._retry_seconds = CONFIRMATION_RETRY_SECONDS
             return
         self._retry_at = self._clock.now() + self._retry_seconds
@@ -154,9 +156,13 @@
     def _ask_all(
         self, addresses: Iterable[Address], began_at: float
     ) -> list[Future[None]]:
-        asked = [
-            self._executor.submit(self._ask, address, began_at) for address in addresses
-        ]
+        with self._changed:
+            if self._is_closed:
+                return []
+            asked = [
+                self._executor.submit(self._ask, address, began_at)
+                for address in addresses
+            ]
         for one in asked:
             one.add_done_callback(self._wake)
         return asked
