--- /dev/null
+++ b/tests/platform/replaced_control/plan.py
@@ -0,0 +1,42 @@
+"""What varies between days."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from .const import WAYS, ZONES
+
+# How the operator changes the configuration.
+CHANGES: Final = ("steady", "bursts", "pairs", "many", "mixed")
+# How proxies are restarted while control processes are replaced.
+RESTARTS: Final = ("none", "killed", "stopped", "mixed")
+# Seeds of a process that starts: control processes that the operator knows at that
+# time, or the first ones always.
+SEEDS: Final = ("known", "first")
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One kind of day.
+
+    Attributes:
+        edges: number of proxies.
+        edge_zones: failure domains of the proxies, in turn.
+        ways: what lost machines' addresses do with connections, chosen by chance.
+        gap_seconds: time between the losses of two control processes.
+        calm_seconds: time without a loss before all lose power.
+        changes: one of ``CHANGES``.
+        restarts: one of ``RESTARTS``.
+        seeds: one of ``SEEDS``.
+        kept_sessions: sessions that are kept open at each proxy.
+    """
+
+    edges: int = 3
+    edge_zones: Sequence[str] = ZONES
+    ways: Sequence[str] = WAYS
+    gap_seconds: float = 3.0
+    calm_seconds: float = 0.0
+    changes: str = "mixed"
+    restarts: str = "mixed"
+    seeds: str = "known"
+    kept_sessions: int = 4
--- a/tests/platform/replaced_control/silence.py
+++ b/tests/platform/replaced_control/silence.py
@@ -1,6 +1,8 @@
 """Addresses of machines that have lost their power for good."""
 
 import socket
+import struct
+import threading
 
 from .const import FULL_SECONDS, MAX_BACKLOG
 
@@ -63,3 +65,28 @@
         """Close the connections."""
         for one in self._sockets:
             one.close()
+
+
+class ResettingHost:
+    """Ports of a machine without power, whose address resets each connection."""
+
+    def __init__(self, host: str, ports: list[int]) -> None:
+        self._sockets = [socket.create_server((host, port)) for port in ports]
+        for one in self._sockets:
+            threading.Thread(target=self._reset_on, args=(one,), daemon=True).start()
+
+    def _reset_on(self, listener: socket.socket) -> None:
+        linger = struct.pack("ii", 1, 0)
+        while True:
+            try:
+                one, _ = listener.accept()
+            except OSError:
+                return
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            one.close()
+
+    def close(self) -> None:
+        """Free the ports."""
+        for one in self._sockets:
+            one.shutdown(socket.SHUT_RDWR)
+            one.close()
--- a/tests/platform/replaced_control/web.py
+++ b/tests/platform/replaced_control/web.py
@@ -1,7 +1,9 @@
 """Calls over HTTP to control processes."""
 
+import contextlib
 import http.client
 import json
+import socket
 import urllib.error
 import urllib.request
 from typing import Any, Final
@@ -37,3 +39,18 @@
         except (OSError, ValueError, http.client.HTTPException):
             return 0, None, host
     return 307, None, host
+
+
+def send_only(url: str, body: Any) -> None:
+    """Send a PUT and close the connection without reading the answer."""
+    _, _, address, path = url.split("/", 3)
+    data = json.dumps(body).encode()
+    host, _, port = address.partition(":")
+    head = (
+        f"PUT /{path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(data)}\r\n\r\n"
+    )
+    with contextlib.suppress(OSError):
+        one = socket.create_connection((host, int(port)), timeout=CALL_SECONDS)
+        with one:
+            one.sendall(head.encode() + data)
