--- a/tests/platform/replaced_control/__main__.py
+++ b/tests/platform/replaced_control/__main__.py
@@ -3,8 +3,8 @@
 Usage:
   replaced_control FIRST_SEED DAYS [--proxies=N] [--ways=WAYS] [--zones=ZONES]
                    [--gap=SECONDS] [--calm=SECONDS] [--changes=KIND]
-                   [--restarts=KIND] [--cores=KIND] [--kept=N] [--net=NET]
-                   [--folder=PATH]
+                   [--restarts=KIND] [--cores=KIND] [--spare-edges] [--kept=N]
+                   [--net=NET] [--folder=PATH]
 
 Options:
   --proxies=N     Number of proxies [default: 9].
@@ -19,6 +19,7 @@
                   [default: mixed].
   --cores=KIND    Control processes that are restarted with their disks: none, one
                   at a time or all [default: none].
+  --spare-edges   Only control processes lose their power at the end.
   --kept=N        Sessions kept open at each proxy [default: 20].
   --net=NET       First three parts of the loopback addresses [default: 127.0.31].
   --folder=PATH   Where logs are kept [default: out/replaced_control].
@@ -82,6 +83,7 @@
         changes=str(arguments["--changes"]),
         restarts=str(arguments["--restarts"]),
         core_restarts=str(arguments["--cores"]),
+        spares_edges=bool(arguments["--spare-edges"]),
         kept_sessions=int(arguments["--kept"]),
     )
 
@@ -96,7 +98,9 @@
         f"{group}: {len(ones)} from {ones[0].at:.3f} to {ones[-1].at:.3f}, "
         f"{max(one.lateness for one in ones):.3f} s after the acknowledgement, "
         f"{ones[0].edge_age:.3f} s after the proxy's start, "
-        f"{ones[0].since_power_loss:.3f} s after the loss of all power: {ones[0].what}"
+        f"{ones[0].since_power_loss:.3f} s after the loss of all power, "
+        f"{max(one.control_age for one in ones):.3f} s after an answer of control: "
+        f"{ones[0].what}"
         for (group, _, _), ones in together.items()
     ]
 
--- a/tests/platform/replaced_control/machines.py
+++ b/tests/platform/replaced_control/machines.py
@@ -150,9 +150,9 @@
         if way == "resets":
             self._silent.append(ResettingHost(core.host, ports))
 
-    def kill_all(self) -> list[Machine]:
+    def kill_all(self, *, spares_edges: bool) -> list[Machine]:
         """Take the power of all machines that have some, and return them."""
-        machines = [*self.alive, *self.edges]
+        machines = self.alive if spares_edges else [*self.alive, *self.edges]
         for machine in machines:
             if machine.process is not None:
                 machine.process.kill()
--- a/tests/platform/replaced_control/operator.py
+++ b/tests/platform/replaced_control/operator.py
@@ -189,6 +189,8 @@
         sent_at = time.monotonic()
         status, body, host = call("GET", self._url(core))
         required = self._record.required(sent_at)
+        if status == 200:
+            self._record.control_answers.append(time.monotonic())
         if status == 200 and required >= 0:
             self._judge_read(body, host, required)
         return status
--- a/tests/platform/replaced_control/plan.py
+++ b/tests/platform/replaced_control/plan.py
@@ -28,6 +28,7 @@
         changes: one of ``CHANGES``.
         restarts: one of ``RESTARTS``.
         core_restarts: one of ``CORE_RESTARTS``.
+        spares_edges: whether only control processes lose their power at the end.
         kept_sessions: sessions that are kept open at each proxy.
     """
 
@@ -39,4 +40,5 @@
     changes: str = "mixed"
     restarts: str = "mixed"
     core_restarts: str = "none"
+    spares_edges: bool = False
     kept_sessions: int = 4
--- a/tests/platform/replaced_control/record.py
+++ b/tests/platform/replaced_control/record.py
@@ -62,6 +62,7 @@
         edge_age: seconds since the proxy's process was started.
         since_power_loss: seconds since all lost their power; negative before.
         database: that the caller connected to.
+        control_age: seconds since a control process last answered the operator.
     """
 
     kind: str
@@ -73,6 +74,7 @@
     edge_age: float = 0.0
     since_power_loss: float = -1.0
     database: str = ""
+    control_age: float = 0.0
 
     @property
     def counts(self) -> bool:
@@ -109,6 +111,8 @@
     # All databases of all versions, valid or not, in the order they came.
     ever: list[str] = field(default_factory=list)
     power_lost_at: float = float("inf")
+    # When control processes answered the operator with a success.
+    control_answers: list[float] = field(default_factory=list)
     started_at: float = field(default_factory=time.monotonic)
     clock_at_start: float = field(default_factory=time.time)
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -132,6 +136,10 @@
         events = [*self.core_events, *self.edge_starts.get(host, [])]
         return min((at - one for one in events if one <= at), default=1e9)
 
+    def _control_age(self, at: float) -> float:
+        before = [one for one in self.control_answers if one <= at]
+        return at - max(before, default=self.started_at)
+
     def _life_began(self, host: str, at: float) -> float:
         return max(
             (one for one in self.edge_starts.get(host, []) if one <= at), default=0.0
@@ -222,5 +230,6 @@
                 one.sent_at - self._life_began(one.edge, one.sent_at),
                 one.sent_at - self.power_lost_at,
                 one.database,
+                self._control_age(one.sent_at),
             )
         )
--- a/tests/platform/replaced_control/run.py
+++ b/tests/platform/replaced_control/run.py
@@ -192,7 +192,7 @@
             f"all lose power, {emptied.host} loses its disk, after {gap:.3f}, "
             f"{version.by} acknowledged"
         )
-        machines = self._machines.kill_all()
+        machines = self._machines.kill_all(spares_edges=self._plan.spares_edges)
         self._machines.empty_disk(emptied)
         off_until = time.monotonic()
         self._random.shuffle(machines)
