--- a/tests/platform/replaced_control/drafts.py
+++ b/tests/platform/replaced_control/drafts.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from typing import Any
+from typing import Any, Final
 
 from ..test_messages import config, route
 from .const import (
@@ -15,7 +15,7 @@
 )
 from .record import Version
 
-PLACEHOLDER_KINDS = ("primary", "read_your_writes", "bounded_staleness")
+KINDS: Final = ("primary", "read_your_writes", "bounded_staleness")
 
 
 class Drafts:
@@ -51,7 +51,7 @@
             route(
                 name=f"r-{name}",
                 host=name,
-                kind=source.choice(PLACEHOLDER_KINDS),
+                kind=source.choice(KINDS),
                 timeoutMs=source.choice(TIMEOUTS_MS),
             )
             for name in sorted(version.databases)
--- a/tests/platform/test_replaced_control.py
+++ b/tests/platform/test_replaced_control.py
@@ -4,6 +4,7 @@
 tests.platform.replaced_control``) assert that a change is in force within 3 s.
 """
 
+import random
 import tempfile
 import unittest
 from pathlib import Path
@@ -18,14 +19,17 @@
     PeerUnreachableError,
 )
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
+from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
 
 from .replaced_control.const import CONFIG_APPLY_SECONDS
+from .replaced_control.drafts import Drafts
 from .replaced_control.record import Answer, Record, Version
 from .replaced_control.run import ReplacedControl
 
 SEED_IN_CI: Final = 1
 NET: Final = "127.0.21"
 MANY_PROXIES: Final = 60
+MANY_VERSIONS: Final = 40
 
 
 class RecordTests(unittest.TestCase):
@@ -71,6 +75,61 @@
         answers = (("b", "READY", 20.2), ("b", "NODB", 20.6))
         self.assertEqual(["regression"], self.kinds(*answers))
 
+    def test_events_excuse_a_late_answer_for_a_time_only(self) -> None:
+        """Guard against a proxy that is behind for long beside one loss after another.
+
+        An event shortly before excuses an answer that is a few seconds late.
+        """
+        self.record.core_events = [23.0, 35.3]
+        self.kinds(("b", "NODB", 23.2), ("b", "NODB", 35.4))
+        counts = [(one.group, one.counts) for one in self.record.findings]
+        self.assertEqual([("within 15 s", False), ("beyond 15 s", True)], counts)
+
+    def test_database_of_an_invalid_configuration_is_found(self) -> None:
+        """Guard against a checker that accepts what no configuration has."""
+        self.assertEqual(["late", "regression"], self.kinds(("bad", "READY", 23.2)))
+
+
+class DraftsTests(unittest.TestCase):
+    """The operator's configurations are those that it means to send."""
+
+    def setUp(self) -> None:
+        self.drafts = Drafts(random.Random(1))
+
+    def test_versions_are_valid_and_rise(self) -> None:
+        """Guard against days whose configurations are refused."""
+        versions = [
+            self.drafts.next(adds_many=number % 9 == 0)
+            for number in range(MANY_VERSIONS)
+        ]
+        for version in versions:
+            number, document = decode_config(self.drafts.body(version))
+            databases = {one.database for one in document.endpoints}
+            self.assertEqual(version.number, number)
+            self.assertEqual(version.databases, databases)
+        numbers = [one.number for one in versions]
+        self.assertEqual(sorted(set(numbers)), numbers)
+
+    def test_same_version_has_the_same_content(self) -> None:
+        """Guard against other content under a version that is sent again."""
+        version = self.drafts.next()
+        self.assertEqual(self.drafts.body(version), self.drafts.body(version))
+
+    def test_versions_of_a_pair_lack_what_the_other_adds(self) -> None:
+        """Guard against pairs of which one is based on the other."""
+        lower, higher = self.drafts.pair()
+        self.assertLess(lower.number, higher.number)
+        self.assertNotIn(f"db{lower.number:05d}", higher.databases)
+        self.assertNotIn(f"db{higher.number:05d}", lower.databases)
+
+    def test_invalid_configurations_are_invalid(self) -> None:
+        """Guard against findings that blame control for what was valid."""
+        for _ in range(MANY_VERSIONS):
+            name, body = self.drafts.invalid()
+            self.assertIn(name, {one["host"] for one in body["routes"]})
+            with self.assertRaises(InvalidConfigError):
+                decode_config(body)
+
 
 class SilentMembers:
     """Client of control processes of which some never answer.
