--- a/tests/consensus/replaced_voters/proxies.py
+++ b/tests/consensus/replaced_voters/proxies.py
@@ -27,10 +27,24 @@
     """A proxy whose watch coordinator runs in a thread, one step at a time.
 
     The thread and the world never run together: each waits for the other.
+
+    Args:
+        reports: whether it also calls the leader, whose answers announce versions.
+        wait_ms: time in milliseconds for which its polls wait.
     """
 
-    def __init__(self, world: "World", name: str, domain: str) -> None:
+    def __init__(
+        self,
+        world: "World",
+        name: str,
+        domain: str,
+        *,
+        reports: bool = True,
+        wait_ms: int = PROXY_WAIT_MS,
+    ) -> None:
         self.world = world
+        self._reports = reports
+        self._wait_ms = wait_ms
         self.name = name
         self.domain = domain
         self._wake = threading.Semaphore(0)
@@ -57,7 +71,7 @@
         self._next_report = 0.0
         client = cast(JsonClient, self)
         coordinator = WatchCoordinator(
-            self.views, self.peers, client, self.clock, PROXY_WAIT_MS
+            self.views, self.peers, client, self.clock, self._wait_ms
         )
         self._is_stopped = False
         self._thread = threading.Thread(
@@ -130,7 +144,7 @@
 
     def _report(self) -> None:
         world = self.world
-        if world.now < self._next_report:
+        if not self._reports or world.now < self._next_report:
             return
         self._next_report = world.now + REPORT_SECONDS
         address = self.peers.leader_or_next()
--- a/tests/consensus/replaced_voters/world.py
+++ b/tests/consensus/replaced_voters/world.py
@@ -62,14 +62,16 @@
         """Record an event of the history."""
         self.events.append(f"{self.now:7.2f} {text}")
 
-    def add_machine(self, domain: str) -> Machine:
+    def add_machine(
+        self, domain: str, name: str = "", address: Address | None = None
+    ) -> Machine:
         """Add a machine with an empty disk, without starting a process."""
-        name = f"m{len(self.machines)}"
+        name = name or f"m{len(self.machines)}"
         rate = self.rng.choice((0.99, 1.0, 1.01))
         machine = Machine(
             name,
             domain,
-            Address(f"10.0.0.{len(self.machines) + 1}", 7000),
+            address or Address(f"10.0.0.{len(self.machines) + 1}", 7000),
             WorldClock(self.pass_time, rate),
             MemoryLogStorage(name),
             name,
