--- a/tests/consensus/member_churn.py
+++ b/tests/consensus/member_churn.py
@@ -1,5 +1,6 @@
 """Seeded histories of a cluster whose members change while nodes and links fail."""
 
+import contextlib
 import random
 from collections import deque
 from dataclasses import dataclass
@@ -244,47 +245,114 @@
             self.crash(name, self.rng.choice((0, 1, 100)))
 
     def _overlap_changes(self) -> None:
-        """Leave a change of one leader uncommitted while the next one makes another."""
+        """Leave a change of one leader uncommitted while the next one makes another.
+
+        A change from an even number of voters is the dangerous one: the quorums of two
+        of its successors need not overlap.
+        """
         rng = self.rng
         self._heal_all()
         self.run(1.5)
         first = next(iter(self.leaders()), None)
         if first is None:
             return
-        spare = [one for one in self.running() if one != first]
-        near = {first, *rng.sample(spare, min(len(spare), rng.randint(0, 2)))}
+        self.is_quiet = True
+        learner = self._prepare_learner(first)
+        if not self._is_leader(first):
+            self.is_quiet = False
+            return
+        spare = [one for one in self.running() if one not in (first, learner)]
+        near = {first, *rng.sample(spare, min(len(spare), rng.choice((0, 0, 1, 2))))}
+        near |= {learner} - {None}
         far = set(self.addresses) - near
         self.log(f"overlap: {sorted(near)} apart from {sorted(far)}")
         self._cut(near, far)
-        self.change_members(first)
+        if learner is not None and rng.random() < 0.7:
+            with contextlib.suppress(ConsensusError):
+                self.nodes[first].add_voter(learner, self.addresses[learner], 0.0)
+        else:
+            self.change_members(first)
         for _ in range(rng.choice((1, 6))):
             self.submit()
         self.run(rng.choice((0.05, 0.2)))
-        if rng.random() < 0.7:
-            self.change_members(first)
-        self.run(rng.choice((0.6, 1.2, 2.0)))
-        second = [one for one in self.running() if one in far and self._is_leader(one)]
-        self.cut_links.clear()
-        for one in second:
-            if rng.random() < 0.5:
-                self.crash(one, 100)
-            else:
-                self.cut_off(one)
-            self.log(f"second leader {one} lost")
+        second = self._next_leader({first})
+        if second is not None:
+            self._change_at_once(second)
+        else:
+            self.cut_links.clear()
+        self.is_quiet = rng.random() < 0.5
         self.run(rng.choice((0.8, 1.5, 2.5)))
-        if rng.random() < 0.5:
+        self.is_quiet = False
+        if second is not None and rng.random() < 0.5:
             self._swap_leaders(second)
 
-    def _swap_leaders(self, second: list[str]) -> None:
+    def _prepare_learner(self, leader: str) -> str | None:
+        """Reach an even number of voters; return a learner that has caught up."""
+        wanted = self.rng.choice((2, 4, 4, 4))
+        for _ in range(16):
+            if not self._is_leader(leader):
+                return None
+            node = self.nodes[leader]
+            configuration = node._state.configuration
+            voters = sorted(configuration.voters)
+            others = [
+                one
+                for one in self.running()
+                if one not in configuration.voters | configuration.retired
+            ]
+            if not others:
+                return None
+            other, address = others[0], self.addresses[others[0]]
+            with contextlib.suppress(ConsensusError):
+                if len(voters) < wanted:
+                    node.add_voter(other, address, 0.0)
+                elif len(voters) > wanted:
+                    node.demote_voter([v for v in voters if v != leader][0], 0.0)
+                else:
+                    node.add_learner(other, address, "", 0.0)
+                    self.run(0.3)
+                    return other
+            self.run(0.15)
+        return None
+
+    def _change_at_once(self, leader: str) -> None:
+        """Let a new leader change the members while it reaches few of them.
+
+        It is lost some time later.
+        """
+        rng = self.rng
+        if leader not in self.nodes:
+            return
+        others = sorted(self.nodes[leader]._state.configuration.members.keys())
+        others = [one for one in others if one != leader]
+        reached = set(rng.sample(others, min(len(others), rng.choice((0, 1, 1, 1, 2)))))
+        self._cut({leader}, set(self.addresses) - reached - {leader})
+        if rng.random() < 0.6:
+            with contextlib.suppress(ConsensusError):
+                lost = rng.choice(sorted(set(others) - reached) or others)
+                self.nodes[leader].demote_voter(lost, 0.0)
+        else:
+            self.change_members(leader)
+        self.submit()
+        self.run(rng.choice((0.1, 0.2, 0.5)))
+        self.log(f"second leader {leader} lost, which reached {sorted(reached)}")
+        if leader in self.nodes and rng.random() < 0.5:
+            self.crash(leader, 100)
+        self.cut_links.clear()
+        self.cut_off(leader)
+        if rng.random() < 0.5:
+            for one in reached:
+                self.cut_off(one)
+
+    def _swap_leaders(self, second: str) -> None:
         """Bring a lost leader back while the present one is lost."""
         for one in [name for name in self.running() if self._is_leader(name)]:
-            if one not in second:
+            if one != second:
                 self.crash(one, 100)
                 self.log(f"third leader {one} lost")
         self.cut_links.clear()
-        for one in second:
-            if one not in self.nodes and one not in self._name_of:
-                self.start(one)
+        if second not in self.nodes and second not in self._name_of:
+            self.start(second)
         self.run(self.rng.choice((1.5, 2.5)))
 
     def _restart_in_lease(self) -> None:
@@ -529,7 +597,8 @@
             assert applied >= old, f"{name} claims to have {old}, but has {applied}"
 
     def _is_leader(self, name: str) -> bool:
-        return self.nodes[name]._state.role is Role.LEADER
+        node = self.nodes.get(name)
+        return node is not None and node._state.role is Role.LEADER
 
 
 def run_history(seed: int, rounds: int = 12) -> MemberChurn:
@@ -543,4 +612,4 @@
     return churn
 
 
-__all__ = ["MemberChurn", "run_history"]
+
--- a/tests/consensus/planted_faults.py
+++ b/tests/consensus/planted_faults.py
@@ -63,7 +63,7 @@
         self.changed.notify_all()
 
 
-def _commit_without_learners_only(self: NodeState) -> None:
+def _commit_with_learners(self: NodeState) -> None:
     index = int(_with_learners(self, self._match_index))
     if index > self.commit_index and self.log.term_at(index) == self.term:
         self.commit_index = index
@@ -113,7 +113,7 @@
     "learners count towards the quorum of a commit": (
         NodeState,
         "advance_commit",
-        _commit_without_learners_only,
+        _commit_with_learners,
     ),
     "demoted and removed voters count towards the quorum of a commit": (
         NodeState,
--- a/tests/consensus/record_histories.py
+++ b/tests/consensus/record_histories.py
@@ -15,7 +15,7 @@
 # A claim to be up to date is valid for a few heartbeats of a learner.
 CLAIM_SECONDS = 1.0
 WATCH_WAIT_MS = 1_000
-LOSSES = ("silent", "refusing", "accepting", "cut off", "wiped")
+LOSSES = ("silent", "refusing", "accepting", "cut off", "wiped", "mixed")
 PROXIES = ("a-1", "a-2", "a-3", "a-4", "b-1", "b-2", "b-3", "c-1", "c-2")
 
 
@@ -167,6 +167,8 @@
         world, machine = self.world, self.world.machines[one.lost]
         self._wait_whole()
         loss = self.loss
+        if loss == "mixed":
+            loss = self.rng.choice(LOSSES[:4])
         self._event(f"{one.lost} is lost: {loss}")
         machine.is_gone = True
         if loss == "silent":
@@ -256,6 +258,11 @@
                 world.order_pause = rng.choice(((0.33, 0.34), (1.0, 2.0), (1.0, 2.0)))
             if world.order_pause is None:
                 world.order_pause = (1.0, 2.0)
+            if rng.random() < 0.003:
+                proxy = rng.choice(world.proxies)
+                world.log(f"restart {proxy.name}")
+                proxy.restart()
+                self._restarted_at[proxy.name] = world.now
             self._pass(0.05)
 
     def _pass(self, seconds: float) -> None:
