--- a/tests/consensus/record_histories.py
+++ b/tests/consensus/record_histories.py
@@ -80,6 +80,8 @@
     "c-5",
 )
 TIMELINES = (REPLACED_C_B_A, REPLACED_BY_LASTING_LEADER)
+# Least time from a loss to the start of the replacement.
+SHORTEST_GAP = 0.3
 # Time before the first loss that is left out.
 SKIPPED_SECONDS = 12.0
 
@@ -149,11 +151,12 @@
                 proxy.stop()
 
     def _run_timeline(self) -> None:
-        losses = [(self._moved(one.lost_at), one, True) for one in self._replacements()]
-        starts = [
-            (self._moved(one.fresh_at), one, False) for one in self._replacements()
-        ]
-        plan = sorted(losses + starts, key=lambda one: one[0])
+        plan: list[tuple[float, Replacement, bool]] = []
+        for one in self._replacements():
+            lost_at = self._moved(one.lost_at)
+            fresh_at = max(lost_at + SHORTEST_GAP, self._moved(one.fresh_at))
+            plan += [(lost_at, one, True), (fresh_at, one, False)]
+        plan.sort(key=lambda item: item[0])
         started: set[str] = set()
         for at, one, is_loss in plan:
             self._run_until(at)
