Two listed tests fail under the names that are listed

Their sub-tests fail under names of their own, which the list of known failures does not match. They assert the worst of the same cases at once; the checks and bounds are the same.

--- a/tests/following/test_watch_slow_answers.py
+++ b/tests/following/test_watch_slow_answers.py
@@ -20,12 +20,14 @@
 
     def test_change_beside_lost_members(self) -> None:
         """Guard against a search that passes over each voter, again and again."""
-        for lost in range(4):
-            with self.subTest(lost=lost):
-                kinds = [Kind.LIVE] * 3 + [Kind.SILENT] * lost
-                orders = set(itertools.permutations(kinds))
-                delays = [self.delay(list(order)) for order in sorted(orders)]
-                self.assertLess(max(delays), BOUND)
+        worst = {lost: self.worst_delay(lost) for lost in range(4)}
+        self.assertLess(max(worst.values()), BOUND, worst)
+
+    def worst_delay(self, lost: int) -> float:
+        """Return the longest delay of a change in any order of the members."""
+        kinds = [Kind.LIVE] * 3 + [Kind.SILENT] * lost
+        orders = set(itertools.permutations(kinds))
+        return max(self.delay(list(order)) for order in sorted(orders))
 
     def delay(self, kinds: list[Kind]) -> float:
         """Return the time from a change until it arrives, after one late answer."""
--- a/tests/platform/served_views/test_shared_peers.py
+++ b/tests/platform/served_views/test_shared_peers.py
@@ -90,10 +90,11 @@
 
     def test_a_refused_report_does_not_keep_the_watch_from_a_live_process(self) -> None:
         """Guard against polls of lost processes only, as reports ask the live one."""
-        for offset in range(20):
-            with self.subTest(offset=offset):
-                elapsed, polls = self._seconds_to_view(offset * REPORT_SECONDS / 20)
-                self.assertLess(elapsed, BOUND_SECONDS, polls)
+        worst = max(
+            self._seconds_to_view(offset * REPORT_SECONDS / 20) for offset in range(20)
+        )
+        elapsed, polls = worst
+        self.assertLess(elapsed, BOUND_SECONDS, polls)
 
     def _seconds_to_view(self, first_report: float) -> tuple[float, list[Any]]:
         clock = ManualClock()
