View checks keep their pace while control is away; tests of two guards

A check that failed for any reason doubled the pause to the next one, up to 30 s. After an outage of control a proxy whose watch is held up, which the check is there for, would have had a change that much late. Checks become rarer only where a process had no free slot, and a failed confirmation is retried after 1 s at most. The test failed before.

--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -68,6 +68,7 @@
         self._changed = threading.Condition()
         self._is_running = False
         self._is_closed = False
+        self._lacks_slot = False
         self._last: Confirmation | None = None
         self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
@@ -85,6 +86,11 @@
             return None
         return round((self._clock.now() - last.began_at) * MILLISECONDS)
 
+    @property
+    def lacks_slot(self) -> bool:
+        """Whether a process had no free slot for a read since the last confirmation."""
+        return self._lacks_slot
+
     def confirm(self, timeout: float = CONFIRMATION_TIMEOUT) -> bool:
         """Return whether the view is the newest one; a newer one is put in force.
 
@@ -208,6 +214,7 @@
         with self._changed:
             if not self._is_since(began_at):
                 self._last = Confirmation(began_at, address)
+            self._lacks_slot = False
             self._changed.notify_all()
 
     def _read(self, address: Address, version: int) -> bool:
@@ -223,6 +230,7 @@
         if response.view is not None:
             self._views.adopt(response.view, address)
         if response.retry_after_ms:
+            self._lacks_slot = True
             log_rate_limited(
                 "view_not_confirmed",
                 address=address,
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -26,7 +26,7 @@
 CONFIRMED_FOR_SECONDS: Final = 1.0
 # Time from a failed confirmation to the next attempt; it doubles with each failure.
 CONFIRMATION_RETRY_SECONDS: Final = 0.2
-MAX_CONFIRMATION_RETRY_SECONDS: Final = 2.0
+MAX_CONFIRMATION_RETRY_SECONDS: Final = 1.0
 CONFIRMATION_THREADS: Final = 16
 # Time limit for one control process, for which no caller waits: as long as that of a
 # poll, so that a control group that answers slowly still gives newer views.
--- a/packages/following/src/dogwoodspool_following/view_check.py
+++ b/packages/following/src/dogwoodspool_following/view_check.py
@@ -19,8 +19,9 @@
     held up by a request or by what depends on a view. Either would leave this process
     with an old view although control can be reached.
 
-    While no process confirms the view, checks become rarer: with many proxies they
-    would take the place of polls.
+    While no process has a free slot for a check, checks become rarer: there are more
+    proxies than control can confirm views for. After other failures they do not, as a
+    proxy may need the next one to have a change in time.
     """
 
     def __init__(
@@ -39,8 +40,7 @@
         confirmed_by = self._views.confirmed_by
         is_newest = self._confirmation.confirm(CONFIRMATION_READ_TIMEOUT)
         if not is_newest:
-            self._interval = min(2 * self._interval, MAX_VIEW_CHECK_SECONDS)
-            return self._interval
+            return self._pause_after_failure()
         self._interval = VIEW_CHECK_SECONDS
         view = self._views.view
         if view.version > before and view.sender == self._confirmation.confirmed_by:
@@ -53,3 +53,11 @@
                 watch_confirmed_by=confirmed_by,
             )
         return self._interval
+
+    def _pause_after_failure(self) -> float:
+        self._interval = (
+            min(2 * self._interval, MAX_VIEW_CHECK_SECONDS)
+            if self._confirmation.lacks_slot
+            else VIEW_CHECK_SECONDS
+        )
+        return self._interval
--- a/tests/following/test_confirmation.py
+++ b/tests/following/test_confirmation.py
@@ -253,7 +253,19 @@
         self.assertEqual(2, self.views.view.version)
         self.assertEqual(set(live), set(self.peers.addresses))
 
-    def test_checks_become_rarer_while_none_succeeds(self) -> None:
+    def test_checks_do_not_become_rarer_while_control_is_away(self) -> None:
+        """Guard against a proxy that has a change late after an outage."""
+        self.answer(unreachable, without_quorum, unreachable)
+        for _ in range(4):
+            self.assertEqual(VIEW_CHECK_SECONDS, self.check.step())
+            self.clock.advance(VIEW_CHECK_SECONDS)
+        self.control.answers[ADDRESSES[1]] = lambda: WatchResponse(
+            view=view_of(2), leader=None
+        )
+        self.check.step()
+        self.assertEqual(2, self.views.view.version)
+
+    def test_checks_become_rarer_without_slots(self) -> None:
         """Guard against many proxies whose checks take the place of polls."""
         self.answer(no_slot, no_slot, no_slot)
         pauses = [self.check.step() for _ in range(8)]
--- a/tests/pooler/test_unknown_databases.py
+++ b/tests/pooler/test_unknown_databases.py
@@ -154,6 +154,12 @@
             error = run_text(session, "BEGIN").error
         self.assertIsNone(error)
 
+    def test_newer_view_needs_no_caller(self) -> None:
+        """Guard against a proxy that is behind until a caller is refused."""
+        self.start()
+        self.control.newest = view_of(3, "old", "new")
+        self.wait_until(lambda: self.runtime.view_version == 3)
+
     def test_unknown_database_is_not_denied_without_control(self) -> None:
         """Guard against a definite refusal by a proxy that cannot know."""
         self.start()
