A transaction that has run nothing follows the newest view

Callers saw their first statement run by the service of a route that had been removed long before: BEGIN is answered by the proxy alone, and the transaction kept the endpoint that it had looked up then, without any limit, as no connection was held yet. The route is looked up again for the first statement, or an empty COMMIT; where the database is gone the transaction is ended with a promise that nothing of it is kept. A transaction that has run something goes on, as a change applies from the next transaction onward.

--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -199,7 +199,7 @@
         kind = statement.kind
         if kind is StatementKind.ROLLBACK:
             return self._roll_back()
-        refusal = self._check_key(statement)
+        refusal = self._check_key(statement) or self._check_route(statement)
         if refusal is not None:
             return refusal
         if kind is StatementKind.COMMIT:
@@ -265,6 +265,28 @@
             return self._refuse(ErrorCode.ABORTED, message)
         return None
 
+    def _check_route(self, statement: Statement) -> Answer | None:
+        """Apply the newest view to a transaction that has run nothing yet.
+
+        Only this session knows of it, and its caller may pause for long before the
+        first statement: it must not run where the view no longer allows it.
+        """
+        transaction = self._transaction
+        is_run = statement.kind in (*RUNNING_KINDS, StatementKind.COMMIT)
+        if transaction is None or transaction.has_started or not is_run:
+            return None
+        resolved = self._resolve(statement)
+        if resolved.is_ok():
+            transaction.endpoint = resolved.ok.endpoint
+            return None
+        self._abort_open_transaction()
+        if statement.kind is StatementKind.COMMIT:
+            self._transaction = None
+        if resolved.error.code is ErrorCode.NO_DATABASE:
+            message = f"{resolved.error.message}; the transaction has run nothing"
+            return self._refuse(ErrorCode.ABORTED, message)
+        return Answer(self.state, error=resolved.error)
+
     def _abort_open_transaction(self) -> None:
         if self._transaction is not None:
             self._transactions.abort(self._transaction)
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -40,8 +40,9 @@
     pause between their statements, and connections are scarce.
 
     Attributes:
-        endpoint: the endpoint of its database as of its begin.
-        caller: on whose behalf it runs, as of its begin.
+        endpoint: the endpoint of its database as of its first statement or, before it,
+            of its begin.
+        caller: on whose behalf it runs, as of the same time.
         is_read_only: whether the caller began it as read-only.
         idle_since: clock time at which its last statement ended.
         held: the connection; None before the first statement and after a failure.
@@ -67,6 +68,11 @@
         self.is_counted = False
         self.has_written = False
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether a statement of it has been sent to a server."""
+        return self.held is not None or self.has_failed
+
     @property
     def needs_primary(self) -> bool:
         """Return whether only the primary can serve it."""
