Pooler: an old view is confirmed before it is used

Callers saw requests run by services of routes that had been removed. What a view lacks was denied only after a confirmed read, but what it contains was served at once, from a view of any age: whatever brought a change late to a proxy showed as use of a removed route. What a view contains is served now if control has confirmed the view within 2 s, and otherwise after one attempt to confirm it; without control the proxy goes on serving, and says so in the log (served_unconfirmed). The tests of UnconfirmedViewTests fail without it.

With it two lines that tell a route used knowingly from an old view: databases_removed (view, revision, sender, the sessions and transactions that still name them) and removed_database_used (request, view of its lookup, view in force, since when). A request on a removed database that neither names ran from an old view.

--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -24,6 +24,7 @@
     CONFIRMED_FOR_SECONDS,
     HEDGE_SECONDS,
     MAX_CONFIRMATION_RETRY_SECONDS,
+    MAX_UNCONFIRMED_SECONDS,
 )
 from .control_peers import ControlPeers
 from .poll import poll
@@ -91,6 +92,12 @@
         """Whether a process had no free slot for a read since the last confirmation."""
         return self._lacks_slot
 
+    def refresh(self) -> bool:
+        """Confirm the view unless that was done lately; return whether it was."""
+        if self._is_since(self._clock.now() - MAX_UNCONFIRMED_SECONDS):
+            return True
+        return self.confirm()
+
     def confirm(self, timeout: float = CONFIRMATION_TIMEOUT) -> bool:
         """Return whether the view is the newest one; a newer one is put in force.
 
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -24,6 +24,9 @@
 # Time for which a confirmation holds: a part of the few seconds in which a change has
 # to be in force.
 CONFIRMED_FOR_SECONDS: Final = 1.0
+# Time since the last confirmation for which a view is used without another one: a part
+# of the few seconds in which a change has to be in force.
+MAX_UNCONFIRMED_SECONDS: Final = 2.0
 # Time from a failed confirmation to the next attempt; it doubles with each failure.
 CONFIRMATION_RETRY_SECONDS: Final = 0.2
 MAX_CONFIRMATION_RETRY_SECONDS: Final = 1.0
--- a/packages/following/src/dogwoodspool_following/open_sessions.py
+++ b/packages/following/src/dogwoodspool_following/open_sessions.py
@@ -40,12 +40,14 @@
 
     def step(self) -> float:
         """Expire idle transactions once."""
-        with self._lock:
-            sessions = list(self._open)
-        for session in sessions:
+        for session in self._all():
             session.expire_transaction()
         return REAP_INTERVAL_SECONDS
 
+    def _all(self) -> list[SessionT]:
+        with self._lock:
+            return list(self._open)
+
     def _track_session(self, session: SessionT) -> SessionT:
         with self._lock:
             self._open.add(session)
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -216,3 +216,7 @@
 NO_PROOF: Final = "-"
 NO_ACCOUNT: Final = "-"
 PREPARED_NAME_BYTES: Final = 6
+
+# Removed databases whose time of removal is known, and named in one line of the log.
+MAX_REMOVED_DATABASES: Final = 1_024
+MAX_LOGGED_DATABASES: Final = 8
--- a/packages/pooler/src/dogwoodspool_pooler/databases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -27,22 +27,36 @@
         """Return whether it is; a newer view is put in force."""
         ...
 
+    def refresh(self) -> bool:
+        """Confirm the view unless that was done lately; return whether it was.
+
+        While control cannot be reached it returns False without a wait.
+        """
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class KnownCaller:
-    """A caller and the endpoint that it uses."""
+    """A caller and the endpoint that it uses.
+
+    Attributes:
+        view: version of the view that names them.
+    """
 
     endpoint: Endpoint
     caller: Caller
+    view: int
 
 
 class Databases:
     """Find endpoints and client accounts in the view in force.
 
-    What the view contains is served at once. What it lacks is denied only after control
-    has confirmed that the view is the newest one: a proxy that is behind without having
-    noticed would deny databases that were acknowledged, and its callers would not try
-    another proxy.
+    A proxy may be behind without having noticed. It would deny databases that were
+    acknowledged, and its callers would not try another proxy; and it would use routes
+    that were removed. So what the view contains is served if control has confirmed the
+    view lately, and after one attempt to confirm it otherwise: a proxy that is cut off
+    goes on serving. What the view lacks is denied only after control has confirmed that
+    it is the newest one.
     """
 
     def __init__(self, views: ViewStore, confirmer: Confirmer) -> None:
@@ -69,21 +83,40 @@
                 configuration holds this one.
             NotReadyError: either may be the case, but control did not confirm it.
         """
+        is_recent = self._confirmer.refresh()
+        view = self._views.view
         try:
-            return _find(self._views.view, database, key_digest)
+            known = _find(view, database, key_digest)
         except (NoDatabaseError, UnknownKeyError):
             is_newest = self._confirmer.confirm()
+        else:
+            if not is_recent:
+                self._log_unconfirmed(view, database, request_id)
+            return known
         view = self._views.view
         try:
             return _find(view, database, key_digest)
         except (NoDatabaseError, UnknownKeyError) as error:
             is_denied = is_newest and _has_configuration(view)
-            self._log(error, view, database, request_id, is_denied=is_denied)
+            self._log_refused(error, view, database, request_id, is_denied=is_denied)
             if is_denied:
                 raise
             raise NotReadyError(f"not confirmed by control yet: {error}") from error
 
-    def _log(
+    def _log_unconfirmed(self, view: ProxyView, database: str, request_id: str) -> None:
+        log_rate_limited(
+            "served_unconfirmed",
+            request=request_id,
+            database=database,
+            view=view.version,
+            revision=view.revision,
+            view_age_ms=self._views.age_ms,
+            view_from=self._views.confirmed_by,
+            confirmed_ago_ms=self._confirmer.age_ms,
+            confirmed_by=self._confirmer.confirmed_by,
+        )
+
+    def _log_refused(
         self,
         error: Exception,
         view: ProxyView,
@@ -113,7 +146,8 @@
     endpoint = view.databases.get(database)
     if endpoint is None:
         raise NoDatabaseError(f"there is no database {database}")
-    return KnownCaller(endpoint, identify(view, endpoint, key_digest))
+    caller = identify(view, endpoint, key_digest)
+    return KnownCaller(endpoint, caller, view.version)
 
 
 def _has_configuration(view: ProxyView) -> bool:
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -36,6 +36,7 @@
     TransactionState,
 )
 from .operations import OperationCounter
+from .removals import RemovalLog
 from .requests import Request
 from .session_state import SessionState
 from .statements import Statements
@@ -61,6 +62,7 @@
         statements: Statements,
         transactions: TransactionPath,
         operations: OperationCounter,
+        removals: RemovalLog,
         counters: Counters,
         clock: Clock,
         on_close: "Callable[[PooledSession], None]",
@@ -72,6 +74,7 @@
         self._statements = statements
         self._transactions = transactions
         self._operations = operations
+        self._removals = removals
         self._counters = counters
         self._clock = clock
         self._on_close = on_close
@@ -89,6 +92,16 @@
             return TransactionState.FAILED
         return TransactionState.OPEN
 
+    @property
+    def database(self) -> str:
+        """The database that the caller connected to."""
+        return self._database
+
+    @property
+    def has_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._transaction is not None
+
     @property
     def is_revoked(self) -> bool:
         """Return whether no client account holds the caller's key any longer."""
@@ -277,7 +290,7 @@
             return None
         resolved = self._resolve(statement)
         if resolved.is_ok():
-            transaction.endpoint = resolved.ok.endpoint
+            transaction.follow(resolved.ok)
             return None
         self._abort_open_transaction()
         if statement.kind is StatementKind.COMMIT:
@@ -315,9 +328,7 @@
             return Answer(TransactionState.IDLE, error=resolved.error)
         known = resolved.ok
         is_read_only = statement.kind is StatementKind.BEGIN_READ_ONLY
-        self._transaction = Transaction(
-            known.endpoint, known.caller, arrived_at, is_read_only=is_read_only
-        )
+        self._transaction = Transaction(known, arrived_at, is_read_only=is_read_only)
         return Answer(TransactionState.OPEN)
 
     def _roll_back(self) -> Answer:
@@ -340,6 +351,7 @@
             )
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
+        self._removals.check(request, transaction.view, self._views.view)
         if reply.error is None and transaction.has_written:
             self._advance_position(transaction.endpoint, reply.position)
         return self._answer(reply)
@@ -366,6 +378,7 @@
             except NotServedError as error:
                 transaction.has_failed = True
                 return Answer(self.state, error=error.error)
+            self._removals.check(request, transaction.view, self._views.view)
             return self._answer(reply)
         resolved = self._resolve(statement)
         if resolved.is_error():
@@ -375,9 +388,11 @@
             known.endpoint, known.caller, statement, prepared, arrived_at
         )
         try:
-            return self._answer(self._run_single(request))
+            reply = self._run_single(request)
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
+        self._removals.check(request, known.view, self._views.view)
+        return self._answer(reply)
 
     def _run_single(self, request: Request) -> Reply:
         reply = self._operations.run_single(request, self._statements.run)
--- a/packages/pooler/src/dogwoodspool_pooler/sessions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/sessions.py
@@ -3,12 +3,13 @@
 from dogwoodspool_accounts import OperationLimiter
 from dogwoodspool_common import Clock
 from dogwoodspool_common.counters import Counters
-from dogwoodspool_following import OpenSessions, ViewStore
+from dogwoodspool_following import OpenSessions, ProxyView, ViewStore
 
 from .const import FIRST_VIEW_DUE_SECONDS, FIRST_VIEW_WAIT_SECONDS
 from .databases import Confirmer, Databases
 from .errors import NotReadyError
 from .operations import OperationCounter
+from .removals import RemovalLog
 from .session import PooledSession
 from .statements import Statements
 from .transactions import TransactionPath
@@ -33,6 +34,8 @@
         self._statements = statements
         self._transactions = transactions
         self._operations = OperationCounter(limiter, counters, clock)
+        self._removals = RemovalLog(clock)
+        views.add_listener(self._record_removals)
         self._counters = counters
         self._first_view_due = clock.now() + FIRST_VIEW_DUE_SECONDS
 
@@ -61,8 +64,12 @@
             self._statements,
             self._transactions,
             self._operations,
+            self._removals,
             self._counters,
             self._clock,
             self._remove_session,
         )
         return self._track_session(session)
+
+    def _record_removals(self, view: ProxyView) -> None:
+        self._removals.record(view, self._all)
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -14,6 +14,7 @@
     INTERNAL_STATEMENT_TIMEOUT,
     MAX_READ_ATTEMPTS,
 )
+from .databases import KnownCaller
 from .errors import NotFreshError, NotServedError
 from .final_writes import FinalWrites
 from .held import ConnectionAccess, HeldConnection, ReadBound, roll_back
@@ -43,6 +44,7 @@
         endpoint: the endpoint of its database as of its first statement or, before it,
             of its begin.
         caller: on whose behalf it runs, as of the same time.
+        view: version of the view that named both.
         is_read_only: whether the caller began it as read-only.
         idle_since: clock time at which its last statement ended.
         held: the connection; None before the first statement and after a failure.
@@ -52,15 +54,12 @@
     """
 
     def __init__(
-        self,
-        endpoint: Endpoint,
-        caller: Caller,
-        began_at: float,
-        *,
-        is_read_only: bool,
+        self, known: KnownCaller, began_at: float, *, is_read_only: bool
     ) -> None:
-        self.endpoint = endpoint
-        self.caller = caller
+        self.endpoint: Endpoint
+        self.caller: Caller
+        self.view: int
+        self.follow(known)
         self.is_read_only = is_read_only
         self.idle_since = began_at
         self.held: HeldConnection | None = None
@@ -68,6 +67,10 @@
         self.is_counted = False
         self.has_written = False
 
+    def follow(self, known: KnownCaller) -> None:
+        """Use the endpoint and caller of a newer view, before it has run anything."""
+        self.endpoint, self.caller, self.view = known.endpoint, known.caller, known.view
+
     @property
     def has_started(self) -> bool:
         """Return whether a statement of it has been sent to a server."""
--- a/tests/consensus/test_vote_refusals.py
+++ b/tests/consensus/test_vote_refusals.py
@@ -1,35 +1,16 @@
 """Tests of the log line of a refused vote."""
 
 import unittest
-from collections.abc import Iterator
-from contextlib import contextmanager
-from unittest import mock
 
-from dogwoodspool_common.log import EventRateLimiter
 from dogwoodspool_consensus.const import PATH_VOTE
 from dogwoodspool_consensus.messages import VoteRequest
-from loguru import logger
+
+from tests.common.captured_logs import captured_logs
 
 from .fakes import SETTINGS, Cluster
 from .test_node import header
 
 
-@contextmanager
-def captured_logs() -> Iterator[list[str]]:
-    """Capture the logged lines.
-
-    The rate limit is reset each time: earlier tests in this process may have used up
-    the line budget of an event, which refills by the system clock.
-    """
-    lines: list[str] = []
-    sink = logger.add(lambda line: lines.append(str(line)), format="{message}")
-    try:
-        with mock.patch("dogwoodspool_common.log._rate_limiter", EventRateLimiter()):
-            yield lines
-    finally:
-        logger.remove(sink)
-
-
 class VoteRefusalTests(unittest.TestCase):
     """The logs of a group without a leader show which vote was refused and why.
 
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -364,6 +364,9 @@
     def confirm(self) -> bool:
         return True
 
+    def refresh(self) -> bool:
+        return True
+
 
 class Pooler:
     """The parts of a pooler over fake servers, on a clock that tests advance.
--- a/tests/pooler/test_removed_databases.py
+++ b/tests/pooler/test_removed_databases.py
@@ -1,17 +1,49 @@
 """Tests of databases that are removed while callers use them."""
 
 import unittest
+from collections.abc import Callable
 from dataclasses import replace
 
-from dogwoodspool_common import Endpoint, Role
+from dogwoodspool_api import ControlView
+from dogwoodspool_common import Endpoint, ManualClock, Role
+from dogwoodspool_following import ViewStore
 from dogwoodspool_pooler import Answer, ErrorCode, TransactionState
+from dogwoodspool_pooler.databases import Databases
+from dogwoodspool_pooler.errors import NoDatabaseError, NotReadyError
+
+from tests.common.captured_logs import captured_logs
 
 from .fakes import FakeServer, Pooler, endpoint, run_text
+from .test_unknown_databases import view_of
 
 LONG_SECONDS = 60.0
 OTHER = replace(endpoint(), name="r2", database="other")
 
 
+class Confirmer:
+    """Confirms a view of control, or nothing."""
+
+    confirmed_by = None
+    age_ms = None
+
+    def __init__(self, views: ViewStore) -> None:
+        self.newest: ControlView | None = None
+        self.is_reachable = True
+        self.on_refresh: Callable[[], object] = lambda: None
+        self._views = views
+
+    def confirm(self) -> bool:
+        """Put control's view in force."""
+        if self.newest is not None:
+            self._views.adopt(self.newest)
+        return self.is_reachable
+
+    def refresh(self) -> bool:
+        """Do the same, as the last confirmation was long ago."""
+        self.on_refresh()
+        return self.confirm()
+
+
 class RemovedDatabaseTests(unittest.TestCase):
     """A view without a database that a transaction has begun on."""
 
@@ -82,5 +114,79 @@
         self.assertIsNone(run_text(self.session, "COMMIT").error)
 
 
+class UnconfirmedViewTests(unittest.TestCase):
+    """A view in force that control has not confirmed lately."""
+
+    def setUp(self) -> None:
+        self.views = ViewStore("zone-a", ManualClock())
+        self.views.adopt(view_of(1, "db"))
+        self.confirmer = Confirmer(self.views)
+        self.databases = Databases(self.views, self.confirmer)
+
+    def test_removed_database_is_not_used(self) -> None:
+        """Guard against an old view that is used at any age."""
+        self.confirmer.newest = view_of(2, "other")
+        with self.assertRaises(NoDatabaseError):
+            self.databases.resolve("db", "")
+
+    def test_database_is_used_without_control(self) -> None:
+        """Guard against a proxy that serves nothing while it is cut off."""
+        self.confirmer.is_reachable = False
+        with captured_logs() as lines:
+            self.assertEqual("db", self.databases.resolve("db", "").endpoint.database)
+        self.assertIn("event=served_unconfirmed", "".join(lines))
+
+    def test_view_in_force_is_used_after_the_attempt(self) -> None:
+        """Guard against a view that was replaced during the attempt."""
+        self.confirmer.is_reachable = False
+        self.confirmer.on_refresh = lambda: self.views.adopt(view_of(2, "other"))
+        with self.assertRaises(NotReadyError):
+            self.databases.resolve("db", "")
+
+
+class RemovalLogTests(unittest.TestCase):
+    """Lines that tell a database used after its removal from one of an old view."""
+
+    def setUp(self) -> None:
+        self.lines = self.enterContext(captured_logs())
+        self.pooler = Pooler([FakeServer("s1", Role.PRIMARY)])
+        self.session = self.pooler.session()
+
+    def remove(self) -> None:
+        """Put a view without the session's database in force."""
+        self.pooler.apply_view(primary="s1", endpoints=[OTHER])
+
+    def line(self, event: str) -> str:
+        """Return the only line of an event; empty for none."""
+        lines = [one for one in self.lines if f"event={event} " in one]
+        self.assertLessEqual(len(lines), 1)
+        return lines[0] if lines else ""
+
+    def test_removal_names_what_still_uses_the_database(self) -> None:
+        """Guard against a removal that no line dates."""
+        run_text(self.session, "BEGIN")
+        self.pooler.session()
+        self.remove()
+        line = self.line("databases_removed")
+        for field in ("view=2", "databases=db", "sessions=2", "transactions=1"):
+            self.assertIn(field, line)
+
+    def test_request_of_a_transaction_that_goes_on(self) -> None:
+        """Guard against a use of a removed database that no line names."""
+        run_text(self.session, "BEGIN")
+        run_text(self.session, "READ k")
+        self.remove()
+        self.pooler.clock.advance(0.5)
+        run_text(self.session, "READ k", "late")
+        line = self.line("removed_database_used")
+        for field in ("request=late", "looked_up_view=1", "view=2", "=500"):
+            self.assertIn(field, line)
+
+    def test_request_on_a_database_that_is_there(self) -> None:
+        """Guard against lines for ordinary requests."""
+        run_text(self.session, "READ k")
+        self.assertEqual("", self.line("removed_database_used"))
+
+
 if __name__ == "__main__":
     unittest.main()
