--- a/packages/emulator/src/dogwoodspool_emulator/emulation.py
+++ b/packages/emulator/src/dogwoodspool_emulator/emulation.py
@@ -14,11 +14,12 @@
 from dogwoodspool_sharing import Neighbour, ServerLimits
 from expression import Error, Result
 
+from .attempts import Attempt, EndCallback, Refused
 from .const import LOST_OWNER_SECONDS, POOL_CHECK_SECONDS, PROXY_UPTIME_SECONDS
 from .losses import ProcessLosses
 from .models import Disturbance, DisturbanceKind, Requests, Scenario, Variant
 from .outcomes import Outcomes
-from .proxies import Attempt, EndCallback, Proxy, Refused
+from .proxies import Proxy
 from .read_rules import ReadRules
 from .servers import GroupLog, Server
 from .timeline import Timeline
--- a/packages/emulator/src/dogwoodspool_emulator/proxies.py
+++ b/packages/emulator/src/dogwoodspool_emulator/proxies.py
@@ -1,72 +1,56 @@
 """Emulated proxies that run the production classes without threads or sockets."""
 
-import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import Final
 
-from dogwoodspool_common import BackendServer, Position
+from dogwoodspool_common import Position
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_connections import (
     ConnectionLimitError,
-    ConnectionPool,
-    LeastUsed,
     PoolSettings,
     PoolTimeoutError,
 )
 from dogwoodspool_limits import (
     AdmissionOutcome,
-    Priority,
     Refusal,
-    StatementQueue,
     Ticket,
     TicketState,
-    Work,
 )
-from dogwoodspool_pooler.ceiling import ConnectionCeiling
 from dogwoodspool_pooler.const import (
     BUSY_RETRY_SECONDS,
-    CATCH_UP_SHARE,
     CONNECTION_RETRY_SECONDS,
     CONNECTION_SHARE,
-    CONTROL_CONNECTIONS,
     MAX_READ_ATTEMPTS,
     NO_CONNECTION_RETRY_MS,
     NO_TURN_RETRY_MS,
-    QUEUE_LIMIT,
-    SHARED_QUEUE_LIMIT,
-    SLOT_OVERSUBSCRIPTION,
-    WAIT_SHARE,
 )
 from dogwoodspool_pooler.freshness import FreshnessTracker
 from dogwoodspool_pooler.lag import LagTracker
 from dogwoodspool_pooler.placement import rank_for_read
-from dogwoodspool_pooler.queue_orders import ORDERS, QueueOrderName
+from dogwoodspool_pooler.queue_orders import QueueOrderName
 from dogwoodspool_pooler.read_choice import ReadChoice, ReadChooser, ReadConditions
-from dogwoodspool_pooler.read_cost import AdmissionState, LoadCost
+from dogwoodspool_pooler.read_cost import LoadCost
 from dogwoodspool_pooler.registry import POOL_SETTINGS
 from dogwoodspool_pooler.replica_lag import ReplicaLag
 from dogwoodspool_pooler.shared.const import POSITION_SECONDS, POSITION_USE_SECONDS
-from dogwoodspool_pooler.turns import ConnectionTurns
 from dogwoodspool_routing import ServerTable
 from dogwoodspool_sharing import (
-    ConnectionPart,
     Neighbour,
     Owners,
     PoolRole,
     PrimaryLocation,
-    PrimaryShare,
     ProxyDirectory,
     RemoteOwners,
-    ServerLimits,
 )
-from dogwoodspool_sharing.const import CLOSE_ROOM
 from expression import Error, Ok, Result
 
+from .attempts import Attempt, EndCallback, Forward, Refused
+from .backends import Backend, BackendOptions, Backends
 from .const import CLOSE_CHECK_SECONDS, PROXY_UPTIME_SECONDS
-from .models import Placement, Requests
+from .models import Placement
 from .outcomes import ServerStats
 from .read_rules import ReadRules
 from .servers import Answer, Connection, Server
@@ -80,126 +64,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """A refused statement or request.
-
-    Attributes:
-        reason: the reason, which the results count.
-        retry_after: seconds after which the caller should retry.
-    """
-
-    reason: str
-    retry_after: float
-
-
-# Called with the result of an attempt.
-EndCallback = Callable[[Result[None, Refused]], None]
-# Forwards an attempt to the owners near its primary; returns False if there are none.
-Forward = Callable[["Attempt", EndCallback], bool]
-
-
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """One attempt of a caller's request.
-
-    Attributes:
-        work: slot seconds that each statement takes.
-        statements: number of statements; more than one for a transaction.
-        account: client account that it belongs to; empty for none.
-        at_primary: whether another proxy forwarded it to be served at the primary.
-        hop: one-way latency in seconds between the proxy that holds its connection and
-            the one that sends its statements.
-        is_read_only: whether it is a read-only transaction.
-        own_write_at: time of a write that it must reflect; None for none.
-        waited: seconds that it waited for a replica.
-    """
-
-    kind: Requests
-    group: str
-    writes: bool
-    work: float
-    arrived_at: float
-    statements: int = 1
-    account: str = ""
-    is_read_only: bool = False
-    own_write_at: float | None = None
-    waited: float = 0.0
-    at_primary: bool = False
-    hop: float = 0.0
-
-    @property
-    def needs_primary(self) -> bool:
-        """Return whether only the primary can serve it, whatever the replicas have."""
-        changes = self.writes or (self.is_transaction and not self.is_read_only)
-        return changes or self.kind.max_age_ms is None
-
-    @property
-    def is_transaction(self) -> bool:
-        """Return whether its statements are one transaction."""
-        return self.statements > 1
-
-    @property
-    def deadline(self) -> float:
-        """Time after which the caller no longer uses an answer."""
-        return self.arrived_at + self.kind.deadline_ms / MILLISECONDS
-
-    @property
-    def target(self) -> float:
-        """Time until which an answer is in time."""
-        target = min(self.kind.target_ms, self.kind.deadline_ms)
-        return self.arrived_at + target / MILLISECONDS
-
-    @property
-    def work_request(self) -> Work:
-        """What an owner of pools orders the attempt by."""
-        return Work(
-            priority=self.kind.priority,
-            target=self.target,
-            deadline=self.deadline,
-            kind=self.kind.name,
-            account=self.account,
-        )
-
-    @property
-    def resend_until(self) -> float:
-        """Time until which a statement is resent after a full server refused it."""
-        if self.is_transaction:
-            return self.deadline
-        return self.start_by if self.writes else self.arrived_at
-
-    @property
-    def start_by(self) -> float:
-        """Time until which it may wait for admission."""
-        target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
-        return self.arrived_at + self.waited + target * WAIT_SHARE
-
-    @property
-    def max_wait(self) -> float:
-        """Seconds from its arrival for which it may wait for a replica."""
-        target = min(self.kind.target_ms, self.kind.deadline_ms) / MILLISECONDS
-        return target * CATCH_UP_SHARE
-
-
-@dataclass(frozen=True, slots=True)
-class Backend:
-    """One server, with the pool and the limits of a proxy's work on it."""
-
-    server: Server
-    pool: ConnectionPool[Connection]
-    queue: StatementQueue
-    ceiling: ConnectionCeiling
-    turns: ConnectionTurns
-
-    def apply_ceiling(self) -> None:
-        """Apply the current ceiling to the pool and the queue."""
-        limit = self.ceiling.value()
-        if limit != self.pool.limit:
-            close_room = CLOSE_ROOM if self.ceiling.is_part else 0
-            self.pool.set_limit(limit, close_room=close_room)
-            self.queue.set_max_in_flight(self.pool.caller_limit)
-
-
 @dataclass(frozen=True, slots=True)
 class _Execution:
     """The execution of an attempt's statements on one server.
@@ -237,29 +101,6 @@
             event()
 
 
-class _Connector:
-    def __init__(
-        self,
-        server: Server,
-        ceiling: ConnectionCeiling,
-        turns: ConnectionTurns,
-        opened: list[Connection],
-    ) -> None:
-        self._server = server
-        self._ceiling = ceiling
-        self._turns = turns
-        self._opened = opened
-
-    def connect(
-        self, server: BackendServer, deadline: float, account: str = ""
-    ) -> Connection:
-        connection = self._server.connect()
-        self._opened.append(connection)
-        self._ceiling.record_connection_opened()
-        self._turns.record_connection_opened()
-        return connection
-
-
 class Proxy:
     """One proxy with its own state, pools and queues.
 
@@ -309,15 +150,20 @@
         )
         self._forward = forward
         self._timeline = _ProxyTimeline(timeline)
-        self._started_at = started_at
-        self._opened: list[Connection] = []
         self._distance = distance
-        self._pool_settings = pool_settings
-        self._connection_share = connection_share
         self._order = order
-        self._has_parts = has_parts
-        self._has_rated_accounts = has_rated_accounts
-        self._rng = rng or random.Random(0)
+        options = BackendOptions(
+            pool_settings,
+            connection_share,
+            order,
+            has_parts,
+            has_rated_accounts,
+            rng or random.Random(0),
+            started_at,
+        )
+        self._backends = Backends(
+            failure_domain, self.directory, self.remote, options, timeline.clock
+        )
         self._servers = {one.server_info.name: one for one in servers}
         self._primaries = {
             one.server_info.group: one for one in servers if one.is_primary
@@ -328,13 +174,12 @@
         self._lag_tracker = LagTracker(timeline.clock)
         self._replica_lag = ReplicaLag(timeline.clock)
         self._chooser = ReadChooser(
-            LoadCost(self.directory.owner_share, self._admission_state),
+            LoadCost(self.directory.owner_share, self._backends.admission_state),
             self._lag_tracker,
             self._replica_lag,
             timeline.clock,
             self._rules.random_source,
         )
-        self._backends: dict[str, Backend] = {}
 
     @property
     def is_up(self) -> bool:
@@ -352,12 +197,12 @@
 
     def mark_connections(self) -> None:
         """Record that the servers count connections of a process that has ended."""
-        for connection in self._opened:
+        for connection in self._backends.opened:
             connection.mark_dead()
 
     def drop_connections(self) -> None:
         """Have the servers drop the connections of this proxy, which has stopped."""
-        for connection in self._opened:
+        for connection in self._backends.opened:
             connection.close()
 
     def serve(self, attempt: Attempt, on_end: EndCallback) -> None:
@@ -406,8 +251,8 @@
         """Close connections whose idle time has expired."""
         if not self.is_up:
             return
-        for backend in self._backends.values():
-            self._apply_part(backend)
+        for backend in self._backends.all():
+            self._backends.apply_part(backend)
             if backend.turns.wait() > 0:
                 backend.pool.close_idle()
             else:
@@ -427,14 +272,6 @@
         is_standing = self._rules.placement is Placement.STANDING
         return not is_standing and self.directory.owner_share(group) is not None
 
-    def _admission_state(self, server: str) -> AdmissionState | None:
-        backend = self._backends.get(server)
-        if backend is None:
-            return None
-        queue = backend.queue
-        wait = queue.estimated_wait(Priority.READ)
-        return AdmissionState(queue.limit, queue.waiting, wait)
-
     def _choose(
         self, attempt: Attempt, min_position: Position, excluded: set[str]
     ) -> ReadChoice | None:
@@ -563,7 +400,7 @@
         has_alternatives: bool,
     ) -> None:
         """Wait for admission and a connection, and run the statements."""
-        backend = self._get_backend(server)
+        backend = self._backends.get(server)
         backend.apply_ceiling()
         start_by = max(attempt.start_by, self._timeline.now())
         execution = _Execution(
@@ -728,102 +565,15 @@
             execution.on_end(Ok(answer))
 
     def _server_busy(self, server: Server) -> Refused:
-        backend = self._backends[server.server_info.name]
+        backend = self._backends.get(server)
         return Refused(
             "server busy", backend.queue.next_retry_after_ms() / MILLISECONDS
         )
 
     def _is_ordered_by_target(self, group: str) -> bool:
-        return self._order is not QueueOrderName.ARRIVAL and self._is_shared(group)
-
-    def _is_shared(self, group: str) -> bool:
-        return self.directory.owner_share(group) is not None
-
-    def _get_backend(self, server: Server) -> Backend:
-        name = server.server_info.name
-        found = self._backends.get(name)
-        if found is None:
-            found = self._build_backend(server)
-            self._backends[name] = found
-        return found
-
-    def _build_backend(self, server: Server) -> Backend:
-        server_info, clock = server.server_info, self._timeline.clock
-        part = self._part(server)
-        ceiling = ConnectionCeiling(
-            clock,
-            int(server_info.connections * self._connection_share)
-            if part is None
-            else part.connections,
-            self._started_at,
-            is_part=part is not None,
+        return self._order is not QueueOrderName.ARRIVAL and self._backends.is_shared(
+            group
         )
-        turn_share = 1.0 if part is None else part.turn_share
-        turns = ConnectionTurns(clock, turn_share, self._rng)
-        first = ceiling.value()
-        pool = ConnectionPool(
-            server_info,
-            _Connector(server, ceiling, turns, self._opened),
-            clock,
-            self._pool_settings,
-            0,
-        )
-        if self._has_rated_accounts:
-            pool.set_eviction(LeastUsed(clock))
-        queue = StatementQueue(clock, server_info.slots, first, QUEUE_LIMIT)
-        order = ORDERS[self._order]()
-        if order is not None and self._is_shared(server_info.group):
-            queue.set_queue_limit(SHARED_QUEUE_LIMIT)
-            queue.set_order(order)
-            queue.set_slots(self._slots(server))
-        backend = Backend(server, pool, queue, ceiling, turns)
-        backend.apply_ceiling()
-        return backend
-
-    def _apply_part(self, backend: Backend) -> None:
-        """Apply the part that follows from the present role of this proxy."""
-        part = self._part(backend.server)
-        if part is not None:
-            settles = not backend.turns.is_always
-            backend.ceiling.set_highest(part.connections, is_part=True, settles=settles)
-            backend.turns.set_share(part.turn_share)
-            backend.apply_ceiling()
-
-    def _part(self, server: Server) -> ConnectionPart | None:
-        if not self._has_parts:
-            return None
-        info = server.server_info
-        available = max(1, info.connections - CONTROL_CONNECTIONS)
-        part = self.directory.connection_part(info.group, available)
-        primary = self._primary_share(server)
-        if part is None or primary is None or part.role is not PoolRole.OWNER:
-            return part
-        return replace(part, connections=primary.connections)
-
-    def _slots(self, server: Server) -> int:
-        """Return the statements that it may have in flight; see ``BackendRegistry``."""
-        primary = self._primary_share(server)
-        if primary is not None:
-            return primary.slots
-        info = server.server_info
-        share = self.directory.owner_share(info.group)
-        is_near = info.failure_domain == self.failure_domain
-        if share is None or (is_near and not server.is_primary):
-            return info.slots
-        return min(info.slots, math.ceil(SLOT_OVERSUBSCRIPTION * info.slots * share))
-
-    def _primary_share(self, server: Server) -> PrimaryShare | None:
-        """Return its share of a primary that few owners serve for all proxies."""
-        server_info = server.server_info
-        is_near = server_info.failure_domain == self.failure_domain
-        group = server_info.group
-        if not self.remote.is_primary(group, server_info.name):
-            return None
-        if not is_near and not self.remote.is_elsewhere(group):
-            return None
-        connections = server_info.connections - CONTROL_CONNECTIONS
-        limits = ServerLimits(server_info.slots, connections)
-        return self.directory.primary_share(group, limits, is_near=is_near)
 
 
 def _to_refused(refusal: Refusal) -> Refused:
