Pooler: a session's positions outlast changes of its database

A session that wrote while its database was served by the primary alone, and read after the database had become read-your-writes, could get data without its own write: positions of commits were kept only where the consistency of that moment needed them. And the position of one group bounded the reads of another one that the database had moved to: its replicas refused every read of the session as behind, for good, and the primary served them.

Positions are kept for each group and whatever the consistency.

--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -5,7 +5,6 @@
 
 from dogwoodspool_common import (
     Clock,
-    Consistency,
     Endpoint,
     Position,
     log_rate_limited,
@@ -80,7 +79,8 @@
         self._on_close = on_close
         self._lock = threading.Lock()
         self._state = SessionState()
-        self._position: Position | None = None
+        # By group: the position of the session's last commit there.
+        self._positions: dict[str, Position] = {}
         self._transaction: Transaction | None = None
 
     @property
@@ -413,7 +413,7 @@
             statement=statement,
             values=self._state.values,
             prepared=prepared,
-            session_position=self._position,
+            session_position=self._positions.get(endpoint.group),
             arrived_at=arrived_at,
             caller=caller,
         )
@@ -422,10 +422,15 @@
         return self._databases.endpoint(self._database)
 
     def _advance_position(self, endpoint: Endpoint, position: Position | None) -> None:
-        if position is None or endpoint.consistency is Consistency.PRIMARY:
+        """Record the position of a commit, whatever the database's consistency.
+
+        Later reads may be served under another one, or by another group.
+        """
+        if position is None:
             return
-        if self._position is None or position > self._position:
-            self._position = position
+        known = self._positions.get(endpoint.group)
+        if known is None or position > known:
+            self._positions[endpoint.group] = position
 
     def _answer(self, reply: Reply) -> Answer:
         return Answer(self.state, reply.rows, reply.proof, reply.error)
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -1,7 +1,7 @@
 """In-memory backend servers and a pooler wired to them without threads."""
 
 import threading
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
 from dogwoodspool_accounts import NoLimits, OperationLimiter
@@ -105,6 +105,7 @@
         is_deaf: whether it receives nothing.
         followers: the other servers of its group, which receive its commits.
         queries: number of times that its received position was asked for.
+        group: name of its group.
     """
 
     name: str
@@ -124,6 +125,7 @@
     is_deaf: bool = False
     followers: "list[FakeServer]" = field(default_factory=list, repr=False)
     queries: int = 0
+    group: str = GROUP
 
     def commit(self) -> None:
         """Append a commit to its log, which the other servers receive."""
@@ -135,7 +137,7 @@
     def as_backend_server(self) -> BackendServer:
         return BackendServer(
             name=self.name,
-            group=GROUP,
+            group=self.group,
             failure_domain=self.failure_domain,
             address=Address("10.0.0.1", 1000 + sum(self.name.encode())),
             slots=3,
@@ -326,7 +328,11 @@
     def __init__(self, servers: Sequence[FakeServer], clock: ManualClock) -> None:
         self.servers = {server.name: server for server in servers}
         for server in servers:
-            server.followers = [one for one in servers if one is not server]
+            server.followers = [
+                one
+                for one in servers
+                if one is not server and one.group == server.group
+            ]
         self._clock = clock
         self.opened_for: list[str] = []
 
@@ -493,11 +499,19 @@
         leaving: Collection[str] = (),
         accounts: Sequence[ClientAccount] | None = None,
         given_up: tuple[str, ...] = (),
+        other_primaries: Mapping[str, str] | None = None,
     ) -> None:
-        """Apply a new view; without ``accounts`` callers need none."""
+        """Apply a new view; without ``accounts`` callers need none.
+
+        ``other_primaries`` are those of further groups, by group.
+        """
         self.version += 1
         view_endpoints = [self.served_endpoint] if endpoints is None else endpoints
         group = GroupState(GROUP, self.version, primary, phase, (), given_up)
+        others = [
+            GroupState(name, self.version, one, Phase.STEADY, ())
+            for name, one in (other_primaries or {}).items()
+        ]
         servers = [
             replace(fake.as_backend_server(), is_leaving=fake.name in leaving)
             for fake in self.network.servers.values()
@@ -505,7 +519,7 @@
         self.views.adopt(
             ControlView(
                 version=self.version,
-                groups=[GroupMessage.of(group)],
+                groups=[GroupMessage.of(one) for one in (group, *others)],
                 servers=[ServerMessage.of(server) for server in servers],
                 proxies=[],
                 settings=[self._root_settings()],
