Pooler: the key of a transaction that has run nothing is the newest view's

A transaction that had run nothing was checked against the endpoint and the account of its begin, before it followed the newest view: a caller whose key had moved to another account got 'begin again', and one whose database no longer asks for a key got 'no client account holds this key', as only the older view says. Its first statement is now checked as it runs: by the newest view. The two tests of these cases failed before; two more guard the refusal of a revoked key.

--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -255,18 +255,14 @@
         except UnknownKeyError as error:
             return Error(error.error)
         except NotReadyError as error:
-            busy = StatementError(ErrorCode.BUSY, str(error), NOT_READY_RETRY_MS)
-            return Error(busy)
+            return Error(_not_ready(error))
         return Ok(known)
 
     def _check_key(self, statement: Statement) -> Answer | None:
         """Refuse a caller whose key was revoked or moved during its transaction."""
         transaction = self._transaction
-        if transaction is None:
-            if self._endpoint() is None:
-                return None
-            known = self._resolve(statement)
-            return None if known.is_ok() else Answer(self.state, error=known.error)
+        if transaction is None or not transaction.has_started:
+            return self._check_unused_key(statement)
         try:
             caller = self._identify(transaction.endpoint)
         except UnknownKeyError as error:
@@ -278,6 +274,16 @@
             return self._refuse(ErrorCode.ABORTED, message)
         return None
 
+    def _check_unused_key(self, statement: Statement) -> Answer | None:
+        """Refuse a caller whose key the newest view lacks, before anything has run."""
+        if self._endpoint() is None or self._follows_route(statement):
+            return None
+        known = self._resolve(statement)
+        if known.is_ok():
+            return None
+        self._abort_open_transaction()
+        return Answer(self.state, error=known.error)
+
     def _check_route(self, statement: Statement) -> Answer | None:
         """Apply the newest view to a transaction that has run nothing yet.
 
@@ -285,8 +291,7 @@
         first statement: it must not run where the view no longer allows it.
         """
         transaction = self._transaction
-        is_run = statement.kind in (*RUNNING_KINDS, StatementKind.COMMIT)
-        if transaction is None or transaction.has_started or not is_run:
+        if transaction is None or not self._follows_route(statement):
             return None
         resolved = self._resolve(statement)
         if resolved.is_ok():
@@ -300,6 +305,12 @@
             return self._refuse(ErrorCode.ABORTED, message)
         return Answer(self.state, error=resolved.error)
 
+    def _follows_route(self, statement: Statement) -> bool:
+        """Return whether a statement is the first one of a transaction that may run."""
+        transaction = self._transaction
+        is_run = statement.kind in (*RUNNING_KINDS, StatementKind.COMMIT)
+        return transaction is not None and not transaction.has_started and is_run
+
     def _abort_open_transaction(self) -> None:
         if self._transaction is not None:
             self._transactions.abort(self._transaction)
@@ -442,3 +453,7 @@
         self._abort_open_transaction()
         message = f"no statement is prepared under the name {statement.name}"
         return self._refuse(ErrorCode.UNKNOWN_STATEMENT, message)
+
+
+def _not_ready(error: NotReadyError) -> StatementError:
+    return StatementError(ErrorCode.BUSY, str(error), NOT_READY_RETRY_MS)
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -362,16 +362,27 @@
 
 
 class ConfirmedView:
-    """A view that control always confirms as the newest one."""
+    """Control, which confirms the view in force as the newest one.
+
+    Attributes:
+        is_reachable: whether it confirms anything.
+        bring: puts control's newest view in force, when it is reached.
+    """
 
     confirmed_by = None
     age_ms = 0
 
+    def __init__(self) -> None:
+        self.is_reachable = True
+        self.bring: Callable[[], object] = lambda: None
+
     def confirm(self) -> bool:
-        return True
+        if self.is_reachable:
+            self.bring()
+        return self.is_reachable
 
     def refresh(self) -> bool:
-        return True
+        return self.is_reachable
 
 
 class Pooler:
@@ -440,6 +451,7 @@
         )
         self.counters = Counters()
         self.limiter: OperationLimiter = NoLimits()
+        self.control = ConfirmedView()
         placement = ReadPlacement(
             self.views, self.table, known, access, self.shared_reads
         )
@@ -482,7 +494,7 @@
         )
         return PooledSessions(
             views,
-            ConfirmedView(),
+            self.control,
             statements or self.local_statements,
             transactions,
             self.limiter,
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -22,7 +22,7 @@
 from dogwoodspool_pooler.operations import OperationCounter
 from dogwoodspool_pooler.token_age import TokenAge
 
-from .fakes import FakeServer, Pooler, endpoint, run_text
+from .fakes import FakeServer, Pooler, endpoint, run_text, set_value
 from .shared.neighbours import SharingProxy
 
 
@@ -144,6 +144,43 @@
         self.assertEqual(self.ran_for(), ["shop"])
 
 
+class UnusedTransactionTests(AccountFixture):
+    """A transaction that has run nothing runs for the caller of the newest view."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.session = self.pooler.session("key-1")
+        run_text(self.session, "BEGIN")
+
+    def test_key_moved(self) -> None:
+        """Guard against a transaction that ends by a change before its start."""
+        self.apply_accounts(account("bakery", "key-1"))
+        self.assertIsNone(run_text(self.session, "WRITE k v").error)
+        self.assertEqual(self.ran_for(), ["bakery"])
+
+    def test_key_no_longer_needed(self) -> None:
+        """Guard against the refusal of a key that only an older view asks for."""
+        public = replace(endpoint(), is_public=True)
+        self.pooler.apply_view(primary="s1", accounts=[BAKERY], endpoints=[public])
+        self.assertIsNone(run_text(self.session, "WRITE k v").error)
+        self.assertEqual(self.ran_for(), [""])
+
+    def test_key_revoked(self) -> None:
+        """Guard against a key that works until its transaction's first statement."""
+        self.apply_accounts(BAKERY)
+        answer = run_text(self.session, "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertEqual(self.ran_for(), [])
+
+    def test_key_revoked_before_a_value(self) -> None:
+        """Guard against values that are set for a revoked key."""
+        self.apply_accounts(BAKERY)
+        answer = set_value(self.session, "tenant", "a")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+
+
 class RecordingLimiter:
     """Admit every operation, and record those that are given back."""
 
