Pooler: the key of an open transaction is denied only by a confirmed view

A caller's key that the view in force lacked ended its transaction with the definite 'no client account holds this key', whatever the age of the view; a newer one may have it again. As for new sessions and single statements, control confirms the view first; without control the transaction is rolled back with a refusal that can be retried. Both tests of BehindControlTests failed before.

--- a/packages/pooler/src/dogwoodspool_pooler/databases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -1,7 +1,8 @@
 """What the database and the key that a caller names stand for."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from dogwoodspool_common import Address, Endpoint, log_rate_limited
 from dogwoodspool_following import ProxyView, ViewStore
@@ -9,6 +10,8 @@
 from .errors import NoDatabaseError, NotReadyError, UnknownKeyError
 from .identity import Caller, identify
 
+FoundT = TypeVar("FoundT")
+
 
 class Confirmer(Protocol):
     """Confirms that the view in force is the newest one."""
@@ -88,14 +91,40 @@
         try:
             known = _find(view, database, key_digest)
         except (NoDatabaseError, UnknownKeyError):
-            is_newest = self._confirmer.confirm()
-        else:
-            if not is_recent:
-                self._log_unconfirmed(view, database, request_id)
-            return known
+            return self._find_in_newest(
+                lambda newest: _find(newest, database, key_digest), database, request_id
+            )
+        if not is_recent:
+            self._log_unconfirmed(view, database, request_id)
+        return known
+
+    def identify(
+        self, endpoint: Endpoint, key_digest: str, request_id: str = ""
+    ) -> Caller:
+        """Return the caller that a key identifies at an endpoint that is in use.
+
+        Raises:
+            UnknownKeyError: no account of the newest configuration holds the key.
+            NotReadyError: no account that is known here holds it, but control did not
+                confirm it.
+        """
+        try:
+            return identify(self._views.view, endpoint, key_digest)
+        except UnknownKeyError:
+            return self._find_in_newest(
+                lambda newest: identify(newest, endpoint, key_digest),
+                endpoint.database,
+                request_id,
+            )
+
+    def _find_in_newest(
+        self, find: Callable[[ProxyView], FoundT], database: str, request_id: str
+    ) -> FoundT:
+        """Return what the newest view has and the view in force lacked."""
+        is_newest = self._confirmer.confirm()
         view = self._views.view
         try:
-            return _find(view, database, key_digest)
+            return find(view)
         except (NoDatabaseError, UnknownKeyError) as error:
             is_denied = is_newest and _has_configuration(view)
             self._log_refused(error, view, database, request_id, is_denied=is_denied)
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -264,10 +264,15 @@
         if transaction is None or not transaction.has_started:
             return self._check_unused_key(statement)
         try:
-            caller = self._identify(transaction.endpoint)
+            caller = self._databases.identify(
+                transaction.endpoint, self._key_digest, statement.request_id
+            )
         except UnknownKeyError as error:
             self._abort_open_transaction()
             return Answer(self.state, error=error.error)
+        except NotReadyError as error:
+            self._abort_open_transaction()
+            return Answer(self.state, error=_not_ready(error))
         if caller.account != transaction.caller.account:
             self._abort_open_transaction()
             message = "the key moved to another client account; begin again"
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -144,6 +144,34 @@
         self.assertEqual(self.ran_for(), ["shop"])
 
 
+class BehindControlTests(AccountFixture):
+    """A key that the view in force lacks, and control's newest one may have."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.session = self.pooler.session("key-1")
+        run_text(self.session, "BEGIN")
+
+    def test_key_that_came_back_keeps_its_transaction(self) -> None:
+        """Guard against a definite refusal by a proxy that is behind."""
+        run_text(self.session, "WRITE k v")
+        self.apply_accounts(BAKERY)
+        self.pooler.control.bring = lambda: self.apply_accounts(SHOP, BAKERY)
+        for text in ("WRITE k2 v", "COMMIT"):
+            self.assertIsNone(run_text(self.session, text).error)
+
+    def test_key_is_not_denied_without_control(self) -> None:
+        """Guard against a definite refusal by a proxy that cannot know."""
+        run_text(self.session, "WRITE k v")
+        self.apply_accounts(BAKERY)
+        self.pooler.control.is_reachable = False
+        answer = run_text(self.session, "WRITE k2 v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertIs(answer.state, TransactionState.FAILED)
+        self.assertEqual(self.ran_for(), ["shop"])
+
+
 class UnusedTransactionTests(AccountFixture):
     """A transaction that has run nothing runs for the caller of the newest view."""
 
