Shared pools: an owner denies a key only by a confirmed view

An owner that did not find a neighbour's caller in its view answered 'no client account holds this key', whatever the age of that view, and also where another account held the key by then. Both are definite refusals that only some version allows; the callers do not try again.

The owner has control confirm its view first, as a proxy does for its own callers. Without a confirmation, and for a key that moved, it refuses with a promise and a time to retry; the transaction is rolled back as before. All four new tests fail where the owner denies at once.

StatementApi and TransactionApi get the check from outside, so that three tests build one; what they assert is the same.

--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -99,6 +99,7 @@
         self._accepted_work = AcceptedWork(clock)
         self._views = ViewStore(failure_domain, clock)
         self._peers = ControlPeers(control, failure_domain, name)
+        self._confirmation = ViewConfirmation(self._views, self._peers, client, clock)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
             self._views,
@@ -155,6 +156,7 @@
             failure_domains,
             ControlPeers(control, failure_domain, failure_domain),
             self._views,
+            self._confirmation,
             access,
             statements,
             freshness,
@@ -183,7 +185,6 @@
         self._expiry = ConnectionExpiry(
             self._registry, self._shared.is_forwarded, clock
         )
-        self._confirmation = ViewConfirmation(self._views, self._peers, client, clock)
         self._sessions = PooledSessions(
             self._views,
             self._confirmation,
--- a/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/runtime.py
@@ -22,12 +22,14 @@
 )
 
 from ..access import ServerAccess
+from ..databases import Confirmer
 from ..final_writes import FinalWrites
 from ..freshness import FreshnessTracker
 from ..models import Reply
 from ..requests import Request
 from ..statements import Statements
 from .access import SharingAccess
+from .caller_check import CallerCheck
 from .const import (
     CONNECTIONS_TO_OWNER,
     NEW_REQUESTS,
@@ -57,6 +59,7 @@
         failure_domains: number of failure domains.
         peers: control processes in the order of the failure domain.
         views: the views from control.
+        confirmer: confirms that the view in force is the newest one.
         access: access to the local pools.
         statements: serves single statements on the local pools.
         freshness: positions of primaries known to this process.
@@ -77,6 +80,7 @@
         failure_domains: int,
         peers: ControlPeers,
         views: ViewStore,
+        confirmer: Confirmer,
         access: ServerAccess,
         statements: Statements,
         freshness: FreshnessTracker,
@@ -99,14 +103,23 @@
         self._leases = LeaseTracker(self._idle_limit, clock)
         self._expiry = LeaseExpiry(self._leases, clock)
         self._slots = WorkSlots(NEW_REQUESTS)
+        callers = CallerCheck(views, confirmer)
         self._statement_api = StatementApi(
             views,
+            callers,
             NeighbourStatements(statements, self._directory),
             self._slots,
             clock,
         )
         self._transaction_api = TransactionApi(
-            views, access, self._leases, self._slots, final_writes, clock, keeps_room
+            views,
+            callers,
+            access,
+            self._leases,
+            self._slots,
+            final_writes,
+            clock,
+            keeps_room,
         )
         self._client = JsonLineClient(
             CONNECTIONS_TO_OWNER, OWNER_CONNECT_TIMEOUT, OWNER_UNACKNOWLEDGED_MS
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -11,7 +11,7 @@
 
 from ..errors import AnswerLostError, NoPrimaryError, NotServedError
 from ..statements import Statements
-from .caller_check import check_caller
+from .caller_check import CallerCheck
 from .const import PATH_STATEMENT
 from .errors import OwnerUnavailableError
 from .handling import internal_errors
@@ -29,9 +29,15 @@
     """Serve single statements of other proxies like those of local callers."""
 
     def __init__(
-        self, views: ViewStore, statements: Statements, slots: WorkSlots, clock: Clock
+        self,
+        views: ViewStore,
+        callers: CallerCheck,
+        statements: Statements,
+        slots: WorkSlots,
+        clock: Clock,
     ) -> None:
         self._views = views
+        self._callers = callers
         self._slots = slots
         self._statements = statements
         self._clock = clock
@@ -51,7 +57,7 @@
         if group not in self._views.view.groups:
             return error_response(421, OwnerRefusal.NOT_KNOWN, group)
         try:
-            check_caller(self._views.view, wanted.caller)
+            self._callers.check(wanted.caller)
             with self._slots.acquire_slot():
                 reply = self._statements.run(wanted)
         except OwnerUnavailableError as error:
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -20,14 +20,14 @@
 
 from ..access import ServerAccess
 from ..const import BUSY_RETRY_MS
-from ..errors import NotFreshError, NotServedError, UnknownKeyError
+from ..errors import NotFreshError, NotServedError
 from ..final_writes import FinalWrites
 from ..held import ReadBound
 from ..local_connection import LocalHeldConnection
 from ..models import Access, ErrorCode, Reply, StatementError, StatementKind
 from ..requests import AdmissionRequest
 from ..writes import not_final_in_doubt
-from .caller_check import check_caller
+from .caller_check import CallerCheck
 from .const import (
     FORWARDED_TOKEN_AGE,
     HOP_SECONDS,
@@ -61,6 +61,7 @@
     def __init__(
         self,
         views: ViewStore,
+        callers: CallerCheck,
         access: ServerAccess,
         leases: LeaseTracker,
         slots: WorkSlots,
@@ -71,6 +72,7 @@
         self._final_writes = final_writes
         self._keeps_room = keeps_room
         self._views = views
+        self._callers = callers
         self._slots = slots
         self._access = access
         self._leases = leases
@@ -91,12 +93,12 @@
     def _serve(self, message: TransactionRequest) -> JsonResponse:
         try:
             if message.statement.kind is not StatementKind.ROLLBACK:
-                check_caller(self._views.view, caller_of(message.caller))
+                self._callers.check(caller_of(message.caller))
         except OwnerBehindError as error:
             # An open transaction goes on: its begin was checked here.
             if message.lease is None:
                 return refusal_response(error)
-        except UnknownKeyError as error:
+        except NotServedError as error:
             return self._refuse(message, error)
         if message.lease is not None:
             held = self._leases.take(message.lease)
--- a/tests/pooler/shared/neighbours.py
+++ b/tests/pooler/shared/neighbours.py
@@ -16,6 +16,7 @@
 )
 from dogwoodspool_common.const import CODE_BAD_REQUEST
 from dogwoodspool_pooler.shared.access import SharingAccess
+from dogwoodspool_pooler.shared.caller_check import CallerCheck
 from dogwoodspool_pooler.shared.leases import LeaseTracker
 from dogwoodspool_pooler.shared.owner_client import OwnerClient
 from dogwoodspool_pooler.shared.slots import WorkSlots
@@ -74,13 +75,17 @@
         """Make a pooler an owner that accepts requests of others."""
         leases = LeaseTracker(lambda _group: IDLE_LIMIT, pooler.clock)
         slots = WorkSlots(SLOTS)
+        callers = CallerCheck(pooler.views, pooler.control)
         owner = Owner(
             pooler,
             leases,
             slots,
-            StatementApi(pooler.views, pooler.local_statements, slots, pooler.clock),
+            StatementApi(
+                pooler.views, callers, pooler.local_statements, slots, pooler.clock
+            ),
             TransactionApi(
                 pooler.views,
+                callers,
                 pooler.access,
                 leases,
                 slots,
--- a/tests/pooler/shared/test_handling.py
+++ b/tests/pooler/shared/test_handling.py
@@ -7,6 +7,7 @@
 from dogwoodspool_common.routes import answer
 from dogwoodspool_pooler import Reply, Statement, StatementKind
 from dogwoodspool_pooler.requests import Request
+from dogwoodspool_pooler.shared.caller_check import CallerCheck
 from dogwoodspool_pooler.shared.const import PATH_STATEMENT
 from dogwoodspool_pooler.shared.messages import StatementRequest
 from dogwoodspool_pooler.shared.slots import WorkSlots
@@ -27,7 +28,10 @@
     def test_an_invalid_reply_is_no_bad_request(self) -> None:
         """Guard against a write that ran and is sent to the next owner."""
         pooler = Pooler([FakeServer("s1", Role.PRIMARY)])
-        api = StatementApi(pooler.views, _InvalidReplies(), WorkSlots(1), pooler.clock)
+        callers = CallerCheck(pooler.views, pooler.control)
+        api = StatementApi(
+            pooler.views, callers, _InvalidReplies(), WorkSlots(1), pooler.clock
+        )
         statement = Statement(StatementKind.WRITE, "r1", "WRITE k v")
         now = pooler.clock.now()
         request = Request(endpoint(), statement, {}, None, None, now)
--- a/tests/pooler/shared/test_primary_owners.py
+++ b/tests/pooler/shared/test_primary_owners.py
@@ -19,6 +19,7 @@
 from dogwoodspool_pooler.read_placement import ReadPlacement
 from dogwoodspool_pooler.reads import ReadPath
 from dogwoodspool_pooler.shared.access import SharingAccess
+from dogwoodspool_pooler.shared.caller_check import CallerCheck
 from dogwoodspool_pooler.shared.const import PATH_STATEMENT
 from dogwoodspool_pooler.shared.owner_client import OwnerClient
 from dogwoodspool_pooler.shared.owner_statements import OwnerStatements
@@ -242,7 +243,11 @@
         )
         owner = self.near[self.first]
         owner.statements = StatementApi(
-            near.views, near.local_statements, owner.slots, near.clock
+            near.views,
+            CallerCheck(near.views, near.control),
+            near.local_statements,
+            owner.slots,
+            near.clock,
         )
         self.assert_served("READ k")
         self.assert_served("WRITE k v")
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -386,6 +386,50 @@
         self.assertNotIn("COMMIT", [run.text for run in self.server.runs])
         self.assertEqual(self.proxy.owner("o1").leases.count, 0)
 
+    def apply_at_owners(self, *accounts: ClientAccount) -> None:
+        """Put a view in force at the owners that the sender does not have."""
+        for owner in self.owners:
+            owner.apply_view(primary="s1", accounts=accounts)
+
+    def check_refused(self, answer: Answer) -> None:
+        """Check that the caller may try again and that no owner holds anything."""
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertGreater(answer.error.retry_after_ms, 0)
+        self.assertEqual(self.proxy.owner("o1").leases.count, 0)
+
+    def test_key_that_came_back_is_served(self) -> None:
+        """Guard against a definite refusal by an owner that is behind."""
+        session = self.proxy.session("key-1")
+        self.apply_at_owners(BAKERY)
+        owner = self.owners[0]
+        owner.control.bring = lambda: owner.apply_view(primary="s1", accounts=[SHOP])
+        self.assertIsNone(run_text(session, "WRITE k v").error)
+
+    def test_key_is_not_denied_without_control(self) -> None:
+        """Guard against a definite refusal by an owner that cannot know."""
+        session = self.proxy.session("key-1")
+        self.apply_at_owners(BAKERY)
+        self.owners[0].control.is_reachable = False
+        self.check_refused(run_text(session, "WRITE k v"))
+        self.assertEqual(self.server.runs, [])
+
+    def test_moved_key_is_not_denied(self) -> None:
+        """Guard against a definite refusal of a key that another account holds."""
+        session = self.proxy.session("key-1")
+        self.apply_at_owners(account("bakery", "key-1"))
+        self.check_refused(run_text(session, "WRITE k v"))
+        self.assertEqual(self.server.runs, [])
+
+    def test_transaction_of_a_moved_key_is_rolled_back(self) -> None:
+        """Guard against a connection that stays with a transaction that has ended."""
+        session = self.proxy.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.apply_at_owners(account("bakery", "key-1"))
+        self.check_refused(run_text(session, "COMMIT"))
+        self.assertEqual([run.text for run in self.server.runs], ["WRITE k v"])
+
     def revoke_everywhere(self) -> None:
         for pooler in (*self.owners, self.proxy):
             pooler.apply_view(primary="s1", accounts=[BAKERY])
