Shared pools: an owner runs nothing on a route that its view lacks

An owner looked only whether it knew the group, or the server, that a neighbour named. So a proxy that is cut off from control could have what its old view names run by an owner that has received the removal: on a removed database, or on the group that the database had left.

The owner compares the route with its own view now, and answers 'not known' as for a group that it lacks: either may be the one that is behind, so the sender serves the request elsewhere, and nothing is refused to the caller. Open transactions go on. A transaction's message names no database (a new field would be rejected by earlier builds), unless owners order by targets: then only groups that serve no database at all are told.

--- a/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/messages.py
@@ -34,7 +34,8 @@
 
     Attributes:
         LEAVING: its process is shutting down.
-        NOT_KNOWN: its view lacks the group or server, or has another incarnation of it.
+        NOT_KNOWN: its view lacks the group, its database or the server, or has another
+            incarnation of the server.
         FULL: it already serves its maximum number of new requests.
         UNKNOWN_LEASE: it holds no connection under that lease.
     """
--- a/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/statement_api.py
@@ -22,6 +22,7 @@
     StatementRequest,
     StatementResponse,
 )
+from .route_check import RouteCheck
 from .slots import WorkSlots, refusal_response
 
 
@@ -36,7 +37,7 @@
         slots: WorkSlots,
         clock: Clock,
     ) -> None:
-        self._views = views
+        self._routes = RouteCheck(views)
         self._callers = callers
         self._slots = slots
         self._statements = statements
@@ -53,9 +54,9 @@
 
     def _serve(self, message: StatementRequest) -> JsonResponse:
         wanted = message.value(self._clock.now())
-        group = wanted.endpoint.group
-        if group not in self._views.view.groups:
-            return error_response(421, OwnerRefusal.NOT_KNOWN, group)
+        endpoint = wanted.endpoint
+        if not self._routes.is_known(endpoint.group, endpoint.database):
+            return error_response(421, OwnerRefusal.NOT_KNOWN, endpoint.database)
         try:
             self._callers.check(wanted.caller)
             with self._slots.acquire_slot():
--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -48,6 +48,7 @@
     TransactionResponse,
     caller_of,
 )
+from .route_check import RouteCheck
 from .slots import WorkSlots, refusal_response
 
 # Returns whether a server is to refuse read-only transactions with a bound, because it
@@ -72,6 +73,7 @@
         self._final_writes = final_writes
         self._keeps_room = keeps_room
         self._views = views
+        self._routes = RouteCheck(views)
         self._callers = callers
         self._slots = slots
         self._access = access
@@ -137,11 +139,16 @@
         return JsonResponse()
 
     def _server(self, message: TransactionRequest) -> BackendServer | None:
-        """Return the requested server if this process knows the same incarnation."""
+        """Return the requested server if this process knows the same incarnation.
+
+        It is not used if the view has no database that it serves.
+        """
         requested = message.server
         known = self._views.view.servers.get(requested.server)
         if known is None or known.is_gone:
             return None
+        if not self._routes.is_known(known.group, message.kind):
+            return None
         is_same = str(known.address) == requested.address
         return known if is_same and known.incarnation == requested.incarnation else None
 
