--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -22,7 +22,7 @@
 from dogwoodspool_pooler.operations import OperationCounter
 from dogwoodspool_pooler.token_age import TokenAge
 
-from .fakes import FakeServer, Pooler, endpoint, run_text
+from .fakes import FakeServer, Pooler, endpoint, run_text, set_value
 from .shared.neighbours import SharingProxy
 
 
@@ -144,6 +144,71 @@
         self.assertEqual(self.ran_for(), ["shop"])
 
 
+class BehindControlTests(AccountFixture):
+    """A key that the view in force lacks, and control's newest one may have."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.session = self.pooler.session("key-1")
+        run_text(self.session, "BEGIN")
+
+    def test_key_that_came_back_keeps_its_transaction(self) -> None:
+        """Guard against a definite refusal by a proxy that is behind."""
+        run_text(self.session, "WRITE k v")
+        self.apply_accounts(BAKERY)
+        self.pooler.control.bring = lambda: self.apply_accounts(SHOP, BAKERY)
+        for text in ("WRITE k2 v", "COMMIT"):
+            self.assertIsNone(run_text(self.session, text).error)
+
+    def test_key_is_not_denied_without_control(self) -> None:
+        """Guard against a definite refusal by a proxy that cannot know."""
+        run_text(self.session, "WRITE k v")
+        self.apply_accounts(BAKERY)
+        self.pooler.control.is_reachable = False
+        answer = run_text(self.session, "WRITE k2 v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertIs(answer.state, TransactionState.FAILED)
+        self.assertEqual(self.ran_for(), ["shop"])
+
+
+class UnusedTransactionTests(AccountFixture):
+    """A transaction that has run nothing runs for the caller of the newest view."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.session = self.pooler.session("key-1")
+        run_text(self.session, "BEGIN")
+
+    def test_key_moved(self) -> None:
+        """Guard against a transaction that ends by a change before its start."""
+        self.apply_accounts(account("bakery", "key-1"))
+        self.assertIsNone(run_text(self.session, "WRITE k v").error)
+        self.assertEqual(self.ran_for(), ["bakery"])
+
+    def test_key_no_longer_needed(self) -> None:
+        """Guard against the refusal of a key that only an older view asks for."""
+        public = replace(endpoint(), is_public=True)
+        self.pooler.apply_view(primary="s1", accounts=[BAKERY], endpoints=[public])
+        self.assertIsNone(run_text(self.session, "WRITE k v").error)
+        self.assertEqual(self.ran_for(), [""])
+
+    def test_key_revoked(self) -> None:
+        """Guard against a key that works until its transaction's first statement."""
+        self.apply_accounts(BAKERY)
+        answer = run_text(self.session, "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+        self.assertEqual(self.ran_for(), [])
+
+    def test_key_revoked_before_a_value(self) -> None:
+        """Guard against values that are set for a revoked key."""
+        self.apply_accounts(BAKERY)
+        answer = set_value(self.session, "tenant", "a")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.UNKNOWN_KEY)
+
+
 class RecordingLimiter:
     """Admit every operation, and record those that are given back."""
 
@@ -321,6 +386,50 @@
         self.assertNotIn("COMMIT", [run.text for run in self.server.runs])
         self.assertEqual(self.proxy.owner("o1").leases.count, 0)
 
+    def apply_at_owners(self, *accounts: ClientAccount) -> None:
+        """Put a view in force at the owners that the sender does not have."""
+        for owner in self.owners:
+            owner.apply_view(primary="s1", accounts=accounts)
+
+    def check_refused(self, answer: Answer) -> None:
+        """Check that the caller may try again and that no owner holds anything."""
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertGreater(answer.error.retry_after_ms, 0)
+        self.assertEqual(self.proxy.owner("o1").leases.count, 0)
+
+    def test_key_that_came_back_is_served(self) -> None:
+        """Guard against a definite refusal by an owner that is behind."""
+        session = self.proxy.session("key-1")
+        self.apply_at_owners(BAKERY)
+        owner = self.owners[0]
+        owner.control.bring = lambda: owner.apply_view(primary="s1", accounts=[SHOP])
+        self.assertIsNone(run_text(session, "WRITE k v").error)
+
+    def test_key_is_not_denied_without_control(self) -> None:
+        """Guard against a definite refusal by an owner that cannot know."""
+        session = self.proxy.session("key-1")
+        self.apply_at_owners(BAKERY)
+        self.owners[0].control.is_reachable = False
+        self.check_refused(run_text(session, "WRITE k v"))
+        self.assertEqual(self.server.runs, [])
+
+    def test_moved_key_is_not_denied(self) -> None:
+        """Guard against a definite refusal of a key that another account holds."""
+        session = self.proxy.session("key-1")
+        self.apply_at_owners(account("bakery", "key-1"))
+        self.check_refused(run_text(session, "WRITE k v"))
+        self.assertEqual(self.server.runs, [])
+
+    def test_transaction_of_a_moved_key_is_rolled_back(self) -> None:
+        """Guard against a connection that stays with a transaction that has ended."""
+        session = self.proxy.session("key-1")
+        run_text(session, "BEGIN")
+        run_text(session, "WRITE k v")
+        self.apply_at_owners(account("bakery", "key-1"))
+        self.check_refused(run_text(session, "COMMIT"))
+        self.assertEqual([run.text for run in self.server.runs], ["WRITE k v"])
+
     def revoke_everywhere(self) -> None:
         for pooler in (*self.owners, self.proxy):
             pooler.apply_view(primary="s1", accounts=[BAKERY])
