Following: a line for a document that comes into force late

A request on a removed route that runs late told nobody whether its proxy had the change late, nor who had said meanwhile that there was none: nothing was written about the delay of a view.

A view now carries, on request, for how long the control process that sent it has had its document in force. A proxy that gets a newer document more than 2 s old writes view_late with the view before, who confirmed that one last and when; databases_removed carries the same age. The first view, a view with the same document and a view after one of an unknown document claim nothing. Answers without a view are as before; earlier builds neither send the parameter nor get the field.

--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -405,10 +405,12 @@
             first document.
         digest: digest of all endpoints at this version, also where the view contains
             only differences; see ``endpoints_digest``.
+        document_age_ms: time for which the sender has had the document in force, at
+            most the time since it was committed; None if it is not known.
     """
 
     _optional_fields: ClassVar[frozenset[str]] = frozenset(
-        {"accounts", "requires_account", "revision", "digest"}
+        {"accounts", "requires_account", "revision", "digest", "document_age_ms"}
     )
 
     version: int
@@ -423,6 +425,11 @@
     removed: RemovedItems = RemovedItems()
     revision: int = 0
     digest: str = ""
+    document_age_ms: int | None = None
+
+    def with_document_age(self, age_ms: int | None) -> Self:
+        """Return the view with the age of its document."""
+        return self.model_copy(update={"document_age_ms": age_ms})
 
     def without_document(self) -> Self:
         """Return the view for a process of an earlier build."""
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 
-from dogwoodspool_api import MemberMessage, WatchResponse
+from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
 from dogwoodspool_api.const import (
     PATH_WATCH,
     QUERY_AFTER,
     QUERY_CONFIRMED,
     QUERY_DOCUMENT,
+    QUERY_DOCUMENT_AGE,
     QUERY_GIVEN_UP,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
@@ -79,11 +80,7 @@
                     )
             except TooManyWaitersError:
                 retry_after = self._retries.next_delay()
-        view = self._state.view_since(after) if is_newer else None
-        if view is not None and request.query.get(QUERY_GIVEN_UP) != "1":
-            view = view.without_given_up()
-        if view is not None and request.query.get(QUERY_DOCUMENT) != "1":
-            view = view.without_document()
+        view = self._view(request, after) if is_newer else None
         members = self._members()
         if request.query.get(QUERY_VOTERS) != "1":
             members = [one.without_vote() for one in members]
@@ -96,6 +93,18 @@
         )
         return JsonResponse(response.model_dump(mode="json"))
 
+    def _view(self, request: JsonRequest, after: int) -> ControlView:
+        """Return the view from a version, with the fields that the proxy knows."""
+        view = self._state.view_since(after)
+        if request.query.get(QUERY_DOCUMENT_AGE) == "1":
+            # Read last: the age of a newer document than that of the view is less.
+            view = view.with_document_age(self._state.document_age_ms)
+        if request.query.get(QUERY_GIVEN_UP) != "1":
+            view = view.without_given_up()
+        if request.query.get(QUERY_DOCUMENT) != "1":
+            view = view.without_document()
+        return view
+
     def _read_newer(self, after: int) -> tuple[bool, float]:
         """Confirm a read; return whether there is a newer view, and when to retry.
 
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -7,6 +7,7 @@
 
 from dogwoodspool_api import ControlView
 from dogwoodspool_common import BackendServer, Clock, GroupState, RateLimit, log_event
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_settings import ExplainedValue, HistoryEntry, SettingsNode
 from pydantic import TypeAdapter
 
@@ -75,6 +76,7 @@
         self._servers = ServerTable({})
         self._settings = SettingsState()
         self._document = DocumentState()
+        self._document_applied_at: float | None = None
         self._views = ViewLog()
         self._views.reset(0, self._view_items())
         self._listeners: list[Callable[[], None]] = []
@@ -120,6 +122,19 @@
         with self._changed:
             return self._document.snapshot()
 
+    @property
+    def document_age_ms(self) -> int | None:
+        """Milliseconds since the latest document was applied here.
+
+        None before the first one, and for a document of a restored snapshot. It was
+        committed at that time or earlier.
+        """
+        with self._changed:
+            if self._document_applied_at is None:
+                return None
+            age = self._clock.now() - self._document_applied_at
+            return round(age * MILLISECONDS)
+
     @property
     def ended_servers(self) -> dict[str, int]:
         """The latest incarnation that has ended, by backend server."""
@@ -260,6 +275,7 @@
             self._servers = ServerTable(restored.servers, restored.ended_servers)
             self._settings = SettingsState(restored.settings)
             self._document = DocumentState.restore(restored.document)
+            self._document_applied_at = None
             self._version = restored.version
             self._views.reset(restored.version, self._view_items())
             self._notify_change()
@@ -305,6 +321,7 @@
             return Outcome(False, CODE_INVALID, applied.error.message)
         if not applied.ok:
             return Outcome(True, version=self._document.revision)
+        self._document_applied_at = self._clock.now()
         self._settings.record_document_change(index, self._groups.groups)
         return Outcome(True, index=index, version=command.revision)
 
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -38,6 +38,9 @@
 # less than the few seconds in which a change has to be in force.
 VIEW_CHECK_SECONDS: Final = 1.5
 MAX_VIEW_CHECK_SECONDS: Final = 30.0
+# Age of a document, when it comes into force here, from which on that is logged: near
+# the few seconds in which a change has to be in force.
+LATE_DOCUMENT_MS: Final = 2_000
 # Maximum time by which an idle transaction exceeds its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
 # Successful polls of another control process before the preferred one is tried again.
--- a/packages/following/src/dogwoodspool_following/poll.py
+++ b/packages/following/src/dogwoodspool_following/poll.py
@@ -6,6 +6,7 @@
     QUERY_AFTER,
     QUERY_CONFIRMED,
     QUERY_DOCUMENT,
+    QUERY_DOCUMENT_AGE,
     QUERY_GIVEN_UP,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
@@ -42,6 +43,7 @@
         QUERY_GIVEN_UP: "1",
         QUERY_VOTERS: "1",
         QUERY_DOCUMENT: "1",
+        QUERY_DOCUMENT_AGE: "1",
     }
     if must_confirm:
         query[QUERY_CONFIRMED] = "1"
--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -15,10 +15,13 @@
     GroupState,
     endpoints_digest,
     log_event,
+    log_rate_limited,
 )
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_settings import EffectiveSettings, SettingsTree
 
+from .const import LATE_DOCUMENT_MS
+
 ItemT = TypeVar("ItemT")
 
 ViewListener = Callable[["ProxyView"], None]
@@ -46,11 +49,14 @@
         requires_account: whether callers need a key of a client account.
         revision: revision of the document that the endpoints come from; 0 if it is not
             known, or before the first one.
+        document_age_ms: least time for which the document had been committed when
+            control sent this version; None if it is not known.
         sender: the control process that sent this version.
     """
 
     version: int = 0
     revision: int = 0
+    document_age_ms: int | None = None
     sender: Address | None = None
     groups: Mapping[str, GroupState] = field(default_factory=dict)
     servers: Mapping[str, BackendServer] = field(default_factory=dict)
@@ -91,6 +97,7 @@
         return cls(
             version=message.version,
             revision=message.revision,
+            document_age_ms=message.document_age_ms,
             sender=sender,
             groups=_merged(
                 before.groups,
@@ -168,6 +175,17 @@
     return False
 
 
+def _is_late(before: ProxyView, view: ProxyView) -> bool:
+    """Return whether a view brings a document long after it was committed.
+
+    The first view is not late, and no view after one whose document is not known.
+    """
+    is_known = before.revision > 0 or not before.endpoints
+    if not before.version or not is_known or view.revision <= before.revision:
+        return False
+    return (view.document_age_ms or 0) > LATE_DOCUMENT_MS
+
+
 class ViewStore:
     """Hold the newest view; its version never decreases.
 
@@ -266,13 +284,30 @@
             if not _has_endpoints_of(view, message) and message.base_version:
                 self._needs_whole = True
                 return False
-            self._view = view
+            before, self._view = self._view, view
             self._needs_whole = False
             self._changed.notify_all()
         log_event("view_in_force", level="DEBUG", version=message.version)
+        if _is_late(before, view):
+            self._log_late(before, view)
         self._notify()
         return True
 
+    def _log_late(self, before: ProxyView, view: ProxyView) -> None:
+        log_rate_limited(
+            "view_late",
+            level="WARNING",
+            view=view.version,
+            revision=view.revision,
+            sender=view.sender,
+            committed_ago_ms=view.document_age_ms,
+            before=before.version,
+            revision_before=before.revision,
+            sender_before=before.sender,
+            confirmed_by=self._confirmed_by,
+            confirmed_ago_ms=self.age_ms,
+        )
+
     def _notify(self) -> None:
         """Call the listeners with the newest view, in one thread at a time.
 
--- a/packages/pooler/src/dogwoodspool_pooler/removals.py
+++ b/packages/pooler/src/dogwoodspool_pooler/removals.py
@@ -60,6 +60,7 @@
             view=view.version,
             revision=view.revision,
             sender=view.sender,
+            committed_ago_ms=view.document_age_ms,
             count=len(removed),
             databases=",".join(sorted(removed)[:MAX_LOGGED_DATABASES]),
             sessions=len(naming),
--- a/tests/control/http/test_http.py
+++ b/tests/control/http/test_http.py
@@ -14,6 +14,7 @@
     PATH_WATCH,
 )
 from dogwoodspool_common import (
+    Address,
     JsonRequest,
     JsonResponse,
     ManualClock,
@@ -22,7 +23,11 @@
 )
 from dogwoodspool_consensus import NotConfirmedError, OutcomeUnknownError
 from dogwoodspool_control.command_queue import CommandQueue
-from dogwoodspool_control.commands import ApplyDocument, BeginPromotion
+from dogwoodspool_control.commands import (
+    ApplyDocument,
+    BeginPromotion,
+    RegisterProxy,
+)
 from dogwoodspool_control.const import (
     MAX_CONFIRMED_READS,
     MAX_WATCHERS,
@@ -142,6 +147,17 @@
         self.assertNotIn("revision", not_asked)
         self.assertNotIn("digest", not_asked)
 
+    def test_age_of_the_document_is_sent_only_on_request(self) -> None:
+        """Guard against proxies of an earlier build that reject the view."""
+        asked = self.call(PATH_WATCH, document_age="1").body["view"]
+        self.assertNotIn("document_age_ms", asked)
+        self.voter.node.commit(ApplyDocument(7, pack(Document({}, ())), "operator"))
+        self.clock.advance(1.5)
+        self.voter.node.commit(RegisterProxy("p2", "i1", "fd1", Address("h", 1)))
+        asked = self.call(PATH_WATCH, document_age="1").body["view"]
+        self.assertEqual(1_500, asked["document_age_ms"])
+        self.assertNotIn("document_age_ms", self.call(PATH_WATCH).body["view"])
+
     def test_confirmed_reads_need_no_slot_of_polls_that_wait(self) -> None:
         """Guard against proxies that get no confirmation beside many others."""
         with contextlib.ExitStack() as taken:
--- a/tests/control/settings/test_views.py
+++ b/tests/control/settings/test_views.py
@@ -118,6 +118,35 @@
         self.assertEqual(restored.view(), voter.state.view())
 
 
+class DocumentAgeTests(unittest.TestCase):
+    """Guard against a proxy that is told of a document's age too much."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.state = ControlState(self.clock)
+
+    def apply(self, index: int, revision: int) -> None:
+        """Apply a document."""
+        command = ApplyDocument(revision, document("a"), "ana")
+        self.state.apply(index, encode_command(command))
+
+    def test_resent_or_older_document_keeps_the_age(self) -> None:
+        self.assertIsNone(self.state.document_age_ms)
+        self.apply(1, 5)
+        self.clock.advance(2)
+        self.apply(2, 5)
+        self.apply(3, 4)
+        self.assertEqual(2_000, self.state.document_age_ms)
+        self.apply(4, 6)
+        self.assertEqual(0, self.state.document_age_ms)
+
+    def test_age_of_a_restored_document_is_unknown(self) -> None:
+        self.apply(1, 5)
+        self.state.restore(self.state.snapshot())
+        self.clock.advance(2)
+        self.assertIsNone(self.state.document_age_ms)
+
+
 class DocumentCommandTests(unittest.TestCase):
     """Documents are applied in the order of their revisions."""
 
--- a/tests/pooler/test_removed_databases.py
+++ b/tests/pooler/test_removed_databases.py
@@ -171,6 +171,12 @@
         for field in ("view=2", "databases=db", "sessions=2", "transactions=1"):
             self.assertIn(field, line)
 
+    def test_removal_tells_how_late_it_is(self) -> None:
+        """Guard against a late removal that looks like one in time."""
+        later = view_of(9, "other").model_copy(update={"document_age_ms": 2_500})
+        self.pooler.views.adopt(later)
+        self.assertIn("committed_ago_ms=2500", self.line("databases_removed"))
+
     def test_request_of_a_transaction_that_goes_on(self) -> None:
         """Guard against a use of a removed database that no line names."""
         run_text(self.session, "BEGIN")
