Consensus: confirmed reads of all processes in the record's histories

The histories of replaced members checked confirmed first views only, and confirmed reads only while messages were lost. Proxies are to make such a read all the time, from the version that they have, so a read that is told 'nothing newer' matters as much as a view.

Each tick now may ask any live process, lost, cut off, learning or removed ones among them, over the endpoint of proxies, from one of the latest versions; what that version or the answer shows must have every change acknowledged before the poll. A planted fault, a leader that answers its last commit without lease or quorum, is detected.

--- a/tests/consensus/record_histories.py
+++ b/tests/consensus/record_histories.py
@@ -337,9 +337,15 @@
             assert seen >= old, f"{machine.node_id} claims to have {old}, has {seen}"
 
 
-def run_record(seed: int, timeline: Timeline) -> RecordHistory:
-    """Run a timeline with a seed; a failure shows its last events."""
+def run_record(
+    seed: int, timeline: Timeline, read_chance: float = 0.0
+) -> RecordHistory:
+    """Run a timeline with a seed; a failure shows its last events.
+
+    Confirmed polls come with a chance of ``read_chance`` in each tick.
+    """
     history = RecordHistory(seed, timeline)
+    history.world.read_chance = read_chance
     try:
         history.run()
     except AssertionError as error:
--- a/tests/consensus/replaced_voters/checks.py
+++ b/tests/consensus/replaced_voters/checks.py
@@ -33,7 +33,7 @@
         self.views: dict[int, ControlView] = {}
         self._commands: dict[int, dict[str, Any]] = {}
         self._terms: dict[int, int] = {}
-        self._documents: dict[int, int] = {}
+        self.revisions: dict[int, int] = {}
         self._leader_of: dict[int, str] = {}
 
     def check_command(self, index: int, command: dict[str, Any]) -> None:
@@ -46,7 +46,7 @@
         version, view, revision = state.version, state.view(), state.document.revision
         known = self.views.setdefault(version, view)
         assert known == view, f"two states of version {version}"
-        known_revision = self._documents.setdefault(version, revision)
+        known_revision = self.revisions.setdefault(version, revision)
         assert known_revision == revision, f"two documents in version {version}"
         assert revision == revision_of(view), "the view lacks the document"
 
--- a/tests/consensus/replaced_voters/operator.py
+++ b/tests/consensus/replaced_voters/operator.py
@@ -3,7 +3,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from dogwoodspool_common import Address, BackendServer
+from dogwoodspool_api import WatchResponse
+from dogwoodspool_api.const import (
+    QUERY_AFTER,
+    QUERY_CONFIRMED,
+    QUERY_DOCUMENT,
+    QUERY_WAIT_MS,
+)
+from dogwoodspool_common import Address, BackendServer, JsonRequest
 from dogwoodspool_consensus import ConsensusError, NotConfirmedError
 from dogwoodspool_consensus.proposals import Proposal
 from dogwoodspool_control.commands import (
@@ -25,6 +32,9 @@
 
 # Time for which the operator waits for the outcome of a command.
 ANSWER_SECONDS = 2.0
+# Versions from which confirmed polls ask for what is newer.
+LATEST_VERSIONS = 12
+HTTP_OK = 200
 
 
 @dataclass(eq=False)
@@ -41,7 +51,8 @@
     """Sends commands and remembers what was acknowledged.
 
     ``acked`` is the highest acknowledged revision, and ``acked_at`` has the time of
-    each acknowledgement that raised it.
+    each acknowledgement that raised it. ``reads`` counts the polls of ``read_newer``,
+    and ``confirmed_reads`` those that were confirmed.
     """
 
     def __init__(self, world: "World") -> None:
@@ -49,6 +60,8 @@
         self.revision = 0
         self.acked = 0
         self.acked_at: dict[int, float] = {}
+        self.reads = 0
+        self.confirmed_reads = 0
         self._pending: list[_Order] = []
 
     def order(self) -> None:
@@ -148,3 +161,43 @@
             process.is_reading = False
         seen = process.state.document.revision
         assert seen >= before, f"{machine.node_id} confirmed {seen}, not {before}"
+
+    def read_newer(self) -> None:
+        """Check that a confirmed poll has everything acknowledged before it.
+
+        A proxy that is told that nothing is newer keeps the version that it has, which
+        is any of the latest ones.
+        """
+        known = self._world.checks.revisions
+        live = self._world.live()
+        if not live or not known:
+            return
+        machine = self._world.rng.choice(live)
+        process, before = machine.process, self.acked
+        if process is None or process.is_reading:
+            return
+        after = self._world.rng.choice(sorted(known)[-LATEST_VERSIONS:])
+        query = {
+            QUERY_AFTER: str(after),
+            QUERY_WAIT_MS: "0",
+            QUERY_CONFIRMED: "1",
+            QUERY_DOCUMENT: "1",
+        }
+        (route,) = process.watch.routes()
+        process.is_reading = True
+        try:
+            response = route.handler(JsonRequest(route.path, query, {}))
+        except SimulatedCrashError:
+            return
+        finally:
+            process.is_reading = False
+        self.reads += 1
+        if response.status != HTTP_OK:
+            return
+        self.confirmed_reads += 1
+        answer = WatchResponse.model_validate(response.body)
+        assert not answer.retry_after_ms, "no free slot for the only read"
+        seen = known[after] if answer.view is None else answer.view.revision
+        assert seen >= before, (
+            f"{machine.node_id} confirmed {seen} from version {after}, not {before}"
+        )
--- a/tests/consensus/replaced_voters/world.py
+++ b/tests/consensus/replaced_voters/world.py
@@ -41,7 +41,8 @@
     """Machines, network, operator and proxies, run by one seeded generator.
 
     ``depth`` counts the waits in progress, one inside the other, and ``order_pause``
-    is the range of the seconds between two commands of the operator.
+    is the range of the seconds between two commands of the operator. ``read_chance`` is
+    the chance of a confirmed poll in each tick.
     """
 
     def __init__(self, seed: int) -> None:
@@ -53,6 +54,7 @@
         self.proxies: list[SimulatedProxy] = []
         self.order_pause: tuple[float, float] | None = None
         self.next_order = 0.0
+        self.read_chance = 0.0
         self.checks = Checks()
         self.network = Network(self)
         self.operator = Operator(self)
@@ -205,5 +207,7 @@
             if self.order_pause is not None and self.now >= self.next_order:
                 self.next_order = self.now + self.rng.uniform(*self.order_pause)
                 self.operator.order()
+            if self.read_chance and self.rng.random() < self.read_chance:
+                self.operator.read_newer()
             if self.network.chaos and self.rng.random() < 0.05:
                 self.operator.read()
--- a/tests/consensus/test_record_histories.py
+++ b/tests/consensus/test_record_histories.py
@@ -11,6 +11,7 @@
 
 SEEDS = range(3)
 TRIES = 8
+READ_CHANCE = 0.2
 ALWAYS = property(lambda _self: True)
 
 
@@ -34,6 +35,25 @@
                 run_record(seed, random_timeline(seed))
 
 
+class ConfirmedReadTests(unittest.TestCase):
+    """Proxies make confirmed reads all the time, of all processes.
+
+    Guards against a confirmed read without an acknowledged change: at a lost or removed
+    process, beside elections, and after the last leader has lost its disk.
+    """
+
+    def test_each_confirmed_read_has_each_change(self) -> None:
+        for seed, timeline in enumerate((*TIMELINES, random_timeline(0))):
+            with self.subTest(seed=seed):
+                history = run_record(seed, timeline, READ_CHANCE)
+                self.assertGreater(history.world.operator.confirmed_reads, 0)
+
+    def test_read_without_a_quorum_is_detected(self) -> None:
+        """Guard against histories in which no lost process is asked."""
+        with mock.patch.object(Reads, "leader_read_point", _last_commit):
+            self.assertTrue(_is_detected(READ_CHANCE))
+
+
 class PlantedFaultTests(unittest.TestCase):
     """The histories detect faults in what control processes tell proxies.
 
@@ -53,10 +73,14 @@
             self.assertTrue(_is_detected())
 
 
-def _is_detected() -> bool:
+def _last_commit(reads: Reads, _deadline: float) -> int:
+    return reads._state.commit_index
+
+
+def _is_detected(read_chance: float = 0.0) -> bool:
     for seed in range(TRIES):
         try:
-            run_record(seed, TIMELINES[seed % len(TIMELINES)])
+            run_record(seed, TIMELINES[seed % len(TIMELINES)], read_chance)
         except AssertionError:
             return True
     return False
