--- a/tests/platform/replaced_control/__main__.py
+++ b/tests/platform/replaced_control/__main__.py
@@ -4,6 +4,7 @@
   replaced_control FIRST_SEED DAYS [--proxies=N] [--ways=WAYS] [--zones=ZONES]
                    [--gap=SECONDS] [--calm=SECONDS] [--changes=KIND]
                    [--restarts=KIND] [--cores=KIND] [--spare-edges] [--kept=N]
+                   [--callers=KIND] [--pause=SECONDS] [--busy=N] [--busy-callers=N]
                    [--net=NET] [--folder=PATH]
 
 Options:
@@ -21,6 +22,12 @@
                   at a time or all [default: none].
   --spare-edges   Only control processes lose their power at the end.
   --kept=N        Sessions kept open at each proxy [default: 20].
+  --callers=KIND  What callers ask for: unknown and removed databases all the time
+                  (asking), or hardly ever (quiet) [default: asking].
+  --pause=SECONDS  Longest time from a begin to the first statement, for quiet callers
+                  [default: 5].
+  --busy=N        Number of proxies that further callers keep busy [default: 0].
+  --busy-callers=N  Number of callers who keep one proxy busy [default: 200].
   --net=NET       First three parts of the loopback addresses [default: 127.0.31].
   --folder=PATH   Where logs are kept [default: out/replaced_control].
 
@@ -85,6 +92,10 @@
         core_restarts=str(arguments["--cores"]),
         spares_edges=bool(arguments["--spare-edges"]),
         kept_sessions=int(arguments["--kept"]),
+        callers=str(arguments["--callers"]),
+        max_pause_seconds=float(arguments["--pause"]),
+        busy_edges=int(arguments["--busy"]),
+        busy_callers=int(arguments["--busy-callers"]),
     )
 
 
@@ -114,12 +125,14 @@
         (record.age(one.edge, one.sent_at) > STABLE_SECONDS, record.lateness(one))
         for one in record.answers
     ]
+    uses = [record.lateness(one) for one in record.answers if one.is_use]
     worst = max((seconds for _, seconds in lateness), default=0.0)
     stable = max((seconds for is_stable, seconds in lateness if is_stable), default=0.0)
     return (
         f"counted={dict(counted) or 'none'} excused={dict(excused) or 'none'} "
         f"versions={len(record.versions)} answers={dict(answers)} "
-        f"latest_s={worst:.3f} latest_without_events_s={stable:.3f}"
+        f"latest_s={worst:.3f} latest_without_events_s={stable:.3f} "
+        f"latest_use_s={max(uses, default=0.0):.3f}"
     )
 
 
--- a/tests/platform/replaced_control/const.py
+++ b/tests/platform/replaced_control/const.py
@@ -61,3 +61,18 @@
 RECENT_DATABASES: Final = 60
 # Which share of the sessions whose database is gone is kept open.
 KEPT_REFUSED_SHARE: Final = 0.9
+# Callers who ask for hardly anything that is denied: threads for those of one proxy,
+# the time between two operations, between a begin and the first statement, between the
+# first statement and the next, and how long a session is used.
+QUIET_WORKERS: Final = 4
+QUIET_GAP_SECONDS: Final = (0.2, 1.5)
+MIN_PAUSE_SECONDS: Final = 0.2
+STATEMENT_GAP_SECONDS: Final = (0.01, 0.1)
+QUIET_SESSION_SECONDS: Final = (5.0, 40.0)
+QUIET_RETRY_SECONDS: Final = 0.2
+QUIET_TICK_SECONDS: Final = 0.1
+# Which share of their sessions names databases that are in every version.
+QUIET_STABLE_SHARE: Final = 0.1
+# Time since the acknowledgement after which callers connect to a new database.
+SETTLED_SECONDS: Final = 4.0
+LOAD_RETRY_SECONDS: Final = 0.2
--- a/tests/platform/replaced_control/machines.py
+++ b/tests/platform/replaced_control/machines.py
@@ -79,6 +79,7 @@
             for n in range(plan.edges)
         ]
         self._is_closed = False
+        self._loads: list[subprocess.Popen[bytes]] = []
         self._silent: list[SilentHost | FullBacklog | ResettingHost] = []
 
     @property
@@ -189,6 +190,25 @@
             process.wait(GRACE_SECONDS)
         self.kill(machine)
 
+    def keep_busy(self, edge: Machine, callers: int) -> None:
+        """Start a process with callers who keep a proxy busy until the end."""
+        module = f"{__package__}.load"
+        with (self._folder / f"{edge.host}.load").open("wb") as output:
+            load = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    module,
+                    edge.host,
+                    str(self.front),
+                    str(callers),
+                ],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+            )
+        self._loads.append(load)
+
     def empty_disk(self, core: Machine) -> None:
         """Remove all data of a control machine."""
         shutil.rmtree(self._data(core))
@@ -196,6 +216,9 @@
     def close(self) -> None:
         """End all processes, and free the addresses."""
         self._is_closed = True
+        for load in self._loads:
+            load.kill()
+            load.wait()
         for machine in (*self.cores, *self.edges):
             self.kill(machine)
         for one in self._silent:
--- a/tests/platform/replaced_control/plan.py
+++ b/tests/platform/replaced_control/plan.py
@@ -13,6 +13,8 @@
 # Whether control processes are also restarted with their disks, one at a time or all
 # at once.
 CORE_RESTARTS: Final = ("none", "one", "all")
+# What callers ask for: unknown and removed databases all the time, or hardly ever.
+CALLERS: Final = ("asking", "quiet")
 
 
 @dataclass(frozen=True)
@@ -30,6 +32,11 @@
         core_restarts: one of ``CORE_RESTARTS``.
         spares_edges: whether only control processes lose their power at the end.
         kept_sessions: sessions that are kept open at each proxy.
+        callers: one of ``CALLERS``.
+        max_pause_seconds: longest time from a begin to the first statement, for quiet
+            callers.
+        busy_edges: number of proxies, in turn, that are kept busy by more callers.
+        busy_callers: number of callers who keep one proxy busy.
     """
 
     edges: int = 3
@@ -42,3 +49,7 @@
     core_restarts: str = "none"
     spares_edges: bool = False
     kept_sessions: int = 4
+    callers: str = "asking"
+    max_pause_seconds: float = 5.0
+    busy_edges: int = 0
+    busy_callers: int = 200
--- a/tests/platform/replaced_control/record.py
+++ b/tests/platform/replaced_control/record.py
@@ -51,6 +51,12 @@
     answered_at: float
     way: str = "start"
 
+    @property
+    def is_use(self) -> bool:
+        """Whether a statement has run on a server of the database."""
+        starts = ("start", "BEGIN", "BEGIN READ")
+        return self.word == "READY" and not self.way.endswith(starts)
+
 
 @dataclass(frozen=True)
 class Finding:
--- a/tests/platform/replaced_control/run.py
+++ b/tests/platform/replaced_control/run.py
@@ -21,6 +21,7 @@
     FINAL_CHANGE_SECONDS,
     FORMING_SECONDS,
     LAST_CHANGE_AFTER_SECONDS,
+    QUIET_WORKERS,
     REPLACEMENT_SECONDS,
     RESTART_SECONDS,
     WATCHED_AFTER_RESTART_SECONDS,
@@ -28,6 +29,7 @@
 from .machines import Machine, Machines
 from .operator import Operator
 from .plan import Plan
+from .quiet import QuietCallers
 from .record import Record
 
 
@@ -69,6 +71,12 @@
             self._stop,
         )
         self._callers = Callers(self._machines.front, self.record, self._stop)
+        self._quiet = QuietCallers(
+            self._machines.front,
+            self._plan.max_pause_seconds,
+            self.record,
+            self._stop,
+        )
         self._client = JsonClient(None)
 
     def run(self) -> None:
@@ -118,14 +126,26 @@
         for core in self._machines.cores:
             self._begin(self._operator.read_on, core)
         for edge in self._machines.edges:
-            self._begin(self._callers.ask_on, edge)
-            self._begin(self._callers.keep_on, edge, self._plan.kept_sessions)
+            self._begin_callers(edge)
+        for edge in self._machines.edges[: self._plan.busy_edges]:
+            self._machines.keep_busy(edge, self._plan.busy_callers)
         self._begin(self._operator.change_on)
         if self._plan.restarts != "none":
             self._begin(self._restart_on)
         if self._plan.core_restarts != "none":
             self._begin(self._restart_cores_on)
 
+    def _begin_callers(self, edge: Machine) -> None:
+        if self._plan.callers == "asking":
+            self._begin(self._callers.ask_on, edge)
+            self._begin(self._callers.keep_on, edge, self._plan.kept_sessions)
+            return
+        for worker in range(QUIET_WORKERS):
+            # All sessions are shared out among the workers.
+            sessions = len(range(worker, self._plan.kept_sessions, QUIET_WORKERS))
+            if sessions:
+                self._begin(self._quiet.use_on, edge, worker, sessions)
+
     def _restart_on(self) -> None:
         """End proxies' processes one after the other, and start them again."""
         while not self._stop.wait(self._edge_random.uniform(*EDGE_RESTART_GAP_SECONDS)):
--- a/tests/platform/replaced_control/trace.py
+++ b/tests/platform/replaced_control/trace.py
@@ -11,7 +11,11 @@
 EVENTS: Final = (
     "view_in_force",
     "first_view",
-    "no_database",
+    "newer_view_found",
+    "database",
+    "removed_database_used",
+    "served_unconfirmed",
+    "view_not_confirmed",
     "control_",
     "watch_",
     "presence_failed",
--- a/tests/platform/test_replaced_control.py
+++ b/tests/platform/test_replaced_control.py
@@ -6,6 +6,7 @@
 
 import random
 import tempfile
+import threading
 import unittest
 from pathlib import Path
 from typing import Any, Final, cast
@@ -21,13 +22,21 @@
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
 
-from .replaced_control.const import CONFIG_APPLY_SECONDS
+from .replaced_control.const import (
+    CONFIG_APPLY_SECONDS,
+    KEPT_DATABASES,
+    SETTLED_SECONDS,
+)
 from .replaced_control.drafts import Drafts
+from .replaced_control.plan import Plan
+from .replaced_control.quiet import QuietCallers
 from .replaced_control.record import Answer, Record, Version
 from .replaced_control.run import ReplacedControl
 
 SEED_IN_CI: Final = 1
 NET: Final = "127.0.21"
+QUIET_PLAN: Final = Plan(callers="quiet", kept_sessions=24)
+QUIET_NET: Final = "127.0.22"
 MANY_PROXIES: Final = 60
 MANY_VERSIONS: Final = 40
 
@@ -85,11 +94,43 @@
         counts = [(one.group, one.counts) for one in self.record.findings]
         self.assertEqual([("within 15 s", False), ("beyond 15 s", True)], counts)
 
+    def test_first_statements_are_judged_by_when_they_are_sent(self) -> None:
+        """Guard against a checker that allows what a transaction began in time."""
+        self.record.answers = [
+            Answer("edge", 1, "a", "READY", 30.2, 30.21, "single BEGIN"),
+            Answer("edge", 1, "a", "READY", 32.9, 32.91, "first of BEGIN: READ k1"),
+            Answer("edge", 1, "a", "READY", 33.2, 33.21, "first of BEGIN: READ k1"),
+        ]
+        self.record.check()
+        at = [(one.kind, one.at) for one in self.record.findings]
+        self.assertEqual([("late", 33.2)], at)
+        self.assertEqual(
+            [False, True, True], [one.is_use for one in self.record.answers]
+        )
+
     def test_database_of_an_invalid_configuration_is_found(self) -> None:
         """Guard against a checker that accepts what no configuration has."""
         self.assertEqual(["late", "regression"], self.kinds(("bad", "READY", 23.2)))
 
 
+class QuietCallersTests(unittest.TestCase):
+    """Callers whose requests make a proxy confirm hardly anything."""
+
+    def test_new_sessions_name_what_is_in_force_for_long_and_stays(self) -> None:
+        """Guard against callers whose denials bring a proxy newer views."""
+        kept = frozenset(KEPT_DATABASES)
+        record = Record(started_at=0.0)
+        record.versions = [
+            Version(1, kept | {"db1", "db2"}, 10.0, 10.1),
+            Version(2, kept | {"db1", "db2", "db3"}, 20.0, 20.1),
+            Version(3, kept | {"db1", "db3"}, 21.0),
+        ]
+        callers = QuietCallers(0, 0.0, record, threading.Event())
+        before, after = 20.0 + SETTLED_SECONDS, 20.2 + SETTLED_SECONDS
+        self.assertEqual(sorted(kept | {"db1"}), callers.settled(before))
+        self.assertEqual(sorted(kept | {"db1", "db3"}), callers.settled(after))
+
+
 class DraftsTests(unittest.TestCase):
     """The operator's configurations are those that it means to send."""
 
@@ -249,3 +290,19 @@
         self.assertLessEqual({"READY", "NODB"}, words)
         late_apart = [one for one in day.record.findings if one.kind != "late"]
         self.assertEqual([], late_apart, notes)
+
+    def test_pausing_transactions_use_no_removed_database(self) -> None:
+        """Guard against first statements on a database that the proxy knows is gone.
+
+        The callers of this day hardly ever ask for what a proxy has to deny.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            day = ReplacedControl(SEED_IN_CI, Path(folder), QUIET_NET, QUIET_PLAN)
+            day.run()
+        notes = "\n".join(day.record.notes)
+        used = {
+            one.way.partition(" of ")[0] for one in day.record.answers if one.is_use
+        }
+        self.assertLessEqual({"single READ k1", "first"}, used)
+        late_apart = [one for one in day.record.findings if one.kind != "late"]
+        self.assertEqual([], late_apart, notes)
