Pooler: a commit that is refused for its key ends the transaction

After the commit of a transaction whose key had moved, or could not be confirmed, the session stayed in the failed state, as if the commit were still to come; callers close a session whose operation ends so. Every other refused commit leaves the session idle. The test failed before in both cases. A revoked key still ends the connection.

--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -234,9 +234,7 @@
             message = "this proxy shuts down; another one can serve the statement"
             error = StatementError(ErrorCode.BUSY, message, BUSY_RETRY_MS)
             return Answer(TransactionState.IDLE, error=error)
-        self._abort_open_transaction()
-        if statement.kind is StatementKind.COMMIT:
-            self._transaction = None
+        self._end_refused(statement)
         message = "this proxy shuts down; the transaction is rolled back"
         return self._refuse(ErrorCode.ABORTED, message)
 
@@ -271,10 +269,10 @@
             self._abort_open_transaction()
             return Answer(self.state, error=error.error)
         except NotReadyError as error:
-            self._abort_open_transaction()
+            self._end_refused(statement)
             return Answer(self.state, error=_not_ready(error))
         if caller.account != transaction.caller.account:
-            self._abort_open_transaction()
+            self._end_refused(statement)
             message = "the key moved to another client account; begin again"
             return self._refuse(ErrorCode.ABORTED, message)
         return None
@@ -302,9 +300,7 @@
         if resolved.is_ok():
             transaction.follow(resolved.ok)
             return None
-        self._abort_open_transaction()
-        if statement.kind is StatementKind.COMMIT:
-            self._transaction = None
+        self._end_refused(statement)
         if resolved.error.code is ErrorCode.NO_DATABASE:
             message = f"{resolved.error.message}; the transaction has run nothing"
             return self._refuse(ErrorCode.ABORTED, message)
@@ -320,6 +316,12 @@
         if self._transaction is not None:
             self._transactions.abort(self._transaction)
 
+    def _end_refused(self, statement: Statement) -> None:
+        """Roll back an open transaction; a refused commit also ends it."""
+        self._abort_open_transaction()
+        if statement.kind is StatementKind.COMMIT:
+            self._transaction = None
+
     def _change_state(self, statement: Statement) -> Answer:
         match statement.kind:
             case StatementKind.SET:
--- a/tests/pooler/test_accounts.py
+++ b/tests/pooler/test_accounts.py
@@ -171,6 +171,24 @@
         self.assertIs(answer.state, TransactionState.FAILED)
         self.assertEqual(self.ran_for(), ["shop"])
 
+    def test_refused_commit_ends_its_transaction(self) -> None:
+        """Guard against a transaction that stays open after its commit."""
+        for accounts, is_reachable, code in (
+            ([account("bakery", "key-1")], True, ErrorCode.ABORTED),
+            ([BAKERY], False, ErrorCode.BUSY),
+        ):
+            with self.subTest(code=code):
+                self.apply_accounts(SHOP)
+                run_text(self.session, "BEGIN")
+                run_text(self.session, "WRITE k v")
+                self.apply_accounts(*accounts)
+                self.pooler.control.is_reachable = is_reachable
+                answer = run_text(self.session, "COMMIT")
+                assert answer.error is not None
+                self.assertIs(answer.error.code, code)
+                self.assertIs(answer.state, TransactionState.IDLE)
+        self.assertNotIn("COMMIT", [run.text for run in self.server.runs])
+
 
 class UnusedTransactionTests(AccountFixture):
     """A transaction that has run nothing runs for the caller of the newest view."""
