--- a/tests/following/replacement_days.py
+++ b/tests/following/replacement_days.py
@@ -7,11 +7,8 @@
 poll takes ANSWER seconds more, and a share of LATE answers comes too late.
 """
 
-import heapq
 import random
 import sys
-import threading
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final, cast
 
@@ -26,6 +23,8 @@
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 from loguru import logger
 
+from .baton import Baton
+
 WAIT_MS: Final = 1_000
 ROUND_TRIP: Final = 0.003
 CONNECTION_LOSS_SECONDS: Final = 4.0
@@ -54,59 +53,6 @@
 PROXIES: Final = (("a", 4), ("b", 3), ("c", 2))
 
 
-class Baton:
-    """A clock whose threads run one at a time, in the order of their wake-ups."""
-
-    def __init__(self) -> None:
-        self._now = 0.0
-        self._lock = threading.Condition()
-        self._queue: list[tuple[float, int, threading.Event]] = []
-        self._count = 0
-
-    def now(self) -> float:
-        return self._now
-
-    def sleep(self, seconds: float) -> None:
-        event = threading.Event()
-        self._count += 1
-        heapq.heappush(self._queue, (self._now + max(0.0, seconds), self._count, event))
-        self.pass_on()
-        event.wait()
-
-    def wait(self, _condition: threading.Condition, seconds: float) -> bool:
-        self.sleep(seconds)
-        return False
-
-    def pass_on(self) -> None:
-        """Wake the next thread, if there is one."""
-        if self._queue:
-            at, _, event = heapq.heappop(self._queue)
-            self._now = max(self._now, at)
-            event.set()
-
-    def play(self, actors: list[Callable[[], None]]) -> None:
-        """Run all actors to their ends."""
-
-        def run(actor: Callable[[], None], event: threading.Event) -> None:
-            event.wait()
-            try:
-                actor()
-            finally:
-                self.pass_on()
-
-        threads = []
-        for actor in actors:
-            event = threading.Event()
-            self._count += 1
-            heapq.heappush(self._queue, (0.0, self._count, event))
-            threads.append(threading.Thread(target=run, args=(actor, event)))
-        for thread in threads:
-            thread.start()
-        self.pass_on()
-        for thread in threads:
-            thread.join()
-
-
 @dataclass
 class Process:
     """A control process of the day; times in seconds of the day."""
