View checks: the next read is due from the last one confirmed

Callers saw requests run on routes that had been removed, later than a change must be in force. Where the watch stood still, only the view check brought the change, and its pace depended on what else happened: a check that fell into the pause after a failed confirmation, or found one running, returned at once and counted as a check; a lack of slots doubled the interval up to 30 s, and was remembered until a success; a check that found a confirmation of the last second slept a whole interval.

Now the next read is due 1 s after the beginning of the last one that was confirmed, and while none is, an attempt begins every 0.5 s, whether or not earlier ones have ended (at most two reads at a process) and whatever callers asked for. The step begins reads and never waits for one. confirm() shares these attempts and keeps its own pauses.

Lack of slots, two ways weighed: to become rarer after each answer without a slot, with a limit; or by the number of registered proxies (300 confirmed reads a second of all together, so that up to 300 proxies read each second, 4,100 each 13.7 s). The second was taken: in an election reads hold every slot for 0.4 s, at 9 proxies too, so that an answer without a slot tells nothing of how many proxies there are, and the reads right after the election must not be late. What is too old for a caller grows with the interval.

Evidence: the tests of ViewCheckBoundTests, all in emulated time, failed before: 3.0 s to 3.6 s after the acknowledgement, the time without a leader not counted, 13.5 s with answers of 0.8 s (29.7 s where an answer without a slot brings no newer view either). Now 1.2 s at most at 9 proxies beside a lost process with and without an election, 1.4 s at 100 proxies.

--- /dev/null
+++ b/packages/following/src/dogwoodspool_following/confirmed_read.py
@@ -0,0 +1,98 @@
+"""A read of control that a quorum confirms."""
+
+from dogwoodspool_api import ControlView
+from dogwoodspool_common import (
+    Address,
+    HttpError,
+    JsonClient,
+    log_event,
+    log_rate_limited,
+)
+from pydantic import ValidationError
+
+from .const import CONFIRMATION_READ_TIMEOUT
+from .control_peers import ControlPeers
+from .poll import poll
+from .view import ViewStore
+
+
+class ConfirmedReader:
+    """Read what is newer than the view in force, and put it in force."""
+
+    def __init__(
+        self, views: ViewStore, peers: ControlPeers, client: JsonClient
+    ) -> None:
+        self._views = views
+        self._peers = peers
+        self._client = client
+
+    def read(self, address: Address) -> bool:
+        """Ask one process; return whether the newest view is in force now.
+
+        Errors are logged: nobody reads the result of a call that ends late.
+        """
+        version = self._views.base_version
+        try:
+            return self._read(address, version)
+        except (HttpError, ValidationError) as error:
+            log_rate_limited(
+                "view_not_confirmed", address=address, view=version, reason=error
+            )
+        except Exception as error:
+            log_event(
+                "view_not_confirmed",
+                level="ERROR",
+                address=address,
+                view=version,
+                reason=repr(error),
+            )
+        return False
+
+    def _read(self, address: Address, version: int) -> bool:
+        response = poll(
+            self._client,
+            address,
+            version,
+            0,
+            CONFIRMATION_READ_TIMEOUT,
+            must_confirm=True,
+        )
+        if response.view is not None:
+            self._adopt(response.view, address)
+        if response.retry_after_ms:
+            log_rate_limited(
+                "view_not_confirmed",
+                address=address,
+                view=version,
+                reason="no free slot",
+            )
+            return False
+        if response.members:
+            # The watch may know only members that have been lost since.
+            self._peers.adopt(response.members)
+        if response.view is None:
+            return True
+        in_force = self._views.view.version
+        if in_force < response.view.version:
+            log_rate_limited(
+                "view_not_confirmed",
+                address=address,
+                view=in_force,
+                reason=f"no base for version {response.view.version}",
+            )
+            return False
+        return True
+
+    def _adopt(self, view: ControlView, address: Address) -> None:
+        before, age_ms = self._views.view.version, self._views.age_ms
+        confirmed_by = self._views.confirmed_by
+        if not self._views.adopt(view, address) or before == 0:
+            return
+        log_event(
+            "newer_view_found",
+            version=view.version,
+            before=before,
+            sender=address,
+            watch_age_ms=age_ms,
+            watch_confirmed_by=confirmed_by,
+        )
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -17,8 +17,11 @@
 # state.
 FIRST_VIEW_TIMEOUT_MARGIN: Final = 1.5
 RETRY_PAUSE_SECONDS: Final = 0.1
-# Time limit for a confirmation of the view, for which a caller waits.
+# Time for which callers wait for a confirmation of the view.
 CONFIRMATION_TIMEOUT: Final = 0.5
+# Time after the end of a wait at which callers wait again: this process was held up,
+# and control had no time to answer.
+HELD_UP_SECONDS: Final = 0.3
 # Time after which the other control processes are asked as well.
 HEDGE_SECONDS: Final = 0.1
 # Time for which a confirmation holds: a part of the few seconds in which a change has
@@ -30,14 +33,23 @@
 # Time from a failed confirmation to the next attempt; it doubles with each failure.
 CONFIRMATION_RETRY_SECONDS: Final = 0.2
 MAX_CONFIRMATION_RETRY_SECONDS: Final = 1.0
-CONFIRMATION_THREADS: Final = 16
+CONFIRMATION_THREADS: Final = 32
 # Time limit for one control process, for which no caller waits: as long as that of a
 # poll, so that a control group that answers slowly still gives newer views.
 CONFIRMATION_READ_TIMEOUT: Final = 1.5
-# Interval between confirmations beside the watch: with the time that one takes it is
-# less than the few seconds in which a change has to be in force.
-VIEW_CHECK_SECONDS: Final = 1.5
-MAX_VIEW_CHECK_SECONDS: Final = 30.0
+# Longest time that an attempt takes unless this process is held up: the reads at all
+# processes, and some time for threads to run.
+MAX_ATTEMPT_SECONDS: Final = HEDGE_SECONDS + CONFIRMATION_READ_TIMEOUT + 0.4
+# Reads at one control process at a time: one that hangs must not keep the next from
+# being made.
+MAX_READS_IN_FLIGHT: Final = 2
+# Time from the beginning of a confirmation to that of the next one. With the time that
+# a read takes it is less than the few seconds in which a change has to be in force.
+VIEW_CHECK_SECONDS: Final = 1.0
+# The same while no attempt succeeds.
+VIEW_CHECK_ATTEMPT_SECONDS: Final = 0.5
+# Confirmations of all proxies together for which control has room.
+MAX_VIEW_CHECKS_PER_SECOND: Final = 300
 # Maximum time by which an idle transaction exceeds its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
 # Successful polls of another control process before the preferred one is tried again.
