Proxy of the MySQL protocol: a second way to newer views

It had the watch alone, which believes a control process that claims to be up to date: while that one brought nothing, groups, users and limits of an old view stayed in force for good. A read that a quorum confirms, begun each 1.5 s, brings the newest view, as in the pooler.

--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -23,6 +23,8 @@
     ProxyView,
     Rotation,
     RotationCoordinator,
+    ViewCheck,
+    ViewConfirmation,
     ViewStore,
     WatchCoordinator,
 )
@@ -61,6 +63,9 @@
         self._views = ViewStore(settings.failure_domain, clock)
         self._accounts = CallerAccounts(self._views)
         self._peers = ControlPeers(settings.control_addresses, name=settings.name)
+        self._confirmation = ViewConfirmation(
+            self._views, self._peers, self._client, clock
+        )
         self._limits = AccountLimits(
             settings.name,
             settings.http_listen,
@@ -95,6 +100,11 @@
         """The address on which callers connect."""
         return self._listener.address
 
+    @property
+    def view_version(self) -> int:
+        """Version of the committed state that this process applies."""
+        return self._views.view.version
+
     @property
     def http_address(self) -> Address:
         """The address of the proxy's HTTP server."""
@@ -113,6 +123,7 @@
         self._probes.set_up()
         self._http.set_up()
         self._watch.set_up()
+        self._view_check.set_up()
         self._renew = self._build_renewal()
         self._renew.set_up()
         self._sessions.set_up()
@@ -143,7 +154,9 @@
             self._grants.release(group.name, group.term, 0)
         self._renew.unload()
         self._report_release()
+        self._view_check.unload()
         self._watch.unload()
+        self._confirmation.unload()
         self._limits.unload()
         self._sessions.unload()
         self._pruner.unload()
@@ -195,6 +208,7 @@
         self._watch = WatchCoordinator(
             self._views, self._peers, self._client, self._clock
         )
+        self._view_check = ViewCheck(self._views, self._confirmation, self._clock)
         self._probes = ProbeCoordinator(
             self._views,
             self._table,
