Pooler: a request for a replaced server process does not take its successor's pool

A request keeps the server that it chose while it waits for a replica, or tries owners one after another. When it came back to a server that had restarted meanwhile, the pool and the admission queue of the new process were replaced by ones of the old process: its idle connections were closed, requests that waited there failed, and its slots were counted anew; the next request changed everything back. Such a request gets a closed pool now, and nothing is sent. Both tests failed before.

--- a/packages/pooler/src/dogwoodspool_pooler/registry.py
+++ b/packages/pooler/src/dogwoodspool_pooler/registry.py
@@ -103,12 +103,19 @@
             backend.pool.unload()
 
     def backend(self, server: BackendServer) -> Backend:
-        """Return the backend of a server, created if there is none for its process."""
+        """Return the backend of a server, created if there is none for its process.
+
+        A request may have chosen a process before the view named its successor. It
+        must not take away the pool of the successor, and gets one that is closed.
+        """
         with self._lock:
             known = self._backends.get(server.name)
             if known is not None and _is_same_process(known.server, server):
                 return known
             backend = self._build(server)
+            if self._is_replaced(server):
+                backend.pool.unload()
+                return backend
             self._backends[server.name] = backend
         if known is not None:
             known.pool.unload()
@@ -150,6 +157,10 @@
             backend.ceiling.set_highest(self._highest(server))
             backend.adjust()
 
+    def _is_replaced(self, server: BackendServer) -> bool:
+        named = self._views.view.servers.get(server.name)
+        return named is not None and not _is_same_process(named, server)
+
     def _build(self, server: BackendServer) -> Backend:
         part = self._part(server)
         started_at = self._serving_since
