Proxy of the MySQL protocol: an old view is confirmed before a statement uses it

The three tests of StatementViewTests fail without it.

Logins still use the view in force: they are looked up in the event loop, which must not wait.

--- a/packages/proxy/src/dogwoodspool_proxy/app.py
+++ b/packages/proxy/src/dogwoodspool_proxy/app.py
@@ -194,6 +194,7 @@
         transactions = TransactionPath(self._views, self._grants, reads, writes, clock)
         self._sessions = CallerSessions(
             self._views,
+            self._confirmation,
             reads,
             writes,
             transactions,
--- a/packages/proxy/src/dogwoodspool_proxy/caller_session.py
+++ b/packages/proxy/src/dogwoodspool_proxy/caller_session.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from dogwoodspool_accounts import OperationLimiter, RateLimitedError
-from dogwoodspool_common import Clock
+from dogwoodspool_common import Clock, log_rate_limited
 from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_following import ViewStore
@@ -43,12 +43,18 @@
 
 
 class ProxySession:
-    """Serve the statements of one caller connection."""
+    """Serve the statements of one caller connection.
+
+    Args:
+        refresh_view: has control confirm the view in force unless that was done lately;
+            returns whether it was.
+    """
 
     def __init__(
         self,
         caller: CallerState,
         views: ViewStore,
+        refresh_view: Callable[[], bool],
         reads: ReadPath,
         writes: WritePath,
         transactions: TransactionPath,
@@ -60,6 +66,7 @@
     ) -> None:
         self._caller = caller
         self._views = views
+        self._refresh_view = refresh_view
         self._reads = reads
         self._writes = writes
         self._transactions = transactions
@@ -156,6 +163,8 @@
         if kind is StatementKind.BEGIN or kind is StatementKind.BEGIN_READ_ONLY:
             is_read_only = kind is StatementKind.BEGIN_READ_ONLY
             return self._transactions.begin(caller, is_read_only, deadline)
+        if caller.transaction is None or caller.transaction.held is None:
+            self._use_newest_view()
         if deadline <= self._clock.now():
             return refused("the deadline has passed", 0)
         if caller.transaction is not None:
@@ -176,6 +185,20 @@
         self._give_back_if_not_run(answer)
         return answer
 
+    def _use_newest_view(self) -> None:
+        """Have control confirm the view in force, unless that was done lately.
+
+        A proxy that is cut off goes on with the view that it has.
+        """
+        if self._views.is_filled and not self._refresh_view():
+            log_rate_limited(
+                "served_unconfirmed",
+                group=self._caller.group,
+                view=self._views.view.version,
+                view_age_ms=self._views.age_ms,
+                view_from=self._views.confirmed_by,
+            )
+
     def _run_in_transaction(self, request: StatementRequest, deadline: float) -> Answer:
         caller = self._caller
         transaction = caller.transaction
--- a/packages/proxy/src/dogwoodspool_proxy/sessions.py
+++ b/packages/proxy/src/dogwoodspool_proxy/sessions.py
@@ -3,7 +3,7 @@
 from dogwoodspool_accounts import OperationLimiter
 from dogwoodspool_common import Clock
 from dogwoodspool_common.counters import Counters
-from dogwoodspool_following import OpenSessions, ViewStore
+from dogwoodspool_following import OpenSessions, ViewConfirmation, ViewStore
 from dogwoodspool_gateway import CallerSession
 
 from .accounts import CallerAccounts
@@ -20,6 +20,7 @@
     def __init__(
         self,
         views: ViewStore,
+        confirmation: ViewConfirmation,
         reads: ReadPath,
         writes: WritePath,
         transactions: TransactionPath,
@@ -30,6 +31,7 @@
     ) -> None:
         super().__init__(clock)
         self._views = views
+        self._confirmation = confirmation
         self._reads = reads
         self._writes = writes
         self._transactions = transactions
@@ -42,6 +44,7 @@
         session = ProxySession(
             CallerState(user),
             self._views,
+            self._confirmation.refresh,
             self._reads,
             self._writes,
             self._transactions,
--- a/tests/proxy/test_accounts.py
+++ b/tests/proxy/test_accounts.py
@@ -121,6 +121,7 @@
         return ProxySession(
             CallerState(user, group="orders"),
             self.views,
+            lambda: True,
             path,
             path,
             path,
--- a/tests/proxy/test_newer_views.py
+++ b/tests/proxy/test_newer_views.py
@@ -3,8 +3,9 @@
 import time
 import unittest
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final, cast
 
+from dogwoodspool_accounts import NoLimits
 from dogwoodspool_api import ControlView, GroupMessage, WatchResponse
 from dogwoodspool_common import (
     Address,
@@ -12,15 +13,31 @@
     JsonRequest,
     JsonResponse,
     JsonServer,
+    ManualClock,
     Phase,
     RequestSigner,
     Route,
     SystemClock,
 )
+from dogwoodspool_common.counters import Counters
+from dogwoodspool_following import ViewStore
+from dogwoodspool_gateway import (
+    Answer,
+    Classification,
+    DoneAnswer,
+    StatementKind,
+    StatementRequest,
+)
+from dogwoodspool_gateway.models import RequestProperties
+from dogwoodspool_proxy.accounts import CallerAccounts
 from dogwoodspool_proxy.app import Proxy
+from dogwoodspool_proxy.caller_session import ProxySession
+from dogwoodspool_proxy.callers import CallerState, Transaction
 from dogwoodspool_proxy.models import ProxySettings
 from pydantic import SecretStr
 
+from tests.common.captured_logs import captured_logs
+
 LOOPBACK: Final = "127.0.0.1:0"
 KEY: Final = "key"
 WAIT_SECONDS: Final = 10.0
@@ -100,5 +117,81 @@
             time.sleep(POLL_SECONDS)
 
 
+class ViewPath:
+    """Runs every statement, and records the view in force."""
+
+    def __init__(self, views: ViewStore) -> None:
+        self.views = views
+        self.ran_in: list[int] = []
+
+    def run(self, caller: CallerState, _request: Any, _deadline: float) -> Answer:
+        """Run a statement in the view in force."""
+        self.ran_in.append(self.views.view.version)
+        if caller.transaction is not None:
+            caller.transaction.held = cast(Any, object())
+        return DoneAnswer()
+
+    def begin(self, caller: CallerState, is_read_only: bool, _at: float) -> Answer:
+        """Begin a transaction."""
+        caller.transaction = Transaction(is_read_only, 0.0)
+        return DoneAnswer()
+
+
+class StatementViewTests(unittest.TestCase):
+    """The view is confirmed lately before a statement uses it."""
+
+    def setUp(self) -> None:
+        clock = ManualClock()
+        self.views = ViewStore("fd1", clock)
+        self.views.adopt(view_of(1))
+        self.path = ViewPath(self.views)
+        self.is_reachable = True
+        path = cast(Any, self.path)
+        self.session = ProxySession(
+            CallerState("app", group="orders"),
+            self.views,
+            self.refresh,
+            path,
+            path,
+            path,
+            CallerAccounts(self.views),
+            NoLimits(),
+            Counters(),
+            clock,
+            lambda _session: None,
+        )
+
+    def refresh(self) -> bool:
+        """Put control's newest view in force."""
+        if self.is_reachable:
+            self.views.adopt(view_of(self.views.view.version + 1))
+        return self.is_reachable
+
+    def execute(self, *kinds: StatementKind) -> None:
+        """Run statements."""
+        for kind in kinds:
+            self.session.run(
+                StatementRequest("", Classification(kind), RequestProperties(), 0.0)
+            )
+
+    def test_statement_uses_the_newest_view(self) -> None:
+        """Guard against an old view that is used at any age."""
+        self.execute(StatementKind.READ, StatementKind.WRITE)
+        self.assertEqual([2, 3], self.path.ran_in)
+
+    def test_first_statement_of_a_transaction_uses_the_newest_view(self) -> None:
+        """Guard against a transaction that begins by the view of its begin."""
+        self.execute(StatementKind.BEGIN, StatementKind.READ, StatementKind.WRITE)
+        self.assertEqual([2, 2], self.path.ran_in)
+
+    def test_view_is_used_without_control(self) -> None:
+        """Guard against a proxy that serves nothing while it is cut off."""
+        self.is_reachable = False
+        with captured_logs() as lines:
+            self.execute(StatementKind.READ)
+        self.assertEqual([1], self.path.ran_in)
+        self.assertIn("event=served_unconfirmed", "".join(lines))
+
+
 if __name__ == "__main__":
     unittest.main()
