--- a/tests/platform/replaced_control/__main__.py
+++ b/tests/platform/replaced_control/__main__.py
@@ -45,6 +45,7 @@
 from docopt import docopt
 
 from .const import STABLE_SECONDS
+from .delays import delays
 from .plan import Plan
 from .record import Finding, Record
 from .run import ReplacedControl
@@ -73,6 +74,12 @@
         print(f"seed={seed} {summary(day.record)} folder={folder}", flush=True)
         counted = [one for one in day.record.findings if one.counts]
         is_clean = is_clean and not counted
+        slowest = max(
+            delays(folder, day.record.edge_clock_starts),
+            key=lambda one: one.seconds,
+            default="none",
+        )
+        print(f"  seed={seed} slowest view: {slowest}", flush=True)
         for line in grouped(day.record):
             print(f"  seed={seed} {line}", flush=True)
         write_down(day.record, folder)
--- a/tests/platform/replaced_control/const.py
+++ b/tests/platform/replaced_control/const.py
@@ -12,6 +12,8 @@
 STABLE_SECONDS: Final = 4.0
 UNSTABLE_APPLY_SECONDS: Final = 15.0
 
+# Last part of the address of the first proxy; those of control processes are lower.
+EDGE_HOSTS_FROM: Final = 50
 CALL_SECONDS: Final = 1.0
 REDIRECTS: Final = 2
 RETRY_SECONDS: Final = 0.05
--- a/tests/platform/replaced_control/machines.py
+++ b/tests/platform/replaced_control/machines.py
@@ -15,7 +15,7 @@
 
 from dogwoodspool_testbed import PortReservations
 
-from .const import GRACE_SECONDS, LIST_LAG_SECONDS, ROOT, ZONES
+from .const import EDGE_HOSTS_FROM, GRACE_SECONDS, LIST_LAG_SECONDS, ROOT, ZONES
 from .plan import Plan
 from .record import Record
 from .silence import FullBacklog, ResettingHost, SilentHost
@@ -75,7 +75,7 @@
         self.cores = [Machine("core", f"{net}.{10 + n}", ZONES[n]) for n in range(3)]
         zones = plan.edge_zones
         self.edges = [
-            Machine("edge", f"{net}.{50 + n}", zones[n % len(zones)])
+            Machine("edge", f"{net}.{EDGE_HOSTS_FROM + n}", zones[n % len(zones)])
             for n in range(plan.edges)
         ]
         self._is_closed = False
--- a/tests/platform/replaced_control/record.py
+++ b/tests/platform/replaced_control/record.py
@@ -123,6 +123,15 @@
     clock_at_start: float = field(default_factory=time.time)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
+    @property
+    def edge_clock_starts(self) -> dict[str, list[float]]:
+        """Times of day at which proxies were started, by host."""
+        offset = self.clock_at_start - self.started_at
+        return {
+            host: [offset + one for one in starts]
+            for host, starts in self.edge_starts.items()
+        }
+
     def add(self, version: Version) -> None:
         """Add a version that is about to be sent."""
         seen = set(self.ever)
--- a/tests/platform/replaced_control/trace.py
+++ b/tests/platform/replaced_control/trace.py
@@ -10,6 +10,7 @@
 LINES: Final = 12
 EVENTS: Final = (
     "view_in_force",
+    "view_late",
     "first_view",
     "newer_view_found",
     "database",
--- a/tests/platform/test_replaced_control.py
+++ b/tests/platform/test_replaced_control.py
@@ -8,6 +8,7 @@
 import tempfile
 import threading
 import unittest
+from datetime import datetime
 from pathlib import Path
 from typing import Any, Final, cast
 
@@ -27,6 +28,7 @@
     KEPT_DATABASES,
     SETTLED_SECONDS,
 )
+from .replaced_control.delays import Delay, delays
 from .replaced_control.drafts import Drafts
 from .replaced_control.plan import Plan
 from .replaced_control.quiet import QuietCallers
@@ -131,6 +133,54 @@
         self.assertEqual(sorted(kept | {"db1", "db3"}), callers.settled(after))
 
 
+class DelaysTests(unittest.TestCase):
+    """Delays of views are read from the logs."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.write("10", (2.0, "document_committed", 1), (4.0, "document_committed", 2))
+
+    def write(self, machine: str, *lines: tuple[float, str, int]) -> None:
+        """Write the log of a machine; times are seconds of a minute."""
+        text = "".join(
+            f"time=2026-01-01T00:00:{at:06.3f}+00:00 level=INFO event={event} "
+            f"revision={revision}\n"
+            for at, event, revision in lines
+        )
+        (self.folder / f"127.0.0.{machine}.log").write_text(text)
+
+    def delays(self, *starts: float) -> list[Delay]:
+        """Return the delays at a proxy with the times at which it was started."""
+        zero = datetime.fromisoformat("2026-01-01T00:00:00+00:00").timestamp()
+        host = "127.0.0.50"
+        return delays(self.folder, {host: [zero + one for one in starts]})
+
+    def test_delay_ends_with_a_view_of_the_document_or_a_later_one(self) -> None:
+        """Guard against a delay that a newer view than the first hides."""
+        views = ((1.0, "view_in_force", 0), (5.5, "view_in_force", 2))
+        self.write("50", *views)
+        host = "127.0.0.50"
+        self.assertEqual(
+            [
+                Delay(3.5, host, 1, is_open=False),
+                Delay(1.5, host, 2, is_open=False),
+            ],
+            self.delays(0.5),
+        )
+
+    def test_process_that_ends_without_the_document(self) -> None:
+        """Guard against a delay that a restart ends."""
+        views = ((1.0, "view_in_force", 0), (5.5, "view_in_force", 2))
+        self.write("50", views[0], (4.5, "watch_failed", 0), views[1])
+        host = "127.0.0.50"
+        self.assertEqual(
+            [Delay(2.5, host, 1, is_open=True), Delay(0.5, host, 2, is_open=True)],
+            self.delays(0.5, 5.0),
+        )
+
+
 class DraftsTests(unittest.TestCase):
     """The operator's configurations are those that it means to send."""
 
