--- a/tests/platform/replaced_control/run.py
+++ b/tests/platform/replaced_control/run.py
@@ -118,6 +118,7 @@
         self._operator.change()
         until = restarted + WATCHED_AFTER_RESTART_SECONDS - time.monotonic()
         self._stop.wait(max(CONFIG_APPLY_SECONDS + 1.5, until))
+        self._machines.end_loads()
         self._check_end()
 
     def _begin_traffic(self) -> None:
