Control: confirmed reads share a recent confirmation

A confirmed read of a proxy holds one of four slots until a quorum confirms it. While there is no leader each holds it for 0.4 s, and right after an election the reads of all proxies come together: most were told "no free slot". With many proxies a few reads within the same milliseconds are enough for that at any time.

A confirmation does not depend on who asked for it. A read may now say how old a confirmation it accepts (max_age_ms); a process that has one answers at once, without a slot, and says how old it is (confirmed_age_ms), counted from its beginning to the arrival of the request, so that the proxy can count from there. From half that age on one read renews it for all. A read that accepts none, such as a first view, is confirmed as before, and so is one of an earlier build; an earlier build's answer has no age and is confirmed for its request. The threads that reads hold stay four.

Nothing accepts an age yet: ViewConfirmation has to count from it. The record's histories draw ages for their confirmed reads and check what each answer must have. test_http looks for the slots where they are now; its check is the same. The tests of the endpoint fail without sharing, with an age counted from the end of a confirmation, without the limit of the age, and without the renewal.

--- a/packages/api/src/dogwoodspool_api/const.py
+++ b/packages/api/src/dogwoodspool_api/const.py
@@ -30,6 +30,7 @@
 QUERY_GIVEN_UP: Final = "given_up"
 QUERY_VOTERS: Final = "voters"
 QUERY_DOCUMENT: Final = "document"
+QUERY_MAX_AGE_MS: Final = "max_age_ms"
 QUERY_DOCUMENT_AGE: Final = "document_age"
 QUERY_PATH: Final = "path"
 
--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -460,7 +460,7 @@
         return self.model_copy(update={"is_voter": True})
 
 
-class WatchResponse(Message):
+class WatchResponse(ExtendedMessage):
     """Answer to a long poll: the newer view, or None when the wait timed out.
 
     Attributes:
@@ -470,13 +470,18 @@
             that had no successor when it said so.
         retry_after_ms: delay before the next poll if all slots for waiting polls were
             taken; 0 otherwise.
+        confirmed_age_ms: time from the confirmation that a confirmed read rests on to
+            the request; 0 where that confirmation began after the request.
     """
 
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"confirmed_age_ms"})
+
     view: ControlView | None
     leader: HostPort | None
     members: list[MemberMessage] = []
     is_current: bool = True
     retry_after_ms: int = 0
+    confirmed_age_ms: int = 0
 
 
 class ServerReport(Message):
--- a/packages/control/src/dogwoodspool_control/const.py
+++ b/packages/control/src/dogwoodspool_control/const.py
@@ -57,6 +57,9 @@
 MAX_WATCHERS: Final = 24
 # Confirmed reads that do not wait for a change, at a time.
 MAX_CONFIRMED_READS: Final = 4
+# Part of the greatest age that a read accepts, after which one read renews the
+# confirmation. The others have the last one meanwhile and need no slot.
+CONFIRMATION_RENEWAL_FRACTION: Final = 0.5
 # Time after which a proxy may repeat such a read that found no free slot.
 CONFIRMED_READ_RETRY_SECONDS: Final = 1.0
 HTTP_THREADS: Final = 64
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -1,5 +1,6 @@
 """The endpoint by which proxies follow the committed state."""
 
+import math
 from collections.abc import Callable
 
 from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
@@ -10,6 +11,7 @@
     QUERY_DOCUMENT,
     QUERY_DOCUMENT_AGE,
     QUERY_GIVEN_UP,
+    QUERY_MAX_AGE_MS,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -18,13 +20,13 @@
 
 from ..const import (
     CONFIRMED_READ_RETRY_SECONDS,
-    MAX_CONFIRMED_READS,
     MAX_WATCH_MS,
     WATCH_CONFIRM_TIMEOUT,
 )
 from ..errors import TooManyWaitersError
 from ..node import ControlNode
 from ..state import ControlState
+from .confirmed_reads import ConfirmedReads
 from .poll_retry import PollRetrySchedule
 from .support import WaitSlots, parse_query_number, with_error_responses
 
@@ -37,7 +39,7 @@
     group could not elect a leader. Each of them therefore holds a slot, and a poll
     that finds no free slot is answered at once with the time after which to retry.
     Confirmed reads that wait for no change have slots of their own: they end soon, and
-    polls that wait may hold all others all the time.
+    polls that wait may hold all others all the time; see ``ConfirmedReads``.
 
     Args:
         wait_slots: slots for waiting polls; fewer than the server has threads.
@@ -56,7 +58,7 @@
         self._node = node
         self._state = state
         self._wait_slots = wait_slots
-        self._read_slots = WaitSlots(MAX_CONFIRMED_READS)
+        self._reads = ConfirmedReads(node, clock)
         self._members = members
         self._retries = PollRetrySchedule(clock)
 
@@ -69,9 +71,10 @@
         wait_ms = min(parse_query_number(request, QUERY_WAIT_MS, 0), MAX_WATCH_MS)
         must_confirm = request.query.get(QUERY_CONFIRMED) == "1"
         is_newer = not must_confirm and self._state.version > after
-        retry_after = 0.0
+        retry_after = age = 0.0
         if must_confirm and wait_ms == 0:
-            is_newer, retry_after = self._read_newer(after)
+            max_age = parse_query_number(request, QUERY_MAX_AGE_MS, 0) / MILLISECONDS
+            is_newer, retry_after, age = self._read_newer(after, max_age)
         elif not is_newer and (must_confirm or wait_ms > 0):
             try:
                 with self._wait_slots.taken():
@@ -90,6 +93,7 @@
             members=members,
             is_current=self._node.is_following,
             retry_after_ms=round(retry_after * MILLISECONDS),
+            confirmed_age_ms=math.ceil(age * MILLISECONDS),
         )
         return JsonResponse(response.model_dump(mode="json"))
 
@@ -105,21 +109,20 @@
             view = view.without_document()
         return view
 
-    def _read_newer(self, after: int) -> tuple[bool, float]:
-        """Confirm a read; return whether there is a newer view, and when to retry.
+    def _read_newer(self, after: int, max_age: float) -> tuple[bool, float, float]:
+        """Confirm a read; return whether there is a newer view, when to retry, its age.
 
         Without a free slot a newer view is returned unconfirmed, except as the first
         one.
         """
-        retry_after = 0.0
+        retry_after = age = 0.0
         try:
-            with self._read_slots.taken():
-                self._node.confirm_read(WATCH_CONFIRM_TIMEOUT)
+            age = self._reads.confirm(max_age)
         except TooManyWaitersError:
             retry_after = CONFIRMED_READ_RETRY_SECONDS
             if after == 0:
-                return False, retry_after
-        return self._state.version > after, retry_after
+                return False, retry_after, age
+        return self._state.version > after, retry_after, age
 
     def _wait_newer(self, after: int, seconds: float, *, must_confirm: bool) -> bool:
         if must_confirm:
--- a/packages/following/src/dogwoodspool_following/poll.py
+++ b/packages/following/src/dogwoodspool_following/poll.py
@@ -8,6 +8,7 @@
     QUERY_DOCUMENT,
     QUERY_DOCUMENT_AGE,
     QUERY_GIVEN_UP,
+    QUERY_MAX_AGE_MS,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -22,6 +23,7 @@
     timeout: float,
     *,
     must_confirm: bool,
+    max_age_ms: int = 0,
 ) -> WatchResponse:
     """Ask a control process for what is newer than a version.
 
@@ -32,6 +34,9 @@
         wait_ms: time in milliseconds for which the poll may be held.
         timeout: seconds for the whole exchange.
         must_confirm: whether a quorum has to confirm that the answer is up to date.
+        max_age_ms: greatest age of the confirmation, before the request, that the
+            caller accepts. The answer states it; a process of an earlier build
+            confirms the request itself.
 
     Raises:
         HttpError: no complete answer was received in time, or it was a refusal.
@@ -47,5 +52,7 @@
     }
     if must_confirm:
         query[QUERY_CONFIRMED] = "1"
+    if max_age_ms:
+        query[QUERY_MAX_AGE_MS] = str(max_age_ms)
     answer = client.get(address, PATH_WATCH, query, timeout)
     return WatchResponse.model_validate(answer)
