--- a/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
+++ b/packages/pooler/src/dogwoodspool_pooler/shared/transaction_api.py
@@ -20,14 +20,14 @@
 
 from ..access import ServerAccess
 from ..const import BUSY_RETRY_MS
-from ..errors import NotFreshError, NotServedError, UnknownKeyError
+from ..errors import NotFreshError, NotServedError
 from ..final_writes import FinalWrites
 from ..held import ReadBound
 from ..local_connection import LocalHeldConnection
 from ..models import Access, ErrorCode, Reply, StatementError, StatementKind
 from ..requests import AdmissionRequest
 from ..writes import not_final_in_doubt
-from .caller_check import check_caller
+from .caller_check import CallerCheck
 from .const import (
     FORWARDED_TOKEN_AGE,
     HOP_SECONDS,
@@ -48,6 +48,7 @@
     TransactionResponse,
     caller_of,
 )
+from .route_check import RouteCheck
 from .slots import WorkSlots, refusal_response
 
 # Returns whether a server is to refuse read-only transactions with a bound, because it
@@ -61,6 +62,7 @@
     def __init__(
         self,
         views: ViewStore,
+        callers: CallerCheck,
         access: ServerAccess,
         leases: LeaseTracker,
         slots: WorkSlots,
@@ -71,6 +73,8 @@
         self._final_writes = final_writes
         self._keeps_room = keeps_room
         self._views = views
+        self._routes = RouteCheck(views)
+        self._callers = callers
         self._slots = slots
         self._access = access
         self._leases = leases
@@ -91,12 +95,12 @@
     def _serve(self, message: TransactionRequest) -> JsonResponse:
         try:
             if message.statement.kind is not StatementKind.ROLLBACK:
-                check_caller(self._views.view, caller_of(message.caller))
+                self._callers.check(caller_of(message.caller))
         except OwnerBehindError as error:
             # An open transaction goes on: its begin was checked here.
             if message.lease is None:
                 return refusal_response(error)
-        except UnknownKeyError as error:
+        except NotServedError as error:
             return self._refuse(message, error)
         if message.lease is not None:
             held = self._leases.take(message.lease)
@@ -135,11 +139,16 @@
         return JsonResponse()
 
     def _server(self, message: TransactionRequest) -> BackendServer | None:
-        """Return the requested server if this process knows the same incarnation."""
+        """Return the requested server if this process knows the same incarnation.
+
+        It is not used if the view has no database that it serves.
+        """
         requested = message.server
         known = self._views.view.servers.get(requested.server)
         if known is None or known.is_gone:
             return None
+        if not self._routes.is_known(known.group, message.kind):
+            return None
         is_same = str(known.address) == requested.address
         return known if is_same and known.incarnation == requested.incarnation else None
 
