Watch: a refused report no longer counts as a poll of that process

Callers were served by an old view although a live control process had a newer one. Reports and polls shared which processes had been asked: without a leader, a live process that refuses a report since it does not lead counted as asked for the watch as well, which then polled two lost processes that hang.

Polls and calls of the leader each have a selection of their own now. That a process does not lead moves the calls only; a call without an answer, and any other refusal, moves both, and which processes gave no answer last stays common knowledge. The failure of a call at another process no longer moves polls away from one that answers.

--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -10,6 +10,7 @@
 from dogwoodspool_common.const import CODE_NOT_LEADER
 
 from .const import POLLS_BEFORE_RETURN
+from .selection import Selection
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +73,9 @@
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._leader: Address | None = None
-        # Processes asked since a leader last answered, and whether they gave an answer.
-        self._tried: dict[Address, bool] = {}
+        # A process that does not lead refuses calls of the leader and answers polls.
+        self._polls = Selection()
+        self._calls = Selection()
         # Processes without an answer since a process that leads, or is in contact with
         # the leader, last answered.
         self._silent: set[Address] = set()
@@ -82,7 +84,6 @@
         self._has_missed_answer = False
         self._is_behind = False
         self._has_control_contact = True
-        self._index = 0
         self._successes = 0
 
     @property
@@ -110,12 +111,12 @@
     def leader_or_next(self) -> Address:
         """Return the leader's address or, without a leader, the next one to ask."""
         with self._lock:
-            return self._leader or self._addresses[self._index]
+            return self._leader or self._addresses[self._calls.index]
 
     def any(self) -> Address:
         """Return an address for requests that every control process serves."""
         with self._lock:
-            return self._addresses[self._index]
+            return self._addresses[self._polls.index]
 
     def is_member(self, address: Address) -> bool:
         """Return whether a process is among the members that were announced last.
@@ -156,7 +157,7 @@
             self._addresses = addresses
             self._silent &= set(addresses)
             self._lost &= set(addresses)
-            self._index = self._first_reachable()
+            self._polls.index = self._calls.index = self._first_reachable()
             self._successes = 0
 
     def record_leader_hint(self, text: str | None) -> None:
@@ -169,19 +170,34 @@
             log_event("control_leader_unreadable", level="WARNING", text=text)
             return
         with self._lock:
-            if self._tried.get(leader, True):
+            if self._calls.tried.get(leader, True):
                 self._set_leader(leader)
 
     def record_leader_answer(self, address: Address) -> None:
         """Record that a process answered as the leader."""
         with self._lock:
-            self._tried.clear()
+            self._polls.tried.clear()
+            self._calls.tried.clear()
             self._lost.discard(address)
             self._record_current()
             self._set_leader(address)
 
     def record_refusal(self, address: Address, error: PeerRefusedError) -> None:
-        """Record a refusal, which may name the leader; move to the next process."""
+        """Record a refusal, which may name the leader; move to the next process.
+
+        Polls do not move if the process only does not lead: it may have the newest
+        view, and the others may be lost.
+        """
+        is_leader_missing = error.code == CODE_NOT_LEADER
+        self._record_attempt(
+            address, has_answered=True, concerns_polls=not is_leader_missing
+        )
+        self._record_answered(address)
+        if is_leader_missing:
+            self.record_leader_hint(error.detail)
+
+    def record_poll_refusal(self, address: Address, error: PeerRefusedError) -> None:
+        """Record the refusal of a poll; move to the next process."""
         self._record_attempt(address, has_answered=True)
         self._record_answered(address)
         if error.code == CODE_NOT_LEADER:
@@ -207,16 +223,17 @@
     def record_success(self, address: Address) -> None:
         """Record a successful poll; after some, return to the preferred process."""
         with self._lock:
-            self._tried.pop(address, None)
+            self._polls.tried.pop(address, None)
+            self._calls.tried.pop(address, None)
             self._lost.discard(address)
             self._record_current()
             self._has_control_contact = True
-            if self._addresses[self._index] != address or self._index == 0:
+            if self._addresses[self._polls.index] != address or self._polls.index == 0:
                 return
             self._successes += 1
             if self._successes >= POLLS_BEFORE_RETURN:
                 self._successes = 0
-                self._index = 0
+                self._polls.index = 0
 
     def _rank(self, address: Address) -> bytes:
         """Return the sort key of an address, which differs for each name."""
@@ -229,16 +246,31 @@
             log_event("control_leader", address=leader)
         self._leader = leader
 
-    def _record_attempt(self, address: Address, *, has_answered: bool) -> None:
+    def _record_attempt(
+        self, address: Address, *, has_answered: bool, concerns_polls: bool = True
+    ) -> None:
         with self._lock:
-            self._successes = 0
             if self._leader == address:
                 self._leader = None
-            self._tried[address] = has_answered
-            if self._tried.keys() >= set(self._addresses):
-                self._end_round()
-            if self._addresses[self._index] == address or self._leader is None:
-                self._select_next()
+            self._record_asked(self._calls, address, has_answered=has_answered)
+            if self._leader is None or self._is_selected(self._calls, address):
+                self._calls.select_next(self._addresses, self._lost)
+            if not concerns_polls:
+                return
+            self._successes = 0
+            self._record_asked(self._polls, address, has_answered=has_answered)
+            if self._is_selected(self._polls, address):
+                self._polls.select_next(self._addresses, self._lost)
+
+    def _is_selected(self, selection: Selection, address: Address) -> bool:
+        return self._addresses[selection.index] == address
+
+    def _record_asked(
+        self, selection: Selection, address: Address, *, has_answered: bool
+    ) -> None:
+        selection.record(address, has_answered=has_answered)
+        if selection.tried.keys() >= set(self._addresses):
+            self._end_round(selection)
 
     def _record_current(self) -> None:
         self._silent.clear()
@@ -251,14 +283,14 @@
             self._lost.discard(address)
             self._has_missed_answer = False
 
-    def _end_round(self) -> None:
+    def _end_round(self, selection: Selection) -> None:
         """Begin anew once every process was asked.
 
         If none was up to date or refused, the initial processes are asked as well: all
         members can be replaced while this process is cut off from them.
         """
-        has_answer = any(self._tried.values())
-        self._tried.clear()
+        has_answer = any(selection.tried.values())
+        selection.tried.clear()
         if not has_answer:
             known = set(self._addresses)
             self._addresses += tuple(one for one in self._initial if one not in known)
@@ -267,23 +299,6 @@
         count = len(self._voters)
         return count - len(self._silent & self._voters) <= count // 2
 
-    def _select_next(self) -> None:
-        """Select the next process of this round.
-
-        Those that were not asked yet come first, of them those that gave no answer
-        last time at the end, and then those that did answer: else one that gave no
-        answer once would never be asked again while the others refuse.
-        """
-        count = len(self._addresses)
-        indexes = [(self._index + step) % count for step in range(1, count + 1)]
-        self._index = min(indexes, key=self._precedence)
-
-    def _precedence(self, index: int) -> int:
-        address = self._addresses[index]
-        if address not in self._tried:
-            return 1 if address in self._lost else 0
-        return 2 if self._tried[address] else 3
-
     def _first_reachable(self) -> int:
         """Return the index of the first process that has not been lost."""
         for index, address in enumerate(self._addresses):
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -73,7 +73,7 @@
             response = self._poll(address)
         except PeerRefusedError as error:
             self._log_failure(address, asked_at, error)
-            self._peers.record_refusal(address, error)
+            self._peers.record_poll_refusal(address, error)
             return self._continue_search()
         except (HttpError, ValidationError) as error:
             self._log_failure(address, asked_at, error)
