Watch: processes that answer slowly are no longer passed over for good

Callers were served by an old view where each control process took more than 0.4 s to answer: the search of the watch gave up every poll after 0.4 s, so that live processes passed for lost ones, round after round, and the one poll with a longer limit came to the same address each time.

The leader is asked beside the search, once a second, with 1.0 s: that it answers other calls shows that it is up. The search for a process to follow goes on meanwhile, so that not all proxies come to follow the leader. And after a round in which nobody has answered, all are asked again with 0.8 s; it stays so until a process is up to date.

--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -11,6 +11,10 @@
 # Timeout in seconds of a poll that does not wait, while a proxy searches for a current
 # control process: short, as several in a row may be lost.
 SEARCH_TIMEOUT: Final = 0.4
+# The same after a search in which no process answered: their answers may be slow.
+SLOW_SEARCH_TIMEOUT: Final = 0.8
+# The same for a leader that has answered other calls.
+SEARCH_LEADER_TIMEOUT: Final = 1.0
 # Least time from the beginning of one search to that of the next.
 SEARCH_INTERVAL_SECONDS: Final = 1.0
 # The margin for the first view, which also waits for a quorum and contains the whole
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -73,6 +73,7 @@
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._leader: Address | None = None
+        self._answered_as_leader: Address | None = None
         # A process that does not lead refuses calls of the leader and answers polls.
         self._polls = Selection()
         self._calls = Selection()
@@ -98,6 +99,12 @@
         with self._lock:
             return self._leader is not None
 
+    @property
+    def answering_leader(self) -> Address | None:
+        """The leader if it has answered as such; None if it was only named, or none."""
+        with self._lock:
+            return self._leader if self._leader == self._answered_as_leader else None
+
     def contact(self) -> ControlContact:
         """Return a consistent snapshot of the contact to control."""
         with self._lock:
@@ -180,6 +187,7 @@
             self._calls.tried.clear()
             self._lost.discard(address)
             self._record_current()
+            self._answered_as_leader = address
             self._set_leader(address)
 
     def record_refusal(self, address: Address, error: PeerRefusedError) -> None:
@@ -251,7 +259,7 @@
     ) -> None:
         with self._lock:
             if self._leader == address:
-                self._leader = None
+                self._leader = self._answered_as_leader = None
             self._record_asked(self._calls, address, has_answered=has_answered)
             if self._leader is None or self._is_selected(self._calls, address):
                 self._calls.select_next(self._addresses, self._lost)
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -1,5 +1,7 @@
 """Long polling of the committed state of control."""
 
+from dataclasses import dataclass, replace
+
 from dogwoodspool_api import WatchResponse
 from dogwoodspool_common import (
     Address,
@@ -18,7 +20,9 @@
     FIRST_VIEW_TIMEOUT_MARGIN,
     RETRY_PAUSE_SECONDS,
     SEARCH_INTERVAL_SECONDS,
+    SEARCH_LEADER_TIMEOUT,
     SEARCH_TIMEOUT,
+    SLOW_SEARCH_TIMEOUT,
     WATCH_TIMEOUT_MARGIN,
 )
 from .control_peers import ControlPeers
@@ -27,6 +31,21 @@
 from .view import ViewStore
 
 
+@dataclass(frozen=True, slots=True)
+class Search:
+    """A round of polls without a wait, for a process that is up to date.
+
+    Attributes:
+        left: number of processes that are still to be asked; 0 without a search.
+        timeout: seconds for each poll.
+        has_answer: whether a process has answered or refused.
+    """
+
+    left: int = 0
+    timeout: float = SEARCH_TIMEOUT
+    has_answer: bool = False
+
+
 class WatchCoordinator(Coordinator):
     """Keep the view store at the newest version.
 
@@ -53,12 +72,15 @@
         self._views = views
         self._peers = peers
         self._client = client
-        # Processes that are still to be asked, without a wait, for one that is current.
-        self._search_left = 0
+        self._search = Search()
         self._next_search_at = NEVER
+        self._next_leader_poll_at = NEVER
 
     def step(self) -> float:
         """Poll once for a newer view."""
+        leader = self._leader_to_ask()
+        if leader is not None:
+            return self._ask_leader(leader)
         address = self._peers.any()
         try:
             return self._step(address)
@@ -67,11 +89,40 @@
             self._peers.record_behind(address)
             raise
 
+    def _leader_to_ask(self) -> Address | None:
+        """Return the leader if it is to be asked beside the search.
+
+        Its answers to other calls show that it is up, so that it is given more time
+        than processes of which nothing is known. A group whose answers are slow would
+        pass for a lost one otherwise.
+        """
+        now = self._clock.now()
+        if not self._search.left or now < self._next_leader_poll_at:
+            return None
+        leader = self._peers.answering_leader
+        if leader is not None:
+            self._next_leader_poll_at = now + SEARCH_INTERVAL_SECONDS
+        return leader
+
+    def _ask_leader(self, leader: Address) -> float:
+        """Poll the leader once; the search for a process to follow goes on."""
+        search = self._search
+        self._search = replace(search, timeout=SEARCH_LEADER_TIMEOUT)
+        try:
+            self._step(leader)
+        except Exception:
+            self._peers.record_behind(leader)
+            raise
+        finally:
+            self._search = search
+        return 0.0
+
     def _step(self, address: Address) -> float:
         asked_at = self._clock.now()
         try:
             response = self._poll(address)
         except PeerRefusedError as error:
+            self._search = replace(self._search, has_answer=True)
             self._log_failure(address, asked_at, error)
             self._peers.record_poll_refusal(address, error)
             return self._continue_search()
@@ -79,6 +130,7 @@
             self._log_failure(address, asked_at, error)
             self._peers.record_failure(address)
             return self._continue_search()
+        self._search = replace(self._search, has_answer=True)
         # A cut-off process may name an outdated leader; renewals find the current one.
         if not self._peers.has_leader:
             self._peers.record_leader_hint(response.leader)
@@ -90,7 +142,7 @@
             if response.retry_after_ms:
                 return self._end_search()
             return self._continue_search()
-        self._search_left = 0
+        self._search = Search()
         # A process of the settings that is no member may belong to another system. With
         # an older state, it must not replace the members.
         if has_newer or self._peers.is_member(address):
@@ -117,15 +169,31 @@
         interval, so that an election is not disturbed by the polls of all proxies.
         """
         now = self._clock.now()
-        if self._search_left:
-            self._search_left -= 1
+        search = self._search
+        if search.left > 1:
+            self._search = replace(search, left=search.left - 1)
+        elif search.left:
+            self._search = self._next_round(search)
         elif self._views.is_filled and now >= self._next_search_at:
-            self._search_left = len(self._peers.addresses) - 1
+            others = len(self._peers.addresses) - 1
+            self._search = Search(others, search.timeout)
             self._next_search_at = now + SEARCH_INTERVAL_SECONDS
-        return 0.0 if self._search_left else RETRY_PAUSE_SECONDS
+        return 0.0 if self._search.left else RETRY_PAUSE_SECONDS
+
+    def _next_round(self, search: Search) -> Search:
+        """Return what follows a round in which no process is up to date.
+
+        If none has even answered, all are asked again at once, with more time.
+        """
+        if search.has_answer:
+            return Search()
+        is_first = search.timeout < SLOW_SEARCH_TIMEOUT
+        return Search(
+            len(self._peers.addresses) if is_first else 0, SLOW_SEARCH_TIMEOUT
+        )
 
     def _end_search(self) -> float:
-        self._search_left = 0
+        self._search = Search()
         return RETRY_PAUSE_SECONDS
 
     def _adopt(
@@ -157,8 +225,8 @@
         )
 
     def _poll(self, address: Address) -> WatchResponse:
-        wait_ms = 0 if self._search_left else self._wait_ms
-        margin = SEARCH_TIMEOUT if self._search_left else WATCH_TIMEOUT_MARGIN
+        wait_ms = 0 if self._search.left else self._wait_ms
+        margin = self._search.timeout if self._search.left else WATCH_TIMEOUT_MARGIN
         is_first = not self._views.is_filled
         if is_first:
             margin = FIRST_VIEW_TIMEOUT_MARGIN
