--- a/tests/following/replacement_days.py
+++ b/tests/following/replacement_days.py
@@ -3,14 +3,16 @@
 The proxies of one day poll emulated control processes with given addresses; polls and
 calls of the leader share the contacts, as they do in a process, and take the time that
 they would take. Run by hand:
-``python -m tests.following.replacement_days FIRST LAST [ANSWER [LATE]]``, where each
-poll takes ANSWER seconds more, and a share of LATE answers comes too late.
+``python -m tests.following.replacement_days FIRST LAST [ANSWER [LATE [check]]]``, where
+each poll takes ANSWER seconds more, and a share of LATE answers comes too late. With
+``check`` only view checks bring newer views, after the first one.
 """
 
 import random
 import sys
 from dataclasses import dataclass, field
 from typing import Any, Final, cast
+from unittest import mock
 
 from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
 from dogwoodspool_common import (
@@ -20,10 +22,17 @@
     PeerUnreachableError,
 )
 from dogwoodspool_common.const import HTTP_CONNECT_TIMEOUT
-from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
+from dogwoodspool_following import (
+    ControlPeers,
+    ProxyView,
+    ViewCheck,
+    ViewConfirmation,
+    ViewStore,
+    WatchCoordinator,
+)
 from loguru import logger
 
-from .baton import Baton
+from .baton import Baton, BatonExecutor
 
 WAIT_MS: Final = 1_000
 ROUND_TRIP: Final = 0.003
@@ -78,6 +87,7 @@
     end: float = 60.0
     answer: float = 0.0
     late: float = 0.0
+    has_checks_only: bool = False
 
     def has_leader(self, now: float) -> bool:
         return not any(start <= now < end for start, end in self.gaps)
@@ -162,22 +172,33 @@
         )
         # Connections that are kept, by address and time of their last use.
         self._connections: dict[Address, int] = {}
+        with mock.patch(
+            "dogwoodspool_following.read_attempts.ThreadPoolExecutor",
+            return_value=BatonExecutor(clock),
+        ):
+            confirmation = ViewConfirmation(
+                self.views, self.peers, cast(JsonClient, self), clock
+            )
+        self._check = ViewCheck(self.views, confirmation, clock)
+        self.views.add_listener(self._record_view)
+        self._recorded = 1
         self.late: list[tuple[float, float, int]] = []
         self._call_at = rng.choice((0.0, 0.3, 1.0))
 
     def follow(self) -> None:
-        """Poll until the day ends."""
+        """Poll, or check the view, until the day ends."""
         while self._clock.now() < self._day.end:
-            before = self.views.view.version
-            pause = self._watch.step()
-            now = self._clock.now()
-            for version in range(max(1, before) + 1, self.views.view.version + 1):
-                self._record(version, now)
-            self._clock.sleep(pause)
-        for version in range(
-            self.views.view.version + 1, len(self._day.acknowledged) + 1
-        ):
+            is_checking = self._day.has_checks_only and self.views.is_filled
+            self._clock.sleep(self._check.step() if is_checking else self._watch.step())
+        self._record_until(len(self._day.acknowledged))
+
+    def _record_view(self, view: ProxyView) -> None:
+        self._record_until(view.version)
+
+    def _record_until(self, newest: int) -> None:
+        for version in range(self._recorded + 1, newest + 1):
             self._record(version, self._clock.now())
+        self._recorded = max(self._recorded, newest)
 
     def report(self) -> None:
         """Call the leader now and then, and at once while control is degraded."""
@@ -300,7 +321,7 @@
 
 
 def play(
-    seed: int, answer: float = 0.0, late: float = 0.0
+    seed: int, answer: float = 0.0, late: float = 0.0, *, has_checks_only: bool = False
 ) -> list[tuple[float, float, int, str]]:
     """Play one day; return how late each change was at each proxy.
 
@@ -308,10 +329,12 @@
         seed: seed of the day.
         answer: seconds that each answer takes more.
         late: share of the answers that come too late.
+        has_checks_only: whether only view checks bring newer views.
     """
     rng = random.Random(seed)
     day, clock = day_of(rng), Baton()
     day.answer, day.late = answer, late
+    day.has_checks_only = has_checks_only
     proxies = [
         Proxy(day, clock, f"edge-southeast-{zone}-{n}", f"southeast-{zone}", rng)
         for zone, count in PROXIES
@@ -326,7 +349,12 @@
     logger.remove()
     seeds = range(int(sys.argv[1]), int(sys.argv[2]))
     slow = [float(one) for one in sys.argv[3:5]]
-    late = [(*one, seed) for seed in seeds for one in latest(play(seed, *slow))]
+    has_checks_only = "check" in sys.argv
+    late = [
+        (*one, seed)
+        for seed in seeds
+        for one in latest(play(seed, *slow, has_checks_only=has_checks_only))
+    ]
     print(
         "latest after the acknowledgement:", *sorted(late, reverse=True)[:5], sep="\n  "
     )
