View checks: a read accepts a confirmation of the last 250 ms

Each confirmed read of a proxy asked for a quorum of its own, so that one of four slots was held for it, and with many proxies reads were told "no free slot" at any time. A control process shares a recent confirmation with reads that accept one; now the reads of proxies do, up to 250 ms. The age counts as if the read had begun that long before, so that no bound on the age of a view changes: the next read is due that much earlier.

The test fails where the age is not counted.

--- a/packages/following/src/dogwoodspool_following/confirmed_read.py
+++ b/packages/following/src/dogwoodspool_following/confirmed_read.py
@@ -8,9 +8,10 @@
     log_event,
     log_rate_limited,
 )
+from dogwoodspool_common.const import MILLISECONDS
 from pydantic import ValidationError
 
-from .const import CONFIRMATION_READ_TIMEOUT
+from .const import ACCEPTED_AGE_MS, CONFIRMATION_READ_TIMEOUT
 from .control_peers import ControlPeers
 from .poll import poll
 from .view import ViewStore
@@ -26,8 +27,11 @@
         self._peers = peers
         self._client = client
 
-    def read(self, address: Address) -> bool:
-        """Ask one process; return whether the newest view is in force now.
+    def read(self, address: Address) -> float | None:
+        """Ask one process; return the age in seconds of the confirmation.
+
+        Everything that had been acknowledged that long before the call is in force
+        now. None if the read was not confirmed.
 
         Errors are logged: nobody reads the result of a call that ends late.
         """
@@ -46,9 +50,9 @@
                 view=version,
                 reason=repr(error),
             )
-        return False
+        return None
 
-    def _read(self, address: Address, version: int) -> bool:
+    def _read(self, address: Address, version: int) -> float | None:
         response = poll(
             self._client,
             address,
@@ -56,6 +60,7 @@
             0,
             CONFIRMATION_READ_TIMEOUT,
             must_confirm=True,
+            max_age_ms=ACCEPTED_AGE_MS,
         )
         if response.view is not None:
             self._adopt(response.view, address)
@@ -66,12 +71,13 @@
                 view=version,
                 reason="no free slot",
             )
-            return False
+            return None
         if response.members:
             # The watch may know only members that have been lost since.
             self._peers.adopt(response.members)
+        age = response.confirmed_age_ms / MILLISECONDS
         if response.view is None:
-            return True
+            return age
         in_force = self._views.view.version
         if in_force < response.view.version:
             log_rate_limited(
@@ -80,8 +86,8 @@
                 view=in_force,
                 reason=f"no base for version {response.view.version}",
             )
-            return False
-        return True
+            return None
+        return age
 
     def _adopt(self, view: ControlView, address: Address) -> None:
         before, age_ms = self._views.view.version, self._views.age_ms
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -24,6 +24,9 @@
 HELD_UP_SECONDS: Final = 0.3
 # Time after which the other control processes are asked as well.
 HEDGE_SECONDS: Final = 0.1
+# Age of a confirmation that a read accepts from a control process, which counts as if
+# the read had begun that long before: reads of many proxies need few of a quorum.
+ACCEPTED_AGE_MS: Final = 250
 # Time for which a confirmation holds: a part of the few seconds in which a change has
 # to be in force.
 CONFIRMED_FOR_SECONDS: Final = 1.0
--- a/packages/following/src/dogwoodspool_following/read_attempts.py
+++ b/packages/following/src/dogwoodspool_following/read_attempts.py
@@ -23,6 +23,7 @@
 
     Attributes:
         began_at: clock time; everything that was acknowledged before is in force here.
+            It may be before the read.
         address: the control process that answered.
     """
 
@@ -66,7 +67,8 @@
     each process is limited.
 
     Args:
-        read: asks a process; returns whether a quorum confirmed the view.
+        read: asks a process; returns the age in seconds of the confirmation by a
+            quorum, or None without one.
         changed: its lock is held by callers; it is notified of each end of a read.
         on_confirmed: called with each confirmation.
         on_failed: called once all reads of an attempt have ended without one, in time.
@@ -74,7 +76,7 @@
 
     def __init__(
         self,
-        read: Callable[[Address], bool],
+        read: Callable[[Address], float | None],
         peers: ControlPeers,
         clock: Clock,
         changed: threading.Condition,
@@ -147,23 +149,23 @@
         return len(free)
 
     def _run(self, attempt: Attempt, began: Confirmation) -> None:
-        is_confirmed = False
+        age = None
         try:
-            is_confirmed = self._read(began.address)
+            age = self._read(began.address)
         finally:
             with self._changed:
-                self._end_read(attempt, began, is_confirmed=is_confirmed)
+                self._end_read(attempt, began, age)
                 self._changed.notify_all()
 
     def _end_read(
-        self, attempt: Attempt, began: Confirmation, *, is_confirmed: bool
+        self, attempt: Attempt, began: Confirmation, age: float | None
     ) -> None:
         self._in_flight[began.address] -= 1
         attempt.in_flight -= 1
-        if is_confirmed:
+        if age is not None:
             attempt.is_confirmed = True
             self._end_earlier(began)
-            self._on_confirmed(began)
+            self._on_confirmed(Confirmation(began.began_at - age, began.address))
         elif attempt.others:
             self._ask_others(attempt)
         self._attempts = [one for one in self._attempts if not one.is_over]
--- a/tests/following/test_confirmation.py
+++ b/tests/following/test_confirmation.py
@@ -23,8 +23,10 @@
     PeerUnreachableError,
     endpoints_digest,
 )
+from dogwoodspool_common.const import MILLISECONDS
 from dogwoodspool_following import ControlPeers, ViewCheck, ViewConfirmation, ViewStore
 from dogwoodspool_following.const import (
+    ACCEPTED_AGE_MS,
     CONFIRMATION_RETRY_SECONDS,
     CONFIRMATION_TIMEOUT,
     CONFIRMED_FOR_SECONDS,
@@ -124,6 +126,22 @@
         self.assertTrue(self.confirmation.confirm())
         self.assertEqual(2, self.views.view.version)
 
+    def test_age_of_a_confirmation_counts(self) -> None:
+        """Guard against an earlier confirmation that is taken for one of this read."""
+        self.control.answers[ADDRESSES[0]] = lambda: WatchResponse(
+            view=None, leader=None, confirmed_age_ms=ACCEPTED_AGE_MS
+        )
+        self.assertTrue(self.confirmation.confirm())
+        age_ms = self.confirmation.age_ms
+        assert age_ms is not None
+        self.assertGreaterEqual(age_ms, ACCEPTED_AGE_MS)
+        self.assertEqual(
+            [str(ACCEPTED_AGE_MS)], [one["max_age_ms"] for one in self.control.queries]
+        )
+        self.clock.advance(CONFIRMED_FOR_SECONDS - ACCEPTED_AGE_MS / MILLISECONDS)
+        self.confirmation.confirm()
+        self.assertEqual(2, len(self.control.asked))
+
     def test_others_are_asked_while_the_first_is_silent(self) -> None:
         """Guard against a lost process that keeps a proxy from a confirmation."""
         release = threading.Event()
