Replaced control: the last check asks each database until its answer is right

Proxies are still restarted while the last check asks each of them for every database there ever was, and any missing or BUSY answer made it begin again with the first database. Each database is asked until its answer is right now.

--- a/tests/platform/replaced_control/callers.py
+++ b/tests/platform/replaced_control/callers.py
@@ -111,22 +111,23 @@
                 pool.submit(self._wait, edge, version, until)
 
     def _wait(self, edge: Machine, version: Version, until: float) -> None:
-        while differing := self._differing(edge, version):
-            if time.monotonic() > until:
-                what = f"{differing} by version {version.number}"
-                self._record.find("never current", edge.host, what)
-                return
-            time.sleep(RETRY_SECONDS)
-
-    def _differing(self, edge: Machine, version: Version) -> str:
-        """Return the first answer that a version does not explain, if any."""
         for database in list(self._record.ever):
-            session = Session(edge.host, self._port, database)
-            session.close()
-            word = session.greeting
-            if word != ("READY" if database in version.databases else "NODB"):
-                return f"answers {word or 'nothing'} to {database}"
-        return ""
+            expected = "READY" if database in version.databases else "NODB"
+            while (word := self._connect(edge, database)) != expected:
+                if time.monotonic() > until:
+                    answer = f"answers {word or 'nothing'} to {database}"
+                    what = f"{answer} by version {version.number}"
+                    self._record.find("never current", edge.host, what)
+                    return
+                time.sleep(RETRY_SECONDS)
+
+    def _connect(self, edge: Machine, database: str) -> str:
+        """Return the answer to a new session, which the rules hold for as well."""
+        life, sent_at = edge.lives, time.monotonic()
+        session = Session(edge.host, self._port, database)
+        session.close()
+        self._keep(edge, life, database, session.greeting, sent_at, "start")
+        return session.greeting
 
 
 def choose(record: Record, source: random.Random) -> str:
