Proofs: two mutations follow the present signatures of views

The proof of the guard settings-not-applied could not start a deployment: ProxyView.of has a third argument by now. With it both of its scenarios fail under the mutation, as they must. The same in views-go-back is not enough: no proxy gets its grants within 20 s under that mutation (three runs at a load average of about 70, also without the view check), so that this guard is unproved.

--- a/features/mutations/guards/settings.py
+++ b/features/mutations/guards/settings.py
@@ -14,8 +14,8 @@
     original = ProxyView.of
     first: dict[str, Any] = {}
 
-    def of(message: Any, base: Any = None) -> Any:
-        view = original(message, base)
+    def of(message: Any, base: Any = None, sender: Any = None) -> Any:
+        view = original(message, base, sender)
         if "users" not in str(message.settings):
             return view
         tree = first.setdefault("tree", view.tree)
@@ -84,7 +84,7 @@
             ViewStore.view = view_property
             self._views._view = view
 
-    def adopt(self: Any, message: Any) -> bool:
+    def adopt(self: Any, message: Any, _sender: Any = None) -> bool:
         self._view = ProxyView.of(message)
         for listener in self._listeners:
             listener(self._view)
