Tests: an emulated thread is joined only once it has been started

play() could take a thread that another one had just listed and not started yet: 'RuntimeError: cannot join thread before it is started', once in three runs of random failures of control with two callers, on a busy machine (load average 76 on 8 cores).

--- a/tests/following/baton.py
+++ b/tests/following/baton.py
@@ -49,8 +49,9 @@
                 self._pass_on()
 
         thread = threading.Thread(target=run, daemon=True)
-        self._threads.append(thread)
         thread.start()
+        # Only now: ``play`` may join it at once, and joins the starting thread as well.
+        self._threads.append(thread)
 
     def play(self, actors: list[Callable[[], None]]) -> None:
         """Run all actors, and what they start, to their ends."""
