View checks: a failing test of callers that ask nobody after a failure

refresh() returns at once while an attempt has failed lately, before it begins the reads that are due. They are left to the view check; where that thread gets no processor time, nobody asks for up to 2.5 s after each failure, and callers are served from a view of any age though control answers again. Not seen in a real process.

--- a/tests/following/test_refresh.py
+++ b/tests/following/test_refresh.py
@@ -127,6 +127,34 @@
                 self.assertEqual([True] * 50, results)
                 self.assertLessEqual(len(group.reads), len(ADDRESSES))
 
+    def test_callers_go_on_asking_after_a_failure(self) -> None:
+        """Guard against an old view that is used for seconds after control is back.
+
+        The failure tells callers not to wait, and nobody else asks control.
+        """
+        cut = (1.0, 2.5)
+        group = ControlGroup(Baton(), Loss.REFUSED, cut=cut, end=HELD_UP_SECONDS)
+        proxy = ConfirmingProxy(group, "edge-1", 0.0)
+        group.clock.play([proxy.call])
+        back = cut[1] + 2 * VIEW_CHECK_ATTEMPT_SECONDS + SLACK_SECONDS
+        late = [at for at, _, is_recent in proxy.calls if at > back and not is_recent]
+        self.assertEqual([], late)
+
+    def test_old_failure_is_no_reason_to_use_an_old_view(self) -> None:
+        """Guard against a proxy that does not ask since control was away long ago."""
+        clock = Baton()
+        group = ControlGroup(clock, Loss.REFUSED, cut=(0.0, 2.0), end=HELD_UP_SECONDS)
+        proxy = ConfirmingProxy(group, "edge-1", 0.0)
+        results: list[bool] = []
+
+        def call() -> None:
+            for _ in range(2):
+                results.append(proxy.confirmation.refresh())
+                clock.sleep(HELD_UP_SECONDS)
+
+        clock.play([call])
+        self.assertEqual([False, True], results)
+
     def test_later_callers_do_not_prolong_the_wait(self) -> None:
         """Guard against callers that wait for as long as others arrive."""
         clock = Baton()
