View checks: a failing test of callers that wait without end

A caller waits 0.5 s for a confirmation, and again where its wait ended 0.3 s late or more, as the process was held up then. Nothing limits how often: in a process whose waits all end 0.6 s late, and whose reads therefore end too late to count as failures of control, a caller waits for good while control gives no answer (100 waits in the test). Usual waits three times in a row are the test's bound. Not seen in a real process.

--- a/tests/following/test_refresh.py
+++ b/tests/following/test_refresh.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Final, cast
+from unittest import mock
 
 from dogwoodspool_api import WatchResponse
 from dogwoodspool_common import Address, JsonClient, ManualClock, PeerUnreachableError
@@ -27,6 +28,11 @@
 SLACK_SECONDS: Final = 0.1
 LONG_SECONDS: Final = 5.0
 HELD_UP_SECONDS: Final = 10.0
+# By how much each wait of a process ends late that hardly runs.
+LATE_SECONDS: Final = 0.6
+# For how many times its usual time a caller may wait there.
+MAX_LATE_WAITS: Final = 3
+MAX_WAITS: Final = 100
 
 
 def waits(proxy: ConfirmingProxy) -> list[tuple[float, float]]:
@@ -253,3 +259,43 @@
         thread.join(LONG_SECONDS)
         self.assertEqual([False], results)
         self.assertFalse(self.confirmation.refresh())
+
+
+class LateClock(ManualClock):
+    """A clock on which each wait ends late, as in a process that hardly runs."""
+
+    def __init__(self) -> None:
+        super().__init__(100.0)
+        self.waits = 0
+
+    def wait(self, condition: threading.Condition, seconds: float) -> bool:
+        self.waits += 1
+        if self.waits > MAX_WAITS:
+            raise TimeoutError("a caller waits for good")
+        condition.release()
+        try:
+            self.advance(seconds + LATE_SECONDS)
+        finally:
+            condition.acquire()
+        return False
+
+
+class LateProxyTests(unittest.TestCase):
+    """Control gives no answer, and each wait of a proxy takes too long."""
+
+    def test_wait_ends(self) -> None:
+        """Guard against callers that wait for good at a busy proxy that is cut off."""
+        clock, release = LateClock(), threading.Event()
+        self.addCleanup(release.set)
+        client = mock.Mock()
+        client.get.side_effect = lambda *_args: release.wait(LONG_SECONDS)
+        confirmation = ViewConfirmation(
+            ViewStore("zone-a", clock),
+            ControlPeers((Address("127.0.0.1", 1),)),
+            cast(JsonClient, client),
+            clock,
+        )
+        began_at = clock.now()
+        self.assertFalse(confirmation.refresh())
+        limit = MAX_LATE_WAITS * (CONFIRMATION_TIMEOUT + LATE_SECONDS)
+        self.assertLessEqual(clock.now() - began_at, limit)
