--- a/tests/following/test_refresh.py
+++ b/tests/following/test_refresh.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Callable
 from typing import Final, cast
+from unittest import mock
 
 from dogwoodspool_api import WatchResponse
 from dogwoodspool_common import Address, JsonClient, ManualClock, PeerUnreachableError
@@ -27,6 +28,11 @@
 SLACK_SECONDS: Final = 0.1
 LONG_SECONDS: Final = 5.0
 HELD_UP_SECONDS: Final = 10.0
+# By how much each wait of a process ends late that hardly runs.
+LATE_SECONDS: Final = 0.6
+# For how many times its usual time a caller may wait there.
+MAX_LATE_WAITS: Final = 3
+MAX_WAITS: Final = 100
 
 
 def waits(proxy: ConfirmingProxy) -> list[tuple[float, float]]:
@@ -127,6 +133,34 @@
                 self.assertEqual([True] * 50, results)
                 self.assertLessEqual(len(group.reads), len(ADDRESSES))
 
+    def test_callers_go_on_asking_after_a_failure(self) -> None:
+        """Guard against an old view that is used for seconds after control is back.
+
+        The failure tells callers not to wait, and nobody else asks control.
+        """
+        cut = (1.0, 2.5)
+        group = ControlGroup(Baton(), Loss.REFUSED, cut=cut, end=HELD_UP_SECONDS)
+        proxy = ConfirmingProxy(group, "edge-1", 0.0)
+        group.clock.play([proxy.call])
+        back = cut[1] + 2 * VIEW_CHECK_ATTEMPT_SECONDS + SLACK_SECONDS
+        late = [at for at, _, is_recent in proxy.calls if at > back and not is_recent]
+        self.assertEqual([], late)
+
+    def test_old_failure_is_no_reason_to_use_an_old_view(self) -> None:
+        """Guard against a proxy that does not ask since control was away long ago."""
+        clock = Baton()
+        group = ControlGroup(clock, Loss.REFUSED, cut=(0.0, 2.0), end=HELD_UP_SECONDS)
+        proxy = ConfirmingProxy(group, "edge-1", 0.0)
+        results: list[bool] = []
+
+        def call() -> None:
+            for _ in range(2):
+                results.append(proxy.confirmation.refresh())
+                clock.sleep(HELD_UP_SECONDS)
+
+        clock.play([call])
+        self.assertEqual([False, True], results)
+
     def test_later_callers_do_not_prolong_the_wait(self) -> None:
         """Guard against callers that wait for as long as others arrive."""
         clock = Baton()
@@ -225,3 +259,43 @@
         thread.join(LONG_SECONDS)
         self.assertEqual([False], results)
         self.assertFalse(self.confirmation.refresh())
+
+
+class LateClock(ManualClock):
+    """A clock on which each wait ends late, as in a process that hardly runs."""
+
+    def __init__(self) -> None:
+        super().__init__(100.0)
+        self.waits = 0
+
+    def wait(self, condition: threading.Condition, seconds: float) -> bool:
+        self.waits += 1
+        if self.waits > MAX_WAITS:
+            raise TimeoutError("a caller waits for good")
+        condition.release()
+        try:
+            self.advance(seconds + LATE_SECONDS)
+        finally:
+            condition.acquire()
+        return False
+
+
+class LateProxyTests(unittest.TestCase):
+    """Control gives no answer, and each wait of a proxy takes too long."""
+
+    def test_wait_ends(self) -> None:
+        """Guard against callers that wait for good at a busy proxy that is cut off."""
+        clock, release = LateClock(), threading.Event()
+        self.addCleanup(release.set)
+        client = mock.Mock()
+        client.get.side_effect = lambda *_args: release.wait(LONG_SECONDS)
+        confirmation = ViewConfirmation(
+            ViewStore("zone-a", clock),
+            ControlPeers((Address("127.0.0.1", 1),)),
+            cast(JsonClient, client),
+            clock,
+        )
+        began_at = clock.now()
+        self.assertFalse(confirmation.refresh())
+        limit = MAX_LATE_WAITS * (CONFIRMATION_TIMEOUT + LATE_SECONDS)
+        self.assertLessEqual(clock.now() - began_at, limit)
