View checks: callers begin the reads that are due, and their wait has an end

Callers begin what is due now before they look at the failure, and still do not wait. - A wait that ended late began again, without a limit: it ends after three waits. Not seen in a real process.

--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -15,6 +15,7 @@
     MAX_CONFIRMATION_RETRY_SECONDS,
     MAX_UNCONFIRMED_SECONDS,
     MAX_VIEW_CHECKS_PER_SECOND,
+    MAX_WAITS,
     VIEW_CHECK_ATTEMPT_SECONDS,
     VIEW_CHECK_SECONDS,
 )
@@ -61,6 +62,7 @@
         self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
         self._waiting = 0
+        self._waits = 0
         self._waits_until = NEVER
 
     @property
@@ -92,6 +94,7 @@
             return True
         with self._changed:
             if self._waiting == 0:
+                self._waits = 1
                 self._waits_until = self._clock.now() + CONFIRMATION_TIMEOUT
             self._waiting += 1
             try:
@@ -182,17 +185,27 @@
 
     def _wait_for_refresh(self) -> bool:
         while not self._is_since(self._clock.now() - self._max_age):
+            # Callers begin what is due too: the thread of the checks may be held up.
+            pause = self._advance()
             if self._is_closed or self._is_known_away():
                 return False
-            pause = self._advance()
             remaining = self._waits_until - self._clock.now()
-            if remaining <= -HELD_UP_SECONDS:
-                self._waits_until += CONFIRMATION_TIMEOUT - remaining
-            elif remaining <= 0:
+            if remaining > 0:
+                self._wait(min(pause, remaining))
+            elif not self._prolong_wait(-remaining):
                 self._record_failure()
                 return False
-            else:
-                self._wait(min(pause, remaining))
+        return True
+
+    def _prolong_wait(self, late: float) -> bool:
+        """Wait again after a wait that ended late, a limited number of times.
+
+        This process was held up, and control had no time to answer.
+        """
+        if late < HELD_UP_SECONDS or self._waits >= MAX_WAITS:
+            return False
+        self._waits += 1
+        self._waits_until = self._clock.now() + CONFIRMATION_TIMEOUT
         return True
 
     def _wait(self, seconds: float) -> None:
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -26,6 +26,8 @@
 # Time after the end of a wait at which callers wait again: this process was held up,
 # and control had no time to answer.
 HELD_UP_SECONDS: Final = 0.3
+# How often callers wait together before they use the view in force.
+MAX_WAITS: Final = 3
 # Time after which the other control processes are asked as well.
 HEDGE_SECONDS: Final = 0.1
 # Age of a confirmation that a read accepts from a control process, which counts as if
