--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -58,7 +58,7 @@
 # The same while no attempt succeeds.
 VIEW_CHECK_ATTEMPT_SECONDS: Final = 0.5
 # Confirmations of all proxies together for which control has room.
-MAX_VIEW_CHECKS_PER_SECOND: Final = 300
+MAX_VIEW_CHECKS_PER_SECOND: Final = 400
 # Age of a document, when it comes into force here, from which on that is logged: near
 # the few seconds in which a change has to be in force.
 LATE_DOCUMENT_MS: Final = 2_000
