--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -405,10 +405,12 @@
             first document.
         digest: digest of all endpoints at this version, also where the view contains
             only differences; see ``endpoints_digest``.
+        document_age_ms: time for which the sender has had the document in force, at
+            most the time since it was committed; None if it is not known.
     """
 
     _optional_fields: ClassVar[frozenset[str]] = frozenset(
-        {"accounts", "requires_account", "revision", "digest"}
+        {"accounts", "requires_account", "revision", "digest", "document_age_ms"}
     )
 
     version: int
@@ -423,6 +425,11 @@
     removed: RemovedItems = RemovedItems()
     revision: int = 0
     digest: str = ""
+    document_age_ms: int | None = None
+
+    def with_document_age(self, age_ms: int | None) -> Self:
+        """Return the view with the age of its document."""
+        return self.model_copy(update={"document_age_ms": age_ms})
 
     def without_document(self) -> Self:
         """Return the view for a process of an earlier build."""
@@ -453,7 +460,7 @@
         return self.model_copy(update={"is_voter": True})
 
 
-class WatchResponse(Message):
+class WatchResponse(ExtendedMessage):
     """Answer to a long poll: the newer view, or None when the wait timed out.
 
     Attributes:
@@ -463,13 +470,18 @@
             that had no successor when it said so.
         retry_after_ms: delay before the next poll if all slots for waiting polls were
             taken; 0 otherwise.
+        confirmed_age_ms: time from the confirmation that a confirmed read rests on to
+            the request; 0 where that confirmation began after the request.
     """
 
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"confirmed_age_ms"})
+
     view: ControlView | None
     leader: HostPort | None
     members: list[MemberMessage] = []
     is_current: bool = True
     retry_after_ms: int = 0
+    confirmed_age_ms: int = 0
 
 
 class ServerReport(Message):
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -26,8 +26,13 @@
 # Time after the end of a wait at which callers wait again: this process was held up,
 # and control had no time to answer.
 HELD_UP_SECONDS: Final = 0.3
+# How often callers wait together before they use the view in force.
+MAX_WAITS: Final = 3
 # Time after which the other control processes are asked as well.
 HEDGE_SECONDS: Final = 0.1
+# Age of a confirmation that a read accepts from a control process, which counts as if
+# the read had begun that long before: reads of many proxies need few of a quorum.
+ACCEPTED_AGE_MS: Final = 250
 # Time for which a confirmation holds: a part of the few seconds in which a change has
 # to be in force.
 CONFIRMED_FOR_SECONDS: Final = 1.0
@@ -54,6 +59,9 @@
 VIEW_CHECK_ATTEMPT_SECONDS: Final = 0.5
 # Confirmations of all proxies together for which control has room.
 MAX_VIEW_CHECKS_PER_SECOND: Final = 400
+# Age of a document, when it comes into force here, from which on that is logged: near
+# the few seconds in which a change has to be in force.
+LATE_DOCUMENT_MS: Final = 2_000
 # Maximum time by which an idle transaction exceeds its limit, which is 10 s by default.
 REAP_INTERVAL_SECONDS: Final = 0.25
 # Successful polls of another control process before the preferred one is tried again.
--- a/packages/following/src/dogwoodspool_following/poll.py
+++ b/packages/following/src/dogwoodspool_following/poll.py
@@ -6,7 +6,9 @@
     QUERY_AFTER,
     QUERY_CONFIRMED,
     QUERY_DOCUMENT,
+    QUERY_DOCUMENT_AGE,
     QUERY_GIVEN_UP,
+    QUERY_MAX_AGE_MS,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -21,6 +23,7 @@
     timeout: float,
     *,
     must_confirm: bool,
+    max_age_ms: int = 0,
 ) -> WatchResponse:
     """Ask a control process for what is newer than a version.
 
@@ -31,6 +34,9 @@
         wait_ms: time in milliseconds for which the poll may be held.
         timeout: seconds for the whole exchange.
         must_confirm: whether a quorum has to confirm that the answer is up to date.
+        max_age_ms: greatest age of the confirmation, before the request, that the
+            caller accepts. The answer states it; a process of an earlier build
+            confirms the request itself.
 
     Raises:
         HttpError: no complete answer was received in time, or it was a refusal.
@@ -42,8 +48,11 @@
         QUERY_GIVEN_UP: "1",
         QUERY_VOTERS: "1",
         QUERY_DOCUMENT: "1",
+        QUERY_DOCUMENT_AGE: "1",
     }
     if must_confirm:
         query[QUERY_CONFIRMED] = "1"
+    if max_age_ms:
+        query[QUERY_MAX_AGE_MS] = str(max_age_ms)
     answer = client.get(address, PATH_WATCH, query, timeout)
     return WatchResponse.model_validate(answer)
--- a/tests/consensus/test_record_histories.py
+++ b/tests/consensus/test_record_histories.py
@@ -11,6 +11,9 @@
 
 SEEDS = range(3)
 TRIES = 8
+READ_CHANCE = 0.2
+# Part of each message of the check of confirmed reads, and of no other one.
+READ_FINDING = " from version "
 ALWAYS = property(lambda _self: True)
 
 
@@ -34,6 +37,28 @@
                 run_record(seed, random_timeline(seed))
 
 
+class ConfirmedReadTests(unittest.TestCase):
+    """Proxies make confirmed reads all the time, of all processes.
+
+    Guards against a confirmed read without an acknowledged change: at a lost or removed
+    process, beside elections, and after the last leader has lost its disk.
+    """
+
+    def test_each_confirmed_read_has_each_change(self) -> None:
+        for seed, timeline in enumerate((*TIMELINES, random_timeline(0))):
+            with self.subTest(seed=seed):
+                history = run_record(seed, timeline, READ_CHANCE)
+                self.assertGreater(history.world.operator.confirmed_reads, 0)
+
+    def test_read_without_a_quorum_is_detected(self) -> None:
+        """Guard against histories in which no lost process is asked.
+
+        First views meet the fault as well: only what these reads find counts.
+        """
+        with mock.patch.object(Reads, "leader_read_point", _last_commit):
+            self.assertTrue(_is_detected(READ_CHANCE, READ_FINDING))
+
+
 class PlantedFaultTests(unittest.TestCase):
     """The histories detect faults in what control processes tell proxies.
 
@@ -53,10 +78,16 @@
             self.assertTrue(_is_detected())
 
 
-def _is_detected() -> bool:
+def _last_commit(reads: Reads, _deadline: float) -> int:
+    return reads._state.commit_index
+
+
+def _is_detected(read_chance: float = 0.0, finding: str = "") -> bool:
+    """Return whether a history fails with a message that contains the finding."""
     for seed in range(TRIES):
         try:
-            run_record(seed, TIMELINES[seed % len(TIMELINES)])
-        except AssertionError:
-            return True
+            run_record(seed, TIMELINES[seed % len(TIMELINES)], read_chance)
+        except AssertionError as error:
+            if finding in str(error):
+                return True
     return False
--- a/tests/platform/replaced_control/record.py
+++ b/tests/platform/replaced_control/record.py
@@ -51,6 +51,12 @@
     answered_at: float
     way: str = "start"
 
+    @property
+    def is_use(self) -> bool:
+        """Whether a statement has run on a server of the database."""
+        starts = ("start", "BEGIN", "BEGIN READ")
+        return self.word == "READY" and not self.way.endswith(starts)
+
 
 @dataclass(frozen=True)
 class Finding:
@@ -117,6 +123,15 @@
     clock_at_start: float = field(default_factory=time.time)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
+    @property
+    def edge_clock_starts(self) -> dict[str, list[float]]:
+        """Times of day at which proxies were started, by host."""
+        offset = self.clock_at_start - self.started_at
+        return {
+            host: [offset + one for one in starts]
+            for host, starts in self.edge_starts.items()
+        }
+
     def add(self, version: Version) -> None:
         """Add a version that is about to be sent."""
         seen = set(self.ever)
--- a/tests/platform/replaced_control/trace.py
+++ b/tests/platform/replaced_control/trace.py
@@ -10,8 +10,13 @@
 LINES: Final = 12
 EVENTS: Final = (
     "view_in_force",
+    "view_late",
     "first_view",
-    "no_database",
+    "newer_view_found",
+    "database",
+    "removed_database_used",
+    "served_unconfirmed",
+    "view_not_confirmed",
     "control_",
     "watch_",
     "presence_failed",
--- a/tests/platform/test_replaced_control.py
+++ b/tests/platform/test_replaced_control.py
@@ -6,7 +6,9 @@
 
 import random
 import tempfile
+import threading
 import unittest
+from datetime import datetime
 from pathlib import Path
 from typing import Any, Final, cast
 
@@ -21,13 +23,22 @@
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 from dogwoodspool_platform.config_document import InvalidConfigError, decode_config
 
-from .replaced_control.const import CONFIG_APPLY_SECONDS
+from .replaced_control.const import (
+    CONFIG_APPLY_SECONDS,
+    KEPT_DATABASES,
+    SETTLED_SECONDS,
+)
+from .replaced_control.delays import Delay, delays
 from .replaced_control.drafts import Drafts
+from .replaced_control.plan import Plan
+from .replaced_control.quiet import QuietCallers
 from .replaced_control.record import Answer, Record, Version
 from .replaced_control.run import ReplacedControl
 
 SEED_IN_CI: Final = 1
 NET: Final = "127.0.21"
+QUIET_PLAN: Final = Plan(callers="quiet", kept_sessions=24)
+QUIET_NET: Final = "127.0.22"
 MANY_PROXIES: Final = 60
 MANY_VERSIONS: Final = 40
 
@@ -85,11 +96,91 @@
         counts = [(one.group, one.counts) for one in self.record.findings]
         self.assertEqual([("within 15 s", False), ("beyond 15 s", True)], counts)
 
+    def test_first_statements_are_judged_by_when_they_are_sent(self) -> None:
+        """Guard against a checker that allows what a transaction began in time."""
+        self.record.answers = [
+            Answer("edge", 1, "a", "READY", 30.2, 30.21, "single BEGIN"),
+            Answer("edge", 1, "a", "READY", 32.9, 32.91, "first of BEGIN: READ k1"),
+            Answer("edge", 1, "a", "READY", 33.2, 33.21, "first of BEGIN: READ k1"),
+        ]
+        self.record.check()
+        at = [(one.kind, one.at) for one in self.record.findings]
+        self.assertEqual([("late", 33.2)], at)
+        self.assertEqual(
+            [False, True, True], [one.is_use for one in self.record.answers]
+        )
+
     def test_database_of_an_invalid_configuration_is_found(self) -> None:
         """Guard against a checker that accepts what no configuration has."""
         self.assertEqual(["late", "regression"], self.kinds(("bad", "READY", 23.2)))
 
 
+class QuietCallersTests(unittest.TestCase):
+    """Callers whose requests make a proxy confirm hardly anything."""
+
+    def test_new_sessions_name_what_is_in_force_for_long_and_stays(self) -> None:
+        """Guard against callers whose denials bring a proxy newer views."""
+        kept = frozenset(KEPT_DATABASES)
+        record = Record(started_at=0.0)
+        record.versions = [
+            Version(1, kept | {"db1", "db2"}, 10.0, 10.1),
+            Version(2, kept | {"db1", "db2", "db3"}, 20.0, 20.1),
+            Version(3, kept | {"db1", "db3"}, 21.0),
+        ]
+        callers = QuietCallers(0, 0.0, record, threading.Event())
+        before, after = 20.0 + SETTLED_SECONDS, 20.2 + SETTLED_SECONDS
+        self.assertEqual(sorted(kept | {"db1"}), callers.settled(before))
+        self.assertEqual(sorted(kept | {"db1", "db3"}), callers.settled(after))
+
+
+class DelaysTests(unittest.TestCase):
+    """Delays of views are read from the logs."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.write("10", (2.0, "document_committed", 1), (4.0, "document_committed", 2))
+
+    def write(self, machine: str, *lines: tuple[float, str, int]) -> None:
+        """Write the log of a machine; times are seconds of a minute."""
+        text = "".join(
+            f"time=2026-01-01T00:00:{at:06.3f}+00:00 level=INFO event={event} "
+            f"revision={revision}\n"
+            for at, event, revision in lines
+        )
+        (self.folder / f"127.0.0.{machine}.log").write_text(text)
+
+    def delays(self, *starts: float) -> list[Delay]:
+        """Return the delays at a proxy with the times at which it was started."""
+        zero = datetime.fromisoformat("2026-01-01T00:00:00+00:00").timestamp()
+        host = "127.0.0.50"
+        return delays(self.folder, {host: [zero + one for one in starts]})
+
+    def test_delay_ends_with_a_view_of_the_document_or_a_later_one(self) -> None:
+        """Guard against a delay that a newer view than the first hides."""
+        views = ((1.0, "view_in_force", 0), (5.5, "view_in_force", 2))
+        self.write("50", *views)
+        host = "127.0.0.50"
+        self.assertEqual(
+            [
+                Delay(3.5, host, 1, is_open=False),
+                Delay(1.5, host, 2, is_open=False),
+            ],
+            self.delays(0.5),
+        )
+
+    def test_process_that_ends_without_the_document(self) -> None:
+        """Guard against a delay that a restart ends."""
+        views = ((1.0, "view_in_force", 0), (5.5, "view_in_force", 2))
+        self.write("50", views[0], (4.5, "watch_failed", 0), views[1])
+        host = "127.0.0.50"
+        self.assertEqual(
+            [Delay(2.5, host, 1, is_open=True), Delay(0.5, host, 2, is_open=True)],
+            self.delays(0.5, 5.0),
+        )
+
+
 class DraftsTests(unittest.TestCase):
     """The operator's configurations are those that it means to send."""
 
@@ -249,3 +340,19 @@
         self.assertLessEqual({"READY", "NODB"}, words)
         late_apart = [one for one in day.record.findings if one.kind != "late"]
         self.assertEqual([], late_apart, notes)
+
+    def test_pausing_transactions_use_no_removed_database(self) -> None:
+        """Guard against first statements on a database that the proxy knows is gone.
+
+        The callers of this day hardly ever ask for what a proxy has to deny.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            day = ReplacedControl(SEED_IN_CI, Path(folder), QUIET_NET, QUIET_PLAN)
+            day.run()
+        notes = "\n".join(day.record.notes)
+        used = {
+            one.way.partition(" of ")[0] for one in day.record.answers if one.is_use
+        }
+        self.assertLessEqual({"single READ k1", "first"}, used)
+        late_apart = [one for one in day.record.findings if one.kind != "late"]
+        self.assertEqual([], late_apart, notes)
