Proofs: two mutations follow the two ways to newer views

The guard that proxies leave a control process that stands still survived its mutation, as the checks of the view ask the other processes: the mutation confines both ways to the first process now. The mutation of views that go back showed all threads an empty view during each poll, so that its scenario failed before what it asserts; on the code before as well.

--- a/features/mutations/guards/settings.py
+++ b/features/mutations/guards/settings.py
@@ -74,31 +74,30 @@
     original = WatchCoordinator._poll
 
     def _poll(self: Any, address: Any) -> Any:
-        view = self._views._view
-        view_property = ViewStore.view
+        # Each poll is answered at once with the whole state.
         time.sleep(0.05)
-        ViewStore.view = property(lambda _self: ProxyView())
-        try:
-            return original(self, address)
-        finally:
-            ViewStore.view = view_property
-            self._views._view = view
+        return original(self, address)
 
     def adopt(self: Any, message: Any, _sender: Any = None) -> bool:
-        self._view = ProxyView.of(message)
+        with self._changed:
+            self._view = ProxyView.of(message)
+            self._changed.notify_all()
         for listener in self._listeners:
             listener(self._view)
         return True
 
     WatchCoordinator._poll = _poll
+    ViewStore.base_version = property(lambda _self: 0)
     ViewStore.adopt = adopt
 
 
 def frozen_control_kept() -> None:
-    """Poll only the first control process of the list."""
+    """Ask only the first control process of the list for views."""
     from dogwoodspool_following.control_peers import ControlPeers
 
     ControlPeers.any = lambda self: self._addresses[0]
+    ControlPeers.addresses = property(lambda self: self._addresses[:1])
+    ControlPeers.answering_leader = property(lambda _self: None)
 
 
 GUARDS = (
