--- a/tests/consensus/test_record_histories.py
+++ b/tests/consensus/test_record_histories.py
@@ -5,6 +5,7 @@
 
 from dogwoodspool_consensus.confirmations import Confirmations
 from dogwoodspool_consensus.reads import Reads
+from dogwoodspool_control.http.confirmed_reads import ConfirmedReads
 from dogwoodspool_control.node import ControlNode
 
 from .record_histories import TIMELINES, random_timeline, run_record
@@ -53,9 +54,12 @@
     def test_read_without_a_quorum_is_detected(self) -> None:
         """Guard against histories in which no lost process is asked.
 
-        First views meet the fault as well: only what these reads find counts.
+        First views meet the first fault as well; of the second one, only what these
+        reads find counts.
         """
         with mock.patch.object(Reads, "leader_read_point", _last_commit):
+            self.assertTrue(_is_detected(READ_CHANCE))
+        with mock.patch.object(ConfirmedReads, "confirm", lambda _self, _age: 0.0):
             self.assertTrue(_is_detected(READ_CHANCE, READ_FINDING))
 
 
