Pooler: no line of a removed database's use for a request that has not run

removed_database_used is there to tell a request that ran knowingly from one of an old view. It was also written for requests that a server refused as not run, such as a write that a replaced primary refuses. A reply that says so writes no line now; the test failed before.

--- a/packages/pooler/src/dogwoodspool_pooler/removals.py
+++ b/packages/pooler/src/dogwoodspool_pooler/removals.py
@@ -9,6 +9,7 @@
 from dogwoodspool_following import ProxyView
 
 from .const import MAX_LOGGED_DATABASES, MAX_REMOVED_DATABASES
+from .models import Reply
 from .requests import Request
 
 
@@ -67,15 +68,20 @@
             transactions=sum(one.has_transaction for one in naming),
         )
 
-    def check(self, request: Request, looked_up: int, in_force: ProxyView) -> None:
-        """Write down a request whose database the newest view lacks.
+    def check(
+        self, request: Request, reply: Reply, looked_up: int, in_force: ProxyView
+    ) -> None:
+        """Write down a request that may have run where the newest view has no route.
 
         Args:
-            request: a request that has run.
+            request: the request.
+            reply: its reply, which may tell that it has not run.
             looked_up: version of the view that named its endpoint.
             in_force: the newest view.
         """
         used = request.endpoint
+        if reply.error is not None and reply.error.code.is_not_run:
+            return
         if _is_served(in_force.databases.get(used.database), used.group):
             return
         with self._lock:
--- a/packages/pooler/src/dogwoodspool_pooler/session.py
+++ b/packages/pooler/src/dogwoodspool_pooler/session.py
@@ -307,7 +307,7 @@
         return Answer(self.state, error=resolved.error)
 
     def _follows_route(self, statement: Statement) -> bool:
-        """Return whether a statement is the first one of a transaction that may run."""
+        """Return whether a statement is the first one that the transaction sends."""
         transaction = self._transaction
         is_run = statement.kind in (*RUNNING_KINDS, StatementKind.COMMIT)
         return transaction is not None and not transaction.has_started and is_run
@@ -369,7 +369,7 @@
             )
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
-        self._removals.check(request, transaction.view, self._views.view)
+        self._removals.check(request, reply, transaction.view, self._views.view)
         if reply.error is None and transaction.has_written:
             self._advance_position(transaction.endpoint, reply.position)
         return self._answer(reply)
@@ -396,7 +396,7 @@
             except NotServedError as error:
                 transaction.has_failed = True
                 return Answer(self.state, error=error.error)
-            self._removals.check(request, transaction.view, self._views.view)
+            self._removals.check(request, reply, transaction.view, self._views.view)
             return self._answer(reply)
         resolved = self._resolve(statement)
         if resolved.is_error():
@@ -409,7 +409,7 @@
             reply = self._run_single(request)
         except NotServedError as error:
             return Answer(TransactionState.IDLE, error=error.error)
-        self._removals.check(request, known.view, self._views.view)
+        self._removals.check(request, reply, known.view, self._views.view)
         return self._answer(reply)
 
     def _run_single(self, request: Request) -> Reply:
--- a/tests/pooler/test_removed_databases.py
+++ b/tests/pooler/test_removed_databases.py
@@ -149,7 +149,8 @@
 
     def setUp(self) -> None:
         self.lines = self.enterContext(captured_logs())
-        self.pooler = Pooler([FakeServer("s1", Role.PRIMARY)])
+        self.server = FakeServer("s1", Role.PRIMARY)
+        self.pooler = Pooler([self.server])
         self.session = self.pooler.session()
 
     def remove(self) -> None:
@@ -188,6 +189,17 @@
         for field in ("request=late", "looked_up_view=1", "view=2", "=500"):
             self.assertIn(field, line)
 
+    def test_request_that_has_not_run(self) -> None:
+        """Guard against a line for a request that no server ran."""
+        run_text(self.session, "BEGIN")
+        run_text(self.session, "READ k")
+        self.remove()
+        self.server.refusals = [ErrorCode.READ_ONLY]
+        answer = run_text(self.session, "WRITE k v", "late")
+        assert answer.error is not None
+        self.assertIs(ErrorCode.READ_ONLY, answer.error.code)
+        self.assertEqual("", self.line("removed_database_used"))
+
     def test_request_on_a_database_that_is_there(self) -> None:
         """Guard against lines for ordinary requests."""
         run_text(self.session, "READ k")
