--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -90,7 +90,7 @@
         control is known not to confirm the view they do not wait: then the attempts
         that go on in the background bring the next one.
         """
-        if self._is_since(self._clock.now() - MAX_UNCONFIRMED_SECONDS):
+        if self._is_recent_enough():
             return True
         with self._changed:
             if self._waiting == 0:
@@ -172,6 +172,9 @@
     def _is_recent(self) -> bool:
         return self._is_since(self._clock.now() - CONFIRMED_FOR_SECONDS)
 
+    def _is_recent_enough(self) -> bool:
+        return self._is_since(self._clock.now() - self._max_age)
+
     def _is_since(self, since: float) -> bool:
         last = self._last
         return last is not None and last.began_at >= since
@@ -189,7 +192,7 @@
         return True
 
     def _wait_for_refresh(self) -> bool:
-        while not self._is_since(self._clock.now() - self._max_age):
+        while not self._is_recent_enough():
             # Callers begin what is due too: the thread of the checks may be held up.
             pause = self._advance()
             if self._is_closed or self._is_known_away():
--- a/packages/following/src/dogwoodspool_following/watch.py
+++ b/packages/following/src/dogwoodspool_following/watch.py
@@ -187,10 +187,10 @@
         """
         if search.has_answer:
             return Search()
-        is_first = search.timeout < SLOW_SEARCH_TIMEOUT
-        return Search(
-            len(self._peers.addresses) if is_first else 0, SLOW_SEARCH_TIMEOUT
-        )
+        has_more_time = search.timeout >= SLOW_SEARCH_TIMEOUT
+        left = 0 if has_more_time else len(self._peers.addresses)
+        # Later rounds keep the longer timeout, until a process answers.
+        return Search(left, SLOW_SEARCH_TIMEOUT)
 
     def _end_search(self) -> float:
         self._search = Search()
--- a/packages/pooler/src/dogwoodspool_pooler/databases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from dogwoodspool_common import Address, Endpoint, log_rate_limited
 from dogwoodspool_following import ProxyView, ViewStore
@@ -137,12 +137,7 @@
             "served_unconfirmed",
             request=request_id,
             database=database,
-            view=view.version,
-            revision=view.revision,
-            view_age_ms=self._views.age_ms,
-            view_from=self._views.confirmed_by,
-            confirmed_ago_ms=self._confirmer.age_ms,
-            confirmed_by=self._confirmer.confirmed_by,
+            **self._origin(view),
         )
 
     def _log_refused(
@@ -161,15 +156,21 @@
             database=database,
             reason=error,
             is_denied=is_denied,
-            view=view.version,
-            revision=view.revision,
-            sender=view.sender,
-            view_age_ms=self._views.age_ms,
-            view_from=self._views.confirmed_by,
-            confirmed_ago_ms=self._confirmer.age_ms,
-            confirmed_by=self._confirmer.confirmed_by,
+            **self._origin(view),
         )
 
+    def _origin(self, view: ProxyView) -> dict[str, Any]:
+        """Return the fields of the log that tell a view, and who confirmed it when."""
+        return {
+            "view": view.version,
+            "revision": view.revision,
+            "sender": view.sender,
+            "view_age_ms": self._views.age_ms,
+            "view_from": self._views.confirmed_by,
+            "confirmed_ago_ms": self._confirmer.age_ms,
+            "confirmed_by": self._confirmer.confirmed_by,
+        }
+
 
 def _find(view: ProxyView, database: str, key_digest: str) -> KnownCaller:
     endpoint = view.databases.get(database)
--- a/packages/pooler/src/dogwoodspool_pooler/transactions.py
+++ b/packages/pooler/src/dogwoodspool_pooler/transactions.py
@@ -73,7 +73,7 @@
 
     @property
     def has_started(self) -> bool:
-        """Return whether a statement of it has been sent to a server."""
+        """Return whether it has a connection, or is over: its route stays as it is."""
         return self.held is not None or self.has_failed
 
     @property
