Replaced control: a failing test of a proxy that stood still meanwhile

What callers see: one proxy of three or nine serves removed databases, and does not know added ones, for the rest of its life, while all others are current.

Order: its process is stopped, all control processes are replaced one after the other, its settings file is written anew with the present ones, and it goes on. It asks the lost addresses in turn.

--- a/tests/platform/replaced_control/__main__.py
+++ b/tests/platform/replaced_control/__main__.py
@@ -5,7 +5,7 @@
                    [--gap=SECONDS] [--calm=SECONDS] [--changes=KIND]
                    [--restarts=KIND] [--cores=KIND] [--spare-edges] [--kept=N]
                    [--callers=KIND] [--pause=SECONDS] [--busy=N] [--busy-callers=N]
-                   [--net=NET] [--folder=PATH]
+                   [--paused=KIND] [--net=NET] [--folder=PATH]
 
 Options:
   --proxies=N     Number of proxies [default: 9].
@@ -28,6 +28,8 @@
                   [default: 5].
   --busy=N        Number of proxies that further callers keep busy [default: 0].
   --busy-callers=N  Number of callers who keep one proxy busy [default: 200].
+  --paused=KIND   When the last proxy's process is stopped: none, throughout (over the
+                  replacements of all control processes) or often [default: none].
   --net=NET       First three parts of the loopback addresses [default: 127.0.31].
   --folder=PATH   Where logs are kept [default: out/replaced_control].
 
@@ -103,6 +105,7 @@
         max_pause_seconds=float(arguments["--pause"]),
         busy_edges=int(arguments["--busy"]),
         busy_callers=int(arguments["--busy-callers"]),
+        paused=str(arguments["--paused"]),
     )
 
 
--- a/tests/platform/replaced_control/const.py
+++ b/tests/platform/replaced_control/const.py
@@ -25,6 +25,11 @@
 LIST_LAG_SECONDS: Final = 3.0
 RESTART_SECONDS: Final = (0.5, 0.7)
 EDGE_RESTART_SECONDS: Final = (0.3, 1.0)
+EDGE_PAUSE_SECONDS: Final = 3.5
+EDGE_PAUSE_GAP_SECONDS: Final = (1.0, 6.0)
+# Time from the last replacement of a control process until the proxy that was stopped
+# throughout goes on.
+PAUSED_AFTER_SECONDS: Final = 6.0
 EDGE_RESTART_GAP_SECONDS: Final = (1.0, 6.0)
 CORE_RESTART_GAP_SECONDS: Final = (6.0, 14.0)
 GRACE_SECONDS: Final = 6.0
--- a/tests/platform/replaced_control/machines.py
+++ b/tests/platform/replaced_control/machines.py
@@ -116,8 +116,7 @@
 
     def _start(self, machine: Machine, *, bootstrap: bool) -> None:
         log = self._folder / f"{machine.host}.log"
-        boot = self._folder / f"{machine.host}.toml"
-        boot.write_text(self._settings(machine, bootstrap=bootstrap))
+        boot = self._write_settings(machine, bootstrap=bootstrap)
         with log.open("ab") as output:
             machine.process = subprocess.Popen(
                 [sys.executable, "platform/launch.py", machine.role],
@@ -134,6 +133,22 @@
             self._record.edge_starts.setdefault(machine.host, []).append(now)
         self._record.note(f"{machine.host} starts")
 
+    def pause(self, edge: Machine) -> None:
+        """Stop a proxy's process; its connections stay open."""
+        self._signal(edge, signal.SIGSTOP)
+
+    def resume(self, edge: Machine) -> None:
+        """Write a proxy's settings anew, and let its process go on."""
+        self._write_settings(edge, bootstrap=False)
+        self._signal(edge, signal.SIGCONT)
+
+    def _signal(self, edge: Machine, number: signal.Signals) -> None:
+        with edge.lock:
+            if edge.process is not None:
+                edge.process.send_signal(number)
+        self._record.edge_pauses.setdefault(edge.host, []).append(time.monotonic())
+        self._record.note(f"{edge.host} gets {number.name}")
+
     def lose(self, core: Machine, way: str) -> None:
         """Take a control machine's power for good."""
         core.is_gone = True
@@ -230,6 +245,11 @@
             one.close()
         self._reservations.release()
 
+    def _write_settings(self, machine: Machine, *, bootstrap: bool) -> Path:
+        path = self._folder / f"{machine.host}.toml"
+        path.write_text(self._settings(machine, bootstrap=bootstrap))
+        return path
+
     def _settings(self, machine: Machine, *, bootstrap: bool) -> str:
         listed = self.known
         if not bootstrap:
--- a/tests/platform/replaced_control/plan.py
+++ b/tests/platform/replaced_control/plan.py
@@ -15,6 +15,9 @@
 CORE_RESTARTS: Final = ("none", "one", "all")
 # What callers ask for: unknown and removed databases all the time, or hardly ever.
 CALLERS: Final = ("asking", "quiet")
+# When the last proxy's process is stopped: never, over the replacements of
+# all control processes, or for some seconds again and again.
+PAUSES: Final = ("none", "throughout", "often")
 
 
 @dataclass(frozen=True)
@@ -37,6 +40,7 @@
             callers.
         busy_edges: number of proxies, in turn, that are kept busy by more callers.
         busy_callers: number of callers who keep one proxy busy.
+        paused: one of ``PAUSES``.
     """
 
     edges: int = 3
@@ -53,3 +57,4 @@
     max_pause_seconds: float = 5.0
     busy_edges: int = 0
     busy_callers: int = 200
+    paused: str = "none"
--- a/tests/platform/replaced_control/record.py
+++ b/tests/platform/replaced_control/record.py
@@ -113,6 +113,8 @@
     # Starts and ends of control processes.
     core_events: list[float] = field(default_factory=list)
     edge_starts: dict[str, list[float]] = field(default_factory=dict)
+    # When proxies were stopped and continued, by host.
+    edge_pauses: dict[str, list[float]] = field(default_factory=dict)
     notes: list[str] = field(default_factory=list)
     # All databases of all versions, valid or not, in the order they came.
     ever: list[str] = field(default_factory=list)
@@ -148,7 +150,11 @@
 
     def age(self, host: str, at: float) -> float:
         """Return the seconds since the last event that concerns a host."""
-        events = [*self.core_events, *self.edge_starts.get(host, [])]
+        events = [
+            *self.core_events,
+            *self.edge_starts.get(host, []),
+            *self.edge_pauses.get(host, []),
+        ]
         return min((at - one for one in events if one <= at), default=1e9)
 
     def _control_age(self, at: float) -> float:
--- a/tests/platform/replaced_control/run.py
+++ b/tests/platform/replaced_control/run.py
@@ -3,7 +3,8 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -16,11 +17,14 @@
     BEFORE_LOSS_SECONDS,
     CONFIG_APPLY_SECONDS,
     CORE_RESTART_GAP_SECONDS,
+    EDGE_PAUSE_GAP_SECONDS,
+    EDGE_PAUSE_SECONDS,
     EDGE_RESTART_GAP_SECONDS,
     EDGE_RESTART_SECONDS,
     FINAL_CHANGE_SECONDS,
     FORMING_SECONDS,
     LAST_CHANGE_AFTER_SECONDS,
+    PAUSED_AFTER_SECONDS,
     QUIET_WORKERS,
     REPLACEMENT_SECONDS,
     RESTART_SECONDS,
@@ -103,13 +107,13 @@
         self._wait_voters("the first group forms")
         self._operator.change()
         self._begin_traffic()
-        first = list(self._machines.cores)
-        self._random.shuffle(first)
         self._stop.wait(self._random.uniform(*BEFORE_LOSS_SECONDS))
-        while left := [core for core in first if not core.is_gone]:
-            lost_at = time.monotonic()
-            self._replace(left)
-            self._stop.wait(lost_at + self._plan.gap_seconds - time.monotonic())
+        if self._plan.paused == "throughout":
+            with self._paused(self._machines.edges[-1]):
+                self._replace_all()
+                self._stop.wait(PAUSED_AFTER_SECONDS)
+        else:
+            self._replace_all()
         self._stop.wait(self._plan.calm_seconds)
         with self._restarting, self._restarting_cores:
             self._lose_all()
@@ -121,6 +125,29 @@
         self._machines.end_loads()
         self._check_end()
 
+    def _replace_all(self) -> None:
+        first = list(self._machines.cores)
+        self._random.shuffle(first)
+        while left := [core for core in first if not core.is_gone]:
+            lost_at = time.monotonic()
+            self._replace(left)
+            self._stop.wait(lost_at + self._plan.gap_seconds - time.monotonic())
+
+    @contextmanager
+    def _paused(self, edge: Machine) -> Iterator[None]:
+        """Keep a proxy's process stopped."""
+        self._machines.pause(edge)
+        try:
+            yield
+        finally:
+            self._machines.resume(edge)
+
+    def _pause_on(self, edge: Machine) -> None:
+        """Stop a proxy's process for some seconds again and again."""
+        while not self._stop.wait(self._edge_random.uniform(*EDGE_PAUSE_GAP_SECONDS)):
+            with self._restarting, self._paused(edge):
+                self._stop.wait(EDGE_PAUSE_SECONDS)
+
     def _begin_traffic(self) -> None:
         for server in self._backends.servers:
             self._begin(self._backends.report_on, server, self._machines)
@@ -135,6 +162,8 @@
             self._begin(self._restart_on)
         if self._plan.core_restarts != "none":
             self._begin(self._restart_cores_on)
+        if self._plan.paused == "often":
+            self._begin(self._pause_on, self._machines.edges[-1])
 
     def _begin_callers(self, edge: Machine) -> None:
         if self._plan.callers == "asking":
@@ -147,10 +176,16 @@
             if sessions:
                 self._begin(self._quiet.use_on, edge, worker, sessions)
 
+    @property
+    def _restarted_edges(self) -> list[Machine]:
+        """The proxies that are restarted; one that is stopped has a day of its own."""
+        edges = self._machines.edges
+        return edges if self._plan.paused == "none" else edges[:-1]
+
     def _restart_on(self) -> None:
         """End proxies' processes one after the other, and start them again."""
         while not self._stop.wait(self._edge_random.uniform(*EDGE_RESTART_GAP_SECONDS)):
-            self._restart(self._edge_random.choice(self._machines.edges))
+            self._restart(self._edge_random.choice(self._restarted_edges))
 
     def _restart(self, edge: Machine) -> None:
         kind = self._plan.restarts
--- a/tests/platform/test_replaced_control.py
+++ b/tests/platform/test_replaced_control.py
@@ -39,6 +39,8 @@
 NET: Final = "127.0.21"
 QUIET_PLAN: Final = Plan(callers="quiet", kept_sessions=24)
 QUIET_NET: Final = "127.0.22"
+PAUSED_PLAN: Final = Plan(spares_edges=True, restarts="none", paused="throughout")
+PAUSED_NET: Final = "127.0.23"
 MANY_PROXIES: Final = 60
 MANY_VERSIONS: Final = 40
 
@@ -356,3 +358,15 @@
         self.assertLessEqual({"single READ k1", "first"}, used)
         late_apart = [one for one in day.record.findings if one.kind != "late"]
         self.assertEqual([], late_apart, notes)
+
+    def test_proxy_that_stood_still_finds_the_present_members(self) -> None:
+        """Guard against a proxy that asks lost control processes for good.
+
+        It is stopped while all of them are replaced. Its settings are written anew.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            day = ReplacedControl(SEED_IN_CI, Path(folder), PAUSED_NET, PAUSED_PLAN)
+            day.run()
+        notes = "\n".join(day.record.notes)
+        late_apart = [one for one in day.record.findings if one.kind != "late"]
+        self.assertEqual([], late_apart, notes)
