Logs: the first line on each database and view; a contradicted confirmation

What was missing: the line that names a request on a removed database, or one that was served without a confirmation, could be left out by the limit over all requests of its event, so that a missing line proved nothing. The first line of an event on a database and view is now written whatever its rate, with a bound of its own.

A view that comes into force with a document that was committed before an earlier confirmation began shows that control confirmed too little. It writes an error line, so that a record tells a proxy that is lost to control from one that was told an old state is the newest.

--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -49,6 +49,11 @@
 # less than a hundredth of a core for each event.
 LOG_LINES_PER_SECOND: Final = 20.0
 LOG_BURST_LINES: Final = 200.0
+# Lines for each second, and at once, that are the first ones on their subject.
+LOG_FIRST_LINES_PER_SECOND: Final = 20.0
+LOG_FIRST_BURST_LINES: Final = 400.0
+# Subjects that are remembered.
+LOG_SUBJECTS: Final = 4_096
 
 # Time before all others, for events that have not happened yet.
 NEVER: Final = float("-inf")
--- a/packages/common/src/dogwoodspool_common/log.py
+++ b/packages/common/src/dogwoodspool_common/log.py
@@ -11,9 +11,12 @@
 
 from .const import (
     LOG_BURST_LINES,
+    LOG_FIRST_BURST_LINES,
+    LOG_FIRST_LINES_PER_SECOND,
     LOG_FLUSH_SECONDS,
     LOG_LINES_PER_SECOND,
     LOG_QUEUE_LINES,
+    LOG_SUBJECTS,
 )
 
 LOG_FORMAT: Final = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
@@ -100,8 +103,41 @@
             return self._suppressed.pop(event, 0)
 
 
+class FirstLines:
+    """Tell which lines are the first ones of an event on their subject.
+
+    The line that explains a failed request is mostly such a line: a limit for each
+    event would drop it while other subjects cause many. A limit of their own bounds
+    these lines where the subjects are many.
+    """
+
+    def __init__(
+        self,
+        capacity: int = LOG_SUBJECTS,
+        per_second: float = LOG_FIRST_LINES_PER_SECOND,
+        burst: float = LOG_FIRST_BURST_LINES,
+    ) -> None:
+        self._capacity = capacity
+        self._limiter = EventRateLimiter(per_second, burst)
+        self._lock = threading.Lock()
+        self._known: dict[tuple[str, str], None] = {}
+
+    def take(self, event: str, subject: str, now: float) -> bool:
+        """Return whether to write a line although its event has written many."""
+        key = event, subject
+        with self._lock:
+            is_known = key in self._known
+            # Subjects without a line for the longest time are forgotten first.
+            self._known.pop(key, None)
+            self._known[key] = None
+            if len(self._known) > self._capacity:
+                self._known.pop(next(iter(self._known)))
+        return not is_known and self._limiter.take(event, now) is not None
+
+
 _setup_lock = threading.Lock()
 _rate_limiter = EventRateLimiter()
+_first_lines = FirstLines()
 _writer: QueuedWriter | None = None
 
 
@@ -151,14 +187,26 @@
     logger.opt(depth=1).log(level, "{}", f"event={event} {pairs}".rstrip())
 
 
-def log_rate_limited(event: str, level: str = "INFO", **fields: Any) -> None:
+def log_rate_limited(
+    event: str, level: str = "INFO", *, first_of: str = "", **fields: Any
+) -> None:
     """Write one event caused by requests, at a limited rate per event.
 
+    Args:
+        event: name of the event.
+        level: level of the line.
+        first_of: what the line is about; the first line of the event on each such
+            subject is written whatever its rate.
+        fields: the line's fields.
+
     Example:
         >>> log_rate_limited("request_refused", request="5c0e", reason="queue_full")
+        >>> log_rate_limited("removed_database_used", first_of="orders", view=7)
     """
-    suppressed = _rate_limiter.take(event, time.monotonic())
-    if suppressed is None:
+    now = time.monotonic()
+    is_first = bool(first_of) and _first_lines.take(event, first_of, now)
+    suppressed = _rate_limiter.take(event, now)
+    if suppressed is None and not is_first:
         return
     if suppressed:
         fields["left_out"] = suppressed
--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from dogwoodspool_common import Address, Clock, JsonClient
+from dogwoodspool_common import Address, Clock, JsonClient, log_event
 from dogwoodspool_common.const import MILLISECONDS, NEVER
 
 from .confirmed_read import ConfirmedReader
@@ -21,7 +21,7 @@
 )
 from .control_peers import ControlPeers
 from .read_attempts import Attempt, Confirmation, ReadAttempts
-from .view import ViewStore
+from .view import ProxyView, ViewStore
 
 
 class ViewConfirmation:
@@ -57,6 +57,9 @@
         )
         self._is_closed = False
         self._last: Confirmation | None = None
+        # The view in force when the last confirmation arrived.
+        self._confirmed_view = views.view
+        views.add_listener(self._check_against_view)
         self._attempted_at = NEVER
         self._failed_at = NEVER
         self._retry_at = NEVER
@@ -234,6 +237,7 @@
 
     def _record_confirmation(self, confirmation: Confirmation) -> None:
         if not self._is_since(confirmation.began_at):
+            self._confirmed_view = self._views.view
             self._last = confirmation
         self._failed_at = self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
@@ -244,3 +248,29 @@
         self._retry_at = self._failed_at + self._retry_seconds
         longer = 2 * self._retry_seconds
         self._retry_seconds = min(longer, MAX_CONFIRMATION_RETRY_SECONDS)
+
+    def _check_against_view(self, view: ProxyView) -> None:
+        """Log a view that an earlier confirmation should have brought.
+
+        Its document had been committed before the confirmed read began, so that control
+        confirmed an older state as the newest one.
+        """
+        with self._changed:
+            last, confirmed = self._last, self._confirmed_view
+        if last is None or view.document_age_ms is None:
+            return
+        age_ms = round((self._clock.now() - last.began_at) * MILLISECONDS)
+        if view.revision <= confirmed.revision or view.document_age_ms <= age_ms:
+            return
+        log_event(
+            "confirmation_contradicted",
+            level="ERROR",
+            view=view.version,
+            revision=view.revision,
+            sender=view.sender,
+            committed_ago_ms=view.document_age_ms,
+            confirmed_view=confirmed.version,
+            confirmed_revision=confirmed.revision,
+            confirmed_ago_ms=age_ms,
+            confirmed_by=last.address,
+        )
--- a/packages/pooler/src/dogwoodspool_pooler/databases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -135,6 +135,7 @@
     def _log_unconfirmed(self, view: ProxyView, database: str, request_id: str) -> None:
         log_rate_limited(
             "served_unconfirmed",
+            first_of=f"{database} {view.version}",
             request=request_id,
             database=database,
             **self._origin(view),
@@ -152,6 +153,7 @@
         log_rate_limited(
             "database_refused" if isinstance(error, NoDatabaseError) else "key_refused",
             level="WARNING",
+            first_of=f"{database} {view.version}",
             request=request_id,
             database=database,
             reason=error,
--- a/packages/pooler/src/dogwoodspool_pooler/removals.py
+++ b/packages/pooler/src/dogwoodspool_pooler/removals.py
@@ -90,6 +90,7 @@
         log_rate_limited(
             "removed_database_used",
             level="WARNING",
+            first_of=f"{used.database} {in_force.version}",
             request=request.statement.request_id,
             kind=request.statement.kind,
             database=used.database,
--- a/tests/common/test_log.py
+++ b/tests/common/test_log.py
@@ -4,7 +4,7 @@
 import threading
 import unittest
 
-from dogwoodspool_common.log import EventRateLimiter, QueuedWriter
+from dogwoodspool_common.log import EventRateLimiter, FirstLines, QueuedWriter
 
 
 class BlockedOutput(io.StringIO):
@@ -57,3 +57,28 @@
         limiter = EventRateLimiter(per_second=1, burst=1)
         self.assertEqual(limiter.take("one", now=0.0), 0)
         self.assertEqual(limiter.take("other", now=0.0), 0)
+
+
+class FirstLinesTests(unittest.TestCase):
+    """The first line on each subject is written at any rate of its event."""
+
+    def test_first_line_on_a_subject(self) -> None:
+        """Guard against a failed request whose line other requests keep out."""
+        first = FirstLines()
+        taken = [first.take("used", one, now=0.0) for one in ("a", "a", "b", "a")]
+        self.assertEqual([True, False, True, False], taken)
+        self.assertTrue(first.take("refused", "a", now=0.0))
+
+    def test_first_lines_on_many_subjects_are_limited(self) -> None:
+        """Guard against a log without bound where each request names another one."""
+        first = FirstLines(per_second=1, burst=2)
+        taken = [first.take("used", str(one), now=0.0) for one in range(5)]
+        self.assertEqual([True, True, False, False, False], taken)
+
+    def test_subjects_without_a_line_for_long_are_forgotten(self) -> None:
+        """Guard against memory that grows with the names that callers send."""
+        first = FirstLines(capacity=2)
+        for subject in ("a", "b", "a", "c"):
+            first.take("used", subject, now=0.0)
+        self.assertFalse(first.take("used", "a", now=0.0))
+        self.assertTrue(first.take("used", "b", now=0.0))
--- a/tests/following/test_late_views.py
+++ b/tests/following/test_late_views.py
@@ -1,13 +1,15 @@
 """Tests of the line about a document that comes into force late."""
 
 import unittest
+from unittest import mock
 
-from dogwoodspool_api import ControlView, EndpointMessage
+from dogwoodspool_api import ControlView, EndpointMessage, WatchResponse
 from dogwoodspool_common import Address, Consistency, Endpoint, ManualClock
-from dogwoodspool_following import ViewStore
+from dogwoodspool_following import ControlPeers, ViewConfirmation, ViewStore
 from dogwoodspool_following.const import LATE_DOCUMENT_MS
 
 from tests.common.captured_logs import captured_logs
+from tests.common.shifted_clock import ShiftedClock
 
 SENDER = Address("127.0.0.1", 1)
 ENDPOINT = Endpoint("r1", "db", "g1", Consistency.PRIMARY, 800, 250, 1)
@@ -77,5 +79,43 @@
                 self.assertEqual([], self.adopt(*views))
 
 
+class ContradictedConfirmationTests(unittest.TestCase):
+    """A document comes that was committed before the view was confirmed."""
+
+    def setUp(self) -> None:
+        self.clock = ShiftedClock()
+        self.views = ViewStore("fd1", self.clock)
+        self.views.adopt(view(1, 1, 0))
+        client = mock.Mock()
+        answer = WatchResponse(view=None, leader=None)
+        client.get.return_value = answer.model_dump(mode="json")
+        self.confirmation = ViewConfirmation(
+            self.views, ControlPeers((SENDER,)), client, self.clock
+        )
+        self.addCleanup(self.confirmation.unload)
+        self.lines = self.enterContext(captured_logs())
+
+    def contradictions(self, message: ControlView) -> list[str]:
+        """Put a view in force a second after a confirmation; return the lines."""
+        self.assertTrue(self.confirmation.confirm())
+        self.clock.advance(1.0)
+        self.views.adopt(message, SENDER)
+        return [line for line in self.lines if "confirmation_contradicted" in line]
+
+    def test_document_committed_before_is_named(self) -> None:
+        """Guard against a control that confirms too little without a trace."""
+        (line,) = self.contradictions(view(3, 2, 5_000))
+        for field in ("view=3", "confirmed_view=1", f"confirmed_by={SENDER}"):
+            self.assertIn(field, line)
+
+    def test_document_committed_since_contradicts_nothing(self) -> None:
+        """Guard against lines about documents that a confirmation need not have."""
+        self.assertEqual([], self.contradictions(view(3, 2, 500)))
+
+    def test_other_changes_contradict_nothing(self) -> None:
+        """Guard against lines about new views of a document that is in force."""
+        self.assertEqual([], self.contradictions(view(3, 1, 5_000)))
+
+
 if __name__ == "__main__":
     unittest.main()
