Following: a proxy that finds no control process searches for it

What callers saw: one proxy of nine served removed databases, and did not know added ones, for the rest of its life, while all others were current.

Cause: it asked the members that control had announced last and, once, the addresses of its start. Where all members had been replaced before it learned of their successors, such as while its process stood still, nothing brought it new addresses: the settings file, written anew meanwhile, was read once; neighbours, who know the members, were not asked. It cannot tell this from being cut off, in which case it has to go on serving, and so it served for good what it had.

Change: while no read has been confirmed for 1.5 s the configured addresses are read anew and asked although they are no members, and two neighbours are asked in turn for the members, their version and the age of its confirmation. A neighbour's version that is the same counts as a confirmation; with a newer one the view is known to be old, and callers are told to come back until it has caught up. A configured process that is no member counts only with the state in force, endpoint by endpoint, or a newer one.

Ruled out: asking former members, whose addresses may belong to another system by now; refusing whatever is not confirmed, as a cut-off failure domain would serve nothing.

--- a/packages/following/src/dogwoodspool_following/__init__.py
+++ b/packages/following/src/dogwoodspool_following/__init__.py
@@ -2,6 +2,13 @@
 
 from .confirmation import ViewConfirmation
 from .control_peers import ControlContact, ControlPeers
+from .control_search import (
+    AddressSource,
+    ControlSearch,
+    FixedAddresses,
+    NeighbourView,
+    NeighbourViews,
+)
 from .coordinator import Coordinator
 from .open_sessions import OpenSessions
 from .rotation import Reachability, Rotation, RotationPhase
@@ -11,10 +18,15 @@
 from .watch import WatchCoordinator
 
 __all__ = [
+    "AddressSource",
     "Callers",
     "ControlContact",
     "ControlPeers",
+    "ControlSearch",
     "Coordinator",
+    "FixedAddresses",
+    "NeighbourView",
+    "NeighbourViews",
     "OpenSessions",
     "ProxyLocation",
     "ProxyView",
--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -56,6 +56,7 @@
             self._record_failure,
         )
         self._is_closed = False
+        self._created_at = clock.now()
         self._last: Confirmation | None = None
         # The view in force when the last confirmation arrived.
         self._confirmed_view = views.view
@@ -64,6 +65,9 @@
         self._failed_at = NEVER
         self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
+        # What a neighbour knows whose view control has confirmed.
+        self._neighbour: Confirmation | None = None
+        self._newest_elsewhere = 0
         self._waiting = 0
         self._waits = 0
         self._waits_until = NEVER
@@ -81,6 +85,44 @@
             return None
         return round((self._clock.now() - last.began_at) * MILLISECONDS)
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether the last attempt to confirm the view should have succeeded by now."""
+        last = self._last
+        since = self._created_at if last is None else last.began_at
+        overdue_at = since + self._interval + self._attempt_interval
+        return self._clock.now() > overdue_at
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a neighbour has a newer view, which control has confirmed."""
+        return self._views.view.version < self._newest_elsewhere
+
+    @property
+    def refusal(self) -> str | None:
+        """Why a view that nobody confirmed must not be used; None if it may be.
+
+        It may be used where control is known not to answer, as a proxy that is cut off
+        goes on serving.
+        """
+        if self.is_outdated:
+            return f"view {self._newest_elsewhere} is in force elsewhere"
+        return None
+
+    def record_neighbour(self, address: Address, version: int, began_at: float) -> None:
+        """Record which view a neighbour has, as confirmed by control.
+
+        Args:
+            address: the neighbour.
+            version: version of its view.
+            began_at: clock time; all that was acknowledged before is in that version.
+        """
+        with self._changed:
+            self._newest_elsewhere = max(version, self._newest_elsewhere)
+            if version <= self._views.view.version:
+                self._neighbour = Confirmation(began_at, address)
+            self._changed.notify_all()
+
     def advance(self) -> float:
         """Begin the reads that are due; return the seconds until the next ones are."""
         with self._changed:
@@ -170,13 +212,17 @@
 
     def _begin(self) -> Attempt:
         self._attempted_at = self._clock.now()
-        return self._attempts.begin()
+        return self._attempts.begin(includes_others=self.is_overdue)
 
     def _is_recent(self) -> bool:
         return self._is_since(self._clock.now() - CONFIRMED_FOR_SECONDS)
 
     def _is_recent_enough(self) -> bool:
-        return self._is_since(self._clock.now() - self._max_age)
+        since = self._clock.now() - self._max_age
+        neighbour = self._neighbour
+        return self._is_since(since) or (
+            neighbour is not None and neighbour.began_at >= since
+        )
 
     def _is_since(self, since: float) -> bool:
         last = self._last
--- a/packages/following/src/dogwoodspool_following/confirmed_read.py
+++ b/packages/following/src/dogwoodspool_following/confirmed_read.py
@@ -5,6 +5,7 @@
     Address,
     HttpError,
     JsonClient,
+    endpoints_digest,
     log_event,
     log_rate_limited,
 )
@@ -18,7 +19,13 @@
 
 
 class ConfirmedReader:
-    """Read what is newer than the view in force, and put it in force."""
+    """Read what is newer than the view in force, and put it in force.
+
+    A configured process that is no member may be one of the present members, while the
+    announced ones have all been lost; or it may belong to another system. It is asked
+    for the whole state, and counts only if that is newer than the state in force, or
+    the same.
+    """
 
     def __init__(
         self, views: ViewStore, peers: ControlPeers, client: JsonClient
@@ -35,9 +42,10 @@
 
         Errors are logged: nobody reads the result of a call that ends late.
         """
-        version = self._views.base_version
+        is_member = self._peers.is_member(address)
+        version = self._views.base_version if is_member else 0
         try:
-            return self._read(address, version)
+            return self._read(address, version, is_member=is_member)
         except (HttpError, ValidationError) as error:
             log_rate_limited(
                 "view_not_confirmed", address=address, view=version, reason=error
@@ -52,7 +60,7 @@
             )
         return None
 
-    def _read(self, address: Address, version: int) -> float | None:
+    def _read(self, address: Address, version: int, *, is_member: bool) -> float | None:
         response = poll(
             self._client,
             address,
@@ -72,6 +80,14 @@
                 reason="no free slot",
             )
             return None
+        if not is_member and not self._is_in_force(response.view):
+            log_rate_limited(
+                "view_not_confirmed",
+                address=address,
+                view=self._views.view.version,
+                reason="it is no member, and has another state",
+            )
+            return None
         if response.members:
             # The watch may know only members that have been lost since.
             self._peers.adopt(response.members)
@@ -89,6 +105,13 @@
             return None
         return age
 
+    def _is_in_force(self, view: ControlView | None) -> bool:
+        """Return whether a whole state is the one in force."""
+        in_force = self._views.view
+        if view is None or view.version != in_force.version or not view.digest:
+            return False
+        return view.digest == endpoints_digest(in_force.endpoints.values())
+
     def _adopt(self, view: ControlView, address: Address) -> None:
         before, age_ms = self._views.view.version, self._views.age_ms
         confirmed_by = self._views.confirmed_by
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -57,6 +57,8 @@
 VIEW_CHECK_SECONDS: Final = 1.0
 # The same while no attempt succeeds.
 VIEW_CHECK_ATTEMPT_SECONDS: Final = 0.5
+# Interval of the search for control processes while no attempt succeeds.
+CONTROL_SEARCH_SECONDS: Final = 0.5
 # Confirmations of all proxies together for which control has room.
 MAX_VIEW_CHECKS_PER_SECOND: Final = 400
 # Age of a document, when it comes into force here, from which on that is logged: near
--- a/packages/following/src/dogwoodspool_following/control_peers.py
+++ b/packages/following/src/dogwoodspool_following/control_peers.py
@@ -49,8 +49,8 @@
     change would arrive too late.
 
     Args:
-        addresses: the control processes known at the start. They are asked again when
-            none of the members that were announced since gives an answer.
+        addresses: the configured control processes. They are asked again when none of
+            the members that were announced since gives an answer.
         failure_domain: the failure domain of this process. Control processes in it are
             preferred, since what they send stays inside it.
         name: name of this process. All processes know the same addresses; each asks
@@ -66,10 +66,12 @@
         name: str = "",
     ) -> None:
         self._name = name
-        self._initial = tuple(sorted(addresses, key=self._rank))
-        self._addresses = self._initial
+        self._configured = tuple(sorted(addresses, key=self._rank))
+        self._addresses = self._configured
         self._voters = frozenset(addresses)
+        self._members: tuple[MemberMessage, ...] = ()
         self._announced: frozenset[Address] = frozenset()
+        self._sharers: list[ControlPeers] = []
         self._failure_domain = failure_domain
         self._lock = threading.Lock()
         self._leader: Address | None = None
@@ -93,6 +95,20 @@
         with self._lock:
             return self._addresses
 
+    @property
+    def members(self) -> tuple[MemberMessage, ...]:
+        """The members that were announced last; empty before the first time."""
+        with self._lock:
+            return self._members
+
+    @property
+    def others(self) -> tuple[Address, ...]:
+        """The configured addresses of processes that are no members, in order."""
+        with self._lock:
+            if not self._announced:
+                return ()
+            return tuple(one for one in self._configured if one not in self._announced)
+
     @property
     def has_leader(self) -> bool:
         """Return whether the leader is known."""
@@ -133,6 +149,30 @@
         with self._lock:
             return not self._announced or address in self._announced
 
+    def share_with(self, peers: "ControlPeers") -> None:
+        """Have other peers know the members and configured addresses that these do.
+
+        A set of peers that is asked seldom, or for one kind of request only, would
+        keep members that have been lost since.
+        """
+        self._sharers.append(peers)
+
+    def configure(self, addresses: Iterable[Address]) -> None:
+        """Replace the configured addresses; members that were announced stay."""
+        ordered = tuple(sorted(dict.fromkeys(addresses), key=self._rank))
+        if not ordered:
+            return
+        for one in self._sharers:
+            one.configure(ordered)
+        with self._lock:
+            if set(ordered) == set(self._configured):
+                return
+            log_event("control_addresses", addresses=",".join(map(str, ordered)))
+            self._configured = ordered
+            if not self._announced:
+                self._voters = frozenset(ordered)
+                self._replace_addresses(ordered)
+
     def adopt(self, members: Iterable[MemberMessage]) -> None:
         """Replace the known addresses by those of the control group's members.
 
@@ -153,7 +193,10 @@
             ),
         )
         addresses = tuple(Address.parse(one.address) for one in ordered)
+        for sharer in self._sharers:
+            sharer.adopt(listed)
         with self._lock:
+            self._members = tuple(listed)
             self._announced = frozenset(addresses)
             self._voters = frozenset(
                 Address.parse(one.address) for one in listed if one.is_voter
@@ -161,11 +204,7 @@
             if addresses == self._addresses:
                 return
             log_event("control_members", addresses=",".join(map(str, addresses)))
-            self._addresses = addresses
-            self._silent &= set(addresses)
-            self._lost &= set(addresses)
-            self._polls.index = self._calls.index = self._first_reachable()
-            self._successes = 0
+            self._replace_addresses(addresses)
 
     def record_leader_hint(self, text: str | None) -> None:
         """Use the leader that a process named, unless that leader gave no answer."""
@@ -294,14 +333,23 @@
     def _end_round(self, selection: Selection) -> None:
         """Begin anew once every process was asked.
 
-        If none was up to date or refused, the initial processes are asked as well: all
-        members can be replaced while this process is cut off from them.
+        If none was up to date or refused, the configured processes are asked as well:
+        all members can be replaced while this process is cut off from them.
         """
         has_answer = any(selection.tried.values())
         selection.tried.clear()
         if not has_answer:
             known = set(self._addresses)
-            self._addresses += tuple(one for one in self._initial if one not in known)
+            self._addresses += tuple(
+                one for one in self._configured if one not in known
+            )
+
+    def _replace_addresses(self, addresses: tuple[Address, ...]) -> None:
+        self._addresses = addresses
+        self._silent &= set(addresses)
+        self._lost &= set(addresses)
+        self._polls.index = self._calls.index = self._first_reachable()
+        self._successes = 0
 
     def _lacks_majority(self) -> bool:
         count = len(self._voters)
--- a/packages/following/src/dogwoodspool_following/read_attempts.py
+++ b/packages/following/src/dogwoodspool_following/read_attempts.py
@@ -105,13 +105,19 @@
         times = [one.began_at for one in self._attempts if one.others]
         return min(times) + HEDGE_SECONDS if times else None
 
-    def begin(self) -> Attempt:
-        """Begin an attempt."""
+    def begin(self, *, includes_others: bool = False) -> Attempt:
+        """Begin an attempt.
+
+        Args:
+            includes_others: whether to ask configured processes that are no members,
+                too. Such a process may belong to another system; see
+                ``ConfirmedReader``.
+        """
         preferred = self._peers.any()
-        # A process that is no member may belong to another system.
         members = [one for one in self._peers.addresses if self._peers.is_member(one)]
         members.sort(key=lambda one: one != preferred)
-        attempt = Attempt(self._clock.now(), tuple(members[1:]))
+        others = self._peers.others if includes_others else ()
+        attempt = Attempt(self._clock.now(), (*members[1:], *others))
         if self._ask(attempt, members[:1]) == 0:
             self._ask_others(attempt)
         if not attempt.is_over:
--- a/packages/pooler/src/dogwoodspool_pooler/databases.py
+++ b/packages/pooler/src/dogwoodspool_pooler/databases.py
@@ -26,6 +26,11 @@
         """Milliseconds since the last confirmation."""
         ...
 
+    @property
+    def refusal(self) -> str | None:
+        """Why a view that nobody confirmed must not be used; None if it may be."""
+        ...
+
     def confirm(self) -> bool:
         """Return whether it is; a newer view is put in force."""
         ...
@@ -84,7 +89,8 @@
             NoDatabaseError: the newest configuration has no such database.
             UnknownKeyError: the database needs a key, and no account of the newest
                 configuration holds this one.
-            NotReadyError: either may be the case, but control did not confirm it.
+            NotReadyError: either may be the case, but control did not confirm it; or
+                the view is known to be old.
         """
         is_recent = self._confirmer.refresh()
         view = self._views.view
@@ -95,7 +101,7 @@
                 lambda newest: _find(newest, database, key_digest), database, request_id
             )
         if not is_recent:
-            self._log_unconfirmed(view, database, request_id)
+            self._check_unconfirmed(view, database, request_id)
         return known
 
     def identify(
@@ -132,14 +138,20 @@
                 raise
             raise NotReadyError(f"not confirmed by control yet: {error}") from error
 
-    def _log_unconfirmed(self, view: ProxyView, database: str, request_id: str) -> None:
+    def _check_unconfirmed(
+        self, view: ProxyView, database: str, request_id: str
+    ) -> None:
+        refusal = self._confirmer.refusal
         log_rate_limited(
-            "served_unconfirmed",
+            "served_unconfirmed" if refusal is None else "refused_unconfirmed",
             first_of=f"{database} {view.version}",
             request=request_id,
             database=database,
+            reason=refusal,
             **self._origin(view),
         )
+        if refusal is not None:
+            raise NotReadyError(refusal)
 
     def _log_refused(
         self,
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -16,8 +16,10 @@
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import Connector
 from dogwoodspool_following import (
+    AddressSource,
     Callers,
     ControlPeers,
+    ControlSearch,
     ProxyView,
     Rotation,
     RotationCoordinator,
@@ -27,7 +29,13 @@
     WatchCoordinator,
 )
 from dogwoodspool_routing import ServerTable
-from dogwoodspool_sharing import ConnectionPart, Neighbour, PrimaryShare
+from dogwoodspool_sharing import (
+    ConnectionPart,
+    Neighbour,
+    NeighbourViewApi,
+    NeighbourViewReader,
+    PrimaryShare,
+)
 
 from .accepted_work import AcceptedWork
 from .access import ServerAccess
@@ -72,7 +80,7 @@
         failure_domain: failure domain that it runs in.
         failure_domains: number of failure domains.
         address: address at which the system's other processes reach its routes.
-        control: addresses of the control processes known at the start.
+        control: where the addresses of control processes are configured.
         connector: opens connections to backend servers.
         client: calls control.
         clock: source of time for all parts.
@@ -87,7 +95,7 @@
         failure_domain: str,
         failure_domains: int,
         address: Address,
-        control: tuple[Address, ...],
+        control: AddressSource,
         connector: Connector[ServerConnection],
         client: JsonClient,
         clock: Clock,
@@ -98,7 +106,11 @@
     ) -> None:
         self._accepted_work = AcceptedWork(clock)
         self._views = ViewStore(failure_domain, clock)
-        self._peers = ControlPeers(control, failure_domain, name)
+        configured = control.read()
+        self._peers = ControlPeers(configured, failure_domain, name)
+        # Of one order for the whole failure domain.
+        shared_peers = ControlPeers(configured, failure_domain, failure_domain)
+        self._peers.share_with(shared_peers)
         self._confirmation = ViewConfirmation(self._views, self._peers, client, clock)
         self._table = ServerTable(clock)
         self._registry = BackendRegistry(
@@ -154,7 +166,7 @@
             Neighbour(name, str(address)),
             failure_domain,
             failure_domains,
-            ControlPeers(control, failure_domain, failure_domain),
+            shared_peers,
             self._views,
             self._confirmation,
             access,
@@ -198,6 +210,19 @@
             self._views, self._peers, client, clock, WATCH_WAIT_MS
         )
         self._view_check = ViewCheck(self._views, self._confirmation, clock)
+        self._neighbour_views = NeighbourViewApi(
+            self._views, self._confirmation, self._peers
+        )
+        self._neighbours_client = JsonLineClient(1)
+        self._control_search = ControlSearch(
+            self._confirmation,
+            self._peers,
+            control,
+            NeighbourViewReader(
+                name, self._shared.directory, self._neighbours_client, clock
+            ),
+            clock,
+        )
         self._reports = ReportCoordinator(
             name, failure_domain, self._table, stalls, self._peers, client, clock
         )
@@ -227,7 +252,11 @@
     @property
     def routes(self) -> list[Route]:
         """The endpoints for the system's other processes."""
-        return [*self._shared.routes, *self._limits.routes]
+        return [
+            *self._shared.routes,
+            *self._limits.routes,
+            *self._neighbour_views.routes(),
+        ]
 
     def open_session(self, database: str, key_digest: str) -> PooledSession:
         """Return a session; errors as for ``PooledSessions.open``."""
@@ -243,6 +272,8 @@
         takes_callers = self._rotation.answer_balancer()
         if not self._views.view.databases:
             return "no configuration"
+        if self._confirmation.is_outdated and self._confirmation.is_overdue:
+            return "outdated configuration"
         return None if takes_callers else "cut off"
 
     def move_callers(self, callers: Callers) -> None:
@@ -276,6 +307,7 @@
         # Last: a view must not come before those that depend on it listen.
         self._watch.set_up()
         self._view_check.set_up()
+        self._control_search.set_up()
 
     def unload(self) -> None:
         """Stop all parts; open sessions must have ended before."""
@@ -286,6 +318,8 @@
         self._limits.unload()
         self._limits_client.close()
         self._shared.unload()
+        self._control_search.unload()
+        self._neighbours_client.close()
         self._view_check.unload()
         self._watch.unload()
         self._confirmation.unload()
--- a/packages/sharing/src/dogwoodspool_sharing/__init__.py
+++ b/packages/sharing/src/dogwoodspool_sharing/__init__.py
@@ -10,6 +10,7 @@
     PrimaryShare,
     ServerLimits,
 )
+from .neighbour_views import NeighbourViewApi, NeighbourViewReader
 from .owners_api import OwnersApi
 from .parts import ConnectionPart, ConnectionParts, PoolRole
 from .presence import PresenceCoordinator
@@ -24,6 +25,8 @@
     "ContactsApi",
     "MessageClient",
     "Neighbour",
+    "NeighbourViewApi",
+    "NeighbourViewReader",
     "Owners",
     "OwnersApi",
     "PoolRole",
--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -9,6 +9,7 @@
 # Path of the endpoint at which a proxy names the owners of groups in its own failure
 # domain.
 PATH_OWNERS: Final = "/v1/pools/owners"
+PATH_NEIGHBOUR_VIEW: Final = "/v1/proxies/view"
 
 # Greatest number of proxies in all failure domains with which owners near a primary are
 # used: each proxy keeps connections to these owners, which accept a limited number.
@@ -91,3 +92,9 @@
 
 WEIGHT_BYTES: Final = 8
 DIGEST_BYTES: Final = 8
+
+# Neighbours that a proxy asks at a time which finds no control process, and how long it
+# waits for each. They wait for control for less.
+NEIGHBOURS_ASKED: Final = 2
+NEIGHBOUR_VIEW_TIMEOUT: Final = 0.4
+OWN_CONFIRMATION_TIMEOUT: Final = 0.3
--- a/tests/platform/served_views/test_followers.py
+++ b/tests/platform/served_views/test_followers.py
@@ -22,6 +22,7 @@
 from dogwoodspool_control.settings.view_log import ViewItems, ViewLog
 from dogwoodspool_following import (
     ControlPeers,
+    FixedAddresses,
     ProxyView,
     ViewStore,
     WatchCoordinator,
@@ -83,7 +84,7 @@
             ControlGroup.FAILURE_DOMAINS[number % 3],
             3,
             Address("127.0.0.1", 1),
-            group.initial,
+            FixedAddresses(group.initial),
             mock.Mock(),
             cast(JsonClient, group),
             SystemClock(),
--- a/tests/platform/served_views/test_lost_control.py
+++ b/tests/platform/served_views/test_lost_control.py
@@ -27,7 +27,7 @@
 from dogwoodspool_connections import ConnectFailedError
 from dogwoodspool_control.commands import ApplyDocument, RecordServer
 from dogwoodspool_control.settings.documents import pack
-from dogwoodspool_following import ProxyView
+from dogwoodspool_following import FixedAddresses, ProxyView
 from dogwoodspool_platform.config_document import decode_config
 from dogwoodspool_pooler.runtime import PoolerRuntime
 from dogwoodspool_sharing.const import PATH_PRESENCE
@@ -298,7 +298,7 @@
             f"southeast-{name[0]}",
             len(DOMAINS),
             Address("127.0.0.1", 1),
-            control.initial,
+            FixedAddresses(control.initial),
             connector,
             cast(JsonClient, self.client),
             SystemClock(),
--- a/tests/platform/served_views/test_view_listeners.py
+++ b/tests/platform/served_views/test_view_listeners.py
@@ -27,7 +27,12 @@
     SystemClock,
     key_digest,
 )
-from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
+from dogwoodspool_following import (
+    ControlPeers,
+    FixedAddresses,
+    ViewStore,
+    WatchCoordinator,
+)
 from dogwoodspool_following.const import RETRY_PAUSE_SECONDS
 from dogwoodspool_platform.front import CallerListener
 from dogwoodspool_pooler import StatementKind
@@ -217,7 +222,7 @@
             "a",
             3,
             Address("127.0.0.1", 1),
-            (CONTROL,),
+            FixedAddresses((CONTROL,)),
             mock.Mock(),
             cast(JsonClient, Views([first])),
             SystemClock(),
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -371,6 +371,7 @@
 
     confirmed_by = None
     age_ms = 0
+    refusal: str | None = None
 
     def __init__(self) -> None:
         self.is_reachable = True
--- a/tests/pooler/test_removed_databases.py
+++ b/tests/pooler/test_removed_databases.py
@@ -25,6 +25,7 @@
 
     confirmed_by = None
     age_ms = None
+    refusal: str | None = None
 
     def __init__(self, views: ViewStore) -> None:
         self.newest: ControlView | None = None
@@ -136,6 +137,14 @@
             self.assertEqual("db", self.databases.resolve("db", "").endpoint.database)
         self.assertIn("event=served_unconfirmed", "".join(lines))
 
+    def test_database_is_not_used_where_the_view_is_known_to_be_old(self) -> None:
+        """Guard against a removed database at a proxy that has lost control alone."""
+        self.confirmer.is_reachable = False
+        self.confirmer.refusal = "view 7 is in force elsewhere"
+        with captured_logs() as lines, self.assertRaises(NotReadyError):
+            self.databases.resolve("db", "")
+        self.assertIn("event=refused_unconfirmed", "".join(lines))
+
     def test_view_in_force_is_used_after_the_attempt(self) -> None:
         """Guard against a view that was replaced during the attempt."""
         self.confirmer.is_reachable = False
--- a/tests/pooler/test_unknown_databases.py
+++ b/tests/pooler/test_unknown_databases.py
@@ -15,6 +15,7 @@
     Role,
     key_digest,
 )
+from dogwoodspool_following import FixedAddresses
 from dogwoodspool_following.const import CONFIRMED_FOR_SECONDS
 from dogwoodspool_pooler.errors import NoDatabaseError, NotReadyError, UnknownKeyError
 from dogwoodspool_pooler.models import Answer, ErrorCode
@@ -92,7 +93,7 @@
             OWN_DOMAIN,
             1,
             Address("127.0.0.1", 2),
-            (CONTROL,),
+            FixedAddresses((CONTROL,)),
             FakeNetwork([], Pooler([FakeServer("s1", Role.PRIMARY)]).clock),
             cast(JsonClient, self.control),
             self.clock,
