View confirmation: a proxy that has no time to ask control does not use its view

What callers could see: a proxy that gets hardly any processor time serves a removed database although control can be reached.

Cause: callers who waited for a confirmation in vain went on without control, also where each of their waits ended late: then it is this process that did not run, and nothing is known of control. The same late wait counted as a failure of control, which told the next callers not to wait.

A late wait is no evidence that control is away; reads that failed in time are, and the proxy goes on serving then, as before.

test_view_is_not_used failed before; test_later_callers_are_refused_at_once held before, by the false failure, and guards the new way.

--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -65,6 +65,7 @@
         self._failed_at = NEVER
         self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
+        self._held_up_at = NEVER
         # What a neighbour knows whose view control has confirmed.
         self._neighbour: Confirmation | None = None
         self._newest_elsewhere = 0
@@ -103,10 +104,12 @@
         """Why a view that nobody confirmed must not be used; None if it may be.
 
         It may be used where control is known not to answer, as a proxy that is cut off
-        goes on serving.
+        goes on serving. A proxy that hardly runs knows nothing of control.
         """
         if self.is_outdated:
             return f"view {self._newest_elsewhere} is in force elsewhere"
+        if self._held_up_at > self._failed_at:
+            return "this proxy is held up, and control has not confirmed its view"
         return None
 
     def record_neighbour(self, address: Address, version: int, began_at: float) -> None:
@@ -234,7 +237,7 @@
             if attempt.has_failed or self._is_closed:
                 return False
             if remaining <= 0:
-                self._record_failure()
+                self._end_wait(-remaining)
                 return False
             self._attempts.hedge()
             self._wait(remaining)
@@ -244,16 +247,23 @@
         while not self._is_recent_enough():
             # Callers begin what is due too: the thread of the checks may be held up.
             pause = self._advance()
-            if self._is_closed or self._is_known_away():
+            if self._is_closed or self._is_known_away() or self._is_known_held_up():
                 return False
             remaining = self._waits_until - self._clock.now()
             if remaining > 0:
                 self._wait(min(pause, remaining))
             elif not self._prolong_wait(-remaining):
-                self._record_failure()
+                self._end_wait(-remaining)
                 return False
         return True
 
+    def _end_wait(self, late: float) -> None:
+        """Record what a wait in vain tells, which ended some seconds late."""
+        if late < HELD_UP_SECONDS:
+            self._record_failure()
+        else:
+            self._held_up_at = self._clock.now()
+
     def _prolong_wait(self, late: float) -> bool:
         """Wait again after a wait that ended late, a limited number of times.
 
@@ -281,11 +291,15 @@
         holds = 2 * self._attempt_interval + CONFIRMATION_READ_TIMEOUT
         return self._clock.now() < self._failed_at + holds
 
+    def _is_known_held_up(self) -> bool:
+        """Whether callers have waited in vain lately, as this process hardly runs."""
+        return self._clock.now() < self._held_up_at + self._attempt_interval
+
     def _record_confirmation(self, confirmation: Confirmation) -> None:
         if not self._is_since(confirmation.began_at):
             self._confirmed_view = self._views.view
             self._last = confirmation
-        self._failed_at = self._retry_at = NEVER
+        self._failed_at = self._held_up_at = self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
 
     def _record_failure(self) -> None:
--- a/tests/following/test_refresh.py
+++ b/tests/following/test_refresh.py
@@ -259,6 +259,8 @@
         thread.join(LONG_SECONDS)
         self.assertEqual([False], results)
         self.assertFalse(self.confirmation.refresh())
+        # The proxy ran, so that it is control that does not answer.
+        self.assertIsNone(self.confirmation.refusal)
 
 
 class LateClock(ManualClock):
@@ -283,19 +285,33 @@
 class LateProxyTests(unittest.TestCase):
     """Control gives no answer, and each wait of a proxy takes too long."""
 
-    def test_wait_ends(self) -> None:
-        """Guard against callers that wait for good at a busy proxy that is cut off."""
-        clock, release = LateClock(), threading.Event()
+    def setUp(self) -> None:
+        self.clock, release = LateClock(), threading.Event()
         self.addCleanup(release.set)
         client = mock.Mock()
         client.get.side_effect = lambda *_args: release.wait(LONG_SECONDS)
-        confirmation = ViewConfirmation(
-            ViewStore("zone-a", clock),
+        self.confirmation = ViewConfirmation(
+            ViewStore("zone-a", self.clock),
             ControlPeers((Address("127.0.0.1", 1),)),
             cast(JsonClient, client),
-            clock,
+            self.clock,
         )
-        began_at = clock.now()
-        self.assertFalse(confirmation.refresh())
+
+    def test_wait_ends(self) -> None:
+        """Guard against callers that wait for good at a busy proxy that is cut off."""
+        began_at = self.clock.now()
+        self.assertFalse(self.confirmation.refresh())
         limit = MAX_LATE_WAITS * (CONFIRMATION_TIMEOUT + LATE_SECONDS)
-        self.assertLessEqual(clock.now() - began_at, limit)
+        self.assertLessEqual(self.clock.now() - began_at, limit)
+
+    def test_view_is_not_used(self) -> None:
+        """Guard against an old view at a proxy that has no time to ask control."""
+        self.assertFalse(self.confirmation.refresh())
+        self.assertIn("held up", self.confirmation.refusal or "")
+
+    def test_later_callers_are_refused_at_once(self) -> None:
+        """Guard against callers that each wait for what cannot be known in time."""
+        self.confirmation.refresh()
+        waits = self.clock.waits
+        self.assertFalse(self.confirmation.refresh())
+        self.assertEqual(waits, self.clock.waits)
