Joining: a control process reads its configured addresses anew

The same cause elsewhere: a process with an empty disk asked the addresses of its start for good. If those processes were lost before one of them answered, it never joined, so that the group stayed short of a member.

Change: where an address gives no answer, the configured ones are read again. test_addresses_that_are_configured_later fails without it.

--- a/packages/failover/src/dogwoodspool_failover/joining.py
+++ b/packages/failover/src/dogwoodspool_failover/joining.py
@@ -18,7 +18,7 @@
 from dogwoodspool_control.errors import CommandRejectedError, LeadershipLostError
 from dogwoodspool_control.http.support import with_error_responses
 from dogwoodspool_control.node import ControlNode
-from dogwoodspool_following import ControlPeers, Coordinator
+from dogwoodspool_following import AddressSource, ControlPeers, Coordinator
 
 from .const import (
     JOIN_CHECK_SECONDS,
@@ -32,7 +32,9 @@
     """Request membership of the control group until this process is a member.
 
     A process with an empty disk joins as a learner: it may have been a voter before,
-    and the votes it cast then are lost with its disk.
+    and the votes it cast then are lost with its disk. The processes that it knows may
+    have been replaced meanwhile: where one does not answer, the configured addresses
+    are read anew.
     """
 
     def __init__(
@@ -40,10 +42,12 @@
         request: JoinRequest,
         node: ConsensusNode,
         peers: ControlPeers,
+        addresses: AddressSource,
         client: JsonClient,
         clock: Clock,
     ) -> None:
         super().__init__("join", clock)
+        self._addresses = addresses
         self._request = request
         self._node = node
         self._peers = peers
@@ -64,6 +68,7 @@
         except HttpError as error:
             log_event("join_failed", address=address, reason=error)
             self._peers.record_failure(address)
+            self._peers.configure(self._addresses.read())
         else:
             log_event("joined", address=address, node=self._request.node)
             self._peers.record_leader_answer(address)
