--- a/tests/failover/test_joining.py
+++ b/tests/failover/test_joining.py
@@ -21,7 +21,7 @@
     """Addresses that an operator has configured."""
 
     def __init__(self) -> None:
-        self.addresses = LOST
+        self.addresses: tuple[Address, ...] = LOST
 
     def read(self) -> tuple[Address, ...]:
         """Return the addresses."""
