Presence: a heartbeat's answer keeps the votes that are known

The answers to heartbeats name the members without their votes, for earlier builds. The peers that heartbeats go to also learn the members from confirmed reads now, with votes, so that lost members come last; the answer made all of them voters again, and lost ones were asked first until the next read.

Change: an answer that names no new member changes nothing. test_votes_that_are_known_are_kept failed before.

--- a/packages/sharing/src/dogwoodspool_sharing/presence.py
+++ b/packages/sharing/src/dogwoodspool_sharing/presence.py
@@ -92,6 +92,9 @@
                 Neighbour(message.proxy, message.address)
                 for message in response.proxies
             ]
-        if response.members:
-            self._peers.adopt(response.members)
+        members = response.members or ()
+        # They come without their votes, which are known already for the same members.
+        known = {one.address for one in self._peers.members}
+        if {one.address for one in members} - known:
+            self._peers.adopt(members)
         self._directory.adopt(self._reported)
--- a/tests/sharing/test_presence.py
+++ b/tests/sharing/test_presence.py
@@ -146,6 +146,22 @@
         (member,) = self.control.answers[-1]["members"]
         self.assertNotIn("is_voter", member)
 
+    def test_votes_that_are_known_are_kept(self) -> None:
+        """Guard against heartbeats to a lost member, which has no vote any more."""
+        coordinator, _ = self.proxy("p1")
+        peers = coordinator._peers
+        peers.adopt(
+            [
+                MemberMessage(
+                    address=str(address), failure_domain="fd9", is_voter=number == 1
+                )
+                for number, address in enumerate(CONTROL)
+            ]
+        )
+        coordinator.step()
+        self.assertIn("members", self.control.answers[-1])
+        self.assertEqual([False, True], [one.is_voter for one in peers.members])
+
     def test_heartbeats_leave_a_process_without_contact_to_the_leader(self) -> None:
         """Guard against proxies of one failure domain that never meet again.
 
