Control search: what a neighbour told counts for a time, and only from itself

The address of a lost neighbour may belong to a proxy of another system by now. Its version is no older or newer than ours in any sense, and a proxy without control would have refused its callers by it for good. An answer names its proxy, and a newer version counts for 3 s after it was told.

The search wakes up only when the view may be overdue.

--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -16,6 +16,7 @@
     MAX_UNCONFIRMED_SECONDS,
     MAX_VIEW_CHECKS_PER_SECOND,
     MAX_WAITS,
+    TOLD_FOR_SECONDS,
     VIEW_CHECK_ATTEMPT_SECONDS,
     VIEW_CHECK_SECONDS,
 )
@@ -69,6 +70,7 @@
         # What a neighbour knows whose view control has confirmed.
         self._neighbour: Confirmation | None = None
         self._newest_elsewhere = 0
+        self._newest_told_at = NEVER
         self._waiting = 0
         self._waits = 0
         self._waits_until = NEVER
@@ -89,15 +91,21 @@
     @property
     def is_overdue(self) -> bool:
         """Whether the last attempt to confirm the view should have succeeded by now."""
+        return self.overdue_in <= 0
+
+    @property
+    def overdue_in(self) -> float:
+        """Seconds until the view is overdue without another confirmation."""
         last = self._last
         since = self._created_at if last is None else last.began_at
         overdue_at = since + self._interval + self._attempt_interval
-        return self._clock.now() > overdue_at
+        return overdue_at - self._clock.now()
 
     @property
     def is_outdated(self) -> bool:
-        """Whether a neighbour has a newer view, which control has confirmed."""
-        return self._views.view.version < self._newest_elsewhere
+        """Whether a neighbour has told lately of a newer view that is confirmed."""
+        is_known = self._clock.now() < self._newest_told_at + TOLD_FOR_SECONDS
+        return is_known and self._views.view.version < self._newest_elsewhere
 
     @property
     def refusal(self) -> str | None:
@@ -121,8 +129,10 @@
             began_at: clock time; all that was acknowledged before is in that version.
         """
         with self._changed:
-            self._newest_elsewhere = max(version, self._newest_elsewhere)
-            if version <= self._views.view.version:
+            if version > self._views.view.version:
+                self._newest_elsewhere = version
+                self._newest_told_at = self._clock.now()
+            else:
                 self._neighbour = Confirmation(began_at, address)
             self._changed.notify_all()
 
--- a/packages/following/src/dogwoodspool_following/const.py
+++ b/packages/following/src/dogwoodspool_following/const.py
@@ -59,6 +59,9 @@
 VIEW_CHECK_ATTEMPT_SECONDS: Final = 0.5
 # Interval of the search for control processes while no attempt succeeds.
 CONTROL_SEARCH_SECONDS: Final = 0.5
+# Time for which the view counts as old after a neighbour has told of a newer one: some
+# intervals of the search.
+TOLD_FOR_SECONDS: Final = 3.0
 # Confirmations of all proxies together for which control has room.
 MAX_VIEW_CHECKS_PER_SECOND: Final = 400
 # Age of a document, when it comes into force here, from which on that is logged: near
--- a/packages/following/src/dogwoodspool_following/control_search.py
+++ b/packages/following/src/dogwoodspool_following/control_search.py
@@ -97,7 +97,7 @@
         elif self._is_searching:
             self._is_searching = False
             log_event("control_found", confirmed_by=self._confirmation.confirmed_by)
-        return CONTROL_SEARCH_SECONDS
+        return max(CONTROL_SEARCH_SECONDS, self._confirmation.overdue_in)
 
     def _begin_search(self) -> None:
         if self._is_searching:
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -211,7 +211,7 @@
         )
         self._view_check = ViewCheck(self._views, self._confirmation, clock)
         self._neighbour_views = NeighbourViewApi(
-            self._views, self._confirmation, self._peers
+            name, self._views, self._confirmation, self._peers
         )
         self._neighbours_client = JsonLineClient(1)
         self._control_search = ControlSearch(
@@ -272,7 +272,7 @@
         takes_callers = self._rotation.answer_balancer()
         if not self._views.view.databases:
             return "no configuration"
-        if self._confirmation.is_outdated and self._confirmation.is_overdue:
+        if self._confirmation.is_outdated:
             return "outdated configuration"
         return None if takes_callers else "cut off"
 
--- a/packages/sharing/src/dogwoodspool_sharing/models.py
+++ b/packages/sharing/src/dogwoodspool_sharing/models.py
@@ -213,12 +213,14 @@
     """The view of a proxy, as a neighbour sees it that finds no control process.
 
     Attributes:
+        proxy: the proxy that answers.
         confirmed_age_ms: milliseconds since control confirmed it, until the answer;
             None if control does not confirm it, and nothing else is told then.
         version: version of the view.
         members: the control processes that the proxy follows.
     """
 
+    proxy: Name
     confirmed_age_ms: int | None = None
     version: int = 0
     members: list[MemberMessage] = []
--- a/packages/sharing/src/dogwoodspool_sharing/neighbour_views.py
+++ b/packages/sharing/src/dogwoodspool_sharing/neighbour_views.py
@@ -35,8 +35,13 @@
     """Tell neighbours which view this proxy has, if control confirms it."""
 
     def __init__(
-        self, views: ViewStore, confirmation: ViewConfirmation, peers: ControlPeers
+        self,
+        own: str,
+        views: ViewStore,
+        confirmation: ViewConfirmation,
+        peers: ControlPeers,
     ) -> None:
+        self._own = own
         self._views = views
         self._confirmation = confirmation
         self._peers = peers
@@ -48,10 +53,11 @@
     def _answer(self, _request: JsonRequest) -> JsonResponse:
         is_confirmed = self._confirmation.confirm(OWN_CONFIRMATION_TIMEOUT)
         age_ms = self._confirmation.age_ms
-        response = NeighbourViewResponse()
+        response = NeighbourViewResponse(proxy=self._own)
         if is_confirmed and age_ms is not None:
             # A view that comes after the age was read has all that was confirmed.
             response = NeighbourViewResponse(
+                proxy=self._own,
                 confirmed_age_ms=age_ms + 1,  # Rounded up.
                 version=self._views.view.version,
                 members=list(self._peers.members),
@@ -96,7 +102,8 @@
                 "neighbour_view_not_told", neighbour=neighbour.name, reason=error
             )
             return None
-        if response.confirmed_age_ms is None:
+        # The address of a lost neighbour may belong to another proxy by now.
+        if response.proxy != neighbour.name or response.confirmed_age_ms is None:
             return None
         return NeighbourView(
             neighbour.endpoint,
--- a/tests/following/test_control_search.py
+++ b/tests/following/test_control_search.py
@@ -224,6 +224,14 @@
         self.assertFalse(self.confirmation.refresh())
         self.assertIn("view 7", self.confirmation.refusal or "")
 
+    def test_it_is_used_again_once_no_neighbour_tells_of_a_newer_one(self) -> None:
+        """Guard against a proxy that refuses for good because of one answer."""
+        self.neighbours.views = [self.neighbour(7, *LOST)]
+        self.pass_time()
+        self.neighbours.views = []
+        self.pass_time()
+        self.assertIsNone(self.confirmation.refusal)
+
     def test_it_is_confirmed_by_a_neighbour_that_has_the_same(self) -> None:
         """Guard against a proxy that others could tell that its view is the newest."""
         self.pass_time()
--- a/tests/sharing/test_neighbour_views.py
+++ b/tests/sharing/test_neighbour_views.py
@@ -44,7 +44,10 @@
             view=None, leader=None
         ).model_dump(mode="json")
         self.confirmation = ViewConfirmation(views, peers, self.control, clock)
-        (self.route,) = NeighbourViewApi(views, self.confirmation, peers).routes()
+        self.apis = {
+            one.endpoint: NeighbourViewApi(one.name, views, self.confirmation, peers)
+            for one in PROXIES
+        }
 
 
 class NeighbourViewTests(unittest.TestCase):
@@ -58,6 +61,7 @@
         directory.adopt(PROXIES)
         self.asked: list[Address] = []
         self.silent: set[Address] = set()
+        self.moved: dict[Address, Address] = {}
         self.reader = NeighbourViewReader(OWN.name, directory, self, self.clock)
 
     def post(
@@ -67,8 +71,8 @@
         self.asked.append(address)
         if address in self.silent:
             raise PeerUnreachableError(f"{address} is silent")
-        answer = self.neighbour.route.handler(JsonRequest(path, {}, body))
-        return dict(answer.body)
+        (route,) = self.neighbour.apis[self.moved.get(address, address)].routes()
+        return dict(route.handler(JsonRequest(path, {}, body)).body)
 
     def test_confirmed_view_is_told(self) -> None:
         """Guard against a lost proxy that learns neither members nor a newer view."""
@@ -94,6 +98,11 @@
         with mock.patch.object(self, "post", side_effect=refusal):
             self.assertEqual([], list(self.reader.read()))
 
+    def test_other_proxy_at_the_address_is_not_believed(self) -> None:
+        """Guard against a proxy of another system at a lost neighbour's address."""
+        self.moved = {one.endpoint: OWN.endpoint for one in PROXIES}
+        self.assertEqual([], list(self.reader.read()))
+
     def test_all_neighbours_are_asked_in_turn(self) -> None:
         """Guard against a proxy that asks the same lost neighbours for good."""
         for _ in range(len(PROXIES)):
