--- a/packages/following/src/dogwoodspool_following/confirmation.py
+++ b/packages/following/src/dogwoodspool_following/confirmation.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from dogwoodspool_common import Address, Clock, JsonClient, log_event
+from dogwoodspool_common import Address, Clock, JsonClient
 from dogwoodspool_common.const import MILLISECONDS, NEVER
 
 from .confirmed_read import ConfirmedReader
@@ -16,13 +16,14 @@
     MAX_UNCONFIRMED_SECONDS,
     MAX_VIEW_CHECKS_PER_SECOND,
     MAX_WAITS,
-    TOLD_FOR_SECONDS,
     VIEW_CHECK_ATTEMPT_SECONDS,
     VIEW_CHECK_SECONDS,
 )
+from .contradictions import ContradictionLog
 from .control_peers import ControlPeers
+from .neighbour_record import NeighbourRecord
 from .read_attempts import Attempt, Confirmation, ReadAttempts
-from .view import ProxyView, ViewStore
+from .view import ViewStore
 
 
 class ViewConfirmation:
@@ -59,18 +60,13 @@
         self._is_closed = False
         self._created_at = clock.now()
         self._last: Confirmation | None = None
-        # The view in force when the last confirmation arrived.
-        self._confirmed_view = views.view
-        views.add_listener(self._check_against_view)
+        self._contradictions = ContradictionLog(views, clock)
+        self._neighbours = NeighbourRecord(views, clock)
         self._attempted_at = NEVER
         self._failed_at = NEVER
         self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
         self._held_up_at = NEVER
-        # What a neighbour knows whose view control has confirmed.
-        self._neighbour: Confirmation | None = None
-        self._newest_elsewhere = 0
-        self._newest_told_at = NEVER
         self._waiting = 0
         self._waits = 0
         self._waits_until = NEVER
@@ -104,8 +100,7 @@
     @property
     def is_outdated(self) -> bool:
         """Whether a neighbour has told lately of a newer view that is confirmed."""
-        is_known = self._clock.now() < self._newest_told_at + TOLD_FOR_SECONDS
-        return is_known and self._views.view.version < self._newest_elsewhere
+        return self._neighbours.newer_version is not None
 
     @property
     def refusal(self) -> str | None:
@@ -114,26 +109,17 @@
         It may be used where control is known not to answer, as a proxy that is cut off
         goes on serving. A proxy that hardly runs knows nothing of control.
         """
-        if self.is_outdated:
-            return f"view {self._newest_elsewhere} is in force elsewhere"
+        newer = self._neighbours.newer_version
+        if newer is not None:
+            return f"view {newer} is in force elsewhere"
         if self._held_up_at > self._failed_at:
             return "this proxy is held up, and control has not confirmed its view"
         return None
 
-    def record_neighbour(self, address: Address, version: int, began_at: float) -> None:
-        """Record which view a neighbour has, as confirmed by control.
-
-        Args:
-            address: the neighbour.
-            version: version of its view.
-            began_at: clock time; all that was acknowledged before is in that version.
-        """
+    def record_neighbour(self, version: int, began_at: float) -> None:
+        """Record which view a neighbour has; arguments as for ``NeighbourRecord``."""
         with self._changed:
-            if version > self._views.view.version:
-                self._newest_elsewhere = version
-                self._newest_told_at = self._clock.now()
-            else:
-                self._neighbour = Confirmation(began_at, address)
+            self._neighbours.record(version, began_at)
             self._changed.notify_all()
 
     def advance(self) -> float:
@@ -232,10 +218,7 @@
 
     def _is_recent_enough(self) -> bool:
         since = self._clock.now() - self._max_age
-        neighbour = self._neighbour
-        return self._is_since(since) or (
-            neighbour is not None and neighbour.began_at >= since
-        )
+        return self._is_since(since) or self._neighbours.confirmed_at >= since
 
     def _is_since(self, since: float) -> bool:
         last = self._last
@@ -307,7 +290,7 @@
 
     def _record_confirmation(self, confirmation: Confirmation) -> None:
         if not self._is_since(confirmation.began_at):
-            self._confirmed_view = self._views.view
+            self._contradictions.record(confirmation)
             self._last = confirmation
         self._failed_at = self._held_up_at = self._retry_at = NEVER
         self._retry_seconds = CONFIRMATION_RETRY_SECONDS
@@ -318,29 +301,3 @@
         self._retry_at = self._failed_at + self._retry_seconds
         longer = 2 * self._retry_seconds
         self._retry_seconds = min(longer, MAX_CONFIRMATION_RETRY_SECONDS)
-
-    def _check_against_view(self, view: ProxyView) -> None:
-        """Log a view that an earlier confirmation should have brought.
-
-        Its document had been committed before the confirmed read began, so that control
-        confirmed an older state as the newest one.
-        """
-        with self._changed:
-            last, confirmed = self._last, self._confirmed_view
-        if last is None or view.document_age_ms is None:
-            return
-        age_ms = round((self._clock.now() - last.began_at) * MILLISECONDS)
-        if view.revision <= confirmed.revision or view.document_age_ms <= age_ms:
-            return
-        log_event(
-            "confirmation_contradicted",
-            level="ERROR",
-            view=view.version,
-            revision=view.revision,
-            sender=view.sender,
-            committed_ago_ms=view.document_age_ms,
-            confirmed_view=confirmed.version,
-            confirmed_revision=confirmed.revision,
-            confirmed_ago_ms=age_ms,
-            confirmed_by=last.address,
-        )
--- a/packages/following/src/dogwoodspool_following/control_search.py
+++ b/packages/following/src/dogwoodspool_following/control_search.py
@@ -37,13 +37,11 @@
     """What a neighbour whose view control has confirmed lately knows.
 
     Attributes:
-        address: the neighbour.
         version: version of its view.
         began_at: clock time; all that was acknowledged before is in that version.
         members: the control processes that it follows.
     """
 
-    address: Address
     version: int
     began_at: float
     members: Sequence[MemberMessage]
@@ -91,9 +89,7 @@
             for one in self._neighbours.read():
                 if one.members:
                     self._peers.adopt(one.members)
-                self._confirmation.record_neighbour(
-                    one.address, one.version, one.began_at
-                )
+                self._confirmation.record_neighbour(one.version, one.began_at)
         elif self._is_searching:
             self._is_searching = False
             log_event("control_found", confirmed_by=self._confirmation.confirmed_by)
--- a/packages/sharing/src/dogwoodspool_sharing/neighbour_views.py
+++ b/packages/sharing/src/dogwoodspool_sharing/neighbour_views.py
@@ -106,7 +106,6 @@
         if response.proxy != neighbour.name or response.confirmed_age_ms is None:
             return None
         return NeighbourView(
-            neighbour.endpoint,
             response.version,
             asked_at - response.confirmed_age_ms / MILLISECONDS,
             response.members,
--- a/tests/following/test_control_search.py
+++ b/tests/following/test_control_search.py
@@ -28,7 +28,6 @@
 
 LOST: Final = tuple(Address(f"127.0.0.{number}", 1) for number in (1, 2, 3))
 PRESENT: Final = tuple(Address(f"127.0.0.{number}", 1) for number in (4, 5, 6))
-NEIGHBOUR: Final = Address("127.0.0.50", 2)
 LONG_SECONDS: Final = 10.0
 ENDPOINT: Final = Endpoint("r1", "db", "g1", Consistency.PRIMARY, 800, 250, 1)
 OTHER_ENDPOINT: Final = Endpoint("r2", "other", "g1", Consistency.PRIMARY, 800, 250, 1)
@@ -119,7 +118,7 @@
 
     def neighbour(self, version: int, *addresses: Address) -> NeighbourView:
         """Return what a neighbour knows that control has just confirmed."""
-        return NeighbourView(NEIGHBOUR, version, self.clock.now(), members(*addresses))
+        return NeighbourView(version, self.clock.now(), members(*addresses))
 
     def pass_time(self) -> None:
         """Let searches and attempts go on for some time."""
