--- a/tests/following/test_control_search.py
+++ b/tests/following/test_control_search.py
@@ -161,6 +161,15 @@
         self.assertIn("event=control_searched", text)
         self.assertIn("event=control_found", text)
 
+    def test_settings_written_anew_before_the_first_view(self) -> None:
+        """Guard against a proxy that starts with lost seeds and never gets a view."""
+        peers = ControlPeers(LOST)
+        peers.record_failure(peers.any())
+        peers.configure(PRESENT)
+        self.assertEqual(set(PRESENT), set(peers.addresses))
+        self.assertIn(peers.any(), PRESENT)
+        self.assertEqual((), peers.others)
+
     def test_other_peers_of_the_process_learn_of_them(self) -> None:
         """Guard against heartbeats that go to lost control processes for good."""
         shared = ControlPeers(LOST)
