View store: differences that cannot be merged have the whole state read

Found by reading, for a proxy that stays behind for good although control answers it: where the merge of differences failed, the same differences were asked for, and failed, each time, at every control process.

Change: the whole state is asked for next, as where the digest differs. test_differences_that_cannot_be_merged failed before.

--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -273,14 +273,20 @@
 
         Differences from a version other than the one in force are ignored: a merge
         would keep entries that the state no longer contains. So are differences whose
-        merge gives other endpoints than control has; the whole state is wanted then.
+        merge gives other endpoints than control has, or fails; the whole state is wanted
+        then.
         """
         with self._changed:
             if message.version <= self._view.version:
                 return False
             if message.base_version not in (0, self._view.version):
                 return False
-            view = ProxyView.of(message, self._view, sender)
+            try:
+                view = ProxyView.of(message, self._view, sender)
+            except Exception:
+                # The same differences would fail for good.
+                self._needs_whole = True
+                raise
             if not _has_endpoints_of(view, message) and message.base_version:
                 self._needs_whole = True
                 return False
--- a/tests/following/test_confirmation.py
+++ b/tests/following/test_confirmation.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Final, cast
+from unittest import mock
 
 from dogwoodspool_api import (
     ControlView,
@@ -24,7 +25,13 @@
     endpoints_digest,
 )
 from dogwoodspool_common.const import MILLISECONDS
-from dogwoodspool_following import ControlPeers, ViewCheck, ViewConfirmation, ViewStore
+from dogwoodspool_following import (
+    ControlPeers,
+    ProxyView,
+    ViewCheck,
+    ViewConfirmation,
+    ViewStore,
+)
 from dogwoodspool_following.const import (
     ACCEPTED_AGE_MS,
     CONFIRMATION_RETRY_SECONDS,
@@ -400,6 +407,17 @@
         self.assertFalse(self.views.adopt(differing))
         self.assertEqual(0, self.views.base_version)
 
+    def test_differences_that_cannot_be_merged(self) -> None:
+        """Guard against a proxy that fails by the same differences for good."""
+        error = ValueError("no such node")
+        with (
+            mock.patch.object(ProxyView, "of", side_effect=error),
+            self.assertRaises(ValueError),
+        ):
+            self.views.adopt(self.view(3, "c", base=1))
+        self.assertEqual(0, self.views.base_version)
+        self.assertEqual({"a"}, set(self.views.view.databases))
+
     def test_whole_state_follows(self) -> None:
         """Guard against a proxy that stays on its view for good."""
         whole = self.view(3, "a", "b", "c")
