--- a/packages/following/src/dogwoodspool_following/view.py
+++ b/packages/following/src/dogwoodspool_following/view.py
@@ -273,7 +273,7 @@
 
         Differences from a version other than the one in force are ignored: a merge
         would keep entries that the state no longer contains. So are differences whose
-        merge gives other endpoints than control has, or fails; the whole state is wanted
+        merge fails or gives other endpoints than control has; the whole state is wanted
         then.
         """
         with self._changed:
