--- a/packages/sharing/src/dogwoodspool_sharing/const.py
+++ b/packages/sharing/src/dogwoodspool_sharing/const.py
@@ -93,8 +93,10 @@
 WEIGHT_BYTES: Final = 8
 DIGEST_BYTES: Final = 8
 
-# Neighbours that a proxy asks at a time which finds no control process, and how long it
-# waits for each. They wait for control for less.
+# Neighbours that a proxy without a confirmed view asks in one search.
 NEIGHBOURS_ASKED: Final = 2
+# Seconds for which it waits for the answer of each.
 NEIGHBOUR_VIEW_TIMEOUT: Final = 0.4
+# Seconds for which a neighbour that is asked waits for control: less, so that its
+# answer is in time.
 OWN_CONFIRMATION_TIMEOUT: Final = 0.3
--- a/tests/following/test_refresh.py
+++ b/tests/following/test_refresh.py
@@ -309,6 +309,11 @@
         self.assertFalse(self.confirmation.refresh())
         self.assertIn("held up", self.confirmation.refusal or "")
 
+    def test_late_wait_for_a_denial_tells_nothing_of_control(self) -> None:
+        """Guard against an old view that is used as a denial took too long."""
+        self.assertFalse(self.confirmation.confirm())
+        self.assertIn("held up", self.confirmation.refusal or "")
+
     def test_later_callers_are_refused_at_once(self) -> None:
         """Guard against callers that each wait for what cannot be known in time."""
         self.confirmation.refresh()
--- a/tests/pooler/test_unknown_databases.py
+++ b/tests/pooler/test_unknown_databases.py
@@ -16,7 +16,7 @@
     key_digest,
 )
 from dogwoodspool_following import FixedAddresses
-from dogwoodspool_following.const import CONFIRMED_FOR_SECONDS
+from dogwoodspool_following.const import CONFIRMED_FOR_SECONDS, TOLD_FOR_SECONDS
 from dogwoodspool_pooler.errors import NoDatabaseError, NotReadyError, UnknownKeyError
 from dogwoodspool_pooler.models import Answer, ErrorCode
 from dogwoodspool_pooler.runtime import PoolerRuntime
@@ -129,6 +129,17 @@
         self.clock.advance(CONFIRMED_FOR_SECONDS)
         return run_text(session, "BEGIN")
 
+    def test_proxy_with_a_view_known_to_be_old_takes_no_callers(self) -> None:
+        """Guard against a balancer that sends callers to a proxy that refuses them."""
+        self.start()
+        self.assertIsNone(self.runtime.answer_balancer())
+        self.runtime._confirmation.record_neighbour(
+            self.runtime.view_version + 1, self.clock.now()
+        )
+        self.assertEqual("outdated configuration", self.runtime.answer_balancer())
+        self.clock.advance(TOLD_FOR_SECONDS)
+        self.assertIsNone(self.runtime.answer_balancer())
+
     def test_added_database_is_served(self) -> None:
         """Guard against "no such database" for one that was acknowledged."""
         self.start()
