Show that a lost backend and a primary crash end a database

Cause: a backend that ends without a farewell stays a member of its group for good, and a primary that comes back under a new id leaves a second missing one.

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,64 @@
+"""A replica is lost for good; later the primary crashes and comes back.
+
+Then all processes of the system are killed, and requests are counted from
+``recoveryS`` after they are back (rule RECOVER).
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "world2"))
+
+from world import BROKEN, HELD, RECOVERY_SECONDS, World, run_case  # noqa: E402
+
+CRASH_SECONDS = 5.0
+DOWN_SECONDS = 0.6
+MEASURED_SECONDS = 12.0
+QUARTER = 0.25
+
+
+async def play(world: World) -> int:
+    """Play the case; return its exit status."""
+    await world.set_up()
+    began = world.now
+    world.spawn(world.load())
+    await asyncio.sleep(5.0)
+    servers = world.service.servers
+    if world.has_trouble:
+        world.note("trouble: a replica is lost for good")
+        world.crash(servers["i-00000003"])
+    await asyncio.sleep(15.0)
+    primary = world.service.primary
+    if world.has_trouble and primary is not None:
+        world.note("trouble: the primary crashes")
+        world.crash(primary)
+        await asyncio.sleep(CRASH_SECONDS)
+        await world.come_back(primary, "i-00000004")
+    await asyncio.sleep(6.0)
+    ended = world.now
+    await world.configure()
+    world.note("final fault: all processes are killed")
+    for node in world.nodes:
+        world.kill(node)
+    await asyncio.sleep(DOWN_SECONDS)
+    for node in world.nodes:
+        world.start(node)
+    back = world.now
+    world.note("all machines are back")
+    await asyncio.sleep(RECOVERY_SECONDS + MEASURED_SECONDS + 3.0)
+    before = world.served(began, ended)
+    since = back + RECOVERY_SECONDS
+    after = world.served(since, since + MEASURED_SECONDS)
+    world.note(f"served before the final fault: {before[0]} of {before[1]}")
+    world.note(f"served from {since:.1f} on: {after[0]} of {after[1]}")
+    world.note(f"promotion calls: {len(world.promotion_calls)}")
+    was_served = before[0] >= QUARTER * before[1]
+    is_broken = was_served and after[0] < QUARTER * after[1]
+    world.note("RECOVER is broken" if is_broken else "RECOVER holds")
+    return BROKEN if is_broken else HELD
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(FOLDER, play))
