--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "world2"))
 
 from world import BROKEN, HELD, RECOVERY_SECONDS, World, run_case  # noqa: E402
@@ -61,4 +64,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(play, RECORD, has_trouble=HAS_TROUBLE))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
+RECORD = FOLDER / "record.txt"
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 sys.path.insert(0, str(FOLDER.parent / "world2"))
 
 from world import (  # noqa: E402
@@ -49,7 +52,7 @@
     leaving = service.primary
     if leaving is None:
         return HELD
-    acknowledged = await world.drain(leaving, SERVES_ON)
+    acknowledged = await world.drain(leaving, "i-00000005", SERVES_ON)
     await asyncio.sleep(2.0)
     successor = service.primary
     if successor is None or successor is leaving:
@@ -86,6 +89,7 @@
     """Count the requests that reached the backend too late, sent by one in touch."""
     in_touch_at = late.started_at + TOUCH_SECONDS
     sent = {one.request: one.at for one in world.operations}
+    sender = {one.request: one.edge for one in world.operations}
     found = 0
     for run in world.service.runs:
         at = run.at - world.began
@@ -94,12 +98,13 @@
             found += 1
             world.note(
                 f"DRAIN: {run.request} {run.text} reached {name} "
-                f"{at - acknowledged:.3f} s after the acknowledgement; {late.name} "
-                f"had run for {sent[run.request] - late.started_at:.3f} s"
+                f"{at - acknowledged:.3f} s after the acknowledgement; sent by "
+                f"{sender[run.request]}, {late.name} had run for "
+                f"{sent[run.request] - late.started_at:.3f} s"
             )
     world.note(f"DRAIN is broken {found} times" if found else "DRAIN holds")
     return BROKEN if found else HELD
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, play))
+    sys.exit(run_case(play, RECORD, has_trouble=HAS_TROUBLE))
--- a/review/world2/backends.py
+++ b/review/world2/backends.py
@@ -180,6 +180,11 @@
         del self.log[common:]
         self.applied = min(self.applied, common)
 
+    @property
+    def reached(self) -> int:
+        """Number of its log that its answers tell."""
+        return len(self.log) if self.is_primary else self.applied
+
     def position(self, number: int) -> str:
         """Return TERM.NUMBER of a number of its log."""
         term = min(self.log_term, self.service.term)
@@ -241,7 +246,7 @@
         names = (rest[0], rest[2] if len(rest) > 2 else self.name) if rest else ()
         if word != "STARTUP" or names != (self.service.name, self.name):
             return f"ERROR MISROUTED {self.name}\r\n", None
-        return f"READY I {self.position(self.applied)}\r\n", Session()
+        return f"READY I {self.position(self.reached)}\r\n", Session()
 
     async def _query(self, session: Session, line: str) -> str:
         word, _, rest = line.partition(" ")
@@ -251,14 +256,14 @@
         body = await self._run(session, request, text)
         if not self.is_running:
             raise CutError
-        return f"{body}\r\nREADY {session.state} {self.position(self.applied)}\r\n"
+        return f"{body}\r\nREADY {session.state} {self.position(self.reached)}\r\n"
 
     async def _run(self, session: Session, request: str, text: str) -> str:
         verb, _, rest = text.partition(" ")
         if verb == PREFIX:
             wanted, _, text = rest.partition(" ")
-            if _pair(self.position(self.applied)) < _pair(wanted):
-                return f"ERROR LAGGING {self.position(self.applied)}"
+            if _pair(self.position(self.reached)) < _pair(wanted):
+                return f"ERROR LAGGING {self.position(self.reached)}"
             verb, _, rest = text.partition(" ")
         if verb in ROLE_WORDS:
             return self._command(verb, rest)
--- a/review/world2/world.py
+++ b/review/world2/world.py
@@ -35,7 +35,8 @@
 TOUCH_SECONDS = 4.0
 READY_SECONDS = 40.0
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT")
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+# Python itself ends with 1 on an error; run.sh turns BROKEN into 1.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
 
 
 class NotRunError(Exception):
@@ -60,6 +61,7 @@
     request: str = ""
     server: str = ""
     ended: float = 0.0
+    edge: str = ""
 
 
 @dataclass
@@ -78,18 +80,21 @@
     """Start, disturb and watch one installation.
 
     Args:
-        folder: folder of the case, which gets ``record.txt``.
+        record: file for what was sent, answered and run.
+        has_trouble: whether the case plays its disruption.
         has_born: whether backends tell when they started.
     """
 
-    def __init__(self, folder: Path, *, has_born: bool = False) -> None:
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(
+        self, record: Path, *, has_trouble: bool, has_born: bool = False
+    ) -> None:
+        self.has_trouble = has_trouble
         self.has_born = has_born
         self.began = time.monotonic()
         self.operations: list[Operation] = []
         self.promotion_calls: list[tuple[float, str, str, int]] = []
         self.acks: list[tuple[float, str, str]] = []
-        self._record = (folder / "record.txt").open("w", encoding="utf-8")
+        self._record = record.open("w", encoding="utf-8")
         self._temporary = Path(tempfile.mkdtemp(prefix="case-"))
         self._net = _free_net()
         self._ports = _free_ports(self._net, 6)
@@ -189,7 +194,30 @@
             "zones": dict.fromkeys(ZONES, "region"),
             "listen": listen,
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
-            "bounds": {"graceS": int(GRACE_SECONDS), "drainMs": 7000},
+            "limits": {
+                "cpuShare": 0.537,
+                "cores": 2,
+                "memoryMb": 300,
+                "maxFds": 4200,
+                "linkMbps": 1000.0,
+                "diskMb": 128 if is_core else 0,
+            },
+            "bounds": {
+                "seedLagS": 3,
+                "reuseAfterS": 2,
+                "stableWindowMs": 4000,
+                "ackMs": 5000,
+                "catchUpS": 4,
+                "drainMs": 7000,
+                "graceS": int(GRACE_SECONDS),
+                "lossSlackMs": 200,
+                "configApplyMs": 3000,
+                "rollbackSlackMs": 250,
+                "maxSkewMs": 12000,
+                "recoveryS": int(RECOVERY_SECONDS),
+                "requireFencing": True,
+                "thawMs": 300,
+            },
             "cloud": {"addr": f"{self.host(200)}:{control}"},
         }
         content: dict[str, Any] = {
@@ -278,7 +306,8 @@
 
     async def come_back(self, lost: Server, name: str) -> Server:
         """Start a crashed backend again at its address, with its log and a new id."""
-        server = Server(lost.service, name, lost.zone, lost.host, lost.born)
+        server = Server(lost.service, name, lost.zone, lost.host)
+        server.born = int(time.time() * 1000) if self.has_born else 0
         server.log, server.applied = list(lost.log), lost.applied
         server.log_term, server.term = lost.log_term, lost.service.term
         if lost.service.primary is lost:
@@ -325,8 +354,13 @@
 
     async def _send_heartbeats(self, server: Server) -> None:
         while server.is_running:
+            role, until = server.is_primary, self.now + HEARTBEAT_SECONDS
             await self.send_heartbeat(server)
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            # A change of its role is reported at once.
+            while server.is_running and self.now < until:
+                if server.is_primary is not role:
+                    break
+                await asyncio.sleep(0.05)
 
     async def send_heartbeat(self, server: Server) -> bool:
         """Send one heartbeat; return whether it was acknowledged."""
@@ -351,22 +385,33 @@
             self.acks.append((self.now, server.name, machine))
         return status == 200
 
-    async def drain(self, server: Server, serves_on: float = 1.0) -> float:
-        """Have a backend leave; return when that was acknowledged first."""
+    async def drain(
+        self, server: Server, successor: str, serves_on: float = 1.0
+    ) -> float:
+        """Have a backend leave; return when that was acknowledged first.
+
+        Args:
+            server: the backend.
+            successor: id of the new backend that gets its log and its address.
+            serves_on: how long it serves after the draining time.
+        """
         server.is_leaving = True
         while not await self.send_heartbeat(server):
             await asyncio.sleep(0.2)
         acknowledged = self.now
         self.note(f"{server.name} leaves, which is acknowledged")
-        self.spawn(self._end_drained(server, serves_on))
+        self.spawn(self._end_drained(server, successor, serves_on))
         return acknowledged
 
-    async def _end_drained(self, server: Server, serves_on: float) -> None:
+    async def _end_drained(
+        self, server: Server, successor: str, serves_on: float
+    ) -> None:
         await asyncio.sleep(DRAIN_SECONDS + serves_on)
         body = {"born": server.born} if server.born else None
         await self.call("DELETE", f"/dogwoodspool/instances/{server.name}", body)
         self.note(f"{server.name} has left")
         server.end()
+        await self.come_back(server, successor)
 
     async def _serve_cloud(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -403,7 +448,7 @@
         self, edge: Node, database: str, text: str, limit: float = 2.5
     ) -> Operation:
         """Run one operation, with two more attempts after a promise."""
-        operation = Operation(self.now, database, text)
+        operation = Operation(self.now, database, text, edge=edge.name)
         self.operations.append(operation)
         until = self.now + limit
         for attempt in range(3):
@@ -476,15 +521,23 @@
 
 
 def run_case(
-    folder: Path, case: Callable[[World], Awaitable[int]], *, has_born: bool = False
+    case: Callable[[World], Awaitable[int]],
+    record: Path,
+    *,
+    has_trouble: bool,
+    has_born: bool = False,
 ) -> int:
     """Run a case; return its exit status."""
-    world = World(folder, has_born=has_born)
+    world = World(record, has_trouble=has_trouble, has_born=has_born)
 
     async def run() -> int:
+        task = asyncio.ensure_future(case(world))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(world), 110.0)
-        except (NotRunError, TimeoutError, OSError) as error:
+            return await asyncio.wait_for(task, 110.0)
+        except (Exception, asyncio.CancelledError) as error:
             world.note(f"the case could not run: {error!r}")
             return NOT_RUN
         finally:
