Choice: a member that has ended without a word holds up no writer's log

What callers saw: a replica is lost for good, later the primary crashes and comes back with its log, or leaves as planned after two such losses: STEPDOWN, then no promotion call any more, and BUSY for good.

Cause: the log of the only writer is enough for a choice, but the rule that says so gave up as soon as any member that had not announced its end was not fenced. A server that ends without a word never announces it.

That a server of an open call leads is a matter of the terms that the fenced servers tell and of the calls of the change. So the guard stays for silent members, and a member at whose address nothing listens no longer counts as one that may run, where no later lead is possible and the writer's log goes on into its epoch.

Ruled out: that the promotion was refused (no call was sent), that a voter was missing (the leader's worker ran on), that the primary's log was lost (it answers with it).

--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -35,7 +35,7 @@
 from .models import Choice, ServerState
 from .promotion_calls import PromotionCalls
 from .takeover import Takeover
-from .writers import sole_writer
+from .writers import is_newest_lead, sole_writer
 
 
 class PrimaryChange(PromotionWorker):
@@ -123,11 +123,14 @@
         group = self._dependencies.state.group(self._group)
         epoch = None if group is None else group.epoch
         ended = () if group is None else group.ended
+        called = self._called()
         return FailoverInput(
             members=members,
             fenced=fenced,
             writers=self._writers(promotion),
-            sole_writer=sole_writer(epoch, members, fenced, self._called()),
+            sole_writer=sole_writer(epoch, members, fenced, called),
+            refusing=self._fencing.refusing(members),
+            is_newest_lead=is_newest_lead(epoch, members, fenced, called),
             ended=[
                 one.name
                 for one in members
--- a/packages/failover/src/dogwoodspool_failover/choice.py
+++ b/packages/failover/src/dogwoodspool_failover/choice.py
@@ -34,6 +34,9 @@
         writers: servers that may have accepted writes since the last change ended.
         sole_writer: the server with the log of the only one that accepted writes whose
             callers may have been told of a success; empty if that is not known.
+        refusing: members at whose address nothing listened when they were asked last.
+        is_newest_lead: whether no server can have led since, so that no log has been
+            rolled back to that of another one.
         ended: servers that had ended before the last change of primary did.
         epoch_start: position that the primary of the last change had reached then;
             None if it is not known.
@@ -45,6 +48,8 @@
     fenced: Mapping[str, ServerState]
     writers: Collection[str]
     sole_writer: str = ""
+    refusing: Collection[str] = ()
+    is_newest_lead: bool = False
     ended: Collection[str] = ()
     epoch_start: Position | None = None
     unwanted: Collection[str] = ()
@@ -85,24 +90,33 @@
 
 def _has_earlier_writes(given: FailoverInput) -> bool:
     """Tell whether a fenced server has all that was acknowledged before the epoch."""
-    start = given.epoch_start
-    if start is None or not given.fenced:
+    if not given.fenced:
         return False
     newest = max(one.received for one in given.fenced.values())
-    return newest.term == start.term and newest >= start
+    return _reaches_epoch(given, newest)
+
+
+def _reaches_epoch(given: FailoverInput, received: Position) -> bool:
+    """Tell whether a log goes on into the epoch."""
+    start = given.epoch_start
+    return start is not None and received.term == start.term and received >= start
 
 
 def _is_writer_fenced(given: FailoverInput) -> bool:
-    """Tell whether the only writer and all that run are fenced.
+    """Tell whether the only writer and all that may still run are fenced.
 
-    It is then known to have all that it has accepted.
+    It is then known to have all that it has accepted. A server that has ended without
+    announcing it holds nothing besides, unless it has led since.
 
     A server with a shorter log than another one has lost a part of its own.
     """
     writer = given.fenced.get(given.sole_writer)
     if writer is None:
         return False
-    if any(not one.is_gone and one.name not in given.fenced for one in given.members):
+    has_log = given.is_newest_lead and _reaches_epoch(given, writer.received)
+    over = given.refusing if has_log else ()
+    running = [one for one in given.members if not one.is_gone and one.name not in over]
+    if any(one.name not in given.fenced for one in running):
         return False
     return all(writer.received >= one.received for one in given.fenced.values())
 
--- a/packages/failover/src/dogwoodspool_failover/fencing.py
+++ b/packages/failover/src/dogwoodspool_failover/fencing.py
@@ -7,6 +7,7 @@
 
 from .const import FENCE_GRACE_SECONDS, OPEN_RESUME_SECONDS, SERVER_CALL_TIMEOUT
 from .dependencies import ChangeDependencies, newest_term
+from .errors import ServerRefusingError
 from .models import ServerState
 
 
@@ -27,6 +28,7 @@
         self._dependencies = dependencies
         self._lock = threading.Lock()
         self._fenced: dict[str, tuple[int, ServerState]] = {}
+        self._refusing: set[tuple[str, int]] = set()
         self._term = 0
 
     def fenced(self, members: Sequence[BackendServer]) -> dict[str, ServerState]:
@@ -39,15 +41,19 @@
             if one.name in fenced and fenced[one.name][0] == one.incarnation
         }
 
+    def refusing(self, members: Sequence[BackendServer]) -> list[str]:
+        """Return the members at whose address nothing listened when asked last."""
+        with self._lock:
+            refusing = set(self._refusing)
+        return [one.name for one in members if (one.name, one.incarnation) in refusing]
+
     def ask_all(
         self, members: Sequence[BackendServer], old_primary: str
     ) -> dict[str, ServerState]:
         """Return the states of the members that answer."""
         return self._dependencies.call_all(
             [one for one in members if not one.is_gone],
-            lambda server: self._dependencies.servers.status(
-                server, SERVER_CALL_TIMEOUT
-            ),
+            self._ask,
             SERVER_CALL_TIMEOUT + FENCE_GRACE_SECONDS,
             old_primary,
         )
@@ -130,6 +136,17 @@
             self._raise_term([answer])
         return answer
 
+    def _ask(self, server: BackendServer) -> ServerState:
+        key = server.name, server.incarnation
+        with self._lock:
+            self._refusing.discard(key)
+        try:
+            return self._dependencies.servers.status(server, SERVER_CALL_TIMEOUT)
+        except ServerRefusingError:
+            with self._lock:
+                self._refusing.add(key)
+            raise
+
     def _fence(
         self, server: BackendServer, states: Mapping[str, ServerState]
     ) -> ServerState:
--- a/packages/failover/src/dogwoodspool_failover/writers.py
+++ b/packages/failover/src/dogwoodspool_failover/writers.py
@@ -36,8 +36,27 @@
     successor = _running_in_place_of(writer.name, members)
     if not _has_log_of_epoch(fenced.get(successor), epoch):
         return ""
+    return successor if is_newest_lead(epoch, members, fenced, called) else ""
+
+
+def is_newest_lead(
+    epoch: PrimaryEpoch | None,
+    members: Sequence[BackendServer],
+    fenced: Mapping[str, ServerState],
+    called: Collection[str],
+) -> bool:
+    """Tell whether no primary after the epoch can have sent its log to others.
+
+    A log of the epoch then comes from its own primary, and none has been rolled back.
+    The arguments are those of ``sole_writer``.
+    """
+    if epoch is None:
+        return False
     possible_leads = [_running_in_place_of(name, members) for name in called]
-    return successor if _has_no_later_lead(epoch, fenced, possible_leads) else ""
+    is_newest = all(
+        max(one.term, one.received.term) <= epoch.term for one in fenced.values()
+    )
+    return is_newest and all(name in fenced for name in possible_leads)
 
 
 def _running_in_place_of(name: str, members: Sequence[BackendServer]) -> str:
@@ -64,18 +83,3 @@
         return False
     first = Position(epoch.term, max(epoch.offset, FIRST_OFFSET))
     return state.received.term == epoch.term and state.received >= first
-
-
-def _has_no_later_lead(
-    epoch: PrimaryEpoch,
-    fenced: Mapping[str, ServerState],
-    possible_leads: Collection[str],
-) -> bool:
-    """Tell whether no primary after the epoch can have sent its log to others.
-
-    A log of the epoch then comes from its own primary.
-    """
-    is_newest = all(
-        max(one.term, one.received.term) <= epoch.term for one in fenced.values()
-    )
-    return is_newest and all(name in fenced for name in possible_leads)
