Failover: a server that has ended without a word leaves its group

What callers saw: a replica is lost for good and replaced; whenever the primary is lost later, the group has no primary for good, though the servers that run have every write.

Cause: a change of primary bears one missing member, and only a server that announces its end, or whose address another one takes, ever leaves its group. So a group used up its margin once in its life. The class is wider than the report: a member that never was, or that lived for a second, stays as well.

On paper, when control may say that a server has ended: nothing listens at its address. Silence does not say it: a server behind a cut may confirm a write.

The end is recorded while the group has a primary: proxies then no longer count the server as a copy, the primary is asked what it had, and the record goes once a server that stays has all of that, as for announced ends. It is in the replicated state, so a new leader goes on. A server that returns before its removal is a member again, and nothing that was found of its end is kept.

--- a/packages/failover/src/dogwoodspool_failover/const.py
+++ b/packages/failover/src/dogwoodspool_failover/const.py
@@ -75,6 +75,11 @@
 OPEN_RESUME_SECONDS: Final = 120.0
 # A server whose end is recorded has ended if it gives no answer for this long.
 SILENT_END_SECONDS: Final = 10.0
+# Interval at which silent servers are looked at and asked.
+LOST_CHECK_SECONDS: Final = 0.5
+# A silent server that refuses connections for this long has ended. A restart at the
+# same address is usually shorter or sends a heartbeat first.
+REFUSED_END_SECONDS: Final = 1.0
 # Ended servers that are remembered; any of them can be asked again.
 MAX_ENDED_KNOWN: Final = 10_000
 # Groups that are looked at again, and epochs that are compared, in one tick.
--- a/packages/failover/src/dogwoodspool_failover/departures.py
+++ b/packages/failover/src/dogwoodspool_failover/departures.py
@@ -119,7 +119,10 @@
         self, group: GroupState, servers: list[BackendServer]
     ) -> Iterator[Command]:
         for server in servers:
-            if not server.is_gone or server.name == group.primary:
+            if not server.is_gone:
+                self._forget(server)
+                continue
+            if server.name == group.primary:
                 continue
             with self._lock:
                 writes_preserved = (server.name, server.incarnation) in self._preserved
@@ -131,6 +134,19 @@
                     partial(self._check_writes_preserved, group, server),
                 )
 
+    def _forget(self, server: BackendServer) -> None:
+        """Discard what was found of the end of a server that has returned."""
+        if server.is_leaving:
+            return
+        key = server.name, server.incarnation
+        with self._lock:
+            self._preserved.discard(key)
+            self._needed = {
+                needed: position
+                for needed, position in self._needed.items()
+                if needed[:2] != key
+            }
+
     def _check_writes_preserved(self, group: GroupState, gone: BackendServer) -> None:
         """Check that another replica has the writes the ended server acknowledged.
 
--- a/packages/failover/src/dogwoodspool_failover/ended.py
+++ b/packages/failover/src/dogwoodspool_failover/ended.py
@@ -16,6 +16,9 @@
     A server whose last message got no answer goes on for some seconds, receives the
     primary's writes and confirms them. It has ended once nothing listens at its
     address, or another server does, or it has been silent for long.
+
+    A server that did not announce its end may return, so it is asked each time, and
+    silence is no sign of its end.
     """
 
     def __init__(self, dependencies: ChangeDependencies) -> None:
@@ -28,6 +31,8 @@
         """Return whether a server has ended for good; may ask it."""
         if not server.is_gone:
             return False
+        if not server.is_leaving:
+            return self._is_refusing(server)
         key = server.name, server.incarnation
         with self._lock:
             if key in self._ended:
@@ -53,6 +58,15 @@
         with self._lock:
             return tuple(key for key in keys if key in self._ended)
 
+    def _is_refusing(self, server: BackendServer) -> bool:
+        try:
+            self._dependencies.servers.status(server, SERVER_CALL_TIMEOUT)
+        except ServerRefusingError:
+            return True
+        except ServerCallError as error:
+            log_event("server_call_failed", server=server.name, reason=error)
+        return False
+
     def _is_over(self, server: BackendServer, key: tuple[str, int]) -> bool:
         now = self._dependencies.clock.now()
         try:
--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -108,7 +108,8 @@
         if known is not None:
             if server.incarnation < known.incarnation:
                 return True
-            if known.is_gone and server.incarnation == known.incarnation:
+            is_same = server.incarnation == known.incarnation
+            if is_same and _has_ended_for_good(known):
                 return True
         if any(self._is_newer_process(one, server) for one in self._others(server)):
             return True
@@ -147,7 +148,7 @@
     def _due(self, heartbeat: Heartbeat) -> Iterator[Command]:
         server = heartbeat.server
         for other in self._others(server):
-            if not other.is_gone:
+            if not _has_ended_for_good(other):
                 yield RecordServer(replace(other, is_leaving=True, is_gone=True))
         known = self._state.servers.get(server.name)
         if known is not None and known.incarnation == server.incarnation:
@@ -166,3 +167,11 @@
             for other in self._state.servers.values()
             if other.address == server.address and other.name != server.name
         ]
+
+
+def _has_ended_for_good(server: BackendServer) -> bool:
+    """Tell whether a server has announced its end or another has its address.
+
+    One that only did not listen for a while may return.
+    """
+    return server.is_gone and server.is_leaving
--- a/packages/failover/src/dogwoodspool_failover/loop.py
+++ b/packages/failover/src/dogwoodspool_failover/loop.py
@@ -15,6 +15,7 @@
 from .detection import PrimaryFailureDetector, PrimaryProbes, Verdict
 from .epochs import EpochChecks
 from .heartbeats import HeartbeatTracker
+from .lost import LostServers
 from .reports import ReportTracker
 
 
@@ -35,6 +36,7 @@
         probes: PrimaryProbes,
         detector: PrimaryFailureDetector,
         departures: Departures,
+        lost: LostServers,
         changes: PrimaryChanges,
         epochs: EpochChecks,
         queue: CommandQueue,
@@ -46,6 +48,7 @@
         self._probes = probes
         self._detector = detector
         self._departures = departures
+        self._lost = lost
         self._changes = changes
         self._epochs = epochs
         self._queue = queue
@@ -59,6 +62,7 @@
         self._reports.reset()
         self._probes.reset()
         self._departures.reset()
+        self._lost.reset()
         self._queue.clear()
         self._epochs.reset(self._state.groups)
         self._changes.begin_leadership()
@@ -69,6 +73,8 @@
             if isinstance(command, BeginPromotion):
                 self._timeline.begin(command.group, command.reason)
             self._queue.offer(command)
+        for command in self._lost.due_commands():
+            self._queue.offer(command)
         failing = [
             group.name
             for group in self._state.groups.values()
--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -27,6 +27,7 @@
 from .heartbeats import HeartbeatTracker
 from .joining import JoinApi
 from .loop import FailoverLoop
+from .lost import LostServers
 from .reports import ReportTracker
 from .servers import GroupServers, PromotionService
 from .service import ControlService
@@ -86,6 +87,7 @@
             probes=probes,
             detector=PrimaryFailureDetector(clock, reports, heartbeats, probes),
             departures=Departures(clock, state, dependencies, ended),
+            lost=LostServers(dependencies, reports),
             changes=self._changes,
             epochs=epochs,
             queue=self._queue,
--- a/tests/failover/test_loop.py
+++ b/tests/failover/test_loop.py
@@ -15,6 +15,7 @@
 from dogwoodspool_failover.detection import PrimaryFailureDetector, PrimaryProbes
 from dogwoodspool_failover.epochs import EpochChecks
 from dogwoodspool_failover.loop import FailoverLoop
+from dogwoodspool_failover.lost import LostServers
 from dogwoodspool_failover.reports import ReportTracker
 
 from .fakes import GROUP, DirectExecutor, Voter
@@ -43,6 +44,7 @@
             probes=probes,
             detector=PrimaryFailureDetector(clock, reports, voter.heartbeats, probes),
             departures=Departures(clock, state, voter.dependencies),
+            lost=LostServers(voter.dependencies, reports),
             changes=self.changes,
             epochs=epochs,
             queue=self.queue,
