Heartbeats: a message of another writer names no server

What callers saw: two heartbeats whose warmupLeftMs is a text are answered with 200 and name two servers that never were. The planned change of primary that follows demotes the primary and never ends: no service for good.

Cause: the border read only the fields that something is decided by, and took a role that is missing for an unknown one. Now version, warmupLeftMs and dbRole are required and typed, the address is an IPv4 address with a port that something can listen on, and a deregistration's body is an object or absent. A warm-up of a fraction of a millisecond is a number and stays valid.

--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -352,6 +352,35 @@
             with self.assertRaises(InvalidHeartbeatError, msg=name):
                 decode_heartbeat("i-1", bad)
 
+    def test_heartbeats_of_another_writer_are_rejected(self) -> None:
+        """Guard against a message of another writer that names a server for good."""
+        others: dict[str, list[Any]] = {
+            "service": [None, 7, "", ["s1"]],
+            "addr": [None, 7, "10.0.0.9", "10.0.0.9:70000", "10.0.0.9:0", "host:80"],
+            "zone": [None, 7, ""],
+            "version": [None, 7, "", ["v1"], True],
+            "slots": [None, "3", 0, -1, 1.5, True],
+            "state": [None, "sleeping", 1],
+            "warmupLeftMs": [None, "none", "0", True, -5, float("nan"), [0]],
+            "dbRole": [None, "witness", 1],
+            "seq": [None, "4", -1, 1.5, True],
+        }
+        for field, values in others.items():
+            missing = heartbeat()
+            del missing[field]
+            for bad in [missing, *(heartbeat(**{field: value}) for value in values)]:
+                with (
+                    self.subTest(field=field, value=bad.get(field)),
+                    self.assertRaises(InvalidHeartbeatError),
+                ):
+                    decode_heartbeat("i-1", bad)
+
+    def test_heartbeat_of_a_server_that_warms_up(self) -> None:
+        """Guard against a server that is refused while it is slow."""
+        for left in (0, 1200, 1200.5):
+            decoded = decode_heartbeat("i-1", heartbeat(warmupLeftMs=left))
+            self.assertEqual(decoded.server.name, "i-1")
+
     def test_start_time_of_a_deregistration_is_a_whole_number_or_absent(self) -> None:
         # Guards against ending a process that the message does not identify.
         self.assertIsNone(decode_incarnation(None))
@@ -360,6 +389,10 @@
         for born in ("7", 1.5, True, 0):
             with self.assertRaises(InvalidHeartbeatError, msg=born):
                 decode_incarnation({"born": born})
+        bodies: list[Any] = [[], "7", 7]
+        for body in bodies:
+            with self.assertRaises(InvalidHeartbeatError, msg=body):
+                decode_incarnation(body)
 
     def test_invalid_server_name_is_rejected(self) -> None:
         with self.assertRaises(InvalidHeartbeatError):
