Leaving servers: control ends the grace period for every proxy

What callers saw: a primary says that it leaves, its successor takes over and crashes while the other replicas receive nothing, and the leaving server leads once more. A proxy that started in between sends it reads and writes 7 to 8.5 s after the acknowledgement, when it has ended or is about to.

Cause: each process counted the period in which a leaving primary still gets new work from when it heard of the leaving itself. A proxy that starts, that was killed and started again or that stood still hears of it late.

Ruled out by reading: the clock of another machine (none is shared) and an age in each answer, which a voter that lagged or was restarted does not know. Now the leader of control commits the end of the period once, counted from when it applied the announcement. A proxy's own count stays, for the time in which it is cut off.

The rule stood twice, in the pooler and in the routing library; it is one now, and both interfaces have control's word. Each keeps its own length of the period (2 s and 4.5 s). Proxies of earlier builds are not sent the new field.

The tests of the late proxy failed before (a write was sent to the server).

--- a/packages/api/src/dogwoodspool_api/models.py
+++ b/packages/api/src/dogwoodspool_api/models.py
@@ -1,5 +1,6 @@
 """Validated messages exchanged between the system's processes."""
 
+from dataclasses import replace
 from enum import StrEnum
 from typing import Annotated, Any, ClassVar, Self
 
@@ -289,8 +290,20 @@
         )
 
 
-class ServerMessage(ServerDescription):
-    """A backend server as committed by the control group."""
+class ServerMessage(ServerDescription, ExtendedMessage):
+    """A backend server as committed by the control group.
+
+    Attributes:
+        is_retired: sent only to processes that say that they know it.
+    """
+
+    _optional_fields: ClassVar[frozenset[str]] = frozenset({"is_retired"})
+
+    is_retired: bool = False
+
+    def backend_server(self) -> BackendServer:
+        """Return the backend server that the message describes."""
+        return replace(super().backend_server(), is_retired=self.is_retired)
 
     @classmethod
     def of(cls, server: BackendServer) -> Self:
@@ -305,6 +318,7 @@
             is_leaving=server.is_leaving,
             incarnation=server.incarnation,
             is_gone=server.is_gone,
+            is_retired=server.is_retired,
         )
 
 
@@ -491,6 +505,11 @@
         """Return the view for a process of an earlier build."""
         return self._with_groups(epoch=None).without_epoch_coverage()
 
+    def without_retired(self) -> Self:
+        """Return the view for a process of an earlier build."""
+        servers = [one.model_copy(update={"is_retired": False}) for one in self.servers]
+        return self.model_copy(update={"servers": servers})
+
     def without_epoch_coverage(self) -> Self:
         """Return the view for a process of an earlier build, which knows epochs."""
         return self.model_copy(update={"epochs": EpochCoverage.NONE})
--- a/packages/common/src/dogwoodspool_common/const.py
+++ b/packages/common/src/dogwoodspool_common/const.py
@@ -26,6 +26,13 @@
 MAX_LINE_CONNECTIONS: Final = 1_000
 LINE_BACKLOG: Final = 512
 
+# Time for which a leaving primary still gets new work, as no other server can take its
+# writes: a planned change of primary usually ends within it.
+LEAVING_GRACE_SECONDS: Final = 2.0
+# The same for groups that replicate synchronously: a change that goes on as a failover
+# takes longer, and a server that leaves stays up for 7 s.
+LONG_LEAVING_GRACE_SECONDS: Final = 4.5
+
 MILLISECONDS: Final = 1000.0
 FIRST_ERROR_STATUS: Final = 400
 
--- a/packages/common/src/dogwoodspool_common/models.py
+++ b/packages/common/src/dogwoodspool_common/models.py
@@ -76,6 +76,8 @@
         incarnation: increases with each start of the server's process, to detect
             delayed messages of an earlier process; 0 where the server does not
             report it.
+        is_retired: whether it has been leaving for so long that it gets no new work,
+            also as the primary.
         is_gone: whether its process has ended. It stays recorded until another
             server is known to hold every write acknowledged with its help.
     """
@@ -89,6 +91,7 @@
     is_leaving: bool = False
     incarnation: int = 0
     is_gone: bool = False
+    is_retired: bool = False
 
 
 class Consistency(StrEnum):
--- a/packages/control/src/dogwoodspool_control/commands.py
+++ b/packages/control/src/dogwoodspool_control/commands.py
@@ -34,6 +34,14 @@
     server: BackendServer
 
 
+@dataclass(frozen=True, slots=True)
+class RetireServer:
+    """Record that the time of a leaving server's process to get new work is over."""
+
+    name: str
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class RemoveServer:
     """Remove a backend server that has been silent."""
@@ -231,6 +239,7 @@
     RegisterProxy
     | ForgetProxy
     | RecordServer
+    | RetireServer
     | RemoveServer
     | BootstrapGroup
     | BeginPromotion
@@ -253,6 +262,7 @@
     "register_proxy": TypeAdapter(RegisterProxy),
     "forget_proxy": TypeAdapter(ForgetProxy),
     "record_server": TypeAdapter(RecordServer),
+    "retire_server": TypeAdapter(RetireServer),
     "remove_server": TypeAdapter(RemoveServer),
     "bootstrap_group": TypeAdapter(BootstrapGroup),
     "begin_promotion": TypeAdapter(BeginPromotion),
@@ -272,6 +282,7 @@
     RegisterProxy: "register_proxy",
     ForgetProxy: "forget_proxy",
     RecordServer: "record_server",
+    RetireServer: "retire_server",
     RemoveServer: "remove_server",
     BootstrapGroup: "bootstrap_group",
     BeginPromotion: "begin_promotion",
--- a/packages/control/src/dogwoodspool_control/http/watch.py
+++ b/packages/control/src/dogwoodspool_control/http/watch.py
@@ -14,6 +14,7 @@
     QUERY_EPOCHS,
     QUERY_GIVEN_UP,
     QUERY_MAX_AGE_MS,
+    QUERY_RETIRED,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -109,6 +110,8 @@
             view = view.with_document_age(self._state.document_age_ms)
         if request.query.get(QUERY_GIVEN_UP) != "1":
             view = view.without_given_up()
+        if request.query.get(QUERY_RETIRED) != "1":
+            view = view.without_retired()
         if request.query.get(QUERY_EPOCHS) != "1":
             view = view.without_epochs()
         if QUERY_ALL_EPOCHS not in request.query:
--- a/packages/control/src/dogwoodspool_control/leader.py
+++ b/packages/control/src/dogwoodspool_control/leader.py
@@ -1,7 +1,7 @@
 """Periodic work of the leader of the control group."""
 
 from dogwoodspool_common import Clock, GroupState, Phase
-from dogwoodspool_common.const import MILLISECONDS
+from dogwoodspool_common.const import LEAVING_GRACE_SECONDS, MILLISECONDS
 
 from .command_queue import CommandQueue
 from .commands import BeginPromotion
@@ -10,6 +10,7 @@
 from .membership.incarnations import IncarnationAges
 from .membership.maintenance import AckAudit, LeaseBoundMaintenance
 from .membership.membership import Membership
+from .membership.retirement import Retirements
 from .models import PromotionReason
 from .node import ControlNode
 from .promotion.detector import DetectorSettings, FailureDetector
@@ -90,6 +91,7 @@
         self._reconciler = reconciler
         self._lease_bound = lease_bound
         self._ack_audit = ack_audit
+        self._retirements = Retirements(state, LEAVING_GRACE_SECONDS)
 
     def tick(self) -> None:
         """Run one tick; process ages are tracked also while another voter leads."""
@@ -111,6 +113,8 @@
         self._detector.tick()
         for command in self._membership.due_commands():
             self._queue.offer(command)
+        for retirement in self._retirements.due_commands():
+            self._queue.offer(retirement)
         for promotion in self._departures.due_commands():
             self._timeline.begin(promotion.group, promotion.reason)
             self._queue.offer(promotion)
--- a/packages/control/src/dogwoodspool_control/membership/instances.py
+++ b/packages/control/src/dogwoodspool_control/membership/instances.py
@@ -1,10 +1,17 @@
 """Registered proxies and recorded backend servers of the replicated state."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 
 from dogwoodspool_common import BackendServer, GroupState
 
-from ..commands import ForgetProxy, RecordServer, RegisterProxy, RemoveServer
+from ..commands import (
+    ForgetProxy,
+    RecordServer,
+    RegisterProxy,
+    RemoveServer,
+    RetireServer,
+)
 from ..const import (
     CODE_CONFLICT,
     CODE_FULL,
@@ -89,7 +96,8 @@
     def record(self, index: int, command: RecordServer) -> Outcome:
         """Add or update a server."""
         known = self._servers.get(command.server.name)
-        if known == command.server:
+        server = _with_retirement(command.server, known)
+        if known == server:
             return Outcome(True, index=0)
         ended = self._ended.get(command.server.name, -1)
         if 0 < command.server.incarnation <= ended:
@@ -98,7 +106,19 @@
         if known is not None and known.group != command.server.group:
             message = f"{known.name} belongs to group {known.group}"
             return Outcome(False, CODE_CONFLICT, message)
-        self._servers[command.server.name] = command.server
+        self._servers[server.name] = server
+        return Outcome(True, index=index)
+
+    def retire(self, index: int, command: RetireServer) -> Outcome:
+        """Record that a leaving server gets no new work from now on."""
+        known = self._servers.get(command.name)
+        if known is None or known.incarnation != command.incarnation:
+            return Outcome(False, CODE_INVALID, f"unknown process of {command.name}")
+        if not known.is_leaving:
+            return Outcome(False, CODE_CONFLICT, f"{known.name} is not leaving")
+        if known.is_retired:
+            return Outcome(True, index=0)
+        self._servers[command.name] = replace(known, is_retired=True)
         return Outcome(True, index=index)
 
     def remove(
@@ -126,6 +146,15 @@
             del self._ended[next(iter(self._ended))]
 
 
+def _with_retirement(
+    server: BackendServer, known: BackendServer | None
+) -> BackendServer:
+    """Return a description that keeps what its sender does not know."""
+    is_same = known is not None and known.incarnation == server.incarnation
+    is_retired = known is not None and known.is_retired and is_same
+    return replace(server, is_retired=is_retired and server.is_leaving)
+
+
 def _replaced_incarnations(known: ProxyRecord, incarnation: str) -> tuple[str, ...]:
     if known.incarnation == incarnation:
         return known.replaced
--- a/packages/control/src/dogwoodspool_control/membership/membership.py
+++ b/packages/control/src/dogwoodspool_control/membership/membership.py
@@ -45,13 +45,16 @@
             yield RecordServer(announced)
         elif announced.is_leaving and not known.is_leaving:
             yield RecordServer(replace(known, is_leaving=True))
-        elif announced != known and self._is_outdated(known):
+        elif self._differs(announced, known) and self._is_outdated(known):
             yield RecordServer(announced)
         is_first = self._state.group(announced.group) is None
         if observation.role is Role.PRIMARY and is_first:
             term = observation.position.term
             yield BootstrapGroup(announced.group, term, announced.name)
 
+    def _differs(self, announced: BackendServer, known: BackendServer) -> bool:
+        return replace(announced, is_retired=known.is_retired) != known
+
     def _is_outdated(self, known: BackendServer) -> bool:
         """Return whether the recorded properties are no longer announced.
 
--- a/packages/control/src/dogwoodspool_control/runtime.py
+++ b/packages/control/src/dogwoodspool_control/runtime.py
@@ -56,6 +56,8 @@
         secret_key: bytes,
     ) -> None:
         self._executor = ThreadPoolExecutor(WORKER_THREADS, "control-worker")
+        self._consensus = consensus
+        self._state = state
         node = ControlNode(consensus)
         table = GrantTable(clock, state, node)
         detector = FailureDetector(clock)
@@ -154,6 +156,7 @@
 
     def set_up(self) -> None:
         """Start the threads; they act while this voter is the leader."""
+        self._state.begin_live(self._consensus.diagnostics().last_index)
         self._queue.set_up()
         self._loop.set_up()
 
--- a/packages/control/src/dogwoodspool_control/state.py
+++ b/packages/control/src/dogwoodspool_control/state.py
@@ -36,6 +36,7 @@
     RecordServer,
     RegisterProxy,
     RemoveServer,
+    RetireServer,
     SettleWriteAcks,
     decode_command,
     encode_outcome,
@@ -43,6 +44,7 @@
 from .const import CODE_CONFLICT, CODE_INVALID
 from .errors import CommandRejectedError
 from .membership.instances import ProxyTable, ServerTable
+from .membership.leaving_times import LeavingTimes
 from .models import Outcome, Promotion, ProxyRecord
 from .promotion.groups import GroupTable
 from .settings.documents import DocumentSnapshot, DocumentState
@@ -88,6 +90,7 @@
         self._document = DocumentState()
         self._document_applied_at: float | None = None
         self._open_resumes: dict[str, dict[int, float]] = {}
+        self._leaving = LeavingTimes(clock)
         self._views = ViewLog()
         self._views.reset(0, self._view_items())
         self._listeners: list[Callable[[], None]] = []
@@ -152,6 +155,20 @@
         with self._changed:
             return dict(self._servers.ended)
 
+    def leaving_age(self, name: str) -> float | None:
+        """Return the seconds since a leaving server announced that; None if unknown."""
+        with self._changed:
+            return self._leaving.age(name)
+
+    def begin_live(self, last_index: int) -> None:
+        """Take the entries after an index for ones that were committed just now.
+
+        Until then, and up to that index, they come from the disk of this process, and
+        when they were committed is not known.
+        """
+        with self._changed:
+            self._leaving.begin_live(last_index)
+
     def open_resumes(self, lifetime: float) -> frozenset[str]:
         """Return the servers that may still carry out a command to resume.
 
@@ -286,6 +303,7 @@
                 outcome = Outcome(False, error.code, str(error))
             if outcome.is_accepted and outcome.index == index:
                 self._version = index
+                self._leaving.record(index, self._servers.servers)
                 self._views.record(index, self._view_items())
                 self._notify_change()
             return encode_outcome(outcome)
@@ -321,6 +339,7 @@
             )
             self._proxies = ProxyTable(restored.proxies)
             self._servers = ServerTable(restored.servers, restored.ended_servers)
+            self._leaving.restore(restored.servers)
             self._settings = SettingsState(restored.settings)
             self._document = DocumentState.restore(restored.document)
             self._document_applied_at = None
@@ -355,6 +374,8 @@
                 return self._servers.record(index, command)
             case RecordResume():
                 return self._record_resume(index, command)
+            case RetireServer():
+                return self._servers.retire(index, command)
             case RemoveServer():
                 return self._remove_server(index, command)
             case ApplyDocument():
--- a/packages/failover/src/dogwoodspool_failover/heartbeats.py
+++ b/packages/failover/src/dogwoodspool_failover/heartbeats.py
@@ -154,7 +154,7 @@
         if known is not None and known.incarnation == server.incarnation:
             # A process that has announced its leaving never returns to service.
             is_leaving = known.is_leaving or server.is_leaving
-            server = replace(server, is_leaving=is_leaving)
+            server = replace(server, is_leaving=is_leaving, is_retired=known.is_retired)
         if known != server:
             yield RecordServer(server)
         is_new_group = self._state.group(server.group) is None
--- a/packages/failover/src/dogwoodspool_failover/loop.py
+++ b/packages/failover/src/dogwoodspool_failover/loop.py
@@ -1,8 +1,10 @@
 """Periodic tasks of the leader of the control group."""
 
 from dogwoodspool_common import Clock, GroupState, Phase, log_event
+from dogwoodspool_common.const import LONG_LEAVING_GRACE_SECONDS
 from dogwoodspool_control.command_queue import CommandQueue
 from dogwoodspool_control.commands import BeginPromotion
+from dogwoodspool_control.membership.retirement import Retirements
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_control.node import ControlNode
 from dogwoodspool_control.promotion.failovers import FailoverTimeline
@@ -49,6 +51,7 @@
         self._detector = detector
         self._departures = departures
         self._lost = lost
+        self._retirements = Retirements(state, LONG_LEAVING_GRACE_SECONDS)
         self._changes = changes
         self._epochs = epochs
         self._queue = queue
@@ -73,6 +76,8 @@
             if isinstance(command, BeginPromotion):
                 self._timeline.begin(command.group, command.reason)
             self._queue.offer(command)
+        for command in self._retirements.due_commands():
+            self._queue.offer(command)
         for command in self._lost.due_commands():
             self._queue.offer(command)
         failing = [
--- a/packages/failover/src/dogwoodspool_failover/runtime.py
+++ b/packages/failover/src/dogwoodspool_failover/runtime.py
@@ -57,6 +57,8 @@
         tolerance: LimitTolerance | None = None,
         failure_domains: int = 1,
     ) -> None:
+        self._consensus = consensus
+        self._state = state
         self._executor = ThreadPoolExecutor(WORKER_THREADS, "failover-worker")
         node = ControlNode(consensus)
         heartbeats = HeartbeatTracker(clock, state)
@@ -129,6 +131,7 @@
 
     def set_up(self) -> None:
         """Start the threads, which act once this voter is the leader."""
+        self._state.begin_live(self._consensus.diagnostics().last_index)
         self._queue.set_up()
         self._loop.set_up()
         self._voters.set_up()
--- a/packages/following/src/dogwoodspool_following/poll.py
+++ b/packages/following/src/dogwoodspool_following/poll.py
@@ -11,6 +11,7 @@
     QUERY_EPOCHS,
     QUERY_GIVEN_UP,
     QUERY_MAX_AGE_MS,
+    QUERY_RETIRED,
     QUERY_VOTERS,
     QUERY_WAIT_MS,
 )
@@ -51,6 +52,7 @@
         QUERY_AFTER: str(version),
         QUERY_WAIT_MS: str(wait_ms),
         QUERY_GIVEN_UP: "1",
+        QUERY_RETIRED: "1",
         QUERY_EPOCHS: "1",
         QUERY_ALL_EPOCHS: "1" if lacks_epochs else "0",
         QUERY_VOTERS: "1",
--- a/packages/pooler/src/dogwoodspool_pooler/const.py
+++ b/packages/pooler/src/dogwoodspool_pooler/const.py
@@ -84,10 +84,6 @@
 # Greatest uncertainty in seconds of the first observed lag of a server.
 MAX_LAG_UNCERTAINTY: Final = 0.1
 
-# Time for which a leaving primary still gets new work: a switchover ends within 2 s,
-# and a server that leaves stays up for 7 s.
-LEAVING_GRACE_SECONDS: Final = 4.5
-
 # Greatest part of a server's connections that this process may hold. There are many
 # proxies with uneven load, so their parts add up to more than the server accepts; a
 # refusal by the server lowers the part for a while.
--- a/packages/pooler/src/dogwoodspool_pooler/known_primaries.py
+++ b/packages/pooler/src/dogwoodspool_pooler/known_primaries.py
@@ -4,7 +4,6 @@
 from dogwoodspool_following import ViewStore
 from dogwoodspool_routing import ServerTable
 
-from .const import LEAVING_GRACE_SECONDS
 from .placement import PrimaryHistory
 
 
@@ -66,15 +65,6 @@
         return current is None or self._refusals.get(group) == (current, version)
 
     def _accepts_work(self, name: str) -> bool:
-        """Return whether a server may be given new work.
-
-        A primary that is leaving gets work for a grace period, during which the group
-        is switched over, as no other server can take its writes. After that it gets
-        none, even if the switchover was not possible.
-        """
+        """Return whether a server may be given new work as a primary."""
         known = self._table.get(name)
-        if known is None:
-            return True
-        leaving_for = known.leaving_for
-        is_leaving = leaving_for is not None and leaving_for >= LEAVING_GRACE_SECONDS
-        return not known.is_failing and not is_leaving
+        return known is None or known.takes_primary_work
--- a/packages/pooler/src/dogwoodspool_pooler/runtime.py
+++ b/packages/pooler/src/dogwoodspool_pooler/runtime.py
@@ -13,6 +13,7 @@
     Route,
     log_event,
 )
+from dogwoodspool_common.const import LONG_LEAVING_GRACE_SECONDS
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import Connector
 from dogwoodspool_following import (
@@ -112,7 +113,7 @@
         shared_peers = ControlPeers(configured, failure_domain, failure_domain)
         self._peers.share_with(shared_peers)
         self._confirmation = ViewConfirmation(self._views, self._peers, client, clock)
-        self._table = ServerTable(clock)
+        self._table = ServerTable(clock, leaving_grace=LONG_LEAVING_GRACE_SECONDS)
         self._registry = BackendRegistry(
             self._views,
             connector,
--- a/packages/routing/src/dogwoodspool_routing/const.py
+++ b/packages/routing/src/dogwoodspool_routing/const.py
@@ -17,10 +17,6 @@
 # Seconds by which a server of another failure domain must be faster to be chosen.
 REMOTE_DOMAIN_PENALTY: Final = 0.001
 
-# Seconds for which a leaving primary still takes work: a switchover ends within them,
-# and until then no other server can take its writes.
-LEAVING_PRIMARY_GRACE: Final = 2.0
-
 # Upper bound of the seconds between two attempts that count as unreachable.
 MAX_UNREACHABLE_STEP: Final = 1.0
 
--- a/packages/routing/src/dogwoodspool_routing/models.py
+++ b/packages/routing/src/dogwoodspool_routing/models.py
@@ -5,8 +5,6 @@
 
 from dogwoodspool_common import BackendServer, Position, ServerStatus
 
-from .const import LEAVING_PRIMARY_GRACE
-
 
 @dataclass(frozen=True, slots=True)
 class ServerView:
@@ -23,6 +21,8 @@
         latency: moving average of a statement's seconds.
         in_flight: number of this process's statements on it.
         load: moving average of ``in_flight`` over time.
+        is_past_grace: whether it has been leaving for so long that it gets no new work,
+            also as the primary.
     """
 
     server: BackendServer
@@ -33,6 +33,7 @@
     latency: float
     in_flight: int
     load: float = 0.0
+    is_past_grace: bool = False
 
     @property
     def name(self) -> str:
@@ -46,10 +47,13 @@
 
     @property
     def takes_primary_work(self) -> bool:
-        """Return whether it may get new statements as its group's primary."""
-        if self.is_failing:
-            return False
-        return self.leaving_for is None or self.leaving_for < LEAVING_PRIMARY_GRACE
+        """Return whether it may get new statements as its group's primary.
+
+        A primary that is leaving gets them for a grace period, during which the group
+        is switched over, as no other server can take its writes. After that it gets
+        none, even if the switchover was not possible.
+        """
+        return not self.is_failing and not self.is_past_grace
 
     @property
     def estimated_time(self) -> float:
--- a/packages/routing/src/dogwoodspool_routing/server_record.py
+++ b/packages/routing/src/dogwoodspool_routing/server_record.py
@@ -71,6 +71,25 @@
         sources = (self.committed, self.announced, self.status)
         return any(source is not None and source.is_leaving for source in sources)
 
+    def leaving_for(self, now: float) -> float | None:
+        """Return the seconds since it was first heard of the server's leaving.
+
+        None if it is not leaving.
+        """
+        return None if self.leaving_since is None else now - self.leaving_since
+
+    def is_past_grace(self, now: float, grace: float) -> bool:
+        """Return whether the server has been leaving for longer than a grace period.
+
+        A process that has started since, or that was suspended, heard of it late, so
+        that control's word counts as well.
+        """
+        leaving_for = self.leaving_for(now)
+        if leaving_for is None:
+            return False
+        is_retired = self.committed is not None and self.committed.is_retired
+        return leaving_for >= grace or is_retired
+
     def record_description(self, now: float) -> None:
         """Update the leaving time after a change of a description or the status."""
         if not self.is_leaving:
--- a/packages/routing/src/dogwoodspool_routing/server_table.py
+++ b/packages/routing/src/dogwoodspool_routing/server_table.py
@@ -5,7 +5,7 @@
 
 from dogwoodspool_api import Announcement, Observation, StatusMessage
 from dogwoodspool_common import BackendServer, Clock, ServerStatus
-from dogwoodspool_common.const import MILLISECONDS, NEVER
+from dogwoodspool_common.const import LEAVING_GRACE_SECONDS, MILLISECONDS, NEVER
 
 from .const import DEFAULT_ANNOUNCEMENT_EXPIRY
 from .group_latencies import GroupLatencies
@@ -20,13 +20,21 @@
     probe servers and run statements; all others only read it. Servers come from
     control's view and from announcements that are not older than the expiry, so that
     a failure domain that is disconnected from control still knows its own servers.
+
+    Args:
+        announcement_expiry: seconds after which an announcement is dropped.
+        leaving_grace: seconds for which a leaving primary still gets new work.
     """
 
     def __init__(
-        self, clock: Clock, announcement_expiry: float = DEFAULT_ANNOUNCEMENT_EXPIRY
+        self,
+        clock: Clock,
+        announcement_expiry: float = DEFAULT_ANNOUNCEMENT_EXPIRY,
+        leaving_grace: float = LEAVING_GRACE_SECONDS,
     ) -> None:
         self._clock = clock
         self._announcement_expiry = announcement_expiry
+        self._leaving_grace = leaving_grace
         self._lock = threading.Lock()
         self._records: dict[str, ServerRecord] = {}
         self._latencies = GroupLatencies()
@@ -202,13 +210,12 @@
             server=record.server,
             status=record.status,
             elapsed_ms=(now - record.asked_at) * MILLISECONDS,
-            leaving_for=(
-                None if record.leaving_since is None else now - record.leaving_since
-            ),
+            leaving_for=record.leaving_for(now),
             is_failing=record.is_failing,
             latency=record.latency(untried, now),
             in_flight=record.in_flight,
             load=record.load(now),
+            is_past_grace=record.is_past_grace(now, self._leaving_grace),
         )
 
     def _drop_expired(self) -> None:
--- a/tests/control/http/test_http.py
+++ b/tests/control/http/test_http.py
@@ -15,6 +15,7 @@
     QUERY_ALL_EPOCHS,
     QUERY_EPOCHS,
     QUERY_GIVEN_UP,
+    QUERY_RETIRED,
 )
 from dogwoodspool_common import (
     Address,
@@ -31,7 +32,9 @@
     ApplyDocument,
     BeginPromotion,
     RecordEpoch,
+    RecordServer,
     RegisterProxy,
+    RetireServer,
 )
 from dogwoodspool_control.const import (
     MAX_CONFIRMED_READS,
@@ -57,6 +60,7 @@
     Voter,
     populate,
     renewal,
+    server,
 )
 
 
@@ -142,6 +146,16 @@
         self.assertEqual(asked["given_up"], ["s1"])
         self.assertNotIn("given_up", not_asked)
 
+    def test_retirements_are_sent_only_on_request(self) -> None:
+        """Guard against proxies of an earlier build that reject the view."""
+        self.voter.node.commit(RecordServer(server("s1", is_leaving=True)))
+        self.voter.node.commit(RetireServer("s1", 0))
+        asked = self.call(PATH_WATCH, **{QUERY_RETIRED: "1"}).body["view"]["servers"]
+        retired = [one["server"] for one in asked if one.get("is_retired")]
+        self.assertEqual(retired, ["s1"])
+        for one in self.call(PATH_WATCH).body["view"]["servers"]:
+            self.assertNotIn("is_retired", one)
+
     def test_epochs_are_sent_only_on_request(self) -> None:
         """Guard against proxies of an earlier build that reject the view."""
         epoch = PrimaryEpoch("s1", 1, 4)
--- a/tests/control/membership/test_membership.py
+++ b/tests/control/membership/test_membership.py
@@ -11,7 +11,13 @@
     Role,
     ServerStatus,
 )
-from dogwoodspool_control.commands import BootstrapGroup, RecordServer, RemoveServer
+from dogwoodspool_control.commands import (
+    BootstrapGroup,
+    RecordServer,
+    RemoveServer,
+    RetireServer,
+)
+from dogwoodspool_control.const import OUTDATED_RECORD_SECONDS
 from dogwoodspool_control.membership.membership import Membership
 from dogwoodspool_control.promotion.server_observations import ServerObservations
 
@@ -64,6 +70,16 @@
         self.announce("p1", leaving)
         self.assertEqual(self.membership.due_commands(), [RecordServer(leaving)])
 
+    def test_retired_server_announces_itself(self) -> None:
+        """Guard against a record that changes with each announcement."""
+        populate(self.voter, {"p1": "fd1"})
+        leaving = server("s2", "fd2", is_leaving=True)
+        self.voter.commit(RecordServer(leaving))
+        self.voter.commit(RetireServer("s2", 0))
+        self.clock.advance(2 * OUTDATED_RECORD_SECONDS)
+        self.announce("p1", leaving)
+        self.assertEqual(self.membership.due_commands(), [])
+
     def test_alternating_announcements_do_not_change_the_record(self) -> None:
         """A server restarts with more slots; one proxy repeats its old announcement.
 
--- a/tests/control/test_runtime.py
+++ b/tests/control/test_runtime.py
@@ -49,7 +49,8 @@
         clock = SystemClock()
         address = Address("127.0.0.1", 1)
         signer = RequestSigner(b"a shared key of the tests")
-        state = ControlState(clock)
+        state = self.state = ControlState(clock)
+        self.leaving = ""
         self.servers = FakeServers(
             {name: FakeServer(Position(1, 5)) for name in SERVERS}
         )
@@ -122,6 +123,7 @@
                 position=PositionMessage.of(fake.position),
                 slots=3,
                 connections=20,
+                is_leaving=name == self.leaving,
             )
             for name, fake in self.servers.servers.items()
             if not fake.is_silent
@@ -151,6 +153,20 @@
             time.sleep(0.1)
         self.fail(f"no grants of term {term}: {voter.status()}")
 
+    def test_leaving_server_is_retired(self) -> None:
+        """Guard against proxies that each count the grace period from their start."""
+        voter = self.start()
+        try:
+            self.renew_until_granted(voter, term=1)
+            voter.leaving = "s2"
+            deadline = time.monotonic() + GRANT_TIMEOUT_SECONDS
+            while not voter.state.servers["s2"].is_retired:
+                self.assertLess(time.monotonic(), deadline)
+                voter.renew_all()
+                time.sleep(0.1)
+        finally:
+            voter.unload()
+
     def test_failed_primary_is_replaced_and_a_restart_keeps_the_state(self) -> None:
         """A primary fails, every proxy observes it, and callers wait for the next one.
 
--- a/tests/failover/test_heartbeats.py
+++ b/tests/failover/test_heartbeats.py
@@ -3,7 +3,7 @@
 import unittest
 
 from dogwoodspool_common import Role
-from dogwoodspool_control.commands import RemoveServer
+from dogwoodspool_control.commands import RemoveServer, RetireServer
 from dogwoodspool_failover.models import Heartbeat
 
 from .fakes import FakeServer, Voter
@@ -24,6 +24,13 @@
         self.voter.heartbeat(self.s3, 1, is_leaving=True)
         self.assertEqual(self.recorded(), (1, True, False))
 
+    def test_heartbeats_of_a_retired_server_change_nothing(self) -> None:
+        """Guard against an entry in the log for each heartbeat."""
+        self.voter.heartbeat(self.s3, 1, is_leaving=True)
+        self.voter.commit(RetireServer("s3", 1))
+        self.assertEqual(self.voter.heartbeat(self.s3, 2, is_leaving=True), [])
+        self.assertTrue(self.voter.state.servers["s3"].is_retired)
+
     def test_repeated_call_is_committed_if_the_first_was_not(self) -> None:
         """Guard against an announcement of leaving that is acknowledged and lost."""
         heartbeat = Heartbeat(self.s3.described(is_leaving=True), 5, self.s3.role)
--- a/tests/failover/test_loop.py
+++ b/tests/failover/test_loop.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dogwoodspool_common import GroupState, Phase, PrimaryEpoch
+from dogwoodspool_common.const import LONG_LEAVING_GRACE_SECONDS
 from dogwoodspool_control.command_queue import CommandQueue
 from dogwoodspool_control.models import PromotionReason
 from dogwoodspool_failover.changes import PrimaryChanges
@@ -85,6 +86,17 @@
         self.tick()
         self.assertIs(self.group.phase, Phase.PROMOTING)
 
+    def test_leaving_server_is_retired(self) -> None:
+        """Guard against proxies that each count the grace period from their start."""
+        self.lead(has_epoch=True)
+        self.voter.state.begin_live(self.voter.log.index)
+        s3 = self.voter.group.servers["s3"]
+        self.voter.record(s3.described(is_leaving=True))
+        self.tick(LONG_LEAVING_GRACE_SECONDS - 0.1)
+        self.assertFalse(self.voter.state.servers["s3"].is_retired)
+        self.tick(0.2)
+        self.assertTrue(self.voter.state.servers["s3"].is_retired)
+
     def test_replica_is_looked_at_again_after_a_change(self) -> None:
         """Guard against a replica that a late command has paused for good."""
         self.lead(has_epoch=True)
--- a/tests/following/test_watch.py
+++ b/tests/following/test_watch.py
@@ -4,7 +4,7 @@
 from typing import Any, cast
 
 from dogwoodspool_api import ControlView, MemberMessage, WatchResponse
-from dogwoodspool_api.const import QUERY_EPOCHS, QUERY_VOTERS
+from dogwoodspool_api.const import QUERY_EPOCHS, QUERY_RETIRED, QUERY_VOTERS
 from dogwoodspool_common import Address, JsonClient, ManualClock
 from dogwoodspool_following import ControlPeers, ViewStore, WatchCoordinator
 
@@ -110,6 +110,11 @@
         self.watch.step()
         self.assertEqual(self.control.queries[-1].get(QUERY_EPOCHS), "1")
 
+    def test_polls_ask_for_retirements(self) -> None:
+        """Guard against proxies that count the grace period by themselves."""
+        self.watch.step()
+        self.assertEqual(self.control.queries[-1].get(QUERY_RETIRED), "1")
+
     def test_one_round_of_polls_without_a_wait_follows_one_without_a_result(
         self,
     ) -> None:
--- a/tests/pooler/fakes.py
+++ b/tests/pooler/fakes.py
@@ -27,6 +27,7 @@
     Role,
     key_digest,
 )
+from dogwoodspool_common.const import LONG_LEAVING_GRACE_SECONDS
 from dogwoodspool_common.counters import Counters
 from dogwoodspool_connections import (
     ConnectFailedError,
@@ -445,7 +446,7 @@
         self.clock = AutoAdvanceClock()
         self.network = FakeNetwork(servers, self.clock)
         self.views = ViewStore(OWN_DOMAIN, self.clock)
-        self.table = ServerTable(self.clock)
+        self.table = ServerTable(self.clock, leaving_grace=LONG_LEAVING_GRACE_SECONDS)
         self.suspected: list[str] = []
         self.stalls, self.freshness = (
             StallTracker(self.clock),
@@ -550,6 +551,7 @@
         phase: Phase = Phase.STEADY,
         endpoints: Sequence[Endpoint] | None = None,
         leaving: Collection[str] = (),
+        retired: Collection[str] = (),
         accounts: Sequence[ClientAccount] | None = None,
         given_up: tuple[str, ...] = (),
         other_primaries: Mapping[str, str] | None = None,
@@ -570,7 +572,11 @@
             for name, one in (other_primaries or {}).items()
         ]
         servers = [
-            replace(fake.as_backend_server(), is_leaving=fake.name in leaving)
+            replace(
+                fake.as_backend_server(),
+                is_leaving=fake.name in leaving,
+                is_retired=fake.name in retired,
+            )
             for fake in self.network.servers.values()
         ]
         self.views.adopt(
--- a/tests/pooler/test_writes.py
+++ b/tests/pooler/test_writes.py
@@ -123,6 +123,17 @@
         assert answer.error is not None
         self.assertIs(answer.error.code, ErrorCode.BUSY)
 
+    def test_late_starter_gives_no_work_to_a_primary_past_its_grace_period(
+        self,
+    ) -> None:
+        """Guard against proxies that count the period from when they started."""
+        pooler = Pooler(group())
+        pooler.apply_view(primary="s1", leaving={"s1"}, retired={"s1"})
+        answer = run_text(pooler.session(), "WRITE k v")
+        assert answer.error is not None
+        self.assertIs(answer.error.code, ErrorCode.BUSY)
+        self.assertEqual(writes(pooler), [])
+
     def test_without_a_primary_a_write_is_refused_as_not_run(self) -> None:
         pooler = Pooler(group())
         pooler.network.servers["s1"].is_down = True
--- a/tests/routing/test_read_router.py
+++ b/tests/routing/test_read_router.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from dogwoodspool_common import GroupState, ManualClock, Phase, Position, ServerStatus
@@ -13,7 +14,7 @@
     RouterSettings,
 )
 
-from .builders import GROUP, announcement, status, table_of
+from .builders import GROUP, announcement, server, status, table_of
 
 READ_SECONDS = 0.001
 READ_SPACING_SECONDS = 0.02
@@ -181,3 +182,19 @@
         self.clock.advance(2.0)
         reason = self.refused(need)
         self.assertEqual(reason, NoServerReason.PRIMARY_UNREACHABLE)
+
+    def test_process_that_hears_late_of_a_leaving_primary(self) -> None:
+        """Guard against a process that counts the period from its own start."""
+        self.fill(status("a1", 20))
+        retired = replace(server("a1", is_leaving=True), is_retired=True)
+        self.table.adopt_committed([retired, server("b1"), server("c1")])
+        reason = self.refused(ReadNeed(needs_primary=True))
+        self.assertEqual(reason, NoServerReason.PRIMARY_UNREACHABLE)
+
+    def test_next_process_of_a_retired_server(self) -> None:
+        """Guard against a server that gets no work after it has started again."""
+        self.fill(status("a1", 20))
+        retired = replace(server("a1", is_leaving=True), is_retired=True)
+        self.table.adopt_committed([retired])
+        self.table.adopt_committed([replace(server("a1"), incarnation=1)])
+        self.assertEqual(self.choose(ReadNeed(needs_primary=True))[0], "a1")
