Choice: a server that ended while it was fenced needs no further answer

The leaving primary is cut off from control; replicas that were fenced for the change leave as planned while the group has no primary, and end. Control then waits for their answers for good.

Cause: an answer of a fenced server counts only while the server repeats it, since it may have started again unnoticed. A server whose end is recorded can't: what it had when it was fenced is final, and the choice can require that position. A departure may therefore be acknowledged while the group has no primary.

What it holds off: an answer that was followed by one without a pause is dropped; one of another process does not count; a group without a recorded epoch, where another server's lead may have ended the pause and passed writes on, waits as before.

The test of the replica that leaves failed before.

--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -124,6 +124,8 @@
         epoch = None if group is None else group.epoch
         ended = () if group is None else group.ended
         called = self._called()
+        if epoch is not None:
+            fenced = self._fencing.fenced_until_end(members) | fenced
         return FailoverInput(
             members=members,
             fenced=fenced,
--- a/packages/failover/src/dogwoodspool_failover/fencing.py
+++ b/packages/failover/src/dogwoodspool_failover/fencing.py
@@ -18,7 +18,8 @@
     and the server may have received writes since. Each answer is therefore stored
     with the incarnation that gave it, and discarded when the server restarts or does
     not repeat it. A server that may still carry out a command to resume does not count
-    as fenced.
+    as fenced. One that ends while it is fenced has received nothing since, so its last
+    answer stays valid.
 
     The fencing term is the lowest one that has an effect, which the next primary's term
     reaches: a command that is carried out after the change then has none.
@@ -28,18 +29,27 @@
         self._dependencies = dependencies
         self._lock = threading.Lock()
         self._fenced: dict[str, tuple[int, ServerState]] = {}
+        # The last answers of servers that have not been seen running unfenced since.
+        self._last_fenced: dict[str, tuple[int, ServerState]] = {}
         self._refusing: set[tuple[str, int]] = set()
         self._term = 0
 
     def fenced(self, members: Sequence[BackendServer]) -> dict[str, ServerState]:
         """Return the answers of the members that are fenced now."""
         with self._lock:
-            fenced = dict(self._fenced)
-        return {
-            one.name: fenced[one.name][1]
-            for one in members
-            if one.name in fenced and fenced[one.name][0] == one.incarnation
-        }
+            return _answers_of(members, self._fenced)
+
+    def fenced_until_end(
+        self, members: Sequence[BackendServer]
+    ) -> dict[str, ServerState]:
+        """Return the last answers of the members that have ended while fenced.
+
+        A pause ends as well when another server is promoted. What that one acknowledges
+        is passed on only in a group without a recorded epoch.
+        """
+        ended = [one for one in members if one.is_gone]
+        with self._lock:
+            return _answers_of(ended, self._last_fenced)
 
     def refusing(self, members: Sequence[BackendServer]) -> list[str]:
         """Return the members at whose address nothing listened when asked last."""
@@ -193,10 +203,13 @@
         if answer is None or not is_fenced:
             with self._lock:
                 self._fenced.pop(server.name, None)
+                if answer is not None:
+                    self._last_fenced.pop(server.name, None)
             return
         with self._lock:
             earlier = self._fenced.get(server.name)
             self._fenced[server.name] = server.incarnation, answer
+            self._last_fenced[server.name] = server.incarnation, answer
         if earlier is None or earlier[0] != server.incarnation:
             log_event(
                 "server_frozen",
@@ -205,3 +218,14 @@
                 term=self._term,
                 received=f"{answer.received.term}.{answer.received.offset}",
             )
+
+
+def _answers_of(
+    members: Iterable[BackendServer], known: Mapping[str, tuple[int, ServerState]]
+) -> dict[str, ServerState]:
+    """Return the answers that the present processes of members have given."""
+    return {
+        one.name: known[one.name][1]
+        for one in members
+        if one.name in known and known[one.name][0] == one.incarnation
+    }
--- a/tests/failover/test_fencing.py
+++ b/tests/failover/test_fencing.py
@@ -1,6 +1,7 @@
 """Tests of the fencing of a group's servers."""
 
 import unittest
+from dataclasses import replace
 
 from dogwoodspool_common import BackendServer
 from dogwoodspool_control.commands import RecordResume
@@ -59,6 +60,35 @@
         self.fence(states)
         self.assert_fenced("s1", "s2")
 
+    def test_server_that_ends_while_it_is_fenced(self) -> None:
+        """Guard against a group that waits for what a server can't have received."""
+        self.fence()
+        self.servers["s3"].is_refusing = True
+        self.fence()
+        self.assertEqual(self.fencing.fenced_until_end(self.members), {})
+        gone = replace(self.voter.state.servers["s3"], is_leaving=True, is_gone=True)
+        self.voter.record(gone)
+        self.assertEqual(set(self.fencing.fenced_until_end(self.members)), {"s3"})
+
+    def test_server_that_runs_unfenced_before_it_ends(self) -> None:
+        """Guard against an answer from before a server received again."""
+        self.fence()
+        states = self.ask()
+        self.servers["s3"].paused_term, self.servers["s3"].term = 0, 9
+        self.fence(states)
+        self.servers["s3"].is_refusing = True
+        self.fence()
+        gone = replace(self.voter.state.servers["s3"], is_leaving=True, is_gone=True)
+        self.voter.record(gone)
+        self.assertEqual(self.fencing.fenced_until_end(self.members), {})
+
+    def test_next_process_of_a_server_that_was_fenced(self) -> None:
+        """Guard against the answer of a process that is not the one that ended."""
+        self.fence()
+        described = self.servers["s3"].described(incarnation=2)
+        self.voter.record(replace(described, is_leaving=True, is_gone=True))
+        self.assertEqual(self.fencing.fenced_until_end(self.members), {})
+
     def test_position_is_that_of_the_present_round(self) -> None:
         """Guard against a choice by positions of an earlier round."""
         self.fence()
--- a/tests/failover/test_lost_servers.py
+++ b/tests/failover/test_lost_servers.py
@@ -102,6 +102,39 @@
         self.change()
         self.assertIsNone(self.group.promoted_at)
 
+    def test_replica_leaves_while_the_group_has_no_primary(self) -> None:
+        """Guard against a group that waits for a server that ended while fenced."""
+        self.voter.join(FakeServer("n4"))
+        self.proxy.write(["s3", "n4"])
+        for name in ("s1", "s3"):
+            self.servers[name].is_silent = True
+        self.voter.begin()
+        self.voter.on_pause = lambda: self.end("s2")
+        self.change()
+        self.assert_waits()
+        self.servers["s3"].is_silent = False
+        worker = self.voter.worker
+        assert worker is not None
+        worker.run()
+        self.assert_has_primary()
+        self.assert_nothing_lost()
+
+    def test_ended_replica_had_the_newest_write(self) -> None:
+        """Guard against a server that lacks what only an ended one had."""
+        self.voter.join(FakeServer("n4"))
+        self.proxy.write(["s2"])
+        for name in ("s1", "s3"):
+            self.servers[name].is_silent = True
+        self.voter.begin()
+        self.voter.on_pause = lambda: self.end("s2")
+        self.change()
+        self.servers["s3"].is_silent = False
+        worker = self.voter.worker
+        assert worker is not None
+        self.voter.log.is_leader = True
+        worker.run()
+        self.assert_waits()
+
     def test_writer_follows_a_lost_member(self) -> None:
         """Guard against a log that a server of an open call has rolled back."""
         self.group.late_promotions = {"s2"}
