MySQL proxy: writes to a leaving primary end with its grace period

What callers saw: a server that leaves and that no other can replace gets writes until it ends; README.md promises no new work after a few seconds.

Cause: only the choice of servers for reads looked at the leaving; a write goes to the server that its grant names. The write is refused as not run, with a time to come back.

--- a/packages/proxy/src/dogwoodspool_proxy/access.py
+++ b/packages/proxy/src/dogwoodspool_proxy/access.py
@@ -14,9 +14,13 @@
 from dogwoodspool_routing import ServerTable
 from expression import Error, Ok, Result
 
-from .answers import refused
+from .answers import no_primary, refused
 from .backends import Backend, BackendRegistry
-from .const import CONNECT_RETRY_AFTER_MS, MAX_CONNECTION_WAIT_SECONDS
+from .const import (
+    CONNECT_RETRY_AFTER_MS,
+    MAX_CONNECTION_WAIT_SECONDS,
+    NO_PRIMARY_RETRY_AFTER_MS,
+)
 from .errors import NothingSentError
 
 
@@ -147,9 +151,15 @@
 
         The connection belongs to the client account, or to none if that is empty.
 
-        The statement is refused at once if the estimated wait exceeds the deadline.
-        Nothing has been sent to the server when an error is returned.
+        The statement is refused at once if the estimated wait exceeds the deadline, and
+        a write if its server has been leaving for longer than the grace period. Nothing
+        has been sent to the server when an error is returned.
         """
+        known = self._table.get(server.name)
+        is_leaving = known is not None and known.is_past_grace
+        if priority is Priority.WRITE and is_leaving:
+            message = f"primary {server.name} is leaving"
+            return Error(no_primary(message, NO_PRIMARY_RETRY_AFTER_MS))
         backend = self._registry.backend(server)
         with span("admission.wait", server=server.name, priority=priority.name):
             admitted = backend.admission.admit(deadline, priority)
