--- a/tests/platform/test_promotion.py
+++ b/tests/platform/test_promotion.py
@@ -88,6 +88,12 @@
         with self.assertRaises(PromotionUnknownError):
             self.request(503)
 
+    def test_answer_that_the_platform_does_not_give(self) -> None:
+        """Guard against a call that counts as refused though it is carried out."""
+        for status in (202, 204, 304):
+            with self.subTest(status), self.assertRaises(PromotionUnknownError):
+                self.request(status)
+
     def test_no_answer(self) -> None:
         """Guard against a call that counts as refused though it is carried out."""
         with self.assertRaises(PromotionUnknownError):
