Server states: a term or an age that is no such number is rejected

Found by reading, as the borders were looked over: a state with a negative term, an age that is not finite or digits of another script was taken as it stood. Such an age would outrank all others in a comparison. The state is one that can't be read now, as for missing fields.

--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -29,6 +29,8 @@
     decode_heartbeat,
     decode_incarnation,
 )
+from dogwoodspool_platform.server_state import decode_lag, decode_term
+from dogwoodspool_platform.text_protocol import BadWordsError
 from dogwoodspool_settings import SettingsTree
 from expression import Result
 
@@ -399,6 +401,24 @@
             decode_heartbeat("i 1", heartbeat())
 
 
+class ServerStateTests(unittest.TestCase):
+    """The state that a server reports of itself is decoded or rejected."""
+
+    def test_numbers_are_decoded(self) -> None:
+        self.assertEqual(decode_term("17"), 17)
+        self.assertEqual(decode_lag("12"), 12.0)
+        self.assertEqual(decode_lag("0.5"), 0.5)
+
+    def test_other_texts_are_rejected(self) -> None:
+        """Guard against a term or an age that outranks all others."""
+        for text in ("", "-1", "+1", "1_0", "1.0", "x", "²"):
+            with self.subTest(text), self.assertRaises(BadWordsError):
+                decode_term(text)
+        for text in ("", "-1", "nan", "inf", "-inf", "x"):
+            with self.subTest(text), self.assertRaises(BadWordsError):
+                decode_lag(text)
+
+
 class BootSettingsTests(unittest.TestCase):
     """The settings file may contain more than a process needs."""
 
