Choice: a demoted primary that ended while fenced holds up no other server

Now these answers count only where too few servers are fenced without them, and the ended members with the highest positions are the ones that are borne: what only they have was not acknowledged. The test of the demoted primary failed before.

--- a/packages/failover/src/dogwoodspool_failover/change.py
+++ b/packages/failover/src/dogwoodspool_failover/change.py
@@ -124,11 +124,11 @@
         epoch = None if group is None else group.epoch
         ended = () if group is None else group.ended
         called = self._called()
-        if epoch is not None:
-            fenced = self._fencing.fenced_until_end(members) | fenced
+        until_end = {} if epoch is None else self._fencing.fenced_until_end(members)
         return FailoverInput(
             members=members,
             fenced=fenced,
+            fenced_until_end=until_end,
             writers=self._writers(promotion),
             sole_writer=sole_writer(epoch, members, fenced, called),
             refusing=self._fencing.refusing(members),
--- a/packages/failover/src/dogwoodspool_failover/choice.py
+++ b/packages/failover/src/dogwoodspool_failover/choice.py
@@ -10,7 +10,7 @@
 """
 
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from dogwoodspool_common import BackendServer, Position
@@ -31,6 +31,7 @@
         members: all recorded servers of the group, including those that have ended
             for as long as they may be the only holder of an acknowledged write.
         fenced: answers of the servers that are fenced.
+        fenced_until_end: last answers of servers that have ended while fenced.
         writers: servers that may have accepted writes since the last change ended.
         sole_writer: the server with the log of the only one that accepted writes whose
             callers may have been told of a success; empty if that is not known.
@@ -50,6 +51,7 @@
     sole_writer: str = ""
     refusing: Collection[str] = ()
     is_newest_lead: bool = False
+    fenced_until_end: Mapping[str, ServerState] = field(default_factory=dict)
     ended: Collection[str] = ()
     epoch_start: Position | None = None
     unwanted: Collection[str] = ()
@@ -57,6 +59,7 @@
 
 def choose_primary(given: FailoverInput) -> Result[Choice, ChoiceRefusal]:
     """Choose a fenced server that is certain to have every acknowledged write."""
+    given = _with_ended(given)
     missing = _missing(given)
     if _are_too_few_fenced(given):
         return Error(ChoiceRefusal("too few servers are fenced", tuple(missing)))
@@ -70,11 +73,29 @@
 
 def is_qualified(given: FailoverInput, server: str) -> bool:
     """Tell whether a server is certain to have every acknowledged write."""
+    given = _with_ended(given)
     if _are_too_few_fenced(given):
         return False
     return any(one.name == server for one in _qualified(given))
 
 
+def _with_ended(given: FailoverInput) -> FailoverInput:
+    """Count the members that ended while fenced, where too few others are fenced.
+
+    A change bears some missing members. The ended ones with the highest positions are
+    such members as far as no others are missing: what only they have was not
+    acknowledged.
+    """
+    if not _are_too_few_fenced(given):
+        return given
+    ended = given.fenced_until_end
+    missing = [name for name in _missing(given) if name not in ended]
+    borne = max(0, REQUIRED_REPLICA_ACKS - len(missing))
+    names = sorted(ended, key=lambda name: ended[name].received)
+    counted = {name: ended[name] for name in names[: len(names) - borne]}
+    return replace(given, fenced={**counted, **given.fenced})
+
+
 def _missing(given: FailoverInput) -> list[str]:
     return [one.name for one in given.members if one.name not in given.fenced]
 
--- a/tests/failover/test_choice.py
+++ b/tests/failover/test_choice.py
@@ -71,6 +71,40 @@
         given_ = FailoverInput(ended, {"s2": state(7)}, ("s1",))
         self.assertTrue(choose_primary(given_).is_error())
 
+    def test_member_that_ended_while_fenced_is_not_missing(self) -> None:
+        """Guard against a group that waits for a server whose position is known."""
+        given = self.after_ends({"s2": state(100)}, missing="s1")
+        self.assertEqual(choose_primary(given).ok.server, "s3")
+
+    def test_server_lacks_what_an_ended_member_had(self) -> None:
+        """Guard against a choice without a write that only an ended server had."""
+        given = self.after_ends({"s2": state(101)}, missing="s1")
+        self.assertTrue(choose_primary(given).is_error())
+
+    def test_writes_of_one_ended_member_alone_were_not_acknowledged(self) -> None:
+        """Guard against a group that waits for what was never acknowledged."""
+        for until_end in {"s1": state(105)}, {"s1": state(105), "s2": state(100)}:
+            given = self.after_ends(until_end)
+            self.assertIn(choose_primary(given).ok.server, ("s2", "s3"))
+
+    def after_ends(
+        self, until_end: dict[str, ServerState], missing: str = ""
+    ) -> FailoverInput:
+        """Return the input once some servers have ended, and others run at 100."""
+        known = [
+            replace(one, is_leaving=True, is_gone=True)
+            if one.name in until_end
+            else one
+            for one in members("s1", "s2", "s3")
+        ]
+        running = [one.name for one in known if not one.is_gone and one.name != missing]
+        return FailoverInput(
+            known,
+            {name: state(100) for name in running},
+            ("s1", "s2", "s3"),
+            fenced_until_end=until_end,
+        )
+
     def test_staying_server_is_preferred_to_a_leaving_one(self) -> None:
         servers = members("s1", "s2", "s3")
         servers[1] = replace(servers[1], is_leaving=True)
--- a/tests/failover/test_lost_servers.py
+++ b/tests/failover/test_lost_servers.py
@@ -16,7 +16,7 @@
 from dogwoodspool_failover.reports import ReportTracker
 
 from .fakes import GROUP, FakeServer
-from .test_ended_servers import EndedServerTestCase
+from .test_ended_servers import MAX_PAUSES, EndedServerTestCase
 
 # Checks of a steady group, and seconds between two of them.
 LOST_CHECKS = 8
@@ -119,6 +119,24 @@
         self.assert_has_primary()
         self.assert_nothing_lost()
 
+    def test_demoted_primary_leaves_with_writes_of_its_own(self) -> None:
+        """Guard against a group that waits for what was never acknowledged."""
+        self.servers["s1"].received = Position(1, 105)
+        self.group.late_promotions = {"s1", "s2", "s3"}
+        self.voter.begin()
+
+        def end_primary() -> None:
+            promotion = self.voter.state.promotion(GROUP)
+            is_retry = promotion is not None and promotion.term > 2  # noqa: PLR2004
+            if is_retry and not self.servers["s1"].is_refusing:
+                self.end("s1")
+                self.group.late_promotions.clear()
+
+        self.voter.on_pause = end_primary
+        self.voter.change(max_pauses=10 * MAX_PAUSES)
+        self.assert_has_primary()
+        self.assert_nothing_lost()
+
     def test_ended_replica_had_the_newest_write(self) -> None:
         """Guard against a server that lacks what only an ended one had."""
         self.voter.join(FakeServer("n4"))
